Rename to lupincrank, split settings out of the adapter, name the deploy keys

The settings reader moved from the adapter into a crate of its own so that the node reads the same names.

--- a/simhost/src/main.rs
+++ b/simhost/src/main.rs
@@ -9,7 +9,7 @@
     match run(&mut io::stdin().lock(), &mut io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("juniperkeel-simhost: {message}");
+            eprintln!("lupincrank-adapter: {message}");
             ExitCode::FAILURE
         }
     }
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -1,9 +1,7 @@
 //! The simulator's dialect: one JSON object a line, read into events and written from actions.
 
-use juniperkeel::{
-    Action, Balancer, Class, Event, Health, Incoming, Listed, Outcome, Repeat, RequestId, Scope, ServerId,
-    Settings, Tenant, Time,
-};
+use lupincrank::{Action, Balancer, Event, Health, Incoming, Listed, Outcome, RequestId, ServerId, Time};
+use lupincrank_settings::{nanos, Site};
 use serde::Deserialize;
 use std::borrow::Cow;
 use std::collections::HashMap;
@@ -21,7 +19,7 @@
     who: Option<Cow<'a, str>>,
     sim_time_ns: Option<u64>,
     prng: Option<u64>,
-    conf: Option<Conf>,
+    conf: Option<Site>,
     kind: Option<u32>,
     nodes_list: Option<Vec<Node>>,
     #[serde(borrow)]
@@ -59,128 +57,6 @@
     up_since_ns: Option<u64>,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Conf {
-    instances: Option<u32>,
-    categories: Option<Vec<Category>>,
-    tenants: Option<Vec<Option<TenantConf>>>,
-    family_info: Option<FamilyInfo>,
-    limits: Option<Limits>,
-    obligations: Option<Obligations>,
-    registry_mode: Option<String>,
-    report: Option<Report>,
-    prices: Option<Prices>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Category {
-    promise_ns: Option<u64>,
-    repeat: Option<String>,
-    group: Option<String>,
-    window_ns: Option<u64>,
-}
-
-#[derive(Deserialize)]
-struct TenantConf {}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "PascalCase")]
-struct FamilyInfo {
-    message_aim_ns: Option<Vec<Option<u64>>>,
-    tenant_quota_connections: Option<Vec<Option<f64>>>,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "PascalCase")]
-struct Limits {
-    send_cap: Option<u32>,
-    may_probe: Option<bool>,
-    peers: Option<bool>,
-    max_retry_after_ns: Option<u64>,
-    retry_after: Option<bool>,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "PascalCase")]
-struct Obligations {
-    drain_grace_ns: Option<u64>,
-    cold_ns: Option<u64>,
-    start_capacity: Option<f64>,
-    fall_multiple: Option<f64>,
-    overload_for_ns: Option<u64>,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "PascalCase")]
-struct Prices {
-    probe: Option<f64>,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "PascalCase")]
-struct Report {
-    fields: Option<Vec<Option<String>>>,
-}
-
-fn nanos(value: Option<u64>) -> Duration {
-    Duration::from_nanos(value.unwrap_or(0))
-}
-
-fn settings(conf: Conf) -> Result<Settings, String> {
-    let family = conf.family_info.unwrap_or_default();
-    let limits = conf.limits.unwrap_or_default();
-    let rules = conf.obligations.unwrap_or_default();
-    let aims = family.message_aim_ns.unwrap_or_default();
-    let quotas = family.tenant_quota_connections.unwrap_or_default();
-    let mut classes = Vec::new();
-    for (place, category) in conf.categories.unwrap_or_default().into_iter().enumerate() {
-        let repeat = match category.repeat.as_deref() {
-            Some("repeatable") => Repeat::Repeatable,
-            Some("once") => Repeat::Once,
-            Some("by_key") => {
-                let scope = match category.group.as_deref() {
-                    Some("all") => Scope::All,
-                    Some("zone") => Scope::Zone,
-                    Some("cell") => Scope::Cell,
-                    other => return Err(format!("Categories[{place}].Group: unknown value {other:?}")),
-                };
-                Repeat::ByKey { scope, window: nanos(category.window_ns) }
-            }
-            other => return Err(format!("Categories[{place}].Repeat: unknown value {other:?}")),
-        };
-        classes.push(Class {
-            aim: nanos(category.promise_ns),
-            message_aim: nanos(aims.get(place).copied().flatten()),
-            repeat,
-        });
-    }
-    let quota = |place: usize| quotas.get(place).copied().flatten();
-    let tenants = (0..conf.tenants.unwrap_or_default().len())
-        .map(|place| Tenant { quota_connections: quota(place) })
-        .collect();
-    let fields = conf.report.and_then(|report| report.fields).unwrap_or_default();
-    let advises = limits.retry_after.unwrap_or(false);
-    Ok(Settings {
-        instances: conf.instances.unwrap_or(1),
-        classes,
-        tenants,
-        attempt_cap: limits.send_cap.unwrap_or(u32::MAX),
-        may_tell: limits.peers.unwrap_or(false),
-        may_probe: limits.may_probe.unwrap_or(false),
-        probe_price: conf.prices.and_then(|prices| prices.probe).unwrap_or(0.0),
-        report_utilisation: fields.iter().position(|field| field.as_deref() == Some("x0")),
-        list_must_be_asked: conf.registry_mode.as_deref() == Some("subscribe"),
-        drain_grace: nanos(rules.drain_grace_ns),
-        cold_for: nanos(rules.cold_ns),
-        start_capacity: rules.start_capacity.unwrap_or(0.0),
-        fall_multiple: rules.fall_multiple.unwrap_or(1.0),
-        fall_window: nanos(rules.overload_for_ns),
-        longest_retry_after: if advises { nanos(limits.max_retry_after_ns) } else { Duration::ZERO },
-    })
-}
-
 fn node(node: Node) -> Result<Listed, String> {
     let health = match node.health.unwrap_or(0) {
         0 => Health::Ready,
@@ -342,7 +218,7 @@
         let who = need(line.who.take(), "Who")?;
         if line.op == "SPAWN" {
             let seed = need(line.prng, "Prng")?;
-            let mut balancer = Balancer::new(settings(need(line.conf, "Conf")?)?, seed);
+            let mut balancer = Balancer::new(need(line.conf, "Conf")?.settings()?, seed);
             balancer.handle(now, Event::Start, &mut self.fresh);
             let next = self.names.len();
             let slot = self.balancers.entry(who.to_string()).or_insert((next, None));
--- a/simhost/tests/transcripts.rs
+++ b/simhost/tests/transcripts.rs
@@ -14,7 +14,7 @@
 );
 
 fn run(input: &str) -> (bool, String, String) {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_juniperkeel-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_lupincrank-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
