--- /dev/null
+++ b/node/src/core.rs
@@ -0,0 +1,408 @@
+//! Turns what the fronts and peers see into the module's events and its actions into orders. Owns the request
+//! contexts and knows no syntax: another front can come through here with the same decisions and rules.
+
+use crate::config::Config;
+use crate::event_loop::Id;
+use lupincrank::{Action, Balancer, Event, Health, Incoming, Listed, Outcome, RequestId, ServerId, Time};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// The module's clock starts here, so that moments before the node's start can be named too.
+const EPOCH: Duration = Duration::from_secs(1 << 22);
+/// Delays are told once a second for each transcriber.
+const PACE: Duration = Duration::from_secs(1);
+/// A line that nothing came back for in this time is told for its own connection.
+const QUIET: Duration = Duration::from_secs(4);
+
+/// A node that ends lets clients come again after this: by then the front sends them elsewhere.
+const LEAVING_RETRY: Duration = Duration::from_millis(500);
+
+/// A try that the module wants made.
+pub struct TryOrder {
+    /// For which request.
+    pub request: RequestId,
+    /// Where the transcriber listens.
+    pub dial: SocketAddr,
+    /// When to stop waiting.
+    pub until: Instant,
+}
+
+/// What is to be carried out, and for which object.
+pub enum Order {
+    /// Make a try.
+    Try(Id, TryOrder),
+    /// Reject the request.
+    Refuse(Id, Duration),
+    /// End it as failed.
+    Fail(Id),
+    /// Send a client away.
+    Move(Id),
+    /// Ask discovery for changes.
+    Subscribe,
+    /// Call `Core::timer` later.
+    Timer {
+        /// From now.
+        after: Duration,
+        /// To be handed back.
+        purpose: u64,
+    },
+}
+
+/// One entry of the upstream group.
+pub struct Member {
+    /// What the module is told.
+    pub listed: Listed,
+    /// Where it listens, as this node reaches it.
+    pub dial: SocketAddr,
+}
+
+/// A request from its first line to the end of its connection.
+struct Context {
+    /// The object that answers its client.
+    owner: Id,
+    expires: Instant,
+    /// Attempts made so far.
+    attempts: u32,
+    /// The transcriber of the present try or of the standing connection.
+    server: Option<ServerId>,
+    tried_at: Instant,
+    stands: bool,
+    /// Nobody waits for it any more.
+    over: bool,
+    /// When each line of the client went on that nothing has come back for yet.
+    unanswered: VecDeque<Instant>,
+    told_quiet: Option<Instant>,
+}
+
+/// What the lines of one transcriber's connections tell of its delay.
+#[derive(Default)]
+struct Pulse {
+    /// Delays of the lines that came back since the last note.
+    delays: Vec<Duration>,
+    told: Option<Instant>,
+    /// The last note said that messages take long.
+    late: bool,
+}
+
+/// The decisions of this node with what they are about.
+pub struct Core {
+    /// What is to be carried out now.
+    pub orders: VecDeque<Order>,
+    balancer: Balancer,
+    least_aim: Duration,
+    actions: Vec<Action>,
+    contexts: HashMap<RequestId, Context>,
+    dials: HashMap<ServerId, SocketAddr>,
+    ready: usize,
+    pulses: BTreeMap<ServerId, Pulse>,
+    start: Instant,
+    born: SystemTime,
+    timers: u64,
+    leaving: bool,
+}
+
+impl Core {
+    /// The decisions as they begin, knowing the list from the configuration.
+    pub fn new(config: &Config) -> Core {
+        let aims = config.settings.classes.iter().map(|class| class.message_aim).filter(|aim| !aim.is_zero());
+        Core {
+            orders: VecDeque::new(),
+            balancer: Balancer::new(config.settings.clone(), config.seed),
+            least_aim: aims.min().unwrap_or_default(),
+            actions: Vec::new(),
+            contexts: HashMap::new(),
+            dials: HashMap::new(),
+            ready: 0,
+            pulses: BTreeMap::new(),
+            start: Instant::now(),
+            born: SystemTime::now(),
+            timers: 0,
+            leaving: false,
+        }
+    }
+
+    fn time(&self, at: Instant) -> Time {
+        let span = EPOCH + at.saturating_duration_since(self.start);
+        Time(u64::try_from(span.as_nanos()).unwrap_or(u64::MAX))
+    }
+
+    /// A moment of Unix time on the module's clock; `None` for long ago.
+    pub fn moment(&self, unix_ms: u64) -> Option<Time> {
+        let at = UNIX_EPOCH.checked_add(Duration::from_millis(unix_ms)).filter(|_| unix_ms > 0)?;
+        let span = match at.duration_since(self.born) {
+            Ok(later) => EPOCH.saturating_add(later),
+            Err(before) => EPOCH.checked_sub(before.duration())?,
+        };
+        Some(Time(u64::try_from(span.as_nanos()).unwrap_or(u64::MAX)))
+    }
+
+    fn feed(&mut self, event: Event) {
+        let now = self.time(Instant::now());
+        self.balancer.handle(now, event, &mut self.actions);
+        for action in std::mem::take(&mut self.actions) {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Place { request, server, patience } => {
+                let dial = self.dials.get(&server).copied();
+                let Some(context) = self.contexts.get_mut(&request) else { return };
+                let now = Instant::now();
+                context.attempts += 1;
+                context.server = Some(server);
+                context.tried_at = now;
+                let until = context.expires.min(now + patience);
+                let owner = context.owner;
+                match dial {
+                    Some(dial) => {
+                        self.orders.push_back(Order::Try(owner, TryOrder { request, dial, until }));
+                    }
+                    // The list names it, so it has an address; if not, nothing was sent.
+                    None => self.try_ended(request, Outcome::Moot, false),
+                }
+            }
+            Action::Refuse { request, retry_after } => {
+                if let Some(context) = self.contexts.remove(&request) {
+                    self.orders.push_back(Order::Refuse(context.owner, retry_after));
+                }
+            }
+            Action::Fail(request) => {
+                if let Some(context) = self.contexts.remove(&request) {
+                    self.orders.push_back(Order::Fail(context.owner));
+                }
+            }
+            Action::Move(request) => {
+                if let Some(context) = self.contexts.get_mut(&request).filter(|context| context.stands) {
+                    context.over = true;
+                    self.orders.push_back(Order::Move(context.owner));
+                }
+            }
+            Action::SetTimer { after, handle } => {
+                // Timers with the same handle may be set side by side: each is a purpose of its own.
+                self.timers += 1;
+                let purpose = (self.timers << 8) | (handle & 0xff);
+                self.orders.push_back(Order::Timer { after, purpose });
+            }
+            Action::Subscribe => self.orders.push_back(Order::Subscribe),
+            // The settings of this kind of site allow neither probes nor talk between nodes.
+            Action::Probe(_) | Action::Tell(_) => {}
+        }
+    }
+
+    /// Begins discovery and upkeep.
+    pub fn start(&mut self) {
+        self.feed(Event::Start);
+    }
+
+    /// A timer has come due.
+    pub fn timer(&mut self, purpose: u64) {
+        self.feed(Event::Timer(purpose & 0xff));
+    }
+
+    /// The upstream group, whole or what changed of it.
+    pub fn list(&mut self, members: Vec<Member>, whole: bool, cached: bool) {
+        let mut entries = Vec::with_capacity(members.len());
+        for Member { listed, dial } in members {
+            self.dials.insert(listed.server.clone(), dial);
+            entries.push(listed);
+        }
+        self.ready += entries.iter().filter(|entry| entry.health == Health::Ready).count();
+        self.feed(if whole { Event::List { entries, cached } } else { Event::ListChange(entries) });
+    }
+
+    /// A call to discovery failed or the watch broke.
+    pub fn list_failed(&mut self) {
+        self.feed(Event::ListFailed);
+    }
+
+    /// Whether requests can be placed: some transcriber has been listed.
+    pub fn able(&self) -> bool {
+        self.ready > 0
+    }
+
+    /// Where a transcriber listens.
+    pub fn dial(&self, server: &str) -> Option<SocketAddr> {
+        self.dials.get(&ServerId::from(server)).copied()
+    }
+
+    /// Whether a request of this id is held.
+    pub fn holds(&self, request: RequestId) -> bool {
+        self.contexts.contains_key(&request)
+    }
+
+    fn context(&mut self, owner: Id, incoming: &mut Incoming, left: Duration) {
+        let now = Instant::now();
+        let expires = now + left;
+        incoming.expires = self.time(expires);
+        let context = Context {
+            owner,
+            expires,
+            attempts: 0,
+            server: None,
+            tried_at: now,
+            stands: false,
+            over: false,
+            unanswered: VecDeque::new(),
+            told_quiet: None,
+        };
+        self.contexts.insert(incoming.request, context);
+    }
+
+    /// A request is taken from a client that waits for `left`.
+    pub fn request(&mut self, owner: Id, mut incoming: Incoming, left: Duration) {
+        if self.leaving {
+            return self.orders.push_back(Order::Refuse(owner, LEAVING_RETRY));
+        }
+        self.context(owner, &mut incoming, left);
+        self.feed(Event::Request(incoming));
+    }
+
+    /// A connection that stood before this node began is up again.
+    pub fn inherited(&mut self, owner: Id, mut incoming: Incoming, server: &str) {
+        self.context(owner, &mut incoming, Duration::from_secs(1));
+        if let Some(context) = self.contexts.get_mut(&incoming.request) {
+            context.attempts = 1;
+            context.server = Some(server.into());
+            context.stands = true;
+        }
+        self.feed(Event::Inherited(incoming, server.into()));
+    }
+
+    /// The present try is up.
+    pub fn try_up(&mut self, request: RequestId) {
+        let Some(context) = self.contexts.get_mut(&request) else { return };
+        context.stands = true;
+        let took = context.tried_at.elapsed();
+        self.feed(Event::Established { request, took });
+    }
+
+    /// The present try has ended; its connection is closed. `done` where the client has its answer by this.
+    pub fn try_ended(&mut self, request: RequestId, outcome: Outcome, done: bool) {
+        let Some(context) = self.contexts.get_mut(&request) else { return };
+        let done = done || context.over;
+        let attempt = context.attempts.saturating_sub(1);
+        context.server = None;
+        context.stands = false;
+        context.unanswered.clear();
+        if done {
+            self.contexts.remove(&request);
+        }
+        self.feed(Event::Ended { request, attempt, outcome, done, report: None });
+    }
+
+    /// The client has left before its answer; its try, if one is out, has been closed.
+    pub fn client_gone(&mut self, request: RequestId) {
+        let Some(context) = self.contexts.get_mut(&request) else { return };
+        context.over = true;
+        let out = context.server.is_some();
+        self.feed(Event::ClientGone(request));
+        if out {
+            self.try_ended(request, Outcome::Cancelled, true);
+        } else {
+            self.contexts.remove(&request);
+        }
+    }
+
+    /// A standing connection's load is now this.
+    pub fn load(&mut self, request: RequestId, load: Duration) {
+        self.feed(Event::LoadNote { request, load });
+    }
+
+    /// A line of the client goes on to its transcriber.
+    pub fn line_sent(&mut self, request: RequestId) {
+        if let Some(context) = self.contexts.get_mut(&request) {
+            context.unanswered.push_back(Instant::now());
+        }
+    }
+
+    /// A line has come back.
+    pub fn line_returned(&mut self, request: RequestId) {
+        let Some(context) = self.contexts.get_mut(&request) else { return };
+        let (Some(sent), Some(server)) = (context.unanswered.pop_front(), &context.server) else { return };
+        let delay = sent.elapsed();
+        match self.pulses.get_mut(server) {
+            Some(pulse) => pulse.delays.push(delay),
+            None => {
+                let pulse = Pulse { delays: vec![delay], ..Pulse::default() };
+                self.pulses.insert(server.clone(), pulse);
+            }
+        }
+    }
+
+    /// Looks through the standing connections and tells what the lines say of each transcriber: the delay that
+    /// most of them see, once a second while it is over a third of the shortest aim and once when it is back.
+    pub fn look(&mut self) {
+        let now = Instant::now();
+        let over = self.least_aim / 3;
+        let mut notes = Vec::new();
+        // What has not come back yet counts with its age: guards against a transcriber that answers nothing
+        // and so never shows a delay.
+        let mut ages: BTreeMap<&ServerId, Vec<(Duration, RequestId)>> = BTreeMap::new();
+        for (request, context) in &mut self.contexts {
+            let Some(server) = context.server.as_ref().filter(|_| context.stands && !context.over) else {
+                continue;
+            };
+            let age = context.unanswered.front().map_or(Duration::ZERO, |sent| now - *sent);
+            ages.entry(server).or_default().push((age, *request));
+            let due = context.told_quiet.map_or(true, |told| now - told >= PACE);
+            if age >= QUIET && due {
+                context.told_quiet = Some(now);
+                notes.push((*request, age));
+            }
+        }
+        self.pulses.retain(|server, _| ages.contains_key(server));
+        for (server, ages) in ages {
+            if !self.pulses.contains_key(server) {
+                self.pulses.insert(server.clone(), Pulse::default());
+            }
+            let Some(pulse) = self.pulses.get_mut(server) else { continue };
+            if pulse.told.is_some_and(|told| now - told < PACE) {
+                continue;
+            }
+            let mut seen = std::mem::take(&mut pulse.delays);
+            seen.extend(ages.iter().map(|(age, _)| *age).filter(|age| *age > over));
+            seen.sort_unstable();
+            pulse.told = Some(now);
+            let Some(delay) = seen.get(seen.len() / 2).copied() else { continue };
+            let late = delay > over;
+            if late || pulse.late {
+                let request = ages.iter().map(|(_, request)| *request).min();
+                notes.extend(request.map(|request| (request, delay)));
+            }
+            pulse.late = late;
+        }
+        notes.sort_unstable();
+        for (request, delay) in notes {
+            self.feed(Event::DelayNote { request, delay });
+        }
+    }
+
+    /// The node is to end: what comes from now on is rejected, for nothing could stand for long.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Sends standing clients away so that all have gone after `steps` more calls; at the last one the requests
+    /// that still wait are rejected too.
+    pub fn send_away(&mut self, steps: usize) {
+        let standing = self.contexts.iter().filter(|(_, context)| context.stands && !context.over);
+        let mut standing: Vec<RequestId> = standing.map(|(request, _)| *request).collect();
+        standing.sort_unstable();
+        let count = standing.len().div_ceil(steps.max(1));
+        for request in standing.into_iter().take(count) {
+            self.act(Action::Move(request));
+        }
+        if steps <= 1 {
+            let waits = self.contexts.iter().filter(|(_, context)| !context.stands && !context.over);
+            for request in waits.map(|(request, _)| *request).collect::<Vec<_>>() {
+                let Some(context) = self.contexts.get_mut(&request) else { continue };
+                let owner = context.owner;
+                self.client_gone(request);
+                self.orders.push_back(Order::Refuse(owner, LEAVING_RETRY));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/node/src/discovery.rs
@@ -0,0 +1,328 @@
+//! Discovery's client: keeps a watch on the upstream group and tells the core what changes.
+
+use crate::config::Config;
+use crate::core::{Core, Member};
+use crate::event_loop::{Connection, Flow, Message, Node, DISCOVERY};
+use crate::poll::Watched;
+use lupincrank::{Health, Listed};
+use serde::Deserialize;
+use slog::{debug, info, warn};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+/// A call that brings no answer in this time has failed.
+const ANSWER: Duration = Duration::from_millis(4500);
+/// An empty line comes every 2 s; a watch that brings nothing for this long is dead.
+const SILENCE: Duration = Duration::from_millis(4500);
+/// The longest header and the longest line that are read.
+const LONGEST_HEAD: usize = 16 << 10;
+const LONGEST_LINE: usize = 4 << 20;
+
+/// The upstream group, whole or in part, in discovery's form.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Update {
+    seq: u64,
+    whole: bool,
+    hosts: Vec<Host>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Host {
+    host: String,
+    dial: String,
+    site: Option<String>,
+    class: Option<String>,
+    block: Option<u32>,
+    health: String,
+    share: Option<f64>,
+    born_ms: Option<u64>,
+}
+
+/// Says what is wrong with an update, if anything is.
+pub fn check(update: &Update) -> Result<(), String> {
+    update.hosts.iter().try_for_each(|host| {
+        dial(host)?;
+        health(host).map(|_| ())
+    })
+}
+
+fn dial(host: &Host) -> Result<SocketAddr, String> {
+    host.dial.parse().map_err(|_| format!("{:?}: dial {:?} is not an address:port", host.host, host.dial))
+}
+
+fn health(host: &Host) -> Result<Health, String> {
+    Ok(match host.health.as_str() {
+        "SERVING" => Health::Ready,
+        "DRAINING" => Health::Draining,
+        "DELETED" => Health::Gone,
+        other => return Err(format!("{:?}: unknown health {other:?}", host.host)),
+    })
+}
+
+/// A name's number: its place in the settings, or the next free one.
+fn number(names: &mut Vec<String>, name: Option<&str>) -> u32 {
+    let Some(name) = name else { return 0 };
+    let place = names.iter().position(|known| known == name).unwrap_or_else(|| {
+        names.push(name.to_string());
+        names.len() - 1
+    });
+    u32::try_from(place).unwrap_or(u32::MAX)
+}
+
+/// Undoes the chunked coding, however the bytes are cut up.
+#[derive(Default)]
+pub struct Chunks {
+    raw: Vec<u8>,
+    /// Bytes of the present chunk still to come, and its closing line end.
+    left: u64,
+    ending: usize,
+}
+
+impl Chunks {
+    /// Takes bytes in and appends what they hold; true once the last chunk has come.
+    pub fn decode(&mut self, bytes: &[u8], out: &mut Vec<u8>) -> Result<bool, String> {
+        self.raw.extend_from_slice(bytes);
+        let mut at = 0;
+        let last = loop {
+            let rest = self.raw.get(at..).unwrap_or_default();
+            if rest.is_empty() {
+                break false;
+            }
+            if self.left > 0 {
+                let take = rest.len().min(usize::try_from(self.left).unwrap_or(usize::MAX));
+                out.extend_from_slice(&rest[..take]);
+                self.left -= take as u64;
+                at += take;
+            } else if self.ending > 0 {
+                let expected = if self.ending == 2 { b'\r' } else { b'\n' };
+                if rest[0] != expected {
+                    return Err("a chunk does not end where it should".into());
+                }
+                self.ending -= 1;
+                at += 1;
+            } else {
+                match httparse::parse_chunk_size(rest) {
+                    Ok(httparse::Status::Complete((_, 0))) => break true,
+                    Ok(httparse::Status::Complete((used, size))) => {
+                        (self.left, self.ending) = (size, 2);
+                        at += used;
+                    }
+                    Ok(httparse::Status::Partial) if rest.len() < 1024 => break false,
+                    _ => return Err("not a chunk size".into()),
+                }
+            }
+        };
+        self.raw.drain(..at);
+        Ok(last)
+    }
+}
+
+enum Phase {
+    Connecting,
+    Head,
+    Body,
+}
+
+struct Call {
+    stream: Watched<TcpStream>,
+    phase: Phase,
+    unsent: Vec<u8>,
+    head: Vec<u8>,
+    chunks: Chunks,
+    lines: Vec<u8>,
+}
+
+/// The connection to discovery.
+pub struct Discovery {
+    dial: SocketAddr,
+    seq: u64,
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    known: Option<Update>,
+    call: Option<Call>,
+}
+
+impl Discovery {
+    /// Not yet connected; begins with the list that the configuration holds.
+    pub fn new(config: &Config) -> Discovery {
+        Discovery {
+            dial: config.discovery,
+            seq: 0,
+            zones: config.zones.clone(),
+            kinds: config.kinds.clone(),
+            known: config.known.clone(),
+            call: None,
+        }
+    }
+
+    fn apply(&mut self, core: &mut Core, update: Update, cached: bool) -> Result<(), String> {
+        check(&update)?;
+        let mut members = Vec::with_capacity(update.hosts.len());
+        for host in &update.hosts {
+            members.push(Member {
+                dial: dial(host)?,
+                listed: Listed {
+                    server: host.host.as_str().into(),
+                    health: health(host)?,
+                    weight: host.share.unwrap_or(1.0),
+                    zone: number(&mut self.zones, host.site.as_deref()),
+                    cell: host.block.unwrap_or(0),
+                    kind: number(&mut self.kinds, host.class.as_deref()),
+                    started: core.moment(host.born_ms.unwrap_or(0)),
+                },
+            });
+        }
+        self.seq = update.seq;
+        core.list(members, update.whole, cached);
+        Ok(())
+    }
+
+    fn begin(&mut self, node: &mut Node) -> io::Result<()> {
+        let socket = Socket::new(Domain::for_address(self.dial), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_nonblocking(true)?;
+        socket.set_nodelay(true)?;
+        match socket.connect(&self.dial.into()) {
+            Err(error) if error.raw_os_error() != Some(115) && error.kind() != io::ErrorKind::WouldBlock => {
+                return Err(error)
+            }
+            _ => {}
+        }
+        let request = format!(
+            "GET /v1/endpoints?watch=1&from={} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n",
+            self.seq, self.dial
+        );
+        let stream =
+            Watched::new(&node.poller, TcpStream::from(socket), DISCOVERY as usize * 2, false, true)?;
+        self.call = Some(Call {
+            stream,
+            phase: Phase::Connecting,
+            unsent: request.into_bytes(),
+            head: Vec::new(),
+            chunks: Chunks::default(),
+            lines: Vec::new(),
+        });
+        node.deadlines.set(DISCOVERY, 0, Instant::now() + ANSWER);
+        Ok(())
+    }
+
+    fn failed(&mut self, node: &mut Node, why: &str) {
+        warn!(node.log, "discovery failed"; "why" => why.to_string(), "seq" => self.seq);
+        self.call = None;
+        node.deadlines.clear(DISCOVERY, 0);
+        node.core.list_failed();
+    }
+
+    fn progress(&mut self, node: &mut Node) -> Result<(), String> {
+        let Some(call) = &mut self.call else { return Ok(()) };
+        if matches!(call.phase, Phase::Connecting) {
+            let error = call.stream.take_error().map_err(|error| error.to_string())?;
+            error.map_or(Ok(()), |error| Err(error.to_string()))?;
+            call.phase = Phase::Head;
+        }
+        while !call.unsent.is_empty() {
+            match call.stream.write(&call.unsent) {
+                Ok(sent) => drop(call.unsent.drain(..sent)),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) => return Err(error.to_string()),
+            }
+        }
+        call.stream.want(true, false).map_err(|error| error.to_string())?;
+        let mut scratch = [0; 16 << 10];
+        // A turn reads a bounded part: guards against a long list that keeps clients waiting.
+        for _ in 0..16 {
+            let Some(call) = &mut self.call else { return Ok(()) };
+            let read = match call.stream.read(&mut scratch) {
+                Ok(0) => return Err("it ended the connection".into()),
+                Ok(read) => read,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) => return Err(error.to_string()),
+            };
+            self.take(node, &scratch[..read])?;
+        }
+        Ok(())
+    }
+
+    fn take(&mut self, node: &mut Node, bytes: &[u8]) -> Result<(), String> {
+        let Some(call) = &mut self.call else { return Ok(()) };
+        let mut body = bytes.to_vec();
+        if matches!(call.phase, Phase::Head) {
+            call.head.extend_from_slice(bytes);
+            let Some(length) = head(&call.head)? else { return Ok(()) };
+            body = call.head.split_off(length);
+            call.phase = Phase::Body;
+            debug!(node.log, "watching"; "seq" => self.seq);
+        }
+        let last = call.chunks.decode(&body, &mut call.lines)?;
+        if call.lines.len() > LONGEST_LINE {
+            return Err("a line is too long".into());
+        }
+        node.deadlines.set(DISCOVERY, 0, Instant::now() + SILENCE);
+        while let Some(call) = &mut self.call {
+            let Some(end) = call.lines.iter().position(|byte| *byte == b'\n') else { break };
+            let line: Vec<u8> = call.lines.drain(..=end).collect();
+            let line = line.trim_ascii();
+            if !line.is_empty() {
+                let update: Update = serde_json::from_slice(line).map_err(|error| error.to_string())?;
+                info!(node.log, "upstream group changed"; "seq" => update.seq, "entries" => update.hosts.len());
+                self.apply(&mut node.core, update, false)?;
+            }
+        }
+        if last {
+            Err("the watch ended".into())
+        } else {
+            Ok(())
+        }
+    }
+}
+
+/// The length of a whole response head that opens a watch; `None` while more is to come.
+fn head(bytes: &[u8]) -> Result<Option<usize>, String> {
+    let mut headers = [httparse::EMPTY_HEADER; 32];
+    let mut response = httparse::Response::new(&mut headers);
+    match response.parse(bytes).map_err(|error| error.to_string())? {
+        httparse::Status::Partial if bytes.len() < LONGEST_HEAD => Ok(None),
+        httparse::Status::Partial => Err("the head is too long".into()),
+        httparse::Status::Complete(length) => {
+            let chunked = response.headers.iter().any(|header| {
+                header.name.eq_ignore_ascii_case("transfer-encoding")
+                    && header.value.eq_ignore_ascii_case(b"chunked")
+            });
+            match response.code {
+                Some(200) if chunked => Ok(Some(length)),
+                Some(200) => Err("the answer is not chunked".into()),
+                code => Err(format!("status {}", code.unwrap_or(0))),
+            }
+        }
+    }
+}
+
+impl Connection for Discovery {
+    fn ready(&mut self, node: &mut Node, _side: usize, _readable: bool, _writable: bool) -> Flow {
+        if let Err(why) = self.progress(node) {
+            self.failed(node, &why);
+        }
+        Flow::Keep
+    }
+
+    fn due(&mut self, node: &mut Node, _purpose: u64) -> Flow {
+        self.failed(node, "nothing came in time");
+        Flow::Keep
+    }
+
+    fn told(&mut self, node: &mut Node, message: Message) -> Flow {
+        if matches!(message, Message::Subscribe) {
+            self.call = None;
+            if let Some(known) = self.known.take() {
+                if let Err(why) = self.apply(&mut node.core, known, true) {
+                    warn!(node.log, "the known list is bad"; "why" => why);
+                }
+            }
+            if let Err(error) = self.begin(node) {
+                self.failed(node, &error.to_string());
+            }
+        }
+        Flow::Keep
+    }
+}
--- /dev/null
+++ b/node/src/event_loop.rs
@@ -0,0 +1,223 @@
+//! The one loop: waits for sockets and deadlines and calls back the objects that own them.
+
+use crate::config::Config;
+use crate::core::{Core, Order, TryOrder};
+use crate::deadlines::Deadlines;
+use crate::{discovery, line_front, peer::Up};
+use polling::{Events, Poller};
+use slog::{info, warn, Logger};
+use std::cell::Cell;
+use std::collections::{HashMap, VecDeque};
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Names a connection object; its sockets report under twice this, plus one for a second socket.
+pub type Id = u64;
+
+/// Owns the decisions' timers.
+const DECISIONS: Id = 0;
+/// How often standing connections are looked through for lines that nothing came back for.
+const LOOK: Duration = Duration::from_millis(250);
+const LOOK_PURPOSE: u64 = 0;
+/// Discovery's connection and the listener have fixed names.
+pub const DISCOVERY: Id = 1;
+/// See `DISCOVERY`.
+pub const LISTENER: Id = 2;
+/// The object that watches for signals.
+pub const SIGNALS: Id = 3;
+
+/// What one part of the node says to a connection object.
+pub enum Message {
+    /// Start a try.
+    Try(TryOrder),
+    /// Reject the request: it may come again after this.
+    Refuse(Duration),
+    /// End the request as failed.
+    Fail,
+    /// Send the client away, between two lines.
+    Move,
+    /// The try is up; its socket comes along.
+    Up(Up),
+    /// The try of a connection that stood before this node began has failed.
+    NotUp,
+    /// The transcriber served it to its end at once; the line for the client.
+    Ended(Vec<u8>),
+    /// Ask discovery for changes.
+    Subscribe,
+    /// The owner has no more use for this object.
+    Close,
+}
+
+/// Whether an object lives on after a callback.
+#[derive(PartialEq, Eq)]
+pub enum Flow {
+    /// It stays.
+    Keep,
+    /// It is dropped, and its sockets with it.
+    Done,
+}
+
+/// A connection (or another source of events) as the loop sees it.
+pub trait Connection {
+    /// One of its sockets is ready.
+    fn ready(&mut self, node: &mut Node, side: usize, readable: bool, writable: bool) -> Flow;
+    /// One of its deadlines has passed.
+    fn due(&mut self, node: &mut Node, purpose: u64) -> Flow;
+    /// Another part of the node has something to say.
+    fn told(&mut self, node: &mut Node, message: Message) -> Flow;
+}
+
+/// What callbacks may use.
+pub struct Node {
+    /// The poller.
+    pub poller: Rc<Poller>,
+    /// All deadlines.
+    pub deadlines: Deadlines,
+    /// The decisions and the request contexts.
+    pub core: Core,
+    /// What the node was told at its start.
+    pub config: Config,
+    /// Where log lines go.
+    pub log: Logger,
+    /// Client connections held; each may need a second descriptor for its peer.
+    pub clients: Rc<Cell<usize>>,
+    /// Set at SIGTERM: when all must be done.
+    pub leaving: Option<Instant>,
+    outbox: VecDeque<(Id, Message)>,
+    born: Vec<(Id, Box<dyn Connection>)>,
+    next: Id,
+}
+
+impl Node {
+    /// A name for a new object.
+    pub fn name(&mut self) -> Id {
+        self.next += 1;
+        self.next
+    }
+
+    /// Hands a new object to the loop.
+    pub fn adopt(&mut self, id: Id, object: Box<dyn Connection>) {
+        self.born.push((id, object));
+    }
+
+    /// Says something to an object, after the present callback.
+    pub fn tell(&mut self, id: Id, message: Message) {
+        self.outbox.push_back((id, message));
+    }
+
+    fn carry_out(&mut self) {
+        while let Some(order) = self.core.orders.pop_front() {
+            match order {
+                Order::Try(owner, order) => self.tell(owner, Message::Try(order)),
+                Order::Refuse(owner, after) => self.tell(owner, Message::Refuse(after)),
+                Order::Fail(owner) => self.tell(owner, Message::Fail),
+                Order::Move(owner) => self.tell(owner, Message::Move),
+                Order::Subscribe => self.tell(DISCOVERY, Message::Subscribe),
+                Order::Timer { after, purpose } => {
+                    self.deadlines.set(DECISIONS, purpose, Instant::now() + after);
+                }
+            }
+        }
+    }
+}
+
+/// The loop with all of its objects.
+pub struct EventLoop {
+    node: Node,
+    objects: HashMap<Id, Box<dyn Connection>>,
+}
+
+impl EventLoop {
+    /// Sets up the listener, discovery and signals.
+    pub fn new(config: Config, log: Logger) -> io::Result<EventLoop> {
+        let poller = Rc::new(Poller::new()?);
+        let core = Core::new(&config);
+        let node = Node {
+            poller,
+            deadlines: Deadlines::default(),
+            core,
+            config,
+            log,
+            clients: Rc::new(Cell::new(0)),
+            leaving: None,
+            outbox: VecDeque::new(),
+            born: Vec::new(),
+            next: SIGNALS,
+        };
+        let mut this = EventLoop { node, objects: HashMap::new() };
+        let signals = crate::signals::Signals::new(&this.node)?;
+        this.objects.insert(SIGNALS, Box::new(signals));
+        this.objects.insert(DISCOVERY, Box::new(discovery::Discovery::new(&this.node.config)));
+        let listener = line_front::Listener::new(&this.node)?;
+        this.objects.insert(LISTENER, Box::new(listener));
+        Ok(this)
+    }
+
+    /// Runs until the node has been told to end and all its clients have left.
+    pub fn run(&mut self) -> io::Result<()> {
+        info!(self.node.log, "serving"; "listen" => %self.node.config.listen, "name" => %self.node.config.name);
+        self.node.core.start();
+        self.node.deadlines.set(DECISIONS, LOOK_PURPOSE, Instant::now() + LOOK);
+        let mut events = Events::new();
+        loop {
+            self.settle();
+            if let Some(until) = self.node.leaving {
+                if crate::signals::may_exit(&self.node, until) {
+                    info!(self.node.log, "ended"; "clients" => self.node.clients.get());
+                    return Ok(());
+                }
+            }
+            let now = Instant::now();
+            let wait = self.node.deadlines.next().map(|at| at.saturating_duration_since(now));
+            events.clear();
+            match self.node.poller.wait(&mut events, wait) {
+                Ok(_) => {}
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                Err(error) => return Err(error),
+            }
+            for event in events.iter() {
+                let (id, side) = (event.key as u64 / 2, event.key % 2);
+                self.call(id, |object, node| object.ready(node, side, event.readable, event.writable));
+                self.settle();
+            }
+            let now = Instant::now();
+            while let Some((owner, purpose)) = self.node.deadlines.due(now) {
+                match (owner, purpose) {
+                    (DECISIONS, LOOK_PURPOSE) => {
+                        self.node.deadlines.set(DECISIONS, LOOK_PURPOSE, now + LOOK);
+                        self.node.core.look();
+                    }
+                    (DECISIONS, purpose) => self.node.core.timer(purpose),
+                    _ => self.call(owner, |object, node| object.due(node, purpose)),
+                }
+                self.settle();
+            }
+        }
+    }
+
+    /// Delivers what was said and carries out what was decided, until nothing is left of either.
+    fn settle(&mut self) {
+        loop {
+            self.node.carry_out();
+            self.objects.extend(self.node.born.drain(..));
+            let Some((id, message)) = self.node.outbox.pop_front() else { break };
+            if !self.objects.contains_key(&id) {
+                // A socket handed to an object that has ended meanwhile is closed with the message.
+                if let Message::Up(up) = message {
+                    warn!(self.node.log, "came up for nobody"; "request" => format!("{:016x}", up.request.0));
+                }
+                continue;
+            }
+            self.call(id, |object, node| object.told(node, message));
+        }
+    }
+
+    fn call(&mut self, id: Id, with: impl FnOnce(&mut Box<dyn Connection>, &mut Node) -> Flow) {
+        let Some(object) = self.objects.get_mut(&id) else { return };
+        if with(object, &mut self.node) == Flow::Done {
+            self.objects.remove(&id);
+            self.node.deadlines.forget(id);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/line_front.rs
@@ -0,0 +1,462 @@
+//! The platform's line protocol towards clients: the listener, the first line, and the answers to it.
+
+use crate::event_loop::{Connection, Flow, Id, Message, Node, LISTENER};
+use crate::peer::{Peer, Try, Up, LONGEST_LINE};
+use crate::poll::Watched;
+use crate::relay::Relay;
+use lupincrank::{Incoming, RequestId, Time};
+use slog::{debug, warn};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::cell::Cell;
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::ops::Range;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Descriptors kept for the listener, the poller, discovery, signals and the standard streams, and spare ones
+/// with which clients beyond the limit are still told to come again.
+const SPARE_DESCRIPTORS: usize = 40;
+/// Clients taken in one turn of the loop.
+const ACCEPTS: usize = 64;
+/// How long accepting rests when the process has no descriptor left.
+const REST: Duration = Duration::from_millis(50);
+/// How long a client may take for its first line, and to end after its answer.
+const FIRST_LINE: Duration = Duration::from_secs(5);
+const LINGER: Duration = Duration::from_secs(2);
+/// What a client may send ahead of its answer.
+const MOST_EARLY: usize = 16 << 10;
+/// A connection from before this node's life is tried this often, so long apart, and for at most so long.
+const OLD_TRIES: u32 = 3;
+const OLD_PAUSE: Duration = Duration::from_millis(300);
+const OLD_WAIT: Duration = Duration::from_secs(40);
+/// Deadlines: for the first line or the end, and for the next try of an old connection.
+const PATIENCE: u64 = 0;
+const AGAIN: u64 = 1;
+
+/// A client's place among those held; given back when dropped.
+pub struct Seat(Rc<Cell<usize>>);
+
+impl Seat {
+    fn take(taken: &Rc<Cell<usize>>) -> Seat {
+        taken.set(taken.get() + 1);
+        Seat(Rc::clone(taken))
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+/// Takes clients in.
+pub struct Listener {
+    socket: Watched<TcpListener>,
+}
+
+impl Listener {
+    /// Listens on the configured address only.
+    pub fn new(node: &Node) -> io::Result<Listener> {
+        let listen = node.config.listen;
+        let socket = Socket::new(Domain::for_address(listen), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_reuse_address(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&listen.into())?;
+        socket.listen(1024)?;
+        let socket =
+            Watched::new(&node.poller, TcpListener::from(socket), LISTENER as usize * 2, true, false)?;
+        Ok(Listener { socket })
+    }
+
+    fn take(&mut self, node: &mut Node) -> io::Result<()> {
+        for _ in 0..ACCEPTS {
+            let stream = match self.socket.accept() {
+                Ok((stream, _)) => stream,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                // The client gave up while it waited to be taken.
+                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => continue,
+                Err(error) => return Err(error),
+            };
+            stream.set_nonblocking(true)?;
+            let _ = stream.set_nodelay(true);
+            let id = node.name();
+            let stream = Watched::new(&node.poller, stream, id as usize * 2, true, false)?;
+            let seat = Seat::take(&node.clients);
+            node.deadlines.set(id, PATIENCE, Instant::now() + FIRST_LINE);
+            let client =
+                Client { id, seat: Some(seat), stream: Some(stream), bytes: vec![], state: State::First };
+            node.adopt(id, Box::new(client));
+        }
+        Ok(())
+    }
+}
+
+impl Connection for Listener {
+    fn ready(&mut self, node: &mut Node, _side: usize, _readable: bool, _writable: bool) -> Flow {
+        if let Err(error) = self.take(node) {
+            // No descriptor is left: guards against a loop that spins on a listener that stays ready.
+            warn!(node.log, "cannot take clients for now"; "error" => %error);
+            if self.socket.want(false, false).is_ok() {
+                node.deadlines.set(LISTENER, 0, Instant::now() + REST);
+            }
+        }
+        Flow::Keep
+    }
+
+    fn due(&mut self, node: &mut Node, _purpose: u64) -> Flow {
+        if let Err(error) = self.socket.want(true, false) {
+            warn!(node.log, "cannot listen again yet"; "error" => %error);
+            node.deadlines.set(LISTENER, 0, Instant::now() + REST);
+        }
+        Flow::Keep
+    }
+
+    fn told(&mut self, _node: &mut Node, _message: Message) -> Flow {
+        Flow::Keep
+    }
+}
+
+/// What a first line asks for.
+#[derive(Debug, PartialEq)]
+pub enum First {
+    /// `PING`.
+    Ping,
+    /// `OPEN ...`.
+    Open(Open),
+}
+
+/// The fields of an `OPEN` line that the decisions need.
+#[derive(Debug, PartialEq)]
+pub struct Open {
+    request: u64,
+    flow: String,
+    class: usize,
+    left_ms: u64,
+    /// Where in the line the digits of `d` stand.
+    left_at: Range<usize>,
+    subject: Option<String>,
+    again: bool,
+    holder: Option<String>,
+    load: Option<Duration>,
+}
+
+/// Reads a first line without its end; `None` if it is malformed.
+pub fn first_line(line: &[u8], classes: &[String]) -> Option<First> {
+    let text = std::str::from_utf8(line).ok()?;
+    if text == "PING" {
+        return Some(First::Ping);
+    }
+    let mut parts = text.split(' ');
+    let (word, id, flow, list) = (parts.next()?, parts.next()?, parts.next()?, parts.next()?);
+    if word != "OPEN" || parts.next().is_some() || !plain(flow) {
+        return None;
+    }
+    let hexadecimal = id.len() == 16 && id.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
+    let request = u64::from_str_radix(id, 16).ok().filter(|_| hexadecimal)?;
+    let mut at = text.len() - list.len();
+    let (mut class, mut left, mut subject, mut again, mut holder, mut load) =
+        (None, None, None, false, None, None);
+    for field in list.split(',') {
+        let (name, value) = field.split_once('=')?;
+        if !plain(name) || !plain(value) {
+            return None;
+        }
+        let value_at = at + name.len() + 1;
+        at += field.len() + 1;
+        match name {
+            "c" => class = Some(classes.iter().position(|class| class == value)?),
+            "d" => {
+                let digits = value.bytes().all(|byte| byte.is_ascii_digit());
+                let span = value.parse::<u32>().ok().filter(|_| digits)?;
+                left = Some((u64::from(span), value_at..value_at + value.len()));
+            }
+            "g" => subject = Some(value.to_string()),
+            "again" => again = value == "1",
+            "at" => holder = Some(value.to_string()),
+            "h" => {
+                let micros = value.parse::<f64>().ok().filter(|load| (0.0..1e12).contains(load))?;
+                load = Some(Duration::from_secs_f64(micros / 1e6));
+            }
+            _ => {}
+        }
+    }
+    let (left_ms, left_at) = left?;
+    let flow = flow.to_string();
+    Some(First::Open(Open { request, flow, class: class?, left_ms, left_at, subject, again, holder, load }))
+}
+
+/// A field that holds something and no control characters.
+fn plain(text: &str) -> bool {
+    !text.is_empty() && !text.chars().any(char::is_control)
+}
+
+impl Open {
+    fn incoming(&self, groups: bool) -> Incoming {
+        let subject = self.subject.clone();
+        let (group, key) = if groups { (subject, Some(self.flow.clone())) } else { (None, subject) };
+        Incoming {
+            request: RequestId(self.request),
+            class: self.class,
+            tenant: None,
+            group,
+            key: key.or_else(|| Some(self.flow.clone())),
+            load: self.load,
+            expires: Time(0),
+            mid_flow: false,
+            returned: self.again,
+        }
+    }
+}
+
+/// The answer that refuses, with how long to stay away.
+fn busy(after: Duration) -> Vec<u8> {
+    match after.as_millis() {
+        0 => b"BUSY\r\n".to_vec(),
+        wait => format!("BUSY {wait}\r\n").into_bytes(),
+    }
+}
+
+struct Waiting {
+    open: Open,
+    /// The first line as it came, its end included.
+    line: Vec<u8>,
+    until: Instant,
+    peer: Option<Id>,
+    /// Tries made for a connection from before this node's life.
+    old_tries: u32,
+}
+
+enum State {
+    /// Its first line is still to come.
+    First,
+    /// It waits for its answer.
+    Waiting(Waiting),
+    /// It has its answer; what of that is not written yet is in `bytes`.
+    Closing,
+}
+
+/// A client until its connection is up.
+pub struct Client {
+    id: Id,
+    seat: Option<Seat>,
+    stream: Option<Watched<TcpStream>>,
+    /// What was read and is not used yet; once it is closing, what is still to be written.
+    bytes: Vec<u8>,
+    state: State,
+}
+
+impl Client {
+    fn answer(&mut self, node: &mut Node, answer: &[u8]) -> Flow {
+        self.state = State::Closing;
+        self.bytes = answer.to_vec();
+        node.deadlines.set(self.id, PATIENCE, Instant::now() + LINGER);
+        node.deadlines.clear(self.id, AGAIN);
+        self.flush()
+    }
+
+    /// Writes what is left of the answer, then ends the sending; the client's end is awaited, for closing at
+    /// once could destroy an answer that it has not read yet.
+    fn flush(&mut self) -> Flow {
+        let Some(stream) = &mut self.stream else { return Flow::Done };
+        while !self.bytes.is_empty() {
+            match stream.write(&self.bytes) {
+                Ok(sent) => drop(self.bytes.drain(..sent)),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    return if stream.want(true, true).is_ok() { Flow::Keep } else { Flow::Done };
+                }
+                Err(_) => return Flow::Done,
+            }
+        }
+        if stream.shutdown(Shutdown::Write).is_err() || stream.want(true, false).is_err() {
+            return Flow::Done;
+        }
+        Flow::Keep
+    }
+
+    fn read(&mut self, node: &mut Node) -> Flow {
+        let mut scratch = [0; 4 << 10];
+        loop {
+            let Some(stream) = &mut self.stream else { return Flow::Done };
+            let full = matches!(self.state, State::Waiting(_)) && self.bytes.len() >= MOST_EARLY;
+            if full {
+                let broken = !matches!(stream.take_error(), Ok(None));
+                return if broken || stream.want(false, false).is_err() {
+                    self.gone(node)
+                } else {
+                    Flow::Keep
+                };
+            }
+            match stream.read(&mut scratch) {
+                Ok(0) => return self.gone(node),
+                Ok(_) if matches!(self.state, State::Closing) => {}
+                Ok(read) => self.bytes.extend_from_slice(&scratch[..read]),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Flow::Keep,
+                Err(_) => return self.gone(node),
+            }
+            if matches!(self.state, State::First) {
+                if let Some(end) = self.bytes.iter().position(|byte| *byte == b'\n') {
+                    let line: Vec<u8> = self.bytes.drain(..=end).collect();
+                    if self.first(node, line) == Flow::Done {
+                        return Flow::Done;
+                    }
+                } else if self.bytes.len() >= LONGEST_LINE {
+                    self.reject_line(node);
+                }
+            }
+        }
+    }
+
+    /// The client has left: nothing is owed, and its try is closed.
+    fn gone(&mut self, node: &mut Node) -> Flow {
+        if let State::Waiting(waiting) = &self.state {
+            debug!(node.log, "client left"; "request" => format!("{:016x}", waiting.open.request));
+            if let Some(peer) = waiting.peer {
+                node.tell(peer, Message::Close);
+            }
+            if waiting.open.holder.is_none() {
+                node.core.client_gone(RequestId(waiting.open.request));
+            }
+        }
+        Flow::Done
+    }
+
+    fn reject_line(&mut self, node: &mut Node) -> Flow {
+        debug!(node.log, "malformed first line");
+        self.answer(node, b"SYNTAX\r\n")
+    }
+
+    fn first(&mut self, node: &mut Node, line: Vec<u8>) -> Flow {
+        let Some(text) = line.strip_suffix(b"\r\n").filter(|_| line.len() <= LONGEST_LINE) else {
+            return self.reject_line(node);
+        };
+        let open = match first_line(text, &node.config.classes) {
+            Some(First::Ping) => {
+                // The front sends clients once this is answered: only when they can be served.
+                let able = node.core.able() && node.leaving.is_none();
+                return self.answer(node, if able { b"PONG\r\n" } else { b"BUSY\r\n" });
+            }
+            Some(First::Open(open)) => open,
+            None => return self.reject_line(node),
+        };
+        let request = RequestId(open.request);
+        if node.core.holds(request) {
+            return self.reject_line(node);
+        }
+        let most = node.config.sockets.saturating_sub(SPARE_DESCRIPTORS) / 2;
+        if node.clients.get() > most {
+            warn!(node.log, "too many clients"; "held" => node.clients.get());
+            return self.answer(node, &busy(node.config.settings.longest_retry_after / 2));
+        }
+        node.deadlines.clear(self.id, PATIENCE);
+        let left = Duration::from_millis(open.left_ms);
+        debug!(node.log, "request"; "id" => format!("{:016x}", request.0), "left_ms" => open.left_ms);
+        let incoming = open.incoming(node.config.groups);
+        let old = open.holder.is_some();
+        let until = Instant::now() + if old { left.min(OLD_WAIT) } else { left };
+        self.state = State::Waiting(Waiting { open, line, until, peer: None, old_tries: 0 });
+        if old {
+            return self.resume(node);
+        }
+        node.core.request(self.id, incoming, left);
+        Flow::Keep
+    }
+
+    /// Sends a connection that stood before this node's life to the transcriber that holds it.
+    fn resume(&mut self, node: &mut Node) -> Flow {
+        let State::Waiting(waiting) = &mut self.state else { return Flow::Keep };
+        let dial = waiting.open.holder.as_deref().and_then(|holder| node.core.dial(holder));
+        let Some(dial) = dial.filter(|_| waiting.old_tries < OLD_TRIES && Instant::now() < waiting.until)
+        else {
+            return self.answer(node, &busy(Duration::ZERO));
+        };
+        waiting.old_tries += 1;
+        let (request, until) = (RequestId(waiting.open.request), waiting.until);
+        self.dial(node, request, dial, until, true);
+        Flow::Keep
+    }
+
+    fn dial(
+        &mut self,
+        node: &mut Node,
+        request: RequestId,
+        dial: std::net::SocketAddr,
+        until: Instant,
+        stood: bool,
+    ) {
+        let State::Waiting(waiting) = &mut self.state else { return };
+        let left = until.saturating_duration_since(Instant::now()).as_millis();
+        let at = &waiting.open.left_at;
+        let line = [&waiting.line[..at.start], left.to_string().as_bytes(), &waiting.line[at.end..]].concat();
+        let id = node.name();
+        waiting.peer = Some(id);
+        Peer::open(node, id, Try { owner: self.id, request, dial, line, until, stood });
+    }
+
+    /// The try is up: both sockets go to a relay under this object's name.
+    fn up(&mut self, node: &mut Node, up: Up) -> Flow {
+        let State::Waiting(waiting) = &self.state else { return Flow::Keep };
+        let (Some(client), Some(seat)) = (self.stream.take(), self.seat.take()) else { return Flow::Done };
+        match &waiting.open.holder {
+            Some(holder) => {
+                let incoming = waiting.open.incoming(node.config.groups);
+                node.core.inherited(self.id, incoming, holder);
+            }
+            None => node.core.try_up(up.request),
+        }
+        Relay::begin(node, self.id, seat, client, up, std::mem::take(&mut self.bytes));
+        Flow::Done
+    }
+}
+
+impl Connection for Client {
+    fn ready(&mut self, node: &mut Node, _side: usize, readable: bool, writable: bool) -> Flow {
+        if writable && matches!(self.state, State::Closing) && self.flush() == Flow::Done {
+            return Flow::Done;
+        }
+        if readable {
+            self.read(node)
+        } else {
+            Flow::Keep
+        }
+    }
+
+    fn due(&mut self, node: &mut Node, purpose: u64) -> Flow {
+        match self.state {
+            State::First if self.bytes.is_empty() => Flow::Done,
+            State::First => self.reject_line(node),
+            State::Waiting(_) if purpose == AGAIN => self.resume(node),
+            _ => Flow::Done,
+        }
+    }
+
+    fn told(&mut self, node: &mut Node, message: Message) -> Flow {
+        let State::Waiting(waiting) = &mut self.state else { return Flow::Keep };
+        match message {
+            Message::Try(order) => {
+                self.dial(node, order.request, order.dial, order.until, false);
+                Flow::Keep
+            }
+            Message::Refuse(after) => {
+                if let Some(peer) = waiting.peer {
+                    node.tell(peer, Message::Close);
+                }
+                self.answer(node, &busy(after))
+            }
+            Message::Fail => self.answer(node, b"ERR\r\n"),
+            Message::Up(up) => self.up(node, up),
+            Message::Ended(line) => {
+                if waiting.open.holder.is_none() {
+                    node.core.try_ended(RequestId(waiting.open.request), lupincrank::Outcome::Served, true);
+                }
+                self.answer(node, &line)
+            }
+            Message::NotUp => {
+                waiting.peer = None;
+                node.deadlines.set(self.id, AGAIN, Instant::now() + OLD_PAUSE);
+                Flow::Keep
+            }
+            Message::Move | Message::Subscribe | Message::Close => Flow::Keep,
+        }
+    }
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -1,2 +1,60 @@
-//! x
-fn main() {}
+//! The node: lupincrank's decisions on real sockets.
+
+mod cli;
+mod config;
+mod core;
+mod deadlines;
+mod discovery;
+mod event_loop;
+mod line_front;
+mod peer;
+mod poll;
+mod relay;
+mod signals;
+
+use cli::Command;
+use config::Config;
+use slog::{o, Drain, Level, Logger};
+use std::process::ExitCode;
+use std::sync::Mutex;
+
+fn logger(verbose: bool) -> Logger {
+    let decorator = slog_term::PlainDecorator::new(std::io::stderr());
+    let format = slog_term::FullFormat::new(decorator)
+        .use_custom_timestamp(slog_term::timestamp_utc)
+        .build()
+        .ignore_res();
+    let level = if verbose { Level::Debug } else { Level::Info };
+    Logger::root(Mutex::new(slog::LevelFilter::new(format, level)).map(slog::Fuse), o!())
+}
+
+fn run(command: Command) -> Result<(), String> {
+    let load = |path: Option<String>| Config::load(path.as_deref(), |name| std::env::var(name).ok());
+    match command {
+        Command::Version => println!("lupincrank {}", env!("CARGO_PKG_VERSION")),
+        Command::CheckConfig { config } => {
+            let config = load(config)?;
+            println!("{}: listens on {}, {} classes", config.name, config.listen, config.classes.len());
+        }
+        Command::Serve { config, verbose } => {
+            let config = load(config)?;
+            let listen = config.listen;
+            let start = event_loop::EventLoop::new(config, logger(verbose));
+            start
+                .map_err(|error| format!("cannot start on {listen}: {error}"))?
+                .run()
+                .map_err(|error| format!("the loop failed: {error}"))?;
+        }
+    }
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    match run(cli::parser().run()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("lupincrank: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/node/src/peer.rs
@@ -0,0 +1,233 @@
+//! One try: a connection to a transcriber from its making to the first line that comes back.
+
+use crate::event_loop::{Connection, Flow, Id, Message, Node};
+use crate::poll::Watched;
+use lupincrank::{Outcome, RequestId};
+use slog::debug;
+use socket2::{Domain, Protocol, Socket, Type};
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Instant;
+
+/// The longest line of the protocol, its end included.
+pub const LONGEST_LINE: usize = 4 << 10;
+/// EINPROGRESS, for which the standard library has no stable name.
+const IN_PROGRESS: i32 = 115;
+/// Deadlines: for the connection and for the answer.
+const CONNECT: u64 = 0;
+const ANSWER: u64 = 1;
+
+/// A try that is up, handed to the object that owns the client.
+pub struct Up {
+    /// Whose.
+    pub request: RequestId,
+    /// The connection.
+    pub stream: Watched<TcpStream>,
+    /// What has come back on it so far: the UP line and perhaps more.
+    pub bytes: Vec<u8>,
+}
+
+/// What is tried.
+pub struct Try {
+    /// The client's object.
+    pub owner: Id,
+    /// For which request.
+    pub request: RequestId,
+    /// Where the transcriber listens.
+    pub dial: SocketAddr,
+    /// The first line.
+    pub line: Vec<u8>,
+    /// When to stop waiting.
+    pub until: Instant,
+    /// The connection stood before this node began: its end is the owner's matter, not a placement's.
+    pub stood: bool,
+}
+
+/// What a transcriber's line says.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Said {
+    /// `UP RECEIPT`.
+    Up,
+    /// `BYE`.
+    Bye,
+    /// `MOVE`.
+    Move,
+    /// `ERR`.
+    Err,
+    /// `BUSY`.
+    Busy,
+    /// `LOAD X`: the load in microseconds of work a second.
+    Load(f64),
+    /// Anything else.
+    Other,
+}
+
+/// Reads one line of a transcriber.
+pub fn said(line: &[u8]) -> Said {
+    let line = line.trim_ascii_end();
+    let cut = line.iter().position(|byte| *byte == b' ').unwrap_or(line.len());
+    let (word, rest) = (&line[..cut], line[cut..].trim_ascii());
+    match word {
+        b"UP" if !rest.is_empty() => Said::Up,
+        b"BYE" => Said::Bye,
+        b"MOVE" => Said::Move,
+        b"ERR" => Said::Err,
+        b"BUSY" => Said::Busy,
+        b"LOAD" => {
+            let load = std::str::from_utf8(rest).ok().and_then(|text| text.parse::<f64>().ok());
+            load.filter(|load| (0.0..1e12).contains(load)).map_or(Said::Other, Said::Load)
+        }
+        _ => Said::Other,
+    }
+}
+
+/// The connection of one try.
+pub struct Peer {
+    id: Id,
+    task: Try,
+    stream: Option<Watched<TcpStream>>,
+    connected: bool,
+    sent: usize,
+    bytes: Vec<u8>,
+}
+
+impl Peer {
+    /// Begins a try; how it ends is told to the core, also when it cannot even begin.
+    pub fn open(node: &mut Node, id: Id, task: Try) {
+        let mut peer = Peer { id, task, stream: None, connected: false, sent: 0, bytes: Vec::new() };
+        let now = Instant::now();
+        match peer.connect(node) {
+            Ok(stream) => {
+                peer.stream = Some(stream);
+                node.deadlines.set(id, CONNECT, peer.task.until.min(now + node.config.connect_timeout));
+                node.deadlines.set(id, ANSWER, peer.task.until);
+                node.adopt(id, Box::new(peer));
+            }
+            Err(error) => {
+                debug!(node.log, "cannot connect"; "dial" => %peer.task.dial, "error" => %error);
+                peer.end(node, Outcome::ConnectFailed);
+            }
+        }
+    }
+
+    fn connect(&self, node: &Node) -> io::Result<Watched<TcpStream>> {
+        let socket = Socket::new(Domain::for_address(self.task.dial), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_nonblocking(true)?;
+        socket.set_nodelay(true)?;
+        match socket.connect(&self.task.dial.into()) {
+            Err(error) if error.raw_os_error() != Some(IN_PROGRESS) => return Err(error),
+            _ => {}
+        }
+        Watched::new(&node.poller, TcpStream::from(socket), self.id as usize * 2, false, true)
+    }
+
+    /// Closes the connection, then says how the try ended: the next one must not start before.
+    fn end(&mut self, node: &mut Node, outcome: Outcome) -> Flow {
+        debug!(node.log, "try ended"; "request" => format!("{:016x}", self.task.request.0),
+            "dial" => %self.task.dial, "outcome" => ?outcome);
+        self.stream = None;
+        if self.task.stood {
+            node.tell(self.task.owner, Message::NotUp);
+        } else {
+            node.core.try_ended(self.task.request, outcome, false);
+        }
+        Flow::Done
+    }
+
+    /// How a break counts now: whether it may have run hinges on the last byte of the first line.
+    fn broken(&self) -> Outcome {
+        if self.sent < self.task.line.len() {
+            Outcome::ConnectFailed
+        } else {
+            Outcome::Reset
+        }
+    }
+
+    fn write(&mut self, node: &mut Node) -> io::Result<()> {
+        let Some(stream) = &mut self.stream else { return Ok(()) };
+        if !self.connected {
+            if let Some(error) = stream.take_error()? {
+                return Err(error);
+            }
+            self.connected = true;
+            node.deadlines.clear(self.id, CONNECT);
+        }
+        while self.sent < self.task.line.len() {
+            match stream.write(&self.task.line[self.sent..]) {
+                Ok(sent) => self.sent += sent,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return stream.want(true, true),
+                Err(error) => return Err(error),
+            }
+        }
+        stream.want(true, false)
+    }
+
+    fn read(&mut self, node: &mut Node) -> Option<Flow> {
+        let mut scratch = [0; 4 << 10];
+        loop {
+            let read = self.stream.as_mut()?.read(&mut scratch);
+            match read {
+                Ok(0) => return Some(self.end(node, self.broken())),
+                Ok(read) => self.bytes.extend_from_slice(&scratch[..read]),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return None,
+                Err(_) => return Some(self.end(node, self.broken())),
+            }
+            while let Some(end) = self.bytes.iter().position(|byte| *byte == b'\n') {
+                match said(&self.bytes[..end]) {
+                    Said::Up => {
+                        let stream = self.stream.take()?;
+                        let bytes = std::mem::take(&mut self.bytes);
+                        node.tell(
+                            self.task.owner,
+                            Message::Up(Up { request: self.task.request, stream, bytes }),
+                        );
+                        return Some(Flow::Done);
+                    }
+                    Said::Bye => {
+                        let line = self.bytes[..=end].to_vec();
+                        self.stream = None;
+                        node.tell(self.task.owner, Message::Ended(line));
+                        return Some(Flow::Done);
+                    }
+                    // A load told before the answer is of no use to anyone yet.
+                    Said::Load(_) => drop(self.bytes.drain(..=end)),
+                    Said::Busy => return Some(self.end(node, Outcome::Full)),
+                    Said::Move => return Some(self.end(node, Outcome::Cancelled)),
+                    Said::Err | Said::Other => return Some(self.end(node, Outcome::Error)),
+                }
+            }
+            if self.bytes.len() > LONGEST_LINE {
+                return Some(self.end(node, Outcome::Error));
+            }
+        }
+    }
+}
+
+impl Connection for Peer {
+    fn ready(&mut self, node: &mut Node, _side: usize, readable: bool, _writable: bool) -> Flow {
+        if self.sent < self.task.line.len() {
+            if let Err(error) = self.write(node) {
+                debug!(node.log, "cannot send"; "dial" => %self.task.dial, "error" => %error);
+                return self.end(node, self.broken());
+            }
+        }
+        if readable {
+            self.read(node).unwrap_or(Flow::Keep)
+        } else {
+            Flow::Keep
+        }
+    }
+
+    fn due(&mut self, node: &mut Node, _purpose: u64) -> Flow {
+        let written = self.sent == self.task.line.len();
+        self.end(node, if written { Outcome::TimedOut } else { Outcome::ConnectFailed })
+    }
+
+    fn told(&mut self, _node: &mut Node, message: Message) -> Flow {
+        if matches!(message, Message::Close) {
+            Flow::Done
+        } else {
+            Flow::Keep
+        }
+    }
+}
--- /dev/null
+++ b/node/src/poll.rs
@@ -0,0 +1,64 @@
+//! The one place where sockets are registered with the poller.
+#![allow(unsafe_code)]
+
+use polling::{Event, PollMode, Poller};
+use std::io;
+use std::ops::{Deref, DerefMut};
+use std::os::fd::AsFd;
+use std::rc::Rc;
+
+/// A source that the poller watches for as long as this value owns it.
+pub struct Watched<S: AsFd> {
+    source: S,
+    poller: Rc<Poller>,
+    wanted: Event,
+}
+
+impl<S: AsFd> Watched<S> {
+    /// Registers the source under a key; readiness is told again and again while it lasts.
+    pub fn new(poller: &Rc<Poller>, source: S, key: usize, read: bool, write: bool) -> io::Result<Self> {
+        let wanted = Event::new(key, read, write);
+        // SAFETY: the descriptor must stay open until it is deleted from the poller. `Watched` owns the source,
+        // gives it out by reference only, and deletes it in `drop`, before the source itself is closed.
+        unsafe { poller.add_with_mode(&source.as_fd(), wanted, PollMode::Level)? };
+        Ok(Watched { source, poller: Rc::clone(poller), wanted })
+    }
+
+    /// Changes what is waited for; a system call is made only if that differs from before.
+    pub fn want(&mut self, read: bool, write: bool) -> io::Result<()> {
+        self.turn(Event::new(self.wanted.key, read, write))
+    }
+
+    /// Reports under another key from now on.
+    pub fn rekey(&mut self, key: usize) -> io::Result<()> {
+        self.turn(Event::new(key, self.wanted.readable, self.wanted.writable))
+    }
+
+    fn turn(&mut self, wanted: Event) -> io::Result<()> {
+        if wanted != self.wanted {
+            self.poller.modify_with_mode(self.source.as_fd(), wanted, PollMode::Level)?;
+            self.wanted = wanted;
+        }
+        Ok(())
+    }
+}
+
+impl<S: AsFd> Deref for Watched<S> {
+    type Target = S;
+    fn deref(&self) -> &S {
+        &self.source
+    }
+}
+
+impl<S: AsFd> DerefMut for Watched<S> {
+    fn deref_mut(&mut self) -> &mut S {
+        &mut self.source
+    }
+}
+
+impl<S: AsFd> Drop for Watched<S> {
+    fn drop(&mut self) {
+        // Closing takes it out as well; nothing is left to do if the poller does not know it any more.
+        let _ = self.poller.delete(self.source.as_fd());
+    }
+}
--- /dev/null
+++ b/node/src/relay.rs
@@ -0,0 +1,289 @@
+//! A connection that is up: passes bytes both ways unchanged and taps what the decisions need of them.
+
+use crate::event_loop::{Connection, Flow, Id, Message, Node};
+use crate::line_front::Seat;
+use crate::peer::{said, Said, Up, LONGEST_LINE};
+use crate::poll::Watched;
+use lupincrank::{Outcome, RequestId};
+use slog::debug;
+use socket2::SockRef;
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::time::{Duration, Instant};
+
+/// A side that has this much waiting for it is not read for: what the other sends stays with the sender.
+const MOST_HELD: usize = 64 << 10;
+/// What one side may bring in one turn of the loop.
+const TURN: usize = 64 << 10;
+/// Once one side has ended, the other may bring nothing for this long.
+const HALF_CLOSED: Duration = Duration::from_secs(10);
+/// A client that was sent away, or cut off by its transcriber's end, has this long to end its side.
+const LINGER: Duration = Duration::from_secs(2);
+const PATIENCE: u64 = 0;
+const CLIENT: usize = 0;
+
+/// One direction: what was read from one side and is not written to the other yet.
+#[derive(Default)]
+struct Pipe {
+    bytes: Vec<u8>,
+    sent: usize,
+    /// The reading side has ended; once all is written the writing side is ended likewise.
+    ended: bool,
+    shut: bool,
+}
+
+impl Pipe {
+    fn waiting(&self) -> usize {
+        self.bytes.len() - self.sent
+    }
+
+    fn push(&mut self, bytes: &[u8]) {
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    fn write(&mut self, stream: &mut TcpStream) -> io::Result<()> {
+        while self.sent < self.bytes.len() {
+            match stream.write(&self.bytes[self.sent..]) {
+                Ok(sent) => self.sent += sent,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.bytes.drain(..self.sent);
+                    self.sent = 0;
+                    return Ok(());
+                }
+                Err(error) => return Err(error),
+            }
+        }
+        self.bytes.clear();
+        self.sent = 0;
+        if self.ended && !self.shut {
+            self.shut = true;
+            stream.shutdown(Shutdown::Write)?;
+        }
+        Ok(())
+    }
+}
+
+/// A client and its peer.
+pub struct Relay {
+    id: Id,
+    _seat: Seat,
+    request: RequestId,
+    client: Watched<TcpStream>,
+    /// `None` once the client has been sent away.
+    peer: Option<Watched<TcpStream>>,
+    up: Pipe,
+    down: Pipe,
+    /// The start of a line of the peer whose end is still to come. Lines go to the client whole: guards against
+    /// a MOVE in the middle of one.
+    part: Vec<u8>,
+    last: Said,
+    /// The core knows that it has ended.
+    told: bool,
+}
+
+impl Relay {
+    /// Takes both sockets over and passes on what has already come on them.
+    pub fn begin(node: &mut Node, id: Id, seat: Seat, client: Watched<TcpStream>, up: Up, early: Vec<u8>) {
+        let Up { request, mut stream, bytes } = up;
+        let rekeyed = stream.rekey(id as usize * 2 + 1);
+        let mut relay = Relay {
+            id,
+            _seat: seat,
+            request,
+            client,
+            peer: Some(stream),
+            up: Pipe::default(),
+            down: Pipe::default(),
+            part: Vec::new(),
+            last: Said::Other,
+            told: false,
+        };
+        if rekeyed.is_err() {
+            return relay.end(node, Outcome::Reset);
+        }
+        relay.from_peer(node, &bytes, false);
+        relay.from_client(node, &early);
+        if relay.pump(node) == Flow::Keep {
+            node.adopt(id, Box::new(relay));
+        }
+    }
+
+    fn end(&mut self, node: &mut Node, outcome: Outcome) {
+        if !std::mem::replace(&mut self.told, true) {
+            debug!(node.log, "connection ended"; "request" => format!("{:016x}", self.request.0),
+                "outcome" => ?outcome);
+            node.core.try_ended(self.request, outcome, true);
+        }
+    }
+
+    fn from_client(&mut self, node: &mut Node, bytes: &[u8]) {
+        self.up.push(bytes);
+        for _ in bytes.iter().filter(|byte| **byte == b'\n') {
+            node.core.line_sent(self.request);
+        }
+    }
+
+    /// `answers`: lines that are neither the first nor a load come back for lines of the client.
+    fn from_peer(&mut self, node: &mut Node, bytes: &[u8], mut answers: bool) {
+        self.part.extend_from_slice(bytes);
+        let mut at = 0;
+        while let Some(length) = self.part[at..].iter().position(|byte| *byte == b'\n') {
+            let end = at + length + 1;
+            self.last = said(&self.part[at..end]);
+            match self.last {
+                Said::Load(micros) => node.core.load(self.request, Duration::from_secs_f64(micros / 1e6)),
+                _ if answers => node.core.line_returned(self.request),
+                _ => answers = true,
+            }
+            at = end;
+        }
+        // A line longer than any may be goes on as it is, rather than being held for ever.
+        if self.part.len() - at > LONGEST_LINE {
+            at = self.part.len();
+        }
+        self.down.push(&self.part[..at]);
+        self.part.drain(..at);
+    }
+
+    /// Writes what waits, sets what is waited for, and says whether there is anything left to do.
+    fn pump(&mut self, node: &mut Node) -> Flow {
+        if self.down.write(&mut self.client).is_err() {
+            return self.broke(node, CLIENT);
+        }
+        let peer_writes = self.peer.as_mut().map(|peer| self.up.write(peer));
+        if peer_writes.is_some_and(|written| written.is_err()) {
+            return self.broke(node, 1);
+        }
+        if self.down.shut && self.up.ended && (self.up.shut || self.peer.is_none()) {
+            return Flow::Done;
+        }
+        let reads_client = !self.up.ended && self.up.waiting() < MOST_HELD;
+        let mut wanted = self.client.want(reads_client, self.down.waiting() > 0);
+        if let Some(peer) = &mut self.peer {
+            let reads_peer = !self.down.ended && self.down.waiting() < MOST_HELD;
+            wanted = wanted.and(peer.want(reads_peer, self.up.waiting() > 0));
+        }
+        if wanted.is_err() {
+            self.broke(node, CLIENT)
+        } else {
+            Flow::Keep
+        }
+    }
+
+    /// One side was reset: the other is reset too, after what it can still take at once.
+    fn broke(&mut self, node: &mut Node, side: usize) -> Flow {
+        self.end(node, if side == CLIENT { Outcome::Cancelled } else { Outcome::Reset });
+        if side == CLIENT {
+            if let Some(peer) = &mut self.peer {
+                let _ = self.up.write(peer);
+                let _ = SockRef::from(&**peer).set_linger(Some(Duration::ZERO));
+            }
+        } else {
+            let _ = self.down.write(&mut self.client);
+            let _ = SockRef::from(&*self.client).set_linger(Some(Duration::ZERO));
+        }
+        Flow::Done
+    }
+
+    fn read(&mut self, node: &mut Node, side: usize) -> Flow {
+        let mut scratch = [0; 16 << 10];
+        let mut taken = 0;
+        while taken < TURN {
+            let (pipe, stream) = match (side, &mut self.peer) {
+                (CLIENT, _) => (&mut self.up, &mut self.client),
+                (_, Some(peer)) => (&mut self.down, peer),
+                (_, None) => return Flow::Keep,
+            };
+            let read = if pipe.ended || pipe.waiting() >= MOST_HELD {
+                // Told of without being asked: the connection broke.
+                match stream.take_error() {
+                    Ok(None) => return self.pump(node),
+                    _ => return self.broke(node, side),
+                }
+            } else {
+                stream.read(&mut scratch)
+            };
+            match read {
+                Ok(0) => {
+                    self.ended(node, side);
+                    break;
+                }
+                Ok(read) => {
+                    taken += read;
+                    if side == CLIENT {
+                        if self.peer.is_some() {
+                            self.from_client(node, &scratch[..read]);
+                        }
+                    } else {
+                        self.from_peer(node, &scratch[..read], true);
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return self.broke(node, side),
+            }
+        }
+        self.pump(node)
+    }
+
+    /// One side has ended its sending: the other hears of it after all that was sent.
+    fn ended(&mut self, node: &mut Node, side: usize) {
+        let left = if self.peer.is_some() { HALF_CLOSED } else { LINGER };
+        node.deadlines.set(self.id, PATIENCE, Instant::now() + left);
+        if side == CLIENT {
+            self.up.ended = true;
+            self.end(node, Outcome::Cancelled);
+        } else {
+            let part = std::mem::take(&mut self.part);
+            self.down.push(&part);
+            self.down.ended = true;
+            node.deadlines.set(self.id, PATIENCE, Instant::now() + LINGER);
+            let outcome = match self.last {
+                Said::Bye => Outcome::Served,
+                Said::Move => Outcome::Cancelled,
+                Said::Err => Outcome::Error,
+                _ => Outcome::Reset,
+            };
+            self.end(node, outcome);
+        }
+    }
+
+    /// Sends the client away between two lines, and ends both sides.
+    fn send_away(&mut self, node: &mut Node) -> Flow {
+        if self.peer.take().is_some() {
+            self.part.clear();
+            self.up.bytes.clear();
+            self.up.sent = 0;
+            if !self.down.ended {
+                self.down.push(b"MOVE\r\n");
+                self.down.ended = true;
+            }
+            self.end(node, Outcome::Cancelled);
+            node.deadlines.set(self.id, PATIENCE, Instant::now() + LINGER);
+        }
+        self.pump(node)
+    }
+}
+
+impl Connection for Relay {
+    fn ready(&mut self, node: &mut Node, side: usize, readable: bool, _writable: bool) -> Flow {
+        if readable {
+            self.read(node, side)
+        } else {
+            self.pump(node)
+        }
+    }
+
+    fn due(&mut self, node: &mut Node, _purpose: u64) -> Flow {
+        self.end(node, Outcome::Cancelled);
+        Flow::Done
+    }
+
+    fn told(&mut self, node: &mut Node, message: Message) -> Flow {
+        if matches!(message, Message::Move) {
+            self.send_away(node)
+        } else {
+            Flow::Keep
+        }
+    }
+}
