--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -72,7 +72,6 @@
     over: bool,
     /// When each line of the client went on that nothing has come back for yet.
     unanswered: VecDeque<Instant>,
-    told_quiet: Option<Instant>,
 }
 
 /// What the lines of one transcriber's connections tell of its delay.
@@ -246,7 +245,6 @@
             stands: false,
             over: false,
             unanswered: VecDeque::new(),
-            told_quiet: None,
         };
         self.contexts.insert(incoming.request, context);
     }
@@ -337,20 +335,18 @@
     pub fn look(&mut self) {
         let now = Instant::now();
         let over = self.least_aim / 3;
-        let mut notes = Vec::new();
+        let (mut notes, mut silent) = (Vec::new(), Vec::new());
         // What has not come back yet counts with its age: guards against a transcriber that answers nothing
         // and so never shows a delay.
         let mut ages: BTreeMap<&ServerId, Vec<(Duration, RequestId)>> = BTreeMap::new();
-        for (request, context) in &mut self.contexts {
+        for (request, context) in &self.contexts {
             let Some(server) = context.server.as_ref().filter(|_| context.stands && !context.over) else {
                 continue;
             };
             let age = context.unanswered.front().map_or(Duration::ZERO, |sent| now - *sent);
             ages.entry(server).or_default().push((age, *request));
-            let due = context.told_quiet.map_or(true, |told| now - told >= PACE);
-            if age >= QUIET && due {
-                context.told_quiet = Some(now);
-                notes.push((*request, age));
+            if age >= QUIET {
+                silent.push(*request);
             }
         }
         self.pulses.retain(|server, _| ages.contains_key(server));
@@ -375,9 +371,13 @@
             pulse.late = late;
         }
         notes.sort_unstable();
+        silent.sort_unstable();
         for (request, delay) in notes {
             self.feed(Event::DelayNote { request, delay });
         }
+        for request in silent {
+            self.feed(Event::Silent(request));
+        }
     }
 
     /// The node is to end: what comes from now on is rejected, for nothing could stand for long.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -77,8 +77,9 @@
 const REPORT_FRESH: Duration = Duration::from_secs(1);
 /// What one gateway tells of a late server keeps the others away for this long; none repeats it before.
 const HEARD: Duration = Duration::from_secs(3);
-/// Marks a server that does not answer at all.
+/// Marks a server that does not answer at all, as one whose messages take this long does not.
 const SILENT: &str = "!";
+const SILENT_FOR: Duration = Duration::from_secs(4);
 /// Connections that a gateway may be taken to hold on each server when it cannot tell yet.
 const LIKELY_HELD: f64 = 5.0;
 /// If more than this part of set-ups fails, at one server after the other, something shared is at fault; the
@@ -437,6 +438,11 @@
             Event::ClientGone(id) => self.finish(id),
             Event::LoadNote { request, load } => self.load_note(request, load.as_secs_f64()),
             Event::DelayNote { request, delay } => self.delay_note(now, request, delay, actions),
+            Event::Silent(request) => {
+                // Whatever may be moved at other times: nobody is served on it.
+                self.move_tokens = self.move_tokens.max(1.0);
+                self.move_away(request, actions);
+            }
             Event::Probed { server, passed, report } => {
                 let server = self.fleet.servers.slot(&server);
                 self.probed(now, server, passed.then(|| report.unwrap_or_default()), actions);
@@ -456,8 +462,6 @@
         fraction(&mut self.random)
     }
 
-    // ---- The list ----
-
     fn list(&mut self, now: Time, entries: Vec<Listed>, whole: bool) {
         self.list_failures = 0;
         let named: BTreeSet<Slot> = entries.into_iter().map(|entry| self.listed(now, entry)).collect();
@@ -531,10 +535,8 @@
         }
     }
 
-    /// Sends the request, or lets it wait while too many set-ups are under way.
-    ///
-    /// Guards against a shared store (or any bottleneck behind all servers) that more attempts only bury
-    /// deeper.
+    /// Sends the request, or lets it wait while too many set-ups are under way. Guards against a shared store
+    /// (or any bottleneck behind all servers) that more attempts only bury deeper.
     fn place(&mut self, now: Time, id: RequestId, actions: &mut Actions) {
         if self.requests.get(&id).is_some_and(|request| request.mid_flow && request.attempts == 0) {
             self.send(now, id, actions);
@@ -551,7 +553,10 @@
             let Some(request) = self.requests.get(&id).filter(|request| !request.over) else { continue };
             let ripe = request.asked.map_or(true, |(_, until)| until <= now);
             let paused = self.window < 1.0 && now < self.pause_until;
-            if request.expires.since(now) < QUEUE_TICK * 2 {
+            // What no server is left for, or no set-up would be in time for, is told so at once.
+            let needs = QUEUE_TICK.max(Duration::from_secs_f64(self.setup_floor)) * 2;
+            let spent = request.attempts >= self.settings.attempt_cap || request.expires.since(now) < needs;
+            if spent || self.permitted(now, request).next().is_none() {
                 self.end_unserved(id, actions);
             } else if ripe && !paused && (self.in_setup as f64) < self.window {
                 self.send(now, id, actions);
@@ -651,9 +656,12 @@
             Some(Repeat::Repeatable | Repeat::ByKey { scope: Scope::All, .. }) => true,
             _ => request.doubt.is_none(),
         };
+        let spent = request.attempts >= self.settings.attempt_cap;
         self.finish(id);
         if harmless {
-            let retry_after = self.settings.longest_retry_after.mul_f64(0.25 + 0.5 * self.jitter());
+            // One that spent all its attempts met a fleet that is no better in a moment.
+            let (least, more) = if spent { (0.6, 0.4) } else { (0.25, 0.5) };
+            let retry_after = self.settings.longest_retry_after.mul_f64(least + more * self.jitter());
             actions.push(Action::Refuse { request: id, retry_after });
         } else {
             actions.push(Action::Fail(id));
@@ -914,8 +922,6 @@
         after <= cap && (firm || server.held.is_empty() || after <= allowed)
     }
 
-    // ---- Loads ----
-
     fn load_of(&self, request: &Request) -> f64 {
         let mean = |(sum, count): (f64, f64)| (count > 0.0).then(|| sum / count);
         let known = self.class_loads.get(request.class).copied().and_then(mean);
@@ -1009,10 +1015,8 @@
         }
     }
 
-    /// Guards against servers that died or that accept and answer nothing, long before the list tells.
-    ///
-    /// `silent`: it did not answer at all, so its standing connections earn nothing either. A server that
-    /// turns new connections away with errors may serve its standing ones well; those stay.
+    /// Guards against servers that died or answer nothing, long before the list tells. `silent`: it did not
+    /// answer at all, so its standing connections earn nothing. One that errs may serve those; they stay.
     fn strike(&mut self, now: Time, at: Slot, weight: u32, silent: bool, actions: &mut Actions) {
         let jitter = self.jitter();
         let (ready, barred) = (self.fleet.sums.ready, self.fleet.sums.barred);
@@ -1051,9 +1055,9 @@
         let server = out.server;
         let part = delay.as_secs_f64() / self.least_message_aim.as_secs_f64().max(1e-9);
         if part > 1.5 {
-            self.tell(now, server, delay >= LONGEST_BAR, actions);
+            self.tell(now, server, delay >= SILENT_FOR, actions);
         }
-        if delay >= LONGEST_BAR {
+        if delay >= SILENT_FOR {
             // No queue is that long: it answers nothing, and its connections had best leave.
             self.strike(now, server, STRIKES, true, actions);
         } else if let Some((_, keep)) = LATE.iter().find(|(over, _)| part > *over) {
@@ -1108,8 +1112,7 @@
 
     /// The server is crowded: from now on it may hold only `keep` of what it holds, and where `sheds` is set
     /// what is over that moves off. Guards against servers that are slower or more loaded than their share of
-    /// keys assumes, and, where all are, against a fleet that answers everything late instead of most in
-    /// time.
+    /// keys assumes, and, where all are, against a fleet that answers all late instead of most in time.
     fn crowd(&mut self, now: Time, at: Slot, keep: f64, sheds: bool, actions: &mut Actions) {
         let fair = self.fair_unit();
         let Some(server) = self.fleet.servers.get(at) else { return };
@@ -1127,9 +1130,8 @@
     }
 
     /// Moves connections off a server until it holds no more than it may: those of tenants over their share
-    /// first, then whole groups, for a group that leaves takes its shared work along. Small parts go before
-    /// large ones, since each frees as much shared work, and equal ones in the order of a hash, so that other
-    /// gateways let go of the same. Only where no whole group fits into the excess is one split, heaviest
+    /// first, then whole groups with their shared work, small ones first since each frees as much of that, equal
+    /// ones by a hash, so that other gateways let go of the same. Only where none fits is one split, heaviest
     /// connections first.
     fn shed(&mut self, now: Time, at: Slot, actions: &mut Actions) {
         let round = self.jitter();
@@ -1189,12 +1191,8 @@
         if let Some(probed) = self.fleet.servers.get_mut(server).and_then(|server| server.probed.as_mut()) {
             probed.1 = false;
         }
-        for id in &self.waiting {
-            if let Some(request) =
-                self.requests.get_mut(id).filter(|r| r.asked.is_some_and(|(at, _)| at == server))
-            {
-                request.asked = None;
-            }
+        for request in &self.waiting {
+            self.requests.entry(*request).and_modify(|r| r.asked = r.asked.filter(|(at, _)| *at != server));
         }
         match report {
             Some(values) => self.reported(now, server, &values, actions),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -250,6 +250,8 @@
         /// How long one takes.
         delay: Duration,
     },
+    /// A standing connection's messages go unanswered, and have for longer than any queue at its server lasts.
+    Silent(RequestId),
     /// A probe came back.
     Probed {
         /// Which server.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -594,3 +594,37 @@
     ask(&mut world, next, &format!("d:{id}"));
     assert_ne!(world.at(next), first, "the same server again");
 }
+
+/// Requests that no further attempt was allowed for waited behind others until just before their clients left.
+#[test]
+fn a_request_that_spent_its_attempts_is_refused_at_once_though_others_wait() {
+    let mut world = World::with_servers(Settings { attempt_cap: 1, ..site() }, &SIX);
+    (0..20).for_each(|id| ask(&mut world, id, &format!("c:{id}")));
+    assert!(world.at(19).is_none(), "some wait");
+    world.ends(0, Outcome::Full);
+    assert_eq!(world.books[&0].finals, 1);
+    assert!(world.last.iter().any(
+        |action| matches!(action, Action::Refuse { request: RequestId(0), retry_after } if *retry_after >= ms(1_000))
+    ));
+}
+
+/// A request waited for its turn although the list had lost every server that it could still be sent to.
+#[test]
+fn a_request_that_no_server_is_left_for_does_not_wait() {
+    let mut world = World::with_servers(site(), &SIX);
+    (0..20).for_each(|id| ask(&mut world, id, &format!("c:{id}")));
+    world.list(SIX.iter().map(|name| Listed { health: Health::Draining, ..listed(name) }).collect());
+    world.advance(world.now + 100 * MS);
+    assert_eq!(world.books[&19].finals, 1);
+}
+
+/// With nothing saved up for moves, connections on a machine that had vanished stayed there.
+#[test]
+fn every_silent_connection_moves_whatever_is_saved_up() {
+    let mut world = filled(site(), &SIX, 60, 20);
+    let server = busiest(&world);
+    for id in on(&world, server) {
+        world.tell(Event::Silent(RequestId(id)));
+        assert_eq!(moves(&world), [id]);
+    }
+}
