--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1130,9 +1130,9 @@
     }
 
     /// Moves connections off a server until it holds no more than it may: those of tenants over their share
-    /// first, then whole groups with their shared work, small ones first since each frees as much of that, equal
-    /// ones by a hash, so that other gateways let go of the same. Only where none fits is one split, heaviest
-    /// connections first.
+    /// first, then whole groups with their shared work, small ones first since each frees as much of that,
+    /// equal ones by a hash, so that other gateways let go of the same. Only where none fits is one split,
+    /// heaviest connections first.
     fn shed(&mut self, now: Time, at: Slot, actions: &mut Actions) {
         let round = self.jitter();
         let Some(server) = self.fleet.servers.get(at) else { return };
