--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -13,7 +13,7 @@
 /// Delays are told once a second for each transcriber.
 const PACE: Duration = Duration::from_secs(1);
 /// A line that nothing came back for in this time is told for its own connection.
-const QUIET: Duration = Duration::from_secs(4);
+const QUIET: Duration = Duration::from_secs(2);
 
 /// A set-up that takes this multiple of what is usual has waited. What is usual is the median of the latest ones,
 /// and nothing is while there are few.
--- a/node/tests/rules.rs
+++ b/node/tests/rules.rs
@@ -152,7 +152,7 @@
     assert_eq!(peer.hear(), "hello");
     let began = Instant::now();
     assert_eq!([client.hear(), client.hear()], ["MOVE", ""]);
-    assert!(began.elapsed() < Duration::from_secs(5), "a client may have sent its line 2 s before");
+    assert!(began.elapsed() < Duration::from_secs(4), "nobody is served on it meanwhile");
 }
 
 #[test]
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -250,7 +250,7 @@
         /// How long one takes.
         delay: Duration,
     },
-    /// A standing connection's messages go unanswered, and have for longer than any queue at its server lasts.
+    /// A standing connection's messages have gone unanswered for so long that nobody is served on it.
     Silent(RequestId),
     /// A probe came back.
     Probed {
