SIGHUP: read the configuration again and follow discovery; read memory_mb

At fault: node/src/signals.rs registered SIGTERM and SIGINT only, and Config kept no path to read again. RELAY_DISCOVERY is set in service and goes before the file, so rereading alone would have kept the old address: the file's entry now goes first once it differs from what it was (config.rs, reread). Ruled out: a lost watch while moving. Also: memory_mb is read; each direction of a connection holds 8 to 64 KiB by it in place of 64 KiB always. Tests: at_sighup_the_watch_goes_on_at_the_new_address_and_connections_stand and a_configuration_that_does_not_hold_changes_nothing, seen failing on the tree before this one.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -20,9 +20,21 @@
 
 #[derive(Deserialize, Default)]
 struct Limits {
+    memory_mb: Option<usize>,
     sockets: Option<usize>,
 }
 
+/// What the node keeps of its memory for the program itself, the upstream group and the decisions.
+const PROGRAM_MB: usize = 12;
+/// The least and the most that is buffered for one direction of a connection: two lines of the longest kind, and
+/// what one read may bring.
+const LEAST_HELD: usize = 8 << 10;
+const MOST_HELD: usize = 64 << 10;
+/// Descriptors of the loop, the listener, discovery, signals and the standard streams, and a few to spare.
+const OWN_DESCRIPTORS: usize = 24;
+/// The part of the descriptors for connections that ask for nothing yet or have their answer.
+const STRANGERS_PART: usize = 8;
+
 /// The node's configuration, checked.
 pub struct Config {
     /// Its name, the same after a restart.
@@ -35,6 +47,12 @@
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
+    /// The memory that the process may take.
+    pub memory_mb: usize,
+    /// The file that all of this was read from, and the address of discovery as it stands there.
+    path: String,
+    told_discovery: Option<String>,
+    site: Site,
     /// The upstream group as this node last had it.
     pub known: Option<Update>,
     /// What the decisions need.
@@ -53,13 +71,61 @@
     pub longest_deadline: Duration,
 }
 
+fn address(text: &str) -> Result<SocketAddr, String> {
+    text.parse().map_err(|_| format!("{text:?} is not an address:port"))
+}
+
 impl Config {
     /// Reads the file at `path`, or the one that RELAY_CONFIG names. `variable` looks up the environment.
     pub fn load(path: Option<&str>, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
         let path = path.map(str::to_string).or_else(|| variable("RELAY_CONFIG"));
         let path = path.ok_or("no configuration: set RELAY_CONFIG or give --config")?;
         let text = std::fs::read_to_string(&path).map_err(|error| format!("{path}: {error}"))?;
-        Config::read(&text, variable).map_err(|error| format!("{path}: {error}"))
+        let config = Config::read(&text, variable).map_err(|error| format!("{path}: {error}"))?;
+        Ok(Config { path, ..config })
+    }
+
+    /// Reads the file again. An address of discovery that has changed there goes before RELAY_DISCOVERY: the file
+    /// can be replaced while the program runs, its environment can't.
+    pub fn reread(&self, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+        let mut fresh = Config::load(Some(&self.path), variable)?;
+        match &fresh.told_discovery {
+            Some(told) if fresh.told_discovery != self.told_discovery => {
+                fresh.discovery =
+                    address(told).map_err(|error| format!("{}: discovery: {error}", self.path))?;
+            }
+            _ => fresh.discovery = self.discovery,
+        }
+        Ok(fresh)
+    }
+
+    /// Takes over what can change while connections stand, and names the entries that wait for the next start.
+    pub fn replace(&mut self, fresh: Config) -> Vec<&'static str> {
+        let changed = [
+            ("name", self.name != fresh.name),
+            ("listen", self.listen != fresh.listen),
+            ("settings", self.site != fresh.site),
+        ];
+        (self.discovery, self.told_discovery) = (fresh.discovery, fresh.told_discovery);
+        (self.sockets, self.memory_mb) = (fresh.sockets, fresh.memory_mb);
+        changed.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
+    }
+
+    /// How many connections may be held that ask for nothing yet or have had their answer.
+    pub fn most_strangers(&self) -> usize {
+        self.sockets / STRANGERS_PART
+    }
+
+    /// How many clients may be held with their request: each takes a second descriptor for its peer.
+    pub fn most_clients(&self) -> usize {
+        self.sockets.saturating_sub(OWN_DESCRIPTORS + self.most_strangers()) / 2
+    }
+
+    /// What may be buffered for one direction of a connection, so that all of them together fit into half of the
+    /// memory that is left.
+    pub fn most_held(&self) -> usize {
+        let all = (self.memory_mb.saturating_sub(PROGRAM_MB) << 20) / 2;
+        (all / (4 * self.most_clients().max(1))).clamp(LEAST_HELD, MOST_HELD)
     }
 
     /// Reads the file's text; a variable that is set goes before the same entry of the file.
@@ -68,11 +134,10 @@
         let told = |name: &str, entry: Option<String>, key: &str| {
             variable(name).or(entry).ok_or_else(|| format!("neither {name} nor {key:?} is set"))
         };
-        let address = |name: &str, entry: Option<String>, key: &str| {
-            let text = told(name, entry, key)?;
-            text.parse::<SocketAddr>()
-                .map_err(|_| format!("{name} / {key:?}: {text:?} is not an address:port"))
+        let located = |name: &str, entry: Option<String>, key: &str| {
+            address(&told(name, entry, key)?).map_err(|error| format!("{name} / {key:?}: {error}"))
         };
+        let limits = file.limits.unwrap_or_default();
         let seed = file.seed.unwrap_or_else(|| "0".into());
         let site = file.settings;
         let mut settings = site.settings()?;
@@ -83,10 +148,13 @@
         }
         let config = Config {
             name: told("RELAY_NAME", file.name, "name")?,
-            listen: address("RELAY_LISTEN", file.listen, "listen")?,
-            discovery: address("RELAY_DISCOVERY", file.discovery, "discovery")?,
+            listen: located("RELAY_LISTEN", file.listen, "listen")?,
+            discovery: located("RELAY_DISCOVERY", file.discovery.clone(), "discovery")?,
+            told_discovery: file.discovery,
+            path: String::new(),
             seed: u64::from_str_radix(&seed, 16).map_err(|_| format!("seed: {seed:?} is not hexadecimal"))?,
-            sockets: file.limits.unwrap_or_default().sockets.unwrap_or(1024),
+            sockets: limits.sockets.unwrap_or(1024),
+            memory_mb: limits.memory_mb.unwrap_or(192),
             known: file.known,
             connect_timeout: site.connect_timeout().unwrap_or(Duration::from_secs(1)),
             classes: site.classes().into_iter().map(str::to_string).collect(),
@@ -95,10 +163,14 @@
             groups: site.has_groups(),
             longest_deadline: site.longest_deadline(),
             settings,
+            site,
         };
         if config.sockets < 64 {
             return Err(format!("limits.sockets: {} is too few, 64 are needed", config.sockets));
         }
+        if config.memory_mb < 24 {
+            return Err(format!("limits.memory_mb: {} is too little, 24 are needed", config.memory_mb));
+        }
         if let Some(known) = &config.known {
             discovery::check(known).map_err(|error| format!("known: {error}"))?;
         }
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -13,6 +13,8 @@
 
 /// A call that brings no answer in this time has failed.
 const ANSWER: Duration = Duration::from_millis(4500);
+/// A connection to discovery that is not up in this time will not come up.
+const CONNECT: Duration = Duration::from_secs(1);
 /// An empty line comes every 2 s; a watch that brings nothing for this long is dead.
 const SILENCE: Duration = Duration::from_millis(4500);
 /// The longest header and the longest line that are read.
@@ -192,7 +194,7 @@
             chunks: Chunks::default(),
             lines: Vec::new(),
         });
-        node.deadlines.set(DISCOVERY, 0, Instant::now() + ANSWER);
+        node.deadlines.set(DISCOVERY, 0, Instant::now() + CONNECT);
         Ok(())
     }
 
@@ -209,6 +211,7 @@
             let error = call.stream.take_error().map_err(|error| error.to_string())?;
             error.map_or(Ok(()), |error| Err(error.to_string()))?;
             call.phase = Phase::Head;
+            node.deadlines.set(DISCOVERY, 0, Instant::now() + ANSWER);
         }
         while !call.unsent.is_empty() {
             match call.stream.write(&call.unsent) {
@@ -301,8 +304,14 @@
     }
 
     fn told(&mut self, node: &mut Node, message: Message) -> Flow {
-        if matches!(message, Message::Subscribe) {
+        let moved = matches!(message, Message::Moved);
+        if moved {
+            // What is known stays: the watch at the new address goes on from the version that the old one told.
+            self.dial = node.config.discovery;
             self.call = None;
+        }
+        // A call that is under way is the newer one: an earlier failure asked for this before discovery moved.
+        if (moved || matches!(message, Message::Subscribe)) && self.call.is_none() {
             if let Some(known) = self.known.take() {
                 if let Err(why) = self.apply(&mut node.core, known, true) {
                     warn!(node.log, "the known list is bad"; "why" => why);
--- a/node/src/event_loop.rs
+++ b/node/src/event_loop.rs
@@ -45,6 +45,8 @@
     Ended(Vec<u8>),
     /// Ask discovery for changes.
     Subscribe,
+    /// The configuration names another address of discovery.
+    Moved,
     /// The owner has no more use for this object.
     Close,
 }
--- a/node/src/line_front.rs
+++ b/node/src/line_front.rs
@@ -14,9 +14,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Descriptors kept for the listener, the poller, discovery, signals and the standard streams, and spare ones
-/// with which clients beyond the limit are still told to come again.
-const SPARE_DESCRIPTORS: usize = 40;
 /// Clients taken in one turn of the loop.
 const ACCEPTS: usize = 64;
 /// How long accepting rests when the process has no descriptor left.
@@ -343,8 +340,7 @@
         if node.core.holds(request) {
             return self.reject_line(node);
         }
-        let most = node.config.sockets.saturating_sub(SPARE_DESCRIPTORS) / 2;
-        if node.clients.get() > most {
+        if node.clients.get() > node.config.most_clients() {
             warn!(node.log, "too many clients"; "held" => node.clients.get());
             return self.answer(node, &busy(node.config.settings.longest_retry_after / 2));
         }
@@ -456,7 +452,7 @@
                 node.deadlines.set(self.id, AGAIN, Instant::now() + OLD_PAUSE);
                 Flow::Keep
             }
-            Message::Move | Message::Subscribe | Message::Close => Flow::Keep,
+            Message::Move | Message::Subscribe | Message::Moved | Message::Close => Flow::Keep,
         }
     }
 }
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -11,10 +11,9 @@
 use std::net::{Shutdown, TcpStream};
 use std::time::{Duration, Instant};
 
-/// A side that has this much waiting for it is not read for: what the other sends stays with the sender.
-const MOST_HELD: usize = 64 << 10;
-/// What one side may bring in one turn of the loop.
-const TURN: usize = 64 << 10;
+/// What one side may bring in one turn of the loop, and in one read.
+const TURN: usize = 32 << 10;
+const READ: usize = 4 << 10;
 /// Once one side has ended, the other may bring nothing for this long.
 const HALF_CLOSED: Duration = Duration::from_secs(10);
 /// A client that was sent away, or cut off by its transcriber's end, has this long to end its side.
@@ -73,6 +72,8 @@
     peer: Option<Watched<TcpStream>>,
     up: Pipe,
     down: Pipe,
+    /// A side that has this much waiting for it is not read for: what the other sends stays with the sender.
+    most_held: usize,
     /// The start of a line of the peer whose end is still to come. Lines go to the client whole: guards against
     /// a MOVE in the middle of one.
     part: Vec<u8>,
@@ -94,6 +95,7 @@
             peer: Some(stream),
             up: Pipe::default(),
             down: Pipe::default(),
+            most_held: node.config.most_held(),
             part: Vec::new(),
             last: Said::Other,
             told: false,
@@ -157,10 +159,10 @@
         if self.down.shut && self.up.ended && (self.up.shut || self.peer.is_none()) {
             return Flow::Done;
         }
-        let reads_client = !self.up.ended && self.up.waiting() < MOST_HELD;
+        let reads_client = !self.up.ended && self.up.waiting() < self.most_held;
         let mut wanted = self.client.want(reads_client, self.down.waiting() > 0);
         if let Some(peer) = &mut self.peer {
-            let reads_peer = !self.down.ended && self.down.waiting() < MOST_HELD;
+            let reads_peer = !self.down.ended && self.down.waiting() < self.most_held;
             wanted = wanted.and(peer.want(reads_peer, self.up.waiting() > 0));
         }
         if wanted.is_err() {
@@ -186,7 +188,7 @@
     }
 
     fn read(&mut self, node: &mut Node, side: usize) -> Flow {
-        let mut scratch = [0; 16 << 10];
+        let mut scratch = [0; READ];
         let mut taken = 0;
         while taken < TURN {
             let (pipe, stream) = match (side, &mut self.peer) {
@@ -194,7 +196,7 @@
                 (_, Some(peer)) => (&mut self.down, peer),
                 (_, None) => return Flow::Keep,
             };
-            let read = if pipe.ended || pipe.waiting() >= MOST_HELD {
+            let read = if pipe.ended || pipe.waiting() >= self.most_held {
                 // Told of without being asked: the connection broke.
                 match stream.take_error() {
                     Ok(None) => return self.pump(node),
--- a/node/src/signals.rs
+++ b/node/src/signals.rs
@@ -1,10 +1,11 @@
 //! SIGTERM: the node goes on answering, sends its clients away at a steady pace and ends before it is killed.
+//! SIGHUP: it reads its configuration again.
 
-use crate::event_loop::{Connection, Flow, Message, Node, SIGNALS};
+use crate::event_loop::{Connection, Flow, Message, Node, DISCOVERY, SIGNALS};
 use crate::poll::Watched;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::low_level::pipe;
-use slog::info;
+use slog::{info, warn};
 use std::io::{self, Read};
 use std::os::unix::net::UnixStream;
 use std::time::{Duration, Instant};
@@ -18,24 +19,47 @@
 /// New connections keep arriving for up to 0.4 s: the listener stays at least this long.
 const STAYS: Duration = Duration::from_millis(800);
 const STEP: Duration = Duration::from_millis(50);
+/// The pipe of SIGHUP.
+const RELOAD: usize = 1;
 
 /// Waits for signals.
 pub struct Signals {
-    pipe: Watched<UnixStream>,
+    /// For the end and for a new configuration: a byte from a pipe does not tell which signal it stands for.
+    pipes: [Watched<UnixStream>; 2],
     began: Option<Instant>,
 }
 
+fn pipe_of(node: &Node, signals: &[i32], side: usize) -> io::Result<Watched<UnixStream>> {
+    let (read, write) = UnixStream::pair()?;
+    read.set_nonblocking(true)?;
+    write.set_nonblocking(true)?;
+    for signal in signals {
+        pipe::register(*signal, write.try_clone()?)?;
+    }
+    Watched::new(&node.poller, read, SIGNALS as usize * 2 + side, true, false)
+}
+
 impl Signals {
-    /// Takes SIGTERM and SIGINT over.
+    /// Takes SIGTERM, SIGINT and SIGHUP over.
     pub fn new(node: &Node) -> io::Result<Signals> {
-        let (read, write) = UnixStream::pair()?;
-        read.set_nonblocking(true)?;
-        write.set_nonblocking(true)?;
-        for signal in [SIGTERM, SIGINT] {
-            pipe::register(signal, write.try_clone()?)?;
-        }
-        let pipe = Watched::new(&node.poller, read, SIGNALS as usize * 2, true, false)?;
-        Ok(Signals { pipe, began: None })
+        let pipes = [pipe_of(node, &[SIGTERM, SIGINT], 0)?, pipe_of(node, &[SIGHUP], RELOAD)?];
+        Ok(Signals { pipes, began: None })
+    }
+}
+
+/// Reads the configuration again and follows discovery. One that does not hold changes nothing: guards against
+/// a file that is wrong, or half written, on a node that serves.
+fn reload(node: &mut Node) {
+    let fresh = match node.config.reread(|name| std::env::var(name).ok()) {
+        Ok(fresh) => fresh,
+        Err(why) => return warn!(node.log, "the old configuration stays"; "why" => why),
+    };
+    let moved = fresh.discovery != node.config.discovery;
+    let later = node.config.replace(fresh).join(", ");
+    info!(node.log, "configuration read again"; "discovery" => %node.config.discovery, "sockets" =>
+        node.config.sockets, "memory_mb" => node.config.memory_mb, "waits for the next start" => later);
+    if moved {
+        node.tell(DISCOVERY, Message::Moved);
     }
 }
 
@@ -51,9 +75,11 @@
 }
 
 impl Connection for Signals {
-    fn ready(&mut self, node: &mut Node, _side: usize, _readable: bool, _writable: bool) -> Flow {
-        while matches!(self.pipe.read(&mut [0; 64]), Ok(read) if read > 0) {}
-        if self.began.is_none() {
+    fn ready(&mut self, node: &mut Node, side: usize, _readable: bool, _writable: bool) -> Flow {
+        while matches!(self.pipes[side].read(&mut [0; 64]), Ok(read) if read > 0) {}
+        if side == RELOAD {
+            reload(node);
+        } else if self.began.is_none() {
             let now = Instant::now();
             self.began = Some(now);
             let until = now + total(node.config.longest_deadline);
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -3,7 +3,7 @@
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, Command, ExitStatus};
 use std::time::{Duration, Instant};
 
 /// Longer than anything that is waited for takes.
@@ -78,6 +78,7 @@
     node: Child,
     listen: SocketAddr,
     hosts: Vec<SocketAddr>,
+    pub config: serde_json::Value,
     file: std::path::PathBuf,
     next: u64,
 }
@@ -87,6 +88,7 @@
         let _ = self.node.kill();
         let _ = self.node.wait();
         let _ = std::fs::remove_file(&self.file);
+        let _ = std::fs::remove_file(self.file.with_extension("log"));
     }
 }
 
@@ -117,10 +119,10 @@
         let node = Command::new(env!("CARGO_BIN_EXE_lupincrank"))
             .args(["serve", "--config", file.to_str().unwrap()])
             .env_clear()
-            .stderr(Stdio::null())
+            .stderr(std::fs::File::create(file.with_extension("log")).unwrap())
             .spawn()
             .unwrap();
-        Rig { peers, discovery, watch: None, node, listen: free, hosts, file, next: 0 }
+        Rig { peers, discovery, watch: None, node, listen: free, hosts, config, file, next: 0 }
     }
 
     pub fn client(&self) -> Line {
@@ -189,11 +191,30 @@
         self.watch.as_mut().unwrap().say(&format!("{:x}\r\n{line}\r\n", line.len()));
     }
 
-    pub fn terminate(&self) {
-        let kill = Command::new("kill").args(["-TERM", &self.node.id().to_string()]).status();
+    pub fn signal(&self, name: &str) {
+        let kill = Command::new("kill").args([name, &self.node.id().to_string()]).status();
         assert!(kill.unwrap().success());
     }
 
+    /// Replaces the configuration with this text and tells the node.
+    pub fn reload(&self, text: &str) {
+        std::fs::write(&self.file, text).unwrap();
+        self.signal("-HUP");
+    }
+
+    /// Waits for a log line that holds this.
+    pub fn logged(&self, text: &str) {
+        let log = self.file.with_extension("log");
+        within(text, || std::fs::read_to_string(&log).unwrap().contains(text).then_some(()));
+    }
+
+    /// Lets discovery listen elsewhere and tells the node where.
+    pub fn move_discovery(&mut self) {
+        self.discovery = listen();
+        self.config["discovery"] = self.discovery.local_addr().unwrap().to_string().into();
+        self.reload(&self.config.to_string());
+    }
+
     pub fn exit(&mut self) -> ExitStatus {
         within("the node ends", || self.node.try_wait().unwrap())
     }
--- a/node/tests/rules.rs
+++ b/node/tests/rules.rs
@@ -228,7 +228,7 @@
     peer.say("whole\r\npart of a line");
     assert_eq!(client.hear(), "whole");
     let began = Instant::now();
-    rig.terminate();
+    rig.signal("-TERM");
     assert_eq!([client.hear(), client.hear()], ["MOVE", ""]);
     drop(client);
     assert!(rig.ask("OPEN 9b1f03aa5c7e2d41 f c=chat,d=1000,g=a\r\n").starts_with("BUSY "));
@@ -260,3 +260,40 @@
     assert_eq!([client.hear(), client.hear()], ["SYNTAX", ""]);
     assert!(rig.untried());
 }
+
+#[test]
+fn at_sighup_the_watch_goes_on_at_the_new_address_and_connections_stand() {
+    let mut rig = Rig::start(2);
+    rig.watched();
+    rig.tell(0, "SERVING", 7);
+    let (mut client, _, mut peer) = rig.up();
+    for _ in 0..2 {
+        let began = Instant::now();
+        rig.move_discovery();
+        let (mut call, request) = rig.called();
+        assert_eq!(request, "GET /v1/endpoints?watch=1&from=7 HTTP/1.1");
+        assert!(began.elapsed() < Duration::from_secs(3), "told too late: {:?}", began.elapsed());
+        call.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+        rig.watch = Some(call);
+    }
+    client.say("hello\r\n");
+    assert_eq!(peer.hear(), "hello");
+    peer.say("hello\r\n");
+    assert_eq!(client.hear(), "hello");
+    assert_eq!(rig.ask("PING\r\n"), "PONG");
+}
+
+#[rstest]
+#[case::not_json("{")]
+#[case::no_classes(r#"{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","name":"n","settings":{}}"#)]
+#[case::no_address(r#"{"discovery":"elsewhere"}"#)]
+fn a_configuration_that_does_not_hold_changes_nothing(#[case] text: &str) {
+    let mut rig = Rig::start(1);
+    rig.watched();
+    rig.reload(text);
+    rig.logged("the old configuration stays");
+    rig.move_discovery();
+    rig.watched();
+    rig.up();
+    assert!(rig.running());
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 /// A site's settings as they are told to an instance. Keys that nothing here needs are passed over.
-#[derive(Clone, Debug, Deserialize, Default)]
+#[derive(Clone, Debug, Deserialize, Default, PartialEq)]
 #[serde(rename_all = "PascalCase")]
 pub struct Site {
     instances: Option<u32>,
@@ -21,7 +21,7 @@
     localities: Option<Vec<String>>,
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(rename_all = "PascalCase")]
 struct Category {
     name: Option<String>,
@@ -32,10 +32,10 @@
     window_ns: Option<u64>,
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 struct TenantConf {}
 
-#[derive(Clone, Debug, Deserialize, Default)]
+#[derive(Clone, Debug, Deserialize, Default, PartialEq)]
 #[serde(rename_all = "PascalCase")]
 struct FamilyInfo {
     groups: Option<bool>,
@@ -43,7 +43,7 @@
     tenant_quota_connections: Option<Vec<Option<f64>>>,
 }
 
-#[derive(Clone, Debug, Deserialize, Default)]
+#[derive(Clone, Debug, Deserialize, Default, PartialEq)]
 #[serde(rename_all = "PascalCase")]
 struct Limits {
     connect_timeout_ns: Option<u64>,
@@ -54,7 +54,7 @@
     retry_after: Option<bool>,
 }
 
-#[derive(Clone, Debug, Deserialize, Default)]
+#[derive(Clone, Debug, Deserialize, Default, PartialEq)]
 #[serde(rename_all = "PascalCase")]
 struct Obligations {
     drain_grace_ns: Option<u64>,
@@ -64,13 +64,13 @@
     overload_for_ns: Option<u64>,
 }
 
-#[derive(Clone, Debug, Deserialize, Default)]
+#[derive(Clone, Debug, Deserialize, Default, PartialEq)]
 #[serde(rename_all = "PascalCase")]
 struct Prices {
     probe: Option<f64>,
 }
 
-#[derive(Clone, Debug, Deserialize, Default)]
+#[derive(Clone, Debug, Deserialize, Default, PartialEq)]
 #[serde(rename_all = "PascalCase")]
 struct Report {
     fields: Option<Vec<Option<String>>>,
