--- a/node/src/signals.rs
+++ b/node/src/signals.rs
@@ -13,9 +13,12 @@
 /// SIGKILL may come this long after the longest deadline, which counts as `LONGEST` at the most.
 const AFTER_DEADLINE: Duration = Duration::from_millis(700);
 const LONGEST: Duration = Duration::from_secs(3);
-/// All must be done this long before that, and the last clients sent away this long before.
+/// All must be done this long before that. The first clients are sent away and the last ones at these spans before
+/// all must be done; till then the node serves as ever, new clients too. Guards against clients that have nowhere to
+/// go: in a rolling restart the node that went before may not be back when this one is told to end.
 const SPARE: Duration = Duration::from_millis(300);
-const LAST_MOVE: Duration = Duration::from_millis(1200);
+const FIRST_MOVE: Duration = Duration::from_millis(1400);
+const LAST_MOVE: Duration = Duration::from_millis(400);
 /// New connections keep arriving for up to 0.4 s: the listener stays at least this long.
 const STAYS: Duration = Duration::from_millis(800);
 const STEP: Duration = Duration::from_millis(50);
@@ -85,8 +88,7 @@
             let until = now + total(node.config.longest_deadline);
             info!(node.log, "leaving"; "clients" => node.clients.get());
             node.leaving = Some(until);
-            node.core.leave();
-            node.deadlines.set(SIGNALS, 0, now);
+            node.deadlines.set(SIGNALS, 0, until.checked_sub(FIRST_MOVE).unwrap_or(now));
         }
         Flow::Keep
     }
@@ -94,7 +96,8 @@
     fn due(&mut self, node: &mut Node, _purpose: u64) -> Flow {
         let Some(until) = node.leaving else { return Flow::Keep };
         let now = Instant::now();
-        let left = (until - LAST_MOVE).saturating_duration_since(now);
+        node.core.leave();
+        let left = until.saturating_duration_since(now + LAST_MOVE);
         let steps = (left.as_millis() / STEP.as_millis()) as usize + 1;
         // What still waits is ended together with the last moves: nothing may be left without an answer.
         node.core.send_away(steps);
