Bad clients: ERR at once, bounded turns, silent ones give way, transcribers not blamed

At fault: line_front.rs (Client::read, FIRST_LINE, the seat taken at accept), relay.rs (every end unasked was a reset), core.rs (ready only ever grew; dials kept what was gone).

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -30,10 +30,11 @@
 /// what one read may bring.
 const LEAST_HELD: usize = 8 << 10;
 const MOST_HELD: usize = 64 << 10;
-/// Descriptors of the loop, the listener, discovery, signals and the standard streams, and a few to spare.
-const OWN_DESCRIPTORS: usize = 24;
-/// The part of the descriptors for connections that ask for nothing yet or have their answer.
-const STRANGERS_PART: usize = 8;
+/// Descriptors of the loop, the listener, discovery, signals and the standard streams, and those that one turn may
+/// take before room is made.
+const OWN_DESCRIPTORS: usize = 40;
+/// The part of the descriptors that connections may always have which ask for nothing yet or have their answer.
+const STRANGERS_PART: usize = 12;
 
 /// The node's configuration, checked.
 pub struct Config {
@@ -111,14 +112,15 @@
         changed.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
     }
 
-    /// How many connections may be held that ask for nothing yet or have had their answer.
-    pub fn most_strangers(&self) -> usize {
-        self.sockets / STRANGERS_PART
+    /// How many connections may be held that ask for nothing yet or have had their answer: what `clients` leave.
+    pub fn most_strangers(&self, clients: usize) -> usize {
+        let left = self.sockets.saturating_sub(OWN_DESCRIPTORS + 2 * clients);
+        left.max(self.sockets / STRANGERS_PART)
     }
 
     /// How many clients may be held with their request: each takes a second descriptor for its peer.
     pub fn most_clients(&self) -> usize {
-        self.sockets.saturating_sub(OWN_DESCRIPTORS + self.most_strangers()) / 2
+        (self.sockets - self.sockets / STRANGERS_PART).saturating_sub(OWN_DESCRIPTORS) / 2
     }
 
     /// What may be buffered for one direction of a connection, so that all of them together fit into half of the
--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -101,8 +101,8 @@
     least_aim: Duration,
     actions: Vec<Action>,
     contexts: HashMap<RequestId, Context>,
-    dials: HashMap<ServerId, SocketAddr>,
-    ready: usize,
+    /// The upstream group: where each transcriber listens, and whether it takes new connections.
+    group: HashMap<ServerId, (SocketAddr, Health)>,
     pulses: BTreeMap<ServerId, Pulse>,
     /// How long the latest set-ups took, at whatever transcriber.
     setups: VecDeque<Duration>,
@@ -122,8 +122,7 @@
             least_aim: aims.min().unwrap_or_default(),
             actions: Vec::new(),
             contexts: HashMap::new(),
-            dials: HashMap::new(),
-            ready: 0,
+            group: HashMap::new(),
             pulses: BTreeMap::new(),
             setups: VecDeque::new(),
             start: Instant::now(),
@@ -159,7 +158,7 @@
     fn act(&mut self, action: Action) {
         match action {
             Action::Place { request, server, patience } => {
-                let dial = self.dials.get(&server).copied();
+                let dial = self.group.get(&server).map(|(dial, _)| *dial);
                 let Some(context) = self.contexts.get_mut(&request) else { return };
                 let now = Instant::now();
                 context.attempts += 1;
@@ -216,11 +215,16 @@
     /// The upstream group, whole or what changed of it.
     pub fn list(&mut self, members: Vec<Member>, whole: bool, cached: bool) {
         let mut entries = Vec::with_capacity(members.len());
+        if whole {
+            self.group.clear();
+        }
         for Member { listed, dial } in members {
-            self.dials.insert(listed.server.clone(), dial);
+            match listed.health {
+                Health::Gone => drop(self.group.remove(&listed.server)),
+                health => drop(self.group.insert(listed.server.clone(), (dial, health))),
+            }
             entries.push(listed);
         }
-        self.ready += entries.iter().filter(|entry| entry.health == Health::Ready).count();
         self.feed(if whole { Event::List { entries, cached } } else { Event::ListChange(entries) });
     }
 
@@ -229,14 +233,15 @@
         self.feed(Event::ListFailed);
     }
 
-    /// Whether requests can be placed: some transcriber has been listed.
+    /// Whether requests can be placed: some transcriber takes new connections.
     pub fn able(&self) -> bool {
-        self.ready > 0
+        self.group.values().any(|(_, health)| *health == Health::Ready)
     }
 
-    /// Where a transcriber listens.
+    /// Where a transcriber listens, if it takes new connections.
     pub fn dial(&self, server: &str) -> Option<SocketAddr> {
-        self.dials.get(&ServerId::from(server)).copied()
+        let (dial, health) = self.group.get(&ServerId::from(server))?;
+        Some(*dial).filter(|_| *health == Health::Ready)
     }
 
     /// Whether a request of this id is held.
@@ -270,6 +275,13 @@
         self.feed(Event::Request(incoming));
     }
 
+    /// The transcriber could not read the request: that is its client's fault and says nothing of the transcriber.
+    pub fn unreadable(&mut self, request: RequestId) {
+        let Some(owner) = self.contexts.get(&request).map(|context| context.owner) else { return };
+        self.client_gone(request);
+        self.orders.push_back(Order::Fail(owner));
+    }
+
     /// A connection that stood before this node began is up again.
     pub fn inherited(&mut self, owner: Id, mut incoming: Incoming, server: &str) {
         self.context(owner, &mut incoming, Duration::from_secs(1));
@@ -347,6 +359,11 @@
         }
     }
 
+    /// When the oldest line of the client that nothing has come back for went on.
+    pub fn oldest_line(&self, request: RequestId) -> Option<Instant> {
+        self.contexts.get(&request)?.unanswered.front().copied()
+    }
+
     /// A line has come back.
     pub fn line_returned(&mut self, request: RequestId) {
         let Some(context) = self.contexts.get_mut(&request) else { return };
--- a/node/src/event_loop.rs
+++ b/node/src/event_loop.rs
@@ -82,8 +82,12 @@
     pub config: Config,
     /// Where log lines go.
     pub log: Logger,
-    /// Client connections held; each may need a second descriptor for its peer.
+    /// Clients held with their request; each may need a second descriptor for its peer.
     pub clients: Rc<Cell<usize>>,
+    /// The other connections held.
+    pub strangers: line_front::Strangers,
+    /// When the node began.
+    pub began: Instant,
     /// Set at SIGTERM: when all must be done.
     pub leaving: Option<Instant>,
     outbox: VecDeque<(Id, Message)>,
@@ -142,6 +146,8 @@
             config,
             log,
             clients: Rc::new(Cell::new(0)),
+            strangers: line_front::Strangers::default(),
+            began: Instant::now(),
             leaving: None,
             outbox: VecDeque::new(),
             born: Vec::new(),
--- a/node/src/line_front.rs
+++ b/node/src/line_front.rs
@@ -7,7 +7,8 @@
 use lupincrank::{Incoming, RequestId, Time};
 use slog::{debug, warn};
 use socket2::{Domain, Protocol, Socket, Type};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::ops::Range;
@@ -15,14 +16,20 @@
 use std::time::{Duration, Instant};
 
 /// Clients taken in one turn of the loop.
-const ACCEPTS: usize = 64;
+const ACCEPTS: usize = 16;
 /// How long accepting rests when the process has no descriptor left.
 const REST: Duration = Duration::from_millis(50);
-/// How long a client may take for its first line, and to end after its answer.
-const FIRST_LINE: Duration = Duration::from_secs(5);
-const LINGER: Duration = Duration::from_secs(2);
-/// What a client may send ahead of its answer.
-const MOST_EARLY: usize = 16 << 10;
+/// How long a client may take for its first line, and to end after its answer. Both together stay under the 3 s in
+/// which whoever connects is owed an answer or an end.
+const FIRST_LINE: Duration = Duration::from_millis(1800);
+const LINGER: Duration = Duration::from_secs(1);
+/// Reads in one turn of the loop. Guards against a client that sends at full speed and keeps the others waiting.
+const READS: usize = 4;
+/// What is still read of a client that has its answer: enough for one that had sent a little more by then, so that
+/// its answer is not lost to a reset; one that sends on and on is cut off.
+const MOST_DRAINED: usize = 64 << 10;
+/// Connections from before this node's life come in its first moments only.
+const OLD_COME: Duration = Duration::from_secs(60);
 /// A connection from before this node's life is tried this often, so long apart, and for at most so long.
 const OLD_TRIES: u32 = 3;
 const OLD_PAUSE: Duration = Duration::from_millis(300);
@@ -47,6 +54,31 @@
     }
 }
 
+/// Connections that ask for nothing yet or have their answer, the one that has to go first in front.
+pub type Strangers = Rc<RefCell<BTreeSet<(Instant, Id)>>>;
+
+/// A connection's place among the strangers; given back when dropped.
+struct Place {
+    among: Strangers,
+    key: (Instant, Id),
+}
+
+impl Place {
+    /// Takes a place until the connection has to be gone.
+    fn take(node: &mut Node, id: Id, patience: Duration) -> Place {
+        let key = (Instant::now() + patience, id);
+        node.deadlines.set(id, PATIENCE, key.0);
+        node.strangers.borrow_mut().insert(key);
+        Place { among: Rc::clone(&node.strangers), key }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.among.borrow_mut().remove(&self.key);
+    }
+}
+
 /// Takes clients in.
 pub struct Listener {
     socket: Watched<TcpListener>,
@@ -79,14 +111,29 @@
             let _ = stream.set_nodelay(true);
             let id = node.name();
             let stream = Watched::new(&node.poller, stream, id as usize * 2, true, false)?;
-            let seat = Seat::take(&node.clients);
-            node.deadlines.set(id, PATIENCE, Instant::now() + FIRST_LINE);
-            let client =
-                Client { id, seat: Some(seat), stream: Some(stream), bytes: vec![], state: State::First };
-            node.adopt(id, Box::new(client));
+            let place = Some(Place::take(node, id, FIRST_LINE));
+            let (stream, bytes, state) = (Some(stream), Vec::new(), State::First);
+            let mut client = Client { id, seat: None, place, stream, bytes, state };
+            // Most have sent their line by now: guards against taking one that asks for one that says nothing.
+            if client.read(node) == Flow::Keep {
+                node.adopt(id, Box::new(client));
+            } else {
+                node.deadlines.forget(id);
+            }
+            self.make_room(node);
         }
         Ok(())
     }
+
+    /// Ends the strangers that had to go first anyway when descriptors are needed. Guards against hundreds that
+    /// connect and say nothing.
+    fn make_room(&self, node: &mut Node) {
+        let most = node.config.most_strangers(node.clients.get());
+        while node.strangers.borrow().len() > most {
+            let Some((_, id)) = node.strangers.borrow_mut().pop_first() else { break };
+            node.tell(id, Message::Close);
+        }
+    }
 }
 
 impl Connection for Listener {
@@ -229,14 +276,16 @@
     First,
     /// It waits for its answer.
     Waiting(Waiting),
-    /// It has its answer; what of that is not written yet is in `bytes`.
-    Closing,
+    /// It has its answer; what of that is not written yet is in `bytes`. So much was read since.
+    Closing(usize),
 }
 
 /// A client until its connection is up.
 pub struct Client {
     id: Id,
+    /// While it asks, and while it does not.
     seat: Option<Seat>,
+    place: Option<Place>,
     stream: Option<Watched<TcpStream>>,
     /// What was read and is not used yet; once it is closing, what is still to be written.
     bytes: Vec<u8>,
@@ -245,9 +294,12 @@
 
 impl Client {
     fn answer(&mut self, node: &mut Node, answer: &[u8]) -> Flow {
-        self.state = State::Closing;
+        self.state = State::Closing(0);
         self.bytes = answer.to_vec();
-        node.deadlines.set(self.id, PATIENCE, Instant::now() + LINGER);
+        self.seat = None;
+        // The old place, if there is one, goes first: it may be the same.
+        self.place = None;
+        self.place = Some(Place::take(node, self.id, LINGER));
         node.deadlines.clear(self.id, AGAIN);
         self.flush()
     }
@@ -273,39 +325,63 @@
 
     fn read(&mut self, node: &mut Node) -> Flow {
         let mut scratch = [0; 4 << 10];
-        loop {
+        for _ in 0..READS {
             let Some(stream) = &mut self.stream else { return Flow::Done };
-            let full = matches!(self.state, State::Waiting(_)) && self.bytes.len() >= MOST_EARLY;
-            if full {
-                let broken = !matches!(stream.take_error(), Ok(None));
-                return if broken || stream.want(false, false).is_err() {
-                    self.gone(node)
-                } else {
-                    Flow::Keep
+            let flow = match stream.read(&mut scratch) {
+                Ok(0) => self.gone(node),
+                Ok(read) => self.take(node, &scratch[..read]),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Flow::Keep,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => Flow::Keep,
+                Err(_) => self.gone(node),
+            };
+            if flow == Flow::Done {
+                return Flow::Done;
+            }
+        }
+        Flow::Keep
+    }
+
+    fn take(&mut self, node: &mut Node, bytes: &[u8]) -> Flow {
+        match &mut self.state {
+            State::First => {
+                self.bytes.extend_from_slice(bytes);
+                let Some(end) = self.bytes.iter().position(|byte| *byte == b'\n') else {
+                    let more = self.bytes.len() < LONGEST_LINE;
+                    return if more { Flow::Keep } else { self.reject_line(node, "it does not end") };
                 };
+                let rest = self.bytes.split_off(end + 1);
+                let line = std::mem::take(&mut self.bytes);
+                let flow = self.first(node, line);
+                if flow == Flow::Keep && !rest.is_empty() {
+                    return self.take(node, &rest);
+                }
+                flow
             }
-            match stream.read(&mut scratch) {
-                Ok(0) => return self.gone(node),
-                Ok(_) if matches!(self.state, State::Closing) => {}
-                Ok(read) => self.bytes.extend_from_slice(&scratch[..read]),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Flow::Keep,
-                Err(_) => return self.gone(node),
+            // A client waits for its answer. One that does not sends what no transcriber can read: guards against
+            // commands by the hundred, and against a transcriber that is blamed for closing on them.
+            State::Waiting(_) => {
+                self.leave(node);
+                self.reject_line(node, "more than one line")
             }
-            if matches!(self.state, State::First) {
-                if let Some(end) = self.bytes.iter().position(|byte| *byte == b'\n') {
-                    let line: Vec<u8> = self.bytes.drain(..=end).collect();
-                    if self.first(node, line) == Flow::Done {
-                        return Flow::Done;
-                    }
-                } else if self.bytes.len() >= LONGEST_LINE {
-                    self.reject_line(node);
+            State::Closing(drained) => {
+                *drained += bytes.len();
+                if *drained > MOST_DRAINED {
+                    Flow::Done
+                } else {
+                    Flow::Keep
                 }
             }
         }
     }
 
-    /// The client has left: nothing is owed, and its try is closed.
+    /// The client has left: nothing is owed.
     fn gone(&mut self, node: &mut Node) -> Flow {
+        self.leave(node);
+        Flow::Done
+    }
+
+    /// Nobody waits for the request any more, and its try is closed. That says nothing of the transcriber.
+    fn leave(&mut self, node: &mut Node) {
         if let State::Waiting(waiting) = &self.state {
             debug!(node.log, "client left"; "request" => format!("{:016x}", waiting.open.request));
             if let Some(peer) = waiting.peer {
@@ -315,17 +391,16 @@
                 node.core.client_gone(RequestId(waiting.open.request));
             }
         }
-        Flow::Done
     }
 
-    fn reject_line(&mut self, node: &mut Node) -> Flow {
-        debug!(node.log, "malformed first line");
-        self.answer(node, b"SYNTAX\r\n")
+    fn reject_line(&mut self, node: &mut Node, why: &str) -> Flow {
+        debug!(node.log, "malformed first line"; "why" => why.to_string());
+        self.answer(node, b"ERR\r\n")
     }
 
     fn first(&mut self, node: &mut Node, line: Vec<u8>) -> Flow {
         let Some(text) = line.strip_suffix(b"\r\n").filter(|_| line.len() <= LONGEST_LINE) else {
-            return self.reject_line(node);
+            return self.reject_line(node, "its end");
         };
         let open = match first_line(text, &node.config.classes) {
             Some(First::Ping) => {
@@ -334,17 +409,18 @@
                 return self.answer(node, if able { b"PONG\r\n" } else { b"BUSY\r\n" });
             }
             Some(First::Open(open)) => open,
-            None => return self.reject_line(node),
+            None => return self.reject_line(node, "its fields"),
         };
         let request = RequestId(open.request);
-        if node.core.holds(request) {
-            return self.reject_line(node);
+        if node.core.holds(request) || (open.holder.is_some() && node.began.elapsed() > OLD_COME) {
+            return self.reject_line(node, "another's id, or a holder long after the start");
         }
-        if node.clients.get() > node.config.most_clients() {
-            warn!(node.log, "too many clients"; "held" => node.clients.get());
+        if node.clients.get() >= node.config.most_clients() {
+            debug!(node.log, "too many clients"; "held" => node.clients.get());
             return self.answer(node, &busy(node.config.settings.longest_retry_after / 2));
         }
         node.deadlines.clear(self.id, PATIENCE);
+        (self.seat, self.place) = (Some(Seat::take(&node.clients)), None);
         let left = Duration::from_millis(open.left_ms);
         debug!(node.log, "request"; "id" => format!("{:016x}", request.0), "left_ms" => open.left_ms);
         let incoming = open.incoming(node.config.groups);
@@ -366,6 +442,9 @@
         else {
             return self.answer(node, &busy(Duration::ZERO));
         };
+        if node.core.holds(RequestId(waiting.open.request)) {
+            return self.reject_line(node, "another's id");
+        }
         waiting.old_tries += 1;
         let (request, until) = (RequestId(waiting.open.request), waiting.until);
         self.dial(node, request, dial, until, true);
@@ -392,6 +471,9 @@
     /// The try is up: both sockets go to a relay under this object's name.
     fn up(&mut self, node: &mut Node, up: Up) -> Flow {
         let State::Waiting(waiting) = &self.state else { return Flow::Keep };
+        if waiting.open.holder.is_some() && node.core.holds(up.request) {
+            return self.reject_line(node, "another's id");
+        }
         let (Some(client), Some(seat)) = (self.stream.take(), self.seat.take()) else { return Flow::Done };
         match &waiting.open.holder {
             Some(holder) => {
@@ -400,14 +482,14 @@
             }
             None => node.core.try_up(up.request),
         }
-        Relay::begin(node, self.id, seat, client, up, std::mem::take(&mut self.bytes));
+        Relay::begin(node, self.id, seat, client, up);
         Flow::Done
     }
 }
 
 impl Connection for Client {
     fn ready(&mut self, node: &mut Node, _side: usize, readable: bool, writable: bool) -> Flow {
-        if writable && matches!(self.state, State::Closing) && self.flush() == Flow::Done {
+        if writable && matches!(self.state, State::Closing(_)) && self.flush() == Flow::Done {
             return Flow::Done;
         }
         if readable {
@@ -420,14 +502,16 @@
     fn due(&mut self, node: &mut Node, purpose: u64) -> Flow {
         match self.state {
             State::First if self.bytes.is_empty() => Flow::Done,
-            State::First => self.reject_line(node),
+            State::First => self.reject_line(node, "it takes too long"),
             State::Waiting(_) if purpose == AGAIN => self.resume(node),
             _ => Flow::Done,
         }
     }
 
     fn told(&mut self, node: &mut Node, message: Message) -> Flow {
-        let State::Waiting(waiting) = &mut self.state else { return Flow::Keep };
+        let State::Waiting(waiting) = &mut self.state else {
+            return if matches!(message, Message::Close) { Flow::Done } else { Flow::Keep };
+        };
         match message {
             Message::Try(order) => {
                 self.dial(node, order.request, order.dial, order.until, false);
--- a/node/src/peer.rs
+++ b/node/src/peer.rs
@@ -53,6 +53,8 @@
     Err,
     /// `BUSY`.
     Busy,
+    /// `SYNTAX`: it could not read what it was sent.
+    Syntax,
     /// `LOAD X`: the load in microseconds of work a second.
     Load(f64),
     /// Anything else.
@@ -70,6 +72,7 @@
         b"MOVE" => Said::Move,
         b"ERR" => Said::Err,
         b"BUSY" => Said::Busy,
+        b"SYNTAX" => Said::Syntax,
         b"LOAD" => {
             let load = std::str::from_utf8(rest).ok().and_then(|text| text.parse::<f64>().ok());
             load.filter(|load| (0.0..1e12).contains(load)).map_or(Said::Other, Said::Load)
@@ -102,7 +105,9 @@
             }
             Err(error) => {
                 debug!(node.log, "cannot connect"; "dial" => %peer.task.dial, "error" => %error);
-                peer.end(node, Outcome::ConnectFailed);
+                // What this machine lacks says nothing of the transcriber.
+                let lacks = error.raw_os_error().is_some_and(|code| poll::LACKS.contains(&code));
+                peer.end(node, if lacks { Outcome::Moot } else { Outcome::ConnectFailed });
             }
         }
     }
@@ -178,8 +183,13 @@
                     // A load told before the answer is of no use to anyone yet.
                     Said::Load(_) => drop(self.bytes.drain(..=end)),
                     Said::Busy => return Some(self.end(node, Outcome::Full)),
+                    Said::Syntax if !self.task.stood => {
+                        self.stream = None;
+                        node.core.unreadable(self.task.request);
+                        return Some(Flow::Done);
+                    }
                     Said::Move => return Some(self.end(node, Outcome::Cancelled)),
-                    Said::Err | Said::Other => return Some(self.end(node, Outcome::Error)),
+                    Said::Err | Said::Syntax | Said::Other => return Some(self.end(node, Outcome::Error)),
                 }
             }
             if self.bytes.len() > LONGEST_LINE {
@@ -229,6 +239,7 @@
     #[case("UPPER x\r\n", Said::Other)]
     #[case("BUSY\r\n", Said::Busy)]
     #[case("BUSY 20\r\n", Said::Busy)]
+    #[case("SYNTAX\r\n", Said::Syntax)]
     #[case("ERR out of order\r\n", Said::Err)]
     #[case("MOVE\r\n", Said::Move)]
     #[case("BYE\r\n", Said::Bye)]
--- a/node/src/poll.rs
+++ b/node/src/poll.rs
@@ -48,6 +48,9 @@
 /// EINPROGRESS, for which the standard library has no stable name.
 const IN_PROGRESS: i32 = 115;
 
+/// ENFILE, EMFILE, EADDRNOTAVAIL, ENOBUFS and ENOMEM: this machine has nothing left to connect with.
+pub const LACKS: [i32; 5] = [23, 24, 99, 105, 12];
+
 /// Begins a connection; once it is writable it is up, or `take_error` says why not.
 pub fn connect(poller: &Rc<Poller>, dial: SocketAddr, key: usize) -> io::Result<Watched<TcpStream>> {
     let socket = Socket::new(Domain::for_address(dial), Type::STREAM, Some(Protocol::TCP))?;
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -18,6 +18,8 @@
 const HALF_CLOSED: Duration = Duration::from_secs(10);
 /// A client that was sent away, or cut off by its transcriber's end, has this long to end its side.
 const LINGER: Duration = Duration::from_secs(2);
+/// A transcriber that ends a connection so soon after a line that it did not answer could not read the line.
+const UNREADABLE: Duration = Duration::from_millis(250);
 const PATIENCE: u64 = 0;
 const CLIENT: usize = 0;
 
@@ -84,7 +86,7 @@
 
 impl Relay {
     /// Takes both sockets over and passes on what has already come on them.
-    pub fn begin(node: &mut Node, id: Id, seat: Seat, client: Watched<TcpStream>, up: Up, early: Vec<u8>) {
+    pub fn begin(node: &mut Node, id: Id, seat: Seat, client: Watched<TcpStream>, up: Up) {
         let Up { request, mut stream, bytes } = up;
         let rekeyed = stream.rekey(id as usize * 2 + 1);
         let mut relay = Relay {
@@ -104,7 +106,6 @@
             return relay.end(node, Outcome::Reset);
         }
         relay.peer_sent(node, &bytes, false);
-        relay.client_sent(node, &early);
         if relay.pump(node) == Flow::Keep {
             node.adopt(id, Box::new(relay));
         }
@@ -172,9 +173,21 @@
         }
     }
 
+    /// The transcriber has ended the connection unasked. Lines come back at once, so if one has just gone out it was
+    /// that one that the transcriber could not read: guards against blaming it for what a client sends.
+    fn cut_off(&self, node: &Node) -> Outcome {
+        let sent = node.core.oldest_line(self.request);
+        if sent.is_some_and(|sent| sent.elapsed() < UNREADABLE) {
+            Outcome::Cancelled
+        } else {
+            Outcome::Reset
+        }
+    }
+
     /// One side was reset: the other is reset too, after what it can still take at once.
     fn broke(&mut self, node: &mut Node, side: usize) -> Flow {
-        self.end(node, if side == CLIENT { Outcome::Cancelled } else { Outcome::Reset });
+        let outcome = if side == CLIENT { Outcome::Cancelled } else { self.cut_off(node) };
+        self.end(node, outcome);
         if side == CLIENT {
             if let Some(peer) = &mut self.peer {
                 let _ = self.up.write(peer);
@@ -244,7 +257,7 @@
                 Said::Bye => Outcome::Served,
                 Said::Move => Outcome::Cancelled,
                 Said::Err => Outcome::Error,
-                _ => Outcome::Reset,
+                _ => self.cut_off(node),
             };
             self.end(node, outcome);
         }
--- a/node/src/signals.rs
+++ b/node/src/signals.rs
@@ -70,7 +70,7 @@
 pub fn may_exit(node: &Node, until: Instant) -> bool {
     let now = Instant::now();
     let stayed = now + total(node.config.longest_deadline) >= until + STAYS;
-    now >= until || (stayed && node.clients.get() == 0)
+    now >= until || (stayed && node.clients.get() == 0 && node.strangers.borrow().is_empty())
 }
 
 fn total(longest_deadline: Duration) -> Duration {
