Take a single broken connection for the network's doing, not for a server that sheds

The log has single connections breaking from 2 s on, about one a second and node over all transcribers, and BUSY without a try for most requests afterwards, 60 to 80 a second, though no line was late. At fault: balance.rs, weigh_outcome: each reset of a standing connection cut its server's cap to 0.9 of its load and moved what was over; caps rise by 2% a second at the most, so soon no server had room. A connection that came up and broke before the line was written was told as one that could not connect, which bars at once (peer.rs, broken). Ruled out: descriptors (299 of 1016), crowding (99% of messages in time before the first breaks), a lost list.

--- a/node/src/peer.rs
+++ b/node/src/peer.rs
@@ -127,10 +127,10 @@
 
     /// How a break counts now: whether it may have run hinges on the last byte of the first line.
     fn broken(&self) -> Outcome {
-        if self.sent < self.task.line.len() {
-            Outcome::ConnectFailed
-        } else {
-            Outcome::Reset
+        match (self.connected, self.sent < self.task.line.len()) {
+            (false, _) => Outcome::ConnectFailed,
+            (true, true) => Outcome::Dropped,
+            (true, false) => Outcome::Reset,
         }
     }
 
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,9 +1,8 @@
 //! Every decision of the balancer. Its types, events and actions are in `interface.rs`.
 //!
-//! The ordinary path is rendezvous hashing with the `mult` combiner: the ready server with the highest
-//! `server_hash * key_hash` (32 bits) takes the connection. Each exception below is a walk to the
-//! next-highest score because the *gate* said that a server does not take this connection now. docs/design.md
-//! says when each acts.
+//! The ordinary path is rendezvous hashing: the ready server with the highest `server_hash * key_hash` takes
+//! the connection. Each exception is a walk to the next-highest score because the *gate* said that a server
+//! does not take this connection now. docs/design.md says when each acts.
 
 use crate::interface::*;
 use crate::table::{Slot, Table, UNKNOWN};
@@ -24,15 +23,13 @@
 const COLD_PART: f64 = 2.0 / 3.0;
 /// Sends that all gateways together may have saved up for a cold server.
 const COLD_SAVED: f64 = 3.0;
-/// Timer handles: upkeep, and a retried call to discovery.
 const TICK_HANDLE: u64 = 1;
 const LIST_HANDLE: u64 = 2;
 const QUEUE_HANDLE: u64 = 3;
 /// How often waiting requests are looked at when nothing else happens; an answer to one is left twice this.
 const QUEUE_TICK: Duration = Duration::from_millis(50);
-/// Set-ups under way at once, over all gateways: at the start and at the least; one at each in any case.
-/// Quick successes widen it, slow ones and failures at several servers shrink it; slow is this multiple of
-/// the quickest that was usual.
+/// Set-ups under way at once, over all gateways: at the start and at the least. Quick successes widen it,
+/// slow ones and failures at several servers shrink it; slow is this multiple of the quickest that was usual.
 const FIRST_WINDOW: f64 = 24.0;
 const SLOW_SETUP: f64 = 3.0;
 const LEAST_WINDOW: f64 = 6.0;
@@ -46,13 +43,14 @@
 const LONGEST_BAR: Duration = Duration::from_secs(8);
 /// At most this part of the ready servers may be barred on evidence; past it the evidence is not believed.
 const MOST_BARRED: f64 = 0.5;
+/// Standing connections that a server drops within this time of each other broke by its doing.
+const TOGETHER: Duration = Duration::from_secs(1);
 /// A server may hold this multiple of its fair part of this gateway's load before the gate turns new groups
 /// away.
 const HEADROOM: f64 = 1.25;
 /// What was seen of groups and of kinds of machines fades by this part a second.
 const SEEN_FADES: f64 = 0.02;
-/// A large group is split by this many fair parts.
-const SPLIT: f64 = 2.0;
+const SPLIT: f64 = 2.0; // a large group is split by this many fair parts
 /// A server's cap falls to this part of the fair load at the least, and rises by this part of it a second
 /// while the server is not crowded, faster once it has not been for long.
 const LEAST_CAP: f64 = 0.1;
@@ -82,18 +80,15 @@
 const SILENT_FOR: Duration = Duration::from_secs(4);
 /// Connections that a gateway may be taken to hold on each server when it cannot tell yet.
 const LIKELY_HELD: f64 = 5.0;
-/// If more than this part of set-ups fails, at one server after the other, something shared is at fault; the
-/// last one counts for this much.
+/// Past this part of set-ups failing at one server after another something shared is at fault.
 const SHARED: f64 = 0.5;
 const FAILING_RATE: f64 = 0.2;
 /// A group that the server already holds is let in up to this multiple of what a new group is.
 const HELD_GROUP: f64 = 1.25;
 /// What the first connection of a group costs on a server, in mean loads.
 const GROUP_COST: f64 = 2.0;
-/// Servers put in order at first: more are seldom looked at.
-const FIRST_RANKS: usize = 4;
-/// The part of the set-up aim that an attempt waits before the next server is tried.
-const PATIENCE: f64 = 0.4;
+const FIRST_RANKS: usize = 4; // servers put in order at first: more are seldom looked at
+const PATIENCE: f64 = 0.4; // the part of the set-up aim that an attempt waits before the next server
 /// A kind of machine that is crowded in more of its seconds than the best kind leaves this multiple of the
 /// difference of the keys to others; so many seconds like the mean are taken to have been seen before.
 const KIND_LEAVES: f64 = 3.0;
@@ -160,8 +155,9 @@
     /// The most load of this gateway's that it may hold; unbounded until it was crowded once.
     cap: f64,
     crowded_at: Option<Time>,
-    /// When its cap last gave way to one connection more.
+    /// When its cap last gave way to one connection more, and when it last dropped a standing connection.
     raised_at: Option<Time>,
+    dropped: Option<Time>,
     /// Its utilisation as last reported, and the load sent there since.
     added: f64,
     used: Option<(Time, f64)>,
@@ -1004,12 +1000,16 @@
                 }
             }
             Outcome::Full => self.crowd(now, at, 0.9, false, actions),
-            Outcome::Reset if !stood => self.strike(now, at, 1, false, actions),
+            Outcome::Reset | Outcome::Dropped if !stood => self.strike(now, at, 1, false, actions),
             Outcome::Reset if over => {
                 let Some(server) = self.fleet.servers.get_mut(at) else { return };
-                // It drops connections to save the rest; or every one broke, and it is gone though listed.
-                server.crashed |= server.held.is_empty();
-                self.crowd(now, at, 0.9, true, actions);
+                // Networks break single connections. Several at once: it drops them to save the rest; or
+                // every one broke, and it is gone though listed.
+                let together = server.dropped.replace(now).is_some_and(|last| now.since(last) < TOGETHER);
+                if together || server.held.is_empty() {
+                    server.crashed |= server.held.is_empty();
+                    self.crowd(now, at, 0.9, true, actions);
+                }
             }
             _ => {}
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -179,6 +179,8 @@
     TimedOut,
     /// No connection; it never ran.
     ConnectFailed,
+    /// The connection came up and broke before the request was sent; it never ran.
+    Dropped,
     /// The connection broke; it may have run.
     Reset,
     /// Called off; it may have run.
@@ -190,7 +192,7 @@
 impl Outcome {
     /// Whether this proves that the attempt never ran.
     pub fn never_ran(self) -> bool {
-        matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
+        matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Dropped | Outcome::Moot)
     }
 }
 
