Empty a transcriber that answers nobody at once, not one connection after the other

At fault: core.rs, look: silence was judged for each connection alone, after 2 s; a client sends a line every 2 s, so up to 4 s were lost on each. balance.rs barred the machine only once a set-up to it had failed. Ruled out: the list (it tells of this 9 s later); a crowded transcriber (its lines come back at once, seen earlier). Guards: two connections' lines must be out for 0.5 s with nothing returned since, and no more than half of the transcribers in use are believed to be gone at once. Tests: a_transcriber_that_answers_nobody_loses_all_its_connections_at_once (sockets), seen failing on the tree before, and a_server_that_answers_nobody_is_emptied_at_once_and_gets_nothing_new, which needs the new event.

--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -12,8 +12,12 @@
 const EPOCH: Duration = Duration::from_secs(1 << 22);
 /// Delays are told once a second for each transcriber.
 const PACE: Duration = Duration::from_secs(1);
-/// A line that nothing came back for in this time is told for its own connection.
-const QUIET: Duration = Duration::from_secs(2);
+/// A line that nothing came back for in this time is told for its own connection: sound ones return lines at once.
+const QUIET: Duration = Duration::from_secs(1);
+/// A transcriber that has returned nothing since so many of its connections sent their lines, and for so long, answers
+/// nobody. That is believed of half of the transcribers in use at the most: of more it is this node that is cut off.
+const HUSHED: usize = 2;
+const HUSH: Duration = Duration::from_millis(500);
 
 /// A set-up that takes this multiple of what is usual has waited. What is usual is the median of the latest ones,
 /// and nothing is while there are few.
@@ -89,6 +93,9 @@
     /// By how much set-ups since then took longer than usual, where that was much.
     waits: Vec<Duration>,
     told: Option<Instant>,
+    /// When a line last came back, and whether its silence since has been told.
+    heard: Option<Instant>,
+    hushed: bool,
     /// The last note said that messages take long.
     late: bool,
 }
@@ -368,11 +375,14 @@
     pub fn line_returned(&mut self, request: RequestId) {
         let Some(context) = self.contexts.get_mut(&request) else { return };
         let (Some(sent), Some(server)) = (context.unanswered.pop_front(), &context.server) else { return };
-        let delay = sent.elapsed();
+        let (delay, heard) = (sent.elapsed(), Some(Instant::now()));
         match self.pulses.get_mut(server) {
-            Some(pulse) => pulse.delays.push(delay),
+            Some(pulse) => {
+                (pulse.heard, pulse.hushed) = (heard, false);
+                pulse.delays.push(delay);
+            }
             None => {
-                let pulse = Pulse { delays: vec![delay], ..Pulse::default() };
+                let pulse = Pulse { delays: vec![delay], heard, ..Pulse::default() };
                 self.pulses.insert(server.clone(), pulse);
             }
         }
@@ -383,7 +393,7 @@
     pub fn look(&mut self) {
         let now = Instant::now();
         let over = self.least_aim / 3;
-        let (mut notes, mut silent) = (Vec::new(), Vec::new());
+        let (mut notes, mut silent, mut hushed) = (Vec::new(), Vec::new(), Vec::new());
         // What has not come back yet counts with its age: guards against a transcriber that answers nothing
         // and so never shows a delay.
         let mut ages: BTreeMap<&ServerId, Vec<(Duration, RequestId)>> = BTreeMap::new();
@@ -398,11 +408,17 @@
             }
         }
         self.pulses.retain(|server, _| ages.contains_key(server));
+        let in_use = ages.len();
         for (server, ages) in ages {
             if !self.pulses.contains_key(server) {
                 self.pulses.insert(server.clone(), Pulse::default());
             }
             let Some(pulse) = self.pulses.get_mut(server) else { continue };
+            let since = pulse.heard.map_or(Duration::MAX, |heard| now - heard);
+            if ages.iter().filter(|(age, _)| *age >= HUSH && *age < since).count() >= HUSHED && !pulse.hushed
+            {
+                hushed.push(server.clone());
+            }
             if pulse.told.is_some_and(|told| now - told < PACE) {
                 continue;
             }
@@ -424,6 +440,13 @@
         }
         notes.sort_unstable();
         silent.sort_unstable();
+        hushed.truncate(if hushed.len() * 2 > in_use { 0 } else { hushed.len() });
+        for server in hushed {
+            if let Some(pulse) = self.pulses.get_mut(&server) {
+                pulse.hushed = true;
+            }
+            self.feed(Event::ServerSilent(server));
+        }
         for (request, delay) in notes {
             self.feed(Event::DelayNote { request, delay });
         }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -64,7 +64,7 @@
     /// Whether nothing has come.
     pub fn quiet(&mut self) -> bool {
         self.stream.set_nonblocking(true).unwrap();
-        let read = self.stream.read(&mut [0]);
+        let read = self.stream.peek(&mut [0]);
         self.stream.set_nonblocking(false).unwrap();
         matches!(read, Err(error) if error.kind() == ErrorKind::WouldBlock)
     }
--- a/node/tests/rules.rs
+++ b/node/tests/rules.rs
@@ -156,6 +156,37 @@
     assert!(began.elapsed() < Duration::from_secs(4), "nobody is served on it meanwhile");
 }
 
+#[test]
+fn a_transcriber_that_answers_nobody_loses_all_its_connections_at_once() {
+    let mut rig = Rig::start(2);
+    let (mut other, at, mut answers) = rig.up();
+    let mut held = Vec::new();
+    // A group of its own for each: some come to either transcriber.
+    within("three at the other one", || {
+        let (mut client, _) = rig.open(&format!("d=1500,g={}", held.len()));
+        let (to, mut peer) = rig.tried();
+        peer.hear();
+        peer.say("UP r1\r\n");
+        assert_eq!(client.hear(), "UP r1");
+        held.push((client, to, peer));
+        (held.iter().filter(|(_, to, _)| *to != at).count() == 3).then_some(())
+    });
+    let mut held: Vec<_> = held.into_iter().filter(|(_, to, _)| *to != at).collect();
+    held[0].0.say("hello\r\n");
+    held[1].0.say("hello\r\n");
+    let began = Instant::now();
+    while held[2].0.quiet() {
+        other.say("hello\r\n");
+        assert_eq!(answers.hear(), "hello");
+        answers.say("hello\r\n");
+        assert_eq!(other.hear(), "hello", "the sound one stays");
+        assert!(began.elapsed() < common::GENEROUS);
+    }
+    for (client, _, _) in &mut held {
+        assert_eq!(client.hear(), "MOVE");
+    }
+}
+
 #[test]
 fn a_draining_transcriber_gets_nothing_new() {
     let mut rig = Rig::start(2);
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -15,14 +15,10 @@
 const SERVER_SEED: u32 = 165_233;
 const KEY_SEED: u32 = 845_219;
 
-/// Upkeep runs this often.
-const TICK: Duration = Duration::from_secs(1);
-/// Servers that are gone are forgotten after this.
-const FORGET: Duration = Duration::from_secs(60);
-/// The part of the multiple at which a cold server falls over that its budget may use.
-const COLD_PART: f64 = 2.0 / 3.0;
-/// Sends that all gateways together may have saved up for a cold server.
-const COLD_SAVED: f64 = 3.0;
+const TICK: Duration = Duration::from_secs(1); // upkeep runs this often
+const FORGET: Duration = Duration::from_secs(60); // servers that are gone are forgotten after this
+const COLD_PART: f64 = 2.0 / 3.0; // what a cold server's budget may use of that at which it falls over
+const COLD_SAVED: f64 = 3.0; // sends that all gateways together may have saved up for a cold server
 const TICK_HANDLE: u64 = 1;
 const LIST_HANDLE: u64 = 2;
 const QUEUE_HANDLE: u64 = 3;
@@ -36,8 +32,7 @@
 /// Moves: at most this part of the connections held a second, saved up to this part.
 const MOVES_PER_S: f64 = 0.15;
 const MOVES_SAVED: f64 = 0.3;
-/// Failures in a row, with no success between, that bar a server.
-const STRIKES: u32 = 2;
+const STRIKES: u32 = 2; // failures in a row, with no success between, that bar a server
 /// A first bar lasts this long; each further one twice as long, up to the longest.
 const BAR: Duration = Duration::from_secs(1);
 const LONGEST_BAR: Duration = Duration::from_secs(8);
@@ -48,8 +43,7 @@
 /// A server may hold this multiple of its fair part of this gateway's load before the gate turns new groups
 /// away.
 const HEADROOM: f64 = 1.25;
-/// What was seen of groups and of kinds of machines fades by this part a second.
-const SEEN_FADES: f64 = 0.02;
+const SEEN_FADES: f64 = 0.02; // what was seen of groups and of kinds of machines fades so a second
 const SPLIT: f64 = 2.0; // a large group is split by this many fair parts
 /// A server's cap falls to this part of the fair load at the least, and rises by this part of it a second
 /// while the server is not crowded, faster once it has not been for long.
@@ -64,8 +58,7 @@
 /// by this: what is left is for the groups that are there.
 const NEW_GROUP_CAP: f64 = 0.75;
 const NEW_GROUP_FULL: f64 = 0.2;
-/// A tenant over its share finds servers full at this part of their cap.
-const OVER_SHARE_CAP: f64 = 0.8;
+const OVER_SHARE_CAP: f64 = 0.8; // a tenant over its share finds servers full at this part of their cap
 /// Utilisation to which servers may be filled, where they report it, and from which they shed.
 const FULL: f64 = 0.85;
 const CROWDED: f64 = 0.93;
@@ -73,20 +66,17 @@
 /// before the server is asked anew ahead of a placement.
 const PROBE_SPEND: f64 = 0.0025;
 const REPORT_FRESH: Duration = Duration::from_secs(1);
-/// What one gateway tells of a late server keeps the others away for this long; none repeats it before.
+/// What one gateway tells of a late server keeps the others away for this long; none repeats it before. The
+/// mark is for one that does not answer at all, as one whose messages take `SILENT_FOR` does not.
 const HEARD: Duration = Duration::from_secs(3);
-/// Marks a server that does not answer at all, as one whose messages take this long does not.
 const SILENT: &str = "!";
 const SILENT_FOR: Duration = Duration::from_secs(4);
-/// Connections that a gateway may be taken to hold on each server when it cannot tell yet.
-const LIKELY_HELD: f64 = 5.0;
+const LIKELY_HELD: f64 = 5.0; // what a gateway may hold on each server when it cannot tell yet
 /// Past this part of set-ups failing at one server after another something shared is at fault.
 const SHARED: f64 = 0.5;
 const FAILING_RATE: f64 = 0.2;
-/// A group that the server already holds is let in up to this multiple of what a new group is.
-const HELD_GROUP: f64 = 1.25;
-/// What the first connection of a group costs on a server, in mean loads.
-const GROUP_COST: f64 = 2.0;
+const HELD_GROUP: f64 = 1.25; // a group that is there is let in up to this multiple of what a new one is
+const GROUP_COST: f64 = 2.0; // what the first connection of a group costs on a server, in mean loads
 const FIRST_RANKS: usize = 4; // servers put in order at first: more are seldom looked at
 const PATIENCE: f64 = 0.4; // the part of the set-up aim that an attempt waits before the next server
 /// A kind of machine that is crowded in more of its seconds than the best kind leaves this multiple of the
@@ -126,7 +116,6 @@
     [26, 20, 14].map(|shift| b'0' + (hash >> shift) as u8 % 64)
 }
 
-/// Between 0 and 1.
 fn fraction(random: &mut Pcg32) -> f64 {
     f64::from(random.next_u32()) / (f64::from(u32::MAX) + 1.0)
 }
@@ -434,6 +423,13 @@
             Event::ClientGone(id) => self.finish(id),
             Event::LoadNote { request, load } => self.load_note(request, load.as_secs_f64()),
             Event::DelayNote { request, delay } => self.delay_note(now, request, delay, actions),
+            Event::ServerSilent(server) => {
+                let at = self.fleet.servers.slot(&server);
+                self.strike(now, at, STRIKES, false, actions);
+                self.empty(at, f64::INFINITY, actions);
+                // Whether it died or was cut off, it may come back cold.
+                self.fleet.change(at, |server| server.crashed = true);
+            }
             Event::Silent(request) => {
                 // Whatever may be moved at other times: nobody is served on it.
                 self.move_tokens = self.move_tokens.max(1.0);
@@ -1035,12 +1031,17 @@
             server.crashed |= server.held.is_empty();
         });
         if silent {
-            // Its standing connections earn nothing: ask them all to come again elsewhere.
-            let held = self.fleet.servers.get(at).map_or(Vec::new(), |s| s.held.iter().copied().collect());
-            held.into_iter().for_each(|request| self.move_away(request, actions));
+            self.empty(at, 0.0, actions);
         }
     }
 
+    /// Its connections earn nothing: asks them to come again elsewhere, so many whatever has been saved up.
+    fn empty(&mut self, at: Slot, free: f64, actions: &mut Actions) {
+        let held = self.fleet.servers.get(at).map_or(Vec::new(), |s| s.held.iter().copied().collect());
+        self.move_tokens = self.move_tokens.max(free.min(held.len() as f64));
+        held.into_iter().for_each(|request| self.move_away(request, actions));
+    }
+
     fn move_away(&mut self, id: RequestId, actions: &mut Actions) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         if !request.over && request.out.as_ref().is_some_and(|out| out.stands) && self.move_tokens >= 1.0 {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -254,6 +254,8 @@
     },
     /// A standing connection's messages have gone unanswered for so long that nobody is served on it.
     Silent(RequestId),
+    /// None of the standing connections on this server is answered any more.
+    ServerSilent(ServerId),
     /// A probe came back.
     Probed {
         /// Which server.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -665,3 +665,17 @@
         assert_eq!(sent, sends, "{outcome:?}");
     }
 }
+
+/// Connections on a machine that had vanished waited for their own line to go unanswered, one by one (fleet+silent).
+#[test]
+fn a_server_that_answers_nobody_is_emptied_at_once_and_gets_nothing_new() {
+    let mut world = filled(site(), &SIX, 60, 20);
+    let server = busiest(&world);
+    let held = on(&world, server);
+    world.tell(Event::ServerSilent(server.into()));
+    assert_eq!(moves(&world), held);
+    for id in 1_000..1_030 {
+        ask(&mut world, id, &format!("n:{id}"));
+        assert_ne!(world.at(id).as_deref(), Some(server));
+    }
+}
