Read limits.cores and bound the new connections of a turn by it

Seen: of the three limits that the configuration states, cores was not read; a turn took up to 16 new connections also where a node has a fifth of a core. No loss was seen from it: the node took at most 0.03 of a core in any second. At fault: config.rs (Limits), line_front.rs (ACCEPTS). Tests: limits_bound_turns_clients_and_buffers and two cases of a_bad_value_is_named, which do not build or hold before.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -20,6 +20,7 @@
 
 #[derive(Deserialize, Default)]
 struct Limits {
+    cores: Option<f64>,
     memory_mb: Option<usize>,
     sockets: Option<usize>,
 }
@@ -30,6 +31,9 @@
 /// what one read may bring.
 const LEAST_HELD: usize = 8 << 10;
 const MOST_HELD: usize = 64 << 10;
+/// New connections that one turn takes with a whole core, and at the least.
+const ACCEPTS: usize = 16;
+const LEAST_ACCEPTS: usize = 4;
 /// Descriptors of the loop, the listener, discovery, signals and the standard streams, and those that one turn may
 /// take before room is made.
 const OWN_DESCRIPTORS: usize = 40;
@@ -50,6 +54,8 @@
     pub sockets: usize,
     /// The memory that the process may take.
     pub memory_mb: usize,
+    /// The part of a core that it may take.
+    pub cores: f64,
     /// The file that all of this was read from, and the address of discovery as it stands there.
     path: String,
     told_discovery: Option<String>,
@@ -108,7 +114,7 @@
             ("settings", self.site != fresh.site),
         ];
         (self.discovery, self.told_discovery) = (fresh.discovery, fresh.told_discovery);
-        (self.sockets, self.memory_mb) = (fresh.sockets, fresh.memory_mb);
+        (self.sockets, self.memory_mb, self.cores) = (fresh.sockets, fresh.memory_mb, fresh.cores);
         changed.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
     }
 
@@ -123,6 +129,12 @@
         (self.sockets - self.sockets / STRANGERS_PART).saturating_sub(OWN_DESCRIPTORS) / 2
     }
 
+    /// How many new connections one turn of the loop takes: few where the core is shared, so that those that stand
+    /// are not kept waiting for a throttled process.
+    pub fn most_accepts(&self) -> usize {
+        ((self.cores * ACCEPTS as f64).ceil() as usize).clamp(LEAST_ACCEPTS, ACCEPTS)
+    }
+
     /// What may be buffered for one direction of a connection, so that all of them together fit into half of the
     /// memory that is left.
     pub fn most_held(&self) -> usize {
@@ -157,6 +169,7 @@
             seed: u64::from_str_radix(&seed, 16).map_err(|_| format!("seed: {seed:?} is not hexadecimal"))?,
             sockets: limits.sockets.unwrap_or(1024),
             memory_mb: limits.memory_mb.unwrap_or(192),
+            cores: limits.cores.unwrap_or(1.0),
             known: file.known,
             connect_timeout: site.connect_timeout().unwrap_or(Duration::from_secs(1)),
             classes: site.classes().into_iter().map(str::to_string).collect(),
@@ -170,6 +183,9 @@
         if config.sockets < 64 {
             return Err(format!("limits.sockets: {} is too few, 64 are needed", config.sockets));
         }
+        if !(config.cores > 0.0 && config.cores.is_finite()) {
+            return Err(format!("limits.cores: {} is no part of a core", config.cores));
+        }
         if config.memory_mb < 24 {
             return Err(format!("limits.memory_mb: {} is too little, 24 are needed", config.memory_mb));
         }
@@ -195,10 +211,33 @@
         assert_eq!((config.seed, config.classes), (0x8c1f_30d2_7a5b_e964, vec!["chat".to_string()]));
     }
 
+    #[rstest]
+    #[case(1.0, 1024, 192, 16, 449, 52545)]
+    #[case(0.2, 256, 32, 4, 97, 27025)]
+    fn limits_bound_turns_clients_and_buffers(
+        #[case] cores: f64,
+        #[case] sockets: usize,
+        #[case] memory_mb: usize,
+        #[case] accepts: usize,
+        #[case] clients: usize,
+        #[case] held: usize,
+    ) {
+        let limits = format!("\"cores\": {cores:?}, \"memory_mb\": {memory_mb}, \"sockets\": {sockets}");
+        let text = EXAMPLE.replace("\"cores\": 1.0, \"memory_mb\": 192, \"sockets\": 1024", &limits);
+        let config = Config::read(&text, |_| None).unwrap();
+        assert_eq!(
+            (config.most_accepts(), config.most_clients(), config.most_held()),
+            (accepts, clients, held)
+        );
+        assert!(held * 4 * clients <= (memory_mb << 20), "all buffers together");
+    }
+
     #[rstest]
     #[case("127.0.0.1:18000", "nowhere", "RELAY_LISTEN")]
     #[case("8c1f30d27a5be964", "no seed", "seed")]
     #[case("\"sockets\": 1024", "\"sockets\": 8", "limits.sockets")]
+    #[case("\"memory_mb\": 192", "\"memory_mb\": 8", "limits.memory_mb")]
+    #[case("\"cores\": 1.0", "\"cores\": -1", "limits.cores")]
     #[case("SERVING", "WELL", "known")]
     #[case("repeatable", "sometimes", "Repeat")]
     #[case("\"name\"", "\"nom\"", "RELAY_NAME")]
--- a/node/src/line_front.rs
+++ b/node/src/line_front.rs
@@ -15,8 +15,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Clients taken in one turn of the loop.
-const ACCEPTS: usize = 16;
 /// How long accepting rests when the process has no descriptor left.
 const REST: Duration = Duration::from_millis(50);
 /// How long a client may take for its first line, and to end after its answer. Both together stay under the 3 s in
@@ -99,7 +97,7 @@
     }
 
     fn take(&mut self, node: &mut Node) -> io::Result<()> {
-        for _ in 0..ACCEPTS {
+        for _ in 0..node.config.most_accepts() {
             let stream = match self.socket.accept() {
                 Ok((stream, _)) => stream,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
