--- /dev/null
+++ b/lab/src/experiments/compare.rs
@@ -0,0 +1,90 @@
+//! Policies side by side on the same arrivals, with confidence intervals of the paired differences.
+
+use super::{Estimate, Figures};
+use crate::policy::Name;
+use crate::scenario::Scenario;
+use crate::world::play;
+use rayon::prelude::*;
+use serde::Serialize;
+
+/// One policy's part of a comparison.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Side {
+    /// The policy.
+    pub policy: String,
+    /// Whether it sees what no node can.
+    pub upper_bound: bool,
+    /// Each figure's mean over the seeds.
+    pub means: Vec<(String, Estimate)>,
+    /// Its difference to the first policy on the same seeds.
+    pub differences: Vec<(String, Estimate)>,
+    /// The figures of each seed.
+    pub runs: Vec<Figures>,
+}
+
+/// Plays every policy on every seed; `done` is called after each run. The result does not depend on the threads.
+pub fn compare(
+    scenario: &Scenario,
+    policies: &[Name],
+    seeds: std::ops::Range<u64>,
+    done: impl Fn() + Sync,
+) -> Vec<Side> {
+    let jobs: Vec<(Name, u64)> =
+        policies.iter().flat_map(|name| seeds.clone().map(move |seed| (*name, seed))).collect();
+    let figures: Vec<Figures> = jobs
+        .par_iter()
+        .map(|(name, seed)| {
+            let figures = Figures::of(&play(scenario, *seed, *name));
+            done();
+            figures
+        })
+        .collect();
+    let each = (seeds.end - seeds.start) as usize;
+    let first = &figures[..each.min(figures.len())];
+    let side = |(name, runs): (&Name, &[Figures])| Side {
+        policy: name.text().into(),
+        upper_bound: *name == Name::LeastLoaded,
+        means: columns(runs, None),
+        differences: columns(runs, Some(first)),
+        runs: runs.to_vec(),
+    };
+    policies.iter().zip(figures.chunks(each.max(1))).map(side).collect()
+}
+
+fn columns(runs: &[Figures], less: Option<&[Figures]>) -> Vec<(String, Estimate)> {
+    let value = |run: usize, column: usize| {
+        runs[run].named()[column].1 - less.map_or(0.0, |less| less[run].named()[column].1)
+    };
+    let names = runs.first().map(Figures::named).into_iter().flatten().enumerate();
+    names
+        .map(|(column, (name, _))| {
+            let values: Vec<f64> = (0..runs.len()).map(|run| value(run, column)).collect();
+            (name.to_string(), Estimate::of(&values))
+        })
+        .collect()
+}
+
+/// A table for people.
+pub fn table(sides: &[Side]) -> String {
+    let mut text = format!("{:<14}", "policy");
+    let names =
+        ["service", "whole", "worst_window", "worst_class", "imbalance", "moves", "refused", "broken"];
+    names.iter().for_each(|name| text += &format!("{name:>18}"));
+    let cell = |from: &[(String, Estimate)], name: &str| {
+        let found = from.iter().find(|(other, _)| other == name).map(|(_, estimate)| *estimate);
+        found.map_or(String::new(), |estimate| match estimate.half_width {
+            Some(half) => format!("{:.3} +-{half:.3}", estimate.mean),
+            None => format!("{:.3}", estimate.mean),
+        })
+    };
+    for side in sides {
+        let mark = if side.upper_bound { "*" } else { "" };
+        text += &format!("\n{:<14}", format!("{}{mark}", side.policy));
+        names.iter().for_each(|name| text += &format!("{:>18}", cell(&side.means, name)));
+    }
+    for side in sides.iter().skip(1) {
+        text += &format!("\n{:<14}", format!("{} -", side.policy));
+        names.iter().for_each(|name| text += &format!("{:>18}", cell(&side.differences, name)));
+    }
+    text + "\n* sees the true state: an upper bound. Lines with - are paired differences to the first, 95% intervals.\n"
+}
--- /dev/null
+++ b/lab/src/experiments/mod.rs
@@ -0,0 +1,97 @@
+//! What is built on single runs: comparisons on common random numbers, sweeps, the hunt for the worst day, and costs.
+
+pub mod compare;
+pub mod cost;
+pub mod hunt;
+pub mod sweep;
+
+use crate::measure::Outcome;
+use serde::{Deserialize, Serialize};
+use statrs::distribution::{ContinuousCDF, StudentsT};
+
+/// The figures of a run that experiments look at.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Figures {
+    /// Service from 0 to 1.
+    pub service: f64,
+    /// Share of all worth served well.
+    pub whole: f64,
+    /// ... in the worst 10 s.
+    pub worst_window: f64,
+    /// ... of the worst class.
+    pub worst_class: f64,
+    /// Spread of load over capacity.
+    pub imbalance: f64,
+    /// Moves for each first try.
+    pub moves: f64,
+    /// Refusals and failures for each try.
+    pub refused: f64,
+    /// Set-ups at 99 percent, ms.
+    pub set_up_ms: f64,
+    /// Times that a rule was broken.
+    pub broken: f64,
+    /// Events played.
+    pub events: f64,
+}
+
+impl Figures {
+    /// Of a run.
+    pub fn of(run: &Outcome) -> Self {
+        Figures {
+            service: run.service,
+            whole: run.whole,
+            worst_window: run.worst_window,
+            worst_class: run.worst_class,
+            imbalance: run.imbalance,
+            moves: run.moves as f64 / run.firsts.max(1) as f64,
+            refused: run.refused as f64 / run.tries.max(1) as f64,
+            set_up_ms: run.set_up_ms[2],
+            broken: run.times_broken as f64,
+            events: run.events as f64,
+        }
+    }
+
+    /// By name, in one order.
+    pub fn named(&self) -> [(&'static str, f64); 10] {
+        [
+            ("service", self.service),
+            ("whole", self.whole),
+            ("worst_window", self.worst_window),
+            ("worst_class", self.worst_class),
+            ("imbalance", self.imbalance),
+            ("moves", self.moves),
+            ("refused", self.refused),
+            ("set_up_ms", self.set_up_ms),
+            ("broken", self.broken),
+            ("events", self.events),
+        ]
+    }
+}
+
+/// A mean with the half width of its 95% confidence interval.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Estimate {
+    /// The mean.
+    pub mean: f64,
+    /// Half the width of the interval; infinite for a single value is written as null.
+    pub half_width: Option<f64>,
+}
+
+impl Estimate {
+    /// Of independent values.
+    pub fn of(values: &[f64]) -> Self {
+        let count = values.len() as f64;
+        let mean = values.iter().sum::<f64>() / count.max(1.0);
+        if values.len() < 2 {
+            return Estimate { mean, half_width: None };
+        }
+        let variance = values.iter().map(|value| (value - mean).powi(2)).sum::<f64>() / (count - 1.0);
+        let factor = StudentsT::new(0.0, 1.0, count - 1.0).map_or(f64::NAN, |t| t.inverse_cdf(0.975));
+        Estimate { mean, half_width: Some(factor * (variance / count).sqrt()) }
+    }
+
+    /// Whether zero lies outside the interval.
+    pub fn beyond_noise(&self) -> bool {
+        self.half_width.is_some_and(|half| self.mean.abs() > half)
+    }
+}
--- /dev/null
+++ b/lab/src/experiments/sweep.rs
@@ -0,0 +1,137 @@
+//! A grid over any values of a scenario, seeds and points in parallel.
+
+use super::{Estimate, Figures};
+use crate::policy::Name;
+use crate::scenario::{self, Scenario, Wrong};
+use crate::world::play;
+use rayon::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// One key of a scenario and the values to try.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Axis {
+    /// The key, dotted; numbers go into arrays.
+    pub key: String,
+    /// The values, as TOML has them.
+    pub values: Vec<toml::Value>,
+}
+
+impl std::str::FromStr for Axis {
+    type Err = String;
+    fn from_str(text: &str) -> Result<Self, String> {
+        let (key, values) = text.split_once('=').ok_or(format!("{text:?} is not KEY=VALUE,VALUE,..."))?;
+        // A list of TOML values; words without quotes are taken as strings.
+        let list = |text: &str| -> Option<Vec<toml::Value>> {
+            let table: toml::Table = toml::from_str(&format!("v = [{text}]")).ok()?;
+            table.get("v").and_then(|v| v.as_array()).cloned()
+        };
+        let quoted =
+            || values.split(',').map(|word| format!("{:?}", word.trim())).collect::<Vec<_>>().join(",");
+        let values = list(values).or_else(|| list(&quoted())).filter(|values| !values.is_empty());
+        let values = values.ok_or(format!("{text:?}: no values that TOML knows"))?;
+        Ok(Axis { key: key.trim().to_string(), values })
+    }
+}
+
+/// A point of the grid.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    /// The keys and their values.
+    pub at: Vec<(String, String)>,
+    /// The policy.
+    pub policy: String,
+    /// Each figure over the seeds.
+    pub figures: Vec<(String, Estimate)>,
+}
+
+/// Sets a key of a scenario's text; the whole is checked again.
+pub fn set(file: &str, text: &str, key: &str, value: &toml::Value) -> Result<String, Vec<Wrong>> {
+    let wrong = |what: String| vec![Wrong { place: format!("{file}: {key}"), what }];
+    let mut table: toml::Value = toml::from_str(text).map_err(|error| wrong(error.message().to_string()))?;
+    let mut at = &mut table;
+    let parts: Vec<&str> = key.split('.').collect();
+    for (place, part) in parts.iter().enumerate() {
+        let last = place + 1 == parts.len();
+        at = match at {
+            toml::Value::Array(values) => part
+                .parse::<usize>()
+                .ok()
+                .and_then(|index| values.get_mut(index))
+                .ok_or_else(|| wrong(format!("the file has no entry {part:?} there")))?,
+            toml::Value::Table(entries) => {
+                let empty = if last { value.clone() } else { toml::Value::Table(toml::Table::new()) };
+                entries.entry(part.to_string()).or_insert(empty)
+            }
+            _ => return Err(wrong(format!("{part:?} is no table"))),
+        };
+    }
+    // Whole numbers may be written where a fraction is wanted.
+    *at = match (&*at, value) {
+        (toml::Value::Float(_), toml::Value::Integer(whole)) => toml::Value::Float(*whole as f64),
+        _ => value.clone(),
+    };
+    toml::to_string(&table).map_err(|error| wrong(error.to_string()))
+}
+
+/// Plays every point on every seed; `done` is called after each run.
+pub fn sweep(
+    file: &str,
+    text: &str,
+    axes: &[Axis],
+    policies: &[Name],
+    seeds: std::ops::Range<u64>,
+    done: impl Fn() + Sync,
+) -> Result<Vec<Row>, Vec<Wrong>> {
+    let mut points: Vec<(Vec<(String, String)>, String)> = vec![(Vec::new(), text.to_string())];
+    for axis in axes {
+        let mut next = Vec::new();
+        for (at, text) in &points {
+            for value in &axis.values {
+                let mut at = at.clone();
+                at.push((axis.key.clone(), value.to_string().trim_matches('"').to_string()));
+                next.push((at, set(file, text, &axis.key, value)?));
+            }
+        }
+        points = next;
+    }
+    let mut jobs: Vec<(usize, Name, Scenario)> = Vec::new();
+    for (place, (at, text)) in points.iter().enumerate() {
+        let named: Vec<String> = at.iter().map(|(key, value)| format!("{key}={value}")).collect();
+        let scenario = scenario::parse(&format!("{file} with {}", named.join(" ")), text)?;
+        jobs.extend(policies.iter().map(|name| (place, *name, scenario.clone())));
+    }
+    let row = |(place, name, scenario): &(usize, Name, Scenario)| {
+        let run = |seed: u64| {
+            let figures = Figures::of(&play(scenario, seed, *name));
+            done();
+            figures
+        };
+        let runs: Vec<Figures> = seeds.clone().into_par_iter().map(run).collect();
+        let column = |at: usize| runs.iter().map(|run| run.named()[at].1).collect::<Vec<f64>>();
+        let names = runs.first().map(Figures::named).into_iter().flatten().enumerate();
+        Row {
+            at: points[*place].0.clone(),
+            policy: name.text().into(),
+            figures: names.map(|(at, (name, _))| (name.to_string(), Estimate::of(&column(at)))).collect(),
+        }
+    };
+    Ok(jobs.par_iter().map(row).collect())
+}
+
+/// A table for people.
+pub fn table(rows: &[Row]) -> String {
+    let names =
+        ["service", "worst_window", "worst_class", "imbalance", "moves", "refused", "broken", "events"];
+    let mut text = format!("{:<40}{:<14}", "point", "policy");
+    names.iter().for_each(|name| text += &format!("{name:>16}"));
+    for row in rows {
+        let at: Vec<String> = row.at.iter().map(|(key, value)| format!("{key}={value}")).collect();
+        text += &format!("\n{:<40}{:<14}", at.join(" "), row.policy);
+        for name in names {
+            let found =
+                row.figures.iter().find(|(other, _)| other == name).map(|(_, estimate)| estimate.mean);
+            text += &format!("{:>16}", found.map_or(String::new(), |mean| format!("{mean:.3}")));
+        }
+    }
+    text + "\n"
+}
--- /dev/null
+++ b/lab/src/measure.rs
@@ -0,0 +1,354 @@
+//! What a run brought: service by class and by second, percentiles, imbalance, moves, waste.
+
+use crate::judge::Broken;
+use crate::queue::{as_seconds, Moment};
+use crate::scenario::{Goal, Scenario};
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+
+/// Seconds of the window whose worst one counts.
+const WINDOW: usize = 10;
+
+/// Counts while the world runs. Memory grows with its length and its classes only.
+pub struct Measure {
+    /// Connection-seconds wanted and served well, by class and second.
+    wanted: Vec<Vec<f64>>,
+    served: Vec<Vec<f64>>,
+    messages: Vec<Histogram<u64>>,
+    message_parts: Vec<f64>,
+    set_ups: Histogram<u64>,
+    /// Seconds that set-ups waited for a slot, how many were sent, and how many waited.
+    pub waits: (f64, u64, u64),
+    imbalance: (f64, f64, u64),
+    used: (f64, u64),
+    /// First tries, all tries of clients, attempts, and attempts across zones.
+    pub firsts: u64,
+    /// All tries of clients.
+    pub tries: u64,
+    /// Attempts.
+    pub attempts: u64,
+    /// Attempts that went to another zone.
+    pub crossings: u64,
+    /// Moves that nodes asked for.
+    pub moves: u64,
+    /// Clients that a draining transcriber sent away.
+    pub sent_away: u64,
+    /// Connections that were cut off.
+    pub cut: u64,
+    /// Refusals, failures, and attempts by how they ended badly.
+    pub refused: u64,
+    /// Attempts turned away as full.
+    pub full: u64,
+    /// Attempts that did not come up.
+    pub no_connect: u64,
+    /// Attempts that timed out.
+    pub timed_out: u64,
+    /// Arrivals turned away since the world holds as many as it may.
+    pub turned_away: u64,
+    /// Set-up work done in all, and for nobody, in core seconds.
+    pub work: (f64, f64),
+    /// Transcribers that fell over.
+    pub fallen: u64,
+    length: f64,
+    lines: Vec<Sample>,
+}
+
+/// A second of the time line.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Sample {
+    /// When, in seconds.
+    pub at_s: f64,
+    /// Load over capacity of each transcriber, empty for large fleets; none for one that is not up.
+    pub used: Vec<Option<f64>>,
+    /// Standing connections.
+    pub standing: u64,
+    /// Spread of load over capacity: standard deviation over mean.
+    pub imbalance: f64,
+    /// Share of the worth wanted in this second that was served well.
+    pub service: f64,
+}
+
+/// What one class got.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ByClass {
+    /// Its name.
+    pub name: String,
+    /// Share of the seconds wanted that were served well.
+    pub service: f64,
+    /// Connection-seconds wanted.
+    pub wanted_s: f64,
+    /// Message delays in ms at the median, 90, 99 and 99.9 percent.
+    pub message_ms: [f64; 4],
+}
+
+/// The result of a run. It has no figure of the machine's own clock, so that a seed always gives the same bytes.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Outcome {
+    /// The scenario's name.
+    pub scenario: String,
+    /// The seed.
+    pub seed: u64,
+    /// The policy.
+    pub policy: String,
+    /// Whether the policy sees what no node can.
+    pub upper_bound: bool,
+    /// Service from 0 to 1: the goal's mix less what is taken off.
+    pub service: f64,
+    /// The share of all worth wanted that was served well.
+    pub whole: f64,
+    /// ... in the worst 10 s.
+    pub worst_window: f64,
+    /// ... of the worst class.
+    pub worst_class: f64,
+    /// What was taken off for waste, crossings and moves.
+    pub taken_off: f64,
+    /// Names of the rules that were broken, and how.
+    pub rules_broken: Vec<Broken>,
+    /// How often in all.
+    pub times_broken: u64,
+    /// Events played.
+    pub events: u64,
+    /// The most events that waited at once.
+    pub peak_queue: usize,
+    /// Standard deviation of load over capacity among transcribers, over its mean, averaged over seconds.
+    pub imbalance: f64,
+    /// Mean load over capacity.
+    pub used: f64,
+    /// Connections that nodes moved.
+    pub moves: u64,
+    /// By class.
+    pub by_class: Vec<ByClass>,
+    /// Set-ups in ms at the median, 90, 99 and 99.9 percent.
+    pub set_up_ms: [f64; 4],
+    /// Mean wait of set-ups for a slot in ms, and the share that waited.
+    pub set_up_wait_ms: f64,
+    /// The share of set-ups that waited.
+    pub set_up_waited: f64,
+    /// First tries.
+    pub firsts: u64,
+    /// All tries of clients.
+    pub tries: u64,
+    /// Attempts.
+    pub attempts: u64,
+    /// Refusals and failures.
+    pub refused: u64,
+    /// Attempts turned away as full.
+    pub full: u64,
+    /// Attempts that did not come up.
+    pub no_connect: u64,
+    /// Attempts that timed out.
+    pub timed_out: u64,
+    /// Connections cut off.
+    pub cut: u64,
+    /// Clients that draining transcribers sent away.
+    pub sent_away: u64,
+    /// Transcribers that fell over.
+    pub fallen: u64,
+    /// Arrivals that the world had no room for.
+    pub turned_away: u64,
+    /// The time line, a second each.
+    pub timeline: Vec<Sample>,
+}
+
+fn histogram() -> Histogram<u64> {
+    // From a microsecond to an hour with three digits; beyond that values saturate.
+    Histogram::new_with_bounds(1, 3_600_000_000, 3)
+        .unwrap_or_else(|_| unreachable!("the bounds are constants"))
+}
+
+fn percentiles(from: &Histogram<u64>) -> [f64; 4] {
+    [50.0, 90.0, 99.0, 99.9].map(|part| from.value_at_percentile(part) as f64 / 1e3)
+}
+
+impl Measure {
+    /// Empty books for a scenario.
+    pub fn new(scenario: &Scenario) -> Self {
+        let (classes, seconds) = (scenario.class.len(), scenario.length_s.ceil() as usize);
+        Measure {
+            wanted: vec![vec![0.0; seconds]; classes],
+            served: vec![vec![0.0; seconds]; classes],
+            messages: (0..classes).map(|_| histogram()).collect(),
+            message_parts: vec![0.0; classes],
+            set_ups: histogram(),
+            waits: (0.0, 0, 0),
+            imbalance: (0.0, 0.0, 0),
+            used: (0.0, 0),
+            firsts: 0,
+            tries: 0,
+            attempts: 0,
+            crossings: 0,
+            moves: 0,
+            sent_away: 0,
+            cut: 0,
+            refused: 0,
+            full: 0,
+            no_connect: 0,
+            timed_out: 0,
+            turned_away: 0,
+            work: (0.0, 0.0),
+            fallen: 0,
+            length: scenario.length_s,
+            lines: Vec::new(),
+        }
+    }
+
+    /// A client wants its connection from one moment to another.
+    pub fn wants(&mut self, class: usize, from: Moment, until: Moment) {
+        let (from, until) = (as_seconds(from), as_seconds(until).min(self.length));
+        let Some(seconds) = self.wanted.get_mut(class) else { return };
+        let mut at = from;
+        while at < until {
+            let next = (at.floor() + 1.0).min(until);
+            if let Some(second) = seconds.get_mut(at as usize) {
+                *second += next - at;
+            }
+            at = next;
+        }
+    }
+
+    /// Connections of a class were served well for so long, which ended now.
+    pub fn serves(&mut self, class: usize, now: Moment, connection_seconds: f64) {
+        let second = as_seconds(now.saturating_sub(1)) as usize;
+        if let Some(at) = self.served.get_mut(class).and_then(|seconds| seconds.get_mut(second)) {
+            *at += connection_seconds;
+        }
+    }
+
+    /// Some messages of a class took so long, in seconds.
+    pub fn message(&mut self, class: usize, took: f64, messages: f64) {
+        let whole = self.message_parts[class] + messages;
+        self.message_parts[class] = whole.fract();
+        self.messages[class].saturating_record_n((took * 1e6).max(1.0) as u64, whole as u64);
+    }
+
+    /// A connection was set up in so long.
+    pub fn set_up(&mut self, took: Moment) {
+        self.set_ups.saturating_record((took / 1000).max(1));
+    }
+
+    /// A second's look at the fleet.
+    pub fn sample(&mut self, now: Moment, used: Vec<Option<f64>>, standing: u64, keeps: bool) {
+        let (mut sum, mut squares, mut count) = (0.0, 0.0, 0.0);
+        for one in used.iter().flatten() {
+            (sum, squares, count) = (sum + one, squares + one * one, count + 1.0);
+        }
+        let mean = sum / f64::max(count, 1.0);
+        let spread = (squares / f64::max(count, 1.0) - mean * mean).max(0.0).sqrt();
+        let imbalance = if mean > 1e-9 { spread / mean } else { 0.0 };
+        self.imbalance =
+            (self.imbalance.0 + imbalance, self.imbalance.1.max(imbalance), self.imbalance.2 + 1);
+        self.used = (self.used.0 + mean, self.used.1 + 1);
+        let used = if keeps { used } else { Vec::new() };
+        self.lines.push(Sample { at_s: as_seconds(now), used, standing, imbalance, service: 0.0 });
+    }
+
+    /// The share of what was wanted in some seconds that was served well, by worth.
+    fn share(&self, worths: &[f64], seconds: std::ops::Range<usize>) -> f64 {
+        let sum = |books: &[Vec<f64>]| -> f64 {
+            let class = |(class, worth): (usize, &f64)| {
+                books[class].get(seconds.clone()).map_or(0.0, |part| part.iter().sum::<f64>()) * worth
+            };
+            worths.iter().enumerate().map(class).sum()
+        };
+        let wanted = sum(&self.wanted);
+        if wanted <= 0.0 {
+            return 1.0;
+        }
+        (sum(&self.served) / wanted).min(1.0)
+    }
+
+    /// Closes the books.
+    pub fn close(mut self, scenario: &Scenario, end: Ending) -> Outcome {
+        let worths: Vec<f64> = scenario.class.iter().map(|class| class.worth).collect();
+        let seconds = self.wanted.first().map_or(0, Vec::len);
+        let whole = self.share(&worths, 0..seconds);
+        let windows = (0..=seconds.saturating_sub(WINDOW)).map(|at| self.share(&worths, at..at + WINDOW));
+        let worst_window = windows.fold(whole, f64::min);
+        let only = |class: usize| -> Vec<f64> {
+            (0..worths.len()).map(|other| if other == class { 1.0 } else { 0.0 }).collect()
+        };
+        let by_class: Vec<ByClass> = scenario
+            .class
+            .iter()
+            .enumerate()
+            .map(|(class, named)| ByClass {
+                name: named.name.clone(),
+                service: self.share(&only(class), 0..seconds),
+                wanted_s: self.wanted[class].iter().sum(),
+                message_ms: percentiles(&self.messages[class]),
+            })
+            .collect();
+        let worst_class = by_class.iter().map(|class| class.service).fold(1.0, f64::min);
+        let Goal {
+            whole: of_whole,
+            worst_window: of_window,
+            worst_class: of_class,
+            waste,
+            cross_zone,
+            moves,
+        } = scenario.goal;
+        let firsts = (self.firsts as f64).max(1.0);
+        let taken_off = waste * self.work.1 / self.work.0.max(1e-9)
+            + cross_zone * self.crossings as f64 / firsts
+            + moves * self.moves as f64 / firsts;
+        let mix = of_whole * whole + of_window * worst_window + of_class * worst_class;
+        let mut timeline = std::mem::take(&mut self.lines);
+        for sample in &mut timeline {
+            let at = (sample.at_s - 1.0).max(0.0) as usize;
+            sample.service = self.share(&worths, at..at + 1);
+        }
+        let mean = |sum: f64, count: u64| if count > 0 { sum / count as f64 } else { 0.0 };
+        Outcome {
+            scenario: scenario.name.clone(),
+            seed: end.seed,
+            policy: end.policy,
+            upper_bound: end.upper_bound,
+            service: (mix - taken_off).max(0.0),
+            whole,
+            worst_window,
+            worst_class,
+            taken_off,
+            rules_broken: end.broken,
+            times_broken: end.times_broken,
+            events: end.events,
+            peak_queue: end.peak_queue,
+            imbalance: mean(self.imbalance.0, self.imbalance.2),
+            used: mean(self.used.0, self.used.1),
+            moves: self.moves,
+            by_class,
+            set_up_ms: percentiles(&self.set_ups),
+            set_up_wait_ms: mean(self.waits.0, self.waits.1) * 1e3,
+            set_up_waited: mean(self.waits.2 as f64, self.waits.1),
+            firsts: self.firsts,
+            tries: self.tries,
+            attempts: self.attempts,
+            refused: self.refused,
+            full: self.full,
+            no_connect: self.no_connect,
+            timed_out: self.timed_out,
+            cut: self.cut,
+            sent_away: self.sent_away,
+            fallen: self.fallen,
+            turned_away: self.turned_away,
+            timeline,
+        }
+    }
+}
+
+/// What the world knows at its end beside the books.
+pub struct Ending {
+    /// The seed.
+    pub seed: u64,
+    /// The policy's name.
+    pub policy: String,
+    /// Whether it sees the true state.
+    pub upper_bound: bool,
+    /// Broken rules.
+    pub broken: Vec<Broken>,
+    /// How often rules were broken.
+    pub times_broken: u64,
+    /// Events played.
+    pub events: u64,
+    /// The most that waited.
+    pub peak_queue: usize,
+}
--- /dev/null
+++ b/lab/src/policy.rs
@@ -0,0 +1,271 @@
+//! What decides in a node: the project's own module, or one of the plain policies it is compared with.
+
+use crate::queue::Moment;
+use crate::transcriber::{State, Transcriber};
+use lupincrank::{
+    key_hash, rank_score, server_hash, Action, Balancer, Event, Health, Incoming, Listed, Outcome, RequestId,
+    ServerId, Settings, Time,
+};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+use std::collections::{BTreeMap, HashMap};
+use std::str::FromStr;
+use std::time::Duration;
+
+/// The true state of all transcribers, which no real node sees.
+pub struct Truth<'a> {
+    pub(crate) fleet: &'a [Transcriber],
+    pub(crate) index: &'a HashMap<ServerId, u32>,
+    pub(crate) now: Moment,
+}
+
+impl Truth<'_> {
+    /// Load over capacity, with what is on its way to it left out; none if it takes nothing.
+    pub fn used(&self, server: &ServerId) -> Option<f64> {
+        let at = *self.index.get(server)?;
+        let server = self.fleet.get(at as usize).filter(|server| server.state == State::Up)?;
+        let (wait, _) = server.delay(self.now);
+        Some(server.used(self.now) + wait + f64::from(server.busy) / f64::from(server.slots().max(1)) * 0.1)
+    }
+}
+
+/// Decides for one node: events in, actions out.
+pub trait Policy: Send {
+    /// Takes in one event and appends what is to be done.
+    fn handle(&mut self, now: Time, event: Event, truth: &Truth, actions: &mut Vec<Action>);
+}
+
+impl Policy for Balancer {
+    fn handle(&mut self, now: Time, event: Event, _: &Truth, actions: &mut Vec<Action>) {
+        Balancer::handle(self, now, event, actions);
+    }
+}
+
+/// The policies by name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Name {
+    /// The project's decisions.
+    Module,
+    /// Any ready transcriber.
+    Random,
+    /// The top product score, with no gate.
+    Plain,
+    /// Of two at random the one on which this node holds less.
+    TwoChoices,
+    /// The least used by true state: an upper bound, since no node can see it.
+    LeastLoaded,
+}
+
+impl Name {
+    /// All of them.
+    pub const ALL: [Name; 5] = [Name::Module, Name::Random, Name::Plain, Name::TwoChoices, Name::LeastLoaded];
+
+    /// As it is written on the command line.
+    pub fn text(self) -> &'static str {
+        match self {
+            Name::Module => "module",
+            Name::Random => "random",
+            Name::Plain => "plain",
+            Name::TwoChoices => "two-choices",
+            Name::LeastLoaded => "least-loaded",
+        }
+    }
+
+    /// One that decides for one node.
+    pub fn make(self, settings: Settings, seed: u64) -> Box<dyn Policy> {
+        match self {
+            Name::Module => Box::new(Balancer::new(settings, seed)),
+            other => Box::new(Baseline::new(other, settings, seed)),
+        }
+    }
+}
+
+impl FromStr for Name {
+    type Err = String;
+    fn from_str(text: &str) -> Result<Self, String> {
+        Name::ALL.into_iter().find(|name| name.text() == text).ok_or_else(|| {
+            let all: Vec<&str> = Name::ALL.iter().map(|name| name.text()).collect();
+            format!("no policy is called {text:?}; there are {}", all.join(", "))
+        })
+    }
+}
+
+/// A plain policy: it keeps the list and the rules on attempts, and chooses anew where a try never ran or timed out.
+pub struct Baseline {
+    name: Name,
+    settings: Settings,
+    random: Pcg32,
+    servers: BTreeMap<ServerId, u32>,
+    /// Hash, id and own connections of each server that was ever listed; the ready ones by place.
+    known: Vec<(u32, ServerId, u32)>,
+    ready: Vec<u32>,
+    requests: HashMap<RequestId, Taken>,
+}
+
+struct Taken {
+    key: u32,
+    expires: Time,
+    attempts: u32,
+    tried: Vec<u32>,
+    out: Option<u32>,
+    stands: bool,
+}
+
+impl Baseline {
+    fn new(name: Name, settings: Settings, seed: u64) -> Self {
+        Baseline {
+            name,
+            settings,
+            random: Pcg32::seed_from_u64(seed),
+            servers: BTreeMap::new(),
+            known: Vec::new(),
+            ready: Vec::new(),
+            requests: HashMap::new(),
+        }
+    }
+
+    fn list(&mut self, entries: Vec<Listed>, whole: bool) {
+        if whole {
+            self.ready.clear();
+        }
+        for entry in entries {
+            let next = self.known.len() as u32;
+            let at = *self.servers.entry(entry.server.clone()).or_insert(next);
+            if at == next {
+                self.known.push((server_hash(&entry.server), entry.server, 0));
+            }
+            let place = self.ready.iter().position(|other| *other == at);
+            match (entry.health == Health::Ready, place) {
+                (true, None) => self.ready.push(at),
+                (false, Some(place)) => {
+                    self.ready.swap_remove(place);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn choose(&mut self, key: u32, tried: &[u32], truth: &Truth) -> Option<u32> {
+        let open: Vec<u32>;
+        let among = if tried.is_empty() {
+            &self.ready
+        } else {
+            open = self.ready.iter().copied().filter(|at| !tried.contains(at)).collect();
+            &open
+        };
+        if among.is_empty() {
+            return None;
+        }
+        let any = |random: &mut Pcg32| among[random.gen_range(0..among.len())];
+        let known = &self.known;
+        match self.name {
+            Name::Random | Name::Module => Some(any(&mut self.random)),
+            Name::Plain => among.iter().copied().max_by(|a, b| {
+                let (a, b) = (&known[*a as usize], &known[*b as usize]);
+                rank_score(a.0, key).cmp(&rank_score(b.0, key)).then(b.1.cmp(&a.1))
+            }),
+            Name::TwoChoices => {
+                let (a, b) = (any(&mut self.random), any(&mut self.random));
+                Some(if known[b as usize].2 < known[a as usize].2 { b } else { a })
+            }
+            Name::LeastLoaded => {
+                let used = |at: &u32| truth.used(&known[*at as usize].1).unwrap_or(f64::INFINITY);
+                among.iter().copied().min_by(|a, b| used(a).total_cmp(&used(b)))
+            }
+        }
+    }
+
+    fn place(&mut self, now: Time, id: RequestId, truth: &Truth, actions: &mut Vec<Action>) {
+        let Some(mut taken) = self.requests.remove(&id) else { return };
+        let left = taken.expires.since(now);
+        let may = taken.attempts < self.settings.attempt_cap && left > Duration::from_millis(20);
+        let chosen = if may { self.choose(taken.key, &taken.tried, truth) } else { None };
+        let Some(at) = chosen else {
+            let retry_after =
+                self.settings.longest_retry_after.mul_f64(0.25 + 0.5 * self.random.gen::<f64>());
+            return actions.push(Action::Refuse { request: id, retry_after });
+        };
+        taken.attempts += 1;
+        taken.out = Some(at);
+        taken.tried.push(at);
+        self.requests.insert(id, taken);
+        let place = &mut self.known[at as usize];
+        place.2 += 1;
+        actions.push(Action::Place { request: id, server: place.1.clone(), patience: left });
+    }
+
+    fn release(&mut self, id: RequestId) -> bool {
+        let Some(taken) = self.requests.get_mut(&id) else { return false };
+        if let Some(at) = taken.out.take() {
+            self.known[at as usize].2 = self.known[at as usize].2.saturating_sub(1);
+        }
+        taken.stands
+    }
+
+    fn taken(&self, incoming: Incoming) -> Taken {
+        let key = incoming.group.or(incoming.key).as_deref().map_or(0, key_hash);
+        Taken { key, expires: incoming.expires, attempts: 0, tried: Vec::new(), out: None, stands: false }
+    }
+}
+
+impl Policy for Baseline {
+    fn handle(&mut self, now: Time, event: Event, truth: &Truth, actions: &mut Vec<Action>) {
+        match event {
+            Event::Start => actions.extend(self.settings.list_must_be_asked.then_some(Action::Subscribe)),
+            Event::List { entries, .. } => self.list(entries, true),
+            Event::ListChange(entries) => self.list(entries, false),
+            Event::ListFailed => {
+                let after = Duration::from_secs_f64(0.5 + self.random.gen::<f64>());
+                actions.push(Action::SetTimer { after, handle: 1 });
+            }
+            Event::Timer(_) => actions.push(Action::Subscribe),
+            Event::Request(incoming) => {
+                let id = incoming.request;
+                let taken = self.taken(incoming);
+                self.requests.insert(id, taken);
+                self.place(now, id, truth, actions);
+            }
+            Event::Inherited(incoming, server) => {
+                let id = incoming.request;
+                let mut taken = self.taken(incoming);
+                (taken.attempts, taken.stands) = (1, true);
+                taken.out = self.servers.get(&server).copied();
+                if let Some(at) = taken.out {
+                    self.known[at as usize].2 += 1;
+                }
+                self.requests.insert(id, taken);
+            }
+            Event::Established { request, .. } => {
+                if let Some(taken) = self.requests.get_mut(&request) {
+                    taken.stands = true;
+                }
+            }
+            Event::Ended { request, outcome, done, .. } => {
+                let stood = self.release(request);
+                if done || stood || outcome == Outcome::Served {
+                    self.requests.remove(&request);
+                } else {
+                    self.place(now, request, truth, actions);
+                }
+            }
+            Event::ClientGone(request) => {
+                self.release(request);
+                self.requests.remove(&request);
+            }
+            // A plain policy sends nobody away but for silence, where the node itself sees that nobody is served.
+            Event::Silent(request) if self.requests.contains_key(&request) => {
+                actions.push(Action::Move(request));
+            }
+            Event::ServerSilent(server) => {
+                let Some(at) = self.servers.get(&server) else { return };
+                let mut held: Vec<RequestId> = Vec::new();
+                held.extend(
+                    self.requests.iter().filter(|(_, t)| t.stands && t.out == Some(*at)).map(|(id, _)| *id),
+                );
+                held.sort_unstable();
+                actions.extend(held.into_iter().map(Action::Move));
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/transcriber.rs
@@ -0,0 +1,285 @@
+//! One transcriber: what it can do at a moment, what is asked of it, and how its messages and set-ups fare.
+//!
+//! Standing connections are a flow of work: `load` cores of speed 1 are asked for, and what is asked beyond the
+//! capacity piles up. Set-ups are single jobs with slots and a waiting room. The model is the project's own.
+
+use crate::queue::{as_seconds, Life, Moment};
+use crate::scenario::{Kind, Scenario};
+use lupincrank::ServerId;
+use std::collections::{BTreeMap, VecDeque};
+
+/// What a transcriber's process does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// It serves.
+    Up,
+    /// It serves what it has, and takes nothing new.
+    Draining,
+    /// It accepts nothing and answers nothing.
+    Silent,
+    /// It is gone.
+    Down,
+}
+
+/// A set-up that waits for a slot.
+#[derive(Clone, Copy, Debug)]
+pub struct Waiting {
+    /// The request and its attempt.
+    pub request: (u64, u32),
+    /// Its work, in seconds on a core of speed 1.
+    pub work: f64,
+    /// When it came.
+    pub since: Moment,
+}
+
+/// A transcriber.
+pub struct Transcriber {
+    /// Its identity.
+    pub id: ServerId,
+    /// Its zone.
+    pub zone: u32,
+    /// Its kind, by its place in the scenario.
+    pub kind: usize,
+    /// Its size as the list tells it.
+    pub weight: f64,
+    /// What its process does.
+    pub state: State,
+    /// Counts its starts.
+    pub life: Life,
+    /// When it started, if during the run.
+    pub started: Option<Moment>,
+    /// It runs slower by this.
+    pub slow: f64,
+    /// Since when it is silent.
+    pub silent_since: Moment,
+    /// The clients whose connections stand here.
+    pub standing: Vec<u32>,
+    /// How many of each class.
+    pub by_class: Vec<u32>,
+    /// Set-ups in work, and those that wait.
+    pub busy: u32,
+    /// Those that wait.
+    pub waiting: VecDeque<Waiting>,
+    /// Work sent here lately against what a cold one bears, in loads; all of it, and that of nodes that knew.
+    pub sent: (f64, f64, Moment),
+    /// Whether its messages were late when nodes last looked.
+    pub late: bool,
+    /// Work asked for and not done, in core seconds of speed 1.
+    pub piled: f64,
+    loads: f64,
+    groups: BTreeMap<u32, u32>,
+    touched: Moment,
+    speed: f64,
+    model: Kind,
+    group_load: f64,
+    message_s: f64,
+    per_core: f64,
+    cap: u32,
+}
+
+/// What a stretch of time brought the connections of one class: how many stood, the share of their messages in
+/// time, and the stretch in seconds.
+pub type Served = (usize, f64, f64, f64);
+
+impl Transcriber {
+    /// One that runs, warm unless `started` says otherwise.
+    pub fn new(
+        scenario: &Scenario,
+        id: ServerId,
+        zone: u32,
+        kind: usize,
+        speed: f64,
+        weight: f64,
+        started: Option<Moment>,
+    ) -> Self {
+        let model = scenario.fleet.kind[kind].clone();
+        let fills = f64::from(model.cores) * speed * scenario.fleet.per_core;
+        let cap = match scenario.fleet.cap_connections {
+            0 if scenario.fleet.cap <= 0.0 => u32::MAX,
+            0 => (fills * scenario.fleet.cap).ceil() as u32,
+            number => number,
+        };
+        Transcriber {
+            id,
+            zone,
+            kind,
+            weight,
+            state: State::Up,
+            life: 1,
+            started,
+            slow: 1.0,
+            silent_since: 0,
+            standing: Vec::new(),
+            by_class: vec![0; scenario.class.len()],
+            busy: 0,
+            waiting: VecDeque::new(),
+            sent: (0.0, 0.0, 0),
+            late: false,
+            piled: 0.0,
+            loads: 0.0,
+            groups: BTreeMap::new(),
+            touched: started.unwrap_or(0),
+            speed,
+            model,
+            group_load: scenario.fleet.group_cost * scenario.mean_load(),
+            message_s: scenario.fleet.message_ms / 1e3,
+            per_core: scenario.fleet.per_core,
+            cap,
+        }
+    }
+
+    /// The share of its capacity that it has by now: it grows evenly from its start.
+    pub fn warmth(&self, now: Moment) -> f64 {
+        let Some(started) = self.started else { return 1.0 };
+        let part = as_seconds(now.saturating_sub(started)) / self.model.cold_s.max(1e-9);
+        (self.model.cold_from + (1.0 - self.model.cold_from) * part).min(1.0)
+    }
+
+    /// Cores of speed 1 that it has when warm and well.
+    pub fn full(&self) -> f64 {
+        f64::from(self.model.cores) * self.speed
+    }
+
+    /// Cores of speed 1 that it has now. Asked for more than it has, it does less of it.
+    pub fn capacity(&self, now: Moment) -> f64 {
+        let plain = self.full() / self.slow * self.warmth(now);
+        plain / (1.0 + self.model.thrash * (self.load() / plain - 1.0).max(0.0))
+    }
+
+    /// Cores of speed 1 that its connections and their groups ask for.
+    pub fn load(&self) -> f64 {
+        self.loads.max(0.0) + self.groups.len() as f64 * self.group_load
+    }
+
+    /// Load over capacity.
+    pub fn used(&self, now: Moment) -> f64 {
+        self.load() / self.capacity(now)
+    }
+
+    /// Whether it answers at all.
+    pub fn answers(&self) -> bool {
+        matches!(self.state, State::Up | State::Draining)
+    }
+
+    /// Connections that it accepts.
+    pub fn cap(&self) -> u32 {
+        self.cap
+    }
+
+    /// Loads of usual connections that fill it when it is warm.
+    pub fn fills(&self) -> f64 {
+        self.full() * self.per_core
+    }
+
+    /// Set-ups that it works on at once.
+    pub fn slots(&self) -> u32 {
+        if self.model.slots == 0 {
+            self.model.cores
+        } else {
+            self.model.slots
+        }
+    }
+
+    /// The kind of machine.
+    pub fn model(&self) -> &Kind {
+        &self.model
+    }
+
+    /// The wait behind what is piled up, and the mean time that a message itself takes, in seconds.
+    pub fn delay(&self, now: Moment) -> (f64, f64) {
+        let capacity = self.capacity(now);
+        let own = self.message_s * self.slow / self.speed / self.warmth(now);
+        (self.piled / capacity, own / (1.0 - self.load() / capacity).max(0.02))
+    }
+
+    /// The share of messages answered within an aim.
+    fn in_time(&self, now: Moment, aim: f64) -> f64 {
+        let (wait, mean) = self.delay(now);
+        if !self.answers() || aim <= wait {
+            return 0.0;
+        }
+        1.0 - (-(aim - wait) / mean.max(1e-9)).exp()
+    }
+
+    /// Brings the books up to now and tells what each class was served. Called before anything changes; costs the
+    /// number of classes.
+    pub fn advance(&mut self, now: Moment, aims: &[f64], mut served: impl FnMut(Served)) {
+        let span = as_seconds(now.saturating_sub(self.touched));
+        if span <= 0.0 {
+            return;
+        }
+        let before = self.touched;
+        let shares: Vec<f64> = aims.iter().map(|aim| self.in_time(before, *aim)).collect();
+        let spare = self.capacity(before) - self.load();
+        self.piled = if self.answers() { (self.piled - spare * span).max(0.0) } else { self.piled };
+        self.touched = now;
+        for (class, count) in self.by_class.iter().enumerate().filter(|(_, count)| **count > 0) {
+            let after = self.in_time(now, aims[class]);
+            served((class, f64::from(*count), (shares[class] + after) / 2.0, span));
+        }
+    }
+
+    /// A connection joins. Books must be up to date.
+    pub fn join(&mut self, client: u32, class: usize, load: f64, group: Option<u32>) -> u32 {
+        self.standing.push(client);
+        self.by_class[class] += 1;
+        self.loads += load;
+        if let Some(group) = group {
+            *self.groups.entry(group).or_default() += 1;
+        }
+        self.standing.len() as u32 - 1
+    }
+
+    /// A connection leaves its place; the client that moved into it, if one did, is returned.
+    pub fn leave(&mut self, place: u32, class: usize, load: f64, group: Option<u32>) -> Option<u32> {
+        self.standing.swap_remove(place as usize);
+        self.by_class[class] -= 1;
+        self.loads = if self.standing.is_empty() { 0.0 } else { self.loads - load };
+        if let Some(group) = group {
+            let left = self.groups.entry(group).and_modify(|count| *count -= 1).or_default();
+            if *left == 0 {
+                self.groups.remove(&group);
+            }
+        }
+        self.standing.get(place as usize).copied()
+    }
+
+    /// A connection's load changes by so much.
+    pub fn swing(&mut self, by: f64) {
+        self.loads += by;
+    }
+
+    /// How long a set-up of this work takes from now, its wait behind piled-up work included.
+    pub fn set_up_s(&self, now: Moment, work: f64) -> f64 {
+        let core = self.speed / self.slow * self.warmth(now);
+        let spare = (1.0 - self.used(now)).max(0.1);
+        work / (core * spare) + self.piled / self.capacity(now)
+    }
+
+    /// Counts what is sent to a cold one; true when that pushes it over. `multiple` of what it can do, for `span`
+    /// seconds, is what it bears: a bucket that drains at that rate and holds as much as comes in that span. What a
+    /// cold one can do in new connections is what would fill it over its warm-up.
+    pub fn pushed(&mut self, now: Moment, loads: f64, knew: bool, multiple: f64, span: f64) -> bool {
+        if self.warmth(now) >= 1.0 {
+            return false;
+        }
+        let rate = multiple * self.warmth(now) * self.fills() / self.model.cold_s.max(1e-9);
+        let gone = as_seconds(now.saturating_sub(self.sent.2)) * rate;
+        let left = if self.sent.0 > 0.0 { (1.0 - gone / self.sent.0).max(0.0) } else { 0.0 };
+        self.sent = (self.sent.0 * left + loads, self.sent.1 * left, now);
+        self.sent.1 += if knew { loads } else { 0.0 };
+        // A little slack for chance: two usual connections.
+        self.sent.0 > rate * span + 2.0
+    }
+
+    /// The process starts anew under the same id: empty and cold.
+    pub fn restart(&mut self, now: Moment) {
+        self.started = Some(now);
+        self.touched = now;
+        self.state = State::Up;
+        self.life += 1;
+        (self.busy, self.piled, self.loads) = (0, 0.0, 0.0);
+        self.waiting.clear();
+        self.sent = (0.0, 0.0, now);
+    }
+}
--- /dev/null
+++ b/lab/src/world/servers.rs
@@ -0,0 +1,362 @@
+//! Transcribers in the world: set-ups, standing connections, crowding, pauses, drains and ends.
+
+use super::{Phase, World, EPOCH, NOWHERE};
+use crate::judge::{Of, Rule};
+use crate::population::{stream, work};
+use crate::queue::{as_seconds, millis, seconds, Change, Happening, Life, Moment};
+use crate::transcriber::{State, Transcriber, Waiting};
+use lupincrank::{key_hash, rank_score, server_hash, Health, Listed, Outcome, ServerId, Time};
+use rand::{Rng, RngCore};
+use rand_distr::{Exp1, StandardNormal};
+
+/// The part of its capacity that a crowded transcriber sheds down to.
+const SHEDS_TO: f64 = 0.9;
+
+impl World<'_> {
+    /// The transcribers of the start, all warm and listed.
+    pub(super) fn build_fleet(&mut self) {
+        let kinds = self.scenario.fleet.kind.clone();
+        let all: f64 = kinds.iter().map(|kind| kind.share).sum();
+        let count = self.scenario.fleet.transcribers;
+        let mut owed = vec![0.0; kinds.len()];
+        for at in 0..count {
+            // Kinds take turns by their shares, so that a small fleet has them in the right parts.
+            owed.iter_mut().zip(&kinds).for_each(|(owed, kind)| *owed += kind.share / all);
+            let kind = (0..kinds.len()).max_by(|a, b| owed[*a].total_cmp(&owed[*b])).unwrap_or(0);
+            owed[kind] -= 1.0;
+            self.add_transcriber(at % self.scenario.net.zones, kind, None);
+        }
+        self.directory.known = (0..count).map(|at| self.entry(at, Health::Ready)).collect();
+    }
+
+    pub(super) fn add_transcriber(&mut self, zone: u32, kind: usize, started: Option<Moment>) -> u32 {
+        let at = self.fleet.len() as u32;
+        let mut random = stream(self.seed, 6, u64::from(at));
+        let model = &self.scenario.fleet.kind[kind];
+        let normal: f64 = random.sample(StandardNormal);
+        let speed = model.speed * (1.0 + model.speed_cv * normal).clamp(0.3, 3.0);
+        let wrong = self.scenario.fleet.weight_error;
+        let weight = f64::from(model.cores) * (1.0 + random.gen_range(-1.0..=1.0) * wrong);
+        let id = ServerId::from(format!("10.{}.{:08x}:8000", zone + 1, random.next_u32()).as_str());
+        self.index.insert(id.clone(), at);
+        let server = Transcriber::new(&self.scenario, id, zone, kind, speed, weight, started);
+        self.fleet.push(server);
+        self.next_pause(at);
+        at
+    }
+
+    /// What discovery says of a transcriber.
+    pub(super) fn entry(&self, at: u32, health: Health) -> Listed {
+        let server = &self.fleet[at as usize];
+        let ahead = self.scenario.discovery.clock_ahead_s;
+        let told = |started: Moment| (started + EPOCH).saturating_add_signed((ahead * 1e9) as i64);
+        Listed {
+            server: server.id.clone(),
+            health,
+            weight: server.weight,
+            zone: server.zone,
+            cell: 0,
+            kind: server.kind as u32,
+            started: server.started.map(|started| Time(told(started))),
+        }
+    }
+
+    /// The transcriber with the top product score for a client's key.
+    pub(super) fn top_score(&self, client: u32) -> u32 {
+        let (key, group) = self.keys(client);
+        let key = key_hash(group.as_deref().unwrap_or(&key));
+        let score = |at: &u32| {
+            let id = &self.fleet[*at as usize].id;
+            (rank_score(server_hash(id), key), std::cmp::Reverse(id.clone()))
+        };
+        (0..self.fleet.len() as u32).max_by_key(score).unwrap_or(0)
+    }
+
+    /// Brings a transcriber's books up to now.
+    pub(super) fn advance(&mut self, at: u32) {
+        let now = self.now;
+        let Some(server) = self.fleet.get_mut(at as usize) else { return };
+        let mut served: Vec<(usize, f64, f64, f64)> = Vec::new();
+        server.advance(now, &self.aims, |part| served.push(part));
+        if served.is_empty() {
+            return;
+        }
+        let (wait, own) = server.delay(now);
+        let (answers, load) = (server.answers(), server.load());
+        let every = self.scenario.clients.message_every_s;
+        let mut span = 0.0;
+        for (class, count, share, stretch) in served {
+            span = stretch;
+            self.measure.serves(class, now, count * share * stretch);
+            if answers {
+                let took = wait + own * self.chance.sample::<f64, _>(Exp1);
+                self.measure.message(class, took, count * stretch / every);
+            }
+        }
+        self.measure.work.0 += load * span;
+    }
+
+    /// A client's connection joins a transcriber.
+    pub(super) fn join(&mut self, client: u32, server: u32) {
+        self.advance(server);
+        let held = &mut self.clients[client as usize];
+        held.load = held.usual;
+        held.place = self.fleet[server as usize].join(client, held.class, held.load, held.group);
+    }
+
+    /// Ends whatever a client has at a transcriber.
+    pub(super) fn release(&mut self, client: u32) {
+        let held = &mut self.clients[client as usize];
+        let Some(server) = held.out.take() else { return };
+        let place = std::mem::replace(&mut held.place, NOWHERE);
+        let (class, load, group) = (held.class, held.load, held.group);
+        if place != NOWHERE {
+            self.advance(server);
+            let moved = self.fleet[server as usize].leave(place, class, load, group);
+            if let Some(moved) = moved {
+                self.clients[moved as usize].place = place;
+            }
+        }
+    }
+
+    /// An attempt's first line arrives, or finds that nothing takes it.
+    pub(super) fn arrives(&mut self, request: u64, attempt: u32, at: u32, life: Life) {
+        let Some(client) = self.client_of(request) else { return };
+        let held = &self.clients[client as usize];
+        if held.attempts != attempt + 1 || held.out != Some(at) || held.answered {
+            return; // called off on its way
+        }
+        let (node, class, group, sent) = (held.node, held.class, held.group, held.sent);
+        let zone = self.nodes[node as usize].zone;
+        self.advance(at);
+        let back = self.hop(zone, self.fleet[at as usize].zone);
+        let server = &self.fleet[at as usize];
+        let fails = |world: &mut Self, when: Moment, outcome: Outcome| {
+            world.queue.put(when, Happening::Ended(request, attempt, outcome));
+        };
+        let timeout = sent + millis(self.scenario.nodes.connect_timeout_ms);
+        let standing = server.standing.len() as u32 + server.busy + server.waiting.len() as u32;
+        match server.state {
+            State::Silent => return fails(self, timeout.max(self.now + 1), Outcome::ConnectFailed),
+            State::Down => return fails(self, self.now + back, Outcome::ConnectFailed),
+            State::Up | State::Draining if server.life != life => {
+                return fails(self, self.now + back, Outcome::ConnectFailed)
+            }
+            State::Draining => return fails(self, self.now + back, Outcome::Full),
+            State::Up if standing >= server.cap() => {
+                return fails(self, timeout.max(self.now + 1), Outcome::ConnectFailed)
+            }
+            State::Up => {}
+        }
+        self.judge_push(at, node, class, group);
+        if self.fleet[at as usize].state != State::Up {
+            return; // that pushed it over; its attempts have been ended
+        }
+        let (slots, queue) = (self.fleet[at as usize].slots(), self.fleet[at as usize].model().queue);
+        let job = work(&self.scenario.class[class], &mut self.clients[client as usize].random);
+        let waiting = Waiting { request: (request, attempt), work: job, since: self.now };
+        let server = &mut self.fleet[at as usize];
+        if server.busy < slots {
+            self.begin_set_up(at, waiting);
+        } else if (server.waiting.len() as u32) < queue {
+            server.waiting.push_back(waiting);
+        } else {
+            fails(self, self.now + back, Outcome::Full);
+        }
+    }
+
+    /// Counts what a cold transcriber is sent, and lets it fall over when that is too much.
+    fn judge_push(&mut self, at: u32, node: u32, class: usize, _group: Option<u32>) {
+        let knows = self.nodes[node as usize].knows_start.get(at as usize).copied().unwrap_or(0);
+        let loads = self.scenario.class[class].load * self.scenario.load_unit() / self.scenario.mean_load();
+        let (multiple, span) = (self.scenario.rules.fall_multiple, self.scenario.rules.fall_s);
+        let server = &mut self.fleet[at as usize];
+        let knew = knows == server.life;
+        if !server.pushed(self.now, loads, knew, multiple, span) {
+            return;
+        }
+        let (all, known, _) = server.sent;
+        self.measure.fallen += 1;
+        self.record("fell over", node, 0, Some(at));
+        if known >= all * 2.0 / 3.0 {
+            let what = format!(
+                "transcriber {at}, cold since {:.2} s, was sent {all:.1} loads in a row, {known:.1} of them by nodes \
+                 that knew of its start",
+                as_seconds(self.now - self.fleet[at as usize].started.unwrap_or(0))
+            );
+            self.judge.breaks(Rule::Cold, self.now, Of::Server(at), what);
+        }
+        let notice = seconds(self.scenario.discovery.notice_s);
+        let life = self.fleet[at as usize].life;
+        self.go_down(at);
+        self.queue.put(self.now + notice, Happening::Known(at, life, Change::Gone));
+    }
+
+    fn begin_set_up(&mut self, at: u32, waiting: Waiting) {
+        let now = self.now;
+        let server = &mut self.fleet[at as usize];
+        server.busy += 1;
+        let waited = as_seconds(now - waiting.since);
+        self.measure.waits.0 += waited;
+        self.measure.waits.1 += 1;
+        self.measure.waits.2 += u64::from(waited > 0.0);
+        self.measure.work.0 += waiting.work;
+        let takes = server.set_up_s(now, waiting.work);
+        server.piled += waiting.work * f64::from(u8::from(!server.standing.is_empty()));
+        let (request, attempt) = waiting.request;
+        self.queue.put(now + seconds(takes), Happening::SetUp(request, attempt, at, server.life));
+    }
+
+    /// A set-up is done: the connection stands, unless it was called off meanwhile.
+    pub(super) fn set_up(&mut self, request: u64, attempt: u32, at: u32, life: Life) {
+        if self.fleet[at as usize].life != life || !self.fleet[at as usize].answers() {
+            return;
+        }
+        self.advance(at);
+        self.fleet[at as usize].busy -= 1;
+        while let Some(next) = self.fleet[at as usize].waiting.pop_front() {
+            // One that was called off while it waited costs nothing.
+            if self.still_wanted(next.request.0, next.request.1, at).is_some() {
+                self.begin_set_up(at, next);
+                break;
+            }
+        }
+        let Some(client) = self.still_wanted(request, attempt, at) else {
+            self.measure.work.1 += self.scenario.class.first().map_or(0.0, |class| class.work_ms / 1e3);
+            return;
+        };
+        let node = self.clients[client as usize].node;
+        let back = self.hop(self.nodes[node as usize].zone, self.fleet[at as usize].zone);
+        if self.chance.gen::<f64>() < self.fleet[at as usize].model().error_rate {
+            return self.queue.put(self.now + back, Happening::Ended(request, attempt, Outcome::Error));
+        }
+        self.join(client, at);
+        self.queue.put(self.now + back, Happening::Stands(request, attempt));
+    }
+
+    /// The client whose attempt at this transcriber is still waited for.
+    fn still_wanted(&self, request: u64, attempt: u32, at: u32) -> Option<u32> {
+        let client = self.client_of(request)?;
+        let held = &self.clients[client as usize];
+        let wanted = held.phase == Phase::Asks && !held.answered && held.out == Some(at);
+        (wanted && held.attempts == attempt + 1).then_some(client)
+    }
+
+    /// A crowded transcriber drops its newest connections until it can bear the rest.
+    pub(super) fn shed(&mut self, at: u32) {
+        let server = &self.fleet[at as usize];
+        if !server.answers() || server.piled <= self.scenario.fleet.buffer_s * server.capacity(self.now) {
+            return;
+        }
+        let mut newest: Vec<(Moment, u32)> =
+            server.standing.iter().map(|client| (self.clients[*client as usize].sent, *client)).collect();
+        newest.sort_unstable();
+        while let Some((_, client)) = newest.pop() {
+            let server = &self.fleet[at as usize];
+            if server.load() <= server.capacity(self.now) * SHEDS_TO {
+                break;
+            }
+            self.cut_off(client);
+        }
+    }
+
+    /// A connection breaks: its node hears a reset, and its client comes again.
+    pub(super) fn cut_off(&mut self, client: u32) {
+        match self.clients[client as usize].phase {
+            Phase::Stands => {
+                self.measure.cut += 1;
+                self.end_standing(client, Outcome::Reset);
+                self.broken(client, false);
+            }
+            Phase::Asks => {
+                let held = &self.clients[client as usize];
+                let (request, attempt) = (held.request, held.attempts.saturating_sub(1));
+                self.attempt_ended(request, attempt, Outcome::Reset);
+            }
+            Phase::Away => {}
+        }
+    }
+
+    pub(super) fn next_pause(&mut self, at: u32) {
+        let server = &self.fleet[at as usize];
+        let every = server.model().pause_every_s;
+        if every > 0.0 {
+            let gap = seconds(every * self.chance.sample::<f64, _>(Exp1)).max(1);
+            let life = server.life;
+            self.queue.put(self.now + gap, Happening::Pause(at, life));
+        }
+    }
+
+    /// It stands still for a moment: what it could have done meanwhile is piled up.
+    pub(super) fn pause(&mut self, at: u32, life: Life) {
+        if self.fleet[at as usize].life != life || !self.fleet[at as usize].answers() {
+            return;
+        }
+        self.advance(at);
+        let server = &mut self.fleet[at as usize];
+        server.piled += server.capacity(self.now) * server.model().pause_ms / 1e3;
+        self.next_pause(at);
+    }
+
+    /// It stops to answer: whatever it had is cut off.
+    pub(super) fn go_down(&mut self, at: u32) {
+        self.advance(at);
+        let server = &mut self.fleet[at as usize];
+        server.state = State::Down;
+        server.life += 1;
+        server.busy = 0;
+        let waiting = std::mem::take(&mut server.waiting);
+        for client in server.standing.clone() {
+            self.cut_off(client);
+        }
+        for one in waiting {
+            let (request, attempt) = one.request;
+            self.queue.put(self.now + millis(1.0), Happening::Ended(request, attempt, Outcome::Reset));
+        }
+    }
+
+    /// It drains: it takes nothing new, sends its clients away bit by bit where that is its custom, and ends.
+    pub(super) fn drain(&mut self, at: u32, span: Moment) {
+        if self.fleet[at as usize].state != State::Up {
+            return;
+        }
+        self.advance(at);
+        self.fleet[at as usize].state = State::Draining;
+        let life = self.fleet[at as usize].life;
+        let notice = seconds(self.scenario.discovery.notice_s);
+        self.queue.put(self.now + notice, Happening::Known(at, life, Change::Drains));
+        self.queue.put(self.now + span, Happening::Stops(at, life));
+        let count = self.fleet[at as usize].standing.len() as u64;
+        if self.scenario.fleet.goaway && count > 0 {
+            // Evenly over nine tenths of the drain.
+            let gap = span * 9 / 10 / count;
+            for number in 1..=count {
+                self.queue.put(self.now + number * gap, Happening::SendsAway(at, life));
+            }
+        }
+    }
+
+    pub(super) fn sends_away(&mut self, at: u32, life: Life) {
+        let server = &self.fleet[at as usize];
+        if server.life != life || server.state != State::Draining {
+            return;
+        }
+        let standing = server.standing.iter().copied();
+        let first = standing.filter(|client| self.clients[*client as usize].phase == Phase::Stands).min();
+        if let Some(client) = first {
+            self.measure.sent_away += 1;
+            self.end_standing(client, Outcome::Cancelled);
+            self.broken(client, true);
+        }
+    }
+
+    /// A drained transcriber ends.
+    pub(super) fn stops(&mut self, at: u32, life: Life) {
+        if self.fleet[at as usize].life != life || self.fleet[at as usize].state == State::Down {
+            return;
+        }
+        self.go_down(at);
+        let notice = seconds(self.scenario.discovery.notice_s);
+        self.queue.put(self.now + notice, Happening::Known(at, life, Change::Gone));
+    }
+}
