--- a/lab/src/experiments/hunt.rs
+++ b/lab/src/experiments/hunt.rs
@@ -67,7 +67,15 @@
             _ => (part, 0.0),
         };
         let for_s = scenario.length_s * random.gen_range(0.15..0.6);
-        day.trouble.push(Trouble { kind, at_s, for_s, part, size, drain_s: random.gen_range(2.0..6.0) });
+        day.trouble.push(Trouble {
+            kind,
+            at_s,
+            for_s,
+            part,
+            size,
+            drain_s: random.gen_range(2.0..6.0),
+            leave: 0.5,
+        });
     }
     day.clients.load *= random.gen_range(0.8..1.2);
     day.clients.start_skew = random.gen_range(0.0..0.5);
--- a/lab/src/measure.rs
+++ b/lab/src/measure.rs
@@ -194,13 +194,22 @@
 
     /// A client wants its connection from one moment to another.
     pub fn wants(&mut self, class: usize, from: Moment, until: Moment) {
+        self.want(class, from, until, 1.0);
+    }
+
+    /// A client leaves early: it no longer wants what `wants` had counted from here on.
+    pub fn wants_less(&mut self, class: usize, from: Moment, until: Moment) {
+        self.want(class, from, until, -1.0);
+    }
+
+    fn want(&mut self, class: usize, from: Moment, until: Moment, sign: f64) {
         let (from, until) = (as_seconds(from), as_seconds(until).min(self.length));
         let Some(seconds) = self.wanted.get_mut(class) else { return };
         let mut at = from;
         while at < until {
             let next = (at.floor() + 1.0).min(until);
             if let Some(second) = seconds.get_mut(at as usize) {
-                *second += next - at;
+                *second += sign * (next - at);
             }
             at = next;
         }
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -353,6 +353,13 @@
     /// Seconds that a transcriber drains for, at `deploy` and `shrink`.
     #[serde(default = "default_drain")]
     pub drain_s: f64,
+    /// Of the clients that are too many for a shrunk fleet, the share that leaves while it shrinks.
+    #[serde(default = "default_leave")]
+    pub leave: f64,
+}
+
+fn default_leave() -> f64 {
+    0.5
 }
 
 fn default_trouble_length() -> f64 {
@@ -553,6 +560,7 @@
         within(&key("for_s"), trouble.for_s, 0.1, 1e6);
         within(&key("part"), trouble.part, 0.0, 1.0);
         within(&key("drain_s"), trouble.drain_s, 0.0, 1e4);
+        within(&key("leave"), trouble.leave, 0.0, 1.0);
         let (least, most) = match trouble.kind {
             TroubleKind::Slow | TroubleKind::Shrink => (1.0, 1e3),
             TroubleKind::Surge => (0.0, 100.0),
@@ -591,13 +599,16 @@
         f64::from(self.fleet.transcribers) * self.fleet.kind.iter().map(each).sum::<f64>()
     }
 
-    /// New connections a second, before `shape` and surges.
+    /// New connections a second, before `shape` and surges. The work that groups cost counts as load, each on one
+    /// transcriber: what a policy adds by spreading them is its own doing.
     pub fn rate(&self) -> f64 {
         if self.clients.rate > 0.0 {
             return self.clients.rate;
         }
-        let standing = self.clients.life_s * self.over_classes(|class| class.life);
-        self.clients.load * self.mean_capacity() * self.fleet.per_core / standing
+        let life = self.clients.life_s * self.over_classes(|class| class.life);
+        let size = self.clients.group_size;
+        let shared = if size > 0.0 { self.fleet.group_cost / size.max(1.0) } else { 0.0 };
+        self.clients.load * self.mean_capacity() * self.fleet.per_core / (1.0 + shared) / life
     }
 
     /// Mean connections that stand at that rate.
--- a/lab/src/world/clients.rs
+++ b/lab/src/world/clients.rs
@@ -111,6 +111,7 @@
         let count = self.scenario.standing().min(f64::from(self.scenario.clients.most)) as u64;
         for _ in 0..count {
             self.serial += 1;
+            self.measure.firsts += 1;
             let at = self.add_client(true);
             if let Some(node) = self.front_picks(at) {
                 let skewed = self.chance.gen::<f64>() < self.scenario.clients.start_skew;
--- a/lab/src/world/troubles.rs
+++ b/lab/src/world/troubles.rs
@@ -2,7 +2,7 @@
 
 use super::{Phase, World};
 use crate::population::stream;
-use crate::queue::{as_seconds, seconds, Change, Happening};
+use crate::queue::{as_seconds, seconds, Change, Happening, Moment};
 use crate::scenario::TroubleKind;
 use crate::transcriber::State;
 use lupincrank::Outcome;
@@ -75,6 +75,9 @@
                 if let Some(at) = all.get(done) {
                     self.drain(*at, seconds(trouble.drain_s));
                 }
+                if done == 0 {
+                    self.clients_leave(trouble.leave * (1.0 - 1.0 / trouble.size), seconds(trouble.for_s));
+                }
                 if done + 1 < steps {
                     let gap = seconds(trouble.for_s) / steps as u64;
                     self.queue.put(self.now + gap, Happening::Trouble(number, step + 1));
@@ -102,6 +105,20 @@
         }
     }
 
+    /// Traffic falls: this share of the clients leaves, evenly over a span.
+    fn clients_leave(&mut self, share: f64, span: Moment) {
+        for at in 0..self.clients.len() as u32 {
+            let leaves = self.chance.gen::<f64>() < share;
+            let when = self.now + self.chance.gen_range(0..=span);
+            let client = &mut self.clients[at as usize];
+            if leaves && client.until > when {
+                self.measure.wants_less(client.class, when, client.until);
+                client.until = when;
+                self.queue.put(when, Happening::Leaves(at, client.life));
+            }
+        }
+    }
+
     fn struck_nodes(&self, trouble: u32, part: f64) -> Vec<u32> {
         let mut all: Vec<u32> = (0..self.nodes.len() as u32).collect();
         all.shuffle(&mut stream(self.seed, 8, u64::from(trouble)));
