--- a/lab/src/experiments/sweep.rs
+++ b/lab/src/experiments/sweep.rs
@@ -76,13 +76,16 @@
 /// Plays every point on every seed; `done` is called after each run.
 pub fn sweep(
     file: &str,
-    text: &str,
+    scenario: &Scenario,
     axes: &[Axis],
     policies: &[Name],
     seeds: std::ops::Range<u64>,
     done: impl Fn() + Sync,
 ) -> Result<Vec<Row>, Vec<Wrong>> {
-    let mut points: Vec<(Vec<(String, String)>, String)> = vec![(Vec::new(), text.to_string())];
+    let unwritten =
+        |error: toml::ser::Error| vec![Wrong { place: file.to_string(), what: error.to_string() }];
+    let text = toml::to_string(scenario).map_err(unwritten)?;
+    let mut points: Vec<(Vec<(String, String)>, String)> = vec![(Vec::new(), text)];
     for axis in axes {
         let mut next = Vec::new();
         for (at, text) in &points {
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -154,7 +154,7 @@
 }
 
 fn read(file: &Path) -> Result<Scenario, String> {
-    scenario::parse(&file.display().to_string(), &text_of(file)?).map_err(told)
+    scenario::load(file).map_err(told)
 }
 
 fn write(json: Option<&Path>, results: &impl Serialize) -> Result<(), String> {
@@ -196,9 +196,9 @@
         Command::Sweep { axes, seeds, policies, json, file } => {
             let points: usize = axes.iter().map(|axis| axis.values.len()).product();
             let bar = progress(seeds * (points * policies.len()) as u64);
-            let (name, text) = (file.display().to_string(), text_of(&file)?);
-            let rows =
-                sweep::sweep(&name, &text, &axes, &policies, 1..seeds + 1, || bar.inc(1)).map_err(told)?;
+            let (name, scenario) = (file.display().to_string(), read(&file)?);
+            let rows = sweep::sweep(&name, &scenario, &axes, &policies, 1..seeds + 1, || bar.inc(1))
+                .map_err(told)?;
             bar.finish_and_clear();
             print!("{}", sweep::table(&rows));
             write(json.as_deref(), &serde_json::json!({ "sweep": rows }))
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::fmt;
+use std::path::Path;
 
 /// The version of the format that this build reads and writes.
 pub const VERSION: u32 = 1;
@@ -20,6 +21,9 @@
     /// What it is for, for people.
     #[serde(default)]
     pub about: String,
+    /// Another file beside this one that this one changes: tables are merged key by key, arrays replaced.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub extends: Option<String>,
     /// Simulated seconds; what is under way at the end is not judged.
     #[serde(default = "default_length")]
     pub length_s: f64,
@@ -413,20 +417,79 @@
 
 impl std::error::Error for Wrong {}
 
+/// Files that may extend one another in a row.
+const DEEPEST: usize = 8;
+
+/// Reads a scenario's file and those that it extends.
+pub fn load(path: &Path) -> Result<Scenario, Vec<Wrong>> {
+    let mut chain: Vec<(String, String)> = Vec::new();
+    let mut next = Some(path.to_path_buf());
+    while let Some(path) = next.take() {
+        let file = path.display().to_string();
+        let wrong = |what: String| vec![Wrong { place: file.clone(), what }];
+        if chain.len() == DEEPEST {
+            return Err(wrong(format!("extends: more than {DEEPEST} files in a row, or a circle")));
+        }
+        let text = std::fs::read_to_string(&path).map_err(|error| wrong(format!("cannot read: {error}")))?;
+        let own: Scenario = read(&file, &text)?;
+        next = own.extends.as_ref().and_then(|base| path.parent().map(|folder| folder.join(base)));
+        chain.push((file, text));
+    }
+    let mut whole = toml::Table::new();
+    for (file, text) in chain.iter().rev() {
+        let own = toml::from_str(text).map_err(|error| told(file, text, &error))?;
+        merge(&mut whole, own);
+    }
+    whole.remove("extends");
+    let text = whole.to_string();
+    let scenario = read(&chain[0].0, &text)?;
+    let wrong = check(&scenario);
+    if wrong.is_empty() {
+        return Ok(scenario);
+    }
+    // A key is looked for in the file that was named, then in those that it extends.
+    let place = |key: &str| {
+        let found = chain.iter().find_map(|(file, text)| line_of_key(text, key).map(|line| (file, line)));
+        found.map_or(format!("{}: {key}", chain[0].0), |(file, line)| format!("{file}:{line}: {key}"))
+    };
+    Err(wrong.into_iter().map(|(key, what)| Wrong { place: place(&key), what }).collect())
+}
+
+fn merge(into: &mut toml::Table, from: toml::Table) {
+    for (key, value) in from {
+        match (into.get_mut(&key), value) {
+            (Some(toml::Value::Table(old)), toml::Value::Table(new)) => merge(old, new),
+            (_, value) => {
+                into.insert(key, value);
+            }
+        }
+    }
+}
+
+fn told(file: &str, text: &str, error: &toml::de::Error) -> Vec<Wrong> {
+    let line = error.span().map_or(0, |span| line_of(text, span.start));
+    vec![Wrong { place: format!("{file}:{line}"), what: advise(error.message()) }]
+}
+
+/// Reads keys and types; bounds are not looked at.
+fn read(file: &str, text: &str) -> Result<Scenario, Vec<Wrong>> {
+    toml::from_str(text).map_err(|error| told(file, text, &error))
+}
+
+fn line_of_key(text: &str, key: &str) -> Option<usize> {
+    let document = toml_edit::ImDocument::parse(text.to_string()).ok()?;
+    span_of(document.as_item(), key).map(|at| line_of(text, at))
+}
+
 /// Reads a scenario; all that is out of bounds is told at once, each with file, line and key.
 pub fn parse(file: &str, text: &str) -> Result<Scenario, Vec<Wrong>> {
-    let scenario: Scenario = toml::from_str(text).map_err(|error| {
-        let line = error.span().map_or(0, |span| line_of(text, span.start));
-        vec![Wrong { place: format!("{file}:{line}"), what: advise(error.message()) }]
-    })?;
+    let scenario = read(file, text)?;
     let wrong = check(&scenario);
     if wrong.is_empty() {
         return Ok(scenario);
     }
-    let spans = toml_edit::ImDocument::parse(text.to_string()).ok();
     let place = |key: &str| {
-        let line = spans.as_ref().and_then(|doc| span_of(doc.as_item(), key));
-        line.map_or(format!("{file}: {key}"), |at| format!("{file}:{}: {key}", line_of(text, at)))
+        line_of_key(text, key).map_or(format!("{file}: {key}"), |line| format!("{file}:{line}: {key}"))
     };
     Err(wrong.into_iter().map(|(key, what)| Wrong { place: place(&key), what }).collect())
 }
--- a/lab/src/world/servers.rs
+++ b/lab/src/world/servers.rs
@@ -202,7 +202,9 @@
         self.measure.waits.2 += u64::from(waited > 0.0);
         self.measure.work.0 += waiting.work;
         let takes = server.set_up_s(now, waiting.work);
-        server.piled += waiting.work * f64::from(u8::from(!server.standing.is_empty()));
+        if server.load() > 0.0 {
+            server.piled += waiting.work;
+        }
         let (request, attempt) = waiting.request;
         self.queue.put(now + seconds(takes), Happening::SetUp(request, attempt, at, server.life));
     }
--- /dev/null
+++ b/lab/tests/judges.rs
@@ -0,0 +1,153 @@
+//! Each judge catches a policy that breaks its rule on purpose, and none speaks up about one that does not.
+
+use lupincrank::{Action, Balancer, Event, Health, RequestId, ServerId, Settings, Time};
+use lupincrank_lab::judge::Rule;
+use lupincrank_lab::measure::Outcome;
+use lupincrank_lab::policy::{Policy, Truth};
+use lupincrank_lab::scenario::{parse, Scenario};
+use lupincrank_lab::world::play_with;
+use rstest::rstest;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// What a policy does wrong.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    Nothing,
+    /// It leaves every seventh request without an answer.
+    Forgets,
+    /// It answers a request that it refused once more.
+    AnswersTwice,
+    /// It sends each request again at once, to the same transcriber.
+    SendsTwice,
+    /// It sends again whatever ended, beyond what is allowed.
+    SendsForEver,
+    /// It keeps to the transcribers that leave.
+    LovesDraining,
+    /// It sends everything to those that started last.
+    LovesCold,
+}
+
+/// The module with a fault put on top.
+struct Faulty {
+    fault: Fault,
+    module: Balancer,
+    leaving: BTreeSet<ServerId>,
+    started: BTreeSet<ServerId>,
+    listed: BTreeSet<ServerId>,
+}
+
+impl Policy for Faulty {
+    fn handle(&mut self, now: Time, event: Event, _: &Truth, actions: &mut Vec<Action>) {
+        if let Event::List { entries, .. } | Event::ListChange(entries) = &event {
+            for entry in entries {
+                self.listed.insert(entry.server.clone());
+                if entry.health == Health::Draining {
+                    self.leaving.insert(entry.server.clone());
+                }
+                if entry.started.is_some() && entry.health == Health::Ready {
+                    self.started.insert(entry.server.clone());
+                }
+            }
+        }
+        let ended = match &event {
+            Event::Ended { request, done: false, .. } => Some(*request),
+            _ => None,
+        };
+        let from = actions.len();
+        self.module.handle(now, event, actions);
+        let mut extra = Vec::new();
+        for action in &mut actions[from..] {
+            let Action::Place { request, server, .. } = action else { continue };
+            let favourite = match self.fault {
+                Fault::LovesDraining => self.leaving.last(),
+                Fault::LovesCold => self.started.last(),
+                _ => None,
+            };
+            *server = favourite.cloned().unwrap_or_else(|| server.clone());
+            if self.fault == Fault::SendsTwice {
+                extra.push(Action::Place {
+                    request: *request,
+                    server: server.clone(),
+                    patience: Duration::from_secs(1),
+                });
+            }
+        }
+        if let (Fault::SendsForEver, Some(request), Some(server)) = (self.fault, ended, self.listed.first()) {
+            actions.truncate(from);
+            let patience = Duration::from_millis(30);
+            extra.push(Action::Place { request, server: server.clone(), patience });
+        }
+        let refused = |action: &&Action| matches!(action, Action::Refuse { .. });
+        if self.fault == Fault::AnswersTwice {
+            extra.extend(actions[from..].iter().filter(refused).cloned());
+        }
+        actions.extend(extra);
+        if self.fault == Fault::Forgets {
+            let forgotten = |request: &RequestId| (request.0 >> 24) % 7 == 0;
+            actions.retain(|action| match action {
+                Action::Place { request, .. } | Action::Refuse { request, .. } => !forgotten(request),
+                _ => true,
+            });
+        }
+    }
+}
+
+fn scenario() -> Scenario {
+    let text = r#"
+        version = 1
+        length_s = 40.0
+        [fleet]
+        transcribers = 6
+        [clients]
+        load = 0.9
+        life_s = 6.0
+        [[class]]
+        [[trouble]]
+        kind = "deploy"
+        at_s = 5.0
+        for_s = 25.0
+        part = 0.9
+        size = 0.17
+        [[trouble]]
+        kind = "silent"
+        at_s = 12.0
+        for_s = 10.0
+        part = 0.2
+    "#;
+    parse("judges", text).expect("a scenario that holds")
+}
+
+fn played(fault: Fault) -> Outcome {
+    let make = |settings: Settings, seed: u64| -> Box<dyn Policy> {
+        Box::new(Faulty {
+            fault,
+            module: Balancer::new(settings, seed),
+            leaving: BTreeSet::new(),
+            started: BTreeSet::new(),
+            listed: BTreeSet::new(),
+        })
+    };
+    play_with(&scenario(), 3, "faulty", false, &make)
+}
+
+#[rstest]
+#[case(Fault::Forgets, Rule::FinalAnswer)]
+#[case(Fault::AnswersTwice, Rule::FinalAnswer)]
+#[case(Fault::SendsTwice, Rule::Attempts)]
+#[case(Fault::SendsForEver, Rule::Attempts)]
+#[case(Fault::LovesDraining, Rule::Drain)]
+#[case(Fault::LovesCold, Rule::Cold)]
+fn a_judge_catches_whoever_breaks_its_rule(#[case] fault: Fault, #[case] rule: Rule) {
+    let run = played(fault);
+    let found = run.rules_broken.iter().find(|broken| broken.rule == rule);
+    let found = found.unwrap_or_else(|| panic!("{fault:?} was not caught: {:?}", run.rules_broken));
+    assert!(!found.trace.is_empty(), "the last events of the offender are shown");
+}
+
+#[test]
+fn no_judge_speaks_up_about_the_module() {
+    let run = played(Fault::Nothing);
+    assert_eq!(run.rules_broken, [], "{:?}", run.rules_broken);
+    assert!(run.attempts > 100, "it was kept busy: {} attempts", run.attempts);
+}
