--- a/lab/src/world/mod.rs
+++ b/lab/src/world/mod.rs
@@ -125,6 +125,8 @@
     free: Vec<u32>,
     fleet: Vec<Transcriber>,
     index: HashMap<ServerId, u32>,
+    /// The transcribers' hashes, as placement ranks them.
+    hashes: Vec<u32>,
     nodes: Vec<Node>,
     directory: Directory,
     surge: Vec<f64>,
@@ -218,6 +220,7 @@
             free: Vec::new(),
             fleet: Vec::new(),
             index: HashMap::new(),
+            hashes: Vec::new(),
             nodes: Vec::new(),
             directory: Directory {
                 known: Vec::new(),
--- a/lab/src/world/servers.rs
+++ b/lab/src/world/servers.rs
@@ -39,6 +39,7 @@
         let weight = f64::from(model.cores) * (1.0 + random.gen_range(-1.0..=1.0) * wrong);
         let id = ServerId::from(format!("10.{}.{:08x}:8000", zone + 1, random.next_u32()).as_str());
         self.index.insert(id.clone(), at);
+        self.hashes.push(server_hash(&id));
         let server = Transcriber::new(&self.scenario, id, zone, kind, speed, weight, started);
         self.fleet.push(server);
         self.next_pause(at);
@@ -65,11 +66,9 @@
     pub(super) fn top_score(&self, client: u32) -> u32 {
         let (key, group) = self.keys(client);
         let key = key_hash(group.as_deref().unwrap_or(&key));
-        let score = |at: &u32| {
-            let id = &self.fleet[*at as usize].id;
-            (rank_score(server_hash(id), key), std::cmp::Reverse(id.clone()))
-        };
-        (0..self.fleet.len() as u32).max_by_key(score).unwrap_or(0)
+        let scored = self.hashes.iter().enumerate().map(|(at, hash)| (rank_score(*hash, key), at as u32));
+        let id = |at: u32| &self.fleet[at as usize].id;
+        scored.max_by(|a, b| a.0.cmp(&b.0).then_with(|| id(b.1).cmp(id(a.1)))).map_or(0, |(_, at)| at)
     }
 
     /// Brings a transcriber's books up to now.
@@ -126,7 +125,7 @@
         if held.attempts != attempt + 1 || held.out != Some(at) || held.answered {
             return; // called off on its way
         }
-        let (node, class, group, sent) = (held.node, held.class, held.group, held.sent);
+        let (node, class, sent) = (held.node, held.class, held.sent);
         let zone = self.nodes[node as usize].zone;
         self.advance(at);
         let back = self.hop(zone, self.fleet[at as usize].zone);
@@ -148,7 +147,7 @@
             }
             State::Up => {}
         }
-        self.judge_push(at, node, class, group);
+        self.judge_push(at, node, class);
         if self.fleet[at as usize].state != State::Up {
             return; // that pushed it over; its attempts have been ended
         }
@@ -166,7 +165,7 @@
     }
 
     /// Counts what a cold transcriber is sent, and lets it fall over when that is too much.
-    fn judge_push(&mut self, at: u32, node: u32, class: usize, _group: Option<u32>) {
+    fn judge_push(&mut self, at: u32, node: u32, class: usize) {
         let knows = self.nodes[node as usize].knows_start.get(at as usize).copied().unwrap_or(0);
         let loads = self.scenario.class[class].load * self.scenario.load_unit() / self.scenario.mean_load();
         let (multiple, span) = (self.scenario.rules.fall_multiple, self.scenario.rules.fall_s);
--- a/lab/tests/judges.rs
+++ b/lab/tests/judges.rs
@@ -33,7 +33,7 @@
     fault: Fault,
     module: Balancer,
     leaving: BTreeSet<ServerId>,
-    started: BTreeSet<ServerId>,
+    started: Vec<ServerId>,
     listed: BTreeSet<ServerId>,
 }
 
@@ -46,7 +46,7 @@
                     self.leaving.insert(entry.server.clone());
                 }
                 if entry.started.is_some() && entry.health == Health::Ready {
-                    self.started.insert(entry.server.clone());
+                    self.started.push(entry.server.clone());
                 }
             }
         }
@@ -99,6 +99,8 @@
         length_s = 40.0
         [fleet]
         transcribers = 6
+        [rules]
+        fall_multiple = 1.0
         [clients]
         load = 0.9
         life_s = 6.0
@@ -124,7 +126,7 @@
             fault,
             module: Balancer::new(settings, seed),
             leaving: BTreeSet::new(),
-            started: BTreeSet::new(),
+            started: Vec::new(),
             listed: BTreeSet::new(),
         })
     };
