--- a/lab/src/world/nodes.rs
+++ b/lab/src/world/nodes.rs
@@ -12,7 +12,8 @@
 use std::time::Duration;
 
 /// Set-ups that a node remembers to tell a long one from the usual, and the multiple that is long.
-const SET_UPS: usize = 32;
+const SET_UPS: usize = 63;
+const FEWEST_SET_UPS: usize = 8;
 const LONG: u64 = 3;
 
 impl World<'_> {
@@ -380,7 +381,7 @@
     }
 
     /// Lines are returned at once however crowded a transcriber is, but a set-up waits its turn there: one that
-    /// takes over three times the median of the latest ones is told as a delay by what is over.
+    /// takes over three times the median of the latest ones is told as a delay by what is over the median, as real nodes do.
     fn judge_set_up(&mut self, node: u32, request: RequestId, took: Moment) {
         let set_ups = &mut self.nodes[node as usize].set_ups;
         let mut sorted: Vec<Moment> = set_ups.iter().copied().collect();
@@ -388,13 +389,13 @@
             set_ups.pop_front();
         }
         set_ups.push_back(took);
-        if self.scenario.nodes.delays != Delays::Sockets || sorted.len() < SET_UPS / 4 {
+        if self.scenario.nodes.delays != Delays::Sockets || sorted.len() < FEWEST_SET_UPS {
             return;
         }
         let middle = sorted.len() / 2;
         let median = *sorted.select_nth_unstable(middle).1;
         if took > median * LONG {
-            let delay = Duration::from_nanos(took - median * LONG);
+            let delay = Duration::from_nanos(took - median);
             self.feed(node, Event::DelayNote { request, delay });
         }
     }
