--- a/lab/src/world/nodes.rs
+++ b/lab/src/world/nodes.rs
@@ -381,7 +381,8 @@
     }
 
     /// Lines are returned at once however crowded a transcriber is, but a set-up waits its turn there: one that
-    /// takes over three times the median of the latest ones is told as a delay by what is over the median, as real nodes do.
+    /// takes over three times the median of the latest ones is told as a delay by what is over the median, as real
+    /// nodes do.
     fn judge_set_up(&mut self, node: u32, request: RequestId, took: Moment) {
         let set_ups = &mut self.nodes[node as usize].set_ups;
         let mut sorted: Vec<Moment> = set_ups.iter().copied().collect();
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -759,8 +759,8 @@
         }
         // None of the first takes it: one look at all, for the first of each sort.
         let pace = TICK.mul_f64(f64::from(self.settings.instances) / 4.0);
-        // Beyond its fair share a server takes only groups that it holds; one that has less takes any, or a fleet
-        // that holds next to nothing would be full with it.
+        // Beyond its fair share a server takes only groups that it holds; one that has less takes any, or a
+        // fleet that holds next to nothing would be full with it.
         let less = |server: &Server| server.load <= view.fair * server.weight;
         let start = first.first().map(|(at, server)| (rank_score(server.hash, request.key), *at));
         let (mut walk, mut barred) = (Walk::<6>::from(start), true);
@@ -1113,8 +1113,8 @@
         }
         self.fleet.change(at, |server| {
             server.crowded_at = Some(now);
-            // Where messages are just a little late it may hold as much again: a cap that fell with each connection
-            // that ends would turn a fleet away whose messages are slow by nature.
+            // Where messages are just a little late it may hold as much again: a cap that fell with each
+            // connection that ends would turn a fleet away whose messages are slow by nature.
             if keep < 1.0 || server.cap.is_infinite() {
                 server.cap = server.cap.min((server.load * keep).max(fair * LEAST_CAP));
             }
