--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1113,11 +1113,7 @@
         }
         self.fleet.change(at, |server| {
             server.crowded_at = Some(now);
-            // Where messages are just a little late it may hold as much again: a cap that fell with each
-            // connection that ends would turn a fleet away whose messages are slow by nature.
-            if keep < 1.0 || server.cap.is_infinite() {
-                server.cap = server.cap.min((server.load * keep).max(fair * LEAST_CAP));
-            }
+            server.cap = server.cap.min((server.load * keep).max(fair * LEAST_CAP));
         });
         if sheds {
             self.shed(now, at, actions);
