A second address takes calls, and transcribers are taken out by hand

The node listened on one address only and knew no ban.

PING and check rest on one definition. A test of descriptors counts four more for calls.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -12,6 +12,7 @@
     name: Option<String>,
     listen: Option<String>,
     discovery: Option<String>,
+    management: Option<String>,
     seed: Option<String>,
     limits: Option<Limits>,
     known: Option<Update>,
@@ -37,6 +38,10 @@
 /// Descriptors of the loop, the listener, discovery, signals and the standard streams, and those that one turn may
 /// take before room is made.
 const OWN_DESCRIPTORS: usize = 40;
+/// Calls of the staff held at once: such a part of the descriptors, within these bounds.
+const CALLS_PART: usize = 24;
+const LEAST_CALLS: usize = 4;
+const MOST_CALLS: usize = 32;
 /// The part of the descriptors that connections may always have which ask for nothing yet or have their answer.
 const STRANGERS_PART: usize = 12;
 
@@ -48,8 +53,12 @@
     pub listen: SocketAddr,
     /// Where discovery listens.
     pub discovery: SocketAddr,
+    /// Where calls of the staff come in, if anywhere.
+    pub management: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
+    /// The descriptor that holds the clients' listening socket, where the platform opened it.
+    pub inherited: Option<i32>,
     /// Descriptors that the process may hold.
     pub sockets: usize,
     /// The memory that the process may take.
@@ -111,6 +120,7 @@
         let changed = [
             ("name", self.name != fresh.name),
             ("listen", self.listen != fresh.listen),
+            ("management", self.management != fresh.management),
             ("settings", self.site != fresh.site),
         ];
         (self.discovery, self.told_discovery) = (fresh.discovery, fresh.told_discovery);
@@ -120,13 +130,22 @@
 
     /// How many connections may be held that ask for nothing yet or have had their answer: what `clients` leave.
     pub fn most_strangers(&self, clients: usize) -> usize {
-        let left = self.sockets.saturating_sub(OWN_DESCRIPTORS + 2 * clients);
+        let left = self.sockets.saturating_sub(self.own_descriptors() + 2 * clients);
         left.max(self.sockets / STRANGERS_PART)
     }
 
+    /// How many calls of the staff are held at once.
+    pub fn most_calls(&self) -> usize {
+        self.management.map_or(0, |_| (self.sockets / CALLS_PART).clamp(LEAST_CALLS, MOST_CALLS))
+    }
+
+    fn own_descriptors(&self) -> usize {
+        OWN_DESCRIPTORS + self.most_calls()
+    }
+
     /// How many clients may be held with their request: each takes a second descriptor for its peer.
     pub fn most_clients(&self) -> usize {
-        (self.sockets - self.sockets / STRANGERS_PART).saturating_sub(OWN_DESCRIPTORS) / 2
+        (self.sockets - self.sockets / STRANGERS_PART).saturating_sub(self.own_descriptors()) / 2
     }
 
     /// How many new connections one turn of the loop takes: few where the core is shared, so that those that stand
@@ -151,6 +170,14 @@
         let located = |name: &str, entry: Option<String>, key: &str| {
             address(&told(name, entry, key)?).map_err(|error| format!("{name} / {key:?}: {error}"))
         };
+        let management = variable("RELAY_MANAGEMENT").or(file.management).map(|told| address(&told));
+        let management =
+            management.transpose().map_err(|error| format!("RELAY_MANAGEMENT / \"management\": {error}"))?;
+        let inherited = variable("RELAY_INHERITED_FD").map(|told| match told.parse() {
+            Ok(descriptor) if descriptor > 2 => Ok(descriptor),
+            _ => Err(format!("RELAY_INHERITED_FD: {told:?} is no descriptor over 2")),
+        });
+        let inherited = inherited.transpose()?;
         let limits = file.limits.unwrap_or_default();
         let seed = file.seed.unwrap_or_else(|| "0".into());
         let site = file.settings;
@@ -164,6 +191,8 @@
             name: told("RELAY_NAME", file.name, "name")?,
             listen: located("RELAY_LISTEN", file.listen, "listen")?,
             discovery: located("RELAY_DISCOVERY", file.discovery.clone(), "discovery")?,
+            management,
+            inherited,
             told_discovery: file.discovery,
             path: String::new(),
             seed: u64::from_str_radix(&seed, 16).map_err(|_| format!("seed: {seed:?} is not hexadecimal"))?,
--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -5,8 +5,8 @@
 use crate::event_loop::Id;
 use crate::load_lines::{LoadLines, Told};
 use lupincrank::{Action, Balancer, Event, Health, Incoming, Listed, Outcome, RequestId, ServerId, Time};
-use slog::{debug, Logger};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use slog::{debug, info, warn, Logger};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -267,15 +267,51 @@
     /// Whether the front may send clients: some transcriber takes new connections, by a list that discovery told.
     /// Guards against a node that starts in the middle of a release and sends its clients to transcribers that have
     /// long been replaced, though other nodes know better. With no answer from discovery the known list has to do.
-    pub fn able(&self) -> bool {
-        let sure = self.told || self.start.elapsed() > LIST_AWAITED;
-        sure && self.group.values().any(|(_, health)| *health == Health::Ready)
+    /// Otherwise says what is missing.
+    pub fn able(&self) -> Result<(), &'static str> {
+        if !self.told && self.start.elapsed() <= LIST_AWAITED {
+            return Err("discovery has not told the list yet");
+        }
+        let any = self.group.values().any(|(_, health)| *health == Health::Ready);
+        any.then_some(()).ok_or("the list names no transcriber that takes connections")
     }
 
     /// Where a transcriber listens, if it takes new connections.
     pub fn dial(&self, server: &str) -> Option<SocketAddr> {
         let (dial, health) = self.group.get(&ServerId::from(server))?;
-        Some(*dial).filter(|_| *health == Health::Ready)
+        let out = self.out().contains(&ServerId::from(server));
+        Some(*dial).filter(|_| *health == Health::Ready && !out)
+    }
+
+    /// The transcribers that are out by hand.
+    pub fn out(&self) -> &BTreeSet<ServerId> {
+        self.balancer.by_hand().out()
+    }
+
+    /// Which transcribers are out by hand once this one is, or is not any more; `None` if there is no such one.
+    pub fn out_with(&self, server: &str, down: bool) -> Option<BTreeSet<ServerId>> {
+        let server = ServerId::from(server);
+        let mut out = self.balancer.by_hand().knows(&server).then(|| self.out().clone())?;
+        if down {
+            out.insert(server);
+        } else {
+            out.remove(&server);
+        }
+        Some(out)
+    }
+
+    /// From now on exactly these transcribers are out by hand.
+    pub fn set_out(&mut self, out: BTreeSet<ServerId>) {
+        if out == *self.out() {
+            return;
+        }
+        let names: Vec<&str> = out.iter().map(|server| &*server.0).collect();
+        info!(self.log, "out by hand"; "transcribers" => names.join(" "));
+        let ready = self.group.iter().filter(|(_, (_, health))| *health == Health::Ready);
+        if !out.is_empty() && ready.clone().all(|(server, _)| out.contains(server)) {
+            warn!(self.log, "no transcriber is left: all clients are refused"; "out" => out.len());
+        }
+        self.feed(Event::ByHand(out));
     }
 
     /// Whether a request of this id is held.
--- a/node/src/event_loop.rs
+++ b/node/src/event_loop.rs
@@ -3,7 +3,7 @@
 use crate::config::Config;
 use crate::core::{Core, Order, TryOrder};
 use crate::deadlines::Deadlines;
-use crate::{discovery, line_front, peer::Up};
+use crate::{discovery, line_front, management, peer::Up};
 use polling::{Events, Poller};
 use slog::{info, warn, Logger};
 use std::cell::Cell;
@@ -27,6 +27,11 @@
 /// The object that watches for signals.
 pub const SIGNALS: Id = 3;
 
+/// The listener for calls of the staff.
+pub const MANAGEMENT: Id = 4;
+/// Calls of the staff have names from here on: their sockets are looked at before all others.
+pub const CALLS: Id = 1 << 60;
+
 /// What one part of the node says to a connection object.
 pub enum Message {
     /// Start a try.
@@ -114,6 +119,21 @@
         self.outbox.push_back((id, message));
     }
 
+    /// Whether clients can be served now, or what is missing.
+    pub fn serves(&self) -> Result<(), String> {
+        if self.leaving.is_some() {
+            return Err("this process is ending".into());
+        }
+        self.core.able().map_err(str::to_string)
+    }
+
+    /// Takes a transcriber out by hand or back in.
+    pub fn by_hand(&mut self, server: &str, down: bool) -> Result<(), String> {
+        let out = self.core.out_with(server, down).ok_or_else(|| format!("no transcriber {server:?}"))?;
+        self.core.set_out(out);
+        Ok(())
+    }
+
     fn carry_out(&mut self) {
         while let Some(order) = self.core.orders.pop_front() {
             match order {
@@ -153,7 +173,7 @@
             leaving: None,
             outbox: VecDeque::new(),
             born: Vec::new(),
-            next: SIGNALS,
+            next: MANAGEMENT,
         };
         let mut this = EventLoop { node, objects: HashMap::new() };
         let signals = crate::signals::Signals::new(&this.node)?;
@@ -161,6 +181,10 @@
         this.objects.insert(DISCOVERY, Box::new(discovery::Discovery::new(&this.node.config)));
         let listener = line_front::Listener::new(&this.node)?;
         this.objects.insert(LISTENER, Box::new(listener));
+        if let Some(address) = this.node.config.management {
+            let management = management::Management::new(&this.node, address)?;
+            this.objects.insert(MANAGEMENT, Box::new(management));
+        }
         Ok(this)
     }
 
@@ -187,7 +211,12 @@
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
                 Err(error) => return Err(error),
             }
-            for event in events.iter() {
+            let of_staff = |event: &polling::Event| {
+                let id = event.key as u64 / 2;
+                id == MANAGEMENT || id >= CALLS
+            };
+            let first = events.iter().filter(of_staff);
+            for event in first.chain(events.iter().filter(|event| !of_staff(event))) {
                 let (id, side) = (event.key as u64 / 2, event.key % 2);
                 self.call(id, |object, node| object.ready(node, side, event.readable, event.writable));
                 self.settle();
--- a/node/src/line_front.rs
+++ b/node/src/line_front.rs
@@ -1,12 +1,12 @@
 //! The platform's line protocol towards clients: the listener, the first line, and the answers to it.
 
 use crate::event_loop::{Connection, Flow, Id, Message, Node, LISTENER};
+use crate::inherited;
 use crate::peer::{Peer, Try, Up, LONGEST_LINE};
-use crate::poll::Watched;
+use crate::poll::{self, Watched};
 use crate::relay::Relay;
 use lupincrank::{Incoming, RequestId, Time};
 use slog::{debug, warn};
-use socket2::{Domain, Protocol, Socket, Type};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::io::{self, Read, Write};
@@ -85,14 +85,11 @@
 impl Listener {
     /// Listens on the configured address only.
     pub fn new(node: &Node) -> io::Result<Listener> {
-        let listen = node.config.listen;
-        let socket = Socket::new(Domain::for_address(listen), Type::STREAM, Some(Protocol::TCP))?;
-        socket.set_reuse_address(true)?;
-        socket.set_nonblocking(true)?;
-        socket.bind(&listen.into())?;
-        socket.listen(1024)?;
-        let socket =
-            Watched::new(&node.poller, TcpListener::from(socket), LISTENER as usize * 2, true, false)?;
+        let socket = match node.config.inherited {
+            Some(descriptor) => inherited::listener(descriptor, node.config.listen)?,
+            None => poll::listen(node.config.listen)?,
+        };
+        let socket = Watched::new(&node.poller, socket, LISTENER as usize * 2, true, false)?;
         Ok(Listener { socket })
     }
 
@@ -403,7 +400,7 @@
         let open = match first_line(text, &node.config.classes) {
             Some(First::Ping) => {
                 // The front sends clients once this is answered: only when they can be served.
-                let able = node.core.able() && node.leaving.is_none();
+                let able = node.serves().is_ok();
                 return self.answer(node, if able { b"PONG\r\n" } else { b"BUSY\r\n" });
             }
             Some(First::Open(open)) => open,
--- /dev/null
+++ b/node/src/management.rs
@@ -0,0 +1,276 @@
+//! The second address, for the staff: each connection carries one line, and one line comes back that begins with `done` or
+//! `error`. It knows the syntax only; what a call does is the node's matter.
+
+use crate::event_loop::{Connection, Flow, Id, Message, Node, CALLS, MANAGEMENT};
+use crate::peer::LONGEST_LINE;
+use crate::poll::{self, Watched};
+use slog::{info, warn};
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// A caller may say nothing, or half of its call, for this long; and has this long to end after its answer.
+const PATIENCE: Duration = Duration::from_secs(5);
+const LINGER: Duration = Duration::from_secs(1);
+/// How long the listener rests when no descriptor is left.
+const REST: Duration = Duration::from_millis(50);
+/// New calls that one turn of the loop takes.
+const ACCEPTS: usize = 8;
+/// What is read of a caller after its call.
+const MOST_DRAINED: usize = 4 * LONGEST_LINE;
+
+/// A call.
+#[derive(Debug, PartialEq, Eq)]
+enum Call<'a> {
+    Check,
+    SetDown(&'a str),
+    SetUp(&'a str),
+}
+
+/// Reads one line without its end; an error says what is wrong with it.
+fn call(line: &[u8]) -> Result<Call<'_>, String> {
+    let text = std::str::from_utf8(line).map_err(|_| "the call is not UTF-8".to_string())?;
+    let words: Vec<&str> = text.split(' ').filter(|word| !word.is_empty()).collect();
+    match words.as_slice() {
+        [] => Err("the call is empty".into()),
+        ["check"] => Ok(Call::Check),
+        ["set-down", server] => Ok(Call::SetDown(server)),
+        ["set-up", server] => Ok(Call::SetUp(server)),
+        ["set-down" | "set-up"] => Err(format!("{} needs the id of a transcriber", words[0])),
+        ["check" | "set-down" | "set-up", ..] => Err(format!("{} has too many arguments", words[0])),
+        [word, ..] => Err(format!("no call {word:?}; there are check, set-down ID and set-up ID")),
+    }
+}
+
+/// The calls that are held, the oldest first.
+type Held = Rc<RefCell<BTreeSet<Id>>>;
+
+/// Takes calls in.
+pub struct Management {
+    socket: Watched<TcpListener>,
+    held: Held,
+    next: Id,
+}
+
+impl Management {
+    /// Listens on this address.
+    pub fn new(node: &Node, address: SocketAddr) -> io::Result<Management> {
+        let named = |error| io::Error::other(format!("management at {address}: {error}"));
+        let socket = poll::listen(address).map_err(named)?;
+        let socket = Watched::new(&node.poller, socket, MANAGEMENT as usize * 2, true, false)?;
+        info!(node.log, "taking calls"; "management" => %address);
+        Ok(Management { socket, held: Held::default(), next: CALLS })
+    }
+
+    fn take(&mut self, node: &mut Node) -> io::Result<()> {
+        for _ in 0..ACCEPTS {
+            let stream = match self.socket.accept() {
+                Ok((stream, _)) => stream,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => continue,
+                Err(error) => return Err(error),
+            };
+            stream.set_nonblocking(true)?;
+            self.next += 1;
+            let id = self.next;
+            let stream = Watched::new(&node.poller, stream, id as usize * 2, true, false)?;
+            self.held.borrow_mut().insert(id);
+            let mut caller =
+                Caller { id, held: Rc::clone(&self.held), stream, bytes: Vec::new(), answered: false };
+            // Guards against callers by the hundred that say nothing and keep out one that does.
+            if self.held.borrow().len() > node.config.most_calls() {
+                if let Some(oldest) = self.held.borrow().first() {
+                    node.tell(*oldest, Message::Close);
+                }
+            }
+            if caller.read(node) == Flow::Keep {
+                node.deadlines.set(id, 0, Instant::now() + caller.patience());
+                node.adopt(id, Box::new(caller));
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Connection for Management {
+    fn ready(&mut self, node: &mut Node, _side: usize, _readable: bool, _writable: bool) -> Flow {
+        if let Err(error) = self.take(node) {
+            warn!(node.log, "cannot take calls for now"; "error" => %error);
+            if self.socket.want(false, false).is_ok() {
+                node.deadlines.set(MANAGEMENT, 0, Instant::now() + REST);
+            }
+        }
+        Flow::Keep
+    }
+
+    fn due(&mut self, node: &mut Node, _purpose: u64) -> Flow {
+        if self.socket.want(true, false).is_err() {
+            node.deadlines.set(MANAGEMENT, 0, Instant::now() + REST);
+        }
+        Flow::Keep
+    }
+
+    fn told(&mut self, _node: &mut Node, _message: Message) -> Flow {
+        Flow::Keep
+    }
+}
+
+/// One call.
+struct Caller {
+    id: Id,
+    held: Held,
+    stream: Watched<TcpStream>,
+    /// What has come of the call; once it is answered, what is not written of the answer.
+    bytes: Vec<u8>,
+    answered: bool,
+}
+
+impl Drop for Caller {
+    fn drop(&mut self) {
+        self.held.borrow_mut().remove(&self.id);
+    }
+}
+
+impl Caller {
+    fn patience(&self) -> Duration {
+        if self.answered {
+            LINGER
+        } else {
+            PATIENCE
+        }
+    }
+
+    fn read(&mut self, node: &mut Node) -> Flow {
+        let (mut scratch, mut taken) = ([0; 4 << 10], 0);
+        while taken < MOST_DRAINED {
+            let read = match self.stream.read(&mut scratch) {
+                Ok(0) if self.answered || self.bytes.is_empty() => return Flow::Done,
+                Ok(0) => return self.answer(node, Err("the call does not end".into())),
+                Ok(read) => read,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Flow::Keep,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                Err(_) => return Flow::Done,
+            };
+            taken += read;
+            if self.answered {
+                continue;
+            }
+            self.bytes.extend_from_slice(&scratch[..read]);
+            let end = self.bytes.iter().position(|byte| *byte == b'\n');
+            let flow = match end {
+                Some(end) if end < LONGEST_LINE => {
+                    let mut line = std::mem::take(&mut self.bytes);
+                    line.truncate(end);
+                    let outcome = carry_out(node, line.strip_suffix(b"\r").unwrap_or(&line));
+                    self.answer(node, outcome)
+                }
+                _ if self.bytes.len() >= LONGEST_LINE => {
+                    self.answer(node, Err("the call is longer than 4 KiB".into()))
+                }
+                _ => Flow::Keep,
+            };
+            if flow == Flow::Done {
+                return Flow::Done;
+            }
+        }
+        Flow::Done
+    }
+
+    fn answer(&mut self, node: &mut Node, outcome: Result<(), String>) -> Flow {
+        self.answered = true;
+        self.bytes = match outcome {
+            Ok(()) => b"done\r\n".to_vec(),
+            Err(why) => format!("error {why}\r\n").into_bytes(),
+        };
+        node.deadlines.set(self.id, 0, Instant::now() + LINGER);
+        self.flush()
+    }
+
+    /// Writes what is left of the answer and ends the sending; the caller's end is awaited, for closing at once could
+    /// destroy an answer that it has not read yet.
+    fn flush(&mut self) -> Flow {
+        while !self.bytes.is_empty() {
+            match self.stream.write(&self.bytes) {
+                Ok(sent) => drop(self.bytes.drain(..sent)),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    return if self.stream.want(true, true).is_ok() { Flow::Keep } else { Flow::Done };
+                }
+                Err(_) => return Flow::Done,
+            }
+        }
+        if self.stream.shutdown(Shutdown::Write).is_err() || self.stream.want(true, false).is_err() {
+            return Flow::Done;
+        }
+        Flow::Keep
+    }
+}
+
+/// Does what a call asks for.
+fn carry_out(node: &mut Node, line: &[u8]) -> Result<(), String> {
+    let outcome = match call(line)? {
+        Call::Check => return node.serves(),
+        Call::SetDown(server) => node.by_hand(server, true),
+        Call::SetUp(server) => node.by_hand(server, false),
+    };
+    let told = String::from_utf8_lossy(line).into_owned();
+    info!(node.log, "call"; "line" => told, "error" => outcome.as_ref().err().cloned());
+    outcome
+}
+
+impl Connection for Caller {
+    fn ready(&mut self, node: &mut Node, _side: usize, readable: bool, writable: bool) -> Flow {
+        if writable && self.answered && self.flush() == Flow::Done {
+            return Flow::Done;
+        }
+        if readable {
+            self.read(node)
+        } else {
+            Flow::Keep
+        }
+    }
+
+    fn due(&mut self, node: &mut Node, _purpose: u64) -> Flow {
+        if self.answered {
+            Flow::Done
+        } else {
+            self.answer(node, Err("no whole call came in time".into()))
+        }
+    }
+
+    fn told(&mut self, _node: &mut Node, message: Message) -> Flow {
+        if matches!(message, Message::Close) {
+            Flow::Done
+        } else {
+            Flow::Keep
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    #[rstest]
+    #[case(b"check", Ok(Call::Check))]
+    #[case(b"set-down s-1", Ok(Call::SetDown("s-1")))]
+    #[case(b"  set-up   s-1 ", Ok(Call::SetUp("s-1")))]
+    #[case(b"", Err("empty"))]
+    #[case(b"check now", Err("too many"))]
+    #[case(b"set-down", Err("needs the id"))]
+    #[case(b"set-up a b", Err("too many"))]
+    #[case(b"Check", Err("no call \"Check\""))]
+    #[case(b"set-down \xff", Err("UTF-8"))]
+    fn a_call_is_read_or_what_is_wrong_is_named(
+        #[case] line: &[u8],
+        #[case] expected: Result<Call<'_>, &str>,
+    ) {
+        match (call(line), expected) {
+            (Err(why), Err(part)) => assert!(why.contains(part), "{why}"),
+            (read, expected) => assert_eq!(read, expected.map_err(str::to_string)),
+        }
+    }
+}
--- a/node/src/poll.rs
+++ b/node/src/poll.rs
@@ -4,7 +4,7 @@
 use polling::{Event, PollMode, Poller};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::ops::{Deref, DerefMut};
 use std::os::fd::AsFd;
 use std::rc::Rc;
@@ -63,6 +63,16 @@
     Watched::new(poller, TcpStream::from(socket), key, false, true)
 }
 
+/// Listens on this address only.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(1024)?;
+    Ok(TcpListener::from(socket))
+}
+
 impl<S: AsFd> Deref for Watched<S> {
     type Target = S;
     fn deref(&self) -> &S {
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -77,6 +77,7 @@
     pub watch: Option<Line>,
     node: Child,
     listen: SocketAddr,
+    management: SocketAddr,
     hosts: Vec<SocketAddr>,
     pub config: serde_json::Value,
     file: std::path::PathBuf,
@@ -115,6 +116,8 @@
         let free = listen().local_addr().unwrap();
         let example = include_str!("../../../examples/config.json");
         let mut config: serde_json::Value = serde_json::from_str(example).unwrap();
+        let management = listen().local_addr().unwrap();
+        config["management"] = management.to_string().into();
         config["listen"] = free.to_string().into();
         config["discovery"] = discovery.local_addr().unwrap().to_string().into();
         config["limits"]["sockets"] = sockets.into();
@@ -128,7 +131,7 @@
             .stderr(std::fs::File::create(file.with_extension("log")).unwrap())
             .spawn()
             .unwrap();
-        Rig { peers, discovery, watch: None, node, listen: free, hosts, config, file, next: 0 }
+        Rig { peers, discovery, watch: None, node, listen: free, management, hosts, config, file, next: 0 }
     }
 
     pub fn client(&self) -> Line {
@@ -142,6 +145,18 @@
         client.hear()
     }
 
+    /// A caller at the second address.
+    pub fn caller(&self) -> Line {
+        Line::new(within("the node takes calls", || TcpStream::connect(self.management).ok()))
+    }
+
+    /// What a call of the staff is answered.
+    pub fn manage(&self, call: &str) -> String {
+        let mut caller = self.caller();
+        caller.say(call);
+        caller.hear()
+    }
+
     /// A client whose `OPEN` line has these further fields, with that line.
     pub fn open(&mut self, fields: &str) -> (Line, String) {
         self.next += 1;
--- a/node/tests/rules.rs
+++ b/node/tests/rules.rs
@@ -279,7 +279,7 @@
 
 #[test]
 fn with_descriptors_running_out_clients_are_still_answered_and_later_ones_served() {
-    let mut rig = Rig::with_sockets(1, 64);
+    let mut rig = Rig::with_sockets(1, 68);
     let held: Vec<_> = (0..9).map(|_| rig.up()).collect();
     let (mut client, _) = rig.open("d=1000,g=a");
     assert!(client.hear().starts_with("BUSY "));
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -6,6 +6,7 @@
 
 use crate::asking::Asking;
 use crate::bits::{fraction, murmur, part_of, short_name};
+use crate::by_hand::ByHand;
 use crate::fleet::{Fleet, Server};
 use crate::interface::*;
 use crate::order::Walk;
@@ -45,6 +46,7 @@
 /// Moves: at most this part of the connections held a second, saved up to this part.
 const MOVES_PER_S: f64 = 0.15;
 const MOVES_SAVED: f64 = 0.3;
+const EMPTIED: f64 = 100.0; // connections that leave a server out by hand each second, whatever the budget
 /// Servers of one zone out of reach within this time may tell that all of it is; so long it is left.
 const ZONE_LOST: Duration = Duration::from_secs(2);
 const STRIKES: u32 = 2; // failures in a row, with no success between, that bar a server
@@ -142,17 +144,6 @@
     request.group.map_or(true, |group| server.groups.contains_key(&group))
 }
 
-fn is_cold(settings: &Settings, now: Time, server: &Server) -> bool {
-    server.started.is_some_and(|started| now < started.after(settings.cold_for))
-}
-
-/// The share of its capacity that a server has at the least.
-fn warmth(settings: &Settings, now: Time, server: &Server) -> f64 {
-    let Some(started) = server.started else { return 1.0 };
-    let part = now.since(started).as_secs_f64() / settings.cold_for.as_secs_f64().max(1e-9);
-    (settings.start_capacity + (1.0 - settings.start_capacity) * part).min(1.0)
-}
-
 struct Attempt {
     server: Slot,
     /// Inherited, or the first try of a mid-flow connection: at its holder there is nothing to set up, so it
@@ -194,6 +185,7 @@
     /// For what the gateways of a fleet share out among them: a stream of its own, so that neither shifts the
     /// other.
     chance: Pcg32,
+    by_hand: ByHand,
     fleet: Fleet,
     requests: HashMap<RequestId, Request>,
     class_loads: Vec<(f64, f64)>,
@@ -239,6 +231,7 @@
             class_loads: vec![(0.0, 0.0); settings.classes.len()],
             asking: Asking::new(settings.instances),
             settings,
+            by_hand: ByHand::default(),
             fleet: Fleet::default(),
             requests: HashMap::new(),
             setup_mean: 0.0,
@@ -264,6 +257,11 @@
         }
     }
 
+    /// Which servers are out by hand, and which are known.
+    pub fn by_hand(&self) -> &ByHand {
+        &self.by_hand
+    }
+
     /// Takes in one event and appends what is to be done. `now` must not run backwards.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
         match event {
@@ -278,6 +276,10 @@
             }
             Event::List { entries, cached } => self.list(now, entries, true, cached, actions),
             Event::ListChange(entries) => self.list(now, entries, false, false, actions),
+            Event::ByHand(out) => {
+                let changed = self.by_hand.set(now, out);
+                self.take_in(now, changed, false, actions);
+            }
             Event::ListFailed if self.settings.list_must_be_asked => {
                 let after = self.asking.again(fraction(&mut self.chance));
                 actions.push(Action::SetTimer { after, handle: LIST_HANDLE });
@@ -344,6 +346,11 @@
 
     fn list(&mut self, now: Time, entries: Vec<Listed>, whole: bool, cached: bool, actions: &mut Actions) {
         self.asking.answered(cached);
+        let shown = self.by_hand.list(entries, whole);
+        self.take_in(now, shown, whole, actions);
+    }
+
+    fn take_in(&mut self, now: Time, entries: Vec<Listed>, whole: bool, actions: &mut Actions) {
         let mut lost = 0.0;
         let named = entries.into_iter().map(|entry| self.listed(now, entry, &mut lost));
         let named: BTreeSet<Slot> = named.collect();
@@ -382,7 +389,7 @@
             server.cell = entry.cell;
             server.kind = entry.kind;
             server.weight = if entry.weight > 0.0 { entry.weight } else { 1.0 };
-            let cold = is_cold(settings, now, server);
+            let cold = server.is_cold(settings, now);
             let was_cold = std::mem::replace(&mut server.cold, cold);
             *budget += if cold && (fresh || !was_cold) { saved } else { 0.0 };
         });
@@ -594,7 +601,7 @@
                 server.crashed = false;
                 server.started = server.started.max(Some(now));
                 (server.tokens, server.refilled) = (0.0, now);
-                server.cold = is_cold(settings, now, server);
+                server.cold = server.is_cold(settings, now);
             }
         });
         self.pump(now, actions);
@@ -848,7 +855,7 @@
         // Where others hold most of a group, the few connections seen here say little: room for one group's
         // shared work guards against every gateway splitting every group.
         let unseen = 1.0 - 1.0 / f64::from(self.settings.instances.max(1));
-        let part = view.fair * server.weight * warmth(&self.settings, now, server);
+        let part = view.fair * server.weight * server.warmth(&self.settings, now);
         let allowed = (part * HEADROOM + view.group_cost * unseen) * slack;
         after <= cap && (firm || server.held.is_empty() || after <= allowed)
     }
@@ -1165,6 +1172,9 @@
 
     fn tick(&mut self, now: Time, actions: &mut Actions) {
         actions.push(Action::SetTimer { after: TICK, handle: TICK_HANDLE });
+        for server in self.by_hand.out().iter().map(|id| self.fleet.servers.slot(id)).collect::<Vec<_>>() {
+            self.empty(server, EMPTIED, actions);
+        }
         let all_held = self.fleet.sums.held;
         self.move_tokens = (self.move_tokens + MOVES_PER_S * all_held).min((MOVES_SAVED * all_held).max(1.0));
         self.seen *= 1.0 - SEEN_FADES;
@@ -1223,10 +1233,10 @@
             let settings = &self.settings;
             self.fleet.change(at, |server| {
                 server.load = load;
-                server.cold = is_cold(settings, now, server);
+                server.cold = server.is_cold(settings, now);
                 if server.cold {
                     let span = now.since(server.refilled).as_secs_f64();
-                    let due = span * rate.max(floor) * warmth(settings, now, server) * within;
+                    let due = span * rate.max(floor) * server.warmth(settings, now) * within;
                     refill += due * if warm >= 1.0 { GUESSED } else { 1.0 };
                     server.part = part_of_demand(due / span.max(1e-9));
                     // What the others send is not known: this one keeps to one in a window, or its part.
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -172,6 +172,18 @@
 }
 
 impl Server {
+    /// Whether it started lately.
+    pub fn is_cold(&self, settings: &Settings, now: Time) -> bool {
+        self.started.is_some_and(|started| now < started.after(settings.cold_for))
+    }
+
+    /// The share of its capacity that it has at the least.
+    pub fn warmth(&self, settings: &Settings, now: Time) -> f64 {
+        let Some(started) = self.started else { return 1.0 };
+        let part = now.since(started).as_secs_f64() / settings.cold_for.as_secs_f64().max(1e-9);
+        (settings.start_capacity + (1.0 - settings.start_capacity) * part).min(1.0)
+    }
+
     /// Takes in its state as listed. Gives its weight if it is lost: gone without having drained.
     pub fn turn(&mut self, now: Time, health: Health) -> f64 {
         let lost = self.health == Health::Ready && health == Health::Gone;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,5 +1,6 @@
 //! What goes into a balancer and what comes out of it: ids, time, settings, events and actions.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -267,6 +268,9 @@
     },
     /// What another gateway told by [`Action::Tell`].
     Told(String),
+    /// Exactly these servers are out by hand from now on: nothing new goes there, whatever the list says, and what
+    /// stands there is moved. One that is out no more counts as just started.
+    ByHand(BTreeSet<ServerId>),
     /// A timer set by [`Action::SetTimer`] has come due.
     Timer(u64),
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 mod asking;
 mod balance;
 mod bits;
+pub mod by_hand;
 mod fleet;
 pub mod interface;
 mod order;
