At an upgrade the older process hands its connections over to the newer one

Ruled out: the door (0 requests ended there), readiness (0.0 s).

Change: node/src/upgrade/ with a lock, a Unix socket for packets with descriptors and the file of who is out; Relay and Client hand themselves over and are frozen until the other says whose they are. The inherited descriptor is taken before anything else is opened: a test with descriptor 9 found the process's own there. No warning any more that no transcriber is left before a list is known.

Tests: node/tests/upgrade.rs.

--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -85,6 +85,9 @@
     stands: bool,
     /// Nobody waits for it any more.
     over: bool,
+    /// As it came, and its load as last told, in microseconds of work a second: for who takes it over.
+    incoming: Incoming,
+    load: Option<f64>,
     /// When each line of the client went on that nothing has come back for yet.
     unanswered: VecDeque<Instant>,
     load_lines: LoadLines,
@@ -288,16 +291,9 @@
         self.balancer.by_hand().out()
     }
 
-    /// Which transcribers are out by hand once this one is, or is not any more; `None` if there is no such one.
-    pub fn out_with(&self, server: &str, down: bool) -> Option<BTreeSet<ServerId>> {
-        let server = ServerId::from(server);
-        let mut out = self.balancer.by_hand().knows(&server).then(|| self.out().clone())?;
-        if down {
-            out.insert(server);
-        } else {
-            out.remove(&server);
-        }
-        Some(out)
+    /// Whether a transcriber of this id is listed or out by hand.
+    pub fn knows(&self, server: &ServerId) -> bool {
+        self.balancer.by_hand().knows(server)
     }
 
     /// From now on exactly these transcribers are out by hand.
@@ -307,8 +303,8 @@
         }
         let names: Vec<&str> = out.iter().map(|server| &*server.0).collect();
         info!(self.log, "out by hand"; "transcribers" => names.join(" "));
-        let ready = self.group.iter().filter(|(_, (_, health))| *health == Health::Ready);
-        if !out.is_empty() && ready.clone().all(|(server, _)| out.contains(server)) {
+        let mut ready = self.group.iter().filter(|(_, (_, health))| *health == Health::Ready).peekable();
+        if ready.peek().is_some() && ready.all(|(server, _)| out.contains(server)) {
             warn!(self.log, "no transcriber is left: all clients are refused"; "out" => out.len());
         }
         self.feed(Event::ByHand(out));
@@ -331,6 +327,8 @@
             tried_at: now,
             stands: false,
             over: false,
+            incoming: incoming.clone(),
+            load: None,
             unanswered: VecDeque::new(),
             load_lines: LoadLines::default(),
         };
@@ -368,6 +366,37 @@
         self.feed(Event::Inherited(incoming, server.into()));
     }
 
+    /// What another process needs to go on with a standing connection: its request, where it stands, its load and when
+    /// lines went on that nothing has come back for. `None` for one that is about to end.
+    pub fn standing(
+        &self,
+        request: RequestId,
+    ) -> Option<(&Incoming, &ServerId, Option<f64>, &VecDeque<Instant>)> {
+        let context = self.contexts.get(&request).filter(|context| context.stands && !context.over)?;
+        Some((&context.incoming, context.server.as_ref()?, context.load, &context.unanswered))
+    }
+
+    /// A connection comes from the process before this one.
+    pub fn take_over(
+        &mut self,
+        owner: Id,
+        incoming: Incoming,
+        server: &str,
+        load: Option<f64>,
+        unanswered: VecDeque<Instant>,
+    ) {
+        let request = incoming.request;
+        self.inherited(owner, incoming, server);
+        if let Some(context) = self.contexts.get_mut(&request) {
+            context.load = load;
+            context.unanswered = unanswered;
+            context.unanswered.truncate(MOST_UNANSWERED);
+        }
+        if let Some(load) = load {
+            self.feed(Event::LoadNote { request, load: Duration::from_secs_f64(load / 1e6) });
+        }
+    }
+
     /// The present try is up.
     pub fn try_up(&mut self, request: RequestId) {
         let Some(context) = self.contexts.get_mut(&request) else { return };
@@ -437,6 +466,9 @@
             }
         };
         if let Some(load) = load {
+            if let Some(context) = self.contexts.get_mut(&request) {
+                context.load = Some(load);
+            }
             debug!(self.log, "load"; "request" => name(request), "us" => load as u64);
             self.feed(Event::LoadNote { request, load: Duration::from_secs_f64(load / 1e6) });
         }
--- a/node/src/event_loop.rs
+++ b/node/src/event_loop.rs
@@ -3,7 +3,9 @@
 use crate::config::Config;
 use crate::core::{Core, Order, TryOrder};
 use crate::deadlines::Deadlines;
+use crate::upgrade::{self, link::Said, Upgrade};
 use crate::{discovery, line_front, management, peer::Up};
+use lupincrank::ServerId;
 use polling::{Events, Poller};
 use slog::{info, warn, Logger};
 use std::cell::Cell;
@@ -29,6 +31,8 @@
 
 /// The listener for calls of the staff.
 pub const MANAGEMENT: Id = 4;
+/// The link to another process of this node.
+pub const UPGRADE: Id = 5;
 /// Calls of the staff have names from here on: their sockets are looked at before all others.
 pub const CALLS: Id = 1 << 60;
 
@@ -56,6 +60,14 @@
     Moved,
     /// The owner has no more use for this object.
     Close,
+    /// Take no clients in for now.
+    Rest,
+    /// Go over to the process that takes this one's place; then whether that happened.
+    HandOver,
+    /// See `HandOver`: the sockets are the other's now.
+    Handed,
+    /// See `HandOver`: nothing has changed.
+    Kept,
 }
 
 /// Whether an object lives on after a callback.
@@ -97,6 +109,10 @@
     pub began: Instant,
     /// Set at SIGTERM: when all must be done.
     pub leaving: Option<Instant>,
+    /// The other process of this node, if there is one.
+    pub upgrade: Upgrade,
+    /// Set for a moment when all connections are to be handed over.
+    pub hand_over: bool,
     outbox: VecDeque<(Id, Message)>,
     born: Vec<(Id, Box<dyn Connection>)>,
     next: Id,
@@ -124,13 +140,22 @@
         if self.leaving.is_some() {
             return Err("this process is ending".into());
         }
+        if !self.upgrade.settled() {
+            return Err("the process before this one has not been reached yet".into());
+        }
         self.core.able().map_err(str::to_string)
     }
 
     /// Takes a transcriber out by hand or back in.
     pub fn by_hand(&mut self, server: &str, down: bool) -> Result<(), String> {
-        let out = self.core.out_with(server, down).ok_or_else(|| format!("no transcriber {server:?}"))?;
+        let id = ServerId::from(server);
+        if !self.core.knows(&id) {
+            return Err(format!("no transcriber {server:?}"));
+        }
+        // Written before it is obeyed: what was answered with yes holds across any end of this process.
+        let out = self.upgrade.change(&id, down, self.core.out())?;
         self.core.set_out(out);
+        self.upgrade.say(&Said::Out);
         Ok(())
     }
 
@@ -159,8 +184,12 @@
 impl EventLoop {
     /// Sets up the listener, discovery and signals.
     pub fn new(config: Config, log: Logger) -> io::Result<EventLoop> {
+        // Before anything else is opened, which could get the number of a descriptor that is not there.
+        let inherited =
+            config.inherited.map(|fd| upgrade::inherited::listener(fd, config.listen)).transpose()?;
         let poller = Rc::new(Poller::new()?);
         let core = Core::new(&config, log.clone());
+        let upgrade = Upgrade::new(&config);
         let node = Node {
             poller,
             deadlines: Deadlines::default(),
@@ -171,16 +200,20 @@
             strangers: line_front::Strangers::default(),
             began: Instant::now(),
             leaving: None,
+            upgrade,
+            hand_over: false,
             outbox: VecDeque::new(),
             born: Vec::new(),
-            next: MANAGEMENT,
+            next: UPGRADE,
         };
         let mut this = EventLoop { node, objects: HashMap::new() };
         let signals = crate::signals::Signals::new(&this.node)?;
         this.objects.insert(SIGNALS, Box::new(signals));
         this.objects.insert(DISCOVERY, Box::new(discovery::Discovery::new(&this.node.config)));
-        let listener = line_front::Listener::new(&this.node)?;
+        let listener = line_front::Listener::new(&this.node, inherited)?;
         this.objects.insert(LISTENER, Box::new(listener));
+        this.objects.insert(UPGRADE, Box::new(upgrade::Watch));
+        upgrade::begin(&mut this.node);
         if let Some(address) = this.node.config.management {
             let management = management::Management::new(&this.node, address)?;
             this.objects.insert(MANAGEMENT, Box::new(management));
@@ -241,6 +274,12 @@
         loop {
             self.node.carry_out();
             self.objects.extend(self.node.born.drain(..));
+            if std::mem::take(&mut self.node.hand_over) {
+                let ids = self.objects.keys().copied().filter(|id| (UPGRADE + 1..CALLS).contains(id));
+                let mut ids: Vec<Id> = ids.collect();
+                ids.sort_unstable();
+                self.node.upgrade.enqueue(ids);
+            }
             let Some((id, message)) = self.node.outbox.pop_front() else { break };
             if !self.objects.contains_key(&id) {
                 // A socket handed to an object that has ended meanwhile is closed with the message.
--- a/node/src/line_front.rs
+++ b/node/src/line_front.rs
@@ -1,10 +1,10 @@
 //! The platform's line protocol towards clients: the listener, the first line, and the answers to it.
 
 use crate::event_loop::{Connection, Flow, Id, Message, Node, LISTENER};
-use crate::inherited;
 use crate::peer::{Peer, Try, Up, LONGEST_LINE};
 use crate::poll::{self, Watched};
 use crate::relay::Relay;
+use crate::upgrade::link::Said;
 use lupincrank::{Incoming, RequestId, Time};
 use slog::{debug, warn};
 use std::cell::{Cell, RefCell};
@@ -12,6 +12,7 @@
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::ops::Range;
+use std::os::fd::{AsFd, OwnedFd};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -40,7 +41,8 @@
 pub struct Seat(Rc<Cell<usize>>);
 
 impl Seat {
-    fn take(taken: &Rc<Cell<usize>>) -> Seat {
+    /// Takes a place.
+    pub fn take(taken: &Rc<Cell<usize>>) -> Seat {
         taken.set(taken.get() + 1);
         Seat(Rc::clone(taken))
     }
@@ -80,17 +82,19 @@
 /// Takes clients in.
 pub struct Listener {
     socket: Watched<TcpListener>,
+    /// Another process takes clients in from the same socket; what waits there is left to it.
+    rests: bool,
 }
 
 impl Listener {
-    /// Listens on the configured address only.
-    pub fn new(node: &Node) -> io::Result<Listener> {
-        let socket = match node.config.inherited {
-            Some(descriptor) => inherited::listener(descriptor, node.config.listen)?,
+    /// Listens on the configured address only, or at the socket that was inherited.
+    pub fn new(node: &Node, inherited: Option<TcpListener>) -> io::Result<Listener> {
+        let socket = match inherited {
+            Some(socket) => socket,
             None => poll::listen(node.config.listen)?,
         };
         let socket = Watched::new(&node.poller, socket, LISTENER as usize * 2, true, false)?;
-        Ok(Listener { socket })
+        Ok(Listener { socket, rests: false })
     }
 
     fn take(&mut self, node: &mut Node) -> io::Result<()> {
@@ -108,7 +112,7 @@
             let stream = Watched::new(&node.poller, stream, id as usize * 2, true, false)?;
             let place = Some(Place::take(node, id, FIRST_LINE));
             let (stream, bytes, state) = (Some(stream), Vec::new(), State::First);
-            let mut client = Client { id, seat: None, place, stream, bytes, state };
+            let mut client = Client { id, seat: None, place, stream, bytes, state, frozen: false };
             // Most have sent their line by now: guards against taking one that asks for one that says nothing.
             if client.read(node) == Flow::Keep {
                 node.adopt(id, Box::new(client));
@@ -144,15 +148,20 @@
     }
 
     fn due(&mut self, node: &mut Node, _purpose: u64) -> Flow {
-        if let Err(error) = self.socket.want(true, false) {
+        if let Err(error) = self.socket.want(!self.rests, false) {
             warn!(node.log, "cannot listen again yet"; "error" => %error);
             node.deadlines.set(LISTENER, 0, Instant::now() + REST);
         }
         Flow::Keep
     }
 
-    fn told(&mut self, _node: &mut Node, _message: Message) -> Flow {
-        Flow::Keep
+    fn told(&mut self, node: &mut Node, message: Message) -> Flow {
+        match message {
+            Message::Rest => self.rests = true,
+            Message::Begin => self.rests = false,
+            _ => return Flow::Keep,
+        }
+        self.due(node, 0)
     }
 }
 
@@ -285,9 +294,35 @@
     /// What was read and is not used yet; once it is closing, what is still to be written.
     bytes: Vec<u8>,
     state: State,
+    /// On its way to another process: nothing is read until it is known whose it is.
+    frozen: bool,
 }
 
 impl Client {
+    /// Goes on with a client of another process whose first line is not whole yet.
+    pub fn take_over(node: &mut Node, socket: OwnedFd, bytes: Vec<u8>, left: Duration) {
+        let id = node.name();
+        let Ok(stream) = Watched::new(&node.poller, TcpStream::from(socket), id as usize * 2, true, false)
+        else {
+            return;
+        };
+        let place = Some(Place::take(node, id, left.min(FIRST_LINE)));
+        let (stream, state) = (Some(stream), State::First);
+        node.adopt(id, Box::new(Client { id, seat: None, place, stream, bytes, state, frozen: false }));
+    }
+
+    fn hand_over(&mut self, node: &mut Node) {
+        let (State::First, Some(stream), Some(place)) = (&self.state, &mut self.stream, &self.place) else {
+            return;
+        };
+        let left = place.key.0.saturating_duration_since(Instant::now()).as_millis() as u64;
+        let said = |number| Said::First(number, left);
+        if matches!(node.upgrade.hand(self.id, said, &self.bytes, &[stream.as_fd()]), Ok(true)) {
+            self.frozen = true;
+            let _ = stream.want(false, false);
+        }
+    }
+
     fn answer(&mut self, node: &mut Node, answer: &[u8]) -> Flow {
         self.state = State::Closing(0);
         self.bytes = answer.to_vec();
@@ -483,6 +518,9 @@
 
 impl Connection for Client {
     fn ready(&mut self, node: &mut Node, _side: usize, readable: bool, writable: bool) -> Flow {
+        if self.frozen {
+            return Flow::Keep;
+        }
         if writable && matches!(self.state, State::Closing(_)) && self.flush() == Flow::Done {
             return Flow::Done;
         }
@@ -495,6 +533,7 @@
 
     fn due(&mut self, node: &mut Node, purpose: u64) -> Flow {
         match self.state {
+            _ if self.frozen => Flow::Keep,
             State::First if self.bytes.is_empty() => Flow::Done,
             State::First => self.reject_line(node, "it takes too long"),
             State::Waiting(_) if purpose == AGAIN => self.resume(node),
@@ -503,6 +542,19 @@
     }
 
     fn told(&mut self, node: &mut Node, message: Message) -> Flow {
+        match message {
+            Message::HandOver => self.hand_over(node),
+            Message::Handed => return Flow::Done,
+            Message::Kept => {
+                self.frozen = false;
+                if let Some(place) = &self.place {
+                    node.deadlines.set(self.id, PATIENCE, place.key.0);
+                }
+                let read = self.stream.as_mut().is_some_and(|stream| stream.want(true, false).is_ok());
+                return if read { Flow::Keep } else { Flow::Done };
+            }
+            _ => {}
+        }
         let State::Waiting(waiting) = &mut self.state else {
             return if matches!(message, Message::Close) { Flow::Done } else { Flow::Keep };
         };
@@ -530,9 +582,7 @@
                 node.deadlines.set(self.id, AGAIN, Instant::now() + OLD_PAUSE);
                 Flow::Keep
             }
-            Message::Move | Message::Begin | Message::Subscribe | Message::Moved | Message::Close => {
-                Flow::Keep
-            }
+            _ => Flow::Keep,
         }
     }
 }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -6,7 +6,6 @@
 mod deadlines;
 mod discovery;
 mod event_loop;
-mod inherited;
 mod line_front;
 mod load_lines;
 mod management;
@@ -14,6 +13,7 @@
 mod poll;
 mod relay;
 mod signals;
+mod upgrade;
 
 use cli::Command;
 use config::Config;
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -4,10 +4,13 @@
 use crate::line_front::Seat;
 use crate::peer::{said, Said, Up, LONGEST_LINE};
 use crate::poll::Watched;
-use lupincrank::{Outcome, RequestId};
+use crate::upgrade::link::{self, Standing};
+use lupincrank::{Incoming, Outcome, RequestId, Time};
+use slog::debug;
 use socket2::SockRef;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, TcpStream};
+use std::os::fd::{AsFd, OwnedFd};
 use std::time::{Duration, Instant};
 
 /// What one side may bring in one turn of the loop, and in one read.
@@ -81,6 +84,10 @@
     last: Said,
     /// The core knows that it has ended.
     told: bool,
+    /// On its way to another process: nothing is read or written until it is known whose it is. And whether it is to be
+    /// sent away if it stays.
+    frozen: bool,
+    moves: bool,
 }
 
 impl Relay {
@@ -100,16 +107,118 @@
             part: Vec::new(),
             last: Said::Other,
             told: false,
+            frozen: false,
+            moves: false,
         };
         if rekeyed.is_err() {
             return relay.end(node, Outcome::Reset);
         }
         relay.peer_sent(node, &bytes, false);
         if relay.pump(node) == Flow::Keep {
+            if node.upgrade.handing() {
+                node.upgrade.enqueue([id]);
+            }
             node.adopt(id, Box::new(relay));
         }
     }
 
+    /// Whether a connection that another process hands over can go on here.
+    pub fn may_take(node: &Node, record: &Standing, bytes: &[u8]) -> bool {
+        let whole = record.lengths.iter().try_fold(0usize, |sum, part| sum.checked_add(*part));
+        whole == Some(bytes.len())
+            && node.config.classes.contains(&record.class)
+            && !node.core.holds(RequestId(record.request))
+    }
+
+    /// Goes on with a connection of another process, where that one left off.
+    pub fn take_over(node: &mut Node, record: Standing, bytes: &[u8], [client, peer]: [OwnedFd; 2]) {
+        let id = node.name();
+        let watch = |fd: OwnedFd, side| {
+            let stream = TcpStream::from(fd);
+            Watched::new(&node.poller, stream, id as usize * 2 + side, true, false)
+        };
+        let (Ok(client), Ok(peer)) = (watch(client, CLIENT), watch(peer, 1)) else { return };
+        let request = RequestId(record.request);
+        let (up, rest) = bytes.split_at(record.lengths[0].min(bytes.len()));
+        let (down, part) = rest.split_at(record.lengths[1].min(rest.len()));
+        let pipe = |bytes: &[u8]| Pipe { bytes: bytes.to_vec(), ..Pipe::default() };
+        let mut relay = Relay {
+            id,
+            _seat: Seat::take(&node.clients),
+            request,
+            client,
+            peer: Some(peer),
+            up: pipe(up),
+            down: pipe(down),
+            most_held: node.config.most_held(),
+            part: part.to_vec(),
+            last: Said::Other,
+            told: false,
+            frozen: false,
+            moves: false,
+        };
+        let class = node.config.classes.iter().position(|class| *class == record.class).unwrap_or(0);
+        let incoming = Incoming {
+            request,
+            class,
+            tenant: None,
+            group: record.group,
+            key: record.key,
+            load: None,
+            expires: Time::default(),
+            mid_flow: false,
+            returned: record.returned,
+        };
+        let now = Instant::now();
+        let before = |ms: &u64| now.checked_sub(Duration::from_millis(*ms)).unwrap_or(now);
+        let unanswered = record.unanswered_ms.iter().map(before).collect();
+        let load = record.load_us.map(|load| load as f64);
+        node.core.take_over(id, incoming, &record.server, load, unanswered);
+        if relay.pump(node) == Flow::Keep {
+            node.adopt(id, Box::new(relay));
+        }
+    }
+
+    /// Sends both sockets and all that waits between them to the process that takes this one's place. One that is ending
+    /// ends here.
+    fn hand_over(&mut self, node: &mut Node) -> Flow {
+        let Some(peer) = self.peer.as_ref().filter(|_| !self.frozen && !self.up.ended && !self.down.ended)
+        else {
+            return Flow::Keep;
+        };
+        let Some((incoming, server, load, unanswered)) = node.core.standing(self.request) else {
+            return Flow::Keep;
+        };
+        let parts = [&self.up.bytes[self.up.sent..], &self.down.bytes[self.down.sent..], &self.part];
+        let record = Standing {
+            request: self.request.0,
+            class: node.config.classes.get(incoming.class).cloned().unwrap_or_default(),
+            group: incoming.group.clone(),
+            key: incoming.key.clone(),
+            returned: incoming.returned,
+            server: server.0.to_string(),
+            load_us: load.map(|load| load as u64),
+            unanswered_ms: unanswered.iter().map(|sent| sent.elapsed().as_millis() as u64).collect(),
+            lengths: parts.map(<[u8]>::len),
+        };
+        let (bytes, fds) = (parts.concat(), [self.client.as_fd(), peer.as_fd()]);
+        match node.upgrade.hand(self.id, |number| link::Said::Standing(number, record), &bytes, &fds) {
+            Ok(true) => {
+                self.frozen = true;
+                let quiet = self.client.want(false, false);
+                if quiet.and(self.peer.as_mut().map_or(Ok(()), |peer| peer.want(false, false))).is_err() {
+                    debug!(node.log, "cannot rest"; "request" => format!("{:016x}", self.request.0));
+                }
+                Flow::Keep
+            }
+            Ok(false) => Flow::Keep,
+            Err(error) => {
+                debug!(node.log, "cannot hand over"; "error" => %error);
+                self.send_away(node)
+            }
+        }
+    }
+
     fn end(&mut self, node: &mut Node, outcome: Outcome) {
         if !std::mem::replace(&mut self.told, true) {
             node.core.try_ended(self.request, outcome, true);
@@ -279,7 +388,9 @@
 
 impl Connection for Relay {
     fn ready(&mut self, node: &mut Node, side: usize, readable: bool, _writable: bool) -> Flow {
-        if readable {
+        if self.frozen {
+            Flow::Keep
+        } else if readable {
             self.read(node, side)
         } else {
             self.pump(node)
@@ -292,10 +403,20 @@
     }
 
     fn told(&mut self, node: &mut Node, message: Message) -> Flow {
-        if matches!(message, Message::Move) {
-            self.send_away(node)
-        } else {
-            Flow::Keep
+        match message {
+            Message::Move if self.frozen => self.moves = true,
+            Message::Move => return self.send_away(node),
+            Message::HandOver => return self.hand_over(node),
+            Message::Handed => {
+                self.end(node, Outcome::Cancelled);
+                return Flow::Done;
+            }
+            Message::Kept => {
+                self.frozen = false;
+                return if self.moves { self.send_away(node) } else { self.pump(node) };
+            }
+            _ => {}
         }
+        Flow::Keep
     }
 }
--- a/node/src/signals.rs
+++ b/node/src/signals.rs
@@ -69,8 +69,10 @@
 /// Whether a node that is to be gone at `until` may end now.
 pub fn may_exit(node: &Node, until: Instant) -> bool {
     let now = Instant::now();
-    let stayed = now + total(node.config.longest_deadline) >= until + STAYS;
-    now >= until || (stayed && node.clients.get() == 0 && node.strangers.borrow().is_empty())
+    // With a successor the listener is not this process's any more.
+    let stayed = node.upgrade.handing() || now + total(node.config.longest_deadline) >= until + STAYS;
+    let empty = node.clients.get() == 0 && node.strangers.borrow().is_empty() && node.upgrade.idle();
+    now >= until || (stayed && empty)
 }
 
 fn total(longest_deadline: Duration) -> Duration {
@@ -88,6 +90,9 @@
             let until = now + total(node.config.longest_deadline);
             info!(node.log, "leaving"; "clients" => node.clients.get());
             node.leaving = Some(until);
+            if node.upgrade.has_successor() {
+                crate::upgrade::leave(node);
+            }
             node.deadlines.set(SIGNALS, 0, until.checked_sub(FIRST_MOVE).unwrap_or(now));
         }
         Flow::Keep
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -76,6 +76,9 @@
     pub discovery: TcpListener,
     pub watch: Option<Line>,
     node: Child,
+    /// The clients' listening socket and the folder of both processes, where the rig holds them; and the older process.
+    holder: Option<(TcpListener, std::path::PathBuf)>,
+    pub older: Option<Child>,
     listen: SocketAddr,
     management: SocketAddr,
     hosts: Vec<SocketAddr>,
@@ -86,8 +89,17 @@
 
 impl Drop for Rig {
     fn drop(&mut self) {
-        let _ = self.node.kill();
-        let _ = self.node.wait();
+        for node in self.older.iter_mut().chain([&mut self.node]) {
+            let _ = node.kill();
+            let _ = node.wait();
+        }
+        if let Some((_, folder)) = &self.holder {
+            let _ = std::fs::remove_dir_all(folder);
+        }
+        if std::thread::panicking() {
+            let log = std::fs::read_to_string(self.file.with_extension("log"));
+            eprintln!("the node's log:\n{}", log.unwrap_or_default());
+        }
         let _ = std::fs::remove_file(&self.file);
         let _ = std::fs::remove_file(self.file.with_extension("log"));
     }
@@ -109,11 +121,64 @@
         rig
     }
 
+    /// A node that inherits its listener and may be started a second time.
+    pub fn inherits(peers: usize) -> Rig {
+        let listener = listen();
+        let port = listener.local_addr().unwrap().port();
+        let folder = std::env::temp_dir().join(format!("lupincrank-{}-{port}", std::process::id()));
+        std::fs::create_dir(&folder).unwrap();
+        let mut rig = Rig::begin(peers, 1024, Some((listener, folder)));
+        rig.watched();
+        rig.ready();
+        rig
+    }
+
+    /// The folder of both processes.
+    pub fn folder(&self) -> &std::path::Path {
+        &self.holder.as_ref().unwrap().1
+    }
+
+    /// Waits until the newest process says that it can serve.
+    pub fn ready(&self) {
+        within("done", || (self.manage("check\r\n") == "done").then_some(()));
+    }
+
+    /// Starts the node a second time, beside itself, with another management address.
+    pub fn second(&mut self) {
+        self.management = listen().local_addr().unwrap();
+        self.config["management"] = self.management.to_string().into();
+        std::fs::write(&self.file, self.config.to_string()).unwrap();
+        let fresh = spawn(&self.file, self.holder.as_ref());
+        if let Some(mut older) = self.older.replace(std::mem::replace(&mut self.node, fresh)) {
+            let _ = older.wait();
+        }
+    }
+
+    /// Starts it a second time and ends the first one.
+    pub fn upgrade(&mut self) {
+        self.second();
+        self.watched();
+        self.ready();
+        self.end_older();
+    }
+
+    /// Sends the older process SIGTERM and waits for its end.
+    pub fn end_older(&mut self) {
+        let older = self.older.as_mut().unwrap();
+        kill(older, "-TERM");
+        assert!(within("the older process ends", || older.try_wait().unwrap()).success());
+    }
+
     pub fn launch(peers: usize, sockets: usize) -> Rig {
+        Rig::begin(peers, sockets, None)
+    }
+
+    fn begin(peers: usize, sockets: usize, holder: Option<(TcpListener, std::path::PathBuf)>) -> Rig {
         let peers: Vec<_> = (0..peers).map(|_| Some(listen())).collect();
         let hosts: Vec<_> = peers.iter().flatten().map(|peer| peer.local_addr().unwrap()).collect();
         let discovery = listen();
-        let free = listen().local_addr().unwrap();
+        let free = holder.as_ref().map(|(listener, _)| listener.local_addr().unwrap());
+        let free = free.unwrap_or_else(|| listen().local_addr().unwrap());
         let example = include_str!("../../../examples/config.json");
         let mut config: serde_json::Value = serde_json::from_str(example).unwrap();
         let management = listen().local_addr().unwrap();
@@ -125,13 +190,22 @@
         let file =
             std::env::temp_dir().join(format!("lupincrank-{}-{}.json", std::process::id(), free.port()));
         std::fs::write(&file, config.to_string()).unwrap();
-        let node = Command::new(env!("CARGO_BIN_EXE_lupincrank"))
-            .args(["serve", "--config", file.to_str().unwrap()])
-            .env_clear()
-            .stderr(std::fs::File::create(file.with_extension("log")).unwrap())
-            .spawn()
-            .unwrap();
-        Rig { peers, discovery, watch: None, node, listen: free, management, hosts, config, file, next: 0 }
+        std::fs::File::create(file.with_extension("log")).unwrap();
+        let node = spawn(&file, holder.as_ref());
+        Rig {
+            peers,
+            discovery,
+            watch: None,
+            node,
+            holder,
+            older: None,
+            listen: free,
+            management,
+            hosts,
+            config,
+            file,
+            next: 0,
+        }
     }
 
     pub fn client(&self) -> Line {
@@ -145,14 +219,24 @@
         client.hear()
     }
 
-    /// A caller at the second address.
+    /// A caller at the second address of the newest process.
     pub fn caller(&self) -> Line {
         Line::new(within("the node takes calls", || TcpStream::connect(self.management).ok()))
     }
 
+    /// That address.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.management
+    }
+
     /// What a call of the staff is answered.
     pub fn manage(&self, call: &str) -> String {
-        let mut caller = self.caller();
+        self.manage_at(self.management, call)
+    }
+
+    /// The same at the second address of either process.
+    pub fn manage_at(&self, address: SocketAddr, call: &str) -> String {
+        let mut caller = Line::new(within("the node takes calls", || TcpStream::connect(address).ok()));
         caller.say(call);
         caller.hear()
     }
@@ -213,8 +297,7 @@
     }
 
     pub fn signal(&self, name: &str) {
-        let kill = Command::new("kill").args([name, &self.node.id().to_string()]).status();
-        assert!(kill.unwrap().success());
+        kill(&self.node, name);
     }
 
     /// Replaces the configuration with this text and tells the node.
@@ -245,6 +328,25 @@
     }
 }
 
+pub fn kill(process: &Child, signal: &str) {
+    let kill = Command::new("kill").args([signal, &process.id().to_string()]).status();
+    assert!(kill.unwrap().success());
+}
+
+/// Starts the node; where the listener is held, as descriptor 7.
+fn spawn(file: &std::path::Path, holder: Option<&(TcpListener, std::path::PathBuf)>) -> Child {
+    let log = std::fs::File::options().append(true).open(file.with_extension("log")).unwrap();
+    let mut command = Command::new("/bin/sh");
+    let take = "[ -z \"$RELAY_INHERITED_FD\" ] || exec 7<&0 0</dev/null; exec \"$@\"";
+    command.args(["-c", take, "sh", env!("CARGO_BIN_EXE_lupincrank"), "serve", "--verbose", "--config"]);
+    command.arg(file).env_clear().stderr(log).stdin(std::process::Stdio::null());
+    if let Some((listener, folder)) = holder {
+        let listener = std::os::fd::OwnedFd::from(listener.try_clone().unwrap());
+        command.env("RELAY_INHERITED_FD", "7").env("TMPDIR", folder).stdin(listener);
+    }
+    command.spawn().unwrap()
+}
+
 fn group(hosts: &[SocketAddr], health: &str, seq: u64, whole: bool) -> String {
     let entry = |(n, dial): (usize, &SocketAddr)| {
         format!(
--- /dev/null
+++ b/node/tests/upgrade.rs
@@ -0,0 +1,181 @@
+//! Two processes of one node: what the older holds goes over to the newer, and nothing is lost on the way.
+
+mod common;
+use common::{kill, within, Rig};
+use rstest::rstest;
+use std::io::Read;
+use std::time::{Duration, Instant};
+
+#[test]
+fn a_standing_connection_goes_over_with_what_waits_on_it_and_nobody_is_moved() {
+    let mut rig = Rig::inherits(2);
+    let (mut client, _, mut peer) = rig.up();
+    let mut waiting = rig.open("d=20000,g=b").0;
+    let (_, mut slow) = rig.tried();
+    slow.hear();
+    let mut late = rig.client();
+    late.say("OPEN 00000000000000ff 7f3a9c21e0b4d655 c=ch");
+    peer.say("whole\r\npart");
+    assert_eq!(client.hear(), "whole");
+    // Twice, so that a connection that was taken over goes over again.
+    for round in 0..2 {
+        rig.second();
+        rig.watched();
+        rig.ready();
+        kill(rig.older.as_ref().unwrap(), "-TERM");
+        if round == 0 {
+            // A try under way ends where it began, and its connection follows.
+            rig.logged("leaving");
+            slow.say("UP r2\r\n");
+            assert_eq!(waiting.hear(), "UP r2");
+        }
+        let older = rig.older.as_mut().unwrap();
+        assert!(within("the older process ends", || older.try_wait().unwrap()).success());
+    }
+    peer.say(" of a line\r\n");
+    client.say("hello\r\n");
+    assert_eq!([client.hear(), peer.hear()], ["part of a line", "hello"]);
+    waiting.say("hello\r\n");
+    assert_eq!(slow.hear(), "hello");
+    late.say("at,d=1500,g=c\r\n");
+    rig.tried().1.hear();
+    // The newest one knows of them: it moves them at its own end.
+    rig.signal("-TERM");
+    assert_eq!([client.hear(), waiting.hear()], ["MOVE", "MOVE"]);
+}
+
+#[test]
+fn what_waits_for_a_client_that_does_not_read_goes_over_too() {
+    let mut rig = Rig::inherits(1);
+    let (mut client, _, mut peer) = rig.up();
+    // More than all buffers on the way take.
+    let text: String = (0..1_000_000).map(|n| format!("line {n}\r\n")).collect();
+    let sent = text.clone();
+    let sender = std::thread::spawn(move || peer.say(&sent));
+    rig.upgrade();
+    let mut came = vec![0; text.len()];
+    client.stream.read_exact(&mut came).unwrap();
+    assert!(came == text.as_bytes(), "bytes are lost, doubled or in another order");
+    sender.join().unwrap();
+}
+
+/// Which process a call goes to, and when: before the second one starts, beside it, or after the first has gone.
+#[rstest]
+#[case::before(0)]
+#[case::to_the_newer(1)]
+#[case::to_the_older(2)]
+#[case::after(3)]
+fn what_is_out_by_hand_stays_out_across_an_upgrade(#[case] when: usize) {
+    let mut rig = Rig::inherits(2);
+    let (mut client, at, _peer) = rig.up();
+    let older = rig.caller_address();
+    let down = format!("set-down s-{at}\r\n");
+    let call = |rig: &Rig, now: usize| {
+        if when == now {
+            let address = if now == 2 { older } else { rig.caller_address() };
+            assert_eq!(rig.manage_at(address, &down), "done");
+        }
+    };
+    call(&rig, 0);
+    rig.second();
+    rig.watched();
+    rig.ready();
+    (1..=2).for_each(|now| call(&rig, now));
+    let mut held = Vec::new();
+    if when < 3 {
+        // Whichever process it was said to, the one that holds the connection moves it, and both leave it out.
+        assert_eq!(client.hear(), "MOVE");
+        for _ in 0..6 {
+            held.push(rig.up());
+            assert_ne!(held.last().unwrap().1, at);
+        }
+        drop(client);
+    }
+    rig.end_older();
+    call(&rig, 3);
+    for _ in 0..4 {
+        held.push(rig.up());
+        assert_ne!(held.last().unwrap().1, at);
+    }
+    assert_eq!(rig.manage(&format!("set-up s-{at}\r\n")), "done");
+    within("it is used again", || {
+        held.push(rig.up());
+        (held.last()?.1 == at).then_some(())
+    });
+}
+
+#[test]
+fn without_its_successor_a_process_moves_its_clients_as_ever() {
+    let mut rig = Rig::inherits(1);
+    let (mut client, _, _peer) = rig.up();
+    rig.second();
+    rig.watched();
+    rig.ready();
+    rig.signal("-KILL");
+    rig.logged("the other process is gone");
+    let older = rig.older.as_ref().unwrap();
+    kill(older, "-TERM");
+    assert_eq!(client.hear(), "MOVE");
+    let older = rig.older.as_mut().unwrap();
+    assert!(within("it ends", || older.try_wait().unwrap()).success());
+}
+
+#[test]
+fn after_the_older_process_was_killed_the_newer_serves_and_hands_over_in_its_turn() {
+    let mut rig = Rig::inherits(2);
+    rig.up();
+    rig.second();
+    rig.watched();
+    rig.ready();
+    kill(rig.older.as_ref().unwrap(), "-KILL");
+    let (mut client, _, mut peer) = rig.up();
+    rig.logged("the other process is gone");
+    rig.upgrade();
+    client.say("hello\r\n");
+    assert_eq!(peer.hear(), "hello");
+}
+
+#[rstest]
+#[case::damaged("out", "lupincrank-out 1 00000000\n[\"s-0\"]\n")]
+#[case::no_socket("socket", "")]
+#[case::left_over("lock", "")]
+fn files_that_were_left_behind_hinder_no_start(#[case] extension: &str, #[case] text: &str) {
+    let mut rig = Rig::inherits(1);
+    kill_and_wait(&mut rig);
+    let listen = rig.config["listen"].as_str().unwrap().replace(':', "-");
+    // What a killed process leaves at this path is a socket.
+    let _ = std::fs::remove_file(rig.folder().join(format!("lupincrank-{listen}.{extension}")));
+    std::fs::write(rig.folder().join(format!("lupincrank-{listen}.{extension}")), text).unwrap();
+    let began = Instant::now();
+    rig.second();
+    rig.watched();
+    rig.ready();
+    assert!(began.elapsed() < Duration::from_secs(6));
+    rig.up();
+    if extension == "out" {
+        rig.logged("its checksum does not fit");
+    }
+}
+
+fn kill_and_wait(rig: &mut Rig) {
+    rig.signal("-KILL");
+    rig.exit();
+}
+
+#[rstest]
+#[case::not_open("9")]
+#[case::no_socket("3")]
+#[case::another_address("8")]
+#[case::not_a_number("seven")]
+fn a_descriptor_that_is_no_listener_at_the_address_ends_the_start(#[case] descriptor: &str) {
+    let other = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let run = std::process::Command::new("/bin/sh")
+        .args(["-c", "exec 8<&0 0</dev/null 3</dev/null; exec \"$@\"", "sh"])
+        .args([env!("CARGO_BIN_EXE_lupincrank"), "serve", "--config", "../examples/config.json"])
+        .env("RELAY_INHERITED_FD", descriptor)
+        .stdin(std::os::fd::OwnedFd::from(other))
+        .output()
+        .unwrap();
+    let said = String::from_utf8_lossy(&run.stderr);
+    assert!(!run.status.success() && said.contains("RELAY_INHERITED_FD"), "{said}");
+}
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -131,14 +131,6 @@
     used_per_load: f64,
 }
 
-/// Whether a full server takes one more all the same: nothing has shown it crowded for long, so its cap may
-/// be stale. Only connections of groups that are there already are let in so: guards against a fleet that is
-/// refused to and fills up with shared work, one more group at a time at every server.
-fn gives_way(now: Time, server: &Server, pace: Duration) -> bool {
-    let before = |at: Option<Time>, span: Duration| at.map_or(true, |at| now.since(at) > span);
-    server.barred_until.is_none() && before(server.crowded_at, CALM) && before(server.raised_at, pace)
-}
-
 /// Whether the server does the shared work of the connection's group already, or there is none to do.
 fn there(request: &Request, server: &Server) -> bool {
     request.group.map_or(true, |group| server.groups.contains_key(&group))
@@ -279,6 +271,7 @@
             Event::ByHand(out) => {
                 let changed = self.by_hand.set(now, out);
                 self.take_in(now, changed, false, actions);
+                self.empty_by_hand(actions);
             }
             Event::ListFailed if self.settings.list_must_be_asked => {
                 let after = self.asking.again(fraction(&mut self.chance));
@@ -689,7 +682,7 @@
             let sort = match there(request, server) {
                 _ if lets(server, false) => usize::from(!self.takes(request, server)),
                 there if (there || less(server)) && lets(server, true) => 2,
-                true if gives_way(now, server, pace) && self.shares.lets(server, request.key) => 4,
+                true if server.gives_way(now, CALM, pace) && self.shares.lets(server, request.key) => 4,
                 _ => 5,
             };
             for sort in [sort, 3] {
@@ -1010,6 +1003,12 @@
         held.into_iter().for_each(|request| self.move_away(request, actions));
     }
 
+    fn empty_by_hand(&mut self, actions: &mut Actions) {
+        for server in self.by_hand.out().iter().map(|id| self.fleet.servers.slot(id)).collect::<Vec<_>>() {
+            self.empty(server, EMPTIED, actions);
+        }
+    }
+
     fn move_away(&mut self, id: RequestId, actions: &mut Actions) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         if !request.over && request.out.as_ref().is_some_and(|out| out.stands) && self.move_tokens >= 1.0 {
@@ -1172,9 +1171,7 @@
 
     fn tick(&mut self, now: Time, actions: &mut Actions) {
         actions.push(Action::SetTimer { after: TICK, handle: TICK_HANDLE });
-        for server in self.by_hand.out().iter().map(|id| self.fleet.servers.slot(id)).collect::<Vec<_>>() {
-            self.empty(server, EMPTIED, actions);
-        }
+        self.empty_by_hand(actions);
         let all_held = self.fleet.sums.held;
         self.move_tokens = (self.move_tokens + MOVES_PER_S * all_held).min((MOVES_SAVED * all_held).max(1.0));
         self.seen *= 1.0 - SEEN_FADES;
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -177,6 +177,14 @@
         self.started.is_some_and(|started| now < started.after(settings.cold_for))
     }
 
+    /// Whether it takes one more though it is full: nothing has shown it crowded for `calm`, so its cap may be stale, and
+    /// it has not given way for `pace`. Only connections of groups that are there already are let in so: guards against a
+    /// fleet that is refused to and fills up with shared work, one more group at a time at every server.
+    pub fn gives_way(&self, now: Time, calm: Duration, pace: Duration) -> bool {
+        let before = |at: Option<Time>, span: Duration| at.map_or(true, |at| now.since(at) > span);
+        self.barred_until.is_none() && before(self.crowded_at, calm) && before(self.raised_at, pace)
+    }
+
     /// The share of its capacity that it has at the least.
     pub fn warmth(&self, settings: &Settings, now: Time) -> f64 {
         let Some(started) = self.started else { return 1.0 };
