--- a/src/balance.rs
+++ b/src/balance.rs
@@ -10,6 +10,7 @@
 use crate::fleet::{Fleet, Server};
 use crate::interface::*;
 use crate::order::Walk;
+use crate::request::{there, Attempt, Request};
 use crate::shares::{self, Shares};
 use crate::table::{Slot, UNKNOWN};
 use rand_core::SeedableRng;
@@ -131,45 +132,6 @@
     used_per_load: f64,
 }
 
-/// Whether the server does the shared work of the connection's group already, or there is none to do.
-fn there(request: &Request, server: &Server) -> bool {
-    request.group.map_or(true, |group| server.groups.contains_key(&group))
-}
-
-struct Attempt {
-    server: Slot,
-    /// Inherited, or the first try of a mid-flow connection: at its holder there is nothing to set up, so it
-    /// neither takes a slot of the window nor teaches how long a set-up takes.
-    free: bool,
-    sent: Time,
-    stands: bool,
-}
-
-#[derive(Default)]
-struct Request {
-    class: usize,
-    tenant: Option<usize>,
-    returned: bool,
-    group: Option<u32>,
-    key: u32,
-    /// Which of a split group's servers it starts at, as a part of them: the same at every gateway.
-    place: f64,
-    load: Option<f64>,
-    /// What it adds to its server's `load` now.
-    counted: f64,
-    expires: Time,
-    mid_flow: bool,
-    attempts: u32,
-    tried: Vec<Slot>,
-    out: Option<Attempt>,
-    /// The earliest attempt that may have run: its zone, its cell and when it was sent.
-    doubt: Option<(u32, u32, Time)>,
-    /// Answered or abandoned; kept only until its attempt's end is reported.
-    over: bool,
-    /// Waits for what this server answers to a probe, or after an error, until then at the most.
-    asked: Option<(Slot, Time)>,
-}
-
 /// The balancer of one gateway.
 pub struct Balancer {
     settings: Settings,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 mod fleet;
 pub mod interface;
 mod order;
+mod request;
 mod shares;
 mod table;
 #[cfg(test)]
--- /dev/null
+++ b/src/request.rs
@@ -0,0 +1,46 @@
+//! What a gateway keeps of each request, from its coming to the end of its connection.
+
+use crate::fleet::Server;
+use crate::interface::*;
+use crate::table::Slot;
+
+/// A send and what came of it.
+pub struct Attempt {
+    pub server: Slot,
+    /// Inherited, or the first try of a mid-flow connection: at its holder there is nothing to set up, so it
+    /// neither takes a slot of the window nor teaches how long a set-up takes.
+    pub free: bool,
+    pub sent: Time,
+    pub stands: bool,
+}
+
+/// A request as it was taken, and how far it has come.
+#[derive(Default)]
+pub struct Request {
+    pub class: usize,
+    pub tenant: Option<usize>,
+    pub returned: bool,
+    pub group: Option<u32>,
+    pub key: u32,
+    /// Which of a split group's servers it starts at, as a part of them: the same at every gateway.
+    pub place: f64,
+    pub load: Option<f64>,
+    /// What it adds to its server's `load` now.
+    pub counted: f64,
+    pub expires: Time,
+    pub mid_flow: bool,
+    pub attempts: u32,
+    pub tried: Vec<Slot>,
+    pub out: Option<Attempt>,
+    /// The earliest attempt that may have run: its zone, its cell and when it was sent.
+    pub doubt: Option<(u32, u32, Time)>,
+    /// Answered or abandoned; kept only until its attempt's end is reported.
+    pub over: bool,
+    /// Waits for what this server answers to a probe, or after an error, until then at the most.
+    pub asked: Option<(Slot, Time)>,
+}
+
+/// Whether the server does the shared work of the connection's group already, or there is none to do.
+pub fn there(request: &Request, server: &Server) -> bool {
+    request.group.map_or(true, |group| server.groups.contains_key(&group))
+}
