Tests hold the addresses that the node is to listen on

Seen: one run in a dozen of node/tests/operation.rs ended after 20 s with nobody at an address. An address was bound, let go and given to the node later; the kernel may give it to another socket meanwhile. Now a bound socket that does not listen keeps it.

--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -27,6 +27,16 @@
     listener
 }
 
+/// An address where the node can listen, and what keeps others in this process from getting it: a socket that is bound and
+/// does not listen.
+fn free() -> (socket2::Socket, SocketAddr) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.set_reuse_address(true).unwrap();
+    socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into()).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    (socket, address)
+}
+
 /// One end of a connection, read by lines.
 pub struct Line {
     pub stream: TcpStream,
@@ -81,6 +91,7 @@
     pub older: Option<Child>,
     listen: SocketAddr,
     management: SocketAddr,
+    kept: Vec<socket2::Socket>,
     hosts: Vec<SocketAddr>,
     pub config: serde_json::Value,
     file: std::path::PathBuf,
@@ -145,7 +156,9 @@
 
     /// Starts the node a second time, beside itself, with another management address.
     pub fn second(&mut self) {
-        self.management = listen().local_addr().unwrap();
+        let (kept, management) = free();
+        self.kept.push(kept);
+        self.management = management;
         self.config["management"] = self.management.to_string().into();
         std::fs::write(&self.file, self.config.to_string()).unwrap();
         let fresh = spawn(&self.file, self.holder.as_ref());
@@ -177,11 +190,10 @@
         let peers: Vec<_> = (0..peers).map(|_| Some(listen())).collect();
         let hosts: Vec<_> = peers.iter().flatten().map(|peer| peer.local_addr().unwrap()).collect();
         let discovery = listen();
-        let free = holder.as_ref().map(|(listener, _)| listener.local_addr().unwrap());
-        let free = free.unwrap_or_else(|| listen().local_addr().unwrap());
+        let ((first, address), (second, management)) = (free(), free());
+        let free = holder.as_ref().map_or(address, |(listener, _)| listener.local_addr().unwrap());
         let example = include_str!("../../../examples/config.json");
         let mut config: serde_json::Value = serde_json::from_str(example).unwrap();
-        let management = listen().local_addr().unwrap();
         config["management"] = management.to_string().into();
         config["listen"] = free.to_string().into();
         config["discovery"] = discovery.local_addr().unwrap().to_string().into();
@@ -201,6 +213,7 @@
             older: None,
             listen: free,
             management,
+            kept: vec![first, second],
             hosts,
             config,
             file,
