Tests: a successor that dies half way, and calls under a crowd and after SIGTERM

Need: a break between a connection's sending and its taking had no test, nor had the time of answers under a crowd. The first plays the successor on the link and goes away without an answer.

--- a/node/tests/operation.rs
+++ b/node/tests/operation.rs
@@ -45,6 +45,29 @@
     assert!(began.elapsed() > Duration::from_secs(4), "it may stay for 4 s");
 }
 
+#[test]
+fn calls_are_answered_in_time_under_a_crowd_and_after_sigterm() {
+    let mut rig = Rig::with_sockets(1, 384);
+    let standing: Vec<_> = (0..20).map(|_| rig.up()).collect();
+    let (mut crowd, mut slowest) = (Vec::new(), Duration::ZERO);
+    for round in 0..30 {
+        crowd.extend((0..40).map(|_| rig.client()));
+        crowd.iter_mut().rev().take(20).for_each(|client| client.say("OPEN 9b1f03"));
+        crowd.extend((0..2).map(|_| rig.caller()));
+        if round == 20 {
+            rig.signal("-TERM");
+        }
+        let began = Instant::now();
+        assert!(["done", "error this process is ending"].contains(&rig.manage("check\r\n").as_str()));
+        slowest = slowest.max(began.elapsed());
+    }
+    println!("slowest answer: {slowest:?}");
+    assert!(slowest < Duration::from_secs(1), "{slowest:?}");
+    for (mut client, _, _) in standing {
+        assert_eq!(client.hear(), "MOVE", "nobody is cut off");
+    }
+}
+
 #[test]
 fn the_command_line_makes_a_call_and_tells_by_its_exit_code() {
     let rig = Rig::start(1);
--- a/node/tests/upgrade.rs
+++ b/node/tests/upgrade.rs
@@ -3,6 +3,7 @@
 mod common;
 use common::{kill, within, Rig};
 use rstest::rstest;
+use socket2::{Domain, SockAddr, Socket, Type};
 use std::io::Read;
 use std::time::{Duration, Instant};
 
@@ -120,6 +121,36 @@
     assert!(within("it ends", || older.try_wait().unwrap()).success());
 }
 
+#[test]
+fn a_successor_that_dies_half_way_leaves_each_connection_with_the_older_process() {
+    let mut rig = Rig::inherits(1);
+    let (mut client, _, mut peer) = rig.up();
+    let listen = rig.config["listen"].as_str().unwrap().replace(':', "-");
+    let link = Socket::new(Domain::UNIX, Type::SEQPACKET, None).unwrap();
+    let path = rig.folder().join(format!("lupincrank-{listen}.socket"));
+    link.connect(&SockAddr::unix(path).unwrap()).unwrap();
+    link.send(b"{\"Beat\":{\"version\":1,\"clients\":0}}\n").unwrap();
+    rig.logged("a successor has come");
+    rig.signal("-TERM");
+    // It gets the connection and dies before it says that it has taken it.
+    within("the connection", || {
+        let mut packet = [0; 4096];
+        let got = (&link).read(&mut packet).unwrap();
+        packet[..got].starts_with(b"{\"Standing\"").then_some(())
+    });
+    drop(link);
+    rig.logged("the other process is gone");
+    client.say("hello\r\n");
+    assert_eq!(peer.hear(), "hello");
+    peer.say("hello\r\n");
+    assert_eq!(client.hear(), "hello");
+    // It takes clients in again, too, and moves them all before its end.
+    let (mut late, _, _peer) = rig.up();
+    assert_eq!([client.hear(), late.hear()], ["MOVE", "MOVE"]);
+    drop((client, late));
+    assert!(rig.exit().success());
+}
+
 #[test]
 fn after_the_older_process_was_killed_the_newer_serves_and_hands_over_in_its_turn() {
     let mut rig = Rig::inherits(2);
