--- a/node/tests/operation.rs
+++ b/node/tests/operation.rs
@@ -68,6 +68,30 @@
     }
 }
 
+/// However the network cuts what is sent: a first line, a transcriber's answer and lines, and discovery's list.
+#[rstest]
+fn lines_may_be_cut_at_any_byte(#[values(1, 2, 7, 31)] piece: usize) {
+    let mut rig = Rig::start(2);
+    let cut = |line: &mut common::Line, text: &str| {
+        line.stream.set_nodelay(true).unwrap();
+        text.as_bytes().chunks(piece).for_each(|part| line.say(std::str::from_utf8(part).unwrap()));
+    };
+    let mut client = rig.client();
+    cut(&mut client, "OPEN 00000000000000aa f c=chat,d=15000,g=a\r\n");
+    let (at, mut peer) = rig.tried();
+    peer.hear();
+    cut(&mut peer, "LOAD 12\r\nUP r1\r\nLOAD 1500\r\nfirst\r\n");
+    assert_eq!([client.hear(), client.hear(), client.hear()], ["UP r1", "LOAD 1500", "first"]);
+    rig.logged("load, us: 1500");
+    cut(&mut client, "second\r\n");
+    assert_eq!(peer.hear(), "second");
+    let mut watch = rig.watch.take().unwrap();
+    let host = format!(r#"{{"host":"s-{at}","dial":"127.0.0.1:1","health":"DRAINING"}}"#);
+    let list = format!("{{\"seq\":5,\"whole\":false,\"hosts\":[{host}]}}\n");
+    cut(&mut watch, &format!("{:x}\r\n{list}\r\n", list.len()));
+    rig.logged("seq: 5");
+}
+
 #[test]
 fn the_command_line_makes_a_call_and_tells_by_its_exit_code() {
     let rig = Rig::start(1);
