--- a/src/balance.rs
+++ b/src/balance.rs
@@ -48,8 +48,8 @@
 /// Moves: at most this part of the connections held a second, saved up to this part.
 const MOVES_PER_S: f64 = 0.15;
 const MOVES_SAVED: f64 = 0.3;
-/// A server out by hand is empty by then, step by step: guards against the work of all its connections at once
-/// on the others, and against a restart that cuts them off.
+/// A server out by hand is empty by then, step by step: guards against the work of all its connections at
+/// once on the others, and against a restart that cuts them off.
 const EMPTIED: Duration = Duration::from_millis(1500);
 const EMPTY_STEP: Duration = Duration::from_millis(100);
 /// Servers of one zone out of reach within this time may tell that all of it is; so long it is left.
