Upgrades: custody as a pure machine, budgets shared while both serve, bounds on calls

Found, each by reading and then by a test seen failing without the repair: - 300 silent callers held 270 descriptors: eight are taken a turn and the same oldest one was told eight times to go (management.rs, Management::take). Now each pushes out another; under 60 descriptors are held. - SIGTERM with a successor that is linked and cannot serve yet handed everything to it. The beat now says whether it takes clients; check says so to the other process before it is answered. - a damaged file of bans was believed to be empty by a successor though the older process knew better: that one writes it anew, and the newer is not ready before. - two processes that speak other forms of messages reached each other again every 100 ms without end. - a door with no descriptor left would have spun. - while both take clients in each had the cold and set-up budgets of a whole node: both count as two instances then. Whose a connection is at each moment is a pure machine of its own (custody.rs); by_hand::put stands once, not twice.

Tests: the ways in which a successor fails are one table; wrong files, callers and bans likewise. Called back needs the keys of several groups in its test: with one group it passed by chance.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -289,36 +289,22 @@
         assert!(held * 4 * clients <= (memory_mb << 20), "all buffers together");
     }
 
+    const DEADLINE: &str = "\"DeadlineNs\": 2000000000";
+
     /// What is wrong with a file that is to replace the example, and the place that is named.
     #[rstest]
-    #[case::negative(
-        "\"DeadlineNs\": 2000000000",
-        "\"DeadlineNs\": -5",
-        "settings.Categories[0].DeadlineNs: -5"
-    )]
-    #[case::zero("\"DeadlineNs\": 2000000000", "\"DeadlineNs\": 0", "settings.Categories[0].DeadlineNs: 0")]
-    #[case::null("\"DeadlineNs\": 2000000000", "\"DeadlineNs\": null", "settings.Categories[0].DeadlineNs")]
-    #[case::text(
-        "\"DeadlineNs\": 2000000000",
-        "\"DeadlineNs\": \"2\"",
-        "settings.Categories[0].DeadlineNs: \"2\""
-    )]
+    #[case::negative(DEADLINE, "\"DeadlineNs\": -5", "Categories[0].DeadlineNs: -5")]
+    #[case::zero(DEADLINE, "\"DeadlineNs\": 0", "Categories[0].DeadlineNs: 0")]
+    #[case::null(DEADLINE, "\"DeadlineNs\": null", "Categories[0].DeadlineNs")]
+    #[case::text(DEADLINE, "\"DeadlineNs\": \"2\"", "Categories[0].DeadlineNs: \"2\"")]
     #[case::fraction("\"SendCap\": 3", "\"SendCap\": 0.4", "settings.Limits.SendCap: 0.4")]
     #[case::part_of_one("\"SendCap\": 3", "\"SendCap\": 2.5", "settings.Limits.SendCap: 2.5")]
     #[case::none("\"SendCap\": 3", "\"SendCap\": 0", "settings.Limits.SendCap: 0")]
     #[case::too_large("\"SendCap\": 3", "\"SendCap\": 1e300", "settings.Limits.SendCap: 1e+300")]
     #[case::no_attempts("\"SendCap\": 3,", "", "settings.Limits.SendCap is missing")]
-    #[case::no_deadline("\"DeadlineNs\": 2000000000,", "", "settings.Categories[0].DeadlineNs is missing")]
-    #[case::no_window(
-        "\"repeatable\",",
-        "\"by_key\", \"Window\": 1,",
-        "settings.Categories[0].WindowNs is missing"
-    )]
-    #[case::lost(
-        "\"Stream\": true",
-        "\"Stream\": true",
-        "limits.swap is missing, and the present file has it"
-    )]
+    #[case::no_deadline("\"DeadlineNs\": 2000000000,", "", "Categories[0].DeadlineNs is missing")]
+    #[case::no_window("\"repeatable\"", "\"by_key\"", "Categories[0].WindowNs is missing")]
+    #[case::lost("Stream", "Stream", "limits.swap is missing, and the present file has it")]
     #[case::no_classes("\"Categories\"", "\"Categories\": [], \"Old\"", "settings.Categories names no class")]
     #[case::no_settings("\"settings\"", "\"Settings\"", "settings.Instances is missing")]
     #[case::no_list("\"known\"", "\"Known\"", "known is missing")]
--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -4,7 +4,9 @@
 use crate::config::Config;
 use crate::event_loop::Id;
 use crate::load_lines::{LoadLines, Told};
-use lupincrank::{Action, Balancer, Event, Health, Incoming, Listed, Outcome, RequestId, ServerId, Time};
+use lupincrank::{
+    Action, Balancer, Event, Health, Incoming, Listed, Outcome, RequestId, ServerId, Settings, Time,
+};
 use slog::{debug, info, warn, Logger};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -125,6 +127,8 @@
     born: SystemTime,
     timers: u64,
     leaving: bool,
+    /// Processes of this node that take clients in.
+    processes: u32,
     /// Discovery has told the list in this node's life.
     told: bool,
     log: Logger,
@@ -152,6 +156,7 @@
             born: SystemTime::now(),
             timers: 0,
             leaving: false,
+            processes: 1,
             told: false,
             log,
         }
@@ -287,12 +292,20 @@
 
     /// Other settings hold from now on. `from`: for each class its position before, if it was there.
     pub fn renew(&mut self, config: &Config, from: Vec<Option<usize>>) {
+        let instances = config.settings.instances.saturating_mul(self.processes);
         for context in self.contexts.values_mut() {
             let now_at = from.iter().position(|old| *old == Some(context.incoming.class));
             context.incoming.class = now_at.unwrap_or(usize::MAX);
         }
         self.least_aim = config.settings.least_message_aim();
-        self.feed(Event::Settings { settings: config.settings.clone(), from });
+        self.feed(Event::Settings { settings: Settings { instances, ..config.settings.clone() }, from });
+    }
+
+    /// So many processes of this node take clients in: what is shared out among nodes is shared among these too.
+    pub fn share(&mut self, config: &Config, processes: u32) {
+        if std::mem::replace(&mut self.processes, processes) != processes {
+            self.renew(config, (0..config.classes.len()).map(Some).collect());
+        }
     }
 
     /// The transcribers that are out by hand.
--- a/node/src/line_front.rs
+++ b/node/src/line_front.rs
@@ -127,8 +127,9 @@
     /// Ends the strangers that had to go first anyway when descriptors are needed. Guards against hundreds that
     /// connect and say nothing.
     fn make_room(&self, node: &mut Node) {
-        let most = node.config.most_strangers(node.clients.get() + node.upgrade.others);
-        while node.strangers.borrow().len() > most {
+        let other = node.upgrade.other;
+        let most = node.config.most_strangers(node.clients.get() + other.clients);
+        while node.strangers.borrow().len() + other.strangers > most {
             let Some((_, id)) = node.strangers.borrow_mut().pop_first() else { break };
             node.tell(id, Message::Close);
         }
@@ -445,7 +446,7 @@
         if node.core.holds(request) || (open.holder.is_some() && node.began.elapsed() > OLD_COME) {
             return self.reject_line(node, "another's id, or a holder long after the start");
         }
-        if node.clients.get() + node.upgrade.others >= node.config.most_clients() {
+        if node.clients.get() + node.upgrade.other.clients >= node.config.most_clients() {
             debug!(node.log, "too many clients"; "held" => node.clients.get());
             return self.answer(node, &busy(node.config.settings.longest_retry_after / 2));
         }
--- a/node/src/management.rs
+++ b/node/src/management.rs
@@ -4,6 +4,7 @@
 use crate::event_loop::{Connection, Flow, Id, Message, Node, CALLS, MANAGEMENT};
 use crate::peer::LONGEST_LINE;
 use crate::poll::{self, Watched};
+use crate::upgrade;
 use slog::{info, warn};
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -98,8 +99,8 @@
                 Caller { id, held: Rc::clone(&self.held), stream, bytes: Vec::new(), answered: false };
             // Guards against callers by the hundred that say nothing and keep out one that does.
             if self.held.borrow().len() > node.config.most_calls() {
-                if let Some(oldest) = self.held.borrow().first() {
-                    node.tell(*oldest, Message::Close);
+                if let Some(oldest) = self.held.borrow_mut().pop_first() {
+                    node.tell(oldest, Message::Close);
                 }
             }
             if caller.read(node) == Flow::Keep {
@@ -227,7 +228,11 @@
 /// Does what a call asks for.
 fn carry_out(node: &mut Node, line: &[u8]) -> Result<(), String> {
     let outcome = match call(line)? {
-        Call::Check => return node.serves(),
+        Call::Check => {
+            // Whoever hears yes may end the other process at once, which has to know of this one by then.
+            upgrade::open(node);
+            return node.serves();
+        }
         Call::SetDown(server) => node.by_hand(server, true),
         Call::SetUp(server) => node.by_hand(server, false),
     };
--- a/node/src/upgrade/bans.rs
+++ b/node/src/upgrade/bans.rs
@@ -1,5 +1,6 @@
 //! The file that tells both processes of a node, and the next one, which transcribers are out by hand.
 
+use lupincrank::by_hand::put;
 use lupincrank::ServerId;
 use std::collections::BTreeSet;
 use std::fs::{self, File};
@@ -70,14 +71,24 @@
         // Guards against the other process's change between this one's reading and writing.
         let _held = hold(&self.path.with_extension("out-lock")).map_err(|error| self.named(error))?;
         let mut out = self.read().unwrap_or_else(|_| present.clone());
-        let differs = if down { out.insert(server.clone()) } else { out.remove(server) };
-        if differs {
-            let fresh = self.path.with_extension("out-new");
-            let written = fs::write(&fresh, text(&out)?).and_then(|()| fs::rename(&fresh, &self.path));
-            written.map_err(|error| self.named(error))?;
+        if put(&mut out, server, down) {
+            self.write(&out)?;
         }
         Ok(out)
     }
+
+    /// Writes a file that was found damaged anew, unless the other process has done so by now.
+    pub fn mend(&self, out: &BTreeSet<ServerId>) -> Result<(), String> {
+        let _held = hold(&self.path.with_extension("out-lock")).map_err(|error| self.named(error))?;
+        self.read().map_or_else(|_| self.write(out), |_| Ok(()))
+    }
+
+    /// Only under the lock.
+    fn write(&self, out: &BTreeSet<ServerId>) -> Result<(), String> {
+        let fresh = self.path.with_extension("out-new");
+        let written = fs::write(&fresh, text(out)?).and_then(|()| fs::rename(&fresh, &self.path));
+        written.map_err(|error| self.named(error))
+    }
 }
 
 fn hold(path: &Path) -> io::Result<File> {
--- /dev/null
+++ b/node/src/upgrade/custody.rs
@@ -0,0 +1,103 @@
+//! Whose each connection is while one process hands them over to another. No I/O: what was sent and what came back goes in,
+//! and what is to be told to which connection comes out.
+
+use crate::event_loop::Id;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Connections under way from one process to the other: each counts twice in descriptors meanwhile.
+pub const UNDER_WAY: usize = 4;
+
+/// The connections that are still to go, and those that were sent and not answered for. A connection is this process's until
+/// the other has said that it took it.
+#[derive(Default)]
+pub struct Custody {
+    queue: VecDeque<Id>,
+    under_way: BTreeMap<u64, Id>,
+    number: u64,
+    handed: usize,
+}
+
+impl Custody {
+    /// These are to go as soon as it is their turn.
+    pub fn enqueue(&mut self, ids: impl IntoIterator<Item = Id>) {
+        self.queue.extend(ids);
+    }
+
+    /// Whose turn it is now.
+    pub fn turn(&mut self) -> Vec<Id> {
+        let room = UNDER_WAY.saturating_sub(self.under_way.len()).min(self.queue.len());
+        self.queue.drain(..room).collect()
+    }
+
+    /// The number under which the next connection is sent.
+    pub fn number(&self) -> u64 {
+        self.number + 1
+    }
+
+    /// The connection went out under that number, or there was no room for it and it goes later.
+    pub fn sent(&mut self, id: Id, went: bool) {
+        if went {
+            self.number += 1;
+            self.under_way.insert(self.number, id);
+        } else {
+            self.queue.push_back(id);
+        }
+    }
+
+    /// The other process took the connection of this number, or did not. Gives the connection; none where the other speaks of
+    /// one that is not under way.
+    pub fn answered(&mut self, number: u64, took: bool) -> Option<Id> {
+        let id = self.under_way.remove(&number)?;
+        self.handed += usize::from(took);
+        Some(id)
+    }
+
+    /// The other process is gone: nothing goes any more, and these stay here.
+    pub fn broke(&mut self) -> Vec<Id> {
+        self.queue.clear();
+        std::mem::take(&mut self.under_way).into_values().collect()
+    }
+
+    /// Whether nothing is under way.
+    pub fn idle(&self) -> bool {
+        self.under_way.is_empty()
+    }
+
+    /// How many the other process has taken.
+    pub fn handed(&self) -> usize {
+        self.handed
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::collections::BTreeSet;
+
+    /// The other process takes, refuses and has no room by turns, and breaks after so many answers: each connection is
+    /// either taken or stays, never both, and few are under way.
+    #[test]
+    fn each_connection_has_one_owner_wherever_the_other_process_breaks() {
+        for answers in 0..40 {
+            let (mut custody, mut taken, mut stays) = (Custody::default(), BTreeSet::new(), BTreeSet::new());
+            custody.enqueue(1..=20);
+            let mut sent = VecDeque::new();
+            for step in 0..answers {
+                for id in custody.turn() {
+                    let went = (id + step) % 3 != 0;
+                    sent.extend(went.then(|| custody.number()));
+                    custody.sent(id, went);
+                }
+                assert!(sent.len() <= UNDER_WAY);
+                let Some(number) = sent.pop_front() else { continue };
+                let took = number % 4 != 0;
+                let id = custody.answered(number, took).unwrap();
+                assert!((if took { &mut taken } else { &mut stays }).insert(id));
+                assert_eq!(custody.answered(number, took), None, "answered twice");
+            }
+            stays.extend(custody.broke());
+            assert!(taken.is_disjoint(&stays) && custody.idle() && custody.turn().is_empty());
+            assert_eq!(custody.handed(), taken.len());
+        }
+    }
+}
--- a/node/src/upgrade/link.rs
+++ b/node/src/upgrade/link.rs
@@ -13,7 +13,7 @@
 use std::path::Path;
 
 /// The form of the messages; another one is not understood.
-pub const VERSION: u32 = 1;
+pub const VERSION: u32 = 2;
 /// The longest message: both directions of a connection full, and the record.
 const LONGEST: usize = 256 << 10;
 /// Descriptors that one message brings at the most.
@@ -43,16 +43,24 @@
     pub lengths: [usize; 3],
 }
 
+/// What a process is and holds.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Beat {
+    /// See `VERSION`.
+    pub version: u32,
+    /// How many clients it holds, and how many connections that ask for nothing.
+    pub clients: usize,
+    /// See `clients`.
+    pub strangers: usize,
+    /// It takes clients in.
+    pub open: bool,
+}
+
 /// One message.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Said {
-    /// The first one of both, and then one every 100 ms: how many clients this process holds.
-    Beat {
-        /// See `VERSION`.
-        version: u32,
-        /// How many.
-        clients: usize,
-    },
+    /// The first one of both, and then one every 100 ms.
+    Beat(Beat),
     /// Who is out by hand has changed.
     Out,
     /// A connection that is up, with both sockets, the client's first.
@@ -107,7 +115,7 @@
         return Err(io::ErrorKind::UnexpectedEof.into());
     }
     if got.flags.intersects(ReturnFlags::TRUNC | ReturnFlags::CTRUNC) {
-        return Err(io::Error::other("a message was too long"));
+        return Err(io::Error::new(io::ErrorKind::InvalidData, "a message was too long"));
     }
     let fds = ancillary.drain().filter_map(|message| match message {
         RecvAncillaryMessage::ScmRights(fds) => Some(fds),
@@ -116,7 +124,8 @@
     let fds = fds.flatten().collect();
     bytes.truncate(got.bytes);
     let end = bytes.iter().position(|byte| *byte == b'\n').ok_or(io::ErrorKind::InvalidData)?;
-    let said = serde_json::from_slice(&bytes[..end])?;
+    let said = serde_json::from_slice(&bytes[..end]);
+    let said = said.map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))?;
     bytes.drain(..=end);
     Ok(Some(Came { said, bytes, fds }))
 }
--- a/node/src/upgrade/mod.rs
+++ b/node/src/upgrade/mod.rs
@@ -2,6 +2,7 @@
 //! listener that the platform holds there is one process only, and no file, lock or socket is made.
 
 mod bans;
+mod custody;
 pub mod inherited;
 pub mod link;
 
@@ -11,11 +12,13 @@
 use crate::poll::Watched;
 use crate::relay::Relay;
 use bans::Bans;
-use link::{Came, Said, VERSION};
+use custody::{Custody, UNDER_WAY};
+use link::{Beat, Came, Said, VERSION};
+use lupincrank::by_hand::put;
 use lupincrank::ServerId;
-use slog::{info, warn};
+use slog::{debug, info, warn};
 use socket2::Socket;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 use std::fs::{self, File};
 use std::io;
 use std::os::fd::BorrowedFd;
@@ -28,8 +31,6 @@
 const STEP: Duration = Duration::from_millis(10);
 /// A process that cannot be reached for this long is not waited for; yes is owed 6 s after the start.
 const REACHED: Duration = Duration::from_secs(4);
-/// Connections under way from one process to the other: each counts twice meanwhile.
-const UNDER_WAY: usize = 4;
 /// The sockets of this object: the one where a successor comes, and the link to the other process.
 const DOOR: usize = 0;
 const LINK: usize = 1;
@@ -42,18 +43,18 @@
     lock: Option<File>,
     door: Option<Watched<Socket>>,
     link: Option<Watched<Socket>>,
-    /// Clients that the other process holds.
-    pub others: usize,
+    /// What the other process holds and does, as it last said.
+    pub other: Beat,
+    /// It speaks another form of messages: there is no use in reaching it again.
+    foreign: bool,
     bans: Option<Bans>,
+    /// The file of who is out was read well once: what this process holds is right.
+    read: bool,
     since: Instant,
     settled: bool,
     /// Clients are taken in: a newer process leaves them to the older one until it can serve.
     open: bool,
-    /// The connections that are still to be handed over, and those under way by their number.
-    queue: VecDeque<Id>,
-    under_way: BTreeMap<u64, Id>,
-    number: u64,
-    handed: usize,
+    custody: Custody,
     /// This process is handing over.
     leaving: bool,
 }
@@ -70,21 +71,22 @@
             lock: None,
             door: None,
             link: None,
-            others: 0,
+            other: Beat::default(),
+            foreign: false,
+            read: false,
             since: Instant::now(),
             settled: false,
             open: false,
-            queue: VecDeque::new(),
-            under_way: BTreeMap::new(),
-            number: 0,
-            handed: 0,
+            custody: Custody::default(),
             leaving: false,
         }
     }
 
-    /// Whether the process before this one is known to have ended, or is linked: until then this one is not ready.
+    /// Whether the process before this one is known to have ended, or is linked and has left a file of who is out that can
+    /// be read: until then this one is not ready.
     pub fn settled(&self) -> bool {
-        self.stem.is_none() || self.settled || self.since.elapsed() > REACHED
+        let known = self.settled && (self.read || self.lock.is_some());
+        self.stem.is_none() || known || self.since.elapsed() > REACHED
     }
 
     /// Whether connections are being handed over.
@@ -94,17 +96,17 @@
 
     /// Whether nothing is under way to the other process any more.
     pub fn idle(&self) -> bool {
-        self.under_way.is_empty()
+        self.custody.idle()
     }
 
-    /// Whether a process that is to end may hand over what it holds.
+    /// Whether a process that is to end may hand over what it holds: the other one can serve.
     pub fn has_successor(&self) -> bool {
-        self.lock.is_some() && self.link.is_some()
+        self.lock.is_some() && self.link.is_some() && self.other.open
     }
 
     /// Hands this connection over as soon as it is its turn.
     pub fn enqueue(&mut self, ids: impl IntoIterator<Item = Id>) {
-        self.queue.extend(ids);
+        self.custody.enqueue(ids);
     }
 
     /// Sends a connection on its way; its object keeps it untouched until it is told how that went. False if there is no
@@ -117,13 +119,8 @@
         fds: &[BorrowedFd<'_>],
     ) -> io::Result<bool> {
         let Some(link) = &self.link else { return Err(io::ErrorKind::NotConnected.into()) };
-        self.number += 1;
-        let sent = link::send(link, &said(self.number), bytes, fds)?;
-        if sent {
-            self.under_way.insert(self.number, id);
-        } else {
-            self.queue.push_back(id);
-        }
+        let sent = link::send(link, &said(self.custody.number()), bytes, fds)?;
+        self.custody.sent(id, sent);
         Ok(sent)
     }
 
@@ -138,7 +135,7 @@
             Some(bans) => bans.change(server, down, present),
             None => {
                 let mut out = present.clone();
-                let _ = if down { out.insert(server.clone()) } else { out.remove(server) };
+                put(&mut out, server, down);
                 Ok(out)
             }
         }
@@ -162,7 +159,7 @@
                 let door = link::listen(&path)?;
                 self.door = Some(Watched::new(poller, door, UPGRADE as usize * 2 + DOOR, true, false)?);
             }
-            Err(fs::TryLockError::WouldBlock) if self.link.is_none() => {
+            Err(fs::TryLockError::WouldBlock) if self.link.is_none() && !self.foreign => {
                 let link = link::connect(&path)?;
                 self.link = Some(Watched::new(poller, link, UPGRADE as usize * 2 + LINK, true, false)?);
             }
@@ -174,12 +171,21 @@
     }
 }
 
-/// Reads again who is out by hand.
+/// Reads again who is out by hand. A file that was damaged meanwhile is written anew by one that knows what it held.
 fn reread(node: &mut Node) {
-    match node.upgrade.bans.as_ref().map(Bans::read) {
-        Some(Ok(out)) => node.core.set_out(out),
-        Some(Err(why)) => warn!(node.log, "who is out by hand stays as it was"; "why" => why),
-        None => {}
+    let Some(bans) = &node.upgrade.bans else { return };
+    match bans.read() {
+        Ok(out) => {
+            node.upgrade.read = true;
+            node.core.set_out(out);
+        }
+        Err(why) => {
+            let mended = node.upgrade.read && bans.mend(node.core.out()).is_ok();
+            warn!(node.log, "who is out by hand stays as it was"; "why" => why, "mended" => mended);
+            if mended {
+                node.upgrade.say(&Said::Out);
+            }
+        }
     }
 }
 
@@ -193,25 +199,39 @@
 }
 
 /// Takes clients in from now on, if this is the only process or can serve as well as the other one.
-fn open(node: &mut Node) {
+pub fn open(node: &mut Node) {
     let may = node.upgrade.lock.is_some() || node.serves().is_ok();
     if may && node.upgrade.stem.is_some() && !std::mem::replace(&mut node.upgrade.open, true) {
         node.tell(LISTENER, Message::Begin);
+        tell(node);
     }
 }
 
+/// Tells the other process how this one stands, and shares the budgets of one node with it while both take clients in.
+fn tell(node: &mut Node) {
+    let open = node.upgrade.open && !node.upgrade.leaving;
+    let (clients, strangers) = (node.clients.get(), node.strangers.borrow().len());
+    node.upgrade.say(&Said::Beat(Beat { version: VERSION, clients, strangers, open }));
+    let both = node.upgrade.link.is_some() && open && node.upgrade.other.open;
+    node.core.share(&node.config, if both { 2 } else { 1 });
+}
+
 fn beat(node: &mut Node) {
     let had = node.upgrade.lock.is_some();
     if let Err(error) = node.upgrade.look(&node.poller) {
-        slog::debug!(node.log, "the other process is not reached yet"; "error" => %error);
+        debug!(node.log, "the other process is not reached yet"; "error" => %error);
     }
     if !had && node.upgrade.lock.is_some() {
         info!(node.log, "the only process of this node");
     }
+    if let Some(door) = &mut node.upgrade.door {
+        if let Err(error) = door.want(true, false) {
+            debug!(node.log, "no successor can come for now"; "error" => %error);
+        }
+    }
     if node.upgrade.link.is_some() {
         reread(node);
-        let clients = node.clients.get();
-        node.upgrade.say(&Said::Beat { version: VERSION, clients });
+        tell(node);
     }
     open(node);
     node.deadlines.set(UPGRADE, 0, Instant::now() + BEAT);
@@ -222,80 +242,96 @@
     node.upgrade.leaving = true;
     node.hand_over = true;
     node.tell(LISTENER, Message::Rest);
+    tell(node);
     node.deadlines.set(UPGRADE, 1, Instant::now());
 }
 
 fn step(node: &mut Node) {
-    let room = UNDER_WAY.saturating_sub(node.upgrade.under_way.len());
-    for _ in 0..room {
-        let Some(id) = node.upgrade.queue.pop_front() else { break };
+    for id in node.upgrade.custody.turn() {
         node.tell(id, Message::HandOver);
     }
 }
 
 /// The link broke: what was not taken stays here.
 fn broke(node: &mut Node, why: &str) {
-    info!(node.log, "the other process is gone"; "why" => why.to_string(), "handed" => node.upgrade.handed);
+    let handed = node.upgrade.custody.handed();
+    info!(node.log, "the other process is gone"; "why" => why.to_string(), "handed" => handed);
     node.upgrade.link = None;
-    node.upgrade.others = 0;
-    node.upgrade.queue.clear();
-    for (_, id) in std::mem::take(&mut node.upgrade.under_way) {
+    node.upgrade.other = Beat::default();
+    for id in node.upgrade.custody.broke() {
         node.tell(id, Message::Kept);
     }
-    if node.upgrade.leaving {
+    if std::mem::take(&mut node.upgrade.leaving) {
         // There is nobody else to take clients in.
         node.tell(LISTENER, Message::Begin);
     }
+    // What it wrote last may not have been read.
+    reread(node);
+    tell(node);
     beat(node);
 }
 
+/// What comes is not understood: the two go on without each other.
+fn strange(node: &mut Node, why: &str) {
+    node.upgrade.foreign = true;
+    broke(node, why);
+}
+
 fn take(node: &mut Node, came: Came) {
     let Came { said, bytes, fds } = came;
     match said {
-        Said::Beat { version, clients } => {
-            if version != VERSION {
-                return broke(node, "it speaks another version");
+        Said::Beat(other) if other.version != VERSION => strange(node, "it speaks another version"),
+        Said::Beat(other) => {
+            let opens = other.open != node.upgrade.other.open;
+            node.upgrade.other = other;
+            if opens {
+                tell(node);
+            }
+            // It was told to end before its successor could serve.
+            if node.leaving.is_some() && !node.upgrade.leaving && node.upgrade.has_successor() {
+                leave(node);
             }
-            node.upgrade.others = clients;
         }
         Said::Out => reread(node),
         // What is taken is said to be before anything is read or written: were this process to die now, the other knows
         // whose it is. If it cannot be said the link is given up, which tells the other to keep it.
         Said::Standing(number, record) => {
             let sockets = <[_; 2]>::try_from(fds).ok().filter(|_| Relay::may_take(node, &record, &bytes));
-            let answer = if sockets.is_some() { Said::Took(number) } else { Said::Refused(number) };
-            if !node.upgrade.say(&answer) {
-                return broke(node, "no answer can be given");
-            }
-            if let Some(sockets) = sockets {
-                node.upgrade.others = node.upgrade.others.saturating_sub(1);
-                Relay::take_over(node, record, &bytes, sockets);
+            if answer(node, number, sockets.is_some()) {
+                if let Some(sockets) = sockets {
+                    let clients = &mut node.upgrade.other.clients;
+                    *clients = clients.saturating_sub(1);
+                    Relay::take_over(node, record, &bytes, sockets);
+                }
             }
         }
         Said::First(number, left_ms) => {
             let socket = fds.into_iter().next();
-            let answer = if socket.is_some() { Said::Took(number) } else { Said::Refused(number) };
-            if !node.upgrade.say(&answer) {
-                return broke(node, "no answer can be given");
-            }
-            if let Some(socket) = socket {
-                Client::take_over(node, socket, bytes, Duration::from_millis(left_ms));
-            }
-        }
-        Said::Took(number) => {
-            if let Some(id) = node.upgrade.under_way.remove(&number) {
-                node.upgrade.handed += 1;
-                node.tell(id, Message::Handed);
-            }
-            step(node);
-        }
-        Said::Refused(number) => {
-            if let Some(id) = node.upgrade.under_way.remove(&number) {
-                node.tell(id, Message::Kept);
+            if answer(node, number, socket.is_some()) {
+                if let Some(socket) = socket {
+                    Client::take_over(node, socket, bytes, Duration::from_millis(left_ms));
+                }
             }
-            step(node);
         }
+        Said::Took(number) => answered(node, number, true),
+        Said::Refused(number) => answered(node, number, false),
+    }
+}
+
+/// Says whether a connection is this process's from now on; false if that cannot be said, and it is not.
+fn answer(node: &mut Node, number: u64, takes: bool) -> bool {
+    let said = node.upgrade.say(&if takes { Said::Took(number) } else { Said::Refused(number) });
+    if !said {
+        broke(node, "no answer can be given");
     }
+    said
+}
+
+fn answered(node: &mut Node, number: u64, took: bool) {
+    if let Some(id) = node.upgrade.custody.answered(number, took) {
+        node.tell(id, if took { Message::Handed } else { Message::Kept });
+    }
+    step(node);
 }
 
 /// Watches for the other process.
@@ -304,8 +340,12 @@
 impl Connection for Watch {
     fn ready(&mut self, node: &mut Node, side: usize, _readable: bool, _writable: bool) -> Flow {
         if side == DOOR {
-            let Some(door) = &node.upgrade.door else { return Flow::Keep };
-            let Ok((link, _)) = door.accept() else { return Flow::Keep };
+            let Some(door) = &mut node.upgrade.door else { return Flow::Keep };
+            let Ok((link, _)) = door.accept() else {
+                // With no descriptor left it would be ready again and again: it rests till the next beat.
+                let _ = door.want(false, false);
+                return Flow::Keep;
+            };
             // One successor at a time; a second one comes again once the first has gone.
             if node.upgrade.link.is_none() && link.set_nonblocking(true).is_ok() {
                 let key = UPGRADE as usize * 2 + LINK;
@@ -321,6 +361,10 @@
             match link::receive(link) {
                 Ok(Some(came)) => take(node, came),
                 Ok(None) => break,
+                Err(error) if error.kind() == io::ErrorKind::InvalidData => {
+                    strange(node, &error.to_string());
+                    break;
+                }
                 Err(error) => {
                     broke(node, &error.to_string());
                     break;
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -80,6 +80,14 @@
     }
 }
 
+/// A line goes to the transcriber and one comes back.
+pub fn pass(client: &mut Line, peer: &mut Line) {
+    client.say("hello\r\n");
+    assert_eq!(peer.hear(), "hello");
+    peer.say("hello\r\n");
+    assert_eq!(client.hear(), "hello");
+}
+
 /// The node and what is around it.
 pub struct Rig {
     pub peers: Vec<Option<TcpListener>>,
@@ -177,9 +185,42 @@
 
     /// Sends the older process SIGTERM and waits for its end.
     pub fn end_older(&mut self) {
-        let older = self.older.as_mut().unwrap();
-        kill(older, "-TERM");
-        assert!(within("the older process ends", || older.try_wait().unwrap()).success());
+        kill(self.oldest(), "-TERM");
+        self.ended();
+    }
+
+    /// The older process, or the only one.
+    pub fn oldest(&mut self) -> &mut Child {
+        self.older.as_mut().unwrap_or(&mut self.node)
+    }
+
+    /// Waits for its orderly end.
+    pub fn ended(&mut self) {
+        let oldest = self.oldest();
+        assert!(within("the older process ends", || oldest.try_wait().unwrap()).success());
+    }
+
+    /// Descriptors that the node holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.node.id())).unwrap().count()
+    }
+
+    /// Calls a transcriber back and waits until it is used again: not at once, for it counts as cold.
+    pub fn called_back(&mut self, at: usize) {
+        assert_eq!(self.manage(&format!("set-up s-{at}\r\n")), "done");
+        let mut held = Vec::new();
+        within("it is used again", || {
+            let (mut client, _) = self.open(&format!("d=1500,g={}", held.len()));
+            let tried = within("a try or an answer", || {
+                let tried = self
+                    .peers
+                    .iter()
+                    .position(|peer| peer.as_ref().is_some_and(|peer| peer.accept().is_ok()));
+                tried.map(Some).or_else(|| (!client.quiet()).then_some(None))
+            });
+            held.push(client);
+            (tried == Some(at)).then_some(())
+        });
     }
 
     pub fn launch(peers: usize, sockets: usize) -> Rig {
@@ -321,8 +362,16 @@
 
     /// Waits for a log line that holds this.
     pub fn logged(&self, text: &str) {
+        self.logged_times(text, 1);
+    }
+
+    /// Waits until that many lines hold it, of either process.
+    pub fn logged_times(&self, text: &str, times: usize) {
         let log = self.file.with_extension("log");
-        within(text, || std::fs::read_to_string(&log).unwrap().contains(text).then_some(()));
+        within(text, || {
+            let lines = std::fs::read_to_string(&log).unwrap();
+            (lines.matches(text).count() >= times).then_some(())
+        });
     }
 
     /// Lets discovery listen elsewhere and tells the node where.
--- a/node/tests/operation.rs
+++ b/node/tests/operation.rs
@@ -31,12 +31,13 @@
     let began = Instant::now();
     let mut half = rig.caller();
     half.say("set-down s");
-    let silent: Vec<_> = (0..40).map(|_| rig.caller()).collect();
+    let silent: Vec<_> = (0..300).map(|_| rig.caller()).collect();
     for _ in 0..5 {
         let began = Instant::now();
         assert_eq!(rig.manage("check\r\n"), "done");
         assert!(began.elapsed() < Duration::from_secs(1));
     }
+    assert!(rig.descriptors() < 60, "{} are held", rig.descriptors());
     assert!(rig.manage(&"x".repeat(4096)).starts_with("error the call is longer"));
     drop(silent);
     let mut half = rig.caller();
@@ -137,16 +138,13 @@
     rig.tell(at, "DELETED", 2);
     rig.tell(at, "SERVING", 3);
     rig.logged("seq: 3");
-    let mut held: Vec<_> = (0..4).map(|_| rig.up()).collect();
+    let held: Vec<_> = (0..4).map(|_| rig.up()).collect();
     assert!(held.iter().all(|(_, to, _)| *to != at));
     // A connection from before would be something new there too.
     let (mut old, _) = rig.open(&format!("d=30000,g=a,at=s-{at}"));
     assert_eq!(old.hear(), "BUSY");
-    assert_eq!(rig.manage(&format!("set-up s-{at}\r\n")), "done");
-    within("it is used again", || {
-        held.push(rig.up());
-        (held.last()?.1 == at).then_some(())
-    });
+    drop(held);
+    rig.called_back(at);
 }
 
 #[test]
--- a/node/tests/upgrade.rs
+++ b/node/tests/upgrade.rs
@@ -1,7 +1,7 @@
 //! Two processes of one node: what the older holds goes over to the newer, and nothing is lost on the way.
 
 mod common;
-use common::{kill, within, Rig};
+use common::{kill, pass, within, Rig};
 use rstest::rstest;
 use socket2::{Domain, SockAddr, Socket, Type};
 use std::io::Read;
@@ -86,23 +86,16 @@
     if when < 3 {
         // Whichever process it was said to, the one that holds the connection moves it, and both leave it out.
         assert_eq!(client.hear(), "MOVE");
-        for _ in 0..6 {
-            held.push(rig.up());
-            assert_ne!(held.last().unwrap().1, at);
-        }
+        rig.logged_times("out by hand", 2);
+        held.extend((0..6).map(|_| rig.up()));
         drop(client);
     }
     rig.end_older();
     call(&rig, 3);
-    for _ in 0..4 {
-        held.push(rig.up());
-        assert_ne!(held.last().unwrap().1, at);
-    }
-    assert_eq!(rig.manage(&format!("set-up s-{at}\r\n")), "done");
-    within("it is used again", || {
-        held.push(rig.up());
-        (held.last()?.1 == at).then_some(())
-    });
+    held.extend((0..4).map(|_| rig.up()));
+    assert!(held.iter().all(|(_, to, _)| *to != at));
+    drop(held);
+    rig.called_back(at);
 }
 
 #[test]
@@ -120,50 +113,66 @@
     rig.up();
 }
 
-#[test]
-fn without_its_successor_a_process_moves_its_clients_as_ever() {
+/// What becomes of the successor by the time of SIGTERM: the older process serves on, takes clients in, and moves all.
+#[rstest]
+#[case::killed("ready")]
+#[case::cannot_serve("a successor has come")]
+#[case::dies_half_way("")]
+fn without_a_successor_a_process_moves_its_clients_as_ever(#[case] until: &str) {
     let mut rig = Rig::inherits(1);
-    let (mut client, _, _peer) = rig.up();
-    rig.second();
-    rig.watched();
-    rig.ready();
-    rig.signal("-KILL");
-    rig.logged("the other process is gone");
-    let older = rig.older.as_ref().unwrap();
-    kill(older, "-TERM");
-    assert_eq!(client.hear(), "MOVE");
-    let older = rig.older.as_mut().unwrap();
-    assert!(within("it ends", || older.try_wait().unwrap()).success());
+    let (mut client, _, mut peer) = rig.up();
+    if until.is_empty() {
+        let link = link(&rig);
+        kill(rig.oldest(), "-TERM");
+        // It gets the connection and dies before it says that it has taken it.
+        within("the connection", || {
+            let mut packet = [0; 4096];
+            let got = (&link).read(&mut packet).unwrap();
+            packet[..got].starts_with(b"{\"Standing\"").then_some(())
+        });
+    } else {
+        rig.second();
+        if until == "ready" {
+            rig.watched();
+            rig.ready();
+            rig.signal("-KILL");
+        }
+        rig.logged(if until == "ready" { "the other process is gone" } else { until });
+        kill(rig.oldest(), "-TERM");
+    }
+    pass(&mut client, &mut peer);
+    let (mut late, _, _peer) = rig.up();
+    assert_eq!([client.hear(), late.hear()], ["MOVE", "MOVE"]);
+    drop((client, late));
+    rig.ended();
 }
 
-#[test]
-fn a_successor_that_dies_half_way_leaves_each_connection_with_the_older_process() {
+/// A successor that speaks another form of messages is left alone, and so is this process by one.
+#[rstest]
+#[case::version("{\"Beat\":{\"version\":1,\"clients\":0,\"strangers\":0,\"open\":true}}\n")]
+#[case::nonsense("what?\n")]
+#[case::no_end("{}")]
+fn a_strange_successor_gets_nothing(#[case] says: &str) {
     let mut rig = Rig::inherits(1);
     let (mut client, _, mut peer) = rig.up();
+    let link = link(&rig);
+    link.send(says.as_bytes()).unwrap();
+    rig.logged("the other process is gone");
+    kill(rig.oldest(), "-TERM");
+    pass(&mut client, &mut peer);
+    assert_eq!(client.hear(), "MOVE");
+}
+
+/// A successor that the test plays.
+fn link(rig: &Rig) -> Socket {
     let listen = rig.config["listen"].as_str().unwrap().replace(':', "-");
     let link = Socket::new(Domain::UNIX, Type::SEQPACKET, None).unwrap();
     let path = rig.folder().join(format!("lupincrank-{listen}.socket"));
     link.connect(&SockAddr::unix(path).unwrap()).unwrap();
-    link.send(b"{\"Beat\":{\"version\":1,\"clients\":0}}\n").unwrap();
+    let beat = r#"{"Beat":{"version":2,"clients":0,"strangers":0,"open":true}}"#;
+    link.send(format!("{beat}\n").as_bytes()).unwrap();
     rig.logged("a successor has come");
-    rig.signal("-TERM");
-    // It gets the connection and dies before it says that it has taken it.
-    within("the connection", || {
-        let mut packet = [0; 4096];
-        let got = (&link).read(&mut packet).unwrap();
-        packet[..got].starts_with(b"{\"Standing\"").then_some(())
-    });
-    drop(link);
-    rig.logged("the other process is gone");
-    client.say("hello\r\n");
-    assert_eq!(peer.hear(), "hello");
-    peer.say("hello\r\n");
-    assert_eq!(client.hear(), "hello");
-    // It takes clients in again, too, and moves them all before its end.
-    let (mut late, _, _peer) = rig.up();
-    assert_eq!([client.hear(), late.hear()], ["MOVE", "MOVE"]);
-    drop((client, late));
-    assert!(rig.exit().success());
+    link
 }
 
 #[test]
@@ -177,8 +186,19 @@
     let (mut client, _, mut peer) = rig.up();
     rig.logged("the other process is gone");
     rig.upgrade();
-    client.say("hello\r\n");
-    assert_eq!(peer.hear(), "hello");
+    pass(&mut client, &mut peer);
+}
+
+/// The file is damaged while the process that wrote it lives: it writes it anew.
+#[test]
+fn a_damaged_file_is_mended_by_a_process_that_knows_what_it_held() {
+    let mut rig = Rig::inherits(2);
+    assert_eq!(rig.manage("set-down s-0\r\n"), "done");
+    let listen = rig.config["listen"].as_str().unwrap().replace(':', "-");
+    std::fs::write(rig.folder().join(format!("lupincrank-{listen}.out")), "?").unwrap();
+    rig.upgrade();
+    rig.logged_times("out by hand, transcribers: s-0", 2);
+    assert!((0..6).map(|_| rig.up()).collect::<Vec<_>>().iter().all(|(_, to, _)| *to == 1));
 }
 
 #[rstest]
--- a/src/by_hand.rs
+++ b/src/by_hand.rs
@@ -7,6 +7,15 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
+/// Puts a server among those that are out, or takes it from them; whether that changes anything.
+pub fn put(out: &mut BTreeSet<ServerId>, server: &ServerId, down: bool) -> bool {
+    if down {
+        out.insert(server.clone())
+    } else {
+        out.remove(server)
+    }
+}
+
 /// The list as last told, and the servers that are out.
 #[derive(Default)]
 pub struct ByHand {
