What was learnt of transcribers goes over to the successor with the connections

Seen in the logs of upgrades: the newer process knew no caps, bars or inferred starts.

Change: src/learnt.rs gives and takes them as spans (pure; a server that started later than the older one knew is left as it is); one message ahead of the connections; the form of messages is version 3.

Tests: another clock, a later start, and a bar that goes over between real processes.

--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -4,6 +4,7 @@
 use crate::config::Config;
 use crate::event_loop::Id;
 use crate::load_lines::{LoadLines, Told};
+use lupincrank::learnt::Learnt;
 use lupincrank::{
     Action, Balancer, Event, Health, Incoming, Listed, Outcome, RequestId, ServerId, Settings, Time,
 };
@@ -388,6 +389,19 @@
         self.feed(Event::Inherited(incoming, server.into()));
     }
 
+    /// What was learnt of the transcribers, for the process that takes this one's place.
+    pub fn learnt(&self) -> Vec<Learnt> {
+        self.balancer.learnt(self.time(Instant::now()))
+    }
+
+    /// What the process before this one learnt.
+    pub fn learn(&mut self, learnt: Vec<Learnt>) {
+        let barred = learnt.iter().filter(|learnt| learnt.barred.is_some()).count();
+        let crowded = learnt.iter().filter(|learnt| learnt.cap.is_some()).count();
+        info!(self.log, "learnt"; "transcribers" => learnt.len(), "barred" => barred, "crowded" => crowded);
+        self.feed(Event::Learnt(learnt));
+    }
+
     /// What another process needs to go on with a standing connection: its request, where it stands, its load and when
     /// lines went on that nothing has come back for. `None` for one that is about to end.
     pub fn standing(
--- a/node/src/upgrade/link.rs
+++ b/node/src/upgrade/link.rs
@@ -1,6 +1,7 @@
 //! What two processes of one node say to each other: one message a packet, some with descriptors.
 
 use crate::poll::Watched;
+use lupincrank::learnt::Learnt;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, ReturnFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
@@ -11,9 +12,10 @@
 use std::mem::MaybeUninit;
 use std::os::fd::{BorrowedFd, OwnedFd};
 use std::path::Path;
+use std::time::Duration;
 
 /// The form of the messages; another one is not understood.
-pub const VERSION: u32 = 2;
+pub const VERSION: u32 = 3;
 /// The longest message: both directions of a connection full, and the record.
 const LONGEST: usize = 256 << 10;
 /// Descriptors that one message brings at the most.
@@ -56,6 +58,52 @@
     pub open: bool,
 }
 
+/// What was learnt of one transcriber: see `lupincrank::learnt`. Spans are milliseconds.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Lesson {
+    server: String,
+    started: Option<u64>,
+    cap: Option<f64>,
+    crowded: Option<u64>,
+    barred: Option<u64>,
+    bars: u32,
+    strikes: u32,
+    crashed: bool,
+}
+
+impl From<Learnt> for Lesson {
+    fn from(learnt: Learnt) -> Lesson {
+        let ms =
+            |span: Option<Duration>| span.map(|span| u64::try_from(span.as_millis()).unwrap_or(u64::MAX));
+        Lesson {
+            server: learnt.server.0.to_string(),
+            started: ms(learnt.started),
+            cap: learnt.cap,
+            crowded: ms(learnt.crowded),
+            barred: ms(learnt.barred),
+            bars: learnt.bars,
+            strikes: learnt.strikes,
+            crashed: learnt.crashed,
+        }
+    }
+}
+
+impl From<Lesson> for Learnt {
+    fn from(lesson: Lesson) -> Learnt {
+        let span = |ms: Option<u64>| ms.map(Duration::from_millis);
+        Learnt {
+            server: lesson.server.as_str().into(),
+            started: span(lesson.started),
+            cap: lesson.cap,
+            crowded: span(lesson.crowded),
+            barred: span(lesson.barred),
+            bars: lesson.bars,
+            strikes: lesson.strikes,
+            crashed: lesson.crashed,
+        }
+    }
+}
+
 /// One message.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Said {
@@ -63,6 +111,8 @@
     Beat(Beat),
     /// Who is out by hand has changed.
     Out,
+    /// What was learnt of the transcribers, ahead of the connections.
+    Learnt(Vec<Lesson>),
     /// A connection that is up, with both sockets, the client's first.
     Standing(u64, Standing),
     /// A client whose first line is not whole yet; it may take so many more milliseconds.
--- a/node/src/upgrade/mod.rs
+++ b/node/src/upgrade/mod.rs
@@ -243,6 +243,10 @@
     node.hand_over = true;
     node.tell(LISTENER, Message::Rest);
     tell(node);
+    let lessons = node.core.learnt().into_iter().map(Into::into).collect();
+    if !node.upgrade.say(&Said::Learnt(lessons)) {
+        debug!(node.log, "what was learnt of transcribers does not go along");
+    }
     node.deadlines.set(UPGRADE, 1, Instant::now());
 }
 
@@ -293,6 +297,7 @@
             }
         }
         Said::Out => reread(node),
+        Said::Learnt(lessons) => node.core.learn(lessons.into_iter().map(Into::into).collect()),
         // What is taken is said to be before anything is read or written: were this process to die now, the other knows
         // whose it is. If it cannot be said the link is given up, which tells the other to keep it.
         Said::Standing(number, record) => {
--- a/node/tests/upgrade.rs
+++ b/node/tests/upgrade.rs
@@ -169,7 +169,7 @@
     let link = Socket::new(Domain::UNIX, Type::SEQPACKET, None).unwrap();
     let path = rig.folder().join(format!("lupincrank-{listen}.socket"));
     link.connect(&SockAddr::unix(path).unwrap()).unwrap();
-    let beat = r#"{"Beat":{"version":2,"clients":0,"strangers":0,"open":true}}"#;
+    let beat = r#"{"Beat":{"version":3,"clients":0,"strangers":0,"open":true}}"#;
     link.send(format!("{beat}\n").as_bytes()).unwrap();
     rig.logged("a successor has come");
     link
@@ -189,6 +189,17 @@
     pass(&mut client, &mut peer);
 }
 
+#[test]
+fn what_was_learnt_of_transcribers_goes_over() {
+    let mut rig = Rig::inherits(2);
+    let (_client, at, _peer) = rig.up();
+    // The next one of the group finds that it takes no connection any more.
+    rig.peers[at] = None;
+    assert_ne!(rig.up().1, at);
+    rig.upgrade();
+    rig.logged("learnt, crowded: 0, barred: 1, transcribers: 2");
+}
+
 /// The file is damaged while the process that wrote it lives: it writes it anew.
 #[test]
 fn a_damaged_file_is_mended_by_a_process_that_knows_what_it_held() {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -9,6 +9,7 @@
 use crate::by_hand::ByHand;
 use crate::fleet::{Fleet, Server};
 use crate::interface::*;
+use crate::learnt::Learnt;
 use crate::order::Walk;
 use crate::request::{there, Attempt, Request};
 use crate::shares::{self, Shares};
@@ -221,6 +222,11 @@
         &self.by_hand
     }
 
+    /// What it has learnt of its servers, for a process that takes its place.
+    pub fn learnt(&self, now: Time) -> Vec<Learnt> {
+        self.fleet.learnt(now)
+    }
+
     /// Takes in one event and appends what is to be done. `now` must not run backwards.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
         match event {
@@ -236,6 +242,7 @@
             Event::List { entries, cached } => self.list(now, entries, true, cached, actions),
             Event::ListChange(entries) => self.list(now, entries, false, false, actions),
             Event::Settings { settings, from } => self.renew(settings, &from),
+            Event::Learnt(learnt) => self.fleet.take_learnt(&self.settings, now, learnt),
             Event::ByHand(out) => {
                 let changed = self.by_hand.set(now, out);
                 self.take_in(now, changed, false, actions);
@@ -994,10 +1001,7 @@
         for (server, steps) in self.by_hand.steps(now, EMPTIED, EMPTY_STEP) {
             let at = self.fleet.servers.slot(&server);
             let held = self.fleet.servers.get(at).into_iter().flat_map(|server| &server.held);
-            let stands = |id: &&RequestId| {
-                let request = self.requests.get(id).filter(|request| !request.over);
-                request.and_then(|request| request.out.as_ref()).is_some_and(|out| out.stands)
-            };
+            let stands = |id: &&RequestId| self.requests.get(id).is_some_and(Request::stands);
             let held: Vec<RequestId> = held.filter(stands).copied().collect();
             let due = held.len().div_ceil(steps);
             self.move_tokens = self.move_tokens.max(due as f64);
@@ -1010,7 +1014,7 @@
 
     fn move_away(&mut self, id: RequestId, actions: &mut Actions) {
         let Some(request) = self.requests.get_mut(&id) else { return };
-        if !request.over && request.out.as_ref().is_some_and(|out| out.stands) && self.move_tokens >= 1.0 {
+        if request.stands() && self.move_tokens >= 1.0 {
             self.move_tokens -= 1.0;
             request.over = true;
             actions.push(Action::Move(id));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,5 +1,6 @@
 //! What goes into a balancer and what comes out of it: ids, time, settings, events and actions.
 
+use crate::learnt::Learnt;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -284,6 +285,8 @@
         /// For each class of theirs, its position before, if it was there.
         from: Vec<Option<usize>>,
     },
+    /// What the process whose place this one takes has learnt of its servers.
+    Learnt(Vec<Learnt>),
     /// Exactly these servers are out by hand from now on: nothing new goes there, whatever the list says, and what
     /// stands there is moved. One that is out no more counts as just started.
     ByHand(BTreeSet<ServerId>),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod by_hand;
 mod fleet;
 pub mod interface;
+pub mod learnt;
 mod order;
 mod request;
 mod shares;
--- a/src/request.rs
+++ b/src/request.rs
@@ -44,6 +44,13 @@
     pub asked: Option<(Slot, Time)>,
 }
 
+impl Request {
+    /// Whether its connection stands and nothing has been said that ends it.
+    pub fn stands(&self) -> bool {
+        !self.over && self.out.as_ref().is_some_and(|out| out.stands)
+    }
+}
+
 /// Whether the server does the shared work of the connection's group already, or there is none to do.
 pub fn there(request: &Request, server: &Server) -> bool {
     request.group.map_or(true, |group| server.groups.contains_key(&group))
--- a/src/work_tests.rs
+++ b/src/work_tests.rs
@@ -6,7 +6,7 @@
 
 const SECOND: u64 = 1_000_000_000;
 
-fn settings() -> Settings {
+pub(crate) fn settings() -> Settings {
     let second = Duration::from_secs(1);
     Settings {
         instances: 200,
