--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -305,6 +305,7 @@
     /// So many processes of this node take clients in: what is shared out among nodes is shared among these too.
     pub fn share(&mut self, config: &Config, processes: u32) {
         if std::mem::replace(&mut self.processes, processes) != processes {
+            debug!(self.log, "budgets are shared"; "processes" => processes);
             self.renew(config, (0..config.classes.len()).map(Some).collect());
         }
     }
--- a/node/tests/upgrade.rs
+++ b/node/tests/upgrade.rs
@@ -23,6 +23,8 @@
         rig.second();
         rig.watched();
         rig.ready();
+        // Each takes its part of the budgets while both take clients in.
+        rig.logged_times("budgets are shared, processes: 2", 2 + 2 * round);
         kill(rig.older.as_ref().unwrap(), "-TERM");
         if round == 0 {
             // A try under way ends where it began, and its connection follows.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -73,6 +73,8 @@
     pub books: BTreeMap<u64, Book>,
     /// The list as told: place, and since when a server leaves.
     pub list: BTreeMap<ServerId, (u32, u32, Option<u64>)>,
+    /// Servers that are out by hand.
+    pub out: BTreeSet<ServerId>,
     pub timers: BTreeSet<(u64, u64, u64)>,
     pub patience: BTreeMap<u64, u64>,
     pub last: Vec<Action>,
@@ -87,6 +89,7 @@
             now: 1_000 * MS,
             books: BTreeMap::new(),
             list: BTreeMap::new(),
+            out: BTreeSet::new(),
             timers: BTreeSet::new(),
             patience: BTreeMap::new(),
             last: vec![],
@@ -119,11 +122,21 @@
         self.tell(Event::ListChange(vec![entry]));
     }
 
+    /// From now on exactly these servers are out by hand.
+    pub fn by_hand(&mut self, out: &[&str]) {
+        self.out = out.iter().map(|name| ServerId::from(*name)).collect();
+        for (server, book) in &mut self.list {
+            book.2 = self.out.contains(server).then_some(book.2.unwrap_or(self.now));
+        }
+        self.tell(Event::ByHand(self.out.clone()));
+    }
+
     fn note(&mut self, entry: &Listed) {
         let now = self.now;
         let book = self.list.entry(entry.server.clone()).or_insert((0, 0, None));
         (book.0, book.1) = (entry.zone, entry.cell);
-        book.2 = if entry.health == Health::Ready { None } else { book.2.or(Some(now)) };
+        let serves = entry.health == Health::Ready && !self.out.contains(&entry.server);
+        book.2 = if serves { None } else { book.2.or(Some(now)) };
     }
 
     pub fn ask(&mut self, incoming: Incoming) {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -395,6 +395,35 @@
     assert!(!moves(&world).is_empty());
 }
 
+/// A set-down moved all of 70 connections at once, and the others timed out on the set-ups.
+#[test]
+fn a_server_out_by_hand_is_emptied_in_steps_and_gets_nothing_until_it_is_called_back() {
+    let mut world = filled(site(), &SIX, 120, 40);
+    let (out, mut left) = (busiest(&world), Vec::new());
+    let held = on(&world, out).len();
+    world.by_hand(&[out]);
+    for step in 0..20 {
+        for id in moves(&world) {
+            world.ends(id, Outcome::Cancelled);
+        }
+        left.push(on(&world, out).len());
+        // The judge of the world sees to it that nothing new goes there, though the list tells that it serves.
+        ask(&mut world, 1_000 + step, &format!("c:{step}"));
+        world.stands(1_000 + step);
+        world.change(listed(out));
+        world.advance(world.now + 100 * MS);
+    }
+    assert!(left[7] > held / 4 && left[7] < held * 3 / 4 && left[15] == 0, "{left:?} of {held}");
+    world.by_hand(&[]);
+    let back = (0..50).find(|n| {
+        ask(&mut world, 2_000 + n, &format!("c:{}", n % 40));
+        world.stands(2_000 + n);
+        world.advance(world.now + 100 * MS);
+        world.at(2_000 + n).as_deref() == Some(out)
+    });
+    assert!(back.is_some(), "not used again within 5 s");
+}
+
 /// Mid-flow connections come by the hundred when gateways change; at their holder there is nothing to set up.
 #[test]
 fn mid_flow_connections_do_not_wait_for_the_window() {
