The loop moves out of the node into reactor/, and the circle of imports is gone

Need: trials and stand-ins are to run on the same loop as the node, and every subject that several processes share would have added a member to the circle of ten files in node/src (event_loop imported all that imported it).

Change: reactor/ has the loop, the sorted deadlines, watched sockets and the Connection trait, generic over a World that says what is carried out after each callback, which deadlines are its own and when it is over. What the node keeps is state.rs, what it begins with serve.rs; discovery's form of the list is group.rs, and what a process knows of the other one of its node is upgrade/held.rs, so that state.rs imports nothing that imports it. The core names owners by a number of its own. The other way was a loop with an enum of the node's objects: no dynamic calls, but each program would have brought a loop of its own.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -1,6 +1,6 @@
 //! What the node is told at its start: RELAY_* variables and the JSON file that one of them names.
 
-use crate::discovery::{self, Update};
+use crate::group::{self, Update};
 use lupincrank::Settings;
 use lupincrank_settings::strict;
 use lupincrank_settings::Site;
@@ -247,7 +247,7 @@
             return Err(format!("limits.memory_mb: {} is too little, 24 are needed", config.memory_mb));
         }
         if let Some(known) = &config.known {
-            discovery::check(known).map_err(|error| format!("known: {error}"))?;
+            group::check(known).map_err(|error| format!("known: {error}"))?;
         }
         Ok(config)
     }
--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -2,7 +2,6 @@
 //! contexts and knows no syntax: another front can come through here with the same decisions and rules.
 
 use crate::config::Config;
-use crate::event_loop::Id;
 use crate::load_lines::{LoadLines, Told};
 use lupincrank::learnt::Learnt;
 use lupincrank::{
@@ -36,6 +35,9 @@
 /// A node that ends lets clients come again after this: by then the front sends them elsewhere.
 const LEAVING_RETRY: Duration = Duration::from_millis(500);
 
+/// Who answers a request's client: a name that the core hands back with each order and never looks at.
+pub type Owner = u64;
+
 /// A try that the module wants made.
 pub struct TryOrder {
     /// For which request.
@@ -49,13 +51,13 @@
 /// What is to be carried out, and for which object.
 pub enum Order {
     /// Make a try.
-    Try(Id, TryOrder),
+    Try(Owner, TryOrder),
     /// Reject the request.
-    Refuse(Id, Duration),
+    Refuse(Owner, Duration),
     /// End it as failed.
-    Fail(Id),
+    Fail(Owner),
     /// Send a client away.
-    Move(Id),
+    Move(Owner),
     /// Ask discovery for changes.
     Subscribe,
     /// Call `Core::timer` later.
@@ -78,7 +80,7 @@
 /// A request from its first line to the end of its connection.
 struct Context {
     /// The object that answers its client.
-    owner: Id,
+    owner: Owner,
     expires: Instant,
     /// Attempts made so far.
     attempts: u32,
@@ -339,7 +341,7 @@
         self.contexts.contains_key(&request)
     }
 
-    fn context(&mut self, owner: Id, incoming: &mut Incoming, left: Duration) {
+    fn context(&mut self, owner: Owner, incoming: &mut Incoming, left: Duration) {
         let now = Instant::now();
         let expires = now + left;
         incoming.expires = self.time(expires);
@@ -360,7 +362,7 @@
     }
 
     /// A request is taken from a client that waits for `left`.
-    pub fn request(&mut self, owner: Id, mut incoming: Incoming, left: Duration) {
+    pub fn request(&mut self, owner: Owner, mut incoming: Incoming, left: Duration) {
         if self.leaving {
             return self.orders.push_back(Order::Refuse(owner, LEAVING_RETRY));
         }
@@ -378,7 +380,7 @@
     }
 
     /// A connection that stood before this node began is up again.
-    pub fn inherited(&mut self, owner: Id, mut incoming: Incoming, server: &str) {
+    pub fn inherited(&mut self, owner: Owner, mut incoming: Incoming, server: &str) {
         self.context(owner, &mut incoming, Duration::from_secs(1));
         if let Some(context) = self.contexts.get_mut(&incoming.request) {
             context.attempts = 1;
@@ -416,7 +418,7 @@
     /// A connection comes from the process before this one.
     pub fn take_over(
         &mut self,
-        owner: Id,
+        owner: Owner,
         incoming: Incoming,
         server: &str,
         load: Option<f64>,
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -2,10 +2,11 @@
 
 use crate::config::Config;
 use crate::core::{Core, Member};
-use crate::event_loop::{Connection, Flow, Message, Node, DISCOVERY, UPGRADE};
-use crate::poll::{self, Watched};
-use lupincrank::{Health, Listed};
-use serde::Deserialize;
+use crate::group::{check, dial, health, number, Update};
+use crate::state::{Message, Node, State, DISCOVERY, UPGRADE};
+use lupincrank::Listed;
+use lupincrank_reactor::poll::{self, Watched};
+use lupincrank_reactor::{Connection, Flow};
 use slog::{debug, info, warn};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -21,57 +22,6 @@
 const LONGEST_HEAD: usize = 16 << 10;
 const LONGEST_LINE: usize = 4 << 20;
 
-/// The upstream group, whole or in part, in discovery's form.
-#[derive(Clone, Debug, Deserialize)]
-pub struct Update {
-    seq: u64,
-    whole: bool,
-    hosts: Vec<Host>,
-}
-
-#[derive(Clone, Debug, Deserialize)]
-struct Host {
-    host: String,
-    dial: String,
-    site: Option<String>,
-    class: Option<String>,
-    block: Option<u32>,
-    health: String,
-    share: Option<f64>,
-    born_ms: Option<u64>,
-}
-
-/// Says what is wrong with an update, if anything is.
-pub fn check(update: &Update) -> Result<(), String> {
-    update.hosts.iter().try_for_each(|host| {
-        dial(host)?;
-        health(host).map(|_| ())
-    })
-}
-
-fn dial(host: &Host) -> Result<SocketAddr, String> {
-    host.dial.parse().map_err(|_| format!("{:?}: dial {:?} is not an address:port", host.host, host.dial))
-}
-
-fn health(host: &Host) -> Result<Health, String> {
-    Ok(match host.health.as_str() {
-        "SERVING" => Health::Ready,
-        "DRAINING" => Health::Draining,
-        "DELETED" => Health::Gone,
-        other => return Err(format!("{:?}: unknown health {other:?}", host.host)),
-    })
-}
-
-/// A name's number: its place in the settings, or the next free one.
-fn number(names: &mut Vec<String>, name: Option<&str>) -> u32 {
-    let Some(name) = name else { return 0 };
-    let place = names.iter().position(|known| known == name).unwrap_or_else(|| {
-        names.push(name.to_string());
-        names.len() - 1
-    });
-    u32::try_from(place).unwrap_or(u32::MAX)
-}
-
 /// Undoes the chunked coding, however the bytes are cut up.
 #[derive(Default)]
 pub struct Chunks {
@@ -293,7 +243,7 @@
     }
 }
 
-impl Connection for Discovery {
+impl Connection<State> for Discovery {
     fn ready(&mut self, node: &mut Node, _side: usize, _readable: bool, _writable: bool) -> Flow {
         if let Err(why) = self.progress(node) {
             self.failed(node, &why);
--- a/node/src/line_front.rs
+++ b/node/src/line_front.rs
@@ -1,14 +1,13 @@
 //! The platform's line protocol towards clients: the listener, the first line, and the answers to it.
 
-use crate::event_loop::{Connection, Flow, Id, Message, Node, LISTENER};
-use crate::peer::{Peer, Try, Up, LONGEST_LINE};
-use crate::poll::{self, Watched};
+use crate::peer::{Peer, Try, LONGEST_LINE};
 use crate::relay::Relay;
+use crate::state::{Message, Node, Seat, State as World, Strangers, Up, LISTENER};
 use crate::upgrade::link::Said;
 use lupincrank::{Incoming, RequestId, Time};
+use lupincrank_reactor::poll::{self, Watched};
+use lupincrank_reactor::{Connection, Flow, Id};
 use slog::{debug, warn};
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::ops::Range;
@@ -37,26 +36,6 @@
 const PATIENCE: u64 = 0;
 const AGAIN: u64 = 1;
 
-/// A client's place among those held; given back when dropped.
-pub struct Seat(Rc<Cell<usize>>);
-
-impl Seat {
-    /// Takes a place.
-    pub fn take(taken: &Rc<Cell<usize>>) -> Seat {
-        taken.set(taken.get() + 1);
-        Seat(Rc::clone(taken))
-    }
-}
-
-impl Drop for Seat {
-    fn drop(&mut self) {
-        self.0.set(self.0.get().saturating_sub(1));
-    }
-}
-
-/// Connections that ask for nothing yet or have their answer, the one that has to go first in front.
-pub type Strangers = Rc<RefCell<BTreeSet<(Instant, Id)>>>;
-
 /// A connection's place among the strangers; given back when dropped.
 struct Place {
     among: Strangers,
@@ -136,7 +115,7 @@
     }
 }
 
-impl Connection for Listener {
+impl Connection<World> for Listener {
     fn ready(&mut self, node: &mut Node, _side: usize, _readable: bool, _writable: bool) -> Flow {
         if let Err(error) = self.take(node) {
             // No descriptor is left: guards against a loop that spins on a listener that stays ready.
@@ -517,7 +496,7 @@
     }
 }
 
-impl Connection for Client {
+impl Connection<World> for Client {
     fn ready(&mut self, node: &mut Node, _side: usize, readable: bool, writable: bool) -> Flow {
         if self.frozen {
             return Flow::Keep;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -3,16 +3,16 @@
 mod cli;
 mod config;
 mod core;
-mod deadlines;
 mod discovery;
-mod event_loop;
+mod group;
 mod line_front;
 mod load_lines;
 mod management;
 mod peer;
-mod poll;
 mod relay;
+mod serve;
 mod signals;
+mod state;
 mod upgrade;
 
 use cli::Command;
@@ -53,7 +53,7 @@
         Command::Serve { config, verbose } => {
             let config = load(config)?;
             let listen = config.listen;
-            let start = event_loop::EventLoop::new(config, logger(verbose));
+            let start = serve::start(config, logger(verbose));
             start
                 .map_err(|error| format!("cannot start on {listen}: {error}"))?
                 .run()
--- a/node/src/management.rs
+++ b/node/src/management.rs
@@ -1,10 +1,11 @@
 //! The second address, for the staff: each connection carries one line, and one line comes back that begins with `done` or
 //! `error`. It knows the syntax only; what a call does is the node's matter.
 
-use crate::event_loop::{Connection, Flow, Id, Message, Node, CALLS, MANAGEMENT};
 use crate::peer::LONGEST_LINE;
-use crate::poll::{self, Watched};
+use crate::state::{Message, Node, State, CALLS, MANAGEMENT};
 use crate::upgrade;
+use lupincrank_reactor::poll::{self, Watched};
+use lupincrank_reactor::{Connection, Flow, Id};
 use slog::{info, warn};
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -112,7 +113,7 @@
     }
 }
 
-impl Connection for Management {
+impl Connection<State> for Management {
     fn ready(&mut self, node: &mut Node, _side: usize, _readable: bool, _writable: bool) -> Flow {
         if let Err(error) = self.take(node) {
             warn!(node.log, "cannot take calls for now"; "error" => %error);
@@ -241,7 +242,7 @@
     outcome
 }
 
-impl Connection for Caller {
+impl Connection<State> for Caller {
     fn ready(&mut self, node: &mut Node, _side: usize, readable: bool, writable: bool) -> Flow {
         if writable && self.answered && self.flush() == Flow::Done {
             return Flow::Done;
--- a/node/src/peer.rs
+++ b/node/src/peer.rs
@@ -1,8 +1,9 @@
 //! One try: a connection to a transcriber from its making to the first line that comes back.
 
-use crate::event_loop::{Connection, Flow, Id, Message, Node};
-use crate::poll::{self, Watched};
+use crate::state::{Message, Node, State, Up};
 use lupincrank::{Outcome, RequestId};
+use lupincrank_reactor::poll::{self, Watched};
+use lupincrank_reactor::{Connection, Flow, Id};
 use slog::debug;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -14,16 +15,6 @@
 const CONNECT: u64 = 0;
 const ANSWER: u64 = 1;
 
-/// A try that is up, handed to the object that owns the client.
-pub struct Up {
-    /// Whose.
-    pub request: RequestId,
-    /// The connection.
-    pub stream: Watched<TcpStream>,
-    /// What has come back on it so far: the UP line and perhaps more.
-    pub bytes: Vec<u8>,
-}
-
 /// What is tried.
 pub struct Try {
     /// The client's object.
@@ -199,7 +190,7 @@
     }
 }
 
-impl Connection for Peer {
+impl Connection<State> for Peer {
     fn ready(&mut self, node: &mut Node, _side: usize, readable: bool, _writable: bool) -> Flow {
         if self.sent < self.task.line.len() {
             if let Err(error) = self.write(node) {
--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -1,11 +1,11 @@
 //! A connection that is up: passes bytes both ways unchanged and taps what the decisions need of them.
 
-use crate::event_loop::{Connection, Flow, Id, Message, Node};
-use crate::line_front::Seat;
-use crate::peer::{said, Said, Up, LONGEST_LINE};
-use crate::poll::Watched;
+use crate::peer::{said, Said, LONGEST_LINE};
+use crate::state::{Message, Node, Seat, State, Up};
 use crate::upgrade::link::{self, Standing};
 use lupincrank::{Incoming, Outcome, RequestId, Time};
+use lupincrank_reactor::poll::Watched;
+use lupincrank_reactor::{Connection, Flow, Id};
 use slog::debug;
 use socket2::SockRef;
 use std::io::{self, Read, Write};
@@ -385,7 +385,7 @@
     }
 }
 
-impl Connection for Relay {
+impl Connection<State> for Relay {
     fn ready(&mut self, node: &mut Node, side: usize, readable: bool, _writable: bool) -> Flow {
         if self.frozen {
             Flow::Keep
--- /dev/null
+++ b/node/src/serve.rs
@@ -0,0 +1,36 @@
+//! Sets the node up: which objects its loop begins with.
+
+use crate::config::Config;
+use crate::state::{
+    Message, State, DISCOVERY, LISTENER, LOOK, LOOK_PURPOSE, MANAGEMENT, RESERVED, SIGNALS, UPGRADE,
+};
+use crate::{discovery, line_front, management, signals, upgrade};
+use lupincrank_reactor::{Reactor, WORLD};
+use slog::{info, Logger};
+use std::io;
+use std::time::Instant;
+
+/// The loop with the listener, discovery and signals, ready to run.
+pub fn start(config: Config, log: Logger) -> io::Result<Reactor<State>> {
+    // Before anything else is opened, which could get the number of a descriptor that is not there.
+    let inherited = config.inherited.map(|fd| upgrade::inherited::listener(fd, config.listen)).transpose()?;
+    let mut reactor = Reactor::new(State::new(config, log), RESERVED)?;
+    let node = &mut reactor.hands;
+    let signals = signals::Signals::new(node)?;
+    node.adopt(SIGNALS, Box::new(signals));
+    let discovery = discovery::Discovery::new(&node.config);
+    node.adopt(DISCOVERY, Box::new(discovery));
+    let listener = line_front::Listener::new(node, inherited)?;
+    node.adopt(LISTENER, Box::new(listener));
+    node.adopt(UPGRADE, Box::new(upgrade::Watch));
+    upgrade::begin(node);
+    if let Some(address) = node.config.management {
+        let management = management::Management::new(node, address)?;
+        node.adopt(MANAGEMENT, Box::new(management));
+    }
+    info!(node.log, "serving"; "listen" => %node.config.listen, "name" => %node.config.name);
+    node.core.start();
+    node.tell(DISCOVERY, Message::Begin);
+    node.deadlines.set(WORLD, LOOK_PURPOSE, Instant::now() + LOOK);
+    Ok(reactor)
+}
--- a/node/src/signals.rs
+++ b/node/src/signals.rs
@@ -1,8 +1,9 @@
 //! SIGTERM: the node goes on answering, sends its clients away at a steady pace and ends before it is killed.
 //! SIGHUP: it reads its configuration again.
 
-use crate::event_loop::{Connection, Flow, Message, Node, DISCOVERY, SIGNALS};
-use crate::poll::Watched;
+use crate::state::{Message, Node, State, DISCOVERY, SIGNALS};
+use lupincrank_reactor::poll::Watched;
+use lupincrank_reactor::{Connection, Flow};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::low_level::pipe;
 use slog::{info, warn};
@@ -19,8 +20,6 @@
 const SPARE: Duration = Duration::from_millis(300);
 const FIRST_MOVE: Duration = Duration::from_millis(1400);
 const LAST_MOVE: Duration = Duration::from_millis(400);
-/// New connections keep arriving for up to 0.4 s: the listener stays at least this long.
-const STAYS: Duration = Duration::from_millis(800);
 const STEP: Duration = Duration::from_millis(50);
 /// The pipe of SIGHUP.
 const RELOAD: usize = 1;
@@ -60,7 +59,8 @@
     let moved = fresh.discovery != node.config.discovery;
     let (later, from) = node.config.replace(fresh);
     let later = later.join(", ");
-    node.core.renew(&node.config, from);
+    let State { core, config, .. } = &mut node.world;
+    core.renew(config, from);
     let classes = node.config.classes.join(", ");
     info!(node.log, "configuration read again"; "classes" => classes, "attempts" => node.config.settings.attempt_cap,
         "discovery" => %node.config.discovery, "sockets" =>
@@ -70,20 +70,11 @@
     }
 }
 
-/// Whether a node that is to be gone at `until` may end now.
-pub fn may_exit(node: &Node, until: Instant) -> bool {
-    let now = Instant::now();
-    // With a successor the listener is not this process's any more.
-    let stayed = node.upgrade.handing() || now + total(node.config.longest_deadline) >= until + STAYS;
-    let empty = node.clients.get() == 0 && node.strangers.borrow().is_empty() && node.upgrade.idle();
-    now >= until || (stayed && empty)
-}
-
 fn total(longest_deadline: Duration) -> Duration {
     longest_deadline.min(LONGEST) + AFTER_DEADLINE - SPARE
 }
 
-impl Connection for Signals {
+impl Connection<State> for Signals {
     fn ready(&mut self, node: &mut Node, side: usize, _readable: bool, _writable: bool) -> Flow {
         while matches!(self.pipes[side].read(&mut [0; 64]), Ok(read) if read > 0) {}
         if side == RELOAD {
@@ -93,7 +84,7 @@
             self.began = Some(now);
             let until = now + total(node.config.longest_deadline);
             info!(node.log, "leaving"; "clients" => node.clients.get());
-            node.leaving = Some(until);
+            node.leaving = Some((now, until));
             if node.upgrade.has_successor() {
                 crate::upgrade::leave(node);
             }
@@ -103,7 +94,7 @@
     }
 
     fn due(&mut self, node: &mut Node, _purpose: u64) -> Flow {
-        let Some(until) = node.leaving else { return Flow::Keep };
+        let Some((_, until)) = node.leaving else { return Flow::Keep };
         let now = Instant::now();
         node.core.leave();
         let left = until.saturating_duration_since(now + LAST_MOVE);
--- /dev/null
+++ b/node/src/state.rs
@@ -0,0 +1,223 @@
+//! What the node keeps beside the objects of its loop, and what its parts say to each other.
+
+use crate::config::Config;
+use crate::core::{Core, Order, TryOrder};
+use crate::upgrade::held::Upgrade;
+use crate::upgrade::link::Said;
+use lupincrank::{RequestId, ServerId};
+use lupincrank_reactor::poll::Watched;
+use lupincrank_reactor::{Hands, Id, World, WORLD};
+use slog::{info, warn, Logger};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// How often standing connections are looked through for lines that nothing came back for.
+pub const LOOK: Duration = Duration::from_millis(250);
+/// The deadline of that; all others of the world's own are the decisions' timers.
+pub const LOOK_PURPOSE: u64 = 0;
+/// Discovery's connection and the listener have fixed names.
+pub const DISCOVERY: Id = 1;
+/// See `DISCOVERY`.
+pub const LISTENER: Id = 2;
+/// The object that watches for signals.
+pub const SIGNALS: Id = 3;
+/// The listener for calls of the staff.
+pub const MANAGEMENT: Id = 4;
+/// The link to another process of this node.
+pub use crate::upgrade::held::UPGRADE;
+/// Objects that come and go have names after this one.
+pub const RESERVED: Id = UPGRADE;
+/// Calls of the staff have names from here on: their sockets are looked at before all others.
+pub const CALLS: Id = 1 << 60;
+/// New connections keep arriving for up to 0.4 s after SIGTERM: the listener stays at least this long.
+const STAYS: Duration = Duration::from_millis(800);
+
+/// What one part of the node says to a connection object.
+pub enum Message {
+    /// Start a try.
+    Try(TryOrder),
+    /// Reject the request: it may come again after this.
+    Refuse(Duration),
+    /// End the request as failed.
+    Fail,
+    /// Send the client away, between two lines.
+    Move,
+    /// The try is up; its socket comes along.
+    Up(Up),
+    /// The try of a connection that stood before this node began has failed.
+    NotUp,
+    /// The transcriber served it to its end at once; the line for the client.
+    Ended(Vec<u8>),
+    /// Use the list that the configuration holds; take clients in; look whether that may begin.
+    Begin,
+    /// Ask discovery for changes.
+    Subscribe,
+    /// The configuration names another address of discovery.
+    Moved,
+    /// The owner has no more use for this object.
+    Close,
+    /// Take no clients in for now.
+    Rest,
+    /// Go over to the process that takes this one's place; then whether that happened.
+    HandOver,
+    /// See `HandOver`: the sockets are the other's now.
+    Handed,
+    /// See `HandOver`: nothing has changed.
+    Kept,
+}
+
+/// A try that is up, handed to the object that owns the client.
+pub struct Up {
+    /// Whose.
+    pub request: RequestId,
+    /// The connection.
+    pub stream: Watched<TcpStream>,
+    /// What has come back on it so far: the UP line and perhaps more.
+    pub bytes: Vec<u8>,
+}
+
+/// A client's place among those held; given back when dropped.
+pub struct Seat(Rc<Cell<usize>>);
+
+impl Seat {
+    /// Takes a place.
+    pub fn take(taken: &Rc<Cell<usize>>) -> Seat {
+        taken.set(taken.get() + 1);
+        Seat(Rc::clone(taken))
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+/// Connections that ask for nothing yet or have their answer, the one that has to go first in front.
+pub type Strangers = Rc<RefCell<BTreeSet<(Instant, Id)>>>;
+
+/// What callbacks may use.
+pub type Node = Hands<State>;
+
+/// What the node keeps.
+pub struct State {
+    /// The decisions and the request contexts.
+    pub core: Core,
+    /// What the node was told at its start.
+    pub config: Config,
+    /// Where log lines go.
+    pub log: Logger,
+    /// Clients held with their request; each may need a second descriptor for its peer.
+    pub clients: Rc<Cell<usize>>,
+    /// The other connections held.
+    pub strangers: Strangers,
+    /// When the node began.
+    pub began: Instant,
+    /// Set at SIGTERM: since when it goes on, and when all must be done.
+    pub leaving: Option<(Instant, Instant)>,
+    /// The other process of this node, if there is one.
+    pub upgrade: Upgrade,
+    /// Set for a moment when all connections are to be handed over.
+    pub hand_over: bool,
+}
+
+impl State {
+    /// As the node begins.
+    pub fn new(config: Config, log: Logger) -> State {
+        State {
+            core: Core::new(&config, log.clone()),
+            upgrade: Upgrade::new(config.listen, config.inherited),
+            config,
+            log,
+            clients: Rc::default(),
+            strangers: Strangers::default(),
+            began: Instant::now(),
+            leaving: None,
+            hand_over: false,
+        }
+    }
+
+    /// Whether clients can be served now, or what is missing.
+    pub fn serves(&self) -> Result<(), String> {
+        if self.leaving.is_some() {
+            return Err("this process is ending".into());
+        }
+        if !self.upgrade.settled() {
+            return Err("the process before this one has not been reached yet".into());
+        }
+        self.core.able().map_err(str::to_string)
+    }
+
+    /// Takes a transcriber out by hand or back in.
+    pub fn by_hand(&mut self, server: &str, down: bool) -> Result<(), String> {
+        let id = ServerId::from(server);
+        if !self.core.knows(&id) {
+            return Err(format!("no transcriber {server:?}"));
+        }
+        // Written before it is obeyed: what was answered with yes holds across any end of this process.
+        let out = self.upgrade.change(&id, down, self.core.out())?;
+        self.core.set_out(out);
+        self.upgrade.say(&Said::Out);
+        Ok(())
+    }
+}
+
+impl World for State {
+    type Message = Message;
+
+    fn settle(node: &mut Node, objects: &mut dyn Iterator<Item = Id>) {
+        while let Some(order) = node.core.orders.pop_front() {
+            match order {
+                Order::Try(owner, order) => node.tell(owner, Message::Try(order)),
+                Order::Refuse(owner, after) => node.tell(owner, Message::Refuse(after)),
+                Order::Fail(owner) => node.tell(owner, Message::Fail),
+                Order::Move(owner) => node.tell(owner, Message::Move),
+                Order::Subscribe => node.tell(DISCOVERY, Message::Subscribe),
+                Order::Timer { after, purpose } => {
+                    node.deadlines.set(WORLD, purpose, Instant::now() + after);
+                }
+            }
+        }
+        if std::mem::take(&mut node.hand_over) {
+            let mut ids: Vec<Id> = objects.filter(|id| (RESERVED + 1..CALLS).contains(id)).collect();
+            ids.sort_unstable();
+            node.upgrade.enqueue(ids);
+        }
+    }
+
+    fn due(node: &mut Node, purpose: u64) {
+        if purpose == LOOK_PURPOSE {
+            node.deadlines.set(WORLD, LOOK_PURPOSE, Instant::now() + LOOK);
+            node.core.look();
+        } else {
+            node.core.timer(purpose);
+        }
+    }
+
+    fn over(&self) -> bool {
+        let Some((since, until)) = self.leaving else { return false };
+        let now = Instant::now();
+        // With a successor the listener is not this process's any more.
+        let stayed = self.upgrade.handing() || now >= since + STAYS;
+        let empty = self.clients.get() == 0 && self.strangers.borrow().is_empty() && self.upgrade.idle();
+        let over = now >= until || (stayed && empty);
+        if over {
+            info!(self.log, "ended"; "clients" => self.clients.get());
+        }
+        over
+    }
+
+    fn unheard(&mut self, _id: Id, message: Message) {
+        // A socket handed to an object that has ended meanwhile is closed with the message.
+        if let Message::Up(up) = message {
+            warn!(self.log, "came up for nobody"; "request" => format!("{:016x}", up.request.0));
+        }
+    }
+
+    fn goes_first(&self, id: Id) -> bool {
+        id == MANAGEMENT || id >= CALLS
+    }
+}
--- a/node/src/upgrade/custody.rs
+++ b/node/src/upgrade/custody.rs
@@ -1,7 +1,7 @@
 //! Whose each connection is while one process hands them over to another. No I/O: what was sent and what came back goes in,
 //! and what is to be told to which connection comes out.
 
-use crate::event_loop::Id;
+use lupincrank_reactor::Id;
 use std::collections::{BTreeMap, VecDeque};
 
 /// Connections under way from one process to the other: each counts twice in descriptors meanwhile.
--- a/node/src/upgrade/link.rs
+++ b/node/src/upgrade/link.rs
@@ -1,7 +1,7 @@
 //! What two processes of one node say to each other: one message a packet, some with descriptors.
 
-use crate::poll::Watched;
 use lupincrank::learnt::Learnt;
+use lupincrank_reactor::poll::Watched;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, ReturnFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
--- a/node/src/deadlines.rs
+++ b/reactor/src/deadlines.rs
@@ -1,4 +1,4 @@
-//! All deadlines of the node, in one sorted structure that the loop sweeps each turn.
+//! All deadlines of a program, in one sorted structure that the loop sweeps each turn.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
