Decisions take a slice of what all may send to cold servers as an input

Need: a gateway's part of the fleet's cold budget is 1/Instances whether Instances gateways live or one.

Change: Event::Slice gives a part, a number of sends in any window, until when, and a floor without it; the end of the lease is looked at before each send, since a timer would come after the events of a frozen process. Without the event nothing differs: the same sums in the same order. The other way was a budget at the node, in front of the decisions: it would have turned requests away that a warm server could take.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -7,6 +7,7 @@
 use crate::asking::Asking;
 use crate::bits::{fraction, murmur, part_of, short_name};
 use crate::by_hand::ByHand;
+use crate::cold::{Cold, COLD_SAVED};
 use crate::fleet::{Fleet, Server};
 use crate::interface::*;
 use crate::learnt::Learnt;
@@ -33,7 +34,6 @@
 /// demand, which keeps to the budget over all gateways, may get wrong at one of them.
 const GUESSED: f64 = 3.0;
 const DEMAND_FADES: f64 = 0.3; // the requests seen fade so a second
-const COLD_SAVED: f64 = 3.0; // sends that all gateways together may have saved up for a cold server
 const CHANCES: u64 = 1; // the stream of random numbers for shares of a fleet's budgets
 const TICK_HANDLE: u64 = 1;
 const LIST_HANDLE: u64 = 2;
@@ -167,8 +167,7 @@
     probe_tokens: f64,
     /// What this gateway may send to all cold servers together, and from how much of it a send is made: drawn
     /// anew for each, so that the parts of a send that many gateways have add up to the right number.
-    cold_budget: f64,
-    cold_mark: f64,
+    cold: Cold,
     /// Requests taken lately, fading.
     demand: f64,
     shares: Shares,
@@ -205,10 +204,9 @@
             empty_timer: false,
             move_tokens: 0.0,
             probe_tokens: 0.0,
-            cold_budget: 0.0,
             demand: 0.0,
             shares: Shares::default(),
-            cold_mark: fraction(&mut chance),
+            cold: Cold::new(fraction(&mut chance)),
             chance,
             random: Pcg32::seed_from_u64(seed),
             seen: 0.0,
@@ -242,6 +240,7 @@
             Event::List { entries, cached } => self.list(now, entries, true, cached, actions),
             Event::ListChange(entries) => self.list(now, entries, false, false, actions),
             Event::Settings { settings, from } => self.renew(settings, &from),
+            Event::Slice(slice) => self.cold.hold(slice),
             Event::Learnt(learnt) => self.fleet.take_learnt(&self.settings, now, learnt),
             Event::ByHand(out) => {
                 let changed = self.by_hand.set(now, out);
@@ -333,18 +332,18 @@
             });
         }
         self.share_out(now, lost, actions);
-        self.open_cold();
+        self.open_cold(now);
     }
 
     fn listed(&mut self, now: Time, entry: Listed, lost: &mut f64) -> Slot {
-        let saved = self.saved_share();
+        let saved = self.cold.saved(now, self.settings.instances);
         let mut at = self.fleet.servers.slot(&entry.server);
         if at == UNKNOWN {
             let (hash, health, cap) = (server_hash(&entry.server), Health::Gone, f64::INFINITY);
             let fresh = Server { hash, health, cap, leaving_since: now, ..Server::default() };
             at = self.fleet.servers.insert(entry.server, fresh);
         }
-        let (settings, budget) = (&self.settings, &mut self.cold_budget);
+        let (settings, budget) = (&self.settings, &mut self.cold);
         self.fleet.change(at, |server| {
             // A new start under the old id is a new process: evidence against the last one is void, and it
             // is cold.
@@ -363,7 +362,7 @@
             server.weight = if entry.weight > 0.0 { entry.weight } else { 1.0 };
             let cold = server.is_cold(settings, now);
             let was_cold = std::mem::replace(&mut server.cold, cold);
-            *budget += if cold && (fresh || !was_cold) { saved } else { 0.0 };
+            budget.add(if cold && (fresh || !was_cold) { saved } else { 0.0 });
         });
         at
     }
@@ -423,6 +422,9 @@
 
     /// Sends what waits and may go, oldest first, and ends what can no longer be answered in time.
     fn pump(&mut self, now: Time, actions: &mut Actions) {
+        if self.cold.sliced() {
+            self.open_cold(now); // the window has moved on, or the lease is over
+        }
         let mut still = VecDeque::new();
         while let Some(id) = self.waiting.pop_front() {
             let Some(request) = self.requests.get(&id).filter(|request| !request.over) else { continue };
@@ -474,8 +476,8 @@
         let Some(request) = self.requests.get(&id) else { return };
         let patience = self.patience(now, request);
         if self.fleet.servers.get(at).is_some_and(|server| server.cold) {
-            self.cold_budget -= 1.0;
-            self.cold_mark = fraction(&mut self.chance);
+            self.cold.send(now);
+            self.cold.mark = fraction(&mut self.chance);
         }
         self.fleet.change(at, |server| {
             server.tokens -= 1.0;
@@ -486,7 +488,7 @@
             }
             server.trial = server.barred_until.is_some();
         });
-        self.open_cold();
+        self.open_cold(now);
         if let Some(request) = self.requests.get_mut(&id) {
             request.attempts += 1;
             request.asked = None;
@@ -762,16 +764,9 @@
         safe && !request.tried.contains(&at)
     }
 
-    /// How likely an unused send to a cold server is kept: what all gateways have saved up is the same
-    /// however many there are. Guards against hundreds of them that spend one saved send each at the same
-    /// moment.
-    fn saved_share(&self) -> f64 {
-        COLD_SAVED / f64::from(self.settings.instances.max(1))
-    }
-
     /// Lets cold servers be ranked or not, as the budget for all of them has come to allow.
-    fn open_cold(&mut self) {
-        let open = self.cold_budget > self.cold_mark;
+    fn open_cold(&mut self, now: Time) {
+        let open = self.cold.open(now);
         if std::mem::replace(&mut self.fleet.cold_open, open) != open {
             self.fleet.kept_up.clone().into_iter().for_each(|at| self.fleet.change(at, |_| ()));
         }
@@ -1185,7 +1180,7 @@
         self.kinds.values_mut().for_each(|(seen, crowded)| [seen, crowded].into_iter().for_each(faded));
         // Cold servers: no faster than would fill them over their warm-up to what a warm one holds here.
         let cold_for = self.settings.cold_for.as_secs_f64().max(1.0);
-        let saved_share = self.saved_share();
+        let saved_share = self.cold.saved(now, self.settings.instances);
         let window = self.settings.fall_window.as_secs_f64().max(0.1);
         let floor = saved_share / COLD_SAVED * LEAST_HELD / cold_for;
         let mut refill = 0.0;
@@ -1251,10 +1246,10 @@
             });
         }
         let most = if refill > 0.0 { (refill * window).max(1.0) } else { 0.0 };
-        self.cold_budget = (self.cold_budget + refill).min(most);
+        self.cold.refill(refill, most);
         self.shares.fade(&self.fleet);
         self.share_out(now, 0.0, actions);
-        self.open_cold();
+        self.open_cold(now);
     }
 
     fn mean_load(&self) -> f64 {
--- /dev/null
+++ b/src/cold.rs
@@ -0,0 +1,79 @@
+//! The budget of sends to cold servers that this gateway has: its guess of what they bear, and, where the gateways divide
+//! a budget among themselves, the slice that it holds of that.
+
+use crate::interface::{Slice, Time};
+use std::collections::VecDeque;
+
+/// Sends that all gateways together may have saved up for a cold server.
+pub const COLD_SAVED: f64 = 3.0;
+/// The most sends that are kept in mind of one window: a slice beyond it is cut down to it.
+const MOST_SENT: u32 = 1 << 16;
+
+/// See the module.
+#[derive(Default)]
+pub struct Cold {
+    budget: f64,
+    /// Above this it lets a send go: drawn anew after each, so that parts of a send add up over all gateways.
+    pub mark: f64,
+    slice: Option<Slice>,
+    /// The sends of the last window, where there is a slice.
+    sent: VecDeque<Time>,
+}
+
+impl Cold {
+    /// Nothing to send yet.
+    pub fn new(mark: f64) -> Cold {
+        Cold { mark, ..Cold::default() }
+    }
+
+    /// How likely an unused send to a cold server is kept: what all gateways have saved up is the same however many
+    /// there are. Guards against hundreds of them that spend one saved send each at the same moment.
+    pub fn saved(&self, now: Time, instances: u32) -> f64 {
+        let slice = self.slice.as_ref().filter(|slice| slice.until.is_some_and(|until| now < until));
+        slice.map_or(COLD_SAVED / f64::from(instances.max(1)), |slice| COLD_SAVED * slice.part)
+    }
+
+    /// From now on this slice holds, or none: then the number of gateways decides alone.
+    pub fn hold(&mut self, slice: Option<Slice>) {
+        if slice.is_none() {
+            self.sent.clear();
+        }
+        self.slice = slice;
+    }
+
+    /// So much more may be sent.
+    pub fn add(&mut self, more: f64) {
+        self.budget += more;
+    }
+
+    /// Upkeep: so much more, but never over `most` in all.
+    pub fn refill(&mut self, more: f64, most: f64) {
+        self.budget = (self.budget + more).min(most);
+    }
+
+    /// One was sent.
+    pub fn send(&mut self, now: Time) {
+        self.budget -= 1.0;
+        if self.slice.is_some() {
+            self.sent.push_back(now);
+        }
+    }
+
+    /// Whether a cold server may be sent something now. A slice that has run out is no slice: its clock is looked at here,
+    /// before anything goes out, so that a process that was frozen finds out in time.
+    pub fn open(&mut self, now: Time) -> bool {
+        let own = self.budget > self.mark;
+        let Some(slice) = &self.slice else { return own };
+        while self.sent.front().is_some_and(|sent| now.since(*sent) >= slice.window) {
+            self.sent.pop_front();
+        }
+        let holds = slice.until.is_some_and(|until| now < until);
+        let sends = if holds { slice.sends } else { slice.floor };
+        own && self.sent.len() < sends.min(MOST_SENT) as usize
+    }
+
+    /// Whether there is a slice at all, and with it a moment between two upkeeps at which more may go.
+    pub fn sliced(&self) -> bool {
+        self.slice.is_some()
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -206,6 +206,21 @@
     }
 }
 
+/// A gateway's slice of what all may send to cold servers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Slice {
+    /// Its part of the whole, 0 to 1: takes the place of one part in [`Settings::instances`] while the slice holds.
+    pub part: f64,
+    /// New sends in any `window`, while the slice holds ...
+    pub sends: u32,
+    /// ... until this moment; none if nothing is held.
+    pub until: Option<Time>,
+    /// New sends in any `window` without it.
+    pub floor: u32,
+    /// See `sends`.
+    pub window: Duration,
+}
+
 /// What the proxy tells its balancer.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -285,6 +300,9 @@
         /// For each class of theirs, its position before, if it was there.
         from: Vec<Option<usize>>,
     },
+    /// What this gateway may send to cold servers, where the gateways divide that among themselves; without it each takes one
+    /// part in [`Settings::instances`].
+    Slice(Option<Slice>),
     /// What the process whose place this one takes has learnt of its servers.
     Learnt(Vec<Learnt>),
     /// Exactly these servers are out by hand from now on: nothing new goes there, whatever the list says, and what
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 mod balance;
 mod bits;
 pub mod by_hand;
+mod cold;
 mod fleet;
 pub mod interface;
 pub mod learnt;
