--- /dev/null
+++ b/decisions/council/src/entry.rs
@@ -0,0 +1,27 @@
+//! What stands in the replicated log.
+
+use serde::{Deserialize, Serialize};
+
+/// One entry. Members come and go with the log's own changes of its voters and learners.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Entry {
+    /// Slices for nodes that asked.
+    Grants(Vec<Grant>),
+    /// By the leader's clock these grants (holder, number) are surely over.
+    Over(Vec<(u64, u64)>),
+    /// The whole of the cold budget from here on.
+    Whole(u32),
+}
+
+/// One slice for one life of a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// Whose.
+    pub holder: u64,
+    /// The number of its request: it takes no grant but the one that answers its latest.
+    pub number: u64,
+    /// What it may still have in use, by earlier grants, as of that request.
+    pub using: u32,
+    /// What it may use once it has this.
+    pub slice: u32,
+}
--- /dev/null
+++ b/decisions/council/src/lease.rs
@@ -0,0 +1,162 @@
+//! Both clocks of a lease. The holder counts from when it sent its request, the granter from when the grant stood in its
+//! log, which is later; the granter waits longer by what two clocks can differ, and by the window over which the budget
+//! counts, since what was sent just before the end still does. Neither ever reads the other's clock.
+
+use crate::state::State;
+use lupincrank::Time;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+/// The spans that all nodes of a fleet hold alike.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// How long a slice may be used, by the holder's clock.
+    pub lease: Duration,
+    /// The budget counts what is sent within this span.
+    pub window: Duration,
+    /// By how much of a span any two clocks may differ, at the most.
+    pub drift: f64,
+    /// How often a holder asks anew.
+    pub renew: Duration,
+}
+
+impl Default for Terms {
+    fn default() -> Terms {
+        Terms {
+            lease: Duration::from_secs(3),
+            window: Duration::from_millis(1250),
+            drift: 0.03,
+            renew: Duration::from_millis(700),
+        }
+    }
+}
+
+impl Terms {
+    /// After this, by the granter's clock, nothing of a grant is in use.
+    pub fn surely_over(&self) -> Duration {
+        (self.lease + self.window).mul_f64(1.0 + self.drift)
+    }
+}
+
+/// What a node asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Ask {
+    /// Each request has a higher one.
+    pub number: u64,
+    /// The most that may have been in use at any time within the window before, and so still counts.
+    pub using: u32,
+}
+
+/// The holder's side.
+#[derive(Debug)]
+pub struct Holder {
+    terms: Terms,
+    floor: u32,
+    number: u64,
+    asked: Option<Time>,
+    /// The slice and when it is over.
+    held: Option<(u32, Time)>,
+    /// Slices of before, and until when each was in use.
+    before: VecDeque<(u32, Time)>,
+}
+
+/// Slices of before that are kept in mind; older ones of the same window count with their greatest.
+const MOST_BEFORE: usize = 64;
+
+impl Holder {
+    /// Holds nothing but its floor.
+    pub fn new(terms: Terms, floor: u32) -> Holder {
+        Holder { terms, floor, number: 0, asked: None, held: None, before: VecDeque::new() }
+    }
+
+    /// What may be used now, the floor included, and until when; nothing but the floor has no end.
+    pub fn limit(&self, now: Time) -> (u32, Option<Time>) {
+        match self.held {
+            Some((slice, until)) if now < until => (self.floor.saturating_add(slice), Some(until)),
+            _ => (self.floor, None),
+        }
+    }
+
+    /// Whether it is time to ask: the last request is old, or was not answered.
+    pub fn due(&self, now: Time) -> bool {
+        self.asked.is_none_or(|asked| now.since(asked) >= self.terms.renew)
+    }
+
+    /// Asks anew. Grants that answer earlier requests are void from here on, whenever they come.
+    pub fn ask(&mut self, now: Time) -> Ask {
+        self.number += 1;
+        self.asked = Some(now);
+        self.before.retain(|(_, until)| now.since(*until) < self.terms.window);
+        // A slice that has run out counts as one of before, for as long as what was sent by it does.
+        let held = self.held.filter(|(_, until)| now.since(*until) < self.terms.window);
+        let using = held.iter().chain(&self.before).map(|(slice, _)| *slice).max().unwrap_or(0);
+        Ask { number: self.number, using }
+    }
+
+    /// A grant has come; whether it counts.
+    pub fn granted(&mut self, now: Time, number: u64, slice: u32) -> bool {
+        let Some(asked) = self.asked.filter(|_| number == self.number) else { return false };
+        let until = asked.after(self.terms.lease);
+        // Guards against one that waited at a frozen process or on the way for longer than it holds.
+        if now >= until {
+            return false;
+        }
+        self.put(now, Some((slice, until)));
+        true
+    }
+
+    /// What was granted is void: it came from a council that is fenced off.
+    pub fn drop_all(&mut self, now: Time) {
+        // A grant that is still on the way answers no request any more.
+        self.number += 1;
+        self.put(now, None);
+    }
+
+    fn put(&mut self, now: Time, held: Option<(u32, Time)>) {
+        if let Some((slice, until)) = std::mem::replace(&mut self.held, held) {
+            self.before.push_back((slice, until.min(now)));
+        }
+        if self.before.len() > MOST_BEFORE {
+            if let Some((slice, _)) = self.before.pop_front() {
+                if let Some(next) = self.before.front_mut() {
+                    next.0 = next.0.max(slice);
+                }
+            }
+        }
+    }
+}
+
+/// The granter's side: since when, by this node's clock, each grant stands. Every member keeps it, for any may become
+/// leader; what one learns late it counts from then.
+#[derive(Debug, Default)]
+pub struct Clocks {
+    since: BTreeMap<u64, (u64, Time)>,
+}
+
+impl Clocks {
+    /// Follows the state: grants that are new to this node count from now on.
+    pub fn follow(&mut self, now: Time, state: &State) {
+        self.since.retain(|holder, _| state.held.contains_key(holder));
+        for (holder, held) in &state.held {
+            let since = self.since.entry(*holder).or_insert((held.number, now));
+            if since.0 != held.number {
+                *since = (held.number, now);
+            }
+        }
+    }
+
+    /// The grants that are surely over, by holder and number.
+    pub fn over(&self, now: Time, terms: &Terms) -> Vec<(u64, u64)> {
+        let over = self.since.iter().filter(|(_, (_, since))| now.since(*since) >= terms.surely_over());
+        over.map(|(holder, (number, _))| (*holder, *number)).collect()
+    }
+}
+
+/// Equal parts of the whole in whole connections; what is left over goes round by turns, so that a whole smaller than the
+/// number of nodes starves none.
+pub fn part_of(whole: u32, holders: usize, place: usize, turn: u64) -> u32 {
+    let holders = u32::try_from(holders.max(1)).unwrap_or(u32::MAX);
+    let (each, rest) = (whole / holders, whole % holders);
+    let shifted = (place as u64 + turn) % u64::from(holders);
+    each + u32::from(shifted < u64::from(rest))
+}
--- /dev/null
+++ b/decisions/council/src/lib.rs
@@ -0,0 +1,14 @@
+//! What the nodes of a fleet agree on, without I/O: time, messages and who lives come in, messages and grants go out.
+//!
+//! The few facts that all must hold alike stand in a replicated log ([`entry`]) and lead to one [`state`]. The log is
+//! carried by the `raft` crate, which [`council`] drives. No disk survives a machine, so a voter's vote is as mortal as
+//! its process: each life has an identity of its own ([`member`]), and [`voters`] lets a new life in only after the old
+//! one of that name is out. [`lease`] has both clocks of a lease, the holder's and the granter's.
+
+pub mod council;
+pub mod entry;
+pub mod lease;
+pub mod member;
+pub mod state;
+mod store;
+pub mod voters;
--- /dev/null
+++ b/decisions/council/src/voters.rs
@@ -0,0 +1,90 @@
+//! Which members vote, and what is changed next. One change at a time: the log takes no second before the first stands.
+
+use crate::member::Member;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// One change of who takes part.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// This life is out.
+    Remove(u64),
+    /// It learns the log and has no vote.
+    Learn(Member),
+    /// A learner gets a vote.
+    Vote(u64),
+    /// A voter becomes a learner.
+    Unvote(u64),
+}
+
+/// Who takes part now.
+#[derive(Clone, Debug, Default)]
+pub struct Parts {
+    /// With a vote.
+    pub voters: BTreeSet<u64>,
+    /// Without.
+    pub learners: BTreeSet<u64>,
+}
+
+/// How many votes there should be among so many that live.
+pub fn wanted(alive: usize) -> usize {
+    match alive {
+        0..=2 => 1,
+        3..=4 => 3,
+        _ => 5,
+    }
+}
+
+/// The next change, if one is due. `members` are those that the log knows, `alive` those that membership does; `gone` are
+/// ids that have been dead for long enough to be taken out.
+///
+/// The rule that keeps votes apart: a life is let in only once no other life of its name takes part. `me` leads and is
+/// neither removed nor unvoted, or there would be no leader to make the next change.
+pub fn next(
+    me: u64,
+    parts: &Parts,
+    members: &BTreeMap<u64, Member>,
+    alive: &BTreeMap<u64, Member>,
+    gone: &dyn Fn(u64) -> bool,
+) -> Option<Change> {
+    let lives = |id: &u64| alive.contains_key(id) || *id == me;
+    let all = || parts.voters.iter().chain(&parts.learners);
+    // Votes first: each that can't be given makes a majority harder to reach.
+    if let Some(dead) = all().find(|id| **id != me && !lives(id) && gone(**id)) {
+        return Some(Change::Remove(*dead));
+    }
+    let taken: BTreeSet<&str> =
+        all().filter_map(|id| members.get(id)).map(|member| member.name.as_str()).collect();
+    // Another life of a name that still takes part waits until the old one is out.
+    let fresh = alive.values().find(|member| {
+        !parts.voters.contains(&member.id)
+            && !parts.learners.contains(&member.id)
+            && !taken.contains(member.name.as_str())
+    });
+    if let Some(member) = fresh {
+        return Some(Change::Learn(member.clone()));
+    }
+    let votes: Vec<u64> = parts.voters.iter().copied().filter(lives).collect();
+    let able = all().filter(|id| lives(id)).count();
+    let wanted = wanted(able);
+    let zone = |id: &u64| members.get(id).map_or("", |member| member.zone.as_str());
+    let in_zone = |at: &str| votes.iter().filter(|id| zone(id) == at).count();
+    if votes.len() < wanted {
+        // The zone with the fewest votes first, then by name: every leader would choose the same.
+        let name = |id: &u64| members.get(id).map_or("", |member| member.name.as_str());
+        let next = parts.learners.iter().filter(|id| lives(id));
+        return next.min_by_key(|id| (in_zone(zone(id)), name(id))).map(|id| Change::Vote(*id));
+    }
+    if votes.len() > wanted && votes.len() == parts.voters.len() {
+        let extra = votes.iter().filter(|id| **id != me);
+        return extra.max_by_key(|id| (in_zone(zone(id)), **id)).map(|id| Change::Unvote(*id));
+    }
+    // A zone without a vote gets one from the zone that has the most, once there is one to spare.
+    if votes.len() == parts.voters.len() && wanted > 1 {
+        let without = parts.learners.iter().filter(|id| lives(id)).find(|id| in_zone(zone(id)) == 0)?;
+        let crowded = votes.iter().filter(|id| **id != me).max_by_key(|id| (in_zone(zone(id)), **id))?;
+        if in_zone(zone(crowded)) > 1 && !zone(without).is_empty() {
+            return Some(Change::Unvote(*crowded));
+        }
+    }
+    None
+}
--- a/node/src/cli.rs
+++ b/node/src/cli.rs
@@ -10,6 +10,8 @@
     Serve {
         /// The configuration, if not the one that RELAY_CONFIG names.
         config: Option<String>,
+        /// The operator's file, if there is one.
+        operator: Option<String>,
         /// Log each request too.
         verbose: bool,
     },
@@ -17,6 +19,17 @@
     CheckConfig {
         /// See `Serve`.
         config: Option<String>,
+        /// See `Serve`.
+        operator: Option<String>,
+    },
+    /// Ask a node about its fleet.
+    Fleet {
+        /// Print what it says as it comes.
+        json: bool,
+        /// `status`, `members`, `log` or `reseed`.
+        what: String,
+        /// The node's second address.
+        address: SocketAddr,
     },
     /// Make one call at a node's second address.
     Manage {
@@ -39,24 +52,39 @@
             .optional()
     };
     let verbose = long("verbose").short('v').help("Log single requests and tries too").switch();
-    let config = path();
-    let serve = construct!(Command::Serve { config, verbose })
+    let file = || {
+        long("operator")
+            .help("The operator's file: the fleet and its budgets")
+            .argument::<String>("FILE")
+            .optional()
+    };
+    let (config, operator) = (path(), file());
+    let serve = construct!(Command::Serve { config, operator, verbose })
         .to_options()
         .descr("Run the node until SIGTERM")
         .command("serve");
-    let config = path();
-    let check = construct!(Command::CheckConfig { config })
+    let (config, operator) = (path(), file());
+    let check = construct!(Command::CheckConfig { config, operator })
         .to_options()
         .descr("Read the configuration and say what is wrong with it")
         .command("check-config");
     let address = positional::<SocketAddr>("ADDRESS").help("The node's second address, as address:port");
-    let call = positional::<String>("CALL").help("check, set-down ID or set-up ID").some("a call is missing");
+    let call = positional::<String>("CALL")
+        .help("check, set-down ID, set-up ID or fleet WHAT")
+        .some("a call is missing");
     let manage = construct!(Command::Manage { address, call })
         .to_options()
         .descr("Make one call at a node's second address; the exit code is 0 for done")
         .command("manage");
+    let json = long("json").help("Print the answer as JSON").switch();
+    let what = positional::<String>("WHAT").help("status, members, log or reseed");
+    let address = positional::<SocketAddr>("ADDRESS").help("The node's second address, as address:port");
+    let fleet = construct!(Command::Fleet { json, what, address })
+        .to_options()
+        .descr("Ask a node about its fleet, or found the council anew")
+        .command("fleet");
     let version = bpaf::pure(Command::Version).to_options().descr("Print the version").command("version");
-    construct!([serve, check, manage, version])
+    construct!([serve, check, manage, fleet, version])
         .to_options()
         .descr("lupincrank: places long-lived connections on transcribers by rendezvous hashing")
 }
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -1,5 +1,6 @@
 //! What the node is told at its start: RELAY_* variables and the JSON file that one of them names.
 
+use crate::fleet::setup::Setup;
 use crate::group::{self, Update};
 use lupincrank::Settings;
 use lupincrank_settings::strict;
@@ -72,6 +73,8 @@
     told_discovery: Option<String>,
     /// The file as it stands.
     pub raw: Value,
+    /// The fleet, where an operator's file names one; it waits for the next start.
+    pub fleet: Option<Setup>,
     /// The upstream group as this node last had it.
     pub known: Option<Update>,
     /// What the decisions need.
@@ -227,6 +230,7 @@
             sockets: limits.sockets.unwrap_or(1024),
             memory_mb: limits.memory_mb.unwrap_or(192),
             cores: limits.cores.unwrap_or(1.0),
+            fleet: None,
             known: file.known,
             connect_timeout: site.connect_timeout().unwrap_or(Duration::from_secs(1)),
             classes: site.classes().into_iter().map(str::to_string).collect(),
--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -5,8 +5,9 @@
 use crate::load_lines::{LoadLines, Told};
 use lupincrank::learnt::Learnt;
 use lupincrank::{
-    Action, Balancer, Event, Health, Incoming, Listed, Outcome, RequestId, ServerId, Settings, Time,
+    Action, Balancer, Event, Health, Incoming, Listed, Outcome, RequestId, ServerId, Settings, Slice, Time,
 };
+use lupincrank_council::lease::Terms;
 use slog::{debug, info, warn, Logger};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -134,6 +135,8 @@
     processes: u32,
     /// Discovery has told the list in this node's life.
     told: bool,
+    /// See `Core::slice`.
+    slice: Option<Slice>,
     log: Logger,
 }
 
@@ -161,10 +164,27 @@
             leaving: false,
             processes: 1,
             told: false,
+            slice: None,
             log,
         }
     }
 
+    /// Now, on the module's clock.
+    pub fn now(&self) -> Time {
+        self.time(Instant::now())
+    }
+
+    /// What this node may send to cold transcribers by what the fleet agreed on: so many new connections in any window
+    /// until then, and `floor` without a lease.
+    pub fn slice(&mut self, sends: u32, floor: u32, part: f64, until: Option<Time>) {
+        let window = Terms::default().window;
+        let slice = Some(Slice { part, sends, until, floor, window });
+        if slice != self.slice {
+            self.slice.clone_from(&slice);
+            self.feed(Event::Slice(slice));
+        }
+    }
+
     fn time(&self, at: Instant) -> Time {
         let span = EPOCH + at.saturating_duration_since(self.start);
         Time(u64::try_from(span.as_nanos()).unwrap_or(u64::MAX))
--- /dev/null
+++ b/node/src/fleet/carry.rs
@@ -0,0 +1,378 @@
+//! What a node holds of its fleet: membership, links and the council, and what they want carried out.
+
+use super::setup::Setup;
+use lupincrank::Time;
+use lupincrank_council::council::{Action, Council, Note, Said, Tuning};
+use lupincrank_council::lease::Terms;
+use lupincrank_council::member::Member;
+use lupincrank_reactor::poll::Watched;
+use lupincrank_reactor::Id;
+use lupincrank_talk::link::{Hello, Link, Message, Subject};
+use lupincrank_talk::membership::{Identity, Membership, Out};
+use serde::Serialize;
+use slog::{debug, info, warn, Logger};
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// A node this young founds no council; a member that has been dead for this long is taken out.
+const SETTLE: Duration = Duration::from_millis(1500);
+const BURY: Duration = Duration::from_secs(2);
+/// Dialling again after a failure: from this, doubled each time, to that, spread by the node.
+const AGAIN: Duration = Duration::from_millis(200);
+const LONGEST_AGAIN: Duration = Duration::from_secs(4);
+/// Links beyond two for each expected node, and these for strangers, are not taken.
+const SPARE_LINKS: usize = 16;
+/// A link that this node dialled and needs no more is ended after this.
+const IDLE: Duration = Duration::from_secs(5);
+/// What others sent wrongly is logged so often at the most.
+const QUIET: Duration = Duration::from_secs(5);
+
+/// One link, and whom it was dialled for.
+pub struct End {
+    pub link: Link,
+    pub to: Option<u64>,
+    wanted: Instant,
+}
+
+/// See the module.
+pub struct Carry {
+    pub setup: Setup,
+    pub council: Council,
+    pub membership: Membership,
+    /// Taken once the address is free: a process that takes another's place waits for its end.
+    pub sockets: Option<(Watched<UdpSocket>, Watched<TcpListener>)>,
+    pub links: BTreeMap<Id, End>,
+    tries: BTreeMap<u64, (Instant, u32)>,
+    addresses: BTreeMap<u64, (String, SocketAddr)>,
+    tag: u32,
+    began: Instant,
+    spread: f64,
+    log: Logger,
+    quiet: Option<Instant>,
+    /// Messages on links that changed nothing.
+    strange: u64,
+    /// Links that gave way to another one between the same lives; their objects are to be told.
+    pub dropped: Vec<Id>,
+    /// Bytes and messages sent, for the cost of it.
+    pub sent: (u64, u64),
+}
+
+/// What `fleet status` tells.
+#[derive(Serialize)]
+struct Status<'a> {
+    fleet: &'a str,
+    council: lupincrank_council::council::Status,
+    alive: usize,
+    links: usize,
+    datagrams_refused: lupincrank_talk::membership::Refused,
+    messages_refused: u64,
+    sent_bytes: u64,
+    sent_messages: u64,
+}
+
+fn member(identity: &Identity) -> Member {
+    let Identity { id, name, zone, region, build, .. } = identity.clone();
+    Member { id, name, zone, region, build }
+}
+
+impl Carry {
+    /// As a process begins; `id` is drawn for this life.
+    pub fn new(setup: Setup, name: &str, id: u64, settings: u32, now: Time, log: Logger) -> Carry {
+        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let me = Identity {
+            name: name.to_string(),
+            id,
+            born_ms: u64::try_from(born.as_millis()).unwrap_or(u64::MAX),
+            bump: 0,
+            at: setup.listen,
+            zone: setup.zone.clone(),
+            region: setup.region.clone(),
+            build: env!("CARGO_PKG_VERSION").to_string(),
+            settings,
+        };
+        let tuning = Tuning {
+            terms: Terms::default(),
+            expect: setup.nodes.clone(),
+            whole: setup.whole,
+            floor: setup.floor,
+            settle: SETTLE,
+            bury: BURY,
+        };
+        let tag = lupincrank_talk::tag(&setup.name);
+        let council = Council::new(now, member(&me), tuning);
+        let membership = Membership::new(me, tag, setup.nodes.len(), id, setup.seeds.clone());
+        Carry {
+            council,
+            membership,
+            sockets: None,
+            links: BTreeMap::new(),
+            tries: BTreeMap::new(),
+            addresses: BTreeMap::new(),
+            tag,
+            began: Instant::now(),
+            spread: 0.75 + f64::from(id as u8) / 512.0,
+            log,
+            quiet: None,
+            strange: 0,
+            dropped: Vec::new(),
+            sent: (0, 0),
+            setup,
+        }
+    }
+
+    /// Membership's clock.
+    pub fn age(&self) -> Duration {
+        self.began.elapsed()
+    }
+
+    /// When membership has something to do next.
+    pub fn next(&self) -> Instant {
+        self.began + self.membership.next()
+    }
+
+    /// What this side says first.
+    pub fn hello(&self) -> Message {
+        let me = self.membership.me();
+        Message::Hello(Hello { fleet: self.tag, name: me.name.clone(), id: me.id, build: me.build.clone() })
+    }
+
+    /// Whether one more link is taken.
+    pub fn has_room(&self) -> bool {
+        self.links.len() < 2 * self.setup.nodes.len() + SPARE_LINKS
+    }
+
+    /// A link begins.
+    pub fn begin(&mut self, id: Id, mut link: Link, to: Option<u64>) -> Result<(), String> {
+        link.say(&self.hello())?;
+        self.links.insert(id, End { link, to, wanted: Instant::now() });
+        Ok(())
+    }
+
+    /// Something else came than should have: told now and then.
+    pub fn complain(&mut self, what: &str, why: &str) {
+        self.strange += 1;
+        if self.quiet.is_none_or(|at| at.elapsed() >= QUIET) {
+            self.quiet = Some(Instant::now());
+            warn!(self.log, "not heard"; "what" => what.to_string(), "why" => why.to_string(), "so far" => self.strange);
+        }
+    }
+
+    /// A link ends; it is dialled again later, if it is still needed.
+    pub fn ended(&mut self, id: Id, why: &str) {
+        let Some(end) = self.links.remove(&id) else { return };
+        let peer = end.link.peer.as_ref().map(|peer| peer.name.clone());
+        debug!(self.log, "link ended"; "peer" => peer, "dialled" => end.link.dialled, "why" => why.to_string());
+        if let Some(to) = end.to {
+            let tries = self.tries.get(&to).map_or(0, |(_, tries)| *tries);
+            let pause = AGAIN.saturating_mul(1 << tries.min(6)).min(LONGEST_AGAIN).mul_f64(self.spread);
+            self.tries.insert(to, (Instant::now() + pause, tries + 1));
+        }
+    }
+
+    /// The messages of one link; an error ends it.
+    pub fn heard(&mut self, now: Time, id: Id, messages: Vec<Message>) -> Result<(), String> {
+        for message in messages {
+            let peer = self.links.get(&id).ok_or("it is gone")?.link.peer.as_ref().map(|peer| peer.id);
+            match (message, peer) {
+                (Message::Hello(hello), None) => self.met(id, hello)?,
+                (Message::Ping, Some(_)) => {}
+                (Message::Of(Subject::Council, bytes), Some(peer)) => {
+                    match postcard::from_bytes::<Said>(&bytes) {
+                        Ok(said) => self.council.take(now, peer, said),
+                        Err(error) => return Err(format!("a message of the council can't be read: {error}")),
+                    }
+                }
+                (Message::Hello(_), Some(_)) => return Err("it says hello twice".into()),
+                (_, None) => return Err("it does not say hello first".into()),
+            }
+        }
+        Ok(())
+    }
+
+    /// The other side has said who it is. Of two links between the same lives the one stays that the greater id dialled.
+    fn met(&mut self, id: Id, hello: Hello) -> Result<(), String> {
+        if hello.fleet != self.tag {
+            return Err("it belongs to another fleet".into());
+        }
+        let me = self.membership.me().id;
+        let Some(end) = self.links.get(&id) else { return Ok(()) };
+        if hello.id == me || end.to.is_some_and(|to| to != hello.id) {
+            return Err("it is another life than the one that was looked for".into());
+        }
+        let mine = end.link.dialled;
+        let other = self
+            .links
+            .iter()
+            .find(|(at, end)| **at != id && end.link.peer.as_ref().is_some_and(|peer| peer.id == hello.id));
+        if let Some((at, end)) = other.map(|(at, end)| (*at, end.link.dialled)) {
+            let by_greater = |dialled_here: bool| dialled_here == (me > hello.id);
+            if by_greater(end) && !by_greater(mine) {
+                return Err("there is one already".into());
+            }
+            self.links.remove(&at);
+            self.dropped.push(at);
+        }
+        self.tries.remove(&hello.id);
+        if let Some(end) = self.links.get_mut(&id) {
+            end.link.peer = Some(hello);
+        }
+        Ok(())
+    }
+
+    /// What membership wants carried out: datagrams out, and news.
+    pub fn members(&mut self) {
+        while let Some(out) = self.membership.out() {
+            match out {
+                Out::Datagram(name, at, bytes) => {
+                    let Some((udp, _)) = &self.sockets else { continue };
+                    let at = self.setup.via.get(&name).copied().unwrap_or(at);
+                    self.sent = (self.sent.0 + bytes.len() as u64, self.sent.1 + 1);
+                    // A datagram may get lost anyway.
+                    let _ = udp.send_to(&bytes, at);
+                }
+                Out::Up(who) => {
+                    self.tries.remove(&who.id);
+                    if self.addresses.insert(who.id, (who.name.clone(), who.at)).is_none() {
+                        info!(self.log, "member up"; "member" => &who.name, "id" => format!("{:016x}", who.id),
+                            "zone" => &who.zone, "build" => &who.build, "bump" => who.bump);
+                    }
+                }
+                Out::Down(who) => {
+                    info!(self.log, "member down"; "member" => &who.name, "id" => format!("{:016x}", who.id),
+                        "bump" => who.bump);
+                    // Another bump of the same life may live on.
+                    if self.membership.alive().all(|alive| alive.id != who.id) {
+                        self.addresses.remove(&who.id);
+                    }
+                }
+                Out::Back(bump) => info!(self.log, "was taken for dead and is back"; "bump" => bump),
+                Out::Replaced => {
+                    warn!(self.log, "another process of this name began later: out of the fleet")
+                }
+            }
+        }
+    }
+
+    /// All that live, by id.
+    pub fn alive(&self) -> BTreeMap<u64, Member> {
+        self.membership.alive().map(|identity| (identity.id, member(identity))).collect()
+    }
+
+    /// What the council wants carried out. Gives the links that could not take it.
+    pub fn council(&mut self, now: Time) -> Vec<(Id, String)> {
+        self.council.deliver_own(now);
+        let mut broken = Vec::new();
+        for action in self.council.actions() {
+            match action {
+                Action::Send(to, said) => {
+                    let up = |end: &&mut End| end.link.peer.as_ref().is_some_and(|peer| peer.id == to);
+                    let found = self.links.iter_mut().find_map(|(id, end)| up(&end).then_some((*id, end)));
+                    // Whoever is not reached now is told again later: the council repeats itself.
+                    let (Some((id, end)), Ok(bytes)) = (found, postcard::to_stdvec(&said)) else { continue };
+                    self.sent = (self.sent.0 + bytes.len() as u64, self.sent.1 + 1);
+                    if let Err(why) = end.link.say(&Message::Of(Subject::Council, bytes)) {
+                        broken.push((id, why));
+                    }
+                }
+                Action::Note(note) => self.note(note),
+            }
+        }
+        broken
+    }
+
+    fn note(&self, note: Note) {
+        let log = &self.log;
+        match note {
+            Note::Founds(stamp) => {
+                info!(log, "council founded"; "epoch" => stamp.epoch, "founding" => format!("{:016x}", stamp.founding));
+            }
+            Note::Joins(stamp) => {
+                info!(log, "council joined"; "epoch" => stamp.epoch, "founding" => format!("{:016x}", stamp.founding));
+            }
+            Note::Leads(leader) => {
+                let me = self.membership.me();
+                let name = leader.and_then(|id| {
+                    let other = self.addresses.get(&id).map(|(name, _)| name.clone());
+                    if id == me.id {
+                        Some(me.name.clone())
+                    } else {
+                        other
+                    }
+                });
+                info!(log, "council leader"; "leader" => name.unwrap_or_else(|| "none".into()));
+            }
+            Note::Changes(change) => info!(log, "council changes"; "change" => format!("{change:?}")),
+            Note::Slice(slice) => info!(log, "slice of the cold budget"; "sends" => slice),
+            Note::LeaseOver => info!(log, "lease of the cold budget is over"; "sends" => self.setup.floor),
+            Note::Broke => {
+                warn!(log, "the council's log broke its rules: out of the council until the next start")
+            }
+        }
+    }
+
+    /// Whom to dial now.
+    pub fn dials(&mut self) -> Vec<(u64, SocketAddr)> {
+        let now = Instant::now();
+        let wants = self.council.wants();
+        for end in self.links.values_mut() {
+            let peer = end.link.peer.as_ref().map(|peer| peer.id).or(end.to);
+            if peer.is_some_and(|peer| wants.contains(&peer)) {
+                end.wanted = now;
+            }
+        }
+        let linked = |id: u64| {
+            self.links
+                .values()
+                .any(|end| end.to == Some(id) || end.link.peer.as_ref().is_some_and(|peer| peer.id == id))
+        };
+        let due = |id: u64| self.tries.get(&id).is_none_or(|(at, _)| now >= *at);
+        let dial = wants.into_iter().filter(|id| !linked(*id) && due(*id));
+        dial.filter_map(|id| {
+            let (name, at) = self.addresses.get(&id)?;
+            Some((id, self.setup.via.get(name).copied().unwrap_or(*at)))
+        })
+        .collect()
+    }
+
+    /// Keeps links alive; gives those that are dead or not needed any more.
+    pub fn keep(&mut self) -> Vec<(Id, String)> {
+        let mut dead = Vec::new();
+        self.tries.retain(|id, _| self.addresses.contains_key(id));
+        for (id, end) in &mut self.links {
+            if let Err(why) = end.link.keep() {
+                dead.push((*id, why));
+            } else if end.link.dialled && end.wanted.elapsed() >= IDLE {
+                dead.push((*id, "it is needed no more".into()));
+            }
+        }
+        dead
+    }
+
+    /// What `fleet status` tells, as JSON.
+    pub fn status(&self, now: Time) -> String {
+        let status = Status {
+            fleet: &self.setup.name,
+            council: self.council.status(now),
+            alive: self.membership.alive().count() + 1,
+            links: self.links.values().filter(|end| end.link.peer.is_some()).count(),
+            datagrams_refused: self.membership.refused,
+            messages_refused: self.strange,
+            sent_bytes: self.sent.0,
+            sent_messages: self.sent.1,
+        };
+        serde_json::to_string(&status).unwrap_or_default()
+    }
+
+    /// What `fleet members` tells, as JSON.
+    pub fn listed(&self) -> String {
+        let mut all: Vec<&Identity> = self.membership.alive().chain([self.membership.me()]).collect();
+        all.sort();
+        serde_json::to_string(&all).unwrap_or_default()
+    }
+
+    /// What `fleet log` tells, as JSON.
+    pub fn told(&self) -> String {
+        serde_json::to_string(&self.council.told().collect::<Vec<_>>()).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/node/src/fleet/mod.rs
@@ -0,0 +1,255 @@
+//! The node's part in its fleet, carried between `talk/` and `core`: sockets and deadlines here, decisions in the council.
+//! Nothing on a request's path waits for any of it.
+
+pub mod carry;
+pub mod setup;
+
+use crate::state::{Message, Node, State, FLEET};
+use carry::Carry;
+use lupincrank_council::council::TICK;
+use lupincrank_reactor::poll::{self, Watched};
+use lupincrank_reactor::{Connection, Flow, Id};
+use lupincrank_talk::link::{Fault, Link};
+use lupincrank_talk::membership::LONGEST;
+use slog::{info, warn};
+use std::io;
+use std::net::{TcpListener, UdpSocket};
+use std::time::{Duration, Instant};
+
+/// Deadlines: for the council, for membership, and for trying to take the address.
+const COUNCIL: u64 = 0;
+const MEMBERS: u64 = 1;
+const BIND: u64 = 2;
+/// The sides of this object.
+const DATAGRAMS: usize = 0;
+const LISTENER: usize = 1;
+/// Datagrams and links taken in one turn of the loop.
+const MOST_DATAGRAMS: usize = 64;
+const MOST_ACCEPTS: usize = 8;
+/// How long the address is tried again after it was not free.
+const REBIND: Duration = Duration::from_millis(250);
+
+/// Begins, where the operator's file says so.
+pub fn begin(node: &mut Node) {
+    let Some(setup) = node.config.fleet.clone() else { return };
+    let settings = node.config.raw.get("settings").map(ToString::to_string).unwrap_or_default();
+    let settings = crc32fast::hash(settings.as_bytes());
+    let now = node.core.now();
+    let id = rand::random::<u64>().max(1);
+    let carry = Carry::new(setup, &node.config.name, id, settings, now, node.log.clone());
+    info!(node.log, "fleet"; "name" => &carry.setup.name, "id" => format!("{id:016x}"), "listen" => %carry.setup.listen);
+    node.fleet = Some(Box::new(carry));
+    node.adopt(FLEET, Box::new(Watch));
+    bind(node);
+    with(node, |_, _| ());
+}
+
+/// Takes the address, or tries again: a process that takes another one's place finds it in use for a while.
+fn bind(node: &mut Node) {
+    let Some(listen) = node.fleet.as_ref().map(|carry| carry.setup.listen) else { return };
+    let take = || -> io::Result<(Watched<UdpSocket>, Watched<TcpListener>)> {
+        let listener = poll::listen(listen)?;
+        let udp = UdpSocket::bind(listen)?;
+        udp.set_nonblocking(true)?;
+        Ok((
+            Watched::new(&node.poller, udp, FLEET as usize * 2 + DATAGRAMS, true, false)?,
+            Watched::new(&node.poller, listener, FLEET as usize * 2 + LISTENER, true, false)?,
+        ))
+    };
+    match take() {
+        Ok(sockets) => {
+            if let Some(carry) = &mut node.fleet {
+                carry.sockets = Some(sockets);
+            }
+            node.deadlines.set(FLEET, COUNCIL, Instant::now());
+            node.deadlines.set(FLEET, MEMBERS, Instant::now());
+        }
+        Err(error) => {
+            warn!(node.log, "the fleet's address is not to be had yet"; "listen" => %listen, "error" => %error);
+            node.deadlines.set(FLEET, BIND, Instant::now() + REBIND);
+        }
+    }
+}
+
+/// Does something with the fleet, then carries out what came of it.
+fn with(node: &mut Node, work: impl FnOnce(&mut Carry, &mut Node)) {
+    let Some(mut carry) = node.fleet.take() else { return };
+    work(&mut carry, node);
+    carry.members();
+    let now = node.core.now();
+    for (id, why) in carry.council(now) {
+        carry.ended(id, &why);
+        node.tell(id, Message::Close);
+    }
+    for id in std::mem::take(&mut carry.dropped) {
+        node.tell(id, Message::Close);
+    }
+    if carry.setup.divides {
+        let (sends, until) = carry.council.limit(now);
+        let part = carry.council.part(now).unwrap_or(0.0);
+        node.core.slice(sends, carry.setup.floor, part, until);
+    }
+    if carry.sockets.is_some() {
+        let next = carry.next();
+        node.deadlines.set(FLEET, MEMBERS, next);
+    }
+    node.fleet = Some(carry);
+}
+
+fn dial(carry: &mut Carry, node: &mut Node) {
+    for (to, at) in carry.dials() {
+        let id = node.name();
+        let begun = Link::dial(&node.poller, at, id as usize * 2).map_err(|error| error.to_string());
+        match begun.and_then(|link| carry.begin(id, link, Some(to))) {
+            Ok(()) => node.adopt(id, Box::new(End { id })),
+            Err(why) => carry.complain("a link could not begin", &why),
+        }
+    }
+}
+
+/// This node ends in good order.
+pub fn leave(node: &mut Node) {
+    with(node, |carry, node| {
+        let now = node.core.now();
+        carry.council.leave(now);
+        carry.membership.leave(carry.age());
+    });
+}
+
+/// What a person asked for; `None` without a fleet.
+pub fn told(node: &mut Node, what: &str) -> Option<Result<String, String>> {
+    let now = node.core.now();
+    let mut answer = None;
+    with(node, |carry, _| {
+        answer = Some(match what {
+            "status" => Ok(carry.status(now)),
+            "members" => Ok(carry.listed()),
+            "log" => Ok(carry.told()),
+            "reseed" => carry
+                .council
+                .reseed(now, rand::random())
+                .map(|stamp| format!("{{\"epoch\":{}}}", stamp.epoch)),
+            other => Err(format!("no call fleet {other:?}; there are status, members, log and reseed")),
+        });
+    });
+    answer
+}
+
+/// The fleet's sockets and deadlines.
+struct Watch;
+
+impl Watch {
+    fn datagrams(node: &mut Node) {
+        with(node, |carry, _| {
+            let mut bytes = [0; LONGEST + 1];
+            for _ in 0..MOST_DATAGRAMS {
+                let Some((udp, _)) = &carry.sockets else { return };
+                match udp.recv_from(&mut bytes) {
+                    Ok((length, _)) => carry.membership.datagram(carry.age(), &bytes[..length]),
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                    // An answer of the network to a datagram before: it says nothing of the next one.
+                    Err(_) => {}
+                }
+            }
+        });
+    }
+
+    fn links(node: &mut Node) {
+        with(node, |carry, node| {
+            for _ in 0..MOST_ACCEPTS {
+                let Some((_, listener)) = &carry.sockets else { return };
+                let Ok((stream, _)) = listener.accept() else { return };
+                if !carry.has_room() {
+                    carry.complain("a link was not taken", "there are too many");
+                    continue;
+                }
+                let id = node.name();
+                let link = Link::accepted(&node.poller, stream, id as usize * 2);
+                match link.map_err(|error| error.to_string()).and_then(|link| carry.begin(id, link, None)) {
+                    Ok(()) => node.adopt(id, Box::new(End { id })),
+                    Err(why) => carry.complain("a link could not begin", &why),
+                }
+            }
+        });
+    }
+}
+
+impl Connection<State> for Watch {
+    fn ready(&mut self, node: &mut Node, side: usize, _readable: bool, _writable: bool) -> Flow {
+        if side == DATAGRAMS {
+            Watch::datagrams(node);
+        } else {
+            Watch::links(node);
+        }
+        Flow::Keep
+    }
+
+    fn due(&mut self, node: &mut Node, purpose: u64) -> Flow {
+        match purpose {
+            BIND => bind(node),
+            MEMBERS => with(node, |carry, _| {
+                let age = carry.age();
+                carry.membership.due(age);
+            }),
+            _ => {
+                with(node, |carry, node| {
+                    for (id, why) in carry.keep() {
+                        carry.ended(id, &why);
+                        node.tell(id, Message::Close);
+                    }
+                    let (now, alive) = (node.core.now(), carry.alive());
+                    carry.council.tick(now, &alive);
+                    dial(carry, node);
+                });
+                node.deadlines.set(FLEET, COUNCIL, Instant::now() + TICK);
+            }
+        }
+        Flow::Keep
+    }
+
+    fn told(&mut self, _node: &mut Node, _message: Message) -> Flow {
+        Flow::Keep
+    }
+}
+
+/// One link's place in the loop; the link itself is with the fleet.
+struct End {
+    id: Id,
+}
+
+impl Connection<State> for End {
+    fn ready(&mut self, node: &mut Node, _side: usize, readable: bool, _writable: bool) -> Flow {
+        let (id, mut flow) = (self.id, Flow::Keep);
+        with(node, |carry, node| {
+            let Some(end) = carry.links.get_mut(&id) else { return flow = Flow::Done };
+            let now = node.core.now();
+            let heard = end.link.ready(readable);
+            let heard = heard.and_then(|messages| carry.heard(now, id, messages).map_err(Fault::Strange));
+            if let Err(fault) = heard {
+                let why = match fault {
+                    Fault::Broke(why) => why,
+                    Fault::Strange(why) => {
+                        carry.complain("a link", &why);
+                        why
+                    }
+                };
+                carry.ended(id, &why);
+                flow = Flow::Done;
+            }
+        });
+        flow
+    }
+
+    fn due(&mut self, _node: &mut Node, _purpose: u64) -> Flow {
+        Flow::Keep
+    }
+
+    fn told(&mut self, node: &mut Node, message: Message) -> Flow {
+        let gone = node.fleet.as_ref().is_none_or(|carry| !carry.links.contains_key(&self.id));
+        if gone || matches!(message, Message::Close) {
+            Flow::Done
+        } else {
+            Flow::Keep
+        }
+    }
+}
--- /dev/null
+++ b/node/src/fleet/setup.rs
@@ -0,0 +1,62 @@
+//! What the node takes from the operator's file for its part in the fleet.
+
+use lupincrank_operator::Operator;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+/// The fleet as this node is told of it.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// The fleet's name.
+    pub name: String,
+    /// The names of all expected nodes.
+    pub nodes: BTreeSet<String>,
+    /// Where this node takes datagrams and links.
+    pub listen: SocketAddr,
+    /// Where it runs.
+    pub zone: String,
+    /// See `zone`.
+    pub region: String,
+    /// Who is asked first.
+    pub seeds: Vec<(String, SocketAddr)>,
+    /// Where others are reached, if not where they say.
+    pub via: BTreeMap<String, SocketAddr>,
+    /// The cold budget, in new connections in any second: what is handed out, and what each node has without a lease.
+    pub whole: u32,
+    /// See `whole`; none for a node that is not expected.
+    pub floor: u32,
+    /// Whether the cold budget is divided at all.
+    pub divides: bool,
+}
+
+impl Setup {
+    /// What the file says for this node; `variable` looks up the environment.
+    pub fn read(
+        operator: &Operator,
+        node: &str,
+        variable: impl Fn(&str) -> Option<String>,
+    ) -> Result<Option<Setup>, String> {
+        let Some(fleet) = &operator.fleet else { return Ok(None) };
+        let told = variable("RELAY_FLEET")
+            .map(|told| told.parse().map_err(|_| format!("RELAY_FLEET: {told:?} is not an address:port")));
+        let listen = told.transpose()?.or(fleet.listen);
+        let listen = listen.ok_or("neither RELAY_FLEET nor fleet.listen is set")?;
+        let nodes: BTreeSet<String> = fleet.nodes.get_ref().iter().cloned().collect();
+        let cold = operator.budgets.cold.as_ref();
+        let floor = cold.map_or(0, |cold| *cold.floor.get_ref());
+        let set_aside = floor * u32::try_from(nodes.len()).unwrap_or(u32::MAX);
+        Ok(Some(Setup {
+            name: fleet.name.get_ref().clone(),
+            listen,
+            zone: variable("RELAY_ZONE").unwrap_or_else(|| fleet.zone.clone()),
+            region: fleet.region.clone(),
+            seeds: fleet.seeds.get_ref().clone().into_iter().collect(),
+            via: fleet.via.clone(),
+            whole: cold.map_or(0, |cold| cold.whole.get_ref().saturating_sub(set_aside)),
+            // A node that nobody announced has no part in what was set aside for the others.
+            floor: if nodes.contains(node) { floor } else { 0 },
+            divides: cold.is_some(),
+            nodes,
+        }))
+    }
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -4,7 +4,9 @@
 mod config;
 mod core;
 mod discovery;
+mod fleet;
 mod group;
+mod inquiry;
 mod line_front;
 mod load_lines;
 mod management;
@@ -17,6 +19,8 @@
 
 use cli::Command;
 use config::Config;
+use fleet::setup::Setup;
+use lupincrank_operator::Operator;
 use slog::{o, Drain, Level, Logger};
 use std::process::ExitCode;
 use std::sync::Mutex;
@@ -32,11 +36,20 @@
 }
 
 fn run(command: Command) -> Result<(), String> {
-    let load = |path: Option<String>| Config::load(path.as_deref(), |name| std::env::var(name).ok());
+    let variable = |name: &str| std::env::var(name).ok();
+    let load = |path: Option<String>, operator: Option<String>| {
+        let mut config = Config::load(path.as_deref(), variable)?;
+        if let Some(path) = operator {
+            let operator = Operator::load(&path)?;
+            let setup = Setup::read(&operator, &config.name, variable);
+            config.fleet = setup.map_err(|why| format!("{path}: {why}"))?;
+        }
+        Ok::<Config, String>(config)
+    };
     match command {
         Command::Version => println!("lupincrank {}", env!("CARGO_PKG_VERSION")),
-        Command::CheckConfig { config } => {
-            let config = load(config)?;
+        Command::CheckConfig { config, operator } => {
+            let config = load(config, operator)?;
             let strict = lupincrank_settings::strict::check(&config.raw, None);
             strict.map_err(|why| format!("a start takes it, SIGHUP would turn it down: {why}"))?;
             println!("{}: listens on {}, {} classes", config.name, config.listen, config.classes.len());
@@ -50,8 +63,14 @@
                 return Err(format!("{address} said no"));
             }
         }
-        Command::Serve { config, verbose } => {
-            let config = load(config)?;
+        Command::Fleet { json, what, address } => {
+            let answer = management::ask(address, &format!("fleet {what}"));
+            let answer = answer.map_err(|error| format!("{address}: {error}"))?;
+            let told = answer.strip_prefix("done ").ok_or_else(|| format!("{address}: {answer}"))?;
+            println!("{}", if json { told.to_string() } else { inquiry::table(&what, told)? });
+        }
+        Command::Serve { config, operator, verbose } => {
+            let config = load(config, operator)?;
             let listen = config.listen;
             let start = serve::start(config, logger(verbose));
             start
--- a/node/src/management.rs
+++ b/node/src/management.rs
@@ -1,6 +1,7 @@
 //! The second address, for the staff: each connection carries one line, and one line comes back that begins with `done` or
 //! `error`. It knows the syntax only; what a call does is the node's matter.
 
+use crate::fleet;
 use crate::peer::LONGEST_LINE;
 use crate::state::{Message, Node, State, CALLS, MANAGEMENT};
 use crate::upgrade;
@@ -21,6 +22,8 @@
 const ASKED: Duration = Duration::from_secs(3);
 /// How long the listener rests when no descriptor is left.
 const REST: Duration = Duration::from_millis(50);
+/// What is read of an answer: a line on each of a thousand nodes.
+const LONGEST_ANSWER: u64 = 4 << 20;
 /// New calls that one turn of the loop takes.
 const ACCEPTS: usize = 8;
 /// What is read of a caller after its call.
@@ -32,6 +35,7 @@
     Check,
     SetDown(&'a str),
     SetUp(&'a str),
+    Fleet(&'a str),
 }
 
 /// Reads one line without its end; an error says what is wrong with it.
@@ -43,9 +47,13 @@
         ["check"] => Ok(Call::Check),
         ["set-down", server] => Ok(Call::SetDown(server)),
         ["set-up", server] => Ok(Call::SetUp(server)),
+        ["fleet", what] => Ok(Call::Fleet(what)),
+        ["fleet"] => Err("fleet needs one of status, members, log and reseed".into()),
         ["set-down" | "set-up"] => Err(format!("{} needs the id of a transcriber", words[0])),
-        ["check" | "set-down" | "set-up", ..] => Err(format!("{} has too many arguments", words[0])),
-        [word, ..] => Err(format!("no call {word:?}; there are check, set-down ID and set-up ID")),
+        ["check" | "set-down" | "set-up" | "fleet", ..] => {
+            Err(format!("{} has too many arguments", words[0]))
+        }
+        [word, ..] => Err(format!("no call {word:?}; there are check, set-down ID, set-up ID and fleet")),
     }
 }
 
@@ -56,7 +64,7 @@
     stream.write_all(format!("{call}\r\n").as_bytes())?;
     let mut answer = String::new();
     // The end of the connection follows the line.
-    stream.take(LONGEST_LINE as u64).read_to_string(&mut answer)?;
+    stream.take(LONGEST_ANSWER).read_to_string(&mut answer)?;
     match answer.trim_end() {
         "" => Err(io::Error::new(io::ErrorKind::UnexpectedEof, "it ended without an answer")),
         answer => Ok(answer.to_string()),
@@ -197,10 +205,11 @@
         Flow::Done
     }
 
-    fn answer(&mut self, node: &mut Node, outcome: Result<(), String>) -> Flow {
+    fn answer(&mut self, node: &mut Node, outcome: Result<String, String>) -> Flow {
         self.answered = true;
         self.bytes = match outcome {
-            Ok(()) => b"done\r\n".to_vec(),
+            Ok(told) if told.is_empty() => b"done\r\n".to_vec(),
+            Ok(told) => format!("done {told}\r\n").into_bytes(),
             Err(why) => format!("error {why}\r\n").into_bytes(),
         };
         node.deadlines.set(self.id, 0, Instant::now() + LINGER);
@@ -227,15 +236,18 @@
 }
 
 /// Does what a call asks for.
-fn carry_out(node: &mut Node, line: &[u8]) -> Result<(), String> {
+fn carry_out(node: &mut Node, line: &[u8]) -> Result<String, String> {
     let outcome = match call(line)? {
         Call::Check => {
             // Whoever hears yes may end the other process at once, which has to know of this one by then.
             upgrade::open(node);
-            return node.serves();
+            return node.serves().map(|()| String::new());
+        }
+        Call::SetDown(server) => node.by_hand(server, true).map(|()| String::new()),
+        Call::SetUp(server) => node.by_hand(server, false).map(|()| String::new()),
+        Call::Fleet(what) => {
+            fleet::told(node, what).unwrap_or_else(|| Err("this node was started without a fleet".into()))
         }
-        Call::SetDown(server) => node.by_hand(server, true),
-        Call::SetUp(server) => node.by_hand(server, false),
     };
     let told = String::from_utf8_lossy(line).into_owned();
     info!(node.log, "call"; "line" => told, "error" => outcome.as_ref().err().cloned());
@@ -280,6 +292,8 @@
     #[case(b"check", Ok(Call::Check))]
     #[case(b"set-down s-1", Ok(Call::SetDown("s-1")))]
     #[case(b"  set-up   s-1 ", Ok(Call::SetUp("s-1")))]
+    #[case(b"fleet status", Ok(Call::Fleet("status")))]
+    #[case(b"fleet", Err("needs one of"))]
     #[case(b"", Err("empty"))]
     #[case(b"check now", Err("too many"))]
     #[case(b"set-down", Err("needs the id"))]
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -4,7 +4,7 @@
 use crate::state::{
     Message, State, DISCOVERY, LISTENER, LOOK, LOOK_PURPOSE, MANAGEMENT, RESERVED, SIGNALS, UPGRADE,
 };
-use crate::{discovery, line_front, management, signals, upgrade};
+use crate::{discovery, fleet, line_front, management, signals, upgrade};
 use lupincrank_reactor::{Reactor, WORLD};
 use slog::{info, Logger};
 use std::io;
@@ -24,6 +24,7 @@
     node.adopt(LISTENER, Box::new(listener));
     node.adopt(UPGRADE, Box::new(upgrade::Watch));
     upgrade::begin(node);
+    fleet::begin(node);
     if let Some(address) = node.config.management {
         let management = management::Management::new(node, address)?;
         node.adopt(MANAGEMENT, Box::new(management));
--- a/node/src/signals.rs
+++ b/node/src/signals.rs
@@ -85,6 +85,7 @@
             let until = now + total(node.config.longest_deadline);
             info!(node.log, "leaving"; "clients" => node.clients.get());
             node.leaving = Some((now, until));
+            crate::fleet::leave(node);
             if node.upgrade.has_successor() {
                 crate::upgrade::leave(node);
             }
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::config::Config;
 use crate::core::{Core, Order, TryOrder};
+use crate::fleet::carry::Carry;
 use crate::upgrade::held::Upgrade;
 use crate::upgrade::link::Said;
 use lupincrank::{RequestId, ServerId};
@@ -28,8 +29,10 @@
 pub const MANAGEMENT: Id = 4;
 /// The link to another process of this node.
 pub use crate::upgrade::held::UPGRADE;
+/// What this node has to do with its fleet.
+pub const FLEET: Id = 6;
 /// Objects that come and go have names after this one.
-pub const RESERVED: Id = UPGRADE;
+pub const RESERVED: Id = FLEET;
 /// Calls of the staff have names from here on: their sockets are looked at before all others.
 pub const CALLS: Id = 1 << 60;
 /// New connections keep arriving for up to 0.4 s after SIGTERM: the listener stays at least this long.
@@ -120,6 +123,8 @@
     pub leaving: Option<(Instant, Instant)>,
     /// The other process of this node, if there is one.
     pub upgrade: Upgrade,
+    /// The fleet that this node is one of, where the operator's file says so.
+    pub fleet: Option<Box<Carry>>,
     /// Set for a moment when all connections are to be handed over.
     pub hand_over: bool,
 }
@@ -136,6 +141,7 @@
             strangers: Strangers::default(),
             began: Instant::now(),
             leaving: None,
+            fleet: None,
             hand_over: false,
         }
     }
--- /dev/null
+++ b/operator/src/lib.rs
@@ -0,0 +1,172 @@
+//! The operator's file, TOML under `deploy/`. What it does not name stays as it is without a file; what it names wrongly is
+//! an error with line and key.
+
+use serde::Deserialize;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use toml::Spanned;
+
+/// The whole file.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Operator {
+    /// Talk between the nodes; without it there is no socket, no timer and no budget in common.
+    pub fleet: Option<Fleet>,
+    /// Budgets of the whole fleet.
+    #[serde(default)]
+    pub budgets: Budgets,
+}
+
+/// Which fleet this node is one of.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fleet {
+    /// The fleet's name: nodes of another one are not heard.
+    pub name: Spanned<String>,
+    /// The names of all nodes that are expected.
+    pub nodes: Spanned<Vec<String>>,
+    /// Where this node takes datagrams and links; RELAY_FLEET goes before it.
+    pub listen: Option<SocketAddr>,
+    /// Where this node runs; RELAY_ZONE goes before it.
+    #[serde(default)]
+    pub zone: String,
+    /// See `zone`.
+    #[serde(default)]
+    pub region: String,
+    /// Nodes that are asked first, by name.
+    pub seeds: Spanned<BTreeMap<String, SocketAddr>>,
+    /// Where this node reaches others, if not where they say: by name.
+    #[serde(default)]
+    pub via: BTreeMap<String, SocketAddr>,
+}
+
+/// Budgets of the whole fleet.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Budgets {
+    /// New connections to cold transcribers.
+    pub cold: Option<Cold>,
+}
+
+/// New connections to cold transcribers in any second, over the fleet.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Cold {
+    /// Of all nodes together: 1 to 1,000,000.
+    pub whole: Spanned<u32>,
+    /// What each expected node may use without a lease, set aside from the whole: 0 to the whole by the number of nodes.
+    #[serde(default = "nothing")]
+    pub floor: Spanned<u32>,
+}
+
+fn nothing() -> Spanned<u32> {
+    Spanned::new(0..0, 0)
+}
+
+/// The largest fleet, the largest whole and the longest name.
+const MOST_NODES: usize = 1_000;
+const MOST_WHOLE: u32 = 1_000_000;
+const LONGEST_NAME: usize = 64;
+
+impl Operator {
+    /// Reads the file at this path.
+    pub fn load(path: &str) -> Result<Operator, String> {
+        let text = std::fs::read_to_string(path).map_err(|error| format!("{path}: {error}"))?;
+        Operator::read(&text).map_err(|why| format!("{path}: {why}"))
+    }
+
+    /// Reads the file's text; an error names line and key.
+    pub fn read(text: &str) -> Result<Operator, String> {
+        let operator: Operator = toml::from_str(text).map_err(|error| {
+            let line = error.span().map_or(1, |span| line_of(text, span.start));
+            format!("line {line}: {}", error.message())
+        })?;
+        operator.check().map_err(|(at, why)| format!("line {}: {why}", line_of(text, at)))?;
+        Ok(operator)
+    }
+
+    fn check(&self) -> Result<(), (usize, String)> {
+        let Some(fleet) = &self.fleet else {
+            return match &self.budgets.cold {
+                Some(cold) => {
+                    Err((cold.whole.span().start, "budgets.cold: there is no [fleet] to share it".into()))
+                }
+                None => Ok(()),
+            };
+        };
+        let at = |span: std::ops::Range<usize>, why: String| Err((span.start, why));
+        let name = fleet.name.get_ref();
+        if name.is_empty() || name.len() > LONGEST_NAME {
+            return at(fleet.name.span(), format!("fleet.name: 1 to {LONGEST_NAME} bytes are a name"));
+        }
+        let nodes = fleet.nodes.get_ref();
+        let distinct: BTreeSet<&String> = nodes.iter().collect();
+        if nodes.is_empty() || nodes.len() > MOST_NODES {
+            return at(fleet.nodes.span(), format!("fleet.nodes: 1 to {MOST_NODES} are a fleet"));
+        }
+        if distinct.len() < nodes.len()
+            || nodes.iter().any(|node| node.is_empty() || node.len() > LONGEST_NAME)
+        {
+            return at(fleet.nodes.span(), "fleet.nodes: a name is empty, too long, or there twice".into());
+        }
+        let seeds = fleet.seeds.get_ref();
+        if seeds.is_empty() {
+            return at(fleet.seeds.span(), "fleet.seeds: one at least is needed to find the others".into());
+        }
+        if let Some(unknown) = seeds.keys().find(|seed| !distinct.contains(seed)) {
+            return at(fleet.seeds.span(), format!("fleet.seeds: {unknown:?} is not among fleet.nodes"));
+        }
+        if let Some(cold) = &self.budgets.cold {
+            let (whole, floor) = (*cold.whole.get_ref(), *cold.floor.get_ref());
+            if !(1..=MOST_WHOLE).contains(&whole) {
+                return at(
+                    cold.whole.span(),
+                    format!("budgets.cold.whole: {whole} is not in 1 to {MOST_WHOLE}"),
+                );
+            }
+            if u64::from(floor) * nodes.len() as u64 > u64::from(whole) {
+                let why =
+                    format!("budgets.cold.floor: {floor} for each of {} nodes pass the whole", nodes.len());
+                return at(cold.floor.span(), why);
+            }
+        }
+        Ok(())
+    }
+}
+
+fn line_of(text: &str, at: usize) -> usize {
+    text.as_bytes().iter().take(at).filter(|byte| **byte == b'\n').count() + 1
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    const GOOD: &str = "[fleet]\nname = \"guj\"\nnodes = [\"n0\", \"n1\"]\nlisten = \"127.0.0.1:7400\"\n\
+                        [fleet.seeds]\nn0 = \"127.0.0.1:7400\"\n[budgets.cold]\nwhole = 12\nfloor = 1\n";
+
+    #[rstest]
+    #[case::good("", "", "")]
+    #[case::no_number("whole = 12", "whole = \"12\"", "line 8: invalid type")]
+    #[case::unknown_key("floor = 1", "flor = 1", "line 9: unknown field `flor`")]
+    #[case::too_much_set_aside("floor = 1", "floor = 7", "line 9: budgets.cold.floor: 7 for each of 2")]
+    #[case::nothing_to_share("whole = 12", "whole = 0", "line 8: budgets.cold.whole: 0 is not in 1")]
+    #[case::no_address("n0 = \"127.0.0.1:7400\"", "n0 = \"here\"", "line 6: ")]
+    #[case::seed_unknown("n0 = \"127", "n7 = \"127", "line 5: fleet.seeds: \"n7\" is not among")]
+    #[case::twice("\"n1\"]", "\"n0\"]", "line 3: fleet.nodes: a name")]
+    #[case::not_toml("[fleet]", "[fleet", "line 1: ")]
+    fn a_wrong_file_names_line_and_key(#[case] from: &str, #[case] to: &str, #[case] why: &str) {
+        let text = GOOD.replacen(from, to, 1);
+        match Operator::read(&text) {
+            Ok(_) => assert_eq!(why, ""),
+            Err(error) => assert!(!why.is_empty() && error.starts_with(why), "{error}"),
+        }
+    }
+
+    #[test]
+    fn no_file_and_an_empty_one_change_nothing() {
+        assert!(Operator::read("").unwrap().fleet.is_none());
+        assert!(Operator::read("[budgets.cold]\nwhole = 3\n").unwrap_err().contains("no [fleet]"));
+    }
+}
--- /dev/null
+++ b/talk/src/membership.rs
@@ -0,0 +1,277 @@
+//! Who lives: SWIM by the `foca` crate, driven with time and datagrams from outside. All times are spans since this
+//! process began, by its own clock.
+
+use crate::VERSION;
+use foca::{Config, Foca, Notification, PeriodicParams, PostcardCodec, Runtime, Timer};
+use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::num::{NonZeroU8, NonZeroUsize};
+use std::time::Duration;
+
+/// The longest datagram: what passes every network whole.
+pub const LONGEST: usize = 1400;
+/// Two letters, the form and the fleet go before what membership says.
+const HEAD: usize = 7;
+const MARK: [u8; 2] = *b"lc";
+/// One member is asked in each period, and answers within the span that follows; then three others ask it.
+const PERIOD: Duration = Duration::from_millis(1000);
+const ANSWER: Duration = Duration::from_millis(350);
+/// One that answered nobody is suspected for this long before it counts as down: it can refute that meanwhile. It grows
+/// with the logarithm of the fleet, as news takes longer.
+const SUSPECTED: Duration = Duration::from_millis(2500);
+/// One that is down is forgotten after this, and asked now and then until then, in case it was only cut off.
+const FORGOTTEN: Duration = Duration::from_secs(120);
+const ASK_DOWN: Duration = Duration::from_secs(2);
+/// The seeds are asked again this often while nobody is known, and this often later, so that two halves of a fleet that
+/// have forgotten each other meet again. Spread by the seed.
+const ALONE: Duration = Duration::from_millis(500);
+const NOW_AND_THEN: Duration = Duration::from_secs(15);
+/// Timers that wait at the most: a few for each member. More would be a fault, and the earliest go first.
+const MOST_TIMERS: usize = 16 << 10;
+
+/// One life of one node.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Identity {
+    /// The node's name: two lives of one name are never members at once.
+    pub name: String,
+    /// Drawn at each start.
+    pub id: u64,
+    /// When it started, as Unix time in milliseconds by its own clock; compared among lives of one name only.
+    pub born_ms: u64,
+    /// How often this life has come back after it was taken for dead.
+    pub bump: u32,
+    /// Where it takes datagrams and links.
+    pub at: SocketAddr,
+    /// Where it runs.
+    pub zone: String,
+    /// See `zone`.
+    pub region: String,
+    /// Which build it runs.
+    pub build: String,
+    /// A sum over the settings that it runs with.
+    pub settings: u32,
+}
+
+impl foca::Identity for Identity {
+    type Addr = String;
+
+    fn renew(&self) -> Option<Identity> {
+        Some(Identity { bump: self.bump.saturating_add(1), ..self.clone() })
+    }
+
+    fn addr(&self) -> String {
+        self.name.clone()
+    }
+
+    fn win_addr_conflict(&self, other: &Identity) -> bool {
+        (self.born_ms, self.id, self.bump) > (other.born_ms, other.id, other.bump)
+    }
+}
+
+/// What is to be carried out, or known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Out {
+    /// Send this to the node of that name at its address.
+    Datagram(String, SocketAddr, Vec<u8>),
+    /// It lives.
+    Up(Identity),
+    /// It does not, or has left.
+    Down(Identity),
+    /// This node was taken for dead, and has come back.
+    Back(u32),
+    /// Another process has this node's name and began later.
+    Replaced,
+}
+
+/// Datagrams that changed nothing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Refused {
+    /// Of another fleet.
+    pub foreign: u64,
+    /// Of another form.
+    pub version: u64,
+    /// Not to be read, or too long.
+    pub unreadable: u64,
+    /// From a life that is over, or for one.
+    pub stale: u64,
+}
+
+/// Carries what foca says over to `Out`, and keeps its timers.
+#[derive(Default)]
+struct Carrier {
+    now: Duration,
+    out: VecDeque<Out>,
+    timers: BTreeMap<(Duration, u64), Timer<Identity>>,
+    numbered: u64,
+    fleet: u32,
+}
+
+impl Runtime<Identity> for Carrier {
+    fn notify(&mut self, notification: Notification<'_, Identity>) {
+        let out = match notification {
+            Notification::MemberUp(member) => Out::Up(member.clone()),
+            Notification::MemberDown(member) => Out::Down(member.clone()),
+            // Another life of a name: the one before is over, and the new one is told of by itself.
+            Notification::Rename(before, after) => {
+                self.out.push_back(Out::Down(before.clone()));
+                Out::Up(after.clone())
+            }
+            Notification::Rejoin(me) => Out::Back(me.bump),
+            Notification::Defunct => Out::Replaced,
+            Notification::Active | Notification::Idle => return,
+        };
+        self.out.push_back(out);
+    }
+
+    fn send_to(&mut self, to: Identity, data: &[u8]) {
+        let mut bytes = Vec::with_capacity(HEAD + data.len());
+        bytes.extend_from_slice(&MARK);
+        bytes.push(VERSION);
+        bytes.extend_from_slice(&self.fleet.to_be_bytes());
+        bytes.extend_from_slice(data);
+        self.out.push_back(Out::Datagram(to.name, to.at, bytes));
+    }
+
+    fn submit_after(&mut self, timer: Timer<Identity>, after: Duration) {
+        self.numbered += 1;
+        if self.timers.len() < MOST_TIMERS {
+            self.timers.insert((self.now + after, self.numbered), timer);
+        }
+    }
+}
+
+/// This node's view of who lives.
+pub struct Membership {
+    foca: Foca<Identity, PostcardCodec, Pcg64Mcg, foca::NoCustomBroadcast>,
+    carrier: Carrier,
+    seeds: Vec<(String, SocketAddr)>,
+    announce: Duration,
+    spread: f64,
+    /// It has left: what comes now must not bring it back.
+    left: bool,
+    /// Datagrams that changed nothing.
+    pub refused: Refused,
+}
+
+fn config(nodes: usize) -> Config {
+    let growth = f64::max(1.0, (nodes.max(1) as f64).log10());
+    let some = |n: usize| NonZeroUsize::new(n).unwrap_or(NonZeroUsize::MIN);
+    let periodic = |frequency, n| Some(PeriodicParams { frequency, num_members: some(n) });
+    Config {
+        probe_period: PERIOD,
+        probe_rtt: ANSWER,
+        num_indirect_probes: some(3),
+        max_transmissions: NonZeroU8::new((6.0 * growth).min(60.0) as u8).unwrap_or(NonZeroU8::MIN),
+        suspect_to_down_after: SUSPECTED.mul_f64(growth),
+        remove_down_after: FORGOTTEN,
+        max_packet_size: some(LONGEST - HEAD),
+        notify_down_members: true,
+        periodic_announce: None,
+        periodic_announce_to_down_members: periodic(ASK_DOWN, 2),
+        periodic_gossip: periodic(Duration::from_millis(250), 3),
+    }
+}
+
+impl Membership {
+    /// Knows nobody but its seeds. `nodes` are expected.
+    pub fn new(
+        me: Identity,
+        fleet: u32,
+        nodes: usize,
+        seed: u64,
+        seeds: Vec<(String, SocketAddr)>,
+    ) -> Membership {
+        let rng = Pcg64Mcg::new(u128::from(seed) << 64 | u128::from(me.id));
+        let spread = 0.75 + f64::from(me.id as u8) / 512.0;
+        let seeds = seeds.into_iter().filter(|(name, _)| *name != me.name).collect();
+        Membership {
+            foca: Foca::new(me, config(nodes), rng, PostcardCodec),
+            carrier: Carrier { fleet, ..Carrier::default() },
+            seeds,
+            announce: Duration::ZERO,
+            spread,
+            left: false,
+            refused: Refused::default(),
+        }
+    }
+
+    /// This node as others see it.
+    pub fn me(&self) -> &Identity {
+        self.foca.identity()
+    }
+
+    /// All others that live.
+    pub fn alive(&self) -> impl Iterator<Item = &Identity> {
+        self.foca.iter_members().map(|member| member.id())
+    }
+
+    /// What is to be carried out, oldest first.
+    pub fn out(&mut self) -> Option<Out> {
+        self.carrier.out.pop_front()
+    }
+
+    /// When `due` has something to do next.
+    pub fn next(&self) -> Duration {
+        let timer = self.carrier.timers.keys().next().map(|(at, _)| *at);
+        timer.map_or(self.announce, |at| at.min(self.announce))
+    }
+
+    /// Time has come to `now`.
+    pub fn due(&mut self, now: Duration) {
+        self.carrier.now = now;
+        if self.left {
+            self.carrier.timers.clear();
+            return self.announce = now + NOW_AND_THEN;
+        }
+        if now >= self.announce {
+            for (name, at) in self.seeds.clone() {
+                // What a seed's life is called is not known before it answers.
+                let seed = Identity { name, at, id: 0, born_ms: 0, bump: 0, ..self.foca.identity().clone() };
+                let _ = self.foca.announce(seed, &mut self.carrier);
+            }
+            let pause = if self.foca.iter_members().next().is_none() { ALONE } else { NOW_AND_THEN };
+            self.announce = now + pause.mul_f64(self.spread);
+        }
+        while let Some(first) = self.carrier.timers.first_entry().filter(|first| first.key().0 <= now) {
+            // A timer of a former state is refused, which is as it should be.
+            let _ = self.foca.handle_timer(first.remove(), &mut self.carrier);
+        }
+    }
+
+    /// A datagram has come; what can't be used is counted.
+    pub fn datagram(&mut self, now: Duration, bytes: &[u8]) {
+        self.carrier.now = now;
+        if self.left {
+            return;
+        }
+        let (Some(head), Some(data)) = (bytes.get(..HEAD), bytes.get(HEAD..)) else {
+            self.refused.unreadable += 1;
+            return;
+        };
+        if head[..2] != MARK || bytes.len() > LONGEST {
+            self.refused.unreadable += 1;
+        } else if head[2] != VERSION {
+            self.refused.version += 1;
+        } else if head[3..] != self.carrier.fleet.to_be_bytes() {
+            self.refused.foreign += 1;
+        } else if let Err(error) = self.foca.handle_data(data, &mut self.carrier) {
+            match error {
+                foca::Error::DataFromOurselves | foca::Error::IndirectForOurselves => self.refused.stale += 1,
+                _ => self.refused.unreadable += 1,
+            }
+        }
+    }
+
+    /// This node ends in good order: others need not find out.
+    pub fn leave(&mut self, now: Duration) {
+        self.carrier.now = now;
+        // A few are told each time, and the news goes on from there.
+        for _ in 0..3 {
+            let _ = self.foca.gossip(&mut self.carrier);
+        }
+        let _ = self.foca.leave_cluster(&mut self.carrier);
+        self.left = true;
+    }
+}
