Trials: real processes with stand-ins around them, a proxy between every two, and a judge

Need: nothing in the repository starts more than two processes of the program and cuts something between them.

--- /dev/null
+++ b/trials/src/call.rs
@@ -0,0 +1,101 @@
+//! Short calls to a node: PING where clients connect, and its state at the second address. The front of clients goes by the
+//! first, so it sees a death or a freeze a moment late, as real ones do.
+
+use crate::processes::State;
+use crate::stage::Stage;
+use lupincrank_reactor::poll;
+use lupincrank_reactor::{Connection, Flow, Hands, Id};
+use lupincrank_standins::lines::Lines;
+use lupincrank_standins::{key, Note};
+use std::time::{Duration, Instant};
+
+/// A node that answers neither in this time counts as not there.
+const ANSWER: Duration = Duration::from_millis(800);
+
+struct Call {
+    id: Id,
+    node: usize,
+    /// Which life of it.
+    life: u32,
+    lines: Lines,
+    said: bool,
+    pings: bool,
+}
+
+/// Asks whether it takes clients.
+pub fn ping(hands: &mut Hands<Stage>, node: usize) {
+    begin(hands, node, true);
+}
+
+/// Asks how it stands in its fleet.
+pub fn status(hands: &mut Hands<Stage>, node: usize) {
+    begin(hands, node, false);
+}
+
+fn begin(hands: &mut Hands<Stage>, node: usize, pings: bool) {
+    let id = hands.name();
+    let one = &hands.world.nodes[node];
+    let (at, life) = (if pings { one.listen() } else { one.management() }, one.lives);
+    match poll::connect(&hands.poller, at, key(id, 0)) {
+        Ok(stream) => {
+            hands.deadlines.set(id, 0, Instant::now() + ANSWER);
+            hands.adopt(id, Box::new(Call { id, node, life, lines: Lines::new(stream), said: false, pings }));
+        }
+        Err(_) if pings => hands.world.nodes[node].in_front = false,
+        Err(_) => {}
+    }
+}
+
+impl Call {
+    fn answered(&self, hands: &mut Hands<Stage>, line: Option<&str>) -> Flow {
+        let node = &mut hands.world.nodes[self.node];
+        if node.lives == self.life {
+            if self.pings {
+                node.in_front = line == Some("PONG") && node.state != State::Dead;
+            } else {
+                let told = line.and_then(|line| line.strip_prefix("done "));
+                if let Some(told) = told.and_then(|told| serde_json::from_str(told).ok()) {
+                    node.status = Some((Instant::now(), told));
+                }
+            }
+        }
+        Flow::Done
+    }
+
+    fn step(&mut self, readable: bool) -> Result<Option<String>, ()> {
+        if !self.said {
+            if !matches!(self.lines.stream.take_error(), Ok(None)) {
+                return Err(());
+            }
+            self.said = true;
+            self.lines.say(if self.pings { "PING\r\n" } else { "fleet status\r\n" }).map_err(drop)?;
+        }
+        if readable {
+            self.lines.read().map_err(drop)?;
+        }
+        match self.lines.line() {
+            Some(line) => Ok(Some(line)),
+            None if self.lines.ended => Err(()),
+            None => Ok(None),
+        }
+    }
+}
+
+impl Connection<Stage> for Call {
+    fn ready(&mut self, hands: &mut Hands<Stage>, _side: usize, readable: bool, _writable: bool) -> Flow {
+        match self.step(readable) {
+            Ok(Some(line)) => self.answered(hands, Some(&line)),
+            Ok(None) => Flow::Keep,
+            Err(()) => self.answered(hands, None),
+        }
+    }
+
+    fn due(&mut self, hands: &mut Hands<Stage>, _purpose: u64) -> Flow {
+        hands.deadlines.clear(self.id, 0);
+        self.answered(hands, None)
+    }
+
+    fn told(&mut self, _hands: &mut Hands<Stage>, _note: Note) -> Flow {
+        Flow::Done
+    }
+}
--- /dev/null
+++ b/trials/src/lib.rs
@@ -0,0 +1,18 @@
+//! Trials: several real processes of the program with stand-ins around them and a proxy between every two, broken by a time
+//! line, and judged from outside. `docs/design/trials.md` says why it is made so.
+#![allow(missing_docs)]
+
+mod call;
+mod faults;
+mod hop;
+pub mod hunt;
+pub mod judge;
+pub mod links;
+pub mod plan;
+pub mod processes;
+mod proxy;
+pub mod report;
+pub mod run;
+pub mod scenario;
+pub mod stage;
+pub mod wrongdoer;
--- /dev/null
+++ b/trials/src/run.rs
@@ -0,0 +1,397 @@
+//! One trial from its beginning to its end.
+
+use crate::hop;
+use crate::judge::{Broken, Budget};
+use crate::links::Party;
+use crate::plan::Plan;
+use crate::processes::{block, Node};
+use crate::proxy;
+use crate::scenario::{Fault, Scenario};
+use crate::stage::{self, Phase, Setting, Stage};
+use lupincrank_reactor::{Hands, Reactor};
+use lupincrank_standins::client::Manners;
+use lupincrank_standins::transcriber::{self, Fleet, Strength};
+use lupincrank_standins::{discovery, part};
+use rand_pcg::Pcg64Mcg;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::fs;
+use std::io::Write;
+use std::net::{IpAddr, Ipv4Addr};
+use std::path::PathBuf;
+use std::sync::atomic::AtomicBool;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime};
+
+/// How a trial is run.
+pub struct Options {
+    /// The program, with what goes before `serve`.
+    pub program: Vec<String>,
+    /// Other programs for single nodes, by number: old and new builds side by side, or wrongdoers.
+    pub programs: BTreeMap<usize, Vec<String>>,
+    /// Where the merged logs go.
+    pub logs: Option<PathBuf>,
+    /// Nodes log single requests.
+    pub verbose: bool,
+    /// Set to end the trial early.
+    pub stop: Arc<AtomicBool>,
+    /// Called a few times a second.
+    pub progress: Box<dyn Fn(&Stage)>,
+}
+
+/// What came of a trial.
+#[derive(Clone, Debug, Serialize)]
+pub struct Outcome {
+    /// The scenario's file, or what it is called.
+    pub scenario: String,
+    /// The seed, and a sum over the plan.
+    pub seed: u64,
+    /// See `seed`.
+    pub plan: String,
+    /// Processes of the program.
+    pub nodes: usize,
+    /// The time line of faults as planned.
+    pub faults: Vec<Fault>,
+    /// What happened, in seconds after the first client.
+    pub events: Vec<(f64, String)>,
+    /// The part of visits that was served within 3 s of its plan, or of its return.
+    pub service: f64,
+    /// The same for each second: due, and served.
+    pub by_second: BTreeMap<u64, (u32, u32)>,
+    /// Requests that clients made.
+    pub requests: u64,
+    /// Those that got no answer though their node was there.
+    pub unanswered: u64,
+    /// Those that were lost with a node that died or froze.
+    pub lost: u64,
+    /// What else was counted.
+    pub counts: BTreeMap<&'static str, u64>,
+    /// Set-ups in milliseconds: half, 99 of 100, and the slowest.
+    pub setups_ms: [f64; 3],
+    /// The judge's word.
+    pub judge: Verdict,
+    /// Budgets as transcribers saw them.
+    pub budgets: Vec<Budget>,
+    /// How the nodes stood at the end, as they say.
+    pub ends: BTreeMap<String, serde_json::Value>,
+}
+
+/// The judge's word.
+#[derive(Clone, Debug, Serialize)]
+pub struct Verdict {
+    /// Broken rules; none if all is well.
+    pub broken: Vec<Broken>,
+}
+
+impl Outcome {
+    /// Whether all rules and bounds held.
+    pub fn holds(&self) -> bool {
+        self.judge.broken.is_empty()
+    }
+}
+
+/// The settings that nodes are given.
+fn settings(stage: &Stage) -> serde_json::Value {
+    let scenario = &stage.scenario;
+    let ns = |ms: u64| ms * 1_000_000;
+    let zones: Vec<String> = (0..scenario.zones).map(zone).collect();
+    let strength = &stage.fleet.strength;
+    serde_json::json!({
+        "Instances": scenario.instances.unwrap_or(*scenario.nodes.get_ref()),
+        "Categories": [{"Name": "chat", "DeadlineNs": ns(scenario.clients.wait_ms), "PromiseNs": ns(500),
+            "Repeat": "repeatable", "Group": "all", "Stream": true, "WindowNs": ns(5000), "Value": 1.0}],
+        "FamilyInfo": {"Groups": true, "MessageAimNs": [ns(100)], "Mode": "proxy"},
+        "Kinds": ["m"], "Localities": zones,
+        "Limits": {"SendCap": 3, "MayProbe": false, "Peers": false, "RetryAfter": true,
+            "MaxRetryAfterNs": ns(2000), "ConnectTimeoutNs": ns(150)},
+        "Obligations": {"AnswerSlackNs": ns(20), "AskWithinNs": ns(10_000),
+            "ColdNs": strength.cold.as_nanos() as u64, "DrainGraceNs": ns(500), "FallMultiple": strength.fall,
+            "OverloadForNs": strength.fall_for.as_nanos() as u64, "StartCapacity": strength.start},
+        "RegistryMode": "subscribe", "Tenants": [], "Report": {"Fields": [], "How": "off"},
+    })
+}
+
+fn zone(number: usize) -> String {
+    format!("zone{number}")
+}
+
+/// The operator's file of one node: the others are reached by the addresses that are its own.
+fn operator(
+    stage: &Stage,
+    node: usize,
+    via: &BTreeMap<usize, std::net::SocketAddr>,
+    expected: usize,
+) -> String {
+    let names = |n: usize| format!("\"n{n}\"");
+    let nodes: Vec<String> = (0..expected).map(names).collect();
+    let mut text = format!("[fleet]\nname = \"trial\"\nnodes = [{}]\n", nodes.join(", "));
+    let one = &stage.nodes[node];
+    text.push_str(&format!("listen = \"{}\"\nzone = \"{}\"\n", one.fleet(), one.zone));
+    text.push_str("[fleet.seeds]\n");
+    // Three others, and itself where it is alone: whoever is a seed starts with nobody to ask.
+    let mut seeds: Vec<usize> = via.keys().copied().filter(|other| *other < expected).take(3).collect();
+    if seeds.is_empty() {
+        seeds.push(node.min(expected - 1));
+    }
+    for other in seeds {
+        let at = via.get(&other).copied().unwrap_or_else(|| one.fleet());
+        text.push_str(&format!("n{other} = \"{at}\"\n"));
+    }
+    text.push_str("[fleet.via]\n");
+    for (other, at) in via {
+        text.push_str(&format!("n{other} = \"{at}\"\n"));
+    }
+    if let Some(cold) = &stage.scenario.cold {
+        text.push_str(&format!("[budgets.cold]\nwhole = {}\nfloor = {}\n", cold.whole, cold.floor));
+    }
+    text
+}
+
+/// Adds a node with all of its links, and writes what it is told. It is not started.
+fn add(hands: &mut Hands<Stage>, program: Vec<String>) -> Result<usize, String> {
+    let named = |error: std::io::Error| error.to_string();
+    let node = hands.nodes.len();
+    let (high, low) = hands.block;
+    let ip = IpAddr::V4(Ipv4Addr::new(127, high, low, 1 + node as u8));
+    let zone = zone(node % hands.scenario.zones);
+    let folder = hands.folder.clone();
+    let name = format!("n{node}");
+    hands.world.nodes.push(Node::new(name, zone, program, ip, &folder));
+    let party = Party::Node(node);
+    let list = discovery::listen(hands, node).map_err(named)?;
+    let discovery = proxy::open(hands, party, Party::Discovery, list).map_err(named)?;
+    for one in 0..hands.fleet.all.len() {
+        let at = hands.fleet.all[one].at;
+        let dial = proxy::open(hands, party, Party::Transcriber(one), at).map_err(named)?;
+        hands.list.dial(one, dial);
+    }
+    if hands.scenario.talk {
+        for other in 0..node {
+            for (from, to) in [(node, other), (other, node)] {
+                let target = hands.nodes[to].fleet();
+                let (from, to) = (Party::Node(from), Party::Node(to));
+                let at = proxy::open(hands, from, to, target).map_err(named)?;
+                hop::open(hands, from, to, at, target).map_err(named)?;
+                hands.world.ways.insert((from, to), at);
+            }
+        }
+    }
+    let (_, known, _) = hands.list.told(node, 0, true);
+    let known: serde_json::Value = serde_json::from_str(&known).map_err(|error| error.to_string())?;
+    let one = &hands.world.nodes[node];
+    let config = serde_json::json!({
+        "name": one.name, "listen": one.listen().to_string(), "discovery": discovery.to_string(),
+        "management": one.management().to_string(),
+        "seed": format!("{:x}", hands.world.plan.seed.wrapping_mul(1_000_003).wrapping_add(node as u64)),
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 4096},
+        "known": known, "settings": settings(&hands.world),
+    });
+    hands.world.configs.insert(node, config);
+    Ok(node)
+}
+
+/// Writes what a node is told at its start, by the links that there are now.
+fn tell(hands: &mut Hands<Stage>, node: usize, expected: usize) -> Result<(), String> {
+    let ways = hands.world.ways.iter().filter_map(|((from, to), at)| match (from, to) {
+        (Party::Node(from), Party::Node(to)) if *from == node => Some((*to, *at)),
+        _ => None,
+    });
+    let via: BTreeMap<usize, _> = ways.collect();
+    let text = hands.scenario.talk.then(|| operator(&hands.world, node, &via, expected));
+    let config = hands.world.configs.get(&node).cloned().unwrap_or_default();
+    hands.world.nodes[node].tell(&config, text.as_deref()).map_err(|error| error.to_string())
+}
+
+/// A node that nobody announced begins: the others have no way to it but the one that it opens, and do not expect it.
+pub fn join(hands: &mut Hands<Stage>) -> Result<(), String> {
+    let program = hands.program.clone();
+    let node = add(hands, program)?;
+    let expected = *hands.scenario.nodes.get_ref();
+    tell(hands, node, expected)?;
+    let verbose = hands.verbose;
+    hands.nodes[node].start(verbose).map_err(|error| error.to_string())
+}
+
+/// One more transcriber.
+pub fn release(hands: &mut Hands<Stage>, cold: bool) -> Result<(), String> {
+    let named = |error: std::io::Error| error.to_string();
+    let now = Instant::now();
+    let one = transcriber::start(hands, cold.then_some(now)).map_err(named)?;
+    let at = hands.fleet.all[one].at;
+    let mut dials = Vec::new();
+    for node in 0..hands.nodes.len() {
+        dials.push(proxy::open(hands, Party::Node(node), Party::Transcriber(one), at).map_err(named)?);
+    }
+    let zone = zone(one % hands.scenario.zones);
+    // Names that say nothing of the order: hashes of short ones lie close together.
+    let name = format!("s-{:08x}", crc32fast::hash(format!("{} {one}", hands.plan.seed).as_bytes()));
+    hands.list.add(name, zone, 0, dials);
+    if cold {
+        hands.list.started(one);
+    }
+    Ok(())
+}
+
+/// Runs one; an error says why it could not be carried out at all.
+pub fn run(name: &str, scenario: Scenario, seed: u64, options: Options) -> Result<Outcome, String> {
+    let named = |error: std::io::Error| error.to_string();
+    let plan = Plan::draw(&scenario, seed);
+    let (high, low, held) = block().map_err(named)?;
+    let folder = std::env::temp_dir().join(format!("lupincrank-trial-{}-{high}-{low}", std::process::id()));
+    fs::create_dir_all(&folder).map_err(named)?;
+    let bears = &scenario.bears;
+    let strength = Strength {
+        bears: bears.held,
+        most: (bears.held * 3.0) as usize,
+        cold: Duration::from_secs_f64(bears.cold_s),
+        start: 0.3,
+        fall: 3.0,
+        fall_for: Duration::from_secs(2),
+        setup: part(Duration::from_millis(bears.setup_ms), 1.0),
+    };
+    let manners = Manners {
+        wait: Duration::from_millis(scenario.clients.wait_ms),
+        every: Duration::from_millis(scenario.clients.line_ms),
+        class: "chat".into(),
+    };
+    let (nodes, transcribers) = (*scenario.nodes.get_ref(), *scenario.transcribers.get_ref());
+    let stage = Stage::new(Setting {
+        scenario,
+        plan,
+        manners,
+        fleet: Fleet { strength, all: Vec::new() },
+        random: Pcg64Mcg::new(u128::from(seed) << 8 | 3),
+        stop: options.stop,
+        folder: folder.clone(),
+        block: (high, low),
+        verbose: options.verbose,
+        program: options.program.clone(),
+        progress: options.progress,
+    });
+    let mut reactor = Reactor::new(stage, 0).map_err(named)?;
+    let hands = &mut reactor.hands;
+    for _ in 0..transcribers {
+        release(hands, false)?;
+    }
+    for node in 0..nodes {
+        let program = options.programs.get(&node).unwrap_or(&options.program).clone();
+        add(hands, program)?;
+    }
+    for node in 0..nodes {
+        tell(hands, node, nodes)?;
+        let verbose = hands.verbose;
+        hands.nodes[node].start(verbose).map_err(named)?;
+    }
+    stage::begin(hands);
+    let ran = reactor.run().map_err(named);
+    let stage = &mut reactor.hands.world;
+    stage.phase = Phase::Over;
+    let ends = stage.nodes.iter().filter_map(|node| {
+        let (_, told) = node.status.as_ref()?;
+        Some((node.name.clone(), told.clone()))
+    });
+    let ends = ends.collect();
+    stage.nodes.iter_mut().for_each(Node::kill);
+    if let Some(to) = &options.logs {
+        merge(stage, to).map_err(named)?;
+    }
+    drop(held);
+    let failed = ran.err().or_else(|| stage.failed().map(str::to_string));
+    if let Some(why) = failed {
+        let log = tail(stage);
+        let _ = fs::remove_dir_all(&folder);
+        return Err(format!("{name}, seed {seed}: {why}\n{log}"));
+    }
+    let outcome = outcome(name, stage, ends);
+    let _ = fs::remove_dir_all(&folder);
+    Ok(outcome)
+}
+
+fn outcome(name: &str, stage: &mut Stage, ends: BTreeMap<String, serde_json::Value>) -> Outcome {
+    let now = Instant::now();
+    let (requests, unanswered, lost) = stage.judge.finish(now);
+    let budgets = match &stage.scenario.cold {
+        Some(cold) => vec![stage.judge.cold(cold.whole)],
+        None => Vec::new(),
+    };
+    let due: u32 = stage.service.values().map(|(due, _)| *due).sum();
+    let up: u32 = stage.service.values().map(|(_, up)| *up).sum();
+    let service = f64::from(up.min(due)) / f64::from(due.max(1));
+    let least = stage.scenario.hold.service;
+    if service < least {
+        stage.judge.breaks("hold", now, format!("service is {service:.3}, {least} is the least"));
+    }
+    let start = stage.start;
+    let seconds = |at: Instant| {
+        let (after, before) = (at.saturating_duration_since(start), start.saturating_duration_since(at));
+        after.as_secs_f64() - before.as_secs_f64()
+    };
+    let events = stage.events.iter().map(|event| (seconds(event.at), event.what.clone())).collect();
+    Outcome {
+        scenario: name.to_string(),
+        seed: stage.plan.seed,
+        plan: format!("{:08x}", stage.plan.digest()),
+        nodes: stage.nodes.len(),
+        faults: stage.plan.faults.clone(),
+        events,
+        service,
+        by_second: stage.service.clone(),
+        requests,
+        unanswered,
+        lost,
+        counts: stage.judge.counts().clone(),
+        setups_ms: stage.judge.setups_ms(),
+        judge: Verdict { broken: stage.judge.broken().to_vec() },
+        budgets,
+        ends,
+    }
+}
+
+/// The last lines of each node's log, for a trial that could not be carried out.
+fn tail(stage: &Stage) -> String {
+    let mut out = String::new();
+    for node in &stage.nodes {
+        let log = fs::read_to_string(node.log()).unwrap_or_default();
+        let lines: Vec<&str> = log.lines().collect();
+        for line in &lines[lines.len().saturating_sub(6)..] {
+            out.push_str(&format!("  {} {line}\n", node.name));
+        }
+    }
+    out
+}
+
+/// One time line of what the trial did and what the nodes logged.
+fn merge(stage: &Stage, to: &PathBuf) -> std::io::Result<()> {
+    fs::create_dir_all(to)?;
+    let mut lines: Vec<(String, String)> = Vec::new();
+    for node in &stage.nodes {
+        let log = fs::read(node.log()).unwrap_or_default();
+        let log = String::from_utf8_lossy(&log).into_owned();
+        fs::write(to.join(format!("{}.log", node.name)), &log)?;
+        for line in log.lines() {
+            // Lines without a time of their own stay behind the one before.
+            let time = line.get(7..19).filter(|time| time.as_bytes().get(2) == Some(&b':'));
+            let time = time.map(str::to_string).or_else(|| lines.last().map(|(time, _)| time.clone()));
+            lines.push((
+                time.unwrap_or_default(),
+                format!("{:9} {}", node.name, line.get(20..).unwrap_or(line)),
+            ));
+        }
+    }
+    for event in &stage.events {
+        let mark = if event.fault { "FAULT" } else { "trial" };
+        lines.push((clock(event.wall), format!("{mark:9} {}", event.what)));
+    }
+    lines.sort_by(|one, other| one.0.cmp(&other.0));
+    let mut file = fs::File::create(to.join("merged.log"))?;
+    for (time, line) in lines {
+        writeln!(file, "{time} {line}")?;
+    }
+    Ok(())
+}
+
+/// The time of day in UTC, as the nodes' logs write it.
+fn clock(wall: SystemTime) -> String {
+    let ms = wall.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_millis() % 86_400_000;
+    format!("{:02}:{:02}:{:02}.{:03}", ms / 3_600_000, ms / 60_000 % 60, ms / 1000 % 60, ms % 1000)
+}
