A life from nothing has no floor for a window; schedules of faults on the real machines

Found by a drawn schedule: a node that dies and starts at once had its floor twice within a second, once by the life before and once by the new one (11 in use of 10). A life now has its floor only after a window, by its own clock.

--- a/decisions/council/src/council.rs
+++ b/decisions/council/src/council.rs
@@ -210,9 +210,9 @@
 impl Council {
     /// Knows no council yet.
     pub fn new(now: Time, me: Member, tuning: Tuning) -> Council {
-        let holder = Holder::new(tuning.terms, tuning.floor);
+        let holder = Holder::new(&tuning.terms, now, tuning.floor);
         Council {
-            limit: tuning.floor,
+            limit: 0,
             me,
             tuning,
             began: now,
@@ -242,6 +242,11 @@
         self.holder.limit(now)
     }
 
+    /// What it may use without a lease.
+    pub fn floor(&self, now: Time) -> u32 {
+        self.holder.floor(now)
+    }
+
     /// Its part of the whole, for what is shared by parts.
     pub fn part(&self, now: Time) -> Option<f64> {
         let log = self.log.as_ref()?;
@@ -340,7 +345,7 @@
                 }
             }
             Said::Granted(stamp, number, slice) if Some(stamp) == mine => {
-                self.holder.granted(now, number, slice);
+                self.holder.granted(&self.tuning.terms, now, number, slice);
             }
             Said::Leaves(stamp) if Some(stamp) == mine => {
                 self.left.insert(from);
@@ -733,10 +738,10 @@
     fn ask(&mut self, now: Time) {
         let Some(log) = &mut self.log else { return };
         let (leader, stamp) = (log.leader, log.stamp);
-        if leader == 0 || !self.holder.due(now) {
+        if leader == 0 || !self.holder.due(&self.tuning.terms, now) {
             return;
         }
-        let ask = self.holder.ask(now);
+        let ask = self.holder.ask(&self.tuning.terms, now);
         if leader == self.me.id {
             log.asks.insert(leader, ask);
         } else {
--- a/decisions/council/src/entry.rs
+++ b/decisions/council/src/entry.rs
@@ -14,7 +14,7 @@
 }
 
 /// One slice for one life of a node.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Grant {
     /// Whose.
     pub holder: u64,
--- a/decisions/council/src/lease.rs
+++ b/decisions/council/src/lease.rs
@@ -39,7 +39,7 @@
 }
 
 /// What a node asks for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize)]
 pub struct Ask {
     /// Each request has a higher one.
     pub number: u64,
@@ -48,10 +48,10 @@
 }
 
 /// The holder's side.
-#[derive(Debug)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Holder {
-    terms: Terms,
     floor: u32,
+    floor_from: Time,
     number: u64,
     asked: Option<Time>,
     /// The slice and when it is over.
@@ -64,39 +64,49 @@
 const MOST_BEFORE: usize = 64;
 
 impl Holder {
-    /// Holds nothing but its floor.
-    pub fn new(terms: Terms, floor: u32) -> Holder {
-        Holder { terms, floor, number: 0, asked: None, held: None, before: VecDeque::new() }
+    /// Holds nothing but its floor, and that not at once: what the life before it sent by the floor of the same name still
+    /// counts for a window.
+    pub fn new(terms: &Terms, now: Time, floor: u32) -> Holder {
+        Holder { floor, floor_from: now.after(terms.window), ..Holder::default() }
+    }
+
+    /// What may be used without a lease.
+    pub fn floor(&self, now: Time) -> u32 {
+        if now < self.floor_from {
+            0
+        } else {
+            self.floor
+        }
     }
 
     /// What may be used now, the floor included, and until when; nothing but the floor has no end.
     pub fn limit(&self, now: Time) -> (u32, Option<Time>) {
         match self.held {
-            Some((slice, until)) if now < until => (self.floor.saturating_add(slice), Some(until)),
-            _ => (self.floor, None),
+            Some((slice, until)) if now < until => (self.floor(now).saturating_add(slice), Some(until)),
+            _ => (self.floor(now), None),
         }
     }
 
     /// Whether it is time to ask: the last request is old, or was not answered.
-    pub fn due(&self, now: Time) -> bool {
-        self.asked.is_none_or(|asked| now.since(asked) >= self.terms.renew)
+    pub fn due(&self, terms: &Terms, now: Time) -> bool {
+        self.asked.is_none_or(|asked| now.since(asked) >= terms.renew)
     }
 
     /// Asks anew. Grants that answer earlier requests are void from here on, whenever they come.
-    pub fn ask(&mut self, now: Time) -> Ask {
+    pub fn ask(&mut self, terms: &Terms, now: Time) -> Ask {
         self.number += 1;
         self.asked = Some(now);
-        self.before.retain(|(_, until)| now.since(*until) < self.terms.window);
+        self.before.retain(|(_, until)| now.since(*until) < terms.window);
         // A slice that has run out counts as one of before, for as long as what was sent by it does.
-        let held = self.held.filter(|(_, until)| now.since(*until) < self.terms.window);
+        let held = self.held.filter(|(_, until)| now.since(*until) < terms.window);
         let using = held.iter().chain(&self.before).map(|(slice, _)| *slice).max().unwrap_or(0);
         Ask { number: self.number, using }
     }
 
     /// A grant has come; whether it counts.
-    pub fn granted(&mut self, now: Time, number: u64, slice: u32) -> bool {
+    pub fn granted(&mut self, terms: &Terms, now: Time, number: u64, slice: u32) -> bool {
         let Some(asked) = self.asked.filter(|_| number == self.number) else { return false };
-        let until = asked.after(self.terms.lease);
+        let until = asked.after(terms.lease);
         // Guards against one that waited at a frozen process or on the way for longer than it holds.
         if now >= until {
             return false;
@@ -128,7 +138,7 @@
 
 /// The granter's side: since when, by this node's clock, each grant stands. Every member keeps it, for any may become
 /// leader; what one learns late it counts from then.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Clocks {
     since: BTreeMap<u64, (u64, Time)>,
 }
--- a/decisions/council/src/member.rs
+++ b/decisions/council/src/member.rs
@@ -4,7 +4,7 @@
 
 /// One life of one node. A process that starts again under the name has another id: it remembers neither its vote nor
 /// what it was granted, and must never be taken for the one that gave them.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Member {
     /// Drawn anew at each start; never 0.
     pub id: u64,
@@ -19,7 +19,7 @@
 }
 
 /// Which council: a higher epoch fences all lower ones, and of two foundings in one epoch the higher number wins.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Stamp {
     /// 1 at the first founding of a fleet, one more at each reseeding.
     pub epoch: u64,
@@ -28,7 +28,7 @@
 }
 
 /// How a council begins.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Founding {
     /// Which council it is.
     pub stamp: Stamp,
--- a/decisions/council/src/state.rs
+++ b/decisions/council/src/state.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 
 /// What a holder may have in use.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Held {
     /// The number of the request that the slice answers.
     pub number: u64,
@@ -25,7 +25,7 @@
 }
 
 /// What all agree on.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct State {
     /// Which council this is.
     pub stamp: Stamp,
--- /dev/null
+++ b/decisions/council/tests/model.rs
@@ -0,0 +1,267 @@
+//! The lease's machines (`State`, `Holder`, `Clocks`) under every order of events, by exhaustive search: two holders, messages
+//! that wait or get lost, a holder that freezes or starts from nothing, a granter that starts anew, a reseeded council, and
+//! clocks that run apart.
+
+use lupincrank::Time;
+use lupincrank_council::entry::{Entry, Grant};
+use lupincrank_council::lease::{Ask, Clocks, Holder, Terms};
+use lupincrank_council::member::{Founding, Member, Stamp};
+use lupincrank_council::state::State;
+use rstest::rstest;
+use stateright::{Checker, Model, Property};
+use std::time::Duration;
+
+/// Time goes in steps of this many milliseconds, as a perfect clock shows them.
+const STEP: u64 = 500;
+const WHOLE: u32 = 2;
+/// Each life asks so often at the most.
+const ASKS: u8 = 2;
+
+/// One holder: its life's id, its machine, and what it may have used, by the perfect clock.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Life {
+    id: u64,
+    machine: Holder,
+    asked: u8,
+    frozen: bool,
+    /// Limits and when each was last in force; also those of the lives before.
+    used: Vec<(u32, u64)>,
+}
+
+/// A message that is on its way.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum Wire {
+    Ask(u64, Ask),
+    Grant(u64, Grant),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct World {
+    now: u64,
+    state: State,
+    clocks: Clocks,
+    /// Since when the granter leads a council that has granted nothing.
+    leads: Time,
+    lives: Vec<Life>,
+    wire: Vec<Wire>,
+    faults: u8,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Step {
+    Pass,
+    Ask(usize),
+    Deliver(usize),
+    DeliverLess(usize),
+    Lose(usize),
+    Freeze(usize),
+    Wake(usize),
+    Restart(usize),
+    NewGranter,
+    Reseed,
+}
+
+/// What is searched, and which of its rules are left out.
+#[derive(Clone, Copy)]
+struct Leases {
+    until: u64,
+    faults: u8,
+    /// The holders' clocks against the perfect one; the granter's is fast by as much.
+    slow: f64,
+    drift: f64,
+    /// A life from nothing takes the id that the one before had.
+    same_id: bool,
+    /// A reseeded council hands out at once.
+    no_wait: bool,
+    /// What an earlier slice may still have in use is not counted.
+    no_using: bool,
+}
+
+const GOOD: Leases =
+    Leases { until: 6, faults: 1, slow: 0.2, drift: 0.5, same_id: false, no_wait: false, no_using: false };
+
+impl Leases {
+    fn terms(&self) -> Terms {
+        Terms {
+            lease: Duration::from_millis(2 * STEP),
+            window: Duration::from_millis(STEP),
+            drift: self.drift,
+            renew: Duration::from_millis(STEP),
+        }
+    }
+    fn holder(&self, now: u64) -> Time {
+        Time(((now * STEP) as f64 * 1e6 * (1.0 - self.slow)) as u64)
+    }
+    fn granter(&self, now: u64) -> Time {
+        Time(((now * STEP) as f64 * 1e6 * (1.0 + self.slow)) as u64)
+    }
+    fn found(&self, epoch: u64, lives: &[Life]) -> State {
+        let member = |life: &Life| Member {
+            id: life.id,
+            name: String::new(),
+            zone: String::new(),
+            region: String::new(),
+            build: String::new(),
+        };
+        let stamp = Stamp { epoch, founding: 1 };
+        State::found(&Founding { stamp, voters: vec![], members: lives.iter().map(member).collect(), whole: WHOLE })
+    }
+
+    /// The granter frees what is surely over, as it does each tick.
+    fn upkeep(&self, world: &mut World) {
+        let at = self.granter(world.now);
+        world.clocks.follow(at, &world.state);
+        let over = world.clocks.over(at, &self.terms());
+        world.state.apply(Entry::Over(over));
+        world.clocks.follow(at, &world.state);
+        let at = self.holder(world.now);
+        for life in &mut world.lives {
+            if !life.frozen {
+                let (limit, _) = life.machine.limit(at);
+                life.used.push((limit, world.now));
+            }
+            life.used.retain(|(limit, last)| *limit > 0 && last + 1 > world.now);
+            life.used.sort();
+            life.used.dedup();
+        }
+    }
+
+    fn grant(&self, world: &mut World, from: u64, ask: Ask, most: u32) {
+        let at = self.granter(world.now);
+        let waits = !self.no_wait && at.since(world.leads) < self.terms().surely_over();
+        if world.state.grants == 0 && waits {
+            return;
+        }
+        let using = if self.no_using { 0 } else { ask.using };
+        let slice = world.state.left(from).min(most);
+        let made = world.state.apply(Entry::Grants(vec![Grant { holder: from, number: ask.number, using, slice }]));
+        world.wire.extend(made.into_iter().map(|grant| Wire::Grant(from, grant)));
+    }
+}
+
+impl Model for Leases {
+    type State = World;
+    type Action = Step;
+
+    fn init_states(&self) -> Vec<World> {
+        let life = |id| Life { id, machine: Holder::new(&self.terms(), Time(0), 0), asked: 0, frozen: false, used: vec![] };
+        let lives = vec![life(1), life(2)];
+        let mut state = self.found(1, &lives);
+        // A council that has been at work for a while.
+        state.grants = 1;
+        let (clocks, leads) = (Clocks::default(), Time(0));
+        vec![World { now: 0, state, clocks, leads, lives, wire: vec![], faults: 0 }]
+    }
+
+    fn actions(&self, world: &World, actions: &mut Vec<Step>) {
+        if world.now < self.until {
+            actions.push(Step::Pass);
+        }
+        let at = self.holder(world.now);
+        for (n, life) in world.lives.iter().enumerate() {
+            if life.frozen {
+                actions.push(Step::Wake(n));
+            } else if life.machine.due(&self.terms(), at) && world.wire.len() < 2 && life.asked < ASKS {
+                actions.push(Step::Ask(n));
+            }
+        }
+        for at in 0..world.wire.len() {
+            actions.push(Step::Deliver(at));
+            // A grant that comes after its time is as good as lost.
+            if matches!(world.wire[at], Wire::Ask(..)) {
+                actions.extend([Step::DeliverLess(at), Step::Lose(at)]);
+            }
+        }
+        if world.faults < self.faults {
+            for n in 0..world.lives.len() {
+                actions.extend([Step::Freeze(n), Step::Restart(n)]);
+            }
+            actions.extend([Step::NewGranter, Step::Reseed]);
+        }
+    }
+
+    fn next_state(&self, world: &World, step: Step) -> Option<World> {
+        let mut next = world.clone();
+        let at = self.holder(next.now);
+        match step {
+            Step::Pass => next.now += 1,
+            Step::Ask(n) => {
+                next.lives[n].asked += 1;
+                let ask = next.lives[n].machine.ask(&self.terms(), at);
+                next.wire.push(Wire::Ask(next.lives[n].id, ask));
+            }
+            Step::Lose(at) => drop(next.wire.remove(at)),
+            Step::DeliverLess(n) => {
+                let Wire::Ask(from, ask) = next.wire.remove(n) else { return None };
+                self.grant(&mut next, from, ask, 1);
+            }
+            Step::Deliver(n) => match next.wire.remove(n) {
+                Wire::Ask(from, ask) => self.grant(&mut next, from, ask, WHOLE),
+                Wire::Grant(to, grant) => {
+                    let life = next.lives.iter_mut().find(|life| life.id == to)?;
+                    if life.frozen {
+                        return None;
+                    }
+                    life.machine.granted(&self.terms(), at, grant.number, grant.slice);
+                }
+            },
+            Step::Freeze(n) => {
+                next.faults += 1;
+                next.lives[n].frozen = true;
+            }
+            Step::Wake(n) => next.lives[n].frozen = false,
+            Step::Restart(n) => {
+                next.faults += 1;
+                let used = next.lives[n].used.clone();
+                let id = next.lives[n].id + if self.same_id { 0 } else { 10 };
+                let mut machine = Holder::new(&self.terms(), at, 0);
+                if self.same_id {
+                    // The mutant: it goes on as the one it was, and has forgotten what that one was granted.
+                    next.state.held.remove(&id);
+                    machine.ask(&self.terms(), at);
+                }
+                next.lives[n] = Life { id, machine, asked: 0, frozen: false, used };
+                // The council lets the new life in once the old one is out.
+                let member = Member { id, ..next.state.members.values().next()?.clone() };
+                next.state.members.insert(id, member);
+            }
+            Step::NewGranter => {
+                next.faults += 1;
+                // It counts all that it finds from now on.
+                next.clocks = Clocks::default();
+            }
+            Step::Reseed => {
+                next.faults += 1;
+                next.state = self.found(next.state.stamp.epoch + 1, &next.lives);
+                (next.clocks, next.leads) = (Clocks::default(), self.granter(next.now));
+                // Messages of the old council answer nothing any more; leases that are held run on.
+                next.wire.clear();
+            }
+        }
+        // Any of them may come next: their order says nothing.
+        next.wire.sort();
+        self.upkeep(&mut next);
+        Some(next)
+    }
+
+    fn properties(&self) -> Vec<Property<Leases>> {
+        vec![Property::always("the sum is within the whole", |_: &Leases, world: &World| {
+            let most = |life: &Life| life.used.iter().map(|(limit, _)| *limit).max().unwrap_or(0);
+            world.lives.iter().map(most).sum::<u32>() <= WHOLE
+        })]
+    }
+}
+
+#[rstest]
+#[case::as_it_is(GOOD, false)]
+#[case::without_the_bound_on_drift(Leases { drift: 0.0, ..GOOD }, true)]
+#[case::without_a_new_identity(Leases { same_id: true, ..GOOD }, true)]
+#[case::without_the_wait_after_a_reseeding(Leases { no_wait: true, ..GOOD }, true)]
+#[case::without_what_is_still_in_use(Leases { no_using: true, ..GOOD }, true)]
+fn leases_never_pass_the_whole(#[case] model: Leases, #[case] breaks: bool) {
+    let until = std::env::var("MODEL_STEPS").ok().and_then(|steps| steps.parse().ok()).unwrap_or(model.until);
+    let checker = Leases { until, ..model }.checker().threads(4).spawn_bfs().join();
+    println!("{} states, {} of them different, {} steps deep", checker.state_count(), checker.unique_state_count(), checker.max_depth());
+    let found = checker.discovery("the sum is within the whole");
+    assert_eq!(found.is_some(), breaks, "{:?}", found.map(|path| path.into_actions()));
+}
--- /dev/null
+++ b/decisions/council/tests/schedules.rs
@@ -0,0 +1,139 @@
+//! The real machines under drawn schedules of faults: whatever happens, what all nodes might send within a second never
+//! passes the whole.
+
+mod sim;
+
+use lupincrank_council::lease::Terms;
+use proptest::prelude::*;
+use rstest::rstest;
+use sim::{Fault, Sim, WHOLE};
+use std::time::Duration;
+
+fn fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        3 => (0..5usize, 0..5usize).prop_map(|(from, to)| Fault::Cut(from, to)),
+        2 => Just(Fault::Mend),
+        2 => (0..5usize).prop_map(Fault::Freeze),
+        2 => (0..5usize).prop_map(Fault::Wake),
+        3 => (0..5usize).prop_map(Fault::Restart),
+        1 => (0..5usize).prop_map(Fault::Kill),
+        1 => (0..60u32).prop_map(Fault::Lose),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(
+        std::env::var("PROPTEST_CASES").ok().and_then(|cases| cases.parse().ok()).unwrap_or(24)) })]
+
+    #[test]
+    fn the_sum_never_passes_the_whole(
+        nodes in 2..6usize,
+        drift in 0.0..0.014f64,
+        seed in any::<u64>(),
+        faults in proptest::collection::vec((100..3000u64, fault()), 1..12),
+    ) {
+        let mut sim = Sim::new(nodes, drift, Terms::default(), seed);
+        sim.run(Duration::from_secs(9));
+        for (after, fault) in &faults {
+            sim.fault(fault);
+            sim.run(Duration::from_millis(*after));
+            prop_assert!(sim.worst <= WHOLE, "{} in use of {WHOLE} after {fault:?}, {:?}", sim.worst, sim.now);
+        }
+        // A reseeding while those that hold leases are still about.
+        for node in 0..nodes {
+            sim.fault(&Fault::Wake(node));
+        }
+        sim.fault(&Fault::Mend);
+        sim.run(Duration::from_millis(300));
+        sim.fault(&Fault::Reseed(seed as usize % nodes));
+        sim.run(Duration::from_secs(10));
+        prop_assert!(sim.worst <= WHOLE, "{} in use of {WHOLE}", sim.worst);
+    }
+}
+
+/// A voter that comes back from nothing is another one. The mutant votes under the id that it had: a node that was cut off
+/// and knows none of the last grants is elected by it, and hands out what others still hold.
+#[rstest]
+#[case::another_id(false)]
+#[case::the_mutant(true)]
+fn a_voter_from_nothing_is_another_one(#[case] same_id: bool) {
+    let mut worst = 0;
+    for seed in 0..8 {
+        let mut sim = Sim::with(3, 0.0, Terms::default(), seed, same_id);
+        sim.run(Duration::from_secs(10));
+        let alone = |sim: &mut Sim, one: usize| {
+            (0..3).filter(|other| *other != one).for_each(|other| {
+                sim.fault(&Fault::Cut(one, other));
+                sim.fault(&Fault::Cut(other, one));
+            });
+        };
+        // The others divide what the one that is cut off had ...
+        alone(&mut sim, 2);
+        sim.run(Duration::from_secs(7));
+        // ... then one of them starts from nothing, on its side of a cut.
+        sim.fault(&Fault::Mend);
+        alone(&mut sim, 0);
+        sim.fault(&Fault::Restart(1));
+        sim.run(Duration::from_secs(5));
+        worst = worst.max(sim.worst);
+    }
+    assert_eq!(worst > WHOLE, same_id, "{worst} in use of {WHOLE}");
+}
+
+/// Clocks that differ by 14 parts in a thousand, and long leases, so that this is more than the window leaves over.
+#[rstest]
+#[case::waits_longer(0.03, false)]
+#[case::the_mutant_that_trusts_clocks(0.0, true)]
+fn a_granter_waits_for_slow_clocks(#[case] drift: f64, #[case] breaks: bool) {
+    let terms = Terms { lease: Duration::from_secs(60), drift, ..Terms::default() };
+    let mut worst = 0;
+    for seed in 0..12 {
+        let mut sim = Sim::new(3, 0.014, terms, seed);
+        sim.run(Duration::from_secs(75));
+        let holder = seed as usize % 3;
+        (0..3).for_each(|other| {
+            sim.fault(&Fault::Cut(holder, other));
+            sim.fault(&Fault::Cut(other, holder));
+        });
+        sim.run(Duration::from_secs(66));
+        worst = worst.max(sim.worst);
+    }
+    assert_eq!(worst > WHOLE, breaks, "{worst} in use of {WHOLE}");
+}
+
+#[test]
+fn a_council_stands_again_after_each_fault_that_leaves_a_majority() {
+    for (seed, fault) in [(1, Fault::Kill(0)), (2, Fault::Freeze(0)), (3, Fault::Restart(0)), (4, Fault::Cut(0, 1))] {
+        let mut sim = Sim::new(5, 0.01, Terms::default(), seed);
+        sim.run(Duration::from_secs(10));
+        assert_eq!(sim.led(), 5, "seed {seed}");
+        sim.fault(&fault);
+        sim.run(Duration::from_secs(12));
+        assert!(sim.led() >= 4, "{} are led after {fault:?}", sim.led());
+        // What a node that is gone held is in use again.
+        let sum = sim.sum();
+        assert!((WHOLE - 1..=WHOLE).contains(&sum), "{sum} of {WHOLE} after {fault:?}");
+    }
+}
+
+#[test]
+fn after_a_lost_majority_only_a_person_founds_anew_and_the_old_council_is_fenced() {
+    let mut sim = Sim::new(5, 0.01, Terms::default(), 9);
+    sim.run(Duration::from_secs(10));
+    // More than half of the voters are gone in one moment, and come back with no memory.
+    for node in [0, 1, 2] {
+        sim.fault(&Fault::Restart(node));
+    }
+    sim.run(Duration::from_secs(8));
+    let epochs = |sim: &Sim| -> Vec<Option<u64>> {
+        sim.nodes.iter().map(|node| node.council.state().map(|state| state.stamp.epoch)).collect()
+    };
+    assert!(sim.led() == 0 || epochs(&sim).iter().all(|epoch| *epoch == Some(1)), "{:?}", epochs(&sim));
+    if sim.led() == 0 {
+        sim.fault(&Fault::Reseed(3));
+        sim.run(Duration::from_secs(10));
+        assert_eq!(epochs(&sim), vec![Some(2); 5]);
+        assert_eq!(sim.led(), 5);
+    }
+    assert!(sim.worst <= WHOLE, "{} in use of {WHOLE}", sim.worst);
+}
--- /dev/null
+++ b/decisions/council/tests/sim/mod.rs
@@ -0,0 +1,251 @@
+//! Councils in simulated time: messages take a while or get lost, links are cut one way, nodes freeze, die and start from
+//! nothing, and each has a clock of its own.
+#![allow(dead_code)]
+
+use lupincrank::Time;
+use lupincrank_council::council::{Action, Council, Said, Tuning, TICK};
+use lupincrank_council::lease::Terms;
+use lupincrank_council::member::Member;
+use rand::Rng;
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+pub const STEP: Duration = Duration::from_millis(25);
+/// Membership takes so long to see a death.
+const UNHEARD: Duration = Duration::from_millis(2500);
+pub const WHOLE: u32 = 10;
+pub const FLOOR: u32 = 1;
+/// Budgets count what is sent within this.
+const SECOND: Duration = Duration::from_secs(1);
+
+#[derive(Clone, Debug)]
+pub enum Fault {
+    Cut(usize, usize),
+    Mend,
+    Freeze(usize),
+    Wake(usize),
+    Restart(usize),
+    Kill(usize),
+    Lose(u32),
+    Reseed(usize),
+}
+
+pub struct Node {
+    pub council: Council,
+    pub id: u64,
+    frozen: bool,
+    dead: bool,
+    /// The rate of its clock, and what it showed at the start.
+    rate: f64,
+    offset: u64,
+    ticked: Duration,
+    /// What it might have used, and until when, by real time.
+    limits: VecDeque<(Duration, u32)>,
+    inbox: VecDeque<(u64, Said)>,
+}
+
+pub struct Sim {
+    pub nodes: Vec<Node>,
+    pub now: Duration,
+    pub terms: Terms,
+    cut: BTreeSet<(usize, usize)>,
+    loss: f64,
+    heard: BTreeMap<(usize, usize), Duration>,
+    wire: BTreeMap<(Duration, u64), (usize, u64, usize, Said)>,
+    numbered: u64,
+    lives: u64,
+    random: Pcg64Mcg,
+    /// A restarted node takes its old id: the mutant that must be caught.
+    pub same_id: bool,
+    /// Lives that are over but used something within the last second.
+    past: VecDeque<(Duration, u32)>,
+    pub worst: u32,
+}
+
+fn member(n: usize, id: u64) -> Member {
+    Member { id, name: format!("n{n}"), zone: format!("z{}", n % 3), region: String::new(), build: String::new() }
+}
+
+impl Sim {
+    pub fn new(nodes: usize, drift: f64, terms: Terms, seed: u64) -> Sim {
+        Sim::with(nodes, drift, terms, seed, false)
+    }
+
+    pub fn with(nodes: usize, drift: f64, terms: Terms, seed: u64, same_id: bool) -> Sim {
+        let mut random = Pcg64Mcg::new(u128::from(seed) << 1 | 1);
+        let mut sim = Sim {
+            nodes: Vec::new(),
+            now: Duration::ZERO,
+            terms,
+            cut: BTreeSet::new(),
+            loss: 0.0,
+            heard: BTreeMap::new(),
+            wire: BTreeMap::new(),
+            numbered: 0,
+            lives: 0,
+            random: random.clone(),
+            same_id,
+            past: VecDeque::new(),
+            worst: 0,
+        };
+        for n in 0..nodes {
+            let rate = 1.0 + drift * random.random_range(-1.0..1.0f64).signum();
+            let offset = random.random_range(1_000..1_000_000_000_000u64);
+            let node = sim.life(n, nodes, rate, offset);
+            sim.nodes.push(node);
+        }
+        sim
+    }
+
+    fn life(&mut self, n: usize, nodes: usize, rate: f64, offset: u64) -> Node {
+        self.lives += 1;
+        let id = if self.same_id { 1 + n as u64 } else { self.lives * 1_000 + n as u64 };
+        let tuning = Tuning {
+            terms: self.terms,
+            expect: (0..nodes).map(|n| format!("n{n}")).collect(),
+            whole: WHOLE - FLOOR * nodes as u32,
+            floor: FLOOR,
+            settle: Duration::from_millis(1500),
+            bury: Duration::from_secs(2),
+        };
+        let at = local(self.now, rate, offset);
+        Node {
+            council: Council::new(at, member(n, id), tuning),
+            id,
+            frozen: false,
+            dead: false,
+            rate,
+            offset,
+            ticked: self.now,
+            limits: VecDeque::new(),
+            inbox: VecDeque::new(),
+        }
+    }
+
+    pub fn fault(&mut self, fault: &Fault) {
+        let nodes = self.nodes.len();
+        match fault {
+            Fault::Cut(from, to) => drop(self.cut.insert((from % nodes, to % nodes))),
+            Fault::Mend => {
+                self.cut.clear();
+                self.loss = 0.0;
+            }
+            Fault::Freeze(n) => self.nodes[n % nodes].frozen = true,
+            Fault::Wake(n) => self.nodes[n % nodes].frozen = false,
+            Fault::Kill(n) => self.nodes[n % nodes].dead = true,
+            Fault::Restart(n) => {
+                let n = n % nodes;
+                let Node { rate, offset, .. } = self.nodes[n];
+                // What the last life sent still counts.
+                let used = self.used(n);
+                self.past.push_back((self.now, used));
+                let fresh = self.life(n, nodes, rate, offset);
+                self.nodes[n] = fresh;
+            }
+            Fault::Lose(percent) => self.loss = f64::from(percent % 60) / 100.0,
+            Fault::Reseed(n) => {
+                let node = &mut self.nodes[n % nodes];
+                if !node.dead && !node.frozen {
+                    let at = local(self.now, node.rate, node.offset);
+                    let _ = node.council.reseed(at, self.now.as_nanos() as u64);
+                }
+            }
+        }
+    }
+
+    /// What a node might have used within the last second.
+    fn used(&self, n: usize) -> u32 {
+        let fresh = |at: &Duration| self.now.saturating_sub(*at) <= SECOND;
+        let limits = self.nodes[n].limits.iter().filter(|(at, _)| fresh(at));
+        limits.map(|(_, limit)| *limit).max().unwrap_or(0)
+    }
+
+    /// What all might have sent within the last second, if each sent all that it might at the worst moment.
+    pub fn sum(&mut self) -> u32 {
+        while self.past.front().is_some_and(|(at, _)| self.now.saturating_sub(*at) > SECOND) {
+            self.past.pop_front();
+        }
+        let past: u32 = self.past.iter().map(|(_, used)| *used).sum();
+        (0..self.nodes.len()).map(|n| self.used(n)).sum::<u32>() + past
+    }
+
+    pub fn run(&mut self, span: Duration) {
+        let until = self.now + span;
+        while self.now < until {
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        let (now, nodes) = (self.now, self.nodes.len());
+        while let Some(first) = self.wire.first_entry().filter(|first| first.key().0 <= now) {
+            let (from, from_id, to, said) = first.remove();
+            if !self.cut.contains(&(from, to)) {
+                self.nodes[to].inbox.push_back((from_id, said));
+            }
+        }
+        for one in 0..nodes {
+            for other in 0..nodes {
+                let silent = |n: usize| self.nodes[n].dead || self.nodes[n].frozen;
+                if !silent(other) && !self.cut.contains(&(other, one)) {
+                    self.heard.insert((one, other), now);
+                }
+            }
+        }
+        for n in 0..nodes {
+            if self.nodes[n].dead || self.nodes[n].frozen {
+                continue;
+            }
+            let alive: BTreeMap<u64, Member> = (0..nodes)
+                .filter(|other| {
+                    let heard = self.heard.get(&(n, *other)).is_some_and(|at| now - *at < UNHEARD);
+                    *other != n && heard
+                })
+                .map(|other| (self.nodes[other].id, member(other, self.nodes[other].id)))
+                .collect();
+            let node = &mut self.nodes[n];
+            let at = local(now, node.rate, node.offset);
+            while let Some((from, said)) = node.inbox.pop_front() {
+                node.council.take(at, from, said);
+            }
+            if now.saturating_sub(node.ticked) >= TICK {
+                node.ticked = now;
+                node.council.tick(at, &alive);
+            }
+            node.council.deliver_own(at);
+            let actions = node.council.actions();
+            let id = node.id;
+            // What it may use from now on: it is not frozen, so it looks before it sends.
+            let (limit, _) = node.council.limit(at);
+            node.limits.push_back((now, limit));
+            while node.limits.len() > 64 {
+                node.limits.pop_front();
+            }
+            for action in actions {
+                let Action::Send(to, said) = action else { continue };
+                let Some(to) = self.nodes.iter().position(|node| node.id == to) else { continue };
+                if self.loss > 0.0 && self.random.random::<f64>() < self.loss {
+                    continue;
+                }
+                let delay = Duration::from_millis(self.random.random_range(1..60));
+                self.numbered += 1;
+                self.wire.insert((now + delay, self.numbered), (n, id, to, said));
+            }
+        }
+        let sum = self.sum();
+        self.worst = self.worst.max(sum);
+    }
+
+    /// Living nodes that name a leader.
+    pub fn led(&self) -> usize {
+        let alive = self.nodes.iter().filter(|node| !node.dead && !node.frozen);
+        alive.filter(|node| node.council.status(Time(0)).leader.is_some()).count()
+    }
+}
+
+/// What a clock shows at a moment.
+fn local(now: Duration, rate: f64, offset: u64) -> Time {
+    Time(offset + (now.as_nanos() as f64 * rate) as u64)
+}
--- a/node/src/fleet/mod.rs
+++ b/node/src/fleet/mod.rs
@@ -87,7 +87,7 @@
     if carry.setup.divides {
         let (sends, until) = carry.council.limit(now);
         let part = carry.council.part(now).unwrap_or(0.0);
-        node.core.slice(sends, carry.setup.floor, part, until);
+        node.core.slice(sends, carry.council.floor(now), part, until);
     }
     if carry.sockets.is_some() {
         let next = carry.next();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 /// A moment on the embedding proxy's monotonic clock, in nanoseconds. Its zero has no meaning.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Time(pub u64);
 
 impl Time {
