--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -26,7 +26,8 @@
 use std::sync::Mutex;
 
 fn logger(verbose: bool) -> Logger {
-    let decorator = slog_term::PlainDecorator::new(std::io::stderr());
+    // A line goes out in one piece: two processes of one node may write to the same place.
+    let decorator = slog_term::PlainDecorator::new(std::io::BufWriter::new(std::io::stderr()));
     let format = slog_term::FullFormat::new(decorator)
         .use_custom_timestamp(slog_term::timestamp_utc)
         .build()
