--- a/decisions/council/src/council.rs
+++ b/decisions/council/src/council.rs
@@ -15,7 +15,7 @@
 use lupincrank::Time;
 use protobuf::Message as _;
 use raft::eraftpb::{ConfChange, ConfChangeType, EntryType, Message as RaftMessage, MessageType, Snapshot};
-use raft::{Config, RawNode, StateRole, Storage};
+use raft::{Config, ProgressState, RawNode, SnapshotStatus, StateRole, Storage};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -33,6 +33,11 @@
 const SEEK: Duration = Duration::from_millis(500);
 /// An answer to that counts for so long.
 const FRESH: Duration = Duration::from_secs(2);
+/// A member that a snapshot was sent to and that has said nothing gets it again after so many ticks: messages get lost, and raft waits
+/// for its answer for ever.
+const SNAPSHOT_AGAIN: u64 = 10;
+/// A learner gets a vote once it has all but so many entries.
+const CAUGHT_UP: u64 = 64;
 /// Whose turn it is for what a whole leaves over changes this often.
 const TURN: Duration = Duration::from_secs(5);
 /// A snapshot is taken each so many entries, and so many older ones stay for those that are a little behind.
@@ -640,7 +645,7 @@
         if entry.get_entry_type() == EntryType::EntryConfChange {
             let change = ConfChange::parse_from_bytes(entry.get_data()).map_err(raft::Error::CodecError)?;
             let conf = log.raw.apply_conf_change(&change)?;
-            log.store.mem.wl().set_conf_state(conf);
+            log.store.mem.wl().set_conf_state(conf.clone());
             log.state.epoch += 1;
             let member = postcard::from_bytes::<Member>(change.get_context()).ok();
             let named = member.as_ref().or_else(|| log.state.members.get(&change.node_id));
@@ -650,6 +655,10 @@
                 ConfChangeType::RemoveNode => drop(log.state.members.remove(&change.node_id)),
                 _ => drop(member.map(|member| log.state.members.insert(change.node_id, member))),
             }
+            // A new life begins with a snapshot and takes none that does not name it.
+            if let Ok(data) = postcard::to_stdvec(&log.state) {
+                log.store.keep(entry.index, entry.term, conf, data);
+            }
         } else if let Ok(read) = postcard::from_bytes::<Entry>(entry.get_data()) {
             // An empty entry is a new leader's; nobody else writes one.
             what = Some(match &read {
@@ -686,13 +695,27 @@
         for id in all().filter(|id| !alive.contains_key(id)) {
             self.dead.entry(*id).or_insert(now);
         }
+        if self.ticks.is_multiple_of(SNAPSHOT_AGAIN) {
+            let waits = |id: &&u64| {
+                let progress = log.raw.raft.prs().get(**id);
+                progress.is_some_and(|progress| progress.state == ProgressState::Snapshot)
+            };
+            let waiting: Vec<u64> = all().filter(waits).copied().collect();
+            waiting.into_iter().for_each(|id| log.raw.report_snapshot(id, SnapshotStatus::Failure));
+        }
+        let last = log.raw.raft.raft_log.last_index();
+        let caught = |id: u64| {
+            let progress = log.raw.raft.prs().get(id);
+            progress.is_some_and(|progress| progress.matched > 0 && progress.matched + CAUGHT_UP >= last)
+        };
         let left = &self.left;
         let gone = |id: u64| {
             let dead = self.dead.get(&id);
             dead.is_some_and(|at| left.contains(&id) || now.since(*at) >= self.tuning.bury)
         };
         if !log.raw.raft.has_pending_conf() {
-            if let Some(change) = voters::next(self.me.id, &parts, &log.state.members, alive, &gone) {
+            if let Some(change) = voters::next(self.me.id, &parts, &log.state.members, alive, &gone, &caught)
+            {
                 if propose_change(&mut log.raw, &change).is_ok() {
                     self.actions.push(Action::Note(Note::Changes(change)));
                 }
--- a/decisions/council/src/voters.rs
+++ b/decisions/council/src/voters.rs
@@ -35,7 +35,8 @@
 }
 
 /// The next change, if one is due. `members` are those that the log knows, `alive` those that membership does; `gone` are
-/// ids that have been dead for long enough to be taken out.
+/// ids that have been dead for long enough to be taken out, and `caught` those
+/// that have nearly all of the log: a vote without it makes a majority that can't go on.
 ///
 /// The rule that keeps votes apart: a life is let in only once no other life of its name takes part. `me` leads and is
 /// neither removed nor unvoted, or there would be no leader to make the next change.
@@ -45,6 +46,7 @@
     members: &BTreeMap<u64, Member>,
     alive: &BTreeMap<u64, Member>,
     gone: &dyn Fn(u64) -> bool,
+    caught: &dyn Fn(u64) -> bool,
 ) -> Option<Change> {
     let lives = |id: &u64| alive.contains_key(id) || *id == me;
     let all = || parts.voters.iter().chain(&parts.learners);
@@ -71,7 +73,7 @@
     if votes.len() < wanted {
         // The zone with the fewest votes first, then by name: every leader would choose the same.
         let name = |id: &u64| members.get(id).map_or("", |member| member.name.as_str());
-        let next = parts.learners.iter().filter(|id| lives(id));
+        let next = parts.learners.iter().filter(|id| lives(id) && caught(**id));
         return next.min_by_key(|id| (in_zone(zone(id)), name(id))).map(|id| Change::Vote(*id));
     }
     if votes.len() > wanted && votes.len() == parts.voters.len() {
--- a/talk/src/membership.rs
+++ b/talk/src/membership.rs
@@ -163,7 +163,7 @@
         probe_period: PERIOD,
         probe_rtt: ANSWER,
         num_indirect_probes: some(3),
-        max_transmissions: NonZeroU8::new((6.0 * growth).min(60.0) as u8).unwrap_or(NonZeroU8::MIN),
+        max_transmissions: NonZeroU8::new((15.0 * growth).min(60.0) as u8).unwrap_or(NonZeroU8::MIN),
         suspect_to_down_after: SUSPECTED.mul_f64(growth),
         remove_down_after: FORGOTTEN,
         max_packet_size: some(LONGEST - HEAD),
