Nobody but the leader grants: a slice that another node claims to give is not taken

Found by a drawn message: Said::Granted from a member that does not lead was taken as the holder's slice, up to any number.

--- a/decisions/council/src/council.rs
+++ b/decisions/council/src/council.rs
@@ -349,7 +349,10 @@
                     }
                 }
             }
-            Said::Granted(stamp, number, slice) if Some(stamp) == mine => {
+            // Nobody but the leader grants.
+            Said::Granted(stamp, number, slice)
+                if Some(stamp) == mine && self.log.as_ref().is_some_and(|log| log.leader == from) =>
+            {
                 self.holder.granted(&self.tuning.terms, now, number, slice);
             }
             Said::Leaves(stamp) if Some(stamp) == mine => {
--- a/decisions/council/tests/schedules.rs
+++ b/decisions/council/tests/schedules.rs
@@ -185,6 +185,7 @@
             let mine = sim.nodes[to].council.state().unwrap().stamp;
             // A higher stamp would be another council, which every life prefers: that is the rule.
             let stamp = if stamp { mine } else { Stamp { epoch: 0, founding: 3 } };
+            let from = if from == to { (to + 1) % 3 } else { from };
             let id = sim.nodes[from].id;
             let said = match kind {
                 0 => Said::Seek,
@@ -198,6 +199,7 @@
             sim.nodes[to].council.take(now, id, said);
             sim.run(Duration::from_millis(50));
             prop_assert!(sim.nodes[to].council.state().is_some());
+            prop_assert!(sim.worst <= WHOLE, "{} in use of {WHOLE}", sim.worst);
             Ok(())
         })?;
     }
