--- a/trials/src/report.rs
+++ b/trials/src/report.rs
@@ -59,7 +59,7 @@
 /// Draws faults, service and each judged sum over time.
 pub fn draw(outcome: &Value, to: &std::path::Path) -> Result<(), String> {
     let named = |error: &dyn std::fmt::Display| error.to_string();
-    let service: Vec<(f64, f64)> = outcome["by_second"]
+    let mut service: Vec<(f64, f64)> = outcome["by_second"]
         .as_object()
         .into_iter()
         .flatten()
@@ -68,6 +68,8 @@
             Some((second.parse::<f64>().ok()?, up.min(due) / due.max(1.0)))
         })
         .collect();
+    // By time: the file has the seconds in the order of their digits.
+    service.sort_by(|one, other| one.0.total_cmp(&other.0));
     let faults: Vec<f64> =
         events(outcome).iter().filter(|(_, what)| what.starts_with("fault")).map(|(at, _)| *at).collect();
     let end = service.iter().map(|(at, _)| *at).fold(1.0, f64::max) + 1.0;
