The circle of six files in trials/ is gone: phases, building and steps leave stage.rs

Seen: stage.rs imported call and faults, which import it, and faults imported run, which begins the stage.

Change: world.rs has the phases and the trial's deadlines, build.rs what sets nodes and transcribers up, step.rs what faults are made of; stage.rs holds data and imports none of them. No change of behaviour is meant. Measured: no circle left in trials/; its 9 unit tests and the 8 wrongdoers, each a trial with a process, pass.

--- /dev/null
+++ b/trials/src/build.rs
@@ -0,0 +1,153 @@
+//! Sets up nodes and transcribers with their links, and writes what each node is told.
+
+use crate::links::Party;
+use crate::processes::Node;
+use crate::stage::Stage;
+use crate::{hop, proxy};
+use lupincrank_reactor::Hands;
+use lupincrank_standins::{discovery, transcriber};
+use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr};
+use std::time::Instant;
+
+/// The settings that nodes are given.
+fn settings(stage: &Stage) -> serde_json::Value {
+    let scenario = &stage.scenario;
+    let ns = |ms: u64| ms * 1_000_000;
+    let zones: Vec<String> = (0..scenario.zones).map(zone).collect();
+    let strength = &stage.fleet.strength;
+    serde_json::json!({
+        "Instances": scenario.instances.unwrap_or(*scenario.nodes.get_ref()),
+        "Categories": [{"Name": "chat", "DeadlineNs": ns(scenario.clients.wait_ms), "PromiseNs": ns(500),
+            "Repeat": "repeatable", "Group": "all", "Stream": true, "WindowNs": ns(5000), "Value": 1.0}],
+        "FamilyInfo": {"Groups": true, "MessageAimNs": [ns(100)], "Mode": "proxy"},
+        "Kinds": ["m"], "Localities": zones,
+        "Limits": {"SendCap": 3, "MayProbe": false, "Peers": false, "RetryAfter": true,
+            "MaxRetryAfterNs": ns(2000), "ConnectTimeoutNs": ns(150)},
+        "Obligations": {"AnswerSlackNs": ns(20), "AskWithinNs": ns(10_000),
+            "ColdNs": strength.cold.as_nanos() as u64, "DrainGraceNs": ns(500), "FallMultiple": strength.fall,
+            "OverloadForNs": strength.fall_for.as_nanos() as u64, "StartCapacity": strength.start},
+        "RegistryMode": "subscribe", "Tenants": [], "Report": {"Fields": [], "How": "off"},
+    })
+}
+
+fn zone(number: usize) -> String {
+    format!("zone{number}")
+}
+
+/// The operator's file of one node: the others are reached by the addresses that are its own.
+fn operator(
+    stage: &Stage,
+    node: usize,
+    via: &BTreeMap<usize, std::net::SocketAddr>,
+    expected: usize,
+) -> String {
+    let names = |n: usize| format!("\"n{n}\"");
+    let nodes: Vec<String> = (0..expected).map(names).collect();
+    let mut text = format!("[fleet]\nname = \"trial\"\nnodes = [{}]\n", nodes.join(", "));
+    let one = &stage.nodes[node];
+    text.push_str(&format!("listen = \"{}\"\nzone = \"{}\"\n", one.fleet(), one.zone));
+    text.push_str("[fleet.seeds]\n");
+    // Three others, and itself where it is alone: whoever is a seed starts with nobody to ask.
+    let mut seeds: Vec<usize> = via.keys().copied().filter(|other| *other < expected).take(3).collect();
+    if seeds.is_empty() {
+        seeds.push(node.min(expected - 1));
+    }
+    for other in seeds {
+        let at = via.get(&other).copied().unwrap_or_else(|| one.fleet());
+        text.push_str(&format!("n{other} = \"{at}\"\n"));
+    }
+    text.push_str("[fleet.via]\n");
+    for (other, at) in via {
+        text.push_str(&format!("n{other} = \"{at}\"\n"));
+    }
+    if let Some(cold) = &stage.scenario.cold {
+        text.push_str(&format!("[budgets.cold]\nwhole = {}\nfloor = {}\n", cold.whole, cold.floor));
+    }
+    text
+}
+
+/// Adds a node with all of its links, and writes what it is told. It is not started.
+pub fn add(hands: &mut Hands<Stage>, program: Vec<String>) -> Result<usize, String> {
+    let named = |error: std::io::Error| error.to_string();
+    let node = hands.nodes.len();
+    let (high, low) = hands.block;
+    let ip = IpAddr::V4(Ipv4Addr::new(127, high, low, 1 + node as u8));
+    let zone = zone(node % hands.scenario.zones);
+    let folder = hands.folder.clone();
+    let name = format!("n{node}");
+    hands.world.nodes.push(Node::new(name, zone, program, ip, &folder));
+    let party = Party::Node(node);
+    let list = discovery::listen(hands, node).map_err(named)?;
+    let discovery = proxy::open(hands, party, Party::Discovery, list).map_err(named)?;
+    for one in 0..hands.fleet.all.len() {
+        let at = hands.fleet.all[one].at;
+        let dial = proxy::open(hands, party, Party::Transcriber(one), at).map_err(named)?;
+        hands.list.dial(one, dial);
+    }
+    if hands.scenario.talk {
+        for other in 0..node {
+            for (from, to) in [(node, other), (other, node)] {
+                let target = hands.nodes[to].fleet();
+                let (from, to) = (Party::Node(from), Party::Node(to));
+                let at = proxy::open(hands, from, to, target).map_err(named)?;
+                hop::open(hands, from, to, at, target).map_err(named)?;
+                hands.world.ways.insert((from, to), at);
+            }
+        }
+    }
+    let (_, known, _) = hands.list.told(node, 0, true);
+    let known: serde_json::Value = serde_json::from_str(&known).map_err(|error| error.to_string())?;
+    let one = &hands.world.nodes[node];
+    let config = serde_json::json!({
+        "name": one.name, "listen": one.listen().to_string(), "discovery": discovery.to_string(),
+        "management": one.management().to_string(),
+        "seed": format!("{:x}", hands.world.plan.seed.wrapping_mul(1_000_003).wrapping_add(node as u64)),
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 4096},
+        "known": known, "settings": settings(&hands.world),
+    });
+    hands.world.configs.insert(node, config);
+    Ok(node)
+}
+
+/// Writes what a node is told at its start, by the links that there are now.
+pub fn tell(hands: &mut Hands<Stage>, node: usize, expected: usize) -> Result<(), String> {
+    let ways = hands.world.ways.iter().filter_map(|((from, to), at)| match (from, to) {
+        (Party::Node(from), Party::Node(to)) if *from == node => Some((*to, *at)),
+        _ => None,
+    });
+    let via: BTreeMap<usize, _> = ways.collect();
+    let text = hands.scenario.talk.then(|| operator(&hands.world, node, &via, expected));
+    let config = hands.world.configs.get(&node).cloned().unwrap_or_default();
+    hands.world.nodes[node].tell(&config, text.as_deref()).map_err(|error| error.to_string())
+}
+
+/// A node that nobody announced begins: the others have no way to it but the one that it opens, and do not expect it.
+pub fn join(hands: &mut Hands<Stage>) -> Result<(), String> {
+    let program = hands.program.clone();
+    let node = add(hands, program)?;
+    let expected = *hands.scenario.nodes.get_ref();
+    tell(hands, node, expected)?;
+    let verbose = hands.verbose;
+    hands.nodes[node].start(verbose).map_err(|error| error.to_string())
+}
+
+/// One more transcriber.
+pub fn release(hands: &mut Hands<Stage>, cold: bool) -> Result<(), String> {
+    let named = |error: std::io::Error| error.to_string();
+    let now = Instant::now();
+    let one = transcriber::start(hands, cold.then_some(now)).map_err(named)?;
+    let at = hands.fleet.all[one].at;
+    let mut dials = Vec::new();
+    for node in 0..hands.nodes.len() {
+        dials.push(proxy::open(hands, Party::Node(node), Party::Transcriber(one), at).map_err(named)?);
+    }
+    let zone = zone(one % hands.scenario.zones);
+    // Names that say nothing of the order: hashes of short ones lie close together.
+    let name = format!("s-{:08x}", crc32fast::hash(format!("{} {one}", hands.plan.seed).as_bytes()));
+    hands.list.add(name, zone, 0, dials);
+    if cold {
+        hands.list.started(one);
+    }
+    Ok(())
+}
--- a/trials/src/faults.rs
+++ b/trials/src/faults.rs
@@ -1,10 +1,11 @@
 //! Carries out the time line: each fault is one or more steps, each with its moment.
 
+use crate::build;
 use crate::links::{Party, Way};
 use crate::processes::State;
-use crate::run;
 use crate::scenario::{Fault, Kind};
 use crate::stage::{Stage, FAULTS};
+use crate::step::Step;
 use lupincrank_reactor::{Hands, Id, WORLD};
 use lupincrank_standins::discovery::Mode as Told;
 use lupincrank_standins::transcriber::{self, Mode};
@@ -16,27 +17,6 @@
 /// The front of a drain: connections that are still there near its end leave one after the other over this.
 const BIT_BY_BIT: Duration = Duration::from_millis(600);
 
-/// One thing to do at its moment.
-#[derive(Clone, Debug)]
-pub enum Step {
-    /// A fault begins.
-    Begin(Fault),
-    /// Links are as they were.
-    Mend(Vec<(Party, Party)>, Kind),
-    /// A node's process goes on.
-    Wake(usize),
-    /// A node starts anew.
-    Start(usize),
-    /// A node dies and starts anew, so often still, so far apart.
-    Loop(usize, usize, Duration),
-    /// A transcriber stands like this, and is listed as just started or as before.
-    Turn(usize, Mode, bool),
-    /// A draining transcriber ends one connection, and so on until it is gone at that moment.
-    Drain(usize, Instant),
-    /// Discovery is as it was for this node.
-    Tell(usize),
-}
-
 /// All faults wait for their moments.
 pub fn schedule(hands: &mut Hands<Stage>) {
     for fault in hands.plan.faults.clone() {
@@ -267,13 +247,13 @@
             }
         }
         Kind::Join => {
-            if let Err(why) = run::join(hands) {
+            if let Err(why) = build::join(hands) {
                 hands.fails(why);
             }
         }
         Kind::Release => {
             for _ in 0..fault.times {
-                if let Err(why) = run::release(hands, true) {
+                if let Err(why) = build::release(hands, true) {
                     return hands.fails(why);
                 }
             }
--- a/trials/src/lib.rs
+++ b/trials/src/lib.rs
@@ -2,6 +2,7 @@
 //! line, and judged from outside. `docs/design/trials.md` says why it is made so.
 #![allow(missing_docs)]
 
+mod build;
 mod call;
 mod faults;
 mod hop;
@@ -15,4 +16,6 @@
 pub mod run;
 pub mod scenario;
 pub mod stage;
+mod step;
+mod world;
 pub mod wrongdoer;
