Council in four files: the log's driver, what a leader does, what is said, what is told

Change: log.rs drives raft and applies, leader.rs decides who takes part and grants, said.rs and told.rs hold what goes out to nodes and to people. No change of behaviour; the calls of both machines stay in their order.

--- /dev/null
+++ b/decisions/council/src/leader.rs
@@ -0,0 +1,113 @@
+//! What a node does while it leads: who takes part, and which slices are granted.
+
+use crate::entry::{Entry, Grant};
+use crate::lease::{part_of, Ask, Terms};
+use crate::log::Log;
+use crate::member::Member;
+use crate::voters::{self, Change};
+use lupincrank::Time;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Requests are granted together, one entry in so many ticks.
+const BATCH: u64 = 2;
+/// A member that a snapshot was sent to and that has said nothing gets it again after so many ticks.
+const SNAPSHOT_AGAIN: u64 = 10;
+/// Whose turn it is for what a whole leaves over changes this often.
+const TURN: Duration = Duration::from_secs(5);
+
+/// How things stand at one tick.
+pub(crate) struct View<'a> {
+    pub me: u64,
+    pub now: Time,
+    pub ticks: u64,
+    pub alive: &'a BTreeMap<u64, Member>,
+    pub terms: &'a Terms,
+    pub bury: Duration,
+    pub whole: u32,
+}
+
+/// What a leader keeps in mind.
+#[derive(Default)]
+pub(crate) struct Leader {
+    asks: BTreeMap<u64, Ask>,
+    dead: BTreeMap<u64, Time>,
+    left: BTreeSet<u64>,
+}
+
+impl Leader {
+    /// A member has asked for a slice. Only members have a place here: the table stays as small as the fleet.
+    pub fn asked(&mut self, log: &Log, from: u64, ask: Ask) {
+        if log.leads.is_some() && log.state.members.contains_key(&from) {
+            self.asks.insert(from, ask);
+        }
+    }
+
+    /// A member ends in good order.
+    pub fn leaves(&mut self, from: u64) {
+        self.left.insert(from);
+    }
+
+    /// Another leadership, or none.
+    pub fn forget_asks(&mut self) {
+        self.asks.clear();
+    }
+
+    /// One tick; the change of who takes part that is under way now.
+    pub fn tick(&mut self, log: &mut Log, view: &View) -> Option<Change> {
+        let since = log.leads?;
+        if view.ticks.is_multiple_of(SNAPSHOT_AGAIN) {
+            log.send_snapshots_again();
+        }
+        let change = self.change(log, view);
+        // A council that has granted nothing yet can't know what an earlier one granted: that runs out first.
+        let waits = log.state.grants == 0 && view.now.since(since) < view.terms.surely_over();
+        if view.ticks.is_multiple_of(BATCH) && !waits {
+            self.grant(log, view);
+        }
+        change
+    }
+
+    fn change(&mut self, log: &mut Log, view: &View) -> Option<Change> {
+        let parts = log.parts();
+        let all = || parts.voters.iter().chain(&parts.learners);
+        self.dead.retain(|id, _| !view.alive.contains_key(id) && all().any(|there| there == id));
+        for id in all().filter(|id| !view.alive.contains_key(id)) {
+            self.dead.entry(*id).or_insert(view.now);
+        }
+        if log.changes() {
+            return None;
+        }
+        let gone = |id: u64| {
+            let dead = self.dead.get(&id);
+            dead.is_some_and(|at| self.left.contains(&id) || view.now.since(*at) >= view.bury)
+        };
+        let caught = |id: u64| log.caught_up(id);
+        let change = voters::next(view.me, &parts, &log.state.members, view.alive, &gone, &caught)?;
+        log.change(&change).then_some(change)
+    }
+
+    fn grant(&mut self, log: &mut Log, view: &View) {
+        let over = log.clocks.over(view.now, view.terms);
+        if !over.is_empty() {
+            log.propose(&Entry::Over(over));
+        }
+        if log.state.whole != view.whole {
+            log.propose(&Entry::Whole(view.whole));
+        }
+        let members = &log.state.members;
+        let holders: Vec<u64> = members.keys().copied().filter(|id| view.alive.contains_key(id)).collect();
+        let turn = (view.now.0 / TURN.as_nanos() as u64) % holders.len().max(1) as u64;
+        let grants: Vec<Grant> = std::mem::take(&mut self.asks)
+            .into_iter()
+            .filter_map(|(holder, ask)| {
+                let place = holders.iter().position(|id| *id == holder)?;
+                let slice = part_of(log.state.whole, holders.len(), place, turn);
+                Some(Grant { holder, number: ask.number, using: ask.using, slice })
+            })
+            .collect();
+        if !grants.is_empty() {
+            log.propose(&Entry::Grants(grants));
+        }
+    }
+}
--- a/decisions/council/src/lib.rs
+++ b/decisions/council/src/lib.rs
@@ -7,8 +7,12 @@
 
 pub mod council;
 pub mod entry;
+mod leader;
 pub mod lease;
+mod log;
 pub mod member;
+pub mod said;
 pub mod state;
 mod store;
+pub mod told;
 pub mod voters;
--- /dev/null
+++ b/decisions/council/src/log.rs
@@ -0,0 +1,294 @@
+//! One node's copy of the log, driven through the `raft` crate: what is ready is carried out, what stands is applied.
+
+use crate::entry::Entry;
+use crate::lease::Clocks;
+use crate::member::{Member, Stamp};
+use crate::said::Said;
+use crate::state::State;
+use crate::store::Store;
+use crate::told::Told;
+use crate::voters::{Change, Parts};
+use lupincrank::Time;
+use protobuf::Message as _;
+use raft::eraftpb::{ConfChange, ConfChangeType, ConfState, EntryType, Message, MessageType, Snapshot};
+use raft::{Config, ProgressState, RawNode, SnapshotStatus, StateRole, Storage};
+use std::collections::VecDeque;
+
+/// Ticks without a leader before a voter asks for votes (up to twice that, drawn anew each time), and between a
+/// leader's heartbeats.
+const ELECTION: usize = 10;
+const HEARTBEAT: usize = 2;
+/// A learner gets a vote once it has all but so many entries.
+const CAUGHT_UP: u64 = 64;
+/// A snapshot is taken each so many entries, and so many older ones stay for those that are a little behind.
+const SNAPSHOT: u64 = 512;
+const BEHIND: u64 = 128;
+/// Entries told by `fleet log`.
+const TOLD: usize = 200;
+/// The longest part of the log in one message, and messages on the way to one member.
+const MOST_BYTES: u64 = 64 << 10;
+const MOST_MESSAGES: usize = 64;
+
+/// See the module.
+pub(crate) struct Log {
+    pub stamp: Stamp,
+    raw: RawNode<Store>,
+    store: Store,
+    pub state: State,
+    pub clocks: Clocks,
+    /// Since when this node leads.
+    pub leads: Option<Time>,
+    /// Who leads; 0 is nobody.
+    pub leader: u64,
+    pub applied: u64,
+    snapped: u64,
+    told: VecDeque<Told>,
+}
+
+/// The log in memory contradicts itself: what stands in it can't be told any more.
+#[derive(Debug)]
+pub(crate) struct Contradiction;
+
+impl Log {
+    /// Takes part in the council with this stamp from what is in the store on. What is told of a former one stays.
+    pub fn begin(me: u64, stamp: Stamp, store: Store, state: State, former: Option<Log>) -> Option<Log> {
+        let applied = store.initial_state().map(|state| state.hard_state.commit).unwrap_or_default();
+        let config = Config {
+            id: me,
+            election_tick: ELECTION,
+            heartbeat_tick: HEARTBEAT,
+            applied,
+            max_size_per_msg: MOST_BYTES,
+            max_inflight_msgs: MOST_MESSAGES,
+            check_quorum: true,
+            pre_vote: true,
+            ..Config::default()
+        };
+        let quiet = slog::Logger::root(slog::Discard, slog::o!());
+        let raw = RawNode::new(&config, store.clone(), &quiet).ok()?;
+        Some(Log {
+            stamp,
+            raw,
+            store,
+            state,
+            clocks: Clocks::default(),
+            leads: None,
+            leader: 0,
+            applied,
+            snapped: applied,
+            told: former.map(|former| former.told).unwrap_or_default(),
+        })
+    }
+
+    /// The latest entries, oldest first.
+    pub fn told(&self) -> impl Iterator<Item = &Told> {
+        self.told.iter()
+    }
+
+    /// The raft term.
+    pub fn term(&self) -> u64 {
+        self.raw.raft.term
+    }
+
+    /// Who votes and who learns.
+    pub fn conf(&self) -> ConfState {
+        self.raw.raft.prs().conf().to_conf_state()
+    }
+
+    /// The same, for what is decided of it.
+    pub fn parts(&self) -> Parts {
+        let conf = self.conf();
+        Parts {
+            voters: conf.get_voters().iter().copied().collect(),
+            learners: conf.get_learners().iter().copied().collect(),
+        }
+    }
+
+    /// Time passes.
+    pub fn tick(&mut self) {
+        self.raw.tick();
+    }
+
+    /// A message of the log has come; whether it changed anything.
+    pub fn step(&mut self, message: Message) -> bool {
+        // Guards against a commit beyond the log, which raft takes for its own fault.
+        let beyond = message.get_msg_type() == MessageType::MsgHeartbeat
+            && message.commit > self.raw.raft.raft_log.last_index();
+        !beyond && self.raw.step(message).is_ok()
+    }
+
+    /// A message for this node by another one, if that is what it is.
+    pub fn read(bytes: &[u8], me: u64, from: u64) -> Option<Message> {
+        let message = Message::parse_from_bytes(bytes).ok()?;
+        // The rest are raft's own signals to itself.
+        let remote = !raft::raw_node::is_local_msg(message.get_msg_type());
+        (message.to == me && message.from == from && remote).then_some(message)
+    }
+
+    /// Another one is to lead.
+    pub fn hand_to(&mut self, heir: u64) {
+        self.raw.transfer_leader(heir);
+    }
+
+    /// Carries out what raft has ready, until nothing is left; what is to be said to whom goes into `out`.
+    pub fn pump(&mut self, now: Time, out: &mut Vec<(u64, Said)>) -> Result<(), Contradiction> {
+        while self.raw.has_ready() {
+            let mut ready = self.raw.ready();
+            let messages = ready.take_messages();
+            if !ready.snapshot().is_empty() {
+                let snapshot = ready.snapshot().clone();
+                self.restore(&snapshot);
+            }
+            let committed = ready.take_committed_entries();
+            let mut written = self.store.mem.wl().append(ready.entries());
+            if let Some(hard) = ready.hs() {
+                self.store.mem.wl().set_hardstate(hard.clone());
+            }
+            let later = ready.take_persisted_messages();
+            let mut light = self.raw.advance(ready);
+            if let Some(commit) = light.commit_index() {
+                self.store.mem.wl().mut_hard_state().set_commit(commit);
+            }
+            let last = light.take_messages();
+            let more = light.take_committed_entries();
+            self.post(messages.into_iter().chain(later).chain(last), out);
+            for entry in committed.into_iter().chain(more) {
+                written = written.and(self.apply(entry, out));
+            }
+            self.raw.advance_apply();
+            self.clocks.follow(now, &self.state);
+            written.map_err(|_| Contradiction)?;
+            self.snap();
+        }
+        let leads = self.raw.raft.state == StateRole::Leader;
+        if leads != self.leads.is_some() {
+            self.leads = leads.then_some(now);
+        }
+        self.leader = self.raw.raft.leader_id;
+        Ok(())
+    }
+
+    fn post(&self, messages: impl Iterator<Item = Message>, out: &mut Vec<(u64, Said)>) {
+        for message in messages {
+            if let Ok(bytes) = message.write_to_bytes() {
+                out.push((message.to, Said::Raft(self.stamp, bytes)));
+            }
+        }
+    }
+
+    fn apply(&mut self, entry: raft::eraftpb::Entry, out: &mut Vec<(u64, Said)>) -> raft::Result<()> {
+        self.applied = entry.index;
+        let mut what = None;
+        if entry.get_entry_type() == EntryType::EntryConfChange {
+            let change = ConfChange::parse_from_bytes(entry.get_data()).map_err(raft::Error::CodecError)?;
+            let conf = self.raw.apply_conf_change(&change)?;
+            self.store.mem.wl().set_conf_state(conf.clone());
+            self.state.epoch += 1;
+            let member = postcard::from_bytes::<Member>(change.get_context()).ok();
+            let named = member.as_ref().or_else(|| self.state.members.get(&change.node_id));
+            let name = named.map_or_else(|| "(expected)".to_string(), |member| member.name.clone());
+            what = Some(format!("{:?} {name} {:016x}", change.get_change_type(), change.node_id));
+            match change.get_change_type() {
+                ConfChangeType::RemoveNode => drop(self.state.members.remove(&change.node_id)),
+                _ => drop(member.map(|member| self.state.members.insert(change.node_id, member))),
+            }
+            // A new life begins with a snapshot and takes none that does not name it.
+            if let Ok(data) = postcard::to_stdvec(&self.state) {
+                self.store.keep(entry.index, entry.term, conf, data);
+            }
+        } else if let Ok(read) = postcard::from_bytes::<Entry>(entry.get_data()) {
+            // An empty entry is a new leader's; nobody else writes one.
+            what = Some(match &read {
+                Entry::Grants(grants) => format!("{} grants", grants.len()),
+                other => format!("{other:?}"),
+            });
+            let granted = self.state.apply(read);
+            if self.leads.is_some() {
+                let said = |grant: &crate::entry::Grant| {
+                    (grant.holder, Said::Granted(self.stamp, grant.number, grant.slice))
+                };
+                out.extend(granted.iter().map(said));
+            }
+        }
+        if let Some(what) = what {
+            self.told.push_back(Told { index: entry.index, term: entry.term, what });
+            if self.told.len() > TOLD {
+                self.told.pop_front();
+            }
+        }
+        Ok(())
+    }
+
+    fn restore(&mut self, snapshot: &Snapshot) {
+        if let Ok(state) = postcard::from_bytes::<State>(snapshot.get_data()) {
+            if self.store.restore(snapshot).is_ok() {
+                self.state = state;
+                self.applied = snapshot.get_metadata().get_index();
+                self.snapped = self.applied;
+            }
+        }
+    }
+
+    /// Takes a snapshot now and then, and lets go of what is older.
+    fn snap(&mut self) {
+        if self.applied < self.snapped + SNAPSHOT {
+            return;
+        }
+        let (Ok(term), Ok(data)) = (self.store.term(self.applied), postcard::to_stdvec(&self.state)) else {
+            return;
+        };
+        let conf = self.conf();
+        self.store.keep(self.applied, term, conf, data);
+        self.snapped = self.applied;
+        // What can't be dropped now is dropped with the next one.
+        let _ = self.store.mem.wl().compact(self.applied.saturating_sub(BEHIND));
+    }
+
+    /// Snapshots that were sent and of which nothing was heard are sent again: messages get lost, and raft waits for its
+    /// answer for ever.
+    pub fn send_snapshots_again(&mut self) {
+        let waits = |id: &u64| {
+            let progress = self.raw.raft.prs().get(*id);
+            progress.is_some_and(|progress| progress.state == ProgressState::Snapshot)
+        };
+        let parts = self.parts();
+        let waiting: Vec<u64> = parts.voters.into_iter().chain(parts.learners).filter(waits).collect();
+        waiting.into_iter().for_each(|id| self.raw.report_snapshot(id, SnapshotStatus::Failure));
+    }
+
+    /// Whether it has nearly all of the log: a vote without it makes a majority that can't go on.
+    pub fn caught_up(&self, id: u64) -> bool {
+        let last = self.raw.raft.raft_log.last_index();
+        let progress = self.raw.raft.prs().get(id);
+        progress.is_some_and(|progress| progress.matched > 0 && progress.matched + CAUGHT_UP >= last)
+    }
+
+    /// Whether a change of who takes part is on its way.
+    pub fn changes(&self) -> bool {
+        self.raw.raft.has_pending_conf()
+    }
+
+    /// Proposes a change of who takes part; whether that was taken.
+    pub fn change(&mut self, change: &Change) -> bool {
+        let mut proposed = ConfChange::default();
+        let (id, kind) = match change {
+            Change::Remove(id) => (*id, ConfChangeType::RemoveNode),
+            Change::Learn(member) => {
+                proposed.set_context(postcard::to_stdvec(member).unwrap_or_default().into());
+                (member.id, ConfChangeType::AddLearnerNode)
+            }
+            Change::Vote(id) => (*id, ConfChangeType::AddNode),
+            Change::Unvote(id) => (*id, ConfChangeType::AddLearnerNode),
+        };
+        proposed.set_node_id(id);
+        proposed.set_change_type(kind);
+        self.raw.propose_conf_change(Vec::new(), proposed).is_ok()
+    }
+
+    /// Proposes an entry. One that is dropped is proposed again: holders ask anew, and what is over stays so.
+    pub fn propose(&mut self, entry: &Entry) {
+        if let Ok(bytes) = postcard::to_stdvec(entry) {
+            let _ = self.raw.propose(Vec::new(), bytes);
+        }
+    }
+}
--- /dev/null
+++ b/decisions/council/src/said.rs
@@ -0,0 +1,53 @@
+//! What nodes say to each other of the council, and what one of them wants carried out.
+
+use crate::lease::Ask;
+use crate::member::{Founding, Stamp};
+use crate::voters::Change;
+use serde::{Deserialize, Serialize};
+
+/// What nodes say to each other of the council.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Said {
+    /// Do you know a council?
+    Seek,
+    /// The greatest that the sender knows, if any.
+    Known(Option<Stamp>),
+    /// A council begins.
+    Found(Founding),
+    /// Of the log.
+    Raft(Stamp, Vec<u8>),
+    /// A slice is asked for.
+    Ask(Stamp, Ask),
+    /// It is granted: the number of the request, and the slice.
+    Granted(Stamp, u64, u32),
+    /// The sender ends in good order.
+    Leaves(Stamp),
+}
+
+/// What a person who reads the log should know.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Note {
+    /// This node founds a council.
+    Founds(Stamp),
+    /// This node takes part in a council.
+    Joins(Stamp),
+    /// Another leader, or none.
+    Leads(Option<u64>),
+    /// The leader changes who takes part.
+    Changes(Change),
+    /// What this node may use has changed.
+    Slice(u32),
+    /// Its lease has run out.
+    LeaseOver,
+    /// The log broke its own rules: this life takes no part any more.
+    Broke,
+}
+
+/// What is to be carried out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// To the member with this id.
+    Send(u64, Said),
+    /// For people.
+    Note(Note),
+}
--- /dev/null
+++ b/decisions/council/src/told.rs
@@ -0,0 +1,66 @@
+//! What people are told of the council.
+
+use crate::member::{Member, Stamp};
+use serde::Serialize;
+
+/// Messages that changed nothing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Refused {
+    /// Of a council that is fenced off.
+    pub fenced: u64,
+    /// For another life, from another than who sends it, or not to be read.
+    pub strange: u64,
+}
+
+/// One line of `fleet log`.
+#[derive(Clone, Debug, Serialize)]
+pub struct Told {
+    /// Its place in the log.
+    pub index: u64,
+    /// Under which leadership.
+    pub term: u64,
+    /// What it says.
+    pub what: String,
+}
+
+/// One life of a node as the council has it.
+#[derive(Clone, Debug, Serialize)]
+pub struct Part {
+    /// Who.
+    pub member: Member,
+    /// `leader`, `voter` or `learner`.
+    pub role: &'static str,
+    /// Membership takes it to live.
+    pub alive: bool,
+    /// What it may have in use of the cold budget.
+    pub slice: u32,
+}
+
+/// How this node stands.
+#[derive(Clone, Debug, Serialize)]
+pub struct Status {
+    /// This node.
+    pub me: Member,
+    /// The council it takes part in.
+    pub stamp: Option<Stamp>,
+    /// Entries that led to the state.
+    pub epoch: u64,
+    /// The raft term and the last entry that is applied.
+    pub term: u64,
+    /// See `term`.
+    pub index: u64,
+    /// The leader's name.
+    pub leader: Option<String>,
+    /// The whole that is handed out, and what is taken of it.
+    pub whole: u32,
+    /// See `whole`.
+    pub sum: u32,
+    /// What this node may use now.
+    pub limit: u32,
+    /// Its lease is over in so many milliseconds, by its own clock.
+    pub lease_ms: Option<u64>,
+    /// Messages that changed nothing.
+    pub refused: Refused,
+    /// All that take part.
+    pub parts: Vec<Part>,
+}
--- a/decisions/council/tests/schedules.rs
+++ b/decisions/council/tests/schedules.rs
@@ -172,7 +172,7 @@
         from in 0..3usize,
         bytes in proptest::collection::vec(any::<u8>(), 0..80),
     ) {
-        use lupincrank_council::council::Said;
+        use lupincrank_council::said::Said;
         use lupincrank_council::lease::Ask;
         use lupincrank_council::member::Stamp;
         thread_local!(static LED: std::cell::RefCell<Sim> = std::cell::RefCell::new({
--- a/decisions/council/tests/sim/mod.rs
+++ b/decisions/council/tests/sim/mod.rs
@@ -3,9 +3,11 @@
 #![allow(dead_code)]
 
 use lupincrank::Time;
-use lupincrank_council::council::{Action, Council, Said, Tuning, TICK};
+use lupincrank_council::council::{Council, Tuning, TICK};
+
 use lupincrank_council::lease::Terms;
 use lupincrank_council::member::Member;
+use lupincrank_council::said::{Action, Said};
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
--- a/node/src/fleet/carry.rs
+++ b/node/src/fleet/carry.rs
@@ -2,9 +2,10 @@
 
 use super::setup::Setup;
 use lupincrank::Time;
-use lupincrank_council::council::{Action, Council, Note, Said, Tuning};
+use lupincrank_council::council::{Council, Tuning};
 use lupincrank_council::lease::Terms;
 use lupincrank_council::member::Member;
+use lupincrank_council::said::{Action, Note, Said};
 use lupincrank_reactor::poll::Watched;
 use lupincrank_reactor::Id;
 use lupincrank_talk::link::{Hello, Link, Message, Subject};
@@ -62,7 +63,7 @@
 #[derive(Serialize)]
 struct Status<'a> {
     fleet: &'a str,
-    council: lupincrank_council::council::Status,
+    council: lupincrank_council::told::Status,
     alive: usize,
     links: usize,
     datagrams_refused: lupincrank_talk::membership::Refused,
