A process whose name another one took gives way, and no change of voters outruns those that answer

A leader whose name a later process took was never told (others send its datagrams to the new one), kept the lead by its links and kept the new one out; told by datagrams it came back 15,502 times in seconds, each answered by a refusal; and a new leader took it out at once while another voter had just died unseen: two of three votes gone. Change: links name a life's start, one that was replaced is told so, gives back, and stays until it is let go; a life that comes back more than three times in a second gives way; a change of voters is made only if those that have answered by the log's own messages are a majority after it. Form of messages 2.

--- a/decisions/council/src/leader.rs
+++ b/decisions/council/src/leader.rs
@@ -99,11 +99,13 @@
             self.dead.entry(*id).or_insert(view.now);
         }
         let lives = |id: u64| {
+            let leaves = view.leaving && id == view.me || self.left.contains_key(&id);
             let there = id == view.me || view.alive.contains_key(&id);
-            match (there, view.leaving && id == view.me || self.left.contains_key(&id)) {
-                (true, false) => Lives::Stays,
-                (true, true) => Lives::Leaves,
-                (false, _) => Lives::No,
+            match leaves {
+                // One that was replaced is no member any more, and its vote may be needed all the same.
+                true if there || log.hears(id) => Lives::Leaves,
+                false if there => Lives::Stays,
+                _ => Lives::No,
             }
         };
         if log.changes() {
@@ -114,7 +116,9 @@
             dead.is_some_and(|at| self.left.contains_key(&id) || view.now.since(*at) >= view.bury)
         };
         let caught = |id: u64| log.caught_up(id);
-        let change = voters::next(view.me, &parts, &log.state.members, view.alive, &lives, &gone, &caught)?;
+        let hears = |id: u64| id == view.me || log.hears(id);
+        let seen = voters::View { lives: &lives, gone: &gone, caught: &caught, hears: &hears };
+        let change = voters::next(view.me, &parts, &log.state.members, view.alive, &seen)?;
         log.change(&change).then_some(change)
     }
 
--- a/decisions/council/src/log.rs
+++ b/decisions/council/src/log.rs
@@ -336,6 +336,11 @@
         progress.is_some_and(|progress| progress.matched > 0 && progress.matched + CAUGHT_UP >= last)
     }
 
+    /// Whether it has answered this leader lately, by the log's own messages: sooner than membership sees a death.
+    pub fn hears(&self, id: u64) -> bool {
+        self.raw.raft.prs().get(id).is_some_and(|progress| progress.recent_active)
+    }
+
     /// Whether a change of who takes part is on its way.
     pub fn changes(&self) -> bool {
         self.raw.raft.has_pending_conf()
--- a/decisions/council/src/voters.rs
+++ b/decisions/council/src/voters.rs
@@ -36,6 +36,28 @@
     No,
 }
 
+/// What a leader knows of the others.
+pub struct View<'a> {
+    /// How each stands.
+    pub lives: &'a dyn Fn(u64) -> Lives,
+    /// Dead for long enough to be taken out.
+    pub gone: &'a dyn Fn(u64) -> bool,
+    /// Has nearly all of the log: a vote without it makes a majority that can't go on.
+    pub caught: &'a dyn Fn(u64) -> bool,
+    /// Has answered the leader lately, or is the leader.
+    pub hears: &'a dyn Fn(u64) -> bool,
+}
+
+impl View<'_> {
+    /// Whether those that answer are a majority of these voters. Guards against a change that can be made and nothing after
+    /// it: one that ends is taken out while another one has just died and membership does not know it yet.
+    fn can_go_on(&self, voters: impl Iterator<Item = u64>) -> bool {
+        let (all, heard) =
+            voters.fold((0, 0), |(all, heard), id| (all + 1, heard + usize::from((self.hears)(id))));
+        heard * 2 > all
+    }
+}
+
 /// How many votes there should be among so many that live.
 pub fn wanted(alive: usize) -> usize {
     match alive {
@@ -45,9 +67,7 @@
     }
 }
 
-/// The next change, if one is due. `members` are those that the log knows, `alive` those that membership does, and `lives`
-/// how they stand; `gone` are ids that have been dead for long enough to be taken out, and `caught` those that have
-/// nearly all of the log: a vote without it makes a majority that can't go on.
+/// The next change, if one is due. `members` are those that the log knows and `alive` those that membership does.
 ///
 /// The rule that keeps votes apart: a life is let in only once no other life of its name takes part. `me` leads and is
 /// neither removed nor unvoted, or there would be no leader to make the next change.
@@ -56,14 +76,16 @@
     parts: &Parts,
     members: &BTreeMap<u64, Member>,
     alive: &BTreeMap<u64, Member>,
-    lives: &dyn Fn(u64) -> Lives,
-    gone: &dyn Fn(u64) -> bool,
-    caught: &dyn Fn(u64) -> bool,
+    view: &View,
 ) -> Option<Change> {
+    let lives = view.lives;
     let stays = |id: &u64| lives(*id) == Lives::Stays;
+    let without = |out: u64| view.can_go_on(parts.voters.iter().copied().filter(|id| *id != out));
     let all = || parts.voters.iter().chain(&parts.learners);
     // Votes first: each that can't be given makes a majority harder to reach.
-    if let Some(dead) = all().find(|id| **id != me && lives(**id) == Lives::No && gone(**id)) {
+    if let Some(dead) =
+        all().find(|id| **id != me && lives(**id) == Lives::No && (view.gone)(**id) && without(**id))
+    {
         return Some(Change::Remove(*dead));
     }
     let taken: BTreeSet<&str> =
@@ -86,25 +108,26 @@
     if votes.len() < wanted {
         // The zone with the fewest votes first, then by name: every leader would choose the same.
         let name = |id: &u64| members.get(id).map_or("", |member| member.name.as_str());
-        let next = parts.learners.iter().filter(|id| stays(id) && caught(**id));
+        let next = parts.learners.iter().filter(|id| stays(id) && (view.caught)(**id));
         let next = next.min_by_key(|id| (in_zone(zone(id)), name(id)));
-        if let Some(next) = next {
+        let with = |next: u64| view.can_go_on(parts.voters.iter().copied().chain([next]));
+        if let Some(next) = next.filter(|next| with(**next)) {
             return Some(Change::Vote(*next));
         }
     }
     // One that ends and still answers helps to give its own vote to another, so it goes after that.
-    if let Some(leaving) = all().find(|id| **id != me && lives(**id) == Lives::Leaves) {
+    if let Some(leaving) = all().find(|id| **id != me && lives(**id) == Lives::Leaves && without(**id)) {
         return Some(Change::Remove(*leaving));
     }
     if votes.len() > wanted && votes.len() == parts.voters.len() {
-        let extra = votes.iter().filter(|id| **id != me);
+        let extra = votes.iter().filter(|id| **id != me && without(**id));
         return extra.max_by_key(|id| (in_zone(zone(id)), **id)).map(|id| Change::Unvote(*id));
     }
     // A zone without a vote gets one from the zone that has the most, once there is one to spare.
     if votes.len() == parts.voters.len() && wanted > 1 {
-        let without = parts.learners.iter().filter(|id| stays(id)).find(|id| in_zone(zone(id)) == 0)?;
+        let missing = parts.learners.iter().filter(|id| stays(id)).find(|id| in_zone(zone(id)) == 0)?;
         let crowded = votes.iter().filter(|id| **id != me).max_by_key(|id| (in_zone(zone(id)), **id))?;
-        if in_zone(zone(crowded)) > 1 && !zone(without).is_empty() {
+        if in_zone(zone(crowded)) > 1 && !zone(missing).is_empty() && without(*crowded) {
             return Some(Change::Unvote(*crowded));
         }
     }
--- a/node/src/fleet/carry.rs
+++ b/node/src/fleet/carry.rs
@@ -35,11 +35,15 @@
 /// A node that ends is waited for by the others, and waits for them, so long at the most.
 const LEAVES: Duration = Duration::from_secs(3);
 
+/// A life that was replaced is told so this often.
+const WARN_AGAIN: Duration = Duration::from_secs(1);
+
 /// One link, and whom it was dialled for.
 pub struct End {
     pub link: Link,
     pub to: Option<u64>,
     wanted: Instant,
+    warned: Option<Instant>,
 }
 
 /// See the module.
@@ -213,7 +217,8 @@
     /// What this side says first.
     pub fn hello(&self) -> Message {
         let me = self.membership.me();
-        Message::Hello(Hello { fleet: self.tag, name: me.name.clone(), id: me.id, build: me.build.clone() })
+        let (name, build) = (me.name.clone(), me.build.clone());
+        Message::Hello(Hello { fleet: self.tag, name, id: me.id, born_ms: me.born_ms, build })
     }
 
     /// Whether one more link is taken.
@@ -224,7 +229,7 @@
     /// A link begins.
     pub fn begin(&mut self, id: Id, mut link: Link, to: Option<u64>) -> Result<(), String> {
         link.say(&self.hello())?;
-        self.links.insert(id, End { link, to, wanted: Instant::now() });
+        self.links.insert(id, End { link, to, wanted: Instant::now(), warned: None });
         Ok(())
     }
 
@@ -256,6 +261,7 @@
             match (message, peer) {
                 (Message::Hello(hello), None) => self.met(id, hello)?,
                 (Message::Ping, Some(_)) => {}
+                (Message::Replaced, Some(_)) => self.was_replaced(),
                 (Message::Of(Subject::Council, bytes), Some(peer)) => {
                     match postcard::from_bytes::<Said>(&bytes) {
                         Ok(said) => self.council.take(now, peer, said),
@@ -299,6 +305,26 @@
         Ok(())
     }
 
+    /// Another process has this node's name and began later. The floor is one name's: two of them would count twice.
+    fn was_replaced(&mut self) {
+        if !std::mem::replace(&mut self.replaced, true) {
+            self.membership.give_way();
+            warn!(
+                self.log,
+                "another process of this name began later: out of the fleet until the next start"
+            );
+        }
+    }
+
+    /// Whether membership knows a later life of that name. Guards against a leader that was replaced: it is not asked by
+    /// datagrams any more, so nothing else would tell it, and its links would keep it in the lead.
+    fn is_replaced(&self, hello: &Hello) -> bool {
+        let later = |alive: &Identity| {
+            alive.name == hello.name && (alive.born_ms, alive.id) > (hello.born_ms, hello.id)
+        };
+        self.membership.alive().any(later)
+    }
+
     /// What membership wants carried out: datagrams out, and news.
     pub fn members(&mut self) {
         while let Some(out) = self.membership.out() {
@@ -326,11 +352,7 @@
                     }
                 }
                 Out::Back(bump) => info!(self.log, "was taken for dead and is back"; "bump" => bump),
-                Out::Replaced => {
-                    warn!(self.log, "another process of this name began later: out of the fleet");
-                    // The floor is one name's: two of them would count twice.
-                    self.replaced = true;
-                }
+                Out::Replaced => self.was_replaced(),
             }
         }
     }
@@ -343,7 +365,7 @@
     /// What the council wants carried out. Gives the links that could not take it.
     pub fn council(&mut self, now: Time) -> Vec<(Id, String)> {
         if self.replaced {
-            self.council.leave(now);
+            self.leave(now);
         }
         self.council.deliver_own(now);
         let mut broken = Vec::new();
@@ -423,6 +445,17 @@
     /// Keeps links alive; gives those that are dead or not needed any more.
     pub fn keep(&mut self) -> Vec<(Id, String)> {
         let mut dead = Vec::new();
+        let peers = self.links.iter().filter_map(|(id, end)| Some((*id, end.link.peer.as_ref()?)));
+        let replaced: Vec<Id> = peers.filter(|(_, peer)| self.is_replaced(peer)).map(|(id, _)| id).collect();
+        for id in replaced {
+            let Some(end) = self.links.get_mut(&id) else { continue };
+            // Its link stays: its vote may be needed until it is let go.
+            if end.warned.is_none_or(|at| at.elapsed() >= WARN_AGAIN) {
+                end.warned = Some(Instant::now());
+                // A link that can't take it is dead, which is seen below.
+                let _ = end.link.say(&Message::Replaced);
+            }
+        }
         self.tries.retain(|id, _| self.addresses.contains_key(id));
         for (id, end) in &mut self.links {
             if let Err(why) = end.link.keep() {
--- a/talk/src/lib.rs
+++ b/talk/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod membership;
 
 /// The form of all messages; a node that speaks another one is turned away by both numbers.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 
 /// What marks a message as one of this fleet: guards against a node of another one at an address that was used before.
 pub fn tag(fleet: &str) -> u32 {
--- a/talk/src/link.rs
+++ b/talk/src/link.rs
@@ -32,6 +32,8 @@
     pub name: String,
     /// See `name`.
     pub id: u64,
+    /// When that began, by its own clock; compared among lives of one name only.
+    pub born_ms: u64,
     /// The build, to be named where it does not fit.
     pub build: String,
 }
@@ -43,6 +45,8 @@
     Hello(Hello),
     /// Nothing but that it lives.
     Ping,
+    /// Another life of the receiver's name began later: it has no place in the fleet any more.
+    Replaced,
     /// Of a subject that knows how to read it.
     Of(Subject, Vec<u8>),
 }
@@ -243,7 +247,7 @@
     use rstest::rstest;
 
     fn hello() -> Message {
-        Message::Hello(Hello { fleet: 7, name: "n0".into(), id: 9, build: "0.1".into() })
+        Message::Hello(Hello { fleet: 7, name: "n0".into(), id: 9, born_ms: 5, build: "0.1".into() })
     }
 
     #[rstest]
@@ -264,7 +268,7 @@
     }
 
     #[rstest]
-    #[case::another_form(|bytes: &mut Vec<u8>| bytes[4] = 9, "form 9, this node speaks form 1")]
+    #[case::another_form(|bytes: &mut Vec<u8>| bytes[4] = 9, "form 9, this node speaks form 2")]
     #[case::too_long(|bytes: &mut Vec<u8>| bytes[0] = 1, "262144 are the most")]
     #[case::not_to_be_read(|bytes: &mut Vec<u8>| bytes[5] = 77, "can't be read")]
     fn what_is_out_of_order_ends_the_link_with_the_reason(
--- a/talk/src/membership.rs
+++ b/talk/src/membership.rs
@@ -28,6 +28,9 @@
 /// have forgotten each other meet again. Spread by the seed.
 const ALONE: Duration = Duration::from_millis(500);
 const NOW_AND_THEN: Duration = Duration::from_secs(15);
+/// A life that others take for dead comes back so often in a second at the most: a suspicion takes longer than that, so this
+/// is a name that another life holds, and each return would be answered at once by the next refusal.
+const MOST_BACKS: u32 = 3;
 /// Timers that wait at the most: a few for each member. More would be a fault, and the earliest go first.
 const MOST_TIMERS: usize = 16 << 10;
 
@@ -106,6 +109,9 @@
     timers: BTreeMap<(Duration, u64), Timer<Identity>>,
     numbered: u64,
     fleet: u32,
+    /// How often this life has come back within the second since that moment, and that it was too often.
+    backs: (Duration, u32),
+    contested: bool,
 }
 
 impl Runtime<Identity> for Carrier {
@@ -118,7 +124,14 @@
                 self.out.push_back(Out::Down(before.clone()));
                 Out::Up(after.clone())
             }
-            Notification::Rejoin(me) => Out::Back(me.bump),
+            Notification::Rejoin(me) => {
+                if self.now.saturating_sub(self.backs.0) >= Duration::from_secs(1) {
+                    self.backs = (self.now, 0);
+                }
+                self.backs.1 += 1;
+                self.contested |= self.backs.1 > MOST_BACKS;
+                Out::Back(me.bump)
+            }
             Notification::Defunct => Out::Replaced,
             Notification::Active | Notification::Idle => return,
         };
@@ -277,6 +290,15 @@
                 _ => self.refused.unreadable += 1,
             }
         }
+        if std::mem::take(&mut self.carrier.contested) {
+            self.give_way();
+            self.carrier.out.push_back(Out::Replaced);
+        }
+    }
+
+    /// Another life has this one's name: it says nothing more.
+    pub fn give_way(&mut self) {
+        self.left = true;
     }
 
     /// This node ends in good order: others need not find out.
@@ -348,6 +370,21 @@
         assert!(all[0].alive().any(|who| who.id == 102 && who.bump == 1));
     }
 
+    /// The later life of a name is known by all, and the earlier one gives way instead of coming back each time it is refused.
+    #[test]
+    fn of_two_lives_of_one_name_the_earlier_gives_way() {
+        let mut all: Vec<Membership> = (0..3).map(|n| member(n, 100 + u64::from(n), 1, 5)).collect();
+        pass(&mut all, S(0), S(3), |_, _| false);
+        let other = Identity { at: identity(7, 0, 0).at, ..identity(1, 300, 2) };
+        let seeds = vec![("n0".to_string(), identity(0, 0, 0).at)];
+        all.push(Membership::new(other, 5, 3, 300, seeds));
+        let news = pass(&mut all, S(3), S(20), |_, _| false);
+        let of_earlier = |out: &Out| news.iter().filter(|(n, seen)| *n == 1 && seen == out).count();
+        assert_eq!(of_earlier(&Out::Replaced), 1, "{news:?}");
+        assert!(all[1].me().bump <= 1 + MOST_BACKS, "{} returns", all[1].me().bump);
+        assert!(all[0].alive().any(|who| who.id == 300) && all[0].alive().all(|who| who.id != 101));
+    }
+
     #[test]
     fn one_that_leaves_is_known_at_once_and_stays_away() {
         let mut all: Vec<Membership> = (0..3).map(|n| member(n, 100 + u64::from(n), 1, 5)).collect();
--- a/trials/src/processes.rs
+++ b/trials/src/processes.rs
@@ -163,6 +163,15 @@
         (self.state, self.in_front, self.status) = (State::Dead, false, None);
     }
 
+    /// Processor time of its process so far, in milliseconds: user and system, which Linux counts in hundredths of a second.
+    pub fn cpu_ms(&self) -> Option<u64> {
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.child.as_ref()?.id())).ok()?;
+        // The name in brackets may hold anything; the 12th and 13th fields behind it are the times.
+        let fields = stat.rsplit_once(')')?.1.split_whitespace();
+        let times: Vec<u64> = fields.skip(11).take(2).filter_map(|time| time.parse().ok()).collect();
+        (times.len() == 2).then(|| times.iter().sum::<u64>() * 10)
+    }
+
     /// Whether its process has ended, and with which code.
     pub fn ended(&mut self) -> Option<String> {
         let status = self.child.as_mut()?.try_wait().ok()??;
--- a/trials/src/run.rs
+++ b/trials/src/run.rs
@@ -74,6 +74,8 @@
     pub budgets: Vec<Budget>,
     /// How the nodes stood at the end, as they say.
     pub ends: BTreeMap<String, serde_json::Value>,
+    /// Processor time of each living process, from its start to the end, in milliseconds.
+    pub cpu_ms: BTreeMap<String, u64>,
 }
 
 /// The judge's word.
@@ -149,6 +151,8 @@
         Some((node.name.clone(), told.clone()))
     });
     let ends = ends.collect();
+    let times = stage.nodes.iter().filter_map(|node| Some((node.name.clone(), node.cpu_ms()?)));
+    let cpu_ms = times.collect();
     stage.nodes.iter_mut().for_each(Node::kill);
     if let Some(to) = &options.logs {
         merge(stage, to).map_err(named)?;
@@ -160,12 +164,12 @@
         let _ = fs::remove_dir_all(&folder);
         return Err(format!("{name}, seed {seed}: {why}\n{log}"));
     }
-    let outcome = outcome(name, stage, ends);
+    let outcome = Outcome { ends, cpu_ms, ..outcome(name, stage) };
     let _ = fs::remove_dir_all(&folder);
     Ok(outcome)
 }
 
-fn outcome(name: &str, stage: &mut Stage, ends: BTreeMap<String, serde_json::Value>) -> Outcome {
+fn outcome(name: &str, stage: &mut Stage) -> Outcome {
     let now = Instant::now();
     let (requests, unanswered, lost) = stage.judge.finish(now);
     let budgets = match &stage.scenario.cold {
@@ -206,7 +210,8 @@
         setups_ms: stage.judge.setups_ms(),
         judge: Verdict { broken: stage.judge.broken().to_vec() },
         budgets,
-        ends,
+        ends: BTreeMap::new(),
+        cpu_ms: BTreeMap::new(),
     }
 }
 
