--- a/decisions/council/src/council.rs
+++ b/decisions/council/src/council.rs
@@ -284,7 +284,8 @@
         self.leaving && (self.gone || self.log.is_none() || self.alive.len() < 2)
     }
 
-    /// A leader that ends lets a voter lead that stays, as soon as there is one that has all of the log.
+    /// A leader that ends lets a voter lead that stays, as soon as there is one that has all of the log. It must have answered
+    /// lately: a hand-over to one that has just died holds all proposals for an election's time.
     fn hand_over(&mut self, now: Time) {
         let Some(log) = self.log.as_ref().filter(|log| log.leads.is_some()) else { return };
         let able = |id: &u64| {
@@ -292,6 +293,7 @@
                 && self.alive.contains_key(id)
                 && !self.leader.is_leaving(*id)
                 && log.caught_up(*id)
+                && log.hears(*id)
         };
         let Some(heir) = log.parts().voters.into_iter().find(able) else { return };
         self.guarded(now, |this| {
