The cold budget is divided by need: max-min over what each node used and turned away

Change: decisions/budgets has want (need.rs) and division (divide.rs); a request for a slice says what the node needs, the leader divides by that, and a node that turns something away asks after 0.3 s instead of 0.7.

--- a/decisions/council/src/council.rs
+++ b/decisions/council/src/council.rs
@@ -16,6 +16,7 @@
 use crate::store::Store;
 use crate::told::{Part, Refused, Status, Told};
 use lupincrank::Time;
+use lupincrank_budgets::need::{Need, Use};
 use std::collections::{BTreeMap, BTreeSet};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::time::Duration;
@@ -66,6 +67,9 @@
     refused: Refused,
     ticks: u64,
     actions: Vec<Action>,
+    /// What was used since the last request, and what is needed by that.
+    seen: Use,
+    need: Need,
     /// Whether what has to survive is written to a disk.
     keeps: bool,
     /// This node ends.
@@ -98,6 +102,8 @@
             refused: Refused::default(),
             ticks: 0,
             actions: Vec::new(),
+            seen: Use::default(),
+            need: Need::default(),
             keeps: kept.is_some(),
             leaving: false,
             gone: false,
@@ -142,6 +148,12 @@
         self.holder.limit(now)
     }
 
+    /// What was used of the cold budget since the last call.
+    pub fn used(&mut self, seen: Use) {
+        let Use { most, turned_away } = self.seen;
+        self.seen = Use { most: most.max(seen.most), turned_away: turned_away || seen.turned_away };
+    }
+
     /// What it may use without a lease.
     pub fn floor(&self, now: Time) -> u32 {
         self.holder.floor(now)
@@ -539,10 +551,11 @@
     fn ask(&mut self, now: Time) {
         let Some(log) = &mut self.log else { return };
         let (leader, stamp) = (log.leader, log.stamp);
-        if leader == 0 || !self.holder.due(&self.tuning.terms, now) {
+        if leader == 0 || !self.holder.due(&self.tuning.terms, now, self.seen.turned_away) {
             return;
         }
-        let ask = self.holder.ask(&self.tuning.terms, now);
+        let want = self.need.follow(std::mem::take(&mut self.seen));
+        let ask = self.holder.ask(&self.tuning.terms, now, want);
         if leader == self.me.id {
             self.leader.asked(log, leader, ask);
         } else {
--- a/decisions/council/src/leader.rs
+++ b/decisions/council/src/leader.rs
@@ -1,11 +1,12 @@
 //! What a node does while it leads: who takes part, and which slices are granted.
 
 use crate::entry::{Entry, Grant};
-use crate::lease::{part_of, Ask, Terms};
+use crate::lease::{Ask, Terms};
 use crate::log::Log;
 use crate::member::Member;
 use crate::voters::{self, Change, Lives};
 use lupincrank::Time;
+use lupincrank_budgets::divide::{divide, Claim};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -32,6 +33,8 @@
 #[derive(Default)]
 pub(crate) struct Leader {
     asks: BTreeMap<u64, Ask>,
+    /// What each said last that it wants.
+    wants: BTreeMap<u64, u32>,
     dead: BTreeMap<u64, Time>,
     left: BTreeMap<u64, Left>,
 }
@@ -49,6 +52,7 @@
     pub fn asked(&mut self, log: &Log, from: u64, ask: Ask) {
         if log.leads.is_some() && log.state.members.contains_key(&from) {
             self.asks.insert(from, ask);
+            self.wants.insert(from, ask.want);
         }
     }
 
@@ -64,6 +68,7 @@
 
     /// Follows who lives.
     pub fn follow(&mut self, alive: &BTreeMap<u64, Member>, members: &BTreeMap<u64, Member>) {
+        self.wants.retain(|id, _| members.contains_key(id));
         self.left.retain(|id, left| {
             let back = left.away && alive.contains_key(id);
             left.away |= !alive.contains_key(id);
@@ -74,6 +79,7 @@
     /// Another leadership, or none.
     pub fn forget_asks(&mut self) {
         self.asks.clear();
+        self.wants.clear();
     }
 
     /// One tick; the change of who takes part that is under way now.
@@ -140,14 +146,18 @@
         let stays = |id: &u64| view.alive.contains_key(id) && !self.left.contains_key(id);
         let holders: Vec<u64> = members.keys().copied().filter(stays).collect();
         let turn = (view.now.0 / TURN.as_nanos() as u64) % holders.len().max(1) as u64;
-        let grants: Vec<Grant> = std::mem::take(&mut self.asks)
-            .into_iter()
-            .filter_map(|(holder, ask)| {
-                let place = holders.iter().position(|id| *id == holder)?;
-                let slice = part_of(log.state.whole, holders.len(), place, turn);
-                Some(Grant { holder, number: ask.number, using: ask.using, slice })
-            })
-            .collect();
+        let claim = |id: &u64| {
+            let holds = log.state.held.get(id).map_or(0, |held| held.slice);
+            // One that has not asked this leader yet is taken to want what it has.
+            Claim { want: self.wants.get(id).copied().unwrap_or(holds), holds }
+        };
+        let claims: Vec<Claim> = holders.iter().map(claim).collect();
+        let slices = divide(log.state.whole, &claims, turn);
+        let grants = std::mem::take(&mut self.asks).into_iter().filter_map(|(holder, ask)| {
+            let place = holders.iter().position(|id| *id == holder)?;
+            Some(Grant { holder, number: ask.number, using: ask.using, slice: *slices.get(place)? })
+        });
+        let grants: Vec<Grant> = grants.collect();
         if !grants.is_empty() {
             log.propose(&Entry::Grants(grants));
         }
--- a/decisions/council/src/lease.rs
+++ b/decisions/council/src/lease.rs
@@ -16,8 +16,10 @@
     pub window: Duration,
     /// By how much of a span any two clocks may differ, at the most.
     pub drift: f64,
-    /// How often a holder asks anew.
+    /// How often a holder asks anew, and how often one that turns something away.
     pub renew: Duration,
+    /// See `renew`.
+    pub pressed: Duration,
 }
 
 impl Default for Terms {
@@ -27,6 +29,7 @@
             window: Duration::from_millis(1250),
             drift: 0.03,
             renew: Duration::from_millis(700),
+            pressed: Duration::from_millis(300),
         }
     }
 }
@@ -50,6 +53,8 @@
     pub number: u64,
     /// The most that may have been in use at any time within the window before, and so still counts.
     pub using: u32,
+    /// What it needs, by what it used.
+    pub want: u32,
 }
 
 /// The holder's side.
@@ -117,20 +122,24 @@
     }
 
     /// Whether it is time to ask: the last request is old, or was not answered.
-    pub fn due(&self, terms: &Terms, now: Time) -> bool {
+    /// `pressed`: something is turned away for lack of a slice.
+    pub fn due(&self, terms: &Terms, now: Time, pressed: bool) -> bool {
         let quiet = self.retired || self.quiet_until.is_some_and(|until| now < until);
-        !quiet && self.asked.is_none_or(|asked| now.since(asked) >= terms.renew)
+        !quiet
+            && self
+                .asked
+                .is_none_or(|asked| now.since(asked) >= if pressed { terms.pressed } else { terms.renew })
     }
 
     /// Asks anew. Grants that answer earlier requests are void from here on, whenever they come.
-    pub fn ask(&mut self, terms: &Terms, now: Time) -> Ask {
+    pub fn ask(&mut self, terms: &Terms, now: Time, want: u32) -> Ask {
         self.number += 1;
         self.asked = Some(now);
         self.before.retain(|(_, until)| now.since(*until) < terms.window);
         // A slice that has run out counts as one of before, for as long as what was sent by it does.
         let held = self.held.filter(|(_, until)| now.since(*until) < terms.window);
         let using = held.iter().chain(&self.before).map(|(slice, _)| *slice).max().unwrap_or(0);
-        Ask { number: self.number, using }
+        Ask { number: self.number, using, want }
     }
 
     /// A grant has come; whether it counts.
@@ -191,12 +200,3 @@
         over.map(|(holder, (number, _))| (*holder, *number)).collect()
     }
 }
-
-/// Equal parts of the whole in whole connections; what is left over goes round by turns, so that a whole smaller than the
-/// number of nodes starves none.
-pub fn part_of(whole: u32, holders: usize, place: usize, turn: u64) -> u32 {
-    let holders = u32::try_from(holders.max(1)).unwrap_or(u32::MAX);
-    let (each, rest) = (whole / holders, whole % holders);
-    let shifted = (place as u64 + turn) % u64::from(holders);
-    each + u32::from(shifted < u64::from(rest))
-}
--- a/decisions/council/tests/model.rs
+++ b/decisions/council/tests/model.rs
@@ -86,6 +86,7 @@
             window: Duration::from_millis(STEP),
             drift: self.drift,
             renew: Duration::from_millis(STEP),
+            pressed: Duration::from_millis(STEP),
         }
     }
     fn holder(&self, now: u64) -> Time {
@@ -172,7 +173,10 @@
         for (n, life) in world.lives.iter().enumerate() {
             if life.frozen {
                 actions.push(Step::Wake(n));
-            } else if life.machine.due(&self.terms(), at) && world.wire.len() < 2 && life.asked < ASKS[n] {
+            } else if life.machine.due(&self.terms(), at, false)
+                && world.wire.len() < 2
+                && life.asked < ASKS[n]
+            {
                 actions.push(Step::Ask(n));
             }
         }
@@ -197,7 +201,7 @@
             Step::Pass => next.now += 1,
             Step::Ask(n) => {
                 next.lives[n].asked += 1;
-                let ask = next.lives[n].machine.ask(&self.terms(), at);
+                let ask = next.lives[n].machine.ask(&self.terms(), at, 0);
                 next.wire.push(Wire::Ask(next.lives[n].id, ask));
             }
             Step::DeliverLess(n) => {
@@ -227,7 +231,7 @@
                 if self.same_id {
                     // The mutant: it goes on as the one it was, and has forgotten what that one was granted.
                     next.state.held.remove(&id);
-                    machine.ask(&self.terms(), at);
+                    machine.ask(&self.terms(), at, 0);
                 }
                 next.lives[n] = Life { id, machine, asked: 0, frozen: false, used };
                 // The council lets the new life in once the old one is out.
--- a/decisions/council/tests/schedules.rs
+++ b/decisions/council/tests/schedules.rs
@@ -264,7 +264,7 @@
                 0 => Said::Seek,
                 1 => Said::Known(Some(stamp)),
                 2 | 3 => Said::Raft(stamp, bytes),
-                4 => Said::Ask(stamp, Ask { number: bytes.len() as u64, using: u32::MAX }),
+                4 => Said::Ask(stamp, Ask { number: bytes.len() as u64, using: u32::MAX, want: u32::MAX }),
                 5 => Said::Granted(stamp, bytes.len() as u64, u32::MAX),
                 // That a member leaves is its own word, as is what it uses.
                 _ => Said::Gone(stamp),
--- a/decisions/council/tests/sim/mod.rs
+++ b/decisions/council/tests/sim/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 use lupincrank::Time;
+use lupincrank_budgets::need::Use;
 use lupincrank_council::council::{Council, Tuning, TICK};
 
 use lupincrank_council::kept::{Kept, Write};
@@ -270,6 +271,9 @@
             }
             if now.saturating_sub(node.ticked) >= TICK {
                 node.ticked = now;
+                // Each uses all that it may, and would use more.
+                let most = node.limits.iter().map(|(_, limit)| *limit).max().unwrap_or(0);
+                node.council.used(Use { most, turned_away: true });
                 node.council.tick(at, &alive);
             }
             node.council.deliver_own(at);
--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -185,6 +185,11 @@
         }
     }
 
+    /// See `Balancer::cold_used`.
+    pub fn cold_used(&mut self) -> (u32, bool) {
+        self.balancer.cold_used()
+    }
+
     fn time(&self, at: Instant) -> Time {
         let span = EPOCH + at.saturating_duration_since(self.start);
         Time(u64::try_from(span.as_nanos()).unwrap_or(u64::MAX))
--- a/node/src/fleet/mod.rs
+++ b/node/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 use crate::state::{Message, Node, State, DISK, FLEET};
 use carry::Carry;
 use disk::{Disk, Fault as DiskFault};
+use lupincrank_budgets::need::Use;
 use lupincrank_council::council::TICK;
 use lupincrank_council::kept::Kept;
 use lupincrank_reactor::poll::{self, Watched};
@@ -259,6 +260,8 @@
                         carry.ended(id, &why);
                         node.tell(id, Message::Close);
                     }
+                    let (most, turned_away) = node.core.cold_used();
+                    carry.council.used(Use { most, turned_away });
                     let (now, alive) = (node.core.now(), carry.alive());
                     carry.council.tick(now, &alive);
                     dial(carry, node);
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -167,7 +167,7 @@
     probe_tokens: f64,
     /// What this gateway may send to all cold servers together, and from how much of it a send is made: drawn
     /// anew for each, so that the parts of a send that many gateways have add up to the right number.
-    cold: Cold,
+    pub(crate) cold: Cold,
     /// Requests taken lately, fading.
     demand: f64,
     shares: Shares,
@@ -424,6 +424,7 @@
     fn pump(&mut self, now: Time, actions: &mut Actions) {
         if self.cold.sliced() {
             self.open_cold(now); // the window has moved on, or the lease is over
+            self.cold.sought();
         }
         let mut still = VecDeque::new();
         while let Some(id) = self.waiting.pop_front() {
--- a/src/cold.rs
+++ b/src/cold.rs
@@ -18,6 +18,11 @@
     slice: Option<Slice>,
     /// The sends of the last window, where there is a slice.
     sent: VecDeque<Time>,
+    /// The slice is used up, and that alone stands against a send.
+    full: bool,
+    /// The most sends in a window, and whether one was turned away, since it was last asked.
+    most: usize,
+    turned_away: bool,
 }
 
 impl Cold {
@@ -56,9 +61,21 @@
         self.budget -= 1.0;
         if self.slice.is_some() {
             self.sent.push_back(now);
+            self.most = self.most.max(self.sent.len());
         }
     }
 
+    /// A request looks for a server.
+    pub fn sought(&mut self) {
+        self.turned_away |= self.full;
+    }
+
+    /// The most sends in any window, and whether one was turned away for lack of a slice, since the last call.
+    pub fn used(&mut self) -> (u32, bool) {
+        let most = std::mem::replace(&mut self.most, self.sent.len()).max(self.sent.len());
+        (u32::try_from(most).unwrap_or(u32::MAX), std::mem::take(&mut self.turned_away))
+    }
+
     /// Whether a cold server may be sent something now. A slice that has run out is no slice: its clock is looked at here,
     /// before anything goes out, so that a process that was frozen finds out in time.
     pub fn open(&mut self, now: Time) -> bool {
@@ -69,7 +86,8 @@
         }
         let holds = slice.until.is_some_and(|until| now < until);
         let sends = if holds { slice.sends } else { slice.floor };
-        own && self.sent.len() < sends.min(MOST_SENT) as usize
+        self.full = own && self.sent.len() >= sends.min(MOST_SENT) as usize;
+        own && !self.full
     }
 
     /// Whether there is a slice at all, and with it a moment between two upkeeps at which more may go.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 mod request;
 mod shares;
 mod table;
+mod used;
 #[cfg(test)]
 mod work_tests;
 
--- /dev/null
+++ b/src/used.rs
@@ -0,0 +1,11 @@
+//! What a gateway has used of what the fleet divides.
+
+use crate::balance::Balancer;
+
+impl Balancer {
+    /// Sends to cold servers since the last call: the most in any window, and whether a request came when only the slice
+    /// stood against one more.
+    pub fn cold_used(&mut self) -> (u32, bool) {
+        self.cold.used()
+    }
+}
