--- a/decisions/budgets/src/need.rs
+++ b/decisions/budgets/src/need.rs
@@ -1,7 +1,9 @@
 //! What a node says that it needs, from what it used.
 
-/// A part more than was used, so that traffic can grow between two requests.
-const HEADROOM: u32 = 4;
+/// What is turned away is not counted, for clients that wait ask again and again: half as much again each time finds the need.
+const GROWS: u32 = 2;
+/// A want that was met falls by this part at a time at the most: a pause of a renewal is not an end.
+const FALLS: u32 = 4;
 
 /// What was used of a budget since the last request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -19,16 +21,11 @@
 }
 
 impl Need {
-    /// A request is about to be made; what it says. A want that was met falls by an eighth at a time at the most: a pause
-    /// of a renewal is not an end.
+    /// A request is about to be made; what it says.
     pub fn follow(&mut self, seen: Use) -> u32 {
-        let wanted = if seen.turned_away {
-            // What was turned away is not counted: clients that wait ask again and again. Doubling finds the need.
-            seen.most.saturating_mul(2).saturating_add(1)
-        } else {
-            seen.most.saturating_add(seen.most.div_ceil(HEADROOM))
-        };
-        self.want = wanted.max(self.want - self.want.div_ceil(8));
+        let more = if seen.turned_away { (seen.most / GROWS).max(1) } else { 0 };
+        let wanted = seen.most.saturating_add(more);
+        self.want = wanted.max(self.want - self.want.div_ceil(FALLS));
         self.want
     }
 }
@@ -41,11 +38,11 @@
     #[rstest]
     #[case::idle(&[(0, false)], 0)]
     #[case::nothing_held_and_something_came(&[(0, true)], 1)]
-    #[case::used_and_a_quarter(&[(8, false)], 10)]
-    #[case::more_came_than_was_let(&[(8, true)], 17)]
-    #[case::falls_slowly(&[(8, true), (0, false)], 14)]
+    #[case::what_was_used(&[(8, false)], 8)]
+    #[case::more_came_than_was_let(&[(8, true)], 12)]
+    #[case::falls_slowly(&[(8, true), (0, false)], 9)]
     #[case::falls_to_nothing(&[(1, false), (0, false), (0, false)], 0)]
-    #[case::grows_at_once(&[(0, false), (40, false)], 50)]
+    #[case::grows_at_once(&[(0, false), (40, false)], 40)]
     #[case::no_overflow(&[(u32::MAX, true)], u32::MAX)]
     fn a_want_follows_the_use(#[case] seen: &[(u32, bool)], #[case] want: u32) {
         let mut need = Need::default();
--- a/decisions/council/src/council.rs
+++ b/decisions/council/src/council.rs
@@ -6,6 +6,7 @@
 //! the one with the greater stamp. What can't be told apart from a first start is a majority that restarted from
 //! nothing while the rest is cut off; `docs/design/council.md` says what that costs.
 
+use crate::entry::Entry;
 use crate::kept::Kept;
 use crate::leader::{Leader, View};
 use crate::lease::{Holder, Terms};
@@ -255,6 +256,7 @@
             | Said::Granted(stamp, ..)
             | Said::Leaves(stamp)
             | Said::Gone(stamp)
+            | Said::Whole(stamp, _)
                 if Some(stamp) < mine =>
             {
                 self.refused.fenced += 1;
@@ -273,8 +275,9 @@
                 self.holder.granted(&self.tuning.terms, now, number, slice);
             }
             Said::Leaves(stamp) if Some(stamp) == mine => self.lets_go(now, from, stamp),
+            Said::Whole(stamp, whole) if Some(stamp) == mine => self.propose_whole(now, whole),
             Said::Gone(stamp) if Some(stamp) == mine => self.gone = self.leaving,
-            Said::Ask(..) | Said::Granted(..) | Said::Leaves(_) | Said::Gone(_) => {
+            Said::Ask(..) | Said::Granted(..) | Said::Leaves(_) | Said::Gone(_) | Said::Whole(..) => {
                 self.refused.strange += 1;
             }
         }
@@ -350,6 +353,44 @@
         Ok(stamp)
     }
 
+    /// Another whole, by the log: it holds from the entry on that says so, and slices follow as they are renewed. The epoch
+    /// before it.
+    pub fn set_whole(&mut self, now: Time, whole: u32) -> Result<u64, String> {
+        let Some((stamp, leader, epoch)) =
+            self.log.as_ref().map(|log| (log.stamp, log.leader, log.state.epoch))
+        else {
+            return Err("this node takes part in no council".into());
+        };
+        match leader {
+            0 => return Err("the council has no leader now".into()),
+            leader if leader == self.me.id => self.propose_whole(now, whole),
+            leader => self.send(leader, Said::Whole(stamp, whole)),
+        }
+        Ok(epoch)
+    }
+
+    fn propose_whole(&mut self, now: Time, whole: u32) {
+        self.guarded(now, |this| {
+            if let Some(log) = this.log.as_mut().filter(|log| log.leads.is_some()) {
+                log.propose(&Entry::Whole(whole));
+            }
+            this.pump(now);
+        });
+    }
+
+    /// What would be given out of such a whole at the next renewal, by name; only the leader knows what all want.
+    pub fn plan(&self, now: Time, whole: u32) -> Result<BTreeMap<String, u32>, String> {
+        let log = self.log.as_ref().ok_or("this node takes part in no council")?;
+        if log.leads.is_none() {
+            let name = log.state.members.get(&log.leader).map_or("nobody", |member| member.name.as_str());
+            return Err(format!("only the leader knows what all want: {name} leads"));
+        }
+        let (holders, slices) = self.leader.slices(log, now, &self.alive, whole);
+        let name =
+            |id: u64| log.state.members.get(&id).map_or_else(String::new, |member| member.name.clone());
+        Ok(holders.into_iter().map(name).zip(slices).collect())
+    }
+
     /// The latest entries, oldest first.
     pub fn told(&self) -> impl Iterator<Item = &Told> {
         self.log.iter().flat_map(Log::told)
@@ -530,10 +571,10 @@
     /// What a leader does each tick.
     fn lead(&mut self, now: Time) {
         let Some(log) = &mut self.log else { return };
-        let Tuning { terms, bury, whole, .. } = &self.tuning;
+        let Tuning { terms, bury, .. } = &self.tuning;
         let (me, ticks, alive) = (self.me.id, self.ticks, &self.alive);
         let leaving = self.leaving;
-        let view = View { me, leaving, now, ticks, alive, terms, bury: *bury, whole: *whole };
+        let view = View { me, leaving, now, ticks, alive, terms, bury: *bury };
         if let Some(change) = self.leader.tick(log, &view) {
             self.note(Note::Changes(change));
         }
@@ -554,7 +595,9 @@
         if leader == 0 || !self.holder.due(&self.tuning.terms, now, self.seen.turned_away) {
             return;
         }
-        let want = self.need.follow(std::mem::take(&mut self.seen));
+        // The floor is used first, and needs no slice.
+        let floor = self.holder.floor(now);
+        let want = self.need.follow(std::mem::take(&mut self.seen)).saturating_sub(floor);
         let ask = self.holder.ask(&self.tuning.terms, now, want);
         if leader == self.me.id {
             self.leader.asked(log, leader, ask);
--- a/decisions/council/src/leader.rs
+++ b/decisions/council/src/leader.rs
@@ -26,7 +26,6 @@
     pub alive: &'a BTreeMap<u64, Member>,
     pub terms: &'a Terms,
     pub bury: Duration,
-    pub whole: u32,
 }
 
 /// What a leader keeps in mind.
@@ -128,6 +127,27 @@
         log.change(&change).then_some(change)
     }
 
+    /// What each holder would get of such a whole.
+    pub fn slices(
+        &self,
+        log: &Log,
+        now: Time,
+        alive: &BTreeMap<u64, Member>,
+        whole: u32,
+    ) -> (Vec<u64>, Vec<u32>) {
+        let stays = |id: &u64| alive.contains_key(id) && !self.left.contains_key(id);
+        let holders: Vec<u64> = log.state.members.keys().copied().filter(stays).collect();
+        let turn = (now.0 / TURN.as_nanos() as u64) % holders.len().max(1) as u64;
+        let claim = |id: &u64| {
+            let holds = log.state.held.get(id).map_or(0, |held| held.slice);
+            // One that has not asked this leader yet is taken to want what it has.
+            Claim { want: self.wants.get(id).copied().unwrap_or(holds), holds }
+        };
+        let claims: Vec<Claim> = holders.iter().map(claim).collect();
+        let slices = divide(whole, &claims, turn);
+        (holders, slices)
+    }
+
     fn grant(&mut self, log: &mut Log, view: &View) {
         let mut over = log.clocks.over(view.now, view.terms);
         // One that ends uses nothing since it said so: what it sent before that counts for a window.
@@ -139,20 +159,7 @@
         if !over.is_empty() {
             log.propose(&Entry::Over(over));
         }
-        if log.state.whole != view.whole {
-            log.propose(&Entry::Whole(view.whole));
-        }
-        let members = &log.state.members;
-        let stays = |id: &u64| view.alive.contains_key(id) && !self.left.contains_key(id);
-        let holders: Vec<u64> = members.keys().copied().filter(stays).collect();
-        let turn = (view.now.0 / TURN.as_nanos() as u64) % holders.len().max(1) as u64;
-        let claim = |id: &u64| {
-            let holds = log.state.held.get(id).map_or(0, |held| held.slice);
-            // One that has not asked this leader yet is taken to want what it has.
-            Claim { want: self.wants.get(id).copied().unwrap_or(holds), holds }
-        };
-        let claims: Vec<Claim> = holders.iter().map(claim).collect();
-        let slices = divide(log.state.whole, &claims, turn);
+        let (holders, slices) = self.slices(log, view.now, view.alive, log.state.whole);
         let grants = std::mem::take(&mut self.asks).into_iter().filter_map(|(holder, ask)| {
             let place = holders.iter().position(|id| *id == holder)?;
             Some(Grant { holder, number: ask.number, using: ask.using, slice: *slices.get(place)? })
--- a/decisions/council/src/said.rs
+++ b/decisions/council/src/said.rs
@@ -25,6 +25,8 @@
     Leaves(Stamp),
     /// To one that leaves: it takes part no more.
     Gone(Stamp),
+    /// To the leader: another whole is to be handed out.
+    Whole(Stamp, u32),
 }
 
 /// What a person who reads the log should know.
--- a/node/src/cli.rs
+++ b/node/src/cli.rs
@@ -31,6 +31,17 @@
         /// The node's second address.
         address: SocketAddr,
     },
+    /// Ask for the fleet's budgets, or change one.
+    Budgets {
+        /// Print what it says as it comes.
+        json: bool,
+        /// `show`, `plan` or `set`.
+        what: String,
+        /// The node's second address.
+        address: SocketAddr,
+        /// `NAME=WHOLE`, for `plan` and `set`.
+        change: Option<String>,
+    },
     /// Make one call at a node's second address.
     Manage {
         /// That address.
@@ -70,7 +81,7 @@
         .command("check-config");
     let address = positional::<SocketAddr>("ADDRESS").help("The node's second address, as address:port");
     let call = positional::<String>("CALL")
-        .help("check, set-down ID, set-up ID or fleet WHAT")
+        .help("check, set-down ID, set-up ID, fleet WHAT or budgets WHAT")
         .some("a call is missing");
     let manage = construct!(Command::Manage { address, call })
         .to_options()
@@ -83,8 +94,16 @@
         .to_options()
         .descr("Ask a node about its fleet, or found the council anew")
         .command("fleet");
+    let json = long("json").help("Print the answer as JSON").switch();
+    let what = positional::<String>("WHAT").help("show, plan or set");
+    let address = positional::<SocketAddr>("ADDRESS").help("The node's second address, as address:port");
+    let change = positional::<String>("NAME=WHOLE").help("For plan and set, as in cold=60").optional();
+    let budgets = construct!(Command::Budgets { json, what, address, change })
+        .to_options()
+        .descr("Show the fleet's budgets, try a change out, or make it")
+        .command("budgets");
     let version = bpaf::pure(Command::Version).to_options().descr("Print the version").command("version");
-    construct!([serve, check, manage, fleet, version])
+    construct!([serve, check, manage, fleet, budgets, version])
         .to_options()
         .descr("lupincrank: places long-lived connections on transcribers by rendezvous hashing")
 }
--- a/node/src/fleet/carry.rs
+++ b/node/src/fleet/carry.rs
@@ -482,6 +482,18 @@
         serde_json::to_string(&status).unwrap_or_default()
     }
 
+    /// What `budgets show` tells.
+    pub fn budgets(&self, now: Time) -> serde_json::Value {
+        let status = self.council.status(now);
+        let slices: BTreeMap<&str, u32> =
+            status.parts.iter().map(|part| (part.member.name.as_str(), part.slice)).collect();
+        serde_json::json!([{
+            "name": "cold", "unit": "new connections in a window", "window_ms": Terms::default().window.as_millis() as u64,
+            "whole": status.whole.saturating_add(self.setup.aside), "set_aside": self.setup.aside, "floor": self.setup.floor,
+            "handed_out": status.whole, "in_use": status.sum, "epoch": status.epoch, "slices": slices,
+        }])
+    }
+
     /// What `fleet members` tells, as JSON.
     pub fn listed(&self) -> String {
         let mut all: Vec<&Identity> = self.membership.alive().chain([self.membership.me()]).collect();
--- a/node/src/fleet/mod.rs
+++ b/node/src/fleet/mod.rs
@@ -188,6 +188,47 @@
     answer
 }
 
+/// The largest whole, as in the operator's file.
+const MOST_WHOLE: u32 = 1_000_000;
+
+/// What a person asked for of the budgets: `show`, or `plan` and `set` with `NAME=WHOLE`.
+pub fn budgets(node: &mut Node, what: &str, change: Option<&str>) -> Result<String, String> {
+    let now = node.core.now();
+    let Some(carry) = node.fleet.as_mut().filter(|carry| carry.setup.divides) else {
+        return Err("this node divides no budget with a fleet, or waits for its place there".into());
+    };
+    let whole = |change: Option<&str>| {
+        let change = change.ok_or("it needs NAME=WHOLE, as in cold=60")?;
+        let (name, whole) = change.split_once('=').ok_or_else(|| format!("{change:?} is not NAME=WHOLE"))?;
+        if name != "cold" {
+            return Err(format!("no budget {name:?}; there is cold"));
+        }
+        let whole = whole.parse().ok().filter(|whole| (1..=MOST_WHOLE).contains(whole));
+        let whole = whole.ok_or_else(|| format!("{change:?}: 1 to {MOST_WHOLE} are a whole"))?;
+        let aside = carry.setup.aside;
+        let handed = whole.checked_sub(aside);
+        handed.ok_or_else(|| format!("{change:?}: {aside} are set aside as floors"))
+    };
+    let told = match (what, change) {
+        ("show", None) => Ok(carry.budgets(now)),
+        ("plan", change) => {
+            let whole = whole(change)?;
+            carry
+                .council
+                .plan(now, whole)
+                .map(|plan| serde_json::json!({ "handed_out": whole, "slices": plan }))
+        }
+        ("set", change) => {
+            let whole = whole(change)?;
+            let epoch = carry.council.set_whole(now, whole);
+            epoch.map(|epoch| serde_json::json!({ "handed_out": whole, "after_epoch": epoch }))
+        }
+        _ => Err("there are show, plan NAME=WHOLE and set NAME=WHOLE".to_string()),
+    };
+    with(node, |_, _| ());
+    told.map(|told| told.to_string())
+}
+
 /// The fleet's sockets and deadlines.
 struct Watch;
 
--- a/node/src/fleet/setup.rs
+++ b/node/src/fleet/setup.rs
@@ -28,6 +28,8 @@
     pub whole: u32,
     /// See `whole`; none for a node that is not expected.
     pub floor: u32,
+    /// What is set aside for all expected nodes.
+    pub aside: u32,
     /// Whether the cold budget is divided at all.
     pub divides: bool,
 }
@@ -67,6 +69,7 @@
             whole: cold.map_or(0, |cold| cold.whole.get_ref().saturating_sub(set_aside)),
             // A node that nobody announced has no part in what was set aside for the others.
             floor: if nodes.contains(node) { floor } else { 0 },
+            aside: set_aside,
             divides: cold.is_some(),
             nodes,
         }))
--- a/node/src/inquiry.rs
+++ b/node/src/inquiry.rs
@@ -26,6 +26,24 @@
     out.trim_end().to_string()
 }
 
+/// The answer to `budgets WHAT`, laid out: facts, then the slices.
+pub fn budgets(told: &str) -> Result<String, String> {
+    let told: Value = serde_json::from_str(told).map_err(|error| format!("not to be read: {error}"))?;
+    let mut out = Vec::new();
+    for budget in told.as_array().cloned().unwrap_or_else(|| vec![told.clone()]) {
+        let facts = budget.as_object().cloned().unwrap_or_default();
+        for (name, fact) in facts.iter().filter(|(name, _)| *name != "slices") {
+            out.push(format!("{name:12}  {}", text(fact)));
+        }
+        let slices = facts.get("slices").and_then(Value::as_object).cloned().unwrap_or_default();
+        if !slices.is_empty() {
+            let table = slices.iter().map(|(name, slice)| vec![name.clone(), text(slice)]).collect();
+            out.push(rows(&["node", "slice"], table));
+        }
+    }
+    Ok(out.join("\n"))
+}
+
 /// The answer to `fleet WHAT`, laid out.
 pub fn table(what: &str, told: &str) -> Result<String, String> {
     let told: Value = serde_json::from_str(told).map_err(|error| format!("not to be read: {error}"))?;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -70,6 +70,12 @@
             let told = answer.strip_prefix("done ").ok_or_else(|| format!("{address}: {answer}"))?;
             println!("{}", if json { told.to_string() } else { inquiry::table(&what, told)? });
         }
+        Command::Budgets { json, what, address, change } => {
+            let call = format!("budgets {what} {}", change.unwrap_or_default());
+            let answer = management::ask(address, &call).map_err(|error| format!("{address}: {error}"))?;
+            let told = answer.strip_prefix("done ").ok_or_else(|| format!("{address}: {answer}"))?;
+            println!("{}", if json { told.to_string() } else { inquiry::budgets(told)? });
+        }
         Command::Serve { config, operator, verbose } => {
             let config = load(config, operator)?;
             let listen = config.listen;
--- a/node/src/management.rs
+++ b/node/src/management.rs
@@ -36,6 +36,7 @@
     SetDown(&'a str),
     SetUp(&'a str),
     Fleet(&'a str),
+    Budgets(&'a str, Option<&'a str>),
 }
 
 /// Reads one line without its end; an error says what is wrong with it.
@@ -48,12 +49,17 @@
         ["set-down", server] => Ok(Call::SetDown(server)),
         ["set-up", server] => Ok(Call::SetUp(server)),
         ["fleet", what] => Ok(Call::Fleet(what)),
+        ["budgets", what] => Ok(Call::Budgets(what, None)),
+        ["budgets", what, whole] => Ok(Call::Budgets(what, Some(whole))),
+        ["budgets"] => Err("budgets needs one of show, plan and set".into()),
         ["fleet"] => Err("fleet needs one of status, members, log and reseed".into()),
         ["set-down" | "set-up"] => Err(format!("{} needs the id of a transcriber", words[0])),
-        ["check" | "set-down" | "set-up" | "fleet", ..] => {
+        ["check" | "set-down" | "set-up" | "fleet" | "budgets", ..] => {
             Err(format!("{} has too many arguments", words[0]))
         }
-        [word, ..] => Err(format!("no call {word:?}; there are check, set-down ID, set-up ID and fleet")),
+        [word, ..] => {
+            Err(format!("no call {word:?}; there are check, set-down ID, set-up ID, fleet and budgets"))
+        }
     }
 }
 
@@ -254,6 +260,13 @@
             }
             told
         }
+        Call::Budgets(what, whole) => {
+            let told = fleet::budgets(node, what, whole);
+            if what != "set" {
+                return told;
+            }
+            told
+        }
     };
     let told = String::from_utf8_lossy(line).into_owned();
     info!(node.log, "call"; "line" => told, "error" => outcome.as_ref().err().cloned());
@@ -300,6 +313,9 @@
     #[case(b"  set-up   s-1 ", Ok(Call::SetUp("s-1")))]
     #[case(b"fleet status", Ok(Call::Fleet("status")))]
     #[case(b"fleet", Err("needs one of"))]
+    #[case(b"budgets show", Ok(Call::Budgets("show", None)))]
+    #[case(b"budgets set cold=4", Ok(Call::Budgets("set", Some("cold=4"))))]
+    #[case(b"budgets set cold=4 now", Err("too many"))]
     #[case(b"", Err("empty"))]
     #[case(b"check now", Err("too many"))]
     #[case(b"set-down", Err("needs the id"))]
--- a/trials/src/call.rs
+++ b/trials/src/call.rs
@@ -19,27 +19,41 @@
     life: u32,
     lines: Lines,
     said: bool,
-    pings: bool,
+    what: What,
+}
+
+/// What is asked.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum What {
+    Ping,
+    Status,
+    Whole(u32),
 }
 
 /// Asks whether it takes clients.
 pub fn ping(hands: &mut Hands<Stage>, node: usize) {
-    begin(hands, node, true);
+    begin(hands, node, What::Ping);
 }
 
 /// Asks how it stands in its fleet.
 pub fn status(hands: &mut Hands<Stage>, node: usize) {
-    begin(hands, node, false);
+    begin(hands, node, What::Status);
+}
+
+/// Sets the whole of the cold budget.
+pub fn set_whole(hands: &mut Hands<Stage>, node: usize, whole: u32) {
+    begin(hands, node, What::Whole(whole));
 }
 
-fn begin(hands: &mut Hands<Stage>, node: usize, pings: bool) {
+fn begin(hands: &mut Hands<Stage>, node: usize, what: What) {
+    let pings = what == What::Ping;
     let id = hands.name();
     let one = &hands.world.nodes[node];
     let (at, life) = (if pings { one.listen() } else { one.management() }, one.lives);
     match poll::connect(&hands.poller, at, key(id, 0)) {
         Ok(stream) => {
             hands.deadlines.set(id, 0, Instant::now() + ANSWER);
-            hands.adopt(id, Box::new(Call { id, node, life, lines: Lines::new(stream), said: false, pings }));
+            hands.adopt(id, Box::new(Call { id, node, life, lines: Lines::new(stream), said: false, what }));
         }
         Err(_) if pings => hands.world.nodes[node].in_front = false,
         Err(_) => {}
@@ -50,7 +64,10 @@
     fn answered(&self, hands: &mut Hands<Stage>, line: Option<&str>) -> Flow {
         let node = &mut hands.world.nodes[self.node];
         if node.lives == self.life {
-            if self.pings {
+            if let What::Whole(whole) = self.what {
+                let line = line.unwrap_or("no answer").to_string();
+                hands.event(format!("cold budget set to {whole}: {line}"), false);
+            } else if self.what == What::Ping {
                 node.in_front = line == Some("PONG") && node.state != State::Dead;
             } else {
                 let told = line.and_then(|line| line.strip_prefix("done "));
@@ -73,7 +90,12 @@
                 return Err(());
             }
             self.said = true;
-            self.lines.say(if self.pings { "PING\r\n" } else { "fleet status\r\n" }).map_err(drop)?;
+            let line = match self.what {
+                What::Ping => "PING\r\n".to_string(),
+                What::Status => "fleet status\r\n".to_string(),
+                What::Whole(whole) => format!("budgets set cold={whole}\r\n"),
+            };
+            self.lines.say(&line).map_err(drop)?;
         }
         if readable {
             self.lines.read().map_err(drop)?;
--- a/trials/src/faults.rs
+++ b/trials/src/faults.rs
@@ -1,11 +1,11 @@
 //! Carries out the time line: each fault is one or more steps, each with its moment.
 
-use crate::build;
 use crate::links::{Party, Way};
 use crate::processes::State;
 use crate::scenario::{Fault, Kind};
 use crate::stage::{Stage, FAULTS};
 use crate::step::Step;
+use crate::{build, call};
 use lupincrank_reactor::{Hands, Id, WORLD};
 use lupincrank_standins::discovery::Mode as Told;
 use lupincrank_standins::transcriber::{self, Mode};
@@ -270,6 +270,15 @@
                 }
             }
         }
+        Kind::Whole => {
+            let whole = fault.much as u32;
+            hands.judge.whole(now, whole);
+            // One that answers takes it to the leader.
+            if let Some(node) = nodes_of(&on).into_iter().find(|node| hands.nodes[*node].state == State::Runs)
+            {
+                call::set_whole(hands, node, whole);
+            }
+        }
         Kind::Foreign => {
             for node in nodes_of(&on) {
                 replace(hands, node, true);
--- a/trials/src/run.rs
+++ b/trials/src/run.rs
@@ -172,10 +172,9 @@
 fn outcome(name: &str, stage: &mut Stage) -> Outcome {
     let now = Instant::now();
     let (requests, unanswered, lost) = stage.judge.finish(now);
-    let budgets = match &stage.scenario.cold {
-        Some(cold) => vec![stage.judge.cold(cold.whole)],
-        None => Vec::new(),
-    };
+    let cold = stage.scenario.cold.clone();
+    let budgets = cold.iter().map(|cold| stage.judge.cold(cold.whole, &cold.enough));
+    let budgets: Vec<Budget> = budgets.collect();
     let due: u32 = stage.service.values().map(|(due, _)| *due).sum();
     let up: u32 = stage.service.values().map(|(_, up)| *up).sum();
     let service = f64::from(up.min(due)) / f64::from(due.max(1));
@@ -183,6 +182,11 @@
     if service < least {
         stage.judge.breaks("hold", now, format!("service is {service:.3}, {least} is the least"));
     }
+    let used = budgets.iter().filter_map(|budget| budget.used);
+    for used in used.filter(|used| *used < stage.scenario.hold.used) {
+        let least = stage.scenario.hold.used;
+        stage.judge.breaks("hold", now, format!("{used:.2} of the budget was in use, {least} is the least"));
+    }
     let (councils, most) = (stage.councils.len(), stage.scenario.hold.foundings);
     if most > 0 && councils > most {
         stage.judge.breaks("hold", now, format!("{councils} councils were founded, {most} are the most"));
--- a/trials/src/world.rs
+++ b/trials/src/world.rs
@@ -17,6 +17,22 @@
 /// After the last client a trial goes on for this long at the most, for what must hold at the end.
 const SETTLES: Duration = Duration::from_secs(25);
 
+/// Where the front sends one: the first node has `skew` places, each other one has one.
+fn choose(front: &[usize], drawn: u64, skew: f64) -> usize {
+    if skew <= 1.0 {
+        return front[(drawn % front.len() as u64) as usize];
+    }
+    const FINE: f64 = 1000.0;
+    let places = |node: &usize| if *node == 0 { (skew * FINE) as u64 } else { FINE as u64 };
+    let mut left = drawn % front.iter().map(places).sum::<u64>();
+    let fits = front.iter().find(|node| {
+        let fits = left < places(node);
+        left = left.saturating_sub(places(node));
+        fits
+    });
+    *fits.unwrap_or(&front[0])
+}
+
 /// Sends the clients whose moment has come to nodes that the front has.
 fn visits(hands: &mut Hands<Stage>) {
     let now = Instant::now();
@@ -53,7 +69,7 @@
         let drawn = hands.plan.visits.get(visit.number as usize - 1).map_or(0, |planned| planned.front);
         hands.requests += 1;
         let drawn = drawn.wrapping_add(u64::from(visit.tries)).wrapping_add(u64::from(visit.again) * 7);
-        let node = front[(drawn % front.len() as u64) as usize];
+        let node = choose(&front, drawn, hands.scenario.clients.skew);
         visit.request = (hands.plan.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) << 32) ^ hands.requests;
         let at = hands.nodes[node].listen();
         if !client::ask(hands, visit.clone(), node, at) {
