--- a/node/tests/operation.rs
+++ b/node/tests/operation.rs
@@ -10,8 +10,14 @@
 #[case::bare_line_feed("check\n", "done")]
 #[case::out_and_back_needs_no_more("set-up s-0\r\n", "done")]
 #[case::nobody_has_it("set-down s-9\r\n", "error no transcriber \"s-9\"")]
-#[case::unknown("stop\r\n", "error no call \"stop\"; there are check, set-down ID, set-up ID, fleet and budgets")]
-#[case::no_fleet("budgets show\r\n", "error this node divides no budget with a fleet, or waits for its place there")]
+#[case::unknown(
+    "stop\r\n",
+    "error no call \"stop\"; there are check, set-down ID, set-up ID, fleet and budgets"
+)]
+#[case::no_fleet(
+    "budgets show\r\n",
+    "error this node divides no budget with a fleet, or waits for its place there"
+)]
 #[case::two_calls("check\r\nset-down s-0\r\n", "done")]
 #[case::empty("\r\n", "error the call is empty")]
 fn a_call_has_one_line_for_an_answer(#[case] call: &str, #[case] answer: &str) {
