--- a/decisions/council/tests/schedules.rs
+++ b/decisions/council/tests/schedules.rs
@@ -98,6 +98,31 @@
     }
 }
 
+/// What once stood in the log stands there after all have died, whatever their disks had still to write: nothing is said
+/// before it is on them. The mutant says that writes are done as soon as they are asked for.
+#[rstest]
+#[case::waits_for_the_disk(false)]
+#[case::the_mutant_that_does_not(true)]
+fn what_stood_in_the_log_outlives_slow_disks(#[case] hasty: bool) {
+    let mut lost = 0;
+    for seed in 0..12 {
+        let mut sim = Sim::on_disks(5, Terms::default(), seed);
+        (sim.hasty, sim.slow_disks) = (hasty, true);
+        sim.run(Duration::from_secs(15));
+        // An entry is one by its place and the leadership that it was written under.
+        let entries = |sim: &Sim, n: usize| -> Vec<(u64, u64)> {
+            sim.nodes[n].council.told().map(|told| (told.index, told.term)).collect()
+        };
+        let last = (0..5).filter_map(|n| entries(&sim, n).last().copied()).max().expect("a log");
+        (0..5).for_each(|n| sim.fault(&Fault::Return(n)));
+        sim.run(Duration::from_secs(8));
+        let leader = (0..5).find(|n| sim.nodes[*n].council.leads());
+        let leader = leader.unwrap_or_else(|| panic!("seed {seed}: nobody leads"));
+        lost += u32::from(!entries(&sim, leader).contains(&last));
+    }
+    assert_eq!(lost > 0, hasty, "{lost} of 12 have lost something");
+}
+
 /// Three of four end within 0.2 s, each waited for until it is let go, for 3 s at the most: the one that stays has a council,
 /// and after a while all of the whole but the floors that stay set aside for the names of the others.
 #[test]
--- a/decisions/council/tests/sim/mod.rs
+++ b/decisions/council/tests/sim/mod.rs
@@ -73,6 +73,8 @@
     /// Nodes have disks. The mutant says that writes are done before they are.
     disks: bool,
     pub hasty: bool,
+    /// A write takes up to half a second.
+    pub slow_disks: bool,
     /// Lives that are over but used something within the last second.
     past: VecDeque<(Duration, u32)>,
     pub worst: u32,
@@ -120,6 +122,7 @@
             same_id,
             disks: false,
             hasty: false,
+            slow_disks: false,
             past: VecDeque::new(),
             worst: 0,
         };
@@ -294,8 +297,11 @@
                             node.council.written(at, write.number);
                         }
                         let before = node.unsynced.back().map_or(now, |(synced, _)| *synced);
-                        let synced =
-                            before.max(now + Duration::from_millis(self.random.random_range(0..120)));
+                        let synced = before.max(
+                            now + Duration::from_millis(
+                                self.random.random_range(0..if self.slow_disks { 500 } else { 120 }),
+                            ),
+                        );
                         node.unsynced.push_back((synced, write));
                         continue;
                     }
