What a request's rules leave to it moves from balance.rs into request.rs

Whether a server is left to a request and whether its client may be told to come again are questions about the request alone.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -535,10 +535,7 @@
     /// Refuses where that is harmless, else fails.
     fn end_unserved(&mut self, id: RequestId, actions: &mut Actions) {
         let Some(request) = self.requests.get(&id) else { return };
-        let harmless = match request.rules.map(|class| class.repeat) {
-            Some(Repeat::Repeatable | Repeat::ByKey { scope: Scope::All, .. }) => true,
-            _ => request.doubt.is_none(),
-        };
+        let harmless = request.may_be_refused();
         let spent = request.attempts >= request.attempt_cap;
         self.finish(id);
         if harmless {
@@ -750,19 +747,8 @@
 
     /// Whether the rules and earlier attempts leave this server to the request.
     fn repeat_safe(&self, now: Time, request: &Request, at: Slot) -> bool {
-        let safe = match (request.rules.map(|class| class.repeat), request.doubt) {
-            (Some(Repeat::ByKey { scope, window }), Some((zone, cell, sent))) => {
-                let inside = |server: &Server| match scope {
-                    Scope::All => true,
-                    Scope::Zone => zone == server.zone,
-                    Scope::Cell => cell == server.cell,
-                };
-                self.fleet.servers.get(at).is_some_and(inside) && now.since(sent) < window
-            }
-            (Some(Repeat::Once), Some(_)) => false,
-            _ => true,
-        };
-        safe && !request.tried.contains(&at)
+        let server = self.fleet.servers.get(at);
+        !request.tried.contains(&at) && server.is_some_and(|server| request.may_go_to(now, server))
     }
 
     /// Lets cold servers be ranked or not, as the budget for all of them has come to allow.
--- a/src/request.rs
+++ b/src/request.rs
@@ -49,6 +49,30 @@
     pub fn stands(&self) -> bool {
         !self.over && self.out.as_ref().is_some_and(|out| out.stands)
     }
+
+    /// Whether what may have run of it leaves this server to it now.
+    pub fn may_go_to(&self, now: Time, server: &Server) -> bool {
+        match (self.rules.map(|class| class.repeat), self.doubt) {
+            (Some(Repeat::ByKey { scope, window }), Some((zone, cell, sent))) => {
+                let inside = match scope {
+                    Scope::All => true,
+                    Scope::Zone => zone == server.zone,
+                    Scope::Cell => cell == server.cell,
+                };
+                inside && now.since(sent) < window
+            }
+            (Some(Repeat::Once), Some(_)) => false,
+            _ => true,
+        }
+    }
+
+    /// Whether its client may be told to come again: nothing of it may have run, or that does no harm.
+    pub fn may_be_refused(&self) -> bool {
+        match self.rules.map(|class| class.repeat) {
+            Some(Repeat::Repeatable | Repeat::ByKey { scope: Scope::All, .. }) => true,
+            _ => self.doubt.is_none(),
+        }
+    }
 }
 
 /// Whether the server does the shared work of the connection's group already, or there is none to do.
