--- a/src/balance.rs
+++ b/src/balance.rs
@@ -747,8 +747,9 @@
 
     /// Whether the rules and earlier attempts leave this server to the request.
     fn repeat_safe(&self, now: Time, request: &Request, at: Slot) -> bool {
-        let server = self.fleet.servers.get(at);
-        !request.tried.contains(&at) && server.is_some_and(|server| request.may_go_to(now, server))
+        // Most requests have no try behind them, and no server need be looked up for those.
+        let inside = || self.fleet.servers.get(at).is_some_and(|server| request.may_go_to(now, server));
+        !request.tried.contains(&at) && (request.doubt.is_none() || inside())
     }
 
     /// Lets cold servers be ranked or not, as the budget for all of them has come to allow.
