Lists are read however they are laid out; a list that never ends is a silent watch

On an indented list the node logs 'discovery failed, why: EOF while parsing an object' and opens the watch anew for ever. Also each byte of a list put the silence off, so one that comes byte by byte never failed. Ruled out: chunked coding (cut anywhere, tested) and half-applied updates (all entries are checked before the first is used; a test says so now). Change: objects.rs finds where an object ends (braces outside of strings), the JSON library reads it; only something whole, an empty line or an object's beginning puts the silence off.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -3,6 +3,7 @@
 use crate::config::Config;
 use crate::core::{Core, Member};
 use crate::group::{check, dial, health, number, Update};
+use crate::objects::Objects;
 use crate::state::{Message, Node, State, DISCOVERY, UPGRADE};
 use lupincrank::Listed;
 use lupincrank_reactor::poll::{self, Watched};
@@ -16,11 +17,10 @@
 const ANSWER: Duration = Duration::from_millis(4500);
 /// A connection to discovery that is not up in this time will not come up.
 const CONNECT: Duration = Duration::from_secs(1);
-/// An empty line comes every 2 s; a watch that brings nothing for this long is dead.
+/// An empty line comes every 2 s; a watch that brings nothing whole for this long is dead.
 const SILENCE: Duration = Duration::from_millis(4500);
-/// The longest header and the longest line that are read.
+/// The longest header that is read.
 const LONGEST_HEAD: usize = 16 << 10;
-const LONGEST_LINE: usize = 4 << 20;
 
 /// Undoes the chunked coding, however the bytes are cut up.
 #[derive(Default)]
@@ -82,7 +82,7 @@
     unsent: Vec<u8>,
     head: Vec<u8>,
     chunks: Chunks,
-    lines: Vec<u8>,
+    objects: Objects,
 }
 
 /// The connection to discovery.
@@ -143,7 +143,7 @@
             unsent: request.into_bytes(),
             head: Vec::new(),
             chunks: Chunks::default(),
-            lines: Vec::new(),
+            objects: Objects::default(),
         });
         node.deadlines.set(DISCOVERY, 0, Instant::now() + CONNECT);
         Ok(())
@@ -197,20 +197,24 @@
             call.phase = Phase::Body;
             debug!(node.log, "watching"; "seq" => self.seq);
         }
-        let last = call.chunks.decode(&body, &mut call.lines)?;
-        if call.lines.len() > LONGEST_LINE {
-            return Err("a line is too long".into());
-        }
-        node.deadlines.set(DISCOVERY, 0, Instant::now() + SILENCE);
+        let mut text = Vec::new();
+        let last = call.chunks.decode(&body, &mut text)?;
+        let (mut whole, was_half) = (false, call.objects.half());
+        call.objects.push(&text);
         while let Some(call) = &mut self.call {
-            let Some(end) = call.lines.iter().position(|byte| *byte == b'\n') else { break };
-            let line: Vec<u8> = call.lines.drain(..=end).collect();
-            let line = line.trim_ascii();
-            if !line.is_empty() {
-                let update: Update = serde_json::from_slice(line).map_err(|error| error.to_string())?;
-                info!(node.log, "upstream group changed"; "seq" => update.seq, "entries" => update.hosts.len());
-                self.apply(&mut node.core, update, false)?;
-            }
+            let Some(object) = call.objects.take()? else { break };
+            let update: Update = serde_json::from_slice(&object).map_err(|error| error.to_string())?;
+            info!(node.log, "upstream group changed"; "seq" => update.seq, "entries" => update.hosts.len());
+            self.apply(&mut node.core, update, false)?;
+            whole = true;
+        }
+        let half = self.call.as_ref().is_some_and(|call| call.objects.half());
+        // An empty line is whole too. The rest of an object that has begun has as long as anything else that is awaited:
+        // guards against a list that comes byte by byte and never ends, while its changes count as told.
+        if whole || (!half && !text.is_empty()) || (half && !was_half) {
+            node.deadlines.set(DISCOVERY, 0, Instant::now() + SILENCE);
+        }
+        if whole || (!half && !text.is_empty()) {
             node.core.list_told();
             node.tell(UPGRADE, Message::Begin);
         }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -10,6 +10,7 @@
 mod line_front;
 mod load_lines;
 mod management;
+mod objects;
 mod peer;
 mod relay;
 mod serve;
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -341,7 +341,12 @@
 
     /// A client whose connection is up: it, its transcriber's number, and the transcriber's end.
     pub fn up(&mut self) -> (Line, usize, Line) {
-        let (mut client, _) = self.open("d=1500,g=5c0f6e1a");
+        self.up_in("5c0f6e1a")
+    }
+
+    /// The same for a client of this group.
+    pub fn up_in(&mut self, group: &str) -> (Line, usize, Line) {
+        let (mut client, _) = self.open(&format!("d=1500,g={group}"));
         let (at, mut peer) = self.tried();
         peer.hear();
         peer.say("UP r1\r\n");
@@ -371,6 +376,26 @@
         self.watch.as_mut().unwrap().say(&format!("{:x}\r\n{line}\r\n", line.len()));
     }
 
+    /// A list with the first transcribers in these states.
+    pub fn list(&self, health: &[&str], seq: u64, whole: bool) -> serde_json::Value {
+        let entry = |(n, health): (usize, &&str)| {
+            serde_json::json!({"host": format!("s-{n}"), "dial": self.hosts[n].to_string(), "site": "a", "class": "m",
+                "block": 0, "health": health, "share": 1.0, "born_ms": 0})
+        };
+        let entries: Vec<_> = health.iter().enumerate().map(entry).collect();
+        serde_json::json!({"seq": seq, "whole": whole, "hosts": entries})
+    }
+
+    /// Writes these bytes on the watch, in chunks of this size, each on its way before the next.
+    pub fn write_watch(&mut self, bytes: &[u8], piece: usize) {
+        let watch = self.watch.as_mut().unwrap();
+        for part in bytes.chunks(piece) {
+            watch.stream.write_all(format!("{:x}\r\n", part.len()).as_bytes()).unwrap();
+            watch.stream.write_all(part).unwrap();
+            watch.stream.write_all(b"\r\n").unwrap();
+        }
+    }
+
     pub fn signal(&self, name: &str) {
         kill(&self.node, name);
     }
--- a/node/tests/crossings.rs
+++ b/node/tests/crossings.rs
@@ -100,3 +100,45 @@
     assert_eq!(clog.open().hear(), "", "something new to a transcriber that leaves");
     assert!(client.hear().starts_with("BUSY"), "it never ran, and nobody is left to take it");
 }
+
+/// A list is read however it is laid out, wherever its bytes are cut, and whatever its version: also one that went back, as at a
+/// discovery that has returned.
+#[rstest]
+#[case::in_one_line(false, 2)]
+#[case::indented(true, 2)]
+#[case::version_went_back(true, 0)]
+fn a_list_counts_however_it_is_laid_out(
+    #[case] indented: bool,
+    #[case] seq: u64,
+    #[values(1, 7, 4096)] piece: usize,
+) {
+    let mut rig = Rig::start(2);
+    let list = rig.list(&["DRAINING", "SERVING"], seq, true);
+    let text = if indented { serde_json::to_string_pretty(&list).unwrap() } else { list.to_string() };
+    rig.write_watch(format!("{text}\n").as_bytes(), piece);
+    rig.logged(&format!("upstream group changed, entries: 2, seq: {seq}"));
+    let held: Vec<_> = (0..6).map(|_| rig.up()).collect();
+    assert!(held.iter().all(|(_, at, _)| *at == 1), "it was told that the first one drains");
+    // The watch goes on, and is opened anew from there.
+    rig.watch = None;
+    assert_eq!(rig.called().1, format!("GET /v1/endpoints?watch=1&from={seq} HTTP/1.1"));
+}
+
+/// A spoilt list changes nothing, not even by its good entries, and the watch is opened anew from what is known.
+#[rstest]
+#[case::cut("{\"seq\":9,\"whole\":true,\"hosts\":[]")]
+#[case::nonsense("nonsense\n")]
+#[case::bad_entry(r#"{"seq":9,"whole":true,"hosts":[{"host":"s-1","dial":"127.0.0.1:1","health":"SERVING"},{"host":"s-0","dial":"127.0.0.1:1","health":"WELL"}]}"#)]
+#[case::no_address(r#"{"seq":9,"whole":false,"hosts":[{"host":"s-1","dial":"127.0.0.1:1","health":"DELETED"},{"host":"s-0","dial":"here","health":"SERVING"}]}"#)]
+#[case::number_too_large(r#"{"seq":9,"whole":true,"hosts":[{"host":"s-0","dial":"127.0.0.1:1","health":"SERVING","share":1e999}]}"#)]
+#[case::not_an_update("{\"whole\":true}\n")]
+fn a_spoilt_list_changes_nothing(#[case] text: &str) {
+    let mut rig = Rig::start(2);
+    rig.write_watch(text.as_bytes(), 4096);
+    if text.starts_with("{\"seq\":9,\"whole\":true,\"hosts\":[]") {
+        rig.watch = None;
+    }
+    assert_eq!(rig.called().1, "GET /v1/endpoints?watch=1&from=1 HTTP/1.1");
+    let held: Vec<_> = (0..12).map(|n| rig.up_in(&format!("g{n}"))).collect();
+    assert!((0..2).all(|peer| held.iter().any(|(_, at, _)| *at == peer)), "both are used as before");
+}
