A silent watch is noticed after 3 s and asked for anew within one more

What a silent watch misses counts as told 6 s after it fell silent, so a node went on by an old list for up to 3 s. Cause: SILENCE of 4.5 s in discovery.rs, and then the wait after a failed call (asking.rs, again()): up to 4.5 s among 300 nodes, though no call had failed. Ruled out: a slow discovery (answers 2 ms in the median, 155 ms at the most at some 60 calls a second). Change: silence is half as long again as the time between two signs of life (2 s by the protocol); it is an event of its own, and the module asks anew at once, among many within a second. Failed calls wait as ever.

--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -294,6 +294,11 @@
         self.told = true;
     }
 
+    /// The watch has fallen silent.
+    pub fn list_silent(&mut self) {
+        self.feed(Event::ListSilent);
+    }
+
     /// A call to discovery failed or the watch broke.
     pub fn list_failed(&mut self) {
         self.feed(Event::ListFailed);
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -17,8 +17,9 @@
 const ANSWER: Duration = Duration::from_millis(4500);
 /// A connection to discovery that is not up in this time will not come up.
 const CONNECT: Duration = Duration::from_secs(1);
-/// An empty line comes every 2 s; a watch that brings nothing whole for this long is dead.
-const SILENCE: Duration = Duration::from_millis(4500);
+/// An empty line comes every 2 s; a watch that brings nothing whole for half as long again is dead. What it misses counts as
+/// told 6 s after it fell silent: that leaves time to ask anew, spread over the gateways, and once more if that call hangs.
+const SILENCE: Duration = Duration::from_millis(3000);
 /// The longest header that is read.
 const LONGEST_HEAD: usize = 16 << 10;
 
@@ -256,7 +257,14 @@
     }
 
     fn due(&mut self, node: &mut Node, _purpose: u64) -> Flow {
-        self.failed(node, "nothing came in time");
+        let watching = self.call.as_ref().is_some_and(|call| matches!(call.phase, Phase::Body));
+        if watching {
+            warn!(node.log, "the watch has fallen silent"; "seq" => self.seq);
+            self.call = None;
+            node.core.list_silent();
+        } else {
+            self.failed(node, "nothing came in time");
+        }
         Flow::Keep
     }
 
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -96,6 +96,23 @@
 }
 
 impl Clog {
+    /// Fills the queue of this listener.
+    pub fn of(listener: &TcpListener) -> Clog {
+        let listener = listener.try_clone().unwrap();
+        SockRef::from(&listener).listen(0).unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut fillers = Vec::new();
+        loop {
+            let filler = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+            let up = filler.connect_timeout(&address.into(), Duration::from_millis(100)).is_ok();
+            fillers.push(filler);
+            if !up {
+                break;
+            }
+        }
+        Clog { listener, fillers }
+    }
+
     /// Lets connections come up again; gives the next one that is not of those that filled the queue.
     pub fn open(self) -> Line {
         SockRef::from(&self.listener).listen(128).unwrap();
@@ -439,19 +456,7 @@
     /// No connection to this transcriber comes up until the guard is dropped: its queue is full. The kernel tries those that
     /// wait for it again after a second.
     pub fn clog(&self, peer: usize) -> Clog {
-        let listener = self.peers[peer].as_ref().unwrap().try_clone().unwrap();
-        SockRef::from(&listener).listen(0).unwrap();
-        let address = listener.local_addr().unwrap();
-        let mut fillers = Vec::new();
-        loop {
-            let filler = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-            let up = filler.connect_timeout(&address.into(), Duration::from_millis(100)).is_ok();
-            fillers.push(filler);
-            if !up {
-                break;
-            }
-        }
-        Clog { listener, fillers }
+        Clog::of(self.peers[peer].as_ref().unwrap())
     }
 
     /// Stops the node where it is; what comes meanwhile waits for it, and all of it lies in one turn once it goes on.
--- a/node/tests/crossings.rs
+++ b/node/tests/crossings.rs
@@ -4,6 +4,7 @@
 use common::{reset, within, Rig};
 use rstest::rstest;
 use std::net::Shutdown;
+use std::time::{Duration, Instant};
 
 /// Connections may take up to 10 s to come up, and the one try that a request has may wait for that.
 fn late_connections(settings: &mut serde_json::Value) {
@@ -142,3 +143,18 @@
     let held: Vec<_> = (0..12).map(|n| rig.up_in(&format!("g{n}"))).collect();
     assert!((0..2).all(|peer| held.iter().any(|(_, at, _)| *at == peer)), "both are used as before");
 }
+
+/// What a silent watch misses counts as told 6 s after it fell silent, here with the last byte, at the latest. The first attempt to
+/// open it anew hangs.
+#[test]
+fn a_silent_watch_is_opened_anew_in_time_though_the_first_attempt_hangs() {
+    let mut rig = Rig::start(1);
+    rig.write_watch(b"\n", 1);
+    let silent_since = Instant::now();
+    let clog = common::Clog::of(&rig.discovery);
+    rig.logged("the watch has fallen silent");
+    rig.logged("nothing came in time");
+    let mut call = clog.open();
+    assert_eq!(call.hear(), "GET /v1/endpoints?watch=1&from=1 HTTP/1.1");
+    assert!(silent_since.elapsed() < Duration::from_secs(6), "{:?}", silent_since.elapsed());
+}
--- a/src/asking.rs
+++ b/src/asking.rs
@@ -16,6 +16,9 @@
 const LONGEST_SPREAD: f64 = 6.0;
 /// A few gateways may ask at once: the last of them waits for this long at the most.
 const AT_ONCE: f64 = 0.25;
+/// A subscription that has fallen silent is asked for anew within this: what it misses counts as told 6 s after it fell
+/// silent, and half of that is gone by the time that it is noticed.
+const SILENT_SPREAD: f64 = 1.0;
 /// Those that fail at once are a part of all: their first calls after that come in this part of the spread.
 const FAIL_AT_ONCE: f64 = 0.5;
 
@@ -47,6 +50,13 @@
         Duration::from_secs_f64((FIRST_WAIT * doubled).min(LONGEST_WAIT).max(spread) * (0.5 + random))
     }
 
+    /// The subscription has fallen silent: when to ask anew. Zero for few gateways. It is no failed call: discovery may be
+    /// well, and gateways whose subscriptions fell silent together notice it spread over the time between two signs of life.
+    pub fn silent(&self, random: f64) -> Duration {
+        let spread = if self.spread <= AT_ONCE { 0.0 } else { self.spread.min(SILENT_SPREAD) };
+        Duration::from_secs_f64(spread * random)
+    }
+
     /// A list has come: from discovery, or one that was `cached`, which tells nothing of it.
     pub fn answered(&mut self, cached: bool) {
         self.failures *= i32::from(cached);
@@ -93,6 +103,15 @@
         }
     }
 
+    #[test]
+    fn after_silence_many_ask_within_a_second_and_few_at_once() {
+        assert_eq!([0.0, 0.99].map(|random| Asking::new(3).silent(random)), [Duration::ZERO; 2]);
+        let mut many = Asking::new(300);
+        assert_eq!([0.0, 0.5].map(|random| many.silent(random).as_secs_f64()), [0.0, 0.5]);
+        // A call that fails after that waits like any first one.
+        assert_eq!(many.again(0.5), Asking::new(300).again(0.5));
+    }
+
     #[test]
     fn an_answer_starts_the_waits_anew_and_a_kept_list_does_not() {
         let mut asking = Asking::new(3);
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -247,6 +247,10 @@
                 self.take_in(now, changed, false, actions);
                 self.empty_by_hand(now, actions);
             }
+            Event::ListSilent if self.settings.list_must_be_asked => {
+                let after = self.asking.silent(fraction(&mut self.chance));
+                actions.push(Action::SetTimer { after, handle: LIST_HANDLE });
+            }
             Event::ListFailed if self.settings.list_must_be_asked => {
                 let after = self.asking.again(fraction(&mut self.chance));
                 actions.push(Action::SetTimer { after, handle: LIST_HANDLE });
@@ -307,7 +311,7 @@
                 self.empty_by_hand(now, actions);
             }
             Event::Timer(LIST_HANDLE) => actions.push(Action::Subscribe),
-            Event::ListFailed | Event::Timer(_) => {}
+            Event::ListFailed | Event::ListSilent | Event::Timer(_) => {}
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -237,6 +237,8 @@
     ListChange(Vec<Listed>),
     /// A call to discovery failed or the subscription broke.
     ListFailed,
+    /// The subscription brings nothing any more, though it has not ended.
+    ListSilent,
     /// A request is taken.
     Request(Incoming),
     /// A connection that already stands on a server is taken over.
