What a process sent before it was killed is taken, not dropped

Cause: the newer process says that it takes a connection before it goes on with it (upgrade/mod.rs, answer()). Where the older one was killed between its sending and that, nothing can be said any more, and the connection was dropped together with all that still lay in the link: both of its sockets were closed, with no MOVE and its transcriber well. Ruled out: that the older one may still own it (it holds a lock as long as it lives; with its link closed but the lock held it keeps what it sent, as before). Change: if nothing can be said the newer process tries the lock; it gets it only if the older one has died, and then what was sent is its own. It reads the link to its end first. A connection on its way is logged. Test: the newer process is stopped, the older one sends three connections and is killed, the newer goes on.

--- a/node/src/relay.rs
+++ b/node/src/relay.rs
@@ -203,6 +203,7 @@
         let (bytes, fds) = (parts.concat(), [self.client.as_fd(), peer.as_fd()]);
         match node.upgrade.hand(self.id, |number| link::Said::Standing(number, record), &bytes, &fds) {
             Ok(true) => {
+                debug!(node.log, "on its way"; "request" => format!("{:016x}", self.request.0));
                 self.frozen = true;
                 let quiet = self.client.want(false, false);
                 if quiet.and(self.peer.as_mut().map_or(Ok(()), |peer| peer.want(false, false))).is_err() {
--- a/node/src/upgrade/mod.rs
+++ b/node/src/upgrade/mod.rs
@@ -176,13 +176,25 @@
     }
 }
 
-/// Says whether a connection is this process's from now on; false if that cannot be said, and it is not.
+/// Says whether a connection is this process's from now on, and gives that. If it cannot be said it is not, unless there is nobody
+/// left to hear it.
 fn answer(node: &mut Node, number: u64, takes: bool) -> bool {
     let said = node.upgrade.say(&if takes { Said::Took(number) } else { Said::Refused(number) });
-    if !said {
+    let takes = said || (takes && orphaned(node));
+    if !said && !takes {
         broke(node, "no answer can be given");
     }
-    said
+    takes
+}
+
+/// Whether the other process has died, so that what it had sent is nobody else's: the lock goes with its last breath, and with a
+/// link alone that it closed it would go on with what it sent. What else it sent is taken before the link's end is noticed.
+fn orphaned(node: &mut Node) -> bool {
+    let looked = node.world.upgrade.look(&node.poller);
+    if node.upgrade.lock.is_some() {
+        info!(node.log, "taken from a process that has died");
+    }
+    looked.is_ok() && node.upgrade.lock.is_some()
 }
 
 fn answered(node: &mut Node, number: u64, took: bool) {
--- a/node/tests/upgrade.rs
+++ b/node/tests/upgrade.rs
@@ -260,3 +260,30 @@
     let said = String::from_utf8_lossy(&run.stderr);
     assert!(!run.status.success() && said.contains("RELAY_INHERITED_FD"), "{said}");
 }
+
+/// The older process is killed when it has sent a connection and before the newer has said that it takes it: there is nobody else
+/// whose it could be.
+#[test]
+fn what_a_process_sent_before_it_was_killed_is_not_lost() {
+    let mut rig = Rig::inherits(1);
+    let mut held = vec![rig.up(), rig.up(), rig.up()];
+    rig.second();
+    rig.watched();
+    rig.ready();
+    rig.logged_times("budgets are shared, processes: 2", 2);
+    rig.freeze();
+    kill(rig.oldest(), "-TERM");
+    rig.logged_times("on its way", held.len());
+    kill(rig.oldest(), "-KILL");
+    rig.oldest().wait().unwrap();
+    rig.thaw();
+    rig.logged_times("taken from a process that has died", held.len());
+    for (client, _, peer) in &mut held {
+        pass(client, peer);
+    }
+    // It is the only process now, and goes on as one.
+    rig.up();
+    rig.upgrade();
+    let (client, _, peer) = &mut held[0];
+    pass(client, peer);
+}
