A node that ends answers what waits as its class allows; last looks before a close

Now the module says (Event::GivenUp): refused where that is harmless or nothing was sent, else failed. Seen: once and by_key in a zone got 'BUSY 500'. - 500 ms to come again were told also where the settings allow no time or a shorter one; they bound it now. Seen: 'BUSY 500' with RetryAfter false. - A connection that had to make room, or whose time for its first line was up, was closed though its whole line lay unread in the kernel: the request was taken and lost. It is read once more first (line_front.rs, last_look). - A receipt that is no text, a line without carriage return and one longer than 4 KiB counted as UP and went to the client as service; BUSY with anything behind it proved that nothing had run.

--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -33,7 +33,7 @@
 const MOST_UNANSWERED: usize = 256;
 /// A node that has just begun waits for discovery's list at the most so long before it lets the front send clients.
 const LIST_AWAITED: Duration = Duration::from_secs(6);
-/// A node that ends lets clients come again after this: by then the front sends them elsewhere.
+/// A node that ends lets clients come again after this at the most: by then the front sends them elsewhere.
 const LEAVING_RETRY: Duration = Duration::from_millis(500);
 
 /// Who answers a request's client: a name that the core hands back with each order and never looks at.
@@ -88,6 +88,8 @@
     /// The transcriber of the present try or of the standing connection.
     server: Option<ServerId>,
     tried_at: Instant,
+    /// Its line was let go: from then on it may have run.
+    sent: bool,
     stands: bool,
     /// Nobody waits for it any more.
     over: bool,
@@ -120,6 +122,8 @@
     pub orders: VecDeque<Order>,
     balancer: Balancer,
     least_aim: Duration,
+    /// What a client that comes while the node ends is told to wait, as far as the settings allow.
+    leaving_retry: Duration,
     actions: Vec<Action>,
     contexts: HashMap<RequestId, Context>,
     /// The upstream group: where each transcriber listens, and whether it takes new connections.
@@ -153,6 +157,7 @@
             orders: VecDeque::new(),
             balancer: Balancer::new(config.settings.clone(), config.seed),
             least_aim: config.settings.least_message_aim(),
+            leaving_retry: LEAVING_RETRY.min(config.settings.longest_retry_after),
             actions: Vec::new(),
             contexts: HashMap::new(),
             group: HashMap::new(),
@@ -221,7 +226,7 @@
                 let now = Instant::now();
                 context.attempts += 1;
                 context.server = Some(server);
-                context.tried_at = now;
+                (context.tried_at, context.sent) = (now, false);
                 let until = context.expires.min(now + patience);
                 let owner = context.owner;
                 match dial {
@@ -331,6 +336,7 @@
             context.incoming.class = now_at.unwrap_or(usize::MAX);
         }
         self.least_aim = config.settings.least_message_aim();
+        self.leaving_retry = LEAVING_RETRY.min(config.settings.longest_retry_after);
         self.feed(Event::Settings { settings: Settings { instances, ..config.settings.clone() }, from });
     }
 
@@ -366,11 +372,16 @@
         self.feed(Event::ByHand(out));
     }
 
-    /// Whether the present try's transcriber takes new connections still, as far as this node has been told.
-    pub fn may_send(&self, request: RequestId) -> bool {
+    /// Whether the present try's line may go out: its transcriber takes new connections still, as far as this node has been
+    /// told.
+    pub fn may_send(&mut self, request: RequestId) -> bool {
         let server = self.contexts.get(&request).and_then(|context| context.server.as_ref());
         let ready = |server: &ServerId| matches!(self.group.get(server), Some((_, Health::Ready)));
-        server.is_some_and(|server| ready(server) && !self.out().contains(server))
+        let may = server.is_some_and(|server| ready(server) && !self.out().contains(server));
+        if let Some(context) = self.contexts.get_mut(&request) {
+            context.sent = may;
+        }
+        may
     }
 
     /// Whether a request of this id is held.
@@ -388,6 +399,7 @@
             attempts: 0,
             server: None,
             tried_at: now,
+            sent: false,
             stands: false,
             over: false,
             incoming: incoming.clone(),
@@ -401,7 +413,7 @@
     /// A request is taken from a client that waits for `left`.
     pub fn request(&mut self, owner: Owner, mut incoming: Incoming, left: Duration) {
         if self.leaving {
-            return self.orders.push_back(Order::Refuse(owner, LEAVING_RETRY));
+            return self.orders.push_back(Order::Refuse(owner, self.leaving_retry));
         }
         self.context(owner, &mut incoming, left);
         debug!(self.log, "request"; "id" => name(incoming.request), "class" => incoming.class,
@@ -529,6 +541,23 @@
         }
     }
 
+    /// The request gets its final answer now; its try, if one is out, is closed with that. Which answer is the module's to
+    /// say: what may have run must not always be said to have been refused.
+    fn give_up(&mut self, request: RequestId) {
+        let Some(context) = self.contexts.get(&request) else { return };
+        let (out, attempt) = (context.server.is_some(), context.attempts.saturating_sub(1));
+        self.feed(Event::GivenUp { request, sent: context.sent });
+        if out {
+            self.feed(Event::Ended {
+                request,
+                attempt,
+                outcome: Outcome::Cancelled,
+                done: true,
+                report: None,
+            });
+        }
+    }
+
     /// A transcriber has told this number of a standing connection: see `LoadLines`.
     pub fn load_line(&mut self, request: RequestId, value: f64) {
         let least = self.least_aim / 3;
@@ -654,7 +683,7 @@
     }
 
     /// Sends standing clients away so that all have gone after `steps` more calls; at the last one the requests
-    /// that still wait are rejected too.
+    /// that still wait are given up too.
     pub fn send_away(&mut self, steps: usize) {
         let standing = self.contexts.iter().filter(|(_, context)| context.stands && !context.over);
         let mut standing: Vec<RequestId> = standing.map(|(request, _)| *request).collect();
@@ -666,10 +695,7 @@
         if steps <= 1 {
             let waits = self.contexts.iter().filter(|(_, context)| !context.stands && !context.over);
             for request in waits.map(|(request, _)| *request).collect::<Vec<_>>() {
-                let Some(context) = self.contexts.get_mut(&request) else { continue };
-                let owner = context.owner;
-                self.client_gone(request);
-                self.orders.push_back(Order::Refuse(owner, LEAVING_RETRY));
+                self.give_up(request);
             }
         }
     }
--- a/node/src/line_front.rs
+++ b/node/src/line_front.rs
@@ -390,6 +390,19 @@
         Flow::Done
     }
 
+    /// Its place is needed, or its time is up: what has come of it by now is read first. Guards against ending a connection
+    /// whose request has been taken: its last byte may have come while this process was kept from reading.
+    fn last_look(&mut self, node: &mut Node) -> Flow {
+        if self.read(node) == Flow::Done {
+            return Flow::Done;
+        }
+        match self.state {
+            State::First if self.bytes.is_empty() => Flow::Done,
+            State::First => self.reject_line(node, "it takes too long"),
+            _ => Flow::Keep,
+        }
+    }
+
     /// Nobody waits for the request any more, and its try is closed. That says nothing of the transcriber.
     fn leave(&mut self, node: &mut Node) {
         if let State::Waiting(waiting) = &self.state {
@@ -514,8 +527,7 @@
     fn due(&mut self, node: &mut Node, purpose: u64) -> Flow {
         match self.state {
             _ if self.frozen => Flow::Keep,
-            State::First if self.bytes.is_empty() => Flow::Done,
-            State::First => self.reject_line(node, "it takes too long"),
+            State::First => self.last_look(node),
             State::Waiting(_) if purpose == AGAIN => self.resume(node),
             _ => Flow::Done,
         }
@@ -536,7 +548,11 @@
             _ => {}
         }
         let State::Waiting(waiting) = &mut self.state else {
-            return if matches!(message, Message::Close) { Flow::Done } else { Flow::Keep };
+            return match (message, &self.state) {
+                (Message::Close, State::First) => self.last_look(node),
+                (Message::Close, _) => Flow::Done,
+                _ => Flow::Keep,
+            };
         };
         match message {
             Message::Try(order) => {
@@ -561,7 +577,12 @@
                 }
                 self.answer(node, &busy(after))
             }
-            Message::Fail => self.answer(node, b"ERR\r\n"),
+            Message::Fail => {
+                if let Some(peer) = waiting.peer {
+                    node.tell(peer, Message::Close);
+                }
+                self.answer(node, b"ERR\r\n")
+            }
             Message::Up(up) => self.up(node, up),
             Message::Ended(line) => {
                 if waiting.open.holder.is_none() {
--- a/node/src/peer.rs
+++ b/node/src/peer.rs
@@ -54,17 +54,18 @@
     Other,
 }
 
-/// Reads one line of a transcriber.
+/// Reads one line of a transcriber. What is spoilt says nothing: an `UP` whose receipt was lost or is no text is no service, and
+/// what follows `BUSY` has to be a time, or it may not prove that nothing has run.
 pub fn said(line: &[u8]) -> Said {
     let line = line.trim_ascii_end();
     let cut = line.iter().position(|byte| *byte == b' ').unwrap_or(line.len());
     let (word, rest) = (&line[..cut], line[cut..].trim_ascii());
     match word {
-        b"UP" if !rest.is_empty() => Said::Up,
+        b"UP" if !rest.is_empty() && rest.iter().all(|byte| matches!(byte, b' '..=b'~')) => Said::Up,
         b"BYE" => Said::Bye,
         b"MOVE" => Said::Move,
         b"ERR" => Said::Err,
-        b"BUSY" => Said::Busy,
+        b"BUSY" if rest.iter().all(u8::is_ascii_digit) => Said::Busy,
         b"SYNTAX" => Said::Syntax,
         b"LOAD" => {
             let load = std::str::from_utf8(rest).ok().and_then(|text| text.parse::<f64>().ok());
@@ -171,7 +172,9 @@
                 Err(_) => return Some(self.end(node, self.broken())),
             }
             while let Some(end) = self.bytes.iter().position(|byte| *byte == b'\n') {
+                let whole = self.bytes[..end].ends_with(b"\r") && end < LONGEST_LINE;
                 match said(&self.bytes[..end]) {
+                    _ if !whole => return Some(self.end(node, Outcome::Error)),
                     Said::Up => {
                         let stream = self.stream.take()?;
                         let bytes = std::mem::take(&mut self.bytes);
@@ -265,6 +268,8 @@
     #[case("UPPER x\r\n", Said::Other)]
     #[case("BUSY\r\n", Said::Busy)]
     #[case("BUSY 20\r\n", Said::Busy)]
+    #[case("BUSY x\r\n", Said::Other)]
+    #[case("UP \u{1}\u{fffd}\r\n", Said::Other)]
     #[case("SYNTAX\r\n", Said::Syntax)]
     #[case("ERR out of order\r\n", Said::Err)]
     #[case("MOVE\r\n", Said::Move)]
--- a/node/tests/crossings.rs
+++ b/node/tests/crossings.rs
@@ -3,6 +3,7 @@
 mod common;
 use common::{reset, within, Rig};
 use rstest::rstest;
+use std::io::Write;
 use std::net::Shutdown;
 use std::time::{Duration, Instant};
 
@@ -158,3 +159,109 @@
     assert_eq!(call.hear(), "GET /v1/endpoints?watch=1&from=1 HTTP/1.1");
     assert!(silent_since.elapsed() < Duration::from_secs(6), "{:?}", silent_since.elapsed());
 }
+
+/// A connection's place is needed for others in the turn in which its line is there, whole and unread.
+#[test]
+fn a_connection_whose_line_has_come_is_not_ended_for_want_of_room() {
+    let rig = Rig::with_sockets(1, 68);
+    let mut oldest = rig.client();
+    let mut silent: Vec<_> = (0..23).map(|_| rig.client()).collect();
+    // Calls are answered in order: by then all of them have been taken in.
+    assert_eq!(rig.ask("PING\r\n"), "PONG");
+    rig.freeze();
+    silent.extend((0..16).map(|_| rig.client()));
+    oldest.say("OPEN 00000000000000ff 7f3a9c21e0b4d655 c=chat,d=20000,g=a\r\n");
+    rig.thaw();
+    let (_, mut peer) = rig.tried();
+    peer.hear();
+    peer.say("UP r1\r\n");
+    assert_eq!(oldest.hear(), "UP r1");
+}
+
+/// What waits when the node has to end gets its final answer: one that its class allows after what has been sent for it.
+#[rstest]
+#[case::repeatable("repeatable", "all", true, true, "BUSY ")]
+#[case::no_time_told("repeatable", "all", true, false, "BUSY")]
+#[case::once("once", "all", true, true, "ERR")]
+#[case::once_never_sent("once", "all", false, true, "BUSY ")]
+#[case::by_key_anywhere("by_key", "all", true, true, "BUSY ")]
+#[case::by_key_in_a_zone("by_key", "zone", true, true, "ERR")]
+#[case::by_key_never_sent("by_key", "zone", false, false, "BUSY")]
+fn a_node_that_ends_answers_what_waits_as_its_class_allows(
+    #[case] repeat: &str,
+    #[case] group: &str,
+    #[case] sent: bool,
+    #[case] advises: bool,
+    #[case] answer: &str,
+) {
+    let mut rig = Rig::start(1);
+    rig.set(|settings| {
+        late_connections(settings);
+        settings["Categories"][0]["Repeat"] = repeat.into();
+        settings["Categories"][0]["Group"] = group.into();
+        settings["Limits"]["RetryAfter"] = advises.into();
+    });
+    let clog = (!sent).then(|| rig.clog(0));
+    let (mut client, _) = rig.open("d=60000,g=a");
+    let peer = sent.then(|| {
+        let (_, mut peer) = rig.tried();
+        peer.hear();
+        peer
+    });
+    rig.logged("request");
+    rig.signal("-TERM");
+    let said = client.hear();
+    assert!(said == answer || (answer.ends_with(' ') && said.starts_with(answer)), "{said:?}");
+    assert_eq!(client.hear(), "", "one answer");
+    if let Some(mut peer) = peer {
+        assert_eq!(peer.hear(), "", "the try ends with it");
+    }
+    drop(client);
+    // One that comes now is told no more than that either.
+    assert!(rig.exit().success());
+    drop(clog);
+}
+
+/// Spoilt answers are failed tries, and nothing of them reaches the client as service.
+#[rstest]
+#[case::no_receipt("UP\r\n")]
+#[case::spoilt_receipt("UP \u{1}\u{2}\r\n")]
+#[case::no_carriage_return("UP r1\n")]
+#[case::cut("UP r")]
+#[case::too_long("")]
+fn a_spoilt_answer_is_a_failed_try(#[case] says: &str) {
+    let mut rig = Rig::start(2);
+    let (mut client, _) = rig.open("d=20000,g=a");
+    let (first, mut peer) = rig.tried();
+    peer.hear();
+    let long = format!("UP {}\r\n", "x".repeat(5000));
+    peer.say(if says.is_empty() { &long } else { says });
+    peer.stream.shutdown(Shutdown::Write).unwrap();
+    let (second, mut peer) = rig.tried();
+    assert_ne!(first, second);
+    peer.hear();
+    peer.say("UP r2\r\n");
+    assert_eq!(client.hear(), "UP r2");
+}
+
+/// An answer that never ends keeps nobody else waiting.
+#[rstest]
+#[case::lines("LOAD 1\r\n")]
+#[case::no_line("x")]
+fn an_answer_that_never_ends_keeps_nobody_waiting(#[case] says: &str) {
+    let mut rig = Rig::start(1);
+    let (mut client, _) = rig.open("d=3000,g=a");
+    let (_, mut peer) = rig.tried();
+    peer.hear();
+    let block = says.repeat(4096);
+    let endless = std::thread::spawn(move || while peer.stream.write_all(block.as_bytes()).is_ok() {});
+    let began = Instant::now();
+    while client.quiet() {
+        let asked = Instant::now();
+        assert_eq!(rig.ask("PING\r\n"), "PONG");
+        assert!(asked.elapsed() < Duration::from_secs(1), "{:?}", asked.elapsed());
+    }
+    assert!(client.hear().starts_with("BUSY"));
+    assert!(began.elapsed() < Duration::from_secs(4), "{:?}", began.elapsed());
+    endless.join().unwrap();
+}
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -282,6 +282,10 @@
                 self.ended(now, request, outcome, done, actions);
             }
             Event::ClientGone(id) => self.finish(id),
+            Event::GivenUp { request, sent } => {
+                self.doubt_what_is_out(request, sent);
+                self.end_unserved(request, actions);
+            }
             Event::LoadNote { request, load } => self.load_note(request, load.as_secs_f64()),
             Event::DelayNote { request, delay } => self.delay_note(now, request, delay, actions),
             Event::ServerSilent(server) => {
@@ -552,6 +556,14 @@
         }
     }
 
+    /// What is out for the request may have run by now, if it was sent.
+    fn doubt_what_is_out(&mut self, id: RequestId, sent: bool) {
+        let Some(request) = self.requests.get_mut(&id).filter(|_| sent) else { return };
+        let Some(out) = &request.out else { return };
+        let place = self.fleet.servers.get(out.server).map(|server| (server.zone, server.cell, out.sent));
+        request.doubt = request.doubt.or(place);
+    }
+
     /// Nothing more is sent for the request; what is out is still counted until it ends.
     fn finish(&mut self, id: RequestId) {
         if let Some(request) = self.requests.get_mut(&id) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -265,6 +265,13 @@
     },
     /// Nobody waits for the request any more.
     ClientGone(RequestId),
+    /// The gateway ends: the request gets its final answer now, whatever is out for it.
+    GivenUp {
+        /// Which request.
+        request: RequestId,
+        /// Something of its present attempt has been sent.
+        sent: bool,
+    },
     /// A standing connection's load is now this (work a second, as time on a standard core).
     LoadNote {
         /// Which request.
