A repeat by key is let go only within the time that its class allows

Cause: the module checks the time in which a class may be repeated by key when it places the try; the line goes out when the connection is up, which may be as long after as the settings allow to connect (peer.rs wrote it whatever had passed). Found by reading; the first site gives 150 ms to connect, which hides it. Change: when the connection is up the module is asked once more (Balancer::may_send). Tests: loopback, a queue that is full until the window is over; without the mend 'left: OPEN .., right: nothing' in both cases.

--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -377,7 +377,8 @@
     pub fn may_send(&mut self, request: RequestId) -> bool {
         let server = self.contexts.get(&request).and_then(|context| context.server.as_ref());
         let ready = |server: &ServerId| matches!(self.group.get(server), Some((_, Health::Ready)));
-        let may = server.is_some_and(|server| ready(server) && !self.out().contains(server));
+        let may = server.is_some_and(|server| ready(server) && !self.out().contains(server))
+            && self.balancer.may_send(self.now(), request);
         if let Some(context) = self.contexts.get_mut(&request) {
             context.sent = may;
         }
--- a/node/tests/crossings.rs
+++ b/node/tests/crossings.rs
@@ -265,3 +265,28 @@
     assert!(began.elapsed() < Duration::from_secs(4), "{:?}", began.elapsed());
     endless.join().unwrap();
 }
+
+/// A repeat by key whose connection comes up only after the time in which it is allowed: it is not sent, and the client gets the answer
+/// that is left.
+#[rstest]
+#[case::anywhere("all", "BUSY")]
+#[case::in_a_zone("zone", "ERR")]
+fn a_repeat_by_key_is_not_sent_past_its_window(#[case] group: &str, #[case] answer: &str) {
+    let mut rig = Rig::start(2);
+    rig.set(|settings| {
+        late_connections(settings);
+        settings["Limits"]["SendCap"] = 2.into();
+        settings["Categories"][0]["Repeat"] = "by_key".into();
+        settings["Categories"][0]["Group"] = group.into();
+        settings["Categories"][0]["WindowNs"] = 700_000_000.into();
+    });
+    let (mut client, _) = rig.open("d=20000,g=a");
+    let (first, mut peer) = rig.tried();
+    peer.hear();
+    let clog = rig.clog(1 - first);
+    reset(peer);
+    rig.logged("outcome: Reset");
+    // The kernel tries it again a second after the first time.
+    assert_eq!(clog.open().hear(), "", "its time to be repeated is over");
+    assert!(client.hear().starts_with(answer));
+}
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -101,7 +101,6 @@
 const HELD_GROUP: f64 = 1.25; // a group that is there is let in up to this multiple of what a new one is
 const GROUP_COST: f64 = 2.0; // what the first connection of a group costs on a server, in mean loads
 const FIRST_RANKS: usize = 4; // servers put in order at first: more are seldom looked at
-const PATIENCE: f64 = 0.4; // the part of the set-up aim that an attempt waits before the next server
 /// A kind of machine that is crowded in more of its seconds than the best kind leaves this multiple of the
 /// difference of the keys to others; so many seconds like the mean are taken to have been seen before.
 const KIND_LEAVES: f64 = 3.0;
@@ -483,7 +482,7 @@
             return self.waiting.push_back(id);
         }
         let Some(request) = self.requests.get(&id) else { return };
-        let patience = self.patience(now, request);
+        let patience = request.patience(now, self.setup_mean);
         if self.fleet.servers.get(at).is_some_and(|server| server.cold) {
             self.cold.send(now);
             self.cold.mark = fraction(&mut self.chance);
@@ -527,17 +526,12 @@
         true
     }
 
-    /// How long this attempt may wait: short enough that another fits into the aim, longer where the whole
-    /// fleet is slow to set up (a shared store, say), and without limit where no further attempt is possible.
-    fn patience(&self, now: Time, request: &Request) -> Duration {
-        let left = request.expires.since(now);
-        let Some(class) = request.rules else { return left };
-        let last = request.attempts + 1 >= request.attempt_cap || class.repeat == Repeat::Once;
-        if last || class.aim.is_zero() {
-            return left; // where no aim is told nothing says what would be too long
-        }
-        let first = (class.aim.as_secs_f64() * PATIENCE).max(4.0 * self.setup_mean);
-        Duration::from_secs_f64(first * f64::from(1u32 << request.attempts.min(8))).min(left)
+    /// Whether the line of the request's present attempt may go out now, where its connection took a while to come up: what
+    /// ran of it before leaves this server to it still.
+    pub fn may_send(&self, now: Time, id: RequestId) -> bool {
+        let Some(request) = self.requests.get(&id) else { return false };
+        let server = request.out.as_ref().and_then(|out| self.fleet.servers.get(out.server));
+        server.is_some_and(|server| request.may_go_to(now, server))
     }
 
     /// Refuses where that is harmless, else fails.
--- a/src/request.rs
+++ b/src/request.rs
@@ -3,6 +3,10 @@
 use crate::fleet::Server;
 use crate::interface::*;
 use crate::table::Slot;
+use std::time::Duration;
+
+/// The part of the set-up aim that an attempt waits before the next server.
+const PATIENCE: f64 = 0.4;
 
 /// A send and what came of it.
 pub struct Attempt {
@@ -50,6 +54,20 @@
         !self.over && self.out.as_ref().is_some_and(|out| out.stands)
     }
 
+    /// How long its next attempt may wait: short enough that another fits into the aim, longer where the whole fleet is slow
+    /// to set up (a shared store, say; `usual` is what a set-up takes in seconds), and without limit where no further attempt is
+    /// possible.
+    pub fn patience(&self, now: Time, usual: f64) -> Duration {
+        let left = self.expires.since(now);
+        let Some(class) = self.rules else { return left };
+        let last = self.attempts + 1 >= self.attempt_cap || class.repeat == Repeat::Once;
+        if last || class.aim.is_zero() {
+            return left; // where no aim is told nothing says what would be too long
+        }
+        let first = (class.aim.as_secs_f64() * PATIENCE).max(4.0 * usual);
+        Duration::from_secs_f64(first * f64::from(1u32 << self.attempts.min(8))).min(left)
+    }
+
     /// Whether what may have run of it leaves this server to it now.
     pub fn may_go_to(&self, now: Time, server: &Server) -> bool {
         match (self.rules.map(|class| class.repeat), self.doubt) {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -188,6 +188,26 @@
         self.tell(Event::Ended { request: RequestId(id), attempt, outcome, done, report: None });
     }
 
+    /// The gateway ends; what is out for the request was sent, or not yet.
+    pub fn gives_up(&mut self, id: u64, sent: bool) {
+        let attempts = &mut self.books.get_mut(&id).unwrap().attempts;
+        let out = attempts.last_mut().filter(|attempt| attempt.2.is_none());
+        let attempt = out.map(|attempt| {
+            // Not to the module, which hears of it later: what was never sent proves that it never ran.
+            attempt.2 = (!sent).then_some(Outcome::Moot);
+        });
+        let number = (self.books[&id].attempts.len() as u32).saturating_sub(1);
+        self.tell(Event::GivenUp { request: RequestId(id), sent });
+        assert_eq!(self.books[&id].finals, 1, "given up without an answer");
+        self.patience.remove(&id);
+        if attempt.is_some() {
+            self.books.get_mut(&id).unwrap().attempts.last_mut().unwrap().2 = Some(Outcome::Cancelled);
+            let (request, outcome) = (RequestId(id), Outcome::Cancelled);
+            self.tell(Event::Ended { request, attempt: number, outcome, done: true, report: None });
+            assert_eq!(self.last, vec![], "nothing is owed any more");
+        }
+    }
+
     pub fn tell(&mut self, event: Event) {
         let mut actions = vec![];
         self.balancer.handle(Time(self.now), event, &mut actions);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -55,6 +55,7 @@
             let out = book.attempts.last().is_some_and(|(_, _, end)| end.is_none());
             let stands = book.stands;
             match roll(4) {
+                0 if !stands && book.finals == 0 && roll(8) == 0 => world.gives_up(other, roll(3) > 0),
                 0 if out && !stands && book.finals == 0 => world.stands(other),
                 1 | 2 if out => {
                     let outcome = OUTCOMES[roll(OUTCOMES.len() as u32) as usize];
@@ -81,6 +82,23 @@
     }
 }
 
+/// A try whose connection takes longer to come up than a repeat by key is allowed is not let go.
+#[test]
+fn a_repeat_by_key_is_let_go_only_within_its_window() {
+    let repeat = Repeat::ByKey { scope: Scope::All, window: ms(900) };
+    let mut world = World::with_servers(settings(repeat), &["a", "b"]);
+    world.ask(request(1, "user:1", world.now + 30_000 * MS));
+    let let_go =
+        |world: &World, after: u64| world.balancer.may_send(Time(world.now + after * MS), RequestId(1));
+    assert!(let_go(&world, 5_000), "nothing has run yet");
+    let first = world.now;
+    world.ends(1, Outcome::Reset);
+    world.advance(world.now + 200 * MS);
+    assert_eq!(world.books[&1].attempts.len(), 2);
+    let since = (world.now - first) / MS;
+    assert!(let_go(&world, 899 - since) && !let_go(&world, 900 - since));
+}
+
 #[test]
 fn no_server_at_all_means_a_refusal_at_once() {
     let mut world = World::new(settings(Repeat::Once), 1);
