--- a/node/tests/crossings.rs
+++ b/node/tests/crossings.rs
@@ -128,6 +128,20 @@
     assert_eq!(rig.called().1, format!("GET /v1/endpoints?watch=1&from={seq} HTTP/1.1"));
 }
 
+/// A list that comes byte by byte and never ends is a watch that has fallen silent.
+#[test]
+fn a_list_without_end_puts_silence_off_once() {
+    let mut rig = Rig::start(1);
+    rig.write_watch(b"{\"seq\":2,", 4096);
+    within("the watch is opened anew", || {
+        // It goes on for as long as the node takes it.
+        let watch = rig.watch.as_mut().unwrap();
+        let _ = watch.stream.write_all(b"1\r\n \r\n");
+        rig.discovery.accept().ok()
+    });
+    assert!(rig.log().contains("the watch has fallen silent"));
+}
+
 /// A spoilt list changes nothing, not even by its good entries, and the watch is opened anew from what is known.
 #[rstest]
 #[case::cut("{\"seq\":9,\"whole\":true,\"hosts\":[]")]
