--- a/node/tests/crossings.rs
+++ b/node/tests/crossings.rs
@@ -21,7 +21,8 @@
     SaysMore,
 }
 
-fn leave(client: common::Line, how: Leaves) {
+fn leave(rig: &Rig, client: common::Line, how: Leaves) {
+    let from = client.stream.local_addr().unwrap();
     match how {
         Leaves::Ends => drop(client),
         Leaves::Resets => reset(client),
@@ -31,6 +32,7 @@
             client.stream.shutdown(Shutdown::Both).unwrap();
         }
     }
+    rig.left(from);
 }
 
 /// The client leaves and the connection to its transcriber comes up, both in one turn of the loop: the one that came up first is
@@ -47,11 +49,11 @@
     rig.logged("request");
     rig.freeze();
     let mut peer = if leaves_first {
-        leave(client, how);
+        leave(&rig, client, how);
         clog.open()
     } else {
         let peer = clog.open();
-        leave(client, how);
+        leave(&rig, client, how);
         peer
     };
     rig.thaw();
@@ -71,7 +73,7 @@
     rig.freeze();
     let mut came = vec![clog.open()];
     came.extend((0..7).map(|_| rig.tried().1));
-    drop(clients);
+    clients.into_iter().for_each(|client| leave(&rig, client, Leaves::Ends));
     rig.thaw();
     rig.logged_times("client left", 150);
     assert!(came.iter_mut().all(|peer| peer.hear().is_empty()), "nobody waits for it");
@@ -265,3 +267,28 @@
     assert!(began.elapsed() < Duration::from_secs(4), "{:?}", began.elapsed());
     endless.join().unwrap();
 }
+
+/// A repeat by key whose connection comes up only after the time in which it is allowed: it is not sent, and the client gets the answer
+/// that is left.
+#[rstest]
+#[case::anywhere("all", "BUSY")]
+#[case::in_a_zone("zone", "ERR")]
+fn a_repeat_by_key_is_not_sent_past_its_window(#[case] group: &str, #[case] answer: &str) {
+    let mut rig = Rig::start(2);
+    rig.set(|settings| {
+        late_connections(settings);
+        settings["Limits"]["SendCap"] = 2.into();
+        settings["Categories"][0]["Repeat"] = "by_key".into();
+        settings["Categories"][0]["Group"] = group.into();
+        settings["Categories"][0]["WindowNs"] = 700_000_000.into();
+    });
+    let (mut client, _) = rig.open("d=20000,g=a");
+    let (first, mut peer) = rig.tried();
+    peer.hear();
+    let clog = rig.clog(1 - first);
+    reset(peer);
+    rig.logged("outcome: Reset");
+    // The kernel tries it again a second after the first time.
+    assert_eq!(clog.open().hear(), "", "its time to be repeated is over");
+    assert!(client.hear().starts_with(answer));
+}
