--- a/src/balance.rs
+++ b/src/balance.rs
@@ -526,8 +526,8 @@
         true
     }
 
-    /// Whether the line of the request's present attempt may go out now, where its connection took a while to come up: what
-    /// ran of it before leaves this server to it still.
+    /// Whether the line of the request's present attempt may go out now, where its connection took a while to
+    /// come up: what ran of it before leaves this server to it still.
     pub fn may_send(&self, now: Time, id: RequestId) -> bool {
         let Some(request) = self.requests.get(&id) else { return false };
         let server = request.out.as_ref().and_then(|out| self.fleet.servers.get(out.server));
