Test modules of 24 source files move into files of their own

Need: tests live in test files; 24 files under src held theirs inside. Change: each 'mod tests { ... }' at the end of a file moves unchanged into FILE/tests.rs (lib.rs: tests.rs), indented by rustfmt alone; two include_str! paths gain one '../'. Nothing else.

--- /dev/null
+++ b/decisions/budgets/src/need/tests.rs
@@ -0,0 +1,17 @@
+use super::*;
+use rstest::rstest;
+
+#[rstest]
+#[case::idle(&[(0, false)], 0)]
+#[case::nothing_held_and_something_came(&[(0, true)], 1)]
+#[case::what_was_used(&[(8, false)], 8)]
+#[case::more_came_than_was_let(&[(8, true)], 12)]
+#[case::falls_slowly(&[(8, true), (0, false)], 9)]
+#[case::falls_to_nothing(&[(1, false), (0, false), (0, false)], 0)]
+#[case::grows_at_once(&[(0, false), (40, false)], 40)]
+#[case::no_overflow(&[(u32::MAX, true)], u32::MAX)]
+fn a_want_follows_the_use(#[case] seen: &[(u32, bool)], #[case] want: u32) {
+    let mut need = Need::default();
+    let wants = seen.iter().map(|(most, away)| need.follow(Use { most: *most, turned_away: *away }));
+    assert_eq!(wants.last(), Some(want));
+}
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -291,30 +291,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use rstest::rstest;
-
-    #[rstest]
-    #[case(1)]
-    #[case(3)]
-    #[case(100)]
-    fn chunks_are_undone_however_they_are_cut(#[case] piece: usize) {
-        let (mut chunks, mut out, mut last) = (Chunks::default(), Vec::new(), false);
-        for bytes in b"5;note=x\r\nhello\r\n1\r\n\n\r\nA\r\n0123456789\r\n0\r\n\r\n".chunks(piece) {
-            last |= chunks.decode(bytes, &mut out).unwrap();
-            if last {
-                break;
-            }
-        }
-        assert_eq!((out.as_slice(), last), (b"hello\n0123456789".as_slice(), true));
-    }
-
-    #[rstest]
-    #[case(b"xyz\r\n")]
-    #[case(b"1\r\nab\r\n")]
-    #[case(b"fffffffffffffffffff\r\n")]
-    fn what_is_not_a_chunk_is_an_error(#[case] bytes: &[u8]) {
-        assert!(Chunks::default().decode(bytes, &mut Vec::new()).is_err());
-    }
-}
+mod tests;
--- /dev/null
+++ b/node/src/fleet/disk/tests.rs
@@ -0,0 +1,89 @@
+use super::*;
+use rstest::rstest;
+
+fn write(number: u64, entries: &[u64]) -> Write {
+    let entries = entries.iter().map(|index| (*index, vec![*index as u8; 2_000])).collect();
+    Write { number, entries, hard: Some(vec![number as u8]), ..Write::default() }
+}
+
+/// A file with some writes in it, as a process that was killed leaves it, and what they add up to.
+fn left(path: &Path) -> Kept {
+    let (database, mut kept) = open(path, "guj/n0", 7).unwrap();
+    let stamp = Stamp { epoch: 1, founding: 3 };
+    let begins = Write { begins: Some(stamp), snapshot: Some((1, vec![9])), ..Write::default() };
+    let snapshot = Write { number: 4, snapshot: Some((3, vec![8; 9_000])), ..Write::default() };
+    for batch in [vec![begins, write(2, &[2, 3, 4, 5])], vec![write(3, &[4])], vec![snapshot]] {
+        carry_out(&database, &batch).unwrap();
+        batch.iter().for_each(|write| kept.take(write));
+    }
+    kept
+}
+
+fn folder(name: &str) -> std::path::PathBuf {
+    let folder = std::env::temp_dir().join(format!("lupincrank-disk-{}-{name}", std::process::id()));
+    let _ = fs::remove_dir_all(&folder);
+    folder.join("council-n0.redb")
+}
+
+#[test]
+fn what_was_written_is_there_at_the_next_start_with_the_identity() {
+    let path = folder("whole");
+    let kept = left(&path);
+    let (_held, again) = open(&path, "guj/n0", 99).unwrap();
+    assert_eq!(again, Kept { starts: 2, ..kept });
+    assert!(matches!(open(&path, "guj/n0", 1), Err(Fault::Busy)));
+    let _ = fs::remove_dir_all(path.parent().unwrap());
+}
+
+#[rstest]
+#[case::of_another_node("guj/n1", 0, false)]
+#[case::damaged_in_the_middle("guj/n0", 3, true)]
+#[case::cut_in_half("guj/n0", 2, true)]
+fn a_file_that_is_not_whole_is_another_identity(
+    #[case] owner: &str,
+    #[case] spoils: usize,
+    #[case] aside: bool,
+) {
+    let path = folder(&format!("spoilt-{owner}-{spoils}").replace('/', "-"));
+    let kept = left(&path);
+    let mut bytes = fs::read(&path).unwrap();
+    match spoils {
+        2 => bytes.truncate(bytes.len() / 2),
+        // All places where the entries stand.
+        3 => bytes.iter_mut().filter(|byte| [4, 5, 8].contains(*byte)).for_each(|byte| *byte ^= 64),
+        _ => {}
+    }
+    fs::write(&path, bytes).unwrap();
+    match open(&path, owner, 99) {
+        Err(Fault::Damaged(_)) if aside => {
+            put_aside(&path).unwrap();
+            let (_, fresh) = open(&path, owner, 99).unwrap();
+            assert_eq!((fresh.id, fresh.starts, fresh.stamp), (99, 1, None));
+        }
+        Err(Fault::Wrong(why)) if !aside => assert!(why.contains("guj/n0"), "{why}"),
+        other => panic!("{:?} of {kept:?}", other.map(|(_, kept)| kept)),
+    }
+    let _ = fs::remove_dir_all(path.parent().unwrap());
+}
+
+#[test]
+fn the_thread_says_what_is_written_and_that_it_is_lost() {
+    let path = folder("thread");
+    let (database, _) = open(&path, "guj/n0", 7).unwrap();
+    let mut disk = Disk::begin(database).unwrap();
+    (1..=20).for_each(|number| disk.write(write(number, &[number])).unwrap());
+    let mut last = 0;
+    while last < 20 {
+        last = disk.done().unwrap().unwrap_or(last);
+        thread::yield_now();
+    }
+    drop(disk);
+    let again = loop {
+        match open(&path, "guj/n0", 9) {
+            Err(Fault::Busy) => thread::yield_now(),
+            other => break other.unwrap().1,
+        }
+    };
+    assert_eq!((again.id, again.entries.len(), again.hard), (7, 20, Some(vec![20])));
+    let _ = fs::remove_dir_all(path.parent().unwrap());
+}
--- /dev/null
+++ b/node/src/load_lines/tests.rs
@@ -0,0 +1,39 @@
+use super::*;
+use rstest::rstest;
+
+const LOAD: char = 'l';
+
+/// Lines as (milliseconds, number), and what each is: a load or a delay.
+#[rstest]
+#[case::loads(&[(0, 38_699.2), (4_200, 313.0), (9_000, 7_529.0), (9_400, 753.0)], "llll")]
+#[case::a_series(&[(0, 38_699.2), (1_000, 211.9), (2_001, 240.5), (3_000, 287.7), (4_002, 325.9)], "llddd")]
+#[case::its_end(&[(0, 211.9), (1_000, 180.0), (2_000, 9.5), (3_000, 400.0)], "lddl")]
+#[case::a_load_between(&[(0, 211.9), (1_000, 240.5), (1_290, 20_204.0), (2_000, 287.7)], "ldld")]
+#[case::a_gap(&[(0, 211.9), (1_000, 240.5), (3_500, 287.7), (4_500, 301.0)], "ldld")]
+#[case::too_large(&[(0, 90_000.0), (1_000, 80_000.0), (2_000, 85_000.0)], "lll")]
+#[case::too_small(&[(0, 12.0), (1_000, 11.0), (2_000, 3.0)], "lll")]
+fn a_delay_is_known_by_its_pace(#[case] lines: &[(u64, f64)], #[case] expected: &str) {
+    let (start, mut taken, mut kinds) = (Instant::now(), LoadLines::default(), String::new());
+    for (at, value) in lines {
+        match taken.take(start + Duration::from_millis(*at), *value, Duration::from_millis(16)) {
+            Told::Load(load) => {
+                assert_eq!(load, *value);
+                kinds.push(LOAD);
+            }
+            Told::Delay { delay, .. } => {
+                assert!((delay.as_secs_f64() * 1e3 - value).abs() < 0.01);
+                kinds.push('d');
+            }
+        }
+    }
+    assert_eq!(kinds, expected);
+}
+
+#[test]
+fn the_load_that_the_first_delay_hid_comes_back() {
+    let (start, mut lines, least) = (Instant::now(), LoadLines::default(), Duration::from_millis(16));
+    lines.take(start, 38_699.0, least);
+    lines.take(start + Duration::from_millis(3_000), 211.0, least);
+    let told = lines.take(start + Duration::from_millis(4_000), 240.0, least);
+    assert_eq!(told, Told::Delay { delay: Duration::from_millis(240), load: Some(38_699.0) });
+}
--- /dev/null
+++ b/node/src/objects/tests.rs
@@ -0,0 +1,70 @@
+use super::*;
+use proptest::prelude::*;
+use rstest::rstest;
+
+/// Everything that comes out of `text` in pieces of these lengths.
+fn taken(text: &[u8], cuts: &[usize]) -> Result<Vec<String>, String> {
+    let (mut objects, mut out, mut at) = (Objects::default(), Vec::new(), 0);
+    for cut in cuts.iter().map(|cut| cut % 40).chain([text.len()]) {
+        let end = (at + cut).min(text.len());
+        objects.push(&text[at..end]);
+        at = end;
+        while let Some(object) = objects.take()? {
+            out.push(String::from_utf8(object).unwrap());
+        }
+    }
+    Ok(out)
+}
+
+#[rstest]
+#[case::one_a_line("{\"a\":1}\n\n{\"b\":2}\n", &["{\"a\":1}", "{\"b\":2}"])]
+#[case::indented("{\r\n  \"a\": [\r\n    {}\r\n  ]\r\n}\r\n", &["{\r\n  \"a\": [\r\n    {}\r\n  ]\r\n}"])]
+#[case::nothing_between("{}{}", &["{}", "{}"])]
+#[case::braces_in_strings(r#"{"}\"}":"]\\"}{"a":"{"}"#, &[r#"{"}\"}":"]\\"}"#, r#"{"a":"{"}"#])]
+#[case::half("\n\n{\"a\":[1,", &[])]
+fn objects_are_found_however_they_are_laid_out(#[case] text: &str, #[case] expected: &[&str]) {
+    for piece in 1..text.len() + 1 {
+        assert_eq!(taken(text.as_bytes(), &vec![piece; text.len()]).unwrap(), expected, "by {piece}");
+    }
+}
+
+#[rstest]
+#[case("nonsense", "'n'")]
+#[case("{}]", "']'")]
+#[case("[]", "'['")]
+#[case("{} \"a\"", "'\"'")]
+fn what_is_no_object_is_named(#[case] text: &str, #[case] named: &str) {
+    let error = taken(text.as_bytes(), &[]).unwrap_err();
+    assert!(error.contains(named), "{error}");
+}
+
+#[test]
+fn an_object_without_end_is_given_up() {
+    let mut objects = Objects::default();
+    objects.push(b"{\"a\":\"");
+    let spaces = vec![b' '; 1 << 20];
+    let error = (0..8).find_map(|_| {
+        objects.push(&spaces);
+        objects.take().err()
+    });
+    assert_eq!(error.as_deref(), Some("an object is too long"));
+}
+
+proptest! {
+    /// Lists in both layouts, with any text in them, cut anywhere, come out as they went in.
+    #[test]
+    fn lists_come_out_as_they_went_in(
+        lists in prop::collection::vec((any::<u64>(), prop::collection::vec(any::<String>(), 0..4), any::<bool>()), 0..5),
+        cuts in prop::collection::vec(any::<usize>(), 0..60),
+    ) {
+        let value = |(seq, hosts, _): &(u64, Vec<String>, bool)| serde_json::json!({"seq": seq, "hosts": hosts});
+        let written = lists.iter().map(|list| match list.2 {
+            true => serde_json::to_string_pretty(&value(list)).unwrap(),
+            false => value(list).to_string(),
+        });
+        let text = written.collect::<Vec<_>>().join("\n");
+        let out = taken(text.as_bytes(), &cuts).unwrap();
+        let read: Vec<serde_json::Value> = out.iter().map(|text| serde_json::from_str(text).unwrap()).collect();
+        prop_assert_eq!(read, lists.iter().map(value).collect::<Vec<_>>());
+    }
+}
