--- a/decisions/budgets/src/divide/tests.rs
+++ b/decisions/budgets/src/divide/tests.rs
@@ -9,9 +9,9 @@
 #[case::more_nodes_than_units(2, &[5, 5, 5], &[1, 1, 0])]
 #[case::nothing_to_divide(0, &[5], &[0])]
 #[case::nobody(8, &[], &[])]
-fn wants_are_met_from_the_least_on(#[case] whole: u32, #[case] wants: &[u32], #[case] slices: &[u32]) {
-    let claims: Vec<Claim> = wants.iter().map(|want| Claim { want: *want, holds: 0 }).collect();
-    assert_eq!(divide(whole, &claims, 0), slices);
+fn wants_are_met_from_the_least_on(#[case] capacity: u32, #[case] demands: &[u32], #[case] slices: &[u32]) {
+    let claims: Vec<Claim> = demands.iter().map(|demand| Claim { demand: *demand, holds: 0 }).collect();
+    assert_eq!(divide(capacity, &claims, 0), slices);
 }
 
 #[rstest]
@@ -22,41 +22,41 @@
 #[case::a_met_want_does_not_swing(8, 8, 8, 8)]
 #[case::a_small_growth_is_not_made_for_slack(16, 3, 17, 16)]
 #[case::but_for_a_want(16, 17, 17, 17)]
-fn a_slice_moves_at_its_pace(#[case] holds: u32, #[case] want: u32, #[case] due: u32, #[case] next: u32) {
-    assert_eq!(pace(&Claim { want, holds }, due), next);
+fn a_slice_moves_at_its_pace(#[case] holds: u32, #[case] demand: u32, #[case] due: u32, #[case] next: u32) {
+    assert_eq!(pace(&Claim { demand, holds }, due), next);
 }
 
 proptest! {
-    /// Whoever gets less than it wants gets as much as anybody, but for one unit: that is what max-min says. And nobody
+    /// Whoever gets less than it demands gets as much as anybody, but for one unit: that is what max-min says. And nobody
     /// is left without for ever.
     #[test]
     fn nobody_has_less_than_another_unless_it_wants_less(
-        whole in 0..2_000u32,
-        wants in proptest::collection::vec(0..300u32, 1..40),
+        capacity in 0..2_000u32,
+        demands in proptest::collection::vec(0..300u32, 1..40),
     ) {
-        let (mut most, mut totals) = (0, vec![0u64; wants.len()]);
-        for turn in 0..wants.len() as u64 {
-            let parts = level(whole, &wants, turn);
+        let (mut most, mut totals) = (0, vec![0u64; demands.len()]);
+        for turn in 0..demands.len() as u64 {
+            let parts = level(capacity, &demands, turn);
             most = most.max(sum(&parts));
             for (at, part) in parts.iter().enumerate() {
                 totals[at] += u64::from(*part);
-                prop_assert!(*part <= wants[at]);
+                prop_assert!(*part <= demands[at]);
                 let richest = parts.iter().max().copied().unwrap_or(0);
-                prop_assert!(*part == wants[at] || part + 1 >= richest, "{parts:?} of {wants:?}");
+                prop_assert!(*part == demands[at] || part + 1 >= richest, "{parts:?} of {demands:?}");
             }
         }
-        prop_assert_eq!(most, whole.min(wants.iter().sum()));
-        let starved = totals.iter().zip(&wants).any(|(total, want)| *total == 0 && *want > 0);
-        prop_assert!(whole == 0 || !starved, "{:?} of {:?}", totals, wants);
+        prop_assert_eq!(most, capacity.min(demands.iter().sum()));
+        let starved = totals.iter().zip(&demands).any(|(total, demand)| *total == 0 && *demand > 0);
+        prop_assert!(capacity == 0 || !starved, "{:?} of {:?}", totals, demands);
     }
 
     #[test]
     fn fresh_slices_stay_within_the_whole(
-        whole in 0..2_000u32,
-        wants in proptest::collection::vec(any::<u32>(), 0..40),
+        capacity in 0..2_000u32,
+        demands in proptest::collection::vec(any::<u32>(), 0..40),
         turn in any::<u64>(),
     ) {
-        let claims: Vec<Claim> = wants.iter().map(|want| Claim { want: *want, holds: 0 }).collect();
-        prop_assert!(sum(&divide(whole, &claims, turn)) <= whole);
+        let claims: Vec<Claim> = demands.iter().map(|demand| Claim { demand: *demand, holds: 0 }).collect();
+        prop_assert!(sum(&divide(capacity, &claims, turn)) <= capacity);
     }
 }
--- a/decisions/budgets/src/lib.rs
+++ b/decisions/budgets/src/lib.rs
@@ -1,6 +1,6 @@
 //! How a budget of the whole fleet is divided among its nodes, without I/O: what each has used and was refused comes in,
 //! slices go out. Who holds what, and until when, is agreed in `lupincrank-council`, which cuts down what would pass
-//! the whole: nothing here has to be right for that.
+//! the capacity: nothing here has to be right for that.
 
 pub mod divide;
 pub mod need;
--- a/decisions/budgets/src/need.rs
+++ b/decisions/budgets/src/need.rs
@@ -2,7 +2,7 @@
 
 /// What is turned away is not counted, for clients that wait ask again and again: half as much again each time finds the need.
 const GROWS: u32 = 2;
-/// A want that was met falls by this part at a time at the most: a pause of a renewal is not an end.
+/// A demand that was met falls by this part at a time at the most: a pause of a renewal is not an end.
 const FALLS: u32 = 4;
 
 /// What was used of a budget since the last request.
@@ -17,7 +17,7 @@
 /// Follows one budget at one node.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Need {
-    want: u32,
+    demand: u32,
 }
 
 impl Need {
@@ -25,8 +25,8 @@
     pub fn follow(&mut self, seen: Use) -> u32 {
         let more = if seen.turned_away { (seen.most / GROWS).max(1) } else { 0 };
         let wanted = seen.most.saturating_add(more);
-        self.want = wanted.max(self.want - self.want.div_ceil(FALLS));
-        self.want
+        self.demand = wanted.max(self.demand - self.demand.div_ceil(FALLS));
+        self.demand
     }
 }
 
--- a/decisions/budgets/src/need/tests.rs
+++ b/decisions/budgets/src/need/tests.rs
@@ -10,8 +10,8 @@
 #[case::falls_to_nothing(&[(1, false), (0, false), (0, false)], 0)]
 #[case::grows_at_once(&[(0, false), (40, false)], 40)]
 #[case::no_overflow(&[(u32::MAX, true)], u32::MAX)]
-fn a_want_follows_the_use(#[case] seen: &[(u32, bool)], #[case] want: u32) {
+fn a_want_follows_the_use(#[case] seen: &[(u32, bool)], #[case] demand: u32) {
     let mut need = Need::default();
-    let wants = seen.iter().map(|(most, away)| need.follow(Use { most: *most, turned_away: *away }));
-    assert_eq!(wants.last(), Some(want));
+    let demands = seen.iter().map(|(most, away)| need.follow(Use { most: *most, turned_away: *away }));
+    assert_eq!(demands.last(), Some(demand));
 }
--- a/decisions/council/src/council.rs
+++ b/decisions/council/src/council.rs
@@ -2,20 +2,20 @@
 //!
 //! Founding. A node that knows no council and has the lowest name of all that live asks the others; once a majority of
 //! all expected nodes has answered that they know none either, it founds one with all expected nodes as voters. Two
-//! foundings can't both act: each would need a majority of the expected nodes, and a life takes part in one council only,
+//! foundings can't both act: each would need a majority of the expected nodes, and an incarnation takes part in one council only,
 //! the one with the greater stamp. What can't be told apart from a first start is a majority that restarted from
 //! nothing while the rest is cut off; `docs/design/council.md` says what that costs.
 
+use crate::durable::Durable;
 use crate::entry::Entry;
-use crate::kept::Kept;
 use crate::leader::{Leader, View};
 use crate::lease::{Holder, Terms};
 use crate::log::Log;
 use crate::member::{Founding, Member, Stamp};
-use crate::said::{Action, Note, Said};
+use crate::message::{Action, CouncilMessage, Note};
 use crate::state::State;
+use crate::status::{LogLine, Participant, Refused, Status};
 use crate::store::Store;
-use crate::told::{Part, Refused, Status, Told};
 use lupincrank::Time;
 use lupincrank_budgets::need::{Need, Use};
 use std::collections::{BTreeMap, BTreeSet};
@@ -39,14 +39,14 @@
     pub terms: Terms,
     /// The names of all nodes that are expected.
     pub expect: BTreeSet<String>,
-    /// The whole of the cold budget that is handed out, without the floors.
-    pub whole: u32,
+    /// The capacity of the cold budget that is handed out, without the floors.
+    pub capacity: u32,
     /// What this node may use without a lease.
     pub floor: u32,
     /// A node this young founds nothing: it hears of an older council first.
     pub settle: Duration,
     /// A member that has not lived for this long is taken out.
-    pub bury: Duration,
+    pub removal_after: Duration,
 }
 
 /// One node's part.
@@ -55,7 +55,7 @@
     tuning: Tuning,
     began: Time,
     log: Option<Log>,
-    /// Its log broke: this life must not vote again.
+    /// Its log broke: this incarnation must not vote again.
     out: bool,
     holder: Holder,
     limit: u32,
@@ -84,7 +84,7 @@
     ///
     /// `kept` is what a folder holds of this identity, where one is configured; an error says that it can't be gone on
     /// with: it contradicts itself.
-    pub fn new(now: Time, me: Member, tuning: Tuning, kept: Option<&Kept>) -> Result<Council, String> {
+    pub fn new(now: Time, me: Member, tuning: Tuning, kept: Option<&Durable>) -> Result<Council, String> {
         let starts = kept.map_or(0, |kept| kept.starts);
         let holder = Holder::new(&tuning.terms, now, tuning.floor, starts);
         let mut council = Council {
@@ -117,7 +117,7 @@
         Ok(council)
     }
 
-    fn resume(&mut self, stamp: Stamp, kept: &Kept) -> Option<()> {
+    fn resume(&mut self, stamp: Stamp, kept: &Durable) -> Option<()> {
         let store = Store::resume(kept).ok()?;
         let data = store.snapshot_data();
         let state = if data.is_empty() { State::default() } else { postcard::from_bytes(&data).ok()? };
@@ -160,11 +160,11 @@
         self.holder.floor(now)
     }
 
-    /// Its part of the whole, for what is shared by parts.
+    /// Its part of the capacity, for what is shared by parts.
     pub fn part(&self, now: Time) -> Option<f64> {
         let log = self.log.as_ref()?;
         let (limit, until) = self.limit(now);
-        until.map(|_| f64::from(limit) / f64::from(log.state.whole.max(1)))
+        until.map(|_| f64::from(limit) / f64::from(log.state.capacity.max(1)))
     }
 
     /// What all agree on, as far as this node has it.
@@ -238,46 +238,54 @@
     }
 
     /// Something came from the member with this id.
-    pub fn take(&mut self, now: Time, from: u64, said: Said) {
+    pub fn take(&mut self, now: Time, from: u64, said: CouncilMessage) {
         let mine = self.log.as_ref().map(|log| log.stamp);
         if self.out {
             return;
         }
         match said {
-            Said::Seek => self.send(from, Said::Known(mine)),
-            Said::Known(stamp) => {
+            CouncilMessage::Seek => self.send(from, CouncilMessage::Known(mine)),
+            CouncilMessage::Known(stamp) => {
                 self.answers.insert(from, (now, stamp.is_some()));
             }
-            Said::Found(founding) if Some(founding.stamp) > mine => self.adopt(now, founding),
-            Said::Found(founding) if Some(founding.stamp) < mine => self.send(from, Said::Known(mine)),
-            Said::Found(_) => {}
-            Said::Raft(stamp, _)
-            | Said::Ask(stamp, _)
-            | Said::Granted(stamp, ..)
-            | Said::Leaves(stamp)
-            | Said::Gone(stamp)
-            | Said::Whole(stamp, _)
+            CouncilMessage::Found(founding) if Some(founding.stamp) > mine => self.adopt(now, founding),
+            CouncilMessage::Found(founding) if Some(founding.stamp) < mine => {
+                self.send(from, CouncilMessage::Known(mine))
+            }
+            CouncilMessage::Found(_) => {}
+            CouncilMessage::Raft(stamp, _)
+            | CouncilMessage::LeaseRequest(stamp, _)
+            | CouncilMessage::Granted(stamp, ..)
+            | CouncilMessage::Leaves(stamp)
+            | CouncilMessage::Gone(stamp)
+            | CouncilMessage::Capacity(stamp, _)
                 if Some(stamp) < mine =>
             {
                 self.refused.fenced += 1;
-                self.send(from, Said::Known(mine));
+                self.send(from, CouncilMessage::Known(mine));
             }
-            Said::Raft(stamp, bytes) => self.of_log(now, from, stamp, &bytes),
-            Said::Ask(stamp, ask) if Some(stamp) == mine => {
+            CouncilMessage::Raft(stamp, bytes) => self.of_log(now, from, stamp, &bytes),
+            CouncilMessage::LeaseRequest(stamp, ask) if Some(stamp) == mine => {
                 if let Some(log) = &self.log {
                     self.leader.asked(log, from, ask);
                 }
             }
             // Nobody but the leader grants.
-            Said::Granted(stamp, number, slice)
+            CouncilMessage::Granted(stamp, number, slice)
                 if Some(stamp) == mine && self.log.as_ref().is_some_and(|log| log.leader == from) =>
             {
                 self.holder.granted(&self.tuning.terms, now, number, slice);
             }
-            Said::Leaves(stamp) if Some(stamp) == mine => self.lets_go(now, from, stamp),
-            Said::Whole(stamp, whole) if Some(stamp) == mine => self.propose_whole(now, whole),
-            Said::Gone(stamp) if Some(stamp) == mine => self.gone = self.leaving,
-            Said::Ask(..) | Said::Granted(..) | Said::Leaves(_) | Said::Gone(_) | Said::Whole(..) => {
+            CouncilMessage::Leaves(stamp) if Some(stamp) == mine => self.lets_go(now, from, stamp),
+            CouncilMessage::Capacity(stamp, capacity) if Some(stamp) == mine => {
+                self.propose_capacity(now, capacity)
+            }
+            CouncilMessage::Gone(stamp) if Some(stamp) == mine => self.gone = self.leaving,
+            CouncilMessage::LeaseRequest(..)
+            | CouncilMessage::Granted(..)
+            | CouncilMessage::Leaves(_)
+            | CouncilMessage::Gone(_)
+            | CouncilMessage::Capacity(..) => {
                 self.refused.strange += 1;
             }
         }
@@ -323,7 +331,7 @@
         let Some(log) = &self.log else { return };
         let (stamp, voters) = (log.stamp, log.parts().voters);
         let others = voters.into_iter().filter(|id| *id != self.me.id);
-        others.collect::<Vec<_>>().into_iter().for_each(|id| self.send(id, Said::Leaves(stamp)));
+        others.collect::<Vec<_>>().into_iter().for_each(|id| self.send(id, CouncilMessage::Leaves(stamp)));
     }
 
     /// A member ends; once it takes part no more the leader tells it so.
@@ -332,7 +340,7 @@
         let Some(log) = self.log.as_ref().filter(|log| log.leads.is_some()) else { return };
         let parts = log.parts();
         if !parts.voters.contains(&from) && !parts.learners.contains(&from) {
-            self.send(from, Said::Gone(stamp));
+            self.send(from, CouncilMessage::Gone(stamp));
         }
     }
 
@@ -349,13 +357,13 @@
         let stamp = Stamp { epoch, founding: drawn };
         let members: Vec<Member> = self.alive.values().cloned().collect();
         let voters = members.iter().map(|member| member.id).collect();
-        self.found(now, Founding { stamp, voters, members, whole: self.tuning.whole });
+        self.found(now, Founding { stamp, voters, members, capacity: self.tuning.capacity });
         Ok(stamp)
     }
 
-    /// Another whole, by the log: it holds from the entry on that says so, and slices follow as they are renewed. The epoch
+    /// Another capacity, by the log: it holds from the entry on that says so, and slices follow as they are renewed. The epoch
     /// before it.
-    pub fn set_whole(&mut self, now: Time, whole: u32) -> Result<u64, String> {
+    pub fn set_capacity(&mut self, now: Time, capacity: u32) -> Result<u64, String> {
         let Some((stamp, leader, epoch)) =
             self.log.as_ref().map(|log| (log.stamp, log.leader, log.state.epoch))
         else {
@@ -363,37 +371,37 @@
         };
         match leader {
             0 => return Err("the council has no leader now".into()),
-            leader if leader == self.me.id => self.propose_whole(now, whole),
-            leader => self.send(leader, Said::Whole(stamp, whole)),
+            leader if leader == self.me.id => self.propose_capacity(now, capacity),
+            leader => self.send(leader, CouncilMessage::Capacity(stamp, capacity)),
         }
         Ok(epoch)
     }
 
-    fn propose_whole(&mut self, now: Time, whole: u32) {
+    fn propose_capacity(&mut self, now: Time, capacity: u32) {
         self.guarded(now, |this| {
             if let Some(log) = this.log.as_mut().filter(|log| log.leads.is_some()) {
-                log.propose(&Entry::Whole(whole));
+                log.propose(&Entry::Capacity(capacity));
             }
             this.pump(now);
         });
     }
 
-    /// What would be given out of such a whole at the next renewal, by name; only the leader knows what all want.
-    pub fn plan(&self, now: Time, whole: u32) -> Result<BTreeMap<String, u32>, String> {
+    /// What would be given out of such a capacity at the next renewal, by name; only the leader knows what all want.
+    pub fn plan(&self, now: Time, capacity: u32) -> Result<BTreeMap<String, u32>, String> {
         let log = self.log.as_ref().ok_or("this node takes part in no council")?;
         if log.leads.is_none() {
             let name = log.state.members.get(&log.leader).map_or("nobody", |member| member.name.as_str());
             return Err(format!("only the leader knows what all want: {name} leads"));
         }
-        let (holders, slices) = self.leader.slices(log, now, &self.alive, whole);
+        let (holders, slices) = self.leader.slices(log, now, &self.alive, capacity);
         let name =
             |id: u64| log.state.members.get(&id).map_or_else(String::new, |member| member.name.clone());
         Ok(holders.into_iter().map(name).zip(slices).collect())
     }
 
     /// The latest entries, oldest first.
-    pub fn told(&self) -> impl Iterator<Item = &Told> {
-        self.log.iter().flat_map(Log::told)
+    pub fn log_lines(&self) -> impl Iterator<Item = &LogLine> {
+        self.log.iter().flat_map(Log::log_lines)
     }
 
     /// How this node stands.
@@ -415,7 +423,7 @@
             Member { id, name: "(expected)".into(), zone, region, build }
         };
         let ids = conf.get_voters().iter().chain(conf.get_learners());
-        let parts = ids.map(|id| Part {
+        let parts = ids.map(|id| Participant {
             member: log.and_then(|log| log.state.members.get(id)).cloned().unwrap_or_else(|| nobody(*id)),
             role: role(id),
             alive: self.alive.contains_key(id),
@@ -428,7 +436,7 @@
             term: log.map_or(0, Log::term),
             index: log.map_or(0, |log| log.applied),
             leader: log.filter(|log| log.leader != 0).and_then(|log| name(log.leader)),
-            whole: log.map_or(self.tuning.whole, |log| log.state.whole),
+            capacity: log.map_or(self.tuning.capacity, |log| log.state.capacity),
             sum: log.map_or(0, |log| log.state.sum()),
             limit,
             lease_ms: until.map(|until| until.since(now).as_millis() as u64),
@@ -437,7 +445,7 @@
         }
     }
 
-    fn send(&mut self, to: u64, said: Said) {
+    fn send(&mut self, to: u64, said: CouncilMessage) {
         self.actions.push(Action::Send(to, said));
     }
 
@@ -461,7 +469,7 @@
         }
         self.sought = Some(now);
         let others: Vec<u64> = self.alive.keys().copied().filter(|id| *id != self.me.id).collect();
-        others.into_iter().for_each(|id| self.send(id, Said::Seek));
+        others.into_iter().for_each(|id| self.send(id, CouncilMessage::Seek));
         if self.answers.values().any(|(_, known)| *known) || now.since(self.began) < self.tuning.settle {
             return;
         }
@@ -472,7 +480,7 @@
         if expected * 2 <= self.tuning.expect.len() {
             return;
         }
-        // One life a name has a vote; ids for those that are missing are made from this life's own.
+        // One incarnation a name has a vote; ids for those that are missing are made from this incarnation's own.
         let mut members: BTreeMap<&str, &Member> = BTreeMap::new();
         for member in there.iter().filter(|member| self.tuning.expect.contains(&member.name)) {
             members.insert(&member.name, member);
@@ -482,7 +490,7 @@
         voters.extend((1..=missing as u64).map(|n| self.me.id.wrapping_add(n).max(1)));
         let members = members.into_values().cloned().collect();
         let stamp = Stamp { epoch: 1, founding: self.me.id };
-        self.found(now, Founding { stamp, voters, members, whole: self.tuning.whole });
+        self.found(now, Founding { stamp, voters, members, capacity: self.tuning.capacity });
     }
 
     fn found(&mut self, now: Time, founding: Founding) {
@@ -501,11 +509,11 @@
         } else if self.sought.is_none_or(|at| now.since(at) >= SEEK) {
             self.sought = Some(now);
             let others: Vec<u64> = self.alive.keys().copied().filter(|id| *id != self.me.id).collect();
-            others.into_iter().for_each(|id| self.send(id, Said::Found(founding.clone())));
+            others.into_iter().for_each(|id| self.send(id, CouncilMessage::Found(founding.clone())));
         }
     }
 
-    /// Takes part in a council that is founded. A life that is no voter of it is let in by its leader.
+    /// Takes part in a council that is founded. An incarnation that is no voter of it is let in by its leader.
     fn adopt(&mut self, now: Time, founding: Founding) {
         if !founding.voters.contains(&self.me.id) {
             return;
@@ -533,7 +541,7 @@
             return;
         };
         if self.log.as_ref().is_none_or(|log| log.stamp < stamp) {
-            // A leader has let this life in: it learns all from a snapshot.
+            // A leader has let this incarnation in: it learns all from a snapshot.
             self.begin(now, stamp, Store::default(), State::default());
         }
         self.guarded(now, |this| {
@@ -571,17 +579,17 @@
     /// What a leader does each tick.
     fn lead(&mut self, now: Time) {
         let Some(log) = &mut self.log else { return };
-        let Tuning { terms, bury, .. } = &self.tuning;
+        let Tuning { terms, removal_after, .. } = &self.tuning;
         let (me, ticks, alive) = (self.me.id, self.ticks, &self.alive);
         let leaving = self.leaving;
-        let view = View { me, leaving, now, ticks, alive, terms, bury: *bury };
+        let view = View { me, leaving, now, ticks, alive, terms, removal_after: *removal_after };
         if let Some(change) = self.leader.tick(log, &view) {
             self.note(Note::Changes(change));
         }
     }
 
     /// The raft crate panics where a message contradicts what it holds. That must not end a node that serves: its log is
-    /// thrown away, and this life takes no part any more.
+    /// thrown away, and this incarnation takes no part any more.
     fn guarded(&mut self, now: Time, work: impl FnOnce(&mut Council)) {
         if catch_unwind(AssertUnwindSafe(|| work(self))).is_err() {
             self.breaks(now);
@@ -597,12 +605,12 @@
         }
         // The floor is used first, and needs no slice.
         let floor = self.holder.floor(now);
-        let want = self.need.follow(std::mem::take(&mut self.seen)).saturating_sub(floor);
-        let ask = self.holder.ask(&self.tuning.terms, now, want);
+        let demand = self.need.follow(std::mem::take(&mut self.seen)).saturating_sub(floor);
+        let ask = self.holder.ask(&self.tuning.terms, now, demand);
         if leader == self.me.id {
             self.leader.asked(log, leader, ask);
         } else {
-            self.send(leader, Said::Ask(stamp, ask));
+            self.send(leader, CouncilMessage::LeaseRequest(stamp, ask));
         }
     }
 
--- a/decisions/council/src/kept.rs
+++ b/decisions/council/src/durable.rs
@@ -8,7 +8,7 @@
 /// they are done.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Write {
-    /// Said back once this is on the disk; each has a higher one.
+    /// Message back once this is on the disk; each has a higher one.
     pub number: u64,
     /// Another council: all of the one before goes.
     pub begins: Option<Stamp>,
@@ -24,8 +24,8 @@
 
 /// What the processes of one identity have left.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Kept {
-    /// The id of the life that goes on.
+pub struct Durable {
+    /// The id of the incarnation that goes on.
     pub id: u64,
     /// Processes that have begun with it, this one included: 1 for the first.
     pub starts: u32,
@@ -39,11 +39,11 @@
     pub entries: BTreeMap<u64, Vec<u8>>,
 }
 
-impl Kept {
+impl Durable {
     /// As it is after a write.
     pub fn take(&mut self, write: &Write) {
         if let Some(stamp) = write.begins {
-            *self = Kept { id: self.id, starts: self.starts, stamp: Some(stamp), ..Kept::default() };
+            *self = Durable { id: self.id, starts: self.starts, stamp: Some(stamp), ..Durable::default() };
         }
         if write.clears {
             self.entries.clear();
--- a/decisions/council/src/entry.rs
+++ b/decisions/council/src/entry.rs
@@ -9,11 +9,11 @@
     Grants(Vec<Grant>),
     /// By the leader's clock these grants (holder, number) are surely over.
     Over(Vec<(u64, u64)>),
-    /// The whole of the cold budget from here on.
-    Whole(u32),
+    /// The capacity of the cold budget from here on.
+    Capacity(u32),
 }
 
-/// One slice for one life of a node.
+/// One slice for one incarnation of a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Grant {
     /// Whose.
--- a/decisions/council/src/leader.rs
+++ b/decisions/council/src/leader.rs
@@ -1,10 +1,10 @@
 //! What a node does while it leads: who takes part, and which slices are granted.
 
 use crate::entry::{Entry, Grant};
-use crate::lease::{Ask, Terms};
+use crate::lease::{LeaseRequest, Terms};
 use crate::log::Log;
 use crate::member::Member;
-use crate::voters::{self, Change, Lives};
+use crate::voters::{self, Change, Liveness};
 use lupincrank::Time;
 use lupincrank_budgets::divide::{divide, Claim};
 use std::collections::BTreeMap;
@@ -14,7 +14,7 @@
 const BATCH: u64 = 2;
 /// A member that a snapshot was sent to and that has said nothing gets it again after so many ticks.
 const SNAPSHOT_AGAIN: u64 = 10;
-/// Whose turn it is for what a whole leaves over changes this often.
+/// Whose turn it is for what a division leaves over changes this often.
 const TURN: Duration = Duration::from_secs(5);
 
 /// How things stand at one tick.
@@ -25,15 +25,15 @@
     pub ticks: u64,
     pub alive: &'a BTreeMap<u64, Member>,
     pub terms: &'a Terms,
-    pub bury: Duration,
+    pub removal_after: Duration,
 }
 
 /// What a leader keeps in mind.
 #[derive(Default)]
 pub(crate) struct Leader {
-    asks: BTreeMap<u64, Ask>,
-    /// What each said last that it wants.
-    wants: BTreeMap<u64, u32>,
+    asks: BTreeMap<u64, LeaseRequest>,
+    /// What each said last that it demands.
+    demands: BTreeMap<u64, u32>,
     dead: BTreeMap<u64, Time>,
     left: BTreeMap<u64, Left>,
 }
@@ -48,10 +48,10 @@
 
 impl Leader {
     /// A member has asked for a slice. Only members have a place here: the table stays as small as the fleet.
-    pub fn asked(&mut self, log: &Log, from: u64, ask: Ask) {
+    pub fn asked(&mut self, log: &Log, from: u64, ask: LeaseRequest) {
         if log.leads.is_some() && log.state.members.contains_key(&from) {
             self.asks.insert(from, ask);
-            self.wants.insert(from, ask.want);
+            self.demands.insert(from, ask.demand);
         }
     }
 
@@ -67,7 +67,7 @@
 
     /// Follows who lives.
     pub fn follow(&mut self, alive: &BTreeMap<u64, Member>, members: &BTreeMap<u64, Member>) {
-        self.wants.retain(|id, _| members.contains_key(id));
+        self.demands.retain(|id, _| members.contains_key(id));
         self.left.retain(|id, left| {
             let back = left.away && alive.contains_key(id);
             left.away |= !alive.contains_key(id);
@@ -78,7 +78,7 @@
     /// Another leadership, or none.
     pub fn forget_asks(&mut self) {
         self.asks.clear();
-        self.wants.clear();
+        self.demands.clear();
     }
 
     /// One tick; the change of who takes part that is under way now.
@@ -103,14 +103,14 @@
         for id in all().filter(|id| !view.alive.contains_key(id)) {
             self.dead.entry(*id).or_insert(view.now);
         }
-        let lives = |id: u64| {
+        let liveness = |id: u64| {
             let leaves = view.leaving && id == view.me || self.left.contains_key(&id);
             let there = id == view.me || view.alive.contains_key(&id);
             match leaves {
                 // One that was replaced is no member any more, and its vote may be needed all the same.
-                true if there || log.hears(id) => Lives::Leaves,
-                false if there => Lives::Stays,
-                _ => Lives::No,
+                true if there || log.hears(id) => Liveness::Leaves,
+                false if there => Liveness::Stays,
+                _ => Liveness::No,
             }
         };
         if log.changes() {
@@ -118,33 +118,33 @@
         }
         let gone = |id: u64| {
             let dead = self.dead.get(&id);
-            dead.is_some_and(|at| self.left.contains_key(&id) || view.now.since(*at) >= view.bury)
+            dead.is_some_and(|at| self.left.contains_key(&id) || view.now.since(*at) >= view.removal_after)
         };
         let caught = |id: u64| log.caught_up(id);
         let hears = |id: u64| id == view.me || log.hears(id);
-        let seen = voters::View { lives: &lives, gone: &gone, caught: &caught, hears: &hears };
+        let seen = voters::View { liveness: &liveness, gone: &gone, caught: &caught, hears: &hears };
         let change = voters::next(view.me, &parts, &log.state.members, view.alive, &seen)?;
         log.change(&change).then_some(change)
     }
 
-    /// What each holder would get of such a whole.
+    /// What each holder would get of such a capacity.
     pub fn slices(
         &self,
         log: &Log,
         now: Time,
         alive: &BTreeMap<u64, Member>,
-        whole: u32,
+        capacity: u32,
     ) -> (Vec<u64>, Vec<u32>) {
         let stays = |id: &u64| alive.contains_key(id) && !self.left.contains_key(id);
         let holders: Vec<u64> = log.state.members.keys().copied().filter(stays).collect();
         let turn = (now.0 / TURN.as_nanos() as u64) % holders.len().max(1) as u64;
         let claim = |id: &u64| {
             let holds = log.state.held.get(id).map_or(0, |held| held.slice);
-            // One that has not asked this leader yet is taken to want what it has.
-            Claim { want: self.wants.get(id).copied().unwrap_or(holds), holds }
+            // One that has not asked this leader yet is taken to demand what it has.
+            Claim { demand: self.demands.get(id).copied().unwrap_or(holds), holds }
         };
         let claims: Vec<Claim> = holders.iter().map(claim).collect();
-        let slices = divide(whole, &claims, turn);
+        let slices = divide(capacity, &claims, turn);
         (holders, slices)
     }
 
@@ -159,7 +159,7 @@
         if !over.is_empty() {
             log.propose(&Entry::Over(over));
         }
-        let (holders, slices) = self.slices(log, view.now, view.alive, log.state.whole);
+        let (holders, slices) = self.slices(log, view.now, view.alive, log.state.capacity);
         let grants = std::mem::take(&mut self.asks).into_iter().filter_map(|(holder, ask)| {
             let place = holders.iter().position(|id| *id == holder)?;
             Some(Grant { holder, number: ask.number, using: ask.using, slice: *slices.get(place)? })
--- a/decisions/council/src/lease.rs
+++ b/decisions/council/src/lease.rs
@@ -48,13 +48,13 @@
 
 /// What a node asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize)]
-pub struct Ask {
+pub struct LeaseRequest {
     /// Each request has a higher one.
     pub number: u64,
     /// The most that may have been in use at any time within the window before, and so still counts.
     pub using: u32,
     /// What it needs, by what it used.
-    pub want: u32,
+    pub demand: u32,
 }
 
 /// The holder's side.
@@ -81,7 +81,7 @@
 const MOST_BEFORE: usize = 64;
 
 impl Holder {
-    /// Holds nothing but its floor, and that not at once: what the life before it sent by the floor of the same name still
+    /// Holds nothing but its floor, and that not at once: what the incarnation before it sent by the floor of the same name still
     /// counts for a window.
     ///
     /// `starts` counts the processes of this identity: where others remember an earlier one, requests have numbers above all
@@ -132,14 +132,14 @@
     }
 
     /// Asks anew. Grants that answer earlier requests are void from here on, whenever they come.
-    pub fn ask(&mut self, terms: &Terms, now: Time, want: u32) -> Ask {
+    pub fn ask(&mut self, terms: &Terms, now: Time, demand: u32) -> LeaseRequest {
         self.number += 1;
         self.asked = Some(now);
         self.before.retain(|(_, until)| now.since(*until) < terms.window);
         // A slice that has run out counts as one of before, for as long as what was sent by it does.
         let held = self.held.filter(|(_, until)| now.since(*until) < terms.window);
         let using = held.iter().chain(&self.before).map(|(slice, _)| *slice).max().unwrap_or(0);
-        Ask { number: self.number, using, want }
+        LeaseRequest { number: self.number, using, demand }
     }
 
     /// A grant has come; whether it counts.
--- a/decisions/council/src/lib.rs
+++ b/decisions/council/src/lib.rs
@@ -2,18 +2,18 @@
 //!
 //! The few facts that all must hold alike stand in a replicated log ([`entry`]) and lead to one [`state`]. The log is
 //! carried by the `raft` crate, which [`council`] drives. No disk survives a machine, so a voter's vote is as mortal as
-//! its process, unless a folder is configured ([`kept`]): each life has an identity of its own ([`member`]), and [`voters`]
-//! lets a new life in only after the old one of that name is out. [`lease`] has both clocks of a lease, the holder's and the granter's.
+//! its process, unless a folder is configured ([`durable`]): each incarnation has an identity of its own ([`member`]), and [`voters`]
+//! lets a new incarnation in only after the old one of that name is out. [`lease`] has both clocks of a lease, the holder's and the granter's.
 
 pub mod council;
+pub mod durable;
 pub mod entry;
-pub mod kept;
 mod leader;
 pub mod lease;
 mod log;
 pub mod member;
-pub mod said;
+pub mod message;
 pub mod state;
+pub mod status;
 mod store;
-pub mod told;
 pub mod voters;
--- a/decisions/council/src/log.rs
+++ b/decisions/council/src/log.rs
@@ -1,17 +1,19 @@
 //! One node's copy of the log, driven through the `raft` crate: what is ready is carried out, what stands is applied.
 
+use crate::durable::Write;
 use crate::entry::Entry;
-use crate::kept::Write;
 use crate::lease::Clocks;
 use crate::member::{Member, Stamp};
-use crate::said::{Action, Said};
+use crate::message::{Action, CouncilMessage};
 use crate::state::State;
+use crate::status::LogLine;
 use crate::store::Store;
-use crate::told::Told;
 use crate::voters::{Change, Parts};
 use lupincrank::Time;
 use protobuf::Message as _;
-use raft::eraftpb::{ConfChange, ConfChangeType, ConfState, EntryType, Message, MessageType, Snapshot};
+use raft::eraftpb::{
+    ConfChange, ConfChangeType, ConfState, EntryType, Message as RaftMessage, MessageType, Snapshot,
+};
 use raft::{Config, ProgressState, RawNode, SnapshotStatus, StateRole, Storage};
 use std::collections::VecDeque;
 
@@ -43,7 +45,7 @@
     pub leader: u64,
     pub applied: u64,
     snapped: u64,
-    told: VecDeque<Told>,
+    told: VecDeque<LogLine>,
     /// Whether there is a disk; writes so far, those that are on it, and what waits for one.
     keeps: bool,
     writes: u64,
@@ -59,7 +61,7 @@
     number: u64,
     /// The last entry of a snapshot that it took over.
     snapshot: Option<u64>,
-    messages: Vec<Message>,
+    messages: Vec<RaftMessage>,
 }
 
 /// The log in memory contradicts itself: what stands in it can't be told any more.
@@ -141,7 +143,7 @@
     }
 
     /// The latest entries, oldest first.
-    pub fn told(&self) -> impl Iterator<Item = &Told> {
+    pub fn log_lines(&self) -> impl Iterator<Item = &LogLine> {
         self.told.iter()
     }
 
@@ -170,7 +172,7 @@
     }
 
     /// A message of the log has come; whether it changed anything.
-    pub fn step(&mut self, message: Message) -> bool {
+    pub fn step(&mut self, message: RaftMessage) -> bool {
         // Guards against a commit beyond the log, which raft takes for its own fault.
         let beyond = message.get_msg_type() == MessageType::MsgHeartbeat
             && message.commit > self.raw.raft.raft_log.last_index();
@@ -178,8 +180,8 @@
     }
 
     /// A message for this node by another one, if that is what it is.
-    pub fn read(bytes: &[u8], me: u64, from: u64) -> Option<Message> {
-        let message = Message::parse_from_bytes(bytes).ok()?;
+    pub fn read(bytes: &[u8], me: u64, from: u64) -> Option<RaftMessage> {
+        let message = RaftMessage::parse_from_bytes(bytes).ok()?;
         // The rest are raft's own signals to itself.
         let remote = !raft::raw_node::is_local_msg(message.get_msg_type());
         (message.to == me && message.from == from && remote).then_some(message)
@@ -239,10 +241,10 @@
         Ok(())
     }
 
-    fn post(&self, messages: Vec<Message>, out: &mut Vec<Action>) {
+    fn post(&self, messages: Vec<RaftMessage>, out: &mut Vec<Action>) {
         for message in messages {
             if let Ok(bytes) = message.write_to_bytes() {
-                out.push(Action::Send(message.to, Said::Raft(self.stamp, bytes)));
+                out.push(Action::Send(message.to, CouncilMessage::Raft(self.stamp, bytes)));
             }
         }
     }
@@ -263,7 +265,7 @@
                 ConfChangeType::RemoveNode => drop(self.state.members.remove(&change.node_id)),
                 _ => drop(member.map(|member| self.state.members.insert(change.node_id, member))),
             }
-            // A new life begins with a snapshot and takes none that does not name it.
+            // A new incarnation begins with a snapshot and takes none that does not name it.
             if let Ok(data) = postcard::to_stdvec(&self.state) {
                 self.store.keep(entry.index, entry.term, conf, data);
             }
@@ -276,13 +278,13 @@
             let granted = self.state.apply(read);
             if self.leads.is_some() {
                 let said = |grant: &crate::entry::Grant| {
-                    Action::Send(grant.holder, Said::Granted(self.stamp, grant.number, grant.slice))
+                    Action::Send(grant.holder, CouncilMessage::Granted(self.stamp, grant.number, grant.slice))
                 };
                 out.extend(granted.iter().map(said));
             }
         }
         if let Some(what) = what {
-            self.told.push_back(Told { index: entry.index, term: entry.term, what });
+            self.told.push_back(LogLine { index: entry.index, term: entry.term, what });
             if self.told.len() > TOLD {
                 self.told.pop_front();
             }
--- a/decisions/council/src/member.rs
+++ b/decisions/council/src/member.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-/// One life of one node. A process that starts again under the name has another id: it remembers neither its vote nor
+/// One incarnation of one node. A process that starts again under the name has another id: it remembers neither its vote nor
 /// what it was granted, and must never be taken for the one that gave them.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Member {
@@ -37,6 +37,6 @@
     pub voters: Vec<u64>,
     /// Those of them that were there.
     pub members: Vec<Member>,
-    /// The whole of the cold budget: new connections to cold transcribers in any second, over the fleet.
-    pub whole: u32,
+    /// The capacity of the cold budget: new connections to cold transcribers in any second, over the fleet.
+    pub capacity: u32,
 }
--- a/decisions/council/src/said.rs
+++ b/decisions/council/src/message.rs
@@ -1,14 +1,14 @@
 //! What nodes say to each other of the council, and what one of them wants carried out.
 
-use crate::kept::Write;
-use crate::lease::Ask;
+use crate::durable::Write;
+use crate::lease::LeaseRequest;
 use crate::member::{Founding, Stamp};
 use crate::voters::Change;
 use serde::{Deserialize, Serialize};
 
 /// What nodes say to each other of the council.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Said {
+pub enum CouncilMessage {
     /// Do you know a council?
     Seek,
     /// The greatest that the sender knows, if any.
@@ -18,15 +18,15 @@
     /// Of the log.
     Raft(Stamp, Vec<u8>),
     /// A slice is asked for.
-    Ask(Stamp, Ask),
+    LeaseRequest(Stamp, LeaseRequest),
     /// It is granted: the number of the request, and the slice.
     Granted(Stamp, u64, u32),
     /// The sender ends in good order.
     Leaves(Stamp),
     /// To one that leaves: it takes part no more.
     Gone(Stamp),
-    /// To the leader: another whole is to be handed out.
-    Whole(Stamp, u32),
+    /// To the leader: another capacity is to be handed out.
+    Capacity(Stamp, u32),
 }
 
 /// What a person who reads the log should know.
@@ -44,7 +44,7 @@
     Slice(u32),
     /// Its lease has run out.
     LeaseOver,
-    /// The log broke its own rules: this life takes no part any more.
+    /// The log broke its own rules: this incarnation takes no part any more.
     Broke,
 }
 
@@ -52,7 +52,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
     /// To the member with this id.
-    Send(u64, Said),
+    Send(u64, CouncilMessage),
     /// Onto the disk, where there is a folder.
     Write(Write),
     /// For people.
--- a/decisions/council/src/state.rs
+++ b/decisions/council/src/state.rs
@@ -1,4 +1,4 @@
-//! The state that the log leads to, the same at every node. It keeps the sum: a grant that would pass the whole is cut
+//! The state that the log leads to, the same at every node. It keeps the sum: a grant that would pass the capacity is cut
 //! down when it is applied, whoever proposed it.
 
 use crate::entry::{Entry, Grant};
@@ -18,7 +18,7 @@
 }
 
 impl Held {
-    /// What is taken of the whole.
+    /// What is taken of the capacity.
     pub fn counts(&self) -> u32 {
         self.slice.max(self.using)
     }
@@ -33,8 +33,8 @@
     pub epoch: u64,
     /// Voters and learners by id.
     pub members: BTreeMap<u64, Member>,
-    /// See `Founding::whole`.
-    pub whole: u32,
+    /// See `Founding::capacity`.
+    pub capacity: u32,
     /// What is granted and not surely over, by holder.
     pub held: BTreeMap<u64, Held>,
     /// Grants that were made.
@@ -45,18 +45,18 @@
     /// As a council begins.
     pub fn found(founding: &Founding) -> State {
         let members = founding.members.iter().map(|member| (member.id, member.clone())).collect();
-        State { stamp: founding.stamp, whole: founding.whole, members, ..State::default() }
+        State { stamp: founding.stamp, capacity: founding.capacity, members, ..State::default() }
     }
 
-    /// What is taken of the whole.
+    /// What is taken of the capacity.
     pub fn sum(&self) -> u32 {
         self.held.values().fold(0, |sum, held| sum.saturating_add(held.counts()))
     }
 
-    /// What is left for this holder: the whole without what the others may have in use.
+    /// What is left for this holder: the capacity without what the others may have in use.
     pub fn left(&self, holder: u64) -> u32 {
         let own = self.held.get(&holder).map_or(0, Held::counts);
-        self.whole.saturating_sub(self.sum().saturating_sub(own))
+        self.capacity.saturating_sub(self.sum().saturating_sub(own))
     }
 
     /// Takes one entry in; gives the grants as they were made.
@@ -73,8 +73,8 @@
                 }
                 Vec::new()
             }
-            Entry::Whole(whole) => {
-                self.whole = whole;
+            Entry::Capacity(capacity) => {
+                self.capacity = capacity;
                 Vec::new()
             }
         }
@@ -88,7 +88,7 @@
         {
             return None;
         }
-        // It can't have more in use than it was granted: guards against one mad node that would take all of the whole.
+        // It can't have more in use than it was granted: guards against one mad node that would take all of the capacity.
         let using = using.min(self.held.get(&holder).map_or(0, Held::counts));
         let slice = slice.min(self.left(holder));
         self.grants += 1;
--- a/decisions/council/src/told.rs
+++ b/decisions/council/src/status.rs
@@ -8,13 +8,13 @@
 pub struct Refused {
     /// Of a council that is fenced off.
     pub fenced: u64,
-    /// For another life, from another than who sends it, or not to be read.
+    /// For another incarnation, from another than who sends it, or not to be read.
     pub strange: u64,
 }
 
 /// One line of `fleet log`.
 #[derive(Clone, Debug, Serialize)]
-pub struct Told {
+pub struct LogLine {
     /// Its place in the log.
     pub index: u64,
     /// Under which leadership.
@@ -23,9 +23,9 @@
     pub what: String,
 }
 
-/// One life of a node as the council has it.
+/// One incarnation of a node as the council has it.
 #[derive(Clone, Debug, Serialize)]
-pub struct Part {
+pub struct Participant {
     /// Who.
     pub member: Member,
     /// `leader`, `voter` or `learner`.
@@ -51,9 +51,10 @@
     pub index: u64,
     /// The leader's name.
     pub leader: Option<String>,
-    /// The whole that is handed out, and what is taken of it.
-    pub whole: u32,
-    /// See `whole`.
+    /// The capacity that is handed out, and what is taken of it.
+    #[serde(rename = "whole")] // as scripts of staff read it
+    pub capacity: u32,
+    /// See `capacity`.
     pub sum: u32,
     /// What this node may use now.
     pub limit: u32,
@@ -62,5 +63,5 @@
     /// Messages that changed nothing.
     pub refused: Refused,
     /// All that take part.
-    pub parts: Vec<Part>,
+    pub parts: Vec<Participant>,
 }
--- a/decisions/council/src/store.rs
+++ b/decisions/council/src/store.rs
@@ -1,6 +1,6 @@
 //! The log in memory: the raft crate's own store, with the state added to its snapshots.
 
-use crate::kept::Kept;
+use crate::durable::Durable;
 use protobuf::Message as _;
 use raft::eraftpb::{ConfState, Entry, HardState, Snapshot};
 use raft::storage::MemStorage;
@@ -27,7 +27,7 @@
     }
 
     /// As a process before this one left it; an error says that it contradicts itself.
-    pub fn resume(kept: &Kept) -> Result<Store> {
+    pub fn resume(kept: &Durable) -> Result<Store> {
         let store = Store::default();
         if let Some(bytes) = &kept.snapshot {
             store.restore(&Snapshot::parse_from_bytes(bytes)?)?;
--- a/decisions/council/src/voters.rs
+++ b/decisions/council/src/voters.rs
@@ -6,7 +6,7 @@
 /// One change of who takes part.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
-    /// This life is out.
+    /// This incarnation is out.
     Remove(u64),
     /// It learns the log and has no vote.
     Learn(Member),
@@ -25,9 +25,9 @@
     pub learners: BTreeSet<u64>,
 }
 
-/// How a life stands.
+/// How an incarnation stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Lives {
+pub enum Liveness {
     /// It is there.
     Stays,
     /// It is there and answers, but not for long.
@@ -39,7 +39,7 @@
 /// What a leader knows of the others.
 pub struct View<'a> {
     /// How each stands.
-    pub lives: &'a dyn Fn(u64) -> Lives,
+    pub liveness: &'a dyn Fn(u64) -> Liveness,
     /// Dead for long enough to be taken out.
     pub gone: &'a dyn Fn(u64) -> bool,
     /// Has nearly all of the log: a vote without it makes a majority that can't go on.
@@ -69,7 +69,7 @@
 
 /// The next change, if one is due. `members` are those that the log knows and `alive` those that membership does.
 ///
-/// The rule that keeps votes apart: a life is let in only once no other life of its name takes part. `me` leads and is
+/// The rule that keeps votes apart: an incarnation is let in only once no other incarnation of its name takes part. `me` leads and is
 /// neither removed nor unvoted, or there would be no leader to make the next change.
 pub fn next(
     me: u64,
@@ -78,19 +78,19 @@
     alive: &BTreeMap<u64, Member>,
     view: &View,
 ) -> Option<Change> {
-    let lives = view.lives;
-    let stays = |id: &u64| lives(*id) == Lives::Stays;
+    let liveness = view.liveness;
+    let stays = |id: &u64| liveness(*id) == Liveness::Stays;
     let without = |out: u64| view.can_go_on(parts.voters.iter().copied().filter(|id| *id != out));
     let all = || parts.voters.iter().chain(&parts.learners);
     // Votes first: each that can't be given makes a majority harder to reach.
     if let Some(dead) =
-        all().find(|id| **id != me && lives(**id) == Lives::No && (view.gone)(**id) && without(**id))
+        all().find(|id| **id != me && liveness(**id) == Liveness::No && (view.gone)(**id) && without(**id))
     {
         return Some(Change::Remove(*dead));
     }
     let taken: BTreeSet<&str> =
         all().filter_map(|id| members.get(id)).map(|member| member.name.as_str()).collect();
-    // Another life of a name that still takes part waits until the old one is out.
+    // Another incarnation of a name that still takes part waits until the old one is out.
     let fresh = alive.values().find(|member| {
         !parts.voters.contains(&member.id)
             && !parts.learners.contains(&member.id)
@@ -116,7 +116,8 @@
         }
     }
     // One that ends and still answers helps to give its own vote to another, so it goes after that.
-    if let Some(leaving) = all().find(|id| **id != me && lives(**id) == Lives::Leaves && without(**id)) {
+    if let Some(leaving) = all().find(|id| **id != me && liveness(**id) == Liveness::Leaves && without(**id))
+    {
         return Some(Change::Remove(*leaving));
     }
     if votes.len() > wanted && votes.len() == parts.voters.len() {
--- a/decisions/council/tests/model.rs
+++ b/decisions/council/tests/model.rs
@@ -4,7 +4,7 @@
 
 use lupincrank::Time;
 use lupincrank_council::entry::{Entry, Grant};
-use lupincrank_council::lease::{Ask, Clocks, Holder, Terms};
+use lupincrank_council::lease::{Clocks, Holder, LeaseRequest, Terms};
 use lupincrank_council::member::{Founding, Member, Stamp};
 use lupincrank_council::state::State;
 use rstest::rstest;
@@ -13,25 +13,25 @@
 
 /// Time goes in steps of this many milliseconds, as a perfect clock shows them.
 const STEP: u64 = 500;
-const WHOLE: u32 = 2;
-/// The lives of each holder ask so often at the most.
+const CAPACITY: u32 = 2;
+/// The incarnations of each holder ask so often at the most.
 const ASKS: [u8; 2] = [2, 1];
 
-/// One holder: its life's id, its machine, and what it may have used, by the perfect clock.
+/// One holder: its incarnation's id, its machine, and what it may have used, by the perfect clock.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Life {
+struct Incarnation {
     id: u64,
     machine: Holder,
     asked: u8,
     frozen: bool,
-    /// Limits and when each was last in force; also those of the lives before.
+    /// Limits and when each was last in force; also those of the incarnations before.
     used: Vec<(u32, u64)>,
 }
 
 /// A message that is on its way.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 enum Wire {
-    Ask(u64, Ask),
+    LeaseRequest(u64, LeaseRequest),
     Grant(u64, Grant),
 }
 
@@ -42,7 +42,7 @@
     clocks: Clocks,
     /// Since when the granter leads a council that has granted nothing.
     leads: Time,
-    lives: Vec<Life>,
+    incarnations: Vec<Incarnation>,
     wire: Vec<Wire>,
     faults: u8,
 }
@@ -50,7 +50,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum Step {
     Pass,
-    Ask(usize),
+    LeaseRequest(usize),
     Deliver(usize),
     DeliverLess(usize),
     Freeze(usize),
@@ -68,7 +68,7 @@
     /// The holders' clocks against the perfect one; the granter's is fast by as much.
     slow: f64,
     drift: f64,
-    /// A life from nothing takes the id that the one before had.
+    /// An incarnation from nothing takes the id that the one before had.
     same_id: bool,
     /// A reseeded council hands out at once.
     no_wait: bool,
@@ -95,9 +95,9 @@
     fn granter(&self, now: u64) -> Time {
         Time(((now * STEP) as f64 * 1e6 * (1.0 + self.slow)) as u64)
     }
-    fn found(&self, epoch: u64, lives: &[Life]) -> State {
-        let member = |life: &Life| Member {
-            id: life.id,
+    fn found(&self, epoch: u64, incarnations: &[Incarnation]) -> State {
+        let member = |incarnation: &Incarnation| Member {
+            id: incarnation.id,
             name: String::new(),
             zone: String::new(),
             region: String::new(),
@@ -107,8 +107,8 @@
         State::found(&Founding {
             stamp,
             voters: vec![],
-            members: lives.iter().map(member).collect(),
-            whole: WHOLE,
+            members: incarnations.iter().map(member).collect(),
+            capacity: CAPACITY,
         })
     }
 
@@ -120,18 +120,18 @@
         world.state.apply(Entry::Over(over));
         world.clocks.follow(at, &world.state);
         let at = self.holder(world.now);
-        for life in &mut world.lives {
-            if !life.frozen {
-                let (limit, _) = life.machine.limit(at);
-                life.used.push((limit, world.now));
+        for incarnation in &mut world.incarnations {
+            if !incarnation.frozen {
+                let (limit, _) = incarnation.machine.limit(at);
+                incarnation.used.push((limit, world.now));
             }
-            life.used.retain(|(limit, last)| *limit > 0 && last + 1 > world.now);
-            life.used.sort();
-            life.used.dedup();
+            incarnation.used.retain(|(limit, last)| *limit > 0 && last + 1 > world.now);
+            incarnation.used.sort();
+            incarnation.used.dedup();
         }
     }
 
-    fn grant(&self, world: &mut World, from: u64, ask: Ask, most: u32) {
+    fn grant(&self, world: &mut World, from: u64, ask: LeaseRequest, most: u32) {
         let at = self.granter(world.now);
         let waits = !self.no_wait && at.since(world.leads) < self.terms().surely_over();
         if world.state.grants == 0 && waits {
@@ -150,19 +150,19 @@
     type Action = Step;
 
     fn init_states(&self) -> Vec<World> {
-        let life = |id| Life {
+        let incarnation = |id| Incarnation {
             id,
             machine: Holder::new(&self.terms(), Time(0), 0, 0),
             asked: 0,
             frozen: false,
             used: vec![],
         };
-        let lives = vec![life(1), life(2)];
-        let mut state = self.found(1, &lives);
+        let incarnations = vec![incarnation(1), incarnation(2)];
+        let mut state = self.found(1, &incarnations);
         // A council that has been at work for a while.
         state.grants = 1;
         let (clocks, leads) = (Clocks::default(), Time(0));
-        vec![World { now: 0, state, clocks, leads, lives, wire: vec![], faults: 0 }]
+        vec![World { now: 0, state, clocks, leads, incarnations, wire: vec![], faults: 0 }]
     }
 
     fn actions(&self, world: &World, actions: &mut Vec<Step>) {
@@ -170,24 +170,24 @@
             actions.push(Step::Pass);
         }
         let at = self.holder(world.now);
-        for (n, life) in world.lives.iter().enumerate() {
-            if life.frozen {
+        for (n, incarnation) in world.incarnations.iter().enumerate() {
+            if incarnation.frozen {
                 actions.push(Step::Wake(n));
-            } else if life.machine.due(&self.terms(), at, false)
+            } else if incarnation.machine.due(&self.terms(), at, false)
                 && world.wire.len() < 2
-                && life.asked < ASKS[n]
+                && incarnation.asked < ASKS[n]
             {
-                actions.push(Step::Ask(n));
+                actions.push(Step::LeaseRequest(n));
             }
         }
         for at in 0..world.wire.len() {
             actions.push(Step::Deliver(at));
-            if matches!(world.wire[at], Wire::Ask(..)) {
+            if matches!(world.wire[at], Wire::LeaseRequest(..)) {
                 actions.push(Step::DeliverLess(at));
             }
         }
         if world.faults < self.faults {
-            for n in 0..world.lives.len() {
+            for n in 0..world.incarnations.len() {
                 actions.extend([Step::Freeze(n), Step::Restart(n)]);
             }
             actions.extend([Step::NewGranter, Step::Reseed]);
@@ -199,42 +199,43 @@
         let at = self.holder(next.now);
         match step {
             Step::Pass => next.now += 1,
-            Step::Ask(n) => {
-                next.lives[n].asked += 1;
-                let ask = next.lives[n].machine.ask(&self.terms(), at, 0);
-                next.wire.push(Wire::Ask(next.lives[n].id, ask));
+            Step::LeaseRequest(n) => {
+                next.incarnations[n].asked += 1;
+                let ask = next.incarnations[n].machine.ask(&self.terms(), at, 0);
+                next.wire.push(Wire::LeaseRequest(next.incarnations[n].id, ask));
             }
             Step::DeliverLess(n) => {
-                let Wire::Ask(from, ask) = next.wire.remove(n) else { return None };
+                let Wire::LeaseRequest(from, ask) = next.wire.remove(n) else { return None };
                 self.grant(&mut next, from, ask, 1);
             }
             Step::Deliver(n) => match next.wire.remove(n) {
-                Wire::Ask(from, ask) => self.grant(&mut next, from, ask, WHOLE),
+                Wire::LeaseRequest(from, ask) => self.grant(&mut next, from, ask, CAPACITY),
                 Wire::Grant(to, grant) => {
-                    let life = next.lives.iter_mut().find(|life| life.id == to)?;
-                    if life.frozen {
+                    let incarnation =
+                        next.incarnations.iter_mut().find(|incarnation| incarnation.id == to)?;
+                    if incarnation.frozen {
                         return None;
                     }
-                    life.machine.granted(&self.terms(), at, grant.number, grant.slice);
+                    incarnation.machine.granted(&self.terms(), at, grant.number, grant.slice);
                 }
             },
             Step::Freeze(n) => {
                 next.faults += 1;
-                next.lives[n].frozen = true;
+                next.incarnations[n].frozen = true;
             }
-            Step::Wake(n) => next.lives[n].frozen = false,
+            Step::Wake(n) => next.incarnations[n].frozen = false,
             Step::Restart(n) => {
                 next.faults += 1;
-                let used = next.lives[n].used.clone();
-                let id = next.lives[n].id + if self.same_id { 0 } else { 10 };
+                let used = next.incarnations[n].used.clone();
+                let id = next.incarnations[n].id + if self.same_id { 0 } else { 10 };
                 let mut machine = Holder::new(&self.terms(), at, 0, 0);
                 if self.same_id {
                     // The mutant: it goes on as the one it was, and has forgotten what that one was granted.
                     next.state.held.remove(&id);
                     machine.ask(&self.terms(), at, 0);
                 }
-                next.lives[n] = Life { id, machine, asked: 0, frozen: false, used };
-                // The council lets the new life in once the old one is out.
+                next.incarnations[n] = Incarnation { id, machine, asked: 0, frozen: false, used };
+                // The council lets the new incarnation in once the old one is out.
                 let member = Member { id, ..next.state.members.values().next()?.clone() };
                 next.state.members.insert(id, member);
             }
@@ -245,7 +246,7 @@
             }
             Step::Reseed => {
                 next.faults += 1;
-                next.state = self.found(next.state.stamp.epoch + 1, &next.lives);
+                next.state = self.found(next.state.stamp.epoch + 1, &next.incarnations);
                 (next.clocks, next.leads) = (Clocks::default(), self.granter(next.now));
                 // Messages of the old council answer nothing any more; leases that are held run on.
                 next.wire.clear();
@@ -258,9 +259,11 @@
     }
 
     fn properties(&self) -> Vec<Property<Leases>> {
-        vec![Property::always("the sum is within the whole", |_: &Leases, world: &World| {
-            let most = |life: &Life| life.used.iter().map(|(limit, _)| *limit).max().unwrap_or(0);
-            world.lives.iter().map(most).sum::<u32>() <= WHOLE
+        vec![Property::always("the sum is within the capacity", |_: &Leases, world: &World| {
+            let most = |incarnation: &Incarnation| {
+                incarnation.used.iter().map(|(limit, _)| *limit).max().unwrap_or(0)
+            };
+            world.incarnations.iter().map(most).sum::<u32>() <= CAPACITY
         })]
     }
 }
@@ -280,6 +283,6 @@
         checker.unique_state_count(),
         checker.max_depth()
     );
-    let found = checker.discovery("the sum is within the whole");
+    let found = checker.discovery("the sum is within the capacity");
     assert_eq!(found.is_some(), breaks, "{:?}", found.map(|path| path.into_actions()));
 }
--- a/decisions/council/tests/schedules.rs
+++ b/decisions/council/tests/schedules.rs
@@ -1,12 +1,12 @@
 //! The real machines under drawn schedules of faults: whatever happens, what all nodes might send within a second never
-//! passes the whole.
+//! passes the capacity.
 
 mod sim;
 
 use lupincrank_council::lease::Terms;
 use proptest::prelude::*;
 use rstest::rstest;
-use sim::{Fault, Sim, FLOOR, WHOLE};
+use sim::{Fault, Sim, CAPACITY, FLOOR};
 use std::time::Duration;
 
 fn fault() -> impl Strategy<Value = Fault> {
@@ -38,7 +38,7 @@
         for (after, fault) in &faults {
             sim.fault(fault);
             sim.run(Duration::from_millis(*after));
-            prop_assert!(sim.worst <= WHOLE, "{} in use of {WHOLE} after {fault:?}, {:?}", sim.worst, sim.now);
+            prop_assert!(sim.worst <= CAPACITY, "{} in use of {CAPACITY} after {fault:?}, {:?}", sim.worst, sim.now);
         }
         // A reseeding while those that hold leases are still about.
         for node in 0..nodes {
@@ -48,7 +48,7 @@
         sim.run(Duration::from_millis(300));
         sim.fault(&Fault::Reseed(seed as usize % nodes));
         sim.run(Duration::from_secs(10));
-        prop_assert!(sim.worst <= WHOLE, "{} in use of {WHOLE}", sim.worst);
+        prop_assert!(sim.worst <= CAPACITY, "{} in use of {CAPACITY}", sim.worst);
     }
 }
 
@@ -72,7 +72,7 @@
         for (after, fault) in &faults {
             sim.fault(fault);
             sim.run(Duration::from_millis(*after));
-            prop_assert!(sim.worst <= WHOLE, "{} in use of {WHOLE} after {fault:?}, {:?}", sim.worst, sim.now);
+            prop_assert!(sim.worst <= CAPACITY, "{} in use of {CAPACITY} after {fault:?}, {:?}", sim.worst, sim.now);
         }
     }
 }
@@ -92,9 +92,9 @@
             assert_eq!(sim.led(), 5, "seed {seed}");
             assert_eq!((0..5).map(|n| stamp(&sim, n)).collect::<Vec<_>>(), [before; 5], "seed {seed}");
             let sum = sim.sum();
-            assert!((WHOLE - 2..=WHOLE).contains(&sum), "{sum} of {WHOLE}, seed {seed}");
+            assert!((CAPACITY - 2..=CAPACITY).contains(&sum), "{sum} of {CAPACITY}, seed {seed}");
         }
-        assert!(sim.worst <= WHOLE, "{} in use of {WHOLE}, seed {seed}", sim.worst);
+        assert!(sim.worst <= CAPACITY, "{} in use of {CAPACITY}, seed {seed}", sim.worst);
     }
 }
 
@@ -111,7 +111,7 @@
         sim.run(Duration::from_secs(15));
         // An entry is one by its place and the leadership that it was written under.
         let entries = |sim: &Sim, n: usize| -> Vec<(u64, u64)> {
-            sim.nodes[n].council.told().map(|told| (told.index, told.term)).collect()
+            sim.nodes[n].council.log_lines().map(|told| (told.index, told.term)).collect()
         };
         let last = (0..5).filter_map(|n| entries(&sim, n).last().copied()).max().expect("a log");
         (0..5).for_each(|n| sim.fault(&Fault::Return(n)));
@@ -124,7 +124,7 @@
 }
 
 /// Three of four end within 0.2 s, each waited for until it is let go, for 3 s at the most: the one that stays has a council,
-/// and after a while all of the whole but the floors that stay set aside for the names of the others.
+/// and after a while all of the capacity but the floors that stay set aside for the names of the others.
 #[test]
 fn nodes_that_end_in_good_order_leave_a_council_and_their_slices_behind() {
     for seed in 0..8 {
@@ -136,7 +136,7 @@
         }
         let stays = (seed as usize + 3) % 4;
         let deadline = sim.now + Duration::from_secs(10);
-        while sim.nodes[stays].council.limit(sim.local(stays)).0 < WHOLE - 3 * FLOOR {
+        while sim.nodes[stays].council.limit(sim.local(stays)).0 < CAPACITY - 3 * FLOOR {
             sim.run(Duration::from_millis(100));
             assert!(
                 sim.now < deadline,
@@ -145,7 +145,7 @@
             );
         }
         assert!(sim.nodes[stays].council.leads(), "seed {seed}");
-        assert!(sim.worst <= WHOLE, "{} in use of {WHOLE}, seed {seed}", sim.worst);
+        assert!(sim.worst <= CAPACITY, "{} in use of {CAPACITY}, seed {seed}", sim.worst);
     }
 }
 
@@ -175,7 +175,7 @@
         sim.run(Duration::from_secs(5));
         worst = worst.max(sim.worst);
     }
-    assert_eq!(worst > WHOLE, same_id, "{worst} in use of {WHOLE}");
+    assert_eq!(worst > CAPACITY, same_id, "{worst} in use of {CAPACITY}");
 }
 
 /// Clocks that differ by 14 parts in a thousand, and long leases, so that this is more than the window leaves over.
@@ -196,7 +196,7 @@
         sim.run(Duration::from_secs(66));
         worst = worst.max(sim.worst);
     }
-    assert_eq!(worst > WHOLE, breaks, "{worst} in use of {WHOLE}");
+    assert_eq!(worst > CAPACITY, breaks, "{worst} in use of {CAPACITY}");
 }
 
 #[test]
@@ -212,11 +212,11 @@
         assert!(sim.led() >= 4, "{} are led after {fault:?}", sim.led());
         // What a node that is gone held is in use again, but for its floor and what is just changing hands.
         let sum = sim.sum();
-        assert!((WHOLE - 2..=WHOLE).contains(&sum), "{sum} of {WHOLE} after {fault:?}");
+        assert!((CAPACITY - 2..=CAPACITY).contains(&sum), "{sum} of {CAPACITY} after {fault:?}");
     }
 }
 
-/// What is sent to a new life first is a snapshot: one that gets lost must come again, and nobody votes without it.
+/// What is sent to a new incarnation first is a snapshot: one that gets lost must come again, and nobody votes without it.
 #[test]
 fn one_leader_after_the_other_starts_from_nothing_while_messages_get_lost() {
     let mut sim = Sim::new(5, 0.01, Terms::default(), 6);
@@ -257,7 +257,7 @@
         assert_eq!(epochs(&sim), vec![Some(2); 5]);
         assert_eq!(sim.led(), 5);
     }
-    assert!(sim.worst <= WHOLE, "{} in use of {WHOLE}", sim.worst);
+    assert!(sim.worst <= CAPACITY, "{} in use of {CAPACITY}", sim.worst);
 }
 
 proptest! {
@@ -270,8 +270,8 @@
         from in 0..3usize,
         bytes in proptest::collection::vec(any::<u8>(), 0..80),
     ) {
-        use lupincrank_council::said::Said;
-        use lupincrank_council::lease::Ask;
+        use lupincrank_council::message::CouncilMessage;
+        use lupincrank_council::lease::LeaseRequest;
         use lupincrank_council::member::Stamp;
         thread_local!(static LED: std::cell::RefCell<Sim> = std::cell::RefCell::new({
             let mut sim = Sim::new(3, 0.0, Terms::default(), 4);
@@ -281,24 +281,24 @@
         LED.with_borrow_mut(|sim| {
             let to = (0..3).find(|n| sim.nodes[*n].council.leads()).unwrap();
             let mine = sim.nodes[to].council.state().unwrap().stamp;
-            // A higher stamp would be another council, which every life prefers: that is the rule.
+            // A higher stamp would be another council, which every incarnation prefers: that is the rule.
             let stamp = if stamp { mine } else { Stamp { epoch: 0, founding: 3 } };
             let from = if from == to { (to + 1) % 3 } else { from };
             let id = sim.nodes[from].id;
             let said = match kind {
-                0 => Said::Seek,
-                1 => Said::Known(Some(stamp)),
-                2 | 3 => Said::Raft(stamp, bytes),
-                4 => Said::Ask(stamp, Ask { number: bytes.len() as u64, using: u32::MAX, want: u32::MAX }),
-                5 => Said::Granted(stamp, bytes.len() as u64, u32::MAX),
+                0 => CouncilMessage::Seek,
+                1 => CouncilMessage::Known(Some(stamp)),
+                2 | 3 => CouncilMessage::Raft(stamp, bytes),
+                4 => CouncilMessage::LeaseRequest(stamp, LeaseRequest { number: bytes.len() as u64, using: u32::MAX, demand: u32::MAX }),
+                5 => CouncilMessage::Granted(stamp, bytes.len() as u64, u32::MAX),
                 // That a member leaves is its own word, as is what it uses.
-                _ => Said::Gone(stamp),
+                _ => CouncilMessage::Gone(stamp),
             };
             let now = sim.local(to);
             sim.nodes[to].council.take(now, id, said);
             sim.run(Duration::from_millis(50));
             prop_assert!(sim.nodes[to].council.state().is_some());
-            prop_assert!(sim.worst <= WHOLE, "{} in use of {WHOLE}", sim.worst);
+            prop_assert!(sim.worst <= CAPACITY, "{} in use of {CAPACITY}", sim.worst);
             Ok(())
         })?;
     }
--- a/decisions/council/tests/sim/mod.rs
+++ b/decisions/council/tests/sim/mod.rs
@@ -6,10 +6,10 @@
 use lupincrank_budgets::need::Use;
 use lupincrank_council::council::{Council, Tuning, TICK};
 
-use lupincrank_council::kept::{Kept, Write};
+use lupincrank_council::durable::{Durable, Write};
 use lupincrank_council::lease::Terms;
 use lupincrank_council::member::Member;
-use lupincrank_council::said::{Action, Said};
+use lupincrank_council::message::{Action, CouncilMessage};
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -18,7 +18,7 @@
 pub const STEP: Duration = Duration::from_millis(25);
 /// Membership takes so long to see a death.
 const UNHEARD: Duration = Duration::from_millis(2500);
-pub const WHOLE: u32 = 10;
+pub const CAPACITY: u32 = 10;
 pub const FLOOR: u32 = 1;
 /// Budgets count what is sent within this.
 const SECOND: Duration = Duration::from_secs(1);
@@ -50,9 +50,9 @@
     ticked: Duration,
     /// What it might have used, and until when, by real time.
     limits: VecDeque<(Duration, u32)>,
-    inbox: VecDeque<(u64, Said)>,
+    inbox: VecDeque<(u64, CouncilMessage)>,
     /// What is on its disk, and what will be, and when: lost if it is killed before.
-    disk: Kept,
+    disk: Durable,
     unsynced: VecDeque<(Duration, Write)>,
     ends: Option<Duration>,
 }
@@ -64,9 +64,9 @@
     cut: BTreeSet<(usize, usize)>,
     loss: f64,
     heard: BTreeMap<(usize, usize), Duration>,
-    wire: BTreeMap<(Duration, u64), (usize, u64, usize, Said)>,
+    wire: BTreeMap<(Duration, u64), (usize, u64, usize, CouncilMessage)>,
     numbered: u64,
-    lives: u64,
+    incarnations: u64,
     random: Pcg64Mcg,
     /// A restarted node takes its old id: the mutant that must be caught.
     pub same_id: bool,
@@ -75,7 +75,7 @@
     pub hasty: bool,
     /// A write takes up to half a second.
     pub slow_disks: bool,
-    /// Lives that are over but used something within the last second.
+    /// Liveness that are over but used something within the last second.
     past: VecDeque<(Duration, u32)>,
     pub worst: u32,
 }
@@ -101,7 +101,7 @@
         sim.disks = true;
         for n in 0..nodes {
             let (rate, offset) = (sim.nodes[n].rate, sim.nodes[n].offset);
-            sim.nodes[n] = sim.life(n, nodes, rate, offset, None);
+            sim.nodes[n] = sim.incarnation(n, nodes, rate, offset, None);
         }
         sim
     }
@@ -117,7 +117,7 @@
             heard: BTreeMap::new(),
             wire: BTreeMap::new(),
             numbered: 0,
-            lives: 0,
+            incarnations: 0,
             random: random.clone(),
             same_id,
             disks: false,
@@ -129,25 +129,25 @@
         for n in 0..nodes {
             let rate = 1.0 + drift * random.random_range(-1.0..1.0f64).signum();
             let offset = random.random_range(1_000..1_000_000_000_000u64);
-            let node = sim.life(n, nodes, rate, offset, None);
+            let node = sim.incarnation(n, nodes, rate, offset, None);
             sim.nodes.push(node);
         }
         sim
     }
 
-    fn life(&mut self, n: usize, nodes: usize, rate: f64, offset: u64, kept: Option<Kept>) -> Node {
-        self.lives += 1;
-        let id = if self.same_id { 1 + n as u64 } else { self.lives * 1_000 + n as u64 };
-        let disk = kept.unwrap_or(Kept { id, ..Kept::default() });
-        let disk = Kept { starts: disk.starts + 1, ..disk };
+    fn incarnation(&mut self, n: usize, nodes: usize, rate: f64, offset: u64, kept: Option<Durable>) -> Node {
+        self.incarnations += 1;
+        let id = if self.same_id { 1 + n as u64 } else { self.incarnations * 1_000 + n as u64 };
+        let disk = kept.unwrap_or(Durable { id, ..Durable::default() });
+        let disk = Durable { starts: disk.starts + 1, ..disk };
         let id = disk.id;
         let tuning = Tuning {
             terms: self.terms,
             expect: (0..nodes).map(|n| format!("n{n}")).collect(),
-            whole: WHOLE - FLOOR * nodes as u32,
+            capacity: CAPACITY - FLOOR * nodes as u32,
             floor: FLOOR,
             settle: Duration::from_millis(1500),
-            bury: Duration::from_secs(2),
+            removal_after: Duration::from_secs(2),
         };
         let at = local(self.now, rate, offset);
         Node {
@@ -189,11 +189,11 @@
             Fault::Restart(n) | Fault::Return(n) => {
                 let n = n % nodes;
                 let Node { rate, offset, .. } = self.nodes[n];
-                // What the last life sent still counts.
+                // What the last incarnation sent still counts.
                 let used = self.used(n);
                 self.past.push_back((self.now, used));
                 let kept = matches!(fault, Fault::Return(_)).then(|| self.nodes[n].disk.clone());
-                let fresh = self.life(n, nodes, rate, offset, kept);
+                let fresh = self.incarnation(n, nodes, rate, offset, kept);
                 self.nodes[n] = fresh;
             }
             Fault::Lose(percent) => self.loss = f64::from(percent % 60) / 100.0,
--- a/node/src/cli.rs
+++ b/node/src/cli.rs
@@ -39,7 +39,7 @@
         what: String,
         /// The node's second address.
         address: SocketAddr,
-        /// `NAME=WHOLE`, for `plan` and `set`.
+        /// `NAME=CAPACITY`, for `plan` and `set`.
         change: Option<String>,
     },
     /// Make one call at a node's second address.
@@ -97,7 +97,7 @@
     let json = long("json").help("Print the answer as JSON").switch();
     let what = positional::<String>("WHAT").help("show, plan or set");
     let address = positional::<SocketAddr>("ADDRESS").help("The node's second address, as address:port");
-    let change = positional::<String>("NAME=WHOLE").help("For plan and set, as in cold=60").optional();
+    let change = positional::<String>("NAME=CAPACITY").help("For plan and set, as in cold=60").optional();
     let budgets = construct!(Command::Budgets { json, what, address, change })
         .to_options()
         .descr("Show the fleet's budgets, try a change out, or make it")
--- a/node/src/fleet/carry.rs
+++ b/node/src/fleet/carry.rs
@@ -4,10 +4,10 @@
 use super::setup::Setup;
 use lupincrank::Time;
 use lupincrank_council::council::{Council, Tuning};
-use lupincrank_council::kept::{Kept, Write};
+use lupincrank_council::durable::{Durable, Write};
 use lupincrank_council::lease::Terms;
 use lupincrank_council::member::Member;
-use lupincrank_council::said::{Action, Note, Said};
+use lupincrank_council::message::{Action, CouncilMessage, Note};
 use lupincrank_reactor::poll::Watched;
 use lupincrank_reactor::Id;
 use lupincrank_talk::link::{Hello, Link, Message, Subject};
@@ -35,7 +35,7 @@
 /// A node that ends is waited for by the others, and waits for them, so long at the most.
 const LEAVES: Duration = Duration::from_secs(3);
 
-/// A life that was replaced is told so this often.
+/// An incarnation that was replaced is told so this often.
 const WARN_AGAIN: Duration = Duration::from_secs(1);
 
 /// One link, and whom it was dialled for.
@@ -69,7 +69,7 @@
     quiet: Option<Instant>,
     /// Messages on links that changed nothing.
     strange: u64,
-    /// Links that gave way to another one between the same lives; their objects are to be told.
+    /// Links that gave way to another one between the same incarnations; their objects are to be told.
     pub dropped: Vec<Id>,
     /// Bytes and messages sent, for the cost of it.
     pub sent: (u64, u64),
@@ -79,7 +79,7 @@
 #[derive(Serialize)]
 struct Status<'a> {
     fleet: &'a str,
-    council: lupincrank_council::told::Status,
+    council: lupincrank_council::status::Status,
     alive: usize,
     links: usize,
     datagrams_refused: lupincrank_talk::membership::Refused,
@@ -100,7 +100,7 @@
         setup: Setup,
         name: &str,
         id: u64,
-        kept: Option<&Kept>,
+        kept: Option<&Durable>,
         settings: u32,
         now: Time,
         log: Logger,
@@ -120,10 +120,10 @@
         let tuning = Tuning {
             terms: Terms::default(),
             expect: setup.nodes.clone(),
-            whole: setup.whole,
+            capacity: setup.capacity,
             floor: setup.floor,
             settle: SETTLE,
-            bury: BURY,
+            removal_after: BURY,
         };
         let tag = lupincrank_talk::tag(&setup.name);
         let council = Council::new(now, member(&me), tuning, kept)?;
@@ -263,7 +263,7 @@
                 (Message::Ping, Some(_)) => {}
                 (Message::Replaced, Some(_)) => self.was_replaced(),
                 (Message::Of(Subject::Council, bytes), Some(peer)) => {
-                    match postcard::from_bytes::<Said>(&bytes) {
+                    match postcard::from_bytes::<CouncilMessage>(&bytes) {
                         Ok(said) => self.council.take(now, peer, said),
                         Err(error) => return Err(format!("a message of the council can't be read: {error}")),
                     }
@@ -275,7 +275,7 @@
         Ok(())
     }
 
-    /// The other side has said who it is. Of two links between the same lives the one stays that the greater id dialled.
+    /// The other side has said who it is. Of two links between the same incarnations the one stays that the greater id dialled.
     fn met(&mut self, id: Id, hello: Hello) -> Result<(), String> {
         if hello.fleet != self.tag {
             return Err("it belongs to another fleet".into());
@@ -316,7 +316,7 @@
         }
     }
 
-    /// Whether membership knows a later life of that name. Guards against a leader that was replaced: it is not asked by
+    /// Whether membership knows a later incarnation of that name. Guards against a leader that was replaced: it is not asked by
     /// datagrams any more, so nothing else would tell it, and its links would keep it in the lead.
     fn is_replaced(&self, hello: &Hello) -> bool {
         let later = |alive: &Identity| {
@@ -346,7 +346,7 @@
                 Out::Down(who) => {
                     info!(self.log, "member down"; "member" => &who.name, "id" => format!("{:016x}", who.id),
                         "bump" => who.bump);
-                    // Another bump of the same life may live on.
+                    // Another bump of the same incarnation may live on.
                     if self.membership.alive().all(|alive| alive.id != who.id) {
                         self.addresses.remove(&who.id);
                     }
@@ -489,8 +489,8 @@
             status.parts.iter().map(|part| (part.member.name.as_str(), part.slice)).collect();
         serde_json::json!([{
             "name": "cold", "unit": "new connections in a window", "window_ms": Terms::default().window.as_millis() as u64,
-            "whole": status.whole.saturating_add(self.setup.aside), "set_aside": self.setup.aside, "floor": self.setup.floor,
-            "handed_out": status.whole, "in_use": status.sum, "epoch": status.epoch, "slices": slices,
+            "whole": status.capacity.saturating_add(self.setup.aside), "set_aside": self.setup.aside, "floor": self.setup.floor,
+            "handed_out": status.capacity, "in_use": status.sum, "epoch": status.epoch, "slices": slices,
         }])
     }
 
@@ -503,6 +503,6 @@
 
     /// What `fleet log` tells, as JSON.
     pub fn told(&self) -> String {
-        serde_json::to_string(&self.council.told().collect::<Vec<_>>()).unwrap_or_default()
+        serde_json::to_string(&self.council.log_lines().collect::<Vec<_>>()).unwrap_or_default()
     }
 }
--- a/node/src/fleet/disk.rs
+++ b/node/src/fleet/disk.rs
@@ -1,7 +1,7 @@
 //! Log and vote of the council on the disk, by redb, and the one thread that waits for the disk in the loop's place. What
-//! is in the file and when it is whole is told by `lupincrank_council::kept`.
+//! is in the file and when it is whole is told by `lupincrank_council::durable`.
 
-use lupincrank_council::kept::{Kept, Write};
+use lupincrank_council::durable::{Durable, Write};
 use lupincrank_council::member::Stamp;
 use redb::{Database, DatabaseError, ReadableDatabase, ReadableTable, TableDefinition, TableError};
 use std::fs;
@@ -47,13 +47,13 @@
 type Value = Option<Vec<u8>>;
 
 /// Opens the file for this owner, and counts the start that this is. A file that is not there begins with `fresh` as its id.
-pub fn open(path: &Path, owner: &str, fresh: u64) -> Result<(Database, Kept), Fault> {
+pub fn open(path: &Path, owner: &str, fresh: u64) -> Result<(Database, Durable), Fault> {
     // Redb panics on some damages that it can't read.
     let opened = catch_unwind(AssertUnwindSafe(|| open_whole(path, owner, fresh)));
     opened.unwrap_or_else(|_| Err(damaged("it can't be read at all")))
 }
 
-fn open_whole(path: &Path, owner: &str, fresh: u64) -> Result<(Database, Kept), Fault> {
+fn open_whole(path: &Path, owner: &str, fresh: u64) -> Result<(Database, Durable), Fault> {
     if let Some(folder) = path.parent() {
         fs::create_dir_all(folder).map_err(|error| Fault::Wrong(format!("{}: {error}", folder.display())))?;
     }
@@ -73,7 +73,7 @@
         Ok(false) => return Err(damaged("its checksums differ")),
         Err(error) => return Err(damaged(error)),
     }
-    let mut kept = read(&database, owner)?.unwrap_or(Kept { id: fresh, ..Kept::default() });
+    let mut kept = read(&database, owner)?.unwrap_or(Durable { id: fresh, ..Durable::default() });
     kept.starts = kept.starts.saturating_add(1);
     let noted = || -> Result<(), redb::Error> {
         let change = database.begin_write()?;
@@ -91,7 +91,7 @@
     Ok((database, kept))
 }
 
-fn read(database: &Database, owner: &str) -> Result<Option<Kept>, Fault> {
+fn read(database: &Database, owner: &str) -> Result<Option<Durable>, Fault> {
     let all = || -> Result<Option<[Value; 6]>, redb::Error> {
         let facts = match database.begin_read()?.open_table(FACTS) {
             Err(TableError::TableDoesNotExist(_)) => return Ok(None),
@@ -124,7 +124,7 @@
         Ok(entries)
     };
     let entries = entries().map_err(damaged)?;
-    Ok(Some(Kept { id, starts, stamp, snapshot, hard, entries }))
+    Ok(Some(Durable { id, starts, stamp, snapshot, hard, entries }))
 }
 
 /// Puts a file aside that can't be gone on with; one that was put aside before goes.
--- a/node/src/fleet/disk/tests.rs
+++ b/node/src/fleet/disk/tests.rs
@@ -7,7 +7,7 @@
 }
 
 /// A file with some writes in it, as a process that was killed leaves it, and what they add up to.
-fn left(path: &Path) -> Kept {
+fn left(path: &Path) -> Durable {
     let (database, mut kept) = open(path, "guj/n0", 7).unwrap();
     let stamp = Stamp { epoch: 1, founding: 3 };
     let begins = Write { begins: Some(stamp), snapshot: Some((1, vec![9])), ..Write::default() };
@@ -30,7 +30,7 @@
     let path = folder("whole");
     let kept = left(&path);
     let (_held, again) = open(&path, "guj/n0", 99).unwrap();
-    assert_eq!(again, Kept { starts: 2, ..kept });
+    assert_eq!(again, Durable { starts: 2, ..kept });
     assert!(matches!(open(&path, "guj/n0", 1), Err(Fault::Busy)));
     let _ = fs::remove_dir_all(path.parent().unwrap());
 }
--- a/node/src/fleet/mod.rs
+++ b/node/src/fleet/mod.rs
@@ -10,7 +10,7 @@
 use disk::{Disk, Fault as DiskFault};
 use lupincrank_budgets::need::Use;
 use lupincrank_council::council::TICK;
-use lupincrank_council::kept::Kept;
+use lupincrank_council::durable::Durable;
 use lupincrank_reactor::poll::{self, Watched};
 use lupincrank_reactor::{Connection, Flow, Id};
 use lupincrank_talk::link::{Fault, Link};
@@ -74,8 +74,9 @@
     let settings = node.config.raw.get("settings").map(ToString::to_string).unwrap_or_default();
     let settings = crc32fast::hash(settings.as_bytes());
     let (now, name, log) = (node.core.now(), node.config.name.clone(), node.log.clone());
-    let new =
-        |id: u64, kept: Option<&Kept>| Carry::new(setup.clone(), &name, id, kept, settings, now, log.clone());
+    let new = |id: u64, kept: Option<&Durable>| {
+        Carry::new(setup.clone(), &name, id, kept, settings, now, log.clone())
+    };
     let mut carry = match &setup.file {
         None => new(drawn, None)?,
         Some(path) => match resume(path, &format!("{}/{name}", setup.name), drawn, new) {
@@ -118,7 +119,7 @@
     path: &Path,
     owner: &str,
     drawn: u64,
-    new: impl Fn(u64, Option<&Kept>) -> Result<Carry, String>,
+    new: impl Fn(u64, Option<&Durable>) -> Result<Carry, String>,
 ) -> Result<(Carry, redb::Database), DiskFault> {
     let (database, kept) = disk::open(path, owner, drawn)?;
     let carry = new(kept.id, Some(&kept)).map_err(DiskFault::Damaged)?;
@@ -188,42 +189,43 @@
     answer
 }
 
-/// The largest whole, as in the operator's file.
-const MOST_WHOLE: u32 = 1_000_000;
+/// The largest capacity, as in the operator's file.
+const MOST_CAPACITY: u32 = 1_000_000;
 
-/// What a person asked for of the budgets: `show`, or `plan` and `set` with `NAME=WHOLE`.
+/// What a person asked for of the budgets: `show`, or `plan` and `set` with `NAME=CAPACITY`.
 pub fn budgets(node: &mut Node, what: &str, change: Option<&str>) -> Result<String, String> {
     let now = node.core.now();
     let Some(carry) = node.fleet.as_mut().filter(|carry| carry.setup.divides) else {
         return Err("this node divides no budget with a fleet, or waits for its place there".into());
     };
-    let whole = |change: Option<&str>| {
-        let change = change.ok_or("it needs NAME=WHOLE, as in cold=60")?;
-        let (name, whole) = change.split_once('=').ok_or_else(|| format!("{change:?} is not NAME=WHOLE"))?;
+    let read = |change: Option<&str>| {
+        let change = change.ok_or("it needs NAME=CAPACITY, as in cold=60")?;
+        let (name, capacity) =
+            change.split_once('=').ok_or_else(|| format!("{change:?} is not NAME=CAPACITY"))?;
         if name != "cold" {
             return Err(format!("no budget {name:?}; there is cold"));
         }
-        let whole = whole.parse().ok().filter(|whole| (1..=MOST_WHOLE).contains(whole));
-        let whole = whole.ok_or_else(|| format!("{change:?}: 1 to {MOST_WHOLE} are a whole"))?;
+        let capacity = capacity.parse().ok().filter(|capacity| (1..=MOST_CAPACITY).contains(capacity));
+        let capacity = capacity.ok_or_else(|| format!("{change:?}: 1 to {MOST_CAPACITY} are a capacity"))?;
         let aside = carry.setup.aside;
-        let handed = whole.checked_sub(aside);
+        let handed = capacity.checked_sub(aside);
         handed.ok_or_else(|| format!("{change:?}: {aside} are set aside as floors"))
     };
     let told = match (what, change) {
         ("show", None) => Ok(carry.budgets(now)),
         ("plan", change) => {
-            let whole = whole(change)?;
+            let capacity = read(change)?;
             carry
                 .council
-                .plan(now, whole)
-                .map(|plan| serde_json::json!({ "handed_out": whole, "slices": plan }))
+                .plan(now, capacity)
+                .map(|plan| serde_json::json!({ "handed_out": capacity, "slices": plan }))
         }
         ("set", change) => {
-            let whole = whole(change)?;
-            let epoch = carry.council.set_whole(now, whole);
-            epoch.map(|epoch| serde_json::json!({ "handed_out": whole, "after_epoch": epoch }))
+            let capacity = read(change)?;
+            let epoch = carry.council.set_capacity(now, capacity);
+            epoch.map(|epoch| serde_json::json!({ "handed_out": capacity, "after_epoch": epoch }))
         }
-        _ => Err("there are show, plan NAME=WHOLE and set NAME=WHOLE".to_string()),
+        _ => Err("there are show, plan NAME=CAPACITY and set NAME=CAPACITY".to_string()),
     };
     with(node, |_, _| ());
     told.map(|told| told.to_string())
--- a/node/src/fleet/setup.rs
+++ b/node/src/fleet/setup.rs
@@ -25,8 +25,8 @@
     /// Where others are reached, if not where they say.
     pub via: BTreeMap<SocketAddr, SocketAddr>,
     /// The cold budget, in new connections in any second: what is handed out, and what each node has without a lease.
-    pub whole: u32,
-    /// See `whole`; none for a node that is not expected.
+    pub capacity: u32,
+    /// See `capacity`; none for a node that is not expected.
     pub floor: u32,
     /// What is set aside for all expected nodes.
     pub aside: u32,
@@ -66,7 +66,7 @@
             file,
             seeds: fleet.seeds.get_ref().clone().into_iter().collect(),
             via: fleet.via.clone(),
-            whole: cold.map_or(0, |cold| cold.whole.get_ref().saturating_sub(set_aside)),
+            capacity: cold.map_or(0, |cold| cold.capacity.get_ref().saturating_sub(set_aside)),
             // A node that nobody announced has no part in what was set aside for the others.
             floor: if nodes.contains(node) { floor } else { 0 },
             aside: set_aside,
--- a/operator/src/lib.rs
+++ b/operator/src/lib.rs
@@ -55,8 +55,9 @@
 #[serde(deny_unknown_fields)]
 pub struct Cold {
     /// Of all nodes together: 1 to 1,000,000.
-    pub whole: Spanned<u32>,
-    /// What each expected node may use without a lease, set aside from the whole: 0 to the whole by the number of nodes.
+    #[serde(alias = "whole")]
+    pub capacity: Spanned<u32>,
+    /// What each expected node may use without a lease, set aside from the capacity: 0 to the capacity by the number of nodes.
     #[serde(default = "nothing")]
     pub floor: Spanned<u32>,
 }
@@ -65,9 +66,9 @@
     Spanned::new(0..0, 0)
 }
 
-/// The largest fleet, the largest whole and the longest name.
+/// The largest fleet, the largest capacity and the longest name.
 const MOST_NODES: usize = 1_000;
-const MOST_WHOLE: u32 = 1_000_000;
+const MOST_CAPACITY: u32 = 1_000_000;
 const LONGEST_NAME: usize = 64;
 
 impl Operator {
@@ -91,7 +92,7 @@
         let Some(fleet) = &self.fleet else {
             return match &self.budgets.cold {
                 Some(cold) => {
-                    Err((cold.whole.span().start, "budgets.cold: there is no [fleet] to share it".into()))
+                    Err((cold.capacity.span().start, "budgets.cold: there is no [fleet] to share it".into()))
                 }
                 None => Ok(()),
             };
@@ -122,16 +123,18 @@
             return at(fleet.seeds.span(), format!("fleet.seeds: {unknown:?} is not among fleet.nodes"));
         }
         if let Some(cold) = &self.budgets.cold {
-            let (whole, floor) = (*cold.whole.get_ref(), *cold.floor.get_ref());
-            if !(1..=MOST_WHOLE).contains(&whole) {
+            let (capacity, floor) = (*cold.capacity.get_ref(), *cold.floor.get_ref());
+            if !(1..=MOST_CAPACITY).contains(&capacity) {
                 return at(
-                    cold.whole.span(),
-                    format!("budgets.cold.whole: {whole} is not in 1 to {MOST_WHOLE}"),
+                    cold.capacity.span(),
+                    format!("budgets.cold.capacity: {capacity} is not in 1 to {MOST_CAPACITY}"),
                 );
             }
-            if u64::from(floor) * nodes.len() as u64 > u64::from(whole) {
-                let why =
-                    format!("budgets.cold.floor: {floor} for each of {} nodes pass the whole", nodes.len());
+            if u64::from(floor) * nodes.len() as u64 > u64::from(capacity) {
+                let why = format!(
+                    "budgets.cold.floor: {floor} for each of {} nodes pass the capacity",
+                    nodes.len()
+                );
                 return at(cold.floor.span(), why);
             }
         }
