scale/: hollow nodes, many in one process, beside real ones, counted at doors

Need: what control costs at 2,100 nodes can't be told from 40 real processes; the trials' stage has a proxy for every two nodes. Change: node/ becomes a library with hollow::start, a node's loop with its part in the fleet alone; lupincrank-scale run holds them, with one counting door before each node, and reads bytes, messages, processor time and memory by role, a change, a death, the budget.

--- a/decisions/council/src/council.rs
+++ b/decisions/council/src/council.rs
@@ -177,6 +177,16 @@
         self.log.as_ref().is_some_and(|log| log.leads.is_some())
     }
 
+    /// Whether this node knows a leader.
+    pub fn is_led(&self) -> bool {
+        self.log.as_ref().is_some_and(|log| log.leader != 0)
+    }
+
+    /// Whether this node votes.
+    pub fn votes(&self) -> bool {
+        self.log.as_ref().is_some_and(|log| log.conf().get_voters().contains(&self.me.id))
+    }
+
     /// The members that this node needs to reach: the leader, the voters where it votes, all where it leads or founds.
     pub fn wants(&self) -> BTreeSet<u64> {
         let mut wants = BTreeSet::new();
--- /dev/null
+++ b/node/src/hollow.rs
@@ -0,0 +1,102 @@
+//! A hollow node: a node's part in its fleet (membership, links, council, leases) without a data path. It is told what a
+//! real one is told, by the same two files, and runs the same code in a loop of its own; many of them fit into a process,
+//! each in a thread. `scale/` measures fleets with them.
+
+use crate::config::Config;
+use crate::fleet::{self, setup::Setup};
+use crate::state::{Node, State, RESERVED};
+use lupincrank_budgets::need::Use;
+use lupincrank_operator::Operator;
+use lupincrank_reactor::{Connection, Flow, Id, Reactor};
+use slog::{o, Discard, Logger};
+use std::time::{Duration, Instant};
+
+/// The observer's place in the loop.
+const OBSERVER: Id = RESERVED + 1;
+
+/// How a hollow node stands in its fleet.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Seen {
+    /// The council that it takes part in has entries up to this epoch; 0 for no council.
+    pub epoch: u64,
+    /// The whole of the cold budget that its council hands out.
+    pub whole: u32,
+    /// It knows a leader, and is it itself.
+    pub led: bool,
+    /// See `led`.
+    pub leads: bool,
+    /// It votes.
+    pub votes: bool,
+    /// Nodes that live as far as it knows, itself among them.
+    pub alive: usize,
+    /// What it may use of the cold budget now, in new connections in any window of the budget.
+    pub limit: u32,
+}
+
+/// Stands where the data path would: it is shown how its node stands, and says what it used of the cold budget since.
+pub trait Observer {
+    /// How often it looks.
+    fn every(&self) -> Duration;
+    /// Looks: what was used, the most in any window, and whether something was turned away for lack of a slice. `lives` tells
+    /// whether the node of that name lives as far as this one knows.
+    fn look(&mut self, seen: &Seen, window: Duration, lives: &dyn Fn(&str) -> bool) -> (u32, bool);
+}
+
+/// A hollow node, ready to run. `config` and `operator` are the texts of a real node's files, and `variable` looks up what
+/// its environment would say.
+pub fn start(
+    config: &str,
+    operator: &str,
+    variable: impl Fn(&str) -> Option<String>,
+    observer: Box<dyn Observer>,
+) -> Result<impl FnOnce() -> std::io::Result<()>, String> {
+    let mut config = Config::read(config, &variable).map_err(|why| format!("the configuration: {why}"))?;
+    let operator = Operator::read(operator).map_err(|why| format!("the operator's file: {why}"))?;
+    let setup = Setup::read(&operator, &config.name, &variable);
+    config.fleet = setup.map_err(|why| format!("the operator's file: {why}"))?;
+    if config.fleet.is_none() {
+        return Err("the operator's file: there is no [fleet], and a hollow node has nothing else".into());
+    }
+    let state = State::new(config, Logger::root(Discard, o!()));
+    let mut reactor = Reactor::new(state, OBSERVER).map_err(|error| error.to_string())?;
+    fleet::begin(&mut reactor.hands)?;
+    reactor.hands.adopt(OBSERVER, Box::new(Watch { observer }));
+    reactor.hands.deadlines.set(OBSERVER, 0, Instant::now());
+    Ok(move || reactor.run())
+}
+
+struct Watch {
+    observer: Box<dyn Observer>,
+}
+
+fn seen(node: &Node) -> Seen {
+    let now = node.core.now();
+    // Its place may be another process's still.
+    let Some(carry) = &node.fleet else { return Seen::default() };
+    let (epoch, whole) = carry.council.state().map_or((0, 0), |state| (state.epoch, state.whole));
+    let alive = carry.membership.alive().count() + 1;
+    let (led, leads, votes) = (carry.council.is_led(), carry.council.leads(), carry.council.votes());
+    Seen { epoch, whole, led, leads, votes, alive, limit: carry.council.limit(now).0 }
+}
+
+impl Connection<State> for Watch {
+    fn ready(&mut self, _node: &mut Node, _side: usize, _readable: bool, _writable: bool) -> Flow {
+        Flow::Keep
+    }
+
+    fn due(&mut self, node: &mut Node, _purpose: u64) -> Flow {
+        let window = lupincrank_council::lease::Terms::default().window;
+        let members = node.fleet.as_ref().map(|carry| &carry.membership);
+        let lives = |name: &str| members.is_some_and(|all| all.alive().any(|who| who.name == name));
+        let (most, turned_away) = self.observer.look(&seen(node), window, &lives);
+        if let Some(carry) = &mut node.fleet {
+            carry.council.used(Use { most, turned_away });
+        }
+        node.deadlines.set(OBSERVER, 0, Instant::now() + self.observer.every());
+        Flow::Keep
+    }
+
+    fn told(&mut self, _node: &mut Node, _message: crate::state::Message) -> Flow {
+        Flow::Keep
+    }
+}
--- /dev/null
+++ b/scale/src/doors.rs
@@ -0,0 +1,377 @@
+//! A door before each node: all that others say to it goes through, datagrams and streams, and is counted there by who sent
+//! it; so the figures are not the program's own. One door a node, where the trials have one for each pair: the number of
+//! sockets must not grow with the square of the nodes.
+
+use crate::place::Place;
+use lupincrank_reactor::poll::{self, Watched};
+use lupincrank_reactor::{Connection, Flow, Hands, Id, Reactor, World, WORLD};
+use lupincrank_standins::key;
+use lupincrank_talk::link::{Inbox, Message};
+use lupincrank_trials::links::Way;
+use rand::Rng;
+use rand_pcg::Pcg64Mcg;
+use std::collections::{HashMap, VecDeque};
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// What is read, taken and held in one turn, and how often the end is looked for.
+const TURN: usize = 64;
+const ACCEPTS: usize = 64;
+const MOST_HELD: usize = 1 << 20;
+const LOOK: Duration = Duration::from_millis(100);
+/// A part of a stream that is lost comes so much later, for each time: the least that Linux waits before it sends it again.
+const SENT_AGAIN: Duration = Duration::from_millis(200);
+
+/// What one node has sent and received, as its door and the others' saw it.
+#[derive(Debug, Default)]
+pub struct Counter {
+    /// Bytes and messages sent.
+    pub bytes_out: AtomicU64,
+    /// See `bytes_out`.
+    pub messages_out: AtomicU64,
+    /// Received.
+    pub bytes_in: AtomicU64,
+    /// See `bytes_in`.
+    pub messages_in: AtomicU64,
+}
+
+/// What all have sent and received.
+pub struct Counts {
+    /// By node.
+    pub nodes: Vec<Counter>,
+    /// Messages lost on purpose, and parts of streams held back.
+    pub lost: AtomicU64,
+    /// What could not be told apart: from nobody known, or not to be read.
+    pub unknown: AtomicU64,
+}
+
+impl Counts {
+    /// For so many nodes.
+    pub fn new(nodes: usize) -> Counts {
+        let nodes = (0..nodes).map(|_| Counter::default()).collect();
+        Counts { nodes, lost: AtomicU64::new(0), unknown: AtomicU64::new(0) }
+    }
+
+    fn sent(&self, from: usize, to: usize, bytes: u64, messages: u64) {
+        self.nodes[from].bytes_out.fetch_add(bytes, Relaxed);
+        self.nodes[from].messages_out.fetch_add(messages, Relaxed);
+        self.nodes[to].bytes_in.fetch_add(bytes, Relaxed);
+        self.nodes[to].messages_in.fetch_add(messages, Relaxed);
+    }
+}
+
+/// What the doors share.
+pub struct Ground {
+    counts: Arc<Counts>,
+    names: HashMap<String, usize>,
+    senders: HashMap<SocketAddr, usize>,
+    way: Way,
+    random: Pcg64Mcg,
+    stop: Arc<AtomicBool>,
+}
+
+impl World for Ground {
+    type Message = ();
+    fn settle(_hands: &mut Hands<Ground>, _objects: &mut dyn Iterator<Item = Id>) {}
+    fn due(hands: &mut Hands<Ground>, _purpose: u64) {
+        hands.deadlines.set(WORLD, 0, Instant::now() + LOOK);
+    }
+    fn over(&self) -> bool {
+        self.stop.load(Relaxed)
+    }
+    fn unheard(&mut self, _id: Id, _message: ()) {}
+}
+
+type Yard = Hands<Ground>;
+
+/// Opens all doors, and passes on what comes until `stop`; `opened` is told once they are open.
+pub fn serve(
+    place: &Place,
+    way: Way,
+    seed: u64,
+    counts: Arc<Counts>,
+    stop: Arc<AtomicBool>,
+    opened: impl FnOnce(io::Result<()>),
+) -> io::Result<()> {
+    let ground = Ground {
+        counts,
+        names: (0..place.all()).map(|node| (place.name(node), node)).collect(),
+        senders: (0..place.all()).map(|node| (place.fleet(node), node)).collect(),
+        way,
+        random: Pcg64Mcg::new(u128::from(seed) << 8 | 5),
+        stop,
+    };
+    let mut reactor = Reactor::new(ground, 0)?;
+    let all = (0..place.all()).try_for_each(|node| {
+        open(&mut reactor.hands, node, place.door(node), place.fleet(node))
+            .map_err(|error| io::Error::other(format!("{}: {error}", place.door(node))))
+    });
+    let open = all.is_ok();
+    opened(all);
+    reactor.hands.deadlines.set(WORLD, 0, Instant::now());
+    if open {
+        reactor.run()
+    } else {
+        Ok(())
+    }
+}
+
+fn open(hands: &mut Yard, node: usize, at: SocketAddr, target: SocketAddr) -> io::Result<()> {
+    let id = hands.name();
+    let listener = Watched::new(&hands.poller, poll::listen(at)?, key(id, 0), true, false)?;
+    let socket = UdpSocket::bind(at)?;
+    socket.set_nonblocking(true)?;
+    let socket = Watched::new(&hands.poller, socket, key(id, 1), true, false)?;
+    hands.adopt(id, Box::new(Door { id, node, target, listener, socket, held: VecDeque::new() }));
+    Ok(())
+}
+
+struct Door {
+    id: Id,
+    node: usize,
+    target: SocketAddr,
+    listener: Watched<TcpListener>,
+    socket: Watched<UdpSocket>,
+    held: VecDeque<(Instant, Vec<u8>)>,
+}
+
+impl Door {
+    fn datagrams(&mut self, hands: &mut Yard) {
+        let mut bytes = [0; 2048];
+        for _ in 0..TURN {
+            let (length, from) = match self.socket.recv_from(&mut bytes) {
+                Ok(got) => got,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                // The answer of a dead node's machine to one before.
+                Err(_) => continue,
+            };
+            let ground = &mut hands.world;
+            match ground.senders.get(&from) {
+                Some(from) => ground.counts.sent(*from, self.node, length as u64, 1),
+                None => drop(ground.counts.unknown.fetch_add(1, Relaxed)),
+            }
+            let way = ground.way;
+            if way.loss > 0.0 && ground.random.random::<f64>() < way.loss {
+                ground.counts.lost.fetch_add(1, Relaxed);
+            } else if way.delay.is_zero() {
+                // What does not get through is lost, as datagrams are.
+                let _ = self.socket.send_to(&bytes[..length], self.target);
+            } else if self.held.len() < MOST_HELD / 2048 {
+                let at = Instant::now() + way.delay;
+                hands.deadlines.set(self.id, 0, self.held.front().map_or(at, |(at, _)| *at));
+                self.held.push_back((at, bytes[..length].to_vec()));
+            }
+        }
+    }
+}
+
+impl Connection<Ground> for Door {
+    fn ready(&mut self, hands: &mut Yard, side: usize, _readable: bool, _writable: bool) -> Flow {
+        if side == 1 {
+            self.datagrams(hands);
+            return Flow::Keep;
+        }
+        for _ in 0..ACCEPTS {
+            let Ok((near, _)) = self.listener.accept() else { break };
+            // The dialler sees a link that ends, and dials again.
+            if Pipe::begin(hands, self.node, near, self.target).is_err() {
+                hands.counts.unknown.fetch_add(1, Relaxed);
+            }
+        }
+        Flow::Keep
+    }
+
+    fn due(&mut self, hands: &mut Yard, _purpose: u64) -> Flow {
+        let now = Instant::now();
+        while self.held.front().is_some_and(|(at, _)| *at <= now) {
+            if let Some((_, bytes)) = self.held.pop_front() {
+                let _ = self.socket.send_to(&bytes, self.target);
+            }
+        }
+        if let Some((at, _)) = self.held.front() {
+            hands.deadlines.set(self.id, 0, *at);
+        }
+        Flow::Keep
+    }
+
+    fn told(&mut self, _hands: &mut Yard, _message: ()) -> Flow {
+        Flow::Keep
+    }
+}
+
+/// One direction of a stream.
+#[derive(Default)]
+struct Half {
+    held: VecDeque<(Instant, Vec<u8>)>,
+    bytes: usize,
+    ended: bool,
+    shut: bool,
+    inbox: Inbox,
+    /// What can't be read any more is only passed on.
+    strange: bool,
+    /// Bytes and messages that are not counted yet: whose they are is not known.
+    open: (u64, u64),
+}
+
+/// One link through a door: `near` dialled.
+struct Pipe {
+    id: Id,
+    dialler: Option<usize>,
+    node: usize,
+    streams: [Watched<TcpStream>; 2],
+    connected: bool,
+    halves: [Half; 2],
+}
+
+impl Pipe {
+    fn begin(hands: &mut Yard, node: usize, near: TcpStream, target: SocketAddr) -> io::Result<()> {
+        near.set_nonblocking(true)?;
+        near.set_nodelay(true)?;
+        let id = hands.name();
+        let far = poll::connect(&hands.poller, target, key(id, 1))?;
+        let near = Watched::new(&hands.poller, near, key(id, 0), true, false)?;
+        let pipe = Pipe {
+            id,
+            dialler: None,
+            node,
+            streams: [near, far],
+            connected: false,
+            halves: Default::default(),
+        };
+        hands.adopt(id, Box::new(pipe));
+        Ok(())
+    }
+
+    fn count(&mut self, hands: &mut Yard, side: usize, bytes: &[u8]) {
+        let half = &mut self.halves[side];
+        half.open.0 += bytes.len() as u64;
+        if !half.strange {
+            half.inbox.push(bytes);
+            loop {
+                match half.inbox.message() {
+                    Ok(Some(message)) => {
+                        half.open.1 += 1;
+                        if let (Message::Hello(hello), 0) = (message, side) {
+                            self.dialler = hands.world.names.get(&hello.name).copied();
+                        }
+                    }
+                    Ok(None) => break,
+                    Err(_) => {
+                        half.strange = true;
+                        hands.world.counts.unknown.fetch_add(1, Relaxed);
+                        break;
+                    }
+                }
+            }
+        }
+        let Some(dialler) = self.dialler else { return };
+        for (half, from, to) in [(0, dialler, self.node), (1, self.node, dialler)] {
+            let (bytes, messages) = std::mem::take(&mut self.halves[half].open);
+            hands.world.counts.sent(from, to, bytes, messages);
+        }
+    }
+
+    fn read(&mut self, hands: &mut Yard, side: usize) -> io::Result<()> {
+        let (mut scratch, mut reads) = ([0; 16 << 10], 0);
+        while reads < 4 && self.halves[side].bytes < MOST_HELD && !self.halves[side].ended {
+            let read = match self.streams[side].read(&mut scratch) {
+                Ok(0) => {
+                    self.halves[side].ended = true;
+                    return Ok(());
+                }
+                Ok(read) => read,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                Err(error) => return Err(error),
+            };
+            reads += 1;
+            self.count(hands, side, &scratch[..read]);
+            let ground = &mut hands.world;
+            let mut wait = ground.way.delay;
+            while ground.way.loss > 0.0 && ground.random.random::<f64>() < ground.way.loss {
+                ground.counts.lost.fetch_add(1, Relaxed);
+                wait += SENT_AGAIN;
+            }
+            let half = &mut self.halves[side];
+            // A stream keeps its order whatever becomes of its parts.
+            let at = Instant::now() + wait;
+            let at = half.held.back().map_or(at, |(before, _)| at.max(*before));
+            half.bytes += read;
+            half.held.push_back((at, scratch[..read].to_vec()));
+        }
+        Ok(())
+    }
+
+    fn pump(&mut self, hands: &mut Yard, side: usize) -> io::Result<()> {
+        let (half, other) = (&mut self.halves[side], 1 - side);
+        if !self.connected {
+            return Ok(());
+        }
+        let now = Instant::now();
+        while let Some((at, bytes)) = half.held.front_mut() {
+            if *at > now {
+                hands.deadlines.set(self.id, side as u64, *at);
+                return Ok(());
+            }
+            match self.streams[other].write(bytes) {
+                Ok(sent) => {
+                    half.bytes -= sent;
+                    bytes.drain(..sent);
+                    if bytes.is_empty() {
+                        half.held.pop_front();
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        if half.ended && !half.shut {
+            half.shut = true;
+            self.streams[other].shutdown(Shutdown::Write)?;
+        }
+        Ok(())
+    }
+
+    fn step(&mut self, hands: &mut Yard) -> io::Result<Flow> {
+        self.pump(hands, 0)?;
+        self.pump(hands, 1)?;
+        // An end of either side is one of the link: its parties speak both ways.
+        if self.halves.iter().any(|half| half.shut) {
+            return Ok(Flow::Done);
+        }
+        let now = Instant::now();
+        for side in [0, 1] {
+            let reads = !self.halves[side].ended && self.halves[side].bytes < MOST_HELD;
+            let writes = self.halves[1 - side].held.front().is_some_and(|(at, _)| *at <= now);
+            self.streams[side].want(reads, writes || (side == 1 && !self.connected))?;
+        }
+        Ok(Flow::Keep)
+    }
+}
+
+impl Connection<Ground> for Pipe {
+    fn ready(&mut self, hands: &mut Yard, side: usize, readable: bool, _writable: bool) -> Flow {
+        if side == 1 && !self.connected {
+            if !matches!(self.streams[1].take_error(), Ok(None)) {
+                return Flow::Done;
+            }
+            self.connected = true;
+        }
+        if readable && self.read(hands, side).is_err() {
+            return Flow::Done;
+        }
+        self.step(hands).unwrap_or(Flow::Done)
+    }
+
+    fn due(&mut self, hands: &mut Yard, _purpose: u64) -> Flow {
+        self.step(hands).unwrap_or(Flow::Done)
+    }
+
+    fn told(&mut self, _hands: &mut Yard, _message: ()) -> Flow {
+        Flow::Keep
+    }
+}
--- a/trials/src/processes.rs
+++ b/trials/src/processes.rs
@@ -172,6 +172,11 @@
         (times.len() == 2).then(|| times.iter().sum::<u64>() * 10)
     }
 
+    /// Memory of its process that is resident, in kB.
+    pub fn rss_kb(&self) -> Option<u64> {
+        rss_kb(self.child.as_ref()?.id())
+    }
+
     /// Whether its process has ended, and with which code.
     pub fn ended(&mut self) -> Option<String> {
         let status = self.child.as_mut()?.try_wait().ok()??;
@@ -181,6 +186,13 @@
     }
 }
 
+/// Memory of a process that is resident, in kB.
+pub fn rss_kb(pid: u32) -> Option<u64> {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+    line.split_whitespace().next()?.parse().ok()
+}
+
 impl Drop for Node {
     fn drop(&mut self) {
         self.kill();
