scale/: tests, files of measurements, seeds told from other nodes

Need: the first run by size showed real nodes sending 4 times what hollow ones do; three of the five are the seeds that all others announce themselves to, so seeds have a role of their own. Tests were not run yet on this commit.

--- a/scale/src/fit.rs
+++ b/scale/src/fit.rs
@@ -51,13 +51,15 @@
 }
 
 /// What is fitted: role and figure, by the names in a run's file.
-pub const FIGURES: [(&str, &str); 12] = [
+pub const FIGURES: [(&str, &str); 14] = [
     ("leader", "bytes_out_per_s_mean"),
     ("leader", "messages_per_s_mean"),
     ("leader", "cpu_share_mean"),
     ("leader", "rss_mb_max"),
     ("control", "bytes_out_per_s_mean"),
     ("control", "cpu_share_mean"),
+    ("seed", "bytes_out_per_s_mean"),
+    ("seed", "cpu_share_mean"),
     ("node", "bytes_out_per_s_mean"),
     ("node", "cpu_share_mean"),
     ("hollow-node", "bytes_out_per_s_mean"),
@@ -75,3 +77,6 @@
     };
     runs.iter().filter_map(point).collect()
 }
+
+#[cfg(test)]
+mod tests;
--- a/scale/src/host.rs
+++ b/scale/src/host.rs
@@ -174,3 +174,6 @@
     }
     Ok(())
 }
+
+#[cfg(test)]
+mod tests;
--- a/scale/src/ledger.rs
+++ b/scale/src/ledger.rs
@@ -93,3 +93,6 @@
         (0..all).filter(|node| !settled(node)).collect()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/scale/src/outcome.rs
+++ b/scale/src/outcome.rs
@@ -179,3 +179,6 @@
     /// See `lost`.
     pub unknown: u64,
 }
+
+#[cfg(test)]
+mod tests;
--- a/scale/src/place.rs
+++ b/scale/src/place.rs
@@ -10,8 +10,8 @@
 const FLEET: u16 = 7400;
 const FIRST_PORT: u16 = 10_000;
 const ZONES: usize = 3;
-/// Nodes that are asked first.
-const SEEDS: usize = 3;
+/// The first so many nodes are asked first by all.
+pub const SEEDS: usize = 3;
 
 /// All nodes of a run: the real ones first, whose names come first in any order by name.
 #[derive(Clone, Debug)]
--- a/scale/src/run.rs
+++ b/scale/src/run.rs
@@ -5,7 +5,7 @@
 use crate::host::{unix_us, Line};
 use crate::ledger::{Awaited, Ledger};
 use crate::outcome::{role, Held, Outcome, Reading, Role};
-use crate::place::Place;
+use crate::place::{Place, SEEDS};
 use lupincrank_standins::seen::Seen;
 use lupincrank_trials::judge::Judge;
 use lupincrank_trials::links::Way;
@@ -392,7 +392,7 @@
 }
 
 /// The budget as its uses arrived, by the trials' judge.
-fn judge(run: &Run, began: (Instant, u64), pressed: (u64, u64)) -> Judge {
+fn judge(run: &Run, began: (Instant, u64)) -> Judge {
     let mut judge = Judge::new(began.0);
     judge.starts(began.0);
     let mut uses = locked(&run.ledger).uses.clone();
@@ -401,7 +401,6 @@
         let begun = began.0 + Duration::from_micros(at.saturating_sub(began.1));
         (0..used).for_each(|_| judge.saw(begun, Seen::Cold { transcriber: 0, begun }));
     }
-    let _ = pressed;
     judge
 }
 
@@ -463,8 +462,9 @@
     for (name, nodes) in [
         ("leader", numbers(&|_, name| name == leader)),
         ("control", numbers(&|_, name| votes(name))),
-        ("node", numbers(&|node, name| node < place.real && !votes(name))),
-        ("hollow-node", numbers(&|node, name| node >= place.real && !votes(name))),
+        ("seed", numbers(&|node, name| node < SEEDS && !votes(name))),
+        ("node", numbers(&|node, name| (SEEDS..place.real).contains(&node) && !votes(name))),
+        ("hollow-node", numbers(&|node, name| node >= place.real.max(SEEDS) && !votes(name))),
     ] {
         roles.insert(name, role(&readings, &nodes));
     }
@@ -497,7 +497,7 @@
         run.real[victim].kill();
         run.hold("a death", since, &mut death_ms)?;
     }
-    let mut judge = judge(&run, began, pressed);
+    let mut judge = judge(&run, began);
     let second = |at: u64| at.saturating_sub(began.1) as f64 / 1e6;
     let budget = judge.cold(place.whole + CHANGES, &[(second(pressed.0) + 3.0, second(pressed.1))]);
     let broken = judge.broken().iter().map(|broken| format!("{}: {}", broken.rule, broken.what)).collect();
--- /dev/null
+++ b/scale/tests/runs.rs
@@ -0,0 +1,133 @@
+//! Whole runs of the program, small ones.
+
+use rstest::rstest;
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::Value;
+use std::path::PathBuf;
+use std::process::{Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+/// The program beside this one: built by the same `cargo test --workspace`.
+fn program() -> PathBuf {
+    PathBuf::from(env!("CARGO_BIN_EXE_lupincrank-scale")).with_file_name("lupincrank")
+}
+
+fn scale(more: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_lupincrank-scale")).args(more).output().unwrap()
+}
+
+#[rstest]
+#[case::no_nodes(&["--nodes", "0"], "--nodes: 0 is not in 4 to 1000")]
+#[case::too_many(&["--nodes", "1001"], "--nodes: 1001 is not in 4 to 1000")]
+#[case::more_real_than_nodes(&["--nodes", "10", "--real", "11"], "--real: 11 is not in 2 to 10")]
+#[case::more_expected_than_nodes(&["--nodes", "10", "--expected", "11"], "--expected: 11 is not in 3 to 10")]
+#[case::no_time(&["--nodes", "10", "--seconds", "0"], "--seconds: 0 is not in 1 to 600")]
+#[case::no_number(&["--nodes", "10", "--seconds", "NaN"], "--seconds: NaN is not in 1 to 600")]
+#[case::all_lost(&["--nodes", "10", "--loss", "1"], "--loss: 1 is not in 0 to 0.9")]
+#[case::no_program(&["--nodes", "10", "--program", "/nowhere"], "--program: \"/nowhere\" is no file")]
+fn bad_input_names_its_place(#[case] more: &[&str], #[case] why: &str) {
+    let output = scale(&[&["run"], more].concat());
+    let told = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(output.status.code() == Some(2) && told.contains(why), "{:?}: {told}", output.status);
+}
+
+#[rstest]
+#[case::not_there("/nowhere.json", "/nowhere.json: ")]
+#[case::not_json(concat!(env!("CARGO_MANIFEST_DIR"), "/tests/runs.rs"), "runs.rs: expected value")]
+fn a_file_that_is_no_outcome_is_named(#[case] file: &str, #[case] why: &str) {
+    let output = scale(&["fit", file]);
+    let told = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(output.status.code() == Some(2) && told.contains(why), "{told}");
+}
+
+/// Twenty nodes, twelve of them real: a hollow one sends what a real one does, and each part of the outcome is there.
+#[test]
+fn a_hollow_node_costs_the_messages_of_a_real_one() {
+    let out = std::env::temp_dir().join(format!("lupincrank-scale-test-{}.json", std::process::id()));
+    let program = program();
+    let more = ["run", "--nodes", "20", "--real", "12", "--seconds", "6", "--settle", "60", "--json"];
+    let output = Command::new(env!("CARGO_BIN_EXE_lupincrank-scale"))
+        .args(more)
+        .arg(&out)
+        .arg("--program")
+        .arg(&program)
+        .output()
+        .unwrap();
+    let told = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(
+        output.status.success(),
+        "{:?}: {told}{}",
+        output.status,
+        String::from_utf8_lossy(&output.stdout)
+    );
+    let outcome: Value = serde_json::from_str(&std::fs::read_to_string(&out).unwrap()).unwrap();
+    std::fs::remove_file(&out).unwrap();
+    assert_eq!((outcome["nodes"].as_u64(), outcome["real"].as_u64()), (Some(20), Some(12)));
+    assert_eq!(outcome["unknown"], 0, "the doors know all that goes by");
+    let figure = |role: &str, name: &str| outcome["roles"][role][name].as_f64().unwrap();
+    // Five vote, whichever they are: of the nine real ones that are no seeds, and of the eight hollow ones, some are left.
+    for name in ["messages_per_s_mean", "bytes_out_per_s_mean"] {
+        let (real, hollow) = (figure("node", name), figure("hollow-node", name));
+        assert!((hollow / real - 1.0).abs() < 0.25, "{name}: a real one {real}, a hollow one {hollow}");
+    }
+    assert!(figure("control", "bytes_out_per_s_mean") > figure("node", "bytes_out_per_s_mean"));
+    for key in ["p50", "p99", "all"] {
+        assert!(outcome["change_ms"][key].as_f64().unwrap() > 0.0, "{}", outcome["change_ms"]);
+    }
+    let budget = &outcome["budgets"][0];
+    assert!(budget["peak"].as_u64().unwrap() <= budget["whole"].as_u64().unwrap(), "{budget}");
+    assert!(budget["total"].as_u64().unwrap() > 0);
+}
+
+/// The processes that one has begun.
+fn children(of: u32) -> Vec<u32> {
+    let all = std::fs::read_dir("/proc")
+        .unwrap()
+        .filter_map(|entry| entry.ok()?.file_name().to_str()?.parse::<u32>().ok());
+    let parent = |pid: u32| -> Option<u32> {
+        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+        stat.rsplit_once(')')?.1.split_whitespace().nth(1)?.parse().ok()
+    };
+    all.filter(|pid| parent(*pid) == Some(of)).collect()
+}
+
+#[rstest]
+#[case::interrupted(Signal::INT, Some(2))]
+#[case::killed(Signal::KILL, None)]
+fn a_run_that_ends_early_leaves_no_process_behind(#[case] signal: Signal, #[case] code: Option<i32>) {
+    let mut run = Command::new(env!("CARGO_BIN_EXE_lupincrank-scale"))
+        .args(["run", "--nodes", "8", "--real", "2", "--seconds", "60", "--program"])
+        .arg(program())
+        .stderr(Stdio::piped())
+        .stdout(Stdio::null())
+        .spawn()
+        .unwrap();
+    let until = Instant::now() + Duration::from_secs(30);
+    let mut begun = Vec::new();
+    while begun.len() < 3 {
+        assert!(Instant::now() < until, "two real nodes and one process of hollow ones begin, {begun:?} did");
+        begun = children(run.id());
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    kill_process(Pid::from_raw(run.id() as i32).unwrap(), signal).unwrap();
+    assert_eq!(run.wait().unwrap().code(), code);
+    // Killed, it can't end the real ones: those that hold hollow nodes end by themselves.
+    let hosts = |pid: &u32| {
+        let line = std::fs::read(format!("/proc/{pid}/cmdline")).unwrap_or_default();
+        signal == Signal::INT || String::from_utf8_lossy(&line).contains("lupincrank-scale")
+    };
+    let lives = |pid: &u32| {
+        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+        stat.rsplit_once(')').is_some_and(|(_, rest)| !rest.trim_start().starts_with('Z'))
+    };
+    let left: Vec<u32> = begun.iter().copied().filter(|pid| hosts(pid) && lives(pid)).collect();
+    let until = Instant::now() + Duration::from_secs(30);
+    while left.iter().any(lives) {
+        assert!(Instant::now() < until, "{left:?} live on");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    // What a killed run could not end is ended here, by id.
+    for pid in begun.into_iter().filter(lives) {
+        let _ = kill_process(Pid::from_raw(pid as i32).unwrap(), Signal::KILL);
+    }
+}
