--- a/scale/src/fit.rs
+++ b/scale/src/fit.rs
@@ -35,6 +35,14 @@
     (square / count).sqrt() / mean.abs().max(f64::MIN_POSITIVE)
 }
 
+/// n (base + slope n): what each node adds grows with the size itself, as where each is told of each. Base, slope and what it
+/// misses as a part of the mean.
+pub fn square(points: &[(f64, f64)]) -> Option<(f64, f64, f64)> {
+    let each: Vec<(f64, f64)> = points.iter().filter(|(n, _)| *n > 0.0).map(|(n, y)| (*n, y / n)).collect();
+    let (base, slope) = least_squares(&each)?;
+    Some((base, slope, missed(points, |n| n * (base + slope * n))))
+}
+
 /// The line through these points; at least two sizes are needed.
 pub fn line(points: &[(f64, f64)]) -> Option<Line> {
     let (base, slope) = least_squares(points)?;
--- a/scale/src/fit/tests.rs
+++ b/scale/src/fit/tests.rs
@@ -18,6 +18,14 @@
     }
 }
 
+#[test]
+fn what_each_adds_by_the_size_is_found_again() {
+    let points: Vec<_> = [10.0, 25.0, 50.0, 100.0].map(|n| (n, n * (900.0 + 18.0 * n))).into();
+    let (base, slope, missed) = square(&points).unwrap();
+    assert!((base - 900.0).abs() < 1e-6 && (slope - 18.0).abs() < 1e-9 && missed < 1e-9);
+    assert!(line(&points).unwrap().residual > 0.1, "a straight line does not hold");
+}
+
 #[test]
 fn one_size_makes_no_line_and_a_role_that_nobody_had_is_left_out() {
     assert_eq!(line(&[(25.0, 1.0), (25.0, 2.0)]), None);
--- a/scale/src/main.rs
+++ b/scale/src/main.rs
@@ -216,6 +216,13 @@
                     line.residual * 100.0,
                     line.base + line.slope * at
                 );
+                if let Some((base, slope, missed)) = fit::square(&points) {
+                    println!(
+                        "    or n ({base:.6} + {slope:.6} n) (misses {:.1}%); at {at}: {:.4}",
+                        missed * 100.0,
+                        at * (base + slope * at)
+                    );
+                }
             }
             svg.map_or(Ok(()), |svg| plot::draw(&runs, &svg)).map(|()| true)
         }
--- a/scale/src/run.rs
+++ b/scale/src/run.rs
@@ -22,7 +22,9 @@
 use std::time::{Duration, Instant};
 
 /// Hollow nodes in one process at the most.
-const IN_ONE: usize = 200;
+const IN_ONE: usize = 100;
+/// Descriptors that a run takes besides.
+const SPARE: usize = 100;
 /// How often it is looked whether something has come about.
 const LOOK: Duration = Duration::from_millis(50);
 /// Real nodes are asked so often while something is awaited, and have so long to answer.
@@ -84,6 +86,15 @@
         if !(0.0..=0.9).contains(&self.loss) {
             return Err(format!("--loss: {} is not in 0 to 0.9", self.loss));
         }
+        // All expected nodes found the council with a vote each, and link each with each; a door has two ends of a link.
+        let expected = self.expected.unwrap_or(self.nodes);
+        let needed = expected * (expected - 1) + 4 * self.nodes + SPARE;
+        if let Some(most) = descriptors().filter(|most| *most < needed) {
+            return Err(format!(
+                "--nodes: {} with {expected} of them in the file take {needed} descriptors, {most} are the limit (ulimit -n)",
+                self.nodes
+            ));
+        }
         if !PathBuf::from(&self.program).is_file() {
             return Err(format!("--program: {:?} is no file: build it first", self.program));
         }
@@ -91,6 +102,13 @@
     }
 }
 
+/// Descriptors that this process may hold.
+fn descriptors() -> Option<usize> {
+    let limits = std::fs::read_to_string("/proc/self/limits").ok()?;
+    let line = limits.lines().find_map(|line| line.strip_prefix("Max open files"))?;
+    line.split_whitespace().next()?.parse().ok()
+}
+
 fn locked<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
     shared.lock().unwrap_or_else(|broken| broken.into_inner())
 }
--- a/scale/tests/runs.rs
+++ b/scale/tests/runs.rs
@@ -24,6 +24,7 @@
 #[case::no_time(&["--nodes", "10", "--seconds", "0"], "--seconds: 0 is not in 1 to 600")]
 #[case::no_number(&["--nodes", "10", "--seconds", "NaN"], "--seconds: NaN is not in 1 to 600")]
 #[case::all_lost(&["--nodes", "10", "--loss", "1"], "--loss: 1 is not in 0 to 0.9")]
+#[case::no_descriptors(&["--nodes", "1000"], "--nodes: 1000 with 1000 of them in the file take 1003100 descriptors")]
 #[case::no_program(&["--nodes", "10", "--program", "/nowhere"], "--program: \"/nowhere\" is no file")]
 fn bad_input_names_its_place(#[case] more: &[&str], #[case] why: &str) {
     let output = scale(&[&["run"], more].concat());
@@ -114,7 +115,7 @@
     // Killed, it can't end the real ones: those that hold hollow nodes end by themselves.
     let hosts = |pid: &u32| {
         let line = std::fs::read(format!("/proc/{pid}/cmdline")).unwrap_or_default();
-        signal == Signal::INT || String::from_utf8_lossy(&line).contains("lupincrank-scale")
+        signal == Signal::INT || line.split(|byte| *byte == 0).nth(1) == Some(b"host")
     };
     let lives = |pid: &u32| {
         let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
