--- a/scale/src/plot.rs
+++ b/scale/src/plot.rs
@@ -12,11 +12,12 @@
     ("hollow-node", "bytes_out_per_s_mean", "bytes/s sent"),
     ("leader", "cpu_share_mean", "of a core"),
     ("hollow-node", "cpu_share_mean", "of a core"),
-    ("leader", "rss_mb_max", "MB resident"),
+    ("node", "rss_mb_max", "MB resident"),
     ("hollow-node", "rss_mb_max", "MB resident"),
 ];
 
-/// Draws them; both axes are logarithmic, so a power of the size is a straight line.
+/// Draws them, with the straight line in red and the one of what each node adds in green; both axes are logarithmic, so a power of
+/// the size is a straight line.
 pub fn draw(runs: &[Value], to: &Path) -> Result<(), String> {
     let named = |error: &dyn std::fmt::Display| format!("{}: {error}", to.display());
     let root = SVGBackend::new(to, SIZE).into_drawing_area();
@@ -40,8 +41,12 @@
             .map_err(|error| named(&error))?;
         chart.configure_mesh().x_desc("nodes").y_desc(unit).draw().map_err(|error| named(&error))?;
         let steps = (0..=40).map(|step| left * (right / left).powf(f64::from(step) / 40.0));
-        let straight = steps.map(|n| (n, line.base + line.slope * n)).filter(|(_, y)| *y > low * 0.6);
+        let straight = steps.clone().map(|n| (n, line.base + line.slope * n)).filter(|(_, y)| *y > low * 0.6);
         chart.draw_series(LineSeries::new(straight, RED.mix(0.6))).map_err(|error| named(&error))?;
+        if let Some((base, slope, _)) = fit::square(&points) {
+            let bent = steps.map(|n| (n, n * (base + slope * n))).filter(|(_, y)| *y > low * 0.6);
+            chart.draw_series(LineSeries::new(bent, GREEN.mix(0.9))).map_err(|error| named(&error))?;
+        }
         chart
             .draw_series(points.iter().map(|point| Circle::new(*point, 4, BLUE.filled())))
             .map_err(|error| named(&error))?;
