--- a/scale/tests/runs.rs
+++ b/scale/tests/runs.rs
@@ -103,32 +103,37 @@
         .stdout(Stdio::null())
         .spawn()
         .unwrap();
+    let what = |pid: &u32| {
+        let line = std::fs::read(format!("/proc/{pid}/cmdline")).unwrap_or_default();
+        String::from_utf8_lossy(line.split(|byte| *byte == 0).nth(1).unwrap_or_default()).into_owned()
+    };
     let until = Instant::now() + Duration::from_secs(30);
-    let mut begun = Vec::new();
-    while begun.len() < 3 {
-        assert!(Instant::now() < until, "two real nodes and one process of hollow ones begin, {begun:?} did");
-        begun = children(run.id());
+    let (mut real, mut hosts) = (Vec::new(), Vec::new());
+    while (real.len(), hosts.len()) != (2, 1) {
+        assert!(
+            Instant::now() < until,
+            "two real nodes begin and one process of hollow ones: {real:?}, {hosts:?}"
+        );
+        let begun = children(run.id());
+        real = begun.iter().copied().filter(|pid| what(pid) == "serve").collect();
+        hosts = begun.iter().copied().filter(|pid| what(pid) == "host").collect();
         std::thread::sleep(Duration::from_millis(20));
     }
     kill_process(Pid::from_raw(run.id() as i32).unwrap(), signal).unwrap();
     assert_eq!(run.wait().unwrap().code(), code);
-    // Killed, it can't end the real ones: those that hold hollow nodes end by themselves.
-    let hosts = |pid: &u32| {
-        let line = std::fs::read(format!("/proc/{pid}/cmdline")).unwrap_or_default();
-        signal == Signal::INT || line.split(|byte| *byte == 0).nth(1) == Some(b"host")
-    };
     let lives = |pid: &u32| {
         let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
         stat.rsplit_once(')').is_some_and(|(_, rest)| !rest.trim_start().starts_with('Z'))
     };
-    let left: Vec<u32> = begun.iter().copied().filter(|pid| hosts(pid) && lives(pid)).collect();
+    if signal == Signal::KILL {
+        // It can't end the real ones any more: they are ended here, by id, before anything else can fail.
+        for pid in real.drain(..) {
+            let _ = kill_process(Pid::from_raw(pid as i32).unwrap(), Signal::KILL);
+        }
+    }
     let until = Instant::now() + Duration::from_secs(30);
-    while left.iter().any(lives) {
-        assert!(Instant::now() < until, "{left:?} live on");
+    while real.iter().chain(&hosts).any(lives) {
+        assert!(Instant::now() < until, "{real:?} and {hosts:?} live on");
         std::thread::sleep(Duration::from_millis(20));
     }
-    // What a killed run could not end is ended here, by id.
-    for pid in begun.into_iter().filter(lives) {
-        let _ = kill_process(Pid::from_raw(pid as i32).unwrap(), Signal::KILL);
-    }
 }
