--- a/node/src/hollow.rs
+++ b/node/src/hollow.rs
@@ -73,7 +73,7 @@
     let now = node.core.now();
     // Its place may be another process's still.
     let Some(carry) = &node.fleet else { return Seen::default() };
-    let (epoch, whole) = carry.council.state().map_or((0, 0), |state| (state.epoch, state.whole));
+    let (epoch, whole) = carry.council.state().map_or((0, 0), |state| (state.epoch, state.capacity));
     let alive = carry.membership.alive().count() + 1;
     let (led, leads, votes) = (carry.council.is_led(), carry.council.leads(), carry.council.votes());
     Seen { epoch, whole, led, leads, votes, alive, limit: carry.council.limit(now).0 }
