--- a/node/src/hollow.rs
+++ b/node/src/hollow.rs
@@ -19,8 +19,8 @@
 pub struct Seen {
     /// The council that it takes part in has entries up to this epoch; 0 for no council.
     pub epoch: u64,
-    /// The whole of the cold budget that its council hands out.
-    pub whole: u32,
+    /// The capacity of the cold budget that its council hands out.
+    pub capacity: u32,
     /// It knows a leader, and is it itself.
     pub led: bool,
     /// See `led`.
@@ -73,10 +73,10 @@
     let now = node.core.now();
     // Its place may be another process's still.
     let Some(carry) = &node.fleet else { return Seen::default() };
-    let (epoch, whole) = carry.council.state().map_or((0, 0), |state| (state.epoch, state.whole));
+    let (epoch, capacity) = carry.council.state().map_or((0, 0), |state| (state.epoch, state.capacity));
     let alive = carry.membership.alive().count() + 1;
     let (led, leads, votes) = (carry.council.is_led(), carry.council.leads(), carry.council.votes());
-    Seen { epoch, whole, led, leads, votes, alive, limit: carry.council.limit(now).0 }
+    Seen { epoch, capacity, led, leads, votes, alive, limit: carry.council.limit(now).0 }
 }
 
 impl Connection<State> for Watch {
--- a/scale/src/host.rs
+++ b/scale/src/host.rs
@@ -119,7 +119,7 @@
             node: self.node,
             at_us: unix_us(),
             epoch: seen.epoch,
-            whole: seen.whole,
+            whole: seen.capacity,
             led: seen.led,
             votes: seen.votes,
             alive: seen.alive,
