--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -5,7 +5,7 @@
 use crate::group::{check, dial, health, number, Update};
 use crate::objects::Objects;
 use crate::state::{Message, Node, State, DISCOVERY, UPGRADE};
-use lupincrank::Listed;
+use lupincrank::{asking, Listed};
 use lupincrank_reactor::poll::{self, Watched};
 use lupincrank_reactor::{Connection, Flow};
 use slog::{debug, info, warn};
@@ -13,10 +13,10 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
-/// A call that brings no answer in this time has failed.
+/// A call that brings no answer in this time has failed. There is a further one beside it by then.
 const ANSWER: Duration = Duration::from_millis(4500);
-/// A connection to discovery that is not up in this time will not come up.
-const CONNECT: Duration = Duration::from_secs(1);
+/// A connection to discovery that is not up in this time will not come up: the kernel asks a second time after 1 s.
+const CONNECT: Duration = Duration::from_millis(1250);
 /// An empty line comes every 2 s; a watch that brings nothing whole for half as long again is dead. What it misses counts as
 /// told 6 s after it fell silent: that leaves time to ask anew, spread over the gateways, and once more if that call hangs.
 const SILENCE: Duration = Duration::from_millis(3000);
@@ -71,6 +71,10 @@
     }
 }
 
+/// Deadlines: one for each call, by its side, and the time for a further call beside one that is not answered.
+const FURTHER: u64 = 2;
+
+#[derive(Clone, Copy, PartialEq)]
 enum Phase {
     Connecting,
     Head,
@@ -78,6 +82,7 @@
 }
 
 struct Call {
+    begun: Instant,
     stream: Watched<TcpStream>,
     phase: Phase,
     unsent: Vec<u8>,
@@ -93,7 +98,11 @@
     zones: Vec<String>,
     kinds: Vec<String>,
     known: Option<Update>,
-    call: Option<Call>,
+    /// The watch, or the calls that are to open it: the second one is made when the first is not answered. The first of
+    /// them that brings something whole is the watch, and the other one is closed.
+    calls: [Option<Call>; 2],
+    /// When discovery last said something, or showed by refusing or ending a call that there is nothing to hear.
+    contact: Instant,
 }
 
 impl Discovery {
@@ -105,7 +114,8 @@
             zones: config.zones.clone(),
             kinds: config.kinds.clone(),
             known: config.known.clone(),
-            call: None,
+            calls: [None, None],
+            contact: Instant::now(),
         }
     }
 
@@ -131,14 +141,26 @@
         Ok(())
     }
 
+    /// Whether a call is made or a watch stands.
+    fn calls(&self) -> bool {
+        self.calls.iter().any(Option::is_some)
+    }
+
+    /// Makes a call; in place of the older one if there are two already.
     fn begin(&mut self, node: &mut Node) -> io::Result<()> {
+        let begun = self.calls.each_ref().map(|call| call.as_ref().map(|call| call.begun));
+        let side = usize::from(begun[1] < begun[0]);
+        self.close(node, side);
+        let now = Instant::now();
+        node.deadlines.set(DISCOVERY, FURTHER, now + asking::alone(now - self.contact, self.calls()));
         let request = format!(
             "GET /v1/endpoints?watch=1&from={} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n",
             self.seq, self.dial
         );
-        debug!(node.log, "asking discovery"; "seq" => self.seq);
-        let stream = poll::connect(&node.poller, self.dial, DISCOVERY as usize * 2)?;
-        self.call = Some(Call {
+        debug!(node.log, "asking discovery"; "seq" => self.seq, "beside" => self.calls());
+        let stream = poll::connect(&node.poller, self.dial, DISCOVERY as usize * 2 + side)?;
+        self.calls[side] = Some(Call {
+            begun: now,
             stream,
             phase: Phase::Connecting,
             unsent: request.into_bytes(),
@@ -146,24 +168,38 @@
             chunks: Chunks::default(),
             objects: Objects::default(),
         });
-        node.deadlines.set(DISCOVERY, 0, Instant::now() + CONNECT);
+        node.deadlines.set(DISCOVERY, side as u64, now + CONNECT);
         Ok(())
     }
 
+    /// Calls discovery; one that cannot even begin has failed.
+    fn call(&mut self, node: &mut Node) {
+        if let Err(error) = self.begin(node) {
+            self.failed(node, &error.to_string());
+        }
+    }
+
+    fn close(&mut self, node: &mut Node, side: usize) {
+        self.calls[side] = None;
+        node.deadlines.clear(DISCOVERY, side as u64);
+    }
+
     fn failed(&mut self, node: &mut Node, why: &str) {
         warn!(node.log, "discovery failed"; "why" => why.to_string(), "seq" => self.seq);
-        self.call = None;
-        node.deadlines.clear(DISCOVERY, 0);
-        node.core.list_failed();
+        // The call beside it goes on.
+        if !self.calls() {
+            node.deadlines.clear(DISCOVERY, FURTHER);
+            node.core.list_failed();
+        }
     }
 
-    fn progress(&mut self, node: &mut Node) -> Result<(), String> {
-        let Some(call) = &mut self.call else { return Ok(()) };
-        if matches!(call.phase, Phase::Connecting) {
+    fn progress(&mut self, node: &mut Node, side: usize) -> Result<(), String> {
+        let Some(call) = &mut self.calls[side] else { return Ok(()) };
+        if call.phase == Phase::Connecting {
             let error = call.stream.take_error().map_err(|error| error.to_string())?;
             error.map_or(Ok(()), |error| Err(error.to_string()))?;
             call.phase = Phase::Head;
-            node.deadlines.set(DISCOVERY, 0, Instant::now() + ANSWER);
+            node.deadlines.set(DISCOVERY, side as u64, Instant::now() + ANSWER);
         }
         while !call.unsent.is_empty() {
             match call.stream.write(&call.unsent) {
@@ -176,22 +212,22 @@
         let mut scratch = [0; 16 << 10];
         // A turn reads a bounded part: guards against a long list that keeps clients waiting.
         for _ in 0..16 {
-            let Some(call) = &mut self.call else { return Ok(()) };
+            let Some(call) = &mut self.calls[side] else { return Ok(()) };
             let read = match call.stream.read(&mut scratch) {
                 Ok(0) => return Err("it ended the connection".into()),
                 Ok(read) => read,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
                 Err(error) => return Err(error.to_string()),
             };
-            self.take(node, &scratch[..read])?;
+            self.take(node, side, &scratch[..read])?;
         }
         Ok(())
     }
 
-    fn take(&mut self, node: &mut Node, bytes: &[u8]) -> Result<(), String> {
-        let Some(call) = &mut self.call else { return Ok(()) };
+    fn take(&mut self, node: &mut Node, side: usize, bytes: &[u8]) -> Result<(), String> {
+        let Some(call) = &mut self.calls[side] else { return Ok(()) };
         let mut body = bytes.to_vec();
-        if matches!(call.phase, Phase::Head) {
+        if call.phase != Phase::Body {
             call.head.extend_from_slice(bytes);
             let Some(length) = head(&call.head)? else { return Ok(()) };
             body = call.head.split_off(length);
@@ -202,20 +238,23 @@
         let last = call.chunks.decode(&body, &mut text)?;
         let (mut whole, was_half) = (false, call.objects.half());
         call.objects.push(&text);
-        while let Some(call) = &mut self.call {
+        while let Some(call) = &mut self.calls[side] {
             let Some(object) = call.objects.take()? else { break };
             let update: Update = serde_json::from_slice(&object).map_err(|error| error.to_string())?;
             info!(node.log, "upstream group changed"; "seq" => update.seq, "entries" => update.hosts.len());
             self.apply(&mut node.core, update, false)?;
             whole = true;
         }
-        let half = self.call.as_ref().is_some_and(|call| call.objects.half());
+        let half = self.calls[side].as_ref().is_some_and(|call| call.objects.half());
         // An empty line is whole too. The rest of an object that has begun has as long as anything else that is awaited:
         // guards against a list that comes byte by byte and never ends, while its changes count as told.
         if whole || (!half && !text.is_empty()) || (half && !was_half) {
-            node.deadlines.set(DISCOVERY, 0, Instant::now() + SILENCE);
+            node.deadlines.set(DISCOVERY, side as u64, Instant::now() + SILENCE);
         }
         if whole || (!half && !text.is_empty()) {
+            self.contact = Instant::now();
+            self.close(node, 1 - side);
+            node.deadlines.clear(DISCOVERY, FURTHER);
             node.core.list_told();
             node.tell(UPGRADE, Message::Begin);
         }
@@ -249,21 +288,35 @@
 }
 
 impl Connection<State> for Discovery {
-    fn ready(&mut self, node: &mut Node, _side: usize, _readable: bool, _writable: bool) -> Flow {
-        if let Err(why) = self.progress(node) {
+    fn ready(&mut self, node: &mut Node, side: usize, _readable: bool, _writable: bool) -> Flow {
+        if let Err(why) = self.progress(node, side) {
+            self.contact = Instant::now();
+            self.close(node, side);
             self.failed(node, &why);
         }
         Flow::Keep
     }
 
-    fn due(&mut self, node: &mut Node, _purpose: u64) -> Flow {
-        let watching = self.call.as_ref().is_some_and(|call| matches!(call.phase, Phase::Body));
-        if watching {
-            warn!(node.log, "the watch has fallen silent"; "seq" => self.seq);
-            self.call = None;
-            node.core.list_silent();
-        } else {
-            self.failed(node, "nothing came in time");
+    fn due(&mut self, node: &mut Node, purpose: u64) -> Flow {
+        if purpose == FURTHER {
+            self.call(node);
+            return Flow::Keep;
+        }
+        let side = usize::from(purpose == 1);
+        let phase = self.calls[side].as_ref().map(|call| call.phase);
+        self.close(node, side);
+        match phase {
+            Some(Phase::Body) if !self.calls() => {
+                warn!(node.log, "the watch has fallen silent"; "seq" => self.seq);
+                node.deadlines.clear(DISCOVERY, FURTHER);
+                node.core.list_silent();
+            }
+            // The failure is this node's own finding, so nothing has shown that there is nothing to hear.
+            Some(Phase::Connecting) if !self.calls() && asking::hurries(self.contact.elapsed()) => {
+                warn!(node.log, "discovery failed"; "why" => "nothing came in time", "seq" => self.seq);
+                self.call(node);
+            }
+            _ => self.failed(node, "nothing came in time"),
         }
         Flow::Keep
     }
@@ -273,7 +326,7 @@
         if moved {
             // What is known stays: the watch at the new address goes on from the version that the old one told.
             self.dial = node.config.discovery;
-            self.call = None;
+            [0, 1].into_iter().for_each(|side| self.close(node, side));
         }
         if let Some(known) = self.known.take() {
             if let Err(why) = self.apply(&mut node.core, known, true) {
@@ -281,10 +334,8 @@
             }
         }
         // A call that is under way is the newer one: an earlier failure asked for this before discovery moved.
-        if (moved || matches!(message, Message::Subscribe)) && self.call.is_none() {
-            if let Err(error) = self.begin(node) {
-                self.failed(node, &error.to_string());
-            }
+        if (moved || matches!(message, Message::Subscribe)) && !self.calls() {
+            self.call(node);
         }
         Flow::Keep
     }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -266,7 +266,54 @@
         Rig::begin(peers, sockets, None)
     }
 
+    /// One of so many nodes, with its watch open.
+    pub fn one_of(nodes: u32, peers: usize) -> Rig {
+        let mut rig =
+            Rig::begin_with(peers, 1024, None, |config| config["settings"]["Instances"] = nodes.into());
+        rig.watched();
+        within("PONG", || (rig.ask("PING\r\n") == "PONG").then_some(()));
+        rig
+    }
+
+    /// A node that begins with this configuration.
+    pub fn launch_with(peers: usize, sockets: usize, change: impl FnOnce(&mut serde_json::Value)) -> Rig {
+        Rig::begin_with(peers, sockets, None, change)
+    }
+
+    /// Discovery ends: its watch breaks, and calls are refused. Its address is kept from others in what this gives.
+    pub fn discovery_ends(&mut self) -> socket2::Socket {
+        let at = self.discovery.local_addr().unwrap();
+        self.watch = None;
+        self.discovery = listen();
+        within("its address is free", || {
+            let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).ok()?;
+            socket.set_reuse_address(true).ok()?;
+            socket.bind(&at.into()).ok().map(|()| socket)
+        })
+    }
+
+    /// It listens again where it did.
+    pub fn discovery_returns(&mut self, kept: socket2::Socket) {
+        kept.listen(128).unwrap();
+        kept.set_nonblocking(true).unwrap();
+        self.discovery = kept.into();
+    }
+
+    /// Where clients connect.
+    pub fn client_address(&self) -> SocketAddr {
+        self.listen
+    }
+
     fn begin(peers: usize, sockets: usize, holder: Option<(TcpListener, std::path::PathBuf)>) -> Rig {
+        Rig::begin_with(peers, sockets, holder, |_| {})
+    }
+
+    fn begin_with(
+        peers: usize,
+        sockets: usize,
+        holder: Option<(TcpListener, std::path::PathBuf)>,
+        change: impl FnOnce(&mut serde_json::Value),
+    ) -> Rig {
         let peers: Vec<_> = (0..peers).map(|_| Some(listen())).collect();
         let hosts: Vec<_> = peers.iter().flatten().map(|peer| peer.local_addr().unwrap()).collect();
         let discovery = listen();
@@ -279,6 +326,7 @@
         config["discovery"] = discovery.local_addr().unwrap().to_string().into();
         config["limits"]["sockets"] = sockets.into();
         config["known"] = serde_json::from_str(&group(&hosts, "SERVING", 1, true)).unwrap();
+        change(&mut config);
         let file =
             std::env::temp_dir().join(format!("lupincrank-{}-{}.json", std::process::id(), free.port()));
         std::fs::write(&file, config.to_string()).unwrap();
@@ -380,6 +428,12 @@
         (call, request)
     }
 
+    /// The watch falls silent; takes the node's next call.
+    pub fn called_after_silence(&mut self) -> (Line, String) {
+        self.write_watch(b"\n", 1);
+        self.called()
+    }
+
     /// Opens the watch that the node asks for.
     pub fn watched(&mut self) {
         let (mut call, _) = self.called();
--- a/node/tests/crossings.rs
+++ b/node/tests/crossings.rs
@@ -176,6 +176,62 @@
     assert!(silent_since.elapsed() < Duration::from_secs(6), "{:?}", silent_since.elapsed());
 }
 
+/// The same where discovery takes the first call and never answers it, few nodes or many: a change that was made behind the silent
+/// watch holds in time.
+#[rstest]
+fn what_a_silent_watch_misses_is_heard_in_time_though_a_call_is_never_answered(#[values(2, 300)] nodes: u32) {
+    let mut rig = Rig::one_of(nodes, 2);
+    rig.write_watch(b"\n", 1);
+    let silent_since = Instant::now();
+    let (_never_answered, _) = rig.called();
+    rig.watched();
+    rig.tell(0, "DRAINING", 2);
+    rig.logged("seq: 2");
+    assert!(silent_since.elapsed() < Duration::from_secs(6), "{:?}", silent_since.elapsed());
+    let held: Vec<_> = (0..6).map(|n| rig.up_in(&format!("g{n}"))).collect();
+    assert!(held.iter().all(|(_, at, _)| *at == 1), "it was told that the first one drains");
+}
+
+/// One of two calls that wait is answered, either one: it is the watch, and the other one is closed.
+#[rstest]
+fn the_call_that_is_answered_first_is_the_watch(#[values(true, false)] first: bool) {
+    let mut rig = Rig::start(1);
+    let (one, _) = rig.called_after_silence();
+    let (two, _) = rig.called();
+    let (mut answered, mut other) = if first { (one, two) } else { (two, one) };
+    answered.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+    assert_eq!(other.hear(), "", "it is closed");
+    rig.watch = Some(answered);
+    rig.tell(0, "DRAINING", 2);
+    rig.logged("seq: 2");
+    assert!(rig.discovery.accept().is_err(), "no further call");
+}
+
+/// Calls are refused or ended for long, or accepted and never answered; then discovery is back, and the next call is answered. It
+/// comes in time for what discovery had to tell from that moment on.
+#[rstest]
+#[case::down(true)]
+#[case::hangs(false)]
+fn discovery_that_is_back_is_heard_in_time(#[case] ends: bool, #[values(2, 300)] nodes: u32) {
+    let mut rig = Rig::one_of(nodes, 1);
+    rig.watch = None;
+    let mut hung = Vec::new();
+    for _ in 0..3 {
+        let (mut call, _) = rig.called();
+        if ends {
+            call.say("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+        } else {
+            hung.push(call);
+        }
+    }
+    // The last call that it spoilt has come: from here on it is well.
+    let back = Instant::now();
+    rig.watched();
+    rig.tell(0, "DRAINING", 2);
+    rig.logged("seq: 2");
+    assert!(back.elapsed() < Duration::from_secs(6), "{:?}", back.elapsed());
+}
+
 /// A connection's place is needed for others in the turn in which its line is there, whole and unread.
 #[test]
 fn a_connection_whose_line_has_come_is_not_ended_for_want_of_room() {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -382,6 +382,7 @@
             let now_at = from.iter().position(|old| *old == Some(request.class));
             request.class = now_at.unwrap_or(usize::MAX);
         }
+        self.asking.share(settings.instances);
         self.least_message_aim = settings.least_message_aim();
         self.tenant_open.resize(settings.tenants.len(), 0);
         self.settings = settings;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,7 @@
 //! actions. [`interface`] has the types; `balance` has every decision.
 #![doc = include_str!("../README.md")]
 
-mod asking;
+pub mod asking;
 mod balance;
 mod bits;
 pub mod by_hand;
