A try whose line may not have arrived ends with a reset

Change: from its first byte to its answer a try's connection is set to end with a reset; where the kernel says that all has been acknowledged it ends in good order as before. A line partly written asks its owner again before the rest; a try whose owner ignores that it is connected waits for nothing but its deadline; at its deadline a try reads once more.

--- a/node/src/peer.rs
+++ b/node/src/peer.rs
@@ -3,11 +3,12 @@
 use crate::state::{Message, Node, State, Up};
 use lupincrank::{Outcome, RequestId};
 use lupincrank_reactor::poll::{self, Watched};
-use lupincrank_reactor::{Connection, Flow, Id};
+use lupincrank_reactor::{delivery, Connection, Flow, Id};
 use slog::debug;
+use socket2::SockRef;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// The longest line of the protocol, its end included.
 pub const LONGEST_LINE: usize = 4 << 10;
@@ -81,7 +82,8 @@
     task: Try,
     stream: Option<Watched<TcpStream>>,
     connected: bool,
-    /// The owner has said that the client still waits.
+    /// The owner was asked whether the client still waits, and has said that it does.
+    asked: bool,
     may_send: bool,
     sent: usize,
     bytes: Vec<u8>,
@@ -91,7 +93,8 @@
     /// Begins a try; how it ends is told to the core, also when it cannot even begin.
     pub fn open(node: &mut Node, id: Id, task: Try) {
         let (stream, bytes) = (None, Vec::new());
-        let mut peer = Peer { id, task, stream, connected: false, may_send: false, sent: 0, bytes };
+        let mut peer =
+            Peer { id, task, stream, connected: false, asked: false, may_send: false, sent: 0, bytes };
         let now = Instant::now();
         match poll::connect(&node.poller, peer.task.dial, id as usize * 2) {
             Ok(stream) => {
@@ -113,7 +116,7 @@
     fn end(&mut self, node: &mut Node, outcome: Outcome) -> Flow {
         debug!(node.log, "try ended"; "request" => format!("{:016x}", self.task.request.0),
             "dial" => %self.task.dial, "outcome" => ?outcome);
-        self.stream = None;
+        self.close();
         if self.task.stood {
             node.tell(self.task.owner, Message::NotUp);
         } else {
@@ -122,6 +125,25 @@
         Flow::Done
     }
 
+    /// From here on nothing of this try may wait in the kernel to be sent once a network that is cut heals: if the connection
+    /// ends, be it with this process, what it holds is dropped, and the transcriber sees a reset.
+    fn arm(stream: &TcpStream) -> io::Result<()> {
+        SockRef::from(stream).set_linger(Some(Duration::ZERO))
+    }
+
+    /// All that was sent has arrived: the connection ends in good order.
+    fn disarm(stream: &TcpStream) {
+        let _ = SockRef::from(stream).set_linger(None);
+    }
+
+    /// Closes the connection, with a reset if bytes of it may not have arrived.
+    fn close(&mut self) {
+        let Some(stream) = self.stream.take() else { return };
+        if self.sent > 0 && matches!(delivery::unacknowledged(&stream), Ok(0)) {
+            Peer::disarm(&stream);
+        }
+    }
+
     /// How a break counts now: whether it may have run hinges on the last byte of the first line.
     fn broken(&self) -> Outcome {
         match (self.connected, self.sent < self.task.line.len()) {
@@ -139,17 +161,26 @@
             }
             self.connected = true;
             node.deadlines.clear(self.id, CONNECT);
-            // It may have taken long: whether anybody still waits for it is seen first. Until the owner has looked, which
-            // is before the next event, the connection stays as it is.
-            node.tell(self.task.owner, Message::Connected(self.id));
         }
         if !self.may_send {
-            return Ok(());
+            // It may have taken long: whether anybody still waits for it is seen first. The owner looks before the next
+            // event; nothing is waited for meanwhile. Guards against a loop that spins on a writable socket.
+            if !std::mem::replace(&mut self.asked, true) {
+                node.tell(self.task.owner, Message::Connected(self.id));
+            }
+            return stream.want(true, false);
+        }
+        if self.sent == 0 {
+            Peer::arm(stream)?;
         }
         while self.sent < self.task.line.len() {
             match stream.write(&self.task.line[self.sent..]) {
                 Ok(sent) => self.sent += sent,
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return stream.want(true, true),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    // Before the rest goes out it is asked again.
+                    (self.asked, self.may_send) = (false, false);
+                    return stream.want(true, true);
+                }
                 Err(error) => return Err(error),
             }
         }
@@ -173,7 +204,12 @@
             }
             while let Some(end) = self.bytes.iter().position(|byte| *byte == b'\n') {
                 let whole = self.bytes[..end].ends_with(b"\r") && end < LONGEST_LINE;
-                match said(&self.bytes[..end]) {
+                let says = said(&self.bytes[..end]);
+                if !matches!(says, Said::Load(_)) {
+                    // It answers, so it has the line.
+                    Peer::disarm(self.stream.as_ref()?);
+                }
+                match says {
                     _ if !whole => return Some(self.end(node, Outcome::Error)),
                     Said::Up => {
                         let stream = self.stream.take()?;
@@ -214,7 +250,7 @@
     /// before is nothing new.
     fn send(&mut self, node: &mut Node) -> Flow {
         self.may_send = true;
-        if !self.task.stood && !node.core.may_send(self.task.request) {
+        if self.sent == 0 && !self.task.stood && !node.core.may_send(self.task.request) {
             return self.end(node, Outcome::Dropped);
         }
         self.progress(node)
@@ -244,13 +280,22 @@
     }
 
     fn due(&mut self, node: &mut Node, _purpose: u64) -> Flow {
+        // Its answer may have come while this process was kept from reading it.
+        if self.connected {
+            if let Some(flow) = self.read(node) {
+                return flow;
+            }
+        }
         let written = self.sent == self.task.line.len();
         self.end(node, if written { Outcome::TimedOut } else { Outcome::ConnectFailed })
     }
 
     fn told(&mut self, node: &mut Node, message: Message) -> Flow {
         match message {
-            Message::Close => Flow::Done,
+            Message::Close => {
+                self.close();
+                Flow::Done
+            }
             Message::Send => self.send(node),
             _ => Flow::Keep,
         }
--- /dev/null
+++ b/node/tests/closes.rs
@@ -0,0 +1,104 @@
+//! Closes: what is still under way when one side ends, and what the other side sees of it.
+
+mod common;
+use common::{reset, within, Line, Rig};
+use rstest::rstest;
+use socket2::SockRef;
+use std::io::{ErrorKind, Read};
+
+/// A first line of nearly the greatest length.
+fn long_line(rig: &mut Rig, wait: u32) -> Line {
+    let fill = "x".repeat(3800);
+    rig.open(&format!("d={wait},g=a,x={fill}")).0
+}
+
+/// Transcribers take so little unread that the end of a long line stays in the node's kernel.
+fn narrow(rig: &Rig) {
+    for peer in rig.peers.iter().flatten() {
+        SockRef::from(peer).set_recv_buffer_size(1).unwrap();
+    }
+}
+
+/// All that comes until the connection ends, and whether it ended in good order.
+fn rest(line: &mut Line) -> (Vec<u8>, bool) {
+    let (mut came, mut part) = (Vec::new(), [0; 4096]);
+    loop {
+        match line.stream.read(&mut part) {
+            Ok(0) => return (came, true),
+            Ok(read) => came.extend_from_slice(&part[..read]),
+            Err(error) if error.kind() == ErrorKind::ConnectionReset => return (came, false),
+            Err(error) => panic!("{error}"),
+        }
+    }
+}
+
+/// A connection of which the transcriber's kernel has taken a part of the line. The rest is held back, as by a network that is
+/// cut.
+fn held_back(rig: &Rig) -> Line {
+    let (_, peer) = rig.tried();
+    within("a part of the line", || (peer.stream.peek(&mut [0; 4096]).unwrap() > 0).then_some(()));
+    peer
+}
+
+/// How a try ends whose line has not arrived.
+#[derive(Clone, Copy, PartialEq)]
+enum Ends {
+    ClientEnds,
+    ClientResets,
+    TimeOver,
+    NodeEnds,
+    NodeKilled,
+}
+
+/// What the kernel holds back is not sent on when the network heals, after the try has ended: an attempt counts once its last byte
+/// has arrived.
+#[rstest]
+fn what_is_held_back_is_not_sent_on_after_its_try_has_ended(
+    #[values(Ends::ClientEnds, Ends::ClientResets, Ends::TimeOver, Ends::NodeEnds, Ends::NodeKilled)] how: Ends,
+) {
+    let mut rig = Rig::start(1);
+    rig.set(|settings| settings["Limits"]["SendCap"] = 1.into());
+    narrow(&rig);
+    let mut client = Some(long_line(&mut rig, if how == Ends::TimeOver { 700 } else { 20000 }));
+    let mut peer = held_back(&rig);
+    match how {
+        Ends::ClientEnds => drop(client.take()),
+        Ends::ClientResets => reset(client.take().unwrap()),
+        Ends::TimeOver => assert!(client.as_mut().unwrap().hear().starts_with("BUSY")),
+        Ends::NodeEnds => {
+            rig.signal("-TERM");
+            assert!(client.as_mut().unwrap().hear().starts_with("BUSY"));
+        }
+        Ends::NodeKilled => {
+            rig.signal("-KILL");
+            rig.exit();
+        }
+    }
+    if client.is_none() {
+        rig.logged("client left");
+        // A call is answered after what was decided has been carried out.
+        assert_eq!(rig.ask("PING\r\n"), "PONG");
+    }
+    let (came, in_order) = rest(&mut peer);
+    assert!(!came.ends_with(b"\n") && !in_order, "{} bytes came, in good order: {in_order}", came.len());
+}
+
+/// Where all has arrived a try ends in good order, whoever ends it.
+#[rstest]
+#[case::client_ends(None)]
+#[case::error(Some("ERR\r\n"))]
+#[case::turned_away(Some("BUSY\r\n"))]
+#[case::served(Some("BYE\r\n"))]
+#[case::time_over(Some(""))]
+fn a_try_whose_line_has_arrived_ends_in_good_order(#[case] says: Option<&str>) {
+    let mut rig = Rig::start(1);
+    rig.set(|settings| settings["Limits"]["SendCap"] = 1.into());
+    let (client, line) = rig.open(if says == Some("") { "d=700,g=a" } else { "d=20000,g=a" });
+    let (_, mut peer) = rig.tried();
+    assert_eq!(peer.hear().split(',').next(), line.split(',').next());
+    match says {
+        Some(says) => peer.say(says),
+        None => drop(client),
+    }
+    assert_eq!(rest(&mut peer), (Vec::new(), true));
+}
--- a/reactor/src/lib.rs
+++ b/reactor/src/lib.rs
@@ -2,6 +2,7 @@
 //! keeps beside them is its [`World`]; the loop knows nothing of it.
 
 pub mod deadlines;
+pub mod delivery;
 pub mod poll;
 mod run;
 
