A connection from before the node's life is answered when the node ends

Need: what waits with at= is unknown to the decisions, so that SIGTERM's last step left it without an answer. Change: that step says so to all objects; such a client is answered ERR where a try is out, BUSY else. Before the next try of such a connection its client is read first.

--- a/node/src/line_front.rs
+++ b/node/src/line_front.rs
@@ -528,7 +528,11 @@
         match self.state {
             _ if self.frozen => Flow::Keep,
             State::First => self.last_look(node),
-            State::Waiting(_) if purpose == AGAIN => self.resume(node),
+            // Whether anybody still waits is seen before the next try.
+            State::Waiting(_) if purpose == AGAIN => match self.read(node) {
+                Flow::Keep => self.resume(node),
+                Flow::Done => Flow::Done,
+            },
             _ => Flow::Done,
         }
     }
@@ -583,6 +587,15 @@
                 }
                 self.answer(node, b"ERR\r\n")
             }
+            // The decisions know nothing of a connection from before this node's life. Where its line may have gone out it may
+            // stand by now, so that it is not said to have been refused.
+            Message::Ending if waiting.open.holder.is_some() => match waiting.peer {
+                Some(peer) => {
+                    node.tell(peer, Message::Close);
+                    self.answer(node, b"ERR\r\n")
+                }
+                None => self.answer(node, &busy(Duration::ZERO)),
+            },
             Message::Up(up) => self.up(node, up),
             Message::Ended(line) => {
                 if waiting.open.holder.is_none() {
--- a/node/src/signals.rs
+++ b/node/src/signals.rs
@@ -102,6 +102,7 @@
         let steps = (left.as_millis() / STEP.as_millis()) as usize + 1;
         // What still waits is ended together with the last moves: nothing may be left without an answer.
         node.core.send_away(steps);
+        node.ending = steps <= 1;
         node.deadlines.set(SIGNALS, 0, now + STEP);
         Flow::Keep
     }
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -70,6 +70,8 @@
     Close,
     /// Take no clients in for now.
     Rest,
+    /// This process ends now: what still waits gets its answer.
+    Ending,
     /// Go over to the process that takes this one's place; then whether that happened.
     HandOver,
     /// See `HandOver`: the sockets are the other's now.
@@ -133,6 +135,8 @@
     pub fleet: Option<Box<Carry>>,
     /// Set for a moment when all connections are to be handed over.
     pub hand_over: bool,
+    /// Set for a moment when what still waits has to get its answer.
+    pub ending: bool,
 }
 
 impl State {
@@ -149,6 +153,7 @@
             leaving: None,
             fleet: None,
             hand_over: false,
+            ending: false,
         }
     }
 
@@ -193,10 +198,15 @@
                 }
             }
         }
-        if std::mem::take(&mut node.hand_over) {
+        if node.hand_over || node.ending {
             let mut ids: Vec<Id> = objects.filter(|id| (RESERVED + 1..CALLS).contains(id)).collect();
             ids.sort_unstable();
-            node.upgrade.enqueue(ids);
+            if std::mem::take(&mut node.ending) {
+                ids.iter().for_each(|id| node.tell(*id, Message::Ending));
+            }
+            if std::mem::take(&mut node.hand_over) {
+                node.upgrade.enqueue(ids);
+            }
         }
     }
 
