Transcribers are probed where the settings allow it; cold ones fill by what they report

At fault: core.rs dropped Action::Probe, so that the module passed a transcriber over for a second as one that answers no probe; count() never took off `added` what had ended; a server found full was not asked again before a refusal; cold servers took what LEAST_HELD guesses while they reported 0.2 to 0.5 of what they can do.

Change: node/src/probe.rs says STATS on a kept connection for each transcriber, bounded in number; send() probes the best server before it refuses; a cold server's due follows from its fresh report (fleet.rs, filled_by), within the same two thirds of what it falls at; a restart voids the report. Settings without probes and reports take none of these ways.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -45,6 +45,10 @@
 const CALLS_PART: usize = 24;
 const LEAST_CALLS: usize = 4;
 const MOST_CALLS: usize = 32;
+/// Connections for probes held at once, where they are allowed: likewise.
+const PROBES_PART: usize = 24;
+const LEAST_PROBES: usize = 4;
+const MOST_PROBES: usize = 64;
 /// The part of the descriptors that connections may always have which ask for nothing yet or have their answer.
 const STRANGERS_PART: usize = 12;
 
@@ -87,6 +91,10 @@
     pub zones: Vec<String>,
     /// See `classes`.
     pub kinds: Vec<String>,
+    /// The names of tenants, and of the fields of load reports, likewise.
+    pub tenants: Vec<String>,
+    /// See `tenants`.
+    pub report_fields: Vec<String>,
     /// Whether clients name a group in place of themselves.
     pub groups: bool,
     /// The longest time that any client waits.
@@ -153,6 +161,7 @@
         let from =
             fresh.classes.iter().map(|class| self.classes.iter().position(|old| old == class)).collect();
         (self.settings, self.classes, self.raw) = (fresh.settings, fresh.classes, fresh.raw);
+        (self.tenants, self.report_fields) = (fresh.tenants, fresh.report_fields);
         (self.groups, self.connect_timeout) = (fresh.groups, fresh.connect_timeout);
         // The platform may go by either: the shorter one is safe.
         self.longest_deadline = self.longest_deadline.min(fresh.longest_deadline);
@@ -170,8 +179,17 @@
         self.management.map_or(0, |_| (self.sockets / CALLS_PART).clamp(LEAST_CALLS, MOST_CALLS))
     }
 
+    /// How many connections for probes are held at once.
+    pub fn most_probes(&self) -> usize {
+        if self.settings.may_probe {
+            (self.sockets / PROBES_PART).clamp(LEAST_PROBES, MOST_PROBES)
+        } else {
+            0
+        }
+    }
+
     fn own_descriptors(&self) -> usize {
-        OWN_DESCRIPTORS + self.most_calls()
+        OWN_DESCRIPTORS + self.most_calls() + self.most_probes()
     }
 
     /// How many clients may be held with their request: each takes a second descriptor for its peer.
@@ -236,6 +254,8 @@
             classes: site.classes().into_iter().map(str::to_string).collect(),
             zones: site.zones().to_vec(),
             kinds: site.kinds().to_vec(),
+            tenants: site.tenants(),
+            report_fields: site.report_fields(),
             groups: site.has_groups(),
             longest_deadline: site.longest_deadline(),
             settings,
--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -59,6 +59,8 @@
     Fail(Owner),
     /// Send a client away.
     Move(Owner),
+    /// Probe a transcriber, which listens there; `Core::probed` is told what came back.
+    Probe(ServerId, SocketAddr),
     /// Ask discovery for changes.
     Subscribe,
     /// Call `Core::timer` later.
@@ -263,8 +265,13 @@
                 self.orders.push_back(Order::Timer { after, purpose });
             }
             Action::Subscribe => self.orders.push_back(Order::Subscribe),
-            // The settings of this kind of site allow neither probes nor talk between nodes.
-            Action::Probe(_) | Action::Tell(_) => {}
+            Action::Probe(server) => {
+                if let Some((dial, _)) = self.group.get(&server) {
+                    self.orders.push_back(Order::Probe(server, *dial));
+                }
+            }
+            // The protocol of this kind of site has no talk between nodes.
+            Action::Tell(_) => {}
         }
     }
 
@@ -559,6 +566,11 @@
         }
     }
 
+    /// A probe of this transcriber has come back or failed; with its load report, if one came.
+    pub fn probed(&mut self, server: &ServerId, passed: bool, report: Option<Vec<f64>>) {
+        self.feed(Event::Probed { server: server.clone(), passed, report });
+    }
+
     /// A transcriber has told this number of a standing connection: see `LoadLines`.
     pub fn load_line(&mut self, request: RequestId, value: f64) {
         let least = self.least_aim / 3;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -12,6 +12,7 @@
 mod management;
 mod objects;
 mod peer;
+mod probe;
 mod relay;
 mod serve;
 mod signals;
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -3,6 +3,7 @@
 use crate::config::Config;
 use crate::core::{Core, Order, TryOrder};
 use crate::fleet::carry::Carry;
+use crate::probe::{self, Probes};
 use crate::upgrade::held::Upgrade;
 use crate::upgrade::link::Said;
 use lupincrank::{RequestId, ServerId};
@@ -54,6 +55,8 @@
     Connected(Id),
     /// Send the first line.
     Send,
+    /// Probe the transcriber again.
+    Probe,
     /// The try is up; its socket comes along.
     Up(Up),
     /// The try of a connection that stood before this node began has failed.
@@ -129,6 +132,8 @@
     pub leaving: Option<(Instant, Instant)>,
     /// The other process of this node, if there is one.
     pub upgrade: Upgrade,
+    /// The connections for probes.
+    pub probes: Probes,
     /// The fleet that this node is one of, where the operator's file says so.
     pub fleet: Option<Box<Carry>>,
     /// Set for a moment when all connections are to be handed over.
@@ -147,6 +152,7 @@
             strangers: Strangers::default(),
             began: Instant::now(),
             leaving: None,
+            probes: Probes::default(),
             fleet: None,
             hand_over: false,
         }
@@ -187,6 +193,7 @@
                 Order::Refuse(owner, after) => node.tell(owner, Message::Refuse(after)),
                 Order::Fail(owner) => node.tell(owner, Message::Fail),
                 Order::Move(owner) => node.tell(owner, Message::Move),
+                Order::Probe(server, dial) => probe::probe(node, server, dial),
                 Order::Subscribe => node.tell(DISCOVERY, Message::Subscribe),
                 Order::Timer { after, purpose } => {
                     node.deadlines.set(WORLD, purpose, Instant::now() + after);
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -35,7 +35,10 @@
 }
 
 #[derive(Clone, Debug, Deserialize, PartialEq)]
-struct TenantConf {}
+#[serde(rename_all = "PascalCase")]
+struct TenantConf {
+    name: Option<String>,
+}
 
 #[derive(Clone, Debug, Deserialize, Default, PartialEq)]
 #[serde(rename_all = "PascalCase")]
@@ -154,6 +157,18 @@
         self.localities.as_deref().unwrap_or_default()
     }
 
+    /// The names of the tenants, in the order in which requests number them.
+    pub fn tenants(&self) -> Vec<String> {
+        let name = |tenant: &Option<TenantConf>| tenant.as_ref().and_then(|tenant| tenant.name.clone());
+        self.tenants.iter().flatten().map(|tenant| name(tenant).unwrap_or_default()).collect()
+    }
+
+    /// The names of the fields of a load report, in their order.
+    pub fn report_fields(&self) -> Vec<String> {
+        let fields = self.report.as_ref().and_then(|report| report.fields.as_ref());
+        fields.into_iter().flatten().map(|field| field.clone().unwrap_or_default()).collect()
+    }
+
     /// The names of the kinds of machines, likewise.
     pub fn kinds(&self) -> &[String] {
         self.kinds.as_deref().unwrap_or_default()
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -360,7 +360,8 @@
                 server.started = entry.started.or(server.started);
                 (server.strikes, server.bars, server.barred_until, server.crashed) = (0, 0, None, false);
                 server.cap = f64::INFINITY;
-                (server.tokens, server.refilled, server.part) = (1.0, now, settings.start_capacity);
+                (server.tokens, server.refilled, server.used) = (1.0, now, None);
+                server.part = settings.start_capacity;
             }
             *lost += server.turn(now, entry.health);
             server.zone = entry.zone;
@@ -472,15 +473,17 @@
     fn send(&mut self, now: Time, id: RequestId, actions: &mut Actions) {
         let Some(request) = self.requests.get(&id) else { return };
         let may_go = request.expires > now && request.attempts < request.attempt_cap;
-        let Some((at, gave_way)) = may_go.then(|| self.choose(now, request)).flatten() else {
-            return self.end_unserved(id, actions);
-        };
-        if !(request.mid_flow && request.attempts == 0) && self.probe(now, at, actions) {
-            if let Some(request) = self.requests.get_mut(&id) {
-                request.asked = Some((at, now.after(QUEUE_TICK)));
-            }
+        let chosen = may_go.then(|| self.choose(now, request)).flatten();
+        // Where none takes it the best one is asked anew: it may have been full, or cold, a while ago.
+        let best = || self.ranked(now, request, 0, 1).first().map(|(at, _)| *at).filter(|_| may_go);
+        let asked = chosen.map(|(at, _)| at).or_else(best);
+        let asked = asked.filter(|_| !(request.mid_flow && request.attempts == 0));
+        if asked.is_some_and(|at| self.probe(now, at, actions)) {
+            let until = now.after(QUEUE_TICK);
+            self.requests.entry(id).and_modify(|taken| taken.asked = asked.map(|at| (at, until)));
             return self.waiting.push_back(id);
         }
+        let Some((at, gave_way)) = chosen else { return self.end_unserved(id, actions) };
         let Some(request) = self.requests.get(&id) else { return };
         let patience = request.patience(now, self.setup_mean);
         if self.fleet.servers.get(at).is_some_and(|server| server.cold) {
@@ -597,7 +600,7 @@
                 // The list may not tell for seconds that the process is a new one; it is cold all the same.
                 server.crashed = false;
                 server.started = server.started.max(Some(now));
-                (server.tokens, server.refilled) = (0.0, now);
+                (server.tokens, server.refilled, server.used) = (0.0, now, None);
                 server.cold = server.is_cold(settings, now);
             }
         });
@@ -867,6 +870,7 @@
                 }
             } else if server.held.remove(&id) {
                 server.load -= load;
+                server.added -= load; // or a server is full with what has long gone
                 if let Some(group) = group {
                     let left = server.groups.entry(group).and_modify(|count| *count -= 1).or_default();
                     if *left == 0 {
@@ -1063,7 +1067,7 @@
         let Some(used) = self.settings.report_utilisation.and_then(|place| values.get(place)) else { return };
         self.fleet.change(at, |server| {
             server.used = Some((now, *used));
-            server.added = 0.0;
+            (server.added, server.held_then) = (0.0, server.held.len());
             server.cap = if *used > FULL { server.load * FULL / *used } else { f64::INFINITY };
             if *used > FULL {
                 server.crowded_at = Some(now);
@@ -1195,7 +1199,7 @@
             }
         };
         let rate = self.fleet.sums.warm_held / self.fleet.sums.warm.max(1.0) / cold_for;
-        let within = (self.settings.fall_multiple * COLD_PART).min(2.0) * SPARE;
+        let within = (self.settings.fall_multiple * COLD_PART).min(2.0);
         let fair = self.fair_unit();
         let mean_load = self.mean_load();
         let group_cost = GROUP_COST * mean_load;
@@ -1228,7 +1232,9 @@
                 server.cold = server.is_cold(settings, now);
                 if server.cold {
                     let span = now.since(server.refilled).as_secs_f64();
-                    let due = span * rate.max(floor) * server.warmth(settings, now) * within;
+                    let guess = rate.max(floor) * server.warmth(settings, now) * SPARE;
+                    let full = server.filled_by(now, CALM).unwrap_or(0.0);
+                    let due = span * within * guess.max(full / cold_for);
                     refill += due * if warm >= 1.0 { GUESSED } else { 1.0 };
                     server.part = part_of_demand(due / span.max(1e-9));
                     // What the others send is not known: this one keeps to one in a window, or its part.
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -11,6 +11,9 @@
 /// many in any case, for connections may stand that nobody answers on.
 const FAILED: usize = 2;
 const FAILED_ANYWAY: usize = 3;
+/// A report tells how many connections fill a server from this utilisation and so many connections on.
+const LEAST_USED: f64 = 0.1;
+const LEAST_HELD_THEN: usize = 2;
 
 #[derive(Default)]
 pub struct Server {
@@ -42,6 +45,8 @@
     /// Its utilisation as last reported, and the load sent there since.
     pub added: f64,
     pub used: Option<(Time, f64)>,
+    /// What was held there when that report came.
+    pub held_then: usize,
     /// When another gateway, or this one, last told that messages take long there.
     pub heard: Option<Time>,
     /// When it was last probed, and whether that probe is still out.
@@ -185,6 +190,13 @@
         self.barred_until.is_none() && before(self.crowded_at, calm) && before(self.raised_at, pace)
     }
 
+    /// The connections of this gateway that would fill it as it is now, where its report is no older than `fresh`: the others
+    /// are taken to hold there what this one does. The shared work of groups is in the report, so that this errs to less.
+    pub fn filled_by(&self, now: Time, fresh: Duration) -> Option<f64> {
+        let (_, used) = self.used.filter(|(at, used)| now.since(*at) < fresh && *used >= LEAST_USED)?;
+        (self.held_then >= LEAST_HELD_THEN).then(|| self.held_then as f64 / used)
+    }
+
     /// The share of its capacity that it has at the least.
     pub fn warmth(&self, settings: &Settings, now: Time) -> f64 {
         let Some(started) = self.started else { return 1.0 };
--- /dev/null
+++ b/tests/reports.rs
@@ -0,0 +1,64 @@
+//! What servers report of their load, and what follows from it.
+
+mod common;
+use common::*;
+use lupincrank::*;
+use std::time::Duration;
+
+const FULL: f64 = 60.0;
+
+/// What a server that fills up with `FULL` connections when it is warm can hold, so long after its start.
+fn holds(settings: &Settings, age: u64) -> f64 {
+    let part = age as f64 / 1e9 / settings.cold_for.as_secs_f64();
+    FULL * (settings.start_capacity + (1.0 - settings.start_capacity) * part).min(1.0)
+}
+
+/// When one of two gateways sent something to each of three servers that all start at once, for eight seconds. Reports count
+/// what the other gateway holds too, as much.
+fn sent(reports: bool) -> (u64, Vec<Vec<u64>>) {
+    let settings = Settings { report_utilisation: Some(0), ..settings(Repeat::Repeatable) };
+    let mut world = World::new(settings.clone(), 1);
+    let start = world.now;
+    let names = ["a", "b", "c"];
+    world.list(names.iter().map(|name| Listed { started: Some(Time(start)), ..listed(name) }).collect());
+    let mut sent = vec![Vec::new(); names.len()];
+    for id in 1..=400 {
+        world.ask(request(id, &format!("user:{id}"), world.now + 3_000 * MS));
+        if let Some(at) = names.iter().position(|name| world.at(id).as_deref() == Some(name)) {
+            sent[at].push(world.now);
+            world.stands(id);
+        }
+        if reports && id % 25 == 0 {
+            for (name, sent) in names.iter().zip(&sent) {
+                let used = 2.0 * sent.len() as f64 / holds(&settings, world.now - start);
+                world.tell(Event::Probed { server: (*name).into(), passed: true, report: Some(vec![used]) });
+            }
+        }
+        world.advance(world.now + 20 * MS);
+    }
+    (start, sent)
+}
+
+/// Guards against a fleet of cold servers that is sent the least that any could bear though it reports room for more.
+#[test]
+fn cold_servers_that_report_room_are_sent_more_but_not_too_much() {
+    let count = |sent: &[Vec<u64>]| sent.iter().map(Vec::len).sum::<usize>();
+    let ((_, without), (start, with)) = (sent(false), sent(true));
+    assert!(count(&with) * 2 > count(&without) * 3, "{} against {}", count(&with), count(&without));
+    let settings = settings(Repeat::Repeatable);
+    let window = settings.fall_window;
+    for sent in with {
+        for (place, from) in sent.iter().enumerate() {
+            let until = from + window.as_nanos() as u64;
+            let within = sent[place..].iter().take_while(|at| **at < until).count();
+            // Both gateways, and one more of each that was saved up.
+            let rate = holds(&settings, until - start) / settings.cold_for.as_secs_f64();
+            let falls = settings.fall_multiple * rate * window.as_secs_f64();
+            assert!(
+                2 * within <= falls as usize + 2,
+                "{within} of {falls} at {:?}",
+                Duration::from_nanos(*from)
+            );
+        }
+    }
+}
