--- a/src/balance.rs
+++ b/src/balance.rs
@@ -20,6 +20,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
+mod evidence;
+
 const SERVER_SEED: u32 = 165_233;
 const KEY_SEED: u32 = 845_219;
 
@@ -892,96 +894,6 @@
         }
     }
 
-    // ---- Evidence ----
-
-    fn weigh_outcome(
-        &mut self,
-        now: Time,
-        tried: &Attempt,
-        outcome: Outcome,
-        over: bool,
-        actions: &mut Actions,
-    ) {
-        let (at, stood) = (tried.server, tried.stands);
-        match outcome {
-            Outcome::ConnectFailed => {
-                self.strike(now, at, STRIKES, false, actions);
-                self.zone_failed(now, at, actions);
-            }
-            Outcome::TimedOut | Outcome::Error if !stood => {
-                let Some(server) = self.fleet.servers.get(at) else { return };
-                if std::mem::replace(&mut self.failing.1, server.hash) != server.hash {
-                    self.failing.0 += FAILING_RATE * (1.0 - self.failing.0);
-                }
-                // One server after the other fails: what is behind them all is at fault, not this one.
-                // Patience grows, for attempts given up just before they would have stood bury it deeper.
-                if self.failing.0 > SHARED {
-                    let took = now.since(tried.sent).as_secs_f64();
-                    self.setup_mean += FAILING_RATE * (took - self.setup_mean).max(0.0);
-                    self.cut_window(now);
-                } else {
-                    self.strike(now, at, 1, outcome == Outcome::TimedOut, actions);
-                }
-            }
-            Outcome::Full => self.crowd(now, at, 0.9, false, actions),
-            Outcome::Reset | Outcome::Dropped if !stood => self.strike(now, at, 1, false, actions),
-            Outcome::Reset if over => {
-                let Some(server) = self.fleet.servers.get_mut(at) else { return };
-                // Networks break single connections. Several at once: it drops them to save the rest; or
-                // every one broke, and it is gone though listed.
-                let together = server.dropped.replace(now).is_some_and(|last| now.since(last) < TOGETHER);
-                if together || server.held.is_empty() {
-                    let gone = server.held.is_empty();
-                    server.crashed |= together && gone;
-                    self.crowd(now, at, 0.9, true, actions);
-                    if gone {
-                        self.zone_failed(now, at, actions);
-                    }
-                }
-            }
-            _ => {}
-        }
-    }
-
-    /// Guards against servers that died or answer nothing, long before the list tells. `silent`: it did not
-    /// answer at all, so its standing connections earn nothing. One that errs may serve those; they stay.
-    fn strike(&mut self, now: Time, at: Slot, weight: u32, silent: bool, actions: &mut Actions) {
-        let jitter = self.jitter();
-        let (ready, barred) = (self.fleet.sums.ready, self.fleet.sums.barred);
-        let Some(server) = self.fleet.servers.get_mut(at) else { return };
-        let others = barred - f64::from(u8::from(server.barred_until.is_some()));
-        // A server that takes no connection is out of use however many others are.
-        let believable = weight >= STRIKES || others + 1.0 <= ready * MOST_BARRED;
-        server.strikes += weight;
-        if server.strikes < STRIKES || server.barred_until.is_some_and(|until| now < until) || !believable {
-            return;
-        }
-        self.fleet.change(at, |server| {
-            let span = BAR.mul_f64(f64::from(1u32 << server.bars.min(3))).min(LONGEST_BAR);
-            server.barred_until = Some(now.after(span.mul_f64(0.75 + 0.5 * jitter)));
-            server.bars += 1;
-            server.crashed |= server.held.is_empty();
-        });
-        if silent {
-            self.empty(at, 0.0, actions);
-        }
-    }
-
-    /// Guards against a zone that is lost and tried server by server.
-    fn zone_failed(&mut self, now: Time, at: Slot, actions: &mut Actions) {
-        let until = now.after(ZONE_LOST.mul_f64(0.5 + 0.5 * self.jitter()));
-        let mut lost = 0.0;
-        for at in self.fleet.zone_failed(now, at, ZONE_LOST) {
-            self.fleet.change(at, |server| {
-                server.barred_until = server.barred_until.max(Some(until));
-                lost += server.weight;
-            });
-        }
-        if lost > 0.0 {
-            self.share_out(now, lost, actions);
-        }
-    }
-
     /// Its connections earn nothing: asks them to come again elsewhere, so many whatever has been saved up.
     fn empty(&mut self, at: Slot, free: f64, actions: &mut Actions) {
         let held = self.fleet.servers.get(at).map_or(Vec::new(), |s| s.held.iter().copied().collect());
@@ -1151,20 +1063,6 @@
         quota.is_some_and(|quota| open * f64::from(self.settings.instances.max(1)) > quota)
     }
 
-    fn probed(&mut self, now: Time, server: Slot, report: Option<Vec<f64>>, actions: &mut Actions) {
-        if let Some(probed) = self.fleet.servers.get_mut(server).and_then(|server| server.probed.as_mut()) {
-            probed.1 = false;
-        }
-        for request in &self.waiting {
-            self.requests.entry(*request).and_modify(|r| r.asked = r.asked.filter(|(at, _)| *at != server));
-        }
-        match report {
-            Some(values) => self.reported(now, server, &values, actions),
-            None => self.strike(now, server, 1, true, actions),
-        }
-        self.pump(now, actions);
-    }
-
     fn tick(&mut self, now: Time, actions: &mut Actions) {
         actions.push(Action::SetTimer { after: TICK, handle: TICK_HANDLE });
         let all_held = self.fleet.sums.held;
