--- a/src/balance.rs
+++ b/src/balance.rs
@@ -128,6 +128,11 @@
 
 type Actions = Vec<Action>;
 
+/// How many set-ups of one gateway may be under way where nothing tells of fewer.
+fn first_window(settings: &Settings) -> f64 {
+    (FIRST_WINDOW / f64::from(settings.instances.max(1))).max(1.0)
+}
+
 /// What the gate compares a server with.
 struct View {
     fair: f64,
@@ -182,7 +187,7 @@
 impl Balancer {
     /// A balancer that knows no server yet. `seed` serves jitter only.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let window = (FIRST_WINDOW / f64::from(settings.instances.max(1))).max(1.0);
+        let window = first_window(&settings);
         let mut chance = Pcg32::new(seed, CHANCES);
         Balancer {
             least_message_aim: settings.least_message_aim(),
@@ -361,6 +366,7 @@
             if fresh {
                 server.started = entry.started.or(server.started);
                 (server.strikes, server.bars, server.barred_until, server.crashed) = (0, 0, None, false);
+                server.cut = false;
                 server.cap = f64::INFINITY;
                 (server.tokens, server.refilled, server.part) = (1.0, now, settings.start_capacity);
             }
@@ -515,10 +521,20 @@
     /// Probes a server whose report is old, as far as what may be spent allows. Guards against gateways that
     /// each ask every server all the time, and against placing by what a server was long ago.
     fn probe(&mut self, now: Time, at: Slot, actions: &mut Actions) -> bool {
-        let asks = self.settings.may_probe && self.settings.report_utilisation.is_some();
-        let Some(server) = self.fleet.servers.get_mut(at).filter(|_| asks) else { return false };
-        let old = |at: Option<Time>| at.map_or(true, |at| now.since(at) > REPORT_FRESH);
-        let due = old(server.used.map(|(at, _)| at)) && old(server.probed.map(|(at, _)| at));
+        let reported = self.fleet.servers.get(at).and_then(|server| server.used);
+        let old = reported.map_or(true, |(at, _)| now.since(at) > REPORT_FRESH);
+        self.asks() && old && self.ask(now, at, actions)
+    }
+
+    /// Whether a probe tells of a server's load.
+    fn asks(&self) -> bool {
+        self.settings.may_probe && self.settings.report_utilisation.is_some()
+    }
+
+    /// Probes a server that was not probed just now, as far as what may be spent allows.
+    fn ask(&mut self, now: Time, at: Slot, actions: &mut Actions) -> bool {
+        let Some(server) = self.fleet.servers.get_mut(at) else { return false };
+        let due = server.probed.map_or(true, |(at, _)| now.since(at) > REPORT_FRESH);
         if !due || self.probe_tokens < 1.0 {
             return false;
         }
@@ -591,7 +607,7 @@
                 self.window += 0.5;
             }
         }
-        self.fleet.zone_stands(at);
+        self.fleet.zone_stands(now, at);
         let settings = &self.settings;
         self.fleet.change(at, |server| {
             (server.strikes, server.barred_until, server.trial) = (0, None, false);
@@ -803,6 +819,9 @@
         if server.barred_until.is_some_and(|until| now < until || server.trial) {
             return false;
         }
+        if server.cut && self.asks() {
+            return false; // a probe tells when its zone is within reach
+        }
         let silent = |at| now.since(at) >= QUEUE_TICK && now.since(at) < REPORT_FRESH;
         if server.probed.is_some_and(|(at, out)| out && silent(at)) {
             return false; // it answers no probe in good time
@@ -930,6 +949,9 @@
         let Some(out) = self.requests.get(&id).and_then(|request| request.out.as_ref()) else { return };
         let server = out.server;
         let part = delay.as_secs_f64() / self.least_message_aim.as_secs_f64().max(1e-9);
+        if part > LATE_SHEDS {
+            self.probe(now, server, actions); // a report that has grown old keeps it from being relieved
+        }
         if part > 1.5 {
             self.tell(now, server, delay >= SILENT_FOR, actions);
         }
@@ -973,6 +995,10 @@
     /// A report of utilisation counts everybody's load, so it goes before what this gateway's own load tells.
     fn reported(&mut self, now: Time, at: Slot, values: &[f64], actions: &mut Actions) {
         let Some(used) = self.settings.report_utilisation.and_then(|place| values.get(place)) else { return };
+        // With connections on it that load it, none at all tells of a time before they came.
+        if *used <= 0.0 && self.fleet.servers.get(at).is_some_and(|server| !server.held.is_empty()) {
+            return;
+        }
         self.fleet.change(at, |server| {
             server.used = Some((now, *used));
             server.added = 0.0;
@@ -1143,6 +1169,7 @@
         }
         let most = if refill > 0.0 { (refill * window).max(1.0) } else { 0.0 };
         self.cold.refill(refill, most);
+        self.look_at_cut_zones(now, actions);
         self.shares.fade(&self.fleet);
         self.share_out(now, 0.0, actions);
         self.open_cold(now);
--- a/src/balance/evidence.rs
+++ b/src/balance/evidence.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Servers that are probed at once to see whether a zone is out of reach.
+const MOST_LOOKS: usize = 8;
+
 impl Balancer {
     pub(super) fn weigh_outcome(
         &mut self,
@@ -17,6 +20,8 @@
                 self.strike(now, at, STRIKES, false, actions);
                 self.zone_failed(now, at, actions);
             }
+            // It tells of the way there, not of what is behind all servers or of how long a set-up takes.
+            Outcome::TimedOut if !stood && self.zone_silent(now, at, actions) => {}
             Outcome::TimedOut | Outcome::Error if !stood => {
                 let Some(server) = self.fleet.servers.get(at) else { return };
                 if std::mem::replace(&mut self.failing.1, server.hash) != server.hash {
@@ -56,7 +61,8 @@
     /// answer at all, so its standing connections earn nothing. One that errs may serve those; they stay.
     pub(super) fn strike(&mut self, now: Time, at: Slot, weight: u32, silent: bool, actions: &mut Actions) {
         let jitter = self.jitter();
-        let (ready, barred) = (self.fleet.sums.ready, self.fleet.sums.barred);
+        let sums = &self.fleet.sums;
+        let (ready, barred) = (sums.ready - sums.cut, sums.barred - sums.cut);
         let Some(server) = self.fleet.servers.get_mut(at) else { return };
         let others = barred - f64::from(u8::from(server.barred_until.is_some()));
         // A server that takes no connection is out of use however many others are.
@@ -78,17 +84,65 @@
 
     /// Guards against a zone that is lost and tried server by server.
     pub(super) fn zone_failed(&mut self, now: Time, at: Slot, actions: &mut Actions) {
-        let until = now.after(ZONE_LOST.mul_f64(0.5 + 0.5 * self.jitter()));
-        let mut lost = 0.0;
+        let round = self.jitter();
+        let (mut lost, mut new) = (0.0, false);
         for at in self.fleet.zone_failed(now, at, ZONE_LOST) {
             self.fleet.change(at, |server| {
-                server.barred_until = server.barred_until.max(Some(until));
+                // Not all at one moment: the first of them that is tried tells of the others.
+                let part = (round + part_of(server.hash)).fract();
+                let until = now.after(ZONE_LOST.mul_f64(0.5 + 0.5 * part));
+                new |= !std::mem::replace(&mut server.cut, true);
+                (server.barred_until, server.trial) = (server.barred_until.max(Some(until)), false);
                 lost += server.weight;
             });
         }
         if lost > 0.0 {
             self.share_out(now, lost, actions);
         }
+        if new {
+            // What failed on the way there says nothing of set-ups elsewhere.
+            (self.failing.0, self.pause_until) = (0.0, now);
+            self.window = self.window.max(first_window(&self.settings));
+        }
+    }
+
+    /// An attempt or a probe got no answer there while another zone answers. Gives whether this one's zone is out of
+    /// reach: then what is known not to answer there serves nobody. Guards against a zone that is cut off, whose
+    /// servers are tried one by one, and whose time-outs pass for a fault behind all servers.
+    fn zone_silent(&mut self, now: Time, at: Slot, actions: &mut Actions) -> bool {
+        self.look_around(now, at, actions);
+        if !self.fleet.answers_elsewhere(now, at, ZONE_LOST) {
+            return false;
+        }
+        self.zone_failed(now, at, actions);
+        let cut = self.fleet.servers.get(at).is_some_and(|server| server.cut);
+        for at in self.fleet.failed_with(at).into_iter().filter(|_| cut) {
+            self.empty(at, f64::INFINITY, actions);
+        }
+        cut
+    }
+
+    /// Probes the others of a zone in which one does not answer, and one elsewhere.
+    fn look_around(&mut self, now: Time, at: Slot, actions: &mut Actions) {
+        let Some(zone) = self.fleet.servers.get(at).map(|server| server.zone) else { return };
+        if self.asks() {
+            let near = self.fleet.ready_in(|other| other == zone).into_iter().take(MOST_LOOKS);
+            let far = self.fleet.ready_in(|other| other != zone).into_iter().take(1);
+            near.chain(far).collect::<Vec<_>>().into_iter().for_each(|at| {
+                self.ask(now, at, actions);
+            });
+        }
+    }
+
+    /// Upkeep: one server of each zone that is out of reach is asked whether it still is.
+    pub(super) fn look_at_cut_zones(&mut self, now: Time, actions: &mut Actions) {
+        for zone in self.fleet.cut_zones().into_iter().filter(|_| self.asks()).collect::<Vec<_>>() {
+            let there = self.fleet.ready_in(|other| other == zone);
+            let place = (self.jitter() * there.len() as f64) as usize;
+            if let Some(at) = there.get(place) {
+                self.ask(now, *at, actions);
+            }
+        }
     }
 
     pub(super) fn probed(
@@ -105,7 +159,11 @@
             self.requests.entry(*request).and_modify(|r| r.asked = r.asked.filter(|(at, _)| *at != server));
         }
         match report {
-            Some(values) => self.reported(now, server, &values, actions),
+            Some(values) => {
+                self.fleet.zone_stands(now, server);
+                self.reported(now, server, &values, actions);
+            }
+            None if self.zone_silent(now, server, actions) => {}
             None => self.strike(now, server, 1, true, actions),
         }
         self.pump(now, actions);
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -51,6 +51,8 @@
     pub barred_until: Option<Time>,
     /// After a bar one attempt at a time tries it out.
     pub trial: bool,
+    /// It is barred with its whole zone, which is out of reach from here.
+    pub cut: bool,
     /// Its standing connections broke together or it refused connections: it will come back cold.
     pub crashed: bool,
     /// The part of the keys that it gets while it is cold: about the same ones at every gateway.
@@ -67,6 +69,8 @@
 pub struct Sums {
     pub held: f64,
     pub barred: f64,
+    /// Of those, the ones whose zone is out of reach.
+    pub cut: f64,
     /// Ready servers, the warm ones and their connections, the load on all, the weight of those not barred.
     pub ready: f64,
     pub warm: f64,
@@ -86,6 +90,7 @@
         let barred = f64::from(u8::from(server.barred_until.is_some()));
         self.held += sign * held;
         self.barred += sign * barred;
+        self.cut += sign * f64::from(u8::from(server.cut && server.barred_until.is_some()));
         if server.health == Health::Ready {
             self.ready += sign;
             self.warm += sign * warm;
@@ -115,6 +120,9 @@
     pub kept_up: Vec<Slot>,
     /// The servers of each zone that were found to be out of reach lately, and when.
     failed: BTreeMap<u32, Vec<(Slot, Time)>>,
+    /// When something of each zone last answered, and the zones that are out of reach.
+    answered: BTreeMap<u32, Time>,
+    cut: BTreeSet<u32>,
 }
 
 impl Fleet {
@@ -126,31 +134,60 @@
         let failed = self.failed.entry(zone).or_default();
         failed.retain(|(slot, when)| *slot != at && now.since(*when) < within);
         failed.push((at, now));
-        if failed.len() < FAILED {
+        if failed.len() < FAILED && !self.cut.contains(&zone) {
             return Vec::new();
         }
         let failed = failed.iter().map(|(slot, _)| *slot).collect::<Vec<_>>();
-        let slots = self.servers.slots().into_iter();
-        let ready = |server: &Server| server.zone == zone && server.health == Health::Ready;
-        let of_zone = slots.filter(|at| self.servers.get(*at).is_some_and(ready));
-        let of_zone = of_zone.collect::<Vec<_>>();
+        let of_zone = self.ready_in(|other| other == zone);
         let stands = |at: &Slot| {
             !failed.contains(at) && self.servers.get(*at).is_some_and(|server| !server.held.is_empty())
         };
-        if failed.len() < FAILED_ANYWAY && of_zone.iter().any(stands) {
-            Vec::new()
-        } else {
-            of_zone
+        let doubtful = failed.len() < FAILED_ANYWAY && of_zone.iter().any(stands);
+        if doubtful && !self.cut.contains(&zone) {
+            return Vec::new();
         }
+        self.cut.insert(zone);
+        of_zone
+    }
+
+    /// The ready servers of the zones that are meant.
+    pub fn ready_in(&self, meant: impl Fn(u32) -> bool) -> Vec<Slot> {
+        let ready = |server: &Server| server.health == Health::Ready && meant(server.zone);
+        let slots = self.servers.slots().into_iter();
+        slots.filter(|at| self.servers.get(*at).is_some_and(ready)).collect()
     }
 
-    /// A server of the zone stands.
-    pub fn zone_stands(&mut self, at: Slot) {
-        if let Some(server) = self.servers.get(at) {
-            self.failed.remove(&server.zone);
+    /// A server of the zone answers: the whole zone is within reach again.
+    pub fn zone_stands(&mut self, now: Time, at: Slot) {
+        let Some(zone) = self.servers.get(at).map(|server| server.zone) else { return };
+        self.failed.remove(&zone);
+        self.answered.insert(zone, now);
+        if self.cut.remove(&zone) {
+            for at in self.servers.slots() {
+                if self.servers.get(at).is_some_and(|server| server.zone == zone && server.cut) {
+                    self.change(at, |server| (server.cut, server.barred_until) = (false, None));
+                }
+            }
         }
     }
 
+    /// Whether something outside this server's zone has answered within this time.
+    pub fn answers_elsewhere(&self, now: Time, at: Slot, within: Duration) -> bool {
+        let Some(zone) = self.servers.get(at).map(|server| server.zone) else { return false };
+        self.answered.iter().any(|(other, when)| *other != zone && now.since(*when) < within)
+    }
+
+    /// The servers of this zone that failed lately.
+    pub fn failed_with(&self, at: Slot) -> Vec<Slot> {
+        let failed = self.servers.get(at).and_then(|server| self.failed.get(&server.zone));
+        failed.map_or(Vec::new(), |failed| failed.iter().map(|(slot, _)| *slot).collect())
+    }
+
+    /// The zones that are out of reach.
+    pub fn cut_zones(&self) -> Vec<u32> {
+        self.cut.iter().copied().collect()
+    }
+
     pub fn change(&mut self, at: Slot, with: impl FnOnce(&mut Server)) {
         let Some(server) = self.servers.get_mut(at) else { return };
         self.sums.add(server, -1.0);
