--- a/src/balance.rs
+++ b/src/balance.rs
@@ -819,7 +819,7 @@
         if server.barred_until.is_some_and(|until| now < until || server.trial) {
             return false;
         }
-        if server.cut && self.asks() {
+        if server.cut {
             return false; // a probe tells when its zone is within reach
         }
         let silent = |at| now.since(at) >= QUEUE_TICK && now.since(at) < REPORT_FRESH;
--- a/src/balance/evidence.rs
+++ b/src/balance/evidence.rs
@@ -84,15 +84,12 @@
 
     /// Guards against a zone that is lost and tried server by server.
     pub(super) fn zone_failed(&mut self, now: Time, at: Slot, actions: &mut Actions) {
-        let round = self.jitter();
-        let (mut lost, mut new) = (0.0, false);
-        for at in self.fleet.zone_failed(now, at, ZONE_LOST) {
+        let until = now.after(ZONE_LOST.mul_f64(0.5 + 0.5 * self.jitter()));
+        let (mut lost, mut new, cut) = (0.0, false, self.asks());
+        for at in self.fleet.zone_failed(now, at, ZONE_LOST, cut) {
             self.fleet.change(at, |server| {
-                // Not all at one moment: the first of them that is tried tells of the others.
-                let part = (round + part_of(server.hash)).fract();
-                let until = now.after(ZONE_LOST.mul_f64(0.5 + 0.5 * part));
-                new |= !std::mem::replace(&mut server.cut, true);
-                (server.barred_until, server.trial) = (server.barred_until.max(Some(until)), false);
+                new |= cut && !std::mem::replace(&mut server.cut, cut);
+                server.barred_until = server.barred_until.max(Some(until));
                 lost += server.weight;
             });
         }
@@ -110,6 +107,9 @@
     /// reach: then what is known not to answer there serves nobody. Guards against a zone that is cut off, whose
     /// servers are tried one by one, and whose time-outs pass for a fault behind all servers.
     fn zone_silent(&mut self, now: Time, at: Slot, actions: &mut Actions) -> bool {
+        if !self.asks() {
+            return false; // one slow to set up looks no different
+        }
         self.look_around(now, at, actions);
         if !self.fleet.answers_elsewhere(now, at, ZONE_LOST) {
             return false;
@@ -125,18 +125,16 @@
     /// Probes the others of a zone in which one does not answer, and one elsewhere.
     fn look_around(&mut self, now: Time, at: Slot, actions: &mut Actions) {
         let Some(zone) = self.fleet.servers.get(at).map(|server| server.zone) else { return };
-        if self.asks() {
-            let near = self.fleet.ready_in(|other| other == zone).into_iter().take(MOST_LOOKS);
-            let far = self.fleet.ready_in(|other| other != zone).into_iter().take(1);
-            near.chain(far).collect::<Vec<_>>().into_iter().for_each(|at| {
-                self.ask(now, at, actions);
-            });
+        let near = self.fleet.ready_in(|other| other == zone).into_iter().take(MOST_LOOKS);
+        let far = self.fleet.ready_in(|other| other != zone).into_iter().take(1);
+        for at in near.chain(far).collect::<Vec<_>>() {
+            self.ask(now, at, actions);
         }
     }
 
     /// Upkeep: one server of each zone that is out of reach is asked whether it still is.
     pub(super) fn look_at_cut_zones(&mut self, now: Time, actions: &mut Actions) {
-        for zone in self.fleet.cut_zones().into_iter().filter(|_| self.asks()).collect::<Vec<_>>() {
+        for zone in self.fleet.cut_zones() {
             let there = self.fleet.ready_in(|other| other == zone);
             let place = (self.jitter() * there.len() as f64) as usize;
             if let Some(at) = there.get(place) {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -128,8 +128,9 @@
 impl Fleet {
     /// A server is out of reach. Gives the servers of its zone if that makes `FAILED` of them within `within` and
     /// none of the others there is known to stand: a zone is lost as a whole, long before the list tells, and a
-    /// gateway that holds little would have to find out about each server of it by an attempt of its own.
-    pub fn zone_failed(&mut self, now: Time, at: Slot, within: Duration) -> Vec<Slot> {
+    /// gateway that holds little would have to find out about each server of it by an attempt of its own. With `cut` that
+    /// lasts until something there answers.
+    pub fn zone_failed(&mut self, now: Time, at: Slot, within: Duration, cut: bool) -> Vec<Slot> {
         let Some(zone) = self.servers.get(at).map(|server| server.zone) else { return Vec::new() };
         let failed = self.failed.entry(zone).or_default();
         failed.retain(|(slot, when)| *slot != at && now.since(*when) < within);
@@ -146,7 +147,9 @@
         if doubtful && !self.cut.contains(&zone) {
             return Vec::new();
         }
-        self.cut.insert(zone);
+        if cut {
+            self.cut.insert(zone);
+        }
         of_zone
     }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -78,6 +78,8 @@
     pub timers: BTreeSet<(u64, u64, u64)>,
     pub patience: BTreeMap<u64, u64>,
     pub last: Vec<Action>,
+    /// Probes that are not answered yet.
+    pub probes: Vec<ServerId>,
     serial: u64,
 }
 
@@ -93,6 +95,7 @@
             timers: BTreeSet::new(),
             patience: BTreeMap::new(),
             last: vec![],
+            probes: vec![],
             serial: 0,
         };
         world.tell(Event::Start);
@@ -298,7 +301,8 @@
                 self.serial += 1;
                 self.timers.insert((self.now + after.as_nanos() as u64, self.serial, *handle));
             }
-            Action::Probe(_) | Action::Tell(_) | Action::Subscribe => {}
+            Action::Probe(server) => self.probes.push(server.clone()),
+            Action::Tell(_) | Action::Subscribe => {}
         }
     }
 
