--- a/src/balance.rs
+++ b/src/balance.rs
@@ -20,6 +20,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
+mod evidence;
+
 const SERVER_SEED: u32 = 165_233;
 const KEY_SEED: u32 = 845_219;
 
@@ -126,6 +128,11 @@
 
 type Actions = Vec<Action>;
 
+/// How many set-ups of one gateway may be under way where nothing tells of fewer.
+fn first_window(settings: &Settings) -> f64 {
+    (FIRST_WINDOW / f64::from(settings.instances.max(1))).max(1.0)
+}
+
 /// What the gate compares a server with.
 struct View {
     fair: f64,
@@ -180,7 +187,7 @@
 impl Balancer {
     /// A balancer that knows no server yet. `seed` serves jitter only.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let window = (FIRST_WINDOW / f64::from(settings.instances.max(1))).max(1.0);
+        let window = first_window(&settings);
         let mut chance = Pcg32::new(seed, CHANCES);
         Balancer {
             least_message_aim: settings.least_message_aim(),
@@ -359,6 +366,7 @@
             if fresh {
                 server.started = entry.started.or(server.started);
                 (server.strikes, server.bars, server.barred_until, server.crashed) = (0, 0, None, false);
+                server.cut = false;
                 server.cap = f64::INFINITY;
                 (server.tokens, server.refilled, server.used) = (1.0, now, None);
                 server.part = settings.start_capacity;
@@ -517,10 +525,20 @@
     /// Probes a server whose report is old, as far as what may be spent allows. Guards against gateways that
     /// each ask every server all the time, and against placing by what a server was long ago.
     fn probe(&mut self, now: Time, at: Slot, actions: &mut Actions) -> bool {
-        let asks = self.settings.may_probe && self.settings.report_utilisation.is_some();
-        let Some(server) = self.fleet.servers.get_mut(at).filter(|_| asks) else { return false };
-        let old = |at: Option<Time>| at.map_or(true, |at| now.since(at) > REPORT_FRESH);
-        let due = old(server.used.map(|(at, _)| at)) && old(server.probed.map(|(at, _)| at));
+        let reported = self.fleet.servers.get(at).and_then(|server| server.used);
+        let old = reported.map_or(true, |(at, _)| now.since(at) > REPORT_FRESH);
+        self.asks() && old && self.ask(now, at, actions)
+    }
+
+    /// Whether a probe tells of a server's load.
+    fn asks(&self) -> bool {
+        self.settings.may_probe && self.settings.report_utilisation.is_some()
+    }
+
+    /// Probes a server that was not probed just now, as far as what may be spent allows.
+    fn ask(&mut self, now: Time, at: Slot, actions: &mut Actions) -> bool {
+        let Some(server) = self.fleet.servers.get_mut(at) else { return false };
+        let due = server.probed.map_or(true, |(at, _)| now.since(at) > REPORT_FRESH);
         if !due || self.probe_tokens < 1.0 {
             return false;
         }
@@ -593,7 +611,7 @@
                 self.window += 0.5;
             }
         }
-        self.fleet.zone_stands(at);
+        self.fleet.zone_stands(now, at);
         let settings = &self.settings;
         self.fleet.change(at, |server| {
             (server.strikes, server.barred_until, server.trial) = (0, None, false);
@@ -805,6 +823,9 @@
         if server.barred_until.is_some_and(|until| now < until || server.trial) {
             return false;
         }
+        if server.cut {
+            return false; // a probe tells when its zone is within reach
+        }
         let silent = |at| now.since(at) >= QUEUE_TICK && now.since(at) < REPORT_FRESH;
         if server.probed.is_some_and(|(at, out)| out && silent(at)) {
             return false; // it answers no probe in good time
@@ -897,96 +918,6 @@
         }
     }
 
-    // ---- Evidence ----
-
-    fn weigh_outcome(
-        &mut self,
-        now: Time,
-        tried: &Attempt,
-        outcome: Outcome,
-        over: bool,
-        actions: &mut Actions,
-    ) {
-        let (at, stood) = (tried.server, tried.stands);
-        match outcome {
-            Outcome::ConnectFailed => {
-                self.strike(now, at, STRIKES, false, actions);
-                self.zone_failed(now, at, actions);
-            }
-            Outcome::TimedOut | Outcome::Error if !stood => {
-                let Some(server) = self.fleet.servers.get(at) else { return };
-                if std::mem::replace(&mut self.failing.1, server.hash) != server.hash {
-                    self.failing.0 += FAILING_RATE * (1.0 - self.failing.0);
-                }
-                // One server after the other fails: what is behind them all is at fault, not this one.
-                // Patience grows, for attempts given up just before they would have stood bury it deeper.
-                if self.failing.0 > SHARED {
-                    let took = now.since(tried.sent).as_secs_f64();
-                    self.setup_mean += FAILING_RATE * (took - self.setup_mean).max(0.0);
-                    self.cut_window(now);
-                } else {
-                    self.strike(now, at, 1, outcome == Outcome::TimedOut, actions);
-                }
-            }
-            Outcome::Full => self.crowd(now, at, 0.9, false, actions),
-            Outcome::Reset | Outcome::Dropped if !stood => self.strike(now, at, 1, false, actions),
-            Outcome::Reset if over => {
-                let Some(server) = self.fleet.servers.get_mut(at) else { return };
-                // Networks break single connections. Several at once: it drops them to save the rest; or
-                // every one broke, and it is gone though listed.
-                let together = server.dropped.replace(now).is_some_and(|last| now.since(last) < TOGETHER);
-                if together || server.held.is_empty() {
-                    let gone = server.held.is_empty();
-                    server.crashed |= together && gone;
-                    self.crowd(now, at, 0.9, true, actions);
-                    if gone {
-                        self.zone_failed(now, at, actions);
-                    }
-                }
-            }
-            _ => {}
-        }
-    }
-
-    /// Guards against servers that died or answer nothing, long before the list tells. `silent`: it did not
-    /// answer at all, so its standing connections earn nothing. One that errs may serve those; they stay.
-    fn strike(&mut self, now: Time, at: Slot, weight: u32, silent: bool, actions: &mut Actions) {
-        let jitter = self.jitter();
-        let (ready, barred) = (self.fleet.sums.ready, self.fleet.sums.barred);
-        let Some(server) = self.fleet.servers.get_mut(at) else { return };
-        let others = barred - f64::from(u8::from(server.barred_until.is_some()));
-        // A server that takes no connection is out of use however many others are.
-        let believable = weight >= STRIKES || others + 1.0 <= ready * MOST_BARRED;
-        server.strikes += weight;
-        if server.strikes < STRIKES || server.barred_until.is_some_and(|until| now < until) || !believable {
-            return;
-        }
-        self.fleet.change(at, |server| {
-            let span = BAR.mul_f64(f64::from(1u32 << server.bars.min(3))).min(LONGEST_BAR);
-            server.barred_until = Some(now.after(span.mul_f64(0.75 + 0.5 * jitter)));
-            server.bars += 1;
-            server.crashed |= server.held.is_empty();
-        });
-        if silent {
-            self.empty(at, 0.0, actions);
-        }
-    }
-
-    /// Guards against a zone that is lost and tried server by server.
-    fn zone_failed(&mut self, now: Time, at: Slot, actions: &mut Actions) {
-        let until = now.after(ZONE_LOST.mul_f64(0.5 + 0.5 * self.jitter()));
-        let mut lost = 0.0;
-        for at in self.fleet.zone_failed(now, at, ZONE_LOST) {
-            self.fleet.change(at, |server| {
-                server.barred_until = server.barred_until.max(Some(until));
-                lost += server.weight;
-            });
-        }
-        if lost > 0.0 {
-            self.share_out(now, lost, actions);
-        }
-    }
-
     /// Its connections earn nothing: asks them to come again elsewhere, so many whatever has been saved up.
     fn empty(&mut self, at: Slot, free: f64, actions: &mut Actions) {
         let held = self.fleet.servers.get(at).map_or(Vec::new(), |s| s.held.iter().copied().collect());
@@ -1023,6 +954,9 @@
         let Some(out) = self.requests.get(&id).and_then(|request| request.out.as_ref()) else { return };
         let server = out.server;
         let part = delay.as_secs_f64() / self.least_message_aim.as_secs_f64().max(1e-9);
+        if part > LATE_SHEDS {
+            self.probe(now, server, actions); // a report that has grown old keeps it from being relieved
+        }
         if part > 1.5 {
             self.tell(now, server, delay >= SILENT_FOR, actions);
         }
@@ -1066,6 +1000,10 @@
     /// A report of utilisation counts everybody's load, so it goes before what this gateway's own load tells.
     fn reported(&mut self, now: Time, at: Slot, values: &[f64], actions: &mut Actions) {
         let Some(used) = self.settings.report_utilisation.and_then(|place| values.get(place)) else { return };
+        // With connections on it that load it, none at all tells of a time before they came.
+        if *used <= 0.0 && self.fleet.servers.get(at).is_some_and(|server| !server.held.is_empty()) {
+            return;
+        }
         self.fleet.change(at, |server| {
             server.used = Some((now, *used));
             (server.added, server.held_then) = (0.0, server.held.len());
@@ -1156,20 +1094,6 @@
         quota.is_some_and(|quota| open * f64::from(self.settings.instances.max(1)) > quota)
     }
 
-    fn probed(&mut self, now: Time, server: Slot, report: Option<Vec<f64>>, actions: &mut Actions) {
-        if let Some(probed) = self.fleet.servers.get_mut(server).and_then(|server| server.probed.as_mut()) {
-            probed.1 = false;
-        }
-        for request in &self.waiting {
-            self.requests.entry(*request).and_modify(|r| r.asked = r.asked.filter(|(at, _)| *at != server));
-        }
-        match report {
-            Some(values) => self.reported(now, server, &values, actions),
-            None => self.strike(now, server, 1, true, actions),
-        }
-        self.pump(now, actions);
-    }
-
     fn tick(&mut self, now: Time, actions: &mut Actions) {
         actions.push(Action::SetTimer { after: TICK, handle: TICK_HANDLE });
         let all_held = self.fleet.sums.held;
@@ -1252,6 +1176,7 @@
         }
         let most = if refill > 0.0 { (refill * window).max(1.0) } else { 0.0 };
         self.cold.refill(refill, most);
+        self.look_at_cut_zones(now, actions);
         self.shares.fade(&self.fleet);
         self.share_out(now, 0.0, actions);
         self.open_cold(now);
