--- a/node/tests/closes.rs
+++ b/node/tests/closes.rs
@@ -43,7 +43,7 @@
 /// How a try ends whose line has not arrived.
 #[derive(Clone, Copy, PartialEq)]
 enum Ends {
-    ClientEnds,
+    ClientCloses,
     ClientResets,
     TimeOver,
     NodeKilled,
@@ -53,7 +53,7 @@
 /// has arrived.
 #[rstest]
 fn what_is_held_back_is_not_sent_on_after_its_try_has_ended(
-    #[values(Ends::ClientEnds, Ends::ClientResets, Ends::TimeOver, Ends::NodeKilled)] how: Ends,
+    #[values(Ends::ClientCloses, Ends::ClientResets, Ends::TimeOver, Ends::NodeKilled)] how: Ends,
 ) {
     let mut rig = Rig::start(1);
     rig.set(|settings| {
@@ -63,7 +63,7 @@
     let mut client = Some(long_line(&mut rig, if how == Ends::TimeOver { 700 } else { 20000 }));
     let mut peer = held_back(&rig);
     match how {
-        Ends::ClientEnds => drop(client.take()),
+        Ends::ClientCloses => drop(client.take()),
         Ends::ClientResets => reset(client.take().unwrap()),
         Ends::TimeOver => assert!(client.as_mut().unwrap().hear().starts_with("BUSY")),
         Ends::NodeKilled => {
