--- a/trials/src/main.rs
+++ b/crates/fault-injection/src/main.rs
@@ -69,7 +69,7 @@
         .to_options()
         .descr("Draw time lines of faults, keep the worst, and leave out what does not matter")
         .command("hunt");
-    let folder = positional::<String>("DIR").help("Where scenarios are").fallback("trials/scenarios".into());
+    let folder = positional::<String>("DIR").help("Where scenarios are").fallback("crates/fault-injection/scenarios".into());
     let list = construct!(Command::List { folder }).to_options().descr("List scenarios").command("list");
     let plan = long("plan").help("Print the plan that the seed draws").switch();
     let seed = long("seed").help("What the plan is drawn from").argument::<u64>("N").fallback(1);
--- a/node/src/config/tests.rs
+++ b/crates/node/src/config/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 use rstest::rstest;
 
-const EXAMPLE: &str = include_str!("../../../examples/config.json");
+const EXAMPLE: &str = include_str!("../../../../examples/config.json");
 
 #[test]
 fn a_variable_goes_before_the_file() {
--- a/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -319,7 +319,7 @@
         let discovery = listen();
         let ((first, address), (second, management)) = (free(), free());
         let free = holder.as_ref().map_or(address, |(listener, _)| listener.local_addr().unwrap());
-        let example = include_str!("../../../examples/config.json");
+        let example = include_str!("../../../../examples/config.json");
         let mut config: serde_json::Value = serde_json::from_str(example).unwrap();
         config["management"] = management.to_string().into();
         config["listen"] = free.to_string().into();
--- a/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -252,7 +252,7 @@
     let other = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let run = std::process::Command::new("/bin/sh")
         .args(["-c", "exec 8<&0 0</dev/null 3</dev/null; exec \"$@\"", "sh"])
-        .args([env!("CARGO_BIN_EXE_lupincrank"), "serve", "--config", "../examples/config.json"])
+        .args([env!("CARGO_BIN_EXE_lupincrank"), "serve", "--config", "../../examples/config.json"])
         .env("RELAY_INHERITED_FD", descriptor)
         .stdin(std::os::fd::OwnedFd::from(other))
         .output()
--- a/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -3,7 +3,7 @@
 //! The crate does no I/O, reads no clock and holds no globals. A proxy feeds a [`Balancer`] with what it sees
 //! ([`Event`]) and carries out what comes back ([`Action`]). The same settings, seed and events always give the same
 //! actions. [`interface`] has the types; `balance` has every decision.
-#![doc = include_str!("../README.md")]
+#![doc = include_str!("../../../README.md")]
 
 pub mod asking;
 mod balance;
--- a/scale/src/place.rs
+++ b/crates/scale/src/place.rs
@@ -5,7 +5,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 /// What a real node is told beside its fleet.
-const EXAMPLE: &str = include_str!("../../examples/config.json");
+const EXAMPLE: &str = include_str!("../../../examples/config.json");
 /// Real nodes have addresses of their own, as in the trials; hollow ones and doors have ports.
 const FLEET: u16 = 7400;
 const FIRST_PORT: u16 = 10_000;
