--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -1,5 +1,7 @@
 //! Hosts any number of balancers on the simulator's line protocol: events on standard input, actions on standard output.
 
+#![forbid(unsafe_code)]
+
 mod wire;
 
 use std::io::{self, BufRead, Write};
--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -1,6 +1,6 @@
 //! The simulator's dialect: one JSON object a line, read into events and written from actions.
 
-use lupincrank::{Action, Balancer, Event, Health, Incoming, Listed, Outcome, RequestId, ServerId, Time};
+use lupincrank_placement::{Action, Balancer, Event, Health, Incoming, Listed, Outcome, RequestId, ServerId, Time};
 use lupincrank_settings::{nanos, Site};
 use serde::Deserialize;
 use std::borrow::Cow;
--- a/crates/budgets/src/lib.rs
+++ b/crates/budgets/src/lib.rs
@@ -2,5 +2,7 @@
 //! slices go out. Who holds what, and until when, is agreed in `lupincrank-council`, which cuts down what would pass
 //! the capacity: nothing here has to be right for that.
 
+#![forbid(unsafe_code)]
+
 pub mod divide;
 pub mod need;
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -4,6 +4,8 @@
 //! Messages are written with postcard: membership brings that codec along, a message is a third of its JSON, and people
 //! read them through `lupincrank fleet`, not off the wire.
 
+#![forbid(unsafe_code)]
+
 pub mod link;
 pub mod membership;
 
--- a/crates/control/src/council.rs
+++ b/crates/control/src/council.rs
@@ -16,7 +16,7 @@
 use crate::state::State;
 use crate::status::{LogLine, Participant, Refused, Status};
 use crate::store::Store;
-use lupincrank::Time;
+use lupincrank_placement::Time;
 use lupincrank_budgets::need::{Need, Use};
 use std::collections::{BTreeMap, BTreeSet};
 use std::panic::{catch_unwind, AssertUnwindSafe};
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -5,7 +5,7 @@
 use crate::log::Log;
 use crate::member::Member;
 use crate::voters::{self, Change, Liveness};
-use lupincrank::Time;
+use lupincrank_placement::Time;
 use lupincrank_budgets::divide::{divide, Claim};
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -3,7 +3,7 @@
 //! counts, since what was sent just before the end still does. Neither ever reads the other's clock.
 
 use crate::state::State;
-use lupincrank::Time;
+use lupincrank_placement::Time;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,6 +5,8 @@
 //! its process, unless a folder is configured ([`durable`]): each incarnation has an identity of its own ([`member`]), and [`voters`]
 //! lets a new incarnation in only after the old one of that name is out. [`lease`] has both clocks of a lease, the holder's and the granter's.
 
+#![forbid(unsafe_code)]
+
 pub mod council;
 pub mod durable;
 pub mod entry;
--- a/crates/control/src/log.rs
+++ b/crates/control/src/log.rs
@@ -9,7 +9,7 @@
 use crate::status::LogLine;
 use crate::store::Store;
 use crate::voters::{Change, Parts};
-use lupincrank::Time;
+use lupincrank_placement::Time;
 use protobuf::Message as _;
 use raft::eraftpb::{
     ConfChange, ConfChangeType, ConfState, EntryType, Message as RaftMessage, MessageType, Snapshot,
--- a/crates/control/tests/model.rs
+++ b/crates/control/tests/model.rs
@@ -2,11 +2,11 @@
 //! that wait for as long as they like, a holder that freezes or starts from nothing, a granter that starts anew, a reseeded council, and
 //! clocks that run apart.
 
-use lupincrank::Time;
-use lupincrank_council::entry::{Entry, Grant};
-use lupincrank_council::lease::{Clocks, Holder, LeaseRequest, Terms};
-use lupincrank_council::member::{Founding, Member, Stamp};
-use lupincrank_council::state::State;
+use lupincrank_placement::Time;
+use lupincrank_control::entry::{Entry, Grant};
+use lupincrank_control::lease::{Clocks, Holder, LeaseRequest, Terms};
+use lupincrank_control::member::{Founding, Member, Stamp};
+use lupincrank_control::state::State;
 use rstest::rstest;
 use stateright::{Checker, Model, Property};
 use std::time::Duration;
--- a/crates/control/tests/schedules.rs
+++ b/crates/control/tests/schedules.rs
@@ -3,7 +3,7 @@
 
 mod sim;
 
-use lupincrank_council::lease::Terms;
+use lupincrank_control::lease::Terms;
 use proptest::prelude::*;
 use rstest::rstest;
 use sim::{Fault, Sim, CAPACITY, FLOOR};
@@ -270,9 +270,9 @@
         from in 0..3usize,
         bytes in proptest::collection::vec(any::<u8>(), 0..80),
     ) {
-        use lupincrank_council::message::CouncilMessage;
-        use lupincrank_council::lease::LeaseRequest;
-        use lupincrank_council::member::Stamp;
+        use lupincrank_control::message::CouncilMessage;
+        use lupincrank_control::lease::LeaseRequest;
+        use lupincrank_control::member::Stamp;
         thread_local!(static LED: std::cell::RefCell<Sim> = std::cell::RefCell::new({
             let mut sim = Sim::new(3, 0.0, Terms::default(), 4);
             sim.run(Duration::from_secs(8));
--- a/crates/control/tests/sim/mod.rs
+++ b/crates/control/tests/sim/mod.rs
@@ -2,14 +2,14 @@
 //! nothing, and each has a clock of its own.
 #![allow(dead_code)]
 
-use lupincrank::Time;
+use lupincrank_placement::Time;
 use lupincrank_budgets::need::Use;
-use lupincrank_council::council::{Council, Tuning, TICK};
+use lupincrank_control::council::{Council, Tuning, TICK};
 
-use lupincrank_council::durable::{Durable, Write};
-use lupincrank_council::lease::Terms;
-use lupincrank_council::member::Member;
-use lupincrank_council::message::{Action, CouncilMessage};
+use lupincrank_control::durable::{Durable, Write};
+use lupincrank_control::lease::Terms;
+use lupincrank_control::member::Member;
+use lupincrank_control::message::{Action, CouncilMessage};
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
--- a/crates/fault-injection/src/build.rs
+++ b/crates/fault-injection/src/build.rs
@@ -5,7 +5,7 @@
 use crate::stage::Stage;
 use crate::{hop, proxy};
 use lupincrank_reactor::Hands;
-use lupincrank_standins::{discovery, transcriber};
+use lupincrank_test_servers::{discovery, transcriber};
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr};
 use std::time::Instant;
--- a/crates/fault-injection/src/call.rs
+++ b/crates/fault-injection/src/call.rs
@@ -5,8 +5,8 @@
 use crate::stage::Stage;
 use lupincrank_reactor::poll;
 use lupincrank_reactor::{Connection, Flow, Hands, Id};
-use lupincrank_standins::lines::Lines;
-use lupincrank_standins::{key, Note};
+use lupincrank_test_servers::lines::Lines;
+use lupincrank_test_servers::{key, Note};
 use std::time::{Duration, Instant};
 
 /// A node that answers neither in this time counts as not there.
--- a/crates/fault-injection/src/hop.rs
+++ b/crates/fault-injection/src/hop.rs
@@ -4,7 +4,7 @@
 use crate::stage::Stage;
 use lupincrank_reactor::poll::Watched;
 use lupincrank_reactor::{Connection, Flow, Hands, Id};
-use lupincrank_standins::{key, Note};
+use lupincrank_test_servers::{key, Note};
 use rand::Rng;
 use std::collections::BTreeMap;
 use std::io;
--- a/crates/fault-injection/src/judge.rs
+++ b/crates/fault-injection/src/judge.rs
@@ -2,7 +2,7 @@
 //! program.
 
 use hdrhistogram::Histogram;
-use lupincrank_standins::seen::{Answer, End, Seen};
+use lupincrank_test_servers::seen::{Answer, End, Seen};
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
--- a/crates/fault-injection/src/lib.rs
+++ b/crates/fault-injection/src/lib.rs
@@ -1,5 +1,7 @@
 //! Trials: several real processes of the program with stand-ins around them and a proxy between every two, broken by a time
 //! line, and judged from outside. `docs/design/trials.md` says why it is made so.
+
+#![forbid(unsafe_code)]
 #![allow(missing_docs)]
 
 mod build;
--- a/crates/fault-injection/src/main.rs
+++ b/crates/fault-injection/src/main.rs
@@ -1,14 +1,16 @@
-//! `lupincrank-trial`: runs trials, draws them, hunts for the worst, and reports.
+//! `lupincrank-fault-injection`: runs trials, draws them, hunts for the worst, and reports.
+
+#![forbid(unsafe_code)]
 
 use bpaf::{construct, long, positional, OptionParser, Parser};
 use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
-use lupincrank_trials::hunt::hunt;
-use lupincrank_trials::plan::Plan;
-use lupincrank_trials::report;
-use lupincrank_trials::run::{run, Options, Outcome};
-use lupincrank_trials::scenario::Scenario;
-use lupincrank_trials::stage::{Phase, Stage};
-use lupincrank_trials::wrongdoer::{self, Wrong};
+use lupincrank_fault_injection::hunt::hunt;
+use lupincrank_fault_injection::plan::Plan;
+use lupincrank_fault_injection::report;
+use lupincrank_fault_injection::run::{run, Options, Outcome};
+use lupincrank_fault_injection::scenario::Scenario;
+use lupincrank_fault_injection::stage::{Phase, Stage};
+use lupincrank_fault_injection::wrongdoer::{self, Wrong};
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -93,7 +95,7 @@
         .command("wrongdoer");
     construct!([run, hunt, list, check, report, wrongdoer])
         .to_options()
-        .descr("lupincrank-trial: real processes of lupincrank with faults between them")
+        .descr("lupincrank-fault-injection: real processes of lupincrank with faults between them")
 }
 
 /// The program that stands beside this one.
@@ -242,7 +244,7 @@
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(why) => {
-            eprintln!("lupincrank-trial: {why}");
+            eprintln!("lupincrank-fault-injection: {why}");
             ExitCode::from(2)
         }
     }
--- a/crates/fault-injection/src/proxy.rs
+++ b/crates/fault-injection/src/proxy.rs
@@ -7,7 +7,7 @@
 use crate::stage::Stage;
 use lupincrank_reactor::poll::{self, Watched};
 use lupincrank_reactor::{Connection, Flow, Hands, Id};
-use lupincrank_standins::{key, transcriber, Note};
+use lupincrank_test_servers::{key, transcriber, Note};
 use rand::Rng;
 use socket2::{Domain, SockRef, Socket, Type};
 use std::collections::VecDeque;
--- a/crates/fault-injection/src/stage.rs
+++ b/crates/fault-injection/src/stage.rs
@@ -7,10 +7,10 @@
 use crate::scenario::Scenario;
 use crate::step::Step;
 use lupincrank_reactor::Id;
-use lupincrank_standins::client::{Manners, Next, Visit};
-use lupincrank_standins::discovery::List;
-use lupincrank_standins::seen::Seen;
-use lupincrank_standins::transcriber::Fleet;
+use lupincrank_test_servers::client::{Manners, Next, Visit};
+use lupincrank_test_servers::discovery::List;
+use lupincrank_test_servers::seen::Seen;
+use lupincrank_test_servers::transcriber::Fleet;
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -261,7 +261,7 @@
     }
 }
 
-impl lupincrank_standins::Stage for Stage {
+impl lupincrank_test_servers::Stage for Stage {
     fn fleet(&mut self) -> &mut Fleet {
         &mut self.fleet
     }
--- a/crates/fault-injection/src/step.rs
+++ b/crates/fault-injection/src/step.rs
@@ -2,7 +2,7 @@
 
 use crate::links::Party;
 use crate::scenario::{Fault, Kind};
-use lupincrank_standins::transcriber::Mode;
+use lupincrank_test_servers::transcriber::Mode;
 use std::time::{Duration, Instant};
 
 /// One thing to do at its moment.
--- a/crates/fault-injection/src/world.rs
+++ b/crates/fault-injection/src/world.rs
@@ -4,8 +4,8 @@
 use crate::stage::{Phase, Stage, FAULTS, VISITS};
 use crate::{call, faults};
 use lupincrank_reactor::{Hands, Id, World, WORLD};
-use lupincrank_standins::client::{self, Visit};
-use lupincrank_standins::Note;
+use lupincrank_test_servers::client::{self, Visit};
+use lupincrank_test_servers::Note;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
--- a/crates/fault-injection/src/wrongdoer.rs
+++ b/crates/fault-injection/src/wrongdoer.rs
@@ -3,8 +3,8 @@
 
 use lupincrank_reactor::poll::{self, Watched};
 use lupincrank_reactor::{Connection, Flow, Hands, Id, Reactor, World};
-use lupincrank_standins::key;
-use lupincrank_standins::lines::Lines;
+use lupincrank_test_servers::key;
+use lupincrank_test_servers::lines::Lines;
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
--- a/crates/fault-injection/tests/wrongdoers.rs
+++ b/crates/fault-injection/tests/wrongdoers.rs
@@ -1,12 +1,12 @@
 //! A judge that names no wrongdoer judges nothing: one scripted node for each rule, as a process of its own.
 
-use lupincrank_trials::run::{run, Options, Outcome};
-use lupincrank_trials::scenario::Scenario;
+use lupincrank_fault_injection::run::{run, Options, Outcome};
+use lupincrank_fault_injection::scenario::Scenario;
 use rstest::rstest;
 use std::collections::BTreeMap;
 
 fn options(kind: &str) -> Options {
-    let program = vec![env!("CARGO_BIN_EXE_lupincrank-trial").into(), "wrongdoer".into(), kind.into()];
+    let program = vec![env!("CARGO_BIN_EXE_lupincrank-fault-injection").into(), "wrongdoer".into(), kind.into()];
     Options {
         program,
         programs: BTreeMap::new(),
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -2,7 +2,7 @@
 
 use crate::fleet::setup::Setup;
 use crate::group::{self, Update};
-use lupincrank::Settings;
+use lupincrank_placement::Settings;
 use lupincrank_settings::strict;
 use lupincrank_settings::Site;
 use serde::Deserialize;
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -3,11 +3,11 @@
 
 use crate::config::Config;
 use crate::load_lines::{LoadLines, Told};
-use lupincrank::learnt::Learnt;
-use lupincrank::{
+use lupincrank_placement::learnt::Learnt;
+use lupincrank_placement::{
     Action, Balancer, Event, Health, Incoming, Listed, Outcome, RequestId, ServerId, Settings, Slice, Time,
 };
-use lupincrank_council::lease::Terms;
+use lupincrank_control::lease::Terms;
 use slog::{debug, info, warn, Logger};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -5,7 +5,7 @@
 use crate::group::{check, dial, health, number, Update};
 use crate::objects::Objects;
 use crate::state::{Message, Node, State, DISCOVERY, UPGRADE};
-use lupincrank::{asking, Listed};
+use lupincrank_placement::{asking, Listed};
 use lupincrank_reactor::poll::{self, Watched};
 use lupincrank_reactor::{Connection, Flow};
 use slog::{debug, info, warn};
--- a/crates/node/src/fleet/carry.rs
+++ b/crates/node/src/fleet/carry.rs
@@ -2,16 +2,16 @@
 
 use super::disk::Disk;
 use super::setup::Setup;
-use lupincrank::Time;
-use lupincrank_council::council::{Council, Tuning};
-use lupincrank_council::durable::{Durable, Write};
-use lupincrank_council::lease::Terms;
-use lupincrank_council::member::Member;
-use lupincrank_council::message::{Action, CouncilMessage, Note};
+use lupincrank_placement::Time;
+use lupincrank_control::council::{Council, Tuning};
+use lupincrank_control::durable::{Durable, Write};
+use lupincrank_control::lease::Terms;
+use lupincrank_control::member::Member;
+use lupincrank_control::message::{Action, CouncilMessage, Note};
 use lupincrank_reactor::poll::Watched;
 use lupincrank_reactor::Id;
-use lupincrank_talk::link::{Hello, Link, Message, Subject};
-use lupincrank_talk::membership::{Identity, Membership, Out};
+use lupincrank_cluster::link::{Hello, Link, Message, Subject};
+use lupincrank_cluster::membership::{Identity, Membership, Out};
 use serde::Serialize;
 use slog::{debug, info, warn, Logger};
 use std::collections::BTreeMap;
@@ -79,10 +79,10 @@
 #[derive(Serialize)]
 struct Status<'a> {
     fleet: &'a str,
-    council: lupincrank_council::status::Status,
+    council: lupincrank_control::status::Status,
     alive: usize,
     links: usize,
-    datagrams_refused: lupincrank_talk::membership::Refused,
+    datagrams_refused: lupincrank_cluster::membership::Refused,
     messages_refused: u64,
     sent_bytes: u64,
     sent_messages: u64,
@@ -125,7 +125,7 @@
             settle: SETTLE,
             removal_after: BURY,
         };
-        let tag = lupincrank_talk::tag(&setup.name);
+        let tag = lupincrank_cluster::tag(&setup.name);
         let council = Council::new(now, member(&me), tuning, kept)?;
         let membership = Membership::new(me, tag, setup.nodes.len(), id, setup.seeds.clone());
         Ok(Carry {
--- a/crates/node/src/fleet/disk.rs
+++ b/crates/node/src/fleet/disk.rs
@@ -1,8 +1,8 @@
 //! Log and vote of the council on the disk, by redb, and the one thread that waits for the disk in the loop's place. What
-//! is in the file and when it is whole is told by `lupincrank_council::durable`.
+//! is in the file and when it is whole is told by `lupincrank_control::durable`.
 
-use lupincrank_council::durable::{Durable, Write};
-use lupincrank_council::member::Stamp;
+use lupincrank_control::durable::{Durable, Write};
+use lupincrank_control::member::Stamp;
 use redb::{Database, DatabaseError, ReadableDatabase, ReadableTable, TableDefinition, TableError};
 use std::fs;
 use std::io::{self, Read, Write as _};
--- a/crates/node/src/fleet/setup.rs
+++ b/crates/node/src/fleet/setup.rs
@@ -1,6 +1,6 @@
 //! What the node takes from the operator's file for its part in the fleet.
 
-use lupincrank_operator::Operator;
+use lupincrank_operator_config::Operator;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
--- a/crates/node/src/group.rs
+++ b/crates/node/src/group.rs
@@ -1,6 +1,6 @@
 //! The upstream group as discovery writes it.
 
-use lupincrank::Health;
+use lupincrank_placement::Health;
 use serde::Deserialize;
 use std::net::SocketAddr;
 
--- a/crates/node/src/hollow.rs
+++ b/crates/node/src/hollow.rs
@@ -6,7 +6,7 @@
 use crate::fleet::{self, setup::Setup};
 use crate::state::{Node, State, RESERVED};
 use lupincrank_budgets::need::Use;
-use lupincrank_operator::Operator;
+use lupincrank_operator_config::Operator;
 use lupincrank_reactor::{Connection, Flow, Id, Reactor};
 use slog::{o, Discard, Logger};
 use std::time::{Duration, Instant};
@@ -85,7 +85,7 @@
     }
 
     fn due(&mut self, node: &mut Node, _purpose: u64) -> Flow {
-        let window = lupincrank_council::lease::Terms::default().window;
+        let window = lupincrank_control::lease::Terms::default().window;
         let members = node.fleet.as_ref().map(|carry| &carry.membership);
         let lives = |name: &str| members.is_some_and(|all| all.alive().any(|who| who.name == name));
         let (most, turned_away) = self.observer.look(&seen(node), window, &lives);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,7 +23,7 @@
 use cli::Command;
 use config::Config;
 use fleet::setup::Setup;
-use lupincrank_operator::Operator;
+use lupincrank_operator_config::Operator;
 use slog::{o, Drain, Level, Logger};
 use std::process::ExitCode;
 use std::sync::Mutex;
--- a/crates/node/src/line_front.rs
+++ b/crates/node/src/line_front.rs
@@ -4,7 +4,7 @@
 use crate::relay::Relay;
 use crate::state::{Message, Node, Seat, State as World, Strangers, Up, LISTENER};
 use crate::upgrade::link::Said;
-use lupincrank::{Incoming, RequestId, Time};
+use lupincrank_placement::{Incoming, RequestId, Time};
 use lupincrank_reactor::poll::{self, Watched};
 use lupincrank_reactor::{Connection, Flow, Id};
 use slog::{debug, warn};
@@ -599,7 +599,7 @@
             Message::Up(up) => self.up(node, up),
             Message::Ended(line) => {
                 if waiting.open.holder.is_none() {
-                    node.core.try_ended(RequestId(waiting.open.request), lupincrank::Outcome::Served, true);
+                    node.core.try_ended(RequestId(waiting.open.request), lupincrank_placement::Outcome::Served, true);
                 }
                 self.answer(node, &line)
             }
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -1,7 +1,7 @@
 //! One try: a connection to a transcriber from its making to the first line that comes back.
 
 use crate::state::{Message, Node, State, Up};
-use lupincrank::{Outcome, RequestId};
+use lupincrank_placement::{Outcome, RequestId};
 use lupincrank_reactor::poll::{self, Watched};
 use lupincrank_reactor::{delivery, Connection, Flow, Id};
 use slog::debug;
--- a/crates/node/src/probe.rs
+++ b/crates/node/src/probe.rs
@@ -2,7 +2,7 @@
 //! stays for the next probe, since each new one costs the transcriber work.
 
 use crate::state::{Message, Node, State};
-use lupincrank::ServerId;
+use lupincrank_placement::ServerId;
 use lupincrank_reactor::poll::{self, Watched};
 use lupincrank_reactor::{Connection, Flow, Id};
 use slog::debug;
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -3,7 +3,7 @@
 use crate::peer::{said, Said, LONGEST_LINE};
 use crate::state::{Message, Node, Seat, State, Up};
 use crate::upgrade::link::{self, Standing};
-use lupincrank::{Incoming, Outcome, RequestId, Time};
+use lupincrank_placement::{Incoming, Outcome, RequestId, Time};
 use lupincrank_reactor::poll::Watched;
 use lupincrank_reactor::{Connection, Flow, Id};
 use slog::debug;
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -6,7 +6,7 @@
 use crate::probe::{self, Probes};
 use crate::upgrade::held::Upgrade;
 use crate::upgrade::link::Said;
-use lupincrank::{RequestId, ServerId};
+use lupincrank_placement::{RequestId, ServerId};
 use lupincrank_reactor::poll::Watched;
 use lupincrank_reactor::{Hands, Id, World, WORLD};
 use slog::{info, warn, Logger};
--- a/crates/node/src/upgrade/bans.rs
+++ b/crates/node/src/upgrade/bans.rs
@@ -1,7 +1,7 @@
 //! The file that tells both processes of a node, and the next one, which transcribers are out by hand.
 
-use lupincrank::by_hand::put;
-use lupincrank::ServerId;
+use lupincrank_placement::by_hand::put;
+use lupincrank_placement::ServerId;
 use std::collections::BTreeSet;
 use std::fs::{self, File};
 use std::io;
--- a/crates/node/src/upgrade/held.rs
+++ b/crates/node/src/upgrade/held.rs
@@ -3,8 +3,8 @@
 use super::bans::Bans;
 use super::custody::Custody;
 use super::link::{self, Beat, Said};
-use lupincrank::by_hand::put;
-use lupincrank::ServerId;
+use lupincrank_placement::by_hand::put;
+use lupincrank_placement::ServerId;
 use lupincrank_reactor::poll::Watched;
 use lupincrank_reactor::Id;
 use socket2::Socket;
--- a/crates/node/src/upgrade/link.rs
+++ b/crates/node/src/upgrade/link.rs
@@ -1,6 +1,6 @@
 //! What two processes of one node say to each other: one message a packet, some with descriptors.
 
-use lupincrank::learnt::Learnt;
+use lupincrank_placement::learnt::Learnt;
 use lupincrank_reactor::poll::Watched;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, ReturnFlags, SendAncillaryBuffer,
@@ -58,7 +58,7 @@
     pub open: bool,
 }
 
-/// What was learnt of one transcriber: see `lupincrank::learnt`. Spans are milliseconds.
+/// What was learnt of one transcriber: see `lupincrank_placement::learnt`. Spans are milliseconds.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Lesson {
     server: String,
--- a/crates/operator-config/src/lib.rs
+++ b/crates/operator-config/src/lib.rs
@@ -1,6 +1,8 @@
 //! The operator's file, TOML under `deploy/`. What it does not name stays as it is without a file; what it names wrongly is
 //! an error with line and key.
 
+#![forbid(unsafe_code)]
+
 use serde::Deserialize;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -5,6 +5,8 @@
 //! actions. [`interface`] has the types; `balance` has every decision.
 #![doc = include_str!("../../../README.md")]
 
+#![forbid(unsafe_code)]
+
 pub mod asking;
 mod balance;
 mod bits;
--- a/crates/placement/tests/common/mod.rs
+++ b/crates/placement/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A small world for one balancer: it keeps the clock and the books, and checks every action against the four rules.
 #![allow(dead_code)]
 
-use lupincrank::*;
+use lupincrank_placement::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
--- a/crates/placement/tests/failures.rs
+++ b/crates/placement/tests/failures.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use lupincrank::*;
+use lupincrank_placement::*;
 use std::collections::BTreeSet;
 
 const SIX: [&str; 6] = ["s1", "s2", "s3", "s4", "s5", "s6"];
--- a/crates/placement/tests/fleet.rs
+++ b/crates/placement/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use lupincrank::*;
+use lupincrank_placement::*;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::BTreeSet;
--- a/crates/placement/tests/probes.rs
+++ b/crates/placement/tests/probes.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use lupincrank::*;
+use lupincrank_placement::*;
 
 fn probing() -> Settings {
     Settings {
--- a/crates/placement/tests/ranking.rs
+++ b/crates/placement/tests/ranking.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use lupincrank::*;
+use lupincrank_placement::*;
 use std::collections::HashMap;
 
 /// MurmurHash3 x86_32 once more, written from its description, to check the hashes in use.
--- a/crates/placement/tests/reports.rs
+++ b/crates/placement/tests/reports.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use lupincrank::*;
+use lupincrank_placement::*;
 use std::time::Duration;
 
 const FULL: f64 = 60.0;
--- a/crates/scale/src/doors.rs
+++ b/crates/scale/src/doors.rs
@@ -5,9 +5,9 @@
 use crate::place::Place;
 use lupincrank_reactor::poll::{self, Watched};
 use lupincrank_reactor::{Connection, Flow, Hands, Id, Reactor, World, WORLD};
-use lupincrank_standins::key;
-use lupincrank_talk::link::{Inbox, Message};
-use lupincrank_trials::links::Way;
+use lupincrank_test_servers::key;
+use lupincrank_cluster::link::{Inbox, Message};
+use lupincrank_fault_injection::links::Way;
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
 use std::collections::{HashMap, VecDeque};
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -1,6 +1,8 @@
 //! What control costs by the size of the fleet: hollow nodes, many in one process, that run the real control code beside a few
 //! real processes, with a counting door before each. `docs/design/scale.md` says why it is made so.
 
+#![forbid(unsafe_code)]
+
 pub mod doors;
 pub mod fit;
 pub mod host;
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -1,5 +1,7 @@
 //! `lupincrank-scale`: runs a fleet of hollow nodes beside real ones, and lays lines through several runs.
 
+#![forbid(unsafe_code)]
+
 use bpaf::{construct, long, positional, OptionParser, Parser};
 use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
 use lupincrank_scale::outcome::Outcome;
--- a/crates/scale/src/outcome.rs
+++ b/crates/scale/src/outcome.rs
@@ -1,7 +1,7 @@
 //! What comes of a run, as its file has it.
 
 use hdrhistogram::Histogram;
-use lupincrank_trials::judge::Budget;
+use lupincrank_fault_injection::judge::Budget;
 use serde::Serialize;
 use std::collections::BTreeMap;
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,8 +1,10 @@
 //! Reads a site's settings: the JSON object that the simulator's first message and a node's configuration share.
 
+#![forbid(unsafe_code)]
+
 pub mod strict;
 
-use lupincrank::{Class, Repeat, Scope, Settings, Tenant};
+use lupincrank_placement::{Class, Repeat, Scope, Settings, Tenant};
 use serde::Deserialize;
 use std::time::Duration;
 
--- a/crates/simulator/src/experiments/cost.rs
+++ b/crates/simulator/src/experiments/cost.rs
@@ -1,7 +1,7 @@
 //! What the module's work costs against the size of the fleet. It reads the machine's clock, so its figures are of
 //! the machine and never enter a simulated world.
 
-use lupincrank::{
+use lupincrank_placement::{
     Action, Balancer, Class, Event, Health, Incoming, Listed, Outcome, Repeat, RequestId, ServerId, Settings,
     Time,
 };
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -3,6 +3,8 @@
 //!
 //! [`world::play`] plays one scenario; [`experiments`] has what is built on it.
 
+#![forbid(unsafe_code)]
+
 pub mod experiments;
 pub mod judge;
 pub mod measure;
--- a/crates/simulator/src/main.rs
+++ b/crates/simulator/src/main.rs
@@ -1,11 +1,13 @@
-//! `lupincrank-lab`: scenarios in simulated time, experiments and plots.
+//! `lupincrank-simulator`: scenarios in simulated time, experiments and plots.
+
+#![forbid(unsafe_code)]
 
 use bpaf::{construct, long, positional, OptionParser, Parser};
 use indicatif::{ProgressBar, ProgressStyle};
-use lupincrank_lab::experiments::{compare, cost, hunt, sweep};
-use lupincrank_lab::policy::Name;
-use lupincrank_lab::scenario::{self, Scenario, Wrong};
-use lupincrank_lab::{paper, plot, world};
+use lupincrank_simulator::experiments::{compare, cost, hunt, sweep};
+use lupincrank_simulator::policy::Name;
+use lupincrank_simulator::scenario::{self, Scenario, Wrong};
+use lupincrank_simulator::{paper, plot, world};
 use serde::Serialize;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -139,7 +141,7 @@
     match carry_out(options().run()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("lupincrank-lab: {message}");
+            eprintln!("lupincrank-simulator: {message}");
             ExitCode::FAILURE
         }
     }
--- a/crates/simulator/src/paper.rs
+++ b/crates/simulator/src/paper.rs
@@ -1,6 +1,6 @@
 //! The paper's comparison, repeated: the product of two hashes made once against hashing each pair anew.
 
-use lupincrank::{key_hash, rank_score, server_hash, ServerId};
+use lupincrank_placement::{key_hash, rank_score, server_hash, ServerId};
 use rand::RngCore;
 use rayon::prelude::*;
 use serde::{Deserialize, Serialize};
--- a/crates/simulator/src/policy.rs
+++ b/crates/simulator/src/policy.rs
@@ -2,7 +2,7 @@
 
 use crate::queue::Moment;
 use crate::transcriber::{State, Transcriber};
-use lupincrank::{
+use lupincrank_placement::{
     key_hash, rank_score, server_hash, Action, Balancer, Event, Health, Incoming, Listed, Outcome, RequestId,
     ServerId, Settings, Time,
 };
--- a/crates/simulator/src/queue.rs
+++ b/crates/simulator/src/queue.rs
@@ -1,6 +1,6 @@
 //! The queue of what is to happen, in simulated time.
 
-use lupincrank::Outcome;
+use lupincrank_placement::Outcome;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
--- a/crates/simulator/src/transcriber.rs
+++ b/crates/simulator/src/transcriber.rs
@@ -5,7 +5,7 @@
 
 use crate::queue::{as_seconds, Life, Moment};
 use crate::scenario::{Kind, Scenario};
-use lupincrank::ServerId;
+use lupincrank_placement::ServerId;
 use std::collections::{BTreeMap, VecDeque};
 
 /// What a transcriber's process does.
--- a/crates/simulator/src/world/clients.rs
+++ b/crates/simulator/src/world/clients.rs
@@ -3,7 +3,7 @@
 use super::{Client, Phase, World, NOWHERE};
 use crate::population::{jittered, swing};
 use crate::queue::{millis, seconds, Happening, Life, Moment};
-use lupincrank::Outcome;
+use lupincrank_placement::Outcome;
 use rand::Rng;
 use rand_distr::Exp1;
 
--- a/crates/simulator/src/world/directory.rs
+++ b/crates/simulator/src/world/directory.rs
@@ -2,7 +2,7 @@
 
 use super::World;
 use crate::queue::{millis, seconds, Change, Happening, Life, SECOND};
-use lupincrank::{Event, Health};
+use lupincrank_placement::{Event, Health};
 use rand::Rng;
 
 impl World<'_> {
@@ -16,7 +16,7 @@
     }
 
     /// A node is told of an entry: from here on the rules on drains and cold starts bind it.
-    fn note_told(&mut self, node: u32, entry: &lupincrank::Listed) {
+    fn note_told(&mut self, node: u32, entry: &lupincrank_placement::Listed) {
         let Some(server) = self.index.get(&entry.server).copied() else { return };
         let (now, life) = (self.now, self.fleet[server as usize].life);
         let node = &mut self.nodes[node as usize];
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -16,7 +16,7 @@
 use crate::queue::{seconds, Happening, Life, Moment, Queue, SECOND};
 use crate::scenario::Scenario;
 use crate::transcriber::Transcriber;
-use lupincrank::{Action, Class, Listed, Repeat, ServerId, Settings};
+use lupincrank_placement::{Action, Class, Listed, Repeat, ServerId, Settings};
 use rand_pcg::Pcg32;
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
--- a/crates/simulator/src/world/nodes.rs
+++ b/crates/simulator/src/world/nodes.rs
@@ -7,7 +7,7 @@
 use crate::queue::{millis, seconds, Happening, Life, Moment, SECOND};
 use crate::scenario::Delays;
 use crate::transcriber::State;
-use lupincrank::{Action, Event, Incoming, Outcome, RequestId, Time};
+use lupincrank_placement::{Action, Event, Incoming, Outcome, RequestId, Time};
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -215,7 +215,7 @@
     }
 
     /// Sends an attempt on its way, once the judges have looked at it.
-    fn send(&mut self, node: u32, request: u64, server: &lupincrank::ServerId, patience: Duration) {
+    fn send(&mut self, node: u32, request: u64, server: &lupincrank_placement::ServerId, patience: Duration) {
         let now = self.now;
         let server = self.index.get(server).copied();
         self.record("sent", node, request, server);
--- a/crates/simulator/src/world/servers.rs
+++ b/crates/simulator/src/world/servers.rs
@@ -5,7 +5,7 @@
 use crate::population::{stream, work};
 use crate::queue::{as_seconds, millis, seconds, Change, Happening, Life, Moment};
 use crate::transcriber::{State, Transcriber, Waiting};
-use lupincrank::{key_hash, rank_score, server_hash, Health, Listed, Outcome, ServerId, Time};
+use lupincrank_placement::{key_hash, rank_score, server_hash, Health, Listed, Outcome, ServerId, Time};
 use rand::{Rng, RngCore};
 use rand_distr::{Exp1, StandardNormal};
 
--- a/crates/simulator/src/world/troubles.rs
+++ b/crates/simulator/src/world/troubles.rs
@@ -5,7 +5,7 @@
 use crate::queue::{as_seconds, seconds, Change, Happening, Moment};
 use crate::scenario::TroubleKind;
 use crate::transcriber::State;
-use lupincrank::Outcome;
+use lupincrank_placement::Outcome;
 use rand::seq::SliceRandom;
 use rand::Rng;
 use rand_distr::Exp1;
--- a/crates/simulator/tests/closed_forms.rs
+++ b/crates/simulator/tests/closed_forms.rs
@@ -1,8 +1,8 @@
 //! The emulator against queueing theory: loss systems block as Erlang B says, waiting ones wait as Erlang C says.
 
-use lupincrank_lab::policy::Name;
-use lupincrank_lab::scenario::{parse, Scenario};
-use lupincrank_lab::world::play;
+use lupincrank_simulator::policy::Name;
+use lupincrank_simulator::scenario::{parse, Scenario};
+use lupincrank_simulator::world::play;
 use rstest::rstest;
 
 const LINES: u32 = 6;
--- a/crates/simulator/tests/experiments.rs
+++ b/crates/simulator/tests/experiments.rs
@@ -1,9 +1,9 @@
 //! Runs repeat to the byte, nothing grows without bound, and what is wrong in a file is told with its place.
 
-use lupincrank_lab::experiments::{compare, hunt, sweep, Estimate};
-use lupincrank_lab::policy::Name;
-use lupincrank_lab::scenario::{load, parse, Scenario};
-use lupincrank_lab::world::play;
+use lupincrank_simulator::experiments::{compare, hunt, sweep, Estimate};
+use lupincrank_simulator::policy::Name;
+use lupincrank_simulator::scenario::{load, parse, Scenario};
+use lupincrank_simulator::world::play;
 use rstest::rstest;
 use std::path::PathBuf;
 
--- a/crates/simulator/tests/judges.rs
+++ b/crates/simulator/tests/judges.rs
@@ -1,11 +1,11 @@
 //! Each judge catches a policy that breaks its rule on purpose, and none speaks up about one that does not.
 
-use lupincrank::{Action, Balancer, Event, Health, RequestId, ServerId, Settings, Time};
-use lupincrank_lab::judge::Rule;
-use lupincrank_lab::measure::Outcome;
-use lupincrank_lab::policy::{Policy, Truth};
-use lupincrank_lab::scenario::{parse, Scenario};
-use lupincrank_lab::world::play_with;
+use lupincrank_placement::{Action, Balancer, Event, Health, RequestId, ServerId, Settings, Time};
+use lupincrank_simulator::judge::Rule;
+use lupincrank_simulator::measure::Outcome;
+use lupincrank_simulator::policy::{Policy, Truth};
+use lupincrank_simulator::scenario::{parse, Scenario};
+use lupincrank_simulator::world::play_with;
 use rstest::rstest;
 use std::collections::BTreeSet;
 use std::time::Duration;
--- a/crates/test-servers/src/lib.rs
+++ b/crates/test-servers/src/lib.rs
@@ -1,6 +1,8 @@
 //! Stand-ins for what a node talks with: transcribers, discovery and clients, written from the protocol's description. They run
 //! in one loop, and tell what they see with that process's clock: see [`seen`].
 
+#![forbid(unsafe_code)]
+
 pub mod client;
 pub mod discovery;
 pub mod lines;
