--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -24,14 +24,20 @@
     let mut reply = Vec::new();
     for number in 1u64.. {
         line.clear();
-        if input.read_line(&mut line).map_err(|error| format!("line {number}: cannot read: {error}"))? == 0 {
+        if input
+            .read_line(&mut line)
+            .map_err(|error| format!("line {number}: cannot read: {error}"))?
+            == 0
+        {
             break;
         }
         let text = line.trim();
         if text.is_empty() {
             continue;
         }
-        let ends_batch = host.line(text).map_err(|error| format!("line {number}: {error}"))?;
+        let ends_batch = host
+            .line(text)
+            .map_err(|error| format!("line {number}: {error}"))?;
         if ends_batch {
             reply.clear();
             host.reply(&mut reply);
--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -1,6 +1,8 @@
 //! The simulator's dialect: one JSON object a line, read into events and written from actions.
 
-use lupincrank_placement::{Action, Balancer, Event, Health, Incoming, Listed, Outcome, RequestId, ServerId, Time};
+use lupincrank_placement::{
+    Action, Balancer, Event, Health, Incoming, Listed, Outcome, RequestId, ServerId, Time,
+};
 use lupincrank_settings::{nanos, Site};
 use serde::Deserialize;
 use std::borrow::Cow;
@@ -96,9 +98,13 @@
 
 fn request_id(text: Option<Cow<str>>) -> Result<RequestId, String> {
     let text = need(text, "Req")?;
-    let plain = text.len() == 16 && text.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
+    let plain = text.len() == 16
+        && text
+            .bytes()
+            .all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
     let id = u64::from_str_radix(&text, 16).ok().filter(|_| plain);
-    id.map(RequestId).ok_or_else(|| format!("Req: {text:?} is not 16 hex digits"))
+    id.map(RequestId)
+        .ok_or_else(|| format!("Req: {text:?} is not 16 hex digits"))
 }
 
 fn incoming(line: Line) -> Result<Incoming, String> {
@@ -123,19 +129,34 @@
 }
 
 fn report(gauge: Option<Vec<Option<f64>>>) -> Option<Vec<f64>> {
-    gauge.map(|values| values.into_iter().map(|value| value.unwrap_or(0.0)).collect())
+    gauge.map(|values| {
+        values
+            .into_iter()
+            .map(|value| value.unwrap_or(0.0))
+            .collect()
+    })
 }
 
 /// Turns a line into an event; `None` for an op that a balancer has no use for.
 fn event(line: Line) -> Result<Option<Event>, String> {
     Ok(Some(match line.op.as_ref() {
         "UPDATE" => {
-            let entries =
-                line.nodes_list.unwrap_or_default().into_iter().map(node).collect::<Result<Vec<_>, _>>()?;
+            let entries = line
+                .nodes_list
+                .unwrap_or_default()
+                .into_iter()
+                .map(node)
+                .collect::<Result<Vec<_>, _>>()?;
             match need(line.kind, "Kind")? {
                 0 => Event::ListChange(entries),
-                1 => Event::List { entries, cached: false },
-                2 => Event::List { entries, cached: true },
+                1 => Event::List {
+                    entries,
+                    cached: false,
+                },
+                2 => Event::List {
+                    entries,
+                    cached: true,
+                },
                 3 => Event::ListFailed,
                 other => return Err(format!("Kind: unknown code {other}")),
             }
@@ -146,7 +167,10 @@
             Event::Inherited(incoming(line)?, holder)
         }
         "CANCELLED_BY_CLIENT" => Event::ClientGone(request_id(line.req)?),
-        "ESTABLISHED" => Event::Established { request: request_id(line.req)?, took: nanos(line.rtt_ns) },
+        "ESTABLISHED" => Event::Established {
+            request: request_id(line.req)?,
+            took: nanos(line.rtt_ns),
+        },
         "COMPLETED" => Event::Ended {
             request: request_id(line.req)?,
             attempt: need(line.seq_no, "SeqNo")?,
@@ -157,10 +181,20 @@
         "PROGRESS" => {
             let request = request_id(line.req)?;
             let value = need(line.value, "Value")?;
-            let millionths = if (0.0..1e12).contains(&value) { value } else { 0.0 };
+            let millionths = if (0.0..1e12).contains(&value) {
+                value
+            } else {
+                0.0
+            };
             match need(line.kind, "Kind")? {
-                1 => Event::LoadNote { request, load: Duration::from_secs_f64(millionths / 1e6) },
-                2 => Event::DelayNote { request, delay: Duration::from_secs_f64(millionths / 1e3) },
+                1 => Event::LoadNote {
+                    request,
+                    load: Duration::from_secs_f64(millionths / 1e6),
+                },
+                2 => Event::DelayNote {
+                    request,
+                    delay: Duration::from_secs_f64(millionths / 1e3),
+                },
                 _ => return Ok(None),
             }
         }
@@ -194,7 +228,8 @@
 
     /// Takes in one line; true when it ends a batch and a reply is due.
     pub fn line(&mut self, text: &str) -> Result<bool, String> {
-        let line: Line = serde_json::from_str(text).map_err(|error| format!("not a message: {error}"))?;
+        let line: Line =
+            serde_json::from_str(text).map_err(|error| format!("not a message: {error}"))?;
         match (line.op.as_ref(), self.now) {
             ("TICK", None) => {
                 self.now = Some(Time(need(line.sim_time_ns, "TICK: SimTimeNs")?));
@@ -208,7 +243,8 @@
             }
             (_, Some(now)) => {
                 let op = line.op.to_string();
-                self.event(now, line).map_err(|error| format!("{op}: {error}"))?;
+                self.event(now, line)
+                    .map_err(|error| format!("{op}: {error}"))?;
                 Ok(false)
             }
         }
@@ -221,13 +257,17 @@
             let mut balancer = Balancer::new(need(line.conf, "Conf")?.settings()?, seed);
             balancer.handle(now, Event::Start, &mut self.fresh);
             let next = self.names.len();
-            let slot = self.balancers.entry(who.to_string()).or_insert((next, None));
+            let slot = self
+                .balancers
+                .entry(who.to_string())
+                .or_insert((next, None));
             if slot.0 == next {
                 self.names.push(who.to_string());
             }
             slot.1 = Some(balancer);
             let index = slot.0;
-            self.actions.extend(self.fresh.drain(..).map(|action| (index, action)));
+            self.actions
+                .extend(self.fresh.drain(..).map(|action| (index, action)));
             return Ok(());
         }
         let Some((index, slot)) = self.balancers.get_mut(who.as_ref()) else {
@@ -239,10 +279,13 @@
             *slot = None;
             return Ok(());
         }
-        let Some(balancer) = slot else { return Err(format!("{who:?} was torn down and not spawned again")) };
+        let Some(balancer) = slot else {
+            return Err(format!("{who:?} was torn down and not spawned again"));
+        };
         if let Some(event) = event(line)? {
             balancer.handle(now, event, &mut self.fresh);
-            self.actions.extend(self.fresh.drain(..).map(|action| (*index, action)));
+            self.actions
+                .extend(self.fresh.drain(..).map(|action| (*index, action)));
         }
         Ok(())
     }
@@ -263,29 +306,56 @@
 fn write_action(out: &mut Vec<u8>, who: &str, action: Action) {
     let who = text(who);
     let written = match action {
-        Action::Place { request, server, patience } => writeln!(
+        Action::Place {
+            request,
+            server,
+            patience,
+        } => writeln!(
             out,
             r#"{{"op":"ISSUE","Who":{who},"Req":"{:016x}","TryForNs":{},"Server":{}}}"#,
             request.0,
             patience.as_nanos().max(1),
             text(&server.0)
         ),
-        Action::Refuse { request, retry_after } => writeln!(
+        Action::Refuse {
+            request,
+            retry_after,
+        } => writeln!(
             out,
             r#"{{"op":"NOT_NOW","Who":{who},"Req":"{:016x}","StayAwayNs":{}}}"#,
             request.0,
             retry_after.as_nanos()
         ),
-        Action::Fail(request) => writeln!(out, r#"{{"op":"LOSE","Who":{who},"Req":"{:016x}"}}"#, request.0),
-        Action::Move(request) => writeln!(out, r#"{{"op":"SHIFT","Who":{who},"Req":"{:016x}"}}"#, request.0),
+        Action::Fail(request) => writeln!(
+            out,
+            r#"{{"op":"LOSE","Who":{who},"Req":"{:016x}"}}"#,
+            request.0
+        ),
+        Action::Move(request) => writeln!(
+            out,
+            r#"{{"op":"SHIFT","Who":{who},"Req":"{:016x}"}}"#,
+            request.0
+        ),
         Action::Probe(server) => {
-            writeln!(out, r#"{{"op":"ASK_LOAD","Who":{who},"Server":{}}}"#, text(&server.0))
+            writeln!(
+                out,
+                r#"{{"op":"ASK_LOAD","Who":{who},"Server":{}}}"#,
+                text(&server.0)
+            )
         }
         Action::Tell(message) => {
-            writeln!(out, r#"{{"op":"SHARE","Who":{who},"Whom":-1,"Msg":{}}}"#, text(&message))
+            writeln!(
+                out,
+                r#"{{"op":"SHARE","Who":{who},"Whom":-1,"Msg":{}}}"#,
+                text(&message)
+            )
         }
         Action::SetTimer { after, handle } => {
-            writeln!(out, r#"{{"op":"DEFER","Who":{who},"AfterNs":{},"Handle":{handle}}}"#, after.as_nanos())
+            writeln!(
+                out,
+                r#"{{"op":"DEFER","Who":{who},"AfterNs":{},"Handle":{handle}}}"#,
+                after.as_nanos()
+            )
         }
         Action::Subscribe => writeln!(out, r#"{{"op":"SUBSCRIBE","Who":{who},"Want":true}}"#),
     };
--- a/crates/adapter/tests/transcripts.rs
+++ b/crates/adapter/tests/transcripts.rs
@@ -29,11 +29,18 @@
     let output = child.wait_with_output().unwrap();
     writer.join().unwrap();
     let text = |bytes: Vec<u8>| String::from_utf8(bytes).unwrap();
-    (output.status.success(), text(output.stdout), text(output.stderr))
+    (
+        output.status.success(),
+        text(output.stdout),
+        text(output.stderr),
+    )
 }
 
 fn batch(ns: u64, lines: &[String]) -> String {
-    format!("{{\"op\":\"TICK\",\"SimTimeNs\":{ns}}}\n{}{{\"op\":\"EOB\"}}\n", lines.concat())
+    format!(
+        "{{\"op\":\"TICK\",\"SimTimeNs\":{ns}}}\n{}{{\"op\":\"EOB\"}}\n",
+        lines.concat()
+    )
 }
 
 fn spawn(who: &str, seed: u64) -> String {
@@ -84,11 +91,17 @@
     let replies: Vec<&str> = out.split("{\"op\":\"YIELD\"}\n").collect();
     assert_eq!(replies.len(), 6);
     assert!(replies[0].contains("\"op\":\"SUBSCRIBE\"") && replies[0].contains("\"op\":\"DEFER\""));
-    let issued = |reply: &str| ["10.18.74.7:9003", "10.144.17.242:9044"].map(|server| reply.contains(server));
-    assert!(replies[1].contains(&format!("\"op\":\"ISSUE\",\"Who\":\"proxy-0\",\"Req\":\"{A}\"")));
+    let issued = |reply: &str| {
+        ["10.18.74.7:9003", "10.144.17.242:9044"].map(|server| reply.contains(server))
+    };
+    assert!(replies[1].contains(&format!(
+        "\"op\":\"ISSUE\",\"Who\":\"proxy-0\",\"Req\":\"{A}\""
+    )));
     assert!(replies[2].contains("\"op\":\"ISSUE\""));
     assert_ne!(issued(replies[1]), issued(replies[2]));
-    assert!(replies[3].contains(&format!("\"op\":\"NOT_NOW\",\"Who\":\"proxy-0\",\"Req\":\"{A}\"")));
+    assert!(replies[3].contains(&format!(
+        "\"op\":\"NOT_NOW\",\"Who\":\"proxy-0\",\"Req\":\"{A}\""
+    )));
     assert_eq!(replies[4], "");
 }
 
@@ -96,30 +109,48 @@
 fn a_life_that_ends_in_the_batch_says_nothing_and_the_next_starts_clean() {
     let stop = "{\"op\":\"TEARDOWN\",\"Who\":\"proxy-0\"}\n".to_string();
     let input = batch(1_000, &[spawn("proxy-0", 7), list("proxy-0", 2)])
-        + &batch(2_000, &[accept("proxy-0", A), stop, spawn("proxy-0", 8), list("proxy-0", 2)]);
+        + &batch(
+            2_000,
+            &[
+                accept("proxy-0", A),
+                stop,
+                spawn("proxy-0", 8),
+                list("proxy-0", 2),
+            ],
+        );
     let (ok, out, error) = run(&input);
     assert!(ok, "{error}");
     let second = out.split("{\"op\":\"YIELD\"}\n").nth(1).unwrap();
-    assert!(!second.contains("ISSUE") && second.contains("SUBSCRIBE"), "{second}");
+    assert!(
+        !second.contains("ISSUE") && second.contains("SUBSCRIBE"),
+        "{second}"
+    );
 }
 
 #[test]
 fn one_process_and_several_give_equal_actions() {
     let day = |names: &[&str]| {
-        let lines = |part: &dyn Fn(&str) -> String| names.iter().map(|name| part(name)).collect::<Vec<_>>();
+        let lines =
+            |part: &dyn Fn(&str) -> String| names.iter().map(|name| part(name)).collect::<Vec<_>>();
         let mut input = batch(1_000, &lines(&|who| spawn(who, 7)));
         input += &batch(1_000, &lines(&|who| list(who, 1)));
         for n in 0..200u64 {
             let req = format!("{n:016x}");
             input += &batch(2_000 + n, &lines(&|who| accept(who, &req)));
-            input += &batch(2_000 + n, &lines(&|who| completed(who, &req, 0, 3 + 2 * (n % 2) as u32)));
+            input += &batch(
+                2_000 + n,
+                &lines(&|who| completed(who, &req, 0, 3 + 2 * (n % 2) as u32)),
+            );
         }
         let (ok, out, error) = run(&input);
         assert!(ok, "{error}");
         out
     };
     let own = |name: &str, out: &str| {
-        out.lines().filter(|line| line.contains(name)).map(String::from).collect::<Vec<String>>()
+        out.lines()
+            .filter(|line| line.contains(name))
+            .map(String::from)
+            .collect::<Vec<String>>()
     };
     let together = day(&["proxy-0", "proxy-1"]);
     for name in ["proxy-0", "proxy-1"] {
@@ -144,24 +175,48 @@
         ("{\"op\":\"TICK\"}\n".into(), "SimTimeNs is missing"),
         ("{\"op\":\"EOB\"}\n".into(), "outside a batch"),
         (batch(2, &[accept("proxy-0", A)]), "never spawned"),
-        (with("{\"op\":\"FROBNICATE\",\"Who\":\"proxy-0\"}"), "unknown op"),
-        (with("{\"op\":\"WAKEUP\",\"Who\":\"proxy-0\"}"), "Handle is missing"),
+        (
+            with("{\"op\":\"FROBNICATE\",\"Who\":\"proxy-0\"}"),
+            "unknown op",
+        ),
+        (
+            with("{\"op\":\"WAKEUP\",\"Who\":\"proxy-0\"}"),
+            "Handle is missing",
+        ),
         (with("{\"op\":\"WAKEUP\",\"Handle\":1}"), "Who is missing"),
         (with(accept("proxy-0", "xyz").trim()), "16 hex digits"),
-        (with(completed("proxy-0", A, 0, 77).trim()), "unknown code 77"),
-        (start.clone() + "{\"op\":\"TICK\",\"SimTimeNs\":5}\n", "inside a batch"),
-        (start.clone() + "{\"op\":\"TICK\",\"SimTimeNs\":5}\n{\"op\":\"EO", "not a message"),
-        (batch(1, &["{\"op\":\"SPAWN\",\"Who\":\"p\",\"Prng\":1}\n".into()]), "Conf is missing"),
+        (
+            with(completed("proxy-0", A, 0, 77).trim()),
+            "unknown code 77",
+        ),
+        (
+            start.clone() + "{\"op\":\"TICK\",\"SimTimeNs\":5}\n",
+            "inside a batch",
+        ),
+        (
+            start.clone() + "{\"op\":\"TICK\",\"SimTimeNs\":5}\n{\"op\":\"EO",
+            "not a message",
+        ),
+        (
+            batch(1, &["{\"op\":\"SPAWN\",\"Who\":\"p\",\"Prng\":1}\n".into()]),
+            "Conf is missing",
+        ),
         (
             batch(
                 1,
-                &["{\"op\":\"SPAWN\",\"Who\":\"p\",\"Prng\":1,\"Conf\":{\"Categories\":[{}]}}\n".into()],
+                &[
+                    "{\"op\":\"SPAWN\",\"Who\":\"p\",\"Prng\":1,\"Conf\":{\"Categories\":[{}]}}\n"
+                        .into(),
+                ],
             ),
             "Categories[0].Repeat",
         ),
     ];
     for (input, expected) in cases {
         let (ok, _, error) = run(&input);
-        assert!(!ok && error.contains(expected) && !error.contains("panicked"), "{input:?} gave {error:?}");
+        assert!(
+            !ok && error.contains(expected) && !error.contains("panicked"),
+            "{input:?} gave {error:?}"
+        );
     }
 }
--- a/crates/budgets/src/divide.rs
+++ b/crates/budgets/src/divide.rs
@@ -23,7 +23,9 @@
     let left = capacity - sum(&due);
     // Nearly all that nobody demands is given out all the same: a node that wakes has something at once.
     let slack = level(left - left / RESERVE, &vec![u32::MAX; claims.len()], turn);
-    due.iter_mut().zip(slack).for_each(|(due, slack)| *due += slack);
+    due.iter_mut()
+        .zip(slack)
+        .for_each(|(due, slack)| *due += slack);
     let paced = claims.iter().zip(due).map(|(claim, due)| pace(claim, due));
     paced.collect()
 }
@@ -34,7 +36,11 @@
     if due < holds {
         let still = holds - due <= holds / STILL && claim.demand > 0;
         // What is in use falls by half at a time; what is not goes at once.
-        return if still { holds } else { due.max((holds / 2).min(claim.demand)) };
+        return if still {
+            holds
+        } else {
+            due.max((holds / 2).min(claim.demand))
+        };
     }
     let grows = due - holds > holds / STILL || claim.demand > holds;
     if grows {
--- a/crates/budgets/src/divide/tests.rs
+++ b/crates/budgets/src/divide/tests.rs
@@ -9,8 +9,18 @@
 #[case::more_nodes_than_units(2, &[5, 5, 5], &[1, 1, 0])]
 #[case::nothing_to_divide(0, &[5], &[0])]
 #[case::nobody(8, &[], &[])]
-fn wants_are_met_from_the_least_on(#[case] capacity: u32, #[case] demands: &[u32], #[case] slices: &[u32]) {
-    let claims: Vec<Claim> = demands.iter().map(|demand| Claim { demand: *demand, holds: 0 }).collect();
+fn wants_are_met_from_the_least_on(
+    #[case] capacity: u32,
+    #[case] demands: &[u32],
+    #[case] slices: &[u32],
+) {
+    let claims: Vec<Claim> = demands
+        .iter()
+        .map(|demand| Claim {
+            demand: *demand,
+            holds: 0,
+        })
+        .collect();
     assert_eq!(divide(capacity, &claims, 0), slices);
 }
 
@@ -22,7 +32,12 @@
 #[case::a_met_want_does_not_swing(8, 8, 8, 8)]
 #[case::a_small_growth_is_not_made_for_slack(16, 3, 17, 16)]
 #[case::but_for_a_want(16, 17, 17, 17)]
-fn a_slice_moves_at_its_pace(#[case] holds: u32, #[case] demand: u32, #[case] due: u32, #[case] next: u32) {
+fn a_slice_moves_at_its_pace(
+    #[case] holds: u32,
+    #[case] demand: u32,
+    #[case] due: u32,
+    #[case] next: u32,
+) {
     assert_eq!(pace(&Claim { demand, holds }, due), next);
 }
 
--- a/crates/budgets/src/need.rs
+++ b/crates/budgets/src/need.rs
@@ -23,7 +23,11 @@
 impl Need {
     /// A request is about to be made; what it says.
     pub fn follow(&mut self, seen: Use) -> u32 {
-        let more = if seen.turned_away { (seen.most / GROWS).max(1) } else { 0 };
+        let more = if seen.turned_away {
+            (seen.most / GROWS).max(1)
+        } else {
+            0
+        };
         let wanted = seen.most.saturating_add(more);
         self.demand = wanted.max(self.demand - self.demand.div_ceil(FALLS));
         self.demand
--- a/crates/budgets/src/need/tests.rs
+++ b/crates/budgets/src/need/tests.rs
@@ -12,6 +12,11 @@
 #[case::no_overflow(&[(u32::MAX, true)], u32::MAX)]
 fn a_want_follows_the_use(#[case] seen: &[(u32, bool)], #[case] demand: u32) {
     let mut need = Need::default();
-    let demands = seen.iter().map(|(most, away)| need.follow(Use { most: *most, turned_away: *away }));
+    let demands = seen.iter().map(|(most, away)| {
+        need.follow(Use {
+            most: *most,
+            turned_away: *away,
+        })
+    });
     assert_eq!(demands.last(), Some(demand));
 }
--- a/crates/cluster/src/link.rs
+++ b/crates/cluster/src/link.rs
@@ -81,20 +81,29 @@
 
     /// The next whole message.
     pub fn message(&mut self) -> Result<Option<Message>, String> {
-        let Some(head) = self.bytes.first_chunk::<HEAD>() else { return Ok(None) };
+        let Some(head) = self.bytes.first_chunk::<HEAD>() else {
+            return Ok(None);
+        };
         let length = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
         if head[4] != VERSION {
-            return Err(format!("it speaks form {}, this node speaks form {VERSION}", head[4]));
+            return Err(format!(
+                "it speaks form {}, this node speaks form {VERSION}",
+                head[4]
+            ));
         }
         if length > LONGEST {
-            return Err(format!("a message of {length} bytes, {LONGEST} are the most"));
+            return Err(format!(
+                "a message of {length} bytes, {LONGEST} are the most"
+            ));
         }
         if self.bytes.len() < HEAD + length {
             return Ok(None);
         }
         let message = postcard::from_bytes(&self.bytes[HEAD..HEAD + length]);
         self.bytes.drain(..HEAD + length);
-        message.map(Some).map_err(|error| format!("a message can't be read: {error}"))
+        message
+            .map(Some)
+            .map_err(|error| format!("a message can't be read: {error}"))
     }
 }
 
@@ -102,7 +111,10 @@
 pub fn frame(message: &Message) -> Result<Vec<u8>, String> {
     let body = postcard::to_stdvec(message).map_err(|error| error.to_string())?;
     if body.len() > LONGEST {
-        return Err(format!("a message of {} bytes, {LONGEST} are the most", body.len()));
+        return Err(format!(
+            "a message of {} bytes, {LONGEST} are the most",
+            body.len()
+        ));
     }
     let mut bytes = Vec::with_capacity(HEAD + body.len());
     bytes.extend_from_slice(&(body.len() as u32).to_be_bytes());
@@ -138,7 +150,10 @@
     pub fn accepted(poller: &Rc<Poller>, stream: TcpStream, key: usize) -> io::Result<Link> {
         stream.set_nonblocking(true)?;
         let _ = stream.set_nodelay(true);
-        Ok(Link::over(Watched::new(poller, stream, key, true, false)?, false))
+        Ok(Link::over(
+            Watched::new(poller, stream, key, true, false)?,
+            false,
+        ))
     }
 
     fn over(stream: Watched<TcpStream>, dialled: bool) -> Link {
@@ -221,7 +236,9 @@
             }
             self.second.1 += 1;
             if self.second.1 > MOST_A_SECOND {
-                return Err(Fault::Strange(format!("over {MOST_A_SECOND} messages in a second")));
+                return Err(Fault::Strange(format!(
+                    "over {MOST_A_SECOND} messages in a second"
+                )));
             }
             messages.push(message);
         }
--- a/crates/cluster/src/link/tests.rs
+++ b/crates/cluster/src/link/tests.rs
@@ -3,7 +3,13 @@
 use rstest::rstest;
 
 fn hello() -> Message {
-    Message::Hello(Hello { fleet: 7, name: "n0".into(), id: 9, born_ms: 5, build: "0.1".into() })
+    Message::Hello(Hello {
+        fleet: 7,
+        name: "n0".into(),
+        id: 9,
+        born_ms: 5,
+        build: "0.1".into(),
+    })
 }
 
 #[rstest]
@@ -11,8 +17,15 @@
 #[case::byte_by_byte(1)]
 #[case::odd(7)]
 fn messages_come_out_as_they_went_in_however_they_are_cut(#[case] piece: usize) {
-    let said = [hello(), Message::Ping, Message::Of(Subject::Council, vec![3; 300])];
-    let bytes: Vec<u8> = said.iter().flat_map(|message| frame(message).unwrap()).collect();
+    let said = [
+        hello(),
+        Message::Ping,
+        Message::Of(Subject::Council, vec![3; 300]),
+    ];
+    let bytes: Vec<u8> = said
+        .iter()
+        .flat_map(|message| frame(message).unwrap())
+        .collect();
     let (mut inbox, mut heard) = (Inbox::default(), Vec::new());
     for piece in bytes.chunks(piece) {
         inbox.push(piece);
@@ -27,7 +40,10 @@
 #[case::another_form(|bytes: &mut Vec<u8>| bytes[4] = 9, "form 9, this node speaks form 2")]
 #[case::too_long(|bytes: &mut Vec<u8>| bytes[0] = 1, "262144 are the most")]
 #[case::not_to_be_read(|bytes: &mut Vec<u8>| bytes[5] = 77, "can't be read")]
-fn what_is_out_of_order_ends_the_link_with_the_reason(#[case] spoil: fn(&mut Vec<u8>), #[case] why: &str) {
+fn what_is_out_of_order_ends_the_link_with_the_reason(
+    #[case] spoil: fn(&mut Vec<u8>),
+    #[case] why: &str,
+) {
     let mut bytes = frame(&hello()).unwrap();
     spoil(&mut bytes);
     let mut inbox = Inbox::default();
--- a/crates/cluster/src/membership.rs
+++ b/crates/cluster/src/membership.rs
@@ -61,7 +61,10 @@
     type Addr = String;
 
     fn renew(&self) -> Option<Identity> {
-        Some(Identity { bump: self.bump.saturating_add(1), ..self.clone() })
+        Some(Identity {
+            bump: self.bump.saturating_add(1),
+            ..self.clone()
+        })
     }
 
     fn addr(&self) -> String {
@@ -171,12 +174,18 @@
 fn config(nodes: usize) -> Config {
     let growth = f64::max(1.0, (nodes.max(1) as f64).log10());
     let some = |n: usize| NonZeroUsize::new(n).unwrap_or(NonZeroUsize::MIN);
-    let periodic = |frequency, n| Some(PeriodicParams { frequency, num_members: some(n) });
+    let periodic = |frequency, n| {
+        Some(PeriodicParams {
+            frequency,
+            num_members: some(n),
+        })
+    };
     Config {
         probe_period: PERIOD,
         probe_rtt: ANSWER,
         num_indirect_probes: some(3),
-        max_transmissions: NonZeroU8::new((15.0 * growth).min(60.0) as u8).unwrap_or(NonZeroU8::MIN),
+        max_transmissions: NonZeroU8::new((15.0 * growth).min(60.0) as u8)
+            .unwrap_or(NonZeroU8::MIN),
         suspect_to_down_after: SUSPECTED.mul_f64(growth),
         remove_down_after: FORGOTTEN,
         max_packet_size: some(LONGEST - HEAD),
@@ -198,10 +207,16 @@
     ) -> Membership {
         let rng = Pcg64Mcg::new(u128::from(seed) << 64 | u128::from(me.id));
         let spread = 0.75 + f64::from(me.id as u8) / 512.0;
-        let seeds = seeds.into_iter().filter(|(name, _)| *name != me.name).collect();
+        let seeds = seeds
+            .into_iter()
+            .filter(|(name, _)| *name != me.name)
+            .collect();
         Membership {
             foca: Foca::new(me, config(nodes), rng, PostcardCodec),
-            carrier: Carrier { fleet, ..Carrier::default() },
+            carrier: Carrier {
+                fleet,
+                ..Carrier::default()
+            },
             seeds,
             announce: Duration::ZERO,
             spread,
@@ -241,13 +256,29 @@
         if now >= self.announce {
             for (name, at) in self.seeds.clone() {
                 // What a seed's life is called is not known before it answers.
-                let seed = Identity { name, at, id: 0, born_ms: 0, bump: 0, ..self.foca.identity().clone() };
+                let seed = Identity {
+                    name,
+                    at,
+                    id: 0,
+                    born_ms: 0,
+                    bump: 0,
+                    ..self.foca.identity().clone()
+                };
                 let _ = self.foca.announce(seed, &mut self.carrier);
             }
-            let pause = if self.foca.iter_members().next().is_none() { ALONE } else { NOW_AND_THEN };
+            let pause = if self.foca.iter_members().next().is_none() {
+                ALONE
+            } else {
+                NOW_AND_THEN
+            };
             self.announce = now + pause.mul_f64(self.spread);
         }
-        while let Some(first) = self.carrier.timers.first_entry().filter(|first| first.key().0 <= now) {
+        while let Some(first) = self
+            .carrier
+            .timers
+            .first_entry()
+            .filter(|first| first.key().0 <= now)
+        {
             let timer = first.remove();
             if self.refuted(&timer) {
                 continue;
@@ -260,7 +291,14 @@
     /// Whether this timer ends a suspicion that was refuted meanwhile. Foca 1.0 then leaves the member as it is and tells it
     /// all the same that it is down, which it believes.
     fn refuted(&self, timer: &Timer<Identity>) -> bool {
-        let Timer::ChangeSuspectToDown { member_id, incarnation, .. } = timer else { return false };
+        let Timer::ChangeSuspectToDown {
+            member_id,
+            incarnation,
+            ..
+        } = timer
+        else {
+            return false;
+        };
         !self.foca.iter_membership_state().any(|member| {
             member.id() == member_id
                 && member.incarnation() == *incarnation
@@ -286,7 +324,9 @@
             self.refused.foreign += 1;
         } else if let Err(error) = self.foca.handle_data(data, &mut self.carrier) {
             match error {
-                foca::Error::DataFromOurselves | foca::Error::IndirectForOurselves => self.refused.stale += 1,
+                foca::Error::DataFromOurselves | foca::Error::IndirectForOurselves => {
+                    self.refused.stale += 1
+                }
                 _ => self.refused.unreadable += 1,
             }
         }
--- a/crates/cluster/src/membership/tests.rs
+++ b/crates/cluster/src/membership/tests.rs
@@ -4,11 +4,23 @@
 fn identity(n: u16, id: u64, born_ms: u64) -> Identity {
     let at = SocketAddr::from(([127, 0, 0, 1], 7000 + n));
     let (zone, region, build) = ("a".into(), String::new(), "0.1".into());
-    Identity { name: format!("n{n}"), id, born_ms, bump: 0, at, zone, region, build, settings: 0 }
+    Identity {
+        name: format!("n{n}"),
+        id,
+        born_ms,
+        bump: 0,
+        at,
+        zone,
+        region,
+        build,
+        settings: 0,
+    }
 }
 
 fn member(n: u16, id: u64, born_ms: u64, fleet: u32) -> Membership {
-    let seeds = (0..3).map(|n| (format!("n{n}"), identity(n, 0, 0).at)).collect();
+    let seeds = (0..3)
+        .map(|n| (format!("n{n}"), identity(n, 0, 0).at))
+        .collect();
     Membership::new(identity(n, id, born_ms), fleet, 3, id, seeds)
 }
 
@@ -29,8 +41,12 @@
                     news.push((n, out));
                     continue;
                 };
-                let to: Vec<usize> = (0..all.len()).filter(|to| all[*to].me().at == at && *to != n).collect();
-                to.into_iter().filter(|to| !lost(n, *to)).for_each(|to| all[to].datagram(now, &bytes));
+                let to: Vec<usize> = (0..all.len())
+                    .filter(|to| all[*to].me().at == at && *to != n)
+                    .collect();
+                to.into_iter()
+                    .filter(|to| !lost(n, *to))
+                    .for_each(|to| all[to].datagram(now, &bytes));
             }
         }
     }
@@ -41,35 +57,58 @@
 
 #[test]
 fn a_death_is_known_and_one_that_only_slept_comes_back_under_its_id() {
-    let mut all: Vec<Membership> = (0..3).map(|n| member(n, 100 + u64::from(n), 1, 5)).collect();
+    let mut all: Vec<Membership> = (0..3)
+        .map(|n| member(n, 100 + u64::from(n), 1, 5))
+        .collect();
     pass(&mut all, S(0), S(3), |_, _| false);
     assert!(all.iter().all(|one| one.alive().count() == 2));
     // The last one is cut off both ways for long enough to be taken for dead.
     let news = pass(&mut all, S(3), S(12), |from, to| from == 2 || to == 2);
-    assert!(news.iter().any(|(n, out)| *n == 0 && matches!(out, Out::Down(who) if who.id == 102)));
+    assert!(news
+        .iter()
+        .any(|(n, out)| *n == 0 && matches!(out, Out::Down(who) if who.id == 102)));
     let news = pass(&mut all, S(12), S(20), |_, _| false);
-    assert!(news.iter().any(|(n, out)| *n == 2 && matches!(out, Out::Back(1))), "{news:?}");
+    assert!(
+        news.iter()
+            .any(|(n, out)| *n == 2 && matches!(out, Out::Back(1))),
+        "{news:?}"
+    );
     assert!(all[0].alive().any(|who| who.id == 102 && who.bump == 1));
 }
 
 /// The later life of a name is known by all, and the earlier one gives way instead of coming back each time it is refused.
 #[test]
 fn of_two_lives_of_one_name_the_earlier_gives_way() {
-    let mut all: Vec<Membership> = (0..3).map(|n| member(n, 100 + u64::from(n), 1, 5)).collect();
+    let mut all: Vec<Membership> = (0..3)
+        .map(|n| member(n, 100 + u64::from(n), 1, 5))
+        .collect();
     pass(&mut all, S(0), S(3), |_, _| false);
-    let other = Identity { at: identity(7, 0, 0).at, ..identity(1, 300, 2) };
+    let other = Identity {
+        at: identity(7, 0, 0).at,
+        ..identity(1, 300, 2)
+    };
     let seeds = vec![("n0".to_string(), identity(0, 0, 0).at)];
     all.push(Membership::new(other, 5, 3, 300, seeds));
     let news = pass(&mut all, S(3), S(20), |_, _| false);
-    let of_earlier = |out: &Out| news.iter().filter(|(n, seen)| *n == 1 && seen == out).count();
+    let of_earlier = |out: &Out| {
+        news.iter()
+            .filter(|(n, seen)| *n == 1 && seen == out)
+            .count()
+    };
     assert_eq!(of_earlier(&Out::Replaced), 1, "{news:?}");
-    assert!(all[1].me().bump <= 1 + MOST_BACKS, "{} returns", all[1].me().bump);
+    assert!(
+        all[1].me().bump <= 1 + MOST_BACKS,
+        "{} returns",
+        all[1].me().bump
+    );
     assert!(all[0].alive().any(|who| who.id == 300) && all[0].alive().all(|who| who.id != 101));
 }
 
 #[test]
 fn one_that_leaves_is_known_at_once_and_stays_away() {
-    let mut all: Vec<Membership> = (0..3).map(|n| member(n, 100 + u64::from(n), 1, 5)).collect();
+    let mut all: Vec<Membership> = (0..3)
+        .map(|n| member(n, 100 + u64::from(n), 1, 5))
+        .collect();
     pass(&mut all, S(0), S(3), |_, _| false);
     all[1].leave(S(3));
     pass(&mut all, S(3), S(5), |_, _| false);
@@ -78,29 +117,44 @@
 
 #[test]
 fn of_two_lives_of_one_name_the_later_stays() {
-    let mut all = vec![member(0, 100, 1, 5), member(1, 101, 1, 5), member(1, 201, 2, 5)];
+    let mut all = vec![
+        member(0, 100, 1, 5),
+        member(1, 101, 1, 5),
+        member(1, 201, 2, 5),
+    ];
     let news = pass(&mut all, S(0), S(8), |_, _| false);
     let alive: Vec<u64> = all[0].alive().map(|who| who.id).collect();
     assert_eq!(alive, vec![201]);
-    assert!(!news.iter().any(|(n, out)| *n == 2 && matches!(out, Out::Replaced)));
+    assert!(!news
+        .iter()
+        .any(|(n, out)| *n == 2 && matches!(out, Out::Replaced)));
 }
 
 /// Suspicions come at this loss, and each is refuted in time.
 #[test]
 fn nobody_is_taken_for_dead_because_datagrams_get_lost() {
-    let mut all: Vec<Membership> = (0..10).map(|n| member(n, 100 + u64::from(n), 1, 5)).collect();
+    let mut all: Vec<Membership> = (0..10)
+        .map(|n| member(n, 100 + u64::from(n), 1, 5))
+        .collect();
     pass(&mut all, S(0), S(5), |_, _| false);
     let draw = std::cell::RefCell::new(Pcg64Mcg::new(7));
     let lost = |_, _| rand::Rng::random::<f64>(&mut *draw.borrow_mut()) < 0.3;
     let news = pass(&mut all, S(5), S(65), lost);
-    assert_eq!(news.iter().filter(|(_, out)| matches!(out, Out::Down(_))).count(), 0);
+    assert_eq!(
+        news.iter()
+            .filter(|(_, out)| matches!(out, Out::Down(_)))
+            .count(),
+        0
+    );
 }
 
 #[test]
 fn another_fleet_is_counted_and_not_heard() {
     let mut all = vec![member(0, 100, 1, 5), member(1, 101, 1, 6)];
     pass(&mut all, S(0), S(4), |_, _| false);
-    assert!(all.iter().all(|one| one.alive().count() == 0 && one.refused.foreign > 0));
+    assert!(all
+        .iter()
+        .all(|one| one.alive().count() == 0 && one.refused.foreign > 0));
 }
 
 proptest! {
--- a/crates/control/src/council.rs
+++ b/crates/control/src/council.rs
@@ -16,8 +16,8 @@
 use crate::state::State;
 use crate::status::{LogLine, Participant, Refused, Status};
 use crate::store::Store;
-use lupincrank_placement::Time;
 use lupincrank_budgets::need::{Need, Use};
+use lupincrank_placement::Time;
 use std::collections::{BTreeMap, BTreeSet};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::time::Duration;
@@ -84,7 +84,12 @@
     ///
     /// `kept` is what a folder holds of this identity, where one is configured; an error says that it can't be gone on
     /// with: it contradicts itself.
-    pub fn new(now: Time, me: Member, tuning: Tuning, kept: Option<&Durable>) -> Result<Council, String> {
+    pub fn new(
+        now: Time,
+        me: Member,
+        tuning: Tuning,
+        kept: Option<&Durable>,
+    ) -> Result<Council, String> {
         let starts = kept.map_or(0, |kept| kept.starts);
         let holder = Holder::new(&tuning.terms, now, tuning.floor, starts);
         let mut council = Council {
@@ -112,7 +117,9 @@
         if let Some((stamp, kept)) = kept.and_then(|kept| Some((kept.stamp?, kept))) {
             // Raft panics where its log contradicts itself.
             let resumed = catch_unwind(AssertUnwindSafe(|| council.resume(stamp, kept)));
-            resumed.unwrap_or(None).ok_or("the log on the disk contradicts itself")?;
+            resumed
+                .unwrap_or(None)
+                .ok_or("the log on the disk contradicts itself")?;
         }
         Ok(council)
     }
@@ -120,7 +127,11 @@
     fn resume(&mut self, stamp: Stamp, kept: &Durable) -> Option<()> {
         let store = Store::resume(kept).ok()?;
         let data = store.snapshot_data();
-        let state = if data.is_empty() { State::default() } else { postcard::from_bytes(&data).ok()? };
+        let state = if data.is_empty() {
+            State::default()
+        } else {
+            postcard::from_bytes(&data).ok()?
+        };
         self.log = Some(Log::begin(self.me.id, stamp, store, state, None, true)?);
         self.note(Note::Joins(stamp));
         Some(())
@@ -152,7 +163,10 @@
     /// What was used of the cold budget since the last call.
     pub fn used(&mut self, seen: Use) {
         let Use { most, turned_away } = self.seen;
-        self.seen = Use { most: most.max(seen.most), turned_away: turned_away || seen.turned_away };
+        self.seen = Use {
+            most: most.max(seen.most),
+            turned_away: turned_away || seen.turned_away,
+        };
     }
 
     /// What it may use without a lease.
@@ -184,7 +198,9 @@
 
     /// Whether this node votes.
     pub fn votes(&self) -> bool {
-        self.log.as_ref().is_some_and(|log| log.conf().get_voters().contains(&self.me.id))
+        self.log
+            .as_ref()
+            .is_some_and(|log| log.conf().get_voters().contains(&self.me.id))
     }
 
     /// The members that this node needs to reach: the leader, the voters where it votes, all where it leads or founds.
@@ -196,7 +212,12 @@
                 if log.leads.is_some() {
                     wants.extend(self.alive.keys());
                 } else if voters.get_voters().contains(&self.me.id) {
-                    wants.extend(voters.get_voters().iter().filter(|id| self.alive.contains_key(id)));
+                    wants.extend(
+                        voters
+                            .get_voters()
+                            .iter()
+                            .filter(|id| self.alive.contains_key(id)),
+                    );
                 }
                 wants.extend(self.alive.contains_key(&log.leader).then_some(log.leader));
                 if self.founding.is_some() {
@@ -211,7 +232,9 @@
     }
 
     fn is_first(&self) -> bool {
-        self.alive.values().all(|member| (&self.me.name, self.me.id) <= (&member.name, member.id))
+        self.alive
+            .values()
+            .all(|member| (&self.me.name, self.me.id) <= (&member.name, member.id))
     }
 
     /// Time passes; these are the members that live as membership sees it.
@@ -258,7 +281,9 @@
             CouncilMessage::Known(stamp) => {
                 self.answers.insert(from, (now, stamp.is_some()));
             }
-            CouncilMessage::Found(founding) if Some(founding.stamp) > mine => self.adopt(now, founding),
+            CouncilMessage::Found(founding) if Some(founding.stamp) > mine => {
+                self.adopt(now, founding)
+            }
             CouncilMessage::Found(founding) if Some(founding.stamp) < mine => {
                 self.send(from, CouncilMessage::Known(mine))
             }
@@ -282,7 +307,8 @@
             }
             // Nobody but the leader grants.
             CouncilMessage::Granted(stamp, number, slice)
-                if Some(stamp) == mine && self.log.as_ref().is_some_and(|log| log.leader == from) =>
+                if Some(stamp) == mine
+                    && self.log.as_ref().is_some_and(|log| log.leader == from) =>
             {
                 self.holder.granted(&self.tuning.terms, now, number, slice);
             }
@@ -320,7 +346,9 @@
     /// A leader that ends lets a voter lead that stays, as soon as there is one that has all of the log. It must have answered
     /// lately: a hand-over to one that has just died holds all proposals for an election's time.
     fn hand_over(&mut self, now: Time) {
-        let Some(log) = self.log.as_ref().filter(|log| log.leads.is_some()) else { return };
+        let Some(log) = self.log.as_ref().filter(|log| log.leads.is_some()) else {
+            return;
+        };
         let able = |id: &u64| {
             *id != self.me.id
                 && self.alive.contains_key(id)
@@ -328,7 +356,9 @@
                 && log.caught_up(*id)
                 && log.hears(*id)
         };
-        let Some(heir) = log.parts().voters.into_iter().find(able) else { return };
+        let Some(heir) = log.parts().voters.into_iter().find(able) else {
+            return;
+        };
         self.guarded(now, |this| {
             if let Some(log) = &mut this.log {
                 log.hand_to(heir);
@@ -341,13 +371,18 @@
         let Some(log) = &self.log else { return };
         let (stamp, voters) = (log.stamp, log.parts().voters);
         let others = voters.into_iter().filter(|id| *id != self.me.id);
-        others.collect::<Vec<_>>().into_iter().for_each(|id| self.send(id, CouncilMessage::Leaves(stamp)));
+        others
+            .collect::<Vec<_>>()
+            .into_iter()
+            .for_each(|id| self.send(id, CouncilMessage::Leaves(stamp)));
     }
 
     /// A member ends; once it takes part no more the leader tells it so.
     fn lets_go(&mut self, now: Time, from: u64, stamp: Stamp) {
         self.leader.leaves(now, from);
-        let Some(log) = self.log.as_ref().filter(|log| log.leads.is_some()) else { return };
+        let Some(log) = self.log.as_ref().filter(|log| log.leads.is_some()) else {
+            return;
+        };
         let parts = log.parts();
         if !parts.voters.contains(&from) && !parts.learners.contains(&from) {
             self.send(from, CouncilMessage::Gone(stamp));
@@ -364,18 +399,31 @@
             return Err("the council has a leader: nothing is to be founded anew".into());
         }
         let epoch = self.log.as_ref().map_or(0, |log| log.stamp.epoch) + 1;
-        let stamp = Stamp { epoch, founding: drawn };
+        let stamp = Stamp {
+            epoch,
+            founding: drawn,
+        };
         let members: Vec<Member> = self.alive.values().cloned().collect();
         let voters = members.iter().map(|member| member.id).collect();
-        self.found(now, Founding { stamp, voters, members, capacity: self.tuning.capacity });
+        self.found(
+            now,
+            Founding {
+                stamp,
+                voters,
+                members,
+                capacity: self.tuning.capacity,
+            },
+        );
         Ok(stamp)
     }
 
     /// Another capacity, by the log: it holds from the entry on that says so, and slices follow as they are renewed. The epoch
     /// before it.
     pub fn set_capacity(&mut self, now: Time, capacity: u32) -> Result<u64, String> {
-        let Some((stamp, leader, epoch)) =
-            self.log.as_ref().map(|log| (log.stamp, log.leader, log.state.epoch))
+        let Some((stamp, leader, epoch)) = self
+            .log
+            .as_ref()
+            .map(|log| (log.stamp, log.leader, log.state.epoch))
         else {
             return Err("this node takes part in no council".into());
         };
@@ -398,14 +446,25 @@
 
     /// What would be given out of such a capacity at the next renewal, by name; only the leader knows what all want.
     pub fn plan(&self, now: Time, capacity: u32) -> Result<BTreeMap<String, u32>, String> {
-        let log = self.log.as_ref().ok_or("this node takes part in no council")?;
+        let log = self
+            .log
+            .as_ref()
+            .ok_or("this node takes part in no council")?;
         if log.leads.is_none() {
-            let name = log.state.members.get(&log.leader).map_or("nobody", |member| member.name.as_str());
+            let name = log
+                .state
+                .members
+                .get(&log.leader)
+                .map_or("nobody", |member| member.name.as_str());
             return Err(format!("only the leader knows what all want: {name} leads"));
         }
         let (holders, slices) = self.leader.slices(log, now, &self.alive, capacity);
-        let name =
-            |id: u64| log.state.members.get(&id).map_or_else(String::new, |member| member.name.clone());
+        let name = |id: u64| {
+            log.state
+                .members
+                .get(&id)
+                .map_or_else(String::new, |member| member.name.clone())
+        };
         Ok(holders.into_iter().map(name).zip(slices).collect())
     }
 
@@ -419,7 +478,9 @@
         let (limit, until) = self.limit(now);
         let log = self.log.as_ref();
         let name = |id: u64| {
-            let known = log.and_then(|log| log.state.members.get(&id)).or_else(|| self.alive.get(&id));
+            let known = log
+                .and_then(|log| log.state.members.get(&id))
+                .or_else(|| self.alive.get(&id));
             known.map(|member| member.name.clone())
         };
         let conf = log.map(Log::conf).unwrap_or_default();
@@ -430,14 +491,25 @@
         };
         let nobody = |id: u64| {
             let (zone, region, build) = Default::default();
-            Member { id, name: "(expected)".into(), zone, region, build }
+            Member {
+                id,
+                name: "(expected)".into(),
+                zone,
+                region,
+                build,
+            }
         };
         let ids = conf.get_voters().iter().chain(conf.get_learners());
         let parts = ids.map(|id| Participant {
-            member: log.and_then(|log| log.state.members.get(id)).cloned().unwrap_or_else(|| nobody(*id)),
+            member: log
+                .and_then(|log| log.state.members.get(id))
+                .cloned()
+                .unwrap_or_else(|| nobody(*id)),
             role: role(id),
             alive: self.alive.contains_key(id),
-            slice: log.and_then(|log| log.state.held.get(id)).map_or(0, |held| held.counts()),
+            slice: log
+                .and_then(|log| log.state.held.get(id))
+                .map_or(0, |held| held.counts()),
         });
         Status {
             me: self.me.clone(),
@@ -445,7 +517,9 @@
             epoch: log.map_or(0, |log| log.state.epoch),
             term: log.map_or(0, Log::term),
             index: log.map_or(0, |log| log.applied),
-            leader: log.filter(|log| log.leader != 0).and_then(|log| name(log.leader)),
+            leader: log
+                .filter(|log| log.leader != 0)
+                .and_then(|log| name(log.leader)),
             capacity: log.map_or(self.tuning.capacity, |log| log.state.capacity),
             sum: log.map_or(0, |log| log.state.sum()),
             limit,
@@ -467,7 +541,11 @@
     fn settle(&mut self, now: Time) {
         let (limit, until) = self.holder.limit(now);
         if std::mem::replace(&mut self.limit, limit) != limit {
-            self.note(if until.is_some() { Note::Slice(limit) } else { Note::LeaseOver });
+            self.note(if until.is_some() {
+                Note::Slice(limit)
+            } else {
+                Note::LeaseOver
+            });
         }
     }
 
@@ -478,29 +556,58 @@
             return;
         }
         self.sought = Some(now);
-        let others: Vec<u64> = self.alive.keys().copied().filter(|id| *id != self.me.id).collect();
-        others.into_iter().for_each(|id| self.send(id, CouncilMessage::Seek));
-        if self.answers.values().any(|(_, known)| *known) || now.since(self.began) < self.tuning.settle {
+        let others: Vec<u64> = self
+            .alive
+            .keys()
+            .copied()
+            .filter(|id| *id != self.me.id)
+            .collect();
+        others
+            .into_iter()
+            .for_each(|id| self.send(id, CouncilMessage::Seek));
+        if self.answers.values().any(|(_, known)| *known)
+            || now.since(self.began) < self.tuning.settle
+        {
             return;
         }
-        let answered = |member: &&Member| member.id == self.me.id || self.answers.contains_key(&member.id);
+        let answered =
+            |member: &&Member| member.id == self.me.id || self.answers.contains_key(&member.id);
         let there: Vec<Member> = self.alive.values().filter(answered).cloned().collect();
         let names: BTreeSet<&str> = there.iter().map(|member| member.name.as_str()).collect();
-        let expected = self.tuning.expect.iter().filter(|name| names.contains(name.as_str())).count();
+        let expected = self
+            .tuning
+            .expect
+            .iter()
+            .filter(|name| names.contains(name.as_str()))
+            .count();
         if expected * 2 <= self.tuning.expect.len() {
             return;
         }
         // One incarnation a name has a vote; ids for those that are missing are made from this incarnation's own.
         let mut members: BTreeMap<&str, &Member> = BTreeMap::new();
-        for member in there.iter().filter(|member| self.tuning.expect.contains(&member.name)) {
+        for member in there
+            .iter()
+            .filter(|member| self.tuning.expect.contains(&member.name))
+        {
             members.insert(&member.name, member);
         }
         let missing = self.tuning.expect.len() - members.len();
         let mut voters: Vec<u64> = members.values().map(|member| member.id).collect();
         voters.extend((1..=missing as u64).map(|n| self.me.id.wrapping_add(n).max(1)));
         let members = members.into_values().cloned().collect();
-        let stamp = Stamp { epoch: 1, founding: self.me.id };
-        self.found(now, Founding { stamp, voters, members, capacity: self.tuning.capacity });
+        let stamp = Stamp {
+            epoch: 1,
+            founding: self.me.id,
+        };
+        self.found(
+            now,
+            Founding {
+                stamp,
+                voters,
+                members,
+                capacity: self.tuning.capacity,
+            },
+        );
     }
 
     fn found(&mut self, now: Time, founding: Founding) {
@@ -512,14 +619,26 @@
 
     /// A founder tells the others until there is a leader.
     fn refound(&mut self, now: Time) {
-        let Some(founding) = self.founding.clone() else { return };
-        let same = self.log.as_ref().is_some_and(|log| log.stamp == founding.stamp && log.leader == 0);
+        let Some(founding) = self.founding.clone() else {
+            return;
+        };
+        let same = self
+            .log
+            .as_ref()
+            .is_some_and(|log| log.stamp == founding.stamp && log.leader == 0);
         if !same {
             self.founding = None;
         } else if self.sought.is_none_or(|at| now.since(at) >= SEEK) {
             self.sought = Some(now);
-            let others: Vec<u64> = self.alive.keys().copied().filter(|id| *id != self.me.id).collect();
-            others.into_iter().for_each(|id| self.send(id, CouncilMessage::Found(founding.clone())));
+            let others: Vec<u64> = self
+                .alive
+                .keys()
+                .copied()
+                .filter(|id| *id != self.me.id)
+                .collect();
+            others
+                .into_iter()
+                .for_each(|id| self.send(id, CouncilMessage::Found(founding.clone())));
         }
     }
 
@@ -529,15 +648,21 @@
             return;
         }
         let state = State::found(&founding);
-        let Ok(data) = postcard::to_stdvec(&state) else { return };
-        let Ok(store) = Store::found(&founding.voters, data) else { return };
+        let Ok(data) = postcard::to_stdvec(&state) else {
+            return;
+        };
+        let Ok(store) = Store::found(&founding.voters, data) else {
+            return;
+        };
         self.begin(now, founding.stamp, store, state);
     }
 
     /// Takes part in the council with this stamp, and in no other any more.
     fn begin(&mut self, now: Time, stamp: Stamp, store: Store, state: State) {
         let former = self.log.take();
-        let Some(mut log) = Log::begin(self.me.id, stamp, store, state, former, self.keeps) else { return };
+        let Some(mut log) = Log::begin(self.me.id, stamp, store, state, former, self.keeps) else {
+            return;
+        };
         log.write_beginning(&mut self.actions);
         self.holder.drop_all(now);
         self.leader = Leader::default();
@@ -589,10 +714,22 @@
     /// What a leader does each tick.
     fn lead(&mut self, now: Time) {
         let Some(log) = &mut self.log else { return };
-        let Tuning { terms, removal_after, .. } = &self.tuning;
+        let Tuning {
+            terms,
+            removal_after,
+            ..
+        } = &self.tuning;
         let (me, ticks, alive) = (self.me.id, self.ticks, &self.alive);
         let leaving = self.leaving;
-        let view = View { me, leaving, now, ticks, alive, terms, removal_after: *removal_after };
+        let view = View {
+            me,
+            leaving,
+            now,
+            ticks,
+            alive,
+            terms,
+            removal_after: *removal_after,
+        };
         if let Some(change) = self.leader.tick(log, &view) {
             self.note(Note::Changes(change));
         }
@@ -610,12 +747,19 @@
     fn ask(&mut self, now: Time) {
         let Some(log) = &mut self.log else { return };
         let (leader, stamp) = (log.leader, log.stamp);
-        if leader == 0 || !self.holder.due(&self.tuning.terms, now, self.seen.turned_away) {
+        if leader == 0
+            || !self
+                .holder
+                .due(&self.tuning.terms, now, self.seen.turned_away)
+        {
             return;
         }
         // The floor is used first, and needs no slice.
         let floor = self.holder.floor(now);
-        let demand = self.need.follow(std::mem::take(&mut self.seen)).saturating_sub(floor);
+        let demand = self
+            .need
+            .follow(std::mem::take(&mut self.seen))
+            .saturating_sub(floor);
         let ask = self.holder.ask(&self.tuning.terms, now, demand);
         if leader == self.me.id {
             self.leader.asked(log, leader, ask);
--- a/crates/control/src/durable.rs
+++ b/crates/control/src/durable.rs
@@ -43,7 +43,12 @@
     /// As it is after a write.
     pub fn take(&mut self, write: &Write) {
         if let Some(stamp) = write.begins {
-            *self = Durable { id: self.id, starts: self.starts, stamp: Some(stamp), ..Durable::default() };
+            *self = Durable {
+                id: self.id,
+                starts: self.starts,
+                stamp: Some(stamp),
+                ..Durable::default()
+            };
         }
         if write.clears {
             self.entries.clear();
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -5,8 +5,8 @@
 use crate::log::Log;
 use crate::member::Member;
 use crate::voters::{self, Change, Liveness};
-use lupincrank_placement::Time;
 use lupincrank_budgets::divide::{divide, Claim};
+use lupincrank_placement::Time;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -57,7 +57,10 @@
 
     /// A member ends in good order and uses nothing from now on. Every node keeps it in mind, for any may lead next.
     pub fn leaves(&mut self, now: Time, from: u64) {
-        self.left.entry(from).or_insert(Left { since: now, away: false });
+        self.left.entry(from).or_insert(Left {
+            since: now,
+            away: false,
+        });
     }
 
     /// Whether it ends.
@@ -99,7 +102,8 @@
     fn change(&mut self, log: &mut Log, view: &View) -> Option<Change> {
         let parts = log.parts();
         let all = || parts.voters.iter().chain(&parts.learners);
-        self.dead.retain(|id, _| !view.alive.contains_key(id) && all().any(|there| there == id));
+        self.dead
+            .retain(|id, _| !view.alive.contains_key(id) && all().any(|there| there == id));
         for id in all().filter(|id| !view.alive.contains_key(id)) {
             self.dead.entry(*id).or_insert(view.now);
         }
@@ -118,11 +122,18 @@
         }
         let gone = |id: u64| {
             let dead = self.dead.get(&id);
-            dead.is_some_and(|at| self.left.contains_key(&id) || view.now.since(*at) >= view.removal_after)
+            dead.is_some_and(|at| {
+                self.left.contains_key(&id) || view.now.since(*at) >= view.removal_after
+            })
         };
         let caught = |id: u64| log.caught_up(id);
         let hears = |id: u64| id == view.me || log.hears(id);
-        let seen = voters::View { liveness: &liveness, gone: &gone, caught: &caught, hears: &hears };
+        let seen = voters::View {
+            liveness: &liveness,
+            gone: &gone,
+            caught: &caught,
+            hears: &hears,
+        };
         let change = voters::next(view.me, &parts, &log.state.members, view.alive, &seen)?;
         log.change(&change).then_some(change)
     }
@@ -141,7 +152,10 @@
         let claim = |id: &u64| {
             let holds = log.state.held.get(id).map_or(0, |held| held.slice);
             // One that has not asked this leader yet is taken to demand what it has.
-            Claim { demand: self.demands.get(id).copied().unwrap_or(holds), holds }
+            Claim {
+                demand: self.demands.get(id).copied().unwrap_or(holds),
+                holds,
+            }
         };
         let claims: Vec<Claim> = holders.iter().map(claim).collect();
         let slices = divide(capacity, &claims, turn);
@@ -153,17 +167,28 @@
         // One that ends uses nothing since it said so: what it sent before that counts for a window.
         let given_back = |(id, left): (&u64, &Left)| {
             let free = view.now.since(left.since) >= view.terms.counts();
-            log.state.held.get(id).filter(|_| free).map(|held| (*id, held.number))
+            log.state
+                .held
+                .get(id)
+                .filter(|_| free)
+                .map(|held| (*id, held.number))
         };
         over.extend(self.left.iter().filter_map(given_back));
         if !over.is_empty() {
             log.propose(&Entry::Over(over));
         }
         let (holders, slices) = self.slices(log, view.now, view.alive, log.state.capacity);
-        let grants = std::mem::take(&mut self.asks).into_iter().filter_map(|(holder, ask)| {
-            let place = holders.iter().position(|id| *id == holder)?;
-            Some(Grant { holder, number: ask.number, using: ask.using, slice: *slices.get(place)? })
-        });
+        let grants = std::mem::take(&mut self.asks)
+            .into_iter()
+            .filter_map(|(holder, ask)| {
+                let place = holders.iter().position(|id| *id == holder)?;
+                Some(Grant {
+                    holder,
+                    number: ask.number,
+                    using: ask.using,
+                    slice: *slices.get(place)?,
+                })
+            });
         let grants: Vec<Grant> = grants.collect();
         if !grants.is_empty() {
             log.propose(&Entry::Grants(grants));
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -47,7 +47,9 @@
 }
 
 /// What a node asks for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
 pub struct LeaseRequest {
     /// Each request has a higher one.
     pub number: u64,
@@ -116,7 +118,9 @@
     /// What may be used now, the floor included, and until when; nothing but the floor has no end.
     pub fn limit(&self, now: Time) -> (u32, Option<Time>) {
         match self.held {
-            Some((slice, until)) if now < until => (self.floor(now).saturating_add(slice), Some(until)),
+            Some((slice, until)) if now < until => {
+                (self.floor(now).saturating_add(slice), Some(until))
+            }
             _ => (self.floor(now), None),
         }
     }
@@ -126,25 +130,39 @@
     pub fn due(&self, terms: &Terms, now: Time, pressed: bool) -> bool {
         let quiet = self.retired || self.quiet_until.is_some_and(|until| now < until);
         !quiet
-            && self
-                .asked
-                .is_none_or(|asked| now.since(asked) >= if pressed { terms.pressed } else { terms.renew })
+            && self.asked.is_none_or(|asked| {
+                now.since(asked) >= if pressed { terms.pressed } else { terms.renew }
+            })
     }
 
     /// Asks anew. Grants that answer earlier requests are void from here on, whenever they come.
     pub fn ask(&mut self, terms: &Terms, now: Time, demand: u32) -> LeaseRequest {
         self.number += 1;
         self.asked = Some(now);
-        self.before.retain(|(_, until)| now.since(*until) < terms.window);
+        self.before
+            .retain(|(_, until)| now.since(*until) < terms.window);
         // A slice that has run out counts as one of before, for as long as what was sent by it does.
-        let held = self.held.filter(|(_, until)| now.since(*until) < terms.window);
-        let using = held.iter().chain(&self.before).map(|(slice, _)| *slice).max().unwrap_or(0);
-        LeaseRequest { number: self.number, using, demand }
+        let held = self
+            .held
+            .filter(|(_, until)| now.since(*until) < terms.window);
+        let using = held
+            .iter()
+            .chain(&self.before)
+            .map(|(slice, _)| *slice)
+            .max()
+            .unwrap_or(0);
+        LeaseRequest {
+            number: self.number,
+            using,
+            demand,
+        }
     }
 
     /// A grant has come; whether it counts.
     pub fn granted(&mut self, terms: &Terms, now: Time, number: u64, slice: u32) -> bool {
-        let Some(asked) = self.asked.filter(|_| number == self.number) else { return false };
+        let Some(asked) = self.asked.filter(|_| number == self.number) else {
+            return false;
+        };
         let until = asked.after(terms.lease);
         // Guards against one that waited at a frozen process or on the way for longer than it holds.
         if now >= until {
@@ -185,7 +203,8 @@
 impl Clocks {
     /// Follows the state: grants that are new to this node count from now on.
     pub fn follow(&mut self, now: Time, state: &State) {
-        self.since.retain(|holder, _| state.held.contains_key(holder));
+        self.since
+            .retain(|holder, _| state.held.contains_key(holder));
         for (holder, held) in &state.held {
             let since = self.since.entry(*holder).or_insert((held.number, now));
             if since.0 != held.number {
@@ -196,7 +215,11 @@
 
     /// The grants that are surely over, by holder and number.
     pub fn over(&self, now: Time, terms: &Terms) -> Vec<(u64, u64)> {
-        let over = self.since.iter().filter(|(_, (_, since))| now.since(*since) >= terms.surely_over());
-        over.map(|(holder, (number, _))| (*holder, *number)).collect()
+        let over = self
+            .since
+            .iter()
+            .filter(|(_, (_, since))| now.since(*since) >= terms.surely_over());
+        over.map(|(holder, (number, _))| (*holder, *number))
+            .collect()
     }
 }
--- a/crates/control/src/log.rs
+++ b/crates/control/src/log.rs
@@ -115,13 +115,23 @@
     /// A council begins for this node: nothing of another one may be on the disk when it votes.
     pub fn write_beginning(&mut self, out: &mut Vec<Action>) {
         let snapshot = self.store.snapshot_bytes();
-        self.write(Write { begins: Some(self.stamp), snapshot, ..Write::default() }, out);
+        self.write(
+            Write {
+                begins: Some(self.stamp),
+                snapshot,
+                ..Write::default()
+            },
+            out,
+        );
     }
 
     fn write(&mut self, write: Write, out: &mut Vec<Action>) {
         if self.keeps {
             self.writes += 1;
-            out.push(Action::Write(Write { number: self.writes, ..write }));
+            out.push(Action::Write(Write {
+                number: self.writes,
+                ..write
+            }));
         }
     }
 
@@ -132,8 +142,14 @@
 
     /// What waited for writes that are on the disk now is said.
     fn release(&mut self, out: &mut Vec<Action>) {
-        while self.waiting.front().is_some_and(|step| !self.keeps || step.write <= self.on_disk) {
-            let Some(step) = self.waiting.pop_front() else { return };
+        while self
+            .waiting
+            .front()
+            .is_some_and(|step| !self.keeps || step.write <= self.on_disk)
+        {
+            let Some(step) = self.waiting.pop_front() else {
+                return;
+            };
             self.raw.on_persist_ready(step.number);
             if let Some(index) = step.snapshot {
                 self.raw.advance_apply_to(index);
@@ -210,14 +226,20 @@
                 self.store.mem.wl().set_hardstate(hard.clone());
                 write.hard = hard.write_to_bytes().ok();
             }
-            let bytes = |entry: &raft::eraftpb::Entry| Some((entry.index, entry.write_to_bytes().ok()?));
+            let bytes =
+                |entry: &raft::eraftpb::Entry| Some((entry.index, entry.write_to_bytes().ok()?));
             write.entries = ready.entries().iter().filter_map(bytes).collect();
             // How far the log stands is found out again: only votes, terms and entries have to be there.
             if ready.must_sync() {
                 self.write(write, out);
             }
             let (at_once, messages) = (ready.take_messages(), ready.take_persisted_messages());
-            let step = Step { write: self.writes, number: ready.number(), snapshot: restored, messages };
+            let step = Step {
+                write: self.writes,
+                number: ready.number(),
+                snapshot: restored,
+                messages,
+            };
             self.raw.advance_append_async(ready);
             self.post(at_once, out);
             self.waiting.push_back(step);
@@ -244,7 +266,10 @@
     fn post(&self, messages: Vec<RaftMessage>, out: &mut Vec<Action>) {
         for message in messages {
             if let Ok(bytes) = message.write_to_bytes() {
-                out.push(Action::Send(message.to, CouncilMessage::Raft(self.stamp, bytes)));
+                out.push(Action::Send(
+                    message.to,
+                    CouncilMessage::Raft(self.stamp, bytes),
+                ));
             }
         }
     }
@@ -253,14 +278,21 @@
         self.applied = entry.index;
         let mut what = None;
         if entry.get_entry_type() == EntryType::EntryConfChange {
-            let change = ConfChange::parse_from_bytes(entry.get_data()).map_err(raft::Error::CodecError)?;
+            let change =
+                ConfChange::parse_from_bytes(entry.get_data()).map_err(raft::Error::CodecError)?;
             let conf = self.raw.apply_conf_change(&change)?;
             self.store.mem.wl().set_conf_state(conf.clone());
             self.state.epoch += 1;
             let member = postcard::from_bytes::<Member>(change.get_context()).ok();
-            let named = member.as_ref().or_else(|| self.state.members.get(&change.node_id));
+            let named = member
+                .as_ref()
+                .or_else(|| self.state.members.get(&change.node_id));
             let name = named.map_or_else(|| "(expected)".to_string(), |member| member.name.clone());
-            what = Some(format!("{:?} {name} {:016x}", change.get_change_type(), change.node_id));
+            what = Some(format!(
+                "{:?} {name} {:016x}",
+                change.get_change_type(),
+                change.node_id
+            ));
             match change.get_change_type() {
                 ConfChangeType::RemoveNode => drop(self.state.members.remove(&change.node_id)),
                 _ => drop(member.map(|member| self.state.members.insert(change.node_id, member))),
@@ -278,13 +310,20 @@
             let granted = self.state.apply(read);
             if self.leads.is_some() {
                 let said = |grant: &crate::entry::Grant| {
-                    Action::Send(grant.holder, CouncilMessage::Granted(self.stamp, grant.number, grant.slice))
+                    Action::Send(
+                        grant.holder,
+                        CouncilMessage::Granted(self.stamp, grant.number, grant.slice),
+                    )
                 };
                 out.extend(granted.iter().map(said));
             }
         }
         if let Some(what) = what {
-            self.told.push_back(LogLine { index: entry.index, term: entry.term, what });
+            self.told.push_back(LogLine {
+                index: entry.index,
+                term: entry.term,
+                what,
+            });
             if self.told.len() > TOLD {
                 self.told.pop_front();
             }
@@ -307,16 +346,29 @@
         if self.applied < self.snapped + SNAPSHOT {
             return;
         }
-        let (Ok(term), Ok(data)) = (self.store.term(self.applied), postcard::to_stdvec(&self.state)) else {
+        let (Ok(term), Ok(data)) = (
+            self.store.term(self.applied),
+            postcard::to_stdvec(&self.state),
+        ) else {
             return;
         };
         let conf = self.conf();
         self.store.keep(self.applied, term, conf, data);
         self.snapped = self.applied;
         // What can't be dropped now is dropped with the next one.
-        let _ = self.store.mem.wl().compact(self.applied.saturating_sub(BEHIND));
+        let _ = self
+            .store
+            .mem
+            .wl()
+            .compact(self.applied.saturating_sub(BEHIND));
         let snapshot = self.store.snapshot_bytes();
-        self.write(Write { snapshot, ..Write::default() }, out);
+        self.write(
+            Write {
+                snapshot,
+                ..Write::default()
+            },
+            out,
+        );
     }
 
     /// Snapshots that were sent and of which nothing was heard are sent again: messages get lost, and raft waits for its
@@ -327,20 +379,32 @@
             progress.is_some_and(|progress| progress.state == ProgressState::Snapshot)
         };
         let parts = self.parts();
-        let waiting: Vec<u64> = parts.voters.into_iter().chain(parts.learners).filter(waits).collect();
-        waiting.into_iter().for_each(|id| self.raw.report_snapshot(id, SnapshotStatus::Failure));
+        let waiting: Vec<u64> = parts
+            .voters
+            .into_iter()
+            .chain(parts.learners)
+            .filter(waits)
+            .collect();
+        waiting
+            .into_iter()
+            .for_each(|id| self.raw.report_snapshot(id, SnapshotStatus::Failure));
     }
 
     /// Whether it has nearly all of the log: a vote without it makes a majority that can't go on.
     pub fn caught_up(&self, id: u64) -> bool {
         let last = self.raw.raft.raft_log.last_index();
         let progress = self.raw.raft.prs().get(id);
-        progress.is_some_and(|progress| progress.matched > 0 && progress.matched + CAUGHT_UP >= last)
+        progress
+            .is_some_and(|progress| progress.matched > 0 && progress.matched + CAUGHT_UP >= last)
     }
 
     /// Whether it has answered this leader lately, by the log's own messages: sooner than membership sees a death.
     pub fn hears(&self, id: u64) -> bool {
-        self.raw.raft.prs().get(id).is_some_and(|progress| progress.recent_active)
+        self.raw
+            .raft
+            .prs()
+            .get(id)
+            .is_some_and(|progress| progress.recent_active)
     }
 
     /// Whether a change of who takes part is on its way.
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -19,7 +19,9 @@
 }
 
 /// Which council: a higher epoch fences all lower ones, and of two foundings in one epoch the higher number wins.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct Stamp {
     /// 1 at the first founding of a fleet, one more at each reseeding.
     pub epoch: u64,
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -44,13 +44,24 @@
 impl State {
     /// As a council begins.
     pub fn found(founding: &Founding) -> State {
-        let members = founding.members.iter().map(|member| (member.id, member.clone())).collect();
-        State { stamp: founding.stamp, capacity: founding.capacity, members, ..State::default() }
+        let members = founding
+            .members
+            .iter()
+            .map(|member| (member.id, member.clone()))
+            .collect();
+        State {
+            stamp: founding.stamp,
+            capacity: founding.capacity,
+            members,
+            ..State::default()
+        }
     }
 
     /// What is taken of the capacity.
     pub fn sum(&self) -> u32 {
-        self.held.values().fold(0, |sum, held| sum.saturating_add(held.counts()))
+        self.held
+            .values()
+            .fold(0, |sum, held| sum.saturating_add(held.counts()))
     }
 
     /// What is left for this holder: the capacity without what the others may have in use.
@@ -63,11 +74,18 @@
     pub fn apply(&mut self, entry: Entry) -> Vec<Grant> {
         self.epoch += 1;
         match entry {
-            Entry::Grants(grants) => grants.into_iter().filter_map(|grant| self.grant(grant)).collect(),
+            Entry::Grants(grants) => grants
+                .into_iter()
+                .filter_map(|grant| self.grant(grant))
+                .collect(),
             Entry::Over(over) => {
                 for (holder, number) in over {
                     // A newer grant than the one that is over stays.
-                    if self.held.get(&holder).is_some_and(|held| held.number == number) {
+                    if self
+                        .held
+                        .get(&holder)
+                        .is_some_and(|held| held.number == number)
+                    {
                         self.held.remove(&holder);
                     }
                 }
@@ -81,10 +99,18 @@
     }
 
     fn grant(&mut self, grant: Grant) -> Option<Grant> {
-        let Grant { holder, number, using, slice } = grant;
+        let Grant {
+            holder,
+            number,
+            using,
+            slice,
+        } = grant;
         // Guards against a request that a former leader took and that comes into the log behind a newer one.
         if !self.members.contains_key(&holder)
-            || self.held.get(&holder).is_some_and(|held| held.number >= number)
+            || self
+                .held
+                .get(&holder)
+                .is_some_and(|held| held.number >= number)
         {
             return None;
         }
@@ -92,7 +118,14 @@
         let using = using.min(self.held.get(&holder).map_or(0, Held::counts));
         let slice = slice.min(self.left(holder));
         self.grants += 1;
-        self.held.insert(holder, Held { number, slice, using });
+        self.held.insert(
+            holder,
+            Held {
+                number,
+                slice,
+                using,
+            },
+        );
         Some(Grant { slice, ..grant })
     }
 }
--- a/crates/control/src/store.rs
+++ b/crates/control/src/store.rs
@@ -33,7 +33,11 @@
             store.restore(&Snapshot::parse_from_bytes(bytes)?)?;
         }
         let read = |bytes: &Vec<u8>| Entry::parse_from_bytes(bytes);
-        let entries = kept.entries.values().map(read).collect::<std::result::Result<Vec<_>, _>>()?;
+        let entries = kept
+            .entries
+            .values()
+            .map(read)
+            .collect::<std::result::Result<Vec<_>, _>>()?;
         let mut next = store.mem.last_index()? + 1;
         for entry in &entries {
             if entry.index != next {
@@ -113,7 +117,9 @@
     fn snapshot(&self, index: u64, _to: u64) -> Result<Snapshot> {
         let kept = self.kept.borrow();
         if kept.get_metadata().get_index() < index {
-            return Err(raft::Error::Store(raft::StorageError::SnapshotTemporarilyUnavailable));
+            return Err(raft::Error::Store(
+                raft::StorageError::SnapshotTemporarilyUnavailable,
+            ));
         }
         Ok(kept.clone())
     }
--- a/crates/control/src/voters.rs
+++ b/crates/control/src/voters.rs
@@ -52,8 +52,9 @@
     /// Whether those that answer are a majority of these voters. Guards against a change that can be made and nothing after
     /// it: one that ends is taken out while another one has just died and membership does not know it yet.
     fn can_go_on(&self, voters: impl Iterator<Item = u64>) -> bool {
-        let (all, heard) =
-            voters.fold((0, 0), |(all, heard), id| (all + 1, heard + usize::from((self.hears)(id))));
+        let (all, heard) = voters.fold((0, 0), |(all, heard), id| {
+            (all + 1, heard + usize::from((self.hears)(id)))
+        });
         heard * 2 > all
     }
 }
@@ -83,13 +84,15 @@
     let without = |out: u64| view.can_go_on(parts.voters.iter().copied().filter(|id| *id != out));
     let all = || parts.voters.iter().chain(&parts.learners);
     // Votes first: each that can't be given makes a majority harder to reach.
-    if let Some(dead) =
-        all().find(|id| **id != me && liveness(**id) == Liveness::No && (view.gone)(**id) && without(**id))
-    {
+    if let Some(dead) = all().find(|id| {
+        **id != me && liveness(**id) == Liveness::No && (view.gone)(**id) && without(**id)
+    }) {
         return Some(Change::Remove(*dead));
     }
-    let taken: BTreeSet<&str> =
-        all().filter_map(|id| members.get(id)).map(|member| member.name.as_str()).collect();
+    let taken: BTreeSet<&str> = all()
+        .filter_map(|id| members.get(id))
+        .map(|member| member.name.as_str())
+        .collect();
     // Another incarnation of a name that still takes part waits until the old one is out.
     let fresh = alive.values().find(|member| {
         !parts.voters.contains(&member.id)
@@ -108,7 +111,10 @@
     if votes.len() < wanted {
         // The zone with the fewest votes first, then by name: every leader would choose the same.
         let name = |id: &u64| members.get(id).map_or("", |member| member.name.as_str());
-        let next = parts.learners.iter().filter(|id| stays(id) && (view.caught)(**id));
+        let next = parts
+            .learners
+            .iter()
+            .filter(|id| stays(id) && (view.caught)(**id));
         let next = next.min_by_key(|id| (in_zone(zone(id)), name(id)));
         let with = |next: u64| view.can_go_on(parts.voters.iter().copied().chain([next]));
         if let Some(next) = next.filter(|next| with(**next)) {
@@ -116,18 +122,28 @@
         }
     }
     // One that ends and still answers helps to give its own vote to another, so it goes after that.
-    if let Some(leaving) = all().find(|id| **id != me && liveness(**id) == Liveness::Leaves && without(**id))
+    if let Some(leaving) =
+        all().find(|id| **id != me && liveness(**id) == Liveness::Leaves && without(**id))
     {
         return Some(Change::Remove(*leaving));
     }
     if votes.len() > wanted && votes.len() == parts.voters.len() {
         let extra = votes.iter().filter(|id| **id != me && without(**id));
-        return extra.max_by_key(|id| (in_zone(zone(id)), **id)).map(|id| Change::Unvote(*id));
+        return extra
+            .max_by_key(|id| (in_zone(zone(id)), **id))
+            .map(|id| Change::Unvote(*id));
     }
     // A zone without a vote gets one from the zone that has the most, once there is one to spare.
     if votes.len() == parts.voters.len() && wanted > 1 {
-        let missing = parts.learners.iter().filter(|id| stays(id)).find(|id| in_zone(zone(id)) == 0)?;
-        let crowded = votes.iter().filter(|id| **id != me).max_by_key(|id| (in_zone(zone(id)), **id))?;
+        let missing = parts
+            .learners
+            .iter()
+            .filter(|id| stays(id))
+            .find(|id| in_zone(zone(id)) == 0)?;
+        let crowded = votes
+            .iter()
+            .filter(|id| **id != me)
+            .max_by_key(|id| (in_zone(zone(id)), **id))?;
         if in_zone(zone(crowded)) > 1 && !zone(missing).is_empty() && without(*crowded) {
             return Some(Change::Unvote(*crowded));
         }
--- a/crates/control/tests/model.rs
+++ b/crates/control/tests/model.rs
@@ -2,11 +2,11 @@
 //! that wait for as long as they like, a holder that freezes or starts from nothing, a granter that starts anew, a reseeded council, and
 //! clocks that run apart.
 
-use lupincrank_placement::Time;
 use lupincrank_control::entry::{Entry, Grant};
 use lupincrank_control::lease::{Clocks, Holder, LeaseRequest, Terms};
 use lupincrank_control::member::{Founding, Member, Stamp};
 use lupincrank_control::state::State;
+use lupincrank_placement::Time;
 use rstest::rstest;
 use stateright::{Checker, Model, Property};
 use std::time::Duration;
@@ -76,8 +76,15 @@
     no_using: bool,
 }
 
-const GOOD: Leases =
-    Leases { until: 4, faults: 1, slow: 0.4, drift: 1.1, same_id: false, no_wait: false, no_using: false };
+const GOOD: Leases = Leases {
+    until: 4,
+    faults: 1,
+    slow: 0.4,
+    drift: 1.1,
+    same_id: false,
+    no_wait: false,
+    no_using: false,
+};
 
 impl Leases {
     fn terms(&self) -> Terms {
@@ -125,7 +132,9 @@
                 let (limit, _) = incarnation.machine.limit(at);
                 incarnation.used.push((limit, world.now));
             }
-            incarnation.used.retain(|(limit, last)| *limit > 0 && last + 1 > world.now);
+            incarnation
+                .used
+                .retain(|(limit, last)| *limit > 0 && last + 1 > world.now);
             incarnation.used.sort();
             incarnation.used.dedup();
         }
@@ -139,9 +148,15 @@
         }
         let using = if self.no_using { 0 } else { ask.using };
         let slice = world.state.left(from).min(most);
-        let made =
-            world.state.apply(Entry::Grants(vec![Grant { holder: from, number: ask.number, using, slice }]));
-        world.wire.extend(made.into_iter().map(|grant| Wire::Grant(from, grant)));
+        let made = world.state.apply(Entry::Grants(vec![Grant {
+            holder: from,
+            number: ask.number,
+            using,
+            slice,
+        }]));
+        world
+            .wire
+            .extend(made.into_iter().map(|grant| Wire::Grant(from, grant)));
     }
 }
 
@@ -162,7 +177,15 @@
         // A council that has been at work for a while.
         state.grants = 1;
         let (clocks, leads) = (Clocks::default(), Time(0));
-        vec![World { now: 0, state, clocks, leads, incarnations, wire: vec![], faults: 0 }]
+        vec![World {
+            now: 0,
+            state,
+            clocks,
+            leads,
+            incarnations,
+            wire: vec![],
+            faults: 0,
+        }]
     }
 
     fn actions(&self, world: &World, actions: &mut Vec<Step>) {
@@ -202,21 +225,28 @@
             Step::LeaseRequest(n) => {
                 next.incarnations[n].asked += 1;
                 let ask = next.incarnations[n].machine.ask(&self.terms(), at, 0);
-                next.wire.push(Wire::LeaseRequest(next.incarnations[n].id, ask));
+                next.wire
+                    .push(Wire::LeaseRequest(next.incarnations[n].id, ask));
             }
             Step::DeliverLess(n) => {
-                let Wire::LeaseRequest(from, ask) = next.wire.remove(n) else { return None };
+                let Wire::LeaseRequest(from, ask) = next.wire.remove(n) else {
+                    return None;
+                };
                 self.grant(&mut next, from, ask, 1);
             }
             Step::Deliver(n) => match next.wire.remove(n) {
                 Wire::LeaseRequest(from, ask) => self.grant(&mut next, from, ask, CAPACITY),
                 Wire::Grant(to, grant) => {
-                    let incarnation =
-                        next.incarnations.iter_mut().find(|incarnation| incarnation.id == to)?;
+                    let incarnation = next
+                        .incarnations
+                        .iter_mut()
+                        .find(|incarnation| incarnation.id == to)?;
                     if incarnation.frozen {
                         return None;
                     }
-                    incarnation.machine.granted(&self.terms(), at, grant.number, grant.slice);
+                    incarnation
+                        .machine
+                        .granted(&self.terms(), at, grant.number, grant.slice);
                 }
             },
             Step::Freeze(n) => {
@@ -234,9 +264,18 @@
                     next.state.held.remove(&id);
                     machine.ask(&self.terms(), at, 0);
                 }
-                next.incarnations[n] = Incarnation { id, machine, asked: 0, frozen: false, used };
+                next.incarnations[n] = Incarnation {
+                    id,
+                    machine,
+                    asked: 0,
+                    frozen: false,
+                    used,
+                };
                 // The council lets the new incarnation in once the old one is out.
-                let member = Member { id, ..next.state.members.values().next()?.clone() };
+                let member = Member {
+                    id,
+                    ..next.state.members.values().next()?.clone()
+                };
                 next.state.members.insert(id, member);
             }
             Step::NewGranter => {
@@ -259,12 +298,20 @@
     }
 
     fn properties(&self) -> Vec<Property<Leases>> {
-        vec![Property::always("the sum is within the capacity", |_: &Leases, world: &World| {
-            let most = |incarnation: &Incarnation| {
-                incarnation.used.iter().map(|(limit, _)| *limit).max().unwrap_or(0)
-            };
-            world.incarnations.iter().map(most).sum::<u32>() <= CAPACITY
-        })]
+        vec![Property::always(
+            "the sum is within the capacity",
+            |_: &Leases, world: &World| {
+                let most = |incarnation: &Incarnation| {
+                    incarnation
+                        .used
+                        .iter()
+                        .map(|(limit, _)| *limit)
+                        .max()
+                        .unwrap_or(0)
+                };
+                world.incarnations.iter().map(most).sum::<u32>() <= CAPACITY
+            },
+        )]
     }
 }
 
@@ -275,8 +322,15 @@
 #[case::without_the_wait_after_a_reseeding(Leases { no_wait: true, ..GOOD }, true)]
 #[case::without_what_is_still_in_use(Leases { no_using: true, ..GOOD }, true)]
 fn leases_never_pass_the_whole(#[case] model: Leases, #[case] breaks: bool) {
-    let until = std::env::var("MODEL_STEPS").ok().and_then(|steps| steps.parse().ok()).unwrap_or(model.until);
-    let checker = Leases { until, ..model }.checker().threads(4).spawn_bfs().join();
+    let until = std::env::var("MODEL_STEPS")
+        .ok()
+        .and_then(|steps| steps.parse().ok())
+        .unwrap_or(model.until);
+    let checker = Leases { until, ..model }
+        .checker()
+        .threads(4)
+        .spawn_bfs()
+        .join();
     println!(
         "{} states, {} of them different, {} steps deep",
         checker.state_count(),
@@ -284,5 +338,10 @@
         checker.max_depth()
     );
     let found = checker.discovery("the sum is within the capacity");
-    assert_eq!(found.is_some(), breaks, "{:?}", found.map(|path| path.into_actions()));
+    assert_eq!(
+        found.is_some(),
+        breaks,
+        "{:?}",
+        found.map(|path| path.into_actions())
+    );
 }
--- a/crates/control/tests/schedules.rs
+++ b/crates/control/tests/schedules.rs
@@ -90,11 +90,22 @@
             (0..5).for_each(|n| sim.fault(&Fault::Return(n)));
             sim.run(Duration::from_secs(10));
             assert_eq!(sim.led(), 5, "seed {seed}");
-            assert_eq!((0..5).map(|n| stamp(&sim, n)).collect::<Vec<_>>(), [before; 5], "seed {seed}");
+            assert_eq!(
+                (0..5).map(|n| stamp(&sim, n)).collect::<Vec<_>>(),
+                [before; 5],
+                "seed {seed}"
+            );
             let sum = sim.sum();
-            assert!((CAPACITY - 2..=CAPACITY).contains(&sum), "{sum} of {CAPACITY}, seed {seed}");
+            assert!(
+                (CAPACITY - 2..=CAPACITY).contains(&sum),
+                "{sum} of {CAPACITY}, seed {seed}"
+            );
         }
-        assert!(sim.worst <= CAPACITY, "{} in use of {CAPACITY}, seed {seed}", sim.worst);
+        assert!(
+            sim.worst <= CAPACITY,
+            "{} in use of {CAPACITY}, seed {seed}",
+            sim.worst
+        );
     }
 }
 
@@ -111,9 +122,16 @@
         sim.run(Duration::from_secs(15));
         // An entry is one by its place and the leadership that it was written under.
         let entries = |sim: &Sim, n: usize| -> Vec<(u64, u64)> {
-            sim.nodes[n].council.log_lines().map(|told| (told.index, told.term)).collect()
+            sim.nodes[n]
+                .council
+                .log_lines()
+                .map(|told| (told.index, told.term))
+                .collect()
         };
-        let last = (0..5).filter_map(|n| entries(&sim, n).last().copied()).max().expect("a log");
+        let last = (0..5)
+            .filter_map(|n| entries(&sim, n).last().copied())
+            .max()
+            .expect("a log");
         (0..5).for_each(|n| sim.fault(&Fault::Return(n)));
         sim.run(Duration::from_secs(8));
         let leader = (0..5).find(|n| sim.nodes[*n].council.leads());
@@ -145,7 +163,11 @@
             );
         }
         assert!(sim.nodes[stays].council.leads(), "seed {seed}");
-        assert!(sim.worst <= CAPACITY, "{} in use of {CAPACITY}, seed {seed}", sim.worst);
+        assert!(
+            sim.worst <= CAPACITY,
+            "{} in use of {CAPACITY}, seed {seed}",
+            sim.worst
+        );
     }
 }
 
@@ -183,7 +205,11 @@
 #[case::waits_longer(0.03, false)]
 #[case::the_mutant_that_trusts_clocks(0.0, true)]
 fn a_granter_waits_for_slow_clocks(#[case] drift: f64, #[case] breaks: bool) {
-    let terms = Terms { lease: Duration::from_secs(60), drift, ..Terms::default() };
+    let terms = Terms {
+        lease: Duration::from_secs(60),
+        drift,
+        ..Terms::default()
+    };
     let mut worst = 0;
     for seed in 0..12 {
         let mut sim = Sim::new(3, 0.014, terms, seed);
@@ -201,9 +227,12 @@
 
 #[test]
 fn a_council_stands_again_after_each_fault_that_leaves_a_majority() {
-    for (seed, fault) in
-        [(1, Fault::Kill(0)), (2, Fault::Freeze(0)), (3, Fault::Restart(0)), (4, Fault::Cut(0, 1))]
-    {
+    for (seed, fault) in [
+        (1, Fault::Kill(0)),
+        (2, Fault::Freeze(0)),
+        (3, Fault::Restart(0)),
+        (4, Fault::Cut(0, 1)),
+    ] {
         let mut sim = Sim::new(5, 0.01, Terms::default(), seed);
         sim.run(Duration::from_secs(10));
         assert_eq!(sim.led(), 5, "seed {seed}");
@@ -212,7 +241,10 @@
         assert!(sim.led() >= 4, "{} are led after {fault:?}", sim.led());
         // What a node that is gone held is in use again, but for its floor and what is just changing hands.
         let sum = sim.sum();
-        assert!((CAPACITY - 2..=CAPACITY).contains(&sum), "{sum} of {CAPACITY} after {fault:?}");
+        assert!(
+            (CAPACITY - 2..=CAPACITY).contains(&sum),
+            "{sum} of {CAPACITY} after {fault:?}"
+        );
     }
 }
 
@@ -222,7 +254,9 @@
     let mut sim = Sim::new(5, 0.01, Terms::default(), 6);
     sim.run(Duration::from_secs(10));
     for round in 0..6 {
-        let leader = (0..5).find(|n| sim.nodes[*n].council.leads()).expect("a leader");
+        let leader = (0..5)
+            .find(|n| sim.nodes[*n].council.leads())
+            .expect("a leader");
         sim.fault(&Fault::Lose(40));
         sim.fault(&Fault::Restart(leader));
         sim.run(Duration::from_secs(7));
@@ -248,9 +282,16 @@
     }
     sim.run(Duration::from_secs(8));
     let epochs = |sim: &Sim| -> Vec<Option<u64>> {
-        sim.nodes.iter().map(|node| node.council.state().map(|state| state.stamp.epoch)).collect()
+        sim.nodes
+            .iter()
+            .map(|node| node.council.state().map(|state| state.stamp.epoch))
+            .collect()
     };
-    assert!(sim.led() == 0 || epochs(&sim).iter().all(|epoch| *epoch == Some(1)), "{:?}", epochs(&sim));
+    assert!(
+        sim.led() == 0 || epochs(&sim).iter().all(|epoch| *epoch == Some(1)),
+        "{:?}",
+        epochs(&sim)
+    );
     if sim.led() == 0 {
         sim.fault(&Fault::Reseed(3));
         sim.run(Duration::from_secs(10));
--- a/crates/control/tests/sim/mod.rs
+++ b/crates/control/tests/sim/mod.rs
@@ -2,9 +2,9 @@
 //! nothing, and each has a clock of its own.
 #![allow(dead_code)]
 
-use lupincrank_placement::Time;
 use lupincrank_budgets::need::Use;
 use lupincrank_control::council::{Council, Tuning, TICK};
+use lupincrank_placement::Time;
 
 use lupincrank_control::durable::{Durable, Write};
 use lupincrank_control::lease::Terms;
@@ -135,11 +135,28 @@
         sim
     }
 
-    fn incarnation(&mut self, n: usize, nodes: usize, rate: f64, offset: u64, kept: Option<Durable>) -> Node {
+    fn incarnation(
+        &mut self,
+        n: usize,
+        nodes: usize,
+        rate: f64,
+        offset: u64,
+        kept: Option<Durable>,
+    ) -> Node {
         self.incarnations += 1;
-        let id = if self.same_id { 1 + n as u64 } else { self.incarnations * 1_000 + n as u64 };
-        let disk = kept.unwrap_or(Durable { id, ..Durable::default() });
-        let disk = Durable { starts: disk.starts + 1, ..disk };
+        let id = if self.same_id {
+            1 + n as u64
+        } else {
+            self.incarnations * 1_000 + n as u64
+        };
+        let disk = kept.unwrap_or(Durable {
+            id,
+            ..Durable::default()
+        });
+        let disk = Durable {
+            starts: disk.starts + 1,
+            ..disk
+        };
         let id = disk.id;
         let tuning = Tuning {
             terms: self.terms,
@@ -216,7 +233,11 @@
 
     /// What all might have sent within the last second, if each sent all that it might at the worst moment.
     pub fn sum(&mut self) -> u32 {
-        while self.past.front().is_some_and(|(at, _)| self.now.saturating_sub(*at) > SECOND) {
+        while self
+            .past
+            .front()
+            .is_some_and(|(at, _)| self.now.saturating_sub(*at) > SECOND)
+        {
             self.past.pop_front();
         }
         let past: u32 = self.past.iter().map(|(_, used)| *used).sum();
@@ -253,19 +274,31 @@
             }
             let alive: BTreeMap<u64, Member> = (0..nodes)
                 .filter(|other| {
-                    let heard = self.heard.get(&(n, *other)).is_some_and(|at| now - *at < UNHEARD);
+                    let heard = self
+                        .heard
+                        .get(&(n, *other))
+                        .is_some_and(|at| now - *at < UNHEARD);
                     *other != n && heard
                 })
                 .map(|other| (self.nodes[other].id, member(other, self.nodes[other].id)))
                 .collect();
             let node = &mut self.nodes[n];
             let at = local(now, node.rate, node.offset);
-            if node.ends.is_some_and(|ends| now >= ends || node.council.may_end()) {
+            if node
+                .ends
+                .is_some_and(|ends| now >= ends || node.council.may_end())
+            {
                 node.dead = true;
                 continue;
             }
-            while node.unsynced.front().is_some_and(|(synced, _)| *synced <= now) {
-                let Some((_, write)) = node.unsynced.pop_front() else { break };
+            while node
+                .unsynced
+                .front()
+                .is_some_and(|(synced, _)| *synced <= now)
+            {
+                let Some((_, write)) = node.unsynced.pop_front() else {
+                    break;
+                };
                 node.disk.take(&write);
                 node.council.written(at, write.number);
             }
@@ -275,8 +308,16 @@
             if now.saturating_sub(node.ticked) >= TICK {
                 node.ticked = now;
                 // Each uses all that it may, and would use more.
-                let most = node.limits.iter().map(|(_, limit)| *limit).max().unwrap_or(0);
-                node.council.used(Use { most, turned_away: true });
+                let most = node
+                    .limits
+                    .iter()
+                    .map(|(_, limit)| *limit)
+                    .max()
+                    .unwrap_or(0);
+                node.council.used(Use {
+                    most,
+                    turned_away: true,
+                });
                 node.council.tick(at, &alive);
             }
             node.council.deliver_own(at);
@@ -299,7 +340,8 @@
                         let before = node.unsynced.back().map_or(now, |(synced, _)| *synced);
                         let synced = before.max(
                             now + Duration::from_millis(
-                                self.random.random_range(0..if self.slow_disks { 500 } else { 120 }),
+                                self.random
+                                    .random_range(0..if self.slow_disks { 500 } else { 120 }),
                             ),
                         );
                         node.unsynced.push_back((synced, write));
@@ -307,13 +349,16 @@
                     }
                     Action::Note(_) => continue,
                 };
-                let Some(to) = self.nodes.iter().position(|node| node.id == to) else { continue };
+                let Some(to) = self.nodes.iter().position(|node| node.id == to) else {
+                    continue;
+                };
                 if self.loss > 0.0 && self.random.random::<f64>() < self.loss {
                     continue;
                 }
                 let delay = Duration::from_millis(self.random.random_range(1..60));
                 self.numbered += 1;
-                self.wire.insert((now + delay, self.numbered), (n, id, to, said));
+                self.wire
+                    .insert((now + delay, self.numbered), (n, id, to, said));
             }
         }
         let sum = self.sum();
@@ -328,7 +373,9 @@
     /// Living nodes that name a leader.
     pub fn led(&self) -> usize {
         let alive = self.nodes.iter().filter(|node| !node.dead && !node.frozen);
-        alive.filter(|node| node.council.status(Time(0)).leader.is_some()).count()
+        alive
+            .filter(|node| node.council.status(Time(0)).leader.is_some())
+            .count()
     }
 }
 
--- a/crates/fault-injection/src/build.rs
+++ b/crates/fault-injection/src/build.rs
@@ -46,14 +46,26 @@
     let nodes: Vec<String> = (0..expected).map(names).collect();
     let one = &stage.nodes[node];
     let fleet = if one.foreign { "another" } else { "trial" };
-    let mut text = format!("[fleet]\nname = \"{fleet}\"\nnodes = [{}]\n", nodes.join(", "));
+    let mut text = format!(
+        "[fleet]\nname = \"{fleet}\"\nnodes = [{}]\n",
+        nodes.join(", ")
+    );
     if stage.scenario.folder {
         text.push_str(&format!("folder = {:?}\n", one.keeps()));
     }
-    text.push_str(&format!("listen = \"{}\"\nzone = \"{}\"\n", one.fleet(), one.zone));
+    text.push_str(&format!(
+        "listen = \"{}\"\nzone = \"{}\"\n",
+        one.fleet(),
+        one.zone
+    ));
     text.push_str("[fleet.seeds]\n");
     // Three others, and itself where it is alone: whoever is a seed starts with nobody to ask.
-    let mut seeds: Vec<usize> = via.keys().copied().filter(|other| *other < expected).take(3).collect();
+    let mut seeds: Vec<usize> = via
+        .keys()
+        .copied()
+        .filter(|other| *other < expected)
+        .take(3)
+        .collect();
     if seeds.is_empty() {
         seeds.push(node.min(expected - 1));
     }
@@ -66,13 +78,20 @@
         text.push_str(&format!("\"{}\" = \"{at}\"\n", stage.nodes[*other].fleet()));
     }
     if let Some(cold) = &stage.scenario.cold {
-        text.push_str(&format!("[budgets.cold]\nwhole = {}\nfloor = {}\n", cold.whole, cold.floor));
+        text.push_str(&format!(
+            "[budgets.cold]\nwhole = {}\nfloor = {}\n",
+            cold.whole, cold.floor
+        ));
     }
     text
 }
 
 /// Adds a node with all of its links, and writes what it is told. It is not started.
-pub fn add(hands: &mut Hands<Stage>, program: Vec<String>, name: Option<String>) -> Result<usize, String> {
+pub fn add(
+    hands: &mut Hands<Stage>,
+    program: Vec<String>,
+    name: Option<String>,
+) -> Result<usize, String> {
     let named = |error: std::io::Error| error.to_string();
     let node = hands.nodes.len();
     let (high, low) = hands.block;
@@ -80,7 +99,10 @@
     let zone = zone(node % hands.scenario.zones);
     let folder = hands.folder.join(format!("n{node}"));
     let name = name.unwrap_or_else(|| format!("n{node}"));
-    hands.world.nodes.push(Node::new(name, zone, program, ip, folder));
+    hands
+        .world
+        .nodes
+        .push(Node::new(name, zone, program, ip, folder));
     let party = Party::Node(node);
     let list = discovery::listen(hands, node).map_err(named)?;
     let discovery = proxy::open(hands, party, Party::Discovery, list).map_err(named)?;
@@ -101,7 +123,8 @@
         }
     }
     let (_, known, _) = hands.list.told(node, 0, true);
-    let known: serde_json::Value = serde_json::from_str(&known).map_err(|error| error.to_string())?;
+    let known: serde_json::Value =
+        serde_json::from_str(&known).map_err(|error| error.to_string())?;
     let one = &hands.world.nodes[node];
     let config = serde_json::json!({
         "name": one.name, "listen": one.listen().to_string(), "discovery": discovery.to_string(),
@@ -116,14 +139,23 @@
 
 /// Writes what a node is told at its start, by the links that there are now.
 pub fn tell(hands: &mut Hands<Stage>, node: usize, expected: usize) -> Result<(), String> {
-    let ways = hands.world.ways.iter().filter_map(|((from, to), at)| match (from, to) {
-        (Party::Node(from), Party::Node(to)) if *from == node => Some((*to, *at)),
-        _ => None,
-    });
+    let ways = hands
+        .world
+        .ways
+        .iter()
+        .filter_map(|((from, to), at)| match (from, to) {
+            (Party::Node(from), Party::Node(to)) if *from == node => Some((*to, *at)),
+            _ => None,
+        });
     let via: BTreeMap<usize, _> = ways.collect();
-    let text = hands.scenario.talk.then(|| operator(&hands.world, node, &via, expected));
+    let text = hands
+        .scenario
+        .talk
+        .then(|| operator(&hands.world, node, &via, expected));
     let config = hands.world.configs.get(&node).cloned().unwrap_or_default();
-    hands.world.nodes[node].tell(&config, text.as_deref()).map_err(|error| error.to_string())
+    hands.world.nodes[node]
+        .tell(&config, text.as_deref())
+        .map_err(|error| error.to_string())
 }
 
 /// A node that nobody announced begins, or one with another one's name: the others have no way to it but the one that it opens, and do not expect it.
@@ -133,7 +165,9 @@
     let expected = *hands.scenario.nodes.get_ref();
     tell(hands, node, expected)?;
     let verbose = hands.verbose;
-    hands.nodes[node].start(verbose).map_err(|error| error.to_string())
+    hands.nodes[node]
+        .start(verbose)
+        .map_err(|error| error.to_string())
 }
 
 /// One more transcriber.
@@ -144,11 +178,16 @@
     let at = hands.fleet.all[one].at;
     let mut dials = Vec::new();
     for node in 0..hands.nodes.len() {
-        dials.push(proxy::open(hands, Party::Node(node), Party::Transcriber(one), at).map_err(named)?);
+        dials.push(
+            proxy::open(hands, Party::Node(node), Party::Transcriber(one), at).map_err(named)?,
+        );
     }
     let zone = zone(one % hands.scenario.zones);
     // Names that say nothing of the order: hashes of short ones lie close together.
-    let name = format!("s-{:08x}", crc32fast::hash(format!("{} {one}", hands.plan.seed).as_bytes()));
+    let name = format!(
+        "s-{:08x}",
+        crc32fast::hash(format!("{} {one}", hands.plan.seed).as_bytes())
+    );
     hands.list.add(name, zone, 0, dials);
     if cold {
         hands.list.started(one);
--- a/crates/fault-injection/src/call.rs
+++ b/crates/fault-injection/src/call.rs
@@ -49,11 +49,28 @@
     let pings = what == What::Ping;
     let id = hands.name();
     let one = &hands.world.nodes[node];
-    let (at, life) = (if pings { one.listen() } else { one.management() }, one.lives);
+    let (at, life) = (
+        if pings {
+            one.listen()
+        } else {
+            one.management()
+        },
+        one.lives,
+    );
     match poll::connect(&hands.poller, at, key(id, 0)) {
         Ok(stream) => {
             hands.deadlines.set(id, 0, Instant::now() + ANSWER);
-            hands.adopt(id, Box::new(Call { id, node, life, lines: Lines::new(stream), said: false, what }));
+            hands.adopt(
+                id,
+                Box::new(Call {
+                    id,
+                    node,
+                    life,
+                    lines: Lines::new(stream),
+                    said: false,
+                    what,
+                }),
+            );
         }
         Err(_) if pings => hands.world.nodes[node].in_front = false,
         Err(_) => {}
@@ -71,7 +88,8 @@
                 node.in_front = line == Some("PONG") && node.state != State::Dead;
             } else {
                 let told = line.and_then(|line| line.strip_prefix("done "));
-                if let Some(told) = told.and_then(|told| serde_json::from_str::<serde_json::Value>(told).ok())
+                if let Some(told) =
+                    told.and_then(|told| serde_json::from_str::<serde_json::Value>(told).ok())
                 {
                     let stamp = told["council"]["stamp"].to_string();
                     if !node.foreign && stamp != "null" {
@@ -109,7 +127,13 @@
 }
 
 impl Connection<Stage> for Call {
-    fn ready(&mut self, hands: &mut Hands<Stage>, _side: usize, readable: bool, _writable: bool) -> Flow {
+    fn ready(
+        &mut self,
+        hands: &mut Hands<Stage>,
+        _side: usize,
+        readable: bool,
+        _writable: bool,
+    ) -> Flow {
         match self.step(readable) {
             Ok(Some(line)) => self.answered(hands, Some(&line)),
             Ok(None) => Flow::Keep,
--- a/crates/fault-injection/src/faults.rs
+++ b/crates/fault-injection/src/faults.rs
@@ -35,8 +35,9 @@
 /// Does what is due.
 pub fn due(hands: &mut Hands<Stage>) {
     let now = Instant::now();
-    let (mut ripe, later): (Vec<_>, Vec<_>) =
-        std::mem::take(&mut hands.later).into_iter().partition(|(at, _)| *at <= now);
+    let (mut ripe, later): (Vec<_>, Vec<_>) = std::mem::take(&mut hands.later)
+        .into_iter()
+        .partition(|(at, _)| *at <= now);
     hands.later = later;
     ripe.sort_by_key(|(at, _)| *at);
     for (_, step) in ripe {
@@ -46,7 +47,9 @@
 }
 
 fn then(hands: &mut Hands<Stage>, after_s: f64, step: Step) {
-    hands.later.push((Instant::now() + Duration::from_secs_f64(after_s), step));
+    hands
+        .later
+        .push((Instant::now() + Duration::from_secs_f64(after_s), step));
 }
 
 /// The parties that a selector names now.
@@ -54,7 +57,11 @@
     let nodes = hands.nodes.len();
     let zones = hands.scenario.zones;
     let transcribers = hands.fleet.all.len();
-    let number = |prefix: &str| selector.strip_prefix(prefix).and_then(|rest| rest.parse::<usize>().ok());
+    let number = |prefix: &str| {
+        selector
+            .strip_prefix(prefix)
+            .and_then(|rest| rest.parse::<usize>().ok())
+    };
     match selector {
         "" | "all" => (0..nodes)
             .map(Party::Node)
@@ -80,10 +87,14 @@
             if let Some(zone) = number("zone") {
                 let of_zone = |n: &usize| n % zones == zone;
                 let nodes = (0..nodes).filter(of_zone).map(Party::Node);
-                return nodes.chain((0..transcribers).filter(of_zone).map(Party::Transcriber)).collect();
+                return nodes
+                    .chain((0..transcribers).filter(of_zone).map(Party::Transcriber))
+                    .collect();
             }
             let node = number("n").filter(|n| *n < nodes).map(Party::Node);
-            let transcriber = number("t").filter(|n| *n < transcribers).map(Party::Transcriber);
+            let transcriber = number("t")
+                .filter(|n| *n < transcribers)
+                .map(Party::Transcriber);
             node.or(transcriber).into_iter().collect()
         }
     }
@@ -98,12 +109,24 @@
 }
 
 fn nodes_of(all: &[Party]) -> Vec<usize> {
-    let node = |party: &Party| if let Party::Node(node) = party { Some(*node) } else { None };
+    let node = |party: &Party| {
+        if let Party::Node(node) = party {
+            Some(*node)
+        } else {
+            None
+        }
+    };
     all.iter().filter_map(node).collect()
 }
 
 fn transcribers_of(all: &[Party]) -> Vec<usize> {
-    let one = |party: &Party| if let Party::Transcriber(one) = party { Some(*one) } else { None };
+    let one = |party: &Party| {
+        if let Party::Transcriber(one) = party {
+            Some(*one)
+        } else {
+            None
+        }
+    };
     all.iter().filter_map(one).collect()
 }
 
@@ -130,17 +153,28 @@
 
 /// The doors and streams of these directions look anew, or are reset.
 fn tell_links(hands: &mut Hands<Stage>, ways: &[(Party, Party)], note: Note) {
-    let touched = |(from, to): (Party, Party)| ways.contains(&(from, to)) || ways.contains(&(to, from));
-    let pipes = hands.pipes.iter().filter(|(_, between)| touched(**between)).map(|(id, _)| *id);
+    let touched =
+        |(from, to): (Party, Party)| ways.contains(&(from, to)) || ways.contains(&(to, from));
+    let pipes = hands
+        .pipes
+        .iter()
+        .filter(|(_, between)| touched(**between))
+        .map(|(id, _)| *id);
     let mut ids: Vec<Id> = pipes.collect();
     if note == Note::Look {
-        ids.extend(hands.doors.iter().filter(|(between, _)| touched(**between)).map(|(_, id)| *id));
+        ids.extend(
+            hands
+                .doors
+                .iter()
+                .filter(|(between, _)| touched(**between))
+                .map(|(_, id)| *id),
+        );
     }
     ids.into_iter().for_each(|id| hands.tell(id, note));
     let now = Instant::now();
     for (from, to) in ways {
-        if let (Party::Node(node), Party::Transcriber(one)) | (Party::Transcriber(one), Party::Node(node)) =
-            (from, to)
+        if let (Party::Node(node), Party::Transcriber(one))
+        | (Party::Transcriber(one), Party::Node(node)) = (from, to)
         {
             hands.judge.link_faulty(*node, *one, now);
         }
@@ -201,7 +235,10 @@
 
 fn turn(hands: &mut Hands<Stage>, one: usize, mode: Mode) {
     transcriber::turn(hands, one, mode);
-    let doors = hands.doors.iter().filter(|((_, to), _)| *to == Party::Transcriber(one));
+    let doors = hands
+        .doors
+        .iter()
+        .filter(|((_, to), _)| *to == Party::Transcriber(one));
     let doors: Vec<Id> = doors.map(|(_, id)| *id).collect();
     doors.into_iter().for_each(|id| hands.tell(id, Note::Look));
     let now = Instant::now();
@@ -213,17 +250,31 @@
 fn begin(hands: &mut Hands<Stage>, fault: Fault) {
     let on = parties(hands, &fault.on);
     let named: Vec<String> = on.iter().take(8).map(name).collect();
-    let named =
-        if fault.on.is_empty() { String::new() } else { format!(" {} ({})", fault.on, named.join(" ")) };
-    let to = if fault.to.is_empty() { String::new() } else { format!(" to {}", fault.to) };
+    let named = if fault.on.is_empty() {
+        String::new()
+    } else {
+        format!(" {} ({})", fault.on, named.join(" "))
+    };
+    let to = if fault.to.is_empty() {
+        String::new()
+    } else {
+        format!(" to {}", fault.to)
+    };
     let one_way = if fault.one_way { ", one way" } else { "" };
     let mut more = String::new();
-    for (what, value) in [("for", fault.for_s), ("much", fault.much), ("times", fault.times as f64)] {
+    for (what, value) in [
+        ("for", fault.for_s),
+        ("much", fault.much),
+        ("times", fault.times as f64),
+    ] {
         if value > 0.0 {
             more.push_str(&format!(", {what} {value}"));
         }
     }
-    hands.event(format!("fault {:?}{named}{to}{one_way}{more}", fault.kind).to_lowercase(), true);
+    hands.event(
+        format!("fault {:?}{named}{to}{one_way}{more}", fault.kind).to_lowercase(),
+        true,
+    );
     let now = Instant::now();
     match fault.kind {
         Kind::Kill => {
@@ -274,7 +325,9 @@
             let whole = fault.much as u32;
             hands.judge.whole(now, whole);
             // One that answers takes it to the leader.
-            if let Some(node) = nodes_of(&on).into_iter().find(|node| hands.nodes[*node].state == State::Runs)
+            if let Some(node) = nodes_of(&on)
+                .into_iter()
+                .find(|node| hands.nodes[*node].state == State::Runs)
             {
                 call::set_whole(hands, node, whole);
             }
@@ -369,7 +422,9 @@
         Step::Loop(node, times, apart) => {
             start(hands, node);
             if times > 1 {
-                hands.later.push((now + apart, Step::Loop(node, times - 1, apart)));
+                hands
+                    .later
+                    .push((now + apart, Step::Loop(node, times - 1, apart)));
             } else {
                 hands.event(format!("n{node} stays"), true);
             }
@@ -392,7 +447,10 @@
                 transcriber::drain_one(hands, one);
             }
             let pause = (gone - now) / (held + 1);
-            hands.later.push((now + pause.max(Duration::from_millis(2)), Step::Drain(one, gone)));
+            hands.later.push((
+                now + pause.max(Duration::from_millis(2)),
+                Step::Drain(one, gone),
+            ));
         }
         Step::Tell(node) => {
             hands.event(format!("discovery is well for n{node}"), true);
--- a/crates/fault-injection/src/hop.rs
+++ b/crates/fault-injection/src/hop.rs
@@ -39,7 +39,18 @@
     let socket = UdpSocket::bind(at)?;
     socket.set_nonblocking(true)?;
     let socket = Watched::new(&hands.poller, socket, key(id, 0), true, false)?;
-    hands.adopt(id, Box::new(Hop { id, from, to, target, socket, held: BTreeMap::new(), numbered: 0 }));
+    hands.adopt(
+        id,
+        Box::new(Hop {
+            id,
+            from,
+            to,
+            target,
+            socket,
+            held: BTreeMap::new(),
+            numbered: 0,
+        }),
+    );
     Ok(())
 }
 
@@ -53,14 +64,20 @@
         }
         let (copies, late) = (1 + usize::from(chance(way.double)), chance(way.reorder));
         for _ in 0..copies {
-            let jitter = if way.jitter.is_zero() { 0.0 } else { hands.world.random.random::<f64>() };
-            let wait = way.delay + way.jitter.mul_f64(jitter) + if late { BEHIND } else { Duration::ZERO };
+            let jitter = if way.jitter.is_zero() {
+                0.0
+            } else {
+                hands.world.random.random::<f64>()
+            };
+            let wait =
+                way.delay + way.jitter.mul_f64(jitter) + if late { BEHIND } else { Duration::ZERO };
             if wait.is_zero() {
                 // What does not get through is lost, as datagrams are.
                 let _ = self.socket.send_to(bytes, self.target);
             } else if self.held.len() < MOST_HELD {
                 self.numbered += 1;
-                self.held.insert((Instant::now() + wait, self.numbered), bytes.to_vec());
+                self.held
+                    .insert((Instant::now() + wait, self.numbered), bytes.to_vec());
             }
         }
     }
@@ -73,7 +90,13 @@
 }
 
 impl Connection<Stage> for Hop {
-    fn ready(&mut self, hands: &mut Hands<Stage>, _side: usize, _readable: bool, _writable: bool) -> Flow {
+    fn ready(
+        &mut self,
+        hands: &mut Hands<Stage>,
+        _side: usize,
+        _readable: bool,
+        _writable: bool,
+    ) -> Flow {
         let mut bytes = [0; 2048];
         for _ in 0..TURN {
             match self.socket.recv_from(&mut bytes) {
@@ -88,7 +111,10 @@
     }
 
     fn due(&mut self, hands: &mut Hands<Stage>, _purpose: u64) -> Flow {
-        let (now, cut) = (Instant::now(), hands.world.links.way(self.from, self.to).cut);
+        let (now, cut) = (
+            Instant::now(),
+            hands.world.links.way(self.from, self.to).cut,
+        );
         while let Some(first) = self.held.first_entry().filter(|first| first.key().0 <= now) {
             let bytes = first.remove();
             if !cut {
--- a/crates/fault-injection/src/hunt.rs
+++ b/crates/fault-injection/src/hunt.rs
@@ -70,8 +70,16 @@
             Fault {
                 at_s: random.random_range(0.5..seconds * 0.7),
                 kind,
-                for_s: if kind == Kind::Loop { 0.3 } else { random.random_range(0.3..6.0) },
-                on: if kind == Kind::Join { String::new() } else { node(&mut random) },
+                for_s: if kind == Kind::Loop {
+                    0.3
+                } else {
+                    random.random_range(0.3..6.0)
+                },
+                on: if kind == Kind::Join {
+                    String::new()
+                } else {
+                    node(&mut random)
+                },
                 to: if links { "nodes".into() } else { String::new() },
                 one_way: links && random.random::<bool>(),
                 much: match kind {
@@ -79,7 +87,11 @@
                     Kind::Delay | Kind::Jitter => random.random_range(10.0..400.0),
                     _ => 0.0,
                 },
-                times: if kind == Kind::Loop { random.random_range(2..6) } else { 0 },
+                times: if kind == Kind::Loop {
+                    random.random_range(2..6)
+                } else {
+                    0
+                },
             }
         })
         .collect();
@@ -90,7 +102,10 @@
 fn with(scenario: &Scenario, faults: &[Fault]) -> Scenario {
     // The scenario's own faults stay: they bring the transcribers that the budget is for.
     let drawn = faults.iter().map(|fault| Spanned::new(0..0, fault.clone()));
-    Scenario { fault: scenario.fault.iter().cloned().chain(drawn).collect(), ..scenario.clone() }
+    Scenario {
+        fault: scenario.fault.iter().cloned().chain(drawn).collect(),
+        ..scenario.clone()
+    }
 }
 
 /// Hunts with this many trials, then shrinks the worst one.
@@ -102,7 +117,12 @@
     options: impl Fn() -> Options,
     mut told: impl FnMut(usize, &Outcome),
 ) -> Result<Found, String> {
-    let mut found = Found { runs: 0, broken: 0, worst: None, trials: Vec::new() };
+    let mut found = Found {
+        runs: 0,
+        broken: 0,
+        worst: None,
+        trials: Vec::new(),
+    };
     let mut worst: Option<(Vec<Fault>, Outcome)> = None;
     for number in 0..runs as u64 {
         let seed = seed.wrapping_add(number);
@@ -110,10 +130,22 @@
         let outcome = run(name, with(scenario, &faults), seed, options())?;
         found.runs += 1;
         found.broken += usize::from(!outcome.holds());
-        let (peak, whole) = outcome.budgets.first().map_or((0, 0), |budget| (budget.peak, budget.whole));
-        found.trials.push((seed, outcome.service, peak, whole, outcome.judge.broken.len()));
+        let (peak, whole) = outcome
+            .budgets
+            .first()
+            .map_or((0, 0), |budget| (budget.peak, budget.whole));
+        found.trials.push((
+            seed,
+            outcome.service,
+            peak,
+            whole,
+            outcome.judge.broken.len(),
+        ));
         told(found.runs, &outcome);
-        if worst.as_ref().is_none_or(|(_, before)| harm(&outcome) > harm(before)) {
+        if worst
+            .as_ref()
+            .is_none_or(|(_, before)| harm(&outcome) > harm(before))
+        {
             worst = Some((faults, outcome));
         }
     }
--- a/crates/fault-injection/src/judge.rs
+++ b/crates/fault-injection/src/judge.rs
@@ -117,8 +117,18 @@
 
     /// A rule is broken.
     pub fn breaks(&mut self, rule: &'static str, at: Instant, what: String) {
-        if self.broken.iter().filter(|broken| broken.rule == rule).count() < MOST_TOLD {
-            self.broken.push(Broken { rule, at_s: self.seconds(at), what });
+        if self
+            .broken
+            .iter()
+            .filter(|broken| broken.rule == rule)
+            .count()
+            < MOST_TOLD
+        {
+            self.broken.push(Broken {
+                rule,
+                at_s: self.seconds(at),
+                what,
+            });
         }
     }
 
@@ -139,10 +149,14 @@
 
     /// Whether the node was dead or frozen at some time between these moments.
     fn was_absent(&self, node: usize, from: Instant, to: Instant) -> bool {
-        let spans = self.absent.get(&node).map(Vec::as_slice).unwrap_or_default();
-        spans
-            .iter()
-            .any(|(began, ended)| *began <= to + SLACK && ended.is_none_or(|ended| ended + SLACK >= from))
+        let spans = self
+            .absent
+            .get(&node)
+            .map(Vec::as_slice)
+            .unwrap_or_default();
+        spans.iter().any(|(began, ended)| {
+            *began <= to + SLACK && ended.is_none_or(|ended| ended + SLACK >= from)
+        })
     }
 
     /// A link between a node and a transcriber is not as it should be at this moment.
@@ -154,8 +168,9 @@
     pub fn begun(&mut self, request: u64, node: usize, transcriber: usize, at: Instant) {
         self.count("attempts");
         if let Some(other) = self.out.insert(request, transcriber) {
-            let what =
-                format!("request {request:016x} was out at t{other} and went to t{transcriber} by n{node}");
+            let what = format!(
+                "request {request:016x} was out at t{other} and went to t{transcriber} by n{node}"
+            );
             self.breaks("one-attempt", Instant::now(), what);
         }
         if let Some(request) = self.requests.get_mut(&request) {
@@ -180,16 +195,34 @@
     /// A stand-in saw this.
     pub fn saw(&mut self, at: Instant, seen: Seen) {
         match seen {
-            Seen::Asked { request, node, wait_ms } => {
+            Seen::Asked {
+                request,
+                node,
+                wait_ms,
+            } => {
                 let wait = Duration::from_millis(wait_ms);
                 let (answer, gave_up, dropped, transcriber) = (None, false, false, None);
-                let asked = Request { node, asked: at, wait, answer, gave_up, dropped, transcriber };
+                let asked = Request {
+                    node,
+                    asked: at,
+                    wait,
+                    answer,
+                    gave_up,
+                    dropped,
+                    transcriber,
+                };
                 if self.requests.insert(request, asked).is_some() {
-                    self.breaks("one-answer", at, format!("the trial used the id {request:016x} twice"));
+                    self.breaks(
+                        "one-answer",
+                        at,
+                        format!("the trial used the id {request:016x} twice"),
+                    );
                 }
             }
             Seen::Answered { request, answer } => {
-                let Some(known) = self.requests.get_mut(&request) else { return };
+                let Some(known) = self.requests.get_mut(&request) else {
+                    return;
+                };
                 known.answer = Some((at, answer));
                 let took = at.saturating_duration_since(known.asked);
                 self.count(match answer {
@@ -203,7 +236,11 @@
                 }
             }
             Seen::Again { request } => {
-                self.breaks("one-answer", at, format!("request {request:016x} was answered a second time"));
+                self.breaks(
+                    "one-answer",
+                    at,
+                    format!("request {request:016x} was answered a second time"),
+                );
             }
             Seen::GaveUp { request } => {
                 if let Some(request) = self.requests.get_mut(&request) {
@@ -216,7 +253,11 @@
                 }
             }
             Seen::Stood { request, end } => self.stood(at, request, end),
-            Seen::Fell { transcriber, cold, held } => {
+            Seen::Fell {
+                transcriber,
+                cold,
+                held,
+            } => {
                 self.count("fell");
                 if cold {
                     self.breaks(
@@ -230,8 +271,16 @@
                 self.cold.push(begun);
                 *self.cold_by.entry(transcriber).or_default() += 1;
             }
-            Seen::Told { node, transcriber, ready: true } => drop(self.told.remove(&(node, transcriber))),
-            Seen::Told { node, transcriber, ready: false } => {
+            Seen::Told {
+                node,
+                transcriber,
+                ready: true,
+            } => drop(self.told.remove(&(node, transcriber))),
+            Seen::Told {
+                node,
+                transcriber,
+                ready: false,
+            } => {
                 self.told.entry((node, transcriber)).or_insert(at);
             }
         }
@@ -243,9 +292,13 @@
             End::Moved => "moved",
             End::Theirs | End::Cut => "cut",
         });
-        let Some(known) = self.requests.get(&request).filter(|_| end == End::Cut) else { return };
+        let Some(known) = self.requests.get(&request).filter(|_| end == End::Cut) else {
+            return;
+        };
         let (node, asked) = (known.node, known.asked);
-        let faulty = known.transcriber.and_then(|transcriber| self.links.get(&(node, transcriber)));
+        let faulty = known
+            .transcriber
+            .and_then(|transcriber| self.links.get(&(node, transcriber)));
         let faulty = faulty.is_some_and(|last| at.saturating_duration_since(*last) < AFTER_FAULT);
         if !known.dropped && !faulty && !self.was_absent(node, asked, at) {
             let what = format!(
@@ -291,12 +344,21 @@
         // A greater whole of before may still be out until all slices of it are surely over.
         let wholes = self.wholes.clone();
         let allowed = |at: Instant| {
-            let at_first = wholes.first().is_none_or(|(from, _)| at < *from + SLICES_OVER).then_some(whole);
+            let at_first = wholes
+                .first()
+                .is_none_or(|(from, _)| at < *from + SLICES_OVER)
+                .then_some(whole);
             let later = wholes.iter().enumerate().filter(|(n, (from, _))| {
-                let next = wholes.get(n + 1).is_none_or(|(next, _)| at < *next + SLICES_OVER);
+                let next = wholes
+                    .get(n + 1)
+                    .is_none_or(|(next, _)| at < *next + SLICES_OVER);
                 *from <= at && next
             });
-            later.map(|(_, (_, whole))| *whole).chain(at_first).max().unwrap_or(whole)
+            later
+                .map(|(_, (_, whole))| *whole)
+                .chain(at_first)
+                .max()
+                .unwrap_or(whole)
         };
         let (mut peak, mut first, mut over) = (0, 0, None);
         for (last, moment) in self.cold.iter().enumerate() {
@@ -311,14 +373,23 @@
         }
         if let Some((sum, at)) = over {
             let whole = allowed(at);
-            let what = format!("{sum} connections to cold transcribers in a second, {whole} are the whole");
+            let what = format!(
+                "{sum} connections to cold transcribers in a second, {whole} are the whole"
+            );
             self.breaks("budget", at, what);
         }
-        let last = self.cold.last().map_or(0.0, |last| self.seconds(*last) + 1.0);
+        let last = self
+            .cold
+            .last()
+            .map_or(0.0, |last| self.seconds(*last) + 1.0);
         let sums = (0..(last * 10.0) as usize).map(|tenth| {
             let to = self.start + Duration::from_millis(tenth as u64 * 100);
             let from = to.checked_sub(SECOND).unwrap_or(self.start);
-            let sum = self.cold.iter().filter(|moment| **moment > from && **moment <= to).count();
+            let sum = self
+                .cold
+                .iter()
+                .filter(|moment| **moment > from && **moment <= to)
+                .count();
             (tenth as f64 / 10.0, sum as u32)
         });
         let sums = sums.collect();
@@ -329,8 +400,16 @@
             span += to - from;
         }
         // What was sent takes its unit for as long as the budget counts it.
-        let used = (span > 0.0).then(|| came as f64 * WINDOW.as_secs_f64() / (span * f64::from(whole)));
-        Budget { name: "cold", whole, peak, used, total: self.cold.len(), sums }
+        let used =
+            (span > 0.0).then(|| came as f64 * WINDOW.as_secs_f64() / (span * f64::from(whole)));
+        Budget {
+            name: "cold",
+            whole,
+            peak,
+            used,
+            total: self.cold.len(),
+            sums,
+        }
     }
 
     /// A person sets another whole of the cold budget.
--- a/crates/fault-injection/src/plan.rs
+++ b/crates/fault-injection/src/plan.rs
@@ -47,13 +47,28 @@
             }
             let stands_s = apart(&mut random, clients.stand_s).max(0.2);
             let group = random.random_range(0..clients.groups);
-            visits.push(Planned { at_s, group, stands_s, front: random.random() });
+            visits.push(Planned {
+                at_s,
+                group,
+                stands_s,
+                front: random.random(),
+            });
         }
-        let mut faults: Vec<Fault> = scenario.fault.iter().map(|fault| fault.get_ref().clone()).collect();
+        let mut faults: Vec<Fault> = scenario
+            .fault
+            .iter()
+            .map(|fault| fault.get_ref().clone())
+            .collect();
         // Up to a fifth of a second, so that faults do not always fall on the same beat of everything else.
-        faults.iter_mut().for_each(|fault| fault.at_s += random.random_range(0.0..0.2));
+        faults
+            .iter_mut()
+            .for_each(|fault| fault.at_s += random.random_range(0.0..0.2));
         faults.sort_by(|one, other| one.at_s.total_cmp(&other.at_s));
-        Plan { seed, visits, faults }
+        Plan {
+            seed,
+            visits,
+            faults,
+        }
     }
 
     /// A sum over all of it.
--- a/crates/fault-injection/src/processes.rs
+++ b/crates/fault-injection/src/processes.rs
@@ -54,19 +54,30 @@
 pub fn block() -> io::Result<(u8, u8, TcpListener)> {
     let first = std::process::id();
     for n in 0..2_000u32 {
-        let (high, low) =
-            (64 + (first.wrapping_add(n) % 128) as u8, ((first / 128).wrapping_add(n) % 250) as u8);
+        let (high, low) = (
+            64 + (first.wrapping_add(n) % 128) as u8,
+            ((first / 128).wrapping_add(n) % 250) as u8,
+        );
         // Held for as long as the trial runs: what marks the block as taken.
         if let Ok(held) = TcpListener::bind((Ipv4Addr::new(127, high, low, 254), 7399)) {
             return Ok((high, low, held));
         }
     }
-    Err(io::Error::new(io::ErrorKind::AddrInUse, "no block of loopback addresses is free"))
+    Err(io::Error::new(
+        io::ErrorKind::AddrInUse,
+        "no block of loopback addresses is free",
+    ))
 }
 
 impl Node {
     /// Not started yet.
-    pub fn new(name: String, zone: String, program: Vec<String>, ip: IpAddr, folder: PathBuf) -> Node {
+    pub fn new(
+        name: String,
+        zone: String,
+        program: Vec<String>,
+        ip: IpAddr,
+        folder: PathBuf,
+    ) -> Node {
         Node {
             name,
             zone,
@@ -127,7 +138,10 @@
             return Err(io::Error::new(io::ErrorKind::InvalidInput, "no program"));
         };
         let mut command = Command::new(program);
-        command.args(before).args(["serve", "--config"]).arg(self.folder.join("config.json"));
+        command
+            .args(before)
+            .args(["serve", "--config"])
+            .arg(self.folder.join("config.json"));
         let operator = self.folder.join("operator.toml");
         if operator.exists() {
             command.arg("--operator").arg(operator);
@@ -148,7 +162,11 @@
 
     /// Sends its process a signal.
     pub fn signal(&mut self, signal: Signal) {
-        if let Some(pid) = self.child.as_ref().and_then(|child| Pid::from_raw(child.id() as i32)) {
+        if let Some(pid) = self
+            .child
+            .as_ref()
+            .and_then(|child| Pid::from_raw(child.id() as i32))
+        {
             // One that has ended meanwhile is waited for by `ended`.
             let _ = kill_process(pid, signal);
         }
@@ -168,7 +186,11 @@
         let stat = fs::read_to_string(format!("/proc/{}/stat", self.child.as_ref()?.id())).ok()?;
         // The name in brackets may hold anything; the 12th and 13th fields behind it are the times.
         let fields = stat.rsplit_once(')')?.1.split_whitespace();
-        let times: Vec<u64> = fields.skip(11).take(2).filter_map(|time| time.parse().ok()).collect();
+        let times: Vec<u64> = fields
+            .skip(11)
+            .take(2)
+            .filter_map(|time| time.parse().ok())
+            .collect();
         (times.len() == 2).then(|| times.iter().sum::<u64>() * 10)
     }
 
@@ -189,7 +211,9 @@
 /// Memory of a process that is resident, in kB.
 pub fn rss_kb(pid: u32) -> Option<u64> {
     let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+    let line = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:"))?;
     line.split_whitespace().next()?.parse().ok()
 }
 
--- a/crates/fault-injection/src/proxy.rs
+++ b/crates/fault-injection/src/proxy.rs
@@ -41,12 +41,35 @@
 }
 
 /// Opens the way from one party to another that listens at `target`; gives where the first one reaches it.
-pub fn open(hands: &mut World, from: Party, to: Party, target: SocketAddr) -> io::Result<SocketAddr> {
+pub fn open(
+    hands: &mut World,
+    from: Party,
+    to: Party,
+    target: SocketAddr,
+) -> io::Result<SocketAddr> {
     let id = hands.name();
     let listener = poll::listen(SocketAddr::from(([127, 0, 0, 1], 0)))?;
     let at = listener.local_addr()?;
-    let listener = Some(Watched::new(&hands.poller, listener, key(id, 0), true, false)?);
-    hands.adopt(id, Box::new(Door { id, from, to, target, at, listener, kept: None, fillers: Vec::new() }));
+    let listener = Some(Watched::new(
+        &hands.poller,
+        listener,
+        key(id, 0),
+        true,
+        false,
+    )?);
+    hands.adopt(
+        id,
+        Box::new(Door {
+            id,
+            from,
+            to,
+            target,
+            at,
+            listener,
+            kept: None,
+            fillers: Vec::new(),
+        }),
+    );
     hands.world.doors.insert((from, to), id);
     Ok(at)
 }
@@ -64,9 +87,12 @@
     fn look(&mut self, hands: &mut World) -> io::Result<()> {
         let cut = hands.world.links.cut(self.from, self.to);
         let down = match self.to {
-            Party::Transcriber(number) => {
-                hands.world.fleet.all.get(number).is_some_and(|one| one.mode == transcriber::Mode::Down)
-            }
+            Party::Transcriber(number) => hands
+                .world
+                .fleet
+                .all
+                .get(number)
+                .is_some_and(|one| one.mode == transcriber::Mode::Down),
             _ => false,
         };
         if down && !cut {
@@ -83,9 +109,17 @@
             };
             socket.listen(BACKLOG)?;
             let listener = TcpListener::from(socket);
-            self.listener = Some(Watched::new(&hands.poller, listener, key(self.id, 0), true, false)?);
+            self.listener = Some(Watched::new(
+                &hands.poller,
+                listener,
+                key(self.id, 0),
+                true,
+                false,
+            )?);
         }
-        let Some(listener) = &mut self.listener else { return Ok(()) };
+        let Some(listener) = &mut self.listener else {
+            return Ok(());
+        };
         if cut && self.fillers.is_empty() {
             listener.want(false, false)?;
             SockRef::from(&**listener).listen(0)?;
@@ -105,11 +139,18 @@
     }
 
     fn accept(&mut self, hands: &mut World) {
-        let own: Vec<_> =
-            self.fillers.iter().filter_map(|filler| filler.local_addr().ok()?.as_socket()).collect();
+        let own: Vec<_> = self
+            .fillers
+            .iter()
+            .filter_map(|filler| filler.local_addr().ok()?.as_socket())
+            .collect();
         for _ in 0..ACCEPTS {
-            let Some(listener) = &self.listener else { return };
-            let Ok((near, from)) = listener.accept() else { return };
+            let Some(listener) = &self.listener else {
+                return;
+            };
+            let Ok((near, from)) = listener.accept() else {
+                return;
+            };
             if !own.contains(&from) {
                 let _ = Pipe::begin(hands, self.from, self.to, near, self.target);
             }
@@ -180,7 +221,10 @@
         if let Ok(local) = far.local_addr() {
             hands.world.sent.insert(local, begun);
         }
-        let first = || Half { first: Some(Vec::new()), ..Half::default() };
+        let first = || Half {
+            first: Some(Vec::new()),
+            ..Half::default()
+        };
         let pipe = Pipe {
             id,
             parties: [from, to],
@@ -229,10 +273,14 @@
 
     /// What goes by between a node and a transcriber: the first line of either.
     fn tap(&mut self, hands: &mut World, side: usize, bytes: &[u8]) {
-        let (Party::Node(node), Party::Transcriber(transcriber)) = (self.parties[0], self.parties[1]) else {
+        let (Party::Node(node), Party::Transcriber(transcriber)) =
+            (self.parties[0], self.parties[1])
+        else {
+            return;
+        };
+        let Some(mut first) = self.halves[side].first.take() else {
             return;
         };
-        let Some(mut first) = self.halves[side].first.take() else { return };
         first.extend_from_slice(bytes);
         let Some(end) = first.iter().position(|byte| *byte == b'\n') else {
             if first.len() < 4 << 10 {
@@ -245,7 +293,10 @@
             let id = line.strip_prefix("OPEN ").and_then(|rest| rest.get(..16));
             self.request = id.and_then(|id| u64::from_str_radix(id, 16).ok());
             if let Some(request) = self.request {
-                hands.world.judge.begun(request, node, transcriber, self.begun);
+                hands
+                    .world
+                    .judge
+                    .begun(request, node, transcriber, self.begun);
             }
         } else if !line.starts_with("UP ") {
             self.over(hands);
@@ -253,7 +304,10 @@
     }
 
     fn read(&mut self, hands: &mut World, side: usize) -> io::Result<()> {
-        let way = hands.world.links.way(self.parties[side], self.parties[1 - side]);
+        let way = hands
+            .world
+            .links
+            .way(self.parties[side], self.parties[1 - side]);
         let (mut scratch, mut taken) = ([0; 8 << 10], 0);
         while taken < TURN && self.halves[side].bytes < MOST_HELD && !self.halves[side].ended {
             let read = match self.streams[side].read(&mut scratch) {
@@ -271,7 +325,11 @@
             };
             taken += read;
             self.tap(hands, side, &scratch[..read]);
-            let jitter = if way.jitter.is_zero() { 0.0 } else { hands.world.random.random::<f64>() };
+            let jitter = if way.jitter.is_zero() {
+                0.0
+            } else {
+                hands.world.random.random::<f64>()
+            };
             let half = &mut self.halves[side];
             let mut at = Instant::now() + way.delay + way.jitter.mul_f64(jitter);
             if way.rate > 0.0 {
@@ -289,7 +347,10 @@
 
     /// Passes on what may go by now; `Err` names the side that broke.
     fn pump(&mut self, hands: &mut World, side: usize) -> Result<(), usize> {
-        let way = hands.world.links.way(self.parties[side], self.parties[1 - side]);
+        let way = hands
+            .world
+            .links
+            .way(self.parties[side], self.parties[1 - side]);
         let (half, other) = (&mut self.halves[side], 1 - side);
         if !self.connected || way.cut {
             return Ok(());
@@ -325,7 +386,11 @@
     fn step(&mut self, hands: &mut World) -> Flow {
         if self.broken {
             let cut = hands.world.links.cut(self.parties[0], self.parties[1]);
-            return if cut { Flow::Keep } else { self.broke(hands, 1) };
+            return if cut {
+                Flow::Keep
+            } else {
+                self.broke(hands, 1)
+            };
         }
         for side in [0, 1] {
             if let Err(broken) = self.pump(hands, side) {
@@ -338,8 +403,15 @@
         for side in [0, 1] {
             let reads = !self.halves[side].ended && self.halves[side].bytes < MOST_HELD;
             let now = Instant::now();
-            let writes = self.halves[1 - side].held.front().is_some_and(|(at, _)| *at <= now);
-            let cut = hands.world.links.way(self.parties[1 - side], self.parties[side]).cut;
+            let writes = self.halves[1 - side]
+                .held
+                .front()
+                .is_some_and(|(at, _)| *at <= now);
+            let cut = hands
+                .world
+                .links
+                .way(self.parties[1 - side], self.parties[side])
+                .cut;
             let writes = (writes && !cut) || (side == 1 && !self.connected);
             if self.streams[side].want(reads, writes).is_err() {
                 return self.broke(hands, side);
--- a/crates/fault-injection/src/report.rs
+++ b/crates/fault-injection/src/report.rs
@@ -35,7 +35,10 @@
             budget["total"]
         );
     }
-    let broken = outcome["judge"]["broken"].as_array().cloned().unwrap_or_default();
+    let broken = outcome["judge"]["broken"]
+        .as_array()
+        .cloned()
+        .unwrap_or_default();
     for one in &broken {
         let rule = one["rule"].as_str().unwrap_or("?");
         let _ = writeln!(
@@ -53,7 +56,12 @@
 
 fn events(outcome: &Value) -> Vec<(f64, String)> {
     let event = |event: &Value| Some((event[0].as_f64()?, event[1].as_str()?.to_string()));
-    outcome["events"].as_array().into_iter().flatten().filter_map(event).collect()
+    outcome["events"]
+        .as_array()
+        .into_iter()
+        .flatten()
+        .filter_map(event)
+        .collect()
 }
 
 /// Draws faults, service and each judged sum over time.
@@ -70,8 +78,11 @@
         .collect();
     // By time: the file has the seconds in the order of their digits.
     service.sort_by(|one, other| one.0.total_cmp(&other.0));
-    let faults: Vec<f64> =
-        events(outcome).iter().filter(|(_, what)| what.starts_with("fault")).map(|(at, _)| *at).collect();
+    let faults: Vec<f64> = events(outcome)
+        .iter()
+        .filter(|(_, what)| what.starts_with("fault"))
+        .map(|(at, _)| *at)
+        .collect();
     let end = service.iter().map(|(at, _)| *at).fold(1.0, f64::max) + 1.0;
     let root = SVGBackend::new(to, SIZE).into_drawing_area();
     root.fill(&WHITE).map_err(|error| named(&error))?;
@@ -88,19 +99,35 @@
                 .draw_series(LineSeries::new(points, colour.stroke_width(2)))
                 .map_err(|error| named(&error))?;
         }
-        let marks =
-            faults.iter().map(|at| PathElement::new(vec![(*at, 0.0), (*at, most * 1.1)], RED.mix(0.5)));
-        chart.draw_series(marks).map(drop).map_err(|error| named(&error))
+        let marks = faults
+            .iter()
+            .map(|at| PathElement::new(vec![(*at, 0.0), (*at, most * 1.1)], RED.mix(0.5)));
+        chart
+            .draw_series(marks)
+            .map(drop)
+            .map_err(|error| named(&error))
     };
     // Above: the part of visits served in time; below: the budget's sum over a second, and its whole.
-    plot(&parts[0], 1.0, vec![(service, BLUE), (vec![(0.0, 1.0), (end, 1.0)], RGBColor(200, 200, 200))])?;
+    plot(
+        &parts[0],
+        1.0,
+        vec![
+            (service, BLUE),
+            (vec![(0.0, 1.0), (end, 1.0)], RGBColor(200, 200, 200)),
+        ],
+    )?;
     for budget in outcome["budgets"].as_array().into_iter().flatten().take(1) {
         let whole = budget["whole"].as_f64().unwrap_or(1.0);
         let sums = budget["sums"].as_array().into_iter().flatten();
-        let sums: Vec<(f64, f64)> =
-            sums.filter_map(|sum| Some((sum[0].as_f64()?, sum[1].as_f64()?))).collect();
+        let sums: Vec<(f64, f64)> = sums
+            .filter_map(|sum| Some((sum[0].as_f64()?, sum[1].as_f64()?)))
+            .collect();
         let most = sums.iter().map(|(_, sum)| *sum).fold(whole, f64::max);
-        plot(&parts[1], most, vec![(sums, BLUE), (vec![(0.0, whole), (end, whole)], BLACK)])?;
+        plot(
+            &parts[1],
+            most,
+            vec![(sums, BLUE), (vec![(0.0, whole), (end, whole)], BLACK)],
+        )?;
     }
     root.present().map_err(|error| named(&error))
 }
--- a/crates/fault-injection/src/run.rs
+++ b/crates/fault-injection/src/run.rs
@@ -97,7 +97,10 @@
     let named = |error: std::io::Error| error.to_string();
     let plan = Plan::draw(&scenario, seed);
     let (high, low, held) = block().map_err(named)?;
-    let folder = std::env::temp_dir().join(format!("lupincrank-trial-{}-{high}-{low}", std::process::id()));
+    let folder = std::env::temp_dir().join(format!(
+        "lupincrank-trial-{}-{high}-{low}",
+        std::process::id()
+    ));
     fs::create_dir_all(&folder).map_err(named)?;
     let bears = &scenario.bears;
     let strength = Strength {
@@ -119,7 +122,10 @@
         scenario,
         plan,
         manners,
-        fleet: Fleet { strength, all: Vec::new() },
+        fleet: Fleet {
+            strength,
+            all: Vec::new(),
+        },
         random: Pcg64Mcg::new(u128::from(seed) << 8 | 3),
         stop: options.stop,
         folder: folder.clone(),
@@ -134,7 +140,11 @@
         release(hands, false)?;
     }
     for node in 0..nodes {
-        let program = options.programs.get(&node).unwrap_or(&options.program).clone();
+        let program = options
+            .programs
+            .get(&node)
+            .unwrap_or(&options.program)
+            .clone();
         add(hands, program, None)?;
     }
     for node in 0..nodes {
@@ -151,7 +161,10 @@
         Some((node.name.clone(), told.clone()))
     });
     let ends = ends.collect();
-    let times = stage.nodes.iter().filter_map(|node| Some((node.name.clone(), node.cpu_ms()?)));
+    let times = stage
+        .nodes
+        .iter()
+        .filter_map(|node| Some((node.name.clone(), node.cpu_ms()?)));
     let cpu_ms = times.collect();
     stage.nodes.iter_mut().for_each(Node::kill);
     if let Some(to) = &options.logs {
@@ -164,7 +177,11 @@
         let _ = fs::remove_dir_all(&folder);
         return Err(format!("{name}, seed {seed}: {why}\n{log}"));
     }
-    let outcome = Outcome { ends, cpu_ms, ..outcome(name, stage) };
+    let outcome = Outcome {
+        ends,
+        cpu_ms,
+        ..outcome(name, stage)
+    };
     let _ = fs::remove_dir_all(&folder);
     Ok(outcome)
 }
@@ -173,30 +190,51 @@
     let now = Instant::now();
     let (requests, unanswered, lost) = stage.judge.finish(now);
     let cold = stage.scenario.cold.clone();
-    let budgets = cold.iter().map(|cold| stage.judge.cold(cold.whole, &cold.enough));
+    let budgets = cold
+        .iter()
+        .map(|cold| stage.judge.cold(cold.whole, &cold.enough));
     let budgets: Vec<Budget> = budgets.collect();
     let due: u32 = stage.service.values().map(|(due, _)| *due).sum();
     let up: u32 = stage.service.values().map(|(_, up)| *up).sum();
     let service = f64::from(up.min(due)) / f64::from(due.max(1));
     let least = stage.scenario.hold.service;
     if service < least {
-        stage.judge.breaks("hold", now, format!("service is {service:.3}, {least} is the least"));
+        stage.judge.breaks(
+            "hold",
+            now,
+            format!("service is {service:.3}, {least} is the least"),
+        );
     }
     let used = budgets.iter().filter_map(|budget| budget.used);
     for used in used.filter(|used| *used < stage.scenario.hold.used) {
         let least = stage.scenario.hold.used;
-        stage.judge.breaks("hold", now, format!("{used:.2} of the budget was in use, {least} is the least"));
+        stage.judge.breaks(
+            "hold",
+            now,
+            format!("{used:.2} of the budget was in use, {least} is the least"),
+        );
     }
     let (councils, most) = (stage.councils.len(), stage.scenario.hold.foundings);
     if most > 0 && councils > most {
-        stage.judge.breaks("hold", now, format!("{councils} councils were founded, {most} are the most"));
+        stage.judge.breaks(
+            "hold",
+            now,
+            format!("{councils} councils were founded, {most} are the most"),
+        );
     }
     let start = stage.start;
     let seconds = |at: Instant| {
-        let (after, before) = (at.saturating_duration_since(start), start.saturating_duration_since(at));
+        let (after, before) = (
+            at.saturating_duration_since(start),
+            start.saturating_duration_since(at),
+        );
         after.as_secs_f64() - before.as_secs_f64()
     };
-    let events = stage.events.iter().map(|event| (seconds(event.at), event.what.clone())).collect();
+    let events = stage
+        .events
+        .iter()
+        .map(|event| (seconds(event.at), event.what.clone()))
+        .collect();
     Outcome {
         scenario: name.to_string(),
         seed: stage.plan.seed,
@@ -212,7 +250,9 @@
         counts: stage.judge.counts().clone(),
         councils,
         setups_ms: stage.judge.setups_ms(),
-        judge: Verdict { broken: stage.judge.broken().to_vec() },
+        judge: Verdict {
+            broken: stage.judge.broken().to_vec(),
+        },
         budgets,
         ends: BTreeMap::new(),
         cpu_ms: BTreeMap::new(),
@@ -242,8 +282,12 @@
         fs::write(to.join(format!("{}.log", node.name)), &log)?;
         for line in log.lines() {
             // Lines without a time of their own stay behind the one before.
-            let time = line.get(7..19).filter(|time| time.as_bytes().get(2) == Some(&b':'));
-            let time = time.map(str::to_string).or_else(|| lines.last().map(|(time, _)| time.clone()));
+            let time = line
+                .get(7..19)
+                .filter(|time| time.as_bytes().get(2) == Some(&b':'));
+            let time = time
+                .map(str::to_string)
+                .or_else(|| lines.last().map(|(time, _)| time.clone()));
             lines.push((
                 time.unwrap_or_default(),
                 format!("{:9} {}", node.name, line.get(20..).unwrap_or(line)),
@@ -264,6 +308,16 @@
 
 /// The time of day in UTC, as the nodes' logs write it.
 fn clock(wall: SystemTime) -> String {
-    let ms = wall.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_millis() % 86_400_000;
-    format!("{:02}:{:02}:{:02}.{:03}", ms / 3_600_000, ms / 60_000 % 60, ms / 1000 % 60, ms % 1000)
+    let ms = wall
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_millis()
+        % 86_400_000;
+    format!(
+        "{:02}:{:02}:{:02}.{:03}",
+        ms / 3_600_000,
+        ms / 60_000 % 60,
+        ms / 1000 % 60,
+        ms % 1000
+    )
 }
--- a/crates/fault-injection/src/scenario.rs
+++ b/crates/fault-injection/src/scenario.rs
@@ -73,7 +73,14 @@
 
 impl Default for Clients {
     fn default() -> Clients {
-        Clients { rate: 20.0, stand_s: 8.0, wait_ms: 1500, line_ms: 1000, groups: 500, skew: 1.0 }
+        Clients {
+            rate: 20.0,
+            stand_s: 8.0,
+            wait_ms: 1500,
+            line_ms: 1000,
+            groups: 500,
+            skew: 1.0,
+        }
     }
 }
 
@@ -91,7 +98,11 @@
 
 impl Default for Bears {
     fn default() -> Bears {
-        Bears { held: 80.0, cold_s: 8.0, setup_ms: 5 }
+        Bears {
+            held: 80.0,
+            cold_s: 8.0,
+            setup_ms: 5,
+        }
     }
 }
 
@@ -215,11 +226,24 @@
 
     /// Reads a file's text; an error names line and reason.
     pub fn read(text: &str) -> Result<Scenario, String> {
-        let line = |at: usize| text.as_bytes().iter().take(at).filter(|byte| **byte == b'\n').count() + 1;
+        let line = |at: usize| {
+            text.as_bytes()
+                .iter()
+                .take(at)
+                .filter(|byte| **byte == b'\n')
+                .count()
+                + 1
+        };
         let scenario: Scenario = toml::from_str(text).map_err(|error| {
-            format!("line {}: {}", error.span().map_or(1, |span| line(span.start)), error.message())
+            format!(
+                "line {}: {}",
+                error.span().map_or(1, |span| line(span.start)),
+                error.message()
+            )
         })?;
-        scenario.check().map_err(|(at, why)| format!("line {}: {why}", line(at)))?;
+        scenario
+            .check()
+            .map_err(|(at, why)| format!("line {}: {why}", line(at)))?;
         Ok(scenario)
     }
 
@@ -231,7 +255,13 @@
                 Err((at, format!("{name}: {value} is not in {least} to {most}")))
             }
         };
-        within("nodes", *self.nodes.get_ref() as f64, 1.0, 60.0, self.nodes.span().start)?;
+        within(
+            "nodes",
+            *self.nodes.get_ref() as f64,
+            1.0,
+            60.0,
+            self.nodes.span().start,
+        )?;
         within(
             "transcribers",
             *self.transcribers.get_ref() as f64,
@@ -239,26 +269,58 @@
             60.0,
             self.transcribers.span().start,
         )?;
-        within("seconds", *self.seconds.get_ref(), 2.0, 600.0, self.seconds.span().start)?;
+        within(
+            "seconds",
+            *self.seconds.get_ref(),
+            2.0,
+            600.0,
+            self.seconds.span().start,
+        )?;
         within("zones", self.zones as f64, 1.0, 10.0, 0)?;
         within("clients.rate", self.clients.rate, 0.0, 2_000.0, 0)?;
         within("clients.stand_s", self.clients.stand_s, 0.1, 600.0, 0)?;
-        within("clients.wait_ms", self.clients.wait_ms as f64, 100.0, 10_000.0, 0)?;
-        within("clients.line_ms", self.clients.line_ms as f64, 50.0, 10_000.0, 0)?;
+        within(
+            "clients.wait_ms",
+            self.clients.wait_ms as f64,
+            100.0,
+            10_000.0,
+            0,
+        )?;
+        within(
+            "clients.line_ms",
+            self.clients.line_ms as f64,
+            50.0,
+            10_000.0,
+            0,
+        )?;
         within("clients.groups", self.clients.groups as f64, 1.0, 1e9, 0)?;
         within("clients.skew", self.clients.skew, 1.0, 1_000.0, 0)?;
         let spans = self.cold.iter().flat_map(|cold| &cold.enough);
         for (from, to) in spans {
-            within("cold.enough: its end", *to, from + 0.1, *self.seconds.get_ref(), 0)?;
+            within(
+                "cold.enough: its end",
+                *to,
+                from + 0.1,
+                *self.seconds.get_ref(),
+                0,
+            )?;
         }
         within("bears.held", self.bears.held, 1.0, 10_000.0, 0)?;
         within("bears.cold_s", self.bears.cold_s, 0.1, 600.0, 0)?;
         let joins = self
             .fault
             .iter()
-            .filter(|fault| fault.get_ref().kind == Kind::Join || fault.get_ref().kind == Kind::Twin)
+            .filter(|fault| {
+                fault.get_ref().kind == Kind::Join || fault.get_ref().kind == Kind::Twin
+            })
             .count();
-        within("nodes with those that join", (self.nodes.get_ref() + joins) as f64, 1.0, 62.0, 0)?;
+        within(
+            "nodes with those that join",
+            (self.nodes.get_ref() + joins) as f64,
+            1.0,
+            62.0,
+            0,
+        )?;
         for fault in &self.fault {
             let (at, fault) = (fault.span().start, fault.get_ref());
             within("at_s", fault.at_s, 0.0, *self.seconds.get_ref(), at)?;
@@ -283,7 +345,10 @@
             for (name, selector) in [("on", &fault.on), ("to", &fault.to)] {
                 let needed = name == "on" && !matches!(fault.kind, Kind::Join | Kind::Release);
                 if (needed && selector.is_empty()) || !self.names(selector) {
-                    return Err((at, format!("{name}: {selector:?} is no party of this trial")));
+                    return Err((
+                        at,
+                        format!("{name}: {selector:?} is no party of this trial"),
+                    ));
                 }
             }
             if !links && (!fault.to.is_empty() || fault.one_way) {
@@ -303,11 +368,15 @@
     /// Whether this names parties; nothing names all.
     fn names(&self, selector: &str) -> bool {
         let number = |prefix: &str, most: usize| {
-            let rest = selector.strip_prefix(prefix).and_then(|rest| rest.parse::<usize>().ok());
+            let rest = selector
+                .strip_prefix(prefix)
+                .and_then(|rest| rest.parse::<usize>().ok());
             rest.is_some_and(|number| number < most)
         };
-        matches!(selector, "" | "all" | "nodes" | "transcribers" | "discovery" | "leader" | "follower")
-            || number("n", 62)
+        matches!(
+            selector,
+            "" | "all" | "nodes" | "transcribers" | "discovery" | "leader" | "follower"
+        ) || number("n", 62)
             || number("t", 160)
             || number("zone", self.zones)
     }
--- a/crates/fault-injection/src/stage.rs
+++ b/crates/fault-injection/src/stage.rs
@@ -168,7 +168,12 @@
 
     /// Writes something into the time line.
     pub fn event(&mut self, what: String, fault: bool) {
-        self.events.push(Event { at: Instant::now(), what, wall: SystemTime::now(), fault });
+        self.events.push(Event {
+            at: Instant::now(),
+            what,
+            wall: SystemTime::now(),
+            fault,
+        });
     }
 
     /// Why the trial could not be carried out, if it could not.
@@ -186,14 +191,18 @@
     pub fn leader(&self) -> Option<usize> {
         let mut votes: BTreeMap<&str, usize> = BTreeMap::new();
         for node in self.nodes.iter().filter(|node| node.state == State::Runs) {
-            if let Some(leader) =
-                node.status.as_ref().and_then(|(_, told)| told["council"]["leader"].as_str())
+            if let Some(leader) = node
+                .status
+                .as_ref()
+                .and_then(|(_, told)| told["council"]["leader"].as_str())
             {
                 *votes.entry(leader).or_default() += 1;
             }
         }
         let most = votes.into_iter().max_by_key(|(_, votes)| *votes)?.0;
-        self.nodes.iter().rposition(|node| node.name == most && node.state == State::Runs)
+        self.nodes
+            .iter()
+            .rposition(|node| node.name == most && node.state == State::Runs)
     }
 
     /// Nodes that run and belong to the fleet: of two with one name the one that began later.
@@ -205,8 +214,9 @@
                 .any(|other| other.name == node.name && other.state == State::Runs)
         };
         let nodes = self.nodes.iter().enumerate();
-        let living = nodes
-            .filter(|(number, node)| node.state == State::Runs && !node.foreign && !later(*number, node));
+        let living = nodes.filter(|(number, node)| {
+            node.state == State::Runs && !node.foreign && !later(*number, node)
+        });
         living.map(|(_, node)| node).collect()
     }
 
@@ -219,15 +229,23 @@
         let living = self.living();
         let mut leaders = Vec::new();
         for node in &living {
-            let Some((_, told)) = &node.status else { return Err(format!("{} says nothing", node.name)) };
+            let Some((_, told)) = &node.status else {
+                return Err(format!("{} says nothing", node.name));
+            };
             let status = &told["council"];
             leaders.push(status["leader"].as_str().unwrap_or("none"));
             let alive = told["alive"].as_u64().unwrap_or(0) as usize;
             if council && alive != living.len() {
-                return Err(format!("{} counts {alive} living nodes of {}", node.name, living.len()));
+                return Err(format!(
+                    "{} counts {alive} living nodes of {}",
+                    node.name,
+                    living.len()
+                ));
             }
-            let (sum, whole) =
-                (status["sum"].as_f64().unwrap_or(0.0), status["whole"].as_f64().unwrap_or(0.0));
+            let (sum, whole) = (
+                status["sum"].as_f64().unwrap_or(0.0),
+                status["whole"].as_f64().unwrap_or(0.0),
+            );
             if sum > whole {
                 return Err(format!("{} counts {sum} taken of {whole}", node.name));
             }
@@ -282,8 +300,14 @@
                 return;
             }
         }
-        if let Seen::Fell { transcriber, held, .. } = &seen {
-            self.event(format!("t{transcriber} fell with {held} connections"), false);
+        if let Seen::Fell {
+            transcriber, held, ..
+        } = &seen
+        {
+            self.event(
+                format!("t{transcriber} fell with {held} connections"),
+                false,
+            );
         }
         self.judge.saw(now, seen);
     }
--- a/crates/fault-injection/src/world.rs
+++ b/crates/fault-injection/src/world.rs
@@ -23,7 +23,13 @@
         return front[(drawn % front.len() as u64) as usize];
     }
     const FINE: f64 = 1000.0;
-    let places = |node: &usize| if *node == 0 { (skew * FINE) as u64 } else { FINE as u64 };
+    let places = |node: &usize| {
+        if *node == 0 {
+            (skew * FINE) as u64
+        } else {
+            FINE as u64
+        }
+    };
     let mut left = drawn % front.iter().map(places).sum::<u64>();
     let fits = front.iter().find(|node| {
         let fits = left < places(node);
@@ -46,8 +52,16 @@
             let number = hands.planned as u64;
             let stands = Duration::from_secs_f64(planned.stands_s);
             let group = planned.group;
-            let visit =
-                Visit { number, planned: at, since: at, group, stands, tries: 0, again: false, request: 0 };
+            let visit = Visit {
+                number,
+                planned: at,
+                since: at,
+                group,
+                stands,
+                tries: 0,
+                again: false,
+                request: 0,
+            };
             hands.due_in(at, false);
             hands.plan_visit(now, visit);
         }
@@ -57,20 +71,33 @@
             hands.event("the last client has come".into(), false);
         }
     }
-    while let Some(first) = hands.visits.first_entry().filter(|first| first.key().0 <= now) {
+    while let Some(first) = hands
+        .visits
+        .first_entry()
+        .filter(|first| first.key().0 <= now)
+    {
         let mut visit = first.remove();
-        let front: Vec<usize> = (0..hands.nodes.len()).filter(|node| hands.nodes[*node].in_front).collect();
+        let front: Vec<usize> = (0..hands.nodes.len())
+            .filter(|node| hands.nodes[*node].in_front)
+            .collect();
         let pause = now + Duration::from_millis(100);
         if front.is_empty() {
             hands.plan_visit(pause, visit);
             continue;
         }
         // The plan's own choice for the first try, another for each one after it.
-        let drawn = hands.plan.visits.get(visit.number as usize - 1).map_or(0, |planned| planned.front);
+        let drawn = hands
+            .plan
+            .visits
+            .get(visit.number as usize - 1)
+            .map_or(0, |planned| planned.front);
         hands.requests += 1;
-        let drawn = drawn.wrapping_add(u64::from(visit.tries)).wrapping_add(u64::from(visit.again) * 7);
+        let drawn = drawn
+            .wrapping_add(u64::from(visit.tries))
+            .wrapping_add(u64::from(visit.again) * 7);
         let node = choose(&front, drawn, hands.scenario.clients.skew);
-        visit.request = (hands.plan.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) << 32) ^ hands.requests;
+        visit.request =
+            (hands.plan.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) << 32) ^ hands.requests;
         let at = hands.nodes[node].listen();
         if !client::ask(hands, visit.clone(), node, at) {
             hands.plan_visit(pause, visit);
@@ -83,13 +110,18 @@
 fn wait(hands: &mut Hands<Stage>) {
     let now = Instant::now();
     let next = hands.visits.keys().next().map(|(at, _)| *at);
-    let planned =
-        hands.plan.visits.get(hands.planned).map(|visit| hands.start + Duration::from_secs_f64(visit.at_s));
+    let planned = hands
+        .plan
+        .visits
+        .get(hands.planned)
+        .map(|visit| hands.start + Duration::from_secs_f64(visit.at_s));
     let planned = planned.filter(|_| hands.phase == Phase::Runs);
     let over = hands.start + Duration::from_secs_f64(*hands.scenario.seconds.get_ref());
     let over = Some(over).filter(|_| hands.phase == Phase::Runs);
     if let Some(next) = [next, planned, over].into_iter().flatten().min() {
-        hands.deadlines.set(WORLD, VISITS, next.max(now + Duration::from_millis(1)));
+        hands
+            .deadlines
+            .set(WORLD, VISITS, next.max(now + Duration::from_millis(1)));
     }
 }
 
@@ -105,10 +137,15 @@
             hands.judge.absent(node, now, true);
             hands.event(format!("{name} has ended: {code}"), false);
             if before != State::Ends || !code.contains("exit status: 0") {
-                hands.judge.breaks("crash", now, format!("{name} ended by itself: {code}"));
+                hands
+                    .judge
+                    .breaks("crash", now, format!("{name} ended by itself: {code}"));
             }
         }
-        if matches!(hands.nodes[node].state, State::Runs | State::Ends | State::Frozen) {
+        if matches!(
+            hands.nodes[node].state,
+            State::Runs | State::Ends | State::Frozen
+        ) {
             call::ping(hands, node);
             if hands.scenario.talk && hands.nodes[node].state != State::Frozen {
                 call::status(hands, node);
@@ -119,8 +156,16 @@
     match hands.phase {
         Phase::Starts => {
             let ready = hands.nodes.iter().all(|node| node.in_front);
-            let share = if hands.scenario.cold.is_some() { 0.9 } else { 0.0 };
-            let missing = if talks { hands.settled(true, share) } else { Ok(()) };
+            let share = if hands.scenario.cold.is_some() {
+                0.9
+            } else {
+                0.0
+            };
+            let missing = if talks {
+                hands.settled(true, share)
+            } else {
+                Ok(())
+            };
             if ready && missing.is_ok() {
                 hands.start = now;
                 hands.judge.starts(now);
@@ -129,7 +174,9 @@
                 visits(hands);
                 faults::schedule(hands);
             } else if now.duration_since(hands.began) > READY {
-                let why = missing.err().unwrap_or_else(|| "not all nodes answer PONG".into());
+                let why = missing
+                    .err()
+                    .unwrap_or_else(|| "not all nodes answer PONG".into());
                 hands.fails(format!("not ready after {READY:?}: {why}"));
             }
         }
@@ -143,7 +190,9 @@
                 match missing {
                     Ok(()) => hands.phase = Phase::Over,
                     Err(why) if now.duration_since(asked) > SETTLES => {
-                        hands.judge.breaks("hold", now, format!("after {SETTLES:?}: {why}"));
+                        hands
+                            .judge
+                            .breaks("hold", now, format!("after {SETTLES:?}: {why}"));
                         hands.phase = Phase::Over;
                     }
                     Err(_) => {}
--- a/crates/fault-injection/src/wrongdoer.rs
+++ b/crates/fault-injection/src/wrongdoer.rs
@@ -70,13 +70,18 @@
 impl Script {
     fn take(&mut self, list: &serde_json::Value) {
         for host in list["hosts"].as_array().into_iter().flatten() {
-            let (Some(name), Some(dial)) = (host["host"].as_str(), host["dial"].as_str()) else { continue };
+            let (Some(name), Some(dial)) = (host["host"].as_str(), host["dial"].as_str()) else {
+                continue;
+            };
             let Ok(dial) = dial.parse() else { continue };
             let drains = host["health"] == "DRAINING";
             if host["health"] == "DELETED" {
                 self.hosts.remove(name);
             } else {
-                self.hosts.insert(name.into(), (dial, drains, host["born_ms"].as_u64().unwrap_or(0)));
+                self.hosts.insert(
+                    name.into(),
+                    (dial, drains, host["born_ms"].as_u64().unwrap_or(0)),
+                );
             }
         }
     }
@@ -99,13 +104,19 @@
 /// Serves with the configuration at this path until it is killed.
 pub fn serve(wrong: Wrong, config: &str) -> Result<(), String> {
     let text = std::fs::read_to_string(config).map_err(|error| error.to_string())?;
-    let config: serde_json::Value = serde_json::from_str(&text).map_err(|error| error.to_string())?;
+    let config: serde_json::Value =
+        serde_json::from_str(&text).map_err(|error| error.to_string())?;
     let address = |name: &str| {
         let told = config[name].as_str().unwrap_or_default();
-        told.parse::<SocketAddr>().map_err(|_| format!("{name}: {told:?}"))
+        told.parse::<SocketAddr>()
+            .map_err(|_| format!("{name}: {told:?}"))
     };
     let named = |error: io::Error| error.to_string();
-    let mut script = Script { wrong, hosts: BTreeMap::new(), turn: 0 };
+    let mut script = Script {
+        wrong,
+        hosts: BTreeMap::new(),
+        turn: 0,
+    };
     script.take(&config["known"]);
     let mut reactor = Reactor::new(script, 2).map_err(named)?;
     let hands = &mut reactor.hands;
@@ -113,9 +124,17 @@
     let listener = Watched::new(&hands.poller, listener, key(1, 0), true, false).map_err(named)?;
     hands.adopt(1, Box::new(Door { listener }));
     let stream = poll::connect(&hands.poller, address("discovery")?, key(2, 0)).map_err(named)?;
-    hands.adopt(2, Box::new(List { lines: Lines::new(stream), asked: false }));
+    hands.adopt(
+        2,
+        Box::new(List {
+            lines: Lines::new(stream),
+            asked: false,
+        }),
+    );
     if wrong == Wrong::Crashes {
-        hands.deadlines.set(lupincrank_reactor::WORLD, 0, Instant::now() + SOON * 2);
+        hands
+            .deadlines
+            .set(lupincrank_reactor::WORLD, 0, Instant::now() + SOON * 2);
     }
     reactor.run().map_err(named)
 }
@@ -126,9 +145,17 @@
 }
 
 impl Connection<Script> for List {
-    fn ready(&mut self, hands: &mut Hands<Script>, _side: usize, readable: bool, _writable: bool) -> Flow {
+    fn ready(
+        &mut self,
+        hands: &mut Hands<Script>,
+        _side: usize,
+        readable: bool,
+        _writable: bool,
+    ) -> Flow {
         if !std::mem::replace(&mut self.asked, true) {
-            let _ = self.lines.say("GET /v1/endpoints?watch=1&from=0 HTTP/1.1\r\nHost: x\r\n\r\n");
+            let _ = self
+                .lines
+                .say("GET /v1/endpoints?watch=1&from=0 HTTP/1.1\r\nHost: x\r\n\r\n");
         }
         if readable && self.lines.read().is_err() {
             return Flow::Done;
@@ -153,15 +180,29 @@
 }
 
 impl Connection<Script> for Door {
-    fn ready(&mut self, hands: &mut Hands<Script>, _side: usize, _readable: bool, _writable: bool) -> Flow {
+    fn ready(
+        &mut self,
+        hands: &mut Hands<Script>,
+        _side: usize,
+        _readable: bool,
+        _writable: bool,
+    ) -> Flow {
         while let Ok((stream, _)) = self.listener.accept() {
             let id = hands.name();
             if stream.set_nonblocking(true).is_err() {
                 continue;
             }
             if let Ok(client) = Watched::new(&hands.poller, stream, key(id, 0), true, false) {
-                hands
-                    .adopt(id, Box::new(Pair { id, client, peers: Vec::new(), line: Vec::new(), up: false }));
+                hands.adopt(
+                    id,
+                    Box::new(Pair {
+                        id,
+                        client,
+                        peers: Vec::new(),
+                        line: Vec::new(),
+                        up: false,
+                    }),
+                );
             }
         }
         Flow::Keep
@@ -193,7 +234,11 @@
             Err(_) => return Flow::Done,
         };
         if let Some(peer) = self.peers.first_mut() {
-            let sent = if self.up { peer.write(&bytes[..read]).map(drop) } else { Ok(()) };
+            let sent = if self.up {
+                peer.write(&bytes[..read]).map(drop)
+            } else {
+                Ok(())
+            };
             return if sent.is_ok() { Flow::Keep } else { Flow::Done };
         }
         self.line.extend_from_slice(&bytes[..read]);
@@ -210,7 +255,9 @@
         }
         let copies = if wrong == Wrong::TwoAtOnce { 2 } else { 1 };
         for side in 0..copies {
-            let Some(at) = hands.world.choose() else { return Flow::Done };
+            let Some(at) = hands.world.choose() else {
+                return Flow::Done;
+            };
             // The second one reports under the client's side: its bytes are never read.
             if let Ok(peer) = poll::connect(&hands.poller, at, key(self.id, 1 - side)) {
                 self.peers.push(peer);
@@ -220,7 +267,9 @@
     }
 
     fn peer(&mut self, hands: &mut Hands<Script>) -> Flow {
-        let Some(peer) = self.peers.first_mut() else { return Flow::Keep };
+        let Some(peer) = self.peers.first_mut() else {
+            return Flow::Keep;
+        };
         let mut bytes = [0; 4096];
         match peer.read(&mut bytes) {
             Ok(read) if read > 0 => {
@@ -247,7 +296,13 @@
 }
 
 impl Connection<Script> for Pair {
-    fn ready(&mut self, hands: &mut Hands<Script>, side: usize, readable: bool, writable: bool) -> Flow {
+    fn ready(
+        &mut self,
+        hands: &mut Hands<Script>,
+        side: usize,
+        readable: bool,
+        writable: bool,
+    ) -> Flow {
         if writable {
             for peer in &mut self.peers {
                 if peer.want(true, false).is_err() || peer.write(&self.line).is_err() {
--- a/crates/fault-injection/tests/wrongdoers.rs
+++ b/crates/fault-injection/tests/wrongdoers.rs
@@ -6,7 +6,11 @@
 use std::collections::BTreeMap;
 
 fn options(kind: &str) -> Options {
-    let program = vec![env!("CARGO_BIN_EXE_lupincrank-fault-injection").into(), "wrongdoer".into(), kind.into()];
+    let program = vec![
+        env!("CARGO_BIN_EXE_lupincrank-fault-injection").into(),
+        "wrongdoer".into(),
+        kind.into(),
+    ];
     Options {
         program,
         programs: BTreeMap::new(),
@@ -39,9 +43,20 @@
 #[case::an_end_unasked("crashes", "", "crash")]
 fn each_wrongdoer_is_named(#[case] kind: &str, #[case] more: &str, #[case] rule: &str) {
     let outcome = outcome(kind, more);
-    let broken: Vec<&str> = outcome.judge.broken.iter().map(|broken| broken.rule).collect();
-    assert!(broken.contains(&rule), "{rule} is not among {broken:?}; {:?}", outcome.events);
+    let broken: Vec<&str> = outcome
+        .judge
+        .broken
+        .iter()
+        .map(|broken| broken.rule)
+        .collect();
+    assert!(
+        broken.contains(&rule),
+        "{rule} is not among {broken:?}; {:?}",
+        outcome.events
+    );
     // What it does right is not held against it.
-    let others = broken.iter().filter(|other| **other != rule && kind != "cold-crowd" && kind != "crashes");
+    let others = broken
+        .iter()
+        .filter(|other| **other != rule && kind != "cold-crowd" && kind != "crashes");
     assert_eq!(others.count(), 0, "{:#?}", outcome.judge.broken);
 }
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -62,7 +62,10 @@
             .argument::<String>("FILE")
             .optional()
     };
-    let verbose = long("verbose").short('v').help("Log single requests and tries too").switch();
+    let verbose = long("verbose")
+        .short('v')
+        .help("Log single requests and tries too")
+        .switch();
     let file = || {
         long("operator")
             .help("The operator's file: the fleet and its budgets")
@@ -70,16 +73,21 @@
             .optional()
     };
     let (config, operator) = (path(), file());
-    let serve = construct!(Command::Serve { config, operator, verbose })
-        .to_options()
-        .descr("Run the node until SIGTERM")
-        .command("serve");
+    let serve = construct!(Command::Serve {
+        config,
+        operator,
+        verbose
+    })
+    .to_options()
+    .descr("Run the node until SIGTERM")
+    .command("serve");
     let (config, operator) = (path(), file());
     let check = construct!(Command::CheckConfig { config, operator })
         .to_options()
         .descr("Read the configuration and say what is wrong with it")
         .command("check-config");
-    let address = positional::<SocketAddr>("ADDRESS").help("The node's second address, as address:port");
+    let address =
+        positional::<SocketAddr>("ADDRESS").help("The node's second address, as address:port");
     let call = positional::<String>("CALL")
         .help("check, set-down ID, set-up ID, fleet WHAT or budgets WHAT")
         .some("a call is missing");
@@ -89,20 +97,36 @@
         .command("manage");
     let json = long("json").help("Print the answer as JSON").switch();
     let what = positional::<String>("WHAT").help("status, members, log or reseed");
-    let address = positional::<SocketAddr>("ADDRESS").help("The node's second address, as address:port");
-    let fleet = construct!(Command::Fleet { json, what, address })
-        .to_options()
-        .descr("Ask a node about its fleet, or found the council anew")
-        .command("fleet");
+    let address =
+        positional::<SocketAddr>("ADDRESS").help("The node's second address, as address:port");
+    let fleet = construct!(Command::Fleet {
+        json,
+        what,
+        address
+    })
+    .to_options()
+    .descr("Ask a node about its fleet, or found the council anew")
+    .command("fleet");
     let json = long("json").help("Print the answer as JSON").switch();
     let what = positional::<String>("WHAT").help("show, plan or set");
-    let address = positional::<SocketAddr>("ADDRESS").help("The node's second address, as address:port");
-    let change = positional::<String>("NAME=CAPACITY").help("For plan and set, as in cold=60").optional();
-    let budgets = construct!(Command::Budgets { json, what, address, change })
+    let address =
+        positional::<SocketAddr>("ADDRESS").help("The node's second address, as address:port");
+    let change = positional::<String>("NAME=CAPACITY")
+        .help("For plan and set, as in cold=60")
+        .optional();
+    let budgets = construct!(Command::Budgets {
+        json,
+        what,
+        address,
+        change
+    })
+    .to_options()
+    .descr("Show the fleet's budgets, try a change out, or make it")
+    .command("budgets");
+    let version = bpaf::pure(Command::Version)
         .to_options()
-        .descr("Show the fleet's budgets, try a change out, or make it")
-        .command("budgets");
-    let version = bpaf::pure(Command::Version).to_options().descr("Print the version").command("version");
+        .descr("Print the version")
+        .command("version");
     construct!([serve, check, manage, fleet, budgets, version])
         .to_options()
         .descr("lupincrank: places long-lived connections on transcribers by rendezvous hashing")
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -102,16 +102,24 @@
 }
 
 fn address(text: &str) -> Result<SocketAddr, String> {
-    text.parse().map_err(|_| format!("{text:?} is not an address:port"))
+    text.parse()
+        .map_err(|_| format!("{text:?} is not an address:port"))
 }
 
 impl Config {
     /// Reads the file at `path`, or the one that RELAY_CONFIG names. `variable` looks up the environment.
-    pub fn load(path: Option<&str>, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
-        let path = path.map(str::to_string).or_else(|| variable("RELAY_CONFIG"));
-        Config::load_if(path.ok_or("no configuration: set RELAY_CONFIG or give --config")?, variable, |_| {
-            Ok(())
-        })
+    pub fn load(
+        path: Option<&str>,
+        variable: impl Fn(&str) -> Option<String>,
+    ) -> Result<Config, String> {
+        let path = path
+            .map(str::to_string)
+            .or_else(|| variable("RELAY_CONFIG"));
+        Config::load_if(
+            path.ok_or("no configuration: set RELAY_CONFIG or give --config")?,
+            variable,
+            |_| Ok(()),
+        )
     }
 
     fn load_if(
@@ -130,7 +138,11 @@
             Ok((Config::read(&text, variable)?, raw))
         };
         let (config, raw) = read().map_err(|error: String| format!("{path}: {error}"))?;
-        Ok(Config { path, raw, ..config })
+        Ok(Config {
+            path,
+            raw,
+            ..config
+        })
     }
 
     /// Reads the file again, all or nothing. An address of discovery that has changed there goes before RELAY_DISCOVERY:
@@ -158,25 +170,39 @@
         ];
         (self.discovery, self.told_discovery) = (fresh.discovery, fresh.told_discovery);
         (self.sockets, self.memory_mb, self.cores) = (fresh.sockets, fresh.memory_mb, fresh.cores);
-        let from =
-            fresh.classes.iter().map(|class| self.classes.iter().position(|old| old == class)).collect();
+        let from = fresh
+            .classes
+            .iter()
+            .map(|class| self.classes.iter().position(|old| old == class))
+            .collect();
         (self.settings, self.classes, self.raw) = (fresh.settings, fresh.classes, fresh.raw);
         (self.tenants, self.report_fields) = (fresh.tenants, fresh.report_fields);
         (self.groups, self.connect_timeout) = (fresh.groups, fresh.connect_timeout);
         // The platform may go by either: the shorter one is safe.
         self.longest_deadline = self.longest_deadline.min(fresh.longest_deadline);
-        (changed.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect(), from)
+        (
+            changed
+                .into_iter()
+                .filter(|(_, differs)| *differs)
+                .map(|(name, _)| name)
+                .collect(),
+            from,
+        )
     }
 
     /// How many connections may be held that ask for nothing yet or have had their answer: what `clients` leave.
     pub fn most_strangers(&self, clients: usize) -> usize {
-        let left = self.sockets.saturating_sub(self.own_descriptors() + 2 * clients);
+        let left = self
+            .sockets
+            .saturating_sub(self.own_descriptors() + 2 * clients);
         left.max(self.sockets / STRANGERS_PART)
     }
 
     /// How many calls of the staff are held at once.
     pub fn most_calls(&self) -> usize {
-        self.management.map_or(0, |_| (self.sockets / CALLS_PART).clamp(LEAST_CALLS, MOST_CALLS))
+        self.management.map_or(0, |_| {
+            (self.sockets / CALLS_PART).clamp(LEAST_CALLS, MOST_CALLS)
+        })
     }
 
     /// How many connections for probes are held at once.
@@ -214,17 +240,24 @@
     pub fn read(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
         let file: File = serde_json::from_str(text).map_err(|error| error.to_string())?;
         let told = |name: &str, entry: Option<String>, key: &str| {
-            variable(name).or(entry).ok_or_else(|| format!("neither {name} nor {key:?} is set"))
+            variable(name)
+                .or(entry)
+                .ok_or_else(|| format!("neither {name} nor {key:?} is set"))
         };
         let located = |name: &str, entry: Option<String>, key: &str| {
             address(&told(name, entry, key)?).map_err(|error| format!("{name} / {key:?}: {error}"))
         };
-        let management = variable("RELAY_MANAGEMENT").or(file.management).map(|told| address(&told));
-        let management =
-            management.transpose().map_err(|error| format!("RELAY_MANAGEMENT / \"management\": {error}"))?;
+        let management = variable("RELAY_MANAGEMENT")
+            .or(file.management)
+            .map(|told| address(&told));
+        let management = management
+            .transpose()
+            .map_err(|error| format!("RELAY_MANAGEMENT / \"management\": {error}"))?;
         let inherited = variable("RELAY_INHERITED_FD").map(|told| match told.parse() {
             Ok(descriptor) if descriptor > 2 => Ok(descriptor),
-            _ => Err(format!("RELAY_INHERITED_FD: {told:?} is no descriptor over 2")),
+            _ => Err(format!(
+                "RELAY_INHERITED_FD: {told:?} is no descriptor over 2"
+            )),
         });
         let inherited = inherited.transpose()?;
         let limits = file.limits.unwrap_or_default();
@@ -244,7 +277,8 @@
             inherited,
             told_discovery: file.discovery,
             path: String::new(),
-            seed: u64::from_str_radix(&seed, 16).map_err(|_| format!("seed: {seed:?} is not hexadecimal"))?,
+            seed: u64::from_str_radix(&seed, 16)
+                .map_err(|_| format!("seed: {seed:?} is not hexadecimal"))?,
             sockets: limits.sockets.unwrap_or(1024),
             memory_mb: limits.memory_mb.unwrap_or(192),
             cores: limits.cores.unwrap_or(1.0),
@@ -262,13 +296,22 @@
             raw: Value::Null,
         };
         if config.sockets < 64 {
-            return Err(format!("limits.sockets: {} is too few, 64 are needed", config.sockets));
+            return Err(format!(
+                "limits.sockets: {} is too few, 64 are needed",
+                config.sockets
+            ));
         }
         if !(config.cores > 0.0 && config.cores.is_finite()) {
-            return Err(format!("limits.cores: {} is no part of a core", config.cores));
+            return Err(format!(
+                "limits.cores: {} is no part of a core",
+                config.cores
+            ));
         }
         if config.memory_mb < 24 {
-            return Err(format!("limits.memory_mb: {} is too little, 24 are needed", config.memory_mb));
+            return Err(format!(
+                "limits.memory_mb: {} is too little, 24 are needed",
+                config.memory_mb
+            ));
         }
         if let Some(known) = &config.known {
             group::check(known).map_err(|error| format!("known: {error}"))?;
--- a/crates/node/src/config/tests.rs
+++ b/crates/node/src/config/tests.rs
@@ -7,8 +7,14 @@
 fn a_variable_goes_before_the_file() {
     let listen = |name: &str| (name == "RELAY_LISTEN").then(|| "127.0.0.9:9".to_string());
     let config = Config::read(EXAMPLE, listen).unwrap();
-    assert_eq!((config.listen.to_string(), config.name), ("127.0.0.9:9".into(), "n0".into()));
-    assert_eq!((config.seed, config.classes), (0x8c1f_30d2_7a5b_e964, vec!["chat".to_string()]));
+    assert_eq!(
+        (config.listen.to_string(), config.name),
+        ("127.0.0.9:9".into(), "n0".into())
+    );
+    assert_eq!(
+        (config.seed, config.classes),
+        (0x8c1f_30d2_7a5b_e964, vec!["chat".to_string()])
+    );
 }
 
 #[rstest]
@@ -22,11 +28,25 @@
     #[case] clients: usize,
     #[case] held: usize,
 ) {
-    let limits = format!("\"cores\": {cores:?}, \"memory_mb\": {memory_mb}, \"sockets\": {sockets}");
-    let text = EXAMPLE.replace("\"cores\": 1.0, \"memory_mb\": 192, \"sockets\": 1024", &limits);
+    let limits =
+        format!("\"cores\": {cores:?}, \"memory_mb\": {memory_mb}, \"sockets\": {sockets}");
+    let text = EXAMPLE.replace(
+        "\"cores\": 1.0, \"memory_mb\": 192, \"sockets\": 1024",
+        &limits,
+    );
     let config = Config::read(&text, |_| None).unwrap();
-    assert_eq!((config.most_accepts(), config.most_clients(), config.most_held()), (accepts, clients, held));
-    assert!(held * 4 * clients <= (memory_mb << 20), "all buffers together");
+    assert_eq!(
+        (
+            config.most_accepts(),
+            config.most_clients(),
+            config.most_held()
+        ),
+        (accepts, clients, held)
+    );
+    assert!(
+        held * 4 * clients <= (memory_mb << 20),
+        "all buffers together"
+    );
 }
 
 const DEADLINE: &str = "\"DeadlineNs\": 2000000000";
@@ -40,28 +60,59 @@
 #[case::fraction("\"SendCap\": 3", "\"SendCap\": 0.4", "settings.Limits.SendCap: 0.4")]
 #[case::part_of_one("\"SendCap\": 3", "\"SendCap\": 2.5", "settings.Limits.SendCap: 2.5")]
 #[case::none("\"SendCap\": 3", "\"SendCap\": 0", "settings.Limits.SendCap: 0")]
-#[case::too_large("\"SendCap\": 3", "\"SendCap\": 1e300", "settings.Limits.SendCap: 1e+300")]
+#[case::too_large(
+    "\"SendCap\": 3",
+    "\"SendCap\": 1e300",
+    "settings.Limits.SendCap: 1e+300"
+)]
 #[case::no_attempts("\"SendCap\": 3,", "", "settings.Limits.SendCap is missing")]
-#[case::no_deadline("\"DeadlineNs\": 2000000000,", "", "Categories[0].DeadlineNs is missing")]
+#[case::no_deadline(
+    "\"DeadlineNs\": 2000000000,",
+    "",
+    "Categories[0].DeadlineNs is missing"
+)]
 #[case::no_window("\"repeatable\"", "\"by_key\"", "Categories[0].WindowNs is missing")]
-#[case::lost("Stream", "Stream", "limits.swap is missing, and the present file has it")]
-#[case::no_classes("\"Categories\"", "\"Categories\": [], \"Old\"", "settings.Categories names no class")]
+#[case::lost(
+    "Stream",
+    "Stream",
+    "limits.swap is missing, and the present file has it"
+)]
+#[case::no_classes(
+    "\"Categories\"",
+    "\"Categories\": [], \"Old\"",
+    "settings.Categories names no class"
+)]
 #[case::no_settings("\"settings\"", "\"Settings\"", "settings.Instances is missing")]
 #[case::no_list("\"known\"", "\"Known\"", "known is missing")]
 #[case::empty("", "", "EOF while parsing a value at line 1")]
-fn a_file_that_does_not_hold_replaces_nothing(#[case] good: &str, #[case] bad: &str, #[case] named: &str) {
+fn a_file_that_does_not_hold_replaces_nothing(
+    #[case] good: &str,
+    #[case] bad: &str,
+    #[case] named: &str,
+) {
     let path = std::env::temp_dir().join(format!("lupincrank-strict-{}", std::process::id()));
     let path = path.with_extension(named.replace(|c: char| !c.is_alphanumeric(), ""));
-    let swap =
-        if named.starts_with("limits.swap") { "\"limits\": { \"swap\": 1, " } else { "\"limits\": { " };
+    let swap = if named.starts_with("limits.swap") {
+        "\"limits\": { \"swap\": 1, "
+    } else {
+        "\"limits\": { "
+    };
     std::fs::write(&path, EXAMPLE.replace("\"limits\": { ", swap)).unwrap();
     let config = Config::load(path.to_str(), |_| None).unwrap();
-    let text = EXAMPLE
-        .replacen(good, bad, 1)
-        .replace("\"WindowNs\"", if bad.contains("by_key") { "\"Old\"" } else { "\"WindowNs\"" });
+    let text = EXAMPLE.replacen(good, bad, 1).replace(
+        "\"WindowNs\"",
+        if bad.contains("by_key") {
+            "\"Old\""
+        } else {
+            "\"WindowNs\""
+        },
+    );
     std::fs::write(&path, if good.is_empty() { String::new() } else { text }).unwrap();
     let error = config.reread(|_| None).err().unwrap();
-    assert!(error.contains(named) && error.contains(path.to_str().unwrap()), "{error}");
+    assert!(
+        error.contains(named) && error.contains(path.to_str().unwrap()),
+        "{error}"
+    );
     // And cut at any byte.
     for cut in (0..EXAMPLE.trim_end().len()).step_by(97) {
         std::fs::write(&path, &EXAMPLE[..cut]).unwrap();
@@ -81,6 +132,8 @@
 #[case("\"name\"", "\"nom\"", "RELAY_NAME")]
 #[case("{", "[", "line 2 column")]
 fn a_bad_value_is_named(#[case] good: &str, #[case] bad: &str, #[case] named: &str) {
-    let error = Config::read(&EXAMPLE.replace(good, bad), |_| None).err().unwrap();
+    let error = Config::read(&EXAMPLE.replace(good, bad), |_| None)
+        .err()
+        .unwrap();
     assert!(error.contains(named), "{error}");
 }
