--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -3,11 +3,12 @@
 
 use crate::config::Config;
 use crate::load_lines::{LoadLines, Told};
+use lupincrank_control::lease::Terms;
 use lupincrank_placement::learnt::Learnt;
 use lupincrank_placement::{
-    Action, Balancer, Event, Health, Incoming, Listed, Outcome, RequestId, ServerId, Settings, Slice, Time,
+    Action, Balancer, Event, Health, Incoming, Listed, Outcome, RequestId, ServerId, Settings,
+    Slice, Time,
 };
-use lupincrank_control::lease::Terms;
 use slog::{debug, info, warn, Logger};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -185,7 +186,13 @@
     /// until then, and `floor` without a lease.
     pub fn slice(&mut self, sends: u32, floor: u32, part: f64, until: Option<Time>) {
         let window = Terms::default().window;
-        let slice = Some(Slice { part, sends, until, floor, window });
+        let slice = Some(Slice {
+            part,
+            sends,
+            until,
+            floor,
+            window,
+        });
         if slice != self.slice {
             self.slice.clone_from(&slice);
             self.feed(Event::Slice(slice));
@@ -204,7 +211,9 @@
 
     /// A moment of Unix time on the module's clock; `None` for long ago.
     pub fn moment(&self, unix_ms: u64) -> Option<Time> {
-        let at = UNIX_EPOCH.checked_add(Duration::from_millis(unix_ms)).filter(|_| unix_ms > 0)?;
+        let at = UNIX_EPOCH
+            .checked_add(Duration::from_millis(unix_ms))
+            .filter(|_| unix_ms > 0)?;
         let span = match at.duration_since(self.born) {
             Ok(later) => EPOCH.saturating_add(later),
             Err(before) => EPOCH.checked_sub(before.duration())?,
@@ -222,9 +231,15 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Place { request, server, patience } => {
+            Action::Place {
+                request,
+                server,
+                patience,
+            } => {
                 let dial = self.group.get(&server).map(|(dial, _)| *dial);
-                let Some(context) = self.contexts.get_mut(&request) else { return };
+                let Some(context) = self.contexts.get_mut(&request) else {
+                    return;
+                };
                 let now = Instant::now();
                 context.attempts += 1;
                 context.server = Some(server);
@@ -233,17 +248,28 @@
                 let owner = context.owner;
                 match dial {
                     Some(dial) => {
-                        self.orders.push_back(Order::Try(owner, TryOrder { request, dial, until }));
+                        self.orders.push_back(Order::Try(
+                            owner,
+                            TryOrder {
+                                request,
+                                dial,
+                                until,
+                            },
+                        ));
                     }
                     // The list names it, so it has an address; if not, nothing was sent.
                     None => self.try_ended(request, Outcome::Moot, false),
                 }
             }
-            Action::Refuse { request, retry_after } => {
+            Action::Refuse {
+                request,
+                retry_after,
+            } => {
                 if let Some(context) = self.contexts.remove(&request) {
                     debug!(self.log, "refused"; "request" => name(request), "tries" => context.attempts,
                         "ms" => retry_after.as_millis() as u64);
-                    self.orders.push_back(Order::Refuse(context.owner, retry_after));
+                    self.orders
+                        .push_back(Order::Refuse(context.owner, retry_after));
                 }
             }
             Action::Fail(request) => {
@@ -252,7 +278,11 @@
                 }
             }
             Action::Move(request) => {
-                if let Some(context) = self.contexts.get_mut(&request).filter(|context| context.stands) {
+                if let Some(context) = self
+                    .contexts
+                    .get_mut(&request)
+                    .filter(|context| context.stands)
+                {
                     debug!(self.log, "moved"; "request" => name(request));
                     context.over = true;
                     self.orders.push_back(Order::Move(context.owner));
@@ -298,7 +328,11 @@
             }
             entries.push(listed);
         }
-        self.feed(if whole { Event::List { entries, cached } } else { Event::ListChange(entries) });
+        self.feed(if whole {
+            Event::List { entries, cached }
+        } else {
+            Event::ListChange(entries)
+        });
     }
 
     /// Discovery has answered: what has changed since the known list comes with that.
@@ -324,8 +358,12 @@
         if !self.told && self.start.elapsed() <= LIST_AWAITED {
             return Err("discovery has not told the list yet");
         }
-        let any = self.group.values().any(|(_, health)| *health == Health::Ready);
-        any.then_some(()).ok_or("the list names no transcriber that takes connections")
+        let any = self
+            .group
+            .values()
+            .any(|(_, health)| *health == Health::Ready);
+        any.then_some(())
+            .ok_or("the list names no transcriber that takes connections")
     }
 
     /// Where a transcriber listens, if it takes new connections.
@@ -339,12 +377,20 @@
     pub fn renew(&mut self, config: &Config, from: Vec<Option<usize>>) {
         let instances = config.settings.instances.saturating_mul(self.processes);
         for context in self.contexts.values_mut() {
-            let now_at = from.iter().position(|old| *old == Some(context.incoming.class));
+            let now_at = from
+                .iter()
+                .position(|old| *old == Some(context.incoming.class));
             context.incoming.class = now_at.unwrap_or(usize::MAX);
         }
         self.least_aim = config.settings.least_message_aim();
         self.leaving_retry = LEAVING_RETRY.min(config.settings.longest_retry_after);
-        self.feed(Event::Settings { settings: Settings { instances, ..config.settings.clone() }, from });
+        self.feed(Event::Settings {
+            settings: Settings {
+                instances,
+                ..config.settings.clone()
+            },
+            from,
+        });
     }
 
     /// So many processes of this node take clients in: what is shared out among nodes is shared among these too.
@@ -372,7 +418,11 @@
         }
         let names: Vec<&str> = out.iter().map(|server| &*server.0).collect();
         info!(self.log, "out by hand"; "transcribers" => names.join(" "));
-        let mut ready = self.group.iter().filter(|(_, (_, health))| *health == Health::Ready).peekable();
+        let mut ready = self
+            .group
+            .iter()
+            .filter(|(_, (_, health))| *health == Health::Ready)
+            .peekable();
         if ready.peek().is_some() && ready.all(|(server, _)| out.contains(server)) {
             warn!(self.log, "no transcriber is left: all clients are refused"; "out" => out.len());
         }
@@ -382,7 +432,10 @@
     /// Whether the present try's line may go out: its transcriber takes new connections still, as far as this node has been
     /// told.
     pub fn may_send(&mut self, request: RequestId) -> bool {
-        let server = self.contexts.get(&request).and_then(|context| context.server.as_ref());
+        let server = self
+            .contexts
+            .get(&request)
+            .and_then(|context| context.server.as_ref());
         let ready = |server: &ServerId| matches!(self.group.get(server), Some((_, Health::Ready)));
         let may = server.is_some_and(|server| ready(server) && !self.out().contains(server))
             && self.balancer.may_send(self.now(), request);
@@ -421,7 +474,9 @@
     /// A request is taken from a client that waits for `left`.
     pub fn request(&mut self, owner: Owner, mut incoming: Incoming, left: Duration) {
         if self.leaving {
-            return self.orders.push_back(Order::Refuse(owner, self.leaving_retry));
+            return self
+                .orders
+                .push_back(Order::Refuse(owner, self.leaving_retry));
         }
         self.context(owner, &mut incoming, left);
         debug!(self.log, "request"; "id" => name(incoming.request), "class" => incoming.class,
@@ -431,7 +486,9 @@
 
     /// The transcriber could not read the request: that is its client's fault and says nothing of the transcriber.
     pub fn unreadable(&mut self, request: RequestId) {
-        let Some(owner) = self.contexts.get(&request).map(|context| context.owner) else { return };
+        let Some(owner) = self.contexts.get(&request).map(|context| context.owner) else {
+            return;
+        };
         self.client_gone(request);
         self.orders.push_back(Order::Fail(owner));
     }
@@ -456,7 +513,10 @@
 
     /// What the process before this one learnt.
     pub fn learn(&mut self, learnt: Vec<Learnt>) {
-        let barred = learnt.iter().filter(|learnt| learnt.barred.is_some()).count();
+        let barred = learnt
+            .iter()
+            .filter(|learnt| learnt.barred.is_some())
+            .count();
         let crowded = learnt.iter().filter(|learnt| learnt.cap.is_some()).count();
         info!(self.log, "learnt"; "transcribers" => learnt.len(), "barred" => barred, "crowded" => crowded);
         self.feed(Event::Learnt(learnt));
@@ -468,8 +528,16 @@
         &self,
         request: RequestId,
     ) -> Option<(&Incoming, &ServerId, Option<f64>, &VecDeque<Instant>)> {
-        let context = self.contexts.get(&request).filter(|context| context.stands && !context.over)?;
-        Some((&context.incoming, context.server.as_ref()?, context.load, &context.unanswered))
+        let context = self
+            .contexts
+            .get(&request)
+            .filter(|context| context.stands && !context.over)?;
+        Some((
+            &context.incoming,
+            context.server.as_ref()?,
+            context.load,
+            &context.unanswered,
+        ))
     }
 
     /// A connection comes from the process before this one.
@@ -489,13 +557,18 @@
             context.unanswered.truncate(MOST_UNANSWERED);
         }
         if let Some(load) = load {
-            self.feed(Event::LoadNote { request, load: Duration::from_secs_f64(load / 1e6) });
+            self.feed(Event::LoadNote {
+                request,
+                load: Duration::from_secs_f64(load / 1e6),
+            });
         }
     }
 
     /// The present try is up.
     pub fn try_up(&mut self, request: RequestId) {
-        let Some(context) = self.contexts.get_mut(&request) else { return };
+        let Some(context) = self.contexts.get_mut(&request) else {
+            return;
+        };
         context.stands = true;
         let took = context.tried_at.elapsed();
         let server = context.server.clone();
@@ -512,17 +585,24 @@
     fn wait_of(&mut self, took: Duration) -> Option<Duration> {
         let mut usual: Vec<Duration> = self.setups.iter().copied().collect();
         usual.sort_unstable();
-        let usual = usual.get(usual.len() / 2).copied().filter(|_| usual.len() >= FEWEST_SETUPS);
+        let usual = usual
+            .get(usual.len() / 2)
+            .copied()
+            .filter(|_| usual.len() >= FEWEST_SETUPS);
         self.setups.push_back(took);
         if self.setups.len() > MOST_SETUPS {
             self.setups.pop_front();
         }
-        usual.filter(|usual| took > *usual * LONG_SETUP).map(|usual| took - usual)
+        usual
+            .filter(|usual| took > *usual * LONG_SETUP)
+            .map(|usual| took - usual)
     }
 
     /// The present try has ended; its connection is closed. `done` where the client has its answer by this.
     pub fn try_ended(&mut self, request: RequestId, outcome: Outcome, done: bool) {
-        let Some(context) = self.contexts.get_mut(&request) else { return };
+        let Some(context) = self.contexts.get_mut(&request) else {
+            return;
+        };
         let done = done || context.over;
         let attempt = context.attempts.saturating_sub(1);
         debug!(self.log, "ended"; "request" => name(request), "outcome" => ?outcome, "stood" => context.stands,
@@ -533,12 +613,20 @@
         if done {
             self.contexts.remove(&request);
         }
-        self.feed(Event::Ended { request, attempt, outcome, done, report: None });
+        self.feed(Event::Ended {
+            request,
+            attempt,
+            outcome,
+            done,
+            report: None,
+        });
     }
 
     /// The client has left before its answer; its try, if one is out, has been closed.
     pub fn client_gone(&mut self, request: RequestId) {
-        let Some(context) = self.contexts.get_mut(&request) else { return };
+        let Some(context) = self.contexts.get_mut(&request) else {
+            return;
+        };
         context.over = true;
         let out = context.server.is_some();
         self.feed(Event::ClientGone(request));
@@ -552,9 +640,14 @@
     /// The request gets its final answer now; its try, if one is out, is closed with that. Which answer is the module's to
     /// say: what may have run must not always be said to have been refused.
     fn give_up(&mut self, request: RequestId) {
-        let Some(context) = self.contexts.get(&request) else { return };
+        let Some(context) = self.contexts.get(&request) else {
+            return;
+        };
         let (out, attempt) = (context.server.is_some(), context.attempts.saturating_sub(1));
-        self.feed(Event::GivenUp { request, sent: context.sent });
+        self.feed(Event::GivenUp {
+            request,
+            sent: context.sent,
+        });
         if out {
             self.feed(Event::Ended {
                 request,
@@ -568,13 +661,19 @@
 
     /// A probe of this transcriber has come back or failed; with its load report, if one came.
     pub fn probed(&mut self, server: &ServerId, passed: bool, report: Option<Vec<f64>>) {
-        self.feed(Event::Probed { server: server.clone(), passed, report });
+        self.feed(Event::Probed {
+            server: server.clone(),
+            passed,
+            report,
+        });
     }
 
     /// A transcriber has told this number of a standing connection: see `LoadLines`.
     pub fn load_line(&mut self, request: RequestId, value: f64) {
         let least = self.least_aim / 3;
-        let Some(context) = self.contexts.get_mut(&request) else { return };
+        let Some(context) = self.contexts.get_mut(&request) else {
+            return;
+        };
         let load = match context.load_lines.take(Instant::now(), value, least) {
             Told::Load(load) => Some(load),
             Told::Delay { delay, load } => {
@@ -588,13 +687,18 @@
                 context.load = Some(load);
             }
             debug!(self.log, "load"; "request" => name(request), "us" => load as u64);
-            self.feed(Event::LoadNote { request, load: Duration::from_secs_f64(load / 1e6) });
+            self.feed(Event::LoadNote {
+                request,
+                load: Duration::from_secs_f64(load / 1e6),
+            });
         }
     }
 
     /// A line of the client goes on to its transcriber.
     pub fn line_sent(&mut self, request: RequestId) {
-        let Some(context) = self.contexts.get_mut(&request) else { return };
+        let Some(context) = self.contexts.get_mut(&request) else {
+            return;
+        };
         // Guards against a client that sends without end to a transcriber that takes it and returns nothing.
         if context.unanswered.len() < MOST_UNANSWERED {
             context.unanswered.push_back(Instant::now());
@@ -608,8 +712,12 @@
 
     /// A line has come back.
     pub fn line_returned(&mut self, request: RequestId) {
-        let Some(context) = self.contexts.get_mut(&request) else { return };
-        let (Some(sent), Some(server)) = (context.unanswered.pop_front(), &context.server) else { return };
+        let Some(context) = self.contexts.get_mut(&request) else {
+            return;
+        };
+        let (Some(sent), Some(server)) = (context.unanswered.pop_front(), &context.server) else {
+            return;
+        };
         let (delay, heard) = (sent.elapsed(), Some(Instant::now()));
         match self.pulses.get_mut(server) {
             Some(pulse) => {
@@ -617,7 +725,11 @@
                 pulse.delays.push(delay);
             }
             None => {
-                let pulse = Pulse { delays: vec![delay], heard, ..Pulse::default() };
+                let pulse = Pulse {
+                    delays: vec![delay],
+                    heard,
+                    ..Pulse::default()
+                };
                 self.pulses.insert(server.clone(), pulse);
             }
         }
@@ -633,10 +745,17 @@
         // and so never shows a delay.
         let mut ages: BTreeMap<&ServerId, Vec<(Duration, RequestId)>> = BTreeMap::new();
         for (request, context) in &self.contexts {
-            let Some(server) = context.server.as_ref().filter(|_| context.stands && !context.over) else {
+            let Some(server) = context
+                .server
+                .as_ref()
+                .filter(|_| context.stands && !context.over)
+            else {
                 continue;
             };
-            let age = context.unanswered.front().map_or(Duration::ZERO, |sent| now - *sent);
+            let age = context
+                .unanswered
+                .front()
+                .map_or(Duration::ZERO, |sent| now - *sent);
             ages.entry(server).or_default().push((age, *request));
             if age >= QUIET {
                 silent.push(*request);
@@ -648,9 +767,16 @@
             if !self.pulses.contains_key(server) {
                 self.pulses.insert(server.clone(), Pulse::default());
             }
-            let Some(pulse) = self.pulses.get_mut(server) else { continue };
+            let Some(pulse) = self.pulses.get_mut(server) else {
+                continue;
+            };
             let since = pulse.heard.map_or(Duration::MAX, |heard| now - heard);
-            if ages.iter().filter(|(age, _)| *age >= HUSH && *age < since).count() >= HUSHED && !pulse.hushed
+            if ages
+                .iter()
+                .filter(|(age, _)| *age >= HUSH && *age < since)
+                .count()
+                >= HUSHED
+                && !pulse.hushed
             {
                 hushed.push(server.clone());
             }
@@ -665,7 +791,9 @@
             let lines = seen.get(seen.len() / 2).copied();
             let waits = pulse.waits.get(pulse.waits.len() / 2).copied();
             pulse.waits.clear();
-            let Some(delay) = lines.max(waits) else { continue };
+            let Some(delay) = lines.max(waits) else {
+                continue;
+            };
             let late = delay > over;
             if late || pulse.late {
                 let request = ages.iter().map(|(_, request)| *request).min();
@@ -675,7 +803,11 @@
         }
         notes.sort_unstable();
         silent.sort_unstable();
-        hushed.truncate(if hushed.len() * 2 > in_use { 0 } else { hushed.len() });
+        hushed.truncate(if hushed.len() * 2 > in_use {
+            0
+        } else {
+            hushed.len()
+        });
         for server in hushed {
             if let Some(pulse) = self.pulses.get_mut(&server) {
                 pulse.hushed = true;
@@ -698,7 +830,10 @@
     /// Sends standing clients away so that all have gone after `steps` more calls; at the last one the requests
     /// that still wait are given up too.
     pub fn send_away(&mut self, steps: usize) {
-        let standing = self.contexts.iter().filter(|(_, context)| context.stands && !context.over);
+        let standing = self
+            .contexts
+            .iter()
+            .filter(|(_, context)| context.stands && !context.over);
         let mut standing: Vec<RequestId> = standing.map(|(request, _)| *request).collect();
         standing.sort_unstable();
         let count = standing.len().div_ceil(steps.max(1));
@@ -706,7 +841,10 @@
             self.act(Action::Move(request));
         }
         if steps <= 1 {
-            let waits = self.contexts.iter().filter(|(_, context)| !context.stands && !context.over);
+            let waits = self
+                .contexts
+                .iter()
+                .filter(|(_, context)| !context.stands && !context.over);
             for request in waits.map(|(request, _)| *request).collect::<Vec<_>>() {
                 self.give_up(request);
             }
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -43,7 +43,9 @@
                 break false;
             }
             if self.left > 0 {
-                let take = rest.len().min(usize::try_from(self.left).unwrap_or(usize::MAX));
+                let take = rest
+                    .len()
+                    .min(usize::try_from(self.left).unwrap_or(usize::MAX));
                 out.extend_from_slice(&rest[..take]);
                 self.left -= take as u64;
                 at += take;
@@ -148,11 +150,18 @@
 
     /// Makes a call; in place of the older one if there are two already.
     fn begin(&mut self, node: &mut Node) -> io::Result<()> {
-        let begun = self.calls.each_ref().map(|call| call.as_ref().map(|call| call.begun));
+        let begun = self
+            .calls
+            .each_ref()
+            .map(|call| call.as_ref().map(|call| call.begun));
         let side = usize::from(begun[1] < begun[0]);
         self.close(node, side);
         let now = Instant::now();
-        node.deadlines.set(DISCOVERY, FURTHER, now + asking::alone(now - self.contact, self.calls()));
+        node.deadlines.set(
+            DISCOVERY,
+            FURTHER,
+            now + asking::alone(now - self.contact, self.calls()),
+        );
         let request = format!(
             "GET /v1/endpoints?watch=1&from={} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n",
             self.seq, self.dial
@@ -194,12 +203,18 @@
     }
 
     fn progress(&mut self, node: &mut Node, side: usize) -> Result<(), String> {
-        let Some(call) = &mut self.calls[side] else { return Ok(()) };
+        let Some(call) = &mut self.calls[side] else {
+            return Ok(());
+        };
         if call.phase == Phase::Connecting {
-            let error = call.stream.take_error().map_err(|error| error.to_string())?;
+            let error = call
+                .stream
+                .take_error()
+                .map_err(|error| error.to_string())?;
             error.map_or(Ok(()), |error| Err(error.to_string()))?;
             call.phase = Phase::Head;
-            node.deadlines.set(DISCOVERY, side as u64, Instant::now() + ANSWER);
+            node.deadlines
+                .set(DISCOVERY, side as u64, Instant::now() + ANSWER);
         }
         while !call.unsent.is_empty() {
             match call.stream.write(&call.unsent) {
@@ -208,11 +223,15 @@
                 Err(error) => return Err(error.to_string()),
             }
         }
-        call.stream.want(true, false).map_err(|error| error.to_string())?;
+        call.stream
+            .want(true, false)
+            .map_err(|error| error.to_string())?;
         let mut scratch = [0; 16 << 10];
         // A turn reads a bounded part: guards against a long list that keeps clients waiting.
         for _ in 0..16 {
-            let Some(call) = &mut self.calls[side] else { return Ok(()) };
+            let Some(call) = &mut self.calls[side] else {
+                return Ok(());
+            };
             let read = match call.stream.read(&mut scratch) {
                 Ok(0) => return Err("it ended the connection".into()),
                 Ok(read) => read,
@@ -225,11 +244,15 @@
     }
 
     fn take(&mut self, node: &mut Node, side: usize, bytes: &[u8]) -> Result<(), String> {
-        let Some(call) = &mut self.calls[side] else { return Ok(()) };
+        let Some(call) = &mut self.calls[side] else {
+            return Ok(());
+        };
         let mut body = bytes.to_vec();
         if call.phase != Phase::Body {
             call.head.extend_from_slice(bytes);
-            let Some(length) = head(&call.head)? else { return Ok(()) };
+            let Some(length) = head(&call.head)? else {
+                return Ok(());
+            };
             body = call.head.split_off(length);
             call.phase = Phase::Body;
             debug!(node.log, "watching"; "seq" => self.seq);
@@ -239,17 +262,23 @@
         let (mut whole, was_half) = (false, call.objects.half());
         call.objects.push(&text);
         while let Some(call) = &mut self.calls[side] {
-            let Some(object) = call.objects.take()? else { break };
-            let update: Update = serde_json::from_slice(&object).map_err(|error| error.to_string())?;
+            let Some(object) = call.objects.take()? else {
+                break;
+            };
+            let update: Update =
+                serde_json::from_slice(&object).map_err(|error| error.to_string())?;
             info!(node.log, "upstream group changed"; "seq" => update.seq, "entries" => update.hosts.len());
             self.apply(&mut node.core, update, false)?;
             whole = true;
         }
-        let half = self.calls[side].as_ref().is_some_and(|call| call.objects.half());
+        let half = self.calls[side]
+            .as_ref()
+            .is_some_and(|call| call.objects.half());
         // An empty line is whole too. The rest of an object that has begun has as long as anything else that is awaited:
         // guards against a list that comes byte by byte and never ends, while its changes count as told.
         if whole || (!half && !text.is_empty()) || (half && !was_half) {
-            node.deadlines.set(DISCOVERY, side as u64, Instant::now() + SILENCE);
+            node.deadlines
+                .set(DISCOVERY, side as u64, Instant::now() + SILENCE);
         }
         if whole || (!half && !text.is_empty()) {
             self.contact = Instant::now();
--- a/crates/node/src/discovery/tests.rs
+++ b/crates/node/src/discovery/tests.rs
@@ -13,7 +13,10 @@
             break;
         }
     }
-    assert_eq!((out.as_slice(), last), (b"hello\n0123456789".as_slice(), true));
+    assert_eq!(
+        (out.as_slice(), last),
+        (b"hello\n0123456789".as_slice(), true)
+    );
 }
 
 #[rstest]
--- a/crates/node/src/fleet/carry.rs
+++ b/crates/node/src/fleet/carry.rs
@@ -2,16 +2,16 @@
 
 use super::disk::Disk;
 use super::setup::Setup;
-use lupincrank_placement::Time;
+use lupincrank_cluster::link::{Hello, Link, Message, Subject};
+use lupincrank_cluster::membership::{Identity, Membership, Out};
 use lupincrank_control::council::{Council, Tuning};
 use lupincrank_control::durable::{Durable, Write};
 use lupincrank_control::lease::Terms;
 use lupincrank_control::member::Member;
 use lupincrank_control::message::{Action, CouncilMessage, Note};
+use lupincrank_placement::Time;
 use lupincrank_reactor::poll::Watched;
 use lupincrank_reactor::Id;
-use lupincrank_cluster::link::{Hello, Link, Message, Subject};
-use lupincrank_cluster::membership::{Identity, Membership, Out};
 use serde::Serialize;
 use slog::{debug, info, warn, Logger};
 use std::collections::BTreeMap;
@@ -89,8 +89,21 @@
 }
 
 fn member(identity: &Identity) -> Member {
-    let Identity { id, name, zone, region, build, .. } = identity.clone();
-    Member { id, name, zone, region, build }
+    let Identity {
+        id,
+        name,
+        zone,
+        region,
+        build,
+        ..
+    } = identity.clone();
+    Member {
+        id,
+        name,
+        zone,
+        region,
+        build,
+    }
 }
 
 impl Carry {
@@ -105,7 +118,9 @@
         now: Time,
         log: Logger,
     ) -> Result<Carry, String> {
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
         let me = Identity {
             name: name.to_string(),
             id,
@@ -157,7 +172,9 @@
 
     /// The disk has something to say.
     pub fn disk(&mut self, now: Time) {
-        let Some((disk, _)) = &mut self.disk else { return };
+        let Some((disk, _)) = &mut self.disk else {
+            return;
+        };
         match disk.done() {
             Ok(Some(number)) => self.council.written(now, number),
             Ok(None) => {}
@@ -192,13 +209,16 @@
 
     /// Leaves, once nobody waits for it or it has waited for long enough; true from then on.
     pub fn leaves_now(&mut self) -> bool {
-        let Some(since) = self.leaves else { return false };
+        let Some(since) = self.leaves else {
+            return false;
+        };
         if !self.is_out() && (self.council.may_end() || since.elapsed() >= LEAVES) {
             let waited = since.elapsed().as_millis() as u64;
             info!(self.log, "left the fleet"; "let_go" => self.council.may_end(), "after_ms" => waited);
             self.membership.leave(self.age());
             self.members();
-            self.dropped.extend(std::mem::take(&mut self.links).into_keys());
+            self.dropped
+                .extend(std::mem::take(&mut self.links).into_keys());
             (self.sockets, self.disk) = (None, None);
         }
         self.is_out()
@@ -218,7 +238,13 @@
     pub fn hello(&self) -> Message {
         let me = self.membership.me();
         let (name, build) = (me.name.clone(), me.build.clone());
-        Message::Hello(Hello { fleet: self.tag, name, id: me.id, born_ms: me.born_ms, build })
+        Message::Hello(Hello {
+            fleet: self.tag,
+            name,
+            id: me.id,
+            born_ms: me.born_ms,
+            build,
+        })
     }
 
     /// Whether one more link is taken.
@@ -229,7 +255,15 @@
     /// A link begins.
     pub fn begin(&mut self, id: Id, mut link: Link, to: Option<u64>) -> Result<(), String> {
         link.say(&self.hello())?;
-        self.links.insert(id, End { link, to, wanted: Instant::now(), warned: None });
+        self.links.insert(
+            id,
+            End {
+                link,
+                to,
+                wanted: Instant::now(),
+                warned: None,
+            },
+        );
         Ok(())
     }
 
@@ -244,12 +278,17 @@
 
     /// A link ends; it is dialled again later, if it is still needed.
     pub fn ended(&mut self, id: Id, why: &str) {
-        let Some(end) = self.links.remove(&id) else { return };
+        let Some(end) = self.links.remove(&id) else {
+            return;
+        };
         let peer = end.link.peer.as_ref().map(|peer| peer.name.clone());
         debug!(self.log, "link ended"; "peer" => peer, "dialled" => end.link.dialled, "why" => why.to_string());
         if let Some(to) = end.to {
             let tries = self.tries.get(&to).map_or(0, |(_, tries)| *tries);
-            let pause = AGAIN.saturating_mul(1 << tries.min(6)).min(LONGEST_AGAIN).mul_f64(self.spread);
+            let pause = AGAIN
+                .saturating_mul(1 << tries.min(6))
+                .min(LONGEST_AGAIN)
+                .mul_f64(self.spread);
             self.tries.insert(to, (Instant::now() + pause, tries + 1));
         }
     }
@@ -257,7 +296,14 @@
     /// The messages of one link; an error ends it.
     pub fn heard(&mut self, now: Time, id: Id, messages: Vec<Message>) -> Result<(), String> {
         for message in messages {
-            let peer = self.links.get(&id).ok_or("it is gone")?.link.peer.as_ref().map(|peer| peer.id);
+            let peer = self
+                .links
+                .get(&id)
+                .ok_or("it is gone")?
+                .link
+                .peer
+                .as_ref()
+                .map(|peer| peer.id);
             match (message, peer) {
                 (Message::Hello(hello), None) => self.met(id, hello)?,
                 (Message::Ping, Some(_)) => {}
@@ -265,7 +311,9 @@
                 (Message::Of(Subject::Council, bytes), Some(peer)) => {
                     match postcard::from_bytes::<CouncilMessage>(&bytes) {
                         Ok(said) => self.council.take(now, peer, said),
-                        Err(error) => return Err(format!("a message of the council can't be read: {error}")),
+                        Err(error) => {
+                            return Err(format!("a message of the council can't be read: {error}"))
+                        }
                     }
                 }
                 (Message::Hello(_), Some(_)) => return Err("it says hello twice".into()),
@@ -281,15 +329,21 @@
             return Err("it belongs to another fleet".into());
         }
         let me = self.membership.me().id;
-        let Some(end) = self.links.get(&id) else { return Ok(()) };
+        let Some(end) = self.links.get(&id) else {
+            return Ok(());
+        };
         if hello.id == me || end.to.is_some_and(|to| to != hello.id) {
             return Err("it is another life than the one that was looked for".into());
         }
         let mine = end.link.dialled;
-        let other = self
-            .links
-            .iter()
-            .find(|(at, end)| **at != id && end.link.peer.as_ref().is_some_and(|peer| peer.id == hello.id));
+        let other = self.links.iter().find(|(at, end)| {
+            **at != id
+                && end
+                    .link
+                    .peer
+                    .as_ref()
+                    .is_some_and(|peer| peer.id == hello.id)
+        });
         if let Some((at, end)) = other.map(|(at, end)| (*at, end.link.dialled)) {
             let by_greater = |dialled_here: bool| dialled_here == (me > hello.id);
             if by_greater(end) && !by_greater(mine) {
@@ -330,7 +384,9 @@
         while let Some(out) = self.membership.out() {
             match out {
                 Out::Datagram(at, bytes) => {
-                    let Some((udp, _)) = &self.sockets else { continue };
+                    let Some((udp, _)) = &self.sockets else {
+                        continue;
+                    };
                     let at = self.setup.via.get(&at).copied().unwrap_or(at);
                     self.sent = (self.sent.0 + bytes.len() as u64, self.sent.1 + 1);
                     // A datagram may get lost anyway.
@@ -338,7 +394,11 @@
                 }
                 Out::Up(who) => {
                     self.tries.remove(&who.id);
-                    if self.addresses.insert(who.id, (who.name.clone(), who.at)).is_none() {
+                    if self
+                        .addresses
+                        .insert(who.id, (who.name.clone(), who.at))
+                        .is_none()
+                    {
                         info!(self.log, "member up"; "member" => &who.name, "id" => format!("{:016x}", who.id),
                             "zone" => &who.zone, "build" => &who.build, "bump" => who.bump);
                     }
@@ -351,7 +411,9 @@
                         self.addresses.remove(&who.id);
                     }
                 }
-                Out::Back(bump) => info!(self.log, "was taken for dead and is back"; "bump" => bump),
+                Out::Back(bump) => {
+                    info!(self.log, "was taken for dead and is back"; "bump" => bump)
+                }
                 Out::Replaced => self.was_replaced(),
             }
         }
@@ -359,7 +421,10 @@
 
     /// All that live, by id.
     pub fn alive(&self) -> BTreeMap<u64, Member> {
-        self.membership.alive().map(|identity| (identity.id, member(identity))).collect()
+        self.membership
+            .alive()
+            .map(|identity| (identity.id, member(identity)))
+            .collect()
     }
 
     /// What the council wants carried out. Gives the links that could not take it.
@@ -372,10 +437,16 @@
         for action in self.council.actions() {
             match action {
                 Action::Send(to, said) => {
-                    let up = |end: &&mut End| end.link.peer.as_ref().is_some_and(|peer| peer.id == to);
-                    let found = self.links.iter_mut().find_map(|(id, end)| up(&end).then_some((*id, end)));
+                    let up =
+                        |end: &&mut End| end.link.peer.as_ref().is_some_and(|peer| peer.id == to);
+                    let found = self
+                        .links
+                        .iter_mut()
+                        .find_map(|(id, end)| up(&end).then_some((*id, end)));
                     // Whoever is not reached now is told again later: the council repeats itself.
-                    let (Some((id, end)), Ok(bytes)) = (found, postcard::to_stdvec(&said)) else { continue };
+                    let (Some((id, end)), Ok(bytes)) = (found, postcard::to_stdvec(&said)) else {
+                        continue;
+                    };
                     self.sent = (self.sent.0 + bytes.len() as u64, self.sent.1 + 1);
                     if let Err(why) = end.link.say(&Message::Of(Subject::Council, bytes)) {
                         broken.push((id, why));
@@ -409,11 +480,18 @@
                 });
                 info!(log, "council leader"; "leader" => name.unwrap_or_else(|| "none".into()));
             }
-            Note::Changes(change) => info!(log, "council changes"; "change" => format!("{change:?}")),
+            Note::Changes(change) => {
+                info!(log, "council changes"; "change" => format!("{change:?}"))
+            }
             Note::Slice(slice) => info!(log, "slice of the cold budget"; "sends" => slice),
-            Note::LeaseOver => info!(log, "lease of the cold budget is over"; "sends" => self.setup.floor),
+            Note::LeaseOver => {
+                info!(log, "lease of the cold budget is over"; "sends" => self.setup.floor)
+            }
             Note::Broke => {
-                warn!(log, "the council's log broke its rules: out of the council until the next start")
+                warn!(
+                    log,
+                    "the council's log broke its rules: out of the council until the next start"
+                )
             }
         }
     }
@@ -429,9 +507,9 @@
             }
         }
         let linked = |id: u64| {
-            self.links
-                .values()
-                .any(|end| end.to == Some(id) || end.link.peer.as_ref().is_some_and(|peer| peer.id == id))
+            self.links.values().any(|end| {
+                end.to == Some(id) || end.link.peer.as_ref().is_some_and(|peer| peer.id == id)
+            })
         };
         let due = |id: u64| self.tries.get(&id).is_none_or(|(at, _)| now >= *at);
         let dial = wants.into_iter().filter(|id| !linked(*id) && due(*id));
@@ -445,10 +523,18 @@
     /// Keeps links alive; gives those that are dead or not needed any more.
     pub fn keep(&mut self) -> Vec<(Id, String)> {
         let mut dead = Vec::new();
-        let peers = self.links.iter().filter_map(|(id, end)| Some((*id, end.link.peer.as_ref()?)));
-        let replaced: Vec<Id> = peers.filter(|(_, peer)| self.is_replaced(peer)).map(|(id, _)| id).collect();
+        let peers = self
+            .links
+            .iter()
+            .filter_map(|(id, end)| Some((*id, end.link.peer.as_ref()?)));
+        let replaced: Vec<Id> = peers
+            .filter(|(_, peer)| self.is_replaced(peer))
+            .map(|(id, _)| id)
+            .collect();
         for id in replaced {
-            let Some(end) = self.links.get_mut(&id) else { continue };
+            let Some(end) = self.links.get_mut(&id) else {
+                continue;
+            };
             // Its link stays: its vote may be needed until it is let go.
             if end.warned.is_none_or(|at| at.elapsed() >= WARN_AGAIN) {
                 end.warned = Some(Instant::now());
@@ -473,7 +559,11 @@
             fleet: &self.setup.name,
             council: self.council.status(now),
             alive: self.membership.alive().count() + 1,
-            links: self.links.values().filter(|end| end.link.peer.is_some()).count(),
+            links: self
+                .links
+                .values()
+                .filter(|end| end.link.peer.is_some())
+                .count(),
             datagrams_refused: self.membership.refused,
             messages_refused: self.strange,
             sent_bytes: self.sent.0,
@@ -485,8 +575,11 @@
     /// What `budgets show` tells.
     pub fn budgets(&self, now: Time) -> serde_json::Value {
         let status = self.council.status(now);
-        let slices: BTreeMap<&str, u32> =
-            status.parts.iter().map(|part| (part.member.name.as_str(), part.slice)).collect();
+        let slices: BTreeMap<&str, u32> = status
+            .parts
+            .iter()
+            .map(|part| (part.member.name.as_str(), part.slice))
+            .collect();
         serde_json::json!([{
             "name": "cold", "unit": "new connections in a window", "window_ms": Terms::default().window.as_millis() as u64,
             "whole": status.capacity.saturating_add(self.setup.aside), "set_aside": self.setup.aside, "floor": self.setup.floor,
@@ -496,7 +589,11 @@
 
     /// What `fleet members` tells, as JSON.
     pub fn listed(&self) -> String {
-        let mut all: Vec<&Identity> = self.membership.alive().chain([self.membership.me()]).collect();
+        let mut all: Vec<&Identity> = self
+            .membership
+            .alive()
+            .chain([self.membership.me()])
+            .collect();
         all.sort();
         serde_json::to_string(&all).unwrap_or_default()
     }
--- a/crates/node/src/fleet/disk.rs
+++ b/crates/node/src/fleet/disk.rs
@@ -55,7 +55,8 @@
 
 fn open_whole(path: &Path, owner: &str, fresh: u64) -> Result<(Database, Durable), Fault> {
     if let Some(folder) = path.parent() {
-        fs::create_dir_all(folder).map_err(|error| Fault::Wrong(format!("{}: {error}", folder.display())))?;
+        fs::create_dir_all(folder)
+            .map_err(|error| Fault::Wrong(format!("{}: {error}", folder.display())))?;
     }
     let opened = Database::builder().set_cache_size(CACHE).create(path);
     let mut database = opened.map_err(|error| match error {
@@ -73,7 +74,10 @@
         Ok(false) => return Err(damaged("its checksums differ")),
         Err(error) => return Err(damaged(error)),
     }
-    let mut kept = read(&database, owner)?.unwrap_or(Durable { id: fresh, ..Durable::default() });
+    let mut kept = read(&database, owner)?.unwrap_or(Durable {
+        id: fresh,
+        ..Durable::default()
+    });
     kept.starts = kept.starts.saturating_add(1);
     let noted = || -> Result<(), redb::Error> {
         let change = database.begin_write()?;
@@ -98,22 +102,34 @@
             other => other?,
         };
         let mut values: [Value; 6] = Default::default();
-        for (value, name) in values.iter_mut().zip([OWNER, ID, STARTS, STAMP, SNAPSHOT, HARD]) {
+        for (value, name) in values
+            .iter_mut()
+            .zip([OWNER, ID, STARTS, STAMP, SNAPSHOT, HARD])
+        {
             *value = facts.get(name)?.map(|found| found.value().to_vec());
         }
         Ok(Some(values))
     };
-    let Some([whose, id, starts, stamp, snapshot, hard]) = all().map_err(damaged)? else { return Ok(None) };
+    let Some([whose, id, starts, stamp, snapshot, hard]) = all().map_err(damaged)? else {
+        return Ok(None);
+    };
     let whose = String::from_utf8_lossy(&whose.unwrap_or_default()).into_owned();
     if whose != owner {
-        return Err(Fault::Wrong(format!("the council's file belongs to {whose:?}, this is {owner:?}")));
+        return Err(Fault::Wrong(format!(
+            "the council's file belongs to {whose:?}, this is {owner:?}"
+        )));
     }
     let id = id.and_then(|id| id.try_into().ok()).map(u64::from_be_bytes);
-    let starts = starts.and_then(|starts| starts.try_into().ok()).map(u32::from_be_bytes);
+    let starts = starts
+        .and_then(|starts| starts.try_into().ok())
+        .map(u32::from_be_bytes);
     let (Some(id), Some(starts)) = (id.filter(|id| *id != 0), starts) else {
         return Err(damaged("it names no identity"));
     };
-    let stamp = stamp.map(|stamp| postcard::from_bytes::<Stamp>(&stamp)).transpose().map_err(damaged)?;
+    let stamp = stamp
+        .map(|stamp| postcard::from_bytes::<Stamp>(&stamp))
+        .transpose()
+        .map_err(damaged)?;
     let entries = || -> Result<_, redb::Error> {
         let log = database.begin_read()?.open_table(LOG)?;
         let mut entries = std::collections::BTreeMap::new();
@@ -124,7 +140,14 @@
         Ok(entries)
     };
     let entries = entries().map_err(damaged)?;
-    Ok(Some(Durable { id, starts, stamp, snapshot, hard, entries }))
+    Ok(Some(Durable {
+        id,
+        starts,
+        stamp,
+        snapshot,
+        hard,
+        entries,
+    }))
 }
 
 /// Puts a file aside that can't be gone on with; one that was put aside before goes.
@@ -142,8 +165,8 @@
             if let Some(stamp) = write.begins {
                 facts.remove(SNAPSHOT)?;
                 facts.remove(HARD)?;
-                let stamp =
-                    postcard::to_stdvec(&stamp).map_err(|error| io::Error::other(error.to_string()))?;
+                let stamp = postcard::to_stdvec(&stamp)
+                    .map_err(|error| io::Error::other(error.to_string()))?;
                 facts.insert(STAMP, stamp.as_slice())?;
             }
             if write.clears || write.begins.is_some() {
@@ -183,25 +206,29 @@
         let (wakes, mut wake) = UnixStream::pair()?;
         wakes.set_nonblocking(true)?;
         wake.set_nonblocking(true)?;
-        thread::Builder::new().name("council's disk".into()).spawn(move || {
-            while let Ok(first) = writes.recv() {
-                let batch: Vec<Write> =
-                    std::iter::once(first).chain(writes.try_iter().take(MOST_AT_ONCE)).collect();
-                let last = batch.last().map_or(0, |write| write.number);
-                let carried_out = catch_unwind(AssertUnwindSafe(|| carry_out(&database, &batch)));
-                let carried_out = match carried_out {
-                    Ok(carried_out) => carried_out.map_err(|error| error.to_string()),
-                    Err(_) => Err("the file is damaged".to_string()),
-                };
-                let over = carried_out.is_err();
-                // Nobody listens any more, or is awake already.
-                let _ = done.send(carried_out.map(|()| last));
-                let _ = wake.write(&[1]);
-                if over {
-                    return;
+        thread::Builder::new()
+            .name("council's disk".into())
+            .spawn(move || {
+                while let Ok(first) = writes.recv() {
+                    let batch: Vec<Write> = std::iter::once(first)
+                        .chain(writes.try_iter().take(MOST_AT_ONCE))
+                        .collect();
+                    let last = batch.last().map_or(0, |write| write.number);
+                    let carried_out =
+                        catch_unwind(AssertUnwindSafe(|| carry_out(&database, &batch)));
+                    let carried_out = match carried_out {
+                        Ok(carried_out) => carried_out.map_err(|error| error.to_string()),
+                        Err(_) => Err("the file is damaged".to_string()),
+                    };
+                    let over = carried_out.is_err();
+                    // Nobody listens any more, or is awake already.
+                    let _ = done.send(carried_out.map(|()| last));
+                    let _ = wake.write(&[1]);
+                    if over {
+                        return;
+                    }
                 }
-            }
-        })?;
+            })?;
         Ok(Disk { to, from, wakes })
     }
 
@@ -226,7 +253,9 @@
             match self.from.try_recv() {
                 Ok(done) => last = Some(done?),
                 Err(TryRecvError::Empty) => return Ok(last),
-                Err(TryRecvError::Disconnected) => return last.map(Some).ok_or("it has ended".to_string()),
+                Err(TryRecvError::Disconnected) => {
+                    return last.map(Some).ok_or("it has ended".to_string())
+                }
             }
         }
     }
--- a/crates/node/src/fleet/disk/tests.rs
+++ b/crates/node/src/fleet/disk/tests.rs
@@ -2,17 +2,40 @@
 use rstest::rstest;
 
 fn write(number: u64, entries: &[u64]) -> Write {
-    let entries = entries.iter().map(|index| (*index, vec![*index as u8; 2_000])).collect();
-    Write { number, entries, hard: Some(vec![number as u8]), ..Write::default() }
+    let entries = entries
+        .iter()
+        .map(|index| (*index, vec![*index as u8; 2_000]))
+        .collect();
+    Write {
+        number,
+        entries,
+        hard: Some(vec![number as u8]),
+        ..Write::default()
+    }
 }
 
 /// A file with some writes in it, as a process that was killed leaves it, and what they add up to.
 fn left(path: &Path) -> Durable {
     let (database, mut kept) = open(path, "guj/n0", 7).unwrap();
-    let stamp = Stamp { epoch: 1, founding: 3 };
-    let begins = Write { begins: Some(stamp), snapshot: Some((1, vec![9])), ..Write::default() };
-    let snapshot = Write { number: 4, snapshot: Some((3, vec![8; 9_000])), ..Write::default() };
-    for batch in [vec![begins, write(2, &[2, 3, 4, 5])], vec![write(3, &[4])], vec![snapshot]] {
+    let stamp = Stamp {
+        epoch: 1,
+        founding: 3,
+    };
+    let begins = Write {
+        begins: Some(stamp),
+        snapshot: Some((1, vec![9])),
+        ..Write::default()
+    };
+    let snapshot = Write {
+        number: 4,
+        snapshot: Some((3, vec![8; 9_000])),
+        ..Write::default()
+    };
+    for batch in [
+        vec![begins, write(2, &[2, 3, 4, 5])],
+        vec![write(3, &[4])],
+        vec![snapshot],
+    ] {
         carry_out(&database, &batch).unwrap();
         batch.iter().for_each(|write| kept.take(write));
     }
@@ -20,7 +43,8 @@
 }
 
 fn folder(name: &str) -> std::path::PathBuf {
-    let folder = std::env::temp_dir().join(format!("lupincrank-disk-{}-{name}", std::process::id()));
+    let folder =
+        std::env::temp_dir().join(format!("lupincrank-disk-{}-{name}", std::process::id()));
     let _ = fs::remove_dir_all(&folder);
     folder.join("council-n0.redb")
 }
@@ -50,7 +74,10 @@
     match spoils {
         2 => bytes.truncate(bytes.len() / 2),
         // All places where the entries stand.
-        3 => bytes.iter_mut().filter(|byte| [4, 5, 8].contains(*byte)).for_each(|byte| *byte ^= 64),
+        3 => bytes
+            .iter_mut()
+            .filter(|byte| [4, 5, 8].contains(*byte))
+            .for_each(|byte| *byte ^= 64),
         _ => {}
     }
     fs::write(&path, bytes).unwrap();
@@ -84,6 +111,9 @@
             other => break other.unwrap().1,
         }
     };
-    assert_eq!((again.id, again.entries.len(), again.hard), (7, 20, Some(vec![20])));
+    assert_eq!(
+        (again.id, again.entries.len(), again.hard),
+        (7, 20, Some(vec![20]))
+    );
     let _ = fs::remove_dir_all(path.parent().unwrap());
 }
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -9,12 +9,12 @@
 use carry::Carry;
 use disk::{Disk, Fault as DiskFault};
 use lupincrank_budgets::need::Use;
+use lupincrank_cluster::link::{Fault, Link};
+use lupincrank_cluster::membership::LONGEST;
 use lupincrank_control::council::TICK;
 use lupincrank_control::durable::Durable;
 use lupincrank_reactor::poll::{self, Watched};
 use lupincrank_reactor::{Connection, Flow, Id};
-use lupincrank_cluster::link::{Fault, Link};
-use lupincrank_cluster::membership::LONGEST;
 use slog::{debug, info, warn};
 use std::io;
 use std::net::{TcpListener, UdpSocket};
@@ -36,7 +36,9 @@
 
 /// Begins, where the operator's file says so; an error is for a person to look at.
 pub fn begin(node: &mut Node) -> Result<(), String> {
-    let Some(setup) = &node.config.fleet else { return Ok(()) };
+    let Some(setup) = &node.config.fleet else {
+        return Ok(());
+    };
     if setup.divides {
         // Nothing is this process's before it has its place: another process of this node may still use all of it.
         node.core.slice(0, 0, 0.0, None);
@@ -51,15 +53,29 @@
 /// Takes address and folder, or says why they are not to be had yet: a process that takes another one's place waits for
 /// its end.
 fn take_place(node: &mut Node) -> Result<Option<String>, String> {
-    let Some(setup) = node.config.fleet.clone() else { return Ok(None) };
+    let Some(setup) = node.config.fleet.clone() else {
+        return Ok(None);
+    };
     let listen = setup.listen;
     let take = || -> io::Result<(Watched<UdpSocket>, Watched<TcpListener>)> {
         let listener = poll::listen(listen)?;
         let udp = UdpSocket::bind(listen)?;
         udp.set_nonblocking(true)?;
         Ok((
-            Watched::new(&node.poller, udp, FLEET as usize * 2 + DATAGRAMS, true, false)?,
-            Watched::new(&node.poller, listener, FLEET as usize * 2 + LISTENER, true, false)?,
+            Watched::new(
+                &node.poller,
+                udp,
+                FLEET as usize * 2 + DATAGRAMS,
+                true,
+                false,
+            )?,
+            Watched::new(
+                &node.poller,
+                listener,
+                FLEET as usize * 2 + LISTENER,
+                true,
+                false,
+            )?,
         ))
     };
     let again = |node: &mut Node, why: String| {
@@ -71,7 +87,12 @@
         Err(error) => return again(node, format!("{listen}: {error}")),
     };
     let drawn = rand::random::<u64>().max(1);
-    let settings = node.config.raw.get("settings").map(ToString::to_string).unwrap_or_default();
+    let settings = node
+        .config
+        .raw
+        .get("settings")
+        .map(ToString::to_string)
+        .unwrap_or_default();
     let settings = crc32fast::hash(settings.as_bytes());
     let (now, name, log) = (node.core.now(), node.config.name.clone(), node.log.clone());
     let new = |id: u64, kept: Option<&Durable>| {
@@ -85,14 +106,17 @@
                 let named = |error: io::Error| format!("{}: {error}", path.display());
                 let disk = Disk::begin(database).map_err(named)?;
                 let wakes = disk.wakes().map_err(named)?;
-                let wakes =
-                    Watched::new(&node.poller, wakes, DISK as usize * 2, true, false).map_err(named)?;
+                let wakes = Watched::new(&node.poller, wakes, DISK as usize * 2, true, false)
+                    .map_err(named)?;
                 carry.keep_on(disk, wakes);
                 node.adopt(DISK, Box::new(Written));
                 carry
             }
             Err(DiskFault::Busy) => {
-                return again(node, format!("{}: another process holds it", path.display()))
+                return again(
+                    node,
+                    format!("{}: another process holds it", path.display()),
+                )
             }
             Err(DiskFault::Wrong(why)) => return Err(why),
             Err(DiskFault::Damaged(why)) => {
@@ -128,7 +152,9 @@
 
 /// Does something with the fleet, then carries out what came of it.
 fn with(node: &mut Node, work: impl FnOnce(&mut Carry, &mut Node)) {
-    let Some(mut carry) = node.fleet.take() else { return };
+    let Some(mut carry) = node.fleet.take() else {
+        return;
+    };
     work(&mut carry, node);
     carry.members();
     let now = node.core.now();
@@ -142,7 +168,8 @@
     if carry.setup.divides {
         let (sends, until) = carry.council.limit(now);
         let part = carry.council.part(now).unwrap_or(0.0);
-        node.core.slice(sends, carry.council.floor(now), part, until);
+        node.core
+            .slice(sends, carry.council.floor(now), part, until);
     }
     if carry.sockets.is_some() {
         let next = carry.next();
@@ -154,7 +181,8 @@
 fn dial(carry: &mut Carry, node: &mut Node) {
     for (to, at) in carry.dials() {
         let id = node.name();
-        let begun = Link::dial(&node.poller, at, id as usize * 2).map_err(|error| error.to_string());
+        let begun =
+            Link::dial(&node.poller, at, id as usize * 2).map_err(|error| error.to_string());
         match begun.and_then(|link| carry.begin(id, link, Some(to))) {
             Ok(()) => node.adopt(id, Box::new(End { id })),
             Err(why) => carry.complain("a link could not begin", &why),
@@ -170,7 +198,9 @@
 /// What a person asked for; `None` without a fleet.
 pub fn told(node: &mut Node, what: &str) -> Option<Result<String, String>> {
     if node.fleet.is_none() && node.config.fleet.is_some() {
-        return Some(Err("this process waits for its place in the fleet, which another one holds".into()));
+        return Some(Err(
+            "this process waits for its place in the fleet, which another one holds".into(),
+        ));
     }
     let now = node.core.now();
     let mut answer = None;
@@ -183,7 +213,9 @@
                 .council
                 .reseed(now, rand::random())
                 .map(|stamp| format!("{{\"epoch\":{}}}", stamp.epoch)),
-            other => Err(format!("no call fleet {other:?}; there are status, members, log and reseed")),
+            other => Err(format!(
+                "no call fleet {other:?}; there are status, members, log and reseed"
+            )),
         });
     });
     answer
@@ -196,17 +228,24 @@
 pub fn budgets(node: &mut Node, what: &str, change: Option<&str>) -> Result<String, String> {
     let now = node.core.now();
     let Some(carry) = node.fleet.as_mut().filter(|carry| carry.setup.divides) else {
-        return Err("this node divides no budget with a fleet, or waits for its place there".into());
+        return Err(
+            "this node divides no budget with a fleet, or waits for its place there".into(),
+        );
     };
     let read = |change: Option<&str>| {
         let change = change.ok_or("it needs NAME=CAPACITY, as in cold=60")?;
-        let (name, capacity) =
-            change.split_once('=').ok_or_else(|| format!("{change:?} is not NAME=CAPACITY"))?;
+        let (name, capacity) = change
+            .split_once('=')
+            .ok_or_else(|| format!("{change:?} is not NAME=CAPACITY"))?;
         if name != "cold" {
             return Err(format!("no budget {name:?}; there is cold"));
         }
-        let capacity = capacity.parse().ok().filter(|capacity| (1..=MOST_CAPACITY).contains(capacity));
-        let capacity = capacity.ok_or_else(|| format!("{change:?}: 1 to {MOST_CAPACITY} are a capacity"))?;
+        let capacity = capacity
+            .parse()
+            .ok()
+            .filter(|capacity| (1..=MOST_CAPACITY).contains(capacity));
+        let capacity =
+            capacity.ok_or_else(|| format!("{change:?}: 1 to {MOST_CAPACITY} are a capacity"))?;
         let aside = carry.setup.aside;
         let handed = capacity.checked_sub(aside);
         handed.ok_or_else(|| format!("{change:?}: {aside} are set aside as floors"))
@@ -239,7 +278,9 @@
         with(node, |carry, _| {
             let mut bytes = [0; LONGEST + 1];
             for _ in 0..MOST_DATAGRAMS {
-                let Some((udp, _)) = &carry.sockets else { return };
+                let Some((udp, _)) = &carry.sockets else {
+                    return;
+                };
                 match udp.recv_from(&mut bytes) {
                     Ok((length, _)) => carry.membership.datagram(carry.age(), &bytes[..length]),
                     Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
@@ -253,15 +294,22 @@
     fn links(node: &mut Node) {
         with(node, |carry, node| {
             for _ in 0..MOST_ACCEPTS {
-                let Some((_, listener)) = &carry.sockets else { return };
-                let Ok((stream, _)) = listener.accept() else { return };
+                let Some((_, listener)) = &carry.sockets else {
+                    return;
+                };
+                let Ok((stream, _)) = listener.accept() else {
+                    return;
+                };
                 if !carry.has_room() {
                     carry.complain("a link was not taken", "there are too many");
                     continue;
                 }
                 let id = node.name();
                 let link = Link::accepted(&node.poller, stream, id as usize * 2);
-                match link.map_err(|error| error.to_string()).and_then(|link| carry.begin(id, link, None)) {
+                match link
+                    .map_err(|error| error.to_string())
+                    .and_then(|link| carry.begin(id, link, None))
+                {
                     Ok(()) => node.adopt(id, Box::new(End { id })),
                     Err(why) => carry.complain("a link could not begin", &why),
                 }
@@ -349,10 +397,13 @@
     fn ready(&mut self, node: &mut Node, _side: usize, readable: bool, _writable: bool) -> Flow {
         let (id, mut flow) = (self.id, Flow::Keep);
         with(node, |carry, node| {
-            let Some(end) = carry.links.get_mut(&id) else { return flow = Flow::Done };
+            let Some(end) = carry.links.get_mut(&id) else {
+                return flow = Flow::Done;
+            };
             let now = node.core.now();
             let heard = end.link.ready(readable);
-            let heard = heard.and_then(|messages| carry.heard(now, id, messages).map_err(Fault::Strange));
+            let heard =
+                heard.and_then(|messages| carry.heard(now, id, messages).map_err(Fault::Strange));
             if let Err(fault) = heard {
                 let why = match fault {
                     Fault::Broke(why) => why,
@@ -373,7 +424,10 @@
     }
 
     fn told(&mut self, node: &mut Node, message: Message) -> Flow {
-        let gone = node.fleet.as_ref().is_none_or(|carry| !carry.links.contains_key(&self.id));
+        let gone = node
+            .fleet
+            .as_ref()
+            .is_none_or(|carry| !carry.links.contains_key(&self.id));
         if gone || matches!(message, Message::Close) {
             Flow::Done
         } else {
--- a/crates/node/src/fleet/setup.rs
+++ b/crates/node/src/fleet/setup.rs
@@ -41,9 +41,13 @@
         node: &str,
         variable: impl Fn(&str) -> Option<String>,
     ) -> Result<Option<Setup>, String> {
-        let Some(fleet) = &operator.fleet else { return Ok(None) };
-        let told = variable("RELAY_FLEET")
-            .map(|told| told.parse().map_err(|_| format!("RELAY_FLEET: {told:?} is not an address:port")));
+        let Some(fleet) = &operator.fleet else {
+            return Ok(None);
+        };
+        let told = variable("RELAY_FLEET").map(|told| {
+            told.parse()
+                .map_err(|_| format!("RELAY_FLEET: {told:?} is not an address:port"))
+        });
         let listen = told.transpose()?.or(fleet.listen);
         let listen = listen.ok_or("neither RELAY_FLEET nor fleet.listen is set")?;
         let nodes: BTreeSet<String> = fleet.nodes.get_ref().iter().cloned().collect();
@@ -54,7 +58,8 @@
             ));
         }
         let file = fleet.folder.as_ref();
-        let file = file.map(|folder| Path::new(folder.get_ref()).join(format!("council-{node}.redb")));
+        let file =
+            file.map(|folder| Path::new(folder.get_ref()).join(format!("council-{node}.redb")));
         let cold = operator.budgets.cold.as_ref();
         let floor = cold.map_or(0, |cold| *cold.floor.get_ref());
         let set_aside = floor * u32::try_from(nodes.len()).unwrap_or(u32::MAX);
--- a/crates/node/src/group.rs
+++ b/crates/node/src/group.rs
@@ -39,7 +39,12 @@
 
 /// Where it listens, as this node reaches it.
 pub fn dial(host: &Host) -> Result<SocketAddr, String> {
-    host.dial.parse().map_err(|_| format!("{:?}: dial {:?} is not an address:port", host.host, host.dial))
+    host.dial.parse().map_err(|_| {
+        format!(
+            "{:?}: dial {:?} is not an address:port",
+            host.host, host.dial
+        )
+    })
 }
 
 /// Its state.
@@ -55,9 +60,12 @@
 /// A name's number: its place in the settings, or the next free one.
 pub fn number(names: &mut Vec<String>, name: Option<&str>) -> u32 {
     let Some(name) = name else { return 0 };
-    let place = names.iter().position(|known| known == name).unwrap_or_else(|| {
-        names.push(name.to_string());
-        names.len() - 1
-    });
+    let place = names
+        .iter()
+        .position(|known| known == name)
+        .unwrap_or_else(|| {
+            names.push(name.to_string());
+            names.len() - 1
+        });
     u32::try_from(place).unwrap_or(u32::MAX)
 }
--- a/crates/node/src/hollow.rs
+++ b/crates/node/src/hollow.rs
@@ -50,12 +50,15 @@
     variable: impl Fn(&str) -> Option<String>,
     observer: Box<dyn Observer>,
 ) -> Result<impl FnOnce() -> std::io::Result<()>, String> {
-    let mut config = Config::read(config, &variable).map_err(|why| format!("the configuration: {why}"))?;
+    let mut config =
+        Config::read(config, &variable).map_err(|why| format!("the configuration: {why}"))?;
     let operator = Operator::read(operator).map_err(|why| format!("the operator's file: {why}"))?;
     let setup = Setup::read(&operator, &config.name, &variable);
     config.fleet = setup.map_err(|why| format!("the operator's file: {why}"))?;
     if config.fleet.is_none() {
-        return Err("the operator's file: there is no [fleet], and a hollow node has nothing else".into());
+        return Err(
+            "the operator's file: there is no [fleet], and a hollow node has nothing else".into(),
+        );
     }
     let state = State::new(config, Logger::root(Discard, o!()));
     let mut reactor = Reactor::new(state, OBSERVER).map_err(|error| error.to_string())?;
@@ -72,11 +75,28 @@
 fn seen(node: &Node) -> Seen {
     let now = node.core.now();
     // Its place may be another process's still.
-    let Some(carry) = &node.fleet else { return Seen::default() };
-    let (epoch, capacity) = carry.council.state().map_or((0, 0), |state| (state.epoch, state.capacity));
+    let Some(carry) = &node.fleet else {
+        return Seen::default();
+    };
+    let (epoch, capacity) = carry
+        .council
+        .state()
+        .map_or((0, 0), |state| (state.epoch, state.capacity));
     let alive = carry.membership.alive().count() + 1;
-    let (led, leads, votes) = (carry.council.is_led(), carry.council.leads(), carry.council.votes());
-    Seen { epoch, capacity, led, leads, votes, alive, limit: carry.council.limit(now).0 }
+    let (led, leads, votes) = (
+        carry.council.is_led(),
+        carry.council.leads(),
+        carry.council.votes(),
+    );
+    Seen {
+        epoch,
+        capacity,
+        led,
+        leads,
+        votes,
+        alive,
+        limit: carry.council.limit(now).0,
+    }
 }
 
 impl Connection<State> for Watch {
@@ -92,7 +112,8 @@
         if let Some(carry) = &mut node.fleet {
             carry.council.used(Use { most, turned_away });
         }
-        node.deadlines.set(OBSERVER, 0, Instant::now() + self.observer.every());
+        node.deadlines
+            .set(OBSERVER, 0, Instant::now() + self.observer.every());
         Flow::Keep
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -36,7 +36,10 @@
         .build()
         .ignore_res();
     let level = if verbose { Level::Debug } else { Level::Info };
-    Logger::root(Mutex::new(slog::LevelFilter::new(format, level)).map(slog::Fuse), o!())
+    Logger::root(
+        Mutex::new(slog::LevelFilter::new(format, level)).map(slog::Fuse),
+        o!(),
+    )
 }
 
 fn run(command: Command) -> Result<(), String> {
@@ -56,30 +59,67 @@
             let config = load(config, operator)?;
             let strict = lupincrank_settings::strict::check(&config.raw, None);
             strict.map_err(|why| format!("a start takes it, SIGHUP would turn it down: {why}"))?;
-            println!("{}: listens on {}, {} classes", config.name, config.listen, config.classes.len());
+            println!(
+                "{}: listens on {}, {} classes",
+                config.name,
+                config.listen,
+                config.classes.len()
+            );
             println!("it holds for a start and, as far as it does not depend on the file before, for SIGHUP");
         }
         Command::Manage { address, call } => {
-            let answer =
-                management::ask(address, &call.join(" ")).map_err(|error| format!("{address}: {error}"))?;
+            let answer = management::ask(address, &call.join(" "))
+                .map_err(|error| format!("{address}: {error}"))?;
             println!("{answer}");
             if !answer.starts_with("done") {
                 return Err(format!("{address} said no"));
             }
         }
-        Command::Fleet { json, what, address } => {
+        Command::Fleet {
+            json,
+            what,
+            address,
+        } => {
             let answer = management::ask(address, &format!("fleet {what}"));
             let answer = answer.map_err(|error| format!("{address}: {error}"))?;
-            let told = answer.strip_prefix("done ").ok_or_else(|| format!("{address}: {answer}"))?;
-            println!("{}", if json { told.to_string() } else { inquiry::table(&what, told)? });
+            let told = answer
+                .strip_prefix("done ")
+                .ok_or_else(|| format!("{address}: {answer}"))?;
+            println!(
+                "{}",
+                if json {
+                    told.to_string()
+                } else {
+                    inquiry::table(&what, told)?
+                }
+            );
         }
-        Command::Budgets { json, what, address, change } => {
+        Command::Budgets {
+            json,
+            what,
+            address,
+            change,
+        } => {
             let call = format!("budgets {what} {}", change.unwrap_or_default());
-            let answer = management::ask(address, &call).map_err(|error| format!("{address}: {error}"))?;
-            let told = answer.strip_prefix("done ").ok_or_else(|| format!("{address}: {answer}"))?;
-            println!("{}", if json { told.to_string() } else { inquiry::budgets(told)? });
+            let answer =
+                management::ask(address, &call).map_err(|error| format!("{address}: {error}"))?;
+            let told = answer
+                .strip_prefix("done ")
+                .ok_or_else(|| format!("{address}: {answer}"))?;
+            println!(
+                "{}",
+                if json {
+                    told.to_string()
+                } else {
+                    inquiry::budgets(told)?
+                }
+            );
         }
-        Command::Serve { config, operator, verbose } => {
+        Command::Serve {
+            config,
+            operator,
+            verbose,
+        } => {
             let config = load(config, operator)?;
             let listen = config.listen;
             let start = serve::start(config, logger(verbose));
--- a/crates/node/src/line_front.rs
+++ b/crates/node/src/line_front.rs
@@ -48,7 +48,10 @@
         let key = (Instant::now() + patience, id);
         node.deadlines.set(id, PATIENCE, key.0);
         node.strangers.borrow_mut().insert(key);
-        Place { among: Rc::clone(&node.strangers), key }
+        Place {
+            among: Rc::clone(&node.strangers),
+            key,
+        }
     }
 }
 
@@ -73,7 +76,10 @@
             None => poll::listen(node.config.listen)?,
         };
         let socket = Watched::new(&node.poller, socket, LISTENER as usize * 2, true, false)?;
-        Ok(Listener { socket, rests: false })
+        Ok(Listener {
+            socket,
+            rests: false,
+        })
     }
 
     fn take(&mut self, node: &mut Node) -> io::Result<()> {
@@ -91,7 +97,15 @@
             let stream = Watched::new(&node.poller, stream, id as usize * 2, true, false)?;
             let place = Some(Place::take(node, id, FIRST_LINE));
             let (stream, bytes, state) = (Some(stream), Vec::new(), State::First);
-            let mut client = Client { id, seat: None, place, stream, bytes, state, frozen: false };
+            let mut client = Client {
+                id,
+                seat: None,
+                place,
+                stream,
+                bytes,
+                state,
+                frozen: false,
+            };
             // Most have sent their line by now: guards against taking one that asks for one that says nothing.
             if client.read(node) == Flow::Keep {
                 node.adopt(id, Box::new(client));
@@ -107,9 +121,13 @@
     /// connect and say nothing.
     fn make_room(&self, node: &mut Node) {
         let other = node.upgrade.other;
-        let most = node.config.most_strangers(node.clients.get() + other.clients);
+        let most = node
+            .config
+            .most_strangers(node.clients.get() + other.clients);
         while node.strangers.borrow().len() + other.strangers > most {
-            let Some((_, id)) = node.strangers.borrow_mut().pop_first() else { break };
+            let Some((_, id)) = node.strangers.borrow_mut().pop_first() else {
+                break;
+            };
             node.tell(id, Message::Close);
         }
     }
@@ -180,7 +198,10 @@
     if word != "OPEN" || parts.next().is_some() || !plain(flow) {
         return None;
     }
-    let hexadecimal = id.len() == 16 && id.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
+    let hexadecimal = id.len() == 16
+        && id
+            .bytes()
+            .all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
     let request = u64::from_str_radix(id, 16).ok().filter(|_| hexadecimal)?;
     let mut at = text.len() - list.len();
     let (mut class, mut left, mut subject, mut again, mut holder, mut load) =
@@ -203,7 +224,10 @@
             "again" => again = value == "1",
             "at" => holder = Some(value.to_string()),
             "h" => {
-                let micros = value.parse::<f64>().ok().filter(|load| (0.0..1e12).contains(load))?;
+                let micros = value
+                    .parse::<f64>()
+                    .ok()
+                    .filter(|load| (0.0..1e12).contains(load))?;
                 load = Some(Duration::from_secs_f64(micros / 1e6));
             }
             _ => {}
@@ -211,7 +235,17 @@
     }
     let (left_ms, left_at) = left?;
     let flow = flow.to_string();
-    Some(First::Open(Open { request, flow, class: class?, left_ms, left_at, subject, again, holder, load }))
+    Some(First::Open(Open {
+        request,
+        flow,
+        class: class?,
+        left_ms,
+        left_at,
+        subject,
+        again,
+        holder,
+        load,
+    }))
 }
 
 /// A field that holds something and no control characters.
@@ -222,7 +256,11 @@
 impl Open {
     fn incoming(&self, groups: bool) -> Incoming {
         let subject = self.subject.clone();
-        let (group, key) = if groups { (subject, Some(self.flow.clone())) } else { (None, subject) };
+        let (group, key) = if groups {
+            (subject, Some(self.flow.clone()))
+        } else {
+            (None, subject)
+        };
         Incoming {
             request: RequestId(self.request),
             class: self.class,
@@ -282,22 +320,48 @@
     /// Goes on with a client of another process whose first line is not whole yet.
     pub fn take_over(node: &mut Node, socket: OwnedFd, bytes: Vec<u8>, left: Duration) {
         let id = node.name();
-        let Ok(stream) = Watched::new(&node.poller, TcpStream::from(socket), id as usize * 2, true, false)
-        else {
+        let Ok(stream) = Watched::new(
+            &node.poller,
+            TcpStream::from(socket),
+            id as usize * 2,
+            true,
+            false,
+        ) else {
             return;
         };
         let place = Some(Place::take(node, id, left.min(FIRST_LINE)));
         let (stream, state) = (Some(stream), State::First);
-        node.adopt(id, Box::new(Client { id, seat: None, place, stream, bytes, state, frozen: false }));
+        node.adopt(
+            id,
+            Box::new(Client {
+                id,
+                seat: None,
+                place,
+                stream,
+                bytes,
+                state,
+                frozen: false,
+            }),
+        );
     }
 
     fn hand_over(&mut self, node: &mut Node) {
-        let (State::First, Some(stream), Some(place)) = (&self.state, &mut self.stream, &self.place) else {
+        let (State::First, Some(stream), Some(place)) =
+            (&self.state, &mut self.stream, &self.place)
+        else {
             return;
         };
-        let left = place.key.0.saturating_duration_since(Instant::now()).as_millis() as u64;
+        let left = place
+            .key
+            .0
+            .saturating_duration_since(Instant::now())
+            .as_millis() as u64;
         let said = |number| Said::First(number, left);
-        if matches!(node.upgrade.hand(self.id, said, &self.bytes, &[stream.as_fd()]), Ok(true)) {
+        if matches!(
+            node.upgrade
+                .hand(self.id, said, &self.bytes, &[stream.as_fd()]),
+            Ok(true)
+        ) {
             self.frozen = true;
             let _ = stream.want(false, false);
         }
@@ -317,12 +381,18 @@
     /// Writes what is left of the answer, then ends the sending; the client's end is awaited, for closing at
     /// once could destroy an answer that it has not read yet.
     fn flush(&mut self) -> Flow {
-        let Some(stream) = &mut self.stream else { return Flow::Done };
+        let Some(stream) = &mut self.stream else {
+            return Flow::Done;
+        };
         while !self.bytes.is_empty() {
             match stream.write(&self.bytes) {
                 Ok(sent) => drop(self.bytes.drain(..sent)),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    return if stream.want(true, true).is_ok() { Flow::Keep } else { Flow::Done };
+                    return if stream.want(true, true).is_ok() {
+                        Flow::Keep
+                    } else {
+                        Flow::Done
+                    };
                 }
                 Err(_) => return Flow::Done,
             }
@@ -336,7 +406,9 @@
     fn read(&mut self, node: &mut Node) -> Flow {
         let mut scratch = [0; 4 << 10];
         for _ in 0..READS {
-            let Some(stream) = &mut self.stream else { return Flow::Done };
+            let Some(stream) = &mut self.stream else {
+                return Flow::Done;
+            };
             let flow = match stream.read(&mut scratch) {
                 Ok(0) => self.gone(node),
                 Ok(read) => self.take(node, &scratch[..read]),
@@ -357,7 +429,11 @@
                 self.bytes.extend_from_slice(bytes);
                 let Some(end) = self.bytes.iter().position(|byte| *byte == b'\n') else {
                     let more = self.bytes.len() < LONGEST_LINE;
-                    return if more { Flow::Keep } else { self.reject_line(node, "it does not end") };
+                    return if more {
+                        Flow::Keep
+                    } else {
+                        self.reject_line(node, "it does not end")
+                    };
                 };
                 let rest = self.bytes.split_off(end + 1);
                 let line = std::mem::take(&mut self.bytes);
@@ -422,7 +498,10 @@
     }
 
     fn first(&mut self, node: &mut Node, line: Vec<u8>) -> Flow {
-        let Some(text) = line.strip_suffix(b"\r\n").filter(|_| line.len() <= LONGEST_LINE) else {
+        let Some(text) = line
+            .strip_suffix(b"\r\n")
+            .filter(|_| line.len() <= LONGEST_LINE)
+        else {
             return self.reject_line(node, "its end");
         };
         let open = match first_line(text, &node.config.classes) {
@@ -448,7 +527,13 @@
         let incoming = open.incoming(node.config.groups);
         let old = open.holder.is_some();
         let until = Instant::now() + if old { left.min(OLD_WAIT) } else { left };
-        self.state = State::Waiting(Waiting { open, line, until, peer: None, old_tries: 0 });
+        self.state = State::Waiting(Waiting {
+            open,
+            line,
+            until,
+            peer: None,
+            old_tries: 0,
+        });
         if old {
             return self.resume(node);
         }
@@ -458,9 +543,16 @@
 
     /// Sends a connection that stood before this node's life to the transcriber that holds it.
     fn resume(&mut self, node: &mut Node) -> Flow {
-        let State::Waiting(waiting) = &mut self.state else { return Flow::Keep };
-        let dial = waiting.open.holder.as_deref().and_then(|holder| node.core.dial(holder));
-        let Some(dial) = dial.filter(|_| waiting.old_tries < OLD_TRIES && Instant::now() < waiting.until)
+        let State::Waiting(waiting) = &mut self.state else {
+            return Flow::Keep;
+        };
+        let dial = waiting
+            .open
+            .holder
+            .as_deref()
+            .and_then(|holder| node.core.dial(holder));
+        let Some(dial) =
+            dial.filter(|_| waiting.old_tries < OLD_TRIES && Instant::now() < waiting.until)
         else {
             return self.answer(node, &busy(Duration::ZERO));
         };
@@ -481,22 +573,44 @@
         until: Instant,
         stood: bool,
     ) {
-        let State::Waiting(waiting) = &mut self.state else { return };
+        let State::Waiting(waiting) = &mut self.state else {
+            return;
+        };
         let left = until.saturating_duration_since(Instant::now()).as_millis();
         let at = &waiting.open.left_at;
-        let line = [&waiting.line[..at.start], left.to_string().as_bytes(), &waiting.line[at.end..]].concat();
+        let line = [
+            &waiting.line[..at.start],
+            left.to_string().as_bytes(),
+            &waiting.line[at.end..],
+        ]
+        .concat();
         let id = node.name();
         waiting.peer = Some(id);
-        Peer::open(node, id, Try { owner: self.id, request, dial, line, until, stood });
+        Peer::open(
+            node,
+            id,
+            Try {
+                owner: self.id,
+                request,
+                dial,
+                line,
+                until,
+                stood,
+            },
+        );
     }
 
     /// The try is up: both sockets go to a relay under this object's name.
     fn up(&mut self, node: &mut Node, up: Up) -> Flow {
-        let State::Waiting(waiting) = &self.state else { return Flow::Keep };
+        let State::Waiting(waiting) = &self.state else {
+            return Flow::Keep;
+        };
         if waiting.open.holder.is_some() && node.core.holds(up.request) {
             return self.reject_line(node, "another's id");
         }
-        let (Some(client), Some(seat)) = (self.stream.take(), self.seat.take()) else { return Flow::Done };
+        let (Some(client), Some(seat)) = (self.stream.take(), self.seat.take()) else {
+            return Flow::Done;
+        };
         match &waiting.open.holder {
             Some(holder) => {
                 let incoming = waiting.open.incoming(node.config.groups);
@@ -546,7 +660,10 @@
                 if let Some(place) = &self.place {
                     node.deadlines.set(self.id, PATIENCE, place.key.0);
                 }
-                let read = self.stream.as_mut().is_some_and(|stream| stream.want(true, false).is_ok());
+                let read = self
+                    .stream
+                    .as_mut()
+                    .is_some_and(|stream| stream.want(true, false).is_ok());
                 return if read { Flow::Keep } else { Flow::Done };
             }
             _ => {}
@@ -599,13 +716,18 @@
             Message::Up(up) => self.up(node, up),
             Message::Ended(line) => {
                 if waiting.open.holder.is_none() {
-                    node.core.try_ended(RequestId(waiting.open.request), lupincrank_placement::Outcome::Served, true);
+                    node.core.try_ended(
+                        RequestId(waiting.open.request),
+                        lupincrank_placement::Outcome::Served,
+                        true,
+                    );
                 }
                 self.answer(node, &line)
             }
             Message::NotUp => {
                 waiting.peer = None;
-                node.deadlines.set(self.id, AGAIN, Instant::now() + OLD_PAUSE);
+                node.deadlines
+                    .set(self.id, AGAIN, Instant::now() + OLD_PAUSE);
                 Flow::Keep
             }
             _ => Flow::Keep,
--- a/crates/node/src/load_lines.rs
+++ b/crates/node/src/load_lines.rs
@@ -45,21 +45,37 @@
 impl LoadLines {
     /// Takes a line's number in. Only a delay over `least` is told in a series.
     pub fn take(&mut self, now: Instant, value: f64, least: Duration) -> Told {
-        let since = self.last.map(|last| (last, now.saturating_duration_since(last.at)));
+        let since = self
+            .last
+            .map(|last| (last, now.saturating_duration_since(last.at)));
         let paced = since.is_some_and(|(_, since)| since + PLAY >= PACE && since <= PACE + PLAY);
         let long = value / 1e3 > least.as_secs_f64();
         let may_be = value <= LONGEST_MS;
         if paced && may_be && (long || self.last.is_some_and(|last| last.sure)) {
             // One that is back under the least ends the series.
-            self.last = long.then_some(Last { at: now, value, sure: true });
-            return Told::Delay { delay: Duration::from_secs_f64(value / 1e3), load: self.load };
+            self.last = long.then_some(Last {
+                at: now,
+                value,
+                sure: true,
+            });
+            return Told::Delay {
+                delay: Duration::from_secs_f64(value / 1e3),
+                load: self.load,
+            };
         }
         match since {
             // A load told while a series goes on.
             Some((last, since)) if last.sure && since <= PACE + PLAY => self.load = Some(value),
             _ => {
-                self.load = self.last.filter(|last| !last.sure).map_or(self.load, |last| Some(last.value));
-                self.last = (may_be && long).then_some(Last { at: now, value, sure: false });
+                self.load = self
+                    .last
+                    .filter(|last| !last.sure)
+                    .map_or(self.load, |last| Some(last.value));
+                self.last = (may_be && long).then_some(Last {
+                    at: now,
+                    value,
+                    sure: false,
+                });
                 if self.last.is_none() {
                     self.load = Some(value);
                 }
--- a/crates/node/src/load_lines/tests.rs
+++ b/crates/node/src/load_lines/tests.rs
@@ -15,7 +15,11 @@
 fn a_delay_is_known_by_its_pace(#[case] lines: &[(u64, f64)], #[case] expected: &str) {
     let (start, mut taken, mut kinds) = (Instant::now(), LoadLines::default(), String::new());
     for (at, value) in lines {
-        match taken.take(start + Duration::from_millis(*at), *value, Duration::from_millis(16)) {
+        match taken.take(
+            start + Duration::from_millis(*at),
+            *value,
+            Duration::from_millis(16),
+        ) {
             Told::Load(load) => {
                 assert_eq!(load, *value);
                 kinds.push(LOAD);
@@ -31,9 +35,19 @@
 
 #[test]
 fn the_load_that_the_first_delay_hid_comes_back() {
-    let (start, mut lines, least) = (Instant::now(), LoadLines::default(), Duration::from_millis(16));
+    let (start, mut lines, least) = (
+        Instant::now(),
+        LoadLines::default(),
+        Duration::from_millis(16),
+    );
     lines.take(start, 38_699.0, least);
     lines.take(start + Duration::from_millis(3_000), 211.0, least);
     let told = lines.take(start + Duration::from_millis(4_000), 240.0, least);
-    assert_eq!(told, Told::Delay { delay: Duration::from_millis(240), load: Some(38_699.0) });
+    assert_eq!(
+        told,
+        Told::Delay {
+            delay: Duration::from_millis(240),
+            load: Some(38_699.0)
+        }
+    );
 }
--- a/crates/node/src/management.rs
+++ b/crates/node/src/management.rs
@@ -57,9 +57,9 @@
         ["check" | "set-down" | "set-up" | "fleet" | "budgets", ..] => {
             Err(format!("{} has too many arguments", words[0]))
         }
-        [word, ..] => {
-            Err(format!("no call {word:?}; there are check, set-down ID, set-up ID, fleet and budgets"))
-        }
+        [word, ..] => Err(format!(
+            "no call {word:?}; there are check, set-down ID, set-up ID, fleet and budgets"
+        )),
     }
 }
 
@@ -72,7 +72,10 @@
     // The end of the connection follows the line.
     stream.take(LONGEST_ANSWER).read_to_string(&mut answer)?;
     match answer.trim_end() {
-        "" => Err(io::Error::new(io::ErrorKind::UnexpectedEof, "it ended without an answer")),
+        "" => Err(io::Error::new(
+            io::ErrorKind::UnexpectedEof,
+            "it ended without an answer",
+        )),
         answer => Ok(answer.to_string()),
     }
 }
@@ -94,7 +97,11 @@
         let socket = poll::listen(address).map_err(named)?;
         let socket = Watched::new(&node.poller, socket, MANAGEMENT as usize * 2, true, false)?;
         info!(node.log, "taking calls"; "management" => %address);
-        Ok(Management { socket, held: Held::default(), next: CALLS })
+        Ok(Management {
+            socket,
+            held: Held::default(),
+            next: CALLS,
+        })
     }
 
     fn take(&mut self, node: &mut Node) -> io::Result<()> {
@@ -110,8 +117,13 @@
             let id = self.next;
             let stream = Watched::new(&node.poller, stream, id as usize * 2, true, false)?;
             self.held.borrow_mut().insert(id);
-            let mut caller =
-                Caller { id, held: Rc::clone(&self.held), stream, bytes: Vec::new(), answered: false };
+            let mut caller = Caller {
+                id,
+                held: Rc::clone(&self.held),
+                stream,
+                bytes: Vec::new(),
+                answered: false,
+            };
             // Guards against callers by the hundred that say nothing and keep out one that does.
             if self.held.borrow().len() > node.config.most_calls() {
                 if let Some(oldest) = self.held.borrow_mut().pop_first() {
@@ -119,7 +131,8 @@
                 }
             }
             if caller.read(node) == Flow::Keep {
-                node.deadlines.set(id, 0, Instant::now() + caller.patience());
+                node.deadlines
+                    .set(id, 0, Instant::now() + caller.patience());
                 node.adopt(id, Box::new(caller));
             }
         }
@@ -229,12 +242,17 @@
             match self.stream.write(&self.bytes) {
                 Ok(sent) => drop(self.bytes.drain(..sent)),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    return if self.stream.want(true, true).is_ok() { Flow::Keep } else { Flow::Done };
+                    return if self.stream.want(true, true).is_ok() {
+                        Flow::Keep
+                    } else {
+                        Flow::Done
+                    };
                 }
                 Err(_) => return Flow::Done,
             }
         }
-        if self.stream.shutdown(Shutdown::Write).is_err() || self.stream.want(true, false).is_err() {
+        if self.stream.shutdown(Shutdown::Write).is_err() || self.stream.want(true, false).is_err()
+        {
             return Flow::Done;
         }
         Flow::Keep
--- a/crates/node/src/management/tests.rs
+++ b/crates/node/src/management/tests.rs
@@ -16,7 +16,10 @@
 #[case(b"set-up a b", Err("too many"))]
 #[case(b"Check", Err("no call \"Check\""))]
 #[case(b"set-down \xff", Err("UTF-8"))]
-fn a_call_is_read_or_what_is_wrong_is_named(#[case] line: &[u8], #[case] expected: Result<Call<'_>, &str>) {
+fn a_call_is_read_or_what_is_wrong_is_named(
+    #[case] line: &[u8],
+    #[case] expected: Result<Call<'_>, &str>,
+) {
     match (call(line), expected) {
         (Err(why), Err(part)) => assert!(why.contains(part), "{why}"),
         (read, expected) => assert_eq!(read, expected.map_err(str::to_string)),
--- a/crates/node/src/objects.rs
+++ b/crates/node/src/objects.rs
@@ -26,7 +26,11 @@
     /// An error says what else stands there, or that an object is too long; nothing can be taken after it.
     pub fn take(&mut self) -> Result<Option<Vec<u8>>, String> {
         if self.depth == 0 {
-            let blank = self.bytes.iter().take_while(|byte| byte.is_ascii_whitespace()).count();
+            let blank = self
+                .bytes
+                .iter()
+                .take_while(|byte| byte.is_ascii_whitespace())
+                .count();
             self.bytes.drain(..blank);
             self.at = 0;
         }
--- a/crates/node/src/objects/tests.rs
+++ b/crates/node/src/objects/tests.rs
@@ -24,7 +24,11 @@
 #[case::half("\n\n{\"a\":[1,", &[])]
 fn objects_are_found_however_they_are_laid_out(#[case] text: &str, #[case] expected: &[&str]) {
     for piece in 1..text.len() + 1 {
-        assert_eq!(taken(text.as_bytes(), &vec![piece; text.len()]).unwrap(), expected, "by {piece}");
+        assert_eq!(
+            taken(text.as_bytes(), &vec![piece; text.len()]).unwrap(),
+            expected,
+            "by {piece}"
+        );
     }
 }
 
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -59,18 +59,26 @@
 /// what follows `BUSY` has to be a time, or it may not prove that nothing has run.
 pub fn said(line: &[u8]) -> Said {
     let line = line.trim_ascii_end();
-    let cut = line.iter().position(|byte| *byte == b' ').unwrap_or(line.len());
+    let cut = line
+        .iter()
+        .position(|byte| *byte == b' ')
+        .unwrap_or(line.len());
     let (word, rest) = (&line[..cut], line[cut..].trim_ascii());
     match word {
-        b"UP" if !rest.is_empty() && rest.iter().all(|byte| matches!(byte, b' '..=b'~')) => Said::Up,
+        b"UP" if !rest.is_empty() && rest.iter().all(|byte| matches!(byte, b' '..=b'~')) => {
+            Said::Up
+        }
         b"BYE" => Said::Bye,
         b"MOVE" => Said::Move,
         b"ERR" => Said::Err,
         b"BUSY" if rest.iter().all(u8::is_ascii_digit) => Said::Busy,
         b"SYNTAX" => Said::Syntax,
         b"LOAD" => {
-            let load = std::str::from_utf8(rest).ok().and_then(|text| text.parse::<f64>().ok());
-            load.filter(|load| (0.0..1e12).contains(load)).map_or(Said::Other, Said::Load)
+            let load = std::str::from_utf8(rest)
+                .ok()
+                .and_then(|text| text.parse::<f64>().ok());
+            load.filter(|load| (0.0..1e12).contains(load))
+                .map_or(Said::Other, Said::Load)
         }
         _ => Said::Other,
     }
@@ -93,21 +101,42 @@
     /// Begins a try; how it ends is told to the core, also when it cannot even begin.
     pub fn open(node: &mut Node, id: Id, task: Try) {
         let (stream, bytes) = (None, Vec::new());
-        let mut peer =
-            Peer { id, task, stream, connected: false, asked: false, may_send: false, sent: 0, bytes };
+        let mut peer = Peer {
+            id,
+            task,
+            stream,
+            connected: false,
+            asked: false,
+            may_send: false,
+            sent: 0,
+            bytes,
+        };
         let now = Instant::now();
         match poll::connect(&node.poller, peer.task.dial, id as usize * 2) {
             Ok(stream) => {
                 peer.stream = Some(stream);
-                node.deadlines.set(id, CONNECT, peer.task.until.min(now + node.config.connect_timeout));
+                node.deadlines.set(
+                    id,
+                    CONNECT,
+                    peer.task.until.min(now + node.config.connect_timeout),
+                );
                 node.deadlines.set(id, ANSWER, peer.task.until);
                 node.adopt(id, Box::new(peer));
             }
             Err(error) => {
                 debug!(node.log, "cannot connect"; "dial" => %peer.task.dial, "error" => %error);
                 // What this machine lacks says nothing of the transcriber.
-                let lacks = error.raw_os_error().is_some_and(|code| poll::LACKS.contains(&code));
-                peer.end(node, if lacks { Outcome::Moot } else { Outcome::ConnectFailed });
+                let lacks = error
+                    .raw_os_error()
+                    .is_some_and(|code| poll::LACKS.contains(&code));
+                peer.end(
+                    node,
+                    if lacks {
+                        Outcome::Moot
+                    } else {
+                        Outcome::ConnectFailed
+                    },
+                );
             }
         }
     }
@@ -138,7 +167,9 @@
 
     /// Closes the connection, with a reset if bytes of it may not have arrived.
     fn close(&mut self) {
-        let Some(stream) = self.stream.take() else { return };
+        let Some(stream) = self.stream.take() else {
+            return;
+        };
         if self.sent > 0 && matches!(delivery::unacknowledged(&stream), Ok(0)) {
             Peer::disarm(&stream);
         }
@@ -154,7 +185,9 @@
     }
 
     fn write(&mut self, node: &mut Node) -> io::Result<()> {
-        let Some(stream) = &mut self.stream else { return Ok(()) };
+        let Some(stream) = &mut self.stream else {
+            return Ok(());
+        };
         if !self.connected {
             if let Some(error) = stream.take_error()? {
                 return Err(error);
@@ -216,7 +249,11 @@
                         let bytes = std::mem::take(&mut self.bytes);
                         node.tell(
                             self.task.owner,
-                            Message::Up(Up { request: self.task.request, stream, bytes }),
+                            Message::Up(Up {
+                                request: self.task.request,
+                                stream,
+                                bytes,
+                            }),
                         );
                         return Some(Flow::Done);
                     }
@@ -235,7 +272,9 @@
                         return Some(Flow::Done);
                     }
                     Said::Move => return Some(self.end(node, Outcome::Cancelled)),
-                    Said::Err | Said::Syntax | Said::Other => return Some(self.end(node, Outcome::Error)),
+                    Said::Err | Said::Syntax | Said::Other => {
+                        return Some(self.end(node, Outcome::Error))
+                    }
                 }
             }
             if self.bytes.len() > LONGEST_LINE {
@@ -287,7 +326,14 @@
             }
         }
         let written = self.sent == self.task.line.len();
-        self.end(node, if written { Outcome::TimedOut } else { Outcome::ConnectFailed })
+        self.end(
+            node,
+            if written {
+                Outcome::TimedOut
+            } else {
+                Outcome::ConnectFailed
+            },
+        )
     }
 
     fn told(&mut self, node: &mut Node, message: Message) -> Flow {
--- a/crates/node/src/probe.rs
+++ b/crates/node/src/probe.rs
@@ -39,13 +39,22 @@
 pub fn answer(line: &str, fields: &[String]) -> Answer {
     let (word, rest) = line.split_once(' ').unwrap_or((line, ""));
     let told = |name: &String| {
-        let value = rest.split(',').find_map(|figure| figure.strip_prefix(name.as_str())?.strip_prefix('='));
+        let value = rest
+            .split(',')
+            .find_map(|figure| figure.strip_prefix(name.as_str())?.strip_prefix('='));
         let value = value.and_then(|value| value.trim().parse::<f64>().ok());
         value.filter(|value| (0.0..1e12).contains(value))
     };
-    let report = fields.iter().map(told).collect::<Option<Vec<f64>>>().filter(|report| !report.is_empty());
+    let report = fields
+        .iter()
+        .map(told)
+        .collect::<Option<Vec<f64>>>()
+        .filter(|report| !report.is_empty());
     // Where probes are not known the transcriber runs all the same.
-    Answer { passed: matches!(word, "PONG" | "NO"), report }
+    Answer {
+        passed: matches!(word, "PONG" | "NO"),
+        report,
+    }
 }
 
 /// Probes a transcriber. Where too many are probed at once it is left, and nothing is said of it.
@@ -62,17 +71,27 @@
     match poll::connect(&node.poller, dial, id as usize * 2) {
         Ok(stream) => {
             let now = Instant::now();
-            node.deadlines.set(id, CONNECT, now + node.config.connect_timeout.min(ANSWERED));
+            node.deadlines
+                .set(id, CONNECT, now + node.config.connect_timeout.min(ANSWERED));
             node.deadlines.set(id, PATIENCE, now + ANSWERED);
             node.probes.open.insert(server.clone(), (id, dial));
-            let prober =
-                Prober { id, server, stream, connected: false, asks: true, sent: 0, bytes: Vec::new() };
+            let prober = Prober {
+                id,
+                server,
+                stream,
+                connected: false,
+                asks: true,
+                sent: 0,
+                bytes: Vec::new(),
+            };
             node.adopt(id, Box::new(prober));
         }
         Err(error) => {
             debug!(node.log, "cannot probe"; "server" => &*server.0, "error" => %error);
             // What this machine lacks says nothing of the transcriber.
-            let lacks = error.raw_os_error().is_some_and(|code| poll::LACKS.contains(&code));
+            let lacks = error
+                .raw_os_error()
+                .is_some_and(|code| poll::LACKS.contains(&code));
             node.core.probed(&server, lacks, None);
         }
     }
@@ -93,7 +112,12 @@
 impl Prober {
     /// It ends; an answer that is out will not come.
     fn end(&mut self, node: &mut Node) -> Flow {
-        if node.probes.open.get(&self.server).is_some_and(|(id, _)| *id == self.id) {
+        if node
+            .probes
+            .open
+            .get(&self.server)
+            .is_some_and(|(id, _)| *id == self.id)
+        {
             node.probes.open.remove(&self.server);
         }
         if std::mem::take(&mut self.asks) {
@@ -138,7 +162,10 @@
             if !std::mem::take(&mut self.asks) {
                 return Err(io::ErrorKind::InvalidData.into());
             }
-            let answer = answer(String::from_utf8_lossy(&line).trim_end(), &node.config.report_fields);
+            let answer = answer(
+                String::from_utf8_lossy(&line).trim_end(),
+                &node.config.report_fields,
+            );
             debug!(node.log, "probed"; "server" => &*self.server.0, "passed" => answer.passed,
                 "report" => ?answer.report);
             node.deadlines.set(self.id, PATIENCE, Instant::now() + IDLE);
@@ -169,7 +196,8 @@
         match message {
             Message::Probe if !self.asks => {
                 (self.asks, self.sent) = (true, 0);
-                node.deadlines.set(self.id, PATIENCE, Instant::now() + ANSWERED);
+                node.deadlines
+                    .set(self.id, PATIENCE, Instant::now() + ANSWERED);
                 match self.write(node) {
                     Ok(()) => Flow::Keep,
                     Err(_) => self.end(node),
--- a/crates/node/src/probe/tests.rs
+++ b/crates/node/src/probe/tests.rs
@@ -16,7 +16,13 @@
     #[case] report: Option<[f64; 2]>,
 ) {
     let fields = ["rate".to_string(), "x0".to_string()];
-    assert_eq!(answer(line, &fields), Answer { passed, report: report.map(Vec::from) });
+    assert_eq!(
+        answer(line, &fields),
+        Answer {
+            passed,
+            report: report.map(Vec::from)
+        }
+    );
 }
 
 #[rstest]
@@ -29,5 +35,11 @@
 #[case("PONG rate=3,x00=1")]
 fn a_spoilt_report_says_nothing(#[case] line: &str) {
     let fields = ["rate".to_string(), "x0".to_string()];
-    assert_eq!(answer(line, &fields), Answer { passed: true, report: None });
+    assert_eq!(
+        answer(line, &fields),
+        Answer {
+            passed: true,
+            report: None
+        }
+    );
 }
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -93,7 +93,11 @@
 impl Relay {
     /// Takes both sockets over and passes on what has already come on them.
     pub fn begin(node: &mut Node, id: Id, seat: Seat, client: Watched<TcpStream>, up: Up) {
-        let Up { request, mut stream, bytes } = up;
+        let Up {
+            request,
+            mut stream,
+            bytes,
+        } = up;
         let rekeyed = stream.rekey(id as usize * 2 + 1);
         let mut relay = Relay {
             id,
@@ -124,22 +128,35 @@
 
     /// Whether a connection that another process hands over can go on here.
     pub fn may_take(node: &Node, record: &Standing, bytes: &[u8]) -> bool {
-        let whole = record.lengths.iter().try_fold(0usize, |sum, part| sum.checked_add(*part));
+        let whole = record
+            .lengths
+            .iter()
+            .try_fold(0usize, |sum, part| sum.checked_add(*part));
         whole == Some(bytes.len()) && !node.core.holds(RequestId(record.request))
     }
 
     /// Goes on with a connection of another process, where that one left off.
-    pub fn take_over(node: &mut Node, record: Standing, bytes: &[u8], [client, peer]: [OwnedFd; 2]) {
+    pub fn take_over(
+        node: &mut Node,
+        record: Standing,
+        bytes: &[u8],
+        [client, peer]: [OwnedFd; 2],
+    ) {
         let id = node.name();
         let watch = |fd: OwnedFd, side| {
             let stream = TcpStream::from(fd);
             Watched::new(&node.poller, stream, id as usize * 2 + side, true, false)
         };
-        let (Ok(client), Ok(peer)) = (watch(client, CLIENT), watch(peer, 1)) else { return };
+        let (Ok(client), Ok(peer)) = (watch(client, CLIENT), watch(peer, 1)) else {
+            return;
+        };
         let request = RequestId(record.request);
         let (up, rest) = bytes.split_at(record.lengths[0].min(bytes.len()));
         let (down, part) = rest.split_at(record.lengths[1].min(rest.len()));
-        let pipe = |bytes: &[u8]| Pipe { bytes: bytes.to_vec(), ..Pipe::default() };
+        let pipe = |bytes: &[u8]| Pipe {
+            bytes: bytes.to_vec(),
+            ..Pipe::default()
+        };
         let mut relay = Relay {
             id,
             _seat: Seat::take(&node.clients),
@@ -155,7 +172,11 @@
             frozen: false,
             moves: false,
         };
-        let class = node.config.classes.iter().position(|class| *class == record.class);
+        let class = node
+            .config
+            .classes
+            .iter()
+            .position(|class| *class == record.class);
         let incoming = Incoming {
             request,
             // A class that is not there any more: what stands needs none.
@@ -172,7 +193,8 @@
         let before = |ms: &u64| now.checked_sub(Duration::from_millis(*ms)).unwrap_or(now);
         let unanswered = record.unanswered_ms.iter().map(before).collect();
         let load = record.load_us.map(|load| load as f64);
-        node.core.take_over(id, incoming, &record.server, load, unanswered);
+        node.core
+            .take_over(id, incoming, &record.server, load, unanswered);
         if relay.pump(node) == Flow::Keep {
             node.adopt(id, Box::new(relay));
         }
@@ -181,32 +203,59 @@
     /// Sends both sockets and all that waits between them to the process that takes this one's place. One that is ending
     /// ends here.
     fn hand_over(&mut self, node: &mut Node) -> Flow {
-        let Some(peer) = self.peer.as_ref().filter(|_| !self.frozen && !self.up.ended && !self.down.ended)
+        let Some(peer) = self
+            .peer
+            .as_ref()
+            .filter(|_| !self.frozen && !self.up.ended && !self.down.ended)
         else {
             return Flow::Keep;
         };
         let Some((incoming, server, load, unanswered)) = node.core.standing(self.request) else {
             return Flow::Keep;
         };
-        let parts = [&self.up.bytes[self.up.sent..], &self.down.bytes[self.down.sent..], &self.part];
+        let parts = [
+            &self.up.bytes[self.up.sent..],
+            &self.down.bytes[self.down.sent..],
+            &self.part,
+        ];
         let record = Standing {
             request: self.request.0,
-            class: node.config.classes.get(incoming.class).cloned().unwrap_or_default(),
+            class: node
+                .config
+                .classes
+                .get(incoming.class)
+                .cloned()
+                .unwrap_or_default(),
             group: incoming.group.clone(),
             key: incoming.key.clone(),
             returned: incoming.returned,
             server: server.0.to_string(),
             load_us: load.map(|load| load as u64),
-            unanswered_ms: unanswered.iter().map(|sent| sent.elapsed().as_millis() as u64).collect(),
+            unanswered_ms: unanswered
+                .iter()
+                .map(|sent| sent.elapsed().as_millis() as u64)
+                .collect(),
             lengths: parts.map(<[u8]>::len),
         };
         let (bytes, fds) = (parts.concat(), [self.client.as_fd(), peer.as_fd()]);
-        match node.upgrade.hand(self.id, |number| link::Said::Standing(number, record), &bytes, &fds) {
+        match node.upgrade.hand(
+            self.id,
+            |number| link::Said::Standing(number, record),
+            &bytes,
+            &fds,
+        ) {
             Ok(true) => {
                 debug!(node.log, "on its way"; "request" => format!("{:016x}", self.request.0));
                 self.frozen = true;
                 let quiet = self.client.want(false, false);
-                if quiet.and(self.peer.as_mut().map_or(Ok(()), |peer| peer.want(false, false))).is_err() {
+                if quiet
+                    .and(
+                        self.peer
+                            .as_mut()
+                            .map_or(Ok(()), |peer| peer.want(false, false)),
+                    )
+                    .is_err()
+                {
                     debug!(node.log, "cannot rest"; "request" => format!("{:016x}", self.request.0));
                 }
                 Flow::Keep
@@ -292,7 +341,11 @@
 
     /// One side was reset: the other is reset too, after what it can still take at once.
     fn broke(&mut self, node: &mut Node, side: usize) -> Flow {
-        let outcome = if side == CLIENT { Outcome::Cancelled } else { self.cut_off(node) };
+        let outcome = if side == CLIENT {
+            Outcome::Cancelled
+        } else {
+            self.cut_off(node)
+        };
         self.end(node, outcome);
         if side == CLIENT {
             if let Some(peer) = &mut self.peer {
@@ -349,7 +402,11 @@
 
     /// One side has ended its sending: the other hears of it after all that was sent.
     fn ended(&mut self, node: &mut Node, side: usize) {
-        let left = if self.peer.is_some() { HALF_CLOSED } else { LINGER };
+        let left = if self.peer.is_some() {
+            HALF_CLOSED
+        } else {
+            LINGER
+        };
         node.deadlines.set(self.id, PATIENCE, Instant::now() + left);
         if side == CLIENT {
             self.up.ended = true;
@@ -358,7 +415,8 @@
             let part = std::mem::take(&mut self.part);
             self.down.push(&part);
             self.down.ended = true;
-            node.deadlines.set(self.id, PATIENCE, Instant::now() + LINGER);
+            node.deadlines
+                .set(self.id, PATIENCE, Instant::now() + LINGER);
             let outcome = match self.last {
                 Said::Bye => Outcome::Served,
                 Said::Move => Outcome::Cancelled,
@@ -380,7 +438,8 @@
                 self.down.ended = true;
             }
             self.end(node, Outcome::Cancelled);
-            node.deadlines.set(self.id, PATIENCE, Instant::now() + LINGER);
+            node.deadlines
+                .set(self.id, PATIENCE, Instant::now() + LINGER);
         }
         self.pump(node)
     }
@@ -413,7 +472,11 @@
             }
             Message::Kept => {
                 self.frozen = false;
-                return if self.moves { self.send_away(node) } else { self.pump(node) };
+                return if self.moves {
+                    self.send_away(node)
+                } else {
+                    self.pump(node)
+                };
             }
             _ => {}
         }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -13,7 +13,10 @@
 /// The loop with the listener, discovery and signals, ready to run.
 pub fn start(config: Config, log: Logger) -> io::Result<Reactor<State>> {
     // Before anything else is opened, which could get the number of a descriptor that is not there.
-    let inherited = config.inherited.map(|fd| upgrade::inherited::listener(fd, config.listen)).transpose()?;
+    let inherited = config
+        .inherited
+        .map(|fd| upgrade::inherited::listener(fd, config.listen))
+        .transpose()?;
     let mut reactor = Reactor::new(State::new(config, log), RESERVED)?;
     let node = &mut reactor.hands;
     let signals = signals::Signals::new(node)?;
@@ -32,6 +35,7 @@
     info!(node.log, "serving"; "listen" => %node.config.listen, "name" => %node.config.name);
     node.core.start();
     node.tell(DISCOVERY, Message::Begin);
-    node.deadlines.set(WORLD, LOOK_PURPOSE, Instant::now() + LOOK);
+    node.deadlines
+        .set(WORLD, LOOK_PURPOSE, Instant::now() + LOOK);
     Ok(reactor)
 }
--- a/crates/node/src/signals.rs
+++ b/crates/node/src/signals.rs
@@ -44,7 +44,10 @@
 impl Signals {
     /// Takes SIGTERM, SIGINT and SIGHUP over.
     pub fn new(node: &Node) -> io::Result<Signals> {
-        let pipes = [pipe_of(node, &[SIGTERM, SIGINT], 0)?, pipe_of(node, &[SIGHUP], RELOAD)?];
+        let pipes = [
+            pipe_of(node, &[SIGTERM, SIGINT], 0)?,
+            pipe_of(node, &[SIGHUP], RELOAD)?,
+        ];
         Ok(Signals { pipes, began: None })
     }
 }
@@ -89,13 +92,16 @@
             if node.upgrade.has_successor() {
                 crate::upgrade::leave(node);
             }
-            node.deadlines.set(SIGNALS, 0, until.checked_sub(FIRST_MOVE).unwrap_or(now));
+            node.deadlines
+                .set(SIGNALS, 0, until.checked_sub(FIRST_MOVE).unwrap_or(now));
         }
         Flow::Keep
     }
 
     fn due(&mut self, node: &mut Node, _purpose: u64) -> Flow {
-        let Some((_, until)) = node.leaving else { return Flow::Keep };
+        let Some((_, until)) = node.leaving else {
+            return Flow::Keep;
+        };
         let now = Instant::now();
         node.core.leave();
         let left = until.saturating_duration_since(now + LAST_MOVE);
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -206,7 +206,9 @@
             }
         }
         if node.hand_over || node.ending {
-            let mut ids: Vec<Id> = objects.filter(|id| (RESERVED + 1..CALLS).contains(id)).collect();
+            let mut ids: Vec<Id> = objects
+                .filter(|id| (RESERVED + 1..CALLS).contains(id))
+                .collect();
             ids.sort_unstable();
             if std::mem::take(&mut node.ending) {
                 ids.iter().for_each(|id| node.tell(*id, Message::Ending));
@@ -219,7 +221,8 @@
 
     fn due(node: &mut Node, purpose: u64) {
         if purpose == LOOK_PURPOSE {
-            node.deadlines.set(WORLD, LOOK_PURPOSE, Instant::now() + LOOK);
+            node.deadlines
+                .set(WORLD, LOOK_PURPOSE, Instant::now() + LOOK);
             node.core.look();
         } else {
             node.core.timer(purpose);
@@ -227,13 +230,16 @@
     }
 
     fn over(&self) -> bool {
-        let Some((since, until)) = self.leaving else { return false };
+        let Some((since, until)) = self.leaving else {
+            return false;
+        };
         let now = Instant::now();
         // With a successor the listener is not this process's any more.
         let stayed = self.upgrade.handing() || now >= since + STAYS;
         // The others of the fleet may need its vote to go on without it.
         let left = self.fleet.as_ref().is_none_or(|fleet| fleet.is_out());
-        let empty = self.clients.get() == 0 && self.strangers.borrow().is_empty() && self.upgrade.idle();
+        let empty =
+            self.clients.get() == 0 && self.strangers.borrow().is_empty() && self.upgrade.idle();
         let over = now >= until || (stayed && empty && left);
         if over {
             info!(self.log, "ended"; "clients" => self.clients.get());
--- a/crates/node/src/upgrade/bans.rs
+++ b/crates/node/src/upgrade/bans.rs
@@ -19,12 +19,17 @@
 fn text(out: &BTreeSet<ServerId>) -> Result<String, String> {
     let ids: Vec<&str> = out.iter().map(|server| &*server.0).collect();
     let body = serde_json::to_string(&ids).map_err(|error| error.to_string())?;
-    Ok(format!("{HEAD}{:08x}\n{body}\n", crc32fast::hash(body.as_bytes())))
+    Ok(format!(
+        "{HEAD}{:08x}\n{body}\n",
+        crc32fast::hash(body.as_bytes())
+    ))
 }
 
 /// Reads the text back whole, or not at all.
 fn parse(text: &str) -> Result<BTreeSet<ServerId>, String> {
-    let rest = text.strip_prefix(HEAD).ok_or("its head is not of this version")?;
+    let rest = text
+        .strip_prefix(HEAD)
+        .ok_or("its head is not of this version")?;
     let (sum, body) = rest.split_once('\n').ok_or("it is cut short")?;
     let body = body.strip_suffix('\n').ok_or("it is cut short")?;
     if sum != format!("{:08x}", crc32fast::hash(body.as_bytes())) {
@@ -69,7 +74,8 @@
         present: &BTreeSet<ServerId>,
     ) -> Result<BTreeSet<ServerId>, String> {
         // Guards against the other process's change between this one's reading and writing.
-        let _held = hold(&self.path.with_extension("out-lock")).map_err(|error| self.named(error))?;
+        let _held =
+            hold(&self.path.with_extension("out-lock")).map_err(|error| self.named(error))?;
         let mut out = self.read().unwrap_or_else(|_| present.clone());
         if put(&mut out, server, down) {
             self.write(&out)?;
@@ -79,7 +85,8 @@
 
     /// Writes a file that was found damaged anew, unless the other process has done so by now.
     pub fn mend(&self, out: &BTreeSet<ServerId>) -> Result<(), String> {
-        let _held = hold(&self.path.with_extension("out-lock")).map_err(|error| self.named(error))?;
+        let _held =
+            hold(&self.path.with_extension("out-lock")).map_err(|error| self.named(error))?;
         self.read().map_or_else(|_| self.write(out), |_| Ok(()))
     }
 
@@ -92,7 +99,11 @@
 }
 
 fn hold(path: &Path) -> io::Result<File> {
-    let file = File::options().create(true).truncate(false).write(true).open(path)?;
+    let file = File::options()
+        .create(true)
+        .truncate(false)
+        .write(true)
+        .open(path)?;
     let until = Instant::now() + PATIENCE;
     loop {
         match file.try_lock() {
--- a/crates/node/src/upgrade/bans/tests.rs
+++ b/crates/node/src/upgrade/bans/tests.rs
@@ -3,7 +3,10 @@
 
 #[test]
 fn a_damaged_file_is_never_half_believed() {
-    let out: BTreeSet<ServerId> = ["s-1", "s \"2\"\n"].into_iter().map(ServerId::from).collect();
+    let out: BTreeSet<ServerId> = ["s-1", "s \"2\"\n"]
+        .into_iter()
+        .map(ServerId::from)
+        .collect();
     let whole = text(&out).unwrap();
     assert_eq!(parse(&whole), Ok(out));
     for cut in 0..whole.len() {
@@ -21,8 +24,15 @@
 #[case::no_file(None, &["s"])]
 #[case::other_process(Some("lupincrank-out 1 624ac597\n[\"t\"]\n"), &["s", "t"])]
 #[case::damaged(Some("lupincrank-out 1 00000000\n[\"t\"]\n"), &["p", "s"])]
-fn a_change_adds_to_what_the_other_process_wrote(#[case] file: Option<&str>, #[case] expected: &[&str]) {
-    let name = format!("lupincrank-bans-{}-{}", std::process::id(), expected.concat());
+fn a_change_adds_to_what_the_other_process_wrote(
+    #[case] file: Option<&str>,
+    #[case] expected: &[&str],
+) {
+    let name = format!(
+        "lupincrank-bans-{}-{}",
+        std::process::id(),
+        expected.concat()
+    );
     let path = std::env::temp_dir().join(name).with_extension("out");
     file.iter().for_each(|text| fs::write(&path, text).unwrap());
     let bans = Bans::new(path.clone());
@@ -30,7 +40,10 @@
     let out = bans.change(&"s".into(), true, &present).unwrap();
     assert_eq!(bans.read().unwrap(), out);
     assert_eq!(out.iter().map(|id| &*id.0).collect::<Vec<_>>(), expected);
-    assert_eq!(bans.change(&"s".into(), false, &present).unwrap().len(), expected.len() - 1);
+    assert_eq!(
+        bans.change(&"s".into(), false, &present).unwrap().len(),
+        expected.len() - 1
+    );
     for extension in ["out", "out-lock"] {
         fs::remove_file(path.with_extension(extension)).unwrap();
     }
--- a/crates/node/src/upgrade/custody.rs
+++ b/crates/node/src/upgrade/custody.rs
@@ -25,7 +25,9 @@
 
     /// Whose turn it is now.
     pub fn turn(&mut self) -> Vec<Id> {
-        let room = UNDER_WAY.saturating_sub(self.under_way.len()).min(self.queue.len());
+        let room = UNDER_WAY
+            .saturating_sub(self.under_way.len())
+            .min(self.queue.len());
         self.queue.drain(..room).collect()
     }
 
--- a/crates/node/src/upgrade/custody/tests.rs
+++ b/crates/node/src/upgrade/custody/tests.rs
@@ -6,7 +6,8 @@
 #[test]
 fn each_connection_has_one_owner_wherever_the_other_process_breaks() {
     for answers in 0..40 {
-        let (mut custody, mut taken, mut stays) = (Custody::default(), BTreeSet::new(), BTreeSet::new());
+        let (mut custody, mut taken, mut stays) =
+            (Custody::default(), BTreeSet::new(), BTreeSet::new());
         custody.enqueue(1..=20);
         let mut sent = VecDeque::new();
         for step in 0..answers {
@@ -16,7 +17,9 @@
                 custody.sent(id, went);
             }
             assert!(sent.len() <= UNDER_WAY);
-            let Some(number) = sent.pop_front() else { continue };
+            let Some(number) = sent.pop_front() else {
+                continue;
+            };
             let took = number % 4 != 0;
             let id = custody.answered(number, took).unwrap();
             assert!((if took { &mut taken } else { &mut stays }).insert(id));
--- a/crates/node/src/upgrade/held.rs
+++ b/crates/node/src/upgrade/held.rs
@@ -56,7 +56,9 @@
         // The name is all of the stem: it holds dots, and what follows the last must not be taken for an extension.
         let stem = inherited.map(|_| std::env::temp_dir().join(name + ".node"));
         Upgrade {
-            bans: stem.as_ref().map(|stem| Bans::new(stem.with_extension("out"))),
+            bans: stem
+                .as_ref()
+                .map(|stem| Bans::new(stem.with_extension("out"))),
             stem,
             lock: None,
             door: None,
@@ -108,7 +110,9 @@
         bytes: &[u8],
         fds: &[BorrowedFd<'_>],
     ) -> io::Result<bool> {
-        let Some(link) = &self.link else { return Err(io::ErrorKind::NotConnected.into()) };
+        let Some(link) = &self.link else {
+            return Err(io::ErrorKind::NotConnected.into());
+        };
         let sent = link::send(link, &said(self.custody.number()), bytes, fds)?;
         self.custody.sent(id, sent);
         Ok(sent)
@@ -133,25 +137,45 @@
 
     /// Says something that comes without descriptors; whether it went out.
     pub fn say(&self, said: &Said) -> bool {
-        self.link.as_ref().is_some_and(|link| matches!(link::send(link, said, &[], &[]), Ok(true)))
+        self.link
+            .as_ref()
+            .is_some_and(|link| matches!(link::send(link, said, &[], &[]), Ok(true)))
     }
 
     /// Looks who else lives: takes the lock and waits for a successor, or reaches the process that has the lock.
     pub(crate) fn look(&mut self, poller: &Rc<polling::Poller>) -> io::Result<()> {
-        let Some(stem) = self.stem.clone().filter(|_| self.lock.is_none()) else { return Ok(()) };
+        let Some(stem) = self.stem.clone().filter(|_| self.lock.is_none()) else {
+            return Ok(());
+        };
         let path = stem.with_extension("socket");
         let lock = stem.with_extension("lock");
-        let file = File::options().create(true).truncate(false).write(true).open(lock)?;
+        let file = File::options()
+            .create(true)
+            .truncate(false)
+            .write(true)
+            .open(lock)?;
         match file.try_lock() {
             Ok(()) => {
                 self.lock = Some(file);
                 let _ = fs::remove_file(&path);
                 let door = link::listen(&path)?;
-                self.door = Some(Watched::new(poller, door, UPGRADE as usize * 2 + DOOR, true, false)?);
+                self.door = Some(Watched::new(
+                    poller,
+                    door,
+                    UPGRADE as usize * 2 + DOOR,
+                    true,
+                    false,
+                )?);
             }
             Err(fs::TryLockError::WouldBlock) if self.link.is_none() && !self.foreign => {
                 let link = link::connect(&path)?;
-                self.link = Some(Watched::new(poller, link, UPGRADE as usize * 2 + LINK, true, false)?);
+                self.link = Some(Watched::new(
+                    poller,
+                    link,
+                    UPGRADE as usize * 2 + LINK,
+                    true,
+                    false,
+                )?);
             }
             Err(fs::TryLockError::WouldBlock) => {}
             Err(error) => return Err(error.into()),
--- a/crates/node/src/upgrade/inherited.rs
+++ b/crates/node/src/upgrade/inherited.rs
@@ -13,8 +13,8 @@
         let what = format!("RELAY_INHERITED_FD: descriptor {descriptor} {why}");
         io::Error::new(io::ErrorKind::InvalidInput, what)
     };
-    let named =
-        std::fs::read_link(format!("/proc/self/fd/{descriptor}")).map_err(|_| wrong("is not open"))?;
+    let named = std::fs::read_link(format!("/proc/self/fd/{descriptor}"))
+        .map_err(|_| wrong("is not open"))?;
     if !named.to_string_lossy().starts_with("socket:") {
         return Err(wrong("is no socket"));
     }
--- a/crates/node/src/upgrade/link.rs
+++ b/crates/node/src/upgrade/link.rs
@@ -3,8 +3,8 @@
 use lupincrank_placement::learnt::Learnt;
 use lupincrank_reactor::poll::Watched;
 use rustix::net::{
-    recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, ReturnFlags, SendAncillaryBuffer,
-    SendAncillaryMessage, SendFlags,
+    recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, ReturnFlags,
+    SendAncillaryBuffer, SendAncillaryMessage, SendFlags,
 };
 use serde::{Deserialize, Serialize};
 use socket2::{Domain, SockAddr, Socket, Type};
@@ -73,8 +73,9 @@
 
 impl From<Learnt> for Lesson {
     fn from(learnt: Learnt) -> Lesson {
-        let ms =
-            |span: Option<Duration>| span.map(|span| u64::try_from(span.as_millis()).unwrap_or(u64::MAX));
+        let ms = |span: Option<Duration>| {
+            span.map(|span| u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
+        };
         Lesson {
             server: learnt.server.0.to_string(),
             started: ms(learnt.started),
@@ -124,7 +125,12 @@
 }
 
 /// Sends one message, with the bytes and descriptors that belong to it; false if there is no room for it now.
-pub fn send(link: &Watched<Socket>, said: &Said, bytes: &[u8], fds: &[BorrowedFd<'_>]) -> io::Result<bool> {
+pub fn send(
+    link: &Watched<Socket>,
+    said: &Said,
+    bytes: &[u8],
+    fds: &[BorrowedFd<'_>],
+) -> io::Result<bool> {
     let mut record = serde_json::to_vec(said)?;
     record.push(b'\n');
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST_FDS))];
@@ -133,7 +139,12 @@
         return Err(io::Error::other("too many descriptors"));
     }
     let parts = [IoSlice::new(&record), IoSlice::new(bytes)];
-    match sendmsg(&**link, &parts, &mut ancillary, SendFlags::NOSIGNAL | SendFlags::DONTWAIT) {
+    match sendmsg(
+        &**link,
+        &parts,
+        &mut ancillary,
+        SendFlags::NOSIGNAL | SendFlags::DONTWAIT,
+    ) {
         Ok(_) => Ok(true),
         Err(rustix::io::Errno::AGAIN) => Ok(false),
         Err(error) => Err(error.into()),
@@ -156,7 +167,12 @@
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST_FDS))];
     let mut ancillary = RecvAncillaryBuffer::new(&mut space);
     let flags = RecvFlags::DONTWAIT | RecvFlags::CMSG_CLOEXEC;
-    let got = match recvmsg(&**link, &mut [IoSliceMut::new(&mut bytes)], &mut ancillary, flags) {
+    let got = match recvmsg(
+        &**link,
+        &mut [IoSliceMut::new(&mut bytes)],
+        &mut ancillary,
+        flags,
+    ) {
         Ok(got) => got,
         Err(rustix::io::Errno::AGAIN) => return Ok(None),
         Err(error) => return Err(error.into()),
@@ -164,8 +180,14 @@
     if got.bytes == 0 {
         return Err(io::ErrorKind::UnexpectedEof.into());
     }
-    if got.flags.intersects(ReturnFlags::TRUNC | ReturnFlags::CTRUNC) {
-        return Err(io::Error::new(io::ErrorKind::InvalidData, "a message was too long"));
+    if got
+        .flags
+        .intersects(ReturnFlags::TRUNC | ReturnFlags::CTRUNC)
+    {
+        return Err(io::Error::new(
+            io::ErrorKind::InvalidData,
+            "a message was too long",
+        ));
     }
     let fds = ancillary.drain().filter_map(|message| match message {
         RecvAncillaryMessage::ScmRights(fds) => Some(fds),
@@ -173,7 +195,10 @@
     });
     let fds = fds.flatten().collect();
     bytes.truncate(got.bytes);
-    let end = bytes.iter().position(|byte| *byte == b'\n').ok_or(io::ErrorKind::InvalidData)?;
+    let end = bytes
+        .iter()
+        .position(|byte| *byte == b'\n')
+        .ok_or(io::ErrorKind::InvalidData)?;
     let said = serde_json::from_slice(&bytes[..end]);
     let said = said.map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))?;
     bytes.drain(..=end);
--- a/crates/node/src/upgrade/mod.rs
+++ b/crates/node/src/upgrade/mod.rs
@@ -25,7 +25,9 @@
 const STEP: Duration = Duration::from_millis(10);
 /// Reads again who is out by hand. A file that was damaged meanwhile is written anew by one that knows what it held.
 fn reread(node: &mut Node) {
-    let Some(bans) = &node.upgrade.bans else { return };
+    let Some(bans) = &node.upgrade.bans else {
+        return;
+    };
     match bans.read() {
         Ok(out) => {
             node.upgrade.read = true;
@@ -63,7 +65,12 @@
 fn tell(node: &mut Node) {
     let open = node.upgrade.open && !node.upgrade.leaving;
     let (clients, strangers) = (node.clients.get(), node.strangers.borrow().len());
-    node.upgrade.say(&Said::Beat(Beat { version: VERSION, clients, strangers, open }));
+    node.upgrade.say(&Said::Beat(Beat {
+        version: VERSION,
+        clients,
+        strangers,
+        open,
+    }));
     let both = node.upgrade.link.is_some() && open && node.upgrade.other.open;
     let State { core, config, .. } = &mut node.world;
     core.share(config, if both { 2 } else { 1 });
@@ -98,7 +105,10 @@
     tell(node);
     let lessons = node.core.learnt().into_iter().map(Into::into).collect();
     if !node.upgrade.say(&Said::Learnt(lessons)) {
-        debug!(node.log, "what was learnt of transcribers does not go along");
+        debug!(
+            node.log,
+            "what was learnt of transcribers does not go along"
+        );
     }
     node.deadlines.set(UPGRADE, 1, Instant::now());
 }
@@ -150,11 +160,15 @@
             }
         }
         Said::Out => reread(node),
-        Said::Learnt(lessons) => node.core.learn(lessons.into_iter().map(Into::into).collect()),
+        Said::Learnt(lessons) => node
+            .core
+            .learn(lessons.into_iter().map(Into::into).collect()),
         // What is taken is said to be before anything is read or written: were this process to die now, the other knows
         // whose it is. If it cannot be said the link is given up, which tells the other to keep it.
         Said::Standing(number, record) => {
-            let sockets = <[_; 2]>::try_from(fds).ok().filter(|_| Relay::may_take(node, &record, &bytes));
+            let sockets = <[_; 2]>::try_from(fds)
+                .ok()
+                .filter(|_| Relay::may_take(node, &record, &bytes));
             if answer(node, number, sockets.is_some()) {
                 if let Some(sockets) = sockets {
                     let clients = &mut node.upgrade.other.clients;
@@ -179,7 +193,11 @@
 /// Says whether a connection is this process's from now on, and gives that. If it cannot be said it is not, unless there is nobody
 /// left to hear it.
 fn answer(node: &mut Node, number: u64, takes: bool) -> bool {
-    let said = node.upgrade.say(&if takes { Said::Took(number) } else { Said::Refused(number) });
+    let said = node.upgrade.say(&if takes {
+        Said::Took(number)
+    } else {
+        Said::Refused(number)
+    });
     let takes = said || (takes && orphaned(node));
     if !said && !takes {
         broke(node, "no answer can be given");
@@ -210,7 +228,9 @@
 impl Connection<State> for Watch {
     fn ready(&mut self, node: &mut Node, side: usize, _readable: bool, _writable: bool) -> Flow {
         if side == DOOR {
-            let Some(door) = &mut node.upgrade.door else { return Flow::Keep };
+            let Some(door) = &mut node.upgrade.door else {
+                return Flow::Keep;
+            };
             let Ok((link, _)) = door.accept() else {
                 // With no descriptor left it would be ready again and again: it rests till the next beat.
                 let _ = door.want(false, false);
@@ -227,7 +247,9 @@
         }
         // A turn takes a bounded number: clients go on meanwhile.
         for _ in 0..UNDER_WAY * 2 {
-            let Some(link) = &node.upgrade.link else { break };
+            let Some(link) = &node.upgrade.link else {
+                break;
+            };
             match link::receive(link) {
                 Ok(Some(came)) => take(node, came),
                 Ok(None) => break,
--- a/crates/node/tests/closes.rs
+++ b/crates/node/tests/closes.rs
@@ -36,7 +36,9 @@
 /// cut.
 fn held_back(rig: &Rig) -> Line {
     let (_, peer) = rig.tried();
-    within("a part of the line", || (peer.stream.peek(&mut [0; 4096]).unwrap() > 0).then_some(()));
+    within("a part of the line", || {
+        (peer.stream.peek(&mut [0; 4096]).unwrap() > 0).then_some(())
+    });
     peer
 }
 
@@ -53,14 +55,23 @@
 /// has arrived.
 #[rstest]
 fn what_is_held_back_is_not_sent_on_after_its_try_has_ended(
-    #[values(Ends::ClientCloses, Ends::ClientResets, Ends::TimeOver, Ends::NodeKilled)] how: Ends,
+    #[values(
+        Ends::ClientCloses,
+        Ends::ClientResets,
+        Ends::TimeOver,
+        Ends::NodeKilled
+    )]
+    how: Ends,
 ) {
     let mut rig = Rig::start(1);
     rig.set(|settings| {
         settings["Limits"]["SendCap"] = 1.into();
     });
     narrow(&rig);
-    let mut client = Some(long_line(&mut rig, if how == Ends::TimeOver { 700 } else { 20000 }));
+    let mut client = Some(long_line(
+        &mut rig,
+        if how == Ends::TimeOver { 700 } else { 20000 },
+    ));
     let mut peer = held_back(&rig);
     match how {
         Ends::ClientCloses => drop(client.take()),
@@ -77,7 +88,11 @@
         assert_eq!(rig.ask("PING\r\n"), "PONG");
     }
     let (came, in_order) = rest(&mut peer);
-    assert!(!came.ends_with(b"\n") && !in_order, "{} bytes came, in good order: {in_order}", came.len());
+    assert!(
+        !came.ends_with(b"\n") && !in_order,
+        "{} bytes came, in good order: {in_order}",
+        came.len()
+    );
 }
 
 /// Where all has arrived a try ends in good order, whoever ends it.
@@ -90,7 +105,11 @@
 fn a_try_whose_line_has_arrived_ends_in_good_order(#[case] says: Option<&str>) {
     let mut rig = Rig::start(1);
     rig.set(|settings| settings["Limits"]["SendCap"] = 1.into());
-    let (client, line) = rig.open(if says == Some("") { "d=700,g=a" } else { "d=20000,g=a" });
+    let (client, line) = rig.open(if says == Some("") {
+        "d=700,g=a"
+    } else {
+        "d=20000,g=a"
+    });
     let (_, mut peer) = rig.tried();
     assert_eq!(peer.hear().split(',').next(), line.split(',').next());
     match says {
@@ -108,7 +127,11 @@
     let (_, mut peer) = rig.tried();
     peer.hear();
     rig.signal("-TERM");
-    assert_eq!([client.hear(), client.hear()], ["ERR", ""], "it may stand by now");
+    assert_eq!(
+        [client.hear(), client.hear()],
+        ["ERR", ""],
+        "it may stand by now"
+    );
     drop((client, peer));
     assert!(rig.exit().success());
 }
@@ -119,14 +142,20 @@
     let mut rig = Rig::start(1);
     rig.freeze();
     let (mut client, _) = rig.open("d=20000,g=a");
-    client.stream.set_write_timeout(Some(std::time::Duration::from_millis(200))).unwrap();
+    client
+        .stream
+        .set_write_timeout(Some(std::time::Duration::from_millis(200)))
+        .unwrap();
     let _ = client.stream.write_all(says.repeat(300_000).as_bytes());
     drop(client);
     rig.thaw();
     let (mut client, line) = rig.open("d=20000,g=b");
     let (_, mut peer) = rig.tried();
     let id = line.split(' ').nth(1).unwrap();
-    assert!(peer.hear().contains(id), "the first that a transcriber hears is the next client's line");
+    assert!(
+        peer.hear().contains(id),
+        "the first that a transcriber hears is the next client's line"
+    );
     peer.say("UP r1\r\n");
     assert_eq!(client.hear(), "UP r1");
 }
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -33,7 +33,9 @@
 fn free() -> (socket2::Socket, SocketAddr) {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
     socket.set_reuse_address(true).unwrap();
-    socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into()).unwrap();
+    socket
+        .bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into())
+        .unwrap();
     let address = socket.local_addr().unwrap().as_socket().unwrap();
     (socket, address)
 }
@@ -48,7 +50,10 @@
     pub fn new(stream: TcpStream) -> Line {
         stream.set_nonblocking(false).unwrap();
         stream.set_read_timeout(Some(GENEROUS)).unwrap();
-        Line { stream, bytes: Vec::new() }
+        Line {
+            stream,
+            bytes: Vec::new(),
+        }
     }
 
     pub fn say(&mut self, text: &str) {
@@ -60,7 +65,12 @@
         let mut byte = [0];
         loop {
             match self.stream.read(&mut byte) {
-                Ok(0) => return std::mem::take(&mut self.bytes).iter().map(|byte| *byte as char).collect(),
+                Ok(0) => {
+                    return std::mem::take(&mut self.bytes)
+                        .iter()
+                        .map(|byte| *byte as char)
+                        .collect()
+                }
                 Ok(_) => self.bytes.push(byte[0]),
                 Err(error) if error.kind() == ErrorKind::ConnectionReset => return "RST".into(),
                 Err(error) if error.kind() == ErrorKind::Interrupted => continue,
@@ -104,8 +114,11 @@
         let address = listener.local_addr().unwrap();
         let mut fillers = Vec::new();
         loop {
-            let filler = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-            let up = filler.connect_timeout(&address.into(), Duration::from_millis(100)).is_ok();
+            let filler =
+                socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+            let up = filler
+                .connect_timeout(&address.into(), Duration::from_millis(100))
+                .is_ok();
             fillers.push(filler);
             if !up {
                 break;
@@ -117,8 +130,11 @@
     /// Lets connections come up again; gives the next one that is not of those that filled the queue.
     pub fn open(self) -> Line {
         SockRef::from(&self.listener).listen(128).unwrap();
-        let ours: Vec<_> =
-            self.fillers.iter().filter_map(|filler| filler.local_addr().ok()?.as_socket()).collect();
+        let ours: Vec<_> = self
+            .fillers
+            .iter()
+            .filter_map(|filler| filler.local_addr().ok()?.as_socket())
+            .collect();
         drop(self.fillers);
         within("a connection that was late", || {
             let (stream, from) = self.listener.accept().ok()?;
@@ -198,7 +214,9 @@
 
     /// Waits until the newest process says that it can serve.
     pub fn ready(&self) {
-        within("done", || (self.manage("check\r\n") == "done").then_some(()));
+        within("done", || {
+            (self.manage("check\r\n") == "done").then_some(())
+        });
     }
 
     /// Starts the node a second time, beside itself, with another management address.
@@ -241,7 +259,9 @@
 
     /// Descriptors that the node holds.
     pub fn descriptors(&self) -> usize {
-        std::fs::read_dir(format!("/proc/{}/fd", self.node.id())).unwrap().count()
+        std::fs::read_dir(format!("/proc/{}/fd", self.node.id()))
+            .unwrap()
+            .count()
     }
 
     /// Calls a transcriber back and waits until it is used again: not at once, for it counts as cold.
@@ -255,7 +275,9 @@
                     .peers
                     .iter()
                     .position(|peer| peer.as_ref().is_some_and(|peer| peer.accept().is_ok()));
-                tried.map(Some).or_else(|| (!client.quiet()).then_some(None))
+                tried
+                    .map(Some)
+                    .or_else(|| (!client.quiet()).then_some(None))
             });
             held.push(client);
             (tried == Some(at)).then_some(())
@@ -268,15 +290,20 @@
 
     /// One of so many nodes, with its watch open.
     pub fn one_of(nodes: u32, peers: usize) -> Rig {
-        let mut rig =
-            Rig::begin_with(peers, 1024, None, |config| config["settings"]["Instances"] = nodes.into());
+        let mut rig = Rig::begin_with(peers, 1024, None, |config| {
+            config["settings"]["Instances"] = nodes.into()
+        });
         rig.watched();
         within("PONG", || (rig.ask("PING\r\n") == "PONG").then_some(()));
         rig
     }
 
     /// A node that begins with this configuration.
-    pub fn launch_with(peers: usize, sockets: usize, change: impl FnOnce(&mut serde_json::Value)) -> Rig {
+    pub fn launch_with(
+        peers: usize,
+        sockets: usize,
+        change: impl FnOnce(&mut serde_json::Value),
+    ) -> Rig {
         Rig::begin_with(peers, sockets, None, change)
     }
 
@@ -286,7 +313,8 @@
         self.watch = None;
         self.discovery = listen();
         within("its address is free", || {
-            let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).ok()?;
+            let socket =
+                socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).ok()?;
             socket.set_reuse_address(true).ok()?;
             socket.bind(&at.into()).ok().map(|()| socket)
         })
@@ -304,7 +332,11 @@
         self.listen
     }
 
-    fn begin(peers: usize, sockets: usize, holder: Option<(TcpListener, std::path::PathBuf)>) -> Rig {
+    fn begin(
+        peers: usize,
+        sockets: usize,
+        holder: Option<(TcpListener, std::path::PathBuf)>,
+    ) -> Rig {
         Rig::begin_with(peers, sockets, holder, |_| {})
     }
 
@@ -315,10 +347,16 @@
         change: impl FnOnce(&mut serde_json::Value),
     ) -> Rig {
         let peers: Vec<_> = (0..peers).map(|_| Some(listen())).collect();
-        let hosts: Vec<_> = peers.iter().flatten().map(|peer| peer.local_addr().unwrap()).collect();
+        let hosts: Vec<_> = peers
+            .iter()
+            .flatten()
+            .map(|peer| peer.local_addr().unwrap())
+            .collect();
         let discovery = listen();
         let ((first, address), (second, management)) = (free(), free());
-        let free = holder.as_ref().map_or(address, |(listener, _)| listener.local_addr().unwrap());
+        let free = holder
+            .as_ref()
+            .map_or(address, |(listener, _)| listener.local_addr().unwrap());
         let example = include_str!("../../../../examples/config.json");
         let mut config: serde_json::Value = serde_json::from_str(example).unwrap();
         config["management"] = management.to_string().into();
@@ -327,8 +365,11 @@
         config["limits"]["sockets"] = sockets.into();
         config["known"] = serde_json::from_str(&group(&hosts, "SERVING", 1, true)).unwrap();
         change(&mut config);
-        let file =
-            std::env::temp_dir().join(format!("lupincrank-{}-{}.json", std::process::id(), free.port()));
+        let file = std::env::temp_dir().join(format!(
+            "lupincrank-{}-{}.json",
+            std::process::id(),
+            free.port()
+        ));
         std::fs::write(&file, config.to_string()).unwrap();
         std::fs::File::create(file.with_extension("log")).unwrap();
         let node = spawn(&file, holder.as_ref());
@@ -350,7 +391,9 @@
     }
 
     pub fn client(&self) -> Line {
-        Line::new(within("the node listens", || TcpStream::connect(self.listen).ok()))
+        Line::new(within("the node listens", || {
+            TcpStream::connect(self.listen).ok()
+        }))
     }
 
     /// What one line on a connection of its own is answered.
@@ -362,7 +405,9 @@
 
     /// A caller at the second address of the newest process.
     pub fn caller(&self) -> Line {
-        Line::new(within("the node takes calls", || TcpStream::connect(self.management).ok()))
+        Line::new(within("the node takes calls", || {
+            TcpStream::connect(self.management).ok()
+        }))
     }
 
     /// That address.
@@ -377,7 +422,9 @@
 
     /// The same at the second address of either process.
     pub fn manage_at(&self, address: SocketAddr, call: &str) -> String {
-        let mut caller = Line::new(within("the node takes calls", || TcpStream::connect(address).ok()));
+        let mut caller = Line::new(within("the node takes calls", || {
+            TcpStream::connect(address).ok()
+        }));
         caller.say(call);
         caller.hear()
     }
@@ -395,14 +442,20 @@
     pub fn tried(&self) -> (usize, Line) {
         within("a try", || {
             let mut taken = self.peers.iter().enumerate().filter_map(|(n, peer)| {
-                peer.as_ref()?.accept().ok().map(|(stream, _)| (n, Line::new(stream)))
+                peer.as_ref()?
+                    .accept()
+                    .ok()
+                    .map(|(stream, _)| (n, Line::new(stream)))
             });
             taken.next()
         })
     }
 
     pub fn untried(&self) -> bool {
-        self.peers.iter().flatten().all(|peer| peer.accept().is_err())
+        self.peers
+            .iter()
+            .flatten()
+            .all(|peer| peer.accept().is_err())
     }
 
     /// A client whose connection is up: it, its transcriber's number, and the transcriber's end.
@@ -422,7 +475,12 @@
 
     /// Takes the node's call to discovery; gives the request line.
     pub fn called(&mut self) -> (Line, String) {
-        let mut call = within("a call", || self.discovery.accept().ok().map(|(stream, _)| Line::new(stream)));
+        let mut call = within("a call", || {
+            self.discovery
+                .accept()
+                .ok()
+                .map(|(stream, _)| Line::new(stream))
+        });
         let request = call.hear();
         while !call.hear().is_empty() {}
         (call, request)
@@ -443,9 +501,13 @@
 
     /// Tells the state of one transcriber.
     pub fn tell(&mut self, peer: usize, health: &str, seq: u64) {
-        let line =
-            group(&self.hosts[peer..=peer], health, seq, false).replace("s-0", &format!("s-{peer}")) + "\n";
-        self.watch.as_mut().unwrap().say(&format!("{:x}\r\n{line}\r\n", line.len()));
+        let line = group(&self.hosts[peer..=peer], health, seq, false)
+            .replace("s-0", &format!("s-{peer}"))
+            + "\n";
+        self.watch
+            .as_mut()
+            .unwrap()
+            .say(&format!("{:x}\r\n{line}\r\n", line.len()));
     }
 
     /// A list with the first transcribers in these states.
@@ -462,7 +524,10 @@
     pub fn write_watch(&mut self, bytes: &[u8], piece: usize) {
         let watch = self.watch.as_mut().unwrap();
         for part in bytes.chunks(piece) {
-            watch.stream.write_all(format!("{:x}\r\n", part.len()).as_bytes()).unwrap();
+            watch
+                .stream
+                .write_all(format!("{:x}\r\n", part.len()).as_bytes())
+                .unwrap();
             watch.stream.write_all(part).unwrap();
             watch.stream.write_all(b"\r\n").unwrap();
         }
@@ -520,7 +585,11 @@
         let path = format!("/proc/{}/stat", self.node.id());
         within("it stands still", || {
             let stat = std::fs::read_to_string(&path).unwrap();
-            stat.rsplit_once(") ").unwrap().1.starts_with('T').then_some(())
+            stat.rsplit_once(") ")
+                .unwrap()
+                .1
+                .starts_with('T')
+                .then_some(())
         });
     }
 
@@ -542,7 +611,8 @@
                 local.ends_with(&hex(self.listen)) && remote.ends_with(&hex(client))
             };
             // 01 is an established one.
-            rows.all(|(local, remote, state)| !ours(&local, &remote) || state != "01").then_some(())
+            rows.all(|(local, remote, state)| !ours(&local, &remote) || state != "01")
+                .then_some(())
         });
     }
 
@@ -565,24 +635,46 @@
 
 /// Ends a connection with a reset.
 pub fn reset(line: Line) {
-    SockRef::from(&line.stream).set_linger(Some(Duration::ZERO)).unwrap();
+    SockRef::from(&line.stream)
+        .set_linger(Some(Duration::ZERO))
+        .unwrap();
 }
 
 pub fn kill(process: &Child, signal: &str) {
-    let kill = Command::new("kill").args([signal, &process.id().to_string()]).status();
+    let kill = Command::new("kill")
+        .args([signal, &process.id().to_string()])
+        .status();
     assert!(kill.unwrap().success());
 }
 
 /// Starts the node; where the listener is held, as descriptor 7.
 fn spawn(file: &std::path::Path, holder: Option<&(TcpListener, std::path::PathBuf)>) -> Child {
-    let log = std::fs::File::options().append(true).open(file.with_extension("log")).unwrap();
+    let log = std::fs::File::options()
+        .append(true)
+        .open(file.with_extension("log"))
+        .unwrap();
     let mut command = Command::new("/bin/sh");
     let take = "[ -z \"$RELAY_INHERITED_FD\" ] || exec 7<&0 0</dev/null; exec \"$@\"";
-    command.args(["-c", take, "sh", env!("CARGO_BIN_EXE_lupincrank"), "serve", "--verbose", "--config"]);
-    command.arg(file).env_clear().stderr(log).stdin(std::process::Stdio::null());
+    command.args([
+        "-c",
+        take,
+        "sh",
+        env!("CARGO_BIN_EXE_lupincrank"),
+        "serve",
+        "--verbose",
+        "--config",
+    ]);
+    command
+        .arg(file)
+        .env_clear()
+        .stderr(log)
+        .stdin(std::process::Stdio::null());
     if let Some((listener, folder)) = holder {
         let listener = std::os::fd::OwnedFd::from(listener.try_clone().unwrap());
-        command.env("RELAY_INHERITED_FD", "7").env("TMPDIR", folder).stdin(listener);
+        command
+            .env("RELAY_INHERITED_FD", "7")
+            .env("TMPDIR", folder)
+            .stdin(listener);
     }
     command.spawn().unwrap()
 }
@@ -594,5 +686,8 @@
         )
     };
     let entries: Vec<String> = hosts.iter().enumerate().map(entry).collect();
-    format!(r#"{{"seq":{seq},"whole":{whole},"hosts":[{}]}}"#, entries.join(","))
+    format!(
+        r#"{{"seq":{seq},"whole":{whole},"hosts":[{}]}}"#,
+        entries.join(",")
+    )
 }
--- a/crates/node/tests/crossings.rs
+++ b/crates/node/tests/crossings.rs
@@ -67,20 +67,29 @@
     let mut rig = Rig::start(1);
     rig.set(late_connections);
     let clog = rig.clog(0);
-    let clients: Vec<_> = (0..150).map(|n| rig.open(&format!("d=20000,g={n}")).0).collect();
+    let clients: Vec<_> = (0..150)
+        .map(|n| rig.open(&format!("d=20000,g={n}")).0)
+        .collect();
     // Some wait for the transcriber, the others for their turn.
     rig.logged_times("request, ", 150);
     rig.freeze();
     let mut came = vec![clog.open()];
     came.extend((0..7).map(|_| rig.tried().1));
-    clients.into_iter().for_each(|client| leave(&rig, client, Leaves::Ends));
+    clients
+        .into_iter()
+        .for_each(|client| leave(&rig, client, Leaves::Ends));
     rig.thaw();
     rig.logged_times("client left", 150);
-    assert!(came.iter_mut().all(|peer| peer.hear().is_empty()), "nobody waits for it");
+    assert!(
+        came.iter_mut().all(|peer| peer.hear().is_empty()),
+        "nobody waits for it"
+    );
     // What is sent on next is the next request, not one of theirs.
     let (_client, line) = rig.open("d=20000,g=last");
     let id = line.split(' ').nth(1).unwrap().to_string();
-    let said = within("the next request", || Some(rig.tried().1.hear()).filter(|said| !said.is_empty()));
+    let said = within("the next request", || {
+        Some(rig.tried().1.hear()).filter(|said| !said.is_empty())
+    });
     assert!(said.contains(&id), "{said}");
 }
 
@@ -101,8 +110,15 @@
         rig.tell(0, health, 2);
         rig.logged("seq: 2");
     }
-    assert_eq!(clog.open().hear(), "", "something new to a transcriber that leaves");
-    assert!(client.hear().starts_with("BUSY"), "it never ran, and nobody is left to take it");
+    assert_eq!(
+        clog.open().hear(),
+        "",
+        "something new to a transcriber that leaves"
+    );
+    assert!(
+        client.hear().starts_with("BUSY"),
+        "it never ran, and nobody is left to take it"
+    );
 }
 
 /// A list is read however it is laid out, wherever its bytes are cut, and whatever its version: also one that went back, as at a
@@ -118,14 +134,24 @@
 ) {
     let mut rig = Rig::start(2);
     let list = rig.list(&["DRAINING", "SERVING"], seq, true);
-    let text = if indented { serde_json::to_string_pretty(&list).unwrap() } else { list.to_string() };
+    let text = if indented {
+        serde_json::to_string_pretty(&list).unwrap()
+    } else {
+        list.to_string()
+    };
     rig.write_watch(format!("{text}\n").as_bytes(), piece);
     rig.logged(&format!("upstream group changed, entries: 2, seq: {seq}"));
     let held: Vec<_> = (0..6).map(|_| rig.up()).collect();
-    assert!(held.iter().all(|(_, at, _)| *at == 1), "it was told that the first one drains");
+    assert!(
+        held.iter().all(|(_, at, _)| *at == 1),
+        "it was told that the first one drains"
+    );
     // The watch goes on, and is opened anew from there.
     rig.watch = None;
-    assert_eq!(rig.called().1, format!("GET /v1/endpoints?watch=1&from={seq} HTTP/1.1"));
+    assert_eq!(
+        rig.called().1,
+        format!("GET /v1/endpoints?watch=1&from={seq} HTTP/1.1")
+    );
 }
 
 /// A list that comes byte by byte and never ends is a watch that has fallen silent.
@@ -158,7 +184,10 @@
     }
     assert_eq!(rig.called().1, "GET /v1/endpoints?watch=1&from=1 HTTP/1.1");
     let held: Vec<_> = (0..12).map(|n| rig.up_in(&format!("g{n}"))).collect();
-    assert!((0..2).all(|peer| held.iter().any(|(_, at, _)| *at == peer)), "both are used as before");
+    assert!(
+        (0..2).all(|peer| held.iter().any(|(_, at, _)| *at == peer)),
+        "both are used as before"
+    );
 }
 
 /// What a silent watch misses counts as told 6 s after it fell silent, here with the last byte, at the latest. The first attempt to
@@ -173,13 +202,19 @@
     rig.logged("nothing came in time");
     let mut call = clog.open();
     assert_eq!(call.hear(), "GET /v1/endpoints?watch=1&from=1 HTTP/1.1");
-    assert!(silent_since.elapsed() < Duration::from_secs(6), "{:?}", silent_since.elapsed());
+    assert!(
+        silent_since.elapsed() < Duration::from_secs(6),
+        "{:?}",
+        silent_since.elapsed()
+    );
 }
 
 /// The same where discovery takes the first call and never answers it, few nodes or many: a change that was made behind the silent
 /// watch holds in time.
 #[rstest]
-fn what_a_silent_watch_misses_is_heard_in_time_though_a_call_is_never_answered(#[values(2, 300)] nodes: u32) {
+fn what_a_silent_watch_misses_is_heard_in_time_though_a_call_is_never_answered(
+    #[values(2, 300)] nodes: u32,
+) {
     let mut rig = Rig::one_of(nodes, 2);
     rig.write_watch(b"\n", 1);
     let silent_since = Instant::now();
@@ -187,9 +222,16 @@
     rig.watched();
     rig.tell(0, "DRAINING", 2);
     rig.logged("seq: 2");
-    assert!(silent_since.elapsed() < Duration::from_secs(6), "{:?}", silent_since.elapsed());
+    assert!(
+        silent_since.elapsed() < Duration::from_secs(6),
+        "{:?}",
+        silent_since.elapsed()
+    );
     let held: Vec<_> = (0..6).map(|n| rig.up_in(&format!("g{n}"))).collect();
-    assert!(held.iter().all(|(_, at, _)| *at == 1), "it was told that the first one drains");
+    assert!(
+        held.iter().all(|(_, at, _)| *at == 1),
+        "it was told that the first one drains"
+    );
 }
 
 /// One of two calls that wait is answered, either one: it is the watch, and the other one is closed.
@@ -229,7 +271,11 @@
     rig.watched();
     rig.tell(0, "DRAINING", 2);
     rig.logged("seq: 2");
-    assert!(back.elapsed() < Duration::from_secs(6), "{:?}", back.elapsed());
+    assert!(
+        back.elapsed() < Duration::from_secs(6),
+        "{:?}",
+        back.elapsed()
+    );
 }
 
 /// A connection's place is needed for others in the turn in which its line is there, whole and unread.
@@ -283,7 +329,10 @@
     rig.logged("request");
     rig.signal("-TERM");
     let said = client.hear();
-    assert!(said == answer || (answer.ends_with(' ') && said.starts_with(answer)), "{said:?}");
+    assert!(
+        said == answer || (answer.ends_with(' ') && said.starts_with(answer)),
+        "{said:?}"
+    );
     assert_eq!(client.hear(), "", "one answer");
     if let Some(mut peer) = peer {
         assert_eq!(peer.hear(), "", "the try ends with it");
@@ -326,15 +375,24 @@
     let (_, mut peer) = rig.tried();
     peer.hear();
     let block = says.repeat(4096);
-    let endless = std::thread::spawn(move || while peer.stream.write_all(block.as_bytes()).is_ok() {});
+    let endless =
+        std::thread::spawn(move || while peer.stream.write_all(block.as_bytes()).is_ok() {});
     let began = Instant::now();
     while client.quiet() {
         let asked = Instant::now();
         assert_eq!(rig.ask("PING\r\n"), "PONG");
-        assert!(asked.elapsed() < Duration::from_secs(1), "{:?}", asked.elapsed());
+        assert!(
+            asked.elapsed() < Duration::from_secs(1),
+            "{:?}",
+            asked.elapsed()
+        );
     }
     assert!(client.hear().starts_with("BUSY"));
-    assert!(began.elapsed() < Duration::from_secs(4), "{:?}", began.elapsed());
+    assert!(
+        began.elapsed() < Duration::from_secs(4),
+        "{:?}",
+        began.elapsed()
+    );
     endless.join().unwrap();
 }
 
--- a/crates/node/tests/discovery.rs
+++ b/crates/node/tests/discovery.rs
@@ -30,7 +30,10 @@
                 std::thread::sleep(Duration::from_millis(5));
             }
         });
-        Background { over, thread: Some(thread) }
+        Background {
+            over,
+            thread: Some(thread),
+        }
     }
 }
 
@@ -48,11 +51,15 @@
     Background::run(move || {
         for place in &mut idle {
             let open = place.as_ref().is_some_and(|stream| {
-                stream.peek(&mut [0]).is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+                stream
+                    .peek(&mut [0])
+                    .is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
             });
             if !open {
                 *place = TcpStream::connect(to).ok();
-                place.iter().for_each(|stream| stream.set_nonblocking(true).unwrap());
+                place
+                    .iter()
+                    .for_each(|stream| stream.set_nonblocking(true).unwrap());
             }
         }
     })
@@ -92,7 +99,9 @@
     let (client, other, peer) = rig.up();
     let served = asked.elapsed();
     look(&rig);
-    eprintln!("heard after {heard:?}, checked in {checked:?}, served in {served:?}, {most} descriptors");
+    eprintln!(
+        "heard after {heard:?}, checked in {checked:?}, served in {served:?}, {most} descriptors"
+    );
     assert_ne!(other, at, "it was told that this one drains");
     assert!(heard < Duration::from_secs(6), "{heard:?}");
     assert!(checked < Duration::from_secs(1), "{checked:?}");
@@ -120,14 +129,20 @@
                 waiting.push_back((Instant::now(), Line::new(stream)));
             }
         }
-        let Discovery::Answers(a_second) = how else { return };
+        let Discovery::Answers(a_second) = how else {
+            return;
+        };
         while free <= Instant::now() {
-            let Some((since, mut call)): Option<(Instant, Line)> = waiting.pop_front() else { break };
+            let Some((since, mut call)): Option<(Instant, Line)> = waiting.pop_front() else {
+                break;
+            };
             free = free.max(since) + Duration::from_secs_f64(1.0 / a_second);
             let late = since.elapsed() > Duration::from_secs(2);
             // Whoever has gone meanwhile has cost its time all the same.
-            let _ =
-                std::io::Write::write_all(&mut call.stream, if late { BUSY } else { NEW_WATCH }.as_bytes());
+            let _ = std::io::Write::write_all(
+                &mut call.stream,
+                if late { BUSY } else { NEW_WATCH }.as_bytes(),
+            );
             held.extend((!late).then_some(call));
         }
     })
@@ -142,23 +157,39 @@
 fn nine_in_ten_that_begin_at_once_are_ready_in_time(#[case] how: Discovery) {
     let began = Instant::now();
     let mut rigs: Vec<Rig> = (0..30)
-        .map(|_| Rig::launch_with(1, 1024, |config| config["settings"]["Instances"] = 300.into()))
+        .map(|_| {
+            Rig::launch_with(1, 1024, |config| {
+                config["settings"]["Instances"] = 300.into()
+            })
+        })
         .collect();
     let down: Vec<_> = match how {
         Discovery::Down => rigs.iter_mut().map(Rig::discovery_ends).collect(),
         _ => Vec::new(),
     };
-    let _discovery = one_for_all(rigs.iter().map(|rig| rig.discovery.try_clone().unwrap()).collect(), how);
+    let _discovery = one_for_all(
+        rigs.iter()
+            .map(|rig| rig.discovery.try_clone().unwrap())
+            .collect(),
+        how,
+    );
     let mut ready = vec![None; rigs.len()];
     within("all are ready", || {
-        for (rig, ready) in rigs.iter().zip(&mut ready).filter(|(_, ready)| ready.is_none()) {
+        for (rig, ready) in rigs
+            .iter()
+            .zip(&mut ready)
+            .filter(|(_, ready)| ready.is_none())
+        {
             *ready = (rig.ask("PING\r\n") == "PONG").then(|| began.elapsed());
         }
         ready.iter().all(Option::is_some).then_some(())
     });
     let mut took: Vec<Duration> = ready.into_iter().flatten().collect();
     took.sort_unstable();
-    eprintln!("ready after {:?}, {:?}, {:?}, {:?}", took[0], took[14], took[26], took[29]);
+    eprintln!(
+        "ready after {:?}, {:?}, {:?}, {:?}",
+        took[0], took[14], took[26], took[29]
+    );
     drop(down);
     assert!(took[26] <= Duration::from_secs(10), "{took:?}");
 }
--- a/crates/node/tests/operation.rs
+++ b/crates/node/tests/operation.rs
@@ -45,12 +45,17 @@
         assert!(began.elapsed() < Duration::from_secs(1));
     }
     assert!(rig.descriptors() < 60, "{} are held", rig.descriptors());
-    assert!(rig.manage(&"x".repeat(4096)).starts_with("error the call is longer"));
+    assert!(rig
+        .manage(&"x".repeat(4096))
+        .starts_with("error the call is longer"));
     drop(silent);
     let mut half = rig.caller();
     half.say("set-down s");
     assert_eq!(half.hear(), "error no whole call came in time");
-    assert!(began.elapsed() > Duration::from_secs(4), "it may stay for 4 s");
+    assert!(
+        began.elapsed() > Duration::from_secs(4),
+        "it may stay for 4 s"
+    );
 }
 
 #[test]
@@ -60,13 +65,19 @@
     let (mut crowd, mut slowest) = (Vec::new(), Duration::ZERO);
     for round in 0..30 {
         crowd.extend((0..40).map(|_| rig.client()));
-        crowd.iter_mut().rev().take(20).for_each(|client| client.say("OPEN 9b1f03"));
+        crowd
+            .iter_mut()
+            .rev()
+            .take(20)
+            .for_each(|client| client.say("OPEN 9b1f03"));
         crowd.extend((0..2).map(|_| rig.caller()));
         if round == 20 {
             rig.signal("-TERM");
         }
         let began = Instant::now();
-        assert!(["done", "error this process is ending"].contains(&rig.manage("check\r\n").as_str()));
+        assert!(
+            ["done", "error this process is ending"].contains(&rig.manage("check\r\n").as_str())
+        );
         slowest = slowest.max(began.elapsed());
     }
     println!("slowest answer: {slowest:?}");
@@ -82,14 +93,22 @@
     let mut rig = Rig::start(2);
     let cut = |line: &mut common::Line, text: &str| {
         line.stream.set_nodelay(true).unwrap();
-        text.as_bytes().chunks(piece).for_each(|part| line.say(std::str::from_utf8(part).unwrap()));
+        text.as_bytes()
+            .chunks(piece)
+            .for_each(|part| line.say(std::str::from_utf8(part).unwrap()));
     };
     let mut client = rig.client();
-    cut(&mut client, "OPEN 00000000000000aa f c=chat,d=15000,g=a\r\n");
+    cut(
+        &mut client,
+        "OPEN 00000000000000aa f c=chat,d=15000,g=a\r\n",
+    );
     let (at, mut peer) = rig.tried();
     peer.hear();
     cut(&mut peer, "LOAD 12\r\nUP r1\r\nLOAD 1500\r\nfirst\r\n");
-    assert_eq!([client.hear(), client.hear(), client.hear()], ["UP r1", "LOAD 1500", "first"]);
+    assert_eq!(
+        [client.hear(), client.hear(), client.hear()],
+        ["UP r1", "LOAD 1500", "first"]
+    );
     rig.logged("load, us: 1500");
     cut(&mut client, "second\r\n");
     assert_eq!(peer.hear(), "second");
@@ -105,11 +124,19 @@
     let rig = Rig::start(1);
     let ask = |call: &[&str]| {
         let mut run = std::process::Command::new(env!("CARGO_BIN_EXE_lupincrank"));
-        let run = run.arg("manage").arg(rig.caller_address().to_string()).args(call).output().unwrap();
+        let run = run
+            .arg("manage")
+            .arg(rig.caller_address().to_string())
+            .args(call)
+            .output()
+            .unwrap();
         (run.status.success(), String::from_utf8(run.stdout).unwrap())
     };
     assert_eq!(ask(&["set-down", "s-0"]), (true, "done\n".into()));
-    assert_eq!(ask(&["set-up", "s-9"]), (false, "error no transcriber \"s-9\"\n".into()));
+    assert_eq!(
+        ask(&["set-up", "s-9"]),
+        (false, "error no transcriber \"s-9\"\n".into())
+    );
     assert!(!ask(&[]).0);
 }
 
@@ -129,7 +156,10 @@
 #[test]
 fn check_says_what_is_missing_until_discovery_has_told_the_list() {
     let mut rig = Rig::launch(1, 1024);
-    assert_eq!(rig.manage("check\r\n"), "error discovery has not told the list yet");
+    assert_eq!(
+        rig.manage("check\r\n"),
+        "error discovery has not told the list yet"
+    );
     rig.watched();
     within("done", || (rig.manage("check\r\n") == "done").then_some(()));
 }
@@ -180,7 +210,10 @@
     config["settings"]["Limits"]["SendCap"] = attempts.into();
     rig.reload(&config.to_string());
     let names: Vec<&str> = classes.iter().map(|(name, _)| *name).collect();
-    rig.logged(&format!("attempts: {attempts}, classes: {}", names.join(", ")));
+    rig.logged(&format!(
+        "attempts: {attempts}, classes: {}",
+        names.join(", ")
+    ));
 }
 
 #[test]
@@ -204,14 +237,21 @@
     assert_eq!(now.hear(), "ERR");
     assert!(rig.untried());
     retune(&rig, &[("notes", "repeatable")], 3);
-    assert_eq!(rig.ask("OPEN 00000000000000aa f c=chat,d=1500,g=a\r\n"), "ERR");
+    assert_eq!(
+        rig.ask("OPEN 00000000000000aa f c=chat,d=1500,g=a\r\n"),
+        "ERR"
+    );
     let mut notes = rig.client();
     notes.say("OPEN 00000000000000ab f c=notes,d=1500,g=a\r\n");
     let (_, mut peer) = rig.tried();
     peer.hear();
     peer.say("UP r3\r\n");
     assert_eq!(notes.hear(), "UP r3");
-    for (client, peer) in [(&mut stands, &mut holder), (&mut waits, &mut second), (&mut notes, &mut peer)] {
+    for (client, peer) in [
+        (&mut stands, &mut holder),
+        (&mut waits, &mut second),
+        (&mut notes, &mut peer),
+    ] {
         client.say("hello\r\n");
         assert_eq!(peer.hear(), "hello");
         peer.say("LOAD 1500\r\nhello\r\n");
--- a/crates/node/tests/probes.rs
+++ b/crates/node/tests/probes.rs
@@ -31,7 +31,10 @@
 #[case("PONG rate=2,x0=0.3")]
 #[case("PONG")]
 #[case("NO")]
-fn a_client_goes_to_the_transcriber_that_was_probed(#[case] answer: &str, #[values(1, 4)] peers: usize) {
+fn a_client_goes_to_the_transcriber_that_was_probed(
+    #[case] answer: &str,
+    #[values(1, 4)] peers: usize,
+) {
     let (mut rig, at, mut client, line, _probe) = within("an answer in time", || {
         let mut rig = probing(peers);
         let began = Instant::now();
@@ -60,10 +63,16 @@
     within("another probe", || {
         let (mut client, _) = rig.open("d=1500,g=a");
         let tried = within("a try or a probe", || {
-            let tried = rig.peers[0].as_ref()?.accept().ok().map(|(stream, _)| Some(Line::new(stream)));
+            let tried = rig.peers[0]
+                .as_ref()?
+                .accept()
+                .ok()
+                .map(|(stream, _)| Some(Line::new(stream)));
             tried.or_else(|| (!probe.quiet()).then_some(None))
         });
-        let Some(mut peer) = tried else { return Some(()) };
+        let Some(mut peer) = tried else {
+            return Some(());
+        };
         assert!(peer.hear().starts_with("OPEN"));
         peer.say("BYE\r\n");
         assert_eq!(client.hear(), "BYE");
@@ -107,11 +116,17 @@
     let began = Instant::now();
     within("another probe", || {
         let (mut client, _) = rig.open("d=1500,g=a");
-        within("an answer or a probe", || (!client.quiet() || !probe.quiet()).then_some(()));
+        within("an answer or a probe", || {
+            (!client.quiet() || !probe.quiet()).then_some(())
+        });
         (!probe.quiet()).then_some(())
     });
     // A report is fresh for a second, and after four it would be past anyway.
-    assert!(began.elapsed() < Duration::from_secs(3), "{:?}", began.elapsed());
+    assert!(
+        began.elapsed() < Duration::from_secs(3),
+        "{:?}",
+        began.elapsed()
+    );
 }
 
 /// One that ends the probe's connection, or says that it errs, is left for the other as well.
@@ -128,8 +143,11 @@
             // Refused where an answer came too late.
             let (at, mut peer) = within("a try or an answer", || {
                 let mut peers = rig.peers.iter().enumerate();
-                let tried = peers.find_map(|(at, peer)| Some((at, peer.as_ref()?.accept().ok()?.0)));
-                tried.map(Some).or_else(|| (!client.quiet()).then_some(None))
+                let tried =
+                    peers.find_map(|(at, peer)| Some((at, peer.as_ref()?.accept().ok()?.0)));
+                tried
+                    .map(Some)
+                    .or_else(|| (!client.quiet()).then_some(None))
             })
             .map(|(at, stream)| (at, Line::new(stream)))?;
             let fails = *failing.get_or_insert(at) == at;
--- a/crates/node/tests/rules.rs
+++ b/crates/node/tests/rules.rs
@@ -16,7 +16,10 @@
     let (start, rest) = passed.split_once("d=").unwrap();
     let (left, rest) = rest.split_once(',').unwrap();
     assert_eq!(format!("{start}d=1500,{rest}"), line);
-    assert!((1..=1500).contains(&left.parse::<u32>().unwrap()), "{left} ms");
+    assert!(
+        (1..=1500).contains(&left.parse::<u32>().unwrap()),
+        "{left} ms"
+    );
     peer.say("UP r1\r\nLOAD 12.5\r\nfirst\r\nsec");
     peer.say("ond\r\n");
     assert_eq!(
@@ -51,7 +54,10 @@
     let rig = Rig::start(1);
     assert_eq!(rig.ask(&"x".repeat(4096)), "ERR");
     let mut client = rig.client();
-    client.stream.write_all(b"OPEN \xff\xfe f c=chat,d=100\r\n").unwrap();
+    client
+        .stream
+        .write_all(b"OPEN \xff\xfe f c=chat,d=100\r\n")
+        .unwrap();
     assert_eq!([client.hear(), client.hear()], ["ERR", ""]);
     assert!(rig.untried());
 }
@@ -101,7 +107,11 @@
     let answer = client.hear();
     let wait: u64 = answer.strip_prefix("BUSY ").unwrap().parse().unwrap();
     assert!((1..=2000).contains(&wait), "{answer}");
-    assert!(began.elapsed() < Duration::from_secs(10), "held for {:?}", began.elapsed());
+    assert!(
+        began.elapsed() < Duration::from_secs(10),
+        "held for {:?}",
+        began.elapsed()
+    );
     assert_eq!(client.hear(), "");
 }
 
@@ -121,7 +131,10 @@
     let (mut client, _, mut peer) = rig.up();
     peer.say("last\r\nBYE\r\n");
     peer.stream.shutdown(Shutdown::Write).unwrap();
-    assert_eq!([client.hear(), client.hear(), client.hear()], ["last", "BYE", ""]);
+    assert_eq!(
+        [client.hear(), client.hear(), client.hear()],
+        ["last", "BYE", ""]
+    );
     let (mut client, _, mut peer) = rig.up();
     client.stream.shutdown(Shutdown::Write).unwrap();
     assert_eq!(peer.hear(), "");
@@ -148,7 +161,10 @@
     assert_eq!(peer.hear(), "hello");
     let began = Instant::now();
     assert_eq!([client.hear(), client.hear()], ["MOVE", ""]);
-    assert!(began.elapsed() < Duration::from_secs(4), "nobody is served on it meanwhile");
+    assert!(
+        began.elapsed() < Duration::from_secs(4),
+        "nobody is served on it meanwhile"
+    );
 }
 
 #[test]
@@ -265,11 +281,17 @@
     for mut client in [client, late] {
         assert_eq!([client.hear(), client.hear()], ["MOVE", ""]);
     }
-    assert!(rig.ask("OPEN 9b1f03aa5c7e2d41 f c=chat,d=1000,g=a\r\n").starts_with("BUSY "));
+    assert!(rig
+        .ask("OPEN 9b1f03aa5c7e2d41 f c=chat,d=1000,g=a\r\n")
+        .starts_with("BUSY "));
     assert!(waiting.hear().starts_with("BUSY "));
     drop(waiting);
     assert!(rig.exit().success());
-    assert!(began.elapsed() < Duration::from_millis(2700), "killed before: {:?}", began.elapsed());
+    assert!(
+        began.elapsed() < Duration::from_millis(2700),
+        "killed before: {:?}",
+        began.elapsed()
+    );
 }
 
 #[test]
@@ -300,7 +322,11 @@
     client.say(says);
     assert_eq!(client.hear(), hears);
     client.hear();
-    assert!(began.elapsed() < Duration::from_secs(3), "{:?}", began.elapsed());
+    assert!(
+        began.elapsed() < Duration::from_secs(3),
+        "{:?}",
+        began.elapsed()
+    );
     assert!(rig.untried());
 }
 
@@ -310,9 +336,15 @@
     let mut client = rig.client();
     let began = Instant::now();
     let block = vec![b'x'; 1 << 20];
-    let sent = (0..4000).take_while(|_| client.stream.write_all(&block).is_ok()).count();
+    let sent = (0..4000)
+        .take_while(|_| client.stream.write_all(&block).is_ok())
+        .count();
     assert!(sent < 60, "{sent} MiB were taken");
-    assert!(began.elapsed() < Duration::from_secs(3), "{:?}", began.elapsed());
+    assert!(
+        began.elapsed() < Duration::from_secs(3),
+        "{:?}",
+        began.elapsed()
+    );
 }
 
 #[test]
@@ -373,7 +405,9 @@
     rig.tell(0, "DRAINING", 2);
     rig.tell(1, "DRAINING", 3);
     // Nothing takes new connections any more, and the front is told so.
-    within("the change", || (rig.ask("PING\r\n") == "BUSY").then_some(()));
+    within("the change", || {
+        (rig.ask("PING\r\n") == "BUSY").then_some(())
+    });
     let (mut client, _) = rig.open("d=30000,g=a,at=s-0");
     assert_eq!(client.hear(), "BUSY");
     assert!(rig.untried());
@@ -389,7 +423,11 @@
         rig.move_discovery();
         let (mut call, request) = rig.called();
         assert_eq!(request, "GET /v1/endpoints?watch=1&from=7 HTTP/1.1");
-        assert!(began.elapsed() < Duration::from_secs(3), "told too late: {:?}", began.elapsed());
+        assert!(
+            began.elapsed() < Duration::from_secs(3),
+            "told too late: {:?}",
+            began.elapsed()
+        );
         call.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
         rig.watch = Some(call);
     }
@@ -402,7 +440,9 @@
 
 #[rstest]
 #[case::not_json("{")]
-#[case::no_classes(r#"{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","name":"n","settings":{}}"#)]
+#[case::no_classes(
+    r#"{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","name":"n","settings":{}}"#
+)]
 #[case::no_address(r#"{"discovery":"elsewhere"}"#)]
 fn a_configuration_that_does_not_hold_changes_nothing(#[case] text: &str) {
     let mut rig = Rig::start(1);
--- a/crates/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -58,7 +58,10 @@
     rig.upgrade();
     let mut came = vec![0; text.len()];
     client.stream.read_exact(&mut came).unwrap();
-    assert!(came == text.as_bytes(), "bytes are lost, doubled or in another order");
+    assert!(
+        came == text.as_bytes(),
+        "bytes are lost, doubled or in another order"
+    );
     sender.join().unwrap();
 }
 
@@ -75,7 +78,11 @@
     let down = format!("set-down s-{at}\r\n");
     let call = |rig: &Rig, now: usize| {
         if when == now {
-            let address = if now == 2 { older } else { rig.caller_address() };
+            let address = if now == 2 {
+                older
+            } else {
+                rig.caller_address()
+            };
             assert_eq!(rig.manage_at(address, &down), "done");
         }
     };
@@ -108,7 +115,10 @@
     for _ in 0..200 {
         assert_eq!(rig.ask("PING\r\n"), "PONG");
     }
-    assert_eq!(rig.manage("check\r\n"), "error discovery has not told the list yet");
+    assert_eq!(
+        rig.manage("check\r\n"),
+        "error discovery has not told the list yet"
+    );
     rig.watched();
     rig.ready();
     rig.end_older();
@@ -139,7 +149,11 @@
             rig.ready();
             rig.signal("-KILL");
         }
-        rig.logged(if until == "ready" { "the other process is gone" } else { until });
+        rig.logged(if until == "ready" {
+            "the other process is gone"
+        } else {
+            until
+        });
         kill(rig.oldest(), "-TERM");
     }
     pass(&mut client, &mut peer);
@@ -213,7 +227,11 @@
     std::fs::write(rig.folder().join(format!("lupincrank-{listen}.out")), "?").unwrap();
     rig.upgrade();
     rig.logged_times("out by hand, transcribers: s-0", 2);
-    assert!((0..6).map(|_| rig.up()).collect::<Vec<_>>().iter().all(|(_, to, _)| *to == 1));
+    assert!((0..6)
+        .map(|_| rig.up())
+        .collect::<Vec<_>>()
+        .iter()
+        .all(|(_, to, _)| *to == 1));
 }
 
 #[rstest]
@@ -225,8 +243,16 @@
     kill_and_wait(&mut rig);
     let listen = rig.config["listen"].as_str().unwrap().replace(':', "-");
     // What a killed process leaves at this path is a socket.
-    let _ = std::fs::remove_file(rig.folder().join(format!("lupincrank-{listen}.{extension}")));
-    std::fs::write(rig.folder().join(format!("lupincrank-{listen}.{extension}")), text).unwrap();
+    let _ = std::fs::remove_file(
+        rig.folder()
+            .join(format!("lupincrank-{listen}.{extension}")),
+    );
+    std::fs::write(
+        rig.folder()
+            .join(format!("lupincrank-{listen}.{extension}")),
+        text,
+    )
+    .unwrap();
     let began = Instant::now();
     rig.second();
     rig.watched();
@@ -252,13 +278,21 @@
     let other = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let run = std::process::Command::new("/bin/sh")
         .args(["-c", "exec 8<&0 0</dev/null 3</dev/null; exec \"$@\"", "sh"])
-        .args([env!("CARGO_BIN_EXE_lupincrank"), "serve", "--config", "../../examples/config.json"])
+        .args([
+            env!("CARGO_BIN_EXE_lupincrank"),
+            "serve",
+            "--config",
+            "../../examples/config.json",
+        ])
         .env("RELAY_INHERITED_FD", descriptor)
         .stdin(std::os::fd::OwnedFd::from(other))
         .output()
         .unwrap();
     let said = String::from_utf8_lossy(&run.stderr);
-    assert!(!run.status.success() && said.contains("RELAY_INHERITED_FD"), "{said}");
+    assert!(
+        !run.status.success() && said.contains("RELAY_INHERITED_FD"),
+        "{said}"
+    );
 }
 
 /// The older process is killed when it has sent a connection and before the newer has said that it takes it: there is nobody else
--- a/crates/operator-config/src/lib.rs
+++ b/crates/operator-config/src/lib.rs
@@ -86,43 +86,67 @@
             let line = error.span().map_or(1, |span| line_of(text, span.start));
             format!("line {line}: {}", error.message())
         })?;
-        operator.check().map_err(|(at, why)| format!("line {}: {why}", line_of(text, at)))?;
+        operator
+            .check()
+            .map_err(|(at, why)| format!("line {}: {why}", line_of(text, at)))?;
         Ok(operator)
     }
 
     fn check(&self) -> Result<(), (usize, String)> {
         let Some(fleet) = &self.fleet else {
             return match &self.budgets.cold {
-                Some(cold) => {
-                    Err((cold.capacity.span().start, "budgets.cold: there is no [fleet] to share it".into()))
-                }
+                Some(cold) => Err((
+                    cold.capacity.span().start,
+                    "budgets.cold: there is no [fleet] to share it".into(),
+                )),
                 None => Ok(()),
             };
         };
         let at = |span: std::ops::Range<usize>, why: String| Err((span.start, why));
         let name = fleet.name.get_ref();
         if name.is_empty() || name.len() > LONGEST_NAME {
-            return at(fleet.name.span(), format!("fleet.name: 1 to {LONGEST_NAME} bytes are a name"));
+            return at(
+                fleet.name.span(),
+                format!("fleet.name: 1 to {LONGEST_NAME} bytes are a name"),
+            );
         }
         let nodes = fleet.nodes.get_ref();
         let distinct: BTreeSet<&String> = nodes.iter().collect();
         if nodes.is_empty() || nodes.len() > MOST_NODES {
-            return at(fleet.nodes.span(), format!("fleet.nodes: 1 to {MOST_NODES} are a fleet"));
+            return at(
+                fleet.nodes.span(),
+                format!("fleet.nodes: 1 to {MOST_NODES} are a fleet"),
+            );
         }
         if distinct.len() < nodes.len()
-            || nodes.iter().any(|node| node.is_empty() || node.len() > LONGEST_NAME)
+            || nodes
+                .iter()
+                .any(|node| node.is_empty() || node.len() > LONGEST_NAME)
         {
-            return at(fleet.nodes.span(), "fleet.nodes: a name is empty, too long, or there twice".into());
+            return at(
+                fleet.nodes.span(),
+                "fleet.nodes: a name is empty, too long, or there twice".into(),
+            );
         }
-        if let Some(folder) = fleet.folder.as_ref().filter(|folder| folder.get_ref().is_empty()) {
+        if let Some(folder) = fleet
+            .folder
+            .as_ref()
+            .filter(|folder| folder.get_ref().is_empty())
+        {
             return at(folder.span(), "fleet.folder: a path is needed".into());
         }
         let seeds = fleet.seeds.get_ref();
         if seeds.is_empty() {
-            return at(fleet.seeds.span(), "fleet.seeds: one at least is needed to find the others".into());
+            return at(
+                fleet.seeds.span(),
+                "fleet.seeds: one at least is needed to find the others".into(),
+            );
         }
         if let Some(unknown) = seeds.keys().find(|seed| !distinct.contains(seed)) {
-            return at(fleet.seeds.span(), format!("fleet.seeds: {unknown:?} is not among fleet.nodes"));
+            return at(
+                fleet.seeds.span(),
+                format!("fleet.seeds: {unknown:?} is not among fleet.nodes"),
+            );
         }
         if let Some(cold) = &self.budgets.cold {
             let (capacity, floor) = (*cold.capacity.get_ref(), *cold.floor.get_ref());
@@ -145,7 +169,12 @@
 }
 
 fn line_of(text: &str, at: usize) -> usize {
-    text.as_bytes().iter().take(at).filter(|byte| **byte == b'\n').count() + 1
+    text.as_bytes()
+        .iter()
+        .take(at)
+        .filter(|byte| **byte == b'\n')
+        .count()
+        + 1
 }
 
 #[cfg(test)]
--- a/crates/placement/src/asking.rs
+++ b/crates/placement/src/asking.rs
@@ -64,7 +64,10 @@
 impl Asking {
     /// For one of so many gateways.
     pub fn new(gateways: u32) -> Asking {
-        let mut asking = Asking { spread: 0.0, failures: 0 };
+        let mut asking = Asking {
+            spread: 0.0,
+            failures: 0,
+        };
         asking.share(gateways);
         asking
     }
@@ -77,7 +80,11 @@
     /// When to ask first: a list is known from the start, and all gateways may have started at once. `random` lies
     /// between 0 and 1. Zero for few gateways.
     pub fn first(&self, random: f64) -> Duration {
-        let spread = if self.spread <= AT_ONCE { 0.0 } else { self.spread };
+        let spread = if self.spread <= AT_ONCE {
+            0.0
+        } else {
+            self.spread
+        };
         Duration::from_secs_f64(spread * random)
     }
 
@@ -87,7 +94,9 @@
             // Most fail together: the first wait spreads them evenly.
             (SHORTEST_WAIT, self.spread.max(FIRST_WAIT * 1.5))
         } else {
-            let mean = (FIRST_WAIT * 2f64.powi(self.failures.min(8))).min(LONGEST_WAIT).max(self.spread);
+            let mean = (FIRST_WAIT * 2f64.powi(self.failures.min(8)))
+                .min(LONGEST_WAIT)
+                .max(self.spread);
             let most = (mean * 1.5).min(LONGEST_SPREAD);
             ((2.0 * mean - most).min(most * LEAST_PART), most)
         };
@@ -98,7 +107,11 @@
     /// The subscription has fallen silent: when to ask anew. Zero for few gateways. It is no failed call: discovery may be
     /// well, and gateways whose subscriptions fell silent together notice it spread over the time between two signs of life.
     pub fn silent(&self, random: f64) -> Duration {
-        let spread = if self.spread <= AT_ONCE { 0.0 } else { self.spread.min(SILENT_SPREAD) };
+        let spread = if self.spread <= AT_ONCE {
+            0.0
+        } else {
+            self.spread.min(SILENT_SPREAD)
+        };
         Duration::from_secs_f64(spread * random)
     }
 
--- a/crates/placement/src/asking/tests.rs
+++ b/crates/placement/src/asking/tests.rs
@@ -17,7 +17,12 @@
             }
         }
     }
-    let within = |from: &f64| calls.iter().filter(|at| (*from..*from + 2.0).contains(at)).count();
+    let within = |from: &f64| {
+        calls
+            .iter()
+            .filter(|at| (*from..*from + 2.0).contains(at))
+            .count()
+    };
     (calls.iter().map(within).max().unwrap_or(0), last)
 }
 
@@ -27,20 +32,31 @@
     for gateways in [3, 30, 100, 300, 400, 2100] {
         let (most, longest) = most_calls(gateways);
         let all_at_once = f64::from(gateways) / LONGEST_SPREAD * 4.0;
-        let allowed = (CALLS_PER_S * 2.0 * 1.25).max(all_at_once).min(f64::from(gateways) * 2.0);
+        let allowed = (CALLS_PER_S * 2.0 * 1.25)
+            .max(all_at_once)
+            .min(f64::from(gateways) * 2.0);
         assert!(
             most as f64 <= allowed,
             "{gateways} gateways: {most} calls in two seconds, {allowed} allowed"
         );
-        assert!(longest <= LONGEST_SPREAD, "{gateways} gateways: one waits for {longest} s");
+        assert!(
+            longest <= LONGEST_SPREAD,
+            "{gateways} gateways: one waits for {longest} s"
+        );
     }
 }
 
 #[test]
 fn after_silence_many_ask_within_a_second_and_few_at_once() {
-    assert_eq!([0.0, 0.99].map(|random| Asking::new(3).silent(random)), [Duration::ZERO; 2]);
+    assert_eq!(
+        [0.0, 0.99].map(|random| Asking::new(3).silent(random)),
+        [Duration::ZERO; 2]
+    );
     let mut many = Asking::new(300);
-    assert_eq!([0.0, 0.5].map(|random| many.silent(random).as_secs_f64()), [0.0, 0.5]);
+    assert_eq!(
+        [0.0, 0.5].map(|random| many.silent(random).as_secs_f64()),
+        [0.0, 0.5]
+    );
     // A call that fails after that waits like any first one.
     assert_eq!(many.again(0.5), Asking::new(300).again(0.5));
 }
@@ -91,11 +107,20 @@
         for at in 0..10 {
             calls.push(calls[at] + alone(calls[at], at > 0));
         }
-        let last_in_time = calls.iter().filter(|at| **at <= Duration::from_millis(5500)).count();
+        let last_in_time = calls
+            .iter()
+            .filter(|at| **at <= Duration::from_millis(5500))
+            .count();
         assert!(last_in_time >= 2, "{tenths}: {calls:?}");
         let gaps: Vec<Duration> = calls.windows(2).map(|two| two[1] - two[0]).collect();
-        assert!(gaps.iter().all(|gap| (ALONE..=FRESH_EVERY).contains(gap)), "{calls:?}");
-        assert!(gaps.iter().filter(|gap| **gap < FRESH_EVERY).count() <= 1, "{calls:?}");
+        assert!(
+            gaps.iter().all(|gap| (ALONE..=FRESH_EVERY).contains(gap)),
+            "{calls:?}"
+        );
+        assert!(
+            gaps.iter().filter(|gap| **gap < FRESH_EVERY).count() <= 1,
+            "{calls:?}"
+        );
     }
 }
 
@@ -116,7 +141,9 @@
         const BACK: u64 = 10_000_000;
         let random = |n: u32, k: u32| key_hash_of(n, k);
         let micros = |span: Duration| span.as_micros() as u64;
-        let mut asking: Vec<Asking> = (0..self.gateways).map(|_| Asking::new(self.gateways)).collect();
+        let mut asking: Vec<Asking> = (0..self.gateways)
+            .map(|_| Asking::new(self.gateways))
+            .collect();
         // Of each: its calls so far, the last contact, its calls that are out, and when it was heard.
         let mut made = vec![0u32; asking.len()];
         let mut contact = vec![0u64; asking.len()];
@@ -170,16 +197,25 @@
             }
         }
         calls.sort_unstable();
-        let within = |from: &u64| calls.iter().filter(|at| (*from..*from + 1_000_000).contains(at)).count();
-        let mut heard: Vec<f64> =
-            heard.iter().map(|at| at.map_or(60.0, |at| at.saturating_sub(BACK) as f64 / 1e6)).collect();
+        let within = |from: &u64| {
+            calls
+                .iter()
+                .filter(|at| (*from..*from + 1_000_000).contains(at))
+                .count()
+        };
+        let mut heard: Vec<f64> = heard
+            .iter()
+            .map(|at| at.map_or(60.0, |at| at.saturating_sub(BACK) as f64 / 1e6))
+            .collect();
         heard.sort_by(f64::total_cmp);
         (heard, calls.iter().map(within).max().unwrap_or(0))
     }
 }
 
 fn key_hash_of(n: u32, k: u32) -> f64 {
-    let mixed = ((u64::from(n) << 32) | u64::from(k)).wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let mixed = ((u64::from(n) << 32) | u64::from(k))
+        .wrapping_add(1)
+        .wrapping_mul(0x9e37_79b9_7f4a_7c15);
     let mixed = (mixed ^ (mixed >> 31)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     ((mixed ^ (mixed >> 29)) >> 11) as f64 / (1u64 << 53) as f64
 }
@@ -191,18 +227,34 @@
     for gateways in [3, 30, 300, 2100] {
         for hangs in [false, true] {
             let enough = f64::from(gateways) / 3.0 + 20.0;
-            let (heard, most) = Fleet { gateways, a_second: enough, hangs }.plays();
+            let (heard, most) = Fleet {
+                gateways,
+                a_second: enough,
+                hangs,
+            }
+            .plays();
             println!("{gateways} gateways, hangs {hangs}, {enough:.0} a second: last heard after {:.2} s, {most} calls in a second at the most", heard.last().unwrap());
-            assert!(heard.last().is_some_and(|at| *at <= 6.0), "{gateways}, hangs {hangs}: {heard:?}");
+            assert!(
+                heard.last().is_some_and(|at| *at <= 6.0),
+                "{gateways}, hangs {hangs}: {heard:?}"
+            );
             assert!(
                 most as f64 <= (f64::from(gateways) * 0.9).max(CALLS_PER_S * 2.0),
                 "{gateways}, hangs {hangs}: {most}"
             );
             let few = (f64::from(gateways) / 15.0).max(1.0);
-            let (heard, most) = Fleet { gateways, a_second: few, hangs }.plays();
+            let (heard, most) = Fleet {
+                gateways,
+                a_second: few,
+                hangs,
+            }
+            .plays();
             let answered = heard.iter().filter(|at| **at <= 15.0).count();
             println!("{gateways} gateways, hangs {hangs}, {few:.1} a second: {answered} heard in 15 s, all after {:.2} s, {most} calls in a second at the most", heard.last().unwrap());
-            assert!(answered as f64 >= f64::from(gateways) * 0.8, "{gateways}, hangs {hangs}: {answered}");
+            assert!(
+                answered as f64 >= f64::from(gateways) * 0.8,
+                "{gateways}, hangs {hangs}: {answered}"
+            );
         }
     }
 }
