--- a/crates/placement/src/balance.rs
+++ b/crates/placement/src/balance.rs
@@ -237,11 +237,21 @@
             Event::Start => {
                 if self.settings.list_must_be_asked {
                     let after = self.asking.first(fraction(&mut self.chance));
-                    let waits = Action::SetTimer { after, handle: LIST_HANDLE };
-                    actions.push(if after.is_zero() { Action::Subscribe } else { waits });
+                    let waits = Action::SetTimer {
+                        after,
+                        handle: LIST_HANDLE,
+                    };
+                    actions.push(if after.is_zero() {
+                        Action::Subscribe
+                    } else {
+                        waits
+                    });
                 }
                 let after = TICK.mul_f64(0.5 + self.jitter());
-                actions.push(Action::SetTimer { after, handle: TICK_HANDLE });
+                actions.push(Action::SetTimer {
+                    after,
+                    handle: TICK_HANDLE,
+                });
             }
             Event::List { entries, cached } => self.list(now, entries, true, cached, actions),
             Event::ListChange(entries) => self.list(now, entries, false, false, actions),
@@ -255,11 +265,17 @@
             }
             Event::ListSilent if self.settings.list_must_be_asked => {
                 let after = self.asking.silent(fraction(&mut self.chance));
-                actions.push(Action::SetTimer { after, handle: LIST_HANDLE });
+                actions.push(Action::SetTimer {
+                    after,
+                    handle: LIST_HANDLE,
+                });
             }
             Event::ListFailed if self.settings.list_must_be_asked => {
                 let after = self.asking.again(fraction(&mut self.chance));
-                actions.push(Action::SetTimer { after, handle: LIST_HANDLE });
+                actions.push(Action::SetTimer {
+                    after,
+                    handle: LIST_HANDLE,
+                });
             }
             Event::Request(incoming) => {
                 let id = incoming.request;
@@ -273,15 +289,31 @@
                 request.attempts = 1;
                 // It has stood for long: it may be moved at once, and brings its part of the moves allowed.
                 let server = self.fleet.servers.slot(&server);
-                request.out = Some(Attempt { server, free: true, sent: now, stands: true });
+                request.out = Some(Attempt {
+                    server,
+                    free: true,
+                    sent: now,
+                    stands: true,
+                });
                 self.move_tokens += MOVES_SAVED;
                 self.requests.insert(id, request);
                 self.count(id, true);
             }
             Event::Established { request, took } => self.established(now, request, took, actions),
-            Event::Ended { request, attempt, outcome, done, report } => {
-                let current = self.requests.get(&request).filter(|taken| taken.attempts == attempt + 1);
-                let Some(out) = current.and_then(|taken| taken.out.as_ref()) else { return };
+            Event::Ended {
+                request,
+                attempt,
+                outcome,
+                done,
+                report,
+            } => {
+                let current = self
+                    .requests
+                    .get(&request)
+                    .filter(|taken| taken.attempts == attempt + 1);
+                let Some(out) = current.and_then(|taken| taken.out.as_ref()) else {
+                    return;
+                };
                 if let Some(values) = report {
                     self.reported(now, out.server, &values, actions);
                 }
@@ -306,9 +338,18 @@
                 self.move_tokens = self.move_tokens.max(1.0);
                 self.move_away(request, actions);
             }
-            Event::Probed { server, passed, report } => {
+            Event::Probed {
+                server,
+                passed,
+                report,
+            } => {
                 let server = self.fleet.servers.slot(&server);
-                self.probed(now, server, passed.then(|| report.unwrap_or_default()), actions);
+                self.probed(
+                    now,
+                    server,
+                    passed.then(|| report.unwrap_or_default()),
+                    actions,
+                );
             }
             Event::Told(message) => self.told(now, &message),
             Event::Timer(TICK_HANDLE) => self.tick(now, actions),
@@ -329,7 +370,14 @@
         fraction(&mut self.random)
     }
 
-    fn list(&mut self, now: Time, entries: Vec<Listed>, whole: bool, cached: bool, actions: &mut Actions) {
+    fn list(
+        &mut self,
+        now: Time,
+        entries: Vec<Listed>,
+        whole: bool,
+        cached: bool,
+        actions: &mut Actions,
+    ) {
         self.asking.answered(cached);
         let shown = self.by_hand.list(entries, whole);
         self.take_in(now, shown, whole, actions);
@@ -337,9 +385,15 @@
 
     fn take_in(&mut self, now: Time, entries: Vec<Listed>, whole: bool, actions: &mut Actions) {
         let mut lost = 0.0;
-        let named = entries.into_iter().map(|entry| self.listed(now, entry, &mut lost));
+        let named = entries
+            .into_iter()
+            .map(|entry| self.listed(now, entry, &mut lost));
         let named: BTreeSet<Slot> = named.collect();
-        let known = if whole { self.fleet.servers.slots() } else { Vec::new() };
+        let known = if whole {
+            self.fleet.servers.slots()
+        } else {
+            Vec::new()
+        };
         for at in known.into_iter().filter(|at| !named.contains(at)) {
             self.fleet.change(at, |server| {
                 lost += server.turn(now, Health::Gone);
@@ -354,7 +408,13 @@
         let mut at = self.fleet.servers.slot(&entry.server);
         if at == UNKNOWN {
             let (hash, health, cap) = (server_hash(&entry.server), Health::Gone, f64::INFINITY);
-            let fresh = Server { hash, health, cap, leaving_since: now, ..Server::default() };
+            let fresh = Server {
+                hash,
+                health,
+                cap,
+                leaving_since: now,
+                ..Server::default()
+            };
             at = self.fleet.servers.insert(entry.server, fresh);
         }
         let (settings, budget) = (&self.settings, &mut self.cold);
@@ -365,7 +425,12 @@
             let fresh = entry.started > server.started || back;
             if fresh {
                 server.started = entry.started.or(server.started);
-                (server.strikes, server.bars, server.barred_until, server.crashed) = (0, 0, None, false);
+                (
+                    server.strikes,
+                    server.bars,
+                    server.barred_until,
+                    server.crashed,
+                ) = (0, 0, None, false);
                 server.cut = false;
                 server.cap = f64::INFINITY;
                 (server.tokens, server.refilled, server.used) = (1.0, now, None);
@@ -375,10 +440,18 @@
             server.zone = entry.zone;
             server.cell = entry.cell;
             server.kind = entry.kind;
-            server.weight = if entry.weight > 0.0 { entry.weight } else { 1.0 };
+            server.weight = if entry.weight > 0.0 {
+                entry.weight
+            } else {
+                1.0
+            };
             let cold = server.is_cold(settings, now);
             let was_cold = std::mem::replace(&mut server.cold, cold);
-            budget.add(if cold && (fresh || !was_cold) { saved } else { 0.0 });
+            budget.add(if cold && (fresh || !was_cold) {
+                saved
+            } else {
+                0.0
+            });
         });
         at
     }
@@ -386,7 +459,10 @@
     /// Other settings: what was learnt of a class goes where it is now, and what is there keeps its rules.
     fn renew(&mut self, settings: Settings, from: &[Option<usize>]) {
         let learnt = |old: &Option<usize>| old.and_then(|old| self.class_loads.get(old)).copied();
-        self.class_loads = from.iter().map(|old| learnt(old).unwrap_or_default()).collect();
+        self.class_loads = from
+            .iter()
+            .map(|old| learnt(old).unwrap_or_default())
+            .collect();
         for request in self.requests.values_mut() {
             let now_at = from.iter().position(|old| *old == Some(request.class));
             request.class = now_at.unwrap_or(usize::MAX);
@@ -409,7 +485,11 @@
             *self.seen_groups.entry(group).or_default() += 1.0;
         }
         self.probe_tokens += PROBE_SPEND / self.settings.probe_price.max(1e-9);
-        let place = if incoming.returned { self.jitter() } else { part_of(client) };
+        let place = if incoming.returned {
+            self.jitter()
+        } else {
+            part_of(client)
+        };
         Request {
             class: incoming.class,
             rules: self.settings.classes.get(incoming.class).copied(),
@@ -419,7 +499,10 @@
             group,
             key: group.unwrap_or(client),
             place,
-            load: incoming.load.map(|load| load.as_secs_f64()).filter(|load| *load > 0.0),
+            load: incoming
+                .load
+                .map(|load| load.as_secs_f64())
+                .filter(|load| *load > 0.0),
             expires: incoming.expires,
             mid_flow: incoming.mid_flow,
             ..Request::default()
@@ -429,7 +512,11 @@
     /// Sends the request, or lets it wait while too many set-ups are under way. Guards against a shared store
     /// (or any bottleneck behind all servers) that more attempts only bury deeper.
     fn place(&mut self, now: Time, id: RequestId, actions: &mut Actions) {
-        if self.requests.get(&id).is_some_and(|request| request.mid_flow && request.attempts == 0) {
+        if self
+            .requests
+            .get(&id)
+            .is_some_and(|request| request.mid_flow && request.attempts == 0)
+        {
             self.send(now, id, actions);
         } else {
             self.waiting.push_back(id);
@@ -445,12 +532,15 @@
         }
         let mut still = VecDeque::new();
         while let Some(id) = self.waiting.pop_front() {
-            let Some(request) = self.requests.get(&id).filter(|request| !request.over) else { continue };
+            let Some(request) = self.requests.get(&id).filter(|request| !request.over) else {
+                continue;
+            };
             let ripe = request.asked.map_or(true, |(_, until)| until <= now);
             let paused = self.window < 1.0 && now < self.pause_until;
             // What no server is left for, or no set-up would be in time for, is told so at once.
             let needs = QUEUE_TICK.max(Duration::from_secs_f64(self.setup_floor)) * 2;
-            let spent = request.attempts >= request.attempt_cap || request.expires.since(now) < needs;
+            let spent =
+                request.attempts >= request.attempt_cap || request.expires.since(now) < needs;
             if spent || self.permitted(now, request).next().is_none() {
                 self.end_unserved(id, actions);
             } else if ripe && !paused && (self.in_setup as f64) < self.window {
@@ -462,7 +552,10 @@
         self.waiting = still;
         if !self.waiting.is_empty() && !self.queue_timer {
             self.queue_timer = true;
-            actions.push(Action::SetTimer { after: QUEUE_TICK, handle: QUEUE_HANDLE });
+            actions.push(Action::SetTimer {
+                after: QUEUE_TICK,
+                handle: QUEUE_HANDLE,
+            });
         }
     }
 
@@ -473,27 +566,41 @@
             self.window = (self.window.min(self.in_setup as f64 + 1.0) * 0.7).max(least);
             self.window_cut = now;
             // A window of half a set-up is one at a time with a pause as long after it.
-            let pause = self.setup_mean.max(QUEUE_TICK.as_secs_f64()) * (1.0 / self.window - 1.0).max(0.0);
+            let pause =
+                self.setup_mean.max(QUEUE_TICK.as_secs_f64()) * (1.0 / self.window - 1.0).max(0.0);
             self.pause_until = now.after(Duration::from_secs_f64(pause * (0.5 + self.jitter())));
         }
     }
 
     /// Sends the request to the highest score that the gate lets it have, or ends it.
     fn send(&mut self, now: Time, id: RequestId, actions: &mut Actions) {
-        let Some(request) = self.requests.get(&id) else { return };
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
         let may_go = request.expires > now && request.attempts < request.attempt_cap;
         let chosen = may_go.then(|| self.choose(now, request)).flatten();
         // Where none takes it the best one is asked anew: it may have been full, or cold, a while ago.
-        let best = || self.ranked(now, request, 0, 1).first().map(|(at, _)| *at).filter(|_| may_go);
+        let best = || {
+            self.ranked(now, request, 0, 1)
+                .first()
+                .map(|(at, _)| *at)
+                .filter(|_| may_go)
+        };
         let asked = chosen.map(|(at, _)| at).or_else(best);
         let asked = asked.filter(|_| !(request.mid_flow && request.attempts == 0));
         if asked.is_some_and(|at| self.probe(now, at, actions)) {
             let until = now.after(QUEUE_TICK);
-            self.requests.entry(id).and_modify(|taken| taken.asked = asked.map(|at| (at, until)));
+            self.requests
+                .entry(id)
+                .and_modify(|taken| taken.asked = asked.map(|at| (at, until)));
             return self.waiting.push_back(id);
         }
-        let Some((at, gave_way)) = chosen else { return self.end_unserved(id, actions) };
-        let Some(request) = self.requests.get(&id) else { return };
+        let Some((at, gave_way)) = chosen else {
+            return self.end_unserved(id, actions);
+        };
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
         let patience = request.patience(now, self.setup_mean);
         if self.fleet.servers.get(at).is_some_and(|server| server.cold) {
             self.cold.send(now);
@@ -515,11 +622,20 @@
             request.tried.push(at);
             let free = request.mid_flow && request.attempts == 1;
             self.in_setup += usize::from(!free);
-            request.out = Some(Attempt { server: at, free, sent: now, stands: false });
+            request.out = Some(Attempt {
+                server: at,
+                free,
+                sent: now,
+                stands: false,
+            });
         }
         self.count(id, true);
         let named = self.fleet.servers.id(at).cloned();
-        actions.extend(named.map(|server| Action::Place { request: id, server, patience }));
+        actions.extend(named.map(|server| Action::Place {
+            request: id,
+            server,
+            patience,
+        }));
     }
 
     /// Probes a server whose report is old, as far as what may be spent allows. Guards against gateways that
@@ -537,8 +653,12 @@
 
     /// Probes a server that was not probed just now, as far as what may be spent allows.
     fn ask(&mut self, now: Time, at: Slot, actions: &mut Actions) -> bool {
-        let Some(server) = self.fleet.servers.get_mut(at) else { return false };
-        let due = server.probed.map_or(true, |(at, _)| now.since(at) > REPORT_FRESH);
+        let Some(server) = self.fleet.servers.get_mut(at) else {
+            return false;
+        };
+        let due = server
+            .probed
+            .map_or(true, |(at, _)| now.since(at) > REPORT_FRESH);
         if !due || self.probe_tokens < 1.0 {
             return false;
         }
@@ -551,22 +671,35 @@
     /// Whether the line of the request's present attempt may go out now, where its connection took a while to
     /// come up: what ran of it before leaves this server to it still.
     pub fn may_send(&self, now: Time, id: RequestId) -> bool {
-        let Some(request) = self.requests.get(&id) else { return false };
-        let server = request.out.as_ref().and_then(|out| self.fleet.servers.get(out.server));
+        let Some(request) = self.requests.get(&id) else {
+            return false;
+        };
+        let server = request
+            .out
+            .as_ref()
+            .and_then(|out| self.fleet.servers.get(out.server));
         server.is_some_and(|server| request.may_go_to(now, server))
     }
 
     /// Refuses where that is harmless, else fails.
     fn end_unserved(&mut self, id: RequestId, actions: &mut Actions) {
-        let Some(request) = self.requests.get(&id) else { return };
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
         let harmless = request.may_be_refused();
         let spent = request.attempts >= request.attempt_cap;
         self.finish(id);
         if harmless {
             // One that spent all its attempts met a fleet that is no better in a moment.
             let (least, more) = if spent { (0.6, 0.4) } else { (0.25, 0.5) };
-            let retry_after = self.settings.longest_retry_after.mul_f64(least + more * self.jitter());
-            actions.push(Action::Refuse { request: id, retry_after });
+            let retry_after = self
+                .settings
+                .longest_retry_after
+                .mul_f64(least + more * self.jitter());
+            actions.push(Action::Refuse {
+                request: id,
+                retry_after,
+            });
         } else {
             actions.push(Action::Fail(id));
         }
@@ -574,9 +707,15 @@
 
     /// What is out for the request may have run by now, if it was sent.
     fn doubt_what_is_out(&mut self, id: RequestId, sent: bool) {
-        let Some(request) = self.requests.get_mut(&id).filter(|_| sent) else { return };
+        let Some(request) = self.requests.get_mut(&id).filter(|_| sent) else {
+            return;
+        };
         let Some(out) = &request.out else { return };
-        let place = self.fleet.servers.get(out.server).map(|server| (server.zone, server.cell, out.sent));
+        let place = self
+            .fleet
+            .servers
+            .get(out.server)
+            .map(|server| (server.zone, server.cell, out.sent));
         request.doubt = request.doubt.or(place);
     }
 
@@ -591,7 +730,13 @@
     }
 
     fn established(&mut self, now: Time, id: RequestId, took: Duration, actions: &mut Actions) {
-        let Some(attempt) = self.requests.get_mut(&id).and_then(|taken| taken.out.as_mut()) else { return };
+        let Some(attempt) = self
+            .requests
+            .get_mut(&id)
+            .and_then(|taken| taken.out.as_mut())
+        else {
+            return;
+        };
         let new = !std::mem::replace(&mut attempt.stands, true);
         let at = attempt.server;
         // What stood before may be moved at once, and brings its part of the moves allowed.
@@ -604,7 +749,8 @@
             self.setup_mean += 0.05 * (took - self.setup_mean);
             self.failing.0 -= FAILING_RATE * self.failing.0;
             // The usual quick set-up: falls quickly to a quicker one, rises slowly.
-            self.setup_floor += (took - self.setup_floor) * if took < self.setup_floor { 0.3 } else { 0.01 };
+            self.setup_floor +=
+                (took - self.setup_floor) * if took < self.setup_floor { 0.3 } else { 0.01 };
             if took > SLOW_SETUP * self.setup_floor {
                 self.cut_window(now);
             } else if self.window < 1.0 || (self.in_setup as f64) > self.window / 2.0 {
@@ -626,11 +772,27 @@
         self.pump(now, actions);
     }
 
-    fn ended(&mut self, now: Time, id: RequestId, outcome: Outcome, done: bool, actions: &mut Actions) {
+    fn ended(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        outcome: Outcome,
+        done: bool,
+        actions: &mut Actions,
+    ) {
         self.count(id, false);
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        let Some(attempt) = request.out.take() else { return };
-        let Attempt { server, free, sent, stands } = attempt;
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let Some(attempt) = request.out.take() else {
+            return;
+        };
+        let Attempt {
+            server,
+            free,
+            sent,
+            stands,
+        } = attempt;
         if let Some(place) = self.fleet.servers.get_mut(server) {
             place.trial &= stands;
             if !outcome.never_ran() {
@@ -681,7 +843,10 @@
         }
         let sums = &self.fleet.sums;
         // A gateway that has just started holds next to nothing; its own load says little then.
-        let load = f64::max(sums.reported_load, sums.reporting * LIKELY_HELD * self.mean_load());
+        let load = f64::max(
+            sums.reported_load,
+            sums.reporting * LIKELY_HELD * self.mean_load(),
+        );
         let view = View {
             fair: self.fair_unit(),
             add: self.load_of(request),
@@ -690,8 +855,9 @@
             used_per_load: sums.used / load.max(1e-9),
         };
         let lets = |server: &Server, firm| self.gate(now, request, server, &view, firm);
-        if let Some((at, _)) =
-            first.iter().find(|(_, server)| self.takes(request, server) && lets(server, false))
+        if let Some((at, _)) = first
+            .iter()
+            .find(|(_, server)| self.takes(request, server) && lets(server, false))
         {
             return Some((*at, false));
         }
@@ -700,25 +866,37 @@
         // Beyond its fair share a server takes only groups that it holds; one that has less takes any, or a
         // fleet that holds next to nothing would be full with it.
         let less = |server: &Server| server.load <= view.fair * server.weight;
-        let start = first.first().map(|(at, server)| (rank_score(server.hash, request.key), *at));
+        let start = first
+            .first()
+            .map(|(at, server)| (rank_score(server.hash, request.key), *at));
         let (mut walk, mut barred) = (Walk::<6>::from(start), true);
         for (hash, at) in self.permitted(now, request) {
-            let Some(server) = self.fleet.servers.get(at) else { continue };
+            let Some(server) = self.fleet.servers.get(at) else {
+                continue;
+            };
             barred &= server.barred_until.is_some();
             let sort = match there(request, server) {
                 _ if lets(server, false) => usize::from(!self.takes(request, server)),
                 there if (there || less(server)) && lets(server, true) => 2,
-                true if server.gives_way(now, CALM, pace) && self.shares.lets(server, request.key) => 4,
+                true if server.gives_way(now, CALM, pace)
+                    && self.shares.lets(server, request.key) =>
+                {
+                    4
+                }
                 _ => 5,
             };
             for sort in [sort, 3] {
-                walk.meet(sort, rank_score(hash, request.key), at, |a, b| self.before(a, b));
+                walk.meet(sort, rank_score(hash, request.key), at, |a, b| {
+                    self.before(a, b)
+                });
             }
         }
         // With every server barred the evidence is not believed; with any at its cap the rest are no way out.
         let any = walk.first(3).filter(|_| barred);
         let chosen = (0..3).find_map(|sort| walk.first(sort)).or(any);
-        chosen.map(|at| (at, false)).or_else(|| walk.first(4).map(|at| (at, true)))
+        chosen
+            .map(|at| (at, false))
+            .or_else(|| walk.first(4).map(|at| (at, true)))
     }
 
     /// Which of two servers with the same score goes first: the one with the lower id.
@@ -728,19 +906,35 @@
 
     /// The `count` highest scores among the servers that nothing but the gate keeps the request from, best
     /// first and the first `skipped` left out. Ties go to the lower id.
-    fn ranked(&self, now: Time, request: &Request, skipped: usize, count: usize) -> Vec<(Slot, &Server)> {
+    fn ranked(
+        &self,
+        now: Time,
+        request: &Request,
+        skipped: usize,
+        count: usize,
+    ) -> Vec<(Slot, &Server)> {
         let score = |hash| rank_score(hash, request.key);
         let keeps = |at| self.repeat_safe(now, request, at);
         let leaving = self.leaving(now, request);
-        let best = self.fleet.open.best(count, score, leaving, keeps, |a, b| self.before(a, b));
-        best.into_iter().skip(skipped).filter_map(|(_, at)| Some((at, self.fleet.servers.get(at)?))).collect()
+        let best = self
+            .fleet
+            .open
+            .best(count, score, leaving, keeps, |a, b| self.before(a, b));
+        best.into_iter()
+            .skip(skipped)
+            .filter_map(|(_, at)| Some((at, self.fleet.servers.get(at)?)))
+            .collect()
     }
 
     /// Whether the key is among those that a server of this kind takes: about the same ones at every gateway.
     /// Guards against kinds that can do less than listed, where a gateway holds too little to know each one.
     fn takes(&self, request: &Request, server: &Server) -> bool {
-        let all = self.kinds.values().fold((1.0, 0.0), |sum, kind| (sum.0 + kind.0, sum.1 + kind.1));
-        let rate = |kind: &(f64, f64)| (kind.1 + all.1 / all.0 * KIND_BEFORE) / (kind.0 + KIND_BEFORE);
+        let all = self
+            .kinds
+            .values()
+            .fold((1.0, 0.0), |sum, kind| (sum.0 + kind.0, sum.1 + kind.1));
+        let rate =
+            |kind: &(f64, f64)| (kind.1 + all.1 / all.0 * KIND_BEFORE) / (kind.0 + KIND_BEFORE);
         let least = self.kinds.values().map(rate).fold(1.0, f64::min);
         let more = (self.kinds.get(&server.kind).map_or(0.0, rate) - least).max(0.0);
         let unseen = 1.0 / (1.0 + self.fleet.sums.held / self.fleet.servers.len().max(1) as f64);
@@ -752,35 +946,64 @@
     /// left out, so that a small group met once is not taken for a large one. Guards against a group heavier
     /// than a server that every gateway, holding few of it, puts on the same one.
     fn parts(&self, request: &Request, servers: f64) -> f64 {
-        let Some(group) = request.group else { return 1.0 };
-        let others = self.seen_groups.get(&group).map_or(0.0, |seen| seen - 1.0).max(0.0);
+        let Some(group) = request.group else {
+            return 1.0;
+        };
+        let others = self
+            .seen_groups
+            .get(&group)
+            .map_or(0.0, |seen| seen - 1.0)
+            .max(0.0);
         (others / (self.seen - 1.0).max(1.0) * servers / SPLIT).max(1.0)
     }
 
     /// The servers, with their hashes, that the list, the four rules and earlier attempts leave to the
     /// request; no evidence can change these.
-    fn permitted<'a>(&'a self, now: Time, request: &'a Request) -> impl Iterator<Item = (u32, Slot)> + 'a {
+    fn permitted<'a>(
+        &'a self,
+        now: Time,
+        request: &'a Request,
+    ) -> impl Iterator<Item = (u32, Slot)> + 'a {
         let all = self.fleet.open.iter().chain(self.leaving(now, request));
         all.filter(move |(_, at)| self.repeat_safe(now, request, *at))
     }
 
     /// Draining servers that may still get a connection in mid-flow.
-    fn leaving<'a>(&'a self, now: Time, request: &Request) -> impl Iterator<Item = (u32, Slot)> + 'a {
+    fn leaving<'a>(
+        &'a self,
+        now: Time,
+        request: &Request,
+    ) -> impl Iterator<Item = (u32, Slot)> + 'a {
         let grace = self.settings.drain_grace.mul_f64(0.8);
         let mid_flow = request.mid_flow && request.attempts == 0;
-        self.fleet.kept_up.iter().take_while(move |_| mid_flow).filter_map(move |at| {
-            let drains = |server: &&Server| {
-                let in_grace = now.since(server.leaving_since) < grace;
-                server.health == Health::Draining && in_grace && !(server.cold && server.tokens < 1.0)
-            };
-            self.fleet.servers.get(*at).filter(drains).map(|server| (server.hash, *at))
-        })
+        self.fleet
+            .kept_up
+            .iter()
+            .take_while(move |_| mid_flow)
+            .filter_map(move |at| {
+                let drains = |server: &&Server| {
+                    let in_grace = now.since(server.leaving_since) < grace;
+                    server.health == Health::Draining
+                        && in_grace
+                        && !(server.cold && server.tokens < 1.0)
+                };
+                self.fleet
+                    .servers
+                    .get(*at)
+                    .filter(drains)
+                    .map(|server| (server.hash, *at))
+            })
     }
 
     /// Whether the rules and earlier attempts leave this server to the request.
     fn repeat_safe(&self, now: Time, request: &Request, at: Slot) -> bool {
         // Most requests have no try behind them, and no server need be looked up for those.
-        let inside = || self.fleet.servers.get(at).is_some_and(|server| request.may_go_to(now, server));
+        let inside = || {
+            self.fleet
+                .servers
+                .get(at)
+                .is_some_and(|server| request.may_go_to(now, server))
+        };
         !request.tried.contains(&at) && (request.doubt.is_none() || inside())
     }
 
@@ -788,7 +1011,11 @@
     fn open_cold(&mut self, now: Time) {
         let open = self.cold.open(now);
         if std::mem::replace(&mut self.fleet.cold_open, open) != open {
-            self.fleet.kept_up.clone().into_iter().for_each(|at| self.fleet.change(at, |_| ()));
+            self.fleet
+                .kept_up
+                .clone()
+                .into_iter()
+                .for_each(|at| self.fleet.change(at, |_| ()));
         }
     }
 
@@ -797,7 +1024,10 @@
     /// in turn before anything has shown them crowded.
     fn share_out(&mut self, now: Time, lost: f64, actions: &mut Actions) {
         let most = self.settings.report_utilisation.map_or(lost, |_| 0.0); // reports tell it better
-        if !self.shares.share_out(&mut self.fleet, now, &self.settings, most) {
+        if !self
+            .shares
+            .share_out(&mut self.fleet, now, &self.settings, most)
+        {
             return;
         }
         let out = |request: &Request| {
@@ -807,8 +1037,12 @@
                 server.health == Health::Ready && !self.shares.lets(server, request.key)
             })
         };
-        let mut over: Vec<RequestId> =
-            self.requests.iter().filter(|(_, request)| out(request)).map(|(id, _)| *id).collect();
+        let mut over: Vec<RequestId> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| out(request))
+            .map(|(id, _)| *id)
+            .collect();
         over.sort(); // the order of the map differs from run to run
         over.into_iter().for_each(|id| self.move_away(id, actions));
     }
@@ -820,7 +1054,10 @@
 
     /// Whether a ready server takes this connection now. `firm` leaves out the comparison with other servers.
     fn gate(&self, now: Time, request: &Request, server: &Server, view: &View, firm: bool) -> bool {
-        if server.barred_until.is_some_and(|until| now < until || server.trial) {
+        if server
+            .barred_until
+            .is_some_and(|until| now < until || server.trial)
+        {
             return false;
         }
         if server.cut {
@@ -849,13 +1086,18 @@
             (view.group_cost, NEW_GROUP_CAP, FULL - NEW_GROUP_FULL, 1.0)
         };
         let add = (view.add + shared) / 2.0;
-        let used = server.used.filter(|(at, _)| now.since(*at) < CALM).map_or(0.0, |(_, used)| used);
+        let used = server
+            .used
+            .filter(|(at, _)| now.since(*at) < CALM)
+            .map_or(0.0, |(_, used)| used);
         // Others' load was counted when the report was made; what all added since is guessed from one's own.
         if used > 0.0 && used + (server.added + add) * view.used_per_load > full {
             return false;
         }
-        let (after, cap) =
-            (server.load + add, server.cap * cap_part * if view.over_share { OVER_SHARE_CAP } else { 1.0 });
+        let (after, cap) = (
+            server.load + add,
+            server.cap * cap_part * if view.over_share { OVER_SHARE_CAP } else { 1.0 },
+        );
         // Where others hold most of a group, the few connections seen here say little: room for one group's
         // shared work guards against every gateway splitting every group.
         let unseen = 1.0 - 1.0 / f64::from(self.settings.instances.max(1));
@@ -871,15 +1113,32 @@
     }
 
     fn count(&mut self, id: RequestId, joins: bool) {
-        let Some(request) = self.requests.get(&id) else { return };
-        let load = if joins { self.load_of(request) } else { request.counted };
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let load = if joins {
+            self.load_of(request)
+        } else {
+            request.counted
+        };
         let group_cost = GROUP_COST * self.mean_load();
-        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
         request.counted = load;
-        if let Some(open) = request.tenant.and_then(|tenant| self.tenant_open.get_mut(tenant)) {
-            *open = if joins { *open + 1 } else { open.saturating_sub(1) };
+        if let Some(open) = request
+            .tenant
+            .and_then(|tenant| self.tenant_open.get_mut(tenant))
+        {
+            *open = if joins {
+                *open + 1
+            } else {
+                open.saturating_sub(1)
+            };
         }
-        let (group, Some(at)) = (request.group, request.out.as_ref().map(|out| out.server)) else { return };
+        let (group, Some(at)) = (request.group, request.out.as_ref().map(|out| out.server)) else {
+            return;
+        };
         self.fleet.change(at, |server| {
             if joins {
                 server.held.insert(id);
@@ -894,19 +1153,29 @@
                 server.load -= load;
                 server.added -= load; // or a server is full with what has long gone
                 if let Some(group) = group {
-                    let left = server.groups.entry(group).and_modify(|count| *count -= 1).or_default();
+                    let left = server
+                        .groups
+                        .entry(group)
+                        .and_modify(|count| *count -= 1)
+                        .or_default();
                     if *left == 0 {
                         server.groups.remove(&group);
                         server.load -= group_cost;
                     }
                 }
-                server.load = if server.held.is_empty() { 0.0 } else { server.load.max(0.0) };
+                server.load = if server.held.is_empty() {
+                    0.0
+                } else {
+                    server.load.max(0.0)
+                };
             }
         });
     }
 
     fn load_note(&mut self, id: RequestId, load: f64) {
-        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
         request.load = Some(load);
         if let Some((sum, count)) = self.class_loads.get_mut(request.class) {
             // Old notes fade, so that the mean follows the day.
@@ -914,35 +1183,53 @@
         }
         if let Some(at) = request.out.as_ref().map(|out| out.server) {
             let more = load - std::mem::replace(&mut request.counted, load);
-            self.fleet.change(at, |server| server.load = (server.load + more).max(0.0));
+            self.fleet
+                .change(at, |server| server.load = (server.load + more).max(0.0));
         }
     }
 
     /// Its connections earn nothing: asks them to come again elsewhere, so many whatever has been saved up.
     fn empty(&mut self, at: Slot, free: f64, actions: &mut Actions) {
-        let held = self.fleet.servers.get(at).map_or(Vec::new(), |s| s.held.iter().copied().collect());
+        let held = self
+            .fleet
+            .servers
+            .get(at)
+            .map_or(Vec::new(), |s| s.held.iter().copied().collect());
         self.move_tokens = self.move_tokens.max(free.min(held.len() as f64));
-        held.into_iter().for_each(|request| self.move_away(request, actions));
+        held.into_iter()
+            .for_each(|request| self.move_away(request, actions));
     }
 
     /// Moves the next part of what stands on servers that are out by hand; so goes a try that comes up there.
     fn empty_by_hand(&mut self, now: Time, actions: &mut Actions) {
         for (server, steps) in self.by_hand.steps(now, EMPTIED, EMPTY_STEP) {
             let at = self.fleet.servers.slot(&server);
-            let held = self.fleet.servers.get(at).into_iter().flat_map(|server| &server.held);
+            let held = self
+                .fleet
+                .servers
+                .get(at)
+                .into_iter()
+                .flat_map(|server| &server.held);
             let stands = |id: &&RequestId| self.requests.get(id).is_some_and(Request::stands);
             let held: Vec<RequestId> = held.filter(stands).copied().collect();
             let due = held.len().div_ceil(steps);
             self.move_tokens = self.move_tokens.max(due as f64);
-            held.into_iter().take(due).for_each(|request| self.move_away(request, actions));
+            held.into_iter()
+                .take(due)
+                .for_each(|request| self.move_away(request, actions));
         }
         if !self.by_hand.out().is_empty() && !std::mem::replace(&mut self.empty_timer, true) {
-            actions.push(Action::SetTimer { after: EMPTY_STEP, handle: EMPTY_HANDLE });
+            actions.push(Action::SetTimer {
+                after: EMPTY_STEP,
+                handle: EMPTY_HANDLE,
+            });
         }
     }
 
     fn move_away(&mut self, id: RequestId, actions: &mut Actions) {
-        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
         if request.stands() && self.move_tokens >= 1.0 {
             self.move_tokens -= 1.0;
             request.over = true;
@@ -951,7 +1238,13 @@
     }
 
     fn delay_note(&mut self, now: Time, id: RequestId, delay: Duration, actions: &mut Actions) {
-        let Some(out) = self.requests.get(&id).and_then(|request| request.out.as_ref()) else { return };
+        let Some(out) = self
+            .requests
+            .get(&id)
+            .and_then(|request| request.out.as_ref())
+        else {
+            return;
+        };
         let server = out.server;
         let part = delay.as_secs_f64() / self.least_message_aim.as_secs_f64().max(1e-9);
         if part > LATE_SHEDS {
@@ -975,18 +1268,28 @@
         let holders = self.fleet.sums.held * f64::from(self.settings.instances) / known;
         let chosen = self.jitter() * 4.0 * holders.min(f64::from(self.settings.instances)) < 1.0;
         let may = self.settings.may_tell && chosen;
-        let Some(server) = self.fleet.servers.get_mut(at).filter(|_| may) else { return };
+        let Some(server) = self.fleet.servers.get_mut(at).filter(|_| may) else {
+            return;
+        };
         if server.heard.map_or(true, |at| now.since(at) > HEARD) {
             server.heard = Some(now);
             let mark = if silent { SILENT } else { "" };
-            let name: String = short_name(server.hash).iter().copied().map(char::from).collect();
+            let name: String = short_name(server.hash)
+                .iter()
+                .copied()
+                .map(char::from)
+                .collect();
             actions.push(Action::Tell(name + mark));
         }
     }
 
     fn told(&mut self, now: Time, message: &str) {
         let name = message.strip_suffix(SILENT).unwrap_or(message);
-        let named = self.fleet.open.iter().filter(|(hash, _)| short_name(*hash) == name.as_bytes());
+        let named = self
+            .fleet
+            .open
+            .iter()
+            .filter(|(hash, _)| short_name(*hash) == name.as_bytes());
         for at in named.map(|(_, at)| at).collect::<Vec<_>>() {
             self.fleet.change(at, |server| {
                 server.heard = Some(now);
@@ -999,15 +1302,31 @@
 
     /// A report of utilisation counts everybody's load, so it goes before what this gateway's own load tells.
     fn reported(&mut self, now: Time, at: Slot, values: &[f64], actions: &mut Actions) {
-        let Some(used) = self.settings.report_utilisation.and_then(|place| values.get(place)) else { return };
+        let Some(used) = self
+            .settings
+            .report_utilisation
+            .and_then(|place| values.get(place))
+        else {
+            return;
+        };
         // With connections on it that load it, none at all tells of a time before they came.
-        if *used <= 0.0 && self.fleet.servers.get(at).is_some_and(|server| !server.held.is_empty()) {
+        if *used <= 0.0
+            && self
+                .fleet
+                .servers
+                .get(at)
+                .is_some_and(|server| !server.held.is_empty())
+        {
             return;
         }
         self.fleet.change(at, |server| {
             server.used = Some((now, *used));
             (server.added, server.held_then) = (0.0, server.held.len());
-            server.cap = if *used > FULL { server.load * FULL / *used } else { f64::INFINITY };
+            server.cap = if *used > FULL {
+                server.load * FULL / *used
+            } else {
+                f64::INFINITY
+            };
             if *used > FULL {
                 server.crowded_at = Some(now);
             }
@@ -1022,9 +1341,15 @@
     /// keys assumes, and, where all are, against a fleet that answers all late instead of most in time.
     fn crowd(&mut self, now: Time, at: Slot, keep: f64, sheds: bool, actions: &mut Actions) {
         let fair = self.fair_unit();
-        let Some(server) = self.fleet.servers.get(at) else { return };
+        let Some(server) = self.fleet.servers.get(at) else {
+            return;
+        };
         let reported = server.used.is_some_and(|(at, _)| now.since(at) < CALM);
-        if reported || server.crowded_at.is_some_and(|at| now.since(at) < TICK.mul_f64(0.9)) {
+        if reported
+            || server
+                .crowded_at
+                .is_some_and(|at| now.since(at) < TICK.mul_f64(0.9))
+        {
             return;
         }
         self.fleet.change(at, |server| {
@@ -1042,19 +1367,31 @@
     /// heaviest connections first.
     fn shed(&mut self, now: Time, at: Slot, actions: &mut Actions) {
         let round = self.jitter();
-        let Some(server) = self.fleet.servers.get(at) else { return };
+        let Some(server) = self.fleet.servers.get(at) else {
+            return;
+        };
         let mut excess = server.load - server.cap;
         let group_cost = GROUP_COST * self.mean_load();
         type Part = (f64, Vec<(f64, RequestId)>);
         let mut parts: BTreeMap<(bool, u32), Part> = BTreeMap::new();
         for held in &server.held {
-            let Some(request) = self.requests.get(held) else { continue };
-            let rest = if request.returned { RETURNED_REST } else { REST };
+            let Some(request) = self.requests.get(held) else {
+                continue;
+            };
+            let rest = if request.returned {
+                RETURNED_REST
+            } else {
+                REST
+            };
             let rested = |out: &Attempt| out.stands && (out.free || now.since(out.sent) > rest);
             if request.over || !request.out.as_ref().is_some_and(rested) {
                 continue;
             }
-            let cost = if request.group.is_some() { group_cost } else { 0.0 };
+            let cost = if request.group.is_some() {
+                group_cost
+            } else {
+                0.0
+            };
             let order = (!self.over_share(request), request.key.rotate_left(16));
             let part = parts.entry(order).or_insert((cost, Vec::new()));
             part.0 += request.counted;
@@ -1076,7 +1413,8 @@
             self.move_away(request, actions);
         }
         for mut part in rest.into_iter().filter(|part| part.1.len() > 1) {
-            part.1.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+            part.1
+                .sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
             for (load, request) in part.1 {
                 if excess > 0.0 && fits(load, excess) {
                     excess -= load;
@@ -1088,23 +1426,37 @@
 
     /// Whether the tenant holds more connections than its share, as far as this gateway's part of them tells.
     fn over_share(&self, request: &Request) -> bool {
-        let Some(tenant) = request.tenant else { return false };
-        let quota = self.settings.tenants.get(tenant).and_then(|tenant| tenant.quota_connections);
+        let Some(tenant) = request.tenant else {
+            return false;
+        };
+        let quota = self
+            .settings
+            .tenants
+            .get(tenant)
+            .and_then(|tenant| tenant.quota_connections);
         let open = self.tenant_open.get(tenant).copied().unwrap_or(0) as f64;
         quota.is_some_and(|quota| open * f64::from(self.settings.instances.max(1)) > quota)
     }
 
     fn tick(&mut self, now: Time, actions: &mut Actions) {
-        actions.push(Action::SetTimer { after: TICK, handle: TICK_HANDLE });
+        actions.push(Action::SetTimer {
+            after: TICK,
+            handle: TICK_HANDLE,
+        });
         let all_held = self.fleet.sums.held;
-        self.move_tokens = (self.move_tokens + MOVES_PER_S * all_held).min((MOVES_SAVED * all_held).max(1.0));
+        self.move_tokens =
+            (self.move_tokens + MOVES_PER_S * all_held).min((MOVES_SAVED * all_held).max(1.0));
         self.seen *= 1.0 - SEEN_FADES;
-        self.seen_groups.values_mut().for_each(|seen| *seen *= 1.0 - SEEN_FADES);
+        self.seen_groups
+            .values_mut()
+            .for_each(|seen| *seen *= 1.0 - SEEN_FADES);
         self.seen_groups.retain(|_, seen| *seen > 0.1);
         self.probe_tokens = self.probe_tokens.min(self.fleet.servers.len() as f64);
         let kept_up = std::mem::take(&mut self.fleet.kept_up);
         let faded = |seen: &mut f64| *seen *= 1.0 - SEEN_FADES;
-        self.kinds.values_mut().for_each(|(seen, crowded)| [seen, crowded].into_iter().for_each(faded));
+        self.kinds
+            .values_mut()
+            .for_each(|(seen, crowded)| [seen, crowded].into_iter().for_each(faded));
         // Cold servers: no faster than would fill them over their warm-up to what a warm one holds here.
         let cold_for = self.settings.cold_for.as_secs_f64().max(1.0);
         let saved_share = self.cold.saved(now, self.settings.instances);
@@ -1131,7 +1483,9 @@
         let mean = |(sum, count): &(f64, f64)| if *count > 0.0 { sum / count } else { mean_load };
         let usual: Vec<f64> = self.class_loads.iter().map(mean).collect();
         for at in kept_up {
-            let Some(server) = self.fleet.servers.get(at) else { continue };
+            let Some(server) = self.fleet.servers.get(at) else {
+                continue;
+            };
             // A gone server is remembered for a while, or one listed anew as draining had a second grace.
             let left = now.since(server.leaving_since) >= FORGET && server.held.is_empty();
             if server.health == Health::Gone && left {
@@ -1140,13 +1494,17 @@
                 continue;
             }
             if !server.held.is_empty() && !server.cold && server.barred_until.is_none() {
-                let crowded = server.crowded_at.is_some_and(|at| now.since(at) < TICK * 3 / 2);
+                let crowded = server
+                    .crowded_at
+                    .is_some_and(|at| now.since(at) < TICK * 3 / 2);
                 let kind = self.kinds.entry(server.kind).or_default();
                 *kind = (kind.0 + 1.0, kind.1 + f64::from(u8::from(crowded)));
             }
             let mut load = server.groups.len() as f64 * group_cost;
             for held in &server.held {
-                let Some(request) = self.requests.get_mut(held) else { continue };
+                let Some(request) = self.requests.get_mut(held) else {
+                    continue;
+                };
                 let usual = usual.get(request.class).copied().unwrap_or(mean_load);
                 request.counted = request.load.unwrap_or(usual);
                 load += request.counted;
@@ -1167,14 +1525,21 @@
                     server.tokens = (server.tokens + span * part).min((part * window).max(1.0));
                     server.refilled = now;
                 }
-                if server.crowded_at.map_or(true, |at| now.since(at) > TICK * 2) {
+                if server
+                    .crowded_at
+                    .map_or(true, |at| now.since(at) > TICK * 2)
+                {
                     let calm = server.crowded_at.map_or(true, |at| now.since(at) > CALM);
                     server.cap += fair * CAP_RISE * if calm { 2.0 } else { 0.5 };
                 }
                 server.kept_up = false; // and again, if it still has to be
             });
         }
-        let most = if refill > 0.0 { (refill * window).max(1.0) } else { 0.0 };
+        let most = if refill > 0.0 {
+            (refill * window).max(1.0)
+        } else {
+            0.0
+        };
         self.cold.refill(refill, most);
         self.look_at_cut_zones(now, actions);
         self.shares.fade(&self.fleet);
@@ -1183,7 +1548,12 @@
     }
 
     fn mean_load(&self) -> f64 {
-        let all = self.class_loads.iter().fold((0.0, 0.0), |(s, n), (sum, count)| (s + sum, n + count));
-        Some(all).filter(|(_, count)| *count > 0.0).map_or(1.0, |(sum, count)| sum / count)
+        let all = self
+            .class_loads
+            .iter()
+            .fold((0.0, 0.0), |(s, n), (sum, count)| (s + sum, n + count));
+        Some(all)
+            .filter(|(_, count)| *count > 0.0)
+            .map_or(1.0, |(sum, count)| sum / count)
     }
 }
--- a/crates/placement/src/balance/evidence.rs
+++ b/crates/placement/src/balance/evidence.rs
@@ -23,7 +23,9 @@
             // It tells of the way there, not of what is behind all servers or of how long a set-up takes.
             Outcome::TimedOut if !stood && self.zone_silent(now, at, actions) => {}
             Outcome::TimedOut | Outcome::Error if !stood => {
-                let Some(server) = self.fleet.servers.get(at) else { return };
+                let Some(server) = self.fleet.servers.get(at) else {
+                    return;
+                };
                 if std::mem::replace(&mut self.failing.1, server.hash) != server.hash {
                     self.failing.0 += FAILING_RATE * (1.0 - self.failing.0);
                 }
@@ -40,10 +42,15 @@
             Outcome::Full => self.crowd(now, at, 0.9, false, actions),
             Outcome::Reset | Outcome::Dropped if !stood => self.strike(now, at, 1, false, actions),
             Outcome::Reset if over => {
-                let Some(server) = self.fleet.servers.get_mut(at) else { return };
+                let Some(server) = self.fleet.servers.get_mut(at) else {
+                    return;
+                };
                 // Networks break single connections. Several at once: it drops them to save the rest; or
                 // every one broke, and it is gone though listed.
-                let together = server.dropped.replace(now).is_some_and(|last| now.since(last) < TOGETHER);
+                let together = server
+                    .dropped
+                    .replace(now)
+                    .is_some_and(|last| now.since(last) < TOGETHER);
                 if together || server.held.is_empty() {
                     let gone = server.held.is_empty();
                     server.crashed |= together && gone;
@@ -59,20 +66,34 @@
 
     /// Guards against servers that died or answer nothing, long before the list tells. `silent`: it did not
     /// answer at all, so its standing connections earn nothing. One that errs may serve those; they stay.
-    pub(super) fn strike(&mut self, now: Time, at: Slot, weight: u32, silent: bool, actions: &mut Actions) {
+    pub(super) fn strike(
+        &mut self,
+        now: Time,
+        at: Slot,
+        weight: u32,
+        silent: bool,
+        actions: &mut Actions,
+    ) {
         let jitter = self.jitter();
         let sums = &self.fleet.sums;
         let (ready, barred) = (sums.ready - sums.cut, sums.barred - sums.cut);
-        let Some(server) = self.fleet.servers.get_mut(at) else { return };
+        let Some(server) = self.fleet.servers.get_mut(at) else {
+            return;
+        };
         let others = barred - f64::from(u8::from(server.barred_until.is_some()));
         // A server that takes no connection is out of use however many others are.
         let believable = weight >= STRIKES || others + 1.0 <= ready * MOST_BARRED;
         server.strikes += weight;
-        if server.strikes < STRIKES || server.barred_until.is_some_and(|until| now < until) || !believable {
+        if server.strikes < STRIKES
+            || server.barred_until.is_some_and(|until| now < until)
+            || !believable
+        {
             return;
         }
         self.fleet.change(at, |server| {
-            let span = BAR.mul_f64(f64::from(1u32 << server.bars.min(3))).min(LONGEST_BAR);
+            let span = BAR
+                .mul_f64(f64::from(1u32 << server.bars.min(3)))
+                .min(LONGEST_BAR);
             server.barred_until = Some(now.after(span.mul_f64(0.75 + 0.5 * jitter)));
             server.bars += 1;
             server.crashed |= server.held.is_empty();
@@ -124,9 +145,19 @@
 
     /// Probes the others of a zone in which one does not answer, and one elsewhere.
     fn look_around(&mut self, now: Time, at: Slot, actions: &mut Actions) {
-        let Some(zone) = self.fleet.servers.get(at).map(|server| server.zone) else { return };
-        let near = self.fleet.ready_in(|other| other == zone).into_iter().take(MOST_LOOKS);
-        let far = self.fleet.ready_in(|other| other != zone).into_iter().take(1);
+        let Some(zone) = self.fleet.servers.get(at).map(|server| server.zone) else {
+            return;
+        };
+        let near = self
+            .fleet
+            .ready_in(|other| other == zone)
+            .into_iter()
+            .take(MOST_LOOKS);
+        let far = self
+            .fleet
+            .ready_in(|other| other != zone)
+            .into_iter()
+            .take(1);
         for at in near.chain(far).collect::<Vec<_>>() {
             self.ask(now, at, actions);
         }
@@ -150,11 +181,18 @@
         report: Option<Vec<f64>>,
         actions: &mut Actions,
     ) {
-        if let Some(probed) = self.fleet.servers.get_mut(server).and_then(|server| server.probed.as_mut()) {
+        if let Some(probed) = self
+            .fleet
+            .servers
+            .get_mut(server)
+            .and_then(|server| server.probed.as_mut())
+        {
             probed.1 = false;
         }
         for request in &self.waiting {
-            self.requests.entry(*request).and_modify(|r| r.asked = r.asked.filter(|(at, _)| *at != server));
+            self.requests
+                .entry(*request)
+                .and_modify(|r| r.asked = r.asked.filter(|(at, _)| *at != server));
         }
         match report {
             Some(values) => {
--- a/crates/placement/src/by_hand.rs
+++ b/crates/placement/src/by_hand.rs
@@ -58,9 +58,16 @@
 
     /// In how many steps each server that is out has to be empty, the present one included, if it has to be within `within`.
     pub fn steps(&self, now: Time, within: Duration, step: Duration) -> Vec<(ServerId, usize)> {
-        let left = |since: Time| within.saturating_sub(now.since(since)).as_nanos() / step.as_nanos().max(1);
-        let steps = self.out.iter().filter_map(|server| Some((server.clone(), *self.since.get(server)?)));
-        steps.map(|(server, since)| (server, left(since) as usize + 1)).collect()
+        let left = |since: Time| {
+            within.saturating_sub(now.since(since)).as_nanos() / step.as_nanos().max(1)
+        };
+        let steps = self
+            .out
+            .iter()
+            .filter_map(|server| Some((server.clone(), *self.since.get(server)?)));
+        steps
+            .map(|(server, since)| (server, left(since) as usize + 1))
+            .collect()
     }
 
     /// From now on exactly these are out. Gives the entries that change by it: those taken out as they are shown now,
@@ -76,7 +83,10 @@
         let entry = |server: &ServerId| {
             let mut entry = self.shown(self.listed.get(server)?.clone());
             if before.contains(server) {
-                entry.started = entry.started.filter(|at| since.get(server) < Some(at)).or(Some(now));
+                entry.started = entry
+                    .started
+                    .filter(|at| since.get(server) < Some(at))
+                    .or(Some(now));
             }
             Some(entry)
         };
--- a/crates/placement/src/by_hand/tests.rs
+++ b/crates/placement/src/by_hand/tests.rs
@@ -1,7 +1,15 @@
 use super::*;
 
 fn listed(name: &str, health: Health, started: Option<Time>) -> Listed {
-    Listed { server: name.into(), health, weight: 1.0, zone: 0, cell: 0, kind: 0, started }
+    Listed {
+        server: name.into(),
+        health,
+        weight: 1.0,
+        zone: 0,
+        cell: 0,
+        kind: 0,
+        started,
+    }
 }
 
 fn out(names: &[&str]) -> BTreeSet<ServerId> {
@@ -9,18 +17,34 @@
 }
 
 fn shown(entries: Vec<Listed>) -> Vec<(String, Health, Option<Time>)> {
-    entries.into_iter().map(|e| (e.server.0.to_string(), e.health, e.started)).collect()
+    entries
+        .into_iter()
+        .map(|e| (e.server.0.to_string(), e.health, e.started))
+        .collect()
 }
 
 #[test]
 fn what_is_out_drains_whatever_the_list_tells_until_it_is_called_back() {
     use Health::{Draining, Gone, Ready};
     let (mut by_hand, s) = (ByHand::default(), || "s".to_string());
-    by_hand.list(vec![listed("s", Ready, None), listed("t", Ready, None)], true);
-    assert_eq!(shown(by_hand.set(Time(5), out(&["s"]))), [(s(), Draining, None)]);
-    assert_eq!(shown(by_hand.set(Time(6), out(&["s"]))), [], "once is enough");
+    by_hand.list(
+        vec![listed("s", Ready, None), listed("t", Ready, None)],
+        true,
+    );
+    assert_eq!(
+        shown(by_hand.set(Time(5), out(&["s"]))),
+        [(s(), Draining, None)]
+    );
+    assert_eq!(
+        shown(by_hand.set(Time(6), out(&["s"]))),
+        [],
+        "once is enough"
+    );
     // It is restarted: gone, back, and told again by a whole list.
-    assert_eq!(shown(by_hand.list(vec![listed("s", Gone, None)], false)), [(s(), Gone, None)]);
+    assert_eq!(
+        shown(by_hand.list(vec![listed("s", Gone, None)], false)),
+        [(s(), Gone, None)]
+    );
     assert!(by_hand.knows(&"s".into()), "may be called back meanwhile");
     for whole in [false, true] {
         let told = by_hand.list(vec![listed("s", Ready, Some(Time(8)))], whole);
@@ -28,10 +52,16 @@
     }
     assert!(!by_hand.knows(&"t".into()), "the whole list has it no more");
     // It started at 8, so it is warm the sooner.
-    assert_eq!(shown(by_hand.set(Time(9), out(&[]))), [(s(), Ready, Some(Time(8)))]);
+    assert_eq!(
+        shown(by_hand.set(Time(9), out(&[]))),
+        [(s(), Ready, Some(Time(8)))]
+    );
     // That start says nothing of what was done while it was out for the second time.
     by_hand.set(Time(10), out(&["s"]));
-    assert_eq!(shown(by_hand.set(Time(12), out(&[]))), [(s(), Ready, Some(Time(12)))]);
+    assert_eq!(
+        shown(by_hand.set(Time(12), out(&[]))),
+        [(s(), Ready, Some(Time(12)))]
+    );
 }
 
 #[test]
@@ -39,7 +69,10 @@
     let (mut by_hand, ms) = (ByHand::default(), Duration::from_millis);
     by_hand.set(Time(0), out(&["s"]));
     let at = |by_hand: &ByHand, n: u64| by_hand.steps(Time(n * 1_000_000), ms(300), ms(100));
-    assert_eq!([0, 100, 250, 900].map(|n| at(&by_hand, n)[0].1), [4, 3, 1, 1]);
+    assert_eq!(
+        [0, 100, 250, 900].map(|n| at(&by_hand, n)[0].1),
+        [4, 3, 1, 1]
+    );
     by_hand.set(Time(200_000_000), out(&["s", "t"]));
     assert_eq!(at(&by_hand, 200), [("s".into(), 2), ("t".into(), 4)]);
 }
@@ -48,11 +81,20 @@
 fn a_later_start_and_a_drain_go_before_the_call_back() {
     let mut by_hand = ByHand::default();
     by_hand.set(Time(1), out(&["s", "t", "u"]));
-    by_hand.list(vec![listed("s", Health::Ready, Some(Time(20))), listed("t", Health::Draining, None)], true);
+    by_hand.list(
+        vec![
+            listed("s", Health::Ready, Some(Time(20))),
+            listed("t", Health::Draining, None),
+        ],
+        true,
+    );
     let back = shown(by_hand.set(Time(9), out(&[])));
     assert_eq!(
         back,
-        [("s".into(), Health::Ready, Some(Time(20))), ("t".into(), Health::Draining, Some(Time(9)))],
+        [
+            ("s".into(), Health::Ready, Some(Time(20))),
+            ("t".into(), Health::Draining, Some(Time(9)))
+        ],
         "one that is not listed has nothing to show"
     );
 }
--- a/crates/placement/src/cold.rs
+++ b/crates/placement/src/cold.rs
@@ -28,14 +28,22 @@
 impl Cold {
     /// Nothing to send yet.
     pub fn new(mark: f64) -> Cold {
-        Cold { mark, ..Cold::default() }
+        Cold {
+            mark,
+            ..Cold::default()
+        }
     }
 
     /// How likely an unused send to a cold server is kept: what all gateways have saved up is the same however many
     /// there are. Guards against hundreds of them that spend one saved send each at the same moment.
     pub fn saved(&self, now: Time, instances: u32) -> f64 {
-        let slice = self.slice.as_ref().filter(|slice| slice.until.is_some_and(|until| now < until));
-        slice.map_or(COLD_SAVED / f64::from(instances.max(1)), |slice| COLD_SAVED * slice.part)
+        let slice = self
+            .slice
+            .as_ref()
+            .filter(|slice| slice.until.is_some_and(|until| now < until));
+        slice.map_or(COLD_SAVED / f64::from(instances.max(1)), |slice| {
+            COLD_SAVED * slice.part
+        })
     }
 
     /// From now on this slice holds, or none: then the number of gateways decides alone.
@@ -73,7 +81,10 @@
     /// The most sends in any window, and whether one was turned away for lack of a slice, since the last call.
     pub fn used(&mut self) -> (u32, bool) {
         let most = std::mem::replace(&mut self.most, self.sent.len()).max(self.sent.len());
-        (u32::try_from(most).unwrap_or(u32::MAX), std::mem::take(&mut self.turned_away))
+        (
+            u32::try_from(most).unwrap_or(u32::MAX),
+            std::mem::take(&mut self.turned_away),
+        )
     }
 
     /// Whether a cold server may be sent something now. A slice that has run out is no slice: its clock is looked at here,
@@ -81,7 +92,11 @@
     pub fn open(&mut self, now: Time) -> bool {
         let own = self.budget > self.mark;
         let Some(slice) = &self.slice else { return own };
-        while self.sent.front().is_some_and(|sent| now.since(*sent) >= slice.window) {
+        while self
+            .sent
+            .front()
+            .is_some_and(|sent| now.since(*sent) >= slice.window)
+        {
             self.sent.pop_front();
         }
         let holds = slice.until.is_some_and(|until| now < until);
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -136,7 +136,9 @@
     /// gateway that holds little would have to find out about each server of it by an attempt of its own. With `cut` that
     /// lasts until something there answers.
     pub fn zone_failed(&mut self, now: Time, at: Slot, within: Duration, cut: bool) -> Vec<Slot> {
-        let Some(zone) = self.servers.get(at).map(|server| server.zone) else { return Vec::new() };
+        let Some(zone) = self.servers.get(at).map(|server| server.zone) else {
+            return Vec::new();
+        };
         let failed = self.failed.entry(zone).or_default();
         failed.retain(|(slot, when)| *slot != at && now.since(*when) < within);
         failed.push((at, now));
@@ -146,7 +148,11 @@
         let failed = failed.iter().map(|(slot, _)| *slot).collect::<Vec<_>>();
         let of_zone = self.ready_in(|other| other == zone);
         let stands = |at: &Slot| {
-            !failed.contains(at) && self.servers.get(*at).is_some_and(|server| !server.held.is_empty())
+            !failed.contains(at)
+                && self
+                    .servers
+                    .get(*at)
+                    .is_some_and(|server| !server.held.is_empty())
         };
         let doubtful = failed.len() < FAILED_ANYWAY && of_zone.iter().any(stands);
         if doubtful && !self.cut.contains(&zone) {
@@ -162,18 +168,28 @@
     pub fn ready_in(&self, meant: impl Fn(u32) -> bool) -> Vec<Slot> {
         let ready = |server: &Server| server.health == Health::Ready && meant(server.zone);
         let slots = self.servers.slots().into_iter();
-        slots.filter(|at| self.servers.get(*at).is_some_and(ready)).collect()
+        slots
+            .filter(|at| self.servers.get(*at).is_some_and(ready))
+            .collect()
     }
 
     /// A server of the zone answers: the whole zone is within reach again.
     pub fn zone_stands(&mut self, now: Time, at: Slot) {
-        let Some(zone) = self.servers.get(at).map(|server| server.zone) else { return };
+        let Some(zone) = self.servers.get(at).map(|server| server.zone) else {
+            return;
+        };
         self.failed.remove(&zone);
         self.answered.insert(zone, now);
         if self.cut.remove(&zone) {
             for at in self.servers.slots() {
-                if self.servers.get(at).is_some_and(|server| server.zone == zone && server.cut) {
-                    self.change(at, |server| (server.cut, server.barred_until) = (false, None));
+                if self
+                    .servers
+                    .get(at)
+                    .is_some_and(|server| server.zone == zone && server.cut)
+                {
+                    self.change(at, |server| {
+                        (server.cut, server.barred_until) = (false, None)
+                    });
                 }
             }
         }
@@ -181,14 +197,23 @@
 
     /// Whether something outside this server's zone has answered within this time.
     pub fn answers_elsewhere(&self, now: Time, at: Slot, within: Duration) -> bool {
-        let Some(zone) = self.servers.get(at).map(|server| server.zone) else { return false };
-        self.answered.iter().any(|(other, when)| *other != zone && now.since(*when) < within)
+        let Some(zone) = self.servers.get(at).map(|server| server.zone) else {
+            return false;
+        };
+        self.answered
+            .iter()
+            .any(|(other, when)| *other != zone && now.since(*when) < within)
     }
 
     /// The servers of this zone that failed lately.
     pub fn failed_with(&self, at: Slot) -> Vec<Slot> {
-        let failed = self.servers.get(at).and_then(|server| self.failed.get(&server.zone));
-        failed.map_or(Vec::new(), |failed| failed.iter().map(|(slot, _)| *slot).collect())
+        let failed = self
+            .servers
+            .get(at)
+            .and_then(|server| self.failed.get(&server.zone));
+        failed.map_or(Vec::new(), |failed| {
+            failed.iter().map(|(slot, _)| *slot).collect()
+        })
     }
 
     /// The zones that are out of reach.
@@ -197,7 +222,9 @@
     }
 
     pub fn change(&mut self, at: Slot, with: impl FnOnce(&mut Server)) {
-        let Some(server) = self.servers.get_mut(at) else { return };
+        let Some(server) = self.servers.get_mut(at) else {
+            return;
+        };
         self.sums.add(server, -1.0);
         with(server);
         self.sums.add(server, 1.0);
@@ -219,7 +246,8 @@
 impl Server {
     /// Whether it started lately.
     pub fn is_cold(&self, settings: &Settings, now: Time) -> bool {
-        self.started.is_some_and(|started| now < started.after(settings.cold_for))
+        self.started
+            .is_some_and(|started| now < started.after(settings.cold_for))
     }
 
     /// Whether it takes one more though it is full: nothing has shown it crowded for `calm`, so its cap may be stale, and
@@ -233,13 +261,17 @@
     /// The connections of this gateway that would fill it as it is now, where its report is no older than `fresh`: the others
     /// are taken to hold there what this one does. The shared work of groups is in the report, so that this errs to less.
     pub fn filled_by(&self, now: Time, fresh: Duration) -> Option<f64> {
-        let (_, used) = self.used.filter(|(at, used)| now.since(*at) < fresh && *used >= LEAST_USED)?;
+        let (_, used) = self
+            .used
+            .filter(|(at, used)| now.since(*at) < fresh && *used >= LEAST_USED)?;
         (self.held_then >= LEAST_HELD_THEN).then(|| self.held_then as f64 / used)
     }
 
     /// The share of its capacity that it has at the least.
     pub fn warmth(&self, settings: &Settings, now: Time) -> f64 {
-        let Some(started) = self.started else { return 1.0 };
+        let Some(started) = self.started else {
+            return 1.0;
+        };
         let part = now.since(started).as_secs_f64() / settings.cold_for.as_secs_f64().max(1e-9);
         (settings.start_capacity + (1.0 - settings.start_capacity) * part).min(1.0)
     }
--- a/crates/placement/src/interface.rs
+++ b/crates/placement/src/interface.rs
@@ -12,7 +12,10 @@
 impl Time {
     /// The moment `span` later.
     pub fn after(self, span: Duration) -> Time {
-        Time(self.0.saturating_add(u64::try_from(span.as_nanos()).unwrap_or(u64::MAX)))
+        Time(
+            self.0
+                .saturating_add(u64::try_from(span.as_nanos()).unwrap_or(u64::MAX)),
+        )
     }
     /// The span since an `earlier` moment; zero if that lies ahead.
     pub fn since(self, earlier: Time) -> Duration {
@@ -117,7 +120,11 @@
 impl Settings {
     /// The shortest time in which any class wants its messages answered; zero if none is told.
     pub fn least_message_aim(&self) -> Duration {
-        let aims = self.classes.iter().map(|class| class.message_aim).filter(|aim| !aim.is_zero());
+        let aims = self
+            .classes
+            .iter()
+            .map(|class| class.message_aim)
+            .filter(|aim| !aim.is_zero());
         aims.min().unwrap_or_default()
     }
 }
@@ -202,7 +209,10 @@
 impl Outcome {
     /// Whether this proves that the attempt never ran.
     pub fn never_ran(self) -> bool {
-        matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Dropped | Outcome::Moot)
+        matches!(
+            self,
+            Outcome::Full | Outcome::ConnectFailed | Outcome::Dropped | Outcome::Moot
+        )
     }
 }
 
--- a/crates/placement/src/learnt.rs
+++ b/crates/placement/src/learnt.rs
@@ -28,7 +28,10 @@
 
 /// The moment a `span` before `now`.
 fn before(now: Time, span: Duration) -> Time {
-    Time(now.0.saturating_sub(u64::try_from(span.as_nanos()).unwrap_or(u64::MAX)))
+    Time(
+        now.0
+            .saturating_sub(u64::try_from(span.as_nanos()).unwrap_or(u64::MAX)),
+    )
 }
 
 impl Fleet {
@@ -36,16 +39,18 @@
     pub fn learnt(&self, now: Time) -> Vec<Learnt> {
         let listed = self.servers.slots().into_iter();
         let learnt = listed.filter_map(|at| Some((self.servers.id(at)?, self.servers.get(at)?)));
-        let learnt = learnt.filter(|(_, server)| server.health != Health::Gone).map(|(id, server)| Learnt {
-            server: id.clone(),
-            started: server.started.map(|at| now.since(at)),
-            cap: Some(server.cap).filter(|cap| cap.is_finite()),
-            crowded: server.crowded_at.map(|at| now.since(at)),
-            barred: server.barred_until.map(|until| until.since(now)),
-            bars: server.bars,
-            strikes: server.strikes,
-            crashed: server.crashed,
-        });
+        let learnt = learnt
+            .filter(|(_, server)| server.health != Health::Gone)
+            .map(|(id, server)| Learnt {
+                server: id.clone(),
+                started: server.started.map(|at| now.since(at)),
+                cap: Some(server.cap).filter(|cap| cap.is_finite()),
+                crowded: server.crowded_at.map(|at| now.since(at)),
+                barred: server.barred_until.map(|until| until.since(now)),
+                bars: server.bars,
+                strikes: server.strikes,
+                crashed: server.crashed,
+            });
         let mut learnt: Vec<Learnt> = learnt.collect();
         learnt.sort_by(|a, b| a.server.cmp(&b.server));
         learnt
@@ -59,13 +64,17 @@
             let at = self.servers.slot(&learnt.server);
             self.change(at, |server| {
                 // The same start is told by both clocks within less than a second.
-                let later = |at: Time| started.map_or(true, |told| at.since(told) > Duration::from_secs(1));
+                let later =
+                    |at: Time| started.map_or(true, |told| at.since(told) > Duration::from_secs(1));
                 if server.health == Health::Gone || server.started.is_some_and(later) {
                     return;
                 }
                 server.started = server.started.max(started);
                 server.cold = server.is_cold(settings, now);
-                server.cap = learnt.cap.filter(|cap| *cap >= 0.0).unwrap_or(f64::INFINITY);
+                server.cap = learnt
+                    .cap
+                    .filter(|cap| *cap >= 0.0)
+                    .unwrap_or(f64::INFINITY);
                 server.crowded_at = learnt.crowded.map(|span| before(now, span));
                 server.barred_until = learnt.barred.map(|span| now.after(span));
                 (server.bars, server.strikes) = (learnt.bars, learnt.strikes);
--- a/crates/placement/src/learnt/tests.rs
+++ b/crates/placement/src/learnt/tests.rs
@@ -4,7 +4,13 @@
 fn fleet(servers: &[(&str, Option<Time>)]) -> Fleet {
     let mut fleet = Fleet::default();
     for (name, started) in servers {
-        let at = fleet.servers.insert((*name).into(), Server { cap: f64::INFINITY, ..Server::default() });
+        let at = fleet.servers.insert(
+            (*name).into(),
+            Server {
+                cap: f64::INFINITY,
+                ..Server::default()
+            },
+        );
         fleet.change(at, |server| server.started = *started);
     }
     fleet
@@ -28,7 +34,11 @@
         let mut newer = fleet(&[("a", None), ("b", Some(Time(start * second)))]);
         newer.take_learnt(&settings, Time(100 * second), learnt.clone());
         let told = newer.learnt(Time(100 * second));
-        assert_eq!((told.len(), &told[0]), (2, &learnt[0]), "c is not listed here");
+        assert_eq!(
+            (told.len(), &told[0]),
+            (2, &learnt[0]),
+            "c is not listed here"
+        );
         assert_eq!(told[1] == learnt[1], same, "{:?}", told[1]);
     }
 }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -4,7 +4,6 @@
 //! ([`Event`]) and carries out what comes back ([`Action`]). The same settings, seed and events always give the same
 //! actions. [`interface`] has the types; `balance` has every decision.
 #![doc = include_str!("../../../README.md")]
-
 #![forbid(unsafe_code)]
 
 pub mod asking;
--- a/crates/placement/src/order.rs
+++ b/crates/placement/src/order.rs
@@ -30,7 +30,9 @@
 
     /// Removes a server, if it is there, without a walk.
     pub(crate) fn remove(&mut self, slot: Slot) {
-        let Some(place) = self.places.remove(&slot) else { return };
+        let Some(place) = self.places.remove(&slot) else {
+            return;
+        };
         self.hashes.swap_remove(place as usize);
         self.slots.swap_remove(place as usize);
         if let Some(moved) = self.slots.get(place as usize) {
@@ -56,7 +58,8 @@
         let mut best: Vec<(u32, Slot)> = Vec::with_capacity(count.min(self.len()) + 2);
         let mut offer = |score: u32, slot: Slot| -> u32 {
             let least = best.last().filter(|_| best.len() >= count).copied();
-            let ahead = |a: (u32, Slot), b: (u32, Slot)| a.0 > b.0 || (a.0 == b.0 && before(a.1, b.1));
+            let ahead =
+                |a: (u32, Slot), b: (u32, Slot)| a.0 > b.0 || (a.0 == b.0 && before(a.1, b.1));
             if count > 0 && least.map_or(true, |least| ahead((score, slot), least)) && keeps(slot) {
                 let place = best.partition_point(|other| ahead(*other, (score, slot)));
                 best.insert(place, (score, slot));
@@ -97,14 +100,25 @@
 impl<const SORTS: usize> Walk<SORTS> {
     /// A walk that starts at this server, or at the top score.
     pub(crate) fn from(start: Option<(u32, Slot)>) -> Self {
-        Walk { start, met: [None; SORTS] }
+        Walk {
+            start,
+            met: [None; SORTS],
+        }
     }
 
     /// Shows a server of a sort; `before` decides between equal scores.
-    pub(crate) fn meet(&mut self, sort: usize, score: u32, slot: Slot, before: impl Fn(Slot, Slot) -> bool) {
+    pub(crate) fn meet(
+        &mut self,
+        sort: usize,
+        score: u32,
+        slot: Slot,
+        before: impl Fn(Slot, Slot) -> bool,
+    ) {
         let ahead = |a: (u32, Slot), b: (u32, Slot)| a.0 > b.0 || (a.0 == b.0 && before(a.1, b.1));
         let round = self.start.is_some_and(|start| ahead((score, slot), start));
-        let Some(place) = self.met.get_mut(sort) else { return };
+        let Some(place) = self.met.get_mut(sort) else {
+            return;
+        };
         let first = place.map_or(true, |(other_round, other, at)| {
             (!round && other_round) || (round == other_round && ahead((score, slot), (other, at)))
         });
@@ -115,7 +129,11 @@
 
     /// The first one met of a sort.
     pub(crate) fn first(&self, sort: usize) -> Option<Slot> {
-        self.met.get(sort).copied().flatten().map(|(_, _, slot)| slot)
+        self.met
+            .get(sort)
+            .copied()
+            .flatten()
+            .map(|(_, _, slot)| slot)
     }
 }
 
--- a/crates/placement/src/order/tests.rs
+++ b/crates/placement/src/order/tests.rs
@@ -23,9 +23,18 @@
         }
         let (key, count) = (draw(1000), draw(70) as usize);
         let left = |slot: Slot| table.id(slot).is_some_and(|id| !id.0.ends_with('7'));
-        let found = order.best(count, |hash| hash * key, std::iter::empty(), left, |a, b| a < b);
-        let mut all: Vec<(u32, Slot)> =
-            there.iter().filter(|(_, slot)| left(*slot)).map(|(hash, slot)| (hash * key, *slot)).collect();
+        let found = order.best(
+            count,
+            |hash| hash * key,
+            std::iter::empty(),
+            left,
+            |a, b| a < b,
+        );
+        let mut all: Vec<(u32, Slot)> = there
+            .iter()
+            .filter(|(_, slot)| left(*slot))
+            .map(|(hash, slot)| (hash * key, *slot))
+            .collect();
         all.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.cmp(&b.1)));
         all.truncate(count);
         assert_eq!(found, all, "seed {seed}");
@@ -48,7 +57,8 @@
         sorted.sort_by(|a, b| b.1.cmp(&a.1).then(a.2.cmp(&b.2)));
         let start = draw(sorted.len() as u32) as usize;
         let mut walk = Walk::<3>::from(Some((sorted[start].1, sorted[start].2)));
-        all.iter().for_each(|(sort, score, slot)| walk.meet(*sort, *score, *slot, |a, b| a < b));
+        all.iter()
+            .for_each(|(sort, score, slot)| walk.meet(*sort, *score, *slot, |a, b| a < b));
         sorted.rotate_left(start);
         for sort in 0..3 {
             let first = sorted.iter().find(|one| one.0 == sort).map(|one| one.2);
--- a/crates/placement/src/request.rs
+++ b/crates/placement/src/request.rs
@@ -87,7 +87,12 @@
     /// Whether its client may be told to come again: nothing of it may have run, or that does no harm.
     pub fn may_be_refused(&self) -> bool {
         match self.rules.map(|class| class.repeat) {
-            Some(Repeat::Repeatable | Repeat::ByKey { scope: Scope::All, .. }) => true,
+            Some(
+                Repeat::Repeatable
+                | Repeat::ByKey {
+                    scope: Scope::All, ..
+                },
+            ) => true,
             _ => self.doubt.is_none(),
         }
     }
@@ -95,5 +100,7 @@
 
 /// Whether the server does the shared work of the connection's group already, or there is none to do.
 pub fn there(request: &Request, server: &Server) -> bool {
-    request.group.map_or(true, |group| server.groups.contains_key(&group))
+    request
+        .group
+        .map_or(true, |group| server.groups.contains_key(&group))
 }
--- a/crates/placement/src/shares.rs
+++ b/crates/placement/src/shares.rs
@@ -75,7 +75,13 @@
 
     /// Shares the keys out anew, or no longer. `lost` is the weight that was just found to be gone without notice:
     /// servers that drain leave their work in good order. Gives whether that began or widened it.
-    pub fn share_out(&mut self, fleet: &mut Fleet, now: Time, settings: &Settings, lost: f64) -> bool {
+    pub fn share_out(
+        &mut self,
+        fleet: &mut Fleet,
+        now: Time,
+        settings: &Settings,
+        lost: f64,
+    ) -> bool {
         self.usual = self.usual.max(fleet.sums.weight);
         let lost = lost > LOSS * self.usual;
         if !lost && self.made_for.is_empty() {
@@ -85,22 +91,40 @@
         let least = LEAST_HELD / (f64::from(settings.instances.max(1)) * (self.held + LIKELY_HELD));
         // Cold servers are filled over their warm-up.
         let filled = |server: &Server| {
-            server.started.map_or(1.0, |started| (now.since(started).as_secs_f64() / cold_for).min(1.0))
+            server.started.map_or(1.0, |started| {
+                (now.since(started).as_secs_f64() / cold_for).min(1.0)
+            })
         };
         let known = fleet.servers.slots().into_iter();
-        let known = known.filter_map(|at| Some((at, fleet.servers.get(at)?))).collect::<Vec<_>>();
-        let counts = |server: &Server| server.health == Health::Ready && server.barred_until.is_none();
+        let known = known
+            .filter_map(|at| Some((at, fleet.servers.get(at)?)))
+            .collect::<Vec<_>>();
+        let counts =
+            |server: &Server| server.health == Health::Ready && server.barred_until.is_none();
         let there = known.iter().filter(|(_, server)| counts(server));
         let (slots, mut left): (Vec<Slot>, Vec<Left>) = there
             .map(|(at, server)| {
-                let room = f64::max(ROOM * server.weight / self.usual.max(1e-9), least) * filled(server);
+                let room =
+                    f64::max(ROOM * server.weight / self.usual.max(1e-9), least) * filled(server);
                 let most = if server.cold { server.part } else { 1.0 };
-                (*at, Left { hash: server.hash, room, most, part: 1.0 })
+                (
+                    *at,
+                    Left {
+                        hash: server.hash,
+                        room,
+                        most,
+                        part: 1.0,
+                    },
+                )
             })
             .unzip();
-        let short =
-            left.iter().map(|server| server.room).sum::<f64>() < LEFT * ROOM && known.len() <= MOST_SERVERS;
-        self.made_for = known.iter().filter(|_| short).map(|(_, server)| server.hash).collect();
+        let short = left.iter().map(|server| server.room).sum::<f64>() < LEFT * ROOM
+            && known.len() <= MOST_SERVERS;
+        self.made_for = known
+            .iter()
+            .filter(|_| short)
+            .map(|(_, server)| server.hash)
+            .collect();
         if short {
             share(&self.made_for, &mut left);
         }
@@ -113,7 +137,9 @@
 
 /// The server whose key it is while all are there: the highest score.
 fn home(all: &[u32], key: u32) -> Option<u32> {
-    all.iter().copied().max_by_key(|hash| rank_score(*hash, key))
+    all.iter()
+        .copied()
+        .max_by_key(|hash| rank_score(*hash, key))
 }
 
 /// Sets the part of each server that is left so that none gets more than its room: `all` are the hashes of the
@@ -125,7 +151,10 @@
     type Walk = (u32, Option<u32>, Vec<(u32, usize)>);
     let walks: Vec<Walk> = keys
         .map(|key| {
-            let scored = left.iter().enumerate().map(|(at, server)| (rank_score(server.hash, key), at));
+            let scored = left
+                .iter()
+                .enumerate()
+                .map(|(at, server)| (rank_score(server.hash, key), at));
             let mut order: Vec<(u32, usize)> = scored.collect();
             order.sort_unstable_by_key(|(score, _)| Reverse(*score));
             (key, home(all, key), order)
@@ -142,9 +171,17 @@
                     takes(server.hash, *key, part.min(server.most))
                 })
             };
-            let Some((_, at)) = order.iter().find(lets) else { continue };
-            let (Some(got), Some(server)) = (got.get_mut(*at), left.get(*at)) else { continue };
-            *(if own(server.hash) { &mut got.0 } else { &mut got.1 }) += 1.0 / samples as f64;
+            let Some((_, at)) = order.iter().find(lets) else {
+                continue;
+            };
+            let (Some(got), Some(server)) = (got.get_mut(*at), left.get(*at)) else {
+                continue;
+            };
+            *(if own(server.hash) {
+                &mut got.0
+            } else {
+                &mut got.1
+            }) += 1.0 / samples as f64;
         }
         for (server, (own, others)) in left.iter_mut().zip(got) {
             let due = (server.room - own).max(0.0) / f64::max(others, 1e-9);
--- a/crates/placement/src/table.rs
+++ b/crates/placement/src/table.rs
@@ -31,7 +31,10 @@
 
     /// Every place in use.
     pub(crate) fn slots(&self) -> Vec<Slot> {
-        (0..self.rows.len() as u32).map(Slot).filter(|at| self.id(*at).is_some()).collect()
+        (0..self.rows.len() as u32)
+            .map(Slot)
+            .filter(|at| self.id(*at).is_some())
+            .collect()
     }
 
     pub(crate) fn id(&self, at: Slot) -> Option<&ServerId> {
@@ -63,7 +66,9 @@
 
     /// Removes a row; an empty one stays in its place until another takes it.
     pub(crate) fn remove(&mut self, at: Slot) {
-        let Some(place) = self.rows.get_mut(at.0 as usize) else { return };
+        let Some(place) = self.rows.get_mut(at.0 as usize) else {
+            return;
+        };
         if let (Some(id), _) = std::mem::take(place) {
             self.slots.remove(&id);
             self.unused.push(at);
--- a/crates/placement/src/table/tests.rs
+++ b/crates/placement/src/table/tests.rs
@@ -5,7 +5,10 @@
     let mut table = Table::default();
     let (a, b) = (table.insert("a".into(), 1), table.insert("b".into(), 2));
     table.remove(a);
-    assert_eq!((table.len(), table.slot(&"a".into()), table.id(a)), (1, UNKNOWN, None));
+    assert_eq!(
+        (table.len(), table.slot(&"a".into()), table.id(a)),
+        (1, UNKNOWN, None)
+    );
     let c = table.insert("c".into(), 3);
     assert_eq!((c, table.get(c), table.get(b)), (a, Some(&3), Some(&2)));
     assert_eq!(table.slots(), [c, b]);
--- a/crates/placement/src/work_tests.rs
+++ b/crates/placement/src/work_tests.rs
@@ -10,7 +10,11 @@
     let second = Duration::from_secs(1);
     Settings {
         instances: 200,
-        classes: vec![Class { aim: second, message_aim: second / 10, repeat: Repeat::Repeatable }],
+        classes: vec![Class {
+            aim: second,
+            message_aim: second / 10,
+            repeat: Repeat::Repeatable,
+        }],
         tenants: Vec::new(),
         attempt_cap: 5,
         may_tell: true,
@@ -55,17 +59,37 @@
         started: None,
     };
     let entries = (0..servers).map(listed).collect();
-    balancer.handle(Time(0), Event::List { entries, cached: false }, &mut actions);
+    balancer.handle(
+        Time(0),
+        Event::List {
+            entries,
+            cached: false,
+        },
+        &mut actions,
+    );
     READS.set(0);
     for id in 1..=20 {
         let (now, request) = (Time(id * SECOND), RequestId(id));
         balancer.handle(now, Event::Request(incoming(id)), &mut actions);
-        assert!(matches!(actions.last(), Some(Action::Place { .. })), "placed at once");
-        balancer.handle(now, Event::Established { request, took: Duration::from_millis(20) }, &mut actions);
+        assert!(
+            matches!(actions.last(), Some(Action::Place { .. })),
+            "placed at once"
+        );
+        balancer.handle(
+            now,
+            Event::Established {
+                request,
+                took: Duration::from_millis(20),
+            },
+            &mut actions,
+        );
         if id % 4 == 0 {
             balancer.handle(
                 now,
-                Event::DelayNote { request, delay: Duration::from_millis(90) },
+                Event::DelayNote {
+                    request,
+                    delay: Duration::from_millis(90),
+                },
                 &mut actions,
             );
         }
@@ -73,7 +97,13 @@
             let outcome = Outcome::Reset;
             balancer.handle(
                 now,
-                Event::Ended { request, attempt: 0, outcome, done: true, report: None },
+                Event::Ended {
+                    request,
+                    attempt: 0,
+                    outcome,
+                    done: true,
+                    report: None,
+                },
                 &mut actions,
             );
         }
@@ -88,5 +118,8 @@
 fn what_a_gateway_reads_follows_what_it_holds_not_the_size_of_the_fleet() {
     let (small, large) = (rows_read(30), rows_read(900));
     assert!(small > 100, "{small} rows counted");
-    assert!(large <= small * 5 / 4, "{small} rows with 30 servers, {large} with 900");
+    assert!(
+        large <= small * 5 / 4,
+        "{small} rows with 30 servers, {large} with 900"
+    );
 }
--- a/crates/placement/tests/common/mod.rs
+++ b/crates/placement/tests/common/mod.rs
@@ -14,7 +14,11 @@
 pub fn settings(repeat: Repeat) -> Settings {
     Settings {
         instances: 2,
-        classes: vec![Class { aim: ms(500), message_aim: ms(100), repeat }],
+        classes: vec![Class {
+            aim: ms(500),
+            message_aim: ms(100),
+            repeat,
+        }],
         tenants: vec![],
         attempt_cap: 4,
         may_tell: false,
@@ -117,7 +121,10 @@
             }
         }
         entries.iter().for_each(|entry| self.note(entry));
-        self.tell(Event::List { entries, cached: false });
+        self.tell(Event::List {
+            entries,
+            cached: false,
+        });
     }
 
     pub fn change(&mut self, entry: Listed) {
@@ -129,14 +136,20 @@
     pub fn by_hand(&mut self, out: &[&str]) {
         self.out = out.iter().map(|name| ServerId::from(*name)).collect();
         for (server, book) in &mut self.list {
-            book.2 = self.out.contains(server).then_some(book.2.unwrap_or(self.now));
+            book.2 = self
+                .out
+                .contains(server)
+                .then_some(book.2.unwrap_or(self.now));
         }
         self.tell(Event::ByHand(self.out.clone()));
     }
 
     fn note(&mut self, entry: &Listed) {
         let now = self.now;
-        let book = self.list.entry(entry.server.clone()).or_insert((0, 0, None));
+        let book = self
+            .list
+            .entry(entry.server.clone())
+            .or_insert((0, 0, None));
         (book.0, book.1) = (entry.zone, entry.cell);
         let serves = entry.health == Health::Ready && !self.out.contains(&entry.server);
         book.2 = if serves { None } else { book.2.or(Some(now)) };
@@ -169,13 +182,19 @@
 
     /// Where the latest attempt of a request went.
     pub fn at(&self, id: u64) -> Option<String> {
-        self.books[&id].attempts.last().map(|(server, _, _)| server.0.to_string())
+        self.books[&id]
+            .attempts
+            .last()
+            .map(|(server, _, _)| server.0.to_string())
     }
 
     pub fn stands(&mut self, id: u64) {
         self.books.get_mut(&id).unwrap().stands = true;
         let took = Duration::from_nanos(self.now - self.books[&id].attempts.last().unwrap().1);
-        self.tell(Event::Established { request: RequestId(id), took });
+        self.tell(Event::Established {
+            request: RequestId(id),
+            took,
+        });
     }
 
     pub fn ends(&mut self, id: u64, outcome: Outcome) {
@@ -188,7 +207,13 @@
         }
         let done = book.finals > 0;
         self.patience.remove(&id);
-        self.tell(Event::Ended { request: RequestId(id), attempt, outcome, done, report: None });
+        self.tell(Event::Ended {
+            request: RequestId(id),
+            attempt,
+            outcome,
+            done,
+            report: None,
+        });
     }
 
     /// The gateway ends; what is out for the request was sent, or not yet.
@@ -200,13 +225,28 @@
             attempt.2 = (!sent).then_some(Outcome::Moot);
         });
         let number = (self.books[&id].attempts.len() as u32).saturating_sub(1);
-        self.tell(Event::GivenUp { request: RequestId(id), sent });
+        self.tell(Event::GivenUp {
+            request: RequestId(id),
+            sent,
+        });
         assert_eq!(self.books[&id].finals, 1, "given up without an answer");
         self.patience.remove(&id);
         if attempt.is_some() {
-            self.books.get_mut(&id).unwrap().attempts.last_mut().unwrap().2 = Some(Outcome::Cancelled);
+            self.books
+                .get_mut(&id)
+                .unwrap()
+                .attempts
+                .last_mut()
+                .unwrap()
+                .2 = Some(Outcome::Cancelled);
             let (request, outcome) = (RequestId(id), Outcome::Cancelled);
-            self.tell(Event::Ended { request, attempt: number, outcome, done: true, report: None });
+            self.tell(Event::Ended {
+                request,
+                attempt: number,
+                outcome,
+                done: true,
+                report: None,
+            });
             assert_eq!(self.last, vec![], "nothing is owed any more");
         }
     }
@@ -245,18 +285,35 @@
 
     fn check(&mut self, action: &Action) {
         match action {
-            Action::Place { request, server, patience } => {
+            Action::Place {
+                request,
+                server,
+                patience,
+            } => {
                 let now = self.now;
-                let (zone, cell, leaving) = *self.list.get(server).expect("a server that was listed");
+                let (zone, cell, leaving) =
+                    *self.list.get(server).expect("a server that was listed");
                 let settings = self.settings.clone();
-                let book = self.books.get_mut(&request.0).expect("a request that was taken");
+                let book = self
+                    .books
+                    .get_mut(&request.0)
+                    .expect("a request that was taken");
                 assert_eq!(book.finals, 0, "sent after its final answer");
                 assert!(now <= book.expires, "sent after its time");
-                assert!(book.attempts.iter().all(|(_, _, end)| end.is_some()), "two attempts out at once");
-                assert!(book.attempts.len() < settings.attempt_cap as usize, "more attempts than allowed");
+                assert!(
+                    book.attempts.iter().all(|(_, _, end)| end.is_some()),
+                    "two attempts out at once"
+                );
+                assert!(
+                    book.attempts.len() < settings.attempt_cap as usize,
+                    "more attempts than allowed"
+                );
                 if let Some(since) = leaving {
                     let grace = settings.drain_grace.as_nanos() as u64;
-                    assert!(book.mid_flow && now - since <= grace, "something new to a leaving server");
+                    assert!(
+                        book.mid_flow && now - since <= grace,
+                        "something new to a leaving server"
+                    );
                 }
                 for (earlier, sent, end) in &book.attempts {
                     if end.unwrap().never_ran() {
@@ -264,7 +321,9 @@
                     }
                     match settings.classes[0].repeat {
                         Repeat::Repeatable => {}
-                        Repeat::Once => panic!("an unsafe request sent again though it may have run"),
+                        Repeat::Once => {
+                            panic!("an unsafe request sent again though it may have run")
+                        }
                         Repeat::ByKey { scope, window } => {
                             let place = self.list[earlier];
                             let same = match scope {
@@ -273,7 +332,10 @@
                                 Scope::Cell => place.1 == cell,
                             };
                             assert!(same, "a keyed request sent outside its group");
-                            assert!(now - sent <= window.as_nanos() as u64, "a keyed request sent too late");
+                            assert!(
+                                now - sent <= window.as_nanos() as u64,
+                                "a keyed request sent too late"
+                            );
                         }
                     }
                 }
@@ -287,8 +349,14 @@
                     .iter()
                     .any(|(_, _, end)| !end.is_some_and(|outcome| outcome.never_ran()));
                 let repeat = self.settings.classes[0].repeat;
-                let harmless = matches!(repeat, Repeat::Repeatable | Repeat::ByKey { scope: Scope::All, .. })
-                    || !doubtful;
+                let harmless = matches!(
+                    repeat,
+                    Repeat::Repeatable
+                        | Repeat::ByKey {
+                            scope: Scope::All,
+                            ..
+                        }
+                ) || !doubtful;
                 assert!(harmless, "refused though it may have run");
                 self.final_answer(request.0);
             }
@@ -299,7 +367,8 @@
             }
             Action::SetTimer { after, handle } => {
                 self.serial += 1;
-                self.timers.insert((self.now + after.as_nanos() as u64, self.serial, *handle));
+                self.timers
+                    .insert((self.now + after.as_nanos() as u64, self.serial, *handle));
             }
             Action::Probe(server) => self.probes.push(server.clone()),
             Action::Tell(_) | Action::Subscribe => {}
@@ -311,6 +380,9 @@
         book.finals += 1;
         assert_eq!(book.finals, 1, "two final answers");
         // A standing connection has no deadline; its end may come at any time.
-        assert!(book.stands || self.now <= book.expires + 20 * MS, "answered too late");
+        assert!(
+            book.stands || self.now <= book.expires + 20 * MS,
+            "answered too late"
+        );
     }
 }
--- a/crates/placement/tests/failures.rs
+++ b/crates/placement/tests/failures.rs
@@ -13,7 +13,10 @@
 
 fn ask(world: &mut World, id: u64, group: &str) {
     let group = Some(group.to_string());
-    world.ask(Incoming { group, ..request(id, &format!("client:{id}"), world.now + 5_000 * MS) });
+    world.ask(Incoming {
+        group,
+        ..request(id, &format!("client:{id}"), world.now + 5_000 * MS)
+    });
 }
 
 /// `n` standing connections, one of each group in turn, and time for them to rest.
@@ -33,17 +36,28 @@
 }
 
 fn moves(world: &World) -> Vec<u64> {
-    let moved = |action: &Action| if let Action::Move(id) = action { Some(id.0) } else { None };
+    let moved = |action: &Action| {
+        if let Action::Move(id) = action {
+            Some(id.0)
+        } else {
+            None
+        }
+    };
     world.last.iter().filter_map(moved).collect()
 }
 
 fn late(world: &mut World, server: &str, delay: u64) {
     let id = on(world, server)[0];
-    world.tell(Event::DelayNote { request: RequestId(id), delay: ms(delay) });
+    world.tell(Event::DelayNote {
+        request: RequestId(id),
+        delay: ms(delay),
+    });
 }
 
 fn busiest(world: &World) -> &'static str {
-    SIX.into_iter().max_by_key(|server| on(world, server).len()).unwrap()
+    SIX.into_iter()
+        .max_by_key(|server| on(world, server).len())
+        .unwrap()
 }
 
 /// An attempt storm on a shared store (kolkata-search, big days): errors came from every server.
@@ -52,17 +66,29 @@
     let mut world = World::with_servers(site(), &SIX);
     for id in 0..60 {
         ask(&mut world, id, &format!("c:{id}"));
-        let out = world.books[&id].attempts.last().is_some_and(|(_, _, end)| end.is_none());
+        let out = world.books[&id]
+            .attempts
+            .last()
+            .is_some_and(|(_, _, end)| end.is_none());
         if out && id < 40 {
             world.ends(id, Outcome::Error);
         }
         world.advance(world.now + 30 * MS);
     }
-    let under_way =
-        world.books.values().filter(|book| book.attempts.last().is_some_and(|a| a.2.is_none())).count();
-    assert!((1..=8).contains(&under_way), "{under_way} set-ups under way");
+    let under_way = world
+        .books
+        .values()
+        .filter(|book| book.attempts.last().is_some_and(|a| a.2.is_none()))
+        .count();
+    assert!(
+        (1..=8).contains(&under_way),
+        "{under_way} set-ups under way"
+    );
     world.advance(world.now + 6_000 * MS);
-    assert!(world.books.values().all(|book| book.finals == 1), "those that waited are answered too");
+    assert!(
+        world.books.values().all(|book| book.finals == 1),
+        "those that waited are answered too"
+    );
 }
 
 /// Slow set-ups after a gateway's clients came at once (sapporo-live, big-1).
@@ -112,7 +138,11 @@
                 world.stands(id);
             }
         }
-        assert_eq!(moved > 0, emptied, "{moved} of {held} moved after {outcome:?}");
+        assert_eq!(
+            moved > 0,
+            emptied,
+            "{moved} of {held} moved after {outcome:?}"
+        );
         let before = on(&world, server).len();
         for id in 2_000..2_050 {
             ask(&mut world, id, &format!("m:{id}"));
@@ -128,13 +158,20 @@
     let mut world = filled(site(), &SIX, 60, 20);
     for id in 1_000..1_120 {
         ask(&mut world, id, &format!("n:{id}"));
-        while world.at(id).is_some_and(|at| at == "s1" || at == "s2") && world.books[&id].finals == 0 {
+        while world.at(id).is_some_and(|at| at == "s1" || at == "s2")
+            && world.books[&id].finals == 0
+        {
             world.ends(id, Outcome::TimedOut);
         }
         world.stands(id);
     }
-    let wasted: usize = (1_000..1_120).map(|id| world.books[&id].attempts.len() - 1).sum();
-    assert!((2..12).contains(&wasted), "{wasted} attempts at silent servers");
+    let wasted: usize = (1_000..1_120)
+        .map(|id| world.books[&id].attempts.len() - 1)
+        .sum();
+    assert!(
+        (2..12).contains(&wasted),
+        "{wasted} attempts at silent servers"
+    );
 }
 
 /// Evidence that says everybody is bad is not believed: no ejecting everyone.
@@ -146,7 +183,9 @@
         world.advance(world.now + 500 * MS);
     }
     world.advance(world.now + 10_000 * MS);
-    let tried = (150..200).filter(|id| !world.books[id].attempts.is_empty()).count();
+    let tried = (150..200)
+        .filter(|id| !world.books[id].attempts.is_empty())
+        .count();
     assert!(tried > 40, "{tried} of the last 50 were tried");
 }
 
@@ -163,8 +202,12 @@
             world.stands(id);
         }
     }
-    let wasted: usize =
-        world.books.values().map(|book| book.attempts.len()).sum::<usize>() - on(&world, "s6").len();
+    let wasted: usize = world
+        .books
+        .values()
+        .map(|book| book.attempts.len())
+        .sum::<usize>()
+        - on(&world, "s6").len();
     assert!(wasted <= 10, "{wasted} attempts at dead servers");
 }
 
@@ -213,7 +256,10 @@
     assert!(!moved.is_empty());
     let gone: BTreeSet<u64> = moved.iter().map(group).collect();
     let left: BTreeSet<u64> = on(&world, server).iter().map(group).collect();
-    assert!(gone.intersection(&left).count() <= 1, "at most one group is split");
+    assert!(
+        gone.intersection(&left).count() <= 1,
+        "at most one group is split"
+    );
     assert!(left.len() < before.len());
 }
 
@@ -231,7 +277,10 @@
     late(&mut world, "s1", 90);
     let moved = moves(&world);
     assert!(!moved.is_empty());
-    assert!(moved.iter().all(|id| *id < 4), "{moved:?}: parts of one connection go first");
+    assert!(
+        moved.iter().all(|id| *id < 4),
+        "{moved:?}: parts of one connection go first"
+    );
 }
 
 /// Notes that never stop, seen by this gateway alone, do not keep clients moving for ever.
@@ -247,18 +296,32 @@
             }
         }
     }
-    assert!((1..=91).contains(&moved), "{moved} of 300 moved at one moment");
+    assert!(
+        (1..=91).contains(&moved),
+        "{moved} of 300 moved at one moment"
+    );
 }
 
 fn reporting() -> Settings {
     // Probes too dear to be sent: the reports come unasked.
-    Settings { may_probe: true, probe_price: 1.0, report_utilisation: Some(0), ..site() }
+    Settings {
+        may_probe: true,
+        probe_price: 1.0,
+        report_utilisation: Some(0),
+        ..site()
+    }
 }
 
 /// sapporo-live-later, big-2: sixty gateways that each probed every server each second paid more than they gained.
 #[test]
 fn a_server_is_probed_ahead_of_a_placement_and_a_full_one_passed_over() {
-    let mut world = World::with_servers(Settings { probe_price: 0.0, ..reporting() }, &SIX);
+    let mut world = World::with_servers(
+        Settings {
+            probe_price: 0.0,
+            ..reporting()
+        },
+        &SIX,
+    );
     ask(&mut world, 1, "c:1");
     let asked = |world: &World| {
         world.last.iter().find_map(|action| match action {
@@ -268,10 +331,18 @@
     };
     let first = asked(&world).expect("a probe goes out first");
     assert!(world.at(1).is_none(), "the request waits for the report");
-    world.tell(Event::Probed { server: first.clone(), passed: true, report: Some(vec![0.99]) });
+    world.tell(Event::Probed {
+        server: first.clone(),
+        passed: true,
+        report: Some(vec![0.99]),
+    });
     let second = asked(&world).expect("the next-highest score is probed");
     assert_ne!(first, second);
-    world.tell(Event::Probed { server: second.clone(), passed: true, report: Some(vec![0.3]) });
+    world.tell(Event::Probed {
+        server: second.clone(),
+        passed: true,
+        report: Some(vec![0.3]),
+    });
     assert_eq!(world.at(1).as_deref(), Some(&*second.0));
     // No answer in good time: it goes on without.
     ask(&mut world, 2, "c:2");
@@ -281,14 +352,28 @@
 
 #[test]
 fn dear_probes_are_few() {
-    let mut world = World::with_servers(Settings { probe_price: 0.002, ..reporting() }, &SIX);
+    let mut world = World::with_servers(
+        Settings {
+            probe_price: 0.002,
+            ..reporting()
+        },
+        &SIX,
+    );
     let mut probes = 0;
     for id in 0..200 {
         ask(&mut world, id, &format!("c:{id}"));
-        probes += world.last.iter().filter(|action| matches!(action, Action::Probe(_))).count();
+        probes += world
+            .last
+            .iter()
+            .filter(|action| matches!(action, Action::Probe(_)))
+            .count();
         for action in world.last.clone() {
             if let Action::Probe(server) = action {
-                world.tell(Event::Probed { server, passed: true, report: Some(vec![0.3]) });
+                world.tell(Event::Probed {
+                    server,
+                    passed: true,
+                    report: Some(vec![0.3]),
+                });
             }
         }
         world.advance(world.now + 100 * MS);
@@ -296,13 +381,20 @@
             world.stands(id);
         }
     }
-    assert!((20..=300).contains(&probes), "{probes} probes for 200 requests");
+    assert!(
+        (20..=300).contains(&probes),
+        "{probes} probes for 200 requests"
+    );
 }
 
 fn report(world: &mut World, used: f64) {
     for server in SIX {
         let report = Some(vec![used]);
-        world.tell(Event::Probed { server: server.into(), passed: true, report });
+        world.tell(Event::Probed {
+            server: server.into(),
+            passed: true,
+            report,
+        });
     }
 }
 
@@ -334,14 +426,21 @@
         world.books[id].finals == 1
     });
     let refused = refused.count();
-    assert!((50..100).contains(&refused), "{refused} of 100 refused between two reports");
+    assert!(
+        (50..100).contains(&refused),
+        "{refused} of 100 refused between two reports"
+    );
 }
 
 /// almaty-main-later, big-1: a hundred gateways each put the two connections they hold of a large group on one server.
 #[test]
 fn a_group_larger_than_a_server_starts_at_several() {
     let spread = |gateways: u32, share: u64| {
-        let settings = Settings { instances: gateways, cold_for: ms(0), ..site() };
+        let settings = Settings {
+            instances: gateways,
+            cold_for: ms(0),
+            ..site()
+        };
         let names: Vec<String> = (0..60).map(|n| format!("10.0.0.{n}:80")).collect();
         let names: Vec<&str> = names.iter().map(|name| name.as_str()).collect();
         let mut at = std::collections::BTreeSet::new();
@@ -350,9 +449,15 @@
             world.list(names.iter().map(|name| listed(name)).collect());
             for n in 0..12 {
                 let id = u64::from(gateway) * 100 + n;
-                let group = if n % share == 0 { "large".to_string() } else { format!("c:{id}") };
-                let incoming =
-                    Incoming { group: Some(group.clone()), ..request(id, &format!("u:{id}"), u64::MAX / 2) };
+                let group = if n % share == 0 {
+                    "large".to_string()
+                } else {
+                    format!("c:{id}")
+                };
+                let incoming = Incoming {
+                    group: Some(group.clone()),
+                    ..request(id, &format!("u:{id}"), u64::MAX / 2)
+                };
                 world.ask(incoming);
                 world.stands(id);
                 if group == "large" {
@@ -362,8 +467,16 @@
         }
         at.len()
     };
-    assert!(spread(30, 3) >= 10, "a third of all connections on {} of 60 servers", spread(30, 3));
-    assert_eq!(spread(30, 12), 1, "one of each gateway's connections at first tells nothing");
+    assert!(
+        spread(30, 3) >= 10,
+        "a third of all connections on {} of 60 servers",
+        spread(30, 3)
+    );
+    assert_eq!(
+        spread(30, 12),
+        1,
+        "one of each gateway's connections at first tells nothing"
+    );
 }
 
 /// A crashed server comes back before the list tells of it: the first success starts its warm-up.
@@ -379,7 +492,11 @@
         ask(&mut world, id, &format!("n:{id}"));
         world.stands(id);
     }
-    assert!(on(&world, server).len() <= 3, "{} sent at once after the crash", on(&world, server).len());
+    assert!(
+        on(&world, server).len() <= 3,
+        "{} sent at once after the crash",
+        on(&world, server).len()
+    );
 }
 
 /// i61f50e: in the first seconds servers dropped hundreds of connections before any move was allowed.
@@ -388,7 +505,10 @@
     let mut world = World::with_servers(site(), &SIX);
     for id in 0..60 {
         let group = Some(format!("c:{}", id % 20));
-        let incoming = Incoming { group, ..request(id, &format!("client:{id}"), world.now) };
+        let incoming = Incoming {
+            group,
+            ..request(id, &format!("client:{id}"), world.now)
+        };
         world.inherit(incoming, SIX[id as usize % 6]);
     }
     late(&mut world, "s1", 300);
@@ -413,7 +533,10 @@
         world.change(listed(out));
         world.advance(world.now + 100 * MS);
     }
-    assert!(left[7] > held / 4 && left[7] < held * 3 / 4 && left[15] == 0, "{left:?} of {held}");
+    assert!(
+        left[7] > held / 4 && left[7] < held * 3 / 4 && left[15] == 0,
+        "{left:?} of {held}"
+    );
     world.by_hand(&[]);
     let back = (0..50).find(|n| {
         ask(&mut world, 2_000 + n, &format!("c:{}", n % 40));
@@ -429,8 +552,10 @@
 fn mid_flow_connections_do_not_wait_for_the_window() {
     let mut world = World::with_servers(site(), &SIX);
     for id in 0..100 {
-        world
-            .ask(Incoming { mid_flow: true, ..request(id, &format!("client:{id}"), world.now + 2_000 * MS) });
+        world.ask(Incoming {
+            mid_flow: true,
+            ..request(id, &format!("client:{id}"), world.now + 2_000 * MS)
+        });
         assert!(world.at(id).is_some());
     }
 }
@@ -449,14 +574,26 @@
 #[test]
 fn a_gateway_that_sees_little_keeps_groups_together() {
     let spread = |instances| {
-        let mut world = filled(Settings { instances, ..site() }, &SIX, 24, 4);
+        let mut world = filled(
+            Settings {
+                instances,
+                ..site()
+            },
+            &SIX,
+            24,
+            4,
+        );
         world.advance(world.now + 2_000 * MS);
-        let pairs: BTreeSet<(u64, String)> =
-            (0..24).filter_map(|id| world.at(id).map(|server| (id % 4, server))).collect();
+        let pairs: BTreeSet<(u64, String)> = (0..24)
+            .filter_map(|id| world.at(id).map(|server| (id % 4, server)))
+            .collect();
         pairs.len()
     };
     let (alone, many) = (spread(1), spread(9));
-    assert!(many < alone, "{many} pairs of group and server among nine, {alone} alone");
+    assert!(
+        many < alone,
+        "{many} pairs of group and server among nine, {alone} alone"
+    );
 }
 
 /// Full servers that gave way to any group held a little of each (ibd545b, ia03445 and most other overloads).
@@ -471,9 +608,15 @@
     }
     world.advance(world.now + 4_000 * MS);
     (200..206).for_each(|id| ask(&mut world, id, "c:new"));
-    assert!((200..206).all(|id| world.at(id).is_none()), "a new group waits until caps have risen");
+    assert!(
+        (200..206).all(|id| world.at(id).is_none()),
+        "a new group waits until caps have risen"
+    );
     (0..6).for_each(|group| ask(&mut world, 210 + group, &format!("c:{group}")));
-    assert!((210..216).any(|id| world.at(id).is_some()), "one more of a group that is there is let in");
+    assert!(
+        (210..216).any(|id| world.at(id).is_some()),
+        "one more of a group that is there is let in"
+    );
 }
 
 /// Reports left room for a little of every group at every server (icfa145, i61f50e, ica9cf7).
@@ -493,13 +636,22 @@
 /// kolkata-search-later, big-2: gateways that held nothing on a late server kept sending to it. One holder tells.
 #[test]
 fn what_one_gateway_tells_of_a_late_server_keeps_others_away_for_a_while() {
-    let telling = Settings { may_tell: true, instances: 2, ..site() };
+    let telling = Settings {
+        may_tell: true,
+        instances: 2,
+        ..site()
+    };
     let mut holder = filled(telling.clone(), &SIX, 60, 20);
     let server = busiest(&holder);
     let mut told = None;
     for _ in 0..60 {
-        let Some(held) = on(&holder, server).first().copied() else { break };
-        holder.tell(Event::DelayNote { request: RequestId(held), delay: ms(200) });
+        let Some(held) = on(&holder, server).first().copied() else {
+            break;
+        };
+        holder.tell(Event::DelayNote {
+            request: RequestId(held),
+            delay: ms(200),
+        });
         told = told.or(holder.last.iter().find_map(|action| match action {
             Action::Tell(message) => Some(message.clone()),
             _ => None,
@@ -525,7 +677,10 @@
     };
     assert_eq!(to_it(&mut other, 1_000), 0);
     other.advance(other.now + 6_000 * MS);
-    assert!(to_it(&mut other, 2_000) > 0, "a hint is believed for a while only");
+    assert!(
+        to_it(&mut other, 2_000) > 0,
+        "a hint is believed for a while only"
+    );
 }
 
 /// kolkata-search-later, big-1: holders on a hung server are noted half a minute at once; no queue is that long.
@@ -552,7 +707,13 @@
     let mut counts = [0; 4];
     // How often a window of less than one is used is a matter of chance: some gateways together show it.
     for seed in 1..=8 {
-        let mut world = World::new(Settings { instances: 128, ..site() }, seed);
+        let mut world = World::new(
+            Settings {
+                instances: 128,
+                ..site()
+            },
+            seed,
+        );
         world.list(names.iter().map(|name| listed(name)).collect());
         let mut before = 0;
         for (span, count) in counts.iter_mut().enumerate() {
@@ -564,15 +725,31 @@
             *count += sends - std::mem::replace(&mut before, sends);
         }
     }
-    assert!(counts[3] * 2 < counts[0], "{counts:?} attempts in spans of 10 s");
+    assert!(
+        counts[3] * 2 < counts[0],
+        "{counts:?} attempts in spans of 10 s"
+    );
     assert!(counts[3] > 0, "it is tried again now and then");
 }
 
 fn two_hundred(second: fn(usize) -> bool) -> (World, Vec<String>) {
-    let mut world = World::new(Settings { instances: 100, ..site() }, 1);
+    let mut world = World::new(
+        Settings {
+            instances: 100,
+            ..site()
+        },
+        1,
+    );
     let names: Vec<String> = (0..200).map(|n| format!("s{n}")).collect();
     let entries = names.iter().enumerate();
-    world.list(entries.map(|(n, name)| Listed { kind: u32::from(second(n)), ..listed(name) }).collect());
+    world.list(
+        entries
+            .map(|(n, name)| Listed {
+                kind: u32::from(second(n)),
+                ..listed(name)
+            })
+            .collect(),
+    );
     for id in 0..30 {
         ask(&mut world, id, &format!("c:{id}"));
         world.stands(id);
@@ -585,7 +762,12 @@
 fn placed_on_second_kind(second_late: bool) -> usize {
     let (mut world, names) = two_hundred(|n| n % 2 == 1);
     for second in 0..30 {
-        for name in names.iter().skip(1).step_by(2).filter(|_| second_late && second % 3 == 0) {
+        for name in names
+            .iter()
+            .skip(1)
+            .step_by(2)
+            .filter(|_| second_late && second % 3 == 0)
+        {
             if !on(&world, name).is_empty() {
                 late(&mut world, name, 40);
             }
@@ -606,8 +788,14 @@
 #[test]
 fn a_kind_of_machine_that_is_late_more_often_takes_fewer_of_the_keys() {
     let (calm, late) = (placed_on_second_kind(false), placed_on_second_kind(true));
-    assert!((20..=40).contains(&calm), "{calm} of 60 on half of the servers");
-    assert!(late > 0 && late * 3 < calm * 2, "{late} of 60, {calm} where none is late");
+    assert!(
+        (20..=40).contains(&calm),
+        "{calm} of 60 on half of the servers"
+    );
+    assert!(
+        late > 0 && late * 3 < calm * 2,
+        "{late} of 60, {calm} where none is late"
+    );
 }
 
 /// Hundreds of gateways hold one connection a server each, which a full server drops (i7bc0dc): half of those
@@ -631,7 +819,13 @@
 /// Requests that no further attempt was allowed for waited behind others until just before their clients left.
 #[test]
 fn a_request_that_spent_its_attempts_is_refused_at_once_though_others_wait() {
-    let mut world = World::with_servers(Settings { attempt_cap: 1, ..site() }, &SIX);
+    let mut world = World::with_servers(
+        Settings {
+            attempt_cap: 1,
+            ..site()
+        },
+        &SIX,
+    );
     (0..20).for_each(|id| ask(&mut world, id, &format!("c:{id}")));
     assert!(world.at(19).is_none(), "some wait");
     world.ends(0, Outcome::Full);
@@ -646,7 +840,14 @@
 fn a_request_that_no_server_is_left_for_does_not_wait() {
     let mut world = World::with_servers(site(), &SIX);
     (0..20).for_each(|id| ask(&mut world, id, &format!("c:{id}")));
-    world.list(SIX.iter().map(|name| Listed { health: Health::Draining, ..listed(name) }).collect());
+    world.list(
+        SIX.iter()
+            .map(|name| Listed {
+                health: Health::Draining,
+                ..listed(name)
+            })
+            .collect(),
+    );
     world.advance(world.now + 100 * MS);
     assert_eq!(world.books[&19].finals, 1);
 }
@@ -665,7 +866,8 @@
 /// A trouble day on sockets, where no delay was told: servers dropped connection after connection and kept the rest.
 /// On a day whose network broke single ones (wide+reset), taking each for that left no server with room.
 #[test]
-fn a_server_that_drops_several_connections_sheds_some_of_the_rest_and_one_that_loses_single_ones_does_not() {
+fn a_server_that_drops_several_connections_sheds_some_of_the_rest_and_one_that_loses_single_ones_does_not(
+) {
     let mut world = filled(site(), &SIX, 60, 20);
     let server = busiest(&world);
     for _ in 0..3 {
@@ -720,10 +922,19 @@
     for instances in [1, 2, 3, 50] {
         let names: Vec<String> = (0..10).map(|n| format!("s{n}")).collect();
         let names: Vec<&str> = names.iter().map(String::as_str).collect();
-        let mut world = World::with_servers(Settings { instances, ..site() }, &names);
+        let mut world = World::with_servers(
+            Settings {
+                instances,
+                ..site()
+            },
+            &names,
+        );
         for id in 0..400 {
             ask(&mut world, id, &format!("c:{}", id / 3));
-            assert!(world.at(id).is_some(), "{instances} gateways: request {id} is placed");
+            assert!(
+                world.at(id).is_some(),
+                "{instances} gateways: request {id} is placed"
+            );
             world.stands(id);
             world.advance(world.now + 50 * MS);
         }
@@ -734,14 +945,21 @@
 /// cold, its budget was spent by the first to come, and 300 requests were refused that survivors had room for.
 #[test]
 fn one_broken_connection_does_not_make_its_server_cold() {
-    let settings = Settings { instances: 100, ..reporting() };
+    let settings = Settings {
+        instances: 100,
+        ..reporting()
+    };
     let mut world = World::with_servers(settings, &["a"]);
     ask(&mut world, 1, "c:1");
     world.stands(1);
     world.ends(1, Outcome::Reset);
     world.advance(world.now + 10_000 * MS);
     // A report of little load lifts the cap that the break left, so that only a cold budget could be in the way.
-    world.tell(Event::Probed { server: "a".into(), passed: true, report: Some(vec![0.1]) });
+    world.tell(Event::Probed {
+        server: "a".into(),
+        passed: true,
+        report: Some(vec![0.1]),
+    });
     for id in 2..12 {
         ask(&mut world, id, &format!("c:{id}"));
         assert!(world.at(id).is_some(), "request {id} is refused");
@@ -758,10 +976,23 @@
 }
 
 fn zone_left_after(failures: usize, held: bool) {
-    let mut world = World::new(Settings { attempt_cap: 9, ..site() }, 1);
-    let zoned = |n: u32| Listed { zone: n % 2, ..listed(&format!("s{n}")) };
+    let mut world = World::new(
+        Settings {
+            attempt_cap: 9,
+            ..site()
+        },
+        1,
+    );
+    let zoned = |n: u32| Listed {
+        zone: n % 2,
+        ..listed(&format!("s{n}"))
+    };
     world.list((0..16).map(zoned).collect());
-    let lost = |world: &World, id| world.at(id).is_some_and(|at| at[1..].parse::<u32>().unwrap() % 2 == 1);
+    let lost = |world: &World, id| {
+        world
+            .at(id)
+            .is_some_and(|at| at[1..].parse::<u32>().unwrap() % 2 == 1)
+    };
     if held {
         world.inherit(request(0, "user:0", world.now), "s15");
     }
@@ -784,7 +1015,13 @@
         failed += ask(&mut world, id, failures - failed).0;
     }
     assert_eq!(failed, failures);
-    assert!(!(200..400).any(|id| ask(&mut world, id, 0).1), "sent to a zone that is out of reach");
+    assert!(
+        !(200..400).any(|id| ask(&mut world, id, 0).1),
+        "sent to a zone that is out of reach"
+    );
     world.advance(world.now + 2_500 * MS);
-    assert!((400..600).any(|id| ask(&mut world, id, 0).1), "a zone is left for good");
+    assert!(
+        (400..600).any(|id| ask(&mut world, id, 0).1),
+        "a zone is left for good"
+    );
 }
--- a/crates/placement/tests/fleet.rs
+++ b/crates/placement/tests/fleet.rs
@@ -20,31 +20,52 @@
 
 fn entry(n: u32) -> Listed {
     let name = format!("s{n}");
-    Listed { zone: u32::from(!LEFT.contains(&name.as_str())), ..listed(&name) }
+    Listed {
+        zone: u32::from(!LEFT.contains(&name.as_str())),
+        ..listed(&name)
+    }
 }
 
 /// Two of three servers, all of one zone, are gone at once, and the list tells `told` later: what each server that
 /// is left holds in each second since, over all gateways.
 fn held_after_a_loss(seed: u64, told: u64) -> Vec<[usize; 4]> {
     let mut random = Pcg32::seed_from_u64(seed);
-    let settings = Settings { instances: GATEWAYS, attempt_cap: 3, ..settings(Repeat::Repeatable) };
-    let mut worlds: Vec<World> =
-        (0..GATEWAYS).map(|n| World::new(settings.clone(), seed << 8 | u64::from(n))).collect();
+    let settings = Settings {
+        instances: GATEWAYS,
+        attempt_cap: 3,
+        ..settings(Repeat::Repeatable)
+    };
+    let mut worlds: Vec<World> = (0..GATEWAYS)
+        .map(|n| World::new(settings.clone(), seed << 8 | u64::from(n)))
+        .collect();
     for world in &mut worlds {
         world.list((0..SERVERS).map(entry).collect());
     }
-    let mut clients: Vec<Client> = (0..CLIENTS).map(|_| Client { stands: None, due: 0 }).collect();
+    let mut clients: Vec<Client> = (0..CLIENTS)
+        .map(|_| Client {
+            stands: None,
+            due: 0,
+        })
+        .collect();
     let (start, step) = (12_000 * MS, 50 * MS);
     let mut held = vec![];
     let mut serial = 0;
     for now in (1_000 * MS..start + 9_000 * MS).step_by(step as usize) {
         let gone = |world: &World, id: u64| {
-            now >= start && world.at(id).is_some_and(|server| !LEFT.contains(&server.as_str()))
+            now >= start
+                && world
+                    .at(id)
+                    .is_some_and(|server| !LEFT.contains(&server.as_str()))
         };
         for world in &mut worlds {
             world.advance(now);
             if now == start + told * MS {
-                world.list((0..SERVERS).map(entry).filter(|entry| entry.zone == 0).collect());
+                world.list(
+                    (0..SERVERS)
+                        .map(entry)
+                        .filter(|entry| entry.zone == 0)
+                        .collect(),
+                );
             }
         }
         for (n, client) in clients.iter_mut().enumerate() {
@@ -53,7 +74,10 @@
                 if gone(world, id) || world.books[&id].finals > 0 {
                     let moved = world.books[&id].finals > 0;
                     world.ends(id, if moved { Outcome::Moot } else { Outcome::Reset });
-                    *client = Client { stands: None, due: now };
+                    *client = Client {
+                        stands: None,
+                        due: now,
+                    };
                 }
             }
             if client.stands.is_some() || client.due > now {
@@ -76,7 +100,9 @@
         if now >= start && (now - start) % (1_000 * MS) == 0 {
             let on = |server: &str| {
                 let stands = clients.iter().filter_map(|client| client.stands);
-                stands.filter(|(at, id)| worlds[*at].at(*id).as_deref() == Some(server)).count()
+                stands
+                    .filter(|(at, id)| worlds[*at].at(*id).as_deref() == Some(server))
+                    .count()
             };
             held.push(LEFT.map(on));
         }
@@ -93,8 +119,14 @@
         for (second, held) in held.iter().enumerate().skip(4) {
             let most = held.iter().max().copied().unwrap_or(0) as f64 / usual;
             let all = held.iter().sum::<usize>() as f64 / usual;
-            assert!(most < 2.6, "seed {seed}, second {second}: {held:?}, one holds {most:.1} of the usual");
-            assert!(all > 4.0, "seed {seed}, second {second}: {held:?}, all hold {all:.1} of the usual");
+            assert!(
+                most < 2.6,
+                "seed {seed}, second {second}: {held:?}, one holds {most:.1} of the usual"
+            );
+            assert!(
+                all > 4.0,
+                "seed {seed}, second {second}: {held:?}, all hold {all:.1} of the usual"
+            );
         }
     }
 }
@@ -103,12 +135,18 @@
 /// which 22 were answered. Here it answers nobody for 20 s; each call fails after 2 s.
 #[test]
 fn calls_to_a_discovery_that_fails_are_spread_over_the_gateways() {
-    let settings = Settings { instances: GATEWAYS, ..settings(Repeat::Repeatable) };
-    let mut fleet: Vec<Balancer> =
-        (0..GATEWAYS).map(|n| Balancer::new(settings.clone(), u64::from(n))).collect();
+    let settings = Settings {
+        instances: GATEWAYS,
+        ..settings(Repeat::Repeatable)
+    };
+    let mut fleet: Vec<Balancer> = (0..GATEWAYS)
+        .map(|n| Balancer::new(settings.clone(), u64::from(n)))
+        .collect();
     let mut due: BTreeSet<(u64, usize, Option<u64>)> = BTreeSet::new();
     let mut calls: Vec<Vec<u64>> = vec![vec![]; fleet.len()];
-    let mut started = (0..fleet.len()).map(|at| (0, at, Event::Start)).collect::<Vec<_>>();
+    let mut started = (0..fleet.len())
+        .map(|at| (0, at, Event::Start))
+        .collect::<Vec<_>>();
     while let Some((now, at, event)) = started.pop().or_else(|| {
         let (now, at, timer) = due.pop_first()?;
         Some((now, at, timer.map_or(Event::ListFailed, Event::Timer)))
@@ -133,13 +171,28 @@
     }
     // 20 a second, and twice as many while first calls that failed come again over half the time.
     for from in (0..19_000).step_by(100) {
-        let within = calls.iter().flatten().filter(|at| (from..from + 1_000).contains(*at)).count();
+        let within = calls
+            .iter()
+            .flatten()
+            .filter(|at| (from..from + 1_000).contains(*at))
+            .count();
         assert!(within <= 45, "{within} calls in the second from {from} ms");
     }
     for (at, calls) in calls.iter().enumerate() {
-        let waits = calls.windows(2).map(|pair| pair[1] - pair[0]).chain(calls.first().copied());
-        assert!(calls.len() >= 2, "gateway {at} asked {} times in 20 s", calls.len());
-        assert!(waits.clone().all(|wait| wait <= 2_000 + 9_000), "gateway {at} waited {:?} ms", waits.max());
+        let waits = calls
+            .windows(2)
+            .map(|pair| pair[1] - pair[0])
+            .chain(calls.first().copied());
+        assert!(
+            calls.len() >= 2,
+            "gateway {at} asked {} times in 20 s",
+            calls.len()
+        );
+        assert!(
+            waits.clone().all(|wait| wait <= 2_000 + 9_000),
+            "gateway {at} waited {:?} ms",
+            waits.max()
+        );
     }
 }
 
@@ -147,7 +200,10 @@
 #[test]
 fn a_fleet_of_very_many_servers_shares_nothing_out() {
     for (servers, all_placed) in [(40, false), (201, true)] {
-        let settings = Settings { instances: 100 * GATEWAYS, ..settings(Repeat::Repeatable) };
+        let settings = Settings {
+            instances: 100 * GATEWAYS,
+            ..settings(Repeat::Repeatable)
+        };
         let mut world = World::with_servers(settings, &[]);
         let named = |n: u32| listed(&format!("s{n}"));
         world.list((0..servers).map(named).collect());
--- a/crates/placement/tests/probes.rs
+++ b/crates/placement/tests/probes.rs
@@ -16,7 +16,10 @@
 
 fn ask(world: &mut World, id: u64) {
     let group = Some(format!("c:{}", id % 17));
-    world.ask(Incoming { group, ..request(id, &format!("client:{id}"), world.now + 2_000 * MS) });
+    world.ask(Incoming {
+        group,
+        ..request(id, &format!("client:{id}"), world.now + 2_000 * MS)
+    });
 }
 
 fn zone(server: &str) -> u32 {
@@ -30,12 +33,24 @@
         for server in std::mem::take(&mut world.probes) {
             let passed = !cut || zone(&server.0) == 0;
             let report = passed.then(|| vec![0.3]);
-            world.tell(Event::Probed { server, passed, report });
+            world.tell(Event::Probed {
+                server,
+                passed,
+                report,
+            });
         }
         let waits = |book: &Book| !book.stands && book.finals == 0;
-        let open: Vec<u64> = world.books.iter().filter(|(_, book)| waits(book)).map(|(id, _)| *id).collect();
+        let open: Vec<u64> = world
+            .books
+            .iter()
+            .filter(|(_, book)| waits(book))
+            .map(|(id, _)| *id)
+            .collect();
         for id in open {
-            let out = world.books[&id].attempts.last().filter(|(_, _, end)| end.is_none());
+            let out = world.books[&id]
+                .attempts
+                .last()
+                .filter(|(_, _, end)| end.is_none());
             if out.is_some_and(|(server, _, _)| !cut || zone(&server.0) == 0) {
                 world.stands(id);
             }
@@ -49,7 +64,15 @@
 fn a_zone_cut_off_does_not_hold_up_what_can_be_reached() {
     let mut world = World::new(probing(), 1);
     let names = ["s1", "s2", "s3", "s4", "s5", "s6"];
-    world.list(names.iter().map(|name| Listed { zone: zone(name), ..listed(name) }).collect());
+    world.list(
+        names
+            .iter()
+            .map(|name| Listed {
+                zone: zone(name),
+                ..listed(name)
+            })
+            .collect(),
+    );
     let mut id = 0;
     let mut play = |world: &mut World, cut: bool, spans: u64| {
         let from = id;
@@ -64,13 +87,18 @@
     play(&mut world, true, 30); // time to find out
     let cut = play(&mut world, true, 50);
     pass(&mut world, true);
-    let far = cut.clone().flat_map(|id| &world.books[&id].attempts).filter(|(at, _, _)| zone(&at.0) == 1);
+    let far = cut
+        .clone()
+        .flat_map(|id| &world.books[&id].attempts)
+        .filter(|(at, _, _)| zone(&at.0) == 1);
     assert_eq!(far.count(), 0, "sent to a zone that is out of reach");
     let served = cut.clone().filter(|id| world.books[id].stands).count();
     assert!(served >= 45, "{served} of 50 served within reach");
     play(&mut world, false, 30);
     let back = play(&mut world, false, 50);
-    let far = back.filter(|id| world.at(*id).is_some_and(|at| zone(&at) == 1)).count();
+    let far = back
+        .filter(|id| world.at(*id).is_some_and(|at| zone(&at) == 1))
+        .count();
     assert!(far >= 20, "{far} of 50 to a zone that is back");
 }
 
@@ -83,13 +111,25 @@
             ask(&mut world, id);
             pass(&mut world, false);
         }
-        let answer = |used| Event::Probed { server: "s1".into(), passed: true, report: Some(vec![used]) };
+        let answer = |used| Event::Probed {
+            server: "s1".into(),
+            passed: true,
+            report: Some(vec![used]),
+        };
         values.into_iter().for_each(|used| world.tell(answer(used)));
         ask(&mut world, 100);
         world.at(100)
     };
-    assert_eq!(reported(vec![1.2]), None, "sent to a server that is over its capacity");
-    assert_eq!(reported(vec![1.2, 0.0]), None, "an empty report was believed");
+    assert_eq!(
+        reported(vec![1.2]),
+        None,
+        "sent to a server that is over its capacity"
+    );
+    assert_eq!(
+        reported(vec![1.2, 0.0]),
+        None,
+        "an empty report was believed"
+    );
 }
 
 /// Nobody wanted to place on a server that was known to be full, so its report grew old while messages on it took 1.6 s,
@@ -104,6 +144,13 @@
     let at = world.at(0).unwrap();
     world.advance(world.now + 1_500 * MS);
     world.probes.clear();
-    world.tell(Event::DelayNote { request: RequestId(0), delay: ms(400) });
-    assert!(world.probes.iter().any(|server| *server.0 == *at), "{:?}", world.probes);
+    world.tell(Event::DelayNote {
+        request: RequestId(0),
+        delay: ms(400),
+    });
+    assert!(
+        world.probes.iter().any(|server| *server.0 == *at),
+        "{:?}",
+        world.probes
+    );
 }
--- a/crates/placement/tests/ranking.rs
+++ b/crates/placement/tests/ranking.rs
@@ -7,7 +7,11 @@
 
 /// MurmurHash3 x86_32 once more, written from its description, to check the hashes in use.
 fn reference(data: &[u8], seed: u32) -> u32 {
-    let mix = |k: u32| k.wrapping_mul(0xcc9e_2d51).rotate_left(15).wrapping_mul(0x1b87_3593);
+    let mix = |k: u32| {
+        k.wrapping_mul(0xcc9e_2d51)
+            .rotate_left(15)
+            .wrapping_mul(0x1b87_3593)
+    };
     let mut h = seed;
     let chunks = data.chunks_exact(4);
     let tail = chunks.remainder();
@@ -16,7 +20,10 @@
         h = h.rotate_left(13).wrapping_mul(5).wrapping_add(0xe654_6b64);
     }
     if !tail.is_empty() {
-        let k = tail.iter().rev().fold(0u32, |k, byte| (k << 8) | u32::from(*byte));
+        let k = tail
+            .iter()
+            .rev()
+            .fold(0u32, |k, byte| (k << 8) | u32::from(*byte));
         h ^= mix(k);
     }
     h ^= data.len() as u32;
@@ -25,13 +32,24 @@
     h ^ (h >> 16)
 }
 
-const NAMES: [&str; 6] =
-    ["10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80", "10.0.0.4:80", "10.0.0.5:80", "10.0.0.6:80"];
+const NAMES: [&str; 6] = [
+    "10.0.0.1:80",
+    "10.0.0.2:80",
+    "10.0.0.3:80",
+    "10.0.0.4:80",
+    "10.0.0.5:80",
+    "10.0.0.6:80",
+];
 
 fn top(names: &[&str], key: &str) -> String {
-    let score =
-        |name: &str| reference(name.as_bytes(), 165_233).wrapping_mul(reference(key.as_bytes(), 845_219));
-    names.iter().max_by(|a, b| score(a).cmp(&score(b)).then(b.cmp(a))).unwrap().to_string()
+    let score = |name: &str| {
+        reference(name.as_bytes(), 165_233).wrapping_mul(reference(key.as_bytes(), 845_219))
+    };
+    names
+        .iter()
+        .max_by(|a, b| score(a).cmp(&score(b)).then(b.cmp(a)))
+        .unwrap()
+        .to_string()
 }
 
 fn placed(names: &[&str], incoming: Incoming) -> String {
@@ -47,9 +65,23 @@
     assert_eq!(reference(b"", 1), 0x514e_28b7);
     assert_eq!(reference(b"\0\0\0\0", 0), 0x2362_f9de);
     assert_eq!(reference(b"hello", 0), 0x248b_fa47);
-    assert_eq!(reference(b"The quick brown fox jumps over the lazy dog", 0x9747_b28c), 0x2fa8_26cd);
-    for text in ["", "a", "ab", "abc", "abcd", "10.18.74.7:9003", "user:kd6b5sum7ecwe"] {
-        assert_eq!(server_hash(&text.into()), reference(text.as_bytes(), 165_233));
+    assert_eq!(
+        reference(b"The quick brown fox jumps over the lazy dog", 0x9747_b28c),
+        0x2fa8_26cd
+    );
+    for text in [
+        "",
+        "a",
+        "ab",
+        "abc",
+        "abcd",
+        "10.18.74.7:9003",
+        "user:kd6b5sum7ecwe",
+    ] {
+        assert_eq!(
+            server_hash(&text.into()),
+            reference(text.as_bytes(), 165_233)
+        );
         assert_eq!(key_hash(text), reference(text.as_bytes(), 845_219));
     }
     assert_eq!(rank_score(0x8000_0001, 6), 6);
@@ -59,26 +91,38 @@
 fn the_highest_product_wins() {
     for n in 0..200 {
         let key = format!("user:{n}");
-        assert_eq!(placed(&NAMES, request(1, &key, 5_000 * MS)), top(&NAMES, &key));
+        assert_eq!(
+            placed(&NAMES, request(1, &key, 5_000 * MS)),
+            top(&NAMES, &key)
+        );
     }
 }
 
 #[test]
 fn equal_scores_go_to_the_lower_id() {
     // A key whose hash ends in 12 zero bits sees only the low 20 bits of a server's hash.
-    let key =
-        (0..).map(|n| format!("k{n}")).find(|key| key_hash(key) % 4096 == 0 && key_hash(key) != 0).unwrap();
+    let key = (0..)
+        .map(|n| format!("k{n}"))
+        .find(|key| key_hash(key) % 4096 == 0 && key_hash(key) != 0)
+        .unwrap();
     let mut seen: HashMap<u32, String> = HashMap::new();
     let (first, second) = (0..)
         .find_map(|n| {
             let name = format!("s{n}");
             let low = server_hash(&name.as_str().into()) & 0xf_ffff;
-            seen.insert(low, name.clone()).map(|earlier| (earlier, name))
+            seen.insert(low, name.clone())
+                .map(|earlier| (earlier, name))
         })
         .unwrap();
     let lower = first.clone().min(second.clone());
-    assert_eq!(placed(&[&first, &second], request(1, &key, 5_000 * MS)), lower);
-    assert_eq!(placed(&[&second, &first], request(1, &key, 5_000 * MS)), lower);
+    assert_eq!(
+        placed(&[&first, &second], request(1, &key, 5_000 * MS)),
+        lower
+    );
+    assert_eq!(
+        placed(&[&second, &first], request(1, &key, 5_000 * MS)),
+        lower
+    );
 }
 
 #[test]
@@ -142,8 +186,14 @@
     let key = "user:7";
     let holder = top(&NAMES, key);
     let mut world = World::with_servers(settings(Repeat::Repeatable), &NAMES);
-    world.change(Listed { health: Health::Draining, ..listed(&holder) });
-    let mid_flow = |id, now: u64| Incoming { mid_flow: true, ..request(id, key, now + 3_000 * MS) };
+    world.change(Listed {
+        health: Health::Draining,
+        ..listed(&holder)
+    });
+    let mid_flow = |id, now: u64| Incoming {
+        mid_flow: true,
+        ..request(id, key, now + 3_000 * MS)
+    };
     world.ask(mid_flow(1, world.now));
     assert_eq!(world.at(1).unwrap(), holder);
     world.ask(request(2, key, world.now + 3_000 * MS));
@@ -158,11 +208,20 @@
 fn the_highest_of_150_servers_takes_a_key() {
     let names: Vec<String> = (0..150).map(|n| format!("10.0.{n}.7:9000")).collect();
     let names: Vec<&str> = names.iter().map(|name| name.as_str()).collect();
-    let mut world = World::with_servers(Settings { instances: 900, ..settings(Repeat::Repeatable) }, &names);
+    let mut world = World::with_servers(
+        Settings {
+            instances: 900,
+            ..settings(Repeat::Repeatable)
+        },
+        &names,
+    );
     for id in 0..30 {
         let key = format!("user:{id}");
         let score = |name: &str| rank_score(server_hash(&name.into()), key_hash(&key));
-        let best = names.iter().copied().max_by_key(|name| (score(name), std::cmp::Reverse(*name)));
+        let best = names
+            .iter()
+            .copied()
+            .max_by_key(|name| (score(name), std::cmp::Reverse(*name)));
         world.ask(request(id, &key, world.now + 3_000 * MS));
         assert_eq!(world.at(id).as_deref(), best);
         world.stands(id);
--- a/crates/placement/tests/reports.rs
+++ b/crates/placement/tests/reports.rs
@@ -16,22 +16,40 @@
 /// When one of two gateways sent something to each of three servers that all start at once, for eight seconds. Reports count
 /// what the other gateway holds too, as much.
 fn sent(reports: bool) -> (u64, Vec<Vec<u64>>) {
-    let settings = Settings { report_utilisation: Some(0), ..settings(Repeat::Repeatable) };
+    let settings = Settings {
+        report_utilisation: Some(0),
+        ..settings(Repeat::Repeatable)
+    };
     let mut world = World::new(settings.clone(), 1);
     let start = world.now;
     let names = ["a", "b", "c"];
-    world.list(names.iter().map(|name| Listed { started: Some(Time(start)), ..listed(name) }).collect());
+    world.list(
+        names
+            .iter()
+            .map(|name| Listed {
+                started: Some(Time(start)),
+                ..listed(name)
+            })
+            .collect(),
+    );
     let mut sent = vec![Vec::new(); names.len()];
     for id in 1..=400 {
         world.ask(request(id, &format!("user:{id}"), world.now + 3_000 * MS));
-        if let Some(at) = names.iter().position(|name| world.at(id).as_deref() == Some(name)) {
+        if let Some(at) = names
+            .iter()
+            .position(|name| world.at(id).as_deref() == Some(name))
+        {
             sent[at].push(world.now);
             world.stands(id);
         }
         if reports && id % 25 == 0 {
             for (name, sent) in names.iter().zip(&sent) {
                 let used = 2.0 * sent.len() as f64 / holds(&settings, world.now - start);
-                world.tell(Event::Probed { server: (*name).into(), passed: true, report: Some(vec![used]) });
+                world.tell(Event::Probed {
+                    server: (*name).into(),
+                    passed: true,
+                    report: Some(vec![used]),
+                });
             }
         }
         world.advance(world.now + 20 * MS);
@@ -44,7 +62,12 @@
 fn cold_servers_that_report_room_are_sent_more_but_not_too_much() {
     let count = |sent: &[Vec<u64>]| sent.iter().map(Vec::len).sum::<usize>();
     let ((_, without), (start, with)) = (sent(false), sent(true));
-    assert!(count(&with) * 2 > count(&without) * 3, "{} against {}", count(&with), count(&without));
+    assert!(
+        count(&with) * 2 > count(&without) * 3,
+        "{} against {}",
+        count(&with),
+        count(&without)
+    );
     let settings = settings(Repeat::Repeatable);
     let window = settings.fall_window;
     for sent in with {
--- a/crates/placement/tests/rules.rs
+++ b/crates/placement/tests/rules.rs
@@ -18,8 +18,17 @@
 ];
 
 fn scopes() -> Vec<Repeat> {
-    let keyed = |scope| Repeat::ByKey { scope, window: ms(900) };
-    vec![Repeat::Repeatable, Repeat::Once, keyed(Scope::All), keyed(Scope::Zone), keyed(Scope::Cell)]
+    let keyed = |scope| Repeat::ByKey {
+        scope,
+        window: ms(900),
+    };
+    vec![
+        Repeat::Repeatable,
+        Repeat::Once,
+        keyed(Scope::All),
+        keyed(Scope::Zone),
+        keyed(Scope::Cell),
+    ]
 }
 
 /// Rules 1 to 3: `World` checks each action; here the days are made up and every answer is counted.
@@ -27,8 +36,12 @@
     let mut random = Pcg32::seed_from_u64(seed);
     let mut world = World::new(settings(repeat), seed);
     let mut roll = move |n: u32| random.next_u32() % n;
-    let entry =
-        |n: u32, health| Listed { zone: n % 2, cell: n % 3, health, ..listed(&format!("10.0.0.{n}:80")) };
+    let entry = |n: u32, health| Listed {
+        zone: n % 2,
+        cell: n % 3,
+        health,
+        ..listed(&format!("10.0.0.{n}:80"))
+    };
     world.list((0..6).map(|n| entry(n, Health::Ready)).collect());
     for id in 0..400u64 {
         let to = world.now + u64::from(roll(40)) * MS;
@@ -37,7 +50,10 @@
             0 => world.change(entry(roll(6), Health::Draining)),
             1 => world.change(entry(roll(6), Health::Gone)),
             2 => {
-                let entries = (0..6).filter(|_| roll(4) > 0).map(|n| entry(n, Health::Ready)).collect();
+                let entries = (0..6)
+                    .filter(|_| roll(4) > 0)
+                    .map(|n| entry(n, Health::Ready))
+                    .collect();
                 world.list(entries);
             }
             3 => world.tell(Event::ListFailed),
@@ -52,10 +68,15 @@
         for _ in 0..3 {
             let other = id.saturating_sub(u64::from(roll(8)));
             let book = &world.books[&other];
-            let out = book.attempts.last().is_some_and(|(_, _, end)| end.is_none());
+            let out = book
+                .attempts
+                .last()
+                .is_some_and(|(_, _, end)| end.is_none());
             let stands = book.stands;
             match roll(4) {
-                0 if !stands && book.finals == 0 && roll(8) == 0 => world.gives_up(other, roll(3) > 0),
+                0 if !stands && book.finals == 0 && roll(8) == 0 => {
+                    world.gives_up(other, roll(3) > 0)
+                }
                 0 if out && !stands && book.finals == 0 => world.stands(other),
                 1 | 2 if out => {
                     let outcome = OUTCOMES[roll(OUTCOMES.len() as u32) as usize];
@@ -71,7 +92,10 @@
     }
     world.advance(world.now + 10_000 * MS);
     for (id, book) in &world.books {
-        assert!(book.finals == 1 || book.stands, "request {id} was never answered ({repeat:?}, seed {seed})");
+        assert!(
+            book.finals == 1 || book.stands,
+            "request {id} was never answered ({repeat:?}, seed {seed})"
+        );
     }
 }
 
@@ -85,11 +109,17 @@
 /// A try whose connection takes longer to come up than a repeat by key is allowed is not let go.
 #[test]
 fn a_repeat_by_key_is_let_go_only_within_its_window() {
-    let repeat = Repeat::ByKey { scope: Scope::All, window: ms(900) };
+    let repeat = Repeat::ByKey {
+        scope: Scope::All,
+        window: ms(900),
+    };
     let mut world = World::with_servers(settings(repeat), &["a", "b"]);
     world.ask(request(1, "user:1", world.now + 30_000 * MS));
-    let let_go =
-        |world: &World, after: u64| world.balancer.may_send(Time(world.now + after * MS), RequestId(1));
+    let let_go = |world: &World, after: u64| {
+        world
+            .balancer
+            .may_send(Time(world.now + after * MS), RequestId(1))
+    };
     assert!(let_go(&world, 5_000), "nothing has run yet");
     let first = world.now;
     world.ends(1, Outcome::Reset);
@@ -121,7 +151,12 @@
 
 #[test]
 fn an_unsafe_request_that_may_have_run_is_failed_not_refused() {
-    for outcome in [Outcome::TimedOut, Outcome::Error, Outcome::Reset, Outcome::Cancelled] {
+    for outcome in [
+        Outcome::TimedOut,
+        Outcome::Error,
+        Outcome::Reset,
+        Outcome::Cancelled,
+    ] {
         let mut world = World::with_servers(settings(Repeat::Once), &["a", "b"]);
         world.ask(request(1, "user:1", world.now + 3_000 * MS));
         world.ends(1, outcome);
@@ -138,10 +173,25 @@
     world.ends(1, Outcome::TimedOut);
     for event in [
         Event::ClientGone(RequestId(1)),
-        Event::Established { request: RequestId(1), took: ms(3) },
-        Event::LoadNote { request: RequestId(9), load: ms(3) },
-        Event::DelayNote { request: RequestId(1), delay: ms(300) },
-        Event::Ended { request: RequestId(1), attempt: 0, outcome: Outcome::Error, done: true, report: None },
+        Event::Established {
+            request: RequestId(1),
+            took: ms(3),
+        },
+        Event::LoadNote {
+            request: RequestId(9),
+            load: ms(3),
+        },
+        Event::DelayNote {
+            request: RequestId(1),
+            delay: ms(300),
+        },
+        Event::Ended {
+            request: RequestId(1),
+            attempt: 0,
+            outcome: Outcome::Error,
+            done: true,
+            report: None,
+        },
     ] {
         world.tell(event);
         assert_eq!(world.last, vec![]);
@@ -167,7 +217,10 @@
         world.stands(id);
         world.advance(world.now + 20 * MS);
     }
-    let cold = Listed { started: Some(Time(world.now)), ..listed("cold") };
+    let cold = Listed {
+        started: Some(Time(world.now)),
+        ..listed("cold")
+    };
     world.change(cold);
     let mut sent = vec![];
     for _ in 0..2_000 {
@@ -180,16 +233,28 @@
                 world.ends(id, Outcome::Full);
             }
         }
-        if world.books[&id].attempts.last().is_some_and(|(_, _, end)| end.is_none()) {
+        if world.books[&id]
+            .attempts
+            .last()
+            .is_some_and(|(_, _, end)| end.is_none())
+        {
             world.stands(id);
         }
         world.advance(world.now + 10 * MS);
     }
     // A warm server holds about 30 here at first; over the 20 s of warming up the cold one may be filled to that.
     // Starting at a fifth, in any fall window it may take a tenth of that, and half of it at the end.
-    let within = |span: u64, from: u64| sent.iter().filter(|at| (from..from + span).contains(at)).count();
+    let within = |span: u64, from: u64| {
+        sent.iter()
+            .filter(|at| (from..from + span).contains(at))
+            .count()
+    };
     assert!(!sent.is_empty(), "a cold server warms up by work as well");
-    assert!(within(2_000 * MS, sent[0]) <= 4, "{} sent in the first window", within(2_000 * MS, sent[0]));
+    assert!(
+        within(2_000 * MS, sent[0]) <= 4,
+        "{} sent in the first window",
+        within(2_000 * MS, sent[0])
+    );
 }
 
 /// With nothing learnt and every server cold, each still gets no more than a trickle.
@@ -197,7 +262,15 @@
 fn a_fleet_that_starts_cold_is_not_pushed_over() {
     let mut world = World::new(settings(Repeat::Repeatable), 1);
     let started = Some(Time(world.now));
-    world.list(["a", "b"].iter().map(|name| Listed { started, ..listed(name) }).collect());
+    world.list(
+        ["a", "b"]
+            .iter()
+            .map(|name| Listed {
+                started,
+                ..listed(name)
+            })
+            .collect(),
+    );
     for id in 0..100 {
         world.ask(request(id, &format!("user:{id}"), world.now + 500 * MS));
         world.advance(world.now + 20 * MS);
@@ -211,7 +284,10 @@
     let mut world = World::with_servers(settings(Repeat::Repeatable), &["a"]);
     world.ask(request(1, "user:1", world.now + 3_000 * MS));
     world.ends(1, Outcome::ConnectFailed);
-    world.list(vec![Listed { started: Some(Time(world.now)), ..listed("a") }]);
+    world.list(vec![Listed {
+        started: Some(Time(world.now)),
+        ..listed("a")
+    }]);
     for id in 2..6 {
         world.ask(request(id, "user:1", world.now + 3_000 * MS));
     }
@@ -225,12 +301,17 @@
     assert!(world.last.contains(&Action::Subscribe));
     for _ in 0..20 {
         world.tell(Event::ListFailed);
-        let [Action::SetTimer { after, handle }] = world.last[..] else { panic!("no timer set") };
+        let [Action::SetTimer { after, handle }] = world.last[..] else {
+            panic!("no timer set")
+        };
         assert!(after <= Duration::from_secs(4));
         world.tell(Event::Timer(handle));
         assert_eq!(world.last, vec![Action::Subscribe]);
     }
-    let automatic = Settings { list_must_be_asked: false, ..settings(Repeat::Repeatable) };
+    let automatic = Settings {
+        list_must_be_asked: false,
+        ..settings(Repeat::Repeatable)
+    };
     let mut world = World::new(automatic, 1);
     assert!(!world.last.contains(&Action::Subscribe));
     world.tell(Event::ListFailed);
@@ -243,10 +324,14 @@
     const WARM: u64 = 20;
     const HELD: u64 = 60; // connections that a warm server holds
     const FULL: f64 = 120.0; // ... and what it could hold: services are run at half of that or less
-    let settings = Settings { instances: gateways, ..settings(Repeat::Repeatable) };
+    let settings = Settings {
+        instances: gateways,
+        ..settings(Repeat::Repeatable)
+    };
     let mut random = Pcg32::seed_from_u64(u64::from(gateways));
-    let mut worlds: Vec<World> =
-        (0..gateways).map(|n| World::new(settings.clone(), u64::from(n) + 1)).collect();
+    let mut worlds: Vec<World> = (0..gateways)
+        .map(|n| World::new(settings.clone(), u64::from(n) + 1))
+        .collect();
     let names: Vec<String> = (0..WARM).map(|n| format!("warm-{n}")).collect();
     let warm: Vec<Listed> = names.iter().map(|name| listed(name)).collect();
     for world in &mut worlds {
@@ -254,11 +339,17 @@
     }
     for id in 0..WARM * HELD {
         let world = &mut worlds[(random.next_u32() % gateways) as usize];
-        world.inherit(request(id, &format!("user:{id}"), world.now), &names[(id % WARM) as usize]);
+        world.inherit(
+            request(id, &format!("user:{id}"), world.now),
+            &names[(id % WARM) as usize],
+        );
     }
     let start = 3_000 * MS;
     let cold: Vec<Listed> = (0..cold_servers)
-        .map(|n| Listed { started: Some(Time(start)), ..listed(&format!("cold-{n}")) })
+        .map(|n| Listed {
+            started: Some(Time(start)),
+            ..listed(&format!("cold-{n}"))
+        })
         .collect();
     for world in &mut worlds {
         world.advance(start);
@@ -280,7 +371,10 @@
     }
     let (window, cold_for) = (2_000 * MS, 20_000.0);
     let used = sent.iter().map(|from| {
-        let count = sent.iter().filter(|at| (*from..from + window).contains(at)).count() as f64;
+        let count = sent
+            .iter()
+            .filter(|at| (*from..from + window).contains(at))
+            .count() as f64;
         let warmth = 0.2 + 0.8 * ((from - start) / MS) as f64 / cold_for;
         // What fills it over its warm-up is taken for its capacity; some chance and a few saved are allowed.
         (count - 4.0) / (3.0 * warmth * FULL / cold_for * 2_000.0)
@@ -292,7 +386,10 @@
 fn all_gateways_together_do_not_push_a_cold_server_over() {
     for gateways in [1, 3, 30, 900] {
         let (used, sends) = cold_share_used(gateways, 1);
-        assert!(used <= 1.0, "{gateways} gateways sent {used:.2} of what it may be sent");
+        assert!(
+            used <= 1.0,
+            "{gateways} gateways sent {used:.2} of what it may be sent"
+        );
         assert!(sends > 0, "{gateways} gateways sent it nothing");
     }
 }
@@ -302,15 +399,23 @@
 fn a_fleet_grown_fourfold_in_one_list_is_not_pushed_over() {
     for gateways in [3, 30, 900] {
         let (used, _) = cold_share_used(gateways, 60);
-        assert!(used <= 1.0, "{gateways} gateways sent {used:.2} of what one may be sent");
+        assert!(
+            used <= 1.0,
+            "{gateways} gateways sent {used:.2} of what one may be sent"
+        );
     }
 }
 
 #[test]
 fn any_count_of_gateways_is_lived_with() {
     for instances in [0, 1, u32::MAX] {
-        let mut world =
-            World::with_servers(Settings { instances, ..settings(Repeat::Repeatable) }, &["a", "b"]);
+        let mut world = World::with_servers(
+            Settings {
+                instances,
+                ..settings(Repeat::Repeatable)
+            },
+            &["a", "b"],
+        );
         for id in 0..20 {
             world.ask(request(id, &format!("user:{id}"), world.now + 3_000 * MS));
             if world.at(id).is_some() {
@@ -319,9 +424,15 @@
             world.advance(world.now + 500 * MS);
         }
         let placed = (0..20).filter(|id| world.at(*id).is_some()).count();
-        assert!(placed >= 15, "{placed} of 20 placed with {instances} gateways");
+        assert!(
+            placed >= 15,
+            "{placed} of 20 placed with {instances} gateways"
+        );
         // A list that shrinks to one in good order; what may be refused after a loss is tested in losses.rs.
-        world.change(Listed { health: Health::Draining, ..listed("a") });
+        world.change(Listed {
+            health: Health::Draining,
+            ..listed("a")
+        });
         world.list(vec![listed("b")]);
         world.ask(request(30, "user:30", world.now + 3_000 * MS));
         assert_eq!(world.at(30).as_deref(), Some("b"));
--- a/crates/reactor/src/deadlines.rs
+++ b/crates/reactor/src/deadlines.rs
@@ -27,8 +27,13 @@
 
     /// Takes back all that an owner has set: guards against deadlines that outlive their connections.
     pub fn forget(&mut self, owner: u64) {
-        let set: Vec<_> = self.by_owner.range((owner, 0)..=(owner, u64::MAX)).map(|(key, _)| key.1).collect();
-        set.into_iter().for_each(|purpose| self.clear(owner, purpose));
+        let set: Vec<_> = self
+            .by_owner
+            .range((owner, 0)..=(owner, u64::MAX))
+            .map(|(key, _)| key.1)
+            .collect();
+        set.into_iter()
+            .for_each(|purpose| self.clear(owner, purpose));
     }
 
     /// The next moment at which something falls due.
--- a/crates/reactor/src/deadlines/tests.rs
+++ b/crates/reactor/src/deadlines/tests.rs
@@ -13,5 +13,8 @@
     assert_eq!(deadlines.due(at(0)), None);
     assert_eq!(deadlines.due(at(9)), Some((2, 1)));
     deadlines.forget(2);
-    assert_eq!((deadlines.due(at(9)), deadlines.due(at(9))), (Some((1, 0)), None));
+    assert_eq!(
+        (deadlines.due(at(9)), deadlines.due(at(9))),
+        (Some((1, 0)), None)
+    );
 }
--- a/crates/reactor/src/delivery.rs
+++ b/crates/reactor/src/delivery.rs
@@ -51,7 +51,11 @@
 /// have ended, or the question is not allowed here.
 pub fn unacknowledged(stream: &TcpStream) -> io::Result<u32> {
     let (here, there) = (stream.local_addr()?, stream.peer_addr()?);
-    let mut kernel = Socket::new(Domain::from(NETLINK), Type::RAW, Some(Protocol::from(SOCK_DIAG)))?;
+    let mut kernel = Socket::new(
+        Domain::from(NETLINK),
+        Type::RAW,
+        Some(Protocol::from(SOCK_DIAG)),
+    )?;
     // The answer is there once the question has gone out: nothing is waited for.
     kernel.set_nonblocking(true)?;
     kernel.send(&question(here, there))?;
@@ -59,7 +63,10 @@
     let length = kernel.read(&mut answer)?;
     let field = answer[..length].get(QUEUED_AT..QUEUED_AT + 4);
     let tells = answer[4..6] == BY_FAMILY.to_ne_bytes();
-    match field.filter(|_| tells).and_then(|field| <[u8; 4]>::try_from(field).ok()) {
+    match field
+        .filter(|_| tells)
+        .and_then(|field| <[u8; 4]>::try_from(field).ok())
+    {
         Some(field) => Ok(u32::from_ne_bytes(field)),
         None => Err(io::ErrorKind::NotFound.into()),
     }
--- a/crates/reactor/src/poll.rs
+++ b/crates/reactor/src/poll.rs
@@ -18,12 +18,22 @@
 
 impl<S: AsFd> Watched<S> {
     /// Registers the source under a key; readiness is told again and again while it lasts.
-    pub fn new(poller: &Rc<Poller>, source: S, key: usize, read: bool, write: bool) -> io::Result<Self> {
+    pub fn new(
+        poller: &Rc<Poller>,
+        source: S,
+        key: usize,
+        read: bool,
+        write: bool,
+    ) -> io::Result<Self> {
         let wanted = Event::new(key, read, write);
         // SAFETY: the descriptor must stay open until it is deleted from the poller. `Watched` owns the source,
         // gives it out by reference only, and deletes it in `drop`, before the source itself is closed.
         unsafe { poller.add_with_mode(&source.as_fd(), wanted, PollMode::Level)? };
-        Ok(Watched { source, poller: Rc::clone(poller), wanted })
+        Ok(Watched {
+            source,
+            poller: Rc::clone(poller),
+            wanted,
+        })
     }
 
     /// Changes what is waited for; a system call is made only if that differs from before.
@@ -38,7 +48,8 @@
 
     fn turn(&mut self, wanted: Event) -> io::Result<()> {
         if wanted != self.wanted {
-            self.poller.modify_with_mode(self.source.as_fd(), wanted, PollMode::Level)?;
+            self.poller
+                .modify_with_mode(self.source.as_fd(), wanted, PollMode::Level)?;
             self.wanted = wanted;
         }
         Ok(())
@@ -52,7 +63,11 @@
 pub const LACKS: [i32; 5] = [23, 24, 99, 105, 12];
 
 /// Begins a connection; once it is writable it is up, or `take_error` says why not.
-pub fn connect(poller: &Rc<Poller>, dial: SocketAddr, key: usize) -> io::Result<Watched<TcpStream>> {
+pub fn connect(
+    poller: &Rc<Poller>,
+    dial: SocketAddr,
+    key: usize,
+) -> io::Result<Watched<TcpStream>> {
     let socket = Socket::new(Domain::for_address(dial), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_nonblocking(true)?;
     socket.set_nodelay(true)?;
@@ -65,7 +80,11 @@
 
 /// Listens on this address only.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM,
+        Some(Protocol::TCP),
+    )?;
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
     socket.bind(&address.into())?;
--- a/crates/reactor/src/run.rs
+++ b/crates/reactor/src/run.rs
@@ -27,7 +27,11 @@
             born: Vec::new(),
             next: reserved,
         };
-        Ok(Reactor { hands, objects: HashMap::new(), events: Events::new() })
+        Ok(Reactor {
+            hands,
+            objects: HashMap::new(),
+            events: Events::new(),
+        })
     }
 
     /// Runs until the world says that it is over.
@@ -43,7 +47,11 @@
 
     /// Waits once, and calls back all that is ready or due.
     fn turn(&mut self) -> io::Result<()> {
-        let wait = self.hands.deadlines.next().map(|at| at.saturating_duration_since(Instant::now()));
+        let wait = self
+            .hands
+            .deadlines
+            .next()
+            .map(|at| at.saturating_duration_since(Instant::now()));
         let mut events = std::mem::take(&mut self.events);
         events.clear();
         match self.hands.poller.wait(&mut events, wait) {
@@ -58,7 +66,9 @@
             for event in events.iter() {
                 let (id, side) = (event.key as u64 / 2, event.key % 2);
                 if self.hands.world.goes_first(id) == first {
-                    self.call(id, |object, hands| object.ready(hands, side, event.readable, event.writable));
+                    self.call(id, |object, hands| {
+                        object.ready(hands, side, event.readable, event.writable)
+                    });
                     self.settle();
                 }
             }
@@ -80,7 +90,9 @@
         loop {
             self.objects.extend(self.hands.born.drain(..));
             W::settle(&mut self.hands, &mut self.objects.keys().copied());
-            let Some((id, message)) = self.hands.outbox.pop_front() else { break };
+            let Some((id, message)) = self.hands.outbox.pop_front() else {
+                break;
+            };
             if self.objects.contains_key(&id) {
                 self.call(id, |object, hands| object.told(hands, message));
             } else {
@@ -89,8 +101,14 @@
         }
     }
 
-    fn call(&mut self, id: Id, with: impl FnOnce(&mut Box<dyn Connection<W>>, &mut Hands<W>) -> Flow) {
-        let Some(object) = self.objects.get_mut(&id) else { return };
+    fn call(
+        &mut self,
+        id: Id,
+        with: impl FnOnce(&mut Box<dyn Connection<W>>, &mut Hands<W>) -> Flow,
+    ) {
+        let Some(object) = self.objects.get_mut(&id) else {
+            return;
+        };
         if with(object, &mut self.hands) == Flow::Done {
             self.objects.remove(&id);
             self.hands.deadlines.forget(id);
--- a/crates/scale/src/doors.rs
+++ b/crates/scale/src/doors.rs
@@ -3,11 +3,11 @@
 //! sockets must not grow with the square of the nodes.
 
 use crate::place::Place;
+use lupincrank_cluster::link::{Inbox, Message};
+use lupincrank_fault_injection::links::Way;
 use lupincrank_reactor::poll::{self, Watched};
 use lupincrank_reactor::{Connection, Flow, Hands, Id, Reactor, World, WORLD};
 use lupincrank_test_servers::key;
-use lupincrank_cluster::link::{Inbox, Message};
-use lupincrank_fault_injection::links::Way;
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
 use std::collections::{HashMap, VecDeque};
@@ -52,7 +52,11 @@
     /// For so many nodes.
     pub fn new(nodes: usize) -> Counts {
         let nodes = (0..nodes).map(|_| Counter::default()).collect();
-        Counts { nodes, lost: AtomicU64::new(0), unknown: AtomicU64::new(0) }
+        Counts {
+            nodes,
+            lost: AtomicU64::new(0),
+            unknown: AtomicU64::new(0),
+        }
     }
 
     fn sent(&self, from: usize, to: usize, bytes: u64, messages: u64) {
@@ -98,16 +102,25 @@
 ) -> io::Result<()> {
     let ground = Ground {
         counts,
-        names: (0..place.all()).map(|node| (place.name(node), node)).collect(),
-        senders: (0..place.all()).map(|node| (place.fleet(node), node)).collect(),
+        names: (0..place.all())
+            .map(|node| (place.name(node), node))
+            .collect(),
+        senders: (0..place.all())
+            .map(|node| (place.fleet(node), node))
+            .collect(),
         way,
         random: Pcg64Mcg::new(u128::from(seed) << 8 | 5),
         stop,
     };
     let mut reactor = Reactor::new(ground, 0)?;
     let all = (0..place.all()).try_for_each(|node| {
-        open(&mut reactor.hands, node, place.door(node), place.fleet(node))
-            .map_err(|error| io::Error::other(format!("{}: {error}", place.door(node))))
+        open(
+            &mut reactor.hands,
+            node,
+            place.door(node),
+            place.fleet(node),
+        )
+        .map_err(|error| io::Error::other(format!("{}: {error}", place.door(node))))
     });
     let open = all.is_ok();
     opened(all);
@@ -125,7 +138,17 @@
     let socket = UdpSocket::bind(at)?;
     socket.set_nonblocking(true)?;
     let socket = Watched::new(&hands.poller, socket, key(id, 1), true, false)?;
-    hands.adopt(id, Box::new(Door { id, node, target, listener, socket, held: VecDeque::new() }));
+    hands.adopt(
+        id,
+        Box::new(Door {
+            id,
+            node,
+            target,
+            listener,
+            socket,
+            held: VecDeque::new(),
+        }),
+    );
     Ok(())
 }
 
@@ -161,7 +184,9 @@
                 let _ = self.socket.send_to(&bytes[..length], self.target);
             } else if self.held.len() < MOST_HELD / 2048 {
                 let at = Instant::now() + way.delay;
-                hands.deadlines.set(self.id, 0, self.held.front().map_or(at, |(at, _)| *at));
+                hands
+                    .deadlines
+                    .set(self.id, 0, self.held.front().map_or(at, |(at, _)| *at));
                 self.held.push_back((at, bytes[..length].to_vec()));
             }
         }
@@ -175,7 +200,9 @@
             return Flow::Keep;
         }
         for _ in 0..ACCEPTS {
-            let Ok((near, _)) = self.listener.accept() else { break };
+            let Ok((near, _)) = self.listener.accept() else {
+                break;
+            };
             // The dialler sees a link that ends, and dials again.
             if Pipe::begin(hands, self.node, near, self.target).is_err() {
                 hands.counts.unknown.fetch_add(1, Relaxed);
@@ -346,7 +373,10 @@
         let now = Instant::now();
         for side in [0, 1] {
             let reads = !self.halves[side].ended && self.halves[side].bytes < MOST_HELD;
-            let writes = self.halves[1 - side].held.front().is_some_and(|(at, _)| *at <= now);
+            let writes = self.halves[1 - side]
+                .held
+                .front()
+                .is_some_and(|(at, _)| *at <= now);
             self.streams[side].want(reads, writes || (side == 1 && !self.connected))?;
         }
         Ok(Flow::Keep)
--- a/crates/scale/src/fit.rs
+++ b/crates/scale/src/fit.rs
@@ -24,7 +24,10 @@
     let mean = |of: fn(&(f64, f64)) -> f64| points.iter().map(of).sum::<f64>() / count;
     let (x, y) = (mean(|point| point.0), mean(|point| point.1));
     let spread: f64 = points.iter().map(|point| (point.0 - x).powi(2)).sum();
-    let both: f64 = points.iter().map(|point| (point.0 - x) * (point.1 - y)).sum();
+    let both: f64 = points
+        .iter()
+        .map(|point| (point.0 - x) * (point.1 - y))
+        .sum();
     (spread > 0.0).then(|| (y - both / spread * x, both / spread))
 }
 
@@ -38,7 +41,11 @@
 /// n (base + slope n): what each node adds grows with the size itself, as where each is told of each. Base, slope and what it
 /// misses as a part of the mean.
 pub fn square(points: &[(f64, f64)]) -> Option<(f64, f64, f64)> {
-    let each: Vec<(f64, f64)> = points.iter().filter(|(n, _)| *n > 0.0).map(|(n, y)| (*n, y / n)).collect();
+    let each: Vec<(f64, f64)> = points
+        .iter()
+        .filter(|(n, _)| *n > 0.0)
+        .map(|(n, y)| (*n, y / n))
+        .collect();
     let (base, slope) = least_squares(&each)?;
     Some((base, slope, missed(points, |n| n * (base + slope * n))))
 }
@@ -46,15 +53,23 @@
 /// The line through these points; at least two sizes are needed.
 pub fn line(points: &[(f64, f64)]) -> Option<Line> {
     let (base, slope) = least_squares(points)?;
-    let logs: Vec<(f64, f64)> =
-        points.iter().filter(|(n, y)| *n > 0.0 && *y > 0.0).map(|(n, y)| (n.ln(), y.ln())).collect();
-    let power = if logs.len() == points.len() { least_squares(&logs) } else { None };
+    let logs: Vec<(f64, f64)> = points
+        .iter()
+        .filter(|(n, y)| *n > 0.0 && *y > 0.0)
+        .map(|(n, y)| (n.ln(), y.ln()))
+        .collect();
+    let power = if logs.len() == points.len() {
+        least_squares(&logs)
+    } else {
+        None
+    };
     Some(Line {
         base,
         slope,
         residual: missed(points, |n| base + slope * n),
         power: power.map(|(_, power)| power),
-        power_residual: power.map(|(base, power)| missed(points, |n| (base + power * n.ln()).exp())),
+        power_residual: power
+            .map(|(base, power)| missed(points, |n| (base + power * n.ln()).exp())),
     })
 }
 
@@ -81,7 +96,9 @@
     let point = |run: &Value| {
         let of = &run["roles"][role];
         let there = of["processes"].as_u64().unwrap_or(0) > 0;
-        there.then(|| Some((run["nodes"].as_f64()?, of[figure].as_f64()?))).flatten()
+        there
+            .then(|| Some((run["nodes"].as_f64()?, of[figure].as_f64()?)))
+            .flatten()
     };
     runs.iter().filter_map(point).collect()
 }
--- a/crates/scale/src/fit/tests.rs
+++ b/crates/scale/src/fit/tests.rs
@@ -6,11 +6,18 @@
 #[case::straight(|n| 3.0 + 2.0 * n, 2.0, None)]
 #[case::square(|n| 0.5 * n * n, 0.0, Some(2.0))]
 #[case::flat(|_| 7.0, 0.0, Some(0.0))]
-fn a_law_is_found_again(#[case] law: fn(f64) -> f64, #[case] slope: f64, #[case] power: Option<f64>) {
+fn a_law_is_found_again(
+    #[case] law: fn(f64) -> f64,
+    #[case] slope: f64,
+    #[case] power: Option<f64>,
+) {
     let points: Vec<_> = [25.0, 50.0, 100.0, 400.0].map(|n| (n, law(n))).into();
     let line = line(&points).unwrap();
     match power {
-        None => assert!((line.slope - slope).abs() < 1e-9 && line.residual < 1e-9, "{line:?}"),
+        None => assert!(
+            (line.slope - slope).abs() < 1e-9 && line.residual < 1e-9,
+            "{line:?}"
+        ),
         Some(power) => assert!(
             (line.power.unwrap() - power).abs() < 1e-9 && line.power_residual.unwrap() < 1e-9,
             "{line:?}"
@@ -20,10 +27,15 @@
 
 #[test]
 fn what_each_adds_by_the_size_is_found_again() {
-    let points: Vec<_> = [10.0, 25.0, 50.0, 100.0].map(|n| (n, n * (900.0 + 18.0 * n))).into();
+    let points: Vec<_> = [10.0, 25.0, 50.0, 100.0]
+        .map(|n| (n, n * (900.0 + 18.0 * n)))
+        .into();
     let (base, slope, missed) = square(&points).unwrap();
     assert!((base - 900.0).abs() < 1e-6 && (slope - 18.0).abs() < 1e-9 && missed < 1e-9);
-    assert!(line(&points).unwrap().residual > 0.1, "a straight line does not hold");
+    assert!(
+        line(&points).unwrap().residual > 0.1,
+        "a straight line does not hold"
+    );
 }
 
 #[test]
--- a/crates/scale/src/host.rs
+++ b/crates/scale/src/host.rs
@@ -56,7 +56,9 @@
     pub fn take(&mut self, line: &str) -> Result<(), String> {
         match line.split_once(' ') {
             Some(("demand", demand)) => {
-                self.demand = demand.parse().map_err(|_| format!("{demand:?} is no demand"))?;
+                self.demand = demand
+                    .parse()
+                    .map_err(|_| format!("{demand:?} is no demand"))?;
             }
             Some(("watch", name)) => self.watched = name.to_string(),
             _ => return Err(format!("{line:?} is neither demand nor watch")),
@@ -82,12 +84,30 @@
     pub fn new(node: usize, seed: u64, wanted: Arc<RwLock<Wanted>>) -> Spender {
         let mut random = Pcg64Mcg::new(u128::from(seed) << 32 | node as u128 | 1 << 100);
         let occasions = random.random::<f64>();
-        Spender { node, wanted, random, uses: VecDeque::new(), occasions, looked: Instant::now(), said: None }
+        Spender {
+            node,
+            wanted,
+            random,
+            uses: VecDeque::new(),
+            occasions,
+            looked: Instant::now(),
+            said: None,
+        }
     }
 
     /// Uses what it may; how much, the most that counts now, and whether something was turned away.
-    pub fn spend(&mut self, now: Instant, demand: f64, limit: u32, window: Duration) -> (u32, u32, bool) {
-        while self.uses.front().is_some_and(|at| now.duration_since(*at) >= window) {
+    pub fn spend(
+        &mut self,
+        now: Instant,
+        demand: f64,
+        limit: u32,
+        window: Duration,
+    ) -> (u32, u32, bool) {
+        while self
+            .uses
+            .front()
+            .is_some_and(|at| now.duration_since(*at) >= window)
+        {
             self.uses.pop_front();
         }
         let spread = 0.5 + self.random.random::<f64>();
@@ -110,8 +130,14 @@
     fn look(&mut self, seen: &Seen, window: Duration, lives: &dyn Fn(&str) -> bool) -> (u32, bool) {
         let now = Instant::now();
         let (demand, watched_lives) = {
-            let wanted = self.wanted.read().unwrap_or_else(|broken| broken.into_inner());
-            (wanted.demand, wanted.watched.is_empty() || lives(&wanted.watched))
+            let wanted = self
+                .wanted
+                .read()
+                .unwrap_or_else(|broken| broken.into_inner());
+            (
+                wanted.demand,
+                wanted.watched.is_empty() || lives(&wanted.watched),
+            )
         };
         let (used, most, turned_away) = self.spend(now, demand, seen.limit, window);
         let cpu = clock_gettime(ClockId::ThreadCPUTime);
@@ -128,7 +154,15 @@
             cpu_us: cpu.tv_sec as u64 * 1_000_000 + cpu.tv_nsec as u64 / 1000,
         };
         let still = |(at, said): &(Instant, Line)| {
-            let facts = |line: &Line| (line.whole, line.led, line.votes, line.alive, line.watched_lives);
+            let facts = |line: &Line| {
+                (
+                    line.whole,
+                    line.led,
+                    line.votes,
+                    line.alive,
+                    line.watched_lives,
+                )
+            };
             used == 0 && now.duration_since(*at) < SAYS && facts(said) == facts(&line)
         };
         if !self.said.as_ref().is_some_and(still) {
@@ -144,7 +178,9 @@
 
 /// Now, as Unix time in microseconds.
 pub fn unix_us() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     u64::try_from(now.as_micros()).unwrap_or(u64::MAX)
 }
 
@@ -165,12 +201,19 @@
                 std::process::exit(2);
             }
         };
-        let thread = std::thread::Builder::new().name(name.clone()).stack_size(STACK);
-        thread.spawn(begin).map_err(|error| format!("{name}: {error}"))?;
+        let thread = std::thread::Builder::new()
+            .name(name.clone())
+            .stack_size(STACK);
+        thread
+            .spawn(begin)
+            .map_err(|error| format!("{name}: {error}"))?;
     }
     for line in io::stdin().lock().lines() {
         let line = line.map_err(|error| error.to_string())?;
-        wanted.write().map_err(|_| "a node has panicked".to_string())?.take(&line)?;
+        wanted
+            .write()
+            .map_err(|_| "a node has panicked".to_string())?
+            .take(&line)?;
     }
     Ok(())
 }
--- a/crates/scale/src/host/tests.rs
+++ b/crates/scale/src/host/tests.rs
@@ -6,9 +6,18 @@
 #[case::no_word("demands 3", "\"demands 3\" is neither demand nor watch")]
 #[case::nothing("", "\"\" is neither demand nor watch")]
 fn a_line_that_says_nothing_known_is_named(#[case] line: &str, #[case] why: &str) {
-    let mut wanted = Wanted { demand: 0.5, watched: "a01".into() };
+    let mut wanted = Wanted {
+        demand: 0.5,
+        watched: "a01".into(),
+    };
     assert_eq!(wanted.take(line), Err(why.to_string()));
-    assert_eq!(wanted, Wanted { demand: 0.5, watched: "a01".into() });
+    assert_eq!(
+        wanted,
+        Wanted {
+            demand: 0.5,
+            watched: "a01".into()
+        }
+    );
 }
 
 /// What is used within any window stays within the limit, however much is wanted, and little is not held back.
@@ -25,8 +34,14 @@
         let (used, most, turned_away) = spender.spend(now, demand, limit, window);
         uses.extend((0..used).map(|_| now));
         refused |= turned_away;
-        let within = uses.iter().filter(|at| now.duration_since(**at) < window).count();
-        assert!(within <= limit as usize && most as usize == within, "{within} in a window, {most} said");
+        let within = uses
+            .iter()
+            .filter(|at| now.duration_since(**at) < window)
+            .count();
+        assert!(
+            within <= limit as usize && most as usize == within,
+            "{within} in a window, {most} said"
+        );
     }
     assert_eq!(refused, pressed);
     assert!(uses.len() >= 15, "{} were used in 20 s", uses.len());
--- a/crates/scale/src/ledger.rs
+++ b/crates/scale/src/ledger.rs
@@ -53,7 +53,9 @@
     /// Awaits something anew: what nodes hold already of it is known by their next lines.
     pub fn await_anew(&mut self, awaited: Awaited) {
         self.awaited = Some(awaited);
-        self.stands.values_mut().for_each(|stand| stand.holds = None);
+        self.stands
+            .values_mut()
+            .for_each(|stand| stand.holds = None);
     }
 
     /// A node that is not there any more.
@@ -86,9 +88,9 @@
     /// Nodes that do not yet take part with one leader and count all others, of `all`.
     pub fn unsettled(&self, all: usize) -> Vec<usize> {
         let settled = |node: &usize| {
-            self.stands
-                .get(node)
-                .is_some_and(|stand| stand.line.led && stand.line.whole > 0 && stand.line.alive == all)
+            self.stands.get(node).is_some_and(|stand| {
+                stand.line.led && stand.line.whole > 0 && stand.line.alive == all
+            })
         };
         (0..all).filter(|node| !settled(node)).collect()
     }
--- a/crates/scale/src/ledger/tests.rs
+++ b/crates/scale/src/ledger/tests.rs
@@ -1,7 +1,15 @@
 use super::*;
 
 fn line(node: usize, at_us: u64, whole: u32, watched_lives: bool) -> Line {
-    Line { node, at_us, whole, watched_lives, led: true, alive: 2, ..Line::default() }
+    Line {
+        node,
+        at_us,
+        whole,
+        watched_lives,
+        led: true,
+        alive: 2,
+        ..Line::default()
+    }
 }
 
 #[test]
@@ -29,7 +37,10 @@
     let mut ledger = Ledger::default();
     ledger.take(line(0, 1, 8, true));
     assert_eq!(ledger.unsettled(2), [1]);
-    ledger.take(Line { alive: 1, ..line(1, 1, 8, true) });
+    ledger.take(Line {
+        alive: 1,
+        ..line(1, 1, 8, true)
+    });
     assert_eq!(ledger.unsettled(2), [1]);
     ledger.take(line(1, 2, 8, true));
     assert!(ledger.unsettled(2).is_empty());
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -31,30 +31,54 @@
 #[derive(Clone, Debug)]
 enum Command {
     Run(Running),
-    Fit { svg: Option<PathBuf>, at: f64, files: Vec<PathBuf> },
-    Host { numbers: Vec<u64> },
+    Fit {
+        svg: Option<PathBuf>,
+        at: f64,
+        files: Vec<PathBuf>,
+    },
+    Host {
+        numbers: Vec<u64>,
+    },
 }
 
 fn running() -> impl Parser<Running> {
-    let nodes = long("nodes").help("All nodes, 4 to 1000").argument::<usize>("N");
+    let nodes = long("nodes")
+        .help("All nodes, 4 to 1000")
+        .argument::<usize>("N");
     let real = long("real")
         .help("Those of them that are processes of the program")
         .argument::<usize>("N")
         .fallback(5);
-    let expected = long("expected").help("How many the operator's file names; all if it is not said");
+    let expected =
+        long("expected").help("How many the operator's file names; all if it is not said");
     let expected = expected.argument::<usize>("N").optional();
-    let seconds = long("seconds").help("How long costs are measured").argument::<f64>("S").fallback(20.0);
-    let settle =
-        long("settle").help("How long it may take until all take part").argument::<f64>("S").fallback(120.0);
-    let loss = long("loss").help("The part of messages that is lost").argument::<f64>("P").fallback(0.0);
-    let seed = long("seed").help("What is drawn is drawn from this").argument::<u64>("N").fallback(1);
-    let json = long("json").help("Where the outcome goes").argument::<PathBuf>("OUT").optional();
+    let seconds = long("seconds")
+        .help("How long costs are measured")
+        .argument::<f64>("S")
+        .fallback(20.0);
+    let settle = long("settle")
+        .help("How long it may take until all take part")
+        .argument::<f64>("S")
+        .fallback(120.0);
+    let loss = long("loss")
+        .help("The part of messages that is lost")
+        .argument::<f64>("P")
+        .fallback(0.0);
+    let seed = long("seed")
+        .help("What is drawn is drawn from this")
+        .argument::<u64>("N")
+        .fallback(1);
+    let json = long("json")
+        .help("Where the outcome goes")
+        .argument::<PathBuf>("OUT")
+        .optional();
     let program = long("program").help("The program; lupincrank beside this one if it is not said");
     let program = program.argument::<String>("PATH").optional();
-    let most_bytes = long("most-bytes").help("A bound on the bytes that the leader sends in a second");
+    let most_bytes =
+        long("most-bytes").help("A bound on the bytes that the leader sends in a second");
     let most_bytes = most_bytes.argument::<f64>("B").optional();
-    let most_messages =
-        long("most-messages").help("A bound on the messages that any hollow node sends in a second");
+    let most_messages = long("most-messages")
+        .help("A bound on the messages that any hollow node sends in a second");
     let most_messages = most_messages.argument::<f64>("M").optional();
     construct!(Running {
         nodes,
@@ -76,8 +100,14 @@
         .to_options()
         .descr("Run one fleet; the exit code is 1 if a bound did not hold")
         .command("run");
-    let svg = long("svg").help("Draw them here").argument::<PathBuf>("FILE").optional();
-    let at = long("at").help("The size that lines are carried on to").argument::<f64>("N").fallback(2_100.0);
+    let svg = long("svg")
+        .help("Draw them here")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    let at = long("at")
+        .help("The size that lines are carried on to")
+        .argument::<f64>("N")
+        .fallback(2_100.0);
     let files = positional::<PathBuf>("OUT")
         .help("Outcomes of runs, as --json wrote them")
         .some("no outcome is named");
@@ -114,7 +144,10 @@
             role.cpu_share_mean * 100.0, role.cpu_share_max * 100.0, role.rss_mb_max
         );
     }
-    for (what, held) in [("a change holds", &outcome.change_ms), ("a death is known", &outcome.death_ms)] {
+    for (what, held) in [
+        ("a change holds", &outcome.change_ms),
+        ("a death is known", &outcome.death_ms),
+    ] {
         println!(
             "  {what} after {:.0} ms at 50 in 100, {:.0} at 99, {:.0} at all ({} times, the worst; {} nodes never)",
             held.p50, held.p99, held.all, held.times, held.missing
@@ -129,16 +162,27 @@
             budget.used.unwrap_or(0.0)
         );
     }
-    println!("  lost on purpose {}, unknown {}", outcome.lost, outcome.unknown);
-    outcome.broken.iter().for_each(|broken| println!("  BROKEN {broken}"));
+    println!(
+        "  lost on purpose {}, unknown {}",
+        outcome.lost, outcome.unknown
+    );
+    outcome
+        .broken
+        .iter()
+        .for_each(|broken| println!("  BROKEN {broken}"));
 }
 
 /// Whether the bounds on messages held, and the budget's rule.
 fn holds(outcome: &Outcome, most_bytes: Option<f64>, most_messages: Option<f64>) -> bool {
-    let figure =
-        |role: &str, of: fn(&lupincrank_scale::outcome::Role) -> f64| outcome.roles.get(role).map_or(0.0, of);
+    let figure = |role: &str, of: fn(&lupincrank_scale::outcome::Role) -> f64| {
+        outcome.roles.get(role).map_or(0.0, of)
+    };
     let bounds = [
-        ("bytes/s of the leader", figure("leader", |role| role.bytes_out_per_s_mean), most_bytes),
+        (
+            "bytes/s of the leader",
+            figure("leader", |role| role.bytes_out_per_s_mean),
+            most_bytes,
+        ),
         (
             "messages/s of a hollow node",
             figure("hollow-node", |role| role.messages_per_s_mean),
@@ -161,12 +205,14 @@
             let own = std::env::current_exe().map_err(|error| error.to_string())?;
             let stop = Arc::new(AtomicBool::new(false));
             for signal in [signal_hook::consts::SIGINT, signal_hook::consts::SIGTERM] {
-                signal_hook::flag::register(signal, Arc::clone(&stop)).map_err(|error| error.to_string())?;
+                signal_hook::flag::register(signal, Arc::clone(&stop))
+                    .map_err(|error| error.to_string())?;
             }
             // Drawn on a terminal only.
             let bar = ProgressBar::with_draw_target(None, ProgressDrawTarget::stderr());
             bar.set_style(
-                ProgressStyle::with_template("{spinner} {msg}").map_err(|error| error.to_string())?,
+                ProgressStyle::with_template("{spinner} {msg}")
+                    .map_err(|error| error.to_string())?,
             );
             let shown = bar.clone();
             let options = Options {
@@ -189,18 +235,23 @@
             bar.finish_and_clear();
             tell(&outcome);
             if let Some(path) = &running.json {
-                let text = serde_json::to_string_pretty(&outcome).map_err(|error| error.to_string())?;
-                std::fs::write(path, text + "\n").map_err(|error| format!("{}: {error}", path.display()))?;
+                let text =
+                    serde_json::to_string_pretty(&outcome).map_err(|error| error.to_string())?;
+                std::fs::write(path, text + "\n")
+                    .map_err(|error| format!("{}: {error}", path.display()))?;
             }
             Ok(holds(&outcome, running.most_bytes, running.most_messages))
         }
         Command::Fit { svg, at, files } => {
             let read = |file: &PathBuf| {
-                let text =
-                    std::fs::read_to_string(file).map_err(|error| format!("{}: {error}", file.display()))?;
+                let text = std::fs::read_to_string(file)
+                    .map_err(|error| format!("{}: {error}", file.display()))?;
                 serde_json::from_str(&text).map_err(|error| format!("{}: {error}", file.display()))
             };
-            let runs = files.iter().map(read).collect::<Result<Vec<serde_json::Value>, String>>()?;
+            let runs = files
+                .iter()
+                .map(read)
+                .collect::<Result<Vec<serde_json::Value>, String>>()?;
             for (role, figure) in fit::FIGURES {
                 let points = fit::points(&runs, role, figure);
                 let Some(line) = fit::line(&points) else {
@@ -226,7 +277,8 @@
                     );
                 }
             }
-            svg.map_or(Ok(()), |svg| plot::draw(&runs, &svg)).map(|()| true)
+            svg.map_or(Ok(()), |svg| plot::draw(&runs, &svg))
+                .map(|()| true)
         }
         Command::Host { numbers } => {
             let [first, count, real, hollow, expected, high, low, whole, seed] = numbers[..] else {
--- a/crates/scale/src/outcome.rs
+++ b/crates/scale/src/outcome.rs
@@ -68,8 +68,13 @@
 
 /// One role's costs. `readings` are of all nodes, a second apart, with the seconds since the first.
 pub fn role(readings: &[(f64, Vec<Reading>)], nodes: &[usize]) -> Role {
-    let mut role = Role { processes: nodes.len(), ..Role::default() };
-    let (Some(first), Some(last)) = (readings.first(), readings.last()) else { return role };
+    let mut role = Role {
+        processes: nodes.len(),
+        ..Role::default()
+    };
+    let (Some(first), Some(last)) = (readings.first(), readings.last()) else {
+        return role;
+    };
     let span = last.0 - first.0;
     if nodes.is_empty() || span <= 0.0 {
         return role;
@@ -79,8 +84,10 @@
         let mut sum = Second::default();
         for node in nodes {
             let (before, after) = (&pair[0].1[*node], &pair[1].1[*node]);
-            let (bytes, messages) =
-                (after.bytes_out - before.bytes_out, after.messages_out - before.messages_out);
+            let (bytes, messages) = (
+                after.bytes_out - before.bytes_out,
+                after.messages_out - before.messages_out,
+            );
             role.bytes_out_per_s_max = role.bytes_out_per_s_max.max(bytes as f64 / seconds);
             role.messages_per_s_max = role.messages_per_s_max.max(messages as f64 / seconds);
             sum.bytes_out += bytes;
@@ -126,7 +133,9 @@
 impl Held {
     /// One more measurement.
     pub fn add(&mut self, after_ms: &[f64], missing: usize) {
-        let Ok(mut histogram) = Histogram::<u64>::new_with_bounds(1, 10_000_000_000, 3) else { return };
+        let Ok(mut histogram) = Histogram::<u64>::new_with_bounds(1, 10_000_000_000, 3) else {
+            return;
+        };
         for ms in after_ms {
             histogram.saturating_record((ms * 1000.0) as u64);
         }
--- a/crates/scale/src/outcome/tests.rs
+++ b/crates/scale/src/outcome/tests.rs
@@ -11,15 +11,35 @@
     };
     let readings = [
         (0.0, vec![reading(0, 0), reading(500, 0), reading(0, 0)]),
-        (1.0, vec![reading(1000, 10_000), reading(900, 50_000), reading(9_999, 0)]),
-        (2.0, vec![reading(1000, 20_000), reading(1500, 100_000), reading(99_999, 0)]),
+        (
+            1.0,
+            vec![
+                reading(1000, 10_000),
+                reading(900, 50_000),
+                reading(9_999, 0),
+            ],
+        ),
+        (
+            2.0,
+            vec![
+                reading(1000, 20_000),
+                reading(1500, 100_000),
+                reading(99_999, 0),
+            ],
+        ),
     ];
     let role = role(&readings, &[0, 1]);
     assert_eq!((role.processes, role.seconds.len()), (2, 2));
     assert_eq!(role.bytes_out_per_s_max, 1000.0);
-    assert_eq!((role.bytes_out_per_s_mean, role.bytes_out_per_s_busiest), (500.0, 500.0));
+    assert_eq!(
+        (role.bytes_out_per_s_mean, role.bytes_out_per_s_busiest),
+        (500.0, 500.0)
+    );
     assert_eq!((role.cpu_share_max, role.rss_mb_max), (0.05, 2.0));
-    assert_eq!((role.seconds[0].bytes_out, role.seconds[1].bytes_out), (1400, 600));
+    assert_eq!(
+        (role.seconds[0].bytes_out, role.seconds[1].bytes_out),
+        (1400, 600)
+    );
     assert_eq!(super::role(&readings, &[]), Role::default());
 }
 
@@ -29,5 +49,8 @@
     held.add(&(1..=100).map(f64::from).collect::<Vec<_>>(), 0);
     held.add(&[10.0, 300.0], 3);
     assert_eq!((held.times, held.missing), (2, 3));
-    assert!((held.p50 - 50.0).abs() < 0.1 && (held.all - 300.0).abs() < 1.0, "{held:?}");
+    assert!(
+        (held.p50 - 50.0).abs() < 0.1 && (held.all - 300.0).abs() < 1.0,
+        "{held:?}"
+    );
 }
