--- a/crates/scale/src/place.rs
+++ b/crates/scale/src/place.rs
@@ -50,7 +50,12 @@
 
     /// The address of a real node.
     pub fn ip(&self, node: usize) -> IpAddr {
-        IpAddr::V4(Ipv4Addr::new(127, self.block.0, self.block.1, 1 + node as u8))
+        IpAddr::V4(Ipv4Addr::new(
+            127,
+            self.block.0,
+            self.block.1,
+            1 + node as u8,
+        ))
     }
 
     /// Where it takes datagrams and links.
@@ -58,12 +63,18 @@
         if node < self.real {
             return SocketAddr::new(self.ip(node), FLEET);
         }
-        SocketAddr::from(([127, self.block.0, self.block.1, 253], FIRST_PORT + node as u16))
+        SocketAddr::from((
+            [127, self.block.0, self.block.1, 253],
+            FIRST_PORT + node as u16,
+        ))
     }
 
     /// Where all others reach it.
     pub fn door(&self, node: usize) -> SocketAddr {
-        SocketAddr::from(([127, self.block.0, self.block.1, 252], FIRST_PORT + node as u16))
+        SocketAddr::from((
+            [127, self.block.0, self.block.1, 252],
+            FIRST_PORT + node as u16,
+        ))
     }
 
     /// A node's configuration.
@@ -84,10 +95,20 @@
 
     /// The operator's file; a hollow node's address and zone come by its environment.
     pub fn operator(&self, node: Option<usize>) -> String {
-        let names: Vec<String> = (0..self.expected).map(|node| format!("\"{}\"", self.name(node))).collect();
-        let mut text = format!("[fleet]\nname = \"scale\"\nnodes = [{}]\n", names.join(", "));
+        let names: Vec<String> = (0..self.expected)
+            .map(|node| format!("\"{}\"", self.name(node)))
+            .collect();
+        let mut text = format!(
+            "[fleet]\nname = \"scale\"\nnodes = [{}]\n",
+            names.join(", ")
+        );
         if let Some(node) = node {
-            let _ = writeln!(text, "listen = \"{}\"\nzone = \"{}\"", self.fleet(node), self.zone(node));
+            let _ = writeln!(
+                text,
+                "listen = \"{}\"\nzone = \"{}\"",
+                self.fleet(node),
+                self.zone(node)
+            );
         }
         text.push_str("[fleet.seeds]\n");
         for node in 0..SEEDS.min(self.expected) {
--- a/crates/scale/src/plot.rs
+++ b/crates/scale/src/plot.rs
@@ -23,32 +23,63 @@
     let root = SVGBackend::new(to, SIZE).into_drawing_area();
     root.fill(&WHITE).map_err(|error| named(&error))?;
     for (area, (role, figure, unit)) in root.split_evenly((3, 2)).iter().zip(DRAWN) {
-        let points: Vec<(f64, f64)> =
-            fit::points(runs, role, figure).into_iter().filter(|(_, y)| *y > 0.0).collect();
-        let Some(line) = fit::line(&points) else { continue };
+        let points: Vec<(f64, f64)> = fit::points(runs, role, figure)
+            .into_iter()
+            .filter(|(_, y)| *y > 0.0)
+            .collect();
+        let Some(line) = fit::line(&points) else {
+            continue;
+        };
         let edge = |of: fn(&(f64, f64)) -> f64, start: f64, with: fn(f64, f64) -> f64| {
             points.iter().map(of).fold(start, with)
         };
-        let (left, right) = (edge(|p| p.0, f64::MAX, f64::min), edge(|p| p.0, 0.0, f64::max));
-        let (low, high) = (edge(|p| p.1, f64::MAX, f64::min), edge(|p| p.1, 0.0, f64::max));
+        let (left, right) = (
+            edge(|p| p.0, f64::MAX, f64::min),
+            edge(|p| p.0, 0.0, f64::max),
+        );
+        let (low, high) = (
+            edge(|p| p.1, f64::MAX, f64::min),
+            edge(|p| p.1, 0.0, f64::max),
+        );
         let power = line.power.map_or("-".into(), |power| format!("{power:.2}"));
         let mut chart = ChartBuilder::on(area)
             .margin(14)
             .caption(format!("{role}, {unit}: n^{power}"), ("sans-serif", 18))
             .x_label_area_size(34)
             .y_label_area_size(70)
-            .build_cartesian_2d((left * 0.8..right * 1.25).log_scale(), (low * 0.6..high * 1.6).log_scale())
+            .build_cartesian_2d(
+                (left * 0.8..right * 1.25).log_scale(),
+                (low * 0.6..high * 1.6).log_scale(),
+            )
+            .map_err(|error| named(&error))?;
+        chart
+            .configure_mesh()
+            .x_desc("nodes")
+            .y_desc(unit)
+            .draw()
             .map_err(|error| named(&error))?;
-        chart.configure_mesh().x_desc("nodes").y_desc(unit).draw().map_err(|error| named(&error))?;
         let steps = (0..=40).map(|step| left * (right / left).powf(f64::from(step) / 40.0));
-        let straight = steps.clone().map(|n| (n, line.base + line.slope * n)).filter(|(_, y)| *y > low * 0.6);
-        chart.draw_series(LineSeries::new(straight, RED.mix(0.6))).map_err(|error| named(&error))?;
+        let straight = steps
+            .clone()
+            .map(|n| (n, line.base + line.slope * n))
+            .filter(|(_, y)| *y > low * 0.6);
+        chart
+            .draw_series(LineSeries::new(straight, RED.mix(0.6)))
+            .map_err(|error| named(&error))?;
         if let Some((base, slope, _)) = fit::square(&points) {
-            let bent = steps.map(|n| (n, n * (base + slope * n))).filter(|(_, y)| *y > low * 0.6);
-            chart.draw_series(LineSeries::new(bent, GREEN.mix(0.9))).map_err(|error| named(&error))?;
+            let bent = steps
+                .map(|n| (n, n * (base + slope * n)))
+                .filter(|(_, y)| *y > low * 0.6);
+            chart
+                .draw_series(LineSeries::new(bent, GREEN.mix(0.9)))
+                .map_err(|error| named(&error))?;
         }
         chart
-            .draw_series(points.iter().map(|point| Circle::new(*point, 4, BLUE.filled())))
+            .draw_series(
+                points
+                    .iter()
+                    .map(|point| Circle::new(*point, 4, BLUE.filled())),
+            )
             .map_err(|error| named(&error))?;
     }
     root.present().map_err(|error| named(&error))
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -6,10 +6,10 @@
 use crate::ledger::{Awaited, Ledger};
 use crate::outcome::{role, Held, Outcome, Reading, Role};
 use crate::place::{Place, SEEDS};
-use lupincrank_test_servers::seen::Seen;
 use lupincrank_fault_injection::judge::Judge;
 use lupincrank_fault_injection::links::Way;
 use lupincrank_fault_injection::processes::{block, rss_kb, Node, State};
+use lupincrank_test_servers::seen::Seen;
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -70,15 +70,31 @@
 impl Options {
     fn check(&self) -> Result<(), String> {
         if !(4..=1_000).contains(&self.nodes) {
-            return Err(format!("--nodes: {} is not in 4 to 1000, the largest fleet of today", self.nodes));
+            return Err(format!(
+                "--nodes: {} is not in 4 to 1000, the largest fleet of today",
+                self.nodes
+            ));
         }
         if !(2..=self.nodes.min(50)).contains(&self.real) {
-            return Err(format!("--real: {} is not in 2 to {}", self.real, self.nodes.min(50)));
+            return Err(format!(
+                "--real: {} is not in 2 to {}",
+                self.real,
+                self.nodes.min(50)
+            ));
         }
-        if let Some(expected) = self.expected.filter(|expected| !(3..=self.nodes).contains(expected)) {
-            return Err(format!("--expected: {expected} is not in 3 to {}", self.nodes));
+        if let Some(expected) = self
+            .expected
+            .filter(|expected| !(3..=self.nodes).contains(expected))
+        {
+            return Err(format!(
+                "--expected: {expected} is not in 3 to {}",
+                self.nodes
+            ));
         }
-        for (name, value, most) in [("--seconds", self.seconds, 600.0), ("--settle", self.settle, 900.0)] {
+        for (name, value, most) in [
+            ("--seconds", self.seconds, 600.0),
+            ("--settle", self.settle, 900.0),
+        ] {
             if !(1.0..=most).contains(&value) {
                 return Err(format!("{name}: {value} is not in 1 to {most}"));
             }
@@ -96,7 +112,10 @@
             ));
         }
         if !PathBuf::from(&self.program).is_file() {
-            return Err(format!("--program: {:?} is no file: build it first", self.program));
+            return Err(format!(
+                "--program: {:?} is no file: build it first",
+                self.program
+            ));
         }
         Ok(())
     }
@@ -105,7 +124,9 @@
 /// Descriptors that this process may hold.
 fn descriptors() -> Option<usize> {
     let limits = std::fs::read_to_string("/proc/self/limits").ok()?;
-    let line = limits.lines().find_map(|line| line.strip_prefix("Max open files"))?;
+    let line = limits
+        .lines()
+        .find_map(|line| line.strip_prefix("Max open files"))?;
     line.split_whitespace().next()?.parse().ok()
 }
 
@@ -130,29 +151,54 @@
         let count = IN_ONE.min(place.all() - first);
         let numbers = [first, count, place.real, place.hollow, place.expected];
         let numbers = numbers.iter().map(ToString::to_string);
-        let more = [place.block.0.to_string(), place.block.1.to_string(), place.whole.to_string()];
+        let more = [
+            place.block.0.to_string(),
+            place.block.1.to_string(),
+            place.whole.to_string(),
+        ];
         let mut command = Command::new(&options.own);
-        command.arg("host").args(numbers).args(more).arg(options.seed.to_string());
-        let spawned = command.env_clear().stdin(Stdio::piped()).stdout(Stdio::piped()).spawn();
+        command
+            .arg("host")
+            .args(numbers)
+            .args(more)
+            .arg(options.seed.to_string());
+        let spawned = command
+            .env_clear()
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn();
         let mut child = spawned.map_err(|error| format!("{}: {error}", options.own.display()))?;
         let from = child.stdout.take().ok_or("a host has no output")?;
-        let (ledger, name) =
-            (Arc::clone(ledger), format!("the process of {} and {} after it", place.name(first), count - 1));
+        let (ledger, name) = (
+            Arc::clone(ledger),
+            format!(
+                "the process of {} and {} after it",
+                place.name(first),
+                count - 1
+            ),
+        );
         thread::spawn(move || {
             for line in BufReader::new(from).lines().map_while(Result::ok) {
                 match serde_json::from_str::<Line>(&line) {
                     Ok(line) => locked(&ledger).take(line),
-                    Err(error) => locked(&ledger).ended.push(format!("{name} said {line:?}: {error}")),
+                    Err(error) => locked(&ledger)
+                        .ended
+                        .push(format!("{name} said {line:?}: {error}")),
                 }
             }
             locked(&ledger).ended.push(format!("{name} has ended"));
         });
-        Ok(Host { child, first, count })
+        Ok(Host {
+            child,
+            first,
+            count,
+        })
     }
 
     fn say(&mut self, line: &str) -> Result<(), String> {
         let to = self.child.stdin.as_mut().ok_or("a host has no input")?;
-        writeln!(to, "{line}").map_err(|error| format!("hollow nodes from {} on: {error}", self.first))
+        writeln!(to, "{line}")
+            .map_err(|error| format!("hollow nodes from {} on: {error}", self.first))
     }
 }
 
@@ -175,7 +221,10 @@
         Ok(answer)
     };
     let answer = ask().map_err(|error| format!("{at}: {error}"))?;
-    let told = answer.trim_end().strip_prefix("done").map(|told| told.trim_start().to_string());
+    let told = answer
+        .trim_end()
+        .strip_prefix("done")
+        .map(|told| told.trim_start().to_string());
     told.ok_or_else(|| format!("{at}: {}", answer.trim_end()))
 }
 
@@ -213,7 +262,11 @@
             if let Some(code) = node.ended() {
                 let log = std::fs::read_to_string(node.log()).unwrap_or_default();
                 let last: Vec<&str> = log.lines().rev().take(3).collect();
-                return Err(format!("{} has ended: {code}: {}", node.name, last.join(" / ")));
+                return Err(format!(
+                    "{} has ended: {code}: {}",
+                    node.name,
+                    last.join(" / ")
+                ));
             }
         }
         match locked(&self.ledger).ended.first() {
@@ -228,8 +281,12 @@
             if self.real[number].state != State::Runs {
                 continue;
             }
-            let Ok(told) = call(self.real[number].management(), "fleet status") else { continue };
-            let Ok(told) = serde_json::from_str::<Value>(&told) else { continue };
+            let Ok(told) = call(self.real[number].management(), "fleet status") else {
+                continue;
+            };
+            let Ok(told) = serde_json::from_str::<Value>(&told) else {
+                continue;
+            };
             let council = &told["council"];
             let parts = || council["parts"].as_array().into_iter().flatten();
             let is = |part: &&Value, name: &str| part["member"]["name"].as_str() == Some(name);
@@ -243,7 +300,8 @@
                 led: council["leader"].is_string(),
                 votes: votes.is_some_and(|part| part["role"] != "learner"),
                 alive: told["alive"].as_u64().unwrap_or(0) as usize,
-                watched_lives: self.watched.is_empty() || watched.is_some_and(|part| part["alive"] == true),
+                watched_lives: self.watched.is_empty()
+                    || watched.is_some_and(|part| part["alive"] == true),
                 ..Line::default()
             };
             locked(&self.ledger).take(line);
@@ -296,7 +354,10 @@
         let ledger = locked(&self.ledger);
         let reading = |(number, counter): (usize, &doors::Counter)| {
             let (cpu_us, rss_kb) = match self.real.get(number) {
-                Some(node) => (node.cpu_ms().unwrap_or(0) * 1000, node.rss_kb().unwrap_or(0)),
+                Some(node) => (
+                    node.cpu_ms().unwrap_or(0) * 1000,
+                    node.rss_kb().unwrap_or(0),
+                ),
                 None => {
                     let rss = hosts.iter().find(|(nodes, _)| nodes.contains(&number));
                     let cpu = ledger.stand(number).map_or(0, |stand| stand.line.cpu_us);
@@ -337,16 +398,26 @@
         let told = call(self.real[0].management(), "fleet status")?;
         let told: Value = serde_json::from_str(&told).map_err(|error| error.to_string())?;
         let parts = told["council"]["parts"].as_array().into_iter().flatten();
-        let voters =
-            parts.filter(|part| part["role"] != "learner").filter_map(|part| part["member"]["name"].as_str());
+        let voters = parts
+            .filter(|part| part["role"] != "learner")
+            .filter_map(|part| part["member"]["name"].as_str());
         let voters = voters.map(str::to_string).collect();
-        Ok((told["council"]["leader"].as_str().unwrap_or("none").to_string(), voters))
+        Ok((
+            told["council"]["leader"]
+                .as_str()
+                .unwrap_or("none")
+                .to_string(),
+            voters,
+        ))
     }
 
     fn change(&mut self, whole: u32, held: &mut Held) -> Result<(), String> {
         locked(&self.ledger).await_anew(Awaited::Whole(whole));
         let since = unix_us();
-        call(self.real[0].management(), &format!("budgets set cold={whole}"))?;
+        call(
+            self.real[0].management(),
+            &format!("budgets set cold={whole}"),
+        )?;
         self.hold("a change", since, held)
     }
 
@@ -366,7 +437,10 @@
 fn begin<'a>(options: &'a Options, place: Place) -> Result<Run<'a>, String> {
     let named = |error: std::io::Error| error.to_string();
     let (high, low) = place.block;
-    let folder = std::env::temp_dir().join(format!("lupincrank-scale-{}-{high}-{low}", std::process::id()));
+    let folder = std::env::temp_dir().join(format!(
+        "lupincrank-scale-{}-{high}-{low}",
+        std::process::id()
+    ));
     std::fs::create_dir_all(&folder).map_err(named)?;
     let counts = Arc::new(Counts::new(place.all()));
     let mut run = Run {
@@ -381,23 +455,42 @@
         place: place.clone(),
     };
     let (stop, (tell, opened)) = (Arc::new(AtomicBool::new(false)), mpsc::channel());
-    let way = Way { loss: options.loss, ..Way::default() };
-    let (of, seed, ends, ledger) = (place.clone(), options.seed, Arc::clone(&stop), Arc::clone(&run.ledger));
+    let way = Way {
+        loss: options.loss,
+        ..Way::default()
+    };
+    let (of, seed, ends, ledger) = (
+        place.clone(),
+        options.seed,
+        Arc::clone(&stop),
+        Arc::clone(&run.ledger),
+    );
     let doors = thread::spawn(move || {
-        let tell = |all: std::io::Result<()>| drop(tell.send(all.map_err(|error| error.to_string())));
+        let tell =
+            |all: std::io::Result<()>| drop(tell.send(all.map_err(|error| error.to_string())));
         if let Err(error) = doors::serve(&of, way, seed, counts, ends, tell) {
             locked(&ledger).ended.push(format!("the doors: {error}"));
         }
     });
     run.doors = Some((stop, doors));
-    opened.recv().map_err(|_| "the doors did not open".to_string())??;
+    opened
+        .recv()
+        .map_err(|_| "the doors did not open".to_string())??;
     for number in 0..place.real {
         let at = folder.join(place.name(number));
         let program = vec![options.program.clone()];
-        let mut node = Node::new(place.name(number), place.zone(number), program, place.ip(number), at);
+        let mut node = Node::new(
+            place.name(number),
+            place.zone(number),
+            program,
+            place.ip(number),
+            at,
+        );
         let config = place.config(number, options.seed)?;
-        node.tell(&config, Some(&place.operator(Some(number)))).map_err(named)?;
-        node.start(false).map_err(|error| format!("{}: {error}", options.program))?;
+        node.tell(&config, Some(&place.operator(Some(number))))
+            .map_err(named)?;
+        node.start(false)
+            .map_err(|error| format!("{}: {error}", options.program))?;
         run.real.push(node);
     }
     let mut first = place.real;
@@ -417,7 +510,15 @@
     uses.sort_unstable();
     for (at, used) in uses {
         let begun = began.0 + Duration::from_micros(at.saturating_sub(began.1));
-        (0..used).for_each(|_| judge.saw(begun, Seen::Cold { transcriber: 0, begun }));
+        (0..used).for_each(|_| {
+            judge.saw(
+                begun,
+                Seen::Cold {
+                    transcriber: 0,
+                    begun,
+                },
+            )
+        });
     }
     judge
 }
@@ -443,7 +544,10 @@
             Some(first) => {
                 let how = ledger.stand(*first).map(|stand| stand.line.clone());
                 let how = how.map_or("says nothing".to_string(), |line| {
-                    format!("led {}, whole {}, counts {} of {all}", line.led, line.whole, line.alive)
+                    format!(
+                        "led {}, whole {}, counts {} of {all}",
+                        line.led, line.whole, line.alive
+                    )
                 });
                 Err(format!(
                     "{} of {all} nodes do not take part yet, first {}: {how}",
@@ -459,21 +563,28 @@
     run.demand(IDLE)?;
     // All expected nodes found it with a vote each, and leave it one by one.
     let few = |ledger: &Ledger| {
-        let votes = ledger.stands().filter(|(_, stand)| stand.line.votes).count();
+        let votes = ledger
+            .stands()
+            .filter(|(_, stand)| stand.line.votes)
+            .count();
         if votes <= 5 {
             Ok(())
         } else {
             Err(format!("{votes} nodes vote"))
         }
     };
-    let left = settle.saturating_sub(began.0.elapsed()).max(Duration::from_secs(1));
+    let left = settle
+        .saturating_sub(began.0.elapsed())
+        .max(Duration::from_secs(1));
     let voted = run.wait(left, "votes go down", ASK * 5, few)?;
     voted.map_err(|why| format!("not settled after {} s: {why}", options.settle))?;
     let votes_s = began.0.elapsed().as_secs_f64();
     let readings = run.measure()?;
     let (leader, voters) = run.votes()?;
     let numbers = |is: &dyn Fn(usize, &str) -> bool| -> Vec<usize> {
-        (0..all).filter(|node| is(*node, &place.name(*node))).collect()
+        (0..all)
+            .filter(|node| is(*node, &place.name(*node)))
+            .collect()
     };
     let votes = |name: &str| voters.iter().any(|voter| voter == name);
     let mut roles: BTreeMap<&'static str, Role> = BTreeMap::new();
@@ -481,8 +592,14 @@
         ("leader", numbers(&|_, name| name == leader)),
         ("control", numbers(&|_, name| votes(name))),
         ("seed", numbers(&|node, name| node < SEEDS && !votes(name))),
-        ("node", numbers(&|node, name| (SEEDS..place.real).contains(&node) && !votes(name))),
-        ("hollow-node", numbers(&|node, name| node >= place.real.max(SEEDS) && !votes(name))),
+        (
+            "node",
+            numbers(&|node, name| (SEEDS..place.real).contains(&node) && !votes(name)),
+        ),
+        (
+            "hollow-node",
+            numbers(&|node, name| node >= place.real.max(SEEDS) && !votes(name)),
+        ),
     ] {
         roles.insert(name, role(&readings, &nodes));
     }
@@ -504,7 +621,9 @@
     let pressed = (from, unix_us());
     let mut death_ms = Held::default();
     // The last real one that does not vote, or the last one.
-    let victim = (1..place.real).rev().find(|node| !votes(&place.name(*node)) && place.name(*node) != leader);
+    let victim = (1..place.real)
+        .rev()
+        .find(|node| !votes(&place.name(*node)) && place.name(*node) != leader);
     if let Some(victim) = victim {
         run.watched = place.name(victim);
         let watch = format!("watch {}", run.watched);
@@ -517,9 +636,19 @@
     }
     let mut judge = judge(&run, began);
     let second = |at: u64| at.saturating_sub(began.1) as f64 / 1e6;
-    let budget = judge.cold(place.whole + CHANGES, &[(second(pressed.0) + 3.0, second(pressed.1))]);
-    let broken = judge.broken().iter().map(|broken| format!("{}: {}", broken.rule, broken.what)).collect();
-    let (lost, unknown) = (run.counts.lost.load(Relaxed), run.counts.unknown.load(Relaxed));
+    let budget = judge.cold(
+        place.whole + CHANGES,
+        &[(second(pressed.0) + 3.0, second(pressed.1))],
+    );
+    let broken = judge
+        .broken()
+        .iter()
+        .map(|broken| format!("{}: {}", broken.rule, broken.what))
+        .collect();
+    let (lost, unknown) = (
+        run.counts.lost.load(Relaxed),
+        run.counts.unknown.load(Relaxed),
+    );
     drop(run);
     drop(held);
     Ok(Outcome {
--- a/crates/scale/tests/runs.rs
+++ b/crates/scale/tests/runs.rs
@@ -13,7 +13,10 @@
 }
 
 fn scale(more: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_lupincrank-scale")).args(more).output().unwrap()
+    Command::new(env!("CARGO_BIN_EXE_lupincrank-scale"))
+        .args(more)
+        .output()
+        .unwrap()
 }
 
 #[rstest]
@@ -29,7 +32,11 @@
 fn bad_input_names_its_place(#[case] more: &[&str], #[case] why: &str) {
     let output = scale(&[&["run"], more].concat());
     let told = String::from_utf8_lossy(&output.stderr).into_owned();
-    assert!(output.status.code() == Some(2) && told.contains(why), "{:?}: {told}", output.status);
+    assert!(
+        output.status.code() == Some(2) && told.contains(why),
+        "{:?}: {told}",
+        output.status
+    );
 }
 
 #[rstest]
@@ -38,15 +45,30 @@
 fn a_file_that_is_no_outcome_is_named(#[case] file: &str, #[case] why: &str) {
     let output = scale(&["fit", file]);
     let told = String::from_utf8_lossy(&output.stderr).into_owned();
-    assert!(output.status.code() == Some(2) && told.contains(why), "{told}");
+    assert!(
+        output.status.code() == Some(2) && told.contains(why),
+        "{told}"
+    );
 }
 
 /// Twenty nodes, twelve of them real: a hollow one sends what a real one does, and each part of the outcome is there.
 #[test]
 fn a_hollow_node_costs_the_messages_of_a_real_one() {
-    let out = std::env::temp_dir().join(format!("lupincrank-scale-test-{}.json", std::process::id()));
+    let out =
+        std::env::temp_dir().join(format!("lupincrank-scale-test-{}.json", std::process::id()));
     let program = program();
-    let more = ["run", "--nodes", "20", "--real", "12", "--seconds", "6", "--settle", "60", "--json"];
+    let more = [
+        "run",
+        "--nodes",
+        "20",
+        "--real",
+        "12",
+        "--seconds",
+        "6",
+        "--settle",
+        "60",
+        "--json",
+    ];
     let output = Command::new(env!("CARGO_BIN_EXE_lupincrank-scale"))
         .args(more)
         .arg(&out)
@@ -63,20 +85,33 @@
     );
     let outcome: Value = serde_json::from_str(&std::fs::read_to_string(&out).unwrap()).unwrap();
     std::fs::remove_file(&out).unwrap();
-    assert_eq!((outcome["nodes"].as_u64(), outcome["real"].as_u64()), (Some(20), Some(12)));
+    assert_eq!(
+        (outcome["nodes"].as_u64(), outcome["real"].as_u64()),
+        (Some(20), Some(12))
+    );
     assert_eq!(outcome["unknown"], 0, "the doors know all that goes by");
     let figure = |role: &str, name: &str| outcome["roles"][role][name].as_f64().unwrap();
     // Five vote, whichever they are: of the nine real ones that are no seeds, and of the eight hollow ones, some are left.
     for name in ["messages_per_s_mean", "bytes_out_per_s_mean"] {
         let (real, hollow) = (figure("node", name), figure("hollow-node", name));
-        assert!((hollow / real - 1.0).abs() < 0.25, "{name}: a real one {real}, a hollow one {hollow}");
+        assert!(
+            (hollow / real - 1.0).abs() < 0.25,
+            "{name}: a real one {real}, a hollow one {hollow}"
+        );
     }
     assert!(figure("control", "bytes_out_per_s_mean") > figure("node", "bytes_out_per_s_mean"));
     for key in ["p50", "p99", "all"] {
-        assert!(outcome["change_ms"][key].as_f64().unwrap() > 0.0, "{}", outcome["change_ms"]);
+        assert!(
+            outcome["change_ms"][key].as_f64().unwrap() > 0.0,
+            "{}",
+            outcome["change_ms"]
+        );
     }
     let budget = &outcome["budgets"][0];
-    assert!(budget["peak"].as_u64().unwrap() <= budget["whole"].as_u64().unwrap(), "{budget}");
+    assert!(
+        budget["peak"].as_u64().unwrap() <= budget["whole"].as_u64().unwrap(),
+        "{budget}"
+    );
     assert!(budget["total"].as_u64().unwrap() > 0);
 }
 
@@ -87,7 +122,12 @@
         .filter_map(|entry| entry.ok()?.file_name().to_str()?.parse::<u32>().ok());
     let parent = |pid: u32| -> Option<u32> {
         let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
-        stat.rsplit_once(')')?.1.split_whitespace().nth(1)?.parse().ok()
+        stat.rsplit_once(')')?
+            .1
+            .split_whitespace()
+            .nth(1)?
+            .parse()
+            .ok()
     };
     all.filter(|pid| parent(*pid) == Some(of)).collect()
 }
@@ -95,9 +135,21 @@
 #[rstest]
 #[case::interrupted(Signal::INT, Some(2))]
 #[case::killed(Signal::KILL, None)]
-fn a_run_that_ends_early_leaves_no_process_behind(#[case] signal: Signal, #[case] code: Option<i32>) {
+fn a_run_that_ends_early_leaves_no_process_behind(
+    #[case] signal: Signal,
+    #[case] code: Option<i32>,
+) {
     let mut run = Command::new(env!("CARGO_BIN_EXE_lupincrank-scale"))
-        .args(["run", "--nodes", "8", "--real", "2", "--seconds", "60", "--program"])
+        .args([
+            "run",
+            "--nodes",
+            "8",
+            "--real",
+            "2",
+            "--seconds",
+            "60",
+            "--program",
+        ])
         .arg(program())
         .stderr(Stdio::piped())
         .stdout(Stdio::null())
@@ -105,7 +157,8 @@
         .unwrap();
     let what = |pid: &u32| {
         let line = std::fs::read(format!("/proc/{pid}/cmdline")).unwrap_or_default();
-        String::from_utf8_lossy(line.split(|byte| *byte == 0).nth(1).unwrap_or_default()).into_owned()
+        String::from_utf8_lossy(line.split(|byte| *byte == 0).nth(1).unwrap_or_default())
+            .into_owned()
     };
     let until = Instant::now() + Duration::from_secs(30);
     let (mut real, mut hosts) = (Vec::new(), Vec::new());
@@ -115,15 +168,24 @@
             "two real nodes begin and one process of hollow ones: {real:?}, {hosts:?}"
         );
         let begun = children(run.id());
-        real = begun.iter().copied().filter(|pid| what(pid) == "serve").collect();
-        hosts = begun.iter().copied().filter(|pid| what(pid) == "host").collect();
+        real = begun
+            .iter()
+            .copied()
+            .filter(|pid| what(pid) == "serve")
+            .collect();
+        hosts = begun
+            .iter()
+            .copied()
+            .filter(|pid| what(pid) == "host")
+            .collect();
         std::thread::sleep(Duration::from_millis(20));
     }
     kill_process(Pid::from_raw(run.id() as i32).unwrap(), signal).unwrap();
     assert_eq!(run.wait().unwrap().code(), code);
     let lives = |pid: &u32| {
         let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
-        stat.rsplit_once(')').is_some_and(|(_, rest)| !rest.trim_start().starts_with('Z'))
+        stat.rsplit_once(')')
+            .is_some_and(|(_, rest)| !rest.trim_start().starts_with('Z'))
     };
     if signal == Signal::KILL {
         // It can't end the real ones any more: they are ended here, by id, before anything else can fail.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -107,11 +107,22 @@
                         Some("all") => Scope::All,
                         Some("zone") => Scope::Zone,
                         Some("cell") => Scope::Cell,
-                        other => return Err(format!("Categories[{place}].Group: unknown value {other:?}")),
+                        other => {
+                            return Err(format!(
+                                "Categories[{place}].Group: unknown value {other:?}"
+                            ))
+                        }
                     };
-                    Repeat::ByKey { scope, window: nanos(category.window_ns) }
+                    Repeat::ByKey {
+                        scope,
+                        window: nanos(category.window_ns),
+                    }
+                }
+                other => {
+                    return Err(format!(
+                        "Categories[{place}].Repeat: unknown value {other:?}"
+                    ))
                 }
-                other => return Err(format!("Categories[{place}].Repeat: unknown value {other:?}")),
             };
             classes.push(Class {
                 aim: nanos(category.promise_ns),
@@ -121,9 +132,14 @@
         }
         let quota = |place: usize| quotas.get(place).copied().flatten();
         let tenants = (0..conf.tenants.unwrap_or_default().len())
-            .map(|place| Tenant { quota_connections: quota(place) })
+            .map(|place| Tenant {
+                quota_connections: quota(place),
+            })
             .collect();
-        let fields = conf.report.and_then(|report| report.fields).unwrap_or_default();
+        let fields = conf
+            .report
+            .and_then(|report| report.fields)
+            .unwrap_or_default();
         let advises = limits.retry_after.unwrap_or(false);
         Ok(Settings {
             instances: conf.instances.unwrap_or(1),
@@ -133,25 +149,36 @@
             may_tell: limits.peers.unwrap_or(false),
             may_probe: limits.may_probe.unwrap_or(false),
             probe_price: conf.prices.and_then(|prices| prices.probe).unwrap_or(0.0),
-            report_utilisation: fields.iter().position(|field| field.as_deref() == Some("x0")),
+            report_utilisation: fields
+                .iter()
+                .position(|field| field.as_deref() == Some("x0")),
             list_must_be_asked: conf.registry_mode.as_deref() == Some("subscribe"),
             drain_grace: nanos(rules.drain_grace_ns),
             cold_for: nanos(rules.cold_ns),
             start_capacity: rules.start_capacity.unwrap_or(0.0),
             fall_multiple: rules.fall_multiple.unwrap_or(1.0),
             fall_window: nanos(rules.overload_for_ns),
-            longest_retry_after: if advises { nanos(limits.max_retry_after_ns) } else { Duration::ZERO },
+            longest_retry_after: if advises {
+                nanos(limits.max_retry_after_ns)
+            } else {
+                Duration::ZERO
+            },
         })
     }
 
     /// The names of the classes, in the order in which requests number them.
     pub fn classes(&self) -> Vec<&str> {
-        self.categories().map(|category| category.name.as_deref().unwrap_or("")).collect()
+        self.categories()
+            .map(|category| category.name.as_deref().unwrap_or(""))
+            .collect()
     }
 
     /// The longest time that a client of any class waits, over all of its tries.
     pub fn longest_deadline(&self) -> Duration {
-        self.categories().map(|category| nanos(category.deadline_ns)).max().unwrap_or_default()
+        self.categories()
+            .map(|category| nanos(category.deadline_ns))
+            .max()
+            .unwrap_or_default()
     }
 
     /// The names of the zones, in the order in which the list numbers them.
@@ -161,14 +188,26 @@
 
     /// The names of the tenants, in the order in which requests number them.
     pub fn tenants(&self) -> Vec<String> {
-        let name = |tenant: &Option<TenantConf>| tenant.as_ref().and_then(|tenant| tenant.name.clone());
-        self.tenants.iter().flatten().map(|tenant| name(tenant).unwrap_or_default()).collect()
+        let name =
+            |tenant: &Option<TenantConf>| tenant.as_ref().and_then(|tenant| tenant.name.clone());
+        self.tenants
+            .iter()
+            .flatten()
+            .map(|tenant| name(tenant).unwrap_or_default())
+            .collect()
     }
 
     /// The names of the fields of a load report, in their order.
     pub fn report_fields(&self) -> Vec<String> {
-        let fields = self.report.as_ref().and_then(|report| report.fields.as_ref());
-        fields.into_iter().flatten().map(|field| field.clone().unwrap_or_default()).collect()
+        let fields = self
+            .report
+            .as_ref()
+            .and_then(|report| report.fields.as_ref());
+        fields
+            .into_iter()
+            .flatten()
+            .map(|field| field.clone().unwrap_or_default())
+            .collect()
     }
 
     /// The names of the kinds of machines, likewise.
@@ -178,12 +217,18 @@
 
     /// Whether connections belong to groups that share work.
     pub fn has_groups(&self) -> bool {
-        self.family_info.as_ref().and_then(|family| family.groups).unwrap_or(false)
+        self.family_info
+            .as_ref()
+            .and_then(|family| family.groups)
+            .unwrap_or(false)
     }
 
     /// How long a connection may take to come up before it counts as one that could not be made.
     pub fn connect_timeout(&self) -> Option<Duration> {
-        let told = self.limits.as_ref().and_then(|limits| limits.connect_timeout_ns);
+        let told = self
+            .limits
+            .as_ref()
+            .and_then(|limits| limits.connect_timeout_ns);
         told.filter(|span| *span > 0).map(Duration::from_nanos)
     }
 
--- a/crates/settings/src/strict.rs
+++ b/crates/settings/src/strict.rs
@@ -35,21 +35,35 @@
     let settings = &file["settings"];
     for path in NEEDED {
         let found = path.split('.').try_fold(settings, |at, key| at.get(key));
-        found.filter(|value| !value.is_null()).ok_or_else(|| format!("settings.{path} is missing"))?;
+        found
+            .filter(|value| !value.is_null())
+            .ok_or_else(|| format!("settings.{path} is missing"))?;
     }
-    above_zero("settings.Limits.SendCap", &settings["Limits"]["SendCap"], MOST_ATTEMPTS)?;
-    let classes = settings["Categories"].as_array().filter(|classes| !classes.is_empty());
+    above_zero(
+        "settings.Limits.SendCap",
+        &settings["Limits"]["SendCap"],
+        MOST_ATTEMPTS,
+    )?;
+    let classes = settings["Categories"]
+        .as_array()
+        .filter(|classes| !classes.is_empty());
     let classes = classes.ok_or("settings.Categories names no class")?;
     let mut names = Vec::new();
     for (n, class) in classes.iter().enumerate() {
         let place = format!("settings.Categories[{n}]");
         let by_key = class["Repeat"] == "by_key";
-        let needed = CLASS_NEEDED.iter().chain(BY_KEY_NEEDED.iter().filter(|_| by_key));
+        let needed = CLASS_NEEDED
+            .iter()
+            .chain(BY_KEY_NEEDED.iter().filter(|_| by_key));
         for key in needed {
             let there = class.get(key).filter(|value| !value.is_null());
             there.ok_or_else(|| format!("{place}.{key} is missing"))?;
         }
-        above_zero(&format!("{place}.DeadlineNs"), &class["DeadlineNs"], MOST_NS)?;
+        above_zero(
+            &format!("{place}.DeadlineNs"),
+            &class["DeadlineNs"],
+            MOST_NS,
+        )?;
         let name = class["Name"].as_str().filter(|name| !name.is_empty());
         let name = name.ok_or_else(|| format!("{place}.Name is no name"))?;
         if names.contains(&name) {
@@ -65,13 +79,19 @@
 
 fn above_zero(place: &str, value: &Value, most: u64) -> Result<(), String> {
     let number = value.as_u64().filter(|number| (1..=most).contains(number));
-    number.map(|_| ()).ok_or_else(|| format!("{place}: {value} is not a whole number from 1 to {most}"))
+    number
+        .map(|_| ())
+        .ok_or_else(|| format!("{place}: {value} is not a whole number from 1 to {most}"))
 }
 
 /// Whether all keys of `before` are in `now`, level by level; what is in lists may differ.
 fn kept(place: &str, now: &Map<String, Value>, before: &Map<String, Value>) -> Result<(), String> {
     for (key, old) in before {
-        let place = if place.is_empty() { key.clone() } else { format!("{place}.{key}") };
+        let place = if place.is_empty() {
+            key.clone()
+        } else {
+            format!("{place}.{key}")
+        };
         match (now.get(key), old) {
             (None, _) => return Err(format!("{place} is missing, and the present file has it")),
             (Some(Value::Object(now)), Value::Object(old)) => kept(&place, now, old)?,
--- a/crates/simulator/src/experiments/compare.rs
+++ b/crates/simulator/src/experiments/compare.rs
@@ -29,8 +29,10 @@
     seeds: std::ops::Range<u64>,
     done: impl Fn() + Sync,
 ) -> Vec<Side> {
-    let jobs: Vec<(Name, u64)> =
-        policies.iter().flat_map(|name| seeds.clone().map(move |seed| (*name, seed))).collect();
+    let jobs: Vec<(Name, u64)> = policies
+        .iter()
+        .flat_map(|name| seeds.clone().map(move |seed| (*name, seed)))
+        .collect();
     let figures: Vec<Figures> = jobs
         .par_iter()
         .map(|(name, seed)| {
@@ -48,14 +50,23 @@
         differences: columns(runs, Some(first)),
         runs: runs.to_vec(),
     };
-    policies.iter().zip(figures.chunks(each.max(1))).map(side).collect()
+    policies
+        .iter()
+        .zip(figures.chunks(each.max(1)))
+        .map(side)
+        .collect()
 }
 
 fn columns(runs: &[Figures], less: Option<&[Figures]>) -> Vec<(String, Estimate)> {
     let value = |run: usize, column: usize| {
         runs[run].named()[column].1 - less.map_or(0.0, |less| less[run].named()[column].1)
     };
-    let names = runs.first().map(Figures::named).into_iter().flatten().enumerate();
+    let names = runs
+        .first()
+        .map(Figures::named)
+        .into_iter()
+        .flatten()
+        .enumerate();
     names
         .map(|(column, (name, _))| {
             let values: Vec<f64> = (0..runs.len()).map(|run| value(run, column)).collect();
@@ -67,11 +78,22 @@
 /// A table for people.
 pub fn table(sides: &[Side]) -> String {
     let mut text = format!("{:<14}", "policy");
-    let names =
-        ["service", "whole", "worst_window", "worst_class", "imbalance", "moves", "refused", "broken"];
+    let names = [
+        "service",
+        "whole",
+        "worst_window",
+        "worst_class",
+        "imbalance",
+        "moves",
+        "refused",
+        "broken",
+    ];
     names.iter().for_each(|name| text += &format!("{name:>18}"));
     let cell = |from: &[(String, Estimate)], name: &str| {
-        let found = from.iter().find(|(other, _)| other == name).map(|(_, estimate)| *estimate);
+        let found = from
+            .iter()
+            .find(|(other, _)| other == name)
+            .map(|(_, estimate)| *estimate);
         found.map_or(String::new(), |estimate| match estimate.half_width {
             Some(half) => format!("{:.3} +-{half:.3}", estimate.mean),
             None => format!("{:.3}", estimate.mean),
@@ -80,11 +102,15 @@
     for side in sides {
         let mark = if side.upper_bound { "*" } else { "" };
         text += &format!("\n{:<14}", format!("{}{mark}", side.policy));
-        names.iter().for_each(|name| text += &format!("{:>18}", cell(&side.means, name)));
+        names
+            .iter()
+            .for_each(|name| text += &format!("{:>18}", cell(&side.means, name)));
     }
     for side in sides.iter().skip(1) {
         text += &format!("\n{:<14}", format!("{} -", side.policy));
-        names.iter().for_each(|name| text += &format!("{:>18}", cell(&side.differences, name)));
+        names
+            .iter()
+            .for_each(|name| text += &format!("{:>18}", cell(&side.differences, name)));
     }
     text + "\n* sees the true state: an upper bound. Lines with - are paired differences to the first, 95% intervals.\n"
 }
--- a/crates/simulator/src/experiments/cost.rs
+++ b/crates/simulator/src/experiments/cost.rs
@@ -2,8 +2,8 @@
 //! the machine and never enter a simulated world.
 
 use lupincrank_placement::{
-    Action, Balancer, Class, Event, Health, Incoming, Listed, Outcome, Repeat, RequestId, ServerId, Settings,
-    Time,
+    Action, Balancer, Class, Event, Health, Incoming, Listed, Outcome, Repeat, RequestId, ServerId,
+    Settings, Time,
 };
 use serde::{Deserialize, Serialize};
 use std::time::{Duration, Instant};
@@ -25,7 +25,11 @@
     let span = Duration::from_millis;
     Settings {
         instances: 4,
-        classes: vec![Class { aim: span(500), message_aim: span(100), repeat: Repeat::Repeatable }],
+        classes: vec![Class {
+            aim: span(500),
+            message_aim: span(100),
+            repeat: Repeat::Repeatable,
+        }],
         tenants: Vec::new(),
         attempt_cap: 3,
         may_tell: false,
@@ -68,13 +72,17 @@
         };
         let entries = (0..transcribers).map(listed).collect();
         rig.tell(Event::Start);
-        rig.tell(Event::List { entries, cached: false });
+        rig.tell(Event::List {
+            entries,
+            cached: false,
+        });
         rig
     }
 
     fn tell(&mut self, event: Event) {
         self.actions.clear();
-        self.balancer.handle(Time(self.now), event, &mut self.actions);
+        self.balancer
+            .handle(Time(self.now), event, &mut self.actions);
     }
 
     fn request(&mut self) -> (RequestId, Option<ServerId>) {
@@ -94,7 +102,11 @@
             returned: false,
         }));
         let placed = self.actions.iter().find_map(|action| match action {
-            Action::Place { request: placed, server, .. } if *placed == request => Some(server.clone()),
+            Action::Place {
+                request: placed,
+                server,
+                ..
+            } if *placed == request => Some(server.clone()),
             _ => None,
         });
         (request, placed)
@@ -102,7 +114,10 @@
 
     fn stands(&mut self, request: RequestId) {
         self.now += 1_000_000;
-        self.tell(Event::Established { request, took: Duration::from_millis(20) });
+        self.tell(Event::Established {
+            request,
+            took: Duration::from_millis(20),
+        });
     }
 }
 
@@ -145,7 +160,13 @@
     for _ in 0..transcribers * 3 {
         if let (request, Some(_)) = walk.request() {
             let outcome = Outcome::Full;
-            walk.tell(Event::Ended { request, attempt: 0, outcome, done: true, report: None });
+            walk.tell(Event::Ended {
+                request,
+                attempt: 0,
+                outcome,
+                done: true,
+                report: None,
+            });
         }
     }
     let mut spent = Duration::ZERO;
@@ -155,9 +176,20 @@
         let (request, placed) = walk.request();
         spent += begun.elapsed();
         if placed.is_some() {
-            walk.tell(Event::Ended { request, attempt: 0, outcome: Outcome::Full, done: true, report: None });
+            walk.tell(Event::Ended {
+                request,
+                attempt: 0,
+                outcome: Outcome::Full,
+                done: true,
+                report: None,
+            });
         }
     }
     let walk_us = spent.as_secs_f64() * 1e6 / f64::from(walks);
-    Cost { transcribers, request_us, walk_us, upkeep_ms }
+    Cost {
+        transcribers,
+        request_us,
+        walk_us,
+        upkeep_ms,
+    }
 }
--- a/crates/simulator/src/experiments/hunt.rs
+++ b/crates/simulator/src/experiments/hunt.rs
@@ -27,13 +27,21 @@
 pub fn judge(mut scenario: Scenario, seed: u64, others: &[Name]) -> Day {
     scenario.found = None;
     let module = play(&scenario, seed, Name::Module);
-    let best = others.iter().map(|name| (*name, play(&scenario, seed, *name).service));
-    let (against, against_service) =
-        best.max_by(|a, b| a.1.total_cmp(&b.1)).unwrap_or((Name::Module, module.service));
+    let best = others
+        .iter()
+        .map(|name| (*name, play(&scenario, seed, *name).service));
+    let (against, against_service) = best
+        .max_by(|a, b| a.1.total_cmp(&b.1))
+        .unwrap_or((Name::Module, module.service));
     let broke = if module.times_broken > 0 { 2.0 } else { 0.0 };
     let gap = against_service - module.service + broke;
     let service = module.service;
-    scenario.found = Some(Found { seed, service, against: against.text().into(), against_service });
+    scenario.found = Some(Found {
+        seed,
+        service,
+        against: against.text().into(),
+        against_service,
+    });
     Day { scenario, gap }
 }
 
@@ -55,7 +63,10 @@
     day.name = format!("{}-{number}", scenario.name);
     day.trouble.clear();
     for _ in 0..random.gen_range(0..=3) {
-        let kind = kinds.choose(&mut random).copied().unwrap_or(TroubleKind::Slow);
+        let kind = kinds
+            .choose(&mut random)
+            .copied()
+            .unwrap_or(TroubleKind::Slow);
         let at_s = scenario.length_s * random.gen_range(0.05..0.6);
         let part = random.gen_range(0.05..0.25);
         let (part, size) = match kind {
@@ -91,13 +102,18 @@
     done: impl Fn() + Sync,
 ) -> Option<Day> {
     let day = |number: u64| {
-        let day = judge(draw(scenario, seed, number), seed.wrapping_add(number), others);
+        let day = judge(
+            draw(scenario, seed, number),
+            seed.wrapping_add(number),
+            others,
+        );
         done();
         day
     };
     let all: Vec<Day> = (0..days).into_par_iter().map(day).collect();
     // Of equal ones the first, so that the threads decide nothing.
-    all.into_iter().reduce(|worst, day| if day.gap > worst.gap { day } else { worst })
+    all.into_iter()
+        .reduce(|worst, day| if day.gap > worst.gap { day } else { worst })
 }
 
 /// Makes a day smaller as long as most of its gap stays.
@@ -107,8 +123,13 @@
     let mut best = worst;
     for _ in 0..ROUNDS {
         let smaller = smaller(&best.scenario);
-        let days: Vec<Day> = smaller.into_par_iter().map(|day| judge(day, seed, others)).collect();
-        let Some(next) = days.into_iter().find(|day| day.gap >= wanted) else { break };
+        let days: Vec<Day> = smaller
+            .into_par_iter()
+            .map(|day| judge(day, seed, others))
+            .collect();
+        let Some(next) = days.into_iter().find(|day| day.gap >= wanted) else {
+            break;
+        };
         best = next;
     }
     best
--- a/crates/simulator/src/experiments/mod.rs
+++ b/crates/simulator/src/experiments/mod.rs
@@ -83,11 +83,22 @@
         let count = values.len() as f64;
         let mean = values.iter().sum::<f64>() / count.max(1.0);
         if values.len() < 2 {
-            return Estimate { mean, half_width: None };
+            return Estimate {
+                mean,
+                half_width: None,
+            };
+        }
+        let variance = values
+            .iter()
+            .map(|value| (value - mean).powi(2))
+            .sum::<f64>()
+            / (count - 1.0);
+        let factor =
+            StudentsT::new(0.0, 1.0, count - 1.0).map_or(f64::NAN, |t| t.inverse_cdf(0.975));
+        Estimate {
+            mean,
+            half_width: Some(factor * (variance / count).sqrt()),
         }
-        let variance = values.iter().map(|value| (value - mean).powi(2)).sum::<f64>() / (count - 1.0);
-        let factor = StudentsT::new(0.0, 1.0, count - 1.0).map_or(f64::NAN, |t| t.inverse_cdf(0.975));
-        Estimate { mean, half_width: Some(factor * (variance / count).sqrt()) }
     }
 
     /// Whether zero lies outside the interval.
--- a/crates/simulator/src/experiments/sweep.rs
+++ b/crates/simulator/src/experiments/sweep.rs
@@ -19,17 +19,29 @@
 impl std::str::FromStr for Axis {
     type Err = String;
     fn from_str(text: &str) -> Result<Self, String> {
-        let (key, values) = text.split_once('=').ok_or(format!("{text:?} is not KEY=VALUE,VALUE,..."))?;
+        let (key, values) = text
+            .split_once('=')
+            .ok_or(format!("{text:?} is not KEY=VALUE,VALUE,..."))?;
         // A list of TOML values; words without quotes are taken as strings.
         let list = |text: &str| -> Option<Vec<toml::Value>> {
             let table: toml::Table = toml::from_str(&format!("v = [{text}]")).ok()?;
             table.get("v").and_then(|v| v.as_array()).cloned()
         };
-        let quoted =
-            || values.split(',').map(|word| format!("{:?}", word.trim())).collect::<Vec<_>>().join(",");
-        let values = list(values).or_else(|| list(&quoted())).filter(|values| !values.is_empty());
+        let quoted = || {
+            values
+                .split(',')
+                .map(|word| format!("{:?}", word.trim()))
+                .collect::<Vec<_>>()
+                .join(",")
+        };
+        let values = list(values)
+            .or_else(|| list(&quoted()))
+            .filter(|values| !values.is_empty());
         let values = values.ok_or(format!("{text:?}: no values that TOML knows"))?;
-        Ok(Axis { key: key.trim().to_string(), values })
+        Ok(Axis {
+            key: key.trim().to_string(),
+            values,
+        })
     }
 }
 
@@ -46,8 +58,14 @@
 
 /// Sets a key of a scenario's text; the whole is checked again.
 pub fn set(file: &str, text: &str, key: &str, value: &toml::Value) -> Result<String, Vec<Wrong>> {
-    let wrong = |what: String| vec![Wrong { place: format!("{file}: {key}"), what }];
-    let mut table: toml::Value = toml::from_str(text).map_err(|error| wrong(error.message().to_string()))?;
+    let wrong = |what: String| {
+        vec![Wrong {
+            place: format!("{file}: {key}"),
+            what,
+        }]
+    };
+    let mut table: toml::Value =
+        toml::from_str(text).map_err(|error| wrong(error.message().to_string()))?;
     let mut at = &mut table;
     let parts: Vec<&str> = key.split('.').collect();
     for (place, part) in parts.iter().enumerate() {
@@ -59,7 +77,11 @@
                 .and_then(|index| values.get_mut(index))
                 .ok_or_else(|| wrong(format!("the file has no entry {part:?} there")))?,
             toml::Value::Table(entries) => {
-                let empty = if last { value.clone() } else { toml::Value::Table(toml::Table::new()) };
+                let empty = if last {
+                    value.clone()
+                } else {
+                    toml::Value::Table(toml::Table::new())
+                };
                 entries.entry(part.to_string()).or_insert(empty)
             }
             _ => return Err(wrong(format!("{part:?} is no table"))),
@@ -82,8 +104,12 @@
     seeds: std::ops::Range<u64>,
     done: impl Fn() + Sync,
 ) -> Result<Vec<Row>, Vec<Wrong>> {
-    let unwritten =
-        |error: toml::ser::Error| vec![Wrong { place: file.to_string(), what: error.to_string() }];
+    let unwritten = |error: toml::ser::Error| {
+        vec![Wrong {
+            place: file.to_string(),
+            what: error.to_string(),
+        }]
+    };
     let text = toml::to_string(scenario).map_err(unwritten)?;
     let mut points: Vec<(Vec<(String, String)>, String)> = vec![(Vec::new(), text)];
     for axis in axes {
@@ -91,7 +117,10 @@
         for (at, text) in &points {
             for value in &axis.values {
                 let mut at = at.clone();
-                at.push((axis.key.clone(), value.to_string().trim_matches('"').to_string()));
+                at.push((
+                    axis.key.clone(),
+                    value.to_string().trim_matches('"').to_string(),
+                ));
                 next.push((at, set(file, text, &axis.key, value)?));
             }
         }
@@ -99,7 +128,10 @@
     }
     let mut jobs: Vec<(usize, Name, Scenario)> = Vec::new();
     for (place, (at, text)) in points.iter().enumerate() {
-        let named: Vec<String> = at.iter().map(|(key, value)| format!("{key}={value}")).collect();
+        let named: Vec<String> = at
+            .iter()
+            .map(|(key, value)| format!("{key}={value}"))
+            .collect();
         let scenario = scenario::parse(&format!("{file} with {}", named.join(" ")), text)?;
         jobs.extend(policies.iter().map(|name| (place, *name, scenario.clone())));
     }
@@ -110,12 +142,23 @@
             figures
         };
         let runs: Vec<Figures> = seeds.clone().into_par_iter().map(run).collect();
-        let column = |at: usize| runs.iter().map(|run| run.named()[at].1).collect::<Vec<f64>>();
-        let names = runs.first().map(Figures::named).into_iter().flatten().enumerate();
+        let column = |at: usize| {
+            runs.iter()
+                .map(|run| run.named()[at].1)
+                .collect::<Vec<f64>>()
+        };
+        let names = runs
+            .first()
+            .map(Figures::named)
+            .into_iter()
+            .flatten()
+            .enumerate();
         Row {
             at: points[*place].0.clone(),
             policy: name.text().into(),
-            figures: names.map(|(at, (name, _))| (name.to_string(), Estimate::of(&column(at)))).collect(),
+            figures: names
+                .map(|(at, (name, _))| (name.to_string(), Estimate::of(&column(at))))
+                .collect(),
         }
     };
     Ok(jobs.par_iter().map(row).collect())
@@ -123,17 +166,35 @@
 
 /// A table for people.
 pub fn table(rows: &[Row]) -> String {
-    let names =
-        ["service", "worst_window", "worst_class", "imbalance", "moves", "refused", "broken", "events"];
+    let names = [
+        "service",
+        "worst_window",
+        "worst_class",
+        "imbalance",
+        "moves",
+        "refused",
+        "broken",
+        "events",
+    ];
     let mut text = format!("{:<40}{:<14}", "point", "policy");
     names.iter().for_each(|name| text += &format!("{name:>16}"));
     for row in rows {
-        let at: Vec<String> = row.at.iter().map(|(key, value)| format!("{key}={value}")).collect();
+        let at: Vec<String> = row
+            .at
+            .iter()
+            .map(|(key, value)| format!("{key}={value}"))
+            .collect();
         text += &format!("\n{:<40}{:<14}", at.join(" "), row.policy);
         for name in names {
-            let found =
-                row.figures.iter().find(|(other, _)| other == name).map(|(_, estimate)| estimate.mean);
-            text += &format!("{:>16}", found.map_or(String::new(), |mean| format!("{mean:.3}")));
+            let found = row
+                .figures
+                .iter()
+                .find(|(other, _)| other == name)
+                .map(|(_, estimate)| estimate.mean);
+            text += &format!(
+                "{:>16}",
+                found.map_or(String::new(), |mean| format!("{mean:.3}"))
+            );
         }
     }
     text + "\n"
--- a/crates/simulator/src/judge.rs
+++ b/crates/simulator/src/judge.rs
@@ -90,13 +90,33 @@
             Of::Request(request) => line.request == request,
             Of::Server(server) => line.server == Some(server),
         };
-        let mut trace: Vec<String> = self.record.iter().rev().filter(about).take(SHOWN).map(show).collect();
+        let mut trace: Vec<String> = self
+            .record
+            .iter()
+            .rev()
+            .filter(about)
+            .take(SHOWN)
+            .map(show)
+            .collect();
         trace.reverse();
-        self.broken.push(Broken { rule, at_s: as_seconds(at), what, trace });
+        self.broken.push(Broken {
+            rule,
+            at_s: as_seconds(at),
+            what,
+            trace,
+        });
     }
 }
 
 fn show(line: &Line) -> String {
-    let server = line.server.map_or(String::new(), |server| format!(" transcriber {server}"));
-    format!("{:.6} node {} request {:x}{server}: {}", as_seconds(line.at), line.node, line.request, line.what)
+    let server = line
+        .server
+        .map_or(String::new(), |server| format!(" transcriber {server}"));
+    format!(
+        "{:.6} node {} request {:x}{server}: {}",
+        as_seconds(line.at),
+        line.node,
+        line.request,
+        line.what
+    )
 }
--- a/crates/simulator/src/measure.rs
+++ b/crates/simulator/src/measure.rs
@@ -204,7 +204,9 @@
 
     fn want(&mut self, class: usize, from: Moment, until: Moment, sign: f64) {
         let (from, until) = (as_seconds(from), as_seconds(until).min(self.length));
-        let Some(seconds) = self.wanted.get_mut(class) else { return };
+        let Some(seconds) = self.wanted.get_mut(class) else {
+            return;
+        };
         let mut at = from;
         while at < until {
             let next = (at.floor() + 1.0).min(until);
@@ -218,7 +220,11 @@
     /// Connections of a class were served well for so long, which ended now.
     pub fn serves(&mut self, class: usize, now: Moment, connection_seconds: f64) {
         let second = as_seconds(now.saturating_sub(1)) as usize;
-        if let Some(at) = self.served.get_mut(class).and_then(|seconds| seconds.get_mut(second)) {
+        if let Some(at) = self
+            .served
+            .get_mut(class)
+            .and_then(|seconds| seconds.get_mut(second))
+        {
             *at += connection_seconds;
         }
     }
@@ -242,20 +248,34 @@
             (sum, squares, count) = (sum + one, squares + one * one, count + 1.0);
         }
         let mean = sum / f64::max(count, 1.0);
-        let spread = (squares / f64::max(count, 1.0) - mean * mean).max(0.0).sqrt();
+        let spread = (squares / f64::max(count, 1.0) - mean * mean)
+            .max(0.0)
+            .sqrt();
         let imbalance = if mean > 1e-9 { spread / mean } else { 0.0 };
-        self.imbalance =
-            (self.imbalance.0 + imbalance, self.imbalance.1.max(imbalance), self.imbalance.2 + 1);
+        self.imbalance = (
+            self.imbalance.0 + imbalance,
+            self.imbalance.1.max(imbalance),
+            self.imbalance.2 + 1,
+        );
         self.used = (self.used.0 + mean, self.used.1 + 1);
         let used = if keeps { used } else { Vec::new() };
-        self.lines.push(Sample { at_s: as_seconds(now), used, standing, imbalance, service: 0.0 });
+        self.lines.push(Sample {
+            at_s: as_seconds(now),
+            used,
+            standing,
+            imbalance,
+            service: 0.0,
+        });
     }
 
     /// The share of what was wanted in some seconds that was served well, by worth.
     fn share(&self, worths: &[f64], seconds: std::ops::Range<usize>) -> f64 {
         let sum = |books: &[Vec<f64>]| -> f64 {
             let class = |(class, worth): (usize, &f64)| {
-                books[class].get(seconds.clone()).map_or(0.0, |part| part.iter().sum::<f64>()) * worth
+                books[class]
+                    .get(seconds.clone())
+                    .map_or(0.0, |part| part.iter().sum::<f64>())
+                    * worth
             };
             worths.iter().enumerate().map(class).sum()
         };
@@ -271,10 +291,13 @@
         let worths: Vec<f64> = scenario.class.iter().map(|class| class.worth).collect();
         let seconds = self.wanted.first().map_or(0, Vec::len);
         let whole = self.share(&worths, 0..seconds);
-        let windows = (0..=seconds.saturating_sub(WINDOW)).map(|at| self.share(&worths, at..at + WINDOW));
+        let windows =
+            (0..=seconds.saturating_sub(WINDOW)).map(|at| self.share(&worths, at..at + WINDOW));
         let worst_window = windows.fold(whole, f64::min);
         let only = |class: usize| -> Vec<f64> {
-            (0..worths.len()).map(|other| if other == class { 1.0 } else { 0.0 }).collect()
+            (0..worths.len())
+                .map(|other| if other == class { 1.0 } else { 0.0 })
+                .collect()
         };
         let by_class: Vec<ByClass> = scenario
             .class
@@ -287,7 +310,10 @@
                 message_ms: percentiles(&self.messages[class]),
             })
             .collect();
-        let worst_class = by_class.iter().map(|class| class.service).fold(1.0, f64::min);
+        let worst_class = by_class
+            .iter()
+            .map(|class| class.service)
+            .fold(1.0, f64::min);
         let Goal {
             whole: of_whole,
             worst_window: of_window,
--- a/crates/simulator/src/paper.rs
+++ b/crates/simulator/src/paper.rs
@@ -72,7 +72,9 @@
     let guid = |random: &mut dyn RngCore| {
         let mut bytes = [0; 16];
         random.fill_bytes(&mut bytes);
-        uuid::Builder::from_random_bytes(bytes).into_uuid().to_string()
+        uuid::Builder::from_random_bytes(bytes)
+            .into_uuid()
+            .to_string()
     };
     let one = |at: usize| match (form, at % 2) {
         (Form::Guid, _) => guid(&mut random),
@@ -87,7 +89,12 @@
     let mut bytes = [0; 16];
     let mut one = || {
         random.fill_bytes(&mut bytes);
-        ServerId::from(uuid::Builder::from_random_bytes(bytes).into_uuid().to_string().as_str())
+        ServerId::from(
+            uuid::Builder::from_random_bytes(bytes)
+                .into_uuid()
+                .to_string()
+                .as_str(),
+        )
     };
     (0..count).map(|_| one()).collect()
 }
@@ -100,7 +107,11 @@
     let mut pair = Vec::new();
     let begun = Instant::now();
     for key in keys {
-        let hash = if method == Method::Product { key_hash(key) } else { 0 };
+        let hash = if method == Method::Product {
+            key_hash(key)
+        } else {
+            0
+        };
         let mut best = (0usize, 0u32, false);
         for (at, server) in servers.iter().enumerate() {
             let score = match method {
@@ -115,7 +126,15 @@
             if at == 0 || score > best.1 {
                 best = (at, score, false);
             } else if score == best.1 {
-                best = (if *server < servers[best.0] { at } else { best.0 }, score, true);
+                best = (
+                    if *server < servers[best.0] {
+                        at
+                    } else {
+                        best.0
+                    },
+                    score,
+                    true,
+                );
             }
         }
         wins[best.0] += 1;
@@ -153,15 +172,24 @@
 fn row(servers: usize, keys: Form, method: Method, key_count: usize, sets: &[Counted]) -> Row {
     let even = 1.0 / servers as f64;
     let deviation = |one: &Counted| {
-        (one.shares.iter().map(|share| (share - even).powi(2)).sum::<f64>() / servers as f64).sqrt()
+        (one.shares
+            .iter()
+            .map(|share| (share - even).powi(2))
+            .sum::<f64>()
+            / servers as f64)
+            .sqrt()
     };
-    let mean = |of: &dyn Fn(&Counted) -> f64| sets.iter().map(of).sum::<f64>() / sets.len().max(1) as f64;
+    let mean =
+        |of: &dyn Fn(&Counted) -> f64| sets.iter().map(of).sum::<f64>() / sets.len().max(1) as f64;
     let shares = || sets.iter().flat_map(|one| one.shares.iter().copied());
     let by_zeros = [0, 1, 2, 3].map(|zeros| {
         let of = |one: &Counted| -> Vec<f64> {
             let matching = one.hashes.iter().zip(&one.shares);
             let fits = |hash: &u32| hash.trailing_zeros().min(3) == zeros;
-            matching.filter(|(hash, _)| fits(hash)).map(|(_, share)| share / even).collect()
+            matching
+                .filter(|(hash, _)| fits(hash))
+                .map(|(_, share)| share / even)
+                .collect()
         };
         let found: Vec<f64> = sets.iter().flat_map(of).collect();
         (!found.is_empty()).then(|| found.iter().sum::<f64>() / found.len() as f64)
@@ -188,7 +216,9 @@
         "servers", "keys", "method", "stddev %", "worst %", "chance %", "largest", "smallest", "ns"
     );
     for row in rows {
-        let zeros = row.by_zeros.map(|share| share.map_or("-".into(), |share| format!("{share:.3}")));
+        let zeros = row
+            .by_zeros
+            .map(|share| share.map_or("-".into(), |share| format!("{share:.3}")));
         text += &format!(
             "{:>7} {:<9} {:<8} {:>9.4} {:>9.4} {:>9.4} {:>8.3} {:>8.3} {:>8.0}  {}\n",
             row.servers,
--- a/crates/simulator/src/plot.rs
+++ b/crates/simulator/src/plot.rs
@@ -47,17 +47,22 @@
         let root = SVGBackend::with_string(&mut svg, (1000, 700)).into_drawing_area();
         root.fill(&WHITE)?;
         match results {
-            Results::Run { scenario, policy, timeline } => {
-                run(&root, &format!("{scenario}, {policy}"), timeline)?
-            }
+            Results::Run {
+                scenario,
+                policy,
+                timeline,
+            } => run(&root, &format!("{scenario}, {policy}"), timeline)?,
             Results::Sweep { sweep } => {
                 let (x, lines) = sweep_lines(sweep, figure)?;
                 chart(&root, figure, &x, figure, &lines, false)?;
             }
             Results::Paper { paper } => {
                 let of = |method: Method, keys| {
-                    let rows = paper.iter().filter(|row| row.method == method && row.keys == keys);
-                    rows.map(|row| (row.servers as f64, row.stddev * 100.0)).collect::<Vec<_>>()
+                    let rows = paper
+                        .iter()
+                        .filter(|row| row.method == method && row.keys == keys);
+                    rows.map(|row| (row.servers as f64, row.stddev * 100.0))
+                        .collect::<Vec<_>>()
                 };
                 let mut lines = Vec::new();
                 for keys in [crate::paper::Form::Guid, crate::paper::Form::Prefixed] {
@@ -65,13 +70,22 @@
                         lines.push((format!("{method:?}, {keys:?} keys"), of(method, keys)));
                     }
                 }
-                chart(&root, "Standard deviation of shares", "servers", "% of all keys", &lines, true)?;
+                chart(
+                    &root,
+                    "Standard deviation of shares",
+                    "servers",
+                    "% of all keys",
+                    &lines,
+                    true,
+                )?;
             }
             Results::Cost { cost } => {
                 let line = |name: &str, of: &dyn Fn(&Cost) -> f64| {
                     (
                         name.to_string(),
-                        cost.iter().map(|row| (f64::from(row.transcribers), of(row))).collect(),
+                        cost.iter()
+                            .map(|row| (f64::from(row.transcribers), of(row)))
+                            .collect(),
                     )
                 };
                 let lines = [
@@ -79,7 +93,14 @@
                     line("walk past all, us", &|row| row.walk_us),
                     line("upkeep, ms", &|row| row.upkeep_ms),
                 ];
-                chart(&root, "Cost against size", "transcribers", "us or ms", &lines, true)?;
+                chart(
+                    &root,
+                    "Cost against size",
+                    "transcribers",
+                    "us or ms",
+                    &lines,
+                    true,
+                )?;
             }
         }
         root.present()?;
@@ -95,13 +116,25 @@
     let mut lines: Vec<Line> = Vec::new();
     let mut axis = String::new();
     for row in rows {
-        let Some((key, value)) = row.at.first() else { continue };
+        let Some((key, value)) = row.at.first() else {
+            continue;
+        };
         axis.clone_from(key);
-        let rest: Vec<String> = row.at[1..].iter().map(|(key, value)| format!("{key}={value}")).collect();
-        let name = format!("{} {}", row.policy, rest.join(" ")).trim().to_string();
-        let x: f64 = value.parse().map_err(|_| format!("{key}={value}: a plot needs numbers"))?;
+        let rest: Vec<String> = row.at[1..]
+            .iter()
+            .map(|(key, value)| format!("{key}={value}"))
+            .collect();
+        let name = format!("{} {}", row.policy, rest.join(" "))
+            .trim()
+            .to_string();
+        let x: f64 = value
+            .parse()
+            .map_err(|_| format!("{key}={value}: a plot needs numbers"))?;
         let found = row.figures.iter().find(|(name, _)| name == figure);
-        let y = found.ok_or(format!("no figure is called {figure:?}"))?.1.mean;
+        let y = found
+            .ok_or(format!("no figure is called {figure:?}"))?
+            .1
+            .mean;
         match lines.iter_mut().find(|(other, _)| *other == name) {
             Some(line) => line.1.push((x, y)),
             None => lines.push((name, vec![(x, y)])),
@@ -112,32 +145,59 @@
 
 fn bounds(lines: &[Line]) -> (f64, f64, f64, f64) {
     let points = || lines.iter().flat_map(|(_, points)| points.iter());
-    let x = points().map(|(x, _)| *x).fold((f64::INFINITY, 0.0f64), |(a, b), x| (a.min(x), b.max(x)));
-    let y = points().map(|(_, y)| *y).fold((f64::INFINITY, 0.0f64), |(a, b), y| (a.min(y), b.max(y)));
-    (x.0.min(x.1), x.1.max(x.0.min(x.1) + 1e-9), y.0.min(y.1), y.1.max(y.0.min(y.1) + 1e-9))
+    let x = points()
+        .map(|(x, _)| *x)
+        .fold((f64::INFINITY, 0.0f64), |(a, b), x| (a.min(x), b.max(x)));
+    let y = points()
+        .map(|(_, y)| *y)
+        .fold((f64::INFINITY, 0.0f64), |(a, b), y| (a.min(y), b.max(y)));
+    (
+        x.0.min(x.1),
+        x.1.max(x.0.min(x.1) + 1e-9),
+        y.0.min(y.1),
+        y.1.max(y.0.min(y.1) + 1e-9),
+    )
 }
 
 fn chart(root: &Area, title: &str, x_name: &str, y_name: &str, lines: &[Line], log: bool) -> Drawn {
     let (x0, x1, y0, y1) = bounds(lines);
     let mut builder = ChartBuilder::on(root);
-    builder.caption(title, ("sans-serif", 22)).margin(16).x_label_area_size(42).y_label_area_size(64);
+    builder
+        .caption(title, ("sans-serif", 22))
+        .margin(16)
+        .x_label_area_size(42)
+        .y_label_area_size(64);
     if log {
         let low = y0.max(y1 * 1e-6);
-        let mut chart =
-            builder.build_cartesian_2d((x0.max(1e-9)..x1).log_scale(), (low..y1 * 1.2).log_scale())?;
-        chart.configure_mesh().x_desc(x_name).y_desc(y_name).draw()?;
+        let mut chart = builder
+            .build_cartesian_2d((x0.max(1e-9)..x1).log_scale(), (low..y1 * 1.2).log_scale())?;
+        chart
+            .configure_mesh()
+            .x_desc(x_name)
+            .y_desc(y_name)
+            .draw()?;
         for (at, (name, points)) in lines.iter().enumerate() {
             let colour = Palette99::pick(at).to_rgba();
             let points = points.iter().map(|(x, y)| (*x, y.max(low)));
             chart
                 .draw_series(LineSeries::new(points, colour.stroke_width(2)))?
                 .label(name)
-                .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], colour.stroke_width(2)));
+                .legend(move |(x, y)| {
+                    PathElement::new(vec![(x, y), (x + 16, y)], colour.stroke_width(2))
+                });
         }
-        chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
+        chart
+            .configure_series_labels()
+            .background_style(WHITE.mix(0.8))
+            .border_style(BLACK)
+            .draw()?;
     } else {
         let mut chart = builder.build_cartesian_2d(x0..x1, 0.0..y1 * 1.05)?;
-        chart.configure_mesh().x_desc(x_name).y_desc(y_name).draw()?;
+        chart
+            .configure_mesh()
+            .x_desc(x_name)
+            .y_desc(y_name)
+            .draw()?;
         for (at, (name, points)) in lines.iter().enumerate() {
             let colour = Palette99::pick(at).to_rgba();
             let line = LineSeries::new(points.iter().copied(), colour.stroke_width(2));
@@ -149,7 +209,11 @@
             }
         }
         if lines.len() <= 12 {
-            chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
+            chart
+                .configure_series_labels()
+                .background_style(WHITE.mix(0.8))
+                .border_style(BLACK)
+                .draw()?;
         }
     }
     Ok(())
@@ -158,13 +222,23 @@
 /// Service and imbalance above, the load of each transcriber below.
 fn run(root: &Area, title: &str, timeline: &[Sample]) -> Drawn {
     let (above, below) = root.split_vertically(300);
-    let over = |of: &dyn Fn(&Sample) -> f64| timeline.iter().map(|at| (at.at_s, of(at))).collect::<Vec<_>>();
-    let lines = [("service".into(), over(&|at| at.service)), ("imbalance".into(), over(&|at| at.imbalance))];
+    let over = |of: &dyn Fn(&Sample) -> f64| {
+        timeline
+            .iter()
+            .map(|at| (at.at_s, of(at)))
+            .collect::<Vec<_>>()
+    };
+    let lines = [
+        ("service".into(), over(&|at| at.service)),
+        ("imbalance".into(), over(&|at| at.imbalance)),
+    ];
     chart(&above, title, "s", "share", &lines, false)?;
     let most = timeline.iter().map(|at| at.used.len()).max().unwrap_or(0);
     let mut loads: Vec<Line> = Vec::new();
     for server in 0..most {
-        let points = timeline.iter().filter_map(|at| Some((at.at_s, (*at.used.get(server)?)?)));
+        let points = timeline
+            .iter()
+            .filter_map(|at| Some((at.at_s, (*at.used.get(server)?)?)));
         loads.push((format!("transcriber {server}"), points.collect()));
     }
     if loads.is_empty() {
--- a/crates/simulator/src/policy.rs
+++ b/crates/simulator/src/policy.rs
@@ -3,8 +3,8 @@
 use crate::queue::Moment;
 use crate::transcriber::{State, Transcriber};
 use lupincrank_placement::{
-    key_hash, rank_score, server_hash, Action, Balancer, Event, Health, Incoming, Listed, Outcome, RequestId,
-    ServerId, Settings, Time,
+    key_hash, rank_score, server_hash, Action, Balancer, Event, Health, Incoming, Listed, Outcome,
+    RequestId, ServerId, Settings, Time,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
@@ -23,9 +23,16 @@
     /// Load over capacity, with what is on its way to it left out; none if it takes nothing.
     pub fn used(&self, server: &ServerId) -> Option<f64> {
         let at = *self.index.get(server)?;
-        let server = self.fleet.get(at as usize).filter(|server| server.state == State::Up)?;
+        let server = self
+            .fleet
+            .get(at as usize)
+            .filter(|server| server.state == State::Up)?;
         let (wait, _) = server.delay(self.now);
-        Some(server.used(self.now) + wait + f64::from(server.busy) / f64::from(server.slots().max(1)) * 0.1)
+        Some(
+            server.used(self.now)
+                + wait
+                + f64::from(server.busy) / f64::from(server.slots().max(1)) * 0.1,
+        )
     }
 }
 
@@ -58,7 +65,13 @@
 
 impl Name {
     /// All of them.
-    pub const ALL: [Name; 5] = [Name::Module, Name::Random, Name::Plain, Name::TwoChoices, Name::LeastLoaded];
+    pub const ALL: [Name; 5] = [
+        Name::Module,
+        Name::Random,
+        Name::Plain,
+        Name::TwoChoices,
+        Name::LeastLoaded,
+    ];
 
     /// As it is written on the command line.
     pub fn text(self) -> &'static str {
@@ -83,10 +96,13 @@
 impl FromStr for Name {
     type Err = String;
     fn from_str(text: &str) -> Result<Self, String> {
-        Name::ALL.into_iter().find(|name| name.text() == text).ok_or_else(|| {
-            let all: Vec<&str> = Name::ALL.iter().map(|name| name.text()).collect();
-            format!("no policy is called {text:?}; there are {}", all.join(", "))
-        })
+        Name::ALL
+            .into_iter()
+            .find(|name| name.text() == text)
+            .ok_or_else(|| {
+                let all: Vec<&str> = Name::ALL.iter().map(|name| name.text()).collect();
+                format!("no policy is called {text:?}; there are {}", all.join(", "))
+            })
     }
 }
 
@@ -132,7 +148,8 @@
             let next = self.known.len() as u32;
             let at = *self.servers.entry(entry.server.clone()).or_insert(next);
             if at == next {
-                self.known.push((server_hash(&entry.server), entry.server, 0));
+                self.known
+                    .push((server_hash(&entry.server), entry.server, 0));
             }
             let place = self.ready.iter().position(|other| *other == at);
             match (entry.health == Health::Ready, place) {
@@ -150,7 +167,12 @@
         let among = if tried.is_empty() {
             &self.ready
         } else {
-            open = self.ready.iter().copied().filter(|at| !tried.contains(at)).collect();
+            open = self
+                .ready
+                .iter()
+                .copied()
+                .filter(|at| !tried.contains(at))
+                .collect();
             &open
         };
         if among.is_empty() {
@@ -162,28 +184,48 @@
             Name::Random | Name::Module => Some(any(&mut self.random)),
             Name::Plain => among.iter().copied().max_by(|a, b| {
                 let (a, b) = (&known[*a as usize], &known[*b as usize]);
-                rank_score(a.0, key).cmp(&rank_score(b.0, key)).then(b.1.cmp(&a.1))
+                rank_score(a.0, key)
+                    .cmp(&rank_score(b.0, key))
+                    .then(b.1.cmp(&a.1))
             }),
             Name::TwoChoices => {
                 let (a, b) = (any(&mut self.random), any(&mut self.random));
-                Some(if known[b as usize].2 < known[a as usize].2 { b } else { a })
+                Some(if known[b as usize].2 < known[a as usize].2 {
+                    b
+                } else {
+                    a
+                })
             }
             Name::LeastLoaded => {
                 let used = |at: &u32| truth.used(&known[*at as usize].1).unwrap_or(f64::INFINITY);
-                among.iter().copied().min_by(|a, b| used(a).total_cmp(&used(b)))
+                among
+                    .iter()
+                    .copied()
+                    .min_by(|a, b| used(a).total_cmp(&used(b)))
             }
         }
     }
 
     fn place(&mut self, now: Time, id: RequestId, truth: &Truth, actions: &mut Vec<Action>) {
-        let Some(mut taken) = self.requests.remove(&id) else { return };
+        let Some(mut taken) = self.requests.remove(&id) else {
+            return;
+        };
         let left = taken.expires.since(now);
         let may = taken.attempts < self.settings.attempt_cap && left > Duration::from_millis(20);
-        let chosen = if may { self.choose(taken.key, &taken.tried, truth) } else { None };
+        let chosen = if may {
+            self.choose(taken.key, &taken.tried, truth)
+        } else {
+            None
+        };
         let Some(at) = chosen else {
-            let retry_after =
-                self.settings.longest_retry_after.mul_f64(0.25 + 0.5 * self.random.gen::<f64>());
-            return actions.push(Action::Refuse { request: id, retry_after });
+            let retry_after = self
+                .settings
+                .longest_retry_after
+                .mul_f64(0.25 + 0.5 * self.random.gen::<f64>());
+            return actions.push(Action::Refuse {
+                request: id,
+                retry_after,
+            });
         };
         taken.attempts += 1;
         taken.out = Some(at);
@@ -191,11 +233,17 @@
         self.requests.insert(id, taken);
         let place = &mut self.known[at as usize];
         place.2 += 1;
-        actions.push(Action::Place { request: id, server: place.1.clone(), patience: left });
+        actions.push(Action::Place {
+            request: id,
+            server: place.1.clone(),
+            patience: left,
+        });
     }
 
     fn release(&mut self, id: RequestId) -> bool {
-        let Some(taken) = self.requests.get_mut(&id) else { return false };
+        let Some(taken) = self.requests.get_mut(&id) else {
+            return false;
+        };
         if let Some(at) = taken.out.take() {
             self.known[at as usize].2 = self.known[at as usize].2.saturating_sub(1);
         }
@@ -203,15 +251,30 @@
     }
 
     fn taken(&self, incoming: Incoming) -> Taken {
-        let key = incoming.group.or(incoming.key).as_deref().map_or(0, key_hash);
-        Taken { key, expires: incoming.expires, attempts: 0, tried: Vec::new(), out: None, stands: false }
+        let key = incoming
+            .group
+            .or(incoming.key)
+            .as_deref()
+            .map_or(0, key_hash);
+        Taken {
+            key,
+            expires: incoming.expires,
+            attempts: 0,
+            tried: Vec::new(),
+            out: None,
+            stands: false,
+        }
     }
 }
 
 impl Policy for Baseline {
     fn handle(&mut self, now: Time, event: Event, truth: &Truth, actions: &mut Vec<Action>) {
         match event {
-            Event::Start => actions.extend(self.settings.list_must_be_asked.then_some(Action::Subscribe)),
+            Event::Start => actions.extend(
+                self.settings
+                    .list_must_be_asked
+                    .then_some(Action::Subscribe),
+            ),
             Event::List { entries, .. } => self.list(entries, true),
             Event::ListChange(entries) => self.list(entries, false),
             Event::ListFailed => {
@@ -240,7 +303,12 @@
                     taken.stands = true;
                 }
             }
-            Event::Ended { request, outcome, done, .. } => {
+            Event::Ended {
+                request,
+                outcome,
+                done,
+                ..
+            } => {
                 let stood = self.release(request);
                 if done || stood || outcome == Outcome::Served {
                     self.requests.remove(&request);
@@ -257,10 +325,15 @@
                 actions.push(Action::Move(request));
             }
             Event::ServerSilent(server) => {
-                let Some(at) = self.servers.get(&server) else { return };
+                let Some(at) = self.servers.get(&server) else {
+                    return;
+                };
                 let mut held: Vec<RequestId> = Vec::new();
                 held.extend(
-                    self.requests.iter().filter(|(_, t)| t.stands && t.out == Some(*at)).map(|(id, _)| *id),
+                    self.requests
+                        .iter()
+                        .filter(|(_, t)| t.stands && t.out == Some(*at))
+                        .map(|(id, _)| *id),
                 );
                 held.sort_unstable();
                 actions.extend(held.into_iter().map(Action::Move));
--- a/crates/simulator/src/population.rs
+++ b/crates/simulator/src/population.rs
@@ -63,7 +63,11 @@
             sum
         });
         let size = scenario.clients.group_size;
-        let count = if size > 0.0 { (scenario.standing() / size).ceil().max(1.0) } else { 0.0 };
+        let count = if size > 0.0 {
+            (scenario.standing() / size).ceil().max(1.0)
+        } else {
+            0.0
+        };
         Population {
             seed,
             shares: shares.collect(),
@@ -80,10 +84,19 @@
     pub fn draw(&self, serial: u64, stands: bool) -> Drawn {
         let mut random = stream(self.seed, 1, serial);
         let at: f64 = random.gen();
-        let mut class = self.shares.iter().position(|share| at < *share).unwrap_or(0);
+        let mut class = self
+            .shares
+            .iter()
+            .position(|share| at < *share)
+            .unwrap_or(0);
         if stands {
             // A class with long lives has more of those that stand.
-            let lives: f64 = self.scenario.class.iter().map(|class| class.share * class.life).sum();
+            let lives: f64 = self
+                .scenario
+                .class
+                .iter()
+                .map(|class| class.share * class.life)
+                .sum();
             let mut left = random.gen::<f64>() * lives;
             class = self
                 .scenario
@@ -105,9 +118,19 @@
                 mean * around_one(&mut random, sigma) * (sigma * sigma).exp() * random.gen::<f64>()
             }
         };
-        let group = self.groups.as_ref().map(|groups| groups.sample(&mut random) as u32);
+        let group = self
+            .groups
+            .as_ref()
+            .map(|groups| groups.sample(&mut random) as u32);
         let usual = drawn.load * self.unit * around_one(&mut random, drawn.load_sigma);
-        Drawn { class, zone: random.gen_range(0..self.scenario.net.zones), group, life_s, usual, random }
+        Drawn {
+            class,
+            zone: random.gen_range(0..self.scenario.net.zones),
+            group,
+            life_s,
+            usual,
+            random,
+        }
     }
 }
 
@@ -118,7 +141,11 @@
     }
     let next = seconds(class.change_s * random.sample::<f64, _>(Exp1)).max(1_000_000);
     let idle = random.gen::<f64>() < class.idle;
-    let load = if idle { 0.0 } else { usual / (1.0 - class.idle) * around_one(random, class.swing_sigma) };
+    let load = if idle {
+        0.0
+    } else {
+        usual / (1.0 - class.idle) * around_one(random, class.swing_sigma)
+    };
     (load, Some(next))
 }
 
--- a/crates/simulator/src/queue.rs
+++ b/crates/simulator/src/queue.rs
@@ -138,7 +138,9 @@
         if self.heap.peek().map_or(true, |next| next.0 .0 > end) {
             return None;
         }
-        self.heap.pop().map(|Reverse(Entry(at, _, happening))| (at, happening))
+        self.heap
+            .pop()
+            .map(|Reverse(Entry(at, _, happening))| (at, happening))
     }
 
     /// The most that ever waited.
--- a/crates/simulator/src/scenario.rs
+++ b/crates/simulator/src/scenario.rs
@@ -428,13 +428,24 @@
     let mut next = Some(path.to_path_buf());
     while let Some(path) = next.take() {
         let file = path.display().to_string();
-        let wrong = |what: String| vec![Wrong { place: file.clone(), what }];
+        let wrong = |what: String| {
+            vec![Wrong {
+                place: file.clone(),
+                what,
+            }]
+        };
         if chain.len() == DEEPEST {
-            return Err(wrong(format!("extends: more than {DEEPEST} files in a row, or a circle")));
+            return Err(wrong(format!(
+                "extends: more than {DEEPEST} files in a row, or a circle"
+            )));
         }
-        let text = std::fs::read_to_string(&path).map_err(|error| wrong(format!("cannot read: {error}")))?;
+        let text = std::fs::read_to_string(&path)
+            .map_err(|error| wrong(format!("cannot read: {error}")))?;
         let own: Scenario = read(&file, &text)?;
-        next = own.extends.as_ref().and_then(|base| path.parent().map(|folder| folder.join(base)));
+        next = own
+            .extends
+            .as_ref()
+            .and_then(|base| path.parent().map(|folder| folder.join(base)));
         chain.push((file, text));
     }
     let mut whole = toml::Table::new();
@@ -451,10 +462,20 @@
     }
     // A key is looked for in the file that was named, then in those that it extends.
     let place = |key: &str| {
-        let found = chain.iter().find_map(|(file, text)| line_of_key(text, key).map(|line| (file, line)));
-        found.map_or(format!("{}: {key}", chain[0].0), |(file, line)| format!("{file}:{line}: {key}"))
+        let found = chain
+            .iter()
+            .find_map(|(file, text)| line_of_key(text, key).map(|line| (file, line)));
+        found.map_or(format!("{}: {key}", chain[0].0), |(file, line)| {
+            format!("{file}:{line}: {key}")
+        })
     };
-    Err(wrong.into_iter().map(|(key, what)| Wrong { place: place(&key), what }).collect())
+    Err(wrong
+        .into_iter()
+        .map(|(key, what)| Wrong {
+            place: place(&key),
+            what,
+        })
+        .collect())
 }
 
 fn merge(into: &mut toml::Table, from: toml::Table) {
@@ -470,7 +491,10 @@
 
 fn told(file: &str, text: &str, error: &toml::de::Error) -> Vec<Wrong> {
     let line = error.span().map_or(0, |span| line_of(text, span.start));
-    vec![Wrong { place: format!("{file}:{line}"), what: advise(error.message()) }]
+    vec![Wrong {
+        place: format!("{file}:{line}"),
+        what: advise(error.message()),
+    }]
 }
 
 /// Reads keys and types; bounds are not looked at.
@@ -491,9 +515,17 @@
         return Ok(scenario);
     }
     let place = |key: &str| {
-        line_of_key(text, key).map_or(format!("{file}: {key}"), |line| format!("{file}:{line}: {key}"))
+        line_of_key(text, key).map_or(format!("{file}: {key}"), |line| {
+            format!("{file}:{line}: {key}")
+        })
     };
-    Err(wrong.into_iter().map(|(key, what)| Wrong { place: place(&key), what }).collect())
+    Err(wrong
+        .into_iter()
+        .map(|(key, what)| Wrong {
+            place: place(&key),
+            what,
+        })
+        .collect())
 }
 
 /// Adds the nearest known key to a message about an unknown one.
@@ -503,11 +535,14 @@
         return message.to_string();
     };
     let near = quoted.min_by_key(|known| strsim::damerau_levenshtein(known, unknown));
-    near.map_or(message.to_string(), |near| format!("unknown key `{unknown}`; the nearest is `{near}`"))
+    near.map_or(message.to_string(), |near| {
+        format!("unknown key `{unknown}`; the nearest is `{near}`")
+    })
 }
 
 fn line_of(text: &str, at: usize) -> usize {
-    text.get(..at).map_or(0, |before| before.matches('\n').count() + 1)
+    text.get(..at)
+        .map_or(0, |before| before.matches('\n').count() + 1)
 }
 
 /// Where the value of a dotted key begins; numbers go into arrays.
@@ -527,13 +562,26 @@
     let mut wrong = Vec::new();
     let mut within = |key: &str, value: f64, least: f64, most: f64| {
         if !(value >= least && value <= most) {
-            wrong.push((key.to_string(), format!("{value} is not between {least} and {most}")));
+            wrong.push((
+                key.to_string(),
+                format!("{value} is not between {least} and {most}"),
+            ));
         }
     };
     let s = scenario;
-    within("version", f64::from(s.version), f64::from(VERSION), f64::from(VERSION));
+    within(
+        "version",
+        f64::from(s.version),
+        f64::from(VERSION),
+        f64::from(VERSION),
+    );
     within("length_s", s.length_s, 0.1, 1e6);
-    within("fleet.transcribers", f64::from(s.fleet.transcribers), 1.0, 20_000.0);
+    within(
+        "fleet.transcribers",
+        f64::from(s.fleet.transcribers),
+        1.0,
+        20_000.0,
+    );
     within("fleet.per_core", s.fleet.per_core, 1e-6, 1e9);
     within("fleet.cap", s.fleet.cap, 0.0, 1e6);
     within("fleet.buffer_s", s.fleet.buffer_s, 0.001, 1e6);
@@ -559,7 +607,12 @@
     within("nodes.attempts", f64::from(s.nodes.attempts), 1.0, 3.0);
     within("nodes.retry_after_ms", s.nodes.retry_after_ms, 0.0, 1e6);
     within("nodes.silence_s", s.nodes.silence_s, 0.0, 1e4);
-    within("nodes.connect_timeout_ms", s.nodes.connect_timeout_ms, 0.0, 1e6);
+    within(
+        "nodes.connect_timeout_ms",
+        s.nodes.connect_timeout_ms,
+        0.0,
+        1e6,
+    );
     within("nodes.front_notice_s", s.nodes.front_notice_s, 0.0, 1e4);
     within("net.zones", f64::from(s.net.zones), 1.0, 64.0);
     within("net.same_ms", s.net.same_ms, 0.0, 1e4);
@@ -570,10 +623,20 @@
     within("discovery.capacity", s.discovery.capacity, 1e-3, 1e6);
     within("discovery.timeout_s", s.discovery.timeout_s, 1e-3, 1e4);
     within("discovery.notice_s", s.discovery.notice_s, 0.0, 1e4);
-    within("discovery.silent_notice_s", s.discovery.silent_notice_s, 0.0, 1e4);
+    within(
+        "discovery.silent_notice_s",
+        s.discovery.silent_notice_s,
+        0.0,
+        1e4,
+    );
     within("discovery.add_s", s.discovery.add_s, 0.0, 1e4);
     within("discovery.spread_ms", s.discovery.spread_ms, 0.0, 1e6);
-    within("discovery.clock_ahead_s", s.discovery.clock_ahead_s, -1e4, 1e4);
+    within(
+        "discovery.clock_ahead_s",
+        s.discovery.clock_ahead_s,
+        -1e4,
+        1e4,
+    );
     within("clients.load", s.clients.load, 0.0, 10.0);
     within("clients.rate", s.clients.rate, 0.0, 1e6);
     within("clients.start_skew", s.clients.start_skew, 0.0, 1.0);
@@ -587,10 +650,17 @@
     within("clients.move_ms", s.clients.move_ms, 1.0, 1e6);
     within("clients.honour", s.clients.honour, 0.0, 1.0);
     within("clients.most", f64::from(s.clients.most), 1.0, 1e7);
-    within("clients.message_every_s", s.clients.message_every_s, 1e-3, 1e4);
+    within(
+        "clients.message_every_s",
+        s.clients.message_every_s,
+        1e-3,
+        1e4,
+    );
     for (place, [at, times]) in s.clients.shape.iter().enumerate() {
-        let before =
-            place.checked_sub(1).and_then(|before| s.clients.shape.get(before)).map_or(0.0, |p| p[0]);
+        let before = place
+            .checked_sub(1)
+            .and_then(|before| s.clients.shape.get(before))
+            .map_or(0.0, |p| p[0]);
         within(&format!("clients.shape.{place}"), *at, before, 1e6);
         within(&format!("clients.shape.{place}"), *times, 0.0, 1e3);
     }
@@ -647,7 +717,10 @@
     /// Over the classes, by their shares, the mean of a figure.
     fn over_classes(&self, of: impl Fn(&Class) -> f64) -> f64 {
         let all: f64 = self.class.iter().map(|class| class.share).sum();
-        self.class.iter().map(|class| class.share / all * of(class)).sum()
+        self.class
+            .iter()
+            .map(|class| class.share / all * of(class))
+            .sum()
     }
 
     /// What a unit of a class's `load` stands for, in cores of speed 1.
@@ -672,7 +745,11 @@
         }
         let life = self.clients.life_s * self.over_classes(|class| class.life);
         let size = self.clients.group_size;
-        let shared = if size > 0.0 { self.fleet.group_cost / size.max(1.0) } else { 0.0 };
+        let shared = if size > 0.0 {
+            self.fleet.group_cost / size.max(1.0)
+        } else {
+            0.0
+        };
         self.clients.load * self.mean_capacity() * self.fleet.per_core / (1.0 + shared) / life
     }
 
--- a/crates/simulator/src/transcriber.rs
+++ b/crates/simulator/src/transcriber.rs
@@ -130,7 +130,9 @@
 
     /// The share of its capacity that it has by now: it grows evenly from its start.
     pub fn warmth(&self, now: Moment) -> f64 {
-        let Some(started) = self.started else { return 1.0 };
+        let Some(started) = self.started else {
+            return 1.0;
+        };
         let part = as_seconds(now.saturating_sub(started)) / self.model.cold_s.max(1e-9);
         (self.model.cold_from + (1.0 - self.model.cold_from) * part).min(1.0)
     }
@@ -189,7 +191,10 @@
     pub fn delay(&self, now: Moment) -> (f64, f64) {
         let capacity = self.capacity(now);
         let own = self.message_s * self.slow / self.speed / self.warmth(now);
-        (self.piled / capacity, own / (1.0 - self.load() / capacity).max(0.02))
+        (
+            self.piled / capacity,
+            own / (1.0 - self.load() / capacity).max(0.02),
+        )
     }
 
     /// The share of messages answered within an aim.
@@ -211,11 +216,25 @@
         let before = self.touched;
         let shares: Vec<f64> = aims.iter().map(|aim| self.in_time(before, *aim)).collect();
         let spare = self.capacity(before) - self.load();
-        self.piled = if self.answers() { (self.piled - spare * span).max(0.0) } else { self.piled };
+        self.piled = if self.answers() {
+            (self.piled - spare * span).max(0.0)
+        } else {
+            self.piled
+        };
         self.touched = now;
-        for (class, count) in self.by_class.iter().enumerate().filter(|(_, count)| **count > 0) {
+        for (class, count) in self
+            .by_class
+            .iter()
+            .enumerate()
+            .filter(|(_, count)| **count > 0)
+        {
             let after = self.in_time(now, aims[class]);
-            served((class, f64::from(*count), (shares[class] + after) / 2.0, span));
+            served((
+                class,
+                f64::from(*count),
+                (shares[class] + after) / 2.0,
+                span,
+            ));
         }
     }
 
@@ -231,12 +250,26 @@
     }
 
     /// A connection leaves its place; the client that moved into it, if one did, is returned.
-    pub fn leave(&mut self, place: u32, class: usize, load: f64, group: Option<u32>) -> Option<u32> {
+    pub fn leave(
+        &mut self,
+        place: u32,
+        class: usize,
+        load: f64,
+        group: Option<u32>,
+    ) -> Option<u32> {
         self.standing.swap_remove(place as usize);
         self.by_class[class] -= 1;
-        self.loads = if self.standing.is_empty() { 0.0 } else { self.loads - load };
+        self.loads = if self.standing.is_empty() {
+            0.0
+        } else {
+            self.loads - load
+        };
         if let Some(group) = group {
-            let left = self.groups.entry(group).and_modify(|count| *count -= 1).or_default();
+            let left = self
+                .groups
+                .entry(group)
+                .and_modify(|count| *count -= 1)
+                .or_default();
             if *left == 0 {
                 self.groups.remove(&group);
             }
@@ -259,13 +292,24 @@
     /// Counts what is sent to a cold one; true when that pushes it over. `multiple` of what it can do, for `span`
     /// seconds, is what it bears: a bucket that drains at that rate and holds as much as comes in that span. What a
     /// cold one can do in new connections is what would fill it over its warm-up.
-    pub fn pushed(&mut self, now: Moment, loads: f64, knew: bool, multiple: f64, span: f64) -> bool {
+    pub fn pushed(
+        &mut self,
+        now: Moment,
+        loads: f64,
+        knew: bool,
+        multiple: f64,
+        span: f64,
+    ) -> bool {
         if self.warmth(now) >= 1.0 {
             return false;
         }
         let rate = multiple * self.warmth(now) * self.fills() / self.model.cold_s.max(1e-9);
         let gone = as_seconds(now.saturating_sub(self.sent.2)) * rate;
-        let left = if self.sent.0 > 0.0 { (1.0 - gone / self.sent.0).max(0.0) } else { 0.0 };
+        let left = if self.sent.0 > 0.0 {
+            (1.0 - gone / self.sent.0).max(0.0)
+        } else {
+            0.0
+        };
         self.sent = (self.sent.0 * left + loads, self.sent.1 * left, now);
         self.sent.1 += if knew { loads } else { 0.0 };
         // A little slack for chance: two usual connections.
--- a/crates/simulator/src/world/clients.rs
+++ b/crates/simulator/src/world/clients.rs
@@ -16,8 +16,13 @@
         let at = crate::queue::as_seconds(self.now);
         let shape = &self.scenario.clients.shape;
         let after = shape.partition_point(|[second, _]| *second <= at);
-        let shaped = match (after.checked_sub(1).map(|before| shape[before]), shape.get(after)) {
-            (Some([from, low]), Some([to, high])) => low + (high - low) * (at - from) / (to - from).max(1e-9),
+        let shaped = match (
+            after.checked_sub(1).map(|before| shape[before]),
+            shape.get(after),
+        ) {
+            (Some([from, low]), Some([to, high])) => {
+                low + (high - low) * (at - from) / (to - from).max(1e-9)
+            }
             (Some([_, last]), None) => last,
             (None, Some([_, first])) => *first,
             (None, None) => 1.0,
@@ -28,7 +33,13 @@
     /// Arrivals are thinned from the highest pace that the scenario can reach, so that they do not depend on what
     /// policies do.
     fn most_pace(&self) -> f64 {
-        let shaped = self.scenario.clients.shape.iter().map(|[_, times]| *times).fold(1.0, f64::max);
+        let shaped = self
+            .scenario
+            .clients
+            .shape
+            .iter()
+            .map(|[_, times]| *times)
+            .fold(1.0, f64::max);
         let surges = self
             .scenario
             .trouble
@@ -94,7 +105,11 @@
         let at = match self.free.pop() {
             Some(at) => {
                 let Client { life, stood, .. } = self.clients[at as usize];
-                self.clients[at as usize] = Client { life: life + 1, stood, ..client };
+                self.clients[at as usize] = Client {
+                    life: life + 1,
+                    stood,
+                    ..client
+                };
                 at
             }
             None => {
@@ -102,13 +117,17 @@
                 self.clients.len() as u32 - 1
             }
         };
-        self.queue.put(until, Happening::Leaves(at, self.clients[at as usize].life));
+        self.queue
+            .put(until, Happening::Leaves(at, self.clients[at as usize].life));
         at
     }
 
     /// The connections that stand when the world begins.
     pub(super) fn stand_at_start(&mut self) {
-        let count = self.scenario.standing().min(f64::from(self.scenario.clients.most)) as u64;
+        let count = self
+            .scenario
+            .standing()
+            .min(f64::from(self.scenario.clients.most)) as u64;
         for _ in 0..count {
             self.serial += 1;
             self.measure.firsts += 1;
@@ -125,7 +144,10 @@
     /// The key that a client's request names, and its group's.
     pub(super) fn keys(&self, at: u32) -> (String, Option<String>) {
         let client = &self.clients[at as usize];
-        (format!("user:{:08x}", client.serial), client.group.map(|group| format!("meeting:{group:06x}")))
+        (
+            format!("user:{:08x}", client.serial),
+            client.group.map(|group| format!("meeting:{group:06x}")),
+        )
     }
 
     /// The next number for a request of this client.
@@ -138,7 +160,10 @@
     pub(super) fn front_picks(&mut self, at: u32) -> Option<u32> {
         let zone = self.clients[at as usize].zone;
         let count = |here: bool| {
-            self.nodes.iter().filter(|node| node.listed_by_front && (!here || node.zone == zone)).count()
+            self.nodes
+                .iter()
+                .filter(|node| node.listed_by_front && (!here || node.zone == zone))
+                .count()
         };
         let (in_zone, anywhere) = (count(true), count(false));
         if anywhere == 0 {
@@ -162,7 +187,9 @@
         if client.retries == 0 {
             self.clients[at as usize].deadline = self.now + millis(class.deadline_ms);
         }
-        let Some(node) = self.front_picks(at) else { return self.unanswered(at, 0) };
+        let Some(node) = self.front_picks(at) else {
+            return self.unanswered(at, 0);
+        };
         let request = self.number(at);
         let (mean, jitter) = (self.scenario.net.client_ms, self.scenario.net.jitter);
         let client = &mut self.clients[at as usize];
@@ -178,7 +205,10 @@
         } else {
             // The process is dead, and the front has not noticed: the connection is refused.
             self.clients[at as usize].answered = true;
-            self.queue.put(self.now + hop * 2, Happening::Answered(at, request, false, 0));
+            self.queue.put(
+                self.now + hop * 2,
+                Happening::Answered(at, request, false, 0),
+            );
         }
     }
 
@@ -197,7 +227,11 @@
         let clients = &self.scenario.clients;
         let client = &mut self.clients[at as usize];
         let backoff = clients.backoff_ms * f64::from(1u32 << client.retries.min(8));
-        let told = if client.random.gen::<f64>() < clients.honour { f64::from(wait_ms) } else { 0.0 };
+        let told = if client.random.gen::<f64>() < clients.honour {
+            f64::from(wait_ms)
+        } else {
+            0.0
+        };
         let wait = millis(f64::max(backoff * (0.5 + client.random.gen::<f64>()), told));
         let life = client.life;
         if client.retries < clients.retries && self.now + wait < client.deadline {
@@ -231,7 +265,8 @@
         } else {
             client.random.gen_range(50.0..=clients.rejoin_ms.max(51.0))
         };
-        self.queue.put(self.now + millis(wait), Happening::Asks(at, life));
+        self.queue
+            .put(self.now + millis(wait), Happening::Asks(at, life));
     }
 
     /// A client is done. What it has open ends.
@@ -261,7 +296,11 @@
         let Some(server) = client.out else { return };
         self.advance(server);
         let client = &mut self.clients[at as usize];
-        let (load, next) = swing(&self.scenario.class[client.class], client.usual, &mut client.random);
+        let (load, next) = swing(
+            &self.scenario.class[client.class],
+            client.usual,
+            &mut client.random,
+        );
         self.fleet[server as usize].swing(load - client.load);
         client.load = load;
         self.tell_load(at);
--- a/crates/simulator/src/world/directory.rs
+++ b/crates/simulator/src/world/directory.rs
@@ -9,15 +9,28 @@
     /// What a node starts with: the list as it is known, perhaps an old one.
     pub(super) fn give_cached_list(&mut self, node: u32) {
         self.nodes[node as usize].heard = self.directory.log.len();
-        let entries: Vec<_> =
-            self.directory.known.iter().filter(|entry| entry.health != Health::Gone).cloned().collect();
+        let entries: Vec<_> = self
+            .directory
+            .known
+            .iter()
+            .filter(|entry| entry.health != Health::Gone)
+            .cloned()
+            .collect();
         entries.iter().for_each(|entry| self.note_told(node, entry));
-        self.feed(node, Event::List { entries, cached: true });
+        self.feed(
+            node,
+            Event::List {
+                entries,
+                cached: true,
+            },
+        );
     }
 
     /// A node is told of an entry: from here on the rules on drains and cold starts bind it.
     fn note_told(&mut self, node: u32, entry: &lupincrank_placement::Listed) {
-        let Some(server) = self.index.get(&entry.server).copied() else { return };
+        let Some(server) = self.index.get(&entry.server).copied() else {
+            return;
+        };
         let (now, life) = (self.now, self.fleet[server as usize].life);
         let node = &mut self.nodes[node as usize];
         let place = server as usize;
@@ -26,7 +39,11 @@
             node.knows_start.resize(place + 1, 0);
         }
         let leaves = entry.health != Health::Ready;
-        node.leaving[place] = if leaves { node.leaving[place].or(Some(now)) } else { None };
+        node.leaving[place] = if leaves {
+            node.leaving[place].or(Some(now))
+        } else {
+            None
+        };
         if !leaves && entry.started.is_some() {
             node.knows_start[place] = life;
         }
@@ -43,10 +60,13 @@
         let takes = seconds(1.0 / self.scenario.discovery.capacity);
         let begins = self.directory.busy_until.max(self.now);
         if begins - self.now > timeout {
-            return self.queue.put(self.now + timeout, Happening::Called(node, life, false));
+            return self
+                .queue
+                .put(self.now + timeout, Happening::Called(node, life, false));
         }
         self.directory.busy_until = begins + takes;
-        self.queue.put(begins + takes, Happening::Called(node, life, true));
+        self.queue
+            .put(begins + takes, Happening::Called(node, life, true));
     }
 
     /// A call ends.
@@ -93,7 +113,12 @@
             return;
         }
         let entry = self.entry(server, health);
-        match self.directory.known.iter_mut().find(|known| known.server == entry.server) {
+        match self
+            .directory
+            .known
+            .iter_mut()
+            .find(|known| known.server == entry.server)
+        {
             Some(known) => *known = entry.clone(),
             None => self.directory.known.push(entry.clone()),
         }
@@ -102,7 +127,8 @@
         for node in 0..self.nodes.len() as u32 {
             let life = self.nodes[node as usize].life;
             let after = self.chance.gen_range(0..=spread.max(1));
-            self.queue.put(self.now + after, Happening::Told(node, life));
+            self.queue
+                .put(self.now + after, Happening::Told(node, life));
         }
     }
 
@@ -123,7 +149,10 @@
         let missed = std::mem::take(&mut self.directory.held_back);
         for (server, life, change) in missed {
             if !stale {
-                self.queue.put(self.now + SECOND / 100, Happening::Known(server, life, change));
+                self.queue.put(
+                    self.now + SECOND / 100,
+                    Happening::Known(server, life, change),
+                );
             }
         }
     }
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -140,7 +140,13 @@
 /// Plays a scenario with one of the policies by name.
 pub fn play(scenario: &Scenario, seed: u64, name: Name) -> Outcome {
     let make = move |settings: Settings, seed: u64| name.make(settings, seed);
-    play_with(scenario, seed, name.text(), name == Name::LeastLoaded, &make)
+    play_with(
+        scenario,
+        seed,
+        name.text(),
+        name == Name::LeastLoaded,
+        &make,
+    )
 }
 
 /// Plays a scenario with any policy. The same scenario, seed and policy always give the same outcome.
@@ -205,7 +211,11 @@
     fn new(scenario: &Scenario, seed: u64, make: &'a Maker<'a>) -> Self {
         World {
             settings: settings(scenario),
-            aims: scenario.class.iter().map(|class| class.message_aim_ms / 1e3).collect(),
+            aims: scenario
+                .class
+                .iter()
+                .map(|class| class.message_aim_ms / 1e3)
+                .collect(),
             seed,
             now: 0,
             end: seconds(scenario.length_s),
@@ -253,7 +263,8 @@
         self.queue.put(PULSE, Happening::Pulse);
         self.queue.put(SECOND, Happening::Second);
         for (at, trouble) in self.scenario.trouble.iter().enumerate() {
-            self.queue.put(seconds(trouble.at_s), Happening::Trouble(at as u32, 0));
+            self.queue
+                .put(seconds(trouble.at_s), Happening::Trouble(at as u32, 0));
         }
     }
 
@@ -263,15 +274,21 @@
             Happening::Asks(client, life) => self.asks(client, life),
             Happening::Leaves(client, life) => self.leaves(client, life),
             Happening::Swings(client, life) => self.swings(client, life),
-            Happening::Answered(client, request, refused, wait) => self.hears(client, request, refused, wait),
+            Happening::Answered(client, request, refused, wait) => {
+                self.hears(client, request, refused, wait)
+            }
             Happening::Taken(request) => self.taken(request),
             Happening::Patience(request, attempt) => self.out_of_patience(request, attempt),
             Happening::Overdue(request) => self.overdue(request),
             Happening::Arrives(request, attempt, server, life) => {
                 self.arrives(request, attempt, server, life)
             }
-            Happening::SetUp(request, attempt, server, life) => self.set_up(request, attempt, server, life),
-            Happening::Ended(request, attempt, outcome) => self.attempt_ended(request, attempt, outcome),
+            Happening::SetUp(request, attempt, server, life) => {
+                self.set_up(request, attempt, server, life)
+            }
+            Happening::Ended(request, attempt, outcome) => {
+                self.attempt_ended(request, attempt, outcome)
+            }
             Happening::Stands(request, attempt) => self.stands(request, attempt),
             Happening::Timer(node, life, handle) => self.timer(node, life, handle),
             Happening::Pulse => self.pulse(),
@@ -294,18 +311,31 @@
     /// The client that has a request out, if it still has. The low bits of a request's number are its client's place.
     fn client_of(&self, request: u64) -> Option<u32> {
         let at = (request & 0xff_ffff) as u32;
-        self.clients.get(at as usize).filter(|client| client.request == request).map(|_| at)
+        self.clients
+            .get(at as usize)
+            .filter(|client| client.request == request)
+            .map(|_| at)
     }
 
     /// A delay between a node and a transcriber.
     fn hop(&mut self, node_zone: u32, server_zone: u32) -> Moment {
         let net = &self.scenario.net;
-        let mean = if node_zone == server_zone { net.same_ms } else { net.cross_ms };
+        let mean = if node_zone == server_zone {
+            net.same_ms
+        } else {
+            net.cross_ms
+        };
         jittered(&mut self.net, mean, net.jitter)
     }
 
     fn record(&mut self, what: &'static str, node: u32, request: u64, server: Option<u32>) {
-        self.judge.note(Line { at: self.now, what, node, request, server });
+        self.judge.note(Line {
+            at: self.now,
+            what,
+            node,
+            request,
+            server,
+        });
     }
 
     fn pulse(&mut self) {
@@ -321,7 +351,11 @@
         let now = self.now;
         let seen = |server: &Transcriber| (server.state == State::Up).then(|| server.used(now));
         let used: Vec<Option<f64>> = self.fleet.iter().map(seen).collect();
-        let standing = self.fleet.iter().map(|server| server.standing.len() as u64).sum();
+        let standing = self
+            .fleet
+            .iter()
+            .map(|server| server.standing.len() as u64)
+            .sum();
         let keeps = self.fleet.len() <= LINES_FOR;
         self.measure.sample(now, used, standing, keeps);
         self.observe();
--- a/crates/simulator/src/world/nodes.rs
+++ b/crates/simulator/src/world/nodes.rs
@@ -53,7 +53,8 @@
         node.set_ups.clear();
         self.feed(at, Event::Start);
         self.give_cached_list(at);
-        self.queue.put(self.now + seconds(0.5), Happening::Front(at, life, true));
+        self.queue
+            .put(self.now + seconds(0.5), Happening::Front(at, life, true));
     }
 
     /// A node's process dies, and with it all that goes through it.
@@ -62,7 +63,8 @@
         (node.alive, node.watches) = (false, false);
         let life = node.life;
         let notice = seconds(self.scenario.nodes.front_notice_s);
-        self.queue.put(self.now + notice, Happening::Front(at, life, false));
+        self.queue
+            .put(self.now + notice, Happening::Front(at, life, false));
         for client in 0..self.clients.len() as u32 {
             let held = &self.clients[client as usize];
             if held.node != at || held.node_life != life || held.request == 0 {
@@ -78,7 +80,10 @@
                     let request = held.request;
                     self.release(client);
                     self.clients[client as usize].answered = true;
-                    self.queue.put(self.now + millis(1.0), Happening::Answered(client, request, false, 0));
+                    self.queue.put(
+                        self.now + millis(1.0),
+                        Happening::Answered(client, request, false, 0),
+                    );
                 }
                 _ => {}
             }
@@ -95,8 +100,14 @@
     /// Hands an event to a node's decisions and carries out what they want.
     pub(super) fn feed(&mut self, at: u32, event: Event) {
         let mut actions = std::mem::take(&mut self.actions);
-        let truth = Truth { fleet: &self.fleet, index: &self.index, now: self.now };
-        self.nodes[at as usize].policy.handle(Time(self.now + EPOCH), event, &truth, &mut actions);
+        let truth = Truth {
+            fleet: &self.fleet,
+            index: &self.index,
+            now: self.now,
+        };
+        self.nodes[at as usize]
+            .policy
+            .handle(Time(self.now + EPOCH), event, &truth, &mut actions);
         for action in actions.drain(..) {
             self.carry_out(at, action);
         }
@@ -105,8 +116,15 @@
 
     fn carry_out(&mut self, node: u32, action: Action) {
         match action {
-            Action::Place { request, server, patience } => self.send(node, request.0, &server, patience),
-            Action::Refuse { request, retry_after } => {
+            Action::Place {
+                request,
+                server,
+                patience,
+            } => self.send(node, request.0, &server, patience),
+            Action::Refuse {
+                request,
+                retry_after,
+            } => {
                 self.answer(node, request.0, true, retry_after.as_millis() as u32);
             }
             Action::Fail(request) => self.answer(node, request.0, false, 0),
@@ -122,8 +140,13 @@
             }
             Action::SetTimer { after, handle } => {
                 let life = self.nodes[node as usize].life;
-                let after = u64::try_from(after.as_nanos()).unwrap_or(u64::MAX).min(3600 * SECOND);
-                self.queue.put(self.now + after.max(1), Happening::Timer(node, life, handle));
+                let after = u64::try_from(after.as_nanos())
+                    .unwrap_or(u64::MAX)
+                    .min(3600 * SECOND);
+                self.queue.put(
+                    self.now + after.max(1),
+                    Happening::Timer(node, life, handle),
+                );
             }
             Action::Subscribe => self.call_directory(node),
             // Settings forbid both.
@@ -156,18 +179,24 @@
 
     /// A node takes a request.
     pub(super) fn taken(&mut self, request: u64) {
-        let Some(client) = self.client_of(request) else { return };
+        let Some(client) = self.client_of(request) else {
+            return;
+        };
         let held = &self.clients[client as usize];
         let (node, deadline) = (held.node, held.deadline);
         let at = &self.nodes[node as usize];
         if !at.alive || at.life != held.node_life {
             // It died while the request was on its way.
             self.clients[client as usize].answered = true;
-            return self.queue.put(self.now + millis(1.0), Happening::Answered(client, request, false, 0));
+            return self.queue.put(
+                self.now + millis(1.0),
+                Happening::Answered(client, request, false, 0),
+            );
         }
         self.record("taken", node, request, None);
         let overdue = deadline + millis(self.scenario.rules.answer_slack_ms);
-        self.queue.put(overdue.max(self.now + 1), Happening::Overdue(request));
+        self.queue
+            .put(overdue.max(self.now + 1), Happening::Overdue(request));
         let incoming = self.incoming(client);
         self.feed(node, Event::Request(incoming));
     }
@@ -181,7 +210,8 @@
         let request = self.number(client);
         let life = self.nodes[node as usize].life;
         let held = &mut self.clients[client as usize];
-        (held.request, held.node, held.node_life, held.phase) = (request, node, life, Phase::Stands);
+        (held.request, held.node, held.node_life, held.phase) =
+            (request, node, life, Phase::Stands);
         (held.attempts, held.out, held.answered, held.sent) = (1, Some(server), true, self.now);
         self.join(client, server);
         let incoming = self.incoming(client);
@@ -194,7 +224,11 @@
     fn starts_to_stand(&mut self, client: u32) {
         let held = &mut self.clients[client as usize];
         held.stood += 1;
-        let (load, next) = swing(&self.scenario.class[held.class], held.usual, &mut held.random);
+        let (load, next) = swing(
+            &self.scenario.class[held.class],
+            held.usual,
+            &mut held.random,
+        );
         let by = load - std::mem::replace(&mut held.load, load);
         if let Some(server) = held.out {
             self.advance(server);
@@ -215,7 +249,13 @@
     }
 
     /// Sends an attempt on its way, once the judges have looked at it.
-    fn send(&mut self, node: u32, request: u64, server: &lupincrank_placement::ServerId, patience: Duration) {
+    fn send(
+        &mut self,
+        node: u32,
+        request: u64,
+        server: &lupincrank_placement::ServerId,
+        patience: Duration,
+    ) {
         let now = self.now;
         let server = self.index.get(server).copied();
         self.record("sent", node, request, server);
@@ -226,26 +266,45 @@
         let (Some(client), Some(server)) = (current, server) else {
             let what =
                 "sent, though it was answered or never taken, or to a transcriber that was never listed";
-            return self.judge.breaks(Rule::FinalAnswer, now, Of::Request(request), what.into());
+            return self
+                .judge
+                .breaks(Rule::FinalAnswer, now, Of::Request(request), what.into());
         };
         let held = &self.clients[client as usize];
         if held.out.is_some() {
             let what = "a second attempt while the first is out".to_string();
-            return self.judge.breaks(Rule::Attempts, now, Of::Request(request), what);
+            return self
+                .judge
+                .breaks(Rule::Attempts, now, Of::Request(request), what);
         }
         if held.attempts >= self.scenario.nodes.attempts {
-            let what = format!("attempt {} of at most {}", held.attempts + 1, self.scenario.nodes.attempts);
-            return self.judge.breaks(Rule::Attempts, now, Of::Request(request), what);
+            let what = format!(
+                "attempt {} of at most {}",
+                held.attempts + 1,
+                self.scenario.nodes.attempts
+            );
+            return self
+                .judge
+                .breaks(Rule::Attempts, now, Of::Request(request), what);
         }
         let grace = millis(self.scenario.rules.drain_grace_ms);
-        let told = self.nodes[node as usize].leaving.get(server as usize).copied().flatten();
+        let told = self.nodes[node as usize]
+            .leaving
+            .get(server as usize)
+            .copied()
+            .flatten();
         if told.is_some_and(|since| now - since > grace) {
             let since = crate::queue::as_seconds(now - told.unwrap_or(now));
-            let what =
-                format!("sent to transcriber {server}, {since:.3} s after the node was told that it leaves");
-            self.judge.breaks(Rule::Drain, now, Of::Request(request), what);
-        }
-        let (node_zone, server_zone) = (self.nodes[node as usize].zone, self.fleet[server as usize].zone);
+            let what = format!(
+                "sent to transcriber {server}, {since:.3} s after the node was told that it leaves"
+            );
+            self.judge
+                .breaks(Rule::Drain, now, Of::Request(request), what);
+        }
+        let (node_zone, server_zone) = (
+            self.nodes[node as usize].zone,
+            self.fleet[server as usize].zone,
+        );
         self.measure.attempts += 1;
         self.measure.crossings += u64::from(node_zone != server_zone);
         let trips = 1.0 + 2.0 * self.scenario.net.handshake_rtts;
@@ -255,23 +314,37 @@
         held.attempts += 1;
         held.out = Some(server);
         held.sent = now;
-        let until = (now + u64::try_from(patience.as_nanos()).unwrap_or(u64::MAX / 2)).min(held.deadline);
+        let until =
+            (now + u64::try_from(patience.as_nanos()).unwrap_or(u64::MAX / 2)).min(held.deadline);
         let life = self.fleet[server as usize].life;
-        self.queue.put(until.max(now + 1), Happening::Patience(request, attempt));
-        self.queue.put(now + way, Happening::Arrives(request, attempt, server, life));
+        self.queue
+            .put(until.max(now + 1), Happening::Patience(request, attempt));
+        self.queue.put(
+            now + way,
+            Happening::Arrives(request, attempt, server, life),
+        );
     }
 
     /// The final answer to a request that did not come to stand.
     fn answer(&mut self, node: u32, request: u64, refused: bool, wait_ms: u32) {
-        self.record(if refused { "refused" } else { "failed" }, node, request, None);
-        let Some(client) = self.client_of(request) else { return };
+        self.record(
+            if refused { "refused" } else { "failed" },
+            node,
+            request,
+            None,
+        );
+        let Some(client) = self.client_of(request) else {
+            return;
+        };
         let held = &self.clients[client as usize];
         if held.phase != Phase::Asks || held.node != node {
             return;
         }
         if held.answered {
             let what = "a second final answer".to_string();
-            return self.judge.breaks(Rule::FinalAnswer, self.now, Of::Request(request), what);
+            return self
+                .judge
+                .breaks(Rule::FinalAnswer, self.now, Of::Request(request), what);
         }
         self.measure.refused += 1;
         let out = held.out.is_some();
@@ -281,25 +354,41 @@
             self.release(client);
             let outcome = Outcome::Cancelled;
             let request = RequestId(request);
-            self.feed(node, Event::Ended { request, attempt, outcome, done: true, report: None });
+            self.feed(
+                node,
+                Event::Ended {
+                    request,
+                    attempt,
+                    outcome,
+                    done: true,
+                    report: None,
+                },
+            );
         }
         let (mean, jitter) = (self.scenario.net.client_ms, self.scenario.net.jitter);
         let hop = jittered(&mut self.clients[client as usize].random, mean, jitter);
-        self.queue.put(self.now + hop, Happening::Answered(client, request, refused, wait_ms));
+        self.queue.put(
+            self.now + hop,
+            Happening::Answered(client, request, refused, wait_ms),
+        );
     }
 
     pub(super) fn overdue(&mut self, request: u64) {
-        let Some(client) = self.client_of(request) else { return };
+        let Some(client) = self.client_of(request) else {
+            return;
+        };
         let held = &self.clients[client as usize];
         if held.phase != Phase::Asks || held.answered {
             return;
         }
         self.record("overdue", held.node, request, held.out);
         let what = "no final answer by the client's deadline".to_string();
-        self.judge.breaks(Rule::FinalAnswer, self.now, Of::Request(request), what);
+        self.judge
+            .breaks(Rule::FinalAnswer, self.now, Of::Request(request), what);
         self.client_gone(client);
         self.clients[client as usize].answered = true;
-        self.queue.put(self.now + 1, Happening::Answered(client, request, false, 0));
+        self.queue
+            .put(self.now + 1, Happening::Answered(client, request, false, 0));
     }
 
     /// Nobody waits for the request any more.
@@ -317,7 +406,16 @@
         if out {
             let request = RequestId(request);
             let outcome = Outcome::Cancelled;
-            self.feed(node, Event::Ended { request, attempt, outcome, done: true, report: None });
+            self.feed(
+                node,
+                Event::Ended {
+                    request,
+                    attempt,
+                    outcome,
+                    done: true,
+                    report: None,
+                },
+            );
         }
     }
 
@@ -337,7 +435,9 @@
     }
 
     pub(super) fn attempt_ended(&mut self, request: u64, attempt: u32, outcome: Outcome) {
-        let Some(client) = self.waits_for(request, attempt) else { return };
+        let Some(client) = self.waits_for(request, attempt) else {
+            return;
+        };
         let held = &self.clients[client as usize];
         let (node, server) = (held.node, held.out);
         match outcome {
@@ -355,12 +455,23 @@
         self.record(what, node, request, server);
         self.release(client);
         let request = RequestId(request);
-        self.feed(node, Event::Ended { request, attempt, outcome, done: false, report: None });
+        self.feed(
+            node,
+            Event::Ended {
+                request,
+                attempt,
+                outcome,
+                done: false,
+                report: None,
+            },
+        );
     }
 
     /// A node hears that the connection stands.
     pub(super) fn stands(&mut self, request: u64, attempt: u32) {
-        let Some(client) = self.waits_for(request, attempt) else { return };
+        let Some(client) = self.waits_for(request, attempt) else {
+            return;
+        };
         let held = &mut self.clients[client as usize];
         if held.place == NOWHERE {
             return; // its transcriber is gone again
@@ -372,7 +483,13 @@
         self.measure.set_up(took);
         self.record("stands", node, request, server);
         let id = RequestId(request);
-        self.feed(node, Event::Established { request: id, took: Duration::from_nanos(sent) });
+        self.feed(
+            node,
+            Event::Established {
+                request: id,
+                took: Duration::from_nanos(sent),
+            },
+        );
         // What the decisions wanted may have ended it again.
         if self.client_of(request).is_some() {
             self.starts_to_stand(client);
@@ -404,13 +521,27 @@
     /// A standing connection ends; the transcriber and the decisions hear of it.
     pub(super) fn end_standing(&mut self, client: u32, outcome: Outcome) {
         let held = &self.clients[client as usize];
-        let (node, attempt, request) = (held.node, held.attempts.saturating_sub(1), RequestId(held.request));
-        let lives = self.nodes[node as usize].alive && self.nodes[node as usize].life == held.node_life;
+        let (node, attempt, request) = (
+            held.node,
+            held.attempts.saturating_sub(1),
+            RequestId(held.request),
+        );
+        let lives =
+            self.nodes[node as usize].alive && self.nodes[node as usize].life == held.node_life;
         self.release(client);
         let held = &mut self.clients[client as usize];
         (held.phase, held.request) = (Phase::Away, 0);
         if lives {
-            self.feed(node, Event::Ended { request, attempt, outcome, done: true, report: None });
+            self.feed(
+                node,
+                Event::Ended {
+                    request,
+                    attempt,
+                    outcome,
+                    done: true,
+                    report: None,
+                },
+            );
         }
     }
 
@@ -444,7 +575,8 @@
         let mut found = Vec::new();
         for client in &self.fleet[server as usize].standing {
             let held = &self.clients[*client as usize];
-            if held.phase == Phase::Stands && !std::mem::replace(&mut met[held.node as usize], true) {
+            if held.phase == Phase::Stands && !std::mem::replace(&mut met[held.node as usize], true)
+            {
                 found.push((held.node, RequestId(held.request)));
                 if found.len() == met.len() {
                     break;
@@ -463,7 +595,9 @@
         let id = at.id.clone();
         for (node, _) in self.one_for_each_node(server) {
             let held = self.fleet[server as usize].standing.iter();
-            let held = held.filter(|client| self.clients[**client as usize].node == node).count();
+            let held = held
+                .filter(|client| self.clients[**client as usize].node == node)
+                .count();
             if held > 1 {
                 self.feed(node, Event::ServerSilent(id.clone()));
             }
@@ -476,6 +610,7 @@
                 self.feed(node, Event::Silent(request));
             }
         }
-        self.queue.put(self.now + SECOND, Happening::Silence(server, life));
+        self.queue
+            .put(self.now + SECOND, Happening::Silence(server, life));
     }
 }
--- a/crates/simulator/src/world/servers.rs
+++ b/crates/simulator/src/world/servers.rs
@@ -5,7 +5,9 @@
 use crate::population::{stream, work};
 use crate::queue::{as_seconds, millis, seconds, Change, Happening, Life, Moment};
 use crate::transcriber::{State, Transcriber, Waiting};
-use lupincrank_placement::{key_hash, rank_score, server_hash, Health, Listed, Outcome, ServerId, Time};
+use lupincrank_placement::{
+    key_hash, rank_score, server_hash, Health, Listed, Outcome, ServerId, Time,
+};
 use rand::{Rng, RngCore};
 use rand_distr::{Exp1, StandardNormal};
 
@@ -21,15 +23,24 @@
         let mut owed = vec![0.0; kinds.len()];
         for at in 0..count {
             // Kinds take turns by their shares, so that a small fleet has them in the right parts.
-            owed.iter_mut().zip(&kinds).for_each(|(owed, kind)| *owed += kind.share / all);
-            let kind = (0..kinds.len()).max_by(|a, b| owed[*a].total_cmp(&owed[*b])).unwrap_or(0);
+            owed.iter_mut()
+                .zip(&kinds)
+                .for_each(|(owed, kind)| *owed += kind.share / all);
+            let kind = (0..kinds.len())
+                .max_by(|a, b| owed[*a].total_cmp(&owed[*b]))
+                .unwrap_or(0);
             owed[kind] -= 1.0;
             self.add_transcriber(at % self.scenario.net.zones, kind, None);
         }
         self.directory.known = (0..count).map(|at| self.entry(at, Health::Ready)).collect();
     }
 
-    pub(super) fn add_transcriber(&mut self, zone: u32, kind: usize, started: Option<Moment>) -> u32 {
+    pub(super) fn add_transcriber(
+        &mut self,
+        zone: u32,
+        kind: usize,
+        started: Option<Moment>,
+    ) -> u32 {
         let at = self.fleet.len() as u32;
         let mut random = stream(self.seed, 6, u64::from(at));
         let model = &self.scenario.fleet.kind[kind];
@@ -66,15 +77,23 @@
     pub(super) fn top_score(&self, client: u32) -> u32 {
         let (key, group) = self.keys(client);
         let key = key_hash(group.as_deref().unwrap_or(&key));
-        let scored = self.hashes.iter().enumerate().map(|(at, hash)| (rank_score(*hash, key), at as u32));
+        let scored = self
+            .hashes
+            .iter()
+            .enumerate()
+            .map(|(at, hash)| (rank_score(*hash, key), at as u32));
         let id = |at: u32| &self.fleet[at as usize].id;
-        scored.max_by(|a, b| a.0.cmp(&b.0).then_with(|| id(b.1).cmp(id(a.1)))).map_or(0, |(_, at)| at)
+        scored
+            .max_by(|a, b| a.0.cmp(&b.0).then_with(|| id(b.1).cmp(id(a.1))))
+            .map_or(0, |(_, at)| at)
     }
 
     /// Brings a transcriber's books up to now.
     pub(super) fn advance(&mut self, at: u32) {
         let now = self.now;
-        let Some(server) = self.fleet.get_mut(at as usize) else { return };
+        let Some(server) = self.fleet.get_mut(at as usize) else {
+            return;
+        };
         let mut served: Vec<(usize, f64, f64, f64)> = Vec::new();
         server.advance(now, &self.aims, |part| served.push(part));
         if served.is_empty() {
@@ -106,7 +125,9 @@
     /// Ends whatever a client has at a transcriber.
     pub(super) fn release(&mut self, client: u32) {
         let held = &mut self.clients[client as usize];
-        let Some(server) = held.out.take() else { return };
+        let Some(server) = held.out.take() else {
+            return;
+        };
         let place = std::mem::replace(&mut held.place, NOWHERE);
         let (class, load, group) = (held.class, held.load, held.group);
         if place != NOWHERE {
@@ -120,7 +141,9 @@
 
     /// An attempt's first line arrives, or finds that nothing takes it.
     pub(super) fn arrives(&mut self, request: u64, attempt: u32, at: u32, life: Life) {
-        let Some(client) = self.client_of(request) else { return };
+        let Some(client) = self.client_of(request) else {
+            return;
+        };
         let held = &self.clients[client as usize];
         if held.attempts != attempt + 1 || held.out != Some(at) || held.answered {
             return; // called off on its way
@@ -131,7 +154,9 @@
         let back = self.hop(zone, self.fleet[at as usize].zone);
         let server = &self.fleet[at as usize];
         let fails = |world: &mut Self, when: Moment, outcome: Outcome| {
-            world.queue.put(when, Happening::Ended(request, attempt, outcome));
+            world
+                .queue
+                .put(when, Happening::Ended(request, attempt, outcome));
         };
         let timeout = sent + millis(self.scenario.nodes.connect_timeout_ms);
         let standing = server.standing.len() as u32 + server.busy + server.waiting.len() as u32;
@@ -151,9 +176,19 @@
         if self.fleet[at as usize].state != State::Up {
             return; // that pushed it over; its attempts have been ended
         }
-        let (slots, queue) = (self.fleet[at as usize].slots(), self.fleet[at as usize].model().queue);
-        let job = work(&self.scenario.class[class], &mut self.clients[client as usize].random);
-        let waiting = Waiting { request: (request, attempt), work: job, since: self.now };
+        let (slots, queue) = (
+            self.fleet[at as usize].slots(),
+            self.fleet[at as usize].model().queue,
+        );
+        let job = work(
+            &self.scenario.class[class],
+            &mut self.clients[client as usize].random,
+        );
+        let waiting = Waiting {
+            request: (request, attempt),
+            work: job,
+            since: self.now,
+        };
         let server = &mut self.fleet[at as usize];
         if server.busy < slots {
             self.begin_set_up(at, waiting);
@@ -166,9 +201,17 @@
 
     /// Counts what a cold transcriber is sent, and lets it fall over when that is too much.
     fn judge_push(&mut self, at: u32, node: u32, class: usize) {
-        let knows = self.nodes[node as usize].knows_start.get(at as usize).copied().unwrap_or(0);
-        let loads = self.scenario.class[class].load * self.scenario.load_unit() / self.scenario.mean_load();
-        let (multiple, span) = (self.scenario.rules.fall_multiple, self.scenario.rules.fall_s);
+        let knows = self.nodes[node as usize]
+            .knows_start
+            .get(at as usize)
+            .copied()
+            .unwrap_or(0);
+        let loads =
+            self.scenario.class[class].load * self.scenario.load_unit() / self.scenario.mean_load();
+        let (multiple, span) = (
+            self.scenario.rules.fall_multiple,
+            self.scenario.rules.fall_s,
+        );
         let server = &mut self.fleet[at as usize];
         let knew = knows == server.life;
         if !server.pushed(self.now, loads, knew, multiple, span) {
@@ -183,12 +226,14 @@
                  that knew of its start",
                 as_seconds(self.now - self.fleet[at as usize].started.unwrap_or(0))
             );
-            self.judge.breaks(Rule::Cold, self.now, Of::Server(at), what);
+            self.judge
+                .breaks(Rule::Cold, self.now, Of::Server(at), what);
         }
         let notice = seconds(self.scenario.discovery.notice_s);
         let life = self.fleet[at as usize].life;
         self.go_down(at);
-        self.queue.put(self.now + notice, Happening::Known(at, life, Change::Gone));
+        self.queue
+            .put(self.now + notice, Happening::Known(at, life, Change::Gone));
     }
 
     fn begin_set_up(&mut self, at: u32, waiting: Waiting) {
@@ -205,7 +250,10 @@
             server.piled += waiting.work;
         }
         let (request, attempt) = waiting.request;
-        self.queue.put(now + seconds(takes), Happening::SetUp(request, attempt, at, server.life));
+        self.queue.put(
+            now + seconds(takes),
+            Happening::SetUp(request, attempt, at, server.life),
+        );
     }
 
     /// A set-up is done: the connection stands, unless it was called off meanwhile.
@@ -217,22 +265,33 @@
         self.fleet[at as usize].busy -= 1;
         while let Some(next) = self.fleet[at as usize].waiting.pop_front() {
             // One that was called off while it waited costs nothing.
-            if self.still_wanted(next.request.0, next.request.1, at).is_some() {
+            if self
+                .still_wanted(next.request.0, next.request.1, at)
+                .is_some()
+            {
                 self.begin_set_up(at, next);
                 break;
             }
         }
         let Some(client) = self.still_wanted(request, attempt, at) else {
-            self.measure.work.1 += self.scenario.class.first().map_or(0.0, |class| class.work_ms / 1e3);
+            self.measure.work.1 += self
+                .scenario
+                .class
+                .first()
+                .map_or(0.0, |class| class.work_ms / 1e3);
             return;
         };
         let node = self.clients[client as usize].node;
         let back = self.hop(self.nodes[node as usize].zone, self.fleet[at as usize].zone);
         if self.chance.gen::<f64>() < self.fleet[at as usize].model().error_rate {
-            return self.queue.put(self.now + back, Happening::Ended(request, attempt, Outcome::Error));
+            return self.queue.put(
+                self.now + back,
+                Happening::Ended(request, attempt, Outcome::Error),
+            );
         }
         self.join(client, at);
-        self.queue.put(self.now + back, Happening::Stands(request, attempt));
+        self.queue
+            .put(self.now + back, Happening::Stands(request, attempt));
     }
 
     /// The client whose attempt at this transcriber is still waited for.
@@ -246,11 +305,16 @@
     /// A crowded transcriber drops its newest connections until it can bear the rest.
     pub(super) fn shed(&mut self, at: u32) {
         let server = &self.fleet[at as usize];
-        if !server.answers() || server.piled <= self.scenario.fleet.buffer_s * server.capacity(self.now) {
+        if !server.answers()
+            || server.piled <= self.scenario.fleet.buffer_s * server.capacity(self.now)
+        {
             return;
         }
-        let mut newest: Vec<(Moment, u32)> =
-            server.standing.iter().map(|client| (self.clients[*client as usize].sent, *client)).collect();
+        let mut newest: Vec<(Moment, u32)> = server
+            .standing
+            .iter()
+            .map(|client| (self.clients[*client as usize].sent, *client))
+            .collect();
         newest.sort_unstable();
         while let Some((_, client)) = newest.pop() {
             let server = &self.fleet[at as usize];
@@ -312,7 +376,10 @@
         }
         for one in waiting {
             let (request, attempt) = one.request;
-            self.queue.put(self.now + millis(1.0), Happening::Ended(request, attempt, Outcome::Reset));
+            self.queue.put(
+                self.now + millis(1.0),
+                Happening::Ended(request, attempt, Outcome::Reset),
+            );
         }
     }
 
@@ -325,14 +392,18 @@
         self.fleet[at as usize].state = State::Draining;
         let life = self.fleet[at as usize].life;
         let notice = seconds(self.scenario.discovery.notice_s);
-        self.queue.put(self.now + notice, Happening::Known(at, life, Change::Drains));
+        self.queue.put(
+            self.now + notice,
+            Happening::Known(at, life, Change::Drains),
+        );
         self.queue.put(self.now + span, Happening::Stops(at, life));
         let count = self.fleet[at as usize].standing.len() as u64;
         if self.scenario.fleet.goaway && count > 0 {
             // Evenly over nine tenths of the drain.
             let gap = span * 9 / 10 / count;
             for number in 1..=count {
-                self.queue.put(self.now + number * gap, Happening::SendsAway(at, life));
+                self.queue
+                    .put(self.now + number * gap, Happening::SendsAway(at, life));
             }
         }
     }
@@ -343,7 +414,9 @@
             return;
         }
         let standing = server.standing.iter().copied();
-        let first = standing.filter(|client| self.clients[*client as usize].phase == Phase::Stands).min();
+        let first = standing
+            .filter(|client| self.clients[*client as usize].phase == Phase::Stands)
+            .min();
         if let Some(client) = first {
             self.measure.sent_away += 1;
             self.end_standing(client, Outcome::Cancelled);
@@ -358,6 +431,7 @@
         }
         self.go_down(at);
         let notice = seconds(self.scenario.discovery.notice_s);
-        self.queue.put(self.now + notice, Happening::Known(at, life, Change::Gone));
+        self.queue
+            .put(self.now + notice, Happening::Known(at, life, Change::Gone));
     }
 }
--- a/crates/simulator/src/world/troubles.rs
+++ b/crates/simulator/src/world/troubles.rs
@@ -38,10 +38,12 @@
                     let server = &mut self.fleet[at as usize];
                     (server.state, server.silent_since) = (State::Silent, self.now);
                     let life = server.life;
-                    self.queue.put(self.now + notice, Happening::Known(at, life, Change::Gone));
+                    self.queue
+                        .put(self.now + notice, Happening::Known(at, life, Change::Gone));
                     if self.scenario.nodes.silence_s > 0.0 {
                         let sees = seconds(self.scenario.nodes.silence_s + 0.5);
-                        self.queue.put(self.now + sees, Happening::Silence(at, life));
+                        self.queue
+                            .put(self.now + sees, Happening::Silence(at, life));
                     }
                 }
             }
@@ -51,7 +53,8 @@
                     self.go_down(*at);
                     let life = self.fleet[*at as usize].life;
                     let notice = seconds(self.scenario.discovery.notice_s);
-                    self.queue.put(self.now + notice, Happening::Known(*at, life, Change::Gone));
+                    self.queue
+                        .put(self.now + notice, Happening::Known(*at, life, Change::Gone));
                 }
                 self.lost.insert(number, lost);
             }
@@ -64,8 +67,9 @@
             TroubleKind::Deploy => {
                 // So many at a time, evenly over the trouble's length; the last step starts before its end.
                 let all = self.struck(number, trouble.part);
-                let batch =
-                    ((trouble.size * f64::from(self.scenario.fleet.transcribers)).round() as usize).max(1);
+                let batch = ((trouble.size * f64::from(self.scenario.fleet.transcribers)).round()
+                    as usize)
+                    .max(1);
                 let steps = all.len().div_ceil(batch);
                 let drain = seconds(trouble.drain_s);
                 for at in all.iter().skip(step as usize * batch).take(batch) {
@@ -74,7 +78,8 @@
                 }
                 if (step as usize) + 1 < steps {
                     let gap = seconds(trouble.for_s) / steps as u64;
-                    self.queue.put(self.now + gap, Happening::Trouble(number, step + 1));
+                    self.queue
+                        .put(self.now + gap, Happening::Trouble(number, step + 1));
                 }
             }
             TroubleKind::Shrink => {
@@ -86,11 +91,15 @@
                     self.drain(*at, seconds(trouble.drain_s));
                 }
                 if done == 0 {
-                    self.clients_leave(trouble.leave * (1.0 - 1.0 / trouble.size), seconds(trouble.for_s));
+                    self.clients_leave(
+                        trouble.leave * (1.0 - 1.0 / trouble.size),
+                        seconds(trouble.for_s),
+                    );
                 }
                 if done + 1 < steps {
                     let gap = seconds(trouble.for_s) / steps as u64;
-                    self.queue.put(self.now + gap, Happening::Trouble(number, step + 1));
+                    self.queue
+                        .put(self.now + gap, Happening::Trouble(number, step + 1));
                 }
             }
             TroubleKind::NodeDown => {
@@ -108,7 +117,10 @@
                 let gap = self.chance.sample::<f64, _>(Exp1) / trouble.size;
                 let begun = seconds(trouble.at_s);
                 if as_seconds(self.now - begun) + gap < trouble.for_s {
-                    self.queue.put(self.now + seconds(gap).max(1), Happening::Trouble(number, 1));
+                    self.queue.put(
+                        self.now + seconds(gap).max(1),
+                        Happening::Trouble(number, 1),
+                    );
                 }
             }
             TroubleKind::Surge => self.surge[number as usize] = trouble.size,
@@ -138,11 +150,15 @@
 
     /// The successor of a transcriber that a deploy replaced: a new machine, cold.
     pub(super) fn succeed(&mut self, replaced: u32) {
-        let (zone, kind) = (self.fleet[replaced as usize].zone, self.fleet[replaced as usize].kind);
+        let (zone, kind) = (
+            self.fleet[replaced as usize].zone,
+            self.fleet[replaced as usize].kind,
+        );
         let at = self.add_transcriber(zone, kind, Some(self.now));
         let life = self.fleet[at as usize].life;
         let notice = seconds(self.scenario.discovery.add_s);
-        self.queue.put(self.now + notice, Happening::Known(at, life, Change::Runs));
+        self.queue
+            .put(self.now + notice, Happening::Known(at, life, Change::Runs));
     }
 
     /// Those that run in the zone that a trouble strikes, or a share of them, drawn from the seed.
@@ -166,7 +182,8 @@
         self.next_pause(at);
         let life = self.fleet[at as usize].life;
         let notice = seconds(self.scenario.discovery.add_s);
-        self.queue.put(now + notice, Happening::Known(at, life, Change::Runs));
+        self.queue
+            .put(now + notice, Happening::Known(at, life, Change::Runs));
     }
 
     /// A trouble is over.
@@ -197,7 +214,10 @@
             TroubleKind::DiscoveryStale => self.directory_stale(false),
             TroubleKind::Surge => self.surge[number as usize] = 1.0,
             // A shrunk fleet stays small; the others end by themselves.
-            TroubleKind::Shrink | TroubleKind::Deploy | TroubleKind::NodeDown | TroubleKind::Reset => {}
+            TroubleKind::Shrink
+            | TroubleKind::Deploy
+            | TroubleKind::NodeDown
+            | TroubleKind::Reset => {}
         }
     }
 
--- a/crates/simulator/tests/closed_forms.rs
+++ b/crates/simulator/tests/closed_forms.rs
@@ -76,7 +76,10 @@
         asked += run.attempts;
     }
     let (seen, told) = (blocked as f64 / asked as f64, erlang_b(load, LINES));
-    assert!((seen / told - 1.0).abs() < 0.02, "load {load}: blocked {seen:.5}, Erlang B says {told:.5}");
+    assert!(
+        (seen / told - 1.0).abs() < 0.02,
+        "load {load}: blocked {seen:.5}, Erlang B says {told:.5}"
+    );
 }
 
 #[rstest]
@@ -95,7 +98,10 @@
     }
     let share = erlang_c(load, LINES);
     let told = share * work_s / (f64::from(LINES) - load);
-    assert!((waited / share - 1.0).abs() < 0.02, "load {load}: {waited:.5} waited, Erlang C says {share:.5}");
+    assert!(
+        (waited / share - 1.0).abs() < 0.02,
+        "load {load}: {waited:.5} waited, Erlang C says {share:.5}"
+    );
     assert!(
         (waits / told - 1.0).abs() < 0.02,
         "load {load}: a mean wait of {waits:.6} s, theory says {told:.6}"
--- a/crates/simulator/tests/experiments.rs
+++ b/crates/simulator/tests/experiments.rs
@@ -21,16 +21,26 @@
 fn a_seed_gives_the_same_bytes_whatever_the_threads() {
     let scenario = small();
     let bytes = |threads: usize| {
-        let pool = rayon::ThreadPoolBuilder::new().num_threads(threads).build().expect("a pool of threads");
+        let pool = rayon::ThreadPoolBuilder::new()
+            .num_threads(threads)
+            .build()
+            .expect("a pool of threads");
         pool.install(|| {
             let sides = compare::compare(&scenario, &Name::ALL, 1..4, || ());
-            let runs: Vec<_> = Name::ALL.iter().map(|name| play(&scenario, 7, *name)).collect();
+            let runs: Vec<_> = Name::ALL
+                .iter()
+                .map(|name| play(&scenario, 7, *name))
+                .collect();
             serde_json::to_string(&(sides, runs)).expect("results are JSON")
         })
     };
     assert_eq!(bytes(1), bytes(4));
     assert_eq!(bytes(4), bytes(4));
-    assert_ne!(play(&scenario, 7, Name::Module), play(&scenario, 8, Name::Module), "seeds differ");
+    assert_ne!(
+        play(&scenario, 7, Name::Module),
+        play(&scenario, 8, Name::Module),
+        "seeds differ"
+    );
 }
 
 /// Four times what the fleet can carry, for twice as long: what waits is bounded by the clients, not by the time.
@@ -46,7 +56,10 @@
         run.peak_queue
     };
     let (short, long) = (peak(60.0), peak(240.0));
-    assert!(long < 3_000 * 12, "{long} happenings waited for 3,000 clients");
+    assert!(
+        long < 3_000 * 12,
+        "{long} happenings waited for 3,000 clients"
+    );
     assert!(long < short * 3 / 2, "{short} at 60 s, {long} at 240 s");
 }
 
@@ -59,7 +72,10 @@
         play(&scenario, 1, Name::TwoChoices).events as f64
     };
     let (some, many) = (events(20), events(160));
-    assert!(many / some < 8.0 * 1.3, "{some} events at 20, {many} at 160 transcribers");
+    assert!(
+        many / some < 8.0 * 1.3,
+        "{some} events at 20, {many} at 160 transcribers"
+    );
 }
 
 #[test]
@@ -76,27 +92,63 @@
 #[rstest]
 #[case("version = 1\nlenght_s = 3.0", "x:2", "the nearest is `length_s`")]
 #[case("version = 2", "x:1: version", "not between 1 and 1")]
-#[case("version = 1\n[nodes]\ncount = 0", "x:3: nodes.count", "0 is not between")]
-#[case("version = 1\n[nodes]\nattempts = 4", "x:3: nodes.attempts", "4 is not between 1 and 3")]
+#[case(
+    "version = 1\n[nodes]\ncount = 0",
+    "x:3: nodes.count",
+    "0 is not between"
+)]
+#[case(
+    "version = 1\n[nodes]\nattempts = 4",
+    "x:3: nodes.attempts",
+    "4 is not between 1 and 3"
+)]
 #[case("version = 1\n[nodes]\ncount = \"two\"", "x:3", "invalid type")]
-#[case("version = 1\n[[class]]\nshare = -1.0", "x:3: class.0.share", "-1 is not between")]
-#[case("version = 1\n[[trouble]]\nkind = \"slow\"\nat_s = 1.0", "x: trouble.0.size", "0 is not between 1")]
-#[case("version = 1\n[[trouble]]\nkind = \"flood\"\nat_s = 1.0", "x:3", "unknown")]
-#[case("version = 1\n[clients]\nlife_s = nan", "x:3: clients.life_s", "NaN is not between")]
+#[case(
+    "version = 1\n[[class]]\nshare = -1.0",
+    "x:3: class.0.share",
+    "-1 is not between"
+)]
+#[case(
+    "version = 1\n[[trouble]]\nkind = \"slow\"\nat_s = 1.0",
+    "x: trouble.0.size",
+    "0 is not between 1"
+)]
+#[case(
+    "version = 1\n[[trouble]]\nkind = \"flood\"\nat_s = 1.0",
+    "x:3",
+    "unknown"
+)]
+#[case(
+    "version = 1\n[clients]\nlife_s = nan",
+    "x:3: clients.life_s",
+    "NaN is not between"
+)]
 #[case(
     "version = 1\n[clients]\nshape = [[5.0, 1.0], [2.0, 1.0]]",
     "x:3: clients.shape.1",
     "2 is not between 5"
 )]
-fn what_is_wrong_is_told_with_its_place(#[case] text: &str, #[case] place: &str, #[case] what: &str) {
+fn what_is_wrong_is_told_with_its_place(
+    #[case] text: &str,
+    #[case] place: &str,
+    #[case] what: &str,
+) {
     let wrong = parse("x", text).expect_err("it does not hold");
-    assert!(wrong.iter().any(|wrong| wrong.place == place && wrong.what.contains(what)), "{wrong:?}");
+    assert!(
+        wrong
+            .iter()
+            .any(|wrong| wrong.place == place && wrong.what.contains(what)),
+        "{wrong:?}"
+    );
 }
 
 #[test]
 fn all_that_is_out_of_bounds_is_told_at_once() {
-    let wrong =
-        parse("x", "version = 1\n[nodes]\ncount = 0\nattempts = 9\n[net]\nzones = 0").expect_err("wrong");
+    let wrong = parse(
+        "x",
+        "version = 1\n[nodes]\ncount = 0\nattempts = 9\n[net]\nzones = 0",
+    )
+    .expect_err("wrong");
     assert_eq!(wrong.len(), 3, "{wrong:?}");
 }
 
@@ -104,11 +156,22 @@
 fn a_sweep_sets_every_point_and_names_a_key_that_is_not_there() {
     let axis = |text: &str| text.parse::<sweep::Axis>().expect("an axis");
     let axes = [axis("nodes.count=1,3"), axis("clients.load=0.2,0.6")];
-    let rows = sweep::sweep("x", &small(), &axes, &[Name::Random], 1..3, || ()).expect("a grid that holds");
+    let rows = sweep::sweep("x", &small(), &axes, &[Name::Random], 1..3, || ())
+        .expect("a grid that holds");
     assert_eq!(rows.len(), 4);
     let service = |at: usize| rows[at].figures[0].1.mean;
-    assert!(service(0) > service(1) && service(2) > service(3), "more load, less service: {rows:?}");
-    let wrong = sweep::sweep("x", &small(), &[axis("nodes.cuont=1")], &[Name::Random], 1..2, || ());
+    assert!(
+        service(0) > service(1) && service(2) > service(3),
+        "more load, less service: {rows:?}"
+    );
+    let wrong = sweep::sweep(
+        "x",
+        &small(),
+        &[axis("nodes.cuont=1")],
+        &[Name::Random],
+        1..2,
+        || (),
+    );
     assert!(format!("{:?}", wrong.expect_err("no such key")).contains("the nearest is `count`"));
 }
 
@@ -118,7 +181,10 @@
     let worst = hunt::search(&small(), 5, 8, &others, || ()).expect("a day");
     let (before, gap) = (worst.scenario.trouble.len(), worst.gap);
     let small = hunt::shrink(worst, &others);
-    assert!(small.scenario.trouble.len() <= before && small.gap >= gap * 0.8, "{small:?}");
+    assert!(
+        small.scenario.trouble.len() <= before && small.gap >= gap * 0.8,
+        "{small:?}"
+    );
     let text = toml::to_string(&small.scenario).expect("it can be written");
     let again = parse("saved", &text).expect("it can be read");
     let found = again.found.clone().expect("what was found");
@@ -130,7 +196,10 @@
     assert_eq!(Estimate::of(&[2.0]).half_width, None);
     let narrow = Estimate::of(&[1.0, 1.1, 0.9, 1.0]);
     let wide = Estimate::of(&[1.0, 3.0, -1.0, 1.0]);
-    assert!(narrow.beyond_noise() && !wide.beyond_noise(), "{narrow:?} {wide:?}");
+    assert!(
+        narrow.beyond_noise() && !wide.beyond_noise(),
+        "{narrow:?} {wide:?}"
+    );
     // Student's t for three degrees of freedom is 3.182; the deviation of the first is 0.0816 over a root of 4.
     assert!((narrow.half_width.expect("several values") - 3.182 * 0.0816 / 2.0).abs() < 1e-3);
 }
--- a/crates/simulator/tests/judges.rs
+++ b/crates/simulator/tests/judges.rs
@@ -51,14 +51,23 @@
             }
         }
         let ended = match &event {
-            Event::Ended { request, done: false, .. } => Some(*request),
+            Event::Ended {
+                request,
+                done: false,
+                ..
+            } => Some(*request),
             _ => None,
         };
         let from = actions.len();
         self.module.handle(now, event, actions);
         let mut extra = Vec::new();
         for action in &mut actions[from..] {
-            let Action::Place { request, server, .. } = action else { continue };
+            let Action::Place {
+                request, server, ..
+            } = action
+            else {
+                continue;
+            };
             let favourite = match self.fault {
                 Fault::LovesDraining => self.leaving.last(),
                 Fault::LovesCold => self.started.last(),
@@ -73,10 +82,16 @@
                 });
             }
         }
-        if let (Fault::SendsForEver, Some(request), Some(server)) = (self.fault, ended, self.listed.first()) {
+        if let (Fault::SendsForEver, Some(request), Some(server)) =
+            (self.fault, ended, self.listed.first())
+        {
             actions.truncate(from);
             let patience = Duration::from_millis(30);
-            extra.push(Action::Place { request, server: server.clone(), patience });
+            extra.push(Action::Place {
+                request,
+                server: server.clone(),
+                patience,
+            });
         }
         let refused = |action: &&Action| matches!(action, Action::Refuse { .. });
         if self.fault == Fault::AnswersTwice {
@@ -86,7 +101,9 @@
         if self.fault == Fault::Forgets {
             let forgotten = |request: &RequestId| (request.0 >> 24) % 7 == 0;
             actions.retain(|action| match action {
-                Action::Place { request, .. } | Action::Refuse { request, .. } => !forgotten(request),
+                Action::Place { request, .. } | Action::Refuse { request, .. } => {
+                    !forgotten(request)
+                }
                 _ => true,
             });
         }
@@ -144,12 +161,19 @@
     let run = played(fault);
     let found = run.rules_broken.iter().find(|broken| broken.rule == rule);
     let found = found.unwrap_or_else(|| panic!("{fault:?} was not caught: {:?}", run.rules_broken));
-    assert!(!found.trace.is_empty(), "the last events of the offender are shown");
+    assert!(
+        !found.trace.is_empty(),
+        "the last events of the offender are shown"
+    );
 }
 
 #[test]
 fn no_judge_speaks_up_about_the_module() {
     let run = played(Fault::Nothing);
     assert_eq!(run.rules_broken, [], "{:?}", run.rules_broken);
-    assert!(run.attempts > 100, "it was kept busy: {} attempts", run.attempts);
+    assert!(
+        run.attempts > 100,
+        "it was kept busy: {} attempts",
+        run.attempts
+    );
 }
--- a/crates/test-servers/src/client.rs
+++ b/crates/test-servers/src/client.rs
@@ -88,11 +88,22 @@
 /// Begins a request at this node; false if no socket is to be had.
 pub fn ask<W: Stage>(hands: &mut Hands<W>, visit: Visit, node: usize, at: SocketAddr) -> bool {
     let id = hands.name();
-    let Ok(stream) = poll::connect(&hands.poller, at, key(id, 0)) else { return false };
+    let Ok(stream) = poll::connect(&hands.poller, at, key(id, 0)) else {
+        return false;
+    };
     let now = Instant::now();
     hands.deadlines.set(id, WAIT, now + CONNECT);
     let (lines, phase) = (Lines::new(stream), Phase::Connecting);
-    let client = Client { id, node, lines, visit, phase, answered: false, moved: false, up_at: now };
+    let client = Client {
+        id,
+        node,
+        lines,
+        visit,
+        phase,
+        answered: false,
+        moved: false,
+        up_at: now,
+    };
     hands.adopt(id, Box::new(client));
     true
 }
@@ -104,17 +115,35 @@
         }
         let manners = hands.world.manners().clone();
         let wait = manners.wait.as_millis() as u64;
-        let Visit { request, number, group, tries, again, .. } = self.visit;
-        let marks = format!("{}{}", if tries > 0 { ",r=1" } else { "" }, if again { ",again=1" } else { "" });
+        let Visit {
+            request,
+            number,
+            group,
+            tries,
+            again,
+            ..
+        } = self.visit;
+        let marks = format!(
+            "{}{}",
+            if tries > 0 { ",r=1" } else { "" },
+            if again { ",again=1" } else { "" }
+        );
         let class = &manners.class;
-        let line =
-            format!("OPEN {request:016x} {number:016x} c={class},d={wait},g={group:016x},h=1000{marks}\r\n");
+        let line = format!(
+            "OPEN {request:016x} {number:016x} c={class},d={wait},g={group:016x},h=1000{marks}\r\n"
+        );
         if self.lines.say(&line).is_err() {
             return self.next(hands, Next::Again(Duration::from_millis(50)));
         }
         self.phase = Phase::Asking;
-        hands.world.saw(Seen::Asked { request, node: self.node, wait_ms: wait });
-        hands.deadlines.set(self.id, WAIT, Instant::now() + manners.wait + LATE);
+        hands.world.saw(Seen::Asked {
+            request,
+            node: self.node,
+            wait_ms: wait,
+        });
+        hands
+            .deadlines
+            .set(self.id, WAIT, Instant::now() + manners.wait + LATE);
         Flow::Keep
     }
 
@@ -139,11 +168,15 @@
             Answer::Up => {
                 self.phase = Phase::Standing;
                 self.up_at = Instant::now();
-                hands.world.visit(self.visit.clone(), Next::Up(self.visit.since.elapsed()));
+                hands
+                    .world
+                    .visit(self.visit.clone(), Next::Up(self.visit.since.elapsed()));
                 let every = hands.world.manners().every;
                 hands.deadlines.clear(self.id, WAIT);
                 hands.deadlines.set(self.id, LINE, self.up_at + every);
-                hands.deadlines.set(self.id, LEAVE, self.up_at + self.visit.stands);
+                hands
+                    .deadlines
+                    .set(self.id, LEAVE, self.up_at + self.visit.stands);
                 return Flow::Keep;
             }
             Answer::Busy(ms) => Duration::from_millis(if ms == 0 { 200 } else { ms }),
@@ -159,7 +192,11 @@
             Phase::Asking => {
                 let answer = match first {
                     "UP" => Answer::Up,
-                    "BUSY" => Answer::Busy(line.get(5..).and_then(|ms| ms.trim().parse().ok()).unwrap_or(0)),
+                    "BUSY" => Answer::Busy(
+                        line.get(5..)
+                            .and_then(|ms| ms.trim().parse().ok())
+                            .unwrap_or(0),
+                    ),
                     _ => Answer::Failed,
                 };
                 return self.answer(hands, answer);
@@ -169,7 +206,9 @@
             Phase::Standing if matches!(first, "UP" | "BUSY" | "ERR") => {
                 hands.world.saw(Seen::Again { request })
             }
-            Phase::Leaving if self.answered && !self.moved => hands.world.saw(Seen::Again { request }),
+            Phase::Leaving if self.answered && !self.moved => {
+                hands.world.saw(Seen::Again { request })
+            }
             _ => {}
         }
         Flow::Keep
@@ -192,11 +231,18 @@
 }
 
 impl<W: Stage> Connection<W> for Client {
-    fn ready(&mut self, hands: &mut Hands<W>, _side: usize, readable: bool, writable: bool) -> Flow {
+    fn ready(
+        &mut self,
+        hands: &mut Hands<W>,
+        _side: usize,
+        readable: bool,
+        writable: bool,
+    ) -> Flow {
         if self.phase == Phase::Connecting {
             return self.open(hands);
         }
-        let broke = (writable && self.lines.flush().is_err()) || (readable && self.lines.read().is_err());
+        let broke =
+            (writable && self.lines.flush().is_err()) || (readable && self.lines.read().is_err());
         while let Some(line) = self.lines.line() {
             if self.line(hands, &line) == Flow::Done {
                 return Flow::Done;
@@ -222,7 +268,10 @@
                 Flow::Keep
             }
             (LEAVE, Phase::Standing) => {
-                hands.world.saw(Seen::Stood { request, end: End::Own });
+                hands.world.saw(Seen::Stood {
+                    request,
+                    end: End::Own,
+                });
                 self.next(hands, Next::Over)
             }
             (WAIT, Phase::Connecting) => self.next(hands, Next::Again(Duration::ZERO)),
--- a/crates/test-servers/src/discovery.rs
+++ b/crates/test-servers/src/discovery.rs
@@ -56,7 +56,14 @@
     pub fn add(&mut self, name: String, zone: String, born_ms: u64, dials: Vec<SocketAddr>) {
         self.seq += 1;
         let changed = (self.seq, Some(Instant::now()));
-        self.entries.push(Entry { name, zone, health: "SERVING", born_ms, dials, changed });
+        self.entries.push(Entry {
+            name,
+            zone,
+            health: "SERVING",
+            born_ms,
+            dials,
+            changed,
+        });
     }
 
     /// One more node reaches this transcriber there.
@@ -76,7 +83,9 @@
 
     /// It has just started anew.
     pub fn started(&mut self, number: usize) {
-        let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+        let now = std::time::SystemTime::now()
+            .duration_since(std::time::UNIX_EPOCH)
+            .unwrap_or_default();
         if let Some(entry) = self.entries.get_mut(number) {
             entry.born_ms = now.as_millis() as u64;
         }
@@ -89,7 +98,10 @@
     }
 
     fn mode(&self, node: usize) -> Mode {
-        self.modes.get(&node).copied().unwrap_or(Mode::Fine(Duration::ZERO))
+        self.modes
+            .get(&node)
+            .copied()
+            .unwrap_or(Mode::Fine(Duration::ZERO))
     }
 
     /// How many entries there are.
@@ -109,9 +121,18 @@
             Mode::Stale | Mode::Down => Duration::MAX,
         };
         let ripe = |entry: &Entry| entry.changed.1.is_none_or(|at| at.elapsed() >= lag);
-        let fresh = self.entries.iter().enumerate().filter(|(_, entry)| whole || entry.changed.0 > from);
+        let fresh = self
+            .entries
+            .iter()
+            .enumerate()
+            .filter(|(_, entry)| whole || entry.changed.0 > from);
         let fresh: Vec<(usize, &Entry)> = fresh.filter(|(_, entry)| whole || ripe(entry)).collect();
-        let seq = fresh.iter().map(|(_, entry)| entry.changed.0).max().unwrap_or(from).max(from);
+        let seq = fresh
+            .iter()
+            .map(|(_, entry)| entry.changed.0)
+            .max()
+            .unwrap_or(from)
+            .max(from);
         let hosts: Vec<serde_json::Value> = fresh
             .iter()
             .filter(|(_, entry)| !whole || entry.health != "DELETED")
@@ -121,8 +142,15 @@
                     "born_ms": entry.born_ms}))
             })
             .collect();
-        let news = fresh.iter().map(|(number, entry)| (*number, entry.health == "SERVING")).collect();
-        (seq, serde_json::json!({"seq": seq, "whole": whole, "hosts": hosts}).to_string(), news)
+        let news = fresh
+            .iter()
+            .map(|(number, entry)| (*number, entry.health == "SERVING"))
+            .collect();
+        (
+            seq,
+            serde_json::json!({"seq": seq, "whole": whole, "hosts": hosts}).to_string(),
+            news,
+        )
     }
 }
 
@@ -142,15 +170,28 @@
 }
 
 impl<W: Stage> Connection<W> for Door {
-    fn ready(&mut self, hands: &mut Hands<W>, _side: usize, _readable: bool, _writable: bool) -> Flow {
+    fn ready(
+        &mut self,
+        hands: &mut Hands<W>,
+        _side: usize,
+        _readable: bool,
+        _writable: bool,
+    ) -> Flow {
         while let Ok((stream, _)) = self.listener.accept() {
             let id = hands.name();
             if stream.set_nonblocking(true).is_err() {
                 continue;
             }
-            let Ok(stream) = Watched::new(&hands.poller, stream, key(id, 0), true, false) else { continue };
-            let watch =
-                Watch { id, node: self.node, lines: Lines::new(stream), from: None, beat: Instant::now() };
+            let Ok(stream) = Watched::new(&hands.poller, stream, key(id, 0), true, false) else {
+                continue;
+            };
+            let watch = Watch {
+                id,
+                node: self.node,
+                lines: Lines::new(stream),
+                from: None,
+                beat: Instant::now(),
+            };
             hands.adopt(id, Box::new(watch));
         }
         Flow::Keep
@@ -180,9 +221,14 @@
         let (seq, json, news) = hands.world.list().told(self.node, from, whole);
         self.from = Some(seq);
         for (transcriber, ready) in news {
-            hands.world.saw(Seen::Told { node: self.node, transcriber, ready });
+            hands.world.saw(Seen::Told {
+                node: self.node,
+                transcriber,
+                ready,
+            });
         }
-        self.lines.say(&format!("{:x}\r\n{json}\n\r\n", json.len() + 1))
+        self.lines
+            .say(&format!("{:x}\r\n{json}\n\r\n", json.len() + 1))
     }
 
     fn call<W: Stage>(&mut self, hands: &mut Hands<W>) -> io::Result<()> {
@@ -190,10 +236,12 @@
         while let Some(line) = self.lines.line() {
             if self.from.is_none() && line.starts_with("GET ") {
                 if mode == Mode::Down {
-                    self.lines.say("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")?;
+                    self.lines
+                        .say("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")?;
                     return Err(io::ErrorKind::ConnectionAborted.into());
                 }
-                self.lines.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+                self.lines
+                    .say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
                 // A stale one tells nobody anything, not even whoever asks for the first time.
                 match mode {
                     Mode::Stale => (self.from, _) = (Some(0), self.lines.say("1\r\n\n\r\n")?),
@@ -211,7 +259,9 @@
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
         let from = self.from.unwrap_or(0);
-        if matches!(mode, Mode::Fine(_)) && !hands.world.list().told(self.node, from, false).2.is_empty() {
+        if matches!(mode, Mode::Fine(_))
+            && !hands.world.list().told(self.node, from, false).2.is_empty()
+        {
             self.tell(hands, false)?;
         }
         if self.beat.elapsed() >= BEAT {
@@ -224,7 +274,13 @@
 }
 
 impl<W: Stage> Connection<W> for Watch {
-    fn ready(&mut self, hands: &mut Hands<W>, _side: usize, readable: bool, writable: bool) -> Flow {
+    fn ready(
+        &mut self,
+        hands: &mut Hands<W>,
+        _side: usize,
+        readable: bool,
+        writable: bool,
+    ) -> Flow {
         let written = if writable { self.lines.flush() } else { Ok(()) };
         let read = if readable { self.lines.read() } else { Ok(()) };
         let done = written.and(read).and_then(|()| self.call(hands)).is_err() || self.lines.ended;
--- a/crates/test-servers/src/lines.rs
+++ b/crates/test-servers/src/lines.rs
@@ -22,7 +22,12 @@
 impl Lines {
     /// Over a stream that is or will be up.
     pub fn new(stream: Watched<TcpStream>) -> Lines {
-        Lines { stream, input: Vec::new(), output: Vec::new(), ended: false }
+        Lines {
+            stream,
+            input: Vec::new(),
+            output: Vec::new(),
+            ended: false,
+        }
     }
 
     /// Reads what is there; an error is the end of the stream.
--- a/crates/test-servers/src/transcriber.rs
+++ b/crates/test-servers/src/transcriber.rs
@@ -79,14 +79,17 @@
 impl Transcriber {
     /// 0 to 1: how much of its strength it has.
     pub fn warmth(&self, strength: &Strength, now: Instant) -> f64 {
-        let age = self.started.map_or(strength.cold, |started| now.saturating_duration_since(started));
+        let age = self.started.map_or(strength.cold, |started| {
+            now.saturating_duration_since(started)
+        });
         let part = (age.as_secs_f64() / strength.cold.as_secs_f64().max(1e-9)).min(1.0);
         strength.start + (1.0 - strength.start) * part
     }
 
     /// Whether it is cold.
     pub fn cold(&self, strength: &Strength, now: Instant) -> bool {
-        self.started.is_some_and(|started| now.saturating_duration_since(started) < strength.cold)
+        self.started
+            .is_some_and(|started| now.saturating_duration_since(started) < strength.cold)
     }
 
     /// Connections that it holds.
@@ -109,21 +112,42 @@
     let listener = Watched::new(&hands.poller, listener, key(id, 0), true, false)?;
     let fleet = hands.world.fleet();
     let number = fleet.all.len();
-    fleet.all.push(Transcriber { id, at, mode: Mode::Up, started, over: None, held: BTreeMap::new() });
-    hands.adopt(id, Box::new(Door { id, number, listener }));
+    fleet.all.push(Transcriber {
+        id,
+        at,
+        mode: Mode::Up,
+        started,
+        over: None,
+        held: BTreeMap::new(),
+    });
+    hands.adopt(
+        id,
+        Box::new(Door {
+            id,
+            number,
+            listener,
+        }),
+    );
     hands.deadlines.set(id, 0, Instant::now() + LOOK);
     Ok(number)
 }
 
 /// From now on it stands like this. One that goes down resets all that it holds; one that comes up has just started.
 pub fn turn<W: Stage>(hands: &mut Hands<W>, number: usize, mode: Mode) {
-    let Some(one) = hands.world.fleet().all.get_mut(number) else { return };
+    let Some(one) = hands.world.fleet().all.get_mut(number) else {
+        return;
+    };
     if mode == Mode::Up && one.mode == Mode::Down {
         one.started = Some(Instant::now());
     }
     one.mode = mode;
-    let (id, held): (Id, Vec<(Id, u64)>) =
-        (one.id, one.held.iter().map(|(id, request)| (*id, *request)).collect());
+    let (id, held): (Id, Vec<(Id, u64)>) = (
+        one.id,
+        one.held
+            .iter()
+            .map(|(id, request)| (*id, *request))
+            .collect(),
+    );
     if mode == Mode::Down {
         for (id, request) in held {
             hands.world.saw(Seen::Dropped { request });
@@ -135,7 +159,9 @@
 
 /// Ends one connection in good order, for draining bit by bit; false if there is none left.
 pub fn drain_one<W: Stage>(hands: &mut Hands<W>, number: usize) -> bool {
-    let Some(one) = hands.world.fleet().all.get(number) else { return false };
+    let Some(one) = hands.world.fleet().all.get(number) else {
+        return false;
+    };
     let Some((id, request)) = one.held.iter().next().map(|(id, request)| (*id, *request)) else {
         return false;
     };
@@ -154,7 +180,9 @@
 impl Door {
     fn accept<W: Stage>(&mut self, hands: &mut Hands<W>) {
         for _ in 0..ACCEPTS {
-            let Ok((stream, from)) = self.listener.accept() else { return };
+            let Ok((stream, from)) = self.listener.accept() else {
+                return;
+            };
             let mode = hands.world.fleet().all[self.number].mode;
             if mode == Mode::Down || stream.set_nonblocking(true).is_err() {
                 // As if nobody listened: what came is reset.
@@ -163,17 +191,33 @@
             }
             let _ = stream.set_nodelay(true);
             let id = hands.name();
-            let Ok(stream) = Watched::new(&hands.poller, stream, key(id, 0), true, false) else { continue };
+            let Ok(stream) = Watched::new(&hands.poller, stream, key(id, 0), true, false) else {
+                continue;
+            };
             let lines = Lines::new(stream);
             hands.deadlines.set(id, ANSWER, Instant::now() + FIRST_LINE);
-            let task = Task { id, number: self.number, from, lines, request: None, up: false, echoes: 0 };
+            let task = Task {
+                id,
+                number: self.number,
+                from,
+                lines,
+                request: None,
+                up: false,
+                echoes: 0,
+            };
             hands.adopt(id, Box::new(task));
         }
     }
 }
 
 impl<W: Stage> Connection<W> for Door {
-    fn ready(&mut self, hands: &mut Hands<W>, _side: usize, _readable: bool, _writable: bool) -> Flow {
+    fn ready(
+        &mut self,
+        hands: &mut Hands<W>,
+        _side: usize,
+        _readable: bool,
+        _writable: bool,
+    ) -> Flow {
         self.accept(hands);
         Flow::Keep
     }
@@ -190,7 +234,11 @@
         } else if now.saturating_duration_since(*one.over.get_or_insert(now)) >= strength.fall_for {
             let held = one.held.len();
             one.over = None;
-            hands.world.saw(Seen::Fell { transcriber: self.number, cold, held });
+            hands.world.saw(Seen::Fell {
+                transcriber: self.number,
+                cold,
+                held,
+            });
             turn(hands, self.number, Mode::Down);
             hands.deadlines.set(self.id, 1, now + BACK);
         }
@@ -241,7 +289,11 @@
                 if self.up {
                     self.echoes = self.echoes.saturating_add(1);
                     let fleet = hands.world.fleet();
-                    let takes = fleet.all[self.number].takes(&fleet.strength, fleet.strength.setup / 4, now);
+                    let takes = fleet.all[self.number].takes(
+                        &fleet.strength,
+                        fleet.strength.setup / 4,
+                        now,
+                    );
                     hands.deadlines.set(self.id, ECHO, now + takes);
                 }
                 continue;
@@ -265,7 +317,10 @@
             let takes = one.takes(&strength, strength.setup, now);
             hands.deadlines.set(self.id, ANSWER, now + takes);
             if cold {
-                hands.world.saw(Seen::Cold { transcriber: self.number, begun });
+                hands.world.saw(Seen::Cold {
+                    transcriber: self.number,
+                    begun,
+                });
             }
         }
         Flow::Keep
@@ -273,7 +328,13 @@
 }
 
 impl<W: Stage> Connection<W> for Task {
-    fn ready(&mut self, hands: &mut Hands<W>, _side: usize, readable: bool, writable: bool) -> Flow {
+    fn ready(
+        &mut self,
+        hands: &mut Hands<W>,
+        _side: usize,
+        readable: bool,
+        writable: bool,
+    ) -> Flow {
         if (writable && self.lines.flush().is_err()) || (readable && self.lines.read().is_err()) {
             return self.gone(hands);
         }
