--- a/crates/cluster/src/link.rs
+++ b/crates/cluster/src/link.rs
@@ -1,7 +1,8 @@
 //! One link: a stream between two nodes that carries whole messages, bounded in size, number and what waits.
 
 use crate::VERSION;
-use lupincrank_reactor::poll::{self, Watched};
+use lupincrank_reactor::poll::{self, Registered};
+use lupincrank_reactor::Interest;
 use polling::Poller;
 use serde::{Deserialize, Serialize};
 use std::io::{self, Read, Write};
@@ -125,7 +126,7 @@
 
 /// One end of a link.
 pub struct Link {
-    stream: Watched<TcpStream>,
+    stream: Registered<TcpStream>,
     connected: bool,
     inbox: Inbox,
     waiting: Vec<u8>,
@@ -151,12 +152,12 @@
         stream.set_nonblocking(true)?;
         let _ = stream.set_nodelay(true);
         Ok(Link::over(
-            Watched::new(poller, stream, key, true, false)?,
+            Registered::new(poller, stream, key, Interest::READ)?,
             false,
         ))
     }
 
-    fn over(stream: Watched<TcpStream>, dialled: bool) -> Link {
+    fn over(stream: Registered<TcpStream>, dialled: bool) -> Link {
         let now = Instant::now();
         Link {
             stream,
@@ -191,7 +192,7 @@
             match self.stream.write(&self.waiting[self.sent..]) {
                 Ok(sent) => self.sent += sent,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    return self.stream.want(true, true)
+                    return self.stream.set_interest(Interest::READ_WRITE)
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => return Err(error),
@@ -199,7 +200,7 @@
         }
         self.waiting.clear();
         self.sent = 0;
-        self.stream.want(true, false)
+        self.stream.set_interest(Interest::READ)
     }
 
     /// The socket is ready: the messages that are whole now, or why the link ends.
--- a/crates/fault-injection/src/build.rs
+++ b/crates/fault-injection/src/build.rs
@@ -4,7 +4,7 @@
 use crate::processes::Node;
 use crate::stage::Stage;
 use crate::{hop, proxy};
-use lupincrank_reactor::Hands;
+use lupincrank_reactor::Context;
 use lupincrank_test_servers::{discovery, transcriber};
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr};
@@ -88,59 +88,59 @@
 
 /// Adds a node with all of its links, and writes what it is told. It is not started.
 pub fn add(
-    hands: &mut Hands<Stage>,
+    context: &mut Context<Stage>,
     program: Vec<String>,
     name: Option<String>,
 ) -> Result<usize, String> {
     let named = |error: std::io::Error| error.to_string();
-    let node = hands.nodes.len();
-    let (high, low) = hands.block;
+    let node = context.nodes.len();
+    let (high, low) = context.block;
     let ip = IpAddr::V4(Ipv4Addr::new(127, high, low, 1 + node as u8));
-    let zone = zone(node % hands.scenario.zones);
-    let folder = hands.folder.join(format!("n{node}"));
+    let zone = zone(node % context.scenario.zones);
+    let folder = context.folder.join(format!("n{node}"));
     let name = name.unwrap_or_else(|| format!("n{node}"));
-    hands
-        .world
+    context
+        .application
         .nodes
         .push(Node::new(name, zone, program, ip, folder));
     let party = Party::Node(node);
-    let list = discovery::listen(hands, node).map_err(named)?;
-    let discovery = proxy::open(hands, party, Party::Discovery, list).map_err(named)?;
-    for one in 0..hands.fleet.all.len() {
-        let at = hands.fleet.all[one].at;
-        let dial = proxy::open(hands, party, Party::Transcriber(one), at).map_err(named)?;
-        hands.list.dial(one, dial);
+    let list = discovery::listen(context, node).map_err(named)?;
+    let discovery = proxy::open(context, party, Party::Discovery, list).map_err(named)?;
+    for one in 0..context.fleet.all.len() {
+        let at = context.fleet.all[one].at;
+        let dial = proxy::open(context, party, Party::Transcriber(one), at).map_err(named)?;
+        context.list.dial(one, dial);
     }
-    if hands.scenario.talk {
+    if context.scenario.talk {
         for other in 0..node {
             for (from, to) in [(node, other), (other, node)] {
-                let target = hands.nodes[to].fleet();
+                let target = context.nodes[to].fleet();
                 let (from, to) = (Party::Node(from), Party::Node(to));
-                let at = proxy::open(hands, from, to, target).map_err(named)?;
-                hop::open(hands, from, to, at, target).map_err(named)?;
-                hands.world.ways.insert((from, to), at);
+                let at = proxy::open(context, from, to, target).map_err(named)?;
+                hop::open(context, from, to, at, target).map_err(named)?;
+                context.application.ways.insert((from, to), at);
             }
         }
     }
-    let (_, known, _) = hands.list.told(node, 0, true);
+    let (_, known, _) = context.list.told(node, 0, true);
     let known: serde_json::Value =
         serde_json::from_str(&known).map_err(|error| error.to_string())?;
-    let one = &hands.world.nodes[node];
+    let one = &context.application.nodes[node];
     let config = serde_json::json!({
         "name": one.name, "listen": one.listen().to_string(), "discovery": discovery.to_string(),
         "management": one.management().to_string(),
-        "seed": format!("{:x}", hands.world.plan.seed.wrapping_mul(1_000_003).wrapping_add(node as u64)),
+        "seed": format!("{:x}", context.application.plan.seed.wrapping_mul(1_000_003).wrapping_add(node as u64)),
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 4096},
-        "known": known, "settings": settings(&hands.world),
+        "known": known, "settings": settings(&context.application),
     });
-    hands.world.configs.insert(node, config);
+    context.application.configs.insert(node, config);
     Ok(node)
 }
 
 /// Writes what a node is told at its start, by the links that there are now.
-pub fn tell(hands: &mut Hands<Stage>, node: usize, expected: usize) -> Result<(), String> {
-    let ways = hands
-        .world
+pub fn tell(context: &mut Context<Stage>, node: usize, expected: usize) -> Result<(), String> {
+    let ways = context
+        .application
         .ways
         .iter()
         .filter_map(|((from, to), at)| match (from, to) {
@@ -148,49 +148,54 @@
             _ => None,
         });
     let via: BTreeMap<usize, _> = ways.collect();
-    let text = hands
+    let text = context
         .scenario
         .talk
-        .then(|| operator(&hands.world, node, &via, expected));
-    let config = hands.world.configs.get(&node).cloned().unwrap_or_default();
-    hands.world.nodes[node]
+        .then(|| operator(&context.application, node, &via, expected));
+    let config = context
+        .application
+        .configs
+        .get(&node)
+        .cloned()
+        .unwrap_or_default();
+    context.application.nodes[node]
         .tell(&config, text.as_deref())
         .map_err(|error| error.to_string())
 }
 
 /// A node that nobody announced begins, or one with another one's name: the others have no way to it but the one that it opens, and do not expect it.
-pub fn join(hands: &mut Hands<Stage>, name: Option<String>) -> Result<(), String> {
-    let program = hands.program.clone();
-    let node = add(hands, program, name)?;
-    let expected = *hands.scenario.nodes.get_ref();
-    tell(hands, node, expected)?;
-    let verbose = hands.verbose;
-    hands.nodes[node]
+pub fn join(context: &mut Context<Stage>, name: Option<String>) -> Result<(), String> {
+    let program = context.program.clone();
+    let node = add(context, program, name)?;
+    let expected = *context.scenario.nodes.get_ref();
+    tell(context, node, expected)?;
+    let verbose = context.verbose;
+    context.nodes[node]
         .start(verbose)
         .map_err(|error| error.to_string())
 }
 
 /// One more transcriber.
-pub fn release(hands: &mut Hands<Stage>, cold: bool) -> Result<(), String> {
+pub fn release(context: &mut Context<Stage>, cold: bool) -> Result<(), String> {
     let named = |error: std::io::Error| error.to_string();
     let now = Instant::now();
-    let one = transcriber::start(hands, cold.then_some(now)).map_err(named)?;
-    let at = hands.fleet.all[one].at;
+    let one = transcriber::start(context, cold.then_some(now)).map_err(named)?;
+    let at = context.fleet.all[one].at;
     let mut dials = Vec::new();
-    for node in 0..hands.nodes.len() {
+    for node in 0..context.nodes.len() {
         dials.push(
-            proxy::open(hands, Party::Node(node), Party::Transcriber(one), at).map_err(named)?,
+            proxy::open(context, Party::Node(node), Party::Transcriber(one), at).map_err(named)?,
         );
     }
-    let zone = zone(one % hands.scenario.zones);
+    let zone = zone(one % context.scenario.zones);
     // Names that say nothing of the order: hashes of short ones lie close together.
     let name = format!(
         "s-{:08x}",
-        crc32fast::hash(format!("{} {one}", hands.plan.seed).as_bytes())
+        crc32fast::hash(format!("{} {one}", context.plan.seed).as_bytes())
     );
-    hands.list.add(name, zone, 0, dials);
+    context.list.add(name, zone, 0, dials);
     if cold {
-        hands.list.started(one);
+        context.list.started(one);
     }
     Ok(())
 }
--- a/crates/fault-injection/src/call.rs
+++ b/crates/fault-injection/src/call.rs
@@ -4,7 +4,8 @@
 use crate::processes::State;
 use crate::stage::Stage;
 use lupincrank_reactor::poll;
-use lupincrank_reactor::{Connection, Flow, Hands, Id};
+use lupincrank_reactor::Readiness;
+use lupincrank_reactor::{ComponentId, Connection, Context, Lifecycle};
 use lupincrank_test_servers::lines::Lines;
 use lupincrank_test_servers::{key, Note};
 use std::time::{Duration, Instant};
@@ -13,7 +14,7 @@
 const ANSWER: Duration = Duration::from_millis(800);
 
 struct Call {
-    id: Id,
+    id: ComponentId,
     node: usize,
     /// Which life of it.
     life: u32,
@@ -31,24 +32,24 @@
 }
 
 /// Asks whether it takes clients.
-pub fn ping(hands: &mut Hands<Stage>, node: usize) {
-    begin(hands, node, What::Ping);
+pub fn ping(context: &mut Context<Stage>, node: usize) {
+    begin(context, node, What::Ping);
 }
 
 /// Asks how it stands in its fleet.
-pub fn status(hands: &mut Hands<Stage>, node: usize) {
-    begin(hands, node, What::Status);
+pub fn status(context: &mut Context<Stage>, node: usize) {
+    begin(context, node, What::Status);
 }
 
 /// Sets the whole of the cold budget.
-pub fn set_whole(hands: &mut Hands<Stage>, node: usize, whole: u32) {
-    begin(hands, node, What::Whole(whole));
+pub fn set_whole(context: &mut Context<Stage>, node: usize, whole: u32) {
+    begin(context, node, What::Whole(whole));
 }
 
-fn begin(hands: &mut Hands<Stage>, node: usize, what: What) {
+fn begin(context: &mut Context<Stage>, node: usize, what: What) {
     let pings = what == What::Ping;
-    let id = hands.name();
-    let one = &hands.world.nodes[node];
+    let id = context.allocate_id();
+    let one = &context.application.nodes[node];
     let (at, life) = (
         if pings {
             one.listen()
@@ -57,10 +58,10 @@
         },
         one.lives,
     );
-    match poll::connect(&hands.poller, at, key(id, 0)) {
+    match poll::connect(&context.poller, at, key(id, 0)) {
         Ok(stream) => {
-            hands.deadlines.set(id, 0, Instant::now() + ANSWER);
-            hands.adopt(
+            context.deadlines.set(id, 0, Instant::now() + ANSWER);
+            context.register(
                 id,
                 Box::new(Call {
                     id,
@@ -72,18 +73,18 @@
                 }),
             );
         }
-        Err(_) if pings => hands.world.nodes[node].in_front = false,
+        Err(_) if pings => context.application.nodes[node].in_front = false,
         Err(_) => {}
     }
 }
 
 impl Call {
-    fn answered(&self, hands: &mut Hands<Stage>, line: Option<&str>) -> Flow {
-        let node = &mut hands.world.nodes[self.node];
+    fn answered(&self, context: &mut Context<Stage>, line: Option<&str>) -> Lifecycle {
+        let node = &mut context.application.nodes[self.node];
         if node.lives == self.life {
             if let What::Whole(whole) = self.what {
                 let line = line.unwrap_or("no answer").to_string();
-                hands.event(format!("cold budget set to {whole}: {line}"), false);
+                context.event(format!("cold budget set to {whole}: {line}"), false);
             } else if self.what == What::Ping {
                 node.in_front = line == Some("PONG") && node.state != State::Dead;
             } else {
@@ -93,13 +94,13 @@
                 {
                     let stamp = told["council"]["stamp"].to_string();
                     if !node.foreign && stamp != "null" {
-                        hands.world.councils.insert(stamp);
+                        context.application.councils.insert(stamp);
                     }
-                    hands.world.nodes[self.node].status = Some((Instant::now(), told));
+                    context.application.nodes[self.node].status = Some((Instant::now(), told));
                 }
             }
         }
-        Flow::Done
+        Lifecycle::Close
     }
 
     fn step(&mut self, readable: bool) -> Result<Option<String>, ()> {
@@ -127,26 +128,25 @@
 }
 
 impl Connection<Stage> for Call {
-    fn ready(
+    fn on_ready(
         &mut self,
-        hands: &mut Hands<Stage>,
-        _side: usize,
-        readable: bool,
-        _writable: bool,
-    ) -> Flow {
-        match self.step(readable) {
-            Ok(Some(line)) => self.answered(hands, Some(&line)),
-            Ok(None) => Flow::Keep,
-            Err(()) => self.answered(hands, None),
+        context: &mut Context<Stage>,
+        _socket: usize,
+        readiness: Readiness,
+    ) -> Lifecycle {
+        match self.step(readiness.readable) {
+            Ok(Some(line)) => self.answered(context, Some(&line)),
+            Ok(None) => Lifecycle::Continue,
+            Err(()) => self.answered(context, None),
         }
     }
 
-    fn due(&mut self, hands: &mut Hands<Stage>, _purpose: u64) -> Flow {
-        hands.deadlines.clear(self.id, 0);
-        self.answered(hands, None)
+    fn on_deadline(&mut self, context: &mut Context<Stage>, _kind: u64) -> Lifecycle {
+        context.deadlines.clear(self.id, 0);
+        self.answered(context, None)
     }
 
-    fn told(&mut self, _hands: &mut Hands<Stage>, _note: Note) -> Flow {
-        Flow::Done
+    fn on_message(&mut self, _context: &mut Context<Stage>, _note: Note) -> Lifecycle {
+        Lifecycle::Close
     }
 }
--- a/crates/fault-injection/src/faults.rs
+++ b/crates/fault-injection/src/faults.rs
@@ -6,7 +6,7 @@
 use crate::stage::{Stage, FAULTS};
 use crate::step::Step;
 use crate::{build, call};
-use lupincrank_reactor::{Hands, Id, WORLD};
+use lupincrank_reactor::{ComponentId, Context, APPLICATION};
 use lupincrank_test_servers::discovery::Mode as Told;
 use lupincrank_test_servers::transcriber::{self, Mode};
 use lupincrank_test_servers::Note;
@@ -18,45 +18,45 @@
 const BIT_BY_BIT: Duration = Duration::from_millis(600);
 
 /// All faults wait for their moments.
-pub fn schedule(hands: &mut Hands<Stage>) {
-    for fault in hands.plan.faults.clone() {
-        let at = hands.start + Duration::from_secs_f64(fault.at_s);
-        hands.later.push((at, Step::Begin(fault)));
+pub fn schedule(context: &mut Context<Stage>) {
+    for fault in context.plan.faults.clone() {
+        let at = context.start + Duration::from_secs_f64(fault.at_s);
+        context.later.push((at, Step::Begin(fault)));
     }
-    wait(hands);
+    wait(context);
 }
 
-fn wait(hands: &mut Hands<Stage>) {
-    if let Some(at) = hands.later.iter().map(|(at, _)| *at).min() {
-        hands.deadlines.set(WORLD, FAULTS, at);
+fn wait(context: &mut Context<Stage>) {
+    if let Some(at) = context.later.iter().map(|(at, _)| *at).min() {
+        context.deadlines.set(APPLICATION, FAULTS, at);
     }
 }
 
 /// Does what is due.
-pub fn due(hands: &mut Hands<Stage>) {
+pub fn due(context: &mut Context<Stage>) {
     let now = Instant::now();
-    let (mut ripe, later): (Vec<_>, Vec<_>) = std::mem::take(&mut hands.later)
+    let (mut ripe, later): (Vec<_>, Vec<_>) = std::mem::take(&mut context.later)
         .into_iter()
         .partition(|(at, _)| *at <= now);
-    hands.later = later;
+    context.later = later;
     ripe.sort_by_key(|(at, _)| *at);
     for (_, step) in ripe {
-        take(hands, step);
+        take(context, step);
     }
-    wait(hands);
+    wait(context);
 }
 
-fn then(hands: &mut Hands<Stage>, after_s: f64, step: Step) {
-    hands
+fn then(context: &mut Context<Stage>, after_s: f64, step: Step) {
+    context
         .later
         .push((Instant::now() + Duration::from_secs_f64(after_s), step));
 }
 
 /// The parties that a selector names now.
-fn parties(hands: &mut Hands<Stage>, selector: &str) -> Vec<Party> {
-    let nodes = hands.nodes.len();
-    let zones = hands.scenario.zones;
-    let transcribers = hands.fleet.all.len();
+fn parties(context: &mut Context<Stage>, selector: &str) -> Vec<Party> {
+    let nodes = context.nodes.len();
+    let zones = context.scenario.zones;
+    let transcribers = context.fleet.all.len();
     let number = |prefix: &str| {
         selector
             .strip_prefix(prefix)
@@ -71,16 +71,16 @@
         "nodes" => (0..nodes).map(Party::Node).collect(),
         "transcribers" => (0..transcribers).map(Party::Transcriber).collect(),
         "discovery" => vec![Party::Discovery],
-        "leader" => hands.leader().map(Party::Node).into_iter().collect(),
+        "leader" => context.leader().map(Party::Node).into_iter().collect(),
         "follower" => {
-            let leader = hands.leader();
+            let leader = context.leader();
             let others: Vec<usize> = (0..nodes)
-                .filter(|node| Some(*node) != leader && hands.nodes[*node].state == State::Runs)
+                .filter(|node| Some(*node) != leader && context.nodes[*node].state == State::Runs)
                 .collect();
             if others.is_empty() {
                 return Vec::new();
             }
-            let drawn = hands.random.random_range(0..others.len());
+            let drawn = context.random.random_range(0..others.len());
             vec![Party::Node(others[drawn])]
         }
         _ => {
@@ -131,8 +131,8 @@
 }
 
 /// The directions between the parties that a fault of links names: inside a zone all is well.
-fn ways(hands: &mut Hands<Stage>, fault: &Fault) -> Vec<(Party, Party)> {
-    let (on, to) = (parties(hands, &fault.on), parties(hands, &fault.to));
+fn ways(context: &mut Context<Stage>, fault: &Fault) -> Vec<(Party, Party)> {
+    let (on, to) = (parties(context, &fault.on), parties(context, &fault.to));
     let whole = fault.to.is_empty() || fault.to == "all";
     let mut ways = Vec::new();
     for one in &on {
@@ -152,103 +152,105 @@
 }
 
 /// The doors and streams of these directions look anew, or are reset.
-fn tell_links(hands: &mut Hands<Stage>, ways: &[(Party, Party)], note: Note) {
+fn tell_links(context: &mut Context<Stage>, ways: &[(Party, Party)], note: Note) {
     let touched =
         |(from, to): (Party, Party)| ways.contains(&(from, to)) || ways.contains(&(to, from));
-    let pipes = hands
+    let pipes = context
         .pipes
         .iter()
         .filter(|(_, between)| touched(**between))
         .map(|(id, _)| *id);
-    let mut ids: Vec<Id> = pipes.collect();
+    let mut ids: Vec<ComponentId> = pipes.collect();
     if note == Note::Look {
         ids.extend(
-            hands
+            context
                 .doors
                 .iter()
                 .filter(|(between, _)| touched(**between))
                 .map(|(_, id)| *id),
         );
     }
-    ids.into_iter().for_each(|id| hands.tell(id, note));
+    ids.into_iter().for_each(|id| context.send(id, note));
     let now = Instant::now();
     for (from, to) in ways {
         if let (Party::Node(node), Party::Transcriber(one))
         | (Party::Transcriber(one), Party::Node(node)) = (from, to)
         {
-            hands.judge.link_faulty(*node, *one, now);
+            context.judge.link_faulty(*node, *one, now);
         }
     }
 }
 
-fn change(hands: &mut Hands<Stage>, ways: &[(Party, Party)], with: impl Fn(&mut Way)) {
+fn change(context: &mut Context<Stage>, ways: &[(Party, Party)], with: impl Fn(&mut Way)) {
     for (from, to) in ways {
-        hands.links.change(*from, *to, &with);
+        context.links.change(*from, *to, &with);
     }
-    tell_links(hands, ways, Note::Look);
+    tell_links(context, ways, Note::Look);
 }
 
-fn links(hands: &mut Hands<Stage>, fault: &Fault) {
-    let ways = ways(hands, fault);
+fn links(context: &mut Context<Stage>, fault: &Fault) {
+    let ways = ways(context, fault);
     let (much, ms) = (fault.much, Duration::from_secs_f64(fault.much / 1000.0));
     match fault.kind {
-        Kind::Cut => change(hands, &ways, |way| way.cut = true),
-        Kind::Loss => change(hands, &ways, |way| way.loss = much),
-        Kind::Double => change(hands, &ways, |way| way.double = much),
-        Kind::Reorder => change(hands, &ways, |way| way.reorder = much),
-        Kind::Delay => change(hands, &ways, |way| way.delay = ms),
-        Kind::Jitter => change(hands, &ways, |way| way.jitter = ms),
-        Kind::Throttle => change(hands, &ways, |way| way.rate = much * 1000.0),
-        _ => tell_links(hands, &ways, Note::Reset),
+        Kind::Cut => change(context, &ways, |way| way.cut = true),
+        Kind::Loss => change(context, &ways, |way| way.loss = much),
+        Kind::Double => change(context, &ways, |way| way.double = much),
+        Kind::Reorder => change(context, &ways, |way| way.reorder = much),
+        Kind::Delay => change(context, &ways, |way| way.delay = ms),
+        Kind::Jitter => change(context, &ways, |way| way.jitter = ms),
+        Kind::Throttle => change(context, &ways, |way| way.rate = much * 1000.0),
+        _ => tell_links(context, &ways, Note::Reset),
     }
     if fault.for_s > 0.0 && fault.kind != Kind::Reset {
-        then(hands, fault.for_s, Step::Mend(ways, fault.kind));
+        then(context, fault.for_s, Step::Mend(ways, fault.kind));
     }
 }
 
-fn kill(hands: &mut Hands<Stage>, node: usize) {
-    hands.judge.absent(node, Instant::now(), true);
-    hands.nodes[node].kill();
+fn kill(context: &mut Context<Stage>, node: usize) {
+    context.judge.absent(node, Instant::now(), true);
+    context.nodes[node].kill();
 }
 
-fn start(hands: &mut Hands<Stage>, node: usize) {
-    let verbose = hands.verbose;
+fn start(context: &mut Context<Stage>, node: usize) {
+    let verbose = context.verbose;
     // One that is still about to end gives way to the new one.
-    kill(hands, node);
-    if let Err(error) = hands.nodes[node].start(verbose) {
-        let why = format!("{} can't be started: {error}", hands.nodes[node].name);
-        hands.fails(why);
+    kill(context, node);
+    if let Err(error) = context.nodes[node].start(verbose) {
+        let why = format!("{} can't be started: {error}", context.nodes[node].name);
+        context.fails(why);
     }
-    hands.judge.absent(node, Instant::now(), false);
+    context.judge.absent(node, Instant::now(), false);
 }
 
 /// A process of another fleet takes a node's address, or the node takes it back.
-fn replace(hands: &mut Hands<Stage>, node: usize, foreign: bool) {
-    hands.nodes[node].foreign = foreign;
-    let expected = *hands.scenario.nodes.get_ref();
-    kill(hands, node);
-    match build::tell(hands, node, expected) {
-        Ok(()) => start(hands, node),
-        Err(why) => hands.fails(why),
+fn replace(context: &mut Context<Stage>, node: usize, foreign: bool) {
+    context.nodes[node].foreign = foreign;
+    let expected = *context.scenario.nodes.get_ref();
+    kill(context, node);
+    match build::tell(context, node, expected) {
+        Ok(()) => start(context, node),
+        Err(why) => context.fails(why),
     }
 }
 
-fn turn(hands: &mut Hands<Stage>, one: usize, mode: Mode) {
-    transcriber::turn(hands, one, mode);
-    let doors = hands
+fn turn(context: &mut Context<Stage>, one: usize, mode: Mode) {
+    transcriber::turn(context, one, mode);
+    let doors = context
         .doors
         .iter()
         .filter(|((_, to), _)| *to == Party::Transcriber(one));
-    let doors: Vec<Id> = doors.map(|(_, id)| *id).collect();
-    doors.into_iter().for_each(|id| hands.tell(id, Note::Look));
+    let doors: Vec<ComponentId> = doors.map(|(_, id)| *id).collect();
+    doors
+        .into_iter()
+        .for_each(|id| context.send(id, Note::Look));
     let now = Instant::now();
-    for node in 0..hands.nodes.len() {
-        hands.judge.link_faulty(node, one, now);
+    for node in 0..context.nodes.len() {
+        context.judge.link_faulty(node, one, now);
     }
 }
 
-fn begin(hands: &mut Hands<Stage>, fault: Fault) {
-    let on = parties(hands, &fault.on);
+fn begin(context: &mut Context<Stage>, fault: Fault) {
+    let on = parties(context, &fault.on);
     let named: Vec<String> = on.iter().take(8).map(name).collect();
     let named = if fault.on.is_empty() {
         String::new()
@@ -271,7 +273,7 @@
             more.push_str(&format!(", {what} {value}"));
         }
     }
-    hands.event(
+    context.event(
         format!("fault {:?}{named}{to}{one_way}{more}", fault.kind).to_lowercase(),
         true,
     );
@@ -279,95 +281,95 @@
     match fault.kind {
         Kind::Kill => {
             for node in nodes_of(&on) {
-                kill(hands, node);
+                kill(context, node);
                 if fault.for_s > 0.0 {
-                    then(hands, fault.for_s, Step::Start(node));
+                    then(context, fault.for_s, Step::Start(node));
                 }
             }
         }
         Kind::Freeze => {
             for node in nodes_of(&on) {
-                hands.judge.absent(node, now, true);
-                hands.nodes[node].signal(Signal::STOP);
-                hands.nodes[node].state = State::Frozen;
-                then(hands, fault.for_s, Step::Wake(node));
+                context.judge.absent(node, now, true);
+                context.nodes[node].signal(Signal::STOP);
+                context.nodes[node].state = State::Frozen;
+                then(context, fault.for_s, Step::Wake(node));
             }
         }
         Kind::Term => {
             for node in nodes_of(&on) {
-                hands.nodes[node].signal(Signal::TERM);
-                hands.nodes[node].state = State::Ends;
+                context.nodes[node].signal(Signal::TERM);
+                context.nodes[node].state = State::Ends;
                 if fault.for_s > 0.0 {
-                    then(hands, fault.for_s, Step::Start(node));
+                    then(context, fault.for_s, Step::Start(node));
                 }
             }
         }
         Kind::Loop => {
             for node in nodes_of(&on) {
                 let apart = Duration::from_secs_f64(fault.for_s.max(0.02));
-                take(hands, Step::Loop(node, fault.times, apart));
+                take(context, Step::Loop(node, fault.times, apart));
             }
         }
         Kind::Join => {
-            if let Err(why) = build::join(hands, None) {
-                hands.fails(why);
+            if let Err(why) = build::join(context, None) {
+                context.fails(why);
             }
         }
         Kind::Twin => {
             for node in nodes_of(&on) {
-                let name = hands.nodes[node].name.clone();
-                if let Err(why) = build::join(hands, Some(name)) {
-                    return hands.fails(why);
+                let name = context.nodes[node].name.clone();
+                if let Err(why) = build::join(context, Some(name)) {
+                    return context.fails(why);
                 }
             }
         }
         Kind::Whole => {
             let whole = fault.much as u32;
-            hands.judge.whole(now, whole);
+            context.judge.whole(now, whole);
             // One that answers takes it to the leader.
             if let Some(node) = nodes_of(&on)
                 .into_iter()
-                .find(|node| hands.nodes[*node].state == State::Runs)
+                .find(|node| context.nodes[*node].state == State::Runs)
             {
-                call::set_whole(hands, node, whole);
+                call::set_whole(context, node, whole);
             }
         }
         Kind::Foreign => {
             for node in nodes_of(&on) {
-                replace(hands, node, true);
+                replace(context, node, true);
                 if fault.for_s > 0.0 {
-                    then(hands, fault.for_s, Step::Home(node));
+                    then(context, fault.for_s, Step::Home(node));
                 }
             }
         }
         Kind::Release => {
             for _ in 0..fault.times {
-                if let Err(why) = build::release(hands, true) {
-                    return hands.fails(why);
+                if let Err(why) = build::release(context, true) {
+                    return context.fails(why);
                 }
             }
         }
         Kind::Drain => {
             for one in transcribers_of(&on) {
-                turn(hands, one, Mode::Drains);
-                hands.list.set(one, "DRAINING");
+                turn(context, one, Mode::Drains);
+                context.list.set(one, "DRAINING");
                 let gone = now + Duration::from_secs_f64(fault.for_s);
                 let from = gone.checked_sub(BIT_BY_BIT).unwrap_or(now).max(now);
-                hands.later.push((from, Step::Drain(one, gone)));
+                context.later.push((from, Step::Drain(one, gone)));
             }
         }
         Kind::Die => {
             for one in transcribers_of(&on) {
-                turn(hands, one, Mode::Down);
+                turn(context, one, Mode::Down);
                 if fault.for_s > 0.0 {
-                    then(hands, fault.for_s, Step::Turn(one, Mode::Up, true));
+                    then(context, fault.for_s, Step::Turn(one, Mode::Up, true));
                 }
             }
         }
         Kind::Silence => {
             for one in transcribers_of(&on) {
-                turn(hands, one, Mode::Silent);
-                then(hands, fault.for_s, Step::Turn(one, Mode::Up, false));
+                turn(context, one, Mode::Silent);
+                then(context, fault.for_s, Step::Turn(one, Mode::Up, false));
             }
         }
         Kind::Stale | Kind::Down | Kind::Slow => {
@@ -377,23 +379,23 @@
                 _ => Told::Fine(Duration::from_secs_f64(fault.much / 1000.0)),
             };
             for node in nodes_of(&on) {
-                hands.list.turn(node, mode);
+                context.list.turn(node, mode);
                 if fault.for_s > 0.0 {
-                    then(hands, fault.for_s, Step::Tell(node));
+                    then(context, fault.for_s, Step::Tell(node));
                 }
             }
         }
-        _ => links(hands, &fault),
+        _ => links(context, &fault),
     }
 }
 
-fn take(hands: &mut Hands<Stage>, step: Step) {
+fn take(context: &mut Context<Stage>, step: Step) {
     let now = Instant::now();
     match step {
-        Step::Begin(fault) => begin(hands, fault),
+        Step::Begin(fault) => begin(context, fault),
         Step::Mend(ways, kind) => {
-            hands.event(format!("{kind:?} ends").to_lowercase(), true);
-            change(hands, &ways, |way| match kind {
+            context.event(format!("{kind:?} ends").to_lowercase(), true);
+            change(context, &ways, |way| match kind {
                 Kind::Cut => way.cut = false,
                 Kind::Loss => way.loss = 0.0,
                 Kind::Double => way.double = 0.0,
@@ -404,57 +406,57 @@
             });
         }
         Step::Wake(node) => {
-            if hands.nodes[node].state == State::Frozen {
-                hands.event(format!("n{node} wakes"), true);
-                hands.nodes[node].signal(Signal::CONT);
-                hands.nodes[node].state = State::Runs;
-                hands.judge.absent(node, now, false);
+            if context.nodes[node].state == State::Frozen {
+                context.event(format!("n{node} wakes"), true);
+                context.nodes[node].signal(Signal::CONT);
+                context.nodes[node].state = State::Runs;
+                context.judge.absent(node, now, false);
             }
         }
         Step::Start(node) => {
-            hands.event(format!("n{node} starts from nothing"), true);
-            start(hands, node);
+            context.event(format!("n{node} starts from nothing"), true);
+            start(context, node);
         }
         Step::Home(node) => {
-            hands.event(format!("n{node} takes its address back"), true);
-            replace(hands, node, false);
+            context.event(format!("n{node} takes its address back"), true);
+            replace(context, node, false);
         }
         Step::Loop(node, times, apart) => {
-            start(hands, node);
+            start(context, node);
             if times > 1 {
-                hands
+                context
                     .later
                     .push((now + apart, Step::Loop(node, times - 1, apart)));
             } else {
-                hands.event(format!("n{node} stays"), true);
+                context.event(format!("n{node} stays"), true);
             }
         }
         Step::Turn(one, mode, relists) => {
-            hands.event(format!("t{one} is back"), true);
-            turn(hands, one, mode);
+            context.event(format!("t{one} is back"), true);
+            turn(context, one, mode);
             if relists {
-                hands.list.started(one);
+                context.list.started(one);
             }
         }
         Step::Drain(one, gone) => {
             if now >= gone {
-                turn(hands, one, Mode::Down);
-                hands.list.set(one, "DELETED");
+                turn(context, one, Mode::Down);
+                context.list.set(one, "DELETED");
                 return;
             }
-            let held = hands.fleet.all.get(one).map_or(0, |one| one.holds()) as u32;
+            let held = context.fleet.all.get(one).map_or(0, |one| one.holds()) as u32;
             if held > 0 {
-                transcriber::drain_one(hands, one);
+                transcriber::drain_one(context, one);
             }
             let pause = (gone - now) / (held + 1);
-            hands.later.push((
+            context.later.push((
                 now + pause.max(Duration::from_millis(2)),
                 Step::Drain(one, gone),
             ));
         }
         Step::Tell(node) => {
-            hands.event(format!("discovery is well for n{node}"), true);
-            hands.list.turn(node, Told::Fine(Duration::ZERO));
+            context.event(format!("discovery is well for n{node}"), true);
+            context.list.turn(node, Told::Fine(Duration::ZERO));
         }
     }
 }
--- a/crates/fault-injection/src/hop.rs
+++ b/crates/fault-injection/src/hop.rs
@@ -2,8 +2,9 @@
 
 use crate::links::Party;
 use crate::stage::Stage;
-use lupincrank_reactor::poll::Watched;
-use lupincrank_reactor::{Connection, Flow, Hands, Id};
+use lupincrank_reactor::poll::Registered;
+use lupincrank_reactor::{ComponentId, Connection, Context, Lifecycle};
+use lupincrank_reactor::{Interest, Readiness};
 use lupincrank_test_servers::{key, Note};
 use rand::Rng;
 use std::collections::BTreeMap;
@@ -18,28 +19,28 @@
 const BEHIND: Duration = Duration::from_millis(60);
 
 struct Hop {
-    id: Id,
+    id: ComponentId,
     from: Party,
     to: Party,
     target: SocketAddr,
-    socket: Watched<UdpSocket>,
+    socket: Registered<UdpSocket>,
     held: BTreeMap<(Instant, u64), Vec<u8>>,
     numbered: u64,
 }
 
 /// Opens the way at this address; what comes goes on to `target`.
 pub fn open(
-    hands: &mut Hands<Stage>,
+    context: &mut Context<Stage>,
     from: Party,
     to: Party,
     at: SocketAddr,
     target: SocketAddr,
 ) -> io::Result<()> {
-    let id = hands.name();
+    let id = context.allocate_id();
     let socket = UdpSocket::bind(at)?;
     socket.set_nonblocking(true)?;
-    let socket = Watched::new(&hands.poller, socket, key(id, 0), true, false)?;
-    hands.adopt(
+    let socket = Registered::new(&context.poller, socket, key(id, 0), Interest::READ)?;
+    context.register(
         id,
         Box::new(Hop {
             id,
@@ -55,9 +56,9 @@
 }
 
 impl Hop {
-    fn take(&mut self, hands: &mut Hands<Stage>, bytes: &[u8]) {
-        let way = hands.world.links.way(self.from, self.to);
-        let random = &mut hands.world.random;
+    fn take(&mut self, context: &mut Context<Stage>, bytes: &[u8]) {
+        let way = context.application.links.way(self.from, self.to);
+        let random = &mut context.application.random;
         let mut chance = |part: f64| part > 0.0 && random.random::<f64>() < part;
         if way.cut || chance(way.loss) {
             return;
@@ -67,7 +68,7 @@
             let jitter = if way.jitter.is_zero() {
                 0.0
             } else {
-                hands.world.random.random::<f64>()
+                context.application.random.random::<f64>()
             };
             let wait =
                 way.delay + way.jitter.mul_f64(jitter) + if late { BEHIND } else { Duration::ZERO };
@@ -82,38 +83,37 @@
         }
     }
 
-    fn next(&self, hands: &mut Hands<Stage>) {
+    fn next(&self, context: &mut Context<Stage>) {
         if let Some(((at, _), _)) = self.held.first_key_value() {
-            hands.deadlines.set(self.id, 0, *at);
+            context.deadlines.set(self.id, 0, *at);
         }
     }
 }
 
 impl Connection<Stage> for Hop {
-    fn ready(
+    fn on_ready(
         &mut self,
-        hands: &mut Hands<Stage>,
-        _side: usize,
-        _readable: bool,
-        _writable: bool,
-    ) -> Flow {
+        context: &mut Context<Stage>,
+        _socket: usize,
+        _readiness: Readiness,
+    ) -> Lifecycle {
         let mut bytes = [0; 2048];
         for _ in 0..TURN {
             match self.socket.recv_from(&mut bytes) {
-                Ok((length, _)) => self.take(hands, &bytes[..length]),
+                Ok((length, _)) => self.take(context, &bytes[..length]),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
                 // The answer of a dead node's machine to one before.
                 Err(_) => {}
             }
         }
-        self.next(hands);
-        Flow::Keep
+        self.next(context);
+        Lifecycle::Continue
     }
 
-    fn due(&mut self, hands: &mut Hands<Stage>, _purpose: u64) -> Flow {
+    fn on_deadline(&mut self, context: &mut Context<Stage>, _kind: u64) -> Lifecycle {
         let (now, cut) = (
             Instant::now(),
-            hands.world.links.way(self.from, self.to).cut,
+            context.application.links.way(self.from, self.to).cut,
         );
         while let Some(first) = self.held.first_entry().filter(|first| first.key().0 <= now) {
             let bytes = first.remove();
@@ -121,11 +121,11 @@
                 let _ = self.socket.send_to(&bytes, self.target);
             }
         }
-        self.next(hands);
-        Flow::Keep
+        self.next(context);
+        Lifecycle::Continue
     }
 
-    fn told(&mut self, _hands: &mut Hands<Stage>, _note: Note) -> Flow {
-        Flow::Keep
+    fn on_message(&mut self, _context: &mut Context<Stage>, _note: Note) -> Lifecycle {
+        Lifecycle::Continue
     }
 }
--- a/crates/fault-injection/src/proxy.rs
+++ b/crates/fault-injection/src/proxy.rs
@@ -5,8 +5,9 @@
 
 use crate::links::Party;
 use crate::stage::Stage;
-use lupincrank_reactor::poll::{self, Watched};
-use lupincrank_reactor::{Connection, Flow, Hands, Id};
+use lupincrank_reactor::poll::{self, Registered};
+use lupincrank_reactor::{ComponentId, Connection, Context, Lifecycle};
+use lupincrank_reactor::{Interest, Readiness};
 use lupincrank_test_servers::{key, transcriber, Note};
 use rand::Rng;
 use socket2::{Domain, SockRef, Socket, Type};
@@ -24,16 +25,16 @@
 /// A listener that could not be opened again is tried again after this.
 const AGAIN: Duration = Duration::from_millis(20);
 
-type World = Hands<Stage>;
+type World = Context<Stage>;
 
 /// Listens for one party on behalf of another.
 struct Door {
-    id: Id,
+    id: ComponentId,
     from: Party,
     to: Party,
     target: SocketAddr,
     at: SocketAddr,
-    listener: Option<Watched<TcpListener>>,
+    listener: Option<Registered<TcpListener>>,
     /// Keeps the address while nobody listens.
     kept: Option<Socket>,
     /// Fill the queue while the link is cut.
@@ -42,22 +43,21 @@
 
 /// Opens the way from one party to another that listens at `target`; gives where the first one reaches it.
 pub fn open(
-    hands: &mut World,
+    context: &mut World,
     from: Party,
     to: Party,
     target: SocketAddr,
 ) -> io::Result<SocketAddr> {
-    let id = hands.name();
+    let id = context.allocate_id();
     let listener = poll::listen(SocketAddr::from(([127, 0, 0, 1], 0)))?;
     let at = listener.local_addr()?;
-    let listener = Some(Watched::new(
-        &hands.poller,
+    let listener = Some(Registered::new(
+        &context.poller,
         listener,
         key(id, 0),
-        true,
-        false,
+        Interest::READ,
     )?);
-    hands.adopt(
+    context.register(
         id,
         Box::new(Door {
             id,
@@ -70,7 +70,7 @@
             fillers: Vec::new(),
         }),
     );
-    hands.world.doors.insert((from, to), id);
+    context.application.doors.insert((from, to), id);
     Ok(at)
 }
 
@@ -84,11 +84,11 @@
 
 impl Door {
     /// Brings the listener in line with the link and the target.
-    fn look(&mut self, hands: &mut World) -> io::Result<()> {
-        let cut = hands.world.links.cut(self.from, self.to);
+    fn look(&mut self, context: &mut World) -> io::Result<()> {
+        let cut = context.application.links.cut(self.from, self.to);
         let down = match self.to {
-            Party::Transcriber(number) => hands
-                .world
+            Party::Transcriber(number) => context
+                .application
                 .fleet
                 .all
                 .get(number)
@@ -109,19 +109,18 @@
             };
             socket.listen(BACKLOG)?;
             let listener = TcpListener::from(socket);
-            self.listener = Some(Watched::new(
-                &hands.poller,
+            self.listener = Some(Registered::new(
+                &context.poller,
                 listener,
                 key(self.id, 0),
-                true,
-                false,
+                Interest::READ,
             )?);
         }
         let Some(listener) = &mut self.listener else {
             return Ok(());
         };
         if cut && self.fillers.is_empty() {
-            listener.want(false, false)?;
+            listener.set_interest(Interest::NONE)?;
             SockRef::from(&**listener).listen(0)?;
             for _ in 0..2 {
                 let filler = Socket::new(Domain::IPV4, Type::STREAM, None)?;
@@ -131,14 +130,14 @@
             }
         } else if !cut && !self.fillers.is_empty() {
             SockRef::from(&**listener).listen(BACKLOG)?;
-            listener.want(true, false)?;
-            self.accept(hands);
+            listener.set_interest(Interest::READ)?;
+            self.accept(context);
             self.fillers.clear();
         }
         Ok(())
     }
 
-    fn accept(&mut self, hands: &mut World) {
+    fn accept(&mut self, context: &mut World) {
         let own: Vec<_> = self
             .fillers
             .iter()
@@ -152,29 +151,34 @@
                 return;
             };
             if !own.contains(&from) {
-                let _ = Pipe::begin(hands, self.from, self.to, near, self.target);
+                let _ = Pipe::begin(context, self.from, self.to, near, self.target);
             }
         }
     }
 }
 
 impl Connection<Stage> for Door {
-    fn ready(&mut self, hands: &mut World, _side: usize, _readable: bool, _writable: bool) -> Flow {
+    fn on_ready(
+        &mut self,
+        context: &mut World,
+        _socket: usize,
+        _readiness: Readiness,
+    ) -> Lifecycle {
         if self.fillers.is_empty() {
-            self.accept(hands);
+            self.accept(context);
         }
-        Flow::Keep
+        Lifecycle::Continue
     }
 
-    fn due(&mut self, hands: &mut World, _purpose: u64) -> Flow {
-        if self.look(hands).is_err() {
-            hands.deadlines.set(self.id, 0, Instant::now() + AGAIN);
+    fn on_deadline(&mut self, context: &mut World, _kind: u64) -> Lifecycle {
+        if self.look(context).is_err() {
+            context.deadlines.set(self.id, 0, Instant::now() + AGAIN);
         }
-        Flow::Keep
+        Lifecycle::Continue
     }
 
-    fn told(&mut self, hands: &mut World, _note: Note) -> Flow {
-        self.due(hands, 0)
+    fn on_message(&mut self, context: &mut World, _note: Note) -> Lifecycle {
+        self.on_deadline(context, 0)
     }
 }
 
@@ -193,9 +197,9 @@
 
 /// One stream through a link: `near` is the end of the party that dialled.
 struct Pipe {
-    id: Id,
+    id: ComponentId,
     parties: [Party; 2],
-    streams: [Watched<TcpStream>; 2],
+    streams: [Registered<TcpStream>; 2],
     connected: bool,
     halves: [Half; 2],
     begun: Instant,
@@ -206,7 +210,7 @@
 
 impl Pipe {
     fn begin(
-        hands: &mut World,
+        context: &mut World,
         from: Party,
         to: Party,
         near: TcpStream,
@@ -214,12 +218,12 @@
     ) -> io::Result<()> {
         near.set_nonblocking(true)?;
         near.set_nodelay(true)?;
-        let id = hands.name();
-        let far = poll::connect(&hands.poller, target, key(id, 1))?;
-        let near = Watched::new(&hands.poller, near, key(id, 0), true, false)?;
+        let id = context.allocate_id();
+        let far = poll::connect(&context.poller, target, key(id, 1))?;
+        let near = Registered::new(&context.poller, near, key(id, 0), Interest::READ)?;
         let begun = Instant::now();
         if let Ok(local) = far.local_addr() {
-            hands.world.sent.insert(local, begun);
+            context.application.sent.insert(local, begun);
         }
         let first = || Half {
             first: Some(Vec::new()),
@@ -235,44 +239,48 @@
             request: None,
             broken: false,
         };
-        hands.world.pipes.insert(id, (from, to));
-        hands.adopt(id, Box::new(pipe));
+        context.application.pipes.insert(id, (from, to));
+        context.register(id, Box::new(pipe));
         Ok(())
     }
 
-    fn done(&mut self, hands: &mut World) -> Flow {
-        hands.world.pipes.remove(&self.id);
+    fn done(&mut self, context: &mut World) -> Lifecycle {
+        context.application.pipes.remove(&self.id);
         if let Ok(local) = self.streams[1].local_addr() {
-            hands.world.sent.remove(&local);
+            context.application.sent.remove(&local);
         }
-        self.over(hands);
-        Flow::Done
+        self.over(context);
+        Lifecycle::Close
     }
 
     /// The node has ended its attempt, or has had its answer.
-    fn over(&mut self, hands: &mut World) {
+    fn over(&mut self, context: &mut World) {
         if let Some(request) = self.request.take() {
-            hands.world.judge.over(request);
+            context.application.judge.over(request);
         }
     }
 
-    fn broke(&mut self, hands: &mut World, side: usize) -> Flow {
+    fn broke(&mut self, context: &mut World, side: usize) -> Lifecycle {
         if side == 0 {
-            self.over(hands);
+            self.over(context);
         }
-        if hands.world.links.cut(self.parties[0], self.parties[1]) {
+        if context
+            .application
+            .links
+            .cut(self.parties[0], self.parties[1])
+        {
             self.broken = true;
-            let _ = self.streams[side].want(false, false);
-            return Flow::Keep;
+            let _ = self.streams[side].set_interest(Interest::NONE);
+            return Lifecycle::Continue;
         }
         for stream in &self.streams {
             let _ = SockRef::from(&**stream).set_linger(Some(Duration::ZERO));
         }
-        self.done(hands)
+        self.done(context)
     }
 
     /// What goes by between a node and a transcriber: the first line of either.
-    fn tap(&mut self, hands: &mut World, side: usize, bytes: &[u8]) {
+    fn tap(&mut self, context: &mut World, side: usize, bytes: &[u8]) {
         let (Party::Node(node), Party::Transcriber(transcriber)) =
             (self.parties[0], self.parties[1])
         else {
@@ -293,19 +301,19 @@
             let id = line.strip_prefix("OPEN ").and_then(|rest| rest.get(..16));
             self.request = id.and_then(|id| u64::from_str_radix(id, 16).ok());
             if let Some(request) = self.request {
-                hands
-                    .world
+                context
+                    .application
                     .judge
                     .begun(request, node, transcriber, self.begun);
             }
         } else if !line.starts_with("UP ") {
-            self.over(hands);
+            self.over(context);
         }
     }
 
-    fn read(&mut self, hands: &mut World, side: usize) -> io::Result<()> {
-        let way = hands
-            .world
+    fn read(&mut self, context: &mut World, side: usize) -> io::Result<()> {
+        let way = context
+            .application
             .links
             .way(self.parties[side], self.parties[1 - side]);
         let (mut scratch, mut taken) = ([0; 8 << 10], 0);
@@ -314,7 +322,7 @@
                 Ok(0) => {
                     self.halves[side].ended = true;
                     if side == 0 {
-                        self.over(hands);
+                        self.over(context);
                     }
                     break;
                 }
@@ -324,11 +332,11 @@
                 Err(error) => return Err(error),
             };
             taken += read;
-            self.tap(hands, side, &scratch[..read]);
+            self.tap(context, side, &scratch[..read]);
             let jitter = if way.jitter.is_zero() {
                 0.0
             } else {
-                hands.world.random.random::<f64>()
+                context.application.random.random::<f64>()
             };
             let half = &mut self.halves[side];
             let mut at = Instant::now() + way.delay + way.jitter.mul_f64(jitter);
@@ -346,9 +354,9 @@
     }
 
     /// Passes on what may go by now; `Err` names the side that broke.
-    fn pump(&mut self, hands: &mut World, side: usize) -> Result<(), usize> {
-        let way = hands
-            .world
+    fn pump(&mut self, context: &mut World, side: usize) -> Result<(), usize> {
+        let way = context
+            .application
             .links
             .way(self.parties[side], self.parties[1 - side]);
         let (half, other) = (&mut self.halves[side], 1 - side);
@@ -358,7 +366,7 @@
         let now = Instant::now();
         while let Some((at, bytes)) = half.held.front_mut() {
             if *at > now {
-                hands.deadlines.set(self.id, side as u64, *at);
+                context.deadlines.set(self.id, side as u64, *at);
                 return Ok(());
             }
             match self.streams[other].write(bytes) {
@@ -383,22 +391,25 @@
         Ok(())
     }
 
-    fn step(&mut self, hands: &mut World) -> Flow {
+    fn step(&mut self, context: &mut World) -> Lifecycle {
         if self.broken {
-            let cut = hands.world.links.cut(self.parties[0], self.parties[1]);
+            let cut = context
+                .application
+                .links
+                .cut(self.parties[0], self.parties[1]);
             return if cut {
-                Flow::Keep
+                Lifecycle::Continue
             } else {
-                self.broke(hands, 1)
+                self.broke(context, 1)
             };
         }
         for side in [0, 1] {
-            if let Err(broken) = self.pump(hands, side) {
-                return self.broke(hands, broken);
+            if let Err(broken) = self.pump(context, side) {
+                return self.broke(context, broken);
             }
         }
         if self.halves.iter().all(|half| half.shut) {
-            return self.done(hands);
+            return self.done(context);
         }
         for side in [0, 1] {
             let reads = !self.halves[side].ended && self.halves[side].bytes < MOST_HELD;
@@ -407,45 +418,51 @@
                 .held
                 .front()
                 .is_some_and(|(at, _)| *at <= now);
-            let cut = hands
-                .world
+            let cut = context
+                .application
                 .links
                 .way(self.parties[1 - side], self.parties[side])
                 .cut;
             let writes = (writes && !cut) || (side == 1 && !self.connected);
-            if self.streams[side].want(reads, writes).is_err() {
-                return self.broke(hands, side);
+            if self.streams[side]
+                .set_interest(Interest {
+                    readable: reads,
+                    writable: writes,
+                })
+                .is_err()
+            {
+                return self.broke(context, side);
             }
         }
-        Flow::Keep
+        Lifecycle::Continue
     }
 }
 
 impl Connection<Stage> for Pipe {
-    fn ready(&mut self, hands: &mut World, side: usize, readable: bool, _writable: bool) -> Flow {
-        if side == 1 && !self.connected {
+    fn on_ready(&mut self, context: &mut World, socket: usize, readiness: Readiness) -> Lifecycle {
+        if socket == 1 && !self.connected {
             if !matches!(self.streams[1].take_error(), Ok(None)) {
-                return self.broke(hands, 1);
+                return self.broke(context, 1);
             }
             self.connected = true;
         }
-        if readable && self.read(hands, side).is_err() {
-            return self.broke(hands, side);
+        if readiness.readable && self.read(context, socket).is_err() {
+            return self.broke(context, socket);
         }
-        self.step(hands)
+        self.step(context)
     }
 
-    fn due(&mut self, hands: &mut World, _purpose: u64) -> Flow {
-        self.step(hands)
+    fn on_deadline(&mut self, context: &mut World, _kind: u64) -> Lifecycle {
+        self.step(context)
     }
 
-    fn told(&mut self, hands: &mut World, note: Note) -> Flow {
+    fn on_message(&mut self, context: &mut World, note: Note) -> Lifecycle {
         if note == Note::Reset {
             for stream in &self.streams {
                 let _ = SockRef::from(&**stream).set_linger(Some(Duration::ZERO));
             }
-            return self.done(hands);
+            return self.done(context);
         }
-        self.step(hands)
+        self.step(context)
     }
 }
--- a/crates/fault-injection/src/run.rs
+++ b/crates/fault-injection/src/run.rs
@@ -135,9 +135,9 @@
         progress: options.progress,
     });
     let mut reactor = Reactor::new(stage, 0).map_err(named)?;
-    let hands = &mut reactor.hands;
+    let context = &mut reactor.context;
     for _ in 0..transcribers {
-        release(hands, false)?;
+        release(context, false)?;
     }
     for node in 0..nodes {
         let program = options
@@ -145,16 +145,16 @@
             .get(&node)
             .unwrap_or(&options.program)
             .clone();
-        add(hands, program, None)?;
+        add(context, program, None)?;
     }
     for node in 0..nodes {
-        tell(hands, node, nodes)?;
-        let verbose = hands.verbose;
-        hands.nodes[node].start(verbose).map_err(named)?;
+        tell(context, node, nodes)?;
+        let verbose = context.verbose;
+        context.nodes[node].start(verbose).map_err(named)?;
     }
-    world::begin(hands);
+    world::begin(context);
     let ran = reactor.run().map_err(named);
-    let stage = &mut reactor.hands.world;
+    let stage = &mut reactor.context.application;
     stage.phase = Phase::Over;
     let ends = stage.nodes.iter().filter_map(|node| {
         let (_, told) = node.status.as_ref()?;
--- a/crates/fault-injection/src/stage.rs
+++ b/crates/fault-injection/src/stage.rs
@@ -6,7 +6,7 @@
 use crate::processes::{Node, State};
 use crate::scenario::Scenario;
 use crate::step::Step;
-use lupincrank_reactor::Id;
+use lupincrank_reactor::ComponentId;
 use lupincrank_test_servers::client::{Manners, Next, Visit};
 use lupincrank_test_servers::discovery::List;
 use lupincrank_test_servers::seen::Seen;
@@ -60,8 +60,8 @@
     pub fleet: Fleet,
     pub list: List,
     pub links: Links,
-    pub doors: BTreeMap<(Party, Party), Id>,
-    pub pipes: BTreeMap<Id, (Party, Party)>,
+    pub doors: BTreeMap<(Party, Party), ComponentId>,
+    pub pipes: BTreeMap<ComponentId, (Party, Party)>,
     pub sent: HashMap<SocketAddr, Instant>,
     /// The councils that nodes have named.
     pub councils: BTreeSet<String>,
--- a/crates/fault-injection/src/world.rs
+++ b/crates/fault-injection/src/world.rs
@@ -3,7 +3,7 @@
 use crate::processes::State;
 use crate::stage::{Phase, Stage, FAULTS, VISITS};
 use crate::{call, faults};
-use lupincrank_reactor::{Hands, Id, World, WORLD};
+use lupincrank_reactor::{Application, ComponentId, Context, APPLICATION};
 use lupincrank_test_servers::client::{self, Visit};
 use lupincrank_test_servers::Note;
 use std::sync::atomic::Ordering;
@@ -40,16 +40,16 @@
 }
 
 /// Sends the clients whose moment has come to nodes that the front has.
-fn visits(hands: &mut Hands<Stage>) {
+fn visits(context: &mut Context<Stage>) {
     let now = Instant::now();
-    if hands.phase == Phase::Runs {
-        while let Some(planned) = hands.plan.visits.get(hands.planned).copied() {
-            let at = hands.start + Duration::from_secs_f64(planned.at_s);
+    if context.phase == Phase::Runs {
+        while let Some(planned) = context.plan.visits.get(context.planned).copied() {
+            let at = context.start + Duration::from_secs_f64(planned.at_s);
             if at > now {
                 break;
             }
-            hands.planned += 1;
-            let number = hands.planned as u64;
+            context.planned += 1;
+            let number = context.planned as u64;
             let stands = Duration::from_secs_f64(planned.stands_s);
             let group = planned.group;
             let visit = Visit {
@@ -62,138 +62,140 @@
                 again: false,
                 request: 0,
             };
-            hands.due_in(at, false);
-            hands.plan_visit(now, visit);
+            context.due_in(at, false);
+            context.plan_visit(now, visit);
         }
-        let over = hands.start + Duration::from_secs_f64(*hands.scenario.seconds.get_ref());
-        if now >= over && hands.planned == hands.plan.visits.len() {
-            hands.phase = Phase::Settles;
-            hands.event("the last client has come".into(), false);
+        let over = context.start + Duration::from_secs_f64(*context.scenario.seconds.get_ref());
+        if now >= over && context.planned == context.plan.visits.len() {
+            context.phase = Phase::Settles;
+            context.event("the last client has come".into(), false);
         }
     }
-    while let Some(first) = hands
+    while let Some(first) = context
         .visits
         .first_entry()
         .filter(|first| first.key().0 <= now)
     {
         let mut visit = first.remove();
-        let front: Vec<usize> = (0..hands.nodes.len())
-            .filter(|node| hands.nodes[*node].in_front)
+        let front: Vec<usize> = (0..context.nodes.len())
+            .filter(|node| context.nodes[*node].in_front)
             .collect();
         let pause = now + Duration::from_millis(100);
         if front.is_empty() {
-            hands.plan_visit(pause, visit);
+            context.plan_visit(pause, visit);
             continue;
         }
         // The plan's own choice for the first try, another for each one after it.
-        let drawn = hands
+        let drawn = context
             .plan
             .visits
             .get(visit.number as usize - 1)
             .map_or(0, |planned| planned.front);
-        hands.requests += 1;
+        context.requests += 1;
         let drawn = drawn
             .wrapping_add(u64::from(visit.tries))
             .wrapping_add(u64::from(visit.again) * 7);
-        let node = choose(&front, drawn, hands.scenario.clients.skew);
+        let node = choose(&front, drawn, context.scenario.clients.skew);
         visit.request =
-            (hands.plan.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) << 32) ^ hands.requests;
-        let at = hands.nodes[node].listen();
-        if !client::ask(hands, visit.clone(), node, at) {
-            hands.plan_visit(pause, visit);
+            (context.plan.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) << 32) ^ context.requests;
+        let at = context.nodes[node].listen();
+        if !client::ask(context, visit.clone(), node, at) {
+            context.plan_visit(pause, visit);
         }
     }
-    wait(hands);
+    wait(context);
 }
 
 /// Sets the deadline of the next visit.
-fn wait(hands: &mut Hands<Stage>) {
+fn wait(context: &mut Context<Stage>) {
     let now = Instant::now();
-    let next = hands.visits.keys().next().map(|(at, _)| *at);
-    let planned = hands
+    let next = context.visits.keys().next().map(|(at, _)| *at);
+    let planned = context
         .plan
         .visits
-        .get(hands.planned)
-        .map(|visit| hands.start + Duration::from_secs_f64(visit.at_s));
-    let planned = planned.filter(|_| hands.phase == Phase::Runs);
-    let over = hands.start + Duration::from_secs_f64(*hands.scenario.seconds.get_ref());
-    let over = Some(over).filter(|_| hands.phase == Phase::Runs);
+        .get(context.planned)
+        .map(|visit| context.start + Duration::from_secs_f64(visit.at_s));
+    let planned = planned.filter(|_| context.phase == Phase::Runs);
+    let over = context.start + Duration::from_secs_f64(*context.scenario.seconds.get_ref());
+    let over = Some(over).filter(|_| context.phase == Phase::Runs);
     if let Some(next) = [next, planned, over].into_iter().flatten().min() {
-        hands
-            .deadlines
-            .set(WORLD, VISITS, next.max(now + Duration::from_millis(1)));
+        context.deadlines.set(
+            APPLICATION,
+            VISITS,
+            next.max(now + Duration::from_millis(1)),
+        );
     }
 }
 
 /// Looks how the nodes are, and whether the trial goes on to its next phase.
-fn poll(hands: &mut Hands<Stage>) {
+fn poll(context: &mut Context<Stage>) {
     let now = Instant::now();
-    if hands.stop.load(Ordering::Relaxed) {
-        hands.fails("it was stopped".into());
+    if context.stop.load(Ordering::Relaxed) {
+        context.fails("it was stopped".into());
     }
-    for node in 0..hands.nodes.len() {
-        let (before, name) = (hands.nodes[node].state, hands.nodes[node].name.clone());
-        if let Some(code) = hands.nodes[node].ended() {
-            hands.judge.absent(node, now, true);
-            hands.event(format!("{name} has ended: {code}"), false);
+    for node in 0..context.nodes.len() {
+        let (before, name) = (context.nodes[node].state, context.nodes[node].name.clone());
+        if let Some(code) = context.nodes[node].ended() {
+            context.judge.absent(node, now, true);
+            context.event(format!("{name} has ended: {code}"), false);
             if before != State::Ends || !code.contains("exit status: 0") {
-                hands
+                context
                     .judge
                     .breaks("crash", now, format!("{name} ended by itself: {code}"));
             }
         }
         if matches!(
-            hands.nodes[node].state,
+            context.nodes[node].state,
             State::Runs | State::Ends | State::Frozen
         ) {
-            call::ping(hands, node);
-            if hands.scenario.talk && hands.nodes[node].state != State::Frozen {
-                call::status(hands, node);
+            call::ping(context, node);
+            if context.scenario.talk && context.nodes[node].state != State::Frozen {
+                call::status(context, node);
             }
         }
     }
-    let talks = hands.scenario.talk && hands.scenario.settled;
-    match hands.phase {
+    let talks = context.scenario.talk && context.scenario.settled;
+    match context.phase {
         Phase::Starts => {
-            let ready = hands.nodes.iter().all(|node| node.in_front);
-            let share = if hands.scenario.cold.is_some() {
+            let ready = context.nodes.iter().all(|node| node.in_front);
+            let share = if context.scenario.cold.is_some() {
                 0.9
             } else {
                 0.0
             };
             let missing = if talks {
-                hands.settled(true, share)
+                context.settled(true, share)
             } else {
                 Ok(())
             };
             if ready && missing.is_ok() {
-                hands.start = now;
-                hands.judge.starts(now);
-                hands.phase = Phase::Runs;
-                hands.event("the first client comes".into(), false);
-                visits(hands);
-                faults::schedule(hands);
-            } else if now.duration_since(hands.began) > READY {
+                context.start = now;
+                context.judge.starts(now);
+                context.phase = Phase::Runs;
+                context.event("the first client comes".into(), false);
+                visits(context);
+                faults::schedule(context);
+            } else if now.duration_since(context.began) > READY {
                 let why = missing
                     .err()
                     .unwrap_or_else(|| "not all nodes answer PONG".into());
-                hands.fails(format!("not ready after {READY:?}: {why}"));
+                context.fails(format!("not ready after {READY:?}: {why}"));
             }
         }
         Phase::Settles => {
-            let hold = hands.scenario.hold.clone();
-            let asked = *hands.asked.get_or_insert(now);
+            let hold = context.scenario.hold.clone();
+            let asked = *context.asked.get_or_insert(now);
             // What is under way has its time to end first.
-            let waits = now.duration_since(asked) < hands.manners.wait + Duration::from_secs(1);
-            let missing = hands.settled(hold.council, hold.taken);
-            if !waits && hands.later.is_empty() {
+            let waits = now.duration_since(asked) < context.manners.wait + Duration::from_secs(1);
+            let missing = context.settled(hold.council, hold.taken);
+            if !waits && context.later.is_empty() {
                 match missing {
-                    Ok(()) => hands.phase = Phase::Over,
+                    Ok(()) => context.phase = Phase::Over,
                     Err(why) if now.duration_since(asked) > SETTLES => {
-                        hands
+                        context
                             .judge
                             .breaks("hold", now, format!("after {SETTLES:?}: {why}"));
-                        hands.phase = Phase::Over;
+                        context.phase = Phase::Over;
                     }
                     Err(_) => {}
                 }
@@ -201,35 +203,39 @@
         }
         Phase::Runs | Phase::Over => {}
     }
-    (hands.world.progress)(&hands.world);
-    hands.deadlines.set(WORLD, POLL, now + EVERY);
+    (context.application.progress)(&context.application);
+    context.deadlines.set(APPLICATION, POLL, now + EVERY);
 }
 
 /// Begins to look at the nodes.
-pub fn begin(hands: &mut Hands<Stage>) {
-    hands.deadlines.set(WORLD, POLL, Instant::now());
+pub fn begin(context: &mut Context<Stage>) {
+    context.deadlines.set(APPLICATION, POLL, Instant::now());
 }
 
-impl World for Stage {
+impl Application for Stage {
+    type DeadlineKind = u64;
     type Message = Note;
 
-    fn settle(hands: &mut Hands<Stage>, _objects: &mut dyn Iterator<Item = Id>) {
-        if std::mem::take(&mut hands.woken) {
-            wait(hands);
+    fn after_callback(
+        context: &mut Context<Stage>,
+        _objects: &mut dyn Iterator<Item = ComponentId>,
+    ) {
+        if std::mem::take(&mut context.woken) {
+            wait(context);
         }
     }
 
-    fn due(hands: &mut Hands<Stage>, purpose: u64) {
-        match purpose {
-            VISITS => visits(hands),
-            FAULTS => faults::due(hands),
-            _ => poll(hands),
+    fn on_deadline(context: &mut Context<Stage>, kind: u64) {
+        match kind {
+            VISITS => visits(context),
+            FAULTS => faults::due(context),
+            _ => poll(context),
         }
     }
 
-    fn over(&self) -> bool {
+    fn is_finished(&self) -> bool {
         self.phase == Phase::Over
     }
 
-    fn unheard(&mut self, _id: Id, _message: Note) {}
+    fn on_undelivered(&mut self, _id: ComponentId, _message: Note) {}
 }
--- a/crates/fault-injection/src/wrongdoer.rs
+++ b/crates/fault-injection/src/wrongdoer.rs
@@ -1,8 +1,9 @@
 //! Scripted nodes that break one rule each, so that a judge can be seen to name it. They speak as much of the protocol as that
 //! needs: a client's first line goes on to a transcriber, and bytes go both ways.
 
-use lupincrank_reactor::poll::{self, Watched};
-use lupincrank_reactor::{Connection, Flow, Hands, Id, Reactor, World};
+use lupincrank_reactor::poll::{self, Registered};
+use lupincrank_reactor::{Application, ComponentId, Connection, Context, Lifecycle, Reactor};
+use lupincrank_reactor::{Interest, Readiness};
 use lupincrank_test_servers::key;
 use lupincrank_test_servers::lines::Lines;
 use std::collections::BTreeMap;
@@ -55,16 +56,21 @@
     turn: usize,
 }
 
-impl World for Script {
+impl Application for Script {
+    type DeadlineKind = u64;
     type Message = ();
-    fn settle(_hands: &mut Hands<Script>, _objects: &mut dyn Iterator<Item = Id>) {}
-    fn due(_hands: &mut Hands<Script>, _purpose: u64) {
+    fn after_callback(
+        _context: &mut Context<Script>,
+        _objects: &mut dyn Iterator<Item = ComponentId>,
+    ) {
+    }
+    fn on_deadline(_context: &mut Context<Script>, _kind: u64) {
         std::process::exit(3);
     }
-    fn over(&self) -> bool {
+    fn is_finished(&self) -> bool {
         false
     }
-    fn unheard(&mut self, _id: Id, _message: ()) {}
+    fn on_undelivered(&mut self, _id: ComponentId, _message: ()) {}
 }
 
 impl Script {
@@ -119,12 +125,13 @@
     };
     script.take(&config["known"]);
     let mut reactor = Reactor::new(script, 2).map_err(named)?;
-    let hands = &mut reactor.hands;
+    let context = &mut reactor.context;
     let listener = poll::listen(address("listen")?).map_err(named)?;
-    let listener = Watched::new(&hands.poller, listener, key(1, 0), true, false).map_err(named)?;
-    hands.adopt(1, Box::new(Door { listener }));
-    let stream = poll::connect(&hands.poller, address("discovery")?, key(2, 0)).map_err(named)?;
-    hands.adopt(
+    let listener =
+        Registered::new(&context.poller, listener, key(1, 0), Interest::READ).map_err(named)?;
+    context.register(1, Box::new(Door { listener }));
+    let stream = poll::connect(&context.poller, address("discovery")?, key(2, 0)).map_err(named)?;
+    context.register(
         2,
         Box::new(List {
             lines: Lines::new(stream),
@@ -132,9 +139,11 @@
         }),
     );
     if wrong == Wrong::Crashes {
-        hands
-            .deadlines
-            .set(lupincrank_reactor::WORLD, 0, Instant::now() + SOON * 2);
+        context.deadlines.set(
+            lupincrank_reactor::APPLICATION,
+            0,
+            Instant::now() + SOON * 2,
+        );
     }
     reactor.run().map_err(named)
 }
@@ -145,55 +154,54 @@
 }
 
 impl Connection<Script> for List {
-    fn ready(
+    fn on_ready(
         &mut self,
-        hands: &mut Hands<Script>,
-        _side: usize,
-        readable: bool,
-        _writable: bool,
-    ) -> Flow {
+        context: &mut Context<Script>,
+        _socket: usize,
+        readiness: Readiness,
+    ) -> Lifecycle {
         if !std::mem::replace(&mut self.asked, true) {
             let _ = self
                 .lines
                 .say("GET /v1/endpoints?watch=1&from=0 HTTP/1.1\r\nHost: x\r\n\r\n");
         }
-        if readable && self.lines.read().is_err() {
-            return Flow::Done;
+        if readiness.readable && self.lines.read().is_err() {
+            return Lifecycle::Close;
         }
         while let Some(line) = self.lines.line() {
             if let Ok(list) = serde_json::from_str::<serde_json::Value>(&line) {
-                hands.world.take(&list);
+                context.application.take(&list);
             }
         }
-        Flow::Keep
+        Lifecycle::Continue
     }
-    fn due(&mut self, _hands: &mut Hands<Script>, _purpose: u64) -> Flow {
-        Flow::Keep
+    fn on_deadline(&mut self, _context: &mut Context<Script>, _kind: u64) -> Lifecycle {
+        Lifecycle::Continue
     }
-    fn told(&mut self, _hands: &mut Hands<Script>, _message: ()) -> Flow {
-        Flow::Keep
+    fn on_message(&mut self, _context: &mut Context<Script>, _message: ()) -> Lifecycle {
+        Lifecycle::Continue
     }
 }
 
 struct Door {
-    listener: Watched<TcpListener>,
+    listener: Registered<TcpListener>,
 }
 
 impl Connection<Script> for Door {
-    fn ready(
+    fn on_ready(
         &mut self,
-        hands: &mut Hands<Script>,
-        _side: usize,
-        _readable: bool,
-        _writable: bool,
-    ) -> Flow {
+        context: &mut Context<Script>,
+        _socket: usize,
+        _readiness: Readiness,
+    ) -> Lifecycle {
         while let Ok((stream, _)) = self.listener.accept() {
-            let id = hands.name();
+            let id = context.allocate_id();
             if stream.set_nonblocking(true).is_err() {
                 continue;
             }
-            if let Ok(client) = Watched::new(&hands.poller, stream, key(id, 0), true, false) {
-                hands.adopt(
+            if let Ok(client) = Registered::new(&context.poller, stream, key(id, 0), Interest::READ)
+            {
+                context.register(
                     id,
                     Box::new(Pair {
                         id,
@@ -205,33 +213,33 @@
                 );
             }
         }
-        Flow::Keep
+        Lifecycle::Continue
     }
-    fn due(&mut self, _hands: &mut Hands<Script>, _purpose: u64) -> Flow {
-        Flow::Keep
+    fn on_deadline(&mut self, _context: &mut Context<Script>, _kind: u64) -> Lifecycle {
+        Lifecycle::Continue
     }
-    fn told(&mut self, _hands: &mut Hands<Script>, _message: ()) -> Flow {
-        Flow::Keep
+    fn on_message(&mut self, _context: &mut Context<Script>, _message: ()) -> Lifecycle {
+        Lifecycle::Continue
     }
 }
 
 /// A client and what it was sent to; only the first one's bytes go back.
 struct Pair {
-    id: Id,
-    client: Watched<TcpStream>,
-    peers: Vec<Watched<TcpStream>>,
+    id: ComponentId,
+    client: Registered<TcpStream>,
+    peers: Vec<Registered<TcpStream>>,
     line: Vec<u8>,
     up: bool,
 }
 
 impl Pair {
-    fn client(&mut self, hands: &mut Hands<Script>) -> Flow {
+    fn client(&mut self, context: &mut Context<Script>) -> Lifecycle {
         let mut bytes = [0; 4096];
         let read = match self.client.read(&mut bytes) {
-            Ok(0) => return Flow::Done,
+            Ok(0) => return Lifecycle::Close,
             Ok(read) => read,
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Flow::Keep,
-            Err(_) => return Flow::Done,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Lifecycle::Continue,
+            Err(_) => return Lifecycle::Close,
         };
         if let Some(peer) = self.peers.first_mut() {
             let sent = if self.up {
@@ -239,88 +247,93 @@
             } else {
                 Ok(())
             };
-            return if sent.is_ok() { Flow::Keep } else { Flow::Done };
+            return if sent.is_ok() {
+                Lifecycle::Continue
+            } else {
+                Lifecycle::Close
+            };
         }
         self.line.extend_from_slice(&bytes[..read]);
         if !self.line.ends_with(b"\n") {
-            return Flow::Keep;
+            return Lifecycle::Continue;
         }
         if self.line.starts_with(b"PING") {
             let _ = self.client.write(b"PONG\r\n");
-            return Flow::Done;
+            return Lifecycle::Close;
         }
-        let wrong = hands.world.wrong;
+        let wrong = context.application.wrong;
         if wrong == Wrong::Silent {
-            return Flow::Keep;
+            return Lifecycle::Continue;
         }
         let copies = if wrong == Wrong::TwoAtOnce { 2 } else { 1 };
         for side in 0..copies {
-            let Some(at) = hands.world.choose() else {
-                return Flow::Done;
+            let Some(at) = context.application.choose() else {
+                return Lifecycle::Close;
             };
             // The second one reports under the client's side: its bytes are never read.
-            if let Ok(peer) = poll::connect(&hands.poller, at, key(self.id, 1 - side)) {
+            if let Ok(peer) = poll::connect(&context.poller, at, key(self.id, 1 - side)) {
                 self.peers.push(peer);
             }
         }
-        Flow::Keep
+        Lifecycle::Continue
     }
 
-    fn peer(&mut self, hands: &mut Hands<Script>) -> Flow {
+    fn peer(&mut self, context: &mut Context<Script>) -> Lifecycle {
         let Some(peer) = self.peers.first_mut() else {
-            return Flow::Keep;
+            return Lifecycle::Continue;
         };
         let mut bytes = [0; 4096];
         match peer.read(&mut bytes) {
             Ok(read) if read > 0 => {
                 let first = !std::mem::replace(&mut self.up, true);
                 if self.client.write(&bytes[..read]).is_err() {
-                    return Flow::Done;
+                    return Lifecycle::Close;
                 }
-                match hands.world.wrong {
+                match context.application.wrong {
                     Wrong::AnswersTwice if first => drop(self.client.write(b"BUSY\r\n")),
-                    Wrong::Cuts if first => hands.deadlines.set(self.id, 0, Instant::now() + SOON),
+                    Wrong::Cuts if first => {
+                        context.deadlines.set(self.id, 0, Instant::now() + SOON)
+                    }
                     _ => {}
                 }
-                Flow::Keep
+                Lifecycle::Continue
             }
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Flow::Keep,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Lifecycle::Continue,
             // What its transcriber does is no fault of this script's: the client has an answer.
             _ if !self.up => {
                 let _ = self.client.write(b"ERR\r\n");
-                Flow::Done
+                Lifecycle::Close
             }
-            _ => Flow::Done,
+            _ => Lifecycle::Close,
         }
     }
 }
 
 impl Connection<Script> for Pair {
-    fn ready(
+    fn on_ready(
         &mut self,
-        hands: &mut Hands<Script>,
-        side: usize,
-        readable: bool,
-        writable: bool,
-    ) -> Flow {
-        if writable {
+        context: &mut Context<Script>,
+        socket: usize,
+        readiness: Readiness,
+    ) -> Lifecycle {
+        if readiness.writable {
             for peer in &mut self.peers {
-                if peer.want(true, false).is_err() || peer.write(&self.line).is_err() {
+                if peer.set_interest(Interest::READ).is_err() || peer.write(&self.line).is_err() {
                     let _ = self.client.write(b"ERR\r\n");
-                    return Flow::Done;
+                    return Lifecycle::Close;
                 }
             }
         }
-        match (readable, side) {
-            (true, 0) => self.client(hands),
-            (true, _) => self.peer(hands),
-            _ => Flow::Keep,
+        match (readiness.readable, socket) {
+            (true, 0) => self.client(context),
+            (true, _) => self.peer(context),
+            _ => Lifecycle::Continue,
         }
     }
-    fn due(&mut self, _hands: &mut Hands<Script>, _purpose: u64) -> Flow {
-        Flow::Done
+    fn on_deadline(&mut self, _context: &mut Context<Script>, _kind: u64) -> Lifecycle {
+        Lifecycle::Close
     }
-    fn told(&mut self, _hands: &mut Hands<Script>, _message: ()) -> Flow {
-        Flow::Done
+    fn on_message(&mut self, _context: &mut Context<Script>, _message: ()) -> Lifecycle {
+        Lifecycle::Close
     }
 }
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -37,7 +37,7 @@
 /// A node that ends lets clients come again after this at the most: by then the front sends them elsewhere.
 const LEAVING_RETRY: Duration = Duration::from_millis(500);
 
-/// Who answers a request's client: a name that the core hands back with each order and never looks at.
+/// Who answers a request's client: a name that the core context back with each order and never looks at.
 pub type Owner = u64;
 
 /// A try that the module wants made.
@@ -82,7 +82,7 @@
 }
 
 /// A request from its first line to the end of its connection.
-struct Context {
+struct ActiveRequest {
     /// The object that answers its client.
     owner: Owner,
     expires: Instant,
@@ -128,7 +128,7 @@
     /// What a client that comes while the node ends is told to wait, as far as the settings allow.
     leaving_retry: Duration,
     actions: Vec<Action>,
-    contexts: HashMap<RequestId, Context>,
+    contexts: HashMap<RequestId, ActiveRequest>,
     /// The upstream group: where each transcriber listens, and whether it takes new connections.
     group: HashMap<ServerId, (SocketAddr, Health)>,
     pulses: BTreeMap<ServerId, Pulse>,
@@ -454,7 +454,7 @@
         let now = Instant::now();
         let expires = now + left;
         incoming.expires = self.time(expires);
-        let context = Context {
+        let context = ActiveRequest {
             owner,
             expires,
             attempts: 0,
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -4,10 +4,11 @@
 use crate::core::{Core, Member};
 use crate::group::{check, dial, health, number, Update};
 use crate::objects::Objects;
-use crate::state::{Message, Node, State, DISCOVERY, UPGRADE};
+use crate::state::{Message, Node, NodeState, DISCOVERY, UPGRADE};
 use lupincrank_placement::{asking, Listed};
-use lupincrank_reactor::poll::{self, Watched};
-use lupincrank_reactor::{Connection, Flow};
+use lupincrank_reactor::poll::{self, Registered};
+use lupincrank_reactor::{poller_key, Interest, Readiness};
+use lupincrank_reactor::{Connection, Lifecycle};
 use slog::{debug, info, warn};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -85,7 +86,7 @@
 
 struct Call {
     begun: Instant,
-    stream: Watched<TcpStream>,
+    stream: Registered<TcpStream>,
     phase: Phase,
     unsent: Vec<u8>,
     head: Vec<u8>,
@@ -167,7 +168,7 @@
             self.seq, self.dial
         );
         debug!(node.log, "asking discovery"; "seq" => self.seq, "beside" => self.calls());
-        let stream = poll::connect(&node.poller, self.dial, DISCOVERY as usize * 2 + side)?;
+        let stream = poll::connect(&node.poller, self.dial, poller_key(DISCOVERY, side))?;
         self.calls[side] = Some(Call {
             begun: now,
             stream,
@@ -224,7 +225,7 @@
             }
         }
         call.stream
-            .want(true, false)
+            .set_interest(Interest::READ)
             .map_err(|error| error.to_string())?;
         let mut scratch = [0; 16 << 10];
         // A turn reads a bounded part: guards against a long list that keeps clients waiting.
@@ -285,7 +286,7 @@
             self.close(node, 1 - side);
             node.deadlines.clear(DISCOVERY, FURTHER);
             node.core.list_told();
-            node.tell(UPGRADE, Message::Begin);
+            node.send(UPGRADE, Message::Begin);
         }
         if last {
             Err("the watch ended".into())
@@ -316,22 +317,22 @@
     }
 }
 
-impl Connection<State> for Discovery {
-    fn ready(&mut self, node: &mut Node, side: usize, _readable: bool, _writable: bool) -> Flow {
-        if let Err(why) = self.progress(node, side) {
+impl Connection<NodeState> for Discovery {
+    fn on_ready(&mut self, node: &mut Node, socket: usize, _readiness: Readiness) -> Lifecycle {
+        if let Err(why) = self.progress(node, socket) {
             self.contact = Instant::now();
-            self.close(node, side);
+            self.close(node, socket);
             self.failed(node, &why);
         }
-        Flow::Keep
+        Lifecycle::Continue
     }
 
-    fn due(&mut self, node: &mut Node, purpose: u64) -> Flow {
-        if purpose == FURTHER {
+    fn on_deadline(&mut self, node: &mut Node, kind: u64) -> Lifecycle {
+        if kind == FURTHER {
             self.call(node);
-            return Flow::Keep;
+            return Lifecycle::Continue;
         }
-        let side = usize::from(purpose == 1);
+        let side = usize::from(kind == 1);
         let phase = self.calls[side].as_ref().map(|call| call.phase);
         self.close(node, side);
         match phase {
@@ -347,10 +348,10 @@
             }
             _ => self.failed(node, "nothing came in time"),
         }
-        Flow::Keep
+        Lifecycle::Continue
     }
 
-    fn told(&mut self, node: &mut Node, message: Message) -> Flow {
+    fn on_message(&mut self, node: &mut Node, message: Message) -> Lifecycle {
         let moved = matches!(message, Message::Moved);
         if moved {
             // What is known stays: the watch at the new address goes on from the version that the old one told.
@@ -366,7 +367,7 @@
         if (moved || matches!(message, Message::Subscribe)) && !self.calls() {
             self.call(node);
         }
-        Flow::Keep
+        Lifecycle::Continue
     }
 }
 
--- a/crates/node/src/fleet/carry.rs
+++ b/crates/node/src/fleet/carry.rs
@@ -10,8 +10,8 @@
 use lupincrank_control::member::Member;
 use lupincrank_control::message::{Action, CouncilMessage, Note};
 use lupincrank_placement::Time;
-use lupincrank_reactor::poll::Watched;
-use lupincrank_reactor::Id;
+use lupincrank_reactor::poll::Registered;
+use lupincrank_reactor::ComponentId;
 use serde::Serialize;
 use slog::{debug, info, warn, Logger};
 use std::collections::BTreeMap;
@@ -52,14 +52,14 @@
     pub council: Council,
     pub membership: Membership,
     /// Given up when this node has left.
-    pub sockets: Option<(Watched<UdpSocket>, Watched<TcpListener>)>,
+    pub sockets: Option<(Registered<UdpSocket>, Registered<TcpListener>)>,
     /// Where log and vote are kept, if a folder is configured, and what tells that something is written.
-    disk: Option<(Disk, Watched<UnixStream>)>,
+    disk: Option<(Disk, Registered<UnixStream>)>,
     /// Another process has this node's name.
     replaced: bool,
     /// Since when this node ends.
     leaves: Option<Instant>,
-    pub links: BTreeMap<Id, End>,
+    pub links: BTreeMap<ComponentId, End>,
     tries: BTreeMap<u64, (Instant, u32)>,
     addresses: BTreeMap<u64, (String, SocketAddr)>,
     tag: u32,
@@ -70,7 +70,7 @@
     /// Messages on links that changed nothing.
     strange: u64,
     /// Links that gave way to another one between the same incarnations; their objects are to be told.
-    pub dropped: Vec<Id>,
+    pub dropped: Vec<ComponentId>,
     /// Bytes and messages sent, for the cost of it.
     pub sent: (u64, u64),
 }
@@ -166,7 +166,7 @@
     }
 
     /// From now on what has to survive goes there.
-    pub fn keep_on(&mut self, disk: Disk, wakes: Watched<UnixStream>) {
+    pub fn keep_on(&mut self, disk: Disk, wakes: Registered<UnixStream>) {
         self.disk = Some((disk, wakes));
     }
 
@@ -253,7 +253,12 @@
     }
 
     /// A link begins.
-    pub fn begin(&mut self, id: Id, mut link: Link, to: Option<u64>) -> Result<(), String> {
+    pub fn begin(
+        &mut self,
+        id: ComponentId,
+        mut link: Link,
+        to: Option<u64>,
+    ) -> Result<(), String> {
         link.say(&self.hello())?;
         self.links.insert(
             id,
@@ -277,7 +282,7 @@
     }
 
     /// A link ends; it is dialled again later, if it is still needed.
-    pub fn ended(&mut self, id: Id, why: &str) {
+    pub fn ended(&mut self, id: ComponentId, why: &str) {
         let Some(end) = self.links.remove(&id) else {
             return;
         };
@@ -294,7 +299,12 @@
     }
 
     /// The messages of one link; an error ends it.
-    pub fn heard(&mut self, now: Time, id: Id, messages: Vec<Message>) -> Result<(), String> {
+    pub fn heard(
+        &mut self,
+        now: Time,
+        id: ComponentId,
+        messages: Vec<Message>,
+    ) -> Result<(), String> {
         for message in messages {
             let peer = self
                 .links
@@ -324,7 +334,7 @@
     }
 
     /// The other side has said who it is. Of two links between the same incarnations the one stays that the greater id dialled.
-    fn met(&mut self, id: Id, hello: Hello) -> Result<(), String> {
+    fn met(&mut self, id: ComponentId, hello: Hello) -> Result<(), String> {
         if hello.fleet != self.tag {
             return Err("it belongs to another fleet".into());
         }
@@ -428,7 +438,7 @@
     }
 
     /// What the council wants carried out. Gives the links that could not take it.
-    pub fn council(&mut self, now: Time) -> Vec<(Id, String)> {
+    pub fn council(&mut self, now: Time) -> Vec<(ComponentId, String)> {
         if self.replaced {
             self.leave(now);
         }
@@ -521,13 +531,13 @@
     }
 
     /// Keeps links alive; gives those that are dead or not needed any more.
-    pub fn keep(&mut self) -> Vec<(Id, String)> {
+    pub fn keep(&mut self) -> Vec<(ComponentId, String)> {
         let mut dead = Vec::new();
         let peers = self
             .links
             .iter()
             .filter_map(|(id, end)| Some((*id, end.link.peer.as_ref()?)));
-        let replaced: Vec<Id> = peers
+        let replaced: Vec<ComponentId> = peers
             .filter(|(_, peer)| self.is_replaced(peer))
             .map(|(id, _)| id)
             .collect();
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -5,7 +5,7 @@
 mod disk;
 pub mod setup;
 
-use crate::state::{Message, Node, State, DISK, FLEET};
+use crate::state::{Message, Node, NodeState, DISK, FLEET};
 use carry::Carry;
 use disk::{Disk, Fault as DiskFault};
 use lupincrank_budgets::need::Use;
@@ -13,8 +13,9 @@
 use lupincrank_cluster::membership::LONGEST;
 use lupincrank_control::council::TICK;
 use lupincrank_control::durable::Durable;
-use lupincrank_reactor::poll::{self, Watched};
-use lupincrank_reactor::{Connection, Flow, Id};
+use lupincrank_reactor::poll::{self, Registered};
+use lupincrank_reactor::{poller_key, Interest, Readiness};
+use lupincrank_reactor::{ComponentId, Connection, Lifecycle};
 use slog::{debug, info, warn};
 use std::io;
 use std::net::{TcpListener, UdpSocket};
@@ -43,7 +44,7 @@
         // Nothing is this process's before it has its place: another process of this node may still use all of it.
         node.core.slice(0, 0, 0.0, None);
     }
-    node.adopt(FLEET, Box::new(Watch));
+    node.register(FLEET, Box::new(Watch));
     if let Some(why) = take_place(node)? {
         warn!(node.log, "this node's place in the fleet is not to be had yet"; "why" => why);
     }
@@ -57,24 +58,22 @@
         return Ok(None);
     };
     let listen = setup.listen;
-    let take = || -> io::Result<(Watched<UdpSocket>, Watched<TcpListener>)> {
+    let take = || -> io::Result<(Registered<UdpSocket>, Registered<TcpListener>)> {
         let listener = poll::listen(listen)?;
         let udp = UdpSocket::bind(listen)?;
         udp.set_nonblocking(true)?;
         Ok((
-            Watched::new(
+            Registered::new(
                 &node.poller,
                 udp,
-                FLEET as usize * 2 + DATAGRAMS,
-                true,
-                false,
+                poller_key(FLEET, 0) + DATAGRAMS,
+                Interest::READ,
             )?,
-            Watched::new(
+            Registered::new(
                 &node.poller,
                 listener,
-                FLEET as usize * 2 + LISTENER,
-                true,
-                false,
+                poller_key(FLEET, 0) + LISTENER,
+                Interest::READ,
             )?,
         ))
     };
@@ -106,10 +105,11 @@
                 let named = |error: io::Error| format!("{}: {error}", path.display());
                 let disk = Disk::begin(database).map_err(named)?;
                 let wakes = disk.wakes().map_err(named)?;
-                let wakes = Watched::new(&node.poller, wakes, DISK as usize * 2, true, false)
-                    .map_err(named)?;
+                let wakes =
+                    Registered::new(&node.poller, wakes, poller_key(DISK, 0), Interest::READ)
+                        .map_err(named)?;
                 carry.keep_on(disk, wakes);
-                node.adopt(DISK, Box::new(Written));
+                node.register(DISK, Box::new(Written));
                 carry
             }
             Err(DiskFault::Busy) => {
@@ -160,10 +160,10 @@
     let now = node.core.now();
     for (id, why) in carry.council(now) {
         carry.ended(id, &why);
-        node.tell(id, Message::Close);
+        node.send(id, Message::Close);
     }
     for id in std::mem::take(&mut carry.dropped) {
-        node.tell(id, Message::Close);
+        node.send(id, Message::Close);
     }
     if carry.setup.divides {
         let (sends, until) = carry.council.limit(now);
@@ -180,11 +180,11 @@
 
 fn dial(carry: &mut Carry, node: &mut Node) {
     for (to, at) in carry.dials() {
-        let id = node.name();
+        let id = node.allocate_id();
         let begun =
-            Link::dial(&node.poller, at, id as usize * 2).map_err(|error| error.to_string());
+            Link::dial(&node.poller, at, poller_key(id, 0)).map_err(|error| error.to_string());
         match begun.and_then(|link| carry.begin(id, link, Some(to))) {
-            Ok(()) => node.adopt(id, Box::new(End { id })),
+            Ok(()) => node.register(id, Box::new(End { id })),
             Err(why) => carry.complain("a link could not begin", &why),
         }
     }
@@ -304,13 +304,13 @@
                     carry.complain("a link was not taken", "there are too many");
                     continue;
                 }
-                let id = node.name();
-                let link = Link::accepted(&node.poller, stream, id as usize * 2);
+                let id = node.allocate_id();
+                let link = Link::accepted(&node.poller, stream, poller_key(id, 0));
                 match link
                     .map_err(|error| error.to_string())
                     .and_then(|link| carry.begin(id, link, None))
                 {
-                    Ok(()) => node.adopt(id, Box::new(End { id })),
+                    Ok(()) => node.register(id, Box::new(End { id })),
                     Err(why) => carry.complain("a link could not begin", &why),
                 }
             }
@@ -318,18 +318,18 @@
     }
 }
 
-impl Connection<State> for Watch {
-    fn ready(&mut self, node: &mut Node, side: usize, _readable: bool, _writable: bool) -> Flow {
-        if side == DATAGRAMS {
+impl Connection<NodeState> for Watch {
+    fn on_ready(&mut self, node: &mut Node, socket: usize, _readiness: Readiness) -> Lifecycle {
+        if socket == DATAGRAMS {
             Watch::datagrams(node);
         } else {
             Watch::links(node);
         }
-        Flow::Keep
+        Lifecycle::Continue
     }
 
-    fn due(&mut self, node: &mut Node, purpose: u64) -> Flow {
-        match purpose {
+    fn on_deadline(&mut self, node: &mut Node, kind: u64) -> Lifecycle {
+        match kind {
             BIND => {
                 // A person has to look if it is another reason than the process before this one.
                 if let Ok(Some(why)) | Err(why) = take_place(node) {
@@ -349,7 +349,7 @@
                     }
                     for (id, why) in carry.keep() {
                         carry.ended(id, &why);
-                        node.tell(id, Message::Close);
+                        node.send(id, Message::Close);
                     }
                     let (most, turned_away) = node.core.cold_used();
                     carry.council.used(Use { most, turned_away });
@@ -362,46 +362,46 @@
                 }
             }
         }
-        Flow::Keep
+        Lifecycle::Continue
     }
 
-    fn told(&mut self, _node: &mut Node, _message: Message) -> Flow {
-        Flow::Keep
+    fn on_message(&mut self, _node: &mut Node, _message: Message) -> Lifecycle {
+        Lifecycle::Continue
     }
 }
 
 /// What the disk tells.
 struct Written;
 
-impl Connection<State> for Written {
-    fn ready(&mut self, node: &mut Node, _side: usize, _readable: bool, _writable: bool) -> Flow {
+impl Connection<NodeState> for Written {
+    fn on_ready(&mut self, node: &mut Node, _socket: usize, _readiness: Readiness) -> Lifecycle {
         with(node, |carry, node| carry.disk(node.core.now()));
-        Flow::Keep
+        Lifecycle::Continue
     }
 
-    fn due(&mut self, _node: &mut Node, _purpose: u64) -> Flow {
-        Flow::Keep
+    fn on_deadline(&mut self, _node: &mut Node, _kind: u64) -> Lifecycle {
+        Lifecycle::Continue
     }
 
-    fn told(&mut self, _node: &mut Node, _message: Message) -> Flow {
-        Flow::Keep
+    fn on_message(&mut self, _node: &mut Node, _message: Message) -> Lifecycle {
+        Lifecycle::Continue
     }
 }
 
 /// One link's place in the loop; the link itself is with the fleet.
 struct End {
-    id: Id,
+    id: ComponentId,
 }
 
-impl Connection<State> for End {
-    fn ready(&mut self, node: &mut Node, _side: usize, readable: bool, _writable: bool) -> Flow {
-        let (id, mut flow) = (self.id, Flow::Keep);
+impl Connection<NodeState> for End {
+    fn on_ready(&mut self, node: &mut Node, _socket: usize, readiness: Readiness) -> Lifecycle {
+        let (id, mut flow) = (self.id, Lifecycle::Continue);
         with(node, |carry, node| {
             let Some(end) = carry.links.get_mut(&id) else {
-                return flow = Flow::Done;
+                return flow = Lifecycle::Close;
             };
             let now = node.core.now();
-            let heard = end.link.ready(readable);
+            let heard = end.link.ready(readiness.readable);
             let heard =
                 heard.and_then(|messages| carry.heard(now, id, messages).map_err(Fault::Strange));
             if let Err(fault) = heard {
@@ -413,25 +413,25 @@
                     }
                 };
                 carry.ended(id, &why);
-                flow = Flow::Done;
+                flow = Lifecycle::Close;
             }
         });
         flow
     }
 
-    fn due(&mut self, _node: &mut Node, _purpose: u64) -> Flow {
-        Flow::Keep
+    fn on_deadline(&mut self, _node: &mut Node, _kind: u64) -> Lifecycle {
+        Lifecycle::Continue
     }
 
-    fn told(&mut self, node: &mut Node, message: Message) -> Flow {
+    fn on_message(&mut self, node: &mut Node, message: Message) -> Lifecycle {
         let gone = node
             .fleet
             .as_ref()
             .is_none_or(|carry| !carry.links.contains_key(&self.id));
         if gone || matches!(message, Message::Close) {
-            Flow::Done
+            Lifecycle::Close
         } else {
-            Flow::Keep
+            Lifecycle::Continue
         }
     }
 }
--- a/crates/node/src/hollow.rs
+++ b/crates/node/src/hollow.rs
@@ -4,22 +4,23 @@
 
 use crate::config::Config;
 use crate::fleet::{self, setup::Setup};
-use crate::state::{Node, State, RESERVED};
+use crate::state::{Node, NodeState, RESERVED};
 use lupincrank_budgets::need::Use;
 use lupincrank_operator_config::Operator;
-use lupincrank_reactor::{Connection, Flow, Id, Reactor};
+use lupincrank_reactor::Readiness;
+use lupincrank_reactor::{ComponentId, Connection, Lifecycle, Reactor};
 use slog::{o, Discard, Logger};
 use std::time::{Duration, Instant};
 
 /// The observer's place in the loop.
-const OBSERVER: Id = RESERVED + 1;
+const OBSERVER: ComponentId = RESERVED + 1;
 
 /// How a hollow node stands in its fleet.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Seen {
     /// The council that it takes part in has entries up to this epoch; 0 for no council.
     pub epoch: u64,
-    /// The capacity of the cold budget that its council hands out.
+    /// The capacity of the cold budget that its council context out.
     pub capacity: u32,
     /// It knows a leader, and is it itself.
     pub led: bool,
@@ -60,11 +61,13 @@
             "the operator's file: there is no [fleet], and a hollow node has nothing else".into(),
         );
     }
-    let state = State::new(config, Logger::root(Discard, o!()));
+    let state = NodeState::new(config, Logger::root(Discard, o!()));
     let mut reactor = Reactor::new(state, OBSERVER).map_err(|error| error.to_string())?;
-    fleet::begin(&mut reactor.hands)?;
-    reactor.hands.adopt(OBSERVER, Box::new(Watch { observer }));
-    reactor.hands.deadlines.set(OBSERVER, 0, Instant::now());
+    fleet::begin(&mut reactor.context)?;
+    reactor
+        .context
+        .register(OBSERVER, Box::new(Watch { observer }));
+    reactor.context.deadlines.set(OBSERVER, 0, Instant::now());
     Ok(move || reactor.run())
 }
 
@@ -99,12 +102,12 @@
     }
 }
 
-impl Connection<State> for Watch {
-    fn ready(&mut self, _node: &mut Node, _side: usize, _readable: bool, _writable: bool) -> Flow {
-        Flow::Keep
+impl Connection<NodeState> for Watch {
+    fn on_ready(&mut self, _node: &mut Node, _socket: usize, _readiness: Readiness) -> Lifecycle {
+        Lifecycle::Continue
     }
 
-    fn due(&mut self, node: &mut Node, _purpose: u64) -> Flow {
+    fn on_deadline(&mut self, node: &mut Node, _kind: u64) -> Lifecycle {
         let window = lupincrank_control::lease::Terms::default().window;
         let members = node.fleet.as_ref().map(|carry| &carry.membership);
         let lives = |name: &str| members.is_some_and(|all| all.alive().any(|who| who.name == name));
@@ -114,10 +117,10 @@
         }
         node.deadlines
             .set(OBSERVER, 0, Instant::now() + self.observer.every());
-        Flow::Keep
+        Lifecycle::Continue
     }
 
-    fn told(&mut self, _node: &mut Node, _message: crate::state::Message) -> Flow {
-        Flow::Keep
+    fn on_message(&mut self, _node: &mut Node, _message: crate::state::Message) -> Lifecycle {
+        Lifecycle::Continue
     }
 }
--- a/crates/node/src/line_front.rs
+++ b/crates/node/src/line_front.rs
@@ -2,11 +2,12 @@
 
 use crate::peer::{Peer, Try, LONGEST_LINE};
 use crate::relay::Relay;
-use crate::state::{Message, Node, Seat, State as World, Strangers, Up, LISTENER};
+use crate::state::{Message, Node, NodeState, Seat, Strangers, Up, LISTENER};
 use crate::upgrade::link::Said;
 use lupincrank_placement::{Incoming, RequestId, Time};
-use lupincrank_reactor::poll::{self, Watched};
-use lupincrank_reactor::{Connection, Flow, Id};
+use lupincrank_reactor::poll::{self, Registered};
+use lupincrank_reactor::{poller_key, Interest, Readiness};
+use lupincrank_reactor::{ComponentId, Connection, Lifecycle};
 use slog::{debug, warn};
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
@@ -39,12 +40,12 @@
 /// A connection's place among the strangers; given back when dropped.
 struct Place {
     among: Strangers,
-    key: (Instant, Id),
+    key: (Instant, ComponentId),
 }
 
 impl Place {
     /// Takes a place until the connection has to be gone.
-    fn take(node: &mut Node, id: Id, patience: Duration) -> Place {
+    fn take(node: &mut Node, id: ComponentId, patience: Duration) -> Place {
         let key = (Instant::now() + patience, id);
         node.deadlines.set(id, PATIENCE, key.0);
         node.strangers.borrow_mut().insert(key);
@@ -63,7 +64,7 @@
 
 /// Takes clients in.
 pub struct Listener {
-    socket: Watched<TcpListener>,
+    socket: Registered<TcpListener>,
     /// Another process takes clients in from the same socket; what waits there is left to it.
     rests: bool,
 }
@@ -75,7 +76,12 @@
             Some(socket) => socket,
             None => poll::listen(node.config.listen)?,
         };
-        let socket = Watched::new(&node.poller, socket, LISTENER as usize * 2, true, false)?;
+        let socket = Registered::new(
+            &node.poller,
+            socket,
+            poller_key(LISTENER, 0),
+            Interest::READ,
+        )?;
         Ok(Listener {
             socket,
             rests: false,
@@ -93,8 +99,8 @@
             };
             stream.set_nonblocking(true)?;
             let _ = stream.set_nodelay(true);
-            let id = node.name();
-            let stream = Watched::new(&node.poller, stream, id as usize * 2, true, false)?;
+            let id = node.allocate_id();
+            let stream = Registered::new(&node.poller, stream, poller_key(id, 0), Interest::READ)?;
             let place = Some(Place::take(node, id, FIRST_LINE));
             let (stream, bytes, state) = (Some(stream), Vec::new(), State::First);
             let mut client = Client {
@@ -107,10 +113,10 @@
                 frozen: false,
             };
             // Most have sent their line by now: guards against taking one that asks for one that says nothing.
-            if client.read(node) == Flow::Keep {
-                node.adopt(id, Box::new(client));
+            if client.read(node) == Lifecycle::Continue {
+                node.register(id, Box::new(client));
             } else {
-                node.deadlines.forget(id);
+                node.deadlines.clear_all(id);
             }
             self.make_room(node);
         }
@@ -128,38 +134,41 @@
             let Some((_, id)) = node.strangers.borrow_mut().pop_first() else {
                 break;
             };
-            node.tell(id, Message::Close);
+            node.send(id, Message::Close);
         }
     }
 }
 
-impl Connection<World> for Listener {
-    fn ready(&mut self, node: &mut Node, _side: usize, _readable: bool, _writable: bool) -> Flow {
+impl Connection<NodeState> for Listener {
+    fn on_ready(&mut self, node: &mut Node, _socket: usize, _readiness: Readiness) -> Lifecycle {
         if let Err(error) = self.take(node) {
             // No descriptor is left: guards against a loop that spins on a listener that stays ready.
             warn!(node.log, "cannot take clients for now"; "error" => %error);
-            if self.socket.want(false, false).is_ok() {
+            if self.socket.set_interest(Interest::NONE).is_ok() {
                 node.deadlines.set(LISTENER, 0, Instant::now() + REST);
             }
         }
-        Flow::Keep
+        Lifecycle::Continue
     }
 
-    fn due(&mut self, node: &mut Node, _purpose: u64) -> Flow {
-        if let Err(error) = self.socket.want(!self.rests, false) {
+    fn on_deadline(&mut self, node: &mut Node, _kind: u64) -> Lifecycle {
+        if let Err(error) = self.socket.set_interest(Interest {
+            readable: !self.rests,
+            writable: false,
+        }) {
             warn!(node.log, "cannot listen again yet"; "error" => %error);
             node.deadlines.set(LISTENER, 0, Instant::now() + REST);
         }
-        Flow::Keep
+        Lifecycle::Continue
     }
 
-    fn told(&mut self, node: &mut Node, message: Message) -> Flow {
+    fn on_message(&mut self, node: &mut Node, message: Message) -> Lifecycle {
         match message {
             Message::Rest => self.rests = true,
             Message::Begin => self.rests = false,
-            _ => return Flow::Keep,
+            _ => return Lifecycle::Continue,
         }
-        self.due(node, 0)
+        self.on_deadline(node, 0)
     }
 }
 
@@ -288,7 +297,7 @@
     /// The first line as it came, its end included.
     line: Vec<u8>,
     until: Instant,
-    peer: Option<Id>,
+    peer: Option<ComponentId>,
     /// Tries made for a connection from before this node's life.
     old_tries: u32,
 }
@@ -304,11 +313,11 @@
 
 /// A client until its connection is up.
 pub struct Client {
-    id: Id,
+    id: ComponentId,
     /// While it asks, and while it does not.
     seat: Option<Seat>,
     place: Option<Place>,
-    stream: Option<Watched<TcpStream>>,
+    stream: Option<Registered<TcpStream>>,
     /// What was read and is not used yet; once it is closing, what is still to be written.
     bytes: Vec<u8>,
     state: State,
@@ -319,19 +328,18 @@
 impl Client {
     /// Goes on with a client of another process whose first line is not whole yet.
     pub fn take_over(node: &mut Node, socket: OwnedFd, bytes: Vec<u8>, left: Duration) {
-        let id = node.name();
-        let Ok(stream) = Watched::new(
+        let id = node.allocate_id();
+        let Ok(stream) = Registered::new(
             &node.poller,
             TcpStream::from(socket),
-            id as usize * 2,
-            true,
-            false,
+            poller_key(id, 0),
+            Interest::READ,
         ) else {
             return;
         };
         let place = Some(Place::take(node, id, left.min(FIRST_LINE)));
         let (stream, state) = (Some(stream), State::First);
-        node.adopt(
+        node.register(
             id,
             Box::new(Client {
                 id,
@@ -363,11 +371,11 @@
             Ok(true)
         ) {
             self.frozen = true;
-            let _ = stream.want(false, false);
+            let _ = stream.set_interest(Interest::NONE);
         }
     }
 
-    fn answer(&mut self, node: &mut Node, answer: &[u8]) -> Flow {
+    fn answer(&mut self, node: &mut Node, answer: &[u8]) -> Lifecycle {
         self.state = State::Closing(0);
         self.bytes = answer.to_vec();
         self.seat = None;
@@ -380,57 +388,60 @@
 
     /// Writes what is left of the answer, then ends the sending; the client's end is awaited, for closing at
     /// once could destroy an answer that it has not read yet.
-    fn flush(&mut self) -> Flow {
+    fn flush(&mut self) -> Lifecycle {
         let Some(stream) = &mut self.stream else {
-            return Flow::Done;
+            return Lifecycle::Close;
         };
         while !self.bytes.is_empty() {
             match stream.write(&self.bytes) {
                 Ok(sent) => drop(self.bytes.drain(..sent)),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    return if stream.want(true, true).is_ok() {
-                        Flow::Keep
+                    return if stream.set_interest(Interest::READ_WRITE).is_ok() {
+                        Lifecycle::Continue
                     } else {
-                        Flow::Done
+                        Lifecycle::Close
                     };
                 }
-                Err(_) => return Flow::Done,
+                Err(_) => return Lifecycle::Close,
             }
         }
-        if stream.shutdown(Shutdown::Write).is_err() || stream.want(true, false).is_err() {
-            return Flow::Done;
+        if stream.shutdown(Shutdown::Write).is_err() || stream.set_interest(Interest::READ).is_err()
+        {
+            return Lifecycle::Close;
         }
-        Flow::Keep
+        Lifecycle::Continue
     }
 
-    fn read(&mut self, node: &mut Node) -> Flow {
+    fn read(&mut self, node: &mut Node) -> Lifecycle {
         let mut scratch = [0; 4 << 10];
         for _ in 0..READS {
             let Some(stream) = &mut self.stream else {
-                return Flow::Done;
+                return Lifecycle::Close;
             };
             let flow = match stream.read(&mut scratch) {
                 Ok(0) => self.gone(node),
                 Ok(read) => self.take(node, &scratch[..read]),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Flow::Keep,
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => Flow::Keep,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    return Lifecycle::Continue
+                }
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => Lifecycle::Continue,
                 Err(_) => self.gone(node),
             };
-            if flow == Flow::Done {
-                return Flow::Done;
+            if flow == Lifecycle::Close {
+                return Lifecycle::Close;
             }
         }
-        Flow::Keep
+        Lifecycle::Continue
     }
 
-    fn take(&mut self, node: &mut Node, bytes: &[u8]) -> Flow {
+    fn take(&mut self, node: &mut Node, bytes: &[u8]) -> Lifecycle {
         match &mut self.state {
             State::First => {
                 self.bytes.extend_from_slice(bytes);
                 let Some(end) = self.bytes.iter().position(|byte| *byte == b'\n') else {
                     let more = self.bytes.len() < LONGEST_LINE;
                     return if more {
-                        Flow::Keep
+                        Lifecycle::Continue
                     } else {
                         self.reject_line(node, "it does not end")
                     };
@@ -438,7 +449,7 @@
                 let rest = self.bytes.split_off(end + 1);
                 let line = std::mem::take(&mut self.bytes);
                 let flow = self.first(node, line);
-                if flow == Flow::Keep && !rest.is_empty() {
+                if flow == Lifecycle::Continue && !rest.is_empty() {
                     return self.take(node, &rest);
                 }
                 flow
@@ -452,30 +463,30 @@
             State::Closing(drained) => {
                 *drained += bytes.len();
                 if *drained > MOST_DRAINED {
-                    Flow::Done
+                    Lifecycle::Close
                 } else {
-                    Flow::Keep
+                    Lifecycle::Continue
                 }
             }
         }
     }
 
     /// The client has left: nothing is owed.
-    fn gone(&mut self, node: &mut Node) -> Flow {
+    fn gone(&mut self, node: &mut Node) -> Lifecycle {
         self.leave(node);
-        Flow::Done
+        Lifecycle::Close
     }
 
     /// Its place is needed, or its time is up: what has come of it by now is read first. Guards against ending a connection
     /// whose request has been taken: its last byte may have come while this process was kept from reading.
-    fn last_look(&mut self, node: &mut Node) -> Flow {
-        if self.read(node) == Flow::Done {
-            return Flow::Done;
+    fn last_look(&mut self, node: &mut Node) -> Lifecycle {
+        if self.read(node) == Lifecycle::Close {
+            return Lifecycle::Close;
         }
         match self.state {
-            State::First if self.bytes.is_empty() => Flow::Done,
+            State::First if self.bytes.is_empty() => Lifecycle::Close,
             State::First => self.reject_line(node, "it takes too long"),
-            _ => Flow::Keep,
+            _ => Lifecycle::Continue,
         }
     }
 
@@ -484,7 +495,7 @@
         if let State::Waiting(waiting) = &self.state {
             debug!(node.log, "client left"; "request" => format!("{:016x}", waiting.open.request));
             if let Some(peer) = waiting.peer {
-                node.tell(peer, Message::Close);
+                node.send(peer, Message::Close);
             }
             if waiting.open.holder.is_none() {
                 node.core.client_gone(RequestId(waiting.open.request));
@@ -492,12 +503,12 @@
         }
     }
 
-    fn reject_line(&mut self, node: &mut Node, why: &str) -> Flow {
+    fn reject_line(&mut self, node: &mut Node, why: &str) -> Lifecycle {
         debug!(node.log, "malformed first line"; "why" => why.to_string());
         self.answer(node, b"ERR\r\n")
     }
 
-    fn first(&mut self, node: &mut Node, line: Vec<u8>) -> Flow {
+    fn first(&mut self, node: &mut Node, line: Vec<u8>) -> Lifecycle {
         let Some(text) = line
             .strip_suffix(b"\r\n")
             .filter(|_| line.len() <= LONGEST_LINE)
@@ -538,13 +549,13 @@
             return self.resume(node);
         }
         node.core.request(self.id, incoming, left);
-        Flow::Keep
+        Lifecycle::Continue
     }
 
     /// Sends a connection that stood before this node's life to the transcriber that holds it.
-    fn resume(&mut self, node: &mut Node) -> Flow {
+    fn resume(&mut self, node: &mut Node) -> Lifecycle {
         let State::Waiting(waiting) = &mut self.state else {
-            return Flow::Keep;
+            return Lifecycle::Continue;
         };
         let dial = waiting
             .open
@@ -562,7 +573,7 @@
         waiting.old_tries += 1;
         let (request, until) = (RequestId(waiting.open.request), waiting.until);
         self.dial(node, request, dial, until, true);
-        Flow::Keep
+        Lifecycle::Continue
     }
 
     fn dial(
@@ -584,7 +595,7 @@
             &waiting.line[at.end..],
         ]
         .concat();
-        let id = node.name();
+        let id = node.allocate_id();
         waiting.peer = Some(id);
         Peer::open(
             node,
@@ -601,15 +612,15 @@
     }
 
     /// The try is up: both sockets go to a relay under this object's name.
-    fn up(&mut self, node: &mut Node, up: Up) -> Flow {
+    fn up(&mut self, node: &mut Node, up: Up) -> Lifecycle {
         let State::Waiting(waiting) = &self.state else {
-            return Flow::Keep;
+            return Lifecycle::Continue;
         };
         if waiting.open.holder.is_some() && node.core.holds(up.request) {
             return self.reject_line(node, "another's id");
         }
         let (Some(client), Some(seat)) = (self.stream.take(), self.seat.take()) else {
-            return Flow::Done;
+            return Lifecycle::Close;
         };
         match &waiting.open.holder {
             Some(holder) => {
@@ -619,42 +630,45 @@
             None => node.core.try_up(up.request),
         }
         Relay::begin(node, self.id, seat, client, up);
-        Flow::Done
+        Lifecycle::Close
     }
 }
 
-impl Connection<World> for Client {
-    fn ready(&mut self, node: &mut Node, _side: usize, readable: bool, writable: bool) -> Flow {
+impl Connection<NodeState> for Client {
+    fn on_ready(&mut self, node: &mut Node, _socket: usize, readiness: Readiness) -> Lifecycle {
         if self.frozen {
-            return Flow::Keep;
+            return Lifecycle::Continue;
         }
-        if writable && matches!(self.state, State::Closing(_)) && self.flush() == Flow::Done {
-            return Flow::Done;
+        if readiness.writable
+            && matches!(self.state, State::Closing(_))
+            && self.flush() == Lifecycle::Close
+        {
+            return Lifecycle::Close;
         }
-        if readable {
+        if readiness.readable {
             self.read(node)
         } else {
-            Flow::Keep
+            Lifecycle::Continue
         }
     }
 
-    fn due(&mut self, node: &mut Node, purpose: u64) -> Flow {
+    fn on_deadline(&mut self, node: &mut Node, kind: u64) -> Lifecycle {
         match self.state {
-            _ if self.frozen => Flow::Keep,
+            _ if self.frozen => Lifecycle::Continue,
             State::First => self.last_look(node),
             // Whether anybody still waits is seen before the next try.
-            State::Waiting(_) if purpose == AGAIN => match self.read(node) {
-                Flow::Keep => self.resume(node),
-                Flow::Done => Flow::Done,
+            State::Waiting(_) if kind == AGAIN => match self.read(node) {
+                Lifecycle::Continue => self.resume(node),
+                Lifecycle::Close => Lifecycle::Close,
             },
-            _ => Flow::Done,
+            _ => Lifecycle::Close,
         }
     }
 
-    fn told(&mut self, node: &mut Node, message: Message) -> Flow {
+    fn on_message(&mut self, node: &mut Node, message: Message) -> Lifecycle {
         match message {
             Message::HandOver => self.hand_over(node),
-            Message::Handed => return Flow::Done,
+            Message::Handed => return Lifecycle::Close,
             Message::Kept => {
                 self.frozen = false;
                 if let Some(place) = &self.place {
@@ -663,44 +677,48 @@
                 let read = self
                     .stream
                     .as_mut()
-                    .is_some_and(|stream| stream.want(true, false).is_ok());
-                return if read { Flow::Keep } else { Flow::Done };
+                    .is_some_and(|stream| stream.set_interest(Interest::READ).is_ok());
+                return if read {
+                    Lifecycle::Continue
+                } else {
+                    Lifecycle::Close
+                };
             }
             _ => {}
         }
         let State::Waiting(waiting) = &mut self.state else {
             return match (message, &self.state) {
                 (Message::Close, State::First) => self.last_look(node),
-                (Message::Close, _) => Flow::Done,
-                _ => Flow::Keep,
+                (Message::Close, _) => Lifecycle::Close,
+                _ => Lifecycle::Continue,
             };
         };
         match message {
             Message::Try(order) => {
-                if self.read(node) == Flow::Done {
-                    return Flow::Done;
+                if self.read(node) == Lifecycle::Close {
+                    return Lifecycle::Close;
                 }
                 self.dial(node, order.request, order.dial, order.until, false);
-                Flow::Keep
+                Lifecycle::Continue
             }
             // Looked at once more, ahead of its turn: it may have left, and what tells so may wait behind much else where
             // the core is used up. What nobody waits for is not sent on.
             Message::Connected(peer) if waiting.peer == Some(peer) => {
                 let flow = self.read(node);
-                if flow == Flow::Keep && matches!(self.state, State::Waiting(_)) {
-                    node.tell(peer, Message::Send);
+                if flow == Lifecycle::Continue && matches!(self.state, State::Waiting(_)) {
+                    node.send(peer, Message::Send);
                 }
                 flow
             }
             Message::Refuse(after) => {
                 if let Some(peer) = waiting.peer {
-                    node.tell(peer, Message::Close);
+                    node.send(peer, Message::Close);
                 }
                 self.answer(node, &busy(after))
             }
             Message::Fail => {
                 if let Some(peer) = waiting.peer {
-                    node.tell(peer, Message::Close);
+                    node.send(peer, Message::Close);
                 }
                 self.answer(node, b"ERR\r\n")
             }
@@ -708,7 +726,7 @@
             // stand by now, so that it is not said to have been refused.
             Message::Ending if waiting.open.holder.is_some() => match waiting.peer {
                 Some(peer) => {
-                    node.tell(peer, Message::Close);
+                    node.send(peer, Message::Close);
                     self.answer(node, b"ERR\r\n")
                 }
                 None => self.answer(node, &busy(Duration::ZERO)),
@@ -728,9 +746,9 @@
                 waiting.peer = None;
                 node.deadlines
                     .set(self.id, AGAIN, Instant::now() + OLD_PAUSE);
-                Flow::Keep
+                Lifecycle::Continue
             }
-            _ => Flow::Keep,
+            _ => Lifecycle::Continue,
         }
     }
 }
--- a/crates/node/src/management.rs
+++ b/crates/node/src/management.rs
@@ -3,10 +3,11 @@
 
 use crate::fleet;
 use crate::peer::LONGEST_LINE;
-use crate::state::{Message, Node, State, CALLS, MANAGEMENT};
+use crate::state::{Message, Node, NodeState, CALLS, MANAGEMENT};
 use crate::upgrade;
-use lupincrank_reactor::poll::{self, Watched};
-use lupincrank_reactor::{Connection, Flow, Id};
+use lupincrank_reactor::poll::{self, Registered};
+use lupincrank_reactor::{poller_key, Interest, Readiness};
+use lupincrank_reactor::{ComponentId, Connection, Lifecycle};
 use slog::{info, warn};
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -81,13 +82,13 @@
 }
 
 /// The calls that are held, the oldest first.
-type Held = Rc<RefCell<BTreeSet<Id>>>;
+type Held = Rc<RefCell<BTreeSet<ComponentId>>>;
 
 /// Takes calls in.
 pub struct Management {
-    socket: Watched<TcpListener>,
+    socket: Registered<TcpListener>,
     held: Held,
-    next: Id,
+    next: ComponentId,
 }
 
 impl Management {
@@ -95,7 +96,12 @@
     pub fn new(node: &Node, address: SocketAddr) -> io::Result<Management> {
         let named = |error| io::Error::other(format!("management at {address}: {error}"));
         let socket = poll::listen(address).map_err(named)?;
-        let socket = Watched::new(&node.poller, socket, MANAGEMENT as usize * 2, true, false)?;
+        let socket = Registered::new(
+            &node.poller,
+            socket,
+            poller_key(MANAGEMENT, 0),
+            Interest::READ,
+        )?;
         info!(node.log, "taking calls"; "management" => %address);
         Ok(Management {
             socket,
@@ -115,7 +121,7 @@
             stream.set_nonblocking(true)?;
             self.next += 1;
             let id = self.next;
-            let stream = Watched::new(&node.poller, stream, id as usize * 2, true, false)?;
+            let stream = Registered::new(&node.poller, stream, poller_key(id, 0), Interest::READ)?;
             self.held.borrow_mut().insert(id);
             let mut caller = Caller {
                 id,
@@ -127,47 +133,47 @@
             // Guards against callers by the hundred that say nothing and keep out one that does.
             if self.held.borrow().len() > node.config.most_calls() {
                 if let Some(oldest) = self.held.borrow_mut().pop_first() {
-                    node.tell(oldest, Message::Close);
+                    node.send(oldest, Message::Close);
                 }
             }
-            if caller.read(node) == Flow::Keep {
+            if caller.read(node) == Lifecycle::Continue {
                 node.deadlines
                     .set(id, 0, Instant::now() + caller.patience());
-                node.adopt(id, Box::new(caller));
+                node.register(id, Box::new(caller));
             }
         }
         Ok(())
     }
 }
 
-impl Connection<State> for Management {
-    fn ready(&mut self, node: &mut Node, _side: usize, _readable: bool, _writable: bool) -> Flow {
+impl Connection<NodeState> for Management {
+    fn on_ready(&mut self, node: &mut Node, _socket: usize, _readiness: Readiness) -> Lifecycle {
         if let Err(error) = self.take(node) {
             warn!(node.log, "cannot take calls for now"; "error" => %error);
-            if self.socket.want(false, false).is_ok() {
+            if self.socket.set_interest(Interest::NONE).is_ok() {
                 node.deadlines.set(MANAGEMENT, 0, Instant::now() + REST);
             }
         }
-        Flow::Keep
+        Lifecycle::Continue
     }
 
-    fn due(&mut self, node: &mut Node, _purpose: u64) -> Flow {
-        if self.socket.want(true, false).is_err() {
+    fn on_deadline(&mut self, node: &mut Node, _kind: u64) -> Lifecycle {
+        if self.socket.set_interest(Interest::READ).is_err() {
             node.deadlines.set(MANAGEMENT, 0, Instant::now() + REST);
         }
-        Flow::Keep
+        Lifecycle::Continue
     }
 
-    fn told(&mut self, _node: &mut Node, _message: Message) -> Flow {
-        Flow::Keep
+    fn on_message(&mut self, _node: &mut Node, _message: Message) -> Lifecycle {
+        Lifecycle::Continue
     }
 }
 
 /// One call.
 struct Caller {
-    id: Id,
+    id: ComponentId,
     held: Held,
-    stream: Watched<TcpStream>,
+    stream: Registered<TcpStream>,
     /// What has come of the call; once it is answered, what is not written of the answer.
     bytes: Vec<u8>,
     answered: bool,
@@ -188,16 +194,18 @@
         }
     }
 
-    fn read(&mut self, node: &mut Node) -> Flow {
+    fn read(&mut self, node: &mut Node) -> Lifecycle {
         let (mut scratch, mut taken) = ([0; 4 << 10], 0);
         while taken < MOST_DRAINED {
             let read = match self.stream.read(&mut scratch) {
-                Ok(0) if self.answered || self.bytes.is_empty() => return Flow::Done,
+                Ok(0) if self.answered || self.bytes.is_empty() => return Lifecycle::Close,
                 Ok(0) => return self.answer(node, Err("the call does not end".into())),
                 Ok(read) => read,
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Flow::Keep,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    return Lifecycle::Continue
+                }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
-                Err(_) => return Flow::Done,
+                Err(_) => return Lifecycle::Close,
             };
             taken += read;
             if self.answered {
@@ -215,16 +223,16 @@
                 _ if self.bytes.len() >= LONGEST_LINE => {
                     self.answer(node, Err("the call is longer than 4 KiB".into()))
                 }
-                _ => Flow::Keep,
+                _ => Lifecycle::Continue,
             };
-            if flow == Flow::Done {
-                return Flow::Done;
+            if flow == Lifecycle::Close {
+                return Lifecycle::Close;
             }
         }
-        Flow::Done
+        Lifecycle::Close
     }
 
-    fn answer(&mut self, node: &mut Node, outcome: Result<String, String>) -> Flow {
+    fn answer(&mut self, node: &mut Node, outcome: Result<String, String>) -> Lifecycle {
         self.answered = true;
         self.bytes = match outcome {
             Ok(told) if told.is_empty() => b"done\r\n".to_vec(),
@@ -237,25 +245,26 @@
 
     /// Writes what is left of the answer and ends the sending; the caller's end is awaited, for closing at once could
     /// destroy an answer that it has not read yet.
-    fn flush(&mut self) -> Flow {
+    fn flush(&mut self) -> Lifecycle {
         while !self.bytes.is_empty() {
             match self.stream.write(&self.bytes) {
                 Ok(sent) => drop(self.bytes.drain(..sent)),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    return if self.stream.want(true, true).is_ok() {
-                        Flow::Keep
+                    return if self.stream.set_interest(Interest::READ_WRITE).is_ok() {
+                        Lifecycle::Continue
                     } else {
-                        Flow::Done
+                        Lifecycle::Close
                     };
                 }
-                Err(_) => return Flow::Done,
+                Err(_) => return Lifecycle::Close,
             }
         }
-        if self.stream.shutdown(Shutdown::Write).is_err() || self.stream.want(true, false).is_err()
+        if self.stream.shutdown(Shutdown::Write).is_err()
+            || self.stream.set_interest(Interest::READ).is_err()
         {
-            return Flow::Done;
+            return Lifecycle::Close;
         }
-        Flow::Keep
+        Lifecycle::Continue
     }
 }
 
@@ -291,31 +300,31 @@
     outcome
 }
 
-impl Connection<State> for Caller {
-    fn ready(&mut self, node: &mut Node, _side: usize, readable: bool, writable: bool) -> Flow {
-        if writable && self.answered && self.flush() == Flow::Done {
-            return Flow::Done;
+impl Connection<NodeState> for Caller {
+    fn on_ready(&mut self, node: &mut Node, _socket: usize, readiness: Readiness) -> Lifecycle {
+        if readiness.writable && self.answered && self.flush() == Lifecycle::Close {
+            return Lifecycle::Close;
         }
-        if readable {
+        if readiness.readable {
             self.read(node)
         } else {
-            Flow::Keep
+            Lifecycle::Continue
         }
     }
 
-    fn due(&mut self, node: &mut Node, _purpose: u64) -> Flow {
+    fn on_deadline(&mut self, node: &mut Node, _kind: u64) -> Lifecycle {
         if self.answered {
-            Flow::Done
+            Lifecycle::Close
         } else {
             self.answer(node, Err("no whole call came in time".into()))
         }
     }
 
-    fn told(&mut self, _node: &mut Node, message: Message) -> Flow {
+    fn on_message(&mut self, _node: &mut Node, message: Message) -> Lifecycle {
         if matches!(message, Message::Close) {
-            Flow::Done
+            Lifecycle::Close
         } else {
-            Flow::Keep
+            Lifecycle::Continue
         }
     }
 }
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -1,9 +1,10 @@
 //! One try: a connection to a transcriber from its making to the first line that comes back.
 
-use crate::state::{Message, Node, State, Up};
+use crate::state::{Message, Node, NodeState, Up};
 use lupincrank_placement::{Outcome, RequestId};
-use lupincrank_reactor::poll::{self, Watched};
-use lupincrank_reactor::{delivery, Connection, Flow, Id};
+use lupincrank_reactor::poll::{self, Registered};
+use lupincrank_reactor::{poller_key, Interest, Readiness};
+use lupincrank_reactor::{unacknowledged, ComponentId, Connection, Lifecycle};
 use slog::debug;
 use socket2::SockRef;
 use std::io::{self, Read, Write};
@@ -21,7 +22,7 @@
 /// What is tried.
 pub struct Try {
     /// The client's object.
-    pub owner: Id,
+    pub owner: ComponentId,
     /// For which request.
     pub request: RequestId,
     /// Where the transcriber listens.
@@ -86,9 +87,9 @@
 
 /// The connection of one try.
 pub struct Peer {
-    id: Id,
+    id: ComponentId,
     task: Try,
-    stream: Option<Watched<TcpStream>>,
+    stream: Option<Registered<TcpStream>>,
     connected: bool,
     /// The owner was asked whether the client still waits, and has said that it does.
     asked: bool,
@@ -99,7 +100,7 @@
 
 impl Peer {
     /// Begins a try; how it ends is told to the core, also when it cannot even begin.
-    pub fn open(node: &mut Node, id: Id, task: Try) {
+    pub fn open(node: &mut Node, id: ComponentId, task: Try) {
         let (stream, bytes) = (None, Vec::new());
         let mut peer = Peer {
             id,
@@ -112,7 +113,7 @@
             bytes,
         };
         let now = Instant::now();
-        match poll::connect(&node.poller, peer.task.dial, id as usize * 2) {
+        match poll::connect(&node.poller, peer.task.dial, poller_key(id, 0)) {
             Ok(stream) => {
                 peer.stream = Some(stream);
                 node.deadlines.set(
@@ -121,14 +122,14 @@
                     peer.task.until.min(now + node.config.connect_timeout),
                 );
                 node.deadlines.set(id, ANSWER, peer.task.until);
-                node.adopt(id, Box::new(peer));
+                node.register(id, Box::new(peer));
             }
             Err(error) => {
                 debug!(node.log, "cannot connect"; "dial" => %peer.task.dial, "error" => %error);
                 // What this machine lacks says nothing of the transcriber.
                 let lacks = error
                     .raw_os_error()
-                    .is_some_and(|code| poll::LACKS.contains(&code));
+                    .is_some_and(|code| poll::RESOURCE_EXHAUSTED_ERRNOS.contains(&code));
                 peer.end(
                     node,
                     if lacks {
@@ -142,16 +143,16 @@
     }
 
     /// Closes the connection, then says how the try ended: the next one must not start before.
-    fn end(&mut self, node: &mut Node, outcome: Outcome) -> Flow {
+    fn end(&mut self, node: &mut Node, outcome: Outcome) -> Lifecycle {
         debug!(node.log, "try ended"; "request" => format!("{:016x}", self.task.request.0),
             "dial" => %self.task.dial, "outcome" => ?outcome);
         self.close();
         if self.task.stood {
-            node.tell(self.task.owner, Message::NotUp);
+            node.send(self.task.owner, Message::NotUp);
         } else {
             node.core.try_ended(self.task.request, outcome, false);
         }
-        Flow::Done
+        Lifecycle::Close
     }
 
     /// From here on nothing of this try may wait in the kernel to be sent once a network that is cut heals: if the connection
@@ -170,7 +171,7 @@
         let Some(stream) = self.stream.take() else {
             return;
         };
-        if self.sent > 0 && matches!(delivery::unacknowledged(&stream), Ok(0)) {
+        if self.sent > 0 && matches!(unacknowledged::unacknowledged_bytes(&stream), Ok(0)) {
             Peer::disarm(&stream);
         }
     }
@@ -199,9 +200,9 @@
             // It may have taken long: whether anybody still waits for it is seen first. The owner looks before the next
             // event; nothing is waited for meanwhile. Guards against a loop that spins on a writable socket.
             if !std::mem::replace(&mut self.asked, true) {
-                node.tell(self.task.owner, Message::Connected(self.id));
+                node.send(self.task.owner, Message::Connected(self.id));
             }
-            return stream.want(true, false);
+            return stream.set_interest(Interest::READ);
         }
         if self.sent == 0 {
             Peer::arm(stream)?;
@@ -212,15 +213,15 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     // Before the rest goes out it is asked again.
                     (self.asked, self.may_send) = (false, false);
-                    return stream.want(true, true);
+                    return stream.set_interest(Interest::READ_WRITE);
                 }
                 Err(error) => return Err(error),
             }
         }
-        stream.want(true, false)
+        stream.set_interest(Interest::READ)
     }
 
-    fn read(&mut self, node: &mut Node) -> Option<Flow> {
+    fn read(&mut self, node: &mut Node) -> Option<Lifecycle> {
         let mut scratch = [0; 4 << 10];
         let mut taken = 0;
         while taken < TURN {
@@ -247,7 +248,7 @@
                     Said::Up => {
                         let stream = self.stream.take()?;
                         let bytes = std::mem::take(&mut self.bytes);
-                        node.tell(
+                        node.send(
                             self.task.owner,
                             Message::Up(Up {
                                 request: self.task.request,
@@ -255,13 +256,13 @@
                                 bytes,
                             }),
                         );
-                        return Some(Flow::Done);
+                        return Some(Lifecycle::Close);
                     }
                     Said::Bye => {
                         let line = self.bytes[..=end].to_vec();
                         self.stream = None;
-                        node.tell(self.task.owner, Message::Ended(line));
-                        return Some(Flow::Done);
+                        node.send(self.task.owner, Message::Ended(line));
+                        return Some(Lifecycle::Close);
                     }
                     // A load told before the answer is of no use to anyone yet.
                     Said::Load(_) => drop(self.bytes.drain(..=end)),
@@ -269,7 +270,7 @@
                     Said::Syntax if !self.task.stood => {
                         self.stream = None;
                         node.core.unreadable(self.task.request);
-                        return Some(Flow::Done);
+                        return Some(Lifecycle::Close);
                     }
                     Said::Move => return Some(self.end(node, Outcome::Cancelled)),
                     Said::Err | Said::Syntax | Said::Other => {
@@ -287,7 +288,7 @@
     /// The client waits: the first line goes out, unless its transcriber has begun to leave while the connection came up.
     /// Guards against something new to it past the grace, where connections may take longer than that. What stood there
     /// before is nothing new.
-    fn send(&mut self, node: &mut Node) -> Flow {
+    fn send(&mut self, node: &mut Node) -> Lifecycle {
         self.may_send = true;
         if self.sent == 0 && !self.task.stood && !node.core.may_send(self.task.request) {
             return self.end(node, Outcome::Dropped);
@@ -295,9 +296,9 @@
         self.progress(node)
     }
 
-    fn progress(&mut self, node: &mut Node) -> Flow {
+    fn progress(&mut self, node: &mut Node) -> Lifecycle {
         match self.write(node) {
-            Ok(()) => Flow::Keep,
+            Ok(()) => Lifecycle::Continue,
             Err(error) => {
                 debug!(node.log, "cannot send"; "dial" => %self.task.dial, "error" => %error);
                 self.end(node, self.broken())
@@ -306,19 +307,19 @@
     }
 }
 
-impl Connection<State> for Peer {
-    fn ready(&mut self, node: &mut Node, _side: usize, readable: bool, _writable: bool) -> Flow {
-        if self.sent < self.task.line.len() && self.progress(node) == Flow::Done {
-            return Flow::Done;
+impl Connection<NodeState> for Peer {
+    fn on_ready(&mut self, node: &mut Node, _socket: usize, readiness: Readiness) -> Lifecycle {
+        if self.sent < self.task.line.len() && self.progress(node) == Lifecycle::Close {
+            return Lifecycle::Close;
         }
-        if readable {
-            self.read(node).unwrap_or(Flow::Keep)
+        if readiness.readable {
+            self.read(node).unwrap_or(Lifecycle::Continue)
         } else {
-            Flow::Keep
+            Lifecycle::Continue
         }
     }
 
-    fn due(&mut self, node: &mut Node, _purpose: u64) -> Flow {
+    fn on_deadline(&mut self, node: &mut Node, _kind: u64) -> Lifecycle {
         // Its answer may have come while this process was kept from reading it.
         if self.connected {
             if let Some(flow) = self.read(node) {
@@ -336,14 +337,14 @@
         )
     }
 
-    fn told(&mut self, node: &mut Node, message: Message) -> Flow {
+    fn on_message(&mut self, node: &mut Node, message: Message) -> Lifecycle {
         match message {
             Message::Close => {
                 self.close();
-                Flow::Done
+                Lifecycle::Close
             }
             Message::Send => self.send(node),
-            _ => Flow::Keep,
+            _ => Lifecycle::Continue,
         }
     }
 }
--- a/crates/node/src/probe.rs
+++ b/crates/node/src/probe.rs
@@ -1,10 +1,11 @@
 //! Probes: one line to a transcriber on a connection of its own, and what comes back tells how loaded it is. The connection
 //! stays for the next probe, since each new one costs the transcriber work.
 
-use crate::state::{Message, Node, State};
+use crate::state::{Message, Node, NodeState};
 use lupincrank_placement::ServerId;
-use lupincrank_reactor::poll::{self, Watched};
-use lupincrank_reactor::{Connection, Flow, Id};
+use lupincrank_reactor::poll::{self, Registered};
+use lupincrank_reactor::{poller_key, Interest, Readiness};
+use lupincrank_reactor::{ComponentId, Connection, Lifecycle};
 use slog::debug;
 use std::collections::HashMap;
 use std::io::{self, Read, Write};
@@ -25,7 +26,7 @@
 /// The connections for probes: one for a transcriber at the most.
 #[derive(Default)]
 pub struct Probes {
-    open: HashMap<ServerId, (Id, SocketAddr)>,
+    open: HashMap<ServerId, (ComponentId, SocketAddr)>,
 }
 
 /// What a transcriber's answer says: whether it passed, and its load report as `fields` name it.
@@ -60,15 +61,15 @@
 /// Probes a transcriber. Where too many are probed at once it is left, and nothing is said of it.
 pub fn probe(node: &mut Node, server: ServerId, dial: SocketAddr) {
     match node.probes.open.get(&server).copied() {
-        Some((id, at)) if at == dial => return node.tell(id, Message::Probe),
-        Some((id, _)) => node.tell(id, Message::Close),
+        Some((id, at)) if at == dial => return node.send(id, Message::Probe),
+        Some((id, _)) => node.send(id, Message::Close),
         None if node.probes.open.len() >= node.config.most_probes() => {
             return node.core.probed(&server, true, None);
         }
         None => {}
     }
-    let id = node.name();
-    match poll::connect(&node.poller, dial, id as usize * 2) {
+    let id = node.allocate_id();
+    match poll::connect(&node.poller, dial, poller_key(id, 0)) {
         Ok(stream) => {
             let now = Instant::now();
             node.deadlines
@@ -84,14 +85,14 @@
                 sent: 0,
                 bytes: Vec::new(),
             };
-            node.adopt(id, Box::new(prober));
+            node.register(id, Box::new(prober));
         }
         Err(error) => {
             debug!(node.log, "cannot probe"; "server" => &*server.0, "error" => %error);
             // What this machine lacks says nothing of the transcriber.
             let lacks = error
                 .raw_os_error()
-                .is_some_and(|code| poll::LACKS.contains(&code));
+                .is_some_and(|code| poll::RESOURCE_EXHAUSTED_ERRNOS.contains(&code));
             node.core.probed(&server, lacks, None);
         }
     }
@@ -99,9 +100,9 @@
 
 /// The connection for probes of one transcriber.
 struct Prober {
-    id: Id,
+    id: ComponentId,
     server: ServerId,
-    stream: Watched<TcpStream>,
+    stream: Registered<TcpStream>,
     connected: bool,
     /// A probe is out, and so much of it is written.
     asks: bool,
@@ -111,7 +112,7 @@
 
 impl Prober {
     /// It ends; an answer that is out will not come.
-    fn end(&mut self, node: &mut Node) -> Flow {
+    fn end(&mut self, node: &mut Node) -> Lifecycle {
         if node
             .probes
             .open
@@ -124,7 +125,7 @@
             debug!(node.log, "probe failed"; "server" => &*self.server.0);
             node.core.probed(&self.server, false, None);
         }
-        Flow::Done
+        Lifecycle::Close
     }
 
     fn write(&mut self, node: &mut Node) -> io::Result<()> {
@@ -139,12 +140,12 @@
             match self.stream.write(&QUESTION[self.sent..]) {
                 Ok(sent) => self.sent += sent,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    return self.stream.want(true, true)
+                    return self.stream.set_interest(Interest::READ_WRITE)
                 }
                 Err(error) => return Err(error),
             }
         }
-        self.stream.want(true, false)
+        self.stream.set_interest(Interest::READ)
     }
 
     /// Reads what has come; an error is the end of the connection.
@@ -179,27 +180,37 @@
     }
 }
 
-impl Connection<State> for Prober {
-    fn ready(&mut self, node: &mut Node, _side: usize, readable: bool, writable: bool) -> Flow {
-        let written = if writable { self.write(node) } else { Ok(()) };
-        match written.and_then(|()| if readable { self.read(node) } else { Ok(()) }) {
-            Ok(()) => Flow::Keep,
+impl Connection<NodeState> for Prober {
+    fn on_ready(&mut self, node: &mut Node, _socket: usize, readiness: Readiness) -> Lifecycle {
+        let written = if readiness.writable {
+            self.write(node)
+        } else {
+            Ok(())
+        };
+        match written.and_then(|()| {
+            if readiness.readable {
+                self.read(node)
+            } else {
+                Ok(())
+            }
+        }) {
+            Ok(()) => Lifecycle::Continue,
             Err(_) => self.end(node),
         }
     }
 
-    fn due(&mut self, node: &mut Node, _purpose: u64) -> Flow {
+    fn on_deadline(&mut self, node: &mut Node, _kind: u64) -> Lifecycle {
         self.end(node)
     }
 
-    fn told(&mut self, node: &mut Node, message: Message) -> Flow {
+    fn on_message(&mut self, node: &mut Node, message: Message) -> Lifecycle {
         match message {
             Message::Probe if !self.asks => {
                 (self.asks, self.sent) = (true, 0);
                 node.deadlines
                     .set(self.id, PATIENCE, Instant::now() + ANSWERED);
                 match self.write(node) {
-                    Ok(()) => Flow::Keep,
+                    Ok(()) => Lifecycle::Continue,
                     Err(_) => self.end(node),
                 }
             }
@@ -207,7 +218,7 @@
                 self.asks = false; // it was asked anew, elsewhere
                 self.end(node)
             }
-            _ => Flow::Keep,
+            _ => Lifecycle::Continue,
         }
     }
 }
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -1,11 +1,12 @@
 //! A connection that is up: passes bytes both ways unchanged and taps what the decisions need of them.
 
 use crate::peer::{said, Said, LONGEST_LINE};
-use crate::state::{Message, Node, Seat, State, Up};
+use crate::state::{Message, Node, NodeState, Seat, Up};
 use crate::upgrade::link::{self, Standing};
 use lupincrank_placement::{Incoming, Outcome, RequestId, Time};
-use lupincrank_reactor::poll::Watched;
-use lupincrank_reactor::{Connection, Flow, Id};
+use lupincrank_reactor::poll::Registered;
+use lupincrank_reactor::{poller_key, Interest, Readiness};
+use lupincrank_reactor::{ComponentId, Connection, Lifecycle};
 use slog::debug;
 use socket2::SockRef;
 use std::io::{self, Read, Write};
@@ -68,12 +69,12 @@
 
 /// A client and its peer.
 pub struct Relay {
-    id: Id,
+    id: ComponentId,
     _seat: Seat,
     request: RequestId,
-    client: Watched<TcpStream>,
+    client: Registered<TcpStream>,
     /// `None` once the client has been sent away.
-    peer: Option<Watched<TcpStream>>,
+    peer: Option<Registered<TcpStream>>,
     up: Pipe,
     down: Pipe,
     /// A side that has this much waiting for it is not read for: what the other sends stays with the sender.
@@ -92,13 +93,19 @@
 
 impl Relay {
     /// Takes both sockets over and passes on what has already come on them.
-    pub fn begin(node: &mut Node, id: Id, seat: Seat, client: Watched<TcpStream>, up: Up) {
+    pub fn begin(
+        node: &mut Node,
+        id: ComponentId,
+        seat: Seat,
+        client: Registered<TcpStream>,
+        up: Up,
+    ) {
         let Up {
             request,
             mut stream,
             bytes,
         } = up;
-        let rekeyed = stream.rekey(id as usize * 2 + 1);
+        let rekeyed = stream.rekey(poller_key(id, 1));
         let mut relay = Relay {
             id,
             _seat: seat,
@@ -118,15 +125,15 @@
             return relay.end(node, Outcome::Reset);
         }
         relay.peer_sent(node, &bytes, false);
-        if relay.pump(node) == Flow::Keep {
+        if relay.pump(node) == Lifecycle::Continue {
             if node.upgrade.handing() {
                 node.upgrade.enqueue([id]);
             }
-            node.adopt(id, Box::new(relay));
+            node.register(id, Box::new(relay));
         }
     }
 
-    /// Whether a connection that another process hands over can go on here.
+    /// Whether a connection that another process context over can go on here.
     pub fn may_take(node: &Node, record: &Standing, bytes: &[u8]) -> bool {
         let whole = record
             .lengths
@@ -142,10 +149,10 @@
         bytes: &[u8],
         [client, peer]: [OwnedFd; 2],
     ) {
-        let id = node.name();
+        let id = node.allocate_id();
         let watch = |fd: OwnedFd, side| {
             let stream = TcpStream::from(fd);
-            Watched::new(&node.poller, stream, id as usize * 2 + side, true, false)
+            Registered::new(&node.poller, stream, poller_key(id, side), Interest::READ)
         };
         let (Ok(client), Ok(peer)) = (watch(client, CLIENT), watch(peer, 1)) else {
             return;
@@ -195,23 +202,23 @@
         let load = record.load_us.map(|load| load as f64);
         node.core
             .take_over(id, incoming, &record.server, load, unanswered);
-        if relay.pump(node) == Flow::Keep {
-            node.adopt(id, Box::new(relay));
+        if relay.pump(node) == Lifecycle::Continue {
+            node.register(id, Box::new(relay));
         }
     }
 
     /// Sends both sockets and all that waits between them to the process that takes this one's place. One that is ending
     /// ends here.
-    fn hand_over(&mut self, node: &mut Node) -> Flow {
+    fn hand_over(&mut self, node: &mut Node) -> Lifecycle {
         let Some(peer) = self
             .peer
             .as_ref()
             .filter(|_| !self.frozen && !self.up.ended && !self.down.ended)
         else {
-            return Flow::Keep;
+            return Lifecycle::Continue;
         };
         let Some((incoming, server, load, unanswered)) = node.core.standing(self.request) else {
-            return Flow::Keep;
+            return Lifecycle::Continue;
         };
         let parts = [
             &self.up.bytes[self.up.sent..],
@@ -247,20 +254,20 @@
             Ok(true) => {
                 debug!(node.log, "on its way"; "request" => format!("{:016x}", self.request.0));
                 self.frozen = true;
-                let quiet = self.client.want(false, false);
+                let quiet = self.client.set_interest(Interest::NONE);
                 if quiet
                     .and(
                         self.peer
                             .as_mut()
-                            .map_or(Ok(()), |peer| peer.want(false, false)),
+                            .map_or(Ok(()), |peer| peer.set_interest(Interest::NONE)),
                     )
                     .is_err()
                 {
                     debug!(node.log, "cannot rest"; "request" => format!("{:016x}", self.request.0));
                 }
-                Flow::Keep
+                Lifecycle::Continue
             }
-            Ok(false) => Flow::Keep,
+            Ok(false) => Lifecycle::Continue,
             Err(error) => {
                 debug!(node.log, "cannot hand over"; "error" => %error);
                 self.send_away(node)
@@ -304,7 +311,7 @@
     }
 
     /// Writes what waits, sets what is waited for, and says whether there is anything left to do.
-    fn pump(&mut self, node: &mut Node) -> Flow {
+    fn pump(&mut self, node: &mut Node) -> Lifecycle {
         if self.down.write(&mut self.client).is_err() {
             return self.broke(node, CLIENT);
         }
@@ -313,18 +320,24 @@
             return self.broke(node, 1);
         }
         if self.down.shut && self.up.ended && (self.up.shut || self.peer.is_none()) {
-            return Flow::Done;
+            return Lifecycle::Close;
         }
         let reads_client = !self.up.ended && self.up.waiting() < self.most_held;
-        let mut wanted = self.client.want(reads_client, self.down.waiting() > 0);
+        let mut wanted = self.client.set_interest(Interest {
+            readable: reads_client,
+            writable: self.down.waiting() > 0,
+        });
         if let Some(peer) = &mut self.peer {
             let reads_peer = !self.down.ended && self.down.waiting() < self.most_held;
-            wanted = wanted.and(peer.want(reads_peer, self.up.waiting() > 0));
+            wanted = wanted.and(peer.set_interest(Interest {
+                readable: reads_peer,
+                writable: self.up.waiting() > 0,
+            }));
         }
         if wanted.is_err() {
             self.broke(node, CLIENT)
         } else {
-            Flow::Keep
+            Lifecycle::Continue
         }
     }
 
@@ -340,7 +353,7 @@
     }
 
     /// One side was reset: the other is reset too, after what it can still take at once.
-    fn broke(&mut self, node: &mut Node, side: usize) -> Flow {
+    fn broke(&mut self, node: &mut Node, side: usize) -> Lifecycle {
         let outcome = if side == CLIENT {
             Outcome::Cancelled
         } else {
@@ -356,17 +369,17 @@
             let _ = self.down.write(&mut self.client);
             let _ = SockRef::from(&*self.client).set_linger(Some(Duration::ZERO));
         }
-        Flow::Done
+        Lifecycle::Close
     }
 
-    fn read(&mut self, node: &mut Node, side: usize) -> Flow {
+    fn read(&mut self, node: &mut Node, side: usize) -> Lifecycle {
         let mut scratch = [0; READ];
         let mut taken = 0;
         while taken < TURN {
             let (pipe, stream) = match (side, &mut self.peer) {
                 (CLIENT, _) => (&mut self.up, &mut self.client),
                 (_, Some(peer)) => (&mut self.down, peer),
-                (_, None) => return Flow::Keep,
+                (_, None) => return Lifecycle::Continue,
             };
             let read = if pipe.ended || pipe.waiting() >= self.most_held {
                 // Told of without being asked: the connection broke.
@@ -428,7 +441,7 @@
     }
 
     /// Sends the client away between two lines, and ends both sides.
-    fn send_away(&mut self, node: &mut Node) -> Flow {
+    fn send_away(&mut self, node: &mut Node) -> Lifecycle {
         if self.peer.take().is_some() {
             self.part.clear();
             self.up.bytes.clear();
@@ -445,30 +458,30 @@
     }
 }
 
-impl Connection<State> for Relay {
-    fn ready(&mut self, node: &mut Node, side: usize, readable: bool, _writable: bool) -> Flow {
+impl Connection<NodeState> for Relay {
+    fn on_ready(&mut self, node: &mut Node, socket: usize, readiness: Readiness) -> Lifecycle {
         if self.frozen {
-            Flow::Keep
-        } else if readable {
-            self.read(node, side)
+            Lifecycle::Continue
+        } else if readiness.readable {
+            self.read(node, socket)
         } else {
             self.pump(node)
         }
     }
 
-    fn due(&mut self, node: &mut Node, _purpose: u64) -> Flow {
+    fn on_deadline(&mut self, node: &mut Node, _kind: u64) -> Lifecycle {
         self.end(node, Outcome::Cancelled);
-        Flow::Done
+        Lifecycle::Close
     }
 
-    fn told(&mut self, node: &mut Node, message: Message) -> Flow {
+    fn on_message(&mut self, node: &mut Node, message: Message) -> Lifecycle {
         match message {
             Message::Move if self.frozen => self.moves = true,
             Message::Move => return self.send_away(node),
             Message::HandOver => return self.hand_over(node),
             Message::Handed => {
                 self.end(node, Outcome::Cancelled);
-                return Flow::Done;
+                return Lifecycle::Close;
             }
             Message::Kept => {
                 self.frozen = false;
@@ -480,6 +493,6 @@
             }
             _ => {}
         }
-        Flow::Keep
+        Lifecycle::Continue
     }
 }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -2,40 +2,41 @@
 
 use crate::config::Config;
 use crate::state::{
-    Message, State, DISCOVERY, LISTENER, LOOK, LOOK_PURPOSE, MANAGEMENT, RESERVED, SIGNALS, UPGRADE,
+    Message, NodeState, DISCOVERY, LISTENER, LOOK, LOOK_PURPOSE, MANAGEMENT, RESERVED, SIGNALS,
+    UPGRADE,
 };
 use crate::{discovery, fleet, line_front, management, signals, upgrade};
-use lupincrank_reactor::{Reactor, WORLD};
+use lupincrank_reactor::{Reactor, APPLICATION};
 use slog::{info, Logger};
 use std::io;
 use std::time::Instant;
 
 /// The loop with the listener, discovery and signals, ready to run.
-pub fn start(config: Config, log: Logger) -> io::Result<Reactor<State>> {
+pub fn start(config: Config, log: Logger) -> io::Result<Reactor<NodeState>> {
     // Before anything else is opened, which could get the number of a descriptor that is not there.
     let inherited = config
         .inherited
         .map(|fd| upgrade::inherited::listener(fd, config.listen))
         .transpose()?;
-    let mut reactor = Reactor::new(State::new(config, log), RESERVED)?;
-    let node = &mut reactor.hands;
+    let mut reactor = Reactor::new(NodeState::new(config, log), RESERVED)?;
+    let node = &mut reactor.context;
     let signals = signals::Signals::new(node)?;
-    node.adopt(SIGNALS, Box::new(signals));
+    node.register(SIGNALS, Box::new(signals));
     let discovery = discovery::Discovery::new(&node.config);
-    node.adopt(DISCOVERY, Box::new(discovery));
+    node.register(DISCOVERY, Box::new(discovery));
     let listener = line_front::Listener::new(node, inherited)?;
-    node.adopt(LISTENER, Box::new(listener));
-    node.adopt(UPGRADE, Box::new(upgrade::Watch));
+    node.register(LISTENER, Box::new(listener));
+    node.register(UPGRADE, Box::new(upgrade::Watch));
     upgrade::begin(node);
     fleet::begin(node).map_err(io::Error::other)?;
     if let Some(address) = node.config.management {
         let management = management::Management::new(node, address)?;
-        node.adopt(MANAGEMENT, Box::new(management));
+        node.register(MANAGEMENT, Box::new(management));
     }
     info!(node.log, "serving"; "listen" => %node.config.listen, "name" => %node.config.name);
     node.core.start();
-    node.tell(DISCOVERY, Message::Begin);
+    node.send(DISCOVERY, Message::Begin);
     node.deadlines
-        .set(WORLD, LOOK_PURPOSE, Instant::now() + LOOK);
+        .set(APPLICATION, LOOK_PURPOSE, Instant::now() + LOOK);
     Ok(reactor)
 }
--- a/crates/node/src/signals.rs
+++ b/crates/node/src/signals.rs
@@ -1,9 +1,10 @@
 //! SIGTERM: the node goes on answering, sends its clients away at a steady pace and ends before it is killed.
 //! SIGHUP: it reads its configuration again.
 
-use crate::state::{Message, Node, State, DISCOVERY, SIGNALS};
-use lupincrank_reactor::poll::Watched;
-use lupincrank_reactor::{Connection, Flow};
+use crate::state::{Message, Node, NodeState, DISCOVERY, SIGNALS};
+use lupincrank_reactor::poll::Registered;
+use lupincrank_reactor::{poller_key, Interest, Readiness};
+use lupincrank_reactor::{Connection, Lifecycle};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::low_level::pipe;
 use slog::{info, warn};
@@ -27,18 +28,23 @@
 /// Waits for signals.
 pub struct Signals {
     /// For the end and for a new configuration: a byte from a pipe does not tell which signal it stands for.
-    pipes: [Watched<UnixStream>; 2],
+    pipes: [Registered<UnixStream>; 2],
     began: Option<Instant>,
 }
 
-fn pipe_of(node: &Node, signals: &[i32], side: usize) -> io::Result<Watched<UnixStream>> {
+fn pipe_of(node: &Node, signals: &[i32], side: usize) -> io::Result<Registered<UnixStream>> {
     let (read, write) = UnixStream::pair()?;
     read.set_nonblocking(true)?;
     write.set_nonblocking(true)?;
     for signal in signals {
         pipe::register(*signal, write.try_clone()?)?;
     }
-    Watched::new(&node.poller, read, SIGNALS as usize * 2 + side, true, false)
+    Registered::new(
+        &node.poller,
+        read,
+        poller_key(SIGNALS, side),
+        Interest::READ,
+    )
 }
 
 impl Signals {
@@ -62,14 +68,14 @@
     let moved = fresh.discovery != node.config.discovery;
     let (later, from) = node.config.replace(fresh);
     let later = later.join(", ");
-    let State { core, config, .. } = &mut node.world;
+    let NodeState { core, config, .. } = &mut node.application;
     core.renew(config, from);
     let classes = node.config.classes.join(", ");
     info!(node.log, "configuration read again"; "classes" => classes, "attempts" => node.config.settings.attempt_cap,
         "discovery" => %node.config.discovery, "sockets" =>
         node.config.sockets, "memory_mb" => node.config.memory_mb, "waits for the next start" => later);
     if moved {
-        node.tell(DISCOVERY, Message::Moved);
+        node.send(DISCOVERY, Message::Moved);
     }
 }
 
@@ -77,10 +83,10 @@
     longest_deadline.min(LONGEST) + AFTER_DEADLINE - SPARE
 }
 
-impl Connection<State> for Signals {
-    fn ready(&mut self, node: &mut Node, side: usize, _readable: bool, _writable: bool) -> Flow {
-        while matches!(self.pipes[side].read(&mut [0; 64]), Ok(read) if read > 0) {}
-        if side == RELOAD {
+impl Connection<NodeState> for Signals {
+    fn on_ready(&mut self, node: &mut Node, socket: usize, _readiness: Readiness) -> Lifecycle {
+        while matches!(self.pipes[socket].read(&mut [0; 64]), Ok(read) if read > 0) {}
+        if socket == RELOAD {
             reload(node);
         } else if self.began.is_none() {
             let now = Instant::now();
@@ -95,12 +101,12 @@
             node.deadlines
                 .set(SIGNALS, 0, until.checked_sub(FIRST_MOVE).unwrap_or(now));
         }
-        Flow::Keep
+        Lifecycle::Continue
     }
 
-    fn due(&mut self, node: &mut Node, _purpose: u64) -> Flow {
+    fn on_deadline(&mut self, node: &mut Node, _kind: u64) -> Lifecycle {
         let Some((_, until)) = node.leaving else {
-            return Flow::Keep;
+            return Lifecycle::Continue;
         };
         let now = Instant::now();
         node.core.leave();
@@ -110,10 +116,10 @@
         node.core.send_away(steps);
         node.ending = steps <= 1;
         node.deadlines.set(SIGNALS, 0, now + STEP);
-        Flow::Keep
+        Lifecycle::Continue
     }
 
-    fn told(&mut self, _node: &mut Node, _message: Message) -> Flow {
-        Flow::Keep
+    fn on_message(&mut self, _node: &mut Node, _message: Message) -> Lifecycle {
+        Lifecycle::Continue
     }
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -7,8 +7,8 @@
 use crate::upgrade::held::Upgrade;
 use crate::upgrade::link::Said;
 use lupincrank_placement::{RequestId, ServerId};
-use lupincrank_reactor::poll::Watched;
-use lupincrank_reactor::{Hands, Id, World, WORLD};
+use lupincrank_reactor::poll::Registered;
+use lupincrank_reactor::{Application, ComponentId, Context, APPLICATION};
 use slog::{info, warn, Logger};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
@@ -21,23 +21,23 @@
 /// The deadline of that; all others of the world's own are the decisions' timers.
 pub const LOOK_PURPOSE: u64 = 0;
 /// Discovery's connection and the listener have fixed names.
-pub const DISCOVERY: Id = 1;
+pub const DISCOVERY: ComponentId = 1;
 /// See `DISCOVERY`.
-pub const LISTENER: Id = 2;
+pub const LISTENER: ComponentId = 2;
 /// The object that watches for signals.
-pub const SIGNALS: Id = 3;
+pub const SIGNALS: ComponentId = 3;
 /// The listener for calls of the staff.
-pub const MANAGEMENT: Id = 4;
+pub const MANAGEMENT: ComponentId = 4;
 /// The link to another process of this node.
 pub use crate::upgrade::held::UPGRADE;
 /// What this node has to do with its fleet.
-pub const FLEET: Id = 6;
+pub const FLEET: ComponentId = 6;
 /// What tells that something of the council is on the disk.
-pub const DISK: Id = 7;
+pub const DISK: ComponentId = 7;
 /// Objects that come and go have names after this one.
-pub const RESERVED: Id = DISK;
+pub const RESERVED: ComponentId = DISK;
 /// Calls of the staff have names from here on: their sockets are looked at before all others.
-pub const CALLS: Id = 1 << 60;
+pub const CALLS: ComponentId = 1 << 60;
 /// New connections keep arriving for up to 0.4 s after SIGTERM: the listener stays at least this long.
 const STAYS: Duration = Duration::from_millis(800);
 
@@ -52,7 +52,7 @@
     /// Send the client away, between two lines.
     Move,
     /// The try of this name has its connection: its line may go out, if its client still waits.
-    Connected(Id),
+    Connected(ComponentId),
     /// Send the first line.
     Send,
     /// Probe the transcriber again.
@@ -88,7 +88,7 @@
     /// Whose.
     pub request: RequestId,
     /// The connection.
-    pub stream: Watched<TcpStream>,
+    pub stream: Registered<TcpStream>,
     /// What has come back on it so far: the UP line and perhaps more.
     pub bytes: Vec<u8>,
 }
@@ -111,13 +111,13 @@
 }
 
 /// Connections that ask for nothing yet or have their answer, the one that has to go first in front.
-pub type Strangers = Rc<RefCell<BTreeSet<(Instant, Id)>>>;
+pub type Strangers = Rc<RefCell<BTreeSet<(Instant, ComponentId)>>>;
 
 /// What callbacks may use.
-pub type Node = Hands<State>;
+pub type Node = Context<NodeState>;
 
 /// What the node keeps.
-pub struct State {
+pub struct NodeState {
     /// The decisions and the request contexts.
     pub core: Core,
     /// What the node was told at its start.
@@ -144,10 +144,10 @@
     pub ending: bool,
 }
 
-impl State {
+impl NodeState {
     /// As the node begins.
-    pub fn new(config: Config, log: Logger) -> State {
-        State {
+    pub fn new(config: Config, log: Logger) -> NodeState {
+        NodeState {
             core: Core::new(&config, log.clone()),
             upgrade: Upgrade::new(config.listen, config.inherited),
             config,
@@ -188,30 +188,32 @@
     }
 }
 
-impl World for State {
+impl Application for NodeState {
+    type DeadlineKind = u64;
     type Message = Message;
 
-    fn settle(node: &mut Node, objects: &mut dyn Iterator<Item = Id>) {
+    fn after_callback(node: &mut Node, objects: &mut dyn Iterator<Item = ComponentId>) {
         while let Some(order) = node.core.orders.pop_front() {
             match order {
-                Order::Try(owner, order) => node.tell(owner, Message::Try(order)),
-                Order::Refuse(owner, after) => node.tell(owner, Message::Refuse(after)),
-                Order::Fail(owner) => node.tell(owner, Message::Fail),
-                Order::Move(owner) => node.tell(owner, Message::Move),
+                Order::Try(owner, order) => node.send(owner, Message::Try(order)),
+                Order::Refuse(owner, after) => node.send(owner, Message::Refuse(after)),
+                Order::Fail(owner) => node.send(owner, Message::Fail),
+                Order::Move(owner) => node.send(owner, Message::Move),
                 Order::Probe(server, dial) => probe::probe(node, server, dial),
-                Order::Subscribe => node.tell(DISCOVERY, Message::Subscribe),
+                Order::Subscribe => node.send(DISCOVERY, Message::Subscribe),
                 Order::Timer { after, purpose } => {
-                    node.deadlines.set(WORLD, purpose, Instant::now() + after);
+                    node.deadlines
+                        .set(APPLICATION, purpose, Instant::now() + after);
                 }
             }
         }
         if node.hand_over || node.ending {
-            let mut ids: Vec<Id> = objects
+            let mut ids: Vec<ComponentId> = objects
                 .filter(|id| (RESERVED + 1..CALLS).contains(id))
                 .collect();
             ids.sort_unstable();
             if std::mem::take(&mut node.ending) {
-                ids.iter().for_each(|id| node.tell(*id, Message::Ending));
+                ids.iter().for_each(|id| node.send(*id, Message::Ending));
             }
             if std::mem::take(&mut node.hand_over) {
                 node.upgrade.enqueue(ids);
@@ -219,17 +221,17 @@
         }
     }
 
-    fn due(node: &mut Node, purpose: u64) {
-        if purpose == LOOK_PURPOSE {
+    fn on_deadline(node: &mut Node, kind: u64) {
+        if kind == LOOK_PURPOSE {
             node.deadlines
-                .set(WORLD, LOOK_PURPOSE, Instant::now() + LOOK);
+                .set(APPLICATION, LOOK_PURPOSE, Instant::now() + LOOK);
             node.core.look();
         } else {
-            node.core.timer(purpose);
+            node.core.timer(kind);
         }
     }
 
-    fn over(&self) -> bool {
+    fn is_finished(&self) -> bool {
         let Some((since, until)) = self.leaving else {
             return false;
         };
@@ -247,14 +249,14 @@
         over
     }
 
-    fn unheard(&mut self, _id: Id, message: Message) {
+    fn on_undelivered(&mut self, _id: ComponentId, message: Message) {
         // A socket handed to an object that has ended meanwhile is closed with the message.
         if let Message::Up(up) = message {
             warn!(self.log, "came up for nobody"; "request" => format!("{:016x}", up.request.0));
         }
     }
 
-    fn goes_first(&self, id: Id) -> bool {
+    fn has_priority(&self, id: ComponentId) -> bool {
         id == MANAGEMENT || id >= CALLS
     }
 }
--- a/crates/node/src/upgrade/custody.rs
+++ b/crates/node/src/upgrade/custody.rs
@@ -1,7 +1,7 @@
-//! Whose each connection is while one process hands them over to another. No I/O: what was sent and what came back goes in,
+//! Whose each connection is while one process context them over to another. No I/O: what was sent and what came back goes in,
 //! and what is to be told to which connection comes out.
 
-use lupincrank_reactor::Id;
+use lupincrank_reactor::ComponentId;
 use std::collections::{BTreeMap, VecDeque};
 
 /// Connections under way from one process to the other: each counts twice in descriptors meanwhile.
@@ -11,20 +11,20 @@
 /// the other has said that it took it.
 #[derive(Default)]
 pub struct Custody {
-    queue: VecDeque<Id>,
-    under_way: BTreeMap<u64, Id>,
+    queue: VecDeque<ComponentId>,
+    under_way: BTreeMap<u64, ComponentId>,
     number: u64,
     handed: usize,
 }
 
 impl Custody {
     /// These are to go as soon as it is their turn.
-    pub fn enqueue(&mut self, ids: impl IntoIterator<Item = Id>) {
+    pub fn enqueue(&mut self, ids: impl IntoIterator<Item = ComponentId>) {
         self.queue.extend(ids);
     }
 
     /// Whose turn it is now.
-    pub fn turn(&mut self) -> Vec<Id> {
+    pub fn turn(&mut self) -> Vec<ComponentId> {
         let room = UNDER_WAY
             .saturating_sub(self.under_way.len())
             .min(self.queue.len());
@@ -37,7 +37,7 @@
     }
 
     /// The connection went out under that number, or there was no room for it and it goes later.
-    pub fn sent(&mut self, id: Id, went: bool) {
+    pub fn sent(&mut self, id: ComponentId, went: bool) {
         if went {
             self.number += 1;
             self.under_way.insert(self.number, id);
@@ -48,14 +48,14 @@
 
     /// The other process took the connection of this number, or did not. Gives the connection; none where the other speaks of
     /// one that is not under way.
-    pub fn answered(&mut self, number: u64, took: bool) -> Option<Id> {
+    pub fn answered(&mut self, number: u64, took: bool) -> Option<ComponentId> {
         let id = self.under_way.remove(&number)?;
         self.handed += usize::from(took);
         Some(id)
     }
 
     /// The other process is gone: nothing goes any more, and these stay here.
-    pub fn broke(&mut self) -> Vec<Id> {
+    pub fn broke(&mut self) -> Vec<ComponentId> {
         self.queue.clear();
         std::mem::take(&mut self.under_way).into_values().collect()
     }
--- a/crates/node/src/upgrade/held.rs
+++ b/crates/node/src/upgrade/held.rs
@@ -5,8 +5,9 @@
 use super::link::{self, Beat, Said};
 use lupincrank_placement::by_hand::put;
 use lupincrank_placement::ServerId;
-use lupincrank_reactor::poll::Watched;
-use lupincrank_reactor::Id;
+use lupincrank_reactor::poll::Registered;
+use lupincrank_reactor::ComponentId;
+use lupincrank_reactor::{poller_key, Interest};
 use socket2::Socket;
 use std::collections::BTreeSet;
 use std::fs::{self, File};
@@ -18,7 +19,7 @@
 use std::time::{Duration, Instant};
 
 /// The name of this object in the loop: its sockets report under it.
-pub const UPGRADE: Id = 5;
+pub const UPGRADE: ComponentId = 5;
 /// A process that cannot be reached for this long is not waited for; yes is owed 6 s after the start.
 const REACHED: Duration = Duration::from_secs(4);
 /// The sockets of this object: the one where a successor comes, and the link to the other process.
@@ -31,8 +32,8 @@
     pub(crate) stem: Option<PathBuf>,
     /// Held while this process is the older or the only one.
     pub(crate) lock: Option<File>,
-    pub(crate) door: Option<Watched<Socket>>,
-    pub(crate) link: Option<Watched<Socket>>,
+    pub(crate) door: Option<Registered<Socket>>,
+    pub(crate) link: Option<Registered<Socket>>,
     /// What the other process holds and does, as it last said.
     pub other: Beat,
     /// It speaks another form of messages: there is no use in reaching it again.
@@ -96,8 +97,8 @@
         self.lock.is_some() && self.link.is_some() && self.other.open
     }
 
-    /// Hands this connection over as soon as it is its turn.
-    pub fn enqueue(&mut self, ids: impl IntoIterator<Item = Id>) {
+    /// Context this connection over as soon as it is its turn.
+    pub fn enqueue(&mut self, ids: impl IntoIterator<Item = ComponentId>) {
         self.custody.enqueue(ids);
     }
 
@@ -105,7 +106,7 @@
     /// room yet: it will be asked again.
     pub fn hand(
         &mut self,
-        id: Id,
+        id: ComponentId,
         said: impl FnOnce(u64) -> Said,
         bytes: &[u8],
         fds: &[BorrowedFd<'_>],
@@ -159,22 +160,20 @@
                 self.lock = Some(file);
                 let _ = fs::remove_file(&path);
                 let door = link::listen(&path)?;
-                self.door = Some(Watched::new(
+                self.door = Some(Registered::new(
                     poller,
                     door,
-                    UPGRADE as usize * 2 + DOOR,
-                    true,
-                    false,
+                    poller_key(UPGRADE, 0) + DOOR,
+                    Interest::READ,
                 )?);
             }
             Err(fs::TryLockError::WouldBlock) if self.link.is_none() && !self.foreign => {
                 let link = link::connect(&path)?;
-                self.link = Some(Watched::new(
+                self.link = Some(Registered::new(
                     poller,
                     link,
-                    UPGRADE as usize * 2 + LINK,
-                    true,
-                    false,
+                    poller_key(UPGRADE, 0) + LINK,
+                    Interest::READ,
                 )?);
             }
             Err(fs::TryLockError::WouldBlock) => {}
--- a/crates/node/src/upgrade/link.rs
+++ b/crates/node/src/upgrade/link.rs
@@ -1,7 +1,7 @@
 //! What two processes of one node say to each other: one message a packet, some with descriptors.
 
 use lupincrank_placement::learnt::Learnt;
-use lupincrank_reactor::poll::Watched;
+use lupincrank_reactor::poll::Registered;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, ReturnFlags,
     SendAncillaryBuffer, SendAncillaryMessage, SendFlags,
@@ -126,7 +126,7 @@
 
 /// Sends one message, with the bytes and descriptors that belong to it; false if there is no room for it now.
 pub fn send(
-    link: &Watched<Socket>,
+    link: &Registered<Socket>,
     said: &Said,
     bytes: &[u8],
     fds: &[BorrowedFd<'_>],
@@ -162,7 +162,7 @@
 }
 
 /// Takes one message; `None` if there is none now. The other's end is an error.
-pub fn receive(link: &Watched<Socket>) -> io::Result<Option<Came>> {
+pub fn receive(link: &Registered<Socket>) -> io::Result<Option<Came>> {
     let mut bytes = vec![0; LONGEST];
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST_FDS))];
     let mut ancillary = RecvAncillaryBuffer::new(&mut space);
--- a/crates/node/src/upgrade/mod.rs
+++ b/crates/node/src/upgrade/mod.rs
@@ -1,4 +1,4 @@
-//! Two processes of one node: who else lives, what is out by hand, and the connections that the older hands over. Without a
+//! Two processes of one node: who else lives, what is out by hand, and the connections that the older context over. Without a
 //! listener that the platform holds there is one process only, and no file, lock or socket is made.
 
 mod bans;
@@ -9,12 +9,13 @@
 
 use crate::line_front::Client;
 use crate::relay::Relay;
-use crate::state::{Message, Node, State, LISTENER};
+use crate::state::{Message, Node, NodeState, LISTENER};
 use custody::UNDER_WAY;
 use held::{DOOR, LINK, UPGRADE};
 use link::{Beat, Came, Said, VERSION};
-use lupincrank_reactor::poll::Watched;
-use lupincrank_reactor::{Connection, Flow};
+use lupincrank_reactor::poll::Registered;
+use lupincrank_reactor::{poller_key, Interest, Readiness};
+use lupincrank_reactor::{Connection, Lifecycle};
 use slog::{debug, info, warn};
 use std::io;
 use std::time::{Duration, Instant};
@@ -47,7 +48,7 @@
 pub fn begin(node: &mut Node) {
     if node.upgrade.stem.is_some() {
         reread(node);
-        node.tell(LISTENER, Message::Rest);
+        node.send(LISTENER, Message::Rest);
         beat(node);
     }
 }
@@ -56,7 +57,7 @@
 pub fn open(node: &mut Node) {
     let may = node.upgrade.lock.is_some() || node.serves().is_ok();
     if may && node.upgrade.stem.is_some() && !std::mem::replace(&mut node.upgrade.open, true) {
-        node.tell(LISTENER, Message::Begin);
+        node.send(LISTENER, Message::Begin);
         tell(node);
     }
 }
@@ -72,20 +73,20 @@
         open,
     }));
     let both = node.upgrade.link.is_some() && open && node.upgrade.other.open;
-    let State { core, config, .. } = &mut node.world;
+    let NodeState { core, config, .. } = &mut node.application;
     core.share(config, if both { 2 } else { 1 });
 }
 
 fn beat(node: &mut Node) {
     let had = node.upgrade.lock.is_some();
-    if let Err(error) = node.world.upgrade.look(&node.poller) {
+    if let Err(error) = node.application.upgrade.look(&node.poller) {
         debug!(node.log, "the other process is not reached yet"; "error" => %error);
     }
     if !had && node.upgrade.lock.is_some() {
         info!(node.log, "the only process of this node");
     }
     if let Some(door) = &mut node.upgrade.door {
-        if let Err(error) = door.want(true, false) {
+        if let Err(error) = door.set_interest(Interest::READ) {
             debug!(node.log, "no successor can come for now"; "error" => %error);
         }
     }
@@ -101,7 +102,7 @@
 pub fn leave(node: &mut Node) {
     node.upgrade.leaving = true;
     node.hand_over = true;
-    node.tell(LISTENER, Message::Rest);
+    node.send(LISTENER, Message::Rest);
     tell(node);
     let lessons = node.core.learnt().into_iter().map(Into::into).collect();
     if !node.upgrade.say(&Said::Learnt(lessons)) {
@@ -115,7 +116,7 @@
 
 fn step(node: &mut Node) {
     for id in node.upgrade.custody.turn() {
-        node.tell(id, Message::HandOver);
+        node.send(id, Message::HandOver);
     }
 }
 
@@ -126,11 +127,11 @@
     node.upgrade.link = None;
     node.upgrade.other = Beat::default();
     for id in node.upgrade.custody.broke() {
-        node.tell(id, Message::Kept);
+        node.send(id, Message::Kept);
     }
     if std::mem::take(&mut node.upgrade.leaving) {
         // There is nobody else to take clients in.
-        node.tell(LISTENER, Message::Begin);
+        node.send(LISTENER, Message::Begin);
     }
     // What it wrote last may not have been read.
     reread(node);
@@ -208,7 +209,7 @@
 /// Whether the other process has died, so that what it had sent is nobody else's: the lock goes with its last breath, and with a
 /// link alone that it closed it would go on with what it sent. What else it sent is taken before the link's end is noticed.
 fn orphaned(node: &mut Node) -> bool {
-    let looked = node.world.upgrade.look(&node.poller);
+    let looked = node.application.upgrade.look(&node.poller);
     if node.upgrade.lock.is_some() {
         info!(node.log, "taken from a process that has died");
     }
@@ -217,7 +218,7 @@
 
 fn answered(node: &mut Node, number: u64, took: bool) {
     if let Some(id) = node.upgrade.custody.answered(number, took) {
-        node.tell(id, if took { Message::Handed } else { Message::Kept });
+        node.send(id, if took { Message::Handed } else { Message::Kept });
     }
     step(node);
 }
@@ -225,25 +226,25 @@
 /// Watches for the other process.
 pub struct Watch;
 
-impl Connection<State> for Watch {
-    fn ready(&mut self, node: &mut Node, side: usize, _readable: bool, _writable: bool) -> Flow {
-        if side == DOOR {
+impl Connection<NodeState> for Watch {
+    fn on_ready(&mut self, node: &mut Node, socket: usize, _readiness: Readiness) -> Lifecycle {
+        if socket == DOOR {
             let Some(door) = &mut node.upgrade.door else {
-                return Flow::Keep;
+                return Lifecycle::Continue;
             };
             let Ok((link, _)) = door.accept() else {
                 // With no descriptor left it would be ready again and again: it rests till the next beat.
-                let _ = door.want(false, false);
-                return Flow::Keep;
+                let _ = door.set_interest(Interest::NONE);
+                return Lifecycle::Continue;
             };
             // One successor at a time; a second one comes again once the first has gone.
             if node.upgrade.link.is_none() && link.set_nonblocking(true).is_ok() {
-                let key = UPGRADE as usize * 2 + LINK;
-                node.upgrade.link = Watched::new(&node.poller, link, key, true, false).ok();
+                let key = poller_key(UPGRADE, 0) + LINK;
+                node.upgrade.link = Registered::new(&node.poller, link, key, Interest::READ).ok();
                 info!(node.log, "a successor has come");
                 beat(node);
             }
-            return Flow::Keep;
+            return Lifecycle::Continue;
         }
         // A turn takes a bounded number: clients go on meanwhile.
         for _ in 0..UNDER_WAY * 2 {
@@ -263,23 +264,23 @@
                 }
             }
         }
-        Flow::Keep
+        Lifecycle::Continue
     }
 
-    fn due(&mut self, node: &mut Node, purpose: u64) -> Flow {
-        if purpose == 0 {
+    fn on_deadline(&mut self, node: &mut Node, kind: u64) -> Lifecycle {
+        if kind == 0 {
             beat(node);
         } else if node.upgrade.handing() {
             step(node);
             node.deadlines.set(UPGRADE, 1, Instant::now() + STEP);
         }
-        Flow::Keep
+        Lifecycle::Continue
     }
 
-    fn told(&mut self, node: &mut Node, message: Message) -> Flow {
+    fn on_message(&mut self, node: &mut Node, message: Message) -> Lifecycle {
         if matches!(message, Message::Begin) {
             open(node);
         }
-        Flow::Keep
+        Lifecycle::Continue
     }
 }
--- a/crates/reactor/src/deadlines.rs
+++ b/crates/reactor/src/deadlines.rs
@@ -1,54 +1,74 @@
 //! All deadlines of a program, in one sorted structure that the loop sweeps each turn.
 
+use crate::ComponentId;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
-/// Deadlines by time; each owner has at most one for each purpose.
-#[derive(Default)]
-pub struct Deadlines {
-    by_time: BTreeSet<(Instant, u64, u64)>,
-    by_owner: BTreeMap<(u64, u64), Instant>,
+/// A deadline that has passed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Deadline<K> {
+    /// The component that set it.
+    pub owner: ComponentId,
+    /// What it is for.
+    pub kind: K,
 }
 
-impl Deadlines {
-    /// Sets the owner's deadline for a purpose; an earlier one for the same purpose is void.
-    pub fn set(&mut self, owner: u64, purpose: u64, at: Instant) {
-        self.clear(owner, purpose);
-        self.by_owner.insert((owner, purpose), at);
-        self.by_time.insert((at, owner, purpose));
+/// Deadlines by time; each owner has at most one of each kind.
+pub struct Deadlines<K> {
+    by_time: BTreeSet<(Instant, ComponentId, K)>,
+    by_owner: BTreeMap<ComponentId, BTreeMap<K, Instant>>,
+}
+
+impl<K> Default for Deadlines<K> {
+    fn default() -> Self {
+        Deadlines {
+            by_time: BTreeSet::new(),
+            by_owner: BTreeMap::new(),
+        }
+    }
+}
+
+impl<K: Copy + Ord> Deadlines<K> {
+    /// Sets the owner's deadline of a kind, in place of an earlier one of that kind.
+    pub fn set(&mut self, owner: ComponentId, kind: K, at: Instant) {
+        self.clear(owner, kind);
+        self.by_owner.entry(owner).or_default().insert(kind, at);
+        self.by_time.insert((at, owner, kind));
     }
 
-    /// Takes one deadline back.
-    pub fn clear(&mut self, owner: u64, purpose: u64) {
-        if let Some(at) = self.by_owner.remove(&(owner, purpose)) {
-            self.by_time.remove(&(at, owner, purpose));
+    /// Clears one deadline, if it is set.
+    pub fn clear(&mut self, owner: ComponentId, kind: K) {
+        let Some(kinds) = self.by_owner.get_mut(&owner) else {
+            return;
+        };
+        if let Some(at) = kinds.remove(&kind) {
+            self.by_time.remove(&(at, owner, kind));
+        }
+        if kinds.is_empty() {
+            self.by_owner.remove(&owner);
         }
     }
 
-    /// Takes back all that an owner has set: guards against deadlines that outlive their connections.
-    pub fn forget(&mut self, owner: u64) {
-        let set: Vec<_> = self
-            .by_owner
-            .range((owner, 0)..=(owner, u64::MAX))
-            .map(|(key, _)| key.1)
-            .collect();
-        set.into_iter()
-            .for_each(|purpose| self.clear(owner, purpose));
+    /// Clears all deadlines of an owner: guards against deadlines that outlive their components.
+    pub fn clear_all(&mut self, owner: ComponentId) {
+        for (kind, at) in self.by_owner.remove(&owner).unwrap_or_default() {
+            self.by_time.remove(&(at, owner, kind));
+        }
     }
 
-    /// The next moment at which something falls due.
+    /// The instant at which the earliest deadline passes.
     pub fn next(&self) -> Option<Instant> {
         self.by_time.first().map(|(at, _, _)| *at)
     }
 
-    /// Takes out the earliest deadline that is due.
-    pub fn due(&mut self, now: Instant) -> Option<(u64, u64)> {
-        let (at, owner, purpose) = *self.by_time.first()?;
+    /// Removes and gives the earliest deadline that has passed at `now`.
+    pub fn pop_due(&mut self, now: Instant) -> Option<Deadline<K>> {
+        let (at, owner, kind) = *self.by_time.first()?;
         if at > now {
             return None;
         }
-        self.clear(owner, purpose);
-        Some((owner, purpose))
+        self.clear(owner, kind);
+        Some(Deadline { owner, kind })
     }
 }
 
--- /dev/null
+++ b/crates/reactor/src/event_loop.rs
@@ -0,0 +1,146 @@
+//! The turns of the loop: wait, call back what is ready or due, deliver messages.
+
+use crate::deadlines::Deadlines;
+use crate::{
+    component_of, Application, ComponentId, Connection, Context, Lifecycle, Readiness, APPLICATION,
+};
+use polling::{Events, Poller};
+use std::collections::{HashMap, VecDeque};
+use std::io;
+use std::rc::Rc;
+use std::time::Instant;
+
+/// The event loop with all of its components.
+pub struct Reactor<A: Application> {
+    /// What callbacks may use; public for setting a program up.
+    pub context: Context<A>,
+    components: HashMap<ComponentId, Box<dyn Connection<A>>>,
+    events: Events,
+}
+
+impl<A: Application> Reactor<A> {
+    /// A loop without components. Ids up to `reserved` are never allocated: the program assigns them itself.
+    ///
+    /// # Errors
+    /// Where the operating system gives no poller.
+    pub fn new(application: A, reserved: ComponentId) -> io::Result<Reactor<A>> {
+        let context = Context {
+            poller: Rc::new(Poller::new()?),
+            deadlines: Deadlines::default(),
+            application,
+            outbox: VecDeque::new(),
+            registered: Vec::new(),
+            last_id: reserved,
+        };
+        Ok(Reactor {
+            context,
+            components: HashMap::new(),
+            events: Events::new(),
+        })
+    }
+
+    /// Runs until the application is finished.
+    ///
+    /// # Errors
+    /// Where waiting for events fails for another reason than an interrupting signal.
+    pub fn run(&mut self) -> io::Result<()> {
+        loop {
+            self.deliver_messages();
+            if self.context.application.is_finished() {
+                return Ok(());
+            }
+            self.run_turn()?;
+        }
+    }
+
+    /// Waits once, and calls back all that is ready or due.
+    fn run_turn(&mut self) -> io::Result<()> {
+        let timeout = self
+            .context
+            .deadlines
+            .next()
+            .map(|at| at.saturating_duration_since(Instant::now()));
+        let mut events = std::mem::take(&mut self.events);
+        events.clear();
+        match self.context.poller.wait(&mut events, timeout) {
+            Ok(_) => {}
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {
+                self.events = events;
+                return Ok(());
+            }
+            Err(error) => return Err(error),
+        }
+        self.dispatch_events(&events);
+        self.events = events;
+        self.fire_deadlines();
+        Ok(())
+    }
+
+    /// Calls back the owners of ready sockets, those with priority first.
+    fn dispatch_events(&mut self, events: &Events) {
+        for with_priority in [true, false] {
+            for event in events.iter() {
+                let (id, socket) = component_of(event.key);
+                if self.context.application.has_priority(id) != with_priority {
+                    continue;
+                }
+                let readiness = Readiness {
+                    readable: event.readable,
+                    writable: event.writable,
+                };
+                self.call(id, |component, context| {
+                    component.on_ready(context, socket, readiness)
+                });
+                self.deliver_messages();
+            }
+        }
+    }
+
+    /// Calls back the owners of all deadlines that have passed.
+    fn fire_deadlines(&mut self) {
+        let now = Instant::now();
+        while let Some(deadline) = self.context.deadlines.pop_due(now) {
+            if deadline.owner == APPLICATION {
+                A::on_deadline(&mut self.context, deadline.kind);
+            } else {
+                self.call(deadline.owner, |component, context| {
+                    component.on_deadline(context, deadline.kind)
+                });
+            }
+            self.deliver_messages();
+        }
+    }
+
+    /// Delivers messages and lets the application carry out its decisions, until nothing is left of either.
+    fn deliver_messages(&mut self) {
+        loop {
+            self.components.extend(self.context.registered.drain(..));
+            A::after_callback(&mut self.context, &mut self.components.keys().copied());
+            let Some((id, message)) = self.context.outbox.pop_front() else {
+                break;
+            };
+            if self.components.contains_key(&id) {
+                self.call(id, |component, context| {
+                    component.on_message(context, message)
+                });
+            } else {
+                self.context.application.on_undelivered(id, message);
+            }
+        }
+    }
+
+    /// Calls a component back, and drops it where it closes.
+    fn call(
+        &mut self,
+        id: ComponentId,
+        callback: impl FnOnce(&mut Box<dyn Connection<A>>, &mut Context<A>) -> Lifecycle,
+    ) {
+        let Some(component) = self.components.get_mut(&id) else {
+            return;
+        };
+        if callback(component, &mut self.context) == Lifecycle::Close {
+            self.components.remove(&id);
+            self.context.deadlines.clear_all(id);
+        }
+    }
+}
