--- a/crates/reactor/src/poll.rs
+++ b/crates/reactor/src/poll.rs
@@ -1,6 +1,7 @@
 //! The one place where sockets are registered with the poller.
 #![allow(unsafe_code)]
 
+use crate::Interest;
 use polling::{Event, PollMode, Poller};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io;
@@ -9,76 +10,100 @@
 use std::os::fd::AsFd;
 use std::rc::Rc;
 
-/// A source that the poller watches for as long as this value owns it.
-pub struct Watched<S: AsFd> {
+/// A socket or other source that stays registered with the poller for as long as this value owns it.
+pub struct Registered<S: AsFd> {
     source: S,
     poller: Rc<Poller>,
-    wanted: Event,
+    registration: Event,
 }
 
-impl<S: AsFd> Watched<S> {
-    /// Registers the source under a key; readiness is told again and again while it lasts.
-    pub fn new(
-        poller: &Rc<Poller>,
-        source: S,
-        key: usize,
-        read: bool,
-        write: bool,
-    ) -> io::Result<Self> {
-        let wanted = Event::new(key, read, write);
-        // SAFETY: the descriptor must stay open until it is deleted from the poller. `Watched` owns the source,
+impl<S: AsFd> Registered<S> {
+    /// Registers the source under a key, level-triggered.
+    ///
+    /// # Errors
+    /// Where the poller refuses the registration.
+    pub fn new(poller: &Rc<Poller>, source: S, key: usize, interest: Interest) -> io::Result<Self> {
+        let registration = Event::new(key, interest.readable, interest.writable);
+        // SAFETY: the descriptor must stay open until it is deleted from the poller. `Registered` owns the source,
         // gives it out by reference only, and deletes it in `drop`, before the source itself is closed.
-        unsafe { poller.add_with_mode(&source.as_fd(), wanted, PollMode::Level)? };
-        Ok(Watched {
+        unsafe { poller.add_with_mode(&source.as_fd(), registration, PollMode::Level)? };
+        Ok(Registered {
             source,
             poller: Rc::clone(poller),
-            wanted,
+            registration,
         })
     }
 
-    /// Changes what is waited for; a system call is made only if that differs from before.
-    pub fn want(&mut self, read: bool, write: bool) -> io::Result<()> {
-        self.turn(Event::new(self.wanted.key, read, write))
+    /// Changes which events are reported; a system call is made only if that differs from before.
+    ///
+    /// # Errors
+    /// Where the poller refuses the change.
+    pub fn set_interest(&mut self, interest: Interest) -> io::Result<()> {
+        self.modify(Event::new(
+            self.registration.key,
+            interest.readable,
+            interest.writable,
+        ))
     }
 
     /// Reports under another key from now on.
+    ///
+    /// # Errors
+    /// Where the poller refuses the change.
     pub fn rekey(&mut self, key: usize) -> io::Result<()> {
-        self.turn(Event::new(key, self.wanted.readable, self.wanted.writable))
+        self.modify(Event::new(
+            key,
+            self.registration.readable,
+            self.registration.writable,
+        ))
     }
 
-    fn turn(&mut self, wanted: Event) -> io::Result<()> {
-        if wanted != self.wanted {
+    fn modify(&mut self, registration: Event) -> io::Result<()> {
+        if registration != self.registration {
             self.poller
-                .modify_with_mode(self.source.as_fd(), wanted, PollMode::Level)?;
-            self.wanted = wanted;
+                .modify_with_mode(self.source.as_fd(), registration, PollMode::Level)?;
+            self.registration = registration;
         }
         Ok(())
     }
 }
 
+/// How many connections may wait to be accepted.
+const LISTEN_BACKLOG: i32 = 1024;
+
 /// EINPROGRESS, for which the standard library has no stable name.
 const IN_PROGRESS: i32 = 115;
 
-/// ENFILE, EMFILE, EADDRNOTAVAIL, ENOBUFS and ENOMEM: this machine has nothing left to connect with.
-pub const LACKS: [i32; 5] = [23, 24, 99, 105, 12];
+/// ENFILE, EMFILE, EADDRNOTAVAIL, ENOBUFS and ENOMEM: this machine has no resources left to connect with.
+pub const RESOURCE_EXHAUSTED_ERRNOS: [i32; 5] = [23, 24, 99, 105, 12];
 
-/// Begins a connection; once it is writable it is up, or `take_error` says why not.
+/// Starts a non-blocking connect; once the socket is writable it is connected, or `take_error` says why not.
+///
+/// # Errors
+/// Where the connect fails at once.
 pub fn connect(
     poller: &Rc<Poller>,
-    dial: SocketAddr,
+    address: SocketAddr,
     key: usize,
-) -> io::Result<Watched<TcpStream>> {
-    let socket = Socket::new(Domain::for_address(dial), Type::STREAM, Some(Protocol::TCP))?;
+) -> io::Result<Registered<TcpStream>> {
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM,
+        Some(Protocol::TCP),
+    )?;
     socket.set_nonblocking(true)?;
     socket.set_nodelay(true)?;
-    match socket.connect(&dial.into()) {
+    match socket.connect(&address.into()) {
         Err(error) if error.raw_os_error() != Some(IN_PROGRESS) => return Err(error),
         _ => {}
     }
-    Watched::new(poller, TcpStream::from(socket), key, false, true)
+    Registered::new(poller, TcpStream::from(socket), key, Interest::WRITE)
 }
 
-/// Listens on this address only.
+/// Listens on this address only, non-blocking.
+///
+/// # Errors
+/// Where the address can not be bound.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = Socket::new(
         Domain::for_address(address),
@@ -88,24 +113,24 @@
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
     socket.bind(&address.into())?;
-    socket.listen(1024)?;
+    socket.listen(LISTEN_BACKLOG)?;
     Ok(TcpListener::from(socket))
 }
 
-impl<S: AsFd> Deref for Watched<S> {
+impl<S: AsFd> Deref for Registered<S> {
     type Target = S;
     fn deref(&self) -> &S {
         &self.source
     }
 }
 
-impl<S: AsFd> DerefMut for Watched<S> {
+impl<S: AsFd> DerefMut for Registered<S> {
     fn deref_mut(&mut self) -> &mut S {
         &mut self.source
     }
 }
 
-impl<S: AsFd> Drop for Watched<S> {
+impl<S: AsFd> Drop for Registered<S> {
     fn drop(&mut self) {
         // Closing takes it out as well; nothing is left to do if the poller does not know it any more.
         let _ = self.poller.delete(self.source.as_fd());
--- a/crates/scale/src/doors.rs
+++ b/crates/scale/src/doors.rs
@@ -5,8 +5,11 @@
 use crate::place::Place;
 use lupincrank_cluster::link::{Inbox, Message};
 use lupincrank_fault_injection::links::Way;
-use lupincrank_reactor::poll::{self, Watched};
-use lupincrank_reactor::{Connection, Flow, Hands, Id, Reactor, World, WORLD};
+use lupincrank_reactor::poll::{self, Registered};
+use lupincrank_reactor::{
+    Application, ComponentId, Connection, Context, Lifecycle, Reactor, APPLICATION,
+};
+use lupincrank_reactor::{Interest, Readiness};
 use lupincrank_test_servers::key;
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
@@ -77,19 +80,24 @@
     stop: Arc<AtomicBool>,
 }
 
-impl World for Ground {
+impl Application for Ground {
+    type DeadlineKind = u64;
     type Message = ();
-    fn settle(_hands: &mut Hands<Ground>, _objects: &mut dyn Iterator<Item = Id>) {}
-    fn due(hands: &mut Hands<Ground>, _purpose: u64) {
-        hands.deadlines.set(WORLD, 0, Instant::now() + LOOK);
+    fn after_callback(
+        _context: &mut Context<Ground>,
+        _objects: &mut dyn Iterator<Item = ComponentId>,
+    ) {
     }
-    fn over(&self) -> bool {
+    fn on_deadline(context: &mut Context<Ground>, _kind: u64) {
+        context.deadlines.set(APPLICATION, 0, Instant::now() + LOOK);
+    }
+    fn is_finished(&self) -> bool {
         self.stop.load(Relaxed)
     }
-    fn unheard(&mut self, _id: Id, _message: ()) {}
+    fn on_undelivered(&mut self, _id: ComponentId, _message: ()) {}
 }
 
-type Yard = Hands<Ground>;
+type Yard = Context<Ground>;
 
 /// Opens all doors, and passes on what comes until `stop`; `opened` is told once they are open.
 pub fn serve(
@@ -115,7 +123,7 @@
     let mut reactor = Reactor::new(ground, 0)?;
     let all = (0..place.all()).try_for_each(|node| {
         open(
-            &mut reactor.hands,
+            &mut reactor.context,
             node,
             place.door(node),
             place.fleet(node),
@@ -124,7 +132,10 @@
     });
     let open = all.is_ok();
     opened(all);
-    reactor.hands.deadlines.set(WORLD, 0, Instant::now());
+    reactor
+        .context
+        .deadlines
+        .set(APPLICATION, 0, Instant::now());
     if open {
         reactor.run()
     } else {
@@ -132,13 +143,18 @@
     }
 }
 
-fn open(hands: &mut Yard, node: usize, at: SocketAddr, target: SocketAddr) -> io::Result<()> {
-    let id = hands.name();
-    let listener = Watched::new(&hands.poller, poll::listen(at)?, key(id, 0), true, false)?;
+fn open(context: &mut Yard, node: usize, at: SocketAddr, target: SocketAddr) -> io::Result<()> {
+    let id = context.allocate_id();
+    let listener = Registered::new(
+        &context.poller,
+        poll::listen(at)?,
+        key(id, 0),
+        Interest::READ,
+    )?;
     let socket = UdpSocket::bind(at)?;
     socket.set_nonblocking(true)?;
-    let socket = Watched::new(&hands.poller, socket, key(id, 1), true, false)?;
-    hands.adopt(
+    let socket = Registered::new(&context.poller, socket, key(id, 1), Interest::READ)?;
+    context.register(
         id,
         Box::new(Door {
             id,
@@ -153,16 +169,16 @@
 }
 
 struct Door {
-    id: Id,
+    id: ComponentId,
     node: usize,
     target: SocketAddr,
-    listener: Watched<TcpListener>,
-    socket: Watched<UdpSocket>,
+    listener: Registered<TcpListener>,
+    socket: Registered<UdpSocket>,
     held: VecDeque<(Instant, Vec<u8>)>,
 }
 
 impl Door {
-    fn datagrams(&mut self, hands: &mut Yard) {
+    fn datagrams(&mut self, context: &mut Yard) {
         let mut bytes = [0; 2048];
         for _ in 0..TURN {
             let (length, from) = match self.socket.recv_from(&mut bytes) {
@@ -171,7 +187,7 @@
                 // The answer of a dead node's machine to one before.
                 Err(_) => continue,
             };
-            let ground = &mut hands.world;
+            let ground = &mut context.application;
             match ground.senders.get(&from) {
                 Some(from) => ground.counts.sent(*from, self.node, length as u64, 1),
                 None => drop(ground.counts.unknown.fetch_add(1, Relaxed)),
@@ -184,7 +200,7 @@
                 let _ = self.socket.send_to(&bytes[..length], self.target);
             } else if self.held.len() < MOST_HELD / 2048 {
                 let at = Instant::now() + way.delay;
-                hands
+                context
                     .deadlines
                     .set(self.id, 0, self.held.front().map_or(at, |(at, _)| *at));
                 self.held.push_back((at, bytes[..length].to_vec()));
@@ -194,24 +210,24 @@
 }
 
 impl Connection<Ground> for Door {
-    fn ready(&mut self, hands: &mut Yard, side: usize, _readable: bool, _writable: bool) -> Flow {
-        if side == 1 {
-            self.datagrams(hands);
-            return Flow::Keep;
+    fn on_ready(&mut self, context: &mut Yard, socket: usize, _readiness: Readiness) -> Lifecycle {
+        if socket == 1 {
+            self.datagrams(context);
+            return Lifecycle::Continue;
         }
         for _ in 0..ACCEPTS {
             let Ok((near, _)) = self.listener.accept() else {
                 break;
             };
             // The dialler sees a link that ends, and dials again.
-            if Pipe::begin(hands, self.node, near, self.target).is_err() {
-                hands.counts.unknown.fetch_add(1, Relaxed);
+            if Pipe::begin(context, self.node, near, self.target).is_err() {
+                context.counts.unknown.fetch_add(1, Relaxed);
             }
         }
-        Flow::Keep
+        Lifecycle::Continue
     }
 
-    fn due(&mut self, hands: &mut Yard, _purpose: u64) -> Flow {
+    fn on_deadline(&mut self, context: &mut Yard, _kind: u64) -> Lifecycle {
         let now = Instant::now();
         while self.held.front().is_some_and(|(at, _)| *at <= now) {
             if let Some((_, bytes)) = self.held.pop_front() {
@@ -219,13 +235,13 @@
             }
         }
         if let Some((at, _)) = self.held.front() {
-            hands.deadlines.set(self.id, 0, *at);
+            context.deadlines.set(self.id, 0, *at);
         }
-        Flow::Keep
+        Lifecycle::Continue
     }
 
-    fn told(&mut self, _hands: &mut Yard, _message: ()) -> Flow {
-        Flow::Keep
+    fn on_message(&mut self, _context: &mut Yard, _message: ()) -> Lifecycle {
+        Lifecycle::Continue
     }
 }
 
@@ -245,21 +261,26 @@
 
 /// One link through a door: `near` dialled.
 struct Pipe {
-    id: Id,
+    id: ComponentId,
     dialler: Option<usize>,
     node: usize,
-    streams: [Watched<TcpStream>; 2],
+    streams: [Registered<TcpStream>; 2],
     connected: bool,
     halves: [Half; 2],
 }
 
 impl Pipe {
-    fn begin(hands: &mut Yard, node: usize, near: TcpStream, target: SocketAddr) -> io::Result<()> {
+    fn begin(
+        context: &mut Yard,
+        node: usize,
+        near: TcpStream,
+        target: SocketAddr,
+    ) -> io::Result<()> {
         near.set_nonblocking(true)?;
         near.set_nodelay(true)?;
-        let id = hands.name();
-        let far = poll::connect(&hands.poller, target, key(id, 1))?;
-        let near = Watched::new(&hands.poller, near, key(id, 0), true, false)?;
+        let id = context.allocate_id();
+        let far = poll::connect(&context.poller, target, key(id, 1))?;
+        let near = Registered::new(&context.poller, near, key(id, 0), Interest::READ)?;
         let pipe = Pipe {
             id,
             dialler: None,
@@ -268,11 +289,11 @@
             connected: false,
             halves: Default::default(),
         };
-        hands.adopt(id, Box::new(pipe));
+        context.register(id, Box::new(pipe));
         Ok(())
     }
 
-    fn count(&mut self, hands: &mut Yard, side: usize, bytes: &[u8]) {
+    fn count(&mut self, context: &mut Yard, side: usize, bytes: &[u8]) {
         let half = &mut self.halves[side];
         half.open.0 += bytes.len() as u64;
         if !half.strange {
@@ -282,13 +303,13 @@
                     Ok(Some(message)) => {
                         half.open.1 += 1;
                         if let (Message::Hello(hello), 0) = (message, side) {
-                            self.dialler = hands.world.names.get(&hello.name).copied();
+                            self.dialler = context.application.names.get(&hello.name).copied();
                         }
                     }
                     Ok(None) => break,
                     Err(_) => {
                         half.strange = true;
-                        hands.world.counts.unknown.fetch_add(1, Relaxed);
+                        context.application.counts.unknown.fetch_add(1, Relaxed);
                         break;
                     }
                 }
@@ -297,11 +318,11 @@
         let Some(dialler) = self.dialler else { return };
         for (half, from, to) in [(0, dialler, self.node), (1, self.node, dialler)] {
             let (bytes, messages) = std::mem::take(&mut self.halves[half].open);
-            hands.world.counts.sent(from, to, bytes, messages);
+            context.application.counts.sent(from, to, bytes, messages);
         }
     }
 
-    fn read(&mut self, hands: &mut Yard, side: usize) -> io::Result<()> {
+    fn read(&mut self, context: &mut Yard, side: usize) -> io::Result<()> {
         let (mut scratch, mut reads) = ([0; 16 << 10], 0);
         while reads < 4 && self.halves[side].bytes < MOST_HELD && !self.halves[side].ended {
             let read = match self.streams[side].read(&mut scratch) {
@@ -315,8 +336,8 @@
                 Err(error) => return Err(error),
             };
             reads += 1;
-            self.count(hands, side, &scratch[..read]);
-            let ground = &mut hands.world;
+            self.count(context, side, &scratch[..read]);
+            let ground = &mut context.application;
             let mut wait = ground.way.delay;
             while ground.way.loss > 0.0 && ground.random.random::<f64>() < ground.way.loss {
                 ground.counts.lost.fetch_add(1, Relaxed);
@@ -332,7 +353,7 @@
         Ok(())
     }
 
-    fn pump(&mut self, hands: &mut Yard, side: usize) -> io::Result<()> {
+    fn pump(&mut self, context: &mut Yard, side: usize) -> io::Result<()> {
         let (half, other) = (&mut self.halves[side], 1 - side);
         if !self.connected {
             return Ok(());
@@ -340,7 +361,7 @@
         let now = Instant::now();
         while let Some((at, bytes)) = half.held.front_mut() {
             if *at > now {
-                hands.deadlines.set(self.id, side as u64, *at);
+                context.deadlines.set(self.id, side as u64, *at);
                 return Ok(());
             }
             match self.streams[other].write(bytes) {
@@ -363,12 +384,12 @@
         Ok(())
     }
 
-    fn step(&mut self, hands: &mut Yard) -> io::Result<Flow> {
-        self.pump(hands, 0)?;
-        self.pump(hands, 1)?;
+    fn step(&mut self, context: &mut Yard) -> io::Result<Lifecycle> {
+        self.pump(context, 0)?;
+        self.pump(context, 1)?;
         // An end of either side is one of the link: its parties speak both ways.
         if self.halves.iter().any(|half| half.shut) {
-            return Ok(Flow::Done);
+            return Ok(Lifecycle::Close);
         }
         let now = Instant::now();
         for side in [0, 1] {
@@ -377,31 +398,34 @@
                 .held
                 .front()
                 .is_some_and(|(at, _)| *at <= now);
-            self.streams[side].want(reads, writes || (side == 1 && !self.connected))?;
+            self.streams[side].set_interest(Interest {
+                readable: reads,
+                writable: writes || (side == 1 && !self.connected),
+            })?;
         }
-        Ok(Flow::Keep)
+        Ok(Lifecycle::Continue)
     }
 }
 
 impl Connection<Ground> for Pipe {
-    fn ready(&mut self, hands: &mut Yard, side: usize, readable: bool, _writable: bool) -> Flow {
-        if side == 1 && !self.connected {
+    fn on_ready(&mut self, context: &mut Yard, socket: usize, readiness: Readiness) -> Lifecycle {
+        if socket == 1 && !self.connected {
             if !matches!(self.streams[1].take_error(), Ok(None)) {
-                return Flow::Done;
+                return Lifecycle::Close;
             }
             self.connected = true;
         }
-        if readable && self.read(hands, side).is_err() {
-            return Flow::Done;
+        if readiness.readable && self.read(context, socket).is_err() {
+            return Lifecycle::Close;
         }
-        self.step(hands).unwrap_or(Flow::Done)
+        self.step(context).unwrap_or(Lifecycle::Close)
     }
 
-    fn due(&mut self, hands: &mut Yard, _purpose: u64) -> Flow {
-        self.step(hands).unwrap_or(Flow::Done)
+    fn on_deadline(&mut self, context: &mut Yard, _kind: u64) -> Lifecycle {
+        self.step(context).unwrap_or(Lifecycle::Close)
     }
 
-    fn told(&mut self, _hands: &mut Yard, _message: ()) -> Flow {
-        Flow::Keep
+    fn on_message(&mut self, _context: &mut Yard, _message: ()) -> Lifecycle {
+        Lifecycle::Continue
     }
 }
--- a/crates/test-servers/src/client.rs
+++ b/crates/test-servers/src/client.rs
@@ -5,7 +5,8 @@
 use crate::seen::{Answer, End, Seen};
 use crate::{key, Note, Stage};
 use lupincrank_reactor::poll;
-use lupincrank_reactor::{Connection, Flow, Hands, Id};
+use lupincrank_reactor::Readiness;
+use lupincrank_reactor::{ComponentId, Connection, Context, Lifecycle};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -75,7 +76,7 @@
 
 /// One connection of a client.
 pub struct Client {
-    id: Id,
+    id: ComponentId,
     node: usize,
     lines: Lines,
     visit: Visit,
@@ -86,13 +87,13 @@
 }
 
 /// Begins a request at this node; false if no socket is to be had.
-pub fn ask<W: Stage>(hands: &mut Hands<W>, visit: Visit, node: usize, at: SocketAddr) -> bool {
-    let id = hands.name();
-    let Ok(stream) = poll::connect(&hands.poller, at, key(id, 0)) else {
+pub fn ask<W: Stage>(context: &mut Context<W>, visit: Visit, node: usize, at: SocketAddr) -> bool {
+    let id = context.allocate_id();
+    let Ok(stream) = poll::connect(&context.poller, at, key(id, 0)) else {
         return false;
     };
     let now = Instant::now();
-    hands.deadlines.set(id, WAIT, now + CONNECT);
+    context.deadlines.set(id, WAIT, now + CONNECT);
     let (lines, phase) = (Lines::new(stream), Phase::Connecting);
     let client = Client {
         id,
@@ -104,16 +105,16 @@
         moved: false,
         up_at: now,
     };
-    hands.adopt(id, Box::new(client));
+    context.register(id, Box::new(client));
     true
 }
 
 impl Client {
-    fn open<W: Stage>(&mut self, hands: &mut Hands<W>) -> Flow {
+    fn open<W: Stage>(&mut self, context: &mut Context<W>) -> Lifecycle {
         if !matches!(self.lines.stream.take_error(), Ok(None)) {
-            return self.next(hands, Next::Again(Duration::from_millis(50)));
+            return self.next(context, Next::Again(Duration::from_millis(50)));
         }
-        let manners = hands.world.manners().clone();
+        let manners = context.application.manners().clone();
         let wait = manners.wait.as_millis() as u64;
         let Visit {
             request,
@@ -133,59 +134,61 @@
             "OPEN {request:016x} {number:016x} c={class},d={wait},g={group:016x},h=1000{marks}\r\n"
         );
         if self.lines.say(&line).is_err() {
-            return self.next(hands, Next::Again(Duration::from_millis(50)));
+            return self.next(context, Next::Again(Duration::from_millis(50)));
         }
         self.phase = Phase::Asking;
-        hands.world.saw(Seen::Asked {
+        context.application.saw(Seen::Asked {
             request,
             node: self.node,
             wait_ms: wait,
         });
-        hands
+        context
             .deadlines
             .set(self.id, WAIT, Instant::now() + manners.wait + LATE);
-        Flow::Keep
+        Lifecycle::Continue
     }
 
     /// The next step is planned. The connection stays a little longer, to hear what should not come.
-    fn next<W: Stage>(&mut self, hands: &mut Hands<W>, next: Next) -> Flow {
-        hands.world.visit(self.visit.clone(), next);
+    fn next<W: Stage>(&mut self, context: &mut Context<W>, next: Next) -> Lifecycle {
+        context.application.visit(self.visit.clone(), next);
         if next == Next::Over || self.lines.ended || self.phase == Phase::Connecting {
-            return Flow::Done;
+            return Lifecycle::Close;
         }
         self.phase = Phase::Leaving;
-        hands.deadlines.clear(self.id, WAIT);
-        hands.deadlines.clear(self.id, LINE);
-        hands.deadlines.set(self.id, LEAVE, Instant::now() + LINGER);
-        Flow::Keep
+        context.deadlines.clear(self.id, WAIT);
+        context.deadlines.clear(self.id, LINE);
+        context
+            .deadlines
+            .set(self.id, LEAVE, Instant::now() + LINGER);
+        Lifecycle::Continue
     }
 
-    fn answer<W: Stage>(&mut self, hands: &mut Hands<W>, answer: Answer) -> Flow {
+    fn answer<W: Stage>(&mut self, context: &mut Context<W>, answer: Answer) -> Lifecycle {
         let request = self.visit.request;
         self.answered = true;
-        hands.world.saw(Seen::Answered { request, answer });
+        context.application.saw(Seen::Answered { request, answer });
         let pause = match answer {
             Answer::Up => {
                 self.phase = Phase::Standing;
                 self.up_at = Instant::now();
-                hands
-                    .world
+                context
+                    .application
                     .visit(self.visit.clone(), Next::Up(self.visit.since.elapsed()));
-                let every = hands.world.manners().every;
-                hands.deadlines.clear(self.id, WAIT);
-                hands.deadlines.set(self.id, LINE, self.up_at + every);
-                hands
+                let every = context.application.manners().every;
+                context.deadlines.clear(self.id, WAIT);
+                context.deadlines.set(self.id, LINE, self.up_at + every);
+                context
                     .deadlines
                     .set(self.id, LEAVE, self.up_at + self.visit.stands);
-                return Flow::Keep;
+                return Lifecycle::Continue;
             }
             Answer::Busy(ms) => Duration::from_millis(if ms == 0 { 200 } else { ms }),
             Answer::Failed | Answer::Closed => Duration::from_millis(200),
         };
-        self.next(hands, Next::Again(pause))
+        self.next(context, Next::Again(pause))
     }
 
-    fn line<W: Stage>(&mut self, hands: &mut Hands<W>, line: &str) -> Flow {
+    fn line<W: Stage>(&mut self, context: &mut Context<W>, line: &str) -> Lifecycle {
         let request = self.visit.request;
         let first = line.split(' ').next().unwrap_or_default();
         match self.phase {
@@ -199,92 +202,91 @@
                     ),
                     _ => Answer::Failed,
                 };
-                return self.answer(hands, answer);
+                return self.answer(context, answer);
             }
             Phase::Standing if first == "MOVE" => self.moved = true,
             // A second answer, or one after the end.
             Phase::Standing if matches!(first, "UP" | "BUSY" | "ERR") => {
-                hands.world.saw(Seen::Again { request })
+                context.application.saw(Seen::Again { request })
             }
             Phase::Leaving if self.answered && !self.moved => {
-                hands.world.saw(Seen::Again { request })
+                context.application.saw(Seen::Again { request })
             }
             _ => {}
         }
-        Flow::Keep
+        Lifecycle::Continue
     }
 
-    fn ended<W: Stage>(&mut self, hands: &mut Hands<W>) -> Flow {
+    fn ended<W: Stage>(&mut self, context: &mut Context<W>) -> Lifecycle {
         let request = self.visit.request;
         match self.phase {
-            Phase::Asking => self.answer(hands, Answer::Closed),
+            Phase::Asking => self.answer(context, Answer::Closed),
             Phase::Standing => {
                 let end = if self.moved { End::Moved } else { End::Cut };
-                hands.world.saw(Seen::Stood { request, end });
+                context.application.saw(Seen::Stood { request, end });
                 self.visit.stands = self.visit.stands.saturating_sub(self.up_at.elapsed());
-                self.next(hands, Next::Back(Duration::from_millis(150)))
+                self.next(context, Next::Back(Duration::from_millis(150)))
             }
-            Phase::Connecting => self.next(hands, Next::Again(Duration::from_millis(50))),
-            Phase::Leaving => Flow::Done,
+            Phase::Connecting => self.next(context, Next::Again(Duration::from_millis(50))),
+            Phase::Leaving => Lifecycle::Close,
         }
     }
 }
 
 impl<W: Stage> Connection<W> for Client {
-    fn ready(
+    fn on_ready(
         &mut self,
-        hands: &mut Hands<W>,
-        _side: usize,
-        readable: bool,
-        writable: bool,
-    ) -> Flow {
+        context: &mut Context<W>,
+        _socket: usize,
+        readiness: Readiness,
+    ) -> Lifecycle {
         if self.phase == Phase::Connecting {
-            return self.open(hands);
+            return self.open(context);
         }
-        let broke =
-            (writable && self.lines.flush().is_err()) || (readable && self.lines.read().is_err());
+        let broke = (readiness.writable && self.lines.flush().is_err())
+            || (readiness.readable && self.lines.read().is_err());
         while let Some(line) = self.lines.line() {
-            if self.line(hands, &line) == Flow::Done {
-                return Flow::Done;
+            if self.line(context, &line) == Lifecycle::Close {
+                return Lifecycle::Close;
             }
         }
         if broke || self.lines.ended {
             self.lines.ended = true;
-            return self.ended(hands);
+            return self.ended(context);
         }
-        Flow::Keep
+        Lifecycle::Continue
     }
 
-    fn due(&mut self, hands: &mut Hands<W>, purpose: u64) -> Flow {
+    fn on_deadline(&mut self, context: &mut Context<W>, kind: u64) -> Lifecycle {
         let request = self.visit.request;
-        match (purpose, &self.phase) {
+        match (kind, &self.phase) {
             (LINE, Phase::Standing) => {
-                let every = hands.world.manners().every;
-                hands.deadlines.set(self.id, LINE, Instant::now() + every);
+                let every = context.application.manners().every;
+                context.deadlines.set(self.id, LINE, Instant::now() + every);
                 if self.lines.say("hello\r\n").is_err() {
                     self.lines.ended = true;
-                    return self.ended(hands);
+                    return self.ended(context);
                 }
-                Flow::Keep
+                Lifecycle::Continue
             }
             (LEAVE, Phase::Standing) => {
-                hands.world.saw(Seen::Stood {
+                context.application.saw(Seen::Stood {
                     request,
                     end: End::Own,
                 });
-                self.next(hands, Next::Over)
+                self.next(context, Next::Over)
             }
-            (WAIT, Phase::Connecting) => self.next(hands, Next::Again(Duration::ZERO)),
+            (WAIT, Phase::Connecting) => self.next(context, Next::Again(Duration::ZERO)),
             (WAIT, Phase::Asking) => {
-                hands.world.saw(Seen::GaveUp { request });
+                context.application.saw(Seen::GaveUp { request });
                 self.lines.ended = true;
-                self.next(hands, Next::Again(Duration::from_millis(100)))
+                self.next(context, Next::Again(Duration::from_millis(100)))
             }
-            _ => Flow::Done,
+            _ => Lifecycle::Close,
         }
     }
 
-    fn told(&mut self, _hands: &mut Hands<W>, _note: Note) -> Flow {
-        Flow::Done
+    fn on_message(&mut self, _context: &mut Context<W>, _note: Note) -> Lifecycle {
+        Lifecycle::Close
     }
 }
--- a/crates/test-servers/src/discovery.rs
+++ b/crates/test-servers/src/discovery.rs
@@ -4,8 +4,9 @@
 use crate::lines::Lines;
 use crate::seen::Seen;
 use crate::{key, Note, Stage};
-use lupincrank_reactor::poll::{self, Watched};
-use lupincrank_reactor::{Connection, Flow, Hands, Id};
+use lupincrank_reactor::poll::{self, Registered};
+use lupincrank_reactor::{ComponentId, Connection, Context, Lifecycle};
+use lupincrank_reactor::{Interest, Readiness};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -155,34 +156,34 @@
 }
 
 /// Listens for one node.
-pub fn listen<W: Stage>(hands: &mut Hands<W>, node: usize) -> io::Result<SocketAddr> {
-    let id = hands.name();
+pub fn listen<W: Stage>(context: &mut Context<W>, node: usize) -> io::Result<SocketAddr> {
+    let id = context.allocate_id();
     let listener = poll::listen(SocketAddr::from(([127, 0, 0, 1], 0)))?;
     let at = listener.local_addr()?;
-    let listener = Watched::new(&hands.poller, listener, key(id, 0), true, false)?;
-    hands.adopt(id, Box::new(Door { node, listener }));
+    let listener = Registered::new(&context.poller, listener, key(id, 0), Interest::READ)?;
+    context.register(id, Box::new(Door { node, listener }));
     Ok(at)
 }
 
 struct Door {
     node: usize,
-    listener: Watched<TcpListener>,
+    listener: Registered<TcpListener>,
 }
 
 impl<W: Stage> Connection<W> for Door {
-    fn ready(
+    fn on_ready(
         &mut self,
-        hands: &mut Hands<W>,
-        _side: usize,
-        _readable: bool,
-        _writable: bool,
-    ) -> Flow {
+        context: &mut Context<W>,
+        _socket: usize,
+        _readiness: Readiness,
+    ) -> Lifecycle {
         while let Ok((stream, _)) = self.listener.accept() {
-            let id = hands.name();
+            let id = context.allocate_id();
             if stream.set_nonblocking(true).is_err() {
                 continue;
             }
-            let Ok(stream) = Watched::new(&hands.poller, stream, key(id, 0), true, false) else {
+            let Ok(stream) = Registered::new(&context.poller, stream, key(id, 0), Interest::READ)
+            else {
                 continue;
             };
             let watch = Watch {
@@ -192,22 +193,22 @@
                 from: None,
                 beat: Instant::now(),
             };
-            hands.adopt(id, Box::new(watch));
+            context.register(id, Box::new(watch));
         }
-        Flow::Keep
+        Lifecycle::Continue
     }
 
-    fn due(&mut self, _hands: &mut Hands<W>, _purpose: u64) -> Flow {
-        Flow::Keep
+    fn on_deadline(&mut self, _context: &mut Context<W>, _kind: u64) -> Lifecycle {
+        Lifecycle::Continue
     }
 
-    fn told(&mut self, _hands: &mut Hands<W>, _note: Note) -> Flow {
-        Flow::Keep
+    fn on_message(&mut self, _context: &mut Context<W>, _note: Note) -> Lifecycle {
+        Lifecycle::Continue
     }
 }
 
 struct Watch {
-    id: Id,
+    id: ComponentId,
     node: usize,
     lines: Lines,
     /// The version that was told last, once the call is read.
@@ -216,12 +217,12 @@
 }
 
 impl Watch {
-    fn tell<W: Stage>(&mut self, hands: &mut Hands<W>, whole: bool) -> io::Result<()> {
+    fn tell<W: Stage>(&mut self, context: &mut Context<W>, whole: bool) -> io::Result<()> {
         let from = self.from.unwrap_or(0);
-        let (seq, json, news) = hands.world.list().told(self.node, from, whole);
+        let (seq, json, news) = context.application.list().told(self.node, from, whole);
         self.from = Some(seq);
         for (transcriber, ready) in news {
-            hands.world.saw(Seen::Told {
+            context.application.saw(Seen::Told {
                 node: self.node,
                 transcriber,
                 ready,
@@ -231,8 +232,8 @@
             .say(&format!("{:x}\r\n{json}\n\r\n", json.len() + 1))
     }
 
-    fn call<W: Stage>(&mut self, hands: &mut Hands<W>) -> io::Result<()> {
-        let mode = hands.world.list().mode(self.node);
+    fn call<W: Stage>(&mut self, context: &mut Context<W>) -> io::Result<()> {
+        let mode = context.application.list().mode(self.node);
         while let Some(line) = self.lines.line() {
             if self.from.is_none() && line.starts_with("GET ") {
                 if mode == Mode::Down {
@@ -245,61 +246,73 @@
                 // A stale one tells nobody anything, not even whoever asks for the first time.
                 match mode {
                     Mode::Stale => (self.from, _) = (Some(0), self.lines.say("1\r\n\n\r\n")?),
-                    _ => self.tell(hands, true)?,
+                    _ => self.tell(context, true)?,
                 }
-                hands.deadlines.set(self.id, 0, Instant::now() + LOOK);
+                context.deadlines.set(self.id, 0, Instant::now() + LOOK);
             }
         }
         Ok(())
     }
 
-    fn look<W: Stage>(&mut self, hands: &mut Hands<W>) -> io::Result<()> {
-        let mode = hands.world.list().mode(self.node);
+    fn look<W: Stage>(&mut self, context: &mut Context<W>) -> io::Result<()> {
+        let mode = context.application.list().mode(self.node);
         if mode == Mode::Down {
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
         let from = self.from.unwrap_or(0);
         if matches!(mode, Mode::Fine(_))
-            && !hands.world.list().told(self.node, from, false).2.is_empty()
+            && !context
+                .application
+                .list()
+                .told(self.node, from, false)
+                .2
+                .is_empty()
         {
-            self.tell(hands, false)?;
+            self.tell(context, false)?;
         }
         if self.beat.elapsed() >= BEAT {
             self.beat = Instant::now();
             self.lines.say("1\r\n\n\r\n")?;
         }
-        hands.deadlines.set(self.id, 0, Instant::now() + LOOK);
+        context.deadlines.set(self.id, 0, Instant::now() + LOOK);
         Ok(())
     }
 }
 
 impl<W: Stage> Connection<W> for Watch {
-    fn ready(
+    fn on_ready(
         &mut self,
-        hands: &mut Hands<W>,
-        _side: usize,
-        readable: bool,
-        writable: bool,
-    ) -> Flow {
-        let written = if writable { self.lines.flush() } else { Ok(()) };
-        let read = if readable { self.lines.read() } else { Ok(()) };
-        let done = written.and(read).and_then(|()| self.call(hands)).is_err() || self.lines.ended;
+        context: &mut Context<W>,
+        _socket: usize,
+        readiness: Readiness,
+    ) -> Lifecycle {
+        let written = if readiness.writable {
+            self.lines.flush()
+        } else {
+            Ok(())
+        };
+        let read = if readiness.readable {
+            self.lines.read()
+        } else {
+            Ok(())
+        };
+        let done = written.and(read).and_then(|()| self.call(context)).is_err() || self.lines.ended;
         if done {
-            Flow::Done
+            Lifecycle::Close
         } else {
-            Flow::Keep
+            Lifecycle::Continue
         }
     }
 
-    fn due(&mut self, hands: &mut Hands<W>, _purpose: u64) -> Flow {
-        if self.look(hands).is_err() {
-            Flow::Done
+    fn on_deadline(&mut self, context: &mut Context<W>, _kind: u64) -> Lifecycle {
+        if self.look(context).is_err() {
+            Lifecycle::Close
         } else {
-            Flow::Keep
+            Lifecycle::Continue
         }
     }
 
-    fn told(&mut self, _hands: &mut Hands<W>, _note: Note) -> Flow {
-        Flow::Done
+    fn on_message(&mut self, _context: &mut Context<W>, _note: Note) -> Lifecycle {
+        Lifecycle::Close
     }
 }
--- a/crates/test-servers/src/lib.rs
+++ b/crates/test-servers/src/lib.rs
@@ -9,7 +9,8 @@
 pub mod seen;
 pub mod transcriber;
 
-use lupincrank_reactor::{Id, World};
+use lupincrank_reactor::poller_key;
+use lupincrank_reactor::{Application, ComponentId};
 use seen::Seen;
 use std::time::{Duration, Instant};
 
@@ -25,7 +26,7 @@
 }
 
 /// The program that stand-ins run in.
-pub trait Stage: World<Message = Note> + Sized + 'static {
+pub trait Stage: Application<Message = Note, DeadlineKind = u64> + Sized + 'static {
     /// The fleet of transcribers.
     fn fleet(&mut self) -> &mut transcriber::Fleet;
     /// The list.
@@ -42,8 +43,8 @@
 }
 
 /// A key of the poller for one side of an object.
-pub fn key(id: Id, side: usize) -> usize {
-    id as usize * 2 + side
+pub fn key(id: ComponentId, side: usize) -> usize {
+    poller_key(id, side)
 }
 
 /// A part of a span, kept within a day: guards against factors that are not finite.
--- a/crates/test-servers/src/lines.rs
+++ b/crates/test-servers/src/lines.rs
@@ -1,6 +1,7 @@
 //! A stream that is read and written by lines, with a bound on both.
 
-use lupincrank_reactor::poll::Watched;
+use lupincrank_reactor::poll::Registered;
+use lupincrank_reactor::Interest;
 use std::io::{self, Read, Write};
 use std::net::TcpStream;
 
@@ -12,7 +13,7 @@
 /// See the module.
 pub struct Lines {
     /// The stream.
-    pub stream: Watched<TcpStream>,
+    pub stream: Registered<TcpStream>,
     input: Vec<u8>,
     output: Vec<u8>,
     /// The other side has ended its sending.
@@ -21,7 +22,7 @@
 
 impl Lines {
     /// Over a stream that is or will be up.
-    pub fn new(stream: Watched<TcpStream>) -> Lines {
+    pub fn new(stream: Registered<TcpStream>) -> Lines {
         Lines {
             stream,
             input: Vec::new(),
@@ -73,13 +74,19 @@
             match self.stream.write(&self.output) {
                 Ok(sent) => drop(self.output.drain(..sent)),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    return self.stream.want(!self.ended, true);
+                    return self.stream.set_interest(Interest {
+                        readable: !self.ended,
+                        writable: true,
+                    });
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => return Err(error),
             }
         }
-        self.stream.want(!self.ended, false)
+        self.stream.set_interest(Interest {
+            readable: !self.ended,
+            writable: false,
+        })
     }
 
     /// The stream ends with a reset when it is dropped.
--- a/crates/test-servers/src/transcriber.rs
+++ b/crates/test-servers/src/transcriber.rs
@@ -4,8 +4,9 @@
 use crate::lines::Lines;
 use crate::seen::Seen;
 use crate::{key, part, Note, Stage};
-use lupincrank_reactor::poll::{self, Watched};
-use lupincrank_reactor::{Connection, Flow, Hands, Id};
+use lupincrank_reactor::poll::{self, Registered};
+use lupincrank_reactor::{ComponentId, Connection, Context, Lifecycle};
+use lupincrank_reactor::{Interest, Readiness};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -57,7 +58,7 @@
 /// One transcriber.
 pub struct Transcriber {
     /// Its listener's object, where it listens.
-    pub id: Id,
+    pub id: ComponentId,
     /// See `id`.
     pub at: SocketAddr,
     /// How it stands.
@@ -65,7 +66,7 @@
     /// When it last started; none for long ago.
     pub started: Option<Instant>,
     over: Option<Instant>,
-    held: BTreeMap<Id, u64>,
+    held: BTreeMap<ComponentId, u64>,
 }
 
 /// All of them.
@@ -105,12 +106,12 @@
 }
 
 /// Starts one that listens on an ephemeral port; gives its number.
-pub fn start<W: Stage>(hands: &mut Hands<W>, started: Option<Instant>) -> io::Result<usize> {
-    let id = hands.name();
+pub fn start<W: Stage>(context: &mut Context<W>, started: Option<Instant>) -> io::Result<usize> {
+    let id = context.allocate_id();
     let listener = poll::listen(SocketAddr::from(([127, 0, 0, 1], 0)))?;
     let at = listener.local_addr()?;
-    let listener = Watched::new(&hands.poller, listener, key(id, 0), true, false)?;
-    let fleet = hands.world.fleet();
+    let listener = Registered::new(&context.poller, listener, key(id, 0), Interest::READ)?;
+    let fleet = context.application.fleet();
     let number = fleet.all.len();
     fleet.all.push(Transcriber {
         id,
@@ -120,7 +121,7 @@
         over: None,
         held: BTreeMap::new(),
     });
-    hands.adopt(
+    context.register(
         id,
         Box::new(Door {
             id,
@@ -128,20 +129,20 @@
             listener,
         }),
     );
-    hands.deadlines.set(id, 0, Instant::now() + LOOK);
+    context.deadlines.set(id, 0, Instant::now() + LOOK);
     Ok(number)
 }
 
 /// From now on it stands like this. One that goes down resets all that it holds; one that comes up has just started.
-pub fn turn<W: Stage>(hands: &mut Hands<W>, number: usize, mode: Mode) {
-    let Some(one) = hands.world.fleet().all.get_mut(number) else {
+pub fn turn<W: Stage>(context: &mut Context<W>, number: usize, mode: Mode) {
+    let Some(one) = context.application.fleet().all.get_mut(number) else {
         return;
     };
     if mode == Mode::Up && one.mode == Mode::Down {
         one.started = Some(Instant::now());
     }
     one.mode = mode;
-    let (id, held): (Id, Vec<(Id, u64)>) = (
+    let (id, held): (ComponentId, Vec<(ComponentId, u64)>) = (
         one.id,
         one.held
             .iter()
@@ -150,52 +151,55 @@
     );
     if mode == Mode::Down {
         for (id, request) in held {
-            hands.world.saw(Seen::Dropped { request });
-            hands.tell(id, Note::Reset);
+            context.application.saw(Seen::Dropped { request });
+            context.send(id, Note::Reset);
         }
     }
-    hands.tell(id, Note::Look);
+    context.send(id, Note::Look);
 }
 
 /// Ends one connection in good order, for draining bit by bit; false if there is none left.
-pub fn drain_one<W: Stage>(hands: &mut Hands<W>, number: usize) -> bool {
-    let Some(one) = hands.world.fleet().all.get(number) else {
+pub fn drain_one<W: Stage>(context: &mut Context<W>, number: usize) -> bool {
+    let Some(one) = context.application.fleet().all.get(number) else {
         return false;
     };
     let Some((id, request)) = one.held.iter().next().map(|(id, request)| (*id, *request)) else {
         return false;
     };
-    hands.world.saw(Seen::Dropped { request });
-    hands.tell(id, Note::End);
+    context.application.saw(Seen::Dropped { request });
+    context.send(id, Note::End);
     true
 }
 
 /// Takes connections.
 struct Door {
-    id: Id,
+    id: ComponentId,
     number: usize,
-    listener: Watched<TcpListener>,
+    listener: Registered<TcpListener>,
 }
 
 impl Door {
-    fn accept<W: Stage>(&mut self, hands: &mut Hands<W>) {
+    fn accept<W: Stage>(&mut self, context: &mut Context<W>) {
         for _ in 0..ACCEPTS {
             let Ok((stream, from)) = self.listener.accept() else {
                 return;
             };
-            let mode = hands.world.fleet().all[self.number].mode;
+            let mode = context.application.fleet().all[self.number].mode;
             if mode == Mode::Down || stream.set_nonblocking(true).is_err() {
                 // As if nobody listened: what came is reset.
                 let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
                 continue;
             }
             let _ = stream.set_nodelay(true);
-            let id = hands.name();
-            let Ok(stream) = Watched::new(&hands.poller, stream, key(id, 0), true, false) else {
+            let id = context.allocate_id();
+            let Ok(stream) = Registered::new(&context.poller, stream, key(id, 0), Interest::READ)
+            else {
                 continue;
             };
             let lines = Lines::new(stream);
-            hands.deadlines.set(id, ANSWER, Instant::now() + FIRST_LINE);
+            context
+                .deadlines
+                .set(id, ANSWER, Instant::now() + FIRST_LINE);
             let task = Task {
                 id,
                 number: self.number,
@@ -205,26 +209,25 @@
                 up: false,
                 echoes: 0,
             };
-            hands.adopt(id, Box::new(task));
+            context.register(id, Box::new(task));
         }
     }
 }
 
 impl<W: Stage> Connection<W> for Door {
-    fn ready(
+    fn on_ready(
         &mut self,
-        hands: &mut Hands<W>,
-        _side: usize,
-        _readable: bool,
-        _writable: bool,
-    ) -> Flow {
-        self.accept(hands);
-        Flow::Keep
+        context: &mut Context<W>,
+        _socket: usize,
+        _readiness: Readiness,
+    ) -> Lifecycle {
+        self.accept(context);
+        Lifecycle::Continue
     }
 
-    fn due(&mut self, hands: &mut Hands<W>, _purpose: u64) -> Flow {
+    fn on_deadline(&mut self, context: &mut Context<W>, kind: u64) -> Lifecycle {
         let now = Instant::now();
-        let fleet = hands.world.fleet();
+        let fleet = context.application.fleet();
         let strength = fleet.strength;
         let one = &mut fleet.all[self.number];
         let bears = strength.bears * one.warmth(&strength, now) * strength.fall;
@@ -234,31 +237,31 @@
         } else if now.saturating_duration_since(*one.over.get_or_insert(now)) >= strength.fall_for {
             let held = one.held.len();
             one.over = None;
-            hands.world.saw(Seen::Fell {
+            context.application.saw(Seen::Fell {
                 transcriber: self.number,
                 cold,
                 held,
             });
-            turn(hands, self.number, Mode::Down);
-            hands.deadlines.set(self.id, 1, now + BACK);
+            turn(context, self.number, Mode::Down);
+            context.deadlines.set(self.id, 1, now + BACK);
         }
-        if _purpose == 1 {
-            turn(hands, self.number, Mode::Up);
-            hands.world.list().started(self.number);
+        if kind == 1 {
+            turn(context, self.number, Mode::Up);
+            context.application.list().started(self.number);
         } else {
-            hands.deadlines.set(self.id, 0, now + LOOK);
+            context.deadlines.set(self.id, 0, now + LOOK);
         }
-        Flow::Keep
+        Lifecycle::Continue
     }
 
-    fn told(&mut self, _hands: &mut Hands<W>, _note: Note) -> Flow {
-        Flow::Keep
+    fn on_message(&mut self, _context: &mut Context<W>, _note: Note) -> Lifecycle {
+        Lifecycle::Continue
     }
 }
 
 /// One connection.
 struct Task {
-    id: Id,
+    id: ComponentId,
     number: usize,
     from: SocketAddr,
     lines: Lines,
@@ -269,113 +272,116 @@
 }
 
 impl Task {
-    fn gone<W: Stage>(&self, hands: &mut Hands<W>) -> Flow {
-        hands.world.fleet().all[self.number].held.remove(&self.id);
-        Flow::Done
+    fn gone<W: Stage>(&self, context: &mut Context<W>) -> Lifecycle {
+        context.application.fleet().all[self.number]
+            .held
+            .remove(&self.id);
+        Lifecycle::Close
     }
 
-    fn say<W: Stage>(&mut self, hands: &mut Hands<W>, text: &str) -> Flow {
+    fn say<W: Stage>(&mut self, context: &mut Context<W>, text: &str) -> Lifecycle {
         if self.lines.say(text).is_err() {
-            return self.gone(hands);
+            return self.gone(context);
         }
-        Flow::Keep
+        Lifecycle::Continue
     }
 
-    fn lines<W: Stage>(&mut self, hands: &mut Hands<W>) -> Flow {
+    fn lines<W: Stage>(&mut self, context: &mut Context<W>) -> Lifecycle {
         let now = Instant::now();
         while let Some(line) = self.lines.line() {
             if self.request.is_some() {
                 // A line before the answer is as lost as one to a silent transcriber.
                 if self.up {
                     self.echoes = self.echoes.saturating_add(1);
-                    let fleet = hands.world.fleet();
+                    let fleet = context.application.fleet();
                     let takes = fleet.all[self.number].takes(
                         &fleet.strength,
                         fleet.strength.setup / 4,
                         now,
                     );
-                    hands.deadlines.set(self.id, ECHO, now + takes);
+                    context.deadlines.set(self.id, ECHO, now + takes);
                 }
                 continue;
             }
             let id = line.strip_prefix("OPEN ").and_then(|rest| rest.get(..16));
             let Some(request) = id.and_then(|id| u64::from_str_radix(id, 16).ok()) else {
                 let _ = self.lines.say("SYNTAX\r\n");
-                return self.gone(hands);
+                return self.gone(context);
             };
             self.request = Some(request);
-            let begun = hands.world.sent_at(self.from).unwrap_or(now);
-            let fleet = hands.world.fleet();
+            let begun = context.application.sent_at(self.from).unwrap_or(now);
+            let fleet = context.application.fleet();
             let strength = fleet.strength;
             let one = &mut fleet.all[self.number];
             let cold = one.cold(&strength, begun);
             if one.mode == Mode::Drains || one.held.len() >= strength.most {
                 let _ = self.lines.say("BUSY\r\n");
-                return self.gone(hands);
+                return self.gone(context);
             }
             one.held.insert(self.id, request);
             let takes = one.takes(&strength, strength.setup, now);
-            hands.deadlines.set(self.id, ANSWER, now + takes);
+            context.deadlines.set(self.id, ANSWER, now + takes);
             if cold {
-                hands.world.saw(Seen::Cold {
+                context.application.saw(Seen::Cold {
                     transcriber: self.number,
                     begun,
                 });
             }
         }
-        Flow::Keep
+        Lifecycle::Continue
     }
 }
 
 impl<W: Stage> Connection<W> for Task {
-    fn ready(
+    fn on_ready(
         &mut self,
-        hands: &mut Hands<W>,
-        _side: usize,
-        readable: bool,
-        writable: bool,
-    ) -> Flow {
-        if (writable && self.lines.flush().is_err()) || (readable && self.lines.read().is_err()) {
-            return self.gone(hands);
+        context: &mut Context<W>,
+        _socket: usize,
+        readiness: Readiness,
+    ) -> Lifecycle {
+        if (readiness.writable && self.lines.flush().is_err())
+            || (readiness.readable && self.lines.read().is_err())
+        {
+            return self.gone(context);
         }
-        if self.lines(hands) == Flow::Done {
-            return Flow::Done;
+        if self.lines(context) == Lifecycle::Close {
+            return Lifecycle::Close;
         }
         if self.lines.ended {
-            return self.gone(hands);
+            return self.gone(context);
         }
-        Flow::Keep
+        Lifecycle::Continue
     }
 
-    fn due(&mut self, hands: &mut Hands<W>, purpose: u64) -> Flow {
-        let one = &hands.world.fleet().all[self.number];
+    fn on_deadline(&mut self, context: &mut Context<W>, kind: u64) -> Lifecycle {
+        let one = &context.application.fleet().all[self.number];
         if one.mode == Mode::Silent {
-            return Flow::Keep;
+            return Lifecycle::Continue;
         }
-        match (purpose, self.request) {
-            (ANSWER, None) => self.gone(hands),
+        match (kind, self.request) {
+            (ANSWER, None) => self.gone(context),
             (ANSWER, Some(request)) if !self.up => {
                 self.up = true;
-                self.say(hands, &format!("UP {request:016x}\r\nLOAD 1000\r\n"))
+                self.say(context, &format!("UP {request:016x}\r\nLOAD 1000\r\n"))
             }
             _ => {
                 let echoes = std::mem::take(&mut self.echoes);
-                self.say(hands, &"ok\r\n".repeat(echoes as usize))
+                self.say(context, &"ok\r\n".repeat(echoes as usize))
             }
         }
     }
 
-    fn told(&mut self, hands: &mut Hands<W>, note: Note) -> Flow {
+    fn on_message(&mut self, context: &mut Context<W>, note: Note) -> Lifecycle {
         match note {
             Note::Reset => {
                 self.lines.abort();
-                self.gone(hands)
+                self.gone(context)
             }
             Note::End => {
                 let _ = self.lines.say("MOVE\r\n");
-                self.gone(hands)
+                self.gone(context)
             }
-            Note::Look => Flow::Keep,
+            Note::Look => Lifecycle::Continue,
         }
     }
 }
