--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -1,7 +1,7 @@
 //! The simulator's dialect: one JSON object a line, read into events and written from actions.
 
 use lupincrank_placement::{
-    Action, Balancer, Event, Health, Incoming, Listed, Outcome, RequestId, ServerId, Time,
+    Action, Balancer, Endpoint, Event, Health, Outcome, RequestId, RequestInfo, ServerId, Timestamp,
 };
 use lupincrank_settings::{nanos, Site};
 use serde::Deserialize;
@@ -59,21 +59,21 @@
     up_since_ns: Option<u64>,
 }
 
-fn node(node: Node) -> Result<Listed, String> {
+fn node(node: Node) -> Result<Endpoint, String> {
     let health = match node.health.unwrap_or(0) {
         0 => Health::Ready,
         1 => Health::Gone,
         2 => Health::Draining,
         other => return Err(format!("Health: unknown code {other}")),
     };
-    Ok(Listed {
+    Ok(Endpoint {
         server: ServerId(node.server.into()),
         health,
         weight: node.heft.unwrap_or(1.0),
         zone: node.dc.unwrap_or(0),
         cell: node.unit_group.unwrap_or(0),
-        kind: node.kind.unwrap_or(0),
-        started: node.up_since_ns.filter(|at| *at > 0).map(Time),
+        machine_kind: node.kind.unwrap_or(0),
+        started_at: node.up_since_ns.filter(|at| *at > 0).map(Timestamp),
     })
 }
 
@@ -81,12 +81,12 @@
     Ok(match code {
         1 => Outcome::Served,
         2 => Outcome::Error,
-        3 => Outcome::Full,
+        3 => Outcome::Rejected,
         4 => Outcome::TimedOut,
         5 => Outcome::ConnectFailed,
         6 => Outcome::Reset,
         7 => Outcome::Cancelled,
-        8 => Outcome::Moot,
+        8 => Outcome::NotSent,
         other => return Err(format!("StateCode: unknown code {other}")),
     })
 }
@@ -107,8 +107,8 @@
         .ok_or_else(|| format!("Req: {text:?} is not 16 hex digits"))
 }
 
-fn incoming(line: Line) -> Result<Incoming, String> {
-    Ok(Incoming {
+fn incoming(line: Line) -> Result<RequestInfo, String> {
+    Ok(RequestInfo {
         request: request_id(line.req)?,
         class: need(line.lane, "Lane")?,
         tenant: line.billing,
@@ -118,9 +118,9 @@
             .expected_ns
             .filter(|load| *load > 0.0 && *load < 1e18)
             .map(|load| Duration::from_nanos(load as u64)),
-        expires: Time(need(line.valid_until_ns, "ValidUntilNs")?),
-        mid_flow: line.stray.unwrap_or(false),
-        returned: line.returned.unwrap_or(false),
+        deadline: Timestamp(need(line.valid_until_ns, "ValidUntilNs")?),
+        is_mid_flow: line.stray.unwrap_or(false),
+        is_reconnect: line.returned.unwrap_or(false),
     })
 }
 
@@ -148,30 +148,30 @@
                 .map(node)
                 .collect::<Result<Vec<_>, _>>()?;
             match need(line.kind, "Kind")? {
-                0 => Event::ListChange(entries),
-                1 => Event::List {
+                0 => Event::EndpointChange(entries),
+                1 => Event::EndpointList {
                     entries,
                     cached: false,
                 },
-                2 => Event::List {
+                2 => Event::EndpointList {
                     entries,
                     cached: true,
                 },
-                3 => Event::ListFailed,
+                3 => Event::EndpointWatchFailed,
                 other => return Err(format!("Kind: unknown code {other}")),
             }
         }
-        "ACCEPT" => Event::Request(incoming(line)?),
+        "ACCEPT" => Event::RequestReceived(incoming(line)?),
         "RESUMED" => {
             let holder = server(line.server.clone())?;
-            Event::Inherited(incoming(line)?, holder)
+            Event::ConnectionInherited(incoming(line)?, holder)
         }
         "CANCELLED_BY_CLIENT" => Event::ClientGone(request_id(line.req)?),
-        "ESTABLISHED" => Event::Established {
+        "ESTABLISHED" => Event::ConnectionEstablished {
             request: request_id(line.req)?,
             took: nanos(line.rtt_ns),
         },
-        "COMPLETED" => Event::Ended {
+        "COMPLETED" => Event::AttemptEnded {
             request: request_id(line.req)?,
             attempt: need(line.seq_no, "SeqNo")?,
             outcome: outcome(need(line.state_code, "StateCode")?)?,
@@ -187,24 +187,24 @@
                 0.0
             };
             match need(line.kind, "Kind")? {
-                1 => Event::LoadNote {
+                1 => Event::LoadObserved {
                     request,
                     load: Duration::from_secs_f64(millionths / 1e6),
                 },
-                2 => Event::DelayNote {
+                2 => Event::DelayObserved {
                     request,
                     delay: Duration::from_secs_f64(millionths / 1e3),
                 },
                 _ => return Ok(None),
             }
         }
-        "HEALTH_RESULT" => Event::Probed {
+        "HEALTH_RESULT" => Event::HealthCheckCompleted {
             server: server(line.server)?,
             passed: need(line.state_code, "StateCode")? == 1,
             report: report(line.gauge),
         },
-        "WAKEUP" => Event::Timer(need(line.handle, "Handle")?),
-        "PEER" => Event::Told(need(line.msg, "Msg")?),
+        "WAKEUP" => Event::TimerFired(need(line.handle, "Handle")?),
+        "PEER" => Event::Gossip(need(line.msg, "Msg")?),
         other => return Err(format!("unknown op {other:?}")),
     }))
 }
@@ -214,7 +214,7 @@
 pub struct Host {
     balancers: HashMap<String, (usize, Option<Balancer>)>,
     names: Vec<String>,
-    now: Option<Time>,
+    now: Option<Timestamp>,
     /// Actions of this batch with the instance that wants them.
     actions: Vec<(usize, Action)>,
     fresh: Vec<Action>,
@@ -232,7 +232,7 @@
             serde_json::from_str(text).map_err(|error| format!("not a message: {error}"))?;
         match (line.op.as_ref(), self.now) {
             ("TICK", None) => {
-                self.now = Some(Time(need(line.sim_time_ns, "TICK: SimTimeNs")?));
+                self.now = Some(Timestamp(need(line.sim_time_ns, "TICK: SimTimeNs")?));
                 Ok(false)
             }
             ("TICK", Some(_)) => Err("TICK inside a batch".into()),
@@ -250,7 +250,7 @@
         }
     }
 
-    fn event(&mut self, now: Time, mut line: Line) -> Result<(), String> {
+    fn event(&mut self, now: Timestamp, mut line: Line) -> Result<(), String> {
         let who = need(line.who.take(), "Who")?;
         if line.op == "SPAWN" {
             let seed = need(line.prng, "Prng")?;
@@ -306,7 +306,7 @@
 fn write_action(out: &mut Vec<u8>, who: &str, action: Action) {
     let who = text(who);
     let written = match action {
-        Action::Place {
+        Action::StartAttempt {
             request,
             server,
             patience,
@@ -317,7 +317,7 @@
             patience.as_nanos().max(1),
             text(&server.0)
         ),
-        Action::Refuse {
+        Action::Reject {
             request,
             retry_after,
         } => writeln!(
@@ -331,19 +331,19 @@
             r#"{{"op":"LOSE","Who":{who},"Req":"{:016x}"}}"#,
             request.0
         ),
-        Action::Move(request) => writeln!(
+        Action::Migrate(request) => writeln!(
             out,
             r#"{{"op":"SHIFT","Who":{who},"Req":"{:016x}"}}"#,
             request.0
         ),
-        Action::Probe(server) => {
+        Action::CheckHealth(server) => {
             writeln!(
                 out,
                 r#"{{"op":"ASK_LOAD","Who":{who},"Server":{}}}"#,
                 text(&server.0)
             )
         }
-        Action::Tell(message) => {
+        Action::Gossip(message) => {
             writeln!(
                 out,
                 r#"{{"op":"SHARE","Who":{who},"Whom":-1,"Msg":{}}}"#,
@@ -357,7 +357,7 @@
                 after.as_nanos()
             )
         }
-        Action::Subscribe => writeln!(out, r#"{{"op":"SUBSCRIBE","Who":{who},"Want":true}}"#),
+        Action::WatchEndpoints => writeln!(out, r#"{{"op":"SUBSCRIBE","Who":{who},"Want":true}}"#),
     };
     debug_assert!(written.is_ok(), "writing to memory cannot fail");
 }
--- a/crates/control/src/council.rs
+++ b/crates/control/src/council.rs
@@ -17,7 +17,7 @@
 use crate::status::{LogLine, Participant, Refused, Status};
 use crate::store::Store;
 use lupincrank_budgets::need::{Need, Use};
-use lupincrank_placement::Time;
+use lupincrank_placement::Timestamp;
 use std::collections::{BTreeMap, BTreeSet};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::time::Duration;
@@ -53,16 +53,16 @@
 pub struct Council {
     me: Member,
     tuning: Tuning,
-    began: Time,
+    began: Timestamp,
     log: Option<Log>,
     /// Its log broke: this incarnation must not vote again.
     out: bool,
     holder: Holder,
     limit: u32,
     /// Answers to what a founder asked: when they came, and whether a council is known.
-    answers: BTreeMap<u64, (Time, bool)>,
+    answers: BTreeMap<u64, (Timestamp, bool)>,
     founding: Option<Founding>,
-    sought: Option<Time>,
+    sought: Option<Timestamp>,
     alive: BTreeMap<u64, Member>,
     leader: Leader,
     refused: Refused,
@@ -85,7 +85,7 @@
     /// `kept` is what a folder holds of this identity, where one is configured; an error says that it can't be gone on
     /// with: it contradicts itself.
     pub fn new(
-        now: Time,
+        now: Timestamp,
         me: Member,
         tuning: Tuning,
         kept: Option<&Durable>,
@@ -138,7 +138,7 @@
     }
 
     /// All writes up to this one are on the disk.
-    pub fn written(&mut self, now: Time, number: u64) {
+    pub fn written(&mut self, now: Timestamp, number: u64) {
         if let Some(log) = &mut self.log {
             log.written(number);
         }
@@ -146,7 +146,7 @@
     }
 
     /// The disk is lost: this process takes no part from now on.
-    pub fn lost_disk(&mut self, now: Time) {
+    pub fn lost_disk(&mut self, now: Timestamp) {
         self.breaks(now);
     }
 
@@ -156,7 +156,7 @@
     }
 
     /// What this node may use of the cold budget: connections in any window, and until when.
-    pub fn limit(&self, now: Time) -> (u32, Option<Time>) {
+    pub fn limit(&self, now: Timestamp) -> (u32, Option<Timestamp>) {
         self.holder.limit(now)
     }
 
@@ -170,12 +170,12 @@
     }
 
     /// What it may use without a lease.
-    pub fn floor(&self, now: Time) -> u32 {
+    pub fn floor(&self, now: Timestamp) -> u32 {
         self.holder.floor(now)
     }
 
     /// Its part of the capacity, for what is shared by parts.
-    pub fn part(&self, now: Time) -> Option<f64> {
+    pub fn part(&self, now: Timestamp) -> Option<f64> {
         let log = self.log.as_ref()?;
         let (limit, until) = self.limit(now);
         until.map(|_| f64::from(limit) / f64::from(log.state.capacity.max(1)))
@@ -238,7 +238,7 @@
     }
 
     /// Time passes; these are the members that live as membership sees it.
-    pub fn tick(&mut self, now: Time, alive: &BTreeMap<u64, Member>) {
+    pub fn tick(&mut self, now: Timestamp, alive: &BTreeMap<u64, Member>) {
         self.ticks += 1;
         self.alive.clone_from(alive);
         self.alive.insert(self.me.id, self.me.clone());
@@ -271,7 +271,7 @@
     }
 
     /// Something came from the member with this id.
-    pub fn take(&mut self, now: Time, from: u64, said: CouncilMessage) {
+    pub fn take(&mut self, now: Timestamp, from: u64, said: CouncilMessage) {
         let mine = self.log.as_ref().map(|log| log.stamp);
         if self.out {
             return;
@@ -329,7 +329,7 @@
     }
 
     /// This node ends in good order: it uses nothing from now on, and says so until it is let go.
-    pub fn leave(&mut self, now: Time) {
+    pub fn leave(&mut self, now: Timestamp) {
         if !std::mem::replace(&mut self.leaving, true) {
             self.holder.retire(now);
             self.hand_over(now);
@@ -345,7 +345,7 @@
 
     /// A leader that ends lets a voter lead that stays, as soon as there is one that has all of the log. It must have answered
     /// lately: a hand-over to one that has just died holds all proposals for an election's time.
-    fn hand_over(&mut self, now: Time) {
+    fn hand_over(&mut self, now: Timestamp) {
         let Some(log) = self.log.as_ref().filter(|log| log.leads.is_some()) else {
             return;
         };
@@ -378,7 +378,7 @@
     }
 
     /// A member ends; once it takes part no more the leader tells it so.
-    fn lets_go(&mut self, now: Time, from: u64, stamp: Stamp) {
+    fn lets_go(&mut self, now: Timestamp, from: u64, stamp: Stamp) {
         self.leader.leaves(now, from);
         let Some(log) = self.log.as_ref().filter(|log| log.leads.is_some()) else {
             return;
@@ -390,7 +390,7 @@
     }
 
     /// Founds anew with those that live, at a higher epoch that fences off the council whose majority is gone for good.
-    pub fn reseed(&mut self, now: Time, drawn: u64) -> Result<Stamp, String> {
+    pub fn reseed(&mut self, now: Timestamp, drawn: u64) -> Result<Stamp, String> {
         if self.out {
             return Err("this process takes no part any more: start it again".into());
         }
@@ -419,7 +419,7 @@
 
     /// Another capacity, by the log: it holds from the entry on that says so, and slices follow as they are renewed. The epoch
     /// before it.
-    pub fn set_capacity(&mut self, now: Time, capacity: u32) -> Result<u64, String> {
+    pub fn set_capacity(&mut self, now: Timestamp, capacity: u32) -> Result<u64, String> {
         let Some((stamp, leader, epoch)) = self
             .log
             .as_ref()
@@ -435,7 +435,7 @@
         Ok(epoch)
     }
 
-    fn propose_capacity(&mut self, now: Time, capacity: u32) {
+    fn propose_capacity(&mut self, now: Timestamp, capacity: u32) {
         self.guarded(now, |this| {
             if let Some(log) = this.log.as_mut().filter(|log| log.leads.is_some()) {
                 log.propose(&Entry::Capacity(capacity));
@@ -445,7 +445,7 @@
     }
 
     /// What would be given out of such a capacity at the next renewal, by name; only the leader knows what all want.
-    pub fn plan(&self, now: Time, capacity: u32) -> Result<BTreeMap<String, u32>, String> {
+    pub fn plan(&self, now: Timestamp, capacity: u32) -> Result<BTreeMap<String, u32>, String> {
         let log = self
             .log
             .as_ref()
@@ -474,7 +474,7 @@
     }
 
     /// How this node stands.
-    pub fn status(&self, now: Time) -> Status {
+    pub fn status(&self, now: Timestamp) -> Status {
         let (limit, until) = self.limit(now);
         let log = self.log.as_ref();
         let name = |id: u64| {
@@ -523,7 +523,7 @@
             capacity: log.map_or(self.tuning.capacity, |log| log.state.capacity),
             sum: log.map_or(0, |log| log.state.sum()),
             limit,
-            lease_ms: until.map(|until| until.since(now).as_millis() as u64),
+            lease_ms: until.map(|until| until.saturating_duration_since(now).as_millis() as u64),
             refused: self.refused,
             parts: parts.collect(),
         }
@@ -538,7 +538,7 @@
     }
 
     /// Tells when what may be used has changed.
-    fn settle(&mut self, now: Time) {
+    fn settle(&mut self, now: Timestamp) {
         let (limit, until) = self.holder.limit(now);
         if std::mem::replace(&mut self.limit, limit) != limit {
             self.note(if until.is_some() {
@@ -550,9 +550,14 @@
     }
 
     /// Before there is a council: the first by name asks all others, and founds one if enough know of none.
-    fn seek(&mut self, now: Time) {
-        self.answers.retain(|_, (at, _)| now.since(*at) < FRESH);
-        if !self.is_first() || self.sought.is_some_and(|at| now.since(at) < SEEK) {
+    fn seek(&mut self, now: Timestamp) {
+        self.answers
+            .retain(|_, (at, _)| now.saturating_duration_since(*at) < FRESH);
+        if !self.is_first()
+            || self
+                .sought
+                .is_some_and(|at| now.saturating_duration_since(at) < SEEK)
+        {
             return;
         }
         self.sought = Some(now);
@@ -566,7 +571,7 @@
             .into_iter()
             .for_each(|id| self.send(id, CouncilMessage::Seek));
         if self.answers.values().any(|(_, known)| *known)
-            || now.since(self.began) < self.tuning.settle
+            || now.saturating_duration_since(self.began) < self.tuning.settle
         {
             return;
         }
@@ -610,7 +615,7 @@
         );
     }
 
-    fn found(&mut self, now: Time, founding: Founding) {
+    fn found(&mut self, now: Timestamp, founding: Founding) {
         self.note(Note::Founds(founding.stamp));
         self.adopt(now, founding.clone());
         self.founding = Some(founding);
@@ -618,7 +623,7 @@
     }
 
     /// A founder tells the others until there is a leader.
-    fn refound(&mut self, now: Time) {
+    fn refound(&mut self, now: Timestamp) {
         let Some(founding) = self.founding.clone() else {
             return;
         };
@@ -628,7 +633,10 @@
             .is_some_and(|log| log.stamp == founding.stamp && log.leader == 0);
         if !same {
             self.founding = None;
-        } else if self.sought.is_none_or(|at| now.since(at) >= SEEK) {
+        } else if self
+            .sought
+            .is_none_or(|at| now.saturating_duration_since(at) >= SEEK)
+        {
             self.sought = Some(now);
             let others: Vec<u64> = self
                 .alive
@@ -643,7 +651,7 @@
     }
 
     /// Takes part in a council that is founded. An incarnation that is no voter of it is let in by its leader.
-    fn adopt(&mut self, now: Time, founding: Founding) {
+    fn adopt(&mut self, now: Timestamp, founding: Founding) {
         if !founding.voters.contains(&self.me.id) {
             return;
         }
@@ -658,7 +666,7 @@
     }
 
     /// Takes part in the council with this stamp, and in no other any more.
-    fn begin(&mut self, now: Time, stamp: Stamp, store: Store, state: State) {
+    fn begin(&mut self, now: Timestamp, stamp: Stamp, store: Store, state: State) {
         let former = self.log.take();
         let Some(mut log) = Log::begin(self.me.id, stamp, store, state, former, self.keeps) else {
             return;
@@ -670,7 +678,7 @@
         self.note(Note::Joins(stamp));
     }
 
-    fn of_log(&mut self, now: Time, from: u64, stamp: Stamp, bytes: &[u8]) {
+    fn of_log(&mut self, now: Timestamp, from: u64, stamp: Stamp, bytes: &[u8]) {
         let Some(message) = Log::read(bytes, self.me.id, from) else {
             self.refused.strange += 1;
             return;
@@ -688,7 +696,7 @@
     }
 
     /// Carries out what the log has ready.
-    fn pump(&mut self, now: Time) {
+    fn pump(&mut self, now: Timestamp) {
         let Some(log) = &mut self.log else { return };
         let (led, leader) = (log.leads.is_some(), log.leader);
         let pumped = log.pump(now, &mut self.actions);
@@ -705,14 +713,14 @@
     }
 
     /// What stands in the log can't be told any more.
-    fn breaks(&mut self, now: Time) {
+    fn breaks(&mut self, now: Timestamp) {
         (self.log, self.out) = (None, true);
         self.holder.drop_all(now);
         self.note(Note::Broke);
     }
 
     /// What a leader does each tick.
-    fn lead(&mut self, now: Time) {
+    fn lead(&mut self, now: Timestamp) {
         let Some(log) = &mut self.log else { return };
         let Tuning {
             terms,
@@ -737,14 +745,14 @@
 
     /// The raft crate panics where a message contradicts what it holds. That must not end a node that serves: its log is
     /// thrown away, and this incarnation takes no part any more.
-    fn guarded(&mut self, now: Time, work: impl FnOnce(&mut Council)) {
+    fn guarded(&mut self, now: Timestamp, work: impl FnOnce(&mut Council)) {
         if catch_unwind(AssertUnwindSafe(|| work(self))).is_err() {
             self.breaks(now);
         }
     }
 
     /// The holder's part: asks the leader for a slice.
-    fn ask(&mut self, now: Time) {
+    fn ask(&mut self, now: Timestamp) {
         let Some(log) = &mut self.log else { return };
         let (leader, stamp) = (log.leader, log.stamp);
         if leader == 0
@@ -769,7 +777,7 @@
     }
 
     /// What the node sends to itself does not go out.
-    pub fn deliver_own(&mut self, now: Time) {
+    pub fn deliver_own(&mut self, now: Timestamp) {
         let me = self.me.id;
         let (own, others) = std::mem::take(&mut self.actions)
             .into_iter()
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -6,7 +6,7 @@
 use crate::member::Member;
 use crate::voters::{self, Change, Liveness};
 use lupincrank_budgets::divide::{divide, Claim};
-use lupincrank_placement::Time;
+use lupincrank_placement::Timestamp;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -21,7 +21,7 @@
 pub(crate) struct View<'a> {
     pub me: u64,
     pub leaving: bool,
-    pub now: Time,
+    pub now: Timestamp,
     pub ticks: u64,
     pub alive: &'a BTreeMap<u64, Member>,
     pub terms: &'a Terms,
@@ -34,14 +34,14 @@
     asks: BTreeMap<u64, LeaseRequest>,
     /// What each said last that it demands.
     demands: BTreeMap<u64, u32>,
-    dead: BTreeMap<u64, Time>,
+    dead: BTreeMap<u64, Timestamp>,
     left: BTreeMap<u64, Left>,
 }
 
 /// One that ends in good order.
 struct Left {
     /// It uses nothing since then, by this node's clock.
-    since: Time,
+    since: Timestamp,
     /// Membership lost it meanwhile: should the id come back it is a process that goes on with it.
     away: bool,
 }
@@ -56,7 +56,7 @@
     }
 
     /// A member ends in good order and uses nothing from now on. Every node keeps it in mind, for any may lead next.
-    pub fn leaves(&mut self, now: Time, from: u64) {
+    pub fn leaves(&mut self, now: Timestamp, from: u64) {
         self.left.entry(from).or_insert(Left {
             since: now,
             away: false,
@@ -92,7 +92,8 @@
         }
         let change = self.change(log, view);
         // A council that has granted nothing yet can't know what an earlier one granted: that runs out first.
-        let waits = log.state.grants == 0 && view.now.since(since) < view.terms.surely_over();
+        let waits = log.state.grants == 0
+            && view.now.saturating_duration_since(since) < view.terms.surely_over();
         if view.ticks.is_multiple_of(BATCH) && !waits {
             self.grant(log, view);
         }
@@ -123,7 +124,8 @@
         let gone = |id: u64| {
             let dead = self.dead.get(&id);
             dead.is_some_and(|at| {
-                self.left.contains_key(&id) || view.now.since(*at) >= view.removal_after
+                self.left.contains_key(&id)
+                    || view.now.saturating_duration_since(*at) >= view.removal_after
             })
         };
         let caught = |id: u64| log.caught_up(id);
@@ -142,7 +144,7 @@
     pub fn slices(
         &self,
         log: &Log,
-        now: Time,
+        now: Timestamp,
         alive: &BTreeMap<u64, Member>,
         capacity: u32,
     ) -> (Vec<u64>, Vec<u32>) {
@@ -166,7 +168,7 @@
         let mut over = log.clocks.over(view.now, view.terms);
         // One that ends uses nothing since it said so: what it sent before that counts for a window.
         let given_back = |(id, left): (&u64, &Left)| {
-            let free = view.now.since(left.since) >= view.terms.counts();
+            let free = view.now.saturating_duration_since(left.since) >= view.terms.counts();
             log.state
                 .held
                 .get(id)
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -3,7 +3,7 @@
 //! counts, since what was sent just before the end still does. Neither ever reads the other's clock.
 
 use crate::state::State;
-use lupincrank_placement::Time;
+use lupincrank_placement::Timestamp;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
@@ -63,16 +63,16 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Holder {
     floor: u32,
-    floor_from: Time,
+    floor_from: Timestamp,
     number: u64,
-    asked: Option<Time>,
+    asked: Option<Timestamp>,
     /// The slice and when it is over.
-    held: Option<(u32, Time)>,
+    held: Option<(u32, Timestamp)>,
     /// Slices of before, and until when each was in use.
-    before: VecDeque<(u32, Time)>,
+    before: VecDeque<(u32, Timestamp)>,
     /// It asks for nothing before then: what an earlier process of this identity sent still counts, and adds up with what
     /// this one would send.
-    quiet_until: Option<Time>,
+    quiet_until: Option<Timestamp>,
     /// It gave all back, and takes nothing more.
     retired: bool,
 }
@@ -88,8 +88,8 @@
     ///
     /// `starts` counts the processes of this identity: where others remember an earlier one, requests have numbers above all
     /// of its, and the first is made once nothing counts any more that it sent.
-    pub fn new(terms: &Terms, now: Time, floor: u32, starts: u32) -> Holder {
-        let floor_from = now.after(terms.window);
+    pub fn new(terms: &Terms, now: Timestamp, floor: u32, starts: u32) -> Holder {
+        let floor_from = now.saturating_add(terms.window);
         let quiet_until = (starts > 1).then_some(floor_from);
         Holder {
             floor,
@@ -101,13 +101,13 @@
     }
 
     /// Gives all back, the floor as well, and takes nothing more.
-    pub fn retire(&mut self, now: Time) {
+    pub fn retire(&mut self, now: Timestamp) {
         self.drop_all(now);
         self.retired = true;
     }
 
     /// What may be used without a lease.
-    pub fn floor(&self, now: Time) -> u32 {
+    pub fn floor(&self, now: Timestamp) -> u32 {
         if now < self.floor_from || self.retired {
             0
         } else {
@@ -116,7 +116,7 @@
     }
 
     /// What may be used now, the floor included, and until when; nothing but the floor has no end.
-    pub fn limit(&self, now: Time) -> (u32, Option<Time>) {
+    pub fn limit(&self, now: Timestamp) -> (u32, Option<Timestamp>) {
         match self.held {
             Some((slice, until)) if now < until => {
                 (self.floor(now).saturating_add(slice), Some(until))
@@ -127,24 +127,25 @@
 
     /// Whether it is time to ask: the last request is old, or was not answered.
     /// `pressed`: something is turned away for lack of a slice.
-    pub fn due(&self, terms: &Terms, now: Time, pressed: bool) -> bool {
+    pub fn due(&self, terms: &Terms, now: Timestamp, pressed: bool) -> bool {
         let quiet = self.retired || self.quiet_until.is_some_and(|until| now < until);
         !quiet
             && self.asked.is_none_or(|asked| {
-                now.since(asked) >= if pressed { terms.pressed } else { terms.renew }
+                now.saturating_duration_since(asked)
+                    >= if pressed { terms.pressed } else { terms.renew }
             })
     }
 
     /// Asks anew. Grants that answer earlier requests are void from here on, whenever they come.
-    pub fn ask(&mut self, terms: &Terms, now: Time, demand: u32) -> LeaseRequest {
+    pub fn ask(&mut self, terms: &Terms, now: Timestamp, demand: u32) -> LeaseRequest {
         self.number += 1;
         self.asked = Some(now);
         self.before
-            .retain(|(_, until)| now.since(*until) < terms.window);
+            .retain(|(_, until)| now.saturating_duration_since(*until) < terms.window);
         // A slice that has run out counts as one of before, for as long as what was sent by it does.
         let held = self
             .held
-            .filter(|(_, until)| now.since(*until) < terms.window);
+            .filter(|(_, until)| now.saturating_duration_since(*until) < terms.window);
         let using = held
             .iter()
             .chain(&self.before)
@@ -159,11 +160,11 @@
     }
 
     /// A grant has come; whether it counts.
-    pub fn granted(&mut self, terms: &Terms, now: Time, number: u64, slice: u32) -> bool {
+    pub fn granted(&mut self, terms: &Terms, now: Timestamp, number: u64, slice: u32) -> bool {
         let Some(asked) = self.asked.filter(|_| number == self.number) else {
             return false;
         };
-        let until = asked.after(terms.lease);
+        let until = asked.saturating_add(terms.lease);
         // Guards against one that waited at a frozen process or on the way for longer than it holds.
         if now >= until {
             return false;
@@ -173,13 +174,13 @@
     }
 
     /// What was granted is void: it came from a council that is fenced off.
-    pub fn drop_all(&mut self, now: Time) {
+    pub fn drop_all(&mut self, now: Timestamp) {
         // A grant that is still on the way answers no request any more.
         self.number += 1;
         self.put(now, None);
     }
 
-    fn put(&mut self, now: Time, held: Option<(u32, Time)>) {
+    fn put(&mut self, now: Timestamp, held: Option<(u32, Timestamp)>) {
         if let Some((slice, until)) = std::mem::replace(&mut self.held, held) {
             self.before.push_back((slice, until.min(now)));
         }
@@ -197,12 +198,12 @@
 /// leader; what one learns late it counts from then.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Clocks {
-    since: BTreeMap<u64, (u64, Time)>,
+    since: BTreeMap<u64, (u64, Timestamp)>,
 }
 
 impl Clocks {
     /// Follows the state: grants that are new to this node count from now on.
-    pub fn follow(&mut self, now: Time, state: &State) {
+    pub fn follow(&mut self, now: Timestamp, state: &State) {
         self.since
             .retain(|holder, _| state.held.contains_key(holder));
         for (holder, held) in &state.held {
@@ -214,11 +215,11 @@
     }
 
     /// The grants that are surely over, by holder and number.
-    pub fn over(&self, now: Time, terms: &Terms) -> Vec<(u64, u64)> {
+    pub fn over(&self, now: Timestamp, terms: &Terms) -> Vec<(u64, u64)> {
         let over = self
             .since
             .iter()
-            .filter(|(_, (_, since))| now.since(*since) >= terms.surely_over());
+            .filter(|(_, (_, since))| now.saturating_duration_since(*since) >= terms.surely_over());
         over.map(|(holder, (number, _))| (*holder, *number))
             .collect()
     }
--- a/crates/control/src/log.rs
+++ b/crates/control/src/log.rs
@@ -9,7 +9,7 @@
 use crate::status::LogLine;
 use crate::store::Store;
 use crate::voters::{Change, Parts};
-use lupincrank_placement::Time;
+use lupincrank_placement::Timestamp;
 use protobuf::Message as _;
 use raft::eraftpb::{
     ConfChange, ConfChangeType, ConfState, EntryType, Message as RaftMessage, MessageType, Snapshot,
@@ -40,7 +40,7 @@
     pub state: State,
     pub clocks: Clocks,
     /// Since when this node leads.
-    pub leads: Option<Time>,
+    pub leads: Option<Timestamp>,
     /// Who leads; 0 is nobody.
     pub leader: u64,
     pub applied: u64,
@@ -209,7 +209,7 @@
     }
 
     /// Carries out what raft has ready, until nothing is left.
-    pub fn pump(&mut self, now: Time, out: &mut Vec<Action>) -> Result<(), Contradiction> {
+    pub fn pump(&mut self, now: Timestamp, out: &mut Vec<Action>) -> Result<(), Contradiction> {
         self.release(out);
         while self.raw.has_ready() {
             let mut ready = self.raw.ready();
--- a/crates/control/tests/model.rs
+++ b/crates/control/tests/model.rs
@@ -6,7 +6,7 @@
 use lupincrank_control::lease::{Clocks, Holder, LeaseRequest, Terms};
 use lupincrank_control::member::{Founding, Member, Stamp};
 use lupincrank_control::state::State;
-use lupincrank_placement::Time;
+use lupincrank_placement::Timestamp;
 use rstest::rstest;
 use stateright::{Checker, Model, Property};
 use std::time::Duration;
@@ -41,7 +41,7 @@
     state: State,
     clocks: Clocks,
     /// Since when the granter leads a council that has granted nothing.
-    leads: Time,
+    leads: Timestamp,
     incarnations: Vec<Incarnation>,
     wire: Vec<Wire>,
     faults: u8,
@@ -96,11 +96,11 @@
             pressed: Duration::from_millis(STEP),
         }
     }
-    fn holder(&self, now: u64) -> Time {
-        Time(((now * STEP) as f64 * 1e6 * (1.0 - self.slow)) as u64)
+    fn holder(&self, now: u64) -> Timestamp {
+        Timestamp(((now * STEP) as f64 * 1e6 * (1.0 - self.slow)) as u64)
     }
-    fn granter(&self, now: u64) -> Time {
-        Time(((now * STEP) as f64 * 1e6 * (1.0 + self.slow)) as u64)
+    fn granter(&self, now: u64) -> Timestamp {
+        Timestamp(((now * STEP) as f64 * 1e6 * (1.0 + self.slow)) as u64)
     }
     fn found(&self, epoch: u64, incarnations: &[Incarnation]) -> State {
         let member = |incarnation: &Incarnation| Member {
@@ -142,7 +142,8 @@
 
     fn grant(&self, world: &mut World, from: u64, ask: LeaseRequest, most: u32) {
         let at = self.granter(world.now);
-        let waits = !self.no_wait && at.since(world.leads) < self.terms().surely_over();
+        let waits =
+            !self.no_wait && at.saturating_duration_since(world.leads) < self.terms().surely_over();
         if world.state.grants == 0 && waits {
             return;
         }
@@ -167,7 +168,7 @@
     fn init_states(&self) -> Vec<World> {
         let incarnation = |id| Incarnation {
             id,
-            machine: Holder::new(&self.terms(), Time(0), 0, 0),
+            machine: Holder::new(&self.terms(), Timestamp(0), 0, 0),
             asked: 0,
             frozen: false,
             used: vec![],
@@ -176,7 +177,7 @@
         let mut state = self.found(1, &incarnations);
         // A council that has been at work for a while.
         state.grants = 1;
-        let (clocks, leads) = (Clocks::default(), Time(0));
+        let (clocks, leads) = (Clocks::default(), Timestamp(0));
         vec![World {
             now: 0,
             state,
--- a/crates/control/tests/sim/mod.rs
+++ b/crates/control/tests/sim/mod.rs
@@ -4,7 +4,7 @@
 
 use lupincrank_budgets::need::Use;
 use lupincrank_control::council::{Council, Tuning, TICK};
-use lupincrank_placement::Time;
+use lupincrank_placement::Timestamp;
 
 use lupincrank_control::durable::{Durable, Write};
 use lupincrank_control::lease::Terms;
@@ -366,7 +366,7 @@
     }
 
     /// What a node's clock shows.
-    pub fn local(&self, n: usize) -> Time {
+    pub fn local(&self, n: usize) -> Timestamp {
         local(self.now, self.nodes[n].rate, self.nodes[n].offset)
     }
 
@@ -374,12 +374,12 @@
     pub fn led(&self) -> usize {
         let alive = self.nodes.iter().filter(|node| !node.dead && !node.frozen);
         alive
-            .filter(|node| node.council.status(Time(0)).leader.is_some())
+            .filter(|node| node.council.status(Timestamp(0)).leader.is_some())
             .count()
     }
 }
 
 /// What a clock shows at a moment.
-fn local(now: Duration, rate: f64, offset: u64) -> Time {
-    Time(offset + (now.as_nanos() as f64 * rate) as u64)
+fn local(now: Duration, rate: f64, offset: u64) -> Timestamp {
+    Timestamp(offset + (now.as_nanos() as f64 * rate) as u64)
 }
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -207,7 +207,7 @@
 
     /// How many connections for probes are held at once.
     pub fn most_probes(&self) -> usize {
-        if self.settings.may_probe {
+        if self.settings.health_checks_allowed {
             (self.sockets / PROBES_PART).clamp(LEAST_PROBES, MOST_PROBES)
         } else {
             0
@@ -265,7 +265,7 @@
         let site = file.settings;
         let mut settings = site.settings()?;
         // On sockets discovery tells nothing unasked.
-        settings.list_must_be_asked = true;
+        settings.requires_endpoint_watch = true;
         if settings.classes.is_empty() {
             return Err("settings: Categories names no class".into());
         }
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -4,10 +4,10 @@
 use crate::config::Config;
 use crate::load_lines::{LoadLines, Told};
 use lupincrank_control::lease::Terms;
-use lupincrank_placement::learnt::Learnt;
+use lupincrank_placement::learned_state::LearnedServer;
 use lupincrank_placement::{
-    Action, Balancer, Event, Health, Incoming, Listed, Outcome, RequestId, ServerId, Settings,
-    Slice, Time,
+    Action, Balancer, Endpoint, Event, Health, Outcome, RequestId, RequestInfo, ServerId, Settings,
+    SlowStartLease, Timestamp,
 };
 use slog::{debug, info, warn, Logger};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -76,7 +76,7 @@
 /// One entry of the upstream group.
 pub struct Member {
     /// What the module is told.
-    pub listed: Listed,
+    pub listed: Endpoint,
     /// Where it listens, as this node reaches it.
     pub dial: SocketAddr,
 }
@@ -97,7 +97,7 @@
     /// Nobody waits for it any more.
     over: bool,
     /// As it came, and its load as last told, in microseconds of work a second: for who takes it over.
-    incoming: Incoming,
+    incoming: RequestInfo,
     load: Option<f64>,
     /// When each line of the client went on that nothing has come back for yet.
     unanswered: VecDeque<Instant>,
@@ -143,7 +143,7 @@
     /// Discovery has told the list in this node's life.
     told: bool,
     /// See `Core::slice`.
-    slice: Option<Slice>,
+    slice: Option<SlowStartLease>,
     log: Logger,
 }
 
@@ -159,8 +159,8 @@
         Core {
             orders: VecDeque::new(),
             balancer: Balancer::new(config.settings.clone(), config.seed),
-            least_aim: config.settings.least_message_aim(),
-            leaving_retry: LEAVING_RETRY.min(config.settings.longest_retry_after),
+            least_aim: config.settings.min_message_objective(),
+            leaving_retry: LEAVING_RETRY.min(config.settings.max_retry_after),
             actions: Vec::new(),
             contexts: HashMap::new(),
             group: HashMap::new(),
@@ -178,39 +178,39 @@
     }
 
     /// Now, on the module's clock.
-    pub fn now(&self) -> Time {
+    pub fn now(&self) -> Timestamp {
         self.time(Instant::now())
     }
 
     /// What this node may send to cold transcribers by what the fleet agreed on: so many new connections in any window
     /// until then, and `floor` without a lease.
-    pub fn slice(&mut self, sends: u32, floor: u32, part: f64, until: Option<Time>) {
+    pub fn slice(&mut self, sends: u32, floor: u32, part: f64, until: Option<Timestamp>) {
         let window = Terms::default().window;
-        let slice = Some(Slice {
-            part,
-            sends,
-            until,
+        let slice = Some(SlowStartLease {
+            fleet_share: part,
+            limit: sends,
+            expires_at: until,
             floor,
             window,
         });
         if slice != self.slice {
             self.slice.clone_from(&slice);
-            self.feed(Event::Slice(slice));
+            self.feed(Event::LeaseChanged(slice));
         }
     }
 
     /// See `Balancer::cold_used`.
     pub fn cold_used(&mut self) -> (u32, bool) {
-        self.balancer.cold_used()
+        self.balancer.take_slow_start_usage()
     }
 
-    fn time(&self, at: Instant) -> Time {
+    fn time(&self, at: Instant) -> Timestamp {
         let span = EPOCH + at.saturating_duration_since(self.start);
-        Time(u64::try_from(span.as_nanos()).unwrap_or(u64::MAX))
+        Timestamp(u64::try_from(span.as_nanos()).unwrap_or(u64::MAX))
     }
 
     /// A moment of Unix time on the module's clock; `None` for long ago.
-    pub fn moment(&self, unix_ms: u64) -> Option<Time> {
+    pub fn moment(&self, unix_ms: u64) -> Option<Timestamp> {
         let at = UNIX_EPOCH
             .checked_add(Duration::from_millis(unix_ms))
             .filter(|_| unix_ms > 0)?;
@@ -218,7 +218,9 @@
             Ok(later) => EPOCH.saturating_add(later),
             Err(before) => EPOCH.checked_sub(before.duration())?,
         };
-        Some(Time(u64::try_from(span.as_nanos()).unwrap_or(u64::MAX)))
+        Some(Timestamp(
+            u64::try_from(span.as_nanos()).unwrap_or(u64::MAX),
+        ))
     }
 
     fn feed(&mut self, event: Event) {
@@ -231,7 +233,7 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Place {
+            Action::StartAttempt {
                 request,
                 server,
                 patience,
@@ -258,10 +260,10 @@
                         ));
                     }
                     // The list names it, so it has an address; if not, nothing was sent.
-                    None => self.try_ended(request, Outcome::Moot, false),
+                    None => self.try_ended(request, Outcome::NotSent, false),
                 }
             }
-            Action::Refuse {
+            Action::Reject {
                 request,
                 retry_after,
             } => {
@@ -277,7 +279,7 @@
                     self.orders.push_back(Order::Fail(context.owner));
                 }
             }
-            Action::Move(request) => {
+            Action::Migrate(request) => {
                 if let Some(context) = self
                     .contexts
                     .get_mut(&request)
@@ -294,14 +296,14 @@
                 let purpose = (self.timers << 8) | (handle & 0xff);
                 self.orders.push_back(Order::Timer { after, purpose });
             }
-            Action::Subscribe => self.orders.push_back(Order::Subscribe),
-            Action::Probe(server) => {
+            Action::WatchEndpoints => self.orders.push_back(Order::Subscribe),
+            Action::CheckHealth(server) => {
                 if let Some((dial, _)) = self.group.get(&server) {
                     self.orders.push_back(Order::Probe(server, *dial));
                 }
             }
             // The protocol of this kind of site has no talk between nodes.
-            Action::Tell(_) => {}
+            Action::Gossip(_) => {}
         }
     }
 
@@ -312,7 +314,7 @@
 
     /// A timer has come due.
     pub fn timer(&mut self, purpose: u64) {
-        self.feed(Event::Timer(purpose & 0xff));
+        self.feed(Event::TimerFired(purpose & 0xff));
     }
 
     /// The upstream group, whole or what changed of it.
@@ -329,9 +331,9 @@
             entries.push(listed);
         }
         self.feed(if whole {
-            Event::List { entries, cached }
+            Event::EndpointList { entries, cached }
         } else {
-            Event::ListChange(entries)
+            Event::EndpointChange(entries)
         });
     }
 
@@ -342,12 +344,12 @@
 
     /// The watch has fallen silent.
     pub fn list_silent(&mut self) {
-        self.feed(Event::ListSilent);
+        self.feed(Event::EndpointWatchSilent);
     }
 
     /// A call to discovery failed or the watch broke.
     pub fn list_failed(&mut self) {
-        self.feed(Event::ListFailed);
+        self.feed(Event::EndpointWatchFailed);
     }
 
     /// Whether the front may send clients: some transcriber takes new connections, by a list that discovery told.
@@ -375,18 +377,18 @@
 
     /// Other settings hold from now on. `from`: for each class its position before, if it was there.
     pub fn renew(&mut self, config: &Config, from: Vec<Option<usize>>) {
-        let instances = config.settings.instances.saturating_mul(self.processes);
+        let instances = config.settings.node_count.saturating_mul(self.processes);
         for context in self.contexts.values_mut() {
             let now_at = from
                 .iter()
                 .position(|old| *old == Some(context.incoming.class));
             context.incoming.class = now_at.unwrap_or(usize::MAX);
         }
-        self.least_aim = config.settings.least_message_aim();
-        self.leaving_retry = LEAVING_RETRY.min(config.settings.longest_retry_after);
-        self.feed(Event::Settings {
+        self.least_aim = config.settings.min_message_objective();
+        self.leaving_retry = LEAVING_RETRY.min(config.settings.max_retry_after);
+        self.feed(Event::SettingsChanged {
             settings: Settings {
-                instances,
+                node_count: instances,
                 ..config.settings.clone()
             },
             from,
@@ -403,7 +405,7 @@
 
     /// The transcribers that are out by hand.
     pub fn out(&self) -> &BTreeSet<ServerId> {
-        self.balancer.by_hand().out()
+        self.balancer.by_hand().drained()
     }
 
     /// Whether a transcriber of this id is listed or out by hand.
@@ -426,7 +428,7 @@
         if ready.peek().is_some() && ready.all(|(server, _)| out.contains(server)) {
             warn!(self.log, "no transcriber is left: all clients are refused"; "out" => out.len());
         }
-        self.feed(Event::ByHand(out));
+        self.feed(Event::AdminDrain(out));
     }
 
     /// Whether the present try's line may go out: its transcriber takes new connections still, as far as this node has been
@@ -450,10 +452,10 @@
         self.contexts.contains_key(&request)
     }
 
-    fn context(&mut self, owner: Owner, incoming: &mut Incoming, left: Duration) {
+    fn context(&mut self, owner: Owner, incoming: &mut RequestInfo, left: Duration) {
         let now = Instant::now();
         let expires = now + left;
-        incoming.expires = self.time(expires);
+        incoming.deadline = self.time(expires);
         let context = ActiveRequest {
             owner,
             expires,
@@ -472,7 +474,7 @@
     }
 
     /// A request is taken from a client that waits for `left`.
-    pub fn request(&mut self, owner: Owner, mut incoming: Incoming, left: Duration) {
+    pub fn request(&mut self, owner: Owner, mut incoming: RequestInfo, left: Duration) {
         if self.leaving {
             return self
                 .orders
@@ -480,8 +482,8 @@
         }
         self.context(owner, &mut incoming, left);
         debug!(self.log, "request"; "id" => name(incoming.request), "class" => incoming.class,
-            "group" => incoming.group.clone(), "again" => incoming.returned, "left_ms" => left.as_millis() as u64);
-        self.feed(Event::Request(incoming));
+            "group" => incoming.group.clone(), "again" => incoming.is_reconnect, "left_ms" => left.as_millis() as u64);
+        self.feed(Event::RequestReceived(incoming));
     }
 
     /// The transcriber could not read the request: that is its client's fault and says nothing of the transcriber.
@@ -494,7 +496,7 @@
     }
 
     /// A connection that stood before this node began is up again.
-    pub fn inherited(&mut self, owner: Owner, mut incoming: Incoming, server: &str) {
+    pub fn inherited(&mut self, owner: Owner, mut incoming: RequestInfo, server: &str) {
         self.context(owner, &mut incoming, Duration::from_secs(1));
         if let Some(context) = self.contexts.get_mut(&incoming.request) {
             context.attempts = 1;
@@ -503,23 +505,26 @@
         }
         debug!(self.log, "inherited"; "request" => name(incoming.request), "class" => incoming.class,
             "group" => incoming.group.clone(), "server" => server);
-        self.feed(Event::Inherited(incoming, server.into()));
+        self.feed(Event::ConnectionInherited(incoming, server.into()));
     }
 
     /// What was learnt of the transcribers, for the process that takes this one's place.
-    pub fn learnt(&self) -> Vec<Learnt> {
+    pub fn learnt(&self) -> Vec<LearnedServer> {
         self.balancer.learnt(self.time(Instant::now()))
     }
 
     /// What the process before this one learnt.
-    pub fn learn(&mut self, learnt: Vec<Learnt>) {
+    pub fn learn(&mut self, learnt: Vec<LearnedServer>) {
         let barred = learnt
             .iter()
-            .filter(|learnt| learnt.barred.is_some())
+            .filter(|learnt| learnt.ejected_for.is_some())
+            .count();
+        let crowded = learnt
+            .iter()
+            .filter(|learnt| learnt.concurrency_limit.is_some())
             .count();
-        let crowded = learnt.iter().filter(|learnt| learnt.cap.is_some()).count();
         info!(self.log, "learnt"; "transcribers" => learnt.len(), "barred" => barred, "crowded" => crowded);
-        self.feed(Event::Learnt(learnt));
+        self.feed(Event::LearnedState(learnt));
     }
 
     /// What another process needs to go on with a standing connection: its request, where it stands, its load and when
@@ -527,7 +532,7 @@
     pub fn standing(
         &self,
         request: RequestId,
-    ) -> Option<(&Incoming, &ServerId, Option<f64>, &VecDeque<Instant>)> {
+    ) -> Option<(&RequestInfo, &ServerId, Option<f64>, &VecDeque<Instant>)> {
         let context = self
             .contexts
             .get(&request)
@@ -544,7 +549,7 @@
     pub fn take_over(
         &mut self,
         owner: Owner,
-        incoming: Incoming,
+        incoming: RequestInfo,
         server: &str,
         load: Option<f64>,
         unanswered: VecDeque<Instant>,
@@ -557,7 +562,7 @@
             context.unanswered.truncate(MOST_UNANSWERED);
         }
         if let Some(load) = load {
-            self.feed(Event::LoadNote {
+            self.feed(Event::LoadObserved {
                 request,
                 load: Duration::from_secs_f64(load / 1e6),
             });
@@ -577,7 +582,7 @@
         if let (Some(server), Some(wait)) = (server, self.wait_of(took)) {
             self.pulses.entry(server).or_default().waits.push(wait);
         }
-        self.feed(Event::Established { request, took });
+        self.feed(Event::ConnectionEstablished { request, took });
     }
 
     /// What a set-up waited for others, if it took much longer than usual: its first line is a message too, and
@@ -613,7 +618,7 @@
         if done {
             self.contexts.remove(&request);
         }
-        self.feed(Event::Ended {
+        self.feed(Event::AttemptEnded {
             request,
             attempt,
             outcome,
@@ -644,12 +649,12 @@
             return;
         };
         let (out, attempt) = (context.server.is_some(), context.attempts.saturating_sub(1));
-        self.feed(Event::GivenUp {
+        self.feed(Event::ShutdownDeadline {
             request,
             sent: context.sent,
         });
         if out {
-            self.feed(Event::Ended {
+            self.feed(Event::AttemptEnded {
                 request,
                 attempt,
                 outcome: Outcome::Cancelled,
@@ -661,7 +666,7 @@
 
     /// A probe of this transcriber has come back or failed; with its load report, if one came.
     pub fn probed(&mut self, server: &ServerId, passed: bool, report: Option<Vec<f64>>) {
-        self.feed(Event::Probed {
+        self.feed(Event::HealthCheckCompleted {
             server: server.clone(),
             passed,
             report,
@@ -678,7 +683,7 @@
             Told::Load(load) => Some(load),
             Told::Delay { delay, load } => {
                 debug!(self.log, "delay"; "request" => name(request), "ms" => delay.as_millis() as u64);
-                self.feed(Event::DelayNote { request, delay });
+                self.feed(Event::DelayObserved { request, delay });
                 load
             }
         };
@@ -687,7 +692,7 @@
                 context.load = Some(load);
             }
             debug!(self.log, "load"; "request" => name(request), "us" => load as u64);
-            self.feed(Event::LoadNote {
+            self.feed(Event::LoadObserved {
                 request,
                 load: Duration::from_secs_f64(load / 1e6),
             });
@@ -812,13 +817,13 @@
             if let Some(pulse) = self.pulses.get_mut(&server) {
                 pulse.hushed = true;
             }
-            self.feed(Event::ServerSilent(server));
+            self.feed(Event::ServerUnresponsive(server));
         }
         for (request, delay) in notes {
-            self.feed(Event::DelayNote { request, delay });
+            self.feed(Event::DelayObserved { request, delay });
         }
         for request in silent {
-            self.feed(Event::Silent(request));
+            self.feed(Event::ConnectionUnresponsive(request));
         }
     }
 
@@ -838,7 +843,7 @@
         standing.sort_unstable();
         let count = standing.len().div_ceil(steps.max(1));
         for request in standing.into_iter().take(count) {
-            self.act(Action::Move(request));
+            self.act(Action::Migrate(request));
         }
         if steps <= 1 {
             let waits = self
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -5,7 +5,7 @@
 use crate::group::{check, dial, health, number, Update};
 use crate::objects::Objects;
 use crate::state::{Message, Node, NodeState, DISCOVERY, UPGRADE};
-use lupincrank_placement::{asking, Listed};
+use lupincrank_placement::{poll_schedule, Endpoint};
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::{poller_key, Interest, Readiness};
 use lupincrank_reactor::{Connection, Lifecycle};
@@ -128,14 +128,14 @@
         for host in &update.hosts {
             members.push(Member {
                 dial: dial(host)?,
-                listed: Listed {
+                listed: Endpoint {
                     server: host.host.as_str().into(),
                     health: health(host)?,
                     weight: host.share.unwrap_or(1.0),
                     zone: number(&mut self.zones, host.site.as_deref()),
                     cell: host.block.unwrap_or(0),
-                    kind: number(&mut self.kinds, host.class.as_deref()),
-                    started: core.moment(host.born_ms.unwrap_or(0)),
+                    machine_kind: number(&mut self.kinds, host.class.as_deref()),
+                    started_at: core.moment(host.born_ms.unwrap_or(0)),
                 },
             });
         }
@@ -161,7 +161,7 @@
         node.deadlines.set(
             DISCOVERY,
             FURTHER,
-            now + asking::alone(now - self.contact, self.calls()),
+            now + poll_schedule::unanswered_call_timeout(now - self.contact, self.calls()),
         );
         let request = format!(
             "GET /v1/endpoints?watch=1&from={} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n",
@@ -342,7 +342,10 @@
                 node.core.list_silent();
             }
             // The failure is this node's own finding, so nothing has shown that there is nothing to hear.
-            Some(Phase::Connecting) if !self.calls() && asking::hurries(self.contact.elapsed()) => {
+            Some(Phase::Connecting)
+                if !self.calls()
+                    && poll_schedule::reconnects_immediately(self.contact.elapsed()) =>
+            {
                 warn!(node.log, "discovery failed"; "why" => "nothing came in time", "seq" => self.seq);
                 self.call(node);
             }
--- a/crates/node/src/fleet/carry.rs
+++ b/crates/node/src/fleet/carry.rs
@@ -9,7 +9,7 @@
 use lupincrank_control::lease::Terms;
 use lupincrank_control::member::Member;
 use lupincrank_control::message::{Action, CouncilMessage, Note};
-use lupincrank_placement::Time;
+use lupincrank_placement::Timestamp;
 use lupincrank_reactor::poll::Registered;
 use lupincrank_reactor::ComponentId;
 use serde::Serialize;
@@ -115,7 +115,7 @@
         id: u64,
         kept: Option<&Durable>,
         settings: u32,
-        now: Time,
+        now: Timestamp,
         log: Logger,
     ) -> Result<Carry, String> {
         let born = SystemTime::now()
@@ -171,7 +171,7 @@
     }
 
     /// The disk has something to say.
-    pub fn disk(&mut self, now: Time) {
+    pub fn disk(&mut self, now: Timestamp) {
         let Some((disk, _)) = &mut self.disk else {
             return;
         };
@@ -182,7 +182,7 @@
         }
     }
 
-    fn write(&mut self, now: Time, write: Write) {
+    fn write(&mut self, now: Timestamp, write: Write) {
         let Some((disk, _)) = &self.disk else { return };
         if let Err(why) = disk.write(write) {
             self.lost_disk(now, &why);
@@ -190,14 +190,14 @@
     }
 
     /// What was said before is on the disk; nothing more is said by this process.
-    fn lost_disk(&mut self, now: Time, why: &str) {
+    fn lost_disk(&mut self, now: Timestamp, why: &str) {
         warn!(self.log, "the council's folder is lost"; "why" => why.to_string());
         self.disk = None;
         self.council.lost_disk(now);
     }
 
     /// This node ends: it gives back what it holds, and stays for a while for those that need its vote.
-    pub fn leave(&mut self, now: Time) {
+    pub fn leave(&mut self, now: Timestamp) {
         self.leaves.get_or_insert_with(Instant::now);
         self.council.leave(now);
     }
@@ -301,7 +301,7 @@
     /// The messages of one link; an error ends it.
     pub fn heard(
         &mut self,
-        now: Time,
+        now: Timestamp,
         id: ComponentId,
         messages: Vec<Message>,
     ) -> Result<(), String> {
@@ -438,7 +438,7 @@
     }
 
     /// What the council wants carried out. Gives the links that could not take it.
-    pub fn council(&mut self, now: Time) -> Vec<(ComponentId, String)> {
+    pub fn council(&mut self, now: Timestamp) -> Vec<(ComponentId, String)> {
         if self.replaced {
             self.leave(now);
         }
@@ -564,7 +564,7 @@
     }
 
     /// What `fleet status` tells, as JSON.
-    pub fn status(&self, now: Time) -> String {
+    pub fn status(&self, now: Timestamp) -> String {
         let status = Status {
             fleet: &self.setup.name,
             council: self.council.status(now),
@@ -583,7 +583,7 @@
     }
 
     /// What `budgets show` tells.
-    pub fn budgets(&self, now: Time) -> serde_json::Value {
+    pub fn budgets(&self, now: Timestamp) -> serde_json::Value {
         let status = self.council.status(now);
         let slices: BTreeMap<&str, u32> = status
             .parts
--- a/crates/node/src/line_front.rs
+++ b/crates/node/src/line_front.rs
@@ -4,7 +4,7 @@
 use crate::relay::Relay;
 use crate::state::{Message, Node, NodeState, Seat, Strangers, Up, LISTENER};
 use crate::upgrade::link::Said;
-use lupincrank_placement::{Incoming, RequestId, Time};
+use lupincrank_placement::{RequestId, RequestInfo, Timestamp};
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::{poller_key, Interest, Readiness};
 use lupincrank_reactor::{ComponentId, Connection, Lifecycle};
@@ -263,23 +263,23 @@
 }
 
 impl Open {
-    fn incoming(&self, groups: bool) -> Incoming {
+    fn incoming(&self, groups: bool) -> RequestInfo {
         let subject = self.subject.clone();
         let (group, key) = if groups {
             (subject, Some(self.flow.clone()))
         } else {
             (None, subject)
         };
-        Incoming {
+        RequestInfo {
             request: RequestId(self.request),
             class: self.class,
             tenant: None,
             group,
             key: key.or_else(|| Some(self.flow.clone())),
             load: self.load,
-            expires: Time(0),
-            mid_flow: false,
-            returned: self.again,
+            deadline: Timestamp(0),
+            is_mid_flow: false,
+            is_reconnect: self.again,
         }
     }
 }
@@ -530,7 +530,7 @@
         }
         if node.clients.get() + node.upgrade.other.clients >= node.config.most_clients() {
             debug!(node.log, "too many clients"; "held" => node.clients.get());
-            return self.answer(node, &busy(node.config.settings.longest_retry_after / 2));
+            return self.answer(node, &busy(node.config.settings.max_retry_after / 2));
         }
         node.deadlines.clear(self.id, PATIENCE);
         (self.seat, self.place) = (Some(Seat::take(&node.clients)), None);
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -133,7 +133,7 @@
                 peer.end(
                     node,
                     if lacks {
-                        Outcome::Moot
+                        Outcome::NotSent
                     } else {
                         Outcome::ConnectFailed
                     },
@@ -180,7 +180,7 @@
     fn broken(&self) -> Outcome {
         match (self.connected, self.sent < self.task.line.len()) {
             (false, _) => Outcome::ConnectFailed,
-            (true, true) => Outcome::Dropped,
+            (true, true) => Outcome::ClosedBeforeSend,
             (true, false) => Outcome::Reset,
         }
     }
@@ -266,7 +266,7 @@
                     }
                     // A load told before the answer is of no use to anyone yet.
                     Said::Load(_) => drop(self.bytes.drain(..=end)),
-                    Said::Busy => return Some(self.end(node, Outcome::Full)),
+                    Said::Busy => return Some(self.end(node, Outcome::Rejected)),
                     Said::Syntax if !self.task.stood => {
                         self.stream = None;
                         node.core.unreadable(self.task.request);
@@ -291,7 +291,7 @@
     fn send(&mut self, node: &mut Node) -> Lifecycle {
         self.may_send = true;
         if self.sent == 0 && !self.task.stood && !node.core.may_send(self.task.request) {
-            return self.end(node, Outcome::Dropped);
+            return self.end(node, Outcome::ClosedBeforeSend);
         }
         self.progress(node)
     }
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -3,7 +3,7 @@
 use crate::peer::{said, Said, LONGEST_LINE};
 use crate::state::{Message, Node, NodeState, Seat, Up};
 use crate::upgrade::link::{self, Standing};
-use lupincrank_placement::{Incoming, Outcome, RequestId, Time};
+use lupincrank_placement::{Outcome, RequestId, RequestInfo, Timestamp};
 use lupincrank_reactor::poll::Registered;
 use lupincrank_reactor::{poller_key, Interest, Readiness};
 use lupincrank_reactor::{ComponentId, Connection, Lifecycle};
@@ -184,7 +184,7 @@
             .classes
             .iter()
             .position(|class| *class == record.class);
-        let incoming = Incoming {
+        let incoming = RequestInfo {
             request,
             // A class that is not there any more: what stands needs none.
             class: class.unwrap_or(usize::MAX),
@@ -192,9 +192,9 @@
             group: record.group,
             key: record.key,
             load: None,
-            expires: Time::default(),
-            mid_flow: false,
-            returned: record.returned,
+            deadline: Timestamp::default(),
+            is_mid_flow: false,
+            is_reconnect: record.returned,
         };
         let now = Instant::now();
         let before = |ms: &u64| now.checked_sub(Duration::from_millis(*ms)).unwrap_or(now);
@@ -235,7 +235,7 @@
                 .unwrap_or_default(),
             group: incoming.group.clone(),
             key: incoming.key.clone(),
-            returned: incoming.returned,
+            returned: incoming.is_reconnect,
             server: server.0.to_string(),
             load_us: load.map(|load| load as u64),
             unanswered_ms: unanswered
--- a/crates/node/src/signals.rs
+++ b/crates/node/src/signals.rs
@@ -71,7 +71,7 @@
     let NodeState { core, config, .. } = &mut node.application;
     core.renew(config, from);
     let classes = node.config.classes.join(", ");
-    info!(node.log, "configuration read again"; "classes" => classes, "attempts" => node.config.settings.attempt_cap,
+    info!(node.log, "configuration read again"; "classes" => classes, "attempts" => node.config.settings.max_attempts,
         "discovery" => %node.config.discovery, "sockets" =>
         node.config.sockets, "memory_mb" => node.config.memory_mb, "waits for the next start" => later);
     if moved {
--- a/crates/node/src/upgrade/bans.rs
+++ b/crates/node/src/upgrade/bans.rs
@@ -1,6 +1,6 @@
 //! The file that tells both processes of a node, and the next one, which transcribers are out by hand.
 
-use lupincrank_placement::by_hand::put;
+use lupincrank_placement::admin_drain::set_drained;
 use lupincrank_placement::ServerId;
 use std::collections::BTreeSet;
 use std::fs::{self, File};
@@ -77,7 +77,7 @@
         let _held =
             hold(&self.path.with_extension("out-lock")).map_err(|error| self.named(error))?;
         let mut out = self.read().unwrap_or_else(|_| present.clone());
-        if put(&mut out, server, down) {
+        if set_drained(&mut out, server, down) {
             self.write(&out)?;
         }
         Ok(out)
--- a/crates/node/src/upgrade/held.rs
+++ b/crates/node/src/upgrade/held.rs
@@ -3,7 +3,7 @@
 use super::bans::Bans;
 use super::custody::Custody;
 use super::link::{self, Beat, Said};
-use lupincrank_placement::by_hand::put;
+use lupincrank_placement::admin_drain::set_drained;
 use lupincrank_placement::ServerId;
 use lupincrank_reactor::poll::Registered;
 use lupincrank_reactor::ComponentId;
@@ -130,7 +130,7 @@
             Some(bans) => bans.change(server, down, present),
             None => {
                 let mut out = present.clone();
-                put(&mut out, server, down);
+                set_drained(&mut out, server, down);
                 Ok(out)
             }
         }
--- a/crates/node/src/upgrade/link.rs
+++ b/crates/node/src/upgrade/link.rs
@@ -1,6 +1,6 @@
 //! What two processes of one node say to each other: one message a packet, some with descriptors.
 
-use lupincrank_placement::learnt::Learnt;
+use lupincrank_placement::learned_state::LearnedServer;
 use lupincrank_reactor::poll::Registered;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, ReturnFlags,
@@ -58,7 +58,7 @@
     pub open: bool,
 }
 
-/// What was learnt of one transcriber: see `lupincrank_placement::learnt`. Spans are milliseconds.
+/// What was learnt of one transcriber: see `lupincrank_placement::learned_state`. Spans are milliseconds.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Lesson {
     server: String,
@@ -71,36 +71,36 @@
     crashed: bool,
 }
 
-impl From<Learnt> for Lesson {
-    fn from(learnt: Learnt) -> Lesson {
+impl From<LearnedServer> for Lesson {
+    fn from(learnt: LearnedServer) -> Lesson {
         let ms = |span: Option<Duration>| {
             span.map(|span| u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
         };
         Lesson {
             server: learnt.server.0.to_string(),
-            started: ms(learnt.started),
-            cap: learnt.cap,
-            crowded: ms(learnt.crowded),
-            barred: ms(learnt.barred),
-            bars: learnt.bars,
-            strikes: learnt.strikes,
-            crashed: learnt.crashed,
+            started: ms(learnt.started_ago),
+            cap: learnt.concurrency_limit,
+            crowded: ms(learnt.overloaded_ago),
+            barred: ms(learnt.ejected_for),
+            bars: learnt.ejection_count,
+            strikes: learnt.consecutive_failures,
+            crashed: learnt.restart_suspected,
         }
     }
 }
 
-impl From<Lesson> for Learnt {
-    fn from(lesson: Lesson) -> Learnt {
+impl From<Lesson> for LearnedServer {
+    fn from(lesson: Lesson) -> LearnedServer {
         let span = |ms: Option<u64>| ms.map(Duration::from_millis);
-        Learnt {
+        LearnedServer {
             server: lesson.server.as_str().into(),
-            started: span(lesson.started),
-            cap: lesson.cap,
-            crowded: span(lesson.crowded),
-            barred: span(lesson.barred),
-            bars: lesson.bars,
-            strikes: lesson.strikes,
-            crashed: lesson.crashed,
+            started_ago: span(lesson.started),
+            concurrency_limit: lesson.cap,
+            overloaded_ago: span(lesson.crowded),
+            ejected_for: span(lesson.barred),
+            ejection_count: lesson.bars,
+            consecutive_failures: lesson.strikes,
+            restart_suspected: lesson.crashed,
         }
     }
 }
--- a/crates/placement/src/by_hand.rs
+++ b/crates/placement/src/admin_drain.rs
@@ -3,12 +3,12 @@
 //! started when the list told that it did since it was taken out, and where it told none as one that has just started:
 //! it was most likely restarted, and the list tells that late.
 
-use crate::interface::{Health, Listed, ServerId, Time};
+use crate::interface::{Endpoint, Health, ServerId, Timestamp};
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 /// Puts a server among those that are out, or takes it from them; whether that changes anything.
-pub fn put(out: &mut BTreeSet<ServerId>, server: &ServerId, down: bool) -> bool {
+pub fn set_drained(out: &mut BTreeSet<ServerId>, server: &ServerId, down: bool) -> bool {
     if down {
         out.insert(server.clone())
     } else {
@@ -18,15 +18,15 @@
 
 /// The list as last told, and the servers that are out.
 #[derive(Default)]
-pub struct ByHand {
-    listed: HashMap<ServerId, Listed>,
+pub struct AdminDrain {
+    listed: HashMap<ServerId, Endpoint>,
     out: BTreeSet<ServerId>,
-    since: HashMap<ServerId, Time>,
+    since: HashMap<ServerId, Timestamp>,
 }
 
-impl ByHand {
+impl AdminDrain {
     /// Takes in what the list tells and gives what the decisions are to see of it.
-    pub fn list(&mut self, entries: Vec<Listed>, whole: bool) -> Vec<Listed> {
+    pub fn apply_endpoints(&mut self, entries: Vec<Endpoint>, whole: bool) -> Vec<Endpoint> {
         if whole {
             self.listed.clear();
         }
@@ -36,10 +36,13 @@
                 _ => drop(self.listed.insert(entry.server.clone(), entry.clone())),
             }
         }
-        entries.into_iter().map(|entry| self.shown(entry)).collect()
+        entries
+            .into_iter()
+            .map(|entry| self.as_seen(entry))
+            .collect()
     }
 
-    fn shown(&self, mut entry: Listed) -> Listed {
+    fn as_seen(&self, mut entry: Endpoint) -> Endpoint {
         if entry.health == Health::Ready && self.out.contains(&entry.server) {
             entry.health = Health::Draining;
         }
@@ -52,14 +55,22 @@
     }
 
     /// The servers that are out.
-    pub fn out(&self) -> &BTreeSet<ServerId> {
+    pub fn drained(&self) -> &BTreeSet<ServerId> {
         &self.out
     }
 
     /// In how many steps each server that is out has to be empty, the present one included, if it has to be within `within`.
-    pub fn steps(&self, now: Time, within: Duration, step: Duration) -> Vec<(ServerId, usize)> {
-        let left = |since: Time| {
-            within.saturating_sub(now.since(since)).as_nanos() / step.as_nanos().max(1)
+    pub fn remaining_steps(
+        &self,
+        now: Timestamp,
+        within: Duration,
+        step: Duration,
+    ) -> Vec<(ServerId, usize)> {
+        let left = |since: Timestamp| {
+            within
+                .saturating_sub(now.saturating_duration_since(since))
+                .as_nanos()
+                / step.as_nanos().max(1)
         };
         let steps = self
             .out
@@ -72,7 +83,11 @@
 
     /// From now on exactly these are out. Gives the entries that change by it: those taken out as they are shown now,
     /// those called back as started lately.
-    pub fn set(&mut self, now: Time, out: BTreeSet<ServerId>) -> Vec<Listed> {
+    pub fn set_drained_servers(
+        &mut self,
+        now: Timestamp,
+        out: BTreeSet<ServerId>,
+    ) -> Vec<Endpoint> {
         let before = std::mem::replace(&mut self.out, out);
         let since = self.since.clone();
         self.since.retain(|server, _| self.out.contains(server));
@@ -81,10 +96,10 @@
         }
         let changed = before.symmetric_difference(&self.out);
         let entry = |server: &ServerId| {
-            let mut entry = self.shown(self.listed.get(server)?.clone());
+            let mut entry = self.as_seen(self.listed.get(server)?.clone());
             if before.contains(server) {
-                entry.started = entry
-                    .started
+                entry.started_at = entry
+                    .started_at
                     .filter(|at| since.get(server) < Some(at))
                     .or(Some(now));
             }
--- a/crates/placement/src/balance.rs
+++ b/crates/placement/src/balance.rs
@@ -4,14 +4,14 @@
 //! the connection. Each exception is a walk to the next-highest score because the *gate* said that a server
 //! does not take this connection now. docs/design.md says when each acts.
 
-use crate::asking::Asking;
+use crate::admin_drain::AdminDrain;
 use crate::bits::{fraction, murmur, part_of, short_name};
-use crate::by_hand::ByHand;
 use crate::cold::{Cold, COLD_SAVED};
 use crate::fleet::{Fleet, Server};
 use crate::interface::*;
-use crate::learnt::Learnt;
+use crate::learned_state::LearnedServer;
 use crate::order::Walk;
+use crate::poll_schedule::PollSchedule;
 use crate::request::{there, Attempt, Request};
 use crate::shares::{self, Shares};
 use crate::table::{Slot, UNKNOWN};
@@ -130,7 +130,7 @@
 
 /// How many set-ups of one gateway may be under way where nothing tells of fewer.
 fn first_window(settings: &Settings) -> f64 {
-    (FIRST_WINDOW / f64::from(settings.instances.max(1))).max(1.0)
+    (FIRST_WINDOW / f64::from(settings.node_count.max(1))).max(1.0)
 }
 
 /// What the gate compares a server with.
@@ -150,21 +150,21 @@
     /// For what the gateways of a fleet share out among them: a stream of its own, so that neither shifts the
     /// other.
     chance: Pcg32,
-    by_hand: ByHand,
+    by_hand: AdminDrain,
     fleet: Fleet,
     requests: HashMap<RequestId, Request>,
     class_loads: Vec<(f64, f64)>,
     setup_mean: f64,
     setup_floor: f64,
     least_message_aim: Duration,
-    asking: Asking,
+    asking: PollSchedule,
     in_setup: usize,
     /// The part of set-ups that failed lately, each at another server than the one before, and the last such.
     failing: (f64, u32),
     /// How many set-ups may be under way, and when that was last cut.
     window: f64,
-    window_cut: Time,
-    pause_until: Time,
+    window_cut: Timestamp,
+    pause_until: Timestamp,
     waiting: VecDeque<RequestId>,
     queue_timer: bool,
     empty_timer: bool,
@@ -190,21 +190,21 @@
         let window = first_window(&settings);
         let mut chance = Pcg32::new(seed, CHANCES);
         Balancer {
-            least_message_aim: settings.least_message_aim(),
+            least_message_aim: settings.min_message_objective(),
             tenant_open: vec![0; settings.tenants.len()],
             class_loads: vec![(0.0, 0.0); settings.classes.len()],
-            asking: Asking::new(settings.instances),
+            asking: PollSchedule::new(settings.node_count),
             settings,
-            by_hand: ByHand::default(),
+            by_hand: AdminDrain::default(),
             fleet: Fleet::default(),
             requests: HashMap::new(),
             setup_mean: 0.0,
             setup_floor: 0.05,
             in_setup: 0,
             failing: (0.0, 0),
-            pause_until: Time::default(),
+            pause_until: Timestamp::default(),
             window,
-            window_cut: Time::default(),
+            window_cut: Timestamp::default(),
             waiting: VecDeque::new(),
             queue_timer: false,
             empty_timer: false,
@@ -222,27 +222,27 @@
     }
 
     /// Which servers are out by hand, and which are known.
-    pub fn by_hand(&self) -> &ByHand {
+    pub fn by_hand(&self) -> &AdminDrain {
         &self.by_hand
     }
 
     /// What it has learnt of its servers, for a process that takes its place.
-    pub fn learnt(&self, now: Time) -> Vec<Learnt> {
+    pub fn learnt(&self, now: Timestamp) -> Vec<LearnedServer> {
         self.fleet.learnt(now)
     }
 
     /// Takes in one event and appends what is to be done. `now` must not run backwards.
-    pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+    pub fn handle(&mut self, now: Timestamp, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::Start => {
-                if self.settings.list_must_be_asked {
-                    let after = self.asking.first(fraction(&mut self.chance));
+                if self.settings.requires_endpoint_watch {
+                    let after = self.asking.initial_delay(fraction(&mut self.chance));
                     let waits = Action::SetTimer {
                         after,
                         handle: LIST_HANDLE,
                     };
                     actions.push(if after.is_zero() {
-                        Action::Subscribe
+                        Action::WatchEndpoints
                     } else {
                         waits
                     });
@@ -253,37 +253,39 @@
                     handle: TICK_HANDLE,
                 });
             }
-            Event::List { entries, cached } => self.list(now, entries, true, cached, actions),
-            Event::ListChange(entries) => self.list(now, entries, false, false, actions),
-            Event::Settings { settings, from } => self.renew(settings, &from),
-            Event::Slice(slice) => self.cold.hold(slice),
-            Event::Learnt(learnt) => self.fleet.take_learnt(&self.settings, now, learnt),
-            Event::ByHand(out) => {
-                let changed = self.by_hand.set(now, out);
+            Event::EndpointList { entries, cached } => {
+                self.list(now, entries, true, cached, actions)
+            }
+            Event::EndpointChange(entries) => self.list(now, entries, false, false, actions),
+            Event::SettingsChanged { settings, from } => self.renew(settings, &from),
+            Event::LeaseChanged(slice) => self.cold.hold(slice),
+            Event::LearnedState(learnt) => self.fleet.take_learnt(&self.settings, now, learnt),
+            Event::AdminDrain(out) => {
+                let changed = self.by_hand.set_drained_servers(now, out);
                 self.take_in(now, changed, false, actions);
                 self.empty_by_hand(now, actions);
             }
-            Event::ListSilent if self.settings.list_must_be_asked => {
-                let after = self.asking.silent(fraction(&mut self.chance));
+            Event::EndpointWatchSilent if self.settings.requires_endpoint_watch => {
+                let after = self.asking.silent_watch_delay(fraction(&mut self.chance));
                 actions.push(Action::SetTimer {
                     after,
                     handle: LIST_HANDLE,
                 });
             }
-            Event::ListFailed if self.settings.list_must_be_asked => {
-                let after = self.asking.again(fraction(&mut self.chance));
+            Event::EndpointWatchFailed if self.settings.requires_endpoint_watch => {
+                let after = self.asking.retry_delay(fraction(&mut self.chance));
                 actions.push(Action::SetTimer {
                     after,
                     handle: LIST_HANDLE,
                 });
             }
-            Event::Request(incoming) => {
+            Event::RequestReceived(incoming) => {
                 let id = incoming.request;
                 let request = self.taken(incoming);
                 self.requests.insert(id, request);
                 self.place(now, id, actions);
             }
-            Event::Inherited(incoming, server) => {
+            Event::ConnectionInherited(incoming, server) => {
                 let id = incoming.request;
                 let mut request = self.taken(incoming);
                 request.attempts = 1;
@@ -299,8 +301,10 @@
                 self.requests.insert(id, request);
                 self.count(id, true);
             }
-            Event::Established { request, took } => self.established(now, request, took, actions),
-            Event::Ended {
+            Event::ConnectionEstablished { request, took } => {
+                self.established(now, request, took, actions)
+            }
+            Event::AttemptEnded {
                 request,
                 attempt,
                 outcome,
@@ -320,25 +324,27 @@
                 self.ended(now, request, outcome, done, actions);
             }
             Event::ClientGone(id) => self.finish(id),
-            Event::GivenUp { request, sent } => {
+            Event::ShutdownDeadline { request, sent } => {
                 self.doubt_what_is_out(request, sent);
                 self.end_unserved(request, actions);
             }
-            Event::LoadNote { request, load } => self.load_note(request, load.as_secs_f64()),
-            Event::DelayNote { request, delay } => self.delay_note(now, request, delay, actions),
-            Event::ServerSilent(server) => {
+            Event::LoadObserved { request, load } => self.load_note(request, load.as_secs_f64()),
+            Event::DelayObserved { request, delay } => {
+                self.delay_note(now, request, delay, actions)
+            }
+            Event::ServerUnresponsive(server) => {
                 let at = self.fleet.servers.slot(&server);
                 self.strike(now, at, STRIKES, false, actions);
                 self.empty(at, f64::INFINITY, actions);
                 // Whether it died or was cut off, it may come back cold.
                 self.fleet.change(at, |server| server.crashed = true);
             }
-            Event::Silent(request) => {
+            Event::ConnectionUnresponsive(request) => {
                 // Whatever may be moved at other times: nobody is served on it.
                 self.move_tokens = self.move_tokens.max(1.0);
                 self.move_away(request, actions);
             }
-            Event::Probed {
+            Event::HealthCheckCompleted {
                 server,
                 passed,
                 report,
@@ -351,18 +357,18 @@
                     actions,
                 );
             }
-            Event::Told(message) => self.told(now, &message),
-            Event::Timer(TICK_HANDLE) => self.tick(now, actions),
-            Event::Timer(QUEUE_HANDLE) => {
+            Event::Gossip(message) => self.told(now, &message),
+            Event::TimerFired(TICK_HANDLE) => self.tick(now, actions),
+            Event::TimerFired(QUEUE_HANDLE) => {
                 self.queue_timer = false;
                 self.pump(now, actions);
             }
-            Event::Timer(EMPTY_HANDLE) => {
+            Event::TimerFired(EMPTY_HANDLE) => {
                 self.empty_timer = false;
                 self.empty_by_hand(now, actions);
             }
-            Event::Timer(LIST_HANDLE) => actions.push(Action::Subscribe),
-            Event::ListFailed | Event::ListSilent | Event::Timer(_) => {}
+            Event::TimerFired(LIST_HANDLE) => actions.push(Action::WatchEndpoints),
+            Event::EndpointWatchFailed | Event::EndpointWatchSilent | Event::TimerFired(_) => {}
         }
     }
 
@@ -372,18 +378,24 @@
 
     fn list(
         &mut self,
-        now: Time,
-        entries: Vec<Listed>,
+        now: Timestamp,
+        entries: Vec<Endpoint>,
         whole: bool,
         cached: bool,
         actions: &mut Actions,
     ) {
-        self.asking.answered(cached);
-        let shown = self.by_hand.list(entries, whole);
+        self.asking.record_answer(cached);
+        let shown = self.by_hand.apply_endpoints(entries, whole);
         self.take_in(now, shown, whole, actions);
     }
 
-    fn take_in(&mut self, now: Time, entries: Vec<Listed>, whole: bool, actions: &mut Actions) {
+    fn take_in(
+        &mut self,
+        now: Timestamp,
+        entries: Vec<Endpoint>,
+        whole: bool,
+        actions: &mut Actions,
+    ) {
         let mut lost = 0.0;
         let named = entries
             .into_iter()
@@ -403,8 +415,8 @@
         self.open_cold(now);
     }
 
-    fn listed(&mut self, now: Time, entry: Listed, lost: &mut f64) -> Slot {
-        let saved = self.cold.saved(now, self.settings.instances);
+    fn listed(&mut self, now: Timestamp, entry: Endpoint, lost: &mut f64) -> Slot {
+        let saved = self.cold.saved(now, self.settings.node_count);
         let mut at = self.fleet.servers.slot(&entry.server);
         if at == UNKNOWN {
             let (hash, health, cap) = (server_hash(&entry.server), Health::Gone, f64::INFINITY);
@@ -422,9 +434,9 @@
             // A new start under the old id is a new process: evidence against the last one is void, and it
             // is cold.
             let back = server.health == Health::Gone && entry.health == Health::Ready;
-            let fresh = entry.started > server.started || back;
+            let fresh = entry.started_at > server.started || back;
             if fresh {
-                server.started = entry.started.or(server.started);
+                server.started = entry.started_at.or(server.started);
                 (
                     server.strikes,
                     server.bars,
@@ -434,12 +446,12 @@
                 server.cut = false;
                 server.cap = f64::INFINITY;
                 (server.tokens, server.refilled, server.used) = (1.0, now, None);
-                server.part = settings.start_capacity;
+                server.part = settings.initial_capacity_ratio;
             }
             *lost += server.turn(now, entry.health);
             server.zone = entry.zone;
             server.cell = entry.cell;
-            server.kind = entry.kind;
+            server.kind = entry.machine_kind;
             server.weight = if entry.weight > 0.0 {
                 entry.weight
             } else {
@@ -467,15 +479,15 @@
             let now_at = from.iter().position(|old| *old == Some(request.class));
             request.class = now_at.unwrap_or(usize::MAX);
         }
-        self.asking.share(settings.instances);
-        self.least_message_aim = settings.least_message_aim();
+        self.asking.set_node_count(settings.node_count);
+        self.least_message_aim = settings.min_message_objective();
         self.tenant_open.resize(settings.tenants.len(), 0);
         self.settings = settings;
     }
 
     // ---- The life of a request ----
 
-    fn taken(&mut self, incoming: Incoming) -> Request {
+    fn taken(&mut self, incoming: RequestInfo) -> Request {
         self.demand += 1.0;
         let group = incoming.group.as_deref().map(key_hash);
         let client = incoming.key.as_deref().map(key_hash);
@@ -484,8 +496,8 @@
             self.seen += 1.0;
             *self.seen_groups.entry(group).or_default() += 1.0;
         }
-        self.probe_tokens += PROBE_SPEND / self.settings.probe_price.max(1e-9);
-        let place = if incoming.returned {
+        self.probe_tokens += PROBE_SPEND / self.settings.health_check_cost.max(1e-9);
+        let place = if incoming.is_reconnect {
             self.jitter()
         } else {
             part_of(client)
@@ -493,9 +505,9 @@
         Request {
             class: incoming.class,
             rules: self.settings.classes.get(incoming.class).copied(),
-            attempt_cap: self.settings.attempt_cap,
+            attempt_cap: self.settings.max_attempts,
             tenant: incoming.tenant,
-            returned: incoming.returned,
+            returned: incoming.is_reconnect,
             group,
             key: group.unwrap_or(client),
             place,
@@ -503,15 +515,15 @@
                 .load
                 .map(|load| load.as_secs_f64())
                 .filter(|load| *load > 0.0),
-            expires: incoming.expires,
-            mid_flow: incoming.mid_flow,
+            expires: incoming.deadline,
+            mid_flow: incoming.is_mid_flow,
             ..Request::default()
         }
     }
 
     /// Sends the request, or lets it wait while too many set-ups are under way. Guards against a shared store
     /// (or any bottleneck behind all servers) that more attempts only bury deeper.
-    fn place(&mut self, now: Time, id: RequestId, actions: &mut Actions) {
+    fn place(&mut self, now: Timestamp, id: RequestId, actions: &mut Actions) {
         if self
             .requests
             .get(&id)
@@ -525,7 +537,7 @@
     }
 
     /// Sends what waits and may go, oldest first, and ends what can no longer be answered in time.
-    fn pump(&mut self, now: Time, actions: &mut Actions) {
+    fn pump(&mut self, now: Timestamp, actions: &mut Actions) {
         if self.cold.sliced() {
             self.open_cold(now); // the window has moved on, or the lease is over
             self.cold.sought();
@@ -539,8 +551,8 @@
             let paused = self.window < 1.0 && now < self.pause_until;
             // What no server is left for, or no set-up would be in time for, is told so at once.
             let needs = QUEUE_TICK.max(Duration::from_secs_f64(self.setup_floor)) * 2;
-            let spent =
-                request.attempts >= request.attempt_cap || request.expires.since(now) < needs;
+            let spent = request.attempts >= request.attempt_cap
+                || request.expires.saturating_duration_since(now) < needs;
             if spent || self.permitted(now, request).next().is_none() {
                 self.end_unserved(id, actions);
             } else if ripe && !paused && (self.in_setup as f64) < self.window {
@@ -560,20 +572,21 @@
     }
 
     /// Set-ups go wrong wherever they are sent: let fewer run at once.
-    fn cut_window(&mut self, now: Time) {
-        if now.since(self.window_cut) > QUEUE_TICK * 2 {
-            let least = (LEAST_WINDOW / f64::from(self.settings.instances.max(1))).max(0.05);
+    fn cut_window(&mut self, now: Timestamp) {
+        if now.saturating_duration_since(self.window_cut) > QUEUE_TICK * 2 {
+            let least = (LEAST_WINDOW / f64::from(self.settings.node_count.max(1))).max(0.05);
             self.window = (self.window.min(self.in_setup as f64 + 1.0) * 0.7).max(least);
             self.window_cut = now;
             // A window of half a set-up is one at a time with a pause as long after it.
             let pause =
                 self.setup_mean.max(QUEUE_TICK.as_secs_f64()) * (1.0 / self.window - 1.0).max(0.0);
-            self.pause_until = now.after(Duration::from_secs_f64(pause * (0.5 + self.jitter())));
+            self.pause_until =
+                now.saturating_add(Duration::from_secs_f64(pause * (0.5 + self.jitter())));
         }
     }
 
     /// Sends the request to the highest score that the gate lets it have, or ends it.
-    fn send(&mut self, now: Time, id: RequestId, actions: &mut Actions) {
+    fn send(&mut self, now: Timestamp, id: RequestId, actions: &mut Actions) {
         let Some(request) = self.requests.get(&id) else {
             return;
         };
@@ -589,7 +602,7 @@
         let asked = chosen.map(|(at, _)| at).or_else(best);
         let asked = asked.filter(|_| !(request.mid_flow && request.attempts == 0));
         if asked.is_some_and(|at| self.probe(now, at, actions)) {
-            let until = now.after(QUEUE_TICK);
+            let until = now.saturating_add(QUEUE_TICK);
             self.requests
                 .entry(id)
                 .and_modify(|taken| taken.asked = asked.map(|at| (at, until)));
@@ -631,7 +644,7 @@
         }
         self.count(id, true);
         let named = self.fleet.servers.id(at).cloned();
-        actions.extend(named.map(|server| Action::Place {
+        actions.extend(named.map(|server| Action::StartAttempt {
             request: id,
             server,
             patience,
@@ -640,37 +653,39 @@
 
     /// Probes a server whose report is old, as far as what may be spent allows. Guards against gateways that
     /// each ask every server all the time, and against placing by what a server was long ago.
-    fn probe(&mut self, now: Time, at: Slot, actions: &mut Actions) -> bool {
+    fn probe(&mut self, now: Timestamp, at: Slot, actions: &mut Actions) -> bool {
         let reported = self.fleet.servers.get(at).and_then(|server| server.used);
-        let old = reported.map_or(true, |(at, _)| now.since(at) > REPORT_FRESH);
+        let old = reported.map_or(true, |(at, _)| {
+            now.saturating_duration_since(at) > REPORT_FRESH
+        });
         self.asks() && old && self.ask(now, at, actions)
     }
 
     /// Whether a probe tells of a server's load.
     fn asks(&self) -> bool {
-        self.settings.may_probe && self.settings.report_utilisation.is_some()
+        self.settings.health_checks_allowed && self.settings.utilization_field.is_some()
     }
 
     /// Probes a server that was not probed just now, as far as what may be spent allows.
-    fn ask(&mut self, now: Time, at: Slot, actions: &mut Actions) -> bool {
+    fn ask(&mut self, now: Timestamp, at: Slot, actions: &mut Actions) -> bool {
         let Some(server) = self.fleet.servers.get_mut(at) else {
             return false;
         };
-        let due = server
-            .probed
-            .map_or(true, |(at, _)| now.since(at) > REPORT_FRESH);
+        let due = server.probed.map_or(true, |(at, _)| {
+            now.saturating_duration_since(at) > REPORT_FRESH
+        });
         if !due || self.probe_tokens < 1.0 {
             return false;
         }
         self.probe_tokens -= 1.0;
         server.probed = Some((now, true));
-        actions.extend(self.fleet.servers.id(at).cloned().map(Action::Probe));
+        actions.extend(self.fleet.servers.id(at).cloned().map(Action::CheckHealth));
         true
     }
 
     /// Whether the line of the request's present attempt may go out now, where its connection took a while to
     /// come up: what ran of it before leaves this server to it still.
-    pub fn may_send(&self, now: Time, id: RequestId) -> bool {
+    pub fn may_send(&self, now: Timestamp, id: RequestId) -> bool {
         let Some(request) = self.requests.get(&id) else {
             return false;
         };
@@ -694,9 +709,9 @@
             let (least, more) = if spent { (0.6, 0.4) } else { (0.25, 0.5) };
             let retry_after = self
                 .settings
-                .longest_retry_after
+                .max_retry_after
                 .mul_f64(least + more * self.jitter());
-            actions.push(Action::Refuse {
+            actions.push(Action::Reject {
                 request: id,
                 retry_after,
             });
@@ -729,7 +744,13 @@
         }
     }
 
-    fn established(&mut self, now: Time, id: RequestId, took: Duration, actions: &mut Actions) {
+    fn established(
+        &mut self,
+        now: Timestamp,
+        id: RequestId,
+        took: Duration,
+        actions: &mut Actions,
+    ) {
         let Some(attempt) = self
             .requests
             .get_mut(&id)
@@ -774,7 +795,7 @@
 
     fn ended(
         &mut self,
-        now: Time,
+        now: Timestamp,
         id: RequestId,
         outcome: Outcome,
         done: bool,
@@ -795,14 +816,16 @@
         } = attempt;
         if let Some(place) = self.fleet.servers.get_mut(server) {
             place.trial &= stands;
-            if !outcome.never_ran() {
+            if !outcome.proves_not_executed() {
                 request.doubt.get_or_insert((place.zone, place.cell, sent));
             }
         }
         self.in_setup = self.in_setup.saturating_sub(usize::from(!free && !stands));
         let over = request.over || done;
-        let once_doubtful =
-            request.rules.is_some_and(|c| c.repeat == Repeat::Once) && request.doubt.is_some();
+        let once_doubtful = request
+            .rules
+            .is_some_and(|c| c.retry_safety == RetrySafety::NotIdempotent)
+            && request.doubt.is_some();
         if over {
             self.requests.remove(&id);
         }
@@ -812,12 +835,12 @@
         } else if stands || once_doubtful {
             self.finish(id);
             actions.push(Action::Fail(id));
-        } else if outcome == Outcome::Moot {
+        } else if outcome == Outcome::NotSent {
             self.end_unserved(id, actions);
         } else {
             let wait = QUEUE_TICK.mul_f64(1.0 + self.jitter());
             if let (Outcome::Error, Some(request)) = (outcome, self.requests.get_mut(&id)) {
-                request.asked = Some((UNKNOWN, now.after(wait * request.attempts)));
+                request.asked = Some((UNKNOWN, now.saturating_add(wait * request.attempts)));
             }
             self.place(now, id, actions);
         }
@@ -826,7 +849,7 @@
     // ---- Ranking and the gate ----
 
     /// The highest score that the gate lets the request have, and whether a full server gave way for it.
-    fn choose(&self, now: Time, request: &Request) -> Option<(Slot, bool)> {
+    fn choose(&self, now: Timestamp, request: &Request) -> Option<(Slot, bool)> {
         let first_try = request.mid_flow && request.attempts == 0;
         let all = if first_try || !request.tried.is_empty() || request.doubt.is_some() {
             self.permitted(now, request).count()
@@ -862,7 +885,7 @@
             return Some((*at, false));
         }
         // None of the first takes it: one look at all, for the first of each sort.
-        let pace = TICK.mul_f64(f64::from(self.settings.instances) / 4.0);
+        let pace = TICK.mul_f64(f64::from(self.settings.node_count) / 4.0);
         // Beyond its fair share a server takes only groups that it holds; one that has less takes any, or a
         // fleet that holds next to nothing would be full with it.
         let less = |server: &Server| server.load <= view.fair * server.weight;
@@ -908,7 +931,7 @@
     /// first and the first `skipped` left out. Ties go to the lower id.
     fn ranked(
         &self,
-        now: Time,
+        now: Timestamp,
         request: &Request,
         skipped: usize,
         count: usize,
@@ -961,7 +984,7 @@
     /// request; no evidence can change these.
     fn permitted<'a>(
         &'a self,
-        now: Time,
+        now: Timestamp,
         request: &'a Request,
     ) -> impl Iterator<Item = (u32, Slot)> + 'a {
         let all = self.fleet.open.iter().chain(self.leaving(now, request));
@@ -971,7 +994,7 @@
     /// Draining servers that may still get a connection in mid-flow.
     fn leaving<'a>(
         &'a self,
-        now: Time,
+        now: Timestamp,
         request: &Request,
     ) -> impl Iterator<Item = (u32, Slot)> + 'a {
         let grace = self.settings.drain_grace.mul_f64(0.8);
@@ -982,7 +1005,7 @@
             .take_while(move |_| mid_flow)
             .filter_map(move |at| {
                 let drains = |server: &&Server| {
-                    let in_grace = now.since(server.leaving_since) < grace;
+                    let in_grace = now.saturating_duration_since(server.leaving_since) < grace;
                     server.health == Health::Draining
                         && in_grace
                         && !(server.cold && server.tokens < 1.0)
@@ -996,7 +1019,7 @@
     }
 
     /// Whether the rules and earlier attempts leave this server to the request.
-    fn repeat_safe(&self, now: Time, request: &Request, at: Slot) -> bool {
+    fn repeat_safe(&self, now: Timestamp, request: &Request, at: Slot) -> bool {
         // Most requests have no try behind them, and no server need be looked up for those.
         let inside = || {
             self.fleet
@@ -1008,7 +1031,7 @@
     }
 
     /// Lets cold servers be ranked or not, as the budget for all of them has come to allow.
-    fn open_cold(&mut self, now: Time) {
+    fn open_cold(&mut self, now: Timestamp) {
         let open = self.cold.open(now);
         if std::mem::replace(&mut self.fleet.cold_open, open) != open {
             self.fleet
@@ -1022,8 +1045,8 @@
     /// Many servers may be lost: those that are left take shares of the keys, the same at every gateway, and
     /// what they hold of others leaves. Guards against the work of all on the few that are left, which fall
     /// in turn before anything has shown them crowded.
-    fn share_out(&mut self, now: Time, lost: f64, actions: &mut Actions) {
-        let most = self.settings.report_utilisation.map_or(lost, |_| 0.0); // reports tell it better
+    fn share_out(&mut self, now: Timestamp, lost: f64, actions: &mut Actions) {
+        let most = self.settings.utilization_field.map_or(lost, |_| 0.0); // reports tell it better
         if !self
             .shares
             .share_out(&mut self.fleet, now, &self.settings, most)
@@ -1053,7 +1076,14 @@
     }
 
     /// Whether a ready server takes this connection now. `firm` leaves out the comparison with other servers.
-    fn gate(&self, now: Time, request: &Request, server: &Server, view: &View, firm: bool) -> bool {
+    fn gate(
+        &self,
+        now: Timestamp,
+        request: &Request,
+        server: &Server,
+        view: &View,
+        firm: bool,
+    ) -> bool {
         if server
             .barred_until
             .is_some_and(|until| now < until || server.trial)
@@ -1063,7 +1093,10 @@
         if server.cut {
             return false; // a probe tells when its zone is within reach
         }
-        let silent = |at| now.since(at) >= QUEUE_TICK && now.since(at) < REPORT_FRESH;
+        let silent = |at| {
+            now.saturating_duration_since(at) >= QUEUE_TICK
+                && now.saturating_duration_since(at) < REPORT_FRESH
+        };
         if server.probed.is_some_and(|(at, out)| out && silent(at)) {
             return false; // it answers no probe in good time
         }
@@ -1076,7 +1109,11 @@
             return false;
         }
         let held = there(request, server);
-        if !held && server.heard.is_some_and(|at| now.since(at) < HEARD * 3 / 2) {
+        if !held
+            && server
+                .heard
+                .is_some_and(|at| now.saturating_duration_since(at) < HEARD * 3 / 2)
+        {
             return false;
         }
         // Guards against servers that fill up with the shared work of many groups, a little of each.
@@ -1088,7 +1125,7 @@
         let add = (view.add + shared) / 2.0;
         let used = server
             .used
-            .filter(|(at, _)| now.since(*at) < CALM)
+            .filter(|(at, _)| now.saturating_duration_since(*at) < CALM)
             .map_or(0.0, |(_, used)| used);
         // Others' load was counted when the report was made; what all added since is guessed from one's own.
         if used > 0.0 && used + (server.added + add) * view.used_per_load > full {
@@ -1100,7 +1137,7 @@
         );
         // Where others hold most of a group, the few connections seen here say little: room for one group's
         // shared work guards against every gateway splitting every group.
-        let unseen = 1.0 - 1.0 / f64::from(self.settings.instances.max(1));
+        let unseen = 1.0 - 1.0 / f64::from(self.settings.node_count.max(1));
         let part = view.fair * server.weight * server.warmth(&self.settings, now);
         let allowed = (part * HEADROOM + view.group_cost * unseen) * slack;
         after <= cap && (firm || server.held.is_empty() || after <= allowed)
@@ -1201,8 +1238,8 @@
     }
 
     /// Moves the next part of what stands on servers that are out by hand; so goes a try that comes up there.
-    fn empty_by_hand(&mut self, now: Time, actions: &mut Actions) {
-        for (server, steps) in self.by_hand.steps(now, EMPTIED, EMPTY_STEP) {
+    fn empty_by_hand(&mut self, now: Timestamp, actions: &mut Actions) {
+        for (server, steps) in self.by_hand.remaining_steps(now, EMPTIED, EMPTY_STEP) {
             let at = self.fleet.servers.slot(&server);
             let held = self
                 .fleet
@@ -1218,7 +1255,7 @@
                 .take(due)
                 .for_each(|request| self.move_away(request, actions));
         }
-        if !self.by_hand.out().is_empty() && !std::mem::replace(&mut self.empty_timer, true) {
+        if !self.by_hand.drained().is_empty() && !std::mem::replace(&mut self.empty_timer, true) {
             actions.push(Action::SetTimer {
                 after: EMPTY_STEP,
                 handle: EMPTY_HANDLE,
@@ -1233,11 +1270,17 @@
         if request.stands() && self.move_tokens >= 1.0 {
             self.move_tokens -= 1.0;
             request.over = true;
-            actions.push(Action::Move(id));
+            actions.push(Action::Migrate(id));
         }
     }
 
-    fn delay_note(&mut self, now: Time, id: RequestId, delay: Duration, actions: &mut Actions) {
+    fn delay_note(
+        &mut self,
+        now: Timestamp,
+        id: RequestId,
+        delay: Duration,
+        actions: &mut Actions,
+    ) {
         let Some(out) = self
             .requests
             .get(&id)
@@ -1263,15 +1306,18 @@
 
     /// Tells the other gateways of a late server, one of all that hold connections there at a time. They are
     /// hints: a gateway that holds nothing there would send the next connection to it all the same.
-    fn tell(&mut self, now: Time, at: Slot, silent: bool, actions: &mut Actions) {
+    fn tell(&mut self, now: Timestamp, at: Slot, silent: bool, actions: &mut Actions) {
         let known = self.fleet.servers.len().max(1) as f64;
-        let holders = self.fleet.sums.held * f64::from(self.settings.instances) / known;
-        let chosen = self.jitter() * 4.0 * holders.min(f64::from(self.settings.instances)) < 1.0;
-        let may = self.settings.may_tell && chosen;
+        let holders = self.fleet.sums.held * f64::from(self.settings.node_count) / known;
+        let chosen = self.jitter() * 4.0 * holders.min(f64::from(self.settings.node_count)) < 1.0;
+        let may = self.settings.gossip_allowed && chosen;
         let Some(server) = self.fleet.servers.get_mut(at).filter(|_| may) else {
             return;
         };
-        if server.heard.map_or(true, |at| now.since(at) > HEARD) {
+        if server
+            .heard
+            .map_or(true, |at| now.saturating_duration_since(at) > HEARD)
+        {
             server.heard = Some(now);
             let mark = if silent { SILENT } else { "" };
             let name: String = short_name(server.hash)
@@ -1279,11 +1325,11 @@
                 .copied()
                 .map(char::from)
                 .collect();
-            actions.push(Action::Tell(name + mark));
+            actions.push(Action::Gossip(name + mark));
         }
     }
 
-    fn told(&mut self, now: Time, message: &str) {
+    fn told(&mut self, now: Timestamp, message: &str) {
         let name = message.strip_suffix(SILENT).unwrap_or(message);
         let named = self
             .fleet
@@ -1294,17 +1340,19 @@
             self.fleet.change(at, |server| {
                 server.heard = Some(now);
                 if name != message {
-                    server.barred_until = server.barred_until.max(Some(now.after(HEARD * 3 / 2)));
+                    server.barred_until = server
+                        .barred_until
+                        .max(Some(now.saturating_add(HEARD * 3 / 2)));
                 }
             });
         }
     }
 
     /// A report of utilisation counts everybody's load, so it goes before what this gateway's own load tells.
-    fn reported(&mut self, now: Time, at: Slot, values: &[f64], actions: &mut Actions) {
+    fn reported(&mut self, now: Timestamp, at: Slot, values: &[f64], actions: &mut Actions) {
         let Some(used) = self
             .settings
-            .report_utilisation
+            .utilization_field
             .and_then(|place| values.get(place))
         else {
             return;
@@ -1339,16 +1387,18 @@
     /// The server is crowded: from now on it may hold only `keep` of what it holds, and where `sheds` is set
     /// what is over that moves off. Guards against servers that are slower or more loaded than their share of
     /// keys assumes, and, where all are, against a fleet that answers all late instead of most in time.
-    fn crowd(&mut self, now: Time, at: Slot, keep: f64, sheds: bool, actions: &mut Actions) {
+    fn crowd(&mut self, now: Timestamp, at: Slot, keep: f64, sheds: bool, actions: &mut Actions) {
         let fair = self.fair_unit();
         let Some(server) = self.fleet.servers.get(at) else {
             return;
         };
-        let reported = server.used.is_some_and(|(at, _)| now.since(at) < CALM);
+        let reported = server
+            .used
+            .is_some_and(|(at, _)| now.saturating_duration_since(at) < CALM);
         if reported
             || server
                 .crowded_at
-                .is_some_and(|at| now.since(at) < TICK.mul_f64(0.9))
+                .is_some_and(|at| now.saturating_duration_since(at) < TICK.mul_f64(0.9))
         {
             return;
         }
@@ -1365,7 +1415,7 @@
     /// first, then whole groups with their shared work, small ones first since each frees as much of that,
     /// equal ones by a hash, so that other gateways let go of the same. Only where none fits is one split,
     /// heaviest connections first.
-    fn shed(&mut self, now: Time, at: Slot, actions: &mut Actions) {
+    fn shed(&mut self, now: Timestamp, at: Slot, actions: &mut Actions) {
         let round = self.jitter();
         let Some(server) = self.fleet.servers.get(at) else {
             return;
@@ -1383,7 +1433,9 @@
             } else {
                 REST
             };
-            let rested = |out: &Attempt| out.stands && (out.free || now.since(out.sent) > rest);
+            let rested = |out: &Attempt| {
+                out.stands && (out.free || now.saturating_duration_since(out.sent) > rest)
+            };
             if request.over || !request.out.as_ref().is_some_and(rested) {
                 continue;
             }
@@ -1433,12 +1485,12 @@
             .settings
             .tenants
             .get(tenant)
-            .and_then(|tenant| tenant.quota_connections);
+            .and_then(|tenant| tenant.connection_quota);
         let open = self.tenant_open.get(tenant).copied().unwrap_or(0) as f64;
-        quota.is_some_and(|quota| open * f64::from(self.settings.instances.max(1)) > quota)
+        quota.is_some_and(|quota| open * f64::from(self.settings.node_count.max(1)) > quota)
     }
 
-    fn tick(&mut self, now: Time, actions: &mut Actions) {
+    fn tick(&mut self, now: Timestamp, actions: &mut Actions) {
         actions.push(Action::SetTimer {
             after: TICK,
             handle: TICK_HANDLE,
@@ -1458,9 +1510,9 @@
             .values_mut()
             .for_each(|(seen, crowded)| [seen, crowded].into_iter().for_each(faded));
         // Cold servers: no faster than would fill them over their warm-up to what a warm one holds here.
-        let cold_for = self.settings.cold_for.as_secs_f64().max(1.0);
-        let saved_share = self.cold.saved(now, self.settings.instances);
-        let window = self.settings.fall_window.as_secs_f64().max(0.1);
+        let cold_for = self.settings.slow_start_duration.as_secs_f64().max(1.0);
+        let saved_share = self.cold.saved(now, self.settings.node_count);
+        let window = self.settings.overload_window.as_secs_f64().max(0.1);
         let floor = saved_share / COLD_SAVED * LEAST_HELD / cold_for;
         let mut refill = 0.0;
         self.demand *= 1.0 - DEMAND_FADES;
@@ -1476,7 +1528,7 @@
             }
         };
         let rate = self.fleet.sums.warm_held / self.fleet.sums.warm.max(1.0) / cold_for;
-        let within = (self.settings.fall_multiple * COLD_PART).min(2.0);
+        let within = (self.settings.overload_factor * COLD_PART).min(2.0);
         let fair = self.fair_unit();
         let mean_load = self.mean_load();
         let group_cost = GROUP_COST * mean_load;
@@ -1487,7 +1539,8 @@
                 continue;
             };
             // A gone server is remembered for a while, or one listed anew as draining had a second grace.
-            let left = now.since(server.leaving_since) >= FORGET && server.held.is_empty();
+            let left = now.saturating_duration_since(server.leaving_since) >= FORGET
+                && server.held.is_empty();
             if server.health == Health::Gone && left {
                 self.fleet.sums.add(server, -1.0);
                 self.fleet.servers.remove(at);
@@ -1496,7 +1549,7 @@
             if !server.held.is_empty() && !server.cold && server.barred_until.is_none() {
                 let crowded = server
                     .crowded_at
-                    .is_some_and(|at| now.since(at) < TICK * 3 / 2);
+                    .is_some_and(|at| now.saturating_duration_since(at) < TICK * 3 / 2);
                 let kind = self.kinds.entry(server.kind).or_default();
                 *kind = (kind.0 + 1.0, kind.1 + f64::from(u8::from(crowded)));
             }
@@ -1514,7 +1567,7 @@
                 server.load = load;
                 server.cold = server.is_cold(settings, now);
                 if server.cold {
-                    let span = now.since(server.refilled).as_secs_f64();
+                    let span = now.saturating_duration_since(server.refilled).as_secs_f64();
                     let guess = rate.max(floor) * server.warmth(settings, now) * SPARE;
                     let full = server.filled_by(now, CALM).unwrap_or(0.0);
                     let due = span * within * guess.max(full / cold_for);
@@ -1527,9 +1580,11 @@
                 }
                 if server
                     .crowded_at
-                    .map_or(true, |at| now.since(at) > TICK * 2)
+                    .map_or(true, |at| now.saturating_duration_since(at) > TICK * 2)
                 {
-                    let calm = server.crowded_at.map_or(true, |at| now.since(at) > CALM);
+                    let calm = server
+                        .crowded_at
+                        .map_or(true, |at| now.saturating_duration_since(at) > CALM);
                     server.cap += fair * CAP_RISE * if calm { 2.0 } else { 0.5 };
                 }
                 server.kept_up = false; // and again, if it still has to be
--- a/crates/placement/src/balance/evidence.rs
+++ b/crates/placement/src/balance/evidence.rs
@@ -8,7 +8,7 @@
 impl Balancer {
     pub(super) fn weigh_outcome(
         &mut self,
-        now: Time,
+        now: Timestamp,
         tried: &Attempt,
         outcome: Outcome,
         over: bool,
@@ -32,15 +32,17 @@
                 // One server after the other fails: what is behind them all is at fault, not this one.
                 // Patience grows, for attempts given up just before they would have stood bury it deeper.
                 if self.failing.0 > SHARED {
-                    let took = now.since(tried.sent).as_secs_f64();
+                    let took = now.saturating_duration_since(tried.sent).as_secs_f64();
                     self.setup_mean += FAILING_RATE * (took - self.setup_mean).max(0.0);
                     self.cut_window(now);
                 } else {
                     self.strike(now, at, 1, outcome == Outcome::TimedOut, actions);
                 }
             }
-            Outcome::Full => self.crowd(now, at, 0.9, false, actions),
-            Outcome::Reset | Outcome::Dropped if !stood => self.strike(now, at, 1, false, actions),
+            Outcome::Rejected => self.crowd(now, at, 0.9, false, actions),
+            Outcome::Reset | Outcome::ClosedBeforeSend if !stood => {
+                self.strike(now, at, 1, false, actions)
+            }
             Outcome::Reset if over => {
                 let Some(server) = self.fleet.servers.get_mut(at) else {
                     return;
@@ -50,7 +52,7 @@
                 let together = server
                     .dropped
                     .replace(now)
-                    .is_some_and(|last| now.since(last) < TOGETHER);
+                    .is_some_and(|last| now.saturating_duration_since(last) < TOGETHER);
                 if together || server.held.is_empty() {
                     let gone = server.held.is_empty();
                     server.crashed |= together && gone;
@@ -68,7 +70,7 @@
     /// answer at all, so its standing connections earn nothing. One that errs may serve those; they stay.
     pub(super) fn strike(
         &mut self,
-        now: Time,
+        now: Timestamp,
         at: Slot,
         weight: u32,
         silent: bool,
@@ -94,7 +96,7 @@
             let span = BAR
                 .mul_f64(f64::from(1u32 << server.bars.min(3)))
                 .min(LONGEST_BAR);
-            server.barred_until = Some(now.after(span.mul_f64(0.75 + 0.5 * jitter)));
+            server.barred_until = Some(now.saturating_add(span.mul_f64(0.75 + 0.5 * jitter)));
             server.bars += 1;
             server.crashed |= server.held.is_empty();
         });
@@ -104,8 +106,8 @@
     }
 
     /// Guards against a zone that is lost and tried server by server.
-    pub(super) fn zone_failed(&mut self, now: Time, at: Slot, actions: &mut Actions) {
-        let until = now.after(ZONE_LOST.mul_f64(0.5 + 0.5 * self.jitter()));
+    pub(super) fn zone_failed(&mut self, now: Timestamp, at: Slot, actions: &mut Actions) {
+        let until = now.saturating_add(ZONE_LOST.mul_f64(0.5 + 0.5 * self.jitter()));
         let (mut lost, mut new, cut) = (0.0, false, self.asks());
         for at in self.fleet.zone_failed(now, at, ZONE_LOST, cut) {
             self.fleet.change(at, |server| {
@@ -127,7 +129,7 @@
     /// An attempt or a probe got no answer there while another zone answers. Gives whether this one's zone is out of
     /// reach: then what is known not to answer there serves nobody. Guards against a zone that is cut off, whose
     /// servers are tried one by one, and whose time-outs pass for a fault behind all servers.
-    fn zone_silent(&mut self, now: Time, at: Slot, actions: &mut Actions) -> bool {
+    fn zone_silent(&mut self, now: Timestamp, at: Slot, actions: &mut Actions) -> bool {
         if !self.asks() {
             return false; // one slow to set up looks no different
         }
@@ -144,7 +146,7 @@
     }
 
     /// Probes the others of a zone in which one does not answer, and one elsewhere.
-    fn look_around(&mut self, now: Time, at: Slot, actions: &mut Actions) {
+    fn look_around(&mut self, now: Timestamp, at: Slot, actions: &mut Actions) {
         let Some(zone) = self.fleet.servers.get(at).map(|server| server.zone) else {
             return;
         };
@@ -164,7 +166,7 @@
     }
 
     /// Upkeep: one server of each zone that is out of reach is asked whether it still is.
-    pub(super) fn look_at_cut_zones(&mut self, now: Time, actions: &mut Actions) {
+    pub(super) fn look_at_cut_zones(&mut self, now: Timestamp, actions: &mut Actions) {
         for zone in self.fleet.cut_zones() {
             let there = self.fleet.ready_in(|other| other == zone);
             let place = (self.jitter() * there.len() as f64) as usize;
@@ -176,7 +178,7 @@
 
     pub(super) fn probed(
         &mut self,
-        now: Time,
+        now: Timestamp,
         server: Slot,
         report: Option<Vec<f64>>,
         actions: &mut Actions,
--- a/crates/placement/src/cold.rs
+++ b/crates/placement/src/cold.rs
@@ -1,7 +1,7 @@
 //! The budget of sends to cold servers that this gateway has: its guess of what they bear, and, where the gateways divide
 //! a budget among themselves, the slice that it holds of that.
 
-use crate::interface::{Slice, Time};
+use crate::interface::{SlowStartLease, Timestamp};
 use std::collections::VecDeque;
 
 /// Sends that all gateways together may have saved up for a cold server.
@@ -15,9 +15,9 @@
     budget: f64,
     /// Above this it lets a send go: drawn anew after each, so that parts of a send add up over all gateways.
     pub mark: f64,
-    slice: Option<Slice>,
+    slice: Option<SlowStartLease>,
     /// The sends of the last window, where there is a slice.
-    sent: VecDeque<Time>,
+    sent: VecDeque<Timestamp>,
     /// The slice is used up, and that alone stands against a send.
     full: bool,
     /// The most sends in a window, and whether one was turned away, since it was last asked.
@@ -36,18 +36,18 @@
 
     /// How likely an unused send to a cold server is kept: what all gateways have saved up is the same however many
     /// there are. Guards against hundreds of them that spend one saved send each at the same moment.
-    pub fn saved(&self, now: Time, instances: u32) -> f64 {
+    pub fn saved(&self, now: Timestamp, instances: u32) -> f64 {
         let slice = self
             .slice
             .as_ref()
-            .filter(|slice| slice.until.is_some_and(|until| now < until));
+            .filter(|slice| slice.expires_at.is_some_and(|until| now < until));
         slice.map_or(COLD_SAVED / f64::from(instances.max(1)), |slice| {
-            COLD_SAVED * slice.part
+            COLD_SAVED * slice.fleet_share
         })
     }
 
     /// From now on this slice holds, or none: then the number of gateways decides alone.
-    pub fn hold(&mut self, slice: Option<Slice>) {
+    pub fn hold(&mut self, slice: Option<SlowStartLease>) {
         if slice.is_none() {
             self.sent.clear();
         }
@@ -65,7 +65,7 @@
     }
 
     /// One was sent.
-    pub fn send(&mut self, now: Time) {
+    pub fn send(&mut self, now: Timestamp) {
         self.budget -= 1.0;
         if self.slice.is_some() {
             self.sent.push_back(now);
@@ -89,18 +89,18 @@
 
     /// Whether a cold server may be sent something now. A slice that has run out is no slice: its clock is looked at here,
     /// before anything goes out, so that a process that was frozen finds out in time.
-    pub fn open(&mut self, now: Time) -> bool {
+    pub fn open(&mut self, now: Timestamp) -> bool {
         let own = self.budget > self.mark;
         let Some(slice) = &self.slice else { return own };
         while self
             .sent
             .front()
-            .is_some_and(|sent| now.since(*sent) >= slice.window)
+            .is_some_and(|sent| now.saturating_duration_since(*sent) >= slice.window)
         {
             self.sent.pop_front();
         }
-        let holds = slice.until.is_some_and(|until| now < until);
-        let sends = if holds { slice.sends } else { slice.floor };
+        let holds = slice.expires_at.is_some_and(|until| now < until);
+        let sends = if holds { slice.limit } else { slice.floor };
         self.full = own && self.sent.len() >= sends.min(MOST_SENT) as usize;
         own && !self.full
     }
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -27,33 +27,33 @@
     pub cell: u32,
     pub kind: u32,
     /// When it last started, as listed or as inferred from its coming back after a crash.
-    pub started: Option<Time>,
+    pub started: Option<Timestamp>,
     /// Started lately, as of the last upkeep or list.
     pub cold: bool,
     /// When this gateway was told that it drains or is gone.
-    pub leaving_since: Time,
+    pub leaving_since: Timestamp,
     /// This gateway's connections there: standing ones and attempts under way.
     pub held: BTreeSet<RequestId>,
     pub load: f64,
     pub groups: HashMap<u32, u32>,
     /// The most load of this gateway's that it may hold; unbounded until it was crowded once.
     pub cap: f64,
-    pub crowded_at: Option<Time>,
+    pub crowded_at: Option<Timestamp>,
     /// When its cap last gave way to one connection more, and when it last dropped a standing connection.
-    pub raised_at: Option<Time>,
-    pub dropped: Option<Time>,
+    pub raised_at: Option<Timestamp>,
+    pub dropped: Option<Timestamp>,
     /// Its utilisation as last reported, and the load sent there since.
     pub added: f64,
-    pub used: Option<(Time, f64)>,
+    pub used: Option<(Timestamp, f64)>,
     /// What was held there when that report came.
     pub held_then: usize,
     /// When another gateway, or this one, last told that messages take long there.
-    pub heard: Option<Time>,
+    pub heard: Option<Timestamp>,
     /// When it was last probed, and whether that probe is still out.
-    pub probed: Option<(Time, bool)>,
+    pub probed: Option<(Timestamp, bool)>,
     pub strikes: u32,
     pub bars: u32,
-    pub barred_until: Option<Time>,
+    pub barred_until: Option<Timestamp>,
     /// After a bar one attempt at a time tries it out.
     pub trial: bool,
     /// It is barred with its whole zone, which is out of reach from here.
@@ -66,7 +66,7 @@
     pub share: f64,
     /// Budget of sends while it is cold.
     pub tokens: f64,
-    pub refilled: Time,
+    pub refilled: Timestamp,
 }
 
 /// What all known servers add up to.
@@ -124,9 +124,9 @@
     /// Servers that hold something, are cold, capped or leaving.
     pub kept_up: Vec<Slot>,
     /// The servers of each zone that were found to be out of reach lately, and when.
-    failed: BTreeMap<u32, Vec<(Slot, Time)>>,
+    failed: BTreeMap<u32, Vec<(Slot, Timestamp)>>,
     /// When something of each zone last answered, and the zones that are out of reach.
-    answered: BTreeMap<u32, Time>,
+    answered: BTreeMap<u32, Timestamp>,
     cut: BTreeSet<u32>,
 }
 
@@ -135,12 +135,18 @@
     /// none of the others there is known to stand: a zone is lost as a whole, long before the list tells, and a
     /// gateway that holds little would have to find out about each server of it by an attempt of its own. With `cut` that
     /// lasts until something there answers.
-    pub fn zone_failed(&mut self, now: Time, at: Slot, within: Duration, cut: bool) -> Vec<Slot> {
+    pub fn zone_failed(
+        &mut self,
+        now: Timestamp,
+        at: Slot,
+        within: Duration,
+        cut: bool,
+    ) -> Vec<Slot> {
         let Some(zone) = self.servers.get(at).map(|server| server.zone) else {
             return Vec::new();
         };
         let failed = self.failed.entry(zone).or_default();
-        failed.retain(|(slot, when)| *slot != at && now.since(*when) < within);
+        failed.retain(|(slot, when)| *slot != at && now.saturating_duration_since(*when) < within);
         failed.push((at, now));
         if failed.len() < FAILED && !self.cut.contains(&zone) {
             return Vec::new();
@@ -174,7 +180,7 @@
     }
 
     /// A server of the zone answers: the whole zone is within reach again.
-    pub fn zone_stands(&mut self, now: Time, at: Slot) {
+    pub fn zone_stands(&mut self, now: Timestamp, at: Slot) {
         let Some(zone) = self.servers.get(at).map(|server| server.zone) else {
             return;
         };
@@ -196,13 +202,13 @@
     }
 
     /// Whether something outside this server's zone has answered within this time.
-    pub fn answers_elsewhere(&self, now: Time, at: Slot, within: Duration) -> bool {
+    pub fn answers_elsewhere(&self, now: Timestamp, at: Slot, within: Duration) -> bool {
         let Some(zone) = self.servers.get(at).map(|server| server.zone) else {
             return false;
         };
         self.answered
             .iter()
-            .any(|(other, when)| *other != zone && now.since(*when) < within)
+            .any(|(other, when)| *other != zone && now.saturating_duration_since(*when) < within)
     }
 
     /// The servers of this zone that failed lately.
@@ -245,39 +251,42 @@
 
 impl Server {
     /// Whether it started lately.
-    pub fn is_cold(&self, settings: &Settings, now: Time) -> bool {
+    pub fn is_cold(&self, settings: &Settings, now: Timestamp) -> bool {
         self.started
-            .is_some_and(|started| now < started.after(settings.cold_for))
+            .is_some_and(|started| now < started.saturating_add(settings.slow_start_duration))
     }
 
     /// Whether it takes one more though it is full: nothing has shown it crowded for `calm`, so its cap may be stale, and
     /// it has not given way for `pace`. Only connections of groups that are there already are let in so: guards against a
     /// fleet that is refused to and fills up with shared work, one more group at a time at every server.
-    pub fn gives_way(&self, now: Time, calm: Duration, pace: Duration) -> bool {
-        let before = |at: Option<Time>, span: Duration| at.map_or(true, |at| now.since(at) > span);
+    pub fn gives_way(&self, now: Timestamp, calm: Duration, pace: Duration) -> bool {
+        let before = |at: Option<Timestamp>, span: Duration| {
+            at.map_or(true, |at| now.saturating_duration_since(at) > span)
+        };
         self.barred_until.is_none() && before(self.crowded_at, calm) && before(self.raised_at, pace)
     }
 
     /// The connections of this gateway that would fill it as it is now, where its report is no older than `fresh`: the others
     /// are taken to hold there what this one does. The shared work of groups is in the report, so that this errs to less.
-    pub fn filled_by(&self, now: Time, fresh: Duration) -> Option<f64> {
-        let (_, used) = self
-            .used
-            .filter(|(at, used)| now.since(*at) < fresh && *used >= LEAST_USED)?;
+    pub fn filled_by(&self, now: Timestamp, fresh: Duration) -> Option<f64> {
+        let (_, used) = self.used.filter(|(at, used)| {
+            now.saturating_duration_since(*at) < fresh && *used >= LEAST_USED
+        })?;
         (self.held_then >= LEAST_HELD_THEN).then(|| self.held_then as f64 / used)
     }
 
     /// The share of its capacity that it has at the least.
-    pub fn warmth(&self, settings: &Settings, now: Time) -> f64 {
+    pub fn warmth(&self, settings: &Settings, now: Timestamp) -> f64 {
         let Some(started) = self.started else {
             return 1.0;
         };
-        let part = now.since(started).as_secs_f64() / settings.cold_for.as_secs_f64().max(1e-9);
-        (settings.start_capacity + (1.0 - settings.start_capacity) * part).min(1.0)
+        let part = now.saturating_duration_since(started).as_secs_f64()
+            / settings.slow_start_duration.as_secs_f64().max(1e-9);
+        (settings.initial_capacity_ratio + (1.0 - settings.initial_capacity_ratio) * part).min(1.0)
     }
 
     /// Takes in its state as listed. Gives its weight if it is lost: gone without having drained.
-    pub fn turn(&mut self, now: Time, health: Health) -> f64 {
+    pub fn turn(&mut self, now: Timestamp, health: Health) -> f64 {
         let lost = self.health == Health::Ready && health == Health::Gone;
         if self.health == Health::Ready && health != Health::Ready {
             self.leaving_since = now;
--- a/crates/placement/src/interface.rs
+++ b/crates/placement/src/interface.rs
@@ -1,24 +1,24 @@
 //! What goes into a balancer and what comes out of it: ids, time, settings, events and actions.
 
-use crate::learnt::Learnt;
+use crate::learned_state::LearnedServer;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// A moment on the embedding proxy's monotonic clock, in nanoseconds. Its zero has no meaning.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Time(pub u64);
+pub struct Timestamp(pub u64);
 
-impl Time {
+impl Timestamp {
     /// The moment `span` later.
-    pub fn after(self, span: Duration) -> Time {
-        Time(
+    pub fn saturating_add(self, span: Duration) -> Timestamp {
+        Timestamp(
             self.0
                 .saturating_add(u64::try_from(span.as_nanos()).unwrap_or(u64::MAX)),
         )
     }
     /// The span since an `earlier` moment; zero if that lies ahead.
-    pub fn since(self, earlier: Time) -> Duration {
+    pub fn saturating_duration_since(self, earlier: Timestamp) -> Duration {
         Duration::from_nanos(self.0.saturating_sub(earlier.0))
     }
 }
@@ -39,23 +39,23 @@
 
 /// What a second attempt of a request may do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Repeat {
+pub enum RetrySafety {
     /// Running it twice does no harm.
-    Repeatable,
+    Idempotent,
     /// Servers of one `scope` drop repeats for `window` from the send of an attempt.
-    ByKey {
+    IdempotencyKey {
         /// Which servers remember each other's requests.
-        scope: Scope,
+        scope: IdempotencyScope,
         /// For how long they do.
         window: Duration,
     },
     /// It must not run twice.
-    Once,
+    NotIdempotent,
 }
 
 /// The servers that drop each other's repeats.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Scope {
+pub enum IdempotencyScope {
     /// All servers.
     All,
     /// Those of one zone.
@@ -68,62 +68,62 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Class {
     /// A connection set up within this time earns its full worth.
-    pub aim: Duration,
+    pub setup_objective: Duration,
     /// A message on a standing connection should be answered within this time; zero if unknown.
-    pub message_aim: Duration,
+    pub message_objective: Duration,
     /// What a second attempt may do.
-    pub repeat: Repeat,
+    pub retry_safety: RetrySafety,
 }
 
 /// A tenant's share.
 #[derive(Clone, Debug)]
 pub struct Tenant {
     /// Open connections over all gateways that lie within its share, if told.
-    pub quota_connections: Option<f64>,
+    pub connection_quota: Option<f64>,
 }
 
 /// The obligations that the balancer keeps, and the site's limits. All of it is told at the start.
 #[derive(Clone, Debug)]
 pub struct Settings {
     /// Gateways of this tier, this one included.
-    pub instances: u32,
+    pub node_count: u32,
     /// Request classes; events name them by position.
     pub classes: Vec<Class>,
     /// Tenants; events name them by position.
     pub tenants: Vec<Tenant>,
     /// Most attempts for one request.
-    pub attempt_cap: u32,
+    pub max_attempts: u32,
     /// Gateways may send each other short messages.
-    pub may_tell: bool,
+    pub gossip_allowed: bool,
     /// Probing is allowed.
-    pub may_probe: bool,
+    pub health_checks_allowed: bool,
     /// What one probe for each request would cost, in points of the result; zero if probes cost nothing.
-    pub probe_price: f64,
+    pub health_check_cost: f64,
     /// Probe results and outcomes name the load over capacity at this position of a report.
-    pub report_utilisation: Option<usize>,
+    pub utilization_field: Option<usize>,
     /// The list must be asked for ([`Action::Subscribe`]); otherwise changes come by themselves.
-    pub list_must_be_asked: bool,
+    pub requires_endpoint_watch: bool,
     /// How long after hearing that a server drains or is gone sends to it must stop.
     pub drain_grace: Duration,
     /// A server is warm this long after its start.
-    pub cold_for: Duration,
+    pub slow_start_duration: Duration,
     /// The share of its capacity that a server starts with, at the least.
-    pub start_capacity: f64,
+    pub initial_capacity_ratio: f64,
     /// A cold server falls over at this multiple of its present capacity.
-    pub fall_multiple: f64,
+    pub overload_factor: f64,
     /// ... kept up for this long.
-    pub fall_window: Duration,
+    pub overload_window: Duration,
     /// The longest wait that clients heed; zero if they are not given any.
-    pub longest_retry_after: Duration,
+    pub max_retry_after: Duration,
 }
 
 impl Settings {
     /// The shortest time in which any class wants its messages answered; zero if none is told.
-    pub fn least_message_aim(&self) -> Duration {
+    pub fn min_message_objective(&self) -> Duration {
         let aims = self
             .classes
             .iter()
-            .map(|class| class.message_aim)
+            .map(|class| class.message_objective)
             .filter(|aim| !aim.is_zero());
         aims.min().unwrap_or_default()
     }
@@ -143,7 +143,7 @@
 
 /// One entry of the server list.
 #[derive(Clone, Debug)]
-pub struct Listed {
+pub struct Endpoint {
     /// Which server.
     pub server: ServerId,
     /// Its state.
@@ -155,14 +155,14 @@
     /// Its cell, for [`Scope::Cell`].
     pub cell: u32,
     /// Its kind of machine, a small number: what is seen of one such server is taken to say something of the others.
-    pub kind: u32,
+    pub machine_kind: u32,
     /// When it last started, if that was not long ago.
-    pub started: Option<Time>,
+    pub started_at: Option<Timestamp>,
 }
 
 /// A request as taken from a client.
 #[derive(Clone, Debug)]
-pub struct Incoming {
+pub struct RequestInfo {
     /// Its id.
     pub request: RequestId,
     /// Its class.
@@ -176,11 +176,11 @@
     /// Expected load: work a second, as time on a standard core.
     pub load: Option<Duration>,
     /// When the client stops waiting.
-    pub expires: Time,
+    pub deadline: Timestamp,
     /// Packets of an open connection; the server that holds it continues it.
-    pub mid_flow: bool,
+    pub is_mid_flow: bool,
     /// The client came back after a break or a move.
-    pub returned: bool,
+    pub is_reconnect: bool,
 }
 
 /// How an attempt ended.
@@ -191,40 +191,43 @@
     /// The server gave an error; it may have run.
     Error,
     /// Sent back unseen: full or draining.
-    Full,
+    Rejected,
     /// No answer in time; it may have run.
     TimedOut,
     /// No connection; it never ran.
     ConnectFailed,
     /// The connection came up and broke before the request was sent; it never ran.
-    Dropped,
+    ClosedBeforeSend,
     /// The connection broke; it may have run.
     Reset,
     /// Called off; it may have run.
     Cancelled,
     /// Never sent.
-    Moot,
+    NotSent,
 }
 
 impl Outcome {
     /// Whether this proves that the attempt never ran.
-    pub fn never_ran(self) -> bool {
+    pub fn proves_not_executed(self) -> bool {
         matches!(
             self,
-            Outcome::Full | Outcome::ConnectFailed | Outcome::Dropped | Outcome::Moot
+            Outcome::Rejected
+                | Outcome::ConnectFailed
+                | Outcome::ClosedBeforeSend
+                | Outcome::NotSent
         )
     }
 }
 
 /// A gateway's slice of what all may send to cold servers.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Slice {
+pub struct SlowStartLease {
     /// Its part of the whole, 0 to 1: takes the place of one part in [`Settings::instances`] while the slice holds.
-    pub part: f64,
+    pub fleet_share: f64,
     /// New sends in any `window`, while the slice holds ...
-    pub sends: u32,
+    pub limit: u32,
     /// ... until this moment; none if nothing is held.
-    pub until: Option<Time>,
+    pub expires_at: Option<Timestamp>,
     /// New sends in any `window` without it.
     pub floor: u32,
     /// See `sends`.
@@ -237,31 +240,31 @@
     /// The balancer starts; the first event. Discovery and upkeep begin.
     Start,
     /// The whole list; servers not on it are gone. `cached` marks a list kept from an earlier life.
-    List {
+    EndpointList {
         /// The entries.
-        entries: Vec<Listed>,
+        entries: Vec<Endpoint>,
         /// Whether it is an old list.
         cached: bool,
     },
     /// Changed entries.
-    ListChange(Vec<Listed>),
+    EndpointChange(Vec<Endpoint>),
     /// A call to discovery failed or the subscription broke.
-    ListFailed,
+    EndpointWatchFailed,
     /// The subscription brings nothing any more, though it has not ended.
-    ListSilent,
+    EndpointWatchSilent,
     /// A request is taken.
-    Request(Incoming),
+    RequestReceived(RequestInfo),
     /// A connection that already stands on a server is taken over.
-    Inherited(Incoming, ServerId),
+    ConnectionInherited(RequestInfo, ServerId),
     /// The connection stands.
-    Established {
+    ConnectionEstablished {
         /// Which request.
         request: RequestId,
         /// Time since the send.
         took: Duration,
     },
     /// An attempt ended.
-    Ended {
+    AttemptEnded {
         /// Which request.
         request: RequestId,
         /// Which attempt, from 0.
@@ -276,32 +279,32 @@
     /// Nobody waits for the request any more.
     ClientGone(RequestId),
     /// The gateway ends: the request gets its final answer now, whatever is out for it.
-    GivenUp {
+    ShutdownDeadline {
         /// Which request.
         request: RequestId,
         /// Something of its present attempt has been sent.
         sent: bool,
     },
     /// A standing connection's load is now this (work a second, as time on a standard core).
-    LoadNote {
+    LoadObserved {
         /// Which request.
         request: RequestId,
         /// The load.
         load: Duration,
     },
     /// Messages on this standing connection's server now take this long.
-    DelayNote {
+    DelayObserved {
         /// Which request.
         request: RequestId,
         /// How long one takes.
         delay: Duration,
     },
     /// A standing connection's messages have gone unanswered for so long that nobody is served on it.
-    Silent(RequestId),
+    ConnectionUnresponsive(RequestId),
     /// None of the standing connections on this server is answered any more.
-    ServerSilent(ServerId),
+    ServerUnresponsive(ServerId),
     /// A probe came back.
-    Probed {
+    HealthCheckCompleted {
         /// Which server.
         server: ServerId,
         /// Whether the check passed.
@@ -310,10 +313,10 @@
         report: Option<Vec<f64>>,
     },
     /// What another gateway told by [`Action::Tell`].
-    Told(String),
+    Gossip(String),
     /// Other settings hold for what comes from now on; requests and connections that are there keep the rules under
     /// which they came.
-    Settings {
+    SettingsChanged {
         /// The settings.
         settings: Settings,
         /// For each class of theirs, its position before, if it was there.
@@ -321,21 +324,21 @@
     },
     /// What this gateway may send to cold servers, where the gateways divide that among themselves; without it each takes one
     /// part in [`Settings::instances`].
-    Slice(Option<Slice>),
+    LeaseChanged(Option<SlowStartLease>),
     /// What the process whose place this one takes has learnt of its servers.
-    Learnt(Vec<Learnt>),
+    LearnedState(Vec<LearnedServer>),
     /// Exactly these servers are out by hand from now on: nothing new goes there, whatever the list says, and what
     /// stands there is moved. One that is out no more counts as just started.
-    ByHand(BTreeSet<ServerId>),
+    AdminDrain(BTreeSet<ServerId>),
     /// A timer set by [`Action::SetTimer`] has come due.
-    Timer(u64),
+    TimerFired(u64),
 }
 
 /// What the balancer wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Send the request to the server; give the attempt up after `patience`.
-    Place {
+    StartAttempt {
         /// Which request.
         request: RequestId,
         /// Where to.
@@ -344,7 +347,7 @@
         patience: Duration,
     },
     /// End the request unserved: it never ran, or repeating it is harmless.
-    Refuse {
+    Reject {
         /// Which request.
         request: RequestId,
         /// When the client had best come again; zero for no advice.
@@ -353,11 +356,11 @@
     /// End the request as failed; nothing is said of its effect.
     Fail(RequestId),
     /// Ask a standing connection's client to reconnect.
-    Move(RequestId),
+    Migrate(RequestId),
     /// Probe a server.
-    Probe(ServerId),
+    CheckHealth(ServerId),
     /// Tell all other gateways, as far as it reaches them.
-    Tell(String),
+    Gossip(String),
     /// Set a timer.
     SetTimer {
         /// From now.
@@ -366,5 +369,5 @@
         handle: u64,
     },
     /// Ask discovery for changes from now on.
-    Subscribe,
+    WatchEndpoints,
 }
--- a/crates/placement/src/learnt.rs
+++ b/crates/placement/src/learned_state.rs
@@ -7,28 +7,28 @@
 
 /// What was learnt of one server.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Learnt {
+pub struct LearnedServer {
     /// Which server.
     pub server: ServerId,
     /// How long ago it started, if that is known.
-    pub started: Option<Duration>,
+    pub started_ago: Option<Duration>,
     /// The most load of this gateway's that it may hold, in units of work a second; none if it was never crowded.
-    pub cap: Option<f64>,
+    pub concurrency_limit: Option<f64>,
     /// How long ago it was last crowded.
-    pub crowded: Option<Duration>,
+    pub overloaded_ago: Option<Duration>,
     /// For how long it is still barred.
-    pub barred: Option<Duration>,
+    pub ejected_for: Option<Duration>,
     /// How often it was barred in a row, and its failures since.
-    pub bars: u32,
+    pub ejection_count: u32,
     /// See `bars`.
-    pub strikes: u32,
+    pub consecutive_failures: u32,
     /// It will come back cold.
-    pub crashed: bool,
+    pub restart_suspected: bool,
 }
 
 /// The moment a `span` before `now`.
-fn before(now: Time, span: Duration) -> Time {
-    Time(
+fn before(now: Timestamp, span: Duration) -> Timestamp {
+    Timestamp(
         now.0
             .saturating_sub(u64::try_from(span.as_nanos()).unwrap_or(u64::MAX)),
     )
@@ -36,49 +36,57 @@
 
 impl Fleet {
     /// What was learnt of the servers that are listed.
-    pub fn learnt(&self, now: Time) -> Vec<Learnt> {
+    pub fn learnt(&self, now: Timestamp) -> Vec<LearnedServer> {
         let listed = self.servers.slots().into_iter();
         let learnt = listed.filter_map(|at| Some((self.servers.id(at)?, self.servers.get(at)?)));
         let learnt = learnt
             .filter(|(_, server)| server.health != Health::Gone)
-            .map(|(id, server)| Learnt {
+            .map(|(id, server)| LearnedServer {
                 server: id.clone(),
-                started: server.started.map(|at| now.since(at)),
-                cap: Some(server.cap).filter(|cap| cap.is_finite()),
-                crowded: server.crowded_at.map(|at| now.since(at)),
-                barred: server.barred_until.map(|until| until.since(now)),
-                bars: server.bars,
-                strikes: server.strikes,
-                crashed: server.crashed,
+                started_ago: server.started.map(|at| now.saturating_duration_since(at)),
+                concurrency_limit: Some(server.cap).filter(|cap| cap.is_finite()),
+                overloaded_ago: server
+                    .crowded_at
+                    .map(|at| now.saturating_duration_since(at)),
+                ejected_for: server
+                    .barred_until
+                    .map(|until| until.saturating_duration_since(now)),
+                ejection_count: server.bars,
+                consecutive_failures: server.strikes,
+                restart_suspected: server.crashed,
             });
-        let mut learnt: Vec<Learnt> = learnt.collect();
+        let mut learnt: Vec<LearnedServer> = learnt.collect();
         learnt.sort_by(|a, b| a.server.cmp(&b.server));
         learnt
     }
 
     /// Takes over what another process learnt, as far as it is about listed servers. A later start that this one knows of
     /// makes it void: that was another process of the server.
-    pub fn take_learnt(&mut self, settings: &Settings, now: Time, learnt: Vec<Learnt>) {
+    pub fn take_learnt(&mut self, settings: &Settings, now: Timestamp, learnt: Vec<LearnedServer>) {
         for learnt in learnt {
-            let started = learnt.started.map(|span| before(now, span));
+            let started = learnt.started_ago.map(|span| before(now, span));
             let at = self.servers.slot(&learnt.server);
             self.change(at, |server| {
                 // The same start is told by both clocks within less than a second.
-                let later =
-                    |at: Time| started.map_or(true, |told| at.since(told) > Duration::from_secs(1));
+                let later = |at: Timestamp| {
+                    started.map_or(true, |told| {
+                        at.saturating_duration_since(told) > Duration::from_secs(1)
+                    })
+                };
                 if server.health == Health::Gone || server.started.is_some_and(later) {
                     return;
                 }
                 server.started = server.started.max(started);
                 server.cold = server.is_cold(settings, now);
                 server.cap = learnt
-                    .cap
+                    .concurrency_limit
                     .filter(|cap| *cap >= 0.0)
                     .unwrap_or(f64::INFINITY);
-                server.crowded_at = learnt.crowded.map(|span| before(now, span));
-                server.barred_until = learnt.barred.map(|span| now.after(span));
-                (server.bars, server.strikes) = (learnt.bars, learnt.strikes);
-                server.crashed |= learnt.crashed;
+                server.crowded_at = learnt.overloaded_ago.map(|span| before(now, span));
+                server.barred_until = learnt.ejected_for.map(|span| now.saturating_add(span));
+                (server.bars, server.strikes) =
+                    (learnt.ejection_count, learnt.consecutive_failures);
+                server.crashed |= learnt.restart_suspected;
             });
         }
     }
--- a/crates/placement/src/learnt/tests.rs
+++ b/crates/placement/src/learned_state/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 use crate::fleet::Server;
 
-fn fleet(servers: &[(&str, Option<Time>)]) -> Fleet {
+fn fleet(servers: &[(&str, Option<Timestamp>)]) -> Fleet {
     let mut fleet = Fleet::default();
     for (name, started) in servers {
         let at = fleet.servers.insert(
@@ -19,21 +19,21 @@
 #[test]
 fn what_was_learnt_comes_back_on_another_clock_unless_the_server_is_a_new_process() {
     let (second, settings) = (1_000_000_000, crate::work_tests::settings());
-    let mut older = fleet(&[("a", None), ("b", Some(Time(5 * second))), ("c", None)]);
+    let mut older = fleet(&[("a", None), ("b", Some(Timestamp(5 * second))), ("c", None)]);
     for name in ["a", "b"] {
         let at = older.servers.slot(&name.into());
         older.change(at, |server| {
             (server.cap, server.bars, server.strikes) = (4.5, 2, 1);
-            server.crowded_at = Some(Time(7 * second));
-            server.barred_until = Some(Time(12 * second));
+            server.crowded_at = Some(Timestamp(7 * second));
+            server.barred_until = Some(Timestamp(12 * second));
         });
     }
-    let learnt = older.learnt(Time(10 * second));
+    let learnt = older.learnt(Timestamp(10 * second));
     // This clock is 90 s ahead: b has the same start here, or a later one.
     for (start, same) in [(95, true), (98, false)] {
-        let mut newer = fleet(&[("a", None), ("b", Some(Time(start * second)))]);
-        newer.take_learnt(&settings, Time(100 * second), learnt.clone());
-        let told = newer.learnt(Time(100 * second));
+        let mut newer = fleet(&[("a", None), ("b", Some(Timestamp(start * second)))]);
+        newer.take_learnt(&settings, Timestamp(100 * second), learnt.clone());
+        let told = newer.learnt(Timestamp(100 * second));
         assert_eq!(
             (told.len(), &told[0]),
             (2, &learnt[0]),
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -6,15 +6,15 @@
 #![doc = include_str!("../../../README.md")]
 #![forbid(unsafe_code)]
 
-pub mod asking;
+pub mod admin_drain;
 mod balance;
 mod bits;
-pub mod by_hand;
 mod cold;
 mod fleet;
 pub mod interface;
-pub mod learnt;
+pub mod learned_state;
 mod order;
+pub mod poll_schedule;
 mod request;
 mod shares;
 mod table;
--- a/crates/placement/src/asking.rs
+++ b/crates/placement/src/poll_schedule.rs
@@ -41,7 +41,7 @@
 /// by discovery itself. Calls that are made 0 to 4.5 s after a contact get the further one 4 to 5.5 s after it, in their
 /// order: gateways that lost contact together keep spread out. After the `further` one, and when it is too late anyway,
 /// calls keep a slow pace.
-pub fn alone(quiet: Duration, further: bool) -> Duration {
+pub fn unanswered_call_timeout(quiet: Duration, further: bool) -> Duration {
     if further || quiet > OVERDUE {
         FRESH_EVERY
     } else {
@@ -51,35 +51,35 @@
 
 /// Whether a connection that did not come up is tried again at once: while a change that it may miss is not overdue. Each try
 /// takes over a second, so these are few.
-pub fn hurries(quiet: Duration) -> bool {
+pub fn reconnects_immediately(quiet: Duration) -> bool {
     quiet <= OVERDUE
 }
 
 /// The calls of one gateway.
-pub struct Asking {
+pub struct PollSchedule {
     spread: f64,
     failures: i32,
 }
 
-impl Asking {
+impl PollSchedule {
     /// For one of so many gateways.
-    pub fn new(gateways: u32) -> Asking {
-        let mut asking = Asking {
+    pub fn new(gateways: u32) -> PollSchedule {
+        let mut asking = PollSchedule {
             spread: 0.0,
             failures: 0,
         };
-        asking.share(gateways);
+        asking.set_node_count(gateways);
         asking
     }
 
     /// There are so many gateways from now on.
-    pub fn share(&mut self, gateways: u32) {
+    pub fn set_node_count(&mut self, gateways: u32) {
         self.spread = (f64::from(gateways) / CALLS_PER_S).min(LONGEST_SPREAD);
     }
 
     /// When to ask first: a list is known from the start, and all gateways may have started at once. `random` lies
     /// between 0 and 1. Zero for few gateways.
-    pub fn first(&self, random: f64) -> Duration {
+    pub fn initial_delay(&self, random: f64) -> Duration {
         let spread = if self.spread <= AT_ONCE {
             0.0
         } else {
@@ -89,7 +89,7 @@
     }
 
     /// A call failed or the subscription broke: when to ask again.
-    pub fn again(&mut self, random: f64) -> Duration {
+    pub fn retry_delay(&mut self, random: f64) -> Duration {
         let (least, most) = if self.failures == 0 {
             // Most fail together: the first wait spreads them evenly.
             (SHORTEST_WAIT, self.spread.max(FIRST_WAIT * 1.5))
@@ -106,7 +106,7 @@
 
     /// The subscription has fallen silent: when to ask anew. Zero for few gateways. It is no failed call: discovery may be
     /// well, and gateways whose subscriptions fell silent together notice it spread over the time between two signs of life.
-    pub fn silent(&self, random: f64) -> Duration {
+    pub fn silent_watch_delay(&self, random: f64) -> Duration {
         let spread = if self.spread <= AT_ONCE {
             0.0
         } else {
@@ -116,7 +116,7 @@
     }
 
     /// A list has come: from discovery, or one that was `cached`, which tells nothing of it.
-    pub fn answered(&mut self, cached: bool) {
+    pub fn record_answer(&mut self, cached: bool) {
         self.failures *= i32::from(cached);
     }
 }
--- a/crates/placement/src/asking/tests.rs
+++ b/crates/placement/src/poll_schedule/tests.rs
@@ -5,11 +5,11 @@
     let random = |n: u32, k: u32| f64::from((n * 31 + k * 17) % gateways) / f64::from(gateways);
     let (mut calls, mut last) = (Vec::new(), 0.0f64);
     for n in 0..gateways {
-        let mut asking = Asking::new(gateways);
-        let mut at = asking.first(random(n, 0)).as_secs_f64();
+        let mut asking = PollSchedule::new(gateways);
+        let mut at = asking.initial_delay(random(n, 0)).as_secs_f64();
         for k in 1.. {
             calls.push(at);
-            let wait = asking.again(random(n, k)).as_secs_f64();
+            let wait = asking.retry_delay(random(n, k)).as_secs_f64();
             last = last.max(wait);
             at += 2.0 + wait;
             if at > 40.0 {
@@ -49,27 +49,32 @@
 #[test]
 fn after_silence_many_ask_within_a_second_and_few_at_once() {
     assert_eq!(
-        [0.0, 0.99].map(|random| Asking::new(3).silent(random)),
+        [0.0, 0.99].map(|random| PollSchedule::new(3).silent_watch_delay(random)),
         [Duration::ZERO; 2]
     );
-    let mut many = Asking::new(300);
+    let mut many = PollSchedule::new(300);
     assert_eq!(
-        [0.0, 0.5].map(|random| many.silent(random).as_secs_f64()),
+        [0.0, 0.5].map(|random| many.silent_watch_delay(random).as_secs_f64()),
         [0.0, 0.5]
     );
     // A call that fails after that waits like any first one.
-    assert_eq!(many.again(0.5), Asking::new(300).again(0.5));
+    assert_eq!(
+        many.retry_delay(0.5),
+        PollSchedule::new(300).retry_delay(0.5)
+    );
 }
 
 #[test]
 fn an_answer_starts_the_waits_anew_and_a_kept_list_does_not() {
-    let mut asking = Asking::new(3);
-    let waits: Vec<f64> = (0..4).map(|_| asking.again(0.5).as_secs_f64()).collect();
+    let mut asking = PollSchedule::new(3);
+    let waits: Vec<f64> = (0..4)
+        .map(|_| asking.retry_delay(0.5).as_secs_f64())
+        .collect();
     assert_eq!(waits, [0.5, 1.0, 2.0, 2.0]);
-    asking.answered(true);
-    assert_eq!(asking.again(0.5).as_secs_f64(), 2.0);
-    asking.answered(false);
-    assert_eq!(asking.again(0.5).as_secs_f64(), 0.5);
+    asking.record_answer(true);
+    assert_eq!(asking.retry_delay(0.5).as_secs_f64(), 2.0);
+    asking.record_answer(false);
+    assert_eq!(asking.retry_delay(0.5).as_secs_f64(), 0.5);
 }
 
 /// What discovery has to tell counts as told 6 s after it could be reached: it may have been back since the last call failed.
@@ -77,10 +82,10 @@
 fn after_a_call_that_failed_the_next_one_leaves_time_for_its_answer() {
     for gateways in [1, 3, 30, 100, 300, 2100] {
         for random in [0.0, 0.5, 1.0] {
-            let mut asking = Asking::new(gateways);
-            assert!(asking.first(random) <= Duration::from_millis(4500));
+            let mut asking = PollSchedule::new(gateways);
+            assert!(asking.initial_delay(random) <= Duration::from_millis(4500));
             for failures in 0..20 {
-                let wait = asking.again(random);
+                let wait = asking.retry_delay(random);
                 assert!(
                     wait <= Duration::from_millis(4500),
                     "{gateways} gateways, {failures} failures: {wait:?}"
@@ -92,10 +97,16 @@
 
 #[test]
 fn other_settings_may_name_another_number_of_gateways() {
-    let mut asking = Asking::new(1);
-    asking.share(300);
-    assert_eq!(asking.first(0.5), Asking::new(300).first(0.5));
-    assert_eq!(asking.again(0.5), Asking::new(300).again(0.5));
+    let mut asking = PollSchedule::new(1);
+    asking.set_node_count(300);
+    assert_eq!(
+        asking.initial_delay(0.5),
+        PollSchedule::new(300).initial_delay(0.5)
+    );
+    assert_eq!(
+        asking.retry_delay(0.5),
+        PollSchedule::new(300).retry_delay(0.5)
+    );
 }
 
 /// However long ago the last contact was when a call is made, and though no call is ever answered: a further one is made in time to
@@ -105,7 +116,7 @@
     for tenths in 0..=45u64 {
         let mut calls = vec![Duration::from_millis(tenths * 100)];
         for at in 0..10 {
-            calls.push(calls[at] + alone(calls[at], at > 0));
+            calls.push(calls[at] + unanswered_call_timeout(calls[at], at > 0));
         }
         let last_in_time = calls
             .iter()
@@ -141,8 +152,8 @@
         const BACK: u64 = 10_000_000;
         let random = |n: u32, k: u32| key_hash_of(n, k);
         let micros = |span: Duration| span.as_micros() as u64;
-        let mut asking: Vec<Asking> = (0..self.gateways)
-            .map(|_| Asking::new(self.gateways))
+        let mut asking: Vec<PollSchedule> = (0..self.gateways)
+            .map(|_| PollSchedule::new(self.gateways))
             .collect();
         // Of each: its calls so far, the last contact, its calls that are out, and when it was heard.
         let mut made = vec![0u32; asking.len()];
@@ -152,7 +163,12 @@
         let (mut calls, mut free) = (Vec::new(), 0u64);
         let mut queue = std::collections::BTreeSet::<Happening>::new();
         for n in 0..self.gateways {
-            queue.insert((micros(asking[n as usize].first(random(n, 0))), n, 0, 0));
+            queue.insert((
+                micros(asking[n as usize].initial_delay(random(n, 0))),
+                n,
+                0,
+                0,
+            ));
         }
         while let Some((now, n, call, what)) = queue.pop_first() {
             let at = n as usize;
@@ -169,7 +185,12 @@
                     out[at] += 1;
                     calls.push(now);
                     let quiet = Duration::from_micros(now - contact[at]);
-                    queue.insert((now + micros(alone(quiet, out[at] > 1)), n, made[at], 1));
+                    queue.insert((
+                        now + micros(unanswered_call_timeout(quiet, out[at] > 1)),
+                        n,
+                        made[at],
+                        1,
+                    ));
                     let begins = free.max(now);
                     let (ends, how) = if now < BACK && self.hangs {
                         (now + 4_500_000, 3)
@@ -190,7 +211,7 @@
                         contact[at] = now;
                     }
                     if out[at] == 0 {
-                        let after = asking[at].again(random(n, made[at]));
+                        let after = asking[at].retry_delay(random(n, made[at]));
                         queue.insert((now + micros(after), n, 0, 0));
                     }
                 }
--- a/crates/placement/src/request.rs
+++ b/crates/placement/src/request.rs
@@ -14,7 +14,7 @@
     /// Inherited, or the first try of a mid-flow connection: at its holder there is nothing to set up, so it
     /// neither takes a slot of the window nor teaches how long a set-up takes.
     pub free: bool,
-    pub sent: Time,
+    pub sent: Timestamp,
     pub stands: bool,
 }
 
@@ -35,17 +35,17 @@
     pub load: Option<f64>,
     /// What it adds to its server's `load` now.
     pub counted: f64,
-    pub expires: Time,
+    pub expires: Timestamp,
     pub mid_flow: bool,
     pub attempts: u32,
     pub tried: Vec<Slot>,
     pub out: Option<Attempt>,
     /// The earliest attempt that may have run: its zone, its cell and when it was sent.
-    pub doubt: Option<(u32, u32, Time)>,
+    pub doubt: Option<(u32, u32, Timestamp)>,
     /// Answered or abandoned; kept only until its attempt's end is reported.
     pub over: bool,
     /// Waits for what this server answers to a probe, or after an error, until then at the most.
-    pub asked: Option<(Slot, Time)>,
+    pub asked: Option<(Slot, Timestamp)>,
 }
 
 impl Request {
@@ -57,40 +57,42 @@
     /// How long its next attempt may wait: short enough that another fits into the aim, longer where the whole fleet is slow
     /// to set up (a shared store, say; `usual` is what a set-up takes in seconds), and without limit where no further attempt is
     /// possible.
-    pub fn patience(&self, now: Time, usual: f64) -> Duration {
-        let left = self.expires.since(now);
+    pub fn patience(&self, now: Timestamp, usual: f64) -> Duration {
+        let left = self.expires.saturating_duration_since(now);
         let Some(class) = self.rules else { return left };
-        let last = self.attempts + 1 >= self.attempt_cap || class.repeat == Repeat::Once;
-        if last || class.aim.is_zero() {
+        let last = self.attempts + 1 >= self.attempt_cap
+            || class.retry_safety == RetrySafety::NotIdempotent;
+        if last || class.setup_objective.is_zero() {
             return left; // where no aim is told nothing says what would be too long
         }
-        let first = (class.aim.as_secs_f64() * PATIENCE).max(4.0 * usual);
+        let first = (class.setup_objective.as_secs_f64() * PATIENCE).max(4.0 * usual);
         Duration::from_secs_f64(first * f64::from(1u32 << self.attempts.min(8))).min(left)
     }
 
     /// Whether what may have run of it leaves this server to it now.
-    pub fn may_go_to(&self, now: Time, server: &Server) -> bool {
-        match (self.rules.map(|class| class.repeat), self.doubt) {
-            (Some(Repeat::ByKey { scope, window }), Some((zone, cell, sent))) => {
+    pub fn may_go_to(&self, now: Timestamp, server: &Server) -> bool {
+        match (self.rules.map(|class| class.retry_safety), self.doubt) {
+            (Some(RetrySafety::IdempotencyKey { scope, window }), Some((zone, cell, sent))) => {
                 let inside = match scope {
-                    Scope::All => true,
-                    Scope::Zone => zone == server.zone,
-                    Scope::Cell => cell == server.cell,
+                    IdempotencyScope::All => true,
+                    IdempotencyScope::Zone => zone == server.zone,
+                    IdempotencyScope::Cell => cell == server.cell,
                 };
-                inside && now.since(sent) < window
+                inside && now.saturating_duration_since(sent) < window
             }
-            (Some(Repeat::Once), Some(_)) => false,
+            (Some(RetrySafety::NotIdempotent), Some(_)) => false,
             _ => true,
         }
     }
 
     /// Whether its client may be told to come again: nothing of it may have run, or that does no harm.
     pub fn may_be_refused(&self) -> bool {
-        match self.rules.map(|class| class.repeat) {
+        match self.rules.map(|class| class.retry_safety) {
             Some(
-                Repeat::Repeatable
-                | Repeat::ByKey {
-                    scope: Scope::All, ..
+                RetrySafety::Idempotent
+                | RetrySafety::IdempotencyKey {
+                    scope: IdempotencyScope::All,
+                    ..
                 },
             ) => true,
             _ => self.doubt.is_none(),
--- a/crates/placement/src/shares.rs
+++ b/crates/placement/src/shares.rs
@@ -78,7 +78,7 @@
     pub fn share_out(
         &mut self,
         fleet: &mut Fleet,
-        now: Time,
+        now: Timestamp,
         settings: &Settings,
         lost: f64,
     ) -> bool {
@@ -87,12 +87,13 @@
         if !lost && self.made_for.is_empty() {
             return false;
         }
-        let cold_for = settings.cold_for.as_secs_f64().max(1e-9);
-        let least = LEAST_HELD / (f64::from(settings.instances.max(1)) * (self.held + LIKELY_HELD));
+        let cold_for = settings.slow_start_duration.as_secs_f64().max(1e-9);
+        let least =
+            LEAST_HELD / (f64::from(settings.node_count.max(1)) * (self.held + LIKELY_HELD));
         // Cold servers are filled over their warm-up.
         let filled = |server: &Server| {
             server.started.map_or(1.0, |started| {
-                (now.since(started).as_secs_f64() / cold_for).min(1.0)
+                (now.saturating_duration_since(started).as_secs_f64() / cold_for).min(1.0)
             })
         };
         let known = fleet.servers.slots().into_iter();
--- a/crates/placement/src/used.rs
+++ b/crates/placement/src/used.rs
@@ -5,7 +5,7 @@
 impl Balancer {
     /// Sends to cold servers since the last call: the most in any window, and whether a request came when only the slice
     /// stood against one more.
-    pub fn cold_used(&mut self) -> (u32, bool) {
+    pub fn take_slow_start_usage(&mut self) -> (u32, bool) {
         self.cold.used()
     }
 }
--- a/crates/placement/src/work_tests.rs
+++ b/crates/placement/src/work_tests.rs
@@ -9,39 +9,39 @@
 pub(crate) fn settings() -> Settings {
     let second = Duration::from_secs(1);
     Settings {
-        instances: 200,
+        node_count: 200,
         classes: vec![Class {
-            aim: second,
-            message_aim: second / 10,
-            repeat: Repeat::Repeatable,
+            setup_objective: second,
+            message_objective: second / 10,
+            retry_safety: RetrySafety::Idempotent,
         }],
         tenants: Vec::new(),
-        attempt_cap: 5,
-        may_tell: true,
-        may_probe: false,
-        probe_price: 0.0,
-        report_utilisation: None,
-        list_must_be_asked: false,
+        max_attempts: 5,
+        gossip_allowed: true,
+        health_checks_allowed: false,
+        health_check_cost: 0.0,
+        utilization_field: None,
+        requires_endpoint_watch: false,
         drain_grace: second,
-        cold_for: second * 10,
-        start_capacity: 0.2,
-        fall_multiple: 3.0,
-        fall_window: second * 2,
-        longest_retry_after: second,
+        slow_start_duration: second * 10,
+        initial_capacity_ratio: 0.2,
+        overload_factor: 3.0,
+        overload_window: second * 2,
+        max_retry_after: second,
     }
 }
 
-fn incoming(id: u64) -> Incoming {
-    Incoming {
+fn incoming(id: u64) -> RequestInfo {
+    RequestInfo {
         request: RequestId(id),
         class: 0,
         tenant: None,
         group: Some(format!("group:{}", id % 3)),
         key: Some(format!("client:{id}")),
         load: None,
-        expires: Time(id * SECOND + 3 * SECOND),
-        mid_flow: false,
-        returned: false,
+        deadline: Timestamp(id * SECOND + 3 * SECOND),
+        is_mid_flow: false,
+        is_reconnect: false,
     }
 }
 
@@ -49,19 +49,19 @@
 fn rows_read(servers: u64) -> u64 {
     let mut balancer = Balancer::new(settings(), 1);
     let mut actions = Vec::new();
-    let listed = |n: u64| Listed {
+    let listed = |n: u64| Endpoint {
         server: format!("10.0.{}.{}:80", n / 250, n % 250).as_str().into(),
         health: Health::Ready,
         weight: 1.0,
         zone: 0,
         cell: 0,
-        kind: 0,
-        started: None,
+        machine_kind: 0,
+        started_at: None,
     };
     let entries = (0..servers).map(listed).collect();
     balancer.handle(
-        Time(0),
-        Event::List {
+        Timestamp(0),
+        Event::EndpointList {
             entries,
             cached: false,
         },
@@ -69,15 +69,15 @@
     );
     READS.set(0);
     for id in 1..=20 {
-        let (now, request) = (Time(id * SECOND), RequestId(id));
-        balancer.handle(now, Event::Request(incoming(id)), &mut actions);
+        let (now, request) = (Timestamp(id * SECOND), RequestId(id));
+        balancer.handle(now, Event::RequestReceived(incoming(id)), &mut actions);
         assert!(
-            matches!(actions.last(), Some(Action::Place { .. })),
+            matches!(actions.last(), Some(Action::StartAttempt { .. })),
             "placed at once"
         );
         balancer.handle(
             now,
-            Event::Established {
+            Event::ConnectionEstablished {
                 request,
                 took: Duration::from_millis(20),
             },
@@ -86,7 +86,7 @@
         if id % 4 == 0 {
             balancer.handle(
                 now,
-                Event::DelayNote {
+                Event::DelayObserved {
                     request,
                     delay: Duration::from_millis(90),
                 },
@@ -97,7 +97,7 @@
             let outcome = Outcome::Reset;
             balancer.handle(
                 now,
-                Event::Ended {
+                Event::AttemptEnded {
                     request,
                     attempt: 0,
                     outcome,
@@ -107,7 +107,7 @@
                 &mut actions,
             );
         }
-        balancer.handle(now, Event::Timer(1), &mut actions);
+        balancer.handle(now, Event::TimerFired(1), &mut actions);
     }
     READS.get()
 }
--- a/crates/placement/tests/common/mod.rs
+++ b/crates/placement/tests/common/mod.rs
@@ -11,53 +11,53 @@
     Duration::from_millis(n)
 }
 
-pub fn settings(repeat: Repeat) -> Settings {
+pub fn settings(repeat: RetrySafety) -> Settings {
     Settings {
-        instances: 2,
+        node_count: 2,
         classes: vec![Class {
-            aim: ms(500),
-            message_aim: ms(100),
-            repeat,
+            setup_objective: ms(500),
+            message_objective: ms(100),
+            retry_safety: repeat,
         }],
         tenants: vec![],
-        attempt_cap: 4,
-        may_tell: false,
-        may_probe: false,
-        probe_price: 0.0,
-        report_utilisation: None,
-        list_must_be_asked: true,
+        max_attempts: 4,
+        gossip_allowed: false,
+        health_checks_allowed: false,
+        health_check_cost: 0.0,
+        utilization_field: None,
+        requires_endpoint_watch: true,
         drain_grace: ms(500),
-        cold_for: Duration::from_secs(20),
-        start_capacity: 0.2,
-        fall_multiple: 3.0,
-        fall_window: Duration::from_secs(2),
-        longest_retry_after: Duration::from_secs(2),
+        slow_start_duration: Duration::from_secs(20),
+        initial_capacity_ratio: 0.2,
+        overload_factor: 3.0,
+        overload_window: Duration::from_secs(2),
+        max_retry_after: Duration::from_secs(2),
     }
 }
 
-pub fn listed(name: &str) -> Listed {
-    Listed {
+pub fn listed(name: &str) -> Endpoint {
+    Endpoint {
         server: name.into(),
         health: Health::Ready,
         weight: 1.0,
         zone: 0,
         cell: 0,
-        kind: 0,
-        started: None,
+        machine_kind: 0,
+        started_at: None,
     }
 }
 
-pub fn request(id: u64, key: &str, expires: u64) -> Incoming {
-    Incoming {
+pub fn request(id: u64, key: &str, expires: u64) -> RequestInfo {
+    RequestInfo {
         request: RequestId(id),
         class: 0,
         tenant: None,
         group: None,
         key: Some(key.into()),
         load: None,
-        expires: Time(expires),
-        mid_flow: false,
-        returned: false,
+        deadline: Timestamp(expires),
+        is_mid_flow: false,
+        is_reconnect: false,
     }
 }
 
@@ -112,7 +112,7 @@
         world
     }
 
-    pub fn list(&mut self, entries: Vec<Listed>) {
+    pub fn list(&mut self, entries: Vec<Endpoint>) {
         let named: BTreeSet<_> = entries.iter().map(|entry| entry.server.clone()).collect();
         let now = self.now;
         for (server, book) in &mut self.list {
@@ -121,15 +121,15 @@
             }
         }
         entries.iter().for_each(|entry| self.note(entry));
-        self.tell(Event::List {
+        self.tell(Event::EndpointList {
             entries,
             cached: false,
         });
     }
 
-    pub fn change(&mut self, entry: Listed) {
+    pub fn change(&mut self, entry: Endpoint) {
         self.note(&entry);
-        self.tell(Event::ListChange(vec![entry]));
+        self.tell(Event::EndpointChange(vec![entry]));
     }
 
     /// From now on exactly these servers are out by hand.
@@ -141,10 +141,10 @@
                 .contains(server)
                 .then_some(book.2.unwrap_or(self.now));
         }
-        self.tell(Event::ByHand(self.out.clone()));
+        self.tell(Event::AdminDrain(self.out.clone()));
     }
 
-    fn note(&mut self, entry: &Listed) {
+    fn note(&mut self, entry: &Endpoint) {
         let now = self.now;
         let book = self
             .list
@@ -155,29 +155,29 @@
         book.2 = if serves { None } else { book.2.or(Some(now)) };
     }
 
-    pub fn ask(&mut self, incoming: Incoming) {
+    pub fn ask(&mut self, incoming: RequestInfo) {
         let book = Book {
-            expires: incoming.expires.0,
+            expires: incoming.deadline.0,
             attempts: vec![],
             stands: false,
             finals: 0,
-            mid_flow: incoming.mid_flow,
+            mid_flow: incoming.is_mid_flow,
         };
         self.books.insert(incoming.request.0, book);
-        self.tell(Event::Request(incoming));
+        self.tell(Event::RequestReceived(incoming));
     }
 
     /// A connection that already stands on a server.
-    pub fn inherit(&mut self, incoming: Incoming, server: &str) {
+    pub fn inherit(&mut self, incoming: RequestInfo, server: &str) {
         let book = Book {
-            expires: incoming.expires.0,
+            expires: incoming.deadline.0,
             attempts: vec![(server.into(), self.now, None)],
             stands: true,
             finals: 0,
             mid_flow: false,
         };
         self.books.insert(incoming.request.0, book);
-        self.tell(Event::Inherited(incoming, server.into()));
+        self.tell(Event::ConnectionInherited(incoming, server.into()));
     }
 
     /// Where the latest attempt of a request went.
@@ -191,7 +191,7 @@
     pub fn stands(&mut self, id: u64) {
         self.books.get_mut(&id).unwrap().stands = true;
         let took = Duration::from_nanos(self.now - self.books[&id].attempts.last().unwrap().1);
-        self.tell(Event::Established {
+        self.tell(Event::ConnectionEstablished {
             request: RequestId(id),
             took,
         });
@@ -207,7 +207,7 @@
         }
         let done = book.finals > 0;
         self.patience.remove(&id);
-        self.tell(Event::Ended {
+        self.tell(Event::AttemptEnded {
             request: RequestId(id),
             attempt,
             outcome,
@@ -222,10 +222,10 @@
         let out = attempts.last_mut().filter(|attempt| attempt.2.is_none());
         let attempt = out.map(|attempt| {
             // Not to the module, which hears of it later: what was never sent proves that it never ran.
-            attempt.2 = (!sent).then_some(Outcome::Moot);
+            attempt.2 = (!sent).then_some(Outcome::NotSent);
         });
         let number = (self.books[&id].attempts.len() as u32).saturating_sub(1);
-        self.tell(Event::GivenUp {
+        self.tell(Event::ShutdownDeadline {
             request: RequestId(id),
             sent,
         });
@@ -240,7 +240,7 @@
                 .unwrap()
                 .2 = Some(Outcome::Cancelled);
             let (request, outcome) = (RequestId(id), Outcome::Cancelled);
-            self.tell(Event::Ended {
+            self.tell(Event::AttemptEnded {
                 request,
                 attempt: number,
                 outcome,
@@ -253,7 +253,8 @@
 
     pub fn tell(&mut self, event: Event) {
         let mut actions = vec![];
-        self.balancer.handle(Time(self.now), event, &mut actions);
+        self.balancer
+            .handle(Timestamp(self.now), event, &mut actions);
         actions.iter().for_each(|action| self.check(action));
         self.last = actions;
     }
@@ -275,7 +276,7 @@
                 (Some(timer), _) if timer.0 <= to => {
                     self.timers.remove(&timer);
                     self.now = self.now.max(timer.0);
-                    self.tell(Event::Timer(timer.2));
+                    self.tell(Event::TimerFired(timer.2));
                 }
                 _ => break,
             }
@@ -285,7 +286,7 @@
 
     fn check(&mut self, action: &Action) {
         match action {
-            Action::Place {
+            Action::StartAttempt {
                 request,
                 server,
                 patience,
@@ -305,7 +306,7 @@
                     "two attempts out at once"
                 );
                 assert!(
-                    book.attempts.len() < settings.attempt_cap as usize,
+                    book.attempts.len() < settings.max_attempts as usize,
                     "more attempts than allowed"
                 );
                 if let Some(since) = leaving {
@@ -316,20 +317,20 @@
                     );
                 }
                 for (earlier, sent, end) in &book.attempts {
-                    if end.unwrap().never_ran() {
+                    if end.unwrap().proves_not_executed() {
                         continue;
                     }
-                    match settings.classes[0].repeat {
-                        Repeat::Repeatable => {}
-                        Repeat::Once => {
+                    match settings.classes[0].retry_safety {
+                        RetrySafety::Idempotent => {}
+                        RetrySafety::NotIdempotent => {
                             panic!("an unsafe request sent again though it may have run")
                         }
-                        Repeat::ByKey { scope, window } => {
+                        RetrySafety::IdempotencyKey { scope, window } => {
                             let place = self.list[earlier];
                             let same = match scope {
-                                Scope::All => true,
-                                Scope::Zone => place.0 == zone,
-                                Scope::Cell => place.1 == cell,
+                                IdempotencyScope::All => true,
+                                IdempotencyScope::Zone => place.0 == zone,
+                                IdempotencyScope::Cell => place.1 == cell,
                             };
                             assert!(same, "a keyed request sent outside its group");
                             assert!(
@@ -343,17 +344,17 @@
                 let until = (now + patience.as_nanos() as u64).min(book.expires);
                 self.patience.insert(request.0, until);
             }
-            Action::Refuse { request, .. } => {
+            Action::Reject { request, .. } => {
                 let doubtful = self.books[&request.0]
                     .attempts
                     .iter()
-                    .any(|(_, _, end)| !end.is_some_and(|outcome| outcome.never_ran()));
-                let repeat = self.settings.classes[0].repeat;
+                    .any(|(_, _, end)| !end.is_some_and(|outcome| outcome.proves_not_executed()));
+                let repeat = self.settings.classes[0].retry_safety;
                 let harmless = matches!(
                     repeat,
-                    Repeat::Repeatable
-                        | Repeat::ByKey {
-                            scope: Scope::All,
+                    RetrySafety::Idempotent
+                        | RetrySafety::IdempotencyKey {
+                            scope: IdempotencyScope::All,
                             ..
                         }
                 ) || !doubtful;
@@ -361,7 +362,7 @@
                 self.final_answer(request.0);
             }
             Action::Fail(request) => self.final_answer(request.0),
-            Action::Move(request) => {
+            Action::Migrate(request) => {
                 assert!(self.books[&request.0].stands, "moved before it stood");
                 self.books.get_mut(&request.0).unwrap().finals += 1;
             }
@@ -370,8 +371,8 @@
                 self.timers
                     .insert((self.now + after.as_nanos() as u64, self.serial, *handle));
             }
-            Action::Probe(server) => self.probes.push(server.clone()),
-            Action::Tell(_) | Action::Subscribe => {}
+            Action::CheckHealth(server) => self.probes.push(server.clone()),
+            Action::Gossip(_) | Action::WatchEndpoints => {}
         }
     }
 
--- a/crates/placement/tests/failures.rs
+++ b/crates/placement/tests/failures.rs
@@ -8,12 +8,12 @@
 const SIX: [&str; 6] = ["s1", "s2", "s3", "s4", "s5", "s6"];
 
 fn site() -> Settings {
-    settings(Repeat::Repeatable)
+    settings(RetrySafety::Idempotent)
 }
 
 fn ask(world: &mut World, id: u64, group: &str) {
     let group = Some(group.to_string());
-    world.ask(Incoming {
+    world.ask(RequestInfo {
         group,
         ..request(id, &format!("client:{id}"), world.now + 5_000 * MS)
     });
@@ -37,7 +37,7 @@
 
 fn moves(world: &World) -> Vec<u64> {
     let moved = |action: &Action| {
-        if let Action::Move(id) = action {
+        if let Action::Migrate(id) = action {
             Some(id.0)
         } else {
             None
@@ -48,7 +48,7 @@
 
 fn late(world: &mut World, server: &str, delay: u64) {
     let id = on(world, server)[0];
-    world.tell(Event::DelayNote {
+    world.tell(Event::DelayObserved {
         request: RequestId(id),
         delay: ms(delay),
     });
@@ -305,9 +305,9 @@
 fn reporting() -> Settings {
     // Probes too dear to be sent: the reports come unasked.
     Settings {
-        may_probe: true,
-        probe_price: 1.0,
-        report_utilisation: Some(0),
+        health_checks_allowed: true,
+        health_check_cost: 1.0,
+        utilization_field: Some(0),
         ..site()
     }
 }
@@ -317,7 +317,7 @@
 fn a_server_is_probed_ahead_of_a_placement_and_a_full_one_passed_over() {
     let mut world = World::with_servers(
         Settings {
-            probe_price: 0.0,
+            health_check_cost: 0.0,
             ..reporting()
         },
         &SIX,
@@ -325,20 +325,20 @@
     ask(&mut world, 1, "c:1");
     let asked = |world: &World| {
         world.last.iter().find_map(|action| match action {
-            Action::Probe(server) => Some(server.clone()),
+            Action::CheckHealth(server) => Some(server.clone()),
             _ => None,
         })
     };
     let first = asked(&world).expect("a probe goes out first");
     assert!(world.at(1).is_none(), "the request waits for the report");
-    world.tell(Event::Probed {
+    world.tell(Event::HealthCheckCompleted {
         server: first.clone(),
         passed: true,
         report: Some(vec![0.99]),
     });
     let second = asked(&world).expect("the next-highest score is probed");
     assert_ne!(first, second);
-    world.tell(Event::Probed {
+    world.tell(Event::HealthCheckCompleted {
         server: second.clone(),
         passed: true,
         report: Some(vec![0.3]),
@@ -354,7 +354,7 @@
 fn dear_probes_are_few() {
     let mut world = World::with_servers(
         Settings {
-            probe_price: 0.002,
+            health_check_cost: 0.002,
             ..reporting()
         },
         &SIX,
@@ -365,11 +365,11 @@
         probes += world
             .last
             .iter()
-            .filter(|action| matches!(action, Action::Probe(_)))
+            .filter(|action| matches!(action, Action::CheckHealth(_)))
             .count();
         for action in world.last.clone() {
-            if let Action::Probe(server) = action {
-                world.tell(Event::Probed {
+            if let Action::CheckHealth(server) = action {
+                world.tell(Event::HealthCheckCompleted {
                     server,
                     passed: true,
                     report: Some(vec![0.3]),
@@ -390,7 +390,7 @@
 fn report(world: &mut World, used: f64) {
     for server in SIX {
         let report = Some(vec![used]);
-        world.tell(Event::Probed {
+        world.tell(Event::HealthCheckCompleted {
             server: server.into(),
             passed: true,
             report,
@@ -437,8 +437,8 @@
 fn a_group_larger_than_a_server_starts_at_several() {
     let spread = |gateways: u32, share: u64| {
         let settings = Settings {
-            instances: gateways,
-            cold_for: ms(0),
+            node_count: gateways,
+            slow_start_duration: ms(0),
             ..site()
         };
         let names: Vec<String> = (0..60).map(|n| format!("10.0.0.{n}:80")).collect();
@@ -454,7 +454,7 @@
                 } else {
                     format!("c:{id}")
                 };
-                let incoming = Incoming {
+                let incoming = RequestInfo {
                     group: Some(group.clone()),
                     ..request(id, &format!("u:{id}"), u64::MAX / 2)
                 };
@@ -505,7 +505,7 @@
     let mut world = World::with_servers(site(), &SIX);
     for id in 0..60 {
         let group = Some(format!("c:{}", id % 20));
-        let incoming = Incoming {
+        let incoming = RequestInfo {
             group,
             ..request(id, &format!("client:{id}"), world.now)
         };
@@ -552,8 +552,8 @@
 fn mid_flow_connections_do_not_wait_for_the_window() {
     let mut world = World::with_servers(site(), &SIX);
     for id in 0..100 {
-        world.ask(Incoming {
-            mid_flow: true,
+        world.ask(RequestInfo {
+            is_mid_flow: true,
             ..request(id, &format!("client:{id}"), world.now + 2_000 * MS)
         });
         assert!(world.at(id).is_some());
@@ -564,10 +564,12 @@
 #[test]
 fn without_an_aim_an_attempt_may_wait_as_long_as_the_client() {
     let mut settings = site();
-    settings.classes[0].aim = std::time::Duration::ZERO;
+    settings.classes[0].setup_objective = std::time::Duration::ZERO;
     let mut world = World::with_servers(settings, &SIX);
     world.ask(request(1, "client:1", world.now + 2_000 * MS));
-    assert!(matches!(world.last[..], [Action::Place { patience, .. }] if patience == ms(2_000)));
+    assert!(
+        matches!(world.last[..], [Action::StartAttempt { patience, .. }] if patience == ms(2_000))
+    );
 }
 
 /// Nine gateways, each with a few connections a server, split every group (kolkata-search, ibd545b).
@@ -576,7 +578,7 @@
     let spread = |instances| {
         let mut world = filled(
             Settings {
-                instances,
+                node_count: instances,
                 ..site()
             },
             &SIX,
@@ -637,8 +639,8 @@
 #[test]
 fn what_one_gateway_tells_of_a_late_server_keeps_others_away_for_a_while() {
     let telling = Settings {
-        may_tell: true,
-        instances: 2,
+        gossip_allowed: true,
+        node_count: 2,
         ..site()
     };
     let mut holder = filled(telling.clone(), &SIX, 60, 20);
@@ -648,12 +650,12 @@
         let Some(held) = on(&holder, server).first().copied() else {
             break;
         };
-        holder.tell(Event::DelayNote {
+        holder.tell(Event::DelayObserved {
             request: RequestId(held),
             delay: ms(200),
         });
         told = told.or(holder.last.iter().find_map(|action| match action {
-            Action::Tell(message) => Some(message.clone()),
+            Action::Gossip(message) => Some(message.clone()),
             _ => None,
         }));
         holder.advance(holder.now + 1_000 * MS);
@@ -661,8 +663,8 @@
     let message = told.expect("a holder tells");
     assert!(message.len() <= 4, "each byte is paid for by each receiver");
     let mut other = World::with_servers(telling, &SIX);
-    other.tell(Event::Told(message));
-    other.tell(Event::Told("nobody knows what".into()));
+    other.tell(Event::Gossip(message));
+    other.tell(Event::Gossip("nobody knows what".into()));
     let to_it = |world: &mut World, from: u64| {
         (from..from + 60)
             .filter(|id| {
@@ -709,7 +711,7 @@
     for seed in 1..=8 {
         let mut world = World::new(
             Settings {
-                instances: 128,
+                node_count: 128,
                 ..site()
             },
             seed,
@@ -735,7 +737,7 @@
 fn two_hundred(second: fn(usize) -> bool) -> (World, Vec<String>) {
     let mut world = World::new(
         Settings {
-            instances: 100,
+            node_count: 100,
             ..site()
         },
         1,
@@ -744,8 +746,8 @@
     let entries = names.iter().enumerate();
     world.list(
         entries
-            .map(|(n, name)| Listed {
-                kind: u32::from(second(n)),
+            .map(|(n, name)| Endpoint {
+                machine_kind: u32::from(second(n)),
                 ..listed(name)
             })
             .collect(),
@@ -821,17 +823,17 @@
 fn a_request_that_spent_its_attempts_is_refused_at_once_though_others_wait() {
     let mut world = World::with_servers(
         Settings {
-            attempt_cap: 1,
+            max_attempts: 1,
             ..site()
         },
         &SIX,
     );
     (0..20).for_each(|id| ask(&mut world, id, &format!("c:{id}")));
     assert!(world.at(19).is_none(), "some wait");
-    world.ends(0, Outcome::Full);
+    world.ends(0, Outcome::Rejected);
     assert_eq!(world.books[&0].finals, 1);
     assert!(world.last.iter().any(
-        |action| matches!(action, Action::Refuse { request: RequestId(0), retry_after } if *retry_after >= ms(1_000))
+        |action| matches!(action, Action::Reject { request: RequestId(0), retry_after } if *retry_after >= ms(1_000))
     ));
 }
 
@@ -842,7 +844,7 @@
     (0..20).for_each(|id| ask(&mut world, id, &format!("c:{id}")));
     world.list(
         SIX.iter()
-            .map(|name| Listed {
+            .map(|name| Endpoint {
                 health: Health::Draining,
                 ..listed(name)
             })
@@ -858,7 +860,7 @@
     let mut world = filled(site(), &SIX, 60, 20);
     let server = busiest(&world);
     for id in on(&world, server) {
-        world.tell(Event::Silent(RequestId(id)));
+        world.tell(Event::ConnectionUnresponsive(RequestId(id)));
         assert_eq!(moves(&world), [id]);
     }
 }
@@ -883,7 +885,7 @@
 /// A connection attempt that came up and broke barred a server at which others were served (wide+reset).
 #[test]
 fn a_connection_that_came_up_and_broke_bars_a_server_only_the_second_time() {
-    for (outcome, sends) in [(Outcome::ConnectFailed, 1), (Outcome::Dropped, 2)] {
+    for (outcome, sends) in [(Outcome::ConnectFailed, 1), (Outcome::ClosedBeforeSend, 2)] {
         let mut world = World::with_servers(site(), &SIX);
         ask(&mut world, 0, "c:1");
         let server = world.at(0).unwrap();
@@ -907,7 +909,7 @@
     let mut world = filled(site(), &SIX, 60, 20);
     let server = busiest(&world);
     let held = on(&world, server);
-    world.tell(Event::ServerSilent(server.into()));
+    world.tell(Event::ServerUnresponsive(server.into()));
     assert_eq!(moves(&world), held);
     for id in 1_000..1_030 {
         ask(&mut world, id, &format!("n:{id}"));
@@ -924,7 +926,7 @@
         let names: Vec<&str> = names.iter().map(String::as_str).collect();
         let mut world = World::with_servers(
             Settings {
-                instances,
+                node_count: instances,
                 ..site()
             },
             &names,
@@ -946,7 +948,7 @@
 #[test]
 fn one_broken_connection_does_not_make_its_server_cold() {
     let settings = Settings {
-        instances: 100,
+        node_count: 100,
         ..reporting()
     };
     let mut world = World::with_servers(settings, &["a"]);
@@ -955,7 +957,7 @@
     world.ends(1, Outcome::Reset);
     world.advance(world.now + 10_000 * MS);
     // A report of little load lifts the cap that the break left, so that only a cold budget could be in the way.
-    world.tell(Event::Probed {
+    world.tell(Event::HealthCheckCompleted {
         server: "a".into(),
         passed: true,
         report: Some(vec![0.1]),
@@ -978,12 +980,12 @@
 fn zone_left_after(failures: usize, held: bool) {
     let mut world = World::new(
         Settings {
-            attempt_cap: 9,
+            max_attempts: 9,
             ..site()
         },
         1,
     );
-    let zoned = |n: u32| Listed {
+    let zoned = |n: u32| Endpoint {
         zone: n % 2,
         ..listed(&format!("s{n}"))
     };
@@ -1006,7 +1008,7 @@
         }
         let there = lost(world, id) && world.books[&id].attempts.last().unwrap().2.is_none();
         if world.books[&id].finals == 0 {
-            world.ends(id, Outcome::Moot);
+            world.ends(id, Outcome::NotSent);
         }
         (failed, there)
     };
--- a/crates/placement/tests/fleet.rs
+++ b/crates/placement/tests/fleet.rs
@@ -18,9 +18,9 @@
     due: u64,
 }
 
-fn entry(n: u32) -> Listed {
+fn entry(n: u32) -> Endpoint {
     let name = format!("s{n}");
-    Listed {
+    Endpoint {
         zone: u32::from(!LEFT.contains(&name.as_str())),
         ..listed(&name)
     }
@@ -31,9 +31,9 @@
 fn held_after_a_loss(seed: u64, told: u64) -> Vec<[usize; 4]> {
     let mut random = Pcg32::seed_from_u64(seed);
     let settings = Settings {
-        instances: GATEWAYS,
-        attempt_cap: 3,
-        ..settings(Repeat::Repeatable)
+        node_count: GATEWAYS,
+        max_attempts: 3,
+        ..settings(RetrySafety::Idempotent)
     };
     let mut worlds: Vec<World> = (0..GATEWAYS)
         .map(|n| World::new(settings.clone(), seed << 8 | u64::from(n)))
@@ -73,7 +73,14 @@
                 let world = &mut worlds[at];
                 if gone(world, id) || world.books[&id].finals > 0 {
                     let moved = world.books[&id].finals > 0;
-                    world.ends(id, if moved { Outcome::Moot } else { Outcome::Reset });
+                    world.ends(
+                        id,
+                        if moved {
+                            Outcome::NotSent
+                        } else {
+                            Outcome::Reset
+                        },
+                    );
                     *client = Client {
                         stands: None,
                         due: now,
@@ -136,8 +143,8 @@
 #[test]
 fn calls_to_a_discovery_that_fails_are_spread_over_the_gateways() {
     let settings = Settings {
-        instances: GATEWAYS,
-        ..settings(Repeat::Repeatable)
+        node_count: GATEWAYS,
+        ..settings(RetrySafety::Idempotent)
     };
     let mut fleet: Vec<Balancer> = (0..GATEWAYS)
         .map(|n| Balancer::new(settings.clone(), u64::from(n)))
@@ -149,19 +156,23 @@
         .collect::<Vec<_>>();
     while let Some((now, at, event)) = started.pop().or_else(|| {
         let (now, at, timer) = due.pop_first()?;
-        Some((now, at, timer.map_or(Event::ListFailed, Event::Timer)))
+        Some((
+            now,
+            at,
+            timer.map_or(Event::EndpointWatchFailed, Event::TimerFired),
+        ))
     }) {
         if now > 20_000 * MS {
             break;
         }
         let mut actions = vec![];
-        fleet[at].handle(Time(now), event, &mut actions);
+        fleet[at].handle(Timestamp(now), event, &mut actions);
         for action in actions {
             match action {
                 Action::SetTimer { after, handle } => {
                     due.insert((now + after.as_nanos() as u64, at, Some(handle)));
                 }
-                Action::Subscribe => {
+                Action::WatchEndpoints => {
                     calls[at].push(now / MS);
                     due.insert((now + 2_000 * MS, at, None));
                 }
@@ -201,8 +212,8 @@
 fn a_fleet_of_very_many_servers_shares_nothing_out() {
     for (servers, all_placed) in [(40, false), (201, true)] {
         let settings = Settings {
-            instances: 100 * GATEWAYS,
-            ..settings(Repeat::Repeatable)
+            node_count: 100 * GATEWAYS,
+            ..settings(RetrySafety::Idempotent)
         };
         let mut world = World::with_servers(settings, &[]);
         let named = |n: u32| listed(&format!("s{n}"));
@@ -212,7 +223,7 @@
             world.ask(request(id, &format!("user:{id}"), world.now + 2_000 * MS));
             let placed = world.at(id).is_some();
             if placed {
-                world.ends(id, Outcome::Moot);
+                world.ends(id, Outcome::NotSent);
             }
             placed
         };
