--- a/crates/placement/tests/probes.rs
+++ b/crates/placement/tests/probes.rs
@@ -6,17 +6,17 @@
 
 fn probing() -> Settings {
     Settings {
-        may_probe: true,
-        probe_price: 0.001,
-        report_utilisation: Some(0),
-        instances: 3,
-        ..settings(Repeat::Repeatable)
+        health_checks_allowed: true,
+        health_check_cost: 0.001,
+        utilization_field: Some(0),
+        node_count: 3,
+        ..settings(RetrySafety::Idempotent)
     }
 }
 
 fn ask(world: &mut World, id: u64) {
     let group = Some(format!("c:{}", id % 17));
-    world.ask(Incoming {
+    world.ask(RequestInfo {
         group,
         ..request(id, &format!("client:{id}"), world.now + 2_000 * MS)
     });
@@ -33,7 +33,7 @@
         for server in std::mem::take(&mut world.probes) {
             let passed = !cut || zone(&server.0) == 0;
             let report = passed.then(|| vec![0.3]);
-            world.tell(Event::Probed {
+            world.tell(Event::HealthCheckCompleted {
                 server,
                 passed,
                 report,
@@ -67,7 +67,7 @@
     world.list(
         names
             .iter()
-            .map(|name| Listed {
+            .map(|name| Endpoint {
                 zone: zone(name),
                 ..listed(name)
             })
@@ -111,7 +111,7 @@
             ask(&mut world, id);
             pass(&mut world, false);
         }
-        let answer = |used| Event::Probed {
+        let answer = |used| Event::HealthCheckCompleted {
             server: "s1".into(),
             passed: true,
             report: Some(vec![used]),
@@ -144,7 +144,7 @@
     let at = world.at(0).unwrap();
     world.advance(world.now + 1_500 * MS);
     world.probes.clear();
-    world.tell(Event::DelayNote {
+    world.tell(Event::DelayObserved {
         request: RequestId(0),
         delay: ms(400),
     });
--- a/crates/placement/tests/ranking.rs
+++ b/crates/placement/tests/ranking.rs
@@ -52,8 +52,8 @@
         .to_string()
 }
 
-fn placed(names: &[&str], incoming: Incoming) -> String {
-    let mut world = World::with_servers(settings(Repeat::Repeatable), names);
+fn placed(names: &[&str], incoming: RequestInfo) -> String {
+    let mut world = World::with_servers(settings(RetrySafety::Idempotent), names);
     let id = incoming.request.0;
     world.ask(incoming);
     world.at(id).unwrap()
@@ -151,8 +151,8 @@
 
 #[test]
 fn a_refused_or_unconnected_send_goes_to_the_next_highest() {
-    for outcome in [Outcome::Full, Outcome::ConnectFailed] {
-        let mut world = World::with_servers(settings(Repeat::Once), &NAMES);
+    for outcome in [Outcome::Rejected, Outcome::ConnectFailed] {
+        let mut world = World::with_servers(settings(RetrySafety::NotIdempotent), &NAMES);
         world.ask(request(1, "user:7", 9_000 * MS));
         let mut left: Vec<&str> = NAMES.to_vec();
         for _ in 0..3 {
@@ -166,7 +166,7 @@
 
 #[test]
 fn a_time_out_goes_on_but_a_break_of_a_standing_connection_does_not() {
-    let mut world = World::with_servers(settings(Repeat::Repeatable), &NAMES);
+    let mut world = World::with_servers(settings(RetrySafety::Idempotent), &NAMES);
     world.ask(request(1, "user:7", 9_000 * MS));
     world.ends(1, Outcome::TimedOut);
     assert_eq!(world.books[&1].attempts.len(), 2);
@@ -185,13 +185,13 @@
 fn mid_flow_reaches_a_draining_holder_within_the_grace_only() {
     let key = "user:7";
     let holder = top(&NAMES, key);
-    let mut world = World::with_servers(settings(Repeat::Repeatable), &NAMES);
-    world.change(Listed {
+    let mut world = World::with_servers(settings(RetrySafety::Idempotent), &NAMES);
+    world.change(Endpoint {
         health: Health::Draining,
         ..listed(&holder)
     });
-    let mid_flow = |id, now: u64| Incoming {
-        mid_flow: true,
+    let mid_flow = |id, now: u64| RequestInfo {
+        is_mid_flow: true,
         ..request(id, key, now + 3_000 * MS)
     };
     world.ask(mid_flow(1, world.now));
@@ -210,8 +210,8 @@
     let names: Vec<&str> = names.iter().map(|name| name.as_str()).collect();
     let mut world = World::with_servers(
         Settings {
-            instances: 900,
-            ..settings(Repeat::Repeatable)
+            node_count: 900,
+            ..settings(RetrySafety::Idempotent)
         },
         &names,
     );
--- a/crates/placement/tests/reports.rs
+++ b/crates/placement/tests/reports.rs
@@ -9,16 +9,17 @@
 
 /// What a server that fills up with `FULL` connections when it is warm can hold, so long after its start.
 fn holds(settings: &Settings, age: u64) -> f64 {
-    let part = age as f64 / 1e9 / settings.cold_for.as_secs_f64();
-    FULL * (settings.start_capacity + (1.0 - settings.start_capacity) * part).min(1.0)
+    let part = age as f64 / 1e9 / settings.slow_start_duration.as_secs_f64();
+    FULL * (settings.initial_capacity_ratio + (1.0 - settings.initial_capacity_ratio) * part)
+        .min(1.0)
 }
 
 /// When one of two gateways sent something to each of three servers that all start at once, for eight seconds. Reports count
 /// what the other gateway holds too, as much.
 fn sent(reports: bool) -> (u64, Vec<Vec<u64>>) {
     let settings = Settings {
-        report_utilisation: Some(0),
-        ..settings(Repeat::Repeatable)
+        utilization_field: Some(0),
+        ..settings(RetrySafety::Idempotent)
     };
     let mut world = World::new(settings.clone(), 1);
     let start = world.now;
@@ -26,8 +27,8 @@
     world.list(
         names
             .iter()
-            .map(|name| Listed {
-                started: Some(Time(start)),
+            .map(|name| Endpoint {
+                started_at: Some(Timestamp(start)),
                 ..listed(name)
             })
             .collect(),
@@ -45,7 +46,7 @@
         if reports && id % 25 == 0 {
             for (name, sent) in names.iter().zip(&sent) {
                 let used = 2.0 * sent.len() as f64 / holds(&settings, world.now - start);
-                world.tell(Event::Probed {
+                world.tell(Event::HealthCheckCompleted {
                     server: (*name).into(),
                     passed: true,
                     report: Some(vec![used]),
@@ -68,15 +69,15 @@
         count(&with),
         count(&without)
     );
-    let settings = settings(Repeat::Repeatable);
-    let window = settings.fall_window;
+    let settings = settings(RetrySafety::Idempotent);
+    let window = settings.overload_window;
     for sent in with {
         for (place, from) in sent.iter().enumerate() {
             let until = from + window.as_nanos() as u64;
             let within = sent[place..].iter().take_while(|at| **at < until).count();
             // Both gateways, and one more of each that was saved up.
-            let rate = holds(&settings, until - start) / settings.cold_for.as_secs_f64();
-            let falls = settings.fall_multiple * rate * window.as_secs_f64();
+            let rate = holds(&settings, until - start) / settings.slow_start_duration.as_secs_f64();
+            let falls = settings.overload_factor * rate * window.as_secs_f64();
             assert!(
                 2 * within <= falls as usize + 2,
                 "{within} of {falls} at {:?}",
--- a/crates/placement/tests/rules.rs
+++ b/crates/placement/tests/rules.rs
@@ -10,33 +10,33 @@
 const OUTCOMES: [Outcome; 7] = [
     Outcome::Served,
     Outcome::Error,
-    Outcome::Full,
+    Outcome::Rejected,
     Outcome::ConnectFailed,
     Outcome::Reset,
     Outcome::Cancelled,
-    Outcome::Moot,
+    Outcome::NotSent,
 ];
 
-fn scopes() -> Vec<Repeat> {
-    let keyed = |scope| Repeat::ByKey {
+fn scopes() -> Vec<RetrySafety> {
+    let keyed = |scope| RetrySafety::IdempotencyKey {
         scope,
         window: ms(900),
     };
     vec![
-        Repeat::Repeatable,
-        Repeat::Once,
-        keyed(Scope::All),
-        keyed(Scope::Zone),
-        keyed(Scope::Cell),
+        RetrySafety::Idempotent,
+        RetrySafety::NotIdempotent,
+        keyed(IdempotencyScope::All),
+        keyed(IdempotencyScope::Zone),
+        keyed(IdempotencyScope::Cell),
     ]
 }
 
 /// Rules 1 to 3: `World` checks each action; here the days are made up and every answer is counted.
-fn rough_day(repeat: Repeat, seed: u64) {
+fn rough_day(repeat: RetrySafety, seed: u64) {
     let mut random = Pcg32::seed_from_u64(seed);
     let mut world = World::new(settings(repeat), seed);
     let mut roll = move |n: u32| random.next_u32() % n;
-    let entry = |n: u32, health| Listed {
+    let entry = |n: u32, health| Endpoint {
         zone: n % 2,
         cell: n % 3,
         health,
@@ -56,13 +56,13 @@
                     .collect();
                 world.list(entries);
             }
-            3 => world.tell(Event::ListFailed),
+            3 => world.tell(Event::EndpointWatchFailed),
             4..=7 => world.change(entry(roll(6), Health::Ready)),
             _ => {}
         }
         let life = [0, 5, 150, 900, 3_000][roll(5) as usize] * MS;
         let mut incoming = request(id, &format!("user:{}", roll(40)), world.now + life);
-        incoming.mid_flow = roll(6) == 0;
+        incoming.is_mid_flow = roll(6) == 0;
         incoming.group = (roll(2) == 0).then(|| format!("c:{}", roll(5)));
         world.ask(incoming);
         for _ in 0..3 {
@@ -109,8 +109,8 @@
 /// A try whose connection takes longer to come up than a repeat by key is allowed is not let go.
 #[test]
 fn a_repeat_by_key_is_let_go_only_within_its_window() {
-    let repeat = Repeat::ByKey {
-        scope: Scope::All,
+    let repeat = RetrySafety::IdempotencyKey {
+        scope: IdempotencyScope::All,
         window: ms(900),
     };
     let mut world = World::with_servers(settings(repeat), &["a", "b"]);
@@ -118,7 +118,7 @@
     let let_go = |world: &World, after: u64| {
         world
             .balancer
-            .may_send(Time(world.now + after * MS), RequestId(1))
+            .may_send(Timestamp(world.now + after * MS), RequestId(1))
     };
     assert!(let_go(&world, 5_000), "nothing has run yet");
     let first = world.now;
@@ -131,21 +131,21 @@
 
 #[test]
 fn no_server_at_all_means_a_refusal_at_once() {
-    let mut world = World::new(settings(Repeat::Once), 1);
+    let mut world = World::new(settings(RetrySafety::NotIdempotent), 1);
     world.ask(request(1, "user:1", world.now + 3_000 * MS));
-    assert!(matches!(world.last[..], [Action::Refuse { .. }]));
+    assert!(matches!(world.last[..], [Action::Reject { .. }]));
 }
 
 #[test]
 fn every_server_refusing_ends_in_a_refusal_within_the_attempt_cap() {
-    for repeat in [Repeat::Once, Repeat::Repeatable] {
+    for repeat in [RetrySafety::NotIdempotent, RetrySafety::Idempotent] {
         let mut world = World::with_servers(settings(repeat), &["a", "b", "c", "d", "e", "f"]);
         world.ask(request(1, "user:1", world.now + 3_000 * MS));
         for _ in 0..4 {
-            world.ends(1, Outcome::Full);
+            world.ends(1, Outcome::Rejected);
         }
         assert_eq!(world.books[&1].attempts.len(), 4);
-        assert!(matches!(world.last[..], [Action::Refuse { .. }]));
+        assert!(matches!(world.last[..], [Action::Reject { .. }]));
     }
 }
 
@@ -157,7 +157,7 @@
         Outcome::Reset,
         Outcome::Cancelled,
     ] {
-        let mut world = World::with_servers(settings(Repeat::Once), &["a", "b"]);
+        let mut world = World::with_servers(settings(RetrySafety::NotIdempotent), &["a", "b"]);
         world.ask(request(1, "user:1", world.now + 3_000 * MS));
         world.ends(1, outcome);
         assert_eq!(world.last, vec![Action::Fail(RequestId(1))]);
@@ -166,26 +166,26 @@
 
 #[test]
 fn events_about_ended_requests_are_ignored() {
-    let mut world = World::with_servers(settings(Repeat::Repeatable), &["a", "b"]);
+    let mut world = World::with_servers(settings(RetrySafety::Idempotent), &["a", "b"]);
     world.ask(request(1, "user:1", world.now + 3_000 * MS));
     world.tell(Event::ClientGone(RequestId(1)));
     world.books.get_mut(&1).unwrap().finals = 1;
     world.ends(1, Outcome::TimedOut);
     for event in [
         Event::ClientGone(RequestId(1)),
-        Event::Established {
+        Event::ConnectionEstablished {
             request: RequestId(1),
             took: ms(3),
         },
-        Event::LoadNote {
+        Event::LoadObserved {
             request: RequestId(9),
             load: ms(3),
         },
-        Event::DelayNote {
+        Event::DelayObserved {
             request: RequestId(1),
             delay: ms(300),
         },
-        Event::Ended {
+        Event::AttemptEnded {
             request: RequestId(1),
             attempt: 0,
             outcome: Outcome::Error,
@@ -200,7 +200,7 @@
 
 #[test]
 fn a_client_that_stops_waiting_before_the_aim_is_answered_in_time() {
-    let mut world = World::with_servers(settings(Repeat::Repeatable), &["a", "b", "c"]);
+    let mut world = World::with_servers(settings(RetrySafety::Idempotent), &["a", "b", "c"]);
     world.ask(request(1, "user:1", world.now + 60 * MS));
     world.advance(world.now + 100 * MS);
     assert_eq!(world.books[&1].finals, 1);
@@ -209,7 +209,7 @@
 /// Rule 4: whatever is asked, a server that has just started gets little at first, refused sends counted.
 #[test]
 fn a_cold_server_is_sent_little_by_one_gateway_alone() {
-    let mut world = World::with_servers(settings(Repeat::Repeatable), &["a", "b", "c"]);
+    let mut world = World::with_servers(settings(RetrySafety::Idempotent), &["a", "b", "c"]);
     let mut id = 0;
     for _ in 0..90 {
         id += 1;
@@ -217,8 +217,8 @@
         world.stands(id);
         world.advance(world.now + 20 * MS);
     }
-    let cold = Listed {
-        started: Some(Time(world.now)),
+    let cold = Endpoint {
+        started_at: Some(Timestamp(world.now)),
         ..listed("cold")
     };
     world.change(cold);
@@ -230,7 +230,7 @@
         if to_cold {
             sent.push(world.now);
             if id % 2 == 0 {
-                world.ends(id, Outcome::Full);
+                world.ends(id, Outcome::Rejected);
             }
         }
         if world.books[&id]
@@ -260,13 +260,13 @@
 /// With nothing learnt and every server cold, each still gets no more than a trickle.
 #[test]
 fn a_fleet_that_starts_cold_is_not_pushed_over() {
-    let mut world = World::new(settings(Repeat::Repeatable), 1);
-    let started = Some(Time(world.now));
+    let mut world = World::new(settings(RetrySafety::Idempotent), 1);
+    let started = Some(Timestamp(world.now));
     world.list(
         ["a", "b"]
             .iter()
-            .map(|name| Listed {
-                started,
+            .map(|name| Endpoint {
+                started_at: started,
                 ..listed(name)
             })
             .collect(),
@@ -281,11 +281,11 @@
 
 #[test]
 fn a_server_back_under_its_old_id_is_cold_again_and_its_bar_is_lifted() {
-    let mut world = World::with_servers(settings(Repeat::Repeatable), &["a"]);
+    let mut world = World::with_servers(settings(RetrySafety::Idempotent), &["a"]);
     world.ask(request(1, "user:1", world.now + 3_000 * MS));
     world.ends(1, Outcome::ConnectFailed);
-    world.list(vec![Listed {
-        started: Some(Time(world.now)),
+    world.list(vec![Endpoint {
+        started_at: Some(Timestamp(world.now)),
         ..listed("a")
     }]);
     for id in 2..6 {
@@ -297,24 +297,24 @@
 
 #[test]
 fn discovery_is_asked_again_soon_after_every_failure_and_never_when_changes_come_by_themselves() {
-    let mut world = World::new(settings(Repeat::Repeatable), 1);
-    assert!(world.last.contains(&Action::Subscribe));
+    let mut world = World::new(settings(RetrySafety::Idempotent), 1);
+    assert!(world.last.contains(&Action::WatchEndpoints));
     for _ in 0..20 {
-        world.tell(Event::ListFailed);
+        world.tell(Event::EndpointWatchFailed);
         let [Action::SetTimer { after, handle }] = world.last[..] else {
             panic!("no timer set")
         };
         assert!(after <= Duration::from_secs(4));
-        world.tell(Event::Timer(handle));
-        assert_eq!(world.last, vec![Action::Subscribe]);
+        world.tell(Event::TimerFired(handle));
+        assert_eq!(world.last, vec![Action::WatchEndpoints]);
     }
     let automatic = Settings {
-        list_must_be_asked: false,
-        ..settings(Repeat::Repeatable)
+        requires_endpoint_watch: false,
+        ..settings(RetrySafety::Idempotent)
     };
     let mut world = World::new(automatic, 1);
-    assert!(!world.last.contains(&Action::Subscribe));
-    world.tell(Event::ListFailed);
+    assert!(!world.last.contains(&Action::WatchEndpoints));
+    world.tell(Event::EndpointWatchFailed);
     assert_eq!(world.last, vec![]);
 }
 
@@ -325,15 +325,15 @@
     const HELD: u64 = 60; // connections that a warm server holds
     const FULL: f64 = 120.0; // ... and what it could hold: services are run at half of that or less
     let settings = Settings {
-        instances: gateways,
-        ..settings(Repeat::Repeatable)
+        node_count: gateways,
+        ..settings(RetrySafety::Idempotent)
     };
     let mut random = Pcg32::seed_from_u64(u64::from(gateways));
     let mut worlds: Vec<World> = (0..gateways)
         .map(|n| World::new(settings.clone(), u64::from(n) + 1))
         .collect();
     let names: Vec<String> = (0..WARM).map(|n| format!("warm-{n}")).collect();
-    let warm: Vec<Listed> = names.iter().map(|name| listed(name)).collect();
+    let warm: Vec<Endpoint> = names.iter().map(|name| listed(name)).collect();
     for world in &mut worlds {
         world.list(warm.clone());
     }
@@ -345,9 +345,9 @@
         );
     }
     let start = 3_000 * MS;
-    let cold: Vec<Listed> = (0..cold_servers)
-        .map(|n| Listed {
-            started: Some(Time(start)),
+    let cold: Vec<Endpoint> = (0..cold_servers)
+        .map(|n| Endpoint {
+            started_at: Some(Timestamp(start)),
             ..listed(&format!("cold-{n}"))
         })
         .collect();
@@ -411,8 +411,8 @@
     for instances in [0, 1, u32::MAX] {
         let mut world = World::with_servers(
             Settings {
-                instances,
-                ..settings(Repeat::Repeatable)
+                node_count: instances,
+                ..settings(RetrySafety::Idempotent)
             },
             &["a", "b"],
         );
@@ -429,7 +429,7 @@
             "{placed} of 20 placed with {instances} gateways"
         );
         // A list that shrinks to one in good order; what may be refused after a loss is tested in losses.rs.
-        world.change(Listed {
+        world.change(Endpoint {
             health: Health::Draining,
             ..listed("a")
         });
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,7 +4,7 @@
 
 pub mod strict;
 
-use lupincrank_placement::{Class, Repeat, Scope, Settings, Tenant};
+use lupincrank_placement::{Class, IdempotencyScope, RetrySafety, Settings, Tenant};
 use serde::Deserialize;
 use std::time::Duration;
 
@@ -100,20 +100,20 @@
         let mut classes = Vec::new();
         for (place, category) in conf.categories.unwrap_or_default().into_iter().enumerate() {
             let repeat = match category.repeat.as_deref() {
-                Some("repeatable") => Repeat::Repeatable,
-                Some("once") => Repeat::Once,
+                Some("repeatable") => RetrySafety::Idempotent,
+                Some("once") => RetrySafety::NotIdempotent,
                 Some("by_key") => {
                     let scope = match category.group.as_deref() {
-                        Some("all") => Scope::All,
-                        Some("zone") => Scope::Zone,
-                        Some("cell") => Scope::Cell,
+                        Some("all") => IdempotencyScope::All,
+                        Some("zone") => IdempotencyScope::Zone,
+                        Some("cell") => IdempotencyScope::Cell,
                         other => {
                             return Err(format!(
                                 "Categories[{place}].Group: unknown value {other:?}"
                             ))
                         }
                     };
-                    Repeat::ByKey {
+                    RetrySafety::IdempotencyKey {
                         scope,
                         window: nanos(category.window_ns),
                     }
@@ -125,15 +125,15 @@
                 }
             };
             classes.push(Class {
-                aim: nanos(category.promise_ns),
-                message_aim: nanos(aims.get(place).copied().flatten()),
-                repeat,
+                setup_objective: nanos(category.promise_ns),
+                message_objective: nanos(aims.get(place).copied().flatten()),
+                retry_safety: repeat,
             });
         }
         let quota = |place: usize| quotas.get(place).copied().flatten();
         let tenants = (0..conf.tenants.unwrap_or_default().len())
             .map(|place| Tenant {
-                quota_connections: quota(place),
+                connection_quota: quota(place),
             })
             .collect();
         let fields = conf
@@ -142,23 +142,23 @@
             .unwrap_or_default();
         let advises = limits.retry_after.unwrap_or(false);
         Ok(Settings {
-            instances: conf.instances.unwrap_or(1),
+            node_count: conf.instances.unwrap_or(1),
             classes,
             tenants,
-            attempt_cap: limits.send_cap.unwrap_or(u32::MAX),
-            may_tell: limits.peers.unwrap_or(false),
-            may_probe: limits.may_probe.unwrap_or(false),
-            probe_price: conf.prices.and_then(|prices| prices.probe).unwrap_or(0.0),
-            report_utilisation: fields
+            max_attempts: limits.send_cap.unwrap_or(u32::MAX),
+            gossip_allowed: limits.peers.unwrap_or(false),
+            health_checks_allowed: limits.may_probe.unwrap_or(false),
+            health_check_cost: conf.prices.and_then(|prices| prices.probe).unwrap_or(0.0),
+            utilization_field: fields
                 .iter()
                 .position(|field| field.as_deref() == Some("x0")),
-            list_must_be_asked: conf.registry_mode.as_deref() == Some("subscribe"),
+            requires_endpoint_watch: conf.registry_mode.as_deref() == Some("subscribe"),
             drain_grace: nanos(rules.drain_grace_ns),
-            cold_for: nanos(rules.cold_ns),
-            start_capacity: rules.start_capacity.unwrap_or(0.0),
-            fall_multiple: rules.fall_multiple.unwrap_or(1.0),
-            fall_window: nanos(rules.overload_for_ns),
-            longest_retry_after: if advises {
+            slow_start_duration: nanos(rules.cold_ns),
+            initial_capacity_ratio: rules.start_capacity.unwrap_or(0.0),
+            overload_factor: rules.fall_multiple.unwrap_or(1.0),
+            overload_window: nanos(rules.overload_for_ns),
+            max_retry_after: if advises {
                 nanos(limits.max_retry_after_ns)
             } else {
                 Duration::ZERO
--- a/crates/simulator/src/experiments/cost.rs
+++ b/crates/simulator/src/experiments/cost.rs
@@ -2,8 +2,8 @@
 //! the machine and never enter a simulated world.
 
 use lupincrank_placement::{
-    Action, Balancer, Class, Event, Health, Incoming, Listed, Outcome, Repeat, RequestId, ServerId,
-    Settings, Time,
+    Action, Balancer, Class, Endpoint, Event, Health, Outcome, RequestId, RequestInfo, RetrySafety,
+    ServerId, Settings, Timestamp,
 };
 use serde::{Deserialize, Serialize};
 use std::time::{Duration, Instant};
@@ -24,25 +24,25 @@
 fn settings() -> Settings {
     let span = Duration::from_millis;
     Settings {
-        instances: 4,
+        node_count: 4,
         classes: vec![Class {
-            aim: span(500),
-            message_aim: span(100),
-            repeat: Repeat::Repeatable,
+            setup_objective: span(500),
+            message_objective: span(100),
+            retry_safety: RetrySafety::Idempotent,
         }],
         tenants: Vec::new(),
-        attempt_cap: 3,
-        may_tell: false,
-        may_probe: false,
-        probe_price: 0.0,
-        report_utilisation: None,
-        list_must_be_asked: true,
+        max_attempts: 3,
+        gossip_allowed: false,
+        health_checks_allowed: false,
+        health_check_cost: 0.0,
+        utilization_field: None,
+        requires_endpoint_watch: true,
         drain_grace: span(500),
-        cold_for: span(8_700),
-        start_capacity: 0.3,
-        fall_multiple: 3.0,
-        fall_window: span(3_000),
-        longest_retry_after: span(2_000),
+        slow_start_duration: span(8_700),
+        initial_capacity_ratio: 0.3,
+        overload_factor: 3.0,
+        overload_window: span(3_000),
+        max_retry_after: span(2_000),
     }
 }
 
@@ -61,18 +61,18 @@
             next: 0,
             actions: Vec::new(),
         };
-        let listed = |at: u32| Listed {
+        let listed = |at: u32| Endpoint {
             server: ServerId::from(format!("10.0.{at}:8000").as_str()),
             health: Health::Ready,
             weight: 1.0,
             zone: 0,
             cell: 0,
-            kind: 0,
-            started: None,
+            machine_kind: 0,
+            started_at: None,
         };
         let entries = (0..transcribers).map(listed).collect();
         rig.tell(Event::Start);
-        rig.tell(Event::List {
+        rig.tell(Event::EndpointList {
             entries,
             cached: false,
         });
@@ -82,7 +82,7 @@
     fn tell(&mut self, event: Event) {
         self.actions.clear();
         self.balancer
-            .handle(Time(self.now), event, &mut self.actions);
+            .handle(Timestamp(self.now), event, &mut self.actions);
     }
 
     fn request(&mut self) -> (RequestId, Option<ServerId>) {
@@ -90,19 +90,19 @@
         self.now += 1_000_000;
         let request = RequestId(self.next);
         let key = format!("user:{}", self.next);
-        self.tell(Event::Request(Incoming {
+        self.tell(Event::RequestReceived(RequestInfo {
             request,
             class: 0,
             tenant: None,
             group: Some(format!("meeting:{}", self.next / 4)),
             key: Some(key),
             load: Some(Duration::from_millis(30)),
-            expires: Time(self.now + 2_000_000_000),
-            mid_flow: false,
-            returned: false,
+            deadline: Timestamp(self.now + 2_000_000_000),
+            is_mid_flow: false,
+            is_reconnect: false,
         }));
         let placed = self.actions.iter().find_map(|action| match action {
-            Action::Place {
+            Action::StartAttempt {
                 request: placed,
                 server,
                 ..
@@ -114,7 +114,7 @@
 
     fn stands(&mut self, request: RequestId) {
         self.now += 1_000_000;
-        self.tell(Event::Established {
+        self.tell(Event::ConnectionEstablished {
             request,
             took: Duration::from_millis(20),
         });
@@ -138,7 +138,7 @@
         spent += begun.elapsed();
         if placed.is_some() {
             rig.stands(request);
-            rig.tell(Event::Ended {
+            rig.tell(Event::AttemptEnded {
                 request,
                 attempt: 0,
                 outcome: Outcome::Served,
@@ -152,15 +152,15 @@
     let upkeeps = 5;
     for _ in 0..upkeeps {
         rig.now += 1_000_000_000;
-        rig.tell(Event::Timer(1));
+        rig.tell(Event::TimerFired(1));
     }
     let upkeep_ms = begun.elapsed().as_secs_f64() * 1e3 / f64::from(upkeeps);
     // Every transcriber turns connections away: caps fall, and each further request walks past all of them.
     let mut walk = Rig::new(transcribers);
     for _ in 0..transcribers * 3 {
         if let (request, Some(_)) = walk.request() {
-            let outcome = Outcome::Full;
-            walk.tell(Event::Ended {
+            let outcome = Outcome::Rejected;
+            walk.tell(Event::AttemptEnded {
                 request,
                 attempt: 0,
                 outcome,
@@ -176,10 +176,10 @@
         let (request, placed) = walk.request();
         spent += begun.elapsed();
         if placed.is_some() {
-            walk.tell(Event::Ended {
+            walk.tell(Event::AttemptEnded {
                 request,
                 attempt: 0,
-                outcome: Outcome::Full,
+                outcome: Outcome::Rejected,
                 done: true,
                 report: None,
             });
--- a/crates/simulator/src/policy.rs
+++ b/crates/simulator/src/policy.rs
@@ -3,8 +3,8 @@
 use crate::queue::Moment;
 use crate::transcriber::{State, Transcriber};
 use lupincrank_placement::{
-    key_hash, rank_score, server_hash, Action, Balancer, Event, Health, Incoming, Listed, Outcome,
-    RequestId, ServerId, Settings, Time,
+    key_hash, rank_score, server_hash, Action, Balancer, Endpoint, Event, Health, Outcome,
+    RequestId, RequestInfo, ServerId, Settings, Timestamp,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
@@ -39,11 +39,11 @@
 /// Decides for one node: events in, actions out.
 pub trait Policy: Send {
     /// Takes in one event and appends what is to be done.
-    fn handle(&mut self, now: Time, event: Event, truth: &Truth, actions: &mut Vec<Action>);
+    fn handle(&mut self, now: Timestamp, event: Event, truth: &Truth, actions: &mut Vec<Action>);
 }
 
 impl Policy for Balancer {
-    fn handle(&mut self, now: Time, event: Event, _: &Truth, actions: &mut Vec<Action>) {
+    fn handle(&mut self, now: Timestamp, event: Event, _: &Truth, actions: &mut Vec<Action>) {
         Balancer::handle(self, now, event, actions);
     }
 }
@@ -120,7 +120,7 @@
 
 struct Taken {
     key: u32,
-    expires: Time,
+    expires: Timestamp,
     attempts: u32,
     tried: Vec<u32>,
     out: Option<u32>,
@@ -140,7 +140,7 @@
         }
     }
 
-    fn list(&mut self, entries: Vec<Listed>, whole: bool) {
+    fn list(&mut self, entries: Vec<Endpoint>, whole: bool) {
         if whole {
             self.ready.clear();
         }
@@ -206,12 +206,12 @@
         }
     }
 
-    fn place(&mut self, now: Time, id: RequestId, truth: &Truth, actions: &mut Vec<Action>) {
+    fn place(&mut self, now: Timestamp, id: RequestId, truth: &Truth, actions: &mut Vec<Action>) {
         let Some(mut taken) = self.requests.remove(&id) else {
             return;
         };
-        let left = taken.expires.since(now);
-        let may = taken.attempts < self.settings.attempt_cap && left > Duration::from_millis(20);
+        let left = taken.expires.saturating_duration_since(now);
+        let may = taken.attempts < self.settings.max_attempts && left > Duration::from_millis(20);
         let chosen = if may {
             self.choose(taken.key, &taken.tried, truth)
         } else {
@@ -220,9 +220,9 @@
         let Some(at) = chosen else {
             let retry_after = self
                 .settings
-                .longest_retry_after
+                .max_retry_after
                 .mul_f64(0.25 + 0.5 * self.random.gen::<f64>());
-            return actions.push(Action::Refuse {
+            return actions.push(Action::Reject {
                 request: id,
                 retry_after,
             });
@@ -233,7 +233,7 @@
         self.requests.insert(id, taken);
         let place = &mut self.known[at as usize];
         place.2 += 1;
-        actions.push(Action::Place {
+        actions.push(Action::StartAttempt {
             request: id,
             server: place.1.clone(),
             patience: left,
@@ -250,7 +250,7 @@
         taken.stands
     }
 
-    fn taken(&self, incoming: Incoming) -> Taken {
+    fn taken(&self, incoming: RequestInfo) -> Taken {
         let key = incoming
             .group
             .or(incoming.key)
@@ -258,7 +258,7 @@
             .map_or(0, key_hash);
         Taken {
             key,
-            expires: incoming.expires,
+            expires: incoming.deadline,
             attempts: 0,
             tried: Vec::new(),
             out: None,
@@ -268,27 +268,27 @@
 }
 
 impl Policy for Baseline {
-    fn handle(&mut self, now: Time, event: Event, truth: &Truth, actions: &mut Vec<Action>) {
+    fn handle(&mut self, now: Timestamp, event: Event, truth: &Truth, actions: &mut Vec<Action>) {
         match event {
             Event::Start => actions.extend(
                 self.settings
-                    .list_must_be_asked
-                    .then_some(Action::Subscribe),
+                    .requires_endpoint_watch
+                    .then_some(Action::WatchEndpoints),
             ),
-            Event::List { entries, .. } => self.list(entries, true),
-            Event::ListChange(entries) => self.list(entries, false),
-            Event::ListFailed => {
+            Event::EndpointList { entries, .. } => self.list(entries, true),
+            Event::EndpointChange(entries) => self.list(entries, false),
+            Event::EndpointWatchFailed => {
                 let after = Duration::from_secs_f64(0.5 + self.random.gen::<f64>());
                 actions.push(Action::SetTimer { after, handle: 1 });
             }
-            Event::Timer(_) => actions.push(Action::Subscribe),
-            Event::Request(incoming) => {
+            Event::TimerFired(_) => actions.push(Action::WatchEndpoints),
+            Event::RequestReceived(incoming) => {
                 let id = incoming.request;
                 let taken = self.taken(incoming);
                 self.requests.insert(id, taken);
                 self.place(now, id, truth, actions);
             }
-            Event::Inherited(incoming, server) => {
+            Event::ConnectionInherited(incoming, server) => {
                 let id = incoming.request;
                 let mut taken = self.taken(incoming);
                 (taken.attempts, taken.stands) = (1, true);
@@ -298,12 +298,12 @@
                 }
                 self.requests.insert(id, taken);
             }
-            Event::Established { request, .. } => {
+            Event::ConnectionEstablished { request, .. } => {
                 if let Some(taken) = self.requests.get_mut(&request) {
                     taken.stands = true;
                 }
             }
-            Event::Ended {
+            Event::AttemptEnded {
                 request,
                 outcome,
                 done,
@@ -321,10 +321,10 @@
                 self.requests.remove(&request);
             }
             // A plain policy sends nobody away but for silence, where the node itself sees that nobody is served.
-            Event::Silent(request) if self.requests.contains_key(&request) => {
-                actions.push(Action::Move(request));
+            Event::ConnectionUnresponsive(request) if self.requests.contains_key(&request) => {
+                actions.push(Action::Migrate(request));
             }
-            Event::ServerSilent(server) => {
+            Event::ServerUnresponsive(server) => {
                 let Some(at) = self.servers.get(&server) else {
                     return;
                 };
@@ -336,7 +336,7 @@
                         .map(|(id, _)| *id),
                 );
                 held.sort_unstable();
-                actions.extend(held.into_iter().map(Action::Move));
+                actions.extend(held.into_iter().map(Action::Migrate));
             }
             _ => {}
         }
--- a/crates/simulator/src/world/directory.rs
+++ b/crates/simulator/src/world/directory.rs
@@ -19,7 +19,7 @@
         entries.iter().for_each(|entry| self.note_told(node, entry));
         self.feed(
             node,
-            Event::List {
+            Event::EndpointList {
                 entries,
                 cached: true,
             },
@@ -27,7 +27,7 @@
     }
 
     /// A node is told of an entry: from here on the rules on drains and cold starts bind it.
-    fn note_told(&mut self, node: u32, entry: &lupincrank_placement::Listed) {
+    fn note_told(&mut self, node: u32, entry: &lupincrank_placement::Endpoint) {
         let Some(server) = self.index.get(&entry.server).copied() else {
             return;
         };
@@ -44,7 +44,7 @@
         } else {
             None
         };
-        if !leaves && entry.started.is_some() {
+        if !leaves && entry.started_at.is_some() {
             node.knows_start[place] = life;
         }
     }
@@ -76,7 +76,7 @@
             return;
         }
         if !answered || self.directory.down {
-            return self.feed(node, Event::ListFailed);
+            return self.feed(node, Event::EndpointWatchFailed);
         }
         self.nodes[node as usize].watches = true;
         self.told(node, life);
@@ -91,7 +91,7 @@
         let entries = self.directory.log[at.heard..].to_vec();
         self.nodes[node as usize].heard = self.directory.log.len();
         entries.iter().for_each(|entry| self.note_told(node, entry));
-        self.feed(node, Event::ListChange(entries));
+        self.feed(node, Event::EndpointChange(entries));
     }
 
     /// Discovery learns of a change, and tells the nodes that watch.
@@ -138,7 +138,7 @@
         for node in 0..self.nodes.len() as u32 {
             let at = &mut self.nodes[node as usize];
             if down && at.alive && std::mem::take(&mut at.watches) {
-                self.feed(node, Event::ListFailed);
+                self.feed(node, Event::EndpointWatchFailed);
             }
         }
     }
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -16,7 +16,7 @@
 use crate::queue::{seconds, Happening, Life, Moment, Queue, SECOND};
 use crate::scenario::Scenario;
 use crate::transcriber::Transcriber;
-use lupincrank_placement::{Action, Class, Listed, Repeat, ServerId, Settings};
+use lupincrank_placement::{Action, Class, Endpoint, RetrySafety, ServerId, Settings};
 use rand_pcg::Pcg32;
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
@@ -96,8 +96,8 @@
 
 /// Discovery.
 struct Directory {
-    known: Vec<Listed>,
-    log: Vec<Listed>,
+    known: Vec<Endpoint>,
+    log: Vec<Endpoint>,
     busy_until: Moment,
     down: bool,
     stale: bool,
@@ -184,26 +184,26 @@
 pub fn settings(scenario: &Scenario) -> Settings {
     let span = |ms: f64| Duration::from_secs_f64(ms.max(0.0) / 1e3);
     let class = |class: &crate::scenario::Class| Class {
-        aim: span(class.aim_ms),
-        message_aim: span(class.message_aim_ms),
-        repeat: Repeat::Repeatable,
+        setup_objective: span(class.aim_ms),
+        message_objective: span(class.message_aim_ms),
+        retry_safety: RetrySafety::Idempotent,
     };
     Settings {
-        instances: scenario.nodes.count,
+        node_count: scenario.nodes.count,
         classes: scenario.class.iter().map(class).collect(),
         tenants: Vec::new(),
-        attempt_cap: scenario.nodes.attempts,
-        may_tell: false,
-        may_probe: false,
-        probe_price: 0.0,
-        report_utilisation: None,
-        list_must_be_asked: true,
+        max_attempts: scenario.nodes.attempts,
+        gossip_allowed: false,
+        health_checks_allowed: false,
+        health_check_cost: 0.0,
+        utilization_field: None,
+        requires_endpoint_watch: true,
         drain_grace: span(scenario.rules.drain_grace_ms),
-        cold_for: Duration::from_secs_f64(scenario.rules.cold_s),
-        start_capacity: scenario.rules.start_capacity,
-        fall_multiple: scenario.rules.fall_multiple,
-        fall_window: Duration::from_secs_f64(scenario.rules.fall_s),
-        longest_retry_after: span(scenario.nodes.retry_after_ms),
+        slow_start_duration: Duration::from_secs_f64(scenario.rules.cold_s),
+        initial_capacity_ratio: scenario.rules.start_capacity,
+        overload_factor: scenario.rules.fall_multiple,
+        overload_window: Duration::from_secs_f64(scenario.rules.fall_s),
+        max_retry_after: span(scenario.nodes.retry_after_ms),
     }
 }
 
--- a/crates/simulator/src/world/nodes.rs
+++ b/crates/simulator/src/world/nodes.rs
@@ -7,7 +7,7 @@
 use crate::queue::{millis, seconds, Happening, Life, Moment, SECOND};
 use crate::scenario::Delays;
 use crate::transcriber::State;
-use lupincrank_placement::{Action, Event, Incoming, Outcome, RequestId, Time};
+use lupincrank_placement::{Action, Event, Outcome, RequestId, RequestInfo, Timestamp};
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -105,9 +105,12 @@
             index: &self.index,
             now: self.now,
         };
-        self.nodes[at as usize]
-            .policy
-            .handle(Time(self.now + EPOCH), event, &truth, &mut actions);
+        self.nodes[at as usize].policy.handle(
+            Timestamp(self.now + EPOCH),
+            event,
+            &truth,
+            &mut actions,
+        );
         for action in actions.drain(..) {
             self.carry_out(at, action);
         }
@@ -116,19 +119,19 @@
 
     fn carry_out(&mut self, node: u32, action: Action) {
         match action {
-            Action::Place {
+            Action::StartAttempt {
                 request,
                 server,
                 patience,
             } => self.send(node, request.0, &server, patience),
-            Action::Refuse {
+            Action::Reject {
                 request,
                 retry_after,
             } => {
                 self.answer(node, request.0, true, retry_after.as_millis() as u32);
             }
             Action::Fail(request) => self.answer(node, request.0, false, 0),
-            Action::Move(request) => {
+            Action::Migrate(request) => {
                 if let Some(client) = self.client_of(request.0) {
                     if self.clients[client as usize].phase == Phase::Stands {
                         self.measure.moves += 1;
@@ -148,32 +151,32 @@
                     Happening::Timer(node, life, handle),
                 );
             }
-            Action::Subscribe => self.call_directory(node),
+            Action::WatchEndpoints => self.call_directory(node),
             // Settings forbid both.
-            Action::Probe(_) | Action::Tell(_) => {}
+            Action::CheckHealth(_) | Action::Gossip(_) => {}
         }
     }
 
     pub(super) fn timer(&mut self, node: u32, life: Life, handle: u64) {
         let at = &self.nodes[node as usize];
         if at.alive && at.life == life {
-            self.feed(node, Event::Timer(handle));
+            self.feed(node, Event::TimerFired(handle));
         }
     }
 
-    fn incoming(&self, client: u32) -> Incoming {
+    fn incoming(&self, client: u32) -> RequestInfo {
         let (key, group) = self.keys(client);
         let client = &self.clients[client as usize];
-        Incoming {
+        RequestInfo {
             request: RequestId(client.request),
             class: client.class,
             tenant: None,
             group,
             key: Some(key),
             load: None,
-            expires: Time(client.deadline + EPOCH),
-            mid_flow: false,
-            returned: client.returned,
+            deadline: Timestamp(client.deadline + EPOCH),
+            is_mid_flow: false,
+            is_reconnect: client.returned,
         }
     }
 
@@ -198,7 +201,7 @@
         self.queue
             .put(overdue.max(self.now + 1), Happening::Overdue(request));
         let incoming = self.incoming(client);
-        self.feed(node, Event::Request(incoming));
+        self.feed(node, Event::RequestReceived(incoming));
     }
 
     /// A connection that stands when the world begins.
@@ -216,7 +219,7 @@
         self.join(client, server);
         let incoming = self.incoming(client);
         let id = self.fleet[server as usize].id.clone();
-        self.feed(node, Event::Inherited(incoming, id));
+        self.feed(node, Event::ConnectionInherited(incoming, id));
         self.starts_to_stand(client);
     }
 
@@ -245,7 +248,7 @@
         let held = &self.clients[client as usize];
         let load = Duration::from_secs_f64(held.load.max(0.0));
         let (node, request) = (held.node, RequestId(held.request));
-        self.feed(node, Event::LoadNote { request, load });
+        self.feed(node, Event::LoadObserved { request, load });
     }
 
     /// Sends an attempt on its way, once the judges have looked at it.
@@ -356,7 +359,7 @@
             let request = RequestId(request);
             self.feed(
                 node,
-                Event::Ended {
+                Event::AttemptEnded {
                     request,
                     attempt,
                     outcome,
@@ -408,7 +411,7 @@
             let outcome = Outcome::Cancelled;
             self.feed(
                 node,
-                Event::Ended {
+                Event::AttemptEnded {
                     request,
                     attempt,
                     outcome,
@@ -441,12 +444,12 @@
         let held = &self.clients[client as usize];
         let (node, server) = (held.node, held.out);
         match outcome {
-            Outcome::Full => self.measure.full += 1,
+            Outcome::Rejected => self.measure.full += 1,
             Outcome::ConnectFailed => self.measure.no_connect += 1,
             _ => {}
         }
         let what = match outcome {
-            Outcome::Full => "full",
+            Outcome::Rejected => "full",
             Outcome::ConnectFailed => "could not connect",
             Outcome::TimedOut => "timed out",
             Outcome::Error => "error",
@@ -457,7 +460,7 @@
         let request = RequestId(request);
         self.feed(
             node,
-            Event::Ended {
+            Event::AttemptEnded {
                 request,
                 attempt,
                 outcome,
@@ -485,7 +488,7 @@
         let id = RequestId(request);
         self.feed(
             node,
-            Event::Established {
+            Event::ConnectionEstablished {
                 request: id,
                 took: Duration::from_nanos(sent),
             },
@@ -514,7 +517,7 @@
         let median = *sorted.select_nth_unstable(middle).1;
         if took > median * LONG {
             let delay = Duration::from_nanos(took - median);
-            self.feed(node, Event::DelayNote { request, delay });
+            self.feed(node, Event::DelayObserved { request, delay });
         }
     }
 
@@ -534,7 +537,7 @@
         if lives {
             self.feed(
                 node,
-                Event::Ended {
+                Event::AttemptEnded {
                     request,
                     attempt,
                     outcome,
@@ -563,7 +566,7 @@
             if late || was {
                 let delay = Duration::from_secs_f64(delay);
                 for (node, request) in self.one_for_each_node(at as u32) {
-                    self.feed(node, Event::DelayNote { request, delay });
+                    self.feed(node, Event::DelayObserved { request, delay });
                 }
             }
         }
@@ -599,7 +602,7 @@
                 .filter(|client| self.clients[**client as usize].node == node)
                 .count();
             if held > 1 {
-                self.feed(node, Event::ServerSilent(id.clone()));
+                self.feed(node, Event::ServerUnresponsive(id.clone()));
             }
         }
         let left: Vec<u32> = self.fleet[server as usize].standing.clone();
@@ -607,7 +610,7 @@
             let held = &self.clients[client as usize];
             if held.phase == Phase::Stands && held.out == Some(server) {
                 let (node, request) = (held.node, RequestId(held.request));
-                self.feed(node, Event::Silent(request));
+                self.feed(node, Event::ConnectionUnresponsive(request));
             }
         }
         self.queue
--- a/crates/simulator/src/world/servers.rs
+++ b/crates/simulator/src/world/servers.rs
@@ -6,7 +6,7 @@
 use crate::queue::{as_seconds, millis, seconds, Change, Happening, Life, Moment};
 use crate::transcriber::{State, Transcriber, Waiting};
 use lupincrank_placement::{
-    key_hash, rank_score, server_hash, Health, Listed, Outcome, ServerId, Time,
+    key_hash, rank_score, server_hash, Endpoint, Health, Outcome, ServerId, Timestamp,
 };
 use rand::{Rng, RngCore};
 use rand_distr::{Exp1, StandardNormal};
@@ -58,18 +58,18 @@
     }
 
     /// What discovery says of a transcriber.
-    pub(super) fn entry(&self, at: u32, health: Health) -> Listed {
+    pub(super) fn entry(&self, at: u32, health: Health) -> Endpoint {
         let server = &self.fleet[at as usize];
         let ahead = self.scenario.discovery.clock_ahead_s;
         let told = |started: Moment| (started + EPOCH).saturating_add_signed((ahead * 1e9) as i64);
-        Listed {
+        Endpoint {
             server: server.id.clone(),
             health,
             weight: server.weight,
             zone: server.zone,
             cell: 0,
-            kind: server.kind as u32,
-            started: server.started.map(|started| Time(told(started))),
+            machine_kind: server.kind as u32,
+            started_at: server.started.map(|started| Timestamp(told(started))),
         }
     }
 
@@ -166,7 +166,7 @@
             State::Up | State::Draining if server.life != life => {
                 return fails(self, self.now + back, Outcome::ConnectFailed)
             }
-            State::Draining => return fails(self, self.now + back, Outcome::Full),
+            State::Draining => return fails(self, self.now + back, Outcome::Rejected),
             State::Up if standing >= server.cap() => {
                 return fails(self, timeout.max(self.now + 1), Outcome::ConnectFailed)
             }
@@ -195,7 +195,7 @@
         } else if (server.waiting.len() as u32) < queue {
             server.waiting.push_back(waiting);
         } else {
-            fails(self, self.now + back, Outcome::Full);
+            fails(self, self.now + back, Outcome::Rejected);
         }
     }
 
--- a/crates/simulator/tests/judges.rs
+++ b/crates/simulator/tests/judges.rs
@@ -1,6 +1,8 @@
 //! Each judge catches a policy that breaks its rule on purpose, and none speaks up about one that does not.
 
-use lupincrank_placement::{Action, Balancer, Event, Health, RequestId, ServerId, Settings, Time};
+use lupincrank_placement::{
+    Action, Balancer, Event, Health, RequestId, ServerId, Settings, Timestamp,
+};
 use lupincrank_simulator::judge::Rule;
 use lupincrank_simulator::measure::Outcome;
 use lupincrank_simulator::policy::{Policy, Truth};
@@ -38,20 +40,20 @@
 }
 
 impl Policy for Faulty {
-    fn handle(&mut self, now: Time, event: Event, _: &Truth, actions: &mut Vec<Action>) {
-        if let Event::List { entries, .. } | Event::ListChange(entries) = &event {
+    fn handle(&mut self, now: Timestamp, event: Event, _: &Truth, actions: &mut Vec<Action>) {
+        if let Event::EndpointList { entries, .. } | Event::EndpointChange(entries) = &event {
             for entry in entries {
                 self.listed.insert(entry.server.clone());
                 if entry.health == Health::Draining {
                     self.leaving.insert(entry.server.clone());
                 }
-                if entry.started.is_some() && entry.health == Health::Ready {
+                if entry.started_at.is_some() && entry.health == Health::Ready {
                     self.started.push(entry.server.clone());
                 }
             }
         }
         let ended = match &event {
-            Event::Ended {
+            Event::AttemptEnded {
                 request,
                 done: false,
                 ..
@@ -62,7 +64,7 @@
         self.module.handle(now, event, actions);
         let mut extra = Vec::new();
         for action in &mut actions[from..] {
-            let Action::Place {
+            let Action::StartAttempt {
                 request, server, ..
             } = action
             else {
@@ -75,7 +77,7 @@
             };
             *server = favourite.cloned().unwrap_or_else(|| server.clone());
             if self.fault == Fault::SendsTwice {
-                extra.push(Action::Place {
+                extra.push(Action::StartAttempt {
                     request: *request,
                     server: server.clone(),
                     patience: Duration::from_secs(1),
@@ -87,13 +89,13 @@
         {
             actions.truncate(from);
             let patience = Duration::from_millis(30);
-            extra.push(Action::Place {
+            extra.push(Action::StartAttempt {
                 request,
                 server: server.clone(),
                 patience,
             });
         }
-        let refused = |action: &&Action| matches!(action, Action::Refuse { .. });
+        let refused = |action: &&Action| matches!(action, Action::Reject { .. });
         if self.fault == Fault::AnswersTwice {
             extra.extend(actions[from..].iter().filter(refused).cloned());
         }
@@ -101,7 +103,7 @@
         if self.fault == Fault::Forgets {
             let forgotten = |request: &RequestId| (request.0 >> 24) % 7 == 0;
             actions.retain(|action| match action {
-                Action::Place { request, .. } | Action::Refuse { request, .. } => {
+                Action::StartAttempt { request, .. } | Action::Reject { request, .. } => {
                     !forgotten(request)
                 }
                 _ => true,
