--- a/crates/budgets/src/need.rs
+++ b/crates/budgets/src/demand.rs
@@ -7,28 +7,28 @@
 
 /// What was used of a budget since the last request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Use {
+pub struct BudgetUsage {
     /// The most in any window.
-    pub most: u32,
+    pub peak: u32,
     /// Something was turned away for lack of a slice.
-    pub turned_away: bool,
+    pub was_limited: bool,
 }
 
 /// Follows one budget at one node.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-pub struct Need {
+pub struct DemandEstimator {
     demand: u32,
 }
 
-impl Need {
+impl DemandEstimator {
     /// A request is about to be made; what it says.
-    pub fn follow(&mut self, seen: Use) -> u32 {
-        let more = if seen.turned_away {
-            (seen.most / GROWS).max(1)
+    pub fn update(&mut self, seen: BudgetUsage) -> u32 {
+        let more = if seen.was_limited {
+            (seen.peak / GROWS).max(1)
         } else {
             0
         };
-        let wanted = seen.most.saturating_add(more);
+        let wanted = seen.peak.saturating_add(more);
         self.demand = wanted.max(self.demand - self.demand.div_ceil(FALLS));
         self.demand
     }
--- a/crates/budgets/src/need/tests.rs
+++ b/crates/budgets/src/demand/tests.rs
@@ -11,11 +11,11 @@
 #[case::grows_at_once(&[(0, false), (40, false)], 40)]
 #[case::no_overflow(&[(u32::MAX, true)], u32::MAX)]
 fn a_want_follows_the_use(#[case] seen: &[(u32, bool)], #[case] demand: u32) {
-    let mut need = Need::default();
+    let mut need = DemandEstimator::default();
     let demands = seen.iter().map(|(most, away)| {
-        need.follow(Use {
-            most: *most,
-            turned_away: *away,
+        need.update(BudgetUsage {
+            peak: *most,
+            was_limited: *away,
         })
     });
     assert_eq!(demands.last(), Some(demand));
--- a/crates/budgets/src/divide.rs
+++ b/crates/budgets/src/divide.rs
@@ -6,7 +6,7 @@
     /// What it demands; see `need`.
     pub demand: u32,
     /// What it holds now.
-    pub holds: u32,
+    pub holding: u32,
 }
 
 /// Of what nobody demands this part stays for newcomers.
@@ -32,7 +32,7 @@
 
 /// A holder's next slice on the way to what is due.
 fn pace(claim: &Claim, due: u32) -> u32 {
-    let holds = claim.holds;
+    let holds = claim.holding;
     if due < holds {
         let still = holds - due <= holds / STILL && claim.demand > 0;
         // What is in use falls by half at a time; what is not goes at once.
--- a/crates/budgets/src/divide/tests.rs
+++ b/crates/budgets/src/divide/tests.rs
@@ -18,7 +18,7 @@
         .iter()
         .map(|demand| Claim {
             demand: *demand,
-            holds: 0,
+            holding: 0,
         })
         .collect();
     assert_eq!(divide(capacity, &claims, 0), slices);
@@ -38,7 +38,16 @@
     #[case] due: u32,
     #[case] next: u32,
 ) {
-    assert_eq!(pace(&Claim { demand, holds }, due), next);
+    assert_eq!(
+        pace(
+            &Claim {
+                demand,
+                holding: holds
+            },
+            due
+        ),
+        next
+    );
 }
 
 proptest! {
@@ -71,7 +80,7 @@
         demands in proptest::collection::vec(any::<u32>(), 0..40),
         turn in any::<u64>(),
     ) {
-        let claims: Vec<Claim> = demands.iter().map(|demand| Claim { demand: *demand, holds: 0 }).collect();
+        let claims: Vec<Claim> = demands.iter().map(|demand| Claim { demand: *demand, holding: 0 }).collect();
         prop_assert!(sum(&divide(capacity, &claims, turn)) <= capacity);
     }
 }
--- a/crates/budgets/src/lib.rs
+++ b/crates/budgets/src/lib.rs
@@ -4,5 +4,5 @@
 
 #![forbid(unsafe_code)]
 
+pub mod demand;
 pub mod divide;
-pub mod need;
--- a/crates/cluster/src/link.rs
+++ b/crates/cluster/src/connection.rs
@@ -1,6 +1,6 @@
 //! One link: a stream between two nodes that carries whole messages, bounded in size, number and what waits.
 
-use crate::VERSION;
+use crate::PROTOCOL_VERSION;
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::Interest;
 use polling::Poller;
@@ -11,30 +11,30 @@
 use std::time::{Duration, Instant};
 
 /// The longest message, and what may wait to be written.
-pub const LONGEST: usize = 256 << 10;
-const MOST_WAITING: usize = 1 << 20;
+pub const MAX_MESSAGE_BYTES: usize = 256 << 10;
+const MAX_PENDING_BYTES: usize = 1 << 20;
 /// Read in one turn of the loop: what is left is read in the next.
-const TURN: usize = 64 << 10;
+const MAX_READ_PER_TURN_BYTES: usize = 64 << 10;
 /// Messages in a second at the most; a peer that sends more is out of order.
-const MOST_A_SECOND: u32 = 4_000;
+const MAX_MESSAGES_PER_SECOND: u32 = 4_000;
 /// A length and the form go before each message.
-const HEAD: usize = 5;
+const HEADER_BYTES: usize = 5;
 /// A link says something at least this often; one that brings nothing for as long as `SILENCE` is dead.
-pub const PING: Duration = Duration::from_millis(700);
+pub const PING_INTERVAL: Duration = Duration::from_millis(700);
 /// See `PING`.
-pub const SILENCE: Duration = Duration::from_millis(2500);
+pub const IDLE_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// The first message of each side.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Hello {
+pub struct Handshake {
     /// See `crate::tag`.
-    pub fleet: u32,
+    pub cluster_tag: u32,
     /// Who speaks: its name and its life.
     pub name: String,
     /// See `name`.
-    pub id: u64,
+    pub incarnation: u64,
     /// When that began, by its own clock; compared among lives of one name only.
-    pub born_ms: u64,
+    pub started_at_ms: u64,
     /// The build, to be named where it does not fit.
     pub build: String,
 }
@@ -43,65 +43,65 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
     /// Each side's first.
-    Hello(Hello),
+    Handshake(Handshake),
     /// Nothing but that it lives.
     Ping,
     /// Another life of the receiver's name began later: it has no place in the fleet any more.
     Replaced,
     /// Of a subject that knows how to read it.
-    Of(Subject, Vec<u8>),
+    Payload(Subject, Vec<u8>),
 }
 
 /// Whose message it is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Subject {
     /// The council's.
-    Council,
+    Control,
 }
 
 /// Why a link ends.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Fault {
+pub enum ConnectionError {
     /// The network, or the other side's end: nobody has done anything wrong.
-    Broke(String),
+    Closed(String),
     /// What came is not in order.
-    Strange(String),
+    Protocol(String),
 }
 
 /// Takes whole messages out of what was read; an error ends the link.
 #[derive(Default)]
-pub struct Inbox {
+pub struct FrameDecoder {
     bytes: Vec<u8>,
 }
 
-impl Inbox {
+impl FrameDecoder {
     /// More has come.
     pub fn push(&mut self, bytes: &[u8]) {
         self.bytes.extend_from_slice(bytes);
     }
 
     /// The next whole message.
-    pub fn message(&mut self) -> Result<Option<Message>, String> {
-        let Some(head) = self.bytes.first_chunk::<HEAD>() else {
+    pub fn next_message(&mut self) -> Result<Option<Message>, String> {
+        let Some(head) = self.bytes.first_chunk::<HEADER_BYTES>() else {
             return Ok(None);
         };
         let length = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
-        if head[4] != VERSION {
+        if head[4] != PROTOCOL_VERSION {
             return Err(format!(
-                "it speaks form {}, this node speaks form {VERSION}",
+                "it speaks form {}, this node speaks form {PROTOCOL_VERSION}",
                 head[4]
             ));
         }
-        if length > LONGEST {
+        if length > MAX_MESSAGE_BYTES {
             return Err(format!(
-                "a message of {length} bytes, {LONGEST} are the most"
+                "a message of {length} bytes, {MAX_MESSAGE_BYTES} are the most"
             ));
         }
-        if self.bytes.len() < HEAD + length {
+        if self.bytes.len() < HEADER_BYTES + length {
             return Ok(None);
         }
-        let message = postcard::from_bytes(&self.bytes[HEAD..HEAD + length]);
-        self.bytes.drain(..HEAD + length);
+        let message = postcard::from_bytes(&self.bytes[HEADER_BYTES..HEADER_BYTES + length]);
+        self.bytes.drain(..HEADER_BYTES + length);
         message
             .map(Some)
             .map_err(|error| format!("a message can't be read: {error}"))
@@ -109,78 +109,89 @@
 }
 
 /// A message as it is written.
-pub fn frame(message: &Message) -> Result<Vec<u8>, String> {
+pub fn encode_frame(message: &Message) -> Result<Vec<u8>, String> {
     let body = postcard::to_stdvec(message).map_err(|error| error.to_string())?;
-    if body.len() > LONGEST {
+    if body.len() > MAX_MESSAGE_BYTES {
         return Err(format!(
-            "a message of {} bytes, {LONGEST} are the most",
+            "a message of {} bytes, {MAX_MESSAGE_BYTES} are the most",
             body.len()
         ));
     }
-    let mut bytes = Vec::with_capacity(HEAD + body.len());
+    let mut bytes = Vec::with_capacity(HEADER_BYTES + body.len());
     bytes.extend_from_slice(&(body.len() as u32).to_be_bytes());
-    bytes.push(VERSION);
+    bytes.push(PROTOCOL_VERSION);
     bytes.extend_from_slice(&body);
     Ok(bytes)
 }
 
 /// One end of a link.
-pub struct Link {
+pub struct ClusterConnection {
     stream: Registered<TcpStream>,
     connected: bool,
-    inbox: Inbox,
-    waiting: Vec<u8>,
-    sent: usize,
+    decoder: FrameDecoder,
+    pending: Vec<u8>,
+    written: usize,
     /// When something last came, and went out.
-    heard: Instant,
-    spoke: Instant,
-    second: (Instant, u32),
+    last_received: Instant,
+    last_sent: Instant,
+    message_rate: (Instant, u32),
     /// The other side, once it has said so.
-    pub peer: Option<Hello>,
+    pub peer: Option<Handshake>,
     /// This side dialled.
-    pub dialled: bool,
+    pub is_initiator: bool,
 }
 
-impl Link {
+impl ClusterConnection {
     /// Dials.
-    pub fn dial(poller: &Rc<Poller>, at: SocketAddr, key: usize) -> io::Result<Link> {
-        Ok(Link::over(poll::connect(poller, at, key)?, true))
+    pub fn connect(
+        poller: &Rc<Poller>,
+        at: SocketAddr,
+        key: usize,
+    ) -> io::Result<ClusterConnection> {
+        Ok(ClusterConnection::new(
+            poll::connect(poller, at, key)?,
+            true,
+        ))
     }
 
     /// Takes one that came.
-    pub fn accepted(poller: &Rc<Poller>, stream: TcpStream, key: usize) -> io::Result<Link> {
+    pub fn accept(
+        poller: &Rc<Poller>,
+        stream: TcpStream,
+        key: usize,
+    ) -> io::Result<ClusterConnection> {
         stream.set_nonblocking(true)?;
         let _ = stream.set_nodelay(true);
-        Ok(Link::over(
+        Ok(ClusterConnection::new(
             Registered::new(poller, stream, key, Interest::READ)?,
             false,
         ))
     }
 
-    fn over(stream: Registered<TcpStream>, dialled: bool) -> Link {
+    fn new(stream: Registered<TcpStream>, dialled: bool) -> ClusterConnection {
         let now = Instant::now();
-        Link {
+        ClusterConnection {
             stream,
             connected: !dialled,
-            inbox: Inbox::default(),
-            waiting: Vec::new(),
-            sent: 0,
-            heard: now,
-            spoke: now,
-            second: (now, 0),
+            decoder: FrameDecoder::default(),
+            pending: Vec::new(),
+            written: 0,
+            last_received: now,
+            last_sent: now,
+            message_rate: (now, 0),
             peer: None,
-            dialled,
+            is_initiator: dialled,
         }
     }
 
     /// Says something, as soon as the socket takes it.
-    pub fn say(&mut self, message: &Message) -> Result<(), String> {
-        let bytes = frame(message)?;
-        if self.waiting.len() - self.sent + bytes.len() > MOST_WAITING {
+    pub fn send(&mut self, message: &Message) -> Result<(), String> {
+        let bytes = encode_frame(message)?;
+        if self.pending.len() - self.written + bytes.len() > MAX_PENDING_BYTES {
             return Err("too much waits to be written".into());
         }
-        self.waiting.extend_from_slice(&bytes);
-        self.spoke = Instant::now();
+        self.pending.extend_from_slice(&bytes);
+        self.last_sent = Instant::now();
         if self.connected {
             self.flush().map_err(|error| error.to_string())?;
         }
@@ -188,9 +199,9 @@
     }
 
     fn flush(&mut self) -> io::Result<()> {
-        while self.sent < self.waiting.len() {
-            match self.stream.write(&self.waiting[self.sent..]) {
-                Ok(sent) => self.sent += sent,
+        while self.written < self.pending.len() {
+            match self.stream.write(&self.pending[self.written..]) {
+                Ok(sent) => self.written += sent,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     return self.stream.set_interest(Interest::READ_WRITE)
                 }
@@ -198,30 +209,30 @@
                 Err(error) => return Err(error),
             }
         }
-        self.waiting.clear();
-        self.sent = 0;
+        self.pending.clear();
+        self.written = 0;
         self.stream.set_interest(Interest::READ)
     }
 
     /// The socket is ready: the messages that are whole now, or why the link ends.
-    pub fn ready(&mut self, readable: bool) -> Result<Vec<Message>, Fault> {
-        let named = |error: io::Error| Fault::Broke(error.to_string());
+    pub fn on_ready(&mut self, readable: bool) -> Result<Vec<Message>, ConnectionError> {
+        let named = |error: io::Error| ConnectionError::Closed(error.to_string());
         if !self.connected {
             if let Some(error) = self.stream.take_error().map_err(named)? {
                 return Err(named(error));
             }
             self.connected = true;
-            self.heard = Instant::now();
+            self.last_received = Instant::now();
         }
         self.flush().map_err(named)?;
         let mut messages = Vec::new();
         let (mut scratch, mut taken) = ([0; 16 << 10], 0);
-        while readable && taken < TURN {
+        while readable && taken < MAX_READ_PER_TURN_BYTES {
             match self.stream.read(&mut scratch) {
-                Ok(0) => return Err(Fault::Broke("it was ended".into())),
+                Ok(0) => return Err(ConnectionError::Closed("it was ended".into())),
                 Ok(read) => {
                     taken += read;
-                    self.inbox.push(&scratch[..read]);
+                    self.decoder.push(&scratch[..read]);
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
@@ -229,16 +240,20 @@
             }
         }
         if taken > 0 {
-            self.heard = Instant::now();
+            self.last_received = Instant::now();
         }
-        while let Some(message) = self.inbox.message().map_err(Fault::Strange)? {
-            if self.second.0.elapsed() >= Duration::from_secs(1) {
-                self.second = (Instant::now(), 0);
+        while let Some(message) = self
+            .decoder
+            .next_message()
+            .map_err(ConnectionError::Protocol)?
+        {
+            if self.message_rate.0.elapsed() >= Duration::from_secs(1) {
+                self.message_rate = (Instant::now(), 0);
             }
-            self.second.1 += 1;
-            if self.second.1 > MOST_A_SECOND {
-                return Err(Fault::Strange(format!(
-                    "over {MOST_A_SECOND} messages in a second"
+            self.message_rate.1 += 1;
+            if self.message_rate.1 > MAX_MESSAGES_PER_SECOND {
+                return Err(ConnectionError::Protocol(format!(
+                    "over {MAX_MESSAGES_PER_SECOND} messages in a second"
                 )));
             }
             messages.push(message);
@@ -247,12 +262,12 @@
     }
 
     /// Keeps the link alive; an error says that it is dead.
-    pub fn keep(&mut self) -> Result<(), String> {
-        if self.heard.elapsed() >= SILENCE {
+    pub fn keep_alive(&mut self) -> Result<(), String> {
+        if self.last_received.elapsed() >= IDLE_TIMEOUT {
             return Err("it is silent".into());
         }
-        if self.connected && self.spoke.elapsed() >= PING {
-            self.say(&Message::Ping)?;
+        if self.connected && self.last_sent.elapsed() >= PING_INTERVAL {
+            self.send(&Message::Ping)?;
         }
         Ok(())
     }
--- a/crates/cluster/src/link/tests.rs
+++ b/crates/cluster/src/connection/tests.rs
@@ -3,11 +3,11 @@
 use rstest::rstest;
 
 fn hello() -> Message {
-    Message::Hello(Hello {
-        fleet: 7,
+    Message::Handshake(Handshake {
+        cluster_tag: 7,
         name: "n0".into(),
-        id: 9,
-        born_ms: 5,
+        incarnation: 9,
+        started_at_ms: 5,
         build: "0.1".into(),
     })
 }
@@ -20,16 +20,16 @@
     let said = [
         hello(),
         Message::Ping,
-        Message::Of(Subject::Council, vec![3; 300]),
+        Message::Payload(Subject::Control, vec![3; 300]),
     ];
     let bytes: Vec<u8> = said
         .iter()
-        .flat_map(|message| frame(message).unwrap())
+        .flat_map(|message| encode_frame(message).unwrap())
         .collect();
-    let (mut inbox, mut heard) = (Inbox::default(), Vec::new());
+    let (mut inbox, mut heard) = (FrameDecoder::default(), Vec::new());
     for piece in bytes.chunks(piece) {
         inbox.push(piece);
-        while let Some(message) = inbox.message().unwrap() {
+        while let Some(message) = inbox.next_message().unwrap() {
             heard.push(message);
         }
     }
@@ -44,20 +44,24 @@
     #[case] spoil: fn(&mut Vec<u8>),
     #[case] why: &str,
 ) {
-    let mut bytes = frame(&hello()).unwrap();
+    let mut bytes = encode_frame(&hello()).unwrap();
     spoil(&mut bytes);
-    let mut inbox = Inbox::default();
+    let mut inbox = FrameDecoder::default();
     inbox.push(&bytes);
-    let error = inbox.message().unwrap_err();
+    let error = inbox.next_message().unwrap_err();
     assert!(error.contains(why), "{error}");
-    assert!(frame(&Message::Of(Subject::Council, vec![0; LONGEST])).is_err());
+    assert!(encode_frame(&Message::Payload(
+        Subject::Control,
+        vec![0; MAX_MESSAGE_BYTES]
+    ))
+    .is_err());
 }
 
 proptest! {
     #[test]
     fn no_bytes_from_outside_panic(bytes in proptest::collection::vec(any::<u8>(), 0..600)) {
-        let mut inbox = Inbox::default();
+        let mut inbox = FrameDecoder::default();
         inbox.push(&bytes);
-        while let Ok(Some(_)) = inbox.message() {}
+        while let Ok(Some(_)) = inbox.next_message() {}
     }
 }
--- a/crates/cluster/src/membership.rs
+++ b/crates/cluster/src/membership.rs
@@ -1,7 +1,7 @@
 //! Who lives: SWIM by the `foca` crate, driven with time and datagrams from outside. All times are spans since this
 //! process began, by its own clock.
 
-use crate::VERSION;
+use crate::PROTOCOL_VERSION;
 use foca::{Config, Foca, Notification, PeriodicParams, PostcardCodec, Runtime, Timer};
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 /// The longest datagram: what passes every network whole.
-pub const LONGEST: usize = 1400;
+pub const MAX_DATAGRAM_BYTES: usize = 1400;
 /// Two letters, the form and the fleet go before what membership says.
 const HEAD: usize = 7;
 const MARK: [u8; 2] = *b"lc";
@@ -40,13 +40,13 @@
     /// The node's name: two lives of one name are never members at once.
     pub name: String,
     /// Drawn at each start.
-    pub id: u64,
+    pub incarnation: u64,
     /// When it started, as Unix time in milliseconds by its own clock; compared among lives of one name only.
-    pub born_ms: u64,
+    pub started_at_ms: u64,
     /// How often this life has come back after it was taken for dead.
-    pub bump: u32,
+    pub generation: u32,
     /// Where it takes datagrams and links.
-    pub at: SocketAddr,
+    pub address: SocketAddr,
     /// Where it runs.
     pub zone: String,
     /// See `zone`.
@@ -54,7 +54,7 @@
     /// Which build it runs.
     pub build: String,
     /// A sum over the settings that it runs with.
-    pub settings: u32,
+    pub settings_hash: u32,
 }
 
 impl foca::Identity for Identity {
@@ -62,7 +62,7 @@
 
     fn renew(&self) -> Option<Identity> {
         Some(Identity {
-            bump: self.bump.saturating_add(1),
+            generation: self.generation.saturating_add(1),
             ..self.clone()
         })
     }
@@ -72,13 +72,14 @@
     }
 
     fn win_addr_conflict(&self, other: &Identity) -> bool {
-        (self.born_ms, self.id, self.bump) > (other.born_ms, other.id, other.bump)
+        (self.started_at_ms, self.incarnation, self.generation)
+            > (other.started_at_ms, other.incarnation, other.generation)
     }
 }
 
 /// What is to be carried out, or known.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Out {
+pub enum MembershipOutput {
     /// Send this to the node that says it is at this address.
     Datagram(SocketAddr, Vec<u8>),
     /// It lives.
@@ -93,7 +94,7 @@
 
 /// Datagrams that changed nothing.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
-pub struct Refused {
+pub struct RejectedDatagrams {
     /// Of another fleet.
     pub foreign: u64,
     /// Of another form.
@@ -108,7 +109,7 @@
 #[derive(Default)]
 struct Carrier {
     now: Duration,
-    out: VecDeque<Out>,
+    out: VecDeque<MembershipOutput>,
     timers: BTreeMap<(Duration, u64), Timer<Identity>>,
     numbered: u64,
     fleet: u32,
@@ -120,12 +121,12 @@
 impl Runtime<Identity> for Carrier {
     fn notify(&mut self, notification: Notification<'_, Identity>) {
         let out = match notification {
-            Notification::MemberUp(member) => Out::Up(member.clone()),
-            Notification::MemberDown(member) => Out::Down(member.clone()),
+            Notification::MemberUp(member) => MembershipOutput::Up(member.clone()),
+            Notification::MemberDown(member) => MembershipOutput::Down(member.clone()),
             // Another life of a name: the one before is over, and the new one is told of by itself.
             Notification::Rename(before, after) => {
-                self.out.push_back(Out::Down(before.clone()));
-                Out::Up(after.clone())
+                self.out.push_back(MembershipOutput::Down(before.clone()));
+                MembershipOutput::Up(after.clone())
             }
             Notification::Rejoin(me) => {
                 if self.now.saturating_sub(self.backs.0) >= Duration::from_secs(1) {
@@ -133,9 +134,9 @@
                 }
                 self.backs.1 += 1;
                 self.contested |= self.backs.1 > MOST_BACKS;
-                Out::Back(me.bump)
+                MembershipOutput::Back(me.generation)
             }
-            Notification::Defunct => Out::Replaced,
+            Notification::Defunct => MembershipOutput::Replaced,
             Notification::Active | Notification::Idle => return,
         };
         self.out.push_back(out);
@@ -144,10 +145,11 @@
     fn send_to(&mut self, to: Identity, data: &[u8]) {
         let mut bytes = Vec::with_capacity(HEAD + data.len());
         bytes.extend_from_slice(&MARK);
-        bytes.push(VERSION);
+        bytes.push(PROTOCOL_VERSION);
         bytes.extend_from_slice(&self.fleet.to_be_bytes());
         bytes.extend_from_slice(data);
-        self.out.push_back(Out::Datagram(to.at, bytes));
+        self.out
+            .push_back(MembershipOutput::Datagram(to.address, bytes));
     }
 
     fn submit_after(&mut self, timer: Timer<Identity>, after: Duration) {
@@ -168,7 +170,7 @@
     /// It has left: what comes now must not bring it back.
     left: bool,
     /// Datagrams that changed nothing.
-    pub refused: Refused,
+    pub rejected: RejectedDatagrams,
 }
 
 fn config(nodes: usize) -> Config {
@@ -188,7 +190,7 @@
             .unwrap_or(NonZeroU8::MIN),
         suspect_to_down_after: SUSPECTED.mul_f64(growth),
         remove_down_after: FORGOTTEN,
-        max_packet_size: some(LONGEST - HEAD),
+        max_packet_size: some(MAX_DATAGRAM_BYTES - HEAD),
         notify_down_members: true,
         periodic_announce: None,
         periodic_announce_to_down_members: periodic(ASK_DOWN, 2),
@@ -205,8 +207,8 @@
         seed: u64,
         seeds: Vec<(String, SocketAddr)>,
     ) -> Membership {
-        let rng = Pcg64Mcg::new(u128::from(seed) << 64 | u128::from(me.id));
-        let spread = 0.75 + f64::from(me.id as u8) / 512.0;
+        let rng = Pcg64Mcg::new(u128::from(seed) << 64 | u128::from(me.incarnation));
+        let spread = 0.75 + f64::from(me.incarnation as u8) / 512.0;
         let seeds = seeds
             .into_iter()
             .filter(|(name, _)| *name != me.name)
@@ -221,12 +223,12 @@
             announce: Duration::ZERO,
             spread,
             left: false,
-            refused: Refused::default(),
+            rejected: RejectedDatagrams::default(),
         }
     }
 
     /// This node as others see it.
-    pub fn me(&self) -> &Identity {
+    pub fn local_identity(&self) -> &Identity {
         self.foca.identity()
     }
 
@@ -236,18 +238,18 @@
     }
 
     /// What is to be carried out, oldest first.
-    pub fn out(&mut self) -> Option<Out> {
+    pub fn next_output(&mut self) -> Option<MembershipOutput> {
         self.carrier.out.pop_front()
     }
 
     /// When `due` has something to do next.
-    pub fn next(&self) -> Duration {
+    pub fn next_deadline(&self) -> Duration {
         let timer = self.carrier.timers.keys().next().map(|(at, _)| *at);
         timer.map_or(self.announce, |at| at.min(self.announce))
     }
 
     /// Time has come to `now`.
-    pub fn due(&mut self, now: Duration) {
+    pub fn on_deadline(&mut self, now: Duration) {
         self.carrier.now = now;
         if self.left {
             self.carrier.timers.clear();
@@ -258,10 +260,10 @@
                 // What a seed's life is called is not known before it answers.
                 let seed = Identity {
                     name,
-                    at,
-                    id: 0,
-                    born_ms: 0,
-                    bump: 0,
+                    address: at,
+                    incarnation: 0,
+                    started_at_ms: 0,
+                    generation: 0,
                     ..self.foca.identity().clone()
                 };
                 let _ = self.foca.announce(seed, &mut self.carrier);
@@ -307,37 +309,37 @@
     }
 
     /// A datagram has come; what can't be used is counted.
-    pub fn datagram(&mut self, now: Duration, bytes: &[u8]) {
+    pub fn on_datagram(&mut self, now: Duration, bytes: &[u8]) {
         self.carrier.now = now;
         if self.left {
             return;
         }
         let (Some(head), Some(data)) = (bytes.get(..HEAD), bytes.get(HEAD..)) else {
-            self.refused.unreadable += 1;
+            self.rejected.unreadable += 1;
             return;
         };
-        if head[..2] != MARK || bytes.len() > LONGEST {
-            self.refused.unreadable += 1;
-        } else if head[2] != VERSION {
-            self.refused.version += 1;
+        if head[..2] != MARK || bytes.len() > MAX_DATAGRAM_BYTES {
+            self.rejected.unreadable += 1;
+        } else if head[2] != PROTOCOL_VERSION {
+            self.rejected.version += 1;
         } else if head[3..] != self.carrier.fleet.to_be_bytes() {
-            self.refused.foreign += 1;
+            self.rejected.foreign += 1;
         } else if let Err(error) = self.foca.handle_data(data, &mut self.carrier) {
             match error {
                 foca::Error::DataFromOurselves | foca::Error::IndirectForOurselves => {
-                    self.refused.stale += 1
+                    self.rejected.stale += 1
                 }
-                _ => self.refused.unreadable += 1,
+                _ => self.rejected.unreadable += 1,
             }
         }
         if std::mem::take(&mut self.carrier.contested) {
-            self.give_way();
-            self.carrier.out.push_back(Out::Replaced);
+            self.yield_to_newer();
+            self.carrier.out.push_back(MembershipOutput::Replaced);
         }
     }
 
     /// Another life has this one's name: it says nothing more.
-    pub fn give_way(&mut self) {
+    pub fn yield_to_newer(&mut self) {
         self.left = true;
     }
 
--- a/crates/cluster/src/membership/tests.rs
+++ b/crates/cluster/src/membership/tests.rs
@@ -6,20 +6,20 @@
     let (zone, region, build) = ("a".into(), String::new(), "0.1".into());
     Identity {
         name: format!("n{n}"),
-        id,
-        born_ms,
-        bump: 0,
-        at,
+        incarnation: id,
+        started_at_ms: born_ms,
+        generation: 0,
+        address: at,
         zone,
         region,
         build,
-        settings: 0,
+        settings_hash: 0,
     }
 }
 
 fn member(n: u16, id: u64, born_ms: u64, fleet: u32) -> Membership {
     let seeds = (0..3)
-        .map(|n| (format!("n{n}"), identity(n, 0, 0).at))
+        .map(|n| (format!("n{n}"), identity(n, 0, 0).address))
         .collect();
     Membership::new(identity(n, id, born_ms), fleet, 3, id, seeds)
 }
@@ -30,23 +30,23 @@
     from: Duration,
     to: Duration,
     lost: impl Fn(usize, usize) -> bool,
-) -> Vec<(usize, Out)> {
+) -> Vec<(usize, MembershipOutput)> {
     let (mut now, mut news) = (from, Vec::new());
     while now < to {
         now += Duration::from_millis(10);
         for n in 0..all.len() {
-            all[n].due(now);
-            while let Some(out) = all[n].out() {
-                let Out::Datagram(at, bytes) = out else {
+            all[n].on_deadline(now);
+            while let Some(out) = all[n].next_output() {
+                let MembershipOutput::Datagram(at, bytes) = out else {
                     news.push((n, out));
                     continue;
                 };
                 let to: Vec<usize> = (0..all.len())
-                    .filter(|to| all[*to].me().at == at && *to != n)
+                    .filter(|to| all[*to].local_identity().address == at && *to != n)
                     .collect();
                 to.into_iter()
                     .filter(|to| !lost(n, *to))
-                    .for_each(|to| all[to].datagram(now, &bytes));
+                    .for_each(|to| all[to].on_datagram(now, &bytes));
             }
         }
     }
@@ -66,14 +66,17 @@
     let news = pass(&mut all, S(3), S(12), |from, to| from == 2 || to == 2);
     assert!(news
         .iter()
-        .any(|(n, out)| *n == 0 && matches!(out, Out::Down(who) if who.id == 102)));
+        .any(|(n, out)| *n == 0
+            && matches!(out, MembershipOutput::Down(who) if who.incarnation == 102)));
     let news = pass(&mut all, S(12), S(20), |_, _| false);
     assert!(
         news.iter()
-            .any(|(n, out)| *n == 2 && matches!(out, Out::Back(1))),
+            .any(|(n, out)| *n == 2 && matches!(out, MembershipOutput::Back(1))),
         "{news:?}"
     );
-    assert!(all[0].alive().any(|who| who.id == 102 && who.bump == 1));
+    assert!(all[0]
+        .alive()
+        .any(|who| who.incarnation == 102 && who.generation == 1));
 }
 
 /// The later life of a name is known by all, and the earlier one gives way instead of coming back each time it is refused.
@@ -84,24 +87,27 @@
         .collect();
     pass(&mut all, S(0), S(3), |_, _| false);
     let other = Identity {
-        at: identity(7, 0, 0).at,
+        address: identity(7, 0, 0).address,
         ..identity(1, 300, 2)
     };
-    let seeds = vec![("n0".to_string(), identity(0, 0, 0).at)];
+    let seeds = vec![("n0".to_string(), identity(0, 0, 0).address)];
     all.push(Membership::new(other, 5, 3, 300, seeds));
     let news = pass(&mut all, S(3), S(20), |_, _| false);
-    let of_earlier = |out: &Out| {
+    let of_earlier = |out: &MembershipOutput| {
         news.iter()
             .filter(|(n, seen)| *n == 1 && seen == out)
             .count()
     };
-    assert_eq!(of_earlier(&Out::Replaced), 1, "{news:?}");
+    assert_eq!(of_earlier(&MembershipOutput::Replaced), 1, "{news:?}");
     assert!(
-        all[1].me().bump <= 1 + MOST_BACKS,
+        all[1].local_identity().generation <= 1 + MOST_BACKS,
         "{} returns",
-        all[1].me().bump
+        all[1].local_identity().generation
+    );
+    assert!(
+        all[0].alive().any(|who| who.incarnation == 300)
+            && all[0].alive().all(|who| who.incarnation != 101)
     );
-    assert!(all[0].alive().any(|who| who.id == 300) && all[0].alive().all(|who| who.id != 101));
 }
 
 #[test]
@@ -123,11 +129,11 @@
         member(1, 201, 2, 5),
     ];
     let news = pass(&mut all, S(0), S(8), |_, _| false);
-    let alive: Vec<u64> = all[0].alive().map(|who| who.id).collect();
+    let alive: Vec<u64> = all[0].alive().map(|who| who.incarnation).collect();
     assert_eq!(alive, vec![201]);
     assert!(!news
         .iter()
-        .any(|(n, out)| *n == 2 && matches!(out, Out::Replaced)));
+        .any(|(n, out)| *n == 2 && matches!(out, MembershipOutput::Replaced)));
 }
 
 /// Suspicions come at this loss, and each is refuted in time.
@@ -142,7 +148,7 @@
     let news = pass(&mut all, S(5), S(65), lost);
     assert_eq!(
         news.iter()
-            .filter(|(_, out)| matches!(out, Out::Down(_)))
+            .filter(|(_, out)| matches!(out, MembershipOutput::Down(_)))
             .count(),
         0
     );
@@ -154,7 +160,7 @@
     pass(&mut all, S(0), S(4), |_, _| false);
     assert!(all
         .iter()
-        .all(|one| one.alive().count() == 0 && one.refused.foreign > 0));
+        .all(|one| one.alive().count() == 0 && one.rejected.foreign > 0));
 }
 
 proptest! {
@@ -162,9 +168,9 @@
     fn no_datagram_panics_or_adds_a_member(mut bytes in proptest::collection::vec(any::<u8>(), 0..1500), ours in any::<bool>()) {
         let mut one = member(0, 100, 1, 5);
         if ours && bytes.len() >= HEAD {
-            bytes[..HEAD].copy_from_slice(&[b'l', b'c', VERSION, 0, 0, 0, 5]);
+            bytes[..HEAD].copy_from_slice(&[b'l', b'c', PROTOCOL_VERSION, 0, 0, 0, 5]);
         }
-        one.datagram(S(1), &bytes);
-        prop_assert!(one.refused.foreign + one.refused.version + one.refused.unreadable + one.refused.stale <= 1);
+        one.on_datagram(S(1), &bytes);
+        prop_assert!(one.rejected.foreign + one.rejected.version + one.rejected.unreadable + one.rejected.stale <= 1);
     }
 }
--- a/crates/control/src/council.rs
+++ b/crates/control/src/council.rs
@@ -6,24 +6,24 @@
 //! the one with the greater stamp. What can't be told apart from a first start is a majority that restarted from
 //! nothing while the rest is cut off; `docs/design/council.md` says what that costs.
 
-use crate::durable::Durable;
+use crate::durable::DurableState;
 use crate::entry::Entry;
 use crate::leader::{Leader, View};
-use crate::lease::{Holder, Terms};
+use crate::lease::{LeaseHolder, LeaseTerms};
 use crate::log::Log;
-use crate::member::{Founding, Member, Stamp};
-use crate::message::{Action, CouncilMessage, Note};
-use crate::state::State;
-use crate::status::{LogLine, Participant, Refused, Status};
+use crate::member::{Bootstrap, ClusterId, Member};
+use crate::message::{Action, ControlMessage, LogEvent};
+use crate::state::ClusterState;
+use crate::status::{LogLine, Participant, RejectedMessages, Status};
 use crate::store::Store;
-use lupincrank_budgets::need::{Need, Use};
+use lupincrank_budgets::demand::{BudgetUsage, DemandEstimator};
 use lupincrank_placement::Timestamp;
 use std::collections::{BTreeMap, BTreeSet};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::time::Duration;
 
 /// `Council::tick` is called this often.
-pub const TICK: Duration = Duration::from_millis(100);
+pub const TICK_INTERVAL: Duration = Duration::from_millis(100);
 /// A founder asks, and tells of its founding, this often.
 const SEEK: Duration = Duration::from_millis(500);
 /// An answer to that counts for so long.
@@ -34,43 +34,43 @@
 
 /// What a node is told of its part.
 #[derive(Clone, Debug)]
-pub struct Tuning {
+pub struct ControlConfig {
     /// The spans of leases.
-    pub terms: Terms,
+    pub lease_terms: LeaseTerms,
     /// The names of all nodes that are expected.
-    pub expect: BTreeSet<String>,
+    pub expected_nodes: BTreeSet<String>,
     /// The capacity of the cold budget that is handed out, without the floors.
     pub capacity: u32,
     /// What this node may use without a lease.
     pub floor: u32,
     /// A node this young founds nothing: it hears of an older council first.
-    pub settle: Duration,
+    pub bootstrap_grace: Duration,
     /// A member that has not lived for this long is taken out.
-    pub removal_after: Duration,
+    pub member_removal_delay: Duration,
 }
 
 /// One node's part.
-pub struct Council {
+pub struct ControlNode {
     me: Member,
-    tuning: Tuning,
+    tuning: ControlConfig,
     began: Timestamp,
     log: Option<Log>,
     /// Its log broke: this incarnation must not vote again.
     out: bool,
-    holder: Holder,
+    holder: LeaseHolder,
     limit: u32,
     /// Answers to what a founder asked: when they came, and whether a council is known.
     answers: BTreeMap<u64, (Timestamp, bool)>,
-    founding: Option<Founding>,
+    founding: Option<Bootstrap>,
     sought: Option<Timestamp>,
     alive: BTreeMap<u64, Member>,
     leader: Leader,
-    refused: Refused,
+    refused: RejectedMessages,
     ticks: u64,
     actions: Vec<Action>,
     /// What was used since the last request, and what is needed by that.
-    seen: Use,
-    need: Need,
+    seen: BudgetUsage,
+    need: DemandEstimator,
     /// Whether what has to survive is written to a disk.
     keeps: bool,
     /// This node ends.
@@ -79,7 +79,7 @@
     gone: bool,
 }
 
-impl Council {
+impl ControlNode {
     /// Knows no council yet.
     ///
     /// `kept` is what a folder holds of this identity, where one is configured; an error says that it can't be gone on
@@ -87,12 +87,12 @@
     pub fn new(
         now: Timestamp,
         me: Member,
-        tuning: Tuning,
-        kept: Option<&Durable>,
-    ) -> Result<Council, String> {
-        let starts = kept.map_or(0, |kept| kept.starts);
-        let holder = Holder::new(&tuning.terms, now, tuning.floor, starts);
-        let mut council = Council {
+        tuning: ControlConfig,
+        kept: Option<&DurableState>,
+    ) -> Result<ControlNode, String> {
+        let starts = kept.map_or(0, |kept| kept.start_count);
+        let holder = LeaseHolder::new(&tuning.lease_terms, now, tuning.floor, starts);
+        let mut council = ControlNode {
             limit: 0,
             me,
             tuning,
@@ -105,16 +105,16 @@
             sought: None,
             alive: BTreeMap::new(),
             leader: Leader::default(),
-            refused: Refused::default(),
+            refused: RejectedMessages::default(),
             ticks: 0,
             actions: Vec::new(),
-            seen: Use::default(),
-            need: Need::default(),
+            seen: BudgetUsage::default(),
+            need: DemandEstimator::default(),
             keeps: kept.is_some(),
             leaving: false,
             gone: false,
         };
-        if let Some((stamp, kept)) = kept.and_then(|kept| Some((kept.stamp?, kept))) {
+        if let Some((stamp, kept)) = kept.and_then(|kept| Some((kept.cluster_id?, kept))) {
             // Raft panics where its log contradicts itself.
             let resumed = catch_unwind(AssertUnwindSafe(|| council.resume(stamp, kept)));
             resumed
@@ -124,21 +124,21 @@
         Ok(council)
     }
 
-    fn resume(&mut self, stamp: Stamp, kept: &Durable) -> Option<()> {
+    fn resume(&mut self, stamp: ClusterId, kept: &DurableState) -> Option<()> {
         let store = Store::resume(kept).ok()?;
         let data = store.snapshot_data();
         let state = if data.is_empty() {
-            State::default()
+            ClusterState::default()
         } else {
             postcard::from_bytes(&data).ok()?
         };
         self.log = Some(Log::begin(self.me.id, stamp, store, state, None, true)?);
-        self.note(Note::Joins(stamp));
+        self.note(LogEvent::JoinedCluster(stamp));
         Some(())
     }
 
     /// All writes up to this one are on the disk.
-    pub fn written(&mut self, now: Timestamp, number: u64) {
+    pub fn on_write_completed(&mut self, now: Timestamp, number: u64) {
         if let Some(log) = &mut self.log {
             log.written(number);
         }
@@ -146,65 +146,68 @@
     }
 
     /// The disk is lost: this process takes no part from now on.
-    pub fn lost_disk(&mut self, now: Timestamp) {
+    pub fn on_storage_lost(&mut self, now: Timestamp) {
         self.breaks(now);
     }
 
     /// What is to be carried out since the last call.
-    pub fn actions(&mut self) -> Vec<Action> {
+    pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
     }
 
     /// What this node may use of the cold budget: connections in any window, and until when.
-    pub fn limit(&self, now: Timestamp) -> (u32, Option<Timestamp>) {
+    pub fn lease_limit(&self, now: Timestamp) -> (u32, Option<Timestamp>) {
         self.holder.limit(now)
     }
 
     /// What was used of the cold budget since the last call.
-    pub fn used(&mut self, seen: Use) {
-        let Use { most, turned_away } = self.seen;
-        self.seen = Use {
-            most: most.max(seen.most),
-            turned_away: turned_away || seen.turned_away,
+    pub fn record_usage(&mut self, seen: BudgetUsage) {
+        let BudgetUsage {
+            peak: most,
+            was_limited,
+        } = self.seen;
+        self.seen = BudgetUsage {
+            peak: most.max(seen.peak),
+            was_limited: was_limited || seen.was_limited,
         };
     }
 
     /// What it may use without a lease.
-    pub fn floor(&self, now: Timestamp) -> u32 {
+    pub fn lease_floor(&self, now: Timestamp) -> u32 {
         self.holder.floor(now)
     }
 
     /// Its part of the capacity, for what is shared by parts.
-    pub fn part(&self, now: Timestamp) -> Option<f64> {
+    pub fn fleet_share(&self, now: Timestamp) -> Option<f64> {
         let log = self.log.as_ref()?;
-        let (limit, until) = self.limit(now);
+        let (limit, until) = self.lease_limit(now);
         until.map(|_| f64::from(limit) / f64::from(log.state.capacity.max(1)))
     }
 
     /// What all agree on, as far as this node has it.
-    pub fn state(&self) -> Option<&State> {
+    pub fn state(&self) -> Option<&ClusterState> {
         self.log.as_ref().map(|log| &log.state)
     }
 
     /// Whether this node leads.
-    pub fn leads(&self) -> bool {
+    pub fn is_leader(&self) -> bool {
         self.log.as_ref().is_some_and(|log| log.leads.is_some())
     }
 
     /// Whether this node knows a leader.
-    pub fn is_led(&self) -> bool {
+    pub fn has_leader(&self) -> bool {
         self.log.as_ref().is_some_and(|log| log.leader != 0)
     }
 
     /// Whether this node votes.
-    pub fn votes(&self) -> bool {
+    pub fn is_voter(&self) -> bool {
         self.log
             .as_ref()
             .is_some_and(|log| log.conf().get_voters().contains(&self.me.id))
     }
 
     /// The members that this node needs to reach: the leader, the voters where it votes, all where it leads or founds.
-    pub fn wants(&self) -> BTreeSet<u64> {
+    pub fn desired_connections(&self) -> BTreeSet<u64> {
         let mut wants = BTreeSet::new();
         match &self.log {
             Some(log) => {
@@ -238,7 +241,7 @@
     }
 
     /// Time passes; these are the members that live as membership sees it.
-    pub fn tick(&mut self, now: Timestamp, alive: &BTreeMap<u64, Member>) {
+    pub fn on_tick(&mut self, now: Timestamp, alive: &BTreeMap<u64, Member>) {
         self.ticks += 1;
         self.alive.clone_from(alive);
         self.alive.insert(self.me.id, self.me.clone());
@@ -271,65 +274,66 @@
     }
 
     /// Something came from the member with this id.
-    pub fn take(&mut self, now: Timestamp, from: u64, said: CouncilMessage) {
+    pub fn on_message(&mut self, now: Timestamp, from: u64, said: ControlMessage) {
         let mine = self.log.as_ref().map(|log| log.stamp);
         if self.out {
             return;
         }
         match said {
-            CouncilMessage::Seek => self.send(from, CouncilMessage::Known(mine)),
-            CouncilMessage::Known(stamp) => {
+            ControlMessage::ClusterQuery => self.send(from, ControlMessage::KnownCluster(mine)),
+            ControlMessage::KnownCluster(stamp) => {
                 self.answers.insert(from, (now, stamp.is_some()));
             }
-            CouncilMessage::Found(founding) if Some(founding.stamp) > mine => {
+            ControlMessage::Bootstrap(founding) if Some(founding.cluster_id) > mine => {
                 self.adopt(now, founding)
             }
-            CouncilMessage::Found(founding) if Some(founding.stamp) < mine => {
-                self.send(from, CouncilMessage::Known(mine))
+            ControlMessage::Bootstrap(founding) if Some(founding.cluster_id) < mine => {
+                self.send(from, ControlMessage::KnownCluster(mine))
             }
-            CouncilMessage::Found(_) => {}
-            CouncilMessage::Raft(stamp, _)
-            | CouncilMessage::LeaseRequest(stamp, _)
-            | CouncilMessage::Granted(stamp, ..)
-            | CouncilMessage::Leaves(stamp)
-            | CouncilMessage::Gone(stamp)
-            | CouncilMessage::Capacity(stamp, _)
+            ControlMessage::Bootstrap(_) => {}
+            ControlMessage::Raft(stamp, _)
+            | ControlMessage::LeaseRequest(stamp, _)
+            | ControlMessage::LeaseGranted(stamp, ..)
+            | ControlMessage::Leaving(stamp)
+            | ControlMessage::Removed(stamp)
+            | ControlMessage::Capacity(stamp, _)
                 if Some(stamp) < mine =>
             {
                 self.refused.fenced += 1;
-                self.send(from, CouncilMessage::Known(mine));
+                self.send(from, ControlMessage::KnownCluster(mine));
             }
-            CouncilMessage::Raft(stamp, bytes) => self.of_log(now, from, stamp, &bytes),
-            CouncilMessage::LeaseRequest(stamp, ask) if Some(stamp) == mine => {
+            ControlMessage::Raft(stamp, bytes) => self.of_log(now, from, stamp, &bytes),
+            ControlMessage::LeaseRequest(stamp, ask) if Some(stamp) == mine => {
                 if let Some(log) = &self.log {
                     self.leader.asked(log, from, ask);
                 }
             }
             // Nobody but the leader grants.
-            CouncilMessage::Granted(stamp, number, slice)
+            ControlMessage::LeaseGranted(stamp, number, slice)
                 if Some(stamp) == mine
                     && self.log.as_ref().is_some_and(|log| log.leader == from) =>
             {
-                self.holder.granted(&self.tuning.terms, now, number, slice);
+                self.holder
+                    .on_grant(&self.tuning.lease_terms, now, number, slice);
             }
-            CouncilMessage::Leaves(stamp) if Some(stamp) == mine => self.lets_go(now, from, stamp),
-            CouncilMessage::Capacity(stamp, capacity) if Some(stamp) == mine => {
+            ControlMessage::Leaving(stamp) if Some(stamp) == mine => self.lets_go(now, from, stamp),
+            ControlMessage::Capacity(stamp, capacity) if Some(stamp) == mine => {
                 self.propose_capacity(now, capacity)
             }
-            CouncilMessage::Gone(stamp) if Some(stamp) == mine => self.gone = self.leaving,
-            CouncilMessage::LeaseRequest(..)
-            | CouncilMessage::Granted(..)
-            | CouncilMessage::Leaves(_)
-            | CouncilMessage::Gone(_)
-            | CouncilMessage::Capacity(..) => {
-                self.refused.strange += 1;
+            ControlMessage::Removed(stamp) if Some(stamp) == mine => self.gone = self.leaving,
+            ControlMessage::LeaseRequest(..)
+            | ControlMessage::LeaseGranted(..)
+            | ControlMessage::Leaving(_)
+            | ControlMessage::Removed(_)
+            | ControlMessage::Capacity(..) => {
+                self.refused.invalid += 1;
             }
         }
         self.settle(now);
     }
 
     /// This node ends in good order: it uses nothing from now on, and says so until it is let go.
-    pub fn leave(&mut self, now: Timestamp) {
+    pub fn begin_leaving(&mut self, now: Timestamp) {
         if !std::mem::replace(&mut self.leaving, true) {
             self.holder.retire(now);
             self.hand_over(now);
@@ -339,7 +343,7 @@
     }
 
     /// Whether this node has said that it leaves, and nobody waits for its vote any more.
-    pub fn may_end(&self) -> bool {
+    pub fn has_left(&self) -> bool {
         self.leaving && (self.gone || self.log.is_none() || self.alive.len() < 2)
     }
 
@@ -374,23 +378,23 @@
         others
             .collect::<Vec<_>>()
             .into_iter()
-            .for_each(|id| self.send(id, CouncilMessage::Leaves(stamp)));
+            .for_each(|id| self.send(id, ControlMessage::Leaving(stamp)));
     }
 
     /// A member ends; once it takes part no more the leader tells it so.
-    fn lets_go(&mut self, now: Timestamp, from: u64, stamp: Stamp) {
+    fn lets_go(&mut self, now: Timestamp, from: u64, stamp: ClusterId) {
         self.leader.leaves(now, from);
         let Some(log) = self.log.as_ref().filter(|log| log.leads.is_some()) else {
             return;
         };
         let parts = log.parts();
         if !parts.voters.contains(&from) && !parts.learners.contains(&from) {
-            self.send(from, CouncilMessage::Gone(stamp));
+            self.send(from, ControlMessage::Removed(stamp));
         }
     }
 
     /// Founds anew with those that live, at a higher epoch that fences off the council whose majority is gone for good.
-    pub fn reseed(&mut self, now: Timestamp, drawn: u64) -> Result<Stamp, String> {
+    pub fn recover_quorum(&mut self, now: Timestamp, drawn: u64) -> Result<ClusterId, String> {
         if self.out {
             return Err("this process takes no part any more: start it again".into());
         }
@@ -399,16 +403,16 @@
             return Err("the council has a leader: nothing is to be founded anew".into());
         }
         let epoch = self.log.as_ref().map_or(0, |log| log.stamp.epoch) + 1;
-        let stamp = Stamp {
+        let stamp = ClusterId {
             epoch,
-            founding: drawn,
+            bootstrap_id: drawn,
         };
         let members: Vec<Member> = self.alive.values().cloned().collect();
         let voters = members.iter().map(|member| member.id).collect();
         self.found(
             now,
-            Founding {
-                stamp,
+            Bootstrap {
+                cluster_id: stamp,
                 voters,
                 members,
                 capacity: self.tuning.capacity,
@@ -423,14 +427,14 @@
         let Some((stamp, leader, epoch)) = self
             .log
             .as_ref()
-            .map(|log| (log.stamp, log.leader, log.state.epoch))
+            .map(|log| (log.stamp, log.leader, log.state.applied_entries))
         else {
             return Err("this node takes part in no council".into());
         };
         match leader {
             0 => return Err("the council has no leader now".into()),
             leader if leader == self.me.id => self.propose_capacity(now, capacity),
-            leader => self.send(leader, CouncilMessage::Capacity(stamp, capacity)),
+            leader => self.send(leader, ControlMessage::Capacity(stamp, capacity)),
         }
         Ok(epoch)
     }
@@ -438,14 +442,18 @@
     fn propose_capacity(&mut self, now: Timestamp, capacity: u32) {
         self.guarded(now, |this| {
             if let Some(log) = this.log.as_mut().filter(|log| log.leads.is_some()) {
-                log.propose(&Entry::Capacity(capacity));
+                log.propose(&Entry::CapacityChanged(capacity));
             }
             this.pump(now);
         });
     }
 
     /// What would be given out of such a capacity at the next renewal, by name; only the leader knows what all want.
-    pub fn plan(&self, now: Timestamp, capacity: u32) -> Result<BTreeMap<String, u32>, String> {
+    pub fn preview_capacity(
+        &self,
+        now: Timestamp,
+        capacity: u32,
+    ) -> Result<BTreeMap<String, u32>, String> {
         let log = self
             .log
             .as_ref()
@@ -475,7 +483,7 @@
 
     /// How this node stands.
     pub fn status(&self, now: Timestamp) -> Status {
-        let (limit, until) = self.limit(now);
+        let (limit, until) = self.lease_limit(now);
         let log = self.log.as_ref();
         let name = |id: u64| {
             let known = log
@@ -507,34 +515,34 @@
                 .unwrap_or_else(|| nobody(*id)),
             role: role(id),
             alive: self.alive.contains_key(id),
-            slice: log
-                .and_then(|log| log.state.held.get(id))
-                .map_or(0, |held| held.counts()),
+            lease: log
+                .and_then(|log| log.state.leases.get(id))
+                .map_or(0, |held| held.charged()),
         });
         Status {
-            me: self.me.clone(),
-            stamp: log.map(|log| log.stamp),
-            epoch: log.map_or(0, |log| log.state.epoch),
+            local_member: self.me.clone(),
+            cluster_id: log.map(|log| log.stamp),
+            epoch: log.map_or(0, |log| log.state.applied_entries),
             term: log.map_or(0, Log::term),
             index: log.map_or(0, |log| log.applied),
             leader: log
                 .filter(|log| log.leader != 0)
                 .and_then(|log| name(log.leader)),
             capacity: log.map_or(self.tuning.capacity, |log| log.state.capacity),
-            sum: log.map_or(0, |log| log.state.sum()),
-            limit,
+            granted: log.map_or(0, |log| log.state.total_granted()),
+            lease_limit: limit,
             lease_ms: until.map(|until| until.saturating_duration_since(now).as_millis() as u64),
-            refused: self.refused,
-            parts: parts.collect(),
+            rejected: self.refused,
+            participants: parts.collect(),
         }
     }
 
-    fn send(&mut self, to: u64, said: CouncilMessage) {
+    fn send(&mut self, to: u64, said: ControlMessage) {
         self.actions.push(Action::Send(to, said));
     }
 
-    fn note(&mut self, note: Note) {
-        self.actions.push(Action::Note(note));
+    fn note(&mut self, note: LogEvent) {
+        self.actions.push(Action::Log(note));
     }
 
     /// Tells when what may be used has changed.
@@ -542,9 +550,9 @@
         let (limit, until) = self.holder.limit(now);
         if std::mem::replace(&mut self.limit, limit) != limit {
             self.note(if until.is_some() {
-                Note::Slice(limit)
+                LogEvent::LeaseLimitChanged(limit)
             } else {
-                Note::LeaseOver
+                LogEvent::LeaseExpired
             });
         }
     }
@@ -569,9 +577,9 @@
             .collect();
         others
             .into_iter()
-            .for_each(|id| self.send(id, CouncilMessage::Seek));
+            .for_each(|id| self.send(id, ControlMessage::ClusterQuery));
         if self.answers.values().any(|(_, known)| *known)
-            || now.saturating_duration_since(self.began) < self.tuning.settle
+            || now.saturating_duration_since(self.began) < self.tuning.bootstrap_grace
         {
             return;
         }
@@ -581,33 +589,33 @@
         let names: BTreeSet<&str> = there.iter().map(|member| member.name.as_str()).collect();
         let expected = self
             .tuning
-            .expect
+            .expected_nodes
             .iter()
             .filter(|name| names.contains(name.as_str()))
             .count();
-        if expected * 2 <= self.tuning.expect.len() {
+        if expected * 2 <= self.tuning.expected_nodes.len() {
             return;
         }
         // One incarnation a name has a vote; ids for those that are missing are made from this incarnation's own.
         let mut members: BTreeMap<&str, &Member> = BTreeMap::new();
         for member in there
             .iter()
-            .filter(|member| self.tuning.expect.contains(&member.name))
+            .filter(|member| self.tuning.expected_nodes.contains(&member.name))
         {
             members.insert(&member.name, member);
         }
-        let missing = self.tuning.expect.len() - members.len();
+        let missing = self.tuning.expected_nodes.len() - members.len();
         let mut voters: Vec<u64> = members.values().map(|member| member.id).collect();
         voters.extend((1..=missing as u64).map(|n| self.me.id.wrapping_add(n).max(1)));
         let members = members.into_values().cloned().collect();
-        let stamp = Stamp {
+        let stamp = ClusterId {
             epoch: 1,
-            founding: self.me.id,
+            bootstrap_id: self.me.id,
         };
         self.found(
             now,
-            Founding {
-                stamp,
+            Bootstrap {
+                cluster_id: stamp,
                 voters,
                 members,
                 capacity: self.tuning.capacity,
@@ -615,8 +623,8 @@
         );
     }
 
-    fn found(&mut self, now: Timestamp, founding: Founding) {
-        self.note(Note::Founds(founding.stamp));
+    fn found(&mut self, now: Timestamp, founding: Bootstrap) {
+        self.note(LogEvent::Bootstrapping(founding.cluster_id));
         self.adopt(now, founding.clone());
         self.founding = Some(founding);
         self.sought = None;
@@ -630,7 +638,7 @@
         let same = self
             .log
             .as_ref()
-            .is_some_and(|log| log.stamp == founding.stamp && log.leader == 0);
+            .is_some_and(|log| log.stamp == founding.cluster_id && log.leader == 0);
         if !same {
             self.founding = None;
         } else if self
@@ -646,50 +654,50 @@
                 .collect();
             others
                 .into_iter()
-                .for_each(|id| self.send(id, CouncilMessage::Found(founding.clone())));
+                .for_each(|id| self.send(id, ControlMessage::Bootstrap(founding.clone())));
         }
     }
 
     /// Takes part in a council that is founded. An incarnation that is no voter of it is let in by its leader.
-    fn adopt(&mut self, now: Timestamp, founding: Founding) {
+    fn adopt(&mut self, now: Timestamp, founding: Bootstrap) {
         if !founding.voters.contains(&self.me.id) {
             return;
         }
-        let state = State::found(&founding);
+        let state = ClusterState::bootstrap(&founding);
         let Ok(data) = postcard::to_stdvec(&state) else {
             return;
         };
         let Ok(store) = Store::found(&founding.voters, data) else {
             return;
         };
-        self.begin(now, founding.stamp, store, state);
+        self.begin(now, founding.cluster_id, store, state);
     }
 
     /// Takes part in the council with this stamp, and in no other any more.
-    fn begin(&mut self, now: Timestamp, stamp: Stamp, store: Store, state: State) {
+    fn begin(&mut self, now: Timestamp, stamp: ClusterId, store: Store, state: ClusterState) {
         let former = self.log.take();
         let Some(mut log) = Log::begin(self.me.id, stamp, store, state, former, self.keeps) else {
             return;
         };
         log.write_beginning(&mut self.actions);
-        self.holder.drop_all(now);
+        self.holder.revoke(now);
         self.leader = Leader::default();
         self.log = Some(log);
-        self.note(Note::Joins(stamp));
+        self.note(LogEvent::JoinedCluster(stamp));
     }
 
-    fn of_log(&mut self, now: Timestamp, from: u64, stamp: Stamp, bytes: &[u8]) {
+    fn of_log(&mut self, now: Timestamp, from: u64, stamp: ClusterId, bytes: &[u8]) {
         let Some(message) = Log::read(bytes, self.me.id, from) else {
-            self.refused.strange += 1;
+            self.refused.invalid += 1;
             return;
         };
         if self.log.as_ref().is_none_or(|log| log.stamp < stamp) {
             // A leader has let this incarnation in: it learns all from a snapshot.
-            self.begin(now, stamp, Store::default(), State::default());
+            self.begin(now, stamp, Store::default(), ClusterState::default());
         }
         self.guarded(now, |this| {
             if this.log.as_mut().is_some_and(|log| !log.step(message)) {
-                this.refused.strange += 1;
+                this.refused.invalid += 1;
             }
             this.pump(now);
         });
@@ -705,7 +713,9 @@
         }
         let now_leads = log.leader;
         if now_leads != leader {
-            self.note(Note::Leads(Some(now_leads).filter(|id| *id != 0)));
+            self.note(LogEvent::LeaderChanged(
+                Some(now_leads).filter(|id| *id != 0),
+            ));
         }
         if pumped.is_err() {
             self.breaks(now);
@@ -715,16 +725,16 @@
     /// What stands in the log can't be told any more.
     fn breaks(&mut self, now: Timestamp) {
         (self.log, self.out) = (None, true);
-        self.holder.drop_all(now);
-        self.note(Note::Broke);
+        self.holder.revoke(now);
+        self.note(LogEvent::LogInconsistent);
     }
 
     /// What a leader does each tick.
     fn lead(&mut self, now: Timestamp) {
         let Some(log) = &mut self.log else { return };
-        let Tuning {
-            terms,
-            removal_after,
+        let ControlConfig {
+            lease_terms: terms,
+            member_removal_delay: removal_after,
             ..
         } = &self.tuning;
         let (me, ticks, alive) = (self.me.id, self.ticks, &self.alive);
@@ -739,13 +749,13 @@
             removal_after: *removal_after,
         };
         if let Some(change) = self.leader.tick(log, &view) {
-            self.note(Note::Changes(change));
+            self.note(LogEvent::ChangingMembership(change));
         }
     }
 
     /// The raft crate panics where a message contradicts what it holds. That must not end a node that serves: its log is
     /// thrown away, and this incarnation takes no part any more.
-    fn guarded(&mut self, now: Timestamp, work: impl FnOnce(&mut Council)) {
+    fn guarded(&mut self, now: Timestamp, work: impl FnOnce(&mut ControlNode)) {
         if catch_unwind(AssertUnwindSafe(|| work(self))).is_err() {
             self.breaks(now);
         }
@@ -758,7 +768,7 @@
         if leader == 0
             || !self
                 .holder
-                .due(&self.tuning.terms, now, self.seen.turned_away)
+                .should_request(&self.tuning.lease_terms, now, self.seen.was_limited)
         {
             return;
         }
@@ -766,18 +776,20 @@
         let floor = self.holder.floor(now);
         let demand = self
             .need
-            .follow(std::mem::take(&mut self.seen))
+            .update(std::mem::take(&mut self.seen))
             .saturating_sub(floor);
-        let ask = self.holder.ask(&self.tuning.terms, now, demand);
+        let ask = self
+            .holder
+            .next_request(&self.tuning.lease_terms, now, demand);
         if leader == self.me.id {
             self.leader.asked(log, leader, ask);
         } else {
-            self.send(leader, CouncilMessage::LeaseRequest(stamp, ask));
+            self.send(leader, ControlMessage::LeaseRequest(stamp, ask));
         }
     }
 
     /// What the node sends to itself does not go out.
-    pub fn deliver_own(&mut self, now: Timestamp) {
+    pub fn deliver_own_messages(&mut self, now: Timestamp) {
         let me = self.me.id;
         let (own, others) = std::mem::take(&mut self.actions)
             .into_iter()
@@ -786,7 +798,7 @@
         let own: Vec<Action> = own;
         for action in own {
             if let Action::Send(_, said) = action {
-                self.take(now, me, said);
+                self.on_message(now, me, said);
             }
         }
     }
--- a/crates/control/src/durable.rs
+++ b/crates/control/src/durable.rs
@@ -1,56 +1,56 @@
 //! What of the log survives a process, where a folder is configured: which writes have to be on the disk, in which order,
 //! and what they add up to. How they get there is not known here.
 
-use crate::member::Stamp;
+use crate::member::ClusterId;
 use std::collections::BTreeMap;
 
 /// One step of the log. Writes are carried out in their order, each whole or not at all, and synced before it is said that
 /// they are done.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Write {
+pub struct LogWrite {
     /// Message back once this is on the disk; each has a higher one.
-    pub number: u64,
+    pub sequence: u64,
     /// Another council: all of the one before goes.
-    pub begins: Option<Stamp>,
+    pub starts_cluster: Option<ClusterId>,
     /// All entries go: they contradict the snapshot that came.
-    pub clears: bool,
+    pub clears_entries: bool,
     /// A snapshot and the last entry that is in it; entries up to that one go.
     pub snapshot: Option<(u64, Vec<u8>)>,
     /// Term and vote.
-    pub hard: Option<Vec<u8>>,
+    pub hard_state: Option<Vec<u8>>,
     /// Entries by their places, one after the other; what stands behind the first goes.
     pub entries: Vec<(u64, Vec<u8>)>,
 }
 
 /// What the processes of one identity have left.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Durable {
+pub struct DurableState {
     /// The id of the incarnation that goes on.
-    pub id: u64,
+    pub member_id: u64,
     /// Processes that have begun with it, this one included: 1 for the first.
-    pub starts: u32,
+    pub start_count: u32,
     /// The council it takes part in.
-    pub stamp: Option<Stamp>,
+    pub cluster_id: Option<ClusterId>,
     /// The latest snapshot.
     pub snapshot: Option<Vec<u8>>,
     /// Term and vote.
-    pub hard: Option<Vec<u8>>,
+    pub hard_state: Option<Vec<u8>>,
     /// Entries behind the snapshot, by place.
     pub entries: BTreeMap<u64, Vec<u8>>,
 }
 
-impl Durable {
+impl DurableState {
     /// As it is after a write.
-    pub fn take(&mut self, write: &Write) {
-        if let Some(stamp) = write.begins {
-            *self = Durable {
-                id: self.id,
-                starts: self.starts,
-                stamp: Some(stamp),
-                ..Durable::default()
+    pub fn apply(&mut self, write: &LogWrite) {
+        if let Some(stamp) = write.starts_cluster {
+            *self = DurableState {
+                member_id: self.member_id,
+                start_count: self.start_count,
+                cluster_id: Some(stamp),
+                ..DurableState::default()
             };
         }
-        if write.clears {
+        if write.clears_entries {
             self.entries.clear();
         }
         if let Some((index, snapshot)) = &write.snapshot {
@@ -61,8 +61,8 @@
             drop(self.entries.split_off(first));
         }
         self.entries.extend(write.entries.iter().cloned());
-        if let Some(hard) = &write.hard {
-            self.hard = Some(hard.clone());
+        if let Some(hard) = &write.hard_state {
+            self.hard_state = Some(hard.clone());
         }
     }
 }
--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -6,11 +6,11 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Entry {
     /// Slices for nodes that asked.
-    Grants(Vec<Grant>),
+    LeasesGranted(Vec<Grant>),
     /// By the leader's clock these grants (holder, number) are surely over.
-    Over(Vec<(u64, u64)>),
+    LeasesExpired(Vec<(u64, u64)>),
     /// The capacity of the cold budget from here on.
-    Capacity(u32),
+    CapacityChanged(u32),
 }
 
 /// One slice for one incarnation of a node.
@@ -19,9 +19,9 @@
     /// Whose.
     pub holder: u64,
     /// The number of its request: it takes no grant but the one that answers its latest.
-    pub number: u64,
+    pub request_number: u64,
     /// What it may still have in use, by earlier grants, as of that request.
-    pub using: u32,
+    pub in_use: u32,
     /// What it may use once it has this.
-    pub slice: u32,
+    pub limit: u32,
 }
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -1,7 +1,7 @@
 //! What a node does while it leads: who takes part, and which slices are granted.
 
 use crate::entry::{Entry, Grant};
-use crate::lease::{LeaseRequest, Terms};
+use crate::lease::{LeaseRequest, LeaseTerms};
 use crate::log::Log;
 use crate::member::Member;
 use crate::voters::{self, Change, Liveness};
@@ -24,7 +24,7 @@
     pub now: Timestamp,
     pub ticks: u64,
     pub alive: &'a BTreeMap<u64, Member>,
-    pub terms: &'a Terms,
+    pub terms: &'a LeaseTerms,
     pub removal_after: Duration,
 }
 
@@ -92,8 +92,8 @@
         }
         let change = self.change(log, view);
         // A council that has granted nothing yet can't know what an earlier one granted: that runs out first.
-        let waits = log.state.grants == 0
-            && view.now.saturating_duration_since(since) < view.terms.surely_over();
+        let waits = log.state.grant_count == 0
+            && view.now.saturating_duration_since(since) < view.terms.safe_expiry();
         if view.ticks.is_multiple_of(BATCH) && !waits {
             self.grant(log, view);
         }
@@ -152,11 +152,11 @@
         let holders: Vec<u64> = log.state.members.keys().copied().filter(stays).collect();
         let turn = (now.0 / TURN.as_nanos() as u64) % holders.len().max(1) as u64;
         let claim = |id: &u64| {
-            let holds = log.state.held.get(id).map_or(0, |held| held.slice);
+            let holds = log.state.leases.get(id).map_or(0, |held| held.limit);
             // One that has not asked this leader yet is taken to demand what it has.
             Claim {
                 demand: self.demands.get(id).copied().unwrap_or(holds),
-                holds,
+                holding: holds,
             }
         };
         let claims: Vec<Claim> = holders.iter().map(claim).collect();
@@ -165,19 +165,19 @@
     }
 
     fn grant(&mut self, log: &mut Log, view: &View) {
-        let mut over = log.clocks.over(view.now, view.terms);
+        let mut over = log.clocks.expired_grants(view.now, view.terms);
         // One that ends uses nothing since it said so: what it sent before that counts for a window.
         let given_back = |(id, left): (&u64, &Left)| {
-            let free = view.now.saturating_duration_since(left.since) >= view.terms.counts();
+            let free = view.now.saturating_duration_since(left.since) >= view.terms.usage_expiry();
             log.state
-                .held
+                .leases
                 .get(id)
                 .filter(|_| free)
-                .map(|held| (*id, held.number))
+                .map(|held| (*id, held.request_number))
         };
         over.extend(self.left.iter().filter_map(given_back));
         if !over.is_empty() {
-            log.propose(&Entry::Over(over));
+            log.propose(&Entry::LeasesExpired(over));
         }
         let (holders, slices) = self.slices(log, view.now, view.alive, log.state.capacity);
         let grants = std::mem::take(&mut self.asks)
@@ -186,14 +186,14 @@
                 let place = holders.iter().position(|id| *id == holder)?;
                 Some(Grant {
                     holder,
-                    number: ask.number,
-                    using: ask.using,
-                    slice: *slices.get(place)?,
+                    request_number: ask.request_number,
+                    in_use: ask.in_use,
+                    limit: *slices.get(place)?,
                 })
             });
         let grants: Vec<Grant> = grants.collect();
         if !grants.is_empty() {
-            log.propose(&Entry::Grants(grants));
+            log.propose(&Entry::LeasesGranted(grants));
         }
     }
 }
--- a/crates/control/src/log.rs
+++ b/crates/control/src/log.rs
@@ -1,11 +1,11 @@
 //! One node's copy of the log, driven through the `raft` crate: what is ready is carried out, what stands is applied.
 
-use crate::durable::Write;
+use crate::durable::LogWrite;
 use crate::entry::Entry;
-use crate::lease::Clocks;
-use crate::member::{Member, Stamp};
-use crate::message::{Action, CouncilMessage};
-use crate::state::State;
+use crate::lease::GrantClocks;
+use crate::member::{ClusterId, Member};
+use crate::message::{Action, ControlMessage};
+use crate::state::ClusterState;
 use crate::status::LogLine;
 use crate::store::Store;
 use crate::voters::{Change, Parts};
@@ -34,11 +34,11 @@
 
 /// See the module.
 pub(crate) struct Log {
-    pub stamp: Stamp,
+    pub stamp: ClusterId,
     raw: RawNode<Store>,
     store: Store,
-    pub state: State,
-    pub clocks: Clocks,
+    pub state: ClusterState,
+    pub clocks: GrantClocks,
     /// Since when this node leads.
     pub leads: Option<Timestamp>,
     /// Who leads; 0 is nobody.
@@ -72,9 +72,9 @@
     /// Takes part in the council with this stamp from what is in the store on. What is told of a former one stays.
     pub fn begin(
         me: u64,
-        stamp: Stamp,
+        stamp: ClusterId,
         store: Store,
-        state: State,
+        state: ClusterState,
         former: Option<Log>,
         keeps: bool,
     ) -> Option<Log> {
@@ -99,7 +99,7 @@
             raw,
             store,
             state,
-            clocks: Clocks::default(),
+            clocks: GrantClocks::default(),
             leads: None,
             leader: 0,
             applied,
@@ -116,20 +116,20 @@
     pub fn write_beginning(&mut self, out: &mut Vec<Action>) {
         let snapshot = self.store.snapshot_bytes();
         self.write(
-            Write {
-                begins: Some(self.stamp),
+            LogWrite {
+                starts_cluster: Some(self.stamp),
                 snapshot,
-                ..Write::default()
+                ..LogWrite::default()
             },
             out,
         );
     }
 
-    fn write(&mut self, write: Write, out: &mut Vec<Action>) {
+    fn write(&mut self, write: LogWrite, out: &mut Vec<Action>) {
         if self.keeps {
             self.writes += 1;
-            out.push(Action::Write(Write {
-                number: self.writes,
+            out.push(Action::Write(LogWrite {
+                sequence: self.writes,
                 ..write
             }));
         }
@@ -213,18 +213,18 @@
         self.release(out);
         while self.raw.has_ready() {
             let mut ready = self.raw.ready();
-            let (mut write, mut restored) = (Write::default(), None);
+            let (mut write, mut restored) = (LogWrite::default(), None);
             if !ready.snapshot().is_empty() {
                 let snapshot = ready.snapshot().clone();
                 self.restore(&snapshot);
                 restored = Some(snapshot.get_metadata().get_index());
-                (write.snapshot, write.clears) = (self.store.snapshot_bytes(), true);
+                (write.snapshot, write.clears_entries) = (self.store.snapshot_bytes(), true);
             }
             let committed = ready.take_committed_entries();
             let mut written = self.store.mem.wl().append(ready.entries());
             if let Some(hard) = ready.hs() {
                 self.store.mem.wl().set_hardstate(hard.clone());
-                write.hard = hard.write_to_bytes().ok();
+                write.hard_state = hard.write_to_bytes().ok();
             }
             let bytes =
                 |entry: &raft::eraftpb::Entry| Some((entry.index, entry.write_to_bytes().ok()?));
@@ -268,7 +268,7 @@
             if let Ok(bytes) = message.write_to_bytes() {
                 out.push(Action::Send(
                     message.to,
-                    CouncilMessage::Raft(self.stamp, bytes),
+                    ControlMessage::Raft(self.stamp, bytes),
                 ));
             }
         }
@@ -282,7 +282,7 @@
                 ConfChange::parse_from_bytes(entry.get_data()).map_err(raft::Error::CodecError)?;
             let conf = self.raw.apply_conf_change(&change)?;
             self.store.mem.wl().set_conf_state(conf.clone());
-            self.state.epoch += 1;
+            self.state.applied_entries += 1;
             let member = postcard::from_bytes::<Member>(change.get_context()).ok();
             let named = member
                 .as_ref()
@@ -304,7 +304,7 @@
         } else if let Ok(read) = postcard::from_bytes::<Entry>(entry.get_data()) {
             // An empty entry is a new leader's; nobody else writes one.
             what = Some(match &read {
-                Entry::Grants(grants) => format!("{} grants", grants.len()),
+                Entry::LeasesGranted(grants) => format!("{} grants", grants.len()),
                 other => format!("{other:?}"),
             });
             let granted = self.state.apply(read);
@@ -312,7 +312,7 @@
                 let said = |grant: &crate::entry::Grant| {
                     Action::Send(
                         grant.holder,
-                        CouncilMessage::Granted(self.stamp, grant.number, grant.slice),
+                        ControlMessage::LeaseGranted(self.stamp, grant.request_number, grant.limit),
                     )
                 };
                 out.extend(granted.iter().map(said));
@@ -322,7 +322,7 @@
             self.told.push_back(LogLine {
                 index: entry.index,
                 term: entry.term,
-                what,
+                description: what,
             });
             if self.told.len() > TOLD {
                 self.told.pop_front();
@@ -332,7 +332,7 @@
     }
 
     fn restore(&mut self, snapshot: &Snapshot) {
-        if let Ok(state) = postcard::from_bytes::<State>(snapshot.get_data()) {
+        if let Ok(state) = postcard::from_bytes::<ClusterState>(snapshot.get_data()) {
             if self.store.restore(snapshot).is_ok() {
                 self.state = state;
                 self.applied = snapshot.get_metadata().get_index();
@@ -363,9 +363,9 @@
             .compact(self.applied.saturating_sub(BEHIND));
         let snapshot = self.store.snapshot_bytes();
         self.write(
-            Write {
+            LogWrite {
                 snapshot,
-                ..Write::default()
+                ..LogWrite::default()
             },
             out,
         );
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -22,18 +22,19 @@
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
-pub struct Stamp {
+pub struct ClusterId {
     /// 1 at the first founding of a fleet, one more at each reseeding.
     pub epoch: u64,
     /// Drawn at the founding.
-    pub founding: u64,
+    #[serde(rename = "founding")]
+    pub bootstrap_id: u64,
 }
 
 /// How a council begins.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Founding {
+pub struct Bootstrap {
     /// Which council it is.
-    pub stamp: Stamp,
+    pub cluster_id: ClusterId,
     /// Its first voters. Expected nodes that were not there are counted with ids that nobody has, so that no council acts
     /// without a majority of all that are expected.
     pub voters: Vec<u64>,
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -1,60 +1,60 @@
 //! What nodes say to each other of the council, and what one of them wants carried out.
 
-use crate::durable::Write;
+use crate::durable::LogWrite;
 use crate::lease::LeaseRequest;
-use crate::member::{Founding, Stamp};
+use crate::member::{Bootstrap, ClusterId};
 use crate::voters::Change;
 use serde::{Deserialize, Serialize};
 
 /// What nodes say to each other of the council.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum CouncilMessage {
+pub enum ControlMessage {
     /// Do you know a council?
-    Seek,
+    ClusterQuery,
     /// The greatest that the sender knows, if any.
-    Known(Option<Stamp>),
+    KnownCluster(Option<ClusterId>),
     /// A council begins.
-    Found(Founding),
+    Bootstrap(Bootstrap),
     /// Of the log.
-    Raft(Stamp, Vec<u8>),
+    Raft(ClusterId, Vec<u8>),
     /// A slice is asked for.
-    LeaseRequest(Stamp, LeaseRequest),
+    LeaseRequest(ClusterId, LeaseRequest),
     /// It is granted: the number of the request, and the slice.
-    Granted(Stamp, u64, u32),
+    LeaseGranted(ClusterId, u64, u32),
     /// The sender ends in good order.
-    Leaves(Stamp),
+    Leaving(ClusterId),
     /// To one that leaves: it takes part no more.
-    Gone(Stamp),
+    Removed(ClusterId),
     /// To the leader: another capacity is to be handed out.
-    Capacity(Stamp, u32),
+    Capacity(ClusterId, u32),
 }
 
 /// What a person who reads the log should know.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Note {
+pub enum LogEvent {
     /// This node founds a council.
-    Founds(Stamp),
+    Bootstrapping(ClusterId),
     /// This node takes part in a council.
-    Joins(Stamp),
+    JoinedCluster(ClusterId),
     /// Another leader, or none.
-    Leads(Option<u64>),
+    LeaderChanged(Option<u64>),
     /// The leader changes who takes part.
-    Changes(Change),
+    ChangingMembership(Change),
     /// What this node may use has changed.
-    Slice(u32),
+    LeaseLimitChanged(u32),
     /// Its lease has run out.
-    LeaseOver,
+    LeaseExpired,
     /// The log broke its own rules: this incarnation takes no part any more.
-    Broke,
+    LogInconsistent,
 }
 
 /// What is to be carried out.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
     /// To the member with this id.
-    Send(u64, CouncilMessage),
+    Send(u64, ControlMessage),
     /// Onto the disk, where there is a folder.
-    Write(Write),
+    Write(LogWrite),
     /// For people.
-    Note(Note),
+    Log(LogEvent),
 }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -2,96 +2,97 @@
 //! down when it is applied, whoever proposed it.
 
 use crate::entry::{Entry, Grant};
-use crate::member::{Founding, Member, Stamp};
+use crate::member::{Bootstrap, ClusterId, Member};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 /// What a holder may have in use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Held {
+pub struct ActiveLease {
     /// The number of the request that the slice answers.
-    pub number: u64,
+    pub request_number: u64,
     /// The slice.
-    pub slice: u32,
+    pub limit: u32,
     /// What earlier ones may still have in use.
-    pub using: u32,
+    pub in_use: u32,
 }
 
-impl Held {
+impl ActiveLease {
     /// What is taken of the capacity.
-    pub fn counts(&self) -> u32 {
-        self.slice.max(self.using)
+    pub fn charged(&self) -> u32 {
+        self.limit.max(self.in_use)
     }
 }
 
 /// What all agree on.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct State {
+pub struct ClusterState {
     /// Which council this is.
-    pub stamp: Stamp,
+    pub cluster_id: ClusterId,
     /// Entries that led here: a number for what is told of it.
-    pub epoch: u64,
+    pub applied_entries: u64,
     /// Voters and learners by id.
     pub members: BTreeMap<u64, Member>,
     /// See `Founding::capacity`.
     pub capacity: u32,
     /// What is granted and not surely over, by holder.
-    pub held: BTreeMap<u64, Held>,
+    pub leases: BTreeMap<u64, ActiveLease>,
     /// Grants that were made.
-    pub grants: u64,
+    pub grant_count: u64,
 }
 
-impl State {
+impl ClusterState {
     /// As a council begins.
-    pub fn found(founding: &Founding) -> State {
+    pub fn bootstrap(founding: &Bootstrap) -> ClusterState {
         let members = founding
             .members
             .iter()
             .map(|member| (member.id, member.clone()))
             .collect();
-        State {
-            stamp: founding.stamp,
+        ClusterState {
+            cluster_id: founding.cluster_id,
             capacity: founding.capacity,
             members,
-            ..State::default()
+            ..ClusterState::default()
         }
     }
 
     /// What is taken of the capacity.
-    pub fn sum(&self) -> u32 {
-        self.held
+    pub fn total_granted(&self) -> u32 {
+        self.leases
             .values()
-            .fold(0, |sum, held| sum.saturating_add(held.counts()))
+            .fold(0, |sum, held| sum.saturating_add(held.charged()))
     }
 
     /// What is left for this holder: the capacity without what the others may have in use.
-    pub fn left(&self, holder: u64) -> u32 {
-        let own = self.held.get(&holder).map_or(0, Held::counts);
-        self.capacity.saturating_sub(self.sum().saturating_sub(own))
+    pub fn available_to(&self, holder: u64) -> u32 {
+        let own = self.leases.get(&holder).map_or(0, ActiveLease::charged);
+        self.capacity
+            .saturating_sub(self.total_granted().saturating_sub(own))
     }
 
     /// Takes one entry in; gives the grants as they were made.
     pub fn apply(&mut self, entry: Entry) -> Vec<Grant> {
-        self.epoch += 1;
+        self.applied_entries += 1;
         match entry {
-            Entry::Grants(grants) => grants
+            Entry::LeasesGranted(grants) => grants
                 .into_iter()
                 .filter_map(|grant| self.grant(grant))
                 .collect(),
-            Entry::Over(over) => {
+            Entry::LeasesExpired(over) => {
                 for (holder, number) in over {
                     // A newer grant than the one that is over stays.
                     if self
-                        .held
+                        .leases
                         .get(&holder)
-                        .is_some_and(|held| held.number == number)
+                        .is_some_and(|held| held.request_number == number)
                     {
-                        self.held.remove(&holder);
+                        self.leases.remove(&holder);
                     }
                 }
                 Vec::new()
             }
-            Entry::Capacity(capacity) => {
+            Entry::CapacityChanged(capacity) => {
                 self.capacity = capacity;
                 Vec::new()
             }
@@ -101,31 +102,34 @@
     fn grant(&mut self, grant: Grant) -> Option<Grant> {
         let Grant {
             holder,
-            number,
-            using,
-            slice,
+            request_number: number,
+            in_use: using,
+            limit: slice,
         } = grant;
         // Guards against a request that a former leader took and that comes into the log behind a newer one.
         if !self.members.contains_key(&holder)
             || self
-                .held
+                .leases
                 .get(&holder)
-                .is_some_and(|held| held.number >= number)
+                .is_some_and(|held| held.request_number >= number)
         {
             return None;
         }
         // It can't have more in use than it was granted: guards against one mad node that would take all of the capacity.
-        let using = using.min(self.held.get(&holder).map_or(0, Held::counts));
-        let slice = slice.min(self.left(holder));
-        self.grants += 1;
-        self.held.insert(
+        let using = using.min(self.leases.get(&holder).map_or(0, ActiveLease::charged));
+        let slice = slice.min(self.available_to(holder));
+        self.grant_count += 1;
+        self.leases.insert(
             holder,
-            Held {
-                number,
-                slice,
-                using,
+            ActiveLease {
+                request_number: number,
+                limit: slice,
+                in_use: using,
             },
         );
-        Some(Grant { slice, ..grant })
+        Some(Grant {
+            limit: slice,
+            ..grant
+        })
     }
 }
--- a/crates/control/src/status.rs
+++ b/crates/control/src/status.rs
@@ -1,15 +1,16 @@
 //! What people are told of the council.
 
-use crate::member::{Member, Stamp};
+use crate::member::{ClusterId, Member};
 use serde::Serialize;
 
 /// Messages that changed nothing.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
-pub struct Refused {
+pub struct RejectedMessages {
     /// Of a council that is fenced off.
     pub fenced: u64,
     /// For another incarnation, from another than who sends it, or not to be read.
-    pub strange: u64,
+    #[serde(rename = "strange")]
+    pub invalid: u64,
 }
 
 /// One line of `fleet log`.
@@ -20,7 +21,8 @@
     /// Under which leadership.
     pub term: u64,
     /// What it says.
-    pub what: String,
+    #[serde(rename = "what")]
+    pub description: String,
 }
 
 /// One incarnation of a node as the council has it.
@@ -33,16 +35,19 @@
     /// Membership takes it to live.
     pub alive: bool,
     /// What it may have in use of the cold budget.
-    pub slice: u32,
+    #[serde(rename = "slice")]
+    pub lease: u32,
 }
 
 /// How this node stands.
 #[derive(Clone, Debug, Serialize)]
 pub struct Status {
     /// This node.
-    pub me: Member,
+    #[serde(rename = "me")]
+    pub local_member: Member,
     /// The council it takes part in.
-    pub stamp: Option<Stamp>,
+    #[serde(rename = "stamp")]
+    pub cluster_id: Option<ClusterId>,
     /// Entries that led to the state.
     pub epoch: u64,
     /// The raft term and the last entry that is applied.
@@ -55,13 +60,17 @@
     #[serde(rename = "whole")] // as scripts of staff read it
     pub capacity: u32,
     /// See `capacity`.
-    pub sum: u32,
+    #[serde(rename = "sum")]
+    pub granted: u32,
     /// What this node may use now.
-    pub limit: u32,
+    #[serde(rename = "limit")]
+    pub lease_limit: u32,
     /// Its lease is over in so many milliseconds, by its own clock.
     pub lease_ms: Option<u64>,
     /// Messages that changed nothing.
-    pub refused: Refused,
+    #[serde(rename = "refused")]
+    pub rejected: RejectedMessages,
     /// All that take part.
-    pub parts: Vec<Participant>,
+    #[serde(rename = "parts")]
+    pub participants: Vec<Participant>,
 }
--- a/crates/control/src/store.rs
+++ b/crates/control/src/store.rs
@@ -1,6 +1,6 @@
 //! The log in memory: the raft crate's own store, with the state added to its snapshots.
 
-use crate::durable::Durable;
+use crate::durable::DurableState;
 use protobuf::Message as _;
 use raft::eraftpb::{ConfState, Entry, HardState, Snapshot};
 use raft::storage::MemStorage;
@@ -27,7 +27,7 @@
     }
 
     /// As a process before this one left it; an error says that it contradicts itself.
-    pub fn resume(kept: &Durable) -> Result<Store> {
+    pub fn resume(kept: &DurableState) -> Result<Store> {
         let store = Store::default();
         if let Some(bytes) = &kept.snapshot {
             store.restore(&Snapshot::parse_from_bytes(bytes)?)?;
@@ -46,7 +46,7 @@
             next += 1;
         }
         store.mem.wl().append(&entries)?;
-        if let Some(bytes) = &kept.hard {
+        if let Some(bytes) = &kept.hard_state {
             let mut hard = HardState::parse_from_bytes(bytes)?;
             // How far the log stood is not synced: at least what is in the snapshot did.
             let known = store.mem.initial_state()?.hard_state;
--- a/crates/control/tests/model.rs
+++ b/crates/control/tests/model.rs
@@ -3,9 +3,9 @@
 //! clocks that run apart.
 
 use lupincrank_control::entry::{Entry, Grant};
-use lupincrank_control::lease::{Clocks, Holder, LeaseRequest, Terms};
-use lupincrank_control::member::{Founding, Member, Stamp};
-use lupincrank_control::state::State;
+use lupincrank_control::lease::{GrantClocks, LeaseHolder, LeaseRequest, LeaseTerms};
+use lupincrank_control::member::{Bootstrap, ClusterId, Member};
+use lupincrank_control::state::ClusterState;
 use lupincrank_placement::Timestamp;
 use rstest::rstest;
 use stateright::{Checker, Model, Property};
@@ -21,7 +21,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Incarnation {
     id: u64,
-    machine: Holder,
+    machine: LeaseHolder,
     asked: u8,
     frozen: bool,
     /// Limits and when each was last in force; also those of the incarnations before.
@@ -38,8 +38,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct World {
     now: u64,
-    state: State,
-    clocks: Clocks,
+    state: ClusterState,
+    clocks: GrantClocks,
     /// Since when the granter leads a council that has granted nothing.
     leads: Timestamp,
     incarnations: Vec<Incarnation>,
@@ -87,13 +87,13 @@
 };
 
 impl Leases {
-    fn terms(&self) -> Terms {
-        Terms {
-            lease: Duration::from_millis(2 * STEP),
-            window: Duration::from_millis(STEP),
-            drift: self.drift,
-            renew: Duration::from_millis(STEP),
-            pressed: Duration::from_millis(STEP),
+    fn terms(&self) -> LeaseTerms {
+        LeaseTerms {
+            lease_duration: Duration::from_millis(2 * STEP),
+            accounting_window: Duration::from_millis(STEP),
+            max_clock_drift: self.drift,
+            renew_interval: Duration::from_millis(STEP),
+            renew_interval_under_pressure: Duration::from_millis(STEP),
         }
     }
     fn holder(&self, now: u64) -> Timestamp {
@@ -102,7 +102,7 @@
     fn granter(&self, now: u64) -> Timestamp {
         Timestamp(((now * STEP) as f64 * 1e6 * (1.0 + self.slow)) as u64)
     }
-    fn found(&self, epoch: u64, incarnations: &[Incarnation]) -> State {
+    fn found(&self, epoch: u64, incarnations: &[Incarnation]) -> ClusterState {
         let member = |incarnation: &Incarnation| Member {
             id: incarnation.id,
             name: String::new(),
@@ -110,9 +110,12 @@
             region: String::new(),
             build: String::new(),
         };
-        let stamp = Stamp { epoch, founding: 1 };
-        State::found(&Founding {
-            stamp,
+        let stamp = ClusterId {
+            epoch,
+            bootstrap_id: 1,
+        };
+        ClusterState::bootstrap(&Bootstrap {
+            cluster_id: stamp,
             voters: vec![],
             members: incarnations.iter().map(member).collect(),
             capacity: CAPACITY,
@@ -123,8 +126,8 @@
     fn upkeep(&self, world: &mut World) {
         let at = self.granter(world.now);
         world.clocks.follow(at, &world.state);
-        let over = world.clocks.over(at, &self.terms());
-        world.state.apply(Entry::Over(over));
+        let over = world.clocks.expired_grants(at, &self.terms());
+        world.state.apply(Entry::LeasesExpired(over));
         world.clocks.follow(at, &world.state);
         let at = self.holder(world.now);
         for incarnation in &mut world.incarnations {
@@ -143,17 +146,17 @@
     fn grant(&self, world: &mut World, from: u64, ask: LeaseRequest, most: u32) {
         let at = self.granter(world.now);
         let waits =
-            !self.no_wait && at.saturating_duration_since(world.leads) < self.terms().surely_over();
-        if world.state.grants == 0 && waits {
+            !self.no_wait && at.saturating_duration_since(world.leads) < self.terms().safe_expiry();
+        if world.state.grant_count == 0 && waits {
             return;
         }
-        let using = if self.no_using { 0 } else { ask.using };
-        let slice = world.state.left(from).min(most);
-        let made = world.state.apply(Entry::Grants(vec![Grant {
+        let using = if self.no_using { 0 } else { ask.in_use };
+        let slice = world.state.available_to(from).min(most);
+        let made = world.state.apply(Entry::LeasesGranted(vec![Grant {
             holder: from,
-            number: ask.number,
-            using,
-            slice,
+            request_number: ask.request_number,
+            in_use: using,
+            limit: slice,
         }]));
         world
             .wire
@@ -168,7 +171,7 @@
     fn init_states(&self) -> Vec<World> {
         let incarnation = |id| Incarnation {
             id,
-            machine: Holder::new(&self.terms(), Timestamp(0), 0, 0),
+            machine: LeaseHolder::new(&self.terms(), Timestamp(0), 0, 0),
             asked: 0,
             frozen: false,
             used: vec![],
@@ -176,8 +179,8 @@
         let incarnations = vec![incarnation(1), incarnation(2)];
         let mut state = self.found(1, &incarnations);
         // A council that has been at work for a while.
-        state.grants = 1;
-        let (clocks, leads) = (Clocks::default(), Timestamp(0));
+        state.grant_count = 1;
+        let (clocks, leads) = (GrantClocks::default(), Timestamp(0));
         vec![World {
             now: 0,
             state,
@@ -197,7 +200,7 @@
         for (n, incarnation) in world.incarnations.iter().enumerate() {
             if incarnation.frozen {
                 actions.push(Step::Wake(n));
-            } else if incarnation.machine.due(&self.terms(), at, false)
+            } else if incarnation.machine.should_request(&self.terms(), at, false)
                 && world.wire.len() < 2
                 && incarnation.asked < ASKS[n]
             {
@@ -225,7 +228,9 @@
             Step::Pass => next.now += 1,
             Step::LeaseRequest(n) => {
                 next.incarnations[n].asked += 1;
-                let ask = next.incarnations[n].machine.ask(&self.terms(), at, 0);
+                let ask = next.incarnations[n]
+                    .machine
+                    .next_request(&self.terms(), at, 0);
                 next.wire
                     .push(Wire::LeaseRequest(next.incarnations[n].id, ask));
             }
@@ -245,9 +250,12 @@
                     if incarnation.frozen {
                         return None;
                     }
-                    incarnation
-                        .machine
-                        .granted(&self.terms(), at, grant.number, grant.slice);
+                    incarnation.machine.on_grant(
+                        &self.terms(),
+                        at,
+                        grant.request_number,
+                        grant.limit,
+                    );
                 }
             },
             Step::Freeze(n) => {
@@ -259,11 +267,11 @@
                 next.faults += 1;
                 let used = next.incarnations[n].used.clone();
                 let id = next.incarnations[n].id + if self.same_id { 0 } else { 10 };
-                let mut machine = Holder::new(&self.terms(), at, 0, 0);
+                let mut machine = LeaseHolder::new(&self.terms(), at, 0, 0);
                 if self.same_id {
                     // The mutant: it goes on as the one it was, and has forgotten what that one was granted.
-                    next.state.held.remove(&id);
-                    machine.ask(&self.terms(), at, 0);
+                    next.state.leases.remove(&id);
+                    machine.next_request(&self.terms(), at, 0);
                 }
                 next.incarnations[n] = Incarnation {
                     id,
@@ -282,12 +290,12 @@
             Step::NewGranter => {
                 next.faults += 1;
                 // It counts all that it finds from now on.
-                next.clocks = Clocks::default();
+                next.clocks = GrantClocks::default();
             }
             Step::Reseed => {
                 next.faults += 1;
-                next.state = self.found(next.state.stamp.epoch + 1, &next.incarnations);
-                (next.clocks, next.leads) = (Clocks::default(), self.granter(next.now));
+                next.state = self.found(next.state.cluster_id.epoch + 1, &next.incarnations);
+                (next.clocks, next.leads) = (GrantClocks::default(), self.granter(next.now));
                 // Messages of the old council answer nothing any more; leases that are held run on.
                 next.wire.clear();
             }
--- a/crates/control/tests/schedules.rs
+++ b/crates/control/tests/schedules.rs
@@ -3,7 +3,7 @@
 
 mod sim;
 
-use lupincrank_control::lease::Terms;
+use lupincrank_control::lease::LeaseTerms;
 use proptest::prelude::*;
 use rstest::rstest;
 use sim::{Fault, Sim, CAPACITY, FLOOR};
@@ -33,7 +33,7 @@
         seed in any::<u64>(),
         faults in proptest::collection::vec((100..3000u64, fault()), 1..12),
     ) {
-        let mut sim = Sim::new(nodes, drift, Terms::default(), seed);
+        let mut sim = Sim::new(nodes, drift, LeaseTerms::default(), seed);
         sim.run(Duration::from_secs(9));
         for (after, fault) in &faults {
             sim.fault(fault);
@@ -67,7 +67,7 @@
         seed in any::<u64>(),
         faults in proptest::collection::vec((20..3000u64, returns()), 1..16),
     ) {
-        let mut sim = Sim::on_disks(nodes, Terms::default(), seed);
+        let mut sim = Sim::on_disks(nodes, LeaseTerms::default(), seed);
         sim.run(Duration::from_secs(9));
         for (after, fault) in &faults {
             sim.fault(fault);
@@ -81,9 +81,10 @@
 #[test]
 fn a_council_on_disks_outlives_all_of_its_processes() {
     for seed in 0..6 {
-        let mut sim = Sim::on_disks(5, Terms::default(), seed);
+        let mut sim = Sim::on_disks(5, LeaseTerms::default(), seed);
         sim.run(Duration::from_secs(10));
-        let stamp = |sim: &Sim, n: usize| sim.nodes[n].council.state().map(|state| state.stamp);
+        let stamp =
+            |sim: &Sim, n: usize| sim.nodes[n].council.state().map(|state| state.cluster_id);
         let before = stamp(&sim, 0);
         assert!(before.is_some(), "seed {seed}");
         for _ in 0..3 {
@@ -117,7 +118,7 @@
 fn what_stood_in_the_log_outlives_slow_disks(#[case] hasty: bool) {
     let mut lost = 0;
     for seed in 0..12 {
-        let mut sim = Sim::on_disks(5, Terms::default(), seed);
+        let mut sim = Sim::on_disks(5, LeaseTerms::default(), seed);
         (sim.hasty, sim.slow_disks) = (hasty, true);
         sim.run(Duration::from_secs(15));
         // An entry is one by its place and the leadership that it was written under.
@@ -134,7 +135,7 @@
             .expect("a log");
         (0..5).for_each(|n| sim.fault(&Fault::Return(n)));
         sim.run(Duration::from_secs(8));
-        let leader = (0..5).find(|n| sim.nodes[*n].council.leads());
+        let leader = (0..5).find(|n| sim.nodes[*n].council.is_leader());
         let leader = leader.unwrap_or_else(|| panic!("seed {seed}: nobody leads"));
         lost += u32::from(!entries(&sim, leader).contains(&last));
     }
@@ -146,7 +147,7 @@
 #[test]
 fn nodes_that_end_in_good_order_leave_a_council_and_their_slices_behind() {
     for seed in 0..8 {
-        let mut sim = Sim::new(4, 0.01, Terms::default(), seed);
+        let mut sim = Sim::new(4, 0.01, LeaseTerms::default(), seed);
         sim.run(Duration::from_secs(10));
         for n in 0..3 {
             sim.fault(&Fault::Leave((seed as usize + n) % 4));
@@ -154,7 +155,7 @@
         }
         let stays = (seed as usize + 3) % 4;
         let deadline = sim.now + Duration::from_secs(10);
-        while sim.nodes[stays].council.limit(sim.local(stays)).0 < CAPACITY - 3 * FLOOR {
+        while sim.nodes[stays].council.lease_limit(sim.local(stays)).0 < CAPACITY - 3 * FLOOR {
             sim.run(Duration::from_millis(100));
             assert!(
                 sim.now < deadline,
@@ -162,7 +163,7 @@
                 sim.nodes[stays].council.status(sim.local(stays))
             );
         }
-        assert!(sim.nodes[stays].council.leads(), "seed {seed}");
+        assert!(sim.nodes[stays].council.is_leader(), "seed {seed}");
         assert!(
             sim.worst <= CAPACITY,
             "{} in use of {CAPACITY}, seed {seed}",
@@ -179,7 +180,7 @@
 fn a_voter_from_nothing_is_another_one(#[case] same_id: bool) {
     let mut worst = 0;
     for seed in 0..8 {
-        let mut sim = Sim::with(3, 0.0, Terms::default(), seed, same_id);
+        let mut sim = Sim::with(3, 0.0, LeaseTerms::default(), seed, same_id);
         sim.run(Duration::from_secs(10));
         let alone = |sim: &mut Sim, one: usize| {
             (0..3).filter(|other| *other != one).for_each(|other| {
@@ -205,10 +206,10 @@
 #[case::waits_longer(0.03, false)]
 #[case::the_mutant_that_trusts_clocks(0.0, true)]
 fn a_granter_waits_for_slow_clocks(#[case] drift: f64, #[case] breaks: bool) {
-    let terms = Terms {
-        lease: Duration::from_secs(60),
-        drift,
-        ..Terms::default()
+    let terms = LeaseTerms {
+        lease_duration: Duration::from_secs(60),
+        max_clock_drift: drift,
+        ..LeaseTerms::default()
     };
     let mut worst = 0;
     for seed in 0..12 {
@@ -233,7 +234,7 @@
         (3, Fault::Restart(0)),
         (4, Fault::Cut(0, 1)),
     ] {
-        let mut sim = Sim::new(5, 0.01, Terms::default(), seed);
+        let mut sim = Sim::new(5, 0.01, LeaseTerms::default(), seed);
         sim.run(Duration::from_secs(10));
         assert_eq!(sim.led(), 5, "seed {seed}");
         sim.fault(&fault);
@@ -251,11 +252,11 @@
 /// What is sent to a new incarnation first is a snapshot: one that gets lost must come again, and nobody votes without it.
 #[test]
 fn one_leader_after_the_other_starts_from_nothing_while_messages_get_lost() {
-    let mut sim = Sim::new(5, 0.01, Terms::default(), 6);
+    let mut sim = Sim::new(5, 0.01, LeaseTerms::default(), 6);
     sim.run(Duration::from_secs(10));
     for round in 0..6 {
         let leader = (0..5)
-            .find(|n| sim.nodes[*n].council.leads())
+            .find(|n| sim.nodes[*n].council.is_leader())
             .expect("a leader");
         sim.fault(&Fault::Lose(40));
         sim.fault(&Fault::Restart(leader));
@@ -274,7 +275,7 @@
 
 #[test]
 fn after_a_lost_majority_only_a_person_founds_anew_and_the_old_council_is_fenced() {
-    let mut sim = Sim::new(5, 0.01, Terms::default(), 9);
+    let mut sim = Sim::new(5, 0.01, LeaseTerms::default(), 9);
     sim.run(Duration::from_secs(10));
     // More than half of the voters are gone in one moment, and come back with no memory.
     for node in [0, 1, 2] {
@@ -284,7 +285,7 @@
     let epochs = |sim: &Sim| -> Vec<Option<u64>> {
         sim.nodes
             .iter()
-            .map(|node| node.council.state().map(|state| state.stamp.epoch))
+            .map(|node| node.council.state().map(|state| state.cluster_id.epoch))
             .collect()
     };
     assert!(
@@ -311,32 +312,32 @@
         from in 0..3usize,
         bytes in proptest::collection::vec(any::<u8>(), 0..80),
     ) {
-        use lupincrank_control::message::CouncilMessage;
+        use lupincrank_control::message::ControlMessage;
         use lupincrank_control::lease::LeaseRequest;
-        use lupincrank_control::member::Stamp;
+        use lupincrank_control::member::ClusterId;
         thread_local!(static LED: std::cell::RefCell<Sim> = std::cell::RefCell::new({
-            let mut sim = Sim::new(3, 0.0, Terms::default(), 4);
+            let mut sim = Sim::new(3, 0.0, LeaseTerms::default(), 4);
             sim.run(Duration::from_secs(8));
             sim
         }));
         LED.with_borrow_mut(|sim| {
-            let to = (0..3).find(|n| sim.nodes[*n].council.leads()).unwrap();
-            let mine = sim.nodes[to].council.state().unwrap().stamp;
+            let to = (0..3).find(|n| sim.nodes[*n].council.is_leader()).unwrap();
+            let mine = sim.nodes[to].council.state().unwrap().cluster_id;
             // A higher stamp would be another council, which every incarnation prefers: that is the rule.
-            let stamp = if stamp { mine } else { Stamp { epoch: 0, founding: 3 } };
+            let stamp = if stamp { mine } else { ClusterId { epoch: 0, bootstrap_id: 3 } };
             let from = if from == to { (to + 1) % 3 } else { from };
             let id = sim.nodes[from].id;
             let said = match kind {
-                0 => CouncilMessage::Seek,
-                1 => CouncilMessage::Known(Some(stamp)),
-                2 | 3 => CouncilMessage::Raft(stamp, bytes),
-                4 => CouncilMessage::LeaseRequest(stamp, LeaseRequest { number: bytes.len() as u64, using: u32::MAX, demand: u32::MAX }),
-                5 => CouncilMessage::Granted(stamp, bytes.len() as u64, u32::MAX),
+                0 => ControlMessage::ClusterQuery,
+                1 => ControlMessage::KnownCluster(Some(stamp)),
+                2 | 3 => ControlMessage::Raft(stamp, bytes),
+                4 => ControlMessage::LeaseRequest(stamp, LeaseRequest { request_number: bytes.len() as u64, in_use: u32::MAX, demand: u32::MAX }),
+                5 => ControlMessage::LeaseGranted(stamp, bytes.len() as u64, u32::MAX),
                 // That a member leaves is its own word, as is what it uses.
-                _ => CouncilMessage::Gone(stamp),
+                _ => ControlMessage::Removed(stamp),
             };
             let now = sim.local(to);
-            sim.nodes[to].council.take(now, id, said);
+            sim.nodes[to].council.on_message(now, id, said);
             sim.run(Duration::from_millis(50));
             prop_assert!(sim.nodes[to].council.state().is_some());
             prop_assert!(sim.worst <= CAPACITY, "{} in use of {CAPACITY}", sim.worst);
--- a/crates/control/tests/sim/mod.rs
+++ b/crates/control/tests/sim/mod.rs
@@ -2,14 +2,14 @@
 //! nothing, and each has a clock of its own.
 #![allow(dead_code)]
 
-use lupincrank_budgets::need::Use;
-use lupincrank_control::council::{Council, Tuning, TICK};
+use lupincrank_budgets::demand::BudgetUsage;
+use lupincrank_control::council::{ControlConfig, ControlNode, TICK_INTERVAL};
 use lupincrank_placement::Timestamp;
 
-use lupincrank_control::durable::{Durable, Write};
-use lupincrank_control::lease::Terms;
+use lupincrank_control::durable::{DurableState, LogWrite};
+use lupincrank_control::lease::LeaseTerms;
 use lupincrank_control::member::Member;
-use lupincrank_control::message::{Action, CouncilMessage};
+use lupincrank_control::message::{Action, ControlMessage};
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -40,7 +40,7 @@
 }
 
 pub struct Node {
-    pub council: Council,
+    pub council: ControlNode,
     pub id: u64,
     frozen: bool,
     dead: bool,
@@ -50,21 +50,21 @@
     ticked: Duration,
     /// What it might have used, and until when, by real time.
     limits: VecDeque<(Duration, u32)>,
-    inbox: VecDeque<(u64, CouncilMessage)>,
+    inbox: VecDeque<(u64, ControlMessage)>,
     /// What is on its disk, and what will be, and when: lost if it is killed before.
-    disk: Durable,
-    unsynced: VecDeque<(Duration, Write)>,
+    disk: DurableState,
+    unsynced: VecDeque<(Duration, LogWrite)>,
     ends: Option<Duration>,
 }
 
 pub struct Sim {
     pub nodes: Vec<Node>,
     pub now: Duration,
-    pub terms: Terms,
+    pub terms: LeaseTerms,
     cut: BTreeSet<(usize, usize)>,
     loss: f64,
     heard: BTreeMap<(usize, usize), Duration>,
-    wire: BTreeMap<(Duration, u64), (usize, u64, usize, CouncilMessage)>,
+    wire: BTreeMap<(Duration, u64), (usize, u64, usize, ControlMessage)>,
     numbered: u64,
     incarnations: u64,
     random: Pcg64Mcg,
@@ -91,12 +91,12 @@
 }
 
 impl Sim {
-    pub fn new(nodes: usize, drift: f64, terms: Terms, seed: u64) -> Sim {
+    pub fn new(nodes: usize, drift: f64, terms: LeaseTerms, seed: u64) -> Sim {
         Sim::with(nodes, drift, terms, seed, false)
     }
 
     /// Nodes that keep log and vote.
-    pub fn on_disks(nodes: usize, terms: Terms, seed: u64) -> Sim {
+    pub fn on_disks(nodes: usize, terms: LeaseTerms, seed: u64) -> Sim {
         let mut sim = Sim::new(nodes, 0.0, terms, seed);
         sim.disks = true;
         for n in 0..nodes {
@@ -106,7 +106,7 @@
         sim
     }
 
-    pub fn with(nodes: usize, drift: f64, terms: Terms, seed: u64, same_id: bool) -> Sim {
+    pub fn with(nodes: usize, drift: f64, terms: LeaseTerms, seed: u64, same_id: bool) -> Sim {
         let mut random = Pcg64Mcg::new(u128::from(seed) << 1 | 1);
         let mut sim = Sim {
             nodes: Vec::new(),
@@ -141,7 +141,7 @@
         nodes: usize,
         rate: f64,
         offset: u64,
-        kept: Option<Durable>,
+        kept: Option<DurableState>,
     ) -> Node {
         self.incarnations += 1;
         let id = if self.same_id {
@@ -149,26 +149,26 @@
         } else {
             self.incarnations * 1_000 + n as u64
         };
-        let disk = kept.unwrap_or(Durable {
-            id,
-            ..Durable::default()
+        let disk = kept.unwrap_or(DurableState {
+            member_id: id,
+            ..DurableState::default()
         });
-        let disk = Durable {
-            starts: disk.starts + 1,
+        let disk = DurableState {
+            start_count: disk.start_count + 1,
             ..disk
         };
-        let id = disk.id;
-        let tuning = Tuning {
-            terms: self.terms,
-            expect: (0..nodes).map(|n| format!("n{n}")).collect(),
+        let id = disk.member_id;
+        let tuning = ControlConfig {
+            lease_terms: self.terms,
+            expected_nodes: (0..nodes).map(|n| format!("n{n}")).collect(),
             capacity: CAPACITY - FLOOR * nodes as u32,
             floor: FLOOR,
-            settle: Duration::from_millis(1500),
-            removal_after: Duration::from_secs(2),
+            bootstrap_grace: Duration::from_millis(1500),
+            member_removal_delay: Duration::from_secs(2),
         };
         let at = local(self.now, rate, offset);
         Node {
-            council: Council::new(at, member(n, id), tuning, self.disks.then_some(&disk))
+            council: ControlNode::new(at, member(n, id), tuning, self.disks.then_some(&disk))
                 .expect("a whole disk"),
             id,
             frozen: false,
@@ -199,7 +199,7 @@
                 let node = &mut self.nodes[n % nodes];
                 if !node.dead && !node.frozen {
                     let at = local(self.now, node.rate, node.offset);
-                    node.council.leave(at);
+                    node.council.begin_leaving(at);
                     node.ends = Some(self.now + Duration::from_secs(3));
                 }
             }
@@ -218,7 +218,7 @@
                 let node = &mut self.nodes[n % nodes];
                 if !node.dead && !node.frozen {
                     let at = local(self.now, node.rate, node.offset);
-                    let _ = node.council.reseed(at, self.now.as_nanos() as u64);
+                    let _ = node.council.recover_quorum(at, self.now.as_nanos() as u64);
                 }
             }
         }
@@ -286,7 +286,7 @@
             let at = local(now, node.rate, node.offset);
             if node
                 .ends
-                .is_some_and(|ends| now >= ends || node.council.may_end())
+                .is_some_and(|ends| now >= ends || node.council.has_left())
             {
                 node.dead = true;
                 continue;
@@ -299,13 +299,13 @@
                 let Some((_, write)) = node.unsynced.pop_front() else {
                     break;
                 };
-                node.disk.take(&write);
-                node.council.written(at, write.number);
+                node.disk.apply(&write);
+                node.council.on_write_completed(at, write.sequence);
             }
             while let Some((from, said)) = node.inbox.pop_front() {
-                node.council.take(at, from, said);
+                node.council.on_message(at, from, said);
             }
-            if now.saturating_sub(node.ticked) >= TICK {
+            if now.saturating_sub(node.ticked) >= TICK_INTERVAL {
                 node.ticked = now;
                 // Each uses all that it may, and would use more.
                 let most = node
@@ -314,17 +314,17 @@
                     .map(|(_, limit)| *limit)
                     .max()
                     .unwrap_or(0);
-                node.council.used(Use {
-                    most,
-                    turned_away: true,
+                node.council.record_usage(BudgetUsage {
+                    peak: most,
+                    was_limited: true,
                 });
-                node.council.tick(at, &alive);
+                node.council.on_tick(at, &alive);
             }
-            node.council.deliver_own(at);
-            let actions = node.council.actions();
+            node.council.deliver_own_messages(at);
+            let actions = node.council.take_actions();
             let id = node.id;
             // What it may use from now on: it is not frozen, so it looks before it sends.
-            let (limit, _) = node.council.limit(at);
+            let (limit, _) = node.council.lease_limit(at);
             node.limits.push_back((now, limit));
             while node.limits.len() > 64 {
                 node.limits.pop_front();
@@ -335,7 +335,7 @@
                     Action::Write(write) => {
                         let node = &mut self.nodes[n];
                         if self.hasty {
-                            node.council.written(at, write.number);
+                            node.council.on_write_completed(at, write.sequence);
                         }
                         let before = node.unsynced.back().map_or(now, |(synced, _)| *synced);
                         let synced = before.max(
@@ -347,7 +347,7 @@
                         node.unsynced.push_back((synced, write));
                         continue;
                     }
-                    Action::Note(_) => continue,
+                    Action::Log(_) => continue,
                 };
                 let Some(to) = self.nodes.iter().position(|node| node.id == to) else {
                     continue;
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -3,7 +3,7 @@
 
 use crate::config::Config;
 use crate::load_lines::{LoadLines, Told};
-use lupincrank_control::lease::Terms;
+use lupincrank_control::lease::LeaseTerms;
 use lupincrank_placement::learned_state::LearnedServer;
 use lupincrank_placement::{
     Action, Balancer, Endpoint, Event, Health, Outcome, RequestId, RequestInfo, ServerId, Settings,
@@ -185,7 +185,7 @@
     /// What this node may send to cold transcribers by what the fleet agreed on: so many new connections in any window
     /// until then, and `floor` without a lease.
     pub fn slice(&mut self, sends: u32, floor: u32, part: f64, until: Option<Timestamp>) {
-        let window = Terms::default().window;
+        let window = LeaseTerms::default().accounting_window;
         let slice = Some(SlowStartLease {
             fleet_share: part,
             limit: sends,
--- a/crates/node/src/fleet/carry.rs
+++ b/crates/node/src/fleet/carry.rs
@@ -2,13 +2,13 @@
 
 use super::disk::Disk;
 use super::setup::Setup;
-use lupincrank_cluster::link::{Hello, Link, Message, Subject};
-use lupincrank_cluster::membership::{Identity, Membership, Out};
-use lupincrank_control::council::{Council, Tuning};
-use lupincrank_control::durable::{Durable, Write};
-use lupincrank_control::lease::Terms;
+use lupincrank_cluster::connection::{ClusterConnection, Handshake, Message, Subject};
+use lupincrank_cluster::membership::{Identity, Membership, MembershipOutput};
+use lupincrank_control::council::{ControlConfig, ControlNode};
+use lupincrank_control::durable::{DurableState, LogWrite};
+use lupincrank_control::lease::LeaseTerms;
 use lupincrank_control::member::Member;
-use lupincrank_control::message::{Action, CouncilMessage, Note};
+use lupincrank_control::message::{Action, ControlMessage, LogEvent};
 use lupincrank_placement::Timestamp;
 use lupincrank_reactor::poll::Registered;
 use lupincrank_reactor::ComponentId;
@@ -40,7 +40,7 @@
 
 /// One link, and whom it was dialled for.
 pub struct End {
-    pub link: Link,
+    pub link: ClusterConnection,
     pub to: Option<u64>,
     wanted: Instant,
     warned: Option<Instant>,
@@ -49,7 +49,7 @@
 /// See the module.
 pub struct Carry {
     pub setup: Setup,
-    pub council: Council,
+    pub council: ControlNode,
     pub membership: Membership,
     /// Given up when this node has left.
     pub sockets: Option<(Registered<UdpSocket>, Registered<TcpListener>)>,
@@ -82,7 +82,7 @@
     council: lupincrank_control::status::Status,
     alive: usize,
     links: usize,
-    datagrams_refused: lupincrank_cluster::membership::Refused,
+    datagrams_refused: lupincrank_cluster::membership::RejectedDatagrams,
     messages_refused: u64,
     sent_bytes: u64,
     sent_messages: u64,
@@ -90,7 +90,7 @@
 
 fn member(identity: &Identity) -> Member {
     let Identity {
-        id,
+        incarnation: id,
         name,
         zone,
         region,
@@ -113,7 +113,7 @@
         setup: Setup,
         name: &str,
         id: u64,
-        kept: Option<&Durable>,
+        kept: Option<&DurableState>,
         settings: u32,
         now: Timestamp,
         log: Logger,
@@ -123,25 +123,25 @@
             .unwrap_or_default();
         let me = Identity {
             name: name.to_string(),
-            id,
-            born_ms: u64::try_from(born.as_millis()).unwrap_or(u64::MAX),
-            bump: 0,
-            at: setup.listen,
+            incarnation: id,
+            started_at_ms: u64::try_from(born.as_millis()).unwrap_or(u64::MAX),
+            generation: 0,
+            address: setup.listen,
             zone: setup.zone.clone(),
             region: setup.region.clone(),
             build: env!("CARGO_PKG_VERSION").to_string(),
-            settings,
+            settings_hash: settings,
         };
-        let tuning = Tuning {
-            terms: Terms::default(),
-            expect: setup.nodes.clone(),
+        let tuning = ControlConfig {
+            lease_terms: LeaseTerms::default(),
+            expected_nodes: setup.nodes.clone(),
             capacity: setup.capacity,
             floor: setup.floor,
-            settle: SETTLE,
-            removal_after: BURY,
+            bootstrap_grace: SETTLE,
+            member_removal_delay: BURY,
         };
-        let tag = lupincrank_cluster::tag(&setup.name);
-        let council = Council::new(now, member(&me), tuning, kept)?;
+        let tag = lupincrank_cluster::cluster_tag(&setup.name);
+        let council = ControlNode::new(now, member(&me), tuning, kept)?;
         let membership = Membership::new(me, tag, setup.nodes.len(), id, setup.seeds.clone());
         Ok(Carry {
             council,
@@ -176,13 +176,13 @@
             return;
         };
         match disk.done() {
-            Ok(Some(number)) => self.council.written(now, number),
+            Ok(Some(number)) => self.council.on_write_completed(now, number),
             Ok(None) => {}
             Err(why) => self.lost_disk(now, &why),
         }
     }
 
-    fn write(&mut self, now: Timestamp, write: Write) {
+    fn write(&mut self, now: Timestamp, write: LogWrite) {
         let Some((disk, _)) = &self.disk else { return };
         if let Err(why) = disk.write(write) {
             self.lost_disk(now, &why);
@@ -193,13 +193,13 @@
     fn lost_disk(&mut self, now: Timestamp, why: &str) {
         warn!(self.log, "the council's folder is lost"; "why" => why.to_string());
         self.disk = None;
-        self.council.lost_disk(now);
+        self.council.on_storage_lost(now);
     }
 
     /// This node ends: it gives back what it holds, and stays for a while for those that need its vote.
     pub fn leave(&mut self, now: Timestamp) {
         self.leaves.get_or_insert_with(Instant::now);
-        self.council.leave(now);
+        self.council.begin_leaving(now);
     }
 
     /// Whether it has left, or never was there.
@@ -212,9 +212,9 @@
         let Some(since) = self.leaves else {
             return false;
         };
-        if !self.is_out() && (self.council.may_end() || since.elapsed() >= LEAVES) {
+        if !self.is_out() && (self.council.has_left() || since.elapsed() >= LEAVES) {
             let waited = since.elapsed().as_millis() as u64;
-            info!(self.log, "left the fleet"; "let_go" => self.council.may_end(), "after_ms" => waited);
+            info!(self.log, "left the fleet"; "let_go" => self.council.has_left(), "after_ms" => waited);
             self.membership.leave(self.age());
             self.members();
             self.dropped
@@ -231,18 +231,18 @@
 
     /// When membership has something to do next.
     pub fn next(&self) -> Instant {
-        self.began + self.membership.next()
+        self.began + self.membership.next_deadline()
     }
 
     /// What this side says first.
     pub fn hello(&self) -> Message {
-        let me = self.membership.me();
+        let me = self.membership.local_identity();
         let (name, build) = (me.name.clone(), me.build.clone());
-        Message::Hello(Hello {
-            fleet: self.tag,
+        Message::Handshake(Handshake {
+            cluster_tag: self.tag,
             name,
-            id: me.id,
-            born_ms: me.born_ms,
+            incarnation: me.incarnation,
+            started_at_ms: me.started_at_ms,
             build,
         })
     }
@@ -256,10 +256,10 @@
     pub fn begin(
         &mut self,
         id: ComponentId,
-        mut link: Link,
+        mut link: ClusterConnection,
         to: Option<u64>,
     ) -> Result<(), String> {
-        link.say(&self.hello())?;
+        link.send(&self.hello())?;
         self.links.insert(
             id,
             End {
@@ -287,7 +287,7 @@
             return;
         };
         let peer = end.link.peer.as_ref().map(|peer| peer.name.clone());
-        debug!(self.log, "link ended"; "peer" => peer, "dialled" => end.link.dialled, "why" => why.to_string());
+        debug!(self.log, "link ended"; "peer" => peer, "dialled" => end.link.is_initiator, "why" => why.to_string());
         if let Some(to) = end.to {
             let tries = self.tries.get(&to).map_or(0, |(_, tries)| *tries);
             let pause = AGAIN
@@ -313,20 +313,20 @@
                 .link
                 .peer
                 .as_ref()
-                .map(|peer| peer.id);
+                .map(|peer| peer.incarnation);
             match (message, peer) {
-                (Message::Hello(hello), None) => self.met(id, hello)?,
+                (Message::Handshake(hello), None) => self.met(id, hello)?,
                 (Message::Ping, Some(_)) => {}
                 (Message::Replaced, Some(_)) => self.was_replaced(),
-                (Message::Of(Subject::Council, bytes), Some(peer)) => {
-                    match postcard::from_bytes::<CouncilMessage>(&bytes) {
-                        Ok(said) => self.council.take(now, peer, said),
+                (Message::Payload(Subject::Control, bytes), Some(peer)) => {
+                    match postcard::from_bytes::<ControlMessage>(&bytes) {
+                        Ok(said) => self.council.on_message(now, peer, said),
                         Err(error) => {
                             return Err(format!("a message of the council can't be read: {error}"))
                         }
                     }
                 }
-                (Message::Hello(_), Some(_)) => return Err("it says hello twice".into()),
+                (Message::Handshake(_), Some(_)) => return Err("it says hello twice".into()),
                 (_, None) => return Err("it does not say hello first".into()),
             }
         }
@@ -334,35 +334,35 @@
     }
 
     /// The other side has said who it is. Of two links between the same incarnations the one stays that the greater id dialled.
-    fn met(&mut self, id: ComponentId, hello: Hello) -> Result<(), String> {
-        if hello.fleet != self.tag {
+    fn met(&mut self, id: ComponentId, hello: Handshake) -> Result<(), String> {
+        if hello.cluster_tag != self.tag {
             return Err("it belongs to another fleet".into());
         }
-        let me = self.membership.me().id;
+        let me = self.membership.local_identity().incarnation;
         let Some(end) = self.links.get(&id) else {
             return Ok(());
         };
-        if hello.id == me || end.to.is_some_and(|to| to != hello.id) {
+        if hello.incarnation == me || end.to.is_some_and(|to| to != hello.incarnation) {
             return Err("it is another life than the one that was looked for".into());
         }
-        let mine = end.link.dialled;
+        let mine = end.link.is_initiator;
         let other = self.links.iter().find(|(at, end)| {
             **at != id
                 && end
                     .link
                     .peer
                     .as_ref()
-                    .is_some_and(|peer| peer.id == hello.id)
+                    .is_some_and(|peer| peer.incarnation == hello.incarnation)
         });
-        if let Some((at, end)) = other.map(|(at, end)| (*at, end.link.dialled)) {
-            let by_greater = |dialled_here: bool| dialled_here == (me > hello.id);
+        if let Some((at, end)) = other.map(|(at, end)| (*at, end.link.is_initiator)) {
+            let by_greater = |dialled_here: bool| dialled_here == (me > hello.incarnation);
             if by_greater(end) && !by_greater(mine) {
                 return Err("there is one already".into());
             }
             self.links.remove(&at);
             self.dropped.push(at);
         }
-        self.tries.remove(&hello.id);
+        self.tries.remove(&hello.incarnation);
         if let Some(end) = self.links.get_mut(&id) {
             end.link.peer = Some(hello);
         }
@@ -372,7 +372,7 @@
     /// Another process has this node's name and began later. The floor is one name's: two of them would count twice.
     fn was_replaced(&mut self) {
         if !std::mem::replace(&mut self.replaced, true) {
-            self.membership.give_way();
+            self.membership.yield_to_newer();
             warn!(
                 self.log,
                 "another process of this name began later: out of the fleet until the next start"
@@ -382,18 +382,20 @@
 
     /// Whether membership knows a later incarnation of that name. Guards against a leader that was replaced: it is not asked by
     /// datagrams any more, so nothing else would tell it, and its links would keep it in the lead.
-    fn is_replaced(&self, hello: &Hello) -> bool {
+    fn is_replaced(&self, hello: &Handshake) -> bool {
         let later = |alive: &Identity| {
-            alive.name == hello.name && (alive.born_ms, alive.id) > (hello.born_ms, hello.id)
+            alive.name == hello.name
+                && (alive.started_at_ms, alive.incarnation)
+                    > (hello.started_at_ms, hello.incarnation)
         };
         self.membership.alive().any(later)
     }
 
     /// What membership wants carried out: datagrams out, and news.
     pub fn members(&mut self) {
-        while let Some(out) = self.membership.out() {
+        while let Some(out) = self.membership.next_output() {
             match out {
-                Out::Datagram(at, bytes) => {
+                MembershipOutput::Datagram(at, bytes) => {
                     let Some((udp, _)) = &self.sockets else {
                         continue;
                     };
@@ -402,29 +404,33 @@
                     // A datagram may get lost anyway.
                     let _ = udp.send_to(&bytes, at);
                 }
-                Out::Up(who) => {
-                    self.tries.remove(&who.id);
+                MembershipOutput::Up(who) => {
+                    self.tries.remove(&who.incarnation);
                     if self
                         .addresses
-                        .insert(who.id, (who.name.clone(), who.at))
+                        .insert(who.incarnation, (who.name.clone(), who.address))
                         .is_none()
                     {
-                        info!(self.log, "member up"; "member" => &who.name, "id" => format!("{:016x}", who.id),
-                            "zone" => &who.zone, "build" => &who.build, "bump" => who.bump);
+                        info!(self.log, "member up"; "member" => &who.name, "id" => format!("{:016x}", who.incarnation),
+                            "zone" => &who.zone, "build" => &who.build, "bump" => who.generation);
                     }
                 }
-                Out::Down(who) => {
-                    info!(self.log, "member down"; "member" => &who.name, "id" => format!("{:016x}", who.id),
-                        "bump" => who.bump);
+                MembershipOutput::Down(who) => {
+                    info!(self.log, "member down"; "member" => &who.name, "id" => format!("{:016x}", who.incarnation),
+                        "bump" => who.generation);
                     // Another bump of the same incarnation may live on.
-                    if self.membership.alive().all(|alive| alive.id != who.id) {
-                        self.addresses.remove(&who.id);
+                    if self
+                        .membership
+                        .alive()
+                        .all(|alive| alive.incarnation != who.incarnation)
+                    {
+                        self.addresses.remove(&who.incarnation);
                     }
                 }
-                Out::Back(bump) => {
+                MembershipOutput::Back(bump) => {
                     info!(self.log, "was taken for dead and is back"; "bump" => bump)
                 }
-                Out::Replaced => self.was_replaced(),
+                MembershipOutput::Replaced => self.was_replaced(),
             }
         }
     }
@@ -433,7 +439,7 @@
     pub fn alive(&self) -> BTreeMap<u64, Member> {
         self.membership
             .alive()
-            .map(|identity| (identity.id, member(identity)))
+            .map(|identity| (identity.incarnation, member(identity)))
             .collect()
     }
 
@@ -442,13 +448,17 @@
         if self.replaced {
             self.leave(now);
         }
-        self.council.deliver_own(now);
+        self.council.deliver_own_messages(now);
         let mut broken = Vec::new();
-        for action in self.council.actions() {
+        for action in self.council.take_actions() {
             match action {
                 Action::Send(to, said) => {
-                    let up =
-                        |end: &&mut End| end.link.peer.as_ref().is_some_and(|peer| peer.id == to);
+                    let up = |end: &&mut End| {
+                        end.link
+                            .peer
+                            .as_ref()
+                            .is_some_and(|peer| peer.incarnation == to)
+                    };
                     let found = self
                         .links
                         .iter_mut()
@@ -458,31 +468,31 @@
                         continue;
                     };
                     self.sent = (self.sent.0 + bytes.len() as u64, self.sent.1 + 1);
-                    if let Err(why) = end.link.say(&Message::Of(Subject::Council, bytes)) {
+                    if let Err(why) = end.link.send(&Message::Payload(Subject::Control, bytes)) {
                         broken.push((id, why));
                     }
                 }
                 Action::Write(write) => self.write(now, write),
-                Action::Note(note) => self.note(note),
+                Action::Log(note) => self.note(note),
             }
         }
         broken
     }
 
-    fn note(&self, note: Note) {
+    fn note(&self, note: LogEvent) {
         let log = &self.log;
         match note {
-            Note::Founds(stamp) => {
-                info!(log, "council founded"; "epoch" => stamp.epoch, "founding" => format!("{:016x}", stamp.founding));
+            LogEvent::Bootstrapping(stamp) => {
+                info!(log, "council founded"; "epoch" => stamp.epoch, "founding" => format!("{:016x}", stamp.bootstrap_id));
             }
-            Note::Joins(stamp) => {
-                info!(log, "council joined"; "epoch" => stamp.epoch, "founding" => format!("{:016x}", stamp.founding));
+            LogEvent::JoinedCluster(stamp) => {
+                info!(log, "council joined"; "epoch" => stamp.epoch, "founding" => format!("{:016x}", stamp.bootstrap_id));
             }
-            Note::Leads(leader) => {
-                let me = self.membership.me();
+            LogEvent::LeaderChanged(leader) => {
+                let me = self.membership.local_identity();
                 let name = leader.and_then(|id| {
                     let other = self.addresses.get(&id).map(|(name, _)| name.clone());
-                    if id == me.id {
+                    if id == me.incarnation {
                         Some(me.name.clone())
                     } else {
                         other
@@ -490,14 +500,16 @@
                 });
                 info!(log, "council leader"; "leader" => name.unwrap_or_else(|| "none".into()));
             }
-            Note::Changes(change) => {
+            LogEvent::ChangingMembership(change) => {
                 info!(log, "council changes"; "change" => format!("{change:?}"))
             }
-            Note::Slice(slice) => info!(log, "slice of the cold budget"; "sends" => slice),
-            Note::LeaseOver => {
+            LogEvent::LeaseLimitChanged(slice) => {
+                info!(log, "slice of the cold budget"; "sends" => slice)
+            }
+            LogEvent::LeaseExpired => {
                 info!(log, "lease of the cold budget is over"; "sends" => self.setup.floor)
             }
-            Note::Broke => {
+            LogEvent::LogInconsistent => {
                 warn!(
                     log,
                     "the council's log broke its rules: out of the council until the next start"
@@ -509,16 +521,26 @@
     /// Whom to dial now.
     pub fn dials(&mut self) -> Vec<(u64, SocketAddr)> {
         let now = Instant::now();
-        let wants = self.council.wants();
+        let wants = self.council.desired_connections();
         for end in self.links.values_mut() {
-            let peer = end.link.peer.as_ref().map(|peer| peer.id).or(end.to);
+            let peer = end
+                .link
+                .peer
+                .as_ref()
+                .map(|peer| peer.incarnation)
+                .or(end.to);
             if peer.is_some_and(|peer| wants.contains(&peer)) {
                 end.wanted = now;
             }
         }
         let linked = |id: u64| {
             self.links.values().any(|end| {
-                end.to == Some(id) || end.link.peer.as_ref().is_some_and(|peer| peer.id == id)
+                end.to == Some(id)
+                    || end
+                        .link
+                        .peer
+                        .as_ref()
+                        .is_some_and(|peer| peer.incarnation == id)
             })
         };
         let due = |id: u64| self.tries.get(&id).is_none_or(|(at, _)| now >= *at);
@@ -549,14 +571,14 @@
             if end.warned.is_none_or(|at| at.elapsed() >= WARN_AGAIN) {
                 end.warned = Some(Instant::now());
                 // A link that can't take it is dead, which is seen below.
-                let _ = end.link.say(&Message::Replaced);
+                let _ = end.link.send(&Message::Replaced);
             }
         }
         self.tries.retain(|id, _| self.addresses.contains_key(id));
         for (id, end) in &mut self.links {
-            if let Err(why) = end.link.keep() {
+            if let Err(why) = end.link.keep_alive() {
                 dead.push((*id, why));
-            } else if end.link.dialled && end.wanted.elapsed() >= IDLE {
+            } else if end.link.is_initiator && end.wanted.elapsed() >= IDLE {
                 dead.push((*id, "it is needed no more".into()));
             }
         }
@@ -574,7 +596,7 @@
                 .values()
                 .filter(|end| end.link.peer.is_some())
                 .count(),
-            datagrams_refused: self.membership.refused,
+            datagrams_refused: self.membership.rejected,
             messages_refused: self.strange,
             sent_bytes: self.sent.0,
             sent_messages: self.sent.1,
@@ -586,14 +608,14 @@
     pub fn budgets(&self, now: Timestamp) -> serde_json::Value {
         let status = self.council.status(now);
         let slices: BTreeMap<&str, u32> = status
-            .parts
+            .participants
             .iter()
-            .map(|part| (part.member.name.as_str(), part.slice))
+            .map(|part| (part.member.name.as_str(), part.lease))
             .collect();
         serde_json::json!([{
-            "name": "cold", "unit": "new connections in a window", "window_ms": Terms::default().window.as_millis() as u64,
+            "name": "cold", "unit": "new connections in a window", "window_ms": LeaseTerms::default().accounting_window.as_millis() as u64,
             "whole": status.capacity.saturating_add(self.setup.aside), "set_aside": self.setup.aside, "floor": self.setup.floor,
-            "handed_out": status.capacity, "in_use": status.sum, "epoch": status.epoch, "slices": slices,
+            "handed_out": status.capacity, "in_use": status.granted, "epoch": status.epoch, "slices": slices,
         }])
     }
 
@@ -602,7 +624,7 @@
         let mut all: Vec<&Identity> = self
             .membership
             .alive()
-            .chain([self.membership.me()])
+            .chain([self.membership.local_identity()])
             .collect();
         all.sort();
         serde_json::to_string(&all).unwrap_or_default()
--- a/crates/node/src/fleet/disk.rs
+++ b/crates/node/src/fleet/disk.rs
@@ -1,8 +1,8 @@
 //! Log and vote of the council on the disk, by redb, and the one thread that waits for the disk in the loop's place. What
 //! is in the file and when it is whole is told by `lupincrank_control::durable`.
 
-use lupincrank_control::durable::{Durable, Write};
-use lupincrank_control::member::Stamp;
+use lupincrank_control::durable::{DurableState, LogWrite};
+use lupincrank_control::member::ClusterId;
 use redb::{Database, DatabaseError, ReadableDatabase, ReadableTable, TableDefinition, TableError};
 use std::fs;
 use std::io::{self, Read, Write as _};
@@ -47,13 +47,13 @@
 type Value = Option<Vec<u8>>;
 
 /// Opens the file for this owner, and counts the start that this is. A file that is not there begins with `fresh` as its id.
-pub fn open(path: &Path, owner: &str, fresh: u64) -> Result<(Database, Durable), Fault> {
+pub fn open(path: &Path, owner: &str, fresh: u64) -> Result<(Database, DurableState), Fault> {
     // Redb panics on some damages that it can't read.
     let opened = catch_unwind(AssertUnwindSafe(|| open_whole(path, owner, fresh)));
     opened.unwrap_or_else(|_| Err(damaged("it can't be read at all")))
 }
 
-fn open_whole(path: &Path, owner: &str, fresh: u64) -> Result<(Database, Durable), Fault> {
+fn open_whole(path: &Path, owner: &str, fresh: u64) -> Result<(Database, DurableState), Fault> {
     if let Some(folder) = path.parent() {
         fs::create_dir_all(folder)
             .map_err(|error| Fault::Wrong(format!("{}: {error}", folder.display())))?;
@@ -74,18 +74,18 @@
         Ok(false) => return Err(damaged("its checksums differ")),
         Err(error) => return Err(damaged(error)),
     }
-    let mut kept = read(&database, owner)?.unwrap_or(Durable {
-        id: fresh,
-        ..Durable::default()
+    let mut kept = read(&database, owner)?.unwrap_or(DurableState {
+        member_id: fresh,
+        ..DurableState::default()
     });
-    kept.starts = kept.starts.saturating_add(1);
+    kept.start_count = kept.start_count.saturating_add(1);
     let noted = || -> Result<(), redb::Error> {
         let change = database.begin_write()?;
         {
             let mut facts = change.open_table(FACTS)?;
             facts.insert(OWNER, owner.as_bytes())?;
-            facts.insert(ID, &kept.id.to_be_bytes()[..])?;
-            facts.insert(STARTS, &kept.starts.to_be_bytes()[..])?;
+            facts.insert(ID, &kept.member_id.to_be_bytes()[..])?;
+            facts.insert(STARTS, &kept.start_count.to_be_bytes()[..])?;
             change.open_table(LOG)?;
         }
         change.commit()?;
@@ -95,7 +95,7 @@
     Ok((database, kept))
 }
 
-fn read(database: &Database, owner: &str) -> Result<Option<Durable>, Fault> {
+fn read(database: &Database, owner: &str) -> Result<Option<DurableState>, Fault> {
     let all = || -> Result<Option<[Value; 6]>, redb::Error> {
         let facts = match database.begin_read()?.open_table(FACTS) {
             Err(TableError::TableDoesNotExist(_)) => return Ok(None),
@@ -127,7 +127,7 @@
         return Err(damaged("it names no identity"));
     };
     let stamp = stamp
-        .map(|stamp| postcard::from_bytes::<Stamp>(&stamp))
+        .map(|stamp| postcard::from_bytes::<ClusterId>(&stamp))
         .transpose()
         .map_err(damaged)?;
     let entries = || -> Result<_, redb::Error> {
@@ -140,12 +140,12 @@
         Ok(entries)
     };
     let entries = entries().map_err(damaged)?;
-    Ok(Some(Durable {
-        id,
-        starts,
-        stamp,
+    Ok(Some(DurableState {
+        member_id: id,
+        start_count: starts,
+        cluster_id: stamp,
         snapshot,
-        hard,
+        hard_state: hard,
         entries,
     }))
 }
@@ -156,20 +156,20 @@
 }
 
 /// Several writes in one transaction, synced when this returns.
-fn carry_out(database: &Database, writes: &[Write]) -> Result<(), redb::Error> {
+fn carry_out(database: &Database, writes: &[LogWrite]) -> Result<(), redb::Error> {
     let change = database.begin_write()?;
     {
         let mut facts = change.open_table(FACTS)?;
         let mut log = change.open_table(LOG)?;
         for write in writes {
-            if let Some(stamp) = write.begins {
+            if let Some(stamp) = write.starts_cluster {
                 facts.remove(SNAPSHOT)?;
                 facts.remove(HARD)?;
                 let stamp = postcard::to_stdvec(&stamp)
                     .map_err(|error| io::Error::other(error.to_string()))?;
                 facts.insert(STAMP, stamp.as_slice())?;
             }
-            if write.clears || write.begins.is_some() {
+            if write.clears_entries || write.starts_cluster.is_some() {
                 log.retain(|_, _| false)?;
             }
             if let Some((index, snapshot)) = &write.snapshot {
@@ -182,7 +182,7 @@
             for (index, bytes) in &write.entries {
                 log.insert(index, bytes.as_slice())?;
             }
-            if let Some(hard) = &write.hard {
+            if let Some(hard) = &write.hard_state {
                 facts.insert(HARD, hard.as_slice())?;
             }
         }
@@ -193,7 +193,7 @@
 
 /// The thread that writes. It ends with this value, once what it has is written.
 pub struct Disk {
-    to: SyncSender<Write>,
+    to: SyncSender<LogWrite>,
     from: Receiver<Result<u64, String>>,
     wakes: UnixStream,
 }
@@ -201,7 +201,7 @@
 impl Disk {
     /// Begins. `wake` becomes readable when something is written.
     pub fn begin(database: Database) -> io::Result<Disk> {
-        let (to, writes) = sync_channel::<Write>(MOST_WAITING);
+        let (to, writes) = sync_channel::<LogWrite>(MOST_WAITING);
         let (done, from) = channel();
         let (wakes, mut wake) = UnixStream::pair()?;
         wakes.set_nonblocking(true)?;
@@ -210,10 +210,10 @@
             .name("council's disk".into())
             .spawn(move || {
                 while let Ok(first) = writes.recv() {
-                    let batch: Vec<Write> = std::iter::once(first)
+                    let batch: Vec<LogWrite> = std::iter::once(first)
                         .chain(writes.try_iter().take(MOST_AT_ONCE))
                         .collect();
-                    let last = batch.last().map_or(0, |write| write.number);
+                    let last = batch.last().map_or(0, |write| write.sequence);
                     let carried_out =
                         catch_unwind(AssertUnwindSafe(|| carry_out(&database, &batch)));
                     let carried_out = match carried_out {
@@ -238,7 +238,7 @@
     }
 
     /// One more write; an error says that the disk is lost.
-    pub fn write(&self, write: Write) -> Result<(), String> {
+    pub fn write(&self, write: LogWrite) -> Result<(), String> {
         self.to.try_send(write).map_err(|error| match error {
             TrySendError::Full(_) => format!("{MOST_WAITING} writes wait"),
             TrySendError::Disconnected(_) => "it has ended".to_string(),
--- a/crates/node/src/fleet/disk/tests.rs
+++ b/crates/node/src/fleet/disk/tests.rs
@@ -1,35 +1,35 @@
 use super::*;
 use rstest::rstest;
 
-fn write(number: u64, entries: &[u64]) -> Write {
+fn write(number: u64, entries: &[u64]) -> LogWrite {
     let entries = entries
         .iter()
         .map(|index| (*index, vec![*index as u8; 2_000]))
         .collect();
-    Write {
-        number,
+    LogWrite {
+        sequence: number,
         entries,
-        hard: Some(vec![number as u8]),
-        ..Write::default()
+        hard_state: Some(vec![number as u8]),
+        ..LogWrite::default()
     }
 }
 
 /// A file with some writes in it, as a process that was killed leaves it, and what they add up to.
-fn left(path: &Path) -> Durable {
+fn left(path: &Path) -> DurableState {
     let (database, mut kept) = open(path, "guj/n0", 7).unwrap();
-    let stamp = Stamp {
+    let stamp = ClusterId {
         epoch: 1,
-        founding: 3,
+        bootstrap_id: 3,
     };
-    let begins = Write {
-        begins: Some(stamp),
+    let begins = LogWrite {
+        starts_cluster: Some(stamp),
         snapshot: Some((1, vec![9])),
-        ..Write::default()
+        ..LogWrite::default()
     };
-    let snapshot = Write {
-        number: 4,
+    let snapshot = LogWrite {
+        sequence: 4,
         snapshot: Some((3, vec![8; 9_000])),
-        ..Write::default()
+        ..LogWrite::default()
     };
     for batch in [
         vec![begins, write(2, &[2, 3, 4, 5])],
@@ -37,7 +37,7 @@
         vec![snapshot],
     ] {
         carry_out(&database, &batch).unwrap();
-        batch.iter().for_each(|write| kept.take(write));
+        batch.iter().for_each(|write| kept.apply(write));
     }
     kept
 }
@@ -54,7 +54,13 @@
     let path = folder("whole");
     let kept = left(&path);
     let (_held, again) = open(&path, "guj/n0", 99).unwrap();
-    assert_eq!(again, Durable { starts: 2, ..kept });
+    assert_eq!(
+        again,
+        DurableState {
+            start_count: 2,
+            ..kept
+        }
+    );
     assert!(matches!(open(&path, "guj/n0", 1), Err(Fault::Busy)));
     let _ = fs::remove_dir_all(path.parent().unwrap());
 }
@@ -85,7 +91,10 @@
         Err(Fault::Damaged(_)) if aside => {
             put_aside(&path).unwrap();
             let (_, fresh) = open(&path, owner, 99).unwrap();
-            assert_eq!((fresh.id, fresh.starts, fresh.stamp), (99, 1, None));
+            assert_eq!(
+                (fresh.member_id, fresh.start_count, fresh.cluster_id),
+                (99, 1, None)
+            );
         }
         Err(Fault::Wrong(why)) if !aside => assert!(why.contains("guj/n0"), "{why}"),
         other => panic!("{:?} of {kept:?}", other.map(|(_, kept)| kept)),
@@ -112,7 +121,7 @@
         }
     };
     assert_eq!(
-        (again.id, again.entries.len(), again.hard),
+        (again.member_id, again.entries.len(), again.hard_state),
         (7, 20, Some(vec![20]))
     );
     let _ = fs::remove_dir_all(path.parent().unwrap());
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -8,11 +8,11 @@
 use crate::state::{Message, Node, NodeState, DISK, FLEET};
 use carry::Carry;
 use disk::{Disk, Fault as DiskFault};
-use lupincrank_budgets::need::Use;
-use lupincrank_cluster::link::{Fault, Link};
-use lupincrank_cluster::membership::LONGEST;
-use lupincrank_control::council::TICK;
-use lupincrank_control::durable::Durable;
+use lupincrank_budgets::demand::BudgetUsage;
+use lupincrank_cluster::connection::{ClusterConnection, ConnectionError};
+use lupincrank_cluster::membership::MAX_DATAGRAM_BYTES;
+use lupincrank_control::council::TICK_INTERVAL;
+use lupincrank_control::durable::DurableState;
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::{poller_key, Interest, Readiness};
 use lupincrank_reactor::{ComponentId, Connection, Lifecycle};
@@ -94,7 +94,7 @@
         .unwrap_or_default();
     let settings = crc32fast::hash(settings.as_bytes());
     let (now, name, log) = (node.core.now(), node.config.name.clone(), node.log.clone());
-    let new = |id: u64, kept: Option<&Durable>| {
+    let new = |id: u64, kept: Option<&DurableState>| {
         Carry::new(setup.clone(), &name, id, kept, settings, now, log.clone())
     };
     let mut carry = match &setup.file {
@@ -129,7 +129,7 @@
         },
     };
     carry.sockets = Some(sockets);
-    info!(node.log, "fleet"; "name" => &setup.name, "id" => format!("{:016x}", carry.membership.me().id),
+    info!(node.log, "fleet"; "name" => &setup.name, "id" => format!("{:016x}", carry.membership.local_identity().incarnation),
         "listen" => %listen);
     node.fleet = Some(Box::new(carry));
     node.deadlines.set(FLEET, COUNCIL, Instant::now());
@@ -143,10 +143,10 @@
     path: &Path,
     owner: &str,
     drawn: u64,
-    new: impl Fn(u64, Option<&Durable>) -> Result<Carry, String>,
+    new: impl Fn(u64, Option<&DurableState>) -> Result<Carry, String>,
 ) -> Result<(Carry, redb::Database), DiskFault> {
     let (database, kept) = disk::open(path, owner, drawn)?;
-    let carry = new(kept.id, Some(&kept)).map_err(DiskFault::Damaged)?;
+    let carry = new(kept.member_id, Some(&kept)).map_err(DiskFault::Damaged)?;
     Ok((carry, database))
 }
 
@@ -166,10 +166,10 @@
         node.send(id, Message::Close);
     }
     if carry.setup.divides {
-        let (sends, until) = carry.council.limit(now);
-        let part = carry.council.part(now).unwrap_or(0.0);
+        let (sends, until) = carry.council.lease_limit(now);
+        let part = carry.council.fleet_share(now).unwrap_or(0.0);
         node.core
-            .slice(sends, carry.council.floor(now), part, until);
+            .slice(sends, carry.council.lease_floor(now), part, until);
     }
     if carry.sockets.is_some() {
         let next = carry.next();
@@ -181,8 +181,8 @@
 fn dial(carry: &mut Carry, node: &mut Node) {
     for (to, at) in carry.dials() {
         let id = node.allocate_id();
-        let begun =
-            Link::dial(&node.poller, at, poller_key(id, 0)).map_err(|error| error.to_string());
+        let begun = ClusterConnection::connect(&node.poller, at, poller_key(id, 0))
+            .map_err(|error| error.to_string());
         match begun.and_then(|link| carry.begin(id, link, Some(to))) {
             Ok(()) => node.register(id, Box::new(End { id })),
             Err(why) => carry.complain("a link could not begin", &why),
@@ -211,7 +211,7 @@
             "log" => Ok(carry.told()),
             "reseed" => carry
                 .council
-                .reseed(now, rand::random())
+                .recover_quorum(now, rand::random())
                 .map(|stamp| format!("{{\"epoch\":{}}}", stamp.epoch)),
             other => Err(format!(
                 "no call fleet {other:?}; there are status, members, log and reseed"
@@ -256,7 +256,7 @@
             let capacity = read(change)?;
             carry
                 .council
-                .plan(now, capacity)
+                .preview_capacity(now, capacity)
                 .map(|plan| serde_json::json!({ "handed_out": capacity, "slices": plan }))
         }
         ("set", change) => {
@@ -276,13 +276,13 @@
 impl Watch {
     fn datagrams(node: &mut Node) {
         with(node, |carry, _| {
-            let mut bytes = [0; LONGEST + 1];
+            let mut bytes = [0; MAX_DATAGRAM_BYTES + 1];
             for _ in 0..MOST_DATAGRAMS {
                 let Some((udp, _)) = &carry.sockets else {
                     return;
                 };
                 match udp.recv_from(&mut bytes) {
-                    Ok((length, _)) => carry.membership.datagram(carry.age(), &bytes[..length]),
+                    Ok((length, _)) => carry.membership.on_datagram(carry.age(), &bytes[..length]),
                     Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
                     // An answer of the network to a datagram before: it says nothing of the next one.
                     Err(_) => {}
@@ -305,7 +305,7 @@
                     continue;
                 }
                 let id = node.allocate_id();
-                let link = Link::accepted(&node.poller, stream, poller_key(id, 0));
+                let link = ClusterConnection::accept(&node.poller, stream, poller_key(id, 0));
                 match link
                     .map_err(|error| error.to_string())
                     .and_then(|link| carry.begin(id, link, None))
@@ -339,7 +339,7 @@
             }
             MEMBERS => with(node, |carry, _| {
                 let age = carry.age();
-                carry.membership.due(age);
+                carry.membership.on_deadline(age);
             }),
             _ => {
                 let mut out = false;
@@ -352,13 +352,17 @@
                         node.send(id, Message::Close);
                     }
                     let (most, turned_away) = node.core.cold_used();
-                    carry.council.used(Use { most, turned_away });
+                    carry.council.record_usage(BudgetUsage {
+                        peak: most,
+                        was_limited: turned_away,
+                    });
                     let (now, alive) = (node.core.now(), carry.alive());
-                    carry.council.tick(now, &alive);
+                    carry.council.on_tick(now, &alive);
                     dial(carry, node);
                 });
                 if !out {
-                    node.deadlines.set(FLEET, COUNCIL, Instant::now() + TICK);
+                    node.deadlines
+                        .set(FLEET, COUNCIL, Instant::now() + TICK_INTERVAL);
                 }
             }
         }
@@ -401,13 +405,16 @@
                 return flow = Lifecycle::Close;
             };
             let now = node.core.now();
-            let heard = end.link.ready(readiness.readable);
-            let heard =
-                heard.and_then(|messages| carry.heard(now, id, messages).map_err(Fault::Strange));
+            let heard = end.link.on_ready(readiness.readable);
+            let heard = heard.and_then(|messages| {
+                carry
+                    .heard(now, id, messages)
+                    .map_err(ConnectionError::Protocol)
+            });
             if let Err(fault) = heard {
                 let why = match fault {
-                    Fault::Broke(why) => why,
-                    Fault::Strange(why) => {
+                    ConnectionError::Closed(why) => why,
+                    ConnectionError::Protocol(why) => {
                         carry.complain("a link", &why);
                         why
                     }
--- a/crates/node/src/hollow.rs
+++ b/crates/node/src/hollow.rs
@@ -5,7 +5,7 @@
 use crate::config::Config;
 use crate::fleet::{self, setup::Setup};
 use crate::state::{Node, NodeState, RESERVED};
-use lupincrank_budgets::need::Use;
+use lupincrank_budgets::demand::BudgetUsage;
 use lupincrank_operator_config::Operator;
 use lupincrank_reactor::Readiness;
 use lupincrank_reactor::{ComponentId, Connection, Lifecycle, Reactor};
@@ -84,12 +84,12 @@
     let (epoch, capacity) = carry
         .council
         .state()
-        .map_or((0, 0), |state| (state.epoch, state.capacity));
+        .map_or((0, 0), |state| (state.applied_entries, state.capacity));
     let alive = carry.membership.alive().count() + 1;
     let (led, leads, votes) = (
-        carry.council.is_led(),
-        carry.council.leads(),
-        carry.council.votes(),
+        carry.council.has_leader(),
+        carry.council.is_leader(),
+        carry.council.is_voter(),
     );
     Seen {
         epoch,
@@ -98,7 +98,7 @@
         leads,
         votes,
         alive,
-        limit: carry.council.limit(now).0,
+        limit: carry.council.lease_limit(now).0,
     }
 }
 
@@ -108,12 +108,15 @@
     }
 
     fn on_deadline(&mut self, node: &mut Node, _kind: u64) -> Lifecycle {
-        let window = lupincrank_control::lease::Terms::default().window;
+        let window = lupincrank_control::lease::LeaseTerms::default().accounting_window;
         let members = node.fleet.as_ref().map(|carry| &carry.membership);
         let lives = |name: &str| members.is_some_and(|all| all.alive().any(|who| who.name == name));
         let (most, turned_away) = self.observer.look(&seen(node), window, &lives);
         if let Some(carry) = &mut node.fleet {
-            carry.council.used(Use { most, turned_away });
+            carry.council.record_usage(BudgetUsage {
+                peak: most,
+                was_limited: turned_away,
+            });
         }
         node.deadlines
             .set(OBSERVER, 0, Instant::now() + self.observer.every());
--- a/crates/scale/src/doors.rs
+++ b/crates/scale/src/doors.rs
@@ -3,7 +3,7 @@
 //! sockets must not grow with the square of the nodes.
 
 use crate::place::Place;
-use lupincrank_cluster::link::{Inbox, Message};
+use lupincrank_cluster::connection::{FrameDecoder, Message};
 use lupincrank_fault_injection::links::Way;
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::{
@@ -252,7 +252,7 @@
     bytes: usize,
     ended: bool,
     shut: bool,
-    inbox: Inbox,
+    inbox: FrameDecoder,
     /// What can't be read any more is only passed on.
     strange: bool,
     /// Bytes and messages that are not counted yet: whose they are is not known.
@@ -299,10 +299,10 @@
         if !half.strange {
             half.inbox.push(bytes);
             loop {
-                match half.inbox.message() {
+                match half.inbox.next_message() {
                     Ok(Some(message)) => {
                         half.open.1 += 1;
-                        if let (Message::Hello(hello), 0) = (message, side) {
+                        if let (Message::Handshake(hello), 0) = (message, side) {
                             self.dialler = context.application.names.get(&hello.name).copied();
                         }
                     }
