--- a/crates/cluster/src/membership.rs
+++ b/crates/cluster/src/membership.rs
@@ -16,7 +16,7 @@
 const HEAD: usize = 7;
 const MARK: [u8; 2] = *b"lc";
 /// One member is asked in each period, and answers within the span that follows; then three others ask it.
-const PERIOD: Duration = Duration::from_millis(1000);
+const PERIOD: Duration = Duration::from_secs(1);
 const ANSWER: Duration = Duration::from_millis(350);
 /// One that answered nobody is suspected for this long before it counts as down: it can refute that meanwhile. It grows
 /// with the logarithm of the fleet, as news takes longer.
@@ -234,7 +234,7 @@
 
     /// All others that live.
     pub fn alive(&self) -> impl Iterator<Item = &Identity> {
-        self.foca.iter_members().map(|member| member.id())
+        self.foca.iter_members().map(foca::Member::id)
     }
 
     /// What is to be carried out, oldest first.
@@ -327,7 +327,7 @@
         } else if let Err(error) = self.foca.handle_data(data, &mut self.carrier) {
             match error {
                 foca::Error::DataFromOurselves | foca::Error::IndirectForOurselves => {
-                    self.rejected.stale += 1
+                    self.rejected.stale += 1;
                 }
                 _ => self.rejected.unreadable += 1,
             }
--- a/crates/control/src/council.rs
+++ b/crates/control/src/council.rs
@@ -285,10 +285,10 @@
                 self.answers.insert(from, (now, stamp.is_some()));
             }
             ControlMessage::Bootstrap(founding) if Some(founding.cluster_id) > mine => {
-                self.adopt(now, founding)
+                self.adopt(now, founding);
             }
             ControlMessage::Bootstrap(founding) if Some(founding.cluster_id) < mine => {
-                self.send(from, ControlMessage::KnownCluster(mine))
+                self.send(from, ControlMessage::KnownCluster(mine));
             }
             ControlMessage::Bootstrap(_) => {}
             ControlMessage::Raft(stamp, _)
@@ -318,7 +318,7 @@
             }
             ControlMessage::Leaving(stamp) if Some(stamp) == mine => self.lets_go(now, from, stamp),
             ControlMessage::Capacity(stamp, capacity) if Some(stamp) == mine => {
-                self.propose_capacity(now, capacity)
+                self.propose_capacity(now, capacity);
             }
             ControlMessage::Removed(stamp) if Some(stamp) == mine => self.gone = self.leaving,
             ControlMessage::LeaseRequest(..)
@@ -517,7 +517,7 @@
             alive: self.alive.contains_key(id),
             lease: log
                 .and_then(|log| log.state.leases.get(id))
-                .map_or(0, |held| held.charged()),
+                .map_or(0, super::state::ActiveLease::charged),
         });
         Status {
             local_member: self.me.clone(),
--- a/crates/control/tests/model.rs
+++ b/crates/control/tests/model.rs
@@ -138,7 +138,7 @@
             incarnation
                 .used
                 .retain(|(limit, last)| *limit > 0 && last + 1 > world.now);
-            incarnation.used.sort();
+            incarnation.used.sort_unstable();
             incarnation.used.dedup();
         }
     }
@@ -351,6 +351,6 @@
         found.is_some(),
         breaks,
         "{:?}",
-        found.map(|path| path.into_actions())
+        found.map(stateright::Path::into_actions)
     );
 }
--- a/crates/control/tests/sim/mod.rs
+++ b/crates/control/tests/sim/mod.rs
@@ -277,7 +277,7 @@
                     let heard = self
                         .heard
                         .get(&(n, *other))
-                        .is_some_and(|at| now - *at < UNHEARD);
+                        .is_some_and(|at| now.checked_sub(*at).unwrap() < UNHEARD);
                     *other != n && heard
                 })
                 .map(|other| (self.nodes[other].id, member(other, self.nodes[other].id)))
--- a/crates/fault-injection/src/faults.rs
+++ b/crates/fault-injection/src/faults.rs
@@ -444,7 +444,12 @@
                 context.list.set(one, "DELETED");
                 return;
             }
-            let held = context.fleet.all.get(one).map_or(0, |one| one.holds()) as u32;
+            let held = context
+                .fleet
+                .all
+                .get(one)
+                .map_or(0, lupincrank_test_servers::transcriber::Transcriber::holds)
+                as u32;
             if held > 0 {
                 transcriber::drain_one(context, one);
             }
--- a/crates/fault-injection/src/wrongdoer.rs
+++ b/crates/fault-injection/src/wrongdoer.rs
@@ -292,7 +292,7 @@
                 match context.application.wrong {
                     Wrong::AnswersTwice if first => drop(self.client.write(b"BUSY\r\n")),
                     Wrong::Cuts if first => {
-                        context.deadlines.set(self.id, 0, Instant::now() + SOON)
+                        context.deadlines.set(self.id, 0, Instant::now() + SOON);
                     }
                     _ => {}
                 }
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -8,7 +8,7 @@
 pub enum Command {
     /// Run the node.
     Serve {
-        /// The configuration, if not the one that RELAY_CONFIG names.
+        /// The configuration, if not the one that `RELAY_CONFIG` names.
         config: Option<String>,
         /// The operator's file, if there is one.
         operator: Option<String>,
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -107,7 +107,7 @@
 }
 
 impl Config {
-    /// Reads the file at `path`, or the one that RELAY_CONFIG names. `variable` looks up the environment.
+    /// Reads the file at `path`, or the one that `RELAY_CONFIG` names. `variable` looks up the environment.
     pub fn load(
         path: Option<&str>,
         variable: impl Fn(&str) -> Option<String>,
@@ -145,7 +145,7 @@
         })
     }
 
-    /// Reads the file again, all or nothing. An address of discovery that has changed there goes before RELAY_DISCOVERY:
+    /// Reads the file again, all or nothing. An address of discovery that has changed there goes before `RELAY_DISCOVERY`:
     /// the file can be replaced while the program runs, its environment can't.
     pub fn reread(&self, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
         let holds = |raw: &Value| strict::check(raw, Some(&self.raw));
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -600,7 +600,7 @@
         }
         usual
             .filter(|usual| took > *usual * LONG_SETUP)
-            .map(|usual| took - usual)
+            .map(|usual| took.checked_sub(usual).unwrap())
     }
 
     /// The present try has ended; its connection is closed. `done` where the client has its answer by this.
@@ -724,19 +724,16 @@
             return;
         };
         let (delay, heard) = (sent.elapsed(), Some(Instant::now()));
-        match self.pulses.get_mut(server) {
-            Some(pulse) => {
-                (pulse.heard, pulse.hushed) = (heard, false);
-                pulse.delays.push(delay);
-            }
-            None => {
-                let pulse = Pulse {
-                    delays: vec![delay],
-                    heard,
-                    ..Pulse::default()
-                };
-                self.pulses.insert(server.clone(), pulse);
-            }
+        if let Some(pulse) = self.pulses.get_mut(server) {
+            (pulse.heard, pulse.hushed) = (heard, false);
+            pulse.delays.push(delay);
+        } else {
+            let pulse = Pulse {
+                delays: vec![delay],
+                heard,
+                ..Pulse::default()
+            };
+            self.pulses.insert(server.clone(), pulse);
         }
     }
 
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -20,7 +20,7 @@
 const CONNECT: Duration = Duration::from_millis(1250);
 /// An empty line comes every 2 s; a watch that brings nothing whole for half as long again is dead. What it misses counts as
 /// told 6 s after it fell silent: that leaves time to ask anew, spread over the gateways, and once more if that call hangs.
-const SILENCE: Duration = Duration::from_millis(3000);
+const SILENCE: Duration = Duration::from_secs(3);
 /// The longest header that is read.
 const LONGEST_HEAD: usize = 16 << 10;
 
--- a/crates/node/src/fleet/carry.rs
+++ b/crates/node/src/fleet/carry.rs
@@ -428,7 +428,7 @@
                     }
                 }
                 MembershipOutput::Back(bump) => {
-                    info!(self.log, "was taken for dead and is back"; "bump" => bump)
+                    info!(self.log, "was taken for dead and is back"; "bump" => bump);
                 }
                 MembershipOutput::Replaced => self.was_replaced(),
             }
@@ -501,19 +501,19 @@
                 info!(log, "council leader"; "leader" => name.unwrap_or_else(|| "none".into()));
             }
             LogEvent::ChangingMembership(change) => {
-                info!(log, "council changes"; "change" => format!("{change:?}"))
+                info!(log, "council changes"; "change" => format!("{change:?}"));
             }
             LogEvent::LeaseLimitChanged(slice) => {
-                info!(log, "slice of the cold budget"; "sends" => slice)
+                info!(log, "slice of the cold budget"; "sends" => slice);
             }
             LogEvent::LeaseExpired => {
-                info!(log, "lease of the cold budget is over"; "sends" => self.setup.floor)
+                info!(log, "lease of the cold budget is over"; "sends" => self.setup.floor);
             }
             LogEvent::LogInconsistent => {
                 warn!(
                     log,
                     "the council's log broke its rules: out of the council until the next start"
-                )
+                );
             }
         }
     }
--- a/crates/node/src/inquiry.rs
+++ b/crates/node/src/inquiry.rs
@@ -13,9 +13,10 @@
 
 /// Rows with columns as wide as their widest field.
 fn rows(head: &[&str], rows: Vec<Vec<String>>) -> String {
-    let all: Vec<Vec<String>> = std::iter::once(head.iter().map(|name| name.to_string()).collect())
-        .chain(rows)
-        .collect();
+    let all: Vec<Vec<String>> =
+        std::iter::once(head.iter().map(std::string::ToString::to_string).collect())
+            .chain(rows)
+            .collect();
     let width = |at: usize| {
         all.iter()
             .filter_map(|row| row.get(at))
--- a/crates/node/src/load_lines/tests.rs
+++ b/crates/node/src/load_lines/tests.rs
@@ -41,8 +41,8 @@
         Duration::from_millis(16),
     );
     lines.take(start, 38_699.0, least);
-    lines.take(start + Duration::from_millis(3_000), 211.0, least);
-    let told = lines.take(start + Duration::from_millis(4_000), 240.0, least);
+    lines.take(start + Duration::from_secs(3), 211.0, least);
+    let told = lines.take(start + Duration::from_secs(4), 240.0, least);
     assert_eq!(
         told,
         Told::Delay {
--- a/crates/node/src/objects/tests.rs
+++ b/crates/node/src/objects/tests.rs
@@ -23,7 +23,7 @@
 #[case::braces_in_strings(r#"{"}\"}":"]\\"}{"a":"{"}"#, &[r#"{"}\"}":"]\\"}"#, r#"{"a":"{"}"#])]
 #[case::half("\n\n{\"a\":[1,", &[])]
 fn objects_are_found_however_they_are_laid_out(#[case] text: &str, #[case] expected: &[&str]) {
-    for piece in 1..text.len() + 1 {
+    for piece in 1..=text.len() {
         assert_eq!(
             taken(text.as_bytes(), &vec![piece; text.len()]).unwrap(),
             expected,
@@ -62,10 +62,7 @@
         cuts in prop::collection::vec(any::<usize>(), 0..60),
     ) {
         let value = |(seq, hosts, _): &(u64, Vec<String>, bool)| serde_json::json!({"seq": seq, "hosts": hosts});
-        let written = lists.iter().map(|list| match list.2 {
-            true => serde_json::to_string_pretty(&value(list)).unwrap(),
-            false => value(list).to_string(),
-        });
+        let written = lists.iter().map(|list| if list.2 { serde_json::to_string_pretty(&value(list)).unwrap() } else { value(list).to_string() });
         let text = written.collect::<Vec<_>>().join("\n");
         let out = taken(text.as_bytes(), &cuts).unwrap();
         let read: Vec<serde_json::Value> = out.iter().map(|text| serde_json::from_str(text).unwrap()).collect();
--- a/crates/node/src/signals.rs
+++ b/crates/node/src/signals.rs
@@ -80,7 +80,9 @@
 }
 
 fn total(longest_deadline: Duration) -> Duration {
-    longest_deadline.min(LONGEST) + AFTER_DEADLINE - SPARE
+    (longest_deadline.min(LONGEST) + AFTER_DEADLINE)
+        .checked_sub(SPARE)
+        .unwrap()
 }
 
 impl Connection<NodeState> for Signals {
--- a/crates/node/src/upgrade/held.rs
+++ b/crates/node/src/upgrade/held.rs
@@ -126,13 +126,12 @@
         down: bool,
         present: &BTreeSet<ServerId>,
     ) -> Result<BTreeSet<ServerId>, String> {
-        match &self.bans {
-            Some(bans) => bans.change(server, down, present),
-            None => {
-                let mut out = present.clone();
-                set_drained(&mut out, server, down);
-                Ok(out)
-            }
+        if let Some(bans) = &self.bans {
+            bans.change(server, down, present)
+        } else {
+            let mut out = present.clone();
+            set_drained(&mut out, server, down);
+            Ok(out)
         }
     }
 
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -291,7 +291,7 @@
     /// One of so many nodes, with its watch open.
     pub fn one_of(nodes: u32, peers: usize) -> Rig {
         let mut rig = Rig::begin_with(peers, 1024, None, |config| {
-            config["settings"]["Instances"] = nodes.into()
+            config["settings"]["Instances"] = nodes.into();
         });
         rig.watched();
         within("PONG", || (rig.ask("PING\r\n") == "PONG").then_some(()));
--- a/crates/node/tests/discovery.rs
+++ b/crates/node/tests/discovery.rs
@@ -159,7 +159,7 @@
     let mut rigs: Vec<Rig> = (0..30)
         .map(|_| {
             Rig::launch_with(1, 1024, |config| {
-                config["settings"]["Instances"] = 300.into()
+                config["settings"]["Instances"] = 300.into();
             })
         })
         .collect();
--- a/crates/operator-config/src/lib.rs
+++ b/crates/operator-config/src/lib.rs
@@ -27,9 +27,9 @@
     pub name: Spanned<String>,
     /// The names of all nodes that are expected.
     pub nodes: Spanned<Vec<String>>,
-    /// Where this node takes datagrams and links; RELAY_FLEET goes before it.
+    /// Where this node takes datagrams and links; `RELAY_FLEET` goes before it.
     pub listen: Option<SocketAddr>,
-    /// Where this node runs; RELAY_ZONE goes before it.
+    /// Where this node runs; `RELAY_ZONE` goes before it.
     #[serde(default)]
     pub zone: String,
     /// See `zone`.
--- a/crates/placement/src/balance.rs
+++ b/crates/placement/src/balance.rs
@@ -8,7 +8,10 @@
 use crate::bits::{fraction, murmur, part_of, short_name};
 use crate::cold::{Cold, COLD_SAVED};
 use crate::fleet::{Fleet, Server};
-use crate::interface::*;
+use crate::interface::{
+    Action, Endpoint, Event, Health, Outcome, RequestId, RequestInfo, RetrySafety, ServerId,
+    Settings, Timestamp,
+};
 use crate::learned_state::LearnedServer;
 use crate::order::Walk;
 use crate::poll_schedule::PollSchedule;
@@ -254,7 +257,7 @@
                 });
             }
             Event::EndpointList { entries, cached } => {
-                self.list(now, entries, true, cached, actions)
+                self.list(now, entries, true, cached, actions);
             }
             Event::EndpointChange(entries) => self.list(now, entries, false, false, actions),
             Event::SettingsChanged { settings, from } => self.renew(settings, &from),
@@ -302,7 +305,7 @@
                 self.count(id, true);
             }
             Event::ConnectionEstablished { request, took } => {
-                self.established(now, request, took, actions)
+                self.established(now, request, took, actions);
             }
             Event::AttemptEnded {
                 request,
@@ -330,7 +333,7 @@
             }
             Event::LoadObserved { request, load } => self.load_note(request, load.as_secs_f64()),
             Event::DelayObserved { request, delay } => {
-                self.delay_note(now, request, delay, actions)
+                self.delay_note(now, request, delay, actions);
             }
             Event::ServerUnresponsive(server) => {
                 let at = self.fleet.servers.slot(&server);
@@ -547,7 +550,7 @@
             let Some(request) = self.requests.get(&id).filter(|request| !request.over) else {
                 continue;
             };
-            let ripe = request.asked.map_or(true, |(_, until)| until <= now);
+            let ripe = request.asked.is_none_or(|(_, until)| until <= now);
             let paused = self.window < 1.0 && now < self.pause_until;
             // What no server is left for, or no set-up would be in time for, is told so at once.
             let needs = QUEUE_TICK.max(Duration::from_secs_f64(self.setup_floor)) * 2;
@@ -655,9 +658,7 @@
     /// each ask every server all the time, and against placing by what a server was long ago.
     fn probe(&mut self, now: Timestamp, at: Slot, actions: &mut Actions) -> bool {
         let reported = self.fleet.servers.get(at).and_then(|server| server.used);
-        let old = reported.map_or(true, |(at, _)| {
-            now.saturating_duration_since(at) > REPORT_FRESH
-        });
+        let old = reported.is_none_or(|(at, _)| now.saturating_duration_since(at) > REPORT_FRESH);
         self.asks() && old && self.ask(now, at, actions)
     }
 
@@ -671,9 +672,9 @@
         let Some(server) = self.fleet.servers.get_mut(at) else {
             return false;
         };
-        let due = server.probed.map_or(true, |(at, _)| {
-            now.saturating_duration_since(at) > REPORT_FRESH
-        });
+        let due = server
+            .probed
+            .is_none_or(|(at, _)| now.saturating_duration_since(at) > REPORT_FRESH);
         if !due || self.probe_tokens < 1.0 {
             return false;
         }
@@ -1122,7 +1123,7 @@
         } else {
             (view.group_cost, NEW_GROUP_CAP, FULL - NEW_GROUP_FULL, 1.0)
         };
-        let add = (view.add + shared) / 2.0;
+        let add = f64::midpoint(view.add, shared);
         let used = server
             .used
             .filter(|(at, _)| now.saturating_duration_since(*at) < CALM)
@@ -1316,7 +1317,7 @@
         };
         if server
             .heard
-            .map_or(true, |at| now.saturating_duration_since(at) > HEARD)
+            .is_none_or(|at| now.saturating_duration_since(at) > HEARD)
         {
             server.heard = Some(now);
             let mark = if silent { SILENT } else { "" };
@@ -1580,11 +1581,11 @@
                 }
                 if server
                     .crowded_at
-                    .map_or(true, |at| now.saturating_duration_since(at) > TICK * 2)
+                    .is_none_or(|at| now.saturating_duration_since(at) > TICK * 2)
                 {
                     let calm = server
                         .crowded_at
-                        .map_or(true, |at| now.saturating_duration_since(at) > CALM);
+                        .is_none_or(|at| now.saturating_duration_since(at) > CALM);
                     server.cap += fair * CAP_RISE * if calm { 2.0 } else { 0.5 };
                 }
                 server.kept_up = false; // and again, if it still has to be
--- a/crates/placement/src/balance/evidence.rs
+++ b/crates/placement/src/balance/evidence.rs
@@ -1,6 +1,9 @@
 //! What the ends of attempts and probes tell of servers and of zones: which of them are left alone, and for how long.
 
-use super::*;
+use super::{
+    first_window, Actions, Attempt, Balancer, Outcome, Slot, Timestamp, BAR, FAILING_RATE,
+    LONGEST_BAR, MOST_BARRED, SHARED, STRIKES, TOGETHER, ZONE_LOST,
+};
 
 /// Servers that are probed at once to see whether a zone is out of reach.
 const MOST_LOOKS: usize = 8;
@@ -41,7 +44,7 @@
             }
             Outcome::Rejected => self.crowd(now, at, 0.9, false, actions),
             Outcome::Reset | Outcome::ClosedBeforeSend if !stood => {
-                self.strike(now, at, 1, false, actions)
+                self.strike(now, at, 1, false, actions);
             }
             Outcome::Reset if over => {
                 let Some(server) = self.fleet.servers.get_mut(at) else {
--- a/crates/placement/src/bits.rs
+++ b/crates/placement/src/bits.rs
@@ -4,7 +4,7 @@
 use rand_pcg::Pcg32;
 use std::io::Cursor;
 
-/// The 32-bit MurmurHash3 of some bytes.
+/// The 32-bit `MurmurHash3` of some bytes.
 pub(crate) fn murmur(bytes: &[u8], seed: u32) -> u32 {
     murmur3::murmur3_32(&mut Cursor::new(bytes), seed).unwrap_or_default() // reading from memory cannot fail
 }
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -1,7 +1,7 @@
 //! The servers that a gateway knows, with what it holds and has learnt of each, and the sums that decisions need over
 //! all of them. It is bookkeeping: what follows from it is decided in `balance.rs`.
 
-use crate::interface::*;
+use crate::interface::{Health, RequestId, Settings, Timestamp};
 use crate::order::Order;
 use crate::table::{Slot, Table};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -194,7 +194,7 @@
                     .is_some_and(|server| server.zone == zone && server.cut)
                 {
                     self.change(at, |server| {
-                        (server.cut, server.barred_until) = (false, None)
+                        (server.cut, server.barred_until) = (false, None);
                     });
                 }
             }
@@ -261,7 +261,7 @@
     /// fleet that is refused to and fills up with shared work, one more group at a time at every server.
     pub fn gives_way(&self, now: Timestamp, calm: Duration, pace: Duration) -> bool {
         let before = |at: Option<Timestamp>, span: Duration| {
-            at.map_or(true, |at| now.saturating_duration_since(at) > span)
+            at.is_none_or(|at| now.saturating_duration_since(at) > span)
         };
         self.barred_until.is_none() && before(self.crowded_at, calm) && before(self.raised_at, pace)
     }
--- a/crates/placement/src/learned_state.rs
+++ b/crates/placement/src/learned_state.rs
@@ -2,7 +2,7 @@
 //! two have clocks of their own.
 
 use crate::fleet::Fleet;
-use crate::interface::*;
+use crate::interface::{Health, ServerId, Settings, Timestamp};
 use std::time::Duration;
 
 /// What was learnt of one server.
@@ -69,7 +69,7 @@
             self.change(at, |server| {
                 // The same start is told by both clocks within less than a second.
                 let later = |at: Timestamp| {
-                    started.map_or(true, |told| {
+                    started.is_none_or(|told| {
                         at.saturating_duration_since(told) > Duration::from_secs(1)
                     })
                 };
--- a/crates/placement/src/order.rs
+++ b/crates/placement/src/order.rs
@@ -60,7 +60,7 @@
             let least = best.last().filter(|_| best.len() >= count).copied();
             let ahead =
                 |a: (u32, Slot), b: (u32, Slot)| a.0 > b.0 || (a.0 == b.0 && before(a.1, b.1));
-            if count > 0 && least.map_or(true, |least| ahead((score, slot), least)) && keeps(slot) {
+            if count > 0 && least.is_none_or(|least| ahead((score, slot), least)) && keeps(slot) {
                 let place = best.partition_point(|other| ahead(*other, (score, slot)));
                 best.insert(place, (score, slot));
                 best.truncate(count);
@@ -119,7 +119,7 @@
         let Some(place) = self.met.get_mut(sort) else {
             return;
         };
-        let first = place.map_or(true, |(other_round, other, at)| {
+        let first = place.is_none_or(|(other_round, other, at)| {
             (!round && other_round) || (round == other_round && ahead((score, slot), (other, at)))
         });
         if first {
--- a/crates/placement/src/poll_schedule.rs
+++ b/crates/placement/src/poll_schedule.rs
@@ -30,10 +30,10 @@
 /// What may have been missed is overdue this long after the last contact: later than that there is nothing to be in time for.
 const OVERDUE: Duration = Duration::from_millis(5250);
 /// A call may be waiting for its turn at a busy discovery: so long it is always alone.
-const ALONE: Duration = Duration::from_millis(1000);
+const ALONE: Duration = Duration::from_secs(1);
 /// While discovery takes calls and answers none, a fresh one is made so often: the one that comes when it answers again
 /// is heard in time, though all before it may be lost.
-const FRESH_EVERY: Duration = Duration::from_millis(4000);
+const FRESH_EVERY: Duration = Duration::from_secs(4);
 
 /// How long a call may go unanswered before a further one is made beside it. The one that waits is kept: it may have a place in
 /// a queue, and a call given up for a later one in the same queue buries a discovery that is merely busy. `quiet` is the
--- a/crates/placement/src/poll_schedule/tests.rs
+++ b/crates/placement/src/poll_schedule/tests.rs
@@ -123,7 +123,10 @@
             .filter(|at| **at <= Duration::from_millis(5500))
             .count();
         assert!(last_in_time >= 2, "{tenths}: {calls:?}");
-        let gaps: Vec<Duration> = calls.windows(2).map(|two| two[1] - two[0]).collect();
+        let gaps: Vec<Duration> = calls
+            .windows(2)
+            .map(|two| two[1].checked_sub(two[0]).unwrap())
+            .collect();
         assert!(
             gaps.iter().all(|gap| (ALONE..=FRESH_EVERY).contains(gap)),
             "{calls:?}"
--- a/crates/placement/src/request.rs
+++ b/crates/placement/src/request.rs
@@ -1,7 +1,7 @@
 //! What a gateway keeps of each request, from its coming to the end of its connection.
 
 use crate::fleet::Server;
-use crate::interface::*;
+use crate::interface::{Class, IdempotencyScope, RetrySafety, Timestamp};
 use crate::table::Slot;
 use std::time::Duration;
 
@@ -104,5 +104,5 @@
 pub fn there(request: &Request, server: &Server) -> bool {
     request
         .group
-        .map_or(true, |group| server.groups.contains_key(&group))
+        .is_none_or(|group| server.groups.contains_key(&group))
 }
--- a/crates/placement/src/shares.rs
+++ b/crates/placement/src/shares.rs
@@ -6,7 +6,7 @@
 use crate::balance::rank_score;
 use crate::bits::{murmur, part_of};
 use crate::fleet::{Fleet, Server};
-use crate::interface::*;
+use crate::interface::{Health, Settings, Timestamp};
 use crate::table::Slot;
 use std::cmp::Reverse;
 
--- a/crates/placement/tests/common/mod.rs
+++ b/crates/placement/tests/common/mod.rs
@@ -265,7 +265,7 @@
             let timer = self.timers.first().copied();
             let out = self.patience.iter().map(|(id, at)| (*at, *id)).min();
             match (timer, out) {
-                (_, Some((at, id))) if at <= to && timer.map_or(true, |(due, _, _)| at <= due) => {
+                (_, Some((at, id))) if at <= to && timer.is_none_or(|(due, _, _)| at <= due) => {
                     self.now = self.now.max(at);
                     if self.books[&id].stands {
                         self.patience.remove(&id);
@@ -345,10 +345,9 @@
                 self.patience.insert(request.0, until);
             }
             Action::Reject { request, .. } => {
-                let doubtful = self.books[&request.0]
-                    .attempts
-                    .iter()
-                    .any(|(_, _, end)| !end.is_some_and(|outcome| outcome.proves_not_executed()));
+                let doubtful = self.books[&request.0].attempts.iter().any(|(_, _, end)| {
+                    !end.is_some_and(lupincrank_placement::Outcome::proves_not_executed)
+                });
                 let repeat = self.settings.classes[0].retry_safety;
                 let harmless = matches!(
                     repeat,
--- a/crates/placement/tests/failures.rs
+++ b/crates/placement/tests/failures.rs
@@ -442,7 +442,7 @@
             ..site()
         };
         let names: Vec<String> = (0..60).map(|n| format!("10.0.0.{n}:80")).collect();
-        let names: Vec<&str> = names.iter().map(|name| name.as_str()).collect();
+        let names: Vec<&str> = names.iter().map(std::string::String::as_str).collect();
         let mut at = std::collections::BTreeSet::new();
         for gateway in 0..gateways {
             let mut world = World::new(settings.clone(), u64::from(gateway));
--- a/crates/placement/tests/ranking.rs
+++ b/crates/placement/tests/ranking.rs
@@ -5,7 +5,7 @@
 use lupincrank_placement::*;
 use std::collections::HashMap;
 
-/// MurmurHash3 x86_32 once more, written from its description, to check the hashes in use.
+/// `MurmurHash3` `x86_32` once more, written from its description, to check the hashes in use.
 fn reference(data: &[u8], seed: u32) -> u32 {
     let mix = |k: u32| {
         k.wrapping_mul(0xcc9e_2d51)
@@ -103,7 +103,7 @@
     // A key whose hash ends in 12 zero bits sees only the low 20 bits of a server's hash.
     let key = (0..)
         .map(|n| format!("k{n}"))
-        .find(|key| key_hash(key) % 4096 == 0 && key_hash(key) != 0)
+        .find(|key| key_hash(key).is_multiple_of(4096) && key_hash(key) != 0)
         .unwrap();
     let mut seen: HashMap<u32, String> = HashMap::new();
     let (first, second) = (0..)
@@ -207,7 +207,7 @@
 #[test]
 fn the_highest_of_150_servers_takes_a_key() {
     let names: Vec<String> = (0..150).map(|n| format!("10.0.{n}.7:9000")).collect();
-    let names: Vec<&str> = names.iter().map(|name| name.as_str()).collect();
+    let names: Vec<&str> = names.iter().map(std::string::String::as_str).collect();
     let mut world = World::with_servers(
         Settings {
             node_count: 900,
--- a/crates/placement/tests/rules.rs
+++ b/crates/placement/tests/rules.rs
@@ -75,7 +75,7 @@
             let stands = book.stands;
             match roll(4) {
                 0 if !stands && book.finals == 0 && roll(8) == 0 => {
-                    world.gives_up(other, roll(3) > 0)
+                    world.gives_up(other, roll(3) > 0);
                 }
                 0 if out && !stands && book.finals == 0 => world.stands(other),
                 1 | 2 if out => {
--- a/crates/reactor/src/unacknowledged.rs
+++ b/crates/reactor/src/unacknowledged.rs
@@ -4,7 +4,7 @@
 use std::io::{self, Read};
 use std::net::{IpAddr, SocketAddr, TcpStream};
 
-/// The socket family and protocol for queries of the kernel's socket table; see sock_diag(7).
+/// The socket family and protocol for queries of the kernel's socket table; see `sock_diag(7)`.
 const AF_NETLINK: i32 = 16;
 const NETLINK_SOCK_DIAG: i32 = 4;
 /// The type and flags of the request.
--- a/crates/scale/src/host.rs
+++ b/crates/scale/src/host.rs
@@ -133,7 +133,7 @@
             let wanted = self
                 .wanted
                 .read()
-                .unwrap_or_else(|broken| broken.into_inner());
+                .unwrap_or_else(std::sync::PoisonError::into_inner);
             (
                 wanted.demand,
                 wanted.watched.is_empty() || lives(&wanted.watched),
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -131,7 +131,9 @@
 }
 
 fn locked<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
-    shared.lock().unwrap_or_else(|broken| broken.into_inner())
+    shared
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner)
 }
 
 /// A process with hollow nodes.
@@ -353,16 +355,15 @@
         let hosts: Vec<_> = hosts.collect();
         let ledger = locked(&self.ledger);
         let reading = |(number, counter): (usize, &doors::Counter)| {
-            let (cpu_us, rss_kb) = match self.real.get(number) {
-                Some(node) => (
+            let (cpu_us, rss_kb) = if let Some(node) = self.real.get(number) {
+                (
                     node.cpu_ms().unwrap_or(0) * 1000,
                     node.rss_kb().unwrap_or(0),
-                ),
-                None => {
-                    let rss = hosts.iter().find(|(nodes, _)| nodes.contains(&number));
-                    let cpu = ledger.stand(number).map_or(0, |stand| stand.line.cpu_us);
-                    (cpu, rss.map_or(0, |(_, each)| *each))
-                }
+                )
+            } else {
+                let rss = hosts.iter().find(|(nodes, _)| nodes.contains(&number));
+                let cpu = ledger.stand(number).map_or(0, |stand| stand.line.cpu_us);
+                (cpu, rss.map_or(0, |(_, each)| *each))
             };
             Reading {
                 bytes_out: counter.bytes_out.load(Relaxed),
@@ -434,7 +435,7 @@
     }
 }
 
-fn begin<'a>(options: &'a Options, place: Place) -> Result<Run<'a>, String> {
+fn begin(options: &Options, place: Place) -> Result<Run<'_>, String> {
     let named = |error: std::io::Error| error.to_string();
     let (high, low) = place.block;
     let folder = std::env::temp_dir().join(format!(
@@ -517,7 +518,7 @@
                     transcriber: 0,
                     begun,
                 },
-            )
+            );
         });
     }
     judge
--- a/crates/simulator/src/main.rs
+++ b/crates/simulator/src/main.rs
@@ -318,7 +318,7 @@
             let bar = progress(seeds * policies.len() as u64);
             let sides = compare::compare(&scenario, &policies, 1..seeds + 1, || bar.inc(1));
             bar.finish_and_clear();
-            if json.as_ref().map_or(true, |file| file.as_os_str() != "-") {
+            if json.as_ref().is_none_or(|file| file.as_os_str() != "-") {
                 print!("{}", compare::table(&sides));
             }
             write(json.as_deref(), &serde_json::json!({ "compare": sides }))
@@ -334,7 +334,7 @@
             let bar = progress(seeds * (points * policies.len()) as u64);
             let (name, scenario) = (file.display().to_string(), read(&file)?);
             let rows = sweep::sweep(&name, &scenario, &axes, &policies, 1..seeds + 1, || {
-                bar.inc(1)
+                bar.inc(1);
             })
             .map_err(told)?;
             bar.finish_and_clear();
@@ -440,13 +440,12 @@
         found.against_service
     );
     let text = toml::to_string(&small.scenario).map_err(|error| error.to_string())?;
-    match out {
-        Some(out) => std::fs::write(out, text)
-            .map_err(|error| format!("{}: cannot write: {error}", out.display())),
-        None => {
-            print!("{text}");
-            Ok(())
-        }
+    if let Some(out) = out {
+        std::fs::write(out, text)
+            .map_err(|error| format!("{}: cannot write: {error}", out.display()))
+    } else {
+        print!("{text}");
+        Ok(())
     }
 }
 
--- a/crates/simulator/src/queue.rs
+++ b/crates/simulator/src/queue.rs
@@ -135,7 +135,7 @@
 
     /// The next happening up to a moment.
     pub fn next(&mut self, end: Moment) -> Option<(Moment, Happening)> {
-        if self.heap.peek().map_or(true, |next| next.0 .0 > end) {
+        if self.heap.peek().is_none_or(|next| next.0 .0 > end) {
             return None;
         }
         self.heap
--- a/crates/simulator/src/transcriber.rs
+++ b/crates/simulator/src/transcriber.rs
@@ -232,7 +232,7 @@
             served((
                 class,
                 f64::from(*count),
-                (shares[class] + after) / 2.0,
+                f64::midpoint(shares[class], after),
                 span,
             ));
         }
--- a/crates/simulator/src/world/clients.rs
+++ b/crates/simulator/src/world/clients.rs
@@ -102,20 +102,17 @@
             answered: true,
             place: NOWHERE,
         };
-        let at = match self.free.pop() {
-            Some(at) => {
-                let Client { life, stood, .. } = self.clients[at as usize];
-                self.clients[at as usize] = Client {
-                    life: life + 1,
-                    stood,
-                    ..client
-                };
-                at
-            }
-            None => {
-                self.clients.push(client);
-                self.clients.len() as u32 - 1
-            }
+        let at = if let Some(at) = self.free.pop() {
+            let Client { life, stood, .. } = self.clients[at as usize];
+            self.clients[at as usize] = Client {
+                life: life + 1,
+                stood,
+                ..client
+            };
+            at
+        } else {
+            self.clients.push(client);
+            self.clients.len() as u32 - 1
         };
         self.queue
             .put(until, Happening::Leaves(at, self.clients[at as usize].life));
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -275,19 +275,19 @@
             Happening::Leaves(client, life) => self.leaves(client, life),
             Happening::Swings(client, life) => self.swings(client, life),
             Happening::Answered(client, request, refused, wait) => {
-                self.hears(client, request, refused, wait)
+                self.hears(client, request, refused, wait);
             }
             Happening::Taken(request) => self.taken(request),
             Happening::Patience(request, attempt) => self.out_of_patience(request, attempt),
             Happening::Overdue(request) => self.overdue(request),
             Happening::Arrives(request, attempt, server, life) => {
-                self.arrives(request, attempt, server, life)
+                self.arrives(request, attempt, server, life);
             }
             Happening::SetUp(request, attempt, server, life) => {
-                self.set_up(request, attempt, server, life)
+                self.set_up(request, attempt, server, life);
             }
             Happening::Ended(request, attempt, outcome) => {
-                self.attempt_ended(request, attempt, outcome)
+                self.attempt_ended(request, attempt, outcome);
             }
             Happening::Stands(request, attempt) => self.stands(request, attempt),
             Happening::Timer(node, life, handle) => self.timer(node, life, handle),
--- a/crates/simulator/tests/closed_forms.rs
+++ b/crates/simulator/tests/closed_forms.rs
@@ -24,7 +24,7 @@
 /// One transcriber, one node, no delays, no second tries: a bare queue.
 fn bare(rate: f64, length_s: f64, life_s: f64, work_ms: f64, cap: u32) -> Scenario {
     let text = format!(
-        r#"
+        r"
         version = 1
         length_s = {length_s}
         [fleet]
@@ -58,7 +58,7 @@
         idle = 0.0
         work_ms = {work_ms}
         deadline_ms = 600000.0
-        "#
+        "
     );
     parse("bare", &text).expect("a scenario that holds")
 }
--- a/crates/simulator/tests/judges.rs
+++ b/crates/simulator/tests/judges.rs
@@ -101,7 +101,7 @@
         }
         actions.extend(extra);
         if self.fault == Fault::Forgets {
-            let forgotten = |request: &RequestId| (request.0 >> 24) % 7 == 0;
+            let forgotten = |request: &RequestId| (request.0 >> 24).is_multiple_of(7);
             actions.retain(|action| match action {
                 Action::StartAttempt { request, .. } | Action::Reject { request, .. } => {
                     !forgotten(request)
--- a/crates/test-servers/src/client.rs
+++ b/crates/test-servers/src/client.rs
@@ -207,10 +207,10 @@
             Phase::Standing if first == "MOVE" => self.moved = true,
             // A second answer, or one after the end.
             Phase::Standing if matches!(first, "UP" | "BUSY" | "ERR") => {
-                context.application.saw(Seen::Again { request })
+                context.application.saw(Seen::Again { request });
             }
             Phase::Leaving if self.answered && !self.moved => {
-                context.application.saw(Seen::Again { request })
+                context.application.saw(Seen::Again { request });
             }
             _ => {}
         }
--- a/crates/test-servers/src/discovery.rs
+++ b/crates/test-servers/src/discovery.rs
@@ -245,7 +245,7 @@
                     .say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
                 // A stale one tells nobody anything, not even whoever asks for the first time.
                 match mode {
-                    Mode::Stale => (self.from, _) = (Some(0), self.lines.say("1\r\n\n\r\n")?),
+                    Mode::Stale => (self.from, ()) = (Some(0), self.lines.say("1\r\n\n\r\n")?),
                     _ => self.tell(context, true)?,
                 }
                 context.deadlines.set(self.id, 0, Instant::now() + LOOK);
