--- a/crates/fault-injection/src/checker/mod.rs
+++ b/crates/fault-injection/src/checker/mod.rs
@@ -1,435 +1,419 @@
-//! Judges a run from what clients, transcribers and links saw, by the trial's own clock. It knows the rules and nothing of the
-//! program.
+//! Checks a run by what clients, upstream servers and proxies observe, on this process's clock.
+//!
+//! The checker knows the rules and nothing of the program under test.
 
+mod absence;
+mod budget;
+mod violation;
+
+pub use budget::{BudgetReport, BudgetSum};
+pub use violation::{Rule, Violation};
+
+use crate::scenario::TimeSpan;
+use absence::AbsenceLog;
+use budget::BudgetMonitor;
 use hdrhistogram::Histogram;
-use lupincrank_test_servers::seen::{Answer, End, Seen};
+use lupincrank_test_servers::observation::{Answer, ConnectionEnd, Observation};
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-/// What is written down of each broken rule: one that breaks by the hundred must not hide another.
-const MOST_TOLD: usize = 20;
-/// A node that dies or freezes explains what happened so long before and after: clocks of kernels and of the trial.
-const SLACK: Duration = Duration::from_millis(400);
-/// After its time a request may still be answered within this.
-const LATE: Duration = Duration::from_millis(600);
-/// A draining transcriber may get new connections for this long after the node was told: the settings' grace, 50 ms that
-/// the protocol adds, and as much for the way.
-pub const GRACE: Duration = Duration::from_millis(500 + 100);
-/// Budgets count what comes within this span.
-/// Slices of a former whole are out for so long at the most after it was set: a lease, a window, what clocks differ, and
-/// the way there.
-const SLICES_OVER: Duration = Duration::from_secs(6);
-const WINDOW: Duration = Duration::from_millis(1250);
-const SECOND: Duration = Duration::from_secs(1);
-/// A link that was not as it should be explains what breaks on it until this much later.
-const AFTER_FAULT: Duration = Duration::from_secs(10);
-
-/// A broken rule.
-#[derive(Clone, Debug, Serialize, PartialEq)]
-pub struct Broken {
-    /// Which: `one-answer`, `one-attempt`, `drain-grace`, `cold-fell`, `cut-off`, `budget`, `crash`, `hold`.
-    pub rule: &'static str,
-    /// When, in seconds after the first client.
-    pub at_s: f64,
-    /// What was seen.
-    pub what: String,
+/// Violations of one rule that are recorded: one rule that breaks by the hundred must not hide another.
+const MAX_VIOLATIONS_PER_RULE: usize = 20;
+/// A request may still be answered so long after its timeout.
+const LATE_ANSWER_GRACE: Duration = Duration::from_millis(600);
+/// A draining server may get new connections for this long after the node was told: the settings' grace, 50 ms that the
+/// protocol adds, and as much for the way.
+const DRAIN_GRACE: Duration = Duration::from_millis(500 + 100);
+/// A faulty link explains violations on it until this much later.
+const LINK_FAULT_GRACE: Duration = Duration::from_secs(10);
+/// Longest setup time that is told apart, in microseconds.
+const MAX_SETUP_US: u64 = 60_000_000;
+
+/// A node and an upstream server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct NodeServerPair {
+    node: usize,
+    server: usize,
 }
 
-struct Request {
+/// What is known of a request.
+struct RequestRecord {
     node: usize,
-    asked: Instant,
-    wait: Duration,
-    answer: Option<(Instant, Answer)>,
-    gave_up: bool,
-    dropped: bool,
-    transcriber: Option<usize>,
+    sent_at: Instant,
+    timeout: Duration,
+    answer: Option<ReceivedAnswer>,
+    has_timed_out: bool,
+    was_closed_by_server: bool,
+    /// The server of its last attempt.
+    server: Option<usize>,
+}
+
+#[derive(Clone, Copy)]
+struct ReceivedAnswer {
+    at: Instant,
+    answer: Answer,
+}
+
+impl RequestRecord {
+    fn due_at(&self) -> Instant {
+        self.sent_at + self.timeout + LATE_ANSWER_GRACE
+    }
+
+    /// Since when it has no answer, if it should have one.
+    fn unanswered_at(&self, now: Instant) -> Option<Instant> {
+        match self.answer {
+            Some(received) if received.answer == Answer::Closed => Some(received.at),
+            Some(_) => None,
+            None => (self.has_timed_out || now > self.due_at()).then(|| self.due_at()),
+        }
+    }
+}
+
+/// Requests of a run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RequestTotals {
+    /// All requests.
+    pub requests: u64,
+    /// Those without an answer though their node was running.
+    pub unanswered: u64,
+    /// Those that were lost with a node that was killed or frozen.
+    pub lost: u64,
 }
 
-/// A budget as it was seen.
-#[derive(Clone, Debug, Serialize)]
-pub struct Budget {
-    /// Its name.
-    pub name: &'static str,
-    /// What all may use together.
-    pub whole: u32,
-    /// The most that came within a second.
-    pub peak: u32,
-    /// The mean part of the whole in use while more was wanted; none where the file names no such span.
-    pub used: Option<f64>,
-    /// All that came.
-    pub total: usize,
-    /// What came in each tenth of a second: its end in seconds, and the sum over the second before it.
-    pub sums: Vec<(f64, u32)>,
+/// Setup times in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+#[serde(into = "[f64; 3]")]
+pub struct SetupTimes {
+    /// The median.
+    pub median_ms: f64,
+    /// The 99th percentile.
+    pub p99_ms: f64,
+    /// The longest.
+    pub max_ms: f64,
 }
 
-/// See the module.
-pub struct Judge {
+impl From<SetupTimes> for [f64; 3] {
+    fn from(times: SetupTimes) -> [f64; 3] {
+        [times.median_ms, times.p99_ms, times.max_ms]
+    }
+}
+
+/// Checks a run while it goes on.
+pub struct Checker {
     start: Instant,
-    broken: Vec<Broken>,
-    requests: BTreeMap<u64, Request>,
-    /// Attempts that are out, by request: at which transcriber.
-    out: BTreeMap<u64, usize>,
-    /// Since when each node knows that a transcriber takes nothing new.
-    told: BTreeMap<(usize, usize), Instant>,
-    /// Spans in which a node was dead or frozen; the last one may still go on.
-    absent: BTreeMap<usize, Vec<(Instant, Option<Instant>)>>,
-    /// When the link of a node and a transcriber was last not as it should be.
-    links: BTreeMap<(usize, usize), Instant>,
-    cold: Vec<Instant>,
-    /// Wholes that were set in the course of the trial.
-    wholes: Vec<(Instant, u32)>,
-    cold_by: BTreeMap<usize, usize>,
-    setups: Histogram<u64>,
+    violations: Vec<Violation>,
+    requests: BTreeMap<u64, RequestRecord>,
+    /// The server of each attempt in flight, by the request's id.
+    attempts_in_flight: BTreeMap<u64, usize>,
+    /// Since when each node knows that a server takes no new connections.
+    drains_known: BTreeMap<NodeServerPair, Instant>,
+    absences: AbsenceLog,
+    /// When the link of a node and a server was last faulty.
+    link_faults: BTreeMap<NodeServerPair, Instant>,
+    warm_up_budget: BudgetMonitor,
+    setup_times: Histogram<u64>,
     counts: BTreeMap<&'static str, u64>,
 }
 
-impl Judge {
-    /// Nothing has happened yet.
-    pub fn new(start: Instant) -> Judge {
-        // Three digits up to a minute, in microseconds: bounds that are known to hold.
-        let setups = Histogram::new_with_bounds(1, 60_000_000, 3).expect("bounds of a histogram");
-        Judge {
+impl Checker {
+    /// A checker whose clock starts now.
+    ///
+    /// # Panics
+    ///
+    /// Never: the histogram's bounds are constants that it accepts.
+    pub fn new(start: Instant) -> Checker {
+        let setup_times =
+            Histogram::new_with_bounds(1, MAX_SETUP_US, 3).expect("bounds of a histogram");
+        Checker {
             start,
-            broken: Vec::new(),
+            violations: Vec::new(),
             requests: BTreeMap::new(),
-            out: BTreeMap::new(),
-            told: BTreeMap::new(),
-            absent: BTreeMap::new(),
-            links: BTreeMap::new(),
-            cold: Vec::new(),
-            wholes: Vec::new(),
-            cold_by: BTreeMap::new(),
-            setups,
+            attempts_in_flight: BTreeMap::new(),
+            drains_known: BTreeMap::new(),
+            absences: AbsenceLog::default(),
+            link_faults: BTreeMap::new(),
+            warm_up_budget: BudgetMonitor::default(),
+            setup_times,
             counts: BTreeMap::new(),
         }
     }
 
-    /// The first client comes now.
-    pub fn starts(&mut self, now: Instant) {
+    /// Starts the clock again: the first client comes now.
+    pub fn start_clock(&mut self, now: Instant) {
         self.start = now;
     }
 
-    /// Seconds since the first client.
-    pub fn seconds(&self, at: Instant) -> f64 {
+    /// Seconds since the first client; 0 before it.
+    pub fn seconds_since_start(&self, at: Instant) -> f64 {
         at.saturating_duration_since(self.start).as_secs_f64()
     }
 
-    /// A rule is broken.
-    pub fn breaks(&mut self, rule: &'static str, at: Instant, what: String) {
-        if self
-            .broken
-            .iter()
-            .filter(|broken| broken.rule == rule)
-            .count()
-            < MOST_TOLD
-        {
-            self.broken.push(Broken {
+    /// Records a violation, unless the rule has many already.
+    pub fn record_violation(&mut self, rule: Rule, at: Instant, description: String) {
+        let recorded = self.violations.iter();
+        let recorded_count = recorded.filter(|violation| violation.rule == rule).count();
+        if recorded_count < MAX_VIOLATIONS_PER_RULE {
+            self.violations.push(Violation {
                 rule,
-                at_s: self.seconds(at),
-                what,
+                at_s: self.seconds_since_start(at),
+                description,
             });
         }
     }
 
-    fn count(&mut self, what: &'static str) {
-        *self.counts.entry(what).or_default() += 1;
+    fn count(&mut self, event: &'static str) {
+        *self.counts.entry(event).or_default() += 1;
     }
 
-    /// A node is dead or frozen from now on, or is back.
-    pub fn absent(&mut self, node: usize, at: Instant, absent: bool) {
-        let spans = self.absent.entry(node).or_default();
-        match spans.last_mut() {
-            Some((_, end @ None)) if !absent => *end = Some(at),
-            Some((_, None)) => {}
-            _ if absent => spans.push((at, None)),
-            _ => {}
-        }
+    /// A node's process was killed, frozen, or has ended.
+    pub fn on_node_absent(&mut self, node: usize, at: Instant) {
+        self.absences.begin(node, at);
     }
 
-    /// Whether the node was dead or frozen at some time between these moments.
-    fn was_absent(&self, node: usize, from: Instant, to: Instant) -> bool {
-        let spans = self
-            .absent
-            .get(&node)
-            .map(Vec::as_slice)
-            .unwrap_or_default();
-        spans.iter().any(|(began, ended)| {
-            *began <= to + SLACK && ended.is_none_or(|ended| ended + SLACK >= from)
-        })
+    /// A node's process runs again.
+    pub fn on_node_present(&mut self, node: usize, at: Instant) {
+        self.absences.end(node, at);
     }
 
-    /// A link between a node and a transcriber is not as it should be at this moment.
-    pub fn link_faulty(&mut self, node: usize, transcriber: usize, at: Instant) {
-        self.links.insert((node, transcriber), at);
+    /// The link between a node and a server is, or was until now, faulty.
+    pub fn on_link_fault(&mut self, node: usize, server: usize, at: Instant) {
+        self.link_faults.insert(NodeServerPair { node, server }, at);
     }
 
-    /// An attempt has gone out: its whole first line has come from the node, on a connection begun then.
-    pub fn begun(&mut self, request: u64, node: usize, transcriber: usize, at: Instant) {
+    /// A node has sent an attempt's whole first line, on a connection that was dialed then.
+    pub fn on_attempt(&mut self, request: u64, node: usize, server: usize, dialed_at: Instant) {
         self.count("attempts");
-        if let Some(other) = self.out.insert(request, transcriber) {
-            let what = format!(
-                "request {request:016x} was out at t{other} and went to t{transcriber} by n{node}"
+        if let Some(other) = self.attempts_in_flight.insert(request, server) {
+            let description = format!(
+                "request {request:016x} was out at t{other} and went to t{server} by n{node}"
             );
-            self.breaks("one-attempt", Instant::now(), what);
+            self.record_violation(Rule::OneAttempt, Instant::now(), description);
         }
-        if let Some(request) = self.requests.get_mut(&request) {
-            request.transcriber = Some(transcriber);
+        if let Some(record) = self.requests.get_mut(&request) {
+            record.server = Some(server);
         }
-        if let Some(told) = self.told.get(&(node, transcriber)) {
-            if at.saturating_duration_since(*told) > GRACE && !self.was_absent(node, *told, at) {
-                let late = at.saturating_duration_since(*told).as_millis();
-                let what = format!(
-                    "n{node} sent {request:016x} to t{transcriber}, {late} ms after it was told of its end"
-                );
-                self.breaks("drain-grace", at, what);
-            }
+        self.check_drain(request, NodeServerPair { node, server }, dialed_at);
+    }
+
+    /// Checks that an attempt does not go to a server that the node has known to drain for long.
+    fn check_drain(&mut self, request: u64, pair: NodeServerPair, dialed_at: Instant) {
+        let Some(known_at) = self.drains_known.get(&pair).copied() else {
+            return;
+        };
+        let known_for = dialed_at.saturating_duration_since(known_at);
+        let NodeServerPair { node, server } = pair;
+        if known_for > DRAIN_GRACE && !self.absences.overlaps(node, known_at, dialed_at) {
+            let late_ms = known_for.as_millis();
+            let description = format!(
+                "n{node} sent {request:016x} to t{server}, {late_ms} ms after it was told of its end"
+            );
+            self.record_violation(Rule::DrainGrace, dialed_at, description);
         }
     }
 
-    /// The attempt is over.
-    pub fn over(&mut self, request: u64) {
-        self.out.remove(&request);
+    /// An attempt has ended.
+    pub fn on_attempt_ended(&mut self, request: u64) {
+        self.attempts_in_flight.remove(&request);
     }
 
-    /// A stand-in saw this.
-    pub fn saw(&mut self, at: Instant, seen: Seen) {
-        match seen {
-            Seen::Asked {
+    /// Takes an observation of a test server or client.
+    pub fn observe(&mut self, at: Instant, observation: Observation) {
+        match observation {
+            Observation::RequestSent {
                 request,
                 node,
-                wait_ms,
-            } => {
-                let wait = Duration::from_millis(wait_ms);
-                let (answer, gave_up, dropped, transcriber) = (None, false, false, None);
-                let asked = Request {
-                    node,
-                    asked: at,
-                    wait,
-                    answer,
-                    gave_up,
-                    dropped,
-                    transcriber,
-                };
-                if self.requests.insert(request, asked).is_some() {
-                    self.breaks(
-                        "one-answer",
-                        at,
-                        format!("the trial used the id {request:016x} twice"),
-                    );
-                }
+                timeout_ms,
+            } => self.on_request(at, request, node, Duration::from_millis(timeout_ms)),
+            Observation::FirstAnswer { request, answer } => self.on_answer(at, request, answer),
+            Observation::ExtraAnswer { request } => {
+                let description = format!("request {request:016x} was answered a second time");
+                self.record_violation(Rule::OneAnswer, at, description);
             }
-            Seen::Answered { request, answer } => {
-                let Some(known) = self.requests.get_mut(&request) else {
-                    return;
-                };
-                known.answer = Some((at, answer));
-                let took = at.saturating_duration_since(known.asked);
-                self.count(match answer {
-                    Answer::Up => "up",
-                    Answer::Busy(_) => "busy",
-                    Answer::Failed => "failed",
-                    Answer::Closed => "closed",
-                });
-                if answer == Answer::Up {
-                    self.setups.saturating_record(took.as_micros() as u64);
-                }
+            Observation::ClientTimedOut { request } => {
+                self.update_request(request, |record| record.has_timed_out = true);
             }
-            Seen::Again { request } => {
-                self.breaks(
-                    "one-answer",
-                    at,
-                    format!("request {request:016x} was answered a second time"),
-                );
+            Observation::ClosedByServer { request } => {
+                self.update_request(request, |record| record.was_closed_by_server = true);
             }
-            Seen::GaveUp { request } => {
-                if let Some(request) = self.requests.get_mut(&request) {
-                    request.gave_up = true;
-                }
+            Observation::ConnectionEnded { request, end } => {
+                self.on_connection_ended(at, request, end);
             }
-            Seen::Dropped { request } => {
-                if let Some(request) = self.requests.get_mut(&request) {
-                    request.dropped = true;
-                }
+            Observation::ServerCrashed {
+                server,
+                is_warming_up,
+                connection_count,
+            } => self.on_server_crashed(at, server, is_warming_up, connection_count),
+            Observation::WarmingUpConnection { dialed_at, .. } => {
+                self.warm_up_budget.record_use(dialed_at);
             }
-            Seen::Stood { request, end } => self.stood(at, request, end),
-            Seen::Fell {
-                transcriber,
-                cold,
-                held,
-            } => {
-                self.count("fell");
-                if cold {
-                    self.breaks(
-                        "cold-fell",
-                        at,
-                        format!("t{transcriber} fell while it was cold, with {held} connections"),
-                    );
-                }
-            }
-            Seen::Cold { transcriber, begun } => {
-                self.cold.push(begun);
-                *self.cold_by.entry(transcriber).or_default() += 1;
-            }
-            Seen::Told {
+            Observation::EndpointAnnounced {
                 node,
-                transcriber,
-                ready: true,
-            } => drop(self.told.remove(&(node, transcriber))),
-            Seen::Told {
-                node,
-                transcriber,
-                ready: false,
-            } => {
-                self.told.entry((node, transcriber)).or_insert(at);
-            }
+                server,
+                is_ready,
+            } => self.on_announcement(at, NodeServerPair { node, server }, is_ready),
         }
     }
 
-    fn stood(&mut self, at: Instant, request: u64, end: End) {
+    fn update_request(&mut self, request: u64, update: impl FnOnce(&mut RequestRecord)) {
+        if let Some(record) = self.requests.get_mut(&request) {
+            update(record);
+        }
+    }
+
+    fn on_request(&mut self, at: Instant, request: u64, node: usize, timeout: Duration) {
+        let record = RequestRecord {
+            node,
+            sent_at: at,
+            timeout,
+            answer: None,
+            has_timed_out: false,
+            was_closed_by_server: false,
+            server: None,
+        };
+        if self.requests.insert(request, record).is_some() {
+            let description = format!("the trial used the id {request:016x} twice");
+            self.record_violation(Rule::OneAnswer, at, description);
+        }
+    }
+
+    fn on_answer(&mut self, at: Instant, request: u64, answer: Answer) {
+        let Some(record) = self.requests.get_mut(&request) else {
+            return;
+        };
+        record.answer = Some(ReceivedAnswer { at, answer });
+        let latency = at.saturating_duration_since(record.sent_at);
+        self.count(match answer {
+            Answer::Accepted => "up",
+            Answer::Rejected { .. } => "busy",
+            Answer::Failed => "failed",
+            Answer::Closed => "closed",
+        });
+        if answer == Answer::Accepted {
+            self.setup_times
+                .saturating_record(latency.as_micros() as u64);
+        }
+    }
+
+    fn on_server_crashed(
+        &mut self,
+        at: Instant,
+        server: usize,
+        is_warming_up: bool,
+        connection_count: usize,
+    ) {
+        self.count("fell");
+        if is_warming_up {
+            let description =
+                format!("t{server} fell while it was cold, with {connection_count} connections");
+            self.record_violation(Rule::WarmUpCrash, at, description);
+        }
+    }
+
+    fn on_announcement(&mut self, at: Instant, pair: NodeServerPair, is_ready: bool) {
+        if is_ready {
+            self.drains_known.remove(&pair);
+        } else {
+            self.drains_known.entry(pair).or_insert(at);
+        }
+    }
+
+    fn on_connection_ended(&mut self, at: Instant, request: u64, end: ConnectionEnd) {
         self.count(match end {
-            End::Own => "stood",
-            End::Moved => "moved",
-            End::Theirs | End::Cut => "cut",
+            ConnectionEnd::ByClient => "stood",
+            ConnectionEnd::Migrated => "moved",
+            ConnectionEnd::Unexpected => "cut",
         });
-        let Some(known) = self.requests.get(&request).filter(|_| end == End::Cut) else {
+        if end == ConnectionEnd::Unexpected {
+            self.check_unexpected_end(at, request);
+        }
+    }
+
+    /// Checks that something explains the end of a connection: its server, its link, or its node's absence.
+    fn check_unexpected_end(&mut self, at: Instant, request: u64) {
+        let Some(record) = self.requests.get(&request) else {
             return;
         };
-        let (node, asked) = (known.node, known.asked);
-        let faulty = known
-            .transcriber
-            .and_then(|transcriber| self.links.get(&(node, transcriber)));
-        let faulty = faulty.is_some_and(|last| at.saturating_duration_since(*last) < AFTER_FAULT);
-        if !known.dropped && !faulty && !self.was_absent(node, asked, at) {
-            let what = format!(
-                "n{node} cut {request:016x} off without MOVE, its transcriber {:?} still answers",
-                known.transcriber
-            );
-            self.breaks("cut-off", at, what);
+        let node = record.node;
+        let last_link_fault = record
+            .server
+            .and_then(|server| self.link_faults.get(&NodeServerPair { node, server }));
+        let had_link_fault = last_link_fault
+            .is_some_and(|fault_at| at.saturating_duration_since(*fault_at) < LINK_FAULT_GRACE);
+        if record.was_closed_by_server
+            || had_link_fault
+            || self.absences.overlaps(node, record.sent_at, at)
+        {
+            return;
         }
+        let description = format!(
+            "n{node} cut {request:016x} off without MOVE, its transcriber {:?} still answers",
+            record.server
+        );
+        self.record_violation(Rule::UnexpectedClose, at, description);
     }
 
-    /// The run is over: what is still owed is judged, and budgets are summed up. Gives requests, those that nobody
-    /// answered though their node was there, and those that were lost with their node.
-    pub fn finish(&mut self, now: Instant) -> (u64, u64, u64) {
-        let (mut unanswered, mut lost) = (0, 0);
+    /// Ends the run: checks the requests that have no answer.
+    pub fn finish(&mut self, now: Instant) -> RequestTotals {
         let requests = std::mem::take(&mut self.requests);
-        for (id, request) in &requests {
-            let due = request.asked + request.wait + LATE;
-            let none = match request.answer {
-                Some((_, Answer::Closed)) => true,
-                Some(_) => false,
-                None => request.gave_up || now > due,
-            };
-            if !none {
+        let mut totals = RequestTotals {
+            requests: requests.len() as u64,
+            ..RequestTotals::default()
+        };
+        for (id, record) in &requests {
+            let Some(unanswered_at) = record.unanswered_at(now) else {
                 continue;
-            }
-            let until = request.answer.map_or(due, |(at, _)| at);
-            if self.was_absent(request.node, request.asked, until) {
-                lost += 1;
+            };
+            let node = record.node;
+            if self.absences.overlaps(node, record.sent_at, unanswered_at) {
+                totals.lost += 1;
             } else {
-                unanswered += 1;
-                let what = format!("request {id:016x} had no answer of n{}", request.node);
-                self.breaks("one-answer", until, what);
+                totals.unanswered += 1;
+                let description = format!("request {id:016x} had no answer of n{node}");
+                self.record_violation(Rule::OneAnswer, unanswered_at, description);
             }
         }
-        (requests.len() as u64, unanswered, lost)
+        totals
     }
 
-    /// The budget of connections to cold transcribers, as it was used.
+    /// Reports the usage of the budget of connections to servers that are warming up, and checks its limit.
     ///
-    /// `enough` are spans, in seconds, in which more was wanted than the whole.
-    pub fn cold(&mut self, whole: u32, enough: &[(f64, f64)]) -> Budget {
-        self.cold.sort();
-        // A greater whole of before may still be out until all slices of it are surely over.
-        let wholes = self.wholes.clone();
-        let allowed = |at: Instant| {
-            let at_first = wholes
-                .first()
-                .is_none_or(|(from, _)| at < *from + SLICES_OVER)
-                .then_some(whole);
-            let later = wholes.iter().enumerate().filter(|(n, (from, _))| {
-                let next = wholes
-                    .get(n + 1)
-                    .is_none_or(|(next, _)| at < *next + SLICES_OVER);
-                *from <= at && next
-            });
-            later
-                .map(|(_, (_, whole))| *whole)
-                .chain(at_first)
-                .max()
-                .unwrap_or(whole)
-        };
-        let (mut peak, mut first, mut over) = (0, 0, None);
-        for (last, moment) in self.cold.iter().enumerate() {
-            while moment.saturating_duration_since(self.cold[first]) >= SECOND {
-                first += 1;
-            }
-            let sum = (last - first + 1) as u32;
-            peak = peak.max(sum);
-            if sum > allowed(*moment) && over.is_none_or(|(most, _)| sum > most) {
-                over = Some((sum, *moment));
-            }
-        }
-        if let Some((sum, at)) = over {
-            let whole = allowed(at);
-            let what = format!(
-                "{sum} connections to cold transcribers in a second, {whole} are the whole"
+    /// In `saturated_spans` clients wanted more than the limit.
+    pub fn warm_up_budget(&mut self, limit: u32, saturated_spans: &[TimeSpan]) -> BudgetReport {
+        self.warm_up_budget.sort();
+        if let Some(overrun) = self.warm_up_budget.worst_overrun(limit) {
+            let description = format!(
+                "{} connections to cold transcribers in a second, {} are the whole",
+                overrun.sum, overrun.limit
             );
-            self.breaks("budget", at, what);
-        }
-        let last = self
-            .cold
-            .last()
-            .map_or(0.0, |last| self.seconds(*last) + 1.0);
-        let sums = (0..(last * 10.0) as usize).map(|tenth| {
-            let to = self.start + Duration::from_millis(tenth as u64 * 100);
-            let from = to.checked_sub(SECOND).unwrap_or(self.start);
-            let sum = self
-                .cold
-                .iter()
-                .filter(|moment| **moment > from && **moment <= to)
-                .count();
-            (tenth as f64 / 10.0, sum as u32)
-        });
-        let sums = sums.collect();
-        let (mut came, mut span) = (0, 0.0);
-        for (from, to) in enough {
-            let within = |moment: &&Instant| (*from..*to).contains(&self.seconds(**moment));
-            came += self.cold.iter().filter(within).count();
-            span += to - from;
-        }
-        // What was sent takes its unit for as long as the budget counts it.
-        let used =
-            (span > 0.0).then(|| came as f64 * WINDOW.as_secs_f64() / (span * f64::from(whole)));
-        Budget {
-            name: "cold",
-            whole,
-            peak,
-            used,
-            total: self.cold.len(),
-            sums,
+            self.record_violation(Rule::Budget, overrun.at, description);
         }
+        self.warm_up_budget
+            .report("cold", self.start, limit, saturated_spans)
     }
 
-    /// A person sets another whole of the cold budget.
-    pub fn whole(&mut self, at: Instant, whole: u32) {
-        self.wholes.push((at, whole));
+    /// An operator sets another limit of that budget.
+    pub fn on_budget_limit_changed(&mut self, at: Instant, limit: u32) {
+        self.warm_up_budget.record_limit(at, limit);
     }
 
-    /// All that is broken so far.
-    pub fn broken(&self) -> &[Broken] {
-        &self.broken
+    /// All violations so far.
+    pub fn violations(&self) -> &[Violation] {
+        &self.violations
     }
 
-    /// What was counted.
+    /// Counts of events by their names.
     pub fn counts(&self) -> &BTreeMap<&'static str, u64> {
         &self.counts
     }
 
-    /// Set-ups as clients saw them, in milliseconds: half, 99 of 100, and the slowest.
-    pub fn setups_ms(&self) -> [f64; 3] {
-        let at = |part| self.setups.value_at_quantile(part) as f64 / 1000.0;
-        [at(0.5), at(0.99), self.setups.max() as f64 / 1000.0]
+    /// Setup times as clients saw them.
+    pub fn setup_times(&self) -> SetupTimes {
+        let quantile_ms = |quantile| self.setup_times.value_at_quantile(quantile) as f64 / 1000.0;
+        SetupTimes {
+            median_ms: quantile_ms(0.5),
+            p99_ms: quantile_ms(0.99),
+            max_ms: self.setup_times.max() as f64 / 1000.0,
+        }
     }
 }
--- a/crates/fault-injection/src/datagram_proxy.rs
+++ b/crates/fault-injection/src/datagram_proxy.rs
@@ -1,131 +1,151 @@
-//! The proxy of one link's datagrams, from one node to one other: passes, loses, doubles, delays and reorders.
+//! The proxy of one direction of a link's datagrams: it passes, loses, duplicates, delays and reorders them.
 
-use crate::links::Party;
-use crate::stage::Stage;
+use crate::deadline::DeadlineKind;
+use crate::harness::{Harness, HarnessContext};
+use crate::link::LinkDirection;
 use lupincrank_reactor::poll::Registered;
-use lupincrank_reactor::{ComponentId, Connection, Context, Lifecycle};
-use lupincrank_reactor::{Interest, Readiness};
-use lupincrank_test_servers::{key, Note};
+use lupincrank_reactor::{poller_key, ComponentId, Connection, Interest, Lifecycle, Readiness};
+use lupincrank_test_servers::Command;
 use rand::Rng;
+use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::time::{Duration, Instant};
 
-/// Datagrams in one turn, and those that are held.
-const TURN: usize = 64;
-const MOST_HELD: usize = 4096;
-/// One that is held back comes so much later than those behind it.
-const BEHIND: Duration = Duration::from_millis(60);
+/// Datagrams received in one turn of the loop.
+const MAX_DATAGRAMS_PER_TURN: usize = 64;
+/// Datagrams above which delayed ones are lost.
+const MAX_DELAYED_DATAGRAMS: usize = 4096;
+/// Datagrams are at most so long.
+const MAX_DATAGRAM_BYTES: usize = 2048;
+/// How much later a reordered datagram arrives.
+const REORDER_DELAY: Duration = Duration::from_millis(60);
 
-struct Hop {
+/// Orders delayed datagrams by their moment, and by their arrival.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct DelayedKey {
+    due_at: Instant,
+    sequence: u64,
+}
+
+struct DatagramProxy {
     id: ComponentId,
-    from: Party,
-    to: Party,
+    direction: LinkDirection,
     target: SocketAddr,
     socket: Registered<UdpSocket>,
-    held: BTreeMap<(Instant, u64), Vec<u8>>,
-    numbered: u64,
+    delayed: BTreeMap<DelayedKey, Vec<u8>>,
+    last_sequence: u64,
 }
 
-/// Opens the way at this address; what comes goes on to `target`.
-pub fn open(
-    context: &mut Context<Stage>,
-    from: Party,
-    to: Party,
-    at: SocketAddr,
+/// Opens a proxy at this address; what it receives goes on to `target`.
+pub(crate) fn open(
+    context: &mut HarnessContext,
+    direction: LinkDirection,
+    address: SocketAddr,
     target: SocketAddr,
 ) -> io::Result<()> {
     let id = context.allocate_id();
-    let socket = UdpSocket::bind(at)?;
+    let socket = UdpSocket::bind(address)?;
     socket.set_nonblocking(true)?;
-    let socket = Registered::new(&context.poller, socket, key(id, 0), Interest::READ)?;
-    context.register(
+    let key = poller_key(id, 0);
+    let socket = Registered::new(&context.poller, socket, key, Interest::READ)?;
+    let proxy = DatagramProxy {
         id,
-        Box::new(Hop {
-            id,
-            from,
-            to,
-            target,
-            socket,
-            held: BTreeMap::new(),
-            numbered: 0,
-        }),
-    );
+        direction,
+        target,
+        socket,
+        delayed: BTreeMap::new(),
+        last_sequence: 0,
+    };
+    context.register(id, Box::new(proxy));
     Ok(())
 }
 
-impl Hop {
-    fn take(&mut self, context: &mut Context<Stage>, bytes: &[u8]) {
-        let way = context.application.links.way(self.from, self.to);
-        let random = &mut context.application.random;
-        let mut chance = |part: f64| part > 0.0 && random.random::<f64>() < part;
-        if way.cut || chance(way.loss) {
+/// Draws whether something of this probability happens; without a draw if it can't.
+fn draw_chance(random: &mut Pcg64Mcg, ratio: f64) -> bool {
+    ratio > 0.0 && random.random::<f64>() < ratio
+}
+
+impl DatagramProxy {
+    fn relay(&mut self, harness: &mut Harness, bytes: &[u8]) {
+        let condition = harness.network.links.condition(self.direction);
+        let random = &mut harness.random;
+        if condition.is_cut || draw_chance(random, condition.loss_ratio) {
             return;
         }
-        let (copies, late) = (1 + usize::from(chance(way.double)), chance(way.reorder));
-        for _ in 0..copies {
-            let jitter = if way.jitter.is_zero() {
-                0.0
-            } else {
-                context.application.random.random::<f64>()
-            };
-            let wait =
-                way.delay + way.jitter.mul_f64(jitter) + if late { BEHIND } else { Duration::ZERO };
-            if wait.is_zero() {
-                // What does not get through is lost, as datagrams are.
-                let _ = self.socket.send_to(bytes, self.target);
-            } else if self.held.len() < MOST_HELD {
-                self.numbered += 1;
-                self.held
-                    .insert((Instant::now() + wait, self.numbered), bytes.to_vec());
+        let is_duplicated = draw_chance(random, condition.duplicate_ratio);
+        let is_reordered = draw_chance(random, condition.reorder_ratio);
+        let copy_count = 1 + usize::from(is_duplicated);
+        for _ in 0..copy_count {
+            let mut delay = condition.draw_latency(random);
+            if is_reordered {
+                delay += REORDER_DELAY;
             }
+            self.send_after(delay, bytes);
         }
     }
 
-    fn next(&self, context: &mut Context<Stage>) {
-        if let Some(((at, _), _)) = self.held.first_key_value() {
-            context.deadlines.set(self.id, 0, *at);
+    fn send_after(&mut self, delay: Duration, bytes: &[u8]) {
+        if delay.is_zero() {
+            // What the system does not accept is lost, as datagrams are.
+            let _ = self.socket.send_to(bytes, self.target);
+        } else if self.delayed.len() < MAX_DELAYED_DATAGRAMS {
+            self.last_sequence += 1;
+            let key = DelayedKey {
+                due_at: Instant::now() + delay,
+                sequence: self.last_sequence,
+            };
+            self.delayed.insert(key, bytes.to_vec());
+        }
+    }
+
+    fn schedule_next(&self, context: &mut HarnessContext) {
+        if let Some((key, _)) = self.delayed.first_key_value() {
+            context
+                .deadlines
+                .set(self.id, DeadlineKind::SendDatagram, key.due_at);
         }
     }
 }
 
-impl Connection<Stage> for Hop {
+impl Connection<Harness> for DatagramProxy {
     fn on_ready(
         &mut self,
-        context: &mut Context<Stage>,
+        context: &mut HarnessContext,
         _socket: usize,
         _readiness: Readiness,
     ) -> Lifecycle {
-        let mut bytes = [0; 2048];
-        for _ in 0..TURN {
+        let mut bytes = [0; MAX_DATAGRAM_BYTES];
+        for _ in 0..MAX_DATAGRAMS_PER_TURN {
             match self.socket.recv_from(&mut bytes) {
-                Ok((length, _)) => self.take(context, &bytes[..length]),
+                Ok((length, _)) => self.relay(&mut context.application, &bytes[..length]),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
-                // The answer of a dead node's machine to one before.
+                // A dead node's system has refused an earlier datagram.
                 Err(_) => {}
             }
         }
-        self.next(context);
+        self.schedule_next(context);
         Lifecycle::Continue
     }
 
-    fn on_deadline(&mut self, context: &mut Context<Stage>, _kind: u64) -> Lifecycle {
-        let (now, cut) = (
-            Instant::now(),
-            context.application.links.way(self.from, self.to).cut,
-        );
-        while let Some(first) = self.held.first_entry().filter(|first| first.key().0 <= now) {
-            let bytes = first.remove();
-            if !cut {
+    fn on_deadline(&mut self, context: &mut HarnessContext, _kind: DeadlineKind) -> Lifecycle {
+        let now = Instant::now();
+        let is_cut = context.network.links.condition(self.direction).is_cut;
+        while let Some(entry) = self.delayed.first_entry() {
+            if entry.key().due_at > now {
+                break;
+            }
+            let bytes = entry.remove();
+            if !is_cut {
                 let _ = self.socket.send_to(&bytes, self.target);
             }
         }
-        self.next(context);
+        self.schedule_next(context);
         Lifecycle::Continue
     }
 
-    fn on_message(&mut self, _context: &mut Context<Stage>, _note: Note) -> Lifecycle {
+    fn on_message(&mut self, _context: &mut HarnessContext, _command: Command) -> Lifecycle {
         Lifecycle::Continue
     }
 }
--- /dev/null
+++ b/crates/fault-injection/src/fault_injector/process_faults.rs
@@ -0,0 +1,168 @@
+//! Faults of node processes: kills, freezes, restarts, and processes that nobody expects.
+
+use super::schedule_after;
+use crate::error::RunError;
+use crate::fault_step::FaultStep;
+use crate::harness::HarnessContext;
+use crate::node_process::ProcessState;
+use crate::scenario::Fault;
+use crate::{cluster_setup, node_call};
+use std::time::{Duration, Instant};
+
+/// Restarts in a loop are at least so far apart.
+const MIN_RESTART_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Kills nodes, and restarts them where the fault ends.
+pub(super) fn kill_nodes(context: &mut HarnessContext, fault: &Fault, nodes: &[usize]) {
+    for &node in nodes {
+        kill(context, node);
+        schedule_restart(context, fault, node);
+    }
+}
+
+/// Freezes nodes for the fault's duration.
+pub(super) fn freeze_nodes(context: &mut HarnessContext, fault: &Fault, nodes: &[usize]) {
+    let now = Instant::now();
+    for &node in nodes {
+        context.checker.on_node_absent(node, now);
+        context.nodes[node].freeze();
+        schedule_after(context, fault.duration(), FaultStep::ResumeNode { node });
+    }
+}
+
+/// Lets a frozen node continue.
+pub(super) fn resume(context: &mut HarnessContext, node: usize) {
+    if context.nodes[node].state() != ProcessState::Frozen {
+        return;
+    }
+    let now = Instant::now();
+    context.record_fault(format!("n{node} wakes"));
+    context.nodes[node].resume();
+    context.checker.on_node_present(node, now);
+}
+
+/// Asks nodes to end, and restarts them where the fault ends.
+pub(super) fn terminate_nodes(context: &mut HarnessContext, fault: &Fault, nodes: &[usize]) {
+    for &node in nodes {
+        context.nodes[node].terminate();
+        schedule_restart(context, fault, node);
+    }
+}
+
+fn schedule_restart(context: &mut HarnessContext, fault: &Fault, node: usize) {
+    if fault.has_end() {
+        schedule_after(context, fault.duration(), FaultStep::RestartNode { node });
+    }
+}
+
+/// Restarts a node after its fault.
+pub(super) fn restart(context: &mut HarnessContext, node: usize) {
+    context.record_fault(format!("n{node} starts from nothing"));
+    start(context, node);
+}
+
+/// Restarts nodes again and again.
+pub(super) fn begin_restart_loops(context: &mut HarnessContext, fault: &Fault, nodes: &[usize]) {
+    let interval = fault.duration().max(MIN_RESTART_INTERVAL);
+    for &node in nodes {
+        restart_again(context, node, fault.count, interval);
+    }
+}
+
+/// Restarts a node, and schedules the next restart if one is left.
+pub(super) fn restart_again(
+    context: &mut HarnessContext,
+    node: usize,
+    remaining_count: usize,
+    interval: Duration,
+) {
+    let now = Instant::now();
+    start(context, node);
+    if remaining_count <= 1 {
+        context.record_fault(format!("n{node} stays"));
+        return;
+    }
+    let next = FaultStep::RestartLoop {
+        node,
+        remaining_count: remaining_count - 1,
+        interval,
+    };
+    context.schedule_step(now + interval, next);
+}
+
+/// Starts a node that no configuration names.
+pub(super) fn join(context: &mut HarnessContext) {
+    if let Err(error) = cluster_setup::join_node(context, None) {
+        context.fail(error);
+    }
+}
+
+/// Starts another process under the name of each node.
+pub(super) fn duplicate_names(context: &mut HarnessContext, nodes: &[usize]) {
+    for &node in nodes {
+        let name = context.nodes[node].name().to_string();
+        if let Err(error) = cluster_setup::join_node(context, Some(name)) {
+            context.fail(error);
+            return;
+        }
+    }
+}
+
+/// Lets processes of another cluster take the addresses of nodes.
+pub(super) fn replace_nodes(context: &mut HarnessContext, fault: &Fault, nodes: &[usize]) {
+    for &node in nodes {
+        replace(context, node, true);
+        if fault.has_end() {
+            schedule_after(context, fault.duration(), FaultStep::RestoreNode { node });
+        }
+    }
+}
+
+/// Lets a node take its address back.
+pub(super) fn restore(context: &mut HarnessContext, node: usize) {
+    context.record_fault(format!("n{node} takes its address back"));
+    replace(context, node, false);
+}
+
+/// Sets the limit of the warm-up budget, at the first running node of these.
+pub(super) fn set_budget(context: &mut HarnessContext, fault: &Fault, nodes: &[usize]) {
+    let limit = fault.magnitude as u32;
+    context
+        .checker
+        .on_budget_limit_changed(Instant::now(), limit);
+    let mut running = nodes
+        .iter()
+        .filter(|node| context.nodes[**node].is_running());
+    // It passes the command on to the leader.
+    if let Some(&node) = running.next() {
+        node_call::set_budget(context, node, limit);
+    }
+}
+
+fn kill(context: &mut HarnessContext, node: usize) {
+    context.checker.on_node_absent(node, Instant::now());
+    context.nodes[node].kill();
+}
+
+fn start(context: &mut HarnessContext, node: usize) {
+    // A process that is still terminating is replaced.
+    kill(context, node);
+    let is_verbose = context.options.is_verbose;
+    let process = &mut context.application.nodes[node];
+    if let Err(source) = process.start(is_verbose) {
+        let node = process.name().to_string();
+        context.fail(RunError::StartNode { node, source });
+    }
+    context.checker.on_node_present(node, Instant::now());
+}
+
+/// Restarts a node as a member of another cluster, or of its own again.
+fn replace(context: &mut HarnessContext, node: usize, is_foreign: bool) {
+    context.nodes[node].set_foreign(is_foreign);
+    let expected_count = context.scenario.node_count();
+    kill(context, node);
+    match cluster_setup::write_config(context, node, expected_count) {
+        Ok(()) => start(context, node),
+        Err(error) => context.fail(error),
+    }
+}
--- a/crates/fault-injection/src/fault_step.rs
+++ b/crates/fault-injection/src/fault_step.rs
@@ -1,29 +1,56 @@
-//! What faults are made of.
+//! The steps that faults consist of.
 
-use crate::links::Party;
-use crate::scenario::{Fault, Kind};
-use lupincrank_test_servers::transcriber::Mode;
+use crate::link::LinkDirection;
+use crate::scenario::{Fault, FaultKind};
+use lupincrank_test_servers::upstream_server::ServerMode;
 use std::time::{Duration, Instant};
 
-/// One thing to do at its moment.
+/// A step with the moment at which it is due.
 #[derive(Clone, Debug)]
-pub enum Step {
+pub(crate) struct ScheduledStep {
+    pub(crate) due_at: Instant,
+    pub(crate) step: FaultStep,
+}
+
+/// One change to the processes, servers or links.
+#[derive(Clone, Debug)]
+pub(crate) enum FaultStep {
     /// A fault begins.
     Begin(Fault),
-    /// Links are as they were.
-    Mend(Vec<(Party, Party)>, Kind),
-    /// A node's process goes on.
-    Wake(usize),
-    /// A node starts anew.
-    Start(usize),
-    /// A node takes its address back from a process of another fleet.
-    Home(usize),
-    /// A node dies and starts anew, so often still, so far apart.
-    Loop(usize, usize, Duration),
-    /// A transcriber stands like this, and is listed as just started or as before.
-    Turn(usize, Mode, bool),
-    /// A draining transcriber ends one connection, and so on until it is gone at that moment.
-    Drain(usize, Instant),
-    /// Discovery is as it was for this node.
-    Tell(usize),
+    /// A fault of links ends.
+    RepairLinks {
+        directions: Vec<LinkDirection>,
+        kind: FaultKind,
+    },
+    /// A frozen process continues.
+    ResumeNode { node: usize },
+    /// A node is restarted.
+    RestartNode { node: usize },
+    /// A node takes its address back from a process of another cluster.
+    RestoreNode { node: usize },
+    /// A node is killed and restarted, and again after the interval while some are left.
+    RestartLoop {
+        node: usize,
+        remaining_count: usize,
+        interval: Duration,
+    },
+    /// An upstream server changes its mode.
+    SetServerMode {
+        server: usize,
+        mode: ServerMode,
+        listing: Listing,
+    },
+    /// A draining server closes one connection, and again until it stops.
+    DrainServer { server: usize, stops_at: Instant },
+    /// Discovery works again for a node.
+    RestoreDiscovery { node: usize },
+}
+
+/// Whether a server that serves again is listed as just started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Listing {
+    /// It is listed as before.
+    Unchanged,
+    /// It is listed as just started.
+    Restarted,
 }
--- /dev/null
+++ b/crates/fault-injection/src/harness/cluster_status.rs
@@ -0,0 +1,168 @@
+//! What the nodes say of their cluster, and whether they agree.
+
+use super::Harness;
+use crate::node_process::NodeProcess;
+use std::collections::BTreeMap;
+use thiserror::Error;
+
+/// Why the cluster is not what it must be yet.
+#[derive(Clone, Debug, Error, PartialEq)]
+pub(crate) enum NotConverged {
+    #[error("{node} says nothing")]
+    NoStatus { node: String },
+    #[error("{node} counts {counted} living nodes of {running}")]
+    Membership {
+        node: String,
+        counted: usize,
+        running: usize,
+    },
+    #[error("{node} counts {leased} taken of {limit}")]
+    LeasedAboveLimit {
+        node: String,
+        leased: f64,
+        limit: f64,
+    },
+    #[error("{node} counts only {leased} taken of {limit}")]
+    LeasedTooLittle {
+        node: String,
+        leased: f64,
+        limit: f64,
+    },
+    #[error("leaders are {}", leaders.join(", "))]
+    Leaders { leaders: Vec<String> },
+}
+
+/// What the cluster must be.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ConvergenceGoal {
+    /// All running nodes name one leader and count each other.
+    pub(crate) needs_agreement: bool,
+    /// The least ratio of the budget that is leased.
+    pub(crate) min_leased_ratio: f64,
+}
+
+/// What one node says.
+struct NodeView<'a> {
+    node: &'a str,
+    leader: Option<&'a str>,
+    living_count: usize,
+    leased: f64,
+    limit: f64,
+}
+
+impl<'a> NodeView<'a> {
+    fn read(node: &'a NodeProcess) -> Result<NodeView<'a>, NotConverged> {
+        let Some(status) = node.status() else {
+            return Err(NotConverged::NoStatus {
+                node: node.name().to_string(),
+            });
+        };
+        let control = &status["council"];
+        Ok(NodeView {
+            node: node.name(),
+            leader: control["leader"].as_str(),
+            living_count: status["alive"].as_u64().unwrap_or(0) as usize,
+            leased: control["sum"].as_f64().unwrap_or(0.0),
+            limit: control["whole"].as_f64().unwrap_or(0.0),
+        })
+    }
+
+    fn check_membership(&self, running: usize) -> Result<(), NotConverged> {
+        if self.living_count == running {
+            return Ok(());
+        }
+        Err(NotConverged::Membership {
+            node: self.node.to_string(),
+            counted: self.living_count,
+            running,
+        })
+    }
+
+    fn check_leased(&self, min_leased_ratio: f64) -> Result<(), NotConverged> {
+        let node = self.node.to_string();
+        let leased = self.leased;
+        let limit = self.limit;
+        if leased > limit {
+            return Err(NotConverged::LeasedAboveLimit {
+                node,
+                leased,
+                limit,
+            });
+        }
+        if leased < limit * min_leased_ratio {
+            return Err(NotConverged::LeasedTooLittle {
+                node,
+                leased,
+                limit,
+            });
+        }
+        Ok(())
+    }
+}
+
+/// Checks that all name the same leader.
+fn check_leaders(views: &[NodeView]) -> Result<(), NotConverged> {
+    let mut leaders: Vec<&str> = views
+        .iter()
+        .map(|view| view.leader.unwrap_or("none"))
+        .collect();
+    leaders.sort_unstable();
+    leaders.dedup();
+    match leaders.as_slice() {
+        [leader] if *leader != "none" => Ok(()),
+        _ => Err(NotConverged::Leaders {
+            leaders: leaders.iter().map(ToString::to_string).collect(),
+        }),
+    }
+}
+
+impl Harness {
+    /// The number of the leader that most running nodes name.
+    pub(crate) fn leader(&self) -> Option<usize> {
+        let mut votes: BTreeMap<&str, usize> = BTreeMap::new();
+        for node in self.nodes.iter().filter(|node| node.is_running()) {
+            let status = node.status();
+            if let Some(leader) = status.and_then(|status| status["council"]["leader"].as_str()) {
+                *votes.entry(leader).or_default() += 1;
+            }
+        }
+        let (leader, _) = votes.into_iter().max_by_key(|(_, votes)| *votes)?;
+        self.nodes
+            .iter()
+            .rposition(|node| node.name() == leader && node.is_running())
+    }
+
+    /// Running nodes of the cluster; of two with one name the one that was added later.
+    fn cluster_members(&self) -> Vec<&NodeProcess> {
+        let is_superseded = |number: usize, node: &NodeProcess| {
+            let mut later = self.nodes.iter().skip(number + 1);
+            later.any(|other| other.name() == node.name() && other.is_running())
+        };
+        let nodes = self.nodes.iter().enumerate();
+        let members = nodes.filter(|(number, node)| {
+            node.is_running() && !node.is_foreign() && !is_superseded(*number, node)
+        });
+        members.map(|(_, node)| node).collect()
+    }
+
+    /// Checks the cluster against a goal. A scenario without a cluster meets each.
+    pub(crate) fn check_convergence(&self, goal: ConvergenceGoal) -> Result<(), NotConverged> {
+        if !self.scenario.is_clustered {
+            return Ok(());
+        }
+        let members = self.cluster_members();
+        let mut views = Vec::new();
+        for node in &members {
+            let view = NodeView::read(node)?;
+            if goal.needs_agreement {
+                view.check_membership(members.len())?;
+            }
+            view.check_leased(goal.min_leased_ratio)?;
+            views.push(view);
+        }
+        if goal.needs_agreement {
+            check_leaders(&views)?;
+        }
+        Ok(())
+    }
+}
--- a/crates/fault-injection/src/harness/mod.rs
+++ b/crates/fault-injection/src/harness/mod.rs
@@ -1,16 +1,22 @@
-//! What a trial keeps beside the objects of its loop: stand-ins, links, nodes, the judge, and the time line.
+//! The state that all components of a run share: test servers, links, nodes, the checker, and the time line.
 
-use crate::judge::Judge;
-use crate::links::{Links, Party};
+mod cluster_status;
+mod environment;
+
+pub(crate) use cluster_status::{ConvergenceGoal, NotConverged};
+
+use crate::checker::Checker;
+use crate::error::RunError;
+use crate::fault_step::{FaultStep, ScheduledStep};
+use crate::link::{LinkDirection, LinkTable};
+use crate::node_process::{AddressBlock, NodeProcess};
 use crate::plan::Plan;
-use crate::processes::{Node, State};
 use crate::scenario::Scenario;
-use crate::step::Step;
-use lupincrank_reactor::ComponentId;
-use lupincrank_test_servers::client::{Manners, Next, Visit};
-use lupincrank_test_servers::discovery::List;
-use lupincrank_test_servers::seen::Seen;
-use lupincrank_test_servers::transcriber::Fleet;
+use crate::session_schedule::SessionSchedule;
+use lupincrank_reactor::{ComponentId, Context};
+use lupincrank_test_servers::client::ClientBehaviour;
+use lupincrank_test_servers::discovery::EndpointList;
+use lupincrank_test_servers::upstream_server::{CapacityModel, UpstreamFleet};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -19,325 +25,220 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
-/// Deadlines of the trial's own.
-pub const VISITS: u64 = 0;
-/// See `VISITS`.
-pub const FAULTS: u64 = 1;
-/// A visit is served well if it is up so long after its plan, or after it came back.
-pub const IN_TIME: Duration = Duration::from_secs(3);
+/// What components of the run may use.
+pub(crate) type HarnessContext = Context<Harness>;
 
-/// Where a trial is.
+/// The phase of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
-    /// Nodes get ready.
-    Starts,
+    /// Nodes become ready.
+    Starting,
     /// Clients come.
-    Runs,
+    Running,
     /// What must hold at the end is awaited.
-    Settles,
-    /// Over.
-    Over,
+    Settling,
+    /// The run is over.
+    Finished,
+}
+
+/// How far a run is.
+#[derive(Clone, Copy, Debug)]
+pub struct Progress {
+    /// Its phase.
+    pub phase: Phase,
+    /// Seconds since the first client.
+    pub elapsed_s: f64,
+    /// Seconds for which clients come.
+    pub duration_s: f64,
+    /// Nodes of the run.
+    pub node_count: usize,
+    /// Those of them that accept clients.
+    pub ready_node_count: usize,
+    /// Violations so far.
+    pub violation_count: usize,
 }
 
-/// Something that the trial did, or saw, for the merged time line.
+/// Who an entry of the time line is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EventKind {
+    /// A fault that was injected, or its end.
+    Fault,
+    /// Anything else.
+    Observation,
+}
+
+/// An entry of the time line.
 #[derive(Clone, Debug)]
-pub struct Event {
-    /// When.
-    pub at: Instant,
-    /// What.
-    pub what: String,
-    /// When, as the nodes' logs write the time.
-    pub wall: SystemTime,
-    /// It is a fault.
-    pub fault: bool,
+pub(crate) struct Event {
+    pub(crate) at: Instant,
+    /// The same moment, for the comparison with the nodes' logs.
+    pub(crate) wall_clock: SystemTime,
+    pub(crate) kind: EventKind,
+    pub(crate) text: String,
 }
 
-/// See the module.
-pub struct Stage {
-    pub scenario: Scenario,
-    pub plan: Plan,
-    pub manners: Manners,
-    pub fleet: Fleet,
-    pub list: List,
-    pub links: Links,
-    pub doors: BTreeMap<(Party, Party), ComponentId>,
-    pub pipes: BTreeMap<ComponentId, (Party, Party)>,
-    pub sent: HashMap<SocketAddr, Instant>,
-    /// The councils that nodes have named.
-    pub councils: BTreeSet<String>,
-    pub nodes: Vec<Node>,
-    pub judge: Judge,
-    pub random: Pcg64Mcg,
-    pub phase: Phase,
-    pub events: Vec<Event>,
-    /// What is still to come of the faults: when, and what.
-    pub later: Vec<(Instant, Step)>,
-    /// The first client comes then.
-    pub start: Instant,
-    pub stop: Arc<AtomicBool>,
-    pub folder: PathBuf,
-    pub block: (u8, u8),
-    pub verbose: bool,
-    pub program: Vec<String>,
-    /// Where one node reaches another, and what each is told at its start.
-    pub ways: BTreeMap<(Party, Party), SocketAddr>,
-    /// See `ways`.
-    pub configs: BTreeMap<usize, serde_json::Value>,
-    /// Visits to come, by their moment.
-    pub visits: BTreeMap<(Instant, u64), Visit>,
-    pub planned: usize,
-    /// Visits were planned since the deadline was set.
-    pub woken: bool,
-    pub requests: u64,
-    /// Visits that came, or came back, and those of them that were up in time, by the second in which they were due.
-    pub service: BTreeMap<u64, (u32, u32)>,
-    pub progress: Box<dyn Fn(&Stage)>,
-    failed: Option<String>,
-    pub asked: Option<Instant>,
-    pub began: Instant,
+/// The links and what passes them.
+#[derive(Default)]
+pub(crate) struct Network {
+    pub(crate) links: LinkTable,
+    /// Listeners of stream proxies.
+    pub(crate) listeners: BTreeMap<LinkDirection, ComponentId>,
+    /// Streams that are relayed now.
+    pub(crate) streams: BTreeMap<ComponentId, LinkDirection>,
+    /// When each relayed stream was dialed, by the proxy's address towards the target.
+    pub(crate) dialed_at: HashMap<SocketAddr, Instant>,
 }
 
-/// What a stage begins with.
-pub struct Setting {
-    pub scenario: Scenario,
-    pub plan: Plan,
-    pub manners: Manners,
-    pub fleet: Fleet,
-    pub random: Pcg64Mcg,
-    pub stop: Arc<AtomicBool>,
-    pub folder: PathBuf,
-    pub block: (u8, u8),
-    pub verbose: bool,
-    pub program: Vec<String>,
-    pub progress: Box<dyn Fn(&Stage)>,
+/// How a run is carried out.
+pub(crate) struct HarnessOptions {
+    pub(crate) stop: Arc<AtomicBool>,
+    pub(crate) folder: PathBuf,
+    pub(crate) address_block: AddressBlock,
+    pub(crate) is_verbose: bool,
+    /// The program of nodes that join.
+    pub(crate) program: Vec<String>,
+    pub(crate) on_progress: Box<dyn Fn(&Progress)>,
 }
 
-impl Stage {
-    /// Nothing runs yet.
-    pub fn new(setting: Setting) -> Stage {
-        let Setting {
-            scenario,
-            plan,
-            manners,
-            fleet,
-            random,
-            stop,
-            folder,
-            block,
-            verbose,
-            program,
-            progress,
-        } = setting;
+/// The state of a run.
+pub(crate) struct Harness {
+    pub(crate) scenario: Scenario,
+    pub(crate) plan: Plan,
+    pub(crate) options: HarnessOptions,
+    pub(crate) client_behaviour: ClientBehaviour,
+    pub(crate) servers: UpstreamFleet,
+    pub(crate) endpoint_list: EndpointList,
+    pub(crate) network: Network,
+    pub(crate) nodes: Vec<NodeProcess>,
+    /// The configuration of each node.
+    pub(crate) node_configs: BTreeMap<usize, serde_json::Value>,
+    /// The addresses at which each node reaches others, by the numbers of both.
+    pub(crate) peer_addresses: BTreeMap<usize, BTreeMap<usize, SocketAddr>>,
+    /// The ids of all clusters that nodes have named.
+    pub(crate) cluster_ids: BTreeSet<String>,
+    pub(crate) checker: Checker,
+    pub(crate) random: Pcg64Mcg,
+    pub(crate) phase: Phase,
+    pub(crate) events: Vec<Event>,
+    /// Steps of faults that are not due yet.
+    pub(crate) pending_steps: Vec<ScheduledStep>,
+    pub(crate) sessions: SessionSchedule,
+    /// Sessions of the plan that have come.
+    pub(crate) started_session_count: usize,
+    /// Requests that clients have sent.
+    pub(crate) request_count: u64,
+    pub(crate) created_at: Instant,
+    /// When the first client comes.
+    pub(crate) clients_start: Instant,
+    pub(crate) settling_since: Option<Instant>,
+    failure: Option<RunError>,
+}
+
+impl Harness {
+    /// A harness without servers and nodes.
+    pub(crate) fn new(
+        scenario: Scenario,
+        plan: Plan,
+        options: HarnessOptions,
+        random: Pcg64Mcg,
+    ) -> Harness {
         let now = Instant::now();
-        Stage {
+        Harness {
+            client_behaviour: client_behaviour(&scenario),
+            servers: UpstreamFleet::new(capacity_model(&scenario)),
             scenario,
             plan,
-            manners,
-            fleet,
-            list: List::default(),
-            links: Links::default(),
-            doors: BTreeMap::new(),
-            pipes: BTreeMap::new(),
-            sent: HashMap::new(),
-            councils: BTreeSet::new(),
+            options,
+            endpoint_list: EndpointList::default(),
+            network: Network::default(),
             nodes: Vec::new(),
-            judge: Judge::new(now),
+            node_configs: BTreeMap::new(),
+            peer_addresses: BTreeMap::new(),
+            cluster_ids: BTreeSet::new(),
+            checker: Checker::new(now),
             random,
-            phase: Phase::Starts,
+            phase: Phase::Starting,
             events: Vec::new(),
-            later: Vec::new(),
-            start: now,
-            stop,
-            folder,
-            block,
-            verbose,
-            program,
-            ways: BTreeMap::new(),
-            configs: BTreeMap::new(),
-            visits: BTreeMap::new(),
-            planned: 0,
-            woken: false,
-            requests: 0,
-            service: BTreeMap::new(),
-            progress,
-            failed: None,
-            asked: None,
-            began: now,
+            pending_steps: Vec::new(),
+            sessions: SessionSchedule::default(),
+            started_session_count: 0,
+            request_count: 0,
+            created_at: now,
+            clients_start: now,
+            settling_since: None,
+            failure: None,
         }
     }
 
-    /// Writes something into the time line.
-    pub fn event(&mut self, what: String, fault: bool) {
-        self.events.push(Event {
-            at: Instant::now(),
-            what,
-            wall: SystemTime::now(),
-            fault,
-        });
-    }
-
-    /// Why the trial could not be carried out, if it could not.
-    pub fn failed(&self) -> Option<&str> {
-        self.failed.as_deref()
+    /// Adds a fault, or its end, to the time line.
+    pub(crate) fn record_fault(&mut self, text: String) {
+        self.record(EventKind::Fault, text);
     }
 
-    /// The trial can't go on.
-    pub fn fails(&mut self, why: String) {
-        self.failed.get_or_insert(why);
-        self.phase = Phase::Over;
+    /// Adds anything else to the time line.
+    pub(crate) fn record_event(&mut self, text: String) {
+        self.record(EventKind::Observation, text);
     }
 
-    /// The leader that most living nodes name.
-    pub fn leader(&self) -> Option<usize> {
-        let mut votes: BTreeMap<&str, usize> = BTreeMap::new();
-        for node in self.nodes.iter().filter(|node| node.state == State::Runs) {
-            if let Some(leader) = node
-                .status
-                .as_ref()
-                .and_then(|(_, told)| told["council"]["leader"].as_str())
-            {
-                *votes.entry(leader).or_default() += 1;
-            }
-        }
-        let most = votes.into_iter().max_by_key(|(_, votes)| *votes)?.0;
-        self.nodes
-            .iter()
-            .rposition(|node| node.name == most && node.state == State::Runs)
-    }
-
-    /// Nodes that run and belong to the fleet: of two with one name the one that began later.
-    fn living(&self) -> Vec<&Node> {
-        let later = |number: usize, node: &Node| {
-            self.nodes
-                .iter()
-                .skip(number + 1)
-                .any(|other| other.name == node.name && other.state == State::Runs)
-        };
-        let nodes = self.nodes.iter().enumerate();
-        let living = nodes.filter(|(number, node)| {
-            node.state == State::Runs && !node.foreign && !later(*number, node)
+    fn record(&mut self, kind: EventKind, text: String) {
+        self.events.push(Event {
+            at: Instant::now(),
+            wall_clock: SystemTime::now(),
+            kind,
+            text,
         });
-        living.map(|(_, node)| node).collect()
-    }
-
-    /// Whether all living nodes name one leader, count each other, and the slices take enough of the whole; or what is
-    /// missing.
-    pub fn settled(&self, council: bool, taken: f64) -> Result<(), String> {
-        if !self.scenario.talk {
-            return Ok(());
-        }
-        let living = self.living();
-        let mut leaders = Vec::new();
-        for node in &living {
-            let Some((_, told)) = &node.status else {
-                return Err(format!("{} says nothing", node.name));
-            };
-            let status = &told["council"];
-            leaders.push(status["leader"].as_str().unwrap_or("none"));
-            let alive = told["alive"].as_u64().unwrap_or(0) as usize;
-            if council && alive != living.len() {
-                return Err(format!(
-                    "{} counts {alive} living nodes of {}",
-                    node.name,
-                    living.len()
-                ));
-            }
-            let (sum, whole) = (
-                status["sum"].as_f64().unwrap_or(0.0),
-                status["whole"].as_f64().unwrap_or(0.0),
-            );
-            if sum > whole {
-                return Err(format!("{} counts {sum} taken of {whole}", node.name));
-            }
-            if sum < whole * taken {
-                return Err(format!("{} counts only {sum} taken of {whole}", node.name));
-            }
-        }
-        leaders.sort_unstable();
-        leaders.dedup();
-        match leaders.as_slice() {
-            _ if !council => Ok(()),
-            [one] if *one != "none" => Ok(()),
-            other => Err(format!("leaders are {}", other.join(", "))),
-        }
-    }
-
-    /// Plans a visit for a moment.
-    pub fn plan_visit(&mut self, at: Instant, visit: Visit) {
-        self.visits.insert((at, visit.number), visit);
-        self.woken = true;
     }
 
-    pub fn due_in(&mut self, due: Instant, up: bool) {
-        let second = self.judge.seconds(due) as u64;
-        let counts = self.service.entry(second).or_default();
-        if up {
-            counts.1 += 1;
-        } else {
-            counts.0 += 1;
-        }
+    /// Gives the run up.
+    pub(crate) fn fail(&mut self, error: RunError) {
+        self.failure.get_or_insert(error);
+        self.phase = Phase::Finished;
     }
-}
 
-impl lupincrank_test_servers::Stage for Stage {
-    fn fleet(&mut self) -> &mut Fleet {
-        &mut self.fleet
+    /// Why the run was given up, if it was.
+    pub(crate) fn take_failure(&mut self) -> Option<RunError> {
+        self.failure.take()
     }
 
-    fn list(&mut self) -> &mut List {
-        &mut self.list
+    /// Schedules a step of a fault.
+    pub(crate) fn schedule_step(&mut self, due_at: Instant, step: FaultStep) {
+        self.pending_steps.push(ScheduledStep { due_at, step });
     }
 
-    fn manners(&self) -> &Manners {
-        &self.manners
-    }
-
-    fn saw(&mut self, seen: Seen) {
-        let now = Instant::now();
-        if let Seen::Told { node, .. } = &seen {
-            // What was written and is held back on its way was not told.
-            if self.links.way(Party::Discovery, Party::Node(*node)) != Default::default() {
-                return;
-            }
+    /// How far the run is.
+    pub(crate) fn progress(&self) -> Progress {
+        let ready = self.nodes.iter().filter(|node| node.is_accepting_clients());
+        Progress {
+            phase: self.phase,
+            elapsed_s: self.checker.seconds_since_start(Instant::now()),
+            duration_s: self.scenario.duration_s(),
+            node_count: self.nodes.len(),
+            ready_node_count: ready.count(),
+            violation_count: self.checker.violations().len(),
         }
-        if let Seen::Fell {
-            transcriber, held, ..
-        } = &seen
-        {
-            self.event(
-                format!("t{transcriber} fell with {held} connections"),
-                false,
-            );
-        }
-        self.judge.saw(now, seen);
     }
+}
 
-    fn visit(&mut self, mut visit: Visit, next: Next) {
-        let now = Instant::now();
-        match next {
-            Next::Up(took) => {
-                if took <= IN_TIME {
-                    self.due_in(visit.since, true);
-                }
-            }
-            Next::Over => {}
-            _ if self.phase == Phase::Over => {}
-            Next::Again(after) => {
-                visit.tries = visit.tries.saturating_add(1);
-                self.plan_visit(now + after, visit);
-            }
-            Next::Back(after) => {
-                if visit.stands < Duration::from_millis(200) {
-                    return;
-                }
-                (visit.tries, visit.again, visit.since) = (0, true, now + after);
-                self.due_in(now + after, false);
-                self.plan_visit(now + after, visit);
-            }
-        }
+fn client_behaviour(scenario: &Scenario) -> ClientBehaviour {
+    ClientBehaviour {
+        answer_timeout: Duration::from_millis(scenario.clients.answer_timeout_ms),
+        line_interval: Duration::from_millis(scenario.clients.line_interval_ms),
+        class: "chat".into(),
     }
+}
 
-    fn sent_at(&self, from: SocketAddr) -> Option<Instant> {
-        self.sent.get(&from).copied()
+/// What upstream servers bear, beyond what the scenario says.
+fn capacity_model(scenario: &Scenario) -> CapacityModel {
+    const MAX_CONNECTIONS_PER_CAPACITY: f64 = 3.0;
+    const MAX_SETUP_DURATION: Duration = Duration::from_secs(86_400);
+    let capacity = &scenario.server_capacity;
+    CapacityModel {
+        warm_capacity: capacity.connections,
+        max_connections: (capacity.connections * MAX_CONNECTIONS_PER_CAPACITY) as usize,
+        warm_up_duration: Duration::from_secs_f64(capacity.warm_up_s),
+        initial_capacity_ratio: 0.3,
+        crash_load_ratio: 3.0,
+        crash_delay: Duration::from_secs(2),
+        setup_duration: Duration::from_millis(capacity.setup_ms).min(MAX_SETUP_DURATION),
     }
 }
--- a/crates/fault-injection/src/lib.rs
+++ b/crates/fault-injection/src/lib.rs
@@ -1,23 +1,36 @@
-//! Trials: several real processes of the program with stand-ins around them and a proxy between every two, broken by a time
-//! line, and judged from outside. `docs/design/trials.md` says why it is made so.
+//! Fault injection: several real processes of the program with test servers around them and a proxy on every link.
+//!
+//! A scenario's faults are injected on a time line, and a checker judges the run by what clients, upstream servers and
+//! proxies observe. `docs/design/trials.md` gives the reasons for this design.
 
 #![forbid(unsafe_code)]
-#![allow(missing_docs)]
 
-mod build;
-mod call;
-mod faults;
-mod hop;
-pub mod hunt;
-pub mod judge;
-pub mod links;
+pub mod checker;
+mod client_sessions;
+mod cluster_setup;
+mod datagram_proxy;
+mod deadline;
+mod error;
+mod fault_injector;
+mod fault_step;
+mod harness;
+pub mod link;
+mod merged_log;
+mod node_call;
+mod node_config;
+pub mod node_process;
+mod outcome;
 pub mod plan;
-pub mod processes;
-mod proxy;
 pub mod report;
+pub mod rule_breaker;
 pub mod run;
+mod run_loop;
 pub mod scenario;
-pub mod stage;
-mod step;
-mod world;
-pub mod wrongdoer;
+pub mod search;
+mod session_schedule;
+mod stream_proxy;
+pub mod stream_relay;
+
+pub use error::{error_chain, RunError};
+pub use harness::{Phase, Progress};
+pub use outcome::{Outcome, Verdict};
--- a/crates/fault-injection/src/node_call.rs
+++ b/crates/fault-injection/src/node_call.rs
@@ -1,152 +1,180 @@
-//! Short calls to a node: PING where clients connect, and its state at the second address. The front of clients goes by the
-//! first, so it sees a death or a freeze a moment late, as real ones do.
+//! Short calls to nodes: PING where clients connect, and commands at the admin address.
+//!
+//! Clients are sent to the nodes that answer PING, so a death or a freeze is noticed a moment late, as by a real front.
 
-use crate::processes::State;
-use crate::stage::Stage;
+use crate::deadline::DeadlineKind;
+use crate::harness::{Harness, HarnessContext};
+use crate::node_process::ProcessState;
 use lupincrank_reactor::poll;
-use lupincrank_reactor::Readiness;
-use lupincrank_reactor::{ComponentId, Connection, Context, Lifecycle};
-use lupincrank_test_servers::lines::Lines;
-use lupincrank_test_servers::{key, Note};
+use lupincrank_reactor::{poller_key, ComponentId, Connection, Lifecycle, Readiness};
+use lupincrank_test_servers::line_stream::LineStream;
+use lupincrank_test_servers::Command;
+use serde_json::Value;
 use std::time::{Duration, Instant};
 
-/// A node that answers neither in this time counts as not there.
-const ANSWER: Duration = Duration::from_millis(800);
+/// A call without an answer in this time has failed.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// What a node is asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Request {
+    /// Whether it accepts clients.
+    Ping,
+    /// The state of its cluster.
+    Status,
+    /// To set the limit of the warm-up budget.
+    SetBudget { limit: u32 },
+}
+
+impl Request {
+    fn line(self) -> String {
+        match self {
+            Request::Ping => "PING\r\n".to_string(),
+            Request::Status => "fleet status\r\n".to_string(),
+            Request::SetBudget { limit } => format!("budgets set cold={limit}\r\n"),
+        }
+    }
+}
+
+/// How far a call is.
+enum CallProgress {
+    Pending,
+    Answered(String),
+    Failed,
+}
+
+/// One call.
 struct Call {
     id: ComponentId,
     node: usize,
-    /// Which life of it.
-    life: u32,
-    lines: Lines,
-    said: bool,
-    what: What,
+    /// The start of the process that is asked: an answer from an earlier one counts for nothing.
+    start_count: u32,
+    lines: LineStream,
+    is_sent: bool,
+    request: Request,
 }
 
-/// What is asked.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum What {
-    Ping,
-    Status,
-    Whole(u32),
+/// Asks a node whether it accepts clients.
+pub(crate) fn ping(context: &mut HarnessContext, node: usize) {
+    call(context, node, Request::Ping);
 }
 
-/// Asks whether it takes clients.
-pub fn ping(context: &mut Context<Stage>, node: usize) {
-    begin(context, node, What::Ping);
+/// Asks a node for the state of its cluster.
+pub(crate) fn request_status(context: &mut HarnessContext, node: usize) {
+    call(context, node, Request::Status);
 }
 
-/// Asks how it stands in its fleet.
-pub fn status(context: &mut Context<Stage>, node: usize) {
-    begin(context, node, What::Status);
+/// Sets the limit of the warm-up budget.
+pub(crate) fn set_budget(context: &mut HarnessContext, node: usize, limit: u32) {
+    call(context, node, Request::SetBudget { limit });
 }
 
-/// Sets the whole of the cold budget.
-pub fn set_whole(context: &mut Context<Stage>, node: usize, whole: u32) {
-    begin(context, node, What::Whole(whole));
-}
-
-fn begin(context: &mut Context<Stage>, node: usize, what: What) {
-    let pings = what == What::Ping;
+fn call(context: &mut HarnessContext, node: usize, request: Request) {
     let id = context.allocate_id();
-    let one = &context.application.nodes[node];
-    let (at, life) = (
-        if pings {
-            one.listen()
-        } else {
-            one.management()
-        },
-        one.lives,
-    );
-    match poll::connect(&context.poller, at, key(id, 0)) {
-        Ok(stream) => {
-            context.deadlines.set(id, 0, Instant::now() + ANSWER);
-            context.register(
-                id,
-                Box::new(Call {
-                    id,
-                    node,
-                    life,
-                    lines: Lines::new(stream),
-                    said: false,
-                    what,
-                }),
-            );
+    let process = &mut context.application.nodes[node];
+    let address = match request {
+        Request::Ping => process.client_address(),
+        Request::Status | Request::SetBudget { .. } => process.admin_address(),
+    };
+    let Ok(stream) = poll::connect(&context.poller, address, poller_key(id, 0)) else {
+        if request == Request::Ping {
+            process.set_accepting_clients(false);
         }
-        Err(_) if pings => context.application.nodes[node].in_front = false,
-        Err(_) => {}
-    }
+        return;
+    };
+    let call = Call {
+        id,
+        node,
+        start_count: process.start_count(),
+        lines: LineStream::new(stream),
+        is_sent: false,
+        request,
+    };
+    let timeout = Instant::now() + CALL_TIMEOUT;
+    context
+        .deadlines
+        .set(id, DeadlineKind::CallTimeout, timeout);
+    context.register(id, Box::new(call));
 }
 
 impl Call {
-    fn answered(&self, context: &mut Context<Stage>, line: Option<&str>) -> Lifecycle {
+    /// Ends the call with an answer, or with none.
+    fn finish(&self, context: &mut HarnessContext, answer: Option<&str>) -> Lifecycle {
         let node = &mut context.application.nodes[self.node];
-        if node.lives == self.life {
-            if let What::Whole(whole) = self.what {
-                let line = line.unwrap_or("no answer").to_string();
-                context.event(format!("cold budget set to {whole}: {line}"), false);
-            } else if self.what == What::Ping {
-                node.in_front = line == Some("PONG") && node.state != State::Dead;
-            } else {
-                let told = line.and_then(|line| line.strip_prefix("done "));
-                if let Some(told) =
-                    told.and_then(|told| serde_json::from_str::<serde_json::Value>(told).ok())
-                {
-                    let stamp = told["council"]["stamp"].to_string();
-                    if !node.foreign && stamp != "null" {
-                        context.application.councils.insert(stamp);
-                    }
-                    context.application.nodes[self.node].status = Some((Instant::now(), told));
-                }
+        if node.start_count() != self.start_count {
+            return Lifecycle::Close;
+        }
+        match self.request {
+            Request::Ping => {
+                let is_accepting = answer == Some("PONG") && node.state() != ProcessState::Stopped;
+                node.set_accepting_clients(is_accepting);
+            }
+            Request::Status => self.record_status(context, answer),
+            Request::SetBudget { limit } => {
+                let answer = answer.unwrap_or("no answer");
+                context.record_event(format!("cold budget set to {limit}: {answer}"));
             }
         }
         Lifecycle::Close
     }
 
-    fn step(&mut self, readable: bool) -> Result<Option<String>, ()> {
-        if !self.said {
-            if !matches!(self.lines.stream.take_error(), Ok(None)) {
-                return Err(());
-            }
-            self.said = true;
-            let line = match self.what {
-                What::Ping => "PING\r\n".to_string(),
-                What::Status => "fleet status\r\n".to_string(),
-                What::Whole(whole) => format!("budgets set cold={whole}\r\n"),
-            };
-            self.lines.say(&line).map_err(drop)?;
+    fn record_status(&self, context: &mut HarnessContext, answer: Option<&str>) {
+        let json = answer.and_then(|answer| answer.strip_prefix("done "));
+        let Some(status) = json.and_then(|json| serde_json::from_str::<Value>(json).ok()) else {
+            return;
+        };
+        let node = &mut context.application.nodes[self.node];
+        let cluster_id = &status["council"]["stamp"];
+        if !node.is_foreign() && !cluster_id.is_null() {
+            let cluster_id = cluster_id.to_string();
+            context.application.cluster_ids.insert(cluster_id);
         }
-        if readable {
-            self.lines.read().map_err(drop)?;
+        context.application.nodes[self.node].set_status(status);
+    }
+
+    fn advance(&mut self, readable: bool) -> CallProgress {
+        if self.send_once().is_err() || (readable && self.lines.read().is_err()) {
+            return CallProgress::Failed;
+        }
+        match self.lines.next_line() {
+            Some(line) => CallProgress::Answered(line),
+            None if self.lines.is_ended() => CallProgress::Failed,
+            None => CallProgress::Pending,
+        }
+    }
+
+    fn send_once(&mut self) -> std::io::Result<()> {
+        if self.is_sent {
+            return Ok(());
         }
-        match self.lines.line() {
-            Some(line) => Ok(Some(line)),
-            None if self.lines.ended => Err(()),
-            None => Ok(None),
+        if self.lines.has_connect_failed() {
+            return Err(std::io::ErrorKind::NotConnected.into());
         }
+        self.is_sent = true;
+        self.lines.send(&self.request.line())
     }
 }
 
-impl Connection<Stage> for Call {
+impl Connection<Harness> for Call {
     fn on_ready(
         &mut self,
-        context: &mut Context<Stage>,
+        context: &mut HarnessContext,
         _socket: usize,
         readiness: Readiness,
     ) -> Lifecycle {
-        match self.step(readiness.readable) {
-            Ok(Some(line)) => self.answered(context, Some(&line)),
-            Ok(None) => Lifecycle::Continue,
-            Err(()) => self.answered(context, None),
+        match self.advance(readiness.readable) {
+            CallProgress::Answered(line) => self.finish(context, Some(&line)),
+            CallProgress::Pending => Lifecycle::Continue,
+            CallProgress::Failed => self.finish(context, None),
         }
     }
 
-    fn on_deadline(&mut self, context: &mut Context<Stage>, _kind: u64) -> Lifecycle {
-        context.deadlines.clear(self.id, 0);
-        self.answered(context, None)
+    fn on_deadline(&mut self, context: &mut HarnessContext, kind: DeadlineKind) -> Lifecycle {
+        context.deadlines.clear(self.id, kind);
+        self.finish(context, None)
     }
 
-    fn on_message(&mut self, _context: &mut Context<Stage>, _note: Note) -> Lifecycle {
+    fn on_message(&mut self, _context: &mut HarnessContext, _command: Command) -> Lifecycle {
         Lifecycle::Close
     }
 }
--- a/crates/fault-injection/src/node_process.rs
+++ b/crates/fault-injection/src/node_process.rs
@@ -1,154 +1,246 @@
-//! The nodes: real processes of the program, each with a configuration, a folder and a loopback address of its own.
+//! Processes of the program: each has a configuration, a folder and a loopback address of its own.
 
 use rustix::process::{kill_process, Pid, Signal};
+use serde_json::Value;
 use std::fs::{self, File};
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::time::Instant;
 
-/// The ports of each node's own address.
-const LISTEN: u16 = 8000;
-const MANAGEMENT: u16 = 8001;
-const FLEET: u16 = 7400;
+/// Ports of each node's own address.
+const CLIENT_PORT: u16 = 8000;
+const ADMIN_PORT: u16 = 8001;
+const CLUSTER_PORT: u16 = 7400;
+/// A listener at this port of the last address of a block marks the block as used.
+const RESERVATION_PORT: u16 = 7399;
+const RESERVATION_HOST: u8 = 254;
+/// Blocks that are tried before none is said to be free.
+const MAX_BLOCK_ATTEMPTS: u32 = 2_000;
+/// Linux counts processor time in hundredths of a second.
+const MS_PER_CLOCK_TICK: u64 = 10;
 
-/// How a node's process is.
+/// A block of loopback addresses, `127.high.low.*`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum State {
-    /// Never started, or ended.
-    Dead,
+pub struct AddressBlock {
+    /// The second byte of its addresses.
+    pub high: u8,
+    /// The third byte of its addresses.
+    pub low: u8,
+}
+
+impl AddressBlock {
+    /// An address of the block.
+    pub fn address(self, host: u8) -> IpAddr {
+        IpAddr::V4(Ipv4Addr::new(127, self.high, self.low, host))
+    }
+}
+
+/// A block that no other run on this machine uses while this lives.
+pub struct BlockReservation {
+    block: AddressBlock,
+    _listener: TcpListener,
+}
+
+impl BlockReservation {
+    /// Reserves a block.
+    ///
+    /// # Errors
+    ///
+    /// `AddrInUse` if all blocks that were tried are in use.
+    pub fn reserve() -> io::Result<BlockReservation> {
+        let process = std::process::id();
+        for attempt in 0..MAX_BLOCK_ATTEMPTS {
+            let block = AddressBlock {
+                high: 64 + (process.wrapping_add(attempt) % 128) as u8,
+                low: ((process / 128).wrapping_add(attempt) % 250) as u8,
+            };
+            if let Ok(listener) =
+                TcpListener::bind((block.address(RESERVATION_HOST), RESERVATION_PORT))
+            {
+                return Ok(BlockReservation {
+                    block,
+                    _listener: listener,
+                });
+            }
+        }
+        Err(io::Error::new(
+            io::ErrorKind::AddrInUse,
+            "no block of loopback addresses is free",
+        ))
+    }
+
+    /// The block.
+    pub fn block(&self) -> AddressBlock {
+        self.block
+    }
+}
+
+/// The state of a node's process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProcessState {
+    /// Not started yet, or ended.
+    Stopped,
     /// Running.
-    Runs,
-    /// Stopped by a signal.
+    Running,
+    /// Stopped by SIGSTOP.
     Frozen,
-    /// Told to end.
-    Ends,
+    /// Asked to end by SIGTERM.
+    Terminating,
 }
 
-/// One node.
-pub struct Node {
+/// What identifies a node and its process.
+#[derive(Clone, Debug)]
+pub struct NodeIdentity {
     /// Its name.
     pub name: String,
     /// Its zone.
     pub zone: String,
-    /// The program that it runs, with what goes before `serve`.
+    /// The program, with the arguments before `serve`.
     pub program: Vec<String>,
     /// Its address.
     pub ip: IpAddr,
-    /// How it is.
-    pub state: State,
-    /// It answered the front's last PING with PONG.
-    pub in_front: bool,
-    /// It is of another fleet for now.
-    pub foreign: bool,
-    /// What it last said of its fleet, and when.
-    pub status: Option<(Instant, serde_json::Value)>,
-    child: Option<Child>,
-    folder: PathBuf,
-    /// Started so often.
-    pub lives: u32,
+    /// The folder of its configuration, log and temporary files.
+    pub folder: PathBuf,
 }
 
-/// An address block that no other trial of this machine uses now.
-pub fn block() -> io::Result<(u8, u8, TcpListener)> {
-    let first = std::process::id();
-    for n in 0..2_000u32 {
-        let (high, low) = (
-            64 + (first.wrapping_add(n) % 128) as u8,
-            ((first / 128).wrapping_add(n) % 250) as u8,
-        );
-        // Held for as long as the trial runs: what marks the block as taken.
-        if let Ok(held) = TcpListener::bind((Ipv4Addr::new(127, high, low, 254), 7399)) {
-            return Ok((high, low, held));
-        }
-    }
-    Err(io::Error::new(
-        io::ErrorKind::AddrInUse,
-        "no block of loopback addresses is free",
-    ))
+/// A node with its process, which is killed when this is dropped.
+pub struct NodeProcess {
+    identity: NodeIdentity,
+    state: ProcessState,
+    child: Option<Child>,
+    start_count: u32,
+    is_accepting_clients: bool,
+    is_foreign: bool,
+    status: Option<Value>,
 }
 
-impl Node {
-    /// Not started yet.
-    pub fn new(
-        name: String,
-        zone: String,
-        program: Vec<String>,
-        ip: IpAddr,
-        folder: PathBuf,
-    ) -> Node {
-        Node {
-            name,
-            zone,
-            program,
-            ip,
-            state: State::Dead,
-            in_front: false,
-            foreign: false,
-            status: None,
+impl NodeProcess {
+    /// A node whose process is not started yet.
+    pub fn new(identity: NodeIdentity) -> NodeProcess {
+        NodeProcess {
+            identity,
+            state: ProcessState::Stopped,
             child: None,
-            folder,
-            lives: 0,
+            start_count: 0,
+            is_accepting_clients: false,
+            is_foreign: false,
+            status: None,
         }
     }
 
+    /// Its name.
+    pub fn name(&self) -> &str {
+        &self.identity.name
+    }
+
+    /// Its zone.
+    pub fn zone(&self) -> &str {
+        &self.identity.zone
+    }
+
+    /// The state of its process.
+    pub fn state(&self) -> ProcessState {
+        self.state
+    }
+
+    /// Whether its process runs.
+    pub fn is_running(&self) -> bool {
+        self.state == ProcessState::Running
+    }
+
+    /// How often it was started.
+    pub fn start_count(&self) -> u32 {
+        self.start_count
+    }
+
+    /// Whether it answered the last PING with PONG.
+    pub fn is_accepting_clients(&self) -> bool {
+        self.is_accepting_clients
+    }
+
+    /// Records the answer to a PING.
+    pub(crate) fn set_accepting_clients(&mut self, is_accepting: bool) {
+        self.is_accepting_clients = is_accepting;
+    }
+
+    /// Whether it belongs to another cluster for now.
+    pub fn is_foreign(&self) -> bool {
+        self.is_foreign
+    }
+
+    /// Makes it belong to another cluster, or to its own again, from its next start on.
+    pub(crate) fn set_foreign(&mut self, is_foreign: bool) {
+        self.is_foreign = is_foreign;
+    }
+
+    /// Its last answer to `fleet status`.
+    pub fn status(&self) -> Option<&Value> {
+        self.status.as_ref()
+    }
+
+    /// Records an answer to `fleet status`.
+    pub(crate) fn set_status(&mut self, status: Value) {
+        self.status = Some(status);
+    }
+
     /// A folder that outlives its processes.
-    pub fn keeps(&self) -> PathBuf {
-        self.folder.join("kept")
+    pub fn persistent_folder(&self) -> PathBuf {
+        self.identity.folder.join("kept")
     }
 
-    /// Where clients connect.
-    pub fn listen(&self) -> SocketAddr {
-        SocketAddr::new(self.ip, LISTEN)
+    /// The address for clients.
+    pub fn client_address(&self) -> SocketAddr {
+        SocketAddr::new(self.identity.ip, CLIENT_PORT)
     }
 
-    /// Where calls of the staff come in.
-    pub fn management(&self) -> SocketAddr {
-        SocketAddr::new(self.ip, MANAGEMENT)
+    /// The address for admin commands.
+    pub fn admin_address(&self) -> SocketAddr {
+        SocketAddr::new(self.identity.ip, ADMIN_PORT)
     }
 
-    /// Where other nodes reach it.
-    pub fn fleet(&self) -> SocketAddr {
-        SocketAddr::new(self.ip, FLEET)
+    /// The address for other nodes.
+    pub fn cluster_address(&self) -> SocketAddr {
+        SocketAddr::new(self.identity.ip, CLUSTER_PORT)
     }
 
-    /// Where its log is.
-    pub fn log(&self) -> PathBuf {
-        self.folder.join("log")
+    /// The path of its log.
+    pub fn log_path(&self) -> PathBuf {
+        self.identity.folder.join("log")
     }
 
-    /// Writes what it is told at its start.
-    pub fn tell(&self, config: &serde_json::Value, operator: Option<&str>) -> io::Result<()> {
-        fs::create_dir_all(&self.folder)?;
-        fs::write(self.folder.join("config.json"), config.to_string())?;
-        match operator {
-            Some(text) => fs::write(self.folder.join("operator.toml"), text),
+    /// Writes its configuration, and the operator's file if it has one.
+    ///
+    /// # Errors
+    ///
+    /// Any error of the file system.
+    pub fn write_config(&self, config: &Value, operator_file: Option<&str>) -> io::Result<()> {
+        let folder = &self.identity.folder;
+        fs::create_dir_all(folder)?;
+        fs::write(folder.join("config.json"), config.to_string())?;
+        match operator_file {
+            Some(text) => fs::write(folder.join("operator.toml"), text),
             None => Ok(()),
         }
     }
 
-    /// Starts it, from nothing: its folder for temporary files is new and empty.
-    pub fn start(&mut self, verbose: bool) -> io::Result<()> {
-        let temporary = self.folder.join(format!("tmp-{}", self.lives));
-        self.lives += 1;
+    /// Starts a process with a new and empty folder for temporary files.
+    ///
+    /// # Errors
+    ///
+    /// Any error of the file system, or of the start itself.
+    pub fn start(&mut self, is_verbose: bool) -> io::Result<()> {
+        let temporary = self
+            .identity
+            .folder
+            .join(format!("tmp-{}", self.start_count));
+        self.start_count += 1;
         fs::create_dir_all(&temporary)?;
-        let log = File::options().create(true).append(true).open(self.log())?;
-        let Some((program, before)) = self.program.split_first() else {
-            return Err(io::Error::new(io::ErrorKind::InvalidInput, "no program"));
-        };
-        let mut command = Command::new(program);
-        command
-            .args(before)
-            .args(["serve", "--config"])
-            .arg(self.folder.join("config.json"));
-        let operator = self.folder.join("operator.toml");
-        if operator.exists() {
-            command.arg("--operator").arg(operator);
-        }
-        if verbose {
-            command.arg("--verbose");
-        }
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.log_path())?;
+        let mut command = self.command(is_verbose)?;
         command
             .env_clear()
             .env("TMPDIR", temporary)
@@ -156,68 +248,108 @@
             .stdout(log.try_clone()?)
             .stderr(log);
         self.child = Some(command.spawn()?);
-        self.state = State::Runs;
+        self.state = ProcessState::Running;
         Ok(())
     }
 
-    /// Sends its process a signal.
-    pub fn signal(&mut self, signal: Signal) {
-        if let Some(pid) = self
-            .child
-            .as_ref()
-            .and_then(|child| Pid::from_raw(child.id() as i32))
-        {
-            // One that has ended meanwhile is waited for by `ended`.
+    fn command(&self, is_verbose: bool) -> io::Result<Command> {
+        let Some((program, arguments)) = self.identity.program.split_first() else {
+            return Err(io::Error::new(io::ErrorKind::InvalidInput, "no program"));
+        };
+        let folder = &self.identity.folder;
+        let mut command = Command::new(program);
+        command
+            .args(arguments)
+            .args(["serve", "--config"])
+            .arg(folder.join("config.json"));
+        let operator_file = folder.join("operator.toml");
+        if operator_file.exists() {
+            command.arg("--operator").arg(operator_file);
+        }
+        if is_verbose {
+            command.arg("--verbose");
+        }
+        Ok(command)
+    }
+
+    /// Freezes its process.
+    pub fn freeze(&mut self) {
+        self.signal(Signal::STOP);
+        self.state = ProcessState::Frozen;
+    }
+
+    /// Lets a frozen process continue.
+    pub fn resume(&mut self) {
+        self.signal(Signal::CONT);
+        self.state = ProcessState::Running;
+    }
+
+    /// Asks its process to end.
+    pub fn terminate(&mut self) {
+        self.signal(Signal::TERM);
+        self.state = ProcessState::Terminating;
+    }
+
+    fn signal(&mut self, signal: Signal) {
+        let child = self.child.as_ref();
+        if let Some(pid) = child.and_then(|child| Pid::from_raw(child.id() as i32)) {
+            // One that has ended meanwhile is found by `poll_exit`.
             let _ = kill_process(pid, signal);
         }
     }
 
-    /// Kills it and waits for its end.
+    /// Kills its process and waits for its end.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
             let _ = child.wait();
         }
-        (self.state, self.in_front, self.status) = (State::Dead, false, None);
+        self.on_stopped();
+    }
+
+    fn on_stopped(&mut self) {
+        self.state = ProcessState::Stopped;
+        self.is_accepting_clients = false;
+        self.status = None;
     }
 
-    /// Processor time of its process so far, in milliseconds: user and system, which Linux counts in hundredths of a second.
+    /// The exit status of its process if it has ended since the last call.
+    pub fn poll_exit(&mut self) -> Option<String> {
+        let status = self.child.as_mut()?.try_wait().ok()??;
+        self.child = None;
+        self.on_stopped();
+        Some(status.to_string())
+    }
+
+    /// Processor time of its process so far, user and system, in milliseconds.
     pub fn cpu_ms(&self) -> Option<u64> {
         let stat = fs::read_to_string(format!("/proc/{}/stat", self.child.as_ref()?.id())).ok()?;
-        // The name in brackets may hold anything; the 12th and 13th fields behind it are the times.
+        // The name in brackets may hold anything; the 12th and 13th fields after it are the times.
         let fields = stat.rsplit_once(')')?.1.split_whitespace();
-        let times: Vec<u64> = fields
+        let ticks: Vec<u64> = fields
             .skip(11)
             .take(2)
-            .filter_map(|time| time.parse().ok())
+            .filter_map(|field| field.parse().ok())
             .collect();
-        (times.len() == 2).then(|| times.iter().sum::<u64>() * 10)
+        (ticks.len() == 2).then(|| ticks.iter().sum::<u64>() * MS_PER_CLOCK_TICK)
     }
 
-    /// Memory of its process that is resident, in kB.
-    pub fn rss_kb(&self) -> Option<u64> {
-        rss_kb(self.child.as_ref()?.id())
-    }
-
-    /// Whether its process has ended, and with which code.
-    pub fn ended(&mut self) -> Option<String> {
-        let status = self.child.as_mut()?.try_wait().ok()??;
-        self.child = None;
-        (self.state, self.in_front, self.status) = (State::Dead, false, None);
-        Some(status.to_string())
+    /// Resident memory of its process in kB.
+    pub fn resident_kb(&self) -> Option<u64> {
+        resident_kb(self.child.as_ref()?.id())
     }
 }
 
-/// Memory of a process that is resident, in kB.
-pub fn rss_kb(pid: u32) -> Option<u64> {
-    let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+/// Resident memory of a process in kB.
+pub fn resident_kb(process: u32) -> Option<u64> {
+    let status = fs::read_to_string(format!("/proc/{process}/status")).ok()?;
     let line = status
         .lines()
         .find_map(|line| line.strip_prefix("VmRSS:"))?;
     line.split_whitespace().next()?.parse().ok()
 }
 
-impl Drop for Node {
+impl Drop for NodeProcess {
     fn drop(&mut self) {
         self.kill();
     }
--- a/crates/fault-injection/src/plan.rs
+++ b/crates/fault-injection/src/plan.rs
@@ -1,77 +1,91 @@
-//! What a trial will do, drawn from its file and one seed: the same to the byte each time.
+//! What a run will do, drawn from its scenario and a seed: the same to the byte each time.
 
 use crate::scenario::{Fault, Scenario};
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
 use serde::Serialize;
 
-/// One client that will come.
+/// Clients stay connected for at least so many seconds.
+const MIN_DURATION_SECONDS: f64 = 0.2;
+/// Faults are late by up to so many seconds, so that they do not always coincide with the same phase of timers.
+const MAX_FAULT_JITTER_SECONDS: f64 = 0.2;
+/// Keeps rates above zero.
+const MIN_RATE: f64 = 1e-9;
+
+/// A client that will come.
 #[derive(Clone, Copy, Debug, Serialize, PartialEq)]
-pub struct Planned {
-    /// When, in seconds after the start.
+pub struct PlannedSession {
+    /// When it comes, in seconds after the start.
     pub at_s: f64,
-    /// Its group.
+    /// Its key group.
     pub group: u64,
-    /// How long it stands.
-    pub stands_s: f64,
-    /// Which node it goes to, as a number to be divided among those in front.
-    pub front: u64,
+    /// How long its connection is to last, in seconds.
+    #[serde(rename = "stands_s")]
+    pub duration_s: f64,
+    /// Chooses its node among those that accept clients, by remainder.
+    #[serde(rename = "front")]
+    pub node_draw: u64,
 }
 
-/// All of it.
+/// The clients and faults of a run.
 #[derive(Clone, Debug, Serialize, PartialEq)]
 pub struct Plan {
-    /// The seed.
+    /// The seed that it was drawn from.
     pub seed: u64,
-    /// By time.
-    pub visits: Vec<Planned>,
-    /// By time.
+    /// Clients, by time.
+    #[serde(rename = "visits")]
+    pub sessions: Vec<PlannedSession>,
+    /// Faults, by time.
     pub faults: Vec<Fault>,
 }
 
-/// A span with this mean, as between events that know nothing of each other.
-fn apart(random: &mut Pcg64Mcg, mean: f64) -> f64 {
+/// Draws the interval between two independent events, in the unit of its mean.
+fn draw_interval(random: &mut Pcg64Mcg, mean: f64) -> f64 {
     -mean * (1.0 - random.random::<f64>()).ln()
 }
 
+fn draw_sessions(scenario: &Scenario, random: &mut Pcg64Mcg) -> Vec<PlannedSession> {
+    let clients = &scenario.clients;
+    let mean_interval = 1.0 / clients.rate.max(MIN_RATE);
+    let mut sessions = Vec::new();
+    let mut at_s = draw_interval(random, mean_interval);
+    while at_s < scenario.duration_s() {
+        let duration_s = draw_interval(random, clients.mean_duration_s).max(MIN_DURATION_SECONDS);
+        let group = random.random_range(0..clients.group_count);
+        let node_draw = random.random();
+        sessions.push(PlannedSession {
+            at_s,
+            group,
+            duration_s,
+            node_draw,
+        });
+        at_s += draw_interval(random, mean_interval);
+    }
+    sessions
+}
+
+fn draw_faults(scenario: &Scenario, random: &mut Pcg64Mcg) -> Vec<Fault> {
+    let faults = scenario.faults.iter();
+    let mut faults: Vec<Fault> = faults.map(|fault| fault.get_ref().clone()).collect();
+    for fault in &mut faults {
+        fault.at_s += random.random_range(0.0..MAX_FAULT_JITTER_SECONDS);
+    }
+    faults.sort_by(|one, other| one.at_s.total_cmp(&other.at_s));
+    faults
+}
+
 impl Plan {
-    /// Draws it.
+    /// Draws a plan.
     pub fn draw(scenario: &Scenario, seed: u64) -> Plan {
         let mut random = Pcg64Mcg::new(u128::from(seed) << 1 | 1);
-        let clients = &scenario.clients;
-        let (mut visits, mut at_s) = (Vec::new(), 0.0);
-        loop {
-            at_s += apart(&mut random, 1.0 / clients.rate.max(1e-9));
-            if at_s >= *scenario.seconds.get_ref() {
-                break;
-            }
-            let stands_s = apart(&mut random, clients.stand_s).max(0.2);
-            let group = random.random_range(0..clients.groups);
-            visits.push(Planned {
-                at_s,
-                group,
-                stands_s,
-                front: random.random(),
-            });
-        }
-        let mut faults: Vec<Fault> = scenario
-            .fault
-            .iter()
-            .map(|fault| fault.get_ref().clone())
-            .collect();
-        // Up to a fifth of a second, so that faults do not always fall on the same beat of everything else.
-        faults
-            .iter_mut()
-            .for_each(|fault| fault.at_s += random.random_range(0.0..0.2));
-        faults.sort_by(|one, other| one.at_s.total_cmp(&other.at_s));
         Plan {
             seed,
-            visits,
-            faults,
+            sessions: draw_sessions(scenario, &mut random),
+            faults: draw_faults(scenario, &mut random),
         }
     }
 
-    /// A sum over all of it.
+    /// A checksum of the whole plan.
     pub fn digest(&self) -> u32 {
         crc32fast::hash(&serde_json::to_vec(self).unwrap_or_default())
     }
--- a/crates/fault-injection/src/report.rs
+++ b/crates/fault-injection/src/report.rs
@@ -1,18 +1,55 @@
-//! What came of a trial, for people: text, and a time line as a picture.
+//! Reports of an outcome file for people: text, and a picture of the time line.
 
-use plotters::prelude::*;
+use plotters::coord::types::RangedCoordf64;
+use plotters::coord::Shift;
+use plotters::prelude::{
+    Cartesian2d, ChartBuilder, ChartContext, Color, DrawingArea, IntoDrawingArea, LineSeries,
+    PathElement, RGBColor, SVGBackend, BLACK, BLUE, RED, WHITE,
+};
 use serde_json::Value;
-use std::fmt::Write;
+use std::fmt::{self, Write};
+use std::path::Path;
+use thiserror::Error;
 
-/// The height of the picture's parts, and its width.
-const SIZE: (u32, u32) = (1000, 560);
+/// Width and height of the picture in pixels.
+const PICTURE_SIZE: (u32, u32) = (1000, 560);
+const CHART_MARGIN: u32 = 12;
+const LINE_WIDTH: u32 = 2;
+/// The vertical axis reaches so far beyond the greatest value.
+const AXIS_HEADROOM: f64 = 1.1;
+const FAULT_OPACITY: f64 = 0.5;
+const GREY: RGBColor = RGBColor(200, 200, 200);
 
-/// A page of text about an outcome file.
+/// The picture could not be drawn.
+#[derive(Debug, Error)]
+#[error("{0}")]
+pub struct DrawError(String);
+
+impl DrawError {
+    /// Takes any error of the drawing library, which has a type for each of its parts.
+    fn new(error: impl fmt::Display) -> DrawError {
+        DrawError(error.to_string())
+    }
+}
+
+/// A page of text about an outcome.
 pub fn text(outcome: &Value) -> String {
-    let mut out = String::new();
-    let number = |value: &Value| value.as_f64().unwrap_or(0.0);
-    let _ = writeln!(
-        out,
+    let mut text = String::new();
+    // Writing to a string can't fail.
+    let _ = write_summary(&mut text, outcome);
+    let _ = write_events(&mut text, outcome);
+    let _ = write_budgets(&mut text, outcome);
+    let _ = write_violations(&mut text, outcome);
+    text
+}
+
+fn number(value: &Value) -> f64 {
+    value.as_f64().unwrap_or(0.0)
+}
+
+fn write_summary(text: &mut String, outcome: &Value) -> fmt::Result {
+    writeln!(
+        text,
         "{} seed {}: {} nodes, {} requests, service {:.3}, unanswered {}, lost with a node {}",
         outcome["scenario"].as_str().unwrap_or("?"),
         outcome["seed"],
@@ -21,113 +58,162 @@
         number(&outcome["service"]),
         outcome["unanswered"],
         outcome["lost"],
-    );
-    for (at, what) in events(outcome) {
-        let _ = writeln!(out, "  {at:7.2} s  {what}");
+    )
+}
+
+fn write_events(text: &mut String, outcome: &Value) -> fmt::Result {
+    for event in events(outcome) {
+        writeln!(text, "  {:7.2} s  {}", event.at_s, event.text)?;
     }
-    for budget in outcome["budgets"].as_array().into_iter().flatten() {
-        let _ = writeln!(
-            out,
+    Ok(())
+}
+
+fn write_budgets(text: &mut String, outcome: &Value) -> fmt::Result {
+    for budget in elements(&outcome["budgets"]) {
+        writeln!(
+            text,
             "  budget {}: {} in a second at the most, {} are the whole, {} in all",
             budget["name"].as_str().unwrap_or("?"),
             budget["peak"],
             budget["whole"],
             budget["total"]
-        );
+        )?;
     }
-    let broken = outcome["judge"]["broken"]
-        .as_array()
-        .cloned()
-        .unwrap_or_default();
-    for one in &broken {
-        let rule = one["rule"].as_str().unwrap_or("?");
-        let _ = writeln!(
-            out,
-            "  BROKEN {rule} at {:.2} s: {}",
-            number(&one["at_s"]),
-            one["what"].as_str().unwrap_or("")
-        );
+    Ok(())
+}
+
+fn write_violations(text: &mut String, outcome: &Value) -> fmt::Result {
+    let mut violation_count = 0;
+    for violation in elements(&outcome["judge"]["broken"]) {
+        violation_count += 1;
+        writeln!(
+            text,
+            "  BROKEN {} at {:.2} s: {}",
+            violation["rule"].as_str().unwrap_or("?"),
+            number(&violation["at_s"]),
+            violation["what"].as_str().unwrap_or("")
+        )?;
     }
-    if broken.is_empty() {
-        out.push_str("  all rules and bounds held\n");
+    if violation_count == 0 {
+        writeln!(text, "  all rules and bounds held")?;
     }
-    out
-}
-
-fn events(outcome: &Value) -> Vec<(f64, String)> {
-    let event = |event: &Value| Some((event[0].as_f64()?, event[1].as_str()?.to_string()));
-    outcome["events"]
-        .as_array()
-        .into_iter()
-        .flatten()
-        .filter_map(event)
-        .collect()
-}
-
-/// Draws faults, service and each judged sum over time.
-pub fn draw(outcome: &Value, to: &std::path::Path) -> Result<(), String> {
-    let named = |error: &dyn std::fmt::Display| error.to_string();
-    let mut service: Vec<(f64, f64)> = outcome["by_second"]
-        .as_object()
-        .into_iter()
-        .flatten()
-        .filter_map(|(second, counts)| {
-            let (due, up) = (counts[0].as_f64()?, counts[1].as_f64()?);
-            Some((second.parse::<f64>().ok()?, up.min(due) / due.max(1.0)))
+    Ok(())
+}
+
+/// The elements of an array; none of any other value.
+fn elements(value: &Value) -> impl Iterator<Item = &Value> {
+    value.as_array().into_iter().flatten()
+}
+
+/// An entry of the outcome's time line.
+struct ReportedEvent<'a> {
+    at_s: f64,
+    text: &'a str,
+}
+
+fn events(outcome: &Value) -> impl Iterator<Item = ReportedEvent<'_>> {
+    elements(&outcome["events"]).filter_map(|event| {
+        Some(ReportedEvent {
+            at_s: event[0].as_f64()?,
+            text: event[1].as_str()?,
         })
-        .collect();
-    // By time: the file has the seconds in the order of their digits.
-    service.sort_by(|one, other| one.0.total_cmp(&other.0));
-    let faults: Vec<f64> = events(outcome)
-        .iter()
-        .filter(|(_, what)| what.starts_with("fault"))
-        .map(|(at, _)| *at)
-        .collect();
-    let end = service.iter().map(|(at, _)| *at).fold(1.0, f64::max) + 1.0;
-    let root = SVGBackend::new(to, SIZE).into_drawing_area();
-    root.fill(&WHITE).map_err(|error| named(&error))?;
-    let parts = root.split_evenly((2, 1));
-    let plot = |area: &DrawingArea<SVGBackend, plotters::coord::Shift>,
-                most: f64,
-                lines: Vec<(Vec<(f64, f64)>, RGBColor)>| {
-        let mut chart = ChartBuilder::on(area)
-            .margin(12)
-            .build_cartesian_2d(0.0..end, 0.0..most * 1.1)
-            .map_err(|error| named(&error))?;
-        for (points, colour) in lines {
-            chart
-                .draw_series(LineSeries::new(points, colour.stroke_width(2)))
-                .map_err(|error| named(&error))?;
-        }
-        let marks = faults
-            .iter()
-            .map(|at| PathElement::new(vec![(*at, 0.0), (*at, most * 1.1)], RED.mix(0.5)));
-        chart
-            .draw_series(marks)
-            .map(drop)
-            .map_err(|error| named(&error))
+    })
+}
+
+/// A point of a chart: seconds, and a value.
+type Point = (f64, f64);
+type Chart<'a> = ChartContext<'a, SVGBackend<'a>, Cartesian2d<RangedCoordf64, RangedCoordf64>>;
+
+/// What both charts share.
+struct TimeAxis {
+    end_s: f64,
+    fault_times_s: Vec<f64>,
+}
+
+/// The ratio of sessions served in time, by second.
+fn service_points(outcome: &Value) -> Vec<Point> {
+    let seconds = outcome["by_second"].as_object().into_iter().flatten();
+    let points = seconds.filter_map(|(second, counts)| {
+        let due = counts[0].as_f64()?;
+        let served = counts[1].as_f64()?;
+        Some((second.parse().ok()?, served.min(due) / due.max(1.0)))
+    });
+    let mut points: Vec<Point> = points.collect();
+    // The file has the seconds in the order of their digits.
+    points.sort_by(|one, other| one.0.total_cmp(&other.0));
+    points
+}
+
+/// Draws the service and the first budget over time, with the moments of faults.
+///
+/// # Errors
+///
+/// If the file can't be written.
+pub fn draw(outcome: &Value, path: &Path) -> Result<(), DrawError> {
+    let service = service_points(outcome);
+    let faults = events(outcome).filter(|event| event.text.starts_with("fault"));
+    let axis = TimeAxis {
+        end_s: service.iter().map(|point| point.0).fold(1.0, f64::max) + 1.0,
+        fault_times_s: faults.map(|event| event.at_s).collect(),
     };
-    // Above: the part of visits served in time; below: the budget's sum over a second, and its whole.
-    plot(
-        &parts[0],
-        1.0,
-        vec![
-            (service, BLUE),
-            (vec![(0.0, 1.0), (end, 1.0)], RGBColor(200, 200, 200)),
-        ],
-    )?;
-    for budget in outcome["budgets"].as_array().into_iter().flatten().take(1) {
-        let whole = budget["whole"].as_f64().unwrap_or(1.0);
-        let sums = budget["sums"].as_array().into_iter().flatten();
-        let sums: Vec<(f64, f64)> = sums
-            .filter_map(|sum| Some((sum[0].as_f64()?, sum[1].as_f64()?)))
-            .collect();
-        let most = sums.iter().map(|(_, sum)| *sum).fold(whole, f64::max);
-        plot(
-            &parts[1],
-            most,
-            vec![(sums, BLUE), (vec![(0.0, whole), (end, whole)], BLACK)],
-        )?;
+    let root = SVGBackend::new(path, PICTURE_SIZE).into_drawing_area();
+    root.fill(&WHITE).map_err(DrawError::new)?;
+    let areas = root.split_evenly((2, 1));
+    let mut service_chart = new_chart(&areas[0], &axis, 1.0)?;
+    draw_line(&mut service_chart, service, BLUE)?;
+    draw_line(&mut service_chart, horizontal_line(&axis, 1.0), GREY)?;
+    draw_faults(&mut service_chart, &axis, 1.0)?;
+    if let Some(budget) = elements(&outcome["budgets"]).next() {
+        draw_budget(&areas[1], &axis, budget)?;
     }
-    root.present().map_err(|error| named(&error))
+    root.present().map_err(DrawError::new)
+}
+
+/// Draws the uses of a budget in each second, and its limit.
+fn draw_budget(
+    area: &DrawingArea<SVGBackend, Shift>,
+    axis: &TimeAxis,
+    budget: &Value,
+) -> Result<(), DrawError> {
+    let limit = budget["whole"].as_f64().unwrap_or(1.0);
+    let sums = elements(&budget["sums"]);
+    let sums = sums.filter_map(|sum| Some((sum[0].as_f64()?, sum[1].as_f64()?)));
+    let sums: Vec<Point> = sums.collect();
+    let max = sums.iter().map(|point| point.1).fold(limit, f64::max);
+    let mut chart = new_chart(area, axis, max)?;
+    draw_line(&mut chart, sums, BLUE)?;
+    draw_line(&mut chart, horizontal_line(axis, limit), BLACK)?;
+    draw_faults(&mut chart, axis, max)
+}
+
+fn new_chart<'a>(
+    area: &DrawingArea<SVGBackend<'a>, Shift>,
+    axis: &TimeAxis,
+    max: f64,
+) -> Result<Chart<'a>, DrawError> {
+    ChartBuilder::on(area)
+        .margin(CHART_MARGIN)
+        .build_cartesian_2d(0.0..axis.end_s, 0.0..max * AXIS_HEADROOM)
+        .map_err(DrawError::new)
+}
+
+fn draw_line(chart: &mut Chart, points: Vec<Point>, color: RGBColor) -> Result<(), DrawError> {
+    let line = LineSeries::new(points, color.stroke_width(LINE_WIDTH));
+    chart.draw_series(line).map_err(DrawError::new)?;
+    Ok(())
+}
+
+fn horizontal_line(axis: &TimeAxis, value: f64) -> Vec<Point> {
+    vec![(0.0, value), (axis.end_s, value)]
+}
+
+/// Draws a vertical line at the moment of each fault.
+fn draw_faults(chart: &mut Chart, axis: &TimeAxis, max: f64) -> Result<(), DrawError> {
+    let top = max * AXIS_HEADROOM;
+    let lines = axis
+        .fault_times_s
+        .iter()
+        .map(|at_s| PathElement::new(vec![(*at_s, 0.0), (*at_s, top)], RED.mix(FAULT_OPACITY)));
+    chart.draw_series(lines).map_err(DrawError::new)?;
+    Ok(())
 }
--- a/crates/fault-injection/src/run_loop.rs
+++ b/crates/fault-injection/src/run_loop.rs
@@ -1,241 +1,174 @@
-//! The trial's phases and its own deadlines: when clients come, how the nodes are, and when all is over.
+//! The run as an application of the reactor: its deadlines, and how it goes from phase to phase.
 
-use crate::processes::State;
-use crate::stage::{Phase, Stage, FAULTS, VISITS};
-use crate::{call, faults};
-use lupincrank_reactor::{Application, ComponentId, Context, APPLICATION};
-use lupincrank_test_servers::client::{self, Visit};
-use lupincrank_test_servers::Note;
+use crate::checker::Rule;
+use crate::deadline::DeadlineKind;
+use crate::error::RunError;
+use crate::harness::{ConvergenceGoal, Harness, HarnessContext, NotConverged, Phase};
+use crate::node_process::{NodeProcess, ProcessState};
+use crate::{client_sessions, fault_injector, node_call};
+use lupincrank_reactor::{Application, ComponentId, APPLICATION};
+use lupincrank_test_servers::Command;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-const POLL: u64 = 2;
-/// How often nodes are asked how they are.
-const EVERY: Duration = Duration::from_millis(200);
-/// How long nodes may take to be ready, and the council for its first slices, before the trial gives up.
-const READY: Duration = Duration::from_secs(60);
-/// After the last client a trial goes on for this long at the most, for what must hold at the end.
-const SETTLES: Duration = Duration::from_secs(25);
+/// How often nodes are asked for their state.
+const NODE_POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// How long nodes may take to be ready, and the cluster to grant its first leases.
+const READY_TIMEOUT: Duration = Duration::from_secs(60);
+/// How long what must hold at the end is awaited.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(25);
+/// After the last client requests have their timeout and this much longer to end.
+const REQUEST_GRACE: Duration = Duration::from_secs(1);
+/// The least ratio of a budget that is leased when clients begin to come.
+const MIN_INITIAL_LEASED_RATIO: f64 = 0.9;
+/// The exit status of a process that ended as it was asked to.
+const SUCCESS_STATUS: &str = "exit status: 0";
 
-/// Where the front sends one: the first node has `skew` places, each other one has one.
-fn choose(front: &[usize], drawn: u64, skew: f64) -> usize {
-    if skew <= 1.0 {
-        return front[(drawn % front.len() as u64) as usize];
-    }
-    const FINE: f64 = 1000.0;
-    let places = |node: &usize| {
-        if *node == 0 {
-            (skew * FINE) as u64
-        } else {
-            FINE as u64
-        }
-    };
-    let mut left = drawn % front.iter().map(places).sum::<u64>();
-    let fits = front.iter().find(|node| {
-        let fits = left < places(node);
-        left = left.saturating_sub(places(node));
-        fits
-    });
-    *fits.unwrap_or(&front[0])
+/// Begins to poll the nodes.
+pub(crate) fn start(context: &mut HarnessContext) {
+    context
+        .deadlines
+        .set(APPLICATION, DeadlineKind::PollNodes, Instant::now());
 }
 
-/// Sends the clients whose moment has come to nodes that the front has.
-fn visits(context: &mut Context<Stage>) {
+/// Asks the nodes for their state, and goes on to the next phase if it is time.
+fn poll_nodes(context: &mut HarnessContext) {
     let now = Instant::now();
-    if context.phase == Phase::Runs {
-        while let Some(planned) = context.plan.visits.get(context.planned).copied() {
-            let at = context.start + Duration::from_secs_f64(planned.at_s);
-            if at > now {
-                break;
-            }
-            context.planned += 1;
-            let number = context.planned as u64;
-            let stands = Duration::from_secs_f64(planned.stands_s);
-            let group = planned.group;
-            let visit = Visit {
-                number,
-                planned: at,
-                since: at,
-                group,
-                stands,
-                tries: 0,
-                again: false,
-                request: 0,
-            };
-            context.due_in(at, false);
-            context.plan_visit(now, visit);
-        }
-        let over = context.start + Duration::from_secs_f64(*context.scenario.seconds.get_ref());
-        if now >= over && context.planned == context.plan.visits.len() {
-            context.phase = Phase::Settles;
-            context.event("the last client has come".into(), false);
-        }
+    if context.options.stop.load(Ordering::Relaxed) {
+        context.fail(RunError::Stopped);
     }
-    while let Some(first) = context
-        .visits
-        .first_entry()
-        .filter(|first| first.key().0 <= now)
-    {
-        let mut visit = first.remove();
-        let front: Vec<usize> = (0..context.nodes.len())
-            .filter(|node| context.nodes[*node].in_front)
-            .collect();
-        let pause = now + Duration::from_millis(100);
-        if front.is_empty() {
-            context.plan_visit(pause, visit);
-            continue;
-        }
-        // The plan's own choice for the first try, another for each one after it.
-        let drawn = context
-            .plan
-            .visits
-            .get(visit.number as usize - 1)
-            .map_or(0, |planned| planned.front);
-        context.requests += 1;
-        let drawn = drawn
-            .wrapping_add(u64::from(visit.tries))
-            .wrapping_add(u64::from(visit.again) * 7);
-        let node = choose(&front, drawn, context.scenario.clients.skew);
-        visit.request =
-            (context.plan.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) << 32) ^ context.requests;
-        let at = context.nodes[node].listen();
-        if !client::ask(context, visit.clone(), node, at) {
-            context.plan_visit(pause, visit);
-        }
+    for node in 0..context.nodes.len() {
+        check_exit(context, node, now);
+        call_node(context, node);
+    }
+    match context.phase {
+        Phase::Starting => start_clients_if_ready(context, now),
+        Phase::Settling => finish_if_settled(context, now),
+        Phase::Running | Phase::Finished => {}
     }
-    wait(context);
+    (context.application.options.on_progress)(&context.application.progress());
+    let next_poll = now + NODE_POLL_INTERVAL;
+    context
+        .deadlines
+        .set(APPLICATION, DeadlineKind::PollNodes, next_poll);
 }
 
-/// Sets the deadline of the next visit.
-fn wait(context: &mut Context<Stage>) {
-    let now = Instant::now();
-    let next = context.visits.keys().next().map(|(at, _)| *at);
-    let planned = context
-        .plan
-        .visits
-        .get(context.planned)
-        .map(|visit| context.start + Duration::from_secs_f64(visit.at_s));
-    let planned = planned.filter(|_| context.phase == Phase::Runs);
-    let over = context.start + Duration::from_secs_f64(*context.scenario.seconds.get_ref());
-    let over = Some(over).filter(|_| context.phase == Phase::Runs);
-    if let Some(next) = [next, planned, over].into_iter().flatten().min() {
-        context.deadlines.set(
-            APPLICATION,
-            VISITS,
-            next.max(now + Duration::from_millis(1)),
-        );
+/// Records the end of a node's process, which is a violation if nobody asked for it.
+fn check_exit(context: &mut HarnessContext, node: usize, now: Instant) {
+    let process = &mut context.application.nodes[node];
+    let was_terminating = process.state() == ProcessState::Terminating;
+    let name = process.name().to_string();
+    let Some(status) = process.poll_exit() else {
+        return;
+    };
+    context.checker.on_node_absent(node, now);
+    context.record_event(format!("{name} has ended: {status}"));
+    if !was_terminating || !status.contains(SUCCESS_STATUS) {
+        let description = format!("{name} ended by itself: {status}");
+        context
+            .checker
+            .record_violation(Rule::Crash, now, description);
     }
 }
 
-/// Looks how the nodes are, and whether the trial goes on to its next phase.
-fn poll(context: &mut Context<Stage>) {
-    let now = Instant::now();
-    if context.stop.load(Ordering::Relaxed) {
-        context.fails("it was stopped".into());
+fn call_node(context: &mut HarnessContext, node: usize) {
+    let state = context.nodes[node].state();
+    if state == ProcessState::Stopped {
+        return;
     }
-    for node in 0..context.nodes.len() {
-        let (before, name) = (context.nodes[node].state, context.nodes[node].name.clone());
-        if let Some(code) = context.nodes[node].ended() {
-            context.judge.absent(node, now, true);
-            context.event(format!("{name} has ended: {code}"), false);
-            if before != State::Ends || !code.contains("exit status: 0") {
-                context
-                    .judge
-                    .breaks("crash", now, format!("{name} ended by itself: {code}"));
-            }
-        }
-        if matches!(
-            context.nodes[node].state,
-            State::Runs | State::Ends | State::Frozen
-        ) {
-            call::ping(context, node);
-            if context.scenario.talk && context.nodes[node].state != State::Frozen {
-                call::status(context, node);
-            }
-        }
+    node_call::ping(context, node);
+    if context.scenario.is_clustered && state != ProcessState::Frozen {
+        node_call::request_status(context, node);
     }
-    let talks = context.scenario.talk && context.scenario.settled;
-    match context.phase {
-        Phase::Starts => {
-            let ready = context.nodes.iter().all(|node| node.in_front);
-            let share = if context.scenario.cold.is_some() {
-                0.9
-            } else {
-                0.0
-            };
-            let missing = if talks {
-                context.settled(true, share)
-            } else {
-                Ok(())
-            };
-            if ready && missing.is_ok() {
-                context.start = now;
-                context.judge.starts(now);
-                context.phase = Phase::Runs;
-                context.event("the first client comes".into(), false);
-                visits(context);
-                faults::schedule(context);
-            } else if now.duration_since(context.began) > READY {
-                let why = missing
-                    .err()
-                    .unwrap_or_else(|| "not all nodes answer PONG".into());
-                context.fails(format!("not ready after {READY:?}: {why}"));
-            }
-        }
-        Phase::Settles => {
-            let hold = context.scenario.hold.clone();
-            let asked = *context.asked.get_or_insert(now);
-            // What is under way has its time to end first.
-            let waits = now.duration_since(asked) < context.manners.wait + Duration::from_secs(1);
-            let missing = context.settled(hold.council, hold.taken);
-            if !waits && context.later.is_empty() {
-                match missing {
-                    Ok(()) => context.phase = Phase::Over,
-                    Err(why) if now.duration_since(asked) > SETTLES => {
-                        context
-                            .judge
-                            .breaks("hold", now, format!("after {SETTLES:?}: {why}"));
-                        context.phase = Phase::Over;
-                    }
-                    Err(_) => {}
-                }
-            }
-        }
-        Phase::Runs | Phase::Over => {}
+}
+
+/// Whether the cluster has what clients wait for.
+fn check_initial_convergence(harness: &Harness) -> Result<(), NotConverged> {
+    if !harness.scenario.is_clustered || !harness.scenario.waits_for_leases {
+        return Ok(());
     }
-    (context.application.progress)(&context.application);
-    context.deadlines.set(APPLICATION, POLL, now + EVERY);
+    let min_leased_ratio = if harness.scenario.warm_up_budget.is_some() {
+        MIN_INITIAL_LEASED_RATIO
+    } else {
+        0.0
+    };
+    harness.check_convergence(ConvergenceGoal {
+        needs_agreement: true,
+        min_leased_ratio,
+    })
 }
 
-/// Begins to look at the nodes.
-pub fn begin(context: &mut Context<Stage>) {
-    context.deadlines.set(APPLICATION, POLL, Instant::now());
+fn start_clients_if_ready(context: &mut HarnessContext, now: Instant) {
+    let are_nodes_ready = context.nodes.iter().all(NodeProcess::is_accepting_clients);
+    let convergence = check_initial_convergence(&context.application);
+    if are_nodes_ready && convergence.is_ok() {
+        context.clients_start = now;
+        context.checker.start_clock(now);
+        context.phase = Phase::Running;
+        context.record_event("the first client comes".into());
+        client_sessions::run_due_sessions(context);
+        fault_injector::schedule_faults(context);
+    } else if now.duration_since(context.created_at) > READY_TIMEOUT {
+        let reason = match convergence {
+            Err(reason) => reason.to_string(),
+            Ok(()) => "not all nodes answer PONG".to_string(),
+        };
+        context.fail(RunError::NotReady {
+            timeout: READY_TIMEOUT,
+            reason,
+        });
+    }
+}
+
+fn finish_if_settled(context: &mut HarnessContext, now: Instant) {
+    let settling_since = *context.settling_since.get_or_insert(now);
+    let settling_for = now.duration_since(settling_since);
+    let has_requests = settling_for < context.client_behaviour.answer_timeout + REQUEST_GRACE;
+    if has_requests || !context.pending_steps.is_empty() {
+        return;
+    }
+    let expectations = &context.scenario.expectations;
+    let convergence = context.check_convergence(ConvergenceGoal {
+        needs_agreement: expectations.one_leader_at_end,
+        min_leased_ratio: expectations.min_leased_ratio,
+    });
+    match convergence {
+        Ok(()) => context.phase = Phase::Finished,
+        Err(reason) if settling_for > SETTLE_TIMEOUT => {
+            let description = format!("after {SETTLE_TIMEOUT:?}: {reason}");
+            context
+                .checker
+                .record_violation(Rule::Expectation, now, description);
+            context.phase = Phase::Finished;
+        }
+        Err(_) => {}
+    }
 }
 
-impl Application for Stage {
-    type DeadlineKind = u64;
-    type Message = Note;
+impl Application for Harness {
+    type DeadlineKind = DeadlineKind;
+    type Message = Command;
 
     fn after_callback(
-        context: &mut Context<Stage>,
-        _objects: &mut dyn Iterator<Item = ComponentId>,
+        context: &mut HarnessContext,
+        _components: &mut dyn Iterator<Item = ComponentId>,
     ) {
-        if std::mem::take(&mut context.woken) {
-            wait(context);
+        if context.sessions.take_deadline_stale() {
+            client_sessions::set_deadline(context);
         }
     }
 
-    fn on_deadline(context: &mut Context<Stage>, kind: u64) {
+    fn on_deadline(context: &mut HarnessContext, kind: DeadlineKind) {
         match kind {
-            VISITS => visits(context),
-            FAULTS => faults::due(context),
-            _ => poll(context),
+            DeadlineKind::RunSessions => client_sessions::run_due_sessions(context),
+            DeadlineKind::RunFaults => fault_injector::run_due_steps(context),
+            _ => poll_nodes(context),
         }
     }
 
     fn is_finished(&self) -> bool {
-        self.phase == Phase::Over
+        self.phase == Phase::Finished
     }
 
-    fn on_undelivered(&mut self, _id: ComponentId, _message: Note) {}
+    fn on_undelivered(&mut self, _id: ComponentId, _command: Command) {}
 }
--- a/crates/fault-injection/src/scenario/mod.rs
+++ b/crates/fault-injection/src/scenario/mod.rs
@@ -1,385 +1,276 @@
-//! A trial's file: sizes, clients, the time line of faults, and what must hold. What is wrong with one is told with its line.
+//! A scenario file: sizes, clients, the time line of faults, and what is expected of the run.
+//!
+//! An error names the line of the file.
 
-use serde::{Deserialize, Serialize};
+mod fault;
+mod validation;
+
+pub use fault::{Fault, FaultKind};
+use serde::Deserialize;
+use std::io;
+use thiserror::Error;
 use toml::Spanned;
 
-/// A whole file.
+/// A scenario, with the keys of its file.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Scenario {
     /// What it shows, in a line.
-    pub about: String,
-    /// Processes of the program: 1 to 60.
-    pub nodes: Spanned<usize>,
-    /// The number of nodes that the settings name; as many as there are if it is not said.
-    pub instances: Option<usize>,
-    /// Zones; nodes and transcribers go round.
-    #[serde(default = "one")]
-    pub zones: usize,
-    /// Transcribers that are warm from the start: 1 to 60.
-    pub transcribers: Spanned<usize>,
-    /// How long clients come, after all nodes are ready: 2 to 600 s.
-    pub seconds: Spanned<f64>,
-    /// Whether the nodes talk: without it they get no operator's file.
-    #[serde(default = "yes")]
-    pub talk: bool,
-    /// Clients wait for the council's first slices, where there is one.
-    #[serde(default = "yes")]
-    pub settled: bool,
+    #[serde(rename = "about")]
+    pub description: String,
+    /// Node processes: 1 to 60.
+    pub(crate) nodes: Spanned<usize>,
+    /// Number of nodes that the settings name; that of the processes if it is missing.
+    #[serde(rename = "instances")]
+    pub(crate) settings_node_count: Option<usize>,
+    /// Zones, to which nodes and servers are assigned in turn.
+    #[serde(default = "default_zone_count", rename = "zones")]
+    pub(crate) zone_count: usize,
+    /// Upstream servers that are warm from the start: 1 to 60.
+    #[serde(rename = "transcribers")]
+    pub(crate) servers: Spanned<usize>,
+    /// How long clients come, after all nodes are ready: 2 to 600 seconds.
+    pub(crate) seconds: Spanned<f64>,
+    /// Whether the nodes form a cluster; without one they have no operator's file.
+    #[serde(default = "default_true", rename = "talk")]
+    pub(crate) is_clustered: bool,
+    /// Whether clients wait for the cluster's first leases.
+    #[serde(default = "default_true", rename = "settled")]
+    pub(crate) waits_for_leases: bool,
     /// Whether each node has a folder that outlives its processes.
+    #[serde(default, rename = "folder")]
+    pub(crate) has_persistent_folders: bool,
+    /// The clients.
     #[serde(default)]
-    pub folder: bool,
-    /// What clients are like.
-    #[serde(default)]
-    pub clients: Clients,
-    /// What transcribers bear.
-    #[serde(default)]
-    pub bears: Bears,
-    /// The cold budget.
-    pub cold: Option<Cold>,
+    pub(crate) clients: Clients,
+    /// How much load an upstream server bears.
+    #[serde(default, rename = "bears")]
+    pub(crate) server_capacity: ServerCapacity,
+    /// The budget of connections to servers that are warming up.
+    #[serde(rename = "cold")]
+    pub(crate) warm_up_budget: Option<WarmUpBudget>,
     /// The time line.
-    #[serde(default)]
-    pub fault: Vec<Spanned<Fault>>,
-    /// What must hold besides the rules.
-    #[serde(default)]
-    pub hold: Hold,
+    #[serde(default, rename = "fault")]
+    pub(crate) faults: Vec<Spanned<Fault>>,
+    /// What must hold besides the checker's rules.
+    #[serde(default, rename = "hold")]
+    pub(crate) expectations: Expectations,
 }
 
-fn one() -> usize {
+fn default_zone_count() -> usize {
     1
 }
 
-fn yes() -> bool {
+fn default_true() -> bool {
     true
 }
 
-/// Clients.
+/// How clients come and behave.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
-pub struct Clients {
+pub(crate) struct Clients {
     /// New ones in a second, over all nodes.
-    pub rate: f64,
-    /// How long each stands, in the mean, in seconds.
-    pub stand_s: f64,
+    pub(crate) rate: f64,
+    /// How long their connections last in the mean, in seconds.
+    #[serde(rename = "stand_s")]
+    pub(crate) mean_duration_s: f64,
     /// How long each waits for its answer, in milliseconds.
-    pub wait_ms: u64,
-    /// A line goes out each so many milliseconds.
-    pub line_ms: u64,
-    /// Groups that they belong to.
-    pub groups: u64,
-    /// The front sends the first node so many times as many as each other one: 1 to 1,000.
-    pub skew: f64,
+    #[serde(rename = "wait_ms")]
+    pub(crate) answer_timeout_ms: u64,
+    /// How often each sends a line, in milliseconds.
+    #[serde(rename = "line_ms")]
+    pub(crate) line_interval_ms: u64,
+    /// Number of key groups that they belong to.
+    #[serde(rename = "groups")]
+    pub(crate) group_count: u64,
+    /// How many times as many of them the first node gets as each other one: 1 to 1,000.
+    #[serde(rename = "skew")]
+    pub(crate) first_node_weight: f64,
 }
 
 impl Default for Clients {
     fn default() -> Clients {
         Clients {
             rate: 20.0,
-            stand_s: 8.0,
-            wait_ms: 1500,
-            line_ms: 1000,
-            groups: 500,
-            skew: 1.0,
+            mean_duration_s: 8.0,
+            answer_timeout_ms: 1500,
+            line_interval_ms: 1000,
+            group_count: 500,
+            first_node_weight: 1.0,
         }
     }
 }
 
-/// Transcribers.
+/// How much load an upstream server bears.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
-pub struct Bears {
-    /// Connections that a warm one holds well.
-    pub held: f64,
-    /// How long one is cold.
-    pub cold_s: f64,
-    /// How long a set-up takes on an idle one, in milliseconds.
-    pub setup_ms: u64,
+pub(crate) struct ServerCapacity {
+    /// Connections that a warm one serves well.
+    #[serde(rename = "held")]
+    pub(crate) connections: f64,
+    /// How long one warms up, in seconds.
+    #[serde(rename = "cold_s")]
+    pub(crate) warm_up_s: f64,
+    /// How long an idle one takes to establish a connection, in milliseconds.
+    pub(crate) setup_ms: u64,
 }
 
-impl Default for Bears {
-    fn default() -> Bears {
-        Bears {
-            held: 80.0,
-            cold_s: 8.0,
+impl Default for ServerCapacity {
+    fn default() -> ServerCapacity {
+        ServerCapacity {
+            connections: 80.0,
+            warm_up_s: 8.0,
             setup_ms: 5,
         }
     }
 }
 
-/// The cold budget, as the operator's file has it; without talk it is only judged.
+/// The budget of connections to servers that are warming up, as in the operator's file; without a cluster it is only
+/// checked.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Cold {
-    /// New connections to cold transcribers in any second, over the fleet.
-    pub whole: u32,
-    /// Set aside for each node.
-    #[serde(default)]
-    pub floor: u32,
-    /// Spans, in seconds after the first client, in which clients want more than the whole: its use is taken there.
-    #[serde(default)]
-    pub enough: Vec<(f64, f64)>,
+pub(crate) struct WarmUpBudget {
+    /// New connections to such servers in any second, over all nodes.
+    #[serde(rename = "whole")]
+    pub(crate) limit: u32,
+    /// The part that is set aside for each node.
+    #[serde(default, rename = "floor")]
+    pub(crate) node_floor: u32,
+    /// Spans in which clients want more than the limit: the budget's usage is measured there.
+    #[serde(default, rename = "enough")]
+    pub(crate) saturated_spans: Vec<TimeSpan>,
+}
+
+/// A span of a run, in seconds after the first client.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(from = "(f64, f64)")]
+pub struct TimeSpan {
+    /// Its beginning.
+    pub from_s: f64,
+    /// Its end.
+    pub to_s: f64,
+}
+
+impl From<(f64, f64)> for TimeSpan {
+    fn from((from_s, to_s): (f64, f64)) -> TimeSpan {
+        TimeSpan { from_s, to_s }
+    }
 }
 
-/// What must hold besides the rules.
+/// What must hold besides the checker's rules.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
-pub struct Hold {
-    /// The least part of the visits that is served in time.
-    pub service: f64,
-    /// At the end all living nodes name one leader, and know all of each other.
-    pub council: bool,
-    /// At the end the slices take at least this part of what is handed out.
-    pub taken: f64,
-    /// The least part of a budget that is in use in its spans of `enough`.
-    pub used: f64,
-    /// The most councils that may be founded; any number if it is not said.
-    pub foundings: usize,
+pub(crate) struct Expectations {
+    /// The least ratio of the sessions that is served in time.
+    #[serde(rename = "service")]
+    pub(crate) min_service_ratio: f64,
+    /// Whether all running nodes must name one leader and count each other at the end.
+    #[serde(rename = "council")]
+    pub(crate) one_leader_at_end: bool,
+    /// The least ratio of the budget that is leased at the end.
+    #[serde(rename = "taken")]
+    pub(crate) min_leased_ratio: f64,
+    /// The least ratio of the budget that is used in its saturated spans.
+    #[serde(rename = "used")]
+    pub(crate) min_usage_ratio: f64,
+    /// The most clusters that may be bootstrapped; any number if it is 0.
+    #[serde(rename = "foundings")]
+    pub(crate) max_cluster_count: usize,
 }
 
-/// One fault.
-#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
-#[serde(deny_unknown_fields)]
-pub struct Fault {
-    /// When, in seconds after the first client.
-    pub at_s: f64,
-    /// What.
-    pub kind: Kind,
-    /// For how long, where it ends; the kind says what comes then.
-    #[serde(default)]
-    pub for_s: f64,
-    /// Which party: `n0`, `t3`, `discovery`, `leader`, `follower`, `zone0`, `all`.
-    #[serde(default)]
-    pub on: String,
-    /// The other party of a link; `all` if it is not said.
-    #[serde(default)]
-    pub to: String,
-    /// Only from `on` to `to`.
-    #[serde(default)]
-    pub one_way: bool,
-    /// How much: datagrams lost, doubled or out of order (0 to 1), milliseconds of delay or jitter, or kilobytes a second.
-    #[serde(default)]
-    pub much: f64,
-    /// How often, for `loop`, and how many, for `release`.
-    #[serde(default)]
-    pub times: usize,
+/// Why a scenario can't be used.
+#[derive(Debug, Error)]
+pub enum ScenarioError {
+    /// The file can't be read.
+    #[error("{path}")]
+    Read {
+        /// The file.
+        path: String,
+        /// The reason.
+        source: io::Error,
+    },
+    /// The file's text is not a scenario.
+    #[error("{path}")]
+    Parse {
+        /// The file.
+        path: String,
+        /// The reason.
+        source: ScenarioTextError,
+    },
+}
+
+/// What is wrong with the text of a scenario, with its line.
+#[derive(Debug, Error)]
+#[error("line {line}: {reason}")]
+pub struct ScenarioTextError {
+    line: usize,
+    reason: String,
 }
 
-/// What a fault does.
-#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
-#[serde(rename_all = "kebab-case")]
-pub enum Kind {
-    /// SIGKILL to nodes; after `for_s`, if given, a new process under the name with an empty folder.
-    Kill,
-    /// SIGSTOP, and SIGCONT after `for_s`.
-    Freeze,
-    /// SIGTERM; after `for_s`, if given, a new process under the name.
-    Term,
-    /// SIGKILL and a new process at once, `times` times, `for_s` apart.
-    Loop,
-    /// A node that nobody announced begins.
-    Join,
-    /// Another process begins under the name of a node that lives, at an address of its own.
-    Twin,
-    /// SIGKILL to nodes; a process of another fleet begins at the address of each, and after `for_s`, if given, the node
-    /// is back.
-    Foreign,
-    /// The link carries nothing, both ways or one way.
-    Cut,
-    /// A part of the datagrams is lost.
-    Loss,
-    /// A part of the datagrams comes twice.
-    Double,
-    /// A part of the datagrams is held back behind later ones.
-    Reorder,
-    /// All is later by so much.
-    Delay,
-    /// All is later by up to so much.
-    Jitter,
-    /// A stream carries at most so many kilobytes a second.
-    Throttle,
-    /// All connections on the link are reset.
-    Reset,
-    /// `times` new transcribers begin, cold.
-    Release,
-    /// A transcriber drains, and is gone after `for_s`.
-    Drain,
-    /// Transcribers die; they come back cold after `for_s`.
-    Die,
-    /// Transcribers answer nothing for `for_s`.
-    Silence,
-    /// Discovery tells `on` nothing new.
-    Stale,
-    /// Discovery is down for `on`.
-    Down,
-    /// Discovery is slow for `on`, by `much` milliseconds.
-    Slow,
-    /// A person sets the whole of the cold budget to `much`, at `on`.
-    Whole,
+/// The number of the line with this byte.
+fn line_at(text: &str, offset: usize) -> usize {
+    let before = text.as_bytes().iter().take(offset);
+    before.filter(|byte| **byte == b'\n').count() + 1
 }
 
 impl Scenario {
     /// Reads a file.
-    pub fn load(path: &str) -> Result<Scenario, String> {
-        let text = std::fs::read_to_string(path).map_err(|error| format!("{path}: {error}"))?;
-        Scenario::read(&text).map_err(|why| format!("{path}: {why}"))
+    ///
+    /// # Errors
+    ///
+    /// If the file can't be read, or its text is not a scenario.
+    pub fn load(path: &str) -> Result<Scenario, ScenarioError> {
+        let text = std::fs::read_to_string(path).map_err(|source| ScenarioError::Read {
+            path: path.to_string(),
+            source,
+        })?;
+        Scenario::parse(&text).map_err(|source| ScenarioError::Parse {
+            path: path.to_string(),
+            source,
+        })
     }
 
-    /// Reads a file's text; an error names line and reason.
-    pub fn read(text: &str) -> Result<Scenario, String> {
-        let line = |at: usize| {
-            text.as_bytes()
-                .iter()
-                .take(at)
-                .filter(|byte| **byte == b'\n')
-                .count()
-                + 1
-        };
-        let scenario: Scenario = toml::from_str(text).map_err(|error| {
-            format!(
-                "line {}: {}",
-                error.span().map_or(1, |span| line(span.start)),
-                error.message()
-            )
+    /// Reads the text of a file.
+    ///
+    /// # Errors
+    ///
+    /// If the text has another form than a scenario's, or values that are out of bounds.
+    pub fn parse(text: &str) -> Result<Scenario, ScenarioTextError> {
+        let scenario: Scenario = toml::from_str(text).map_err(|error| ScenarioTextError {
+            line: error.span().map_or(1, |span| line_at(text, span.start)),
+            reason: error.message().to_string(),
+        })?;
+        scenario.validate().map_err(|invalid| ScenarioTextError {
+            line: line_at(text, invalid.offset),
+            reason: invalid.value.to_string(),
         })?;
-        scenario
-            .check()
-            .map_err(|(at, why)| format!("line {}: {why}", line(at)))?;
         Ok(scenario)
     }
 
-    fn check(&self) -> Result<(), (usize, String)> {
-        let within = |name: &str, value: f64, least: f64, most: f64, at: usize| {
-            if value >= least && value <= most {
-                Ok(())
-            } else {
-                Err((at, format!("{name}: {value} is not in {least} to {most}")))
-            }
-        };
-        within(
-            "nodes",
-            *self.nodes.get_ref() as f64,
-            1.0,
-            60.0,
-            self.nodes.span().start,
-        )?;
-        within(
-            "transcribers",
-            *self.transcribers.get_ref() as f64,
-            1.0,
-            60.0,
-            self.transcribers.span().start,
-        )?;
-        within(
-            "seconds",
-            *self.seconds.get_ref(),
-            2.0,
-            600.0,
-            self.seconds.span().start,
-        )?;
-        within("zones", self.zones as f64, 1.0, 10.0, 0)?;
-        within("clients.rate", self.clients.rate, 0.0, 2_000.0, 0)?;
-        within("clients.stand_s", self.clients.stand_s, 0.1, 600.0, 0)?;
-        within(
-            "clients.wait_ms",
-            self.clients.wait_ms as f64,
-            100.0,
-            10_000.0,
-            0,
-        )?;
-        within(
-            "clients.line_ms",
-            self.clients.line_ms as f64,
-            50.0,
-            10_000.0,
-            0,
-        )?;
-        within("clients.groups", self.clients.groups as f64, 1.0, 1e9, 0)?;
-        within("clients.skew", self.clients.skew, 1.0, 1_000.0, 0)?;
-        let spans = self.cold.iter().flat_map(|cold| &cold.enough);
-        for (from, to) in spans {
-            within(
-                "cold.enough: its end",
-                *to,
-                from + 0.1,
-                *self.seconds.get_ref(),
-                0,
-            )?;
-        }
-        within("bears.held", self.bears.held, 1.0, 10_000.0, 0)?;
-        within("bears.cold_s", self.bears.cold_s, 0.1, 600.0, 0)?;
-        let joins = self
-            .fault
-            .iter()
-            .filter(|fault| {
-                fault.get_ref().kind == Kind::Join || fault.get_ref().kind == Kind::Twin
-            })
-            .count();
-        within(
-            "nodes with those that join",
-            (self.nodes.get_ref() + joins) as f64,
-            1.0,
-            62.0,
-            0,
-        )?;
-        for fault in &self.fault {
-            let (at, fault) = (fault.span().start, fault.get_ref());
-            within("at_s", fault.at_s, 0.0, *self.seconds.get_ref(), at)?;
-            within("for_s", fault.for_s, 0.0, 600.0, at)?;
-            within("times", fault.times as f64, 0.0, 100.0, at)?;
-            let most = match fault.kind {
-                Kind::Loss | Kind::Double | Kind::Reorder => 1.0,
-                _ => 60_000.0,
-            };
-            within("much", fault.much, 0.0, most, at)?;
-            let links = matches!(
-                fault.kind,
-                Kind::Cut
-                    | Kind::Loss
-                    | Kind::Double
-                    | Kind::Reorder
-                    | Kind::Delay
-                    | Kind::Jitter
-                    | Kind::Throttle
-                    | Kind::Reset
-            );
-            for (name, selector) in [("on", &fault.on), ("to", &fault.to)] {
-                let needed = name == "on" && !matches!(fault.kind, Kind::Join | Kind::Release);
-                if (needed && selector.is_empty()) || !self.names(selector) {
-                    return Err((
-                        at,
-                        format!("{name}: {selector:?} is no party of this trial"),
-                    ));
-                }
-            }
-            if !links && (!fault.to.is_empty() || fault.one_way) {
-                return Err((at, "to and one_way are for links".into()));
-            }
-            let lasts = matches!(fault.kind, Kind::Freeze | Kind::Silence | Kind::Drain);
-            if lasts && fault.for_s <= 0.0 {
-                return Err((at, "for_s: it has to end".into()));
-            }
-            if matches!(fault.kind, Kind::Loop | Kind::Release) && fault.times == 0 {
-                return Err((at, "times: how often, or how many".into()));
-            }
-        }
-        Ok(())
+    /// Number of node processes.
+    pub fn node_count(&self) -> usize {
+        *self.nodes.get_ref()
+    }
+
+    /// Number of servers that are warm from the start.
+    pub fn server_count(&self) -> usize {
+        *self.servers.get_ref()
     }
 
-    /// Whether this names parties; nothing names all.
-    fn names(&self, selector: &str) -> bool {
-        let number = |prefix: &str, most: usize| {
-            let rest = selector
-                .strip_prefix(prefix)
-                .and_then(|rest| rest.parse::<usize>().ok());
-            rest.is_some_and(|number| number < most)
-        };
-        matches!(
-            selector,
-            "" | "all" | "nodes" | "transcribers" | "discovery" | "leader" | "follower"
-        ) || number("n", 62)
-            || number("t", 160)
-            || number("zone", self.zones)
+    /// How long clients come, in seconds.
+    pub fn duration_s(&self) -> f64 {
+        *self.seconds.get_ref()
     }
+
+    /// Name of the zone that a node or server with this number belongs to.
+    pub(crate) fn zone_of(&self, number: usize) -> String {
+        zone_name(number % self.zone_count)
+    }
+}
+
+/// The name of a zone.
+pub(crate) fn zone_name(zone: usize) -> String {
+    format!("zone{zone}")
 }
 
 #[cfg(test)]
--- a/crates/fault-injection/src/scenario/tests.rs
+++ b/crates/fault-injection/src/scenario/tests.rs
@@ -22,8 +22,11 @@
 )]
 #[case::missing("nodes = 3\n", "", "line 1: missing field `nodes`")]
 fn a_wrong_file_names_line_and_reason(#[case] from: &str, #[case] to: &str, #[case] why: &str) {
-    match Scenario::read(&GOOD.replacen(from, to, 1)) {
+    match Scenario::parse(&GOOD.replacen(from, to, 1)) {
         Ok(_) => assert_eq!(why, ""),
-        Err(error) => assert!(!why.is_empty() && error.starts_with(why), "{error}"),
+        Err(error) => assert!(
+            !why.is_empty() && error.to_string().starts_with(why),
+            "{error}"
+        ),
     }
 }
--- a/crates/fault-injection/src/search.rs
+++ b/crates/fault-injection/src/search.rs
@@ -1,168 +1,266 @@
-//! Looks for the worst: draws time lines of faults, keeps the one that does most harm, and leaves out of it what does not
-//! matter.
+//! Searches for harmful time lines: draws faults, keeps the time line that does most harm, and leaves out of it what does
+//! not matter.
 
-use crate::run::{run, Options, Outcome};
-use crate::scenario::{Fault, Kind, Scenario};
+use crate::error::RunError;
+use crate::outcome::Outcome;
+use crate::run::{run, RunOptions};
+use crate::scenario::{Fault, FaultKind, Scenario};
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
 use serde::Serialize;
 use toml::Spanned;
 
-/// Faults in one time line.
-const MOST: usize = 4;
+/// Faults of one drawn time line.
+const MAX_FAULT_COUNT: usize = 4;
+/// Faults begin in this part of the run at the latest.
+const MAX_START_RATIO: f64 = 0.7;
+/// Restarts in a loop are so many seconds apart.
+const RESTART_INTERVAL_SECONDS: f64 = 0.3;
 
-/// What a hunt found.
+/// Kinds of faults that are drawn.
+const DRAWN_KINDS: [FaultKind; 12] = [
+    FaultKind::Kill,
+    FaultKind::Freeze,
+    FaultKind::Terminate,
+    FaultKind::RestartLoop,
+    FaultKind::Cut,
+    FaultKind::Loss,
+    FaultKind::Duplicate,
+    FaultKind::Reorder,
+    FaultKind::Delay,
+    FaultKind::Jitter,
+    FaultKind::Reset,
+    FaultKind::Join,
+];
+
+/// What is searched.
+#[derive(Clone, Copy)]
+pub struct Search<'a> {
+    /// Name of the scenario.
+    pub name: &'a str,
+    /// The scenario, whose own faults stay.
+    pub scenario: &'a Scenario,
+    /// The seed of the first run.
+    pub seed: u64,
+    /// Number of runs.
+    pub run_count: usize,
+}
+
+/// What a search found.
 #[derive(Clone, Debug, Serialize)]
-pub struct Found {
-    /// Trials that were run, and those in which a rule broke.
-    pub runs: usize,
-    /// See `runs`.
-    pub broken: usize,
-    /// The worst one, with the fewest faults that still do it.
+pub struct SearchResult {
+    /// Runs that were made.
+    #[serde(rename = "runs")]
+    pub run_count: usize,
+    /// Those with a violation.
+    #[serde(rename = "broken")]
+    pub failed_count: usize,
+    /// The most harmful one, with the fewest faults that still violate a rule.
     pub worst: Option<Outcome>,
-    /// Of each trial: its seed, service, the budget's peak against its whole, and broken rules.
-    pub trials: Vec<(u64, f64, u32, u32, usize)>,
+    /// All runs.
+    #[serde(rename = "trials")]
+    pub runs: Vec<SearchedRun>,
+}
+
+/// One run of a search.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+#[serde(into = "(u64, f64, u32, u32, usize)")]
+pub struct SearchedRun {
+    /// Its seed.
+    pub seed: u64,
+    /// The ratio of sessions that were served in time.
+    pub service_ratio: f64,
+    /// The most uses of the budget in a second.
+    pub budget_peak: u32,
+    /// The limit of the budget.
+    pub budget_limit: u32,
+    /// Number of violations.
+    pub violation_count: usize,
+}
+
+impl From<SearchedRun> for (u64, f64, u32, u32, usize) {
+    fn from(run: SearchedRun) -> (u64, f64, u32, u32, usize) {
+        (
+            run.seed,
+            run.service_ratio,
+            run.budget_peak,
+            run.budget_limit,
+            run.violation_count,
+        )
+    }
+}
+
+impl SearchedRun {
+    fn new(outcome: &Outcome) -> SearchedRun {
+        let budget = outcome.budgets.first();
+        SearchedRun {
+            seed: outcome.seed,
+            service_ratio: outcome.service_ratio,
+            budget_peak: budget.map_or(0, |budget| budget.peak),
+            budget_limit: budget.map_or(0, |budget| budget.limit),
+            violation_count: outcome.verdict.violations.len(),
+        }
+    }
+}
+
+/// How harmful a run was; compared in the order of the fields.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Harm {
+    violation_count: usize,
+    unanswered: u64,
+    unserved_permille: u64,
+}
+
+impl Harm {
+    fn of(outcome: &Outcome) -> Harm {
+        Harm {
+            violation_count: outcome.verdict.violations.len(),
+            unanswered: outcome.unanswered,
+            unserved_permille: ((1.0 - outcome.service_ratio) * 1000.0) as u64,
+        }
+    }
 }
 
-/// How bad it was: broken rules first, then what nobody answered, then what was not served.
-fn harm(outcome: &Outcome) -> (usize, u64, u64) {
-    let unserved = ((1.0 - outcome.service) * 1000.0) as u64;
-    (outcome.judge.broken.len(), outcome.unanswered, unserved)
+/// A drawn time line and what came of it.
+struct Candidate {
+    faults: Vec<Fault>,
+    outcome: Outcome,
 }
 
-/// Draws a time line for this scenario.
-pub fn draw(scenario: &Scenario, seed: u64) -> Vec<Fault> {
+/// Draws a time line for a scenario.
+pub fn draw_faults(scenario: &Scenario, seed: u64) -> Vec<Fault> {
     let mut random = Pcg64Mcg::new(u128::from(seed) << 16 | 5);
-    let (seconds, nodes) = (*scenario.seconds.get_ref(), *scenario.nodes.get_ref());
-    let kinds = [
-        Kind::Kill,
-        Kind::Freeze,
-        Kind::Term,
-        Kind::Loop,
-        Kind::Cut,
-        Kind::Loss,
-        Kind::Double,
-        Kind::Reorder,
-        Kind::Delay,
-        Kind::Jitter,
-        Kind::Reset,
-        Kind::Join,
-    ];
-    let many = random.random_range(1..=MOST);
-    let mut faults: Vec<Fault> = (0..many)
-        .map(|_| {
-            let kind = kinds[random.random_range(0..kinds.len())];
-            let node = |random: &mut Pcg64Mcg| match random.random_range(0..4) {
-                0 => "leader".to_string(),
-                1 => "follower".to_string(),
-                _ => format!("n{}", random.random_range(0..nodes)),
-            };
-            let links = matches!(
-                kind,
-                Kind::Cut
-                    | Kind::Loss
-                    | Kind::Double
-                    | Kind::Reorder
-                    | Kind::Delay
-                    | Kind::Jitter
-                    | Kind::Reset
-            );
-            Fault {
-                at_s: random.random_range(0.5..seconds * 0.7),
-                kind,
-                for_s: if kind == Kind::Loop {
-                    0.3
-                } else {
-                    random.random_range(0.3..6.0)
-                },
-                on: if kind == Kind::Join {
-                    String::new()
-                } else {
-                    node(&mut random)
-                },
-                to: if links { "nodes".into() } else { String::new() },
-                one_way: links && random.random::<bool>(),
-                much: match kind {
-                    Kind::Loss | Kind::Double | Kind::Reorder => random.random_range(0.1..0.6),
-                    Kind::Delay | Kind::Jitter => random.random_range(10.0..400.0),
-                    _ => 0.0,
-                },
-                times: if kind == Kind::Loop {
-                    random.random_range(2..6)
-                } else {
-                    0
-                },
-            }
-        })
+    let fault_count = random.random_range(1..=MAX_FAULT_COUNT);
+    let mut faults: Vec<Fault> = (0..fault_count)
+        .map(|_| draw_fault(scenario, &mut random))
         .collect();
     faults.sort_by(|one, other| one.at_s.total_cmp(&other.at_s));
     faults
 }
 
-fn with(scenario: &Scenario, faults: &[Fault]) -> Scenario {
-    // The scenario's own faults stay: they bring the transcribers that the budget is for.
-    let drawn = faults.iter().map(|fault| Spanned::new(0..0, fault.clone()));
-    Scenario {
-        fault: scenario.fault.iter().cloned().chain(drawn).collect(),
-        ..scenario.clone()
+/// Draws one fault. The order of the draws decides what a seed draws, and must stay.
+fn draw_fault(scenario: &Scenario, random: &mut Pcg64Mcg) -> Fault {
+    let kind = DRAWN_KINDS[random.random_range(0..DRAWN_KINDS.len())];
+    let at_s = random.random_range(0.5..scenario.duration_s() * MAX_START_RATIO);
+    let duration_s = match kind {
+        FaultKind::RestartLoop => RESTART_INTERVAL_SECONDS,
+        _ => random.random_range(0.3..6.0),
+    };
+    let target = match kind {
+        FaultKind::Join => String::new(),
+        _ => draw_node(scenario, random),
+    };
+    let is_link_fault = kind.is_link_fault();
+    let peer = if is_link_fault { "nodes" } else { "" };
+    let is_one_way = is_link_fault && random.random::<bool>();
+    let magnitude = match kind {
+        FaultKind::Loss | FaultKind::Duplicate | FaultKind::Reorder => {
+            random.random_range(0.1..0.6)
+        }
+        FaultKind::Delay | FaultKind::Jitter => random.random_range(10.0..400.0),
+        _ => 0.0,
+    };
+    let count = match kind {
+        FaultKind::RestartLoop => random.random_range(2..6),
+        _ => 0,
+    };
+    Fault {
+        at_s,
+        kind,
+        duration_s,
+        target,
+        peer: peer.to_string(),
+        is_one_way,
+        magnitude,
+        count,
     }
 }
 
-/// Hunts with this many trials, then shrinks the worst one.
-pub fn hunt(
-    name: &str,
-    scenario: &Scenario,
-    seed: u64,
-    runs: usize,
-    options: impl Fn() -> Options,
-    mut told: impl FnMut(usize, &Outcome),
-) -> Result<Found, String> {
-    let mut found = Found {
-        runs: 0,
-        broken: 0,
-        worst: None,
-        trials: Vec::new(),
-    };
-    let mut worst: Option<(Vec<Fault>, Outcome)> = None;
-    for number in 0..runs as u64 {
-        let seed = seed.wrapping_add(number);
-        let faults = draw(scenario, seed);
-        let outcome = run(name, with(scenario, &faults), seed, options())?;
-        found.runs += 1;
-        found.broken += usize::from(!outcome.holds());
-        let (peak, whole) = outcome
-            .budgets
-            .first()
-            .map_or((0, 0), |budget| (budget.peak, budget.whole));
-        found.trials.push((
-            seed,
-            outcome.service,
-            peak,
-            whole,
-            outcome.judge.broken.len(),
-        ));
-        told(found.runs, &outcome);
-        if worst
-            .as_ref()
-            .is_none_or(|(_, before)| harm(&outcome) > harm(before))
-        {
-            worst = Some((faults, outcome));
+/// Draws a selector of one node.
+fn draw_node(scenario: &Scenario, random: &mut Pcg64Mcg) -> String {
+    match random.random_range(0..4) {
+        0 => "leader".to_string(),
+        1 => "follower".to_string(),
+        _ => format!("n{}", random.random_range(0..scenario.node_count())),
+    }
+}
+
+/// The scenario with more faults. Its own ones stay: they start the servers that the budget is for.
+fn with_faults(scenario: &Scenario, faults: &[Fault]) -> Scenario {
+    let drawn = faults.iter().map(|fault| Spanned::new(0..0, fault.clone()));
+    let mut scenario = scenario.clone();
+    scenario.faults.extend(drawn);
+    scenario
+}
+
+impl Search<'_> {
+    /// Makes the runs, then reduces the most harmful one. `on_outcome` gets the number and outcome of each run.
+    ///
+    /// # Errors
+    ///
+    /// If a run could not be carried out.
+    pub fn run(
+        &self,
+        options: impl Fn() -> RunOptions,
+        mut on_outcome: impl FnMut(usize, &Outcome),
+    ) -> Result<SearchResult, RunError> {
+        let mut result = SearchResult {
+            run_count: 0,
+            failed_count: 0,
+            worst: None,
+            runs: Vec::new(),
+        };
+        let mut worst: Option<Candidate> = None;
+        for number in 0..self.run_count as u64 {
+            let seed = self.seed.wrapping_add(number);
+            let faults = draw_faults(self.scenario, seed);
+            let outcome = self.run_with(&faults, seed, options())?;
+            result.run_count += 1;
+            result.failed_count += usize::from(!outcome.is_passed());
+            result.runs.push(SearchedRun::new(&outcome));
+            on_outcome(result.run_count, &outcome);
+            let harm = Harm::of(&outcome);
+            let is_worst = |worst: &Candidate| harm > Harm::of(&worst.outcome);
+            if worst.as_ref().is_none_or(is_worst) {
+                worst = Some(Candidate { faults, outcome });
+            }
+        }
+        if let Some(worst) = worst {
+            result.worst = Some(self.reduce(worst, &options)?);
         }
+        Ok(result)
     }
-    // One fault after the other is left out, as long as a rule still breaks.
-    if let Some((mut faults, mut outcome)) = worst {
-        let mut at = 0;
-        while !outcome.holds() && at < faults.len() && faults.len() > 1 {
-            let mut fewer = faults.clone();
-            fewer.remove(at);
-            let less = run(name, with(scenario, &fewer), outcome.seed, options())?;
-            if less.holds() {
-                at += 1;
+
+    fn run_with(
+        &self,
+        faults: &[Fault],
+        seed: u64,
+        options: RunOptions,
+    ) -> Result<Outcome, RunError> {
+        let scenario = with_faults(self.scenario, faults);
+        run(self.name, scenario, seed, options)
+    }
+
+    /// Leaves out one fault after the other, as long as a rule is still violated.
+    fn reduce(
+        &self,
+        mut candidate: Candidate,
+        options: &impl Fn() -> RunOptions,
+    ) -> Result<Outcome, RunError> {
+        let mut position = 0;
+        while !candidate.outcome.is_passed()
+            && position < candidate.faults.len()
+            && candidate.faults.len() > 1
+        {
+            let mut faults = candidate.faults.clone();
+            faults.remove(position);
+            let outcome = self.run_with(&faults, candidate.outcome.seed, options())?;
+            if outcome.is_passed() {
+                position += 1;
             } else {
-                (faults, outcome) = (fewer, less);
+                candidate = Candidate { faults, outcome };
             }
         }
-        found.worst = Some(outcome);
+        Ok(candidate.outcome)
     }
-    Ok(found)
 }
--- a/crates/scale/src/doors.rs
+++ b/crates/scale/src/doors.rs
@@ -4,13 +4,13 @@
 
 use crate::place::Place;
 use lupincrank_cluster::connection::{FrameDecoder, Message};
-use lupincrank_fault_injection::links::Way;
+use lupincrank_fault_injection::link::LinkCondition;
 use lupincrank_reactor::poll::{self, Registered};
+use lupincrank_reactor::poller_key;
 use lupincrank_reactor::{
     Application, ComponentId, Connection, Context, Lifecycle, Reactor, APPLICATION,
 };
 use lupincrank_reactor::{Interest, Readiness};
-use lupincrank_test_servers::key;
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
 use std::collections::{HashMap, VecDeque};
@@ -75,7 +75,7 @@
     counts: Arc<Counts>,
     names: HashMap<String, usize>,
     senders: HashMap<SocketAddr, usize>,
-    way: Way,
+    way: LinkCondition,
     random: Pcg64Mcg,
     stop: Arc<AtomicBool>,
 }
@@ -102,7 +102,7 @@
 /// Opens all doors, and passes on what comes until `stop`; `opened` is told once they are open.
 pub fn serve(
     place: &Place,
-    way: Way,
+    way: LinkCondition,
     seed: u64,
     counts: Arc<Counts>,
     stop: Arc<AtomicBool>,
@@ -148,12 +148,12 @@
     let listener = Registered::new(
         &context.poller,
         poll::listen(at)?,
-        key(id, 0),
+        poller_key(id, 0),
         Interest::READ,
     )?;
     let socket = UdpSocket::bind(at)?;
     socket.set_nonblocking(true)?;
-    let socket = Registered::new(&context.poller, socket, key(id, 1), Interest::READ)?;
+    let socket = Registered::new(&context.poller, socket, poller_key(id, 1), Interest::READ)?;
     context.register(
         id,
         Box::new(Door {
@@ -193,7 +193,7 @@
                 None => drop(ground.counts.unknown.fetch_add(1, Relaxed)),
             }
             let way = ground.way;
-            if way.loss > 0.0 && ground.random.random::<f64>() < way.loss {
+            if way.loss_ratio > 0.0 && ground.random.random::<f64>() < way.loss_ratio {
                 ground.counts.lost.fetch_add(1, Relaxed);
             } else if way.delay.is_zero() {
                 // What does not get through is lost, as datagrams are.
@@ -279,8 +279,8 @@
         near.set_nonblocking(true)?;
         near.set_nodelay(true)?;
         let id = context.allocate_id();
-        let far = poll::connect(&context.poller, target, key(id, 1))?;
-        let near = Registered::new(&context.poller, near, key(id, 0), Interest::READ)?;
+        let far = poll::connect(&context.poller, target, poller_key(id, 1))?;
+        let near = Registered::new(&context.poller, near, poller_key(id, 0), Interest::READ)?;
         let pipe = Pipe {
             id,
             dialler: None,
@@ -339,7 +339,9 @@
             self.count(context, side, &scratch[..read]);
             let ground = &mut context.application;
             let mut wait = ground.way.delay;
-            while ground.way.loss > 0.0 && ground.random.random::<f64>() < ground.way.loss {
+            while ground.way.loss_ratio > 0.0
+                && ground.random.random::<f64>() < ground.way.loss_ratio
+            {
                 ground.counts.lost.fetch_add(1, Relaxed);
                 wait += SENT_AGAIN;
             }
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -158,8 +158,8 @@
             "  budget {}: {} in a second at the most, {} are the whole, {:.2} of it in use when pressed",
             budget.name,
             budget.peak,
-            budget.whole,
-            budget.used.unwrap_or(0.0)
+            budget.limit,
+            budget.usage_ratio.unwrap_or(0.0)
         );
     }
     println!(
--- a/crates/scale/src/outcome.rs
+++ b/crates/scale/src/outcome.rs
@@ -1,7 +1,7 @@
 //! What comes of a run, as its file has it.
 
 use hdrhistogram::Histogram;
-use lupincrank_fault_injection::judge::Budget;
+use lupincrank_fault_injection::checker::BudgetReport;
 use serde::Serialize;
 use std::collections::BTreeMap;
 
@@ -180,7 +180,7 @@
     /// Until a death was known.
     pub death_ms: Held,
     /// As uses arrived.
-    pub budgets: Vec<Budget>,
+    pub budgets: Vec<BudgetReport>,
     /// Rules of the budget that were broken.
     pub broken: Vec<String>,
     /// Datagrams lost on purpose and parts of streams held back; what the doors could not tell apart.
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -6,10 +6,13 @@
 use crate::ledger::{Awaited, Ledger};
 use crate::outcome::{role, Held, Outcome, Reading, Role};
 use crate::place::{Place, SEEDS};
-use lupincrank_fault_injection::judge::Judge;
-use lupincrank_fault_injection::links::Way;
-use lupincrank_fault_injection::processes::{block, rss_kb, Node, State};
-use lupincrank_test_servers::seen::Seen;
+use lupincrank_fault_injection::checker::Checker;
+use lupincrank_fault_injection::link::LinkCondition;
+use lupincrank_fault_injection::node_process::{
+    resident_kb, BlockReservation, NodeIdentity, NodeProcess,
+};
+use lupincrank_fault_injection::scenario::TimeSpan;
+use lupincrank_test_servers::observation::Observation;
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -234,7 +237,7 @@
 struct Run<'a> {
     options: &'a Options,
     place: Place,
-    real: Vec<Node>,
+    real: Vec<NodeProcess>,
     hosts: Vec<Host>,
     ledger: Arc<Mutex<Ledger>>,
     counts: Arc<Counts>,
@@ -246,7 +249,7 @@
 impl Drop for Run<'_> {
     fn drop(&mut self) {
         self.hosts.clear();
-        self.real.iter_mut().for_each(Node::kill);
+        self.real.iter_mut().for_each(NodeProcess::kill);
         if let Some((stop, thread)) = self.doors.take() {
             stop.store(true, Relaxed);
             let _ = thread.join();
@@ -261,12 +264,12 @@
             return Err("it was stopped".into());
         }
         for node in &mut self.real {
-            if let Some(code) = node.ended() {
-                let log = std::fs::read_to_string(node.log()).unwrap_or_default();
+            if let Some(code) = node.poll_exit() {
+                let log = std::fs::read_to_string(node.log_path()).unwrap_or_default();
                 let last: Vec<&str> = log.lines().rev().take(3).collect();
                 return Err(format!(
                     "{} has ended: {code}: {}",
-                    node.name,
+                    node.name(),
                     last.join(" / ")
                 ));
             }
@@ -280,10 +283,10 @@
     /// Asks the real nodes how they stand, as the hollow ones say by themselves.
     fn ask(&mut self) {
         for number in 0..self.real.len() {
-            if self.real[number].state != State::Runs {
+            if !self.real[number].is_running() {
                 continue;
             }
-            let Ok(told) = call(self.real[number].management(), "fleet status") else {
+            let Ok(told) = call(self.real[number].admin_address(), "fleet status") else {
                 continue;
             };
             let Ok(told) = serde_json::from_str::<Value>(&told) else {
@@ -292,7 +295,7 @@
             let council = &told["council"];
             let parts = || council["parts"].as_array().into_iter().flatten();
             let is = |part: &&Value, name: &str| part["member"]["name"].as_str() == Some(name);
-            let votes = parts().find(|part| is(part, &self.real[number].name));
+            let votes = parts().find(|part| is(part, self.real[number].name()));
             let watched = parts().find(|part| is(part, &self.watched));
             let line = Line {
                 node: number,
@@ -349,7 +352,7 @@
 
     fn readings(&self) -> Vec<Reading> {
         let hosts = self.hosts.iter().map(|host| {
-            let each = rss_kb(host.child.id()).unwrap_or(0) / host.count as u64;
+            let each = resident_kb(host.child.id()).unwrap_or(0) / host.count as u64;
             (host.first..host.first + host.count, each)
         });
         let hosts: Vec<_> = hosts.collect();
@@ -358,7 +361,7 @@
             let (cpu_us, rss_kb) = if let Some(node) = self.real.get(number) {
                 (
                     node.cpu_ms().unwrap_or(0) * 1000,
-                    node.rss_kb().unwrap_or(0),
+                    node.resident_kb().unwrap_or(0),
                 )
             } else {
                 let rss = hosts.iter().find(|(nodes, _)| nodes.contains(&number));
@@ -396,7 +399,7 @@
 
     /// Leader and voters, as the real nodes say.
     fn votes(&self) -> Result<(String, Vec<String>), String> {
-        let told = call(self.real[0].management(), "fleet status")?;
+        let told = call(self.real[0].admin_address(), "fleet status")?;
         let told: Value = serde_json::from_str(&told).map_err(|error| error.to_string())?;
         let parts = told["council"]["parts"].as_array().into_iter().flatten();
         let voters = parts
@@ -416,7 +419,7 @@
         locked(&self.ledger).await_anew(Awaited::Whole(whole));
         let since = unix_us();
         call(
-            self.real[0].management(),
+            self.real[0].admin_address(),
             &format!("budgets set cold={whole}"),
         )?;
         self.hold("a change", since, held)
@@ -456,9 +459,9 @@
         place: place.clone(),
     };
     let (stop, (tell, opened)) = (Arc::new(AtomicBool::new(false)), mpsc::channel());
-    let way = Way {
-        loss: options.loss,
-        ..Way::default()
+    let way = LinkCondition {
+        loss_ratio: options.loss,
+        ..LinkCondition::default()
     };
     let (of, seed, ends, ledger) = (
         place.clone(),
@@ -480,15 +483,15 @@
     for number in 0..place.real {
         let at = folder.join(place.name(number));
         let program = vec![options.program.clone()];
-        let mut node = Node::new(
-            place.name(number),
-            place.zone(number),
+        let mut node = NodeProcess::new(NodeIdentity {
+            name: place.name(number),
+            zone: place.zone(number),
             program,
-            place.ip(number),
-            at,
-        );
+            ip: place.ip(number),
+            folder: at,
+        });
         let config = place.config(number, options.seed)?;
-        node.tell(&config, Some(&place.operator(Some(number))))
+        node.write_config(&config, Some(&place.operator(Some(number))))
             .map_err(named)?;
         node.start(false)
             .map_err(|error| format!("{}: {error}", options.program))?;
@@ -504,35 +507,35 @@
 }
 
 /// The budget as its uses arrived, by the trials' judge.
-fn judge(run: &Run, began: (Instant, u64)) -> Judge {
-    let mut judge = Judge::new(began.0);
-    judge.starts(began.0);
+fn check_budget(run: &Run, began: (Instant, u64)) -> Checker {
+    let mut checker = Checker::new(began.0);
+    checker.start_clock(began.0);
     let mut uses = locked(&run.ledger).uses.clone();
     uses.sort_unstable();
     for (at, used) in uses {
         let begun = began.0 + Duration::from_micros(at.saturating_sub(began.1));
         (0..used).for_each(|_| {
-            judge.saw(
+            checker.observe(
                 begun,
-                Seen::Cold {
-                    transcriber: 0,
-                    begun,
+                Observation::WarmingUpConnection {
+                    server: 0,
+                    dialed_at: begun,
                 },
             );
         });
     }
-    judge
+    checker
 }
 
 /// Runs one; an error says why it could not be carried out.
 pub fn run(options: &Options) -> Result<Outcome, String> {
     options.check()?;
-    let (high, low, held) = block().map_err(|error| error.to_string())?;
+    let reservation = BlockReservation::reserve().map_err(|error| error.to_string())?;
     let place = Place {
         real: options.real,
         hollow: options.nodes - options.real,
         expected: options.expected.unwrap_or(options.nodes),
-        block: (high, low),
+        block: (reservation.block().high, reservation.block().low),
         whole: WHOLE_EACH * options.nodes as u32,
     };
     let mut run = begin(options, place.clone())?;
@@ -635,23 +638,26 @@
         run.real[victim].kill();
         run.hold("a death", since, &mut death_ms)?;
     }
-    let mut judge = judge(&run, began);
+    let mut checker = check_budget(&run, began);
     let second = |at: u64| at.saturating_sub(began.1) as f64 / 1e6;
-    let budget = judge.cold(
+    let budget = checker.warm_up_budget(
         place.whole + CHANGES,
-        &[(second(pressed.0) + 3.0, second(pressed.1))],
+        &[TimeSpan {
+            from_s: second(pressed.0) + 3.0,
+            to_s: second(pressed.1),
+        }],
     );
-    let broken = judge
-        .broken()
+    let broken = checker
+        .violations()
         .iter()
-        .map(|broken| format!("{}: {}", broken.rule, broken.what))
+        .map(|violation| format!("{}: {}", violation.rule, violation.description))
         .collect();
     let (lost, unknown) = (
         run.counts.lost.load(Relaxed),
         run.counts.unknown.load(Relaxed),
     );
     drop(run);
-    drop(held);
+    drop(reservation);
     Ok(Outcome {
         nodes: all,
         real: place.real,
