--- a/crates/test-servers/src/client.rs
+++ b/crates/test-servers/src/client.rs
@@ -1,292 +1,384 @@
-//! Clients: an open loop, in which the planned moment counts and never the send. Each visit asks, asks again when it is told
-//! to, stands for minutes or as long as its plan says, and comes back when it is moved or cut off.
+//! Clients of a node: an open loop in which the planned moment counts and never the moment of sending.
+//!
+//! A session sends a request, retries when it is rejected, keeps its connection for as long as planned, and reconnects when
+//! that is migrated or ends unexpectedly.
 
-use crate::lines::Lines;
-use crate::seen::{Answer, End, Seen};
-use crate::{key, Note, Stage};
+use crate::line_stream::LineStream;
+use crate::observation::{Answer, ConnectionEnd, Observation};
+use crate::{Command, DeadlineKind, Environment};
 use lupincrank_reactor::poll;
-use lupincrank_reactor::Readiness;
-use lupincrank_reactor::{ComponentId, Connection, Context, Lifecycle};
+use lupincrank_reactor::{poller_key, ComponentId, Connection, Context, Lifecycle, Readiness};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-const WAIT: u64 = 0;
-const LINE: u64 = 1;
-const LEAVE: u64 = 2;
-/// A connection that is not up in this time goes to another node.
-const CONNECT: Duration = Duration::from_millis(800);
-/// Beyond its time a client still listens this long: an answer that comes late is told apart from none.
-const LATE: Duration = Duration::from_millis(600);
-/// After its leave, or an answer that ends it, a client listens this long for what should not come.
+/// A connection that is not established in this time is given up for another node.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+/// A client listens this much longer than its own timeout: an answer that comes late is told apart from none.
+const LATE_ANSWER_GRACE: Duration = Duration::from_millis(600);
+/// After the last line that it needs a client listens this much longer for lines that must not come.
 const LINGER: Duration = Duration::from_millis(100);
+/// Pause before a retry after a failed connect.
+const CONNECT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Pause before a retry after an answer that names none.
+const DEFAULT_RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Pause before a retry after a request without an answer.
+const TIMEOUT_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Pause before a session reconnects.
+const RECONNECT_DELAY: Duration = Duration::from_millis(150);
+/// The line that clients send on established connections.
+const CLIENT_LINE: &str = "hello\r\n";
 
-/// What clients are like.
+/// How clients behave.
 #[derive(Clone, Debug)]
-pub struct Manners {
-    /// How long each waits for its answer.
-    pub wait: Duration,
-    /// How often a line goes out on a standing connection.
-    pub every: Duration,
-    /// The class that they name.
+pub struct ClientBehaviour {
+    /// How long each waits for an answer.
+    pub answer_timeout: Duration,
+    /// How often a line is sent on an established connection.
+    pub line_interval: Duration,
+    /// The request class that they name.
     pub class: String,
 }
 
-/// One client's wish for a connection, over all of its requests.
+/// What one client wants, over all of its requests.
 #[derive(Clone, Debug)]
-pub struct Visit {
+pub struct ClientSession {
     /// Its number.
     pub number: u64,
-    /// When it was planned.
-    pub planned: Instant,
-    /// When this connection was begun: the plan's moment, or when the client came back.
-    pub since: Instant,
-    /// Its group and its own key.
+    /// When its present connection was meant to begin: the planned moment, or that of its reconnect.
+    pub intended_at: Instant,
+    /// The key group that it belongs to.
     pub group: u64,
-    /// How long it stands in all.
-    pub stands: Duration,
-    /// Requests made since it last stood.
-    pub tries: u32,
-    /// It was moved or cut off.
-    pub again: bool,
-    /// Names its next request: none is used twice.
+    /// How long its connection is still to last.
+    pub remaining_duration: Duration,
+    /// Requests sent since it last had a connection.
+    pub attempt_count: u32,
+    /// Whether it had a connection before.
+    pub is_reconnect: bool,
+    /// Id of its next request; none is used twice.
     pub request: u64,
 }
 
-/// What a visit does next.
+/// A step of a session that the program plans the next one from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Next {
-    /// It stands, after so long since it was planned or came back.
-    Up(Duration),
-    /// It asks again after this.
-    Again(Duration),
-    /// It has been moved or cut off, and comes back after this.
-    Back(Duration),
-    /// It has stood for as long as it wished.
-    Over,
+pub enum SessionStep {
+    /// The connection is established.
+    Established {
+        /// Time since the connection was meant to begin.
+        latency: Duration,
+    },
+    /// Another request is to be sent.
+    Retry {
+        /// The pause before it.
+        delay: Duration,
+    },
+    /// The connection was migrated or has ended, and a new one is wanted.
+    Reconnect {
+        /// The pause before it.
+        delay: Duration,
+    },
+    /// The connection has lasted as long as planned.
+    Finished,
 }
 
-#[derive(PartialEq, Eq)]
+#[derive(Clone, Copy, PartialEq, Eq)]
 enum Phase {
     Connecting,
-    Asking,
-    Standing,
-    /// Its next step is planned; what still comes is listened to.
-    Leaving,
+    AwaitingAnswer,
+    Established,
+    /// The next step is reported; the client only listens for lines that must not come.
+    Lingering,
 }
 
 /// One connection of a client.
-pub struct Client {
+struct Client {
     id: ComponentId,
     node: usize,
-    lines: Lines,
-    visit: Visit,
+    lines: LineStream,
+    session: ClientSession,
     phase: Phase,
-    answered: bool,
-    moved: bool,
-    up_at: Instant,
+    is_answered: bool,
+    is_migrating: bool,
+    established_at: Instant,
 }
 
-/// Begins a request at this node; false if no socket is to be had.
-pub fn ask<W: Stage>(context: &mut Context<W>, visit: Visit, node: usize, at: SocketAddr) -> bool {
+/// Begins a request to a node; false if no socket can be opened.
+pub fn send_request<E: Environment>(
+    context: &mut Context<E>,
+    session: ClientSession,
+    node: usize,
+    address: SocketAddr,
+) -> bool {
     let id = context.allocate_id();
-    let Ok(stream) = poll::connect(&context.poller, at, key(id, 0)) else {
+    let Ok(stream) = poll::connect(&context.poller, address, poller_key(id, 0)) else {
         return false;
     };
     let now = Instant::now();
-    context.deadlines.set(id, WAIT, now + CONNECT);
-    let (lines, phase) = (Lines::new(stream), Phase::Connecting);
+    let timeout = now + CONNECT_TIMEOUT;
+    context
+        .deadlines
+        .set(id, DeadlineKind::ClientTimeout.into(), timeout);
     let client = Client {
         id,
         node,
-        lines,
-        visit,
-        phase,
-        answered: false,
-        moved: false,
-        up_at: now,
+        lines: LineStream::new(stream),
+        session,
+        phase: Phase::Connecting,
+        is_answered: false,
+        is_migrating: false,
+        established_at: now,
     };
     context.register(id, Box::new(client));
     true
 }
 
+/// The first line of a request.
+fn first_line(session: &ClientSession, behaviour: &ClientBehaviour) -> String {
+    let ClientSession {
+        request,
+        number,
+        group,
+        ..
+    } = session;
+    let class = &behaviour.class;
+    let timeout_ms = behaviour.answer_timeout.as_millis() as u64;
+    let retry = if session.attempt_count > 0 {
+        ",r=1"
+    } else {
+        ""
+    };
+    let reconnect = if session.is_reconnect { ",again=1" } else { "" };
+    format!(
+        "OPEN {request:016x} {number:016x} c={class},d={timeout_ms},g={group:016x},h=1000{retry}{reconnect}\r\n"
+    )
+}
+
+/// The answer that a line is.
+fn parse_answer(line: &str) -> Answer {
+    match first_word(line) {
+        "UP" => Answer::Accepted,
+        "BUSY" => {
+            let retry_after = line.get(5..).and_then(|text| text.trim().parse().ok());
+            Answer::Rejected {
+                retry_after_ms: retry_after.unwrap_or(0),
+            }
+        }
+        _ => Answer::Failed,
+    }
+}
+
+fn first_word(line: &str) -> &str {
+    line.split(' ').next().unwrap_or_default()
+}
+
+/// How long a client waits before its retry after an answer.
+fn retry_delay(answer: Answer) -> Duration {
+    match answer {
+        Answer::Rejected { retry_after_ms } if retry_after_ms > 0 => {
+            Duration::from_millis(retry_after_ms)
+        }
+        _ => DEFAULT_RETRY_DELAY,
+    }
+}
+
 impl Client {
-    fn open<W: Stage>(&mut self, context: &mut Context<W>) -> Lifecycle {
-        if !matches!(self.lines.stream.take_error(), Ok(None)) {
-            return self.next(context, Next::Again(Duration::from_millis(50)));
+    fn set_deadline<E: Environment>(
+        &self,
+        context: &mut Context<E>,
+        kind: DeadlineKind,
+        at: Instant,
+    ) {
+        context.deadlines.set(self.id, kind.into(), at);
+    }
+
+    fn on_connected<E: Environment>(&mut self, context: &mut Context<E>) -> Lifecycle {
+        let retry = SessionStep::Retry {
+            delay: CONNECT_RETRY_DELAY,
+        };
+        if self.lines.has_connect_failed() {
+            return self.finish(context, retry);
         }
-        let manners = context.application.manners().clone();
-        let wait = manners.wait.as_millis() as u64;
-        let Visit {
-            request,
-            number,
-            group,
-            tries,
-            again,
-            ..
-        } = self.visit;
-        let marks = format!(
-            "{}{}",
-            if tries > 0 { ",r=1" } else { "" },
-            if again { ",again=1" } else { "" }
-        );
-        let class = &manners.class;
-        let line = format!(
-            "OPEN {request:016x} {number:016x} c={class},d={wait},g={group:016x},h=1000{marks}\r\n"
-        );
-        if self.lines.say(&line).is_err() {
-            return self.next(context, Next::Again(Duration::from_millis(50)));
+        let behaviour = context.application.client_behaviour().clone();
+        let line = first_line(&self.session, &behaviour);
+        if self.lines.send(&line).is_err() {
+            return self.finish(context, retry);
         }
-        self.phase = Phase::Asking;
-        context.application.saw(Seen::Asked {
-            request,
+        self.phase = Phase::AwaitingAnswer;
+        context.application.observe(Observation::RequestSent {
+            request: self.session.request,
             node: self.node,
-            wait_ms: wait,
+            timeout_ms: behaviour.answer_timeout.as_millis() as u64,
         });
-        context
-            .deadlines
-            .set(self.id, WAIT, Instant::now() + manners.wait + LATE);
+        let timeout = Instant::now() + behaviour.answer_timeout + LATE_ANSWER_GRACE;
+        self.set_deadline(context, DeadlineKind::ClientTimeout, timeout);
         Lifecycle::Continue
     }
 
-    /// The next step is planned. The connection stays a little longer, to hear what should not come.
-    fn next<W: Stage>(&mut self, context: &mut Context<W>, next: Next) -> Lifecycle {
-        context.application.visit(self.visit.clone(), next);
-        if next == Next::Over || self.lines.ended || self.phase == Phase::Connecting {
+    /// Reports the session's last step on this connection, which lingers for lines that must not come.
+    fn finish<E: Environment>(&mut self, context: &mut Context<E>, step: SessionStep) -> Lifecycle {
+        let session = self.session.clone();
+        context.application.on_session_step(session, step);
+        let cannot_linger = self.lines.is_ended() || self.phase == Phase::Connecting;
+        if step == SessionStep::Finished || cannot_linger {
             return Lifecycle::Close;
         }
-        self.phase = Phase::Leaving;
-        context.deadlines.clear(self.id, WAIT);
-        context.deadlines.clear(self.id, LINE);
+        self.phase = Phase::Lingering;
         context
             .deadlines
-            .set(self.id, LEAVE, Instant::now() + LINGER);
+            .clear(self.id, DeadlineKind::ClientTimeout.into());
+        context
+            .deadlines
+            .clear(self.id, DeadlineKind::SendLine.into());
+        self.set_deadline(context, DeadlineKind::Leave, Instant::now() + LINGER);
         Lifecycle::Continue
     }
 
-    fn answer<W: Stage>(&mut self, context: &mut Context<W>, answer: Answer) -> Lifecycle {
-        let request = self.visit.request;
-        self.answered = true;
-        context.application.saw(Seen::Answered { request, answer });
-        let pause = match answer {
-            Answer::Up => {
-                self.phase = Phase::Standing;
-                self.up_at = Instant::now();
-                context
-                    .application
-                    .visit(self.visit.clone(), Next::Up(self.visit.since.elapsed()));
-                let every = context.application.manners().every;
-                context.deadlines.clear(self.id, WAIT);
-                context.deadlines.set(self.id, LINE, self.up_at + every);
-                context
-                    .deadlines
-                    .set(self.id, LEAVE, self.up_at + self.visit.stands);
-                return Lifecycle::Continue;
-            }
-            Answer::Busy(ms) => Duration::from_millis(if ms == 0 { 200 } else { ms }),
-            Answer::Failed | Answer::Closed => Duration::from_millis(200),
-        };
-        self.next(context, Next::Again(pause))
+    fn on_answer<E: Environment>(&mut self, context: &mut Context<E>, answer: Answer) -> Lifecycle {
+        self.is_answered = true;
+        context.application.observe(Observation::FirstAnswer {
+            request: self.session.request,
+            answer,
+        });
+        if answer == Answer::Accepted {
+            self.on_established(context);
+            return Lifecycle::Continue;
+        }
+        let delay = retry_delay(answer);
+        self.finish(context, SessionStep::Retry { delay })
     }
 
-    fn line<W: Stage>(&mut self, context: &mut Context<W>, line: &str) -> Lifecycle {
-        let request = self.visit.request;
-        let first = line.split(' ').next().unwrap_or_default();
+    fn on_established<E: Environment>(&mut self, context: &mut Context<E>) {
+        self.phase = Phase::Established;
+        self.established_at = Instant::now();
+        let latency = self.session.intended_at.elapsed();
+        let session = self.session.clone();
+        context
+            .application
+            .on_session_step(session, SessionStep::Established { latency });
+        let line_interval = context.application.client_behaviour().line_interval;
+        context
+            .deadlines
+            .clear(self.id, DeadlineKind::ClientTimeout.into());
+        let next_line = self.established_at + line_interval;
+        self.set_deadline(context, DeadlineKind::SendLine, next_line);
+        let end = self.established_at + self.session.remaining_duration;
+        self.set_deadline(context, DeadlineKind::Leave, end);
+    }
+
+    fn on_line<E: Environment>(&mut self, context: &mut Context<E>, line: &str) -> Lifecycle {
+        let extra_answer = Observation::ExtraAnswer {
+            request: self.session.request,
+        };
         match self.phase {
-            Phase::Asking => {
-                let answer = match first {
-                    "UP" => Answer::Up,
-                    "BUSY" => Answer::Busy(
-                        line.get(5..)
-                            .and_then(|ms| ms.trim().parse().ok())
-                            .unwrap_or(0),
-                    ),
-                    _ => Answer::Failed,
-                };
-                return self.answer(context, answer);
-            }
-            Phase::Standing if first == "MOVE" => self.moved = true,
-            // A second answer, or one after the end.
-            Phase::Standing if matches!(first, "UP" | "BUSY" | "ERR") => {
-                context.application.saw(Seen::Again { request });
+            Phase::AwaitingAnswer => return self.on_answer(context, parse_answer(line)),
+            Phase::Established if first_word(line) == "MOVE" => self.is_migrating = true,
+            Phase::Established if matches!(first_word(line), "UP" | "BUSY" | "ERR") => {
+                context.application.observe(extra_answer);
             }
-            Phase::Leaving if self.answered && !self.moved => {
-                context.application.saw(Seen::Again { request });
+            Phase::Lingering if self.is_answered && !self.is_migrating => {
+                context.application.observe(extra_answer);
             }
             _ => {}
         }
         Lifecycle::Continue
     }
 
-    fn ended<W: Stage>(&mut self, context: &mut Context<W>) -> Lifecycle {
-        let request = self.visit.request;
+    fn on_stream_ended<E: Environment>(&mut self, context: &mut Context<E>) -> Lifecycle {
+        self.lines.mark_ended();
         match self.phase {
-            Phase::Asking => self.answer(context, Answer::Closed),
-            Phase::Standing => {
-                let end = if self.moved { End::Moved } else { End::Cut };
-                context.application.saw(Seen::Stood { request, end });
-                self.visit.stands = self.visit.stands.saturating_sub(self.up_at.elapsed());
-                self.next(context, Next::Back(Duration::from_millis(150)))
+            Phase::AwaitingAnswer => self.on_answer(context, Answer::Closed),
+            Phase::Established => self.on_connection_lost(context),
+            Phase::Connecting => {
+                let delay = CONNECT_RETRY_DELAY;
+                self.finish(context, SessionStep::Retry { delay })
             }
-            Phase::Connecting => self.next(context, Next::Again(Duration::from_millis(50))),
-            Phase::Leaving => Lifecycle::Close,
+            Phase::Lingering => Lifecycle::Close,
         }
     }
+
+    fn on_connection_lost<E: Environment>(&mut self, context: &mut Context<E>) -> Lifecycle {
+        let end = if self.is_migrating {
+            ConnectionEnd::Migrated
+        } else {
+            ConnectionEnd::Unexpected
+        };
+        context.application.observe(Observation::ConnectionEnded {
+            request: self.session.request,
+            end,
+        });
+        let lasted = self.established_at.elapsed();
+        self.session.remaining_duration = self.session.remaining_duration.saturating_sub(lasted);
+        let delay = RECONNECT_DELAY;
+        self.finish(context, SessionStep::Reconnect { delay })
+    }
+
+    fn send_line<E: Environment>(&mut self, context: &mut Context<E>) -> Lifecycle {
+        let line_interval = context.application.client_behaviour().line_interval;
+        let next_line = Instant::now() + line_interval;
+        self.set_deadline(context, DeadlineKind::SendLine, next_line);
+        if self.lines.send(CLIENT_LINE).is_err() {
+            return self.on_stream_ended(context);
+        }
+        Lifecycle::Continue
+    }
+
+    fn leave<E: Environment>(&mut self, context: &mut Context<E>) -> Lifecycle {
+        context.application.observe(Observation::ConnectionEnded {
+            request: self.session.request,
+            end: ConnectionEnd::ByClient,
+        });
+        self.finish(context, SessionStep::Finished)
+    }
+
+    fn on_answer_timeout<E: Environment>(&mut self, context: &mut Context<E>) -> Lifecycle {
+        context.application.observe(Observation::ClientTimedOut {
+            request: self.session.request,
+        });
+        self.lines.mark_ended();
+        let delay = TIMEOUT_RETRY_DELAY;
+        self.finish(context, SessionStep::Retry { delay })
+    }
 }
 
-impl<W: Stage> Connection<W> for Client {
+impl<E: Environment> Connection<E> for Client {
     fn on_ready(
         &mut self,
-        context: &mut Context<W>,
+        context: &mut Context<E>,
         _socket: usize,
         readiness: Readiness,
     ) -> Lifecycle {
         if self.phase == Phase::Connecting {
-            return self.open(context);
+            return self.on_connected(context);
         }
-        let broke = (readiness.writable && self.lines.flush().is_err())
+        let has_failed = (readiness.writable && self.lines.flush().is_err())
             || (readiness.readable && self.lines.read().is_err());
-        while let Some(line) = self.lines.line() {
-            if self.line(context, &line) == Lifecycle::Close {
+        while let Some(line) = self.lines.next_line() {
+            if self.on_line(context, &line) == Lifecycle::Close {
                 return Lifecycle::Close;
             }
         }
-        if broke || self.lines.ended {
-            self.lines.ended = true;
-            return self.ended(context);
+        if has_failed || self.lines.is_ended() {
+            return self.on_stream_ended(context);
         }
         Lifecycle::Continue
     }
 
-    fn on_deadline(&mut self, context: &mut Context<W>, kind: u64) -> Lifecycle {
-        let request = self.visit.request;
-        match (kind, &self.phase) {
-            (LINE, Phase::Standing) => {
-                let every = context.application.manners().every;
-                context.deadlines.set(self.id, LINE, Instant::now() + every);
-                if self.lines.say("hello\r\n").is_err() {
-                    self.lines.ended = true;
-                    return self.ended(context);
-                }
-                Lifecycle::Continue
-            }
-            (LEAVE, Phase::Standing) => {
-                context.application.saw(Seen::Stood {
-                    request,
-                    end: End::Own,
-                });
-                self.next(context, Next::Over)
-            }
-            (WAIT, Phase::Connecting) => self.next(context, Next::Again(Duration::ZERO)),
-            (WAIT, Phase::Asking) => {
-                context.application.saw(Seen::GaveUp { request });
-                self.lines.ended = true;
-                self.next(context, Next::Again(Duration::from_millis(100)))
+    fn on_deadline(&mut self, context: &mut Context<E>, kind: E::DeadlineKind) -> Lifecycle {
+        let Ok(kind) = kind.try_into() else {
+            return Lifecycle::Close;
+        };
+        match (kind, self.phase) {
+            (DeadlineKind::SendLine, Phase::Established) => self.send_line(context),
+            (DeadlineKind::Leave, Phase::Established) => self.leave(context),
+            (DeadlineKind::ClientTimeout, Phase::Connecting) => {
+                let delay = Duration::ZERO;
+                self.finish(context, SessionStep::Retry { delay })
             }
+            (DeadlineKind::ClientTimeout, Phase::AwaitingAnswer) => self.on_answer_timeout(context),
             _ => Lifecycle::Close,
         }
     }
 
-    fn on_message(&mut self, _context: &mut Context<W>, _note: Note) -> Lifecycle {
+    fn on_message(&mut self, _context: &mut Context<E>, _command: Command) -> Lifecycle {
         Lifecycle::Close
     }
 }
--- a/crates/test-servers/src/line_stream.rs
+++ b/crates/test-servers/src/line_stream.rs
@@ -1,48 +1,69 @@
-//! A stream that is read and written by lines, with a bound on both.
+//! A non-blocking stream that is read and written by lines, with bounded buffers.
 
 use lupincrank_reactor::poll::Registered;
 use lupincrank_reactor::Interest;
 use std::io::{self, Read, Write};
 use std::net::TcpStream;
+use std::time::Duration;
 
-/// What may wait in either direction.
-const MOST: usize = 64 << 10;
-/// Read in one turn.
-const TURN: usize = 16 << 10;
+/// Limit of the buffered bytes of each direction.
+const MAX_BUFFERED_BYTES: usize = 64 << 10;
+/// Bytes after which a call of [`LineStream::read`] returns.
+const READ_BUDGET_BYTES: usize = 16 << 10;
+/// Bytes of one read.
+const READ_CHUNK_BYTES: usize = 4 << 10;
 
-/// See the module.
-pub struct Lines {
-    /// The stream.
-    pub stream: Registered<TcpStream>,
+/// A stream with a buffer for each direction.
+pub struct LineStream {
+    stream: Registered<TcpStream>,
     input: Vec<u8>,
     output: Vec<u8>,
-    /// The other side has ended its sending.
-    pub ended: bool,
+    is_ended: bool,
 }
 
-impl Lines {
-    /// Over a stream that is or will be up.
-    pub fn new(stream: Registered<TcpStream>) -> Lines {
-        Lines {
+impl LineStream {
+    /// Wraps a stream that is connected or being connected.
+    pub fn new(stream: Registered<TcpStream>) -> LineStream {
+        LineStream {
             stream,
             input: Vec::new(),
             output: Vec::new(),
-            ended: false,
+            is_ended: false,
         }
     }
 
-    /// Reads what is there; an error is the end of the stream.
+    /// Whether the connect that made this stream has failed; asked once it is ready for the first time.
+    pub fn has_connect_failed(&self) -> bool {
+        !matches!(self.stream.take_error(), Ok(None))
+    }
+
+    /// Whether the peer has ended its direction, or [`LineStream::mark_ended`] was called.
+    pub fn is_ended(&self) -> bool {
+        self.is_ended
+    }
+
+    /// Treats the stream as ended by its peer.
+    pub fn mark_ended(&mut self) {
+        self.is_ended = true;
+    }
+
+    /// Reads what has arrived, within the limits of this module.
+    ///
+    /// # Errors
+    ///
+    /// Any error of the socket; the stream can't be used further.
     pub fn read(&mut self) -> io::Result<()> {
-        let (mut scratch, mut taken) = ([0; 4 << 10], 0);
-        while taken < TURN && self.input.len() < MOST {
-            match self.stream.read(&mut scratch) {
+        let mut chunk = [0; READ_CHUNK_BYTES];
+        let mut read_bytes = 0;
+        while read_bytes < READ_BUDGET_BYTES && self.input.len() < MAX_BUFFERED_BYTES {
+            match self.stream.read(&mut chunk) {
                 Ok(0) => {
-                    self.ended = true;
+                    self.is_ended = true;
                     break;
                 }
-                Ok(read) => {
-                    self.input.extend_from_slice(&scratch[..read]);
-                    taken += read;
+                Ok(length) => {
+                    self.input.extend_from_slice(&chunk[..length]);
+                    read_bytes += length;
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
@@ -52,45 +73,54 @@
         Ok(())
     }
 
-    /// The next whole line, without its end.
-    pub fn line(&mut self) -> Option<String> {
+    /// Takes the next complete line, without its end.
+    pub fn next_line(&mut self) -> Option<String> {
         let end = self.input.iter().position(|byte| *byte == b'\n')?;
         let line: Vec<u8> = self.input.drain(..=end).collect();
         Some(String::from_utf8_lossy(&line).trim_end().to_string())
     }
 
-    /// Writes this, as far as the socket takes it; the rest waits.
-    pub fn say(&mut self, text: &str) -> io::Result<()> {
-        if self.output.len() + text.len() > MOST {
+    /// Sends text; what the socket does not accept now is buffered.
+    ///
+    /// # Errors
+    ///
+    /// `OutOfMemory` if the buffer would exceed its limit, or any error of the socket.
+    pub fn send(&mut self, text: &str) -> io::Result<()> {
+        if self.output.len() + text.len() > MAX_BUFFERED_BYTES {
             return Err(io::ErrorKind::OutOfMemory.into());
         }
         self.output.extend_from_slice(text.as_bytes());
         self.flush()
     }
 
-    /// Writes what waits.
+    /// Writes buffered output, and waits for the socket to become writable if some remains.
+    ///
+    /// # Errors
+    ///
+    /// Any error of the socket; the stream can't be used further.
     pub fn flush(&mut self) -> io::Result<()> {
         while !self.output.is_empty() {
             match self.stream.write(&self.output) {
-                Ok(sent) => drop(self.output.drain(..sent)),
+                Ok(length) => drop(self.output.drain(..length)),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    return self.stream.set_interest(Interest {
-                        readable: !self.ended,
-                        writable: true,
-                    });
+                    return self.set_interest(true);
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => return Err(error),
             }
         }
+        self.set_interest(false)
+    }
+
+    fn set_interest(&mut self, writable: bool) -> io::Result<()> {
         self.stream.set_interest(Interest {
-            readable: !self.ended,
-            writable: false,
+            readable: !self.is_ended,
+            writable,
         })
     }
 
-    /// The stream ends with a reset when it is dropped.
-    pub fn abort(&self) {
-        let _ = socket2::SockRef::from(&*self.stream).set_linger(Some(std::time::Duration::ZERO));
+    /// Makes the stream end with a reset when it is dropped.
+    pub fn reset_on_drop(&self) {
+        let _ = socket2::SockRef::from(&*self.stream).set_linger(Some(Duration::ZERO));
     }
 }
--- a/crates/test-servers/src/observation.rs
+++ b/crates/test-servers/src/observation.rs
@@ -1,97 +1,98 @@
-//! What stand-ins see, each with the moment by the trial's own clock. It is all that a judge knows.
+//! What clients, upstream servers and discovery observe. A checker judges a run by these alone.
 
 use std::time::Instant;
 
-/// An answer to a first line.
+/// The first answer that a client received to its request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answer {
-    /// Served.
-    Up,
-    /// Refused, and for how long to stay away in milliseconds.
-    Busy(u64),
+    /// The connection is established.
+    Accepted,
+    /// Rejected, with the milliseconds to wait before the next attempt; 0 if the answer named none.
+    Rejected {
+        /// Milliseconds to wait.
+        retry_after_ms: u64,
+    },
     /// Any other line.
     Failed,
-    /// The connection ended without one.
+    /// The connection ended without an answer.
     Closed,
 }
 
-/// How a standing connection ended.
+/// How an established connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
-    /// By the client's own wish.
-    Own,
-    /// After a MOVE.
-    Moved,
-    /// After the transcriber had ended it.
-    Theirs,
-    /// Cut off.
-    Cut,
+pub enum ConnectionEnd {
+    /// The client closed it as planned.
+    ByClient,
+    /// It ended after a MOVE.
+    Migrated,
+    /// It ended without notice.
+    Unexpected,
 }
 
-/// Something that was seen.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Seen {
-    /// A client wrote a whole first line to this node, to be answered in so many milliseconds.
-    Asked {
-        /// Its id.
+/// Something that a component observed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Observation {
+    /// A client sent a whole first line.
+    RequestSent {
+        /// Id of the request.
         request: u64,
-        /// The node's number.
+        /// Number of the node that it was sent to.
         node: usize,
-        /// See the variant.
-        wait_ms: u64,
+        /// Milliseconds that the client waits for an answer.
+        timeout_ms: u64,
     },
-    /// The first answer.
-    Answered {
-        /// To which.
+    /// A client received the first answer, or the end of its connection instead.
+    FirstAnswer {
+        /// Id of the request.
         request: u64,
-        /// See the variant.
+        /// The answer.
         answer: Answer,
     },
-    /// A line after an answer that was final.
-    Again {
-        /// To which.
+    /// A client received a line after its final answer.
+    ExtraAnswer {
+        /// Id of the request.
         request: u64,
     },
-    /// The client has stopped to wait.
-    GaveUp {
-        /// For which.
+    /// A client stopped waiting for an answer.
+    ClientTimedOut {
+        /// Id of the request.
         request: u64,
     },
-    /// A standing connection has ended.
-    Stood {
-        /// Whose.
+    /// An established connection ended.
+    ConnectionEnded {
+        /// Id of the request that established it.
         request: u64,
-        /// See the variant.
-        end: End,
+        /// How it ended.
+        end: ConnectionEnd,
     },
-    /// A transcriber ended a connection by itself.
-    Dropped {
-        /// Whose.
+    /// An upstream server closed a connection of its own accord.
+    ClosedByServer {
+        /// Id of the request that established it.
         request: u64,
     },
-    /// A transcriber has fallen over.
-    Fell {
-        /// Its number.
-        transcriber: usize,
-        /// While it was cold.
-        cold: bool,
-        /// Connections that it held.
-        held: usize,
+    /// An upstream server crashed under its load.
+    ServerCrashed {
+        /// Number of the server.
+        server: usize,
+        /// Whether the server was still warming up.
+        is_warming_up: bool,
+        /// Connections that the server had.
+        connection_count: usize,
     },
-    /// A first line has come to a cold transcriber.
-    Cold {
-        /// Its number.
-        transcriber: usize,
-        /// When its connection was begun by the node.
-        begun: Instant,
+    /// A first line reached a server that was warming up when the connection to it was dialed.
+    WarmingUpConnection {
+        /// Number of the server.
+        server: usize,
+        /// When the connection was dialed.
+        dialed_at: Instant,
     },
-    /// Discovery has written to this node that a transcriber takes nothing new.
-    Told {
-        /// The node's number.
+    /// Discovery has sent a node the health of a server.
+    EndpointAnnounced {
+        /// Number of the node.
         node: usize,
-        /// The transcriber's.
-        transcriber: usize,
-        /// It takes connections (again).
-        ready: bool,
+        /// Number of the server.
+        server: usize,
+        /// Whether the server takes new connections.
+        is_ready: bool,
     },
 }
