--- a/crates/fault-injection/src/checker/mod.rs
+++ b/crates/fault-injection/src/checker/mod.rs
@@ -4,9 +4,11 @@
 
 mod absence;
 mod budget;
+mod request;
 mod violation;
 
 pub use budget::{BudgetReport, BudgetSum};
+pub use request::{RequestTotals, SetupTimes};
 pub use violation::{Rule, Violation};
 
 use crate::scenario::TimeSpan;
@@ -14,14 +16,12 @@
 use budget::BudgetMonitor;
 use hdrhistogram::Histogram;
 use lupincrank_test_servers::observation::{Answer, ConnectionEnd, Observation};
-use serde::Serialize;
+use request::{ReceivedAnswer, RequestRecord};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 /// Violations of one rule that are recorded: one rule that breaks by the hundred must not hide another.
 const MAX_VIOLATIONS_PER_RULE: usize = 20;
-/// A request may still be answered so long after its timeout.
-const LATE_ANSWER_GRACE: Duration = Duration::from_millis(600);
 /// A draining server may get new connections for this long after the node was told: the settings' grace, 50 ms that the
 /// protocol adds, and as much for the way.
 const DRAIN_GRACE: Duration = Duration::from_millis(500 + 100);
@@ -37,68 +37,6 @@
     server: usize,
 }
 
-/// What is known of a request.
-struct RequestRecord {
-    node: usize,
-    sent_at: Instant,
-    timeout: Duration,
-    answer: Option<ReceivedAnswer>,
-    has_timed_out: bool,
-    was_closed_by_server: bool,
-    /// The server of its last attempt.
-    server: Option<usize>,
-}
-
-#[derive(Clone, Copy)]
-struct ReceivedAnswer {
-    at: Instant,
-    answer: Answer,
-}
-
-impl RequestRecord {
-    fn due_at(&self) -> Instant {
-        self.sent_at + self.timeout + LATE_ANSWER_GRACE
-    }
-
-    /// Since when it has no answer, if it should have one.
-    fn unanswered_at(&self, now: Instant) -> Option<Instant> {
-        match self.answer {
-            Some(received) if received.answer == Answer::Closed => Some(received.at),
-            Some(_) => None,
-            None => (self.has_timed_out || now > self.due_at()).then(|| self.due_at()),
-        }
-    }
-}
-
-/// Requests of a run.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct RequestTotals {
-    /// All requests.
-    pub requests: u64,
-    /// Those without an answer though their node was running.
-    pub unanswered: u64,
-    /// Those that were lost with a node that was killed or frozen.
-    pub lost: u64,
-}
-
-/// Setup times in milliseconds.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
-#[serde(into = "[f64; 3]")]
-pub struct SetupTimes {
-    /// The median.
-    pub median_ms: f64,
-    /// The 99th percentile.
-    pub p99_ms: f64,
-    /// The longest.
-    pub max_ms: f64,
-}
-
-impl From<SetupTimes> for [f64; 3] {
-    fn from(times: SetupTimes) -> [f64; 3] {
-        [times.median_ms, times.p99_ms, times.max_ms]
-    }
-}
-
 /// Checks a run while it goes on.
 pub struct Checker {
     start: Instant,
@@ -107,7 +45,7 @@
     /// The server of each attempt in flight, by the request's id.
     attempts_in_flight: BTreeMap<u64, usize>,
     /// Since when each node knows that a server takes no new connections.
-    drains_known: BTreeMap<NodeServerPair, Instant>,
+    draining_since: BTreeMap<NodeServerPair, Instant>,
     absences: AbsenceLog,
     /// When the link of a node and a server was last faulty.
     link_faults: BTreeMap<NodeServerPair, Instant>,
@@ -130,7 +68,7 @@
             violations: Vec::new(),
             requests: BTreeMap::new(),
             attempts_in_flight: BTreeMap::new(),
-            drains_known: BTreeMap::new(),
+            draining_since: BTreeMap::new(),
             absences: AbsenceLog::default(),
             link_faults: BTreeMap::new(),
             warm_up_budget: BudgetMonitor::default(),
@@ -198,7 +136,7 @@
 
     /// Checks that an attempt does not go to a server that the node has known to drain for long.
     fn check_drain(&mut self, request: u64, pair: NodeServerPair, dialed_at: Instant) {
-        let Some(known_at) = self.drains_known.get(&pair).copied() else {
+        let Some(known_at) = self.draining_since.get(&pair).copied() else {
             return;
         };
         let known_for = dialed_at.saturating_duration_since(known_at);
@@ -262,15 +200,7 @@
     }
 
     fn on_request(&mut self, at: Instant, request: u64, node: usize, timeout: Duration) {
-        let record = RequestRecord {
-            node,
-            sent_at: at,
-            timeout,
-            answer: None,
-            has_timed_out: false,
-            was_closed_by_server: false,
-            server: None,
-        };
+        let record = RequestRecord::new(node, at, timeout);
         if self.requests.insert(request, record).is_some() {
             let description = format!("the trial used the id {request:016x} twice");
             self.record_violation(Rule::OneAnswer, at, description);
@@ -312,9 +242,9 @@
 
     fn on_announcement(&mut self, at: Instant, pair: NodeServerPair, is_ready: bool) {
         if is_ready {
-            self.drains_known.remove(&pair);
+            self.draining_since.remove(&pair);
         } else {
-            self.drains_known.entry(pair).or_insert(at);
+            self.draining_since.entry(pair).or_insert(at);
         }
     }
 
--- a/crates/fault-injection/src/cli.rs
+++ b/crates/fault-injection/src/cli.rs
@@ -53,7 +53,7 @@
     /// Run a scenario.
     Run(RunArguments),
     /// Search for harmful time lines.
-    Hunt {
+    Search {
         run_count: usize,
         arguments: RunArguments,
     },
@@ -68,7 +68,7 @@
     /// Report an outcome.
     Report { svg: Option<PathBuf>, file: String },
     /// Serve as a node that breaks a rule.
-    Wrongdoer {
+    RuleBreaker {
         config: String,
         kind: RuleBreakerKind,
         verb: String,
@@ -125,13 +125,13 @@
         .command("run")
 }
 
-fn hunt_command() -> impl Parser<Command> {
+fn search_command() -> impl Parser<Command> {
     let run_count = long("runs")
         .help("Trials to draw")
         .argument::<usize>("N")
         .fallback(20);
     let arguments = run_arguments();
-    construct!(Command::Hunt {
+    construct!(Command::Search {
         run_count,
         arguments
     })
@@ -178,11 +178,11 @@
         .command("report")
 }
 
-fn wrongdoer_command() -> impl Parser<Command> {
+fn rule_breaker_command() -> impl Parser<Command> {
     let config = long("config").argument::<String>("FILE");
     let kind = positional::<RuleBreakerKind>("KIND");
     let verb = positional::<String>("serve");
-    construct!(Command::Wrongdoer { config, kind, verb })
+    construct!(Command::RuleBreaker { config, kind, verb })
         .to_options()
         .descr("A scripted node that breaks a rule, to see that the checker names it")
         .command("wrongdoer")
@@ -191,12 +191,12 @@
 /// The parser of the whole command line.
 pub(crate) fn parser() -> OptionParser<Command> {
     let run = run_command();
-    let hunt = hunt_command();
+    let search = search_command();
     let list = list_command();
     let check = check_command();
     let report = report_command();
-    let wrongdoer = wrongdoer_command();
-    construct!([run, hunt, list, check, report, wrongdoer])
+    let rule_breaker = rule_breaker_command();
+    construct!([run, search, list, check, report, rule_breaker])
         .to_options()
         .descr("lupincrank-fault-injection: real processes of lupincrank with faults between them")
 }
--- a/crates/fault-injection/src/client_sessions.rs
+++ b/crates/fault-injection/src/client_sessions.rs
@@ -55,21 +55,21 @@
 fn start_planned_sessions(context: &mut HarnessContext, now: Instant) {
     while let Some(planned) = context.plan.sessions.get(context.started_session_count) {
         let planned = *planned;
-        let wanted_since = context.clients_start + Duration::from_secs_f64(planned.at_s);
-        if wanted_since > now {
+        let intended_at = context.clients_start + Duration::from_secs_f64(planned.at_s);
+        if intended_at > now {
             break;
         }
         context.started_session_count += 1;
         let session = ClientSession {
             number: context.started_session_count as u64,
-            wanted_since,
+            intended_at,
             group: planned.group,
             remaining_duration: Duration::from_secs_f64(planned.duration_s),
             attempt_count: 0,
             is_reconnect: false,
             request: 0,
         };
-        context.count_due(wanted_since);
+        context.count_due(intended_at);
         context.sessions.schedule(now, session);
     }
     let has_started_all = context.started_session_count == context.plan.sessions.len();
--- a/crates/fault-injection/src/fault_injector/mod.rs
+++ b/crates/fault-injection/src/fault_injector/mod.rs
@@ -57,7 +57,7 @@
             node,
             remaining_count,
             interval,
-        } => process_faults::restart_again(context, node, remaining_count, interval),
+        } => process_faults::run_restart_loop(context, node, remaining_count, interval),
         FaultStep::SetServerMode {
             server,
             mode,
--- a/crates/fault-injection/src/fault_injector/process_faults.rs
+++ b/crates/fault-injection/src/fault_injector/process_faults.rs
@@ -65,12 +65,12 @@
 pub(super) fn begin_restart_loops(context: &mut HarnessContext, fault: &Fault, nodes: &[usize]) {
     let interval = fault.duration().max(MIN_RESTART_INTERVAL);
     for &node in nodes {
-        restart_again(context, node, fault.count, interval);
+        run_restart_loop(context, node, fault.count, interval);
     }
 }
 
 /// Restarts a node, and schedules the next restart if one is left.
-pub(super) fn restart_again(
+pub(super) fn run_restart_loop(
     context: &mut HarnessContext,
     node: usize,
     remaining_count: usize,
--- a/crates/fault-injection/src/harness/environment.rs
+++ b/crates/fault-injection/src/harness/environment.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// A session is served in time if its connection is established so long after it was wanted.
+/// A session is served in time if its connection is established so long after it was meant to begin.
 const MAX_SETUP_LATENCY: Duration = Duration::from_secs(3);
 /// A connection that would last less than this is not wanted again.
 const MIN_RECONNECT_DURATION: Duration = Duration::from_millis(200);
@@ -38,7 +38,7 @@
         }
         session.attempt_count = 0;
         session.is_reconnect = true;
-        session.wanted_since = at;
+        session.intended_at = at;
         self.count_due(at);
         self.sessions.schedule(at, session);
     }
@@ -87,7 +87,7 @@
         match step {
             SessionStep::Established { latency } => {
                 if latency <= MAX_SETUP_LATENCY {
-                    self.count_served(session.wanted_since);
+                    self.count_served(session.intended_at);
                 }
             }
             SessionStep::Finished => {}
--- a/crates/fault-injection/src/main.rs
+++ b/crates/fault-injection/src/main.rs
@@ -288,12 +288,12 @@
 
 fn execute(command: Command) -> Result<CommandResult, CommandError> {
     let session = Session::new()?;
-    if !matches!(command, Command::Wrongdoer { .. }) {
+    if !matches!(command, Command::RuleBreaker { .. }) {
         session.stop_on_signals()?;
     }
     match command {
         Command::Run(arguments) => run_scenario(&session, &arguments),
-        Command::Hunt {
+        Command::Search {
             run_count,
             arguments,
         } => search(&session, run_count, &arguments),
@@ -304,7 +304,7 @@
             file,
         } => check_scenario(&file, seed, prints_plan),
         Command::Report { svg, file } => report_outcome(&file, svg.as_deref()),
-        Command::Wrongdoer { config, kind, verb } => serve_rule_breaker(kind, &config, verb),
+        Command::RuleBreaker { config, kind, verb } => serve_rule_breaker(kind, &config, verb),
     }
 }
 
--- a/crates/fault-injection/src/run.rs
+++ b/crates/fault-injection/src/run.rs
@@ -47,36 +47,28 @@
     fs::create_dir_all(&folder)?;
     let plan = Plan::draw(&scenario, seed);
     let random = Pcg64Mcg::new(u128::from(seed) << 8 | 3);
-    let RunOptions {
-        program,
-        node_programs,
-        log_folder,
-        is_verbose,
-        stop,
-        on_progress,
-    } = options;
     let harness_options = HarnessOptions {
-        stop,
+        stop: options.stop,
         folder: folder.clone(),
         address_block: reservation.block(),
-        is_verbose,
-        program,
-        on_progress,
+        is_verbose: options.is_verbose,
+        program: options.program,
+        on_progress: options.on_progress,
     };
     let harness = Harness::new(scenario, plan, harness_options, random);
     let mut reactor = Reactor::new(harness, 0)?;
-    set_up(&mut reactor.context, &node_programs)?;
+    set_up(&mut reactor.context, &options.node_programs)?;
     run_loop::start(&mut reactor.context);
     let result = reactor.run();
     let harness = &mut reactor.context.application;
     harness.phase = Phase::Finished;
-    let failure = result.err().map(RunError::Io);
-    let failure = failure.or_else(|| harness.take_failure());
     let outcome = Outcome::collect(name, harness);
     harness.nodes.iter_mut().for_each(NodeProcess::kill);
-    if let Some(log_folder) = &log_folder {
+    if let Some(log_folder) = &options.log_folder {
         merged_log::write(harness, log_folder)?;
     }
+    let failure = result.err().map(RunError::Io);
+    let failure = failure.or_else(|| harness.take_failure());
     let result = match failure {
         Some(reason) => Err(RunError::Failed {
             scenario: name.to_string(),
--- a/crates/fault-injection/src/stream_proxy/listener.rs
+++ b/crates/fault-injection/src/stream_proxy/listener.rs
@@ -79,9 +79,9 @@
     fn update(&mut self, context: &mut HarnessContext) -> io::Result<()> {
         let is_cut = context.network.links.is_cut(self.direction);
         if self.is_target_stopped(context) && !is_cut {
-            return self.refuse_connections();
+            return self.close_listener();
         }
-        self.listen_again(context)?;
+        self.reopen_listener(context)?;
         let is_blocked = !self.fillers.is_empty();
         match (is_cut, is_blocked) {
             (true, false) => self.block_queue(),
@@ -98,7 +98,7 @@
         server.is_some_and(|server| server.mode() == ServerMode::Stopped)
     }
 
-    fn refuse_connections(&mut self) -> io::Result<()> {
+    fn close_listener(&mut self) -> io::Result<()> {
         self.fillers.clear();
         let was_listening = self.listener.take().is_some();
         if was_listening || self.reserved_socket.is_none() {
@@ -107,7 +107,7 @@
         Ok(())
     }
 
-    fn listen_again(&mut self, context: &HarnessContext) -> io::Result<()> {
+    fn reopen_listener(&mut self, context: &HarnessContext) -> io::Result<()> {
         if self.listener.is_some() {
             return Ok(());
         }
