--- /dev/null
+++ b/crates/node/src/application.rs
@@ -0,0 +1,126 @@
+//! The hooks of the event loop: carries out what was decided, fires the application's deadlines, and ends the program.
+
+use crate::command::{ClientCommand, DiscoveryCommand, Message, RelayCommand};
+use crate::component::{is_allocated_id, WellKnownComponent, FIRST_ADMIN_CONNECTION_ID};
+use crate::core::Order;
+use crate::deadline::DeadlineKind;
+use crate::probe;
+use crate::state::{NodeContext, NodeState};
+use lupincrank_reactor::{Application, ComponentId, APPLICATION};
+use slog::{info, warn};
+use std::time::{Duration, Instant};
+
+/// How often connections are checked for lines without an answer.
+pub const UNANSWERED_LINES_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// New connections keep arriving for up to 0.4 s after SIGTERM: the listener stays at least this long.
+const MIN_LISTEN_AFTER_SIGTERM: Duration = Duration::from_millis(800);
+
+/// Sets the next check for unanswered lines.
+pub fn schedule_unanswered_lines_check(context: &mut NodeContext) {
+    context.deadlines.set(
+        APPLICATION,
+        DeadlineKind::UnansweredLinesCheck,
+        Instant::now() + UNANSWERED_LINES_CHECK_INTERVAL,
+    );
+}
+
+/// Carries out one decision.
+fn execute(context: &mut NodeContext, order: Order) {
+    match order {
+        Order::Try(owner, attempt) => context.send(owner, ClientCommand::StartAttempt(attempt)),
+        Order::Refuse(owner, retry_after) => {
+            context.send(owner, ClientCommand::Reject(retry_after));
+        }
+        Order::Fail(owner) => context.send(owner, ClientCommand::Fail),
+        Order::Move(owner) => context.send(owner, RelayCommand::Migrate),
+        Order::Probe(server, address) => probe::probe(context, server, address),
+        Order::Subscribe => {
+            context.send(WellKnownComponent::Discovery.id(), DiscoveryCommand::Watch);
+        }
+        Order::Timer { after, timer } => {
+            context
+                .deadlines
+                .set(APPLICATION, timer.into(), Instant::now() + after);
+        }
+    }
+}
+
+/// Tells all connections of clients that the process exits, or queues them for the transfer to its successor, where that
+/// was asked for.
+fn notify_connections(
+    context: &mut NodeContext,
+    components: &mut dyn Iterator<Item = ComponentId>,
+) {
+    let mut ids: Vec<ComponentId> = components.filter(|id| is_allocated_id(*id)).collect();
+    ids.sort_unstable();
+    if std::mem::take(&mut context.answers_requested) {
+        for id in &ids {
+            context.send(*id, ClientCommand::AnswerBeforeExit);
+        }
+    }
+    if std::mem::take(&mut context.transfer_requested) {
+        context.handoff.enqueue(ids);
+    }
+}
+
+impl Application for NodeState {
+    type DeadlineKind = DeadlineKind;
+    type Message = Message;
+
+    fn after_callback(
+        context: &mut NodeContext,
+        components: &mut dyn Iterator<Item = ComponentId>,
+    ) {
+        while let Some(order) = context.placement.orders.pop_front() {
+            execute(context, order);
+        }
+        if context.transfer_requested || context.answers_requested {
+            notify_connections(context, components);
+        }
+    }
+
+    fn on_deadline(context: &mut NodeContext, kind: DeadlineKind) {
+        match kind {
+            DeadlineKind::UnansweredLinesCheck => {
+                schedule_unanswered_lines_check(context);
+                context.placement.look();
+            }
+            DeadlineKind::PlacementTimer(timer) => context.placement.timer(timer),
+            _ => {}
+        }
+    }
+
+    fn is_finished(&self) -> bool {
+        let Some(shutdown) = self.shutdown else {
+            return false;
+        };
+        let now = Instant::now();
+        // With a successor the listener is not this process's any more.
+        let stayed =
+            self.handoff.handing() || now >= shutdown.started_at + MIN_LISTEN_AFTER_SIGTERM;
+        // The others of the fleet may need its vote to go on without it.
+        let left = self
+            .cluster_agent
+            .as_ref()
+            .is_none_or(|fleet| fleet.is_out());
+        let empty = self.client_count.get() == 0
+            && self.unidentified_clients.borrow().is_empty()
+            && self.handoff.idle();
+        let over = now >= shutdown.deadline || (stayed && empty && left);
+        if over {
+            info!(self.log, "ended"; "clients" => self.client_count.get());
+        }
+        over
+    }
+
+    fn on_undelivered(&mut self, _id: ComponentId, message: Message) {
+        // A socket sent to a client that has ended meanwhile is closed with the message.
+        if let Message::Client(ClientCommand::AttemptAccepted(attempt)) = message {
+            warn!(self.log, "came up for nobody"; "request" => format!("{:016x}", attempt.request.0));
+        }
+    }
+
+    fn has_priority(&self, id: ComponentId) -> bool {
+        id == WellKnownComponent::AdminListener.id() || id >= FIRST_ADMIN_CONNECTION_ID
+    }
+}
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -2,6 +2,7 @@
 //! contexts and knows no syntax: another front can come through here with the same decisions and rules.
 
 use crate::config::Config;
+use crate::deadline::PlacementTimer;
 use crate::load_lines::{LoadLines, Told};
 use lupincrank_control::lease::LeaseTerms;
 use lupincrank_placement::learned_state::LearnedServer;
@@ -37,11 +38,11 @@
 /// A node that ends lets clients come again after this at the most: by then the front sends them elsewhere.
 const LEAVING_RETRY: Duration = Duration::from_millis(500);
 
-/// Who answers a request's client: a name that the core context back with each order and never looks at.
+/// Who answers a request's client: an id that is handed back with each order and never looks at.
 pub type Owner = u64;
 
 /// A try that the module wants made.
-pub struct TryOrder {
+pub struct AttemptOrder {
     /// For which request.
     pub request: RequestId,
     /// Where the transcriber listens.
@@ -53,7 +54,7 @@
 /// What is to be carried out, and for which object.
 pub enum Order {
     /// Make a try.
-    Try(Owner, TryOrder),
+    Try(Owner, AttemptOrder),
     /// Reject the request.
     Refuse(Owner, Duration),
     /// End it as failed.
@@ -69,7 +70,7 @@
         /// From now.
         after: Duration,
         /// To be handed back.
-        purpose: u64,
+        timer: PlacementTimer,
     },
 }
 
@@ -252,7 +253,7 @@
                     Some(dial) => {
                         self.orders.push_back(Order::Try(
                             owner,
-                            TryOrder {
+                            AttemptOrder {
                                 request,
                                 dial,
                                 until,
@@ -293,8 +294,11 @@
             Action::SetTimer { after, handle } => {
                 // Timers with the same handle may be set side by side: each is a purpose of its own.
                 self.timers += 1;
-                let purpose = (self.timers << 8) | (handle & 0xff);
-                self.orders.push_back(Order::Timer { after, purpose });
+                let timer = PlacementTimer {
+                    sequence: self.timers,
+                    handle,
+                };
+                self.orders.push_back(Order::Timer { after, timer });
             }
             Action::WatchEndpoints => self.orders.push_back(Order::Subscribe),
             Action::CheckHealth(server) => {
@@ -313,8 +317,8 @@
     }
 
     /// A timer has come due.
-    pub fn timer(&mut self, purpose: u64) {
-        self.feed(Event::TimerFired(purpose & 0xff));
+    pub fn timer(&mut self, timer: PlacementTimer) {
+        self.feed(Event::TimerFired(timer.handle));
     }
 
     /// The upstream group, whole or what changed of it.
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -1,10 +1,13 @@
 //! Discovery's client: keeps a watch on the upstream group and tells the core what changes.
 
+use crate::command::{DiscoveryCommand, HandoffCommand, Message};
+use crate::component::WellKnownComponent;
 use crate::config::Config;
 use crate::core::{Core, Member};
+use crate::deadline::{DeadlineKind, DiscoveryDeadline};
 use crate::group::{check, dial, health, number, Update};
 use crate::objects::Objects;
-use crate::state::{Message, Node, NodeState, DISCOVERY, UPGRADE};
+use crate::state::{NodeContext, NodeState};
 use lupincrank_placement::{poll_schedule, Endpoint};
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::{poller_key, Interest, Readiness};
@@ -74,9 +77,6 @@
     }
 }
 
-/// Deadlines: one for each call, by its side, and the time for a further call beside one that is not answered.
-const FURTHER: u64 = 2;
-
 #[derive(Clone, Copy, PartialEq)]
 enum Phase {
     Connecting,
@@ -150,25 +150,29 @@
     }
 
     /// Makes a call; in place of the older one if there are two already.
-    fn begin(&mut self, node: &mut Node) -> io::Result<()> {
+    fn begin(&mut self, context: &mut NodeContext) -> io::Result<()> {
         let begun = self
             .calls
             .each_ref()
             .map(|call| call.as_ref().map(|call| call.begun));
         let side = usize::from(begun[1] < begun[0]);
-        self.close(node, side);
+        self.close(context, side);
         let now = Instant::now();
-        node.deadlines.set(
-            DISCOVERY,
-            FURTHER,
+        context.deadlines.set(
+            WellKnownComponent::Discovery.id(),
+            DiscoveryDeadline::SecondCall.into(),
             now + poll_schedule::unanswered_call_timeout(now - self.contact, self.calls()),
         );
         let request = format!(
             "GET /v1/endpoints?watch=1&from={} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n",
             self.seq, self.dial
         );
-        debug!(node.log, "asking discovery"; "seq" => self.seq, "beside" => self.calls());
-        let stream = poll::connect(&node.poller, self.dial, poller_key(DISCOVERY, side))?;
+        debug!(context.log, "asking discovery"; "seq" => self.seq, "beside" => self.calls());
+        let stream = poll::connect(
+            &context.poller,
+            self.dial,
+            poller_key(WellKnownComponent::Discovery.id(), side),
+        )?;
         self.calls[side] = Some(Call {
             begun: now,
             stream,
@@ -178,32 +182,42 @@
             chunks: Chunks::default(),
             objects: Objects::default(),
         });
-        node.deadlines.set(DISCOVERY, side as u64, now + CONNECT);
+        context.deadlines.set(
+            WellKnownComponent::Discovery.id(),
+            DiscoveryDeadline::Call(side).into(),
+            now + CONNECT,
+        );
         Ok(())
     }
 
     /// Calls discovery; one that cannot even begin has failed.
-    fn call(&mut self, node: &mut Node) {
-        if let Err(error) = self.begin(node) {
-            self.failed(node, &error.to_string());
+    fn call(&mut self, context: &mut NodeContext) {
+        if let Err(error) = self.begin(context) {
+            self.failed(context, &error.to_string());
         }
     }
 
-    fn close(&mut self, node: &mut Node, side: usize) {
+    fn close(&mut self, context: &mut NodeContext, side: usize) {
         self.calls[side] = None;
-        node.deadlines.clear(DISCOVERY, side as u64);
+        context.deadlines.clear(
+            WellKnownComponent::Discovery.id(),
+            DiscoveryDeadline::Call(side).into(),
+        );
     }
 
-    fn failed(&mut self, node: &mut Node, why: &str) {
-        warn!(node.log, "discovery failed"; "why" => why.to_string(), "seq" => self.seq);
+    fn failed(&mut self, context: &mut NodeContext, why: &str) {
+        warn!(context.log, "discovery failed"; "why" => why.to_string(), "seq" => self.seq);
         // The call beside it goes on.
         if !self.calls() {
-            node.deadlines.clear(DISCOVERY, FURTHER);
-            node.core.list_failed();
+            context.deadlines.clear(
+                WellKnownComponent::Discovery.id(),
+                DiscoveryDeadline::SecondCall.into(),
+            );
+            context.placement.list_failed();
         }
     }
 
-    fn progress(&mut self, node: &mut Node, side: usize) -> Result<(), String> {
+    fn progress(&mut self, context: &mut NodeContext, side: usize) -> Result<(), String> {
         let Some(call) = &mut self.calls[side] else {
             return Ok(());
         };
@@ -214,8 +228,11 @@
                 .map_err(|error| error.to_string())?;
             error.map_or(Ok(()), |error| Err(error.to_string()))?;
             call.phase = Phase::Head;
-            node.deadlines
-                .set(DISCOVERY, side as u64, Instant::now() + ANSWER);
+            context.deadlines.set(
+                WellKnownComponent::Discovery.id(),
+                DiscoveryDeadline::Call(side).into(),
+                Instant::now() + ANSWER,
+            );
         }
         while !call.unsent.is_empty() {
             match call.stream.write(&call.unsent) {
@@ -239,12 +256,12 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
                 Err(error) => return Err(error.to_string()),
             };
-            self.take(node, side, &scratch[..read])?;
+            self.take(context, side, &scratch[..read])?;
         }
         Ok(())
     }
 
-    fn take(&mut self, node: &mut Node, side: usize, bytes: &[u8]) -> Result<(), String> {
+    fn take(&mut self, context: &mut NodeContext, side: usize, bytes: &[u8]) -> Result<(), String> {
         let Some(call) = &mut self.calls[side] else {
             return Ok(());
         };
@@ -256,7 +273,7 @@
             };
             body = call.head.split_off(length);
             call.phase = Phase::Body;
-            debug!(node.log, "watching"; "seq" => self.seq);
+            debug!(context.log, "watching"; "seq" => self.seq);
         }
         let mut text = Vec::new();
         let last = call.chunks.decode(&body, &mut text)?;
@@ -268,8 +285,8 @@
             };
             let update: Update =
                 serde_json::from_slice(&object).map_err(|error| error.to_string())?;
-            info!(node.log, "upstream group changed"; "seq" => update.seq, "entries" => update.hosts.len());
-            self.apply(&mut node.core, update, false)?;
+            info!(context.log, "upstream group changed"; "seq" => update.seq, "entries" => update.hosts.len());
+            self.apply(&mut context.placement, update, false)?;
             whole = true;
         }
         let half = self.calls[side]
@@ -278,15 +295,24 @@
         // An empty line is whole too. The rest of an object that has begun has as long as anything else that is awaited:
         // guards against a list that comes byte by byte and never ends, while its changes count as told.
         if whole || (!half && !text.is_empty()) || (half && !was_half) {
-            node.deadlines
-                .set(DISCOVERY, side as u64, Instant::now() + SILENCE);
+            context.deadlines.set(
+                WellKnownComponent::Discovery.id(),
+                DiscoveryDeadline::Call(side).into(),
+                Instant::now() + SILENCE,
+            );
         }
         if whole || (!half && !text.is_empty()) {
             self.contact = Instant::now();
-            self.close(node, 1 - side);
-            node.deadlines.clear(DISCOVERY, FURTHER);
-            node.core.list_told();
-            node.send(UPGRADE, Message::Begin);
+            self.close(context, 1 - side);
+            context.deadlines.clear(
+                WellKnownComponent::Discovery.id(),
+                DiscoveryDeadline::SecondCall.into(),
+            );
+            context.placement.list_told();
+            context.send(
+                WellKnownComponent::Handoff.id(),
+                HandoffCommand::OpenListener,
+            );
         }
         if last {
             Err("the watch ended".into())
@@ -318,57 +344,69 @@
 }
 
 impl Connection<NodeState> for Discovery {
-    fn on_ready(&mut self, node: &mut Node, socket: usize, _readiness: Readiness) -> Lifecycle {
-        if let Err(why) = self.progress(node, socket) {
+    fn on_ready(
+        &mut self,
+        context: &mut NodeContext,
+        socket: usize,
+        _readiness: Readiness,
+    ) -> Lifecycle {
+        if let Err(why) = self.progress(context, socket) {
             self.contact = Instant::now();
-            self.close(node, socket);
-            self.failed(node, &why);
+            self.close(context, socket);
+            self.failed(context, &why);
         }
         Lifecycle::Continue
     }
 
-    fn on_deadline(&mut self, node: &mut Node, kind: u64) -> Lifecycle {
-        if kind == FURTHER {
-            self.call(node);
+    fn on_deadline(&mut self, context: &mut NodeContext, kind: DeadlineKind) -> Lifecycle {
+        let DeadlineKind::Discovery(DiscoveryDeadline::Call(side)) = kind else {
+            self.call(context);
             return Lifecycle::Continue;
-        }
-        let side = usize::from(kind == 1);
+        };
         let phase = self.calls[side].as_ref().map(|call| call.phase);
-        self.close(node, side);
+        self.close(context, side);
         match phase {
             Some(Phase::Body) if !self.calls() => {
-                warn!(node.log, "the watch has fallen silent"; "seq" => self.seq);
-                node.deadlines.clear(DISCOVERY, FURTHER);
-                node.core.list_silent();
+                warn!(context.log, "the watch has fallen silent"; "seq" => self.seq);
+                context.deadlines.clear(
+                    WellKnownComponent::Discovery.id(),
+                    DiscoveryDeadline::SecondCall.into(),
+                );
+                context.placement.list_silent();
             }
             // The failure is this node's own finding, so nothing has shown that there is nothing to hear.
             Some(Phase::Connecting)
                 if !self.calls()
                     && poll_schedule::reconnects_immediately(self.contact.elapsed()) =>
             {
-                warn!(node.log, "discovery failed"; "why" => "nothing came in time", "seq" => self.seq);
-                self.call(node);
+                warn!(context.log, "discovery failed"; "why" => "nothing came in time", "seq" => self.seq);
+                self.call(context);
             }
-            _ => self.failed(node, "nothing came in time"),
+            _ => self.failed(context, "nothing came in time"),
         }
         Lifecycle::Continue
     }
 
-    fn on_message(&mut self, node: &mut Node, message: Message) -> Lifecycle {
-        let moved = matches!(message, Message::Moved);
+    fn on_message(&mut self, context: &mut NodeContext, message: Message) -> Lifecycle {
+        let Message::Discovery(command) = message else {
+            return Lifecycle::Continue;
+        };
+        let moved = command == DiscoveryCommand::AddressChanged;
         if moved {
             // What is known stays: the watch at the new address goes on from the version that the old one told.
-            self.dial = node.config.discovery;
-            [0, 1].into_iter().for_each(|side| self.close(node, side));
+            self.dial = context.config.discovery;
+            [0, 1]
+                .into_iter()
+                .for_each(|side| self.close(context, side));
         }
         if let Some(known) = self.known.take() {
-            if let Err(why) = self.apply(&mut node.core, known, true) {
-                warn!(node.log, "the known list is bad"; "why" => why);
+            if let Err(why) = self.apply(&mut context.placement, known, true) {
+                warn!(context.log, "the known list is bad"; "why" => why);
             }
         }
         // A call that is under way is the newer one: an earlier failure asked for this before discovery moved.
-        if (moved || matches!(message, Message::Subscribe)) && !self.calls() {
-            self.call(node);
+        if command != DiscoveryCommand::ApplyKnownList && !self.calls() {
+            self.call(context);
         }
         Lifecycle::Continue
     }
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -5,7 +5,10 @@
 mod disk;
 pub mod setup;
 
-use crate::state::{Message, Node, NodeState, DISK, FLEET};
+use crate::command::{ClusterConnectionCommand, Message};
+use crate::component::WellKnownComponent;
+use crate::deadline::{ClusterAgentDeadline, DeadlineKind};
+use crate::state::{NodeContext, NodeState};
 use carry::Carry;
 use disk::{Disk, Fault as DiskFault};
 use lupincrank_budgets::demand::BudgetUsage;
@@ -22,10 +25,6 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-/// Deadlines: for the council, for membership, and for trying to take the address.
-const COUNCIL: u64 = 0;
-const MEMBERS: u64 = 1;
-const BIND: u64 = 2;
 /// The sides of this object.
 const DATAGRAMS: usize = 0;
 const LISTENER: usize = 1;
@@ -36,25 +35,25 @@
 const REBIND: Duration = Duration::from_millis(250);
 
 /// Begins, where the operator's file says so; an error is for a person to look at.
-pub fn begin(node: &mut Node) -> Result<(), String> {
-    let Some(setup) = &node.config.fleet else {
+pub fn begin(context: &mut NodeContext) -> Result<(), String> {
+    let Some(setup) = &context.config.fleet else {
         return Ok(());
     };
     if setup.divides {
         // Nothing is this process's before it has its place: another process of this node may still use all of it.
-        node.core.slice(0, 0, 0.0, None);
+        context.placement.slice(0, 0, 0.0, None);
     }
-    node.register(FLEET, Box::new(Watch));
-    if let Some(why) = take_place(node)? {
-        warn!(node.log, "this node's place in the fleet is not to be had yet"; "why" => why);
+    context.register(WellKnownComponent::ClusterAgent.id(), Box::new(Watch));
+    if let Some(why) = take_place(context)? {
+        warn!(context.log, "this node's place in the fleet is not to be had yet"; "why" => why);
     }
     Ok(())
 }
 
 /// Takes address and folder, or says why they are not to be had yet: a process that takes another one's place waits for
 /// its end.
-fn take_place(node: &mut Node) -> Result<Option<String>, String> {
-    let Some(setup) = node.config.fleet.clone() else {
+fn take_place(context: &mut NodeContext) -> Result<Option<String>, String> {
+    let Some(setup) = context.config.fleet.clone() else {
         return Ok(None);
     };
     let listen = setup.listen;
@@ -64,36 +63,44 @@
         udp.set_nonblocking(true)?;
         Ok((
             Registered::new(
-                &node.poller,
+                &context.poller,
                 udp,
-                poller_key(FLEET, 0) + DATAGRAMS,
+                poller_key(WellKnownComponent::ClusterAgent.id(), 0) + DATAGRAMS,
                 Interest::READ,
             )?,
             Registered::new(
-                &node.poller,
+                &context.poller,
                 listener,
-                poller_key(FLEET, 0) + LISTENER,
+                poller_key(WellKnownComponent::ClusterAgent.id(), 0) + LISTENER,
                 Interest::READ,
             )?,
         ))
     };
-    let again = |node: &mut Node, why: String| {
-        node.deadlines.set(FLEET, BIND, Instant::now() + REBIND);
+    let again = |context: &mut NodeContext, why: String| {
+        context.deadlines.set(
+            WellKnownComponent::ClusterAgent.id(),
+            ClusterAgentDeadline::Bind.into(),
+            Instant::now() + REBIND,
+        );
         Ok(Some(why))
     };
     let sockets = match take() {
         Ok(sockets) => sockets,
-        Err(error) => return again(node, format!("{listen}: {error}")),
+        Err(error) => return again(context, format!("{listen}: {error}")),
     };
     let drawn = rand::random::<u64>().max(1);
-    let settings = node
+    let settings = context
         .config
         .raw
         .get("settings")
         .map(ToString::to_string)
         .unwrap_or_default();
     let settings = crc32fast::hash(settings.as_bytes());
-    let (now, name, log) = (node.core.now(), node.config.name.clone(), node.log.clone());
+    let (now, name, log) = (
+        context.placement.now(),
+        context.config.name.clone(),
+        context.log.clone(),
+    );
     let new = |id: u64, kept: Option<&DurableState>| {
         Carry::new(setup.clone(), &name, id, kept, settings, now, log.clone())
     };
@@ -105,36 +112,48 @@
                 let named = |error: io::Error| format!("{}: {error}", path.display());
                 let disk = Disk::begin(database).map_err(named)?;
                 let wakes = disk.wakes().map_err(named)?;
-                let wakes =
-                    Registered::new(&node.poller, wakes, poller_key(DISK, 0), Interest::READ)
-                        .map_err(named)?;
+                let wakes = Registered::new(
+                    &context.poller,
+                    wakes,
+                    poller_key(WellKnownComponent::DurableStorage.id(), 0),
+                    Interest::READ,
+                )
+                .map_err(named)?;
                 carry.keep_on(disk, wakes);
-                node.register(DISK, Box::new(Written));
+                context.register(WellKnownComponent::DurableStorage.id(), Box::new(Written));
                 carry
             }
             Err(DiskFault::Busy) => {
                 return again(
-                    node,
+                    context,
                     format!("{}: another process holds it", path.display()),
                 )
             }
             Err(DiskFault::Wrong(why)) => return Err(why),
             Err(DiskFault::Damaged(why)) => {
-                warn!(node.log, "the council's file is damaged: put aside, another identity begins";
+                warn!(context.log, "the council's file is damaged: put aside, another identity begins";
                     "file" => %path.display(), "why" => why);
                 drop(sockets);
                 disk::put_aside(path).map_err(|error| format!("{}: {error}", path.display()))?;
-                return take_place(node);
+                return take_place(context);
             }
         },
     };
     carry.sockets = Some(sockets);
-    info!(node.log, "fleet"; "name" => &setup.name, "id" => format!("{:016x}", carry.membership.local_identity().incarnation),
+    info!(context.log, "fleet"; "name" => &setup.name, "id" => format!("{:016x}", carry.membership.local_identity().incarnation),
         "listen" => %listen);
-    node.fleet = Some(Box::new(carry));
-    node.deadlines.set(FLEET, COUNCIL, Instant::now());
-    node.deadlines.set(FLEET, MEMBERS, Instant::now());
-    with(node, |_, _| ());
+    context.cluster_agent = Some(Box::new(carry));
+    context.deadlines.set(
+        WellKnownComponent::ClusterAgent.id(),
+        ClusterAgentDeadline::ControlTick.into(),
+        Instant::now(),
+    );
+    context.deadlines.set(
+        WellKnownComponent::ClusterAgent.id(),
+        ClusterAgentDeadline::Membership.into(),
+        Instant::now(),
+    );
+    with(context, |_, _| ());
     Ok(None)
 }
 
@@ -151,60 +170,67 @@
 }
 
 /// Does something with the fleet, then carries out what came of it.
-fn with(node: &mut Node, work: impl FnOnce(&mut Carry, &mut Node)) {
-    let Some(mut carry) = node.fleet.take() else {
+fn with(context: &mut NodeContext, work: impl FnOnce(&mut Carry, &mut NodeContext)) {
+    let Some(mut carry) = context.cluster_agent.take() else {
         return;
     };
-    work(&mut carry, node);
+    work(&mut carry, context);
     carry.members();
-    let now = node.core.now();
+    let now = context.placement.now();
     for (id, why) in carry.council(now) {
         carry.ended(id, &why);
-        node.send(id, Message::Close);
+        context.send(id, ClusterConnectionCommand::Close);
     }
     for id in std::mem::take(&mut carry.dropped) {
-        node.send(id, Message::Close);
+        context.send(id, ClusterConnectionCommand::Close);
     }
     if carry.setup.divides {
         let (sends, until) = carry.council.lease_limit(now);
         let part = carry.council.fleet_share(now).unwrap_or(0.0);
-        node.core
+        context
+            .placement
             .slice(sends, carry.council.lease_floor(now), part, until);
     }
     if carry.sockets.is_some() {
         let next = carry.next();
-        node.deadlines.set(FLEET, MEMBERS, next);
+        context.deadlines.set(
+            WellKnownComponent::ClusterAgent.id(),
+            ClusterAgentDeadline::Membership.into(),
+            next,
+        );
     }
-    node.fleet = Some(carry);
+    context.cluster_agent = Some(carry);
 }
 
-fn dial(carry: &mut Carry, node: &mut Node) {
+fn dial(carry: &mut Carry, context: &mut NodeContext) {
     for (to, at) in carry.dials() {
-        let id = node.allocate_id();
-        let begun = ClusterConnection::connect(&node.poller, at, poller_key(id, 0))
+        let id = context.allocate_id();
+        let begun = ClusterConnection::connect(&context.poller, at, poller_key(id, 0))
             .map_err(|error| error.to_string());
         match begun.and_then(|link| carry.begin(id, link, Some(to))) {
-            Ok(()) => node.register(id, Box::new(End { id })),
+            Ok(()) => context.register(id, Box::new(End { id })),
             Err(why) => carry.complain("a link could not begin", &why),
         }
     }
 }
 
 /// This node ends in good order.
-pub fn leave(node: &mut Node) {
-    with(node, |carry, node| carry.leave(node.core.now()));
+pub fn leave(context: &mut NodeContext) {
+    with(context, |carry, context| {
+        carry.leave(context.placement.now());
+    });
 }
 
 /// What a person asked for; `None` without a fleet.
-pub fn told(node: &mut Node, what: &str) -> Option<Result<String, String>> {
-    if node.fleet.is_none() && node.config.fleet.is_some() {
+pub fn told(context: &mut NodeContext, what: &str) -> Option<Result<String, String>> {
+    if context.cluster_agent.is_none() && context.config.fleet.is_some() {
         return Some(Err(
             "this process waits for its place in the fleet, which another one holds".into(),
         ));
     }
-    let now = node.core.now();
+    let now = context.placement.now();
     let mut answer = None;
-    with(node, |carry, _| {
+    with(context, |carry, _| {
         answer = Some(match what {
             "status" => Ok(carry.status(now)),
             "members" => Ok(carry.listed()),
@@ -225,9 +251,17 @@
 const MOST_CAPACITY: u32 = 1_000_000;
 
 /// What a person asked for of the budgets: `show`, or `plan` and `set` with `NAME=CAPACITY`.
-pub fn budgets(node: &mut Node, what: &str, change: Option<&str>) -> Result<String, String> {
-    let now = node.core.now();
-    let Some(carry) = node.fleet.as_mut().filter(|carry| carry.setup.divides) else {
+pub fn budgets(
+    context: &mut NodeContext,
+    what: &str,
+    change: Option<&str>,
+) -> Result<String, String> {
+    let now = context.placement.now();
+    let Some(carry) = context
+        .cluster_agent
+        .as_mut()
+        .filter(|carry| carry.setup.divides)
+    else {
         return Err(
             "this node divides no budget with a fleet, or waits for its place there".into(),
         );
@@ -266,7 +300,7 @@
         }
         _ => Err("there are show, plan NAME=CAPACITY and set NAME=CAPACITY".to_string()),
     };
-    with(node, |_, _| ());
+    with(context, |_, _| ());
     told.map(|told| told.to_string())
 }
 
@@ -274,8 +308,8 @@
 struct Watch;
 
 impl Watch {
-    fn datagrams(node: &mut Node) {
-        with(node, |carry, _| {
+    fn datagrams(context: &mut NodeContext) {
+        with(context, |carry, _| {
             let mut bytes = [0; MAX_DATAGRAM_BYTES + 1];
             for _ in 0..MOST_DATAGRAMS {
                 let Some((udp, _)) = &carry.sockets else {
@@ -291,8 +325,8 @@
         });
     }
 
-    fn links(node: &mut Node) {
-        with(node, |carry, node| {
+    fn links(context: &mut NodeContext) {
+        with(context, |carry, context| {
             for _ in 0..MOST_ACCEPTS {
                 let Some((_, listener)) = &carry.sockets else {
                     return;
@@ -304,13 +338,13 @@
                     carry.complain("a link was not taken", "there are too many");
                     continue;
                 }
-                let id = node.allocate_id();
-                let link = ClusterConnection::accept(&node.poller, stream, poller_key(id, 0));
+                let id = context.allocate_id();
+                let link = ClusterConnection::accept(&context.poller, stream, poller_key(id, 0));
                 match link
                     .map_err(|error| error.to_string())
                     .and_then(|link| carry.begin(id, link, None))
                 {
-                    Ok(()) => node.register(id, Box::new(End { id })),
+                    Ok(()) => context.register(id, Box::new(End { id })),
                     Err(why) => carry.complain("a link could not begin", &why),
                 }
             }
@@ -319,57 +353,72 @@
 }
 
 impl Connection<NodeState> for Watch {
-    fn on_ready(&mut self, node: &mut Node, socket: usize, _readiness: Readiness) -> Lifecycle {
+    fn on_ready(
+        &mut self,
+        context: &mut NodeContext,
+        socket: usize,
+        _readiness: Readiness,
+    ) -> Lifecycle {
         if socket == DATAGRAMS {
-            Watch::datagrams(node);
+            Watch::datagrams(context);
         } else {
-            Watch::links(node);
+            Watch::links(context);
         }
         Lifecycle::Continue
     }
 
-    fn on_deadline(&mut self, node: &mut Node, kind: u64) -> Lifecycle {
+    fn on_deadline(&mut self, context: &mut NodeContext, kind: DeadlineKind) -> Lifecycle {
+        let DeadlineKind::ClusterAgent(kind) = kind else {
+            return Lifecycle::Continue;
+        };
         match kind {
-            BIND => {
+            ClusterAgentDeadline::Bind => {
                 // A person has to look if it is another reason than the process before this one.
-                if let Ok(Some(why)) | Err(why) = take_place(node) {
-                    debug!(node.log, "this node's place in the fleet is not to be had"; "why" => why);
-                    node.deadlines.set(FLEET, BIND, Instant::now() + REBIND);
+                if let Ok(Some(why)) | Err(why) = take_place(context) {
+                    debug!(context.log, "this node's place in the fleet is not to be had"; "why" => why);
+                    context.deadlines.set(
+                        WellKnownComponent::ClusterAgent.id(),
+                        ClusterAgentDeadline::Bind.into(),
+                        Instant::now() + REBIND,
+                    );
                 }
             }
-            MEMBERS => with(node, |carry, _| {
+            ClusterAgentDeadline::Membership => with(context, |carry, _| {
                 let age = carry.age();
                 carry.membership.on_deadline(age);
             }),
-            _ => {
+            ClusterAgentDeadline::ControlTick => {
                 let mut out = false;
-                with(node, |carry, node| {
+                with(context, |carry, context| {
                     if carry.leaves_now() {
                         return out = true;
                     }
                     for (id, why) in carry.keep() {
                         carry.ended(id, &why);
-                        node.send(id, Message::Close);
+                        context.send(id, ClusterConnectionCommand::Close);
                     }
-                    let (most, turned_away) = node.core.cold_used();
+                    let (most, turned_away) = context.placement.cold_used();
                     carry.council.record_usage(BudgetUsage {
                         peak: most,
                         was_limited: turned_away,
                     });
-                    let (now, alive) = (node.core.now(), carry.alive());
+                    let (now, alive) = (context.placement.now(), carry.alive());
                     carry.council.on_tick(now, &alive);
-                    dial(carry, node);
+                    dial(carry, context);
                 });
                 if !out {
-                    node.deadlines
-                        .set(FLEET, COUNCIL, Instant::now() + TICK_INTERVAL);
+                    context.deadlines.set(
+                        WellKnownComponent::ClusterAgent.id(),
+                        ClusterAgentDeadline::ControlTick.into(),
+                        Instant::now() + TICK_INTERVAL,
+                    );
                 }
             }
         }
         Lifecycle::Continue
     }
 
-    fn on_message(&mut self, _node: &mut Node, _message: Message) -> Lifecycle {
+    fn on_message(&mut self, _node: &mut NodeContext, _message: Message) -> Lifecycle {
         Lifecycle::Continue
     }
 }
@@ -378,16 +427,23 @@
 struct Written;
 
 impl Connection<NodeState> for Written {
-    fn on_ready(&mut self, node: &mut Node, _socket: usize, _readiness: Readiness) -> Lifecycle {
-        with(node, |carry, node| carry.disk(node.core.now()));
+    fn on_ready(
+        &mut self,
+        context: &mut NodeContext,
+        _socket: usize,
+        _readiness: Readiness,
+    ) -> Lifecycle {
+        with(context, |carry, context| {
+            carry.disk(context.placement.now());
+        });
         Lifecycle::Continue
     }
 
-    fn on_deadline(&mut self, _node: &mut Node, _kind: u64) -> Lifecycle {
+    fn on_deadline(&mut self, _node: &mut NodeContext, _kind: DeadlineKind) -> Lifecycle {
         Lifecycle::Continue
     }
 
-    fn on_message(&mut self, _node: &mut Node, _message: Message) -> Lifecycle {
+    fn on_message(&mut self, _node: &mut NodeContext, _message: Message) -> Lifecycle {
         Lifecycle::Continue
     }
 }
@@ -398,13 +454,18 @@
 }
 
 impl Connection<NodeState> for End {
-    fn on_ready(&mut self, node: &mut Node, _socket: usize, readiness: Readiness) -> Lifecycle {
+    fn on_ready(
+        &mut self,
+        context: &mut NodeContext,
+        _socket: usize,
+        readiness: Readiness,
+    ) -> Lifecycle {
         let (id, mut flow) = (self.id, Lifecycle::Continue);
-        with(node, |carry, node| {
+        with(context, |carry, context| {
             let Some(end) = carry.links.get_mut(&id) else {
                 return flow = Lifecycle::Close;
             };
-            let now = node.core.now();
+            let now = context.placement.now();
             let heard = end.link.on_ready(readiness.readable);
             let heard = heard.and_then(|messages| {
                 carry
@@ -426,16 +487,21 @@
         flow
     }
 
-    fn on_deadline(&mut self, _node: &mut Node, _kind: u64) -> Lifecycle {
+    fn on_deadline(&mut self, _node: &mut NodeContext, _kind: DeadlineKind) -> Lifecycle {
         Lifecycle::Continue
     }
 
-    fn on_message(&mut self, node: &mut Node, message: Message) -> Lifecycle {
-        let gone = node
-            .fleet
+    fn on_message(&mut self, context: &mut NodeContext, message: Message) -> Lifecycle {
+        let gone = context
+            .cluster_agent
             .as_ref()
             .is_none_or(|carry| !carry.links.contains_key(&self.id));
-        if gone || matches!(message, Message::Close) {
+        if gone
+            || matches!(
+                message,
+                Message::ClusterConnection(ClusterConnectionCommand::Close)
+            )
+        {
             Lifecycle::Close
         } else {
             Lifecycle::Continue
--- a/crates/node/src/hollow.rs
+++ b/crates/node/src/hollow.rs
@@ -2,9 +2,12 @@
 //! real one is told, by the same two files, and runs the same code in a loop of its own; many of them fit into a process,
 //! each in a thread. `scale/` measures fleets with them.
 
+use crate::command::Message;
+use crate::component::LAST_WELL_KNOWN_ID;
 use crate::config::Config;
+use crate::deadline::DeadlineKind;
 use crate::fleet::{self, setup::Setup};
-use crate::state::{Node, NodeState, RESERVED};
+use crate::state::{NodeContext, NodeState};
 use lupincrank_budgets::demand::BudgetUsage;
 use lupincrank_operator_config::Operator;
 use lupincrank_reactor::Readiness;
@@ -13,14 +16,14 @@
 use std::time::{Duration, Instant};
 
 /// The observer's place in the loop.
-const OBSERVER: ComponentId = RESERVED + 1;
+const OBSERVER: ComponentId = LAST_WELL_KNOWN_ID + 1;
 
 /// How a hollow node stands in its fleet.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Seen {
     /// The council that it takes part in has entries up to this epoch; 0 for no council.
     pub epoch: u64,
-    /// The capacity of the cold budget that its council context out.
+    /// The capacity of the cold budget that its control group hands out.
     pub capacity: u32,
     /// It knows a leader, and is it itself.
     pub led: bool,
@@ -67,7 +70,10 @@
     reactor
         .context
         .register(OBSERVER, Box::new(Watch { observer }));
-    reactor.context.deadlines.set(OBSERVER, 0, Instant::now());
+    reactor
+        .context
+        .deadlines
+        .set(OBSERVER, DeadlineKind::Observer, Instant::now());
     Ok(move || reactor.run())
 }
 
@@ -75,10 +81,10 @@
     observer: Box<dyn Observer>,
 }
 
-fn seen(node: &Node) -> Seen {
-    let now = node.core.now();
+fn seen(context: &NodeContext) -> Seen {
+    let now = context.placement.now();
     // Its place may be another process's still.
-    let Some(carry) = &node.fleet else {
+    let Some(carry) = &context.cluster_agent else {
         return Seen::default();
     };
     let (epoch, capacity) = carry
@@ -103,27 +109,38 @@
 }
 
 impl Connection<NodeState> for Watch {
-    fn on_ready(&mut self, _node: &mut Node, _socket: usize, _readiness: Readiness) -> Lifecycle {
+    fn on_ready(
+        &mut self,
+        _node: &mut NodeContext,
+        _socket: usize,
+        _readiness: Readiness,
+    ) -> Lifecycle {
         Lifecycle::Continue
     }
 
-    fn on_deadline(&mut self, node: &mut Node, _kind: u64) -> Lifecycle {
+    fn on_deadline(&mut self, context: &mut NodeContext, _kind: DeadlineKind) -> Lifecycle {
         let window = lupincrank_control::lease::LeaseTerms::default().accounting_window;
-        let members = node.fleet.as_ref().map(|carry| &carry.membership);
+        let members = context
+            .cluster_agent
+            .as_ref()
+            .map(|carry| &carry.membership);
         let lives = |name: &str| members.is_some_and(|all| all.alive().any(|who| who.name == name));
-        let (most, turned_away) = self.observer.look(&seen(node), window, &lives);
-        if let Some(carry) = &mut node.fleet {
+        let (most, turned_away) = self.observer.look(&seen(context), window, &lives);
+        if let Some(carry) = &mut context.cluster_agent {
             carry.council.record_usage(BudgetUsage {
                 peak: most,
                 was_limited: turned_away,
             });
         }
-        node.deadlines
-            .set(OBSERVER, 0, Instant::now() + self.observer.every());
+        context.deadlines.set(
+            OBSERVER,
+            DeadlineKind::Observer,
+            Instant::now() + self.observer.every(),
+        );
         Lifecycle::Continue
     }
 
-    fn on_message(&mut self, _node: &mut Node, _message: crate::state::Message) -> Lifecycle {
+    fn on_message(&mut self, _node: &mut NodeContext, _message: Message) -> Lifecycle {
         Lifecycle::Continue
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,8 +1,12 @@
 //! The node: lupincrank's decisions on real sockets. The program is [`main`]; [`hollow`] is its part in the fleet alone.
 
+mod application;
 mod cli;
+mod command;
+mod component;
 mod config;
 mod core;
+mod deadline;
 mod discovery;
 mod fleet;
 mod group;
--- a/crates/node/src/line_front.rs
+++ b/crates/node/src/line_front.rs
@@ -1,8 +1,13 @@
 //! The platform's line protocol towards clients: the listener, the first line, and the answers to it.
 
+use crate::command::{
+    AcceptedAttempt, AttemptCommand, ClientCommand, ListenerCommand, Message, TransferCommand,
+};
+use crate::component::WellKnownComponent;
+use crate::deadline::{ClientDeadline, DeadlineKind};
 use crate::peer::{Peer, Try, LONGEST_LINE};
 use crate::relay::Relay;
-use crate::state::{Message, Node, NodeState, Seat, Strangers, Up, LISTENER};
+use crate::state::{ClientSlot, NodeContext, NodeState, UnidentifiedClients};
 use crate::upgrade::link::Said;
 use lupincrank_placement::{RequestId, RequestInfo, Timestamp};
 use lupincrank_reactor::poll::{self, Registered};
@@ -33,24 +38,23 @@
 const OLD_TRIES: u32 = 3;
 const OLD_PAUSE: Duration = Duration::from_millis(300);
 const OLD_WAIT: Duration = Duration::from_secs(40);
-/// Deadlines: for the first line or the end, and for the next try of an old connection.
-const PATIENCE: u64 = 0;
-const AGAIN: u64 = 1;
 
 /// A connection's place among the strangers; given back when dropped.
 struct Place {
-    among: Strangers,
+    among: UnidentifiedClients,
     key: (Instant, ComponentId),
 }
 
 impl Place {
     /// Takes a place until the connection has to be gone.
-    fn take(node: &mut Node, id: ComponentId, patience: Duration) -> Place {
+    fn take(context: &mut NodeContext, id: ComponentId, patience: Duration) -> Place {
         let key = (Instant::now() + patience, id);
-        node.deadlines.set(id, PATIENCE, key.0);
-        node.strangers.borrow_mut().insert(key);
+        context
+            .deadlines
+            .set(id, ClientDeadline::Close.into(), key.0);
+        context.unidentified_clients.borrow_mut().insert(key);
         Place {
-            among: Rc::clone(&node.strangers),
+            among: Rc::clone(&context.unidentified_clients),
             key,
         }
     }
@@ -71,15 +75,15 @@
 
 impl Listener {
     /// Listens on the configured address only, or at the socket that was inherited.
-    pub fn new(node: &Node, inherited: Option<TcpListener>) -> io::Result<Listener> {
+    pub fn new(context: &NodeContext, inherited: Option<TcpListener>) -> io::Result<Listener> {
         let socket = match inherited {
             Some(socket) => socket,
-            None => poll::listen(node.config.listen)?,
+            None => poll::listen(context.config.listen)?,
         };
         let socket = Registered::new(
-            &node.poller,
+            &context.poller,
             socket,
-            poller_key(LISTENER, 0),
+            poller_key(WellKnownComponent::ClientListener.id(), 0),
             Interest::READ,
         )?;
         Ok(Listener {
@@ -88,8 +92,8 @@
         })
     }
 
-    fn take(&mut self, node: &mut Node) -> io::Result<()> {
-        for _ in 0..node.config.most_accepts() {
+    fn take(&mut self, context: &mut NodeContext) -> io::Result<()> {
+        for _ in 0..context.config.most_accepts() {
             let stream = match self.socket.accept() {
                 Ok((stream, _)) => stream,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
@@ -99,9 +103,10 @@
             };
             stream.set_nonblocking(true)?;
             let _ = stream.set_nodelay(true);
-            let id = node.allocate_id();
-            let stream = Registered::new(&node.poller, stream, poller_key(id, 0), Interest::READ)?;
-            let place = Some(Place::take(node, id, FIRST_LINE));
+            let id = context.allocate_id();
+            let stream =
+                Registered::new(&context.poller, stream, poller_key(id, 0), Interest::READ)?;
+            let place = Some(Place::take(context, id, FIRST_LINE));
             let (stream, bytes, state) = (Some(stream), Vec::new(), State::First);
             let mut client = Client {
                 id,
@@ -113,62 +118,77 @@
                 frozen: false,
             };
             // Most have sent their line by now: guards against taking one that asks for one that says nothing.
-            if client.read(node) == Lifecycle::Continue {
-                node.register(id, Box::new(client));
+            if client.read(context) == Lifecycle::Continue {
+                context.register(id, Box::new(client));
             } else {
-                node.deadlines.clear_all(id);
+                context.deadlines.clear_all(id);
             }
-            self.make_room(node);
+            self.make_room(context);
         }
         Ok(())
     }
 
     /// Ends the strangers that had to go first anyway when descriptors are needed. Guards against hundreds that
     /// connect and say nothing.
-    fn make_room(&self, node: &mut Node) {
-        let other = node.upgrade.other;
-        let most = node
+    fn make_room(&self, context: &mut NodeContext) {
+        let other = context.handoff.other;
+        let most = context
             .config
-            .most_strangers(node.clients.get() + other.clients);
-        while node.strangers.borrow().len() + other.strangers > most {
-            let Some((_, id)) = node.strangers.borrow_mut().pop_first() else {
+            .most_strangers(context.client_count.get() + other.clients);
+        while context.unidentified_clients.borrow().len() + other.strangers > most {
+            let Some((_, id)) = context.unidentified_clients.borrow_mut().pop_first() else {
                 break;
             };
-            node.send(id, Message::Close);
+            context.send(id, ClientCommand::Close);
         }
     }
 }
 
 impl Connection<NodeState> for Listener {
-    fn on_ready(&mut self, node: &mut Node, _socket: usize, _readiness: Readiness) -> Lifecycle {
-        if let Err(error) = self.take(node) {
+    fn on_ready(
+        &mut self,
+        context: &mut NodeContext,
+        _socket: usize,
+        _readiness: Readiness,
+    ) -> Lifecycle {
+        if let Err(error) = self.take(context) {
             // No descriptor is left: guards against a loop that spins on a listener that stays ready.
-            warn!(node.log, "cannot take clients for now"; "error" => %error);
+            warn!(context.log, "cannot take clients for now"; "error" => %error);
             if self.socket.set_interest(Interest::NONE).is_ok() {
-                node.deadlines.set(LISTENER, 0, Instant::now() + REST);
+                context.deadlines.set(
+                    WellKnownComponent::ClientListener.id(),
+                    DeadlineKind::ResumeAccepting,
+                    Instant::now() + REST,
+                );
             }
         }
         Lifecycle::Continue
     }
 
-    fn on_deadline(&mut self, node: &mut Node, _kind: u64) -> Lifecycle {
+    fn on_deadline(&mut self, context: &mut NodeContext, _kind: DeadlineKind) -> Lifecycle {
         if let Err(error) = self.socket.set_interest(Interest {
             readable: !self.rests,
             writable: false,
         }) {
-            warn!(node.log, "cannot listen again yet"; "error" => %error);
-            node.deadlines.set(LISTENER, 0, Instant::now() + REST);
+            warn!(context.log, "cannot listen again yet"; "error" => %error);
+            context.deadlines.set(
+                WellKnownComponent::ClientListener.id(),
+                DeadlineKind::ResumeAccepting,
+                Instant::now() + REST,
+            );
         }
         Lifecycle::Continue
     }
 
-    fn on_message(&mut self, node: &mut Node, message: Message) -> Lifecycle {
-        match message {
-            Message::Rest => self.rests = true,
-            Message::Begin => self.rests = false,
-            _ => return Lifecycle::Continue,
-        }
-        self.on_deadline(node, 0)
+    fn on_message(&mut self, context: &mut NodeContext, message: Message) -> Lifecycle {
+        let Message::Listener(command) = message else {
+            return Lifecycle::Continue;
+        };
+        self.rests = match command {
+            ListenerCommand::Pause => true,
+            ListenerCommand::Resume => false,
+        };
+        self.on_deadline(context, DeadlineKind::ResumeAccepting)
     }
 }
 
@@ -315,7 +335,7 @@
 pub struct Client {
     id: ComponentId,
     /// While it asks, and while it does not.
-    seat: Option<Seat>,
+    seat: Option<ClientSlot>,
     place: Option<Place>,
     stream: Option<Registered<TcpStream>>,
     /// What was read and is not used yet; once it is closing, what is still to be written.
@@ -327,19 +347,19 @@
 
 impl Client {
     /// Goes on with a client of another process whose first line is not whole yet.
-    pub fn take_over(node: &mut Node, socket: OwnedFd, bytes: Vec<u8>, left: Duration) {
-        let id = node.allocate_id();
+    pub fn take_over(context: &mut NodeContext, socket: OwnedFd, bytes: Vec<u8>, left: Duration) {
+        let id = context.allocate_id();
         let Ok(stream) = Registered::new(
-            &node.poller,
+            &context.poller,
             TcpStream::from(socket),
             poller_key(id, 0),
             Interest::READ,
         ) else {
             return;
         };
-        let place = Some(Place::take(node, id, left.min(FIRST_LINE)));
+        let place = Some(Place::take(context, id, left.min(FIRST_LINE)));
         let (stream, state) = (Some(stream), State::First);
-        node.register(
+        context.register(
             id,
             Box::new(Client {
                 id,
@@ -353,7 +373,7 @@
         );
     }
 
-    fn hand_over(&mut self, node: &mut Node) {
+    fn hand_over(&mut self, context: &mut NodeContext) {
         let (State::First, Some(stream), Some(place)) =
             (&self.state, &mut self.stream, &self.place)
         else {
@@ -366,7 +386,8 @@
             .as_millis() as u64;
         let said = |number| Said::First(number, left);
         if matches!(
-            node.upgrade
+            context
+                .handoff
                 .hand(self.id, said, &self.bytes, &[stream.as_fd()]),
             Ok(true)
         ) {
@@ -375,14 +396,16 @@
         }
     }
 
-    fn answer(&mut self, node: &mut Node, answer: &[u8]) -> Lifecycle {
+    fn answer(&mut self, context: &mut NodeContext, answer: &[u8]) -> Lifecycle {
         self.state = State::Closing(0);
         self.bytes = answer.to_vec();
         self.seat = None;
         // The old place, if there is one, goes first: it may be the same.
         self.place = None;
-        self.place = Some(Place::take(node, self.id, LINGER));
-        node.deadlines.clear(self.id, AGAIN);
+        self.place = Some(Place::take(context, self.id, LINGER));
+        context
+            .deadlines
+            .clear(self.id, ClientDeadline::RestoreRetry.into());
         self.flush()
     }
 
@@ -412,20 +435,20 @@
         Lifecycle::Continue
     }
 
-    fn read(&mut self, node: &mut Node) -> Lifecycle {
+    fn read(&mut self, context: &mut NodeContext) -> Lifecycle {
         let mut scratch = [0; 4 << 10];
         for _ in 0..READS {
             let Some(stream) = &mut self.stream else {
                 return Lifecycle::Close;
             };
             let flow = match stream.read(&mut scratch) {
-                Ok(0) => self.gone(node),
-                Ok(read) => self.take(node, &scratch[..read]),
+                Ok(0) => self.gone(context),
+                Ok(read) => self.take(context, &scratch[..read]),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     return Lifecycle::Continue
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => Lifecycle::Continue,
-                Err(_) => self.gone(node),
+                Err(_) => self.gone(context),
             };
             if flow == Lifecycle::Close {
                 return Lifecycle::Close;
@@ -434,7 +457,7 @@
         Lifecycle::Continue
     }
 
-    fn take(&mut self, node: &mut Node, bytes: &[u8]) -> Lifecycle {
+    fn take(&mut self, context: &mut NodeContext, bytes: &[u8]) -> Lifecycle {
         match &mut self.state {
             State::First => {
                 self.bytes.extend_from_slice(bytes);
@@ -443,22 +466,22 @@
                     return if more {
                         Lifecycle::Continue
                     } else {
-                        self.reject_line(node, "it does not end")
+                        self.reject_line(context, "it does not end")
                     };
                 };
                 let rest = self.bytes.split_off(end + 1);
                 let line = std::mem::take(&mut self.bytes);
-                let flow = self.first(node, line);
+                let flow = self.first(context, line);
                 if flow == Lifecycle::Continue && !rest.is_empty() {
-                    return self.take(node, &rest);
+                    return self.take(context, &rest);
                 }
                 flow
             }
             // A client waits for its answer. One that does not sends what no transcriber can read: guards against
             // commands by the hundred, and against a transcriber that is blamed for closing on them.
             State::Waiting(_) => {
-                self.leave(node);
-                self.reject_line(node, "more than one line")
+                self.leave(context);
+                self.reject_line(context, "more than one line")
             }
             State::Closing(drained) => {
                 *drained += bytes.len();
@@ -472,70 +495,78 @@
     }
 
     /// The client has left: nothing is owed.
-    fn gone(&mut self, node: &mut Node) -> Lifecycle {
-        self.leave(node);
+    fn gone(&mut self, context: &mut NodeContext) -> Lifecycle {
+        self.leave(context);
         Lifecycle::Close
     }
 
     /// Its place is needed, or its time is up: what has come of it by now is read first. Guards against ending a connection
     /// whose request has been taken: its last byte may have come while this process was kept from reading.
-    fn last_look(&mut self, node: &mut Node) -> Lifecycle {
-        if self.read(node) == Lifecycle::Close {
+    fn last_look(&mut self, context: &mut NodeContext) -> Lifecycle {
+        if self.read(context) == Lifecycle::Close {
             return Lifecycle::Close;
         }
         match self.state {
             State::First if self.bytes.is_empty() => Lifecycle::Close,
-            State::First => self.reject_line(node, "it takes too long"),
+            State::First => self.reject_line(context, "it takes too long"),
             _ => Lifecycle::Continue,
         }
     }
 
     /// Nobody waits for the request any more, and its try is closed. That says nothing of the transcriber.
-    fn leave(&mut self, node: &mut Node) {
+    fn leave(&mut self, context: &mut NodeContext) {
         if let State::Waiting(waiting) = &self.state {
-            debug!(node.log, "client left"; "request" => format!("{:016x}", waiting.open.request));
+            debug!(context.log, "client left"; "request" => format!("{:016x}", waiting.open.request));
             if let Some(peer) = waiting.peer {
-                node.send(peer, Message::Close);
+                context.send(peer, AttemptCommand::Close);
             }
             if waiting.open.holder.is_none() {
-                node.core.client_gone(RequestId(waiting.open.request));
+                context
+                    .placement
+                    .client_gone(RequestId(waiting.open.request));
             }
         }
     }
 
-    fn reject_line(&mut self, node: &mut Node, why: &str) -> Lifecycle {
-        debug!(node.log, "malformed first line"; "why" => why.to_string());
-        self.answer(node, b"ERR\r\n")
+    fn reject_line(&mut self, context: &mut NodeContext, why: &str) -> Lifecycle {
+        debug!(context.log, "malformed first line"; "why" => why.to_string());
+        self.answer(context, b"ERR\r\n")
     }
 
-    fn first(&mut self, node: &mut Node, line: Vec<u8>) -> Lifecycle {
+    fn first(&mut self, context: &mut NodeContext, line: Vec<u8>) -> Lifecycle {
         let Some(text) = line
             .strip_suffix(b"\r\n")
             .filter(|_| line.len() <= LONGEST_LINE)
         else {
-            return self.reject_line(node, "its end");
+            return self.reject_line(context, "its end");
         };
-        let open = match first_line(text, &node.config.classes) {
+        let open = match first_line(text, &context.config.classes) {
             Some(First::Ping) => {
                 // The front sends clients once this is answered: only when they can be served.
-                let able = node.serves().is_ok();
-                return self.answer(node, if able { b"PONG\r\n" } else { b"BUSY\r\n" });
+                let able = context.serves().is_ok();
+                return self.answer(context, if able { b"PONG\r\n" } else { b"BUSY\r\n" });
             }
             Some(First::Open(open)) => open,
-            None => return self.reject_line(node, "its fields"),
+            None => return self.reject_line(context, "its fields"),
         };
         let request = RequestId(open.request);
-        if node.core.holds(request) || (open.holder.is_some() && node.began.elapsed() > OLD_COME) {
-            return self.reject_line(node, "another's id, or a holder long after the start");
+        if context.placement.holds(request)
+            || (open.holder.is_some() && context.started_at.elapsed() > OLD_COME)
+        {
+            return self.reject_line(context, "another's id, or a holder long after the start");
         }
-        if node.clients.get() + node.upgrade.other.clients >= node.config.most_clients() {
-            debug!(node.log, "too many clients"; "held" => node.clients.get());
-            return self.answer(node, &busy(node.config.settings.max_retry_after / 2));
+        if context.client_count.get() + context.handoff.other.clients
+            >= context.config.most_clients()
+        {
+            debug!(context.log, "too many clients"; "held" => context.client_count.get());
+            return self.answer(context, &busy(context.config.settings.max_retry_after / 2));
         }
-        node.deadlines.clear(self.id, PATIENCE);
-        (self.seat, self.place) = (Some(Seat::take(&node.clients)), None);
+        context
+            .deadlines
+            .clear(self.id, ClientDeadline::Close.into());
+        (self.seat, self.place) = (Some(ClientSlot::take(&context.client_count)), None);
         let left = Duration::from_millis(open.left_ms);
-        let incoming = open.incoming(node.config.groups);
+        let incoming = open.incoming(context.config.groups);
         let old = open.holder.is_some();
         let until = Instant::now() + if old { left.min(OLD_WAIT) } else { left };
         self.state = State::Waiting(Waiting {
@@ -546,14 +577,14 @@
             old_tries: 0,
         });
         if old {
-            return self.resume(node);
+            return self.resume(context);
         }
-        node.core.request(self.id, incoming, left);
+        context.placement.request(self.id, incoming, left);
         Lifecycle::Continue
     }
 
     /// Sends a connection that stood before this node's life to the transcriber that holds it.
-    fn resume(&mut self, node: &mut Node) -> Lifecycle {
+    fn resume(&mut self, context: &mut NodeContext) -> Lifecycle {
         let State::Waiting(waiting) = &mut self.state else {
             return Lifecycle::Continue;
         };
@@ -561,24 +592,24 @@
             .open
             .holder
             .as_deref()
-            .and_then(|holder| node.core.dial(holder));
+            .and_then(|holder| context.placement.dial(holder));
         let Some(dial) =
             dial.filter(|_| waiting.old_tries < OLD_TRIES && Instant::now() < waiting.until)
         else {
-            return self.answer(node, &busy(Duration::ZERO));
+            return self.answer(context, &busy(Duration::ZERO));
         };
-        if node.core.holds(RequestId(waiting.open.request)) {
-            return self.reject_line(node, "another's id");
+        if context.placement.holds(RequestId(waiting.open.request)) {
+            return self.reject_line(context, "another's id");
         }
         waiting.old_tries += 1;
         let (request, until) = (RequestId(waiting.open.request), waiting.until);
-        self.dial(node, request, dial, until, true);
+        self.dial(context, request, dial, until, true);
         Lifecycle::Continue
     }
 
     fn dial(
         &mut self,
-        node: &mut Node,
+        context: &mut NodeContext,
         request: RequestId,
         dial: std::net::SocketAddr,
         until: Instant,
@@ -595,10 +626,10 @@
             &waiting.line[at.end..],
         ]
         .concat();
-        let id = node.allocate_id();
+        let id = context.allocate_id();
         waiting.peer = Some(id);
         Peer::open(
-            node,
+            context,
             id,
             Try {
                 owner: self.id,
@@ -612,142 +643,182 @@
     }
 
     /// The try is up: both sockets go to a relay under this object's name.
-    fn up(&mut self, node: &mut Node, up: Up) -> Lifecycle {
+    fn up(&mut self, context: &mut NodeContext, up: AcceptedAttempt) -> Lifecycle {
         let State::Waiting(waiting) = &self.state else {
             return Lifecycle::Continue;
         };
-        if waiting.open.holder.is_some() && node.core.holds(up.request) {
-            return self.reject_line(node, "another's id");
+        if waiting.open.holder.is_some() && context.placement.holds(up.request) {
+            return self.reject_line(context, "another's id");
         }
         let (Some(client), Some(seat)) = (self.stream.take(), self.seat.take()) else {
             return Lifecycle::Close;
         };
         match &waiting.open.holder {
             Some(holder) => {
-                let incoming = waiting.open.incoming(node.config.groups);
-                node.core.inherited(self.id, incoming, holder);
+                let incoming = waiting.open.incoming(context.config.groups);
+                context.placement.inherited(self.id, incoming, holder);
             }
-            None => node.core.try_up(up.request),
+            None => context.placement.try_up(up.request),
         }
-        Relay::begin(node, self.id, seat, client, up);
+        Relay::begin(context, self.id, seat, client, up);
         Lifecycle::Close
     }
-}
 
-impl Connection<NodeState> for Client {
-    fn on_ready(&mut self, node: &mut Node, _socket: usize, readiness: Readiness) -> Lifecycle {
-        if self.frozen {
-            return Lifecycle::Continue;
-        }
-        if readiness.writable
-            && matches!(self.state, State::Closing(_))
-            && self.flush() == Lifecycle::Close
-        {
-            return Lifecycle::Close;
-        }
-        if readiness.readable {
-            self.read(node)
-        } else {
-            Lifecycle::Continue
+    fn on_transfer(&mut self, context: &mut NodeContext, command: TransferCommand) -> Lifecycle {
+        match command {
+            TransferCommand::Start => {
+                self.hand_over(context);
+                Lifecycle::Continue
+            }
+            TransferCommand::Completed => Lifecycle::Close,
+            TransferCommand::Cancelled => self.on_transfer_cancelled(context),
         }
     }
 
-    fn on_deadline(&mut self, node: &mut Node, kind: u64) -> Lifecycle {
-        match self.state {
-            _ if self.frozen => Lifecycle::Continue,
-            State::First => self.last_look(node),
-            // Whether anybody still waits is seen before the next try.
-            State::Waiting(_) if kind == AGAIN => match self.read(node) {
-                Lifecycle::Continue => self.resume(node),
-                Lifecycle::Close => Lifecycle::Close,
-            },
-            _ => Lifecycle::Close,
+    fn on_transfer_cancelled(&mut self, context: &mut NodeContext) -> Lifecycle {
+        self.frozen = false;
+        if let Some(place) = &self.place {
+            context
+                .deadlines
+                .set(self.id, ClientDeadline::Close.into(), place.key.0);
+        }
+        let is_watched = self
+            .stream
+            .as_mut()
+            .is_some_and(|stream| stream.set_interest(Interest::READ).is_ok());
+        if is_watched {
+            Lifecycle::Continue
+        } else {
+            Lifecycle::Close
         }
     }
 
-    fn on_message(&mut self, node: &mut Node, message: Message) -> Lifecycle {
-        match message {
-            Message::HandOver => self.hand_over(node),
-            Message::Handed => return Lifecycle::Close,
-            Message::Kept => {
-                self.frozen = false;
-                if let Some(place) = &self.place {
-                    node.deadlines.set(self.id, PATIENCE, place.key.0);
-                }
-                let read = self
-                    .stream
-                    .as_mut()
-                    .is_some_and(|stream| stream.set_interest(Interest::READ).is_ok());
-                return if read {
-                    Lifecycle::Continue
-                } else {
-                    Lifecycle::Close
-                };
-            }
-            _ => {}
-        }
+    fn on_command(&mut self, context: &mut NodeContext, command: ClientCommand) -> Lifecycle {
         let State::Waiting(waiting) = &mut self.state else {
-            return match (message, &self.state) {
-                (Message::Close, State::First) => self.last_look(node),
-                (Message::Close, _) => Lifecycle::Close,
+            return match (command, &self.state) {
+                (ClientCommand::Close, State::First) => self.last_look(context),
+                (ClientCommand::Close, _) => Lifecycle::Close,
                 _ => Lifecycle::Continue,
             };
         };
-        match message {
-            Message::Try(order) => {
-                if self.read(node) == Lifecycle::Close {
+        match command {
+            ClientCommand::StartAttempt(order) => {
+                if self.read(context) == Lifecycle::Close {
                     return Lifecycle::Close;
                 }
-                self.dial(node, order.request, order.dial, order.until, false);
+                self.dial(context, order.request, order.dial, order.until, false);
                 Lifecycle::Continue
             }
             // Looked at once more, ahead of its turn: it may have left, and what tells so may wait behind much else where
             // the core is used up. What nobody waits for is not sent on.
-            Message::Connected(peer) if waiting.peer == Some(peer) => {
-                let flow = self.read(node);
+            ClientCommand::AttemptConnected(peer) if waiting.peer == Some(peer) => {
+                let flow = self.read(context);
                 if flow == Lifecycle::Continue && matches!(self.state, State::Waiting(_)) {
-                    node.send(peer, Message::Send);
+                    context.send(peer, AttemptCommand::SendFirstLine);
                 }
                 flow
             }
-            Message::Refuse(after) => {
+            // Of an earlier attempt.
+            ClientCommand::AttemptConnected(_) => Lifecycle::Continue,
+            ClientCommand::Reject(retry_after) => {
                 if let Some(peer) = waiting.peer {
-                    node.send(peer, Message::Close);
+                    context.send(peer, AttemptCommand::Close);
                 }
-                self.answer(node, &busy(after))
+                self.answer(context, &busy(retry_after))
             }
-            Message::Fail => {
+            ClientCommand::Fail => {
                 if let Some(peer) = waiting.peer {
-                    node.send(peer, Message::Close);
+                    context.send(peer, AttemptCommand::Close);
                 }
-                self.answer(node, b"ERR\r\n")
+                self.answer(context, b"ERR\r\n")
             }
-            // The decisions know nothing of a connection from before this node's life. Where its line may have gone out it may
-            // stand by now, so that it is not said to have been refused.
-            Message::Ending if waiting.open.holder.is_some() => match waiting.peer {
-                Some(peer) => {
-                    node.send(peer, Message::Close);
-                    self.answer(node, b"ERR\r\n")
-                }
-                None => self.answer(node, &busy(Duration::ZERO)),
-            },
-            Message::Up(up) => self.up(node, up),
-            Message::Ended(line) => {
+            ClientCommand::AnswerBeforeExit => self.on_exit(context),
+            ClientCommand::AttemptAccepted(accepted) => self.up(context, accepted),
+            ClientCommand::AttemptServed(line) => {
                 if waiting.open.holder.is_none() {
-                    node.core.try_ended(
+                    context.placement.try_ended(
                         RequestId(waiting.open.request),
                         lupincrank_placement::Outcome::Served,
                         true,
                     );
                 }
-                self.answer(node, &line)
+                self.answer(context, &line)
             }
-            Message::NotUp => {
+            ClientCommand::RestoreFailed => {
                 waiting.peer = None;
-                node.deadlines
-                    .set(self.id, AGAIN, Instant::now() + OLD_PAUSE);
+                context.deadlines.set(
+                    self.id,
+                    ClientDeadline::RestoreRetry.into(),
+                    Instant::now() + OLD_PAUSE,
+                );
                 Lifecycle::Continue
             }
+            // Only connections without a request are closed for another one.
+            ClientCommand::Close => Lifecycle::Continue,
+        }
+    }
+
+    /// The process exits. The decisions answer their own requests but know nothing of a connection from before this
+    /// node's life. Where its line may have gone out it may stand by now, so that it is not said to have been refused.
+    fn on_exit(&mut self, context: &mut NodeContext) -> Lifecycle {
+        let State::Waiting(waiting) = &self.state else {
+            return Lifecycle::Continue;
+        };
+        if waiting.open.holder.is_none() {
+            return Lifecycle::Continue;
+        }
+        match waiting.peer {
+            Some(peer) => {
+                context.send(peer, AttemptCommand::Close);
+                self.answer(context, b"ERR\r\n")
+            }
+            None => self.answer(context, &busy(Duration::ZERO)),
+        }
+    }
+}
+
+impl Connection<NodeState> for Client {
+    fn on_ready(
+        &mut self,
+        context: &mut NodeContext,
+        _socket: usize,
+        readiness: Readiness,
+    ) -> Lifecycle {
+        if self.frozen {
+            return Lifecycle::Continue;
+        }
+        if readiness.writable
+            && matches!(self.state, State::Closing(_))
+            && self.flush() == Lifecycle::Close
+        {
+            return Lifecycle::Close;
+        }
+        if readiness.readable {
+            self.read(context)
+        } else {
+            Lifecycle::Continue
+        }
+    }
+
+    fn on_deadline(&mut self, context: &mut NodeContext, kind: DeadlineKind) -> Lifecycle {
+        match self.state {
+            _ if self.frozen => Lifecycle::Continue,
+            State::First => self.last_look(context),
+            // Whether anybody still waits is seen before the next try.
+            State::Waiting(_) if kind == ClientDeadline::RestoreRetry.into() => {
+                match self.read(context) {
+                    Lifecycle::Continue => self.resume(context),
+                    Lifecycle::Close => Lifecycle::Close,
+                }
+            }
+            _ => Lifecycle::Close,
+        }
+    }
+
+    fn on_message(&mut self, context: &mut NodeContext, message: Message) -> Lifecycle {
+        match message {
+            Message::Client(command) => self.on_command(context, command),
+            Message::Transfer(command) => self.on_transfer(context, command),
             _ => Lifecycle::Continue,
         }
     }
--- a/crates/node/src/management.rs
+++ b/crates/node/src/management.rs
@@ -1,9 +1,12 @@
 //! The second address, for the staff: each connection carries one line, and one line comes back that begins with `done` or
 //! `error`. It knows the syntax only; what a call does is the node's matter.
 
+use crate::command::{AdminConnectionCommand, Message};
+use crate::component::{WellKnownComponent, FIRST_ADMIN_CONNECTION_ID};
+use crate::deadline::DeadlineKind;
 use crate::fleet;
 use crate::peer::LONGEST_LINE;
-use crate::state::{Message, Node, NodeState, CALLS, MANAGEMENT};
+use crate::state::{NodeContext, NodeState};
 use crate::upgrade;
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::{poller_key, Interest, Readiness};
@@ -93,24 +96,24 @@
 
 impl Management {
     /// Listens on this address.
-    pub fn new(node: &Node, address: SocketAddr) -> io::Result<Management> {
+    pub fn new(context: &NodeContext, address: SocketAddr) -> io::Result<Management> {
         let named = |error| io::Error::other(format!("management at {address}: {error}"));
         let socket = poll::listen(address).map_err(named)?;
         let socket = Registered::new(
-            &node.poller,
+            &context.poller,
             socket,
-            poller_key(MANAGEMENT, 0),
+            poller_key(WellKnownComponent::AdminListener.id(), 0),
             Interest::READ,
         )?;
-        info!(node.log, "taking calls"; "management" => %address);
+        info!(context.log, "taking calls"; "management" => %address);
         Ok(Management {
             socket,
             held: Held::default(),
-            next: CALLS,
+            next: FIRST_ADMIN_CONNECTION_ID,
         })
     }
 
-    fn take(&mut self, node: &mut Node) -> io::Result<()> {
+    fn take(&mut self, context: &mut NodeContext) -> io::Result<()> {
         for _ in 0..ACCEPTS {
             let stream = match self.socket.accept() {
                 Ok((stream, _)) => stream,
@@ -121,7 +124,8 @@
             stream.set_nonblocking(true)?;
             self.next += 1;
             let id = self.next;
-            let stream = Registered::new(&node.poller, stream, poller_key(id, 0), Interest::READ)?;
+            let stream =
+                Registered::new(&context.poller, stream, poller_key(id, 0), Interest::READ)?;
             self.held.borrow_mut().insert(id);
             let mut caller = Caller {
                 id,
@@ -131,15 +135,18 @@
                 answered: false,
             };
             // Guards against callers by the hundred that say nothing and keep out one that does.
-            if self.held.borrow().len() > node.config.most_calls() {
+            if self.held.borrow().len() > context.config.most_calls() {
                 if let Some(oldest) = self.held.borrow_mut().pop_first() {
-                    node.send(oldest, Message::Close);
+                    context.send(oldest, AdminConnectionCommand::Close);
                 }
             }
-            if caller.read(node) == Lifecycle::Continue {
-                node.deadlines
-                    .set(id, 0, Instant::now() + caller.patience());
-                node.register(id, Box::new(caller));
+            if caller.read(context) == Lifecycle::Continue {
+                context.deadlines.set(
+                    id,
+                    DeadlineKind::AdminConnection,
+                    Instant::now() + caller.patience(),
+                );
+                context.register(id, Box::new(caller));
             }
         }
         Ok(())
@@ -147,24 +154,37 @@
 }
 
 impl Connection<NodeState> for Management {
-    fn on_ready(&mut self, node: &mut Node, _socket: usize, _readiness: Readiness) -> Lifecycle {
-        if let Err(error) = self.take(node) {
-            warn!(node.log, "cannot take calls for now"; "error" => %error);
+    fn on_ready(
+        &mut self,
+        context: &mut NodeContext,
+        _socket: usize,
+        _readiness: Readiness,
+    ) -> Lifecycle {
+        if let Err(error) = self.take(context) {
+            warn!(context.log, "cannot take calls for now"; "error" => %error);
             if self.socket.set_interest(Interest::NONE).is_ok() {
-                node.deadlines.set(MANAGEMENT, 0, Instant::now() + REST);
+                context.deadlines.set(
+                    WellKnownComponent::AdminListener.id(),
+                    DeadlineKind::ResumeAccepting,
+                    Instant::now() + REST,
+                );
             }
         }
         Lifecycle::Continue
     }
 
-    fn on_deadline(&mut self, node: &mut Node, _kind: u64) -> Lifecycle {
+    fn on_deadline(&mut self, context: &mut NodeContext, _kind: DeadlineKind) -> Lifecycle {
         if self.socket.set_interest(Interest::READ).is_err() {
-            node.deadlines.set(MANAGEMENT, 0, Instant::now() + REST);
+            context.deadlines.set(
+                WellKnownComponent::AdminListener.id(),
+                DeadlineKind::ResumeAccepting,
+                Instant::now() + REST,
+            );
         }
         Lifecycle::Continue
     }
 
-    fn on_message(&mut self, _node: &mut Node, _message: Message) -> Lifecycle {
+    fn on_message(&mut self, _node: &mut NodeContext, _message: Message) -> Lifecycle {
         Lifecycle::Continue
     }
 }
@@ -194,12 +214,12 @@
         }
     }
 
-    fn read(&mut self, node: &mut Node) -> Lifecycle {
+    fn read(&mut self, context: &mut NodeContext) -> Lifecycle {
         let (mut scratch, mut taken) = ([0; 4 << 10], 0);
         while taken < MOST_DRAINED {
             let read = match self.stream.read(&mut scratch) {
                 Ok(0) if self.answered || self.bytes.is_empty() => return Lifecycle::Close,
-                Ok(0) => return self.answer(node, Err("the call does not end".into())),
+                Ok(0) => return self.answer(context, Err("the call does not end".into())),
                 Ok(read) => read,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     return Lifecycle::Continue
@@ -217,11 +237,11 @@
                 Some(end) if end < LONGEST_LINE => {
                     let mut line = std::mem::take(&mut self.bytes);
                     line.truncate(end);
-                    let outcome = carry_out(node, line.strip_suffix(b"\r").unwrap_or(&line));
-                    self.answer(node, outcome)
+                    let outcome = carry_out(context, line.strip_suffix(b"\r").unwrap_or(&line));
+                    self.answer(context, outcome)
                 }
                 _ if self.bytes.len() >= LONGEST_LINE => {
-                    self.answer(node, Err("the call is longer than 4 KiB".into()))
+                    self.answer(context, Err("the call is longer than 4 KiB".into()))
                 }
                 _ => Lifecycle::Continue,
             };
@@ -232,14 +252,18 @@
         Lifecycle::Close
     }
 
-    fn answer(&mut self, node: &mut Node, outcome: Result<String, String>) -> Lifecycle {
+    fn answer(&mut self, context: &mut NodeContext, outcome: Result<String, String>) -> Lifecycle {
         self.answered = true;
         self.bytes = match outcome {
             Ok(told) if told.is_empty() => b"done\r\n".to_vec(),
             Ok(told) => format!("done {told}\r\n").into_bytes(),
             Err(why) => format!("error {why}\r\n").into_bytes(),
         };
-        node.deadlines.set(self.id, 0, Instant::now() + LINGER);
+        context.deadlines.set(
+            self.id,
+            DeadlineKind::AdminConnection,
+            Instant::now() + LINGER,
+        );
         self.flush()
     }
 
@@ -269,17 +293,17 @@
 }
 
 /// Does what a call asks for.
-fn carry_out(node: &mut Node, line: &[u8]) -> Result<String, String> {
+fn carry_out(context: &mut NodeContext, line: &[u8]) -> Result<String, String> {
     let outcome = match call(line)? {
         Call::Check => {
             // Whoever hears yes may end the other process at once, which has to know of this one by then.
-            upgrade::open(node);
-            return node.serves().map(|()| String::new());
+            upgrade::open(context);
+            return context.serves().map(|()| String::new());
         }
-        Call::SetDown(server) => node.by_hand(server, true).map(|()| String::new()),
-        Call::SetUp(server) => node.by_hand(server, false).map(|()| String::new()),
+        Call::SetDown(server) => context.by_hand(server, true).map(|()| String::new()),
+        Call::SetUp(server) => context.by_hand(server, false).map(|()| String::new()),
         Call::Fleet(what) => {
-            let told = fleet::told(node, what);
+            let told = fleet::told(context, what);
             let told = told.unwrap_or_else(|| Err("this node was started without a fleet".into()));
             if what != "reseed" {
                 // Asked often, and nothing changes by it.
@@ -288,7 +312,7 @@
             told
         }
         Call::Budgets(what, whole) => {
-            let told = fleet::budgets(node, what, whole);
+            let told = fleet::budgets(context, what, whole);
             if what != "set" {
                 return told;
             }
@@ -296,35 +320,39 @@
         }
     };
     let told = String::from_utf8_lossy(line).into_owned();
-    info!(node.log, "call"; "line" => told, "error" => outcome.as_ref().err().cloned());
+    info!(context.log, "call"; "line" => told, "error" => outcome.as_ref().err().cloned());
     outcome
 }
 
 impl Connection<NodeState> for Caller {
-    fn on_ready(&mut self, node: &mut Node, _socket: usize, readiness: Readiness) -> Lifecycle {
+    fn on_ready(
+        &mut self,
+        context: &mut NodeContext,
+        _socket: usize,
+        readiness: Readiness,
+    ) -> Lifecycle {
         if readiness.writable && self.answered && self.flush() == Lifecycle::Close {
             return Lifecycle::Close;
         }
         if readiness.readable {
-            self.read(node)
+            self.read(context)
         } else {
             Lifecycle::Continue
         }
     }
 
-    fn on_deadline(&mut self, node: &mut Node, _kind: u64) -> Lifecycle {
+    fn on_deadline(&mut self, context: &mut NodeContext, _kind: DeadlineKind) -> Lifecycle {
         if self.answered {
             Lifecycle::Close
         } else {
-            self.answer(node, Err("no whole call came in time".into()))
+            self.answer(context, Err("no whole call came in time".into()))
         }
     }
 
-    fn on_message(&mut self, _node: &mut Node, message: Message) -> Lifecycle {
-        if matches!(message, Message::Close) {
-            Lifecycle::Close
-        } else {
-            Lifecycle::Continue
+    fn on_message(&mut self, _node: &mut NodeContext, message: Message) -> Lifecycle {
+        match message {
+            Message::AdminConnection(AdminConnectionCommand::Close) => Lifecycle::Close,
+            _ => Lifecycle::Continue,
         }
     }
 }
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -1,6 +1,8 @@
 //! One try: a connection to a transcriber from its making to the first line that comes back.
 
-use crate::state::{Message, Node, NodeState, Up};
+use crate::command::{AcceptedAttempt, AttemptCommand, ClientCommand, Message};
+use crate::deadline::{AttemptDeadline, DeadlineKind};
+use crate::state::{NodeContext, NodeState};
 use lupincrank_placement::{Outcome, RequestId};
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::{poller_key, Interest, Readiness};
@@ -13,9 +15,6 @@
 
 /// The longest line of the protocol, its end included.
 pub const LONGEST_LINE: usize = 4 << 10;
-/// Deadlines: for the connection and for the answer.
-const CONNECT: u64 = 0;
-const ANSWER: u64 = 1;
 /// What one turn reads of a transcriber. Guards against an answer that never ends and keeps the others waiting.
 const TURN: usize = 16 << 10;
 
@@ -100,7 +99,7 @@
 
 impl Peer {
     /// Begins a try; how it ends is told to the core, also when it cannot even begin.
-    pub fn open(node: &mut Node, id: ComponentId, task: Try) {
+    pub fn open(context: &mut NodeContext, id: ComponentId, task: Try) {
         let (stream, bytes) = (None, Vec::new());
         let mut peer = Peer {
             id,
@@ -113,25 +112,27 @@
             bytes,
         };
         let now = Instant::now();
-        match poll::connect(&node.poller, peer.task.dial, poller_key(id, 0)) {
+        match poll::connect(&context.poller, peer.task.dial, poller_key(id, 0)) {
             Ok(stream) => {
                 peer.stream = Some(stream);
-                node.deadlines.set(
+                context.deadlines.set(
                     id,
-                    CONNECT,
-                    peer.task.until.min(now + node.config.connect_timeout),
+                    AttemptDeadline::Connect.into(),
+                    peer.task.until.min(now + context.config.connect_timeout),
                 );
-                node.deadlines.set(id, ANSWER, peer.task.until);
-                node.register(id, Box::new(peer));
+                context
+                    .deadlines
+                    .set(id, AttemptDeadline::Answer.into(), peer.task.until);
+                context.register(id, Box::new(peer));
             }
             Err(error) => {
-                debug!(node.log, "cannot connect"; "dial" => %peer.task.dial, "error" => %error);
+                debug!(context.log, "cannot connect"; "dial" => %peer.task.dial, "error" => %error);
                 // What this machine lacks says nothing of the transcriber.
                 let lacks = error
                     .raw_os_error()
                     .is_some_and(|code| poll::RESOURCE_EXHAUSTED_ERRNOS.contains(&code));
                 peer.end(
-                    node,
+                    context,
                     if lacks {
                         Outcome::NotSent
                     } else {
@@ -143,14 +144,16 @@
     }
 
     /// Closes the connection, then says how the try ended: the next one must not start before.
-    fn end(&mut self, node: &mut Node, outcome: Outcome) -> Lifecycle {
-        debug!(node.log, "try ended"; "request" => format!("{:016x}", self.task.request.0),
+    fn end(&mut self, context: &mut NodeContext, outcome: Outcome) -> Lifecycle {
+        debug!(context.log, "try ended"; "request" => format!("{:016x}", self.task.request.0),
             "dial" => %self.task.dial, "outcome" => ?outcome);
         self.close();
         if self.task.stood {
-            node.send(self.task.owner, Message::NotUp);
+            context.send(self.task.owner, ClientCommand::RestoreFailed);
         } else {
-            node.core.try_ended(self.task.request, outcome, false);
+            context
+                .placement
+                .try_ended(self.task.request, outcome, false);
         }
         Lifecycle::Close
     }
@@ -185,7 +188,7 @@
         }
     }
 
-    fn write(&mut self, node: &mut Node) -> io::Result<()> {
+    fn write(&mut self, context: &mut NodeContext) -> io::Result<()> {
         let Some(stream) = &mut self.stream else {
             return Ok(());
         };
@@ -194,13 +197,15 @@
                 return Err(error);
             }
             self.connected = true;
-            node.deadlines.clear(self.id, CONNECT);
+            context
+                .deadlines
+                .clear(self.id, AttemptDeadline::Connect.into());
         }
         if !self.may_send {
             // It may have taken long: whether anybody still waits for it is seen first. The owner looks before the next
             // event; nothing is waited for meanwhile. Guards against a loop that spins on a writable socket.
             if !std::mem::replace(&mut self.asked, true) {
-                node.send(self.task.owner, Message::Connected(self.id));
+                context.send(self.task.owner, ClientCommand::AttemptConnected(self.id));
             }
             return stream.set_interest(Interest::READ);
         }
@@ -221,20 +226,20 @@
         stream.set_interest(Interest::READ)
     }
 
-    fn read(&mut self, node: &mut Node) -> Option<Lifecycle> {
+    fn read(&mut self, context: &mut NodeContext) -> Option<Lifecycle> {
         let mut scratch = [0; 4 << 10];
         let mut taken = 0;
         while taken < TURN {
             let read = self.stream.as_mut()?.read(&mut scratch);
             match read {
-                Ok(0) => return Some(self.end(node, self.broken())),
+                Ok(0) => return Some(self.end(context, self.broken())),
                 Ok(read) => {
                     taken += read;
                     self.bytes.extend_from_slice(&scratch[..read]);
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return None,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => return Some(self.end(node, self.broken())),
+                Err(_) => return Some(self.end(context, self.broken())),
             }
             while let Some(end) = self.bytes.iter().position(|byte| *byte == b'\n') {
                 let whole = self.bytes[..end].ends_with(b"\r") && end < LONGEST_LINE;
@@ -244,13 +249,13 @@
                     Peer::disarm(self.stream.as_ref()?);
                 }
                 match says {
-                    _ if !whole => return Some(self.end(node, Outcome::Error)),
+                    _ if !whole => return Some(self.end(context, Outcome::Error)),
                     Said::Up => {
                         let stream = self.stream.take()?;
                         let bytes = std::mem::take(&mut self.bytes);
-                        node.send(
+                        context.send(
                             self.task.owner,
-                            Message::Up(Up {
+                            ClientCommand::AttemptAccepted(AcceptedAttempt {
                                 request: self.task.request,
                                 stream,
                                 bytes,
@@ -261,25 +266,25 @@
                     Said::Bye => {
                         let line = self.bytes[..=end].to_vec();
                         self.stream = None;
-                        node.send(self.task.owner, Message::Ended(line));
+                        context.send(self.task.owner, ClientCommand::AttemptServed(line));
                         return Some(Lifecycle::Close);
                     }
                     // A load told before the answer is of no use to anyone yet.
                     Said::Load(_) => drop(self.bytes.drain(..=end)),
-                    Said::Busy => return Some(self.end(node, Outcome::Rejected)),
+                    Said::Busy => return Some(self.end(context, Outcome::Rejected)),
                     Said::Syntax if !self.task.stood => {
                         self.stream = None;
-                        node.core.unreadable(self.task.request);
+                        context.placement.unreadable(self.task.request);
                         return Some(Lifecycle::Close);
                     }
-                    Said::Move => return Some(self.end(node, Outcome::Cancelled)),
+                    Said::Move => return Some(self.end(context, Outcome::Cancelled)),
                     Said::Err | Said::Syntax | Said::Other => {
-                        return Some(self.end(node, Outcome::Error))
+                        return Some(self.end(context, Outcome::Error))
                     }
                 }
             }
             if self.bytes.len() > LONGEST_LINE {
-                return Some(self.end(node, Outcome::Error));
+                return Some(self.end(context, Outcome::Error));
             }
         }
         None
@@ -288,47 +293,52 @@
     /// The client waits: the first line goes out, unless its transcriber has begun to leave while the connection came up.
     /// Guards against something new to it past the grace, where connections may take longer than that. What stood there
     /// before is nothing new.
-    fn send(&mut self, node: &mut Node) -> Lifecycle {
+    fn send(&mut self, context: &mut NodeContext) -> Lifecycle {
         self.may_send = true;
-        if self.sent == 0 && !self.task.stood && !node.core.may_send(self.task.request) {
-            return self.end(node, Outcome::ClosedBeforeSend);
+        if self.sent == 0 && !self.task.stood && !context.placement.may_send(self.task.request) {
+            return self.end(context, Outcome::ClosedBeforeSend);
         }
-        self.progress(node)
+        self.progress(context)
     }
 
-    fn progress(&mut self, node: &mut Node) -> Lifecycle {
-        match self.write(node) {
+    fn progress(&mut self, context: &mut NodeContext) -> Lifecycle {
+        match self.write(context) {
             Ok(()) => Lifecycle::Continue,
             Err(error) => {
-                debug!(node.log, "cannot send"; "dial" => %self.task.dial, "error" => %error);
-                self.end(node, self.broken())
+                debug!(context.log, "cannot send"; "dial" => %self.task.dial, "error" => %error);
+                self.end(context, self.broken())
             }
         }
     }
 }
 
 impl Connection<NodeState> for Peer {
-    fn on_ready(&mut self, node: &mut Node, _socket: usize, readiness: Readiness) -> Lifecycle {
-        if self.sent < self.task.line.len() && self.progress(node) == Lifecycle::Close {
+    fn on_ready(
+        &mut self,
+        context: &mut NodeContext,
+        _socket: usize,
+        readiness: Readiness,
+    ) -> Lifecycle {
+        if self.sent < self.task.line.len() && self.progress(context) == Lifecycle::Close {
             return Lifecycle::Close;
         }
         if readiness.readable {
-            self.read(node).unwrap_or(Lifecycle::Continue)
+            self.read(context).unwrap_or(Lifecycle::Continue)
         } else {
             Lifecycle::Continue
         }
     }
 
-    fn on_deadline(&mut self, node: &mut Node, _kind: u64) -> Lifecycle {
+    fn on_deadline(&mut self, context: &mut NodeContext, _kind: DeadlineKind) -> Lifecycle {
         // Its answer may have come while this process was kept from reading it.
         if self.connected {
-            if let Some(flow) = self.read(node) {
+            if let Some(flow) = self.read(context) {
                 return flow;
             }
         }
         let written = self.sent == self.task.line.len();
         self.end(
-            node,
+            context,
             if written {
                 Outcome::TimedOut
             } else {
@@ -337,14 +347,16 @@
         )
     }
 
-    fn on_message(&mut self, node: &mut Node, message: Message) -> Lifecycle {
-        match message {
-            Message::Close => {
+    fn on_message(&mut self, context: &mut NodeContext, message: Message) -> Lifecycle {
+        let Message::Attempt(command) = message else {
+            return Lifecycle::Continue;
+        };
+        match command {
+            AttemptCommand::SendFirstLine => self.send(context),
+            AttemptCommand::Close => {
                 self.close();
                 Lifecycle::Close
             }
-            Message::Send => self.send(node),
-            _ => Lifecycle::Continue,
         }
     }
 }
--- a/crates/node/src/probe.rs
+++ b/crates/node/src/probe.rs
@@ -1,13 +1,14 @@
 //! Probes: one line to a transcriber on a connection of its own, and what comes back tells how loaded it is. The connection
 //! stays for the next probe, since each new one costs the transcriber work.
 
-use crate::state::{Message, Node, NodeState};
+use crate::command::{HealthCheckCommand, Message};
+use crate::deadline::{DeadlineKind, HealthCheckDeadline};
+use crate::state::{HealthCheckConnection, NodeContext, NodeState};
 use lupincrank_placement::ServerId;
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::{poller_key, Interest, Readiness};
 use lupincrank_reactor::{ComponentId, Connection, Lifecycle};
 use slog::debug;
-use std::collections::HashMap;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
@@ -19,15 +20,6 @@
 const ANSWERED: Duration = Duration::from_millis(500);
 /// How long a connection stays without a probe.
 const IDLE: Duration = Duration::from_secs(10);
-/// Deadlines: for the connection; for the answer, or the next probe.
-const CONNECT: u64 = 0;
-const PATIENCE: u64 = 1;
-
-/// The connections for probes: one for a transcriber at the most.
-#[derive(Default)]
-pub struct Probes {
-    open: HashMap<ServerId, (ComponentId, SocketAddr)>,
-}
 
 /// What a transcriber's answer says: whether it passed, and its load report as `fields` name it.
 #[derive(Debug, PartialEq)]
@@ -59,23 +51,31 @@
 }
 
 /// Probes a transcriber. Where too many are probed at once it is left, and nothing is said of it.
-pub fn probe(node: &mut Node, server: ServerId, dial: SocketAddr) {
-    match node.probes.open.get(&server).copied() {
-        Some((id, at)) if at == dial => return node.send(id, Message::Probe),
-        Some((id, _)) => node.send(id, Message::Close),
-        None if node.probes.open.len() >= node.config.most_probes() => {
-            return node.core.probed(&server, true, None);
+pub fn probe(context: &mut NodeContext, server: ServerId, dial: SocketAddr) {
+    match context.health_checks.get(&server).copied() {
+        Some(connection) if connection.address == dial => {
+            return context.send(connection.id, HealthCheckCommand::Check);
+        }
+        Some(connection) => context.send(connection.id, HealthCheckCommand::Close),
+        None if context.health_checks.len() >= context.config.most_probes() => {
+            return context.placement.probed(&server, true, None);
         }
         None => {}
     }
-    let id = node.allocate_id();
-    match poll::connect(&node.poller, dial, poller_key(id, 0)) {
+    let id = context.allocate_id();
+    match poll::connect(&context.poller, dial, poller_key(id, 0)) {
         Ok(stream) => {
             let now = Instant::now();
-            node.deadlines
-                .set(id, CONNECT, now + node.config.connect_timeout.min(ANSWERED));
-            node.deadlines.set(id, PATIENCE, now + ANSWERED);
-            node.probes.open.insert(server.clone(), (id, dial));
+            context.deadlines.set(
+                id,
+                HealthCheckDeadline::Connect.into(),
+                now + context.config.connect_timeout.min(ANSWERED),
+            );
+            context
+                .deadlines
+                .set(id, HealthCheckDeadline::Answer.into(), now + ANSWERED);
+            let connection = HealthCheckConnection { id, address: dial };
+            context.health_checks.insert(server.clone(), connection);
             let prober = Prober {
                 id,
                 server,
@@ -85,15 +85,15 @@
                 sent: 0,
                 bytes: Vec::new(),
             };
-            node.register(id, Box::new(prober));
+            context.register(id, Box::new(prober));
         }
         Err(error) => {
-            debug!(node.log, "cannot probe"; "server" => &*server.0, "error" => %error);
+            debug!(context.log, "cannot probe"; "server" => &*server.0, "error" => %error);
             // What this machine lacks says nothing of the transcriber.
             let lacks = error
                 .raw_os_error()
                 .is_some_and(|code| poll::RESOURCE_EXHAUSTED_ERRNOS.contains(&code));
-            node.core.probed(&server, lacks, None);
+            context.placement.probed(&server, lacks, None);
         }
     }
 }
@@ -112,29 +112,30 @@
 
 impl Prober {
     /// It ends; an answer that is out will not come.
-    fn end(&mut self, node: &mut Node) -> Lifecycle {
-        if node
-            .probes
-            .open
+    fn end(&mut self, context: &mut NodeContext) -> Lifecycle {
+        if context
+            .health_checks
             .get(&self.server)
-            .is_some_and(|(id, _)| *id == self.id)
+            .is_some_and(|connection| connection.id == self.id)
         {
-            node.probes.open.remove(&self.server);
+            context.health_checks.remove(&self.server);
         }
         if std::mem::take(&mut self.asks) {
-            debug!(node.log, "probe failed"; "server" => &*self.server.0);
-            node.core.probed(&self.server, false, None);
+            debug!(context.log, "probe failed"; "server" => &*self.server.0);
+            context.placement.probed(&self.server, false, None);
         }
         Lifecycle::Close
     }
 
-    fn write(&mut self, node: &mut Node) -> io::Result<()> {
+    fn write(&mut self, context: &mut NodeContext) -> io::Result<()> {
         if !self.connected {
             if let Some(error) = self.stream.take_error()? {
                 return Err(error);
             }
             self.connected = true;
-            node.deadlines.clear(self.id, CONNECT);
+            context
+                .deadlines
+                .clear(self.id, HealthCheckDeadline::Connect.into());
         }
         while self.asks && self.sent < QUESTION.len() {
             match self.stream.write(&QUESTION[self.sent..]) {
@@ -149,7 +150,7 @@
     }
 
     /// Reads what has come; an error is the end of the connection.
-    fn read(&mut self, node: &mut Node) -> io::Result<()> {
+    fn read(&mut self, context: &mut NodeContext) -> io::Result<()> {
         let mut scratch = [0; LONGEST_ANSWER];
         match self.stream.read(&mut scratch) {
             Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
@@ -165,12 +166,18 @@
             }
             let answer = answer(
                 String::from_utf8_lossy(&line).trim_end(),
-                &node.config.report_fields,
+                &context.config.report_fields,
             );
-            debug!(node.log, "probed"; "server" => &*self.server.0, "passed" => answer.passed,
+            debug!(context.log, "probed"; "server" => &*self.server.0, "passed" => answer.passed,
                 "report" => ?answer.report);
-            node.deadlines.set(self.id, PATIENCE, Instant::now() + IDLE);
-            node.core.probed(&self.server, answer.passed, answer.report);
+            context.deadlines.set(
+                self.id,
+                HealthCheckDeadline::Answer.into(),
+                Instant::now() + IDLE,
+            );
+            context
+                .placement
+                .probed(&self.server, answer.passed, answer.report);
         }
         if self.bytes.len() > if self.asks { LONGEST_ANSWER } else { 0 } {
             // Too long, or nobody asked for it.
@@ -181,44 +188,55 @@
 }
 
 impl Connection<NodeState> for Prober {
-    fn on_ready(&mut self, node: &mut Node, _socket: usize, readiness: Readiness) -> Lifecycle {
+    fn on_ready(
+        &mut self,
+        context: &mut NodeContext,
+        _socket: usize,
+        readiness: Readiness,
+    ) -> Lifecycle {
         let written = if readiness.writable {
-            self.write(node)
+            self.write(context)
         } else {
             Ok(())
         };
         match written.and_then(|()| {
             if readiness.readable {
-                self.read(node)
+                self.read(context)
             } else {
                 Ok(())
             }
         }) {
             Ok(()) => Lifecycle::Continue,
-            Err(_) => self.end(node),
+            Err(_) => self.end(context),
         }
     }
 
-    fn on_deadline(&mut self, node: &mut Node, _kind: u64) -> Lifecycle {
-        self.end(node)
+    fn on_deadline(&mut self, context: &mut NodeContext, _kind: DeadlineKind) -> Lifecycle {
+        self.end(context)
     }
 
-    fn on_message(&mut self, node: &mut Node, message: Message) -> Lifecycle {
-        match message {
-            Message::Probe if !self.asks => {
+    fn on_message(&mut self, context: &mut NodeContext, message: Message) -> Lifecycle {
+        let Message::HealthCheck(command) = message else {
+            return Lifecycle::Continue;
+        };
+        match command {
+            HealthCheckCommand::Check if self.asks => Lifecycle::Continue,
+            HealthCheckCommand::Check => {
                 (self.asks, self.sent) = (true, 0);
-                node.deadlines
-                    .set(self.id, PATIENCE, Instant::now() + ANSWERED);
-                match self.write(node) {
+                context.deadlines.set(
+                    self.id,
+                    HealthCheckDeadline::Answer.into(),
+                    Instant::now() + ANSWERED,
+                );
+                match self.write(context) {
                     Ok(()) => Lifecycle::Continue,
-                    Err(_) => self.end(node),
+                    Err(_) => self.end(context),
                 }
             }
-            Message::Close => {
+            HealthCheckCommand::Close => {
                 self.asks = false; // it was asked anew, elsewhere
-                self.end(node)
+                self.end(context)
             }
-            _ => Lifecycle::Continue,
         }
     }
 }
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -1,7 +1,9 @@
 //! A connection that is up: passes bytes both ways unchanged and taps what the decisions need of them.
 
+use crate::command::{AcceptedAttempt, Message, RelayCommand, TransferCommand};
+use crate::deadline::DeadlineKind;
 use crate::peer::{said, Said, LONGEST_LINE};
-use crate::state::{Message, Node, NodeState, Seat, Up};
+use crate::state::{ClientSlot, NodeContext, NodeState};
 use crate::upgrade::link::{self, Standing};
 use lupincrank_placement::{Outcome, RequestId, RequestInfo, Timestamp};
 use lupincrank_reactor::poll::Registered;
@@ -23,7 +25,6 @@
 const LINGER: Duration = Duration::from_secs(2);
 /// A transcriber that ends a connection so soon after a line that it did not answer could not read the line.
 const UNREADABLE: Duration = Duration::from_millis(250);
-const PATIENCE: u64 = 0;
 const CLIENT: usize = 0;
 
 /// One direction: what was read from one side and is not written to the other yet.
@@ -70,7 +71,7 @@
 /// A client and its peer.
 pub struct Relay {
     id: ComponentId,
-    _seat: Seat,
+    _seat: ClientSlot,
     request: RequestId,
     client: Registered<TcpStream>,
     /// `None` once the client has been sent away.
@@ -94,17 +95,17 @@
 impl Relay {
     /// Takes both sockets over and passes on what has already come on them.
     pub fn begin(
-        node: &mut Node,
+        context: &mut NodeContext,
         id: ComponentId,
-        seat: Seat,
+        seat: ClientSlot,
         client: Registered<TcpStream>,
-        up: Up,
+        accepted: AcceptedAttempt,
     ) {
-        let Up {
+        let AcceptedAttempt {
             request,
             mut stream,
             bytes,
-        } = up;
+        } = accepted;
         let rekeyed = stream.rekey(poller_key(id, 1));
         let mut relay = Relay {
             id,
@@ -114,7 +115,7 @@
             peer: Some(stream),
             up: Pipe::default(),
             down: Pipe::default(),
-            most_held: node.config.most_held(),
+            most_held: context.config.most_held(),
             part: Vec::new(),
             last: Said::Other,
             told: false,
@@ -122,37 +123,42 @@
             moves: false,
         };
         if rekeyed.is_err() {
-            return relay.end(node, Outcome::Reset);
+            return relay.end(context, Outcome::Reset);
         }
-        relay.peer_sent(node, &bytes, false);
-        if relay.pump(node) == Lifecycle::Continue {
-            if node.upgrade.handing() {
-                node.upgrade.enqueue([id]);
+        relay.peer_sent(context, &bytes, false);
+        if relay.pump(context) == Lifecycle::Continue {
+            if context.handoff.handing() {
+                context.handoff.enqueue([id]);
             }
-            node.register(id, Box::new(relay));
+            context.register(id, Box::new(relay));
         }
     }
 
-    /// Whether a connection that another process context over can go on here.
-    pub fn may_take(node: &Node, record: &Standing, bytes: &[u8]) -> bool {
+    /// Whether a connection that another process hands over can go on here.
+    pub fn may_take(context: &NodeContext, record: &Standing, bytes: &[u8]) -> bool {
         let whole = record
             .lengths
             .iter()
             .try_fold(0usize, |sum, part| sum.checked_add(*part));
-        whole == Some(bytes.len()) && !node.core.holds(RequestId(record.request))
+        whole == Some(bytes.len()) && !context.placement.holds(RequestId(record.request))
     }
 
     /// Goes on with a connection of another process, where that one left off.
     pub fn take_over(
-        node: &mut Node,
+        context: &mut NodeContext,
         record: Standing,
         bytes: &[u8],
         [client, peer]: [OwnedFd; 2],
     ) {
-        let id = node.allocate_id();
+        let id = context.allocate_id();
         let watch = |fd: OwnedFd, side| {
             let stream = TcpStream::from(fd);
-            Registered::new(&node.poller, stream, poller_key(id, side), Interest::READ)
+            Registered::new(
+                &context.poller,
+                stream,
+                poller_key(id, side),
+                Interest::READ,
+            )
         };
         let (Ok(client), Ok(peer)) = (watch(client, CLIENT), watch(peer, 1)) else {
             return;
@@ -166,20 +172,20 @@
         };
         let mut relay = Relay {
             id,
-            _seat: Seat::take(&node.clients),
+            _seat: ClientSlot::take(&context.client_count),
             request,
             client,
             peer: Some(peer),
             up: pipe(up),
             down: pipe(down),
-            most_held: node.config.most_held(),
+            most_held: context.config.most_held(),
             part: part.to_vec(),
             last: Said::Other,
             told: false,
             frozen: false,
             moves: false,
         };
-        let class = node
+        let class = context
             .config
             .classes
             .iter()
@@ -200,16 +206,17 @@
         let before = |ms: &u64| now.checked_sub(Duration::from_millis(*ms)).unwrap_or(now);
         let unanswered = record.unanswered_ms.iter().map(before).collect();
         let load = record.load_us.map(|load| load as f64);
-        node.core
+        context
+            .placement
             .take_over(id, incoming, &record.server, load, unanswered);
-        if relay.pump(node) == Lifecycle::Continue {
-            node.register(id, Box::new(relay));
+        if relay.pump(context) == Lifecycle::Continue {
+            context.register(id, Box::new(relay));
         }
     }
 
     /// Sends both sockets and all that waits between them to the process that takes this one's place. One that is ending
     /// ends here.
-    fn hand_over(&mut self, node: &mut Node) -> Lifecycle {
+    fn hand_over(&mut self, context: &mut NodeContext) -> Lifecycle {
         let Some(peer) = self
             .peer
             .as_ref()
@@ -217,7 +224,8 @@
         else {
             return Lifecycle::Continue;
         };
-        let Some((incoming, server, load, unanswered)) = node.core.standing(self.request) else {
+        let Some((incoming, server, load, unanswered)) = context.placement.standing(self.request)
+        else {
             return Lifecycle::Continue;
         };
         let parts = [
@@ -227,7 +235,7 @@
         ];
         let record = Standing {
             request: self.request.0,
-            class: node
+            class: context
                 .config
                 .classes
                 .get(incoming.class)
@@ -245,14 +253,14 @@
             lengths: parts.map(<[u8]>::len),
         };
         let (bytes, fds) = (parts.concat(), [self.client.as_fd(), peer.as_fd()]);
-        match node.upgrade.hand(
+        match context.handoff.hand(
             self.id,
             |number| link::Said::Standing(number, record),
             &bytes,
             &fds,
         ) {
             Ok(true) => {
-                debug!(node.log, "on its way"; "request" => format!("{:016x}", self.request.0));
+                debug!(context.log, "on its way"; "request" => format!("{:016x}", self.request.0));
                 self.frozen = true;
                 let quiet = self.client.set_interest(Interest::NONE);
                 if quiet
@@ -263,41 +271,41 @@
                     )
                     .is_err()
                 {
-                    debug!(node.log, "cannot rest"; "request" => format!("{:016x}", self.request.0));
+                    debug!(context.log, "cannot rest"; "request" => format!("{:016x}", self.request.0));
                 }
                 Lifecycle::Continue
             }
             Ok(false) => Lifecycle::Continue,
             Err(error) => {
-                debug!(node.log, "cannot hand over"; "error" => %error);
-                self.send_away(node)
+                debug!(context.log, "cannot hand over"; "error" => %error);
+                self.send_away(context)
             }
         }
     }
 
-    fn end(&mut self, node: &mut Node, outcome: Outcome) {
+    fn end(&mut self, context: &mut NodeContext, outcome: Outcome) {
         if !std::mem::replace(&mut self.told, true) {
-            node.core.try_ended(self.request, outcome, true);
+            context.placement.try_ended(self.request, outcome, true);
         }
     }
 
-    fn client_sent(&mut self, node: &mut Node, bytes: &[u8]) {
+    fn client_sent(&mut self, context: &mut NodeContext, bytes: &[u8]) {
         self.up.push(bytes);
         for _ in bytes.iter().filter(|byte| **byte == b'\n') {
-            node.core.line_sent(self.request);
+            context.placement.line_sent(self.request);
         }
     }
 
     /// `answers`: lines that are neither the first nor a load come back for lines of the client.
-    fn peer_sent(&mut self, node: &mut Node, bytes: &[u8], mut answers: bool) {
+    fn peer_sent(&mut self, context: &mut NodeContext, bytes: &[u8], mut answers: bool) {
         self.part.extend_from_slice(bytes);
         let mut at = 0;
         while let Some(length) = self.part[at..].iter().position(|byte| *byte == b'\n') {
             let end = at + length + 1;
             self.last = said(&self.part[at..end]);
             match self.last {
-                Said::Load(micros) => node.core.load_line(self.request, micros),
-                _ if answers => node.core.line_returned(self.request),
+                Said::Load(micros) => context.placement.load_line(self.request, micros),
+                _ if answers => context.placement.line_returned(self.request),
                 _ => answers = true,
             }
             at = end;
@@ -311,13 +319,13 @@
     }
 
     /// Writes what waits, sets what is waited for, and says whether there is anything left to do.
-    fn pump(&mut self, node: &mut Node) -> Lifecycle {
+    fn pump(&mut self, context: &mut NodeContext) -> Lifecycle {
         if self.down.write(&mut self.client).is_err() {
-            return self.broke(node, CLIENT);
+            return self.broke(context, CLIENT);
         }
         let peer_writes = self.peer.as_mut().map(|peer| self.up.write(peer));
         if peer_writes.is_some_and(|written| written.is_err()) {
-            return self.broke(node, 1);
+            return self.broke(context, 1);
         }
         if self.down.shut && self.up.ended && (self.up.shut || self.peer.is_none()) {
             return Lifecycle::Close;
@@ -335,7 +343,7 @@
             }));
         }
         if wanted.is_err() {
-            self.broke(node, CLIENT)
+            self.broke(context, CLIENT)
         } else {
             Lifecycle::Continue
         }
@@ -343,8 +351,8 @@
 
     /// The transcriber has ended the connection unasked. Lines come back at once, so if one has just gone out it was
     /// that one that the transcriber could not read: guards against blaming it for what a client sends.
-    fn cut_off(&self, node: &Node) -> Outcome {
-        let sent = node.core.oldest_line(self.request);
+    fn cut_off(&self, context: &NodeContext) -> Outcome {
+        let sent = context.placement.oldest_line(self.request);
         if sent.is_some_and(|sent| sent.elapsed() < UNREADABLE) {
             Outcome::Cancelled
         } else {
@@ -353,13 +361,13 @@
     }
 
     /// One side was reset: the other is reset too, after what it can still take at once.
-    fn broke(&mut self, node: &mut Node, side: usize) -> Lifecycle {
+    fn broke(&mut self, context: &mut NodeContext, side: usize) -> Lifecycle {
         let outcome = if side == CLIENT {
             Outcome::Cancelled
         } else {
-            self.cut_off(node)
+            self.cut_off(context)
         };
-        self.end(node, outcome);
+        self.end(context, outcome);
         if side == CLIENT {
             if let Some(peer) = &mut self.peer {
                 let _ = self.up.write(peer);
@@ -372,7 +380,7 @@
         Lifecycle::Close
     }
 
-    fn read(&mut self, node: &mut Node, side: usize) -> Lifecycle {
+    fn read(&mut self, context: &mut NodeContext, side: usize) -> Lifecycle {
         let mut scratch = [0; READ];
         let mut taken = 0;
         while taken < TURN {
@@ -384,64 +392,94 @@
             let read = if pipe.ended || pipe.waiting() >= self.most_held {
                 // Told of without being asked: the connection broke.
                 match stream.take_error() {
-                    Ok(None) => return self.pump(node),
-                    _ => return self.broke(node, side),
+                    Ok(None) => return self.pump(context),
+                    _ => return self.broke(context, side),
                 }
             } else {
                 stream.read(&mut scratch)
             };
             match read {
                 Ok(0) => {
-                    self.ended(node, side);
+                    self.ended(context, side);
                     break;
                 }
                 Ok(read) => {
                     taken += read;
                     if side == CLIENT {
                         if self.peer.is_some() {
-                            self.client_sent(node, &scratch[..read]);
+                            self.client_sent(context, &scratch[..read]);
                         }
                     } else {
-                        self.peer_sent(node, &scratch[..read], true);
+                        self.peer_sent(context, &scratch[..read], true);
                     }
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => return self.broke(node, side),
+                Err(_) => return self.broke(context, side),
             }
         }
-        self.pump(node)
+        self.pump(context)
     }
 
     /// One side has ended its sending: the other hears of it after all that was sent.
-    fn ended(&mut self, node: &mut Node, side: usize) {
+    fn ended(&mut self, context: &mut NodeContext, side: usize) {
         let left = if self.peer.is_some() {
             HALF_CLOSED
         } else {
             LINGER
         };
-        node.deadlines.set(self.id, PATIENCE, Instant::now() + left);
+        context
+            .deadlines
+            .set(self.id, DeadlineKind::RelayClose, Instant::now() + left);
         if side == CLIENT {
             self.up.ended = true;
-            self.end(node, Outcome::Cancelled);
+            self.end(context, Outcome::Cancelled);
         } else {
             let part = std::mem::take(&mut self.part);
             self.down.push(&part);
             self.down.ended = true;
-            node.deadlines
-                .set(self.id, PATIENCE, Instant::now() + LINGER);
+            context
+                .deadlines
+                .set(self.id, DeadlineKind::RelayClose, Instant::now() + LINGER);
             let outcome = match self.last {
                 Said::Bye => Outcome::Served,
                 Said::Move => Outcome::Cancelled,
                 Said::Err => Outcome::Error,
-                _ => self.cut_off(node),
+                _ => self.cut_off(context),
             };
-            self.end(node, outcome);
+            self.end(context, outcome);
+        }
+    }
+
+    /// The client is to be sent away; while it is on its way to another process that has to wait.
+    fn on_migrate(&mut self, context: &mut NodeContext) -> Lifecycle {
+        if self.frozen {
+            self.moves = true;
+            return Lifecycle::Continue;
+        }
+        self.send_away(context)
+    }
+
+    fn on_transfer(&mut self, context: &mut NodeContext, command: TransferCommand) -> Lifecycle {
+        match command {
+            TransferCommand::Start => self.hand_over(context),
+            TransferCommand::Completed => {
+                self.end(context, Outcome::Cancelled);
+                Lifecycle::Close
+            }
+            TransferCommand::Cancelled => {
+                self.frozen = false;
+                if self.moves {
+                    self.send_away(context)
+                } else {
+                    self.pump(context)
+                }
+            }
         }
     }
 
     /// Sends the client away between two lines, and ends both sides.
-    fn send_away(&mut self, node: &mut Node) -> Lifecycle {
+    fn send_away(&mut self, context: &mut NodeContext) -> Lifecycle {
         if self.peer.take().is_some() {
             self.part.clear();
             self.up.bytes.clear();
@@ -450,49 +488,41 @@
                 self.down.push(b"MOVE\r\n");
                 self.down.ended = true;
             }
-            self.end(node, Outcome::Cancelled);
-            node.deadlines
-                .set(self.id, PATIENCE, Instant::now() + LINGER);
+            self.end(context, Outcome::Cancelled);
+            context
+                .deadlines
+                .set(self.id, DeadlineKind::RelayClose, Instant::now() + LINGER);
         }
-        self.pump(node)
+        self.pump(context)
     }
 }
 
 impl Connection<NodeState> for Relay {
-    fn on_ready(&mut self, node: &mut Node, socket: usize, readiness: Readiness) -> Lifecycle {
+    fn on_ready(
+        &mut self,
+        context: &mut NodeContext,
+        socket: usize,
+        readiness: Readiness,
+    ) -> Lifecycle {
         if self.frozen {
             Lifecycle::Continue
         } else if readiness.readable {
-            self.read(node, socket)
+            self.read(context, socket)
         } else {
-            self.pump(node)
+            self.pump(context)
         }
     }
 
-    fn on_deadline(&mut self, node: &mut Node, _kind: u64) -> Lifecycle {
-        self.end(node, Outcome::Cancelled);
+    fn on_deadline(&mut self, context: &mut NodeContext, _kind: DeadlineKind) -> Lifecycle {
+        self.end(context, Outcome::Cancelled);
         Lifecycle::Close
     }
 
-    fn on_message(&mut self, node: &mut Node, message: Message) -> Lifecycle {
+    fn on_message(&mut self, context: &mut NodeContext, message: Message) -> Lifecycle {
         match message {
-            Message::Move if self.frozen => self.moves = true,
-            Message::Move => return self.send_away(node),
-            Message::HandOver => return self.hand_over(node),
-            Message::Handed => {
-                self.end(node, Outcome::Cancelled);
-                return Lifecycle::Close;
-            }
-            Message::Kept => {
-                self.frozen = false;
-                return if self.moves {
-                    self.send_away(node)
-                } else {
-                    self.pump(node)
-                };
-            }
-            _ => {}
+            Message::Relay(RelayCommand::Migrate) => self.on_migrate(context),
+            Message::Transfer(command) => self.on_transfer(context, command),
+            _ => Lifecycle::Continue,
         }
-        Lifecycle::Continue
     }
 }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -1,15 +1,14 @@
 //! Sets the node up: which objects its loop begins with.
 
+use crate::application::schedule_unanswered_lines_check;
+use crate::command::DiscoveryCommand;
+use crate::component::{WellKnownComponent, LAST_WELL_KNOWN_ID};
 use crate::config::Config;
-use crate::state::{
-    Message, NodeState, DISCOVERY, LISTENER, LOOK, LOOK_PURPOSE, MANAGEMENT, RESERVED, SIGNALS,
-    UPGRADE,
-};
+use crate::state::NodeState;
 use crate::{discovery, fleet, line_front, management, signals, upgrade};
-use lupincrank_reactor::{Reactor, APPLICATION};
+use lupincrank_reactor::Reactor;
 use slog::{info, Logger};
 use std::io;
-use std::time::Instant;
 
 /// The loop with the listener, discovery and signals, ready to run.
 pub fn start(config: Config, log: Logger) -> io::Result<Reactor<NodeState>> {
@@ -18,25 +17,27 @@
         .inherited
         .map(|fd| upgrade::inherited::listener(fd, config.listen))
         .transpose()?;
-    let mut reactor = Reactor::new(NodeState::new(config, log), RESERVED)?;
-    let node = &mut reactor.context;
-    let signals = signals::Signals::new(node)?;
-    node.register(SIGNALS, Box::new(signals));
-    let discovery = discovery::Discovery::new(&node.config);
-    node.register(DISCOVERY, Box::new(discovery));
-    let listener = line_front::Listener::new(node, inherited)?;
-    node.register(LISTENER, Box::new(listener));
-    node.register(UPGRADE, Box::new(upgrade::Watch));
-    upgrade::begin(node);
-    fleet::begin(node).map_err(io::Error::other)?;
-    if let Some(address) = node.config.management {
-        let management = management::Management::new(node, address)?;
-        node.register(MANAGEMENT, Box::new(management));
+    let mut reactor = Reactor::new(NodeState::new(config, log), LAST_WELL_KNOWN_ID)?;
+    let context = &mut reactor.context;
+    let signals = signals::Signals::new(context)?;
+    context.register(WellKnownComponent::Signals.id(), Box::new(signals));
+    let discovery = discovery::Discovery::new(&context.config);
+    context.register(WellKnownComponent::Discovery.id(), Box::new(discovery));
+    let listener = line_front::Listener::new(context, inherited)?;
+    context.register(WellKnownComponent::ClientListener.id(), Box::new(listener));
+    context.register(WellKnownComponent::Handoff.id(), Box::new(upgrade::Watch));
+    upgrade::begin(context);
+    fleet::begin(context).map_err(io::Error::other)?;
+    if let Some(address) = context.config.management {
+        let management = management::Management::new(context, address)?;
+        context.register(WellKnownComponent::AdminListener.id(), Box::new(management));
     }
-    info!(node.log, "serving"; "listen" => %node.config.listen, "name" => %node.config.name);
-    node.core.start();
-    node.send(DISCOVERY, Message::Begin);
-    node.deadlines
-        .set(APPLICATION, LOOK_PURPOSE, Instant::now() + LOOK);
+    info!(context.log, "serving"; "listen" => %context.config.listen, "name" => %context.config.name);
+    context.placement.start();
+    context.send(
+        WellKnownComponent::Discovery.id(),
+        DiscoveryCommand::ApplyKnownList,
+    );
+    schedule_unanswered_lines_check(context);
     Ok(reactor)
 }
--- a/crates/node/src/signals.rs
+++ b/crates/node/src/signals.rs
@@ -1,7 +1,10 @@
 //! SIGTERM: the node goes on answering, sends its clients away at a steady pace and ends before it is killed.
 //! SIGHUP: it reads its configuration again.
 
-use crate::state::{Message, Node, NodeState, DISCOVERY, SIGNALS};
+use crate::command::{DiscoveryCommand, Message};
+use crate::component::WellKnownComponent;
+use crate::deadline::DeadlineKind;
+use crate::state::{NodeContext, NodeState, Shutdown};
 use lupincrank_reactor::poll::Registered;
 use lupincrank_reactor::{poller_key, Interest, Readiness};
 use lupincrank_reactor::{Connection, Lifecycle};
@@ -32,7 +35,11 @@
     began: Option<Instant>,
 }
 
-fn pipe_of(node: &Node, signals: &[i32], side: usize) -> io::Result<Registered<UnixStream>> {
+fn pipe_of(
+    context: &NodeContext,
+    signals: &[i32],
+    side: usize,
+) -> io::Result<Registered<UnixStream>> {
     let (read, write) = UnixStream::pair()?;
     read.set_nonblocking(true)?;
     write.set_nonblocking(true)?;
@@ -40,19 +47,19 @@
         pipe::register(*signal, write.try_clone()?)?;
     }
     Registered::new(
-        &node.poller,
+        &context.poller,
         read,
-        poller_key(SIGNALS, side),
+        poller_key(WellKnownComponent::Signals.id(), side),
         Interest::READ,
     )
 }
 
 impl Signals {
     /// Takes SIGTERM, SIGINT and SIGHUP over.
-    pub fn new(node: &Node) -> io::Result<Signals> {
+    pub fn new(context: &NodeContext) -> io::Result<Signals> {
         let pipes = [
-            pipe_of(node, &[SIGTERM, SIGINT], 0)?,
-            pipe_of(node, &[SIGHUP], RELOAD)?,
+            pipe_of(context, &[SIGTERM, SIGINT], 0)?,
+            pipe_of(context, &[SIGHUP], RELOAD)?,
         ];
         Ok(Signals { pipes, began: None })
     }
@@ -60,22 +67,27 @@
 
 /// Reads the configuration again and follows discovery. One that does not hold changes nothing: guards against
 /// a file that is wrong, or half written, on a node that serves.
-fn reload(node: &mut Node) {
-    let fresh = match node.config.reread(|name| std::env::var(name).ok()) {
+fn reload(context: &mut NodeContext) {
+    let fresh = match context.config.reread(|name| std::env::var(name).ok()) {
         Ok(fresh) => fresh,
-        Err(why) => return warn!(node.log, "the old configuration stays"; "why" => why),
+        Err(why) => return warn!(context.log, "the old configuration stays"; "why" => why),
     };
-    let moved = fresh.discovery != node.config.discovery;
-    let (later, from) = node.config.replace(fresh);
+    let moved = fresh.discovery != context.config.discovery;
+    let (later, from) = context.config.replace(fresh);
     let later = later.join(", ");
-    let NodeState { core, config, .. } = &mut node.application;
-    core.renew(config, from);
-    let classes = node.config.classes.join(", ");
-    info!(node.log, "configuration read again"; "classes" => classes, "attempts" => node.config.settings.max_attempts,
-        "discovery" => %node.config.discovery, "sockets" =>
-        node.config.sockets, "memory_mb" => node.config.memory_mb, "waits for the next start" => later);
+    let NodeState {
+        placement, config, ..
+    } = &mut context.application;
+    placement.renew(config, from);
+    let classes = context.config.classes.join(", ");
+    info!(context.log, "configuration read again"; "classes" => classes, "attempts" => context.config.settings.max_attempts,
+        "discovery" => %context.config.discovery, "sockets" =>
+        context.config.sockets, "memory_mb" => context.config.memory_mb, "waits for the next start" => later);
     if moved {
-        node.send(DISCOVERY, Message::Moved);
+        context.send(
+            WellKnownComponent::Discovery.id(),
+            DiscoveryCommand::AddressChanged,
+        );
     }
 }
 
@@ -86,42 +98,57 @@
 }
 
 impl Connection<NodeState> for Signals {
-    fn on_ready(&mut self, node: &mut Node, socket: usize, _readiness: Readiness) -> Lifecycle {
+    fn on_ready(
+        &mut self,
+        context: &mut NodeContext,
+        socket: usize,
+        _readiness: Readiness,
+    ) -> Lifecycle {
         while matches!(self.pipes[socket].read(&mut [0; 64]), Ok(read) if read > 0) {}
         if socket == RELOAD {
-            reload(node);
+            reload(context);
         } else if self.began.is_none() {
             let now = Instant::now();
             self.began = Some(now);
-            let until = now + total(node.config.longest_deadline);
-            info!(node.log, "leaving"; "clients" => node.clients.get());
-            node.leaving = Some((now, until));
-            crate::fleet::leave(node);
-            if node.upgrade.has_successor() {
-                crate::upgrade::leave(node);
+            let until = now + total(context.config.longest_deadline);
+            info!(context.log, "leaving"; "clients" => context.client_count.get());
+            context.shutdown = Some(Shutdown {
+                started_at: now,
+                deadline: until,
+            });
+            crate::fleet::leave(context);
+            if context.handoff.has_successor() {
+                crate::upgrade::leave(context);
             }
-            node.deadlines
-                .set(SIGNALS, 0, until.checked_sub(FIRST_MOVE).unwrap_or(now));
+            context.deadlines.set(
+                WellKnownComponent::Signals.id(),
+                DeadlineKind::ShutdownStep,
+                until.checked_sub(FIRST_MOVE).unwrap_or(now),
+            );
         }
         Lifecycle::Continue
     }
 
-    fn on_deadline(&mut self, node: &mut Node, _kind: u64) -> Lifecycle {
-        let Some((_, until)) = node.leaving else {
+    fn on_deadline(&mut self, context: &mut NodeContext, _kind: DeadlineKind) -> Lifecycle {
+        let Some(Shutdown { deadline, .. }) = context.shutdown else {
             return Lifecycle::Continue;
         };
         let now = Instant::now();
-        node.core.leave();
-        let left = until.saturating_duration_since(now + LAST_MOVE);
+        context.placement.leave();
+        let left = deadline.saturating_duration_since(now + LAST_MOVE);
         let steps = (left.as_millis() / STEP.as_millis()) as usize + 1;
         // What still waits is ended together with the last moves: nothing may be left without an answer.
-        node.core.send_away(steps);
-        node.ending = steps <= 1;
-        node.deadlines.set(SIGNALS, 0, now + STEP);
+        context.placement.send_away(steps);
+        context.answers_requested = steps <= 1;
+        context.deadlines.set(
+            WellKnownComponent::Signals.id(),
+            DeadlineKind::ShutdownStep,
+            now + STEP,
+        );
         Lifecycle::Continue
     }
 
-    fn on_message(&mut self, _node: &mut Node, _message: Message) -> Lifecycle {
+    fn on_message(&mut self, _node: &mut NodeContext, _message: Message) -> Lifecycle {
         Lifecycle::Continue
     }
 }
--- a/crates/node/src/upgrade/custody.rs
+++ b/crates/node/src/upgrade/custody.rs
@@ -1,4 +1,4 @@
-//! Whose each connection is while one process context them over to another. No I/O: what was sent and what came back goes in,
+//! Whose each connection is while one process hands them over to another. No I/O: what was sent and what came back goes in,
 //! and what is to be told to which connection comes out.
 
 use lupincrank_reactor::ComponentId;
--- a/crates/node/src/upgrade/held.rs
+++ b/crates/node/src/upgrade/held.rs
@@ -3,6 +3,7 @@
 use super::bans::Bans;
 use super::custody::Custody;
 use super::link::{self, Beat, Said};
+use crate::component::WellKnownComponent;
 use lupincrank_placement::admin_drain::set_drained;
 use lupincrank_placement::ServerId;
 use lupincrank_reactor::poll::Registered;
@@ -18,8 +19,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// The name of this object in the loop: its sockets report under it.
-pub const UPGRADE: ComponentId = 5;
 /// A process that cannot be reached for this long is not waited for; yes is owed 6 s after the start.
 const REACHED: Duration = Duration::from_secs(4);
 /// The sockets of this object: the one where a successor comes, and the link to the other process.
@@ -162,7 +161,7 @@
                 self.door = Some(Registered::new(
                     poller,
                     door,
-                    poller_key(UPGRADE, 0) + DOOR,
+                    poller_key(WellKnownComponent::Handoff.id(), 0) + DOOR,
                     Interest::READ,
                 )?);
             }
@@ -171,7 +170,7 @@
                 self.link = Some(Registered::new(
                     poller,
                     link,
-                    poller_key(UPGRADE, 0) + LINK,
+                    poller_key(WellKnownComponent::Handoff.id(), 0) + LINK,
                     Interest::READ,
                 )?);
             }
--- a/crates/node/src/upgrade/mod.rs
+++ b/crates/node/src/upgrade/mod.rs
@@ -1,4 +1,4 @@
-//! Two processes of one node: who else lives, what is out by hand, and the connections that the older context over. Without a
+//! Two processes of one node: who else lives, what is out by hand, and the connections that the older one hands over. Without a
 //! listener that the platform holds there is one process only, and no file, lock or socket is made.
 
 mod bans;
@@ -7,11 +7,14 @@
 pub mod inherited;
 pub mod link;
 
+use crate::command::{HandoffCommand, ListenerCommand, Message, TransferCommand};
+use crate::component::WellKnownComponent;
+use crate::deadline::{DeadlineKind, HandoffDeadline};
 use crate::line_front::Client;
 use crate::relay::Relay;
-use crate::state::{Message, Node, NodeState, LISTENER};
+use crate::state::{NodeContext, NodeState};
 use custody::UNDER_WAY;
-use held::{DOOR, LINK, UPGRADE};
+use held::{DOOR, LINK};
 use link::{Beat, Came, Said, VERSION};
 use lupincrank_reactor::poll::Registered;
 use lupincrank_reactor::{poller_key, Interest, Readiness};
@@ -25,211 +28,259 @@
 /// While connections are handed over the queue is looked at this often, should nothing else happen.
 const STEP: Duration = Duration::from_millis(10);
 /// Reads again who is out by hand. A file that was damaged meanwhile is written anew by one that knows what it held.
-fn reread(node: &mut Node) {
-    let Some(bans) = &node.upgrade.bans else {
+fn reread(context: &mut NodeContext) {
+    let Some(bans) = &context.handoff.bans else {
         return;
     };
     match bans.read() {
         Ok(out) => {
-            node.upgrade.read = true;
-            node.core.set_out(out);
+            context.handoff.read = true;
+            context.placement.set_out(out);
         }
         Err(why) => {
-            let mended = node.upgrade.read && bans.mend(node.core.out()).is_ok();
-            warn!(node.log, "who is out by hand stays as it was"; "why" => why, "mended" => mended);
+            let mended = context.handoff.read && bans.mend(context.placement.out()).is_ok();
+            warn!(context.log, "who is out by hand stays as it was"; "why" => why, "mended" => mended);
             if mended {
-                node.upgrade.say(&Said::Out);
+                context.handoff.say(&Said::Out);
             }
         }
     }
 }
 
 /// The first look, before anything is served.
-pub fn begin(node: &mut Node) {
-    if node.upgrade.stem.is_some() {
-        reread(node);
-        node.send(LISTENER, Message::Rest);
-        beat(node);
+pub fn begin(context: &mut NodeContext) {
+    if context.handoff.stem.is_some() {
+        reread(context);
+        context.send(
+            WellKnownComponent::ClientListener.id(),
+            ListenerCommand::Pause,
+        );
+        beat(context);
     }
 }
 
 /// Takes clients in from now on, if this is the only process or can serve as well as the other one.
-pub fn open(node: &mut Node) {
-    let may = node.upgrade.lock.is_some() || node.serves().is_ok();
-    if may && node.upgrade.stem.is_some() && !std::mem::replace(&mut node.upgrade.open, true) {
-        node.send(LISTENER, Message::Begin);
-        tell(node);
+pub fn open(context: &mut NodeContext) {
+    let may = context.handoff.lock.is_some() || context.serves().is_ok();
+    if may && context.handoff.stem.is_some() && !std::mem::replace(&mut context.handoff.open, true)
+    {
+        context.send(
+            WellKnownComponent::ClientListener.id(),
+            ListenerCommand::Resume,
+        );
+        tell(context);
     }
 }
 
 /// Tells the other process how this one stands, and shares the budgets of one node with it while both take clients in.
-fn tell(node: &mut Node) {
-    let open = node.upgrade.open && !node.upgrade.leaving;
-    let (clients, strangers) = (node.clients.get(), node.strangers.borrow().len());
-    node.upgrade.say(&Said::Beat(Beat {
+fn tell(context: &mut NodeContext) {
+    let open = context.handoff.open && !context.handoff.leaving;
+    let (clients, strangers) = (
+        context.client_count.get(),
+        context.unidentified_clients.borrow().len(),
+    );
+    context.handoff.say(&Said::Beat(Beat {
         version: VERSION,
         clients,
         strangers,
         open,
     }));
-    let both = node.upgrade.link.is_some() && open && node.upgrade.other.open;
-    let NodeState { core, config, .. } = &mut node.application;
-    core.share(config, if both { 2 } else { 1 });
+    let both = context.handoff.link.is_some() && open && context.handoff.other.open;
+    let NodeState {
+        placement, config, ..
+    } = &mut context.application;
+    placement.share(config, if both { 2 } else { 1 });
 }
 
-fn beat(node: &mut Node) {
-    let had = node.upgrade.lock.is_some();
-    if let Err(error) = node.application.upgrade.look(&node.poller) {
-        debug!(node.log, "the other process is not reached yet"; "error" => %error);
+fn beat(context: &mut NodeContext) {
+    let had = context.handoff.lock.is_some();
+    if let Err(error) = context.application.handoff.look(&context.poller) {
+        debug!(context.log, "the other process is not reached yet"; "error" => %error);
     }
-    if !had && node.upgrade.lock.is_some() {
-        info!(node.log, "the only process of this node");
+    if !had && context.handoff.lock.is_some() {
+        info!(context.log, "the only process of this node");
     }
-    if let Some(door) = &mut node.upgrade.door {
+    if let Some(door) = &mut context.handoff.door {
         if let Err(error) = door.set_interest(Interest::READ) {
-            debug!(node.log, "no successor can come for now"; "error" => %error);
+            debug!(context.log, "no successor can come for now"; "error" => %error);
         }
     }
-    if node.upgrade.link.is_some() {
-        reread(node);
-        tell(node);
+    if context.handoff.link.is_some() {
+        reread(context);
+        tell(context);
     }
-    open(node);
-    node.deadlines.set(UPGRADE, 0, Instant::now() + BEAT);
+    open(context);
+    context.deadlines.set(
+        WellKnownComponent::Handoff.id(),
+        HandoffDeadline::Heartbeat.into(),
+        Instant::now() + BEAT,
+    );
 }
 
 /// Begins to hand over all that this process holds.
-pub fn leave(node: &mut Node) {
-    node.upgrade.leaving = true;
-    node.hand_over = true;
-    node.send(LISTENER, Message::Rest);
-    tell(node);
-    let lessons = node.core.learnt().into_iter().map(Into::into).collect();
-    if !node.upgrade.say(&Said::Learnt(lessons)) {
+pub fn leave(context: &mut NodeContext) {
+    context.handoff.leaving = true;
+    context.transfer_requested = true;
+    context.send(
+        WellKnownComponent::ClientListener.id(),
+        ListenerCommand::Pause,
+    );
+    tell(context);
+    let lessons = context
+        .placement
+        .learnt()
+        .into_iter()
+        .map(Into::into)
+        .collect();
+    if !context.handoff.say(&Said::Learnt(lessons)) {
         debug!(
-            node.log,
+            context.log,
             "what was learnt of transcribers does not go along"
         );
     }
-    node.deadlines.set(UPGRADE, 1, Instant::now());
+    context.deadlines.set(
+        WellKnownComponent::Handoff.id(),
+        HandoffDeadline::TransferStep.into(),
+        Instant::now(),
+    );
 }
 
-fn step(node: &mut Node) {
-    for id in node.upgrade.custody.turn() {
-        node.send(id, Message::HandOver);
+fn step(context: &mut NodeContext) {
+    for id in context.handoff.custody.turn() {
+        context.send(id, TransferCommand::Start);
     }
 }
 
 /// The link broke: what was not taken stays here.
-fn broke(node: &mut Node, why: &str) {
-    let handed = node.upgrade.custody.handed();
-    info!(node.log, "the other process is gone"; "why" => why.to_string(), "handed" => handed);
-    node.upgrade.link = None;
-    node.upgrade.other = Beat::default();
-    for id in node.upgrade.custody.broke() {
-        node.send(id, Message::Kept);
+fn broke(context: &mut NodeContext, why: &str) {
+    let handed = context.handoff.custody.handed();
+    info!(context.log, "the other process is gone"; "why" => why.to_string(), "handed" => handed);
+    context.handoff.link = None;
+    context.handoff.other = Beat::default();
+    for id in context.handoff.custody.broke() {
+        context.send(id, TransferCommand::Cancelled);
     }
-    if std::mem::take(&mut node.upgrade.leaving) {
+    if std::mem::take(&mut context.handoff.leaving) {
         // There is nobody else to take clients in.
-        node.send(LISTENER, Message::Begin);
+        context.send(
+            WellKnownComponent::ClientListener.id(),
+            ListenerCommand::Resume,
+        );
     }
     // What it wrote last may not have been read.
-    reread(node);
-    tell(node);
-    beat(node);
+    reread(context);
+    tell(context);
+    beat(context);
 }
 
 /// What comes is not understood: the two go on without each other.
-fn strange(node: &mut Node, why: &str) {
-    node.upgrade.foreign = true;
-    broke(node, why);
+fn strange(context: &mut NodeContext, why: &str) {
+    context.handoff.foreign = true;
+    broke(context, why);
 }
 
-fn take(node: &mut Node, came: Came) {
+fn take(context: &mut NodeContext, came: Came) {
     let Came { said, bytes, fds } = came;
     match said {
-        Said::Beat(other) if other.version != VERSION => strange(node, "it speaks another version"),
+        Said::Beat(other) if other.version != VERSION => {
+            strange(context, "it speaks another version");
+        }
         Said::Beat(other) => {
-            let opens = other.open != node.upgrade.other.open;
-            node.upgrade.other = other;
+            let opens = other.open != context.handoff.other.open;
+            context.handoff.other = other;
             if opens {
-                tell(node);
+                tell(context);
             }
             // It was told to end before its successor could serve.
-            if node.leaving.is_some() && !node.upgrade.leaving && node.upgrade.has_successor() {
-                leave(node);
+            if context.shutdown.is_some()
+                && !context.handoff.leaving
+                && context.handoff.has_successor()
+            {
+                leave(context);
             }
         }
-        Said::Out => reread(node),
-        Said::Learnt(lessons) => node
-            .core
+        Said::Out => reread(context),
+        Said::Learnt(lessons) => context
+            .placement
             .learn(lessons.into_iter().map(Into::into).collect()),
         // What is taken is said to be before anything is read or written: were this process to die now, the other knows
         // whose it is. If it cannot be said the link is given up, which tells the other to keep it.
         Said::Standing(number, record) => {
             let sockets = <[_; 2]>::try_from(fds)
                 .ok()
-                .filter(|_| Relay::may_take(node, &record, &bytes));
-            if answer(node, number, sockets.is_some()) {
+                .filter(|_| Relay::may_take(context, &record, &bytes));
+            if answer(context, number, sockets.is_some()) {
                 if let Some(sockets) = sockets {
-                    let clients = &mut node.upgrade.other.clients;
+                    let clients = &mut context.handoff.other.clients;
                     *clients = clients.saturating_sub(1);
-                    Relay::take_over(node, record, &bytes, sockets);
+                    Relay::take_over(context, record, &bytes, sockets);
                 }
             }
         }
         Said::First(number, left_ms) => {
             let socket = fds.into_iter().next();
-            if answer(node, number, socket.is_some()) {
+            if answer(context, number, socket.is_some()) {
                 if let Some(socket) = socket {
-                    Client::take_over(node, socket, bytes, Duration::from_millis(left_ms));
+                    Client::take_over(context, socket, bytes, Duration::from_millis(left_ms));
                 }
             }
         }
-        Said::Took(number) => answered(node, number, true),
-        Said::Refused(number) => answered(node, number, false),
+        Said::Took(number) => answered(context, number, true),
+        Said::Refused(number) => answered(context, number, false),
     }
 }
 
 /// Says whether a connection is this process's from now on, and gives that. If it cannot be said it is not, unless there is nobody
 /// left to hear it.
-fn answer(node: &mut Node, number: u64, takes: bool) -> bool {
-    let said = node.upgrade.say(&if takes {
+fn answer(context: &mut NodeContext, number: u64, takes: bool) -> bool {
+    let said = context.handoff.say(&if takes {
         Said::Took(number)
     } else {
         Said::Refused(number)
     });
-    let takes = said || (takes && orphaned(node));
+    let takes = said || (takes && orphaned(context));
     if !said && !takes {
-        broke(node, "no answer can be given");
+        broke(context, "no answer can be given");
     }
     takes
 }
 
 /// Whether the other process has died, so that what it had sent is nobody else's: the lock goes with its last breath, and with a
 /// link alone that it closed it would go on with what it sent. What else it sent is taken before the link's end is noticed.
-fn orphaned(node: &mut Node) -> bool {
-    let looked = node.application.upgrade.look(&node.poller);
-    if node.upgrade.lock.is_some() {
-        info!(node.log, "taken from a process that has died");
+fn orphaned(context: &mut NodeContext) -> bool {
+    let looked = context.application.handoff.look(&context.poller);
+    if context.handoff.lock.is_some() {
+        info!(context.log, "taken from a process that has died");
     }
-    looked.is_ok() && node.upgrade.lock.is_some()
+    looked.is_ok() && context.handoff.lock.is_some()
 }
 
-fn answered(node: &mut Node, number: u64, took: bool) {
-    if let Some(id) = node.upgrade.custody.answered(number, took) {
-        node.send(id, if took { Message::Handed } else { Message::Kept });
+fn answered(context: &mut NodeContext, number: u64, took: bool) {
+    if let Some(id) = context.handoff.custody.answered(number, took) {
+        context.send(
+            id,
+            if took {
+                TransferCommand::Completed
+            } else {
+                TransferCommand::Cancelled
+            },
+        );
     }
-    step(node);
+    step(context);
 }
 
 /// Watches for the other process.
 pub struct Watch;
 
 impl Connection<NodeState> for Watch {
-    fn on_ready(&mut self, node: &mut Node, socket: usize, _readiness: Readiness) -> Lifecycle {
+    fn on_ready(
+        &mut self,
+        context: &mut NodeContext,
+        socket: usize,
+        _readiness: Readiness,
+    ) -> Lifecycle {
         if socket == DOOR {
-            let Some(door) = &mut node.upgrade.door else {
+            let Some(door) = &mut context.handoff.door else {
                 return Lifecycle::Continue;
             };
             let Ok((link, _)) = door.accept() else {
@@ -238,28 +289,29 @@
                 return Lifecycle::Continue;
             };
             // One successor at a time; a second one comes again once the first has gone.
-            if node.upgrade.link.is_none() && link.set_nonblocking(true).is_ok() {
-                let key = poller_key(UPGRADE, 0) + LINK;
-                node.upgrade.link = Registered::new(&node.poller, link, key, Interest::READ).ok();
-                info!(node.log, "a successor has come");
-                beat(node);
+            if context.handoff.link.is_none() && link.set_nonblocking(true).is_ok() {
+                let key = poller_key(WellKnownComponent::Handoff.id(), 0) + LINK;
+                context.handoff.link =
+                    Registered::new(&context.poller, link, key, Interest::READ).ok();
+                info!(context.log, "a successor has come");
+                beat(context);
             }
             return Lifecycle::Continue;
         }
         // A turn takes a bounded number: clients go on meanwhile.
         for _ in 0..UNDER_WAY * 2 {
-            let Some(link) = &node.upgrade.link else {
+            let Some(link) = &context.handoff.link else {
                 break;
             };
             match link::receive(link) {
-                Ok(Some(came)) => take(node, came),
+                Ok(Some(came)) => take(context, came),
                 Ok(None) => break,
                 Err(error) if error.kind() == io::ErrorKind::InvalidData => {
-                    strange(node, &error.to_string());
+                    strange(context, &error.to_string());
                     break;
                 }
                 Err(error) => {
-                    broke(node, &error.to_string());
+                    broke(context, &error.to_string());
                     break;
                 }
             }
@@ -267,19 +319,25 @@
         Lifecycle::Continue
     }
 
-    fn on_deadline(&mut self, node: &mut Node, kind: u64) -> Lifecycle {
-        if kind == 0 {
-            beat(node);
-        } else if node.upgrade.handing() {
-            step(node);
-            node.deadlines.set(UPGRADE, 1, Instant::now() + STEP);
+    fn on_deadline(&mut self, context: &mut NodeContext, kind: DeadlineKind) -> Lifecycle {
+        match kind {
+            DeadlineKind::Handoff(HandoffDeadline::Heartbeat) => beat(context),
+            DeadlineKind::Handoff(HandoffDeadline::TransferStep) if context.handoff.handing() => {
+                step(context);
+                context.deadlines.set(
+                    WellKnownComponent::Handoff.id(),
+                    HandoffDeadline::TransferStep.into(),
+                    Instant::now() + STEP,
+                );
+            }
+            _ => {}
         }
         Lifecycle::Continue
     }
 
-    fn on_message(&mut self, node: &mut Node, message: Message) -> Lifecycle {
-        if matches!(message, Message::Begin) {
-            open(node);
+    fn on_message(&mut self, context: &mut NodeContext, message: Message) -> Lifecycle {
+        if let Message::Handoff(HandoffCommand::OpenListener) = message {
+            open(context);
         }
         Lifecycle::Continue
     }
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -160,8 +160,8 @@
     }
 
     /// Sends a message to a component; it is delivered after the present callback.
-    pub fn send(&mut self, id: ComponentId, message: A::Message) {
-        self.outbox.push_back((id, message));
+    pub fn send(&mut self, id: ComponentId, message: impl Into<A::Message>) {
+        self.outbox.push_back((id, message.into()));
     }
 }
 
