--- a/crates/node/src/fleet/disk/tests.rs
+++ b/crates/node/src/fleet/disk/tests.rs
@@ -126,3 +126,34 @@
     );
     let _ = fs::remove_dir_all(path.parent().unwrap());
 }
+
+/// Written by revision c925b3d: an identity that has started once, its cluster, a snapshot up to entry 1, and three entries.
+/// Not compacted: redb 3 finds other checksums in a compacted file at the second opening, and no node compacts its file.
+const STORED_BEFORE: &[u8] = include_bytes!("../../../tests/fixtures/council-n0.redb");
+
+#[test]
+fn a_file_of_an_earlier_build_is_read_and_gone_on_with() {
+    let path = folder("earlier-build");
+    fs::create_dir_all(path.parent().unwrap()).unwrap();
+    fs::write(&path, STORED_BEFORE).unwrap();
+    let (database, kept) = open(&path, "guj/n0", 99).unwrap();
+    let expected = DurableState {
+        member_id: 0x0123_4567_89ab_cdef,
+        start_count: 2,
+        cluster_id: Some(ClusterId {
+            epoch: 1,
+            bootstrap_id: 0xfeed,
+        }),
+        snapshot: Some(vec![1, 2, 3]),
+        hard_state: Some(vec![6, 7, 8]),
+        entries: (2..=4).map(|index| (index, vec![index as u8; 5])).collect(),
+    };
+    assert_eq!(kept, expected);
+    carry_out(&database, &[write(3, &[4, 5])]).unwrap();
+    drop(database);
+    let mut grown = expected;
+    grown.apply(&write(3, &[4, 5]));
+    grown.start_count = 3;
+    assert_eq!(open(&path, "guj/n0", 99).unwrap().1, grown);
+    let _ = fs::remove_dir_all(path.parent().unwrap());
+}
