Placement: split the balancer into policy, limits, recovery and state

Its functions move, unchanged, into modules by concern: policy/ (admission, selection, queue, retry, rejection), limits/ (set-up window, concurrency limits, slow start, health checks), recovery/ (outlier detection, zone failure, migration, load shedding, key redistribution, gossip, upkeep) and state/.

--- a/crates/placement/src/work_tests.rs
+++ b/crates/placement/src/cost_tests.rs
@@ -1,6 +1,6 @@
 //! What a decision costs, counted in rows of the server table that are read, not in time.
 
-use crate::table::READS;
+use crate::state::server_table::READS;
 use crate::*;
 use std::time::Duration;
 
--- a/crates/placement/src/interface.rs
+++ b/crates/placement/src/interface.rs
@@ -1,6 +1,6 @@
 //! What goes into a balancer and what comes out of it: ids, time, settings, events and actions.
 
-use crate::learned_state::LearnedServer;
+use crate::state::learned_state::LearnedServer;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -2,25 +2,24 @@
 //!
 //! The crate does no I/O, reads no clock and holds no globals. A proxy feeds a [`Balancer`] with what it sees
 //! ([`Event`]) and carries out what comes back ([`Action`]). The same settings, seed and events always give the same
-//! actions. [`interface`] has the types; `balance` has every decision.
+//! actions. [`interface`] has the types; `policy` decides on requests, beside `limits` and `recovery`.
 #![doc = include_str!("../../../README.md")]
 #![forbid(unsafe_code)]
 
 pub mod admin_drain;
-mod balance;
-mod bits;
-mod cold;
-mod fleet;
+mod balancer;
+#[cfg(test)]
+mod cost_tests;
+mod endpoint_updates;
+mod hashing;
 pub mod interface;
-pub mod learned_state;
-mod order;
+mod limits;
+mod policy;
 pub mod poll_schedule;
-mod request;
-mod shares;
-mod table;
-mod used;
-#[cfg(test)]
-mod work_tests;
+mod recovery;
+mod state;
 
-pub use balance::{key_hash, rank_score, server_hash, Balancer};
+pub use balancer::Balancer;
+pub use hashing::{key_hash, rank_score, server_hash};
 pub use interface::*;
+pub use state::learned_state;
--- a/crates/placement/src/used.rs
+++ b/crates/placement/src/limits/lease_usage.rs
@@ -1,6 +1,6 @@
 //! What a gateway has used of what the fleet divides.
 
-use crate::balance::Balancer;
+use crate::balancer::Balancer;
 
 impl Balancer {
     /// Sends to cold servers since the last call: the most in any window, and whether a request came when only the slice
--- a/crates/placement/src/shares.rs
+++ b/crates/placement/src/recovery/key_redistribution.rs
@@ -3,11 +3,11 @@
 //! uneven as the places of hashes: one of four servers that were left got half of all connections and fell, then
 //! the next one did.
 
-use crate::balance::rank_score;
-use crate::bits::{murmur, part_of};
-use crate::fleet::{Fleet, Server};
+use crate::hashing::rank_score;
+use crate::hashing::{murmur, part_of};
 use crate::interface::{Health, Settings, Timestamp};
-use crate::table::Slot;
+use crate::state::fleet::{Fleet, Server};
+use crate::state::server_table::Slot;
 use std::cmp::Reverse;
 
 /// Keys drawn for each server that is left, and at most, to learn how many come to each: at the most this costs as
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/state/fleet.rs
@@ -2,8 +2,8 @@
 //! all of them. It is bookkeeping: what follows from it is decided in `balance.rs`.
 
 use crate::interface::{Health, RequestId, Settings, Timestamp};
-use crate::order::Order;
-use crate::table::{Slot, Table};
+use crate::state::ranking_index::Order;
+use crate::state::server_table::{Slot, Table};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
--- a/crates/placement/src/learned_state.rs
+++ b/crates/placement/src/state/learned_state.rs
@@ -1,8 +1,8 @@
 //! What a gateway has learnt of its servers, for a process that takes its place at once: spans instead of moments, since the
 //! two have clocks of their own.
 
-use crate::fleet::Fleet;
 use crate::interface::{Health, ServerId, Settings, Timestamp};
+use crate::state::fleet::Fleet;
 use std::time::Duration;
 
 /// What was learnt of one server.
--- a/crates/placement/src/learned_state/tests.rs
+++ b/crates/placement/src/state/learned_state/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::fleet::Server;
+use crate::state::fleet::Server;
 
 fn fleet(servers: &[(&str, Option<Timestamp>)]) -> Fleet {
     let mut fleet = Fleet::default();
@@ -18,7 +18,7 @@
 
 #[test]
 fn what_was_learnt_comes_back_on_another_clock_unless_the_server_is_a_new_process() {
-    let (second, settings) = (1_000_000_000, crate::work_tests::settings());
+    let (second, settings) = (1_000_000_000, crate::cost_tests::settings());
     let mut older = fleet(&[("a", None), ("b", Some(Timestamp(5 * second))), ("c", None)]);
     for name in ["a", "b"] {
         let at = older.servers.slot(&name.into());
--- a/crates/placement/src/order.rs
+++ b/crates/placement/src/state/ranking_index.rs
@@ -1,7 +1,7 @@
 //! The servers that may be ranked, as one tight row of hashes: a decision looks at each of them, at a cost of about a
 //! nanosecond a server, and puts in order only as many as it was asked for.
 
-use crate::table::Slot;
+use crate::state::server_table::Slot;
 use std::collections::HashMap;
 
 /// So many hashes are scored and compared at a time, without a branch between them.
--- a/crates/placement/src/order/tests.rs
+++ b/crates/placement/src/state/ranking_index/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::table::Table;
+use crate::state::server_table::Table;
 use rand_core::{RngCore, SeedableRng};
 
 /// Against sorting everything, with hashes of few values so that scores are often equal.
--- a/crates/placement/src/request.rs
+++ b/crates/placement/src/state/request.rs
@@ -1,8 +1,8 @@
 //! What a gateway keeps of each request, from its coming to the end of its connection.
 
-use crate::fleet::Server;
 use crate::interface::{Class, IdempotencyScope, RetrySafety, Timestamp};
-use crate::table::Slot;
+use crate::state::fleet::Server;
+use crate::state::server_table::Slot;
 use std::time::Duration;
 
 /// The part of the set-up aim that an attempt waits before the next server.
