Node: move the data path into the folders client and upstream

line_front, peer, probe and relay become client/connection, upstream/attempt, upstream/health_check and upstream/relay. Paths of imports follow; nothing else changes.

--- a/crates/node/src/line_front.rs
+++ b/crates/node/src/client/connection.rs
@@ -1,9 +1,9 @@
 //! The platform's line protocol towards clients: the listener, the first line, and the answers to it.
 
-use crate::peer::{Peer, Try, LONGEST_LINE};
-use crate::relay::Relay;
 use crate::state::{Message, Node, NodeState, Seat, Strangers, Up, LISTENER};
 use crate::upgrade::link::Said;
+use crate::upstream::attempt::{Peer, Try, LONGEST_LINE};
+use crate::upstream::relay::Relay;
 use lupincrank_placement::{RequestId, RequestInfo, Timestamp};
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::{poller_key, Interest, Readiness};
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,6 +1,7 @@
 //! The node: lupincrank's decisions on real sockets. The program is [`main`]; [`hollow`] is its part in the fleet alone.
 
 mod cli;
+mod client;
 mod config;
 mod core;
 mod discovery;
@@ -8,17 +9,14 @@
 mod group;
 pub mod hollow;
 mod inquiry;
-mod line_front;
 mod load_lines;
 mod management;
 mod objects;
-mod peer;
-mod probe;
-mod relay;
 mod serve;
 mod signals;
 mod state;
 mod upgrade;
+mod upstream;
 
 use cli::Command;
 use config::Config;
--- a/crates/node/src/management.rs
+++ b/crates/node/src/management.rs
@@ -2,9 +2,9 @@
 //! `error`. It knows the syntax only; what a call does is the node's matter.
 
 use crate::fleet;
-use crate::peer::LONGEST_LINE;
 use crate::state::{Message, Node, NodeState, CALLS, MANAGEMENT};
 use crate::upgrade;
+use crate::upstream::attempt::LONGEST_LINE;
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::{poller_key, Interest, Readiness};
 use lupincrank_reactor::{ComponentId, Connection, Lifecycle};
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -1,11 +1,12 @@
 //! Sets the node up: which objects its loop begins with.
 
+use crate::client::connection;
 use crate::config::Config;
 use crate::state::{
     Message, NodeState, DISCOVERY, LISTENER, LOOK, LOOK_PURPOSE, MANAGEMENT, RESERVED, SIGNALS,
     UPGRADE,
 };
-use crate::{discovery, fleet, line_front, management, signals, upgrade};
+use crate::{discovery, fleet, management, signals, upgrade};
 use lupincrank_reactor::{Reactor, APPLICATION};
 use slog::{info, Logger};
 use std::io;
@@ -24,7 +25,7 @@
     node.register(SIGNALS, Box::new(signals));
     let discovery = discovery::Discovery::new(&node.config);
     node.register(DISCOVERY, Box::new(discovery));
-    let listener = line_front::Listener::new(node, inherited)?;
+    let listener = connection::Listener::new(node, inherited)?;
     node.register(LISTENER, Box::new(listener));
     node.register(UPGRADE, Box::new(upgrade::Watch));
     upgrade::begin(node);
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -3,9 +3,9 @@
 use crate::config::Config;
 use crate::core::{Core, Order, TryOrder};
 use crate::fleet::carry::Carry;
-use crate::probe::{self, Probes};
 use crate::upgrade::held::Upgrade;
 use crate::upgrade::link::Said;
+use crate::upstream::health_check::{self, Probes};
 use lupincrank_placement::{RequestId, ServerId};
 use lupincrank_reactor::poll::Registered;
 use lupincrank_reactor::{Application, ComponentId, Context, APPLICATION};
@@ -199,7 +199,7 @@
                 Order::Refuse(owner, after) => node.send(owner, Message::Refuse(after)),
                 Order::Fail(owner) => node.send(owner, Message::Fail),
                 Order::Move(owner) => node.send(owner, Message::Move),
-                Order::Probe(server, dial) => probe::probe(node, server, dial),
+                Order::Probe(server, dial) => health_check::probe(node, server, dial),
                 Order::Subscribe => node.send(DISCOVERY, Message::Subscribe),
                 Order::Timer { after, purpose } => {
                     node.deadlines
--- a/crates/node/src/upgrade/mod.rs
+++ b/crates/node/src/upgrade/mod.rs
@@ -7,9 +7,9 @@
 pub mod inherited;
 pub mod link;
 
-use crate::line_front::Client;
-use crate::relay::Relay;
+use crate::client::connection::Client;
 use crate::state::{Message, Node, NodeState, LISTENER};
+use crate::upstream::relay::Relay;
 use custody::UNDER_WAY;
 use held::{DOOR, LINK, UPGRADE};
 use link::{Beat, Came, Said, VERSION};
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/upstream/relay.rs
@@ -1,8 +1,8 @@
 //! A connection that is up: passes bytes both ways unchanged and taps what the decisions need of them.
 
-use crate::peer::{said, Said, LONGEST_LINE};
 use crate::state::{Message, Node, NodeState, Seat, Up};
 use crate::upgrade::link::{self, Standing};
+use crate::upstream::attempt::{said, Said, LONGEST_LINE};
 use lupincrank_placement::{Outcome, RequestId, RequestInfo, Timestamp};
 use lupincrank_reactor::poll::Registered;
 use lupincrank_reactor::{poller_key, Interest, Readiness};
