--- a/crates/node/src/fleet/carry.rs
+++ b/crates/node/src/cluster_agent/agent.rs
@@ -1,7 +1,7 @@
 //! What a node holds of its fleet: membership, links and the council, and what they want carried out.
 
-use super::disk::Disk;
-use super::setup::Setup;
+use super::config::Setup;
+use super::storage::Disk;
 use lupincrank_cluster::connection::{ClusterConnection, Handshake, Message, Subject};
 use lupincrank_cluster::membership::{Identity, Membership, MembershipOutput};
 use lupincrank_control::council::{ControlConfig, ControlNode};
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/cluster_agent/mod.rs
@@ -1,13 +1,12 @@
 //! The node's part in its fleet, carried between `talk/` and `core`: sockets and deadlines here, decisions in the council.
 //! Nothing on a request's path waits for any of it.
 
-pub mod carry;
-mod disk;
-pub mod setup;
+pub mod agent;
+pub mod config;
+mod storage;
 
 use crate::state::{Message, Node, NodeState, DISK, FLEET};
-use carry::Carry;
-use disk::{Disk, Fault as DiskFault};
+use agent::Carry;
 use lupincrank_budgets::demand::BudgetUsage;
 use lupincrank_cluster::connection::{ClusterConnection, ConnectionError};
 use lupincrank_cluster::membership::MAX_DATAGRAM_BYTES;
@@ -21,6 +20,7 @@
 use std::net::{TcpListener, UdpSocket};
 use std::path::Path;
 use std::time::{Duration, Instant};
+use storage::{Disk, Fault as DiskFault};
 
 /// Deadlines: for the council, for membership, and for trying to take the address.
 const COUNCIL: u64 = 0;
@@ -123,7 +123,7 @@
                 warn!(node.log, "the council's file is damaged: put aside, another identity begins";
                     "file" => %path.display(), "why" => why);
                 drop(sockets);
-                disk::put_aside(path).map_err(|error| format!("{}: {error}", path.display()))?;
+                storage::put_aside(path).map_err(|error| format!("{}: {error}", path.display()))?;
                 return take_place(node);
             }
         },
@@ -145,7 +145,7 @@
     drawn: u64,
     new: impl Fn(u64, Option<&DurableState>) -> Result<Carry, String>,
 ) -> Result<(Carry, redb::Database), DiskFault> {
-    let (database, kept) = disk::open(path, owner, drawn)?;
+    let (database, kept) = storage::open(path, owner, drawn)?;
     let carry = new(kept.member_id, Some(&kept)).map_err(DiskFault::Damaged)?;
     Ok((carry, database))
 }
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,6 +1,6 @@
 //! What the node is told at its start: RELAY_* variables and the JSON file that one of them names.
 
-use crate::fleet::setup::Setup;
+use crate::cluster_agent::config::Setup;
 use crate::group::{self, Update};
 use lupincrank_placement::Settings;
 use lupincrank_settings::strict;
--- a/crates/node/src/hollow.rs
+++ b/crates/node/src/hollow.rs
@@ -2,8 +2,8 @@
 //! real one is told, by the same two files, and runs the same code in a loop of its own; many of them fit into a process,
 //! each in a thread. `scale/` measures fleets with them.
 
+use crate::cluster_agent::{self, config::Setup};
 use crate::config::Config;
-use crate::fleet::{self, setup::Setup};
 use crate::state::{Node, NodeState, RESERVED};
 use lupincrank_budgets::demand::BudgetUsage;
 use lupincrank_operator_config::Operator;
@@ -63,7 +63,7 @@
     }
     let state = NodeState::new(config, Logger::root(Discard, o!()));
     let mut reactor = Reactor::new(state, OBSERVER).map_err(|error| error.to_string())?;
-    fleet::begin(&mut reactor.context)?;
+    cluster_agent::begin(&mut reactor.context)?;
     reactor
         .context
         .register(OBSERVER, Box::new(Watch { observer }));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,10 +2,10 @@
 
 mod cli;
 mod client;
+mod cluster_agent;
 mod config;
 mod core;
 mod discovery;
-mod fleet;
 mod group;
 pub mod hollow;
 mod inquiry;
@@ -19,8 +19,8 @@
 mod upstream;
 
 use cli::Command;
+use cluster_agent::config::Setup;
 use config::Config;
-use fleet::setup::Setup;
 use lupincrank_operator_config::Operator;
 use slog::{o, Drain, Level, Logger};
 use std::process::ExitCode;
--- a/crates/node/src/management.rs
+++ b/crates/node/src/management.rs
@@ -1,7 +1,7 @@
 //! The second address, for the staff: each connection carries one line, and one line comes back that begins with `done` or
 //! `error`. It knows the syntax only; what a call does is the node's matter.
 
-use crate::fleet;
+use crate::cluster_agent;
 use crate::state::{Message, Node, NodeState, CALLS, MANAGEMENT};
 use crate::upgrade;
 use crate::upstream::attempt::LONGEST_LINE;
@@ -279,7 +279,7 @@
         Call::SetDown(server) => node.by_hand(server, true).map(|()| String::new()),
         Call::SetUp(server) => node.by_hand(server, false).map(|()| String::new()),
         Call::Fleet(what) => {
-            let told = fleet::told(node, what);
+            let told = cluster_agent::told(node, what);
             let told = told.unwrap_or_else(|| Err("this node was started without a fleet".into()));
             if what != "reseed" {
                 // Asked often, and nothing changes by it.
@@ -288,7 +288,7 @@
             told
         }
         Call::Budgets(what, whole) => {
-            let told = fleet::budgets(node, what, whole);
+            let told = cluster_agent::budgets(node, what, whole);
             if what != "set" {
                 return told;
             }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -6,7 +6,7 @@
     Message, NodeState, DISCOVERY, LISTENER, LOOK, LOOK_PURPOSE, MANAGEMENT, RESERVED, SIGNALS,
     UPGRADE,
 };
-use crate::{discovery, fleet, management, signals, upgrade};
+use crate::{cluster_agent, discovery, management, signals, upgrade};
 use lupincrank_reactor::{Reactor, APPLICATION};
 use slog::{info, Logger};
 use std::io;
@@ -29,7 +29,7 @@
     node.register(LISTENER, Box::new(listener));
     node.register(UPGRADE, Box::new(upgrade::Watch));
     upgrade::begin(node);
-    fleet::begin(node).map_err(io::Error::other)?;
+    cluster_agent::begin(node).map_err(io::Error::other)?;
     if let Some(address) = node.config.management {
         let management = management::Management::new(node, address)?;
         node.register(MANAGEMENT, Box::new(management));
--- a/crates/node/src/signals.rs
+++ b/crates/node/src/signals.rs
@@ -96,7 +96,7 @@
             let until = now + total(node.config.longest_deadline);
             info!(node.log, "leaving"; "clients" => node.clients.get());
             node.leaving = Some((now, until));
-            crate::fleet::leave(node);
+            crate::cluster_agent::leave(node);
             if node.upgrade.has_successor() {
                 crate::upgrade::leave(node);
             }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -1,8 +1,8 @@
 //! What the node keeps beside the objects of its loop, and what its parts say to each other.
 
+use crate::cluster_agent::agent::Carry;
 use crate::config::Config;
 use crate::core::{Core, Order, TryOrder};
-use crate::fleet::carry::Carry;
 use crate::upgrade::held::Upgrade;
 use crate::upgrade::link::Said;
 use crate::upstream::health_check::{self, Probes};
