Placement: give ids, time, settings, endpoints, requests, events and actions a file each

Need: one file of 370 lines held all types of the API, with comments that a newcomer had to guess at. Change: api/ has a file for each concern; the crate root re-exports its types by name, no wildcard; doc comments say units and invariants.

--- /dev/null
+++ b/crates/placement/src/api/action.rs
@@ -0,0 +1,45 @@
+//! What a balancer wants its proxy to do.
+
+use crate::api::{RequestId, ServerId};
+use std::time::Duration;
+
+/// An instruction to the proxy, to be carried out in the order in which a batch lists them.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send the request to the server, and end the attempt with [`Outcome::TimedOut`](crate::Outcome::TimedOut) if no
+    /// answer comes within `patience`.
+    StartAttempt {
+        /// The request to send.
+        request: RequestId,
+        /// The server to which it goes.
+        server: ServerId,
+        /// The attempt's timeout.
+        patience: Duration,
+    },
+    /// Answer the client that the request was not served: it was not executed, or repeating it is harmless.
+    Reject {
+        /// The request to reject.
+        request: RequestId,
+        /// The `Retry-After` for the client; zero for none.
+        retry_after: Duration,
+    },
+    /// Answer the client that the request failed, without saying whether it was executed.
+    Fail(RequestId),
+    /// Ask the client of an established connection to reconnect.
+    Migrate(RequestId),
+    /// Health-check a server; the result comes back as
+    /// [`Event::HealthCheckCompleted`](crate::Event::HealthCheckCompleted).
+    CheckHealth(ServerId),
+    /// Send a short message to all other nodes, best effort; they receive it as
+    /// [`Event::Gossip`](crate::Event::Gossip).
+    Gossip(String),
+    /// Set a timer; its expiry comes back as [`Event::TimerFired`](crate::Event::TimerFired).
+    SetTimer {
+        /// Time until it fires.
+        after: Duration,
+        /// The value that [`Event::TimerFired`](crate::Event::TimerFired) carries. Several timers may have the same.
+        handle: u64,
+    },
+    /// Start, or start again, to watch service discovery for endpoint changes.
+    WatchEndpoints,
+}
