--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -13,6 +13,17 @@
     CapacityChanged(u32),
 }
 
+impl Entry {
+    /// One line for people, as the printed log has always shown it.
+    pub(crate) fn description(&self) -> String {
+        match self {
+            Entry::LeasesGranted(grants) => format!("{} grants", grants.len()),
+            Entry::LeasesExpired(grants) => format!("Over({grants:?})"),
+            Entry::CapacityChanged(capacity) => format!("Capacity({capacity})"),
+        }
+    }
+}
+
 /// One slice for one incarnation of a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Grant {
--- a/crates/control/src/log.rs
+++ b/crates/control/src/log.rs
@@ -303,10 +303,7 @@
             }
         } else if let Ok(read) = postcard::from_bytes::<Entry>(entry.get_data()) {
             // An empty entry is a new leader's; nobody else writes one.
-            what = Some(match &read {
-                Entry::LeasesGranted(grants) => format!("{} grants", grants.len()),
-                other => format!("{other:?}"),
-            });
+            what = Some(read.description());
             let granted = self.state.apply(read);
             if self.leads.is_some() {
                 let said = |grant: &crate::entry::Grant| {
