--- a/crates/placement/src/admin_drain.rs
+++ b/crates/placement/src/admin_drain.rs
@@ -3,7 +3,7 @@
 //! started when the list told that it did since it was taken out, and where it told none as one that has just started:
 //! it was most likely restarted, and the list tells that late.
 
-use crate::interface::{Endpoint, Health, ServerId, Timestamp};
+use crate::{Endpoint, Health, ServerId, Timestamp};
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
--- a/crates/placement/src/limits/slow_start_budget.rs
+++ b/crates/placement/src/limits/slow_start_budget.rs
@@ -1,7 +1,7 @@
 //! The budget of sends to cold servers that this gateway has: its guess of what they bear, and, where the gateways divide
 //! a budget among themselves, the slice that it holds of that.
 
-use crate::interface::{SlowStartLease, Timestamp};
+use crate::{SlowStartLease, Timestamp};
 use std::collections::VecDeque;
 
 /// Sends that all gateways together may have saved up for a cold server.
--- a/crates/placement/src/recovery/key_redistribution.rs
+++ b/crates/placement/src/recovery/key_redistribution.rs
@@ -5,9 +5,9 @@
 
 use crate::hashing::rank_score;
 use crate::hashing::{murmur, part_of};
-use crate::interface::{Health, Settings, Timestamp};
 use crate::state::fleet::{Fleet, Server};
 use crate::state::server_table::Slot;
+use crate::{Health, Settings, Timestamp};
 use std::cmp::Reverse;
 
 /// Keys drawn for each server that is left, and at most, to learn how many come to each: at the most this costs as
--- a/crates/placement/src/state/fleet.rs
+++ b/crates/placement/src/state/fleet.rs
@@ -1,9 +1,9 @@
 //! The servers that a gateway knows, with what it holds and has learnt of each, and the sums that decisions need over
 //! all of them. It is bookkeeping: what follows from it is decided in `balance.rs`.
 
-use crate::interface::{Health, RequestId, Settings, Timestamp};
 use crate::state::ranking_index::Order;
 use crate::state::server_table::{Slot, Table};
+use crate::{Health, RequestId, Settings, Timestamp};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
