--- a/crates/node/src/application.rs
+++ b/crates/node/src/application.rs
@@ -4,8 +4,8 @@
 use crate::component::{is_allocated_id, WellKnownComponent, FIRST_ADMIN_CONNECTION_ID};
 use crate::core::Order;
 use crate::deadline::DeadlineKind;
-use crate::probe;
 use crate::state::{NodeContext, NodeState};
+use crate::upstream::health_check;
 use lupincrank_reactor::{Application, ComponentId, APPLICATION};
 use slog::{info, warn};
 use std::time::{Duration, Instant};
@@ -33,7 +33,7 @@
         }
         Order::Fail(owner) => context.send(owner, ClientCommand::Fail),
         Order::Move(owner) => context.send(owner, RelayCommand::Migrate),
-        Order::Probe(server, address) => probe::probe(context, server, address),
+        Order::Probe(server, address) => health_check::probe(context, server, address),
         Order::Subscribe => {
             context.send(WellKnownComponent::Discovery.id(), DiscoveryCommand::Watch);
         }
--- a/crates/node/src/line_front.rs
+++ b/crates/node/src/client/connection.rs
@@ -5,10 +5,10 @@
 };
 use crate::component::WellKnownComponent;
 use crate::deadline::{ClientDeadline, DeadlineKind};
-use crate::peer::{Peer, Try, LONGEST_LINE};
-use crate::relay::Relay;
 use crate::state::{ClientSlot, NodeContext, NodeState, UnidentifiedClients};
 use crate::upgrade::link::Said;
+use crate::upstream::attempt::{Peer, Try, LONGEST_LINE};
+use crate::upstream::relay::Relay;
 use lupincrank_placement::{RequestId, RequestInfo, Timestamp};
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::{poller_key, Interest, Readiness};
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,31 +2,29 @@
 
 mod application;
 mod cli;
+mod client;
+mod cluster_agent;
 mod command;
 mod component;
 mod config;
 mod core;
 mod deadline;
 mod discovery;
-mod fleet;
 mod group;
 pub mod hollow;
 mod inquiry;
-mod line_front;
 mod load_lines;
 mod management;
 mod objects;
-mod peer;
-mod probe;
-mod relay;
 mod serve;
 mod signals;
 mod state;
 mod upgrade;
+mod upstream;
 
 use cli::Command;
+use cluster_agent::config::Setup;
 use config::Config;
-use fleet::setup::Setup;
 use lupincrank_operator_config::Operator;
 use slog::{o, Drain, Level, Logger};
 use std::process::ExitCode;
--- a/crates/node/src/management.rs
+++ b/crates/node/src/management.rs
@@ -1,13 +1,13 @@
 //! The second address, for the staff: each connection carries one line, and one line comes back that begins with `done` or
 //! `error`. It knows the syntax only; what a call does is the node's matter.
 
+use crate::cluster_agent;
 use crate::command::{AdminConnectionCommand, Message};
 use crate::component::{WellKnownComponent, FIRST_ADMIN_CONNECTION_ID};
 use crate::deadline::DeadlineKind;
-use crate::fleet;
-use crate::peer::LONGEST_LINE;
 use crate::state::{NodeContext, NodeState};
 use crate::upgrade;
+use crate::upstream::attempt::LONGEST_LINE;
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::{poller_key, Interest, Readiness};
 use lupincrank_reactor::{ComponentId, Connection, Lifecycle};
@@ -303,7 +303,7 @@
         Call::SetDown(server) => context.by_hand(server, true).map(|()| String::new()),
         Call::SetUp(server) => context.by_hand(server, false).map(|()| String::new()),
         Call::Fleet(what) => {
-            let told = fleet::told(context, what);
+            let told = cluster_agent::told(context, what);
             let told = told.unwrap_or_else(|| Err("this node was started without a fleet".into()));
             if what != "reseed" {
                 // Asked often, and nothing changes by it.
@@ -312,7 +312,7 @@
             told
         }
         Call::Budgets(what, whole) => {
-            let told = fleet::budgets(context, what, whole);
+            let told = cluster_agent::budgets(context, what, whole);
             if what != "set" {
                 return told;
             }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -1,11 +1,12 @@
 //! Sets the node up: which objects its loop begins with.
 
 use crate::application::schedule_unanswered_lines_check;
+use crate::client::connection;
 use crate::command::DiscoveryCommand;
 use crate::component::{WellKnownComponent, LAST_WELL_KNOWN_ID};
 use crate::config::Config;
 use crate::state::NodeState;
-use crate::{discovery, fleet, line_front, management, signals, upgrade};
+use crate::{cluster_agent, discovery, management, signals, upgrade};
 use lupincrank_reactor::Reactor;
 use slog::{info, Logger};
 use std::io;
@@ -23,11 +24,11 @@
     context.register(WellKnownComponent::Signals.id(), Box::new(signals));
     let discovery = discovery::Discovery::new(&context.config);
     context.register(WellKnownComponent::Discovery.id(), Box::new(discovery));
-    let listener = line_front::Listener::new(context, inherited)?;
+    let listener = connection::Listener::new(context, inherited)?;
     context.register(WellKnownComponent::ClientListener.id(), Box::new(listener));
     context.register(WellKnownComponent::Handoff.id(), Box::new(upgrade::Watch));
     upgrade::begin(context);
-    fleet::begin(context).map_err(io::Error::other)?;
+    cluster_agent::begin(context).map_err(io::Error::other)?;
     if let Some(address) = context.config.management {
         let management = management::Management::new(context, address)?;
         context.register(WellKnownComponent::AdminListener.id(), Box::new(management));
--- a/crates/node/src/signals.rs
+++ b/crates/node/src/signals.rs
@@ -116,7 +116,7 @@
                 started_at: now,
                 deadline: until,
             });
-            crate::fleet::leave(context);
+            crate::cluster_agent::leave(context);
             if context.handoff.has_successor() {
                 crate::upgrade::leave(context);
             }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -1,8 +1,8 @@
 //! The state that the node's components share.
 
+use crate::cluster_agent::agent::Carry;
 use crate::config::Config;
 use crate::core::Core;
-use crate::fleet::carry::Carry;
 use crate::upgrade::held::Upgrade;
 use crate::upgrade::link::Said;
 use lupincrank_placement::ServerId;
--- a/crates/node/src/upgrade/mod.rs
+++ b/crates/node/src/upgrade/mod.rs
@@ -7,12 +7,12 @@
 pub mod inherited;
 pub mod link;
 
+use crate::client::connection::Client;
 use crate::command::{HandoffCommand, ListenerCommand, Message, TransferCommand};
 use crate::component::WellKnownComponent;
 use crate::deadline::{DeadlineKind, HandoffDeadline};
-use crate::line_front::Client;
-use crate::relay::Relay;
 use crate::state::{NodeContext, NodeState};
+use crate::upstream::relay::Relay;
 use custody::UNDER_WAY;
 use held::{DOOR, LINK};
 use link::{Beat, Came, Said, VERSION};
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/upstream/relay.rs
@@ -2,9 +2,9 @@
 
 use crate::command::{AcceptedAttempt, Message, RelayCommand, TransferCommand};
 use crate::deadline::DeadlineKind;
-use crate::peer::{said, Said, LONGEST_LINE};
 use crate::state::{ClientSlot, NodeContext, NodeState};
 use crate::upgrade::link::{self, Standing};
+use crate::upstream::attempt::{said, Said, LONGEST_LINE};
 use lupincrank_placement::{Outcome, RequestId, RequestInfo, Timestamp};
 use lupincrank_reactor::poll::Registered;
 use lupincrank_reactor::{poller_key, Interest, Readiness};
