Placement: name the poll schedule and the admin drain by what they do

Need: constants and fields such as FRESH_EVERY, ALONE, out and since had to be guessed at, and formulas held bare numbers.

--- a/crates/placement/src/admin_drain.rs
+++ b/crates/placement/src/admin_drain.rs
@@ -1,111 +1,135 @@
-//! Which servers people have taken out of use, beside what the list says. The decisions see a server that is out as one
-//! that drains, whatever the list tells meanwhile, so that nothing new goes there by any way; called back, as one that
-//! started when the list told that it did since it was taken out, and where it told none as one that has just started:
-//! it was most likely restarted, and the list tells that late.
+//! Servers that an administrator drains, beside what service discovery says of them.
+//!
+//! The policy sees a drained server as [`Health::Draining`], whatever the endpoint list says, so nothing new goes there. A
+//! server that is released counts as started when the list says, if that is after it was drained, and as just started
+//! otherwise: it was most likely restarted, and the list tells that late.
 
 use crate::{Endpoint, Health, ServerId, Timestamp};
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
-/// Puts a server among those that are out, or takes it from them; whether that changes anything.
-pub fn set_drained(out: &mut BTreeSet<ServerId>, server: &ServerId, down: bool) -> bool {
-    if down {
-        out.insert(server.clone())
+/// Adds a server to a set of drained ones or removes it; whether the set changed.
+pub fn set_drained(drained: &mut BTreeSet<ServerId>, server: &ServerId, is_drained: bool) -> bool {
+    if is_drained {
+        drained.insert(server.clone())
     } else {
-        out.remove(server)
+        drained.remove(server)
     }
 }
 
-/// The list as last told, and the servers that are out.
+/// The last endpoint list and the servers drained by an administrator.
 #[derive(Default)]
 pub struct AdminDrain {
-    listed: HashMap<ServerId, Endpoint>,
-    out: BTreeSet<ServerId>,
-    since: HashMap<ServerId, Timestamp>,
+    /// Endpoints as service discovery describes them.
+    endpoints: HashMap<ServerId, Endpoint>,
+    drained: BTreeSet<ServerId>,
+    /// When each server of `drained` was drained.
+    drained_at: HashMap<ServerId, Timestamp>,
 }
 
 impl AdminDrain {
-    /// Takes in what the list tells and gives what the decisions are to see of it.
-    pub fn apply_endpoints(&mut self, entries: Vec<Endpoint>, whole: bool) -> Vec<Endpoint> {
-        if whole {
-            self.listed.clear();
+    /// Records entries of the endpoint list and gives them as the policy is to see them. An `is_complete` list replaces
+    /// the recorded one.
+    pub fn apply_endpoints(&mut self, entries: Vec<Endpoint>, is_complete: bool) -> Vec<Endpoint> {
+        if is_complete {
+            self.endpoints.clear();
         }
         for entry in &entries {
-            match entry.health {
-                Health::Gone => drop(self.listed.remove(&entry.server)),
-                _ => drop(self.listed.insert(entry.server.clone(), entry.clone())),
-            }
+            self.record(entry);
         }
         entries
             .into_iter()
-            .map(|entry| self.as_seen(entry))
+            .map(|entry| self.with_drain(entry))
             .collect()
     }
 
-    fn as_seen(&self, mut entry: Endpoint) -> Endpoint {
-        if entry.health == Health::Ready && self.out.contains(&entry.server) {
-            entry.health = Health::Draining;
-        }
-        entry
-    }
-
-    /// Whether the list names the server, or it is out and may be called back.
+    /// Whether the list has the server, or it is drained and can be released.
     pub fn knows(&self, server: &ServerId) -> bool {
-        self.listed.contains_key(server) || self.out.contains(server)
+        self.endpoints.contains_key(server) || self.drained.contains(server)
     }
 
-    /// The servers that are out.
+    /// The drained servers.
     pub fn drained(&self) -> &BTreeSet<ServerId> {
-        &self.out
+        &self.drained
     }
 
-    /// In how many steps each server that is out has to be empty, the present one included, if it has to be within `within`.
+    /// How many steps of the length `step` are left for each drained server to be empty `drain_duration` after it was
+    /// drained, in the order of the servers' names.
     pub fn remaining_steps(
         &self,
         now: Timestamp,
-        within: Duration,
+        drain_duration: Duration,
         step: Duration,
     ) -> Vec<(ServerId, usize)> {
-        let left = |since: Timestamp| {
-            within
-                .saturating_sub(now.saturating_duration_since(since))
-                .as_nanos()
-                / step.as_nanos().max(1)
+        let remaining_steps = |drained_at: Timestamp| {
+            let elapsed = now.saturating_duration_since(drained_at);
+            let remaining = drain_duration.saturating_sub(elapsed);
+            (remaining.as_nanos() / step.as_nanos().max(1)) as usize + 1
         };
-        let steps = self
-            .out
+        self.drained
             .iter()
-            .filter_map(|server| Some((server.clone(), *self.since.get(server)?)));
-        steps
-            .map(|(server, since)| (server, left(since) as usize + 1))
+            .filter_map(|server| {
+                let drained_at = *self.drained_at.get(server)?;
+                Some((server.clone(), remaining_steps(drained_at)))
+            })
             .collect()
     }
 
-    /// From now on exactly these are out. Gives the entries that change by it: those taken out as they are shown now,
-    /// those called back as started lately.
+    /// Replaces the set of drained servers. Gives the entries that change by it, as the policy is to see them: newly drained
+    /// servers as draining, released ones as lately started. Servers that are not on the list have no entry.
     pub fn set_drained_servers(
         &mut self,
         now: Timestamp,
-        out: BTreeSet<ServerId>,
+        drained: BTreeSet<ServerId>,
     ) -> Vec<Endpoint> {
-        let before = std::mem::replace(&mut self.out, out);
-        let since = self.since.clone();
-        self.since.retain(|server, _| self.out.contains(server));
-        for server in &self.out {
-            self.since.entry(server.clone()).or_insert(now);
+        let newly_drained: BTreeSet<ServerId> =
+            drained.difference(&self.drained).cloned().collect();
+        let released: BTreeSet<ServerId> = self.drained.difference(&drained).cloned().collect();
+        self.drained = drained;
+        let changed = newly_drained.union(&released);
+        let entries = changed
+            .filter_map(|server| self.changed_entry(now, server, released.contains(server)))
+            .collect();
+        for server in &released {
+            self.drained_at.remove(server);
         }
-        let changed = before.symmetric_difference(&self.out);
-        let entry = |server: &ServerId| {
-            let mut entry = self.as_seen(self.listed.get(server)?.clone());
-            if before.contains(server) {
-                entry.started_at = entry
-                    .started_at
-                    .filter(|at| since.get(server) < Some(at))
-                    .or(Some(now));
-            }
-            Some(entry)
-        };
-        changed.filter_map(entry).collect()
+        for server in newly_drained {
+            self.drained_at.insert(server, now);
+        }
+        entries
+    }
+
+    fn record(&mut self, entry: &Endpoint) {
+        if entry.health == Health::Gone {
+            self.endpoints.remove(&entry.server);
+        } else {
+            self.endpoints.insert(entry.server.clone(), entry.clone());
+        }
+    }
+
+    /// The entry as the policy is to see it.
+    fn with_drain(&self, mut entry: Endpoint) -> Endpoint {
+        if entry.health == Health::Ready && self.drained.contains(&entry.server) {
+            entry.health = Health::Draining;
+        }
+        entry
+    }
+
+    fn changed_entry(
+        &self,
+        now: Timestamp,
+        server: &ServerId,
+        is_released: bool,
+    ) -> Option<Endpoint> {
+        let mut entry = self.with_drain(self.endpoints.get(server)?.clone());
+        if is_released {
+            let drained_at = self.drained_at.get(server);
+            let restarted_at = entry
+                .started_at
+                .filter(|started_at| drained_at < Some(started_at));
+            entry.started_at = restarted_at.or(Some(now));
+        }
+        Some(entry)
     }
 }
 
--- a/crates/placement/src/poll_schedule.rs
+++ b/crates/placement/src/poll_schedule.rs
@@ -1,123 +1,185 @@
-//! When discovery is asked, thought as what all gateways do at once.
+//! When a node calls service discovery, so that the calls of all nodes together stay within what discovery can answer.
 //!
-//! Discovery is one service of fixed capacity. Calls that wait too long there fail and have to be made again: past its
-//! capacity every call is made twice and more, and none is answered (100 gateways whose 61 failed calls came again
-//! after a quarter to three quarters of a second were not answered for ten seconds). So the calls of all gateways
-//! together keep to `CALLS_PER_S`, at the start, when all begin, as well as after a failure, which most meet together.
+//! Discovery has a fixed capacity. Calls that wait too long for it fail and are made again, so beyond that capacity every
+//! call is made twice or more and none is answered: 100 nodes that repeated 61 failed calls after 0.25 s to 0.75 s were
+//! not answered for ten seconds. The schedule therefore spreads calls over a time in proportion to the number of nodes,
+//! both at the start, when all nodes begin together, and after a failure, which most of them notice together.
 
 use std::time::Duration;
 
-/// What all gateways together ask of discovery in a second at the most. Small ones answer some 20.
-const CALLS_PER_S: f64 = 20.0;
-/// The mean wait after a first failure, and the longest mean wait however many gateways there are and however often
-/// it failed: what discovery has to tell must not go unseen for much longer.
-const FIRST_WAIT: f64 = 0.5;
-const LONGEST_WAIT: f64 = 2.0;
-/// However many gateways there are, and whatever became of its last call, one asks again within this: what discovery has
-/// to tell counts as told 6 s after it could be reached, and the answer may have to wait for its turn there. 300
-/// gateways that keep to this make 72 calls a second at the most while discovery is down, 2,100 make 510.
-const LONGEST_SPREAD: f64 = 4.5;
-/// Calls that fail again and again keep the places that the first failure spread them over, but for this part.
-const LEAST_PART: f64 = 0.85;
-/// The shortest wait after a first failure.
-const SHORTEST_WAIT: f64 = 0.25;
-/// A few gateways may ask at once: the last of them waits for this long at the most.
-const AT_ONCE: f64 = 0.25;
-/// A subscription that has fallen silent is asked for anew within this: what it misses counts as told 6 s after it fell
-/// silent, and half of that is gone by the time that it is noticed.
-const SILENT_SPREAD: f64 = 1.0;
-
-/// What may have been missed is overdue this long after the last contact: later than that there is nothing to be in time for.
-const OVERDUE: Duration = Duration::from_millis(5250);
-/// A call may be waiting for its turn at a busy discovery: so long it is always alone.
-const ALONE: Duration = Duration::from_secs(1);
-/// While discovery takes calls and answers none, a fresh one is made so often: the one that comes when it answers again
-/// is heard in time, though all before it may be lost.
-const FRESH_EVERY: Duration = Duration::from_secs(4);
-
-/// How long a call may go unanswered before a further one is made beside it. The one that waits is kept: it may have a place in
-/// a queue, and a call given up for a later one in the same queue buries a discovery that is merely busy. `quiet` is the
-/// time since the last contact when the call is made: since something whole came, or a call was refused, failed or ended
-/// by discovery itself. Calls that are made 0 to 4.5 s after a contact get the further one 4 to 5.5 s after it, in their
-/// order: gateways that lost contact together keep spread out. After the `further` one, and when it is too late anyway,
-/// calls keep a slow pace.
-pub fn unanswered_call_timeout(quiet: Duration, further: bool) -> Duration {
-    if further || quiet > OVERDUE {
-        FRESH_EVERY
-    } else {
-        FRESH_EVERY.saturating_sub(quiet * 2 / 3).max(ALONE)
+/// Target for the call rate of the whole fleet, in calls per second. Small deployments of discovery answer about 20.
+const MAX_FLEET_CALLS_PER_SECOND: f64 = 20.0;
+
+/// Mean delay of the first retry, in seconds. It doubles with each further failure.
+const FIRST_RETRY_MEAN_SECONDS: f64 = 0.5;
+
+/// Upper bound of the mean retry delay for fleets whose calls need no wider spread, in seconds: endpoint changes must not go
+/// unnoticed for much longer.
+const MAX_RETRY_MEAN_SECONDS: f64 = 2.0;
+
+/// Lower bound of the first retry's delay, in seconds.
+const MIN_FIRST_RETRY_SECONDS: f64 = 0.25;
+
+/// Upper bound of a retry's delay, relative to its mean.
+const MAX_DELAY_TO_MEAN_RATIO: f64 = 1.5;
+
+/// Number of failures after which the mean delay doubles no more; it has long reached its upper bound by then.
+const MAX_DOUBLINGS: i32 = 8;
+
+/// Upper bound of any delay, in seconds, whatever the number of nodes and failures. Endpoint changes count as known 6 s after
+/// discovery can be reached again, and the answer may have to wait in a queue there. 300 nodes within this bound make at
+/// most 72 calls a second while discovery is down, 2,100 nodes make 510.
+const MAX_SPREAD_SECONDS: f64 = 4.5;
+
+/// Lower bound of a later retry's delay, at most this part of its upper bound: nodes that fail again and again stay
+/// spread as they were after the first failure, but for the remaining part.
+const MAX_MIN_DELAY_RATIO: f64 = 0.85;
+
+/// Fleets whose spread is not longer than this, in seconds, call without delay.
+const NEGLIGIBLE_SPREAD_SECONDS: f64 = 0.25;
+
+/// Upper bound of the delay after the endpoint watch stalled, in seconds. Changes missed by it count as known 6 s after it
+/// stalled, and half of that time has passed when the stall is noticed.
+const MAX_STALLED_WATCH_SPREAD_SECONDS: f64 = 1.0;
+
+/// Time after the last contact with discovery from which missed changes are overdue, so that haste is of no more use.
+const CONTACT_OVERDUE_AFTER: Duration = Duration::from_millis(5250);
+
+/// Lower bound of the time for which a call is the only one: it may be queued at a busy discovery.
+const MIN_CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time between calls while discovery accepts calls and answers none. Earlier calls may all be lost, so the answer comes in
+/// time to the call that is made just before discovery recovers.
+const REPEATED_CALL_INTERVAL: Duration = Duration::from_secs(4);
+
+/// How long a call may be unanswered before another one is made beside it.
+///
+/// The unanswered call is kept: it may have a place in a queue, and replacing queued calls by later ones would overload a
+/// discovery that is merely busy.
+///
+/// `since_contact` is the time, when the call is made, since the last contact: since something complete was received, or
+/// since discovery refused, failed or closed a call. Calls made 0 s to 4.5 s after a contact are followed by another one
+/// 4 s to 5.5 s after it, in the same order, so nodes that lost contact together stay spread. With
+/// `has_earlier_call`, when another unanswered call is already open, and when changes are overdue anyway, the interval
+/// is constant.
+pub fn unanswered_call_timeout(since_contact: Duration, has_earlier_call: bool) -> Duration {
+    if has_earlier_call || since_contact > CONTACT_OVERDUE_AFTER {
+        return REPEATED_CALL_INTERVAL;
     }
+    // Two thirds: the 4.5 s over which calls are spread become 1.5 s.
+    let elapsed = since_contact * 2 / 3;
+    REPEATED_CALL_INTERVAL
+        .saturating_sub(elapsed)
+        .max(MIN_CALL_TIMEOUT)
 }
 
-/// Whether a connection that did not come up is tried again at once: while a change that it may miss is not overdue. Each try
-/// takes over a second, so these are few.
-pub fn reconnects_immediately(quiet: Duration) -> bool {
-    quiet <= OVERDUE
+/// Whether a connection to discovery that could not be made is retried without delay: while changes that the node may have
+/// missed are not yet overdue. Each connection attempt takes more than a second, so there are few such retries.
+pub fn reconnects_immediately(since_contact: Duration) -> bool {
+    since_contact <= CONTACT_OVERDUE_AFTER
 }
 
-/// The calls of one gateway.
+/// The call schedule of one node.
+///
+/// Its methods take `random`, a number drawn from 0 to 1 by the caller, so that the schedule itself is deterministic.
 pub struct PollSchedule {
-    spread: f64,
-    failures: i32,
+    /// The time over which the fleet's calls are spread, in seconds.
+    spread_seconds: f64,
+    /// Failed calls since the last answer.
+    consecutive_failures: i32,
+}
+
+/// Bounds of a delay, in seconds.
+struct DelayBounds {
+    min: f64,
+    max: f64,
+}
+
+impl DelayBounds {
+    fn at(&self, random: f64) -> Duration {
+        Duration::from_secs_f64(self.min + (self.max - self.min) * random)
+    }
 }
 
 impl PollSchedule {
-    /// For one of so many gateways.
-    pub fn new(gateways: u32) -> PollSchedule {
-        let mut asking = PollSchedule {
-            spread: 0.0,
-            failures: 0,
+    /// Creates the schedule of one node in a fleet of `node_count`.
+    pub fn new(node_count: u32) -> PollSchedule {
+        let mut schedule = PollSchedule {
+            spread_seconds: 0.0,
+            consecutive_failures: 0,
         };
-        asking.set_node_count(gateways);
-        asking
+        schedule.set_node_count(node_count);
+        schedule
     }
 
-    /// There are so many gateways from now on.
-    pub fn set_node_count(&mut self, gateways: u32) {
-        self.spread = (f64::from(gateways) / CALLS_PER_S).min(LONGEST_SPREAD);
+    /// Changes the size of the fleet. Delays already given stay.
+    pub fn set_node_count(&mut self, node_count: u32) {
+        let spread_seconds = f64::from(node_count) / MAX_FLEET_CALLS_PER_SECOND;
+        self.spread_seconds = spread_seconds.min(MAX_SPREAD_SECONDS);
     }
 
-    /// When to ask first: a list is known from the start, and all gateways may have started at once. `random` lies
-    /// between 0 and 1. Zero for few gateways.
+    /// Delay of the first call after a start, when a list is cached and all nodes may have started together. Zero in a
+    /// small fleet.
     pub fn initial_delay(&self, random: f64) -> Duration {
-        let spread = if self.spread <= AT_ONCE {
-            0.0
-        } else {
-            self.spread
-        };
-        Duration::from_secs_f64(spread * random)
+        Duration::from_secs_f64(self.significant_spread_seconds() * random)
     }
 
-    /// A call failed or the subscription broke: when to ask again.
+    /// Records that a call failed or the endpoint watch was closed, and gives the delay of the next call.
     pub fn retry_delay(&mut self, random: f64) -> Duration {
-        let (least, most) = if self.failures == 0 {
-            // Most fail together: the first wait spreads them evenly.
-            (SHORTEST_WAIT, self.spread.max(FIRST_WAIT * 1.5))
+        let bounds = if self.consecutive_failures == 0 {
+            self.first_retry_bounds()
         } else {
-            let mean = (FIRST_WAIT * 2f64.powi(self.failures.min(8)))
-                .min(LONGEST_WAIT)
-                .max(self.spread);
-            let most = (mean * 1.5).min(LONGEST_SPREAD);
-            ((2.0 * mean - most).min(most * LEAST_PART), most)
+            self.later_retry_bounds()
         };
-        self.failures += 1;
-        Duration::from_secs_f64(least + (most - least) * random)
+        self.consecutive_failures += 1;
+        bounds.at(random)
     }
 
-    /// The subscription has fallen silent: when to ask anew. Zero for few gateways. It is no failed call: discovery may be
-    /// well, and gateways whose subscriptions fell silent together notice it spread over the time between two signs of life.
+    /// Delay of the call that replaces a stalled endpoint watch. Zero in a small fleet.
+    ///
+    /// It does not count as a failure: discovery may be healthy, and nodes whose watches stalled together notice it at
+    /// different times, spread over the interval between two keep-alives.
     pub fn silent_watch_delay(&self, random: f64) -> Duration {
-        let spread = if self.spread <= AT_ONCE {
+        let spread_seconds = self
+            .significant_spread_seconds()
+            .min(MAX_STALLED_WATCH_SPREAD_SECONDS);
+        Duration::from_secs_f64(spread_seconds * random)
+    }
+
+    /// Records that an endpoint list was received. A `cached` one says nothing about discovery.
+    pub fn record_answer(&mut self, cached: bool) {
+        if !cached {
+            self.consecutive_failures = 0;
+        }
+    }
+
+    fn significant_spread_seconds(&self) -> f64 {
+        if self.spread_seconds <= NEGLIGIBLE_SPREAD_SECONDS {
             0.0
         } else {
-            self.spread.min(SILENT_SPREAD)
-        };
-        Duration::from_secs_f64(spread * random)
+            self.spread_seconds
+        }
     }
 
-    /// A list has come: from discovery, or one that was `cached`, which tells nothing of it.
-    pub fn record_answer(&mut self, cached: bool) {
-        self.failures *= i32::from(cached);
+    /// Most nodes fail together, so the first retry spreads them evenly.
+    fn first_retry_bounds(&self) -> DelayBounds {
+        let unspread_max = FIRST_RETRY_MEAN_SECONDS * MAX_DELAY_TO_MEAN_RATIO;
+        DelayBounds {
+            min: MIN_FIRST_RETRY_SECONDS,
+            max: self.spread_seconds.max(unspread_max),
+        }
+    }
+
+    /// Exponential backoff around the fleet's spread, with bounds so narrow that nodes keep their distance.
+    fn later_retry_bounds(&self) -> DelayBounds {
+        let doublings = self.consecutive_failures.min(MAX_DOUBLINGS);
+        let backoff = FIRST_RETRY_MEAN_SECONDS * 2f64.powi(doublings);
+        let mean = backoff.min(MAX_RETRY_MEAN_SECONDS).max(self.spread_seconds);
+        let max = (mean * MAX_DELAY_TO_MEAN_RATIO).min(MAX_SPREAD_SECONDS);
+        DelayBounds {
+            min: (2.0 * mean - max).min(max * MAX_MIN_DELAY_RATIO),
+            max,
+        }
     }
 }
 
