Node: move the handoff, discovery and the admin address into folders of their own

Need: one folder a concern, named by the field's terms. Change: upgrade -> handoff (admin_drain_file, transfer, peer_process, inherited_listener, message); discovery, group and objects -> discovery (endpoint_list, json_stream); management and inquiry -> admin (status_table).

--- a/crates/node/src/management.rs
+++ b/crates/node/src/admin/mod.rs
@@ -1,9 +1,11 @@
 //! The second address, for the staff: each connection carries one line, and one line comes back that begins with `done` or
 //! `error`. It knows the syntax only; what a call does is the node's matter.
 
+pub mod status_table;
+
 use crate::fleet;
+use crate::handoff;
 use crate::state::{Message, Node, NodeState, CALLS, MANAGEMENT};
-use crate::upgrade;
 use crate::upstream::attempt::LONGEST_LINE;
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::{poller_key, Interest, Readiness};
@@ -273,7 +275,7 @@
     let outcome = match call(line)? {
         Call::Check => {
             // Whoever hears yes may end the other process at once, which has to know of this one by then.
-            upgrade::open(node);
+            handoff::open(node);
             return node.serves().map(|()| String::new());
         }
         Call::SetDown(server) => node.by_hand(server, true).map(|()| String::new()),
--- a/crates/node/src/client/connection.rs
+++ b/crates/node/src/client/connection.rs
@@ -1,7 +1,7 @@
 //! The platform's line protocol towards clients: the listener, the first line, and the answers to it.
 
+use crate::handoff::message::Said;
 use crate::state::{Message, Node, NodeState, Seat, Strangers, Up, LISTENER};
-use crate::upgrade::link::Said;
 use crate::upstream::attempt::{Peer, Try, LONGEST_LINE};
 use crate::upstream::relay::Relay;
 use lupincrank_placement::{RequestId, RequestInfo, Timestamp};
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,7 +1,7 @@
 //! What the node is told at its start: RELAY_* variables and the JSON file that one of them names.
 
+use crate::discovery::endpoint_list::{self, Update};
 use crate::fleet::setup::Setup;
-use crate::group::{self, Update};
 use lupincrank_placement::Settings;
 use lupincrank_settings::strict;
 use lupincrank_settings::Site;
@@ -314,7 +314,7 @@
             ));
         }
         if let Some(known) = &config.known {
-            group::check(known).map_err(|error| format!("known: {error}"))?;
+            endpoint_list::check(known).map_err(|error| format!("known: {error}"))?;
         }
         Ok(config)
     }
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery/mod.rs
@@ -1,9 +1,12 @@
 //! Discovery's client: keeps a watch on the upstream group and tells the core what changes.
 
+pub mod endpoint_list;
+mod json_stream;
+
 use crate::config::Config;
 use crate::core::{Core, Member};
-use crate::group::{check, dial, health, number, Update};
-use crate::objects::Objects;
+use crate::discovery::endpoint_list::{check, dial, health, number, Update};
+use crate::discovery::json_stream::Objects;
 use crate::state::{Message, Node, NodeState, DISCOVERY, UPGRADE};
 use lupincrank_placement::{poll_schedule, Endpoint};
 use lupincrank_reactor::poll::{self, Registered};
--- a/crates/node/src/upgrade/mod.rs
+++ b/crates/node/src/handoff/mod.rs
@@ -1,24 +1,24 @@
 //! Two processes of one node: who else lives, what is out by hand, and the connections that the older context over. Without a
 //! listener that the platform holds there is one process only, and no file, lock or socket is made.
 
-mod bans;
-mod custody;
-pub mod held;
-pub mod inherited;
-pub mod link;
+mod admin_drain_file;
+pub mod inherited_listener;
+pub mod message;
+pub mod peer_process;
+mod transfer;
 
 use crate::client::connection::Client;
 use crate::state::{Message, Node, NodeState, LISTENER};
 use crate::upstream::relay::Relay;
-use custody::UNDER_WAY;
-use held::{DOOR, LINK, UPGRADE};
-use link::{Beat, Came, Said, VERSION};
 use lupincrank_reactor::poll::Registered;
 use lupincrank_reactor::{poller_key, Interest, Readiness};
 use lupincrank_reactor::{Connection, Lifecycle};
+use message::{Beat, Came, Said, VERSION};
+use peer_process::{DOOR, LINK, UPGRADE};
 use slog::{debug, info, warn};
 use std::io;
 use std::time::{Duration, Instant};
+use transfer::UNDER_WAY;
 
 /// How often each process tells the other what it holds, looks who is out by hand, and who else lives.
 const BEAT: Duration = Duration::from_millis(100);
@@ -251,7 +251,7 @@
             let Some(link) = &node.upgrade.link else {
                 break;
             };
-            match link::receive(link) {
+            match message::receive(link) {
                 Ok(Some(came)) => take(node, came),
                 Ok(None) => break,
                 Err(error) if error.kind() == io::ErrorKind::InvalidData => {
--- a/crates/node/src/upgrade/held.rs
+++ b/crates/node/src/handoff/peer_process.rs
@@ -1,8 +1,8 @@
 //! What a process knows of the other one of its node, and what it may do by that.
 
-use super::bans::Bans;
-use super::custody::Custody;
-use super::link::{self, Beat, Said};
+use super::admin_drain_file::Bans;
+use super::message::{self, Beat, Said};
+use super::transfer::Custody;
 use lupincrank_placement::admin_drain::set_drained;
 use lupincrank_placement::ServerId;
 use lupincrank_reactor::poll::Registered;
@@ -114,7 +114,7 @@
         let Some(link) = &self.link else {
             return Err(io::ErrorKind::NotConnected.into());
         };
-        let sent = link::send(link, &said(self.custody.number()), bytes, fds)?;
+        let sent = message::send(link, &said(self.custody.number()), bytes, fds)?;
         self.custody.sent(id, sent);
         Ok(sent)
     }
@@ -139,7 +139,7 @@
     pub fn say(&self, said: &Said) -> bool {
         self.link
             .as_ref()
-            .is_some_and(|link| matches!(link::send(link, said, &[], &[]), Ok(true)))
+            .is_some_and(|link| matches!(message::send(link, said, &[], &[]), Ok(true)))
     }
 
     /// Looks who else lives: takes the lock and waits for a successor, or reaches the process that has the lock.
@@ -158,7 +158,7 @@
             Ok(()) => {
                 self.lock = Some(file);
                 let _ = fs::remove_file(&path);
-                let door = link::listen(&path)?;
+                let door = message::listen(&path)?;
                 self.door = Some(Registered::new(
                     poller,
                     door,
@@ -167,7 +167,7 @@
                 )?);
             }
             Err(fs::TryLockError::WouldBlock) if self.link.is_none() && !self.foreign => {
-                let link = link::connect(&path)?;
+                let link = message::connect(&path)?;
                 self.link = Some(Registered::new(
                     poller,
                     link,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,21 +1,18 @@
 //! The node: lupincrank's decisions on real sockets. The program is [`main`]; [`hollow`] is its part in the fleet alone.
 
+mod admin;
 mod cli;
 mod client;
 mod config;
 mod core;
 mod discovery;
 mod fleet;
-mod group;
+mod handoff;
 pub mod hollow;
-mod inquiry;
 mod load_lines;
-mod management;
-mod objects;
 mod serve;
 mod signals;
 mod state;
-mod upgrade;
 mod upstream;
 
 use cli::Command;
@@ -66,7 +63,7 @@
             println!("it holds for a start and, as far as it does not depend on the file before, for SIGHUP");
         }
         Command::Manage { address, call } => {
-            let answer = management::ask(address, &call.join(" "))
+            let answer = admin::ask(address, &call.join(" "))
                 .map_err(|error| format!("{address}: {error}"))?;
             println!("{answer}");
             if !answer.starts_with("done") {
@@ -78,7 +75,7 @@
             what,
             address,
         } => {
-            let answer = management::ask(address, &format!("fleet {what}"));
+            let answer = admin::ask(address, &format!("fleet {what}"));
             let answer = answer.map_err(|error| format!("{address}: {error}"))?;
             let told = answer
                 .strip_prefix("done ")
@@ -88,7 +85,7 @@
                 if json {
                     told.to_string()
                 } else {
-                    inquiry::table(&what, told)?
+                    admin::status_table::table(&what, told)?
                 }
             );
         }
@@ -100,7 +97,7 @@
         } => {
             let call = format!("budgets {what} {}", change.unwrap_or_default());
             let answer =
-                management::ask(address, &call).map_err(|error| format!("{address}: {error}"))?;
+                admin::ask(address, &call).map_err(|error| format!("{address}: {error}"))?;
             let told = answer
                 .strip_prefix("done ")
                 .ok_or_else(|| format!("{address}: {answer}"))?;
@@ -109,7 +106,7 @@
                 if json {
                     told.to_string()
                 } else {
-                    inquiry::budgets(told)?
+                    admin::status_table::budgets(told)?
                 }
             );
         }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -6,7 +6,7 @@
     Message, NodeState, DISCOVERY, LISTENER, LOOK, LOOK_PURPOSE, MANAGEMENT, RESERVED, SIGNALS,
     UPGRADE,
 };
-use crate::{discovery, fleet, management, signals, upgrade};
+use crate::{admin, discovery, fleet, handoff, signals};
 use lupincrank_reactor::{Reactor, APPLICATION};
 use slog::{info, Logger};
 use std::io;
@@ -17,7 +17,7 @@
     // Before anything else is opened, which could get the number of a descriptor that is not there.
     let inherited = config
         .inherited
-        .map(|fd| upgrade::inherited::listener(fd, config.listen))
+        .map(|fd| handoff::inherited_listener::listener(fd, config.listen))
         .transpose()?;
     let mut reactor = Reactor::new(NodeState::new(config, log), RESERVED)?;
     let node = &mut reactor.context;
@@ -27,11 +27,11 @@
     node.register(DISCOVERY, Box::new(discovery));
     let listener = connection::Listener::new(node, inherited)?;
     node.register(LISTENER, Box::new(listener));
-    node.register(UPGRADE, Box::new(upgrade::Watch));
-    upgrade::begin(node);
+    node.register(UPGRADE, Box::new(handoff::Watch));
+    handoff::begin(node);
     fleet::begin(node).map_err(io::Error::other)?;
     if let Some(address) = node.config.management {
-        let management = management::Management::new(node, address)?;
+        let management = admin::Management::new(node, address)?;
         node.register(MANAGEMENT, Box::new(management));
     }
     info!(node.log, "serving"; "listen" => %node.config.listen, "name" => %node.config.name);
--- a/crates/node/src/signals.rs
+++ b/crates/node/src/signals.rs
@@ -98,7 +98,7 @@
             node.leaving = Some((now, until));
             crate::fleet::leave(node);
             if node.upgrade.has_successor() {
-                crate::upgrade::leave(node);
+                crate::handoff::leave(node);
             }
             node.deadlines
                 .set(SIGNALS, 0, until.checked_sub(FIRST_MOVE).unwrap_or(now));
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -3,8 +3,8 @@
 use crate::config::Config;
 use crate::core::{Core, Order, TryOrder};
 use crate::fleet::carry::Carry;
-use crate::upgrade::held::Upgrade;
-use crate::upgrade::link::Said;
+use crate::handoff::message::Said;
+use crate::handoff::peer_process::Upgrade;
 use crate::upstream::health_check::{self, Probes};
 use lupincrank_placement::{RequestId, ServerId};
 use lupincrank_reactor::poll::Registered;
@@ -29,7 +29,7 @@
 /// The listener for calls of the staff.
 pub const MANAGEMENT: ComponentId = 4;
 /// The link to another process of this node.
-pub use crate::upgrade::held::UPGRADE;
+pub use crate::handoff::peer_process::UPGRADE;
 /// What this node has to do with its fleet.
 pub const FLEET: ComponentId = 6;
 /// What tells that something of the council is on the disk.
--- a/crates/node/src/upstream/relay.rs
+++ b/crates/node/src/upstream/relay.rs
@@ -1,7 +1,7 @@
 //! A connection that is up: passes bytes both ways unchanged and taps what the decisions need of them.
 
+use crate::handoff::message::{self, Standing};
 use crate::state::{Message, Node, NodeState, Seat, Up};
-use crate::upgrade::link::{self, Standing};
 use crate::upstream::attempt::{said, Said, LONGEST_LINE};
 use lupincrank_placement::{Outcome, RequestId, RequestInfo, Timestamp};
 use lupincrank_reactor::poll::Registered;
@@ -247,7 +247,7 @@
         let (bytes, fds) = (parts.concat(), [self.client.as_fd(), peer.as_fd()]);
         match node.upgrade.hand(
             self.id,
-            |number| link::Said::Standing(number, record),
+            |number| message::Said::Standing(number, record),
             &bytes,
             &fds,
         ) {
