--- a/crates/node/src/handoff/admin_drain_file/tests.rs
+++ b/crates/node/src/handoff/admin_drain_file/tests.rs
@@ -48,3 +48,16 @@
         fs::remove_file(path.with_extension(extension)).unwrap();
     }
 }
+
+/// The fixtures were written by revision c925b3d; both processes of a handoff read and write this file.
+#[rstest]
+#[case::no_server(&[], include_str!("../fixtures/no_admin_drains.out"))]
+#[case::two_servers(&["s-1", "s \"2\"\n"], include_str!("../fixtures/admin_drains.out"))]
+fn the_file_is_read_and_written_as_by_earlier_builds(
+    #[case] servers: &[&str],
+    #[case] fixture: &str,
+) {
+    let drained: BTreeSet<ServerId> = servers.iter().copied().map(ServerId::from).collect();
+    assert_eq!(text(&drained).unwrap(), fixture);
+    assert_eq!(parse(fixture).unwrap(), drained);
+}
--- a/crates/node/src/handoff/message.rs
+++ b/crates/node/src/handoff/message.rs
@@ -226,3 +226,6 @@
     socket.connect(&SockAddr::unix(path)?)?;
     Ok(socket)
 }
+
+#[cfg(test)]
+mod tests;
