--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -3,7 +3,7 @@
 
 pub mod status_table;
 
-use crate::fleet;
+use crate::cluster_agent;
 use crate::handoff;
 use crate::state::{Message, Node, NodeState, CALLS, MANAGEMENT};
 use crate::upstream::attempt::LONGEST_LINE;
@@ -281,7 +281,7 @@
         Call::SetDown(server) => node.by_hand(server, true).map(|()| String::new()),
         Call::SetUp(server) => node.by_hand(server, false).map(|()| String::new()),
         Call::Fleet(what) => {
-            let told = fleet::told(node, what);
+            let told = cluster_agent::told(node, what);
             let told = told.unwrap_or_else(|| Err("this node was started without a fleet".into()));
             if what != "reseed" {
                 // Asked often, and nothing changes by it.
@@ -290,7 +290,7 @@
             told
         }
         Call::Budgets(what, whole) => {
-            let told = fleet::budgets(node, what, whole);
+            let told = cluster_agent::budgets(node, what, whole);
             if what != "set" {
                 return told;
             }
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,7 +1,7 @@
 //! What the node is told at its start: RELAY_* variables and the JSON file that one of them names.
 
+use crate::cluster_agent::config::Setup;
 use crate::discovery::endpoint_list::{self, Update};
-use crate::fleet::setup::Setup;
 use lupincrank_placement::Settings;
 use lupincrank_settings::strict;
 use lupincrank_settings::Site;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,10 +3,10 @@
 mod admin;
 mod cli;
 mod client;
+mod cluster_agent;
 mod config;
 mod core;
 mod discovery;
-mod fleet;
 mod handoff;
 pub mod hollow;
 mod load_lines;
@@ -16,8 +16,8 @@
 mod upstream;
 
 use cli::Command;
+use cluster_agent::config::Setup;
 use config::Config;
-use fleet::setup::Setup;
 use lupincrank_operator_config::Operator;
 use slog::{o, Drain, Level, Logger};
 use std::process::ExitCode;
--- a/crates/placement/src/state/server_table.rs
+++ b/crates/placement/src/state/server_table.rs
@@ -1,6 +1,6 @@
 //! A table of what is known of each server, under a short number in place of its id.
 
-use crate::interface::ServerId;
+use crate::ServerId;
 use std::collections::HashMap;
 
 /// A server's place in the table.
