--- a/crates/node/src/management.rs
+++ b/crates/node/src/admin/mod.rs
@@ -1,9 +1,11 @@
 //! The second address, for the staff: each connection carries one line, and one line comes back that begins with `done` or
 //! `error`. It knows the syntax only; what a call does is the node's matter.
 
-use crate::fleet;
+pub mod status_table;
+
+use crate::cluster_agent;
+use crate::handoff;
 use crate::state::{Message, Node, NodeState, CALLS, MANAGEMENT};
-use crate::upgrade;
 use crate::upstream::attempt::LONGEST_LINE;
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::{poller_key, Interest, Readiness};
@@ -273,13 +275,13 @@
     let outcome = match call(line)? {
         Call::Check => {
             // Whoever hears yes may end the other process at once, which has to know of this one by then.
-            upgrade::open(node);
+            handoff::open(node);
             return node.serves().map(|()| String::new());
         }
         Call::SetDown(server) => node.by_hand(server, true).map(|()| String::new()),
         Call::SetUp(server) => node.by_hand(server, false).map(|()| String::new()),
         Call::Fleet(what) => {
-            let told = fleet::told(node, what);
+            let told = cluster_agent::told(node, what);
             let told = told.unwrap_or_else(|| Err("this node was started without a fleet".into()));
             if what != "reseed" {
                 // Asked often, and nothing changes by it.
@@ -288,7 +290,7 @@
             told
         }
         Call::Budgets(what, whole) => {
-            let told = fleet::budgets(node, what, whole);
+            let told = cluster_agent::budgets(node, what, whole);
             if what != "set" {
                 return told;
             }
