--- a/crates/node/src/management.rs
+++ b/crates/node/src/admin/mod.rs
@@ -1,12 +1,14 @@
 //! The second address, for the staff: each connection carries one line, and one line comes back that begins with `done` or
 //! `error`. It knows the syntax only; what a call does is the node's matter.
 
+pub mod status_table;
+
 use crate::cluster_agent;
 use crate::command::{AdminConnectionCommand, Message};
 use crate::component::{WellKnownComponent, FIRST_ADMIN_CONNECTION_ID};
 use crate::deadline::DeadlineKind;
+use crate::handoff;
 use crate::state::{NodeContext, NodeState};
-use crate::upgrade;
 use crate::upstream::attempt::LONGEST_LINE;
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::{poller_key, Interest, Readiness};
@@ -297,7 +299,7 @@
     let outcome = match call(line)? {
         Call::Check => {
             // Whoever hears yes may end the other process at once, which has to know of this one by then.
-            upgrade::open(context);
+            handoff::open(context);
             return context.serves().map(|()| String::new());
         }
         Call::SetDown(server) => context.by_hand(server, true).map(|()| String::new()),
--- a/crates/node/src/client/connection.rs
+++ b/crates/node/src/client/connection.rs
@@ -5,8 +5,8 @@
 };
 use crate::component::WellKnownComponent;
 use crate::deadline::{ClientDeadline, DeadlineKind};
+use crate::handoff::message::Said;
 use crate::state::{ClientSlot, NodeContext, NodeState, UnidentifiedClients};
-use crate::upgrade::link::Said;
 use crate::upstream::attempt::{Peer, Try, LONGEST_LINE};
 use crate::upstream::relay::Relay;
 use lupincrank_placement::{RequestId, RequestInfo, Timestamp};
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery/mod.rs
@@ -1,12 +1,15 @@
 //! Discovery's client: keeps a watch on the upstream group and tells the core what changes.
 
+pub mod endpoint_list;
+mod json_stream;
+
 use crate::command::{DiscoveryCommand, HandoffCommand, Message};
 use crate::component::WellKnownComponent;
 use crate::config::Config;
 use crate::core::{Core, Member};
 use crate::deadline::{DeadlineKind, DiscoveryDeadline};
-use crate::group::{check, dial, health, number, Update};
-use crate::objects::Objects;
+use crate::discovery::endpoint_list::{check, dial, health, number, Update};
+use crate::discovery::json_stream::Objects;
 use crate::state::{NodeContext, NodeState};
 use lupincrank_placement::{poll_schedule, Endpoint};
 use lupincrank_reactor::poll::{self, Registered};
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -6,7 +6,7 @@
 use crate::component::{WellKnownComponent, LAST_WELL_KNOWN_ID};
 use crate::config::Config;
 use crate::state::NodeState;
-use crate::{cluster_agent, discovery, management, signals, upgrade};
+use crate::{admin, cluster_agent, discovery, handoff, signals};
 use lupincrank_reactor::Reactor;
 use slog::{info, Logger};
 use std::io;
@@ -16,7 +16,7 @@
     // Before anything else is opened, which could get the number of a descriptor that is not there.
     let inherited = config
         .inherited
-        .map(|fd| upgrade::inherited::listener(fd, config.listen))
+        .map(|fd| handoff::inherited_listener::listener(fd, config.listen))
         .transpose()?;
     let mut reactor = Reactor::new(NodeState::new(config, log), LAST_WELL_KNOWN_ID)?;
     let context = &mut reactor.context;
@@ -26,11 +26,11 @@
     context.register(WellKnownComponent::Discovery.id(), Box::new(discovery));
     let listener = connection::Listener::new(context, inherited)?;
     context.register(WellKnownComponent::ClientListener.id(), Box::new(listener));
-    context.register(WellKnownComponent::Handoff.id(), Box::new(upgrade::Watch));
-    upgrade::begin(context);
+    context.register(WellKnownComponent::Handoff.id(), Box::new(handoff::Watch));
+    handoff::begin(context);
     cluster_agent::begin(context).map_err(io::Error::other)?;
     if let Some(address) = context.config.management {
-        let management = management::Management::new(context, address)?;
+        let management = admin::Management::new(context, address)?;
         context.register(WellKnownComponent::AdminListener.id(), Box::new(management));
     }
     info!(context.log, "serving"; "listen" => %context.config.listen, "name" => %context.config.name);
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -3,8 +3,8 @@
 use crate::cluster_agent::agent::Carry;
 use crate::config::Config;
 use crate::core::Core;
-use crate::upgrade::held::Upgrade;
-use crate::upgrade::link::Said;
+use crate::handoff::message::Said;
+use crate::handoff::peer_process::Upgrade;
 use lupincrank_placement::ServerId;
 use lupincrank_reactor::{ComponentId, Context};
 use slog::Logger;
--- a/crates/node/src/upstream/relay.rs
+++ b/crates/node/src/upstream/relay.rs
@@ -2,8 +2,8 @@
 
 use crate::command::{AcceptedAttempt, Message, RelayCommand, TransferCommand};
 use crate::deadline::DeadlineKind;
+use crate::handoff::message::{self, Standing};
 use crate::state::{ClientSlot, NodeContext, NodeState};
-use crate::upgrade::link::{self, Standing};
 use crate::upstream::attempt::{said, Said, LONGEST_LINE};
 use lupincrank_placement::{Outcome, RequestId, RequestInfo, Timestamp};
 use lupincrank_reactor::poll::Registered;
@@ -255,7 +255,7 @@
         let (bytes, fds) = (parts.concat(), [self.client.as_fd(), peer.as_fd()]);
         match context.handoff.hand(
             self.id,
-            |number| link::Said::Standing(number, record),
+            |number| message::Said::Standing(number, record),
             &bytes,
             &fds,
         ) {
