--- a/crates/node/src/application.rs
+++ b/crates/node/src/application.rs
@@ -2,8 +2,8 @@
 
 use crate::command::{ClientCommand, DiscoveryCommand, Message, RelayCommand};
 use crate::component::{is_allocated_id, WellKnownComponent, FIRST_ADMIN_CONNECTION_ID};
-use crate::core::Order;
 use crate::deadline::DeadlineKind;
+use crate::placement_driver::Order;
 use crate::state::{NodeContext, NodeState};
 use crate::upstream::health_check;
 use lupincrank_reactor::{Application, ComponentId, APPLICATION};
--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -1,6 +1,6 @@
 //! What the node's components tell each other: one enum of commands for each kind of receiver.
 
-use crate::core::AttemptOrder;
+use crate::placement_driver::AttemptOrder;
 use lupincrank_placement::RequestId;
 use lupincrank_reactor::poll::Registered;
 use lupincrank_reactor::ComponentId;
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -2,9 +2,9 @@
 
 use crate::cluster_agent::agent::Carry;
 use crate::config::Config;
-use crate::core::Core;
 use crate::handoff::message::Said;
 use crate::handoff::peer_process::Upgrade;
+use crate::placement_driver::Core;
 use lupincrank_placement::ServerId;
 use lupincrank_reactor::{ComponentId, Context};
 use slog::Logger;
