Node: split the placement driver into modules by concern, with typed commands and errors

PlacementDriver is a folder now: attempts, request, endpoints, settings, latency, setup_times, shutdown, clock and command. The order of events and commands stays.

--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -300,7 +300,10 @@
         Call::Check => {
             // Whoever hears yes may end the other process at once, which has to know of this one by then.
             handoff::open(context);
-            return context.serves().map(|()| String::new());
+            return context
+                .check_serving()
+                .map(|()| String::new())
+                .map_err(|error| error.to_string());
         }
         Call::SetDown(server) => context.by_hand(server, true).map(|()| String::new()),
         Call::SetUp(server) => context.by_hand(server, false).map(|()| String::new()),
--- a/crates/node/src/application.rs
+++ b/crates/node/src/application.rs
@@ -3,7 +3,7 @@
 use crate::command::{ClientCommand, DiscoveryCommand, Message, RelayCommand};
 use crate::component::{is_allocated_id, WellKnownComponent, FIRST_ADMIN_CONNECTION_ID};
 use crate::deadline::DeadlineKind;
-use crate::placement_driver::Order;
+use crate::placement_driver::Command;
 use crate::state::{NodeContext, NodeState};
 use crate::upstream::health_check;
 use lupincrank_reactor::{Application, ComponentId, APPLICATION};
@@ -25,19 +25,23 @@
 }
 
 /// Carries out one decision.
-fn execute(context: &mut NodeContext, order: Order) {
-    match order {
-        Order::Try(owner, attempt) => context.send(owner, ClientCommand::StartAttempt(attempt)),
-        Order::Refuse(owner, retry_after) => {
+fn execute(context: &mut NodeContext, command: Command) {
+    match command {
+        Command::StartAttempt { owner, attempt } => {
+            context.send(owner, ClientCommand::StartAttempt(attempt));
+        }
+        Command::Reject { owner, retry_after } => {
             context.send(owner, ClientCommand::Reject(retry_after));
         }
-        Order::Fail(owner) => context.send(owner, ClientCommand::Fail),
-        Order::Move(owner) => context.send(owner, RelayCommand::Migrate),
-        Order::Probe(server, address) => health_check::probe(context, server, address),
-        Order::Subscribe => {
+        Command::Fail { owner } => context.send(owner, ClientCommand::Fail),
+        Command::Migrate { owner } => context.send(owner, RelayCommand::Migrate),
+        Command::CheckHealth { server, address } => {
+            health_check::probe(context, server, address);
+        }
+        Command::WatchEndpoints => {
             context.send(WellKnownComponent::Discovery.id(), DiscoveryCommand::Watch);
         }
-        Order::Timer { after, timer } => {
+        Command::SetTimer { after, timer } => {
             context
                 .deadlines
                 .set(APPLICATION, timer.into(), Instant::now() + after);
@@ -71,8 +75,8 @@
         context: &mut NodeContext,
         components: &mut dyn Iterator<Item = ComponentId>,
     ) {
-        while let Some(order) = context.placement.orders.pop_front() {
-            execute(context, order);
+        while let Some(command) = context.placement.next_command() {
+            execute(context, command);
         }
         if context.transfer_requested || context.answers_requested {
             notify_connections(context, components);
@@ -83,9 +87,9 @@
         match kind {
             DeadlineKind::UnansweredLinesCheck => {
                 schedule_unanswered_lines_check(context);
-                context.placement.look();
+                context.placement.check_unanswered_lines();
             }
-            DeadlineKind::PlacementTimer(timer) => context.placement.timer(timer),
+            DeadlineKind::PlacementTimer(timer) => context.placement.on_timer(timer),
             _ => {}
         }
     }
--- a/crates/node/src/client/connection.rs
+++ b/crates/node/src/client/connection.rs
@@ -6,6 +6,7 @@
 use crate::component::WellKnownComponent;
 use crate::deadline::{ClientDeadline, DeadlineKind};
 use crate::handoff::message::Said;
+use crate::placement_driver::ClientState;
 use crate::state::{ClientSlot, NodeContext, NodeState, UnidentifiedClients};
 use crate::upstream::attempt::{Peer, Try, LONGEST_LINE};
 use crate::upstream::relay::Relay;
@@ -523,7 +524,7 @@
             if waiting.open.holder.is_none() {
                 context
                     .placement
-                    .client_gone(RequestId(waiting.open.request));
+                    .on_client_gone(RequestId(waiting.open.request));
             }
         }
     }
@@ -543,14 +544,14 @@
         let open = match first_line(text, &context.config.classes) {
             Some(First::Ping) => {
                 // The front sends clients once this is answered: only when they can be served.
-                let able = context.serves().is_ok();
+                let able = context.check_serving().is_ok();
                 return self.answer(context, if able { b"PONG\r\n" } else { b"BUSY\r\n" });
             }
             Some(First::Open(open)) => open,
             None => return self.reject_line(context, "its fields"),
         };
         let request = RequestId(open.request);
-        if context.placement.holds(request)
+        if context.placement.has_request(request)
             || (open.holder.is_some() && context.started_at.elapsed() > OLD_COME)
         {
             return self.reject_line(context, "another's id, or a holder long after the start");
@@ -579,7 +580,7 @@
         if old {
             return self.resume(context);
         }
-        context.placement.request(self.id, incoming, left);
+        context.placement.on_request(self.id, incoming, left);
         Lifecycle::Continue
     }
 
@@ -592,13 +593,16 @@
             .open
             .holder
             .as_deref()
-            .and_then(|holder| context.placement.dial(holder));
+            .and_then(|holder| context.placement.available_address(holder));
         let Some(dial) =
             dial.filter(|_| waiting.old_tries < OLD_TRIES && Instant::now() < waiting.until)
         else {
             return self.answer(context, &busy(Duration::ZERO));
         };
-        if context.placement.holds(RequestId(waiting.open.request)) {
+        if context
+            .placement
+            .has_request(RequestId(waiting.open.request))
+        {
             return self.reject_line(context, "another's id");
         }
         waiting.old_tries += 1;
@@ -647,7 +651,7 @@
         let State::Waiting(waiting) = &self.state else {
             return Lifecycle::Continue;
         };
-        if waiting.open.holder.is_some() && context.placement.holds(up.request) {
+        if waiting.open.holder.is_some() && context.placement.has_request(up.request) {
             return self.reject_line(context, "another's id");
         }
         let (Some(client), Some(seat)) = (self.stream.take(), self.seat.take()) else {
@@ -656,9 +660,11 @@
         match &waiting.open.holder {
             Some(holder) => {
                 let incoming = waiting.open.incoming(context.config.groups);
-                context.placement.inherited(self.id, incoming, holder);
+                context
+                    .placement
+                    .on_inherited_connection(self.id, incoming, holder);
             }
-            None => context.placement.try_up(up.request),
+            None => context.placement.on_attempt_accepted(up.request),
         }
         Relay::begin(context, self.id, seat, client, up);
         Lifecycle::Close
@@ -706,7 +712,7 @@
                 if self.read(context) == Lifecycle::Close {
                     return Lifecycle::Close;
                 }
-                self.dial(context, order.request, order.dial, order.until, false);
+                self.dial(context, order.request, order.address, order.deadline, false);
                 Lifecycle::Continue
             }
             // Looked at once more, ahead of its turn: it may have left, and what tells so may wait behind much else where
@@ -736,10 +742,10 @@
             ClientCommand::AttemptAccepted(accepted) => self.up(context, accepted),
             ClientCommand::AttemptServed(line) => {
                 if waiting.open.holder.is_none() {
-                    context.placement.try_ended(
+                    context.placement.on_attempt_ended(
                         RequestId(waiting.open.request),
                         lupincrank_placement::Outcome::Served,
-                        true,
+                        ClientState::Answered,
                     );
                 }
                 self.answer(context, &line)
--- a/crates/node/src/cluster_agent/mod.rs
+++ b/crates/node/src/cluster_agent/mod.rs
@@ -41,7 +41,7 @@
     };
     if setup.divides {
         // Nothing is this process's before it has its place: another process of this node may still use all of it.
-        context.placement.slice(0, 0, 0.0, None);
+        context.placement.set_slow_start_lease(0, 0, 0.0, None);
     }
     context.register(WellKnownComponent::ClusterAgent.id(), Box::new(Watch));
     if let Some(why) = take_place(context)? {
@@ -189,7 +189,7 @@
         let part = carry.council.fleet_share(now).unwrap_or(0.0);
         context
             .placement
-            .slice(sends, carry.council.lease_floor(now), part, until);
+            .set_slow_start_lease(sends, carry.council.lease_floor(now), part, until);
     }
     if carry.sockets.is_some() {
         let next = carry.next();
@@ -397,7 +397,7 @@
                         carry.ended(id, &why);
                         context.send(id, ClusterConnectionCommand::Close);
                     }
-                    let (most, turned_away) = context.placement.cold_used();
+                    let (most, turned_away) = context.placement.take_slow_start_usage();
                     carry.council.record_usage(BudgetUsage {
                         peak: most,
                         was_limited: turned_away,
--- a/crates/node/src/discovery/mod.rs
+++ b/crates/node/src/discovery/mod.rs
@@ -9,7 +9,9 @@
 use crate::deadline::{DeadlineKind, DiscoveryDeadline};
 use crate::discovery::endpoint_list::{check, dial, health, number, Update};
 use crate::discovery::json_stream::Objects;
-use crate::placement_driver::{Core, Member};
+use crate::placement_driver::{
+    EndpointListScope, EndpointListSource, PlacementDriver, ResolvedEndpoint,
+};
 use crate::state::{NodeContext, NodeState};
 use lupincrank_placement::{poll_schedule, Endpoint};
 use lupincrank_reactor::poll::{self, Registered};
@@ -125,25 +127,35 @@
         }
     }
 
-    fn apply(&mut self, core: &mut Core, update: Update, cached: bool) -> Result<(), String> {
+    fn apply(
+        &mut self,
+        placement: &mut PlacementDriver,
+        update: Update,
+        source: EndpointListSource,
+    ) -> Result<(), String> {
         check(&update)?;
         let mut members = Vec::with_capacity(update.hosts.len());
         for host in &update.hosts {
-            members.push(Member {
-                dial: dial(host)?,
-                listed: Endpoint {
+            members.push(ResolvedEndpoint {
+                address: dial(host)?,
+                endpoint: Endpoint {
                     server: host.host.as_str().into(),
                     health: health(host)?,
                     weight: host.share.unwrap_or(1.0),
                     zone: number(&mut self.zones, host.site.as_deref()),
                     cell: host.block.unwrap_or(0),
                     machine_kind: number(&mut self.kinds, host.class.as_deref()),
-                    started_at: core.moment(host.born_ms.unwrap_or(0)),
+                    started_at: placement.timestamp_of_unix_ms(host.born_ms.unwrap_or(0)),
                 },
             });
         }
         self.seq = update.seq;
-        core.list(members, update.whole, cached);
+        let scope = if update.whole {
+            EndpointListScope::Complete
+        } else {
+            EndpointListScope::Changes
+        };
+        placement.apply_endpoint_list(members, scope, source);
         Ok(())
     }
 
@@ -216,7 +228,7 @@
                 WellKnownComponent::Discovery.id(),
                 DiscoveryDeadline::SecondCall.into(),
             );
-            context.placement.list_failed();
+            context.placement.on_watch_failed();
         }
     }
 
@@ -289,7 +301,11 @@
             let update: Update =
                 serde_json::from_slice(&object).map_err(|error| error.to_string())?;
             info!(context.log, "upstream group changed"; "seq" => update.seq, "entries" => update.hosts.len());
-            self.apply(&mut context.placement, update, false)?;
+            self.apply(
+                &mut context.placement,
+                update,
+                EndpointListSource::Discovery,
+            )?;
             whole = true;
         }
         let half = self.calls[side]
@@ -311,7 +327,7 @@
                 WellKnownComponent::Discovery.id(),
                 DiscoveryDeadline::SecondCall.into(),
             );
-            context.placement.list_told();
+            context.placement.on_discovery_answer();
             context.send(
                 WellKnownComponent::Handoff.id(),
                 HandoffCommand::OpenListener,
@@ -375,7 +391,7 @@
                     WellKnownComponent::Discovery.id(),
                     DiscoveryDeadline::SecondCall.into(),
                 );
-                context.placement.list_silent();
+                context.placement.on_watch_silent();
             }
             // The failure is this node's own finding, so nothing has shown that there is nothing to hear.
             Some(Phase::Connecting)
@@ -403,7 +419,7 @@
                 .for_each(|side| self.close(context, side));
         }
         if let Some(known) = self.known.take() {
-            if let Err(why) = self.apply(&mut context.placement, known, true) {
+            if let Err(why) = self.apply(&mut context.placement, known, EndpointListSource::Cache) {
                 warn!(context.log, "the known list is bad"; "why" => why);
             }
         }
--- a/crates/node/src/handoff/mod.rs
+++ b/crates/node/src/handoff/mod.rs
@@ -36,10 +36,11 @@
     match bans.read() {
         Ok(out) => {
             context.handoff.read = true;
-            context.placement.set_out(out);
+            context.placement.set_drained_servers(out);
         }
         Err(why) => {
-            let mended = context.handoff.read && bans.mend(context.placement.out()).is_ok();
+            let mended =
+                context.handoff.read && bans.mend(context.placement.drained_servers()).is_ok();
             warn!(context.log, "who is out by hand stays as it was"; "why" => why, "mended" => mended);
             if mended {
                 context.handoff.say(&Said::Out);
@@ -62,7 +63,7 @@
 
 /// Takes clients in from now on, if this is the only process or can serve as well as the other one.
 pub fn open(context: &mut NodeContext) {
-    let may = context.handoff.lock.is_some() || context.serves().is_ok();
+    let may = context.handoff.lock.is_some() || context.check_serving().is_ok();
     if may && context.handoff.stem.is_some() && !std::mem::replace(&mut context.handoff.open, true)
     {
         context.send(
@@ -90,7 +91,7 @@
     let NodeState {
         placement, config, ..
     } = &mut context.application;
-    placement.share(config, if both { 2 } else { 1 });
+    placement.set_process_count(config, if both { 2 } else { 1 });
 }
 
 fn beat(context: &mut NodeContext) {
@@ -129,7 +130,7 @@
     tell(context);
     let lessons = context
         .placement
-        .learnt()
+        .learned_servers()
         .into_iter()
         .map(Into::into)
         .collect();
@@ -203,7 +204,7 @@
         Said::Out => reread(context),
         Said::Learnt(lessons) => context
             .placement
-            .learn(lessons.into_iter().map(Into::into).collect()),
+            .import_learned_servers(lessons.into_iter().map(Into::into).collect()),
         // What is taken is said to be before anything is read or written: were this process to die now, the other knows
         // whose it is. If it cannot be said the link is given up, which tells the other to keep it.
         Said::Standing(number, record) => {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,7 +12,7 @@
 mod discovery;
 mod handoff;
 pub mod hollow;
-mod load_lines;
+mod load_report;
 mod placement_driver;
 mod serve;
 mod signals;
--- a/crates/node/src/load_lines/tests.rs
+++ b/crates/node/src/load_report/tests.rs
@@ -13,18 +13,18 @@
 #[case::too_large(&[(0, 90_000.0), (1_000, 80_000.0), (2_000, 85_000.0)], "lll")]
 #[case::too_small(&[(0, 12.0), (1_000, 11.0), (2_000, 3.0)], "lll")]
 fn a_delay_is_known_by_its_pace(#[case] lines: &[(u64, f64)], #[case] expected: &str) {
-    let (start, mut taken, mut kinds) = (Instant::now(), LoadLines::default(), String::new());
+    let (start, mut reports, mut kinds) = (Instant::now(), LoadReports::default(), String::new());
     for (at, value) in lines {
-        match taken.take(
+        match reports.record(
             start + Duration::from_millis(*at),
             *value,
             Duration::from_millis(16),
         ) {
-            Told::Load(load) => {
+            LoadReport::Load(load) => {
                 assert_eq!(load, *value);
                 kinds.push(LOAD);
             }
-            Told::Delay { delay, .. } => {
+            LoadReport::Delay { delay, .. } => {
                 assert!((delay.as_secs_f64() * 1e3 - value).abs() < 0.01);
                 kinds.push('d');
             }
@@ -35,17 +35,17 @@
 
 #[test]
 fn the_load_that_the_first_delay_hid_comes_back() {
-    let (start, mut lines, least) = (
+    let (start, mut reports, least) = (
         Instant::now(),
-        LoadLines::default(),
+        LoadReports::default(),
         Duration::from_millis(16),
     );
-    lines.take(start, 38_699.0, least);
-    lines.take(start + Duration::from_secs(3), 211.0, least);
-    let told = lines.take(start + Duration::from_secs(4), 240.0, least);
+    reports.record(start, 38_699.0, least);
+    reports.record(start + Duration::from_secs(3), 211.0, least);
+    let reported = reports.record(start + Duration::from_secs(4), 240.0, least);
     assert_eq!(
-        told,
-        Told::Delay {
+        reported,
+        LoadReport::Delay {
             delay: Duration::from_millis(240),
             load: Some(38_699.0)
         }
--- /dev/null
+++ b/crates/node/src/placement_driver/attempts.rs
@@ -0,0 +1,165 @@
+//! The way of a request: what the client and the attempts report, from the first line to the end of the connection.
+
+use super::command::{Command, Owner};
+use super::latency::load_duration;
+use super::request::{hex_id, ActiveRequest, EstablishedConnection};
+use super::PlacementDriver;
+use lupincrank_placement::{Event, Outcome, RequestId, RequestInfo};
+use slog::debug;
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// The deadline of a connection that is established already: no attempt is made for it any more.
+const INHERITED_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Whether the client still waits for its answer when an attempt ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClientState {
+    /// It waits: another attempt may be made.
+    Waiting,
+    /// It has its answer, or needs none.
+    Answered,
+}
+
+impl PlacementDriver {
+    /// Whether a request of this id is active.
+    pub fn has_request(&self, request: RequestId) -> bool {
+        self.requests.contains_key(&request)
+    }
+
+    /// Sets the request's deadline and keeps it as an active one.
+    fn insert_request(&mut self, owner: Owner, info: &mut RequestInfo, timeout: Duration) {
+        let deadline = Instant::now() + timeout;
+        info.deadline = self.clock.timestamp(deadline);
+        let active = ActiveRequest::new(owner, info.clone(), deadline);
+        self.requests.insert(info.request, active);
+    }
+
+    /// A request has come from a client that waits for `timeout`.
+    pub fn on_request(&mut self, owner: Owner, mut info: RequestInfo, timeout: Duration) {
+        if self.is_shutting_down {
+            return self.commands.push_back(Command::Reject {
+                owner,
+                retry_after: self.shutdown_retry_after,
+            });
+        }
+        self.insert_request(owner, &mut info, timeout);
+        debug!(self.log, "request"; "id" => hex_id(info.request), "class" => info.class,
+            "group" => info.group.clone(), "again" => info.is_reconnect, "left_ms" => timeout.as_millis() as u64);
+        self.feed(Event::RequestReceived(info));
+    }
+
+    /// The server could not read the request: that is its client's fault and says nothing of the server.
+    pub fn on_unreadable_request(&mut self, request: RequestId) {
+        let Some(owner) = self.requests.get(&request).map(|active| active.owner) else {
+            return;
+        };
+        self.on_client_gone(request);
+        self.commands.push_back(Command::Fail { owner });
+    }
+
+    /// A connection that was established before this node began is established again.
+    pub fn on_inherited_connection(&mut self, owner: Owner, mut info: RequestInfo, server: &str) {
+        self.insert_request(owner, &mut info, INHERITED_REQUEST_TIMEOUT);
+        if let Some(active) = self.requests.get_mut(&info.request) {
+            active.start_attempt(server.into());
+            active.establish();
+        }
+        debug!(self.log, "inherited"; "request" => hex_id(info.request), "class" => info.class,
+            "group" => info.group.clone(), "server" => server);
+        self.feed(Event::ConnectionInherited(info, server.into()));
+    }
+
+    /// A connection comes from another process of this node, with its load and its unanswered lines.
+    pub fn on_transferred_connection(
+        &mut self,
+        owner: Owner,
+        info: RequestInfo,
+        server: &str,
+        load: Option<f64>,
+        unanswered_lines: VecDeque<Instant>,
+    ) {
+        let request = info.request;
+        self.on_inherited_connection(owner, info, server);
+        if let Some(active) = self.requests.get_mut(&request) {
+            active.resume(load, unanswered_lines);
+        }
+        if let Some(load) = load {
+            self.feed(Event::LoadObserved {
+                request,
+                load: load_duration(load),
+            });
+        }
+    }
+
+    /// What another process needs to go on with an established connection. `None` for one that is about to end.
+    pub fn established_connection(&self, request: RequestId) -> Option<EstablishedConnection<'_>> {
+        self.requests.get(&request)?.established_connection()
+    }
+
+    /// Whether the line of the attempt in flight may be sent: its server still takes new connections, as far as this node
+    /// has been told.
+    pub fn may_send(&mut self, request: RequestId) -> bool {
+        let server = self
+            .requests
+            .get(&request)
+            .and_then(|active| active.server.as_ref());
+        let may_send = server.is_some_and(|server| self.accepts_connections(server))
+            && self.balancer.may_send(self.now(), request);
+        if let Some(active) = self.requests.get_mut(&request) {
+            active.was_sent = may_send;
+        }
+        may_send
+    }
+
+    /// The attempt in flight has been accepted: its connection is established.
+    pub fn on_attempt_accepted(&mut self, request: RequestId) {
+        let Some(active) = self.requests.get_mut(&request) else {
+            return;
+        };
+        active.establish();
+        let took = active.attempt_started_at.elapsed();
+        let server = active.server.clone();
+        debug!(self.log, "up"; "request" => hex_id(request), "server" => server.as_ref().map(|id| id.0.to_string()),
+            "us" => took.as_micros() as u64);
+        self.record_setup(server, took);
+        self.feed(Event::ConnectionEstablished { request, took });
+    }
+
+    /// The attempt in flight has ended, or the connection; its socket is closed.
+    pub fn on_attempt_ended(&mut self, request: RequestId, outcome: Outcome, client: ClientState) {
+        let Some(active) = self.requests.get_mut(&request) else {
+            return;
+        };
+        let is_done = client == ClientState::Answered || active.is_finished();
+        let attempt = active.attempt_number();
+        debug!(self.log, "ended"; "request" => hex_id(request), "outcome" => ?outcome, "stood" => active.has_connection(),
+            "server" => active.server.as_ref().map(|id| id.0.to_string()));
+        active.end_attempt();
+        if is_done {
+            self.requests.remove(&request);
+        }
+        self.feed(Event::AttemptEnded {
+            request,
+            attempt,
+            outcome,
+            done: is_done,
+            report: None,
+        });
+    }
+
+    /// The client has left before its answer; its attempt, if one is in flight, has been closed.
+    pub fn on_client_gone(&mut self, request: RequestId) {
+        let Some(active) = self.requests.get_mut(&request) else {
+            return;
+        };
+        active.finish();
+        let is_in_flight = active.server.is_some();
+        self.feed(Event::ClientGone(request));
+        if is_in_flight {
+            self.on_attempt_ended(request, Outcome::Cancelled, ClientState::Answered);
+        } else {
+            self.requests.remove(&request);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/placement_driver/endpoints.rs
@@ -0,0 +1,218 @@
+//! The endpoint list: where each server listens, and what administrators and earlier processes say of the servers.
+
+use super::PlacementDriver;
+use lupincrank_placement::learned_state::LearnedServer;
+use lupincrank_placement::{Endpoint, Event, Health, ServerId, Timestamp};
+use slog::{info, warn};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A node that has just begun waits for discovery's list at the most so long before it accepts clients.
+const MAX_ENDPOINT_LIST_WAIT: Duration = Duration::from_secs(6);
+
+/// One entry of an endpoint list.
+pub struct ResolvedEndpoint {
+    /// What the decisions are told.
+    pub endpoint: Endpoint,
+    /// Where it listens, as this node reaches it.
+    pub address: SocketAddr,
+}
+
+/// What an endpoint list covers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndpointListScope {
+    /// All servers: those that it does not name are gone.
+    Complete,
+    /// The servers that have changed.
+    Changes,
+}
+
+/// Where an endpoint list comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndpointListSource {
+    /// Discovery has sent it.
+    Discovery,
+    /// The configuration holds it; it may be out of date.
+    Cache,
+}
+
+/// Why the endpoint list lets no client in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum EndpointListError {
+    /// Discovery has not answered yet.
+    #[error("discovery has not told the list yet")]
+    NotReceived,
+    /// No server of the list takes new connections.
+    #[error("the list names no transcriber that takes connections")]
+    NoneReady,
+}
+
+/// How this node reaches a server.
+pub(super) struct KnownEndpoint {
+    /// Where it listens.
+    pub(super) address: SocketAddr,
+    /// Whether it takes new connections.
+    pub(super) health: Health,
+}
+
+impl PlacementDriver {
+    /// Applies an endpoint list.
+    pub fn apply_endpoint_list(
+        &mut self,
+        list: Vec<ResolvedEndpoint>,
+        scope: EndpointListScope,
+        source: EndpointListSource,
+    ) {
+        if scope == EndpointListScope::Complete {
+            self.endpoints.clear();
+        }
+        let mut entries = Vec::with_capacity(list.len());
+        for resolved in list {
+            self.apply_endpoint(&resolved);
+            entries.push(resolved.endpoint);
+        }
+        self.feed(match scope {
+            EndpointListScope::Complete => Event::EndpointList {
+                entries,
+                cached: source == EndpointListSource::Cache,
+            },
+            EndpointListScope::Changes => Event::EndpointChange(entries),
+        });
+    }
+
+    fn apply_endpoint(&mut self, resolved: &ResolvedEndpoint) {
+        let server = &resolved.endpoint.server;
+        match resolved.endpoint.health {
+            Health::Gone => {
+                self.endpoints.remove(server);
+            }
+            health => {
+                let known = KnownEndpoint {
+                    address: resolved.address,
+                    health,
+                };
+                self.endpoints.insert(server.clone(), known);
+            }
+        }
+    }
+
+    /// Discovery has answered: what has changed since the known list comes with that.
+    pub fn on_discovery_answer(&mut self) {
+        self.has_discovery_answered = true;
+    }
+
+    /// The watch has fallen silent.
+    pub fn on_watch_silent(&mut self) {
+        self.feed(Event::EndpointWatchSilent);
+    }
+
+    /// A call to discovery failed or the watch broke.
+    pub fn on_watch_failed(&mut self) {
+        self.feed(Event::EndpointWatchFailed);
+    }
+
+    /// Whether clients may be accepted: some server takes new connections, by a list that discovery has sent.
+    /// Guards against a node that starts in the middle of a release and sends its clients to servers that have long been
+    /// replaced, though other nodes know better. With no answer from discovery the known list has to do.
+    ///
+    /// # Errors
+    /// Says what is missing.
+    pub fn check_endpoint_list(&self) -> Result<(), EndpointListError> {
+        if !self.has_discovery_answered && self.clock.elapsed() <= MAX_ENDPOINT_LIST_WAIT {
+            return Err(EndpointListError::NotReceived);
+        }
+        if self.ready_servers().next().is_none() {
+            return Err(EndpointListError::NoneReady);
+        }
+        Ok(())
+    }
+
+    /// The servers that take new connections, by the endpoint list.
+    fn ready_servers(&self) -> impl Iterator<Item = &ServerId> {
+        self.endpoints
+            .iter()
+            .filter(|(_, endpoint)| endpoint.health == Health::Ready)
+            .map(|(server, _)| server)
+    }
+
+    /// Whether there are servers that take new connections, and all of them are among these.
+    fn are_all_ready_servers_in(&self, drained: &BTreeSet<ServerId>) -> bool {
+        let mut ready = self.ready_servers().peekable();
+        ready.peek().is_some() && ready.all(|server| drained.contains(server))
+    }
+
+    /// Whether the server takes new connections: it is ready, and no administrator has drained it.
+    pub(super) fn accepts_connections(&self, server: &ServerId) -> bool {
+        let is_ready = self
+            .endpoints
+            .get(server)
+            .is_some_and(|endpoint| endpoint.health == Health::Ready);
+        is_ready && !self.drained_servers().contains(server)
+    }
+
+    /// Where a server listens, if it takes new connections.
+    pub fn available_address(&self, server: &str) -> Option<SocketAddr> {
+        let server = ServerId::from(server);
+        if !self.accepts_connections(&server) {
+            return None;
+        }
+        Some(self.endpoints.get(&server)?.address)
+    }
+
+    /// The servers that administrators have drained.
+    pub fn drained_servers(&self) -> &BTreeSet<ServerId> {
+        self.balancer.by_hand().drained()
+    }
+
+    /// Whether a server of this id is listed or drained by an administrator.
+    pub fn knows_server(&self, server: &ServerId) -> bool {
+        self.balancer.by_hand().knows(server)
+    }
+
+    /// From now on exactly these servers are drained by administrators.
+    pub fn set_drained_servers(&mut self, drained: BTreeSet<ServerId>) {
+        if drained == *self.drained_servers() {
+            return;
+        }
+        let names: Vec<&str> = drained.iter().map(|server| &*server.0).collect();
+        info!(self.log, "out by hand"; "transcribers" => names.join(" "));
+        if self.are_all_ready_servers_in(&drained) {
+            warn!(self.log, "no transcriber is left: all clients are refused"; "out" => drained.len());
+        }
+        self.feed(Event::AdminDrain(drained));
+    }
+
+    /// A server's health check has passed or failed; with its load report, if one came.
+    pub fn on_health_check(&mut self, server: &ServerId, passed: bool, report: Option<Vec<f64>>) {
+        self.feed(Event::HealthCheckCompleted {
+            server: server.clone(),
+            passed,
+            report,
+        });
+    }
+
+    /// What was learned of the servers, for the process that takes this one's place.
+    pub fn learned_servers(&self) -> Vec<LearnedServer> {
+        self.balancer.learnt(self.now())
+    }
+
+    /// Takes over what the process before this one has learned of the servers.
+    pub fn import_learned_servers(&mut self, learned: Vec<LearnedServer>) {
+        let ejected = learned
+            .iter()
+            .filter(|server| server.ejected_for.is_some())
+            .count();
+        let limited = learned
+            .iter()
+            .filter(|server| server.concurrency_limit.is_some())
+            .count();
+        info!(self.log, "learnt"; "transcribers" => learned.len(), "barred" => ejected, "crowded" => limited);
+        self.feed(Event::LearnedState(learned));
+    }
+
+    /// A moment of Unix time on the decisions' clock; `None` for long ago.
+    pub fn timestamp_of_unix_ms(&self, unix_ms: u64) -> Option<Timestamp> {
+        self.clock.timestamp_of_unix_ms(unix_ms)
+    }
+}
--- /dev/null
+++ b/crates/node/src/placement_driver/latency.rs
@@ -0,0 +1,284 @@
+//! What the lines of established connections tell of their servers: how long messages take, and who answers nobody.
+
+use super::request::{hex_id, ActiveRequest};
+use super::PlacementDriver;
+use crate::load_report::LoadReport;
+use lupincrank_placement::{Event, RequestId, ServerId};
+use slog::debug;
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+/// A server's delay is reported at most this often.
+const DELAY_REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// A connection whose line has been unanswered for this long is reported by itself: sound servers return lines at once.
+const UNRESPONSIVE_CONNECTION_TIMEOUT: Duration = Duration::from_secs(1);
+/// A server that has returned nothing since so many of its connections forwarded their lines, and for so long, answers
+/// nobody.
+const MIN_UNANSWERED_CONNECTIONS: usize = 2;
+const UNRESPONSIVE_SERVER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Servers are believed to be unresponsive only if they are at most one in this many of those in use: of more it is this
+/// node that is cut off.
+const MAX_UNRESPONSIVE_DIVISOR: usize = 2;
+/// A delay over this part of the shortest message objective is slow.
+const SLOW_DELAY_DIVISOR: u32 = 3;
+
+/// Microseconds in a second: the unit of reported loads.
+const MICROSECONDS: f64 = 1e6;
+
+/// A load in microseconds of work a second, as the decisions take it.
+pub(super) fn load_duration(load: f64) -> Duration {
+    Duration::from_secs_f64(load / MICROSECONDS)
+}
+
+/// What the connections of one server tell of its latency.
+#[derive(Default)]
+pub(super) struct UpstreamLatency {
+    /// Delays of the lines that came back since the last report.
+    delays: Vec<Duration>,
+    /// By how much set-ups since then took longer than usual, where that was much.
+    setup_waits: Vec<Duration>,
+    last_reported_at: Option<Instant>,
+    /// When a line last came back.
+    last_answered_at: Option<Instant>,
+    /// Whether its silence since then has been reported.
+    is_unresponsive: bool,
+    /// Whether the last report said that messages take long.
+    is_slow: bool,
+}
+
+/// How long an established connection has waited for an answer.
+struct UnansweredLine {
+    request: RequestId,
+    age: Duration,
+}
+
+/// What a check of the unanswered lines has found.
+#[derive(Default)]
+struct Findings {
+    delays: Vec<(RequestId, Duration)>,
+    unresponsive_connections: Vec<RequestId>,
+    unresponsive_servers: Vec<ServerId>,
+}
+
+fn median(durations: &mut [Duration]) -> Option<Duration> {
+    durations.sort_unstable();
+    durations.get(durations.len() / 2).copied()
+}
+
+impl UpstreamLatency {
+    /// A line has come back after this delay.
+    fn record_answer(&mut self, delay: Duration, now: Instant) {
+        self.last_answered_at = Some(now);
+        self.is_unresponsive = false;
+        self.delays.push(delay);
+    }
+
+    /// A set-up waited for others.
+    fn record_setup_wait(&mut self, wait: Duration) {
+        self.setup_waits.push(wait);
+    }
+
+    /// Whether the server has answered nobody for a while, and that was not reported yet.
+    fn has_become_unresponsive(&self, lines: &[UnansweredLine], now: Instant) -> bool {
+        let answered_ago = self
+            .last_answered_at
+            .map_or(Duration::MAX, |answered_at| now - answered_at);
+        let overdue = lines
+            .iter()
+            .filter(|line| line.age >= UNRESPONSIVE_SERVER_TIMEOUT && line.age < answered_ago)
+            .count();
+        overdue >= MIN_UNANSWERED_CONNECTIONS && !self.is_unresponsive
+    }
+
+    /// The delay that most connections see, if it is time for a report: while it is slow, and once when it is back.
+    /// What has not come back yet counts with its age: guards against a server that answers nothing and so never shows
+    /// a delay.
+    fn delay_to_report(
+        &mut self,
+        lines: &[UnansweredLine],
+        now: Instant,
+        slow_delay: Duration,
+    ) -> Option<Duration> {
+        if self
+            .last_reported_at
+            .is_some_and(|reported_at| now - reported_at < DELAY_REPORT_INTERVAL)
+        {
+            return None;
+        }
+        self.last_reported_at = Some(now);
+        let mut delays = std::mem::take(&mut self.delays);
+        let ages = lines.iter().map(|line| line.age);
+        delays.extend(ages.filter(|age| *age > slow_delay));
+        let setup_wait = median(&mut self.setup_waits);
+        self.setup_waits.clear();
+        let delay = median(&mut delays).max(setup_wait)?;
+        let was_slow = self.is_slow;
+        self.is_slow = delay > slow_delay;
+        (self.is_slow || was_slow).then_some(delay)
+    }
+}
+
+/// The unanswered lines of the established connections, by server.
+fn unanswered_lines(
+    requests: &HashMap<RequestId, ActiveRequest>,
+    now: Instant,
+) -> BTreeMap<&ServerId, Vec<UnansweredLine>> {
+    let mut by_server: BTreeMap<&ServerId, Vec<UnansweredLine>> = BTreeMap::new();
+    for (request, active) in requests {
+        let Some(connection) = active.established_connection() else {
+            continue;
+        };
+        let age = active.unanswered_for(now);
+        by_server
+            .entry(connection.server)
+            .or_default()
+            .push(UnansweredLine {
+                request: *request,
+                age,
+            });
+    }
+    by_server
+}
+
+impl PlacementDriver {
+    /// A server has reported this number for an established connection: see [`LoadReports`](crate::load_report::LoadReports).
+    pub fn on_load_report(&mut self, request: RequestId, value: f64) {
+        let slow_delay = self.slow_delay();
+        let Some(active) = self.requests.get_mut(&request) else {
+            return;
+        };
+        let load = match active
+            .load_reports
+            .record(Instant::now(), value, slow_delay)
+        {
+            LoadReport::Load(load) => Some(load),
+            LoadReport::Delay { delay, load } => {
+                debug!(self.log, "delay"; "request" => hex_id(request), "ms" => delay.as_millis() as u64);
+                self.feed(Event::DelayObserved { request, delay });
+                load
+            }
+        };
+        if let Some(load) = load {
+            self.observe_load(request, load);
+        }
+    }
+
+    fn observe_load(&mut self, request: RequestId, load: f64) {
+        if let Some(active) = self.requests.get_mut(&request) {
+            active.load = Some(load);
+        }
+        debug!(self.log, "load"; "request" => hex_id(request), "us" => load as u64);
+        self.feed(Event::LoadObserved {
+            request,
+            load: load_duration(load),
+        });
+    }
+
+    /// A line of the client is forwarded to its server.
+    pub fn on_line_sent(&mut self, request: RequestId) {
+        if let Some(active) = self.requests.get_mut(&request) {
+            active.push_line();
+        }
+    }
+
+    /// A line has come back.
+    pub fn on_line_returned(&mut self, request: RequestId) {
+        let Some(active) = self.requests.get_mut(&request) else {
+            return;
+        };
+        let sent_at = active.pop_line();
+        let (Some(sent_at), Some(server)) = (sent_at, &active.server) else {
+            return;
+        };
+        let delay = sent_at.elapsed();
+        let now = Instant::now();
+        if let Some(latency) = self.latencies.get_mut(server) {
+            latency.record_answer(delay, now);
+        } else {
+            let mut latency = UpstreamLatency::default();
+            latency.record_answer(delay, now);
+            self.latencies.insert(server.clone(), latency);
+        }
+    }
+
+    /// When the oldest line of the client was forwarded that nothing has come back for.
+    pub fn oldest_unanswered_line(&self, request: RequestId) -> Option<Instant> {
+        self.requests.get(&request)?.oldest_unanswered_line()
+    }
+
+    /// A connection was established at this server in this time.
+    pub(super) fn record_setup(&mut self, server: Option<ServerId>, took: Duration) {
+        let wait = self.setup_times.record(took);
+        if let (Some(server), Some(wait)) = (server, wait) {
+            let latency = self.latencies.entry(server).or_default();
+            latency.record_setup_wait(wait);
+        }
+    }
+
+    /// Tells the decisions what the unanswered lines of established connections say of each server.
+    pub fn check_unanswered_lines(&mut self) {
+        let findings = self.find_unanswered_lines(Instant::now());
+        for server in findings.unresponsive_servers {
+            if let Some(latency) = self.latencies.get_mut(&server) {
+                latency.is_unresponsive = true;
+            }
+            self.feed(Event::ServerUnresponsive(server));
+        }
+        for (request, delay) in findings.delays {
+            self.feed(Event::DelayObserved { request, delay });
+        }
+        for request in findings.unresponsive_connections {
+            self.feed(Event::ConnectionUnresponsive(request));
+        }
+    }
+
+    fn find_unanswered_lines(&mut self, now: Instant) -> Findings {
+        let slow_delay = self.slow_delay();
+        let by_server = unanswered_lines(&self.requests, now);
+        let servers_in_use = by_server.len();
+        let mut findings = Findings::default();
+        self.latencies
+            .retain(|server, _| by_server.contains_key(server));
+        for (server, lines) in by_server {
+            let latency = self.latencies.entry(server.clone()).or_default();
+            findings.add(server, latency, &lines, now, slow_delay);
+        }
+        findings.delays.sort_unstable();
+        findings.unresponsive_connections.sort_unstable();
+        if findings.unresponsive_servers.len() * MAX_UNRESPONSIVE_DIVISOR > servers_in_use {
+            findings.unresponsive_servers.clear();
+        }
+        findings
+    }
+
+    /// Delays over this are slow.
+    fn slow_delay(&self) -> Duration {
+        self.min_message_objective / SLOW_DELAY_DIVISOR
+    }
+}
+
+impl Findings {
+    /// Adds what the connections of one server say.
+    fn add(
+        &mut self,
+        server: &ServerId,
+        latency: &mut UpstreamLatency,
+        lines: &[UnansweredLine],
+        now: Instant,
+        slow_delay: Duration,
+    ) {
+        let unresponsive = lines
+            .iter()
+            .filter(|line| line.age >= UNRESPONSIVE_CONNECTION_TIMEOUT);
+        self.unresponsive_connections
+            .extend(unresponsive.map(|line| line.request));
+        if latency.has_become_unresponsive(lines, now) {
+            self.unresponsive_servers.push(server.clone());
+        }
+        if let Some(delay) = latency.delay_to_report(lines, now, slow_delay) {
+            // One of its connections stands for all of them.
+            let request = lines.iter().map(|line| line.request).min();
+            self.delays.extend(request.map(|request| (request, delay)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/placement_driver/setup_times/tests.rs
@@ -0,0 +1,20 @@
+use super::*;
+
+#[test]
+fn a_set_up_has_waited_only_if_it_took_far_longer_than_the_usual_one() {
+    let (mut setup_times, ms) = (SetupTimes::default(), Duration::from_millis);
+    assert!(
+        (0..8).all(|_| setup_times.record(ms(900)).is_none()),
+        "nothing is usual yet"
+    );
+    assert_eq!(
+        (0..MAX_SETUPS)
+            .filter_map(|_| setup_times.record(ms(10)))
+            .count(),
+        0
+    );
+    assert_eq!(
+        (setup_times.record(ms(30)), setup_times.record(ms(31))),
+        (None, Some(ms(21)))
+    );
+}
--- /dev/null
+++ b/crates/node/src/placement_driver/shutdown.rs
@@ -0,0 +1,68 @@
+//! The graceful shutdown: established connections are migrated in steps, and what still waits is answered at the end.
+
+use super::request::RequestPhase;
+use super::PlacementDriver;
+use lupincrank_placement::{Action, Event, Outcome, RequestId};
+
+impl PlacementDriver {
+    /// The node shuts down: requests from now on are rejected, for no connection could last.
+    pub fn begin_shutdown(&mut self) {
+        self.is_shutting_down = true;
+    }
+
+    /// Migrates established connections so that all have gone after `remaining_steps` calls, this one included; at the last
+    /// one the requests that still wait are given up too.
+    pub fn migrate_step(&mut self, remaining_steps: usize) {
+        let established = self.established_requests();
+        let count = established.len().div_ceil(remaining_steps.max(1));
+        for request in established.into_iter().take(count) {
+            self.execute(Action::Migrate(request));
+        }
+        if remaining_steps <= 1 {
+            for request in self.waiting_requests() {
+                self.give_up(request);
+            }
+        }
+    }
+
+    fn established_requests(&self) -> Vec<RequestId> {
+        let established = self
+            .requests
+            .iter()
+            .filter(|(_, active)| active.phase == RequestPhase::Established);
+        let mut requests: Vec<RequestId> = established.map(|(request, _)| *request).collect();
+        requests.sort_unstable();
+        requests
+    }
+
+    fn waiting_requests(&self) -> Vec<RequestId> {
+        let waiting = self
+            .requests
+            .iter()
+            .filter(|(_, active)| active.phase == RequestPhase::Waiting);
+        waiting.map(|(request, _)| *request).collect()
+    }
+
+    /// The request gets its final answer now; its attempt, if one is in flight, is closed with that. Which answer is the
+    /// decisions' to say: what may have been executed must not always be said to have been rejected.
+    fn give_up(&mut self, request: RequestId) {
+        let Some(active) = self.requests.get(&request) else {
+            return;
+        };
+        let is_in_flight = active.server.is_some();
+        let attempt = active.attempt_number();
+        self.feed(Event::ShutdownDeadline {
+            request,
+            sent: active.was_sent,
+        });
+        if is_in_flight {
+            self.feed(Event::AttemptEnded {
+                request,
+                attempt,
+                outcome: Outcome::Cancelled,
+                done: true,
+                report: None,
+            });
+        }
+    }
+}
--- a/crates/node/src/signals.rs
+++ b/crates/node/src/signals.rs
@@ -78,7 +78,7 @@
     let NodeState {
         placement, config, ..
     } = &mut context.application;
-    placement.renew(config, from);
+    placement.apply_settings(config, from);
     let classes = context.config.classes.join(", ");
     info!(context.log, "configuration read again"; "classes" => classes, "attempts" => context.config.settings.max_attempts,
         "discovery" => %context.config.discovery, "sockets" =>
@@ -134,11 +134,11 @@
             return Lifecycle::Continue;
         };
         let now = Instant::now();
-        context.placement.leave();
+        context.placement.begin_shutdown();
         let left = deadline.saturating_duration_since(now + LAST_MOVE);
         let steps = (left.as_millis() / STEP.as_millis()) as usize + 1;
         // What still waits is ended together with the last moves: nothing may be left without an answer.
-        context.placement.send_away(steps);
+        context.placement.migrate_step(steps);
         context.answers_requested = steps <= 1;
         context.deadlines.set(
             WellKnownComponent::Signals.id(),
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -4,7 +4,7 @@
 use crate::config::Config;
 use crate::handoff::message::Said;
 use crate::handoff::peer_process::Upgrade;
-use crate::placement_driver::Core;
+use crate::placement_driver::{EndpointListError, PlacementDriver};
 use lupincrank_placement::ServerId;
 use lupincrank_reactor::{ComponentId, Context};
 use slog::Logger;
@@ -52,13 +52,27 @@
     pub deadline: Instant,
 }
 
+/// Why clients cannot be served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum NotServingError {
+    /// SIGTERM has come.
+    #[error("this process is ending")]
+    ShuttingDown,
+    /// Another process of this node may still hold connections, and has not been reached.
+    #[error("the process before this one has not been reached yet")]
+    PredecessorNotReached,
+    /// The endpoint list lets no client in.
+    #[error(transparent)]
+    EndpointList(#[from] EndpointListError),
+}
+
 /// What the callbacks of the node's components may use.
 pub type NodeContext = Context<NodeState>;
 
 /// What the node keeps.
 pub struct NodeState {
     /// The decisions and the request contexts.
-    pub placement: Core,
+    pub placement: PlacementDriver,
     /// What the node was told at its start.
     pub config: Config,
     /// Where log lines go.
@@ -87,7 +101,7 @@
     /// As the node begins.
     pub fn new(config: Config, log: Logger) -> NodeState {
         NodeState {
-            placement: Core::new(&config, log.clone()),
+            placement: PlacementDriver::new(&config, log.clone()),
             handoff: Upgrade::new(config.listen, config.inherited),
             config,
             log,
@@ -102,26 +116,32 @@
         }
     }
 
-    /// Whether clients can be served now, or what is missing.
-    pub fn serves(&self) -> Result<(), String> {
+    /// Whether clients can be served now.
+    ///
+    /// # Errors
+    /// Says what is missing.
+    pub fn check_serving(&self) -> Result<(), NotServingError> {
         if self.shutdown.is_some() {
-            return Err("this process is ending".into());
+            return Err(NotServingError::ShuttingDown);
         }
         if !self.handoff.settled() {
-            return Err("the process before this one has not been reached yet".into());
+            return Err(NotServingError::PredecessorNotReached);
         }
-        self.placement.able().map_err(str::to_string)
+        self.placement.check_endpoint_list()?;
+        Ok(())
     }
 
     /// Takes a transcriber out by hand or back in.
     pub fn by_hand(&mut self, server: &str, down: bool) -> Result<(), String> {
         let id = ServerId::from(server);
-        if !self.placement.knows(&id) {
+        if !self.placement.knows_server(&id) {
             return Err(format!("no transcriber {server:?}"));
         }
         // Written before it is obeyed: what was answered with yes holds across any end of this process.
-        let out = self.handoff.change(&id, down, self.placement.out())?;
-        self.placement.set_out(out);
+        let out = self
+            .handoff
+            .change(&id, down, self.placement.drained_servers())?;
+        self.placement.set_drained_servers(out);
         self.handoff.say(&Said::Out);
         Ok(())
     }
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -2,6 +2,7 @@
 
 use crate::command::{AcceptedAttempt, AttemptCommand, ClientCommand, Message};
 use crate::deadline::{AttemptDeadline, DeadlineKind};
+use crate::placement_driver::ClientState;
 use crate::state::{NodeContext, NodeState};
 use lupincrank_placement::{Outcome, RequestId};
 use lupincrank_reactor::poll::{self, Registered};
@@ -153,7 +154,7 @@
         } else {
             context
                 .placement
-                .try_ended(self.task.request, outcome, false);
+                .on_attempt_ended(self.task.request, outcome, ClientState::Waiting);
         }
         Lifecycle::Close
     }
@@ -274,7 +275,7 @@
                     Said::Busy => return Some(self.end(context, Outcome::Rejected)),
                     Said::Syntax if !self.task.stood => {
                         self.stream = None;
-                        context.placement.unreadable(self.task.request);
+                        context.placement.on_unreadable_request(self.task.request);
                         return Some(Lifecycle::Close);
                     }
                     Said::Move => return Some(self.end(context, Outcome::Cancelled)),
--- a/crates/node/src/upstream/health_check.rs
+++ b/crates/node/src/upstream/health_check.rs
@@ -58,7 +58,7 @@
         }
         Some(connection) => context.send(connection.id, HealthCheckCommand::Close),
         None if context.health_checks.len() >= context.config.most_probes() => {
-            return context.placement.probed(&server, true, None);
+            return context.placement.on_health_check(&server, true, None);
         }
         None => {}
     }
@@ -93,7 +93,7 @@
             let lacks = error
                 .raw_os_error()
                 .is_some_and(|code| poll::RESOURCE_EXHAUSTED_ERRNOS.contains(&code));
-            context.placement.probed(&server, lacks, None);
+            context.placement.on_health_check(&server, lacks, None);
         }
     }
 }
@@ -122,7 +122,7 @@
         }
         if std::mem::take(&mut self.asks) {
             debug!(context.log, "probe failed"; "server" => &*self.server.0);
-            context.placement.probed(&self.server, false, None);
+            context.placement.on_health_check(&self.server, false, None);
         }
         Lifecycle::Close
     }
@@ -177,7 +177,7 @@
             );
             context
                 .placement
-                .probed(&self.server, answer.passed, answer.report);
+                .on_health_check(&self.server, answer.passed, answer.report);
         }
         if self.bytes.len() > if self.asks { LONGEST_ANSWER } else { 0 } {
             // Too long, or nobody asked for it.
--- a/crates/node/src/upstream/relay.rs
+++ b/crates/node/src/upstream/relay.rs
@@ -3,6 +3,7 @@
 use crate::command::{AcceptedAttempt, Message, RelayCommand, TransferCommand};
 use crate::deadline::DeadlineKind;
 use crate::handoff::message::{self, Standing};
+use crate::placement_driver::ClientState;
 use crate::state::{ClientSlot, NodeContext, NodeState};
 use crate::upstream::attempt::{said, Said, LONGEST_LINE};
 use lupincrank_placement::{Outcome, RequestId, RequestInfo, Timestamp};
@@ -140,7 +141,7 @@
             .lengths
             .iter()
             .try_fold(0usize, |sum, part| sum.checked_add(*part));
-        whole == Some(bytes.len()) && !context.placement.holds(RequestId(record.request))
+        whole == Some(bytes.len()) && !context.placement.has_request(RequestId(record.request))
     }
 
     /// Goes on with a connection of another process, where that one left off.
@@ -208,7 +209,7 @@
         let load = record.load_us.map(|load| load as f64);
         context
             .placement
-            .take_over(id, incoming, &record.server, load, unanswered);
+            .on_transferred_connection(id, incoming, &record.server, load, unanswered);
         if relay.pump(context) == Lifecycle::Continue {
             context.register(id, Box::new(relay));
         }
@@ -224,8 +225,7 @@
         else {
             return Lifecycle::Continue;
         };
-        let Some((incoming, server, load, unanswered)) = context.placement.standing(self.request)
-        else {
+        let Some(connection) = context.placement.established_connection(self.request) else {
             return Lifecycle::Continue;
         };
         let parts = [
@@ -238,15 +238,16 @@
             class: context
                 .config
                 .classes
-                .get(incoming.class)
+                .get(connection.request.class)
                 .cloned()
                 .unwrap_or_default(),
-            group: incoming.group.clone(),
-            key: incoming.key.clone(),
-            returned: incoming.is_reconnect,
-            server: server.0.to_string(),
-            load_us: load.map(|load| load as u64),
-            unanswered_ms: unanswered
+            group: connection.request.group.clone(),
+            key: connection.request.key.clone(),
+            returned: connection.request.is_reconnect,
+            server: connection.server.0.to_string(),
+            load_us: connection.load.map(|load| load as u64),
+            unanswered_ms: connection
+                .unanswered_lines
                 .iter()
                 .map(|sent| sent.elapsed().as_millis() as u64)
                 .collect(),
@@ -285,14 +286,16 @@
 
     fn end(&mut self, context: &mut NodeContext, outcome: Outcome) {
         if !std::mem::replace(&mut self.told, true) {
-            context.placement.try_ended(self.request, outcome, true);
+            context
+                .placement
+                .on_attempt_ended(self.request, outcome, ClientState::Answered);
         }
     }
 
     fn client_sent(&mut self, context: &mut NodeContext, bytes: &[u8]) {
         self.up.push(bytes);
         for _ in bytes.iter().filter(|byte| **byte == b'\n') {
-            context.placement.line_sent(self.request);
+            context.placement.on_line_sent(self.request);
         }
     }
 
@@ -304,8 +307,8 @@
             let end = at + length + 1;
             self.last = said(&self.part[at..end]);
             match self.last {
-                Said::Load(micros) => context.placement.load_line(self.request, micros),
-                _ if answers => context.placement.line_returned(self.request),
+                Said::Load(micros) => context.placement.on_load_report(self.request, micros),
+                _ if answers => context.placement.on_line_returned(self.request),
                 _ => answers = true,
             }
             at = end;
@@ -352,7 +355,7 @@
     /// The transcriber has ended the connection unasked. Lines come back at once, so if one has just gone out it was
     /// that one that the transcriber could not read: guards against blaming it for what a client sends.
     fn cut_off(&self, context: &NodeContext) -> Outcome {
-        let sent = context.placement.oldest_line(self.request);
+        let sent = context.placement.oldest_unanswered_line(self.request);
         if sent.is_some_and(|sent| sent.elapsed() < UNREADABLE) {
             Outcome::Cancelled
         } else {
