--- a/crates/placement/src/api/time.rs
+++ b/crates/placement/src/api/time.rs
@@ -10,6 +10,7 @@
 
 impl Timestamp {
     /// The moment `duration` later; the largest timestamp where that overflows.
+    #[must_use]
     pub fn saturating_add(self, duration: Duration) -> Timestamp {
         let nanos = u64::try_from(duration.as_nanos()).unwrap_or(u64::MAX);
         Timestamp(self.0.saturating_add(nanos))
--- a/crates/placement/src/poll_schedule/tests.rs
+++ b/crates/placement/src/poll_schedule/tests.rs
@@ -71,8 +71,8 @@
     );
     let mut large = PollSchedule::new(300);
     assert_eq!(
-        [0.0, 0.5].map(|random| large.silent_watch_delay(random).as_secs_f64()),
-        [0.0, 0.5]
+        [0.0, 0.5].map(|random| large.silent_watch_delay(random)),
+        [0, 500].map(Duration::from_millis)
     );
     // A call that fails after that waits like any first one.
     assert_eq!(
@@ -84,14 +84,12 @@
 #[test]
 fn an_answer_resets_the_backoff_and_a_cached_list_does_not() {
     let mut schedule = PollSchedule::new(3);
-    let delays: Vec<f64> = (0..4)
-        .map(|_| schedule.retry_delay(0.5).as_secs_f64())
-        .collect();
-    assert_eq!(delays, [0.5, 1.0, 2.0, 2.0]);
+    let delays: Vec<Duration> = (0..4).map(|_| schedule.retry_delay(0.5)).collect();
+    assert_eq!(delays, [500, 1000, 2000, 2000].map(Duration::from_millis));
     schedule.record_answer(true);
-    assert_eq!(schedule.retry_delay(0.5).as_secs_f64(), 2.0);
+    assert_eq!(schedule.retry_delay(0.5), Duration::from_secs(2));
     schedule.record_answer(false);
-    assert_eq!(schedule.retry_delay(0.5).as_secs_f64(), 0.5);
+    assert_eq!(schedule.retry_delay(0.5), Duration::from_millis(500));
 }
 
 /// Changes count as known 6 s after discovery could be reached: it may have been back since the last call failed.
