Settings: typed errors, and names of the field behind the keys of the document

Need: Site, strict and nanos said little, fields were named by the JSON keys, and errors were strings. Change: DeploymentSettings with its conversion and its validation in files of their own, each key given by serde(rename), two error enums with the texts of before; tests hold every key, value and text. Result: tests of lupincrank-settings (8), lupincrank-adapter (5), lupincrank-placement and the node's unit tests (119) pass.

--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -3,7 +3,7 @@
 use lupincrank_placement::{
     Action, Balancer, Endpoint, Event, Health, Outcome, RequestId, RequestInfo, ServerId, Timestamp,
 };
-use lupincrank_settings::{nanos, Site};
+use lupincrank_settings::DeploymentSettings;
 use serde::Deserialize;
 use std::borrow::Cow;
 use std::collections::HashMap;
@@ -21,7 +21,7 @@
     who: Option<Cow<'a, str>>,
     sim_time_ns: Option<u64>,
     prng: Option<u64>,
-    conf: Option<Site>,
+    conf: Option<DeploymentSettings>,
     kind: Option<u32>,
     nodes_list: Option<Vec<Node>>,
     #[serde(borrow)]
@@ -169,7 +169,7 @@
         "CANCELLED_BY_CLIENT" => Event::ClientGone(request_id(line.req)?),
         "ESTABLISHED" => Event::ConnectionEstablished {
             request: request_id(line.req)?,
-            took: nanos(line.rtt_ns),
+            took: Duration::from_nanos(line.rtt_ns.unwrap_or(0)),
         },
         "COMPLETED" => Event::AttemptEnded {
             request: request_id(line.req)?,
@@ -254,7 +254,12 @@
         let who = need(line.who.take(), "Who")?;
         if line.op == "SPAWN" {
             let seed = need(line.prng, "Prng")?;
-            let mut balancer = Balancer::new(need(line.conf, "Conf")?.settings()?, seed);
+            let mut balancer = Balancer::new(
+                need(line.conf, "Conf")?
+                    .placement_settings()
+                    .map_err(|error| error.to_string())?,
+                seed,
+            );
             balancer.handle(now, Event::Start, &mut self.fresh);
             let next = self.names.len();
             let slot = self
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -3,8 +3,7 @@
 use crate::cluster_agent::config::Setup;
 use crate::discovery::endpoint_list::{self, Update};
 use lupincrank_placement::Settings;
-use lupincrank_settings::strict;
-use lupincrank_settings::Site;
+use lupincrank_settings::DeploymentSettings;
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -19,7 +18,7 @@
     seed: Option<String>,
     limits: Option<Limits>,
     known: Option<Update>,
-    settings: Site,
+    settings: DeploymentSettings,
 }
 
 #[derive(Deserialize, Default)]
@@ -148,7 +147,9 @@
     /// Reads the file again, all or nothing. An address of discovery that has changed there goes before `RELAY_DISCOVERY`:
     /// the file can be replaced while the program runs, its environment can't.
     pub fn reread(&self, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
-        let holds = |raw: &Value| strict::check(raw, Some(&self.raw));
+        let holds = |raw: &Value| {
+            lupincrank_settings::validate(raw, Some(&self.raw)).map_err(|error| error.to_string())
+        };
         let mut fresh = Config::load_if(self.path.clone(), variable, holds)?;
         match &fresh.told_discovery {
             Some(told) if fresh.told_discovery != self.told_discovery => {
@@ -263,7 +264,9 @@
         let limits = file.limits.unwrap_or_default();
         let seed = file.seed.unwrap_or_else(|| "0".into());
         let site = file.settings;
-        let mut settings = site.settings()?;
+        let mut settings = site
+            .placement_settings()
+            .map_err(|error| error.to_string())?;
         // On sockets discovery tells nothing unasked.
         settings.requires_endpoint_watch = true;
         if settings.classes.is_empty() {
@@ -285,13 +288,13 @@
             fleet: None,
             known: file.known,
             connect_timeout: site.connect_timeout().unwrap_or(Duration::from_secs(1)),
-            classes: site.classes().into_iter().map(str::to_string).collect(),
+            classes: site.class_names().into_iter().map(str::to_string).collect(),
             zones: site.zones().to_vec(),
-            kinds: site.kinds().to_vec(),
-            tenants: site.tenants(),
+            kinds: site.machine_kinds().to_vec(),
+            tenants: site.tenant_names(),
             report_fields: site.report_fields(),
             groups: site.has_groups(),
-            longest_deadline: site.longest_deadline(),
+            longest_deadline: site.max_deadline(),
             settings,
             raw: Value::Null,
         };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -52,7 +52,7 @@
         Command::Version => println!("lupincrank {}", env!("CARGO_PKG_VERSION")),
         Command::CheckConfig { config, operator } => {
             let config = load(config, operator)?;
-            let strict = lupincrank_settings::strict::check(&config.raw, None);
+            let strict = lupincrank_settings::validate(&config.raw, None);
             strict.map_err(|why| format!("a start takes it, SIGHUP would turn it down: {why}"))?;
             println!(
                 "{}: listens on {}, {} classes",
--- a/crates/placement/src/api/settings.rs
+++ b/crates/placement/src/api/settings.rs
@@ -30,7 +30,7 @@
 }
 
 /// A class of requests with its latency objectives.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Class {
     /// Latency objective for setting a connection up, measured from the client's request.
     pub setup_objective: Duration,
@@ -41,14 +41,14 @@
 }
 
 /// A tenant with its quota.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
     /// Open connections over all nodes that the tenant may hold under load; `None` if it has no quota.
     pub connection_quota: Option<f64>,
 }
 
 /// What a balancer is told of its deployment, at the start or with [`Event::SettingsChanged`](crate::Event::SettingsChanged).
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Nodes of this tier, this one included.
     pub node_count: u32,
--- a/crates/settings/src/validation.rs
+++ b/crates/settings/src/validation.rs
@@ -1,11 +1,13 @@
-//! The strict reading of a configuration, for one that is to replace another while the node serves: what a start passes over
-//! with a default is an error here, for a file that was cut or written by mistake must change nothing.
+//! The strict check of a configuration file that is to replace another while the node serves.
+//!
+//! At a start, absent values have defaults. At run time an absent value is an error, because a file that was truncated or
+//! written by mistake must change nothing.
 
+use crate::error::ValidationError;
 use serde_json::{Map, Value};
 
-/// What the node needs of `settings`, named as on the wire. Of the rest, and of the keys beside `settings`, a file may lack
-/// what the one before lacks too.
-const NEEDED: [&str; 15] = [
+/// Keys below `settings` that every file must have. Others may be absent only where the replaced file lacks them too.
+const REQUIRED_SETTINGS: [&str; 15] = [
     "Instances",
     "Categories",
     "RegistryMode",
@@ -22,79 +24,126 @@
     "Obligations.OverloadForNs",
     "Obligations.StartCapacity",
 ];
-/// What each class needs, and what one with repeats by key needs besides.
-const CLASS_NEEDED: [&str; 4] = ["Name", "DeadlineNs", "PromiseNs", "Repeat"];
-const BY_KEY_NEEDED: [&str; 2] = ["Group", "WindowNs"];
-/// The longest deadline, a year in nanoseconds, and the most attempts.
-const MOST_NS: u64 = 32_000_000_000_000_000;
-const MOST_ATTEMPTS: u64 = 1_000_000;
 
-/// Says what of the whole file does not hold, with its place. `before` is the file that it is to replace: none of its
-/// keys may be lost, but for those of single classes and transcribers.
-pub fn check(file: &Value, before: Option<&Value>) -> Result<(), String> {
+/// Keys that every class must have.
+const REQUIRED_CLASS_SETTINGS: [&str; 4] = ["Name", "DeadlineNs", "PromiseNs", "Repeat"];
+
+/// Keys that a class with idempotency keys must have besides.
+const REQUIRED_IDEMPOTENCY_SETTINGS: [&str; 2] = ["Group", "WindowNs"];
+
+/// The longest deadline, a year in nanoseconds.
+const MAX_DEADLINE_NS: u64 = 32_000_000_000_000_000;
+
+/// The largest number of attempts for one request.
+const MAX_ATTEMPTS: u64 = 1_000_000;
+
+/// Checks a whole configuration file. `previous` is the file that it replaces, if there is one: its keys must all be in the
+/// new file, except for those within lists.
+///
+/// # Errors
+///
+/// The first fault that is found.
+pub fn validate(file: &Value, previous: Option<&Value>) -> Result<(), ValidationError> {
     let settings = &file["settings"];
-    for path in NEEDED {
-        let found = path.split('.').try_fold(settings, |at, key| at.get(key));
-        found
-            .filter(|value| !value.is_null())
-            .ok_or_else(|| format!("settings.{path} is missing"))?;
+    for path in REQUIRED_SETTINGS {
+        require(settings, path)?;
     }
-    above_zero(
+    check_range(
         "settings.Limits.SendCap",
         &settings["Limits"]["SendCap"],
-        MOST_ATTEMPTS,
+        MAX_ATTEMPTS,
     )?;
-    let classes = settings["Categories"]
-        .as_array()
-        .filter(|classes| !classes.is_empty());
-    let classes = classes.ok_or("settings.Categories names no class")?;
-    let mut names = Vec::new();
-    for (n, class) in classes.iter().enumerate() {
-        let place = format!("settings.Categories[{n}]");
-        let by_key = class["Repeat"] == "by_key";
-        let needed = CLASS_NEEDED
-            .iter()
-            .chain(BY_KEY_NEEDED.iter().filter(|_| by_key));
-        for key in needed {
-            let there = class.get(key).filter(|value| !value.is_null());
-            there.ok_or_else(|| format!("{place}.{key} is missing"))?;
+    validate_classes(&settings["Categories"])?;
+    match (file, previous) {
+        (Value::Object(file), Some(Value::Object(previous))) => {
+            check_no_key_removed("", file, previous)
         }
-        above_zero(
-            &format!("{place}.DeadlineNs"),
-            &class["DeadlineNs"],
-            MOST_NS,
-        )?;
-        let name = class["Name"].as_str().filter(|name| !name.is_empty());
-        let name = name.ok_or_else(|| format!("{place}.Name is no name"))?;
+        _ => Ok(()),
+    }
+}
+
+fn require(settings: &Value, path: &str) -> Result<(), ValidationError> {
+    let value = path
+        .split('.')
+        .try_fold(settings, |object, key| object.get(key));
+    match value {
+        Some(value) if !value.is_null() => Ok(()),
+        _ => Err(ValidationError::Missing {
+            path: format!("settings.{path}"),
+        }),
+    }
+}
+
+fn validate_classes(classes: &Value) -> Result<(), ValidationError> {
+    let classes = classes.as_array().filter(|classes| !classes.is_empty());
+    let classes = classes.ok_or(ValidationError::NoClasses)?;
+    let mut names = Vec::new();
+    for (index, class) in classes.iter().enumerate() {
+        let path = format!("settings.Categories[{index}]");
+        let name = validate_class(&path, class)?;
         if names.contains(&name) {
-            return Err(format!("{place}.Name: there are two classes {name:?}"));
+            return Err(ValidationError::DuplicateClass {
+                path: format!("{path}.Name"),
+                name: name.to_string(),
+            });
         }
         names.push(name);
     }
-    match (file, before) {
-        (Value::Object(file), Some(Value::Object(before))) => kept("", file, before),
-        _ => Ok(()),
+    Ok(())
+}
+
+/// Checks one class and gives its name.
+fn validate_class<'a>(path: &str, class: &'a Value) -> Result<&'a str, ValidationError> {
+    let has_idempotency_keys = class["Repeat"] == "by_key";
+    let idempotency_settings = REQUIRED_IDEMPOTENCY_SETTINGS
+        .iter()
+        .filter(|_| has_idempotency_keys);
+    for key in REQUIRED_CLASS_SETTINGS.iter().chain(idempotency_settings) {
+        if class.get(key).is_none_or(Value::is_null) {
+            return Err(ValidationError::Missing {
+                path: format!("{path}.{key}"),
+            });
+        }
     }
+    check_range(
+        &format!("{path}.DeadlineNs"),
+        &class["DeadlineNs"],
+        MAX_DEADLINE_NS,
+    )?;
+    let name = class["Name"].as_str().filter(|name| !name.is_empty());
+    name.ok_or_else(|| ValidationError::InvalidName {
+        path: format!("{path}.Name"),
+    })
 }
 
-fn above_zero(place: &str, value: &Value, most: u64) -> Result<(), String> {
-    let number = value.as_u64().filter(|number| (1..=most).contains(number));
-    number
-        .map(|_| ())
-        .ok_or_else(|| format!("{place}: {value} is not a whole number from 1 to {most}"))
+fn check_range(path: &str, value: &Value, max: u64) -> Result<(), ValidationError> {
+    match value.as_u64() {
+        Some(number) if (1..=max).contains(&number) => Ok(()),
+        _ => Err(ValidationError::OutOfRange {
+            path: path.to_string(),
+            value: value.clone(),
+            max,
+        }),
+    }
 }
 
-/// Whether all keys of `before` are in `now`, level by level; what is in lists may differ.
-fn kept(place: &str, now: &Map<String, Value>, before: &Map<String, Value>) -> Result<(), String> {
-    for (key, old) in before {
-        let place = if place.is_empty() {
+/// Checks that every key of `previous` is in `current`, at all levels of objects; lists may differ.
+fn check_no_key_removed(
+    path: &str,
+    current: &Map<String, Value>,
+    previous: &Map<String, Value>,
+) -> Result<(), ValidationError> {
+    for (key, previous_value) in previous {
+        let path = if path.is_empty() {
             key.clone()
         } else {
-            format!("{place}.{key}")
+            format!("{path}.{key}")
         };
-        match (now.get(key), old) {
-            (None, _) => return Err(format!("{place} is missing, and the present file has it")),
-            (Some(Value::Object(now)), Value::Object(old)) => kept(&place, now, old)?,
+        match (current.get(key), previous_value) {
+            (None, _) => return Err(ValidationError::Removed { path }),
+            (Some(Value::Object(current)), Value::Object(previous)) => {
+                check_no_key_removed(&path, current, previous)?;
+            }
             _ => {}
         }
     }
