--- a/crates/control/src/council.rs
+++ b/crates/control/src/council.rs
@@ -8,8 +8,9 @@
 
 use crate::durable::DurableState;
 use crate::entry::Entry;
+use crate::error::ControlError;
 use crate::leader::{Leader, View};
-use crate::lease::{LeaseHolder, LeaseTerms};
+use crate::lease::{LeaseHolder, LeaseTerms, UsageLimit};
 use crate::log::Log;
 use crate::member::{Bootstrap, ClusterId, Member};
 use crate::message::{Action, ControlMessage, LogEvent};
@@ -89,7 +90,7 @@
         me: Member,
         tuning: ControlConfig,
         kept: Option<&DurableState>,
-    ) -> Result<ControlNode, String> {
+    ) -> Result<ControlNode, ControlError> {
         let starts = kept.map_or(0, |kept| kept.start_count);
         let holder = LeaseHolder::new(&tuning.lease_terms, now, tuning.floor, starts);
         let mut council = ControlNode {
@@ -119,7 +120,7 @@
             let resumed = catch_unwind(AssertUnwindSafe(|| council.resume(stamp, kept)));
             resumed
                 .unwrap_or(None)
-                .ok_or("the log on the disk contradicts itself")?;
+                .ok_or(ControlError::InconsistentStoredLog)?;
         }
         Ok(council)
     }
@@ -156,7 +157,7 @@
     }
 
     /// What this node may use of the cold budget: connections in any window, and until when.
-    pub fn lease_limit(&self, now: Timestamp) -> (u32, Option<Timestamp>) {
+    pub fn lease_limit(&self, now: Timestamp) -> UsageLimit {
         self.holder.limit(now)
     }
 
@@ -180,8 +181,10 @@
     /// Its part of the capacity, for what is shared by parts.
     pub fn fleet_share(&self, now: Timestamp) -> Option<f64> {
         let log = self.log.as_ref()?;
-        let (limit, until) = self.lease_limit(now);
-        until.map(|_| f64::from(limit) / f64::from(log.state.capacity.max(1)))
+        let usage = self.lease_limit(now);
+        usage
+            .expires_at
+            .map(|_| f64::from(usage.limit) / f64::from(log.state.capacity.max(1)))
     }
 
     /// What all agree on, as far as this node has it.
@@ -394,13 +397,17 @@
     }
 
     /// Founds anew with those that live, at a higher epoch that fences off the council whose majority is gone for good.
-    pub fn recover_quorum(&mut self, now: Timestamp, drawn: u64) -> Result<ClusterId, String> {
+    pub fn recover_quorum(
+        &mut self,
+        now: Timestamp,
+        drawn: u64,
+    ) -> Result<ClusterId, ControlError> {
         if self.out {
-            return Err("this process takes no part any more: start it again".into());
+            return Err(ControlError::Disqualified);
         }
         let leader = self.log.as_ref().map_or(0, |log| log.leader);
         if leader != 0 {
-            return Err("the council has a leader: nothing is to be founded anew".into());
+            return Err(ControlError::LeaderPresent);
         }
         let epoch = self.log.as_ref().map_or(0, |log| log.stamp.epoch) + 1;
         let stamp = ClusterId {
@@ -423,16 +430,16 @@
 
     /// Another capacity, by the log: it holds from the entry on that says so, and slices follow as they are renewed. The epoch
     /// before it.
-    pub fn set_capacity(&mut self, now: Timestamp, capacity: u32) -> Result<u64, String> {
+    pub fn set_capacity(&mut self, now: Timestamp, capacity: u32) -> Result<u64, ControlError> {
         let Some((stamp, leader, epoch)) = self
             .log
             .as_ref()
             .map(|log| (log.stamp, log.leader, log.state.applied_entries))
         else {
-            return Err("this node takes part in no council".into());
+            return Err(ControlError::NotJoined);
         };
         match leader {
-            0 => return Err("the council has no leader now".into()),
+            0 => return Err(ControlError::NoLeader),
             leader if leader == self.me.id => self.propose_capacity(now, capacity),
             leader => self.send(leader, ControlMessage::Capacity(stamp, capacity)),
         }
@@ -453,18 +460,17 @@
         &self,
         now: Timestamp,
         capacity: u32,
-    ) -> Result<BTreeMap<String, u32>, String> {
-        let log = self
-            .log
-            .as_ref()
-            .ok_or("this node takes part in no council")?;
+    ) -> Result<BTreeMap<String, u32>, ControlError> {
+        let log = self.log.as_ref().ok_or(ControlError::NotJoined)?;
         if log.leads.is_none() {
             let name = log
                 .state
                 .members
                 .get(&log.leader)
                 .map_or("nobody", |member| member.name.as_str());
-            return Err(format!("only the leader knows what all want: {name} leads"));
+            return Err(ControlError::NotLeader {
+                leader: name.to_string(),
+            });
         }
         let (holders, slices) = self.leader.slices(log, now, &self.alive, capacity);
         let name = |id: u64| {
@@ -483,7 +489,10 @@
 
     /// How this node stands.
     pub fn status(&self, now: Timestamp) -> Status {
-        let (limit, until) = self.lease_limit(now);
+        let UsageLimit {
+            limit,
+            expires_at: until,
+        } = self.lease_limit(now);
         let log = self.log.as_ref();
         let name = |id: u64| {
             let known = log
@@ -538,7 +547,7 @@
     }
 
     fn send(&mut self, to: u64, said: ControlMessage) {
-        self.actions.push(Action::Send(to, said));
+        self.actions.push(Action::Send { to, message: said });
     }
 
     fn note(&mut self, note: LogEvent) {
@@ -547,7 +556,10 @@
 
     /// Tells when what may be used has changed.
     fn settle(&mut self, now: Timestamp) {
-        let (limit, until) = self.holder.limit(now);
+        let UsageLimit {
+            limit,
+            expires_at: until,
+        } = self.holder.limit(now);
         if std::mem::replace(&mut self.limit, limit) != limit {
             self.note(if until.is_some() {
                 LogEvent::LeaseLimitChanged(limit)
@@ -793,11 +805,11 @@
         let me = self.me.id;
         let (own, others) = std::mem::take(&mut self.actions)
             .into_iter()
-            .partition(|action| matches!(action, Action::Send(to, _) if *to == me));
+            .partition(|action| matches!(action, Action::Send { to, .. } if *to == me));
         self.actions = others;
         let own: Vec<Action> = own;
         for action in own {
-            if let Action::Send(_, said) = action {
+            if let Action::Send { message: said, .. } = action {
                 self.on_message(now, me, said);
             }
         }
--- a/crates/control/src/durable.rs
+++ b/crates/control/src/durable.rs
@@ -4,6 +4,24 @@
 use crate::member::ClusterId;
 use std::collections::BTreeMap;
 
+/// A snapshot as it is stored.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StoredSnapshot {
+    /// The index of the last entry that the snapshot includes.
+    pub last_index: u64,
+    /// The snapshot as protobuf.
+    pub bytes: Vec<u8>,
+}
+
+/// A log entry as it is stored.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StoredEntry {
+    /// Its index in the log.
+    pub index: u64,
+    /// The entry as protobuf.
+    pub bytes: Vec<u8>,
+}
+
 /// One step of the log. Writes are carried out in their order, each whole or not at all, and synced before it is said that
 /// they are done.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -15,11 +33,11 @@
     /// All entries go: they contradict the snapshot that came.
     pub clears_entries: bool,
     /// A snapshot and the last entry that is in it; entries up to that one go.
-    pub snapshot: Option<(u64, Vec<u8>)>,
+    pub snapshot: Option<StoredSnapshot>,
     /// Term and vote.
     pub hard_state: Option<Vec<u8>>,
     /// Entries by their places, one after the other; what stands behind the first goes.
-    pub entries: Vec<(u64, Vec<u8>)>,
+    pub entries: Vec<StoredEntry>,
 }
 
 /// What the processes of one identity have left.
@@ -53,14 +71,16 @@
         if write.clears_entries {
             self.entries.clear();
         }
-        if let Some((index, snapshot)) = &write.snapshot {
-            self.snapshot = Some(snapshot.clone());
-            self.entries = self.entries.split_off(&(index + 1));
+        if let Some(snapshot) = &write.snapshot {
+            self.snapshot = Some(snapshot.bytes.clone());
+            self.entries = self.entries.split_off(&(snapshot.last_index + 1));
+        }
+        if let Some(first) = write.entries.first() {
+            self.entries.split_off(&first.index);
         }
-        if let Some((first, _)) = write.entries.first() {
-            drop(self.entries.split_off(first));
+        for entry in &write.entries {
+            self.entries.insert(entry.index, entry.bytes.clone());
         }
-        self.entries.extend(write.entries.iter().cloned());
         if let Some(hard) = &write.hard_state {
             self.hard_state = Some(hard.clone());
         }
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -59,6 +59,15 @@
     pub demand: u32,
 }
 
+/// What a node may use of the budget.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UsageLimit {
+    /// The units that may be used within any accounting window, the floor included.
+    pub limit: u32,
+    /// When the lease in it expires, by the holder's clock; the floor alone never does.
+    pub expires_at: Option<Timestamp>,
+}
+
 /// The holder's side.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct LeaseHolder {
@@ -116,12 +125,16 @@
     }
 
     /// What may be used now, the floor included, and until when; nothing but the floor has no end.
-    pub fn limit(&self, now: Timestamp) -> (u32, Option<Timestamp>) {
+    pub fn limit(&self, now: Timestamp) -> UsageLimit {
         match self.held {
-            Some((slice, until)) if now < until => {
-                (self.floor(now).saturating_add(slice), Some(until))
-            }
-            _ => (self.floor(now), None),
+            Some((slice, until)) if now < until => UsageLimit {
+                limit: self.floor(now).saturating_add(slice),
+                expires_at: Some(until),
+            },
+            _ => UsageLimit {
+                limit: self.floor(now),
+                expires_at: None,
+            },
         }
     }
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,9 +7,10 @@
 
 #![forbid(unsafe_code)]
 
-pub mod council;
+mod council;
 pub mod durable;
 pub mod entry;
+mod error;
 mod leader;
 pub mod lease;
 mod log;
@@ -19,3 +20,6 @@
 pub mod status;
 mod store;
 pub mod voters;
+
+pub use council::{ControlConfig, ControlNode, TICK_INTERVAL};
+pub use error::ControlError;
--- a/crates/control/src/log.rs
+++ b/crates/control/src/log.rs
@@ -1,6 +1,6 @@
 //! One node's copy of the log, driven through the `raft` crate: what is ready is carried out, what stands is applied.
 
-use crate::durable::LogWrite;
+use crate::durable::{LogWrite, StoredEntry};
 use crate::entry::Entry;
 use crate::lease::GrantClocks;
 use crate::member::{ClusterId, Member};
@@ -79,7 +79,9 @@
         keeps: bool,
     ) -> Option<Log> {
         // What stands in the snapshot is applied; later entries are when raft says again that they stand.
-        let applied = store.snapshot_bytes().map_or(0, |(index, _)| index);
+        let applied = store
+            .snapshot_bytes()
+            .map_or(0, |snapshot| snapshot.last_index);
         let config = Config {
             id: me,
             election_tick: ELECTION,
@@ -226,8 +228,12 @@
                 self.store.mem.wl().set_hardstate(hard.clone());
                 write.hard_state = hard.write_to_bytes().ok();
             }
-            let bytes =
-                |entry: &raft::eraftpb::Entry| Some((entry.index, entry.write_to_bytes().ok()?));
+            let bytes = |entry: &raft::eraftpb::Entry| {
+                Some(StoredEntry {
+                    index: entry.index,
+                    bytes: entry.write_to_bytes().ok()?,
+                })
+            };
             write.entries = ready.entries().iter().filter_map(bytes).collect();
             // How far the log stands is found out again: only votes, terms and entries have to be there.
             if ready.must_sync() {
@@ -266,10 +272,10 @@
     fn post(&self, messages: Vec<RaftMessage>, out: &mut Vec<Action>) {
         for message in messages {
             if let Ok(bytes) = message.write_to_bytes() {
-                out.push(Action::Send(
-                    message.to,
-                    ControlMessage::Raft(self.stamp, bytes),
-                ));
+                out.push(Action::Send {
+                    to: message.to,
+                    message: ControlMessage::Raft(self.stamp, bytes),
+                });
             }
         }
     }
@@ -306,11 +312,13 @@
             what = Some(read.description());
             let granted = self.state.apply(read);
             if self.leads.is_some() {
-                let said = |grant: &crate::entry::Grant| {
-                    Action::Send(
-                        grant.holder,
-                        ControlMessage::LeaseGranted(self.stamp, grant.request_number, grant.limit),
-                    )
+                let said = |grant: &crate::entry::Grant| Action::Send {
+                    to: grant.holder,
+                    message: ControlMessage::LeaseGranted(
+                        self.stamp,
+                        grant.request_number,
+                        grant.limit,
+                    ),
                 };
                 out.extend(granted.iter().map(said));
             }
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -52,7 +52,12 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
     /// To the member with this id.
-    Send(u64, ControlMessage),
+    Send {
+        /// The incarnation that it is for.
+        to: u64,
+        /// The message.
+        message: ControlMessage,
+    },
     /// Onto the disk, where there is a folder.
     Write(LogWrite),
     /// For people.
--- a/crates/control/src/store.rs
+++ b/crates/control/src/store.rs
@@ -1,6 +1,6 @@
 //! The log in memory: the raft crate's own store, with the state added to its snapshots.
 
-use crate::durable::DurableState;
+use crate::durable::{DurableState, StoredSnapshot};
 use protobuf::Message as _;
 use raft::eraftpb::{ConfState, Entry, HardState, Snapshot};
 use raft::storage::MemStorage;
@@ -58,11 +58,11 @@
     }
 
     /// The snapshot that is sent, as bytes, and its last entry; none before there is one.
-    pub fn snapshot_bytes(&self) -> Option<(u64, Vec<u8>)> {
+    pub fn snapshot_bytes(&self) -> Option<StoredSnapshot> {
         let kept = self.kept.borrow();
-        let index = kept.get_metadata().get_index();
+        let last_index = kept.get_metadata().get_index();
         let bytes = kept.write_to_bytes().ok()?;
-        (index > 0).then_some((index, bytes))
+        (last_index > 0).then_some(StoredSnapshot { last_index, bytes })
     }
 
     /// The state in it.
--- a/crates/control/tests/model.rs
+++ b/crates/control/tests/model.rs
@@ -132,7 +132,7 @@
         let at = self.holder(world.now);
         for incarnation in &mut world.incarnations {
             if !incarnation.frozen {
-                let (limit, _) = incarnation.machine.limit(at);
+                let limit = incarnation.machine.limit(at).limit;
                 incarnation.used.push((limit, world.now));
             }
             incarnation
--- a/crates/control/tests/schedules.rs
+++ b/crates/control/tests/schedules.rs
@@ -155,7 +155,7 @@
         }
         let stays = (seed as usize + 3) % 4;
         let deadline = sim.now + Duration::from_secs(10);
-        while sim.nodes[stays].council.lease_limit(sim.local(stays)).0 < CAPACITY - 3 * FLOOR {
+        while sim.nodes[stays].council.lease_limit(sim.local(stays)).limit < CAPACITY - 3 * FLOOR {
             sim.run(Duration::from_millis(100));
             assert!(
                 sim.now < deadline,
--- a/crates/control/tests/sim/mod.rs
+++ b/crates/control/tests/sim/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code)]
 
 use lupincrank_budgets::demand::BudgetUsage;
-use lupincrank_control::council::{ControlConfig, ControlNode, TICK_INTERVAL};
+use lupincrank_control::{ControlConfig, ControlNode, TICK_INTERVAL};
 use lupincrank_placement::Timestamp;
 
 use lupincrank_control::durable::{DurableState, LogWrite};
@@ -324,14 +324,14 @@
             let actions = node.council.take_actions();
             let id = node.id;
             // What it may use from now on: it is not frozen, so it looks before it sends.
-            let (limit, _) = node.council.lease_limit(at);
+            let limit = node.council.lease_limit(at).limit;
             node.limits.push_back((now, limit));
             while node.limits.len() > 64 {
                 node.limits.pop_front();
             }
             for action in actions {
                 let (to, said) = match action {
-                    Action::Send(to, said) => (to, said),
+                    Action::Send { to, message } => (to, message),
                     Action::Write(write) => {
                         let node = &mut self.nodes[n];
                         if self.hasty {
--- a/crates/control/tests/stored_formats.rs
+++ b/crates/control/tests/stored_formats.rs
@@ -2,7 +2,6 @@
 //! revision c925b3d, before the types were renamed. Each is read to the expected value and written to the same bytes.
 
 use lupincrank_budgets::demand::BudgetUsage;
-use lupincrank_control::council::{ControlConfig, ControlNode};
 use lupincrank_control::durable::DurableState;
 use lupincrank_control::entry::{Entry, Grant};
 use lupincrank_control::lease::{LeaseRequest, LeaseTerms};
@@ -10,6 +9,7 @@
 use lupincrank_control::message::{Action, ControlMessage};
 use lupincrank_control::state::{ActiveLease, ClusterState};
 use lupincrank_control::status::{Participant, RejectedMessages, Status};
+use lupincrank_control::{ControlConfig, ControlNode};
 use lupincrank_placement::Timestamp;
 use rstest::rstest;
 use serde::de::DeserializeOwned;
--- a/crates/node/src/fleet/carry.rs
+++ b/crates/node/src/fleet/carry.rs
@@ -4,11 +4,11 @@
 use super::setup::Setup;
 use lupincrank_cluster::connection::{ClusterConnection, Handshake, Message, Subject};
 use lupincrank_cluster::membership::{Identity, Membership, MembershipOutput};
-use lupincrank_control::council::{ControlConfig, ControlNode};
 use lupincrank_control::durable::{DurableState, LogWrite};
 use lupincrank_control::lease::LeaseTerms;
 use lupincrank_control::member::Member;
 use lupincrank_control::message::{Action, ControlMessage, LogEvent};
+use lupincrank_control::{ControlConfig, ControlNode};
 use lupincrank_placement::Timestamp;
 use lupincrank_reactor::poll::Registered;
 use lupincrank_reactor::ComponentId;
@@ -141,7 +141,8 @@
             member_removal_delay: BURY,
         };
         let tag = lupincrank_cluster::cluster_tag(&setup.name);
-        let council = ControlNode::new(now, member(&me), tuning, kept)?;
+        let council =
+            ControlNode::new(now, member(&me), tuning, kept).map_err(|error| error.to_string())?;
         let membership = Membership::new(me, tag, setup.nodes.len(), id, setup.seeds.clone());
         Ok(Carry {
             council,
@@ -452,7 +453,7 @@
         let mut broken = Vec::new();
         for action in self.council.take_actions() {
             match action {
-                Action::Send(to, said) => {
+                Action::Send { to, message: said } => {
                     let up = |end: &&mut End| {
                         end.link
                             .peer
--- a/crates/node/src/fleet/disk.rs
+++ b/crates/node/src/fleet/disk.rs
@@ -172,15 +172,15 @@
             if write.clears_entries || write.starts_cluster.is_some() {
                 log.retain(|_, _| false)?;
             }
-            if let Some((index, snapshot)) = &write.snapshot {
-                facts.insert(SNAPSHOT, snapshot.as_slice())?;
-                log.retain(|at, _| at > *index)?;
+            if let Some(snapshot) = &write.snapshot {
+                facts.insert(SNAPSHOT, snapshot.bytes.as_slice())?;
+                log.retain(|at, _| at > snapshot.last_index)?;
             }
-            if let Some((first, _)) = write.entries.first() {
-                log.retain_in(*first.., |_, _| false)?;
+            if let Some(first) = write.entries.first() {
+                log.retain_in(first.index.., |_, _| false)?;
             }
-            for (index, bytes) in &write.entries {
-                log.insert(index, bytes.as_slice())?;
+            for entry in &write.entries {
+                log.insert(entry.index, entry.bytes.as_slice())?;
             }
             if let Some(hard) = &write.hard_state {
                 facts.insert(HARD, hard.as_slice())?;
--- a/crates/node/src/fleet/disk/tests.rs
+++ b/crates/node/src/fleet/disk/tests.rs
@@ -1,10 +1,14 @@
 use super::*;
+use lupincrank_control::durable::{StoredEntry, StoredSnapshot};
 use rstest::rstest;
 
 fn write(number: u64, entries: &[u64]) -> LogWrite {
     let entries = entries
         .iter()
-        .map(|index| (*index, vec![*index as u8; 2_000]))
+        .map(|index| StoredEntry {
+            index: *index,
+            bytes: vec![*index as u8; 2_000],
+        })
         .collect();
     LogWrite {
         sequence: number,
@@ -23,12 +27,18 @@
     };
     let begins = LogWrite {
         starts_cluster: Some(stamp),
-        snapshot: Some((1, vec![9])),
+        snapshot: Some(StoredSnapshot {
+            last_index: 1,
+            bytes: vec![9],
+        }),
         ..LogWrite::default()
     };
     let snapshot = LogWrite {
         sequence: 4,
-        snapshot: Some((3, vec![8; 9_000])),
+        snapshot: Some(StoredSnapshot {
+            last_index: 3,
+            bytes: vec![8; 9_000],
+        }),
         ..LogWrite::default()
     };
     for batch in [
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -11,8 +11,8 @@
 use lupincrank_budgets::demand::BudgetUsage;
 use lupincrank_cluster::connection::{ClusterConnection, ConnectionError};
 use lupincrank_cluster::membership::MAX_DATAGRAM_BYTES;
-use lupincrank_control::council::TICK_INTERVAL;
 use lupincrank_control::durable::DurableState;
+use lupincrank_control::TICK_INTERVAL;
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::{poller_key, Interest, Readiness};
 use lupincrank_reactor::{ComponentId, Connection, Lifecycle};
@@ -166,7 +166,8 @@
         node.send(id, Message::Close);
     }
     if carry.setup.divides {
-        let (sends, until) = carry.council.lease_limit(now);
+        let usage = carry.council.lease_limit(now);
+        let (sends, until) = (usage.limit, usage.expires_at);
         let part = carry.council.fleet_share(now).unwrap_or(0.0);
         node.core
             .slice(sends, carry.council.lease_floor(now), part, until);
@@ -212,7 +213,8 @@
             "reseed" => carry
                 .council
                 .recover_quorum(now, rand::random())
-                .map(|stamp| format!("{{\"epoch\":{}}}", stamp.epoch)),
+                .map(|stamp| format!("{{\"epoch\":{}}}", stamp.epoch))
+                .map_err(|error| error.to_string()),
             other => Err(format!(
                 "no call fleet {other:?}; there are status, members, log and reseed"
             )),
@@ -258,11 +260,14 @@
                 .council
                 .preview_capacity(now, capacity)
                 .map(|plan| serde_json::json!({ "handed_out": capacity, "slices": plan }))
+                .map_err(|error| error.to_string())
         }
         ("set", change) => {
             let capacity = read(change)?;
             let epoch = carry.council.set_capacity(now, capacity);
-            epoch.map(|epoch| serde_json::json!({ "handed_out": capacity, "after_epoch": epoch }))
+            epoch
+                .map(|epoch| serde_json::json!({ "handed_out": capacity, "after_epoch": epoch }))
+                .map_err(|error| error.to_string())
         }
         _ => Err("there are show, plan NAME=CAPACITY and set NAME=CAPACITY".to_string()),
     };
--- a/crates/node/src/hollow.rs
+++ b/crates/node/src/hollow.rs
@@ -98,7 +98,7 @@
         leads,
         votes,
         alive,
-        limit: carry.council.lease_limit(now).0,
+        limit: carry.council.lease_limit(now).limit,
     }
 }
 
