--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -405,12 +405,12 @@
 
     /// The transcribers that are out by hand.
     pub fn out(&self) -> &BTreeSet<ServerId> {
-        self.balancer.by_hand().drained()
+        self.balancer.admin_drain().drained()
     }
 
     /// Whether a transcriber of this id is listed or out by hand.
     pub fn knows(&self, server: &ServerId) -> bool {
-        self.balancer.by_hand().knows(server)
+        self.balancer.admin_drain().knows(server)
     }
 
     /// From now on exactly these transcribers are out by hand.
@@ -510,7 +510,7 @@
 
     /// What was learnt of the transcribers, for the process that takes this one's place.
     pub fn learnt(&self) -> Vec<LearnedServer> {
-        self.balancer.learnt(self.time(Instant::now()))
+        self.balancer.learned_state(self.time(Instant::now()))
     }
 
     /// What the process before this one learnt.
--- a/crates/placement/src/balancer.rs
+++ b/crates/placement/src/balancer.rs
@@ -1,18 +1,18 @@
 //! Every event that the balancer takes in, and what it keeps between them.
 
 use crate::admin_drain::AdminDrain;
-use crate::hashing::fraction;
-use crate::limits::setup_window::first_window;
-use crate::limits::slow_start_budget::Cold;
+use crate::hashing::random_fraction;
+use crate::limits::setup_window::initial_setup_window;
+use crate::limits::slow_start_budget::SlowStartBudget;
 use crate::policy::queue::QUEUE_HANDLE;
 use crate::poll_schedule::PollSchedule;
-use crate::recovery::key_redistribution::Shares;
+use crate::recovery::key_redistribution::KeyRedistribution;
 use crate::recovery::migration::{EMPTY_HANDLE, MOVES_SAVED};
 use crate::recovery::outlier_detection::STRIKES;
 use crate::recovery::upkeep::{TICK, TICK_HANDLE};
 use crate::state::fleet::Fleet;
 use crate::state::learned_state::LearnedServer;
-use crate::state::request::{Attempt, Request};
+use crate::state::request::{Attempt, RequestState};
 use crate::{Action, Event, RequestId, Settings, Timestamp};
 use rand_core::SeedableRng;
 use rand_pcg::Pcg32;
@@ -31,14 +31,14 @@
     /// For what the gateways of a fleet share out among them: a stream of its own, so that neither shifts the
     /// other.
     pub(crate) chance: Pcg32,
-    pub(crate) by_hand: AdminDrain,
+    pub(crate) admin_drain: AdminDrain,
     pub(crate) fleet: Fleet,
-    pub(crate) requests: HashMap<RequestId, Request>,
+    pub(crate) requests: HashMap<RequestId, RequestState>,
     pub(crate) class_loads: Vec<(f64, f64)>,
     pub(crate) setup_mean: f64,
     pub(crate) setup_floor: f64,
-    pub(crate) least_message_aim: Duration,
-    pub(crate) asking: PollSchedule,
+    pub(crate) min_message_objective: Duration,
+    pub(crate) poll_schedule: PollSchedule,
     pub(crate) in_setup: usize,
     /// The part of set-ups that failed lately, each at another server than the one before, and the last such.
     pub(crate) failing: (f64, u32),
@@ -54,10 +54,10 @@
     pub(crate) probe_tokens: f64,
     /// What this gateway may send to all cold servers together, and from how much of it a send is made: drawn
     /// anew for each, so that the parts of a send that many gateways have add up to the right number.
-    pub(crate) cold: Cold,
+    pub(crate) slow_start_budget: SlowStartBudget,
     /// Requests taken lately, fading.
     pub(crate) demand: f64,
-    pub(crate) shares: Shares,
+    pub(crate) key_redistribution: KeyRedistribution,
     /// Connections taken lately, in all and of each group, fading.
     pub(crate) seen: f64,
     pub(crate) seen_groups: HashMap<u32, f64>,
@@ -68,15 +68,15 @@
 impl Balancer {
     /// A balancer that knows no server yet. `seed` serves jitter only.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let window = first_window(&settings);
+        let window = initial_setup_window(&settings);
         let mut chance = Pcg32::new(seed, CHANCES);
         Balancer {
-            least_message_aim: settings.min_message_objective(),
+            min_message_objective: settings.min_message_objective(),
             tenant_open: vec![0; settings.tenants.len()],
             class_loads: vec![(0.0, 0.0); settings.classes.len()],
-            asking: PollSchedule::new(settings.node_count),
+            poll_schedule: PollSchedule::new(settings.node_count),
             settings,
-            by_hand: AdminDrain::default(),
+            admin_drain: AdminDrain::default(),
             fleet: Fleet::default(),
             requests: HashMap::new(),
             setup_mean: 0.0,
@@ -92,8 +92,8 @@
             move_tokens: 0.0,
             probe_tokens: 0.0,
             demand: 0.0,
-            shares: Shares::default(),
-            cold: Cold::new(fraction(&mut chance)),
+            key_redistribution: KeyRedistribution::default(),
+            slow_start_budget: SlowStartBudget::new(random_fraction(&mut chance)),
             chance,
             random: Pcg32::seed_from_u64(seed),
             seen: 0.0,
@@ -103,13 +103,13 @@
     }
 
     /// Which servers are out by hand, and which are known.
-    pub fn by_hand(&self) -> &AdminDrain {
-        &self.by_hand
+    pub fn admin_drain(&self) -> &AdminDrain {
+        &self.admin_drain
     }
 
     /// What it has learnt of its servers, for a process that takes its place.
-    pub fn learnt(&self, now: Timestamp) -> Vec<LearnedServer> {
-        self.fleet.learnt(now)
+    pub fn learned_state(&self, now: Timestamp) -> Vec<LearnedServer> {
+        self.fleet.learned_state(now)
     }
 
     /// Takes in one event and appends what is to be done. `now` must not run backwards.
@@ -117,7 +117,9 @@
         match event {
             Event::Start => {
                 if self.settings.requires_endpoint_watch {
-                    let after = self.asking.initial_delay(fraction(&mut self.chance));
+                    let after = self
+                        .poll_schedule
+                        .initial_delay(random_fraction(&mut self.chance));
                     let waits = Action::SetTimer {
                         after,
                         handle: LIST_HANDLE,
@@ -135,26 +137,34 @@
                 });
             }
             Event::EndpointList { entries, cached } => {
-                self.list(now, entries, true, cached, actions);
+                self.apply_endpoint_list(now, entries, true, cached, actions);
+            }
+            Event::EndpointChange(entries) => {
+                self.apply_endpoint_list(now, entries, false, false, actions)
+            }
+            Event::SettingsChanged { settings, from } => self.apply_settings(settings, &from),
+            Event::LeaseChanged(slice) => self.slow_start_budget.set_lease(slice),
+            Event::LearnedState(learnt) => {
+                self.fleet.apply_learned_state(&self.settings, now, learnt)
             }
-            Event::EndpointChange(entries) => self.list(now, entries, false, false, actions),
-            Event::SettingsChanged { settings, from } => self.renew(settings, &from),
-            Event::LeaseChanged(slice) => self.cold.hold(slice),
-            Event::LearnedState(learnt) => self.fleet.take_learnt(&self.settings, now, learnt),
             Event::AdminDrain(out) => {
-                let changed = self.by_hand.set_drained_servers(now, out);
-                self.take_in(now, changed, false, actions);
-                self.empty_by_hand(now, actions);
+                let changed = self.admin_drain.set_drained_servers(now, out);
+                self.apply_endpoints(now, changed, false, actions);
+                self.migrate_drained(now, actions);
             }
             Event::EndpointWatchSilent if self.settings.requires_endpoint_watch => {
-                let after = self.asking.silent_watch_delay(fraction(&mut self.chance));
+                let after = self
+                    .poll_schedule
+                    .silent_watch_delay(random_fraction(&mut self.chance));
                 actions.push(Action::SetTimer {
                     after,
                     handle: LIST_HANDLE,
                 });
             }
             Event::EndpointWatchFailed if self.settings.requires_endpoint_watch => {
-                let after = self.asking.retry_delay(fraction(&mut self.chance));
+                let after = self
+                    .poll_schedule
+                    .retry_delay(random_fraction(&mut self.chance));
                 actions.push(Action::SetTimer {
                     after,
                     handle: LIST_HANDLE,
@@ -162,28 +172,28 @@
             }
             Event::RequestReceived(incoming) => {
                 let id = incoming.request;
-                let request = self.taken(incoming);
+                let request = self.new_request_state(incoming);
                 self.requests.insert(id, request);
-                self.place(now, id, actions);
+                self.enqueue(now, id, actions);
             }
             Event::ConnectionInherited(incoming, server) => {
                 let id = incoming.request;
-                let mut request = self.taken(incoming);
-                request.attempts = 1;
+                let mut request = self.new_request_state(incoming);
+                request.attempt_count = 1;
                 // It has stood for long: it may be moved at once, and brings its part of the moves allowed.
                 let server = self.fleet.servers.slot(&server);
-                request.out = Some(Attempt {
+                request.in_flight = Some(Attempt {
                     server,
-                    free: true,
-                    sent: now,
-                    stands: true,
+                    skips_setup: true,
+                    sent_at: now,
+                    is_established: true,
                 });
                 self.move_tokens += MOVES_SAVED;
                 self.requests.insert(id, request);
-                self.count(id, true);
+                self.account_for(id, true);
             }
             Event::ConnectionEstablished { request, took } => {
-                self.established(now, request, took, actions);
+                self.on_established(now, request, took, actions);
             }
             Event::AttemptEnded {
                 request,
@@ -195,35 +205,38 @@
                 let current = self
                     .requests
                     .get(&request)
-                    .filter(|taken| taken.attempts == attempt + 1);
-                let Some(out) = current.and_then(|taken| taken.out.as_ref()) else {
+                    .filter(|taken| taken.attempt_count == attempt + 1);
+                let Some(out) = current.and_then(|taken| taken.in_flight.as_ref()) else {
                     return;
                 };
                 if let Some(values) = report {
-                    self.reported(now, out.server, &values, actions);
+                    self.on_load_report(now, out.server, &values, actions);
                 }
-                self.ended(now, request, outcome, done, actions);
+                self.on_attempt_ended(now, request, outcome, done, actions);
             }
-            Event::ClientGone(id) => self.finish(id),
+            Event::ClientGone(id) => self.finish_request(id),
             Event::ShutdownDeadline { request, sent } => {
-                self.doubt_what_is_out(request, sent);
-                self.end_unserved(request, actions);
+                self.note_possible_execution(request, sent);
+                self.reject_or_fail(request, actions);
+            }
+            Event::LoadObserved { request, load } => {
+                self.on_load_observed(request, load.as_secs_f64())
             }
-            Event::LoadObserved { request, load } => self.load_note(request, load.as_secs_f64()),
             Event::DelayObserved { request, delay } => {
-                self.delay_note(now, request, delay, actions);
+                self.on_delay_observed(now, request, delay, actions);
             }
             Event::ServerUnresponsive(server) => {
                 let at = self.fleet.servers.slot(&server);
-                self.strike(now, at, STRIKES, false, actions);
-                self.empty(at, f64::INFINITY, actions);
+                self.record_failure(now, at, STRIKES, false, actions);
+                self.migrate_all(at, f64::INFINITY, actions);
                 // Whether it died or was cut off, it may come back cold.
-                self.fleet.change(at, |server| server.crashed = true);
+                self.fleet
+                    .update(at, |server| server.restart_suspected = true);
             }
             Event::ConnectionUnresponsive(request) => {
                 // Whatever may be moved at other times: nobody is served on it.
                 self.move_tokens = self.move_tokens.max(1.0);
-                self.move_away(request, actions);
+                self.migrate(request, actions);
             }
             Event::HealthCheckCompleted {
                 server,
@@ -231,22 +244,22 @@
                 report,
             } => {
                 let server = self.fleet.servers.slot(&server);
-                self.probed(
+                self.on_health_check(
                     now,
                     server,
                     passed.then(|| report.unwrap_or_default()),
                     actions,
                 );
             }
-            Event::Gossip(message) => self.told(now, &message),
-            Event::TimerFired(TICK_HANDLE) => self.tick(now, actions),
+            Event::Gossip(message) => self.on_gossip(now, &message),
+            Event::TimerFired(TICK_HANDLE) => self.run_upkeep(now, actions),
             Event::TimerFired(QUEUE_HANDLE) => {
                 self.queue_timer = false;
-                self.pump(now, actions);
+                self.dispatch_queued(now, actions);
             }
             Event::TimerFired(EMPTY_HANDLE) => {
                 self.empty_timer = false;
-                self.empty_by_hand(now, actions);
+                self.migrate_drained(now, actions);
             }
             Event::TimerFired(LIST_HANDLE) => actions.push(Action::WatchEndpoints),
             Event::EndpointWatchFailed | Event::EndpointWatchSilent | Event::TimerFired(_) => {}
@@ -254,11 +267,11 @@
     }
 
     pub(crate) fn jitter(&mut self) -> f64 {
-        fraction(&mut self.random)
+        random_fraction(&mut self.random)
     }
 
     /// Other settings: what was learnt of a class goes where it is now, and what is there keeps its rules.
-    pub(crate) fn renew(&mut self, settings: Settings, from: &[Option<usize>]) {
+    pub(crate) fn apply_settings(&mut self, settings: Settings, from: &[Option<usize>]) {
         let learnt = |old: &Option<usize>| old.and_then(|old| self.class_loads.get(old)).copied();
         self.class_loads = from
             .iter()
@@ -268,8 +281,8 @@
             let now_at = from.iter().position(|old| *old == Some(request.class));
             request.class = now_at.unwrap_or(usize::MAX);
         }
-        self.asking.set_node_count(settings.node_count);
-        self.least_message_aim = settings.min_message_objective();
+        self.poll_schedule.set_node_count(settings.node_count);
+        self.min_message_objective = settings.min_message_objective();
         self.tenant_open.resize(settings.tenants.len(), 0);
         self.settings = settings;
     }
--- a/crates/placement/src/cost_tests.rs
+++ b/crates/placement/src/cost_tests.rs
@@ -1,6 +1,6 @@
 //! What a decision costs, counted in rows of the server table that are read, not in time.
 
-use crate::state::server_table::READS;
+use crate::state::server_table::ROWS_READ;
 use crate::*;
 use std::time::Duration;
 
@@ -67,7 +67,7 @@
         },
         &mut actions,
     );
-    READS.set(0);
+    ROWS_READ.set(0);
     for id in 1..=20 {
         let (now, request) = (Timestamp(id * SECOND), RequestId(id));
         balancer.handle(now, Event::RequestReceived(incoming(id)), &mut actions);
@@ -109,7 +109,7 @@
         }
         balancer.handle(now, Event::TimerFired(1), &mut actions);
     }
-    READS.get()
+    ROWS_READ.get()
 }
 
 /// Issue 13: at a request a second a gateway's upkeep cost as much as its requests, since both walked all
--- a/crates/placement/src/endpoint_updates.rs
+++ b/crates/placement/src/endpoint_updates.rs
@@ -3,12 +3,12 @@
 use crate::balancer::{Actions, Balancer};
 use crate::hashing::server_hash;
 use crate::state::fleet::Server;
-use crate::state::server_table::{Slot, UNKNOWN};
+use crate::state::server_table::{ServerSlot, UNKNOWN};
 use crate::{Endpoint, Health, Timestamp};
 use std::collections::BTreeSet;
 
 impl Balancer {
-    pub(crate) fn list(
+    pub(crate) fn apply_endpoint_list(
         &mut self,
         now: Timestamp,
         entries: Vec<Endpoint>,
@@ -16,12 +16,12 @@
         cached: bool,
         actions: &mut Actions,
     ) {
-        self.asking.record_answer(cached);
-        let shown = self.by_hand.apply_endpoints(entries, whole);
-        self.take_in(now, shown, whole, actions);
+        self.poll_schedule.record_answer(cached);
+        let shown = self.admin_drain.apply_endpoints(entries, whole);
+        self.apply_endpoints(now, shown, whole, actions);
     }
 
-    pub(crate) fn take_in(
+    pub(crate) fn apply_endpoints(
         &mut self,
         now: Timestamp,
         entries: Vec<Endpoint>,
@@ -31,66 +31,77 @@
         let mut lost = 0.0;
         let named = entries
             .into_iter()
-            .map(|entry| self.listed(now, entry, &mut lost));
-        let named: BTreeSet<Slot> = named.collect();
+            .map(|entry| self.apply_endpoint(now, entry, &mut lost));
+        let named: BTreeSet<ServerSlot> = named.collect();
         let known = if whole {
             self.fleet.servers.slots()
         } else {
             Vec::new()
         };
         for at in known.into_iter().filter(|at| !named.contains(at)) {
-            self.fleet.change(at, |server| {
-                lost += server.turn(now, Health::Gone);
+            self.fleet.update(at, |server| {
+                lost += server.set_health(now, Health::Gone);
             });
         }
-        self.share_out(now, lost, actions);
-        self.open_cold(now);
+        self.redistribute_keys(now, lost, actions);
+        self.refresh_slow_start(now);
     }
 
-    pub(crate) fn listed(&mut self, now: Timestamp, entry: Endpoint, lost: &mut f64) -> Slot {
-        let saved = self.cold.saved(now, self.settings.node_count);
+    pub(crate) fn apply_endpoint(
+        &mut self,
+        now: Timestamp,
+        entry: Endpoint,
+        lost: &mut f64,
+    ) -> ServerSlot {
+        let saved = self
+            .slow_start_budget
+            .saved_per_node(now, self.settings.node_count);
         let mut at = self.fleet.servers.slot(&entry.server);
         if at == UNKNOWN {
             let (hash, health, cap) = (server_hash(&entry.server), Health::Gone, f64::INFINITY);
             let fresh = Server {
                 hash,
                 health,
-                cap,
-                leaving_since: now,
+                concurrency_limit: cap,
+                draining_since: now,
                 ..Server::default()
             };
             at = self.fleet.servers.insert(entry.server, fresh);
         }
-        let (settings, budget) = (&self.settings, &mut self.cold);
-        self.fleet.change(at, |server| {
+        let (settings, budget) = (&self.settings, &mut self.slow_start_budget);
+        self.fleet.update(at, |server| {
             // A new start under the old id is a new process: evidence against the last one is void, and it
             // is cold.
             let back = server.health == Health::Gone && entry.health == Health::Ready;
-            let fresh = entry.started_at > server.started || back;
+            let fresh = entry.started_at > server.started_at || back;
             if fresh {
-                server.started = entry.started_at.or(server.started);
+                server.started_at = entry.started_at.or(server.started_at);
                 (
-                    server.strikes,
-                    server.bars,
-                    server.barred_until,
-                    server.crashed,
+                    server.consecutive_failures,
+                    server.ejection_count,
+                    server.ejected_until,
+                    server.restart_suspected,
                 ) = (0, 0, None, false);
-                server.cut = false;
-                server.cap = f64::INFINITY;
-                (server.tokens, server.refilled, server.used) = (1.0, now, None);
-                server.part = settings.initial_capacity_ratio;
+                server.zone_unreachable = false;
+                server.concurrency_limit = f64::INFINITY;
+                (
+                    server.slow_start_tokens,
+                    server.slow_start_refilled_at,
+                    server.utilization,
+                ) = (1.0, now, None);
+                server.slow_start_ratio = settings.initial_capacity_ratio;
             }
-            *lost += server.turn(now, entry.health);
+            *lost += server.set_health(now, entry.health);
             server.zone = entry.zone;
             server.cell = entry.cell;
-            server.kind = entry.machine_kind;
+            server.machine_kind = entry.machine_kind;
             server.weight = if entry.weight > 0.0 {
                 entry.weight
             } else {
                 1.0
             };
-            let cold = server.is_cold(settings, now);
-            let was_cold = std::mem::replace(&mut server.cold, cold);
+            let cold = server.is_in_slow_start(settings, now);
+            let was_cold = std::mem::replace(&mut server.is_warming_up, cold);
             budget.add(if cold && (fresh || !was_cold) {
                 saved
             } else {
--- a/crates/placement/src/hashing.rs
+++ b/crates/placement/src/hashing.rs
@@ -29,7 +29,7 @@
 }
 
 /// A hash as a part of 1, by other bits than the ranking orders servers by.
-pub(crate) fn part_of(hash: u32) -> f64 {
+pub(crate) fn unit_interval(hash: u32) -> f64 {
     f64::from(hash.wrapping_mul(0x9e37_79b9)) / (f64::from(u32::MAX) + 1.0)
 }
 
@@ -39,6 +39,6 @@
 }
 
 /// The next random number as a part of 1.
-pub(crate) fn fraction(random: &mut Pcg32) -> f64 {
+pub(crate) fn random_fraction(random: &mut Pcg32) -> f64 {
     f64::from(random.next_u32()) / (f64::from(u32::MAX) + 1.0)
 }
--- a/crates/placement/src/limits/lease_usage.rs
+++ b/crates/placement/src/limits/lease_usage.rs
@@ -6,6 +6,6 @@
     /// Sends to cold servers since the last call: the most in any window, and whether a request came when only the slice
     /// stood against one more.
     pub fn take_slow_start_usage(&mut self) -> (u32, bool) {
-        self.cold.used()
+        self.slow_start_budget.take_usage()
     }
 }
--- a/crates/placement/src/limits/overload.rs
+++ b/crates/placement/src/limits/overload.rs
@@ -3,7 +3,7 @@
 use crate::balancer::{Actions, Balancer};
 use crate::recovery::outlier_detection::STRIKES;
 use crate::recovery::upkeep::TICK;
-use crate::state::server_table::Slot;
+use crate::state::server_table::ServerSlot;
 use crate::{RequestId, Timestamp};
 use std::time::Duration;
 
@@ -21,7 +21,7 @@
 const SILENT_FOR: Duration = Duration::from_secs(4);
 
 impl Balancer {
-    pub(crate) fn delay_note(
+    pub(crate) fn on_delay_observed(
         &mut self,
         now: Timestamp,
         id: RequestId,
@@ -31,31 +31,31 @@
         let Some(out) = self
             .requests
             .get(&id)
-            .and_then(|request| request.out.as_ref())
+            .and_then(|request| request.in_flight.as_ref())
         else {
             return;
         };
         let server = out.server;
-        let part = delay.as_secs_f64() / self.least_message_aim.as_secs_f64().max(1e-9);
+        let part = delay.as_secs_f64() / self.min_message_objective.as_secs_f64().max(1e-9);
         if part > LATE_SHEDS {
-            self.probe(now, server, actions); // a report that has grown old keeps it from being relieved
+            self.refresh_report(now, server, actions); // a report that has grown old keeps it from being relieved
         }
         if part > 1.5 {
-            self.tell(now, server, delay >= SILENT_FOR, actions);
+            self.send_slow_hint(now, server, delay >= SILENT_FOR, actions);
         }
         if delay >= SILENT_FOR {
             // No queue is that long: it answers nothing, and its connections had best leave.
-            self.strike(now, server, STRIKES, true, actions);
+            self.record_failure(now, server, STRIKES, true, actions);
         } else if let Some((_, keep)) = LATE.iter().find(|(over, _)| part > *over) {
-            self.crowd(now, server, *keep, part > LATE_SHEDS, actions);
+            self.record_overload(now, server, *keep, part > LATE_SHEDS, actions);
         }
     }
 
     /// A report of utilisation counts everybody's load, so it goes before what this gateway's own load tells.
-    pub(crate) fn reported(
+    pub(crate) fn on_load_report(
         &mut self,
         now: Timestamp,
-        at: Slot,
+        at: ServerSlot,
         values: &[f64],
         actions: &mut Actions,
     ) {
@@ -72,34 +72,35 @@
                 .fleet
                 .servers
                 .get(at)
-                .is_some_and(|server| !server.held.is_empty())
+                .is_some_and(|server| !server.connections.is_empty())
         {
             return;
         }
-        self.fleet.change(at, |server| {
-            server.used = Some((now, *used));
-            (server.added, server.held_then) = (0.0, server.held.len());
-            server.cap = if *used > FULL {
+        self.fleet.update(at, |server| {
+            server.utilization = Some((now, *used));
+            (server.load_since_report, server.connections_at_report) =
+                (0.0, server.connections.len());
+            server.concurrency_limit = if *used > FULL {
                 server.load * FULL / *used
             } else {
                 f64::INFINITY
             };
             if *used > FULL {
-                server.crowded_at = Some(now);
+                server.overloaded_at = Some(now);
             }
         });
         if *used > CROWDED {
-            self.shed(now, at, actions);
+            self.shed_load(now, at, actions);
         }
     }
 
     /// The server is crowded: from now on it may hold only `keep` of what it holds, and where `sheds` is set
     /// what is over that moves off. Guards against servers that are slower or more loaded than their share of
     /// keys assumes, and, where all are, against a fleet that answers all late instead of most in time.
-    pub(crate) fn crowd(
+    pub(crate) fn record_overload(
         &mut self,
         now: Timestamp,
-        at: Slot,
+        at: ServerSlot,
         keep: f64,
         sheds: bool,
         actions: &mut Actions,
@@ -109,21 +110,23 @@
             return;
         };
         let reported = server
-            .used
+            .utilization
             .is_some_and(|(at, _)| now.saturating_duration_since(at) < CALM);
         if reported
             || server
-                .crowded_at
+                .overloaded_at
                 .is_some_and(|at| now.saturating_duration_since(at) < TICK.mul_f64(0.9))
         {
             return;
         }
-        self.fleet.change(at, |server| {
-            server.crowded_at = Some(now);
-            server.cap = server.cap.min((server.load * keep).max(fair * LEAST_CAP));
+        self.fleet.update(at, |server| {
+            server.overloaded_at = Some(now);
+            server.concurrency_limit = server
+                .concurrency_limit
+                .min((server.load * keep).max(fair * LEAST_CAP));
         });
         if sheds {
-            self.shed(now, at, actions);
+            self.shed_load(now, at, actions);
         }
     }
 }
--- a/crates/placement/src/limits/setup_window.rs
+++ b/crates/placement/src/limits/setup_window.rs
@@ -11,13 +11,13 @@
 const LEAST_WINDOW: f64 = 6.0;
 
 /// How many set-ups of one gateway may be under way where nothing tells of fewer.
-pub(crate) fn first_window(settings: &Settings) -> f64 {
+pub(crate) fn initial_setup_window(settings: &Settings) -> f64 {
     (FIRST_WINDOW / f64::from(settings.node_count.max(1))).max(1.0)
 }
 
 impl Balancer {
     /// Set-ups go wrong wherever they are sent: let fewer run at once.
-    pub(crate) fn cut_window(&mut self, now: Timestamp) {
+    pub(crate) fn shrink_setup_window(&mut self, now: Timestamp) {
         if now.saturating_duration_since(self.window_cut) > QUEUE_TICK * 2 {
             let least = (LEAST_WINDOW / f64::from(self.settings.node_count.max(1))).max(0.05);
             self.window = (self.window.min(self.in_setup as f64 + 1.0) * 0.7).max(least);
--- a/crates/placement/src/limits/slow_start_budget.rs
+++ b/crates/placement/src/limits/slow_start_budget.rs
@@ -11,7 +11,7 @@
 
 /// See the module.
 #[derive(Default)]
-pub struct Cold {
+pub struct SlowStartBudget {
     budget: f64,
     /// Above this it lets a send go: drawn anew after each, so that parts of a send add up over all gateways.
     pub mark: f64,
@@ -25,18 +25,18 @@
     turned_away: bool,
 }
 
-impl Cold {
+impl SlowStartBudget {
     /// Nothing to send yet.
-    pub fn new(mark: f64) -> Cold {
-        Cold {
+    pub fn new(mark: f64) -> SlowStartBudget {
+        SlowStartBudget {
             mark,
-            ..Cold::default()
+            ..SlowStartBudget::default()
         }
     }
 
     /// How likely an unused send to a cold server is kept: what all gateways have saved up is the same however many
     /// there are. Guards against hundreds of them that spend one saved send each at the same moment.
-    pub fn saved(&self, now: Timestamp, instances: u32) -> f64 {
+    pub fn saved_per_node(&self, now: Timestamp, instances: u32) -> f64 {
         let slice = self
             .slice
             .as_ref()
@@ -47,7 +47,7 @@
     }
 
     /// From now on this slice holds, or none: then the number of gateways decides alone.
-    pub fn hold(&mut self, slice: Option<SlowStartLease>) {
+    pub fn set_lease(&mut self, slice: Option<SlowStartLease>) {
         if slice.is_none() {
             self.sent.clear();
         }
@@ -65,7 +65,7 @@
     }
 
     /// One was sent.
-    pub fn send(&mut self, now: Timestamp) {
+    pub fn record_send(&mut self, now: Timestamp) {
         self.budget -= 1.0;
         if self.slice.is_some() {
             self.sent.push_back(now);
@@ -74,12 +74,12 @@
     }
 
     /// A request looks for a server.
-    pub fn sought(&mut self) {
+    pub fn note_demand(&mut self) {
         self.turned_away |= self.full;
     }
 
     /// The most sends in any window, and whether one was turned away for lack of a slice, since the last call.
-    pub fn used(&mut self) -> (u32, bool) {
+    pub fn take_usage(&mut self) -> (u32, bool) {
         let most = std::mem::replace(&mut self.most, self.sent.len()).max(self.sent.len());
         (
             u32::try_from(most).unwrap_or(u32::MAX),
@@ -89,7 +89,7 @@
 
     /// Whether a cold server may be sent something now. A slice that has run out is no slice: its clock is looked at here,
     /// before anything goes out, so that a process that was frozen finds out in time.
-    pub fn open(&mut self, now: Timestamp) -> bool {
+    pub fn is_open(&mut self, now: Timestamp) -> bool {
         let own = self.budget > self.mark;
         let Some(slice) = &self.slice else { return own };
         while self
@@ -106,7 +106,7 @@
     }
 
     /// Whether there is a slice at all, and with it a moment between two upkeeps at which more may go.
-    pub fn sliced(&self) -> bool {
+    pub fn has_lease(&self) -> bool {
         self.slice.is_some()
     }
 }
--- a/crates/placement/src/policy/admission.rs
+++ b/crates/placement/src/policy/admission.rs
@@ -7,7 +7,7 @@
 use crate::recovery::gossip::HEARD;
 use crate::recovery::key_redistribution;
 use crate::state::fleet::Server;
-use crate::state::request::{there, Request};
+use crate::state::request::{server_holds_group, RequestState};
 use crate::Timestamp;
 
 /// A server may hold this multiple of its fair part of this gateway's load before the gate turns new groups
@@ -21,7 +21,7 @@
 const HELD_GROUP: f64 = 1.25; // a group that is there is let in up to this multiple of what a new one is
 
 /// What the gate compares a server with.
-pub(crate) struct View {
+pub(crate) struct AdmissionContext {
     pub(crate) fair: f64,
     pub(crate) add: f64,
     pub(crate) group_cost: f64,
@@ -32,45 +32,52 @@
 
 impl Balancer {
     /// Whether a ready server takes this connection now. `firm` leaves out the comparison with other servers.
-    pub(crate) fn gate(
+    pub(crate) fn admits(
         &self,
         now: Timestamp,
-        request: &Request,
+        request: &RequestState,
         server: &Server,
-        view: &View,
+        view: &AdmissionContext,
         firm: bool,
     ) -> bool {
         if server
-            .barred_until
-            .is_some_and(|until| now < until || server.trial)
+            .ejected_until
+            .is_some_and(|until| now < until || server.half_open)
         {
             return false;
         }
-        if server.cut {
+        if server.zone_unreachable {
             return false; // a probe tells when its zone is within reach
         }
         let silent = |at| {
             now.saturating_duration_since(at) >= QUEUE_TICK
                 && now.saturating_duration_since(at) < REPORT_FRESH
         };
-        if server.probed.is_some_and(|(at, out)| out && silent(at)) {
+        if server
+            .health_check
+            .is_some_and(|(at, out)| out && silent(at))
+        {
             return false; // it answers no probe in good time
         }
         // With no warm server the keys that it leaves would have nowhere to go: the budget alone decides.
-        let others = self.fleet.sums.warm >= 1.0;
+        let others = self.fleet.totals.warm >= 1.0;
         if others
-            && server.cold
-            && !key_redistribution::takes(server.hash, request.key, server.part)
+            && server.is_warming_up
+            && !key_redistribution::accepts_key_part(
+                server.hash,
+                request.key,
+                server.slow_start_ratio,
+            )
         {
             return false;
         }
-        if !request.mid_flow && !self.shares.lets(server, request.key) {
+        if !request.is_mid_flow && !self.key_redistribution.accepts_key(server, request.key) {
             return false;
         }
-        let held = there(request, server);
+        let held = server_holds_group(request, server);
         if !held
             && server
-                .heard
+                .slow_hint_at
                 .is_some_and(|at| now.saturating_duration_since(at) < HEARD * 3 / 2)
         {
             return false;
@@ -83,22 +90,24 @@
         };
         let add = f64::midpoint(view.add, shared);
         let used = server
-            .used
+            .utilization
             .filter(|(at, _)| now.saturating_duration_since(*at) < CALM)
             .map_or(0.0, |(_, used)| used);
         // Others' load was counted when the report was made; what all added since is guessed from one's own.
-        if used > 0.0 && used + (server.added + add) * view.used_per_load > full {
+        if used > 0.0 && used + (server.load_since_report + add) * view.used_per_load > full {
             return false;
         }
         let (after, cap) = (
             server.load + add,
-            server.cap * cap_part * if view.over_share { OVER_SHARE_CAP } else { 1.0 },
+            server.concurrency_limit
+                * cap_part
+                * if view.over_share { OVER_SHARE_CAP } else { 1.0 },
         );
         // Where others hold most of a group, the few connections seen here say little: room for one group's
         // shared work guards against every gateway splitting every group.
         let unseen = 1.0 - 1.0 / f64::from(self.settings.node_count.max(1));
-        let part = view.fair * server.weight * server.warmth(&self.settings, now);
+        let part = view.fair * server.weight * server.capacity_ratio(&self.settings, now);
         let allowed = (part * HEADROOM + view.group_cost * unseen) * slack;
-        after <= cap && (firm || server.held.is_empty() || after <= allowed)
+        after <= cap && (firm || server.connections.is_empty() || after <= allowed)
     }
 }
--- a/crates/placement/src/policy/queue.rs
+++ b/crates/placement/src/policy/queue.rs
@@ -1,7 +1,7 @@
 //! The queue of requests that wait for a set-up, and the start of an attempt.
 
 use crate::balancer::{Actions, Balancer};
-use crate::hashing::fraction;
+use crate::hashing::random_fraction;
 use crate::state::request::Attempt;
 use crate::{Action, RequestId, Timestamp};
 use std::collections::VecDeque;
@@ -14,40 +14,44 @@
 impl Balancer {
     /// Sends the request, or lets it wait while too many set-ups are under way. Guards against a shared store
     /// (or any bottleneck behind all servers) that more attempts only bury deeper.
-    pub(crate) fn place(&mut self, now: Timestamp, id: RequestId, actions: &mut Actions) {
+    pub(crate) fn enqueue(&mut self, now: Timestamp, id: RequestId, actions: &mut Actions) {
         if self
             .requests
             .get(&id)
-            .is_some_and(|request| request.mid_flow && request.attempts == 0)
+            .is_some_and(|request| request.is_mid_flow && request.attempt_count == 0)
         {
-            self.send(now, id, actions);
+            self.start_attempt(now, id, actions);
         } else {
             self.waiting.push_back(id);
         }
-        self.pump(now, actions);
+        self.dispatch_queued(now, actions);
     }
 
     /// Sends what waits and may go, oldest first, and ends what can no longer be answered in time.
-    pub(crate) fn pump(&mut self, now: Timestamp, actions: &mut Actions) {
-        if self.cold.sliced() {
-            self.open_cold(now); // the window has moved on, or the lease is over
-            self.cold.sought();
+    pub(crate) fn dispatch_queued(&mut self, now: Timestamp, actions: &mut Actions) {
+        if self.slow_start_budget.has_lease() {
+            self.refresh_slow_start(now); // the window has moved on, or the lease is over
+            self.slow_start_budget.note_demand();
         }
         let mut still = VecDeque::new();
         while let Some(id) = self.waiting.pop_front() {
-            let Some(request) = self.requests.get(&id).filter(|request| !request.over) else {
+            let Some(request) = self
+                .requests
+                .get(&id)
+                .filter(|request| !request.is_finished)
+            else {
                 continue;
             };
-            let ripe = request.asked.is_none_or(|(_, until)| until <= now);
+            let ripe = request.deferral.is_none_or(|(_, until)| until <= now);
             let paused = self.window < 1.0 && now < self.pause_until;
             // What no server is left for, or no set-up would be in time for, is told so at once.
             let needs = QUEUE_TICK.max(Duration::from_secs_f64(self.setup_floor)) * 2;
-            let spent = request.attempts >= request.attempt_cap
-                || request.expires.saturating_duration_since(now) < needs;
-            if spent || self.permitted(now, request).next().is_none() {
-                self.end_unserved(id, actions);
+            let spent = request.attempt_count >= request.max_attempts
+                || request.deadline.saturating_duration_since(now) < needs;
+            if spent || self.permitted_servers(now, request).next().is_none() {
+                self.reject_or_fail(id, actions);
             } else if ripe && !paused && (self.in_setup as f64) < self.window {
-                self.send(now, id, actions);
+                self.start_attempt(now, id, actions);
             } else {
                 still.push_back(id);
             }
@@ -63,63 +67,68 @@
     }
 
     /// Sends the request to the highest score that the gate lets it have, or ends it.
-    pub(crate) fn send(&mut self, now: Timestamp, id: RequestId, actions: &mut Actions) {
+    pub(crate) fn start_attempt(&mut self, now: Timestamp, id: RequestId, actions: &mut Actions) {
         let Some(request) = self.requests.get(&id) else {
             return;
         };
-        let may_go = request.expires > now && request.attempts < request.attempt_cap;
-        let chosen = may_go.then(|| self.choose(now, request)).flatten();
+        let may_go = request.deadline > now && request.attempt_count < request.max_attempts;
+        let chosen = may_go.then(|| self.select_server(now, request)).flatten();
         // Where none takes it the best one is asked anew: it may have been full, or cold, a while ago.
         let best = || {
-            self.ranked(now, request, 0, 1)
+            self.ranked_servers(now, request, 0, 1)
                 .first()
                 .map(|(at, _)| *at)
                 .filter(|_| may_go)
         };
         let asked = chosen.map(|(at, _)| at).or_else(best);
-        let asked = asked.filter(|_| !(request.mid_flow && request.attempts == 0));
-        if asked.is_some_and(|at| self.probe(now, at, actions)) {
+        let asked = asked.filter(|_| !(request.is_mid_flow && request.attempt_count == 0));
+        if asked.is_some_and(|at| self.refresh_report(now, at, actions)) {
             let until = now.saturating_add(QUEUE_TICK);
             self.requests
                 .entry(id)
-                .and_modify(|taken| taken.asked = asked.map(|at| (at, until)));
+                .and_modify(|taken| taken.deferral = asked.map(|at| (at, until)));
             return self.waiting.push_back(id);
         }
         let Some((at, gave_way)) = chosen else {
-            return self.end_unserved(id, actions);
+            return self.reject_or_fail(id, actions);
         };
         let Some(request) = self.requests.get(&id) else {
             return;
         };
-        let patience = request.patience(now, self.setup_mean);
-        if self.fleet.servers.get(at).is_some_and(|server| server.cold) {
-            self.cold.send(now);
-            self.cold.mark = fraction(&mut self.chance);
+        let patience = request.attempt_timeout(now, self.setup_mean);
+        if self
+            .fleet
+            .servers
+            .get(at)
+            .is_some_and(|server| server.is_warming_up)
+        {
+            self.slow_start_budget.record_send(now);
+            self.slow_start_budget.mark = random_fraction(&mut self.chance);
         }
-        self.fleet.change(at, |server| {
-            server.tokens -= 1.0;
+        self.fleet.update(at, |server| {
+            server.slow_start_tokens -= 1.0;
             if gave_way {
                 // Once a while only, or a full server would take everything between two reports.
-                server.raised_at = Some(now);
-                server.cap = server.cap.max(server.load);
+                server.limit_raised_at = Some(now);
+                server.concurrency_limit = server.concurrency_limit.max(server.load);
             }
-            server.trial = server.barred_until.is_some();
+            server.half_open = server.ejected_until.is_some();
         });
-        self.open_cold(now);
+        self.refresh_slow_start(now);
         if let Some(request) = self.requests.get_mut(&id) {
-            request.attempts += 1;
-            request.asked = None;
-            request.tried.push(at);
-            let free = request.mid_flow && request.attempts == 1;
+            request.attempt_count += 1;
+            request.deferral = None;
+            request.tried_servers.push(at);
+            let free = request.is_mid_flow && request.attempt_count == 1;
             self.in_setup += usize::from(!free);
-            request.out = Some(Attempt {
+            request.in_flight = Some(Attempt {
                 server: at,
-                free,
-                sent: now,
-                stands: false,
+                skips_setup: free,
+                sent_at: now,
+                is_established: false,
             });
         }
-        self.count(id, true);
+        self.account_for(id, true);
         let named = self.fleet.servers.id(at).cloned();
         actions.extend(named.map(|server| Action::StartAttempt {
             request: id,
--- a/crates/placement/src/policy/request_lifecycle.rs
+++ b/crates/placement/src/policy/request_lifecycle.rs
@@ -1,10 +1,10 @@
 //! How a request is taken in, and what follows when its connection stands.
 
 use crate::balancer::{Actions, Balancer};
-use crate::hashing::{key_hash, murmur, part_of, KEY_SEED};
+use crate::hashing::{key_hash, murmur, unit_interval, KEY_SEED};
 use crate::recovery::migration::MOVES_SAVED;
 use crate::recovery::outlier_detection::FAILING_RATE;
-use crate::state::request::Request;
+use crate::state::request::RequestState;
 use crate::{RequestId, RequestInfo, Timestamp};
 use std::time::Duration;
 
@@ -14,7 +14,7 @@
 const PROBE_SPEND: f64 = 0.0025;
 
 impl Balancer {
-    pub(crate) fn taken(&mut self, incoming: RequestInfo) -> Request {
+    pub(crate) fn new_request_state(&mut self, incoming: RequestInfo) -> RequestState {
         self.demand += 1.0;
         let group = incoming.group.as_deref().map(key_hash);
         let client = incoming.key.as_deref().map(key_hash);
@@ -27,28 +27,28 @@
         let place = if incoming.is_reconnect {
             self.jitter()
         } else {
-            part_of(client)
+            unit_interval(client)
         };
-        Request {
+        RequestState {
             class: incoming.class,
-            rules: self.settings.classes.get(incoming.class).copied(),
-            attempt_cap: self.settings.max_attempts,
+            class_rules: self.settings.classes.get(incoming.class).copied(),
+            max_attempts: self.settings.max_attempts,
             tenant: incoming.tenant,
-            returned: incoming.is_reconnect,
+            is_reconnect: incoming.is_reconnect,
             group,
             key: group.unwrap_or(client),
-            place,
+            split_position: place,
             load: incoming
                 .load
                 .map(|load| load.as_secs_f64())
                 .filter(|load| *load > 0.0),
-            expires: incoming.deadline,
-            mid_flow: incoming.is_mid_flow,
-            ..Request::default()
+            deadline: incoming.deadline,
+            is_mid_flow: incoming.is_mid_flow,
+            ..RequestState::default()
         }
     }
 
-    pub(crate) fn established(
+    pub(crate) fn on_established(
         &mut self,
         now: Timestamp,
         id: RequestId,
@@ -58,15 +58,15 @@
         let Some(attempt) = self
             .requests
             .get_mut(&id)
-            .and_then(|taken| taken.out.as_mut())
+            .and_then(|taken| taken.in_flight.as_mut())
         else {
             return;
         };
-        let new = !std::mem::replace(&mut attempt.stands, true);
+        let new = !std::mem::replace(&mut attempt.is_established, true);
         let at = attempt.server;
         // What stood before may be moved at once, and brings its part of the moves allowed.
-        attempt.sent = now;
-        if attempt.free {
+        attempt.sent_at = now;
+        if attempt.skips_setup {
             self.move_tokens += MOVES_SAVED;
         } else if new {
             self.in_setup = self.in_setup.saturating_sub(1);
@@ -77,23 +77,31 @@
             self.setup_floor +=
                 (took - self.setup_floor) * if took < self.setup_floor { 0.3 } else { 0.01 };
             if took > SLOW_SETUP * self.setup_floor {
-                self.cut_window(now);
+                self.shrink_setup_window(now);
             } else if self.window < 1.0 || (self.in_setup as f64) > self.window / 2.0 {
                 self.window += 0.5;
             }
         }
-        self.fleet.zone_stands(now, at);
+        self.fleet.record_zone_answer(now, at);
         let settings = &self.settings;
-        self.fleet.change(at, |server| {
-            (server.strikes, server.barred_until, server.trial) = (0, None, false);
-            if server.crashed {
+        self.fleet.update(at, |server| {
+            (
+                server.consecutive_failures,
+                server.ejected_until,
+                server.half_open,
+            ) = (0, None, false);
+            if server.restart_suspected {
                 // The list may not tell for seconds that the process is a new one; it is cold all the same.
-                server.crashed = false;
-                server.started = server.started.max(Some(now));
-                (server.tokens, server.refilled, server.used) = (0.0, now, None);
-                server.cold = server.is_cold(settings, now);
+                server.restart_suspected = false;
+                server.started_at = server.started_at.max(Some(now));
+                (
+                    server.slow_start_tokens,
+                    server.slow_start_refilled_at,
+                    server.utilization,
+                ) = (0.0, now, None);
+                server.is_warming_up = server.is_in_slow_start(settings, now);
             }
         });
-        self.pump(now, actions);
+        self.dispatch_queued(now, actions);
     }
 }
--- a/crates/placement/src/policy/retry.rs
+++ b/crates/placement/src/policy/retry.rs
@@ -14,27 +14,29 @@
             return false;
         };
         let server = request
-            .out
+            .in_flight
             .as_ref()
             .and_then(|out| self.fleet.servers.get(out.server));
-        server.is_some_and(|server| request.may_go_to(now, server))
+        server.is_some_and(|server| request.may_retry_on(now, server))
     }
 
     /// What is out for the request may have run by now, if it was sent.
-    pub(crate) fn doubt_what_is_out(&mut self, id: RequestId, sent: bool) {
+    pub(crate) fn note_possible_execution(&mut self, id: RequestId, sent: bool) {
         let Some(request) = self.requests.get_mut(&id).filter(|_| sent) else {
             return;
         };
-        let Some(out) = &request.out else { return };
+        let Some(out) = &request.in_flight else {
+            return;
+        };
         let place = self
             .fleet
             .servers
             .get(out.server)
-            .map(|server| (server.zone, server.cell, out.sent));
-        request.doubt = request.doubt.or(place);
+            .map(|server| (server.zone, server.cell, out.sent_at));
+        request.possible_execution = request.possible_execution.or(place);
     }
 
-    pub(crate) fn ended(
+    pub(crate) fn on_attempt_ended(
         &mut self,
         now: Timestamp,
         id: RequestId,
@@ -42,48 +44,51 @@
         done: bool,
         actions: &mut Actions,
     ) {
-        self.count(id, false);
+        self.account_for(id, false);
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
-        let Some(attempt) = request.out.take() else {
+        let Some(attempt) = request.in_flight.take() else {
             return;
         };
         let Attempt {
             server,
-            free,
-            sent,
-            stands,
+            skips_setup: free,
+            sent_at: sent,
+            is_established: stands,
         } = attempt;
         if let Some(place) = self.fleet.servers.get_mut(server) {
-            place.trial &= stands;
+            place.half_open &= stands;
             if !outcome.proves_not_executed() {
-                request.doubt.get_or_insert((place.zone, place.cell, sent));
+                request
+                    .possible_execution
+                    .get_or_insert((place.zone, place.cell, sent));
             }
         }
         self.in_setup = self.in_setup.saturating_sub(usize::from(!free && !stands));
-        let over = request.over || done;
+        let over = request.is_finished || done;
         let once_doubtful = request
-            .rules
+            .class_rules
             .is_some_and(|c| c.retry_safety == RetrySafety::NotIdempotent)
-            && request.doubt.is_some();
+            && request.possible_execution.is_some();
         if over {
             self.requests.remove(&id);
         }
-        self.weigh_outcome(now, &attempt, outcome, over, actions);
+        self.record_outcome(now, &attempt, outcome, over, actions);
         if over {
             // Nothing is owed any more.
         } else if stands || once_doubtful {
-            self.finish(id);
+            self.finish_request(id);
             actions.push(Action::Fail(id));
         } else if outcome == Outcome::NotSent {
-            self.end_unserved(id, actions);
+            self.reject_or_fail(id, actions);
         } else {
             let wait = QUEUE_TICK.mul_f64(1.0 + self.jitter());
             if let (Outcome::Error, Some(request)) = (outcome, self.requests.get_mut(&id)) {
-                request.asked = Some((UNKNOWN, now.saturating_add(wait * request.attempts)));
+                request.deferral =
+                    Some((UNKNOWN, now.saturating_add(wait * request.attempt_count)));
             }
-            self.place(now, id, actions);
+            self.enqueue(now, id, actions);
         }
     }
 }
--- a/crates/placement/src/policy/selection.rs
+++ b/crates/placement/src/policy/selection.rs
@@ -1,15 +1,15 @@
 //! Server selection: the highest score that takes the request.
 
 use crate::balancer::Balancer;
-use crate::hashing::{part_of, rank_score};
+use crate::hashing::{rank_score, unit_interval};
 use crate::limits::overload::CALM;
-use crate::policy::admission::View;
+use crate::policy::admission::AdmissionContext;
 use crate::recovery::upkeep::TICK;
 use crate::state::fleet::Server;
 use crate::state::load_accounting::GROUP_COST;
-use crate::state::ranking_index::Walk;
-use crate::state::request::{there, Request};
-use crate::state::server_table::Slot;
+use crate::state::ranking_index::CandidateScan;
+use crate::state::request::{server_holds_group, RequestState};
+use crate::state::server_table::ServerSlot;
 use crate::{Health, Timestamp};
 
 const SPLIT: f64 = 2.0; // a large group is split by this many fair parts
@@ -22,38 +22,45 @@
 
 impl Balancer {
     /// The highest score that the gate lets the request have, and whether a full server gave way for it.
-    pub(crate) fn choose(&self, now: Timestamp, request: &Request) -> Option<(Slot, bool)> {
-        let first_try = request.mid_flow && request.attempts == 0;
-        let all = if first_try || !request.tried.is_empty() || request.doubt.is_some() {
-            self.permitted(now, request).count()
+    pub(crate) fn select_server(
+        &self,
+        now: Timestamp,
+        request: &RequestState,
+    ) -> Option<(ServerSlot, bool)> {
+        let first_try = request.is_mid_flow && request.attempt_count == 0;
+        let all = if first_try
+            || !request.tried_servers.is_empty()
+            || request.possible_execution.is_some()
+        {
+            self.permitted_servers(now, request).count()
         } else {
-            self.fleet.open.len()
+            self.fleet.ranking_index.len()
         };
         // A group larger than a server starts its walk at as many servers as it needs.
-        let start = (request.place * self.parts(request, all as f64)) as usize;
+        let start = (request.split_position * self.servers_for_group(request, all as f64)) as usize;
         let start = start.min(all.saturating_sub(1));
-        let first = self.ranked(now, request, start, start + FIRST_RANKS);
+        let first = self.ranked_servers(now, request, start, start + FIRST_RANKS);
         // In mid-flow it goes on only at its holder, which is the top score unless an exception placed it.
         if first_try {
             return first.first().map(|(at, _)| (*at, false));
         }
-        let sums = &self.fleet.sums;
+        let sums = &self.fleet.totals;
         // A gateway that has just started holds next to nothing; its own load says little then.
         let load = f64::max(
             sums.reported_load,
             sums.reporting * LIKELY_HELD * self.mean_load(),
         );
-        let view = View {
+        let view = AdmissionContext {
             fair: self.fair_unit(),
             add: self.load_of(request),
             group_cost: GROUP_COST * self.mean_load(),
             over_share: self.over_share(request),
-            used_per_load: sums.used / load.max(1e-9),
+            used_per_load: sums.utilization / load.max(1e-9),
         };
-        let lets = |server: &Server, firm| self.gate(now, request, server, &view, firm);
+        let lets = |server: &Server, firm| self.admits(now, request, server, &view, firm);
         if let Some((at, _)) = first
             .iter()
-            .find(|(_, server)| self.takes(request, server) && lets(server, false))
+            .find(|(_, server)| self.machine_kind_accepts(request, server) && lets(server, false))
         {
             return Some((*at, false));
         }
@@ -65,17 +72,19 @@
         let start = first
             .first()
             .map(|(at, server)| (rank_score(server.hash, request.key), *at));
-        let (mut walk, mut barred) = (Walk::<6>::from(start), true);
-        for (hash, at) in self.permitted(now, request) {
+        let (mut walk, mut barred) = (CandidateScan::<6>::from(start), true);
+        for (hash, at) in self.permitted_servers(now, request) {
             let Some(server) = self.fleet.servers.get(at) else {
                 continue;
             };
-            barred &= server.barred_until.is_some();
-            let sort = match there(request, server) {
-                _ if lets(server, false) => usize::from(!self.takes(request, server)),
+            barred &= server.ejected_until.is_some();
+            let sort = match server_holds_group(request, server) {
+                _ if lets(server, false) => {
+                    usize::from(!self.machine_kind_accepts(request, server))
+                }
                 there if (there || less(server)) && lets(server, true) => 2,
-                true if server.gives_way(now, CALM, pace)
-                    && self.shares.lets(server, request.key) =>
+                true if server.may_exceed_limit(now, CALM, pace)
+                    && self.key_redistribution.accepts_key(server, request.key) =>
                 {
                     4
                 }
@@ -83,7 +92,7 @@
             };
             for sort in [sort, 3] {
                 walk.meet(sort, rank_score(hash, request.key), at, |a, b| {
-                    self.before(a, b)
+                    self.precedes(a, b)
                 });
             }
         }
@@ -96,26 +105,26 @@
     }
 
     /// Which of two servers with the same score goes first: the one with the lower id.
-    pub(crate) fn before(&self, a: Slot, b: Slot) -> bool {
+    pub(crate) fn precedes(&self, a: ServerSlot, b: ServerSlot) -> bool {
         self.fleet.servers.id(a) < self.fleet.servers.id(b)
     }
 
     /// The `count` highest scores among the servers that nothing but the gate keeps the request from, best
     /// first and the first `skipped` left out. Ties go to the lower id.
-    pub(crate) fn ranked(
+    pub(crate) fn ranked_servers(
         &self,
         now: Timestamp,
-        request: &Request,
+        request: &RequestState,
         skipped: usize,
         count: usize,
-    ) -> Vec<(Slot, &Server)> {
+    ) -> Vec<(ServerSlot, &Server)> {
         let score = |hash| rank_score(hash, request.key);
-        let keeps = |at| self.repeat_safe(now, request, at);
-        let leaving = self.leaving(now, request);
+        let keeps = |at| self.is_permitted(now, request, at);
+        let leaving = self.draining_servers(now, request);
         let best = self
             .fleet
-            .open
-            .best(count, score, leaving, keeps, |a, b| self.before(a, b));
+            .ranking_index
+            .best(count, score, leaving, keeps, |a, b| self.precedes(a, b));
         best.into_iter()
             .skip(skipped)
             .filter_map(|(_, at)| Some((at, self.fleet.servers.get(at)?)))
@@ -124,7 +133,7 @@
 
     /// Whether the key is among those that a server of this kind takes: about the same ones at every gateway.
     /// Guards against kinds that can do less than listed, where a gateway holds too little to know each one.
-    pub(crate) fn takes(&self, request: &Request, server: &Server) -> bool {
+    pub(crate) fn machine_kind_accepts(&self, request: &RequestState, server: &Server) -> bool {
         let all = self
             .kinds
             .values()
@@ -132,16 +141,18 @@
         let rate =
             |kind: &(f64, f64)| (kind.1 + all.1 / all.0 * KIND_BEFORE) / (kind.0 + KIND_BEFORE);
         let least = self.kinds.values().map(rate).fold(1.0, f64::min);
-        let more = (self.kinds.get(&server.kind).map_or(0.0, rate) - least).max(0.0);
-        let unseen = 1.0 / (1.0 + self.fleet.sums.held / self.fleet.servers.len().max(1) as f64);
-        let left = part_of(server.hash ^ request.key.rotate_left(16)) < KIND_LEAVES * more * unseen;
-        !left || (request.group.is_some() && there(request, server))
+        let more = (self.kinds.get(&server.machine_kind).map_or(0.0, rate) - least).max(0.0);
+        let unseen =
+            1.0 / (1.0 + self.fleet.totals.connections / self.fleet.servers.len().max(1) as f64);
+        let left =
+            unit_interval(server.hash ^ request.key.rotate_left(16)) < KIND_LEAVES * more * unseen;
+        !left || (request.group.is_some() && server_holds_group(request, server))
     }
 
     /// How many servers the request's group fills, as far as those seen lately tell; the request itself is
     /// left out, so that a small group met once is not taken for a large one. Guards against a group heavier
     /// than a server that every gateway, holding few of it, puts on the same one.
-    pub(crate) fn parts(&self, request: &Request, servers: f64) -> f64 {
+    pub(crate) fn servers_for_group(&self, request: &RequestState, servers: f64) -> f64 {
         let Some(group) = request.group else {
             return 1.0;
         };
@@ -155,33 +166,37 @@
 
     /// The servers, with their hashes, that the list, the four rules and earlier attempts leave to the
     /// request; no evidence can change these.
-    pub(crate) fn permitted<'a>(
+    pub(crate) fn permitted_servers<'a>(
         &'a self,
         now: Timestamp,
-        request: &'a Request,
-    ) -> impl Iterator<Item = (u32, Slot)> + 'a {
-        let all = self.fleet.open.iter().chain(self.leaving(now, request));
-        all.filter(move |(_, at)| self.repeat_safe(now, request, *at))
+        request: &'a RequestState,
+    ) -> impl Iterator<Item = (u32, ServerSlot)> + 'a {
+        let all = self
+            .fleet
+            .ranking_index
+            .iter()
+            .chain(self.draining_servers(now, request));
+        all.filter(move |(_, at)| self.is_permitted(now, request, *at))
     }
 
     /// Draining servers that may still get a connection in mid-flow.
-    pub(crate) fn leaving<'a>(
+    pub(crate) fn draining_servers<'a>(
         &'a self,
         now: Timestamp,
-        request: &Request,
-    ) -> impl Iterator<Item = (u32, Slot)> + 'a {
+        request: &RequestState,
+    ) -> impl Iterator<Item = (u32, ServerSlot)> + 'a {
         let grace = self.settings.drain_grace.mul_f64(0.8);
-        let mid_flow = request.mid_flow && request.attempts == 0;
+        let mid_flow = request.is_mid_flow && request.attempt_count == 0;
         self.fleet
-            .kept_up
+            .upkeep_slots
             .iter()
             .take_while(move |_| mid_flow)
             .filter_map(move |at| {
                 let drains = |server: &&Server| {
-                    let in_grace = now.saturating_duration_since(server.leaving_since) < grace;
+                    let in_grace = now.saturating_duration_since(server.draining_since) < grace;
                     server.health == Health::Draining
                         && in_grace
-                        && !(server.cold && server.tokens < 1.0)
+                        && !(server.is_warming_up && server.slow_start_tokens < 1.0)
                 };
                 self.fleet
                     .servers
@@ -192,14 +207,19 @@
     }
 
     /// Whether the rules and earlier attempts leave this server to the request.
-    pub(crate) fn repeat_safe(&self, now: Timestamp, request: &Request, at: Slot) -> bool {
+    pub(crate) fn is_permitted(
+        &self,
+        now: Timestamp,
+        request: &RequestState,
+        at: ServerSlot,
+    ) -> bool {
         // Most requests have no try behind them, and no server need be looked up for those.
         let inside = || {
             self.fleet
                 .servers
                 .get(at)
-                .is_some_and(|server| request.may_go_to(now, server))
+                .is_some_and(|server| request.may_retry_on(now, server))
         };
-        !request.tried.contains(&at) && (request.doubt.is_none() || inside())
+        !request.tried_servers.contains(&at) && (request.possible_execution.is_none() || inside())
     }
 }
--- a/crates/placement/src/recovery/key_redistribution.rs
+++ b/crates/placement/src/recovery/key_redistribution.rs
@@ -4,10 +4,10 @@
 //! the next one did.
 
 use crate::hashing::rank_score;
-use crate::hashing::{murmur, part_of};
+use crate::hashing::{murmur, unit_interval};
 use crate::interface::{Health, Settings, Timestamp};
 use crate::state::fleet::{Fleet, Server};
-use crate::state::server_table::Slot;
+use crate::state::server_table::ServerSlot;
 use std::cmp::Reverse;
 
 /// Keys drawn for each server that is left, and at most, to learn how many come to each: at the most this costs as
@@ -45,7 +45,7 @@
 
 /// How the keys of lost servers are shared out, if they are.
 #[derive(Default)]
-pub struct Shares {
+pub struct KeyRedistribution {
     /// The weight of all servers as it usually is.
     usual: f64,
     /// What this gateway held lately, at the most.
@@ -55,34 +55,34 @@
 }
 
 /// Whether the server takes a key where it takes a part of them.
-pub fn takes(hash: u32, key: u32, part: f64) -> bool {
-    part_of(hash ^ key.rotate_left(8)) < part
+pub fn accepts_key_part(hash: u32, key: u32, part: f64) -> bool {
+    unit_interval(hash ^ key.rotate_left(8)) < part
 }
 
-impl Shares {
+impl KeyRedistribution {
     /// Whether the server takes the key: all do where nothing is shared out, and its own it keeps in any case.
-    pub fn lets(&self, server: &Server, key: u32) -> bool {
+    pub fn accepts_key(&self, server: &Server, key: u32) -> bool {
         self.made_for.is_empty()
-            || takes(server.hash, key, server.share)
-            || home(&self.made_for, key) == Some(server.hash)
+            || accepts_key_part(server.hash, key, server.redistribution_ratio)
+            || preferred_server(&self.made_for, key) == Some(server.hash)
     }
 
     /// A second has passed.
     pub fn fade(&mut self, fleet: &Fleet) {
-        self.usual += USUAL_FADES * (fleet.sums.weight - self.usual);
-        self.held = f64::max(self.held * (1.0 - USUAL_FADES), fleet.sums.held);
+        self.usual += USUAL_FADES * (fleet.totals.available_weight - self.usual);
+        self.held = f64::max(self.held * (1.0 - USUAL_FADES), fleet.totals.connections);
     }
 
-    /// Shares the keys out anew, or no longer. `lost` is the weight that was just found to be gone without notice:
+    /// KeyRedistribution the keys out anew, or no longer. `lost` is the weight that was just found to be gone without notice:
     /// servers that drain leave their work in good order. Gives whether that began or widened it.
-    pub fn share_out(
+    pub fn redistribute(
         &mut self,
         fleet: &mut Fleet,
         now: Timestamp,
         settings: &Settings,
         lost: f64,
     ) -> bool {
-        self.usual = self.usual.max(fleet.sums.weight);
+        self.usual = self.usual.max(fleet.totals.available_weight);
         let lost = lost > LOSS * self.usual;
         if !lost && self.made_for.is_empty() {
             return false;
@@ -90,9 +90,9 @@
         let cold_for = settings.slow_start_duration.as_secs_f64().max(1e-9);
         let least =
             LEAST_HELD / (f64::from(settings.node_count.max(1)) * (self.held + LIKELY_HELD));
-        // Cold servers are filled over their warm-up.
+        // SlowStartBudget servers are filled over their warm-up.
         let filled = |server: &Server| {
-            server.started.map_or(1.0, |started| {
+            server.started_at.map_or(1.0, |started| {
                 (now.saturating_duration_since(started).as_secs_f64() / cold_for).min(1.0)
             })
         };
@@ -101,13 +101,17 @@
             .filter_map(|at| Some((at, fleet.servers.get(at)?)))
             .collect::<Vec<_>>();
         let counts =
-            |server: &Server| server.health == Health::Ready && server.barred_until.is_none();
+            |server: &Server| server.health == Health::Ready && server.ejected_until.is_none();
         let there = known.iter().filter(|(_, server)| counts(server));
-        let (slots, mut left): (Vec<Slot>, Vec<Left>) = there
+        let (slots, mut left): (Vec<ServerSlot>, Vec<Left>) = there
             .map(|(at, server)| {
                 let room =
                     f64::max(ROOM * server.weight / self.usual.max(1e-9), least) * filled(server);
-                let most = if server.cold { server.part } else { 1.0 };
+                let most = if server.is_warming_up {
+                    server.slow_start_ratio
+                } else {
+                    1.0
+                };
                 (
                     *at,
                     Left {
@@ -127,17 +131,17 @@
             .map(|(_, server)| server.hash)
             .collect();
         if short {
-            share(&self.made_for, &mut left);
+            fit_to_room(&self.made_for, &mut left);
         }
         for (at, left) in slots.into_iter().zip(left) {
-            fleet.change(at, |server| server.share = left.part);
+            fleet.update(at, |server| server.redistribution_ratio = left.part);
         }
         short && lost
     }
 }
 
 /// The server whose key it is while all are there: the highest score.
-fn home(all: &[u32], key: u32) -> Option<u32> {
+fn preferred_server(all: &[u32], key: u32) -> Option<u32> {
     all.iter()
         .copied()
         .max_by_key(|hash| rank_score(*hash, key))
@@ -145,7 +149,7 @@
 
 /// Sets the part of each server that is left so that none gets more than its room: `all` are the hashes of the
 /// servers that the work was made for. Its own keys it keeps in any case.
-fn share(all: &[u32], left: &mut [Left]) {
+fn fit_to_room(all: &[u32], left: &mut [Left]) {
     let samples = (SAMPLES * left.len()).clamp(1, MOST_SAMPLES);
     let keys = (0..samples as u32).map(|sample| murmur(&sample.to_le_bytes(), SAMPLE_SEED));
     /// A key, whose it is, and the scores and places of those that are left, best first.
@@ -158,7 +162,7 @@
                 .map(|(at, server)| (rank_score(server.hash, key), at));
             let mut order: Vec<(u32, usize)> = scored.collect();
             order.sort_unstable_by_key(|(score, _)| Reverse(*score));
-            (key, home(all, key), order)
+            (key, preferred_server(all, key), order)
         })
         .collect();
     left.iter_mut().for_each(|server| server.part = 1.0);
@@ -169,7 +173,7 @@
             let lets = |(_, at): &&(u32, usize)| {
                 left.get(*at).is_some_and(|server| {
                     let part = if own(server.hash) { 1.0 } else { server.part };
-                    takes(server.hash, *key, part.min(server.most))
+                    accepts_key_part(server.hash, *key, part.min(server.most))
                 })
             };
             let Some((_, at)) = order.iter().find(lets) else {
--- a/crates/placement/src/recovery/key_redistribution/tests.rs
+++ b/crates/placement/src/recovery/key_redistribution/tests.rs
@@ -15,14 +15,14 @@
         })
         .collect();
     if shares {
-        share(&hashes, &mut left);
+        fit_to_room(&hashes, &mut left);
     }
     let mut got = vec![0.0; left.len()];
     let mut own = vec![0.0; left.len()];
     for key in (0..4_000u32).map(|key| murmur(&key.to_le_bytes(), seed ^ 5)) {
-        let home = home(&hashes, key);
+        let home = preferred_server(&hashes, key);
         let lets = |(_, server): &(usize, &Left)| {
-            home == Some(server.hash) || takes(server.hash, key, server.part)
+            home == Some(server.hash) || accepts_key_part(server.hash, key, server.part)
         };
         let best = left.iter().enumerate().filter(lets);
         if let Some((at, server)) = best.max_by_key(|(_, server)| rank_score(server.hash, key)) {
--- a/crates/placement/src/recovery/load_shedding.rs
+++ b/crates/placement/src/recovery/load_shedding.rs
@@ -3,7 +3,7 @@
 use crate::balancer::{Actions, Balancer};
 use crate::state::load_accounting::GROUP_COST;
 use crate::state::request::Attempt;
-use crate::state::server_table::Slot;
+use crate::state::server_table::ServerSlot;
 use crate::{RequestId, Timestamp};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -17,28 +17,29 @@
     /// first, then whole groups with their shared work, small ones first since each frees as much of that,
     /// equal ones by a hash, so that other gateways let go of the same. Only where none fits is one split,
     /// heaviest connections first.
-    pub(crate) fn shed(&mut self, now: Timestamp, at: Slot, actions: &mut Actions) {
+    pub(crate) fn shed_load(&mut self, now: Timestamp, at: ServerSlot, actions: &mut Actions) {
         let round = self.jitter();
         let Some(server) = self.fleet.servers.get(at) else {
             return;
         };
-        let mut excess = server.load - server.cap;
+        let mut excess = server.load - server.concurrency_limit;
         let group_cost = GROUP_COST * self.mean_load();
         type Part = (f64, Vec<(f64, RequestId)>);
         let mut parts: BTreeMap<(bool, u32), Part> = BTreeMap::new();
-        for held in &server.held {
+        for held in &server.connections {
             let Some(request) = self.requests.get(held) else {
                 continue;
             };
-            let rest = if request.returned {
+            let rest = if request.is_reconnect {
                 RETURNED_REST
             } else {
                 REST
             };
             let rested = |out: &Attempt| {
-                out.stands && (out.free || now.saturating_duration_since(out.sent) > rest)
+                out.is_established
+                    && (out.skips_setup || now.saturating_duration_since(out.sent_at) > rest)
             };
-            if request.over || !request.out.as_ref().is_some_and(rested) {
+            if request.is_finished || !request.in_flight.as_ref().is_some_and(rested) {
                 continue;
             }
             let cost = if request.group.is_some() {
@@ -48,8 +49,8 @@
             };
             let order = (!self.over_share(request), request.key.rotate_left(16));
             let part = parts.entry(order).or_insert((cost, Vec::new()));
-            part.0 += request.counted;
-            part.1.push((request.counted, *held));
+            part.0 += request.accounted_load;
+            part.1.push((request.accounted_load, *held));
         }
         let mut parts: Vec<((bool, u32), Part)> = parts.into_iter().collect();
         parts.sort_by_key(|((within_share, _), part)| (*within_share, part.1.len()));
@@ -64,7 +65,7 @@
                 goes
             });
         for (_, request) in whole.into_iter().flat_map(|part| part.1) {
-            self.move_away(request, actions);
+            self.migrate(request, actions);
         }
         for mut part in rest.into_iter().filter(|part| part.1.len() > 1) {
             part.1
@@ -72,7 +73,7 @@
             for (load, request) in part.1 {
                 if excess > 0.0 && fits(load, excess) {
                     excess -= load;
-                    self.move_away(request, actions);
+                    self.migrate(request, actions);
                 }
             }
         }
--- a/crates/placement/src/recovery/migration.rs
+++ b/crates/placement/src/recovery/migration.rs
@@ -1,8 +1,8 @@
 //! Moving standing connections to other servers.
 
 use crate::balancer::{Actions, Balancer};
-use crate::state::request::Request;
-use crate::state::server_table::Slot;
+use crate::state::request::RequestState;
+use crate::state::server_table::ServerSlot;
 use crate::{Action, RequestId, Timestamp};
 use std::time::Duration;
 
@@ -15,36 +15,41 @@
 
 impl Balancer {
     /// Its connections earn nothing: asks them to come again elsewhere, so many whatever has been saved up.
-    pub(crate) fn empty(&mut self, at: Slot, free: f64, actions: &mut Actions) {
+    pub(crate) fn migrate_all(&mut self, at: ServerSlot, free: f64, actions: &mut Actions) {
         let held = self
             .fleet
             .servers
             .get(at)
-            .map_or(Vec::new(), |s| s.held.iter().copied().collect());
+            .map_or(Vec::new(), |s| s.connections.iter().copied().collect());
         self.move_tokens = self.move_tokens.max(free.min(held.len() as f64));
         held.into_iter()
-            .for_each(|request| self.move_away(request, actions));
+            .for_each(|request| self.migrate(request, actions));
     }
 
     /// Moves the next part of what stands on servers that are out by hand; so goes a try that comes up there.
-    pub(crate) fn empty_by_hand(&mut self, now: Timestamp, actions: &mut Actions) {
-        for (server, steps) in self.by_hand.remaining_steps(now, EMPTIED, EMPTY_STEP) {
+    pub(crate) fn migrate_drained(&mut self, now: Timestamp, actions: &mut Actions) {
+        for (server, steps) in self.admin_drain.remaining_steps(now, EMPTIED, EMPTY_STEP) {
             let at = self.fleet.servers.slot(&server);
             let held = self
                 .fleet
                 .servers
                 .get(at)
                 .into_iter()
-                .flat_map(|server| &server.held);
-            let stands = |id: &&RequestId| self.requests.get(id).is_some_and(Request::stands);
+                .flat_map(|server| &server.connections);
+            let stands = |id: &&RequestId| {
+                self.requests
+                    .get(id)
+                    .is_some_and(RequestState::is_established)
+            };
             let held: Vec<RequestId> = held.filter(stands).copied().collect();
             let due = held.len().div_ceil(steps);
             self.move_tokens = self.move_tokens.max(due as f64);
             held.into_iter()
                 .take(due)
-                .for_each(|request| self.move_away(request, actions));
+                .for_each(|request| self.migrate(request, actions));
         }
-        if !self.by_hand.drained().is_empty() && !std::mem::replace(&mut self.empty_timer, true) {
+        if !self.admin_drain.drained().is_empty() && !std::mem::replace(&mut self.empty_timer, true)
+        {
             actions.push(Action::SetTimer {
                 after: EMPTY_STEP,
                 handle: EMPTY_HANDLE,
@@ -52,13 +57,13 @@
         }
     }
 
-    pub(crate) fn move_away(&mut self, id: RequestId, actions: &mut Actions) {
+    pub(crate) fn migrate(&mut self, id: RequestId, actions: &mut Actions) {
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
-        if request.stands() && self.move_tokens >= 1.0 {
+        if request.is_established() && self.move_tokens >= 1.0 {
             self.move_tokens -= 1.0;
-            request.over = true;
+            request.is_finished = true;
             actions.push(Action::Migrate(id));
         }
     }
--- a/crates/placement/src/recovery/outlier_detection.rs
+++ b/crates/placement/src/recovery/outlier_detection.rs
@@ -2,7 +2,7 @@
 
 use crate::balancer::{Actions, Balancer};
 use crate::state::request::Attempt;
-use crate::state::server_table::Slot;
+use crate::state::server_table::ServerSlot;
 use crate::{Outcome, Timestamp};
 use std::time::Duration;
 
@@ -19,7 +19,7 @@
 pub(crate) const FAILING_RATE: f64 = 0.2;
 
 impl Balancer {
-    pub(crate) fn weigh_outcome(
+    pub(crate) fn record_outcome(
         &mut self,
         now: Timestamp,
         tried: &Attempt,
@@ -27,14 +27,14 @@
         over: bool,
         actions: &mut Actions,
     ) {
-        let (at, stood) = (tried.server, tried.stands);
+        let (at, stood) = (tried.server, tried.is_established);
         match outcome {
             Outcome::ConnectFailed => {
-                self.strike(now, at, STRIKES, false, actions);
-                self.zone_failed(now, at, actions);
+                self.record_failure(now, at, STRIKES, false, actions);
+                self.on_server_unreachable(now, at, actions);
             }
             // It tells of the way there, not of what is behind all servers or of how long a set-up takes.
-            Outcome::TimedOut if !stood && self.zone_silent(now, at, actions) => {}
+            Outcome::TimedOut if !stood && self.on_server_silent(now, at, actions) => {}
             Outcome::TimedOut | Outcome::Error if !stood => {
                 let Some(server) = self.fleet.servers.get(at) else {
                     return;
@@ -45,16 +45,16 @@
                 // One server after the other fails: what is behind them all is at fault, not this one.
                 // Patience grows, for attempts given up just before they would have stood bury it deeper.
                 if self.failing.0 > SHARED {
-                    let took = now.saturating_duration_since(tried.sent).as_secs_f64();
+                    let took = now.saturating_duration_since(tried.sent_at).as_secs_f64();
                     self.setup_mean += FAILING_RATE * (took - self.setup_mean).max(0.0);
-                    self.cut_window(now);
+                    self.shrink_setup_window(now);
                 } else {
-                    self.strike(now, at, 1, outcome == Outcome::TimedOut, actions);
+                    self.record_failure(now, at, 1, outcome == Outcome::TimedOut, actions);
                 }
             }
-            Outcome::Rejected => self.crowd(now, at, 0.9, false, actions),
+            Outcome::Rejected => self.record_overload(now, at, 0.9, false, actions),
             Outcome::Reset | Outcome::ClosedBeforeSend if !stood => {
-                self.strike(now, at, 1, false, actions);
+                self.record_failure(now, at, 1, false, actions);
             }
             Outcome::Reset if over => {
                 let Some(server) = self.fleet.servers.get_mut(at) else {
@@ -63,15 +63,15 @@
                 // Networks break single connections. Several at once: it drops them to save the rest; or
                 // every one broke, and it is gone though listed.
                 let together = server
-                    .dropped
+                    .connection_dropped_at
                     .replace(now)
                     .is_some_and(|last| now.saturating_duration_since(last) < TOGETHER);
-                if together || server.held.is_empty() {
-                    let gone = server.held.is_empty();
-                    server.crashed |= together && gone;
-                    self.crowd(now, at, 0.9, true, actions);
+                if together || server.connections.is_empty() {
+                    let gone = server.connections.is_empty();
+                    server.restart_suspected |= together && gone;
+                    self.record_overload(now, at, 0.9, true, actions);
                     if gone {
-                        self.zone_failed(now, at, actions);
+                        self.on_server_unreachable(now, at, actions);
                     }
                 }
             }
@@ -81,40 +81,43 @@
 
     /// Guards against servers that died or answer nothing, long before the list tells. `silent`: it did not
     /// answer at all, so its standing connections earn nothing. One that errs may serve those; they stay.
-    pub(crate) fn strike(
+    pub(crate) fn record_failure(
         &mut self,
         now: Timestamp,
-        at: Slot,
+        at: ServerSlot,
         weight: u32,
         silent: bool,
         actions: &mut Actions,
     ) {
         let jitter = self.jitter();
-        let sums = &self.fleet.sums;
-        let (ready, barred) = (sums.ready - sums.cut, sums.barred - sums.cut);
+        let sums = &self.fleet.totals;
+        let (ready, barred) = (
+            sums.ready - sums.unreachable,
+            sums.ejected - sums.unreachable,
+        );
         let Some(server) = self.fleet.servers.get_mut(at) else {
             return;
         };
-        let others = barred - f64::from(u8::from(server.barred_until.is_some()));
+        let others = barred - f64::from(u8::from(server.ejected_until.is_some()));
         // A server that takes no connection is out of use however many others are.
         let believable = weight >= STRIKES || others + 1.0 <= ready * MOST_BARRED;
-        server.strikes += weight;
-        if server.strikes < STRIKES
-            || server.barred_until.is_some_and(|until| now < until)
+        server.consecutive_failures += weight;
+        if server.consecutive_failures < STRIKES
+            || server.ejected_until.is_some_and(|until| now < until)
             || !believable
         {
             return;
         }
-        self.fleet.change(at, |server| {
+        self.fleet.update(at, |server| {
             let span = BAR
-                .mul_f64(f64::from(1u32 << server.bars.min(3)))
+                .mul_f64(f64::from(1u32 << server.ejection_count.min(3)))
                 .min(LONGEST_BAR);
-            server.barred_until = Some(now.saturating_add(span.mul_f64(0.75 + 0.5 * jitter)));
-            server.bars += 1;
-            server.crashed |= server.held.is_empty();
+            server.ejected_until = Some(now.saturating_add(span.mul_f64(0.75 + 0.5 * jitter)));
+            server.ejection_count += 1;
+            server.restart_suspected |= server.connections.is_empty();
         });
         if silent {
-            self.empty(at, 0.0, actions);
+            self.migrate_all(at, 0.0, actions);
         }
     }
 }
--- a/crates/placement/src/state/fleet.rs
+++ b/crates/placement/src/state/fleet.rs
@@ -2,8 +2,8 @@
 //! all of them. It is bookkeeping: what follows from it is decided in `balance.rs`.
 
 use crate::interface::{Health, RequestId, Settings, Timestamp};
-use crate::state::ranking_index::Order;
-use crate::state::server_table::{Slot, Table};
+use crate::state::ranking_index::RankingIndex;
+use crate::state::server_table::{ServerSlot, ServerTable};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
@@ -19,93 +19,96 @@
 pub struct Server {
     pub hash: u32,
     /// Whether it is among the open servers, and among those that upkeep looks at.
-    pub open: bool,
-    pub kept_up: bool,
+    pub is_ranked: bool,
+    pub needs_upkeep: bool,
     pub health: Health,
     pub weight: f64,
     pub zone: u32,
     pub cell: u32,
-    pub kind: u32,
+    pub machine_kind: u32,
     /// When it last started, as listed or as inferred from its coming back after a crash.
-    pub started: Option<Timestamp>,
+    pub started_at: Option<Timestamp>,
     /// Started lately, as of the last upkeep or list.
-    pub cold: bool,
+    pub is_warming_up: bool,
     /// When this gateway was told that it drains or is gone.
-    pub leaving_since: Timestamp,
+    pub draining_since: Timestamp,
     /// This gateway's connections there: standing ones and attempts under way.
-    pub held: BTreeSet<RequestId>,
+    pub connections: BTreeSet<RequestId>,
     pub load: f64,
-    pub groups: HashMap<u32, u32>,
+    pub group_connections: HashMap<u32, u32>,
     /// The most load of this gateway's that it may hold; unbounded until it was crowded once.
-    pub cap: f64,
-    pub crowded_at: Option<Timestamp>,
+    pub concurrency_limit: f64,
+    pub overloaded_at: Option<Timestamp>,
     /// When its cap last gave way to one connection more, and when it last dropped a standing connection.
-    pub raised_at: Option<Timestamp>,
-    pub dropped: Option<Timestamp>,
+    pub limit_raised_at: Option<Timestamp>,
+    pub connection_dropped_at: Option<Timestamp>,
     /// Its utilisation as last reported, and the load sent there since.
-    pub added: f64,
-    pub used: Option<(Timestamp, f64)>,
+    pub load_since_report: f64,
+    pub utilization: Option<(Timestamp, f64)>,
     /// What was held there when that report came.
-    pub held_then: usize,
+    pub connections_at_report: usize,
     /// When another gateway, or this one, last told that messages take long there.
-    pub heard: Option<Timestamp>,
+    pub slow_hint_at: Option<Timestamp>,
     /// When it was last probed, and whether that probe is still out.
-    pub probed: Option<(Timestamp, bool)>,
-    pub strikes: u32,
-    pub bars: u32,
-    pub barred_until: Option<Timestamp>,
+    pub health_check: Option<(Timestamp, bool)>,
+    pub consecutive_failures: u32,
+    pub ejection_count: u32,
+    pub ejected_until: Option<Timestamp>,
     /// After a bar one attempt at a time tries it out.
-    pub trial: bool,
+    pub half_open: bool,
     /// It is barred with its whole zone, which is out of reach from here.
-    pub cut: bool,
+    pub zone_unreachable: bool,
     /// Its standing connections broke together or it refused connections: it will come back cold.
-    pub crashed: bool,
+    pub restart_suspected: bool,
     /// The part of the keys that it gets while it is cold: about the same ones at every gateway.
-    pub part: f64,
+    pub slow_start_ratio: f64,
     /// The part of other servers' keys that it takes while many of those are lost.
-    pub share: f64,
+    pub redistribution_ratio: f64,
     /// Budget of sends while it is cold.
-    pub tokens: f64,
-    pub refilled: Timestamp,
+    pub slow_start_tokens: f64,
+    pub slow_start_refilled_at: Timestamp,
 }
 
 /// What all known servers add up to.
 #[derive(Default)]
-pub struct Sums {
-    pub held: f64,
-    pub barred: f64,
+pub struct FleetTotals {
+    pub connections: f64,
+    pub ejected: f64,
     /// Of those, the ones whose zone is out of reach.
-    pub cut: f64,
+    pub unreachable: f64,
     /// Ready servers, the warm ones and their connections, the load on all, the weight of those not barred.
     pub ready: f64,
     pub warm: f64,
-    pub warm_held: f64,
+    pub warm_connections: f64,
     pub load: f64,
-    pub weight: f64,
+    pub available_weight: f64,
     /// Servers whose utilisation was reported, that and their load.
     pub reporting: f64,
-    pub used: f64,
+    pub utilization: f64,
     pub reported_load: f64,
 }
 
-impl Sums {
+impl FleetTotals {
     pub fn add(&mut self, server: &Server, sign: f64) {
-        let held = server.held.len() as f64;
-        let warm = f64::from(u8::from(!server.cold));
-        let barred = f64::from(u8::from(server.barred_until.is_some()));
-        self.held += sign * held;
-        self.barred += sign * barred;
-        self.cut += sign * f64::from(u8::from(server.cut && server.barred_until.is_some()));
+        let held = server.connections.len() as f64;
+        let warm = f64::from(u8::from(!server.is_warming_up));
+        let barred = f64::from(u8::from(server.ejected_until.is_some()));
+        self.connections += sign * held;
+        self.ejected += sign * barred;
+        self.unreachable += sign
+            * f64::from(u8::from(
+                server.zone_unreachable && server.ejected_until.is_some(),
+            ));
         if server.health == Health::Ready {
             self.ready += sign;
             self.warm += sign * warm;
-            self.warm_held += sign * warm * held;
+            self.warm_connections += sign * warm * held;
             self.load += sign * server.load;
-            self.weight += sign * server.weight * (1.0 - barred);
+            self.available_weight += sign * server.weight * (1.0 - barred);
         }
-        if let Some((_, used)) = server.used {
+        if let Some((_, used)) = server.utilization {
             self.reporting += sign;
-            self.used += sign * used;
+            self.utilization += sign * used;
             self.reported_load += sign * server.load;
         }
     }
@@ -115,16 +118,16 @@
 /// that grows with the fleet at a gateway that holds little of it.
 #[derive(Default)]
 pub struct Fleet {
-    pub servers: Table<Server>,
-    pub sums: Sums,
+    pub servers: ServerTable<Server>,
+    pub totals: FleetTotals,
     /// Ready servers that, if they are cold, may be sent something: all that ranking reads.
-    pub open: Order,
+    pub ranking_index: RankingIndex,
     /// Whether the budget that this gateway has for cold servers together has a send left.
-    pub cold_open: bool,
+    pub slow_start_is_open: bool,
     /// Servers that hold something, are cold, capped or leaving.
-    pub kept_up: Vec<Slot>,
+    pub upkeep_slots: Vec<ServerSlot>,
     /// The servers of each zone that were found to be out of reach lately, and when.
-    failed: BTreeMap<u32, Vec<(Slot, Timestamp)>>,
+    failed: BTreeMap<u32, Vec<(ServerSlot, Timestamp)>>,
     /// When something of each zone last answered, and the zones that are out of reach.
     answered: BTreeMap<u32, Timestamp>,
     cut: BTreeSet<u32>,
@@ -138,10 +141,10 @@
     pub fn zone_failed(
         &mut self,
         now: Timestamp,
-        at: Slot,
+        at: ServerSlot,
         within: Duration,
         cut: bool,
-    ) -> Vec<Slot> {
+    ) -> Vec<ServerSlot> {
         let Some(zone) = self.servers.get(at).map(|server| server.zone) else {
             return Vec::new();
         };
@@ -153,12 +156,12 @@
         }
         let failed = failed.iter().map(|(slot, _)| *slot).collect::<Vec<_>>();
         let of_zone = self.ready_in(|other| other == zone);
-        let stands = |at: &Slot| {
+        let stands = |at: &ServerSlot| {
             !failed.contains(at)
                 && self
                     .servers
                     .get(*at)
-                    .is_some_and(|server| !server.held.is_empty())
+                    .is_some_and(|server| !server.connections.is_empty())
         };
         let doubtful = failed.len() < FAILED_ANYWAY && of_zone.iter().any(stands);
         if doubtful && !self.cut.contains(&zone) {
@@ -171,7 +174,7 @@
     }
 
     /// The ready servers of the zones that are meant.
-    pub fn ready_in(&self, meant: impl Fn(u32) -> bool) -> Vec<Slot> {
+    pub fn ready_in(&self, meant: impl Fn(u32) -> bool) -> Vec<ServerSlot> {
         let ready = |server: &Server| server.health == Health::Ready && meant(server.zone);
         let slots = self.servers.slots().into_iter();
         slots
@@ -180,7 +183,7 @@
     }
 
     /// A server of the zone answers: the whole zone is within reach again.
-    pub fn zone_stands(&mut self, now: Timestamp, at: Slot) {
+    pub fn record_zone_answer(&mut self, now: Timestamp, at: ServerSlot) {
         let Some(zone) = self.servers.get(at).map(|server| server.zone) else {
             return;
         };
@@ -191,10 +194,10 @@
                 if self
                     .servers
                     .get(at)
-                    .is_some_and(|server| server.zone == zone && server.cut)
+                    .is_some_and(|server| server.zone == zone && server.zone_unreachable)
                 {
-                    self.change(at, |server| {
-                        (server.cut, server.barred_until) = (false, None);
+                    self.update(at, |server| {
+                        (server.zone_unreachable, server.ejected_until) = (false, None);
                     });
                 }
             }
@@ -202,7 +205,12 @@
     }
 
     /// Whether something outside this server's zone has answered within this time.
-    pub fn answers_elsewhere(&self, now: Timestamp, at: Slot, within: Duration) -> bool {
+    pub fn answered_outside_zone_of(
+        &self,
+        now: Timestamp,
+        at: ServerSlot,
+        within: Duration,
+    ) -> bool {
         let Some(zone) = self.servers.get(at).map(|server| server.zone) else {
             return false;
         };
@@ -212,7 +220,7 @@
     }
 
     /// The servers of this zone that failed lately.
-    pub fn failed_with(&self, at: Slot) -> Vec<Slot> {
+    pub fn unreachable_in_zone_of(&self, at: ServerSlot) -> Vec<ServerSlot> {
         let failed = self
             .servers
             .get(at)
@@ -223,61 +231,69 @@
     }
 
     /// The zones that are out of reach.
-    pub fn cut_zones(&self) -> Vec<u32> {
+    pub fn unreachable_zones(&self) -> Vec<u32> {
         self.cut.iter().copied().collect()
     }
 
-    pub fn change(&mut self, at: Slot, with: impl FnOnce(&mut Server)) {
+    pub fn update(&mut self, at: ServerSlot, with: impl FnOnce(&mut Server)) {
         let Some(server) = self.servers.get_mut(at) else {
             return;
         };
-        self.sums.add(server, -1.0);
+        self.totals.add(server, -1.0);
         with(server);
-        self.sums.add(server, 1.0);
+        self.totals.add(server, 1.0);
         let ready = server.health == Health::Ready;
-        let needs = !server.held.is_empty() || server.cold || server.cap.is_finite() || !ready;
-        if needs && !std::mem::replace(&mut server.kept_up, needs) {
-            self.kept_up.push(at);
+        let needs = !server.connections.is_empty()
+            || server.is_warming_up
+            || server.concurrency_limit.is_finite()
+            || !ready;
+        if needs && !std::mem::replace(&mut server.needs_upkeep, needs) {
+            self.upkeep_slots.push(at);
         }
-        let opens = ready && !(server.cold && (server.tokens < 1.0 || !self.cold_open));
-        let was_open = std::mem::replace(&mut server.open, opens);
+        let opens = ready
+            && !(server.is_warming_up
+                && (server.slow_start_tokens < 1.0 || !self.slow_start_is_open));
+        let was_open = std::mem::replace(&mut server.is_ranked, opens);
         if opens && !was_open {
-            self.open.add(server.hash, at);
+            self.ranking_index.add(server.hash, at);
         } else if was_open && !opens {
-            self.open.remove(at);
+            self.ranking_index.remove(at);
         }
     }
 }
 
 impl Server {
     /// Whether it started lately.
-    pub fn is_cold(&self, settings: &Settings, now: Timestamp) -> bool {
-        self.started
+    pub fn is_in_slow_start(&self, settings: &Settings, now: Timestamp) -> bool {
+        self.started_at
             .is_some_and(|started| now < started.saturating_add(settings.slow_start_duration))
     }
 
     /// Whether it takes one more though it is full: nothing has shown it crowded for `calm`, so its cap may be stale, and
     /// it has not given way for `pace`. Only connections of groups that are there already are let in so: guards against a
     /// fleet that is refused to and fills up with shared work, one more group at a time at every server.
-    pub fn gives_way(&self, now: Timestamp, calm: Duration, pace: Duration) -> bool {
+    pub fn may_exceed_limit(&self, now: Timestamp, calm: Duration, pace: Duration) -> bool {
         let before = |at: Option<Timestamp>, span: Duration| {
             at.is_none_or(|at| now.saturating_duration_since(at) > span)
         };
-        self.barred_until.is_none() && before(self.crowded_at, calm) && before(self.raised_at, pace)
+        self.ejected_until.is_none()
+            && before(self.overloaded_at, calm)
+            && before(self.limit_raised_at, pace)
     }
 
     /// The connections of this gateway that would fill it as it is now, where its report is no older than `fresh`: the others
     /// are taken to hold there what this one does. The shared work of groups is in the report, so that this errs to less.
-    pub fn filled_by(&self, now: Timestamp, fresh: Duration) -> Option<f64> {
-        let (_, used) = self.used.filter(|(at, used)| {
+    pub fn connections_at_capacity(&self, now: Timestamp, fresh: Duration) -> Option<f64> {
+        let (_, used) = self.utilization.filter(|(at, used)| {
             now.saturating_duration_since(*at) < fresh && *used >= LEAST_USED
         })?;
-        (self.held_then >= LEAST_HELD_THEN).then(|| self.held_then as f64 / used)
+        (self.connections_at_report >= LEAST_HELD_THEN)
+            .then(|| self.connections_at_report as f64 / used)
     }
 
     /// The share of its capacity that it has at the least.
-    pub fn warmth(&self, settings: &Settings, now: Timestamp) -> f64 {
-        let Some(started) = self.started else {
+    pub fn capacity_ratio(&self, settings: &Settings, now: Timestamp) -> f64 {
+        let Some(started) = self.started_at else {
             return 1.0;
         };
         let part = now.saturating_duration_since(started).as_secs_f64()
@@ -286,10 +302,10 @@
     }
 
     /// Takes in its state as listed. Gives its weight if it is lost: gone without having drained.
-    pub fn turn(&mut self, now: Timestamp, health: Health) -> f64 {
+    pub fn set_health(&mut self, now: Timestamp, health: Health) -> f64 {
         let lost = self.health == Health::Ready && health == Health::Gone;
         if self.health == Health::Ready && health != Health::Ready {
-            self.leaving_since = now;
+            self.draining_since = now;
         }
         self.health = health;
         if lost {
--- a/crates/placement/src/state/learned_state.rs
+++ b/crates/placement/src/state/learned_state.rs
@@ -36,24 +36,26 @@
 
 impl Fleet {
     /// What was learnt of the servers that are listed.
-    pub fn learnt(&self, now: Timestamp) -> Vec<LearnedServer> {
+    pub fn learned_state(&self, now: Timestamp) -> Vec<LearnedServer> {
         let listed = self.servers.slots().into_iter();
         let learnt = listed.filter_map(|at| Some((self.servers.id(at)?, self.servers.get(at)?)));
         let learnt = learnt
             .filter(|(_, server)| server.health != Health::Gone)
             .map(|(id, server)| LearnedServer {
                 server: id.clone(),
-                started_ago: server.started.map(|at| now.saturating_duration_since(at)),
-                concurrency_limit: Some(server.cap).filter(|cap| cap.is_finite()),
+                started_ago: server
+                    .started_at
+                    .map(|at| now.saturating_duration_since(at)),
+                concurrency_limit: Some(server.concurrency_limit).filter(|cap| cap.is_finite()),
                 overloaded_ago: server
-                    .crowded_at
+                    .overloaded_at
                     .map(|at| now.saturating_duration_since(at)),
                 ejected_for: server
-                    .barred_until
+                    .ejected_until
                     .map(|until| until.saturating_duration_since(now)),
-                ejection_count: server.bars,
-                consecutive_failures: server.strikes,
-                restart_suspected: server.crashed,
+                ejection_count: server.ejection_count,
+                consecutive_failures: server.consecutive_failures,
+                restart_suspected: server.restart_suspected,
             });
         let mut learnt: Vec<LearnedServer> = learnt.collect();
         learnt.sort_by(|a, b| a.server.cmp(&b.server));
@@ -62,31 +64,36 @@
 
     /// Takes over what another process learnt, as far as it is about listed servers. A later start that this one knows of
     /// makes it void: that was another process of the server.
-    pub fn take_learnt(&mut self, settings: &Settings, now: Timestamp, learnt: Vec<LearnedServer>) {
+    pub fn apply_learned_state(
+        &mut self,
+        settings: &Settings,
+        now: Timestamp,
+        learnt: Vec<LearnedServer>,
+    ) {
         for learnt in learnt {
             let started = learnt.started_ago.map(|span| before(now, span));
             let at = self.servers.slot(&learnt.server);
-            self.change(at, |server| {
+            self.update(at, |server| {
                 // The same start is told by both clocks within less than a second.
                 let later = |at: Timestamp| {
                     started.is_none_or(|told| {
                         at.saturating_duration_since(told) > Duration::from_secs(1)
                     })
                 };
-                if server.health == Health::Gone || server.started.is_some_and(later) {
+                if server.health == Health::Gone || server.started_at.is_some_and(later) {
                     return;
                 }
-                server.started = server.started.max(started);
-                server.cold = server.is_cold(settings, now);
-                server.cap = learnt
+                server.started_at = server.started_at.max(started);
+                server.is_warming_up = server.is_in_slow_start(settings, now);
+                server.concurrency_limit = learnt
                     .concurrency_limit
                     .filter(|cap| *cap >= 0.0)
                     .unwrap_or(f64::INFINITY);
-                server.crowded_at = learnt.overloaded_ago.map(|span| before(now, span));
-                server.barred_until = learnt.ejected_for.map(|span| now.saturating_add(span));
-                (server.bars, server.strikes) =
+                server.overloaded_at = learnt.overloaded_ago.map(|span| before(now, span));
+                server.ejected_until = learnt.ejected_for.map(|span| now.saturating_add(span));
+                (server.ejection_count, server.consecutive_failures) =
                     (learnt.ejection_count, learnt.consecutive_failures);
-                server.crashed |= learnt.restart_suspected;
+                server.restart_suspected |= learnt.restart_suspected;
             });
         }
     }
--- a/crates/placement/src/state/learned_state/tests.rs
+++ b/crates/placement/src/state/learned_state/tests.rs
@@ -7,11 +7,11 @@
         let at = fleet.servers.insert(
             (*name).into(),
             Server {
-                cap: f64::INFINITY,
+                concurrency_limit: f64::INFINITY,
                 ..Server::default()
             },
         );
-        fleet.change(at, |server| server.started = *started);
+        fleet.update(at, |server| server.started_at = *started);
     }
     fleet
 }
@@ -22,18 +22,22 @@
     let mut older = fleet(&[("a", None), ("b", Some(Timestamp(5 * second))), ("c", None)]);
     for name in ["a", "b"] {
         let at = older.servers.slot(&name.into());
-        older.change(at, |server| {
-            (server.cap, server.bars, server.strikes) = (4.5, 2, 1);
-            server.crowded_at = Some(Timestamp(7 * second));
-            server.barred_until = Some(Timestamp(12 * second));
+        older.update(at, |server| {
+            (
+                server.concurrency_limit,
+                server.ejection_count,
+                server.consecutive_failures,
+            ) = (4.5, 2, 1);
+            server.overloaded_at = Some(Timestamp(7 * second));
+            server.ejected_until = Some(Timestamp(12 * second));
         });
     }
-    let learnt = older.learnt(Timestamp(10 * second));
+    let learnt = older.learned_state(Timestamp(10 * second));
     // This clock is 90 s ahead: b has the same start here, or a later one.
     for (start, same) in [(95, true), (98, false)] {
         let mut newer = fleet(&[("a", None), ("b", Some(Timestamp(start * second)))]);
-        newer.take_learnt(&settings, Timestamp(100 * second), learnt.clone());
-        let told = newer.learnt(Timestamp(100 * second));
+        newer.apply_learned_state(&settings, Timestamp(100 * second), learnt.clone());
+        let told = newer.learned_state(Timestamp(100 * second));
         assert_eq!(
             (told.len(), &told[0]),
             (2, &learnt[0]),
--- a/crates/placement/src/state/ranking_index.rs
+++ b/crates/placement/src/state/ranking_index.rs
@@ -1,7 +1,7 @@
 //! The servers that may be ranked, as one tight row of hashes: a decision looks at each of them, at a cost of about a
 //! nanosecond a server, and puts in order only as many as it was asked for.
 
-use crate::state::server_table::Slot;
+use crate::state::server_table::ServerSlot;
 use std::collections::HashMap;
 
 /// So many hashes are scored and compared at a time, without a branch between them.
@@ -9,27 +9,27 @@
 
 /// Servers by place, each with its hash.
 #[derive(Default)]
-pub(crate) struct Order {
+pub(crate) struct RankingIndex {
     hashes: Vec<u32>,
-    slots: Vec<Slot>,
-    places: HashMap<Slot, u32>,
+    slots: Vec<ServerSlot>,
+    places: HashMap<ServerSlot, u32>,
 }
 
-impl Order {
+impl RankingIndex {
     /// How many there are.
     pub(crate) fn len(&self) -> usize {
         self.slots.len()
     }
 
     /// Adds a server that is not there. The order of adding means nothing.
-    pub(crate) fn add(&mut self, hash: u32, slot: Slot) {
+    pub(crate) fn add(&mut self, hash: u32, slot: ServerSlot) {
         self.places.insert(slot, self.slots.len() as u32);
         self.hashes.push(hash);
         self.slots.push(slot);
     }
 
     /// Removes a server, if it is there, without a walk.
-    pub(crate) fn remove(&mut self, slot: Slot) {
+    pub(crate) fn remove(&mut self, slot: ServerSlot) {
         let Some(place) = self.places.remove(&slot) else {
             return;
         };
@@ -41,7 +41,7 @@
     }
 
     /// All of them.
-    pub(crate) fn iter(&self) -> impl Iterator<Item = (u32, Slot)> + '_ {
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (u32, ServerSlot)> + '_ {
         self.hashes.iter().copied().zip(self.slots.iter().copied())
     }
 
@@ -51,15 +51,16 @@
         &self,
         count: usize,
         score: impl Fn(u32) -> u32,
-        also: impl Iterator<Item = (u32, Slot)>,
-        keeps: impl Fn(Slot) -> bool,
-        before: impl Fn(Slot, Slot) -> bool,
-    ) -> Vec<(u32, Slot)> {
-        let mut best: Vec<(u32, Slot)> = Vec::with_capacity(count.min(self.len()) + 2);
-        let mut offer = |score: u32, slot: Slot| -> u32 {
+        also: impl Iterator<Item = (u32, ServerSlot)>,
+        keeps: impl Fn(ServerSlot) -> bool,
+        before: impl Fn(ServerSlot, ServerSlot) -> bool,
+    ) -> Vec<(u32, ServerSlot)> {
+        let mut best: Vec<(u32, ServerSlot)> = Vec::with_capacity(count.min(self.len()) + 2);
+        let mut offer = |score: u32, slot: ServerSlot| -> u32 {
             let least = best.last().filter(|_| best.len() >= count).copied();
-            let ahead =
-                |a: (u32, Slot), b: (u32, Slot)| a.0 > b.0 || (a.0 == b.0 && before(a.1, b.1));
+            let ahead = |a: (u32, ServerSlot), b: (u32, ServerSlot)| {
+                a.0 > b.0 || (a.0 == b.0 && before(a.1, b.1))
+            };
             if count > 0 && least.is_none_or(|least| ahead((score, slot), least)) && keeps(slot) {
                 let place = best.partition_point(|other| ahead(*other, (score, slot)));
                 best.insert(place, (score, slot));
@@ -92,15 +93,15 @@
 
 /// The first server of each sort that a walk by falling scores meets. It starts at a given server and comes round to
 /// the higher scores at its end. Servers may be shown in any order, so none has to be sorted.
-pub(crate) struct Walk<const SORTS: usize> {
-    start: Option<(u32, Slot)>,
-    met: [Option<(bool, u32, Slot)>; SORTS],
+pub(crate) struct CandidateScan<const SORTS: usize> {
+    start: Option<(u32, ServerSlot)>,
+    met: [Option<(bool, u32, ServerSlot)>; SORTS],
 }
 
-impl<const SORTS: usize> Walk<SORTS> {
+impl<const SORTS: usize> CandidateScan<SORTS> {
     /// A walk that starts at this server, or at the top score.
-    pub(crate) fn from(start: Option<(u32, Slot)>) -> Self {
-        Walk {
+    pub(crate) fn from(start: Option<(u32, ServerSlot)>) -> Self {
+        CandidateScan {
             start,
             met: [None; SORTS],
         }
@@ -111,10 +112,12 @@
         &mut self,
         sort: usize,
         score: u32,
-        slot: Slot,
-        before: impl Fn(Slot, Slot) -> bool,
+        slot: ServerSlot,
+        before: impl Fn(ServerSlot, ServerSlot) -> bool,
     ) {
-        let ahead = |a: (u32, Slot), b: (u32, Slot)| a.0 > b.0 || (a.0 == b.0 && before(a.1, b.1));
+        let ahead = |a: (u32, ServerSlot), b: (u32, ServerSlot)| {
+            a.0 > b.0 || (a.0 == b.0 && before(a.1, b.1))
+        };
         let round = self.start.is_some_and(|start| ahead((score, slot), start));
         let Some(place) = self.met.get_mut(sort) else {
             return;
@@ -128,7 +131,7 @@
     }
 
     /// The first one met of a sort.
-    pub(crate) fn first(&self, sort: usize) -> Option<Slot> {
+    pub(crate) fn first(&self, sort: usize) -> Option<ServerSlot> {
         self.met
             .get(sort)
             .copied()
--- a/crates/placement/src/state/ranking_index/tests.rs
+++ b/crates/placement/src/state/ranking_index/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::state::server_table::Table;
+use crate::state::server_table::ServerTable;
 use rand_core::{RngCore, SeedableRng};
 
 /// Against sorting everything, with hashes of few values so that scores are often equal.
@@ -8,9 +8,9 @@
     for seed in 0..60 {
         let mut random = rand_pcg::Pcg32::seed_from_u64(seed);
         let mut draw = |most: u32| random.next_u32() % most;
-        let mut table: Table<()> = Table::default();
-        let mut order = Order::default();
-        let mut there: Vec<(u32, Slot)> = Vec::new();
+        let mut table: ServerTable<()> = ServerTable::default();
+        let mut order = RankingIndex::default();
+        let mut there: Vec<(u32, ServerSlot)> = Vec::new();
         for number in 0..draw(200) {
             let slot = table.insert(format!("s-{number}").as_str().into(), ());
             let hash = draw(50);
@@ -22,7 +22,7 @@
             }
         }
         let (key, count) = (draw(1000), draw(70) as usize);
-        let left = |slot: Slot| table.id(slot).is_some_and(|id| !id.0.ends_with('7'));
+        let left = |slot: ServerSlot| table.id(slot).is_some_and(|id| !id.0.ends_with('7'));
         let found = order.best(
             count,
             |hash| hash * key,
@@ -30,7 +30,7 @@
             left,
             |a, b| a < b,
         );
-        let mut all: Vec<(u32, Slot)> = there
+        let mut all: Vec<(u32, ServerSlot)> = there
             .iter()
             .filter(|(_, slot)| left(*slot))
             .map(|(hash, slot)| (hash * key, *slot))
@@ -46,9 +46,9 @@
 fn a_walk_meets_what_a_sorted_and_turned_row_shows_first() {
     for seed in 0..60 {
         let mut random = rand_pcg::Pcg32::seed_from_u64(seed);
-        let mut table: Table<()> = Table::default();
+        let mut table: ServerTable<()> = ServerTable::default();
         let mut draw = |most: u32| random.next_u32() % most;
-        let mut all: Vec<(usize, u32, Slot)> = Vec::new();
+        let mut all: Vec<(usize, u32, ServerSlot)> = Vec::new();
         for number in 0..=draw(30) {
             let slot = table.insert(format!("s-{number}").as_str().into(), ());
             all.push((draw(3) as usize, draw(12), slot));
@@ -56,7 +56,7 @@
         let mut sorted = all.clone();
         sorted.sort_by(|a, b| b.1.cmp(&a.1).then(a.2.cmp(&b.2)));
         let start = draw(sorted.len() as u32) as usize;
-        let mut walk = Walk::<3>::from(Some((sorted[start].1, sorted[start].2)));
+        let mut walk = CandidateScan::<3>::from(Some((sorted[start].1, sorted[start].2)));
         all.iter()
             .for_each(|(sort, score, slot)| walk.meet(*sort, *score, *slot, |a, b| a < b));
         sorted.rotate_left(start);
--- a/crates/placement/src/state/server_table.rs
+++ b/crates/placement/src/state/server_table.rs
@@ -5,57 +5,60 @@
 
 /// A server's place in the table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub(crate) struct Slot(u32);
+pub(crate) struct ServerSlot(u32);
 
 /// No server's place.
-pub(crate) const UNKNOWN: Slot = Slot(u32::MAX);
+pub(crate) const UNKNOWN: ServerSlot = ServerSlot(u32::MAX);
 
 /// Rows by id and by place. The place of a row that was removed is used again.
 #[derive(Default)]
-pub(crate) struct Table<Row> {
-    slots: HashMap<ServerId, Slot>,
+pub(crate) struct ServerTable<Row> {
+    slots: HashMap<ServerId, ServerSlot>,
     rows: Vec<(Option<ServerId>, Row)>,
-    unused: Vec<Slot>,
+    unused: Vec<ServerSlot>,
 }
 
-impl<Row: Default> Table<Row> {
+impl<Row: Default> ServerTable<Row> {
     /// How many rows there are.
     pub(crate) fn len(&self) -> usize {
         self.slots.len()
     }
 
     /// Where the id's row is, or `UNKNOWN`.
-    pub(crate) fn slot(&self, id: &ServerId) -> Slot {
+    pub(crate) fn slot(&self, id: &ServerId) -> ServerSlot {
         self.slots.get(id).copied().unwrap_or(UNKNOWN)
     }
 
     /// Every place in use.
-    pub(crate) fn slots(&self) -> Vec<Slot> {
+    pub(crate) fn slots(&self) -> Vec<ServerSlot> {
         (0..self.rows.len() as u32)
-            .map(Slot)
+            .map(ServerSlot)
             .filter(|at| self.id(*at).is_some())
             .collect()
     }
 
-    pub(crate) fn id(&self, at: Slot) -> Option<&ServerId> {
+    pub(crate) fn id(&self, at: ServerSlot) -> Option<&ServerId> {
         self.rows.get(at.0 as usize).and_then(|(id, _)| id.as_ref())
     }
 
-    pub(crate) fn get(&self, at: Slot) -> Option<&Row> {
+    pub(crate) fn get(&self, at: ServerSlot) -> Option<&Row> {
         #[cfg(test)]
-        READS.set(READS.get() + 1);
+        ROWS_READ.set(ROWS_READ.get() + 1);
         self.rows.get(at.0 as usize).map(|(_, row)| row)
     }
 
-    pub(crate) fn get_mut(&mut self, at: Slot) -> Option<&mut Row> {
+    pub(crate) fn get_mut(&mut self, at: ServerSlot) -> Option<&mut Row> {
         #[cfg(test)]
-        READS.set(READS.get() + 1);
+        ROWS_READ.set(ROWS_READ.get() + 1);
         self.rows.get_mut(at.0 as usize).map(|(_, row)| row)
     }
 
     /// Adds a row for an id that has none.
-    pub(crate) fn insert(&mut self, id: ServerId, row: Row) -> Slot {
-        let at = self.unused.pop().unwrap_or(Slot(self.rows.len() as u32));
+    pub(crate) fn insert(&mut self, id: ServerId, row: Row) -> ServerSlot {
+        let at = self
+            .unused
+            .pop()
+            .unwrap_or(ServerSlot(self.rows.len() as u32));
         self.slots.insert(id.clone(), at);
         match self.rows.get_mut(at.0 as usize) {
             Some(place) => *place = (Some(id), row),
@@ -65,7 +68,7 @@
     }
 
     /// Removes a row; an empty one stays in its place until another takes it.
-    pub(crate) fn remove(&mut self, at: Slot) {
+    pub(crate) fn remove(&mut self, at: ServerSlot) {
         let Some(place) = self.rows.get_mut(at.0 as usize) else {
             return;
         };
@@ -79,7 +82,7 @@
 #[cfg(test)]
 thread_local! {
     /// Rows read by this thread, for tests of what decisions cost.
-    pub(crate) static READS: std::cell::Cell<u64> = const { std::cell::Cell::new(0) };
+    pub(crate) static ROWS_READ: std::cell::Cell<u64> = const { std::cell::Cell::new(0) };
 }
 
 #[cfg(test)]
