--- a/crates/node/src/upgrade/held.rs
+++ b/crates/node/src/handoff/peer_process.rs
@@ -1,8 +1,9 @@
 //! What a process knows of the other one of its node, and what it may do by that.
 
-use super::bans::Bans;
-use super::custody::Custody;
-use super::link::{self, Beat, Said};
+use super::admin_drain_file::Bans;
+use super::message::{self, Beat, Said};
+use super::transfer::Custody;
+use crate::component::WellKnownComponent;
 use lupincrank_placement::admin_drain::set_drained;
 use lupincrank_placement::ServerId;
 use lupincrank_reactor::poll::Registered;
@@ -18,8 +19,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// The name of this object in the loop: its sockets report under it.
-pub const UPGRADE: ComponentId = 5;
 /// A process that cannot be reached for this long is not waited for; yes is owed 6 s after the start.
 const REACHED: Duration = Duration::from_secs(4);
 /// The sockets of this object: the one where a successor comes, and the link to the other process.
@@ -114,7 +113,7 @@
         let Some(link) = &self.link else {
             return Err(io::ErrorKind::NotConnected.into());
         };
-        let sent = link::send(link, &said(self.custody.number()), bytes, fds)?;
+        let sent = message::send(link, &said(self.custody.number()), bytes, fds)?;
         self.custody.sent(id, sent);
         Ok(sent)
     }
@@ -139,7 +138,7 @@
     pub fn say(&self, said: &Said) -> bool {
         self.link
             .as_ref()
-            .is_some_and(|link| matches!(link::send(link, said, &[], &[]), Ok(true)))
+            .is_some_and(|link| matches!(message::send(link, said, &[], &[]), Ok(true)))
     }
 
     /// Looks who else lives: takes the lock and waits for a successor, or reaches the process that has the lock.
@@ -158,20 +157,20 @@
             Ok(()) => {
                 self.lock = Some(file);
                 let _ = fs::remove_file(&path);
-                let door = link::listen(&path)?;
+                let door = message::listen(&path)?;
                 self.door = Some(Registered::new(
                     poller,
                     door,
-                    poller_key(UPGRADE, 0) + DOOR,
+                    poller_key(WellKnownComponent::Handoff.id(), 0) + DOOR,
                     Interest::READ,
                 )?);
             }
             Err(fs::TryLockError::WouldBlock) if self.link.is_none() && !self.foreign => {
-                let link = link::connect(&path)?;
+                let link = message::connect(&path)?;
                 self.link = Some(Registered::new(
                     poller,
                     link,
-                    poller_key(UPGRADE, 0) + LINK,
+                    poller_key(WellKnownComponent::Handoff.id(), 0) + LINK,
                     Interest::READ,
                 )?);
             }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -2,24 +2,27 @@
 //!
 //! The crate does no I/O, reads no clock and holds no globals. A proxy feeds a [`Balancer`] with what it sees
 //! ([`Event`]) and carries out what comes back ([`Action`]). The same settings, seed and events always give the same
-//! actions. [`interface`] has the types; `policy` decides on requests, beside `limits` and `recovery`.
+//! actions. `api` has the types; `policy` decides on requests, beside `limits` and `recovery`.
 #![doc = include_str!("../../../README.md")]
 #![forbid(unsafe_code)]
 
 pub mod admin_drain;
+mod api;
 mod balancer;
 #[cfg(test)]
 mod cost_tests;
 mod endpoint_updates;
 mod hashing;
-pub mod interface;
 mod limits;
 mod policy;
 pub mod poll_schedule;
 mod recovery;
 mod state;
 
+pub use api::{
+    Action, Class, Endpoint, Event, Health, IdempotencyScope, Outcome, RequestId, RequestInfo,
+    RetrySafety, ServerId, Settings, SlowStartLease, Tenant, Timestamp,
+};
 pub use balancer::Balancer;
 pub use hashing::{key_hash, rank_score, server_hash};
-pub use interface::*;
 pub use state::learned_state;
