--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,11 +1,15 @@
 //! The node: lupincrank's decisions on real sockets. The program is [`main`]; [`hollow`] is its part in the fleet alone.
 
 mod admin;
+mod application;
 mod cli;
 mod client;
 mod cluster_agent;
+mod command;
+mod component;
 mod config;
 mod core;
+mod deadline;
 mod discovery;
 mod handoff;
 pub mod hollow;
