--- a/crates/node/src/cluster_agent/mod.rs
+++ b/crates/node/src/cluster_agent/mod.rs
@@ -13,8 +13,8 @@
 use lupincrank_budgets::demand::BudgetUsage;
 use lupincrank_cluster::connection::{ClusterConnection, ConnectionError};
 use lupincrank_cluster::membership::MAX_DATAGRAM_BYTES;
-use lupincrank_control::council::TICK_INTERVAL;
 use lupincrank_control::durable::DurableState;
+use lupincrank_control::TICK_INTERVAL;
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::{poller_key, Interest, Readiness};
 use lupincrank_reactor::{ComponentId, Connection, Lifecycle};
@@ -185,7 +185,8 @@
         context.send(id, ClusterConnectionCommand::Close);
     }
     if carry.setup.divides {
-        let (sends, until) = carry.council.lease_limit(now);
+        let usage = carry.council.lease_limit(now);
+        let (sends, until) = (usage.limit, usage.expires_at);
         let part = carry.council.fleet_share(now).unwrap_or(0.0);
         context
             .placement
@@ -238,7 +239,8 @@
             "reseed" => carry
                 .council
                 .recover_quorum(now, rand::random())
-                .map(|stamp| format!("{{\"epoch\":{}}}", stamp.epoch)),
+                .map(|stamp| format!("{{\"epoch\":{}}}", stamp.epoch))
+                .map_err(|error| error.to_string()),
             other => Err(format!(
                 "no call fleet {other:?}; there are status, members, log and reseed"
             )),
@@ -292,11 +294,14 @@
                 .council
                 .preview_capacity(now, capacity)
                 .map(|plan| serde_json::json!({ "handed_out": capacity, "slices": plan }))
+                .map_err(|error| error.to_string())
         }
         ("set", change) => {
             let capacity = read(change)?;
             let epoch = carry.council.set_capacity(now, capacity);
-            epoch.map(|epoch| serde_json::json!({ "handed_out": capacity, "after_epoch": epoch }))
+            epoch
+                .map(|epoch| serde_json::json!({ "handed_out": capacity, "after_epoch": epoch }))
+                .map_err(|error| error.to_string())
         }
         _ => Err("there are show, plan NAME=CAPACITY and set NAME=CAPACITY".to_string()),
     };
--- a/crates/node/src/hollow.rs
+++ b/crates/node/src/hollow.rs
@@ -104,7 +104,7 @@
         leads,
         votes,
         alive,
-        limit: carry.council.lease_limit(now).0,
+        limit: carry.council.lease_limit(now).limit,
     }
 }
 
--- a/crates/node/src/placement_driver/endpoints.rs
+++ b/crates/node/src/placement_driver/endpoints.rs
@@ -162,12 +162,12 @@
 
     /// The servers that administrators have drained.
     pub fn drained_servers(&self) -> &BTreeSet<ServerId> {
-        self.balancer.by_hand().drained()
+        self.balancer.admin_drain().drained()
     }
 
     /// Whether a server of this id is listed or drained by an administrator.
     pub fn knows_server(&self, server: &ServerId) -> bool {
-        self.balancer.by_hand().knows(server)
+        self.balancer.admin_drain().knows(server)
     }
 
     /// From now on exactly these servers are drained by administrators.
@@ -194,7 +194,7 @@
 
     /// What was learned of the servers, for the process that takes this one's place.
     pub fn learned_servers(&self) -> Vec<LearnedServer> {
-        self.balancer.learnt(self.now())
+        self.balancer.learned_state(self.now())
     }
 
     /// Takes over what the process before this one has learned of the servers.
