--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,28 +1,27 @@
 //! The node: lupincrank's decisions on real sockets. The program is [`main`]; [`hollow`] is its part in the fleet alone.
 
+mod admin;
+mod application;
 mod cli;
+mod client;
+mod cluster_agent;
+mod command;
+mod component;
 mod config;
-mod core;
+mod deadline;
 mod discovery;
-mod fleet;
-mod group;
+mod handoff;
 pub mod hollow;
-mod inquiry;
-mod line_front;
-mod load_lines;
-mod management;
-mod objects;
-mod peer;
-mod probe;
-mod relay;
+mod load_report;
+mod placement_driver;
 mod serve;
 mod signals;
 mod state;
-mod upgrade;
+mod upstream;
 
 use cli::Command;
+use cluster_agent::config::Setup;
 use config::Config;
-use fleet::setup::Setup;
 use lupincrank_operator_config::Operator;
 use slog::{o, Drain, Level, Logger};
 use std::process::ExitCode;
@@ -57,7 +56,7 @@
         Command::Version => println!("lupincrank {}", env!("CARGO_PKG_VERSION")),
         Command::CheckConfig { config, operator } => {
             let config = load(config, operator)?;
-            let strict = lupincrank_settings::strict::check(&config.raw, None);
+            let strict = lupincrank_settings::validate(&config.raw, None);
             strict.map_err(|why| format!("a start takes it, SIGHUP would turn it down: {why}"))?;
             println!(
                 "{}: listens on {}, {} classes",
@@ -68,7 +67,7 @@
             println!("it holds for a start and, as far as it does not depend on the file before, for SIGHUP");
         }
         Command::Manage { address, call } => {
-            let answer = management::ask(address, &call.join(" "))
+            let answer = admin::ask(address, &call.join(" "))
                 .map_err(|error| format!("{address}: {error}"))?;
             println!("{answer}");
             if !answer.starts_with("done") {
@@ -80,7 +79,7 @@
             what,
             address,
         } => {
-            let answer = management::ask(address, &format!("fleet {what}"));
+            let answer = admin::ask(address, &format!("fleet {what}"));
             let answer = answer.map_err(|error| format!("{address}: {error}"))?;
             let told = answer
                 .strip_prefix("done ")
@@ -90,7 +89,7 @@
                 if json {
                     told.to_string()
                 } else {
-                    inquiry::table(&what, told)?
+                    admin::status_table::table(&what, told)?
                 }
             );
         }
@@ -102,7 +101,7 @@
         } => {
             let call = format!("budgets {what} {}", change.unwrap_or_default());
             let answer =
-                management::ask(address, &call).map_err(|error| format!("{address}: {error}"))?;
+                admin::ask(address, &call).map_err(|error| format!("{address}: {error}"))?;
             let told = answer
                 .strip_prefix("done ")
                 .ok_or_else(|| format!("{address}: {answer}"))?;
@@ -111,7 +110,7 @@
                 if json {
                     told.to_string()
                 } else {
-                    inquiry::budgets(told)?
+                    admin::status_table::budgets(told)?
                 }
             );
         }
