Scale: move modules to the names of their jobs

Need: doors, ledger, place, host and fit told nothing of a counting proxy, the progress of nodes, the topology, a host of hollow nodes, a regression.

--- a/crates/scale/src/doors.rs
+++ b/crates/scale/src/counting_proxy.rs
@@ -2,7 +2,7 @@
 //! it; so the figures are not the program's own. One door a node, where the trials have one for each pair: the number of
 //! sockets must not grow with the square of the nodes.
 
-use crate::place::Place;
+use crate::topology::Place;
 use lupincrank_cluster::connection::{FrameDecoder, Message};
 use lupincrank_fault_injection::link::LinkCondition;
 use lupincrank_reactor::poll::{self, Registered};
--- a/crates/scale/src/host.rs
+++ b/crates/scale/src/hollow_host.rs
@@ -1,7 +1,7 @@
 //! A process that holds hollow nodes, each in a thread of its own. What the run wants comes in on its standard input, line by
 //! line; how the nodes stand goes out on its standard output. It ends with its input, so that none outlives the run.
 
-use crate::place::Place;
+use crate::topology::Place;
 use lupincrank_node::hollow::{self, Observer, Seen};
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -3,11 +3,11 @@
 
 #![forbid(unsafe_code)]
 
-pub mod doors;
-pub mod fit;
-pub mod host;
-pub mod ledger;
+pub mod counting_proxy;
+pub mod hollow_host;
 pub mod outcome;
-pub mod place;
 pub mod plot;
+pub mod progress;
+pub mod regression;
 pub mod run;
+pub mod topology;
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -5,9 +5,9 @@
 use bpaf::{construct, long, positional, OptionParser, Parser};
 use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
 use lupincrank_scale::outcome::Outcome;
-use lupincrank_scale::place::Place;
 use lupincrank_scale::run::{run, Options};
-use lupincrank_scale::{fit, host, plot};
+use lupincrank_scale::topology::Place;
+use lupincrank_scale::{hollow_host as host, plot, regression as fit};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::atomic::AtomicBool;
--- a/crates/scale/src/plot.rs
+++ b/crates/scale/src/plot.rs
@@ -1,6 +1,6 @@
 //! The figures of several runs against the size, and the power by which they grow, as a picture.
 
-use crate::fit;
+use crate::regression as fit;
 use plotters::prelude::*;
 use serde_json::Value;
 use std::path::Path;
--- a/crates/scale/src/ledger.rs
+++ b/crates/scale/src/progress.rs
@@ -1,6 +1,6 @@
 //! What is known of all nodes while a run goes on, without I/O: how each stands, and since when it holds what is awaited.
 
-use crate::host::Line;
+use crate::hollow_host::Line;
 use std::collections::BTreeMap;
 
 /// How one node stands.
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -1,11 +1,11 @@
 //! One run from its beginning to its end: doors open, real and hollow nodes begin, all take part; then the cost of talk is
 //! read second by second, a change is made, a death is caused, and the budget is pressed.
 
-use crate::doors::{self, Counts};
-use crate::host::{unix_us, Line};
-use crate::ledger::{Awaited, Ledger};
+use crate::counting_proxy::{self as doors, Counts};
+use crate::hollow_host::{unix_us, Line};
 use crate::outcome::{role, Held, Outcome, Reading, Role};
-use crate::place::{Place, SEEDS};
+use crate::progress::{Awaited, Ledger};
+use crate::topology::{Place, SEEDS};
 use lupincrank_fault_injection::checker::Checker;
 use lupincrank_fault_injection::link::LinkCondition;
 use lupincrank_fault_injection::node_process::{
