Scale: modules by concern, typed errors, the relay of fault injection

Change: options, admin calls, host processes, cluster and measurement are modules; counters, listener and counted streams stand apart; regression and samples are types in place of tuples; RunError, InvalidOption, HostError. Command line and JSON keep their words.

--- /dev/null
+++ b/crates/scale/src/counting_proxy/counters.rs
@@ -0,0 +1,88 @@
+//! Counters of the traffic of all nodes, which the run reads while the proxies write them.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// What one node has sent and received, as the proxies saw it.
+#[derive(Debug, Default)]
+struct NodeCounters {
+    bytes_out: AtomicU64,
+    messages_out: AtomicU64,
+    bytes_in: AtomicU64,
+    messages_in: AtomicU64,
+}
+
+/// What one node has sent and received until now.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct NodeTraffic {
+    /// Bytes sent.
+    pub bytes_out: u64,
+    /// Messages sent.
+    pub messages_out: u64,
+    /// Bytes received.
+    pub bytes_in: u64,
+    /// Messages received.
+    pub messages_in: u64,
+}
+
+/// The traffic of all nodes.
+pub struct TrafficCounters {
+    nodes: Vec<NodeCounters>,
+    lost: AtomicU64,
+    unknown: AtomicU64,
+}
+
+fn add(counter: &AtomicU64, count: u64) {
+    counter.fetch_add(count, Ordering::Relaxed);
+}
+
+fn read(counter: &AtomicU64) -> u64 {
+    counter.load(Ordering::Relaxed)
+}
+
+impl TrafficCounters {
+    /// Counters of so many nodes.
+    pub fn new(node_count: usize) -> TrafficCounters {
+        TrafficCounters {
+            nodes: (0..node_count).map(|_| NodeCounters::default()).collect(),
+            lost: AtomicU64::new(0),
+            unknown: AtomicU64::new(0),
+        }
+    }
+
+    /// What a node has sent and received.
+    pub fn traffic(&self, node: usize) -> NodeTraffic {
+        let counters = &self.nodes[node];
+        NodeTraffic {
+            bytes_out: read(&counters.bytes_out),
+            messages_out: read(&counters.messages_out),
+            bytes_in: read(&counters.bytes_in),
+            messages_in: read(&counters.messages_in),
+        }
+    }
+
+    /// Datagrams that were lost and parts of streams that were held up on purpose.
+    pub fn lost(&self) -> u64 {
+        read(&self.lost)
+    }
+
+    /// What could not be assigned to a sender, or not be decoded.
+    pub fn unknown(&self) -> u64 {
+        read(&self.unknown)
+    }
+
+    /// Counts what one node has sent to another.
+    pub(super) fn count_sent(&self, from: usize, to: usize, bytes: u64, messages: u64) {
+        add(&self.nodes[from].bytes_out, bytes);
+        add(&self.nodes[from].messages_out, messages);
+        add(&self.nodes[to].bytes_in, bytes);
+        add(&self.nodes[to].messages_in, messages);
+    }
+
+    pub(super) fn count_lost(&self) {
+        add(&self.lost, 1);
+    }
+
+    pub(super) fn count_unknown(&self) {
+        add(&self.unknown, 1);
+    }
+}
--- a/crates/scale/src/outcome.rs
+++ b/crates/scale/src/outcome.rs
@@ -1,47 +1,53 @@
-//! What comes of a run, as its file has it.
+//! The outcome of a run, as printed in JSON.
 
 use hdrhistogram::Histogram;
 use lupincrank_fault_injection::checker::BudgetReport;
 use serde::Serialize;
 use std::collections::BTreeMap;
 
+const US_PER_SECOND: f64 = 1e6;
+const US_PER_MS: f64 = 1000.0;
+const KB_PER_MB: f64 = 1024.0;
+/// Longest time of propagation that is told apart, in microseconds.
+const MAX_PROPAGATION_US: u64 = 10_000_000_000;
+
 /// What one role costs.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
-pub struct Role {
-    /// Nodes that had this role.
+pub struct RoleCost {
+    /// Number of nodes with this role.
     pub processes: usize,
-    /// The busiest second of any of them.
+    /// Bytes sent in the busiest second of any node.
     pub bytes_out_per_s_max: f64,
-    /// Over all of them and all seconds.
+    /// Bytes sent in a second, over all nodes and seconds.
     pub bytes_out_per_s_mean: f64,
-    /// The largest mean of any of them.
+    /// The greatest mean of any node.
     pub bytes_out_per_s_busiest: f64,
-    /// See `bytes_out_per_s_mean`.
+    /// Bytes received in a second, over all nodes and seconds.
     pub bytes_in_per_s_mean: f64,
-    /// See `bytes_out_per_s_max`.
+    /// Messages sent in the busiest second of any node.
     pub messages_per_s_max: f64,
-    /// See `bytes_out_per_s_mean`.
+    /// Messages sent in a second, over all nodes and seconds.
     pub messages_per_s_mean: f64,
-    /// The part of a core over the whole span, of the busiest, and of all.
+    /// Share of a core over the whole span, of the busiest node.
     pub cpu_share_max: f64,
-    /// See `cpu_share_max`.
+    /// Share of a core over the whole span, of all nodes.
     pub cpu_share_mean: f64,
-    /// Resident memory of the largest; a hollow node's is its process's, divided by the nodes in it.
+    /// Resident memory of the largest node; a hollow node's is its process's, divided by the nodes in it.
     pub rss_mb_max: f64,
-    /// By second: sums over the role.
-    pub seconds: Vec<Second>,
+    /// The costs of each second, summed over the nodes.
+    pub seconds: Vec<RoleSecond>,
 }
 
-/// One second of one role, summed up over its nodes.
+/// The costs of one role in one second, summed over its nodes.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
-pub struct Second {
-    /// Bytes and messages sent and received.
+pub struct RoleSecond {
+    /// Bytes sent.
     pub bytes_out: u64,
-    /// See `bytes_out`.
+    /// Messages sent.
     pub messages_out: u64,
-    /// See `bytes_out`.
+    /// Bytes received.
     pub bytes_in: u64,
-    /// See `bytes_out`.
+    /// Messages received.
     pub messages_in: u64,
     /// Cores in use.
     pub cpu: f64,
@@ -49,16 +55,16 @@
     pub rss_mb: f64,
 }
 
-/// What one node had cost by some moment.
+/// What a node has cost until some moment.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Reading {
-    /// Sent and received, in bytes and messages.
+pub struct NodeReading {
+    /// Bytes sent.
     pub bytes_out: u64,
-    /// See `bytes_out`.
+    /// Messages sent.
     pub messages_out: u64,
-    /// See `bytes_out`.
+    /// Bytes received.
     pub bytes_in: u64,
-    /// See `bytes_out`.
+    /// Messages received.
     pub messages_in: u64,
     /// Processor time in microseconds.
     pub cpu_us: u64,
@@ -66,127 +72,186 @@
     pub rss_kb: u64,
 }
 
-/// One role's costs. `readings` are of all nodes, a second apart, with the seconds since the first.
-pub fn role(readings: &[(f64, Vec<Reading>)], nodes: &[usize]) -> Role {
-    let mut role = Role {
-        processes: nodes.len(),
-        ..Role::default()
-    };
-    let (Some(first), Some(last)) = (readings.first(), readings.last()) else {
-        return role;
-    };
-    let span = last.0 - first.0;
-    if nodes.is_empty() || span <= 0.0 {
-        return role;
+impl NodeReading {
+    /// What was added since an earlier reading; the memory is that of the later one.
+    fn since(&self, earlier: &NodeReading) -> NodeReading {
+        NodeReading {
+            bytes_out: self.bytes_out - earlier.bytes_out,
+            messages_out: self.messages_out - earlier.messages_out,
+            bytes_in: self.bytes_in - earlier.bytes_in,
+            messages_in: self.messages_in - earlier.messages_in,
+            cpu_us: self.cpu_us.saturating_sub(earlier.cpu_us),
+            rss_kb: self.rss_kb,
+        }
+    }
+
+    fn cpu_seconds(&self) -> f64 {
+        self.cpu_us as f64 / US_PER_SECOND
+    }
+
+    fn rss_mb(&self) -> f64 {
+        self.rss_kb as f64 / KB_PER_MB
+    }
+}
+
+/// The readings of all nodes at one moment.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Sample {
+    /// Seconds since the first sample.
+    pub at_s: f64,
+    /// By the node's number.
+    pub nodes: Vec<NodeReading>,
+}
+
+impl RoleCost {
+    /// The costs of the nodes of one role; samples are a second apart.
+    pub fn new(samples: &[Sample], nodes: &[usize]) -> RoleCost {
+        let mut cost = RoleCost {
+            processes: nodes.len(),
+            ..RoleCost::default()
+        };
+        let (Some(first), Some(last)) = (samples.first(), samples.last()) else {
+            return cost;
+        };
+        if nodes.is_empty() || last.at_s - first.at_s <= 0.0 {
+            return cost;
+        }
+        for pair in samples.windows(2) {
+            cost.add_second(&pair[0], &pair[1], nodes);
+        }
+        cost.add_span(first, last, nodes);
+        cost
     }
-    for pair in readings.windows(2) {
-        let seconds = pair[1].0 - pair[0].0;
-        let mut sum = Second::default();
-        for node in nodes {
-            let (before, after) = (&pair[0].1[*node], &pair[1].1[*node]);
-            let (bytes, messages) = (
-                after.bytes_out - before.bytes_out,
-                after.messages_out - before.messages_out,
-            );
-            role.bytes_out_per_s_max = role.bytes_out_per_s_max.max(bytes as f64 / seconds);
-            role.messages_per_s_max = role.messages_per_s_max.max(messages as f64 / seconds);
-            sum.bytes_out += bytes;
-            sum.messages_out += messages;
-            sum.bytes_in += after.bytes_in - before.bytes_in;
-            sum.messages_in += after.messages_in - before.messages_in;
-            sum.cpu += after.cpu_us.saturating_sub(before.cpu_us) as f64 / 1e6 / seconds;
-            sum.rss_mb += after.rss_kb as f64 / 1024.0;
+
+    fn add_second(&mut self, before: &Sample, after: &Sample, nodes: &[usize]) {
+        let seconds = after.at_s - before.at_s;
+        let mut sum = RoleSecond::default();
+        for &node in nodes {
+            let added = after.nodes[node].since(&before.nodes[node]);
+            let bytes_per_s = added.bytes_out as f64 / seconds;
+            let messages_per_s = added.messages_out as f64 / seconds;
+            self.bytes_out_per_s_max = self.bytes_out_per_s_max.max(bytes_per_s);
+            self.messages_per_s_max = self.messages_per_s_max.max(messages_per_s);
+            sum.bytes_out += added.bytes_out;
+            sum.messages_out += added.messages_out;
+            sum.bytes_in += added.bytes_in;
+            sum.messages_in += added.messages_in;
+            sum.cpu += added.cpu_seconds() / seconds;
+            sum.rss_mb += added.rss_mb();
         }
-        role.seconds.push(sum);
+        self.seconds.push(sum);
     }
-    let all = nodes.len() as f64;
-    for node in nodes {
-        let (before, after) = (&first.1[*node], &last.1[*node]);
-        let bytes = (after.bytes_out - before.bytes_out) as f64 / span;
-        let cpu = after.cpu_us.saturating_sub(before.cpu_us) as f64 / 1e6 / span;
-        role.bytes_out_per_s_busiest = role.bytes_out_per_s_busiest.max(bytes);
-        role.bytes_out_per_s_mean += bytes / all;
-        role.bytes_in_per_s_mean += (after.bytes_in - before.bytes_in) as f64 / span / all;
-        role.messages_per_s_mean += (after.messages_out - before.messages_out) as f64 / span / all;
-        role.cpu_share_max = role.cpu_share_max.max(cpu);
-        role.cpu_share_mean += cpu / all;
-        role.rss_mb_max = role.rss_mb_max.max(after.rss_kb as f64 / 1024.0);
+
+    fn add_span(&mut self, first: &Sample, last: &Sample, nodes: &[usize]) {
+        let span_s = last.at_s - first.at_s;
+        let node_count = nodes.len() as f64;
+        for &node in nodes {
+            let added = last.nodes[node].since(&first.nodes[node]);
+            let bytes_out_per_s = added.bytes_out as f64 / span_s;
+            let bytes_in_per_s = added.bytes_in as f64 / span_s;
+            let messages_per_s = added.messages_out as f64 / span_s;
+            let cpu_share = added.cpu_seconds() / span_s;
+            self.bytes_out_per_s_busiest = self.bytes_out_per_s_busiest.max(bytes_out_per_s);
+            self.bytes_out_per_s_mean += bytes_out_per_s / node_count;
+            self.bytes_in_per_s_mean += bytes_in_per_s / node_count;
+            self.messages_per_s_mean += messages_per_s / node_count;
+            self.cpu_share_max = self.cpu_share_max.max(cpu_share);
+            self.cpu_share_mean += cpu_share / node_count;
+            self.rss_mb_max = self.rss_mb_max.max(added.rss_mb());
+        }
     }
-    role
 }
 
-/// How long something took to hold at 50 and 99 in 100 nodes, and at all of them, in milliseconds.
+/// How long something took to reach 50 and 99 in 100 nodes, and all of them, in milliseconds: the worst of several
+/// measurements.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
-pub struct Held {
-    /// How often it was measured; what follows is the worst of those.
-    pub times: usize,
-    /// At 50 in 100.
-    pub p50: f64,
-    /// At 99 in 100.
-    pub p99: f64,
-    /// At all.
-    pub all: f64,
-    /// Nodes that did not hold it before the run gave up, over all times.
-    pub missing: usize,
+pub struct PropagationTimes {
+    /// Number of measurements.
+    #[serde(rename = "times")]
+    pub measurement_count: usize,
+    /// Until it had reached 50 in 100 nodes.
+    #[serde(rename = "p50")]
+    pub p50_ms: f64,
+    /// Until it had reached 99 in 100 nodes.
+    #[serde(rename = "p99")]
+    pub p99_ms: f64,
+    /// Until it had reached all nodes.
+    #[serde(rename = "all")]
+    pub all_ms: f64,
+    /// Nodes that it had not reached before the run gave up, over all measurements.
+    #[serde(rename = "missing")]
+    pub missing_count: usize,
 }
 
-impl Held {
-    /// One more measurement.
-    pub fn add(&mut self, after_ms: &[f64], missing: usize) {
-        let Ok(mut histogram) = Histogram::<u64>::new_with_bounds(1, 10_000_000_000, 3) else {
+impl PropagationTimes {
+    /// Adds a measurement: the times of the nodes that were reached, and the number of the others.
+    pub fn add(&mut self, reached_ms: &[f64], missing_count: usize) {
+        let histogram = Histogram::<u64>::new_with_bounds(1, MAX_PROPAGATION_US, 3);
+        let Ok(mut histogram) = histogram else {
             return;
         };
-        for ms in after_ms {
-            histogram.saturating_record((ms * 1000.0) as u64);
+        for ms in reached_ms {
+            histogram.saturating_record((ms * US_PER_MS) as u64);
         }
-        let at = |part: f64| histogram.value_at_quantile(part) as f64 / 1000.0;
-        self.times += 1;
-        self.missing += missing;
-        self.p50 = self.p50.max(at(0.5));
-        self.p99 = self.p99.max(at(0.99));
-        self.all = self.all.max(histogram.max() as f64 / 1000.0);
+        let quantile_ms = |quantile| histogram.value_at_quantile(quantile) as f64 / US_PER_MS;
+        let max_ms = histogram.max() as f64 / US_PER_MS;
+        self.measurement_count += 1;
+        self.missing_count += missing_count;
+        self.p50_ms = self.p50_ms.max(quantile_ms(0.5));
+        self.p99_ms = self.p99_ms.max(quantile_ms(0.99));
+        self.all_ms = self.all_ms.max(max_ms);
     }
 }
 
-/// See the module.
+/// What came of a run.
 #[derive(Clone, Debug, Serialize)]
 pub struct Outcome {
-    /// All nodes, and those of them that are processes of the program.
-    pub nodes: usize,
-    /// See `nodes`.
-    pub real: usize,
-    /// How many of them the operator's file names.
-    pub expected: usize,
-    /// The seed, the part that is lost, and the seconds that were measured.
+    /// Number of all nodes.
+    #[serde(rename = "nodes")]
+    pub node_count: usize,
+    /// Number of those that are real processes.
+    #[serde(rename = "real")]
+    pub real_count: usize,
+    /// Number of nodes that the operator's file named.
+    #[serde(rename = "expected")]
+    pub expected_count: usize,
+    /// The seed.
     pub seed: u64,
-    /// See `seed`.
-    pub loss: f64,
-    /// See `seed`.
-    pub seconds: f64,
-    /// The commit of neither: this build's version.
+    /// The ratio of messages that were lost on purpose.
+    #[serde(rename = "loss")]
+    pub loss_ratio: f64,
+    /// How long costs were measured, in seconds.
+    #[serde(rename = "seconds")]
+    pub measured_s: f64,
+    /// This build's version.
     pub version: &'static str,
-    /// How long it took until all took part, in seconds.
+    /// Seconds until all nodes followed one leader.
     pub settle_s: f64,
-    /// The same until no more votes were to change.
+    /// Seconds until the number of voters was reduced.
     pub votes_s: f64,
-    /// Voters at the end, and the leader.
+    /// Names of the voters at the end.
     pub voters: Vec<String>,
-    /// See `voters`.
+    /// Name of the leader at the end.
     pub leader: String,
-    /// By role.
-    pub roles: BTreeMap<&'static str, Role>,
-    /// Until a change of the whole held.
-    pub change_ms: Held,
-    /// Until a death was known.
-    pub death_ms: Held,
-    /// As uses arrived.
+    /// Costs by role.
+    pub roles: BTreeMap<&'static str, RoleCost>,
+    /// Until nodes knew a change of the budget's limit.
+    #[serde(rename = "change_ms")]
+    pub change_times: PropagationTimes,
+    /// Until nodes knew of a death.
+    #[serde(rename = "death_ms")]
+    pub death_times: PropagationTimes,
+    /// Budgets as nodes reported their uses.
     pub budgets: Vec<BudgetReport>,
-    /// Rules of the budget that were broken.
-    pub broken: Vec<String>,
-    /// Datagrams lost on purpose and parts of streams held back; what the doors could not tell apart.
-    pub lost: u64,
-    /// See `lost`.
-    pub unknown: u64,
+    /// Violated rules of the budgets.
+    #[serde(rename = "broken")]
+    pub violations: Vec<String>,
+    /// Datagrams that were lost and parts of streams that were held up on purpose.
+    #[serde(rename = "lost")]
+    pub lost_count: u64,
+    /// What the proxies could not assign to a sender, or not decode.
+    #[serde(rename = "unknown")]
+    pub unknown_count: u64,
 }
 
 #[cfg(test)]
--- a/crates/scale/src/progress.rs
+++ b/crates/scale/src/progress.rs
@@ -1,98 +1,145 @@
-//! What is known of all nodes while a run goes on, without I/O: how each stands, and since when it holds what is awaited.
+//! What is known of all nodes while a run goes on, without I/O: their last reports, and since when they have reached the
+//! present goal.
 
-use crate::hollow_host::Line;
+use crate::error::RunError;
+use crate::hollow_host::NodeReport;
 use std::collections::BTreeMap;
 
-/// How one node stands.
+/// What is known of one node.
 #[derive(Clone, Debug, Default)]
-pub struct Stand {
-    /// Its last line.
-    pub line: Line,
-    /// Since when it holds what is awaited, in Unix microseconds.
-    pub holds: Option<u64>,
+pub struct NodeProgress {
+    /// Its last report.
+    pub report: NodeReport,
+    /// Since when it has reached the goal, in Unix microseconds.
+    reached_at_us: Option<u64>,
 }
 
-/// What is awaited.
+/// What nodes are to reach.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Awaited {
-    /// The whole of the budget is this.
-    Whole(u32),
-    /// The watched node is known not to live.
-    Death,
+pub enum Goal {
+    /// They know this limit of the budget.
+    BudgetLimit(u32),
+    /// They know that the watched node is dead.
+    DeathKnown,
 }
 
-/// See the module.
+impl Goal {
+    fn is_reached(&self, report: &NodeReport) -> bool {
+        match self {
+            Goal::BudgetLimit(limit) => report.budget_limit == *limit,
+            Goal::DeathKnown => !report.is_watched_alive,
+        }
+    }
+}
+
+/// Uses of the budget by one node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct BudgetUse {
+    /// When they were reported, in Unix microseconds.
+    pub at_us: u64,
+    /// Their number.
+    pub count: u32,
+}
+
+/// How long nodes took to reach a goal.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ReachTimes {
+    /// Of each node that has reached it, in milliseconds.
+    pub reached_ms: Vec<f64>,
+    /// The nodes that have not.
+    pub missing: Vec<usize>,
+}
+
+/// What is known of all nodes.
 #[derive(Debug, Default)]
-pub struct Ledger {
-    stands: BTreeMap<usize, Stand>,
-    awaited: Option<Awaited>,
-    /// Uses of the budget: when, and how many.
-    pub uses: Vec<(u64, u32)>,
-    /// Processes that have ended before their time.
-    pub ended: Vec<String>,
+pub struct ClusterProgress {
+    nodes: BTreeMap<usize, NodeProgress>,
+    goal: Option<Goal>,
+    budget_uses: Vec<BudgetUse>,
+    failure: Option<RunError>,
 }
 
-impl Ledger {
-    /// A node has said how it stands.
-    pub fn take(&mut self, line: Line) {
-        if line.used > 0 {
-            self.uses.push((line.at_us, line.used));
+impl ClusterProgress {
+    /// Takes a node's report.
+    pub fn record(&mut self, report: NodeReport) {
+        if report.use_count > 0 {
+            self.budget_uses.push(BudgetUse {
+                at_us: report.at_us,
+                count: report.use_count,
+            });
         }
-        let stand = self.stands.entry(line.node).or_default();
-        let holds = match self.awaited {
-            Some(Awaited::Whole(whole)) => line.whole == whole,
-            Some(Awaited::Death) => !line.watched_lives,
-            None => false,
-        };
-        if holds {
-            stand.holds.get_or_insert(line.at_us);
+        let node = self.nodes.entry(report.node).or_default();
+        let goal = self.goal.as_ref();
+        if goal.is_some_and(|goal| goal.is_reached(&report)) {
+            node.reached_at_us.get_or_insert(report.at_us);
         }
-        stand.line = line;
+        node.report = report;
     }
 
-    /// Awaits something anew: what nodes hold already of it is known by their next lines.
-    pub fn await_anew(&mut self, awaited: Awaited) {
-        self.awaited = Some(awaited);
-        self.stands
-            .values_mut()
-            .for_each(|stand| stand.holds = None);
+    /// Sets a new goal: who has reached it already is known by the next reports.
+    pub fn set_goal(&mut self, goal: Goal) {
+        self.goal = Some(goal);
+        for node in self.nodes.values_mut() {
+            node.reached_at_us = None;
+        }
     }
 
-    /// A node that is not there any more.
+    /// Forgets a node that is no longer there.
     pub fn forget(&mut self, node: usize) {
-        self.stands.remove(&node);
+        self.nodes.remove(&node);
     }
 
-    /// How a node stands.
-    pub fn stand(&self, node: usize) -> Option<&Stand> {
-        self.stands.get(&node)
+    /// What is known of one node.
+    pub fn node(&self, node: usize) -> Option<&NodeProgress> {
+        self.nodes.get(&node)
     }
 
-    /// All nodes that have said something.
-    pub fn stands(&self) -> impl Iterator<Item = (usize, &Stand)> {
-        self.stands.iter().map(|(node, stand)| (*node, stand))
+    /// The last reports of all nodes.
+    pub fn reports(&self) -> impl Iterator<Item = &NodeReport> {
+        self.nodes.values().map(|node| &node.report)
     }
 
-    /// How long after `since` each node held it, in milliseconds; the nodes that do not hold it yet.
-    pub fn held_after(&self, since_us: u64) -> (Vec<f64>, Vec<usize>) {
-        let (mut after, mut missing) = (Vec::new(), Vec::new());
-        for (node, stand) in &self.stands {
-            match stand.holds {
-                Some(at) => after.push(at.saturating_sub(since_us) as f64 / 1000.0),
-                None => missing.push(*node),
+    /// How long after `since_us` each node has reached the goal.
+    pub fn reach_times(&self, since_us: u64) -> ReachTimes {
+        let mut times = ReachTimes::default();
+        for (number, node) in &self.nodes {
+            match node.reached_at_us {
+                Some(at_us) => {
+                    let elapsed_us = at_us.saturating_sub(since_us);
+                    times.reached_ms.push(elapsed_us as f64 / 1000.0);
+                }
+                None => times.missing.push(*number),
             }
         }
-        (after, missing)
+        times
     }
 
-    /// Nodes that do not yet take part with one leader and count all others, of `all`.
-    pub fn unsettled(&self, all: usize) -> Vec<usize> {
-        let settled = |node: &usize| {
-            self.stands.get(node).is_some_and(|stand| {
-                stand.line.led && stand.line.whole > 0 && stand.line.alive == all
+    /// Those of the first `node_count` nodes that do not follow a leader yet, or do not count all others.
+    pub fn unsettled_nodes(&self, node_count: usize) -> Vec<usize> {
+        let is_settled = |node: &usize| {
+            self.nodes.get(node).is_some_and(|node| {
+                let report = &node.report;
+                report.has_leader && report.budget_limit > 0 && report.living_count == node_count
             })
         };
-        (0..all).filter(|node| !settled(node)).collect()
+        (0..node_count).filter(|node| !is_settled(node)).collect()
+    }
+
+    /// All uses of the budget, by time.
+    pub fn sorted_budget_uses(&self) -> Vec<BudgetUse> {
+        let mut uses = self.budget_uses.clone();
+        uses.sort_unstable();
+        uses
+    }
+
+    /// Records that a process has failed; the first failure counts.
+    pub fn fail(&mut self, error: RunError) {
+        self.failure.get_or_insert(error);
+    }
+
+    /// The first failure of a process.
+    pub fn take_failure(&mut self) -> Option<RunError> {
+        self.failure.take()
     }
 }
 
--- a/crates/scale/src/regression.rs
+++ b/crates/scale/src/regression.rs
@@ -1,107 +1,206 @@
-//! Lines through measurements, without I/O.
+//! Regression of figures against the size of the cluster, without I/O.
 
-use serde::Serialize;
 use serde_json::Value;
 
-/// A line by least squares, and how well it holds.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
-pub struct Line {
-    /// y = base + slope n.
+/// A figure at one size.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Point {
+    /// Number of nodes.
+    pub size: f64,
+    /// The figure.
+    pub value: f64,
+}
+
+impl Point {
+    /// A figure at this size.
+    pub fn new(size: f64, value: f64) -> Point {
+        Point { size, value }
+    }
+}
+
+/// `base + slope * size` by least squares, with a power law for comparison.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LinearFit {
+    /// The value at size 0.
     pub base: f64,
-    /// See `base`.
+    /// What each node adds.
     pub slope: f64,
-    /// The root of the mean square of what the line misses, as a part of the mean.
+    /// Root mean square of the differences, as a ratio of the mean.
     pub residual: f64,
-    /// y grows with this power of n, by a line through the logarithms; none where a value is not above 0.
-    pub power: Option<f64>,
-    /// See `residual`, of that one.
-    pub power_residual: Option<f64>,
+    /// The power law through the same points; none where a value is not above 0.
+    pub power_law: Option<PowerLaw>,
 }
 
-/// Base and slope.
-fn least_squares(points: &[(f64, f64)]) -> Option<(f64, f64)> {
-    let count = points.len() as f64;
-    let mean = |of: fn(&(f64, f64)) -> f64| points.iter().map(of).sum::<f64>() / count;
-    let (x, y) = (mean(|point| point.0), mean(|point| point.1));
-    let spread: f64 = points.iter().map(|point| (point.0 - x).powi(2)).sum();
-    let both: f64 = points
-        .iter()
-        .map(|point| (point.0 - x) * (point.1 - y))
-        .sum();
-    (spread > 0.0).then(|| (y - both / spread * x, both / spread))
+/// A power of the size, by least squares of the logarithms.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PowerLaw {
+    /// The value grows with this power of the size.
+    pub exponent: f64,
+    /// As that of [`LinearFit`].
+    pub residual: f64,
 }
 
-fn missed(points: &[(f64, f64)], line: impl Fn(f64) -> f64) -> f64 {
-    let count = points.len() as f64;
-    let square: f64 = points.iter().map(|(n, y)| (y - line(*n)).powi(2)).sum();
-    let mean = points.iter().map(|point| point.1).sum::<f64>() / count;
-    (square / count).sqrt() / mean.abs().max(f64::MIN_POSITIVE)
+/// `size * (base + slope * size)` by least squares: what each node adds grows with the size itself, as where each is told
+/// of each.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuadraticFit {
+    /// What each node adds at size 0.
+    pub base: f64,
+    /// How much more each node adds per node.
+    pub slope: f64,
+    /// As that of [`LinearFit`].
+    pub residual: f64,
 }
 
-/// n (base + slope n): what each node adds grows with the size itself, as where each is told of each. Base, slope and what it
-/// misses as a part of the mean.
-pub fn square(points: &[(f64, f64)]) -> Option<(f64, f64, f64)> {
-    let each: Vec<(f64, f64)> = points
-        .iter()
-        .filter(|(n, _)| *n > 0.0)
-        .map(|(n, y)| (*n, y / n))
-        .collect();
-    let (base, slope) = least_squares(&each)?;
-    Some((base, slope, missed(points, |n| n * (base + slope * n))))
+impl LinearFit {
+    /// Fits points of at least two sizes.
+    pub fn new(points: &[Point]) -> Option<LinearFit> {
+        let line = Line::fit(points)?;
+        Some(LinearFit {
+            base: line.base,
+            slope: line.slope,
+            residual: residual(points, |size| line.at(size)),
+            power_law: PowerLaw::new(points),
+        })
+    }
+
+    /// The value at a size.
+    pub fn at(&self, size: f64) -> f64 {
+        self.base + self.slope * size
+    }
+}
+
+impl PowerLaw {
+    fn new(points: &[Point]) -> Option<PowerLaw> {
+        let logarithms: Vec<Point> = points
+            .iter()
+            .filter(|point| point.size > 0.0 && point.value > 0.0)
+            .map(|point| Point::new(point.size.ln(), point.value.ln()))
+            .collect();
+        if logarithms.len() != points.len() {
+            return None;
+        }
+        let line = Line::fit(&logarithms)?;
+        Some(PowerLaw {
+            exponent: line.slope,
+            residual: residual(points, |size| line.at(size.ln()).exp()),
+        })
+    }
 }
 
-/// The line through these points; at least two sizes are needed.
-pub fn line(points: &[(f64, f64)]) -> Option<Line> {
-    let (base, slope) = least_squares(points)?;
-    let logs: Vec<(f64, f64)> = points
+impl QuadraticFit {
+    /// Fits points of at least two sizes.
+    pub fn new(points: &[Point]) -> Option<QuadraticFit> {
+        let per_node: Vec<Point> = points
+            .iter()
+            .filter(|point| point.size > 0.0)
+            .map(|point| Point::new(point.size, point.value / point.size))
+            .collect();
+        let line = Line::fit(&per_node)?;
+        Some(QuadraticFit {
+            base: line.base,
+            slope: line.slope,
+            residual: residual(points, |size| size * line.at(size)),
+        })
+    }
+
+    /// The value at a size.
+    pub fn at(&self, size: f64) -> f64 {
+        size * (self.base + self.slope * size)
+    }
+}
+
+/// A line by least squares.
+struct Line {
+    base: f64,
+    slope: f64,
+}
+
+impl Line {
+    fn fit(points: &[Point]) -> Option<Line> {
+        let count = points.len() as f64;
+        let mean_size = points.iter().map(|point| point.size).sum::<f64>() / count;
+        let mean_value = points.iter().map(|point| point.value).sum::<f64>() / count;
+        let variance: f64 = points
+            .iter()
+            .map(|point| (point.size - mean_size).powi(2))
+            .sum();
+        let covariance: f64 = points
+            .iter()
+            .map(|point| (point.size - mean_size) * (point.value - mean_value))
+            .sum();
+        (variance > 0.0).then(|| Line {
+            base: mean_value - covariance / variance * mean_size,
+            slope: covariance / variance,
+        })
+    }
+
+    fn at(&self, size: f64) -> f64 {
+        self.base + self.slope * size
+    }
+}
+
+/// Root mean square of what a law misses, as a ratio of the mean.
+fn residual(points: &[Point], law: impl Fn(f64) -> f64) -> f64 {
+    let count = points.len() as f64;
+    let squares = points
         .iter()
-        .filter(|(n, y)| *n > 0.0 && *y > 0.0)
-        .map(|(n, y)| (n.ln(), y.ln()))
-        .collect();
-    let power = if logs.len() == points.len() {
-        least_squares(&logs)
-    } else {
-        None
-    };
-    Some(Line {
-        base,
-        slope,
-        residual: missed(points, |n| base + slope * n),
-        power: power.map(|(_, power)| power),
-        power_residual: power
-            .map(|(base, power)| missed(points, |n| (base + power * n.ln()).exp())),
-    })
+        .map(|point| (point.value - law(point.size)).powi(2));
+    let square_sum: f64 = squares.sum();
+    let mean = points.iter().map(|point| point.value).sum::<f64>() / count;
+    (square_sum / count).sqrt() / mean.abs().max(f64::MIN_POSITIVE)
 }
 
-/// What is fitted: role and figure, by the names in a run's file.
-pub const FIGURES: [(&str, &str); 14] = [
-    ("leader", "bytes_out_per_s_mean"),
-    ("leader", "messages_per_s_mean"),
-    ("leader", "cpu_share_mean"),
-    ("control", "bytes_out_per_s_mean"),
-    ("control", "cpu_share_mean"),
-    ("seed", "bytes_out_per_s_mean"),
-    ("seed", "cpu_share_mean"),
-    ("node", "bytes_out_per_s_mean"),
-    ("node", "cpu_share_mean"),
-    ("node", "rss_mb_max"),
-    ("hollow-node", "bytes_out_per_s_mean"),
-    ("hollow-node", "messages_per_s_mean"),
-    ("hollow-node", "cpu_share_mean"),
-    ("hollow-node", "rss_mb_max"),
-];
+/// A figure of a role, by the names in outcome files.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Figure {
+    /// The role.
+    pub role: &'static str,
+    /// The figure.
+    pub name: &'static str,
+}
+
+impl Figure {
+    /// A figure of a role.
+    pub const fn new(role: &'static str, name: &'static str) -> Figure {
+        Figure { role, name }
+    }
 
-/// The points of one figure in several runs' files; runs in which nobody had the role are left out.
-pub fn points(runs: &[Value], role: &str, figure: &str) -> Vec<(f64, f64)> {
-    let point = |run: &Value| {
-        let of = &run["roles"][role];
-        let there = of["processes"].as_u64().unwrap_or(0) > 0;
-        there
-            .then(|| Some((run["nodes"].as_f64()?, of[figure].as_f64()?)))
-            .flatten()
-    };
-    runs.iter().filter_map(point).collect()
+    /// Its points in several outcomes. Those in which no node had the role are left out.
+    pub fn points(&self, outcomes: &[Value]) -> Vec<Point> {
+        outcomes
+            .iter()
+            .filter_map(|outcome| self.point(outcome))
+            .collect()
+    }
+
+    fn point(&self, outcome: &Value) -> Option<Point> {
+        let role = &outcome["roles"][self.role];
+        if role["processes"].as_u64().unwrap_or(0) == 0 {
+            return None;
+        }
+        let size = outcome["nodes"].as_f64()?;
+        Some(Point::new(size, role[self.name].as_f64()?))
+    }
 }
 
+/// The figures that are fitted.
+pub const FITTED_FIGURES: [Figure; 14] = [
+    Figure::new("leader", "bytes_out_per_s_mean"),
+    Figure::new("leader", "messages_per_s_mean"),
+    Figure::new("leader", "cpu_share_mean"),
+    Figure::new("control", "bytes_out_per_s_mean"),
+    Figure::new("control", "cpu_share_mean"),
+    Figure::new("seed", "bytes_out_per_s_mean"),
+    Figure::new("seed", "cpu_share_mean"),
+    Figure::new("node", "bytes_out_per_s_mean"),
+    Figure::new("node", "cpu_share_mean"),
+    Figure::new("node", "rss_mb_max"),
+    Figure::new("hollow-node", "bytes_out_per_s_mean"),
+    Figure::new("hollow-node", "messages_per_s_mean"),
+    Figure::new("hollow-node", "cpu_share_mean"),
+    Figure::new("hollow-node", "rss_mb_max"),
+];
+
 #[cfg(test)]
 mod tests;
--- a/crates/scale/src/topology.rs
+++ b/crates/scale/src/topology.rs
@@ -1,132 +1,152 @@
-//! Who is part of a run: names, addresses, and what each is told.
+//! The nodes of a run: their names, addresses and configuration.
 
+use lupincrank_fault_injection::node_process::AddressBlock;
 use serde_json::{json, Value};
 use std::fmt::Write;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, SocketAddr};
 
-/// What a real node is told beside its fleet.
-const EXAMPLE: &str = include_str!("../../../examples/config.json");
-/// Real nodes have addresses of their own, as in the trials; hollow ones and doors have ports.
-const FLEET: u16 = 7400;
+/// The configuration that a node's is made from.
+const EXAMPLE_CONFIG: &str = include_str!("../../../examples/config.json");
+/// The port for other nodes at the address of each real one.
+const CLUSTER_PORT: u16 = 7400;
+/// Hollow nodes and proxies share an address each, with ports from this on.
 const FIRST_PORT: u16 = 10_000;
-const ZONES: usize = 3;
-/// The first so many nodes are asked first by all.
-pub const SEEDS: usize = 3;
+const UNUSED_HOST: u8 = 251;
+const PROXY_HOST: u8 = 252;
+const HOLLOW_HOST: u8 = 253;
+const ZONE_COUNT: usize = 3;
+/// The first so many nodes are seeds.
+pub const SEED_COUNT: usize = 3;
+/// Spreads the run's seed over its nodes.
+const NODE_SEED_MULTIPLIER: u64 = 1_000_003;
 
-/// All nodes of a run: the real ones first, whose names come first in any order by name.
+/// All nodes of a run, by number: first the real ones, whose names also come first in the order of names.
 #[derive(Clone, Debug)]
-pub struct Place {
-    /// Real processes.
-    pub real: usize,
-    /// Hollow nodes.
-    pub hollow: usize,
-    /// How many of them the operator's file names.
-    pub expected: usize,
+pub struct Topology {
+    /// Number of real processes.
+    pub real_count: usize,
+    /// Number of hollow nodes.
+    pub hollow_count: usize,
+    /// Number of nodes that the operator's file names.
+    pub expected_count: usize,
     /// The block of loopback addresses.
-    pub block: (u8, u8),
-    /// The whole of the cold budget.
-    pub whole: u32,
+    pub address_block: AddressBlock,
+    /// The limit of the warm-up budget.
+    pub budget_limit: u32,
 }
 
-impl Place {
-    /// All nodes.
-    pub fn all(&self) -> usize {
-        self.real + self.hollow
+impl Topology {
+    /// Number of all nodes.
+    pub fn node_count(&self) -> usize {
+        self.real_count + self.hollow_count
     }
 
-    /// The name of one.
+    /// Whether a node is a real process.
+    fn is_real(&self, node: usize) -> bool {
+        node < self.real_count
+    }
+
+    /// A node's name.
     pub fn name(&self, node: usize) -> String {
-        if node < self.real {
+        if self.is_real(node) {
             format!("a{node:02}")
         } else {
-            format!("h{:04}", node - self.real)
+            format!("h{:04}", node - self.real_count)
         }
     }
 
-    /// Its zone.
+    /// A node's zone.
     pub fn zone(&self, node: usize) -> String {
-        format!("zone{}", node % ZONES)
+        format!("zone{}", node % ZONE_COUNT)
     }
 
-    /// The address of a real node.
+    /// A real node's address.
     pub fn ip(&self, node: usize) -> IpAddr {
-        IpAddr::V4(Ipv4Addr::new(
-            127,
-            self.block.0,
-            self.block.1,
-            1 + node as u8,
-        ))
+        self.address_block.address(1 + node as u8)
     }
 
-    /// Where it takes datagrams and links.
-    pub fn fleet(&self, node: usize) -> SocketAddr {
-        if node < self.real {
-            return SocketAddr::new(self.ip(node), FLEET);
+    /// The address at which a node listens for others.
+    pub fn cluster_address(&self, node: usize) -> SocketAddr {
+        if self.is_real(node) {
+            return SocketAddr::new(self.ip(node), CLUSTER_PORT);
         }
-        SocketAddr::from((
-            [127, self.block.0, self.block.1, 253],
-            FIRST_PORT + node as u16,
-        ))
+        self.numbered_address(HOLLOW_HOST, node)
+    }
+
+    /// The address of the proxy by which others reach a node.
+    pub fn proxy_address(&self, node: usize) -> SocketAddr {
+        self.numbered_address(PROXY_HOST, node)
     }
 
-    /// Where all others reach it.
-    pub fn door(&self, node: usize) -> SocketAddr {
-        SocketAddr::from((
-            [127, self.block.0, self.block.1, 252],
-            FIRST_PORT + node as u16,
-        ))
+    fn numbered_address(&self, host: u8, node: usize) -> SocketAddr {
+        SocketAddr::new(self.address_block.address(host), FIRST_PORT + node as u16)
     }
 
     /// A node's configuration.
-    pub fn config(&self, node: usize, seed: u64) -> Result<Value, String> {
-        let mut config: Value = serde_json::from_str(EXAMPLE).map_err(|error| error.to_string())?;
-        let ip = self.ip(if node < self.real { node } else { 251 });
-        let told = json!({
-            "name": self.name(node), "listen": format!("{ip}:8000"), "management": format!("{ip}:8001"),
-            // Nobody is there: a run is of control alone.
-            "discovery": format!("{ip}:9"),
-            "seed": format!("{:x}", seed.wrapping_mul(1_000_003).wrapping_add(node as u64)),
-        });
-        for (key, value) in told.as_object().into_iter().flatten() {
-            config[key] = value.clone();
-        }
+    ///
+    /// # Errors
+    ///
+    /// If the example is not JSON.
+    pub fn config(&self, node: usize, seed: u64) -> serde_json::Result<Value> {
+        let mut config: Value = serde_json::from_str(EXAMPLE_CONFIG)?;
+        let ip = if self.is_real(node) {
+            self.ip(node)
+        } else {
+            self.address_block.address(UNUSED_HOST)
+        };
+        let node_seed = seed
+            .wrapping_mul(NODE_SEED_MULTIPLIER)
+            .wrapping_add(node as u64);
+        config["name"] = json!(self.name(node));
+        config["listen"] = json!(format!("{ip}:8000"));
+        config["management"] = json!(format!("{ip}:8001"));
+        // Nobody listens there: a run is of the control plane alone.
+        config["discovery"] = json!(format!("{ip}:9"));
+        config["seed"] = json!(format!("{node_seed:x}"));
         Ok(config)
     }
 
-    /// The operator's file; a hollow node's address and zone come by its environment.
-    pub fn operator(&self, node: Option<usize>) -> String {
-        let names: Vec<String> = (0..self.expected)
+    /// The operator's file of a real node, or that of all hollow ones, whose address and zone are in their environment.
+    pub fn operator_file(&self, real_node: Option<usize>) -> String {
+        let mut text = String::new();
+        // Writing to a string can't fail.
+        let _ = self.write_operator_file(&mut text, real_node);
+        text
+    }
+
+    fn write_operator_file(&self, text: &mut String, real_node: Option<usize>) -> std::fmt::Result {
+        let expected = 0..self.expected_count;
+        let names: Vec<String> = expected
             .map(|node| format!("\"{}\"", self.name(node)))
             .collect();
-        let mut text = format!(
-            "[fleet]\nname = \"scale\"\nnodes = [{}]\n",
-            names.join(", ")
-        );
-        if let Some(node) = node {
-            let _ = writeln!(
-                text,
-                "listen = \"{}\"\nzone = \"{}\"",
-                self.fleet(node),
-                self.zone(node)
-            );
+        writeln!(text, "[fleet]\nname = \"scale\"")?;
+        writeln!(text, "nodes = [{}]", names.join(", "))?;
+        if let Some(node) = real_node {
+            writeln!(text, "listen = \"{}\"", self.cluster_address(node))?;
+            writeln!(text, "zone = \"{}\"", self.zone(node))?;
         }
-        text.push_str("[fleet.seeds]\n");
-        for node in 0..SEEDS.min(self.expected) {
-            let _ = writeln!(text, "{} = \"{}\"", self.name(node), self.door(node));
+        writeln!(text, "[fleet.seeds]")?;
+        for node in 0..SEED_COUNT.min(self.expected_count) {
+            writeln!(
+                text,
+                "{} = \"{}\"",
+                self.name(node),
+                self.proxy_address(node)
+            )?;
         }
-        text.push_str("[fleet.via]\n");
-        for node in 0..self.all() {
-            let _ = writeln!(text, "\"{}\" = \"{}\"", self.fleet(node), self.door(node));
+        writeln!(text, "[fleet.via]")?;
+        for node in 0..self.node_count() {
+            let address = self.cluster_address(node);
+            writeln!(text, "\"{address}\" = \"{}\"", self.proxy_address(node))?;
         }
-        let _ = write!(text, "[budgets.cold]\nwhole = {}\n", self.whole);
-        text
+        writeln!(text, "[budgets.cold]\nwhole = {}", self.budget_limit)
     }
 
-    /// What a hollow node's environment says.
-    pub fn variable(&self, node: usize, name: &str) -> Option<String> {
+    /// The value of a variable in a hollow node's environment.
+    pub fn environment_variable(&self, node: usize, name: &str) -> Option<String> {
         match name {
             "RELAY_NAME" => Some(self.name(node)),
-            "RELAY_FLEET" => Some(self.fleet(node).to_string()),
+            "RELAY_FLEET" => Some(self.cluster_address(node).to_string()),
             "RELAY_ZONE" => Some(self.zone(node)),
             _ => None,
         }
--- a/crates/scale/tests/runs.rs
+++ b/crates/scale/tests/runs.rs
@@ -31,10 +31,10 @@
 #[case::no_program(&["--nodes", "10", "--program", "/nowhere"], "--program: \"/nowhere\" is no file")]
 fn bad_input_names_its_place(#[case] more: &[&str], #[case] why: &str) {
     let output = scale(&[&["run"], more].concat());
-    let told = String::from_utf8_lossy(&output.stderr).into_owned();
+    let stderr = String::from_utf8_lossy(&output.stderr).into_owned();
     assert!(
-        output.status.code() == Some(2) && told.contains(why),
-        "{:?}: {told}",
+        output.status.code() == Some(2) && stderr.contains(why),
+        "{:?}: {stderr}",
         output.status
     );
 }
@@ -44,10 +44,10 @@
 #[case::not_json(concat!(env!("CARGO_MANIFEST_DIR"), "/tests/runs.rs"), "runs.rs: expected value")]
 fn a_file_that_is_no_outcome_is_named(#[case] file: &str, #[case] why: &str) {
     let output = scale(&["fit", file]);
-    let told = String::from_utf8_lossy(&output.stderr).into_owned();
+    let stderr = String::from_utf8_lossy(&output.stderr).into_owned();
     assert!(
-        output.status.code() == Some(2) && told.contains(why),
-        "{told}"
+        output.status.code() == Some(2) && stderr.contains(why),
+        "{stderr}"
     );
 }
 
@@ -76,10 +76,10 @@
         .arg(&program)
         .output()
         .unwrap();
-    let told = String::from_utf8_lossy(&output.stderr).into_owned();
+    let stderr = String::from_utf8_lossy(&output.stderr).into_owned();
     assert!(
         output.status.success(),
-        "{:?}: {told}{}",
+        "{:?}: {stderr}{}",
         output.status,
         String::from_utf8_lossy(&output.stdout)
     );
@@ -89,7 +89,7 @@
         (outcome["nodes"].as_u64(), outcome["real"].as_u64()),
         (Some(20), Some(12))
     );
-    assert_eq!(outcome["unknown"], 0, "the doors know all that goes by");
+    assert_eq!(outcome["unknown"], 0, "the proxies know all traffic");
     let figure = |role: &str, name: &str| outcome["roles"][role][name].as_f64().unwrap();
     // Five vote, whichever they are: of the nine real ones that are no seeds, and of the eight hollow ones, some are left.
     for name in ["messages_per_s_mean", "bytes_out_per_s_mean"] {
