--- a/crates/budgets/src/lib.rs
+++ b/crates/budgets/src/lib.rs
@@ -1,6 +1,8 @@
-//! How a budget of the whole fleet is divided among its nodes, without I/O: what each has used and was refused comes in,
-//! slices go out. Who holds what, and until when, is agreed in `lupincrank-council`, which cuts down what would pass
-//! the capacity: nothing here has to be right for that.
+//! Division of a fleet-wide budget among the nodes that share it, without I/O: what each node has used and what was
+//! rejected there comes in, lease limits come out.
+//!
+//! Which node holds which lease, and until when, is agreed on in `lupincrank-control`. That crate also cuts grants that
+//! would exceed the capacity, so safety does not depend on the division.
 
 #![forbid(unsafe_code)]
 
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -156,7 +156,7 @@
             // One that has not asked this leader yet is taken to demand what it has.
             Claim {
                 demand: self.demands.get(id).copied().unwrap_or(holds),
-                holding: holds,
+                current_limit: holds,
             }
         };
         let claims: Vec<Claim> = holders.iter().map(claim).collect();
