--- a/crates/budgets/src/divide.rs
+++ b/crates/budgets/src/divide.rs
@@ -33,12 +33,12 @@
         .iter()
         .zip(demanded_shares)
         .zip(spare_shares)
-        .map(|((claim, demanded), spare)| next_limit(claim, demanded + spare))
+        .map(|((claim, demanded), spare)| next_limit(*claim, demanded + spare))
         .collect()
 }
 
 /// A holder's next limit on the way to its target.
-fn next_limit(claim: &Claim, target: u32) -> u32 {
+fn next_limit(claim: Claim, target: u32) -> u32 {
     if target < claim.current_limit {
         shrunk_limit(claim, target)
     } else {
@@ -47,7 +47,7 @@
 }
 
 /// Units in use are given up in steps, unused ones at once.
-fn shrunk_limit(claim: &Claim, target: u32) -> u32 {
+fn shrunk_limit(claim: Claim, target: u32) -> u32 {
     let current = claim.current_limit;
     let is_small_change = current - target <= current / HYSTERESIS_DIVISOR;
     if is_small_change && claim.demand > 0 {
@@ -57,7 +57,7 @@
     target.max(kept_in_use)
 }
 
-fn grown_limit(claim: &Claim, target: u32) -> u32 {
+fn grown_limit(claim: Claim, target: u32) -> u32 {
     let current = claim.current_limit;
     let is_large_change = target - current > current / HYSTERESIS_DIVISOR;
     if is_large_change || claim.demand > current {
--- a/crates/budgets/src/divide/tests.rs
+++ b/crates/budgets/src/divide/tests.rs
@@ -40,7 +40,7 @@
 ) {
     assert_eq!(
         next_limit(
-            &Claim {
+            Claim {
                 demand,
                 current_limit
             },
--- /dev/null
+++ b/crates/control/src/control_node/bootstrap.rs
@@ -0,0 +1,199 @@
+//! Bootstrap of a control group, and joining one.
+//!
+//! A node that has joined no group and has the lowest name of all that are alive asks the others. Once a majority of all
+//! expected nodes has answered that they know of none either, it forms a group with all expected nodes as voters.
+//!
+//! Two bootstraps can't both act: each would need a majority of the expected nodes, and an incarnation takes part in one
+//! group only, the one with the greater [`ClusterId`]. What can't be told from a first start is a majority that restarted
+//! from nothing while the rest is cut off.
+
+use super::{ControlNode, Participation};
+use crate::lease_granter::LeaseGranter;
+use crate::member::{Bootstrap, ClusterId, Member, MemberId};
+use crate::member_tracker::MemberTracker;
+use crate::message::{ControlMessage, LogEvent};
+use crate::raft_log::{LogStorage, RaftLog, RaftLogStart};
+use crate::state::ClusterState;
+use lupincrank_placement::Timestamp;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// How often other nodes are asked for their group, or told of a new one.
+const BOOTSTRAP_QUERY_INTERVAL: Duration = Duration::from_millis(500);
+/// How long an answer counts.
+const BOOTSTRAP_ANSWER_TTL: Duration = Duration::from_secs(2);
+/// The epoch of a group that is formed by the nodes themselves.
+const FIRST_EPOCH: u64 = 1;
+
+/// Progress towards a group: answers of others, and the group that this node has formed.
+#[derive(Default)]
+pub(super) struct BootstrapProgress {
+    answers: BTreeMap<MemberId, BootstrapAnswer>,
+    /// The group that this node has formed, while it has no leader.
+    announced: Option<Bootstrap>,
+    /// When the others were last asked or told.
+    last_sent_at: Option<Timestamp>,
+}
+
+/// The answer to a query.
+struct BootstrapAnswer {
+    received_at: Timestamp,
+    knows_cluster: bool,
+}
+
+impl BootstrapProgress {
+    pub(super) fn on_answer(&mut self, now: Timestamp, from: MemberId, known: Option<ClusterId>) {
+        let answer = BootstrapAnswer {
+            received_at: now,
+            knows_cluster: known.is_some(),
+        };
+        self.answers.insert(from, answer);
+    }
+
+    /// Whether this node announces a group that it has formed.
+    pub(super) fn is_announcing(&self) -> bool {
+        self.announced.is_some()
+    }
+
+    fn drop_old_answers(&mut self, now: Timestamp) {
+        self.answers.retain(|_, answer| {
+            now.saturating_duration_since(answer.received_at) < BOOTSTRAP_ANSWER_TTL
+        });
+    }
+
+    fn is_send_due(&self, now: Timestamp) -> bool {
+        self.last_sent_at.is_none_or(|sent_at| {
+            now.saturating_duration_since(sent_at) >= BOOTSTRAP_QUERY_INTERVAL
+        })
+    }
+
+    fn is_cluster_known(&self) -> bool {
+        self.answers.values().any(|answer| answer.knows_cluster)
+    }
+}
+
+impl ControlNode {
+    /// Asks the others for their group, and forms one if enough of them know of none.
+    pub(super) fn try_bootstrap(&mut self, now: Timestamp) {
+        self.bootstrap_progress.drop_old_answers(now);
+        if !self.has_lowest_name() || !self.bootstrap_progress.is_send_due(now) {
+            return;
+        }
+        self.bootstrap_progress.last_sent_at = Some(now);
+        self.send_to_others(&ControlMessage::ClusterQuery);
+        let uptime = now.saturating_duration_since(self.started_at);
+        if self.bootstrap_progress.is_cluster_known() || uptime < self.config.bootstrap_grace {
+            return;
+        }
+        let present = self.present_expected_members();
+        if present.len() * 2 > self.config.expected_nodes.len() {
+            let bootstrap = self.first_bootstrap(present);
+            self.form_cluster(now, bootstrap);
+        }
+    }
+
+    /// One incarnation for each expected name that has answered, this node included.
+    fn present_expected_members(&self) -> Vec<Member> {
+        let has_answered = |member: &&Member| {
+            member.id == self.local_member.id
+                || self.bootstrap_progress.answers.contains_key(&member.id)
+        };
+        // Of several incarnations of one name only the last has a vote.
+        let by_name: BTreeMap<&str, &Member> = self
+            .alive
+            .values()
+            .filter(has_answered)
+            .filter(|member| self.config.expected_nodes.contains(&member.name))
+            .map(|member| (member.name.as_str(), member))
+            .collect();
+        by_name.into_values().cloned().collect()
+    }
+
+    /// All expected nodes are voters; ids for those that are absent are derived from this incarnation's own.
+    fn first_bootstrap(&self, present: Vec<Member>) -> Bootstrap {
+        let absent_count = (self.config.expected_nodes.len() - present.len()) as u64;
+        let mut voters: Vec<MemberId> = present.iter().map(|member| member.id).collect();
+        for offset in 1..=absent_count {
+            voters.push(self.local_member.id.wrapping_add(offset).max(1));
+        }
+        Bootstrap {
+            cluster_id: ClusterId {
+                epoch: FIRST_EPOCH,
+                bootstrap_id: self.local_member.id,
+            },
+            voters,
+            members: present,
+            capacity: self.config.capacity,
+        }
+    }
+
+    /// Forms a group and announces it from the next tick on.
+    pub(super) fn form_cluster(&mut self, now: Timestamp, bootstrap: Bootstrap) {
+        self.log_event(LogEvent::Bootstrapping(bootstrap.cluster_id));
+        self.join_bootstrap(now, &bootstrap);
+        self.bootstrap_progress.announced = Some(bootstrap);
+        self.bootstrap_progress.last_sent_at = None;
+    }
+
+    /// Announces the group that this node has formed until there is a leader.
+    pub(super) fn repeat_bootstrap(&mut self, now: Timestamp) {
+        let Some(bootstrap) = &self.bootstrap_progress.announced else {
+            return;
+        };
+        let is_leaderless = self
+            .log()
+            .is_some_and(|log| log.cluster_id() == bootstrap.cluster_id && log.leader().is_none());
+        if !is_leaderless {
+            self.bootstrap_progress.announced = None;
+        } else if self.bootstrap_progress.is_send_due(now) {
+            let announcement = ControlMessage::Bootstrap(bootstrap.clone());
+            self.bootstrap_progress.last_sent_at = Some(now);
+            self.send_to_others(&announcement);
+        }
+    }
+
+    /// Joins a group that was formed with this node as a voter. Others are added by the group's leader.
+    pub(super) fn join_bootstrap(&mut self, now: Timestamp, bootstrap: &Bootstrap) {
+        if !bootstrap.voters.contains(&self.local_member.id) {
+            return;
+        }
+        let state = ClusterState::bootstrap(bootstrap);
+        let Ok(data) = postcard::to_stdvec(&state) else {
+            return;
+        };
+        if let Ok(storage) = LogStorage::bootstrap(&bootstrap.voters, data) {
+            self.join_cluster(now, bootstrap.cluster_id, storage, state);
+        }
+    }
+
+    /// Takes part in this group from now on, and in no other.
+    pub(super) fn join_cluster(
+        &mut self,
+        now: Timestamp,
+        cluster_id: ClusterId,
+        storage: LogStorage,
+        state: ClusterState,
+    ) {
+        let former = match std::mem::replace(&mut self.participation, Participation::NotJoined) {
+            Participation::Joined(log) => Some(log),
+            Participation::NotJoined | Participation::Disqualified => None,
+        };
+        let start = RaftLogStart {
+            local_id: self.local_member.id,
+            cluster_id,
+            storage,
+            state,
+            former,
+            durability: self.durability,
+        };
+        let Ok(mut log) = RaftLog::start(start) else {
+            return;
+        };
+        log.write_start(&mut self.actions);
+        self.lease_client.revoke(now);
+        self.lease_granter = LeaseGranter::default();
+        self.member_tracker = MemberTracker::default();
+        self.participation = Participation::Joined(Box::new(log));
+        self.log_event(LogEvent::JoinedCluster(cluster_id));
+    }
+}
--- a/crates/control/src/durable.rs
+++ b/crates/control/src/durable.rs
@@ -1,7 +1,7 @@
-//! What of the log survives a process, where a folder is configured: which writes have to be on the disk, in which order,
-//! and what they add up to. How they get there is not known here.
+//! The part of the log that survives a process, if it is configured to: which writes must reach stable storage, in which
+//! order, and what they add up to. How they are stored is up to the caller.
 
-use crate::member::ClusterId;
+use crate::member::{ClusterId, MemberId};
 use std::collections::BTreeMap;
 
 /// A snapshot as it is stored.
@@ -22,51 +22,46 @@
     pub bytes: Vec<u8>,
 }
 
-/// One step of the log. Writes are carried out in their order, each whole or not at all, and synced before it is said that
-/// they are done.
+/// One atomic write. Writes are carried out in order, and synced before they are reported as completed. The fields apply
+/// in the order in which they stand here.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct LogWrite {
-    /// Message back once this is on the disk; each has a higher one.
+    /// Reported back when the write is completed; each write has a higher one.
     pub sequence: u64,
-    /// Another council: all of the one before goes.
+    /// The node joins this control group: all that was stored of another one is deleted.
     pub starts_cluster: Option<ClusterId>,
-    /// All entries go: they contradict the snapshot that came.
+    /// Deletes all entries: a received snapshot replaces them.
     pub clears_entries: bool,
-    /// A snapshot and the last entry that is in it; entries up to that one go.
+    /// Replaces the snapshot, and deletes the entries that it includes.
     pub snapshot: Option<StoredSnapshot>,
-    /// Term and vote.
+    /// Replaces term and vote, as protobuf.
     pub hard_state: Option<Vec<u8>>,
-    /// Entries by their places, one after the other; what stands behind the first goes.
+    /// Consecutive entries; those stored from the first one's index on are replaced.
     pub entries: Vec<StoredEntry>,
 }
 
-/// What the processes of one identity have left.
+/// What is stored of one incarnation.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct DurableState {
-    /// The id of the incarnation that goes on.
-    pub member_id: u64,
-    /// Processes that have begun with it, this one included: 1 for the first.
+    /// The incarnation.
+    pub member_id: MemberId,
+    /// The number of processes that have run as this incarnation, the current one included.
     pub start_count: u32,
-    /// The council it takes part in.
+    /// The control group that it has joined.
     pub cluster_id: Option<ClusterId>,
-    /// The latest snapshot.
+    /// The latest snapshot, as protobuf.
     pub snapshot: Option<Vec<u8>>,
-    /// Term and vote.
+    /// Term and vote, as protobuf.
     pub hard_state: Option<Vec<u8>>,
-    /// Entries behind the snapshot, by place.
+    /// The entries after the snapshot by index, as protobuf.
     pub entries: BTreeMap<u64, Vec<u8>>,
 }
 
 impl DurableState {
-    /// As it is after a write.
+    /// Applies a write.
     pub fn apply(&mut self, write: &LogWrite) {
-        if let Some(stamp) = write.starts_cluster {
-            *self = DurableState {
-                member_id: self.member_id,
-                start_count: self.start_count,
-                cluster_id: Some(stamp),
-                ..DurableState::default()
-            };
+        if let Some(cluster_id) = write.starts_cluster {
+            self.start_cluster(cluster_id);
         }
         if write.clears_entries {
             self.entries.clear();
@@ -75,14 +70,27 @@
             self.snapshot = Some(snapshot.bytes.clone());
             self.entries = self.entries.split_off(&(snapshot.last_index + 1));
         }
-        if let Some(first) = write.entries.first() {
+        self.replace_entries(&write.entries);
+        if let Some(hard_state) = &write.hard_state {
+            self.hard_state = Some(hard_state.clone());
+        }
+    }
+
+    fn start_cluster(&mut self, cluster_id: ClusterId) {
+        *self = DurableState {
+            member_id: self.member_id,
+            start_count: self.start_count,
+            cluster_id: Some(cluster_id),
+            ..DurableState::default()
+        };
+    }
+
+    fn replace_entries(&mut self, entries: &[StoredEntry]) {
+        if let Some(first) = entries.first() {
             self.entries.split_off(&first.index);
         }
-        for entry in &write.entries {
+        for entry in entries {
             self.entries.insert(entry.index, entry.bytes.clone());
         }
-        if let Some(hard) = &write.hard_state {
-            self.hard_state = Some(hard.clone());
-        }
     }
 }
--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -1,38 +1,56 @@
-//! What stands in the replicated log.
+//! Entries of the replicated log.
 
+use crate::member::MemberId;
 use serde::{Deserialize, Serialize};
 
-/// One entry. Members come and go with the log's own changes of its voters and learners.
+/// An entry of the replicated log. Members are added and removed by Raft's own configuration changes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Entry {
-    /// Slices for nodes that asked.
+    /// Leases for members that asked for them.
     LeasesGranted(Vec<Grant>),
-    /// By the leader's clock these grants (holder, number) are surely over.
-    LeasesExpired(Vec<(u64, u64)>),
-    /// The capacity of the cold budget from here on.
+    /// Leases that have expired by the leader's clock, with its margin of safety.
+    LeasesExpired(Vec<GrantId>),
+    /// Another capacity of the budget.
     CapacityChanged(u32),
 }
 
 impl Entry {
-    /// One line for people, as the printed log has always shown it.
+    /// One line for operators. The printed log has had this text from the first version on.
     pub(crate) fn description(&self) -> String {
         match self {
             Entry::LeasesGranted(grants) => format!("{} grants", grants.len()),
-            Entry::LeasesExpired(grants) => format!("Over({grants:?})"),
+            Entry::LeasesExpired(grants) => describe_expired(grants),
             Entry::CapacityChanged(capacity) => format!("Capacity({capacity})"),
         }
     }
 }
 
-/// One slice for one incarnation of a node.
+fn describe_expired(grants: &[GrantId]) -> String {
+    let pairs: Vec<_> = grants
+        .iter()
+        .map(|grant| (grant.holder, grant.request_number))
+        .collect();
+    format!("Over({pairs:?})")
+}
+
+/// Identifies one grant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct GrantId {
+    /// The member that holds the lease.
+    pub holder: MemberId,
+    /// The number of the request that was granted.
+    pub request_number: u64,
+}
+
+/// A lease for one member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Grant {
-    /// Whose.
-    pub holder: u64,
-    /// The number of its request: it takes no grant but the one that answers its latest.
+    /// The member that holds the lease.
+    pub holder: MemberId,
+    /// The number of its request. A holder accepts only the grant of its latest request.
     pub request_number: u64,
-    /// What it may still have in use, by earlier grants, as of that request.
+    /// The units that earlier leases of the holder may still have in use, as of that request.
     pub in_use: u32,
-    /// What it may use once it has this.
+    /// The units that the holder may use under this lease.
     pub limit: u32,
 }
--- /dev/null
+++ b/crates/control/src/lease/holder.rs
@@ -0,0 +1,194 @@
+//! The holder's side of a lease.
+
+use super::{LeaseRequest, LeaseTerms};
+use lupincrank_budgets::demand::BudgetUsage;
+use lupincrank_placement::Timestamp;
+use std::collections::VecDeque;
+
+/// Request numbers start at the start count shifted by this, so that each process's numbers are above those of the
+/// processes before it. At one request a renewal the numbers between two starts last for years.
+const START_COUNT_SHIFT: u32 = 32;
+/// The number of past leases that are remembered. Beyond it the oldest is merged into the next one.
+const MAX_PAST_LEASES: usize = 64;
+
+/// What a node may use of the budget.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UsageLimit {
+    /// The units that may be used within any accounting window, the floor included.
+    pub limit: u32,
+    /// When the lease in it expires, by the holder's clock; the floor alone never does.
+    pub expires_at: Option<Timestamp>,
+}
+
+/// A lease that was granted, and when it ended or will.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct GrantedLease {
+    limit: u32,
+    ends_at: Timestamp,
+}
+
+impl GrantedLease {
+    /// Whether usage under it may still count.
+    fn counts_at(&self, now: Timestamp, terms: &LeaseTerms) -> bool {
+        now.saturating_duration_since(self.ends_at) < terms.accounting_window
+    }
+}
+
+/// The holder's side of a lease: sends requests, accepts grants and knows what may be used.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct LeaseHolder {
+    floor: u32,
+    floor_available_at: Timestamp,
+    request_number: u64,
+    requested_at: Option<Timestamp>,
+    current: Option<GrantedLease>,
+    past: VecDeque<GrantedLease>,
+    /// No request is made before: what an earlier process of this incarnation used still counts, and would add up with
+    /// what this one uses.
+    first_request_at: Option<Timestamp>,
+    /// The lease was given back for good, and the floor with it.
+    is_retired: bool,
+}
+
+impl LeaseHolder {
+    /// A holder without a lease. Its floor is available after one accounting window: what the previous incarnation of the
+    /// same name used of it still counts until then.
+    ///
+    /// `start_count` is the number of processes that have run as this incarnation, 0 without persistence. From the second
+    /// one on, the first request waits until nothing counts that an earlier process used.
+    pub fn new(terms: &LeaseTerms, now: Timestamp, floor: u32, start_count: u32) -> LeaseHolder {
+        let floor_available_at = now.saturating_add(terms.accounting_window);
+        LeaseHolder {
+            floor,
+            floor_available_at,
+            request_number: u64::from(start_count) << START_COUNT_SHIFT,
+            first_request_at: (start_count > 1).then_some(floor_available_at),
+            ..LeaseHolder::default()
+        }
+    }
+
+    /// Gives back lease and floor, and accepts no further grant.
+    pub fn retire(&mut self, now: Timestamp) {
+        self.revoke(now);
+        self.is_retired = true;
+    }
+
+    /// The units that may be used without a lease.
+    pub fn floor(&self, now: Timestamp) -> u32 {
+        if now < self.floor_available_at || self.is_retired {
+            0
+        } else {
+            self.floor
+        }
+    }
+
+    /// The units that may be used now: those of the lease and the floor.
+    pub fn limit(&self, now: Timestamp) -> UsageLimit {
+        let floor = self.floor(now);
+        match self.current {
+            Some(lease) if now < lease.ends_at => UsageLimit {
+                limit: floor.saturating_add(lease.limit),
+                expires_at: Some(lease.ends_at),
+            },
+            _ => UsageLimit {
+                limit: floor,
+                expires_at: None,
+            },
+        }
+    }
+
+    /// Whether the next request is due. It is due sooner if `usage` was limited.
+    pub fn should_request(&self, terms: &LeaseTerms, now: Timestamp, usage: &BudgetUsage) -> bool {
+        if self.is_retired || self.first_request_at.is_some_and(|first| now < first) {
+            return false;
+        }
+        let interval = if usage.was_limited {
+            terms.renew_interval_under_pressure
+        } else {
+            terms.renew_interval
+        };
+        self.requested_at
+            .is_none_or(|requested_at| now.saturating_duration_since(requested_at) >= interval)
+    }
+
+    /// Makes a request. Grants of earlier requests are void from here on, whenever they arrive.
+    pub fn next_request(
+        &mut self,
+        terms: &LeaseTerms,
+        now: Timestamp,
+        demand: u32,
+    ) -> LeaseRequest {
+        self.request_number += 1;
+        self.requested_at = Some(now);
+        self.past.retain(|lease| lease.counts_at(now, terms));
+        LeaseRequest {
+            request_number: self.request_number,
+            in_use: self.max_in_use(terms, now),
+            demand,
+        }
+    }
+
+    /// The highest limit under which usage may still count.
+    fn max_in_use(&self, terms: &LeaseTerms, now: Timestamp) -> u32 {
+        // An expired lease stays the current one until another is granted, and counts for a window after its end.
+        let current = self.current.filter(|lease| lease.counts_at(now, terms));
+        current
+            .iter()
+            .chain(&self.past)
+            .map(|lease| lease.limit)
+            .max()
+            .unwrap_or(0)
+    }
+
+    /// Takes in a grant; returns whether it was accepted.
+    pub fn on_grant(
+        &mut self,
+        terms: &LeaseTerms,
+        now: Timestamp,
+        request_number: u64,
+        limit: u32,
+    ) -> bool {
+        if request_number != self.request_number {
+            return false;
+        }
+        let Some(requested_at) = self.requested_at else {
+            return false;
+        };
+        let ends_at = requested_at.saturating_add(terms.lease_duration);
+        // The grant may have waited, on its way or in a frozen process, for longer than the lease lasts.
+        if now >= ends_at {
+            return false;
+        }
+        self.replace_current(now, Some(GrantedLease { limit, ends_at }));
+        true
+    }
+
+    /// Drops the lease: the group that granted it is fenced off, or this node stops using it.
+    pub fn revoke(&mut self, now: Timestamp) {
+        // A grant that is on its way is no answer to the latest request any more.
+        self.request_number += 1;
+        self.replace_current(now, None);
+    }
+
+    fn replace_current(&mut self, now: Timestamp, lease: Option<GrantedLease>) {
+        let replaced = std::mem::replace(&mut self.current, lease);
+        if let Some(replaced) = replaced {
+            self.past.push_back(GrantedLease {
+                limit: replaced.limit,
+                ends_at: replaced.ends_at.min(now),
+            });
+        }
+        self.merge_oldest();
+    }
+
+    /// Bounds the number of past leases without losing the highest limit.
+    fn merge_oldest(&mut self) {
+        if self.past.len() <= MAX_PAST_LEASES {
+            return;
+        }
+        let oldest = self.past.pop_front();
+        if let (Some(oldest), Some(next)) = (oldest, self.past.front_mut()) {
+            next.limit = next.limit.max(oldest.limit);
+        }
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,25 +1,30 @@
-//! What the nodes of a fleet agree on, without I/O: time, messages and who lives come in, messages and grants go out.
+//! The control group of a fleet, without I/O: a replicated log of members and budget leases.
 //!
-//! The few facts that all must hold alike stand in a replicated log ([`entry`]) and lead to one [`state`]. The log is
-//! carried by the `raft` crate, which [`council`] drives. No disk survives a machine, so a voter's vote is as mortal as
-//! its process, unless a folder is configured ([`durable`]): each incarnation has an identity of its own ([`member`]), and [`voters`]
-//! lets a new incarnation in only after the old one of that name is out. [`lease`] has both clocks of a lease, the holder's and the granter's.
+//! Time, messages and the members that are alive come in, messages and writes go out. The few facts that all nodes must
+//! agree on are [`entry`]s of a log that the `raft` crate replicates; applied in order they lead to one [`state`].
+//! [`ControlNode`] drives it.
+//!
+//! Machines lose their disks, so a vote lasts no longer than the process that gave it, unless stable storage is
+//! configured ([`durable`]). Each incarnation of a node therefore has an identity of its own ([`member`]), and a new one
+//! is added only after the old one of its name is removed. [`lease`] has both sides of a lease, holder and granter.
 
 #![forbid(unsafe_code)]
 
-mod council;
+mod control_node;
 pub mod durable;
 pub mod entry;
 mod error;
-mod leader;
 pub mod lease;
-mod log;
+mod lease_client;
+mod lease_granter;
 pub mod member;
+mod member_tracker;
+mod membership;
 pub mod message;
+mod raft_log;
 pub mod state;
 pub mod status;
-mod store;
-pub mod voters;
 
-pub use council::{ControlConfig, ControlNode, TICK_INTERVAL};
+pub use control_node::{ControlConfig, ControlNode, TICK_INTERVAL};
 pub use error::ControlError;
+pub use membership::MembershipChange;
--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -1,152 +1,248 @@
-//! Which members vote, and what is changed next. One change at a time: the log takes no second before the first stands.
+//! Which members of the control group vote, and the next change of its configuration.
+//!
+//! Changes are made one at a time: Raft accepts none before the one before it is applied.
 
-use crate::member::Member;
+use crate::member::{Member, MemberId};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// One change of who takes part.
+/// A change of the configuration.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Change {
-    /// This incarnation is out.
-    Remove(u64),
-    /// It learns the log and has no vote.
-    Learn(Member),
-    /// A learner gets a vote.
-    Vote(u64),
-    /// A voter becomes a learner.
-    Unvote(u64),
+pub enum MembershipChange {
+    /// Removes an incarnation.
+    Remove(MemberId),
+    /// Adds an incarnation that receives the log and has no vote.
+    AddLearner(Member),
+    /// Gives a learner a vote.
+    Promote(MemberId),
+    /// Makes a voter a learner.
+    Demote(MemberId),
 }
 
-/// Who takes part now.
+/// The configuration of the control group.
 #[derive(Clone, Debug, Default)]
-pub struct Parts {
-    /// With a vote.
-    pub voters: BTreeSet<u64>,
-    /// Without.
-    pub learners: BTreeSet<u64>,
+pub(crate) struct GroupConfiguration {
+    pub(crate) voters: BTreeSet<MemberId>,
+    pub(crate) learners: BTreeSet<MemberId>,
 }
 
-/// How an incarnation stands.
+impl GroupConfiguration {
+    /// Voters, then learners.
+    pub(crate) fn all(&self) -> impl Iterator<Item = MemberId> + '_ {
+        self.voters.iter().chain(&self.learners).copied()
+    }
+
+    pub(crate) fn contains(&self, id: MemberId) -> bool {
+        self.voters.contains(&id) || self.learners.contains(&id)
+    }
+}
+
+/// Whether a member can be relied on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Liveness {
-    /// It is there.
-    Stays,
-    /// It is there and answers, but not for long.
-    Leaves,
-    /// It is not heard.
-    No,
+pub(crate) enum Liveness {
+    Alive,
+    /// Alive, but shutting down.
+    Leaving,
+    Unreachable,
 }
 
-/// What a leader knows of the others.
-pub struct View<'a> {
-    /// How each stands.
-    pub liveness: &'a dyn Fn(u64) -> Liveness,
-    /// Dead for long enough to be taken out.
-    pub gone: &'a dyn Fn(u64) -> bool,
-    /// Has nearly all of the log: a vote without it makes a majority that can't go on.
-    pub caught: &'a dyn Fn(u64) -> bool,
-    /// Has answered the leader lately, or is the leader.
-    pub hears: &'a dyn Fn(u64) -> bool,
+/// What the leader has observed of one member.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct MemberObservation {
+    pub(crate) liveness: Liveness,
+    /// Unreachable for long enough to be removed.
+    pub(crate) is_removal_due: bool,
+    /// Has nearly all of the log: promoting one that has not makes a majority that can't commit.
+    pub(crate) is_caught_up: bool,
+    /// Is the leader, or has answered it lately.
+    pub(crate) is_responsive: bool,
 }
 
-impl View<'_> {
-    /// Whether those that answer are a majority of these voters. Guards against a change that can be made and nothing after
-    /// it: one that ends is taken out while another one has just died and membership does not know it yet.
-    fn can_go_on(&self, voters: impl Iterator<Item = u64>) -> bool {
-        let (all, heard) = voters.fold((0, 0), |(all, heard), id| {
-            (all + 1, heard + usize::from((self.hears)(id)))
-        });
-        heard * 2 > all
-    }
+/// What the next change is decided on.
+pub(crate) struct MembershipView<'a> {
+    /// The leader, which decides. It is neither removed nor demoted: there would be no leader to make the next change.
+    pub(crate) leader: MemberId,
+    pub(crate) configuration: &'a GroupConfiguration,
+    /// The members as the replicated state has them.
+    pub(crate) members: &'a BTreeMap<MemberId, Member>,
+    /// The members that are alive as membership sees it.
+    pub(crate) alive: &'a BTreeMap<MemberId, Member>,
+    /// Of all that are in the configuration or alive.
+    pub(crate) observations: &'a BTreeMap<MemberId, MemberObservation>,
 }
 
-/// How many votes there should be among so many that live.
-pub fn wanted(alive: usize) -> usize {
-    match alive {
+/// The number of votes that a group with so many reliable members should have.
+fn target_voter_count(alive_count: usize) -> usize {
+    match alive_count {
         0..=2 => 1,
         3..=4 => 3,
         _ => 5,
     }
 }
 
-/// The next change, if one is due. `members` are those that the log knows and `alive` those that membership does.
-///
-/// The rule that keeps votes apart: an incarnation is let in only once no other incarnation of its name takes part. `me` leads and is
-/// neither removed nor unvoted, or there would be no leader to make the next change.
-pub fn next(
-    me: u64,
-    parts: &Parts,
-    members: &BTreeMap<u64, Member>,
-    alive: &BTreeMap<u64, Member>,
-    view: &View,
-) -> Option<Change> {
-    let liveness = view.liveness;
-    let stays = |id: &u64| liveness(*id) == Liveness::Stays;
-    let without = |out: u64| view.can_go_on(parts.voters.iter().copied().filter(|id| *id != out));
-    let all = || parts.voters.iter().chain(&parts.learners);
-    // Votes first: each that can't be given makes a majority harder to reach.
-    if let Some(dead) = all().find(|id| {
-        **id != me && liveness(**id) == Liveness::No && (view.gone)(**id) && without(**id)
-    }) {
-        return Some(Change::Remove(*dead));
-    }
-    let taken: BTreeSet<&str> = all()
-        .filter_map(|id| members.get(id))
-        .map(|member| member.name.as_str())
-        .collect();
-    // Another incarnation of a name that still takes part waits until the old one is out.
-    let fresh = alive.values().find(|member| {
-        !parts.voters.contains(&member.id)
-            && !parts.learners.contains(&member.id)
-            && !taken.contains(member.name.as_str())
-            && stays(&member.id)
-    });
-    if let Some(member) = fresh {
-        return Some(Change::Learn(member.clone()));
-    }
-    let votes: Vec<u64> = parts.voters.iter().copied().filter(stays).collect();
-    let able = all().filter(|id| stays(id)).count();
-    let wanted = wanted(able);
-    let zone = |id: &u64| members.get(id).map_or("", |member| member.zone.as_str());
-    let in_zone = |at: &str| votes.iter().filter(|id| zone(id) == at).count();
-    if votes.len() < wanted {
+impl MembershipView<'_> {
+    /// The next change, if one is due.
+    ///
+    /// Each step comes after those that make a majority easier to reach: unreachable voters go first. An incarnation is
+    /// added only once no other incarnation of its name is in the configuration, which keeps their votes apart.
+    pub(crate) fn next_change(&self) -> Option<MembershipChange> {
+        self.remove_unreachable()
+            .or_else(|| self.add_learner())
+            .or_else(|| self.promote())
+            // A leaving member that still answers helps to give its own vote to another, so it is removed after that.
+            .or_else(|| self.remove_leaving())
+            .or_else(|| self.demote_surplus())
+            .or_else(|| self.demote_for_zone_balance())
+    }
+
+    fn remove_unreachable(&self) -> Option<MembershipChange> {
+        let is_due = |id: MemberId| {
+            self.liveness(id) == Liveness::Unreachable
+                && self
+                    .observations
+                    .get(&id)
+                    .is_some_and(|observation| observation.is_removal_due)
+        };
+        self.configuration
+            .all()
+            .find(|id| is_due(*id) && self.is_removable(*id))
+            .map(MembershipChange::Remove)
+    }
+
+    fn add_learner(&self) -> Option<MembershipChange> {
+        let names_in_use: BTreeSet<&str> = self
+            .configuration
+            .all()
+            .filter_map(|id| self.members.get(&id))
+            .map(|member| member.name.as_str())
+            .collect();
+        self.alive
+            .values()
+            .find(|member| {
+                !self.configuration.contains(member.id)
+                    && !names_in_use.contains(member.name.as_str())
+                    && self.is_reliable(member.id)
+            })
+            .map(|member| MembershipChange::AddLearner(member.clone()))
+    }
+
+    fn promote(&self) -> Option<MembershipChange> {
+        if self.reliable_voters().count() >= self.target_voter_count() {
+            return None;
+        }
+        let is_caught_up = |id: MemberId| {
+            self.observations
+                .get(&id)
+                .is_some_and(|observation| observation.is_caught_up)
+        };
         // The zone with the fewest votes first, then by name: every leader would choose the same.
-        let name = |id: &u64| members.get(id).map_or("", |member| member.name.as_str());
-        let next = parts
-            .learners
-            .iter()
-            .filter(|id| stays(id) && (view.caught)(**id));
-        let next = next.min_by_key(|id| (in_zone(zone(id)), name(id)));
-        let with = |next: u64| view.can_go_on(parts.voters.iter().copied().chain([next]));
-        if let Some(next) = next.filter(|next| with(**next)) {
-            return Some(Change::Vote(*next));
+        let candidate = self
+            .reliable_learners()
+            .filter(|id| is_caught_up(*id))
+            .min_by_key(|id| (self.votes_in_zone(self.zone(*id)), self.name(*id)))?;
+        let voters = self.configuration.voters.iter().copied();
+        self.has_responsive_majority(voters.chain([candidate]))
+            .then_some(MembershipChange::Promote(candidate))
+    }
+
+    fn remove_leaving(&self) -> Option<MembershipChange> {
+        self.configuration
+            .all()
+            .find(|id| self.liveness(*id) == Liveness::Leaving && self.is_removable(*id))
+            .map(MembershipChange::Remove)
+    }
+
+    fn demote_surplus(&self) -> Option<MembershipChange> {
+        if !self.are_all_voters_reliable()
+            || self.reliable_voters().count() <= self.target_voter_count()
+        {
+            return None;
         }
+        self.reliable_voters()
+            .filter(|id| self.is_removable(*id))
+            .max_by_key(|id| (self.votes_in_zone(self.zone(*id)), *id))
+            .map(MembershipChange::Demote)
     }
-    // One that ends and still answers helps to give its own vote to another, so it goes after that.
-    if let Some(leaving) =
-        all().find(|id| **id != me && liveness(**id) == Liveness::Leaves && without(**id))
-    {
-        return Some(Change::Remove(*leaving));
-    }
-    if votes.len() > wanted && votes.len() == parts.voters.len() {
-        let extra = votes.iter().filter(|id| **id != me && without(**id));
-        return extra
-            .max_by_key(|id| (in_zone(zone(id)), **id))
-            .map(|id| Change::Unvote(*id));
-    }
-    // A zone without a vote gets one from the zone that has the most, once there is one to spare.
-    if votes.len() == parts.voters.len() && wanted > 1 {
-        let missing = parts
-            .learners
-            .iter()
-            .filter(|id| stays(id))
-            .find(|id| in_zone(zone(id)) == 0)?;
-        let crowded = votes
-            .iter()
-            .filter(|id| **id != me)
-            .max_by_key(|id| (in_zone(zone(id)), **id))?;
-        if in_zone(zone(crowded)) > 1 && !zone(missing).is_empty() && without(*crowded) {
-            return Some(Change::Unvote(*crowded));
+
+    /// A zone without a vote gets one from the zone that has the most, which must keep one.
+    fn demote_for_zone_balance(&self) -> Option<MembershipChange> {
+        if !self.are_all_voters_reliable() || self.target_voter_count() <= 1 {
+            return None;
         }
+        let without_vote = self
+            .reliable_learners()
+            .find(|id| self.votes_in_zone(self.zone(*id)) == 0)?;
+        let surplus = self
+            .reliable_voters()
+            .filter(|id| *id != self.leader)
+            .max_by_key(|id| (self.votes_in_zone(self.zone(*id)), *id))?;
+        let is_spare = self.votes_in_zone(self.zone(surplus)) > 1;
+        (is_spare && !self.zone(without_vote).is_empty() && self.is_removable(surplus))
+            .then_some(MembershipChange::Demote(surplus))
+    }
+
+    fn liveness(&self, id: MemberId) -> Liveness {
+        self.observations
+            .get(&id)
+            .map_or(Liveness::Unreachable, |observation| observation.liveness)
+    }
+
+    fn is_reliable(&self, id: MemberId) -> bool {
+        self.liveness(id) == Liveness::Alive
+    }
+
+    fn reliable_voters(&self) -> impl Iterator<Item = MemberId> + '_ {
+        let voters = self.configuration.voters.iter().copied();
+        voters.filter(|id| self.is_reliable(*id))
+    }
+
+    fn reliable_learners(&self) -> impl Iterator<Item = MemberId> + '_ {
+        let learners = self.configuration.learners.iter().copied();
+        learners.filter(|id| self.is_reliable(*id))
+    }
+
+    fn are_all_voters_reliable(&self) -> bool {
+        self.reliable_voters().count() == self.configuration.voters.len()
+    }
+
+    fn target_voter_count(&self) -> usize {
+        let reliable = self.configuration.all().filter(|id| self.is_reliable(*id));
+        target_voter_count(reliable.count())
+    }
+
+    fn zone(&self, id: MemberId) -> &str {
+        self.members
+            .get(&id)
+            .map_or("", |member| member.zone.as_str())
+    }
+
+    fn name(&self, id: MemberId) -> &str {
+        self.members
+            .get(&id)
+            .map_or("", |member| member.name.as_str())
+    }
+
+    fn votes_in_zone(&self, zone: &str) -> usize {
+        self.reliable_voters()
+            .filter(|id| self.zone(*id) == zone)
+            .count()
+    }
+
+    /// Whether the group can go on without this member's vote.
+    fn is_removable(&self, id: MemberId) -> bool {
+        let others = self.configuration.voters.iter().copied();
+        id != self.leader && self.has_responsive_majority(others.filter(|other| *other != id))
+    }
+
+    /// Whether the responsive ones are a majority of these voters. A change must not leave a group that can't commit the
+    /// next one: a leaving member is removed while another has just died and membership does not know it yet.
+    fn has_responsive_majority(&self, voters: impl Iterator<Item = MemberId>) -> bool {
+        let voters: Vec<MemberId> = voters.collect();
+        let is_responsive = |id: &&MemberId| {
+            self.observations
+                .get(id)
+                .is_some_and(|observation| observation.is_responsive)
+        };
+        let responsive_count = voters.iter().filter(is_responsive).count();
+        responsive_count * 2 > voters.len()
     }
-    None
 }
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -1,65 +1,89 @@
-//! What nodes say to each other of the council, and what one of them wants carried out.
+//! Messages between control nodes, and the actions that a control node wants carried out.
 
 use crate::durable::LogWrite;
 use crate::lease::LeaseRequest;
-use crate::member::{Bootstrap, ClusterId};
-use crate::voters::Change;
+use crate::member::{Bootstrap, ClusterId, MemberId};
+use crate::membership::MembershipChange;
 use serde::{Deserialize, Serialize};
 
-/// What nodes say to each other of the council.
+/// A message between control nodes. The order of variants and fields is the encoding: append only.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ControlMessage {
-    /// Do you know a council?
+    /// Asks which control group the receiver has joined.
     ClusterQuery,
-    /// The greatest that the sender knows, if any.
+    /// The control group that the sender has joined, if any.
     KnownCluster(Option<ClusterId>),
-    /// A council begins.
+    /// Announces a new control group.
     Bootstrap(Bootstrap),
-    /// Of the log.
+    /// A Raft message as protobuf.
     Raft(ClusterId, Vec<u8>),
-    /// A slice is asked for.
+    /// Asks the leader for a lease.
     LeaseRequest(ClusterId, LeaseRequest),
-    /// It is granted: the number of the request, and the slice.
-    LeaseGranted(ClusterId, u64, u32),
-    /// The sender ends in good order.
+    /// The leader grants a lease.
+    LeaseGranted {
+        /// The group that the leader leads.
+        cluster_id: ClusterId,
+        /// The number of the request that is granted.
+        request_number: u64,
+        /// The units that the holder may use.
+        limit: u32,
+    },
+    /// The sender shuts down gracefully and has stopped using its lease.
     Leaving(ClusterId),
-    /// To one that leaves: it takes part no more.
+    /// The leader tells a member that is leaving that it is no longer part of the group.
     Removed(ClusterId),
-    /// To the leader: another capacity is to be handed out.
+    /// Asks the leader for another capacity of the budget.
     Capacity(ClusterId, u32),
 }
 
-/// What a person who reads the log should know.
+impl ControlMessage {
+    /// The group whose members alone may act on the message; `None` for those that are for any node.
+    pub(crate) fn cluster_id(&self) -> Option<ClusterId> {
+        match self {
+            ControlMessage::ClusterQuery
+            | ControlMessage::KnownCluster(_)
+            | ControlMessage::Bootstrap(_) => None,
+            ControlMessage::Raft(cluster_id, _)
+            | ControlMessage::LeaseRequest(cluster_id, _)
+            | ControlMessage::LeaseGranted { cluster_id, .. }
+            | ControlMessage::Leaving(cluster_id)
+            | ControlMessage::Removed(cluster_id)
+            | ControlMessage::Capacity(cluster_id, _) => Some(*cluster_id),
+        }
+    }
+}
+
+/// An event for the program's log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LogEvent {
-    /// This node founds a council.
+    /// This node bootstraps a control group.
     Bootstrapping(ClusterId),
-    /// This node takes part in a council.
+    /// This node has joined a control group.
     JoinedCluster(ClusterId),
-    /// Another leader, or none.
-    LeaderChanged(Option<u64>),
-    /// The leader changes who takes part.
-    ChangingMembership(Change),
-    /// What this node may use has changed.
+    /// The known leader changed; `None` if there is none.
+    LeaderChanged(Option<MemberId>),
+    /// This node, as leader, proposed a change of the membership.
+    ChangingMembership(MembershipChange),
+    /// The units that this node may use have changed.
     LeaseLimitChanged(u32),
-    /// Its lease has run out.
+    /// The lease of this node has expired, or was given back or revoked.
     LeaseExpired,
-    /// The log broke its own rules: this incarnation takes no part any more.
+    /// The log is inconsistent: this incarnation takes no further part.
     LogInconsistent,
 }
 
-/// What is to be carried out.
+/// What a control node wants carried out, in order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
-    /// To the member with this id.
+    /// Send a message. It may get lost.
     Send {
-        /// The incarnation that it is for.
-        to: u64,
+        /// The receiver.
+        to: MemberId,
         /// The message.
         message: ControlMessage,
     },
-    /// Onto the disk, where there is a folder.
+    /// Write to stable storage, then call `ControlNode::on_write_completed`. Only with persistence.
     Write(LogWrite),
-    /// For people.
+    /// Log an event.
     Log(LogEvent),
 }
--- a/crates/control/src/raft_log/storage.rs
+++ b/crates/control/src/raft_log/storage.rs
@@ -1,126 +1,177 @@
-//! The log in memory: the raft crate's own store, with the state added to its snapshots.
+//! The log in memory: the Raft library's own storage, with the replicated state in its snapshots.
 
+use super::LogError;
 use crate::durable::{DurableState, StoredSnapshot};
+use crate::member::MemberId;
 use protobuf::Message as _;
-use raft::eraftpb::{ConfState, Entry, HardState, Snapshot};
+use raft::eraftpb::{ConfState, Entry as RaftEntry, HardState, Snapshot};
 use raft::storage::MemStorage;
-use raft::{GetEntriesContext, RaftState, Result, Storage};
+use raft::{GetEntriesContext, RaftState, Storage, StorageError};
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
-/// Shared by the log's driver, which writes, and the raft node, which reads.
+/// Index and term of the snapshot that a group is bootstrapped with.
+const BOOTSTRAP_INDEX: u64 = 1;
+const BOOTSTRAP_TERM: u64 = 1;
+
+/// The storage of one log. Clones share it: Raft reads what the log's driver writes.
 #[derive(Clone, Default)]
-pub struct Store {
-    pub mem: MemStorage,
-    kept: Rc<RefCell<Snapshot>>,
+pub(crate) struct LogStorage {
+    memory: MemStorage,
+    /// The snapshot that is sent to members that need one.
+    snapshot: Rc<RefCell<Snapshot>>,
 }
 
-impl Store {
-    /// Begins behind a first snapshot: whoever comes later needs one, and learns the first voters by it.
-    pub fn found(voters: &[u64], state: Vec<u8>) -> Result<Store> {
-        let mut conf = ConfState::default();
-        conf.set_voters(voters.to_vec());
-        let store = Store::default();
-        store.keep(1, 1, conf, state);
-        store.mem.wl().apply_snapshot(store.kept.borrow().clone())?;
-        Ok(store)
-    }
-
-    /// As a process before this one left it; an error says that it contradicts itself.
-    pub fn resume(kept: &DurableState) -> Result<Store> {
-        let store = Store::default();
-        if let Some(bytes) = &kept.snapshot {
-            store.restore(&Snapshot::parse_from_bytes(bytes)?)?;
-        }
-        let read = |bytes: &Vec<u8>| Entry::parse_from_bytes(bytes);
-        let entries = kept
-            .entries
-            .values()
-            .map(read)
-            .collect::<std::result::Result<Vec<_>, _>>()?;
-        let mut next = store.mem.last_index()? + 1;
-        for entry in &entries {
-            if entry.index != next {
-                return Err(raft::Error::Store(raft::StorageError::Unavailable));
-            }
-            next += 1;
+impl LogStorage {
+    /// Starts from a first snapshot: members that are added later need one, and learn the first voters from it.
+    pub(crate) fn bootstrap(voters: &[MemberId], state: Vec<u8>) -> Result<LogStorage, LogError> {
+        let mut configuration = ConfState::default();
+        configuration.set_voters(voters.to_vec());
+        let storage = LogStorage::default();
+        storage.replace_snapshot(BOOTSTRAP_INDEX, BOOTSTRAP_TERM, configuration, state);
+        let snapshot = storage.snapshot.borrow().clone();
+        storage.memory.wl().apply_snapshot(snapshot)?;
+        Ok(storage)
+    }
+
+    /// Goes on from what an earlier process stored.
+    ///
+    /// # Errors
+    /// What was stored is inconsistent.
+    pub(crate) fn resume(stored: &DurableState) -> Result<LogStorage, LogError> {
+        let storage = LogStorage::default();
+        if let Some(bytes) = &stored.snapshot {
+            storage.restore(&Snapshot::parse_from_bytes(bytes)?)?;
         }
-        store.mem.wl().append(&entries)?;
-        if let Some(bytes) = &kept.hard_state {
-            let mut hard = HardState::parse_from_bytes(bytes)?;
-            // How far the log stood is not synced: at least what is in the snapshot did.
-            let known = store.mem.initial_state()?.hard_state;
-            hard.commit = hard.commit.max(known.commit).min(next - 1);
-            hard.term = hard.term.max(known.term);
-            store.mem.wl().set_hardstate(hard);
+        let first_index = storage.memory.last_index()? + 1;
+        let entries = decode_entries(&stored.entries, first_index)?;
+        storage.append(&entries)?;
+        if let Some(bytes) = &stored.hard_state {
+            let last_index = first_index + entries.len() as u64 - 1;
+            storage.resume_hard_state(HardState::parse_from_bytes(bytes)?, last_index)?;
         }
-        Ok(store)
+        Ok(storage)
     }
 
-    /// The snapshot that is sent, as bytes, and its last entry; none before there is one.
-    pub fn snapshot_bytes(&self) -> Option<StoredSnapshot> {
-        let kept = self.kept.borrow();
-        let last_index = kept.get_metadata().get_index();
-        let bytes = kept.write_to_bytes().ok()?;
+    /// The commit index is not always stored: at least the snapshot was committed.
+    fn resume_hard_state(&self, stored: HardState, last_index: u64) -> Result<(), LogError> {
+        let known = self.memory.initial_state()?.hard_state;
+        let mut hard_state = stored;
+        hard_state.commit = hard_state.commit.max(known.commit).min(last_index);
+        hard_state.term = hard_state.term.max(known.term);
+        self.set_hard_state(hard_state);
+        Ok(())
+    }
+
+    /// The current snapshot; `None` before there is one.
+    pub(crate) fn stored_snapshot(&self) -> Option<StoredSnapshot> {
+        let last_index = self.snapshot_index();
+        let bytes = self.snapshot.borrow().write_to_bytes().ok()?;
         (last_index > 0).then_some(StoredSnapshot { last_index, bytes })
     }
 
-    /// The state in it.
-    pub fn snapshot_data(&self) -> Vec<u8> {
-        self.kept.borrow().get_data().to_vec()
+    /// The last entry that the current snapshot includes; 0 before there is one.
+    pub(crate) fn snapshot_index(&self) -> u64 {
+        self.snapshot.borrow().get_metadata().get_index()
     }
 
-    /// This snapshot is sent from now on.
-    pub fn keep(&self, index: u64, term: u64, conf: ConfState, state: Vec<u8>) {
-        let mut kept = self.kept.borrow_mut();
-        kept.set_data(state.into());
-        kept.mut_metadata().set_index(index);
-        kept.mut_metadata().set_term(term);
-        kept.mut_metadata().set_conf_state(conf);
+    /// The encoded state in the current snapshot.
+    pub(crate) fn snapshot_data(&self) -> Vec<u8> {
+        self.snapshot.borrow().get_data().to_vec()
     }
 
-    /// Takes over a snapshot that came.
-    pub fn restore(&self, snapshot: &Snapshot) -> Result<()> {
-        self.mem.wl().apply_snapshot(snapshot.clone())?;
-        *self.kept.borrow_mut() = snapshot.clone();
+    /// Replaces the snapshot that is sent to others.
+    pub(super) fn replace_snapshot(
+        &self,
+        index: u64,
+        term: u64,
+        configuration: ConfState,
+        state: Vec<u8>,
+    ) {
+        let mut snapshot = self.snapshot.borrow_mut();
+        snapshot.set_data(state.into());
+        let metadata = snapshot.mut_metadata();
+        metadata.set_index(index);
+        metadata.set_term(term);
+        metadata.set_conf_state(configuration);
+    }
+
+    /// Replaces the log by a snapshot that was received or stored.
+    pub(super) fn restore(&self, snapshot: &Snapshot) -> Result<(), LogError> {
+        self.memory.wl().apply_snapshot(snapshot.clone())?;
+        *self.snapshot.borrow_mut() = snapshot.clone();
         Ok(())
     }
+
+    pub(super) fn append(&self, entries: &[RaftEntry]) -> Result<(), LogError> {
+        Ok(self.memory.wl().append(entries)?)
+    }
+
+    pub(super) fn set_hard_state(&self, hard_state: HardState) {
+        self.memory.wl().set_hardstate(hard_state);
+    }
+
+    pub(super) fn set_configuration(&self, configuration: ConfState) {
+        self.memory.wl().set_conf_state(configuration);
+    }
+
+    /// Drops the entries before this index.
+    pub(super) fn compact(&self, index: u64) -> Result<(), LogError> {
+        Ok(self.memory.wl().compact(index)?)
+    }
+}
+
+fn decode_entries(
+    stored: &BTreeMap<u64, Vec<u8>>,
+    first_index: u64,
+) -> Result<Vec<RaftEntry>, LogError> {
+    let mut entries = Vec::with_capacity(stored.len());
+    for bytes in stored.values() {
+        entries.push(RaftEntry::parse_from_bytes(bytes)?);
+    }
+    let is_consecutive = (first_index..)
+        .zip(&entries)
+        .all(|(index, entry)| entry.index == index);
+    if is_consecutive {
+        Ok(entries)
+    } else {
+        Err(LogError::MissingEntry)
+    }
 }
 
-impl Storage for Store {
-    fn initial_state(&self) -> Result<RaftState> {
-        self.mem.initial_state()
+impl Storage for LogStorage {
+    fn initial_state(&self) -> raft::Result<RaftState> {
+        self.memory.initial_state()
     }
 
     fn entries(
         &self,
         low: u64,
         high: u64,
-        most: impl Into<Option<u64>>,
+        max_bytes: impl Into<Option<u64>>,
         context: GetEntriesContext,
-    ) -> Result<Vec<Entry>> {
-        self.mem.entries(low, high, most, context)
+    ) -> raft::Result<Vec<RaftEntry>> {
+        self.memory.entries(low, high, max_bytes, context)
     }
 
-    fn term(&self, index: u64) -> Result<u64> {
-        self.mem.term(index)
+    fn term(&self, index: u64) -> raft::Result<u64> {
+        self.memory.term(index)
     }
 
-    fn first_index(&self) -> Result<u64> {
-        self.mem.first_index()
+    fn first_index(&self) -> raft::Result<u64> {
+        self.memory.first_index()
     }
 
-    fn last_index(&self) -> Result<u64> {
-        self.mem.last_index()
+    fn last_index(&self) -> raft::Result<u64> {
+        self.memory.last_index()
     }
 
-    fn snapshot(&self, index: u64, _to: u64) -> Result<Snapshot> {
-        let kept = self.kept.borrow();
-        if kept.get_metadata().get_index() < index {
-            return Err(raft::Error::Store(
-                raft::StorageError::SnapshotTemporarilyUnavailable,
-            ));
+    fn snapshot(&self, request_index: u64, _to: u64) -> raft::Result<Snapshot> {
+        if self.snapshot_index() < request_index {
+            let error = StorageError::SnapshotTemporarilyUnavailable;
+            return Err(raft::Error::Store(error));
         }
-        Ok(kept.clone())
+        Ok(self.snapshot.borrow().clone())
     }
 }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -1,135 +1,129 @@
-//! The state that the log leads to, the same at every node. It keeps the sum: a grant that would pass the capacity is cut
-//! down when it is applied, whoever proposed it.
+//! The replicated state, the same at every member. It enforces the capacity: a grant that would exceed it is cut when it
+//! is applied, whoever proposed it.
 
-use crate::entry::{Entry, Grant};
-use crate::member::{Bootstrap, ClusterId, Member};
+use crate::entry::{Entry, Grant, GrantId};
+use crate::member::{Bootstrap, ClusterId, Member, MemberId};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// What a holder may have in use.
+/// A lease that is not known to have expired.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ActiveLease {
-    /// The number of the request that the slice answers.
+    /// The number of the request that was granted.
     pub request_number: u64,
-    /// The slice.
+    /// The units that the holder may use.
     pub limit: u32,
-    /// What earlier ones may still have in use.
+    /// The units that earlier leases of the holder may still have in use.
     pub in_use: u32,
 }
 
 impl ActiveLease {
-    /// What is taken of the capacity.
+    /// The units that the lease takes of the capacity.
     pub fn charged(&self) -> u32 {
         self.limit.max(self.in_use)
     }
 }
 
-/// What all agree on.
+/// The replicated state. Its encoding is the content of snapshots.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ClusterState {
-    /// Which council this is.
+    /// The group that agreed on it.
     pub cluster_id: ClusterId,
-    /// Entries that led here: a number for what is told of it.
+    /// The number of entries that were applied; printed as the state's epoch.
     pub applied_entries: u64,
-    /// Voters and learners by id.
-    pub members: BTreeMap<u64, Member>,
-    /// See `Founding::capacity`.
+    /// Voters and learners.
+    pub members: BTreeMap<MemberId, Member>,
+    /// The budget to lease out; see [`Bootstrap::capacity`].
     pub capacity: u32,
-    /// What is granted and not surely over, by holder.
-    pub leases: BTreeMap<u64, ActiveLease>,
-    /// Grants that were made.
+    /// Active leases by holder.
+    pub leases: BTreeMap<MemberId, ActiveLease>,
+    /// The number of grants that were made so far.
     pub grant_count: u64,
 }
 
 impl ClusterState {
-    /// As a council begins.
-    pub fn bootstrap(founding: &Bootstrap) -> ClusterState {
-        let members = founding
+    /// The state of a group that begins.
+    pub fn bootstrap(bootstrap: &Bootstrap) -> ClusterState {
+        let members = bootstrap
             .members
             .iter()
             .map(|member| (member.id, member.clone()))
             .collect();
         ClusterState {
-            cluster_id: founding.cluster_id,
-            capacity: founding.capacity,
+            cluster_id: bootstrap.cluster_id,
+            capacity: bootstrap.capacity,
             members,
             ..ClusterState::default()
         }
     }
 
-    /// What is taken of the capacity.
+    /// The units of the capacity that active leases take.
     pub fn total_granted(&self) -> u32 {
         self.leases
             .values()
-            .fold(0, |sum, held| sum.saturating_add(held.charged()))
+            .fold(0, |sum, lease| sum.saturating_add(lease.charged()))
     }
 
-    /// What is left for this holder: the capacity without what the others may have in use.
-    pub fn available_to(&self, holder: u64) -> u32 {
-        let own = self.leases.get(&holder).map_or(0, ActiveLease::charged);
-        self.capacity
-            .saturating_sub(self.total_granted().saturating_sub(own))
+    /// The units that a new lease of this holder may have: the capacity without the leases of the others.
+    pub fn available_to(&self, holder: MemberId) -> u32 {
+        let granted_to_others = self.total_granted().saturating_sub(self.charged_to(holder));
+        self.capacity.saturating_sub(granted_to_others)
     }
 
-    /// Takes one entry in; gives the grants as they were made.
+    fn charged_to(&self, holder: MemberId) -> u32 {
+        self.leases.get(&holder).map_or(0, ActiveLease::charged)
+    }
+
+    /// Applies one entry; returns the grants as they were made.
     pub fn apply(&mut self, entry: Entry) -> Vec<Grant> {
         self.applied_entries += 1;
         match entry {
-            Entry::LeasesGranted(grants) => grants
-                .into_iter()
-                .filter_map(|grant| self.grant(grant))
-                .collect(),
-            Entry::LeasesExpired(over) => {
-                for (holder, number) in over {
-                    // A newer grant than the one that is over stays.
-                    if self
-                        .leases
-                        .get(&holder)
-                        .is_some_and(|held| held.request_number == number)
-                    {
-                        self.leases.remove(&holder);
-                    }
-                }
-                Vec::new()
-            }
-            Entry::CapacityChanged(capacity) => {
-                self.capacity = capacity;
-                Vec::new()
+            Entry::LeasesGranted(grants) => return self.apply_grants(grants),
+            Entry::LeasesExpired(expired) => self.remove_expired(&expired),
+            Entry::CapacityChanged(capacity) => self.capacity = capacity,
+        }
+        Vec::new()
+    }
+
+    fn apply_grants(&mut self, grants: Vec<Grant>) -> Vec<Grant> {
+        grants
+            .into_iter()
+            .filter_map(|grant| self.apply_grant(grant))
+            .collect()
+    }
+
+    /// A newer lease of the same holder stays.
+    fn remove_expired(&mut self, expired: &[GrantId]) {
+        for grant in expired {
+            let lease = self.leases.get(&grant.holder);
+            if lease.is_some_and(|lease| lease.request_number == grant.request_number) {
+                self.leases.remove(&grant.holder);
             }
         }
     }
 
-    fn grant(&mut self, grant: Grant) -> Option<Grant> {
-        let Grant {
-            holder,
-            request_number: number,
-            in_use: using,
-            limit: slice,
-        } = grant;
-        // Guards against a request that a former leader took and that comes into the log behind a newer one.
-        if !self.members.contains_key(&holder)
-            || self
-                .leases
-                .get(&holder)
-                .is_some_and(|held| held.request_number >= number)
-        {
+    fn apply_grant(&mut self, grant: Grant) -> Option<Grant> {
+        if !self.members.contains_key(&grant.holder) || self.is_outdated(&grant) {
             return None;
         }
-        // It can't have more in use than it was granted: guards against one mad node that would take all of the capacity.
-        let using = using.min(self.leases.get(&holder).map_or(0, ActiveLease::charged));
-        let slice = slice.min(self.available_to(holder));
+        // A holder can't have more in use than it was granted: otherwise one faulty member could take all of the capacity.
+        let in_use = grant.in_use.min(self.charged_to(grant.holder));
+        let limit = grant.limit.min(self.available_to(grant.holder));
         self.grant_count += 1;
-        self.leases.insert(
-            holder,
-            ActiveLease {
-                request_number: number,
-                limit: slice,
-                in_use: using,
-            },
-        );
-        Some(Grant {
-            limit: slice,
-            ..grant
-        })
+        let lease = ActiveLease {
+            request_number: grant.request_number,
+            limit,
+            in_use,
+        };
+        self.leases.insert(grant.holder, lease);
+        Some(Grant { limit, ..grant })
+    }
+
+    /// Whether the holder has a lease for this request or a later one: a former leader may have accepted a request that
+    /// enters the log behind a newer one.
+    fn is_outdated(&self, grant: &Grant) -> bool {
+        self.leases
+            .get(&grant.holder)
+            .is_some_and(|lease| lease.request_number >= grant.request_number)
     }
 }
--- a/crates/control/src/status.rs
+++ b/crates/control/src/status.rs
@@ -1,76 +1,76 @@
-//! What people are told of the council.
+//! The status of a control node, as it is printed. The serialized keys are part of the operators' interface.
 
 use crate::member::{ClusterId, Member};
 use serde::Serialize;
 
-/// Messages that changed nothing.
+/// Counts of messages that were rejected.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct RejectedMessages {
-    /// Of a council that is fenced off.
+    /// From members of a control group that is fenced off.
     pub fenced: u64,
-    /// For another incarnation, from another than who sends it, or not to be read.
+    /// Unreadable, for another incarnation or group, or from a member that may not send them.
     #[serde(rename = "strange")]
     pub invalid: u64,
 }
 
-/// One line of `fleet log`.
+/// A line of the printed log.
 #[derive(Clone, Debug, Serialize)]
 pub struct LogLine {
-    /// Its place in the log.
+    /// The index of the entry.
     pub index: u64,
-    /// Under which leadership.
+    /// The Raft term in which the entry was proposed.
     pub term: u64,
-    /// What it says.
+    /// What the entry changes.
     #[serde(rename = "what")]
     pub description: String,
 }
 
-/// One incarnation of a node as the council has it.
+/// A voter or learner of the control group.
 #[derive(Clone, Debug, Serialize)]
 pub struct Participant {
-    /// Who.
+    /// The incarnation.
     pub member: Member,
     /// `leader`, `voter` or `learner`.
     pub role: &'static str,
-    /// Membership takes it to live.
+    /// Whether membership takes it to be alive.
     pub alive: bool,
-    /// What it may have in use of the cold budget.
+    /// The units of the capacity that its lease takes.
     #[serde(rename = "slice")]
     pub lease: u32,
 }
 
-/// How this node stands.
+/// The status of a control node.
 #[derive(Clone, Debug, Serialize)]
 pub struct Status {
     /// This node.
     #[serde(rename = "me")]
     pub local_member: Member,
-    /// The council it takes part in.
+    /// The control group that it has joined.
     #[serde(rename = "stamp")]
     pub cluster_id: Option<ClusterId>,
-    /// Entries that led to the state.
+    /// The number of entries that the state includes.
     pub epoch: u64,
-    /// The raft term and the last entry that is applied.
+    /// The Raft term.
     pub term: u64,
-    /// See `term`.
+    /// The index of the last entry that was applied.
     pub index: u64,
     /// The leader's name.
     pub leader: Option<String>,
-    /// The capacity that is handed out, and what is taken of it.
-    #[serde(rename = "whole")] // as scripts of staff read it
+    /// The budget that is leased out.
+    #[serde(rename = "whole")]
     pub capacity: u32,
-    /// See `capacity`.
+    /// The units of the capacity that active leases take.
     #[serde(rename = "sum")]
     pub granted: u32,
-    /// What this node may use now.
+    /// The units that this node may use now, its floor included.
     #[serde(rename = "limit")]
     pub lease_limit: u32,
-    /// Its lease is over in so many milliseconds, by its own clock.
+    /// Milliseconds until its lease expires, by its own clock.
     pub lease_ms: Option<u64>,
-    /// Messages that changed nothing.
+    /// Messages that were rejected.
     #[serde(rename = "refused")]
     pub rejected: RejectedMessages,
-    /// All that take part.
+    /// Voters, then learners.
     #[serde(rename = "parts")]
     pub participants: Vec<Participant>,
 }
--- a/crates/control/tests/model.rs
+++ b/crates/control/tests/model.rs
@@ -2,6 +2,7 @@
 //! that wait for as long as they like, a holder that freezes or starts from nothing, a granter that starts anew, a reseeded council, and
 //! clocks that run apart.
 
+use lupincrank_budgets::demand::BudgetUsage;
 use lupincrank_control::entry::{Entry, Grant};
 use lupincrank_control::lease::{GrantClocks, LeaseHolder, LeaseRequest, LeaseTerms};
 use lupincrank_control::member::{Bootstrap, ClusterId, Member};
@@ -200,7 +201,9 @@
         for (n, incarnation) in world.incarnations.iter().enumerate() {
             if incarnation.frozen {
                 actions.push(Step::Wake(n));
-            } else if incarnation.machine.should_request(&self.terms(), at, false)
+            } else if incarnation
+                .machine
+                .should_request(&self.terms(), at, &BudgetUsage::default())
                 && world.wire.len() < 2
                 && incarnation.asked < ASKS[n]
             {
--- a/crates/control/tests/schedules.rs
+++ b/crates/control/tests/schedules.rs
@@ -332,7 +332,7 @@
                 1 => ControlMessage::KnownCluster(Some(stamp)),
                 2 | 3 => ControlMessage::Raft(stamp, bytes),
                 4 => ControlMessage::LeaseRequest(stamp, LeaseRequest { request_number: bytes.len() as u64, in_use: u32::MAX, demand: u32::MAX }),
-                5 => ControlMessage::LeaseGranted(stamp, bytes.len() as u64, u32::MAX),
+                5 => ControlMessage::LeaseGranted { cluster_id: stamp, request_number: bytes.len() as u64, limit: u32::MAX },
                 // That a member leaves is its own word, as is what it uses.
                 _ => ControlMessage::Removed(stamp),
             };
--- a/crates/control/tests/stored_formats.rs
+++ b/crates/control/tests/stored_formats.rs
@@ -3,7 +3,7 @@
 
 use lupincrank_budgets::demand::BudgetUsage;
 use lupincrank_control::durable::DurableState;
-use lupincrank_control::entry::{Entry, Grant};
+use lupincrank_control::entry::{Entry, Grant, GrantId};
 use lupincrank_control::lease::{LeaseRequest, LeaseTerms};
 use lupincrank_control::member::{Bootstrap, ClusterId, Member};
 use lupincrank_control::message::{Action, ControlMessage};
@@ -87,7 +87,7 @@
     "lease-request",
     ControlMessage::LeaseRequest(CLUSTER_ID, lease_request())
 )]
-#[case::lease_granted("lease-granted", ControlMessage::LeaseGranted(CLUSTER_ID, 70_000, 25))]
+#[case::lease_granted("lease-granted", ControlMessage::LeaseGranted { cluster_id: CLUSTER_ID, request_number: 70_000, limit: 25 })]
 #[case::leaving("leaving", ControlMessage::Leaving(CLUSTER_ID))]
 #[case::removed("removed", ControlMessage::Removed(CLUSTER_ID))]
 #[case::capacity("capacity", ControlMessage::Capacity(CLUSTER_ID, 500))]
@@ -116,7 +116,7 @@
 #[case::leases_granted("leases-granted", Entry::LeasesGranted(grants()))]
 #[case::leases_expired(
     "leases-expired",
-    Entry::LeasesExpired(vec![(11, 69_999), (300, 4)])
+    Entry::LeasesExpired(vec![GrantId { holder: 11, request_number: 69_999 }, GrantId { holder: 300, request_number: 4 }])
 )]
 #[case::capacity_changed("capacity-changed", Entry::CapacityChanged(500))]
 fn log_entries_keep_their_bytes(#[case] name: &str, #[case] entry: Entry) {
