Discovery: a call, its decoders and the client in modules of their own, with typed errors

Need: one file held the HTTP call, the chunked coding and the watch, with states as numbers and errors as strings. Change: call.rs (phases of a call as an enum), chunked.rs (what is expected next as an enum), client.rs, endpoint_list.rs and json_stream.rs; thiserror enums whose texts are those of before; names by the terms of the field.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,7 +1,7 @@
 //! What the node is told at its start: RELAY_* variables and the JSON file that one of them names.
 
 use crate::cluster_agent::config::Setup;
-use crate::discovery::endpoint_list::{self, Update};
+use crate::discovery::endpoint_list::EndpointListUpdate;
 use lupincrank_placement::Settings;
 use lupincrank_settings::strict;
 use lupincrank_settings::Site;
@@ -18,7 +18,7 @@
     management: Option<String>,
     seed: Option<String>,
     limits: Option<Limits>,
-    known: Option<Update>,
+    known: Option<EndpointListUpdate>,
     settings: Site,
 }
 
@@ -80,7 +80,7 @@
     /// The fleet, where an operator's file names one; it waits for the next start.
     pub fleet: Option<Setup>,
     /// The upstream group as this node last had it.
-    pub known: Option<Update>,
+    pub known: Option<EndpointListUpdate>,
     /// What the decisions need.
     pub settings: Settings,
     /// How long a connection may take to come up.
@@ -314,7 +314,7 @@
             ));
         }
         if let Some(known) = &config.known {
-            endpoint_list::check(known).map_err(|error| format!("known: {error}"))?;
+            known.check().map_err(|error| format!("known: {error}"))?;
         }
         Ok(config)
     }
--- /dev/null
+++ b/crates/node/src/discovery/chunked.rs
@@ -0,0 +1,125 @@
+//! The decoder of HTTP's chunked transfer coding.
+
+use thiserror::Error;
+
+/// A line of a chunk size, with its extensions, is shorter than this.
+const MAX_SIZE_LINE_BYTES: usize = 1024;
+
+/// Why bytes are not in the chunked coding.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum ChunkError {
+    /// The chunk's data is not followed by a line end.
+    #[error("a chunk does not end where it should")]
+    MissingLineEnd,
+    /// A chunk size was expected.
+    #[error("not a chunk size")]
+    Size,
+}
+
+/// Whether the body goes on after what was decoded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyState {
+    /// More chunks may follow.
+    Open,
+    /// The last chunk was received.
+    Ended,
+}
+
+/// What the decoder expects next.
+#[derive(Clone, Copy, Debug, Default)]
+enum Expecting {
+    /// The line with the size of a chunk.
+    #[default]
+    Size,
+    /// So many bytes of a chunk.
+    Data(u64),
+    /// The carriage return after a chunk.
+    CarriageReturn,
+    /// The line feed after a chunk.
+    LineFeed,
+}
+
+/// Decodes a body however its bytes are cut up.
+#[derive(Default)]
+pub struct ChunkedDecoder {
+    /// What was received and is not decoded yet.
+    input: Vec<u8>,
+    expecting: Expecting,
+}
+
+impl ChunkedDecoder {
+    /// Takes bytes and appends the data that they hold to `output`.
+    ///
+    /// # Errors
+    /// Where the bytes are not in the chunked coding; nothing can be decoded after that.
+    pub fn decode(&mut self, bytes: &[u8], output: &mut Vec<u8>) -> Result<BodyState, ChunkError> {
+        self.input.extend_from_slice(bytes);
+        let mut position = 0;
+        let state = self.decode_input(&mut position, output)?;
+        self.input.drain(..position);
+        Ok(state)
+    }
+
+    /// Decodes what was received from `position` on, as far as it goes.
+    fn decode_input(
+        &mut self,
+        position: &mut usize,
+        output: &mut Vec<u8>,
+    ) -> Result<BodyState, ChunkError> {
+        loop {
+            let rest = self.input.get(*position..).unwrap_or_default();
+            if rest.is_empty() {
+                return Ok(BodyState::Open);
+            }
+            match self.expecting {
+                Expecting::Data(remaining) => {
+                    let available = usize::try_from(remaining).unwrap_or(usize::MAX);
+                    let length = rest.len().min(available);
+                    output.extend_from_slice(&rest[..length]);
+                    *position += length;
+                    self.expecting = after_data(remaining - length as u64);
+                }
+                Expecting::CarriageReturn => {
+                    expect_byte(rest, b'\r')?;
+                    *position += 1;
+                    self.expecting = Expecting::LineFeed;
+                }
+                Expecting::LineFeed => {
+                    expect_byte(rest, b'\n')?;
+                    *position += 1;
+                    self.expecting = Expecting::Size;
+                }
+                Expecting::Size => match httparse::parse_chunk_size(rest) {
+                    Ok(httparse::Status::Complete((_, 0))) => return Ok(BodyState::Ended),
+                    Ok(httparse::Status::Complete((length, size))) => {
+                        *position += length;
+                        self.expecting = Expecting::Data(size);
+                    }
+                    Ok(httparse::Status::Partial) if rest.len() < MAX_SIZE_LINE_BYTES => {
+                        return Ok(BodyState::Open);
+                    }
+                    _ => return Err(ChunkError::Size),
+                },
+            }
+        }
+    }
+}
+
+fn after_data(remaining: u64) -> Expecting {
+    if remaining == 0 {
+        Expecting::CarriageReturn
+    } else {
+        Expecting::Data(remaining)
+    }
+}
+
+fn expect_byte(rest: &[u8], expected: u8) -> Result<(), ChunkError> {
+    if rest[0] == expected {
+        Ok(())
+    } else {
+        Err(ChunkError::MissingLineEnd)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/node/src/discovery/client.rs
@@ -0,0 +1,374 @@
+//! The component that keeps a watch on the endpoint list, with a second call beside one that is not answered.
+
+use super::call::{Call, DiscoveryError, RequestState};
+use super::chunked::BodyState;
+use super::endpoint_list::{name_index, EndpointListError, EndpointListUpdate, ListedEndpoint};
+use crate::command::{DiscoveryCommand, HandoffCommand, Message};
+use crate::component::WellKnownComponent;
+use crate::config::Config;
+use crate::core::{Core, Member};
+use crate::deadline::{DeadlineKind, DiscoveryDeadline};
+use crate::state::{NodeContext, NodeState};
+use lupincrank_placement::{poll_schedule, Endpoint};
+use lupincrank_reactor::{poller_key, Connection, Lifecycle, Readiness};
+use slog::{debug, info, warn};
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// A call without an answer in this time has failed. There is a second one beside it by then.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(4500);
+/// A connection that is not established in this time will not be: the kernel retries after 1 s.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1250);
+/// The service sends an empty line every 2 s; a watch that brings nothing complete for half as long again is dead. Changes
+/// that it misses count as announced 6 s after it fell silent: that leaves time for a call, spread over the nodes, and for
+/// a second one if that call hangs.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(3);
+/// What is read at once.
+const READ_BUFFER_BYTES: usize = 16 << 10;
+/// Reads of one call in one turn of the event loop: guards against a long list that keeps clients waiting.
+const MAX_READS_PER_TURN: usize = 16;
+/// The watch or the calls that are to open it.
+const CALL_SLOTS: usize = 2;
+
+/// The client of the discovery service.
+pub struct DiscoveryClient {
+    address: SocketAddr,
+    /// The version of the endpoint list that was applied last.
+    version: u64,
+    /// The names of zones and machine kinds; their positions are the numbers that the placement is given.
+    zones: Vec<String>,
+    machine_kinds: Vec<String>,
+    /// The list that the configuration holds, until it is applied.
+    known_list: Option<EndpointListUpdate>,
+    /// The second call is made when the first is not answered. The first of them that brings something complete is the
+    /// watch, and the other one is closed.
+    calls: [Option<Call>; CALL_SLOTS],
+    /// When the service last sent something, or showed by refusing or ending a call that nothing can be missed.
+    last_contact: Instant,
+}
+
+impl DiscoveryClient {
+    /// Not connected yet.
+    pub fn new(config: &Config) -> DiscoveryClient {
+        DiscoveryClient {
+            address: config.discovery,
+            version: 0,
+            zones: config.zones.clone(),
+            machine_kinds: config.kinds.clone(),
+            known_list: config.known.clone(),
+            calls: [None, None],
+            last_contact: Instant::now(),
+        }
+    }
+
+    /// Whether a call is under way or a watch is open.
+    fn has_call(&self) -> bool {
+        self.calls.iter().any(Option::is_some)
+    }
+
+    /// Applies the list that the configuration holds, once.
+    fn apply_known_list(&mut self, context: &mut NodeContext) {
+        let Some(known_list) = self.known_list.take() else {
+            return;
+        };
+        if let Err(error) = self.apply_update(&mut context.placement, known_list, true) {
+            warn!(context.log, "known endpoint list rejected"; "error" => %error);
+        }
+    }
+
+    fn apply_update(
+        &mut self,
+        placement: &mut Core,
+        update: EndpointListUpdate,
+        cached: bool,
+    ) -> Result<(), EndpointListError> {
+        update.check()?;
+        let mut members = Vec::with_capacity(update.endpoints.len());
+        for endpoint in &update.endpoints {
+            members.push(self.member(placement, endpoint)?);
+        }
+        self.version = update.version;
+        placement.list(members, update.is_complete, cached);
+        Ok(())
+    }
+
+    fn member(
+        &mut self,
+        placement: &Core,
+        endpoint: &ListedEndpoint,
+    ) -> Result<Member, EndpointListError> {
+        Ok(Member {
+            dial: endpoint.dial_address()?,
+            listed: Endpoint {
+                server: endpoint.server.as_str().into(),
+                health: endpoint.parsed_health()?,
+                weight: endpoint.weight.unwrap_or(1.0),
+                zone: name_index(&mut self.zones, endpoint.zone.as_deref()),
+                cell: endpoint.cell.unwrap_or(0),
+                machine_kind: name_index(&mut self.machine_kinds, endpoint.machine_kind.as_deref()),
+                started_at: placement.moment(endpoint.started_at_ms.unwrap_or(0)),
+            },
+        })
+    }
+
+    /// Makes a call; one that can't even begin has failed.
+    fn call(&mut self, context: &mut NodeContext) {
+        if let Err(error) = self.start_call(context) {
+            self.on_failure(context, &error.into());
+        }
+    }
+
+    /// Makes a call, in place of the older one if there are two already.
+    fn start_call(&mut self, context: &mut NodeContext) -> io::Result<()> {
+        let slot = self.slot_for_new_call();
+        self.close_call(context, slot);
+        let now = Instant::now();
+        let timeout =
+            poll_schedule::unanswered_call_timeout(now - self.last_contact, self.has_call());
+        set_deadline(context, DiscoveryDeadline::SecondCall, now + timeout);
+        debug!(context.log, "calling discovery"; "seq" => self.version, "beside" => self.has_call());
+        let key = poller_key(WellKnownComponent::Discovery.id(), slot);
+        let call = Call::start(&context.poller, key, self.address, self.version, now)?;
+        self.calls[slot] = Some(call);
+        set_deadline(
+            context,
+            DiscoveryDeadline::Call(slot),
+            now + CONNECT_TIMEOUT,
+        );
+        Ok(())
+    }
+
+    /// A free slot, or that of the older call.
+    fn slot_for_new_call(&self) -> usize {
+        let [first, second] = self
+            .calls
+            .each_ref()
+            .map(|call| call.as_ref().map(Call::started_at));
+        usize::from(second < first)
+    }
+
+    fn close_call(&mut self, context: &mut NodeContext, slot: usize) {
+        self.calls[slot] = None;
+        clear_deadline(context, DiscoveryDeadline::Call(slot));
+    }
+
+    /// A call has failed and is closed; one beside it goes on.
+    fn on_failure(&mut self, context: &mut NodeContext, error: &DiscoveryError) {
+        self.log_failure(context, error);
+        if !self.has_call() {
+            clear_deadline(context, DiscoveryDeadline::SecondCall);
+            context.placement.list_failed();
+        }
+    }
+
+    fn log_failure(&self, context: &NodeContext, error: &DiscoveryError) {
+        warn!(context.log, "discovery failed"; "error" => %error, "seq" => self.version);
+    }
+
+    /// A call's socket is ready.
+    fn on_call_ready(
+        &mut self,
+        context: &mut NodeContext,
+        slot: usize,
+    ) -> Result<(), DiscoveryError> {
+        let Some(call) = &mut self.calls[slot] else {
+            return Ok(());
+        };
+        if call.is_connecting() {
+            call.finish_connect()?;
+            let deadline = Instant::now() + ANSWER_TIMEOUT;
+            set_deadline(context, DiscoveryDeadline::Call(slot), deadline);
+        }
+        match call.send_request()? {
+            RequestState::Pending => Ok(()),
+            RequestState::Sent => self.read_call(context, slot),
+        }
+    }
+
+    fn read_call(&mut self, context: &mut NodeContext, slot: usize) -> Result<(), DiscoveryError> {
+        let mut buffer = [0; READ_BUFFER_BYTES];
+        for _ in 0..MAX_READS_PER_TURN {
+            let Some(call) = &mut self.calls[slot] else {
+                return Ok(());
+            };
+            let Some(length) = call.read(&mut buffer)? else {
+                return Ok(());
+            };
+            self.on_bytes(context, slot, &buffer[..length])?;
+        }
+        Ok(())
+    }
+
+    /// Bytes of a response were received.
+    fn on_bytes(
+        &mut self,
+        context: &mut NodeContext,
+        slot: usize,
+        bytes: &[u8],
+    ) -> Result<(), DiscoveryError> {
+        let Some(call) = &mut self.calls[slot] else {
+            return Ok(());
+        };
+        if call.is_watching() {
+            return self.on_body(context, slot, bytes);
+        }
+        let Some(body) = call.receive_head(bytes)? else {
+            return Ok(());
+        };
+        debug!(context.log, "endpoint watch established"; "seq" => self.version);
+        self.on_body(context, slot, &body)
+    }
+
+    /// Bytes of a watch's body were received.
+    fn on_body(
+        &mut self,
+        context: &mut NodeContext,
+        slot: usize,
+        bytes: &[u8],
+    ) -> Result<(), DiscoveryError> {
+        let Some(call) = &mut self.calls[slot] else {
+            return Ok(());
+        };
+        let progress = call.receive_body(bytes)?;
+        let has_update = self.apply_received_updates(context, slot)?;
+        let has_partial_object = self.calls[slot]
+            .as_ref()
+            .is_some_and(Call::has_partial_object);
+        // An empty line is complete too.
+        let is_alive = has_update || (!has_partial_object && progress.has_data);
+        let object_began = has_partial_object && !progress.had_partial_object;
+        // The rest of an object that has begun is due as soon as anything else: guards against a list that comes byte by
+        // byte and never ends, while its changes count as announced.
+        if is_alive || object_began {
+            let deadline = Instant::now() + WATCH_TIMEOUT;
+            set_deadline(context, DiscoveryDeadline::Call(slot), deadline);
+        }
+        if is_alive {
+            self.on_watch_alive(context, slot);
+        }
+        match progress.state {
+            BodyState::Open => Ok(()),
+            BodyState::Ended => Err(DiscoveryError::WatchEnded),
+        }
+    }
+
+    /// Applies the updates that were received in full; whether there were any.
+    fn apply_received_updates(
+        &mut self,
+        context: &mut NodeContext,
+        slot: usize,
+    ) -> Result<bool, DiscoveryError> {
+        let mut has_update = false;
+        while let Some(call) = &mut self.calls[slot] {
+            let Some(object) = call.next_object()? else {
+                break;
+            };
+            let update: EndpointListUpdate = serde_json::from_slice(&object)?;
+            info!(context.log, "endpoint list changed"; "seq" => update.version, "entries" => update.endpoints.len());
+            self.apply_update(&mut context.placement, update, false)?;
+            has_update = true;
+        }
+        Ok(has_update)
+    }
+
+    /// A watch has brought something complete: the call beside it is not needed.
+    fn on_watch_alive(&mut self, context: &mut NodeContext, slot: usize) {
+        self.last_contact = Instant::now();
+        let other_slot = CALL_SLOTS - 1 - slot;
+        self.close_call(context, other_slot);
+        clear_deadline(context, DiscoveryDeadline::SecondCall);
+        context.placement.list_told();
+        context.send(
+            WellKnownComponent::Handoff.id(),
+            HandoffCommand::OpenListener,
+        );
+    }
+
+    /// A call's connection, its answer or the next part of its body is overdue.
+    fn on_call_timeout(&mut self, context: &mut NodeContext, slot: usize) {
+        let call = self.calls[slot].as_ref();
+        let was_watching = call.is_some_and(Call::is_watching);
+        let was_connecting = call.is_some_and(Call::is_connecting);
+        self.close_call(context, slot);
+        if self.has_call() {
+            return self.on_failure(context, &DiscoveryError::TimedOut);
+        }
+        if was_watching {
+            warn!(context.log, "endpoint watch fell silent"; "seq" => self.version);
+            clear_deadline(context, DiscoveryDeadline::SecondCall);
+            context.placement.list_silent();
+            return;
+        }
+        // The failure is this node's own finding, so nothing has shown that nothing can be missed.
+        let since_contact = self.last_contact.elapsed();
+        if was_connecting && poll_schedule::reconnects_immediately(since_contact) {
+            self.log_failure(context, &DiscoveryError::TimedOut);
+            self.call(context);
+            return;
+        }
+        self.on_failure(context, &DiscoveryError::TimedOut);
+    }
+
+    /// The configuration names another address. What is known stays: the watch at the new address goes on from the last
+    /// version of the old one.
+    fn change_address(&mut self, context: &mut NodeContext) {
+        self.address = context.config.discovery;
+        for slot in 0..CALL_SLOTS {
+            self.close_call(context, slot);
+        }
+    }
+}
+
+fn set_deadline(context: &mut NodeContext, deadline: DiscoveryDeadline, at: Instant) {
+    context
+        .deadlines
+        .set(WellKnownComponent::Discovery.id(), deadline.into(), at);
+}
+
+fn clear_deadline(context: &mut NodeContext, deadline: DiscoveryDeadline) {
+    context
+        .deadlines
+        .clear(WellKnownComponent::Discovery.id(), deadline.into());
+}
+
+impl Connection<NodeState> for DiscoveryClient {
+    fn on_ready(
+        &mut self,
+        context: &mut NodeContext,
+        socket: usize,
+        _readiness: Readiness,
+    ) -> Lifecycle {
+        if let Err(error) = self.on_call_ready(context, socket) {
+            self.last_contact = Instant::now();
+            self.close_call(context, socket);
+            self.on_failure(context, &error);
+        }
+        Lifecycle::Continue
+    }
+
+    fn on_deadline(&mut self, context: &mut NodeContext, kind: DeadlineKind) -> Lifecycle {
+        match kind {
+            DeadlineKind::Discovery(DiscoveryDeadline::Call(slot)) => {
+                self.on_call_timeout(context, slot);
+            }
+            _ => self.call(context),
+        }
+        Lifecycle::Continue
+    }
+
+    fn on_message(&mut self, context: &mut NodeContext, message: Message) -> Lifecycle {
+        let Message::Discovery(command) = message else {
+            return Lifecycle::Continue;
+        };
+        if command == DiscoveryCommand::AddressChanged {
+            self.change_address(context);
+        }
+        self.apply_known_list(context);
+        // A call that is under way is the newer one: an earlier failure asked for this before the address changed.
+        if command != DiscoveryCommand::ApplyKnownList && !self.has_call() {
+            self.call(context);
+        }
+        Lifecycle::Continue
+    }
+}
--- a/crates/node/src/discovery/endpoint_list.rs
+++ b/crates/node/src/discovery/endpoint_list.rs
@@ -1,71 +1,127 @@
-//! The upstream group as discovery writes it.
+//! The endpoint list as the discovery service writes it.
 
 use lupincrank_placement::Health;
 use serde::Deserialize;
 use std::net::SocketAddr;
+use thiserror::Error;
 
-/// The upstream group, whole or in part, in discovery's form.
-#[derive(Clone, Debug, Deserialize)]
-pub struct Update {
-    /// Its version.
-    pub seq: u64,
-    /// All of it is named.
-    pub whole: bool,
-    /// What is named.
-    pub hosts: Vec<Host>,
+/// Why an endpoint list can't be applied.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum EndpointListError {
+    /// An endpoint's address can't be read.
+    #[error("{server:?}: dial {address:?} is not an address:port")]
+    Address {
+        /// The endpoint's server.
+        server: String,
+        /// The address as it was written.
+        address: String,
+    },
+    /// An endpoint's health is not one that is known.
+    #[error("{server:?}: unknown health {health:?}")]
+    Health {
+        /// The endpoint's server.
+        server: String,
+        /// The health as it was written.
+        health: String,
+    },
 }
 
-/// One entry, as discovery writes it.
+/// The endpoint list or a change of it.
 #[derive(Clone, Debug, Deserialize)]
-#[allow(missing_docs)]
-pub struct Host {
-    pub host: String,
-    pub dial: String,
-    pub site: Option<String>,
-    pub class: Option<String>,
-    pub block: Option<u32>,
-    pub health: String,
-    pub share: Option<f64>,
-    pub born_ms: Option<u64>,
+pub struct EndpointListUpdate {
+    /// The version of the list after this update.
+    #[serde(rename = "seq")]
+    pub version: u64,
+    /// Whether every endpoint is named; otherwise only the changed ones are.
+    #[serde(rename = "whole")]
+    pub is_complete: bool,
+    /// The endpoints.
+    #[serde(rename = "hosts")]
+    pub endpoints: Vec<ListedEndpoint>,
 }
 
-/// Says what is wrong with an update, if anything is.
-pub fn check(update: &Update) -> Result<(), String> {
-    update.hosts.iter().try_for_each(|host| {
-        dial(host)?;
-        health(host).map(|_| ())
-    })
+impl EndpointListUpdate {
+    /// Checks that every endpoint can be applied.
+    ///
+    /// # Errors
+    /// For the first endpoint whose address or health can't be read.
+    pub fn check(&self) -> Result<(), EndpointListError> {
+        for endpoint in &self.endpoints {
+            endpoint.dial_address()?;
+            endpoint.parsed_health()?;
+        }
+        Ok(())
+    }
 }
 
-/// Where it listens, as this node reaches it.
-pub fn dial(host: &Host) -> Result<SocketAddr, String> {
-    host.dial.parse().map_err(|_| {
-        format!(
-            "{:?}: dial {:?} is not an address:port",
-            host.host, host.dial
-        )
-    })
+/// One endpoint, as the discovery service writes it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct ListedEndpoint {
+    /// The server's id.
+    #[serde(rename = "host")]
+    pub server: String,
+    /// Where the server listens, as this node reaches it.
+    #[serde(rename = "dial")]
+    pub address: String,
+    /// The name of its zone.
+    #[serde(rename = "site")]
+    pub zone: Option<String>,
+    /// The name of its machine kind.
+    #[serde(rename = "class")]
+    pub machine_kind: Option<String>,
+    /// The number of its cell.
+    #[serde(rename = "block")]
+    pub cell: Option<u32>,
+    /// Its health: `SERVING`, `DRAINING` or `DELETED`.
+    pub health: String,
+    /// Its weight; 1 where none is given.
+    #[serde(rename = "share")]
+    pub weight: Option<f64>,
+    /// When it was started, in milliseconds of Unix time.
+    #[serde(rename = "born_ms")]
+    pub started_at_ms: Option<u64>,
 }
 
-/// Its state.
-pub fn health(host: &Host) -> Result<Health, String> {
-    Ok(match host.health.as_str() {
-        "SERVING" => Health::Ready,
-        "DRAINING" => Health::Draining,
-        "DELETED" => Health::Gone,
-        other => return Err(format!("{:?}: unknown health {other:?}", host.host)),
-    })
+impl ListedEndpoint {
+    /// Where the server listens, as this node reaches it.
+    ///
+    /// # Errors
+    /// Where that is not an address with a port.
+    pub fn dial_address(&self) -> Result<SocketAddr, EndpointListError> {
+        self.address
+            .parse()
+            .map_err(|_| EndpointListError::Address {
+                server: self.server.clone(),
+                address: self.address.clone(),
+            })
+    }
+
+    /// The server's health.
+    ///
+    /// # Errors
+    /// Where it is not one of the known words.
+    pub fn parsed_health(&self) -> Result<Health, EndpointListError> {
+        match self.health.as_str() {
+            "SERVING" => Ok(Health::Ready),
+            "DRAINING" => Ok(Health::Draining),
+            "DELETED" => Ok(Health::Gone),
+            unknown => Err(EndpointListError::Health {
+                server: self.server.clone(),
+                health: unknown.to_string(),
+            }),
+        }
+    }
 }
 
-/// A name's number: its place in the settings, or the next free one.
-pub fn number(names: &mut Vec<String>, name: Option<&str>) -> u32 {
-    let Some(name) = name else { return 0 };
-    let place = names
-        .iter()
-        .position(|known| known == name)
-        .unwrap_or_else(|| {
-            names.push(name.to_string());
-            names.len() - 1
-        });
-    u32::try_from(place).unwrap_or(u32::MAX)
+/// The number of a name: its position in `names`, where a new name is appended; 0 for no name.
+pub fn name_index(names: &mut Vec<String>, name: Option<&str>) -> u32 {
+    let Some(name) = name else {
+        return 0;
+    };
+    let known = names.iter().position(|known| known == name);
+    let index = known.unwrap_or_else(|| {
+        names.push(name.to_string());
+        names.len() - 1
+    });
+    u32::try_from(index).unwrap_or(u32::MAX)
 }
--- a/crates/node/src/discovery/json_stream.rs
+++ b/crates/node/src/discovery/json_stream.rs
@@ -1,70 +1,108 @@
-//! Cuts a stream of JSON objects apart, however they are laid out and wherever its bytes are cut. Discovery writes an object a
-//! line, or indented over many. What an object holds is read by a JSON library; this only finds where it ends.
+//! Divides a stream of bytes into the JSON objects that it holds, however they are laid out and wherever the bytes are cut.
+//! The discovery service writes one object a line, or indented over many lines. What an object holds is read by a JSON
+//! library; this module only finds its end.
+
+use thiserror::Error;
 
 /// The longest object that is read.
-pub const LONGEST: usize = 4 << 20;
+const MAX_OBJECT_BYTES: usize = 4 << 20;
+
+/// Why a stream holds no further object.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum JsonStreamError {
+    /// Something other than an object or white space was found between two objects.
+    #[error("{0:?} where an object begins")]
+    UnexpectedCharacter(char),
+    /// The object has no end within the longest length that is read.
+    #[error("an object is too long")]
+    ObjectTooLong,
+}
 
-/// What has come of the stream and is not taken yet.
+/// Where in an object's text the scan stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum ScanState {
+    /// Outside strings.
+    #[default]
+    Structure,
+    /// Within a string.
+    Text,
+    /// Within a string, after a backslash.
+    Escape,
+}
+
+/// A buffer of received bytes that returns one JSON object after the other.
 #[derive(Default)]
-pub struct Objects {
-    bytes: Vec<u8>,
-    /// How far it has been looked through, and how many braces and brackets are open there.
-    at: usize,
+pub struct JsonStream {
+    buffer: Vec<u8>,
+    /// How far the buffer has been scanned.
+    scanned: usize,
+    /// Braces and brackets that are open there.
     depth: usize,
-    /// There it is within a string, and behind a backslash in it.
-    quoted: bool,
-    escaped: bool,
+    state: ScanState,
 }
 
-impl Objects {
-    /// Takes bytes in.
+impl JsonStream {
+    /// Appends received bytes.
     pub fn push(&mut self, bytes: &[u8]) {
-        self.bytes.extend_from_slice(bytes);
+        self.buffer.extend_from_slice(bytes);
     }
 
-    /// The next whole object. `None` while its end, or all of it, is still to come: white space between objects is passed over.
-    /// An error says what else stands there, or that an object is too long; nothing can be taken after it.
-    pub fn take(&mut self) -> Result<Option<Vec<u8>>, String> {
+    /// Removes and returns the next complete object, without the white space before it; `None` while more bytes are needed.
+    ///
+    /// # Errors
+    /// Where something other than an object begins, or the object is too long; no object can be read after that.
+    pub fn next_object(&mut self) -> Result<Option<Vec<u8>>, JsonStreamError> {
         if self.depth == 0 {
-            let blank = self
-                .bytes
-                .iter()
-                .take_while(|byte| byte.is_ascii_whitespace())
-                .count();
-            self.bytes.drain(..blank);
-            self.at = 0;
+            self.skip_white_space();
         }
-        while let Some(byte) = self.bytes.get(self.at) {
-            self.at += 1;
-            match byte {
-                _ if self.escaped => self.escaped = false,
-                b'\\' if self.quoted => self.escaped = true,
-                b'"' if self.depth > 0 => self.quoted = !self.quoted,
-                _ if self.quoted => {}
-                b'{' => self.depth += 1,
-                b'[' if self.depth > 0 => self.depth += 1,
-                b'}' | b']' if self.depth > 0 => {
-                    self.depth -= 1;
-                    if self.depth == 0 {
-                        return Ok(Some(self.bytes.drain(..self.at).collect()));
-                    }
-                }
-                _ if self.depth == 0 => {
-                    return Err(format!("{:?} where an object begins", char::from(*byte)))
-                }
-                _ => {}
+        while let Some(byte) = self.buffer.get(self.scanned).copied() {
+            self.scanned += 1;
+            if self.is_object_end(byte)? {
+                return Ok(Some(self.buffer.drain(..self.scanned).collect()));
             }
         }
-        if self.bytes.len() > LONGEST {
-            return Err("an object is too long".into());
+        if self.buffer.len() > MAX_OBJECT_BYTES {
+            return Err(JsonStreamError::ObjectTooLong);
         }
         Ok(None)
     }
 
     /// Whether an object has begun and not ended.
-    pub fn half(&self) -> bool {
+    pub fn has_partial_object(&self) -> bool {
         self.depth > 0
     }
+
+    fn skip_white_space(&mut self) {
+        let length = self
+            .buffer
+            .iter()
+            .take_while(|byte| byte.is_ascii_whitespace())
+            .count();
+        self.buffer.drain(..length);
+        self.scanned = 0;
+    }
+
+    /// Follows one byte of the text; whether it ends the object.
+    fn is_object_end(&mut self, byte: u8) -> Result<bool, JsonStreamError> {
+        match (self.state, byte) {
+            (ScanState::Escape, _) => self.state = ScanState::Text,
+            (ScanState::Text, b'\\') => self.state = ScanState::Escape,
+            (ScanState::Text, b'"') => self.state = ScanState::Structure,
+            (ScanState::Text, _) => {}
+            (ScanState::Structure, b'{') => self.depth += 1,
+            (ScanState::Structure, _) if self.depth == 0 => {
+                return Err(JsonStreamError::UnexpectedCharacter(char::from(byte)));
+            }
+            (ScanState::Structure, b'"') => self.state = ScanState::Text,
+            (ScanState::Structure, b'[') => self.depth += 1,
+            (ScanState::Structure, b'}' | b']') => {
+                self.depth -= 1;
+                return Ok(self.depth == 0);
+            }
+            (ScanState::Structure, _) => {}
+        }
+        Ok(false)
+    }
 }
 
 #[cfg(test)]
--- a/crates/node/src/discovery/json_stream/tests.rs
+++ b/crates/node/src/discovery/json_stream/tests.rs
@@ -3,13 +3,15 @@
 use rstest::rstest;
 
 /// Everything that comes out of `text` in pieces of these lengths.
-fn taken(text: &[u8], cuts: &[usize]) -> Result<Vec<String>, String> {
-    let (mut objects, mut out, mut at) = (Objects::default(), Vec::new(), 0);
+fn objects_in(text: &[u8], cuts: &[usize]) -> Result<Vec<String>, JsonStreamError> {
+    let mut objects = JsonStream::default();
+    let mut out = Vec::new();
+    let mut at = 0;
     for cut in cuts.iter().map(|cut| cut % 40).chain([text.len()]) {
         let end = (at + cut).min(text.len());
         objects.push(&text[at..end]);
         at = end;
-        while let Some(object) = objects.take()? {
+        while let Some(object) = objects.next_object()? {
             out.push(String::from_utf8(object).unwrap());
         }
     }
@@ -25,7 +27,7 @@
 fn objects_are_found_however_they_are_laid_out(#[case] text: &str, #[case] expected: &[&str]) {
     for piece in 1..=text.len() {
         assert_eq!(
-            taken(text.as_bytes(), &vec![piece; text.len()]).unwrap(),
+            objects_in(text.as_bytes(), &vec![piece; text.len()]).unwrap(),
             expected,
             "by {piece}"
         );
@@ -38,20 +40,24 @@
 #[case("[]", "'['")]
 #[case("{} \"a\"", "'\"'")]
 fn what_is_no_object_is_named(#[case] text: &str, #[case] named: &str) {
-    let error = taken(text.as_bytes(), &[]).unwrap_err();
+    let error = objects_in(text.as_bytes(), &[]).unwrap_err().to_string();
     assert!(error.contains(named), "{error}");
 }
 
 #[test]
 fn an_object_without_end_is_given_up() {
-    let mut objects = Objects::default();
+    let mut objects = JsonStream::default();
     objects.push(b"{\"a\":\"");
     let spaces = vec![b' '; 1 << 20];
     let error = (0..8).find_map(|_| {
         objects.push(&spaces);
-        objects.take().err()
+        objects.next_object().err()
     });
-    assert_eq!(error.as_deref(), Some("an object is too long"));
+    assert_eq!(error, Some(JsonStreamError::ObjectTooLong));
+    assert_eq!(
+        JsonStreamError::ObjectTooLong.to_string(),
+        "an object is too long"
+    );
 }
 
 proptest! {
@@ -64,7 +70,7 @@
         let value = |(seq, hosts, _): &(u64, Vec<String>, bool)| serde_json::json!({"seq": seq, "hosts": hosts});
         let written = lists.iter().map(|list| if list.2 { serde_json::to_string_pretty(&value(list)).unwrap() } else { value(list).to_string() });
         let text = written.collect::<Vec<_>>().join("\n");
-        let out = taken(text.as_bytes(), &cuts).unwrap();
+        let out = objects_in(text.as_bytes(), &cuts).unwrap();
         let read: Vec<serde_json::Value> = out.iter().map(|text| serde_json::from_str(text).unwrap()).collect();
         prop_assert_eq!(read, lists.iter().map(value).collect::<Vec<_>>());
     }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -22,7 +22,7 @@
     let context = &mut reactor.context;
     let signals = signals::Signals::new(context)?;
     context.register(WellKnownComponent::Signals.id(), Box::new(signals));
-    let discovery = discovery::Discovery::new(&context.config);
+    let discovery = discovery::DiscoveryClient::new(&context.config);
     context.register(WellKnownComponent::Discovery.id(), Box::new(discovery));
     let listener = connection::Listener::new(context, inherited)?;
     context.register(WellKnownComponent::ClientListener.id(), Box::new(listener));
--- a/crates/node/tests/crossings.rs
+++ b/crates/node/tests/crossings.rs
@@ -140,7 +140,7 @@
         list.to_string()
     };
     rig.write_watch(format!("{text}\n").as_bytes(), piece);
-    rig.logged(&format!("upstream group changed, entries: 2, seq: {seq}"));
+    rig.logged(&format!("endpoint list changed, entries: 2, seq: {seq}"));
     let held: Vec<_> = (0..6).map(|_| rig.up()).collect();
     assert!(
         held.iter().all(|(_, at, _)| *at == 1),
@@ -165,7 +165,7 @@
         let _ = watch.stream.write_all(b"1\r\n \r\n");
         rig.discovery.accept().ok()
     });
-    assert!(rig.log().contains("the watch has fallen silent"));
+    assert!(rig.log().contains("endpoint watch fell silent"));
 }
 
 /// A spoilt list changes nothing, not even by its good entries, and the watch is opened anew from what is known.
@@ -198,7 +198,7 @@
     rig.write_watch(b"\n", 1);
     let silent_since = Instant::now();
     let clog = common::Clog::of(&rig.discovery);
-    rig.logged("the watch has fallen silent");
+    rig.logged("endpoint watch fell silent");
     rig.logged("nothing came in time");
     let mut call = clog.open();
     assert_eq!(call.hear(), "GET /v1/endpoints?watch=1&from=1 HTTP/1.1");
