--- a/crates/node/src/admin/status_table.rs
+++ b/crates/node/src/admin/status_table.rs
@@ -1,9 +1,132 @@
-//! What a node says of its fleet, as a table for people.
+//! Lays out what a node answers about its cluster and its budgets as tables for people.
 
 use serde_json::Value;
 use std::fmt::Write;
+use thiserror::Error;
 
-fn text(value: &Value) -> String {
+/// The column of a fact's name is this wide.
+const NAME_WIDTH: usize = 12;
+
+/// An answer that is not JSON.
+#[derive(Debug, Error)]
+#[error("not to be read: {0}")]
+pub struct UnreadableAnswer(#[from] serde_json::Error);
+
+/// The answer to `budgets QUERY`, laid out: facts, then the lease of each node.
+///
+/// # Errors
+/// Where the answer is not JSON.
+pub fn budgets_table(answer: &str) -> Result<String, UnreadableAnswer> {
+    let answer: Value = serde_json::from_str(answer)?;
+    let budgets = answer
+        .as_array()
+        .cloned()
+        .unwrap_or_else(|| vec![answer.clone()]);
+    let sections: Vec<String> = budgets.iter().flat_map(budget_sections).collect();
+    Ok(sections.join("\n"))
+}
+
+/// The answer to `fleet QUERY`, laid out.
+///
+/// # Errors
+/// Where the answer is not JSON.
+pub fn cluster_table(query: &str, answer: &str) -> Result<String, UnreadableAnswer> {
+    let answer: Value = serde_json::from_str(answer)?;
+    Ok(match query {
+        "status" => status_table(&answer),
+        "members" => records_table(
+            &answer,
+            &["name", "at", "zone", "region", "build", "settings", "bump"],
+        ),
+        "log" => records_table(&answer, &["index", "term", "what"]),
+        _ => answer.to_string(),
+    })
+}
+
+/// The lines of one budget's facts, and its table of leases if it has any.
+fn budget_sections(budget: &Value) -> Vec<String> {
+    let facts = budget.as_object().cloned().unwrap_or_default();
+    let mut sections: Vec<String> = facts
+        .iter()
+        .filter(|(name, _)| *name != "slices")
+        .map(|(name, fact)| fact_line(name, &value_text(fact)))
+        .collect();
+    let leases = facts.get("slices").and_then(Value::as_object);
+    let rows: Vec<Vec<String>> = leases
+        .into_iter()
+        .flatten()
+        .map(|(node, lease)| vec![node.clone(), value_text(lease)])
+        .collect();
+    if !rows.is_empty() {
+        sections.push(text_table(&["node", "slice"], rows));
+    }
+    sections
+}
+
+fn status_table(answer: &Value) -> String {
+    let control = &answer["council"];
+    let mut text = String::new();
+    for line in status_facts(answer, control) {
+        let _ = writeln!(text, "{line}");
+    }
+    let members = list_items(&control["parts"])
+        .iter()
+        .map(|part| {
+            let mut row = fields(&part["member"], &["name", "zone", "build"]);
+            row.extend(fields(part, &["role", "alive", "slice"]));
+            row
+        })
+        .collect();
+    let columns = ["name", "zone", "build", "role", "alive", "slice"];
+    let table = text_table(&columns, members);
+    format!("{text}\n{table}")
+}
+
+fn status_facts(answer: &Value, control: &Value) -> [String; 8] {
+    let field = |name: &str| value_text(&control[name]);
+    let epoch = value_text(&control["stamp"]["epoch"]);
+    let log_position = format!("{}, {}", field("term"), field("index"));
+    let budget = format!("{} of {} taken", field("sum"), field("whole"));
+    let lease = format!(
+        "{} in a window, {} ms left",
+        field("limit"),
+        field("lease_ms")
+    );
+    [
+        fact_line("fleet", &value_text(&answer["fleet"])),
+        fact_line("node", &value_text(&control["me"]["name"])),
+        fact_line("alive", &value_text(&answer["alive"])),
+        fact_line("council", &format!("epoch {epoch}")),
+        fact_line("leader", &field("leader")),
+        fact_line("term, entry", &log_position),
+        fact_line("cold budget", &budget),
+        fact_line("this node's", &lease),
+    ]
+}
+
+/// A table of a list of records, with a column for each key.
+fn records_table(records: &Value, keys: &[&str]) -> String {
+    let rows = list_items(records)
+        .iter()
+        .map(|record| fields(record, keys))
+        .collect();
+    text_table(keys, rows)
+}
+
+fn list_items(value: &Value) -> Vec<Value> {
+    value.as_array().cloned().unwrap_or_default()
+}
+
+fn fields(record: &Value, keys: &[&str]) -> Vec<String> {
+    keys.iter().map(|key| value_text(&record[*key])).collect()
+}
+
+fn fact_line(name: &str, fact: &str) -> String {
+    format!("{name:NAME_WIDTH$}  {fact}")
+}
+
+/// A value without quotes; `-` for none.
+fn value_text(value: &Value) -> String {
     match value {
         Value::String(text) => text.clone(),
         Value::Null => "-".into(),
@@ -12,137 +135,30 @@
 }
 
 /// Rows with columns as wide as their widest field.
-fn rows(head: &[&str], rows: Vec<Vec<String>>) -> String {
-    let all: Vec<Vec<String>> =
-        std::iter::once(head.iter().map(std::string::ToString::to_string).collect())
-            .chain(rows)
-            .collect();
-    let width = |at: usize| {
-        all.iter()
-            .filter_map(|row| row.get(at))
-            .map(String::len)
-            .max()
-            .unwrap_or(0)
-    };
-    let widths: Vec<usize> = (0..head.len()).map(width).collect();
-    let mut out = String::new();
-    for row in &all {
-        let fields: Vec<String> = row
+fn text_table(header: &[&str], rows: Vec<Vec<String>>) -> String {
+    let header = header.iter().map(ToString::to_string).collect();
+    let mut lines: Vec<Vec<String>> = vec![header];
+    lines.extend(rows);
+    let widths: Vec<usize> = (0..lines[0].len())
+        .map(|column| column_width(&lines, column))
+        .collect();
+    let mut text = String::new();
+    for line in &lines {
+        let fields: Vec<String> = line
             .iter()
             .zip(&widths)
             .map(|(field, width)| format!("{field:width$}"))
             .collect();
-        let _ = writeln!(out, "{}", fields.join("  ").trim_end());
-    }
-    out.trim_end().to_string()
-}
-
-/// The answer to `budgets WHAT`, laid out: facts, then the slices.
-pub fn budgets(told: &str) -> Result<String, String> {
-    let told: Value =
-        serde_json::from_str(told).map_err(|error| format!("not to be read: {error}"))?;
-    let mut out = Vec::new();
-    for budget in told
-        .as_array()
-        .cloned()
-        .unwrap_or_else(|| vec![told.clone()])
-    {
-        let facts = budget.as_object().cloned().unwrap_or_default();
-        for (name, fact) in facts.iter().filter(|(name, _)| *name != "slices") {
-            out.push(format!("{name:12}  {}", text(fact)));
-        }
-        let slices = facts
-            .get("slices")
-            .and_then(Value::as_object)
-            .cloned()
-            .unwrap_or_default();
-        if !slices.is_empty() {
-            let table = slices
-                .iter()
-                .map(|(name, slice)| vec![name.clone(), text(slice)])
-                .collect();
-            out.push(rows(&["node", "slice"], table));
-        }
+        let _ = writeln!(text, "{}", fields.join("  ").trim_end());
     }
-    Ok(out.join("\n"))
+    text.trim_end().to_string()
 }
 
-/// The answer to `fleet WHAT`, laid out.
-pub fn table(what: &str, told: &str) -> Result<String, String> {
-    let told: Value =
-        serde_json::from_str(told).map_err(|error| format!("not to be read: {error}"))?;
-    let list = |value: &Value| value.as_array().cloned().unwrap_or_default();
-    let pick = |value: &Value, keys: &[&str]| {
-        keys.iter()
-            .map(|key| text(&value[*key]))
-            .collect::<Vec<_>>()
-    };
-    Ok(match what {
-        "status" => {
-            let council = &told["council"];
-            let mut out = String::new();
-            let facts = [
-                ("fleet", text(&told["fleet"])),
-                ("node", text(&council["me"]["name"])),
-                ("alive", text(&told["alive"])),
-                (
-                    "council",
-                    format!("epoch {}", text(&council["stamp"]["epoch"])),
-                ),
-                ("leader", text(&council["leader"])),
-                (
-                    "term, entry",
-                    format!("{}, {}", text(&council["term"]), text(&council["index"])),
-                ),
-                (
-                    "cold budget",
-                    format!(
-                        "{} of {} taken",
-                        text(&council["sum"]),
-                        text(&council["whole"])
-                    ),
-                ),
-                (
-                    "this node's",
-                    format!(
-                        "{} in a window, {} ms left",
-                        text(&council["limit"]),
-                        text(&council["lease_ms"])
-                    ),
-                ),
-            ];
-            for (name, fact) in facts {
-                let _ = writeln!(out, "{name:12}  {fact}");
-            }
-            let parts = list(&council["parts"]);
-            let parts = parts.iter().map(|part| {
-                let mut row = pick(&part["member"], &["name", "zone", "build"]);
-                row.extend(pick(part, &["role", "alive", "slice"]));
-                row
-            });
-            let table = rows(
-                &["name", "zone", "build", "role", "alive", "slice"],
-                parts.collect(),
-            );
-            format!("{out}\n{table}")
-        }
-        "members" => {
-            let keys = ["name", "at", "zone", "region", "build", "settings", "bump"];
-            rows(
-                &keys,
-                list(&told)
-                    .iter()
-                    .map(|member| pick(member, &keys))
-                    .collect(),
-            )
-        }
-        "log" => {
-            let keys = ["index", "term", "what"];
-            rows(
-                &keys,
-                list(&told).iter().map(|entry| pick(entry, &keys)).collect(),
-            )
-        }
-        _ => told.to_string(),
-    })
+fn column_width(lines: &[Vec<String>], column: usize) -> usize {
+    lines
+        .iter()
+        .filter_map(|line| line.get(column))
+        .map(String::len)
+        .max()
+        .unwrap_or(0)
 }
--- a/crates/node/src/application.rs
+++ b/crates/node/src/application.rs
@@ -97,7 +97,7 @@
         let now = Instant::now();
         // With a successor the listener is not this process's any more.
         let stayed =
-            self.handoff.handing() || now >= shutdown.started_at + MIN_LISTEN_AFTER_SIGTERM;
+            self.handoff.is_handing_over() || now >= shutdown.started_at + MIN_LISTEN_AFTER_SIGTERM;
         // The others of the fleet may need its vote to go on without it.
         let left = self
             .cluster_agent
@@ -105,7 +105,7 @@
             .is_none_or(|fleet| fleet.is_out());
         let empty = self.client_count.get() == 0
             && self.unidentified_clients.borrow().is_empty()
-            && self.handoff.idle();
+            && self.handoff.is_idle();
         let over = now >= shutdown.deadline || (stayed && empty && left);
         if over {
             info!(self.log, "ended"; "clients" => self.client_count.get());
--- a/crates/node/src/client/connection.rs
+++ b/crates/node/src/client/connection.rs
@@ -5,7 +5,8 @@
 };
 use crate::component::WellKnownComponent;
 use crate::deadline::{ClientDeadline, DeadlineKind};
-use crate::handoff::message::Said;
+use crate::handoff::message::{HandoffMessage, UnidentifiedClientTransfer};
+use crate::handoff::socket::SendOutcome;
 use crate::state::{ClientSlot, NodeContext, NodeState, UnidentifiedClients};
 use crate::upstream::attempt::{Peer, Try, LONGEST_LINE};
 use crate::upstream::relay::Relay;
@@ -131,11 +132,11 @@
     /// Ends the strangers that had to go first anyway when descriptors are needed. Guards against hundreds that
     /// connect and say nothing.
     fn make_room(&self, context: &mut NodeContext) {
-        let other = context.handoff.other;
+        let other = context.handoff.peer_heartbeat();
         let most = context
             .config
-            .most_strangers(context.client_count.get() + other.clients);
-        while context.unidentified_clients.borrow().len() + other.strangers > most {
+            .most_strangers(context.client_count.get() + other.client_count);
+        while context.unidentified_clients.borrow().len() + other.unidentified_count > most {
             let Some((_, id)) = context.unidentified_clients.borrow_mut().pop_first() else {
                 break;
             };
@@ -384,12 +385,17 @@
             .0
             .saturating_duration_since(Instant::now())
             .as_millis() as u64;
-        let said = |number| Said::First(number, left);
+        let message = |number| {
+            HandoffMessage::UnidentifiedClient(UnidentifiedClientTransfer {
+                number,
+                remaining_ms: left,
+            })
+        };
         if matches!(
             context
                 .handoff
-                .hand(self.id, said, &self.bytes, &[stream.as_fd()]),
-            Ok(true)
+                .transfer(self.id, message, &self.bytes, &[stream.as_fd()]),
+            Ok(SendOutcome::Sent)
         ) {
             self.frozen = true;
             let _ = stream.set_interest(Interest::NONE);
@@ -555,7 +561,7 @@
         {
             return self.reject_line(context, "another's id, or a holder long after the start");
         }
-        if context.client_count.get() + context.handoff.other.clients
+        if context.client_count.get() + context.handoff.peer_heartbeat().client_count
             >= context.config.most_clients()
         {
             debug!(context.log, "too many clients"; "held" => context.client_count.get());
--- a/crates/node/src/handoff/admin_drain_file.rs
+++ b/crates/node/src/handoff/admin_drain_file.rs
@@ -1,4 +1,5 @@
-//! The file that tells both processes of a node, and the next one, which transcribers are out by hand.
+//! The file of the servers that an operator has drained. Both processes of a node read and write it, and the next process
+//! of the node reads it at its start.
 
 use lupincrank_placement::admin_drain::set_drained;
 use lupincrank_placement::ServerId;
@@ -7,109 +8,188 @@
 use std::io;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
+use thiserror::Error;
 
-/// The first word of the file and the version of its form.
-const HEAD: &str = "lupincrank-out 1 ";
-/// A longer file is none of ours.
-const LONGEST: u64 = 1 << 20;
-/// How long the other process may hold the file: it takes microseconds, unless it was stopped in the middle.
-const PATIENCE: Duration = Duration::from_millis(50);
-
-/// The text of the file: a head with a checksum, then the ids as JSON.
-fn text(out: &BTreeSet<ServerId>) -> Result<String, String> {
-    let ids: Vec<&str> = out.iter().map(|server| &*server.0).collect();
-    let body = serde_json::to_string(&ids).map_err(|error| error.to_string())?;
-    Ok(format!(
-        "{HEAD}{:08x}\n{body}\n",
-        crc32fast::hash(body.as_bytes())
-    ))
+/// The first word of the file and the version of its format; the checksum follows.
+const HEADER: &str = "lupincrank-out 1 ";
+/// A longer file was not written by this program.
+const MAX_FILE_BYTES: u64 = 1 << 20;
+/// How long the other process may hold the lock: a change takes microseconds, unless the process was stopped in its middle.
+const LOCK_TIMEOUT: Duration = Duration::from_millis(50);
+const LOCK_RETRY_INTERVAL: Duration = Duration::from_millis(1);
+
+/// Why the file of admin drains could not be read or written.
+#[derive(Debug, Error)]
+#[error("{}: {reason}", path.display())]
+pub struct AdminDrainFileError {
+    path: PathBuf,
+    #[source]
+    reason: FailureReason,
+}
+
+/// What went wrong with the file.
+#[derive(Debug, Error)]
+enum FailureReason {
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    #[error("it is too long")]
+    TooLong,
+    #[error(transparent)]
+    Format(#[from] FormatError),
+}
+
+/// Why the file's text is not believed.
+#[derive(Debug, Error)]
+enum FormatError {
+    #[error("its head is not of this version")]
+    Header,
+    #[error("it is cut short")]
+    Truncated,
+    #[error("its checksum does not fit")]
+    Checksum,
+    #[error(transparent)]
+    Json(#[from] serde_json::Error),
+}
+
+/// What an operator wants of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DrainChange {
+    /// It gets no new connections, and its clients are sent away.
+    Drain,
+    /// It is used again.
+    Release,
+}
+
+/// Applies the change to the set of drained servers; whether the set has changed.
+pub fn apply_change(
+    drained: &mut BTreeSet<ServerId>,
+    server: &ServerId,
+    change: DrainChange,
+) -> bool {
+    set_drained(drained, server, change == DrainChange::Drain)
+}
+
+/// The text of the file: the header with a checksum, then the ids as JSON.
+fn format(drained: &BTreeSet<ServerId>) -> Result<String, FormatError> {
+    let ids: Vec<&str> = drained.iter().map(|server| &*server.0).collect();
+    let body = serde_json::to_string(&ids)?;
+    let checksum = checksum(&body);
+    Ok(format!("{HEADER}{checksum}\n{body}\n"))
 }
 
 /// Reads the text back whole, or not at all.
-fn parse(text: &str) -> Result<BTreeSet<ServerId>, String> {
-    let rest = text
-        .strip_prefix(HEAD)
-        .ok_or("its head is not of this version")?;
-    let (sum, body) = rest.split_once('\n').ok_or("it is cut short")?;
-    let body = body.strip_suffix('\n').ok_or("it is cut short")?;
-    if sum != format!("{:08x}", crc32fast::hash(body.as_bytes())) {
-        return Err("its checksum does not fit".into());
+fn parse(text: &str) -> Result<BTreeSet<ServerId>, FormatError> {
+    let rest = text.strip_prefix(HEADER).ok_or(FormatError::Header)?;
+    let (expected, body) = rest.split_once('\n').ok_or(FormatError::Truncated)?;
+    let body = body.strip_suffix('\n').ok_or(FormatError::Truncated)?;
+    if expected != checksum(body) {
+        return Err(FormatError::Checksum);
     }
-    let ids: Vec<String> = serde_json::from_str(body).map_err(|error| error.to_string())?;
+    let ids: Vec<String> = serde_json::from_str(body)?;
     Ok(ids.iter().map(|id| ServerId::from(id.as_str())).collect())
 }
 
-/// The file.
-pub struct Bans {
+fn checksum(body: &str) -> String {
+    format!("{:08x}", crc32fast::hash(body.as_bytes()))
+}
+
+/// The file of admin drains at a path; it need not exist.
+pub struct AdminDrainFile {
     path: PathBuf,
 }
 
-impl Bans {
-    /// The file at `path`; it need not exist.
-    pub fn new(path: PathBuf) -> Bans {
-        Bans { path }
+impl AdminDrainFile {
+    /// The file at `path`. Its lock and its next version are written beside it.
+    pub fn new(path: PathBuf) -> AdminDrainFile {
+        AdminDrainFile { path }
+    }
+
+    /// The drained servers; none if there is no file.
+    ///
+    /// # Errors
+    /// Where the file can't be read or is damaged.
+    pub fn read(&self) -> Result<BTreeSet<ServerId>, AdminDrainFileError> {
+        self.read_contents().map_err(|reason| self.error(reason))
     }
 
-    fn named(&self, error: impl std::fmt::Display) -> String {
-        format!("{}: {error}", self.path.display())
+    /// Drains or releases one server, in the file too, and returns the drained servers. `known` is believed where the file
+    /// is damaged.
+    ///
+    /// # Errors
+    /// Where the file can't be locked or written; nothing has changed then.
+    pub fn update(
+        &self,
+        server: &ServerId,
+        change: DrainChange,
+        known: &BTreeSet<ServerId>,
+    ) -> Result<BTreeSet<ServerId>, AdminDrainFileError> {
+        // Guards against the other process's change between this one's reading and writing.
+        let _lock = self.lock()?;
+        let mut drained = self.read().unwrap_or_else(|_| known.clone());
+        if apply_change(&mut drained, server, change) {
+            self.write(&drained)?;
+        }
+        Ok(drained)
     }
 
-    /// Who is out; nobody if there is no file.
-    pub fn read(&self) -> Result<BTreeSet<ServerId>, String> {
+    /// Writes a file that was found damaged anew, unless the other process has done so by now.
+    ///
+    /// # Errors
+    /// Where the file can't be locked or written.
+    pub fn repair(&self, drained: &BTreeSet<ServerId>) -> Result<(), AdminDrainFileError> {
+        let _lock = self.lock()?;
+        if self.read().is_ok() {
+            return Ok(());
+        }
+        self.write(drained)
+    }
+
+    fn read_contents(&self) -> Result<BTreeSet<ServerId>, FailureReason> {
         match fs::metadata(&self.path) {
             Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(BTreeSet::new()),
-            Ok(about) if about.len() > LONGEST => return Err(self.named("it is too long")),
+            Ok(metadata) if metadata.len() > MAX_FILE_BYTES => return Err(FailureReason::TooLong),
             _ => {}
         }
-        let text = fs::read_to_string(&self.path).map_err(|error| self.named(error))?;
-        parse(&text).map_err(|why| self.named(why))
+        let text = fs::read_to_string(&self.path)?;
+        Ok(parse(&text)?)
     }
 
-    /// Takes one server out or back in, in the file too, and gives who is out now. `present` is believed where the file is
-    /// damaged. On an error nothing has changed.
-    pub fn change(
-        &self,
-        server: &ServerId,
-        down: bool,
-        present: &BTreeSet<ServerId>,
-    ) -> Result<BTreeSet<ServerId>, String> {
-        // Guards against the other process's change between this one's reading and writing.
-        let _held =
-            hold(&self.path.with_extension("out-lock")).map_err(|error| self.named(error))?;
-        let mut out = self.read().unwrap_or_else(|_| present.clone());
-        if set_drained(&mut out, server, down) {
-            self.write(&out)?;
-        }
-        Ok(out)
+    /// Replaces the file in one step. Only under the lock.
+    fn write(&self, drained: &BTreeSet<ServerId>) -> Result<(), AdminDrainFileError> {
+        let next_version = self.path.with_extension("out-new");
+        let replace = || -> Result<(), FailureReason> {
+            fs::write(&next_version, format(drained)?)?;
+            fs::rename(&next_version, &self.path)?;
+            Ok(())
+        };
+        replace().map_err(|reason| self.error(reason))
     }
 
-    /// Writes a file that was found damaged anew, unless the other process has done so by now.
-    pub fn mend(&self, out: &BTreeSet<ServerId>) -> Result<(), String> {
-        let _held =
-            hold(&self.path.with_extension("out-lock")).map_err(|error| self.named(error))?;
-        self.read().map_or_else(|_| self.write(out), |_| Ok(()))
+    fn lock(&self) -> Result<File, AdminDrainFileError> {
+        lock_file(&self.path.with_extension("out-lock")).map_err(|error| self.error(error.into()))
     }
 
-    /// Only under the lock.
-    fn write(&self, out: &BTreeSet<ServerId>) -> Result<(), String> {
-        let fresh = self.path.with_extension("out-new");
-        let written = fs::write(&fresh, text(out)?).and_then(|()| fs::rename(&fresh, &self.path));
-        written.map_err(|error| self.named(error))
+    fn error(&self, reason: FailureReason) -> AdminDrainFileError {
+        AdminDrainFileError {
+            path: self.path.clone(),
+            reason,
+        }
     }
 }
 
-fn hold(path: &Path) -> io::Result<File> {
+/// Locks the file at `path` until the returned file is dropped.
+fn lock_file(path: &Path) -> io::Result<File> {
     let file = File::options()
         .create(true)
         .truncate(false)
         .write(true)
         .open(path)?;
-    let until = Instant::now() + PATIENCE;
+    let deadline = Instant::now() + LOCK_TIMEOUT;
     loop {
         match file.try_lock() {
             Ok(()) => return Ok(file),
-            Err(fs::TryLockError::WouldBlock) if Instant::now() < until => {
-                std::thread::sleep(Duration::from_millis(1));
+            Err(fs::TryLockError::WouldBlock) if Instant::now() < deadline => {
+                std::thread::sleep(LOCK_RETRY_INTERVAL);
             }
             Err(error) => return Err(error.into()),
         }
--- a/crates/node/src/handoff/admin_drain_file/tests.rs
+++ b/crates/node/src/handoff/admin_drain_file/tests.rs
@@ -7,8 +7,8 @@
         .into_iter()
         .map(ServerId::from)
         .collect();
-    let whole = text(&out).unwrap();
-    assert_eq!(parse(&whole), Ok(out));
+    let whole = format(&out).unwrap();
+    assert_eq!(parse(&whole).unwrap(), out);
     for cut in 0..whole.len() {
         assert!(parse(&whole[..cut]).is_err(), "cut at {cut}");
     }
@@ -29,19 +29,24 @@
     #[case] expected: &[&str],
 ) {
     let name = format!(
-        "lupincrank-bans-{}-{}",
+        "lupincrank-admin-drains-{}-{}",
         std::process::id(),
         expected.concat()
     );
     let path = std::env::temp_dir().join(name).with_extension("out");
     file.iter().for_each(|text| fs::write(&path, text).unwrap());
-    let bans = Bans::new(path.clone());
+    let drain_file = AdminDrainFile::new(path.clone());
     let present = BTreeSet::from([ServerId::from("p")]);
-    let out = bans.change(&"s".into(), true, &present).unwrap();
-    assert_eq!(bans.read().unwrap(), out);
+    let out = drain_file
+        .update(&"s".into(), DrainChange::Drain, &present)
+        .unwrap();
+    assert_eq!(drain_file.read().unwrap(), out);
     assert_eq!(out.iter().map(|id| &*id.0).collect::<Vec<_>>(), expected);
     assert_eq!(
-        bans.change(&"s".into(), false, &present).unwrap().len(),
+        drain_file
+            .update(&"s".into(), DrainChange::Release, &present)
+            .unwrap()
+            .len(),
         expected.len() - 1
     );
     for extension in ["out", "out-lock"] {
@@ -58,6 +63,6 @@
     #[case] fixture: &str,
 ) {
     let drained: BTreeSet<ServerId> = servers.iter().copied().map(ServerId::from).collect();
-    assert_eq!(text(&drained).unwrap(), fixture);
+    assert_eq!(format(&drained).unwrap(), fixture);
     assert_eq!(parse(fixture).unwrap(), drained);
 }
--- /dev/null
+++ b/crates/node/src/handoff/agent.rs
@@ -0,0 +1,88 @@
+//! The handoff's component in the event loop: receives from the other process and from successors, and fires the deadlines.
+
+use super::incoming;
+use super::lifecycle::{lose_peer, open_if_ready, run_heartbeat, step_transfer};
+use super::peer_process::{ConnectedPeer, PeerProcess};
+use super::socket::{HandoffSocket, PeerConnection};
+use super::transfer::MAX_IN_FLIGHT;
+use crate::command::{HandoffCommand, Message};
+use crate::deadline::{DeadlineKind, HandoffDeadline};
+use crate::state::{NodeContext, NodeState};
+use lupincrank_reactor::{Connection, Interest, Lifecycle, Readiness};
+use slog::info;
+use socket2::Socket;
+
+/// Messages that one turn of the event loop handles: clients are served meanwhile.
+const MAX_MESSAGES_PER_TURN: usize = 2 * MAX_IN_FLIGHT;
+
+/// Accepts a successor, one at a time; a second one connects again once the first has gone.
+fn accept_successor(context: &mut NodeContext) {
+    let primary = context.handoff.primary.as_mut();
+    let Some(listener) = primary.and_then(|primary| primary.listener.as_mut()) else {
+        return;
+    };
+    let Ok(socket) = listener.accept() else {
+        // With no descriptor left it would be ready again and again: it pauses until the next heartbeat.
+        let _ = listener.set_interest(Interest::NONE);
+        return;
+    };
+    if !context.handoff.is_peer_connected() {
+        connect_successor(context, socket);
+    }
+}
+
+fn connect_successor(context: &mut NodeContext, socket: Socket) {
+    let Ok(connection) = PeerConnection::from_accepted(&context.poller, socket) else {
+        return;
+    };
+    context.handoff.peer = PeerProcess::Connected(ConnectedPeer::new(connection));
+    info!(context.log, "successor connected");
+    run_heartbeat(context);
+}
+
+fn receive_messages(context: &mut NodeContext) {
+    for _ in 0..MAX_MESSAGES_PER_TURN {
+        let PeerProcess::Connected(peer) = &context.handoff.peer else {
+            return;
+        };
+        match peer.connection.receive() {
+            Ok(Some(received)) => incoming::on_message(context, received),
+            Ok(None) => return,
+            Err(error) => return lose_peer(context, &error.into()),
+        }
+    }
+}
+
+/// The handoff's component in the event loop; its state is [`NodeState::handoff`].
+pub struct HandoffAgent;
+
+impl Connection<NodeState> for HandoffAgent {
+    fn on_ready(
+        &mut self,
+        context: &mut NodeContext,
+        socket: usize,
+        _readiness: Readiness,
+    ) -> Lifecycle {
+        match HandoffSocket::from_index(socket) {
+            HandoffSocket::Listener => accept_successor(context),
+            HandoffSocket::PeerConnection => receive_messages(context),
+        }
+        Lifecycle::Continue
+    }
+
+    fn on_deadline(&mut self, context: &mut NodeContext, kind: DeadlineKind) -> Lifecycle {
+        match kind {
+            DeadlineKind::Handoff(HandoffDeadline::Heartbeat) => run_heartbeat(context),
+            DeadlineKind::Handoff(HandoffDeadline::TransferStep) => step_transfer(context),
+            _ => {}
+        }
+        Lifecycle::Continue
+    }
+
+    fn on_message(&mut self, context: &mut NodeContext, message: Message) -> Lifecycle {
+        if let Message::Handoff(HandoffCommand::OpenListener) = message {
+            open_if_ready(context);
+        }
+        Lifecycle::Continue
+    }
+}
--- /dev/null
+++ b/crates/node/src/handoff/incoming.rs
@@ -0,0 +1,149 @@
+//! Handles the messages of the other process.
+
+use super::lifecycle::{
+    lose_peer, reload_admin_drains, send_heartbeat, start_handover, start_next_transfers, PeerLoss,
+};
+use super::message::{
+    ConnectionTransfer, HandoffMessage, Heartbeat, UnidentifiedClientTransfer, PROTOCOL_VERSION,
+};
+use super::peer_process::PeerProcess;
+use super::socket::ReceivedMessage;
+use super::transfer::TransferAnswer;
+use crate::client::connection::Client;
+use crate::command::TransferCommand;
+use crate::state::NodeContext;
+use crate::upstream::relay::Relay;
+use slog::info;
+use std::os::fd::OwnedFd;
+use std::time::Duration;
+
+/// Handles one message of the other process.
+pub(super) fn on_message(context: &mut NodeContext, received: ReceivedMessage) {
+    let ReceivedMessage {
+        message,
+        payload,
+        descriptors,
+    } = received;
+    match message {
+        HandoffMessage::Heartbeat(heartbeat) => on_heartbeat(context, heartbeat),
+        HandoffMessage::AdminDrainChanged => reload_admin_drains(context),
+        HandoffMessage::LearnedState(records) => {
+            let learned = records.into_iter().map(Into::into).collect();
+            context.placement.learn(learned);
+        }
+        HandoffMessage::Connection(transfer) => {
+            on_connection(context, transfer, &payload, descriptors);
+        }
+        HandoffMessage::UnidentifiedClient(transfer) => {
+            on_unidentified_client(context, transfer, payload, descriptors);
+        }
+        HandoffMessage::Accepted(number) => on_answer(context, number, TransferAnswer::Accepted),
+        HandoffMessage::Rejected(number) => on_answer(context, number, TransferAnswer::Rejected),
+    }
+}
+
+fn on_heartbeat(context: &mut NodeContext, heartbeat: Heartbeat) {
+    if heartbeat.version != PROTOCOL_VERSION {
+        return lose_peer(context, &PeerLoss::VersionMismatch);
+    }
+    let PeerProcess::Connected(peer) = &mut context.handoff.peer else {
+        return;
+    };
+    let accepts_clients_before = peer.heartbeat.accepts_clients;
+    peer.heartbeat = heartbeat;
+    if heartbeat.accepts_clients != accepts_clients_before {
+        send_heartbeat(context);
+    }
+    // SIGTERM may have come before the successor could serve.
+    let shuts_down = context.shutdown.is_some();
+    if shuts_down && !context.handoff.is_leaving && context.handoff.has_successor() {
+        start_handover(context);
+    }
+}
+
+fn on_connection(
+    context: &mut NodeContext,
+    transfer: ConnectionTransfer,
+    payload: &[u8],
+    descriptors: Vec<OwnedFd>,
+) {
+    let ConnectionTransfer { number, connection } = transfer;
+    let sockets = <[OwnedFd; 2]>::try_from(descriptors)
+        .ok()
+        .filter(|_| Relay::may_take(context, &connection, payload));
+    let Some(sockets) = sockets else {
+        return reject(context, number);
+    };
+    if accept(context, number) {
+        forget_peer_client(context);
+        Relay::take_over(context, connection, payload, sockets);
+    }
+}
+
+fn on_unidentified_client(
+    context: &mut NodeContext,
+    transfer: UnidentifiedClientTransfer,
+    payload: Vec<u8>,
+    descriptors: Vec<OwnedFd>,
+) {
+    let UnidentifiedClientTransfer {
+        number,
+        remaining_ms,
+    } = transfer;
+    let Some(socket) = descriptors.into_iter().next() else {
+        return reject(context, number);
+    };
+    if accept(context, number) {
+        let remaining = Duration::from_millis(remaining_ms);
+        Client::take_over(context, socket, payload, remaining);
+    }
+}
+
+/// The other process has one client less than it last reported.
+fn forget_peer_client(context: &mut NodeContext) {
+    if let PeerProcess::Connected(peer) = &mut context.handoff.peer {
+        let client_count = peer.heartbeat.client_count;
+        peer.heartbeat.client_count = client_count.saturating_sub(1);
+    }
+}
+
+/// Tells the other process that an offered connection belongs to this one from now on; whether it does. It is told before
+/// anything is read or written: were this process to die now, the other knows whose the connection is. Where that can't be
+/// told, the connection to the other process is closed, which tells it to keep what it offered, unless it has died.
+fn accept(context: &mut NodeContext, number: u64) -> bool {
+    if context.handoff.send(&HandoffMessage::Accepted(number)) || is_peer_dead(context) {
+        return true;
+    }
+    lose_peer(context, &PeerLoss::AnswerNotSent);
+    false
+}
+
+/// Tells the other process that an offered connection stays with it.
+fn reject(context: &mut NodeContext, number: u64) {
+    if !context.handoff.send(&HandoffMessage::Rejected(number)) {
+        lose_peer(context, &PeerLoss::AnswerNotSent);
+    }
+}
+
+/// Whether the other process has died, so that what it has sent belongs to this one alone: its lock is free. A process that
+/// has only closed the connection would go on with what it sent. What else it sent is received before the end of the
+/// connection is noticed.
+fn is_peer_dead(context: &mut NodeContext) -> bool {
+    let search = context.application.handoff.find_peer(&context.poller);
+    let has_lock = context.handoff.primary.is_some();
+    if has_lock {
+        info!(context.log, "connection taken over from dead process");
+    }
+    search.is_ok() && has_lock
+}
+
+fn on_answer(context: &mut NodeContext, number: u64, answer: TransferAnswer) {
+    if let Some(id) = context.handoff.transfers.record_answer(number, answer) {
+        let command = match answer {
+            TransferAnswer::Accepted => TransferCommand::Completed,
+            TransferAnswer::Rejected => TransferCommand::Cancelled,
+        };
+        context.send(id, command);
+    }
+    start_next_transfers(context);
+}
--- a/crates/node/src/handoff/message.rs
+++ b/crates/node/src/handoff/message.rs
@@ -1,231 +1,215 @@
-//! What two processes of one node say to each other: one message a packet, some with descriptors.
+//! The messages between two processes of one node, as JSON. Names in the JSON are those of the first version and stay.
 
 use lupincrank_placement::learned_state::LearnedServer;
-use lupincrank_reactor::poll::Registered;
-use rustix::net::{
-    recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, ReturnFlags,
-    SendAncillaryBuffer, SendAncillaryMessage, SendFlags,
-};
 use serde::{Deserialize, Serialize};
-use socket2::{Domain, SockAddr, Socket, Type};
-use std::io::{self, IoSlice, IoSliceMut};
-use std::mem::MaybeUninit;
-use std::os::fd::{BorrowedFd, OwnedFd};
-use std::path::Path;
 use std::time::Duration;
 
-/// The form of the messages; another one is not understood.
-pub const VERSION: u32 = 3;
-/// The longest message: both directions of a connection full, and the record.
-const LONGEST: usize = 256 << 10;
-/// Descriptors that one message brings at the most.
-const MOST_FDS: usize = 2;
+/// The version of the messages; a process with another one is not understood.
+pub const PROTOCOL_VERSION: u32 = 3;
 
-/// A connection that is up.
+/// One message from one process of a node to the other.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct Standing {
-    /// Its request's id.
+pub enum HandoffMessage {
+    /// Each process's first message, then sent every 100 ms.
+    #[serde(rename = "Beat")]
+    Heartbeat(Heartbeat),
+    /// An operator has drained or released a server: the file of admin drains has changed.
+    #[serde(rename = "Out")]
+    AdminDrainChanged,
+    /// What the sender has learned of servers, ahead of its connections.
+    #[serde(rename = "Learnt")]
+    LearnedState(Vec<LearnedServerRecord>),
+    /// A connection with both of its sockets, the client's first. Its buffered bytes follow the message.
+    #[serde(rename = "Standing")]
+    Connection(ConnectionTransfer),
+    /// A client whose first line is incomplete, with its socket. The bytes of that line follow the message.
+    #[serde(rename = "First")]
+    UnidentifiedClient(UnidentifiedClientTransfer),
+    /// The connection of this number belongs to the sender of this message from now on.
+    #[serde(rename = "Took")]
+    Accepted(u64),
+    /// The connection of this number stays with the process that offered it.
+    #[serde(rename = "Refused")]
+    Rejected(u64),
+}
+
+/// What a process holds and does.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Heartbeat {
+    /// See [`PROTOCOL_VERSION`].
+    pub version: u32,
+    /// Clients with a request.
+    #[serde(rename = "clients")]
+    pub client_count: usize,
+    /// Clients that have asked for nothing yet or have their answer.
+    #[serde(rename = "strangers")]
+    pub unidentified_count: usize,
+    /// The process accepts clients.
+    #[serde(rename = "open")]
+    pub accepts_clients: bool,
+}
+
+/// A connection offered under a number. In JSON it is an array of both.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(
+    from = "(u64, TransferredConnection)",
+    into = "(u64, TransferredConnection)"
+)]
+pub struct ConnectionTransfer {
+    /// The number that the answer names.
+    pub number: u64,
+    /// The connection.
+    pub connection: TransferredConnection,
+}
+
+impl From<(u64, TransferredConnection)> for ConnectionTransfer {
+    fn from((number, connection): (u64, TransferredConnection)) -> ConnectionTransfer {
+        ConnectionTransfer { number, connection }
+    }
+}
+
+impl From<ConnectionTransfer> for (u64, TransferredConnection) {
+    fn from(transfer: ConnectionTransfer) -> (u64, TransferredConnection) {
+        (transfer.number, transfer.connection)
+    }
+}
+
+/// A client whose first line is incomplete, offered under a number. In JSON it is an array of both numbers.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(from = "(u64, u64)", into = "(u64, u64)")]
+pub struct UnidentifiedClientTransfer {
+    /// The number that the answer names.
+    pub number: u64,
+    /// Milliseconds in which the first line has to be complete.
+    pub remaining_ms: u64,
+}
+
+impl From<(u64, u64)> for UnidentifiedClientTransfer {
+    fn from((number, remaining_ms): (u64, u64)) -> UnidentifiedClientTransfer {
+        UnidentifiedClientTransfer {
+            number,
+            remaining_ms,
+        }
+    }
+}
+
+impl From<UnidentifiedClientTransfer> for (u64, u64) {
+    fn from(transfer: UnidentifiedClientTransfer) -> (u64, u64) {
+        (transfer.number, transfer.remaining_ms)
+    }
+}
+
+/// An established connection between a client and its server.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct TransferredConnection {
+    /// The request's id.
     pub request: u64,
-    /// Its class by name, its group, its key, and whether it had come back from a break or a move.
+    /// The name of the request's class.
     pub class: String,
-    /// See `class`.
+    /// The request's group.
     pub group: Option<String>,
-    /// See `class`.
+    /// The request's key.
     pub key: Option<String>,
-    /// See `class`.
-    pub returned: bool,
-    /// Where it stands.
+    /// Whether the client had connected anew after a broken connection or a migration.
+    #[serde(rename = "returned")]
+    pub is_reconnect: bool,
+    /// The server's id.
     pub server: String,
-    /// Its load as last told, in microseconds of work a second.
+    /// The load last reported for the connection, in microseconds of work a second.
     pub load_us: Option<u64>,
-    /// For each line of the client that nothing has come back for: how long ago it went on.
+    /// For each line of the client without an answer: how long ago it was sent on.
     pub unanswered_ms: Vec<u64>,
-    /// How many of the bytes that come along wait for the transcriber, for the client, and are the start of a line of the
-    /// transcriber: in this order.
-    pub lengths: [usize; 3],
+    /// How the bytes that follow the message are divided.
+    pub lengths: BufferLengths,
 }
 
-/// What a process is and holds.
-#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
-pub struct Beat {
-    /// See `VERSION`.
-    pub version: u32,
-    /// How many clients it holds, and how many connections that ask for nothing.
-    pub clients: usize,
-    /// See `clients`.
-    pub strangers: usize,
-    /// It takes clients in.
-    pub open: bool,
+/// The lengths of a connection's buffers, whose bytes follow the message in this order. In JSON it is an array.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq, Serialize)]
+#[serde(from = "[usize; 3]", into = "[usize; 3]")]
+pub struct BufferLengths {
+    /// Bytes that wait for the server.
+    pub to_server: usize,
+    /// Bytes that wait for the client.
+    pub to_client: usize,
+    /// The start of a line of the server.
+    pub partial_line: usize,
 }
 
-/// What was learnt of one transcriber: see `lupincrank_placement::learned_state`. Spans are milliseconds.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct Lesson {
-    server: String,
-    started: Option<u64>,
-    cap: Option<f64>,
-    crowded: Option<u64>,
-    barred: Option<u64>,
-    bars: u32,
-    strikes: u32,
-    crashed: bool,
-}
-
-impl From<LearnedServer> for Lesson {
-    fn from(learnt: LearnedServer) -> Lesson {
-        let ms = |span: Option<Duration>| {
-            span.map(|span| u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
-        };
-        Lesson {
-            server: learnt.server.0.to_string(),
-            started: ms(learnt.started_ago),
-            cap: learnt.concurrency_limit,
-            crowded: ms(learnt.overloaded_ago),
-            barred: ms(learnt.ejected_for),
-            bars: learnt.ejection_count,
-            strikes: learnt.consecutive_failures,
-            crashed: learnt.restart_suspected,
-        }
+impl BufferLengths {
+    /// The length of all buffers together; `None` where it is not a number of this machine.
+    pub fn total(self) -> Option<usize> {
+        self.to_server
+            .checked_add(self.to_client)?
+            .checked_add(self.partial_line)
     }
 }
 
-impl From<Lesson> for LearnedServer {
-    fn from(lesson: Lesson) -> LearnedServer {
-        let span = |ms: Option<u64>| ms.map(Duration::from_millis);
-        LearnedServer {
-            server: lesson.server.as_str().into(),
-            started_ago: span(lesson.started),
-            concurrency_limit: lesson.cap,
-            overloaded_ago: span(lesson.crowded),
-            ejected_for: span(lesson.barred),
-            ejection_count: lesson.bars,
-            consecutive_failures: lesson.strikes,
-            restart_suspected: lesson.crashed,
+impl From<[usize; 3]> for BufferLengths {
+    fn from([to_server, to_client, partial_line]: [usize; 3]) -> BufferLengths {
+        BufferLengths {
+            to_server,
+            to_client,
+            partial_line,
         }
     }
 }
 
-/// One message.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub enum Said {
-    /// The first one of both, and then one every 100 ms.
-    Beat(Beat),
-    /// Who is out by hand has changed.
-    Out,
-    /// What was learnt of the transcribers, ahead of the connections.
-    Learnt(Vec<Lesson>),
-    /// A connection that is up, with both sockets, the client's first.
-    Standing(u64, Standing),
-    /// A client whose first line is not whole yet; it may take so many more milliseconds.
-    First(u64, u64),
-    /// The connection of this number is the other's from now on.
-    Took(u64),
-    /// It is not: the sender keeps it.
-    Refused(u64),
-}
-
-/// Sends one message, with the bytes and descriptors that belong to it; false if there is no room for it now.
-pub fn send(
-    link: &Registered<Socket>,
-    said: &Said,
-    bytes: &[u8],
-    fds: &[BorrowedFd<'_>],
-) -> io::Result<bool> {
-    let mut record = serde_json::to_vec(said)?;
-    record.push(b'\n');
-    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST_FDS))];
-    let mut ancillary = SendAncillaryBuffer::new(&mut space);
-    if !fds.is_empty() && !ancillary.push(SendAncillaryMessage::ScmRights(fds)) {
-        return Err(io::Error::other("too many descriptors"));
-    }
-    let parts = [IoSlice::new(&record), IoSlice::new(bytes)];
-    match sendmsg(
-        &**link,
-        &parts,
-        &mut ancillary,
-        SendFlags::NOSIGNAL | SendFlags::DONTWAIT,
-    ) {
-        Ok(_) => Ok(true),
-        Err(rustix::io::Errno::AGAIN) => Ok(false),
-        Err(error) => Err(error.into()),
+impl From<BufferLengths> for [usize; 3] {
+    fn from(lengths: BufferLengths) -> [usize; 3] {
+        [lengths.to_server, lengths.to_client, lengths.partial_line]
     }
 }
 
-/// What came, with its bytes and descriptors.
-pub struct Came {
-    /// The message.
-    pub said: Said,
-    /// Its bytes.
-    pub bytes: Vec<u8>,
-    /// Its descriptors.
-    pub fds: Vec<OwnedFd>,
-}
-
-/// Takes one message; `None` if there is none now. The other's end is an error.
-pub fn receive(link: &Registered<Socket>) -> io::Result<Option<Came>> {
-    let mut bytes = vec![0; LONGEST];
-    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST_FDS))];
-    let mut ancillary = RecvAncillaryBuffer::new(&mut space);
-    let flags = RecvFlags::DONTWAIT | RecvFlags::CMSG_CLOEXEC;
-    let got = match recvmsg(
-        &**link,
-        &mut [IoSliceMut::new(&mut bytes)],
-        &mut ancillary,
-        flags,
-    ) {
-        Ok(got) => got,
-        Err(rustix::io::Errno::AGAIN) => return Ok(None),
-        Err(error) => return Err(error.into()),
-    };
-    if got.bytes == 0 {
-        return Err(io::ErrorKind::UnexpectedEof.into());
+/// What was learned of one server: see [`LearnedServer`]. Spans are milliseconds.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct LearnedServerRecord {
+    server: String,
+    #[serde(rename = "started")]
+    started_ago: Option<u64>,
+    #[serde(rename = "cap")]
+    concurrency_limit: Option<f64>,
+    #[serde(rename = "crowded")]
+    overloaded_ago: Option<u64>,
+    #[serde(rename = "barred")]
+    ejected_for: Option<u64>,
+    #[serde(rename = "bars")]
+    ejection_count: u32,
+    #[serde(rename = "strikes")]
+    consecutive_failures: u32,
+    #[serde(rename = "crashed")]
+    restart_suspected: bool,
+}
+
+impl From<LearnedServer> for LearnedServerRecord {
+    fn from(learned: LearnedServer) -> LearnedServerRecord {
+        LearnedServerRecord {
+            server: learned.server.0.to_string(),
+            started_ago: learned.started_ago.map(milliseconds),
+            concurrency_limit: learned.concurrency_limit,
+            overloaded_ago: learned.overloaded_ago.map(milliseconds),
+            ejected_for: learned.ejected_for.map(milliseconds),
+            ejection_count: learned.ejection_count,
+            consecutive_failures: learned.consecutive_failures,
+            restart_suspected: learned.restart_suspected,
+        }
     }
-    if got
-        .flags
-        .intersects(ReturnFlags::TRUNC | ReturnFlags::CTRUNC)
-    {
-        return Err(io::Error::new(
-            io::ErrorKind::InvalidData,
-            "a message was too long",
-        ));
+}
+
+impl From<LearnedServerRecord> for LearnedServer {
+    fn from(record: LearnedServerRecord) -> LearnedServer {
+        LearnedServer {
+            server: record.server.as_str().into(),
+            started_ago: record.started_ago.map(Duration::from_millis),
+            concurrency_limit: record.concurrency_limit,
+            overloaded_ago: record.overloaded_ago.map(Duration::from_millis),
+            ejected_for: record.ejected_for.map(Duration::from_millis),
+            ejection_count: record.ejection_count,
+            consecutive_failures: record.consecutive_failures,
+            restart_suspected: record.restart_suspected,
+        }
     }
-    let fds = ancillary.drain().filter_map(|message| match message {
-        RecvAncillaryMessage::ScmRights(fds) => Some(fds),
-        _ => None,
-    });
-    let fds = fds.flatten().collect();
-    bytes.truncate(got.bytes);
-    let end = bytes
-        .iter()
-        .position(|byte| *byte == b'\n')
-        .ok_or(io::ErrorKind::InvalidData)?;
-    let said = serde_json::from_slice(&bytes[..end]);
-    let said = said.map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))?;
-    bytes.drain(..=end);
-    Ok(Some(Came { said, bytes, fds }))
-}
-
-/// A socket for packets, not bound yet.
-fn socket() -> io::Result<Socket> {
-    let socket = Socket::new(Domain::UNIX, Type::SEQPACKET, None)?;
-    socket.set_nonblocking(true)?;
-    Ok(socket)
-}
-
-/// Waits for the other process at this path.
-pub fn listen(path: &Path) -> io::Result<Socket> {
-    let socket = socket()?;
-    socket.bind(&SockAddr::unix(path)?)?;
-    socket.listen(4)?;
-    Ok(socket)
-}
-
-/// Reaches the process that waits at this path.
-pub fn connect(path: &Path) -> io::Result<Socket> {
-    let socket = socket()?;
-    socket.connect(&SockAddr::unix(path)?)?;
-    Ok(socket)
-}
-
-#[cfg(test)]
-mod tests;
+}
+
+fn milliseconds(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/node/src/handoff/peer_process.rs
+++ b/crates/node/src/handoff/peer_process.rs
@@ -1,183 +1,238 @@
-//! What a process knows of the other one of its node, and what it may do by that.
+//! What this process knows of the other process of its node, and what it may do for that reason.
 
-use super::admin_drain_file::Bans;
-use super::message::{self, Beat, Said};
-use super::transfer::Custody;
-use crate::component::WellKnownComponent;
-use lupincrank_placement::admin_drain::set_drained;
+use super::admin_drain_file::{apply_change, AdminDrainFile, AdminDrainFileError, DrainChange};
+use super::message::{HandoffMessage, Heartbeat};
+use super::runtime_files::RuntimeFiles;
+use super::socket::{HandoffListener, PeerConnection, SendOutcome};
+use super::transfer::TransferQueue;
 use lupincrank_placement::ServerId;
-use lupincrank_reactor::poll::Registered;
 use lupincrank_reactor::ComponentId;
-use lupincrank_reactor::{poller_key, Interest};
-use socket2::Socket;
+use polling::Poller;
 use std::collections::BTreeSet;
 use std::fs::{self, File};
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::BorrowedFd;
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// A process that cannot be reached for this long is not waited for; yes is owed 6 s after the start.
-const REACHED: Duration = Duration::from_secs(4);
-/// The sockets of this object: the one where a successor comes, and the link to the other process.
-pub(crate) const DOOR: usize = 0;
-pub(crate) const LINK: usize = 1;
-
-/// What this process knows of the other one.
-pub struct Upgrade {
-    /// The path of the files, without their extension; `None` where no second process may come.
-    pub(crate) stem: Option<PathBuf>,
-    /// Held while this process is the older or the only one.
-    pub(crate) lock: Option<File>,
-    pub(crate) door: Option<Registered<Socket>>,
-    pub(crate) link: Option<Registered<Socket>>,
-    /// What the other process holds and does, as it last said.
-    pub other: Beat,
-    /// It speaks another form of messages: there is no use in reaching it again.
-    pub(crate) foreign: bool,
-    pub(crate) bans: Option<Bans>,
-    /// The file of who is out was read well once: what this process holds is right.
-    pub(crate) read: bool,
-    pub(crate) since: Instant,
-    pub(crate) settled: bool,
-    /// Clients are taken in: a newer process leaves them to the older one until it can serve.
-    pub(crate) open: bool,
-    pub(crate) custody: Custody,
-    /// This process is handing over.
-    pub(crate) leaving: bool,
+/// A process that can't be reached for this long after the start is not waited for: readiness is due 6 s after the start.
+const PEER_DISCOVERY_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// The other process of this node.
+pub(super) enum PeerProcess {
+    /// None is connected.
+    Absent,
+    /// It is connected.
+    Connected(ConnectedPeer),
+    /// It speaks another version of the messages: there is no use in connecting again.
+    Incompatible,
+}
+
+/// The other process, connected.
+pub(super) struct ConnectedPeer {
+    pub(super) connection: PeerConnection,
+    /// What it holds and does, as it last reported.
+    pub(super) heartbeat: Heartbeat,
 }
 
-impl Upgrade {
-    /// Not linked yet.
-    pub fn new(listen: SocketAddr, inherited: Option<i32>) -> Upgrade {
-        let name = format!("lupincrank-{listen}").replace([':', '[', ']'], "-");
-        // The name is all of the stem: it holds dots, and what follows the last must not be taken for an extension.
-        let stem = inherited.map(|_| std::env::temp_dir().join(name + ".node"));
-        Upgrade {
-            bans: stem
-                .as_ref()
-                .map(|stem| Bans::new(stem.with_extension("out"))),
-            stem,
-            lock: None,
-            door: None,
-            link: None,
-            other: Beat::default(),
-            foreign: false,
-            read: false,
-            since: Instant::now(),
-            settled: false,
-            open: false,
-            custody: Custody::default(),
-            leaving: false,
+impl ConnectedPeer {
+    pub(super) fn new(connection: PeerConnection) -> ConnectedPeer {
+        ConnectedPeer {
+            connection,
+            heartbeat: Heartbeat::default(),
         }
     }
+}
 
-    /// Whether the process before this one is known to have ended, or is linked and has left a file of who is out that can
-    /// be read: until then this one is not ready.
-    pub fn settled(&self) -> bool {
-        let known = self.settled && (self.read || self.lock.is_some());
-        self.stem.is_none() || known || self.since.elapsed() > REACHED
+/// What only the older or the only process of a node holds.
+pub(super) struct PrimaryRole {
+    /// Released by the system when this process ends, however it ends.
+    _lock: File,
+    /// Where a successor connects; `None` where that socket could not be opened.
+    pub(super) listener: Option<HandoffListener>,
+}
+
+/// What has to be known before this process is ready.
+pub(super) struct Startup {
+    pub(super) started_at: Instant,
+    /// This process has found out whether another one runs.
+    pub(super) peer_is_known: bool,
+    /// The file of admin drains was read: the drains that this process holds are right.
+    pub(super) drains_are_known: bool,
+}
+
+/// The handoff between this process and the other process of its node.
+pub struct HandoffState {
+    /// The files that both processes share; `None` where no second process may start.
+    pub(super) files: Option<RuntimeFiles>,
+    pub(super) primary: Option<PrimaryRole>,
+    pub(super) peer: PeerProcess,
+    pub(super) startup: Startup,
+    /// Clients are accepted: a newer process leaves them to the older one until it can serve them.
+    pub(super) accepts_clients: bool,
+    /// This process is transferring its connections to its successor.
+    pub(super) is_leaving: bool,
+    pub(super) transfers: TransferQueue,
+}
+
+impl HandoffState {
+    /// No other process is known yet. A second process may start only where the clients' listener is inherited.
+    pub fn new(listen: SocketAddr, inherited_listener: Option<i32>) -> HandoffState {
+        HandoffState {
+            files: inherited_listener.map(|_| RuntimeFiles::new(listen)),
+            primary: None,
+            peer: PeerProcess::Absent,
+            startup: Startup {
+                started_at: Instant::now(),
+                peer_is_known: false,
+                drains_are_known: false,
+            },
+            accepts_clients: false,
+            is_leaving: false,
+            transfers: TransferQueue::default(),
+        }
+    }
+
+    /// Whether this process need not wait for the one before it: that one is known to have ended, or it is connected and
+    /// its file of admin drains was read, or it was waited for long enough.
+    pub fn is_settled(&self) -> bool {
+        let is_known =
+            self.startup.peer_is_known && (self.startup.drains_are_known || self.primary.is_some());
+        let waited = self.startup.started_at.elapsed();
+        self.files.is_none() || is_known || waited > PEER_DISCOVERY_TIMEOUT
     }
 
-    /// Whether connections are being handed over.
-    pub fn handing(&self) -> bool {
-        self.leaving && self.link.is_some()
+    /// Whether connections are being transferred to a successor.
+    pub fn is_handing_over(&self) -> bool {
+        self.is_leaving && self.is_peer_connected()
     }
 
-    /// Whether nothing is under way to the other process any more.
-    pub fn idle(&self) -> bool {
-        self.custody.idle()
+    /// Whether no connection is in flight to the other process.
+    pub fn is_idle(&self) -> bool {
+        self.transfers.is_idle()
     }
 
-    /// Whether a process that is to end may hand over what it holds: the other one can serve.
+    /// Whether a process that shuts down may transfer its connections: the other one can serve them.
     pub fn has_successor(&self) -> bool {
-        self.lock.is_some() && self.link.is_some() && self.other.open
+        self.primary.is_some() && self.peer_heartbeat().accepts_clients
     }
 
-    /// Context this connection over as soon as it is its turn.
+    /// What the other process holds and does, as it last reported; nothing where none is connected.
+    pub fn peer_heartbeat(&self) -> Heartbeat {
+        match &self.peer {
+            PeerProcess::Connected(peer) => peer.heartbeat,
+            PeerProcess::Absent | PeerProcess::Incompatible => Heartbeat::default(),
+        }
+    }
+
+    /// Queues connections for the transfer.
     pub fn enqueue(&mut self, ids: impl IntoIterator<Item = ComponentId>) {
-        self.custody.enqueue(ids);
+        self.transfers.enqueue(ids);
     }
 
-    /// Sends a connection on its way; its object keeps it untouched until it is told how that went. False if there is no
-    /// room yet: it will be asked again.
-    pub fn hand(
+    /// Offers a connection to the other process, in the message that `message` makes of its number. The connection's
+    /// component leaves it untouched until the answer; where there is no space now, it is asked to transfer again.
+    ///
+    /// # Errors
+    /// Where no other process is connected or it can't be sent to.
+    pub fn transfer(
         &mut self,
         id: ComponentId,
-        said: impl FnOnce(u64) -> Said,
-        bytes: &[u8],
-        fds: &[BorrowedFd<'_>],
-    ) -> io::Result<bool> {
-        let Some(link) = &self.link else {
+        message: impl FnOnce(u64) -> HandoffMessage,
+        payload: &[u8],
+        descriptors: &[BorrowedFd<'_>],
+    ) -> io::Result<SendOutcome> {
+        let PeerProcess::Connected(peer) = &self.peer else {
             return Err(io::ErrorKind::NotConnected.into());
         };
-        let sent = message::send(link, &said(self.custody.number()), bytes, fds)?;
-        self.custody.sent(id, sent);
-        Ok(sent)
+        let message = message(self.transfers.next_number());
+        let outcome = peer.connection.send(&message, payload, descriptors)?;
+        self.transfers.record_send(id, outcome);
+        Ok(outcome)
     }
 
-    /// Takes a transcriber out by hand or back in, in the file too where there is one.
-    pub fn change(
+    /// Drains or releases a server, in the file too where there is one, and returns the drained servers.
+    ///
+    /// # Errors
+    /// Where the file can't be written; nothing has changed then.
+    pub fn change_admin_drains(
         &self,
         server: &ServerId,
-        down: bool,
-        present: &BTreeSet<ServerId>,
-    ) -> Result<BTreeSet<ServerId>, String> {
-        if let Some(bans) = &self.bans {
-            bans.change(server, down, present)
-        } else {
-            let mut out = present.clone();
-            set_drained(&mut out, server, down);
-            Ok(out)
+        change: DrainChange,
+        drained: &BTreeSet<ServerId>,
+    ) -> Result<BTreeSet<ServerId>, AdminDrainFileError> {
+        if let Some(file) = self.admin_drain_file() {
+            return file.update(server, change, drained);
         }
+        let mut drained = drained.clone();
+        apply_change(&mut drained, server, change);
+        Ok(drained)
     }
 
-    /// Says something that comes without descriptors; whether it went out.
-    pub fn say(&self, said: &Said) -> bool {
-        self.link
-            .as_ref()
-            .is_some_and(|link| matches!(message::send(link, said, &[], &[]), Ok(true)))
+    /// Tells the other process, if one is connected, that the admin drains have changed.
+    pub fn announce_admin_drains(&self) {
+        self.send(&HandoffMessage::AdminDrainChanged);
     }
 
-    /// Looks who else lives: takes the lock and waits for a successor, or reaches the process that has the lock.
-    pub(crate) fn look(&mut self, poller: &Rc<polling::Poller>) -> io::Result<()> {
-        let Some(stem) = self.stem.clone().filter(|_| self.lock.is_none()) else {
+    /// Sends a message without descriptors; whether it was sent.
+    pub(super) fn send(&self, message: &HandoffMessage) -> bool {
+        let PeerProcess::Connected(peer) = &self.peer else {
+            return false;
+        };
+        matches!(
+            peer.connection.send(message, &[], &[]),
+            Ok(SendOutcome::Sent)
+        )
+    }
+
+    pub(super) fn admin_drain_file(&self) -> Option<AdminDrainFile> {
+        self.files.as_ref().map(RuntimeFiles::admin_drain_file)
+    }
+
+    pub(super) fn is_peer_connected(&self) -> bool {
+        matches!(self.peer, PeerProcess::Connected(_))
+    }
+
+    /// Finds out which other process runs: takes the lock and listens for a successor, or connects to the process that
+    /// has the lock.
+    pub(super) fn find_peer(&mut self, poller: &Rc<Poller>) -> io::Result<()> {
+        if self.primary.is_some() {
+            return Ok(());
+        }
+        let Some(files) = self.files.clone() else {
             return Ok(());
         };
-        let path = stem.with_extension("socket");
-        let lock = stem.with_extension("lock");
-        let file = File::options()
-            .create(true)
-            .truncate(false)
-            .write(true)
-            .open(lock)?;
-        match file.try_lock() {
-            Ok(()) => {
-                self.lock = Some(file);
-                let _ = fs::remove_file(&path);
-                let door = message::listen(&path)?;
-                self.door = Some(Registered::new(
-                    poller,
-                    door,
-                    poller_key(WellKnownComponent::Handoff.id(), 0) + DOOR,
-                    Interest::READ,
-                )?);
-            }
-            Err(fs::TryLockError::WouldBlock) if self.link.is_none() && !self.foreign => {
-                let link = message::connect(&path)?;
-                self.link = Some(Registered::new(
-                    poller,
-                    link,
-                    poller_key(WellKnownComponent::Handoff.id(), 0) + LINK,
-                    Interest::READ,
-                )?);
-            }
-            Err(fs::TryLockError::WouldBlock) => {}
-            Err(error) => return Err(error.into()),
+        match files.try_lock()? {
+            Some(lock) => self.become_primary(lock, &files, poller)?,
+            None => self.connect_to_primary(&files, poller)?,
+        }
+        self.startup.peer_is_known = true;
+        Ok(())
+    }
+
+    fn become_primary(
+        &mut self,
+        lock: File,
+        files: &RuntimeFiles,
+        poller: &Rc<Poller>,
+    ) -> io::Result<()> {
+        let primary = self.primary.insert(PrimaryRole {
+            _lock: lock,
+            listener: None,
+        });
+        let socket_path = files.socket_path();
+        // A process that was killed leaves its socket behind.
+        let _ = fs::remove_file(&socket_path);
+        primary.listener = Some(HandoffListener::bind(poller, &socket_path)?);
+        Ok(())
+    }
+
+    fn connect_to_primary(&mut self, files: &RuntimeFiles, poller: &Rc<Poller>) -> io::Result<()> {
+        if matches!(self.peer, PeerProcess::Absent) {
+            let connection = PeerConnection::connect(poller, &files.socket_path())?;
+            self.peer = PeerProcess::Connected(ConnectedPeer::new(connection));
         }
-        self.settled = true;
         Ok(())
     }
 }
--- /dev/null
+++ b/crates/node/src/handoff/socket.rs
@@ -0,0 +1,230 @@
+//! The sockets between two processes of one node: one message a packet, with the bytes and descriptors that belong to it.
+
+use super::message::HandoffMessage;
+use crate::component::WellKnownComponent;
+use lupincrank_reactor::poll::Registered;
+use lupincrank_reactor::{poller_key, Interest};
+use polling::Poller;
+use rustix::net::{
+    recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, ReturnFlags,
+    SendAncillaryBuffer, SendAncillaryMessage, SendFlags,
+};
+use socket2::{Domain, SockAddr, Socket, Type};
+use std::io::{self, IoSlice, IoSliceMut};
+use std::mem::MaybeUninit;
+use std::os::fd::{BorrowedFd, OwnedFd};
+use std::path::Path;
+use std::rc::Rc;
+
+/// The longest packet: both directions of a connection full, and the message.
+const MAX_PACKET_BYTES: usize = 256 << 10;
+/// Descriptors that one packet carries at most.
+const MAX_DESCRIPTORS: usize = 2;
+/// Successors whose connection waits to be accepted.
+const LISTEN_BACKLOG: i32 = 4;
+
+/// The sockets of the handoff, as the event loop numbers them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HandoffSocket {
+    /// Where a successor connects.
+    Listener = 0,
+    /// The connection to the other process.
+    PeerConnection = 1,
+}
+
+impl HandoffSocket {
+    /// The socket of the event loop's number.
+    pub fn from_index(index: usize) -> HandoffSocket {
+        if index == HandoffSocket::Listener as usize {
+            HandoffSocket::Listener
+        } else {
+            HandoffSocket::PeerConnection
+        }
+    }
+
+    fn register(self, poller: &Rc<Poller>, socket: Socket) -> io::Result<Registered<Socket>> {
+        let key = poller_key(WellKnownComponent::Handoff.id(), self as usize);
+        Registered::new(poller, socket, key, Interest::READ)
+    }
+}
+
+/// Whether a message was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendOutcome {
+    /// It was.
+    Sent,
+    /// The socket's buffer has no space for it now.
+    WouldBlock,
+}
+
+/// The socket where a successor connects.
+pub struct HandoffListener {
+    socket: Registered<Socket>,
+}
+
+impl HandoffListener {
+    /// Listens at this path.
+    ///
+    /// # Errors
+    /// Where the path is in use or the socket can't be opened.
+    pub fn bind(poller: &Rc<Poller>, path: &Path) -> io::Result<HandoffListener> {
+        let socket = packet_socket()?;
+        socket.bind(&SockAddr::unix(path)?)?;
+        socket.listen(LISTEN_BACKLOG)?;
+        let socket = HandoffSocket::Listener.register(poller, socket)?;
+        Ok(HandoffListener { socket })
+    }
+
+    /// Accepts the next successor.
+    ///
+    /// # Errors
+    /// Where none waits or no descriptor is left.
+    pub fn accept(&self) -> io::Result<Socket> {
+        let (socket, _) = self.socket.accept()?;
+        Ok(socket)
+    }
+
+    /// Sets whether a waiting successor wakes the event loop.
+    ///
+    /// # Errors
+    /// Where the poller refuses.
+    pub fn set_interest(&mut self, interest: Interest) -> io::Result<()> {
+        self.socket.set_interest(interest)
+    }
+}
+
+/// A message that was received.
+pub struct ReceivedMessage {
+    /// The message.
+    pub message: HandoffMessage,
+    /// The bytes that followed it.
+    pub payload: Vec<u8>,
+    /// The descriptors that came with it.
+    pub descriptors: Vec<OwnedFd>,
+}
+
+/// The connection to the other process.
+pub struct PeerConnection {
+    socket: Registered<Socket>,
+}
+
+impl PeerConnection {
+    /// Connects to the process that listens at this path.
+    ///
+    /// # Errors
+    /// Where no process listens there.
+    pub fn connect(poller: &Rc<Poller>, path: &Path) -> io::Result<PeerConnection> {
+        let socket = packet_socket()?;
+        socket.connect(&SockAddr::unix(path)?)?;
+        PeerConnection::register(poller, socket)
+    }
+
+    /// Takes over a connection that was accepted.
+    ///
+    /// # Errors
+    /// Where the socket can't be set up.
+    pub fn from_accepted(poller: &Rc<Poller>, socket: Socket) -> io::Result<PeerConnection> {
+        socket.set_nonblocking(true)?;
+        PeerConnection::register(poller, socket)
+    }
+
+    fn register(poller: &Rc<Poller>, socket: Socket) -> io::Result<PeerConnection> {
+        let socket = HandoffSocket::PeerConnection.register(poller, socket)?;
+        Ok(PeerConnection { socket })
+    }
+
+    /// Sends one message, with the bytes and descriptors that belong to it.
+    ///
+    /// # Errors
+    /// Where the other process has closed the connection.
+    pub fn send(
+        &self,
+        message: &HandoffMessage,
+        payload: &[u8],
+        descriptors: &[BorrowedFd<'_>],
+    ) -> io::Result<SendOutcome> {
+        let mut line = serde_json::to_vec(message)?;
+        line.push(b'\n');
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MAX_DESCRIPTORS))];
+        let mut ancillary = SendAncillaryBuffer::new(&mut space);
+        if !descriptors.is_empty() && !ancillary.push(SendAncillaryMessage::ScmRights(descriptors))
+        {
+            return Err(io::Error::other("too many descriptors"));
+        }
+        let parts = [IoSlice::new(&line), IoSlice::new(payload)];
+        let flags = SendFlags::NOSIGNAL | SendFlags::DONTWAIT;
+        match sendmsg(&*self.socket, &parts, &mut ancillary, flags) {
+            Ok(_) => Ok(SendOutcome::Sent),
+            Err(rustix::io::Errno::AGAIN) => Ok(SendOutcome::WouldBlock),
+            Err(error) => Err(error.into()),
+        }
+    }
+
+    /// Receives one message; `None` if there is none now.
+    ///
+    /// # Errors
+    /// `UnexpectedEof` at the end of the connection, `InvalidData` for a packet that is not understood, and what the
+    /// system reports.
+    pub fn receive(&self) -> io::Result<Option<ReceivedMessage>> {
+        let mut bytes = vec![0; MAX_PACKET_BYTES];
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MAX_DESCRIPTORS))];
+        let mut ancillary = RecvAncillaryBuffer::new(&mut space);
+        let flags = RecvFlags::DONTWAIT | RecvFlags::CMSG_CLOEXEC;
+        let mut buffers = [IoSliceMut::new(&mut bytes)];
+        let packet = match recvmsg(&*self.socket, &mut buffers, &mut ancillary, flags) {
+            Ok(packet) => packet,
+            Err(rustix::io::Errno::AGAIN) => return Ok(None),
+            Err(error) => return Err(error.into()),
+        };
+        if packet.bytes == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        let truncated = ReturnFlags::TRUNC | ReturnFlags::CTRUNC;
+        if packet.flags.intersects(truncated) {
+            return Err(invalid_data("a message was too long"));
+        }
+        let descriptors = received_descriptors(&mut ancillary);
+        bytes.truncate(packet.bytes);
+        parse_packet(bytes, descriptors).map(Some)
+    }
+}
+
+fn received_descriptors(ancillary: &mut RecvAncillaryBuffer<'_>) -> Vec<OwnedFd> {
+    ancillary
+        .drain()
+        .filter_map(|message| match message {
+            RecvAncillaryMessage::ScmRights(descriptors) => Some(descriptors),
+            _ => None,
+        })
+        .flatten()
+        .collect()
+}
+
+/// Divides a packet into the message, which ends with its line, and what follows it.
+fn parse_packet(mut bytes: Vec<u8>, descriptors: Vec<OwnedFd>) -> io::Result<ReceivedMessage> {
+    let line_end = bytes
+        .iter()
+        .position(|byte| *byte == b'\n')
+        .ok_or(io::ErrorKind::InvalidData)?;
+    let message = serde_json::from_slice(&bytes[..line_end]).map_err(invalid_data)?;
+    bytes.drain(..=line_end);
+    Ok(ReceivedMessage {
+        message,
+        payload: bytes,
+        descriptors,
+    })
+}
+
+fn invalid_data(reason: impl Into<Box<dyn std::error::Error + Send + Sync>>) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, reason)
+}
+
+/// A Unix socket for packets that is not bound yet.
+fn packet_socket() -> io::Result<Socket> {
+    let socket = Socket::new(Domain::UNIX, Type::SEQPACKET, None)?;
+    socket.set_nonblocking(true)?;
+    Ok(socket)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/node/src/handoff/socket/tests.rs
@@ -0,0 +1,133 @@
+use super::*;
+use crate::handoff::message::{
+    BufferLengths, ConnectionTransfer, Heartbeat, TransferredConnection,
+    UnidentifiedClientTransfer, PROTOCOL_VERSION,
+};
+use lupincrank_placement::learned_state::LearnedServer;
+use rstest::rstest;
+use std::io::{Read, Write};
+use std::time::Duration;
+
+/// A connection between two processes, and its other end as a plain socket.
+fn connection_pair() -> (PeerConnection, Socket) {
+    let (near, far) = Socket::pair(Domain::UNIX, Type::SEQPACKET, None).unwrap();
+    let poller = Rc::new(Poller::new().unwrap());
+    (PeerConnection::from_accepted(&poller, near).unwrap(), far)
+}
+
+fn heartbeat() -> HandoffMessage {
+    HandoffMessage::Heartbeat(Heartbeat {
+        version: PROTOCOL_VERSION,
+        client_count: 50,
+        unidentified_count: 3,
+        accepts_clients: true,
+    })
+}
+
+fn learned_state() -> HandoffMessage {
+    let ejected = LearnedServer {
+        server: "s-1".into(),
+        started_ago: Some(Duration::from_secs(120)),
+        concurrency_limit: Some(2.5),
+        overloaded_ago: Some(Duration::from_millis(1_500)),
+        ejected_for: Some(Duration::from_secs(4)),
+        ejection_count: 2,
+        consecutive_failures: 3,
+        restart_suspected: true,
+    };
+    let sound = LearnedServer {
+        server: "s \"2\"".into(),
+        started_ago: None,
+        concurrency_limit: None,
+        overloaded_ago: None,
+        ejected_for: None,
+        ejection_count: 0,
+        consecutive_failures: 0,
+        restart_suspected: false,
+    };
+    HandoffMessage::LearnedState(vec![ejected.into(), sound.into()])
+}
+
+fn connection() -> HandoffMessage {
+    let connection = TransferredConnection {
+        request: 0x0123_4567_89ab_cdef,
+        class: "chat".into(),
+        group: Some("5c0f6e1a".into()),
+        key: Some("7f3a9c21e0b4d655".into()),
+        is_reconnect: true,
+        server: "s-1".into(),
+        load_us: Some(1_500),
+        unanswered_ms: vec![40, 0],
+        lengths: BufferLengths {
+            to_server: 7,
+            to_client: 6,
+            partial_line: 4,
+        },
+    };
+    HandoffMessage::Connection(ConnectionTransfer {
+        number: 7,
+        connection,
+    })
+}
+
+fn connection_without_options() -> HandoffMessage {
+    let connection = TransferredConnection {
+        request: 1,
+        class: "chat".into(),
+        group: None,
+        key: None,
+        is_reconnect: false,
+        server: "s-2".into(),
+        load_us: None,
+        unanswered_ms: Vec::new(),
+        lengths: BufferLengths::default(),
+    };
+    HandoffMessage::Connection(ConnectionTransfer {
+        number: 8,
+        connection,
+    })
+}
+
+fn unidentified_client() -> HandoffMessage {
+    HandoffMessage::UnidentifiedClient(UnidentifiedClientTransfer {
+        number: 9,
+        remaining_ms: 1_200,
+    })
+}
+
+/// The fixtures were written by revision c925b3d; both builds of a handoff must agree on them.
+#[rstest]
+#[case::heartbeat(heartbeat(), "", include_bytes!("../fixtures/heartbeat.bin"))]
+#[case::admin_drain_changed(HandoffMessage::AdminDrainChanged, "", include_bytes!("../fixtures/admin_drain_changed.bin"))]
+#[case::learned_state(learned_state(), "", include_bytes!("../fixtures/learned_state.bin"))]
+#[case::connection(connection(), "hello\r\nfirst\nLOAD", include_bytes!("../fixtures/connection.bin"))]
+#[case::connection_without_options(
+    connection_without_options(),
+    "",
+    include_bytes!("../fixtures/connection_without_options.bin")
+)]
+#[case::unidentified_client(
+    unidentified_client(),
+    "OPEN 00000000000000ff 7f3a9c",
+    include_bytes!("../fixtures/unidentified_client.bin")
+)]
+#[case::accepted(HandoffMessage::Accepted(7), "", include_bytes!("../fixtures/accepted.bin"))]
+#[case::rejected(HandoffMessage::Rejected(8), "", include_bytes!("../fixtures/rejected.bin"))]
+fn a_message_is_read_and_written_as_by_earlier_builds(
+    #[case] message: HandoffMessage,
+    #[case] payload: &str,
+    #[case] fixture: &[u8],
+) {
+    let (near, mut far) = connection_pair();
+    let outcome = near.send(&message, payload.as_bytes(), &[]).unwrap();
+    assert_eq!(outcome, SendOutcome::Sent);
+    let mut packet = vec![0; MAX_PACKET_BYTES];
+    let length = far.read(&mut packet).unwrap();
+    assert_eq!(&packet[..length], fixture);
+
+    assert_eq!(far.write(fixture).unwrap(), fixture.len());
+    let received = near.receive().unwrap().unwrap();
+    assert_eq!(received.message, message);
+    assert_eq!(received.payload, payload.as_bytes());
+    assert!(received.descriptors.is_empty());
+}
--- a/crates/node/src/handoff/transfer.rs
+++ b/crates/node/src/handoff/transfer.rs
@@ -1,73 +1,87 @@
-//! Whose each connection is while one process hands them over to another. No I/O: what was sent and what came back goes in,
-//! and what is to be told to which connection comes out.
+//! Which process owns each connection while one process of a node transfers its connections to the other. No I/O: what was
+//! sent and how it was answered goes in, and the connections concerned come out.
 
+use super::socket::SendOutcome;
 use lupincrank_reactor::ComponentId;
 use std::collections::{BTreeMap, VecDeque};
 
-/// Connections under way from one process to the other: each counts twice in descriptors meanwhile.
-pub const UNDER_WAY: usize = 4;
+/// Connections in flight from one process to the other: each has its descriptors open in both meanwhile.
+pub const MAX_IN_FLIGHT: usize = 4;
 
-/// The connections that are still to go, and those that were sent and not answered for. A connection is this process's until
-/// the other has said that it took it.
+/// What the other process has answered to a transferred connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TransferAnswer {
+    /// It owns the connection now.
+    Accepted,
+    /// The sender still owns the connection.
+    Rejected,
+}
+
+/// The connections that are still to be transferred, and those in flight. A connection is owned by this process until the
+/// other one has accepted it.
 #[derive(Default)]
-pub struct Custody {
-    queue: VecDeque<ComponentId>,
-    under_way: BTreeMap<u64, ComponentId>,
-    number: u64,
-    handed: usize,
+pub struct TransferQueue {
+    waiting: VecDeque<ComponentId>,
+    in_flight: BTreeMap<u64, ComponentId>,
+    last_number: u64,
+    accepted_count: usize,
 }
 
-impl Custody {
-    /// These are to go as soon as it is their turn.
+impl TransferQueue {
+    /// Adds connections at the end of the queue.
     pub fn enqueue(&mut self, ids: impl IntoIterator<Item = ComponentId>) {
-        self.queue.extend(ids);
+        self.waiting.extend(ids);
     }
 
-    /// Whose turn it is now.
-    pub fn turn(&mut self) -> Vec<ComponentId> {
-        let room = UNDER_WAY
-            .saturating_sub(self.under_way.len())
-            .min(self.queue.len());
-        self.queue.drain(..room).collect()
+    /// Takes the connections that may be sent now from the queue.
+    pub fn next_batch(&mut self) -> Vec<ComponentId> {
+        let count = MAX_IN_FLIGHT
+            .saturating_sub(self.in_flight.len())
+            .min(self.waiting.len());
+        self.waiting.drain(..count).collect()
     }
 
     /// The number under which the next connection is sent.
-    pub fn number(&self) -> u64 {
-        self.number + 1
+    pub fn next_number(&self) -> u64 {
+        self.last_number + 1
     }
 
-    /// The connection went out under that number, or there was no room for it and it goes later.
-    pub fn sent(&mut self, id: ComponentId, went: bool) {
-        if went {
-            self.number += 1;
-            self.under_way.insert(self.number, id);
-        } else {
-            self.queue.push_back(id);
+    /// The connection was sent under the next number, or there was no space for it and it waits again.
+    pub fn record_send(&mut self, id: ComponentId, outcome: SendOutcome) {
+        match outcome {
+            SendOutcome::Sent => {
+                self.last_number += 1;
+                self.in_flight.insert(self.last_number, id);
+            }
+            SendOutcome::WouldBlock => self.waiting.push_back(id),
         }
     }
 
-    /// The other process took the connection of this number, or did not. Gives the connection; none where the other speaks of
-    /// one that is not under way.
-    pub fn answered(&mut self, number: u64, took: bool) -> Option<ComponentId> {
-        let id = self.under_way.remove(&number)?;
-        self.handed += usize::from(took);
+    /// The other process has answered the connection of this number. Returns the connection; `None` where no connection of
+    /// that number is in flight.
+    pub fn record_answer(&mut self, number: u64, answer: TransferAnswer) -> Option<ComponentId> {
+        let id = self.in_flight.remove(&number)?;
+        if answer == TransferAnswer::Accepted {
+            self.accepted_count += 1;
+        }
         Some(id)
     }
 
-    /// The other process is gone: nothing goes any more, and these stay here.
-    pub fn broke(&mut self) -> Vec<ComponentId> {
-        self.queue.clear();
-        std::mem::take(&mut self.under_way).into_values().collect()
+    /// The other process is gone: empties the queue and returns the connections in flight, which this process still owns.
+    pub fn cancel(&mut self) -> Vec<ComponentId> {
+        self.waiting.clear();
+        let cancelled = std::mem::take(&mut self.in_flight);
+        cancelled.into_values().collect()
     }
 
-    /// Whether nothing is under way.
-    pub fn idle(&self) -> bool {
-        self.under_way.is_empty()
+    /// Whether no connection is in flight.
+    pub fn is_idle(&self) -> bool {
+        self.in_flight.is_empty()
     }
 
-    /// How many the other process has taken.
-    pub fn handed(&self) -> usize {
-        self.handed
+    /// How many connections the other process has accepted.
+    pub fn accepted_count(&self) -> usize {
+        self.accepted_count
     }
 }
 
--- a/crates/node/src/handoff/transfer/tests.rs
+++ b/crates/node/src/handoff/transfer/tests.rs
@@ -1,32 +1,43 @@
 use super::*;
 use std::collections::BTreeSet;
 
-/// The other process takes, refuses and has no room by turns, and breaks after so many answers: each connection is
-/// either taken or stays, never both, and few are under way.
+/// The other process accepts, rejects and has no space by turns, and breaks after so many answers: each connection is
+/// either accepted or stays, never both, and few are in flight.
 #[test]
 fn each_connection_has_one_owner_wherever_the_other_process_breaks() {
     for answers in 0..40 {
-        let (mut custody, mut taken, mut stays) =
-            (Custody::default(), BTreeSet::new(), BTreeSet::new());
-        custody.enqueue(1..=20);
+        let mut transfers = TransferQueue::default();
+        let (mut accepted, mut kept) = (BTreeSet::new(), BTreeSet::new());
+        transfers.enqueue(1..=20);
         let mut sent = VecDeque::new();
         for step in 0..answers {
-            for id in custody.turn() {
-                let went = (id + step) % 3 != 0;
-                sent.extend(went.then(|| custody.number()));
-                custody.sent(id, went);
+            for id in transfers.next_batch() {
+                let is_sent = (id + step) % 3 != 0;
+                sent.extend(is_sent.then(|| transfers.next_number()));
+                let outcome = if is_sent {
+                    SendOutcome::Sent
+                } else {
+                    SendOutcome::WouldBlock
+                };
+                transfers.record_send(id, outcome);
             }
-            assert!(sent.len() <= UNDER_WAY);
+            assert!(sent.len() <= MAX_IN_FLIGHT);
             let Some(number) = sent.pop_front() else {
                 continue;
             };
-            let took = number % 4 != 0;
-            let id = custody.answered(number, took).unwrap();
-            assert!((if took { &mut taken } else { &mut stays }).insert(id));
-            assert_eq!(custody.answered(number, took), None, "answered twice");
+            let (answer, owned) = if number % 4 != 0 {
+                (TransferAnswer::Accepted, &mut accepted)
+            } else {
+                (TransferAnswer::Rejected, &mut kept)
+            };
+            let id = transfers.record_answer(number, answer).unwrap();
+            assert!(owned.insert(id));
+            let repeated = transfers.record_answer(number, answer);
+            assert_eq!(repeated, None, "answered twice");
         }
-        stays.extend(custody.broke());
-        assert!(taken.is_disjoint(&stays) && custody.idle() && custody.turn().is_empty());
-        assert_eq!(custody.handed(), taken.len());
+        kept.extend(transfers.cancel());
+        assert!(accepted.is_disjoint(&kept));
+        assert!(transfers.is_idle() && transfers.next_batch().is_empty());
+        assert_eq!(transfers.accepted_count(), accepted.len());
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -89,7 +89,8 @@
                 if json {
                     told.to_string()
                 } else {
-                    admin::status_table::table(&what, told)?
+                    admin::status_table::cluster_table(&what, told)
+                        .map_err(|error| error.to_string())?
                 }
             );
         }
@@ -110,7 +111,7 @@
                 if json {
                     told.to_string()
                 } else {
-                    admin::status_table::budgets(told)?
+                    admin::status_table::budgets_table(told).map_err(|error| error.to_string())?
                 }
             );
         }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -16,7 +16,7 @@
     // Before anything else is opened, which could get the number of a descriptor that is not there.
     let inherited = config
         .inherited
-        .map(|fd| handoff::inherited_listener::listener(fd, config.listen))
+        .map(|fd| handoff::inherited_listener(fd, config.listen))
         .transpose()?;
     let mut reactor = Reactor::new(NodeState::new(config, log), LAST_WELL_KNOWN_ID)?;
     let context = &mut reactor.context;
@@ -26,12 +26,18 @@
     context.register(WellKnownComponent::Discovery.id(), Box::new(discovery));
     let listener = connection::Listener::new(context, inherited)?;
     context.register(WellKnownComponent::ClientListener.id(), Box::new(listener));
-    context.register(WellKnownComponent::Handoff.id(), Box::new(handoff::Watch));
+    context.register(
+        WellKnownComponent::Handoff.id(),
+        Box::new(handoff::HandoffAgent),
+    );
     handoff::begin(context);
     cluster_agent::begin(context).map_err(io::Error::other)?;
     if let Some(address) = context.config.management {
-        let management = admin::Management::new(context, address)?;
-        context.register(WellKnownComponent::AdminListener.id(), Box::new(management));
+        let admin_listener = admin::AdminListener::new(context, address)?;
+        context.register(
+            WellKnownComponent::AdminListener.id(),
+            Box::new(admin_listener),
+        );
     }
     info!(context.log, "serving"; "listen" => %context.config.listen, "name" => %context.config.name);
     context.placement.start();
--- a/crates/node/src/signals.rs
+++ b/crates/node/src/signals.rs
@@ -118,7 +118,7 @@
             });
             crate::cluster_agent::leave(context);
             if context.handoff.has_successor() {
-                crate::handoff::leave(context);
+                crate::handoff::start_handover(context);
             }
             context.deadlines.set(
                 WellKnownComponent::Signals.id(),
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -3,8 +3,7 @@
 use crate::cluster_agent::agent::Carry;
 use crate::config::Config;
 use crate::core::Core;
-use crate::handoff::message::Said;
-use crate::handoff::peer_process::Upgrade;
+use crate::handoff::peer_process::HandoffState;
 use lupincrank_placement::ServerId;
 use lupincrank_reactor::{ComponentId, Context};
 use slog::Logger;
@@ -72,7 +71,7 @@
     /// The graceful shutdown, once SIGTERM has come.
     pub shutdown: Option<Shutdown>,
     /// The other process of this node, if there is one.
-    pub handoff: Upgrade,
+    pub handoff: HandoffState,
     /// The open connections for health checks: one for each server at the most.
     pub health_checks: HashMap<ServerId, HealthCheckConnection>,
     /// The fleet that this node is one of, where the operator's file says so.
@@ -88,7 +87,7 @@
     pub fn new(config: Config, log: Logger) -> NodeState {
         NodeState {
             placement: Core::new(&config, log.clone()),
-            handoff: Upgrade::new(config.listen, config.inherited),
+            handoff: HandoffState::new(config.listen, config.inherited),
             config,
             log,
             client_count: Rc::default(),
@@ -107,22 +106,9 @@
         if self.shutdown.is_some() {
             return Err("this process is ending".into());
         }
-        if !self.handoff.settled() {
+        if !self.handoff.is_settled() {
             return Err("the process before this one has not been reached yet".into());
         }
         self.placement.able().map_err(str::to_string)
     }
-
-    /// Takes a transcriber out by hand or back in.
-    pub fn by_hand(&mut self, server: &str, down: bool) -> Result<(), String> {
-        let id = ServerId::from(server);
-        if !self.placement.knows(&id) {
-            return Err(format!("no transcriber {server:?}"));
-        }
-        // Written before it is obeyed: what was answered with yes holds across any end of this process.
-        let out = self.handoff.change(&id, down, self.placement.out())?;
-        self.placement.set_out(out);
-        self.handoff.say(&Said::Out);
-        Ok(())
-    }
 }
--- a/crates/node/src/upstream/relay.rs
+++ b/crates/node/src/upstream/relay.rs
@@ -2,7 +2,8 @@
 
 use crate::command::{AcceptedAttempt, Message, RelayCommand, TransferCommand};
 use crate::deadline::DeadlineKind;
-use crate::handoff::message::{self, Standing};
+use crate::handoff::message::{ConnectionTransfer, HandoffMessage, TransferredConnection};
+use crate::handoff::socket::SendOutcome;
 use crate::state::{ClientSlot, NodeContext, NodeState};
 use crate::upstream::attempt::{said, Said, LONGEST_LINE};
 use lupincrank_placement::{Outcome, RequestId, RequestInfo, Timestamp};
@@ -127,7 +128,7 @@
         }
         relay.peer_sent(context, &bytes, false);
         if relay.pump(context) == Lifecycle::Continue {
-            if context.handoff.handing() {
+            if context.handoff.is_handing_over() {
                 context.handoff.enqueue([id]);
             }
             context.register(id, Box::new(relay));
@@ -135,18 +136,15 @@
     }
 
     /// Whether a connection that another process hands over can go on here.
-    pub fn may_take(context: &NodeContext, record: &Standing, bytes: &[u8]) -> bool {
-        let whole = record
-            .lengths
-            .iter()
-            .try_fold(0usize, |sum, part| sum.checked_add(*part));
-        whole == Some(bytes.len()) && !context.placement.holds(RequestId(record.request))
+    pub fn may_take(context: &NodeContext, record: &TransferredConnection, bytes: &[u8]) -> bool {
+        record.lengths.total() == Some(bytes.len())
+            && !context.placement.holds(RequestId(record.request))
     }
 
     /// Goes on with a connection of another process, where that one left off.
     pub fn take_over(
         context: &mut NodeContext,
-        record: Standing,
+        record: TransferredConnection,
         bytes: &[u8],
         [client, peer]: [OwnedFd; 2],
     ) {
@@ -164,8 +162,8 @@
             return;
         };
         let request = RequestId(record.request);
-        let (up, rest) = bytes.split_at(record.lengths[0].min(bytes.len()));
-        let (down, part) = rest.split_at(record.lengths[1].min(rest.len()));
+        let (up, rest) = bytes.split_at(record.lengths.to_server.min(bytes.len()));
+        let (down, part) = rest.split_at(record.lengths.to_client.min(rest.len()));
         let pipe = |bytes: &[u8]| Pipe {
             bytes: bytes.to_vec(),
             ..Pipe::default()
@@ -200,7 +198,7 @@
             load: None,
             deadline: Timestamp::default(),
             is_mid_flow: false,
-            is_reconnect: record.returned,
+            is_reconnect: record.is_reconnect,
         };
         let now = Instant::now();
         let before = |ms: &u64| now.checked_sub(Duration::from_millis(*ms)).unwrap_or(now);
@@ -233,7 +231,7 @@
             &self.down.bytes[self.down.sent..],
             &self.part,
         ];
-        let record = Standing {
+        let connection = TransferredConnection {
             request: self.request.0,
             class: context
                 .config
@@ -243,23 +241,20 @@
                 .unwrap_or_default(),
             group: incoming.group.clone(),
             key: incoming.key.clone(),
-            returned: incoming.is_reconnect,
+            is_reconnect: incoming.is_reconnect,
             server: server.0.to_string(),
             load_us: load.map(|load| load as u64),
             unanswered_ms: unanswered
                 .iter()
                 .map(|sent| sent.elapsed().as_millis() as u64)
                 .collect(),
-            lengths: parts.map(<[u8]>::len),
+            lengths: parts.map(<[u8]>::len).into(),
         };
         let (bytes, fds) = (parts.concat(), [self.client.as_fd(), peer.as_fd()]);
-        match context.handoff.hand(
-            self.id,
-            |number| message::Said::Standing(number, record),
-            &bytes,
-            &fds,
-        ) {
-            Ok(true) => {
+        let message =
+            |number| HandoffMessage::Connection(ConnectionTransfer { number, connection });
+        match context.handoff.transfer(self.id, message, &bytes, &fds) {
+            Ok(SendOutcome::Sent) => {
                 debug!(context.log, "on its way"; "request" => format!("{:016x}", self.request.0));
                 self.frozen = true;
                 let quiet = self.client.set_interest(Interest::NONE);
@@ -275,7 +270,7 @@
                 }
                 Lifecycle::Continue
             }
-            Ok(false) => Lifecycle::Continue,
+            Ok(SendOutcome::WouldBlock) => Lifecycle::Continue,
             Err(error) => {
                 debug!(context.log, "cannot hand over"; "error" => %error);
                 self.send_away(context)
--- a/crates/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -111,7 +111,7 @@
 fn a_successor_that_cannot_serve_yet_leaves_clients_to_the_older_process() {
     let mut rig = Rig::inherits(1);
     rig.second();
-    rig.logged("a successor has come");
+    rig.logged("successor connected");
     for _ in 0..200 {
         assert_eq!(rig.ask("PING\r\n"), "PONG");
     }
@@ -128,7 +128,7 @@
 /// What becomes of the successor by the time of SIGTERM: the older process serves on, takes clients in, and moves all.
 #[rstest]
 #[case::killed("ready")]
-#[case::cannot_serve("a successor has come")]
+#[case::cannot_serve("successor connected")]
 #[case::dies_half_way("")]
 fn without_a_successor_a_process_moves_its_clients_as_ever(#[case] until: &str) {
     let mut rig = Rig::inherits(1);
@@ -150,7 +150,7 @@
             rig.signal("-KILL");
         }
         rig.logged(if until == "ready" {
-            "the other process is gone"
+            "peer process lost"
         } else {
             until
         });
@@ -173,7 +173,7 @@
     let (mut client, _, mut peer) = rig.up();
     let link = link(&rig);
     link.send(says.as_bytes()).unwrap();
-    rig.logged("the other process is gone");
+    rig.logged("peer process lost");
     kill(rig.oldest(), "-TERM");
     pass(&mut client, &mut peer);
     assert_eq!(client.hear(), "MOVE");
@@ -187,7 +187,7 @@
     link.connect(&SockAddr::unix(path).unwrap()).unwrap();
     let beat = r#"{"Beat":{"version":3,"clients":0,"strangers":0,"open":true}}"#;
     link.send(format!("{beat}\n").as_bytes()).unwrap();
-    rig.logged("a successor has come");
+    rig.logged("successor connected");
     link
 }
 
@@ -200,7 +200,7 @@
     rig.ready();
     kill(rig.older.as_ref().unwrap(), "-KILL");
     let (mut client, _, mut peer) = rig.up();
-    rig.logged("the other process is gone");
+    rig.logged("peer process lost");
     rig.upgrade();
     pass(&mut client, &mut peer);
 }
@@ -311,7 +311,7 @@
     kill(rig.oldest(), "-KILL");
     rig.oldest().wait().unwrap();
     rig.thaw();
-    rig.logged_times("taken from a process that has died", held.len());
+    rig.logged_times("connection taken over from dead process", held.len());
     for (client, _, peer) in &mut held {
         pass(client, peer);
     }
