--- a/crates/node/src/admin/handler.rs
+++ b/crates/node/src/admin/handler.rs
@@ -4,7 +4,7 @@
 use crate::cluster_agent;
 use crate::handoff;
 use crate::handoff::admin_drain_file::{AdminDrainFileError, DrainChange};
-use crate::state::NodeContext;
+use crate::state::{NodeContext, NotServingError};
 use lupincrank_placement::ServerId;
 use slog::info;
 use thiserror::Error;
@@ -30,8 +30,8 @@
     #[error("no whole call came in time")]
     TimedOut,
     /// Clients can't be served now.
-    #[error("{0}")]
-    NotReady(String),
+    #[error(transparent)]
+    NotServing(#[from] NotServingError),
     /// No server of this id is listed or drained.
     #[error("no transcriber {0:?}")]
     UnknownServer(String),
@@ -83,10 +83,8 @@
 fn check(context: &mut NodeContext) -> Result<String, AdminCallError> {
     // Whoever is answered with `done` may end the other process at once, which has to know of this one by then.
     handoff::open_if_ready(context);
-    match context.serves() {
-        Ok(()) => Ok(String::new()),
-        Err(error) => Err(AdminCallError::NotReady(error.to_string())),
-    }
+    context.check_serving()?;
+    Ok(String::new())
 }
 
 /// Drains or releases a server.
@@ -96,13 +94,13 @@
     change: DrainChange,
 ) -> Result<String, AdminCallError> {
     let id = ServerId::from(server);
-    if !context.placement.knows(&id) {
+    if !context.placement.knows_server(&id) {
         return Err(AdminCallError::UnknownServer(server.to_string()));
     }
-    let before = context.placement.out();
+    let before = context.placement.drained_servers();
     // Stored before it is obeyed: what was answered with `done` holds across any end of this process.
     let drained = context.handoff.change_admin_drains(&id, change, before)?;
-    context.placement.set_out(drained);
+    context.placement.set_drained_servers(drained);
     context.handoff.announce_admin_drains();
     Ok(String::new())
 }
--- a/crates/node/src/discovery/client.rs
+++ b/crates/node/src/discovery/client.rs
@@ -6,8 +6,10 @@
 use crate::command::{DiscoveryCommand, HandoffCommand, Message};
 use crate::component::WellKnownComponent;
 use crate::config::Config;
-use crate::core::{Core, Member};
 use crate::deadline::{DeadlineKind, DiscoveryDeadline};
+use crate::placement_driver::{
+    EndpointListScope, EndpointListSource, PlacementDriver, ResolvedEndpoint,
+};
 use crate::state::{NodeContext, NodeState};
 use lupincrank_placement::{poll_schedule, Endpoint};
 use lupincrank_reactor::{poller_key, Connection, Lifecycle, Readiness};
@@ -72,42 +74,51 @@
         let Some(known_list) = self.known_list.take() else {
             return;
         };
-        if let Err(error) = self.apply_update(&mut context.placement, known_list, true) {
+        if let Err(error) = self.apply_update(
+            &mut context.placement,
+            known_list,
+            EndpointListSource::Cache,
+        ) {
             warn!(context.log, "known endpoint list rejected"; "error" => %error);
         }
     }
 
     fn apply_update(
         &mut self,
-        placement: &mut Core,
+        placement: &mut PlacementDriver,
         update: EndpointListUpdate,
-        cached: bool,
+        source: EndpointListSource,
     ) -> Result<(), EndpointListError> {
         update.check()?;
-        let mut members = Vec::with_capacity(update.endpoints.len());
+        let mut endpoints = Vec::with_capacity(update.endpoints.len());
         for endpoint in &update.endpoints {
-            members.push(self.member(placement, endpoint)?);
+            endpoints.push(self.resolve(placement, endpoint)?);
         }
         self.version = update.version;
-        placement.list(members, update.is_complete, cached);
+        let scope = if update.is_complete {
+            EndpointListScope::Complete
+        } else {
+            EndpointListScope::Changes
+        };
+        placement.apply_endpoint_list(endpoints, scope, source);
         Ok(())
     }
 
-    fn member(
+    fn resolve(
         &mut self,
-        placement: &Core,
+        placement: &PlacementDriver,
         endpoint: &ListedEndpoint,
-    ) -> Result<Member, EndpointListError> {
-        Ok(Member {
-            dial: endpoint.dial_address()?,
-            listed: Endpoint {
+    ) -> Result<ResolvedEndpoint, EndpointListError> {
+        Ok(ResolvedEndpoint {
+            address: endpoint.dial_address()?,
+            endpoint: Endpoint {
                 server: endpoint.server.as_str().into(),
                 health: endpoint.parsed_health()?,
                 weight: endpoint.weight.unwrap_or(1.0),
                 zone: name_index(&mut self.zones, endpoint.zone.as_deref()),
                 cell: endpoint.cell.unwrap_or(0),
                 machine_kind: name_index(&mut self.machine_kinds, endpoint.machine_kind.as_deref()),
-                started_at: placement.moment(endpoint.started_at_ms.unwrap_or(0)),
+                started_at: placement.timestamp_of_unix_ms(endpoint.started_at_ms.unwrap_or(0)),
             },
         })
     }
@@ -158,7 +169,7 @@
         self.log_failure(context, error);
         if !self.has_call() {
             clear_deadline(context, DiscoveryDeadline::SecondCall);
-            context.placement.list_failed();
+            context.placement.on_watch_failed();
         }
     }
 
@@ -266,7 +277,11 @@
             };
             let update: EndpointListUpdate = serde_json::from_slice(&object)?;
             info!(context.log, "endpoint list changed"; "seq" => update.version, "entries" => update.endpoints.len());
-            self.apply_update(&mut context.placement, update, false)?;
+            self.apply_update(
+                &mut context.placement,
+                update,
+                EndpointListSource::Discovery,
+            )?;
             has_update = true;
         }
         Ok(has_update)
@@ -278,7 +293,7 @@
         let other_slot = CALL_SLOTS - 1 - slot;
         self.close_call(context, other_slot);
         clear_deadline(context, DiscoveryDeadline::SecondCall);
-        context.placement.list_told();
+        context.placement.on_discovery_answer();
         context.send(
             WellKnownComponent::Handoff.id(),
             HandoffCommand::OpenListener,
@@ -297,7 +312,7 @@
         if was_watching {
             warn!(context.log, "endpoint watch fell silent"; "seq" => self.version);
             clear_deadline(context, DiscoveryDeadline::SecondCall);
-            context.placement.list_silent();
+            context.placement.on_watch_silent();
             return;
         }
         // The failure is this node's own finding, so nothing has shown that nothing can be missed.
--- a/crates/node/src/handoff/incoming.rs
+++ b/crates/node/src/handoff/incoming.rs
@@ -29,7 +29,7 @@
         HandoffMessage::AdminDrainChanged => reload_admin_drains(context),
         HandoffMessage::LearnedState(records) => {
             let learned = records.into_iter().map(Into::into).collect();
-            context.placement.learn(learned);
+            context.placement.import_learned_servers(learned);
         }
         HandoffMessage::Connection(transfer) => {
             on_connection(context, transfer, &payload, descriptors);
--- a/crates/node/src/handoff/lifecycle.rs
+++ b/crates/node/src/handoff/lifecycle.rs
@@ -58,7 +58,7 @@
     if context.handoff.files.is_none() || context.handoff.accepts_clients {
         return;
     }
-    if context.handoff.primary.is_some() || context.serves().is_ok() {
+    if context.handoff.primary.is_some() || context.check_serving().is_ok() {
         context.handoff.accepts_clients = true;
         command_listener(context, ListenerCommand::Resume);
         send_heartbeat(context);
@@ -84,11 +84,11 @@
     match file.read() {
         Ok(drained) => {
             context.handoff.startup.drains_are_known = true;
-            context.placement.set_out(drained);
+            context.placement.set_drained_servers(drained);
         }
         Err(error) => {
             let is_repaired = context.handoff.startup.drains_are_known
-                && file.repair(context.placement.out()).is_ok();
+                && file.repair(context.placement.drained_servers()).is_ok();
             warn!(context.log, "admin drain file unreadable"; "error" => %error, "repaired" => is_repaired);
             if is_repaired {
                 context.handoff.announce_admin_drains();
@@ -113,7 +113,7 @@
     let NodeState {
         placement, config, ..
     } = &mut context.application;
-    placement.share(config, process_count);
+    placement.set_process_count(config, process_count);
 }
 
 /// Asks the next connections of the queue to transfer, and again later, for as long as the handover lasts.
@@ -191,7 +191,7 @@
 }
 
 fn send_learned_state(context: &mut NodeContext) {
-    let learned = context.placement.learnt();
+    let learned = context.placement.learned_servers();
     let records = learned.into_iter().map(Into::into).collect();
     let message = HandoffMessage::LearnedState(records);
     if !context.handoff.send(&message) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,12 +8,12 @@
 mod command;
 mod component;
 mod config;
-mod core;
 mod deadline;
 mod discovery;
 mod handoff;
 pub mod hollow;
-mod load_lines;
+mod load_report;
+mod placement_driver;
 mod serve;
 mod signals;
 mod state;
@@ -56,7 +56,7 @@
         Command::Version => println!("lupincrank {}", env!("CARGO_PKG_VERSION")),
         Command::CheckConfig { config, operator } => {
             let config = load(config, operator)?;
-            let strict = lupincrank_settings::strict::check(&config.raw, None);
+            let strict = lupincrank_settings::validate(&config.raw, None);
             strict.map_err(|why| format!("a start takes it, SIGHUP would turn it down: {why}"))?;
             println!(
                 "{}: listens on {}, {} classes",
--- a/crates/node/src/upstream/relay.rs
+++ b/crates/node/src/upstream/relay.rs
@@ -4,6 +4,7 @@
 use crate::deadline::DeadlineKind;
 use crate::handoff::message::{ConnectionTransfer, HandoffMessage, TransferredConnection};
 use crate::handoff::socket::SendOutcome;
+use crate::placement_driver::ClientState;
 use crate::state::{ClientSlot, NodeContext, NodeState};
 use crate::upstream::attempt::{said, Said, LONGEST_LINE};
 use lupincrank_placement::{Outcome, RequestId, RequestInfo, Timestamp};
@@ -138,7 +139,7 @@
     /// Whether a connection that another process hands over can go on here.
     pub fn may_take(context: &NodeContext, record: &TransferredConnection, bytes: &[u8]) -> bool {
         record.lengths.total() == Some(bytes.len())
-            && !context.placement.holds(RequestId(record.request))
+            && !context.placement.has_request(RequestId(record.request))
     }
 
     /// Goes on with a connection of another process, where that one left off.
@@ -206,7 +207,7 @@
         let load = record.load_us.map(|load| load as f64);
         context
             .placement
-            .take_over(id, incoming, &record.server, load, unanswered);
+            .on_transferred_connection(id, incoming, &record.server, load, unanswered);
         if relay.pump(context) == Lifecycle::Continue {
             context.register(id, Box::new(relay));
         }
@@ -222,8 +223,7 @@
         else {
             return Lifecycle::Continue;
         };
-        let Some((incoming, server, load, unanswered)) = context.placement.standing(self.request)
-        else {
+        let Some(connection) = context.placement.established_connection(self.request) else {
             return Lifecycle::Continue;
         };
         let parts = [
@@ -231,28 +231,33 @@
             &self.down.bytes[self.down.sent..],
             &self.part,
         ];
-        let connection = TransferredConnection {
+        let record = TransferredConnection {
             request: self.request.0,
             class: context
                 .config
                 .classes
-                .get(incoming.class)
+                .get(connection.request.class)
                 .cloned()
                 .unwrap_or_default(),
-            group: incoming.group.clone(),
-            key: incoming.key.clone(),
-            is_reconnect: incoming.is_reconnect,
-            server: server.0.to_string(),
-            load_us: load.map(|load| load as u64),
-            unanswered_ms: unanswered
+            group: connection.request.group.clone(),
+            key: connection.request.key.clone(),
+            is_reconnect: connection.request.is_reconnect,
+            server: connection.server.0.to_string(),
+            load_us: connection.load.map(|load| load as u64),
+            unanswered_ms: connection
+                .unanswered_lines
                 .iter()
                 .map(|sent| sent.elapsed().as_millis() as u64)
                 .collect(),
             lengths: parts.map(<[u8]>::len).into(),
         };
         let (bytes, fds) = (parts.concat(), [self.client.as_fd(), peer.as_fd()]);
-        let message =
-            |number| HandoffMessage::Connection(ConnectionTransfer { number, connection });
+        let message = |number| {
+            HandoffMessage::Connection(ConnectionTransfer {
+                number,
+                connection: record,
+            })
+        };
         match context.handoff.transfer(self.id, message, &bytes, &fds) {
             Ok(SendOutcome::Sent) => {
                 debug!(context.log, "on its way"; "request" => format!("{:016x}", self.request.0));
@@ -280,14 +285,16 @@
 
     fn end(&mut self, context: &mut NodeContext, outcome: Outcome) {
         if !std::mem::replace(&mut self.told, true) {
-            context.placement.try_ended(self.request, outcome, true);
+            context
+                .placement
+                .on_attempt_ended(self.request, outcome, ClientState::Answered);
         }
     }
 
     fn client_sent(&mut self, context: &mut NodeContext, bytes: &[u8]) {
         self.up.push(bytes);
         for _ in bytes.iter().filter(|byte| **byte == b'\n') {
-            context.placement.line_sent(self.request);
+            context.placement.on_line_sent(self.request);
         }
     }
 
@@ -299,8 +306,8 @@
             let end = at + length + 1;
             self.last = said(&self.part[at..end]);
             match self.last {
-                Said::Load(micros) => context.placement.load_line(self.request, micros),
-                _ if answers => context.placement.line_returned(self.request),
+                Said::Load(micros) => context.placement.on_load_report(self.request, micros),
+                _ if answers => context.placement.on_line_returned(self.request),
                 _ => answers = true,
             }
             at = end;
@@ -347,7 +354,7 @@
     /// The transcriber has ended the connection unasked. Lines come back at once, so if one has just gone out it was
     /// that one that the transcriber could not read: guards against blaming it for what a client sends.
     fn cut_off(&self, context: &NodeContext) -> Outcome {
-        let sent = context.placement.oldest_line(self.request);
+        let sent = context.placement.oldest_unanswered_line(self.request);
         if sent.is_some_and(|sent| sent.elapsed() < UNREADABLE) {
             Outcome::Cancelled
         } else {
--- /dev/null
+++ b/crates/settings/src/validation.rs
@@ -0,0 +1,151 @@
+//! The strict check of a configuration file that is to replace another while the node serves.
+//!
+//! At a start, absent values have defaults. At run time an absent value is an error, because a file that was truncated or
+//! written by mistake must change nothing.
+
+use crate::error::ValidationError;
+use serde_json::{Map, Value};
+
+/// Keys below `settings` that every file must have. Others may be absent only where the replaced file lacks them too.
+const REQUIRED_SETTINGS: [&str; 15] = [
+    "Instances",
+    "Categories",
+    "RegistryMode",
+    "FamilyInfo.MessageAimNs",
+    "Limits.ConnectTimeoutNs",
+    "Limits.RetryAfter",
+    "Limits.MaxRetryAfterNs",
+    "Limits.SendCap",
+    "Obligations.AnswerSlackNs",
+    "Obligations.AskWithinNs",
+    "Obligations.ColdNs",
+    "Obligations.DrainGraceNs",
+    "Obligations.FallMultiple",
+    "Obligations.OverloadForNs",
+    "Obligations.StartCapacity",
+];
+
+/// Keys that every class must have.
+const REQUIRED_CLASS_SETTINGS: [&str; 4] = ["Name", "DeadlineNs", "PromiseNs", "Repeat"];
+
+/// Keys that a class with idempotency keys must have besides.
+const REQUIRED_IDEMPOTENCY_SETTINGS: [&str; 2] = ["Group", "WindowNs"];
+
+/// The longest deadline, a year in nanoseconds.
+const MAX_DEADLINE_NS: u64 = 32_000_000_000_000_000;
+
+/// The largest number of attempts for one request.
+const MAX_ATTEMPTS: u64 = 1_000_000;
+
+/// Checks a whole configuration file. `previous` is the file that it replaces, if there is one: its keys must all be in the
+/// new file, except for those within lists.
+///
+/// # Errors
+///
+/// The first fault that is found.
+pub fn validate(file: &Value, previous: Option<&Value>) -> Result<(), ValidationError> {
+    let settings = &file["settings"];
+    for path in REQUIRED_SETTINGS {
+        require(settings, path)?;
+    }
+    check_range(
+        "settings.Limits.SendCap",
+        &settings["Limits"]["SendCap"],
+        MAX_ATTEMPTS,
+    )?;
+    validate_classes(&settings["Categories"])?;
+    match (file, previous) {
+        (Value::Object(file), Some(Value::Object(previous))) => {
+            check_no_key_removed("", file, previous)
+        }
+        _ => Ok(()),
+    }
+}
+
+fn require(settings: &Value, path: &str) -> Result<(), ValidationError> {
+    let value = path
+        .split('.')
+        .try_fold(settings, |object, key| object.get(key));
+    match value {
+        Some(value) if !value.is_null() => Ok(()),
+        _ => Err(ValidationError::Missing {
+            path: format!("settings.{path}"),
+        }),
+    }
+}
+
+fn validate_classes(classes: &Value) -> Result<(), ValidationError> {
+    let classes = classes.as_array().filter(|classes| !classes.is_empty());
+    let classes = classes.ok_or(ValidationError::NoClasses)?;
+    let mut names = Vec::new();
+    for (index, class) in classes.iter().enumerate() {
+        let path = format!("settings.Categories[{index}]");
+        let name = validate_class(&path, class)?;
+        if names.contains(&name) {
+            return Err(ValidationError::DuplicateClass {
+                path: format!("{path}.Name"),
+                name: name.to_string(),
+            });
+        }
+        names.push(name);
+    }
+    Ok(())
+}
+
+/// Checks one class and gives its name.
+fn validate_class<'a>(path: &str, class: &'a Value) -> Result<&'a str, ValidationError> {
+    let has_idempotency_keys = class["Repeat"] == "by_key";
+    let idempotency_settings = REQUIRED_IDEMPOTENCY_SETTINGS
+        .iter()
+        .filter(|_| has_idempotency_keys);
+    for key in REQUIRED_CLASS_SETTINGS.iter().chain(idempotency_settings) {
+        if class.get(key).is_none_or(Value::is_null) {
+            return Err(ValidationError::Missing {
+                path: format!("{path}.{key}"),
+            });
+        }
+    }
+    check_range(
+        &format!("{path}.DeadlineNs"),
+        &class["DeadlineNs"],
+        MAX_DEADLINE_NS,
+    )?;
+    let name = class["Name"].as_str().filter(|name| !name.is_empty());
+    name.ok_or_else(|| ValidationError::InvalidName {
+        path: format!("{path}.Name"),
+    })
+}
+
+fn check_range(path: &str, value: &Value, max: u64) -> Result<(), ValidationError> {
+    match value.as_u64() {
+        Some(number) if (1..=max).contains(&number) => Ok(()),
+        _ => Err(ValidationError::OutOfRange {
+            path: path.to_string(),
+            value: value.clone(),
+            max,
+        }),
+    }
+}
+
+/// Checks that every key of `previous` is in `current`, at all levels of objects; lists may differ.
+fn check_no_key_removed(
+    path: &str,
+    current: &Map<String, Value>,
+    previous: &Map<String, Value>,
+) -> Result<(), ValidationError> {
+    for (key, previous_value) in previous {
+        let path = if path.is_empty() {
+            key.clone()
+        } else {
+            format!("{path}.{key}")
+        };
+        match (current.get(key), previous_value) {
+            (None, _) => return Err(ValidationError::Removed { path }),
+            (Some(Value::Object(current)), Value::Object(previous)) => {
+                check_no_key_removed(&path, current, previous)?;
+            }
+            _ => {}
+        }
+    }
+    Ok(())
+}
