Cluster: split membership and connections by concern, with typed errors

Need: one file held messages, framing, rate limit and connection, another identity, datagram header, timers and SWIM's parameters; errors were strings, states were pairs and bools, and names needed explaining. Change: message, frame and connection are modules, as are identity, datagram, runtime and swim_config under membership; FrameError and ConnectionError in place of strings (same texts); MembershipConfig and SeedNode in place of rows of arguments and pairs. Identity has the JSON keys of fleet members again (id, born_ms, bump, at, settings), held by a test.

--- a/crates/cluster/src/connection.rs
+++ b/crates/cluster/src/connection.rs
@@ -1,199 +1,201 @@
-//! One link: a stream between two nodes that carries whole messages, bounded in size, number and what waits.
+//! A TCP connection between two nodes that carries framed messages. Message size, message rate and the bytes that wait to
+//! be written are bounded.
 
-use crate::PROTOCOL_VERSION;
+use crate::frame::{encode_frame, FrameDecoder, FrameError};
+use crate::message::{Handshake, Message};
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::Interest;
 use polling::Poller;
-use serde::{Deserialize, Serialize};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use thiserror::Error;
 
-/// The longest message, and what may wait to be written.
-pub const MAX_MESSAGE_BYTES: usize = 256 << 10;
+/// A connection sends something at least this often.
+pub const PING_INTERVAL: Duration = Duration::from_millis(700);
+/// A connection that has received nothing for this long is dead.
+pub const IDLE_TIMEOUT: Duration = Duration::from_millis(2500);
+/// The bytes that may wait to be written.
 const MAX_PENDING_BYTES: usize = 1 << 20;
-/// Read in one turn of the loop: what is left is read in the next.
+/// The bytes that are read in one turn of the event loop; the rest is read in the next one.
 const MAX_READ_PER_TURN_BYTES: usize = 64 << 10;
-/// Messages in a second at the most; a peer that sends more is out of order.
+/// The size of a single read.
+const READ_CHUNK_BYTES: usize = 16 << 10;
+/// A peer that sends more messages violates the protocol.
 const MAX_MESSAGES_PER_SECOND: u32 = 4_000;
-/// A length and the form go before each message.
-const HEADER_BYTES: usize = 5;
-/// A link says something at least this often; one that brings nothing for as long as `SILENCE` is dead.
-pub const PING_INTERVAL: Duration = Duration::from_millis(700);
-/// See `PING`.
-pub const IDLE_TIMEOUT: Duration = Duration::from_millis(2500);
+const RATE_WINDOW: Duration = Duration::from_secs(1);
 
-/// The first message of each side.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Handshake {
-    /// See `crate::tag`.
-    pub cluster_tag: u32,
-    /// Who speaks: its name and its life.
-    pub name: String,
-    /// See `name`.
-    pub incarnation: u64,
-    /// When that began, by its own clock; compared among lives of one name only.
-    pub started_at_ms: u64,
-    /// The build, to be named where it does not fit.
-    pub build: String,
+/// Why a connection has to be closed.
+#[derive(Debug, Error)]
+pub enum ConnectionError {
+    /// The connection broke or was closed; nobody violated the protocol.
+    #[error(transparent)]
+    Closed(#[from] CloseReason),
+    /// The peer violated the protocol, or a message was not fit to be sent.
+    #[error(transparent)]
+    Protocol(#[from] ProtocolViolation),
 }
 
-/// What one node says to another.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Message {
-    /// Each side's first.
-    Handshake(Handshake),
-    /// Nothing but that it lives.
-    Ping,
-    /// Another life of the receiver's name began later: it has no place in the fleet any more.
-    Replaced,
-    /// Of a subject that knows how to read it.
-    Payload(Subject, Vec<u8>),
+/// How a connection ended without a violation of the protocol.
+#[derive(Debug, Error)]
+pub enum CloseReason {
+    /// The network failed.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    /// The peer closed the connection.
+    #[error("it was ended")]
+    EndOfStream,
+    /// Nothing was received for [`IDLE_TIMEOUT`].
+    #[error("it is silent")]
+    IdleTimeout,
+    /// The peer reads too slowly.
+    #[error("too much waits to be written")]
+    SendBufferFull,
 }
 
-/// Whose message it is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Subject {
-    /// The council's.
-    Control,
+/// What was wrong about a message, or about how many there were.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum ProtocolViolation {
+    /// A frame can't be read or written.
+    #[error(transparent)]
+    Frame(#[from] FrameError),
+    /// Too many messages came within one second.
+    #[error("over {MAX_MESSAGES_PER_SECOND} messages in a second")]
+    RateExceeded,
 }
 
-/// Why a link ends.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ConnectionError {
-    /// The network, or the other side's end: nobody has done anything wrong.
-    Closed(String),
-    /// What came is not in order.
-    Protocol(String),
+impl From<FrameError> for ConnectionError {
+    fn from(error: FrameError) -> ConnectionError {
+        ConnectionError::Protocol(error.into())
+    }
 }
 
-/// Takes whole messages out of what was read; an error ends the link.
-#[derive(Default)]
-pub struct FrameDecoder {
-    bytes: Vec<u8>,
+impl From<io::Error> for ConnectionError {
+    fn from(error: io::Error) -> ConnectionError {
+        ConnectionError::Closed(error.into())
+    }
 }
 
-impl FrameDecoder {
-    /// More has come.
-    pub fn push(&mut self, bytes: &[u8]) {
-        self.bytes.extend_from_slice(bytes);
-    }
+/// Which side opened a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Side {
+    Initiator,
+    Acceptor,
+}
 
-    /// The next whole message.
-    pub fn next_message(&mut self) -> Result<Option<Message>, String> {
-        let Some(head) = self.bytes.first_chunk::<HEADER_BYTES>() else {
-            return Ok(None);
-        };
-        let length = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
-        if head[4] != PROTOCOL_VERSION {
-            return Err(format!(
-                "it speaks form {}, this node speaks form {PROTOCOL_VERSION}",
-                head[4]
-            ));
-        }
-        if length > MAX_MESSAGE_BYTES {
-            return Err(format!(
-                "a message of {length} bytes, {MAX_MESSAGE_BYTES} are the most"
-            ));
-        }
-        if self.bytes.len() < HEADER_BYTES + length {
-            return Ok(None);
-        }
-        let message = postcard::from_bytes(&self.bytes[HEADER_BYTES..HEADER_BYTES + length]);
-        self.bytes.drain(..HEADER_BYTES + length);
-        message
-            .map(Some)
-            .map_err(|error| format!("a message can't be read: {error}"))
-    }
+/// Counts the messages received in windows of [`RATE_WINDOW`].
+struct MessageRate {
+    window_start: Instant,
+    message_count: u32,
 }
 
-/// A message as it is written.
-pub fn encode_frame(message: &Message) -> Result<Vec<u8>, String> {
-    let body = postcard::to_stdvec(message).map_err(|error| error.to_string())?;
-    if body.len() > MAX_MESSAGE_BYTES {
-        return Err(format!(
-            "a message of {} bytes, {MAX_MESSAGE_BYTES} are the most",
-            body.len()
-        ));
+impl MessageRate {
+    fn record(&mut self) -> Result<(), ProtocolViolation> {
+        if self.window_start.elapsed() >= RATE_WINDOW {
+            self.window_start = Instant::now();
+            self.message_count = 0;
+        }
+        self.message_count += 1;
+        if self.message_count > MAX_MESSAGES_PER_SECOND {
+            return Err(ProtocolViolation::RateExceeded);
+        }
+        Ok(())
     }
-    let mut bytes = Vec::with_capacity(HEADER_BYTES + body.len());
-    bytes.extend_from_slice(&(body.len() as u32).to_be_bytes());
-    bytes.push(PROTOCOL_VERSION);
-    bytes.extend_from_slice(&body);
-    Ok(bytes)
 }
 
-/// One end of a link.
+/// One end of a connection between two nodes.
 pub struct ClusterConnection {
     stream: Registered<TcpStream>,
-    connected: bool,
+    side: Side,
+    is_connected: bool,
     decoder: FrameDecoder,
     pending: Vec<u8>,
     written: usize,
-    /// When something last came, and went out.
     last_received: Instant,
     last_sent: Instant,
-    message_rate: (Instant, u32),
-    /// The other side, once it has said so.
-    pub peer: Option<Handshake>,
-    /// This side dialled.
-    pub is_initiator: bool,
+    message_rate: MessageRate,
+    peer: Option<Handshake>,
 }
 
 impl ClusterConnection {
-    /// Dials.
+    /// Starts to connect to a node.
+    ///
+    /// # Errors
+    /// Where the connect fails at once.
     pub fn connect(
         poller: &Rc<Poller>,
-        at: SocketAddr,
+        address: SocketAddr,
         key: usize,
     ) -> io::Result<ClusterConnection> {
-        Ok(ClusterConnection::new(
-            poll::connect(poller, at, key)?,
-            true,
-        ))
+        let stream = poll::connect(poller, address, key)?;
+        Ok(ClusterConnection::new(stream, Side::Initiator))
     }
 
-    /// Takes one that came.
+    /// Takes over a stream that a listener accepted.
+    ///
+    /// # Errors
+    /// Where the stream can't be made non-blocking or registered.
     pub fn accept(
         poller: &Rc<Poller>,
         stream: TcpStream,
         key: usize,
     ) -> io::Result<ClusterConnection> {
         stream.set_nonblocking(true)?;
+        // Only the latency suffers without it.
         let _ = stream.set_nodelay(true);
-        Ok(ClusterConnection::new(
-            Registered::new(poller, stream, key, Interest::READ)?,
-            false,
-        ))
+        let stream = Registered::new(poller, stream, key, Interest::READ)?;
+        Ok(ClusterConnection::new(stream, Side::Acceptor))
     }
 
-    fn new(stream: Registered<TcpStream>, dialled: bool) -> ClusterConnection {
+    fn new(stream: Registered<TcpStream>, side: Side) -> ClusterConnection {
         let now = Instant::now();
         ClusterConnection {
             stream,
-            connected: !dialled,
+            side,
+            is_connected: side == Side::Acceptor,
             decoder: FrameDecoder::default(),
             pending: Vec::new(),
             written: 0,
             last_received: now,
             last_sent: now,
-            message_rate: (now, 0),
+            message_rate: MessageRate {
+                window_start: now,
+                message_count: 0,
+            },
             peer: None,
-            is_initiator: dialled,
         }
     }
 
-    /// Says something, as soon as the socket takes it.
-    pub fn send(&mut self, message: &Message) -> Result<(), String> {
-        let bytes = encode_frame(message)?;
-        if self.pending.len() - self.written + bytes.len() > MAX_PENDING_BYTES {
-            return Err("too much waits to be written".into());
+    /// The peer's handshake, once it was accepted with [`ClusterConnection::set_peer`].
+    pub fn peer(&self) -> Option<&Handshake> {
+        self.peer.as_ref()
+    }
+
+    /// Notes the handshake that the peer sent.
+    pub fn set_peer(&mut self, handshake: Handshake) {
+        self.peer = Some(handshake);
+    }
+
+    /// Whether this side opened the connection.
+    pub fn is_initiator(&self) -> bool {
+        self.side == Side::Initiator
+    }
+
+    /// Queues a message and writes as much as the socket accepts.
+    ///
+    /// # Errors
+    /// Where the message is too long, too much is queued already, or the network failed.
+    pub fn send(&mut self, message: &Message) -> Result<(), ConnectionError> {
+        let frame = encode_frame(message)?;
+        let waiting = self.pending.len() - self.written;
+        if waiting + frame.len() > MAX_PENDING_BYTES {
+            return Err(CloseReason::SendBufferFull.into());
         }
-        self.pending.extend_from_slice(&bytes);
+        self.pending.extend_from_slice(&frame);
         self.last_sent = Instant::now();
-        if self.connected {
-            self.flush().map_err(|error| error.to_string())?;
+        if self.is_connected {
+            self.flush()?;
         }
         Ok(())
     }
@@ -214,64 +216,71 @@
         self.stream.set_interest(Interest::READ)
     }
 
-    /// The socket is ready: the messages that are whole now, or why the link ends.
-    pub fn on_ready(&mut self, readable: bool) -> Result<Vec<Message>, ConnectionError> {
-        let named = |error: io::Error| ConnectionError::Closed(error.to_string());
-        if !self.connected {
-            if let Some(error) = self.stream.take_error().map_err(named)? {
-                return Err(named(error));
-            }
-            self.connected = true;
-            self.last_received = Instant::now();
+    /// Handles readiness of the socket and returns the messages that are complete now.
+    ///
+    /// # Errors
+    /// Where the connection has to be closed; messages that came before in the same turn are dropped.
+    pub fn on_ready(&mut self, is_readable: bool) -> Result<Vec<Message>, ConnectionError> {
+        if !self.is_connected {
+            self.finish_connect()?;
         }
-        self.flush().map_err(named)?;
-        let mut messages = Vec::new();
-        let (mut scratch, mut taken) = ([0; 16 << 10], 0);
-        while readable && taken < MAX_READ_PER_TURN_BYTES {
-            match self.stream.read(&mut scratch) {
-                Ok(0) => return Err(ConnectionError::Closed("it was ended".into())),
-                Ok(read) => {
-                    taken += read;
-                    self.decoder.push(&scratch[..read]);
+        self.flush()?;
+        if is_readable {
+            self.read_available()?;
+        }
+        self.decode_messages()
+    }
+
+    fn finish_connect(&mut self) -> io::Result<()> {
+        if let Some(error) = self.stream.take_error()? {
+            return Err(error);
+        }
+        self.is_connected = true;
+        self.last_received = Instant::now();
+        Ok(())
+    }
+
+    fn read_available(&mut self) -> Result<(), CloseReason> {
+        let mut chunk = [0; READ_CHUNK_BYTES];
+        let mut received = 0;
+        while received < MAX_READ_PER_TURN_BYTES {
+            match self.stream.read(&mut chunk) {
+                Ok(0) => return Err(CloseReason::EndOfStream),
+                Ok(length) => {
+                    received += length;
+                    self.decoder.push(&chunk[..length]);
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(error) => return Err(named(error)),
+                Err(error) => return Err(error.into()),
             }
         }
-        if taken > 0 {
+        if received > 0 {
             self.last_received = Instant::now();
         }
-        while let Some(message) = self
-            .decoder
-            .next_message()
-            .map_err(ConnectionError::Protocol)?
-        {
-            if self.message_rate.0.elapsed() >= Duration::from_secs(1) {
-                self.message_rate = (Instant::now(), 0);
-            }
-            self.message_rate.1 += 1;
-            if self.message_rate.1 > MAX_MESSAGES_PER_SECOND {
-                return Err(ConnectionError::Protocol(format!(
-                    "over {MAX_MESSAGES_PER_SECOND} messages in a second"
-                )));
-            }
+        Ok(())
+    }
+
+    fn decode_messages(&mut self) -> Result<Vec<Message>, ConnectionError> {
+        let mut messages = Vec::new();
+        while let Some(message) = self.decoder.next_message()? {
+            self.message_rate.record()?;
             messages.push(message);
         }
         Ok(messages)
     }
 
-    /// Keeps the link alive; an error says that it is dead.
-    pub fn keep_alive(&mut self) -> Result<(), String> {
+    /// Sends a ping if nothing was sent for [`PING_INTERVAL`]; to be called more often than that.
+    ///
+    /// # Errors
+    /// Where the connection is dead.
+    pub fn keep_alive(&mut self) -> Result<(), ConnectionError> {
         if self.last_received.elapsed() >= IDLE_TIMEOUT {
-            return Err("it is silent".into());
+            return Err(CloseReason::IdleTimeout.into());
         }
-        if self.connected && self.last_sent.elapsed() >= PING_INTERVAL {
+        if self.is_connected && self.last_sent.elapsed() >= PING_INTERVAL {
             self.send(&Message::Ping)?;
         }
         Ok(())
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -1,18 +1,22 @@
-//! What the nodes of a fleet say to each other: who lives ([`membership`], datagrams) and messages between two of them
-//! ([`connection`], streams). It moves bytes and speaks a syntax; what follows from a message is decided elsewhere.
+//! Communication between the nodes of a cluster: [`membership`] finds out over UDP which nodes are alive, and a
+//! [`connection`] carries framed messages between two of them over TCP. What follows from a message is decided by the
+//! callers.
 //!
-//! Messages are written with postcard: membership brings that codec along, a message is a third of its JSON, and people
-//! read them through `lupincrank fleet`, not off the wire.
+//! Everything on the wire is encoded with postcard: the membership library brings that codec along, and a message takes a
+//! third of its size as JSON. People read the state of a cluster through `lupincrank fleet`, not off the wire.
 
 #![forbid(unsafe_code)]
 
 pub mod connection;
+pub mod frame;
 pub mod membership;
+pub mod message;
 
-/// The form of all messages; a node that speaks another one is turned away by both numbers.
+/// The version of the protocol, sent with each frame and datagram. A node rejects every other version.
 pub const PROTOCOL_VERSION: u8 = 2;
 
-/// What marks a message as one of this fleet: guards against a node of another one at an address that was used before.
-pub fn cluster_tag(fleet: &str) -> u32 {
-    crc32fast::hash(fleet.as_bytes())
+/// The checksum of a cluster's name that marks its traffic. It guards against a node of another cluster at an address that
+/// was used by this one before.
+pub fn cluster_tag(cluster_name: &str) -> u32 {
+    crc32fast::hash(cluster_name.as_bytes())
 }
--- a/crates/cluster/tests/wire_fixtures.rs
+++ b/crates/cluster/tests/wire_fixtures.rs
@@ -2,8 +2,11 @@
 //! into the same values and written to the same bytes.
 
 use lupincrank_cluster::cluster_tag;
-use lupincrank_cluster::connection::{encode_frame, FrameDecoder, Handshake, Message, Subject};
-use lupincrank_cluster::membership::{Identity, Membership, MembershipOutput};
+use lupincrank_cluster::frame::{encode_frame, FrameDecoder};
+use lupincrank_cluster::membership::{
+    Identity, Membership, MembershipConfig, MembershipOutput, SeedNode,
+};
+use lupincrank_cluster::message::{Handshake, Message, Subject};
 use rstest::rstest;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -66,12 +69,27 @@
     assert_eq!(postcard::to_stdvec(&expected).unwrap(), fixture);
 }
 
+/// `lupincrank fleet members` prints identities in this form.
+#[test]
+fn an_identity_keeps_its_keys_in_json() {
+    let expected = r#"{"name":"n0","id":100,"born_ms":1700000000000,"bump":0,"at":"127.0.0.1:7000","zone":"a","region":"guj","build":"0.1.0","settings":3735928559}"#;
+    assert_eq!(serde_json::to_string(&identity(0)).unwrap(), expected);
+}
+
 fn membership(number: u16) -> Membership {
-    let seeds = (0..2)
-        .map(|number| (format!("n{number}"), identity(number).address))
+    let seed_nodes = (0..2)
+        .map(|number| SeedNode {
+            name: format!("n{number}"),
+            address: identity(number).address,
+        })
         .collect();
-    let tag = cluster_tag(CLUSTER_NAME);
-    Membership::new(identity(number), tag, 2, 7, seeds)
+    let config = MembershipConfig {
+        cluster_tag: cluster_tag(CLUSTER_NAME),
+        expected_node_count: 2,
+        random_seed: 7,
+        seed_nodes,
+    };
+    Membership::new(identity(number), config)
 }
 
 fn drain(membership: &mut Membership) -> Vec<MembershipOutput> {
@@ -87,23 +105,29 @@
     joining.on_deadline(Duration::ZERO);
     assert_eq!(
         drain(&mut joining),
-        [MembershipOutput::Datagram(
-            identity(1).address,
-            announce.to_vec()
-        )]
+        [MembershipOutput::Datagram {
+            to: identity(1).address,
+            bytes: announce.to_vec()
+        }]
     );
 
     seed.on_datagram(Duration::ZERO, announce);
     assert_eq!(
         drain(&mut seed),
         [
-            MembershipOutput::Up(identity(0)),
-            MembershipOutput::Datagram(identity(0).address, feed.to_vec()),
+            MembershipOutput::MemberUp(identity(0)),
+            MembershipOutput::Datagram {
+                to: identity(0).address,
+                bytes: feed.to_vec()
+            },
         ]
     );
 
     joining.on_datagram(Duration::ZERO, feed);
-    assert_eq!(drain(&mut joining), [MembershipOutput::Up(identity(1))]);
+    assert_eq!(
+        drain(&mut joining),
+        [MembershipOutput::MemberUp(identity(1))]
+    );
 }
 
 #[test]
@@ -115,6 +139,6 @@
         Duration::from_secs(1),
         include_bytes!("fixtures/leave.datagram"),
     );
-    assert!(drain(&mut remaining).contains(&MembershipOutput::Down(identity(0))));
+    assert!(drain(&mut remaining).contains(&MembershipOutput::MemberDown(identity(0))));
     assert_eq!(remaining.alive().count(), 0);
 }
--- a/crates/node/src/cluster_agent/agent.rs
+++ b/crates/node/src/cluster_agent/agent.rs
@@ -2,8 +2,11 @@
 
 use super::config::Setup;
 use super::storage::Disk;
-use lupincrank_cluster::connection::{ClusterConnection, Handshake, Message, Subject};
-use lupincrank_cluster::membership::{Identity, Membership, MembershipOutput};
+use lupincrank_cluster::connection::ClusterConnection;
+use lupincrank_cluster::membership::{
+    jitter_factor, Identity, Membership, MembershipConfig, MembershipOutput,
+};
+use lupincrank_cluster::message::{Handshake, Message, Subject};
 use lupincrank_control::council::{ControlConfig, ControlNode};
 use lupincrank_control::durable::{DurableState, LogWrite};
 use lupincrank_control::lease::LeaseTerms;
@@ -142,7 +145,15 @@
         };
         let tag = lupincrank_cluster::cluster_tag(&setup.name);
         let council = ControlNode::new(now, member(&me), tuning, kept)?;
-        let membership = Membership::new(me, tag, setup.nodes.len(), id, setup.seeds.clone());
+        let membership = Membership::new(
+            me,
+            MembershipConfig {
+                cluster_tag: tag,
+                expected_node_count: setup.nodes.len(),
+                random_seed: id,
+                seed_nodes: setup.seeds.clone(),
+            },
+        );
         Ok(Carry {
             council,
             membership,
@@ -155,7 +166,7 @@
             addresses: BTreeMap::new(),
             tag,
             began: Instant::now(),
-            spread: 0.75 + f64::from(id as u8) / 512.0,
+            spread: jitter_factor(id),
             log,
             quiet: None,
             strange: 0,
@@ -259,7 +270,8 @@
         mut link: ClusterConnection,
         to: Option<u64>,
     ) -> Result<(), String> {
-        link.send(&self.hello())?;
+        link.send(&self.hello())
+            .map_err(|error| error.to_string())?;
         self.links.insert(
             id,
             End {
@@ -286,8 +298,8 @@
         let Some(end) = self.links.remove(&id) else {
             return;
         };
-        let peer = end.link.peer.as_ref().map(|peer| peer.name.clone());
-        debug!(self.log, "link ended"; "peer" => peer, "dialled" => end.link.is_initiator, "why" => why.to_string());
+        let peer = end.link.peer().map(|peer| peer.name.clone());
+        debug!(self.log, "link ended"; "peer" => peer, "dialled" => end.link.is_initiator(), "why" => why.to_string());
         if let Some(to) = end.to {
             let tries = self.tries.get(&to).map_or(0, |(_, tries)| *tries);
             let pause = AGAIN
@@ -311,8 +323,7 @@
                 .get(&id)
                 .ok_or("it is gone")?
                 .link
-                .peer
-                .as_ref()
+                .peer()
                 .map(|peer| peer.incarnation);
             match (message, peer) {
                 (Message::Handshake(hello), None) => self.met(id, hello)?,
@@ -345,16 +356,15 @@
         if hello.incarnation == me || end.to.is_some_and(|to| to != hello.incarnation) {
             return Err("it is another life than the one that was looked for".into());
         }
-        let mine = end.link.is_initiator;
+        let mine = end.link.is_initiator();
         let other = self.links.iter().find(|(at, end)| {
             **at != id
                 && end
                     .link
-                    .peer
-                    .as_ref()
+                    .peer()
                     .is_some_and(|peer| peer.incarnation == hello.incarnation)
         });
-        if let Some((at, end)) = other.map(|(at, end)| (*at, end.link.is_initiator)) {
+        if let Some((at, end)) = other.map(|(at, end)| (*at, end.link.is_initiator())) {
             let by_greater = |dialled_here: bool| dialled_here == (me > hello.incarnation);
             if by_greater(end) && !by_greater(mine) {
                 return Err("there is one already".into());
@@ -364,7 +374,7 @@
         }
         self.tries.remove(&hello.incarnation);
         if let Some(end) = self.links.get_mut(&id) {
-            end.link.peer = Some(hello);
+            end.link.set_peer(hello);
         }
         Ok(())
     }
@@ -395,7 +405,7 @@
     pub fn members(&mut self) {
         while let Some(out) = self.membership.next_output() {
             match out {
-                MembershipOutput::Datagram(at, bytes) => {
+                MembershipOutput::Datagram { to: at, bytes } => {
                     let Some((udp, _)) = &self.sockets else {
                         continue;
                     };
@@ -404,7 +414,7 @@
                     // A datagram may get lost anyway.
                     let _ = udp.send_to(&bytes, at);
                 }
-                MembershipOutput::Up(who) => {
+                MembershipOutput::MemberUp(who) => {
                     self.tries.remove(&who.incarnation);
                     if self
                         .addresses
@@ -415,7 +425,7 @@
                             "zone" => &who.zone, "build" => &who.build, "bump" => who.generation);
                     }
                 }
-                MembershipOutput::Down(who) => {
+                MembershipOutput::MemberDown(who) => {
                     info!(self.log, "member down"; "member" => &who.name, "id" => format!("{:016x}", who.incarnation),
                         "bump" => who.generation);
                     // Another bump of the same incarnation may live on.
@@ -427,7 +437,7 @@
                         self.addresses.remove(&who.incarnation);
                     }
                 }
-                MembershipOutput::Back(bump) => {
+                MembershipOutput::Rejoined { generation: bump } => {
                     info!(self.log, "was taken for dead and is back"; "bump" => bump);
                 }
                 MembershipOutput::Replaced => self.was_replaced(),
@@ -453,12 +463,8 @@
         for action in self.council.take_actions() {
             match action {
                 Action::Send(to, said) => {
-                    let up = |end: &&mut End| {
-                        end.link
-                            .peer
-                            .as_ref()
-                            .is_some_and(|peer| peer.incarnation == to)
-                    };
+                    let up =
+                        |end: &&mut End| end.link.peer().is_some_and(|peer| peer.incarnation == to);
                     let found = self
                         .links
                         .iter_mut()
@@ -469,7 +475,7 @@
                     };
                     self.sent = (self.sent.0 + bytes.len() as u64, self.sent.1 + 1);
                     if let Err(why) = end.link.send(&Message::Payload(Subject::Control, bytes)) {
-                        broken.push((id, why));
+                        broken.push((id, why.to_string()));
                     }
                 }
                 Action::Write(write) => self.write(now, write),
@@ -523,24 +529,14 @@
         let now = Instant::now();
         let wants = self.council.desired_connections();
         for end in self.links.values_mut() {
-            let peer = end
-                .link
-                .peer
-                .as_ref()
-                .map(|peer| peer.incarnation)
-                .or(end.to);
+            let peer = end.link.peer().map(|peer| peer.incarnation).or(end.to);
             if peer.is_some_and(|peer| wants.contains(&peer)) {
                 end.wanted = now;
             }
         }
         let linked = |id: u64| {
             self.links.values().any(|end| {
-                end.to == Some(id)
-                    || end
-                        .link
-                        .peer
-                        .as_ref()
-                        .is_some_and(|peer| peer.incarnation == id)
+                end.to == Some(id) || end.link.peer().is_some_and(|peer| peer.incarnation == id)
             })
         };
         let due = |id: u64| self.tries.get(&id).is_none_or(|(at, _)| now >= *at);
@@ -558,7 +554,7 @@
         let peers = self
             .links
             .iter()
-            .filter_map(|(id, end)| Some((*id, end.link.peer.as_ref()?)));
+            .filter_map(|(id, end)| Some((*id, end.link.peer()?)));
         let replaced: Vec<ComponentId> = peers
             .filter(|(_, peer)| self.is_replaced(peer))
             .map(|(id, _)| id)
@@ -577,8 +573,8 @@
         self.tries.retain(|id, _| self.addresses.contains_key(id));
         for (id, end) in &mut self.links {
             if let Err(why) = end.link.keep_alive() {
-                dead.push((*id, why));
-            } else if end.link.is_initiator && end.wanted.elapsed() >= IDLE {
+                dead.push((*id, why.to_string()));
+            } else if end.link.is_initiator() && end.wanted.elapsed() >= IDLE {
                 dead.push((*id, "it is needed no more".into()));
             }
         }
@@ -594,9 +590,9 @@
             links: self
                 .links
                 .values()
-                .filter(|end| end.link.peer.is_some())
+                .filter(|end| end.link.peer().is_some())
                 .count(),
-            datagrams_refused: self.membership.rejected,
+            datagrams_refused: self.membership.rejected(),
             messages_refused: self.strange,
             sent_bytes: self.sent.0,
             sent_messages: self.sent.1,
--- a/crates/node/src/cluster_agent/config.rs
+++ b/crates/node/src/cluster_agent/config.rs
@@ -1,5 +1,6 @@
 //! What the node takes from the operator's file for its part in the fleet.
 
+use lupincrank_cluster::membership::SeedNode;
 use lupincrank_operator_config::Operator;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -21,7 +22,7 @@
     /// The file that holds log and vote, where a folder is configured.
     pub file: Option<PathBuf>,
     /// Who is asked first.
-    pub seeds: Vec<(String, SocketAddr)>,
+    pub seeds: Vec<SeedNode>,
     /// Where others are reached, if not where they say.
     pub via: BTreeMap<SocketAddr, SocketAddr>,
     /// The cold budget, in new connections in any second: what is handed out, and what each node has without a lease.
@@ -69,7 +70,15 @@
             zone: variable("RELAY_ZONE").unwrap_or_else(|| fleet.zone.clone()),
             region: fleet.region.clone(),
             file,
-            seeds: fleet.seeds.get_ref().clone().into_iter().collect(),
+            seeds: fleet
+                .seeds
+                .get_ref()
+                .iter()
+                .map(|(name, address)| SeedNode {
+                    name: name.clone(),
+                    address: *address,
+                })
+                .collect(),
             via: fleet.via.clone(),
             capacity: cold.map_or(0, |cold| cold.capacity.get_ref().saturating_sub(set_aside)),
             // A node that nobody announced has no part in what was set aside for the others.
--- a/crates/node/src/cluster_agent/mod.rs
+++ b/crates/node/src/cluster_agent/mod.rs
@@ -405,20 +405,16 @@
                 return flow = Lifecycle::Close;
             };
             let now = node.core.now();
-            let heard = end.link.on_ready(readiness.readable);
-            let heard = heard.and_then(|messages| {
-                carry
-                    .heard(now, id, messages)
-                    .map_err(ConnectionError::Protocol)
-            });
-            if let Err(fault) = heard {
-                let why = match fault {
-                    ConnectionError::Closed(why) => why,
-                    ConnectionError::Protocol(why) => {
-                        carry.complain("a link", &why);
-                        why
-                    }
-                };
+            let heard = match end.link.on_ready(readiness.readable) {
+                Ok(messages) => carry.heard(now, id, messages),
+                Err(ConnectionError::Closed(reason)) => {
+                    carry.ended(id, &reason.to_string());
+                    return flow = Lifecycle::Close;
+                }
+                Err(ConnectionError::Protocol(violation)) => Err(violation.to_string()),
+            };
+            if let Err(why) = heard {
+                carry.complain("a link", &why);
                 carry.ended(id, &why);
                 flow = Lifecycle::Close;
             }
--- a/crates/scale/src/doors.rs
+++ b/crates/scale/src/doors.rs
@@ -3,7 +3,8 @@
 //! sockets must not grow with the square of the nodes.
 
 use crate::place::Place;
-use lupincrank_cluster::connection::{FrameDecoder, Message};
+use lupincrank_cluster::frame::FrameDecoder;
+use lupincrank_cluster::message::Message;
 use lupincrank_fault_injection::links::Way;
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::{
