--- a/crates/node/src/client/connection.rs
+++ b/crates/node/src/client/connection.rs
@@ -5,7 +5,9 @@
 };
 use crate::component::WellKnownComponent;
 use crate::deadline::{ClientDeadline, DeadlineKind};
-use crate::handoff::message::Said;
+use crate::handoff::message::{HandoffMessage, UnidentifiedClientTransfer};
+use crate::handoff::socket::SendOutcome;
+use crate::placement_driver::ClientState;
 use crate::state::{ClientSlot, NodeContext, NodeState, UnidentifiedClients};
 use crate::upstream::attempt::{Peer, Try, LONGEST_LINE};
 use crate::upstream::relay::Relay;
@@ -131,11 +133,11 @@
     /// Ends the strangers that had to go first anyway when descriptors are needed. Guards against hundreds that
     /// connect and say nothing.
     fn make_room(&self, context: &mut NodeContext) {
-        let other = context.handoff.other;
+        let other = context.handoff.peer_heartbeat();
         let most = context
             .config
-            .most_strangers(context.client_count.get() + other.clients);
-        while context.unidentified_clients.borrow().len() + other.strangers > most {
+            .most_strangers(context.client_count.get() + other.client_count);
+        while context.unidentified_clients.borrow().len() + other.unidentified_count > most {
             let Some((_, id)) = context.unidentified_clients.borrow_mut().pop_first() else {
                 break;
             };
@@ -384,12 +386,17 @@
             .0
             .saturating_duration_since(Instant::now())
             .as_millis() as u64;
-        let said = |number| Said::First(number, left);
+        let message = |number| {
+            HandoffMessage::UnidentifiedClient(UnidentifiedClientTransfer {
+                number,
+                remaining_ms: left,
+            })
+        };
         if matches!(
             context
                 .handoff
-                .hand(self.id, said, &self.bytes, &[stream.as_fd()]),
-            Ok(true)
+                .transfer(self.id, message, &self.bytes, &[stream.as_fd()]),
+            Ok(SendOutcome::Sent)
         ) {
             self.frozen = true;
             let _ = stream.set_interest(Interest::NONE);
@@ -523,7 +530,7 @@
             if waiting.open.holder.is_none() {
                 context
                     .placement
-                    .client_gone(RequestId(waiting.open.request));
+                    .on_client_gone(RequestId(waiting.open.request));
             }
         }
     }
@@ -543,19 +550,19 @@
         let open = match first_line(text, &context.config.classes) {
             Some(First::Ping) => {
                 // The front sends clients once this is answered: only when they can be served.
-                let able = context.serves().is_ok();
+                let able = context.check_serving().is_ok();
                 return self.answer(context, if able { b"PONG\r\n" } else { b"BUSY\r\n" });
             }
             Some(First::Open(open)) => open,
             None => return self.reject_line(context, "its fields"),
         };
         let request = RequestId(open.request);
-        if context.placement.holds(request)
+        if context.placement.has_request(request)
             || (open.holder.is_some() && context.started_at.elapsed() > OLD_COME)
         {
             return self.reject_line(context, "another's id, or a holder long after the start");
         }
-        if context.client_count.get() + context.handoff.other.clients
+        if context.client_count.get() + context.handoff.peer_heartbeat().client_count
             >= context.config.most_clients()
         {
             debug!(context.log, "too many clients"; "held" => context.client_count.get());
@@ -579,7 +586,7 @@
         if old {
             return self.resume(context);
         }
-        context.placement.request(self.id, incoming, left);
+        context.placement.on_request(self.id, incoming, left);
         Lifecycle::Continue
     }
 
@@ -592,13 +599,16 @@
             .open
             .holder
             .as_deref()
-            .and_then(|holder| context.placement.dial(holder));
+            .and_then(|holder| context.placement.available_address(holder));
         let Some(dial) =
             dial.filter(|_| waiting.old_tries < OLD_TRIES && Instant::now() < waiting.until)
         else {
             return self.answer(context, &busy(Duration::ZERO));
         };
-        if context.placement.holds(RequestId(waiting.open.request)) {
+        if context
+            .placement
+            .has_request(RequestId(waiting.open.request))
+        {
             return self.reject_line(context, "another's id");
         }
         waiting.old_tries += 1;
@@ -647,7 +657,7 @@
         let State::Waiting(waiting) = &self.state else {
             return Lifecycle::Continue;
         };
-        if waiting.open.holder.is_some() && context.placement.holds(up.request) {
+        if waiting.open.holder.is_some() && context.placement.has_request(up.request) {
             return self.reject_line(context, "another's id");
         }
         let (Some(client), Some(seat)) = (self.stream.take(), self.seat.take()) else {
@@ -656,9 +666,11 @@
         match &waiting.open.holder {
             Some(holder) => {
                 let incoming = waiting.open.incoming(context.config.groups);
-                context.placement.inherited(self.id, incoming, holder);
+                context
+                    .placement
+                    .on_inherited_connection(self.id, incoming, holder);
             }
-            None => context.placement.try_up(up.request),
+            None => context.placement.on_attempt_accepted(up.request),
         }
         Relay::begin(context, self.id, seat, client, up);
         Lifecycle::Close
@@ -706,7 +718,7 @@
                 if self.read(context) == Lifecycle::Close {
                     return Lifecycle::Close;
                 }
-                self.dial(context, order.request, order.dial, order.until, false);
+                self.dial(context, order.request, order.address, order.deadline, false);
                 Lifecycle::Continue
             }
             // Looked at once more, ahead of its turn: it may have left, and what tells so may wait behind much else where
@@ -736,10 +748,10 @@
             ClientCommand::AttemptAccepted(accepted) => self.up(context, accepted),
             ClientCommand::AttemptServed(line) => {
                 if waiting.open.holder.is_none() {
-                    context.placement.try_ended(
+                    context.placement.on_attempt_ended(
                         RequestId(waiting.open.request),
                         lupincrank_placement::Outcome::Served,
-                        true,
+                        ClientState::Answered,
                     );
                 }
                 self.answer(context, &line)
--- a/crates/node/src/cluster_agent/mod.rs
+++ b/crates/node/src/cluster_agent/mod.rs
@@ -41,7 +41,7 @@
     };
     if setup.divides {
         // Nothing is this process's before it has its place: another process of this node may still use all of it.
-        context.placement.slice(0, 0, 0.0, None);
+        context.placement.set_slow_start_lease(0, 0, 0.0, None);
     }
     context.register(WellKnownComponent::ClusterAgent.id(), Box::new(Watch));
     if let Some(why) = take_place(context)? {
@@ -190,7 +190,7 @@
         let part = carry.council.fleet_share(now).unwrap_or(0.0);
         context
             .placement
-            .slice(sends, carry.council.lease_floor(now), part, until);
+            .set_slow_start_lease(sends, carry.council.lease_floor(now), part, until);
     }
     if carry.sockets.is_some() {
         let next = carry.next();
@@ -402,7 +402,7 @@
                         carry.ended(id, &why);
                         context.send(id, ClusterConnectionCommand::Close);
                     }
-                    let (most, turned_away) = context.placement.cold_used();
+                    let (most, turned_away) = context.placement.take_slow_start_usage();
                     carry.council.record_usage(BudgetUsage {
                         peak: most,
                         was_limited: turned_away,
@@ -471,20 +471,16 @@
                 return flow = Lifecycle::Close;
             };
             let now = context.placement.now();
-            let heard = end.link.on_ready(readiness.readable);
-            let heard = heard.and_then(|messages| {
-                carry
-                    .heard(now, id, messages)
-                    .map_err(ConnectionError::Protocol)
-            });
-            if let Err(fault) = heard {
-                let why = match fault {
-                    ConnectionError::Closed(why) => why,
-                    ConnectionError::Protocol(why) => {
-                        carry.complain("a link", &why);
-                        why
-                    }
-                };
+            let heard = match end.link.on_ready(readiness.readable) {
+                Ok(messages) => carry.heard(now, id, messages),
+                Err(ConnectionError::Closed(reason)) => {
+                    carry.ended(id, &reason.to_string());
+                    return flow = Lifecycle::Close;
+                }
+                Err(ConnectionError::Protocol(violation)) => Err(violation.to_string()),
+            };
+            if let Err(why) = heard {
+                carry.complain("a link", &why);
                 carry.ended(id, &why);
                 flow = Lifecycle::Close;
             }
