--- /dev/null
+++ b/crates/control/tests/sim/builder.rs
@@ -0,0 +1,96 @@
+//! Describes a simulation before it starts.
+
+use super::Simulation;
+use lupincrank_control::lease::LeaseTerms;
+
+/// The id of a node that restarts from nothing.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum RestartIdentity {
+    New,
+    /// The mutant that must be caught.
+    Reused,
+}
+
+/// When a write is reported as completed.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum WriteReport {
+    WhenSynced,
+    /// The mutant that must be caught.
+    BeforeSynced,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum DiskSpeed {
+    Fast,
+    Slow,
+}
+
+#[derive(Clone, Copy)]
+pub struct DiskModel {
+    pub speed: DiskSpeed,
+    pub report: WriteReport,
+}
+
+/// Describes a simulation before it starts.
+pub struct SimulationBuilder {
+    pub(super) node_count: usize,
+    pub(super) seed: u64,
+    pub(super) lease_terms: LeaseTerms,
+    pub(super) clock_drift: f64,
+    pub(super) restart_identity: RestartIdentity,
+    pub(super) disk: Option<DiskModel>,
+}
+
+impl SimulationBuilder {
+    /// Nodes without disks, with clocks that don't drift.
+    pub fn new(node_count: usize, seed: u64) -> SimulationBuilder {
+        SimulationBuilder {
+            node_count,
+            seed,
+            lease_terms: LeaseTerms::default(),
+            clock_drift: 0.0,
+            restart_identity: RestartIdentity::New,
+            disk: None,
+        }
+    }
+
+    /// Clocks are fast or slow by this ratio.
+    pub fn clock_drift(mut self, ratio: f64) -> SimulationBuilder {
+        self.clock_drift = ratio;
+        self
+    }
+
+    pub fn lease_terms(mut self, terms: LeaseTerms) -> SimulationBuilder {
+        self.lease_terms = terms;
+        self
+    }
+
+    pub fn restart_identity(mut self, identity: RestartIdentity) -> SimulationBuilder {
+        self.restart_identity = identity;
+        self
+    }
+
+    /// Nodes that store their log and vote.
+    pub fn disks(mut self, speed: DiskSpeed, report: WriteReport) -> SimulationBuilder {
+        self.disk = Some(DiskModel { speed, report });
+        self
+    }
+
+    pub fn start(self) -> Simulation {
+        Simulation::start(&self)
+    }
+}
+
+/// A group of nodes with disks that report writes once they are synced.
+pub fn group_with_disks(node_count: usize, seed: u64) -> Simulation {
+    SimulationBuilder::new(node_count, seed)
+        .disks(DiskSpeed::Fast, WriteReport::WhenSynced)
+        .start()
+}
+
+/// A group of nodes whose clocks drift by one part in a hundred.
+pub fn group_with_drift(node_count: usize, seed: u64) -> Simulation {
+    SimulationBuilder::new(node_count, seed)
+        .clock_drift(0.01)
+        .start()
+}
--- a/crates/control/tests/sim/mod.rs
+++ b/crates/control/tests/sim/mod.rs
@@ -1,247 +1,210 @@
-//! Councils in simulated time: messages take a while or get lost, links are cut one way, nodes freeze, die and start from
-//! nothing, and each has a clock of its own.
-#![allow(dead_code)]
+//! Control groups in simulated time: messages take a while or get lost, links are cut in one direction, nodes freeze, die
+//! and start from nothing, and each has a clock of its own.
 
-use lupincrank_budgets::demand::BudgetUsage;
-use lupincrank_control::{ControlConfig, ControlNode, TICK_INTERVAL};
-use lupincrank_placement::Timestamp;
+mod builder;
+mod network;
+mod node;
 
-use lupincrank_control::durable::{DurableState, LogWrite};
+use builder::DiskModel;
+pub use builder::{
+    group_with_disks, group_with_drift, DiskSpeed, RestartIdentity, SimulationBuilder, WriteReport,
+};
+use lupincrank_control::durable::DurableState;
 use lupincrank_control::lease::LeaseTerms;
-use lupincrank_control::member::Member;
-use lupincrank_control::message::{Action, ControlMessage};
+use lupincrank_control::member::{ClusterId, Member, MemberId};
+use lupincrank_control::message::Action;
+use lupincrank_placement::Timestamp;
+use network::{Envelope, Link, Network};
+use node::{is_within_window, member, Clock, NodeStart, SimulatedNode};
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-pub const STEP: Duration = Duration::from_millis(25);
-/// Membership takes so long to see a death.
-const UNHEARD: Duration = Duration::from_millis(2500);
+const STEP: Duration = Duration::from_millis(25);
+/// How long a node must be silent before membership takes it to be dead.
+const FAILURE_DETECTION_DELAY: Duration = Duration::from_millis(2500);
 pub const CAPACITY: u32 = 10;
 pub const FLOOR: u32 = 1;
-/// Budgets count what is sent within this.
-const SECOND: Duration = Duration::from_secs(1);
+/// The slowest write of a fast and of a slow disk, in milliseconds.
+const MAX_WRITE_MILLIS: u64 = 120;
+const MAX_SLOW_WRITE_MILLIS: u64 = 500;
+/// Messages are lost with at most this probability, in percent.
+const MAX_LOSS_PERCENT: u32 = 60;
 
+/// A fault at a node, or between two, by their indexes.
 #[derive(Clone, Debug)]
 pub enum Fault {
-    Cut(usize, usize),
-    Mend,
+    CutLink(usize, usize),
+    /// Mends all links, and loses no more messages.
+    Heal,
     Freeze(usize),
-    Wake(usize),
-    Restart(usize),
-    Kill(usize),
-    Lose(u32),
-    Reseed(usize),
+    Thaw(usize),
+    /// Killed and started again at once, with nothing.
+    RestartFromNothing(usize),
     /// Killed and started again at once, with what was on its disk by then.
-    Return(usize),
-    /// It ends in good order: gone once it is let go, after 3 s at the most.
+    RestartFromDisk(usize),
+    Kill(usize),
+    LoseMessages(u32),
+    RecoverQuorum(usize),
+    /// It shuts down gracefully: gone once it is confirmed, after 3 s at the most.
     Leave(usize),
 }
 
-pub struct Node {
-    pub council: ControlNode,
-    pub id: u64,
-    frozen: bool,
-    dead: bool,
-    /// The rate of its clock, and what it showed at the start.
-    rate: f64,
-    offset: u64,
-    ticked: Duration,
-    /// What it might have used, and until when, by real time.
-    limits: VecDeque<(Duration, u32)>,
-    inbox: VecDeque<(u64, ControlMessage)>,
-    /// What is on its disk, and what will be, and when: lost if it is killed before.
-    disk: DurableState,
-    unsynced: VecDeque<(Duration, LogWrite)>,
-    ends: Option<Duration>,
+/// The usage of an incarnation that is gone.
+struct PastUsage {
+    ended_at: Duration,
+    usage: u32,
 }
 
-pub struct Sim {
-    pub nodes: Vec<Node>,
+pub struct Simulation {
+    pub nodes: Vec<SimulatedNode>,
     pub now: Duration,
-    pub terms: LeaseTerms,
-    cut: BTreeSet<(usize, usize)>,
-    loss: f64,
-    heard: BTreeMap<(usize, usize), Duration>,
-    wire: BTreeMap<(Duration, u64), (usize, u64, usize, ControlMessage)>,
-    numbered: u64,
-    incarnations: u64,
+    /// The highest usage of all nodes within any window.
+    pub peak_usage: u32,
+    lease_terms: LeaseTerms,
+    node_count: usize,
+    restart_identity: RestartIdentity,
+    disk: Option<DiskModel>,
+    network: Network,
+    /// When a node last heard another, as membership sees it.
+    last_heard: BTreeMap<Link, Duration>,
+    incarnation_count: u64,
     random: Pcg64Mcg,
-    /// A restarted node takes its old id: the mutant that must be caught.
-    pub same_id: bool,
-    /// Nodes have disks. The mutant says that writes are done before they are.
-    disks: bool,
-    pub hasty: bool,
-    /// A write takes up to half a second.
-    pub slow_disks: bool,
-    /// Liveness that are over but used something within the last second.
-    past: VecDeque<(Duration, u32)>,
-    pub worst: u32,
-}
-
-fn member(n: usize, id: u64) -> Member {
-    Member {
-        id,
-        name: format!("n{n}"),
-        zone: format!("z{}", n % 3),
-        region: String::new(),
-        build: String::new(),
-    }
+    /// Of incarnations that ended within the last window.
+    past_usages: VecDeque<PastUsage>,
 }
 
-impl Sim {
-    pub fn new(nodes: usize, drift: f64, terms: LeaseTerms, seed: u64) -> Sim {
-        Sim::with(nodes, drift, terms, seed, false)
-    }
-
-    /// Nodes that keep log and vote.
-    pub fn on_disks(nodes: usize, terms: LeaseTerms, seed: u64) -> Sim {
-        let mut sim = Sim::new(nodes, 0.0, terms, seed);
-        sim.disks = true;
-        for n in 0..nodes {
-            let (rate, offset) = (sim.nodes[n].rate, sim.nodes[n].offset);
-            sim.nodes[n] = sim.incarnation(n, nodes, rate, offset, None);
-        }
-        sim
-    }
-
-    pub fn with(nodes: usize, drift: f64, terms: LeaseTerms, seed: u64, same_id: bool) -> Sim {
-        let mut random = Pcg64Mcg::new(u128::from(seed) << 1 | 1);
-        let mut sim = Sim {
+impl Simulation {
+    fn start(builder: &SimulationBuilder) -> Simulation {
+        let mut clock_random = Pcg64Mcg::new(u128::from(builder.seed) << 1 | 1);
+        let mut simulation = Simulation {
             nodes: Vec::new(),
             now: Duration::ZERO,
-            terms,
-            cut: BTreeSet::new(),
-            loss: 0.0,
-            heard: BTreeMap::new(),
-            wire: BTreeMap::new(),
-            numbered: 0,
-            incarnations: 0,
-            random: random.clone(),
-            same_id,
-            disks: false,
-            hasty: false,
-            slow_disks: false,
-            past: VecDeque::new(),
-            worst: 0,
+            peak_usage: 0,
+            lease_terms: builder.lease_terms,
+            node_count: builder.node_count,
+            restart_identity: builder.restart_identity,
+            disk: builder.disk,
+            network: Network::default(),
+            last_heard: BTreeMap::new(),
+            incarnation_count: 0,
+            random: clock_random.clone(),
+            past_usages: VecDeque::new(),
         };
-        for n in 0..nodes {
-            let rate = 1.0 + drift * random.random_range(-1.0..1.0f64).signum();
-            let offset = random.random_range(1_000..1_000_000_000_000u64);
-            let node = sim.incarnation(n, nodes, rate, offset, None);
-            sim.nodes.push(node);
+        for index in 0..builder.node_count {
+            let direction = clock_random.random_range(-1.0..1.0f64).signum();
+            let clock = Clock {
+                rate: 1.0 + builder.clock_drift * direction,
+                offset: clock_random.random_range(1_000..1_000_000_000_000u64),
+            };
+            let node = simulation.start_node(index, clock, None);
+            simulation.nodes.push(node);
         }
-        sim
+        simulation
     }
 
-    fn incarnation(
+    fn start_node(
         &mut self,
-        n: usize,
-        nodes: usize,
-        rate: f64,
-        offset: u64,
-        kept: Option<DurableState>,
-    ) -> Node {
-        self.incarnations += 1;
-        let id = if self.same_id {
-            1 + n as u64
-        } else {
-            self.incarnations * 1_000 + n as u64
+        index: usize,
+        clock: Clock,
+        disk: Option<DurableState>,
+    ) -> SimulatedNode {
+        self.incarnation_count += 1;
+        let new_id = match self.restart_identity {
+            RestartIdentity::New => self.incarnation_count * 1_000 + index as u64,
+            RestartIdentity::Reused => 1 + index as u64,
         };
-        let disk = kept.unwrap_or(DurableState {
-            member_id: id,
+        let empty_disk = DurableState {
+            member_id: new_id,
             ..DurableState::default()
-        });
-        let disk = DurableState {
-            start_count: disk.start_count + 1,
-            ..disk
-        };
-        let id = disk.member_id;
-        let tuning = ControlConfig {
-            lease_terms: self.terms,
-            expected_nodes: (0..nodes).map(|n| format!("n{n}")).collect(),
-            capacity: CAPACITY - FLOOR * nodes as u32,
-            floor: FLOOR,
-            bootstrap_grace: Duration::from_millis(1500),
-            member_removal_delay: Duration::from_secs(2),
         };
-        let at = local(self.now, rate, offset);
-        Node {
-            council: ControlNode::new(at, member(n, id), tuning, self.disks.then_some(&disk))
-                .expect("a whole disk"),
-            id,
-            frozen: false,
-            dead: false,
-            rate,
-            offset,
-            ticked: self.now,
-            limits: VecDeque::new(),
-            inbox: VecDeque::new(),
-            disk,
-            unsynced: VecDeque::new(),
-            ends: None,
-        }
+        SimulatedNode::start(NodeStart {
+            index,
+            node_count: self.node_count,
+            now: self.now,
+            clock,
+            lease_terms: self.lease_terms,
+            disk: disk.unwrap_or(empty_disk),
+            has_disk: self.disk.is_some(),
+        })
     }
 
-    pub fn fault(&mut self, fault: &Fault) {
-        let nodes = self.nodes.len();
-        match fault {
-            Fault::Cut(from, to) => drop(self.cut.insert((from % nodes, to % nodes))),
-            Fault::Mend => {
-                self.cut.clear();
-                self.loss = 0.0;
-            }
-            Fault::Freeze(n) => self.nodes[n % nodes].frozen = true,
-            Fault::Wake(n) => self.nodes[n % nodes].frozen = false,
-            Fault::Kill(n) => self.nodes[n % nodes].dead = true,
-            Fault::Leave(n) => {
-                let node = &mut self.nodes[n % nodes];
-                if !node.dead && !node.frozen {
-                    let at = local(self.now, node.rate, node.offset);
-                    node.council.begin_leaving(at);
-                    node.ends = Some(self.now + Duration::from_secs(3));
-                }
+    /// Injects a fault. Indexes wrap around.
+    pub fn inject(&mut self, fault: &Fault) {
+        let count = self.node_count;
+        match *fault {
+            Fault::CutLink(from, to) => self.network.cut(Link {
+                from: from % count,
+                to: to % count,
+            }),
+            Fault::Heal => self.network.heal(),
+            Fault::Freeze(index) => self.nodes[index % count].freeze(),
+            Fault::Thaw(index) => self.nodes[index % count].thaw(),
+            Fault::Kill(index) => self.nodes[index % count].kill(),
+            Fault::RestartFromNothing(index) => self.restart(index % count, None),
+            Fault::RestartFromDisk(index) => {
+                let disk = self.nodes[index % count].disk().clone();
+                self.restart(index % count, Some(disk));
             }
-            Fault::Restart(n) | Fault::Return(n) => {
-                let n = n % nodes;
-                let Node { rate, offset, .. } = self.nodes[n];
-                // What the last incarnation sent still counts.
-                let used = self.used(n);
-                self.past.push_back((self.now, used));
-                let kept = matches!(fault, Fault::Return(_)).then(|| self.nodes[n].disk.clone());
-                let fresh = self.incarnation(n, nodes, rate, offset, kept);
-                self.nodes[n] = fresh;
-            }
-            Fault::Lose(percent) => self.loss = f64::from(percent % 60) / 100.0,
-            Fault::Reseed(n) => {
-                let node = &mut self.nodes[n % nodes];
-                if !node.dead && !node.frozen {
-                    let at = local(self.now, node.rate, node.offset);
-                    let _ = node.council.recover_quorum(at, self.now.as_nanos() as u64);
-                }
+            Fault::LoseMessages(percent) => {
+                let ratio = f64::from(percent % MAX_LOSS_PERCENT) / 100.0;
+                self.network.set_loss_ratio(ratio);
             }
+            Fault::RecoverQuorum(index) => self.recover_quorum(index % count),
+            Fault::Leave(index) => self.leave(index % count),
+        }
+    }
+
+    fn restart(&mut self, index: usize, disk: Option<DurableState>) {
+        // What the last incarnation sent still counts.
+        self.past_usages.push_back(PastUsage {
+            ended_at: self.now,
+            usage: self.nodes[index].usage(self.now),
+        });
+        self.nodes[index] = self.start_node(index, self.nodes[index].clock, disk);
+    }
+
+    fn recover_quorum(&mut self, index: usize) {
+        let bootstrap_id = self.now.as_nanos() as u64;
+        let shown = self.local_time(index);
+        let node = &mut self.nodes[index];
+        if node.is_running() {
+            let _ = node.control_node.recover_quorum(shown, bootstrap_id);
+        }
+    }
+
+    fn leave(&mut self, index: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        if node.is_running() {
+            node.leave(now);
         }
     }
 
-    /// What a node might have used within the last second.
-    fn used(&self, n: usize) -> u32 {
-        let fresh = |at: &Duration| self.now.saturating_sub(*at) <= SECOND;
-        let limits = self.nodes[n].limits.iter().filter(|(at, _)| fresh(at));
-        limits.map(|(_, limit)| *limit).max().unwrap_or(0)
+    /// Cuts a node off from all others, in both directions.
+    pub fn isolate(&mut self, index: usize) {
+        for other in 0..self.node_count {
+            if other != index {
+                self.inject(&Fault::CutLink(index, other));
+                self.inject(&Fault::CutLink(other, index));
+            }
+        }
     }
 
-    /// What all might have sent within the last second, if each sent all that it might at the worst moment.
-    pub fn sum(&mut self) -> u32 {
+    /// What all may have sent within the last window, if each sent all that it might at the worst moment.
+    pub fn total_usage(&mut self) -> u32 {
+        let now = self.now;
         while self
-            .past
+            .past_usages
             .front()
-            .is_some_and(|(at, _)| self.now.saturating_sub(*at) > SECOND)
+            .is_some_and(|past| !is_within_window(now, past.ended_at))
         {
-            self.past.pop_front();
+            self.past_usages.pop_front();
         }
-        let past: u32 = self.past.iter().map(|(_, used)| *used).sum();
-        (0..self.nodes.len()).map(|n| self.used(n)).sum::<u32>() + past
+        let past: u32 = self.past_usages.iter().map(|past| past.usage).sum();
+        let current: u32 = self.nodes.iter().map(|node| node.usage(now)).sum();
+        current + past
     }
 
     pub fn run(&mut self, span: Duration) {
@@ -253,133 +216,101 @@
 
     fn step(&mut self) {
         self.now += STEP;
-        let (now, nodes) = (self.now, self.nodes.len());
-        while let Some(first) = self.wire.first_entry().filter(|first| first.key().0 <= now) {
-            let (from, from_id, to, said) = first.remove();
-            if !self.cut.contains(&(from, to)) {
-                self.nodes[to].inbox.push_back((from_id, said));
+        while let Some(envelope) = self.network.next_arrived(self.now) {
+            self.nodes[envelope.link.to].receive(envelope.sender, envelope.message);
+        }
+        self.observe_liveness();
+        for index in 0..self.node_count {
+            if self.nodes[index].is_running() {
+                self.step_node(index);
             }
         }
-        for one in 0..nodes {
-            for other in 0..nodes {
-                let silent = |n: usize| self.nodes[n].dead || self.nodes[n].frozen;
-                if !silent(other) && !self.cut.contains(&(other, one)) {
-                    self.heard.insert((one, other), now);
+        self.peak_usage = self.peak_usage.max(self.total_usage());
+    }
+
+    fn observe_liveness(&mut self) {
+        for to in 0..self.node_count {
+            for from in 0..self.node_count {
+                let link = Link { from, to };
+                if self.nodes[from].is_running() && !self.network.is_cut(link) {
+                    self.last_heard.insert(link, self.now);
                 }
             }
         }
-        for n in 0..nodes {
-            if self.nodes[n].dead || self.nodes[n].frozen {
-                continue;
-            }
-            let alive: BTreeMap<u64, Member> = (0..nodes)
-                .filter(|other| {
-                    let heard = self
-                        .heard
-                        .get(&(n, *other))
-                        .is_some_and(|at| now.checked_sub(*at).unwrap() < UNHEARD);
-                    *other != n && heard
-                })
-                .map(|other| (self.nodes[other].id, member(other, self.nodes[other].id)))
-                .collect();
-            let node = &mut self.nodes[n];
-            let at = local(now, node.rate, node.offset);
-            if node
-                .ends
-                .is_some_and(|ends| now >= ends || node.council.has_left())
-            {
-                node.dead = true;
-                continue;
-            }
-            while node
-                .unsynced
-                .front()
-                .is_some_and(|(synced, _)| *synced <= now)
-            {
-                let Some((_, write)) = node.unsynced.pop_front() else {
-                    break;
-                };
-                node.disk.apply(&write);
-                node.council.on_write_completed(at, write.sequence);
-            }
-            while let Some((from, said)) = node.inbox.pop_front() {
-                node.council.on_message(at, from, said);
-            }
-            if now.saturating_sub(node.ticked) >= TICK_INTERVAL {
-                node.ticked = now;
-                // Each uses all that it may, and would use more.
-                let most = node
-                    .limits
-                    .iter()
-                    .map(|(_, limit)| *limit)
-                    .max()
-                    .unwrap_or(0);
-                node.council.record_usage(BudgetUsage {
-                    peak: most,
-                    was_limited: true,
-                });
-                node.council.on_tick(at, &alive);
-            }
-            node.council.deliver_own_messages(at);
-            let actions = node.council.take_actions();
-            let id = node.id;
-            // What it may use from now on: it is not frozen, so it looks before it sends.
-            let limit = node.council.lease_limit(at).limit;
-            node.limits.push_back((now, limit));
-            while node.limits.len() > 64 {
-                node.limits.pop_front();
-            }
-            for action in actions {
-                let (to, said) = match action {
-                    Action::Send { to, message } => (to, message),
-                    Action::Write(write) => {
-                        let node = &mut self.nodes[n];
-                        if self.hasty {
-                            node.council.on_write_completed(at, write.sequence);
-                        }
-                        let before = node.unsynced.back().map_or(now, |(synced, _)| *synced);
-                        let synced = before.max(
-                            now + Duration::from_millis(
-                                self.random
-                                    .random_range(0..if self.slow_disks { 500 } else { 120 }),
-                            ),
-                        );
-                        node.unsynced.push_back((synced, write));
-                        continue;
-                    }
-                    Action::Log(_) => continue,
-                };
+    }
+
+    fn step_node(&mut self, index: usize) {
+        let alive = self.alive_as_seen_by(index);
+        for action in self.nodes[index].step(self.now, &alive) {
+            self.carry_out(index, action);
+        }
+    }
+
+    fn alive_as_seen_by(&self, to: usize) -> BTreeMap<MemberId, Member> {
+        let is_heard = |from: &usize| {
+            let heard_at = self.last_heard.get(&Link { from: *from, to });
+            heard_at.is_some_and(|at| self.now.checked_sub(*at).unwrap() < FAILURE_DETECTION_DELAY)
+        };
+        (0..self.node_count)
+            .filter(|from| *from != to && is_heard(from))
+            .map(|from| (self.nodes[from].id, member(from, self.nodes[from].id)))
+            .collect()
+    }
+
+    fn carry_out(&mut self, index: usize, action: Action) {
+        match action {
+            Action::Send { to, message } => {
                 let Some(to) = self.nodes.iter().position(|node| node.id == to) else {
-                    continue;
+                    return;
                 };
-                if self.loss > 0.0 && self.random.random::<f64>() < self.loss {
-                    continue;
+                let envelope = Envelope {
+                    link: Link { from: index, to },
+                    sender: self.nodes[index].id,
+                    message,
+                };
+                self.network.send(self.now, &mut self.random, envelope);
+            }
+            Action::Write(write) => {
+                let disk = self.disk.expect("only a node with a disk writes");
+                if disk.report == WriteReport::BeforeSynced {
+                    let shown = self.local_time(index);
+                    self.nodes[index]
+                        .control_node
+                        .on_write_completed(shown, write.sequence);
                 }
-                let delay = Duration::from_millis(self.random.random_range(1..60));
-                self.numbered += 1;
-                self.wire
-                    .insert((now + delay, self.numbered), (n, id, to, said));
+                let max_millis = match disk.speed {
+                    DiskSpeed::Fast => MAX_WRITE_MILLIS,
+                    DiskSpeed::Slow => MAX_SLOW_WRITE_MILLIS,
+                };
+                let span = Duration::from_millis(self.random.random_range(0..max_millis));
+                self.nodes[index].start_write(self.now, span, write);
             }
+            Action::Log(_) => {}
         }
-        let sum = self.sum();
-        self.worst = self.worst.max(sum);
     }
 
     /// What a node's clock shows.
-    pub fn local(&self, n: usize) -> Timestamp {
-        local(self.now, self.nodes[n].rate, self.nodes[n].offset)
+    pub fn local_time(&self, index: usize) -> Timestamp {
+        self.nodes[index].clock.show(self.now)
     }
 
-    /// Living nodes that name a leader.
-    pub fn led(&self) -> usize {
-        let alive = self.nodes.iter().filter(|node| !node.dead && !node.frozen);
-        alive
-            .filter(|node| node.council.status(Timestamp(0)).leader.is_some())
+    /// The number of running nodes that know a leader.
+    pub fn led_node_count(&self) -> usize {
+        self.nodes
+            .iter()
+            .filter(|node| node.is_running())
+            .filter(|node| node.control_node.status(Timestamp(0)).leader.is_some())
             .count()
     }
-}
 
-/// What a clock shows at a moment.
-fn local(now: Duration, rate: f64, offset: u64) -> Timestamp {
-    Timestamp(offset + (now.as_nanos() as f64 * rate) as u64)
+    /// The node that leads, if any.
+    pub fn leader(&self) -> Option<usize> {
+        (0..self.node_count).find(|index| self.nodes[*index].control_node.is_leader())
+    }
+
+    /// The group that a node is in.
+    pub fn cluster_id(&self, index: usize) -> Option<ClusterId> {
+        let state = self.nodes[index].control_node.state();
+        state.map(|state| state.cluster_id)
+    }
 }
