Node: typed configuration errors, the graceful shutdown in steps, and the program apart from its modules

config.rs splits into the document, limits, reload and errors (ConfigError); the texts that people see stay. signals.rs keeps receiving signals, graceful_shutdown.rs has the steps after SIGTERM, program.rs carries out the command line with a typed error, cli.rs has a function for each command. The help texts are the same, byte for byte.

--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -137,7 +137,7 @@
                 answered: false,
             };
             // Guards against callers by the hundred that say nothing and keep out one that does.
-            if self.held.borrow().len() > context.config.most_calls() {
+            if self.held.borrow().len() > context.config.max_admin_connections() {
                 if let Some(oldest) = self.held.borrow_mut().pop_first() {
                     context.send(oldest, AdminConnectionCommand::Close);
                 }
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -17,34 +17,34 @@
     },
     /// Read the configuration and say whether it holds.
     CheckConfig {
-        /// See `Serve`.
+        /// The configuration, if not the one that `RELAY_CONFIG` names.
         config: Option<String>,
-        /// See `Serve`.
+        /// The operator's file, if there is one.
         operator: Option<String>,
     },
-    /// Ask a node about its fleet.
+    /// Ask a node about its cluster.
     Fleet {
-        /// Print what it says as it comes.
-        json: bool,
+        /// How to print the answer.
+        format: OutputFormat,
         /// `status`, `members`, `log` or `reseed`.
         what: String,
-        /// The node's second address.
+        /// The node's admin address.
         address: SocketAddr,
     },
-    /// Ask for the fleet's budgets, or change one.
+    /// Ask for the cluster's budgets, or change one.
     Budgets {
-        /// Print what it says as it comes.
-        json: bool,
+        /// How to print the answer.
+        format: OutputFormat,
         /// `show`, `plan` or `set`.
         what: String,
-        /// The node's second address.
+        /// The node's admin address.
         address: SocketAddr,
         /// `NAME=CAPACITY`, for `plan` and `set`.
         change: Option<String>,
     },
-    /// Make one call at a node's second address.
+    /// Make one admin call.
     Manage {
-        /// That address.
+        /// The node's admin address.
         address: SocketAddr,
         /// The words of the call.
         call: Vec<String>,
@@ -53,81 +53,119 @@
     Version,
 }
 
+/// How an answer is printed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OutputFormat {
+    /// As it comes.
+    Json,
+    /// Laid out for people.
+    Table,
+}
+
 /// The parser of the command line.
 pub fn parser() -> OptionParser<Command> {
-    let path = || {
-        long("config")
-            .short('c')
-            .help("Configuration file; without it the one that RELAY_CONFIG names")
-            .argument::<String>("FILE")
-            .optional()
-    };
+    let serve = serve().command("serve");
+    let check = check_config().command("check-config");
+    let manage = manage().command("manage");
+    let fleet = fleet().command("fleet");
+    let budgets = budgets().command("budgets");
+    let version = version().command("version");
+    construct!([serve, check, manage, fleet, budgets, version])
+        .to_options()
+        .descr("lupincrank: places long-lived connections on transcribers by rendezvous hashing")
+}
+
+fn serve() -> OptionParser<Command> {
+    let config = config_path();
+    let operator = operator_path();
     let verbose = long("verbose")
         .short('v')
         .help("Log single requests and tries too")
         .switch();
-    let file = || {
-        long("operator")
-            .help("The operator's file: the fleet and its budgets")
-            .argument::<String>("FILE")
-            .optional()
-    };
-    let (config, operator) = (path(), file());
-    let serve = construct!(Command::Serve {
+    construct!(Command::Serve {
         config,
         operator,
         verbose
     })
     .to_options()
     .descr("Run the node until SIGTERM")
-    .command("serve");
-    let (config, operator) = (path(), file());
-    let check = construct!(Command::CheckConfig { config, operator })
+}
+
+fn check_config() -> OptionParser<Command> {
+    let config = config_path();
+    let operator = operator_path();
+    construct!(Command::CheckConfig { config, operator })
         .to_options()
         .descr("Read the configuration and say what is wrong with it")
-        .command("check-config");
-    let address =
-        positional::<SocketAddr>("ADDRESS").help("The node's second address, as address:port");
+}
+
+fn manage() -> OptionParser<Command> {
+    let address = admin_address();
     let call = positional::<String>("CALL")
         .help("check, set-down ID, set-up ID, fleet WHAT or budgets WHAT")
         .some("a call is missing");
-    let manage = construct!(Command::Manage { address, call })
+    construct!(Command::Manage { address, call })
         .to_options()
         .descr("Make one call at a node's second address; the exit code is 0 for done")
-        .command("manage");
-    let json = long("json").help("Print the answer as JSON").switch();
+}
+
+fn fleet() -> OptionParser<Command> {
+    let format = output_format();
     let what = positional::<String>("WHAT").help("status, members, log or reseed");
-    let address =
-        positional::<SocketAddr>("ADDRESS").help("The node's second address, as address:port");
-    let fleet = construct!(Command::Fleet {
-        json,
+    let address = admin_address();
+    construct!(Command::Fleet {
+        format,
         what,
         address
     })
     .to_options()
     .descr("Ask a node about its fleet, or found the council anew")
-    .command("fleet");
-    let json = long("json").help("Print the answer as JSON").switch();
+}
+
+fn budgets() -> OptionParser<Command> {
+    let format = output_format();
     let what = positional::<String>("WHAT").help("show, plan or set");
-    let address =
-        positional::<SocketAddr>("ADDRESS").help("The node's second address, as address:port");
+    let address = admin_address();
     let change = positional::<String>("NAME=CAPACITY")
         .help("For plan and set, as in cold=60")
         .optional();
-    let budgets = construct!(Command::Budgets {
-        json,
+    construct!(Command::Budgets {
+        format,
         what,
         address,
         change
     })
     .to_options()
     .descr("Show the fleet's budgets, try a change out, or make it")
-    .command("budgets");
-    let version = bpaf::pure(Command::Version)
+}
+
+fn version() -> OptionParser<Command> {
+    bpaf::pure(Command::Version)
         .to_options()
         .descr("Print the version")
-        .command("version");
-    construct!([serve, check, manage, fleet, budgets, version])
-        .to_options()
-        .descr("lupincrank: places long-lived connections on transcribers by rendezvous hashing")
+}
+
+fn config_path() -> impl Parser<Option<String>> {
+    long("config")
+        .short('c')
+        .help("Configuration file; without it the one that RELAY_CONFIG names")
+        .argument::<String>("FILE")
+        .optional()
+}
+
+fn operator_path() -> impl Parser<Option<String>> {
+    long("operator")
+        .help("The operator's file: the fleet and its budgets")
+        .argument::<String>("FILE")
+        .optional()
+}
+
+fn admin_address() -> impl Parser<SocketAddr> {
+    positional::<SocketAddr>("ADDRESS").help("The node's second address, as address:port")
+}
+
+fn output_format() -> impl Parser<OutputFormat> {
+    long("json")
+        .help("Print the answer as JSON")
+        .flag(OutputFormat::Json, OutputFormat::Table)
 }
--- a/crates/node/src/client/connection.rs
+++ b/crates/node/src/client/connection.rs
@@ -79,7 +79,7 @@
     pub fn new(context: &NodeContext, inherited: Option<TcpListener>) -> io::Result<Listener> {
         let socket = match inherited {
             Some(socket) => socket,
-            None => poll::listen(context.config.listen)?,
+            None => poll::listen(context.config.listen_address)?,
         };
         let socket = Registered::new(
             &context.poller,
@@ -94,7 +94,7 @@
     }
 
     fn take(&mut self, context: &mut NodeContext) -> io::Result<()> {
-        for _ in 0..context.config.most_accepts() {
+        for _ in 0..context.config.max_accepts_per_turn() {
             let stream = match self.socket.accept() {
                 Ok((stream, _)) => stream,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
@@ -135,7 +135,7 @@
         let other = context.handoff.other;
         let most = context
             .config
-            .most_strangers(context.client_count.get() + other.clients);
+            .max_unidentified_clients(context.client_count.get() + other.clients);
         while context.unidentified_clients.borrow().len() + other.strangers > most {
             let Some((_, id)) = context.unidentified_clients.borrow_mut().pop_first() else {
                 break;
@@ -557,7 +557,7 @@
             return self.reject_line(context, "another's id, or a holder long after the start");
         }
         if context.client_count.get() + context.handoff.other.clients
-            >= context.config.most_clients()
+            >= context.config.max_clients()
         {
             debug!(context.log, "too many clients"; "held" => context.client_count.get());
             return self.answer(context, &busy(context.config.settings.max_retry_after / 2));
@@ -567,7 +567,7 @@
             .clear(self.id, ClientDeadline::Close.into());
         (self.seat, self.place) = (Some(ClientSlot::take(&context.client_count)), None);
         let left = Duration::from_millis(open.left_ms);
-        let incoming = open.incoming(context.config.groups);
+        let incoming = open.incoming(context.config.has_groups);
         let old = open.holder.is_some();
         let until = Instant::now() + if old { left.min(OLD_WAIT) } else { left };
         self.state = State::Waiting(Waiting {
@@ -659,7 +659,7 @@
         };
         match &waiting.open.holder {
             Some(holder) => {
-                let incoming = waiting.open.incoming(context.config.groups);
+                let incoming = waiting.open.incoming(context.config.has_groups);
                 context
                     .placement
                     .on_inherited_connection(self.id, incoming, holder);
--- a/crates/node/src/cluster_agent/mod.rs
+++ b/crates/node/src/cluster_agent/mod.rs
@@ -36,7 +36,7 @@
 
 /// Begins, where the operator's file says so; an error is for a person to look at.
 pub fn begin(context: &mut NodeContext) -> Result<(), String> {
-    let Some(setup) = &context.config.fleet else {
+    let Some(setup) = &context.config.cluster else {
         return Ok(());
     };
     if setup.divides {
@@ -53,7 +53,7 @@
 /// Takes address and folder, or says why they are not to be had yet: a process that takes another one's place waits for
 /// its end.
 fn take_place(context: &mut NodeContext) -> Result<Option<String>, String> {
-    let Some(setup) = context.config.fleet.clone() else {
+    let Some(setup) = context.config.cluster.clone() else {
         return Ok(None);
     };
     let listen = setup.listen;
@@ -91,7 +91,7 @@
     let drawn = rand::random::<u64>().max(1);
     let settings = context
         .config
-        .raw
+        .document
         .get("settings")
         .map(ToString::to_string)
         .unwrap_or_default();
@@ -224,7 +224,7 @@
 
 /// What a person asked for; `None` without a fleet.
 pub fn told(context: &mut NodeContext, what: &str) -> Option<Result<String, String>> {
-    if context.cluster_agent.is_none() && context.config.fleet.is_some() {
+    if context.cluster_agent.is_none() && context.config.cluster.is_some() {
         return Some(Err(
             "this process waits for its place in the fleet, which another one holds".into(),
         ));
--- a/crates/node/src/config/tests.rs
+++ b/crates/node/src/config/tests.rs
@@ -6,9 +6,9 @@
 #[test]
 fn a_variable_goes_before_the_file() {
     let listen = |name: &str| (name == "RELAY_LISTEN").then(|| "127.0.0.9:9".to_string());
-    let config = Config::read(EXAMPLE, listen).unwrap();
+    let config = Config::parse(EXAMPLE, listen).unwrap();
     assert_eq!(
-        (config.listen.to_string(), config.name),
+        (config.listen_address.to_string(), config.name),
         ("127.0.0.9:9".into(), "n0".into())
     );
     assert_eq!(
@@ -34,12 +34,12 @@
         "\"cores\": 1.0, \"memory_mb\": 192, \"sockets\": 1024",
         &limits,
     );
-    let config = Config::read(&text, |_| None).unwrap();
+    let config = Config::parse(&text, |_| None).unwrap();
     assert_eq!(
         (
-            config.most_accepts(),
-            config.most_clients(),
-            config.most_held()
+            config.max_accepts_per_turn(),
+            config.max_clients(),
+            config.max_buffered_bytes()
         ),
         (accepts, clients, held)
     );
@@ -108,7 +108,7 @@
         },
     );
     std::fs::write(&path, if good.is_empty() { String::new() } else { text }).unwrap();
-    let error = config.reread(|_| None).err().unwrap();
+    let error = config.reread(|_| None).err().unwrap().to_string();
     assert!(
         error.contains(named) && error.contains(path.to_str().unwrap()),
         "{error}"
@@ -132,8 +132,9 @@
 #[case("\"name\"", "\"nom\"", "RELAY_NAME")]
 #[case("{", "[", "line 2 column")]
 fn a_bad_value_is_named(#[case] good: &str, #[case] bad: &str, #[case] named: &str) {
-    let error = Config::read(&EXAMPLE.replace(good, bad), |_| None)
+    let error = Config::parse(&EXAMPLE.replace(good, bad), |_| None)
         .err()
-        .unwrap();
+        .unwrap()
+        .to_string();
     assert!(error.contains(named), "{error}");
 }
--- a/crates/node/src/discovery/mod.rs
+++ b/crates/node/src/discovery/mod.rs
@@ -117,11 +117,11 @@
     /// Not yet connected; begins with the list that the configuration holds.
     pub fn new(config: &Config) -> Discovery {
         Discovery {
-            dial: config.discovery,
+            dial: config.discovery_address,
             seq: 0,
             zones: config.zones.clone(),
-            kinds: config.kinds.clone(),
-            known: config.known.clone(),
+            kinds: config.machine_kinds.clone(),
+            known: config.known_endpoints.clone(),
             calls: [None, None],
             contact: Instant::now(),
         }
@@ -413,7 +413,7 @@
         let moved = command == DiscoveryCommand::AddressChanged;
         if moved {
             // What is known stays: the watch at the new address goes on from the version that the old one told.
-            self.dial = context.config.discovery;
+            self.dial = context.config.discovery_address;
             [0, 1]
                 .into_iter()
                 .for_each(|side| self.close(context, side));
--- /dev/null
+++ b/crates/node/src/graceful_shutdown.rs
@@ -0,0 +1,79 @@
+//! The graceful shutdown after SIGTERM: the node goes on answering, migrates its clients at a steady pace and exits before
+//! it is killed.
+
+use crate::component::WellKnownComponent;
+use crate::deadline::DeadlineKind;
+use crate::state::{NodeContext, Shutdown};
+use crate::{cluster_agent, handoff};
+use slog::info;
+use std::time::{Duration, Instant};
+
+/// SIGKILL may come this long after the longest deadline, which counts as `MAX_DEADLINE` at the most.
+const KILL_DELAY: Duration = Duration::from_millis(700);
+const MAX_DEADLINE: Duration = Duration::from_secs(3);
+/// The process exits this long before SIGKILL may come.
+const KILL_MARGIN: Duration = Duration::from_millis(300);
+/// The first clients are migrated this long before the process exits; till then the node serves as ever, new clients too.
+/// Guards against clients that have nowhere to go: in a rolling restart the node that was restarted before may not be back
+/// when this one is told to end.
+const MIGRATION_START_BEFORE_EXIT: Duration = Duration::from_millis(1400);
+/// The last clients are migrated this long before the process exits.
+const MIGRATION_END_BEFORE_EXIT: Duration = Duration::from_millis(400);
+/// The time from one step of the migration to the next.
+const STEP_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Begins the shutdown, unless it is under way.
+pub fn begin(context: &mut NodeContext) {
+    if context.shutdown.is_some() {
+        return;
+    }
+    let started_at = Instant::now();
+    let deadline = started_at + duration(context.config.max_deadline);
+    info!(context.log, "leaving"; "clients" => context.client_count.get());
+    context.shutdown = Some(Shutdown {
+        started_at,
+        deadline,
+    });
+    cluster_agent::leave(context);
+    if context.handoff.has_successor() {
+        handoff::leave(context);
+    }
+    let migration_start = deadline.checked_sub(MIGRATION_START_BEFORE_EXIT);
+    schedule_step(context, migration_start.unwrap_or(started_at));
+}
+
+/// How long the shutdown may take where clients wait for up to `max_deadline`.
+fn duration(max_deadline: Duration) -> Duration {
+    let until_kill = max_deadline.min(MAX_DEADLINE) + KILL_DELAY;
+    until_kill.saturating_sub(KILL_MARGIN)
+}
+
+/// Makes the next step of the migration.
+pub fn step(context: &mut NodeContext) {
+    let Some(shutdown) = context.shutdown else {
+        return;
+    };
+    let now = Instant::now();
+    context.placement.begin_shutdown();
+    let remaining_steps = remaining_steps(shutdown, now);
+    context.placement.migrate_step(remaining_steps);
+    // What still waits is answered together with the last migrations: nothing may be left without an answer.
+    context.answers_requested = remaining_steps <= 1;
+    schedule_step(context, now + STEP_INTERVAL);
+}
+
+/// The steps that are left, the present one included.
+fn remaining_steps(shutdown: Shutdown, now: Instant) -> usize {
+    let remaining = shutdown
+        .deadline
+        .saturating_duration_since(now + MIGRATION_END_BEFORE_EXIT);
+    (remaining.as_millis() / STEP_INTERVAL.as_millis()) as usize + 1
+}
+
+fn schedule_step(context: &mut NodeContext, at: Instant) {
+    context.deadlines.set(
+        WellKnownComponent::Signals.id(),
+        DeadlineKind::ShutdownStep,
+        at,
+    );
+}
--- a/crates/node/src/hollow.rs
+++ b/crates/node/src/hollow.rs
@@ -55,11 +55,11 @@
     observer: Box<dyn Observer>,
 ) -> Result<impl FnOnce() -> std::io::Result<()>, String> {
     let mut config =
-        Config::read(config, &variable).map_err(|why| format!("the configuration: {why}"))?;
+        Config::parse(config, &variable).map_err(|why| format!("the configuration: {why}"))?;
     let operator = Operator::read(operator).map_err(|why| format!("the operator's file: {why}"))?;
     let setup = Setup::read(&operator, &config.name, &variable);
-    config.fleet = setup.map_err(|why| format!("the operator's file: {why}"))?;
-    if config.fleet.is_none() {
+    config.cluster = setup.map_err(|why| format!("the operator's file: {why}"))?;
+    if config.cluster.is_none() {
         return Err(
             "the operator's file: there is no [fleet], and a hollow node has nothing else".into(),
         );
--- a/crates/node/src/placement_driver/endpoints.rs
+++ b/crates/node/src/placement_driver/endpoints.rs
@@ -39,7 +39,7 @@
 
 /// Why the endpoint list lets no client in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum EndpointListError {
+pub enum EndpointAvailabilityError {
     /// Discovery has not answered yet.
     #[error("discovery has not told the list yet")]
     NotReceived,
@@ -118,12 +118,12 @@
     ///
     /// # Errors
     /// Says what is missing.
-    pub fn check_endpoint_list(&self) -> Result<(), EndpointListError> {
+    pub fn check_endpoint_list(&self) -> Result<(), EndpointAvailabilityError> {
         if !self.has_discovery_answered && self.clock.elapsed() <= MAX_ENDPOINT_LIST_WAIT {
-            return Err(EndpointListError::NotReceived);
+            return Err(EndpointAvailabilityError::NotReceived);
         }
         if self.ready_servers().next().is_none() {
-            return Err(EndpointListError::NoneReady);
+            return Err(EndpointAvailabilityError::NoneReady);
         }
         Ok(())
     }
--- a/crates/node/src/placement_driver/mod.rs
+++ b/crates/node/src/placement_driver/mod.rs
@@ -14,7 +14,9 @@
 
 pub use attempts::ClientState;
 pub use command::{AttemptOrder, Command};
-pub use endpoints::{EndpointListError, EndpointListScope, EndpointListSource, ResolvedEndpoint};
+pub use endpoints::{
+    EndpointAvailabilityError, EndpointListScope, EndpointListSource, ResolvedEndpoint,
+};
 
 use crate::config::Config;
 use crate::deadline::PlacementTimer;
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -1,39 +1,33 @@
-//! Sets the node up: which objects its loop begins with.
+//! Sets the node up: the components that its event loop begins with.
 
 use crate::application::schedule_unanswered_lines_check;
-use crate::client::connection;
+use crate::client::connection::Listener;
 use crate::command::DiscoveryCommand;
 use crate::component::{WellKnownComponent, LAST_WELL_KNOWN_ID};
 use crate::config::Config;
-use crate::state::NodeState;
-use crate::{admin, cluster_agent, discovery, handoff, signals};
+use crate::discovery::Discovery;
+use crate::signals::SignalReceiver;
+use crate::state::{NodeContext, NodeState};
+use crate::{admin, cluster_agent, handoff};
 use lupincrank_reactor::Reactor;
 use slog::{info, Logger};
 use std::io;
+use std::net::TcpListener;
 
-/// The loop with the listener, discovery and signals, ready to run.
+/// The event loop with all components, ready to run.
+///
+/// # Errors
+/// Where an address cannot be bound, the cluster's folder cannot be used, or the operating system lacks a descriptor.
 pub fn start(config: Config, log: Logger) -> io::Result<Reactor<NodeState>> {
     // Before anything else is opened, which could get the number of a descriptor that is not there.
     let inherited = config
-        .inherited
-        .map(|fd| handoff::inherited_listener::listener(fd, config.listen))
+        .inherited_descriptor
+        .map(|descriptor| handoff::inherited_listener::listener(descriptor, config.listen_address))
         .transpose()?;
     let mut reactor = Reactor::new(NodeState::new(config, log), LAST_WELL_KNOWN_ID)?;
     let context = &mut reactor.context;
-    let signals = signals::Signals::new(context)?;
-    context.register(WellKnownComponent::Signals.id(), Box::new(signals));
-    let discovery = discovery::Discovery::new(&context.config);
-    context.register(WellKnownComponent::Discovery.id(), Box::new(discovery));
-    let listener = connection::Listener::new(context, inherited)?;
-    context.register(WellKnownComponent::ClientListener.id(), Box::new(listener));
-    context.register(WellKnownComponent::Handoff.id(), Box::new(handoff::Watch));
-    handoff::begin(context);
-    cluster_agent::begin(context).map_err(io::Error::other)?;
-    if let Some(address) = context.config.management {
-        let management = admin::Management::new(context, address)?;
-        context.register(WellKnownComponent::AdminListener.id(), Box::new(management));
-    }
-    info!(context.log, "serving"; "listen" => %context.config.listen, "name" => %context.config.name);
+    register_components(context, inherited)?;
+    info!(context.log, "serving"; "listen" => %context.config.listen_address, "name" => %context.config.name);
     context.placement.start();
     context.send(
         WellKnownComponent::Discovery.id(),
@@ -42,3 +36,23 @@
     schedule_unanswered_lines_check(context);
     Ok(reactor)
 }
+
+fn register_components(
+    context: &mut NodeContext,
+    inherited: Option<TcpListener>,
+) -> io::Result<()> {
+    let signals = SignalReceiver::new(context)?;
+    context.register(WellKnownComponent::Signals.id(), Box::new(signals));
+    let discovery = Discovery::new(&context.config);
+    context.register(WellKnownComponent::Discovery.id(), Box::new(discovery));
+    let listener = Listener::new(context, inherited)?;
+    context.register(WellKnownComponent::ClientListener.id(), Box::new(listener));
+    context.register(WellKnownComponent::Handoff.id(), Box::new(handoff::Watch));
+    handoff::begin(context);
+    cluster_agent::begin(context).map_err(io::Error::other)?;
+    if let Some(address) = context.config.admin_address {
+        let admin = admin::Management::new(context, address)?;
+        context.register(WellKnownComponent::AdminListener.id(), Box::new(admin));
+    }
+    Ok(())
+}
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -4,7 +4,7 @@
 use crate::config::Config;
 use crate::handoff::message::Said;
 use crate::handoff::peer_process::Upgrade;
-use crate::placement_driver::{EndpointListError, PlacementDriver};
+use crate::placement_driver::{EndpointAvailabilityError, PlacementDriver};
 use lupincrank_placement::ServerId;
 use lupincrank_reactor::{ComponentId, Context};
 use slog::Logger;
@@ -63,7 +63,7 @@
     PredecessorNotReached,
     /// The endpoint list lets no client in.
     #[error(transparent)]
-    EndpointList(#[from] EndpointListError),
+    EndpointList(#[from] EndpointAvailabilityError),
 }
 
 /// What the callbacks of the node's components may use.
@@ -102,7 +102,7 @@
     pub fn new(config: Config, log: Logger) -> NodeState {
         NodeState {
             placement: PlacementDriver::new(&config, log.clone()),
-            handoff: Upgrade::new(config.listen, config.inherited),
+            handoff: Upgrade::new(config.listen_address, config.inherited_descriptor),
             config,
             log,
             client_count: Rc::default(),
--- a/crates/node/src/upstream/health_check.rs
+++ b/crates/node/src/upstream/health_check.rs
@@ -57,7 +57,7 @@
             return context.send(connection.id, HealthCheckCommand::Check);
         }
         Some(connection) => context.send(connection.id, HealthCheckCommand::Close),
-        None if context.health_checks.len() >= context.config.most_probes() => {
+        None if context.health_checks.len() >= context.config.max_health_checks() => {
             return context.placement.on_health_check(&server, true, None);
         }
         None => {}
