--- a/crates/node/src/client/connection.rs
+++ b/crates/node/src/client/connection.rs
@@ -1,648 +1,271 @@
-//! The platform's line protocol towards clients: the listener, the first line, and the answers to it.
-
-use crate::state::{Message, Node, NodeState, Seat, Strangers, Up, LISTENER};
-use crate::upgrade::link::Said;
-use crate::upstream::attempt::{Peer, Try, LONGEST_LINE};
-use crate::upstream::relay::Relay;
-use lupincrank_placement::{RequestId, RequestInfo, Timestamp};
-use lupincrank_reactor::poll::{self, Registered};
-use lupincrank_reactor::{poller_key, Interest, Readiness};
-use lupincrank_reactor::{ComponentId, Connection, Lifecycle};
-use slog::{debug, warn};
+//! A client's connection until a relay passes its bytes on, or until it has this node's own answer.
+
+mod request;
+mod transfer;
+
+use super::answer;
+use super::first_line::{FirstLine, FirstLineError};
+use super::unidentified::UnidentifiedEntry;
+use crate::state::{Message, Node, NodeState};
+use crate::upstream::server_line::MAX_LINE_BYTES;
+use lupincrank_reactor::poll::Registered;
+use lupincrank_reactor::{poller_key, ComponentId, Connection, Interest, Lifecycle, Readiness};
+use request::WaitingRequest;
+use slog::debug;
 use std::io::{self, Read, Write};
-use std::net::{Shutdown, TcpListener, TcpStream};
-use std::ops::Range;
-use std::os::fd::{AsFd, OwnedFd};
-use std::rc::Rc;
-use std::time::{Duration, Instant};
-
-/// How long accepting rests when the process has no descriptor left.
-const REST: Duration = Duration::from_millis(50);
-/// How long a client may take for its first line, and to end after its answer. Some need 2 s to write it, and whoever
-/// connects is owed an answer or an end in 3 s.
-const FIRST_LINE: Duration = Duration::from_millis(2500);
-const LINGER: Duration = Duration::from_secs(1);
+use std::net::{Shutdown, TcpStream};
+use std::time::Duration;
+
+/// How long a client may take for its first line. Some need 2 s to write it, and whoever connects is owed an answer or
+/// a close in 3 s.
+const FIRST_LINE_TIMEOUT: Duration = Duration::from_millis(2500);
+/// How long a client that has its answer may take to close.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Reads in one turn of the loop. Guards against a client that sends at full speed and keeps the others waiting.
-const READS: usize = 4;
+const MAX_READS_PER_TURN: usize = 4;
+const READ_CHUNK_BYTES: usize = 4 << 10;
 /// What is still read of a client that has its answer: enough for one that had sent a little more by then, so that
 /// its answer is not lost to a reset; one that sends on and on is cut off.
-const MOST_DRAINED: usize = 64 << 10;
-/// Connections from before this node's life come in its first moments only.
-const OLD_COME: Duration = Duration::from_secs(60);
-/// A connection from before this node's life is tried this often, so long apart, and for at most so long.
-const OLD_TRIES: u32 = 3;
-const OLD_PAUSE: Duration = Duration::from_millis(300);
-const OLD_WAIT: Duration = Duration::from_secs(40);
-/// Deadlines: for the first line or the end, and for the next try of an old connection.
-const PATIENCE: u64 = 0;
-const AGAIN: u64 = 1;
-
-/// A connection's place among the strangers; given back when dropped.
-struct Place {
-    among: Strangers,
-    key: (Instant, ComponentId),
+const MAX_DRAINED_BYTES: usize = 64 << 10;
+/// Deadlines: for the first line or the close, and for the next attempt to resume a connection.
+const EXPIRY: u64 = 0;
+const RESUME_RETRY: u64 = 1;
+
+/// A first line that is not complete yet.
+struct ReadingFirstLine {
+    received: Vec<u8>,
+    entry: UnidentifiedEntry,
 }
 
-impl Place {
-    /// Takes a place until the connection has to be gone.
-    fn take(node: &mut Node, id: ComponentId, patience: Duration) -> Place {
-        let key = (Instant::now() + patience, id);
-        node.deadlines.set(id, PATIENCE, key.0);
-        node.strangers.borrow_mut().insert(key);
-        Place {
-            among: Rc::clone(&node.strangers),
-            key,
-        }
-    }
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.among.borrow_mut().remove(&self.key);
-    }
-}
-
-/// Takes clients in.
-pub struct Listener {
-    socket: Registered<TcpListener>,
-    /// Another process takes clients in from the same socket; what waits there is left to it.
-    rests: bool,
-}
-
-impl Listener {
-    /// Listens on the configured address only, or at the socket that was inherited.
-    pub fn new(node: &Node, inherited: Option<TcpListener>) -> io::Result<Listener> {
-        let socket = match inherited {
-            Some(socket) => socket,
-            None => poll::listen(node.config.listen)?,
-        };
-        let socket = Registered::new(
-            &node.poller,
-            socket,
-            poller_key(LISTENER, 0),
-            Interest::READ,
-        )?;
-        Ok(Listener {
-            socket,
-            rests: false,
-        })
-    }
-
-    fn take(&mut self, node: &mut Node) -> io::Result<()> {
-        for _ in 0..node.config.most_accepts() {
-            let stream = match self.socket.accept() {
-                Ok((stream, _)) => stream,
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
-                // The client gave up while it waited to be taken.
-                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => continue,
-                Err(error) => return Err(error),
-            };
-            stream.set_nonblocking(true)?;
-            let _ = stream.set_nodelay(true);
-            let id = node.allocate_id();
-            let stream = Registered::new(&node.poller, stream, poller_key(id, 0), Interest::READ)?;
-            let place = Some(Place::take(node, id, FIRST_LINE));
-            let (stream, bytes, state) = (Some(stream), Vec::new(), State::First);
-            let mut client = Client {
-                id,
-                seat: None,
-                place,
-                stream,
-                bytes,
-                state,
-                frozen: false,
-            };
-            // Most have sent their line by now: guards against taking one that asks for one that says nothing.
-            if client.read(node) == Lifecycle::Continue {
-                node.register(id, Box::new(client));
-            } else {
-                node.deadlines.clear_all(id);
-            }
-            self.make_room(node);
-        }
-        Ok(())
-    }
-
-    /// Ends the strangers that had to go first anyway when descriptors are needed. Guards against hundreds that
-    /// connect and say nothing.
-    fn make_room(&self, node: &mut Node) {
-        let other = node.upgrade.other;
-        let most = node
-            .config
-            .most_strangers(node.clients.get() + other.clients);
-        while node.strangers.borrow().len() + other.strangers > most {
-            let Some((_, id)) = node.strangers.borrow_mut().pop_first() else {
-                break;
-            };
-            node.send(id, Message::Close);
-        }
-    }
-}
-
-impl Connection<NodeState> for Listener {
-    fn on_ready(&mut self, node: &mut Node, _socket: usize, _readiness: Readiness) -> Lifecycle {
-        if let Err(error) = self.take(node) {
-            // No descriptor is left: guards against a loop that spins on a listener that stays ready.
-            warn!(node.log, "cannot take clients for now"; "error" => %error);
-            if self.socket.set_interest(Interest::NONE).is_ok() {
-                node.deadlines.set(LISTENER, 0, Instant::now() + REST);
-            }
-        }
-        Lifecycle::Continue
-    }
-
-    fn on_deadline(&mut self, node: &mut Node, _kind: u64) -> Lifecycle {
-        if let Err(error) = self.socket.set_interest(Interest {
-            readable: !self.rests,
-            writable: false,
-        }) {
-            warn!(node.log, "cannot listen again yet"; "error" => %error);
-            node.deadlines.set(LISTENER, 0, Instant::now() + REST);
-        }
-        Lifecycle::Continue
-    }
-
-    fn on_message(&mut self, node: &mut Node, message: Message) -> Lifecycle {
-        match message {
-            Message::Rest => self.rests = true,
-            Message::Begin => self.rests = false,
-            _ => return Lifecycle::Continue,
-        }
-        self.on_deadline(node, 0)
-    }
-}
-
-/// What a first line asks for.
-#[derive(Debug, PartialEq)]
-pub enum First {
-    /// `PING`.
-    Ping,
-    /// `OPEN ...`.
-    Open(Open),
-}
-
-/// The fields of an `OPEN` line that the decisions need.
-#[derive(Debug, PartialEq)]
-pub struct Open {
-    request: u64,
-    flow: String,
-    class: usize,
-    left_ms: u64,
-    /// Where in the line the digits of `d` stand.
-    left_at: Range<usize>,
-    subject: Option<String>,
-    again: bool,
-    holder: Option<String>,
-    load: Option<Duration>,
-}
-
-/// Reads a first line without its end; `None` if it is malformed.
-pub fn first_line(line: &[u8], classes: &[String]) -> Option<First> {
-    let text = std::str::from_utf8(line).ok()?;
-    if text == "PING" {
-        return Some(First::Ping);
-    }
-    let mut parts = text.split(' ');
-    let (word, id, flow, list) = (parts.next()?, parts.next()?, parts.next()?, parts.next()?);
-    if word != "OPEN" || parts.next().is_some() || !plain(flow) {
-        return None;
-    }
-    let hexadecimal = id.len() == 16
-        && id
-            .bytes()
-            .all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
-    let request = u64::from_str_radix(id, 16).ok().filter(|_| hexadecimal)?;
-    let mut at = text.len() - list.len();
-    let (mut class, mut left, mut subject, mut again, mut holder, mut load) =
-        (None, None, None, false, None, None);
-    for field in list.split(',') {
-        let (name, value) = field.split_once('=')?;
-        if !plain(name) || !plain(value) {
-            return None;
-        }
-        let value_at = at + name.len() + 1;
-        at += field.len() + 1;
-        match name {
-            "c" => class = Some(classes.iter().position(|class| class == value)?),
-            "d" => {
-                let digits = value.bytes().all(|byte| byte.is_ascii_digit());
-                let span = value.parse::<u32>().ok().filter(|_| digits)?;
-                left = Some((u64::from(span), value_at..value_at + value.len()));
-            }
-            "g" => subject = Some(value.to_string()),
-            "again" => again = value == "1",
-            "at" => holder = Some(value.to_string()),
-            "h" => {
-                let micros = value
-                    .parse::<f64>()
-                    .ok()
-                    .filter(|load| (0.0..1e12).contains(load))?;
-                load = Some(Duration::from_secs_f64(micros / 1e6));
-            }
-            _ => {}
-        }
-    }
-    let (left_ms, left_at) = left?;
-    let flow = flow.to_string();
-    Some(First::Open(Open {
-        request,
-        flow,
-        class: class?,
-        left_ms,
-        left_at,
-        subject,
-        again,
-        holder,
-        load,
-    }))
-}
-
-/// A field that holds something and no control characters.
-fn plain(text: &str) -> bool {
-    !text.is_empty() && !text.chars().any(char::is_control)
-}
-
-impl Open {
-    fn incoming(&self, groups: bool) -> RequestInfo {
-        let subject = self.subject.clone();
-        let (group, key) = if groups {
-            (subject, Some(self.flow.clone()))
-        } else {
-            (None, subject)
-        };
-        RequestInfo {
-            request: RequestId(self.request),
-            class: self.class,
-            tenant: None,
-            group,
-            key: key.or_else(|| Some(self.flow.clone())),
-            load: self.load,
-            deadline: Timestamp(0),
-            is_mid_flow: false,
-            is_reconnect: self.again,
-        }
-    }
-}
-
-/// The answer that refuses, with how long to stay away.
-fn busy(after: Duration) -> Vec<u8> {
-    match after.as_millis() {
-        0 => b"BUSY\r\n".to_vec(),
-        wait => format!("BUSY {wait}\r\n").into_bytes(),
-    }
-}
-
-struct Waiting {
-    open: Open,
-    /// The first line as it came, its end included.
-    line: Vec<u8>,
-    until: Instant,
-    peer: Option<ComponentId>,
-    /// Tries made for a connection from before this node's life.
-    old_tries: u32,
+/// An answer on its way to the client, whose close is awaited.
+struct Closing {
+    /// What of the answer is still to be written.
+    unsent: Vec<u8>,
+    /// How many bytes were read since the answer, and dropped.
+    drained_bytes: usize,
+    /// Held until the connection closes.
+    _entry: UnidentifiedEntry,
 }
 
 enum State {
-    /// Its first line is still to come.
-    First,
-    /// It waits for its answer.
-    Waiting(Waiting),
-    /// It has its answer; what of that is not written yet is in `bytes`. So much was read since.
-    Closing(usize),
+    ReadingFirstLine(ReadingFirstLine),
+    /// The request is complete and waits for a server.
+    Waiting(WaitingRequest),
+    Closing(Closing),
+    /// Nothing is left to do: a relay has the socket, or the next state is about to be set.
+    Finished,
 }
 
-/// A client until its connection is up.
-pub struct Client {
+/// A client's connection without a server.
+pub(crate) struct ClientConnection {
     id: ComponentId,
-    /// While it asks, and while it does not.
-    seat: Option<Seat>,
-    place: Option<Place>,
+    /// `None` once a relay has it.
     stream: Option<Registered<TcpStream>>,
-    /// What was read and is not used yet; once it is closing, what is still to be written.
-    bytes: Vec<u8>,
     state: State,
-    /// On its way to another process: nothing is read until it is known whose it is.
-    frozen: bool,
+    /// It was sent to another process: nothing is read until that process has accepted or refused it.
+    is_in_transfer: bool,
 }
 
-impl Client {
-    /// Goes on with a client of another process whose first line is not whole yet.
-    pub fn take_over(node: &mut Node, socket: OwnedFd, bytes: Vec<u8>, left: Duration) {
+impl ClientConnection {
+    /// Takes an accepted connection and reads what has come on it already.
+    ///
+    /// # Errors
+    /// Where the socket cannot be registered.
+    pub(super) fn accept(node: &mut Node, stream: TcpStream) -> io::Result<()> {
         let id = node.allocate_id();
-        let Ok(stream) = Registered::new(
-            &node.poller,
-            TcpStream::from(socket),
-            poller_key(id, 0),
-            Interest::READ,
-        ) else {
-            return;
-        };
-        let place = Some(Place::take(node, id, left.min(FIRST_LINE)));
-        let (stream, state) = (Some(stream), State::First);
-        node.register(
-            id,
-            Box::new(Client {
-                id,
-                seat: None,
-                place,
-                stream,
-                bytes,
-                state,
-                frozen: false,
-            }),
-        );
-    }
-
-    fn hand_over(&mut self, node: &mut Node) {
-        let (State::First, Some(stream), Some(place)) =
-            (&self.state, &mut self.stream, &self.place)
-        else {
-            return;
-        };
-        let left = place
-            .key
-            .0
-            .saturating_duration_since(Instant::now())
-            .as_millis() as u64;
-        let said = |number| Said::First(number, left);
-        if matches!(
-            node.upgrade
-                .hand(self.id, said, &self.bytes, &[stream.as_fd()]),
-            Ok(true)
-        ) {
-            self.frozen = true;
-            let _ = stream.set_interest(Interest::NONE);
+        let mut client = ClientConnection::new(node, id, stream, Vec::new(), FIRST_LINE_TIMEOUT)?;
+        // Most have sent their line by now: guards against holding one that asks for one that says nothing.
+        if client.read(node) == Lifecycle::Continue {
+            node.register(id, Box::new(client));
+        } else {
+            node.deadlines.clear_all(id);
         }
+        Ok(())
     }
 
-    fn answer(&mut self, node: &mut Node, answer: &[u8]) -> Lifecycle {
-        self.state = State::Closing(0);
-        self.bytes = answer.to_vec();
-        self.seat = None;
-        // The old place, if there is one, goes first: it may be the same.
-        self.place = None;
-        self.place = Some(Place::take(node, self.id, LINGER));
-        node.deadlines.clear(self.id, AGAIN);
-        self.flush()
-    }
-
-    /// Writes what is left of the answer, then ends the sending; the client's end is awaited, for closing at
-    /// once could destroy an answer that it has not read yet.
-    fn flush(&mut self) -> Lifecycle {
-        let Some(stream) = &mut self.stream else {
-            return Lifecycle::Close;
-        };
-        while !self.bytes.is_empty() {
-            match stream.write(&self.bytes) {
-                Ok(sent) => drop(self.bytes.drain(..sent)),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    return if stream.set_interest(Interest::READ_WRITE).is_ok() {
-                        Lifecycle::Continue
-                    } else {
-                        Lifecycle::Close
-                    };
-                }
-                Err(_) => return Lifecycle::Close,
-            }
-        }
-        if stream.shutdown(Shutdown::Write).is_err() || stream.set_interest(Interest::READ).is_err()
-        {
-            return Lifecycle::Close;
-        }
-        Lifecycle::Continue
+    /// A connection that has sent `received` of its first line, and whose time for the rest is `timeout`.
+    fn new(
+        node: &mut Node,
+        id: ComponentId,
+        stream: TcpStream,
+        received: Vec<u8>,
+        timeout: Duration,
+    ) -> io::Result<ClientConnection> {
+        let stream = Registered::new(&node.poller, stream, poller_key(id, 0), Interest::READ)?;
+        let entry = add_unidentified(node, id, timeout);
+        Ok(ClientConnection {
+            id,
+            stream: Some(stream),
+            state: State::ReadingFirstLine(ReadingFirstLine { received, entry }),
+            is_in_transfer: false,
+        })
     }
 
     fn read(&mut self, node: &mut Node) -> Lifecycle {
-        let mut scratch = [0; 4 << 10];
-        for _ in 0..READS {
+        let mut chunk = [0; READ_CHUNK_BYTES];
+        for _ in 0..MAX_READS_PER_TURN {
             let Some(stream) = &mut self.stream else {
                 return Lifecycle::Close;
             };
-            let flow = match stream.read(&mut scratch) {
-                Ok(0) => self.gone(node),
-                Ok(read) => self.take(node, &scratch[..read]),
+            let lifecycle = match stream.read(&mut chunk) {
+                Ok(0) => self.on_client_closed(node),
+                Ok(length) => self.on_bytes(node, &chunk[..length]),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     return Lifecycle::Continue
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => Lifecycle::Continue,
-                Err(_) => self.gone(node),
+                Err(_) => self.on_client_closed(node),
             };
-            if flow == Lifecycle::Close {
+            if lifecycle == Lifecycle::Close {
                 return Lifecycle::Close;
             }
         }
         Lifecycle::Continue
     }
 
-    fn take(&mut self, node: &mut Node, bytes: &[u8]) -> Lifecycle {
+    fn on_bytes(&mut self, node: &mut Node, bytes: &[u8]) -> Lifecycle {
         match &mut self.state {
-            State::First => {
-                self.bytes.extend_from_slice(bytes);
-                let Some(end) = self.bytes.iter().position(|byte| *byte == b'\n') else {
-                    let more = self.bytes.len() < LONGEST_LINE;
-                    return if more {
-                        Lifecycle::Continue
-                    } else {
-                        self.reject_line(node, "it does not end")
-                    };
-                };
-                let rest = self.bytes.split_off(end + 1);
-                let line = std::mem::take(&mut self.bytes);
-                let flow = self.first(node, line);
-                if flow == Lifecycle::Continue && !rest.is_empty() {
-                    return self.take(node, &rest);
-                }
-                flow
+            State::ReadingFirstLine(reading) => {
+                reading.received.extend_from_slice(bytes);
+                self.on_first_line_bytes(node)
             }
-            // A client waits for its answer. One that does not sends what no transcriber can read: guards against
-            // commands by the hundred, and against a transcriber that is blamed for closing on them.
+            // A client waits for its answer. One that does not sends what no server can read: guards against
+            // commands by the hundred, and against a server that is blamed for closing on them.
             State::Waiting(_) => {
-                self.leave(node);
-                self.reject_line(node, "more than one line")
+                self.abandon_request(node);
+                self.reject_line(node, FirstLineError::MultipleLines)
             }
-            State::Closing(drained) => {
-                *drained += bytes.len();
-                if *drained > MOST_DRAINED {
+            State::Closing(closing) => {
+                closing.drained_bytes += bytes.len();
+                if closing.drained_bytes > MAX_DRAINED_BYTES {
                     Lifecycle::Close
                 } else {
                     Lifecycle::Continue
                 }
             }
+            State::Finished => Lifecycle::Close,
         }
     }
 
-    /// The client has left: nothing is owed.
-    fn gone(&mut self, node: &mut Node) -> Lifecycle {
-        self.leave(node);
-        Lifecycle::Close
+    fn on_first_line_bytes(&mut self, node: &mut Node) -> Lifecycle {
+        let State::ReadingFirstLine(reading) = &mut self.state else {
+            return Lifecycle::Continue;
+        };
+        let received = &mut reading.received;
+        let Some(line_end) = received.iter().position(|byte| *byte == b'\n') else {
+            return if received.len() < MAX_LINE_BYTES {
+                Lifecycle::Continue
+            } else {
+                self.reject_line(node, FirstLineError::Unterminated)
+            };
+        };
+        let rest = received.split_off(line_end + 1);
+        let line = std::mem::take(received);
+        let lifecycle = self.on_first_line(node, line);
+        if lifecycle == Lifecycle::Continue && !rest.is_empty() {
+            return self.on_bytes(node, &rest);
+        }
+        lifecycle
     }
 
-    /// Its place is needed, or its time is up: what has come of it by now is read first. Guards against ending a connection
-    /// whose request has been taken: its last byte may have come while this process was kept from reading.
-    fn last_look(&mut self, node: &mut Node) -> Lifecycle {
-        if self.read(node) == Lifecycle::Close {
-            return Lifecycle::Close;
-        }
-        match self.state {
-            State::First if self.bytes.is_empty() => Lifecycle::Close,
-            State::First => self.reject_line(node, "it takes too long"),
-            _ => Lifecycle::Continue,
+    fn on_first_line(&mut self, node: &mut Node, line: Vec<u8>) -> Lifecycle {
+        match FirstLine::parse(&line, &node.config.classes) {
+            Ok(FirstLine::Ping) => self.answer_ping(node),
+            Ok(FirstLine::Open(open)) => self.on_open(node, open, line),
+            Err(error) => self.reject_line(node, error),
         }
     }
 
-    /// Nobody waits for the request any more, and its try is closed. That says nothing of the transcriber.
-    fn leave(&mut self, node: &mut Node) {
-        if let State::Waiting(waiting) = &self.state {
-            debug!(node.log, "client left"; "request" => format!("{:016x}", waiting.open.request));
-            if let Some(peer) = waiting.peer {
-                node.send(peer, Message::Close);
-            }
-            if waiting.open.holder.is_none() {
-                node.core.client_gone(RequestId(waiting.open.request));
-            }
+    /// The front sends clients to this node once this is answered with `PONG`: only when they can be served.
+    fn answer_ping(&mut self, node: &mut Node) -> Lifecycle {
+        if node.serves().is_ok() {
+            self.answer(node, answer::PONG)
+        } else {
+            self.answer(node, &answer::busy(Duration::ZERO))
         }
     }
 
-    fn reject_line(&mut self, node: &mut Node, why: &str) -> Lifecycle {
-        debug!(node.log, "malformed first line"; "why" => why.to_string());
-        self.answer(node, b"ERR\r\n")
+    fn reject_line(&mut self, node: &mut Node, error: FirstLineError) -> Lifecycle {
+        debug!(node.log, "first line rejected"; "reason" => %error);
+        self.answer(node, answer::ERROR)
     }
 
-    fn first(&mut self, node: &mut Node, line: Vec<u8>) -> Lifecycle {
-        let Some(text) = line
-            .strip_suffix(b"\r\n")
-            .filter(|_| line.len() <= LONGEST_LINE)
-        else {
-            return self.reject_line(node, "its end");
-        };
-        let open = match first_line(text, &node.config.classes) {
-            Some(First::Ping) => {
-                // The front sends clients once this is answered: only when they can be served.
-                let able = node.serves().is_ok();
-                return self.answer(node, if able { b"PONG\r\n" } else { b"BUSY\r\n" });
-            }
-            Some(First::Open(open)) => open,
-            None => return self.reject_line(node, "its fields"),
-        };
-        let request = RequestId(open.request);
-        if node.core.holds(request) || (open.holder.is_some() && node.began.elapsed() > OLD_COME) {
-            return self.reject_line(node, "another's id, or a holder long after the start");
-        }
-        if node.clients.get() + node.upgrade.other.clients >= node.config.most_clients() {
-            debug!(node.log, "too many clients"; "held" => node.clients.get());
-            return self.answer(node, &busy(node.config.settings.max_retry_after / 2));
-        }
-        node.deadlines.clear(self.id, PATIENCE);
-        (self.seat, self.place) = (Some(Seat::take(&node.clients)), None);
-        let left = Duration::from_millis(open.left_ms);
-        let incoming = open.incoming(node.config.groups);
-        let old = open.holder.is_some();
-        let until = Instant::now() + if old { left.min(OLD_WAIT) } else { left };
-        self.state = State::Waiting(Waiting {
-            open,
-            line,
-            until,
-            peer: None,
-            old_tries: 0,
+    /// Sends this node's own answer; the request, if there is one, is over for this connection.
+    fn answer(&mut self, node: &mut Node, answer: &[u8]) -> Lifecycle {
+        // The old entry among the unidentified connections goes before the new one comes, for both may have the same
+        // key.
+        self.state = State::Finished;
+        self.state = State::Closing(Closing {
+            unsent: answer.to_vec(),
+            drained_bytes: 0,
+            _entry: add_unidentified(node, self.id, LINGER_TIMEOUT),
         });
-        if old {
-            return self.resume(node);
-        }
-        node.core.request(self.id, incoming, left);
-        Lifecycle::Continue
+        node.deadlines.clear(self.id, RESUME_RETRY);
+        self.write_answer()
     }
 
-    /// Sends a connection that stood before this node's life to the transcriber that holds it.
-    fn resume(&mut self, node: &mut Node) -> Lifecycle {
-        let State::Waiting(waiting) = &mut self.state else {
-            return Lifecycle::Continue;
-        };
-        let dial = waiting
-            .open
-            .holder
-            .as_deref()
-            .and_then(|holder| node.core.dial(holder));
-        let Some(dial) =
-            dial.filter(|_| waiting.old_tries < OLD_TRIES && Instant::now() < waiting.until)
-        else {
-            return self.answer(node, &busy(Duration::ZERO));
+    /// Writes what is left of the answer, then ends the sending. The client's close is awaited, for closing at once
+    /// could destroy an answer that it has not read yet.
+    fn write_answer(&mut self) -> Lifecycle {
+        let (State::Closing(closing), Some(stream)) = (&mut self.state, &mut self.stream) else {
+            return Lifecycle::Close;
         };
-        if node.core.holds(RequestId(waiting.open.request)) {
-            return self.reject_line(node, "another's id");
+        match write_all_or_wait(stream, &mut closing.unsent) {
+            Ok(()) => Lifecycle::Continue,
+            Err(_) => Lifecycle::Close,
         }
-        waiting.old_tries += 1;
-        let (request, until) = (RequestId(waiting.open.request), waiting.until);
-        self.dial(node, request, dial, until, true);
-        Lifecycle::Continue
     }
 
-    fn dial(
-        &mut self,
-        node: &mut Node,
-        request: RequestId,
-        dial: std::net::SocketAddr,
-        until: Instant,
-        stood: bool,
-    ) {
-        let State::Waiting(waiting) = &mut self.state else {
-            return;
-        };
-        let left = until.saturating_duration_since(Instant::now()).as_millis();
-        let at = &waiting.open.left_at;
-        let line = [
-            &waiting.line[..at.start],
-            left.to_string().as_bytes(),
-            &waiting.line[at.end..],
-        ]
-        .concat();
-        let id = node.allocate_id();
-        waiting.peer = Some(id);
-        Peer::open(
-            node,
-            id,
-            Try {
-                owner: self.id,
-                request,
-                dial,
-                line,
-                until,
-                stood,
-            },
-        );
+    /// The client has closed: nothing is owed to it.
+    fn on_client_closed(&mut self, node: &mut Node) -> Lifecycle {
+        self.abandon_request(node);
+        Lifecycle::Close
     }
 
-    /// The try is up: both sockets go to a relay under this object's name.
-    fn up(&mut self, node: &mut Node, up: Up) -> Lifecycle {
-        let State::Waiting(waiting) = &self.state else {
-            return Lifecycle::Continue;
-        };
-        if waiting.open.holder.is_some() && node.core.holds(up.request) {
-            return self.reject_line(node, "another's id");
-        }
-        let (Some(client), Some(seat)) = (self.stream.take(), self.seat.take()) else {
+    /// The connection has to close, because its time is up or its descriptor is needed: what has come of it by now is
+    /// read first. Guards against closing a connection whose request is complete: its last byte may have come while
+    /// this process was kept from reading.
+    fn on_expired(&mut self, node: &mut Node) -> Lifecycle {
+        if self.read(node) == Lifecycle::Close {
             return Lifecycle::Close;
-        };
-        match &waiting.open.holder {
-            Some(holder) => {
-                let incoming = waiting.open.incoming(node.config.groups);
-                node.core.inherited(self.id, incoming, holder);
+        }
+        match &self.state {
+            State::ReadingFirstLine(reading) if reading.received.is_empty() => Lifecycle::Close,
+            State::ReadingFirstLine(_) => self.reject_line(node, FirstLineError::TimedOut),
+            _ => Lifecycle::Continue,
+        }
+    }
+}
+
+/// Lists a connection as unidentified, until its expiry after `timeout`.
+fn add_unidentified(node: &mut Node, id: ComponentId, timeout: Duration) -> UnidentifiedEntry {
+    let entry = node.strangers.add(id, timeout);
+    node.deadlines.set(id, EXPIRY, entry.expires_at());
+    entry
+}
+
+/// Writes `unsent` as far as the stream accepts it, and ends the sending behind its last byte.
+fn write_all_or_wait(stream: &mut Registered<TcpStream>, unsent: &mut Vec<u8>) -> io::Result<()> {
+    while !unsent.is_empty() {
+        match stream.write(unsent) {
+            Ok(length) => drop(unsent.drain(..length)),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                return stream.set_interest(Interest::READ_WRITE);
             }
-            None => node.core.try_up(up.request),
+            Err(error) => return Err(error),
         }
-        Relay::begin(node, self.id, seat, client, up);
-        Lifecycle::Close
     }
+    stream.shutdown(Shutdown::Write)?;
+    stream.set_interest(Interest::READ)
 }
 
-impl Connection<NodeState> for Client {
+impl Connection<NodeState> for ClientConnection {
     fn on_ready(&mut self, node: &mut Node, _socket: usize, readiness: Readiness) -> Lifecycle {
-        if self.frozen {
+        if self.is_in_transfer {
             return Lifecycle::Continue;
         }
-        if readiness.writable
-            && matches!(self.state, State::Closing(_))
-            && self.flush() == Lifecycle::Close
-        {
+        let is_closing = matches!(self.state, State::Closing(_));
+        if readiness.writable && is_closing && self.write_answer() == Lifecycle::Close {
             return Lifecycle::Close;
         }
         if readiness.readable {
@@ -654,100 +277,27 @@
 
     fn on_deadline(&mut self, node: &mut Node, kind: u64) -> Lifecycle {
         match self.state {
-            _ if self.frozen => Lifecycle::Continue,
-            State::First => self.last_look(node),
-            // Whether anybody still waits is seen before the next try.
-            State::Waiting(_) if kind == AGAIN => match self.read(node) {
-                Lifecycle::Continue => self.resume(node),
-                Lifecycle::Close => Lifecycle::Close,
-            },
+            _ if self.is_in_transfer => Lifecycle::Continue,
+            State::ReadingFirstLine(_) => self.on_expired(node),
+            State::Waiting(_) if kind == RESUME_RETRY => self.on_resume_retry(node),
             _ => Lifecycle::Close,
         }
     }
 
     fn on_message(&mut self, node: &mut Node, message: Message) -> Lifecycle {
         match message {
-            Message::HandOver => self.hand_over(node),
-            Message::Handed => return Lifecycle::Close,
-            Message::Kept => {
-                self.frozen = false;
-                if let Some(place) = &self.place {
-                    node.deadlines.set(self.id, PATIENCE, place.key.0);
-                }
-                let read = self
-                    .stream
-                    .as_mut()
-                    .is_some_and(|stream| stream.set_interest(Interest::READ).is_ok());
-                return if read {
-                    Lifecycle::Continue
-                } else {
-                    Lifecycle::Close
-                };
-            }
-            _ => {}
-        }
-        let State::Waiting(waiting) = &mut self.state else {
-            return match (message, &self.state) {
-                (Message::Close, State::First) => self.last_look(node),
-                (Message::Close, _) => Lifecycle::Close,
-                _ => Lifecycle::Continue,
-            };
-        };
-        match message {
-            Message::Try(order) => {
-                if self.read(node) == Lifecycle::Close {
-                    return Lifecycle::Close;
-                }
-                self.dial(node, order.request, order.dial, order.until, false);
-                Lifecycle::Continue
-            }
-            // Looked at once more, ahead of its turn: it may have left, and what tells so may wait behind much else where
-            // the core is used up. What nobody waits for is not sent on.
-            Message::Connected(peer) if waiting.peer == Some(peer) => {
-                let flow = self.read(node);
-                if flow == Lifecycle::Continue && matches!(self.state, State::Waiting(_)) {
-                    node.send(peer, Message::Send);
-                }
-                flow
-            }
-            Message::Refuse(after) => {
-                if let Some(peer) = waiting.peer {
-                    node.send(peer, Message::Close);
-                }
-                self.answer(node, &busy(after))
-            }
-            Message::Fail => {
-                if let Some(peer) = waiting.peer {
-                    node.send(peer, Message::Close);
-                }
-                self.answer(node, b"ERR\r\n")
-            }
-            // The decisions know nothing of a connection from before this node's life. Where its line may have gone out it may
-            // stand by now, so that it is not said to have been refused.
-            Message::Ending if waiting.open.holder.is_some() => match waiting.peer {
-                Some(peer) => {
-                    node.send(peer, Message::Close);
-                    self.answer(node, b"ERR\r\n")
-                }
-                None => self.answer(node, &busy(Duration::ZERO)),
-            },
-            Message::Up(up) => self.up(node, up),
-            Message::Ended(line) => {
-                if waiting.open.holder.is_none() {
-                    node.core.try_ended(
-                        RequestId(waiting.open.request),
-                        lupincrank_placement::Outcome::Served,
-                        true,
-                    );
-                }
-                self.answer(node, &line)
-            }
-            Message::NotUp => {
-                waiting.peer = None;
-                node.deadlines
-                    .set(self.id, AGAIN, Instant::now() + OLD_PAUSE);
-                Lifecycle::Continue
-            }
+            Message::HandOver => self.transfer(node),
+            Message::Handed => Lifecycle::Close,
+            Message::Kept => self.on_transfer_refused(node),
+            Message::Close => self.on_close_requested(node),
+            Message::Try(order) => self.on_attempt_requested(node, &order),
+            Message::Connected(attempt) => self.on_attempt_connected(node, attempt),
+            Message::Refuse(retry_after) => self.on_rejected(node, retry_after),
+            Message::Fail => self.on_failed(node),
+            Message::Ending => self.on_shutdown(node),
+            Message::Up(established) => self.on_established(node, established),
+            Message::Ended(line) => self.on_served_at_once(node, &line),
+            Message::NotUp => self.on_resume_failed(node),
             _ => Lifecycle::Continue,
         }
     }
--- /dev/null
+++ b/crates/node/src/client/connection/transfer.rs
@@ -0,0 +1,64 @@
+//! The transfer of clients without a complete first line from one process of the node to another.
+
+use super::{ClientConnection, State, EXPIRY, FIRST_LINE_TIMEOUT};
+use crate::state::Node;
+use crate::upgrade::link::Said;
+use lupincrank_reactor::{Interest, Lifecycle};
+use std::net::TcpStream;
+use std::os::fd::{AsFd, OwnedFd};
+use std::time::{Duration, Instant};
+
+impl ClientConnection {
+    /// Goes on with a client of another process whose first line is not complete yet: `received` is what has come of
+    /// it, and `time_left` what the client may still take.
+    pub(crate) fn resume_transferred(
+        node: &mut Node,
+        socket: OwnedFd,
+        received: Vec<u8>,
+        time_left: Duration,
+    ) {
+        let id = node.allocate_id();
+        let stream = TcpStream::from(socket);
+        let timeout = time_left.min(FIRST_LINE_TIMEOUT);
+        if let Ok(client) = ClientConnection::new(node, id, stream, received, timeout) {
+            node.register(id, Box::new(client));
+        }
+    }
+
+    /// Sends the connection to the process that replaces this one, if its first line is not complete yet.
+    pub(super) fn transfer(&mut self, node: &mut Node) -> Lifecycle {
+        let (State::ReadingFirstLine(reading), Some(stream)) = (&self.state, &mut self.stream)
+        else {
+            return Lifecycle::Continue;
+        };
+        let time_left = reading
+            .entry
+            .expires_at()
+            .saturating_duration_since(Instant::now());
+        let message = |number| Said::First(number, time_left.as_millis() as u64);
+        let sent = node
+            .upgrade
+            .hand(self.id, message, &reading.received, &[stream.as_fd()]);
+        if matches!(sent, Ok(true)) {
+            self.is_in_transfer = true;
+            let _ = stream.set_interest(Interest::NONE);
+        }
+        Lifecycle::Continue
+    }
+
+    /// The other process has not taken the connection: it goes on here.
+    pub(super) fn on_transfer_refused(&mut self, node: &mut Node) -> Lifecycle {
+        self.is_in_transfer = false;
+        if let State::ReadingFirstLine(reading) = &self.state {
+            node.deadlines
+                .set(self.id, EXPIRY, reading.entry.expires_at());
+        }
+        let Some(stream) = &mut self.stream else {
+            return Lifecycle::Close;
+        };
+        match stream.set_interest(Interest::READ) {
+            Ok(()) => Lifecycle::Continue,
+            Err(_) => Lifecycle::Close,
+        }
+    }
+}
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -42,8 +42,6 @@
 
 /// A try that the module wants made.
 pub struct TryOrder {
-    /// For which request.
-    pub request: RequestId,
     /// Where the transcriber listens.
     pub dial: SocketAddr,
     /// When to stop waiting.
@@ -250,14 +248,8 @@
                 let owner = context.owner;
                 match dial {
                     Some(dial) => {
-                        self.orders.push_back(Order::Try(
-                            owner,
-                            TryOrder {
-                                request,
-                                dial,
-                                until,
-                            },
-                        ));
+                        self.orders
+                            .push_back(Order::Try(owner, TryOrder { dial, until }));
                     }
                     // The list names it, so it has an address; if not, nothing was sent.
                     None => self.try_ended(request, Outcome::NotSent, false),
--- a/crates/node/src/management.rs
+++ b/crates/node/src/management.rs
@@ -4,7 +4,7 @@
 use crate::fleet;
 use crate::state::{Message, Node, NodeState, CALLS, MANAGEMENT};
 use crate::upgrade;
-use crate::upstream::attempt::LONGEST_LINE;
+use crate::upstream::server_line::MAX_LINE_BYTES;
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::{poller_key, Interest, Readiness};
 use lupincrank_reactor::{ComponentId, Connection, Lifecycle};
@@ -28,7 +28,7 @@
 /// New calls that one turn of the loop takes.
 const ACCEPTS: usize = 8;
 /// What is read of a caller after its call.
-const MOST_DRAINED: usize = 4 * LONGEST_LINE;
+const MOST_DRAINED: usize = 4 * MAX_LINE_BYTES;
 
 /// A call.
 #[derive(Debug, PartialEq, Eq)]
@@ -214,13 +214,13 @@
             self.bytes.extend_from_slice(&scratch[..read]);
             let end = self.bytes.iter().position(|byte| *byte == b'\n');
             let flow = match end {
-                Some(end) if end < LONGEST_LINE => {
+                Some(end) if end < MAX_LINE_BYTES => {
                     let mut line = std::mem::take(&mut self.bytes);
                     line.truncate(end);
                     let outcome = carry_out(node, line.strip_suffix(b"\r").unwrap_or(&line));
                     self.answer(node, outcome)
                 }
-                _ if self.bytes.len() >= LONGEST_LINE => {
+                _ if self.bytes.len() >= MAX_LINE_BYTES => {
                     self.answer(node, Err("the call is longer than 4 KiB".into()))
                 }
                 _ => Lifecycle::Continue,
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -1,12 +1,11 @@
 //! Sets the node up: which objects its loop begins with.
 
-use crate::client::connection;
 use crate::config::Config;
 use crate::state::{
     Message, NodeState, DISCOVERY, LISTENER, LOOK, LOOK_PURPOSE, MANAGEMENT, RESERVED, SIGNALS,
     UPGRADE,
 };
-use crate::{discovery, fleet, management, signals, upgrade};
+use crate::{client, discovery, fleet, management, signals, upgrade};
 use lupincrank_reactor::{Reactor, APPLICATION};
 use slog::{info, Logger};
 use std::io;
@@ -25,7 +24,7 @@
     node.register(SIGNALS, Box::new(signals));
     let discovery = discovery::Discovery::new(&node.config);
     node.register(DISCOVERY, Box::new(discovery));
-    let listener = connection::Listener::new(node, inherited)?;
+    let listener = client::Listener::new(node, inherited)?;
     node.register(LISTENER, Box::new(listener));
     node.register(UPGRADE, Box::new(upgrade::Watch));
     upgrade::begin(node);
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -1,17 +1,17 @@
 //! What the node keeps beside the objects of its loop, and what its parts say to each other.
 
+use crate::client::UnidentifiedClients;
 use crate::config::Config;
 use crate::core::{Core, Order, TryOrder};
 use crate::fleet::carry::Carry;
 use crate::upgrade::held::Upgrade;
 use crate::upgrade::link::Said;
-use crate::upstream::health_check::{self, Probes};
+use crate::upstream::health_check::{self, HealthChecks};
 use lupincrank_placement::{RequestId, ServerId};
 use lupincrank_reactor::poll::Registered;
 use lupincrank_reactor::{Application, ComponentId, Context, APPLICATION};
 use slog::{info, warn, Logger};
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::cell::Cell;
 use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -93,26 +93,6 @@
     pub bytes: Vec<u8>,
 }
 
-/// A client's place among those held; given back when dropped.
-pub struct Seat(Rc<Cell<usize>>);
-
-impl Seat {
-    /// Takes a place.
-    pub fn take(taken: &Rc<Cell<usize>>) -> Seat {
-        taken.set(taken.get() + 1);
-        Seat(Rc::clone(taken))
-    }
-}
-
-impl Drop for Seat {
-    fn drop(&mut self) {
-        self.0.set(self.0.get().saturating_sub(1));
-    }
-}
-
-/// Connections that ask for nothing yet or have their answer, the one that has to go first in front.
-pub type Strangers = Rc<RefCell<BTreeSet<(Instant, ComponentId)>>>;
-
 /// What callbacks may use.
 pub type Node = Context<NodeState>;
 
@@ -127,7 +107,7 @@
     /// Clients held with their request; each may need a second descriptor for its peer.
     pub clients: Rc<Cell<usize>>,
     /// The other connections held.
-    pub strangers: Strangers,
+    pub strangers: UnidentifiedClients,
     /// When the node began.
     pub began: Instant,
     /// Set at SIGTERM: since when it goes on, and when all must be done.
@@ -135,7 +115,7 @@
     /// The other process of this node, if there is one.
     pub upgrade: Upgrade,
     /// The connections for probes.
-    pub probes: Probes,
+    pub probes: HealthChecks,
     /// The fleet that this node is one of, where the operator's file says so.
     pub fleet: Option<Box<Carry>>,
     /// Set for a moment when all connections are to be handed over.
@@ -153,10 +133,10 @@
             config,
             log,
             clients: Rc::default(),
-            strangers: Strangers::default(),
+            strangers: UnidentifiedClients::default(),
             began: Instant::now(),
             leaving: None,
-            probes: Probes::default(),
+            probes: HealthChecks::default(),
             fleet: None,
             hand_over: false,
             ending: false,
@@ -199,7 +179,7 @@
                 Order::Refuse(owner, after) => node.send(owner, Message::Refuse(after)),
                 Order::Fail(owner) => node.send(owner, Message::Fail),
                 Order::Move(owner) => node.send(owner, Message::Move),
-                Order::Probe(server, dial) => health_check::probe(node, server, dial),
+                Order::Probe(server, dial) => health_check::check(node, server, dial),
                 Order::Subscribe => node.send(DISCOVERY, Message::Subscribe),
                 Order::Timer { after, purpose } => {
                     node.deadlines
@@ -240,8 +220,7 @@
         let stayed = self.upgrade.handing() || now >= since + STAYS;
         // The others of the fleet may need its vote to go on without it.
         let left = self.fleet.as_ref().is_none_or(|fleet| fleet.is_out());
-        let empty =
-            self.clients.get() == 0 && self.strangers.borrow().is_empty() && self.upgrade.idle();
+        let empty = self.clients.get() == 0 && self.strangers.is_empty() && self.upgrade.idle();
         let over = now >= until || (stayed && empty && left);
         if over {
             info!(self.log, "ended"; "clients" => self.clients.get());
--- a/crates/node/src/upgrade/mod.rs
+++ b/crates/node/src/upgrade/mod.rs
@@ -7,7 +7,7 @@
 pub mod inherited;
 pub mod link;
 
-use crate::client::connection::Client;
+use crate::client::ClientConnection;
 use crate::state::{Message, Node, NodeState, LISTENER};
 use crate::upstream::relay::Relay;
 use custody::UNDER_WAY;
@@ -65,7 +65,7 @@
 /// Tells the other process how this one stands, and shares the budgets of one node with it while both take clients in.
 fn tell(node: &mut Node) {
     let open = node.upgrade.open && !node.upgrade.leaving;
-    let (clients, strangers) = (node.clients.get(), node.strangers.borrow().len());
+    let (clients, strangers) = (node.clients.get(), node.strangers.len());
     node.upgrade.say(&Said::Beat(Beat {
         version: VERSION,
         clients,
@@ -169,12 +169,12 @@
         Said::Standing(number, record) => {
             let sockets = <[_; 2]>::try_from(fds)
                 .ok()
-                .filter(|_| Relay::may_take(node, &record, &bytes));
+                .filter(|_| Relay::can_resume(node, &record, &bytes));
             if answer(node, number, sockets.is_some()) {
                 if let Some(sockets) = sockets {
                     let clients = &mut node.upgrade.other.clients;
                     *clients = clients.saturating_sub(1);
-                    Relay::take_over(node, record, &bytes, sockets);
+                    Relay::resume_transferred(node, record, &bytes, sockets);
                 }
             }
         }
@@ -182,7 +182,12 @@
             let socket = fds.into_iter().next();
             if answer(node, number, socket.is_some()) {
                 if let Some(socket) = socket {
-                    Client::take_over(node, socket, bytes, Duration::from_millis(left_ms));
+                    ClientConnection::resume_transferred(
+                        node,
+                        socket,
+                        bytes,
+                        Duration::from_millis(left_ms),
+                    );
                 }
             }
         }
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -1,218 +1,188 @@
-//! One try: a connection to a transcriber from its making to the first line that comes back.
+//! One attempt: a connection to a server from its begin to the server's first line.
 
+use super::is_local_resource_exhaustion;
+use super::server_line::{ServerLine, MAX_LINE_BYTES};
 use crate::state::{Message, Node, NodeState, Up};
 use lupincrank_placement::{Outcome, RequestId};
 use lupincrank_reactor::poll::{self, Registered};
-use lupincrank_reactor::{poller_key, Interest, Readiness};
-use lupincrank_reactor::{unacknowledged, ComponentId, Connection, Lifecycle};
+use lupincrank_reactor::unacknowledged::unacknowledged_bytes;
+use lupincrank_reactor::{poller_key, ComponentId, Connection, Interest, Lifecycle, Readiness};
 use slog::debug;
 use socket2::SockRef;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
-/// The longest line of the protocol, its end included.
-pub const LONGEST_LINE: usize = 4 << 10;
-/// Deadlines: for the connection and for the answer.
+/// Deadlines: for the connection and for the server's first line.
 const CONNECT: u64 = 0;
-const ANSWER: u64 = 1;
-/// What one turn reads of a transcriber. Guards against an answer that never ends and keeps the others waiting.
-const TURN: usize = 16 << 10;
+const RESPONSE: u64 = 1;
+/// What one turn of the loop reads of a server. Guards against an answer that never ends and keeps the others waiting.
+const MAX_BYTES_PER_TURN: usize = 16 << 10;
+const READ_CHUNK_BYTES: usize = 4 << 10;
 
-/// What is tried.
-pub struct Try {
-    /// The client's object.
-    pub owner: ComponentId,
-    /// For which request.
-    pub request: RequestId,
-    /// Where the transcriber listens.
-    pub dial: SocketAddr,
-    /// The first line.
-    pub line: Vec<u8>,
+/// What is attempted.
+pub(crate) struct Attempt {
+    /// The client's component.
+    pub(crate) owner: ComponentId,
+    /// The request that it is for.
+    pub(crate) request: RequestId,
+    /// Where the server listens.
+    pub(crate) address: SocketAddr,
+    /// The first line for the server.
+    pub(crate) line: Vec<u8>,
     /// When to stop waiting.
-    pub until: Instant,
-    /// The connection stood before this node began: its end is the owner's matter, not a placement's.
-    pub stood: bool,
+    pub(crate) expires_at: Instant,
+    /// The connection stood before this process began: how the attempt ends is reported to the owner, not to placement.
+    pub(crate) is_resumed: bool,
 }
 
-/// What a transcriber's line says.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Said {
-    /// `UP RECEIPT`.
-    Up,
-    /// `BYE`.
-    Bye,
-    /// `MOVE`.
-    Move,
-    /// `ERR`.
-    Err,
-    /// `BUSY`.
-    Busy,
-    /// `SYNTAX`: it could not read what it was sent.
-    Syntax,
-    /// `LOAD X`: the load in microseconds of work a second.
-    Load(f64),
-    /// Anything else.
-    Other,
+/// How far an attempt has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Connecting,
+    /// Connected; the owner is to be asked whether the client still waits.
+    Connected,
+    /// The owner was asked and has not answered yet.
+    AwaitingOwner,
+    /// The first line may be written; once it is, the server's answer is awaited.
+    Sending,
 }
 
-/// Reads one line of a transcriber. What is spoilt says nothing: an `UP` whose receipt was lost or is no text is no service, and
-/// what follows `BUSY` has to be a time, or it may not prove that nothing has run.
-pub fn said(line: &[u8]) -> Said {
-    let line = line.trim_ascii_end();
-    let cut = line
-        .iter()
-        .position(|byte| *byte == b' ')
-        .unwrap_or(line.len());
-    let (word, rest) = (&line[..cut], line[cut..].trim_ascii());
-    match word {
-        b"UP" if !rest.is_empty() && rest.iter().all(|byte| matches!(byte, b' '..=b'~')) => {
-            Said::Up
-        }
-        b"BYE" => Said::Bye,
-        b"MOVE" => Said::Move,
-        b"ERR" => Said::Err,
-        b"BUSY" if rest.iter().all(u8::is_ascii_digit) => Said::Busy,
-        b"SYNTAX" => Said::Syntax,
-        b"LOAD" => {
-            let load = std::str::from_utf8(rest)
-                .ok()
-                .and_then(|text| text.parse::<f64>().ok());
-            load.filter(|load| (0.0..1e12).contains(load))
-                .map_or(Said::Other, Said::Load)
-        }
-        _ => Said::Other,
-    }
-}
-
-/// The connection of one try.
-pub struct Peer {
+/// The connection of one attempt.
+pub(crate) struct UpstreamAttempt {
     id: ComponentId,
-    task: Try,
+    attempt: Attempt,
     stream: Option<Registered<TcpStream>>,
-    connected: bool,
-    /// The owner was asked whether the client still waits, and has said that it does.
-    asked: bool,
-    may_send: bool,
-    sent: usize,
-    bytes: Vec<u8>,
+    phase: Phase,
+    /// How many bytes of the first line are written.
+    written: usize,
+    /// What has come of the server and is not parsed yet.
+    received: Vec<u8>,
 }
 
-impl Peer {
-    /// Begins a try; how it ends is told to the core, also when it cannot even begin.
-    pub fn open(node: &mut Node, id: ComponentId, task: Try) {
-        let (stream, bytes) = (None, Vec::new());
-        let mut peer = Peer {
+impl UpstreamAttempt {
+    /// Begins an attempt. How it ends is reported, also where it cannot even begin.
+    pub(crate) fn begin(node: &mut Node, id: ComponentId, attempt: Attempt) {
+        let address = attempt.address;
+        let mut connection = UpstreamAttempt {
             id,
-            task,
-            stream,
-            connected: false,
-            asked: false,
-            may_send: false,
-            sent: 0,
-            bytes,
+            attempt,
+            stream: None,
+            phase: Phase::Connecting,
+            written: 0,
+            received: Vec::new(),
         };
-        let now = Instant::now();
-        match poll::connect(&node.poller, peer.task.dial, poller_key(id, 0)) {
+        match poll::connect(&node.poller, address, poller_key(id, 0)) {
             Ok(stream) => {
-                peer.stream = Some(stream);
-                node.deadlines.set(
-                    id,
-                    CONNECT,
-                    peer.task.until.min(now + node.config.connect_timeout),
-                );
-                node.deadlines.set(id, ANSWER, peer.task.until);
-                node.register(id, Box::new(peer));
+                connection.stream = Some(stream);
+                connection.set_deadlines(node);
+                node.register(id, Box::new(connection));
             }
             Err(error) => {
-                debug!(node.log, "cannot connect"; "dial" => %peer.task.dial, "error" => %error);
-                // What this machine lacks says nothing of the transcriber.
-                let lacks = error
-                    .raw_os_error()
-                    .is_some_and(|code| poll::RESOURCE_EXHAUSTED_ERRNOS.contains(&code));
-                peer.end(
-                    node,
-                    if lacks {
-                        Outcome::NotSent
-                    } else {
-                        Outcome::ConnectFailed
-                    },
-                );
+                debug!(node.log, "connect failed"; "address" => %address, "error" => %error);
+                let outcome = if is_local_resource_exhaustion(&error) {
+                    Outcome::NotSent
+                } else {
+                    Outcome::ConnectFailed
+                };
+                connection.end(node, outcome);
             }
         }
     }
 
-    /// Closes the connection, then says how the try ended: the next one must not start before.
+    fn set_deadlines(&self, node: &mut Node) {
+        let expires_at = self.attempt.expires_at;
+        let connect_by = expires_at.min(Instant::now() + node.config.connect_timeout);
+        node.deadlines.set(self.id, CONNECT, connect_by);
+        node.deadlines.set(self.id, RESPONSE, expires_at);
+    }
+
+    fn is_line_written(&self) -> bool {
+        self.written == self.attempt.line.len()
+    }
+
+    /// Closes the connection, then reports how the attempt ended: the next one must not begin before.
     fn end(&mut self, node: &mut Node, outcome: Outcome) -> Lifecycle {
-        debug!(node.log, "try ended"; "request" => format!("{:016x}", self.task.request.0),
-            "dial" => %self.task.dial, "outcome" => ?outcome);
+        debug!(node.log, "attempt ended"; "request" => format!("{:016x}", self.attempt.request.0),
+            "address" => %self.attempt.address, "outcome" => ?outcome);
         self.close();
-        if self.task.stood {
-            node.send(self.task.owner, Message::NotUp);
+        if self.attempt.is_resumed {
+            node.send(self.attempt.owner, Message::NotUp);
         } else {
-            node.core.try_ended(self.task.request, outcome, false);
+            node.core.try_ended(self.attempt.request, outcome, false);
         }
         Lifecycle::Close
     }
 
-    /// From here on nothing of this try may wait in the kernel to be sent once a network that is cut heals: if the connection
-    /// ends, be it with this process, what it holds is dropped, and the transcriber sees a reset.
-    fn arm(stream: &TcpStream) -> io::Result<()> {
-        SockRef::from(stream).set_linger(Some(Duration::ZERO))
-    }
-
-    /// All that was sent has arrived: the connection ends in good order.
-    fn disarm(stream: &TcpStream) {
-        let _ = SockRef::from(stream).set_linger(None);
-    }
-
     /// Closes the connection, with a reset if bytes of it may not have arrived.
     fn close(&mut self) {
         let Some(stream) = self.stream.take() else {
             return;
         };
-        if self.sent > 0 && matches!(unacknowledged::unacknowledged_bytes(&stream), Ok(0)) {
-            Peer::disarm(&stream);
+        if self.written > 0 && matches!(unacknowledged_bytes(&stream), Ok(0)) {
+            let _ = set_reset_on_close(&stream, ResetOnClose::Off);
+        }
+    }
+
+    /// How a break of the connection counts now: whether the request may have been executed hinges on the last byte of
+    /// the first line.
+    fn outcome_of_break(&self) -> Outcome {
+        if self.phase == Phase::Connecting {
+            Outcome::ConnectFailed
+        } else if self.is_line_written() {
+            Outcome::Reset
+        } else {
+            Outcome::ClosedBeforeSend
         }
     }
 
-    /// How a break counts now: whether it may have run hinges on the last byte of the first line.
-    fn broken(&self) -> Outcome {
-        match (self.connected, self.sent < self.task.line.len()) {
-            (false, _) => Outcome::ConnectFailed,
-            (true, true) => Outcome::ClosedBeforeSend,
-            (true, false) => Outcome::Reset,
+    /// Goes on with connecting and writing, as far as the phase and the socket allow.
+    fn advance(&mut self, node: &mut Node) -> Lifecycle {
+        match self.try_advance(node) {
+            Ok(()) => Lifecycle::Continue,
+            Err(error) => {
+                debug!(node.log, "send failed"; "address" => %self.attempt.address, "error" => %error);
+                self.end(node, self.outcome_of_break())
+            }
         }
     }
 
-    fn write(&mut self, node: &mut Node) -> io::Result<()> {
+    fn try_advance(&mut self, node: &mut Node) -> io::Result<()> {
         let Some(stream) = &mut self.stream else {
             return Ok(());
         };
-        if !self.connected {
+        if self.phase == Phase::Connecting {
             if let Some(error) = stream.take_error()? {
                 return Err(error);
             }
-            self.connected = true;
+            self.phase = Phase::Connected;
             node.deadlines.clear(self.id, CONNECT);
         }
-        if !self.may_send {
-            // It may have taken long: whether anybody still waits for it is seen first. The owner looks before the next
-            // event; nothing is waited for meanwhile. Guards against a loop that spins on a writable socket.
-            if !std::mem::replace(&mut self.asked, true) {
-                node.send(self.task.owner, Message::Connected(self.id));
-            }
+        // Connecting may have taken long: whether the client still waits is seen first. The owner looks before the
+        // next event; nothing is waited for meanwhile. Guards against a loop that spins on a writable socket.
+        if self.phase == Phase::Connected {
+            self.phase = Phase::AwaitingOwner;
+            node.send(self.attempt.owner, Message::Connected(self.id));
+        }
+        if self.phase == Phase::AwaitingOwner {
             return stream.set_interest(Interest::READ);
         }
-        if self.sent == 0 {
-            Peer::arm(stream)?;
+        self.write_line()
+    }
+
+    fn write_line(&mut self) -> io::Result<()> {
+        let Some(stream) = &mut self.stream else {
+            return Ok(());
+        };
+        if self.written == 0 {
+            set_reset_on_close(stream, ResetOnClose::On)?;
         }
-        while self.sent < self.task.line.len() {
-            match stream.write(&self.task.line[self.sent..]) {
-                Ok(sent) => self.sent += sent,
+        while self.written < self.attempt.line.len() {
+            match stream.write(&self.attempt.line[self.written..]) {
+                Ok(length) => self.written += length,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    // Before the rest goes out it is asked again.
-                    (self.asked, self.may_send) = (false, false);
+                    // The owner is asked again before the rest is written.
+                    self.phase = Phase::Connected;
                     return stream.set_interest(Interest::READ_WRITE);
                 }
                 Err(error) => return Err(error),
@@ -221,120 +191,157 @@
         stream.set_interest(Interest::READ)
     }
 
-    fn read(&mut self, node: &mut Node) -> Option<Lifecycle> {
-        let mut scratch = [0; 4 << 10];
-        let mut taken = 0;
-        while taken < TURN {
-            let read = self.stream.as_mut()?.read(&mut scratch);
-            match read {
-                Ok(0) => return Some(self.end(node, self.broken())),
-                Ok(read) => {
-                    taken += read;
-                    self.bytes.extend_from_slice(&scratch[..read]);
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return None,
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => return Some(self.end(node, self.broken())),
-            }
-            while let Some(end) = self.bytes.iter().position(|byte| *byte == b'\n') {
-                let whole = self.bytes[..end].ends_with(b"\r") && end < LONGEST_LINE;
-                let says = said(&self.bytes[..end]);
-                if !matches!(says, Said::Load(_)) {
-                    // It answers, so it has the line.
-                    Peer::disarm(self.stream.as_ref()?);
+    /// The client still waits: the first line is written, unless placement refuses to send new requests to the server by
+    /// now, which may have begun to drain while the connection was made. A connection that stood there before is no new
+    /// one.
+    fn on_send_permitted(&mut self, node: &mut Node) -> Lifecycle {
+        self.phase = Phase::Sending;
+        let is_new = self.written == 0 && !self.attempt.is_resumed;
+        if is_new && !node.core.may_send(self.attempt.request) {
+            return self.end(node, Outcome::ClosedBeforeSend);
+        }
+        self.advance(node)
+    }
+}
+
+/// Reading what the server answers.
+impl UpstreamAttempt {
+    fn read(&mut self, node: &mut Node) -> Lifecycle {
+        let mut chunk = [0; READ_CHUNK_BYTES];
+        let mut read_bytes = 0;
+        while read_bytes < MAX_BYTES_PER_TURN {
+            let Some(stream) = &mut self.stream else {
+                return Lifecycle::Continue;
+            };
+            match stream.read(&mut chunk) {
+                Ok(0) => return self.end(node, self.outcome_of_break()),
+                Ok(length) => {
+                    read_bytes += length;
+                    self.received.extend_from_slice(&chunk[..length]);
                 }
-                match says {
-                    _ if !whole => return Some(self.end(node, Outcome::Error)),
-                    Said::Up => {
-                        let stream = self.stream.take()?;
-                        let bytes = std::mem::take(&mut self.bytes);
-                        node.send(
-                            self.task.owner,
-                            Message::Up(Up {
-                                request: self.task.request,
-                                stream,
-                                bytes,
-                            }),
-                        );
-                        return Some(Lifecycle::Close);
-                    }
-                    Said::Bye => {
-                        let line = self.bytes[..=end].to_vec();
-                        self.stream = None;
-                        node.send(self.task.owner, Message::Ended(line));
-                        return Some(Lifecycle::Close);
-                    }
-                    // A load told before the answer is of no use to anyone yet.
-                    Said::Load(_) => drop(self.bytes.drain(..=end)),
-                    Said::Busy => return Some(self.end(node, Outcome::Rejected)),
-                    Said::Syntax if !self.task.stood => {
-                        self.stream = None;
-                        node.core.unreadable(self.task.request);
-                        return Some(Lifecycle::Close);
-                    }
-                    Said::Move => return Some(self.end(node, Outcome::Cancelled)),
-                    Said::Err | Said::Syntax | Said::Other => {
-                        return Some(self.end(node, Outcome::Error))
-                    }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    return Lifecycle::Continue
                 }
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return self.end(node, self.outcome_of_break()),
             }
-            if self.bytes.len() > LONGEST_LINE {
-                return Some(self.end(node, Outcome::Error));
+            if self.process_lines(node) == Lifecycle::Close {
+                return Lifecycle::Close;
             }
         }
-        None
+        Lifecycle::Continue
     }
 
-    /// The client waits: the first line goes out, unless its transcriber has begun to leave while the connection came up.
-    /// Guards against something new to it past the grace, where connections may take longer than that. What stood there
-    /// before is nothing new.
-    fn send(&mut self, node: &mut Node) -> Lifecycle {
-        self.may_send = true;
-        if self.sent == 0 && !self.task.stood && !node.core.may_send(self.task.request) {
-            return self.end(node, Outcome::ClosedBeforeSend);
+    fn process_lines(&mut self, node: &mut Node) -> Lifecycle {
+        while let Some(line_end) = self.received.iter().position(|byte| *byte == b'\n') {
+            if self.on_line(node, line_end) == Lifecycle::Close {
+                return Lifecycle::Close;
+            }
+        }
+        if self.received.len() > MAX_LINE_BYTES {
+            return self.end(node, Outcome::Error);
         }
-        self.progress(node)
+        Lifecycle::Continue
     }
 
-    fn progress(&mut self, node: &mut Node) -> Lifecycle {
-        match self.write(node) {
-            Ok(()) => Lifecycle::Continue,
-            Err(error) => {
-                debug!(node.log, "cannot send"; "dial" => %self.task.dial, "error" => %error);
-                self.end(node, self.broken())
+    /// Handles the first line of `received`, whose line feed is at `line_end`.
+    fn on_line(&mut self, node: &mut Node, line_end: usize) -> Lifecycle {
+        let content = &self.received[..line_end];
+        let is_well_formed = content.ends_with(b"\r") && line_end < MAX_LINE_BYTES;
+        let line = ServerLine::parse(content);
+        let is_answer = !matches!(line, ServerLine::Load(_));
+        if let Some(stream) = self.stream.as_ref().filter(|_| is_answer) {
+            // The server has the first line.
+            let _ = set_reset_on_close(stream, ResetOnClose::Off);
+        }
+        match line {
+            _ if !is_well_formed => self.end(node, Outcome::Error),
+            ServerLine::Up => self.on_established(node),
+            ServerLine::Bye => self.on_served(node, line_end),
+            // A load reported before the answer is of no use to anyone yet.
+            ServerLine::Load(_) => {
+                self.received.drain(..=line_end);
+                Lifecycle::Continue
+            }
+            ServerLine::Busy => self.end(node, Outcome::Rejected),
+            ServerLine::Move => self.end(node, Outcome::Cancelled),
+            ServerLine::SyntaxError if !self.attempt.is_resumed => self.on_syntax_error(node),
+            ServerLine::Error | ServerLine::SyntaxError | ServerLine::Unknown => {
+                self.end(node, Outcome::Error)
             }
         }
     }
+
+    /// The server has accepted the request: the socket and what has come on it go to the owner.
+    fn on_established(&mut self, node: &mut Node) -> Lifecycle {
+        if let Some(stream) = self.stream.take() {
+            let established = Up {
+                request: self.attempt.request,
+                stream,
+                bytes: std::mem::take(&mut self.received),
+            };
+            node.send(self.attempt.owner, Message::Up(established));
+        }
+        Lifecycle::Close
+    }
+
+    /// The server has served the request to its end at once.
+    fn on_served(&mut self, node: &mut Node, line_end: usize) -> Lifecycle {
+        let line = self.received[..=line_end].to_vec();
+        self.stream = None;
+        node.send(self.attempt.owner, Message::Ended(line));
+        Lifecycle::Close
+    }
+
+    /// The server could not parse the first line, which is the client's fault.
+    fn on_syntax_error(&mut self, node: &mut Node) -> Lifecycle {
+        self.stream = None;
+        node.core.unreadable(self.attempt.request);
+        Lifecycle::Close
+    }
+}
+
+/// What becomes of bytes that the kernel still holds when a connection closes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ResetOnClose {
+    /// They are dropped, and the server sees a reset: nothing may arrive once a network that was cut heals, also where
+    /// the connection ends with this process.
+    On,
+    /// They are sent; all have arrived already.
+    Off,
 }
 
-impl Connection<NodeState> for Peer {
+fn set_reset_on_close(stream: &TcpStream, reset: ResetOnClose) -> io::Result<()> {
+    let linger = match reset {
+        ResetOnClose::On => Some(Duration::ZERO),
+        ResetOnClose::Off => None,
+    };
+    SockRef::from(stream).set_linger(linger)
+}
+
+impl Connection<NodeState> for UpstreamAttempt {
     fn on_ready(&mut self, node: &mut Node, _socket: usize, readiness: Readiness) -> Lifecycle {
-        if self.sent < self.task.line.len() && self.progress(node) == Lifecycle::Close {
+        if !self.is_line_written() && self.advance(node) == Lifecycle::Close {
             return Lifecycle::Close;
         }
         if readiness.readable {
-            self.read(node).unwrap_or(Lifecycle::Continue)
+            self.read(node)
         } else {
             Lifecycle::Continue
         }
     }
 
     fn on_deadline(&mut self, node: &mut Node, _kind: u64) -> Lifecycle {
-        // Its answer may have come while this process was kept from reading it.
-        if self.connected {
-            if let Some(flow) = self.read(node) {
-                return flow;
-            }
+        // The answer may have come while this process was kept from reading it.
+        if self.phase != Phase::Connecting && self.read(node) == Lifecycle::Close {
+            return Lifecycle::Close;
         }
-        let written = self.sent == self.task.line.len();
-        self.end(
-            node,
-            if written {
-                Outcome::TimedOut
-            } else {
-                Outcome::ConnectFailed
-            },
-        )
+        let outcome = if self.is_line_written() {
+            Outcome::TimedOut
+        } else {
+            Outcome::ConnectFailed
+        };
+        self.end(node, outcome)
     }
 
     fn on_message(&mut self, node: &mut Node, message: Message) -> Lifecycle {
@@ -343,11 +350,8 @@
                 self.close();
                 Lifecycle::Close
             }
-            Message::Send => self.send(node),
+            Message::Send => self.on_send_permitted(node),
             _ => Lifecycle::Continue,
         }
     }
 }
-
-#[cfg(test)]
-mod tests;
--- /dev/null
+++ b/crates/node/src/upstream/byte_buffer.rs
@@ -0,0 +1,80 @@
+//! The bytes of one direction of a relayed connection.
+
+use std::io::{self, Write};
+use std::net::{Shutdown, TcpStream};
+
+/// Bytes that were read from one side and are not written to the other yet, and the end of the stream behind them.
+#[derive(Default)]
+pub(super) struct ByteBuffer {
+    bytes: Vec<u8>,
+    /// How many of `bytes` are written.
+    written: usize,
+    /// The reading side has ended; once all is written, the writing side is shut down.
+    has_ended: bool,
+    is_shut_down: bool,
+}
+
+impl ByteBuffer {
+    /// A buffer that holds these bytes.
+    pub(super) fn with_bytes(bytes: &[u8]) -> ByteBuffer {
+        ByteBuffer {
+            bytes: bytes.to_vec(),
+            ..ByteBuffer::default()
+        }
+    }
+
+    /// The bytes that are still to be written.
+    pub(super) fn pending(&self) -> &[u8] {
+        &self.bytes[self.written..]
+    }
+
+    /// Whether the reading side has ended.
+    pub(super) fn has_ended(&self) -> bool {
+        self.has_ended
+    }
+
+    /// Whether all is written and the writing side was shut down.
+    pub(super) fn is_shut_down(&self) -> bool {
+        self.is_shut_down
+    }
+
+    /// Appends bytes of the reading side.
+    pub(super) fn push(&mut self, bytes: &[u8]) {
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// Marks the end of the reading side.
+    pub(super) fn end(&mut self) {
+        self.has_ended = true;
+    }
+
+    /// Drops the bytes that are still to be written.
+    pub(super) fn clear(&mut self) {
+        self.bytes.clear();
+        self.written = 0;
+    }
+
+    /// Writes as much as the stream accepts; shuts its writing side down behind the last byte.
+    ///
+    /// # Errors
+    /// Where writing or shutting down fails, that is, where the connection broke.
+    pub(super) fn write_to(&mut self, stream: &mut TcpStream) -> io::Result<()> {
+        while self.written < self.bytes.len() {
+            match stream.write(&self.bytes[self.written..]) {
+                Ok(count) => self.written += count,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.bytes.drain(..self.written);
+                    self.written = 0;
+                    return Ok(());
+                }
+                Err(error) => return Err(error),
+            }
+        }
+        self.clear();
+        if self.has_ended && !self.is_shut_down {
+            self.is_shut_down = true;
+            stream.shutdown(Shutdown::Write)?;
+        }
+        Ok(())
+    }
+}
--- a/crates/node/src/upstream/health_check/tests.rs
+++ b/crates/node/src/upstream/health_check/tests.rs
@@ -17,10 +17,10 @@
 ) {
     let fields = ["rate".to_string(), "x0".to_string()];
     assert_eq!(
-        answer(line, &fields),
-        Answer {
-            passed,
-            report: report.map(Vec::from)
+        HealthCheckResponse::parse(line, &fields),
+        HealthCheckResponse {
+            has_passed: passed,
+            load_report: report.map(Vec::from)
         }
     );
 }
@@ -36,10 +36,10 @@
 fn a_spoilt_report_says_nothing(#[case] line: &str) {
     let fields = ["rate".to_string(), "x0".to_string()];
     assert_eq!(
-        answer(line, &fields),
-        Answer {
-            passed: true,
-            report: None
+        HealthCheckResponse::parse(line, &fields),
+        HealthCheckResponse {
+            has_passed: true,
+            load_report: None
         }
     );
 }
--- a/crates/node/src/upstream/relay.rs
+++ b/crates/node/src/upstream/relay.rs
@@ -1,130 +1,108 @@
-//! A connection that is up: passes bytes both ways unchanged and taps what the decisions need of them.
+//! The relay between a client and its server: passes bytes both ways unchanged, and reports the lines that placement
+//! needs to know of.
 
-use crate::state::{Message, Node, NodeState, Seat, Up};
-use crate::upgrade::link::{self, Standing};
-use crate::upstream::attempt::{said, Said, LONGEST_LINE};
-use lupincrank_placement::{Outcome, RequestId, RequestInfo, Timestamp};
+mod transfer;
+
+use super::byte_buffer::ByteBuffer;
+use super::server_line::{ServerLine, MAX_LINE_BYTES};
+use crate::client::ClientSlot;
+use crate::state::{Message, Node, NodeState, Up};
+use lupincrank_placement::{Outcome, RequestId};
 use lupincrank_reactor::poll::Registered;
-use lupincrank_reactor::{poller_key, Interest, Readiness};
-use lupincrank_reactor::{ComponentId, Connection, Lifecycle};
-use slog::debug;
+use lupincrank_reactor::{poller_key, ComponentId, Connection, Interest, Lifecycle, Readiness};
 use socket2::SockRef;
-use std::io::{self, Read, Write};
-use std::net::{Shutdown, TcpStream};
-use std::os::fd::{AsFd, OwnedFd};
+use std::io::{self, Read};
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
+use transfer::TransferState;
 
-/// What one side may bring in one turn of the loop, and in one read.
-const TURN: usize = 32 << 10;
-const READ: usize = 4 << 10;
-/// Once one side has ended, the other may bring nothing for this long.
-const HALF_CLOSED: Duration = Duration::from_secs(10);
-/// A client that was sent away, or cut off by its transcriber's end, has this long to end its side.
-const LINGER: Duration = Duration::from_secs(2);
-/// A transcriber that ends a connection so soon after a line that it did not answer could not read the line.
-const UNREADABLE: Duration = Duration::from_millis(250);
-const PATIENCE: u64 = 0;
-const CLIENT: usize = 0;
-
-/// One direction: what was read from one side and is not written to the other yet.
-#[derive(Default)]
-struct Pipe {
-    bytes: Vec<u8>,
-    sent: usize,
-    /// The reading side has ended; once all is written the writing side is ended likewise.
-    ended: bool,
-    shut: bool,
-}
+/// What one side may send in one turn of the loop, and in one read.
+const MAX_BYTES_PER_TURN: usize = 32 << 10;
+const READ_CHUNK_BYTES: usize = 4 << 10;
+/// How long the relay stays open once the client has ended its sending.
+const HALF_CLOSED_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long a client that was migrated, or whose server has closed, may take to close its side.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
+/// A server that closes so soon after a line that it did not answer could not parse the line.
+const SYNTAX_ERROR_WINDOW: Duration = Duration::from_millis(250);
+/// The relay's only deadline.
+const CLOSE: u64 = 0;
+/// What a client is sent that is to connect again elsewhere.
+const MOVE_LINE: &[u8] = b"MOVE\r\n";
 
-impl Pipe {
-    fn waiting(&self) -> usize {
-        self.bytes.len() - self.sent
-    }
+/// The two connections of a relay.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Side {
+    Client,
+    Server,
+}
 
-    fn push(&mut self, bytes: &[u8]) {
-        self.bytes.extend_from_slice(bytes);
+impl Side {
+    /// The number of the side's socket among those of the component.
+    fn socket(self) -> usize {
+        match self {
+            Side::Client => 0,
+            Side::Server => 1,
+        }
     }
 
-    fn write(&mut self, stream: &mut TcpStream) -> io::Result<()> {
-        while self.sent < self.bytes.len() {
-            match stream.write(&self.bytes[self.sent..]) {
-                Ok(sent) => self.sent += sent,
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    self.bytes.drain(..self.sent);
-                    self.sent = 0;
-                    return Ok(());
-                }
-                Err(error) => return Err(error),
-            }
-        }
-        self.bytes.clear();
-        self.sent = 0;
-        if self.ended && !self.shut {
-            self.shut = true;
-            stream.shutdown(Shutdown::Write)?;
+    fn of_socket(socket: usize) -> Side {
+        if socket == Side::Client.socket() {
+            Side::Client
+        } else {
+            Side::Server
         }
-        Ok(())
     }
 }
 
-/// A client and its peer.
-pub struct Relay {
+/// What the next line of the server is, if it is no load report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NextServerLine {
+    /// The line that accepts the request.
+    Acceptance,
+    /// The reply to a line of the client.
+    Reply,
+}
+
+/// A client and its server.
+pub(crate) struct Relay {
     id: ComponentId,
-    _seat: Seat,
     request: RequestId,
     client: Registered<TcpStream>,
-    /// `None` once the client has been sent away.
-    peer: Option<Registered<TcpStream>>,
-    up: Pipe,
-    down: Pipe,
-    /// A side that has this much waiting for it is not read for: what the other sends stays with the sender.
-    most_held: usize,
-    /// The start of a line of the peer whose end is still to come. Lines go to the client whole: guards against
-    /// a MOVE in the middle of one.
-    part: Vec<u8>,
-    last: Said,
-    /// The core knows that it has ended.
-    told: bool,
-    /// On its way to another process: nothing is read or written until it is known whose it is. And whether it is to be
-    /// sent away if it stays.
-    frozen: bool,
-    moves: bool,
+    /// `None` once the client was told to move.
+    server: Option<Registered<TcpStream>>,
+    to_server: ByteBuffer,
+    to_client: ByteBuffer,
+    /// A side for which this much is pending is not read for: what the other sends stays with the sender.
+    max_pending_bytes: usize,
+    /// The begin of a line of the server whose end is still to come. Lines go to the client whole: guards against a
+    /// `MOVE` in the middle of one.
+    partial_line: Vec<u8>,
+    last_server_line: ServerLine,
+    /// Placement knows how the request ended.
+    is_outcome_reported: bool,
+    transfer: TransferState,
+    /// Counts the client for as long as the relay lives.
+    _slot: ClientSlot,
 }
 
 impl Relay {
-    /// Takes both sockets over and passes on what has already come on them.
-    pub fn begin(
+    /// Takes both sockets and passes on what has already come from the server.
+    pub(crate) fn begin(
         node: &mut Node,
         id: ComponentId,
-        seat: Seat,
+        slot: ClientSlot,
         client: Registered<TcpStream>,
-        up: Up,
+        established: Up,
     ) {
-        let Up {
-            request,
-            mut stream,
-            bytes,
-        } = up;
-        let rekeyed = stream.rekey(poller_key(id, 1));
-        let mut relay = Relay {
-            id,
-            _seat: seat,
-            request,
-            client,
-            peer: Some(stream),
-            up: Pipe::default(),
-            down: Pipe::default(),
-            most_held: node.config.most_held(),
-            part: Vec::new(),
-            last: Said::Other,
-            told: false,
-            frozen: false,
-            moves: false,
-        };
+        let mut server = established.stream;
+        let rekeyed = server.rekey(poller_key(id, Side::Server.socket()));
+        let mut relay = Relay::new(node, id, slot, established.request, client, server);
         if rekeyed.is_err() {
-            return relay.end(node, Outcome::Reset);
+            relay.report_outcome(node, Outcome::Reset);
+            return;
         }
-        relay.peer_sent(node, &bytes, false);
+        relay.on_server_bytes(node, &established.bytes, NextServerLine::Acceptance);
         if relay.pump(node) == Lifecycle::Continue {
             if node.upgrade.handing() {
                 node.upgrade.enqueue([id]);
@@ -133,366 +111,297 @@
         }
     }
 
-    /// Whether a connection that another process context over can go on here.
-    pub fn may_take(node: &Node, record: &Standing, bytes: &[u8]) -> bool {
-        let whole = record
-            .lengths
-            .iter()
-            .try_fold(0usize, |sum, part| sum.checked_add(*part));
-        whole == Some(bytes.len()) && !node.core.holds(RequestId(record.request))
-    }
-
-    /// Goes on with a connection of another process, where that one left off.
-    pub fn take_over(
-        node: &mut Node,
-        record: Standing,
-        bytes: &[u8],
-        [client, peer]: [OwnedFd; 2],
-    ) {
-        let id = node.allocate_id();
-        let watch = |fd: OwnedFd, side| {
-            let stream = TcpStream::from(fd);
-            Registered::new(&node.poller, stream, poller_key(id, side), Interest::READ)
-        };
-        let (Ok(client), Ok(peer)) = (watch(client, CLIENT), watch(peer, 1)) else {
-            return;
-        };
-        let request = RequestId(record.request);
-        let (up, rest) = bytes.split_at(record.lengths[0].min(bytes.len()));
-        let (down, part) = rest.split_at(record.lengths[1].min(rest.len()));
-        let pipe = |bytes: &[u8]| Pipe {
-            bytes: bytes.to_vec(),
-            ..Pipe::default()
-        };
-        let mut relay = Relay {
+    fn new(
+        node: &Node,
+        id: ComponentId,
+        slot: ClientSlot,
+        request: RequestId,
+        client: Registered<TcpStream>,
+        server: Registered<TcpStream>,
+    ) -> Relay {
+        Relay {
             id,
-            _seat: Seat::take(&node.clients),
             request,
             client,
-            peer: Some(peer),
-            up: pipe(up),
-            down: pipe(down),
-            most_held: node.config.most_held(),
-            part: part.to_vec(),
-            last: Said::Other,
-            told: false,
-            frozen: false,
-            moves: false,
-        };
-        let class = node
-            .config
-            .classes
-            .iter()
-            .position(|class| *class == record.class);
-        let incoming = RequestInfo {
-            request,
-            // A class that is not there any more: what stands needs none.
-            class: class.unwrap_or(usize::MAX),
-            tenant: None,
-            group: record.group,
-            key: record.key,
-            load: None,
-            deadline: Timestamp::default(),
-            is_mid_flow: false,
-            is_reconnect: record.returned,
-        };
-        let now = Instant::now();
-        let before = |ms: &u64| now.checked_sub(Duration::from_millis(*ms)).unwrap_or(now);
-        let unanswered = record.unanswered_ms.iter().map(before).collect();
-        let load = record.load_us.map(|load| load as f64);
-        node.core
-            .take_over(id, incoming, &record.server, load, unanswered);
-        if relay.pump(node) == Lifecycle::Continue {
-            node.register(id, Box::new(relay));
+            server: Some(server),
+            to_server: ByteBuffer::default(),
+            to_client: ByteBuffer::default(),
+            max_pending_bytes: node.config.most_held(),
+            partial_line: Vec::new(),
+            last_server_line: ServerLine::Unknown,
+            is_outcome_reported: false,
+            transfer: TransferState::Idle,
+            _slot: slot,
         }
     }
 
-    /// Sends both sockets and all that waits between them to the process that takes this one's place. One that is ending
-    /// ends here.
-    fn hand_over(&mut self, node: &mut Node) -> Lifecycle {
-        let Some(peer) = self
-            .peer
-            .as_ref()
-            .filter(|_| !self.frozen && !self.up.ended && !self.down.ended)
-        else {
-            return Lifecycle::Continue;
-        };
-        let Some((incoming, server, load, unanswered)) = node.core.standing(self.request) else {
-            return Lifecycle::Continue;
-        };
-        let parts = [
-            &self.up.bytes[self.up.sent..],
-            &self.down.bytes[self.down.sent..],
-            &self.part,
-        ];
-        let record = Standing {
-            request: self.request.0,
-            class: node
-                .config
-                .classes
-                .get(incoming.class)
-                .cloned()
-                .unwrap_or_default(),
-            group: incoming.group.clone(),
-            key: incoming.key.clone(),
-            returned: incoming.is_reconnect,
-            server: server.0.to_string(),
-            load_us: load.map(|load| load as u64),
-            unanswered_ms: unanswered
-                .iter()
-                .map(|sent| sent.elapsed().as_millis() as u64)
-                .collect(),
-            lengths: parts.map(<[u8]>::len),
+    /// Reports to placement how the request ended; only the first report counts.
+    fn report_outcome(&mut self, node: &mut Node, outcome: Outcome) {
+        if self.is_outcome_reported {
+            return;
+        }
+        self.is_outcome_reported = true;
+        node.core.try_ended(self.request, outcome, true);
+    }
+
+    fn set_close_deadline(&self, node: &mut Node, timeout: Duration) {
+        node.deadlines.set(self.id, CLOSE, Instant::now() + timeout);
+    }
+}
+
+/// Passing bytes on.
+impl Relay {
+    fn stream_mut(&mut self, side: Side) -> Option<&mut Registered<TcpStream>> {
+        match side {
+            Side::Client => Some(&mut self.client),
+            Side::Server => self.server.as_mut(),
+        }
+    }
+
+    /// Whether bytes of this side are taken: it has not ended, and not too much of it is pending.
+    fn can_read(&self, side: Side) -> bool {
+        let buffer = match side {
+            Side::Client => &self.to_server,
+            Side::Server => &self.to_client,
         };
-        let (bytes, fds) = (parts.concat(), [self.client.as_fd(), peer.as_fd()]);
-        match node.upgrade.hand(
-            self.id,
-            |number| link::Said::Standing(number, record),
-            &bytes,
-            &fds,
-        ) {
-            Ok(true) => {
-                debug!(node.log, "on its way"; "request" => format!("{:016x}", self.request.0));
-                self.frozen = true;
-                let quiet = self.client.set_interest(Interest::NONE);
-                if quiet
-                    .and(
-                        self.peer
-                            .as_mut()
-                            .map_or(Ok(()), |peer| peer.set_interest(Interest::NONE)),
-                    )
-                    .is_err()
-                {
-                    debug!(node.log, "cannot rest"; "request" => format!("{:016x}", self.request.0));
-                }
-                Lifecycle::Continue
+        !buffer.has_ended() && buffer.pending().len() < self.max_pending_bytes
+    }
+
+    fn read(&mut self, node: &mut Node, side: Side) -> Lifecycle {
+        let mut chunk = [0; READ_CHUNK_BYTES];
+        let mut read_bytes = 0;
+        while read_bytes < MAX_BYTES_PER_TURN {
+            let can_read = self.can_read(side);
+            let Some(stream) = self.stream_mut(side) else {
+                return Lifecycle::Continue;
+            };
+            if !can_read {
+                // An event that was not asked for: the connection broke, or there is none any more.
+                return match stream.take_error() {
+                    Ok(None) => self.pump(node),
+                    _ => self.on_broken(node, side),
+                };
             }
-            Ok(false) => Lifecycle::Continue,
-            Err(error) => {
-                debug!(node.log, "cannot hand over"; "error" => %error);
-                self.send_away(node)
+            match stream.read(&mut chunk) {
+                Ok(0) => {
+                    self.on_end_of_stream(node, side);
+                    break;
+                }
+                Ok(length) => {
+                    read_bytes += length;
+                    self.on_bytes(node, side, &chunk[..length]);
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return self.on_broken(node, side),
             }
         }
+        self.pump(node)
     }
 
-    fn end(&mut self, node: &mut Node, outcome: Outcome) {
-        if !std::mem::replace(&mut self.told, true) {
-            node.core.try_ended(self.request, outcome, true);
+    fn on_bytes(&mut self, node: &mut Node, side: Side, bytes: &[u8]) {
+        match side {
+            Side::Client => self.on_client_bytes(node, bytes),
+            Side::Server => self.on_server_bytes(node, bytes, NextServerLine::Reply),
         }
     }
 
-    fn client_sent(&mut self, node: &mut Node, bytes: &[u8]) {
-        self.up.push(bytes);
+    fn on_client_bytes(&mut self, node: &mut Node, bytes: &[u8]) {
+        // What a client sends that was told to move is dropped.
+        if self.server.is_none() {
+            return;
+        }
+        self.to_server.push(bytes);
         for _ in bytes.iter().filter(|byte| **byte == b'\n') {
             node.core.line_sent(self.request);
         }
     }
 
-    /// `answers`: lines that are neither the first nor a load come back for lines of the client.
-    fn peer_sent(&mut self, node: &mut Node, bytes: &[u8], mut answers: bool) {
-        self.part.extend_from_slice(bytes);
-        let mut at = 0;
-        while let Some(length) = self.part[at..].iter().position(|byte| *byte == b'\n') {
-            let end = at + length + 1;
-            self.last = said(&self.part[at..end]);
-            match self.last {
-                Said::Load(micros) => node.core.load_line(self.request, micros),
-                _ if answers => node.core.line_returned(self.request),
-                _ => answers = true,
+    fn on_server_bytes(&mut self, node: &mut Node, bytes: &[u8], next_line: NextServerLine) {
+        let mut next_line = next_line;
+        let mut complete_bytes = 0;
+        self.partial_line.extend_from_slice(bytes);
+        while let Some(length) = line_length(&self.partial_line[complete_bytes..]) {
+            let line_end = complete_bytes + length;
+            self.last_server_line = ServerLine::parse(&self.partial_line[complete_bytes..line_end]);
+            match (self.last_server_line, next_line) {
+                (ServerLine::Load(load), _) => node.core.load_line(self.request, load),
+                (_, NextServerLine::Reply) => node.core.line_returned(self.request),
+                (_, NextServerLine::Acceptance) => next_line = NextServerLine::Reply,
             }
-            at = end;
+            complete_bytes = line_end;
         }
         // A line longer than any may be goes on as it is, rather than being held for ever.
-        if self.part.len() - at > LONGEST_LINE {
-            at = self.part.len();
+        if self.partial_line.len() - complete_bytes > MAX_LINE_BYTES {
+            complete_bytes = self.partial_line.len();
         }
-        self.down.push(&self.part[..at]);
-        self.part.drain(..at);
+        self.to_client.push(&self.partial_line[..complete_bytes]);
+        self.partial_line.drain(..complete_bytes);
     }
 
-    /// Writes what waits, sets what is waited for, and says whether there is anything left to do.
+    /// Writes what is pending, sets what is waited for, and says whether anything is left to do.
     fn pump(&mut self, node: &mut Node) -> Lifecycle {
-        if self.down.write(&mut self.client).is_err() {
-            return self.broke(node, CLIENT);
+        if self.to_client.write_to(&mut self.client).is_err() {
+            return self.on_broken(node, Side::Client);
         }
-        let peer_writes = self.peer.as_mut().map(|peer| self.up.write(peer));
-        if peer_writes.is_some_and(|written| written.is_err()) {
-            return self.broke(node, 1);
+        if let Some(server) = &mut self.server {
+            if self.to_server.write_to(server).is_err() {
+                return self.on_broken(node, Side::Server);
+            }
         }
-        if self.down.shut && self.up.ended && (self.up.shut || self.peer.is_none()) {
+        if self.is_complete() {
             return Lifecycle::Close;
         }
-        let reads_client = !self.up.ended && self.up.waiting() < self.most_held;
-        let mut wanted = self.client.set_interest(Interest {
-            readable: reads_client,
-            writable: self.down.waiting() > 0,
-        });
-        if let Some(peer) = &mut self.peer {
-            let reads_peer = !self.down.ended && self.down.waiting() < self.most_held;
-            wanted = wanted.and(peer.set_interest(Interest {
-                readable: reads_peer,
-                writable: self.up.waiting() > 0,
-            }));
+        match self.update_interests() {
+            Ok(()) => Lifecycle::Continue,
+            Err(_) => self.on_broken(node, Side::Client),
         }
-        if wanted.is_err() {
-            self.broke(node, CLIENT)
-        } else {
-            Lifecycle::Continue
+    }
+
+    /// Whether both directions have ended.
+    fn is_complete(&self) -> bool {
+        let is_server_done = self.to_server.is_shut_down() || self.server.is_none();
+        self.to_client.is_shut_down() && self.to_server.has_ended() && is_server_done
+    }
+
+    fn update_interests(&mut self) -> io::Result<()> {
+        let client_interest = Interest {
+            readable: self.can_read(Side::Client),
+            writable: !self.to_client.pending().is_empty(),
+        };
+        let server_interest = Interest {
+            readable: self.can_read(Side::Server),
+            writable: !self.to_server.pending().is_empty(),
+        };
+        let client_result = self.client.set_interest(client_interest);
+        let server_result = self.set_server_interest(server_interest);
+        client_result.and(server_result)
+    }
+
+    fn set_server_interest(&mut self, interest: Interest) -> io::Result<()> {
+        match &mut self.server {
+            Some(server) => server.set_interest(interest),
+            None => Ok(()),
         }
     }
+}
 
-    /// The transcriber has ended the connection unasked. Lines come back at once, so if one has just gone out it was
-    /// that one that the transcriber could not read: guards against blaming it for what a client sends.
-    fn cut_off(&self, node: &Node) -> Outcome {
-        let sent = node.core.oldest_line(self.request);
-        if sent.is_some_and(|sent| sent.elapsed() < UNREADABLE) {
+/// The ways to the end.
+impl Relay {
+    /// The outcome of a server's close that it did not announce. Replies come at once, so if a line has just gone out it
+    /// was that one that the server could not parse: guards against blaming it for what a client sends.
+    fn outcome_of_server_close(&self, node: &Node) -> Outcome {
+        let sent_at = node.core.oldest_line(self.request);
+        if sent_at.is_some_and(|sent_at| sent_at.elapsed() < SYNTAX_ERROR_WINDOW) {
             Outcome::Cancelled
         } else {
             Outcome::Reset
         }
     }
 
-    /// One side was reset: the other is reset too, after what it can still take at once.
-    fn broke(&mut self, node: &mut Node, side: usize) -> Lifecycle {
-        let outcome = if side == CLIENT {
-            Outcome::Cancelled
-        } else {
-            self.cut_off(node)
-        };
-        self.end(node, outcome);
-        if side == CLIENT {
-            if let Some(peer) = &mut self.peer {
-                let _ = self.up.write(peer);
-                let _ = SockRef::from(&**peer).set_linger(Some(Duration::ZERO));
+    /// One side was reset: the other one is reset too, after what it can still take at once.
+    fn on_broken(&mut self, node: &mut Node, side: Side) -> Lifecycle {
+        match side {
+            Side::Client => {
+                self.report_outcome(node, Outcome::Cancelled);
+                if let Some(server) = &mut self.server {
+                    let _ = self.to_server.write_to(server);
+                    reset_on_close(server);
+                }
+            }
+            Side::Server => {
+                let outcome = self.outcome_of_server_close(node);
+                self.report_outcome(node, outcome);
+                let _ = self.to_client.write_to(&mut self.client);
+                reset_on_close(&self.client);
             }
-        } else {
-            let _ = self.down.write(&mut self.client);
-            let _ = SockRef::from(&*self.client).set_linger(Some(Duration::ZERO));
         }
         Lifecycle::Close
     }
 
-    fn read(&mut self, node: &mut Node, side: usize) -> Lifecycle {
-        let mut scratch = [0; READ];
-        let mut taken = 0;
-        while taken < TURN {
-            let (pipe, stream) = match (side, &mut self.peer) {
-                (CLIENT, _) => (&mut self.up, &mut self.client),
-                (_, Some(peer)) => (&mut self.down, peer),
-                (_, None) => return Lifecycle::Continue,
-            };
-            let read = if pipe.ended || pipe.waiting() >= self.most_held {
-                // Told of without being asked: the connection broke.
-                match stream.take_error() {
-                    Ok(None) => return self.pump(node),
-                    _ => return self.broke(node, side),
-                }
-            } else {
-                stream.read(&mut scratch)
-            };
-            match read {
-                Ok(0) => {
-                    self.ended(node, side);
-                    break;
-                }
-                Ok(read) => {
-                    taken += read;
-                    if side == CLIENT {
-                        if self.peer.is_some() {
-                            self.client_sent(node, &scratch[..read]);
-                        }
-                    } else {
-                        self.peer_sent(node, &scratch[..read], true);
-                    }
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => return self.broke(node, side),
-            }
+    /// One side has ended its sending: the other learns of it behind all that was sent.
+    fn on_end_of_stream(&mut self, node: &mut Node, side: Side) {
+        match side {
+            Side::Client => self.on_client_end(node),
+            Side::Server => self.on_server_end(node),
         }
-        self.pump(node)
     }
 
-    /// One side has ended its sending: the other hears of it after all that was sent.
-    fn ended(&mut self, node: &mut Node, side: usize) {
-        let left = if self.peer.is_some() {
-            HALF_CLOSED
+    fn on_client_end(&mut self, node: &mut Node) {
+        let timeout = if self.server.is_some() {
+            HALF_CLOSED_TIMEOUT
         } else {
-            LINGER
+            LINGER_TIMEOUT
         };
-        node.deadlines.set(self.id, PATIENCE, Instant::now() + left);
-        if side == CLIENT {
-            self.up.ended = true;
-            self.end(node, Outcome::Cancelled);
-        } else {
-            let part = std::mem::take(&mut self.part);
-            self.down.push(&part);
-            self.down.ended = true;
-            node.deadlines
-                .set(self.id, PATIENCE, Instant::now() + LINGER);
-            let outcome = match self.last {
-                Said::Bye => Outcome::Served,
-                Said::Move => Outcome::Cancelled,
-                Said::Err => Outcome::Error,
-                _ => self.cut_off(node),
-            };
-            self.end(node, outcome);
-        }
+        self.set_close_deadline(node, timeout);
+        self.to_server.end();
+        self.report_outcome(node, Outcome::Cancelled);
+    }
+
+    fn on_server_end(&mut self, node: &mut Node) {
+        self.to_client.push(&self.partial_line);
+        self.partial_line.clear();
+        self.to_client.end();
+        self.set_close_deadline(node, LINGER_TIMEOUT);
+        let outcome = match self.last_server_line {
+            ServerLine::Bye => Outcome::Served,
+            ServerLine::Move => Outcome::Cancelled,
+            ServerLine::Error => Outcome::Error,
+            _ => self.outcome_of_server_close(node),
+        };
+        self.report_outcome(node, outcome);
     }
 
-    /// Sends the client away between two lines, and ends both sides.
-    fn send_away(&mut self, node: &mut Node) -> Lifecycle {
-        if self.peer.take().is_some() {
-            self.part.clear();
-            self.up.bytes.clear();
-            self.up.sent = 0;
-            if !self.down.ended {
-                self.down.push(b"MOVE\r\n");
-                self.down.ended = true;
+    /// Tells the client between two lines to connect again elsewhere, and ends both sides.
+    fn migrate(&mut self, node: &mut Node) -> Lifecycle {
+        if self.server.take().is_some() {
+            self.partial_line.clear();
+            self.to_server.clear();
+            if !self.to_client.has_ended() {
+                self.to_client.push(MOVE_LINE);
+                self.to_client.end();
             }
-            self.end(node, Outcome::Cancelled);
-            node.deadlines
-                .set(self.id, PATIENCE, Instant::now() + LINGER);
+            self.report_outcome(node, Outcome::Cancelled);
+            self.set_close_deadline(node, LINGER_TIMEOUT);
         }
         self.pump(node)
     }
 }
 
+/// The length of the first line in `bytes`, its line feed included.
+fn line_length(bytes: &[u8]) -> Option<usize> {
+    let line_feed = bytes.iter().position(|byte| *byte == b'\n')?;
+    Some(line_feed + 1)
+}
+
+/// What the kernel still holds when the connection closes is dropped, and the other end sees a reset.
+fn reset_on_close(stream: &TcpStream) {
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
 impl Connection<NodeState> for Relay {
     fn on_ready(&mut self, node: &mut Node, socket: usize, readiness: Readiness) -> Lifecycle {
-        if self.frozen {
+        if self.transfer != TransferState::Idle {
             Lifecycle::Continue
         } else if readiness.readable {
-            self.read(node, socket)
+            self.read(node, Side::of_socket(socket))
         } else {
             self.pump(node)
         }
     }
 
     fn on_deadline(&mut self, node: &mut Node, _kind: u64) -> Lifecycle {
-        self.end(node, Outcome::Cancelled);
+        self.report_outcome(node, Outcome::Cancelled);
         Lifecycle::Close
     }
 
     fn on_message(&mut self, node: &mut Node, message: Message) -> Lifecycle {
         match message {
-            Message::Move if self.frozen => self.moves = true,
-            Message::Move => return self.send_away(node),
-            Message::HandOver => return self.hand_over(node),
-            Message::Handed => {
-                self.end(node, Outcome::Cancelled);
-                return Lifecycle::Close;
-            }
-            Message::Kept => {
-                self.frozen = false;
-                return if self.moves {
-                    self.send_away(node)
-                } else {
-                    self.pump(node)
-                };
-            }
-            _ => {}
+            Message::Move => self.on_migration_requested(node),
+            Message::HandOver => self.transfer(node),
+            Message::Handed => self.on_transferred(node),
+            Message::Kept => self.on_transfer_refused(node),
+            _ => Lifecycle::Continue,
         }
-        Lifecycle::Continue
     }
 }
--- /dev/null
+++ b/crates/node/src/upstream/server_line.rs
@@ -0,0 +1,75 @@
+//! Parsing of the lines that servers send on a request's connection.
+
+/// The longest line of the protocol in bytes, its terminator included.
+pub(crate) const MAX_LINE_BYTES: usize = 4 << 10;
+
+/// Figures of the protocol (loads, fields of load reports) are below this.
+const FIGURE_LIMIT: f64 = 1e12;
+
+/// One line of a server, by its first word.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum ServerLine {
+    /// `UP RECEIPT`: the server has accepted the request.
+    Up,
+    /// `BYE`: the request is served.
+    Bye,
+    /// `MOVE`: the client is to connect again elsewhere.
+    Move,
+    /// `ERR`: the request has failed.
+    Error,
+    /// `BUSY`: the server rejects the request without having executed any of it.
+    Busy,
+    /// `SYNTAX`: the server could not parse what it was sent.
+    SyntaxError,
+    /// `LOAD X`: the connection's load in microseconds of work per second.
+    Load(f64),
+    /// Anything else, a damaged line included.
+    Unknown,
+}
+
+impl ServerLine {
+    /// Parses one line, with or without its terminator.
+    ///
+    /// A damaged line is `Unknown`: an `UP` whose receipt is missing or not printable proves no service, and a `BUSY`
+    /// followed by anything but a time does not prove that nothing was executed.
+    pub(crate) fn parse(line: &[u8]) -> ServerLine {
+        let line = line.trim_ascii_end();
+        let word_end = line
+            .iter()
+            .position(|byte| *byte == b' ')
+            .unwrap_or(line.len());
+        let word = &line[..word_end];
+        let argument = line[word_end..].trim_ascii();
+        match word {
+            b"UP" if is_receipt(argument) => ServerLine::Up,
+            b"BYE" => ServerLine::Bye,
+            b"MOVE" => ServerLine::Move,
+            b"ERR" => ServerLine::Error,
+            b"BUSY" if argument.iter().all(u8::is_ascii_digit) => ServerLine::Busy,
+            b"SYNTAX" => ServerLine::SyntaxError,
+            b"LOAD" => parse_load(argument),
+            _ => ServerLine::Unknown,
+        }
+    }
+}
+
+/// Whether this is printable text.
+fn is_receipt(argument: &[u8]) -> bool {
+    !argument.is_empty() && argument.iter().all(|byte| matches!(byte, b' '..=b'~'))
+}
+
+fn parse_load(argument: &[u8]) -> ServerLine {
+    std::str::from_utf8(argument)
+        .ok()
+        .and_then(parse_figure)
+        .map_or(ServerLine::Unknown, ServerLine::Load)
+}
+
+/// Parses a figure of the protocol: a number that is finite, not negative and below [`FIGURE_LIMIT`].
+pub(crate) fn parse_figure(text: &str) -> Option<f64> {
+    let figure = text.parse::<f64>().ok()?;
+    (0.0..FIGURE_LIMIT).contains(&figure).then_some(figure)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/node/src/upstream/server_line/tests.rs
@@ -0,0 +1,22 @@
+use super::*;
+use rstest::rstest;
+
+#[rstest]
+#[case("UP 5dd1bfe9ee25db25\r\n", ServerLine::Up)]
+#[case("UP\r\n", ServerLine::Unknown)]
+#[case("UPPER x\r\n", ServerLine::Unknown)]
+#[case("BUSY\r\n", ServerLine::Busy)]
+#[case("BUSY 20\r\n", ServerLine::Busy)]
+#[case("BUSY x\r\n", ServerLine::Unknown)]
+#[case("UP \u{1}\u{fffd}\r\n", ServerLine::Unknown)]
+#[case("SYNTAX\r\n", ServerLine::SyntaxError)]
+#[case("ERR out of order\r\n", ServerLine::Error)]
+#[case("MOVE\r\n", ServerLine::Move)]
+#[case("BYE\r\n", ServerLine::Bye)]
+#[case("LOAD 12.5\r\n", ServerLine::Load(12.5))]
+#[case("LOAD -1\r\n", ServerLine::Unknown)]
+#[case("LOAD NaN\r\n", ServerLine::Unknown)]
+#[case("\r\n", ServerLine::Unknown)]
+fn a_line_is_known_by_its_first_word(#[case] line: &str, #[case] expected: ServerLine) {
+    assert_eq!(ServerLine::parse(line.as_bytes()), expected);
+}
--- a/crates/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -307,7 +307,7 @@
     rig.logged_times("budgets are shared, processes: 2", 2);
     rig.freeze();
     kill(rig.oldest(), "-TERM");
-    rig.logged_times("on its way", held.len());
+    rig.logged_times("relay transfer started", held.len());
     kill(rig.oldest(), "-KILL");
     rig.oldest().wait().unwrap();
     rig.thaw();
