--- a/crates/node/src/client/connection/transfer.rs
+++ b/crates/node/src/client/connection/transfer.rs
@@ -1,8 +1,8 @@
 //! The transfer of clients without a complete first line from one process of the node to another.
 
 use super::{ClientConnection, State, EXPIRY, FIRST_LINE_TIMEOUT};
+use crate::handoff::message::Said;
 use crate::state::Node;
-use crate::upgrade::link::Said;
 use lupincrank_reactor::{Interest, Lifecycle};
 use std::net::TcpStream;
 use std::os::fd::{AsFd, OwnedFd};
--- a/crates/node/src/signals.rs
+++ b/crates/node/src/signals.rs
@@ -96,9 +96,9 @@
             let until = now + total(node.config.longest_deadline);
             info!(node.log, "leaving"; "clients" => node.clients.get());
             node.leaving = Some((now, until));
-            crate::fleet::leave(node);
+            crate::cluster_agent::leave(node);
             if node.upgrade.has_successor() {
-                crate::upgrade::leave(node);
+                crate::handoff::leave(node);
             }
             node.deadlines
                 .set(SIGNALS, 0, until.checked_sub(FIRST_MOVE).unwrap_or(now));
--- a/crates/node/src/upstream/relay/transfer.rs
+++ b/crates/node/src/upstream/relay/transfer.rs
@@ -2,8 +2,8 @@
 
 use super::{Relay, Side};
 use crate::client::ClientSlot;
+use crate::handoff::message::{self, Standing};
 use crate::state::Node;
-use crate::upgrade::link::{self, Standing};
 use crate::upstream::byte_buffer::ByteBuffer;
 use lupincrank_placement::{Outcome, RequestId, RequestInfo, Timestamp};
 use lupincrank_reactor::poll::Registered;
@@ -172,8 +172,8 @@
         };
         let bytes = self.pending_parts().concat();
         let sockets = [self.client.as_fd(), server.as_fd()];
-        let message = |number| link::Said::Standing(number, record);
-        node.upgrade.hand(self.id, message, &bytes, &sockets)
+        let transferred = |number| message::Said::Standing(number, record);
+        node.upgrade.hand(self.id, transferred, &bytes, &sockets)
     }
 
     fn pause(&mut self, node: &Node) {
