--- a/crates/node/src/client/connection.rs
+++ b/crates/node/src/client/connection.rs
@@ -6,7 +6,9 @@
 use super::answer;
 use super::first_line::{FirstLine, FirstLineError};
 use super::unidentified::UnidentifiedEntry;
-use crate::state::{Message, Node, NodeState};
+use crate::command::{ClientCommand, Message};
+use crate::deadline::{ClientDeadline, DeadlineKind};
+use crate::state::{NodeContext, NodeState};
 use crate::upstream::server_line::MAX_LINE_BYTES;
 use lupincrank_reactor::poll::Registered;
 use lupincrank_reactor::{poller_key, ComponentId, Connection, Interest, Lifecycle, Readiness};
@@ -27,9 +29,6 @@
 /// What is still read of a client that has its answer: enough for one that had sent a little more by then, so that
 /// its answer is not lost to a reset; one that sends on and on is cut off.
 const MAX_DRAINED_BYTES: usize = 64 << 10;
-/// Deadlines: for the first line or the close, and for the next attempt to resume a connection.
-const EXPIRY: u64 = 0;
-const RESUME_RETRY: u64 = 1;
 
 /// A first line that is not complete yet.
 struct ReadingFirstLine {
@@ -71,28 +70,29 @@
     ///
     /// # Errors
     /// Where the socket cannot be registered.
-    pub(super) fn accept(node: &mut Node, stream: TcpStream) -> io::Result<()> {
-        let id = node.allocate_id();
-        let mut client = ClientConnection::new(node, id, stream, Vec::new(), FIRST_LINE_TIMEOUT)?;
+    pub(super) fn accept(context: &mut NodeContext, stream: TcpStream) -> io::Result<()> {
+        let id = context.allocate_id();
+        let mut client =
+            ClientConnection::new(context, id, stream, Vec::new(), FIRST_LINE_TIMEOUT)?;
         // Most have sent their line by now: guards against holding one that asks for one that says nothing.
-        if client.read(node) == Lifecycle::Continue {
-            node.register(id, Box::new(client));
+        if client.read(context) == Lifecycle::Continue {
+            context.register(id, Box::new(client));
         } else {
-            node.deadlines.clear_all(id);
+            context.deadlines.clear_all(id);
         }
         Ok(())
     }
 
     /// A connection that has sent `received` of its first line, and whose time for the rest is `timeout`.
     fn new(
-        node: &mut Node,
+        context: &mut NodeContext,
         id: ComponentId,
         stream: TcpStream,
         received: Vec<u8>,
         timeout: Duration,
     ) -> io::Result<ClientConnection> {
-        let stream = Registered::new(&node.poller, stream, poller_key(id, 0), Interest::READ)?;
-        let entry = add_unidentified(node, id, timeout);
+        let stream = Registered::new(&context.poller, stream, poller_key(id, 0), Interest::READ)?;
+        let entry = add_unidentified(context, id, timeout);
         Ok(ClientConnection {
             id,
             stream: Some(stream),
@@ -101,20 +101,20 @@
         })
     }
 
-    fn read(&mut self, node: &mut Node) -> Lifecycle {
+    fn read(&mut self, context: &mut NodeContext) -> Lifecycle {
         let mut chunk = [0; READ_CHUNK_BYTES];
         for _ in 0..MAX_READS_PER_TURN {
             let Some(stream) = &mut self.stream else {
                 return Lifecycle::Close;
             };
             let lifecycle = match stream.read(&mut chunk) {
-                Ok(0) => self.on_client_closed(node),
-                Ok(length) => self.on_bytes(node, &chunk[..length]),
+                Ok(0) => self.on_client_closed(context),
+                Ok(length) => self.on_bytes(context, &chunk[..length]),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     return Lifecycle::Continue
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => Lifecycle::Continue,
-                Err(_) => self.on_client_closed(node),
+                Err(_) => self.on_client_closed(context),
             };
             if lifecycle == Lifecycle::Close {
                 return Lifecycle::Close;
@@ -123,17 +123,17 @@
         Lifecycle::Continue
     }
 
-    fn on_bytes(&mut self, node: &mut Node, bytes: &[u8]) -> Lifecycle {
+    fn on_bytes(&mut self, context: &mut NodeContext, bytes: &[u8]) -> Lifecycle {
         match &mut self.state {
             State::ReadingFirstLine(reading) => {
                 reading.received.extend_from_slice(bytes);
-                self.on_first_line_bytes(node)
+                self.on_first_line_bytes(context)
             }
             // A client waits for its answer. One that does not sends what no server can read: guards against
             // commands by the hundred, and against a server that is blamed for closing on them.
             State::Waiting(_) => {
-                self.abandon_request(node);
-                self.reject_line(node, FirstLineError::MultipleLines)
+                self.abandon_request(context);
+                self.reject_line(context, FirstLineError::MultipleLines)
             }
             State::Closing(closing) => {
                 closing.drained_bytes += bytes.len();
@@ -147,7 +147,7 @@
         }
     }
 
-    fn on_first_line_bytes(&mut self, node: &mut Node) -> Lifecycle {
+    fn on_first_line_bytes(&mut self, context: &mut NodeContext) -> Lifecycle {
         let State::ReadingFirstLine(reading) = &mut self.state else {
             return Lifecycle::Continue;
         };
@@ -156,51 +156,53 @@
             return if received.len() < MAX_LINE_BYTES {
                 Lifecycle::Continue
             } else {
-                self.reject_line(node, FirstLineError::Unterminated)
+                self.reject_line(context, FirstLineError::Unterminated)
             };
         };
         let rest = received.split_off(line_end + 1);
         let line = std::mem::take(received);
-        let lifecycle = self.on_first_line(node, line);
+        let lifecycle = self.on_first_line(context, line);
         if lifecycle == Lifecycle::Continue && !rest.is_empty() {
-            return self.on_bytes(node, &rest);
+            return self.on_bytes(context, &rest);
         }
         lifecycle
     }
 
-    fn on_first_line(&mut self, node: &mut Node, line: Vec<u8>) -> Lifecycle {
-        match FirstLine::parse(&line, &node.config.classes) {
-            Ok(FirstLine::Ping) => self.answer_ping(node),
-            Ok(FirstLine::Open(open)) => self.on_open(node, open, line),
-            Err(error) => self.reject_line(node, error),
+    fn on_first_line(&mut self, context: &mut NodeContext, line: Vec<u8>) -> Lifecycle {
+        match FirstLine::parse(&line, &context.config.classes) {
+            Ok(FirstLine::Ping) => self.answer_ping(context),
+            Ok(FirstLine::Open(open)) => self.on_open(context, open, line),
+            Err(error) => self.reject_line(context, error),
         }
     }
 
     /// The front sends clients to this node once this is answered with `PONG`: only when they can be served.
-    fn answer_ping(&mut self, node: &mut Node) -> Lifecycle {
-        if node.serves().is_ok() {
-            self.answer(node, answer::PONG)
+    fn answer_ping(&mut self, context: &mut NodeContext) -> Lifecycle {
+        if context.serves().is_ok() {
+            self.answer(context, answer::PONG)
         } else {
-            self.answer(node, &answer::busy(Duration::ZERO))
+            self.answer(context, &answer::busy(Duration::ZERO))
         }
     }
 
-    fn reject_line(&mut self, node: &mut Node, error: FirstLineError) -> Lifecycle {
-        debug!(node.log, "first line rejected"; "reason" => %error);
-        self.answer(node, answer::ERROR)
+    fn reject_line(&mut self, context: &mut NodeContext, error: FirstLineError) -> Lifecycle {
+        debug!(context.log, "first line rejected"; "reason" => %error);
+        self.answer(context, answer::ERROR)
     }
 
     /// Sends this node's own answer; the request, if there is one, is over for this connection.
-    fn answer(&mut self, node: &mut Node, answer: &[u8]) -> Lifecycle {
+    fn answer(&mut self, context: &mut NodeContext, answer: &[u8]) -> Lifecycle {
         // The old entry among the unidentified connections goes before the new one comes, for both may have the same
         // key.
         self.state = State::Finished;
         self.state = State::Closing(Closing {
             unsent: answer.to_vec(),
             drained_bytes: 0,
-            _entry: add_unidentified(node, self.id, LINGER_TIMEOUT),
+            _entry: add_unidentified(context, self.id, LINGER_TIMEOUT),
         });
-        node.deadlines.clear(self.id, RESUME_RETRY);
+        context
+            .deadlines
+            .clear(self.id, ClientDeadline::RestoreRetry.into());
         self.write_answer()
     }
 
@@ -217,30 +219,50 @@
     }
 
     /// The client has closed: nothing is owed to it.
-    fn on_client_closed(&mut self, node: &mut Node) -> Lifecycle {
-        self.abandon_request(node);
+    fn on_client_closed(&mut self, context: &mut NodeContext) -> Lifecycle {
+        self.abandon_request(context);
         Lifecycle::Close
     }
 
+    fn on_command(&mut self, context: &mut NodeContext, command: ClientCommand) -> Lifecycle {
+        match command {
+            ClientCommand::StartAttempt(order) => self.on_start_attempt(context, &order),
+            ClientCommand::Reject(retry_after) => self.on_rejected(context, retry_after),
+            ClientCommand::Fail => self.on_failed(context),
+            ClientCommand::AttemptConnected(attempt) => self.on_attempt_connected(context, attempt),
+            ClientCommand::AttemptAccepted(accepted) => self.on_attempt_accepted(context, accepted),
+            ClientCommand::AttemptServed(line) => self.on_attempt_served(context, &line),
+            ClientCommand::RestoreFailed => self.on_restore_failed(context),
+            ClientCommand::Close => self.on_close(context),
+            ClientCommand::AnswerBeforeExit => self.on_exit(context),
+        }
+    }
+
     /// The connection has to close, because its time is up or its descriptor is needed: what has come of it by now is
     /// read first. Guards against closing a connection whose request is complete: its last byte may have come while
     /// this process was kept from reading.
-    fn on_expired(&mut self, node: &mut Node) -> Lifecycle {
-        if self.read(node) == Lifecycle::Close {
+    fn on_expired(&mut self, context: &mut NodeContext) -> Lifecycle {
+        if self.read(context) == Lifecycle::Close {
             return Lifecycle::Close;
         }
         match &self.state {
             State::ReadingFirstLine(reading) if reading.received.is_empty() => Lifecycle::Close,
-            State::ReadingFirstLine(_) => self.reject_line(node, FirstLineError::TimedOut),
+            State::ReadingFirstLine(_) => self.reject_line(context, FirstLineError::TimedOut),
             _ => Lifecycle::Continue,
         }
     }
 }
 
 /// Lists a connection as unidentified, until its expiry after `timeout`.
-fn add_unidentified(node: &mut Node, id: ComponentId, timeout: Duration) -> UnidentifiedEntry {
-    let entry = node.strangers.add(id, timeout);
-    node.deadlines.set(id, EXPIRY, entry.expires_at());
+fn add_unidentified(
+    context: &mut NodeContext,
+    id: ComponentId,
+    timeout: Duration,
+) -> UnidentifiedEntry {
+    let entry = context.unidentified_clients.add(id, timeout);
+    context
+        .deadlines
+        .set(id, ClientDeadline::Close.into(), entry.expires_at());
     entry
 }
 
@@ -260,7 +282,12 @@
 }
 
 impl Connection<NodeState> for ClientConnection {
-    fn on_ready(&mut self, node: &mut Node, _socket: usize, readiness: Readiness) -> Lifecycle {
+    fn on_ready(
+        &mut self,
+        context: &mut NodeContext,
+        _socket: usize,
+        readiness: Readiness,
+    ) -> Lifecycle {
         if self.is_in_transfer {
             return Lifecycle::Continue;
         }
@@ -269,35 +296,27 @@
             return Lifecycle::Close;
         }
         if readiness.readable {
-            self.read(node)
+            self.read(context)
         } else {
             Lifecycle::Continue
         }
     }
 
-    fn on_deadline(&mut self, node: &mut Node, kind: u64) -> Lifecycle {
+    fn on_deadline(&mut self, context: &mut NodeContext, kind: DeadlineKind) -> Lifecycle {
         match self.state {
             _ if self.is_in_transfer => Lifecycle::Continue,
-            State::ReadingFirstLine(_) => self.on_expired(node),
-            State::Waiting(_) if kind == RESUME_RETRY => self.on_resume_retry(node),
+            State::ReadingFirstLine(_) => self.on_expired(context),
+            State::Waiting(_) if kind == ClientDeadline::RestoreRetry.into() => {
+                self.on_restore_retry(context)
+            }
             _ => Lifecycle::Close,
         }
     }
 
-    fn on_message(&mut self, node: &mut Node, message: Message) -> Lifecycle {
+    fn on_message(&mut self, context: &mut NodeContext, message: Message) -> Lifecycle {
         match message {
-            Message::HandOver => self.transfer(node),
-            Message::Handed => Lifecycle::Close,
-            Message::Kept => self.on_transfer_refused(node),
-            Message::Close => self.on_close_requested(node),
-            Message::Try(order) => self.on_attempt_requested(node, &order),
-            Message::Connected(attempt) => self.on_attempt_connected(node, attempt),
-            Message::Refuse(retry_after) => self.on_rejected(node, retry_after),
-            Message::Fail => self.on_failed(node),
-            Message::Ending => self.on_shutdown(node),
-            Message::Up(established) => self.on_established(node, established),
-            Message::Ended(line) => self.on_served_at_once(node, &line),
-            Message::NotUp => self.on_resume_failed(node),
+            Message::Client(command) => self.on_command(context, command),
+            Message::Transfer(command) => self.on_transfer(context, command),
             _ => Lifecycle::Continue,
         }
     }
--- a/crates/node/src/client/connection/transfer.rs
+++ b/crates/node/src/client/connection/transfer.rs
@@ -1,8 +1,10 @@
 //! The transfer of clients without a complete first line from one process of the node to another.
 
-use super::{ClientConnection, State, EXPIRY, FIRST_LINE_TIMEOUT};
+use super::{ClientConnection, State, FIRST_LINE_TIMEOUT};
+use crate::command::TransferCommand;
+use crate::deadline::ClientDeadline;
 use crate::handoff::message::Said;
-use crate::state::Node;
+use crate::state::NodeContext;
 use lupincrank_reactor::{Interest, Lifecycle};
 use std::net::TcpStream;
 use std::os::fd::{AsFd, OwnedFd};
@@ -12,21 +14,33 @@
     /// Goes on with a client of another process whose first line is not complete yet: `received` is what has come of
     /// it, and `time_left` what the client may still take.
     pub(crate) fn resume_transferred(
-        node: &mut Node,
+        context: &mut NodeContext,
         socket: OwnedFd,
         received: Vec<u8>,
         time_left: Duration,
     ) {
-        let id = node.allocate_id();
+        let id = context.allocate_id();
         let stream = TcpStream::from(socket);
         let timeout = time_left.min(FIRST_LINE_TIMEOUT);
-        if let Ok(client) = ClientConnection::new(node, id, stream, received, timeout) {
-            node.register(id, Box::new(client));
+        if let Ok(client) = ClientConnection::new(context, id, stream, received, timeout) {
+            context.register(id, Box::new(client));
+        }
+    }
+
+    pub(super) fn on_transfer(
+        &mut self,
+        context: &mut NodeContext,
+        command: TransferCommand,
+    ) -> Lifecycle {
+        match command {
+            TransferCommand::Start => self.transfer(context),
+            TransferCommand::Completed => Lifecycle::Close,
+            TransferCommand::Cancelled => self.on_transfer_cancelled(context),
         }
     }
 
     /// Sends the connection to the process that replaces this one, if its first line is not complete yet.
-    pub(super) fn transfer(&mut self, node: &mut Node) -> Lifecycle {
+    fn transfer(&mut self, context: &mut NodeContext) -> Lifecycle {
         let (State::ReadingFirstLine(reading), Some(stream)) = (&self.state, &mut self.stream)
         else {
             return Lifecycle::Continue;
@@ -36,8 +50,8 @@
             .expires_at()
             .saturating_duration_since(Instant::now());
         let message = |number| Said::First(number, time_left.as_millis() as u64);
-        let sent = node
-            .upgrade
+        let sent = context
+            .handoff
             .hand(self.id, message, &reading.received, &[stream.as_fd()]);
         if matches!(sent, Ok(true)) {
             self.is_in_transfer = true;
@@ -47,11 +61,14 @@
     }
 
     /// The other process has not taken the connection: it goes on here.
-    pub(super) fn on_transfer_refused(&mut self, node: &mut Node) -> Lifecycle {
+    fn on_transfer_cancelled(&mut self, context: &mut NodeContext) -> Lifecycle {
         self.is_in_transfer = false;
         if let State::ReadingFirstLine(reading) = &self.state {
-            node.deadlines
-                .set(self.id, EXPIRY, reading.entry.expires_at());
+            context.deadlines.set(
+                self.id,
+                ClientDeadline::Close.into(),
+                reading.entry.expires_at(),
+            );
         }
         let Some(stream) = &mut self.stream else {
             return Lifecycle::Close;
--- a/crates/node/src/client/first_line.rs
+++ b/crates/node/src/client/first_line.rs
@@ -41,7 +41,7 @@
     RequestIdInUse,
     /// The line names a server that holds the connection, though this process began long ago.
     #[error("connection from before the start comes too late")]
-    ResumedTooLate,
+    RestoredTooLate,
 }
 
 /// The fields of an `OPEN` line that placement needs.
--- a/crates/node/src/client/listener.rs
+++ b/crates/node/src/client/listener.rs
@@ -1,7 +1,10 @@
 //! The listening socket for clients.
 
 use super::connection::ClientConnection;
-use crate::state::{Message, Node, NodeState, LISTENER};
+use crate::command::{ClientCommand, ListenerCommand, Message};
+use crate::component::WellKnownComponent;
+use crate::deadline::DeadlineKind;
+use crate::state::{NodeContext, NodeState};
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::{poller_key, Connection, Interest, Lifecycle, Readiness};
 use slog::warn;
@@ -24,15 +27,18 @@
     ///
     /// # Errors
     /// Where the address cannot be bound or the socket cannot be registered.
-    pub(crate) fn new(node: &Node, inherited: Option<TcpListener>) -> io::Result<Listener> {
+    pub(crate) fn new(
+        context: &NodeContext,
+        inherited: Option<TcpListener>,
+    ) -> io::Result<Listener> {
         let socket = match inherited {
             Some(socket) => socket,
-            None => poll::listen(node.config.listen)?,
+            None => poll::listen(context.config.listen)?,
         };
         let socket = Registered::new(
-            &node.poller,
+            &context.poller,
             socket,
-            poller_key(LISTENER, 0),
+            poller_key(WellKnownComponent::ClientListener.id(), 0),
             Interest::READ,
         )?;
         Ok(Listener {
@@ -42,10 +48,10 @@
     }
 
     /// Accepts what waits, up to the number of one turn.
-    fn accept_clients(&mut self, node: &mut Node) -> io::Result<()> {
-        for _ in 0..node.config.most_accepts() {
+    fn accept_clients(&mut self, context: &mut NodeContext) -> io::Result<()> {
+        for _ in 0..context.config.most_accepts() {
             match self.socket.accept() {
-                Ok((stream, _)) => accept_client(node, stream)?,
+                Ok((stream, _)) => accept_client(context, stream)?,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
                 // The client gave up while it waited to be accepted.
                 Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
@@ -56,70 +62,80 @@
     }
 
     /// Listens again, or pauses, as `is_paused` says.
-    fn apply_pause(&mut self, node: &mut Node) {
+    fn apply_pause(&mut self, context: &mut NodeContext) {
         let interest = Interest {
             readable: !self.is_paused,
             writable: false,
         };
         if let Err(error) = self.socket.set_interest(interest) {
-            warn!(node.log, "listener not resumed"; "error" => %error);
-            retry_later(node);
+            warn!(context.log, "listener not restored"; "error" => %error);
+            retry_later(context);
         }
     }
 }
 
-fn accept_client(node: &mut Node, stream: TcpStream) -> io::Result<()> {
+fn accept_client(context: &mut NodeContext, stream: TcpStream) -> io::Result<()> {
     stream.set_nonblocking(true)?;
     let _ = stream.set_nodelay(true);
-    ClientConnection::accept(node, stream)?;
-    close_excess_unidentified(node);
+    ClientConnection::accept(context, stream)?;
+    close_excess_unidentified(context);
     Ok(())
 }
 
 /// Closes the unidentified connections that expire first anyway when descriptors are needed. Guards against hundreds
 /// that connect and send nothing.
-fn close_excess_unidentified(node: &mut Node) {
-    let other = node.upgrade.other;
-    let max_unidentified = node
+fn close_excess_unidentified(context: &mut NodeContext) {
+    let other = context.handoff.other;
+    let max_unidentified = context
         .config
-        .most_strangers(node.clients.get() + other.clients);
-    while node.strangers.len() + other.strangers > max_unidentified {
-        let Some(id) = node.strangers.pop_first() else {
+        .most_strangers(context.client_count.get() + other.clients);
+    while context.unidentified_clients.len() + other.strangers > max_unidentified {
+        let Some(id) = context.unidentified_clients.pop_first() else {
             break;
         };
-        node.send(id, Message::Close);
+        context.send(id, ClientCommand::Close);
     }
 }
 
-fn retry_later(node: &mut Node) {
-    node.deadlines
-        .set(LISTENER, 0, Instant::now() + ACCEPT_BACKOFF);
+fn retry_later(context: &mut NodeContext) {
+    context.deadlines.set(
+        WellKnownComponent::ClientListener.id(),
+        DeadlineKind::ResumeAccepting,
+        Instant::now() + ACCEPT_BACKOFF,
+    );
 }
 
 impl Connection<NodeState> for Listener {
-    fn on_ready(&mut self, node: &mut Node, _socket: usize, _readiness: Readiness) -> Lifecycle {
-        if let Err(error) = self.accept_clients(node) {
+    fn on_ready(
+        &mut self,
+        context: &mut NodeContext,
+        _socket: usize,
+        _readiness: Readiness,
+    ) -> Lifecycle {
+        if let Err(error) = self.accept_clients(context) {
             // No descriptor is left: guards against a loop that spins on a listener that stays ready.
-            warn!(node.log, "accept failed"; "error" => %error);
+            warn!(context.log, "accept failed"; "error" => %error);
             if self.socket.set_interest(Interest::NONE).is_ok() {
-                retry_later(node);
+                retry_later(context);
             }
         }
         Lifecycle::Continue
     }
 
-    fn on_deadline(&mut self, node: &mut Node, _kind: u64) -> Lifecycle {
-        self.apply_pause(node);
+    fn on_deadline(&mut self, context: &mut NodeContext, _kind: DeadlineKind) -> Lifecycle {
+        self.apply_pause(context);
         Lifecycle::Continue
     }
 
-    fn on_message(&mut self, node: &mut Node, message: Message) -> Lifecycle {
-        match message {
-            Message::Rest => self.is_paused = true,
-            Message::Begin => self.is_paused = false,
-            _ => return Lifecycle::Continue,
-        }
-        self.apply_pause(node);
+    fn on_message(&mut self, context: &mut NodeContext, message: Message) -> Lifecycle {
+        let Message::Listener(command) = message else {
+            return Lifecycle::Continue;
+        };
+        self.is_paused = match command {
+            ListenerCommand::Pause => true,
+            ListenerCommand::Resume => false,
+        };
+        self.apply_pause(context);
         Lifecycle::Continue
     }
 }
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -2,7 +2,9 @@
 
 use super::is_local_resource_exhaustion;
 use super::server_line::{ServerLine, MAX_LINE_BYTES};
-use crate::state::{Message, Node, NodeState, Up};
+use crate::command::{AcceptedAttempt, AttemptCommand, ClientCommand, Message};
+use crate::deadline::{AttemptDeadline, DeadlineKind};
+use crate::state::{NodeContext, NodeState};
 use lupincrank_placement::{Outcome, RequestId};
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::unacknowledged::unacknowledged_bytes;
@@ -13,9 +15,6 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
-/// Deadlines: for the connection and for the server's first line.
-const CONNECT: u64 = 0;
-const RESPONSE: u64 = 1;
 /// What one turn of the loop reads of a server. Guards against an answer that never ends and keeps the others waiting.
 const MAX_BYTES_PER_TURN: usize = 16 << 10;
 const READ_CHUNK_BYTES: usize = 4 << 10;
@@ -33,7 +32,7 @@
     /// When to stop waiting.
     pub(crate) expires_at: Instant,
     /// The connection stood before this process began: how the attempt ends is reported to the owner, not to placement.
-    pub(crate) is_resumed: bool,
+    pub(crate) is_restored: bool,
 }
 
 /// How far an attempt has come.
@@ -62,7 +61,7 @@
 
 impl UpstreamAttempt {
     /// Begins an attempt. How it ends is reported, also where it cannot even begin.
-    pub(crate) fn begin(node: &mut Node, id: ComponentId, attempt: Attempt) {
+    pub(crate) fn begin(context: &mut NodeContext, id: ComponentId, attempt: Attempt) {
         let address = attempt.address;
         let mut connection = UpstreamAttempt {
             id,
@@ -72,29 +71,33 @@
             written: 0,
             received: Vec::new(),
         };
-        match poll::connect(&node.poller, address, poller_key(id, 0)) {
+        match poll::connect(&context.poller, address, poller_key(id, 0)) {
             Ok(stream) => {
                 connection.stream = Some(stream);
-                connection.set_deadlines(node);
-                node.register(id, Box::new(connection));
+                connection.set_deadlines(context);
+                context.register(id, Box::new(connection));
             }
             Err(error) => {
-                debug!(node.log, "connect failed"; "address" => %address, "error" => %error);
+                debug!(context.log, "connect failed"; "address" => %address, "error" => %error);
                 let outcome = if is_local_resource_exhaustion(&error) {
                     Outcome::NotSent
                 } else {
                     Outcome::ConnectFailed
                 };
-                connection.end(node, outcome);
+                connection.end(context, outcome);
             }
         }
     }
 
-    fn set_deadlines(&self, node: &mut Node) {
+    fn set_deadlines(&self, context: &mut NodeContext) {
         let expires_at = self.attempt.expires_at;
-        let connect_by = expires_at.min(Instant::now() + node.config.connect_timeout);
-        node.deadlines.set(self.id, CONNECT, connect_by);
-        node.deadlines.set(self.id, RESPONSE, expires_at);
+        let connect_by = expires_at.min(Instant::now() + context.config.connect_timeout);
+        context
+            .deadlines
+            .set(self.id, AttemptDeadline::Connect.into(), connect_by);
+        context
+            .deadlines
+            .set(self.id, AttemptDeadline::Answer.into(), expires_at);
     }
 
     fn is_line_written(&self) -> bool {
@@ -102,14 +105,16 @@
     }
 
     /// Closes the connection, then reports how the attempt ended: the next one must not begin before.
-    fn end(&mut self, node: &mut Node, outcome: Outcome) -> Lifecycle {
-        debug!(node.log, "attempt ended"; "request" => format!("{:016x}", self.attempt.request.0),
+    fn end(&mut self, context: &mut NodeContext, outcome: Outcome) -> Lifecycle {
+        debug!(context.log, "attempt ended"; "request" => format!("{:016x}", self.attempt.request.0),
             "address" => %self.attempt.address, "outcome" => ?outcome);
         self.close();
-        if self.attempt.is_resumed {
-            node.send(self.attempt.owner, Message::NotUp);
+        if self.attempt.is_restored {
+            context.send(self.attempt.owner, ClientCommand::RestoreFailed);
         } else {
-            node.core.try_ended(self.attempt.request, outcome, false);
+            context
+                .placement
+                .try_ended(self.attempt.request, outcome, false);
         }
         Lifecycle::Close
     }
@@ -137,17 +142,17 @@
     }
 
     /// Goes on with connecting and writing, as far as the phase and the socket allow.
-    fn advance(&mut self, node: &mut Node) -> Lifecycle {
-        match self.try_advance(node) {
+    fn advance(&mut self, context: &mut NodeContext) -> Lifecycle {
+        match self.try_advance(context) {
             Ok(()) => Lifecycle::Continue,
             Err(error) => {
-                debug!(node.log, "send failed"; "address" => %self.attempt.address, "error" => %error);
-                self.end(node, self.outcome_of_break())
+                debug!(context.log, "send failed"; "address" => %self.attempt.address, "error" => %error);
+                self.end(context, self.outcome_of_break())
             }
         }
     }
 
-    fn try_advance(&mut self, node: &mut Node) -> io::Result<()> {
+    fn try_advance(&mut self, context: &mut NodeContext) -> io::Result<()> {
         let Some(stream) = &mut self.stream else {
             return Ok(());
         };
@@ -156,13 +161,15 @@
                 return Err(error);
             }
             self.phase = Phase::Connected;
-            node.deadlines.clear(self.id, CONNECT);
+            context
+                .deadlines
+                .clear(self.id, AttemptDeadline::Connect.into());
         }
         // Connecting may have taken long: whether the client still waits is seen first. The owner looks before the
         // next event; nothing is waited for meanwhile. Guards against a loop that spins on a writable socket.
         if self.phase == Phase::Connected {
             self.phase = Phase::AwaitingOwner;
-            node.send(self.attempt.owner, Message::Connected(self.id));
+            context.send(self.attempt.owner, ClientCommand::AttemptConnected(self.id));
         }
         if self.phase == Phase::AwaitingOwner {
             return stream.set_interest(Interest::READ);
@@ -194,19 +201,19 @@
     /// The client still waits: the first line is written, unless placement refuses to send new requests to the server by
     /// now, which may have begun to drain while the connection was made. A connection that stood there before is no new
     /// one.
-    fn on_send_permitted(&mut self, node: &mut Node) -> Lifecycle {
+    fn on_send_first_line(&mut self, context: &mut NodeContext) -> Lifecycle {
         self.phase = Phase::Sending;
-        let is_new = self.written == 0 && !self.attempt.is_resumed;
-        if is_new && !node.core.may_send(self.attempt.request) {
-            return self.end(node, Outcome::ClosedBeforeSend);
+        let is_new = self.written == 0 && !self.attempt.is_restored;
+        if is_new && !context.placement.may_send(self.attempt.request) {
+            return self.end(context, Outcome::ClosedBeforeSend);
         }
-        self.advance(node)
+        self.advance(context)
     }
 }
 
 /// Reading what the server answers.
 impl UpstreamAttempt {
-    fn read(&mut self, node: &mut Node) -> Lifecycle {
+    fn read(&mut self, context: &mut NodeContext) -> Lifecycle {
         let mut chunk = [0; READ_CHUNK_BYTES];
         let mut read_bytes = 0;
         while read_bytes < MAX_BYTES_PER_TURN {
@@ -214,7 +221,7 @@
                 return Lifecycle::Continue;
             };
             match stream.read(&mut chunk) {
-                Ok(0) => return self.end(node, self.outcome_of_break()),
+                Ok(0) => return self.end(context, self.outcome_of_break()),
                 Ok(length) => {
                     read_bytes += length;
                     self.received.extend_from_slice(&chunk[..length]);
@@ -223,29 +230,29 @@
                     return Lifecycle::Continue
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => return self.end(node, self.outcome_of_break()),
+                Err(_) => return self.end(context, self.outcome_of_break()),
             }
-            if self.process_lines(node) == Lifecycle::Close {
+            if self.process_lines(context) == Lifecycle::Close {
                 return Lifecycle::Close;
             }
         }
         Lifecycle::Continue
     }
 
-    fn process_lines(&mut self, node: &mut Node) -> Lifecycle {
+    fn process_lines(&mut self, context: &mut NodeContext) -> Lifecycle {
         while let Some(line_end) = self.received.iter().position(|byte| *byte == b'\n') {
-            if self.on_line(node, line_end) == Lifecycle::Close {
+            if self.on_line(context, line_end) == Lifecycle::Close {
                 return Lifecycle::Close;
             }
         }
         if self.received.len() > MAX_LINE_BYTES {
-            return self.end(node, Outcome::Error);
+            return self.end(context, Outcome::Error);
         }
         Lifecycle::Continue
     }
 
     /// Handles the first line of `received`, whose line feed is at `line_end`.
-    fn on_line(&mut self, node: &mut Node, line_end: usize) -> Lifecycle {
+    fn on_line(&mut self, context: &mut NodeContext, line_end: usize) -> Lifecycle {
         let content = &self.received[..line_end];
         let is_well_formed = content.ends_with(b"\r") && line_end < MAX_LINE_BYTES;
         let line = ServerLine::parse(content);
@@ -255,48 +262,48 @@
             let _ = set_reset_on_close(stream, ResetOnClose::Off);
         }
         match line {
-            _ if !is_well_formed => self.end(node, Outcome::Error),
-            ServerLine::Up => self.on_established(node),
-            ServerLine::Bye => self.on_served(node, line_end),
+            _ if !is_well_formed => self.end(context, Outcome::Error),
+            ServerLine::Up => self.on_accepted(context),
+            ServerLine::Bye => self.on_served(context, line_end),
             // A load reported before the answer is of no use to anyone yet.
             ServerLine::Load(_) => {
                 self.received.drain(..=line_end);
                 Lifecycle::Continue
             }
-            ServerLine::Busy => self.end(node, Outcome::Rejected),
-            ServerLine::Move => self.end(node, Outcome::Cancelled),
-            ServerLine::SyntaxError if !self.attempt.is_resumed => self.on_syntax_error(node),
+            ServerLine::Busy => self.end(context, Outcome::Rejected),
+            ServerLine::Move => self.end(context, Outcome::Cancelled),
+            ServerLine::SyntaxError if !self.attempt.is_restored => self.on_syntax_error(context),
             ServerLine::Error | ServerLine::SyntaxError | ServerLine::Unknown => {
-                self.end(node, Outcome::Error)
+                self.end(context, Outcome::Error)
             }
         }
     }
 
     /// The server has accepted the request: the socket and what has come on it go to the owner.
-    fn on_established(&mut self, node: &mut Node) -> Lifecycle {
+    fn on_accepted(&mut self, context: &mut NodeContext) -> Lifecycle {
         if let Some(stream) = self.stream.take() {
-            let established = Up {
+            let accepted = AcceptedAttempt {
                 request: self.attempt.request,
                 stream,
                 bytes: std::mem::take(&mut self.received),
             };
-            node.send(self.attempt.owner, Message::Up(established));
+            context.send(self.attempt.owner, ClientCommand::AttemptAccepted(accepted));
         }
         Lifecycle::Close
     }
 
     /// The server has served the request to its end at once.
-    fn on_served(&mut self, node: &mut Node, line_end: usize) -> Lifecycle {
+    fn on_served(&mut self, context: &mut NodeContext, line_end: usize) -> Lifecycle {
         let line = self.received[..=line_end].to_vec();
         self.stream = None;
-        node.send(self.attempt.owner, Message::Ended(line));
+        context.send(self.attempt.owner, ClientCommand::AttemptServed(line));
         Lifecycle::Close
     }
 
     /// The server could not parse the first line, which is the client's fault.
-    fn on_syntax_error(&mut self, node: &mut Node) -> Lifecycle {
+    fn on_syntax_error(&mut self, context: &mut NodeContext) -> Lifecycle {
         self.stream = None;
-        node.core.unreadable(self.attempt.request);
+        context.placement.unreadable(self.attempt.request);
         Lifecycle::Close
     }
 }
@@ -320,20 +327,25 @@
 }
 
 impl Connection<NodeState> for UpstreamAttempt {
-    fn on_ready(&mut self, node: &mut Node, _socket: usize, readiness: Readiness) -> Lifecycle {
-        if !self.is_line_written() && self.advance(node) == Lifecycle::Close {
+    fn on_ready(
+        &mut self,
+        context: &mut NodeContext,
+        _socket: usize,
+        readiness: Readiness,
+    ) -> Lifecycle {
+        if !self.is_line_written() && self.advance(context) == Lifecycle::Close {
             return Lifecycle::Close;
         }
         if readiness.readable {
-            self.read(node)
+            self.read(context)
         } else {
             Lifecycle::Continue
         }
     }
 
-    fn on_deadline(&mut self, node: &mut Node, _kind: u64) -> Lifecycle {
+    fn on_deadline(&mut self, context: &mut NodeContext, _kind: DeadlineKind) -> Lifecycle {
         // The answer may have come while this process was kept from reading it.
-        if self.phase != Phase::Connecting && self.read(node) == Lifecycle::Close {
+        if self.phase != Phase::Connecting && self.read(context) == Lifecycle::Close {
             return Lifecycle::Close;
         }
         let outcome = if self.is_line_written() {
@@ -341,17 +353,19 @@
         } else {
             Outcome::ConnectFailed
         };
-        self.end(node, outcome)
+        self.end(context, outcome)
     }
 
-    fn on_message(&mut self, node: &mut Node, message: Message) -> Lifecycle {
-        match message {
-            Message::Close => {
+    fn on_message(&mut self, context: &mut NodeContext, message: Message) -> Lifecycle {
+        let Message::Attempt(command) = message else {
+            return Lifecycle::Continue;
+        };
+        match command {
+            AttemptCommand::SendFirstLine => self.on_send_first_line(context),
+            AttemptCommand::Close => {
                 self.close();
                 Lifecycle::Close
             }
-            Message::Send => self.on_send_permitted(node),
-            _ => Lifecycle::Continue,
         }
     }
 }
--- a/crates/node/src/upstream/health_check.rs
+++ b/crates/node/src/upstream/health_check.rs
@@ -3,7 +3,9 @@
 
 use super::is_local_resource_exhaustion;
 use super::server_line::parse_figure;
-use crate::state::{Message, Node, NodeState};
+use crate::command::{HealthCheckCommand, Message};
+use crate::deadline::{DeadlineKind, HealthCheckDeadline};
+use crate::state::{NodeContext, NodeState};
 use lupincrank_placement::ServerId;
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::{poller_key, ComponentId, Connection, Interest, Lifecycle, Readiness};
@@ -20,9 +22,6 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a connection stays open without a check.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Deadlines: for the connection; for the response, or the next check.
-const CONNECT: u64 = 0;
-const RESPONSE_OR_IDLE: u64 = 1;
 
 /// The open connections for health checks, one per server at the most.
 #[derive(Default)]
@@ -72,22 +71,22 @@
 
 /// Checks a server's health; placement is told the result. Where too many servers are checked at once this one is left
 /// out, and counts as passed without a report.
-pub(crate) fn check(node: &mut Node, server: ServerId, address: SocketAddr) {
-    let open = node.probes.connections.get(&server).copied();
+pub(crate) fn check(context: &mut NodeContext, server: ServerId, address: SocketAddr) {
+    let open = context.health_checks.connections.get(&server).copied();
     match open {
         Some(open) if open.address == address => {
-            return node.send(open.connection, Message::Probe);
+            return context.send(open.connection, HealthCheckCommand::Check);
         }
-        Some(open) => node.send(open.connection, Message::Close),
-        None if node.probes.connections.len() >= node.config.most_probes() => {
-            return node.core.probed(&server, true, None);
+        Some(open) => context.send(open.connection, HealthCheckCommand::Close),
+        None if context.health_checks.connections.len() >= context.config.most_probes() => {
+            return context.placement.probed(&server, true, None);
         }
         None => {}
     }
-    if let Err(error) = HealthCheckConnection::open(node, &server, address) {
-        debug!(node.log, "health check not started"; "server" => &*server.0, "error" => %error);
+    if let Err(error) = HealthCheckConnection::open(context, &server, address) {
+        debug!(context.log, "health check not started"; "server" => &*server.0, "error" => %error);
         let has_passed = is_local_resource_exhaustion(&error);
-        node.core.probed(&server, has_passed, None);
+        context.placement.probed(&server, has_passed, None);
     }
 }
 
@@ -113,19 +112,29 @@
 
 impl HealthCheckConnection {
     /// Connects to a server and begins the first check.
-    fn open(node: &mut Node, server: &ServerId, address: SocketAddr) -> io::Result<()> {
-        let id = node.allocate_id();
-        let stream = poll::connect(&node.poller, address, poller_key(id, 0))?;
+    fn open(context: &mut NodeContext, server: &ServerId, address: SocketAddr) -> io::Result<()> {
+        let id = context.allocate_id();
+        let stream = poll::connect(&context.poller, address, poller_key(id, 0))?;
         let now = Instant::now();
-        let connect_timeout = node.config.connect_timeout.min(RESPONSE_TIMEOUT);
-        node.deadlines.set(id, CONNECT, now + connect_timeout);
-        node.deadlines
-            .set(id, RESPONSE_OR_IDLE, now + RESPONSE_TIMEOUT);
+        let connect_timeout = context.config.connect_timeout.min(RESPONSE_TIMEOUT);
+        context.deadlines.set(
+            id,
+            HealthCheckDeadline::Connect.into(),
+            now + connect_timeout,
+        );
+        context.deadlines.set(
+            id,
+            HealthCheckDeadline::Answer.into(),
+            now + RESPONSE_TIMEOUT,
+        );
         let checked = CheckedServer {
             connection: id,
             address,
         };
-        node.probes.connections.insert(server.clone(), checked);
+        context
+            .health_checks
+            .connections
+            .insert(server.clone(), checked);
         let connection = HealthCheckConnection {
             id,
             server: server.clone(),
@@ -134,49 +143,51 @@
             check: CheckState::Pending { written: 0 },
             received: Vec::new(),
         };
-        node.register(id, Box::new(connection));
+        context.register(id, Box::new(connection));
         Ok(())
     }
 
     /// Closes the connection; a check that is under way has failed.
-    fn end(&mut self, node: &mut Node) -> Lifecycle {
-        let connections = &mut node.probes.connections;
+    fn end(&mut self, context: &mut NodeContext) -> Lifecycle {
+        let connections = &mut context.health_checks.connections;
         let open = connections.get(&self.server);
         if open.is_some_and(|open| open.connection == self.id) {
             connections.remove(&self.server);
         }
         if self.check != CheckState::Idle {
             self.check = CheckState::Idle;
-            debug!(node.log, "health check failed"; "server" => &*self.server.0);
-            node.core.probed(&self.server, false, None);
+            debug!(context.log, "health check failed"; "server" => &*self.server.0);
+            context.placement.probed(&self.server, false, None);
         }
         Lifecycle::Close
     }
 
-    fn continue_or_end(&mut self, node: &mut Node, result: io::Result<()>) -> Lifecycle {
+    fn continue_or_end(&mut self, context: &mut NodeContext, result: io::Result<()>) -> Lifecycle {
         match result {
             Ok(()) => Lifecycle::Continue,
-            Err(_) => self.end(node),
+            Err(_) => self.end(context),
         }
     }
 
-    fn on_io(&mut self, node: &mut Node, readiness: Readiness) -> io::Result<()> {
+    fn on_io(&mut self, context: &mut NodeContext, readiness: Readiness) -> io::Result<()> {
         if readiness.writable {
-            self.write(node)?;
+            self.write(context)?;
         }
         if readiness.readable {
-            self.read(node)?;
+            self.read(context)?;
         }
         Ok(())
     }
 
-    fn write(&mut self, node: &mut Node) -> io::Result<()> {
+    fn write(&mut self, context: &mut NodeContext) -> io::Result<()> {
         if !self.is_connected {
             if let Some(error) = self.stream.take_error()? {
                 return Err(error);
             }
             self.is_connected = true;
-            node.deadlines.clear(self.id, CONNECT);
+            context
+                .deadlines
+                .clear(self.id, HealthCheckDeadline::Connect.into());
         }
         if let CheckState::Pending { written } = &mut self.check {
             while *written < REQUEST_LINE.len() {
@@ -193,7 +204,7 @@
     }
 
     /// Reads what has come; an error closes the connection.
-    fn read(&mut self, node: &mut Node) -> io::Result<()> {
+    fn read(&mut self, context: &mut NodeContext) -> io::Result<()> {
         let mut chunk = [0; MAX_RESPONSE_BYTES];
         match self.stream.read(&mut chunk) {
             Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
@@ -203,7 +214,7 @@
             Err(error) => return Err(error),
         }
         if let Some(line_end) = self.received.iter().position(|byte| *byte == b'\n') {
-            self.on_response(node, line_end)?;
+            self.on_response(context, line_end)?;
         }
         let max_received = match self.check {
             CheckState::Idle => 0,
@@ -216,58 +227,72 @@
     }
 
     /// Takes the response, whose line feed is at `line_end`; one that was not asked for is an error.
-    fn on_response(&mut self, node: &mut Node, line_end: usize) -> io::Result<()> {
+    fn on_response(&mut self, context: &mut NodeContext, line_end: usize) -> io::Result<()> {
         if self.check == CheckState::Idle {
             return Err(io::ErrorKind::InvalidData.into());
         }
         self.check = CheckState::Idle;
         let line: Vec<u8> = self.received.drain(..=line_end).collect();
         let text = String::from_utf8_lossy(&line);
-        let response = HealthCheckResponse::parse(text.trim_end(), &node.config.report_fields);
-        debug!(node.log, "health check completed"; "server" => &*self.server.0,
+        let response = HealthCheckResponse::parse(text.trim_end(), &context.config.report_fields);
+        debug!(context.log, "health check completed"; "server" => &*self.server.0,
             "passed" => response.has_passed, "report" => ?response.load_report);
-        node.deadlines
-            .set(self.id, RESPONSE_OR_IDLE, Instant::now() + IDLE_TIMEOUT);
-        node.core
+        context.deadlines.set(
+            self.id,
+            HealthCheckDeadline::Answer.into(),
+            Instant::now() + IDLE_TIMEOUT,
+        );
+        context
+            .placement
             .probed(&self.server, response.has_passed, response.load_report);
         Ok(())
     }
 
     /// Begins another check, unless one is under way.
-    fn on_check_requested(&mut self, node: &mut Node) -> Lifecycle {
+    fn on_check(&mut self, context: &mut NodeContext) -> Lifecycle {
         if self.check != CheckState::Idle {
             return Lifecycle::Continue;
         }
         self.check = CheckState::Pending { written: 0 };
-        node.deadlines
-            .set(self.id, RESPONSE_OR_IDLE, Instant::now() + RESPONSE_TIMEOUT);
-        let result = self.write(node);
-        self.continue_or_end(node, result)
+        context.deadlines.set(
+            self.id,
+            HealthCheckDeadline::Answer.into(),
+            Instant::now() + RESPONSE_TIMEOUT,
+        );
+        let result = self.write(context);
+        self.continue_or_end(context, result)
     }
 
     /// The server has another address, where it is checked by another connection; a check that is under way here counts
     /// for nothing.
-    fn on_replaced(&mut self, node: &mut Node) -> Lifecycle {
+    fn on_close(&mut self, context: &mut NodeContext) -> Lifecycle {
         self.check = CheckState::Idle;
-        self.end(node)
+        self.end(context)
     }
 }
 
 impl Connection<NodeState> for HealthCheckConnection {
-    fn on_ready(&mut self, node: &mut Node, _socket: usize, readiness: Readiness) -> Lifecycle {
-        let result = self.on_io(node, readiness);
-        self.continue_or_end(node, result)
+    fn on_ready(
+        &mut self,
+        context: &mut NodeContext,
+        _socket: usize,
+        readiness: Readiness,
+    ) -> Lifecycle {
+        let result = self.on_io(context, readiness);
+        self.continue_or_end(context, result)
     }
 
-    fn on_deadline(&mut self, node: &mut Node, _kind: u64) -> Lifecycle {
-        self.end(node)
+    fn on_deadline(&mut self, context: &mut NodeContext, _kind: DeadlineKind) -> Lifecycle {
+        self.end(context)
     }
 
-    fn on_message(&mut self, node: &mut Node, message: Message) -> Lifecycle {
-        match message {
-            Message::Probe => self.on_check_requested(node),
-            Message::Close => self.on_replaced(node),
-            _ => Lifecycle::Continue,
+    fn on_message(&mut self, context: &mut NodeContext, message: Message) -> Lifecycle {
+        let Message::HealthCheck(command) = message else {
+            return Lifecycle::Continue;
+        };
+        match command {
+            HealthCheckCommand::Check => self.on_check(context),
+            HealthCheckCommand::Close => self.on_close(context),
         }
     }
 }
--- a/crates/node/src/upstream/relay.rs
+++ b/crates/node/src/upstream/relay.rs
@@ -6,7 +6,9 @@
 use super::byte_buffer::ByteBuffer;
 use super::server_line::{ServerLine, MAX_LINE_BYTES};
 use crate::client::ClientSlot;
-use crate::state::{Message, Node, NodeState, Up};
+use crate::command::{AcceptedAttempt, Message, RelayCommand};
+use crate::deadline::DeadlineKind;
+use crate::state::{NodeContext, NodeState};
 use lupincrank_placement::{Outcome, RequestId};
 use lupincrank_reactor::poll::Registered;
 use lupincrank_reactor::{poller_key, ComponentId, Connection, Interest, Lifecycle, Readiness};
@@ -25,8 +27,6 @@
 const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
 /// A server that closes so soon after a line that it did not answer could not parse the line.
 const SYNTAX_ERROR_WINDOW: Duration = Duration::from_millis(250);
-/// The relay's only deadline.
-const CLOSE: u64 = 0;
 /// What a client is sent that is to connect again elsewhere.
 const MOVE_LINE: &[u8] = b"MOVE\r\n";
 
@@ -89,30 +89,30 @@
 impl Relay {
     /// Takes both sockets and passes on what has already come from the server.
     pub(crate) fn begin(
-        node: &mut Node,
+        context: &mut NodeContext,
         id: ComponentId,
         slot: ClientSlot,
         client: Registered<TcpStream>,
-        established: Up,
+        accepted: AcceptedAttempt,
     ) {
-        let mut server = established.stream;
+        let mut server = accepted.stream;
         let rekeyed = server.rekey(poller_key(id, Side::Server.socket()));
-        let mut relay = Relay::new(node, id, slot, established.request, client, server);
+        let mut relay = Relay::new(context, id, slot, accepted.request, client, server);
         if rekeyed.is_err() {
-            relay.report_outcome(node, Outcome::Reset);
+            relay.report_outcome(context, Outcome::Reset);
             return;
         }
-        relay.on_server_bytes(node, &established.bytes, NextServerLine::Acceptance);
-        if relay.pump(node) == Lifecycle::Continue {
-            if node.upgrade.handing() {
-                node.upgrade.enqueue([id]);
+        relay.on_server_bytes(context, &accepted.bytes, NextServerLine::Acceptance);
+        if relay.pump(context) == Lifecycle::Continue {
+            if context.handoff.handing() {
+                context.handoff.enqueue([id]);
             }
-            node.register(id, Box::new(relay));
+            context.register(id, Box::new(relay));
         }
     }
 
     fn new(
-        node: &Node,
+        context: &NodeContext,
         id: ComponentId,
         slot: ClientSlot,
         request: RequestId,
@@ -126,7 +126,7 @@
             server: Some(server),
             to_server: ByteBuffer::default(),
             to_client: ByteBuffer::default(),
-            max_pending_bytes: node.config.most_held(),
+            max_pending_bytes: context.config.most_held(),
             partial_line: Vec::new(),
             last_server_line: ServerLine::Unknown,
             is_outcome_reported: false,
@@ -136,16 +136,18 @@
     }
 
     /// Reports to placement how the request ended; only the first report counts.
-    fn report_outcome(&mut self, node: &mut Node, outcome: Outcome) {
+    fn report_outcome(&mut self, context: &mut NodeContext, outcome: Outcome) {
         if self.is_outcome_reported {
             return;
         }
         self.is_outcome_reported = true;
-        node.core.try_ended(self.request, outcome, true);
+        context.placement.try_ended(self.request, outcome, true);
     }
 
-    fn set_close_deadline(&self, node: &mut Node, timeout: Duration) {
-        node.deadlines.set(self.id, CLOSE, Instant::now() + timeout);
+    fn set_close_deadline(&self, context: &mut NodeContext, timeout: Duration) {
+        context
+            .deadlines
+            .set(self.id, DeadlineKind::RelayClose, Instant::now() + timeout);
     }
 }
 
@@ -167,7 +169,7 @@
         !buffer.has_ended() && buffer.pending().len() < self.max_pending_bytes
     }
 
-    fn read(&mut self, node: &mut Node, side: Side) -> Lifecycle {
+    fn read(&mut self, context: &mut NodeContext, side: Side) -> Lifecycle {
         let mut chunk = [0; READ_CHUNK_BYTES];
         let mut read_bytes = 0;
         while read_bytes < MAX_BYTES_PER_TURN {
@@ -178,46 +180,51 @@
             if !can_read {
                 // An event that was not asked for: the connection broke, or there is none any more.
                 return match stream.take_error() {
-                    Ok(None) => self.pump(node),
-                    _ => self.on_broken(node, side),
+                    Ok(None) => self.pump(context),
+                    _ => self.on_broken(context, side),
                 };
             }
             match stream.read(&mut chunk) {
                 Ok(0) => {
-                    self.on_end_of_stream(node, side);
+                    self.on_end_of_stream(context, side);
                     break;
                 }
                 Ok(length) => {
                     read_bytes += length;
-                    self.on_bytes(node, side, &chunk[..length]);
+                    self.on_bytes(context, side, &chunk[..length]);
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => return self.on_broken(node, side),
+                Err(_) => return self.on_broken(context, side),
             }
         }
-        self.pump(node)
+        self.pump(context)
     }
 
-    fn on_bytes(&mut self, node: &mut Node, side: Side, bytes: &[u8]) {
+    fn on_bytes(&mut self, context: &mut NodeContext, side: Side, bytes: &[u8]) {
         match side {
-            Side::Client => self.on_client_bytes(node, bytes),
-            Side::Server => self.on_server_bytes(node, bytes, NextServerLine::Reply),
+            Side::Client => self.on_client_bytes(context, bytes),
+            Side::Server => self.on_server_bytes(context, bytes, NextServerLine::Reply),
         }
     }
 
-    fn on_client_bytes(&mut self, node: &mut Node, bytes: &[u8]) {
+    fn on_client_bytes(&mut self, context: &mut NodeContext, bytes: &[u8]) {
         // What a client sends that was told to move is dropped.
         if self.server.is_none() {
             return;
         }
         self.to_server.push(bytes);
         for _ in bytes.iter().filter(|byte| **byte == b'\n') {
-            node.core.line_sent(self.request);
+            context.placement.line_sent(self.request);
         }
     }
 
-    fn on_server_bytes(&mut self, node: &mut Node, bytes: &[u8], next_line: NextServerLine) {
+    fn on_server_bytes(
+        &mut self,
+        context: &mut NodeContext,
+        bytes: &[u8],
+        next_line: NextServerLine,
+    ) {
         let mut next_line = next_line;
         let mut complete_bytes = 0;
         self.partial_line.extend_from_slice(bytes);
@@ -225,8 +232,8 @@
             let line_end = complete_bytes + length;
             self.last_server_line = ServerLine::parse(&self.partial_line[complete_bytes..line_end]);
             match (self.last_server_line, next_line) {
-                (ServerLine::Load(load), _) => node.core.load_line(self.request, load),
-                (_, NextServerLine::Reply) => node.core.line_returned(self.request),
+                (ServerLine::Load(load), _) => context.placement.load_line(self.request, load),
+                (_, NextServerLine::Reply) => context.placement.line_returned(self.request),
                 (_, NextServerLine::Acceptance) => next_line = NextServerLine::Reply,
             }
             complete_bytes = line_end;
@@ -240,13 +247,13 @@
     }
 
     /// Writes what is pending, sets what is waited for, and says whether anything is left to do.
-    fn pump(&mut self, node: &mut Node) -> Lifecycle {
+    fn pump(&mut self, context: &mut NodeContext) -> Lifecycle {
         if self.to_client.write_to(&mut self.client).is_err() {
-            return self.on_broken(node, Side::Client);
+            return self.on_broken(context, Side::Client);
         }
         if let Some(server) = &mut self.server {
             if self.to_server.write_to(server).is_err() {
-                return self.on_broken(node, Side::Server);
+                return self.on_broken(context, Side::Server);
             }
         }
         if self.is_complete() {
@@ -254,7 +261,7 @@
         }
         match self.update_interests() {
             Ok(()) => Lifecycle::Continue,
-            Err(_) => self.on_broken(node, Side::Client),
+            Err(_) => self.on_broken(context, Side::Client),
         }
     }
 
@@ -290,8 +297,8 @@
 impl Relay {
     /// The outcome of a server's close that it did not announce. Replies come at once, so if a line has just gone out it
     /// was that one that the server could not parse: guards against blaming it for what a client sends.
-    fn outcome_of_server_close(&self, node: &Node) -> Outcome {
-        let sent_at = node.core.oldest_line(self.request);
+    fn outcome_of_server_close(&self, context: &NodeContext) -> Outcome {
+        let sent_at = context.placement.oldest_line(self.request);
         if sent_at.is_some_and(|sent_at| sent_at.elapsed() < SYNTAX_ERROR_WINDOW) {
             Outcome::Cancelled
         } else {
@@ -300,18 +307,18 @@
     }
 
     /// One side was reset: the other one is reset too, after what it can still take at once.
-    fn on_broken(&mut self, node: &mut Node, side: Side) -> Lifecycle {
+    fn on_broken(&mut self, context: &mut NodeContext, side: Side) -> Lifecycle {
         match side {
             Side::Client => {
-                self.report_outcome(node, Outcome::Cancelled);
+                self.report_outcome(context, Outcome::Cancelled);
                 if let Some(server) = &mut self.server {
                     let _ = self.to_server.write_to(server);
                     reset_on_close(server);
                 }
             }
             Side::Server => {
-                let outcome = self.outcome_of_server_close(node);
-                self.report_outcome(node, outcome);
+                let outcome = self.outcome_of_server_close(context);
+                self.report_outcome(context, outcome);
                 let _ = self.to_client.write_to(&mut self.client);
                 reset_on_close(&self.client);
             }
@@ -320,40 +327,40 @@
     }
 
     /// One side has ended its sending: the other learns of it behind all that was sent.
-    fn on_end_of_stream(&mut self, node: &mut Node, side: Side) {
+    fn on_end_of_stream(&mut self, context: &mut NodeContext, side: Side) {
         match side {
-            Side::Client => self.on_client_end(node),
-            Side::Server => self.on_server_end(node),
+            Side::Client => self.on_client_end(context),
+            Side::Server => self.on_server_end(context),
         }
     }
 
-    fn on_client_end(&mut self, node: &mut Node) {
+    fn on_client_end(&mut self, context: &mut NodeContext) {
         let timeout = if self.server.is_some() {
             HALF_CLOSED_TIMEOUT
         } else {
             LINGER_TIMEOUT
         };
-        self.set_close_deadline(node, timeout);
+        self.set_close_deadline(context, timeout);
         self.to_server.end();
-        self.report_outcome(node, Outcome::Cancelled);
+        self.report_outcome(context, Outcome::Cancelled);
     }
 
-    fn on_server_end(&mut self, node: &mut Node) {
+    fn on_server_end(&mut self, context: &mut NodeContext) {
         self.to_client.push(&self.partial_line);
         self.partial_line.clear();
         self.to_client.end();
-        self.set_close_deadline(node, LINGER_TIMEOUT);
+        self.set_close_deadline(context, LINGER_TIMEOUT);
         let outcome = match self.last_server_line {
             ServerLine::Bye => Outcome::Served,
             ServerLine::Move => Outcome::Cancelled,
             ServerLine::Error => Outcome::Error,
-            _ => self.outcome_of_server_close(node),
+            _ => self.outcome_of_server_close(context),
         };
-        self.report_outcome(node, outcome);
+        self.report_outcome(context, outcome);
     }
 
     /// Tells the client between two lines to connect again elsewhere, and ends both sides.
-    fn migrate(&mut self, node: &mut Node) -> Lifecycle {
+    fn migrate(&mut self, context: &mut NodeContext) -> Lifecycle {
         if self.server.take().is_some() {
             self.partial_line.clear();
             self.to_server.clear();
@@ -361,10 +368,10 @@
                 self.to_client.push(MOVE_LINE);
                 self.to_client.end();
             }
-            self.report_outcome(node, Outcome::Cancelled);
-            self.set_close_deadline(node, LINGER_TIMEOUT);
+            self.report_outcome(context, Outcome::Cancelled);
+            self.set_close_deadline(context, LINGER_TIMEOUT);
         }
-        self.pump(node)
+        self.pump(context)
     }
 }
 
@@ -380,27 +387,30 @@
 }
 
 impl Connection<NodeState> for Relay {
-    fn on_ready(&mut self, node: &mut Node, socket: usize, readiness: Readiness) -> Lifecycle {
+    fn on_ready(
+        &mut self,
+        context: &mut NodeContext,
+        socket: usize,
+        readiness: Readiness,
+    ) -> Lifecycle {
         if self.transfer != TransferState::Idle {
             Lifecycle::Continue
         } else if readiness.readable {
-            self.read(node, Side::of_socket(socket))
+            self.read(context, Side::of_socket(socket))
         } else {
-            self.pump(node)
+            self.pump(context)
         }
     }
 
-    fn on_deadline(&mut self, node: &mut Node, _kind: u64) -> Lifecycle {
-        self.report_outcome(node, Outcome::Cancelled);
+    fn on_deadline(&mut self, context: &mut NodeContext, _kind: DeadlineKind) -> Lifecycle {
+        self.report_outcome(context, Outcome::Cancelled);
         Lifecycle::Close
     }
 
-    fn on_message(&mut self, node: &mut Node, message: Message) -> Lifecycle {
+    fn on_message(&mut self, context: &mut NodeContext, message: Message) -> Lifecycle {
         match message {
-            Message::Move => self.on_migration_requested(node),
-            Message::HandOver => self.transfer(node),
-            Message::Handed => self.on_transferred(node),
-            Message::Kept => self.on_transfer_refused(node),
+            Message::Relay(RelayCommand::Migrate) => self.on_migrate(context),
+            Message::Transfer(command) => self.on_transfer(context, command),
             _ => Lifecycle::Continue,
         }
     }
--- a/crates/node/src/upstream/relay/transfer.rs
+++ b/crates/node/src/upstream/relay/transfer.rs
@@ -2,8 +2,9 @@
 
 use super::{Relay, Side};
 use crate::client::ClientSlot;
+use crate::command::TransferCommand;
 use crate::handoff::message::{self, Standing};
-use crate::state::Node;
+use crate::state::NodeContext;
 use crate::upstream::byte_buffer::ByteBuffer;
 use lupincrank_placement::{Outcome, RequestId, RequestInfo, Timestamp};
 use lupincrank_reactor::poll::Registered;
@@ -28,34 +29,34 @@
 /// Taking relays of another process.
 impl Relay {
     /// Whether a relay of another process can go on here.
-    pub(crate) fn can_resume(node: &Node, record: &Standing, bytes: &[u8]) -> bool {
+    pub(crate) fn can_resume(context: &NodeContext, record: &Standing, bytes: &[u8]) -> bool {
         let total_length = record
             .lengths
             .iter()
             .try_fold(0usize, |sum, length| sum.checked_add(*length));
-        total_length == Some(bytes.len()) && !node.core.holds(RequestId(record.request))
+        total_length == Some(bytes.len()) && !context.placement.holds(RequestId(record.request))
     }
 
     /// Goes on with a relay of another process where that process left off.
     pub(crate) fn resume_transferred(
-        node: &mut Node,
+        context: &mut NodeContext,
         record: Standing,
         bytes: &[u8],
         [client, server]: [OwnedFd; 2],
     ) {
-        let id = node.allocate_id();
-        let client = register(node, id, client, Side::Client);
-        let server = register(node, id, server, Side::Server);
+        let id = context.allocate_id();
+        let client = register(context, id, client, Side::Client);
+        let server = register(context, id, server, Side::Server);
         let (Ok(client), Ok(server)) = (client, server) else {
             return;
         };
         let request = RequestId(record.request);
-        let slot = ClientSlot::acquire(&node.clients);
-        let mut relay = Relay::new(node, id, slot, request, client, server);
+        let slot = ClientSlot::acquire(&context.client_count);
+        let mut relay = Relay::new(context, id, slot, request, client, server);
         relay.restore_buffers(&record, bytes);
-        register_request(node, id, record);
-        if relay.pump(node) == Lifecycle::Continue {
-            node.register(id, Box::new(relay));
+        register_request(context, id, record);
+        if relay.pump(context) == Lifecycle::Continue {
+            context.register(id, Box::new(relay));
         }
     }
 
@@ -70,18 +71,23 @@
 }
 
 fn register(
-    node: &Node,
+    context: &NodeContext,
     id: ComponentId,
     socket: OwnedFd,
     side: Side,
 ) -> io::Result<Registered<TcpStream>> {
     let key = poller_key(id, side.socket());
-    Registered::new(&node.poller, TcpStream::from(socket), key, Interest::READ)
+    Registered::new(
+        &context.poller,
+        TcpStream::from(socket),
+        key,
+        Interest::READ,
+    )
 }
 
 /// Makes the request of a transferred relay known to placement.
-fn register_request(node: &mut Node, id: ComponentId, record: Standing) {
-    let class = node
+fn register_request(context: &mut NodeContext, id: ComponentId, record: Standing) {
+    let class = context
         .config
         .classes
         .iter()
@@ -102,31 +108,44 @@
     let sent_at = |ms: &u64| now.checked_sub(Duration::from_millis(*ms)).unwrap_or(now);
     let unanswered = record.unanswered_ms.iter().map(sent_at).collect();
     let load = record.load_us.map(|load| load as f64);
-    node.core
+    context
+        .placement
         .take_over(id, request_info, &record.server, load, unanswered);
 }
 
 /// Sending relays to another process.
 impl Relay {
+    pub(super) fn on_transfer(
+        &mut self,
+        context: &mut NodeContext,
+        command: TransferCommand,
+    ) -> Lifecycle {
+        match command {
+            TransferCommand::Start => self.transfer(context),
+            TransferCommand::Completed => self.on_transferred(context),
+            TransferCommand::Cancelled => self.on_transfer_cancelled(context),
+        }
+    }
+
     /// Sends both sockets and all that is pending between them to the process that replaces this one. A relay that is
     /// ending ends here.
-    pub(super) fn transfer(&mut self, node: &mut Node) -> Lifecycle {
+    fn transfer(&mut self, context: &mut NodeContext) -> Lifecycle {
         if !self.can_transfer() {
             return Lifecycle::Continue;
         }
-        let Some(record) = self.transfer_record(node) else {
+        let Some(record) = self.transfer_record(context) else {
             return Lifecycle::Continue;
         };
-        match self.send_record(node, record) {
+        match self.send_record(context, record) {
             Ok(true) => {
-                debug!(node.log, "relay transfer started"; "request" => format!("{:016x}", self.request.0));
-                self.pause(node);
+                debug!(context.log, "relay transfer started"; "request" => format!("{:016x}", self.request.0));
+                self.pause(context);
                 Lifecycle::Continue
             }
             Ok(false) => Lifecycle::Continue,
             Err(error) => {
-                debug!(node.log, "relay transfer failed"; "error" => %error);
-                self.migrate(node)
+                debug!(context.log, "relay transfer failed"; "error" => %error);
+                self.migrate(context)
             }
         }
     }
@@ -137,9 +156,9 @@
     }
 
     /// What the other process has to know; `None` if placement has no such request.
-    fn transfer_record(&self, node: &Node) -> Option<Standing> {
-        let (request_info, server, load, unanswered) = node.core.standing(self.request)?;
-        let class = node.config.classes.get(request_info.class);
+    fn transfer_record(&self, context: &NodeContext) -> Option<Standing> {
+        let (request_info, server, load, unanswered) = context.placement.standing(self.request)?;
+        let class = context.config.classes.get(request_info.class);
         Some(Standing {
             request: self.request.0,
             class: class.cloned().unwrap_or_default(),
@@ -166,46 +185,46 @@
     }
 
     /// Sends the record, the pending bytes and both sockets; false if there is no room for them now.
-    fn send_record(&self, node: &mut Node, record: Standing) -> io::Result<bool> {
+    fn send_record(&self, context: &mut NodeContext, record: Standing) -> io::Result<bool> {
         let Some(server) = &self.server else {
             return Ok(false);
         };
         let bytes = self.pending_parts().concat();
         let sockets = [self.client.as_fd(), server.as_fd()];
         let transferred = |number| message::Said::Standing(number, record);
-        node.upgrade.hand(self.id, transferred, &bytes, &sockets)
+        context.handoff.hand(self.id, transferred, &bytes, &sockets)
     }
 
-    fn pause(&mut self, node: &Node) {
+    fn pause(&mut self, context: &NodeContext) {
         self.transfer = TransferState::Pending;
         let client_result = self.client.set_interest(Interest::NONE);
         let server_result = self.set_server_interest(Interest::NONE);
         if client_result.and(server_result).is_err() {
-            debug!(node.log, "relay not paused"; "request" => format!("{:016x}", self.request.0));
+            debug!(context.log, "relay not paused"; "request" => format!("{:016x}", self.request.0));
         }
     }
 
     /// The other process has the connection from now on.
-    pub(super) fn on_transferred(&mut self, node: &mut Node) -> Lifecycle {
-        self.report_outcome(node, Outcome::Cancelled);
+    fn on_transferred(&mut self, context: &mut NodeContext) -> Lifecycle {
+        self.report_outcome(context, Outcome::Cancelled);
         Lifecycle::Close
     }
 
     /// The other process has not taken the connection: it goes on here.
-    pub(super) fn on_transfer_refused(&mut self, node: &mut Node) -> Lifecycle {
+    fn on_transfer_cancelled(&mut self, context: &mut NodeContext) -> Lifecycle {
         let state = self.transfer;
         self.transfer = TransferState::Idle;
         if state == TransferState::PendingMigration {
-            self.migrate(node)
+            self.migrate(context)
         } else {
-            self.pump(node)
+            self.pump(context)
         }
     }
 
     /// Placement moves the client away, at once or as soon as it is known that the relay stays here.
-    pub(super) fn on_migration_requested(&mut self, node: &mut Node) -> Lifecycle {
+    pub(super) fn on_migrate(&mut self, context: &mut NodeContext) -> Lifecycle {
         if self.transfer == TransferState::Idle {
-            return self.migrate(node);
+            return self.migrate(context);
         }
         self.transfer = TransferState::PendingMigration;
         Lifecycle::Continue
