--- a/crates/node/src/client/connection.rs
+++ b/crates/node/src/client/connection.rs
@@ -178,7 +178,7 @@
 
     /// The front sends clients to this node once this is answered with `PONG`: only when they can be served.
     fn answer_ping(&mut self, context: &mut NodeContext) -> Lifecycle {
-        if context.serves().is_ok() {
+        if context.check_serving().is_ok() {
             self.answer(context, answer::PONG)
         } else {
             self.answer(context, &answer::busy(Duration::ZERO))
--- a/crates/node/src/client/connection/request.rs
+++ b/crates/node/src/client/connection/request.rs
@@ -5,15 +5,14 @@
 use crate::client::first_line::{FirstLineError, OpenRequest};
 use crate::client::ClientSlot;
 use crate::command::{AcceptedAttempt, AttemptCommand};
-use crate::core::AttemptOrder;
 use crate::deadline::ClientDeadline;
+use crate::placement_driver::{AttemptOrder, ClientState};
 use crate::state::NodeContext;
 use crate::upstream::attempt::{Attempt, UpstreamAttempt};
 use crate::upstream::relay::Relay;
 use lupincrank_placement::Outcome;
 use lupincrank_reactor::{ComponentId, Lifecycle};
 use slog::debug;
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// Connections from before this process began are accepted for this long after its start.
@@ -29,7 +28,7 @@
     /// The first line as it came, its terminator included.
     line: Vec<u8>,
     /// When the client stops waiting.
-    expires_at: Instant,
+    deadline: Instant,
     /// The attempt that was begun last.
     attempt: Option<ComponentId>,
     /// Attempts made for a connection from before this process began.
@@ -44,8 +43,8 @@
     }
 
     /// The first line for a server, with the time that is left in place of the time that the client wrote.
-    fn line_with_time_left(&self, expires_at: Instant) -> Vec<u8> {
-        let time_left = expires_at.saturating_duration_since(Instant::now());
+    fn line_with_time_left(&self, deadline: Instant) -> Vec<u8> {
+        let time_left = deadline.saturating_duration_since(Instant::now());
         let digits = &self.open.time_budget.digits;
         [
             &self.line[..digits.start],
@@ -70,7 +69,7 @@
         open: OpenRequest,
         line: Vec<u8>,
     ) -> Lifecycle {
-        if context.placement.holds(open.request) {
+        if context.placement.has_request(open.request) {
             return self.reject_line(context, FirstLineError::RequestIdInUse);
         }
         if open.current_server.is_some() && context.started_at.elapsed() > RESTORE_WINDOW {
@@ -106,7 +105,7 @@
         self.state = State::Waiting(WaitingRequest {
             open,
             line,
-            expires_at: Instant::now() + wait,
+            deadline: Instant::now() + wait,
             attempt: None,
             restore_attempts: 0,
             slot: ClientSlot::acquire(&context.client_count),
@@ -116,7 +115,7 @@
         }
         context
             .placement
-            .request(self.id, request_info, time_budget);
+            .on_request(self.id, request_info, time_budget);
         Lifecycle::Continue
     }
 }
@@ -135,25 +134,20 @@
         if self.read(context) == Lifecycle::Close {
             return Lifecycle::Close;
         }
-        self.begin_attempt(context, order.dial, order.until);
+        self.begin_attempt(context, order);
         Lifecycle::Continue
     }
 
-    fn begin_attempt(
-        &mut self,
-        context: &mut NodeContext,
-        address: SocketAddr,
-        expires_at: Instant,
-    ) {
+    fn begin_attempt(&mut self, context: &mut NodeContext, order: &AttemptOrder) {
         let State::Waiting(waiting) = &mut self.state else {
             return;
         };
         let attempt = Attempt {
             owner: self.id,
-            request: waiting.open.request,
-            address,
-            line: waiting.line_with_time_left(expires_at),
-            expires_at,
+            request: order.request,
+            address: order.address,
+            line: waiting.line_with_time_left(order.deadline),
+            deadline: order.deadline,
             is_restored: waiting.is_restored(),
         };
         let id = context.allocate_id();
@@ -187,7 +181,7 @@
         let State::Waiting(waiting) = &self.state else {
             return Lifecycle::Continue;
         };
-        if waiting.is_restored() && context.placement.holds(accepted.request) {
+        if waiting.is_restored() && context.placement.has_request(accepted.request) {
             return self.reject_line(context, FirstLineError::RequestIdInUse);
         }
         let Some(client) = self.stream.take() else {
@@ -199,9 +193,11 @@
         match &waiting.open.current_server {
             Some(server) => {
                 let request_info = waiting.open.request_info(context.config.groups);
-                context.placement.inherited(self.id, request_info, server);
+                context
+                    .placement
+                    .on_inherited_connection(self.id, request_info, server);
             }
-            None => context.placement.try_up(accepted.request),
+            None => context.placement.on_attempt_accepted(accepted.request),
         }
         Relay::begin(context, self.id, waiting.slot, client, accepted);
         Lifecycle::Close
@@ -217,9 +213,11 @@
             return Lifecycle::Continue;
         };
         if !waiting.is_restored() {
-            context
-                .placement
-                .try_ended(waiting.open.request, Outcome::Served, true);
+            context.placement.on_attempt_ended(
+                waiting.open.request,
+                Outcome::Served,
+                ClientState::Answered,
+            );
         }
         self.answer(context, line)
     }
@@ -233,18 +231,22 @@
             return Lifecycle::Continue;
         };
         let current_server = waiting.open.current_server.as_deref();
-        let address = current_server.and_then(|server| context.placement.dial(server));
+        let address = current_server.and_then(|server| context.placement.available_address(server));
         let may_retry =
-            waiting.restore_attempts < MAX_RESTORE_ATTEMPTS && Instant::now() < waiting.expires_at;
+            waiting.restore_attempts < MAX_RESTORE_ATTEMPTS && Instant::now() < waiting.deadline;
         let Some(address) = address.filter(|_| may_retry) else {
             return self.answer(context, &answer::busy(Duration::ZERO));
         };
-        if context.placement.holds(waiting.open.request) {
+        if context.placement.has_request(waiting.open.request) {
             return self.reject_line(context, FirstLineError::RequestIdInUse);
         }
         waiting.restore_attempts += 1;
-        let expires_at = waiting.expires_at;
-        self.begin_attempt(context, address, expires_at);
+        let order = AttemptOrder {
+            request: waiting.open.request,
+            address,
+            deadline: waiting.deadline,
+        };
+        self.begin_attempt(context, &order);
         Lifecycle::Continue
     }
 
@@ -329,7 +331,7 @@
         debug!(context.log, "client left"; "request" => format!("{:016x}", request.0));
         waiting.close_attempt(context);
         if !waiting.is_restored() {
-            context.placement.client_gone(request);
+            context.placement.on_client_gone(request);
         }
     }
 }
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -4,6 +4,7 @@
 use super::server_line::{ServerLine, MAX_LINE_BYTES};
 use crate::command::{AcceptedAttempt, AttemptCommand, ClientCommand, Message};
 use crate::deadline::{AttemptDeadline, DeadlineKind};
+use crate::placement_driver::ClientState;
 use crate::state::{NodeContext, NodeState};
 use lupincrank_placement::{Outcome, RequestId};
 use lupincrank_reactor::poll::{self, Registered};
@@ -30,7 +31,7 @@
     /// The first line for the server.
     pub(crate) line: Vec<u8>,
     /// When to stop waiting.
-    pub(crate) expires_at: Instant,
+    pub(crate) deadline: Instant,
     /// The connection stood before this process began: how the attempt ends is reported to the owner, not to placement.
     pub(crate) is_restored: bool,
 }
@@ -90,14 +91,14 @@
     }
 
     fn set_deadlines(&self, context: &mut NodeContext) {
-        let expires_at = self.attempt.expires_at;
-        let connect_by = expires_at.min(Instant::now() + context.config.connect_timeout);
+        let deadline = self.attempt.deadline;
+        let connect_by = deadline.min(Instant::now() + context.config.connect_timeout);
         context
             .deadlines
             .set(self.id, AttemptDeadline::Connect.into(), connect_by);
         context
             .deadlines
-            .set(self.id, AttemptDeadline::Answer.into(), expires_at);
+            .set(self.id, AttemptDeadline::Answer.into(), deadline);
     }
 
     fn is_line_written(&self) -> bool {
@@ -114,7 +115,7 @@
         } else {
             context
                 .placement
-                .try_ended(self.attempt.request, outcome, false);
+                .on_attempt_ended(self.attempt.request, outcome, ClientState::Waiting);
         }
         Lifecycle::Close
     }
@@ -303,7 +304,9 @@
     /// The server could not parse the first line, which is the client's fault.
     fn on_syntax_error(&mut self, context: &mut NodeContext) -> Lifecycle {
         self.stream = None;
-        context.placement.unreadable(self.attempt.request);
+        context
+            .placement
+            .on_unreadable_request(self.attempt.request);
         Lifecycle::Close
     }
 }
--- a/crates/node/src/upstream/health_check.rs
+++ b/crates/node/src/upstream/health_check.rs
@@ -79,14 +79,14 @@
         }
         Some(open) => context.send(open.connection, HealthCheckCommand::Close),
         None if context.health_checks.connections.len() >= context.config.most_probes() => {
-            return context.placement.probed(&server, true, None);
+            return context.placement.on_health_check(&server, true, None);
         }
         None => {}
     }
     if let Err(error) = HealthCheckConnection::open(context, &server, address) {
         debug!(context.log, "health check not started"; "server" => &*server.0, "error" => %error);
         let has_passed = is_local_resource_exhaustion(&error);
-        context.placement.probed(&server, has_passed, None);
+        context.placement.on_health_check(&server, has_passed, None);
     }
 }
 
@@ -157,7 +157,7 @@
         if self.check != CheckState::Idle {
             self.check = CheckState::Idle;
             debug!(context.log, "health check failed"; "server" => &*self.server.0);
-            context.placement.probed(&self.server, false, None);
+            context.placement.on_health_check(&self.server, false, None);
         }
         Lifecycle::Close
     }
@@ -244,7 +244,7 @@
         );
         context
             .placement
-            .probed(&self.server, response.has_passed, response.load_report);
+            .on_health_check(&self.server, response.has_passed, response.load_report);
         Ok(())
     }
 
--- a/crates/node/src/upstream/relay.rs
+++ b/crates/node/src/upstream/relay.rs
@@ -8,6 +8,7 @@
 use crate::client::ClientSlot;
 use crate::command::{AcceptedAttempt, Message, RelayCommand};
 use crate::deadline::DeadlineKind;
+use crate::placement_driver::ClientState;
 use crate::state::{NodeContext, NodeState};
 use lupincrank_placement::{Outcome, RequestId};
 use lupincrank_reactor::poll::Registered;
@@ -141,7 +142,9 @@
             return;
         }
         self.is_outcome_reported = true;
-        context.placement.try_ended(self.request, outcome, true);
+        context
+            .placement
+            .on_attempt_ended(self.request, outcome, ClientState::Answered);
     }
 
     fn set_close_deadline(&self, context: &mut NodeContext, timeout: Duration) {
@@ -215,7 +218,7 @@
         }
         self.to_server.push(bytes);
         for _ in bytes.iter().filter(|byte| **byte == b'\n') {
-            context.placement.line_sent(self.request);
+            context.placement.on_line_sent(self.request);
         }
     }
 
@@ -232,8 +235,8 @@
             let line_end = complete_bytes + length;
             self.last_server_line = ServerLine::parse(&self.partial_line[complete_bytes..line_end]);
             match (self.last_server_line, next_line) {
-                (ServerLine::Load(load), _) => context.placement.load_line(self.request, load),
-                (_, NextServerLine::Reply) => context.placement.line_returned(self.request),
+                (ServerLine::Load(load), _) => context.placement.on_load_report(self.request, load),
+                (_, NextServerLine::Reply) => context.placement.on_line_returned(self.request),
                 (_, NextServerLine::Acceptance) => next_line = NextServerLine::Reply,
             }
             complete_bytes = line_end;
@@ -298,7 +301,7 @@
     /// The outcome of a server's close that it did not announce. Replies come at once, so if a line has just gone out it
     /// was that one that the server could not parse: guards against blaming it for what a client sends.
     fn outcome_of_server_close(&self, context: &NodeContext) -> Outcome {
-        let sent_at = context.placement.oldest_line(self.request);
+        let sent_at = context.placement.oldest_unanswered_line(self.request);
         if sent_at.is_some_and(|sent_at| sent_at.elapsed() < SYNTAX_ERROR_WINDOW) {
             Outcome::Cancelled
         } else {
--- a/crates/node/src/upstream/relay/transfer.rs
+++ b/crates/node/src/upstream/relay/transfer.rs
@@ -34,7 +34,8 @@
             .lengths
             .iter()
             .try_fold(0usize, |sum, length| sum.checked_add(*length));
-        total_length == Some(bytes.len()) && !context.placement.holds(RequestId(record.request))
+        total_length == Some(bytes.len())
+            && !context.placement.has_request(RequestId(record.request))
     }
 
     /// Goes on with a relay of another process where that process left off.
@@ -110,7 +111,7 @@
     let load = record.load_us.map(|load| load as f64);
     context
         .placement
-        .take_over(id, request_info, &record.server, load, unanswered);
+        .on_transferred_connection(id, request_info, &record.server, load, unanswered);
 }
 
 /// Sending relays to another process.
@@ -157,7 +158,8 @@
 
     /// What the other process has to know; `None` if placement has no such request.
     fn transfer_record(&self, context: &NodeContext) -> Option<Standing> {
-        let (request_info, server, load, unanswered) = context.placement.standing(self.request)?;
+        let connection = context.placement.established_connection(self.request)?;
+        let request_info = connection.request;
         let class = context.config.classes.get(request_info.class);
         Some(Standing {
             request: self.request.0,
@@ -165,9 +167,10 @@
             group: request_info.group.clone(),
             key: request_info.key.clone(),
             returned: request_info.is_reconnect,
-            server: server.0.to_string(),
-            load_us: load.map(|load| load as u64),
-            unanswered_ms: unanswered
+            server: connection.server.0.to_string(),
+            load_us: connection.load.map(|load| load as u64),
+            unanswered_ms: connection
+                .unanswered_lines
                 .iter()
                 .map(|sent_at| sent_at.elapsed().as_millis() as u64)
                 .collect(),
