--- a/crates/node/src/client/connection/request.rs
+++ b/crates/node/src/client/connection/request.rs
@@ -75,7 +75,7 @@
         if open.current_server.is_some() && context.started_at.elapsed() > RESTORE_WINDOW {
             return self.reject_line(context, FirstLineError::RestoredTooLate);
         }
-        if context.client_count.get() + context.handoff.other.clients
+        if context.client_count.get() + context.handoff.peer_heartbeat().client_count
             >= context.config.most_clients()
         {
             debug!(context.log, "client limit reached"; "clients" => context.client_count.get());
--- a/crates/node/src/client/connection/transfer.rs
+++ b/crates/node/src/client/connection/transfer.rs
@@ -3,7 +3,8 @@
 use super::{ClientConnection, State, FIRST_LINE_TIMEOUT};
 use crate::command::TransferCommand;
 use crate::deadline::ClientDeadline;
-use crate::handoff::message::Said;
+use crate::handoff::message::{HandoffMessage, UnidentifiedClientTransfer};
+use crate::handoff::socket::SendOutcome;
 use crate::state::NodeContext;
 use lupincrank_reactor::{Interest, Lifecycle};
 use std::net::TcpStream;
@@ -49,11 +50,16 @@
             .entry
             .expires_at()
             .saturating_duration_since(Instant::now());
-        let message = |number| Said::First(number, time_left.as_millis() as u64);
+        let message = |number| {
+            HandoffMessage::UnidentifiedClient(UnidentifiedClientTransfer {
+                number,
+                remaining_ms: time_left.as_millis() as u64,
+            })
+        };
         let sent = context
             .handoff
-            .hand(self.id, message, &reading.received, &[stream.as_fd()]);
-        if matches!(sent, Ok(true)) {
+            .transfer(self.id, message, &reading.received, &[stream.as_fd()]);
+        if matches!(sent, Ok(SendOutcome::Sent)) {
             self.is_in_transfer = true;
             let _ = stream.set_interest(Interest::NONE);
         }
--- a/crates/node/src/client/listener.rs
+++ b/crates/node/src/client/listener.rs
@@ -85,11 +85,11 @@
 /// Closes the unidentified connections that expire first anyway when descriptors are needed. Guards against hundreds
 /// that connect and send nothing.
 fn close_excess_unidentified(context: &mut NodeContext) {
-    let other = context.handoff.other;
+    let other = context.handoff.peer_heartbeat();
     let max_unidentified = context
         .config
-        .most_strangers(context.client_count.get() + other.clients);
-    while context.unidentified_clients.len() + other.strangers > max_unidentified {
+        .most_strangers(context.client_count.get() + other.client_count);
+    while context.unidentified_clients.len() + other.unidentified_count > max_unidentified {
         let Some(id) = context.unidentified_clients.pop_first() else {
             break;
         };
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -3,11 +3,9 @@
 use crate::client::UnidentifiedClients;
 use crate::cluster_agent::agent::Carry;
 use crate::config::Config;
-use crate::handoff::message::Said;
-use crate::handoff::peer_process::Upgrade;
+use crate::handoff::peer_process::HandoffState;
 use crate::placement_driver::{EndpointListError, PlacementDriver};
 use crate::upstream::health_check::HealthChecks;
-use lupincrank_placement::ServerId;
 use lupincrank_reactor::Context;
 use slog::Logger;
 use std::cell::Cell;
@@ -57,7 +55,7 @@
     /// The graceful shutdown, once SIGTERM has come.
     pub shutdown: Option<Shutdown>,
     /// The other process of this node, if there is one.
-    pub handoff: Upgrade,
+    pub handoff: HandoffState,
     /// The open connections for health checks: one for each server at the most.
     pub health_checks: HealthChecks,
     /// The fleet that this node is one of, where the operator's file says so.
@@ -73,7 +71,7 @@
     pub fn new(config: Config, log: Logger) -> NodeState {
         NodeState {
             placement: PlacementDriver::new(&config, log.clone()),
-            handoff: Upgrade::new(config.listen, config.inherited),
+            handoff: HandoffState::new(config.listen, config.inherited),
             config,
             log,
             client_count: Rc::default(),
@@ -95,25 +93,10 @@
         if self.shutdown.is_some() {
             return Err(NotServingError::ShuttingDown);
         }
-        if !self.handoff.settled() {
+        if !self.handoff.is_settled() {
             return Err(NotServingError::PredecessorNotReached);
         }
         self.placement.check_endpoint_list()?;
         Ok(())
     }
-
-    /// Takes a transcriber out by hand or back in.
-    pub fn by_hand(&mut self, server: &str, down: bool) -> Result<(), String> {
-        let id = ServerId::from(server);
-        if !self.placement.knows_server(&id) {
-            return Err(format!("no transcriber {server:?}"));
-        }
-        // Written before it is obeyed: what was answered with yes holds across any end of this process.
-        let out = self
-            .handoff
-            .change(&id, down, self.placement.drained_servers())?;
-        self.placement.set_drained_servers(out);
-        self.handoff.say(&Said::Out);
-        Ok(())
-    }
 }
--- a/crates/node/src/upstream/relay.rs
+++ b/crates/node/src/upstream/relay.rs
@@ -105,7 +105,7 @@
         }
         relay.on_server_bytes(context, &accepted.bytes, NextServerLine::Acceptance);
         if relay.pump(context) == Lifecycle::Continue {
-            if context.handoff.handing() {
+            if context.handoff.is_handing_over() {
                 context.handoff.enqueue([id]);
             }
             context.register(id, Box::new(relay));
--- a/crates/node/src/upstream/relay/transfer.rs
+++ b/crates/node/src/upstream/relay/transfer.rs
@@ -3,7 +3,8 @@
 use super::{Relay, Side};
 use crate::client::ClientSlot;
 use crate::command::TransferCommand;
-use crate::handoff::message::{self, Standing};
+use crate::handoff::message::{ConnectionTransfer, HandoffMessage, TransferredConnection};
+use crate::handoff::socket::SendOutcome;
 use crate::state::NodeContext;
 use crate::upstream::byte_buffer::ByteBuffer;
 use lupincrank_placement::{Outcome, RequestId, RequestInfo, Timestamp};
@@ -29,19 +30,19 @@
 /// Taking relays of another process.
 impl Relay {
     /// Whether a relay of another process can go on here.
-    pub(crate) fn can_resume(context: &NodeContext, record: &Standing, bytes: &[u8]) -> bool {
-        let total_length = record
-            .lengths
-            .iter()
-            .try_fold(0usize, |sum, length| sum.checked_add(*length));
-        total_length == Some(bytes.len())
+    pub(crate) fn can_resume(
+        context: &NodeContext,
+        record: &TransferredConnection,
+        bytes: &[u8],
+    ) -> bool {
+        record.lengths.total() == Some(bytes.len())
             && !context.placement.has_request(RequestId(record.request))
     }
 
     /// Goes on with a relay of another process where that process left off.
     pub(crate) fn resume_transferred(
         context: &mut NodeContext,
-        record: Standing,
+        record: TransferredConnection,
         bytes: &[u8],
         [client, server]: [OwnedFd; 2],
     ) {
@@ -61,10 +62,9 @@
         }
     }
 
-    fn restore_buffers(&mut self, record: &Standing, bytes: &[u8]) {
-        let [to_server_length, to_client_length, _] = record.lengths;
-        let (to_server, rest) = bytes.split_at(to_server_length.min(bytes.len()));
-        let (to_client, partial_line) = rest.split_at(to_client_length.min(rest.len()));
+    fn restore_buffers(&mut self, record: &TransferredConnection, bytes: &[u8]) {
+        let (to_server, rest) = bytes.split_at(record.lengths.to_server.min(bytes.len()));
+        let (to_client, partial_line) = rest.split_at(record.lengths.to_client.min(rest.len()));
         self.to_server = ByteBuffer::with_bytes(to_server);
         self.to_client = ByteBuffer::with_bytes(to_client);
         self.partial_line = partial_line.to_vec();
@@ -87,7 +87,7 @@
 }
 
 /// Makes the request of a transferred relay known to placement.
-fn register_request(context: &mut NodeContext, id: ComponentId, record: Standing) {
+fn register_request(context: &mut NodeContext, id: ComponentId, record: TransferredConnection) {
     let class = context
         .config
         .classes
@@ -103,7 +103,7 @@
         load: None,
         deadline: Timestamp::default(),
         is_mid_flow: false,
-        is_reconnect: record.returned,
+        is_reconnect: record.is_reconnect,
     };
     let now = Instant::now();
     let sent_at = |ms: &u64| now.checked_sub(Duration::from_millis(*ms)).unwrap_or(now);
@@ -138,12 +138,12 @@
             return Lifecycle::Continue;
         };
         match self.send_record(context, record) {
-            Ok(true) => {
+            Ok(SendOutcome::Sent) => {
                 debug!(context.log, "relay transfer started"; "request" => format!("{:016x}", self.request.0));
                 self.pause(context);
                 Lifecycle::Continue
             }
-            Ok(false) => Lifecycle::Continue,
+            Ok(SendOutcome::WouldBlock) => Lifecycle::Continue,
             Err(error) => {
                 debug!(context.log, "relay transfer failed"; "error" => %error);
                 self.migrate(context)
@@ -157,16 +157,16 @@
     }
 
     /// What the other process has to know; `None` if placement has no such request.
-    fn transfer_record(&self, context: &NodeContext) -> Option<Standing> {
+    fn transfer_record(&self, context: &NodeContext) -> Option<TransferredConnection> {
         let connection = context.placement.established_connection(self.request)?;
         let request_info = connection.request;
         let class = context.config.classes.get(request_info.class);
-        Some(Standing {
+        Some(TransferredConnection {
             request: self.request.0,
             class: class.cloned().unwrap_or_default(),
             group: request_info.group.clone(),
             key: request_info.key.clone(),
-            returned: request_info.is_reconnect,
+            is_reconnect: request_info.is_reconnect,
             server: connection.server.0.to_string(),
             load_us: connection.load.map(|load| load as u64),
             unanswered_ms: connection
@@ -174,7 +174,7 @@
                 .iter()
                 .map(|sent_at| sent_at.elapsed().as_millis() as u64)
                 .collect(),
-            lengths: self.pending_parts().map(<[u8]>::len),
+            lengths: self.pending_parts().map(<[u8]>::len).into(),
         })
     }
 
@@ -187,15 +187,24 @@
         ]
     }
 
-    /// Sends the record, the pending bytes and both sockets; false if there is no room for them now.
-    fn send_record(&self, context: &mut NodeContext, record: Standing) -> io::Result<bool> {
+    /// Sends the record, the pending bytes and both sockets.
+    fn send_record(
+        &self,
+        context: &mut NodeContext,
+        record: TransferredConnection,
+    ) -> io::Result<SendOutcome> {
         let Some(server) = &self.server else {
-            return Ok(false);
+            return Ok(SendOutcome::WouldBlock);
         };
         let bytes = self.pending_parts().concat();
         let sockets = [self.client.as_fd(), server.as_fd()];
-        let transferred = |number| message::Said::Standing(number, record);
-        context.handoff.hand(self.id, transferred, &bytes, &sockets)
+        let message = |number| {
+            HandoffMessage::Connection(ConnectionTransfer {
+                number,
+                connection: record,
+            })
+        };
+        context.handoff.transfer(self.id, message, &bytes, &sockets)
     }
 
     fn pause(&mut self, context: &NodeContext) {
