Operator's configuration: plain types, typed errors, and the file's form apart from them

Need: public fields were places in a TOML file, one function of 70 lines checked everything, errors were strings. Change: OperatorConfig, FleetConfig and SlowStartBudgetConfig are plain; file.rs has the keys, validation.rs a function for each table, error.rs an enum with the texts of before; a test holds every key.

--- a/crates/node/src/cluster_agent/config.rs
+++ b/crates/node/src/cluster_agent/config.rs
@@ -1,9 +1,9 @@
 //! What the node takes from the operator's file for its part in the fleet.
 
-use lupincrank_operator_config::Operator;
+use lupincrank_operator_config::OperatorConfig;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
 /// The fleet as this node is told of it.
 #[derive(Clone, Debug)]
@@ -37,11 +37,11 @@
 impl Setup {
     /// What the file says for this node; `variable` looks up the environment.
     pub fn read(
-        operator: &Operator,
+        operator_config: &OperatorConfig,
         node: &str,
         variable: impl Fn(&str) -> Option<String>,
     ) -> Result<Option<Setup>, String> {
-        let Some(fleet) = &operator.fleet else {
+        let Some(fleet) = &operator_config.fleet else {
             return Ok(None);
         };
         let told = variable("RELAY_FLEET").map(|told| {
@@ -50,32 +50,33 @@
         });
         let listen = told.transpose()?.or(fleet.listen);
         let listen = listen.ok_or("neither RELAY_FLEET nor fleet.listen is set")?;
-        let nodes: BTreeSet<String> = fleet.nodes.get_ref().iter().cloned().collect();
+        let nodes: BTreeSet<String> = fleet.nodes.iter().cloned().collect();
         let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
-        if fleet.folder.is_some() && !node.bytes().all(plain) {
+        if fleet.state_directory.is_some() && !node.bytes().all(plain) {
             return Err(format!(
                 "fleet.folder: {node:?} can't be a part of a file's name: letters, digits, . _ - can"
             ));
         }
-        let file = fleet.folder.as_ref();
-        let file =
-            file.map(|folder| Path::new(folder.get_ref()).join(format!("council-{node}.redb")));
-        let cold = operator.budgets.cold.as_ref();
-        let floor = cold.map_or(0, |cold| *cold.floor.get_ref());
+        let file = fleet
+            .state_directory
+            .as_ref()
+            .map(|directory| directory.join(format!("council-{node}.redb")));
+        let budget = operator_config.budgets.slow_start.as_ref();
+        let floor = budget.map_or(0, |budget| budget.floor);
         let set_aside = floor * u32::try_from(nodes.len()).unwrap_or(u32::MAX);
         Ok(Some(Setup {
-            name: fleet.name.get_ref().clone(),
+            name: fleet.name.clone(),
             listen,
             zone: variable("RELAY_ZONE").unwrap_or_else(|| fleet.zone.clone()),
             region: fleet.region.clone(),
             file,
-            seeds: fleet.seeds.get_ref().clone().into_iter().collect(),
-            via: fleet.via.clone(),
-            capacity: cold.map_or(0, |cold| cold.capacity.get_ref().saturating_sub(set_aside)),
+            seeds: fleet.seeds.clone().into_iter().collect(),
+            via: fleet.address_overrides.clone(),
+            capacity: budget.map_or(0, |budget| budget.capacity.saturating_sub(set_aside)),
             // A node that nobody announced has no part in what was set aside for the others.
             floor: if nodes.contains(node) { floor } else { 0 },
             aside: set_aside,
-            divides: cold.is_some(),
+            divides: budget.is_some(),
             nodes,
         }))
     }
--- a/crates/node/src/hollow.rs
+++ b/crates/node/src/hollow.rs
@@ -9,7 +9,7 @@
 use crate::deadline::DeadlineKind;
 use crate::state::{NodeContext, NodeState};
 use lupincrank_budgets::demand::BudgetUsage;
-use lupincrank_operator_config::Operator;
+use lupincrank_operator_config::OperatorConfig;
 use lupincrank_reactor::Readiness;
 use lupincrank_reactor::{ComponentId, Connection, Lifecycle, Reactor};
 use slog::{o, Discard, Logger};
@@ -56,7 +56,8 @@
 ) -> Result<impl FnOnce() -> std::io::Result<()>, String> {
     let mut config =
         Config::read(config, &variable).map_err(|why| format!("the configuration: {why}"))?;
-    let operator = Operator::read(operator).map_err(|why| format!("the operator's file: {why}"))?;
+    let operator =
+        OperatorConfig::parse(operator).map_err(|why| format!("the operator's file: {why}"))?;
     let setup = Setup::read(&operator, &config.name, &variable);
     config.fleet = setup.map_err(|why| format!("the operator's file: {why}"))?;
     if config.fleet.is_none() {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,7 +22,7 @@
 use cli::Command;
 use cluster_agent::config::Setup;
 use config::Config;
-use lupincrank_operator_config::Operator;
+use lupincrank_operator_config::OperatorConfig;
 use slog::{o, Drain, Level, Logger};
 use std::process::ExitCode;
 use std::sync::Mutex;
@@ -46,7 +46,7 @@
     let load = |path: Option<String>, operator: Option<String>| {
         let mut config = Config::load(path.as_deref(), variable)?;
         if let Some(path) = operator {
-            let operator = Operator::load(&path)?;
+            let operator = OperatorConfig::load(&path).map_err(|error| error.to_string())?;
             let setup = Setup::read(&operator, &config.name, variable);
             config.fleet = setup.map_err(|why| format!("{path}: {why}"))?;
         }
--- /dev/null
+++ b/crates/operator-config/src/error.rs
@@ -0,0 +1,97 @@
+//! Errors of the operator's file, with path, line and key.
+
+use crate::limits::{MAX_NAME_LENGTH, MAX_NODES, MAX_SLOW_START_CAPACITY};
+
+/// Why a file could not be loaded.
+#[derive(Debug, thiserror::Error)]
+pub enum OperatorConfigError {
+    /// The file cannot be read.
+    #[error("{path}: {error}")]
+    Read {
+        /// The path as it was given.
+        path: String,
+        /// The operating system's error.
+        error: std::io::Error,
+    },
+    /// The file's contents are not valid.
+    #[error("{path}: {error}")]
+    Invalid {
+        /// The path as it was given.
+        path: String,
+        /// What is wrong, and where.
+        error: ParseError,
+    },
+}
+
+/// A fault in the text of a file, with its line.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("line {line}: {fault}")]
+pub struct ParseError {
+    line: usize,
+    fault: ConfigFault,
+}
+
+impl ParseError {
+    /// The fault at a byte offset of `text`.
+    pub(crate) fn at(text: &str, offset: usize, fault: ConfigFault) -> ParseError {
+        let preceding = text.as_bytes().iter().take(offset);
+        let line = preceding.filter(|byte| **byte == b'\n').count() + 1;
+        ParseError { line, fault }
+    }
+
+    /// The line of the fault, from 1.
+    pub fn line(&self) -> usize {
+        self.line
+    }
+
+    /// What is wrong there.
+    pub fn fault(&self) -> &ConfigFault {
+        &self.fault
+    }
+}
+
+/// What can be wrong in an operator's file.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ConfigFault {
+    /// The text is no TOML, a key is unknown or absent, or a value has the wrong type; as the parser says.
+    #[error("{0}")]
+    Syntax(String),
+    /// There is a slow-start budget, but no fleet.
+    #[error("budgets.cold: there is no [fleet] to share it")]
+    BudgetWithoutFleet,
+    /// The fleet's name is empty or too long.
+    #[error("fleet.name: 1 to {MAX_NAME_LENGTH} bytes are a name")]
+    FleetNameLength,
+    /// No node is expected, or too many are.
+    #[error("fleet.nodes: 1 to {MAX_NODES} are a fleet")]
+    NodeCount,
+    /// The name of an expected node is empty, too long, or used twice.
+    #[error("fleet.nodes: a name is empty, too long, or there twice")]
+    NodeName,
+    /// The path of the state directory is empty.
+    #[error("fleet.folder: a path is needed")]
+    EmptyStateDirectory,
+    /// There is no seed.
+    #[error("fleet.seeds: one at least is needed to find the others")]
+    NoSeeds,
+    /// A seed is not an expected node.
+    #[error("fleet.seeds: {seed:?} is not among fleet.nodes")]
+    UnknownSeed {
+        /// The seed's name.
+        seed: String,
+    },
+    /// The capacity of the slow-start budget is zero or too large.
+    #[error("budgets.cold.capacity: {capacity} is not in 1 to {MAX_SLOW_START_CAPACITY}")]
+    SlowStartCapacity {
+        /// The capacity as it is written.
+        capacity: u32,
+    },
+    /// The floors of all nodes together exceed the capacity of the slow-start budget.
+    #[error("budgets.cold.floor: {floor} for each of {node_count} nodes pass the capacity")]
+    SlowStartFloor {
+        /// The floor of one node.
+        floor: u32,
+        /// The number of expected nodes.
+        node_count: usize,
+    },
+}
--- a/crates/settings/tests/document.rs
+++ b/crates/settings/tests/document.rs
@@ -73,7 +73,7 @@
         initial_capacity_ratio: 0.25,
         overload_factor: 3.5,
         overload_window: Duration::from_nanos(13),
-        max_retry_after: Duration::from_nanos(2_000),
+        max_retry_after: Duration::from_micros(2),
     };
     assert_eq!(settings, expected);
 }
@@ -86,7 +86,7 @@
     assert_eq!(settings.report_fields(), ["other", "x0"]);
     assert_eq!(settings.machine_kinds(), ["large"]);
     assert_eq!(settings.zones(), ["east", "west"]);
-    assert_eq!(settings.max_deadline(), Duration::from_nanos(9_000));
+    assert_eq!(settings.max_deadline(), Duration::from_micros(9));
     assert_eq!(settings.connect_timeout(), Some(Duration::from_nanos(70)));
     assert!(settings.has_groups());
 }
@@ -167,39 +167,45 @@
     assert_eq!(validate_changed(|_| ()), Ok(()));
 }
 
+/// A change that makes the document invalid, and the error that it must give.
+struct Fault {
+    introduce: fn(&mut Value),
+    message: &'static str,
+}
+
 #[test]
 fn each_fault_is_named_with_its_path() {
-    let cases: [(fn(&mut Value), &str); 7] = [
-        (
-            |file| file["settings"]["Limits"]["RetryAfter"] = Value::Null,
-            "settings.Limits.RetryAfter is missing",
-        ),
-        (
-            |file| file["settings"]["Limits"]["SendCap"] = json!(0),
-            "settings.Limits.SendCap: 0 is not a whole number from 1 to 1000000",
-        ),
-        (
-            |file| file["settings"]["Categories"] = json!([]),
-            "settings.Categories names no class",
-        ),
-        (
-            |file| file["settings"]["Categories"][0]["WindowNs"] = Value::Null,
-            "settings.Categories[0].WindowNs is missing",
-        ),
-        (
-            |file| file["settings"]["Categories"][1]["Name"] = json!(""),
-            "settings.Categories[1].Name is no name",
-        ),
-        (
-            |file| file["settings"]["Categories"][1]["Name"] = json!("chat"),
-            "settings.Categories[1].Name: there are two classes \"chat\"",
-        ),
-        (
-            |file| file["limits"] = json!({}),
-            "limits.cores is missing, and the present file has it",
-        ),
+    let cases: [Fault; 7] = [
+        Fault {
+            introduce: |file| file["settings"]["Limits"]["RetryAfter"] = Value::Null,
+            message: "settings.Limits.RetryAfter is missing",
+        },
+        Fault {
+            introduce: |file| file["settings"]["Limits"]["SendCap"] = json!(0),
+            message: "settings.Limits.SendCap: 0 is not a whole number from 1 to 1000000",
+        },
+        Fault {
+            introduce: |file| file["settings"]["Categories"] = json!([]),
+            message: "settings.Categories names no class",
+        },
+        Fault {
+            introduce: |file| file["settings"]["Categories"][0]["WindowNs"] = Value::Null,
+            message: "settings.Categories[0].WindowNs is missing",
+        },
+        Fault {
+            introduce: |file| file["settings"]["Categories"][1]["Name"] = json!(""),
+            message: "settings.Categories[1].Name is no name",
+        },
+        Fault {
+            introduce: |file| file["settings"]["Categories"][1]["Name"] = json!("chat"),
+            message: "settings.Categories[1].Name: there are two classes \"chat\"",
+        },
+        Fault {
+            introduce: |file| file["limits"] = json!({}),
+            message: "limits.cores is missing, and the present file has it",
+        },
     ];
-    for (change, text) in cases {
-        assert_eq!(validate_changed(change), Err(text.to_string()));
+    for Fault { introduce, message } in cases {
+        assert_eq!(validate_changed(introduce), Err(message.to_string()));
     }
 }
