--- a/crates/node/src/upstream/relay.rs
+++ b/crates/node/src/upstream/relay.rs
@@ -2,7 +2,9 @@
 
 use crate::command::{AcceptedAttempt, Message, RelayCommand, TransferCommand};
 use crate::deadline::DeadlineKind;
-use crate::handoff::message::{self, Standing};
+use crate::handoff::message::{ConnectionTransfer, HandoffMessage, TransferredConnection};
+use crate::handoff::socket::SendOutcome;
+use crate::placement_driver::ClientState;
 use crate::state::{ClientSlot, NodeContext, NodeState};
 use crate::upstream::attempt::{said, Said, LONGEST_LINE};
 use lupincrank_placement::{Outcome, RequestId, RequestInfo, Timestamp};
@@ -127,7 +129,7 @@
         }
         relay.peer_sent(context, &bytes, false);
         if relay.pump(context) == Lifecycle::Continue {
-            if context.handoff.handing() {
+            if context.handoff.is_handing_over() {
                 context.handoff.enqueue([id]);
             }
             context.register(id, Box::new(relay));
@@ -135,18 +137,15 @@
     }
 
     /// Whether a connection that another process hands over can go on here.
-    pub fn may_take(context: &NodeContext, record: &Standing, bytes: &[u8]) -> bool {
-        let whole = record
-            .lengths
-            .iter()
-            .try_fold(0usize, |sum, part| sum.checked_add(*part));
-        whole == Some(bytes.len()) && !context.placement.holds(RequestId(record.request))
+    pub fn may_take(context: &NodeContext, record: &TransferredConnection, bytes: &[u8]) -> bool {
+        record.lengths.total() == Some(bytes.len())
+            && !context.placement.has_request(RequestId(record.request))
     }
 
     /// Goes on with a connection of another process, where that one left off.
     pub fn take_over(
         context: &mut NodeContext,
-        record: Standing,
+        record: TransferredConnection,
         bytes: &[u8],
         [client, peer]: [OwnedFd; 2],
     ) {
@@ -164,8 +163,8 @@
             return;
         };
         let request = RequestId(record.request);
-        let (up, rest) = bytes.split_at(record.lengths[0].min(bytes.len()));
-        let (down, part) = rest.split_at(record.lengths[1].min(rest.len()));
+        let (up, rest) = bytes.split_at(record.lengths.to_server.min(bytes.len()));
+        let (down, part) = rest.split_at(record.lengths.to_client.min(rest.len()));
         let pipe = |bytes: &[u8]| Pipe {
             bytes: bytes.to_vec(),
             ..Pipe::default()
@@ -200,7 +199,7 @@
             load: None,
             deadline: Timestamp::default(),
             is_mid_flow: false,
-            is_reconnect: record.returned,
+            is_reconnect: record.is_reconnect,
         };
         let now = Instant::now();
         let before = |ms: &u64| now.checked_sub(Duration::from_millis(*ms)).unwrap_or(now);
@@ -208,7 +207,7 @@
         let load = record.load_us.map(|load| load as f64);
         context
             .placement
-            .take_over(id, incoming, &record.server, load, unanswered);
+            .on_transferred_connection(id, incoming, &record.server, load, unanswered);
         if relay.pump(context) == Lifecycle::Continue {
             context.register(id, Box::new(relay));
         }
@@ -224,8 +223,7 @@
         else {
             return Lifecycle::Continue;
         };
-        let Some((incoming, server, load, unanswered)) = context.placement.standing(self.request)
-        else {
+        let Some(connection) = context.placement.established_connection(self.request) else {
             return Lifecycle::Continue;
         };
         let parts = [
@@ -233,33 +231,35 @@
             &self.down.bytes[self.down.sent..],
             &self.part,
         ];
-        let record = Standing {
+        let record = TransferredConnection {
             request: self.request.0,
             class: context
                 .config
                 .classes
-                .get(incoming.class)
+                .get(connection.request.class)
                 .cloned()
                 .unwrap_or_default(),
-            group: incoming.group.clone(),
-            key: incoming.key.clone(),
-            returned: incoming.is_reconnect,
-            server: server.0.to_string(),
-            load_us: load.map(|load| load as u64),
-            unanswered_ms: unanswered
+            group: connection.request.group.clone(),
+            key: connection.request.key.clone(),
+            is_reconnect: connection.request.is_reconnect,
+            server: connection.server.0.to_string(),
+            load_us: connection.load.map(|load| load as u64),
+            unanswered_ms: connection
+                .unanswered_lines
                 .iter()
                 .map(|sent| sent.elapsed().as_millis() as u64)
                 .collect(),
-            lengths: parts.map(<[u8]>::len),
+            lengths: parts.map(<[u8]>::len).into(),
         };
         let (bytes, fds) = (parts.concat(), [self.client.as_fd(), peer.as_fd()]);
-        match context.handoff.hand(
-            self.id,
-            |number| message::Said::Standing(number, record),
-            &bytes,
-            &fds,
-        ) {
-            Ok(true) => {
+        let message = |number| {
+            HandoffMessage::Connection(ConnectionTransfer {
+                number,
+                connection: record,
+            })
+        };
+        match context.handoff.transfer(self.id, message, &bytes, &fds) {
+            Ok(SendOutcome::Sent) => {
                 debug!(context.log, "on its way"; "request" => format!("{:016x}", self.request.0));
                 self.frozen = true;
                 let quiet = self.client.set_interest(Interest::NONE);
@@ -275,7 +275,7 @@
                 }
                 Lifecycle::Continue
             }
-            Ok(false) => Lifecycle::Continue,
+            Ok(SendOutcome::WouldBlock) => Lifecycle::Continue,
             Err(error) => {
                 debug!(context.log, "cannot hand over"; "error" => %error);
                 self.send_away(context)
@@ -285,14 +285,16 @@
 
     fn end(&mut self, context: &mut NodeContext, outcome: Outcome) {
         if !std::mem::replace(&mut self.told, true) {
-            context.placement.try_ended(self.request, outcome, true);
+            context
+                .placement
+                .on_attempt_ended(self.request, outcome, ClientState::Answered);
         }
     }
 
     fn client_sent(&mut self, context: &mut NodeContext, bytes: &[u8]) {
         self.up.push(bytes);
         for _ in bytes.iter().filter(|byte| **byte == b'\n') {
-            context.placement.line_sent(self.request);
+            context.placement.on_line_sent(self.request);
         }
     }
 
@@ -304,8 +306,8 @@
             let end = at + length + 1;
             self.last = said(&self.part[at..end]);
             match self.last {
-                Said::Load(micros) => context.placement.load_line(self.request, micros),
-                _ if answers => context.placement.line_returned(self.request),
+                Said::Load(micros) => context.placement.on_load_report(self.request, micros),
+                _ if answers => context.placement.on_line_returned(self.request),
                 _ => answers = true,
             }
             at = end;
@@ -352,7 +354,7 @@
     /// The transcriber has ended the connection unasked. Lines come back at once, so if one has just gone out it was
     /// that one that the transcriber could not read: guards against blaming it for what a client sends.
     fn cut_off(&self, context: &NodeContext) -> Outcome {
-        let sent = context.placement.oldest_line(self.request);
+        let sent = context.placement.oldest_unanswered_line(self.request);
         if sent.is_some_and(|sent| sent.elapsed() < UNREADABLE) {
             Outcome::Cancelled
         } else {
