--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -9,7 +9,7 @@
 pub use limits::ResourceLimits;
 
 use crate::cluster_agent::config::Setup;
-use crate::discovery::endpoint_list::Update;
+use crate::discovery::endpoint_list::EndpointListUpdate;
 use lupincrank_placement::Settings;
 use serde_json::{Map, Value};
 use std::net::SocketAddr;
@@ -42,7 +42,7 @@
     /// The cluster, where an operator's file names one; a change waits for the next start.
     pub cluster: Option<Setup>,
     /// The endpoint list as this node last had it.
-    pub known_endpoints: Option<Update>,
+    pub known_endpoints: Option<EndpointListUpdate>,
     /// What the decisions need.
     pub settings: Settings,
     /// How long a connection may take to be established.
--- a/crates/node/src/config/document.rs
+++ b/crates/node/src/config/document.rs
@@ -2,7 +2,7 @@
 
 use super::limits::{LimitsDocument, ResourceLimits};
 use super::{Config, ConfigError};
-use crate::discovery::endpoint_list::Update;
+use crate::discovery::endpoint_list::EndpointListUpdate;
 use lupincrank_placement::Settings;
 use lupincrank_settings::DeploymentSettings;
 use serde::Deserialize;
@@ -24,7 +24,7 @@
     management: Option<String>,
     seed: Option<String>,
     limits: Option<LimitsDocument>,
-    known: Option<Update>,
+    known: Option<EndpointListUpdate>,
     settings: DeploymentSettings,
 }
 
@@ -170,7 +170,6 @@
         let Some(known) = &self.known_endpoints else {
             return Ok(());
         };
-        crate::discovery::endpoint_list::check(known)
-            .map_err(|error| ConfigError::KnownEndpoints(error.into()))
+        known.check().map_err(ConfigError::KnownEndpoints)
     }
 }
--- a/crates/node/src/config/error.rs
+++ b/crates/node/src/config/error.rs
@@ -1,7 +1,7 @@
 //! What can be wrong with a node's configuration.
 
+use crate::discovery::endpoint_list::EndpointListError;
 use lupincrank_settings::{SettingsError, ValidationError};
-use std::error::Error;
 use std::io;
 
 /// Why a configuration cannot be used.
@@ -93,5 +93,5 @@
     },
     /// An entry of the known endpoint list is wrong.
     #[error("known: {0}")]
-    KnownEndpoints(Box<dyn Error + Send + Sync>),
+    KnownEndpoints(EndpointListError),
 }
--- a/crates/node/src/graceful_shutdown.rs
+++ b/crates/node/src/graceful_shutdown.rs
@@ -36,7 +36,7 @@
     });
     cluster_agent::leave(context);
     if context.handoff.has_successor() {
-        handoff::leave(context);
+        handoff::start_handover(context);
     }
     let migration_start = deadline.checked_sub(MIGRATION_START_BEFORE_EXIT);
     schedule_step(context, migration_start.unwrap_or(started_at));
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -5,7 +5,7 @@
 use crate::cluster_agent::config::Setup;
 use crate::config::{Config, ConfigError};
 use crate::serve;
-use lupincrank_operator_config::Operator;
+use lupincrank_operator_config::OperatorConfig;
 use lupincrank_settings::ValidationError;
 use slog::{o, Drain, Level, Logger};
 use std::error::Error;
@@ -105,7 +105,7 @@
         return Ok(config);
     };
     let operator =
-        Operator::load(path).map_err(|error| ProgramError::OperatorFile(error.into()))?;
+        OperatorConfig::load(path).map_err(|error| ProgramError::OperatorFile(error.into()))?;
     config.cluster =
         Setup::read(&operator, &config.name, environment_variable).map_err(|error| {
             ProgramError::Cluster {
@@ -182,7 +182,7 @@
     let json = query_admin(address, &format!("fleet {what}"))?;
     let text = match format {
         OutputFormat::Json => json,
-        OutputFormat::Table => admin::status_table::table(what, &json)
+        OutputFormat::Table => admin::status_table::cluster_table(what, &json)
             .map_err(|error| ProgramError::UnreadableAnswer(error.into()))?,
     };
     println!("{text}");
@@ -199,7 +199,7 @@
     let json = query_admin(address, &call)?;
     let text = match format {
         OutputFormat::Json => json,
-        OutputFormat::Table => admin::status_table::budgets(&json)
+        OutputFormat::Table => admin::status_table::budgets_table(&json)
             .map_err(|error| ProgramError::UnreadableAnswer(error.into()))?,
     };
     println!("{text}");
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -1,11 +1,11 @@
 //! Sets the node up: the components that its event loop begins with.
 
 use crate::application::schedule_unanswered_lines_check;
-use crate::client::connection::Listener;
+use crate::client::Listener;
 use crate::command::DiscoveryCommand;
 use crate::component::{WellKnownComponent, LAST_WELL_KNOWN_ID};
 use crate::config::Config;
-use crate::discovery::Discovery;
+use crate::discovery::DiscoveryClient;
 use crate::signals::SignalReceiver;
 use crate::state::{NodeContext, NodeState};
 use crate::{admin, cluster_agent, handoff};
@@ -22,7 +22,7 @@
     // Before anything else is opened, which could get the number of a descriptor that is not there.
     let inherited = config
         .inherited_descriptor
-        .map(|descriptor| handoff::inherited_listener::listener(descriptor, config.listen_address))
+        .map(|descriptor| handoff::inherited_listener(descriptor, config.listen_address))
         .transpose()?;
     let mut reactor = Reactor::new(NodeState::new(config, log), LAST_WELL_KNOWN_ID)?;
     let context = &mut reactor.context;
@@ -43,15 +43,18 @@
 ) -> io::Result<()> {
     let signals = SignalReceiver::new(context)?;
     context.register(WellKnownComponent::Signals.id(), Box::new(signals));
-    let discovery = Discovery::new(&context.config);
+    let discovery = DiscoveryClient::new(&context.config);
     context.register(WellKnownComponent::Discovery.id(), Box::new(discovery));
     let listener = Listener::new(context, inherited)?;
     context.register(WellKnownComponent::ClientListener.id(), Box::new(listener));
-    context.register(WellKnownComponent::Handoff.id(), Box::new(handoff::Watch));
+    context.register(
+        WellKnownComponent::Handoff.id(),
+        Box::new(handoff::HandoffAgent),
+    );
     handoff::begin(context);
     cluster_agent::begin(context).map_err(io::Error::other)?;
     if let Some(address) = context.config.admin_address {
-        let admin = admin::Management::new(context, address)?;
+        let admin = admin::AdminListener::new(context, address)?;
         context.register(WellKnownComponent::AdminListener.id(), Box::new(admin));
     }
     Ok(())
