--- a/crates/node/src/admin/handler.rs
+++ b/crates/node/src/admin/handler.rs
@@ -99,9 +99,11 @@
     }
     let before = context.placement.drained_servers();
     // Stored before it is obeyed: what was answered with `done` holds across any end of this process.
-    let drained = context.handoff.change_admin_drains(&id, change, before)?;
+    let drained = context
+        .handoff
+        .change_drained_servers(&id, change, before)?;
     context.placement.set_drained_servers(drained);
-    context.handoff.announce_admin_drains();
+    context.handoff.announce_drained_servers();
     Ok(String::new())
 }
 
--- a/crates/node/src/discovery/call.rs
+++ b/crates/node/src/discovery/call.rs
@@ -74,7 +74,7 @@
 #[derive(Default)]
 struct WatchBody {
     decoder: ChunkedDecoder,
-    objects: JsonStream,
+    json_stream: JsonStream,
 }
 
 /// Whether the request was written.
@@ -146,7 +146,7 @@
     /// Whether an object of the body has begun and not ended.
     pub fn has_partial_object(&self) -> bool {
         match &self.phase {
-            CallPhase::Watching(body) => body.objects.has_partial_object(),
+            CallPhase::Watching(body) => body.json_stream.has_partial_object(),
             CallPhase::Connecting | CallPhase::ResponseHead(_) => false,
         }
     }
@@ -222,8 +222,8 @@
         };
         let mut data = Vec::new();
         let state = body.decoder.decode(bytes, &mut data)?;
-        let had_partial_object = body.objects.has_partial_object();
-        body.objects.push(&data);
+        let had_partial_object = body.json_stream.has_partial_object();
+        body.json_stream.push(&data);
         Ok(BodyProgress {
             has_data: !data.is_empty(),
             had_partial_object,
@@ -237,7 +237,7 @@
     /// Where the body is not a stream of JSON objects.
     pub fn next_object(&mut self) -> Result<Option<Vec<u8>>, DiscoveryError> {
         match &mut self.phase {
-            CallPhase::Watching(body) => Ok(body.objects.next_object()?),
+            CallPhase::Watching(body) => Ok(body.json_stream.next_object()?),
             CallPhase::Connecting | CallPhase::ResponseHead(_) => Ok(None),
         }
     }
--- a/crates/node/src/discovery/client.rs
+++ b/crates/node/src/discovery/client.rs
@@ -76,7 +76,7 @@
         };
         if let Err(error) = self.apply_update(
             &mut context.placement,
-            known_list,
+            &known_list,
             EndpointListSource::Cache,
         ) {
             warn!(context.log, "known endpoint list rejected"; "error" => %error);
@@ -86,7 +86,7 @@
     fn apply_update(
         &mut self,
         placement: &mut PlacementDriver,
-        update: EndpointListUpdate,
+        update: &EndpointListUpdate,
         source: EndpointListSource,
     ) -> Result<(), EndpointListError> {
         update.check()?;
@@ -279,7 +279,7 @@
             info!(context.log, "endpoint list changed"; "seq" => update.version, "entries" => update.endpoints.len());
             self.apply_update(
                 &mut context.placement,
-                update,
+                &update,
                 EndpointListSource::Discovery,
             )?;
             has_update = true;
--- a/crates/node/src/discovery/json_stream.rs
+++ b/crates/node/src/discovery/json_stream.rs
@@ -84,25 +84,31 @@
 
     /// Follows one byte of the text; whether it ends the object.
     fn is_object_end(&mut self, byte: u8) -> Result<bool, JsonStreamError> {
-        match (self.state, byte) {
-            (ScanState::Escape, _) => self.state = ScanState::Text,
-            (ScanState::Text, b'\\') => self.state = ScanState::Escape,
-            (ScanState::Text, b'"') => self.state = ScanState::Structure,
-            (ScanState::Text, _) => {}
-            (ScanState::Structure, b'{') => self.depth += 1,
-            (ScanState::Structure, _) if self.depth == 0 => {
-                return Err(JsonStreamError::UnexpectedCharacter(char::from(byte)));
-            }
-            (ScanState::Structure, b'"') => self.state = ScanState::Text,
-            (ScanState::Structure, b'[') => self.depth += 1,
-            (ScanState::Structure, b'}' | b']') => {
-                self.depth -= 1;
-                return Ok(self.depth == 0);
-            }
-            (ScanState::Structure, _) => {}
+        match self.state {
+            ScanState::Structure => return self.is_structure_end(byte),
+            ScanState::Escape => self.state = ScanState::Text,
+            ScanState::Text => match byte {
+                b'\\' => self.state = ScanState::Escape,
+                b'"' => self.state = ScanState::Structure,
+                _ => {}
+            },
         }
         Ok(false)
     }
+
+    /// Follows one byte outside strings; whether it ends the object.
+    fn is_structure_end(&mut self, byte: u8) -> Result<bool, JsonStreamError> {
+        if self.depth == 0 && byte != b'{' {
+            return Err(JsonStreamError::UnexpectedCharacter(char::from(byte)));
+        }
+        match byte {
+            b'{' | b'[' => self.depth += 1,
+            b'}' | b']' => self.depth -= 1,
+            b'"' => self.state = ScanState::Text,
+            _ => {}
+        }
+        Ok(self.depth == 0)
+    }
 }
 
 #[cfg(test)]
--- a/crates/node/src/handoff/admin_drain_file/tests.rs
+++ b/crates/node/src/handoff/admin_drain_file/tests.rs
@@ -34,7 +34,9 @@
         expected.concat()
     );
     let path = std::env::temp_dir().join(name).with_extension("out");
-    file.iter().for_each(|text| fs::write(&path, text).unwrap());
+    if let Some(text) = file {
+        fs::write(&path, text).unwrap();
+    }
     let drain_file = AdminDrainFile::new(path.clone());
     let present = BTreeSet::from([ServerId::from("p")]);
     let out = drain_file
--- a/crates/node/src/handoff/incoming.rs
+++ b/crates/node/src/handoff/incoming.rs
@@ -1,7 +1,8 @@
 //! Handles the messages of the other process.
 
 use super::lifecycle::{
-    lose_peer, reload_admin_drains, send_heartbeat, start_handover, start_next_transfers, PeerLoss,
+    lose_peer, reload_drained_servers, send_heartbeat, start_handover, start_next_transfers,
+    PeerLoss,
 };
 use super::message::{
     ConnectionTransfer, HandoffMessage, Heartbeat, UnidentifiedClientTransfer, PROTOCOL_VERSION,
@@ -26,7 +27,7 @@
     } = received;
     match message {
         HandoffMessage::Heartbeat(heartbeat) => on_heartbeat(context, heartbeat),
-        HandoffMessage::AdminDrainChanged => reload_admin_drains(context),
+        HandoffMessage::AdminDrainChanged => reload_drained_servers(context),
         HandoffMessage::LearnedState(records) => {
             let learned = records.into_iter().map(Into::into).collect();
             context.placement.import_learned_servers(learned);
--- a/crates/node/src/handoff/lifecycle.rs
+++ b/crates/node/src/handoff/lifecycle.rs
@@ -47,7 +47,7 @@
 /// Looks for another process before anything is served.
 pub fn begin(context: &mut NodeContext) {
     if context.handoff.files.is_some() {
-        reload_admin_drains(context);
+        reload_drained_servers(context);
         command_listener(context, ListenerCommand::Pause);
         run_heartbeat(context);
     }
@@ -77,21 +77,21 @@
 
 /// Reads the admin drains from their file. A file that was damaged meanwhile is written anew by a process that knows what
 /// it held.
-pub(super) fn reload_admin_drains(context: &mut NodeContext) {
+pub(super) fn reload_drained_servers(context: &mut NodeContext) {
     let Some(file) = context.handoff.admin_drain_file() else {
         return;
     };
     match file.read() {
         Ok(drained) => {
-            context.handoff.startup.drains_are_known = true;
+            context.handoff.startup.knows_drained_servers = true;
             context.placement.set_drained_servers(drained);
         }
         Err(error) => {
-            let is_repaired = context.handoff.startup.drains_are_known
+            let is_repaired = context.handoff.startup.knows_drained_servers
                 && file.repair(context.placement.drained_servers()).is_ok();
             warn!(context.log, "admin drain file unreadable"; "error" => %error, "repaired" => is_repaired);
             if is_repaired {
-                context.handoff.announce_admin_drains();
+                context.handoff.announce_drained_servers();
             }
         }
     }
@@ -152,7 +152,7 @@
         command_listener(context, ListenerCommand::Resume);
     }
     // What it wrote last may not have been read.
-    reload_admin_drains(context);
+    reload_drained_servers(context);
     send_heartbeat(context);
     run_heartbeat(context);
 }
@@ -162,7 +162,7 @@
     find_peer(context);
     resume_listener(context);
     if context.handoff.is_peer_connected() {
-        reload_admin_drains(context);
+        reload_drained_servers(context);
         send_heartbeat(context);
     }
     open_if_ready(context);
--- a/crates/node/src/handoff/peer_process.rs
+++ b/crates/node/src/handoff/peer_process.rs
@@ -57,9 +57,9 @@
 pub(super) struct Startup {
     pub(super) started_at: Instant,
     /// This process has found out whether another one runs.
-    pub(super) peer_is_known: bool,
+    pub(super) has_searched_peer: bool,
     /// The file of admin drains was read: the drains that this process holds are right.
-    pub(super) drains_are_known: bool,
+    pub(super) knows_drained_servers: bool,
 }
 
 /// The handoff between this process and the other process of its node.
@@ -85,8 +85,8 @@
             peer: PeerProcess::Absent,
             startup: Startup {
                 started_at: Instant::now(),
-                peer_is_known: false,
-                drains_are_known: false,
+                has_searched_peer: false,
+                knows_drained_servers: false,
             },
             accepts_clients: false,
             is_leaving: false,
@@ -97,8 +97,8 @@
     /// Whether this process need not wait for the one before it: that one is known to have ended, or it is connected and
     /// its file of admin drains was read, or it was waited for long enough.
     pub fn is_settled(&self) -> bool {
-        let is_known =
-            self.startup.peer_is_known && (self.startup.drains_are_known || self.primary.is_some());
+        let is_known = self.startup.has_searched_peer
+            && (self.startup.knows_drained_servers || self.primary.is_some());
         let waited = self.startup.started_at.elapsed();
         self.files.is_none() || is_known || waited > PEER_DISCOVERY_TIMEOUT
     }
@@ -156,7 +156,7 @@
     ///
     /// # Errors
     /// Where the file can't be written; nothing has changed then.
-    pub fn change_admin_drains(
+    pub fn change_drained_servers(
         &self,
         server: &ServerId,
         change: DrainChange,
@@ -171,7 +171,7 @@
     }
 
     /// Tells the other process, if one is connected, that the admin drains have changed.
-    pub fn announce_admin_drains(&self) {
+    pub fn announce_drained_servers(&self) {
         self.send(&HandoffMessage::AdminDrainChanged);
     }
 
@@ -207,7 +207,7 @@
             Some(lock) => self.become_primary(lock, &files, poller)?,
             None => self.connect_to_primary(&files, poller)?,
         }
-        self.startup.peer_is_known = true;
+        self.startup.has_searched_peer = true;
         Ok(())
     }
 
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -143,6 +143,26 @@
     }
 }
 
+/// Which build of the program a process runs.
+#[derive(Clone, Copy, Debug)]
+pub enum Build {
+    /// The one that is tested.
+    This,
+    /// The program that the environment variable `LUPINCRANK_OTHER_BUILD` names; the one that is tested where it names
+    /// none.
+    Other,
+}
+
+impl Build {
+    fn program(self) -> std::ffi::OsString {
+        let this = env!("CARGO_BIN_EXE_lupincrank");
+        match self {
+            Build::This => this.into(),
+            Build::Other => std::env::var_os("LUPINCRANK_OTHER_BUILD").unwrap_or(this.into()),
+        }
+    }
+}
+
 /// The node and what is around it.
 pub struct Rig {
     pub peers: Vec<Option<TcpListener>>,
@@ -197,11 +217,17 @@
 
     /// A node that inherits its listener and may be started a second time.
     pub fn inherits(peers: usize) -> Rig {
+        Rig::inherits_with_build(Build::This, peers)
+    }
+
+    /// The same with a node of this build.
+    pub fn inherits_with_build(build: Build, peers: usize) -> Rig {
         let listener = listen();
         let port = listener.local_addr().unwrap().port();
         let folder = std::env::temp_dir().join(format!("lupincrank-{}-{port}", std::process::id()));
         std::fs::create_dir(&folder).unwrap();
-        let mut rig = Rig::begin(peers, 1024, Some((listener, folder)));
+        let holder = Some((listener, folder));
+        let mut rig = Rig::begin_with(build, peers, 1024, holder, |_| {});
         rig.watched();
         rig.ready();
         rig
@@ -221,12 +247,17 @@
 
     /// Starts the node a second time, beside itself, with another management address.
     pub fn second(&mut self) {
+        self.second_with_build(Build::This);
+    }
+
+    /// The same with a process of this build.
+    pub fn second_with_build(&mut self, build: Build) {
         let (kept, management) = free();
         self.kept.push(kept);
         self.management = management;
         self.config["management"] = self.management.to_string().into();
         std::fs::write(&self.file, self.config.to_string()).unwrap();
-        let fresh = spawn(&self.file, self.holder.as_ref());
+        let fresh = spawn(build, &self.file, self.holder.as_ref());
         if let Some(mut older) = self.older.replace(std::mem::replace(&mut self.node, fresh)) {
             let _ = older.wait();
         }
@@ -290,7 +321,7 @@
 
     /// One of so many nodes, with its watch open.
     pub fn one_of(nodes: u32, peers: usize) -> Rig {
-        let mut rig = Rig::begin_with(peers, 1024, None, |config| {
+        let mut rig = Rig::begin_with(Build::This, peers, 1024, None, |config| {
             config["settings"]["Instances"] = nodes.into();
         });
         rig.watched();
@@ -304,7 +335,7 @@
         sockets: usize,
         change: impl FnOnce(&mut serde_json::Value),
     ) -> Rig {
-        Rig::begin_with(peers, sockets, None, change)
+        Rig::begin_with(Build::This, peers, sockets, None, change)
     }
 
     /// Discovery ends: its watch breaks, and calls are refused. Its address is kept from others in what this gives.
@@ -337,10 +368,11 @@
         sockets: usize,
         holder: Option<(TcpListener, std::path::PathBuf)>,
     ) -> Rig {
-        Rig::begin_with(peers, sockets, holder, |_| {})
+        Rig::begin_with(Build::This, peers, sockets, holder, |_| {})
     }
 
     fn begin_with(
+        build: Build,
         peers: usize,
         sockets: usize,
         holder: Option<(TcpListener, std::path::PathBuf)>,
@@ -372,7 +404,7 @@
         ));
         std::fs::write(&file, config.to_string()).unwrap();
         std::fs::File::create(file.with_extension("log")).unwrap();
-        let node = spawn(&file, holder.as_ref());
+        let node = spawn(build, &file, holder.as_ref());
         Rig {
             peers,
             discovery,
@@ -648,23 +680,21 @@
 }
 
 /// Starts the node; where the listener is held, as descriptor 7.
-fn spawn(file: &std::path::Path, holder: Option<&(TcpListener, std::path::PathBuf)>) -> Child {
+fn spawn(
+    build: Build,
+    file: &std::path::Path,
+    holder: Option<&(TcpListener, std::path::PathBuf)>,
+) -> Child {
     let log = std::fs::File::options()
         .append(true)
         .open(file.with_extension("log"))
         .unwrap();
     let mut command = Command::new("/bin/sh");
     let take = "[ -z \"$RELAY_INHERITED_FD\" ] || exec 7<&0 0</dev/null; exec \"$@\"";
-    command.args([
-        "-c",
-        take,
-        "sh",
-        env!("CARGO_BIN_EXE_lupincrank"),
-        "serve",
-        "--verbose",
-        "--config",
-    ]);
     command
+        .args(["-c", take, "sh"])
+        .arg(build.program())
+        .args(["serve", "--verbose", "--config"])
         .arg(file)
         .env_clear()
         .stderr(log)
