Adapter: input, output, host and errors a module each, with typed errors

Need: one file read, kept and wrote everything, fields had the wire's names, and errors were strings. Change: fields have the field's names with serde(rename) for the wire, instances and pending actions are types, errors an enum for each level with the texts of before.

--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -1,54 +1,64 @@
 //! Hosts any number of balancers on the simulator's line protocol: events on standard input, actions on standard output.
+//!
+//! The input is a sequence of batches, each from a `TICK` line to an `EOB` line, with one JSON object a line. Each batch is
+//! answered with the actions that its events caused and a `YIELD` line. The program ends with the input, or with an error
+//! at the first line that it cannot understand.
 
 #![forbid(unsafe_code)]
 
-mod wire;
+mod error;
+mod host;
+mod input;
+mod output;
 
+use error::AdapterError;
+use host::{BatchState, Host};
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
     match run(&mut io::stdin().lock(), &mut io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
-            eprintln!("lupincrank-adapter: {message}");
+        Err(error) => {
+            eprintln!("lupincrank-adapter: {error}");
             ExitCode::FAILURE
         }
     }
 }
 
 /// Answers batch after batch until the input ends.
-fn run(input: &mut impl BufRead, output: &mut impl Write) -> Result<(), String> {
-    let mut host = wire::Host::default();
+fn run(input: &mut impl BufRead, output: &mut impl Write) -> Result<(), AdapterError> {
+    let mut host = Host::default();
     let mut line = String::new();
     let mut reply = Vec::new();
     for number in 1u64.. {
         line.clear();
-        if input
+        let length = input
             .read_line(&mut line)
-            .map_err(|error| format!("line {number}: cannot read: {error}"))?
-            == 0
-        {
+            .map_err(|error| AdapterError::Read { number, error })?;
+        if length == 0 {
             break;
         }
         let text = line.trim();
         if text.is_empty() {
             continue;
         }
-        let ends_batch = host
-            .line(text)
-            .map_err(|error| format!("line {number}: {error}"))?;
-        if ends_batch {
+        let state = host
+            .handle_line(text)
+            .map_err(|error| AdapterError::Line { number, error })?;
+        if state == BatchState::Complete {
             reply.clear();
-            host.reply(&mut reply);
-            output
-                .write_all(&reply)
-                .and_then(|()| output.flush())
-                .map_err(|error| format!("cannot write: {error}"))?;
+            host.write_reply(&mut reply);
+            send(output, &reply)?;
         }
     }
-    if host.inside_batch() {
-        return Err("the input ends inside a batch: no EOB after the last TICK".into());
+    if host.is_inside_batch() {
+        return Err(AdapterError::UnfinishedBatch);
     }
     Ok(())
 }
+
+fn send(output: &mut impl Write, reply: &[u8]) -> Result<(), AdapterError> {
+    output.write_all(reply).map_err(AdapterError::Write)?;
+    output.flush().map_err(AdapterError::Write)
+}
--- a/crates/adapter/tests/transcripts.rs
+++ b/crates/adapter/tests/transcripts.rs
@@ -3,7 +3,7 @@
 use std::io::Write;
 use std::process::{Command, Stdio};
 
-const CONF: &str = concat!(
+const SETTINGS: &str = concat!(
     r#"{"Categories":[{"DeadlineNs":3200000000,"Group":"all","LateShare":0.0,"Name":"a","PromiseNs":800000000,"#,
     r#""Repeat":"repeatable","Stream":true,"Value":3.0,"WindowNs":5000000000,"New":[1]}],"#,
     r#""FamilyInfo":{"Groups":true,"MessageAimNs":[250000000],"TenantQuotaConnections":[20.0,null]},"Instances":2,"#,
@@ -44,7 +44,7 @@
 }
 
 fn spawn(who: &str, seed: u64) -> String {
-    format!("{{\"op\":\"SPAWN\",\"Who\":\"{who}\",\"Prng\":{seed},\"Conf\":{CONF}}}\n")
+    format!("{{\"op\":\"SPAWN\",\"Who\":\"{who}\",\"Prng\":{seed},\"Conf\":{SETTINGS}}}\n")
 }
 
 fn list(who: &str, kind: u32) -> String {
@@ -77,14 +77,14 @@
     )
 }
 
-const A: &str = "e7a956fd5d3a91c4";
+const REQUEST: &str = "e7a956fd5d3a91c4";
 
 #[test]
-fn a_request_is_placed_and_goes_on_to_the_other_server() {
+fn a_rejected_request_is_retried_on_the_other_server_and_then_rejected() {
     let input = batch(1_000, &[spawn("proxy-0", 7), list("proxy-0", 2)])
-        + &batch(2_000, &[accept("proxy-0", A)])
-        + &batch(3_000, &[completed("proxy-0", A, 0, 3)])
-        + &batch(4_000, &[completed("proxy-0", A, 1, 5)])
+        + &batch(2_000, &[accept("proxy-0", REQUEST)])
+        + &batch(3_000, &[completed("proxy-0", REQUEST, 0, 3)])
+        + &batch(4_000, &[completed("proxy-0", REQUEST, 1, 5)])
         + &batch(5_000, &[]);
     let (ok, out, error) = run(&input);
     assert!(ok, "{error}");
@@ -95,24 +95,24 @@
         ["10.18.74.7:9003", "10.144.17.242:9044"].map(|server| reply.contains(server))
     };
     assert!(replies[1].contains(&format!(
-        "\"op\":\"ISSUE\",\"Who\":\"proxy-0\",\"Req\":\"{A}\""
+        "\"op\":\"ISSUE\",\"Who\":\"proxy-0\",\"Req\":\"{REQUEST}\""
     )));
     assert!(replies[2].contains("\"op\":\"ISSUE\""));
     assert_ne!(issued(replies[1]), issued(replies[2]));
     assert!(replies[3].contains(&format!(
-        "\"op\":\"NOT_NOW\",\"Who\":\"proxy-0\",\"Req\":\"{A}\""
+        "\"op\":\"NOT_NOW\",\"Who\":\"proxy-0\",\"Req\":\"{REQUEST}\""
     )));
     assert_eq!(replies[4], "");
 }
 
 #[test]
-fn a_life_that_ends_in_the_batch_says_nothing_and_the_next_starts_clean() {
+fn an_instance_torn_down_within_a_batch_sends_no_actions_and_its_successor_starts_clean() {
     let stop = "{\"op\":\"TEARDOWN\",\"Who\":\"proxy-0\"}\n".to_string();
     let input = batch(1_000, &[spawn("proxy-0", 7), list("proxy-0", 2)])
         + &batch(
             2_000,
             &[
-                accept("proxy-0", A),
+                accept("proxy-0", REQUEST),
                 stop,
                 spawn("proxy-0", 8),
                 list("proxy-0", 2),
@@ -128,7 +128,7 @@
 }
 
 #[test]
-fn one_process_and_several_give_equal_actions() {
+fn instances_of_one_process_act_as_in_processes_of_their_own() {
     let day = |names: &[&str]| {
         let lines =
             |part: &dyn Fn(&str) -> String| names.iter().map(|name| part(name)).collect::<Vec<_>>();
@@ -161,20 +161,20 @@
 }
 
 #[test]
-fn the_end_of_the_input_is_no_fault() {
+fn the_end_of_the_input_between_batches_is_no_error() {
     assert_eq!(run(""), (true, String::new(), String::new()));
     assert!(run(&batch(1, &[])).0);
 }
 
 #[test]
-fn bad_input_is_named_and_ends_the_run_without_a_panic() {
+fn invalid_input_is_named_and_ends_the_program_without_a_panic() {
     let start = batch(1_000, &[spawn("proxy-0", 7)]);
     let with = |text: &str| start.clone() + &batch(2, &[format!("{text}\n")]);
     let cases = [
         ("nonsense\n".to_string(), "not a message"),
         ("{\"op\":\"TICK\"}\n".into(), "SimTimeNs is missing"),
         ("{\"op\":\"EOB\"}\n".into(), "outside a batch"),
-        (batch(2, &[accept("proxy-0", A)]), "never spawned"),
+        (batch(2, &[accept("proxy-0", REQUEST)]), "never spawned"),
         (
             with("{\"op\":\"FROBNICATE\",\"Who\":\"proxy-0\"}"),
             "unknown op",
@@ -186,7 +186,7 @@
         (with("{\"op\":\"WAKEUP\",\"Handle\":1}"), "Who is missing"),
         (with(accept("proxy-0", "xyz").trim()), "16 hex digits"),
         (
-            with(completed("proxy-0", A, 0, 77).trim()),
+            with(completed("proxy-0", REQUEST, 0, 77).trim()),
             "unknown code 77",
         ),
         (
