--- a/crates/node/src/application.rs
+++ b/crates/node/src/application.rs
@@ -36,7 +36,7 @@
         Command::Fail { owner } => context.send(owner, ClientCommand::Fail),
         Command::Migrate { owner } => context.send(owner, RelayCommand::Migrate),
         Command::CheckHealth { server, address } => {
-            health_check::probe(context, server, address);
+            health_check::check(context, server, address);
         }
         Command::WatchEndpoints => {
             context.send(WellKnownComponent::Discovery.id(), DiscoveryCommand::Watch);
@@ -108,7 +108,7 @@
             .as_ref()
             .is_none_or(|fleet| fleet.is_out());
         let empty = self.client_count.get() == 0
-            && self.unidentified_clients.borrow().is_empty()
+            && self.unidentified_clients.is_empty()
             && self.handoff.is_idle();
         let over = now >= shutdown.deadline || (stayed && empty && left);
         if over {
--- a/crates/node/src/handoff/incoming.rs
+++ b/crates/node/src/handoff/incoming.rs
@@ -9,7 +9,7 @@
 use super::peer_process::PeerProcess;
 use super::socket::ReceivedMessage;
 use super::transfer::TransferAnswer;
-use crate::client::connection::Client;
+use crate::client::ClientConnection;
 use crate::command::TransferCommand;
 use crate::state::NodeContext;
 use crate::upstream::relay::Relay;
@@ -70,13 +70,13 @@
     let ConnectionTransfer { number, connection } = transfer;
     let sockets = <[OwnedFd; 2]>::try_from(descriptors)
         .ok()
-        .filter(|_| Relay::may_take(context, &connection, payload));
+        .filter(|_| Relay::can_resume(context, &connection, payload));
     let Some(sockets) = sockets else {
         return reject(context, number);
     };
     if accept(context, number) {
         forget_peer_client(context);
-        Relay::take_over(context, connection, payload, sockets);
+        Relay::resume_transferred(context, connection, payload, sockets);
     }
 }
 
@@ -95,7 +95,7 @@
     };
     if accept(context, number) {
         let remaining = Duration::from_millis(remaining_ms);
-        Client::take_over(context, socket, payload, remaining);
+        ClientConnection::resume_transferred(context, socket, payload, remaining);
     }
 }
 
--- a/crates/node/src/handoff/lifecycle.rs
+++ b/crates/node/src/handoff/lifecycle.rs
@@ -104,7 +104,7 @@
     let heartbeat = Heartbeat {
         version: PROTOCOL_VERSION,
         client_count: context.client_count.get(),
-        unidentified_count: context.unidentified_clients.borrow().len(),
+        unidentified_count: context.unidentified_clients.len(),
         accepts_clients,
     };
     context.handoff.send(&HandoffMessage::Heartbeat(heartbeat));
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -1,47 +1,17 @@
 //! The state that the node's components share.
 
+use crate::client::UnidentifiedClients;
 use crate::cluster_agent::agent::Carry;
 use crate::config::Config;
 use crate::handoff::peer_process::HandoffState;
 use crate::placement_driver::{EndpointListError, PlacementDriver};
-use lupincrank_placement::ServerId;
-use lupincrank_reactor::{ComponentId, Context};
+use crate::upstream::health_check::HealthChecks;
+use lupincrank_reactor::Context;
 use slog::Logger;
-use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
-use std::net::SocketAddr;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Instant;
 
-/// A client's place among those held; given back when dropped.
-pub struct ClientSlot(Rc<Cell<usize>>);
-
-impl ClientSlot {
-    /// Takes a place.
-    pub fn take(taken: &Rc<Cell<usize>>) -> ClientSlot {
-        taken.set(taken.get() + 1);
-        ClientSlot(Rc::clone(taken))
-    }
-}
-
-impl Drop for ClientSlot {
-    fn drop(&mut self) {
-        self.0.set(self.0.get().saturating_sub(1));
-    }
-}
-
-/// Connections that ask for nothing yet or have their answer, the one that has to go first in front.
-pub type UnidentifiedClients = Rc<RefCell<BTreeSet<(Instant, ComponentId)>>>;
-
-/// The open connection for health checks of one server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct HealthCheckConnection {
-    /// The connection's component.
-    pub id: ComponentId,
-    /// Where it is connected to.
-    pub address: SocketAddr,
-}
-
 /// A graceful shutdown under way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Shutdown {
@@ -87,7 +57,7 @@
     /// The other process of this node, if there is one.
     pub handoff: HandoffState,
     /// The open connections for health checks: one for each server at the most.
-    pub health_checks: HashMap<ServerId, HealthCheckConnection>,
+    pub health_checks: HealthChecks,
     /// The fleet that this node is one of, where the operator's file says so.
     pub cluster_agent: Option<Box<Carry>>,
     /// Set for a moment when all connections are to be handed over.
@@ -108,7 +78,7 @@
             unidentified_clients: UnidentifiedClients::default(),
             started_at: Instant::now(),
             shutdown: None,
-            health_checks: HashMap::new(),
+            health_checks: HealthChecks::default(),
             cluster_agent: None,
             transfer_requested: false,
             answers_requested: false,
