--- a/crates/node/src/admin/connection.rs
+++ b/crates/node/src/admin/connection.rs
@@ -4,7 +4,7 @@
 use crate::command::{AdminConnectionCommand, Message};
 use crate::deadline::DeadlineKind;
 use crate::state::{NodeContext, NodeState};
-use crate::upstream::attempt::LONGEST_LINE;
+use crate::upstream::server_line::MAX_LINE_BYTES;
 use lupincrank_reactor::poll::Registered;
 use lupincrank_reactor::{ComponentId, Connection, Interest, Lifecycle, Readiness};
 use std::cell::RefCell;
@@ -21,7 +21,7 @@
 /// What is read at once.
 const READ_BUFFER_BYTES: usize = 4 << 10;
 /// What is read of a caller in one turn of the event loop; one that sends more is closed.
-const MAX_BYTES_PER_TURN: usize = 4 * LONGEST_LINE;
+const MAX_BYTES_PER_TURN: usize = 4 * MAX_LINE_BYTES;
 
 /// The open connections, the oldest first.
 pub(super) type OpenConnections = Rc<RefCell<BTreeSet<ComponentId>>>;
@@ -130,12 +130,12 @@
         received.extend_from_slice(bytes);
         let line_end = received.iter().position(|byte| *byte == b'\n');
         match line_end {
-            Some(end) if end < LONGEST_LINE => {
+            Some(end) if end < MAX_LINE_BYTES => {
                 let line = received[..end].to_vec();
                 let outcome = handle(context, line.strip_suffix(b"\r").unwrap_or(&line));
                 self.answer(context, outcome)
             }
-            _ if received.len() >= LONGEST_LINE => {
+            _ if received.len() >= MAX_LINE_BYTES => {
                 self.answer(context, Err(AdminCallError::TooLong))
             }
             _ => Lifecycle::Continue,
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -1,12 +1,11 @@
 //! Sets the node up: which objects its loop begins with.
 
 use crate::application::schedule_unanswered_lines_check;
-use crate::client::connection;
 use crate::command::DiscoveryCommand;
 use crate::component::{WellKnownComponent, LAST_WELL_KNOWN_ID};
 use crate::config::Config;
 use crate::state::NodeState;
-use crate::{admin, cluster_agent, discovery, handoff, signals};
+use crate::{admin, client, cluster_agent, discovery, handoff, signals};
 use lupincrank_reactor::Reactor;
 use slog::{info, Logger};
 use std::io;
@@ -24,7 +23,7 @@
     context.register(WellKnownComponent::Signals.id(), Box::new(signals));
     let discovery = discovery::DiscoveryClient::new(&context.config);
     context.register(WellKnownComponent::Discovery.id(), Box::new(discovery));
-    let listener = connection::Listener::new(context, inherited)?;
+    let listener = client::Listener::new(context, inherited)?;
     context.register(WellKnownComponent::ClientListener.id(), Box::new(listener));
     context.register(
         WellKnownComponent::Handoff.id(),
