--- /dev/null
+++ b/crates/node/src/client/connection/request.rs
@@ -0,0 +1,337 @@
+//! The wait of a client for its server, from the complete first line to the relay or the answer.
+
+use super::{ClientConnection, State};
+use crate::client::answer;
+use crate::client::first_line::{FirstLineError, OpenRequest};
+use crate::client::ClientSlot;
+use crate::command::{AcceptedAttempt, AttemptCommand};
+use crate::deadline::ClientDeadline;
+use crate::placement_driver::{AttemptOrder, ClientState};
+use crate::state::NodeContext;
+use crate::upstream::attempt::{Attempt, UpstreamAttempt};
+use crate::upstream::relay::Relay;
+use lupincrank_placement::Outcome;
+use lupincrank_reactor::{ComponentId, Lifecycle};
+use slog::debug;
+use std::time::{Duration, Instant};
+
+/// Connections from before this process began are accepted for this long after its start.
+const RESTORE_WINDOW: Duration = Duration::from_secs(60);
+/// A connection from before this process began is attempted this often, so long apart, and for at most so long.
+const MAX_RESTORE_ATTEMPTS: u32 = 3;
+const RESTORE_BACKOFF: Duration = Duration::from_millis(300);
+const MAX_RESTORE_WAIT: Duration = Duration::from_secs(40);
+
+/// A request that waits for a server.
+pub(super) struct WaitingRequest {
+    open: OpenRequest,
+    /// The first line as it came, its terminator included.
+    line: Vec<u8>,
+    /// When the client stops waiting.
+    deadline: Instant,
+    /// The attempt that was begun last.
+    attempt: Option<ComponentId>,
+    /// Attempts made for a connection from before this process began.
+    restore_attempts: u32,
+    slot: ClientSlot,
+}
+
+impl WaitingRequest {
+    /// Whether the connection stood at a server before this process began: placement does not know of it.
+    fn is_restored(&self) -> bool {
+        self.open.current_server.is_some()
+    }
+
+    /// The first line for a server, with the time that is left in place of the time that the client wrote.
+    fn line_with_time_left(&self, deadline: Instant) -> Vec<u8> {
+        let time_left = deadline.saturating_duration_since(Instant::now());
+        let digits = &self.open.time_budget.digits;
+        [
+            &self.line[..digits.start],
+            time_left.as_millis().to_string().as_bytes(),
+            &self.line[digits.end..],
+        ]
+        .concat()
+    }
+
+    fn close_attempt(&self, context: &mut NodeContext) {
+        if let Some(attempt) = self.attempt {
+            context.send(attempt, AttemptCommand::Close);
+        }
+    }
+}
+
+/// The first line: whether the request may begin, and its begin.
+impl ClientConnection {
+    pub(super) fn on_open(
+        &mut self,
+        context: &mut NodeContext,
+        open: OpenRequest,
+        line: Vec<u8>,
+    ) -> Lifecycle {
+        if context.placement.has_request(open.request) {
+            return self.reject_line(context, FirstLineError::RequestIdInUse);
+        }
+        if open.current_server.is_some() && context.started_at.elapsed() > RESTORE_WINDOW {
+            return self.reject_line(context, FirstLineError::RestoredTooLate);
+        }
+        if context.client_count.get() + context.handoff.peer_heartbeat().client_count
+            >= context.config.max_clients()
+        {
+            debug!(context.log, "client limit reached"; "clients" => context.client_count.get());
+            let retry_after = context.config.settings.max_retry_after / 2;
+            return self.answer(context, &answer::busy(retry_after));
+        }
+        self.begin_request(context, open, line)
+    }
+
+    fn begin_request(
+        &mut self,
+        context: &mut NodeContext,
+        open: OpenRequest,
+        line: Vec<u8>,
+    ) -> Lifecycle {
+        context
+            .deadlines
+            .clear(self.id, ClientDeadline::Close.into());
+        let request_info = open.request_info(context.config.has_groups);
+        let time_budget = open.time_budget.duration;
+        let is_restored = open.current_server.is_some();
+        let wait = if is_restored {
+            time_budget.min(MAX_RESTORE_WAIT)
+        } else {
+            time_budget
+        };
+        self.state = State::Waiting(WaitingRequest {
+            open,
+            line,
+            deadline: Instant::now() + wait,
+            attempt: None,
+            restore_attempts: 0,
+            slot: ClientSlot::acquire(&context.client_count),
+        });
+        if is_restored {
+            return self.restore(context);
+        }
+        context
+            .placement
+            .on_request(self.id, request_info, time_budget);
+        Lifecycle::Continue
+    }
+}
+
+/// Attempts, and how they end.
+impl ClientConnection {
+    /// Placement has chosen a server.
+    pub(super) fn on_start_attempt(
+        &mut self,
+        context: &mut NodeContext,
+        order: &AttemptOrder,
+    ) -> Lifecycle {
+        if !matches!(self.state, State::Waiting(_)) {
+            return Lifecycle::Continue;
+        }
+        if self.read(context) == Lifecycle::Close {
+            return Lifecycle::Close;
+        }
+        self.begin_attempt(context, order);
+        Lifecycle::Continue
+    }
+
+    fn begin_attempt(&mut self, context: &mut NodeContext, order: &AttemptOrder) {
+        let State::Waiting(waiting) = &mut self.state else {
+            return;
+        };
+        let attempt = Attempt {
+            owner: self.id,
+            request: order.request,
+            address: order.address,
+            line: waiting.line_with_time_left(order.deadline),
+            deadline: order.deadline,
+            is_restored: waiting.is_restored(),
+        };
+        let id = context.allocate_id();
+        waiting.attempt = Some(id);
+        UpstreamAttempt::begin(context, id, attempt);
+    }
+
+    /// The attempt has its connection. What has come of the client is read ahead of its turn: it may have left, and
+    /// what tells so may wait behind much else where the CPU is used up. What nobody waits for is not sent on.
+    pub(super) fn on_attempt_connected(
+        &mut self,
+        context: &mut NodeContext,
+        attempt: ComponentId,
+    ) -> Lifecycle {
+        if !matches!(&self.state, State::Waiting(waiting) if waiting.attempt == Some(attempt)) {
+            return Lifecycle::Continue;
+        }
+        let lifecycle = self.read(context);
+        if lifecycle == Lifecycle::Continue && matches!(self.state, State::Waiting(_)) {
+            context.send(attempt, AttemptCommand::SendFirstLine);
+        }
+        lifecycle
+    }
+
+    /// A server has accepted the request: both sockets go to a relay, which takes the id of this component.
+    pub(super) fn on_attempt_accepted(
+        &mut self,
+        context: &mut NodeContext,
+        accepted: AcceptedAttempt,
+    ) -> Lifecycle {
+        let State::Waiting(waiting) = &self.state else {
+            return Lifecycle::Continue;
+        };
+        if waiting.is_restored() && context.placement.has_request(accepted.request) {
+            return self.reject_line(context, FirstLineError::RequestIdInUse);
+        }
+        let Some(client) = self.stream.take() else {
+            return Lifecycle::Close;
+        };
+        let State::Waiting(waiting) = std::mem::replace(&mut self.state, State::Finished) else {
+            return Lifecycle::Close;
+        };
+        match &waiting.open.current_server {
+            Some(server) => {
+                let request_info = waiting.open.request_info(context.config.has_groups);
+                context
+                    .placement
+                    .on_inherited_connection(self.id, request_info, server);
+            }
+            None => context.placement.on_attempt_accepted(accepted.request),
+        }
+        Relay::begin(context, self.id, waiting.slot, client, accepted);
+        Lifecycle::Close
+    }
+
+    /// A server has served the request to its end at once; `line` is its answer.
+    pub(super) fn on_attempt_served(
+        &mut self,
+        context: &mut NodeContext,
+        line: &[u8],
+    ) -> Lifecycle {
+        let State::Waiting(waiting) = &self.state else {
+            return Lifecycle::Continue;
+        };
+        if !waiting.is_restored() {
+            context.placement.on_attempt_ended(
+                waiting.open.request,
+                Outcome::Served,
+                ClientState::Answered,
+            );
+        }
+        self.answer(context, line)
+    }
+}
+
+/// Connections that stood at a server before this process began.
+impl ClientConnection {
+    /// Sends the connection to the server that holds it.
+    fn restore(&mut self, context: &mut NodeContext) -> Lifecycle {
+        let State::Waiting(waiting) = &mut self.state else {
+            return Lifecycle::Continue;
+        };
+        let current_server = waiting.open.current_server.as_deref();
+        let address = current_server.and_then(|server| context.placement.available_address(server));
+        let may_retry =
+            waiting.restore_attempts < MAX_RESTORE_ATTEMPTS && Instant::now() < waiting.deadline;
+        let Some(address) = address.filter(|_| may_retry) else {
+            return self.answer(context, &answer::busy(Duration::ZERO));
+        };
+        if context.placement.has_request(waiting.open.request) {
+            return self.reject_line(context, FirstLineError::RequestIdInUse);
+        }
+        waiting.restore_attempts += 1;
+        let order = AttemptOrder {
+            request: waiting.open.request,
+            address,
+            deadline: waiting.deadline,
+        };
+        self.begin_attempt(context, &order);
+        Lifecycle::Continue
+    }
+
+    /// The server did not take the connection back; it is attempted again soon.
+    pub(super) fn on_restore_failed(&mut self, context: &mut NodeContext) -> Lifecycle {
+        if let State::Waiting(waiting) = &mut self.state {
+            waiting.attempt = None;
+            context.deadlines.set(
+                self.id,
+                ClientDeadline::RestoreRetry.into(),
+                Instant::now() + RESTORE_BACKOFF,
+            );
+        }
+        Lifecycle::Continue
+    }
+
+    /// The next attempt is due. Whether the client still waits is seen first.
+    pub(super) fn on_restore_retry(&mut self, context: &mut NodeContext) -> Lifecycle {
+        match self.read(context) {
+            Lifecycle::Continue => self.restore(context),
+            Lifecycle::Close => Lifecycle::Close,
+        }
+    }
+}
+
+/// Ends of the wait without a server.
+impl ClientConnection {
+    /// Placement rejects the request.
+    pub(super) fn on_rejected(
+        &mut self,
+        context: &mut NodeContext,
+        retry_after: Duration,
+    ) -> Lifecycle {
+        self.answer_waiting(context, &answer::busy(retry_after))
+    }
+
+    /// The request has failed.
+    pub(super) fn on_failed(&mut self, context: &mut NodeContext) -> Lifecycle {
+        self.answer_waiting(context, answer::ERROR)
+    }
+
+    /// The process exits. Placement answers the requests that it knows; of a connection from before this process began
+    /// it knows nothing. Where the line of such a one may have gone out, its server may hold it by now, so that it is
+    /// not answered as rejected.
+    pub(super) fn on_exit(&mut self, context: &mut NodeContext) -> Lifecycle {
+        match &self.state {
+            State::Waiting(waiting) if waiting.is_restored() => {
+                if waiting.attempt.is_some() {
+                    self.on_failed(context)
+                } else {
+                    self.on_rejected(context, Duration::ZERO)
+                }
+            }
+            _ => Lifecycle::Continue,
+        }
+    }
+
+    /// Closes the attempt, if there is one, and answers the client.
+    fn answer_waiting(&mut self, context: &mut NodeContext, answer: &[u8]) -> Lifecycle {
+        let State::Waiting(waiting) = &self.state else {
+            return Lifecycle::Continue;
+        };
+        waiting.close_attempt(context);
+        self.answer(context, answer)
+    }
+
+    /// The descriptor of an unidentified connection is needed.
+    pub(super) fn on_close(&mut self, context: &mut NodeContext) -> Lifecycle {
+        match &self.state {
+            State::ReadingFirstLine(_) => self.on_expired(context),
+            State::Waiting(_) => Lifecycle::Continue,
+            State::Closing(_) | State::Finished => Lifecycle::Close,
+        }
+    }
+
+    /// Nobody waits for the request any more, and its attempt is closed. That says nothing of the server.
+    pub(super) fn abandon_request(&mut self, context: &mut NodeContext) {
+        let State::Waiting(waiting) = &self.state else {
+            return;
+        };
+        let request = waiting.open.request;
+        debug!(context.log, "client left"; "request" => format!("{:016x}", request.0));
+        waiting.close_attempt(context);
+        if !waiting.is_restored() {
+            context.placement.on_client_gone(request);
+        }
+    }
+}
--- a/crates/node/src/discovery/client.rs
+++ b/crates/node/src/discovery/client.rs
@@ -54,11 +54,11 @@
     /// Not connected yet.
     pub fn new(config: &Config) -> DiscoveryClient {
         DiscoveryClient {
-            address: config.discovery,
+            address: config.discovery_address,
             version: 0,
             zones: config.zones.clone(),
-            machine_kinds: config.kinds.clone(),
-            known_list: config.known.clone(),
+            machine_kinds: config.machine_kinds.clone(),
+            known_list: config.known_endpoints.clone(),
             calls: [None, None],
             last_contact: Instant::now(),
         }
@@ -76,7 +76,7 @@
         };
         if let Err(error) = self.apply_update(
             &mut context.placement,
-            known_list,
+            &known_list,
             EndpointListSource::Cache,
         ) {
             warn!(context.log, "known endpoint list rejected"; "error" => %error);
@@ -86,7 +86,7 @@
     fn apply_update(
         &mut self,
         placement: &mut PlacementDriver,
-        update: EndpointListUpdate,
+        update: &EndpointListUpdate,
         source: EndpointListSource,
     ) -> Result<(), EndpointListError> {
         update.check()?;
@@ -279,7 +279,7 @@
             info!(context.log, "endpoint list changed"; "seq" => update.version, "entries" => update.endpoints.len());
             self.apply_update(
                 &mut context.placement,
-                update,
+                &update,
                 EndpointListSource::Discovery,
             )?;
             has_update = true;
@@ -328,7 +328,7 @@
     /// The configuration names another address. What is known stays: the watch at the new address goes on from the last
     /// version of the old one.
     fn change_address(&mut self, context: &mut NodeContext) {
-        self.address = context.config.discovery;
+        self.address = context.config.discovery_address;
         for slot in 0..CALL_SLOTS {
             self.close_call(context, slot);
         }
--- a/crates/node/src/handoff/incoming.rs
+++ b/crates/node/src/handoff/incoming.rs
@@ -1,7 +1,8 @@
 //! Handles the messages of the other process.
 
 use super::lifecycle::{
-    lose_peer, reload_admin_drains, send_heartbeat, start_handover, start_next_transfers, PeerLoss,
+    lose_peer, reload_drained_servers, send_heartbeat, start_handover, start_next_transfers,
+    PeerLoss,
 };
 use super::message::{
     ConnectionTransfer, HandoffMessage, Heartbeat, UnidentifiedClientTransfer, PROTOCOL_VERSION,
@@ -9,7 +10,7 @@
 use super::peer_process::PeerProcess;
 use super::socket::ReceivedMessage;
 use super::transfer::TransferAnswer;
-use crate::client::connection::Client;
+use crate::client::ClientConnection;
 use crate::command::TransferCommand;
 use crate::state::NodeContext;
 use crate::upstream::relay::Relay;
@@ -26,7 +27,7 @@
     } = received;
     match message {
         HandoffMessage::Heartbeat(heartbeat) => on_heartbeat(context, heartbeat),
-        HandoffMessage::AdminDrainChanged => reload_admin_drains(context),
+        HandoffMessage::AdminDrainChanged => reload_drained_servers(context),
         HandoffMessage::LearnedState(records) => {
             let learned = records.into_iter().map(Into::into).collect();
             context.placement.import_learned_servers(learned);
@@ -70,13 +71,13 @@
     let ConnectionTransfer { number, connection } = transfer;
     let sockets = <[OwnedFd; 2]>::try_from(descriptors)
         .ok()
-        .filter(|_| Relay::may_take(context, &connection, payload));
+        .filter(|_| Relay::can_resume(context, &connection, payload));
     let Some(sockets) = sockets else {
         return reject(context, number);
     };
     if accept(context, number) {
         forget_peer_client(context);
-        Relay::take_over(context, connection, payload, sockets);
+        Relay::resume_transferred(context, connection, payload, sockets);
     }
 }
 
@@ -95,7 +96,7 @@
     };
     if accept(context, number) {
         let remaining = Duration::from_millis(remaining_ms);
-        Client::take_over(context, socket, payload, remaining);
+        ClientConnection::resume_transferred(context, socket, payload, remaining);
     }
 }
 
