--- a/crates/scale/src/counting_proxy/counted_stream.rs
+++ b/crates/scale/src/counting_proxy/counted_stream.rs
@@ -1,7 +1,8 @@
 //! One stream through a proxy, with the messages of both directions counted.
 
 use super::{DeadlineKind, ProxyContext, ProxyState};
-use lupincrank_cluster::connection::{FrameDecoder, Message};
+use lupincrank_cluster::frame::FrameDecoder;
+use lupincrank_cluster::message::Message;
 use lupincrank_fault_injection::stream_relay::{Side, StreamRelay};
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::{poller_key, ComponentId, Connection, Interest, Lifecycle, Readiness};
