Node relay: a module for its ends; one place for resets on close

Change: relay/closing.rs, reset_on_close.rs, hex_id of the placement driver; the health check takes the server by reference.

--- a/crates/node/src/application.rs
+++ b/crates/node/src/application.rs
@@ -3,7 +3,7 @@
 use crate::command::{ClientCommand, DiscoveryCommand, Message, RelayCommand};
 use crate::component::{is_allocated_id, WellKnownComponent, FIRST_ADMIN_CONNECTION_ID};
 use crate::deadline::DeadlineKind;
-use crate::placement_driver::Command;
+use crate::placement_driver::{hex_id, Command};
 use crate::state::{NodeContext, NodeState};
 use crate::upstream::health_check;
 use lupincrank_reactor::{Application, ComponentId, APPLICATION};
@@ -36,7 +36,7 @@
         Command::Fail { owner } => context.send(owner, ClientCommand::Fail),
         Command::Migrate { owner } => context.send(owner, RelayCommand::Migrate),
         Command::CheckHealth { server, address } => {
-            health_check::check(context, server, address);
+            health_check::check(context, &server, address);
         }
         Command::WatchEndpoints => {
             context.send(WellKnownComponent::Discovery.id(), DiscoveryCommand::Watch);
@@ -120,7 +120,7 @@
     fn on_undelivered(&mut self, _id: ComponentId, message: Message) {
         // A socket sent to a client that has ended meanwhile is closed with the message.
         if let Message::Client(ClientCommand::AttemptAccepted(attempt)) = message {
-            warn!(self.log, "came up for nobody"; "request" => format!("{:016x}", attempt.request.0));
+            warn!(self.log, "came up for nobody"; "request" => hex_id(attempt.request));
         }
     }
 
--- a/crates/node/src/client/connection/request.rs
+++ b/crates/node/src/client/connection/request.rs
@@ -6,7 +6,7 @@
 use crate::client::ClientSlot;
 use crate::command::{AcceptedAttempt, AttemptCommand};
 use crate::deadline::ClientDeadline;
-use crate::placement_driver::{AttemptOrder, ClientState};
+use crate::placement_driver::{hex_id, AttemptOrder, ClientState};
 use crate::state::NodeContext;
 use crate::upstream::attempt::{Attempt, UpstreamAttempt};
 use crate::upstream::relay::Relay;
@@ -328,7 +328,7 @@
             return;
         };
         let request = waiting.open.request;
-        debug!(context.log, "client left"; "request" => format!("{:016x}", request.0));
+        debug!(context.log, "client left"; "request" => hex_id(request));
         waiting.close_attempt(context);
         if !waiting.is_restored() {
             context.placement.on_client_gone(request);
--- a/crates/node/src/placement_driver/mod.rs
+++ b/crates/node/src/placement_driver/mod.rs
@@ -15,6 +15,7 @@
 pub use attempts::ClientState;
 pub use command::{AttemptOrder, Command};
 pub use endpoints::{EndpointListError, EndpointListScope, EndpointListSource, ResolvedEndpoint};
+pub(crate) use request::hex_id;
 
 use crate::config::Config;
 use crate::deadline::PlacementTimer;
@@ -24,7 +25,7 @@
 use lupincrank_placement::{
     Action, Balancer, Event, Outcome, RequestId, ServerId, SlowStartLease, Timestamp,
 };
-use request::{hex_id, ActiveRequest};
+use request::ActiveRequest;
 use setup_times::SetupTimes;
 use slog::{debug, Logger};
 use std::collections::{BTreeMap, HashMap, VecDeque};
--- a/crates/node/src/placement_driver/request.rs
+++ b/crates/node/src/placement_driver/request.rs
@@ -11,7 +11,7 @@
 const MAX_UNANSWERED_LINES: usize = 256;
 
 /// A request's id as the protocol writes it.
-pub(super) fn hex_id(request: RequestId) -> String {
+pub(crate) fn hex_id(request: RequestId) -> String {
     format!("{:016x}", request.0)
 }
 
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -1,20 +1,20 @@
 //! One attempt: a connection to a server from its begin to the server's first line.
 
 use super::is_local_resource_exhaustion;
+use super::reset_on_close::{disable_reset_on_close, enable_reset_on_close};
 use super::server_line::{ServerLine, MAX_LINE_BYTES};
 use crate::command::{AcceptedAttempt, AttemptCommand, ClientCommand, Message};
 use crate::deadline::{AttemptDeadline, DeadlineKind};
-use crate::placement_driver::ClientState;
+use crate::placement_driver::{hex_id, ClientState};
 use crate::state::{NodeContext, NodeState};
 use lupincrank_placement::{Outcome, RequestId};
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::unacknowledged::unacknowledged_bytes;
 use lupincrank_reactor::{poller_key, ComponentId, Connection, Interest, Lifecycle, Readiness};
 use slog::debug;
-use socket2::SockRef;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// What one turn of the loop reads of a server. Guards against an answer that never ends and keeps the others waiting.
 const MAX_BYTES_PER_TURN: usize = 16 << 10;
@@ -107,7 +107,7 @@
 
     /// Closes the connection, then reports how the attempt ended: the next one must not begin before.
     fn end(&mut self, context: &mut NodeContext, outcome: Outcome) -> Lifecycle {
-        debug!(context.log, "attempt ended"; "request" => format!("{:016x}", self.attempt.request.0),
+        debug!(context.log, "attempt ended"; "request" => hex_id(self.attempt.request),
             "address" => %self.attempt.address, "outcome" => ?outcome);
         self.close();
         if self.attempt.is_restored {
@@ -126,7 +126,7 @@
             return;
         };
         if self.written > 0 && matches!(unacknowledged_bytes(&stream), Ok(0)) {
-            let _ = set_reset_on_close(&stream, ResetOnClose::Off);
+            let _ = disable_reset_on_close(&stream);
         }
     }
 
@@ -182,8 +182,9 @@
         let Some(stream) = &mut self.stream else {
             return Ok(());
         };
+        // Nothing of the line may arrive once a network that was cut heals, also where this process ends.
         if self.written == 0 {
-            set_reset_on_close(stream, ResetOnClose::On)?;
+            enable_reset_on_close(stream)?;
         }
         while self.written < self.attempt.line.len() {
             match stream.write(&self.attempt.line[self.written..]) {
@@ -254,13 +255,13 @@
 
     /// Handles the first line of `received`, whose line feed is at `line_end`.
     fn on_line(&mut self, context: &mut NodeContext, line_end: usize) -> Lifecycle {
-        let content = &self.received[..line_end];
-        let is_well_formed = content.ends_with(b"\r") && line_end < MAX_LINE_BYTES;
-        let line = ServerLine::parse(content);
+        let line_bytes = &self.received[..line_end];
+        let is_well_formed = line_bytes.ends_with(b"\r") && line_end < MAX_LINE_BYTES;
+        let line = ServerLine::parse(line_bytes);
         let is_answer = !matches!(line, ServerLine::Load(_));
         if let Some(stream) = self.stream.as_ref().filter(|_| is_answer) {
             // The server has the first line.
-            let _ = set_reset_on_close(stream, ResetOnClose::Off);
+            let _ = disable_reset_on_close(stream);
         }
         match line {
             _ if !is_well_formed => self.end(context, Outcome::Error),
@@ -311,24 +312,6 @@
     }
 }
 
-/// What becomes of bytes that the kernel still holds when a connection closes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ResetOnClose {
-    /// They are dropped, and the server sees a reset: nothing may arrive once a network that was cut heals, also where
-    /// the connection ends with this process.
-    On,
-    /// They are sent; all have arrived already.
-    Off,
-}
-
-fn set_reset_on_close(stream: &TcpStream, reset: ResetOnClose) -> io::Result<()> {
-    let linger = match reset {
-        ResetOnClose::On => Some(Duration::ZERO),
-        ResetOnClose::Off => None,
-    };
-    SockRef::from(stream).set_linger(linger)
-}
-
 impl Connection<NodeState> for UpstreamAttempt {
     fn on_ready(
         &mut self,
--- a/crates/node/src/upstream/health_check.rs
+++ b/crates/node/src/upstream/health_check.rs
@@ -71,22 +71,22 @@
 
 /// Checks a server's health; placement is told the result. Where too many servers are checked at once this one is left
 /// out, and counts as passed without a report.
-pub(crate) fn check(context: &mut NodeContext, server: ServerId, address: SocketAddr) {
-    let open = context.health_checks.connections.get(&server).copied();
+pub(crate) fn check(context: &mut NodeContext, server: &ServerId, address: SocketAddr) {
+    let open = context.health_checks.connections.get(server).copied();
     match open {
         Some(open) if open.address == address => {
             return context.send(open.connection, HealthCheckCommand::Check);
         }
         Some(open) => context.send(open.connection, HealthCheckCommand::Close),
         None if context.health_checks.connections.len() >= context.config.most_probes() => {
-            return context.placement.on_health_check(&server, true, None);
+            return context.placement.on_health_check(server, true, None);
         }
         None => {}
     }
-    if let Err(error) = HealthCheckConnection::open(context, &server, address) {
+    if let Err(error) = HealthCheckConnection::open(context, server, address) {
         debug!(context.log, "health check not started"; "server" => &*server.0, "error" => %error);
         let has_passed = is_local_resource_exhaustion(&error);
-        context.placement.on_health_check(&server, has_passed, None);
+        context.placement.on_health_check(server, has_passed, None);
     }
 }
 
@@ -162,13 +162,6 @@
         Lifecycle::Close
     }
 
-    fn continue_or_end(&mut self, context: &mut NodeContext, result: io::Result<()>) -> Lifecycle {
-        match result {
-            Ok(()) => Lifecycle::Continue,
-            Err(_) => self.end(context),
-        }
-    }
-
     fn on_io(&mut self, context: &mut NodeContext, readiness: Readiness) -> io::Result<()> {
         if readiness.writable {
             self.write(context)?;
@@ -259,8 +252,10 @@
             HealthCheckDeadline::Answer.into(),
             Instant::now() + RESPONSE_TIMEOUT,
         );
-        let result = self.write(context);
-        self.continue_or_end(context, result)
+        match self.write(context) {
+            Ok(()) => Lifecycle::Continue,
+            Err(_) => self.end(context),
+        }
     }
 
     /// The server has another address, where it is checked by another connection; a check that is under way here counts
@@ -278,8 +273,10 @@
         _socket: usize,
         readiness: Readiness,
     ) -> Lifecycle {
-        let result = self.on_io(context, readiness);
-        self.continue_or_end(context, result)
+        match self.on_io(context, readiness) {
+            Ok(()) => Lifecycle::Continue,
+            Err(_) => self.end(context),
+        }
     }
 
     fn on_deadline(&mut self, context: &mut NodeContext, _kind: DeadlineKind) -> Lifecycle {
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -4,6 +4,7 @@
 mod byte_buffer;
 pub(crate) mod health_check;
 pub(crate) mod relay;
+mod reset_on_close;
 pub(crate) mod server_line;
 
 use lupincrank_reactor::poll::RESOURCE_EXHAUSTED_ERRNOS;
--- a/crates/node/src/upstream/relay.rs
+++ b/crates/node/src/upstream/relay.rs
@@ -1,6 +1,7 @@
 //! The relay between a client and its server: passes bytes both ways unchanged, and reports the lines that placement
 //! needs to know of.
 
+mod closing;
 mod transfer;
 
 use super::byte_buffer::ByteBuffer;
@@ -13,7 +14,6 @@
 use lupincrank_placement::{Outcome, RequestId};
 use lupincrank_reactor::poll::Registered;
 use lupincrank_reactor::{poller_key, ComponentId, Connection, Interest, Lifecycle, Readiness};
-use socket2::SockRef;
 use std::io::{self, Read};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
@@ -22,14 +22,6 @@
 /// What one side may send in one turn of the loop, and in one read.
 const MAX_BYTES_PER_TURN: usize = 32 << 10;
 const READ_CHUNK_BYTES: usize = 4 << 10;
-/// How long the relay stays open once the client has ended its sending.
-const HALF_CLOSED_TIMEOUT: Duration = Duration::from_secs(10);
-/// How long a client that was migrated, or whose server has closed, may take to close its side.
-const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
-/// A server that closes so soon after a line that it did not answer could not parse the line.
-const SYNTAX_ERROR_WINDOW: Duration = Duration::from_millis(250);
-/// What a client is sent that is to connect again elsewhere.
-const MOVE_LINE: &[u8] = b"MOVE\r\n";
 
 /// The two connections of a relay.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -296,99 +288,12 @@
     }
 }
 
-/// The ways to the end.
-impl Relay {
-    /// The outcome of a server's close that it did not announce. Replies come at once, so if a line has just gone out it
-    /// was that one that the server could not parse: guards against blaming it for what a client sends.
-    fn outcome_of_server_close(&self, context: &NodeContext) -> Outcome {
-        let sent_at = context.placement.oldest_unanswered_line(self.request);
-        if sent_at.is_some_and(|sent_at| sent_at.elapsed() < SYNTAX_ERROR_WINDOW) {
-            Outcome::Cancelled
-        } else {
-            Outcome::Reset
-        }
-    }
-
-    /// One side was reset: the other one is reset too, after what it can still take at once.
-    fn on_broken(&mut self, context: &mut NodeContext, side: Side) -> Lifecycle {
-        match side {
-            Side::Client => {
-                self.report_outcome(context, Outcome::Cancelled);
-                if let Some(server) = &mut self.server {
-                    let _ = self.to_server.write_to(server);
-                    reset_on_close(server);
-                }
-            }
-            Side::Server => {
-                let outcome = self.outcome_of_server_close(context);
-                self.report_outcome(context, outcome);
-                let _ = self.to_client.write_to(&mut self.client);
-                reset_on_close(&self.client);
-            }
-        }
-        Lifecycle::Close
-    }
-
-    /// One side has ended its sending: the other learns of it behind all that was sent.
-    fn on_end_of_stream(&mut self, context: &mut NodeContext, side: Side) {
-        match side {
-            Side::Client => self.on_client_end(context),
-            Side::Server => self.on_server_end(context),
-        }
-    }
-
-    fn on_client_end(&mut self, context: &mut NodeContext) {
-        let timeout = if self.server.is_some() {
-            HALF_CLOSED_TIMEOUT
-        } else {
-            LINGER_TIMEOUT
-        };
-        self.set_close_deadline(context, timeout);
-        self.to_server.end();
-        self.report_outcome(context, Outcome::Cancelled);
-    }
-
-    fn on_server_end(&mut self, context: &mut NodeContext) {
-        self.to_client.push(&self.partial_line);
-        self.partial_line.clear();
-        self.to_client.end();
-        self.set_close_deadline(context, LINGER_TIMEOUT);
-        let outcome = match self.last_server_line {
-            ServerLine::Bye => Outcome::Served,
-            ServerLine::Move => Outcome::Cancelled,
-            ServerLine::Error => Outcome::Error,
-            _ => self.outcome_of_server_close(context),
-        };
-        self.report_outcome(context, outcome);
-    }
-
-    /// Tells the client between two lines to connect again elsewhere, and ends both sides.
-    fn migrate(&mut self, context: &mut NodeContext) -> Lifecycle {
-        if self.server.take().is_some() {
-            self.partial_line.clear();
-            self.to_server.clear();
-            if !self.to_client.has_ended() {
-                self.to_client.push(MOVE_LINE);
-                self.to_client.end();
-            }
-            self.report_outcome(context, Outcome::Cancelled);
-            self.set_close_deadline(context, LINGER_TIMEOUT);
-        }
-        self.pump(context)
-    }
-}
-
 /// The length of the first line in `bytes`, its line feed included.
 fn line_length(bytes: &[u8]) -> Option<usize> {
     let line_feed = bytes.iter().position(|byte| *byte == b'\n')?;
     Some(line_feed + 1)
 }
 
-/// What the kernel still holds when the connection closes is dropped, and the other end sees a reset.
-fn reset_on_close(stream: &TcpStream) {
-    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
-}
-
 impl Connection<NodeState> for Relay {
     fn on_ready(
         &mut self,
--- a/crates/node/src/upstream/relay/transfer.rs
+++ b/crates/node/src/upstream/relay/transfer.rs
@@ -5,6 +5,7 @@
 use crate::command::TransferCommand;
 use crate::handoff::message::{ConnectionTransfer, HandoffMessage, TransferredConnection};
 use crate::handoff::socket::SendOutcome;
+use crate::placement_driver::hex_id;
 use crate::state::NodeContext;
 use crate::upstream::byte_buffer::ByteBuffer;
 use lupincrank_placement::{Outcome, RequestId, RequestInfo, Timestamp};
@@ -139,7 +140,7 @@
         };
         match self.send_record(context, record) {
             Ok(SendOutcome::Sent) => {
-                debug!(context.log, "relay transfer started"; "request" => format!("{:016x}", self.request.0));
+                debug!(context.log, "relay transfer started"; "request" => hex_id(self.request));
                 self.pause(context);
                 Lifecycle::Continue
             }
@@ -212,7 +213,7 @@
         let client_result = self.client.set_interest(Interest::NONE);
         let server_result = self.set_server_interest(Interest::NONE);
         if client_result.and(server_result).is_err() {
-            debug!(context.log, "relay not paused"; "request" => format!("{:016x}", self.request.0));
+            debug!(context.log, "relay not paused"; "request" => hex_id(self.request));
         }
     }
 
