--- a/crates/node/src/client/connection/request.rs
+++ b/crates/node/src/client/connection/request.rs
@@ -76,7 +76,7 @@
             return self.reject_line(context, FirstLineError::RestoredTooLate);
         }
         if context.client_count.get() + context.handoff.peer_heartbeat().client_count
-            >= context.config.most_clients()
+            >= context.config.max_clients()
         {
             debug!(context.log, "client limit reached"; "clients" => context.client_count.get());
             let retry_after = context.config.settings.max_retry_after / 2;
@@ -94,7 +94,7 @@
         context
             .deadlines
             .clear(self.id, ClientDeadline::Close.into());
-        let request_info = open.request_info(context.config.groups);
+        let request_info = open.request_info(context.config.has_groups);
         let time_budget = open.time_budget.duration;
         let is_restored = open.current_server.is_some();
         let wait = if is_restored {
@@ -192,7 +192,7 @@
         };
         match &waiting.open.current_server {
             Some(server) => {
-                let request_info = waiting.open.request_info(context.config.groups);
+                let request_info = waiting.open.request_info(context.config.has_groups);
                 context
                     .placement
                     .on_inherited_connection(self.id, request_info, server);
--- a/crates/node/src/placement_driver/mod.rs
+++ b/crates/node/src/placement_driver/mod.rs
@@ -14,7 +14,9 @@
 
 pub use attempts::ClientState;
 pub use command::{AttemptOrder, Command};
-pub use endpoints::{EndpointListError, EndpointListScope, EndpointListSource, ResolvedEndpoint};
+pub use endpoints::{
+    EndpointAvailabilityError, EndpointListScope, EndpointListSource, ResolvedEndpoint,
+};
 pub(crate) use request::hex_id;
 
 use crate::config::Config;
--- a/crates/node/src/upstream/health_check.rs
+++ b/crates/node/src/upstream/health_check.rs
@@ -78,7 +78,7 @@
             return context.send(open.connection, HealthCheckCommand::Check);
         }
         Some(open) => context.send(open.connection, HealthCheckCommand::Close),
-        None if context.health_checks.connections.len() >= context.config.most_probes() => {
+        None if context.health_checks.connections.len() >= context.config.max_health_checks() => {
             return context.placement.on_health_check(server, true, None);
         }
         None => {}
--- a/crates/node/src/upstream/relay.rs
+++ b/crates/node/src/upstream/relay.rs
@@ -119,7 +119,7 @@
             server: Some(server),
             to_server: ByteBuffer::default(),
             to_client: ByteBuffer::default(),
-            max_pending_bytes: context.config.most_held(),
+            max_pending_bytes: context.config.max_buffered_bytes(),
             partial_line: Vec::new(),
             last_server_line: ServerLine::Unknown,
             is_outcome_reported: false,
