Placement API: removed endpoints, timers by kind, timeouts and set-up durations

Need: Gone, patience, took, from and timer handles 1 to 4 had to be guessed at. Change: Health::Removed, timeout, setup_duration, previous_class_indices, EndpointWatchStalled and the enum Timer, which turns into the numbers of the wire in one place; the progress of a drain is a type in place of a pair.

--- a/crates/adapter/src/input.rs
+++ b/crates/adapter/src/input.rs
@@ -2,7 +2,7 @@
 
 use crate::error::MessageError;
 use lupincrank_placement::{
-    Endpoint, Event, Health, Outcome, RequestId, RequestInfo, ServerId, Timestamp,
+    Endpoint, Event, Health, Outcome, RequestId, RequestInfo, ServerId, Timer, Timestamp,
 };
 use lupincrank_settings::DeploymentSettings;
 use serde::Deserialize;
@@ -138,12 +138,12 @@
             "CANCELLED_BY_CLIENT" => Event::ClientGone(request_id(self.request)?),
             "ESTABLISHED" => Event::ConnectionEstablished {
                 request: request_id(self.request)?,
-                took: Duration::from_nanos(self.setup_duration_ns.unwrap_or(0)),
+                setup_duration: Duration::from_nanos(self.setup_duration_ns.unwrap_or(0)),
             },
             "COMPLETED" => self.attempt_ended()?,
             "PROGRESS" => return self.observation(),
             "HEALTH_RESULT" => self.health_check_completed()?,
-            "WAKEUP" => Event::TimerFired(required(self.timer_handle, "Handle")?),
+            "WAKEUP" => return self.timer_fired(),
             "PEER" => Event::Gossip(required(self.message, "Msg")?),
             other => {
                 return Err(MessageError::UnknownOperation {
@@ -230,6 +230,12 @@
         })
     }
 
+    /// A timer that no balancer sets is ignored.
+    fn timer_fired(self) -> Result<Option<Event>, MessageError> {
+        let handle = required(self.timer_handle, "Handle")?;
+        Ok(Timer::from_handle(handle).map(Event::TimerFired))
+    }
+
     fn health_check_completed(self) -> Result<Event, MessageError> {
         Ok(Event::HealthCheckCompleted {
             server: server_id(self.server)?,
@@ -251,7 +257,7 @@
 fn health(code: u32) -> Result<Health, MessageError> {
     match code {
         0 => Ok(Health::Ready),
-        1 => Ok(Health::Gone),
+        1 => Ok(Health::Removed),
         2 => Ok(Health::Draining),
         _ => Err(MessageError::UnknownCode {
             field: "Health",
--- a/crates/adapter/src/output.rs
+++ b/crates/adapter/src/output.rs
@@ -16,12 +16,12 @@
         Action::StartAttempt {
             request,
             server,
-            patience,
+            timeout,
         } => writeln!(
             reply,
             r#"{{"op":"ISSUE","Who":{who},"Req":{},"TryForNs":{},"Server":{}}}"#,
             request_id(request),
-            patience.as_nanos().max(1),
+            timeout.as_nanos().max(1),
             json_string(&server.0)
         ),
         Action::Reject {
@@ -53,10 +53,11 @@
             r#"{{"op":"SHARE","Who":{who},"Whom":-1,"Msg":{}}}"#,
             json_string(&message)
         ),
-        Action::SetTimer { after, handle } => writeln!(
+        Action::SetTimer { after, timer } => writeln!(
             reply,
-            r#"{{"op":"DEFER","Who":{who},"AfterNs":{},"Handle":{handle}}}"#,
-            after.as_nanos()
+            r#"{{"op":"DEFER","Who":{who},"AfterNs":{},"Handle":{}}}"#,
+            after.as_nanos(),
+            timer.handle()
         ),
         Action::WatchEndpoints => {
             writeln!(reply, r#"{{"op":"SUBSCRIBE","Who":{who},"Want":true}}"#)
--- a/crates/node/src/deadline.rs
+++ b/crates/node/src/deadline.rs
@@ -1,6 +1,8 @@
 //! What the node's deadlines are for. Deadlines of one component that are due at the same instant fire in the order of
 //! the variants.
 
+use lupincrank_placement::Timer;
+
 /// What a deadline is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum DeadlineKind {
@@ -32,14 +34,14 @@
     Observer,
 }
 
-/// One timer of the placement decisions. Timers with the same handle may be set side by side, so each has a number of
+/// One timer of the placement decisions. Timers of the same kind may be set side by side, so each has a number of
 /// its own; the earlier one fires first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct PlacementTimer {
     /// The timer's number, counted from the node's start.
     pub sequence: u64,
-    /// What the decisions named it.
-    pub handle: u64,
+    /// What it is for.
+    pub kind: Timer,
 }
 
 /// Deadlines of the discovery client.
--- a/crates/node/src/discovery/endpoint_list.rs
+++ b/crates/node/src/discovery/endpoint_list.rs
@@ -104,7 +104,7 @@
         match self.health.as_str() {
             "SERVING" => Ok(Health::Ready),
             "DRAINING" => Ok(Health::Draining),
-            "DELETED" => Ok(Health::Gone),
+            "DELETED" => Ok(Health::Removed),
             unknown => Err(EndpointListError::Health {
                 server: self.server.clone(),
                 health: unknown.to_string(),
--- a/crates/node/src/placement_driver/attempts.rs
+++ b/crates/node/src/placement_driver/attempts.rs
@@ -118,12 +118,15 @@
             return;
         };
         active.establish();
-        let took = active.attempt_started_at.elapsed();
+        let setup_duration = active.attempt_started_at.elapsed();
         let server = active.server.clone();
         debug!(self.log, "up"; "request" => hex_id(request), "server" => server.as_ref().map(|id| id.0.to_string()),
-            "us" => took.as_micros() as u64);
-        self.record_setup(server, took);
-        self.feed(Event::ConnectionEstablished { request, took });
+            "us" => setup_duration.as_micros() as u64);
+        self.record_setup(server, setup_duration);
+        self.feed(Event::ConnectionEstablished {
+            request,
+            setup_duration,
+        });
     }
 
     /// The attempt in flight has ended, or the connection; its socket is closed.
--- a/crates/node/src/placement_driver/endpoints.rs
+++ b/crates/node/src/placement_driver/endpoints.rs
@@ -84,7 +84,7 @@
     fn apply_endpoint(&mut self, resolved: &ResolvedEndpoint) {
         let server = &resolved.endpoint.server;
         match resolved.endpoint.health {
-            Health::Gone => {
+            Health::Removed => {
                 self.endpoints.remove(server);
             }
             health => {
@@ -104,7 +104,7 @@
 
     /// The watch has fallen silent.
     pub fn on_watch_silent(&mut self) {
-        self.feed(Event::EndpointWatchSilent);
+        self.feed(Event::EndpointWatchStalled);
     }
 
     /// A call to discovery failed or the watch broke.
--- a/crates/node/src/placement_driver/mod.rs
+++ b/crates/node/src/placement_driver/mod.rs
@@ -22,7 +22,7 @@
 use endpoints::KnownEndpoint;
 use latency::UpstreamLatency;
 use lupincrank_placement::{
-    Action, Balancer, Event, Outcome, RequestId, ServerId, SlowStartLease, Timestamp,
+    Action, Balancer, Event, Outcome, RequestId, ServerId, SlowStartLease, Timer, Timestamp,
 };
 use request::{hex_id, ActiveRequest};
 use setup_times::SetupTimes;
@@ -98,7 +98,7 @@
 
     /// A timer has fired.
     pub fn on_timer(&mut self, timer: PlacementTimer) {
-        self.feed(Event::TimerFired(timer.handle));
+        self.feed(Event::TimerFired(timer.kind));
     }
 
     /// Tells the decisions an event and carries out what they say.
@@ -115,15 +115,15 @@
             Action::StartAttempt {
                 request,
                 server,
-                patience,
-            } => self.start_attempt(request, server, patience),
+                timeout,
+            } => self.start_attempt(request, server, timeout),
             Action::Reject {
                 request,
                 retry_after,
             } => self.reject(request, retry_after),
             Action::Fail(request) => self.fail(request),
             Action::Migrate(request) => self.migrate(request),
-            Action::SetTimer { after, handle } => self.set_timer(after, handle),
+            Action::SetTimer { after, timer } => self.set_timer(after, timer),
             Action::WatchEndpoints => self.commands.push_back(Command::WatchEndpoints),
             Action::CheckHealth(server) => self.check_health(server),
             // The protocol of this kind of site has no messages between nodes.
@@ -184,11 +184,11 @@
         self.commands.push_back(Command::Migrate { owner });
     }
 
-    fn set_timer(&mut self, after: Duration, handle: u64) {
+    fn set_timer(&mut self, after: Duration, kind: Timer) {
         self.timer_count += 1;
         let timer = PlacementTimer {
             sequence: self.timer_count,
-            handle,
+            kind,
         };
         self.commands.push_back(Command::SetTimer { after, timer });
     }
--- a/crates/node/src/placement_driver/settings.rs
+++ b/crates/node/src/placement_driver/settings.rs
@@ -33,7 +33,7 @@
                 node_count: settings.node_count.saturating_mul(self.process_count),
                 ..settings.clone()
             },
-            from: previous_positions,
+            previous_class_indices: previous_positions,
         });
     }
 
--- a/crates/placement/src/admin_drain.rs
+++ b/crates/placement/src/admin_drain.rs
@@ -17,6 +17,15 @@
     }
 }
 
+/// How far the gradual migration of a drained server's connections has come.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DrainProgress {
+    /// The drained server.
+    pub server: ServerId,
+    /// Steps in which it must be empty, the present one included; at least 1.
+    pub remaining_steps: usize,
+}
+
 /// The last endpoint list and the servers drained by an administrator.
 #[derive(Default)]
 pub struct AdminDrain {
@@ -55,12 +64,12 @@
 
     /// How many steps of the length `step` are left for each drained server to be empty `drain_duration` after it was
     /// drained, in the order of the servers' names.
-    pub fn remaining_steps(
+    pub fn progress(
         &self,
         now: Timestamp,
         drain_duration: Duration,
         step: Duration,
-    ) -> Vec<(ServerId, usize)> {
+    ) -> Vec<DrainProgress> {
         let remaining_steps = |drained_at: Timestamp| {
             let elapsed = now.saturating_duration_since(drained_at);
             let remaining = drain_duration.saturating_sub(elapsed);
@@ -70,7 +79,10 @@
             .iter()
             .filter_map(|server| {
                 let drained_at = *self.drained_at.get(server)?;
-                Some((server.clone(), remaining_steps(drained_at)))
+                Some(DrainProgress {
+                    server: server.clone(),
+                    remaining_steps: remaining_steps(drained_at),
+                })
             })
             .collect()
     }
@@ -100,7 +112,7 @@
     }
 
     fn record(&mut self, entry: &Endpoint) {
-        if entry.health == Health::Gone {
+        if entry.health == Health::Removed {
             self.endpoints.remove(&entry.server);
         } else {
             self.endpoints.insert(entry.server.clone(), entry.clone());
--- a/crates/placement/src/admin_drain/tests.rs
+++ b/crates/placement/src/admin_drain/tests.rs
@@ -26,7 +26,7 @@
 
 #[test]
 fn a_drained_server_is_shown_draining_whatever_the_list_says_until_it_is_released() {
-    use Health::{Draining, Gone, Ready};
+    use Health::{Draining, Ready, Removed};
     let mut drain = AdminDrain::default();
     let s = || "s".to_string();
     drain.apply_endpoints(
@@ -44,8 +44,8 @@
     );
     // It is restarted: removed, back, and told again by a complete list.
     assert_eq!(
-        shown(drain.apply_endpoints(vec![endpoint("s", Gone, None)], false)),
-        [(s(), Gone, None)]
+        shown(drain.apply_endpoints(vec![endpoint("s", Removed, None)], false)),
+        [(s(), Removed, None)]
     );
     assert!(drain.knows(&"s".into()), "may be released meanwhile");
     for is_complete in [false, true] {
@@ -76,7 +76,11 @@
     let ms = Duration::from_millis;
     drain.set_drained_servers(Timestamp(0), servers(&["s"]));
     let steps_after = |drain: &AdminDrain, millis: u64| {
-        drain.remaining_steps(Timestamp(millis * 1_000_000), ms(300), ms(100))
+        drain
+            .progress(Timestamp(millis * 1_000_000), ms(300), ms(100))
+            .into_iter()
+            .map(|progress| (progress.server, progress.remaining_steps))
+            .collect::<Vec<(ServerId, usize)>>()
     };
     assert_eq!(
         [0, 100, 250, 900].map(|millis| steps_after(&drain, millis)[0].1),
--- a/crates/placement/src/api/action.rs
+++ b/crates/placement/src/api/action.rs
@@ -1,20 +1,20 @@
 //! What a balancer wants its proxy to do.
 
-use crate::api::{RequestId, ServerId};
+use crate::api::{RequestId, ServerId, Timer};
 use std::time::Duration;
 
 /// An instruction to the proxy, to be carried out in the order in which a batch lists them.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Send the request to the server, and end the attempt with [`Outcome::TimedOut`](crate::Outcome::TimedOut) if no
-    /// answer comes within `patience`.
+    /// answer comes within `timeout`.
     StartAttempt {
         /// The request to send.
         request: RequestId,
         /// The server to which it goes.
         server: ServerId,
         /// The attempt's timeout.
-        patience: Duration,
+        timeout: Duration,
     },
     /// Answer the client that the request was not served: it was not executed, or repeating it is harmless.
     Reject {
@@ -37,8 +37,8 @@
     SetTimer {
         /// Time until it fires.
         after: Duration,
-        /// The value that [`Event::TimerFired`](crate::Event::TimerFired) carries. Several timers may have the same.
-        handle: u64,
+        /// What it is for.
+        timer: Timer,
     },
     /// Start, or start again, to watch service discovery for endpoint changes.
     WatchEndpoints,
--- a/crates/placement/src/api/endpoint.rs
+++ b/crates/placement/src/api/endpoint.rs
@@ -11,7 +11,7 @@
     /// Finishes the work that it has and takes no new connections.
     Draining,
     /// Removed from the list.
-    Gone,
+    Removed,
 }
 
 /// One entry of the endpoint list.
--- a/crates/placement/src/api/event.rs
+++ b/crates/placement/src/api/event.rs
@@ -1,6 +1,8 @@
 //! What a proxy tells its balancer.
 
-use crate::api::{Endpoint, Outcome, RequestId, RequestInfo, ServerId, Settings, SlowStartLease};
+use crate::api::{
+    Endpoint, Outcome, RequestId, RequestInfo, ServerId, Settings, SlowStartLease, Timer,
+};
 use crate::learned_state::LearnedServer;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -22,7 +24,7 @@
     /// A call to service discovery failed, or the endpoint watch was closed.
     EndpointWatchFailed,
     /// The endpoint watch is still open, but nothing has come on it for too long.
-    EndpointWatchSilent,
+    EndpointWatchStalled,
     /// A client's request was received.
     RequestReceived(RequestInfo),
     /// A connection that is already established on the given server was taken over from another process.
@@ -32,7 +34,7 @@
         /// The request to which the connection belongs.
         request: RequestId,
         /// Time since the attempt was sent.
-        took: Duration,
+        setup_duration: Duration,
     },
     /// An attempt ended.
     AttemptEnded {
@@ -91,7 +93,7 @@
         /// The new settings.
         settings: Settings,
         /// For each class of the new settings, its index in the old ones; `None` if it is new.
-        from: Vec<Option<usize>>,
+        previous_class_indices: Vec<Option<usize>>,
     },
     /// The node's lease on the fleet's slow-start budget changed. `None` if the fleet does not divide that budget: then
     /// the node takes an even share by [`Settings::node_count`].
@@ -101,6 +103,6 @@
     /// From now on exactly these servers are drained by an administrator, whatever the endpoint list says: they get no
     /// new connections and their established ones are migrated. A server that is released counts as just started.
     AdminDrain(BTreeSet<ServerId>),
-    /// A timer of [`Action::SetTimer`](crate::Action::SetTimer) fired; carries the timer's handle.
-    TimerFired(u64),
+    /// A timer of [`Action::SetTimer`](crate::Action::SetTimer) fired.
+    TimerFired(Timer),
 }
--- a/crates/placement/src/api/mod.rs
+++ b/crates/placement/src/api/mod.rs
@@ -10,6 +10,7 @@
 mod settings;
 mod slow_start_lease;
 mod time;
+mod timer;
 
 pub use action::Action;
 pub use endpoint::{Endpoint, Health};
@@ -19,3 +20,4 @@
 pub use settings::{Class, IdempotencyScope, RetrySafety, Settings, Tenant};
 pub use slow_start_lease::SlowStartLease;
 pub use time::Timestamp;
+pub use timer::Timer;
--- a/crates/placement/src/balancer.rs
+++ b/crates/placement/src/balancer.rs
@@ -4,23 +4,21 @@
 use crate::hashing::random_fraction;
 use crate::limits::setup_window::initial_setup_window;
 use crate::limits::slow_start_budget::SlowStartBudget;
-use crate::policy::queue::QUEUE_HANDLE;
 use crate::poll_schedule::PollSchedule;
 use crate::recovery::key_redistribution::KeyRedistribution;
-use crate::recovery::migration::{EMPTY_HANDLE, MOVES_SAVED};
+use crate::recovery::migration::MOVES_SAVED;
 use crate::recovery::outlier_detection::STRIKES;
-use crate::recovery::upkeep::{TICK, TICK_HANDLE};
+use crate::recovery::upkeep::TICK;
 use crate::state::fleet::Fleet;
 use crate::state::learned_state::LearnedServer;
 use crate::state::request::{Attempt, RequestState};
-use crate::{Action, Event, RequestId, Settings, Timestamp};
+use crate::{Action, Event, RequestId, Settings, Timer, Timestamp};
 use rand_core::SeedableRng;
 use rand_pcg::Pcg32;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
 const CHANCES: u64 = 1; // the stream of random numbers for shares of a fleet's budgets
-const LIST_HANDLE: u64 = 2;
 
 pub(crate) type Actions = Vec<Action>;
 
@@ -122,7 +120,7 @@
                         .initial_delay(random_fraction(&mut self.chance));
                     let waits = Action::SetTimer {
                         after,
-                        handle: LIST_HANDLE,
+                        timer: Timer::EndpointWatch,
                     };
                     actions.push(if after.is_zero() {
                         Action::WatchEndpoints
@@ -133,7 +131,7 @@
                 let after = TICK.mul_f64(0.5 + self.jitter());
                 actions.push(Action::SetTimer {
                     after,
-                    handle: TICK_HANDLE,
+                    timer: Timer::Upkeep,
                 });
             }
             Event::EndpointList { entries, cached } => {
@@ -142,7 +140,10 @@
             Event::EndpointChange(entries) => {
                 self.apply_endpoint_list(now, entries, false, false, actions)
             }
-            Event::SettingsChanged { settings, from } => self.apply_settings(settings, &from),
+            Event::SettingsChanged {
+                settings,
+                previous_class_indices,
+            } => self.apply_settings(settings, &previous_class_indices),
             Event::LeaseChanged(slice) => self.slow_start_budget.set_lease(slice),
             Event::LearnedState(learnt) => {
                 self.fleet.apply_learned_state(&self.settings, now, learnt)
@@ -152,13 +153,13 @@
                 self.apply_endpoints(now, changed, false, actions);
                 self.migrate_drained(now, actions);
             }
-            Event::EndpointWatchSilent if self.settings.requires_endpoint_watch => {
+            Event::EndpointWatchStalled if self.settings.requires_endpoint_watch => {
                 let after = self
                     .poll_schedule
-                    .silent_watch_delay(random_fraction(&mut self.chance));
+                    .stalled_watch_delay(random_fraction(&mut self.chance));
                 actions.push(Action::SetTimer {
                     after,
-                    handle: LIST_HANDLE,
+                    timer: Timer::EndpointWatch,
                 });
             }
             Event::EndpointWatchFailed if self.settings.requires_endpoint_watch => {
@@ -167,7 +168,7 @@
                     .retry_delay(random_fraction(&mut self.chance));
                 actions.push(Action::SetTimer {
                     after,
-                    handle: LIST_HANDLE,
+                    timer: Timer::EndpointWatch,
                 });
             }
             Event::RequestReceived(incoming) => {
@@ -192,8 +193,11 @@
                 self.requests.insert(id, request);
                 self.account_for(id, true);
             }
-            Event::ConnectionEstablished { request, took } => {
-                self.on_established(now, request, took, actions);
+            Event::ConnectionEstablished {
+                request,
+                setup_duration,
+            } => {
+                self.on_established(now, request, setup_duration, actions);
             }
             Event::AttemptEnded {
                 request,
@@ -252,17 +256,17 @@
                 );
             }
             Event::Gossip(message) => self.on_gossip(now, &message),
-            Event::TimerFired(TICK_HANDLE) => self.run_upkeep(now, actions),
-            Event::TimerFired(QUEUE_HANDLE) => {
+            Event::TimerFired(Timer::Upkeep) => self.run_upkeep(now, actions),
+            Event::TimerFired(Timer::Queue) => {
                 self.queue_timer = false;
                 self.dispatch_queued(now, actions);
             }
-            Event::TimerFired(EMPTY_HANDLE) => {
+            Event::TimerFired(Timer::AdminDrain) => {
                 self.empty_timer = false;
                 self.migrate_drained(now, actions);
             }
-            Event::TimerFired(LIST_HANDLE) => actions.push(Action::WatchEndpoints),
-            Event::EndpointWatchFailed | Event::EndpointWatchSilent | Event::TimerFired(_) => {}
+            Event::TimerFired(Timer::EndpointWatch) => actions.push(Action::WatchEndpoints),
+            Event::EndpointWatchFailed | Event::EndpointWatchStalled => {}
         }
     }
 
@@ -271,14 +275,20 @@
     }
 
     /// Other settings: what was learnt of a class goes where it is now, and what is there keeps its rules.
-    pub(crate) fn apply_settings(&mut self, settings: Settings, from: &[Option<usize>]) {
+    pub(crate) fn apply_settings(
+        &mut self,
+        settings: Settings,
+        previous_class_indices: &[Option<usize>],
+    ) {
         let learnt = |old: &Option<usize>| old.and_then(|old| self.class_loads.get(old)).copied();
-        self.class_loads = from
+        self.class_loads = previous_class_indices
             .iter()
             .map(|old| learnt(old).unwrap_or_default())
             .collect();
         for request in self.requests.values_mut() {
-            let now_at = from.iter().position(|old| *old == Some(request.class));
+            let now_at = previous_class_indices
+                .iter()
+                .position(|old| *old == Some(request.class));
             request.class = now_at.unwrap_or(usize::MAX);
         }
         self.poll_schedule.set_node_count(settings.node_count);
--- a/crates/placement/src/cost_tests.rs
+++ b/crates/placement/src/cost_tests.rs
@@ -79,7 +79,7 @@
             now,
             Event::ConnectionEstablished {
                 request,
-                took: Duration::from_millis(20),
+                setup_duration: Duration::from_millis(20),
             },
             &mut actions,
         );
@@ -107,7 +107,7 @@
                 &mut actions,
             );
         }
-        balancer.handle(now, Event::TimerFired(1), &mut actions);
+        balancer.handle(now, Event::TimerFired(Timer::Upkeep), &mut actions);
     }
     ROWS_READ.get()
 }
--- a/crates/placement/src/endpoint_updates.rs
+++ b/crates/placement/src/endpoint_updates.rs
@@ -40,7 +40,7 @@
         };
         for at in known.into_iter().filter(|at| !named.contains(at)) {
             self.fleet.update(at, |server| {
-                lost += server.set_health(now, Health::Gone);
+                lost += server.set_health(now, Health::Removed);
             });
         }
         self.redistribute_keys(now, lost, actions);
@@ -58,7 +58,7 @@
             .saved_per_node(now, self.settings.node_count);
         let mut at = self.fleet.servers.slot(&entry.server);
         if at == UNKNOWN {
-            let (hash, health, cap) = (server_hash(&entry.server), Health::Gone, f64::INFINITY);
+            let (hash, health, cap) = (server_hash(&entry.server), Health::Removed, f64::INFINITY);
             let fresh = Server {
                 hash,
                 health,
@@ -72,7 +72,7 @@
         self.fleet.update(at, |server| {
             // A new start under the old id is a new process: evidence against the last one is void, and it
             // is cold.
-            let back = server.health == Health::Gone && entry.health == Health::Ready;
+            let back = server.health == Health::Removed && entry.health == Health::Ready;
             let fresh = entry.started_at > server.started_at || back;
             if fresh {
                 server.started_at = entry.started_at.or(server.started_at);
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -21,7 +21,7 @@
 
 pub use api::{
     Action, Class, Endpoint, Event, Health, IdempotencyScope, Outcome, RequestId, RequestInfo,
-    RetrySafety, ServerId, Settings, SlowStartLease, Tenant, Timestamp,
+    RetrySafety, ServerId, Settings, SlowStartLease, Tenant, Timer, Timestamp,
 };
 pub use balancer::Balancer;
 pub use hashing::{key_hash, rank_score, server_hash};
--- a/crates/placement/src/policy/queue.rs
+++ b/crates/placement/src/policy/queue.rs
@@ -3,11 +3,10 @@
 use crate::balancer::{Actions, Balancer};
 use crate::hashing::random_fraction;
 use crate::state::request::Attempt;
-use crate::{Action, RequestId, Timestamp};
+use crate::{Action, RequestId, Timer, Timestamp};
 use std::collections::VecDeque;
 use std::time::Duration;
 
-pub(crate) const QUEUE_HANDLE: u64 = 3;
 /// How often waiting requests are looked at when nothing else happens; an answer to one is left twice this.
 pub(crate) const QUEUE_TICK: Duration = Duration::from_millis(50);
 
@@ -61,7 +60,7 @@
             self.queue_timer = true;
             actions.push(Action::SetTimer {
                 after: QUEUE_TICK,
-                handle: QUEUE_HANDLE,
+                timer: Timer::Queue,
             });
         }
     }
@@ -95,7 +94,7 @@
         let Some(request) = self.requests.get(&id) else {
             return;
         };
-        let patience = request.attempt_timeout(now, self.setup_mean);
+        let timeout = request.attempt_timeout(now, self.setup_mean);
         if self
             .fleet
             .servers
@@ -133,7 +132,7 @@
         actions.extend(named.map(|server| Action::StartAttempt {
             request: id,
             server,
-            patience,
+            timeout,
         }));
     }
 }
--- a/crates/placement/src/poll_schedule.rs
+++ b/crates/placement/src/poll_schedule.rs
@@ -139,7 +139,7 @@
     ///
     /// It does not count as a failure: discovery may be healthy, and nodes whose watches stalled together notice it at
     /// different times, spread over the interval between two keep-alives.
-    pub fn silent_watch_delay(&self, random: f64) -> Duration {
+    pub fn stalled_watch_delay(&self, random: f64) -> Duration {
         let spread_seconds = self
             .significant_spread_seconds()
             .min(MAX_STALLED_WATCH_SPREAD_SECONDS);
--- a/crates/placement/src/poll_schedule/tests.rs
+++ b/crates/placement/src/poll_schedule/tests.rs
@@ -66,12 +66,12 @@
 #[test]
 fn after_a_stalled_watch_large_fleets_call_within_a_second_and_small_ones_at_once() {
     assert_eq!(
-        [0.0, 0.99].map(|random| PollSchedule::new(3).silent_watch_delay(random)),
+        [0.0, 0.99].map(|random| PollSchedule::new(3).stalled_watch_delay(random)),
         [Duration::ZERO; 2]
     );
     let mut large = PollSchedule::new(300);
     assert_eq!(
-        [0.0, 0.5].map(|random| large.silent_watch_delay(random)),
+        [0.0, 0.5].map(|random| large.stalled_watch_delay(random)),
         [0, 500].map(Duration::from_millis)
     );
     // A call that fails after that waits like any first one.
--- a/crates/placement/src/recovery/migration.rs
+++ b/crates/placement/src/recovery/migration.rs
@@ -3,10 +3,9 @@
 use crate::balancer::{Actions, Balancer};
 use crate::state::request::RequestState;
 use crate::state::server_table::ServerSlot;
-use crate::{Action, RequestId, Timestamp};
+use crate::{Action, RequestId, Timer, Timestamp};
 use std::time::Duration;
 
-pub(crate) const EMPTY_HANDLE: u64 = 4;
 pub(crate) const MOVES_SAVED: f64 = 0.3;
 /// A server out by hand is empty by then, step by step: guards against the work of all its connections at
 /// once on the others, and against a restart that cuts them off.
@@ -28,8 +27,8 @@
 
     /// Moves the next part of what stands on servers that are out by hand; so goes a try that comes up there.
     pub(crate) fn migrate_drained(&mut self, now: Timestamp, actions: &mut Actions) {
-        for (server, steps) in self.admin_drain.remaining_steps(now, EMPTIED, EMPTY_STEP) {
-            let at = self.fleet.servers.slot(&server);
+        for progress in self.admin_drain.progress(now, EMPTIED, EMPTY_STEP) {
+            let at = self.fleet.servers.slot(&progress.server);
             let held = self
                 .fleet
                 .servers
@@ -42,7 +41,7 @@
                     .is_some_and(RequestState::is_established)
             };
             let held: Vec<RequestId> = held.filter(stands).copied().collect();
-            let due = held.len().div_ceil(steps);
+            let due = held.len().div_ceil(progress.remaining_steps);
             self.move_tokens = self.move_tokens.max(due as f64);
             held.into_iter()
                 .take(due)
@@ -52,7 +51,7 @@
         {
             actions.push(Action::SetTimer {
                 after: EMPTY_STEP,
-                handle: EMPTY_HANDLE,
+                timer: Timer::AdminDrain,
             });
         }
     }
--- a/crates/placement/src/recovery/upkeep.rs
+++ b/crates/placement/src/recovery/upkeep.rs
@@ -5,7 +5,7 @@
 use crate::limits::slow_start_budget::COLD_SAVED;
 use crate::recovery::migration::MOVES_SAVED;
 use crate::state::load_accounting::GROUP_COST;
-use crate::{Action, Health, Timestamp};
+use crate::{Action, Health, Timer, Timestamp};
 use std::time::Duration;
 
 pub(crate) const TICK: Duration = Duration::from_secs(1); // upkeep runs this often
@@ -19,7 +19,6 @@
 /// demand, which keeps to the budget over all gateways, may get wrong at one of them.
 const GUESSED: f64 = 3.0;
 const DEMAND_FADES: f64 = 0.3; // the requests seen fade so a second
-pub(crate) const TICK_HANDLE: u64 = 1;
 /// Moves: at most this part of the connections held a second, saved up to this part.
 const MOVES_PER_S: f64 = 0.15;
 const SEEN_FADES: f64 = 0.02; // what was seen of groups and of kinds of machines fades so a second
@@ -29,7 +28,7 @@
     pub(crate) fn run_upkeep(&mut self, now: Timestamp, actions: &mut Actions) {
         actions.push(Action::SetTimer {
             after: TICK,
-            handle: TICK_HANDLE,
+            timer: Timer::Upkeep,
         });
         let all_held = self.fleet.totals.connections;
         self.move_tokens =
@@ -79,7 +78,7 @@
             // A gone server is remembered for a while, or one listed anew as draining had a second grace.
             let left = now.saturating_duration_since(server.draining_since) >= FORGET
                 && server.connections.is_empty();
-            if server.health == Health::Gone && left {
+            if server.health == Health::Removed && left {
                 self.fleet.totals.add(server, -1.0);
                 self.fleet.servers.remove(at);
                 continue;
--- a/crates/placement/src/state/fleet.rs
+++ b/crates/placement/src/state/fleet.rs
@@ -303,7 +303,7 @@
 
     /// Takes in its state as listed. Gives its weight if it is lost: gone without having drained.
     pub fn set_health(&mut self, now: Timestamp, health: Health) -> f64 {
-        let lost = self.health == Health::Ready && health == Health::Gone;
+        let lost = self.health == Health::Ready && health == Health::Removed;
         if self.health == Health::Ready && health != Health::Ready {
             self.draining_since = now;
         }
--- a/crates/placement/src/state/learned_state.rs
+++ b/crates/placement/src/state/learned_state.rs
@@ -40,7 +40,7 @@
         let listed = self.servers.slots().into_iter();
         let learnt = listed.filter_map(|at| Some((self.servers.id(at)?, self.servers.get(at)?)));
         let learnt = learnt
-            .filter(|(_, server)| server.health != Health::Gone)
+            .filter(|(_, server)| server.health != Health::Removed)
             .map(|(id, server)| LearnedServer {
                 server: id.clone(),
                 started_ago: server
@@ -80,7 +80,7 @@
                         at.saturating_duration_since(told) > Duration::from_secs(1)
                     })
                 };
-                if server.health == Health::Gone || server.started_at.is_some_and(later) {
+                if server.health == Health::Removed || server.started_at.is_some_and(later) {
                     return;
                 }
                 server.started_at = server.started_at.max(started);
--- a/crates/placement/tests/common/mod.rs
+++ b/crates/placement/tests/common/mod.rs
@@ -79,7 +79,7 @@
     pub list: BTreeMap<ServerId, (u32, u32, Option<u64>)>,
     /// Servers that are out by hand.
     pub out: BTreeSet<ServerId>,
-    pub timers: BTreeSet<(u64, u64, u64)>,
+    pub timers: BTreeSet<(u64, u64, Timer)>,
     pub patience: BTreeMap<u64, u64>,
     pub last: Vec<Action>,
     /// Probes that are not answered yet.
@@ -190,10 +190,11 @@
 
     pub fn stands(&mut self, id: u64) {
         self.books.get_mut(&id).unwrap().stands = true;
-        let took = Duration::from_nanos(self.now - self.books[&id].attempts.last().unwrap().1);
+        let setup_duration =
+            Duration::from_nanos(self.now - self.books[&id].attempts.last().unwrap().1);
         self.tell(Event::ConnectionEstablished {
             request: RequestId(id),
-            took,
+            setup_duration,
         });
     }
 
@@ -289,7 +290,7 @@
             Action::StartAttempt {
                 request,
                 server,
-                patience,
+                timeout,
             } => {
                 let now = self.now;
                 let (zone, cell, leaving) =
@@ -341,7 +342,7 @@
                     }
                 }
                 book.attempts.push((server.clone(), now, None));
-                let until = (now + patience.as_nanos() as u64).min(book.expires);
+                let until = (now + timeout.as_nanos() as u64).min(book.expires);
                 self.patience.insert(request.0, until);
             }
             Action::Reject { request, .. } => {
@@ -365,10 +366,10 @@
                 assert!(self.books[&request.0].stands, "moved before it stood");
                 self.books.get_mut(&request.0).unwrap().finals += 1;
             }
-            Action::SetTimer { after, handle } => {
+            Action::SetTimer { after, timer } => {
                 self.serial += 1;
                 self.timers
-                    .insert((self.now + after.as_nanos() as u64, self.serial, *handle));
+                    .insert((self.now + after.as_nanos() as u64, self.serial, *timer));
             }
             Action::CheckHealth(server) => self.probes.push(server.clone()),
             Action::Gossip(_) | Action::WatchEndpoints => {}
--- a/crates/placement/tests/failures.rs
+++ b/crates/placement/tests/failures.rs
@@ -568,7 +568,7 @@
     let mut world = World::with_servers(settings, &SIX);
     world.ask(request(1, "client:1", world.now + 2_000 * MS));
     assert!(
-        matches!(world.last[..], [Action::StartAttempt { patience, .. }] if patience == ms(2_000))
+        matches!(world.last[..], [Action::StartAttempt { timeout, .. }] if timeout == ms(2_000))
     );
 }
 
--- a/crates/placement/tests/fleet.rs
+++ b/crates/placement/tests/fleet.rs
@@ -149,7 +149,7 @@
     let mut fleet: Vec<Balancer> = (0..GATEWAYS)
         .map(|n| Balancer::new(settings.clone(), u64::from(n)))
         .collect();
-    let mut due: BTreeSet<(u64, usize, Option<u64>)> = BTreeSet::new();
+    let mut due: BTreeSet<(u64, usize, Option<Timer>)> = BTreeSet::new();
     let mut calls: Vec<Vec<u64>> = vec![vec![]; fleet.len()];
     let mut started = (0..fleet.len())
         .map(|at| (0, at, Event::Start))
@@ -169,8 +169,8 @@
         fleet[at].handle(Timestamp(now), event, &mut actions);
         for action in actions {
             match action {
-                Action::SetTimer { after, handle } => {
-                    due.insert((now + after.as_nanos() as u64, at, Some(handle)));
+                Action::SetTimer { after, timer } => {
+                    due.insert((now + after.as_nanos() as u64, at, Some(timer)));
                 }
                 Action::WatchEndpoints => {
                     calls[at].push(now / MS);
--- a/crates/placement/tests/rules.rs
+++ b/crates/placement/tests/rules.rs
@@ -48,7 +48,7 @@
         world.advance(to);
         match roll(24) {
             0 => world.change(entry(roll(6), Health::Draining)),
-            1 => world.change(entry(roll(6), Health::Gone)),
+            1 => world.change(entry(roll(6), Health::Removed)),
             2 => {
                 let entries = (0..6)
                     .filter(|_| roll(4) > 0)
@@ -175,7 +175,7 @@
         Event::ClientGone(RequestId(1)),
         Event::ConnectionEstablished {
             request: RequestId(1),
-            took: ms(3),
+            setup_duration: ms(3),
         },
         Event::LoadObserved {
             request: RequestId(9),
@@ -301,11 +301,11 @@
     assert!(world.last.contains(&Action::WatchEndpoints));
     for _ in 0..20 {
         world.tell(Event::EndpointWatchFailed);
-        let [Action::SetTimer { after, handle }] = world.last[..] else {
+        let [Action::SetTimer { after, timer }] = world.last[..] else {
             panic!("no timer set")
         };
         assert!(after <= Duration::from_secs(4));
-        world.tell(Event::TimerFired(handle));
+        world.tell(Event::TimerFired(timer));
         assert_eq!(world.last, vec![Action::WatchEndpoints]);
     }
     let automatic = Settings {
--- a/crates/simulator/src/experiments/cost.rs
+++ b/crates/simulator/src/experiments/cost.rs
@@ -3,7 +3,7 @@
 
 use lupincrank_placement::{
     Action, Balancer, Class, Endpoint, Event, Health, Outcome, RequestId, RequestInfo, RetrySafety,
-    ServerId, Settings, Timestamp,
+    ServerId, Settings, Timer, Timestamp,
 };
 use serde::{Deserialize, Serialize};
 use std::time::{Duration, Instant};
@@ -116,7 +116,7 @@
         self.now += 1_000_000;
         self.tell(Event::ConnectionEstablished {
             request,
-            took: Duration::from_millis(20),
+            setup_duration: Duration::from_millis(20),
         });
     }
 }
@@ -152,7 +152,7 @@
     let upkeeps = 5;
     for _ in 0..upkeeps {
         rig.now += 1_000_000_000;
-        rig.tell(Event::TimerFired(1));
+        rig.tell(Event::TimerFired(Timer::Upkeep));
     }
     let upkeep_ms = begun.elapsed().as_secs_f64() * 1e3 / f64::from(upkeeps);
     // Every transcriber turns connections away: caps fall, and each further request walks past all of them.
--- a/crates/simulator/src/policy.rs
+++ b/crates/simulator/src/policy.rs
@@ -4,7 +4,7 @@
 use crate::transcriber::{State, Transcriber};
 use lupincrank_placement::{
     key_hash, rank_score, server_hash, Action, Balancer, Endpoint, Event, Health, Outcome,
-    RequestId, RequestInfo, ServerId, Settings, Timestamp,
+    RequestId, RequestInfo, ServerId, Settings, Timer, Timestamp,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
@@ -236,7 +236,7 @@
         actions.push(Action::StartAttempt {
             request: id,
             server: place.1.clone(),
-            patience: left,
+            timeout: left,
         });
     }
 
@@ -279,7 +279,10 @@
             Event::EndpointChange(entries) => self.list(entries, false),
             Event::EndpointWatchFailed => {
                 let after = Duration::from_secs_f64(0.5 + self.random.gen::<f64>());
-                actions.push(Action::SetTimer { after, handle: 1 });
+                actions.push(Action::SetTimer {
+                    after,
+                    timer: Timer::EndpointWatch,
+                });
             }
             Event::TimerFired(_) => actions.push(Action::WatchEndpoints),
             Event::RequestReceived(incoming) => {
--- a/crates/simulator/src/queue.rs
+++ b/crates/simulator/src/queue.rs
@@ -1,6 +1,6 @@
 //! The queue of what is to happen, in simulated time.
 
-use lupincrank_placement::Outcome;
+use lupincrank_placement::{Outcome, Timer};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
@@ -56,7 +56,7 @@
     /// A node hears that the connection stands.
     Stands(u64, u32),
     /// A node's timer.
-    Timer(u32, Life, u64),
+    Timer(u32, Life, Timer),
     /// Half a second has passed for every transcriber.
     Pulse,
     /// A second has passed.
--- a/crates/simulator/src/world/directory.rs
+++ b/crates/simulator/src/world/directory.rs
@@ -13,7 +13,7 @@
             .directory
             .known
             .iter()
-            .filter(|entry| entry.health != Health::Gone)
+            .filter(|entry| entry.health != Health::Removed)
             .cloned()
             .collect();
         entries.iter().for_each(|entry| self.note_told(node, entry));
@@ -102,7 +102,7 @@
         let health = match change {
             Change::Runs => Health::Ready,
             Change::Drains => Health::Draining,
-            Change::Gone => Health::Gone,
+            Change::Gone => Health::Removed,
         };
         // What is overtaken by a later start is not told any more.
         let now_on = self.fleet[server as usize].life;
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -290,7 +290,7 @@
                 self.attempt_ended(request, attempt, outcome);
             }
             Happening::Stands(request, attempt) => self.stands(request, attempt),
-            Happening::Timer(node, life, handle) => self.timer(node, life, handle),
+            Happening::Timer(node, life, timer) => self.timer(node, life, timer),
             Happening::Pulse => self.pulse(),
             Happening::Second => self.second(),
             Happening::Pause(server, life) => self.pause(server, life),
--- a/crates/simulator/src/world/nodes.rs
+++ b/crates/simulator/src/world/nodes.rs
@@ -7,7 +7,7 @@
 use crate::queue::{millis, seconds, Happening, Life, Moment, SECOND};
 use crate::scenario::Delays;
 use crate::transcriber::State;
-use lupincrank_placement::{Action, Event, Outcome, RequestId, RequestInfo, Timestamp};
+use lupincrank_placement::{Action, Event, Outcome, RequestId, RequestInfo, Timer, Timestamp};
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -122,8 +122,8 @@
             Action::StartAttempt {
                 request,
                 server,
-                patience,
-            } => self.send(node, request.0, &server, patience),
+                timeout,
+            } => self.send(node, request.0, &server, timeout),
             Action::Reject {
                 request,
                 retry_after,
@@ -141,15 +141,13 @@
                     }
                 }
             }
-            Action::SetTimer { after, handle } => {
+            Action::SetTimer { after, timer } => {
                 let life = self.nodes[node as usize].life;
                 let after = u64::try_from(after.as_nanos())
                     .unwrap_or(u64::MAX)
                     .min(3600 * SECOND);
-                self.queue.put(
-                    self.now + after.max(1),
-                    Happening::Timer(node, life, handle),
-                );
+                self.queue
+                    .put(self.now + after.max(1), Happening::Timer(node, life, timer));
             }
             Action::WatchEndpoints => self.call_directory(node),
             // Settings forbid both.
@@ -157,10 +155,10 @@
         }
     }
 
-    pub(super) fn timer(&mut self, node: u32, life: Life, handle: u64) {
+    pub(super) fn timer(&mut self, node: u32, life: Life, timer: Timer) {
         let at = &self.nodes[node as usize];
         if at.alive && at.life == life {
-            self.feed(node, Event::TimerFired(handle));
+            self.feed(node, Event::TimerFired(timer));
         }
     }
 
@@ -257,7 +255,7 @@
         node: u32,
         request: u64,
         server: &lupincrank_placement::ServerId,
-        patience: Duration,
+        timeout: Duration,
     ) {
         let now = self.now;
         let server = self.index.get(server).copied();
@@ -318,7 +316,7 @@
         held.out = Some(server);
         held.sent = now;
         let until =
-            (now + u64::try_from(patience.as_nanos()).unwrap_or(u64::MAX / 2)).min(held.deadline);
+            (now + u64::try_from(timeout.as_nanos()).unwrap_or(u64::MAX / 2)).min(held.deadline);
         let life = self.fleet[server as usize].life;
         self.queue
             .put(until.max(now + 1), Happening::Patience(request, attempt));
@@ -490,7 +488,7 @@
             node,
             Event::ConnectionEstablished {
                 request: id,
-                took: Duration::from_nanos(sent),
+                setup_duration: Duration::from_nanos(sent),
             },
         );
         // What the decisions wanted may have ended it again.
--- a/crates/simulator/tests/judges.rs
+++ b/crates/simulator/tests/judges.rs
@@ -80,7 +80,7 @@
                 extra.push(Action::StartAttempt {
                     request: *request,
                     server: server.clone(),
-                    patience: Duration::from_secs(1),
+                    timeout: Duration::from_secs(1),
                 });
             }
         }
@@ -88,11 +88,11 @@
             (self.fault, ended, self.listed.first())
         {
             actions.truncate(from);
-            let patience = Duration::from_millis(30);
+            let timeout = Duration::from_millis(30);
             extra.push(Action::StartAttempt {
                 request,
                 server: server.clone(),
-                patience,
+                timeout,
             });
         }
         let refused = |action: &&Action| matches!(action, Action::Reject { .. });
