Admin address: hold the printed tables by fixtures

Need: the layout of the tables was rewritten and had no test. Change: tables printed by revision from fixed answers, and tests that lay the same answers out; some tests of the handoff and of discovery have names that tell the behaviour.

--- a/crates/node/src/admin/call/tests.rs
+++ b/crates/node/src/admin/call/tests.rs
@@ -16,7 +16,7 @@
 #[case(b"set-up a b", Err("too many"))]
 #[case(b"Check", Err("no call \"Check\""))]
 #[case(b"set-down \xff", Err("UTF-8"))]
-fn a_call_is_read_or_what_is_wrong_is_named(
+fn a_call_is_parsed_or_the_error_says_what_is_wrong(
     #[case] line: &[u8],
     #[case] expected: Result<AdminCall<'_>, &str>,
 ) {
--- a/crates/node/src/admin/status_table.rs
+++ b/crates/node/src/admin/status_table.rs
@@ -162,3 +162,6 @@
         .max()
         .unwrap_or(0)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/discovery/chunked/tests.rs
+++ b/crates/node/src/discovery/chunked/tests.rs
@@ -5,7 +5,7 @@
 #[case(1)]
 #[case(3)]
 #[case(100)]
-fn chunks_are_undone_however_they_are_cut(#[case] piece: usize) {
+fn a_body_is_decoded_however_it_is_cut(#[case] piece: usize) {
     let mut decoder = ChunkedDecoder::default();
     let mut output = Vec::new();
     let mut state = BodyState::Open;
--- a/crates/node/src/discovery/json_stream/tests.rs
+++ b/crates/node/src/discovery/json_stream/tests.rs
@@ -39,13 +39,13 @@
 #[case("{}]", "']'")]
 #[case("[]", "'['")]
 #[case("{} \"a\"", "'\"'")]
-fn what_is_no_object_is_named(#[case] text: &str, #[case] named: &str) {
+fn an_error_names_what_is_not_an_object(#[case] text: &str, #[case] named: &str) {
     let error = objects_in(text.as_bytes(), &[]).unwrap_err().to_string();
     assert!(error.contains(named), "{error}");
 }
 
 #[test]
-fn an_object_without_end_is_given_up() {
+fn an_object_without_end_is_an_error() {
     let mut objects = JsonStream::default();
     objects.push(b"{\"a\":\"");
     let spaces = vec![b' '; 1 << 20];
@@ -61,9 +61,9 @@
 }
 
 proptest! {
-    /// Lists in both layouts, with any text in them, cut anywhere, come out as they went in.
+    /// Lists in both layouts, with any text in them, cut anywhere, are read as they were written.
     #[test]
-    fn lists_come_out_as_they_went_in(
+    fn lists_are_read_as_they_were_written(
         lists in prop::collection::vec((any::<u64>(), prop::collection::vec(any::<String>(), 0..4), any::<bool>()), 0..5),
         cuts in prop::collection::vec(any::<usize>(), 0..60),
     ) {
--- a/crates/node/src/handoff/admin_drain_file/tests.rs
+++ b/crates/node/src/handoff/admin_drain_file/tests.rs
@@ -2,7 +2,7 @@
 use rstest::rstest;
 
 #[test]
-fn a_damaged_file_is_never_half_believed() {
+fn a_damaged_file_is_rejected_as_a_whole() {
     let out: BTreeSet<ServerId> = ["s-1", "s \"2\"\n"]
         .into_iter()
         .map(ServerId::from)
