--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -1,29 +1,51 @@
-//! Sets the node up: which objects its loop begins with.
+//! Sets the node up: the components that its event loop begins with.
 
 use crate::application::schedule_unanswered_lines_check;
+use crate::client::Listener;
 use crate::command::DiscoveryCommand;
 use crate::component::{WellKnownComponent, LAST_WELL_KNOWN_ID};
 use crate::config::Config;
-use crate::state::NodeState;
-use crate::{admin, client, cluster_agent, discovery, handoff, signals};
+use crate::discovery::DiscoveryClient;
+use crate::signals::SignalReceiver;
+use crate::state::{NodeContext, NodeState};
+use crate::{admin, cluster_agent, handoff};
 use lupincrank_reactor::Reactor;
 use slog::{info, Logger};
 use std::io;
+use std::net::TcpListener;
 
-/// The loop with the listener, discovery and signals, ready to run.
+/// The event loop with all components, ready to run.
+///
+/// # Errors
+/// Where an address cannot be bound, the cluster's folder cannot be used, or the operating system lacks a descriptor.
 pub fn start(config: Config, log: Logger) -> io::Result<Reactor<NodeState>> {
     // Before anything else is opened, which could get the number of a descriptor that is not there.
     let inherited = config
-        .inherited
-        .map(|fd| handoff::inherited_listener(fd, config.listen))
+        .inherited_descriptor
+        .map(|descriptor| handoff::inherited_listener(descriptor, config.listen_address))
         .transpose()?;
     let mut reactor = Reactor::new(NodeState::new(config, log), LAST_WELL_KNOWN_ID)?;
     let context = &mut reactor.context;
-    let signals = signals::Signals::new(context)?;
+    register_components(context, inherited)?;
+    info!(context.log, "serving"; "listen" => %context.config.listen_address, "name" => %context.config.name);
+    context.placement.start();
+    context.send(
+        WellKnownComponent::Discovery.id(),
+        DiscoveryCommand::ApplyKnownList,
+    );
+    schedule_unanswered_lines_check(context);
+    Ok(reactor)
+}
+
+fn register_components(
+    context: &mut NodeContext,
+    inherited: Option<TcpListener>,
+) -> io::Result<()> {
+    let signals = SignalReceiver::new(context)?;
     context.register(WellKnownComponent::Signals.id(), Box::new(signals));
-    let discovery = discovery::DiscoveryClient::new(&context.config);
+    let discovery = DiscoveryClient::new(&context.config);
     context.register(WellKnownComponent::Discovery.id(), Box::new(discovery));
-    let listener = client::Listener::new(context, inherited)?;
+    let listener = Listener::new(context, inherited)?;
     context.register(WellKnownComponent::ClientListener.id(), Box::new(listener));
     context.register(
         WellKnownComponent::Handoff.id(),
@@ -31,19 +53,9 @@
     );
     handoff::begin(context);
     cluster_agent::begin(context).map_err(io::Error::other)?;
-    if let Some(address) = context.config.management {
-        let admin_listener = admin::AdminListener::new(context, address)?;
-        context.register(
-            WellKnownComponent::AdminListener.id(),
-            Box::new(admin_listener),
-        );
+    if let Some(address) = context.config.admin_address {
+        let admin = admin::AdminListener::new(context, address)?;
+        context.register(WellKnownComponent::AdminListener.id(), Box::new(admin));
     }
-    info!(context.log, "serving"; "listen" => %context.config.listen, "name" => %context.config.name);
-    context.placement.start();
-    context.send(
-        WellKnownComponent::Discovery.id(),
-        DiscoveryCommand::ApplyKnownList,
-    );
-    schedule_unanswered_lines_check(context);
-    Ok(reactor)
+    Ok(())
 }
