--- a/crates/node/src/admin/listener.rs
+++ b/crates/node/src/admin/listener.rs
@@ -70,7 +70,7 @@
     /// Guards against connections by the hundred that carry no call and keep out one that does.
     fn close_oldest_over_limit(&self, context: &mut NodeContext) {
         let mut open_connections = self.open_connections.borrow_mut();
-        if open_connections.len() <= context.config.most_calls() {
+        if open_connections.len() <= context.config.max_admin_connections() {
             return;
         }
         if let Some(oldest) = open_connections.pop_first() {
--- a/crates/node/src/client/listener.rs
+++ b/crates/node/src/client/listener.rs
@@ -33,7 +33,7 @@
     ) -> io::Result<Listener> {
         let socket = match inherited {
             Some(socket) => socket,
-            None => poll::listen(context.config.listen)?,
+            None => poll::listen(context.config.listen_address)?,
         };
         let socket = Registered::new(
             &context.poller,
@@ -49,7 +49,7 @@
 
     /// Accepts what waits, up to the number of one turn.
     fn accept_clients(&mut self, context: &mut NodeContext) -> io::Result<()> {
-        for _ in 0..context.config.most_accepts() {
+        for _ in 0..context.config.max_accepts_per_turn() {
             match self.socket.accept() {
                 Ok((stream, _)) => accept_client(context, stream)?,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
@@ -88,7 +88,7 @@
     let other = context.handoff.peer_heartbeat();
     let max_unidentified = context
         .config
-        .most_strangers(context.client_count.get() + other.client_count);
+        .max_unidentified_clients(context.client_count.get() + other.client_count);
     while context.unidentified_clients.len() + other.unidentified_count > max_unidentified {
         let Some(id) = context.unidentified_clients.pop_first() else {
             break;
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -4,7 +4,7 @@
 use crate::cluster_agent::agent::Carry;
 use crate::config::Config;
 use crate::handoff::peer_process::HandoffState;
-use crate::placement_driver::{EndpointListError, PlacementDriver};
+use crate::placement_driver::{EndpointAvailabilityError, PlacementDriver};
 use crate::upstream::health_check::HealthChecks;
 use lupincrank_reactor::Context;
 use slog::Logger;
@@ -32,7 +32,7 @@
     PredecessorNotReached,
     /// The endpoint list lets no client in.
     #[error(transparent)]
-    EndpointList(#[from] EndpointListError),
+    EndpointList(#[from] EndpointAvailabilityError),
 }
 
 /// What the callbacks of the node's components may use.
@@ -71,7 +71,7 @@
     pub fn new(config: Config, log: Logger) -> NodeState {
         NodeState {
             placement: PlacementDriver::new(&config, log.clone()),
-            handoff: HandoffState::new(config.listen, config.inherited),
+            handoff: HandoffState::new(config.listen_address, config.inherited_descriptor),
             config,
             log,
             client_count: Rc::default(),
