Node tests: clean of the lints that are still to be gone through, plainer names in upgrade.rs

Need: tests of the handoff, of discovery and of the admin address had lint findings and names that need explaining. No check is changed.

--- a/crates/node/tests/discovery.rs
+++ b/crates/node/tests/discovery.rs
@@ -57,9 +57,9 @@
             });
             if !open {
                 *place = TcpStream::connect(to).ok();
-                place
-                    .iter()
-                    .for_each(|stream| stream.set_nonblocking(true).unwrap());
+                if let Some(stream) = place {
+                    stream.set_nonblocking(true).unwrap();
+                }
             }
         }
     })
--- a/crates/node/tests/operation.rs
+++ b/crates/node/tests/operation.rs
@@ -200,12 +200,12 @@
 fn retune(rig: &Rig, classes: &[(&str, &str)], attempts: u32) {
     let mut config = rig.config.clone();
     let class = config["settings"]["Categories"][0].clone();
-    let named = classes.iter().map(|(name, repeat)| {
+    let renamed = classes.iter().map(|(name, repeat)| {
         let mut class = class.clone();
         (class["Name"], class["Repeat"]) = ((*name).into(), (*repeat).into());
         class
     });
-    config["settings"]["Categories"] = named.collect();
+    config["settings"]["Categories"] = renamed.collect();
     config["settings"]["FamilyInfo"]["MessageAimNs"] = vec![100_000_000; classes.len()].into();
     config["settings"]["Limits"]["SendCap"] = attempts.into();
     rig.reload(&config.to_string());
--- a/crates/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -4,6 +4,7 @@
 use common::{kill, pass, within, Rig};
 use rstest::rstest;
 use socket2::{Domain, SockAddr, Socket, Type};
+use std::fmt::Write;
 use std::io::Read;
 use std::time::{Duration, Instant};
 
@@ -52,7 +53,10 @@
     let mut rig = Rig::inherits(1);
     let (mut client, _, mut peer) = rig.up();
     // More than all buffers on the way take.
-    let text: String = (0..1_000_000).map(|n| format!("line {n}\r\n")).collect();
+    let mut text = String::new();
+    for number in 0..1_000_000 {
+        writeln!(text, "line {number}\r").unwrap();
+    }
     let sent = text.clone();
     let sender = std::thread::spawn(move || peer.say(&sent));
     rig.upgrade();
@@ -71,7 +75,7 @@
 #[case::to_the_newer(1)]
 #[case::to_the_older(2)]
 #[case::after(3)]
-fn what_is_out_by_hand_stays_out_across_an_upgrade(#[case] when: usize) {
+fn drained_servers_stay_drained_across_an_upgrade(#[case] when: usize) {
     let mut rig = Rig::inherits(2);
     let (mut client, at, _peer) = rig.up();
     let older = rig.caller_address();
@@ -134,12 +138,12 @@
     let mut rig = Rig::inherits(1);
     let (mut client, _, mut peer) = rig.up();
     if until.is_empty() {
-        let link = link(&rig);
+        let successor = connect_as_successor(&rig);
         kill(rig.oldest(), "-TERM");
         // It gets the connection and dies before it says that it has taken it.
         within("the connection", || {
             let mut packet = [0; 4096];
-            let got = (&link).read(&mut packet).unwrap();
+            let got = (&successor).read(&mut packet).unwrap();
             packet[..got].starts_with(b"{\"Standing\"").then_some(())
         });
     } else {
@@ -168,27 +172,27 @@
 #[case::version("{\"Beat\":{\"version\":1,\"clients\":0,\"strangers\":0,\"open\":true}}\n")]
 #[case::nonsense("what?\n")]
 #[case::no_end("{}")]
-fn a_strange_successor_gets_nothing(#[case] says: &str) {
+fn a_successor_of_another_protocol_gets_nothing(#[case] says: &str) {
     let mut rig = Rig::inherits(1);
     let (mut client, _, mut peer) = rig.up();
-    let link = link(&rig);
-    link.send(says.as_bytes()).unwrap();
+    let successor = connect_as_successor(&rig);
+    successor.send(says.as_bytes()).unwrap();
     rig.logged("peer process lost");
     kill(rig.oldest(), "-TERM");
     pass(&mut client, &mut peer);
     assert_eq!(client.hear(), "MOVE");
 }
 
-/// A successor that the test plays.
-fn link(rig: &Rig) -> Socket {
+/// A successor that the test plays: its connection, with the first heartbeat sent.
+fn connect_as_successor(rig: &Rig) -> Socket {
     let listen = rig.config["listen"].as_str().unwrap().replace(':', "-");
-    let link = Socket::new(Domain::UNIX, Type::SEQPACKET, None).unwrap();
+    let successor = Socket::new(Domain::UNIX, Type::SEQPACKET, None).unwrap();
     let path = rig.folder().join(format!("lupincrank-{listen}.socket"));
-    link.connect(&SockAddr::unix(path).unwrap()).unwrap();
-    let beat = r#"{"Beat":{"version":3,"clients":0,"strangers":0,"open":true}}"#;
-    link.send(format!("{beat}\n").as_bytes()).unwrap();
+    successor.connect(&SockAddr::unix(path).unwrap()).unwrap();
+    let heartbeat = r#"{"Beat":{"version":3,"clients":0,"strangers":0,"open":true}}"#;
+    successor.send(format!("{heartbeat}\n").as_bytes()).unwrap();
     rig.logged("successor connected");
-    link
+    successor
 }
 
 #[test]
@@ -206,7 +210,7 @@
 }
 
 #[test]
-fn what_was_learnt_of_transcribers_goes_over() {
+fn what_was_learned_of_servers_goes_over() {
     let mut rig = Rig::inherits(2);
     let (_client, at, _peer) = rig.up();
     // The next one of the group finds that it takes no connection any more.
