--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -1,11 +1,12 @@
 //! The program: carries out what its command line asks for.
 
 use crate::admin;
+use crate::admin::status_table::UnreadableAnswer;
 use crate::cli::{self, Command, OutputFormat};
 use crate::cluster_agent::config::Setup;
 use crate::config::{Config, ConfigError};
 use crate::serve;
-use lupincrank_operator_config::OperatorConfig;
+use lupincrank_operator_config::{OperatorConfig, OperatorConfigError};
 use lupincrank_settings::ValidationError;
 use slog::{o, Drain, Level, Logger};
 use std::error::Error;
@@ -22,8 +23,8 @@
 enum ProgramError {
     #[error(transparent)]
     Config(#[from] ConfigError),
-    #[error("{0}")]
-    OperatorFile(Box<dyn Error + Send + Sync>),
+    #[error(transparent)]
+    OperatorFile(#[from] OperatorConfigError),
     #[error("{path}: {source}")]
     Cluster {
         path: String,
@@ -40,8 +41,8 @@
     AdminCallFailed { address: SocketAddr },
     #[error("{address}: {answer}")]
     AdminAnswer { address: SocketAddr, answer: String },
-    #[error("{0}")]
-    UnreadableAnswer(Box<dyn Error + Send + Sync>),
+    #[error(transparent)]
+    UnreadableAnswer(#[from] UnreadableAnswer),
     #[error("cannot start on {address}: {source}")]
     Start {
         address: SocketAddr,
@@ -104,8 +105,7 @@
     let Some(path) = operator_path else {
         return Ok(config);
     };
-    let operator =
-        OperatorConfig::load(path).map_err(|error| ProgramError::OperatorFile(error.into()))?;
+    let operator = OperatorConfig::load(path)?;
     config.cluster =
         Setup::read(&operator, &config.name, environment_variable).map_err(|error| {
             ProgramError::Cluster {
@@ -182,8 +182,7 @@
     let json = query_admin(address, &format!("fleet {what}"))?;
     let text = match format {
         OutputFormat::Json => json,
-        OutputFormat::Table => admin::status_table::cluster_table(what, &json)
-            .map_err(|error| ProgramError::UnreadableAnswer(error.into()))?,
+        OutputFormat::Table => admin::status_table::cluster_table(what, &json)?,
     };
     println!("{text}");
     Ok(())
@@ -199,8 +198,7 @@
     let json = query_admin(address, &call)?;
     let text = match format {
         OutputFormat::Json => json,
-        OutputFormat::Table => admin::status_table::budgets_table(&json)
-            .map_err(|error| ProgramError::UnreadableAnswer(error.into()))?,
+        OutputFormat::Table => admin::status_table::budgets_table(&json)?,
     };
     println!("{text}");
     Ok(())
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -5,7 +5,7 @@
 use crate::config::Config;
 use crate::handoff::peer_process::HandoffState;
 use crate::placement_driver::{EndpointAvailabilityError, PlacementDriver};
-use crate::upstream::health_check::HealthChecks;
+use crate::upstream::open_health_checks::HealthChecks;
 use lupincrank_reactor::Context;
 use slog::Logger;
 use std::cell::Cell;
--- a/crates/node/src/upstream/health_check.rs
+++ b/crates/node/src/upstream/health_check.rs
@@ -2,6 +2,7 @@
 //! connection stays open for the next check, since each new one costs the server work.
 
 use super::is_local_resource_exhaustion;
+use super::open_health_checks::CheckedServer;
 use super::server_line::parse_figure;
 use crate::command::{HealthCheckCommand, Message};
 use crate::deadline::{DeadlineKind, HealthCheckDeadline};
@@ -10,7 +11,6 @@
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::{poller_key, ComponentId, Connection, Interest, Lifecycle, Readiness};
 use slog::debug;
-use std::collections::HashMap;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
@@ -23,19 +23,6 @@
 /// How long a connection stays open without a check.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// The open connections for health checks, one per server at the most.
-#[derive(Default)]
-pub(crate) struct HealthChecks {
-    connections: HashMap<ServerId, CheckedServer>,
-}
-
-/// The connection to a server under its present address.
-#[derive(Clone, Copy)]
-struct CheckedServer {
-    connection: ComponentId,
-    address: SocketAddr,
-}
-
 /// What a server's response says.
 #[derive(Debug, PartialEq)]
 struct HealthCheckResponse {
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod attempt;
 mod byte_buffer;
 pub(crate) mod health_check;
+pub(crate) mod open_health_checks;
 pub(crate) mod relay;
 pub(crate) mod server_line;
 
--- /dev/null
+++ b/crates/node/src/upstream/open_health_checks.rs
@@ -0,0 +1,19 @@
+//! The open connections for health checks.
+
+use lupincrank_placement::ServerId;
+use lupincrank_reactor::ComponentId;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+/// The open connections for health checks, one per server at the most.
+#[derive(Default)]
+pub(crate) struct HealthChecks {
+    pub(super) connections: HashMap<ServerId, CheckedServer>,
+}
+
+/// The connection to a server under its present address.
+#[derive(Clone, Copy)]
+pub(super) struct CheckedServer {
+    pub(super) connection: ComponentId,
+    pub(super) address: SocketAddr,
+}
