Node: name the hollow node's interface by the terms of the cluster, with typed errors

The observer is shown a ClusterStatus and gives a BudgetUsage in place of a pair; start gives a HollowNodeError with the texts as before. The scale crate follows.

--- a/crates/node/src/hollow.rs
+++ b/crates/node/src/hollow.rs
@@ -1,118 +1,156 @@
-//! A hollow node: a node's part in its fleet (membership, links, council, leases) without a data path. It is told what a
-//! real one is told, by the same two files, and runs the same code in a loop of its own; many of them fit into a process,
-//! each in a thread. `scale/` measures fleets with them.
+//! A hollow node: a node's part in its cluster (membership, connections, control group, leases) without a data path. It is
+//! configured by the same two files as a real one, and runs the same code in an event loop of its own; many of them fit
+//! into a process, each in a thread. `crates/scale` measures clusters with them.
+
+pub use lupincrank_budgets::demand::BudgetUsage;
 
 use crate::cluster_agent::{self, config::Setup};
 use crate::command::Message;
 use crate::component::LAST_WELL_KNOWN_ID;
-use crate::config::Config;
+use crate::config::{Config, ConfigError};
 use crate::deadline::DeadlineKind;
 use crate::state::{NodeContext, NodeState};
-use lupincrank_budgets::demand::BudgetUsage;
-use lupincrank_operator_config::OperatorConfig;
-use lupincrank_reactor::Readiness;
-use lupincrank_reactor::{ComponentId, Connection, Lifecycle, Reactor};
+use lupincrank_control::lease::LeaseTerms;
+use lupincrank_operator_config::{OperatorConfig, ParseError};
+use lupincrank_reactor::{ComponentId, Connection, Lifecycle, Reactor, Readiness};
 use slog::{o, Discard, Logger};
+use std::error::Error;
+use std::io;
 use std::time::{Duration, Instant};
 
-/// The observer's place in the loop.
+/// The observer's id in the event loop.
 const OBSERVER: ComponentId = LAST_WELL_KNOWN_ID + 1;
 
-/// How a hollow node stands in its fleet.
+/// How a node stands in its cluster.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Seen {
-    /// The council that it takes part in has entries up to this epoch; 0 for no council.
+pub struct ClusterStatus {
+    /// The control group that it takes part in has applied entries up to this epoch; 0 without one.
     pub epoch: u64,
-    /// The capacity of the cold budget that its control group hands out.
+    /// The capacity of the slow-start budget that its control group hands out.
     pub capacity: u32,
-    /// It knows a leader, and is it itself.
-    pub led: bool,
-    /// See `led`.
-    pub leads: bool,
-    /// It votes.
-    pub votes: bool,
-    /// Nodes that live as far as it knows, itself among them.
-    pub alive: usize,
-    /// What it may use of the cold budget now, in new connections in any window of the budget.
-    pub limit: u32,
+    /// Whether it knows a leader of the control group.
+    pub has_leader: bool,
+    /// Whether it is the leader.
+    pub is_leader: bool,
+    /// Whether it votes.
+    pub is_voter: bool,
+    /// Nodes that are alive as far as it knows, itself among them.
+    pub alive_count: usize,
+    /// What it may use of the slow-start budget now, in new connections in any window of the budget.
+    pub lease_limit: u32,
 }
 
-/// Stands where the data path would: it is shown how its node stands, and says what it used of the cold budget since.
+/// Stands where the data path would: it is shown how its node stands, and says what it used of the slow-start budget.
 pub trait Observer {
-    /// How often it looks.
-    fn every(&self) -> Duration;
-    /// Looks: what was used, the most in any window, and whether something was turned away for lack of a slice. `lives` tells
-    /// whether the node of that name lives as far as this one knows.
-    fn look(&mut self, seen: &Seen, window: Duration, lives: &dyn Fn(&str) -> bool) -> (u32, bool);
+    /// The time from one call of [`observe`](Observer::observe) to the next.
+    fn interval(&self) -> Duration;
+
+    /// Gives what was used since the last call: the peak in any `window`, and whether something was rejected for lack of a
+    /// lease. `is_alive` tells whether the node of that name is alive as far as this one knows.
+    fn observe(
+        &mut self,
+        status: &ClusterStatus,
+        window: Duration,
+        is_alive: &dyn Fn(&str) -> bool,
+    ) -> BudgetUsage;
+}
+
+/// Why a hollow node cannot run. The messages include their sources'.
+#[derive(Debug, thiserror::Error)]
+pub enum HollowNodeError {
+    /// The configuration does not hold.
+    #[error("the configuration: {0}")]
+    Config(#[from] ConfigError),
+    /// The operator's file does not hold.
+    #[error("the operator's file: {0}")]
+    OperatorFile(#[from] ParseError),
+    /// What the operator's file says of the cluster does not hold for this node.
+    #[error("the operator's file: {0}")]
+    Cluster(Box<dyn Error + Send + Sync>),
+    /// The operator's file names no cluster.
+    #[error("the operator's file: there is no [fleet], and a hollow node has nothing else")]
+    NoCluster,
+    /// The event loop cannot begin.
+    #[error(transparent)]
+    EventLoop(#[from] io::Error),
+    /// The cluster's address or folder cannot be used.
+    #[error("{0}")]
+    Start(Box<dyn Error + Send + Sync>),
 }
 
 /// A hollow node, ready to run. `config` and `operator` are the texts of a real node's files, and `variable` looks up what
 /// its environment would say.
+///
+/// # Errors
+/// Where a file does not hold, or the cluster's address or folder cannot be used.
 pub fn start(
     config: &str,
     operator: &str,
     variable: impl Fn(&str) -> Option<String>,
     observer: Box<dyn Observer>,
-) -> Result<impl FnOnce() -> std::io::Result<()>, String> {
-    let mut config =
-        Config::parse(config, &variable).map_err(|why| format!("the configuration: {why}"))?;
-    let operator =
-        OperatorConfig::parse(operator).map_err(|why| format!("the operator's file: {why}"))?;
-    let setup = Setup::read(&operator, &config.name, &variable);
-    config.cluster = setup.map_err(|why| format!("the operator's file: {why}"))?;
-    if config.cluster.is_none() {
-        return Err(
-            "the operator's file: there is no [fleet], and a hollow node has nothing else".into(),
-        );
-    }
+) -> Result<impl FnOnce() -> io::Result<()>, HollowNodeError> {
+    let config = read_config(config, operator, &variable)?;
     let state = NodeState::new(config, Logger::root(Discard, o!()));
-    let mut reactor = Reactor::new(state, OBSERVER).map_err(|error| error.to_string())?;
-    cluster_agent::begin(&mut reactor.context)?;
-    reactor
-        .context
-        .register(OBSERVER, Box::new(Watch { observer }));
-    reactor
-        .context
+    let mut reactor = Reactor::new(state, OBSERVER)?;
+    let context = &mut reactor.context;
+    cluster_agent::begin(context).map_err(|error| HollowNodeError::Start(error.into()))?;
+    context.register(OBSERVER, Box::new(ObserverComponent { observer }));
+    context
         .deadlines
         .set(OBSERVER, DeadlineKind::Observer, Instant::now());
     Ok(move || reactor.run())
 }
 
-struct Watch {
+fn read_config(
+    config: &str,
+    operator: &str,
+    variable: &impl Fn(&str) -> Option<String>,
+) -> Result<Config, HollowNodeError> {
+    let mut config = Config::parse(config, variable)?;
+    let operator = OperatorConfig::parse(operator)?;
+    config.cluster = Setup::read(&operator, &config.name, variable)
+        .map_err(|error| HollowNodeError::Cluster(error.into()))?;
+    if config.cluster.is_none() {
+        return Err(HollowNodeError::NoCluster);
+    }
+    Ok(config)
+}
+
+/// The component that calls the observer.
+struct ObserverComponent {
     observer: Box<dyn Observer>,
 }
 
-fn seen(context: &NodeContext) -> Seen {
+fn cluster_status(context: &NodeContext) -> ClusterStatus {
     let now = context.placement.now();
-    // Its place may be another process's still.
-    let Some(carry) = &context.cluster_agent else {
-        return Seen::default();
+    // Its address may be another process's still.
+    let Some(agent) = &context.cluster_agent else {
+        return ClusterStatus::default();
     };
-    let (epoch, capacity) = carry
-        .council
-        .state()
-        .map_or((0, 0), |state| (state.applied_entries, state.capacity));
-    let alive = carry.membership.alive().count() + 1;
-    let (led, leads, votes) = (
-        carry.council.has_leader(),
-        carry.council.is_leader(),
-        carry.council.is_voter(),
-    );
-    Seen {
-        epoch,
-        capacity,
-        led,
-        leads,
-        votes,
-        alive,
-        limit: carry.council.lease_limit(now).limit,
+    let control = &agent.council;
+    let state = control.state();
+    ClusterStatus {
+        epoch: state.map_or(0, |state| state.applied_entries),
+        capacity: state.map_or(0, |state| state.capacity),
+        has_leader: control.has_leader(),
+        is_leader: control.is_leader(),
+        is_voter: control.is_voter(),
+        alive_count: agent.membership.alive().count() + 1,
+        lease_limit: control.lease_limit(now).limit,
     }
 }
 
-impl Connection<NodeState> for Watch {
+fn is_alive(context: &NodeContext, name: &str) -> bool {
+    let Some(agent) = &context.cluster_agent else {
+        return false;
+    };
+    agent.membership.alive().any(|member| member.name == name)
+}
+
+impl Connection<NodeState> for ObserverComponent {
     fn on_ready(
         &mut self,
-        _node: &mut NodeContext,
+        _context: &mut NodeContext,
         _socket: usize,
         _readiness: Readiness,
     ) -> Lifecycle {
@@ -120,28 +158,22 @@
     }
 
     fn on_deadline(&mut self, context: &mut NodeContext, _kind: DeadlineKind) -> Lifecycle {
-        let window = lupincrank_control::lease::LeaseTerms::default().accounting_window;
-        let members = context
-            .cluster_agent
-            .as_ref()
-            .map(|carry| &carry.membership);
-        let lives = |name: &str| members.is_some_and(|all| all.alive().any(|who| who.name == name));
-        let (most, turned_away) = self.observer.look(&seen(context), window, &lives);
-        if let Some(carry) = &mut context.cluster_agent {
-            carry.council.record_usage(BudgetUsage {
-                peak: most,
-                was_limited: turned_away,
-            });
+        let window = LeaseTerms::default().accounting_window;
+        let status = cluster_status(context);
+        let usage = self
+            .observer
+            .observe(&status, window, &|name| is_alive(context, name));
+        if let Some(agent) = &mut context.cluster_agent {
+            agent.council.record_usage(usage);
         }
-        context.deadlines.set(
-            OBSERVER,
-            DeadlineKind::Observer,
-            Instant::now() + self.observer.every(),
-        );
+        let next = Instant::now() + self.observer.interval();
+        context
+            .deadlines
+            .set(OBSERVER, DeadlineKind::Observer, next);
         Lifecycle::Continue
     }
 
-    fn on_message(&mut self, _node: &mut NodeContext, _message: Message) -> Lifecycle {
+    fn on_message(&mut self, _context: &mut NodeContext, _message: Message) -> Lifecycle {
         Lifecycle::Continue
     }
 }
--- a/crates/scale/src/host.rs
+++ b/crates/scale/src/host.rs
@@ -2,7 +2,7 @@
 //! line; how the nodes stand goes out on its standard output. It ends with its input, so that none outlives the run.
 
 use crate::place::Place;
-use lupincrank_node::hollow::{self, Observer, Seen};
+use lupincrank_node::hollow::{self, BudgetUsage, ClusterStatus, Observer};
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
 use rustix::time::{clock_gettime, ClockId};
@@ -24,7 +24,7 @@
     pub node: usize,
     /// Unix time in microseconds.
     pub at_us: u64,
-    /// What it knows: see `hollow::Seen`.
+    /// What it knows: see `hollow::ClusterStatus`.
     pub epoch: u64,
     /// See `epoch`.
     pub whole: u32,
@@ -123,11 +123,16 @@
 }
 
 impl Observer for Spender {
-    fn every(&self) -> Duration {
+    fn interval(&self) -> Duration {
         LOOK
     }
 
-    fn look(&mut self, seen: &Seen, window: Duration, lives: &dyn Fn(&str) -> bool) -> (u32, bool) {
+    fn observe(
+        &mut self,
+        status: &ClusterStatus,
+        window: Duration,
+        is_alive: &dyn Fn(&str) -> bool,
+    ) -> BudgetUsage {
         let now = Instant::now();
         let (demand, watched_lives) = {
             let wanted = self
@@ -136,19 +141,19 @@
                 .unwrap_or_else(std::sync::PoisonError::into_inner);
             (
                 wanted.demand,
-                wanted.watched.is_empty() || lives(&wanted.watched),
+                wanted.watched.is_empty() || is_alive(&wanted.watched),
             )
         };
-        let (used, most, turned_away) = self.spend(now, demand, seen.limit, window);
+        let (used, most, turned_away) = self.spend(now, demand, status.lease_limit, window);
         let cpu = clock_gettime(ClockId::ThreadCPUTime);
         let line = Line {
             node: self.node,
             at_us: unix_us(),
-            epoch: seen.epoch,
-            whole: seen.capacity,
-            led: seen.led,
-            votes: seen.votes,
-            alive: seen.alive,
+            epoch: status.epoch,
+            whole: status.capacity,
+            led: status.has_leader,
+            votes: status.is_voter,
+            alive: status.alive_count,
             watched_lives,
             used,
             cpu_us: cpu.tv_sec as u64 * 1_000_000 + cpu.tv_nsec as u64 / 1000,
@@ -172,7 +177,10 @@
             }
             self.said = Some((now, line));
         }
-        (most, turned_away)
+        BudgetUsage {
+            peak: most,
+            was_limited: turned_away,
+        }
     }
 }
 
@@ -195,6 +203,7 @@
         let begin = move || {
             let variable = |name: &str| place.variable(node, name);
             let ran = hollow::start(&config, &operator, variable, Box::new(spender))
+                .map_err(|error| error.to_string())
                 .and_then(|run| run().map_err(|error| error.to_string()));
             if let Err(why) = ran {
                 eprintln!("lupincrank-scale: {}: {why}", place.name(node));
