--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -308,8 +308,8 @@
         Call::SetDown(server) => context.by_hand(server, true).map(|()| String::new()),
         Call::SetUp(server) => context.by_hand(server, false).map(|()| String::new()),
         Call::Fleet(what) => {
-            let told = cluster_agent::told(context, what);
-            let told = told.unwrap_or_else(|| Err("this node was started without a fleet".into()));
+            let told =
+                cluster_agent::run_fleet_command(context, what).map_err(|error| error.to_string());
             if what != "reseed" {
                 // Asked often, and nothing changes by it.
                 return told;
@@ -317,7 +317,8 @@
             told
         }
         Call::Budgets(what, whole) => {
-            let told = cluster_agent::budgets(context, what, whole);
+            let told = cluster_agent::run_budget_command(context, what, whole)
+                .map_err(|error| error.to_string());
             if what != "set" {
                 return told;
             }
--- a/crates/node/src/application.rs
+++ b/crates/node/src/application.rs
@@ -106,7 +106,7 @@
         let left = self
             .cluster_agent
             .as_ref()
-            .is_none_or(|fleet| fleet.is_out());
+            .is_none_or(|agent| agent.has_left());
         let empty = self.client_count.get() == 0
             && self.unidentified_clients.borrow().is_empty()
             && self.handoff.idle();
--- a/crates/node/src/cluster_agent/agent.rs
+++ b/crates/node/src/cluster_agent/agent.rs
@@ -1,634 +1,370 @@
-//! What a node holds of its fleet: membership, links and the council, and what they want carried out.
-
-use super::config::Setup;
-use super::storage::Disk;
-use lupincrank_cluster::connection::ClusterConnection;
-use lupincrank_cluster::membership::{
-    jitter_factor, Identity, Membership, MembershipConfig, MembershipOutput,
-};
+//! The cluster agent: it owns membership, the control node, the connections and the storage of this node, and passes
+//! between them what they have for each other.
+
+use super::config::ClusterConfig;
+use super::connections::PeerConnections;
+use super::peer_connection::PeerError;
+use super::sockets::ClusterSockets;
+use super::storage::{StorageWriteError, StorageWriter};
+use lupincrank_cluster::membership::{jitter_factor, Identity, Membership, MembershipConfig};
 use lupincrank_cluster::message::{Handshake, Message, Subject};
 use lupincrank_control::durable::{DurableState, LogWrite};
 use lupincrank_control::lease::LeaseTerms;
 use lupincrank_control::member::Member;
-use lupincrank_control::message::{Action, ControlMessage, LogEvent};
-use lupincrank_control::{ControlConfig, ControlNode};
+use lupincrank_control::message::ControlMessage;
+use lupincrank_control::{ControlConfig, ControlError, ControlNode};
 use lupincrank_placement::Timestamp;
 use lupincrank_reactor::poll::Registered;
 use lupincrank_reactor::ComponentId;
-use serde::Serialize;
-use slog::{debug, info, warn, Logger};
+use slog::{info, warn, Logger};
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// A node this young founds no council; a member that has been dead for this long is taken out.
-const SETTLE: Duration = Duration::from_millis(1500);
-const BURY: Duration = Duration::from_secs(2);
-/// Dialling again after a failure: from this, doubled each time, to that, spread by the node.
-const AGAIN: Duration = Duration::from_millis(200);
-const LONGEST_AGAIN: Duration = Duration::from_secs(4);
-/// Links beyond two for each expected node, and these for strangers, are not taken.
-const SPARE_LINKS: usize = 16;
-/// A link that this node dialled and needs no more is ended after this.
-const IDLE: Duration = Duration::from_secs(5);
-/// What others sent wrongly is logged so often at the most.
-const QUIET: Duration = Duration::from_secs(5);
-
-/// A node that ends is waited for by the others, and waits for them, so long at the most.
-const LEAVES: Duration = Duration::from_secs(3);
-
-/// An incarnation that was replaced is told so this often.
-const WARN_AGAIN: Duration = Duration::from_secs(1);
-
-/// One link, and whom it was dialled for.
-pub struct End {
-    pub link: ClusterConnection,
-    pub to: Option<u64>,
-    wanted: Instant,
-    warned: Option<Instant>,
+/// A node bootstraps no control group before it has looked for one for this long.
+const BOOTSTRAP_GRACE: Duration = Duration::from_millis(1500);
+/// A member that has been dead for this long is removed from the control group.
+const MEMBER_REMOVAL_DELAY: Duration = Duration::from_secs(2);
+/// How long a leaving node waits at most until others have released it.
+const MAX_LEAVE_DURATION: Duration = Duration::from_secs(3);
+/// Rejected traffic is logged at most this often.
+const REJECTION_LOG_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Where an incarnation is reached.
+pub(super) struct PeerAddress {
+    pub(super) name: String,
+    pub(super) address: SocketAddr,
 }
 
-/// See the module.
-pub struct Carry {
-    pub setup: Setup,
-    pub council: ControlNode,
-    pub membership: Membership,
-    /// Given up when this node has left.
-    pub sockets: Option<(Registered<UdpSocket>, Registered<TcpListener>)>,
-    /// Where log and vote are kept, if a folder is configured, and what tells that something is written.
-    disk: Option<(Disk, Registered<UnixStream>)>,
-    /// Another process has this node's name.
-    replaced: bool,
-    /// Since when this node ends.
-    leaves: Option<Instant>,
-    pub links: BTreeMap<ComponentId, End>,
-    tries: BTreeMap<u64, (Instant, u32)>,
-    addresses: BTreeMap<u64, (String, SocketAddr)>,
-    tag: u32,
-    began: Instant,
-    spread: f64,
-    log: Logger,
-    quiet: Option<Instant>,
-    /// Messages on links that changed nothing.
-    strange: u64,
-    /// Links that gave way to another one between the same incarnations; their objects are to be told.
-    pub dropped: Vec<ComponentId>,
-    /// Bytes and messages sent, for the cost of it.
-    pub sent: (u64, u64),
+/// What was sent to other nodes so far, datagrams and messages of the control group together.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct SentTraffic {
+    pub(super) bytes: u64,
+    pub(super) messages: u64,
 }
 
-/// What `fleet status` tells.
-#[derive(Serialize)]
-struct Status<'a> {
-    fleet: &'a str,
-    council: lupincrank_control::status::Status,
-    alive: usize,
-    links: usize,
-    datagrams_refused: lupincrank_cluster::membership::RejectedDatagrams,
-    messages_refused: u64,
-    sent_bytes: u64,
-    sent_messages: u64,
+impl SentTraffic {
+    pub(super) fn record(&mut self, length: usize) {
+        self.bytes += length as u64;
+        self.messages += 1;
+    }
 }
 
-fn member(identity: &Identity) -> Member {
-    let Identity {
-        incarnation: id,
-        name,
-        zone,
-        region,
-        build,
-        ..
-    } = identity.clone();
-    Member {
-        id,
-        name,
-        zone,
-        region,
-        build,
-    }
+/// Traffic that was rejected beside datagrams.
+#[derive(Default)]
+struct Rejections {
+    count: u64,
+    last_logged: Option<Instant>,
+}
+
+/// The thread that writes to the storage file, and the socket on which it reports.
+struct Storage {
+    writer: StorageWriter,
+    /// Registered for as long as the storage is in use.
+    _wake_receiver: Registered<UnixStream>,
+}
+
+/// Who a node is when its agent starts.
+pub(super) struct LocalNode<'a> {
+    pub(super) name: &'a str,
+    /// Drawn for this process, or continued from the stored state.
+    pub(super) incarnation: u64,
+    pub(super) settings_hash: u32,
+    /// What earlier processes of this identity left.
+    pub(super) stored: Option<&'a DurableState>,
+}
+
+/// A node's part in its cluster.
+pub struct ClusterAgent {
+    pub(super) config: ClusterConfig,
+    pub(super) control: ControlNode,
+    pub(super) membership: Membership,
+    /// Given up when this node has left.
+    pub(super) sockets: Option<ClusterSockets>,
+    storage: Option<Storage>,
+    pub(super) connections: PeerConnections,
+    pub(super) addresses: BTreeMap<u64, PeerAddress>,
+    pub(super) sent: SentTraffic,
+    pub(super) log: Logger,
+    rejections: Rejections,
+    /// A later process of this name has started.
+    is_replaced: bool,
+    leaving_since: Option<Instant>,
+    started_at: Instant,
 }
 
-impl Carry {
-    /// As a process begins. `id` is drawn for this life, or is that of the life that it goes on with: then `kept` is what
-    /// that one left, and an error says that it contradicts itself.
-    pub fn new(
-        setup: Setup,
-        name: &str,
-        id: u64,
-        kept: Option<&DurableState>,
-        settings: u32,
+impl ClusterAgent {
+    /// The agent of a process that starts now.
+    ///
+    /// # Errors
+    /// Where the stored state contradicts itself.
+    pub(super) fn new(
+        config: ClusterConfig,
+        local: &LocalNode,
         now: Timestamp,
         log: Logger,
-    ) -> Result<Carry, String> {
-        let born = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
-        let me = Identity {
-            name: name.to_string(),
-            incarnation: id,
-            started_at_ms: u64::try_from(born.as_millis()).unwrap_or(u64::MAX),
-            generation: 0,
-            address: setup.listen,
-            zone: setup.zone.clone(),
-            region: setup.region.clone(),
-            build: env!("CARGO_PKG_VERSION").to_string(),
-            settings_hash: settings,
+    ) -> Result<ClusterAgent, ControlError> {
+        let cluster_tag = lupincrank_cluster::cluster_tag(&config.cluster_name);
+        let identity = local_identity(&config, local);
+        let handshake = Handshake {
+            cluster_tag,
+            name: identity.name.clone(),
+            incarnation: identity.incarnation,
+            started_at_ms: identity.started_at_ms,
+            build: identity.build.clone(),
         };
-        let tuning = ControlConfig {
-            lease_terms: LeaseTerms::default(),
-            expected_nodes: setup.nodes.clone(),
-            capacity: setup.capacity,
-            floor: setup.floor,
-            bootstrap_grace: SETTLE,
-            member_removal_delay: BURY,
+        let control = ControlNode::new(
+            now,
+            member_of(&identity),
+            control_config(&config),
+            local.stored,
+        )?;
+        let expected_node_count = config.expected_nodes.len();
+        let membership_config = MembershipConfig {
+            cluster_tag,
+            expected_node_count,
+            random_seed: local.incarnation,
+            seed_nodes: config.seed_nodes.clone(),
         };
-        let tag = lupincrank_cluster::cluster_tag(&setup.name);
-        let council =
-            ControlNode::new(now, member(&me), tuning, kept).map_err(|error| error.to_string())?;
-        let membership = Membership::new(
-            me,
-            MembershipConfig {
-                cluster_tag: tag,
-                expected_node_count: setup.nodes.len(),
-                random_seed: id,
-                seed_nodes: setup.seeds.clone(),
-            },
-        );
-        Ok(Carry {
-            council,
-            membership,
+        let jitter = jitter_factor(local.incarnation);
+        Ok(ClusterAgent {
+            control,
+            membership: Membership::new(identity, membership_config),
             sockets: None,
-            disk: None,
-            replaced: false,
-            leaves: None,
-            links: BTreeMap::new(),
-            tries: BTreeMap::new(),
+            storage: None,
+            connections: PeerConnections::new(handshake, expected_node_count, jitter, log.clone()),
             addresses: BTreeMap::new(),
-            tag,
-            began: Instant::now(),
-            spread: jitter_factor(id),
+            sent: SentTraffic::default(),
             log,
-            quiet: None,
-            strange: 0,
-            dropped: Vec::new(),
-            sent: (0, 0),
-            setup,
+            rejections: Rejections::default(),
+            is_replaced: false,
+            leaving_since: None,
+            started_at: Instant::now(),
+            config,
         })
     }
 
-    /// From now on what has to survive goes there.
-    pub fn keep_on(&mut self, disk: Disk, wakes: Registered<UnixStream>) {
-        self.disk = Some((disk, wakes));
+    /// The control group's state machine.
+    pub fn control(&self) -> &ControlNode {
+        &self.control
     }
 
-    /// The disk has something to say.
-    pub fn disk(&mut self, now: Timestamp) {
-        let Some((disk, _)) = &mut self.disk else {
-            return;
-        };
-        match disk.done() {
-            Ok(Some(number)) => self.council.on_write_completed(now, number),
-            Ok(None) => {}
-            Err(why) => self.lost_disk(now, &why),
-        }
+    /// The control group's state machine.
+    pub fn control_mut(&mut self) -> &mut ControlNode {
+        &mut self.control
     }
 
-    fn write(&mut self, now: Timestamp, write: LogWrite) {
-        let Some((disk, _)) = &self.disk else { return };
-        if let Err(why) = disk.write(write) {
-            self.lost_disk(now, &why);
-        }
+    /// Which nodes are alive.
+    pub fn membership(&self) -> &Membership {
+        &self.membership
     }
 
-    /// What was said before is on the disk; nothing more is said by this process.
-    fn lost_disk(&mut self, now: Timestamp, why: &str) {
-        warn!(self.log, "the council's folder is lost"; "why" => why.to_string());
-        self.disk = None;
-        self.council.on_storage_lost(now);
+    pub(super) fn connections(&self) -> &PeerConnections {
+        &self.connections
     }
 
-    /// This node ends: it gives back what it holds, and stays for a while for those that need its vote.
-    pub fn leave(&mut self, now: Timestamp) {
-        self.leaves.get_or_insert_with(Instant::now);
-        self.council.begin_leaving(now);
+    pub(super) fn connections_mut(&mut self) -> &mut PeerConnections {
+        &mut self.connections
     }
 
-    /// Whether it has left, or never was there.
-    pub fn is_out(&self) -> bool {
-        self.sockets.is_none()
-    }
-
-    /// Leaves, once nobody waits for it or it has waited for long enough; true from then on.
-    pub fn leaves_now(&mut self) -> bool {
-        let Some(since) = self.leaves else {
-            return false;
-        };
-        if !self.is_out() && (self.council.has_left() || since.elapsed() >= LEAVES) {
-            let waited = since.elapsed().as_millis() as u64;
-            info!(self.log, "left the fleet"; "let_go" => self.council.has_left(), "after_ms" => waited);
-            self.membership.leave(self.age());
-            self.members();
-            self.dropped
-                .extend(std::mem::take(&mut self.links).into_keys());
-            (self.sockets, self.disk) = (None, None);
-        }
-        self.is_out()
-    }
-
-    /// Membership's clock.
-    pub fn age(&self) -> Duration {
-        self.began.elapsed()
+    /// Membership's clock: the time since this agent started.
+    pub(super) fn uptime(&self) -> Duration {
+        self.started_at.elapsed()
     }
 
     /// When membership has something to do next.
-    pub fn next(&self) -> Instant {
-        self.began + self.membership.next_deadline()
+    pub(super) fn next_membership_deadline(&self) -> Instant {
+        self.started_at + self.membership.next_deadline()
     }
 
-    /// What this side says first.
-    pub fn hello(&self) -> Message {
-        let me = self.membership.local_identity();
-        let (name, build) = (me.name.clone(), me.build.clone());
-        Message::Handshake(Handshake {
-            cluster_tag: self.tag,
-            name,
-            incarnation: me.incarnation,
-            started_at_ms: me.started_at_ms,
-            build,
-        })
+    /// The number of rejected messages and connections.
+    pub(super) fn rejection_count(&self) -> u64 {
+        self.rejections.count
     }
 
-    /// Whether one more link is taken.
-    pub fn has_room(&self) -> bool {
-        self.links.len() < 2 * self.setup.nodes.len() + SPARE_LINKS
+    /// Counts rejected traffic and logs it now and then.
+    pub(super) fn record_rejection(
+        &mut self,
+        subject: &'static str,
+        error: &dyn std::fmt::Display,
+    ) {
+        self.rejections.count += 1;
+        let last_logged = self.rejections.last_logged;
+        if last_logged.is_none_or(|at| at.elapsed() >= REJECTION_LOG_INTERVAL) {
+            self.rejections.last_logged = Some(Instant::now());
+            warn!(self.log, "cluster traffic rejected"; "subject" => subject, "error" => %error,
+                "count" => self.rejections.count);
+        }
     }
 
-    /// A link begins.
-    pub fn begin(
+    /// Uses this storage from now on.
+    pub(super) fn attach_storage(
         &mut self,
-        id: ComponentId,
-        mut link: ClusterConnection,
-        to: Option<u64>,
-    ) -> Result<(), String> {
-        link.send(&self.hello())
-            .map_err(|error| error.to_string())?;
-        self.links.insert(
-            id,
-            End {
-                link,
-                to,
-                wanted: Instant::now(),
-                warned: None,
-            },
-        );
-        Ok(())
+        writer: StorageWriter,
+        wake_receiver: Registered<UnixStream>,
+    ) {
+        self.storage = Some(Storage {
+            writer,
+            _wake_receiver: wake_receiver,
+        });
     }
 
-    /// Something else came than should have: told now and then.
-    pub fn complain(&mut self, what: &str, why: &str) {
-        self.strange += 1;
-        if self.quiet.is_none_or(|at| at.elapsed() >= QUIET) {
-            self.quiet = Some(Instant::now());
-            warn!(self.log, "not heard"; "what" => what.to_string(), "why" => why.to_string(), "so far" => self.strange);
+    /// The storage has completed writes.
+    pub(super) fn on_storage_ready(&mut self, now: Timestamp) {
+        let Some(storage) = &mut self.storage else {
+            return;
+        };
+        match storage.writer.take_completed() {
+            Ok(Some(sequence)) => self.control.on_write_completed(now, sequence),
+            Ok(None) => {}
+            Err(error) => self.on_storage_lost(now, &error),
         }
     }
 
-    /// A link ends; it is dialled again later, if it is still needed.
-    pub fn ended(&mut self, id: ComponentId, why: &str) {
-        let Some(end) = self.links.remove(&id) else {
+    pub(super) fn write(&mut self, now: Timestamp, write: LogWrite) {
+        let Some(storage) = &self.storage else {
             return;
         };
-        let peer = end.link.peer().map(|peer| peer.name.clone());
-        debug!(self.log, "link ended"; "peer" => peer, "dialled" => end.link.is_initiator(), "why" => why.to_string());
-        if let Some(to) = end.to {
-            let tries = self.tries.get(&to).map_or(0, |(_, tries)| *tries);
-            let pause = AGAIN
-                .saturating_mul(1 << tries.min(6))
-                .min(LONGEST_AGAIN)
-                .mul_f64(self.spread);
-            self.tries.insert(to, (Instant::now() + pause, tries + 1));
+        if let Err(error) = storage.writer.write(write) {
+            self.on_storage_lost(now, &error);
         }
     }
 
-    /// The messages of one link; an error ends it.
-    pub fn heard(
+    /// What was promised before is stored; this process promises nothing more.
+    fn on_storage_lost(&mut self, now: Timestamp, error: &StorageWriteError) {
+        warn!(self.log, "control storage lost"; "error" => %error);
+        self.storage = None;
+        self.control.on_storage_lost(now);
+    }
+
+    /// Handles readiness of a connection's socket.
+    ///
+    /// # Errors
+    /// Where the connection has to be closed.
+    pub(super) fn on_connection_ready(
         &mut self,
         now: Timestamp,
         id: ComponentId,
-        messages: Vec<Message>,
-    ) -> Result<(), String> {
+        is_readable: bool,
+    ) -> Result<(), PeerError> {
+        let peer = self.connections.get_mut(id).ok_or(PeerError::Removed)?;
+        let messages = peer.connection_mut().on_ready(is_readable)?;
         for message in messages {
-            let peer = self
-                .links
-                .get(&id)
-                .ok_or("it is gone")?
-                .link
-                .peer()
-                .map(|peer| peer.incarnation);
-            match (message, peer) {
-                (Message::Handshake(hello), None) => self.met(id, hello)?,
-                (Message::Ping, Some(_)) => {}
-                (Message::Replaced, Some(_)) => self.was_replaced(),
-                (Message::Payload(Subject::Control, bytes), Some(peer)) => {
-                    match postcard::from_bytes::<ControlMessage>(&bytes) {
-                        Ok(said) => self.council.on_message(now, peer, said),
-                        Err(error) => {
-                            return Err(format!("a message of the council can't be read: {error}"))
-                        }
-                    }
-                }
-                (Message::Handshake(_), Some(_)) => return Err("it says hello twice".into()),
-                (_, None) => return Err("it does not say hello first".into()),
-            }
+            self.on_peer_message(now, id, message)?;
         }
         Ok(())
     }
 
-    /// The other side has said who it is. Of two links between the same incarnations the one stays that the greater id dialled.
-    fn met(&mut self, id: ComponentId, hello: Handshake) -> Result<(), String> {
-        if hello.cluster_tag != self.tag {
-            return Err("it belongs to another fleet".into());
-        }
-        let me = self.membership.local_identity().incarnation;
-        let Some(end) = self.links.get(&id) else {
-            return Ok(());
-        };
-        if hello.incarnation == me || end.to.is_some_and(|to| to != hello.incarnation) {
-            return Err("it is another life than the one that was looked for".into());
-        }
-        let mine = end.link.is_initiator();
-        let other = self.links.iter().find(|(at, end)| {
-            **at != id
-                && end
-                    .link
-                    .peer()
-                    .is_some_and(|peer| peer.incarnation == hello.incarnation)
-        });
-        if let Some((at, end)) = other.map(|(at, end)| (*at, end.link.is_initiator())) {
-            let by_greater = |dialled_here: bool| dialled_here == (me > hello.incarnation);
-            if by_greater(end) && !by_greater(mine) {
-                return Err("there is one already".into());
+    fn on_peer_message(
+        &mut self,
+        now: Timestamp,
+        id: ComponentId,
+        message: Message,
+    ) -> Result<(), PeerError> {
+        let peer = self.connections.get_mut(id).ok_or(PeerError::Removed)?;
+        match (message, peer.peer_incarnation()) {
+            (Message::Handshake(handshake), None) => self.connections.on_handshake(id, handshake),
+            (Message::Handshake(_), Some(_)) => Err(PeerError::RepeatedHandshake),
+            (_, None) => Err(PeerError::MissingHandshake),
+            (Message::Ping, Some(_)) => Ok(()),
+            (Message::Replaced, Some(_)) => {
+                self.on_replaced();
+                Ok(())
             }
-            self.links.remove(&at);
-            self.dropped.push(at);
-        }
-        self.tries.remove(&hello.incarnation);
-        if let Some(end) = self.links.get_mut(&id) {
-            end.link.set_peer(hello);
-        }
-        Ok(())
-    }
-
-    /// Another process has this node's name and began later. The floor is one name's: two of them would count twice.
-    fn was_replaced(&mut self) {
-        if !std::mem::replace(&mut self.replaced, true) {
-            self.membership.yield_to_newer();
-            warn!(
-                self.log,
-                "another process of this name began later: out of the fleet until the next start"
-            );
-        }
-    }
-
-    /// Whether membership knows a later incarnation of that name. Guards against a leader that was replaced: it is not asked by
-    /// datagrams any more, so nothing else would tell it, and its links would keep it in the lead.
-    fn is_replaced(&self, hello: &Handshake) -> bool {
-        let later = |alive: &Identity| {
-            alive.name == hello.name
-                && (alive.started_at_ms, alive.incarnation)
-                    > (hello.started_at_ms, hello.incarnation)
-        };
-        self.membership.alive().any(later)
-    }
-
-    /// What membership wants carried out: datagrams out, and news.
-    pub fn members(&mut self) {
-        while let Some(out) = self.membership.next_output() {
-            match out {
-                MembershipOutput::Datagram { to: at, bytes } => {
-                    let Some((udp, _)) = &self.sockets else {
-                        continue;
-                    };
-                    let at = self.setup.via.get(&at).copied().unwrap_or(at);
-                    self.sent = (self.sent.0 + bytes.len() as u64, self.sent.1 + 1);
-                    // A datagram may get lost anyway.
-                    let _ = udp.send_to(&bytes, at);
-                }
-                MembershipOutput::MemberUp(who) => {
-                    self.tries.remove(&who.incarnation);
-                    if self
-                        .addresses
-                        .insert(who.incarnation, (who.name.clone(), who.address))
-                        .is_none()
-                    {
-                        info!(self.log, "member up"; "member" => &who.name, "id" => format!("{:016x}", who.incarnation),
-                            "zone" => &who.zone, "build" => &who.build, "bump" => who.generation);
-                    }
-                }
-                MembershipOutput::MemberDown(who) => {
-                    info!(self.log, "member down"; "member" => &who.name, "id" => format!("{:016x}", who.incarnation),
-                        "bump" => who.generation);
-                    // Another bump of the same incarnation may live on.
-                    if self
-                        .membership
-                        .alive()
-                        .all(|alive| alive.incarnation != who.incarnation)
-                    {
-                        self.addresses.remove(&who.incarnation);
-                    }
-                }
-                MembershipOutput::Rejoined { generation: bump } => {
-                    info!(self.log, "was taken for dead and is back"; "bump" => bump);
-                }
-                MembershipOutput::Replaced => self.was_replaced(),
+            (Message::Payload(Subject::Control, bytes), Some(incarnation)) => {
+                let message = postcard::from_bytes::<ControlMessage>(&bytes)
+                    .map_err(PeerError::UndecodableControlMessage)?;
+                self.control.on_message(now, incarnation, message);
+                Ok(())
             }
         }
     }
 
-    /// All that live, by id.
-    pub fn alive(&self) -> BTreeMap<u64, Member> {
-        self.membership
-            .alive()
-            .map(|identity| (identity.incarnation, member(identity)))
-            .collect()
-    }
-
-    /// What the council wants carried out. Gives the links that could not take it.
-    pub fn council(&mut self, now: Timestamp) -> Vec<(ComponentId, String)> {
-        if self.replaced {
-            self.leave(now);
-        }
-        self.council.deliver_own_messages(now);
-        let mut broken = Vec::new();
-        for action in self.council.take_actions() {
-            match action {
-                Action::Send { to, message: said } => {
-                    let up =
-                        |end: &&mut End| end.link.peer().is_some_and(|peer| peer.incarnation == to);
-                    let found = self
-                        .links
-                        .iter_mut()
-                        .find_map(|(id, end)| up(&end).then_some((*id, end)));
-                    // Whoever is not reached now is told again later: the council repeats itself.
-                    let (Some((id, end)), Ok(bytes)) = (found, postcard::to_stdvec(&said)) else {
-                        continue;
-                    };
-                    self.sent = (self.sent.0 + bytes.len() as u64, self.sent.1 + 1);
-                    if let Err(why) = end.link.send(&Message::Payload(Subject::Control, bytes)) {
-                        broken.push((id, why.to_string()));
-                    }
-                }
-                Action::Write(write) => self.write(now, write),
-                Action::Log(note) => self.note(note),
-            }
+    /// A later process of this name has started. The floor of the budget belongs to the name: two processes that used it
+    /// would exceed the budget.
+    pub(super) fn on_replaced(&mut self) {
+        if self.is_replaced {
+            return;
         }
-        broken
+        self.is_replaced = true;
+        self.membership.yield_to_newer();
+        warn!(
+            self.log,
+            "replaced by a later process of this name; out of the cluster until the next start"
+        );
     }
 
-    fn note(&self, note: LogEvent) {
-        let log = &self.log;
-        match note {
-            LogEvent::Bootstrapping(stamp) => {
-                info!(log, "council founded"; "epoch" => stamp.epoch, "founding" => format!("{:016x}", stamp.bootstrap_id));
-            }
-            LogEvent::JoinedCluster(stamp) => {
-                info!(log, "council joined"; "epoch" => stamp.epoch, "founding" => format!("{:016x}", stamp.bootstrap_id));
-            }
-            LogEvent::LeaderChanged(leader) => {
-                let me = self.membership.local_identity();
-                let name = leader.and_then(|id| {
-                    let other = self.addresses.get(&id).map(|(name, _)| name.clone());
-                    if id == me.incarnation {
-                        Some(me.name.clone())
-                    } else {
-                        other
-                    }
-                });
-                info!(log, "council leader"; "leader" => name.unwrap_or_else(|| "none".into()));
-            }
-            LogEvent::ChangingMembership(change) => {
-                info!(log, "council changes"; "change" => format!("{change:?}"));
-            }
-            LogEvent::LeaseLimitChanged(slice) => {
-                info!(log, "slice of the cold budget"; "sends" => slice);
-            }
-            LogEvent::LeaseExpired => {
-                info!(log, "lease of the cold budget is over"; "sends" => self.setup.floor);
-            }
-            LogEvent::LogInconsistent => {
-                warn!(
-                    log,
-                    "the council's log broke its rules: out of the council until the next start"
-                );
-            }
-        }
+    pub(super) fn is_replaced(&self) -> bool {
+        self.is_replaced
     }
 
-    /// Whom to dial now.
-    pub fn dials(&mut self) -> Vec<(u64, SocketAddr)> {
-        let now = Instant::now();
-        let wants = self.council.desired_connections();
-        for end in self.links.values_mut() {
-            let peer = end.link.peer().map(|peer| peer.incarnation).or(end.to);
-            if peer.is_some_and(|peer| wants.contains(&peer)) {
-                end.wanted = now;
-            }
-        }
-        let linked = |id: u64| {
-            self.links.values().any(|end| {
-                end.to == Some(id) || end.link.peer().is_some_and(|peer| peer.incarnation == id)
-            })
-        };
-        let due = |id: u64| self.tries.get(&id).is_none_or(|(at, _)| now >= *at);
-        let dial = wants.into_iter().filter(|id| !linked(*id) && due(*id));
-        dial.filter_map(|id| {
-            let (_, at) = self.addresses.get(&id)?;
-            Some((id, self.setup.via.get(at).copied().unwrap_or(*at)))
-        })
-        .collect()
+    /// Starts to leave: leases are given back, and the node stays for a while for those that need its vote.
+    pub(super) fn begin_leaving(&mut self, now: Timestamp) {
+        self.leaving_since.get_or_insert_with(Instant::now);
+        self.control.begin_leaving(now);
     }
 
-    /// Keeps links alive; gives those that are dead or not needed any more.
-    pub fn keep(&mut self) -> Vec<(ComponentId, String)> {
-        let mut dead = Vec::new();
-        let peers = self
-            .links
-            .iter()
-            .filter_map(|(id, end)| Some((*id, end.link.peer()?)));
-        let replaced: Vec<ComponentId> = peers
-            .filter(|(_, peer)| self.is_replaced(peer))
-            .map(|(id, _)| id)
-            .collect();
-        for id in replaced {
-            let Some(end) = self.links.get_mut(&id) else {
-                continue;
-            };
-            // Its link stays: its vote may be needed until it is let go.
-            if end.warned.is_none_or(|at| at.elapsed() >= WARN_AGAIN) {
-                end.warned = Some(Instant::now());
-                // A link that can't take it is dead, which is seen below.
-                let _ = end.link.send(&Message::Replaced);
-            }
-        }
-        self.tries.retain(|id, _| self.addresses.contains_key(id));
-        for (id, end) in &mut self.links {
-            if let Err(why) = end.link.keep_alive() {
-                dead.push((*id, why.to_string()));
-            } else if end.link.is_initiator() && end.wanted.elapsed() >= IDLE {
-                dead.push((*id, "it is needed no more".into()));
-            }
-        }
-        dead
+    /// Whether this node has left, so that its process may exit.
+    pub fn has_left(&self) -> bool {
+        self.sockets.is_none()
     }
 
-    /// What `fleet status` tells, as JSON.
-    pub fn status(&self, now: Timestamp) -> String {
-        let status = Status {
-            fleet: &self.setup.name,
-            council: self.council.status(now),
-            alive: self.membership.alive().count() + 1,
-            links: self
-                .links
-                .values()
-                .filter(|end| end.link.peer().is_some())
-                .count(),
-            datagrams_refused: self.membership.rejected(),
-            messages_refused: self.strange,
-            sent_bytes: self.sent.0,
-            sent_messages: self.sent.1,
+    /// Leaves once nobody needs this node any more or it has waited for long enough; true from then on.
+    pub(super) fn try_leave(&mut self) -> bool {
+        let Some(since) = self.leaving_since else {
+            return false;
         };
-        serde_json::to_string(&status).unwrap_or_default()
+        let is_released = self.control.has_left();
+        if !self.has_left() && (is_released || since.elapsed() >= MAX_LEAVE_DURATION) {
+            let waited_ms = since.elapsed().as_millis() as u64;
+            info!(self.log, "left the cluster"; "is_released" => is_released, "waited_ms" => waited_ms);
+            self.membership.leave(self.uptime());
+            self.process_membership_outputs();
+            self.connections.close_all();
+            self.sockets = None;
+            self.storage = None;
+        }
+        self.has_left()
     }
+}
 
-    /// What `budgets show` tells.
-    pub fn budgets(&self, now: Timestamp) -> serde_json::Value {
-        let status = self.council.status(now);
-        let slices: BTreeMap<&str, u32> = status
-            .participants
-            .iter()
-            .map(|part| (part.member.name.as_str(), part.lease))
-            .collect();
-        serde_json::json!([{
-            "name": "cold", "unit": "new connections in a window", "window_ms": LeaseTerms::default().accounting_window.as_millis() as u64,
-            "whole": status.capacity.saturating_add(self.setup.aside), "set_aside": self.setup.aside, "floor": self.setup.floor,
-            "handed_out": status.capacity, "in_use": status.granted, "epoch": status.epoch, "slices": slices,
-        }])
+fn local_identity(config: &ClusterConfig, local: &LocalNode) -> Identity {
+    let started_at = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Identity {
+        name: local.name.to_string(),
+        incarnation: local.incarnation,
+        started_at_ms: u64::try_from(started_at.as_millis()).unwrap_or(u64::MAX),
+        generation: 0,
+        address: config.listen_address,
+        zone: config.zone.clone(),
+        region: config.region.clone(),
+        build: env!("CARGO_PKG_VERSION").to_string(),
+        settings_hash: local.settings_hash,
     }
+}
 
-    /// What `fleet members` tells, as JSON.
-    pub fn listed(&self) -> String {
-        let mut all: Vec<&Identity> = self
-            .membership
-            .alive()
-            .chain([self.membership.local_identity()])
-            .collect();
-        all.sort();
-        serde_json::to_string(&all).unwrap_or_default()
+fn control_config(config: &ClusterConfig) -> ControlConfig {
+    let budget = config.slow_start_budget;
+    ControlConfig {
+        lease_terms: LeaseTerms::default(),
+        expected_nodes: config.expected_nodes.clone(),
+        capacity: budget.map_or(0, |budget| budget.leased_capacity),
+        floor: budget.map_or(0, |budget| budget.floor),
+        bootstrap_grace: BOOTSTRAP_GRACE,
+        member_removal_delay: MEMBER_REMOVAL_DELAY,
     }
+}
 
-    /// What `fleet log` tells, as JSON.
-    pub fn told(&self) -> String {
-        serde_json::to_string(&self.council.log_lines().collect::<Vec<_>>()).unwrap_or_default()
+/// A node as the control group knows it.
+pub(super) fn member_of(identity: &Identity) -> Member {
+    Member {
+        id: identity.incarnation,
+        name: identity.name.clone(),
+        zone: identity.zone.clone(),
+        region: identity.region.clone(),
+        build: identity.build.clone(),
     }
 }
--- a/crates/node/src/cluster_agent/config.rs
+++ b/crates/node/src/cluster_agent/config.rs
@@ -1,91 +1,159 @@
-//! What the node takes from the operator's file for its part in the fleet.
+//! The cluster as the operator's file and the environment describe it to this node.
 
 use lupincrank_cluster::membership::SeedNode;
-use lupincrank_operator_config::Operator;
+use lupincrank_operator_config::{Fleet, Operator};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use thiserror::Error;
 
-/// The fleet as this node is told of it.
+/// The environment variables that take precedence over the operator's file.
+const LISTEN_VARIABLE: &str = "RELAY_FLEET";
+const ZONE_VARIABLE: &str = "RELAY_ZONE";
+
+/// Why the operator's file or the environment does not fit this node.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum ClusterConfigError {
+    /// The variable holds no socket address.
+    #[error("{LISTEN_VARIABLE}: {value:?} is not an address:port")]
+    InvalidListenAddress {
+        /// What it holds.
+        value: String,
+    },
+    /// Nothing says where to listen.
+    #[error("neither {LISTEN_VARIABLE} nor fleet.listen is set")]
+    MissingListenAddress,
+    /// The storage file is named after the node, whose name does not allow that.
+    #[error(
+        "fleet.folder: {node_name:?} can't be a part of a file's name: letters, digits, . _ - can"
+    )]
+    NodeNameUnfitForFile {
+        /// The node's name.
+        node_name: String,
+    },
+}
+
+/// The cluster as this node takes part in it.
 #[derive(Clone, Debug)]
-pub struct Setup {
-    /// The fleet's name.
-    pub name: String,
+pub struct ClusterConfig {
+    /// The cluster's name.
+    pub cluster_name: String,
     /// The names of all expected nodes.
-    pub nodes: BTreeSet<String>,
-    /// Where this node takes datagrams and links.
-    pub listen: SocketAddr,
-    /// Where it runs.
+    pub expected_nodes: BTreeSet<String>,
+    /// Where this node receives datagrams and accepts connections.
+    pub listen_address: SocketAddr,
+    /// The availability zone that it runs in.
     pub zone: String,
-    /// See `zone`.
+    /// The region that it runs in.
     pub region: String,
-    /// The file that holds log and vote, where a folder is configured.
-    pub file: Option<PathBuf>,
-    /// Who is asked first.
-    pub seeds: Vec<SeedNode>,
-    /// Where others are reached, if not where they say.
-    pub via: BTreeMap<SocketAddr, SocketAddr>,
-    /// The cold budget, in new connections in any second: what is handed out, and what each node has without a lease.
-    pub capacity: u32,
-    /// See `capacity`; none for a node that is not expected.
+    /// The file that keeps log and vote, where a folder is configured.
+    pub storage_file: Option<PathBuf>,
+    /// The nodes that are contacted first.
+    pub seed_nodes: Vec<SeedNode>,
+    /// Where other nodes are reached, if not at the addresses that they make known.
+    pub address_overrides: BTreeMap<SocketAddr, SocketAddr>,
+    /// The slow-start budget, where the cluster distributes one.
+    pub slow_start_budget: Option<SlowStartBudgetConfig>,
+}
+
+/// The slow-start budget, in new connections to warming servers in any accounting window.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SlowStartBudgetConfig {
+    /// What is handed out by leases.
+    pub leased_capacity: u32,
+    /// What this node may use without a lease; 0 for a node that is not expected.
     pub floor: u32,
-    /// What is set aside for all expected nodes.
-    pub aside: u32,
-    /// Whether the cold budget is divided at all.
-    pub divides: bool,
+    /// What is set aside for the floors of all expected nodes.
+    pub reserved_capacity: u32,
 }
 
-impl Setup {
-    /// What the file says for this node; `variable` looks up the environment.
-    pub fn read(
+impl ClusterConfig {
+    /// Reads the configuration for a node, or `None` where there is no cluster. `variable` looks up the environment.
+    ///
+    /// # Errors
+    /// Where the file or the environment does not fit this node.
+    pub fn from_operator(
         operator: &Operator,
-        node: &str,
+        node_name: &str,
         variable: impl Fn(&str) -> Option<String>,
-    ) -> Result<Option<Setup>, String> {
+    ) -> Result<Option<ClusterConfig>, ClusterConfigError> {
         let Some(fleet) = &operator.fleet else {
             return Ok(None);
         };
-        let told = variable("RELAY_FLEET").map(|told| {
-            told.parse()
-                .map_err(|_| format!("RELAY_FLEET: {told:?} is not an address:port"))
-        });
-        let listen = told.transpose()?.or(fleet.listen);
-        let listen = listen.ok_or("neither RELAY_FLEET nor fleet.listen is set")?;
-        let nodes: BTreeSet<String> = fleet.nodes.get_ref().iter().cloned().collect();
-        let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
-        if fleet.folder.is_some() && !node.bytes().all(plain) {
-            return Err(format!(
-                "fleet.folder: {node:?} can't be a part of a file's name: letters, digits, . _ - can"
-            ));
-        }
-        let file = fleet.folder.as_ref();
-        let file =
-            file.map(|folder| Path::new(folder.get_ref()).join(format!("council-{node}.redb")));
-        let cold = operator.budgets.cold.as_ref();
-        let floor = cold.map_or(0, |cold| *cold.floor.get_ref());
-        let set_aside = floor * u32::try_from(nodes.len()).unwrap_or(u32::MAX);
-        Ok(Some(Setup {
-            name: fleet.name.get_ref().clone(),
-            listen,
-            zone: variable("RELAY_ZONE").unwrap_or_else(|| fleet.zone.clone()),
+        let expected_nodes: BTreeSet<String> = fleet.nodes.get_ref().iter().cloned().collect();
+        let slow_start_budget = slow_start_budget(operator, &expected_nodes, node_name);
+        Ok(Some(ClusterConfig {
+            cluster_name: fleet.name.get_ref().clone(),
+            listen_address: listen_address(fleet, variable(LISTEN_VARIABLE))?,
+            zone: variable(ZONE_VARIABLE).unwrap_or_else(|| fleet.zone.clone()),
             region: fleet.region.clone(),
-            file,
-            seeds: fleet
-                .seeds
-                .get_ref()
-                .iter()
-                .map(|(name, address)| SeedNode {
-                    name: name.clone(),
-                    address: *address,
-                })
-                .collect(),
-            via: fleet.via.clone(),
-            capacity: cold.map_or(0, |cold| cold.capacity.get_ref().saturating_sub(set_aside)),
-            // A node that nobody announced has no part in what was set aside for the others.
-            floor: if nodes.contains(node) { floor } else { 0 },
-            aside: set_aside,
-            divides: cold.is_some(),
-            nodes,
+            storage_file: storage_file(fleet, node_name)?,
+            seed_nodes: seed_nodes(fleet),
+            address_overrides: fleet.via.clone(),
+            slow_start_budget,
+            expected_nodes,
         }))
     }
+
+    /// Where a node is reached that has made this address known.
+    pub fn reachable_address(&self, advertised: SocketAddr) -> SocketAddr {
+        self.address_overrides
+            .get(&advertised)
+            .copied()
+            .unwrap_or(advertised)
+    }
+}
+
+fn listen_address(
+    fleet: &Fleet,
+    variable: Option<String>,
+) -> Result<SocketAddr, ClusterConfigError> {
+    let Some(value) = variable else {
+        return fleet.listen.ok_or(ClusterConfigError::MissingListenAddress);
+    };
+    value
+        .parse()
+        .map_err(|_| ClusterConfigError::InvalidListenAddress { value })
+}
+
+fn storage_file(fleet: &Fleet, node_name: &str) -> Result<Option<PathBuf>, ClusterConfigError> {
+    let Some(folder) = &fleet.folder else {
+        return Ok(None);
+    };
+    let is_plain = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
+    if !node_name.bytes().all(is_plain) {
+        return Err(ClusterConfigError::NodeNameUnfitForFile {
+            node_name: node_name.to_string(),
+        });
+    }
+    let file_name = format!("council-{node_name}.redb");
+    Ok(Some(Path::new(folder.get_ref()).join(file_name)))
+}
+
+fn seed_nodes(fleet: &Fleet) -> Vec<SeedNode> {
+    let seeds = fleet.seeds.get_ref().iter();
+    seeds
+        .map(|(name, address)| SeedNode {
+            name: name.clone(),
+            address: *address,
+        })
+        .collect()
+}
+
+fn slow_start_budget(
+    operator: &Operator,
+    expected_nodes: &BTreeSet<String>,
+    node_name: &str,
+) -> Option<SlowStartBudgetConfig> {
+    let budget = operator.budgets.cold.as_ref()?;
+    let floor = *budget.floor.get_ref();
+    let node_count = u32::try_from(expected_nodes.len()).unwrap_or(u32::MAX);
+    let reserved_capacity = floor * node_count;
+    // Nothing was set aside for a node that is not expected.
+    let is_expected = expected_nodes.contains(node_name);
+    Some(SlowStartBudgetConfig {
+        leased_capacity: budget.capacity.get_ref().saturating_sub(reserved_capacity),
+        floor: if is_expected { floor } else { 0 },
+        reserved_capacity,
+    })
 }
--- /dev/null
+++ b/crates/node/src/cluster_agent/listener.rs
@@ -0,0 +1,172 @@
+//! The component of the agent's sockets and deadlines: it receives datagrams, accepts and opens connections, and ticks the
+//! control node.
+
+use super::agent::ClusterAgent;
+use super::peer_connection::PeerConnectionComponent;
+use super::sockets::DATAGRAM_SOCKET;
+use super::startup::{bind_or_wait, BindOutcome, BIND_RETRY_INTERVAL};
+use super::{close_connection, set_agent_deadline, with_agent};
+use crate::command::Message;
+use crate::deadline::{ClusterAgentDeadline, DeadlineKind};
+use crate::state::{NodeContext, NodeState};
+use lupincrank_budgets::demand::BudgetUsage;
+use lupincrank_cluster::connection::{ClusterConnection, ConnectionError};
+use lupincrank_cluster::membership::MAX_DATAGRAM_BYTES;
+use lupincrank_control::TICK_INTERVAL;
+use lupincrank_reactor::{poller_key, ComponentId, Connection, Lifecycle, Readiness};
+use slog::debug;
+use std::fmt::Display;
+use std::io;
+use std::net::TcpStream;
+use std::time::Instant;
+
+/// What is handled in one turn of the event loop; the rest is handled in the next one.
+const MAX_DATAGRAMS_PER_TURN: usize = 64;
+const MAX_ACCEPTS_PER_TURN: usize = 8;
+
+/// The agent's component; its sockets belong to [`ClusterAgent`].
+pub(super) struct ClusterListener;
+
+impl Connection<NodeState> for ClusterListener {
+    fn on_ready(
+        &mut self,
+        context: &mut NodeContext,
+        socket: usize,
+        _readiness: Readiness,
+    ) -> Lifecycle {
+        if socket == DATAGRAM_SOCKET {
+            with_agent(context, |agent, _| receive_datagrams(agent));
+        } else {
+            with_agent(context, accept_connections);
+        }
+        Lifecycle::Continue
+    }
+
+    fn on_deadline(&mut self, context: &mut NodeContext, kind: DeadlineKind) -> Lifecycle {
+        let DeadlineKind::ClusterAgent(kind) = kind else {
+            return Lifecycle::Continue;
+        };
+        match kind {
+            ClusterAgentDeadline::Bind => retry_bind(context),
+            ClusterAgentDeadline::Membership => with_agent(context, |agent, _| {
+                let uptime = agent.uptime();
+                agent.membership.on_deadline(uptime);
+            }),
+            ClusterAgentDeadline::ControlTick => tick(context),
+        }
+        Lifecycle::Continue
+    }
+
+    fn on_message(&mut self, _context: &mut NodeContext, _message: Message) -> Lifecycle {
+        Lifecycle::Continue
+    }
+}
+
+fn retry_bind(context: &mut NodeContext) {
+    let Some(config) = context.config.fleet.clone() else {
+        return;
+    };
+    let reason: Box<dyn Display> = match bind_or_wait(context, &config) {
+        Ok(BindOutcome::Started) => return,
+        Ok(BindOutcome::Waiting(reason)) => Box::new(reason),
+        // The process before this one may still change the file.
+        Err(error) => Box::new(error),
+    };
+    debug!(context.log, "cluster address or storage not available"; "reason" => %reason);
+    let retry_at = Instant::now() + BIND_RETRY_INTERVAL;
+    set_agent_deadline(context, ClusterAgentDeadline::Bind, retry_at);
+}
+
+fn receive_datagrams(agent: &mut ClusterAgent) {
+    // One byte more than allowed, so that a longer datagram is recognized.
+    let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
+    for _ in 0..MAX_DATAGRAMS_PER_TURN {
+        let Some(sockets) = &agent.sockets else {
+            return;
+        };
+        match sockets.datagrams.recv_from(&mut buffer) {
+            Ok((length, _)) => {
+                let uptime = agent.uptime();
+                agent.membership.on_datagram(uptime, &buffer[..length]);
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+            // The network's answer to a datagram sent earlier; the next one may be fine.
+            Err(_) => {}
+        }
+    }
+}
+
+fn accept_connections(agent: &mut ClusterAgent, context: &mut NodeContext) {
+    for _ in 0..MAX_ACCEPTS_PER_TURN {
+        let Some(sockets) = &agent.sockets else {
+            return;
+        };
+        let Ok((stream, _)) = sockets.listener.accept() else {
+            return;
+        };
+        if agent.connections.has_room() {
+            accept_connection(agent, context, stream);
+        } else {
+            agent.record_rejection("a link was not taken", &"there are too many");
+        }
+    }
+}
+
+fn accept_connection(agent: &mut ClusterAgent, context: &mut NodeContext, stream: TcpStream) {
+    let id = context.allocate_id();
+    let accepted = ClusterConnection::accept(&context.poller, stream, poller_key(id, 0));
+    add_connection(agent, context, id, accepted, None);
+}
+
+fn open_needed_connections(agent: &mut ClusterAgent, context: &mut NodeContext) {
+    for target in agent.dial_targets() {
+        let id = context.allocate_id();
+        let key = poller_key(id, 0);
+        let connecting = ClusterConnection::connect(&context.poller, target.address, key);
+        add_connection(agent, context, id, connecting, Some(target.incarnation));
+    }
+}
+
+fn add_connection(
+    agent: &mut ClusterAgent,
+    context: &mut NodeContext,
+    id: ComponentId,
+    connection: io::Result<ClusterConnection>,
+    dialed_incarnation: Option<u64>,
+) {
+    let added = connection
+        .map_err(ConnectionError::from)
+        .and_then(|connection| agent.connections.add(id, connection, dialed_incarnation));
+    match added {
+        Ok(()) => context.register(id, Box::new(PeerConnectionComponent::new(id))),
+        Err(error) => agent.record_rejection("a link could not begin", &error),
+    }
+}
+
+/// One period of the control node. The deadline is not set again once this node has left.
+fn tick(context: &mut NodeContext) {
+    let mut has_left = false;
+    with_agent(context, |agent, context| {
+        has_left = agent.try_leave();
+        if !has_left {
+            tick_control(agent, context);
+        }
+    });
+    if !has_left {
+        let next_tick = Instant::now() + TICK_INTERVAL;
+        set_agent_deadline(context, ClusterAgentDeadline::ControlTick, next_tick);
+    }
+}
+
+fn tick_control(agent: &mut ClusterAgent, context: &mut NodeContext) {
+    for failed in agent.maintain_connections() {
+        close_connection(agent, context, &failed);
+    }
+    let (peak, was_limited) = context.placement.take_slow_start_usage();
+    agent
+        .control
+        .record_usage(BudgetUsage { peak, was_limited });
+    let alive = agent.alive_members();
+    agent.control.on_tick(context.placement.now(), &alive);
+    open_needed_connections(agent, context);
+}
--- a/crates/node/src/cluster_agent/storage.rs
+++ b/crates/node/src/cluster_agent/storage.rs
@@ -1,264 +1,331 @@
-//! Log and vote of the council on the disk, by redb, and the one thread that waits for the disk in the loop's place. What
-//! is in the file and when it is whole is told by `lupincrank_control::durable`.
+//! The file that keeps the control group's log and vote across restarts, in the `redb` format. Which writes there are and
+//! what they add up to is defined by [`lupincrank_control::durable`].
+
+mod writer;
+
+pub use writer::{StorageWriteError, StorageWriter};
 
 use lupincrank_control::durable::{DurableState, LogWrite};
 use lupincrank_control::member::ClusterId;
-use redb::{Database, DatabaseError, ReadableDatabase, ReadableTable, TableDefinition, TableError};
+use lupincrank_control::ControlError;
+use redb::{
+    Database, DatabaseError, ReadTransaction, ReadableDatabase, ReadableTable, Table,
+    TableDefinition, TableError,
+};
+use std::collections::BTreeMap;
 use std::fs;
-use std::io::{self, Read, Write as _};
-use std::os::unix::net::UnixStream;
+use std::io;
 use std::panic::{catch_unwind, AssertUnwindSafe};
-use std::path::Path;
-use std::sync::mpsc::{channel, sync_channel, Receiver, SyncSender, TryRecvError, TrySendError};
-use std::thread;
+use std::path::{Path, PathBuf};
+use thiserror::Error;
 
+/// Single values by their names.
 const FACTS: TableDefinition<&str, &[u8]> = TableDefinition::new("facts");
+/// Log entries by their indices.
 const LOG: TableDefinition<u64, &[u8]> = TableDefinition::new("log");
-/// The facts.
+/// The names of the values.
 const OWNER: &str = "owner";
-const ID: &str = "id";
-const STARTS: &str = "starts";
-const STAMP: &str = "stamp";
+const MEMBER_ID: &str = "id";
+const START_COUNT: &str = "starts";
+const CLUSTER_ID: &str = "stamp";
 const SNAPSHOT: &str = "snapshot";
-const HARD: &str = "hard";
-/// Pages kept in memory.
-const CACHE: usize = 1 << 20;
-/// Writes that wait at the most: more are a disk that has stopped.
-const MOST_WAITING: usize = 4096;
-/// Writes carried out in one transaction.
-const MOST_AT_ONCE: usize = 256;
+const HARD_STATE: &str = "hard";
+/// The memory for cached pages.
+const CACHE_BYTES: usize = 1 << 20;
+/// The extension of a file that was set aside.
+const DAMAGED_EXTENSION: &str = "damaged";
+
+/// Why a file can't be opened.
+#[derive(Debug, Error)]
+pub enum OpenError {
+    /// Another process holds it, probably the one that this process replaces.
+    #[error("another process holds it")]
+    InUse,
+    /// It can't be continued: the node has to start with a new identity.
+    #[error(transparent)]
+    Damaged(#[from] StorageDamage),
+    /// It belongs to another node or cluster. An operator has to look.
+    #[error("the council's file belongs to {found:?}, this is {expected:?}")]
+    ForeignOwner {
+        /// The owner in the file.
+        found: String,
+        /// The cluster and the node that this process runs.
+        expected: String,
+    },
+    /// The operating system refuses to open the file or to create its folder. An operator has to look.
+    #[error("{}: {error}", path.display())]
+    Io {
+        /// The file or folder.
+        path: PathBuf,
+        /// The refusal.
+        error: io::Error,
+    },
+    /// The file can't be written. An operator has to look.
+    #[error("{}: {error}", path.display())]
+    Unwritable {
+        /// The file.
+        path: PathBuf,
+        /// The refusal.
+        error: Box<redb::Error>,
+    },
+}
 
-/// Why a file is not to be had.
-#[derive(Debug)]
-pub enum Fault {
-    /// Another process holds it: the one before this.
-    Busy,
-    /// It can't be gone on with: another identity has to begin.
-    Damaged(String),
-    /// A person has to look: it belongs to somebody else, or the folder is not to be used.
-    Wrong(String),
+/// What is wrong with a file that can't be continued.
+#[derive(Debug, Error)]
+pub enum StorageDamage {
+    /// The database library gave up on it.
+    #[error("it can't be read at all")]
+    Unreadable,
+    /// Its pages do not have the checksums that were written.
+    #[error("its checksums differ")]
+    ChecksumMismatch,
+    /// The database library reports an error.
+    #[error(transparent)]
+    Database(Box<redb::Error>),
+    /// The identity is missing.
+    #[error("it names no identity")]
+    MissingIdentity,
+    /// The cluster's id can't be decoded.
+    #[error(transparent)]
+    ClusterId(postcard::Error),
+    /// Log, snapshot and vote contradict each other.
+    #[error(transparent)]
+    Inconsistent(ControlError),
 }
 
-fn damaged(error: impl std::fmt::Display) -> Fault {
-    Fault::Damaged(error.to_string())
+impl From<redb::Error> for StorageDamage {
+    fn from(error: redb::Error) -> StorageDamage {
+        StorageDamage::Database(Box::new(error))
+    }
 }
 
-/// A value as it stands in the file.
-type Value = Option<Vec<u8>>;
+/// An opened file and what it held, this start counted.
+pub struct OpenedStorage {
+    /// The file, locked against other processes.
+    pub database: Database,
+    /// What earlier processes left.
+    pub state: DurableState,
+}
 
-/// Opens the file for this owner, and counts the start that this is. A file that is not there begins with `fresh` as its id.
-pub fn open(path: &Path, owner: &str, fresh: u64) -> Result<(Database, DurableState), Fault> {
-    // Redb panics on some damages that it can't read.
-    let opened = catch_unwind(AssertUnwindSafe(|| open_whole(path, owner, fresh)));
-    opened.unwrap_or_else(|_| Err(damaged("it can't be read at all")))
+/// Opens the file of this owner, or creates it with `new_member_id`, and counts a start.
+///
+/// # Errors
+/// Where the file can't be continued by this process.
+pub fn open(path: &Path, owner: &str, new_member_id: u64) -> Result<OpenedStorage, OpenError> {
+    // The library panics on some damages.
+    let opened = catch_unwind(AssertUnwindSafe(|| {
+        open_checked(path, owner, new_member_id)
+    }));
+    opened.unwrap_or_else(|_| Err(StorageDamage::Unreadable.into()))
 }
 
-fn open_whole(path: &Path, owner: &str, fresh: u64) -> Result<(Database, DurableState), Fault> {
+fn open_checked(path: &Path, owner: &str, new_member_id: u64) -> Result<OpenedStorage, OpenError> {
     if let Some(folder) = path.parent() {
-        fs::create_dir_all(folder)
-            .map_err(|error| Fault::Wrong(format!("{}: {error}", folder.display())))?;
+        fs::create_dir_all(folder).map_err(|error| OpenError::Io {
+            path: folder.to_path_buf(),
+            error,
+        })?;
     }
-    let opened = Database::builder().set_cache_size(CACHE).create(path);
-    let mut database = opened.map_err(|error| match error {
-        DatabaseError::DatabaseAlreadyOpen => Fault::Busy,
+    let mut database = open_database(path)?;
+    check_integrity(&mut database)?;
+    let mut state = read_state(&database, owner)?.unwrap_or(DurableState {
+        member_id: new_member_id,
+        ..DurableState::default()
+    });
+    state.start_count = state.start_count.saturating_add(1);
+    write_start(&database, owner, &state).map_err(|error| OpenError::Unwritable {
+        path: path.to_path_buf(),
+        error: Box::new(error),
+    })?;
+    Ok(OpenedStorage { database, state })
+}
+
+fn open_database(path: &Path) -> Result<Database, OpenError> {
+    let opened = Database::builder().set_cache_size(CACHE_BYTES).create(path);
+    opened.map_err(|error| match error {
+        DatabaseError::DatabaseAlreadyOpen => OpenError::InUse,
         DatabaseError::Storage(redb::StorageError::Io(error))
             if error.kind() != io::ErrorKind::InvalidData =>
         {
-            Fault::Wrong(format!("{}: {error}", path.display()))
+            OpenError::Io {
+                path: path.to_path_buf(),
+                error,
+            }
         }
-        other => damaged(other),
-    })?;
-    // Not to be made better: what redb would go back to may be older than what was said by it.
+        other => StorageDamage::from(redb::Error::from(other)).into(),
+    })
+}
+
+/// A failed check is not repaired: the state that the library would return to may be older than what was promised by it.
+fn check_integrity(database: &mut Database) -> Result<(), StorageDamage> {
     match database.check_integrity() {
-        Ok(true) => {}
-        Ok(false) => return Err(damaged("its checksums differ")),
-        Err(error) => return Err(damaged(error)),
+        Ok(true) => Ok(()),
+        Ok(false) => Err(StorageDamage::ChecksumMismatch),
+        Err(error) => Err(redb::Error::from(error).into()),
     }
-    let mut kept = read(&database, owner)?.unwrap_or(DurableState {
-        member_id: fresh,
-        ..DurableState::default()
-    });
-    kept.start_count = kept.start_count.saturating_add(1);
-    let noted = || -> Result<(), redb::Error> {
-        let change = database.begin_write()?;
-        {
-            let mut facts = change.open_table(FACTS)?;
-            facts.insert(OWNER, owner.as_bytes())?;
-            facts.insert(ID, &kept.member_id.to_be_bytes()[..])?;
-            facts.insert(STARTS, &kept.start_count.to_be_bytes()[..])?;
-            change.open_table(LOG)?;
-        }
-        change.commit()?;
-        Ok(())
-    };
-    noted().map_err(|error| Fault::Wrong(format!("{}: {error}", path.display())))?;
-    Ok((database, kept))
 }
 
-fn read(database: &Database, owner: &str) -> Result<Option<DurableState>, Fault> {
-    let all = || -> Result<Option<[Value; 6]>, redb::Error> {
-        let facts = match database.begin_read()?.open_table(FACTS) {
-            Err(TableError::TableDoesNotExist(_)) => return Ok(None),
-            other => other?,
-        };
-        let mut values: [Value; 6] = Default::default();
-        for (value, name) in values
-            .iter_mut()
-            .zip([OWNER, ID, STARTS, STAMP, SNAPSHOT, HARD])
-        {
-            *value = facts.get(name)?.map(|found| found.value().to_vec());
-        }
-        Ok(Some(values))
+fn write_start(database: &Database, owner: &str, state: &DurableState) -> Result<(), redb::Error> {
+    let transaction = database.begin_write()?;
+    {
+        let mut facts = transaction.open_table(FACTS)?;
+        facts.insert(OWNER, owner.as_bytes())?;
+        facts.insert(MEMBER_ID, &state.member_id.to_be_bytes()[..])?;
+        facts.insert(START_COUNT, &state.start_count.to_be_bytes()[..])?;
+        transaction.open_table(LOG)?;
+    }
+    transaction.commit()?;
+    Ok(())
+}
+
+/// The values as they are stored.
+#[derive(Default)]
+struct StoredFacts {
+    owner: Option<Vec<u8>>,
+    member_id: Option<Vec<u8>>,
+    start_count: Option<Vec<u8>>,
+    cluster_id: Option<Vec<u8>>,
+    snapshot: Option<Vec<u8>>,
+    hard_state: Option<Vec<u8>>,
+}
+
+/// Reads the values, or `None` from a file that has just been created.
+fn read_facts(transaction: &ReadTransaction) -> Result<Option<StoredFacts>, redb::Error> {
+    let facts = match transaction.open_table(FACTS) {
+        Err(TableError::TableDoesNotExist(_)) => return Ok(None),
+        other => other?,
     };
-    let Some([whose, id, starts, stamp, snapshot, hard]) = all().map_err(damaged)? else {
-        return Ok(None);
+    let read = |name: &str| -> Result<Option<Vec<u8>>, redb::Error> {
+        Ok(facts.get(name)?.map(|value| value.value().to_vec()))
     };
-    let whose = String::from_utf8_lossy(&whose.unwrap_or_default()).into_owned();
-    if whose != owner {
-        return Err(Fault::Wrong(format!(
-            "the council's file belongs to {whose:?}, this is {owner:?}"
-        )));
+    Ok(Some(StoredFacts {
+        owner: read(OWNER)?,
+        member_id: read(MEMBER_ID)?,
+        start_count: read(START_COUNT)?,
+        cluster_id: read(CLUSTER_ID)?,
+        snapshot: read(SNAPSHOT)?,
+        hard_state: read(HARD_STATE)?,
+    }))
+}
+
+fn read_entries(database: &Database) -> Result<BTreeMap<u64, Vec<u8>>, redb::Error> {
+    let log = database.begin_read()?.open_table(LOG)?;
+    let mut entries = BTreeMap::new();
+    for entry in log.iter()? {
+        let (index, bytes) = entry?;
+        entries.insert(index.value(), bytes.value().to_vec());
     }
-    let id = id.and_then(|id| id.try_into().ok()).map(u64::from_be_bytes);
-    let starts = starts
-        .and_then(|starts| starts.try_into().ok())
-        .map(u32::from_be_bytes);
-    let (Some(id), Some(starts)) = (id.filter(|id| *id != 0), starts) else {
-        return Err(damaged("it names no identity"));
+    Ok(entries)
+}
+
+fn begin_read(database: &Database) -> Result<ReadTransaction, redb::Error> {
+    Ok(database.begin_read()?)
+}
+
+fn read_state(database: &Database, owner: &str) -> Result<Option<DurableState>, OpenError> {
+    let transaction = begin_read(database).map_err(StorageDamage::from)?;
+    let Some(facts) = read_facts(&transaction).map_err(StorageDamage::from)? else {
+        return Ok(None);
     };
-    let stamp = stamp
-        .map(|stamp| postcard::from_bytes::<ClusterId>(&stamp))
-        .transpose()
-        .map_err(damaged)?;
-    let entries = || -> Result<_, redb::Error> {
-        let log = database.begin_read()?.open_table(LOG)?;
-        let mut entries = std::collections::BTreeMap::new();
-        for entry in log.iter()? {
-            let (index, bytes) = entry?;
-            entries.insert(index.value(), bytes.value().to_vec());
-        }
-        Ok(entries)
+    let found = String::from_utf8_lossy(&facts.owner.unwrap_or_default()).into_owned();
+    if found != owner {
+        return Err(OpenError::ForeignOwner {
+            found,
+            expected: owner.to_string(),
+        });
+    }
+    let member_id = decode_member_id(facts.member_id)?;
+    let start_count = decode_start_count(facts.start_count)?;
+    let cluster_id = match facts.cluster_id {
+        Some(bytes) => Some(decode_cluster_id(&bytes)?),
+        None => None,
     };
-    let entries = entries().map_err(damaged)?;
     Ok(Some(DurableState {
-        member_id: id,
-        start_count: starts,
-        cluster_id: stamp,
-        snapshot,
-        hard_state: hard,
-        entries,
+        member_id,
+        start_count,
+        cluster_id,
+        snapshot: facts.snapshot,
+        hard_state: facts.hard_state,
+        entries: read_entries(database).map_err(StorageDamage::from)?,
     }))
 }
 
-/// Puts a file aside that can't be gone on with; one that was put aside before goes.
-pub fn put_aside(path: &Path) -> io::Result<()> {
-    fs::rename(path, path.with_extension("damaged"))
+fn decode_member_id(bytes: Option<Vec<u8>>) -> Result<u64, StorageDamage> {
+    bytes
+        .and_then(|bytes| bytes.try_into().ok())
+        .map(u64::from_be_bytes)
+        .filter(|member_id| *member_id != 0)
+        .ok_or(StorageDamage::MissingIdentity)
+}
+
+fn decode_start_count(bytes: Option<Vec<u8>>) -> Result<u32, StorageDamage> {
+    bytes
+        .and_then(|bytes| bytes.try_into().ok())
+        .map(u32::from_be_bytes)
+        .ok_or(StorageDamage::MissingIdentity)
+}
+
+fn decode_cluster_id(bytes: &[u8]) -> Result<ClusterId, StorageDamage> {
+    postcard::from_bytes(bytes).map_err(StorageDamage::ClusterId)
+}
+
+/// Sets a file aside that can't be continued, in place of one that was set aside before.
+///
+/// # Errors
+/// Where it can't be renamed.
+pub fn set_aside(path: &Path) -> io::Result<()> {
+    fs::rename(path, path.with_extension(DAMAGED_EXTENSION))
 }
 
-/// Several writes in one transaction, synced when this returns.
-fn carry_out(database: &Database, writes: &[LogWrite]) -> Result<(), redb::Error> {
-    let change = database.begin_write()?;
+/// Carries out several writes in one transaction, which is synced when this returns.
+fn write_batch(database: &Database, writes: &[LogWrite]) -> Result<(), redb::Error> {
+    let transaction = database.begin_write()?;
     {
-        let mut facts = change.open_table(FACTS)?;
-        let mut log = change.open_table(LOG)?;
+        let mut facts = transaction.open_table(FACTS)?;
+        let mut log = transaction.open_table(LOG)?;
         for write in writes {
-            if let Some(stamp) = write.starts_cluster {
-                facts.remove(SNAPSHOT)?;
-                facts.remove(HARD)?;
-                let stamp = postcard::to_stdvec(&stamp)
-                    .map_err(|error| io::Error::other(error.to_string()))?;
-                facts.insert(STAMP, stamp.as_slice())?;
-            }
-            if write.clears_entries || write.starts_cluster.is_some() {
-                log.retain(|_, _| false)?;
-            }
-            if let Some(snapshot) = &write.snapshot {
-                facts.insert(SNAPSHOT, snapshot.bytes.as_slice())?;
-                log.retain(|at, _| at > snapshot.last_index)?;
-            }
-            if let Some(first) = write.entries.first() {
-                log.retain_in(first.index.., |_, _| false)?;
-            }
-            for entry in &write.entries {
-                log.insert(entry.index, entry.bytes.as_slice())?;
-            }
-            if let Some(hard) = &write.hard_state {
-                facts.insert(HARD, hard.as_slice())?;
-            }
+            apply_to_facts(&mut facts, write)?;
+            apply_to_log(&mut log, write)?;
         }
     }
-    change.commit()?;
+    transaction.commit()?;
     Ok(())
 }
 
-/// The thread that writes. It ends with this value, once what it has is written.
-pub struct Disk {
-    to: SyncSender<LogWrite>,
-    from: Receiver<Result<u64, String>>,
-    wakes: UnixStream,
+fn apply_to_facts(
+    facts: &mut Table<&'static str, &'static [u8]>,
+    write: &LogWrite,
+) -> Result<(), redb::Error> {
+    if let Some(cluster_id) = write.starts_cluster {
+        facts.remove(SNAPSHOT)?;
+        facts.remove(HARD_STATE)?;
+        let encoded = postcard::to_stdvec(&cluster_id)
+            .map_err(|error| io::Error::other(error.to_string()))?;
+        facts.insert(CLUSTER_ID, encoded.as_slice())?;
+    }
+    if let Some(snapshot) = &write.snapshot {
+        facts.insert(SNAPSHOT, snapshot.bytes.as_slice())?;
+    }
+    if let Some(hard_state) = &write.hard_state {
+        facts.insert(HARD_STATE, hard_state.as_slice())?;
+    }
+    Ok(())
 }
 
-impl Disk {
-    /// Begins. `wake` becomes readable when something is written.
-    pub fn begin(database: Database) -> io::Result<Disk> {
-        let (to, writes) = sync_channel::<LogWrite>(MOST_WAITING);
-        let (done, from) = channel();
-        let (wakes, mut wake) = UnixStream::pair()?;
-        wakes.set_nonblocking(true)?;
-        wake.set_nonblocking(true)?;
-        thread::Builder::new()
-            .name("council's disk".into())
-            .spawn(move || {
-                while let Ok(first) = writes.recv() {
-                    let batch: Vec<LogWrite> = std::iter::once(first)
-                        .chain(writes.try_iter().take(MOST_AT_ONCE))
-                        .collect();
-                    let last = batch.last().map_or(0, |write| write.sequence);
-                    let carried_out =
-                        catch_unwind(AssertUnwindSafe(|| carry_out(&database, &batch)));
-                    let carried_out = match carried_out {
-                        Ok(carried_out) => carried_out.map_err(|error| error.to_string()),
-                        Err(_) => Err("the file is damaged".to_string()),
-                    };
-                    let over = carried_out.is_err();
-                    // Nobody listens any more, or is awake already.
-                    let _ = done.send(carried_out.map(|()| last));
-                    let _ = wake.write(&[1]);
-                    if over {
-                        return;
-                    }
-                }
-            })?;
-        Ok(Disk { to, from, wakes })
+fn apply_to_log(log: &mut Table<u64, &'static [u8]>, write: &LogWrite) -> Result<(), redb::Error> {
+    if write.clears_entries || write.starts_cluster.is_some() {
+        log.retain(|_, _| false)?;
     }
-
-    /// What tells that something is written.
-    pub fn wakes(&self) -> io::Result<UnixStream> {
-        self.wakes.try_clone()
+    if let Some(snapshot) = &write.snapshot {
+        log.retain(|index, _| index > snapshot.last_index)?;
     }
-
-    /// One more write; an error says that the disk is lost.
-    pub fn write(&self, write: LogWrite) -> Result<(), String> {
-        self.to.try_send(write).map_err(|error| match error {
-            TrySendError::Full(_) => format!("{MOST_WAITING} writes wait"),
-            TrySendError::Disconnected(_) => "it has ended".to_string(),
-        })
+    if let Some(first) = write.entries.first() {
+        log.retain_in(first.index.., |_, _| false)?;
     }
-
-    /// The last write that is on the disk since the last call, if any; an error says that the disk is lost.
-    pub fn done(&mut self) -> Result<Option<u64>, String> {
-        while matches!(self.wakes.read(&mut [0; 64]), Ok(read) if read > 0) {}
-        let mut last = None;
-        loop {
-            match self.from.try_recv() {
-                Ok(done) => last = Some(done?),
-                Err(TryRecvError::Empty) => return Ok(last),
-                Err(TryRecvError::Disconnected) => {
-                    return last.map(Some).ok_or("it has ended".to_string())
-                }
-            }
-        }
+    for entry in &write.entries {
+        log.insert(entry.index, entry.bytes.as_slice())?;
     }
+    Ok(())
 }
 
 #[cfg(test)]
--- a/crates/node/src/cluster_agent/storage/tests.rs
+++ b/crates/node/src/cluster_agent/storage/tests.rs
@@ -1,8 +1,9 @@
 use super::*;
 use lupincrank_control::durable::{StoredEntry, StoredSnapshot};
 use rstest::rstest;
+use std::thread;
 
-fn write(number: u64, entries: &[u64]) -> LogWrite {
+fn write(sequence: u64, entries: &[u64]) -> LogWrite {
     let entries = entries
         .iter()
         .map(|index| StoredEntry {
@@ -11,22 +12,25 @@
         })
         .collect();
     LogWrite {
-        sequence: number,
+        sequence,
         entries,
-        hard_state: Some(vec![number as u8]),
+        hard_state: Some(vec![sequence as u8]),
         ..LogWrite::default()
     }
 }
 
 /// A file with some writes in it, as a process that was killed leaves it, and what they add up to.
-fn left(path: &Path) -> DurableState {
-    let (database, mut kept) = open(path, "guj/n0", 7).unwrap();
-    let stamp = ClusterId {
+fn file_with_writes(path: &Path) -> DurableState {
+    let OpenedStorage {
+        database,
+        mut state,
+    } = open(path, "guj/n0", 7).unwrap();
+    let cluster_id = ClusterId {
         epoch: 1,
         bootstrap_id: 3,
     };
-    let begins = LogWrite {
-        starts_cluster: Some(stamp),
+    let start = LogWrite {
+        starts_cluster: Some(cluster_id),
         snapshot: Some(StoredSnapshot {
             last_index: 1,
             bytes: vec![9],
@@ -42,14 +46,16 @@
         ..LogWrite::default()
     };
     for batch in [
-        vec![begins, write(2, &[2, 3, 4, 5])],
+        vec![start, write(2, &[2, 3, 4, 5])],
         vec![write(3, &[4])],
         vec![snapshot],
     ] {
-        carry_out(&database, &batch).unwrap();
-        batch.iter().for_each(|write| kept.apply(write));
+        write_batch(&database, &batch).unwrap();
+        for write in &batch {
+            state.apply(write);
+        }
     }
-    kept
+    state
 }
 
 fn folder(name: &str) -> std::path::PathBuf {
@@ -60,18 +66,18 @@
 }
 
 #[test]
-fn what_was_written_is_there_at_the_next_start_with_the_identity() {
+fn writes_and_identity_survive_a_restart() {
     let path = folder("whole");
-    let kept = left(&path);
-    let (_held, again) = open(&path, "guj/n0", 99).unwrap();
+    let kept = file_with_writes(&path);
+    let again = open(&path, "guj/n0", 99).unwrap();
     assert_eq!(
-        again,
+        again.state,
         DurableState {
             start_count: 2,
             ..kept
         }
     );
-    assert!(matches!(open(&path, "guj/n0", 1), Err(Fault::Busy)));
+    assert!(matches!(open(&path, "guj/n0", 1), Err(OpenError::InUse)));
     let _ = fs::remove_dir_all(path.parent().unwrap());
 }
 
@@ -79,15 +85,15 @@
 #[case::of_another_node("guj/n1", 0, false)]
 #[case::damaged_in_the_middle("guj/n0", 3, true)]
 #[case::cut_in_half("guj/n0", 2, true)]
-fn a_file_that_is_not_whole_is_another_identity(
+fn a_damaged_or_foreign_file_is_not_continued(
     #[case] owner: &str,
-    #[case] spoils: usize,
+    #[case] damage: usize,
     #[case] aside: bool,
 ) {
-    let path = folder(&format!("spoilt-{owner}-{spoils}").replace('/', "-"));
-    let kept = left(&path);
+    let path = folder(&format!("damaged-{owner}-{damage}").replace('/', "-"));
+    let kept = file_with_writes(&path);
     let mut bytes = fs::read(&path).unwrap();
-    match spoils {
+    match damage {
         2 => bytes.truncate(bytes.len() / 2),
         // All places where the entries stand.
         3 => bytes
@@ -98,36 +104,38 @@
     }
     fs::write(&path, bytes).unwrap();
     match open(&path, owner, 99) {
-        Err(Fault::Damaged(_)) if aside => {
-            put_aside(&path).unwrap();
-            let (_, fresh) = open(&path, owner, 99).unwrap();
+        Err(OpenError::Damaged(_)) if aside => {
+            set_aside(&path).unwrap();
+            let fresh = open(&path, owner, 99).unwrap().state;
             assert_eq!(
                 (fresh.member_id, fresh.start_count, fresh.cluster_id),
                 (99, 1, None)
             );
         }
-        Err(Fault::Wrong(why)) if !aside => assert!(why.contains("guj/n0"), "{why}"),
-        other => panic!("{:?} of {kept:?}", other.map(|(_, kept)| kept)),
+        Err(error @ OpenError::ForeignOwner { .. }) if !aside => {
+            assert!(error.to_string().contains("guj/n0"), "{error}");
+        }
+        other => panic!("{:?} of {kept:?}", other.map(|opened| opened.state)),
     }
     let _ = fs::remove_dir_all(path.parent().unwrap());
 }
 
 #[test]
-fn the_thread_says_what_is_written_and_that_it_is_lost() {
+fn the_writer_reports_completed_writes_and_ends_when_dropped() {
     let path = folder("thread");
-    let (database, _) = open(&path, "guj/n0", 7).unwrap();
-    let mut disk = Disk::begin(database).unwrap();
-    (1..=20).for_each(|number| disk.write(write(number, &[number])).unwrap());
+    let database = open(&path, "guj/n0", 7).unwrap().database;
+    let mut writer = StorageWriter::start(database).unwrap();
+    (1..=20).for_each(|number| writer.write(write(number, &[number])).unwrap());
     let mut last = 0;
     while last < 20 {
-        last = disk.done().unwrap().unwrap_or(last);
+        last = writer.take_completed().unwrap().unwrap_or(last);
         thread::yield_now();
     }
-    drop(disk);
+    drop(writer);
     let again = loop {
         match open(&path, "guj/n0", 9) {
-            Err(Fault::Busy) => thread::yield_now(),
-            other => break other.unwrap().1,
+            Err(OpenError::InUse) => thread::yield_now(),
+            other => break other.unwrap().state,
         }
     };
     assert_eq!(
@@ -142,11 +150,11 @@
 const STORED_BEFORE: &[u8] = include_bytes!("../../../tests/fixtures/council-n0.redb");
 
 #[test]
-fn a_file_of_an_earlier_build_is_read_and_gone_on_with() {
+fn a_file_of_an_earlier_build_is_continued() {
     let path = folder("earlier-build");
     fs::create_dir_all(path.parent().unwrap()).unwrap();
     fs::write(&path, STORED_BEFORE).unwrap();
-    let (database, kept) = open(&path, "guj/n0", 99).unwrap();
+    let OpenedStorage { database, state } = open(&path, "guj/n0", 99).unwrap();
     let expected = DurableState {
         member_id: 0x0123_4567_89ab_cdef,
         start_count: 2,
@@ -158,12 +166,12 @@
         hard_state: Some(vec![6, 7, 8]),
         entries: (2..=4).map(|index| (index, vec![index as u8; 5])).collect(),
     };
-    assert_eq!(kept, expected);
-    carry_out(&database, &[write(3, &[4, 5])]).unwrap();
+    assert_eq!(state, expected);
+    write_batch(&database, &[write(3, &[4, 5])]).unwrap();
     drop(database);
     let mut grown = expected;
     grown.apply(&write(3, &[4, 5]));
     grown.start_count = 3;
-    assert_eq!(open(&path, "guj/n0", 99).unwrap().1, grown);
+    assert_eq!(open(&path, "guj/n0", 99).unwrap().state, grown);
     let _ = fs::remove_dir_all(path.parent().unwrap());
 }
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,6 +1,6 @@
 //! What the node is told at its start: RELAY_* variables and the JSON file that one of them names.
 
-use crate::cluster_agent::config::Setup;
+use crate::cluster_agent::config::ClusterConfig;
 use crate::discovery::endpoint_list::{self, Update};
 use lupincrank_placement::Settings;
 use lupincrank_settings::DeploymentSettings;
@@ -77,7 +77,7 @@
     /// The file as it stands.
     pub raw: Value,
     /// The fleet, where an operator's file names one; it waits for the next start.
-    pub fleet: Option<Setup>,
+    pub fleet: Option<ClusterConfig>,
     /// The upstream group as this node last had it.
     pub known: Option<Update>,
     /// What the decisions need.
--- a/crates/node/src/hollow.rs
+++ b/crates/node/src/hollow.rs
@@ -2,7 +2,7 @@
 //! real one is told, by the same two files, and runs the same code in a loop of its own; many of them fit into a process,
 //! each in a thread. `scale/` measures fleets with them.
 
-use crate::cluster_agent::{self, config::Setup};
+use crate::cluster_agent::{self, config::ClusterConfig};
 use crate::command::Message;
 use crate::component::LAST_WELL_KNOWN_ID;
 use crate::config::Config;
@@ -57,7 +57,7 @@
     let mut config =
         Config::read(config, &variable).map_err(|why| format!("the configuration: {why}"))?;
     let operator = Operator::read(operator).map_err(|why| format!("the operator's file: {why}"))?;
-    let setup = Setup::read(&operator, &config.name, &variable);
+    let setup = ClusterConfig::from_operator(&operator, &config.name, &variable);
     config.fleet = setup.map_err(|why| format!("the operator's file: {why}"))?;
     if config.fleet.is_none() {
         return Err(
@@ -66,7 +66,7 @@
     }
     let state = NodeState::new(config, Logger::root(Discard, o!()));
     let mut reactor = Reactor::new(state, OBSERVER).map_err(|error| error.to_string())?;
-    cluster_agent::begin(&mut reactor.context)?;
+    cluster_agent::start(&mut reactor.context).map_err(|error| error.to_string())?;
     reactor
         .context
         .register(OBSERVER, Box::new(Watch { observer }));
@@ -84,27 +84,22 @@
 fn seen(context: &NodeContext) -> Seen {
     let now = context.placement.now();
     // Its place may be another process's still.
-    let Some(carry) = &context.cluster_agent else {
+    let Some(agent) = &context.cluster_agent else {
         return Seen::default();
     };
-    let (epoch, capacity) = carry
-        .council
+    let control = agent.control();
+    let (epoch, capacity) = control
         .state()
         .map_or((0, 0), |state| (state.applied_entries, state.capacity));
-    let alive = carry.membership.alive().count() + 1;
-    let (led, leads, votes) = (
-        carry.council.has_leader(),
-        carry.council.is_leader(),
-        carry.council.is_voter(),
-    );
+    let alive = agent.membership().alive().count() + 1;
     Seen {
         epoch,
         capacity,
-        led,
-        leads,
-        votes,
+        led: control.has_leader(),
+        leads: control.is_leader(),
+        votes: control.is_voter(),
         alive,
-        limit: carry.council.lease_limit(now).limit,
+        limit: control.lease_limit(now).limit,
     }
 }
 
@@ -123,11 +118,11 @@
         let members = context
             .cluster_agent
             .as_ref()
-            .map(|carry| &carry.membership);
+            .map(|agent| agent.membership());
         let lives = |name: &str| members.is_some_and(|all| all.alive().any(|who| who.name == name));
         let (most, turned_away) = self.observer.look(&seen(context), window, &lives);
-        if let Some(carry) = &mut context.cluster_agent {
-            carry.council.record_usage(BudgetUsage {
+        if let Some(agent) = &mut context.cluster_agent {
+            agent.control_mut().record_usage(BudgetUsage {
                 peak: most,
                 was_limited: turned_away,
             });
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,7 +20,7 @@
 mod upstream;
 
 use cli::Command;
-use cluster_agent::config::Setup;
+use cluster_agent::config::ClusterConfig;
 use config::Config;
 use lupincrank_operator_config::Operator;
 use slog::{o, Drain, Level, Logger};
@@ -47,7 +47,7 @@
         let mut config = Config::load(path.as_deref(), variable)?;
         if let Some(path) = operator {
             let operator = Operator::load(&path)?;
-            let setup = Setup::read(&operator, &config.name, variable);
+            let setup = ClusterConfig::from_operator(&operator, &config.name, variable);
             config.fleet = setup.map_err(|why| format!("{path}: {why}"))?;
         }
         Ok::<Config, String>(config)
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -28,7 +28,7 @@
     context.register(WellKnownComponent::ClientListener.id(), Box::new(listener));
     context.register(WellKnownComponent::Handoff.id(), Box::new(handoff::Watch));
     handoff::begin(context);
-    cluster_agent::begin(context).map_err(io::Error::other)?;
+    cluster_agent::start(context).map_err(io::Error::other)?;
     if let Some(address) = context.config.management {
         let management = admin::Management::new(context, address)?;
         context.register(WellKnownComponent::AdminListener.id(), Box::new(management));
--- a/crates/node/src/signals.rs
+++ b/crates/node/src/signals.rs
@@ -116,7 +116,7 @@
                 started_at: now,
                 deadline: until,
             });
-            crate::cluster_agent::leave(context);
+            crate::cluster_agent::begin_leaving(context);
             if context.handoff.has_successor() {
                 crate::handoff::leave(context);
             }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -1,6 +1,6 @@
 //! The state that the node's components share.
 
-use crate::cluster_agent::agent::Carry;
+use crate::cluster_agent::ClusterAgent;
 use crate::config::Config;
 use crate::handoff::message::Said;
 use crate::handoff::peer_process::Upgrade;
@@ -89,8 +89,8 @@
     pub handoff: Upgrade,
     /// The open connections for health checks: one for each server at the most.
     pub health_checks: HashMap<ServerId, HealthCheckConnection>,
-    /// The fleet that this node is one of, where the operator's file says so.
-    pub cluster_agent: Option<Box<Carry>>,
+    /// The node's part in its cluster, once it has started; taken out while it works.
+    pub cluster_agent: Option<Box<ClusterAgent>>,
     /// Set for a moment when all connections are to be handed over.
     pub transfer_requested: bool,
     /// Set for a moment when what still waits has to get its answer.
