--- a/crates/node/src/application.rs
+++ b/crates/node/src/application.rs
@@ -36,7 +36,7 @@
         Command::Fail { owner } => context.send(owner, ClientCommand::Fail),
         Command::Migrate { owner } => context.send(owner, RelayCommand::Migrate),
         Command::CheckHealth { server, address } => {
-            health_check::probe(context, server, address);
+            health_check::check(context, server, address);
         }
         Command::WatchEndpoints => {
             context.send(WellKnownComponent::Discovery.id(), DiscoveryCommand::Watch);
@@ -101,15 +101,15 @@
         let now = Instant::now();
         // With a successor the listener is not this process's any more.
         let stayed =
-            self.handoff.handing() || now >= shutdown.started_at + MIN_LISTEN_AFTER_SIGTERM;
+            self.handoff.is_handing_over() || now >= shutdown.started_at + MIN_LISTEN_AFTER_SIGTERM;
         // The others of the fleet may need its vote to go on without it.
         let left = self
             .cluster_agent
             .as_ref()
             .is_none_or(|agent| agent.has_left());
         let empty = self.client_count.get() == 0
-            && self.unidentified_clients.borrow().is_empty()
-            && self.handoff.idle();
+            && self.unidentified_clients.is_empty()
+            && self.handoff.is_idle();
         let over = now >= shutdown.deadline || (stayed && empty && left);
         if over {
             info!(self.log, "ended"; "clients" => self.client_count.get());
--- a/crates/node/src/cluster_agent/commands.rs
+++ b/crates/node/src/cluster_agent/commands.rs
@@ -81,7 +81,7 @@
     context: &mut NodeContext,
     command: &str,
 ) -> Result<String, FleetCommandError> {
-    if context.cluster_agent.is_none() && context.config.fleet.is_some() {
+    if context.cluster_agent.is_none() && context.config.cluster.is_some() {
         return Err(FleetCommandError::NotStarted);
     }
     let now = context.placement.now();
--- a/crates/node/src/cluster_agent/config.rs
+++ b/crates/node/src/cluster_agent/config.rs
@@ -1,10 +1,10 @@
 //! The cluster as the operator's file and the environment describe it to this node.
 
 use lupincrank_cluster::membership::SeedNode;
-use lupincrank_operator_config::{Fleet, Operator};
+use lupincrank_operator_config::{FleetConfig, OperatorConfig};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use thiserror::Error;
 
 /// The environment variables that take precedence over the operator's file.
@@ -46,19 +46,19 @@
     pub zone: String,
     /// The region that it runs in.
     pub region: String,
-    /// The file that keeps log and vote, where a folder is configured.
+    /// The file that keeps log and vote, where a directory is configured.
     pub storage_file: Option<PathBuf>,
     /// The nodes that are contacted first.
     pub seed_nodes: Vec<SeedNode>,
     /// Where other nodes are reached, if not at the addresses that they make known.
     pub address_overrides: BTreeMap<SocketAddr, SocketAddr>,
     /// The slow-start budget, where the cluster distributes one.
-    pub slow_start_budget: Option<SlowStartBudgetConfig>,
+    pub slow_start_budget: Option<SlowStartBudget>,
 }
 
 /// The slow-start budget, in new connections to warming servers in any accounting window.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct SlowStartBudgetConfig {
+pub struct SlowStartBudget {
     /// What is handed out by leases.
     pub leased_capacity: u32,
     /// What this node may use without a lease; 0 for a node that is not expected.
@@ -73,23 +73,23 @@
     /// # Errors
     /// Where the file or the environment does not fit this node.
     pub fn from_operator(
-        operator: &Operator,
+        operator: &OperatorConfig,
         node_name: &str,
         variable: impl Fn(&str) -> Option<String>,
     ) -> Result<Option<ClusterConfig>, ClusterConfigError> {
         let Some(fleet) = &operator.fleet else {
             return Ok(None);
         };
-        let expected_nodes: BTreeSet<String> = fleet.nodes.get_ref().iter().cloned().collect();
+        let expected_nodes: BTreeSet<String> = fleet.nodes.iter().cloned().collect();
         let slow_start_budget = slow_start_budget(operator, &expected_nodes, node_name);
         Ok(Some(ClusterConfig {
-            cluster_name: fleet.name.get_ref().clone(),
+            cluster_name: fleet.name.clone(),
             listen_address: listen_address(fleet, variable(LISTEN_VARIABLE))?,
             zone: variable(ZONE_VARIABLE).unwrap_or_else(|| fleet.zone.clone()),
             region: fleet.region.clone(),
             storage_file: storage_file(fleet, node_name)?,
             seed_nodes: seed_nodes(fleet),
-            address_overrides: fleet.via.clone(),
+            address_overrides: fleet.address_overrides.clone(),
             slow_start_budget,
             expected_nodes,
         }))
@@ -105,7 +105,7 @@
 }
 
 fn listen_address(
-    fleet: &Fleet,
+    fleet: &FleetConfig,
     variable: Option<String>,
 ) -> Result<SocketAddr, ClusterConfigError> {
     let Some(value) = variable else {
@@ -116,8 +116,11 @@
         .map_err(|_| ClusterConfigError::InvalidListenAddress { value })
 }
 
-fn storage_file(fleet: &Fleet, node_name: &str) -> Result<Option<PathBuf>, ClusterConfigError> {
-    let Some(folder) = &fleet.folder else {
+fn storage_file(
+    fleet: &FleetConfig,
+    node_name: &str,
+) -> Result<Option<PathBuf>, ClusterConfigError> {
+    let Some(directory) = &fleet.state_directory else {
         return Ok(None);
     };
     let is_plain = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
@@ -127,11 +130,11 @@
         });
     }
     let file_name = format!("council-{node_name}.redb");
-    Ok(Some(Path::new(folder.get_ref()).join(file_name)))
+    Ok(Some(directory.join(file_name)))
 }
 
-fn seed_nodes(fleet: &Fleet) -> Vec<SeedNode> {
-    let seeds = fleet.seeds.get_ref().iter();
+fn seed_nodes(fleet: &FleetConfig) -> Vec<SeedNode> {
+    let seeds = fleet.seeds.iter();
     seeds
         .map(|(name, address)| SeedNode {
             name: name.clone(),
@@ -141,18 +144,18 @@
 }
 
 fn slow_start_budget(
-    operator: &Operator,
+    operator: &OperatorConfig,
     expected_nodes: &BTreeSet<String>,
     node_name: &str,
-) -> Option<SlowStartBudgetConfig> {
-    let budget = operator.budgets.cold.as_ref()?;
-    let floor = *budget.floor.get_ref();
+) -> Option<SlowStartBudget> {
+    let budget = operator.budgets.slow_start.as_ref()?;
+    let floor = budget.floor;
     let node_count = u32::try_from(expected_nodes.len()).unwrap_or(u32::MAX);
     let reserved_capacity = floor * node_count;
     // Nothing was set aside for a node that is not expected.
     let is_expected = expected_nodes.contains(node_name);
-    Some(SlowStartBudgetConfig {
-        leased_capacity: budget.capacity.get_ref().saturating_sub(reserved_capacity),
+    Some(SlowStartBudget {
+        leased_capacity: budget.capacity.saturating_sub(reserved_capacity),
         floor: if is_expected { floor } else { 0 },
         reserved_capacity,
     })
--- a/crates/node/src/cluster_agent/listener.rs
+++ b/crates/node/src/cluster_agent/listener.rs
@@ -63,7 +63,7 @@
 }
 
 fn retry_bind(context: &mut NodeContext) {
-    let Some(config) = context.config.fleet.clone() else {
+    let Some(config) = context.config.cluster.clone() else {
         return;
     };
     let reason: Box<dyn Display> = match bind_or_wait(context, &config) {
--- a/crates/node/src/cluster_agent/mod.rs
+++ b/crates/node/src/cluster_agent/mod.rs
@@ -17,7 +17,7 @@
 mod storage_completions;
 
 pub use agent::ClusterAgent;
-pub use commands::{run_budget_command, run_fleet_command};
+pub use commands::{run_budget_command, run_fleet_command, BudgetCommandError, FleetCommandError};
 pub use startup::start;
 
 use crate::command::ClusterConnectionCommand;
--- a/crates/node/src/cluster_agent/startup.rs
+++ b/crates/node/src/cluster_agent/startup.rs
@@ -66,7 +66,7 @@
 /// # Errors
 /// Where an operator has to look; an address or file in use is waited for.
 pub fn start(context: &mut NodeContext) -> Result<(), StartError> {
-    let Some(config) = context.config.fleet.clone() else {
+    let Some(config) = context.config.cluster.clone() else {
         return Ok(());
     };
     if config.slow_start_budget.is_some() {
@@ -157,7 +157,7 @@
     incarnation: u64,
     stored: Option<&lupincrank_control::durable::DurableState>,
 ) -> Result<ClusterAgent, ControlError> {
-    let settings = context.config.raw.get("settings");
+    let settings = context.config.document.get("settings");
     let settings = settings.map(ToString::to_string).unwrap_or_default();
     let local = LocalNode {
         name: &context.config.name,
--- a/crates/node/src/cluster_agent/status.rs
+++ b/crates/node/src/cluster_agent/status.rs
@@ -1,7 +1,7 @@
 //! What operators are shown of the cluster, as JSON.
 
 use super::agent::ClusterAgent;
-use super::config::SlowStartBudgetConfig;
+use super::config::SlowStartBudget;
 use super::control_actions::BUDGET_NAME;
 use lupincrank_cluster::membership::{Identity, RejectedDatagrams};
 use lupincrank_control::lease::LeaseTerms;
@@ -62,7 +62,7 @@
     pub(super) fn budgets_json(
         &self,
         now: Timestamp,
-        budget: &SlowStartBudgetConfig,
+        budget: &SlowStartBudget,
     ) -> serde_json::Value {
         let status = self.control.status(now);
         let window_ms = LeaseTerms::default().accounting_window.as_millis() as u64;
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -1,48 +1,17 @@
 //! The state that the node's components share.
 
+use crate::client::UnidentifiedClients;
 use crate::cluster_agent::ClusterAgent;
 use crate::config::Config;
-use crate::handoff::message::Said;
-use crate::handoff::peer_process::Upgrade;
-use crate::placement_driver::{EndpointListError, PlacementDriver};
-use lupincrank_placement::ServerId;
-use lupincrank_reactor::{ComponentId, Context};
+use crate::handoff::peer_process::HandoffState;
+use crate::placement_driver::{EndpointAvailabilityError, PlacementDriver};
+use crate::upstream::health_check::HealthChecks;
+use lupincrank_reactor::Context;
 use slog::Logger;
-use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
-use std::net::SocketAddr;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Instant;
 
-/// A client's place among those held; given back when dropped.
-pub struct ClientSlot(Rc<Cell<usize>>);
-
-impl ClientSlot {
-    /// Takes a place.
-    pub fn take(taken: &Rc<Cell<usize>>) -> ClientSlot {
-        taken.set(taken.get() + 1);
-        ClientSlot(Rc::clone(taken))
-    }
-}
-
-impl Drop for ClientSlot {
-    fn drop(&mut self) {
-        self.0.set(self.0.get().saturating_sub(1));
-    }
-}
-
-/// Connections that ask for nothing yet or have their answer, the one that has to go first in front.
-pub type UnidentifiedClients = Rc<RefCell<BTreeSet<(Instant, ComponentId)>>>;
-
-/// The open connection for health checks of one server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct HealthCheckConnection {
-    /// The connection's component.
-    pub id: ComponentId,
-    /// Where it is connected to.
-    pub address: SocketAddr,
-}
-
 /// A graceful shutdown under way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Shutdown {
@@ -63,7 +32,7 @@
     PredecessorNotReached,
     /// The endpoint list lets no client in.
     #[error(transparent)]
-    EndpointList(#[from] EndpointListError),
+    EndpointList(#[from] EndpointAvailabilityError),
 }
 
 /// What the callbacks of the node's components may use.
@@ -86,9 +55,9 @@
     /// The graceful shutdown, once SIGTERM has come.
     pub shutdown: Option<Shutdown>,
     /// The other process of this node, if there is one.
-    pub handoff: Upgrade,
+    pub handoff: HandoffState,
     /// The open connections for health checks: one for each server at the most.
-    pub health_checks: HashMap<ServerId, HealthCheckConnection>,
+    pub health_checks: HealthChecks,
     /// The node's part in its cluster, once it has started; taken out while it works.
     pub cluster_agent: Option<Box<ClusterAgent>>,
     /// Set for a moment when all connections are to be handed over.
@@ -102,14 +71,14 @@
     pub fn new(config: Config, log: Logger) -> NodeState {
         NodeState {
             placement: PlacementDriver::new(&config, log.clone()),
-            handoff: Upgrade::new(config.listen, config.inherited),
+            handoff: HandoffState::new(config.listen_address, config.inherited_descriptor),
             config,
             log,
             client_count: Rc::default(),
             unidentified_clients: UnidentifiedClients::default(),
             started_at: Instant::now(),
             shutdown: None,
-            health_checks: HashMap::new(),
+            health_checks: HealthChecks::default(),
             cluster_agent: None,
             transfer_requested: false,
             answers_requested: false,
@@ -124,25 +93,10 @@
         if self.shutdown.is_some() {
             return Err(NotServingError::ShuttingDown);
         }
-        if !self.handoff.settled() {
+        if !self.handoff.is_settled() {
             return Err(NotServingError::PredecessorNotReached);
         }
         self.placement.check_endpoint_list()?;
         Ok(())
     }
-
-    /// Takes a transcriber out by hand or back in.
-    pub fn by_hand(&mut self, server: &str, down: bool) -> Result<(), String> {
-        let id = ServerId::from(server);
-        if !self.placement.knows_server(&id) {
-            return Err(format!("no transcriber {server:?}"));
-        }
-        // Written before it is obeyed: what was answered with yes holds across any end of this process.
-        let out = self
-            .handoff
-            .change(&id, down, self.placement.drained_servers())?;
-        self.placement.set_drained_servers(out);
-        self.handoff.say(&Said::Out);
-        Ok(())
-    }
 }
--- /dev/null
+++ b/crates/node/src/upstream/relay/transfer.rs
@@ -0,0 +1,244 @@
+//! The transfer of relays from one process of the node to another.
+
+use super::{Relay, Side};
+use crate::client::ClientSlot;
+use crate::command::TransferCommand;
+use crate::handoff::message::{ConnectionTransfer, HandoffMessage, TransferredConnection};
+use crate::handoff::socket::SendOutcome;
+use crate::state::NodeContext;
+use crate::upstream::byte_buffer::ByteBuffer;
+use lupincrank_placement::{Outcome, RequestId, RequestInfo, Timestamp};
+use lupincrank_reactor::poll::Registered;
+use lupincrank_reactor::{poller_key, ComponentId, Interest, Lifecycle};
+use slog::debug;
+use std::io;
+use std::net::TcpStream;
+use std::os::fd::{AsFd, OwnedFd};
+use std::time::{Duration, Instant};
+
+/// Whether a relay was sent to another process that has not answered yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum TransferState {
+    /// It was not.
+    Idle,
+    /// It was: nothing is read or written until the other process has accepted or refused it.
+    Pending,
+    /// As `Pending`; if the relay stays here, its client is migrated.
+    PendingMigration,
+}
+
+/// Taking relays of another process.
+impl Relay {
+    /// Whether a relay of another process can go on here.
+    pub(crate) fn can_resume(
+        context: &NodeContext,
+        record: &TransferredConnection,
+        bytes: &[u8],
+    ) -> bool {
+        record.lengths.total() == Some(bytes.len())
+            && !context.placement.has_request(RequestId(record.request))
+    }
+
+    /// Goes on with a relay of another process where that process left off.
+    pub(crate) fn resume_transferred(
+        context: &mut NodeContext,
+        record: TransferredConnection,
+        bytes: &[u8],
+        [client, server]: [OwnedFd; 2],
+    ) {
+        let id = context.allocate_id();
+        let client = register(context, id, client, Side::Client);
+        let server = register(context, id, server, Side::Server);
+        let (Ok(client), Ok(server)) = (client, server) else {
+            return;
+        };
+        let request = RequestId(record.request);
+        let slot = ClientSlot::acquire(&context.client_count);
+        let mut relay = Relay::new(context, id, slot, request, client, server);
+        relay.restore_buffers(&record, bytes);
+        register_request(context, id, record);
+        if relay.pump(context) == Lifecycle::Continue {
+            context.register(id, Box::new(relay));
+        }
+    }
+
+    fn restore_buffers(&mut self, record: &TransferredConnection, bytes: &[u8]) {
+        let (to_server, rest) = bytes.split_at(record.lengths.to_server.min(bytes.len()));
+        let (to_client, partial_line) = rest.split_at(record.lengths.to_client.min(rest.len()));
+        self.to_server = ByteBuffer::with_bytes(to_server);
+        self.to_client = ByteBuffer::with_bytes(to_client);
+        self.partial_line = partial_line.to_vec();
+    }
+}
+
+fn register(
+    context: &NodeContext,
+    id: ComponentId,
+    socket: OwnedFd,
+    side: Side,
+) -> io::Result<Registered<TcpStream>> {
+    let key = poller_key(id, side.socket());
+    Registered::new(
+        &context.poller,
+        TcpStream::from(socket),
+        key,
+        Interest::READ,
+    )
+}
+
+/// Makes the request of a transferred relay known to placement.
+fn register_request(context: &mut NodeContext, id: ComponentId, record: TransferredConnection) {
+    let class = context
+        .config
+        .classes
+        .iter()
+        .position(|class| *class == record.class);
+    let request_info = RequestInfo {
+        request: RequestId(record.request),
+        // A class that the settings do not have any more: a request that has its server needs none.
+        class: class.unwrap_or(usize::MAX),
+        tenant: None,
+        group: record.group,
+        key: record.key,
+        load: None,
+        deadline: Timestamp::default(),
+        is_mid_flow: false,
+        is_reconnect: record.is_reconnect,
+    };
+    let now = Instant::now();
+    let sent_at = |ms: &u64| now.checked_sub(Duration::from_millis(*ms)).unwrap_or(now);
+    let unanswered = record.unanswered_ms.iter().map(sent_at).collect();
+    let load = record.load_us.map(|load| load as f64);
+    context
+        .placement
+        .on_transferred_connection(id, request_info, &record.server, load, unanswered);
+}
+
+/// Sending relays to another process.
+impl Relay {
+    pub(super) fn on_transfer(
+        &mut self,
+        context: &mut NodeContext,
+        command: TransferCommand,
+    ) -> Lifecycle {
+        match command {
+            TransferCommand::Start => self.transfer(context),
+            TransferCommand::Completed => self.on_transferred(context),
+            TransferCommand::Cancelled => self.on_transfer_cancelled(context),
+        }
+    }
+
+    /// Sends both sockets and all that is pending between them to the process that replaces this one. A relay that is
+    /// ending ends here.
+    fn transfer(&mut self, context: &mut NodeContext) -> Lifecycle {
+        if !self.can_transfer() {
+            return Lifecycle::Continue;
+        }
+        let Some(record) = self.transfer_record(context) else {
+            return Lifecycle::Continue;
+        };
+        match self.send_record(context, record) {
+            Ok(SendOutcome::Sent) => {
+                debug!(context.log, "relay transfer started"; "request" => format!("{:016x}", self.request.0));
+                self.pause(context);
+                Lifecycle::Continue
+            }
+            Ok(SendOutcome::WouldBlock) => Lifecycle::Continue,
+            Err(error) => {
+                debug!(context.log, "relay transfer failed"; "error" => %error);
+                self.migrate(context)
+            }
+        }
+    }
+
+    fn can_transfer(&self) -> bool {
+        let has_ended = self.to_server.has_ended() || self.to_client.has_ended();
+        self.server.is_some() && self.transfer == TransferState::Idle && !has_ended
+    }
+
+    /// What the other process has to know; `None` if placement has no such request.
+    fn transfer_record(&self, context: &NodeContext) -> Option<TransferredConnection> {
+        let connection = context.placement.established_connection(self.request)?;
+        let request_info = connection.request;
+        let class = context.config.classes.get(request_info.class);
+        Some(TransferredConnection {
+            request: self.request.0,
+            class: class.cloned().unwrap_or_default(),
+            group: request_info.group.clone(),
+            key: request_info.key.clone(),
+            is_reconnect: request_info.is_reconnect,
+            server: connection.server.0.to_string(),
+            load_us: connection.load.map(|load| load as u64),
+            unanswered_ms: connection
+                .unanswered_lines
+                .iter()
+                .map(|sent_at| sent_at.elapsed().as_millis() as u64)
+                .collect(),
+            lengths: self.pending_parts().map(<[u8]>::len).into(),
+        })
+    }
+
+    /// The bytes that go along: pending for the server, pending for the client, and the begin of a server's line.
+    fn pending_parts(&self) -> [&[u8]; 3] {
+        [
+            self.to_server.pending(),
+            self.to_client.pending(),
+            &self.partial_line,
+        ]
+    }
+
+    /// Sends the record, the pending bytes and both sockets.
+    fn send_record(
+        &self,
+        context: &mut NodeContext,
+        record: TransferredConnection,
+    ) -> io::Result<SendOutcome> {
+        let Some(server) = &self.server else {
+            return Ok(SendOutcome::WouldBlock);
+        };
+        let bytes = self.pending_parts().concat();
+        let sockets = [self.client.as_fd(), server.as_fd()];
+        let message = |number| {
+            HandoffMessage::Connection(ConnectionTransfer {
+                number,
+                connection: record,
+            })
+        };
+        context.handoff.transfer(self.id, message, &bytes, &sockets)
+    }
+
+    fn pause(&mut self, context: &NodeContext) {
+        self.transfer = TransferState::Pending;
+        let client_result = self.client.set_interest(Interest::NONE);
+        let server_result = self.set_server_interest(Interest::NONE);
+        if client_result.and(server_result).is_err() {
+            debug!(context.log, "relay not paused"; "request" => format!("{:016x}", self.request.0));
+        }
+    }
+
+    /// The other process has the connection from now on.
+    fn on_transferred(&mut self, context: &mut NodeContext) -> Lifecycle {
+        self.report_outcome(context, Outcome::Cancelled);
+        Lifecycle::Close
+    }
+
+    /// The other process has not taken the connection: it goes on here.
+    fn on_transfer_cancelled(&mut self, context: &mut NodeContext) -> Lifecycle {
+        let state = self.transfer;
+        self.transfer = TransferState::Idle;
+        if state == TransferState::PendingMigration {
+            self.migrate(context)
+        } else {
+            self.pump(context)
+        }
+    }
+
+    /// Placement moves the client away, at once or as soon as it is known that the relay stays here.
+    pub(super) fn on_migrate(&mut self, context: &mut NodeContext) -> Lifecycle {
+        if self.transfer == TransferState::Idle {
+            return self.migrate(context);
+        }
+        self.transfer = TransferState::PendingMigration;
+        Lifecycle::Continue
+    }
+}
