--- a/crates/node/src/hollow.rs
+++ b/crates/node/src/hollow.rs
@@ -4,7 +4,8 @@
 
 pub use lupincrank_budgets::demand::BudgetUsage;
 
-use crate::cluster_agent::{self, config::Setup};
+use crate::cluster_agent::config::{ClusterConfig, ClusterConfigError};
+use crate::cluster_agent::{self, StartError};
 use crate::command::Message;
 use crate::component::LAST_WELL_KNOWN_ID;
 use crate::config::{Config, ConfigError};
@@ -14,7 +15,6 @@
 use lupincrank_operator_config::{OperatorConfig, ParseError};
 use lupincrank_reactor::{ComponentId, Connection, Lifecycle, Reactor, Readiness};
 use slog::{o, Discard, Logger};
-use std::error::Error;
 use std::io;
 use std::time::{Duration, Instant};
 
@@ -66,7 +66,7 @@
     OperatorFile(#[from] ParseError),
     /// What the operator's file says of the cluster does not hold for this node.
     #[error("the operator's file: {0}")]
-    Cluster(Box<dyn Error + Send + Sync>),
+    Cluster(#[from] ClusterConfigError),
     /// The operator's file names no cluster.
     #[error("the operator's file: there is no [fleet], and a hollow node has nothing else")]
     NoCluster,
@@ -74,8 +74,8 @@
     #[error(transparent)]
     EventLoop(#[from] io::Error),
     /// The cluster's address or folder cannot be used.
-    #[error("{0}")]
-    Start(Box<dyn Error + Send + Sync>),
+    #[error(transparent)]
+    Start(#[from] StartError),
 }
 
 /// A hollow node, ready to run. `config` and `operator` are the texts of a real node's files, and `variable` looks up what
@@ -93,7 +93,7 @@
     let state = NodeState::new(config, Logger::root(Discard, o!()));
     let mut reactor = Reactor::new(state, OBSERVER)?;
     let context = &mut reactor.context;
-    cluster_agent::begin(context).map_err(|error| HollowNodeError::Start(error.into()))?;
+    cluster_agent::start(context)?;
     context.register(OBSERVER, Box::new(ObserverComponent { observer }));
     context
         .deadlines
@@ -108,8 +108,7 @@
 ) -> Result<Config, HollowNodeError> {
     let mut config = Config::parse(config, variable)?;
     let operator = OperatorConfig::parse(operator)?;
-    config.cluster = Setup::read(&operator, &config.name, variable)
-        .map_err(|error| HollowNodeError::Cluster(error.into()))?;
+    config.cluster = ClusterConfig::from_operator(&operator, &config.name, variable)?;
     if config.cluster.is_none() {
         return Err(HollowNodeError::NoCluster);
     }
@@ -127,7 +126,7 @@
     let Some(agent) = &context.cluster_agent else {
         return ClusterStatus::default();
     };
-    let control = &agent.council;
+    let control = agent.control();
     let state = control.state();
     ClusterStatus {
         epoch: state.map_or(0, |state| state.applied_entries),
@@ -135,7 +134,7 @@
         has_leader: control.has_leader(),
         is_leader: control.is_leader(),
         is_voter: control.is_voter(),
-        alive_count: agent.membership.alive().count() + 1,
+        alive_count: agent.membership().alive().count() + 1,
         lease_limit: control.lease_limit(now).limit,
     }
 }
@@ -144,7 +143,7 @@
     let Some(agent) = &context.cluster_agent else {
         return false;
     };
-    agent.membership.alive().any(|member| member.name == name)
+    agent.membership().alive().any(|member| member.name == name)
 }
 
 impl Connection<NodeState> for ObserverComponent {
@@ -164,7 +163,7 @@
             .observer
             .observe(&status, window, &|name| is_alive(context, name));
         if let Some(agent) = &mut context.cluster_agent {
-            agent.council.record_usage(usage);
+            agent.control_mut().record_usage(usage);
         }
         let next = Instant::now() + self.observer.interval();
         context
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -3,13 +3,12 @@
 use crate::admin;
 use crate::admin::status_table::UnreadableAnswer;
 use crate::cli::{self, Command, OutputFormat};
-use crate::cluster_agent::config::Setup;
+use crate::cluster_agent::config::{ClusterConfig, ClusterConfigError};
 use crate::config::{Config, ConfigError};
 use crate::serve;
 use lupincrank_operator_config::{OperatorConfig, OperatorConfigError};
 use lupincrank_settings::ValidationError;
 use slog::{o, Drain, Level, Logger};
-use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -28,7 +27,7 @@
     #[error("{path}: {source}")]
     Cluster {
         path: String,
-        source: Box<dyn Error + Send + Sync>,
+        source: ClusterConfigError,
     },
     #[error("a start takes it, SIGHUP would turn it down: {0}")]
     NotReloadable(#[from] ValidationError),
@@ -106,12 +105,10 @@
         return Ok(config);
     };
     let operator = OperatorConfig::load(path)?;
-    config.cluster =
-        Setup::read(&operator, &config.name, environment_variable).map_err(|error| {
-            ProgramError::Cluster {
-                path: path.to_string(),
-                source: error.into(),
-            }
+    config.cluster = ClusterConfig::from_operator(&operator, &config.name, environment_variable)
+        .map_err(|error| ProgramError::Cluster {
+            path: path.to_string(),
+            source: error,
         })?;
     Ok(config)
 }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -52,7 +52,7 @@
         Box::new(handoff::HandoffAgent),
     );
     handoff::begin(context);
-    cluster_agent::begin(context).map_err(io::Error::other)?;
+    cluster_agent::start(context).map_err(io::Error::other)?;
     if let Some(address) = context.config.admin_address {
         let admin = admin::AdminListener::new(context, address)?;
         context.register(WellKnownComponent::AdminListener.id(), Box::new(admin));
