--- a/crates/scale/src/hollow_host/budget_consumer.rs
+++ b/crates/scale/src/hollow_host/budget_consumer.rs
@@ -2,7 +2,7 @@
 
 use super::protocol::{unix_us, NodeReport};
 use super::HostSettings;
-use lupincrank_node::hollow::{Observer, Seen};
+use lupincrank_node::hollow::{BudgetUsage, ClusterStatus, Observer};
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
 use rustix::time::{clock_gettime, ClockId};
@@ -116,11 +116,16 @@
 }
 
 impl Observer for BudgetConsumer {
-    fn every(&self) -> Duration {
+    fn interval(&self) -> Duration {
         LOOK_INTERVAL
     }
 
-    fn look(&mut self, seen: &Seen, window: Duration, lives: &dyn Fn(&str) -> bool) -> (u32, bool) {
+    fn observe(
+        &mut self,
+        status: &ClusterStatus,
+        window: Duration,
+        is_alive: &dyn Fn(&str) -> bool,
+    ) -> BudgetUsage {
         let now = Instant::now();
         let settings = self
             .settings
@@ -128,21 +133,24 @@
             .unwrap_or_else(PoisonError::into_inner)
             .clone();
         let watched_node = &settings.watched_node;
-        let is_watched_alive = watched_node.is_empty() || lives(watched_node);
-        let consumption = self.consume(now, settings.demand, seen.limit, window);
+        let is_watched_alive = watched_node.is_empty() || is_alive(watched_node);
+        let consumption = self.consume(now, settings.demand, status.lease_limit, window);
         let report = NodeReport {
             node: self.node,
             at_us: unix_us(),
-            epoch: seen.epoch,
-            budget_limit: seen.capacity,
-            has_leader: seen.led,
-            is_voter: seen.votes,
-            living_count: seen.alive,
+            epoch: status.epoch,
+            budget_limit: status.capacity,
+            has_leader: status.has_leader,
+            is_voter: status.is_voter,
+            living_count: status.alive_count,
             is_watched_alive,
             use_count: consumption.use_count,
             cpu_us: thread_cpu_us(),
         };
         self.write_report(now, report);
-        (consumption.window_count, consumption.was_limited)
+        BudgetUsage {
+            peak: consumption.window_count,
+            was_limited: consumption.was_limited,
+        }
     }
 }
