--- a/crates/node/src/cluster_agent/commands.rs
+++ b/crates/node/src/cluster_agent/commands.rs
@@ -1,7 +1,7 @@
 //! The operators' commands `fleet` and `budgets`.
 
 use super::control_actions::BUDGET_NAME;
-use super::with_agent;
+use super::driver::with_agent;
 use crate::state::NodeContext;
 use lupincrank_control::ControlError;
 use serde_json::json;
--- a/crates/node/src/cluster_agent/listener.rs
+++ b/crates/node/src/cluster_agent/listener.rs
@@ -2,11 +2,12 @@
 //! control node.
 
 use super::agent::ClusterAgent;
-use super::peer_connection::PeerConnectionComponent;
+use super::driver::{close_connection, set_agent_deadline, with_agent};
+use super::peer_component::PeerConnectionComponent;
 use super::sockets::DATAGRAM_SOCKET;
-use super::startup::{bind_or_wait, BindOutcome, BIND_RETRY_INTERVAL};
-use super::{close_connection, set_agent_deadline, with_agent};
+use super::startup::{bind_or_wait, BindOutcome, StartError, BIND_RETRY_INTERVAL};
 use crate::command::Message;
+use crate::component::WellKnownComponent;
 use crate::deadline::{ClusterAgentDeadline, DeadlineKind};
 use crate::state::{NodeContext, NodeState};
 use lupincrank_budgets::demand::BudgetUsage;
@@ -14,7 +15,7 @@
 use lupincrank_cluster::membership::MAX_DATAGRAM_BYTES;
 use lupincrank_control::TICK_INTERVAL;
 use lupincrank_reactor::{poller_key, ComponentId, Connection, Lifecycle, Readiness};
-use slog::debug;
+use slog::{debug, warn};
 use std::fmt::Display;
 use std::io;
 use std::net::TcpStream;
@@ -24,6 +25,26 @@
 const MAX_DATAGRAMS_PER_TURN: usize = 64;
 const MAX_ACCEPTS_PER_TURN: usize = 8;
 
+/// Starts the cluster agent, where a cluster is configured.
+///
+/// # Errors
+/// Where an operator has to look; an address or file in use is waited for.
+pub fn start(context: &mut NodeContext) -> Result<(), StartError> {
+    let Some(config) = context.config.cluster.clone() else {
+        return Ok(());
+    };
+    if config.slow_start_budget.is_some() {
+        // Until this agent runs, another process of this node may still use all of the node's part.
+        context.placement.set_slow_start_lease(0, 0, 0.0, None);
+    }
+    let agent_id = WellKnownComponent::ClusterAgent.id();
+    context.register(agent_id, Box::new(ClusterListener));
+    if let BindOutcome::Waiting(reason) = bind_or_wait(context, &config)? {
+        warn!(context.log, "waiting for the cluster address or storage"; "reason" => %reason);
+    }
+    Ok(())
+}
+
 /// The agent's component; its sockets belong to [`ClusterAgent`].
 pub(super) struct ClusterListener;
 
--- a/crates/node/src/cluster_agent/peer_connection.rs
+++ b/crates/node/src/cluster_agent/peer_connection.rs
@@ -1,11 +1,6 @@
-//! One connection to another node, and the component that handles its socket's events.
+//! One connection to another node.
 
-use super::with_agent;
-use crate::command::{ClusterConnectionCommand, Message};
-use crate::deadline::DeadlineKind;
-use crate::state::{NodeContext, NodeState};
 use lupincrank_cluster::connection::{ClusterConnection, ConnectionError};
-use lupincrank_reactor::{ComponentId, Connection, Lifecycle, Readiness};
 use std::time::{Duration, Instant};
 use thiserror::Error;
 
@@ -48,7 +43,7 @@
 
 impl PeerError {
     /// Whether the peer did something that a node of this cluster does not do.
-    fn is_violation(&self) -> bool {
+    pub(super) fn is_violation(&self) -> bool {
         !matches!(
             self,
             PeerError::Connection(ConnectionError::Closed(_))
@@ -127,57 +122,3 @@
         Ok(())
     }
 }
-
-/// The event loop's component of a connection. The connection itself belongs to the cluster agent.
-pub(super) struct PeerConnectionComponent {
-    id: ComponentId,
-}
-
-impl PeerConnectionComponent {
-    pub(super) fn new(id: ComponentId) -> PeerConnectionComponent {
-        PeerConnectionComponent { id }
-    }
-}
-
-impl Connection<NodeState> for PeerConnectionComponent {
-    fn on_ready(
-        &mut self,
-        context: &mut NodeContext,
-        _socket: usize,
-        readiness: Readiness,
-    ) -> Lifecycle {
-        let id = self.id;
-        let mut lifecycle = Lifecycle::Continue;
-        with_agent(context, |agent, context| {
-            let now = context.placement.now();
-            if let Err(error) = agent.on_connection_ready(now, id, readiness.readable) {
-                if error.is_violation() {
-                    agent.record_rejection("a link", &error);
-                }
-                agent.connections_mut().close(id, &error);
-                lifecycle = Lifecycle::Close;
-            }
-        });
-        lifecycle
-    }
-
-    fn on_deadline(&mut self, _context: &mut NodeContext, _kind: DeadlineKind) -> Lifecycle {
-        Lifecycle::Continue
-    }
-
-    fn on_message(&mut self, context: &mut NodeContext, message: Message) -> Lifecycle {
-        let is_open = context
-            .cluster_agent
-            .as_ref()
-            .is_some_and(|agent| agent.connections().is_open(self.id));
-        let is_close = matches!(
-            message,
-            Message::ClusterConnection(ClusterConnectionCommand::Close)
-        );
-        if is_open && !is_close {
-            Lifecycle::Continue
-        } else {
-            Lifecycle::Close
-        }
-    }
-}
--- a/crates/node/src/cluster_agent/startup.rs
+++ b/crates/node/src/cluster_agent/startup.rs
@@ -3,10 +3,10 @@
 
 use super::agent::{ClusterAgent, LocalNode};
 use super::config::ClusterConfig;
+use super::driver::{set_agent_deadline, with_agent};
 use super::sockets::ClusterSockets;
 use super::storage::{self, OpenError, StorageDamage, StorageWriter};
 use super::storage_completions::StorageCompletions;
-use super::{set_agent_deadline, with_agent, ClusterListener};
 use crate::component::WellKnownComponent;
 use crate::deadline::ClusterAgentDeadline;
 use crate::state::NodeContext;
@@ -61,26 +61,6 @@
     Waiting(WaitReason),
 }
 
-/// Starts the cluster agent, where a cluster is configured.
-///
-/// # Errors
-/// Where an operator has to look; an address or file in use is waited for.
-pub fn start(context: &mut NodeContext) -> Result<(), StartError> {
-    let Some(config) = context.config.cluster.clone() else {
-        return Ok(());
-    };
-    if config.slow_start_budget.is_some() {
-        // Until this agent runs, another process of this node may still use all of the node's part.
-        context.placement.set_slow_start_lease(0, 0, 0.0, None);
-    }
-    let agent_id = WellKnownComponent::ClusterAgent.id();
-    context.register(agent_id, Box::new(ClusterListener));
-    if let BindOutcome::Waiting(reason) = bind_or_wait(context, &config)? {
-        warn!(context.log, "waiting for the cluster address or storage"; "reason" => %reason);
-    }
-    Ok(())
-}
-
 /// Binds the address, opens the storage and starts the agent, or sets a deadline for the next attempt.
 ///
 /// # Errors
--- a/crates/node/src/cluster_agent/storage_completions.rs
+++ b/crates/node/src/cluster_agent/storage_completions.rs
@@ -1,6 +1,6 @@
 //! The component that is woken when the storage has completed writes.
 
-use super::with_agent;
+use super::driver::with_agent;
 use crate::command::Message;
 use crate::deadline::DeadlineKind;
 use crate::state::{NodeContext, NodeState};
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -1,7 +1,7 @@
 //! The state that the node's components share.
 
 use crate::client::UnidentifiedClients;
-use crate::cluster_agent::ClusterAgent;
+use crate::cluster_agent::agent::ClusterAgent;
 use crate::config::Config;
 use crate::handoff::peer_process::HandoffState;
 use crate::placement_driver::{EndpointAvailabilityError, PlacementDriver};
