Node: log the state and control as events with stable keys

The texts of the placement driver, the shutdown and the reload were sentences in words of their own. They are events in the past or present participle now, with keys that name their unit; the tests that read them follow.

--- a/crates/node/src/application.rs
+++ b/crates/node/src/application.rs
@@ -112,7 +112,7 @@
             && self.handoff.is_idle();
         let over = now >= shutdown.deadline || (stayed && empty && left);
         if over {
-            info!(self.log, "ended"; "clients" => self.client_count.get());
+            info!(self.log, "shutdown complete"; "clients" => self.client_count.get());
         }
         over
     }
@@ -120,7 +120,7 @@
     fn on_undelivered(&mut self, _id: ComponentId, message: Message) {
         // A socket sent to a client that has ended meanwhile is closed with the message.
         if let Message::Client(ClientCommand::AttemptAccepted(attempt)) = message {
-            warn!(self.log, "came up for nobody"; "request" => hex_id(attempt.request));
+            warn!(self.log, "attempt accepted without a client"; "request" => hex_id(attempt.request));
         }
     }
 
--- a/crates/node/src/graceful_shutdown.rs
+++ b/crates/node/src/graceful_shutdown.rs
@@ -29,7 +29,7 @@
     }
     let started_at = Instant::now();
     let deadline = started_at + duration(context.config.max_deadline);
-    info!(context.log, "leaving"; "clients" => context.client_count.get());
+    info!(context.log, "shutdown started"; "clients" => context.client_count.get());
     context.shutdown = Some(Shutdown {
         started_at,
         deadline,
--- a/crates/node/src/placement_driver/attempts.rs
+++ b/crates/node/src/placement_driver/attempts.rs
@@ -44,8 +44,8 @@
             });
         }
         self.insert_request(owner, &mut info, timeout);
-        debug!(self.log, "request"; "id" => hex_id(info.request), "class" => info.class,
-            "group" => info.group.clone(), "again" => info.is_reconnect, "left_ms" => timeout.as_millis() as u64);
+        debug!(self.log, "request received"; "request" => hex_id(info.request), "class" => info.class,
+            "group" => info.group.clone(), "reconnect" => info.is_reconnect, "timeout_ms" => timeout.as_millis() as u64);
         self.feed(Event::RequestReceived(info));
     }
 
@@ -65,7 +65,7 @@
             active.start_attempt(server.into());
             active.establish();
         }
-        debug!(self.log, "inherited"; "request" => hex_id(info.request), "class" => info.class,
+        debug!(self.log, "connection inherited"; "request" => hex_id(info.request), "class" => info.class,
             "group" => info.group.clone(), "server" => server);
         self.feed(Event::ConnectionInherited(info, server.into()));
     }
@@ -120,8 +120,8 @@
         active.establish();
         let setup_duration = active.attempt_started_at.elapsed();
         let server = active.server.clone();
-        debug!(self.log, "up"; "request" => hex_id(request), "server" => server.as_ref().map(|id| id.0.to_string()),
-            "us" => setup_duration.as_micros() as u64);
+        debug!(self.log, "connection established"; "request" => hex_id(request), "server" => server.as_ref().map(|id| id.0.to_string()),
+            "setup_us" => setup_duration.as_micros() as u64);
         self.record_setup(server, setup_duration);
         self.feed(Event::ConnectionEstablished {
             request,
@@ -136,7 +136,7 @@
         };
         let is_done = client == ClientState::Answered || active.is_finished();
         let attempt = active.attempt_number();
-        debug!(self.log, "ended"; "request" => hex_id(request), "outcome" => ?outcome, "stood" => active.has_connection(),
+        debug!(self.log, "attempt finished"; "request" => hex_id(request), "outcome" => ?outcome, "established" => active.has_connection(),
             "server" => active.server.as_ref().map(|id| id.0.to_string()));
         active.end_attempt();
         if is_done {
--- a/crates/node/src/placement_driver/endpoints.rs
+++ b/crates/node/src/placement_driver/endpoints.rs
@@ -176,9 +176,9 @@
             return;
         }
         let names: Vec<&str> = drained.iter().map(|server| &*server.0).collect();
-        info!(self.log, "out by hand"; "transcribers" => names.join(" "));
+        info!(self.log, "admin drains changed"; "servers" => names.join(" "));
         if self.are_all_ready_servers_in(&drained) {
-            warn!(self.log, "no transcriber is left: all clients are refused"; "out" => drained.len());
+            warn!(self.log, "no server available, rejecting all clients"; "drained" => drained.len());
         }
         self.feed(Event::AdminDrain(drained));
     }
@@ -207,7 +207,7 @@
             .iter()
             .filter(|server| server.concurrency_limit.is_some())
             .count();
-        info!(self.log, "learnt"; "transcribers" => learned.len(), "barred" => ejected, "crowded" => limited);
+        info!(self.log, "learned state imported"; "servers" => learned.len(), "ejected" => ejected, "limited" => limited);
         self.feed(Event::LearnedState(learned));
     }
 
--- a/crates/node/src/placement_driver/latency.rs
+++ b/crates/node/src/placement_driver/latency.rs
@@ -153,7 +153,7 @@
         {
             LoadReport::Load(load) => Some(load),
             LoadReport::Delay { delay, load } => {
-                debug!(self.log, "delay"; "request" => hex_id(request), "ms" => delay.as_millis() as u64);
+                debug!(self.log, "message delay observed"; "request" => hex_id(request), "delay_ms" => delay.as_millis() as u64);
                 self.feed(Event::DelayObserved { request, delay });
                 load
             }
@@ -167,7 +167,7 @@
         if let Some(active) = self.requests.get_mut(&request) {
             active.load = Some(load);
         }
-        debug!(self.log, "load"; "request" => hex_id(request), "us" => load as u64);
+        debug!(self.log, "load observed"; "request" => hex_id(request), "load_us" => load as u64);
         self.feed(Event::LoadObserved {
             request,
             load: load_duration(load),
--- a/crates/node/src/placement_driver/mod.rs
+++ b/crates/node/src/placement_driver/mod.rs
@@ -159,8 +159,8 @@
         let Some(active) = self.requests.remove(&request) else {
             return;
         };
-        debug!(self.log, "refused"; "request" => hex_id(request), "tries" => active.attempt_count,
-            "ms" => retry_after.as_millis() as u64);
+        debug!(self.log, "request rejected"; "request" => hex_id(request), "attempts" => active.attempt_count,
+            "retry_after_ms" => retry_after.as_millis() as u64);
         self.commands.push_back(Command::Reject {
             owner: active.owner,
             retry_after,
@@ -181,7 +181,7 @@
         if !active.has_connection() {
             return;
         }
-        debug!(self.log, "moved"; "request" => hex_id(request));
+        debug!(self.log, "connection migrating"; "request" => hex_id(request));
         active.finish();
         let owner = active.owner;
         self.commands.push_back(Command::Migrate { owner });
--- a/crates/node/src/placement_driver/settings.rs
+++ b/crates/node/src/placement_driver/settings.rs
@@ -43,7 +43,7 @@
             return;
         }
         self.process_count = process_count;
-        debug!(self.log, "budgets are shared"; "processes" => process_count);
+        debug!(self.log, "node budgets divided"; "processes" => process_count);
         let unchanged_positions = (0..config.classes.len()).map(Some).collect();
         self.apply_settings(config, unchanged_positions);
     }
--- a/crates/node/src/signals.rs
+++ b/crates/node/src/signals.rs
@@ -70,7 +70,7 @@
     let fresh = match context.config.reread(|name| std::env::var(name).ok()) {
         Ok(fresh) => fresh,
         Err(error) => {
-            return warn!(context.log, "the old configuration stays"; "why" => error.to_string());
+            return warn!(context.log, "configuration rejected"; "error" => error.to_string());
         }
     };
     let has_discovery_moved = fresh.discovery_address != context.config.discovery_address;
@@ -96,9 +96,9 @@
         discovery_address,
         ..
     } = &context.config;
-    info!(context.log, "configuration read again"; "classes" => classes.join(", "), "attempts" => settings.max_attempts,
+    info!(context.log, "configuration reloaded"; "classes" => classes.join(", "), "max_attempts" => settings.max_attempts,
         "discovery" => %discovery_address, "sockets" => limits.sockets, "memory_mb" => limits.memory_mb,
-        "waits for the next start" => pending_restart.join(", "));
+        "pending_restart" => pending_restart.join(", "));
 }
 
 impl Connection<NodeState> for SignalReceiver {
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -657,7 +657,7 @@
     pub fn set(&mut self, change: impl FnOnce(&mut serde_json::Value)) {
         change(&mut self.config["settings"]);
         self.reload(&self.config.to_string());
-        self.logged("configuration read again");
+        self.logged("configuration reloaded");
     }
 
     pub fn running(&mut self) -> bool {
--- a/crates/node/tests/crossings.rs
+++ b/crates/node/tests/crossings.rs
@@ -46,7 +46,7 @@
     rig.set(late_connections);
     let clog = rig.clog(0);
     let (client, _) = rig.open("d=20000,g=a");
-    rig.logged("request");
+    rig.logged("request received");
     rig.freeze();
     let mut peer = if leaves_first {
         leave(&rig, client, how);
@@ -71,7 +71,7 @@
         .map(|n| rig.open(&format!("d=20000,g={n}")).0)
         .collect();
     // Some wait for the transcriber, the others for their turn.
-    rig.logged_times("request, ", 150);
+    rig.logged_times("request received, ", 150);
     rig.freeze();
     let mut came = vec![clog.open()];
     came.extend((0..7).map(|_| rig.tried().1));
@@ -103,7 +103,7 @@
     rig.set(late_connections);
     let clog = rig.clog(0);
     let (mut client, _) = rig.open("d=20000,g=a");
-    rig.logged("request");
+    rig.logged("request received");
     if health.is_empty() {
         assert_eq!(rig.manage("set-down s-0\r\n"), "done");
     } else {
@@ -326,7 +326,7 @@
         peer.hear();
         peer
     });
-    rig.logged("request");
+    rig.logged("request received");
     rig.signal("-TERM");
     let said = client.hear();
     assert!(
--- a/crates/node/tests/operation.rs
+++ b/crates/node/tests/operation.rs
@@ -109,7 +109,7 @@
         [client.hear(), client.hear(), client.hear()],
         ["UP r1", "LOAD 1500", "first"]
     );
-    rig.logged("load, us: 1500");
+    rig.logged("load observed, load_us: 1500");
     cut(&mut client, "second\r\n");
     assert_eq!(peer.hear(), "second");
     let mut watch = rig.watch.take().unwrap();
@@ -190,7 +190,7 @@
     for n in 0..2 {
         assert_eq!(rig.manage(&format!("set-down s-{n}\r\n")), "done");
     }
-    rig.logged("no transcriber is left");
+    rig.logged("no server available");
     let (mut client, _) = rig.open("d=60000,g=a");
     assert!(client.hear().starts_with("BUSY "));
     assert_eq!(rig.manage("check\r\n"), "done", "the process serves");
@@ -211,7 +211,7 @@
     rig.reload(&config.to_string());
     let names: Vec<&str> = classes.iter().map(|(name, _)| *name).collect();
     rig.logged(&format!(
-        "attempts: {attempts}, classes: {}",
+        "max_attempts: {attempts}, classes: {}",
         names.join(", ")
     ));
 }
--- a/crates/node/tests/rules.rs
+++ b/crates/node/tests/rules.rs
@@ -272,7 +272,7 @@
     assert_eq!(client.hear(), "whole");
     let began = Instant::now();
     rig.signal("-TERM");
-    rig.logged("leaving");
+    rig.logged("shutdown started");
     let (mut late, _, mut late_peer) = rig.up();
     late.say("hello\r\n");
     assert_eq!(late_peer.hear(), "hello");
@@ -447,7 +447,7 @@
 fn a_configuration_that_does_not_hold_changes_nothing(#[case] text: &str) {
     let mut rig = Rig::start(1);
     rig.reload(text);
-    rig.logged("the old configuration stays");
+    rig.logged("configuration rejected");
     rig.move_discovery();
     rig.watched();
     rig.up();
--- a/crates/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -25,11 +25,11 @@
         rig.watched();
         rig.ready();
         // Each takes its part of the budgets while both take clients in.
-        rig.logged_times("budgets are shared, processes: 2", 2 + 2 * round);
+        rig.logged_times("node budgets divided, processes: 2", 2 + 2 * round);
         kill(rig.older.as_ref().unwrap(), "-TERM");
         if round == 0 {
             // A try under way ends where it began, and its connection follows.
-            rig.logged("leaving");
+            rig.logged("shutdown started");
             slow.say("UP r2\r\n");
             assert_eq!(waiting.hear(), "UP r2");
         }
@@ -99,7 +99,7 @@
     if when < 3 {
         // Whichever process it was said to, the one that holds the connection moves it, and both leave it out.
         assert_eq!(client.hear(), "MOVE");
-        rig.logged_times("out by hand", 2);
+        rig.logged_times("admin drains changed", 2);
         held.extend((0..6).map(|_| rig.up()));
         drop(client);
     }
@@ -219,7 +219,7 @@
     let second = rig.up();
     assert_ne!(second.1, at);
     rig.upgrade();
-    rig.logged("learnt, crowded: 0, barred: 1, transcribers: 2");
+    rig.logged("learned state imported, limited: 0, ejected: 1, servers: 2");
 }
 
 /// The file is damaged while the process that wrote it lives: it writes it anew.
@@ -230,7 +230,7 @@
     let listen = rig.config["listen"].as_str().unwrap().replace(':', "-");
     std::fs::write(rig.folder().join(format!("lupincrank-{listen}.out")), "?").unwrap();
     rig.upgrade();
-    rig.logged_times("out by hand, transcribers: s-0", 2);
+    rig.logged_times("admin drains changed, servers: s-0", 2);
     assert!((0..6)
         .map(|_| rig.up())
         .collect::<Vec<_>>()
@@ -308,7 +308,7 @@
     rig.second();
     rig.watched();
     rig.ready();
-    rig.logged_times("budgets are shared, processes: 2", 2);
+    rig.logged_times("node budgets divided, processes: 2", 2);
     rig.freeze();
     kill(rig.oldest(), "-TERM");
     rig.logged_times("relay transfer started", held.len());
