Control: tests of the next membership change and of inconsistent stored logs

Neither the order of membership changes nor the rejection of a damaged stored log had a test of its own.

--- a/crates/control/src/control_node/bootstrap.rs
+++ b/crates/control/src/control_node/bootstrap.rs
@@ -74,7 +74,7 @@
 
 impl ControlNode {
     /// Asks the others for their group, and forms one if enough of them know of none.
-    pub(super) fn try_bootstrap(&mut self, now: Timestamp) {
+    pub(super) fn advance_bootstrap(&mut self, now: Timestamp) {
         self.bootstrap_progress.drop_old_answers(now);
         if !self.has_lowest_name() || !self.bootstrap_progress.is_send_due(now) {
             return;
--- a/crates/control/src/control_node/mod.rs
+++ b/crates/control/src/control_node/mod.rs
@@ -129,7 +129,7 @@
 
     fn run_tick(&mut self, now: Timestamp) {
         if self.log().is_none() {
-            self.try_bootstrap(now);
+            self.advance_bootstrap(now);
         }
         self.repeat_bootstrap(now);
         self.update_members();
--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -246,3 +246,6 @@
         responsive_count * 2 > voters.len()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/control/tests/stored_formats.rs
+++ b/crates/control/tests/stored_formats.rs
@@ -9,7 +9,7 @@
 use lupincrank_control::message::{Action, ControlMessage};
 use lupincrank_control::state::{ActiveLease, ClusterState};
 use lupincrank_control::status::{Participant, RejectedMessages, Status};
-use lupincrank_control::{ControlConfig, ControlNode};
+use lupincrank_control::{ControlConfig, ControlError, ControlNode};
 use lupincrank_placement::Timestamp;
 use rstest::rstest;
 use serde::de::DeserializeOwned;
@@ -213,24 +213,27 @@
     now: Timestamp,
 }
 
+const START: Timestamp = Timestamp(1_000_000_000);
+
+fn resume(disk: &DurableState) -> Result<ControlNode, ControlError> {
+    let config = ControlConfig {
+        lease_terms: LeaseTerms::default(),
+        expected_nodes: BTreeSet::from(["n1".to_string()]),
+        capacity: 40,
+        floor: 1,
+        bootstrap_grace: Duration::from_millis(1500),
+        member_removal_delay: Duration::from_secs(2),
+    };
+    let local_member = member(STORED_MEMBER_ID, "n1", "z1");
+    ControlNode::new(START, local_member, config, Some(disk))
+}
+
 impl SingleNode {
     fn start(disk: DurableState) -> SingleNode {
-        let config = ControlConfig {
-            lease_terms: LeaseTerms::default(),
-            expected_nodes: BTreeSet::from(["n1".to_string()]),
-            capacity: 40,
-            floor: 1,
-            bootstrap_grace: Duration::from_millis(1500),
-            member_removal_delay: Duration::from_secs(2),
-        };
-        let now = Timestamp(1_000_000_000);
-        let me = member(STORED_MEMBER_ID, "n1", "z1");
-        let control_node =
-            ControlNode::new(now, me, config, Some(&disk)).expect("the stored log is consistent");
         SingleNode {
-            control_node,
+            control_node: resume(&disk).expect("the stored log is consistent"),
             disk,
-            now,
+            now: START,
         }
     }
 
@@ -289,6 +292,18 @@
     assert_eq!(state.applied_entries, expected.applied_entries + new_grants);
 }
 
+#[rstest]
+#[case::an_entry_is_missing(|stored: &mut DurableState| drop(stored.entries.remove(&5)))]
+#[case::the_snapshot_is_damaged(|stored: &mut DurableState| stored.snapshot = Some(vec![0xff; 9]))]
+#[case::the_vote_is_damaged(|stored: &mut DurableState| stored.hard_state = Some(vec![0xff; 9]))]
+fn an_inconsistent_stored_log_is_rejected(#[case] damage: fn(&mut DurableState)) {
+    let mut stored = stored_log();
+    damage(&mut stored);
+    let error = resume(&stored).err().expect("an error");
+    assert_eq!(error, ControlError::InconsistentStoredLog);
+    assert_eq!(error.to_string(), "the log on the disk contradicts itself");
+}
+
 #[test]
 fn descriptions_of_log_entries_keep_their_text() {
     let mut node = SingleNode::start(DurableState {
