--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -202,7 +202,8 @@
 
     /// See `Balancer::cold_used`.
     pub fn cold_used(&mut self) -> (u32, bool) {
-        self.balancer.take_slow_start_usage()
+        let usage = self.balancer.take_slow_start_usage();
+        (usage.max_attempts_in_window, usage.was_exhausted)
     }
 
     fn time(&self, at: Instant) -> Timestamp {
--- a/crates/placement/src/balancer.rs
+++ b/crates/placement/src/balancer.rs
@@ -1,289 +1,127 @@
-//! Every event that the balancer takes in, and what it keeps between them.
+//! The balancer of one node: its state, each part of which is kept by a module of its own. `events` feeds it.
 
 use crate::admin_drain::AdminDrain;
 use crate::hashing::random_fraction;
-use crate::limits::setup_window::initial_setup_window;
+use crate::limits::health_check_budget::HealthCheckBudget;
+use crate::limits::machine_kinds::MachineKindOverload;
+use crate::limits::setup_window::SetupWindow;
 use crate::limits::slow_start_budget::SlowStartBudget;
-use crate::policy::queue::QUEUE_HANDLE;
 use crate::poll_schedule::PollSchedule;
 use crate::recovery::key_redistribution::KeyRedistribution;
-use crate::recovery::migration::{EMPTY_HANDLE, MOVES_SAVED};
-use crate::recovery::outlier_detection::STRIKES;
-use crate::recovery::upkeep::{TICK, TICK_HANDLE};
+use crate::recovery::migration_budget::MigrationBudget;
+use crate::recovery::shared_failures::SharedFailureDetector;
 use crate::state::fleet::Fleet;
+use crate::state::group_frequency::GroupFrequency;
 use crate::state::learned_state::LearnedServer;
-use crate::state::request::{Attempt, RequestState};
-use crate::{Action, Event, RequestId, Settings, Timestamp};
+use crate::state::load_estimates::LoadEstimates;
+use crate::state::request::RequestState;
+use crate::state::request_rate::RequestRate;
+use crate::state::tenant_usage::TenantUsage;
+use crate::timer::{SingleTimer, Timer};
+use crate::{Action, RequestId, Settings, Timestamp};
 use rand_core::SeedableRng;
 use rand_pcg::Pcg32;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-const CHANCES: u64 = 1; // the stream of random numbers for shares of a fleet's budgets
-const LIST_HANDLE: u64 = 2;
+/// The random stream for what the nodes of a fleet divide among themselves.
+const FLEET_RANDOM_STREAM: u64 = 1;
 
 pub(crate) type Actions = Vec<Action>;
 
-/// The balancer of one gateway.
+/// The balancer of one node.
 pub struct Balancer {
     pub(crate) settings: Settings,
-    pub(crate) random: Pcg32,
-    /// For what the gateways of a fleet share out among them: a stream of its own, so that neither shifts the
-    /// other.
-    pub(crate) chance: Pcg32,
+    /// The shortest message objective of any class.
+    pub(crate) min_message_objective: Duration,
+    pub(crate) jitter_random: Pcg32,
+    /// Beside that of the jitter, so that neither shifts the other.
+    pub(crate) fleet_random: Pcg32,
+    pub(crate) poll_schedule: PollSchedule,
     pub(crate) admin_drain: AdminDrain,
+    pub(crate) drain_timer: SingleTimer,
     pub(crate) fleet: Fleet,
     pub(crate) requests: HashMap<RequestId, RequestState>,
-    pub(crate) class_loads: Vec<(f64, f64)>,
-    pub(crate) setup_mean: f64,
-    pub(crate) setup_floor: f64,
-    pub(crate) min_message_objective: Duration,
-    pub(crate) poll_schedule: PollSchedule,
-    pub(crate) in_setup: usize,
-    /// The part of set-ups that failed lately, each at another server than the one before, and the last such.
-    pub(crate) failing: (f64, u32),
-    /// How many set-ups may be under way, and when that was last cut.
-    pub(crate) window: f64,
-    pub(crate) window_cut: Timestamp,
-    pub(crate) pause_until: Timestamp,
-    pub(crate) waiting: VecDeque<RequestId>,
-    pub(crate) queue_timer: bool,
-    pub(crate) empty_timer: bool,
-    pub(crate) tenant_open: Vec<usize>,
-    pub(crate) move_tokens: f64,
-    pub(crate) probe_tokens: f64,
-    /// What this gateway may send to all cold servers together, and from how much of it a send is made: drawn
-    /// anew for each, so that the parts of a send that many gateways have add up to the right number.
+    /// Requests that wait for a setup, the oldest first.
+    pub(crate) queue: VecDeque<RequestId>,
+    pub(crate) queue_timer: SingleTimer,
+    pub(crate) setup_window: SetupWindow,
+    pub(crate) shared_failures: SharedFailureDetector,
+    pub(crate) load_estimates: LoadEstimates,
+    pub(crate) tenant_usage: TenantUsage,
+    pub(crate) request_rate: RequestRate,
+    pub(crate) group_frequency: GroupFrequency,
+    pub(crate) machine_kinds: MachineKindOverload,
+    pub(crate) health_check_budget: HealthCheckBudget,
     pub(crate) slow_start_budget: SlowStartBudget,
-    /// Requests taken lately, fading.
-    pub(crate) demand: f64,
+    pub(crate) migration_budget: MigrationBudget,
     pub(crate) key_redistribution: KeyRedistribution,
-    /// Connections taken lately, in all and of each group, fading.
-    pub(crate) seen: f64,
-    pub(crate) seen_groups: HashMap<u32, f64>,
-    /// Seconds seen of servers of each kind that held something, and of those the crowded ones, fading.
-    pub(crate) kinds: BTreeMap<u32, (f64, f64)>,
 }
 
 impl Balancer {
-    /// A balancer that knows no server yet. `seed` serves jitter only.
+    /// A balancer that knows no server yet. The same seed and events give the same actions.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let window = initial_setup_window(&settings);
-        let mut chance = Pcg32::new(seed, CHANCES);
+        let mut fleet_random = Pcg32::new(seed, FLEET_RANDOM_STREAM);
+        let slow_start_threshold = random_fraction(&mut fleet_random);
         Balancer {
             min_message_objective: settings.min_message_objective(),
-            tenant_open: vec![0; settings.tenants.len()],
-            class_loads: vec![(0.0, 0.0); settings.classes.len()],
+            jitter_random: Pcg32::seed_from_u64(seed),
+            fleet_random,
             poll_schedule: PollSchedule::new(settings.node_count),
-            settings,
             admin_drain: AdminDrain::default(),
+            drain_timer: SingleTimer::new(Timer::DrainMigration),
             fleet: Fleet::default(),
             requests: HashMap::new(),
-            setup_mean: 0.0,
-            setup_floor: 0.05,
-            in_setup: 0,
-            failing: (0.0, 0),
-            pause_until: Timestamp::default(),
-            window,
-            window_cut: Timestamp::default(),
-            waiting: VecDeque::new(),
-            queue_timer: false,
-            empty_timer: false,
-            move_tokens: 0.0,
-            probe_tokens: 0.0,
-            demand: 0.0,
+            queue: VecDeque::new(),
+            queue_timer: SingleTimer::new(Timer::Queue),
+            setup_window: SetupWindow::new(settings.node_count),
+            shared_failures: SharedFailureDetector::default(),
+            load_estimates: LoadEstimates::new(settings.classes.len()),
+            tenant_usage: TenantUsage::new(settings.tenants.len()),
+            request_rate: RequestRate::default(),
+            group_frequency: GroupFrequency::default(),
+            machine_kinds: MachineKindOverload::default(),
+            health_check_budget: HealthCheckBudget::default(),
+            slow_start_budget: SlowStartBudget::new(slow_start_threshold),
+            migration_budget: MigrationBudget::default(),
             key_redistribution: KeyRedistribution::default(),
-            slow_start_budget: SlowStartBudget::new(random_fraction(&mut chance)),
-            chance,
-            random: Pcg32::seed_from_u64(seed),
-            seen: 0.0,
-            seen_groups: HashMap::new(),
-            kinds: BTreeMap::new(),
+            settings,
         }
     }
 
-    /// Which servers are out by hand, and which are known.
+    /// Which servers an administrator drains, and which are known.
     pub fn admin_drain(&self) -> &AdminDrain {
         &self.admin_drain
     }
 
-    /// What it has learnt of its servers, for a process that takes its place.
+    /// What it has learned of its servers, for a process that takes its place.
     pub fn learned_state(&self, now: Timestamp) -> Vec<LearnedServer> {
         self.fleet.learned_state(now)
     }
 
-    /// Takes in one event and appends what is to be done. `now` must not run backwards.
-    pub fn handle(&mut self, now: Timestamp, event: Event, actions: &mut Vec<Action>) {
-        match event {
-            Event::Start => {
-                if self.settings.requires_endpoint_watch {
-                    let after = self
-                        .poll_schedule
-                        .initial_delay(random_fraction(&mut self.chance));
-                    let waits = Action::SetTimer {
-                        after,
-                        handle: LIST_HANDLE,
-                    };
-                    actions.push(if after.is_zero() {
-                        Action::WatchEndpoints
-                    } else {
-                        waits
-                    });
-                }
-                let after = TICK.mul_f64(0.5 + self.jitter());
-                actions.push(Action::SetTimer {
-                    after,
-                    handle: TICK_HANDLE,
-                });
-            }
-            Event::EndpointList { entries, cached } => {
-                self.apply_endpoint_list(now, entries, true, cached, actions);
-            }
-            Event::EndpointChange(entries) => {
-                self.apply_endpoint_list(now, entries, false, false, actions)
-            }
-            Event::SettingsChanged { settings, from } => self.apply_settings(settings, &from),
-            Event::LeaseChanged(slice) => self.slow_start_budget.set_lease(slice),
-            Event::LearnedState(learnt) => {
-                self.fleet.apply_learned_state(&self.settings, now, learnt)
-            }
-            Event::AdminDrain(out) => {
-                let changed = self.admin_drain.set_drained_servers(now, out);
-                self.apply_endpoints(now, changed, false, actions);
-                self.migrate_drained(now, actions);
-            }
-            Event::EndpointWatchSilent if self.settings.requires_endpoint_watch => {
-                let after = self
-                    .poll_schedule
-                    .silent_watch_delay(random_fraction(&mut self.chance));
-                actions.push(Action::SetTimer {
-                    after,
-                    handle: LIST_HANDLE,
-                });
-            }
-            Event::EndpointWatchFailed if self.settings.requires_endpoint_watch => {
-                let after = self
-                    .poll_schedule
-                    .retry_delay(random_fraction(&mut self.chance));
-                actions.push(Action::SetTimer {
-                    after,
-                    handle: LIST_HANDLE,
-                });
-            }
-            Event::RequestReceived(incoming) => {
-                let id = incoming.request;
-                let request = self.new_request_state(incoming);
-                self.requests.insert(id, request);
-                self.enqueue(now, id, actions);
-            }
-            Event::ConnectionInherited(incoming, server) => {
-                let id = incoming.request;
-                let mut request = self.new_request_state(incoming);
-                request.attempt_count = 1;
-                // It has stood for long: it may be moved at once, and brings its part of the moves allowed.
-                let server = self.fleet.servers.slot(&server);
-                request.in_flight = Some(Attempt {
-                    server,
-                    skips_setup: true,
-                    sent_at: now,
-                    is_established: true,
-                });
-                self.move_tokens += MOVES_SAVED;
-                self.requests.insert(id, request);
-                self.account_for(id, true);
-            }
-            Event::ConnectionEstablished { request, took } => {
-                self.on_established(now, request, took, actions);
-            }
-            Event::AttemptEnded {
-                request,
-                attempt,
-                outcome,
-                done,
-                report,
-            } => {
-                let current = self
-                    .requests
-                    .get(&request)
-                    .filter(|taken| taken.attempt_count == attempt + 1);
-                let Some(out) = current.and_then(|taken| taken.in_flight.as_ref()) else {
-                    return;
-                };
-                if let Some(values) = report {
-                    self.on_load_report(now, out.server, &values, actions);
-                }
-                self.on_attempt_ended(now, request, outcome, done, actions);
-            }
-            Event::ClientGone(id) => self.finish_request(id),
-            Event::ShutdownDeadline { request, sent } => {
-                self.note_possible_execution(request, sent);
-                self.reject_or_fail(request, actions);
-            }
-            Event::LoadObserved { request, load } => {
-                self.on_load_observed(request, load.as_secs_f64())
-            }
-            Event::DelayObserved { request, delay } => {
-                self.on_delay_observed(now, request, delay, actions);
-            }
-            Event::ServerUnresponsive(server) => {
-                let at = self.fleet.servers.slot(&server);
-                self.record_failure(now, at, STRIKES, false, actions);
-                self.migrate_all(at, f64::INFINITY, actions);
-                // Whether it died or was cut off, it may come back cold.
-                self.fleet
-                    .update(at, |server| server.restart_suspected = true);
-            }
-            Event::ConnectionUnresponsive(request) => {
-                // Whatever may be moved at other times: nobody is served on it.
-                self.move_tokens = self.move_tokens.max(1.0);
-                self.migrate(request, actions);
-            }
-            Event::HealthCheckCompleted {
-                server,
-                passed,
-                report,
-            } => {
-                let server = self.fleet.servers.slot(&server);
-                self.on_health_check(
-                    now,
-                    server,
-                    passed.then(|| report.unwrap_or_default()),
-                    actions,
-                );
-            }
-            Event::Gossip(message) => self.on_gossip(now, &message),
-            Event::TimerFired(TICK_HANDLE) => self.run_upkeep(now, actions),
-            Event::TimerFired(QUEUE_HANDLE) => {
-                self.queue_timer = false;
-                self.dispatch_queued(now, actions);
-            }
-            Event::TimerFired(EMPTY_HANDLE) => {
-                self.empty_timer = false;
-                self.migrate_drained(now, actions);
-            }
-            Event::TimerFired(LIST_HANDLE) => actions.push(Action::WatchEndpoints),
-            Event::EndpointWatchFailed | Event::EndpointWatchSilent | Event::TimerFired(_) => {}
-        }
-    }
-
+    /// Draws a number from 0 up to 1.
     pub(crate) fn jitter(&mut self) -> f64 {
-        random_fraction(&mut self.random)
+        random_fraction(&mut self.jitter_random)
     }
 
-    /// Other settings: what was learnt of a class goes where it is now, and what is there keeps its rules.
-    pub(crate) fn apply_settings(&mut self, settings: Settings, from: &[Option<usize>]) {
-        let learnt = |old: &Option<usize>| old.and_then(|old| self.class_loads.get(old)).copied();
-        self.class_loads = from
-            .iter()
-            .map(|old| learnt(old).unwrap_or_default())
-            .collect();
+    /// Changes the settings. What was learned of a class follows it to its new position, and requests that are there
+    /// keep the rules under which they came.
+    pub(crate) fn apply_settings(
+        &mut self,
+        settings: Settings,
+        previous_positions: &[Option<usize>],
+    ) {
+        self.load_estimates.rearrange(previous_positions);
         for request in self.requests.values_mut() {
-            let now_at = from.iter().position(|old| *old == Some(request.class));
-            request.class = now_at.unwrap_or(usize::MAX);
+            let position = previous_positions
+                .iter()
+                .position(|previous| *previous == Some(request.class));
+            request.class = position.unwrap_or(usize::MAX);
         }
         self.poll_schedule.set_node_count(settings.node_count);
+        self.setup_window.set_node_count(settings.node_count);
+        self.tenant_usage.set_tenant_count(settings.tenants.len());
         self.min_message_objective = settings.min_message_objective();
-        self.tenant_open.resize(settings.tenants.len(), 0);
         self.settings = settings;
     }
 }
--- a/crates/placement/src/cost_tests.rs
+++ b/crates/placement/src/cost_tests.rs
@@ -45,19 +45,24 @@
     }
 }
 
-/// A gateway that gets a connection a second for twenty seconds, late messages and resets among them.
-fn rows_read(servers: u64) -> u64 {
-    let mut balancer = Balancer::new(settings(), 1);
-    let mut actions = Vec::new();
-    let listed = |n: u64| Endpoint {
-        server: format!("10.0.{}.{}:80", n / 250, n % 250).as_str().into(),
+fn listed(number: u64) -> Endpoint {
+    Endpoint {
+        server: format!("10.0.{}.{}:80", number / 250, number % 250)
+            .as_str()
+            .into(),
         health: Health::Ready,
         weight: 1.0,
         zone: 0,
         cell: 0,
         machine_kind: 0,
         started_at: None,
-    };
+    }
+}
+
+/// A node that gets a connection a second for twenty seconds, late messages and resets among them.
+fn rows_read(servers: u64) -> u64 {
+    let mut balancer = Balancer::new(settings(), 1);
+    let mut actions = Vec::new();
     let entries = (0..servers).map(listed).collect();
     balancer.handle(
         Timestamp(0),
@@ -69,7 +74,8 @@
     );
     ROWS_READ.set(0);
     for id in 1..=20 {
-        let (now, request) = (Timestamp(id * SECOND), RequestId(id));
+        let now = Timestamp(id * SECOND);
+        let request = RequestId(id);
         balancer.handle(now, Event::RequestReceived(incoming(id)), &mut actions);
         assert!(
             matches!(actions.last(), Some(Action::StartAttempt { .. })),
@@ -112,10 +118,9 @@
     ROWS_READ.get()
 }
 
-/// Issue 13: at a request a second a gateway's upkeep cost as much as its requests, since both walked all
-/// servers.
+/// At a request a second a node's upkeep cost as much as its requests, since both walked all servers.
 #[test]
-fn what_a_gateway_reads_follows_what_it_holds_not_the_size_of_the_fleet() {
+fn the_rows_that_a_node_reads_follow_its_connections_not_the_size_of_the_fleet() {
     let (small, large) = (rows_read(30), rows_read(900));
     assert!(small > 100, "{small} rows counted");
     assert!(
--- /dev/null
+++ b/crates/placement/src/endpoints.rs
@@ -0,0 +1,135 @@
+//! The endpoint list: when it is asked for, and how its changes are applied.
+
+use crate::balancer::{Actions, Balancer};
+use crate::hashing::{random_fraction, server_hash};
+use crate::state::server::Server;
+use crate::state::server_table::{ServerSlot, UNKNOWN};
+use crate::timer::Timer;
+use crate::{Action, Endpoint, Health, ServerId, Timestamp};
+use std::collections::BTreeSet;
+
+/// What an endpoint list, or a part of one, did.
+#[derive(Default)]
+struct AppliedEndpoints {
+    listed: BTreeSet<ServerSlot>,
+    /// Weight of the servers that are gone without having drained.
+    lost_weight: f64,
+}
+
+impl Balancer {
+    /// Asks for the endpoint list, where it must be asked for.
+    pub(crate) fn start_endpoint_watch(&mut self, actions: &mut Actions) {
+        if !self.settings.requires_endpoint_watch {
+            return;
+        }
+        let random = random_fraction(&mut self.fleet_random);
+        let delay = self.poll_schedule.initial_delay(random);
+        if delay.is_zero() {
+            actions.push(Action::WatchEndpoints);
+        } else {
+            actions.push(Timer::EndpointWatch.set_after(delay));
+        }
+    }
+
+    pub(crate) fn on_endpoint_watch_silent(&mut self, actions: &mut Actions) {
+        if self.settings.requires_endpoint_watch {
+            let random = random_fraction(&mut self.fleet_random);
+            let delay = self.poll_schedule.silent_watch_delay(random);
+            actions.push(Timer::EndpointWatch.set_after(delay));
+        }
+    }
+
+    pub(crate) fn on_endpoint_watch_failed(&mut self, actions: &mut Actions) {
+        if self.settings.requires_endpoint_watch {
+            let random = random_fraction(&mut self.fleet_random);
+            let delay = self.poll_schedule.retry_delay(random);
+            actions.push(Timer::EndpointWatch.set_after(delay));
+        }
+    }
+
+    /// Applies a complete list: servers that are not on it are gone.
+    pub(crate) fn on_endpoint_list(
+        &mut self,
+        now: Timestamp,
+        entries: Vec<Endpoint>,
+        is_cached: bool,
+        actions: &mut Actions,
+    ) {
+        self.poll_schedule.record_answer(is_cached);
+        let entries = self.admin_drain.apply_endpoints(entries, true);
+        let mut applied = self.apply_entries(now, entries);
+        for slot in self.fleet.servers.slots() {
+            if !applied.listed.contains(&slot) {
+                self.fleet.update(slot, |server| {
+                    applied.lost_weight += server.set_health(now, Health::Gone);
+                });
+            }
+        }
+        self.finish_endpoint_update(now, applied.lost_weight, actions);
+    }
+
+    pub(crate) fn on_endpoint_changes(
+        &mut self,
+        now: Timestamp,
+        entries: Vec<Endpoint>,
+        actions: &mut Actions,
+    ) {
+        self.poll_schedule.record_answer(false);
+        let entries = self.admin_drain.apply_endpoints(entries, false);
+        self.apply_endpoint_changes(now, entries, actions);
+    }
+
+    /// Applies changed entries, as they are to be seen with servers drained by an administrator.
+    pub(crate) fn apply_endpoint_changes(
+        &mut self,
+        now: Timestamp,
+        entries: Vec<Endpoint>,
+        actions: &mut Actions,
+    ) {
+        let applied = self.apply_entries(now, entries);
+        self.finish_endpoint_update(now, applied.lost_weight, actions);
+    }
+
+    fn apply_entries(&mut self, now: Timestamp, entries: Vec<Endpoint>) -> AppliedEndpoints {
+        let mut applied = AppliedEndpoints::default();
+        for entry in entries {
+            let slot = self.slot_or_insert(now, &entry.server);
+            applied.lost_weight += self.apply_entry(now, slot, &entry);
+            applied.listed.insert(slot);
+        }
+        applied
+    }
+
+    fn slot_or_insert(&mut self, now: Timestamp, id: &ServerId) -> ServerSlot {
+        let slot = self.fleet.servers.slot(id);
+        if slot != UNKNOWN {
+            return slot;
+        }
+        let server = Server::new(server_hash(id), now);
+        self.fleet.servers.insert(id.clone(), server)
+    }
+
+    /// Gives the server's weight if it is lost. One that begins slow start brings its part of the budget for it.
+    fn apply_entry(&mut self, now: Timestamp, slot: ServerSlot, entry: &Endpoint) -> f64 {
+        let settings = &self.settings;
+        let mut lost_weight = 0.0;
+        let mut begins_slow_start = false;
+        self.fleet.update(slot, |server| {
+            let effect = server.apply_endpoint(settings, now, entry);
+            lost_weight = effect.lost_weight;
+            begins_slow_start = effect.begins_slow_start;
+        });
+        if begins_slow_start {
+            let saved = self
+                .slow_start_budget
+                .saved_per_node(now, settings.node_count);
+            self.slow_start_budget.add(saved);
+        }
+        lost_weight
+    }
+
+    fn finish_endpoint_update(&mut self, now: Timestamp, lost_weight: f64, actions: &mut Actions) {
+        self.redistribute_keys(now, lost_weight, actions);
+        self.refresh_slow_start(now);
+    }
+}
--- /dev/null
+++ b/crates/placement/src/events.rs
@@ -0,0 +1,112 @@
+//! The dispatch of events to the modules that decide on them.
+
+use crate::balancer::{Actions, Balancer};
+use crate::policy::retry::AttemptEnd;
+use crate::timer::Timer;
+use crate::{Action, Event, Timestamp};
+
+impl Balancer {
+    /// Takes in one event and appends what is to be done. `now` must not run backwards.
+    pub fn handle(&mut self, now: Timestamp, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Start => self.on_start(actions),
+            Event::EndpointList { .. }
+            | Event::EndpointChange(_)
+            | Event::EndpointWatchSilent
+            | Event::EndpointWatchFailed => self.handle_endpoint_event(now, event, actions),
+            Event::SettingsChanged { settings, from } => self.apply_settings(settings, &from),
+            Event::LeaseChanged(lease) => self.slow_start_budget.set_lease(lease),
+            Event::LearnedState(servers) => {
+                self.fleet
+                    .apply_learned_state(&self.settings, now, &servers);
+            }
+            Event::AdminDrain(servers) => self.on_admin_drain(now, servers, actions),
+            Event::HealthCheckCompleted {
+                server,
+                passed,
+                report,
+            } => {
+                let report = passed.then(|| report.unwrap_or_default());
+                self.on_health_check(now, &server, report, actions);
+            }
+            Event::ServerUnresponsive(server) => {
+                self.on_server_unresponsive(now, &server, actions);
+            }
+            Event::Gossip(message) => self.on_gossip(now, &message),
+            Event::TimerFired(handle) => self.on_timer(now, handle, actions),
+            event => self.handle_request_event(now, event, actions),
+        }
+    }
+
+    fn handle_endpoint_event(&mut self, now: Timestamp, event: Event, actions: &mut Actions) {
+        match event {
+            Event::EndpointList { entries, cached } => {
+                self.on_endpoint_list(now, entries, cached, actions);
+            }
+            Event::EndpointChange(entries) => self.on_endpoint_changes(now, entries, actions),
+            Event::EndpointWatchSilent => self.on_endpoint_watch_silent(actions),
+            Event::EndpointWatchFailed => self.on_endpoint_watch_failed(actions),
+            _ => {}
+        }
+    }
+
+    fn handle_request_event(&mut self, now: Timestamp, event: Event, actions: &mut Actions) {
+        match event {
+            Event::RequestReceived(info) => self.on_request_received(now, &info, actions),
+            Event::ConnectionInherited(info, server) => {
+                self.on_connection_inherited(now, &info, &server);
+            }
+            Event::ConnectionEstablished { request, took } => {
+                self.on_established(now, request, took, actions);
+            }
+            Event::AttemptEnded {
+                request,
+                attempt,
+                outcome,
+                done,
+                report,
+            } => {
+                let Some(slot) = self.server_of_attempt(request, attempt) else {
+                    return;
+                };
+                if let Some(values) = report {
+                    self.on_load_report(now, slot, &values, actions);
+                }
+                let end = AttemptEnd {
+                    outcome,
+                    completes_request: done,
+                };
+                self.on_attempt_ended(now, request, end, actions);
+            }
+            Event::ClientGone(request) => self.finish_request(request),
+            Event::ShutdownDeadline { request, sent } => {
+                self.on_shutdown_deadline(request, sent, actions);
+            }
+            Event::LoadObserved { request, load } => {
+                self.on_load_observed(request, load.as_secs_f64());
+            }
+            Event::DelayObserved { request, delay } => {
+                self.on_delay_observed(now, request, delay, actions);
+            }
+            Event::ConnectionUnresponsive(request) => {
+                self.on_connection_unresponsive(request, actions);
+            }
+            _ => {}
+        }
+    }
+
+    fn on_start(&mut self, actions: &mut Actions) {
+        self.start_endpoint_watch(actions);
+        self.schedule_first_upkeep(actions);
+    }
+
+    fn on_timer(&mut self, now: Timestamp, handle: u64, actions: &mut Actions) {
+        match Timer::from_handle(handle) {
+            Some(Timer::Upkeep) => self.run_upkeep(now, actions),
+            Some(Timer::EndpointWatch) => actions.push(Action::WatchEndpoints),
+            Some(Timer::Queue) => self.on_queue_timer(now, actions),
+            Some(Timer::DrainMigration) => self.on_drain_migration_timer(now, actions),
+            None => {}
+        }
+    }
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! The crate does no I/O, reads no clock and holds no globals. A proxy feeds a [`Balancer`] with what it sees
 //! ([`Event`]) and carries out what comes back ([`Action`]). The same settings, seed and events always give the same
-//! actions. `api` has the types; `policy` decides on requests, beside `limits` and `recovery`.
+//! actions. `api` has the types. `events` dispatches events
+//! to the modules that decide: `policy` on requests, `limits` and `recovery` on servers, all of them on what `state` keeps.
 #![doc = include_str!("../../../README.md")]
 #![forbid(unsafe_code)]
 
@@ -11,13 +12,15 @@
 mod balancer;
 #[cfg(test)]
 mod cost_tests;
-mod endpoint_updates;
+mod endpoints;
+mod events;
 mod hashing;
 mod limits;
 mod policy;
 pub mod poll_schedule;
 mod recovery;
 mod state;
+mod timer;
 
 pub use api::{
     Action, Class, Endpoint, Event, Health, IdempotencyScope, Outcome, RequestId, RequestInfo,
@@ -25,4 +28,5 @@
 };
 pub use balancer::Balancer;
 pub use hashing::{key_hash, rank_score, server_hash};
+pub use limits::slow_start_budget::SlowStartUsage;
 pub use state::learned_state;
--- /dev/null
+++ b/crates/placement/src/limits/mod.rs
@@ -0,0 +1,12 @@
+//! Limits on what servers are sent: concurrency limits, the setup window, slow start, and health checks.
+
+pub(crate) mod concurrency_limit;
+pub(crate) mod health_check_budget;
+pub(crate) mod health_checks;
+pub(crate) mod load_reports;
+pub(crate) mod machine_kinds;
+pub(crate) mod message_delays;
+pub(crate) mod overload;
+pub(crate) mod setup_window;
+pub(crate) mod slow_start;
+pub(crate) mod slow_start_budget;
--- a/crates/placement/src/limits/setup_window.rs
+++ b/crates/placement/src/limits/setup_window.rs
@@ -1,32 +1,148 @@
-//! How many set-ups may be under way at once.
+//! How many connection setups may be in progress at once.
+//!
+//! Guards against a bottleneck behind all servers, which more attempts only overload more. Quick setups widen the window,
+//! slow ones and failures at several servers shrink it. A window of less than one setup is one at a time with a pause
+//! after it.
 
-use crate::balancer::Balancer;
-use crate::policy::queue::QUEUE_TICK;
-use crate::{Settings, Timestamp};
+use crate::hashing::random_fraction;
+use crate::timer::QUEUE_INTERVAL;
+use crate::Timestamp;
+use rand_pcg::Pcg32;
 use std::time::Duration;
 
-/// Set-ups under way at once, over all gateways: at the start and at the least. Quick successes widen it,
-/// slow ones and failures at several servers shrink it; slow is this multiple of the quickest that was usual.
-const FIRST_WINDOW: f64 = 24.0;
-const LEAST_WINDOW: f64 = 6.0;
+/// Setups in progress at the start, over all nodes.
+const INITIAL_FLEET_WINDOW: f64 = 24.0;
+/// Setups in progress at the least, over all nodes ...
+const MIN_FLEET_WINDOW: f64 = 6.0;
+/// ... and at each node.
+const MIN_NODE_WINDOW: f64 = 0.05;
+const SHRINK_FACTOR: f64 = 0.7;
+/// The window does not shrink again within this time.
+const SHRINK_INTERVAL: Duration = QUEUE_INTERVAL.saturating_mul(2);
+const GROWTH_PER_SETUP: f64 = 0.5;
+/// The window grows only while more than this part of it is used, or it is less than one setup.
+const MIN_USED_RATIO: f64 = 0.5;
+/// A setup is slow if it takes this multiple of the usual quick one.
+const SLOW_SETUP_RATIO: f64 = 3.0;
+/// Weight of one setup in the mean.
+const MEAN_WEIGHT: f64 = 0.05;
+/// Weight of one setup that timed out in the mean.
+const TIMEOUT_WEIGHT: f64 = 0.2;
+/// The usual quick setup falls quickly to a quicker one and rises slowly.
+const QUICK_SETUP_FALL_WEIGHT: f64 = 0.3;
+const QUICK_SETUP_RISE_WEIGHT: f64 = 0.01;
+const INITIAL_QUICK_SETUP_SECONDS: f64 = 0.05;
 
-/// How many set-ups of one gateway may be under way where nothing tells of fewer.
-pub(crate) fn initial_setup_window(settings: &Settings) -> f64 {
-    (FIRST_WINDOW / f64::from(settings.node_count.max(1))).max(1.0)
+pub(crate) struct SetupWindow {
+    node_count: u32,
+    /// Setups that may be in progress.
+    size: f64,
+    in_progress: usize,
+    shrunk_at: Timestamp,
+    paused_until: Timestamp,
+    mean_setup_seconds: f64,
+    quick_setup_seconds: f64,
 }
 
-impl Balancer {
-    /// Set-ups go wrong wherever they are sent: let fewer run at once.
-    pub(crate) fn shrink_setup_window(&mut self, now: Timestamp) {
-        if now.saturating_duration_since(self.window_cut) > QUEUE_TICK * 2 {
-            let least = (LEAST_WINDOW / f64::from(self.settings.node_count.max(1))).max(0.05);
-            self.window = (self.window.min(self.in_setup as f64 + 1.0) * 0.7).max(least);
-            self.window_cut = now;
-            // A window of half a set-up is one at a time with a pause as long after it.
-            let pause =
-                self.setup_mean.max(QUEUE_TICK.as_secs_f64()) * (1.0 / self.window - 1.0).max(0.0);
-            self.pause_until =
-                now.saturating_add(Duration::from_secs_f64(pause * (0.5 + self.jitter())));
+impl SetupWindow {
+    pub(crate) fn new(node_count: u32) -> SetupWindow {
+        SetupWindow {
+            node_count,
+            size: initial_size(node_count),
+            in_progress: 0,
+            shrunk_at: Timestamp::default(),
+            paused_until: Timestamp::default(),
+            mean_setup_seconds: 0.0,
+            quick_setup_seconds: INITIAL_QUICK_SETUP_SECONDS,
         }
     }
+
+    /// Changes the number of nodes. The present size stays.
+    pub(crate) fn set_node_count(&mut self, node_count: u32) {
+        self.node_count = node_count;
+    }
+
+    /// Whether another setup may begin.
+    pub(crate) fn is_open(&self, now: Timestamp) -> bool {
+        let is_paused = self.size < 1.0 && now < self.paused_until;
+        !is_paused && (self.in_progress as f64) < self.size
+    }
+
+    pub(crate) fn begin_setup(&mut self) {
+        self.in_progress += 1;
+    }
+
+    pub(crate) fn end_setup(&mut self) {
+        self.in_progress = self.in_progress.saturating_sub(1);
+    }
+
+    pub(crate) fn mean_setup_seconds(&self) -> f64 {
+        self.mean_setup_seconds
+    }
+
+    /// A request with less time left than this is too late for a setup.
+    pub(crate) fn min_setup_duration(&self) -> Duration {
+        let quick_setup = Duration::from_secs_f64(self.quick_setup_seconds);
+        QUEUE_INTERVAL.max(quick_setup) * 2
+    }
+
+    pub(crate) fn record_success(
+        &mut self,
+        now: Timestamp,
+        setup_duration: Duration,
+        random: &mut Pcg32,
+    ) {
+        self.end_setup();
+        let seconds = setup_duration.as_secs_f64();
+        self.mean_setup_seconds += MEAN_WEIGHT * (seconds - self.mean_setup_seconds);
+        let weight = if seconds < self.quick_setup_seconds {
+            QUICK_SETUP_FALL_WEIGHT
+        } else {
+            QUICK_SETUP_RISE_WEIGHT
+        };
+        self.quick_setup_seconds += (seconds - self.quick_setup_seconds) * weight;
+        if seconds > SLOW_SETUP_RATIO * self.quick_setup_seconds {
+            self.shrink(now, random);
+        } else if self.size < 1.0 || (self.in_progress as f64) > self.size * MIN_USED_RATIO {
+            self.size += GROWTH_PER_SETUP;
+        }
+    }
+
+    /// A setup failed for a cause behind all servers. The mean grows, for attempts given up just before they would have
+    /// been established overload that cause more.
+    pub(crate) fn record_shared_failure(
+        &mut self,
+        now: Timestamp,
+        setup_duration: Duration,
+        random: &mut Pcg32,
+    ) {
+        let excess = setup_duration.as_secs_f64() - self.mean_setup_seconds;
+        self.mean_setup_seconds += TIMEOUT_WEIGHT * excess.max(0.0);
+        self.shrink(now, random);
+    }
+
+    /// The failures had a cause that says nothing of setups elsewhere.
+    pub(crate) fn reopen(&mut self, now: Timestamp) {
+        self.paused_until = now;
+        self.size = self.size.max(initial_size(self.node_count));
+    }
+
+    fn shrink(&mut self, now: Timestamp, random: &mut Pcg32) {
+        if now.saturating_duration_since(self.shrunk_at) <= SHRINK_INTERVAL {
+            return;
+        }
+        let min_size = (MIN_FLEET_WINDOW / f64::from(self.node_count.max(1))).max(MIN_NODE_WINDOW);
+        let used_size = self.size.min(self.in_progress as f64 + 1.0);
+        self.size = (used_size * SHRINK_FACTOR).max(min_size);
+        self.shrunk_at = now;
+        let mean_seconds = self.mean_setup_seconds.max(QUEUE_INTERVAL.as_secs_f64());
+        let mean_pause = mean_seconds * (1.0 / self.size - 1.0).max(0.0);
+        let pause = mean_pause * (0.5 + random_fraction(random));
+        self.paused_until = now.saturating_add(Duration::from_secs_f64(pause));
+    }
+}
+
+/// Setups that one node may have in progress where nothing tells of fewer.
+fn initial_size(node_count: u32) -> f64 {
+    (INITIAL_FLEET_WINDOW / f64::from(node_count.max(1))).max(1.0)
 }
--- a/crates/placement/src/limits/slow_start_budget.rs
+++ b/crates/placement/src/limits/slow_start_budget.rs
@@ -1,112 +1,139 @@
-//! The budget of sends to cold servers that this gateway has: its guess of what they bear, and, where the gateways divide
-//! a budget among themselves, the slice that it holds of that.
+//! The budget of attempts on servers in slow start that one node has: its estimate of what they bear and, where the nodes
+//! divide a budget among themselves, the lease that it holds on that.
 
 use crate::{SlowStartLease, Timestamp};
 use std::collections::VecDeque;
 
-/// Sends that all gateways together may have saved up for a cold server.
-pub const COLD_SAVED: f64 = 3.0;
-/// The most sends that are kept in mind of one window: a slice beyond it is cut down to it.
-const MOST_SENT: u32 = 1 << 16;
+/// Attempts that all nodes together may have saved up for a server in slow start.
+pub(crate) const SAVED_ATTEMPTS: f64 = 3.0;
+/// The most attempts that are remembered of one window: a lease on more is cut down to this.
+const MAX_REMEMBERED_ATTEMPTS: u32 = 1 << 16;
 
-/// See the module.
+/// What a node has used of the budget that the fleet divides.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SlowStartUsage {
+    /// The most attempts in any window.
+    pub max_attempts_in_window: u32,
+    /// Whether a request came when the lease alone stood against one more attempt.
+    pub was_exhausted: bool,
+}
+
+#[derive(Default)]
+pub(crate) struct SlowStartBudget {
+    attempts: f64,
+    /// Above this the budget allows an attempt. It is drawn anew after each, so that the fractions of an attempt that
+    /// many nodes have add up to the right number.
+    threshold: f64,
+    lease: Option<SlowStartLease>,
+    /// The attempts of the last window, where there is a lease.
+    recent_attempts: VecDeque<Timestamp>,
+    /// The lease is used up, and that alone stands against an attempt.
+    is_exhausted: bool,
+    usage: MaxUsage,
+}
+
+/// Usage since it was last asked for.
 #[derive(Default)]
-pub struct SlowStartBudget {
-    budget: f64,
-    /// Above this it lets a send go: drawn anew after each, so that parts of a send add up over all gateways.
-    pub mark: f64,
-    slice: Option<SlowStartLease>,
-    /// The sends of the last window, where there is a slice.
-    sent: VecDeque<Timestamp>,
-    /// The slice is used up, and that alone stands against a send.
-    full: bool,
-    /// The most sends in a window, and whether one was turned away, since it was last asked.
-    most: usize,
-    turned_away: bool,
+struct MaxUsage {
+    max_attempts_in_window: usize,
+    was_exhausted: bool,
 }
 
 impl SlowStartBudget {
-    /// Nothing to send yet.
-    pub fn new(mark: f64) -> SlowStartBudget {
+    /// An empty budget.
+    pub(crate) fn new(threshold: f64) -> SlowStartBudget {
         SlowStartBudget {
-            mark,
+            threshold,
             ..SlowStartBudget::default()
         }
     }
 
-    /// How likely an unused send to a cold server is kept: what all gateways have saved up is the same however many
-    /// there are. Guards against hundreds of them that spend one saved send each at the same moment.
-    pub fn saved_per_node(&self, now: Timestamp, instances: u32) -> f64 {
-        let slice = self
-            .slice
-            .as_ref()
-            .filter(|slice| slice.expires_at.is_some_and(|until| now < until));
-        slice.map_or(COLD_SAVED / f64::from(instances.max(1)), |slice| {
-            COLD_SAVED * slice.fleet_share
-        })
+    /// How many unused attempts on one server this node may keep: the sum over all nodes is the same however many there
+    /// are. Guards against hundreds of them that spend one saved attempt each at the same moment.
+    pub(crate) fn saved_per_node(&self, now: Timestamp, node_count: u32) -> f64 {
+        match &self.lease {
+            Some(lease) if is_valid(lease, now) => SAVED_ATTEMPTS * lease.fleet_share,
+            _ => SAVED_ATTEMPTS / f64::from(node_count.max(1)),
+        }
     }
 
-    /// From now on this slice holds, or none: then the number of gateways decides alone.
-    pub fn set_lease(&mut self, slice: Option<SlowStartLease>) {
-        if slice.is_none() {
-            self.sent.clear();
+    /// From now on this lease holds, or none: then the number of nodes decides alone.
+    pub(crate) fn set_lease(&mut self, lease: Option<SlowStartLease>) {
+        if lease.is_none() {
+            self.recent_attempts.clear();
         }
-        self.slice = slice;
+        self.lease = lease;
     }
 
-    /// So much more may be sent.
-    pub fn add(&mut self, more: f64) {
-        self.budget += more;
+    pub(crate) fn add(&mut self, attempts: f64) {
+        self.attempts += attempts;
     }
 
-    /// Upkeep: so much more, but never over `most` in all.
-    pub fn refill(&mut self, more: f64, most: f64) {
-        self.budget = (self.budget + more).min(most);
+    /// Adds attempts, but never up to more than `max_attempts` in all.
+    pub(crate) fn refill(&mut self, attempts: f64, max_attempts: f64) {
+        self.attempts = (self.attempts + attempts).min(max_attempts);
     }
 
-    /// One was sent.
-    pub fn record_send(&mut self, now: Timestamp) {
-        self.budget -= 1.0;
-        if self.slice.is_some() {
-            self.sent.push_back(now);
-            self.most = self.most.max(self.sent.len());
+    /// An attempt was started. `next_threshold` is drawn from 0 to 1.
+    pub(crate) fn record_send(&mut self, now: Timestamp, next_threshold: f64) {
+        self.attempts -= 1.0;
+        self.threshold = next_threshold;
+        if self.lease.is_some() {
+            self.recent_attempts.push_back(now);
+            self.usage.max_attempts_in_window = self
+                .usage
+                .max_attempts_in_window
+                .max(self.recent_attempts.len());
         }
     }
 
     /// A request looks for a server.
-    pub fn note_demand(&mut self) {
-        self.turned_away |= self.full;
+    pub(crate) fn record_demand(&mut self) {
+        self.usage.was_exhausted |= self.is_exhausted;
     }
 
-    /// The most sends in any window, and whether one was turned away for lack of a slice, since the last call.
-    pub fn take_usage(&mut self) -> (u32, bool) {
-        let most = std::mem::replace(&mut self.most, self.sent.len()).max(self.sent.len());
-        (
-            u32::try_from(most).unwrap_or(u32::MAX),
-            std::mem::take(&mut self.turned_away),
-        )
+    /// Usage since the last call.
+    pub(crate) fn take_usage(&mut self) -> SlowStartUsage {
+        let present_attempts = self.recent_attempts.len();
+        let next_usage = MaxUsage {
+            max_attempts_in_window: present_attempts,
+            was_exhausted: false,
+        };
+        let usage = std::mem::replace(&mut self.usage, next_usage);
+        let max_attempts = usage.max_attempts_in_window.max(present_attempts);
+        SlowStartUsage {
+            max_attempts_in_window: u32::try_from(max_attempts).unwrap_or(u32::MAX),
+            was_exhausted: usage.was_exhausted,
+        }
     }
 
-    /// Whether a cold server may be sent something now. A slice that has run out is no slice: its clock is looked at here,
-    /// before anything goes out, so that a process that was frozen finds out in time.
-    pub fn is_open(&mut self, now: Timestamp) -> bool {
-        let own = self.budget > self.mark;
-        let Some(slice) = &self.slice else { return own };
-        while self
-            .sent
-            .front()
-            .is_some_and(|sent| now.saturating_duration_since(*sent) >= slice.window)
-        {
-            self.sent.pop_front();
+    /// Whether a server in slow start may be sent something now. An expired lease is none: its expiry is checked here,
+    /// before anything is sent, so that a process that was frozen finds out in time.
+    pub(crate) fn is_open(&mut self, now: Timestamp) -> bool {
+        let has_budget = self.attempts > self.threshold;
+        let Some(lease) = &self.lease else {
+            return has_budget;
+        };
+        let is_past = |sent_at: &Timestamp| now.saturating_duration_since(*sent_at) >= lease.window;
+        while self.recent_attempts.front().is_some_and(is_past) {
+            self.recent_attempts.pop_front();
         }
-        let holds = slice.expires_at.is_some_and(|until| now < until);
-        let sends = if holds { slice.limit } else { slice.floor };
-        self.full = own && self.sent.len() >= sends.min(MOST_SENT) as usize;
-        own && !self.full
+        let max_attempts = if is_valid(lease, now) {
+            lease.limit
+        } else {
+            lease.floor
+        };
+        let max_attempts = max_attempts.min(MAX_REMEMBERED_ATTEMPTS) as usize;
+        self.is_exhausted = has_budget && self.recent_attempts.len() >= max_attempts;
+        has_budget && !self.is_exhausted
     }
 
-    /// Whether there is a slice at all, and with it a moment between two upkeeps at which more may go.
-    pub fn has_lease(&self) -> bool {
-        self.slice.is_some()
+    /// Whether there is a lease, and with it a moment between two upkeeps at which more may be sent.
+    pub(crate) fn has_lease(&self) -> bool {
+        self.lease.is_some()
     }
 }
+
+fn is_valid(lease: &SlowStartLease, now: Timestamp) -> bool {
+    lease.expires_at.is_some_and(|expiry| now < expiry)
+}
--- /dev/null
+++ b/crates/placement/src/policy/mod.rs
@@ -0,0 +1,11 @@
+//! Decisions on requests: which server a request goes to, whether it is retried, when it is rejected.
+
+pub(crate) mod admission;
+pub(crate) mod attempt;
+pub(crate) mod candidates;
+pub(crate) mod intake;
+pub(crate) mod queue;
+pub(crate) mod rejection;
+pub(crate) mod retry;
+pub(crate) mod retry_safety;
+pub(crate) mod selection;
--- a/crates/placement/src/policy/rejection.rs
+++ b/crates/placement/src/policy/rejection.rs
@@ -3,38 +3,54 @@
 use crate::balancer::{Actions, Balancer};
 use crate::{Action, RequestId};
 
+/// The advised wait, drawn from a range of parts of the longest one that clients heed.
+struct RetryAfterRange {
+    min_ratio: f64,
+    spread_ratio: f64,
+}
+
+const RETRY_AFTER: RetryAfterRange = RetryAfterRange {
+    min_ratio: 0.25,
+    spread_ratio: 0.5,
+};
+/// A request that spent all its attempts met a fleet that is no better in a moment.
+const RETRY_AFTER_ALL_ATTEMPTS: RetryAfterRange = RetryAfterRange {
+    min_ratio: 0.6,
+    spread_ratio: 0.4,
+};
+
 impl Balancer {
-    /// Refuses where that is harmless, else fails.
+    /// Rejects the request where that is harmless, else fails it.
     pub(crate) fn reject_or_fail(&mut self, id: RequestId, actions: &mut Actions) {
         let Some(request) = self.requests.get(&id) else {
             return;
         };
-        let harmless = request.may_be_rejected();
-        let spent = request.attempt_count >= request.max_attempts;
-        self.finish_request(id);
-        if harmless {
-            // One that spent all its attempts met a fleet that is no better in a moment.
-            let (least, more) = if spent { (0.6, 0.4) } else { (0.25, 0.5) };
-            let retry_after = self
-                .settings
-                .max_retry_after
-                .mul_f64(least + more * self.jitter());
-            actions.push(Action::Reject {
-                request: id,
-                retry_after,
-            });
+        let may_be_rejected = request.may_be_rejected();
+        let range = if request.has_attempts_left() {
+            RETRY_AFTER
         } else {
+            RETRY_AFTER_ALL_ATTEMPTS
+        };
+        self.finish_request(id);
+        if !may_be_rejected {
             actions.push(Action::Fail(id));
+            return;
         }
+        let ratio = range.min_ratio + range.spread_ratio * self.jitter();
+        actions.push(Action::Reject {
+            request: id,
+            retry_after: self.settings.max_retry_after.mul_f64(ratio),
+        });
     }
 
-    /// Nothing more is sent for the request; what is out is still counted until it ends.
+    /// Nothing more is sent for the request. An attempt in flight is still accounted for until it ends.
     pub(crate) fn finish_request(&mut self, id: RequestId) {
-        if let Some(request) = self.requests.get_mut(&id) {
-            request.is_finished = true;
-            if request.in_flight.is_none() {
-                self.requests.remove(&id);
-            }
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.is_finished = true;
+        if request.in_flight.is_none() {
+            self.requests.remove(&id);
         }
     }
 }
--- a/crates/placement/src/policy/retry.rs
+++ b/crates/placement/src/policy/retry.rs
@@ -1,94 +1,129 @@
-//! The end of an attempt: whether another one follows.
+//! The end of an attempt, and whether another one follows.
 
 use crate::balancer::{Actions, Balancer};
-use crate::policy::queue::QUEUE_TICK;
-use crate::state::request::Attempt;
-use crate::state::server_table::UNKNOWN;
-use crate::{Action, Outcome, RequestId, RetrySafety, Timestamp};
+use crate::state::request::{Attempt, Deferral, PossibleExecution};
+use crate::state::server_table::{ServerSlot, UNKNOWN};
+use crate::timer::QUEUE_INTERVAL;
+use crate::{Action, Outcome, RequestId, Timestamp};
+
+/// How an attempt ended.
+#[derive(Clone, Copy)]
+pub(crate) struct AttemptEnd {
+    pub(crate) outcome: Outcome,
+    /// The request needs no further attempt.
+    pub(crate) completes_request: bool,
+}
 
 impl Balancer {
-    /// Whether the line of the request's present attempt may go out now, where its connection took a while to
-    /// come up: what ran of it before leaves this server to it still.
+    /// Whether the request of the present attempt may be sent now, where its connection took a while to come up: what
+    /// earlier attempts may have executed leaves this server to it still.
     pub fn may_send(&self, now: Timestamp, id: RequestId) -> bool {
         let Some(request) = self.requests.get(&id) else {
             return false;
         };
-        let server = request
-            .in_flight
-            .as_ref()
-            .and_then(|out| self.fleet.servers.get(out.server));
-        server.is_some_and(|server| request.may_retry_on(now, server))
+        let Some(attempt) = &request.in_flight else {
+            return false;
+        };
+        self.fleet
+            .servers
+            .get(attempt.server)
+            .is_some_and(|server| request.may_retry_on(now, server))
     }
 
-    /// What is out for the request may have run by now, if it was sent.
-    pub(crate) fn note_possible_execution(&mut self, id: RequestId, sent: bool) {
-        let Some(request) = self.requests.get_mut(&id).filter(|_| sent) else {
+    /// The server of the request's attempt of this number, if that is the present one.
+    pub(crate) fn server_of_attempt(&self, id: RequestId, attempt: u32) -> Option<ServerSlot> {
+        let request = self.requests.get(&id)?;
+        let in_flight = request.in_flight.as_ref()?;
+        (request.attempt_count == attempt + 1).then_some(in_flight.server)
+    }
+
+    /// Ends the request at shutdown. What was sent of its present attempt may have been executed.
+    pub(crate) fn on_shutdown_deadline(
+        &mut self,
+        id: RequestId,
+        was_sent: bool,
+        actions: &mut Actions,
+    ) {
+        if was_sent {
+            self.record_possible_execution(id);
+        }
+        self.reject_or_fail(id, actions);
+    }
+
+    fn record_possible_execution(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
-        let Some(out) = &request.in_flight else {
+        let Some(attempt) = &request.in_flight else {
             return;
         };
-        let place = self
-            .fleet
-            .servers
-            .get(out.server)
-            .map(|server| (server.zone, server.cell, out.sent_at));
-        request.possible_execution = request.possible_execution.or(place);
+        if let Some(server) = self.fleet.servers.get(attempt.server) {
+            let execution = PossibleExecution::new(server, attempt.sent_at);
+            request.possible_execution.get_or_insert(execution);
+        }
     }
 
     pub(crate) fn on_attempt_ended(
         &mut self,
         now: Timestamp,
         id: RequestId,
-        outcome: Outcome,
-        done: bool,
+        end: AttemptEnd,
         actions: &mut Actions,
     ) {
-        self.account_for(id, false);
-        let Some(request) = self.requests.get_mut(&id) else {
+        self.release(id);
+        let Some(attempt) = self.take_attempt(id, end.outcome) else {
             return;
         };
-        let Some(attempt) = request.in_flight.take() else {
+        let Some(request) = self.requests.get(&id) else {
             return;
         };
-        let Attempt {
-            server,
-            skips_setup: free,
-            sent_at: sent,
-            is_established: stands,
-        } = attempt;
-        if let Some(place) = self.fleet.servers.get_mut(server) {
-            place.half_open &= stands;
-            if !outcome.proves_not_executed() {
-                request
-                    .possible_execution
-                    .get_or_insert((place.zone, place.cell, sent));
-            }
-        }
-        self.in_setup = self.in_setup.saturating_sub(usize::from(!free && !stands));
-        let over = request.is_finished || done;
-        let once_doubtful = request
-            .class_rules
-            .is_some_and(|c| c.retry_safety == RetrySafety::NotIdempotent)
-            && request.possible_execution.is_some();
-        if over {
+        let is_finished = request.is_finished || end.completes_request;
+        let may_retry = !attempt.is_established && request.may_retry();
+        if is_finished {
             self.requests.remove(&id);
         }
-        self.record_outcome(now, &attempt, outcome, over, actions);
-        if over {
-            // Nothing is owed any more.
-        } else if stands || once_doubtful {
+        self.record_outcome(now, &attempt, end.outcome, is_finished, actions);
+        if is_finished {
+            return;
+        }
+        if !may_retry {
             self.finish_request(id);
             actions.push(Action::Fail(id));
-        } else if outcome == Outcome::NotSent {
+        } else if end.outcome == Outcome::NotSent {
             self.reject_or_fail(id, actions);
         } else {
-            let wait = QUEUE_TICK.mul_f64(1.0 + self.jitter());
-            if let (Outcome::Error, Some(request)) = (outcome, self.requests.get_mut(&id)) {
-                request.deferral =
-                    Some((UNKNOWN, now.saturating_add(wait * request.attempt_count)));
+            self.retry(now, id, end.outcome, actions);
+        }
+    }
+
+    /// Takes the attempt from its request, and keeps in mind what it may have executed.
+    fn take_attempt(&mut self, id: RequestId, outcome: Outcome) -> Option<Attempt> {
+        let request = self.requests.get_mut(&id)?;
+        let attempt = request.in_flight.take()?;
+        if let Some(server) = self.fleet.servers.get_mut(attempt.server) {
+            server.ejection.is_half_open &= attempt.is_established;
+            if !outcome.proves_not_executed() {
+                let execution = PossibleExecution::new(server, attempt.sent_at);
+                request.possible_execution.get_or_insert(execution);
+            }
+        }
+        if !attempt.skips_setup && !attempt.is_established {
+            self.setup_window.end_setup();
+        }
+        Some(attempt)
+    }
+
+    /// Tries again: after an error with a backoff, else as soon as the queue allows.
+    fn retry(&mut self, now: Timestamp, id: RequestId, outcome: Outcome, actions: &mut Actions) {
+        let backoff = QUEUE_INTERVAL.mul_f64(1.0 + self.jitter());
+        if outcome == Outcome::Error {
+            if let Some(request) = self.requests.get_mut(&id) {
+                request.deferral = Some(Deferral {
+                    awaited_server: UNKNOWN,
+                    until: now.saturating_add(backoff * request.attempt_count),
+                });
             }
-            self.enqueue(now, id, actions);
         }
+        self.enqueue(now, id, actions);
     }
 }
--- a/crates/placement/src/policy/selection.rs
+++ b/crates/placement/src/policy/selection.rs
@@ -1,225 +1,212 @@
-//! Server selection: the highest score that takes the request.
+//! Server selection by rendezvous hashing: the highest-ranked server that admits the request.
 
 use crate::balancer::Balancer;
 use crate::hashing::{rank_score, unit_interval};
-use crate::limits::overload::CALM;
-use crate::policy::admission::AdmissionContext;
-use crate::recovery::upkeep::TICK;
-use crate::state::fleet::Server;
-use crate::state::load_accounting::GROUP_COST;
-use crate::state::ranking_index::CandidateScan;
-use crate::state::request::{server_holds_group, RequestState};
+use crate::limits::concurrency_limit::OVERLOAD_MEMORY;
+use crate::policy::admission::{AdmissionContext, FairLoad};
+use crate::policy::candidates::Candidate;
+use crate::state::candidate_scan::CandidateScan;
+use crate::state::ranking_index::RankedServer;
+use crate::state::request::RequestState;
+use crate::state::server::Server;
 use crate::state::server_table::ServerSlot;
-use crate::{Health, Timestamp};
+use crate::timer::UPKEEP_INTERVAL;
+use crate::Timestamp;
 
-const SPLIT: f64 = 2.0; // a large group is split by this many fair parts
-const LIKELY_HELD: f64 = 5.0; // what a gateway may hold on each server when it cannot tell yet
-const FIRST_RANKS: usize = 4; // servers put in order at first: more are seldom looked at
-/// A kind of machine that is crowded in more of its seconds than the best kind leaves this multiple of the
-/// difference of the keys to others; so many seconds like the mean are taken to have been seen before.
-const KIND_LEAVES: f64 = 3.0;
-const KIND_BEFORE: f64 = 20.0;
+/// Candidates that are ranked at first; more are seldom needed.
+const FIRST_CANDIDATE_COUNT: usize = 4;
+/// A group is split over this many times the servers that its part of the requests would fill.
+const GROUP_SPLIT_FACTOR: f64 = 2.0;
+/// A machine kind declines this multiple of its excess overload rate of the keys.
+const DECLINED_KEYS_PER_OVERLOAD: f64 = 3.0;
+/// While this many nodes share the fleet, a full server may exceed its limit once per upkeep interval.
+const NODES_PER_LIMIT_RAISE: f64 = 4.0;
 
-impl Balancer {
-    /// The highest score that the gate lets the request have, and whether a full server gave way for it.
-    pub(crate) fn select_server(
-        &self,
-        now: Timestamp,
-        request: &RequestState,
-    ) -> Option<(ServerSlot, bool)> {
-        let first_try = request.is_mid_flow && request.attempt_count == 0;
-        let all = if first_try
-            || !request.tried_servers.is_empty()
-            || request.possible_execution.is_some()
-        {
-            self.permitted_servers(now, request).count()
-        } else {
-            self.fleet.ranking_index.len()
-        };
-        // A group larger than a server starts its walk at as many servers as it needs.
-        let start = (request.split_position * self.servers_for_group(request, all as f64)) as usize;
-        let start = start.min(all.saturating_sub(1));
-        let first = self.ranked_servers(now, request, start, start + FIRST_RANKS);
-        // In mid-flow it goes on only at its holder, which is the top score unless an exception placed it.
-        if first_try {
-            return first.first().map(|(at, _)| (*at, false));
-        }
-        let sums = &self.fleet.totals;
-        // A gateway that has just started holds next to nothing; its own load says little then.
-        let load = f64::max(
-            sums.reported_load,
-            sums.reporting * LIKELY_HELD * self.mean_load(),
-        );
-        let view = AdmissionContext {
-            fair: self.fair_unit(),
-            add: self.load_of(request),
-            group_cost: GROUP_COST * self.mean_load(),
-            over_share: self.over_share(request),
-            used_per_load: sums.utilization / load.max(1e-9),
-        };
-        let lets = |server: &Server, firm| self.admits(now, request, server, &view, firm);
-        if let Some((at, _)) = first
-            .iter()
-            .find(|(_, server)| self.machine_kind_accepts(request, server) && lets(server, false))
-        {
-            return Some((*at, false));
+/// The server that a request is sent to.
+#[derive(Clone, Copy)]
+pub(crate) struct Selection {
+    pub(crate) slot: ServerSlot,
+    /// The server is full and takes the connection all the same.
+    pub(crate) exceeds_limit: bool,
+}
+
+impl Selection {
+    fn within_limit(slot: ServerSlot) -> Selection {
+        Selection {
+            slot,
+            exceeds_limit: false,
         }
-        // None of the first takes it: one look at all, for the first of each sort.
-        let pace = TICK.mul_f64(f64::from(self.settings.node_count) / 4.0);
-        // Beyond its fair share a server takes only groups that it holds; one that has less takes any, or a
-        // fleet that holds next to nothing would be full with it.
-        let less = |server: &Server| server.load <= view.fair * server.weight;
-        let start = first
-            .first()
-            .map(|(at, server)| (rank_score(server.hash, request.key), *at));
-        let (mut walk, mut barred) = (CandidateScan::<6>::from(start), true);
-        for (hash, at) in self.permitted_servers(now, request) {
-            let Some(server) = self.fleet.servers.get(at) else {
-                continue;
-            };
-            barred &= server.ejected_until.is_some();
-            let sort = match server_holds_group(request, server) {
-                _ if lets(server, false) => {
-                    usize::from(!self.machine_kind_accepts(request, server))
-                }
-                there if (there || less(server)) && lets(server, true) => 2,
-                true if server.may_exceed_limit(now, CALM, pace)
-                    && self.key_redistribution.accepts_key(server, request.key) =>
-                {
-                    4
-                }
-                _ => 5,
-            };
-            for sort in [sort, 3] {
-                walk.meet(sort, rank_score(hash, request.key), at, |a, b| {
-                    self.precedes(a, b)
-                });
-            }
+    }
+
+    fn beyond_limit(slot: ServerSlot) -> Selection {
+        Selection {
+            slot,
+            exceeds_limit: true,
         }
-        // With every server barred the evidence is not believed; with any at its cap the rest are no way out.
-        let any = walk.first(3).filter(|_| barred);
-        let chosen = (0..3).find_map(|sort| walk.first(sort)).or(any);
-        chosen
-            .map(|at| (at, false))
-            .or_else(|| walk.first(4).map(|at| (at, true)))
     }
+}
+
+/// How willingly a server is chosen, the best first.
+#[derive(Clone, Copy)]
+enum Tier {
+    Admitted,
+    /// It admits the request, but servers of its machine kind are more often overloaded than others.
+    DeclinedByMachineKind,
+    /// It holds more than its fair part of the load.
+    BeyondFairLoad,
+    /// It is at its concurrency limit, which may be out of date.
+    BeyondLimit,
+    /// Every server, for when all are ejected.
+    Any,
+}
+
+impl Tier {
+    const COUNT: usize = 5;
 
-    /// Which of two servers with the same score goes first: the one with the lower id.
-    pub(crate) fn precedes(&self, a: ServerSlot, b: ServerSlot) -> bool {
-        self.fleet.servers.id(a) < self.fleet.servers.id(b)
+    fn index(self) -> usize {
+        self as usize
     }
+}
 
-    /// The `count` highest scores among the servers that nothing but the gate keeps the request from, best
-    /// first and the first `skipped` left out. Ties go to the lower id.
-    pub(crate) fn ranked_servers(
+impl Balancer {
+    /// The server for the request, if one takes it.
+    pub(crate) fn select_server(
         &self,
         now: Timestamp,
         request: &RequestState,
-        skipped: usize,
-        count: usize,
-    ) -> Vec<(ServerSlot, &Server)> {
-        let score = |hash| rank_score(hash, request.key);
-        let keeps = |at| self.is_permitted(now, request, at);
-        let leaving = self.draining_servers(now, request);
-        let best = self
-            .fleet
-            .ranking_index
-            .best(count, score, leaving, keeps, |a, b| self.precedes(a, b));
-        best.into_iter()
-            .skip(skipped)
-            .filter_map(|(_, at)| Some((at, self.fleet.servers.get(at)?)))
-            .collect()
+    ) -> Option<Selection> {
+        let candidates = self.first_candidates(now, request);
+        // A connection in mid-flow continues only at its holder: the top score unless an exception placed it.
+        if request.is_first_mid_flow_attempt() {
+            let holder = candidates.first()?;
+            return Some(Selection::within_limit(holder.slot));
+        }
+        let context = self.admission_context(request);
+        let admitted = candidates.iter().find(|candidate| {
+            self.is_accepted_by_machine_kind(request, candidate.server)
+                && self.admits(now, request, candidate.server, &context, FairLoad::Required)
+        });
+        if let Some(candidate) = admitted {
+            return Some(Selection::within_limit(candidate.slot));
+        }
+        let start = candidates.first().map(|candidate| RankedServer {
+            score: rank_score(candidate.server.hash, request.key),
+            slot: candidate.slot,
+        });
+        self.scan_all_servers(now, request, &context, start)
     }
 
-    /// Whether the key is among those that a server of this kind takes: about the same ones at every gateway.
-    /// Guards against kinds that can do less than listed, where a gateway holds too little to know each one.
-    pub(crate) fn machine_kind_accepts(&self, request: &RequestState, server: &Server) -> bool {
-        let all = self
-            .kinds
-            .values()
-            .fold((1.0, 0.0), |sum, kind| (sum.0 + kind.0, sum.1 + kind.1));
-        let rate =
-            |kind: &(f64, f64)| (kind.1 + all.1 / all.0 * KIND_BEFORE) / (kind.0 + KIND_BEFORE);
-        let least = self.kinds.values().map(rate).fold(1.0, f64::min);
-        let more = (self.kinds.get(&server.machine_kind).map_or(0.0, rate) - least).max(0.0);
-        let unseen =
-            1.0 / (1.0 + self.fleet.totals.connections / self.fleet.servers.len().max(1) as f64);
-        let left =
-            unit_interval(server.hash ^ request.key.rotate_left(16)) < KIND_LEAVES * more * unseen;
-        !left || (request.group.is_some() && server_holds_group(request, server))
+    /// The highest-ranked candidates. A group larger than a server starts at one of as many servers as it fills.
+    fn first_candidates(&self, now: Timestamp, request: &RequestState) -> Vec<Candidate<'_>> {
+        let is_restricted = request.is_first_mid_flow_attempt()
+            || !request.tried_servers.is_empty()
+            || request.possible_execution.is_some();
+        let server_count = if is_restricted {
+            self.permitted_servers(now, request).count()
+        } else {
+            self.fleet.ranking_index.len()
+        };
+        let group_span = self.servers_for_group(request, server_count as f64);
+        let start = (request.split_position * group_span) as usize;
+        let start = start.min(server_count.saturating_sub(1));
+        self.ranked_servers(now, request, start, start + FIRST_CANDIDATE_COUNT)
     }
 
-    /// How many servers the request's group fills, as far as those seen lately tell; the request itself is
-    /// left out, so that a small group met once is not taken for a large one. Guards against a group heavier
-    /// than a server that every gateway, holding few of it, puts on the same one.
-    pub(crate) fn servers_for_group(&self, request: &RequestState, servers: f64) -> f64 {
+    /// How many servers the request's group fills, as far as recent requests tell. Guards against a group heavier than
+    /// a server that every node, holding few of it, puts on the same one.
+    fn servers_for_group(&self, request: &RequestState, server_count: f64) -> f64 {
         let Some(group) = request.group else {
             return 1.0;
         };
-        let others = self
-            .seen_groups
-            .get(&group)
-            .map_or(0.0, |seen| seen - 1.0)
-            .max(0.0);
-        (others / (self.seen - 1.0).max(1.0) * servers / SPLIT).max(1.0)
-    }
-
-    /// The servers, with their hashes, that the list, the four rules and earlier attempts leave to the
-    /// request; no evidence can change these.
-    pub(crate) fn permitted_servers<'a>(
-        &'a self,
-        now: Timestamp,
-        request: &'a RequestState,
-    ) -> impl Iterator<Item = (u32, ServerSlot)> + 'a {
-        let all = self
-            .fleet
-            .ranking_index
-            .iter()
-            .chain(self.draining_servers(now, request));
-        all.filter(move |(_, at)| self.is_permitted(now, request, *at))
+        let request_ratio = self.group_frequency.other_request_ratio(group);
+        (request_ratio * server_count / GROUP_SPLIT_FACTOR).max(1.0)
     }
 
-    /// Draining servers that may still get a connection in mid-flow.
-    pub(crate) fn draining_servers<'a>(
-        &'a self,
+    /// None of the first candidates takes the request: looks at all servers for the first of the best tier.
+    fn scan_all_servers(
+        &self,
         now: Timestamp,
         request: &RequestState,
-    ) -> impl Iterator<Item = (u32, ServerSlot)> + 'a {
-        let grace = self.settings.drain_grace.mul_f64(0.8);
-        let mid_flow = request.is_mid_flow && request.attempt_count == 0;
-        self.fleet
-            .upkeep_slots
-            .iter()
-            .take_while(move |_| mid_flow)
-            .filter_map(move |at| {
-                let drains = |server: &&Server| {
-                    let in_grace = now.saturating_duration_since(server.draining_since) < grace;
-                    server.health == Health::Draining
-                        && in_grace
-                        && !(server.is_warming_up && server.slow_start_tokens < 1.0)
-                };
-                self.fleet
-                    .servers
-                    .get(*at)
-                    .filter(drains)
-                    .map(|server| (server.hash, *at))
+        context: &AdmissionContext,
+        start: Option<RankedServer>,
+    ) -> Option<Selection> {
+        let mut scan = CandidateScan::<{ Tier::COUNT }>::starting_at(start);
+        let mut all_are_ejected = true;
+        for indexed in self.permitted_servers(now, request) {
+            let Some(server) = self.fleet.servers.get(indexed.slot) else {
+                continue;
+            };
+            all_are_ejected &= server.ejection.until.is_some();
+            let ranked = RankedServer {
+                score: rank_score(indexed.hash, request.key),
+                slot: indexed.slot,
+            };
+            let tier = self.admission_tier(now, request, server, context);
+            for tier in tier.into_iter().chain([Tier::Any]) {
+                scan.offer(tier.index(), ranked, |a, b| self.precedes(a, b));
+            }
+        }
+        let preferred = [
+            Tier::Admitted,
+            Tier::DeclinedByMachineKind,
+            Tier::BeyondFairLoad,
+        ];
+        // With every server ejected the evidence is not believed; with any at its limit the rest are no way out.
+        let fallback = scan
+            .first(Tier::Any.index())
+            .filter(|_| all_are_ejected)
+            .map(Selection::within_limit);
+        preferred
+            .into_iter()
+            .find_map(|tier| scan.first(tier.index()))
+            .map(Selection::within_limit)
+            .or(fallback)
+            .or_else(|| {
+                scan.first(Tier::BeyondLimit.index())
+                    .map(Selection::beyond_limit)
             })
     }
 
-    /// Whether the rules and earlier attempts leave this server to the request.
-    pub(crate) fn is_permitted(
+    fn admission_tier(
         &self,
         now: Timestamp,
         request: &RequestState,
-        at: ServerSlot,
-    ) -> bool {
-        // Most requests have no try behind them, and no server need be looked up for those.
-        let inside = || {
-            self.fleet
-                .servers
-                .get(at)
-                .is_some_and(|server| request.may_retry_on(now, server))
-        };
-        !request.tried_servers.contains(&at) && (request.possible_execution.is_none() || inside())
+        server: &Server,
+        context: &AdmissionContext,
+    ) -> Option<Tier> {
+        if self.admits(now, request, server, context, FairLoad::Required) {
+            let is_accepted = self.is_accepted_by_machine_kind(request, server);
+            return Some(if is_accepted {
+                Tier::Admitted
+            } else {
+                Tier::DeclinedByMachineKind
+            });
+        }
+        // Beyond its fair load a server takes only groups that it serves; one that has less takes any, or a
+        // fleet that holds next to nothing would be full with it.
+        let serves_group = server.serves_group(request.group);
+        let has_room = server.load <= context.fair_load_per_weight * server.weight;
+        let takes_group = serves_group || has_room;
+        if takes_group && self.admits(now, request, server, context, FairLoad::Ignored) {
+            return Some(Tier::BeyondFairLoad);
+        }
+        let interval_ratio = f64::from(self.settings.node_count) / NODES_PER_LIMIT_RAISE;
+        let raise_interval = UPKEEP_INTERVAL.mul_f64(interval_ratio);
+        let may_exceed_limit = serves_group
+            && server.may_exceed_limit(now, OVERLOAD_MEMORY, raise_interval)
+            && self.key_redistribution.accepts_key(server, request.key);
+        may_exceed_limit.then_some(Tier::BeyondLimit)
+    }
+
+    /// Whether the key is among those that servers of this machine kind take: about the same ones at every node.
+    /// Guards against kinds that can do less than listed, where a node holds too little to know each server.
+    fn is_accepted_by_machine_kind(&self, request: &RequestState, server: &Server) -> bool {
+        let excess_rate = self.machine_kinds.excess_overload_rate(server.machine_kind);
+        let connections_per_server =
+            self.fleet.totals.connections / self.fleet.servers.len().max(1) as f64;
+        let unseen_ratio = 1.0 / (1.0 + connections_per_server);
+        let declined_ratio = DECLINED_KEYS_PER_OVERLOAD * excess_rate * unseen_ratio;
+        let is_declined = unit_interval(server.hash ^ request.key.rotate_left(16)) < declined_ratio;
+        !is_declined || (request.group.is_some() && server.serves_group(request.group))
     }
 }
--- a/crates/placement/src/recovery/gossip.rs
+++ b/crates/placement/src/recovery/gossip.rs
@@ -1,62 +1,79 @@
-//! Hints about late servers between gateways.
+//! Hints about slow servers between nodes.
 
 use crate::balancer::{Actions, Balancer};
 use crate::hashing::short_name;
+use crate::state::elapsed::is_longer_ago;
 use crate::state::server_table::ServerSlot;
 use crate::{Action, Timestamp};
 use std::time::Duration;
 
-/// What one gateway tells of a late server keeps the others away for this long; none repeats it before. The
-/// mark is for one that does not answer at all, as one whose messages take `SILENT_FOR` does not.
-pub(crate) const HEARD: Duration = Duration::from_secs(3);
-const SILENT: &str = "!";
+/// A hint about a server is not repeated within this time.
+const HINT_INTERVAL: Duration = Duration::from_secs(3);
+/// After a hint new groups are kept from the server, or everything if it is stalled, for this long.
+pub(crate) const AVOID_SLOW_DURATION: Duration = Duration::from_millis(4500);
+/// Marks a hint about a server that does not answer at all.
+const STALLED_MARK: &str = "!";
+/// Hints are sent by one in so many of the nodes that hold connections on the server.
+const HOLDERS_PER_HINT: f64 = 4.0;
+
+/// What is told of a server.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum SlowHint {
+    Slow,
+    Stalled,
+}
 
 impl Balancer {
-    /// Tells the other gateways of a late server, one of all that hold connections there at a time. They are
-    /// hints: a gateway that holds nothing there would send the next connection to it all the same.
+    /// Tells the other nodes of a slow server, as one of all that hold connections there. A node that holds nothing there
+    /// would send the next connection to it all the same.
     pub(crate) fn send_slow_hint(
         &mut self,
         now: Timestamp,
-        at: ServerSlot,
-        silent: bool,
+        slot: ServerSlot,
+        hint: SlowHint,
         actions: &mut Actions,
     ) {
-        let known = self.fleet.servers.len().max(1) as f64;
-        let holders = self.fleet.totals.connections * f64::from(self.settings.node_count) / known;
-        let chosen = self.jitter() * 4.0 * holders.min(f64::from(self.settings.node_count)) < 1.0;
-        let may = self.settings.gossip_allowed && chosen;
-        let Some(server) = self.fleet.servers.get_mut(at).filter(|_| may) else {
+        let server_count = self.fleet.servers.len().max(1) as f64;
+        let node_count = f64::from(self.settings.node_count);
+        let holders = self.fleet.totals.connections * node_count / server_count;
+        let is_chosen = self.jitter() * HOLDERS_PER_HINT * holders.min(node_count) < 1.0;
+        if !is_chosen || !self.settings.gossip_allowed {
+            return;
+        }
+        let Some(server) = self.fleet.servers.get_mut(slot) else {
             return;
         };
-        if server
-            .slow_hint_at
-            .is_none_or(|at| now.saturating_duration_since(at) > HEARD)
-        {
-            server.slow_hint_at = Some(now);
-            let mark = if silent { SILENT } else { "" };
-            let name: String = short_name(server.hash)
-                .iter()
-                .copied()
-                .map(char::from)
-                .collect();
-            actions.push(Action::Gossip(name + mark));
+        if !is_longer_ago(now, server.slow_hint_at, HINT_INTERVAL) {
+            return;
+        }
+        server.slow_hint_at = Some(now);
+        let mut message: String = short_name(server.hash).map(char::from).iter().collect();
+        if hint == SlowHint::Stalled {
+            message.push_str(STALLED_MARK);
         }
+        actions.push(Action::Gossip(message));
     }
 
+    /// Another node told of a slow server.
     pub(crate) fn on_gossip(&mut self, now: Timestamp, message: &str) {
-        let name = message.strip_suffix(SILENT).unwrap_or(message);
-        let named = self
+        let (name, hint) = match message.strip_suffix(STALLED_MARK) {
+            Some(name) => (name, SlowHint::Stalled),
+            None => (message, SlowHint::Slow),
+        };
+        let named: Vec<ServerSlot> = self
             .fleet
             .ranking_index
             .iter()
-            .filter(|(hash, _)| short_name(*hash) == name.as_bytes());
-        for at in named.map(|(_, at)| at).collect::<Vec<_>>() {
-            self.fleet.update(at, |server| {
+            .filter(|indexed| short_name(indexed.hash) == name.as_bytes())
+            .map(|indexed| indexed.slot)
+            .collect();
+        for slot in named {
+            self.fleet.update(slot, |server| {
                 server.slow_hint_at = Some(now);
-                if name != message {
-                    server.ejected_until = server
-                        .ejected_until
-                        .max(Some(now.saturating_add(HEARD * 3 / 2)));
+                if hint == SlowHint::Stalled {
+                    server
+                        .ejection
+                        .extend_until(now.saturating_add(AVOID_SLOW_DURATION));
                 }
             });
         }
--- /dev/null
+++ b/crates/placement/src/recovery/key_fitting.rs
@@ -0,0 +1,141 @@
+//! Which part of the keys of lost servers each remaining server takes, so that none gets more than it can carry.
+//!
+//! Every node computes the same from the endpoint list alone. Without it the next-highest scores decide, and they are as
+//! uneven as hashes are: one of four remaining servers got half of all connections and fell, then the next one did.
+
+use crate::hashing::{murmur, rank_score, unit_interval};
+use std::cmp::Reverse;
+
+/// A server is taken to carry this multiple of what it usually does, since services are run at half of it or so. With
+/// 1.25 more is rejected than need be, with 1.75 servers fall (docs/measured/fleet.md).
+pub(crate) const CAPACITY_RATIO: f64 = 1.5;
+/// Keys drawn for each remaining server, and at the most, to learn how many come to each. At the most this costs as many
+/// sorts of the remaining servers, once a second while keys are redistributed.
+const SAMPLES_PER_SERVER: usize = 100;
+const MAX_SAMPLES: usize = 2_048;
+const SAMPLE_SEED: u32 = 77_041;
+const ROUNDS: usize = 16;
+/// A ratio rises by at most this factor in a round.
+const MAX_RISE_PER_ROUND: f64 = 1.2;
+/// The bits of a key that decide whether a server takes it.
+const KEY_ROTATION: u32 = 8;
+
+/// A server that remains.
+pub(crate) struct RemainingServer {
+    pub(crate) hash: u32,
+    /// The part of all work that it can carry.
+    pub(crate) capacity: f64,
+    /// The part of all keys that it may take while it warms up.
+    pub(crate) max_ratio: f64,
+    /// The part of the keys of lost servers that come to it which it takes.
+    pub(crate) extra_ratio: f64,
+}
+
+/// A key, with what decides who takes it.
+struct SampleKey {
+    key: u32,
+    /// The hash of the server that took it before any was lost.
+    preferred: Option<u32>,
+    /// Positions of the remaining servers, by falling score.
+    ranking: Vec<usize>,
+}
+
+/// The parts of the sampled keys that a server takes.
+#[derive(Clone, Copy, Default)]
+struct TakenKeys {
+    own: f64,
+    extra: f64,
+}
+
+/// Whether the server takes a key where it takes a part of them.
+pub(crate) fn accepts_key_ratio(server_hash: u32, key: u32, ratio: f64) -> bool {
+    unit_interval(server_hash ^ key.rotate_left(KEY_ROTATION)) < ratio
+}
+
+/// The hash of the server with the highest score for the key.
+pub(crate) fn preferred_server(server_hashes: &[u32], key: u32) -> Option<u32> {
+    server_hashes
+        .iter()
+        .copied()
+        .max_by_key(|hash| rank_score(*hash, key))
+}
+
+/// Sets the extra ratio of each remaining server so that none gets more than its capacity. `all` are the hashes of the
+/// servers that the work was made for. A server keeps its own keys in any case.
+pub(crate) fn fit_to_capacity(all: &[u32], remaining: &mut [RemainingServer]) {
+    let samples = sample_keys(all, remaining);
+    for server in remaining.iter_mut() {
+        server.extra_ratio = 1.0;
+    }
+    for _ in 0..ROUNDS {
+        let taken = taken_keys(&samples, remaining);
+        for (server, taken) in remaining.iter_mut().zip(taken) {
+            let free_capacity = (server.capacity - taken.own).max(0.0);
+            let factor = free_capacity / f64::max(taken.extra, 1e-9);
+            // What all others decline comes to one that takes all: in small steps up, or that changes by the round.
+            let step = factor.sqrt().min(MAX_RISE_PER_ROUND);
+            server.extra_ratio = (server.extra_ratio * step).min(1.0);
+        }
+    }
+}
+
+fn sample_keys(all: &[u32], remaining: &[RemainingServer]) -> Vec<SampleKey> {
+    let count = (SAMPLES_PER_SERVER * remaining.len()).clamp(1, MAX_SAMPLES) as u32;
+    (0..count)
+        .map(|sample| {
+            let key = murmur(&sample.to_le_bytes(), SAMPLE_SEED);
+            SampleKey {
+                key,
+                preferred: preferred_server(all, key),
+                ranking: rank(remaining, key),
+            }
+        })
+        .collect()
+}
+
+fn rank(remaining: &[RemainingServer], key: u32) -> Vec<usize> {
+    let mut scored: Vec<(u32, usize)> = remaining
+        .iter()
+        .enumerate()
+        .map(|(position, server)| (rank_score(server.hash, key), position))
+        .collect();
+    scored.sort_unstable_by_key(|(score, _)| Reverse(*score));
+    scored.into_iter().map(|(_, position)| position).collect()
+}
+
+fn taken_keys(samples: &[SampleKey], remaining: &[RemainingServer]) -> Vec<TakenKeys> {
+    let mut taken = vec![TakenKeys::default(); remaining.len()];
+    for sample in samples {
+        let is_taker = |position: &&usize| {
+            remaining
+                .get(**position)
+                .is_some_and(|server| takes_sample(server, sample))
+        };
+        let Some(position) = sample.ranking.iter().find(is_taker) else {
+            continue;
+        };
+        let server = remaining.get(*position);
+        if let (Some(taken), Some(server)) = (taken.get_mut(*position), server) {
+            let is_own = sample.preferred == Some(server.hash);
+            let part = if is_own {
+                &mut taken.own
+            } else {
+                &mut taken.extra
+            };
+            *part += 1.0 / samples.len() as f64;
+        }
+    }
+    taken
+}
+
+fn takes_sample(server: &RemainingServer, sample: &SampleKey) -> bool {
+    let ratio = if sample.preferred == Some(server.hash) {
+        1.0
+    } else {
+        server.extra_ratio
+    };
+    accepts_key_ratio(server.hash, sample.key, ratio.min(server.max_ratio))
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/placement/src/recovery/key_redistribution/tests.rs
+++ b/crates/placement/src/recovery/key_fitting/tests.rs
@@ -4,25 +4,25 @@
 /// parts of what they are taken to carry.
 fn shared(all: u32, lost: u32, seed: u32, shares: bool) -> (f64, f64) {
     let hashes: Vec<u32> = (0..all).map(|n| murmur(&n.to_le_bytes(), seed)).collect();
-    let room = ROOM / f64::from(all);
+    let room = CAPACITY_RATIO / f64::from(all);
     let rest = hashes.iter().skip(lost as usize);
-    let mut left: Vec<Left> = rest
-        .map(|hash| Left {
+    let mut left: Vec<RemainingServer> = rest
+        .map(|hash| RemainingServer {
             hash: *hash,
-            room,
-            most: 1.0,
-            part: 1.0,
+            capacity: room,
+            max_ratio: 1.0,
+            extra_ratio: 1.0,
         })
         .collect();
     if shares {
-        fit_to_room(&hashes, &mut left);
+        fit_to_capacity(&hashes, &mut left);
     }
     let mut got = vec![0.0; left.len()];
     let mut own = vec![0.0; left.len()];
     for key in (0..4_000u32).map(|key| murmur(&key.to_le_bytes(), seed ^ 5)) {
         let home = preferred_server(&hashes, key);
-        let lets = |(_, server): &(usize, &Left)| {
-            home == Some(server.hash) || accepts_key_part(server.hash, key, server.part)
+        let lets = |(_, server): &(usize, &RemainingServer)| {
+            home == Some(server.hash) || accepts_key_ratio(server.hash, key, server.extra_ratio)
         };
         let best = left.iter().enumerate().filter(lets);
         if let Some((at, server)) = best.max_by_key(|(_, server)| rank_score(server.hash, key)) {
--- a/crates/placement/src/recovery/key_redistribution.rs
+++ b/crates/placement/src/recovery/key_redistribution.rs
@@ -1,200 +1,141 @@
-//! What each server that is left takes of the keys when a fleet has lost many at once: the same keys at every
-//! gateway, for each computes it from the list alone. Without it the next-highest scores decide, and they are as
-//! uneven as the places of hashes: one of four servers that were left got half of all connections and fell, then
-//! the next one did.
+//! When the keys of lost servers are redistributed over the remaining ones, and which server takes a key then.
 
-use crate::hashing::rank_score;
-use crate::hashing::{murmur, unit_interval};
-use crate::state::fleet::{Fleet, Server};
+use crate::recovery::key_fitting::{
+    accepts_key_ratio, fit_to_capacity, preferred_server, RemainingServer, CAPACITY_RATIO,
+};
+use crate::state::decay::{decayed, SLOW_DECAY_PER_SECOND};
+use crate::state::fleet::Fleet;
+use crate::state::fleet_totals::FleetTotals;
+use crate::state::load_estimates::DEFAULT_CONNECTIONS_PER_SERVER;
+use crate::state::server::Server;
 use crate::state::server_table::ServerSlot;
 use crate::{Health, Settings, Timestamp};
-use std::cmp::Reverse;
 
-/// Keys drawn for each server that is left, and at most, to learn how many come to each: at the most this costs as
-/// many sorts of what is left, once a second while keys are shared out.
-const SAMPLES: usize = 100;
-const MOST_SAMPLES: usize = 2_048;
-const ROUNDS: usize = 16;
-/// Known servers past which nothing is shared out: the cost grows with their square, and memory with it.
-const MOST_SERVERS: usize = 200;
-const SAMPLE_SEED: u32 = 77_041;
-/// The weight of all servers that a fleet is taken to have been made for fades so a second to what it has.
-const USUAL_FADES: f64 = 0.02;
-/// Keys are shared out once this part of that weight went at once and without notice ...
-const LOSS: f64 = 0.2;
-/// ... for as long as no more than this part of it is there.
-const LEFT: f64 = 0.75;
-/// A server is taken to carry this multiple of what it usually does, since services are run at half or so. With
-/// 1.25 more is refused than need be, with 1.75 servers fall (docs/measured/fleet.md).
-const ROOM: f64 = 1.5;
-/// All gateways together may hold this many connections on a server in any case, where each is taken to have held
-/// this many more than it did: one that has just begun, or one of a hundred, cannot tell an idle fleet.
-const LEAST_HELD: f64 = 15.0;
-const LIKELY_HELD: f64 = 5.0;
+/// Known servers past which nothing is redistributed: its cost and memory grow with their square.
+const MAX_SERVERS: usize = 200;
+/// Part by which the usual weight of all servers approaches the present one each second.
+const USUAL_WEIGHT_ADAPTATION: f64 = 0.02;
+/// Keys are redistributed once this part of that weight was lost at once and without notice ...
+const MIN_LOST_RATIO: f64 = 0.2;
+/// ... for as long as no more than this part of it remains.
+const MAX_REMAINING_RATIO: f64 = 0.75;
+/// All nodes together may hold this many connections on a server in any case: a node that has just started, or one of a
+/// hundred, cannot tell an idle fleet.
+const MIN_FLEET_CONNECTIONS: f64 = 15.0;
 
-/// A server that is left.
-struct Left {
-    hash: u32,
-    /// The part of all work that it can carry.
-    room: f64,
-    /// The part of all keys that it may take while it is cold.
-    most: f64,
-    /// The part of the keys that come to it from servers that are lost which it takes.
-    part: f64,
-}
-
-/// How the keys of lost servers are shared out, if they are.
 #[derive(Default)]
-pub struct KeyRedistribution {
+pub(crate) struct KeyRedistribution {
     /// The weight of all servers as it usually is.
-    usual: f64,
-    /// What this gateway held lately, at the most.
-    held: f64,
-    /// While too few are left, the hashes of all that the work was made for.
-    made_for: Vec<u32>,
-}
-
-/// Whether the server takes a key where it takes a part of them.
-pub fn accepts_key_part(hash: u32, key: u32, part: f64) -> bool {
-    unit_interval(hash ^ key.rotate_left(8)) < part
+    usual_weight: f64,
+    /// The most connections that this node held lately.
+    recent_connections: f64,
+    /// While too few servers remain, the hashes of all that the work was made for.
+    all_servers: Vec<u32>,
 }
 
 impl KeyRedistribution {
-    /// Whether the server takes the key: all do where nothing is shared out, and its own it keeps in any case.
-    pub fn accepts_key(&self, server: &Server, key: u32) -> bool {
-        self.made_for.is_empty()
-            || accepts_key_part(server.hash, key, server.redistribution_ratio)
-            || preferred_server(&self.made_for, key) == Some(server.hash)
+    /// Whether the server takes the key: all do where nothing is redistributed, and it keeps its own in any case.
+    pub(crate) fn accepts_key(&self, server: &Server, key: u32) -> bool {
+        self.all_servers.is_empty()
+            || accepts_key_ratio(server.hash, key, server.redistribution_ratio)
+            || preferred_server(&self.all_servers, key) == Some(server.hash)
     }
 
     /// A second has passed.
-    pub fn fade(&mut self, fleet: &Fleet) {
-        self.usual += USUAL_FADES * (fleet.totals.available_weight - self.usual);
-        self.held = f64::max(self.held * (1.0 - USUAL_FADES), fleet.totals.connections);
+    pub(crate) fn decay(&mut self, totals: &FleetTotals) {
+        let change = totals.available_weight - self.usual_weight;
+        self.usual_weight += USUAL_WEIGHT_ADAPTATION * change;
+        let decayed = decayed(self.recent_connections, SLOW_DECAY_PER_SECOND);
+        self.recent_connections = f64::max(decayed, totals.connections);
     }
 
-    /// KeyRedistribution the keys out anew, or no longer. `lost` is the weight that was just found to be gone without notice:
-    /// servers that drain leave their work in good order. Gives whether that began or widened it.
-    pub fn redistribute(
+    /// Redistributes the keys anew, or no longer. `lost_weight` is the weight that was just found to be gone without
+    /// notice: servers that drain leave their work in good order. Gives whether that began or widened it.
+    pub(crate) fn redistribute(
         &mut self,
         fleet: &mut Fleet,
         now: Timestamp,
         settings: &Settings,
-        lost: f64,
+        lost_weight: f64,
     ) -> bool {
-        self.usual = self.usual.max(fleet.totals.available_weight);
-        let lost = lost > LOSS * self.usual;
-        if !lost && self.made_for.is_empty() {
+        self.usual_weight = self.usual_weight.max(fleet.totals.available_weight);
+        let is_major_loss = lost_weight > MIN_LOST_RATIO * self.usual_weight;
+        if !is_major_loss && self.all_servers.is_empty() {
             return false;
         }
-        let cold_for = settings.slow_start_duration.as_secs_f64().max(1e-9);
-        let least =
-            LEAST_HELD / (f64::from(settings.node_count.max(1)) * (self.held + LIKELY_HELD));
-        // SlowStartBudget servers are filled over their warm-up.
-        let filled = |server: &Server| {
-            server.started_at.map_or(1.0, |started| {
-                (now.saturating_duration_since(started).as_secs_f64() / cold_for).min(1.0)
-            })
-        };
-        let known = fleet.servers.slots().into_iter();
-        let known = known
-            .filter_map(|at| Some((at, fleet.servers.get(at)?)))
-            .collect::<Vec<_>>();
-        let counts =
-            |server: &Server| server.health == Health::Ready && server.ejected_until.is_none();
-        let there = known.iter().filter(|(_, server)| counts(server));
-        let (slots, mut left): (Vec<ServerSlot>, Vec<Left>) = there
-            .map(|(at, server)| {
-                let room =
-                    f64::max(ROOM * server.weight / self.usual.max(1e-9), least) * filled(server);
-                let most = if server.is_warming_up {
-                    server.slow_start_ratio
-                } else {
-                    1.0
-                };
-                (
-                    *at,
-                    Left {
-                        hash: server.hash,
-                        room,
-                        most,
-                        part: 1.0,
-                    },
-                )
-            })
-            .unzip();
-        let short = left.iter().map(|server| server.room).sum::<f64>() < LEFT * ROOM
-            && known.len() <= MOST_SERVERS;
-        self.made_for = known
-            .iter()
-            .filter(|_| short)
-            .map(|(_, server)| server.hash)
-            .collect();
-        if short {
-            fit_to_room(&self.made_for, &mut left);
+        let slots = available_slots(fleet);
+        let mut remaining = self.remaining_servers(fleet, &slots, now, settings);
+        let capacity = remaining.iter().map(|server| server.capacity).sum::<f64>();
+        let is_short =
+            capacity < MAX_REMAINING_RATIO * CAPACITY_RATIO && fleet.servers.len() <= MAX_SERVERS;
+        if is_short {
+            self.all_servers = server_hashes(fleet);
+            fit_to_capacity(&self.all_servers, &mut remaining);
+        } else {
+            self.all_servers.clear();
         }
-        for (at, left) in slots.into_iter().zip(left) {
-            fleet.update(at, |server| server.redistribution_ratio = left.part);
+        for (slot, remaining) in slots.into_iter().zip(remaining) {
+            fleet.update(slot, |server| {
+                server.redistribution_ratio = remaining.extra_ratio;
+            });
         }
-        short && lost
+        is_short && is_major_loss
+    }
+
+    fn remaining_servers(
+        &self,
+        fleet: &Fleet,
+        slots: &[ServerSlot],
+        now: Timestamp,
+        settings: &Settings,
+    ) -> Vec<RemainingServer> {
+        let node_count = f64::from(settings.node_count.max(1));
+        let connections = self.recent_connections + DEFAULT_CONNECTIONS_PER_SERVER;
+        let min_capacity = MIN_FLEET_CONNECTIONS / (node_count * connections);
+        let servers = slots.iter().filter_map(|slot| fleet.servers.get(*slot));
+        servers
+            .map(|server| {
+                let weight_ratio = CAPACITY_RATIO * server.weight / self.usual_weight.max(1e-9);
+                let warm_up = warm_up_progress(server, now, settings);
+                RemainingServer {
+                    hash: server.hash,
+                    capacity: f64::max(weight_ratio, min_capacity) * warm_up,
+                    max_ratio: if server.slow_start.is_active {
+                        server.slow_start.key_ratio
+                    } else {
+                        1.0
+                    },
+                    extra_ratio: 1.0,
+                }
+            })
+            .collect()
     }
 }
 
-/// The server whose key it is while all are there: the highest score.
-fn preferred_server(all: &[u32], key: u32) -> Option<u32> {
-    all.iter()
-        .copied()
-        .max_by_key(|hash| rank_score(*hash, key))
+/// The part of its warm-up that the server has behind it; it is filled evenly over that.
+fn warm_up_progress(server: &Server, now: Timestamp, settings: &Settings) -> f64 {
+    let Some(started_at) = server.started_at else {
+        return 1.0;
+    };
+    let elapsed = now.saturating_duration_since(started_at).as_secs_f64();
+    let duration = settings.slow_start_duration.as_secs_f64().max(1e-9);
+    (elapsed / duration).min(1.0)
 }
 
-/// Sets the part of each server that is left so that none gets more than its room: `all` are the hashes of the
-/// servers that the work was made for. Its own keys it keeps in any case.
-fn fit_to_room(all: &[u32], left: &mut [Left]) {
-    let samples = (SAMPLES * left.len()).clamp(1, MOST_SAMPLES);
-    let keys = (0..samples as u32).map(|sample| murmur(&sample.to_le_bytes(), SAMPLE_SEED));
-    /// A key, whose it is, and the scores and places of those that are left, best first.
-    type Walk = (u32, Option<u32>, Vec<(u32, usize)>);
-    let walks: Vec<Walk> = keys
-        .map(|key| {
-            let scored = left
-                .iter()
-                .enumerate()
-                .map(|(at, server)| (rank_score(server.hash, key), at));
-            let mut order: Vec<(u32, usize)> = scored.collect();
-            order.sort_unstable_by_key(|(score, _)| Reverse(*score));
-            (key, preferred_server(all, key), order)
-        })
-        .collect();
-    left.iter_mut().for_each(|server| server.part = 1.0);
-    for _ in 0..ROUNDS {
-        let mut got = vec![(0.0, 0.0); left.len()];
-        for (key, home, order) in &walks {
-            let own = |hash| *home == Some(hash);
-            let lets = |(_, at): &&(u32, usize)| {
-                left.get(*at).is_some_and(|server| {
-                    let part = if own(server.hash) { 1.0 } else { server.part };
-                    accepts_key_part(server.hash, *key, part.min(server.most))
-                })
-            };
-            let Some((_, at)) = order.iter().find(lets) else {
-                continue;
-            };
-            let (Some(got), Some(server)) = (got.get_mut(*at), left.get(*at)) else {
-                continue;
-            };
-            *(if own(server.hash) {
-                &mut got.0
-            } else {
-                &mut got.1
-            }) += 1.0 / samples as f64;
-        }
-        for (server, (own, others)) in left.iter_mut().zip(got) {
-            let due = (server.room - own).max(0.0) / f64::max(others, 1e-9);
-            // What all others refuse comes to one that takes all: in small steps up, or that changes by the round.
-            server.part = (server.part * due.sqrt().min(1.2)).min(1.0);
-        }
-    }
+/// The ready servers that are not ejected.
+fn available_slots(fleet: &Fleet) -> Vec<ServerSlot> {
+    let is_available =
+        |server: &Server| server.health == Health::Ready && server.ejection.until.is_none();
+    let slots = fleet.servers.slots().into_iter();
+    slots
+        .filter(|slot| fleet.servers.get(*slot).is_some_and(is_available))
+        .collect()
 }
 
-#[cfg(test)]
-mod tests;
+fn server_hashes(fleet: &Fleet) -> Vec<u32> {
+    let slots = fleet.servers.slots().into_iter();
+    slots
+        .filter_map(|slot| fleet.servers.get(slot))
+        .map(|server| server.hash)
+        .collect()
+}
--- a/crates/placement/src/recovery/load_shedding.rs
+++ b/crates/placement/src/recovery/load_shedding.rs
@@ -1,81 +1,159 @@
-//! Moving connections off a server that holds more than it may.
+//! Load shedding: connections are migrated off a server that holds more than its concurrency limit.
 
 use crate::balancer::{Actions, Balancer};
-use crate::state::load_accounting::GROUP_COST;
-use crate::state::request::Attempt;
+use crate::state::request::RequestState;
+use crate::state::server::Server;
 use crate::state::server_table::ServerSlot;
 use crate::{RequestId, Timestamp};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// A connection placed less than this ago is not moved; longer if it had come back from a break or a move.
-const REST: Duration = Duration::from_secs(2);
-const RETURNED_REST: Duration = Duration::from_secs(8);
+/// A connection that was established less than this ago is not migrated ...
+const MIN_CONNECTION_AGE: Duration = Duration::from_secs(2);
+/// ... or less than this, if it had come back from a break or a migration.
+const MIN_RECONNECTED_AGE: Duration = Duration::from_secs(8);
+/// What is migrated may exceed the excess load by this factor.
+const MAX_EXCESS_FACTOR: f64 = 1.5;
+/// The bits of a key that decide between equal groups.
+const KEY_ROTATION: u32 = 16;
+
+/// The order in which groups are migrated where nothing else decides: those of tenants over their quota first, then by a
+/// hash, so that other nodes choose the same.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct GroupOrder {
+    is_within_quota: bool,
+    key_hash: u32,
+}
+
+struct Connection {
+    id: RequestId,
+    load: f64,
+}
+
+/// The migratable connections of a group, with the group's overhead.
+#[derive(Default)]
+struct ConnectionGroup {
+    load: f64,
+    connections: Vec<Connection>,
+}
+
+/// The load that a server still holds too much.
+struct ExcessLoadBudget {
+    excess: f64,
+    /// Drawn once from 0 to 1.
+    chance: f64,
+}
+
+impl ExcessLoadBudget {
+    fn fits(&self, load: f64) -> bool {
+        self.excess > 0.0 && load <= self.excess * MAX_EXCESS_FACTOR
+    }
+
+    /// Takes a whole group off the excess, if it fits. A single connection cannot be migrated in part: it is migrated as
+    /// often as its part would be due, or every node that holds one would migrate it at once.
+    fn take_group(&mut self, group: &ConnectionGroup) -> bool {
+        let is_single = group.connections.len() == 1;
+        let is_due_by_chance = is_single && group.load * self.chance <= self.excess;
+        let is_taken = self.fits(group.load) || (self.excess > 0.0 && is_due_by_chance);
+        if is_taken {
+            self.excess -= group.load;
+        }
+        is_taken
+    }
+
+    fn take_connection(&mut self, load: f64) -> bool {
+        let is_taken = self.fits(load);
+        if is_taken {
+            self.excess -= load;
+        }
+        is_taken
+    }
+}
 
 impl Balancer {
-    /// Moves connections off a server until it holds no more than it may: those of tenants over their share
-    /// first, then whole groups with their shared work, small ones first since each frees as much of that,
-    /// equal ones by a hash, so that other gateways let go of the same. Only where none fits is one split,
-    /// heaviest connections first.
-    pub(crate) fn shed_load(&mut self, now: Timestamp, at: ServerSlot, actions: &mut Actions) {
-        let round = self.jitter();
-        let Some(server) = self.fleet.servers.get(at) else {
+    /// Migrates connections off a server until it holds no more than its limit: whole groups with their overhead, small
+    /// ones first since each frees as much of that. Only where none fits is a group split, heaviest connections first.
+    pub(crate) fn shed_load(&mut self, now: Timestamp, slot: ServerSlot, actions: &mut Actions) {
+        let chance = self.jitter();
+        let Some(server) = self.fleet.servers.get(slot) else {
             return;
         };
-        let mut excess = server.load - server.concurrency_limit;
-        let group_cost = GROUP_COST * self.mean_load();
-        type Part = (f64, Vec<(f64, RequestId)>);
-        let mut parts: BTreeMap<(bool, u32), Part> = BTreeMap::new();
-        for held in &server.connections {
-            let Some(request) = self.requests.get(held) else {
+        let mut budget = ExcessLoadBudget {
+            excess: server.load - server.limit.max_load,
+            chance,
+        };
+        let groups = self.migratable_groups(now, server);
+        let (taken, remaining): (Vec<ConnectionGroup>, Vec<ConnectionGroup>) = groups
+            .into_iter()
+            .partition(|group| budget.take_group(group));
+        for connection in taken.into_iter().flat_map(|group| group.connections) {
+            self.migrate(connection.id, actions);
+        }
+        for group in remaining {
+            self.split_group(group, &mut budget, actions);
+        }
+    }
+
+    fn split_group(
+        &mut self,
+        mut group: ConnectionGroup,
+        budget: &mut ExcessLoadBudget,
+        actions: &mut Actions,
+    ) {
+        if group.connections.len() <= 1 {
+            return;
+        }
+        group
+            .connections
+            .sort_by(|a, b| b.load.total_cmp(&a.load).then(a.id.cmp(&b.id)));
+        for connection in group.connections {
+            if budget.take_connection(connection.load) {
+                self.migrate(connection.id, actions);
+            }
+        }
+    }
+
+    /// The groups that may be migrated, in the order in which they are.
+    fn migratable_groups(&self, now: Timestamp, server: &Server) -> Vec<ConnectionGroup> {
+        let group_overhead = self.group_overhead();
+        let mut groups: BTreeMap<GroupOrder, ConnectionGroup> = BTreeMap::new();
+        for id in &server.connections {
+            let Some(request) = self.requests.get(id) else {
                 continue;
             };
-            let rest = if request.is_reconnect {
-                RETURNED_REST
-            } else {
-                REST
-            };
-            let rested = |out: &Attempt| {
-                out.is_established
-                    && (out.skips_setup || now.saturating_duration_since(out.sent_at) > rest)
-            };
-            if request.is_finished || !request.in_flight.as_ref().is_some_and(rested) {
+            if !may_shed(now, request) {
                 continue;
             }
-            let cost = if request.group.is_some() {
-                group_cost
-            } else {
-                0.0
+            let order = GroupOrder {
+                is_within_quota: !self.is_tenant_over_quota(request),
+                key_hash: request.key.rotate_left(KEY_ROTATION),
             };
-            let order = (!self.over_share(request), request.key.rotate_left(16));
-            let part = parts.entry(order).or_insert((cost, Vec::new()));
-            part.0 += request.accounted_load;
-            part.1.push((request.accounted_load, *held));
-        }
-        let mut parts: Vec<((bool, u32), Part)> = parts.into_iter().collect();
-        parts.sort_by_key(|((within_share, _), part)| (*within_share, part.1.len()));
-        let fits = |whole: f64, excess: f64| whole <= excess * 1.5;
-        let (whole, rest): (Vec<Part>, Vec<Part>) =
-            parts.into_iter().map(|(_, part)| part).partition(|part| {
-                // A single connection cannot go in part: it goes as often as its part would be due, or every
-                // gateway that holds one would let go of all at once.
-                let by_chance = part.1.len() == 1 && part.0 * round <= excess;
-                let goes = excess > 0.0 && (fits(part.0, excess) || by_chance);
-                excess -= if goes { part.0 } else { 0.0 };
-                goes
+            let overhead = request.group.map_or(0.0, |_| group_overhead);
+            let group = groups.entry(order).or_insert_with(|| ConnectionGroup {
+                load: overhead,
+                ..ConnectionGroup::default()
+            });
+            group.load += request.accounted_load;
+            group.connections.push(Connection {
+                id: *id,
+                load: request.accounted_load,
             });
-        for (_, request) in whole.into_iter().flat_map(|part| part.1) {
-            self.migrate(request, actions);
-        }
-        for mut part in rest.into_iter().filter(|part| part.1.len() > 1) {
-            part.1
-                .sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
-            for (load, request) in part.1 {
-                if excess > 0.0 && fits(load, excess) {
-                    excess -= load;
-                    self.migrate(request, actions);
-                }
-            }
         }
+        let mut ordered: Vec<(GroupOrder, ConnectionGroup)> = groups.into_iter().collect();
+        ordered.sort_by_key(|(order, group)| (order.is_within_quota, group.connections.len()));
+        ordered.into_iter().map(|(_, group)| group).collect()
     }
 }
+
+/// Whether the connection is established and old enough to be migrated.
+fn may_shed(now: Timestamp, request: &RequestState) -> bool {
+    let min_age = if request.is_reconnect {
+        MIN_RECONNECTED_AGE
+    } else {
+        MIN_CONNECTION_AGE
+    };
+    let is_old_enough = request.in_flight.as_ref().is_some_and(|attempt| {
+        attempt.skips_setup || now.saturating_duration_since(attempt.sent_at) > min_age
+    });
+    request.is_established() && is_old_enough
+}
--- a/crates/placement/src/recovery/migration.rs
+++ b/crates/placement/src/recovery/migration.rs
@@ -1,70 +1,52 @@
-//! Moving standing connections to other servers.
+//! Migration of established connections to other servers: their clients are asked to reconnect.
 
 use crate::balancer::{Actions, Balancer};
-use crate::state::request::RequestState;
 use crate::state::server_table::ServerSlot;
-use crate::{Action, RequestId, Timestamp};
-use std::time::Duration;
+use crate::{Action, RequestId};
 
-pub(crate) const EMPTY_HANDLE: u64 = 4;
-pub(crate) const MOVES_SAVED: f64 = 0.3;
-/// A server out by hand is empty by then, step by step: guards against the work of all its connections at
-/// once on the others, and against a restart that cuts them off.
-const EMPTIED: Duration = Duration::from_millis(1500);
-const EMPTY_STEP: Duration = Duration::from_millis(100);
+/// How many connections may be migrated at once.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum MigrationAllowance {
+    /// As many as the budget has.
+    Budget,
+    Unlimited,
+}
 
 impl Balancer {
-    /// Its connections earn nothing: asks them to come again elsewhere, so many whatever has been saved up.
-    pub(crate) fn migrate_all(&mut self, at: ServerSlot, free: f64, actions: &mut Actions) {
-        let held = self
-            .fleet
-            .servers
-            .get(at)
-            .map_or(Vec::new(), |s| s.connections.iter().copied().collect());
-        self.move_tokens = self.move_tokens.max(free.min(held.len() as f64));
-        held.into_iter()
-            .for_each(|request| self.migrate(request, actions));
-    }
-
-    /// Moves the next part of what stands on servers that are out by hand; so goes a try that comes up there.
-    pub(crate) fn migrate_drained(&mut self, now: Timestamp, actions: &mut Actions) {
-        for (server, steps) in self.admin_drain.remaining_steps(now, EMPTIED, EMPTY_STEP) {
-            let at = self.fleet.servers.slot(&server);
-            let held = self
-                .fleet
-                .servers
-                .get(at)
-                .into_iter()
-                .flat_map(|server| &server.connections);
-            let stands = |id: &&RequestId| {
-                self.requests
-                    .get(id)
-                    .is_some_and(RequestState::is_established)
-            };
-            let held: Vec<RequestId> = held.filter(stands).copied().collect();
-            let due = held.len().div_ceil(steps);
-            self.move_tokens = self.move_tokens.max(due as f64);
-            held.into_iter()
-                .take(due)
-                .for_each(|request| self.migrate(request, actions));
-        }
-        if !self.admin_drain.drained().is_empty() && !std::mem::replace(&mut self.empty_timer, true)
-        {
-            actions.push(Action::SetTimer {
-                after: EMPTY_STEP,
-                handle: EMPTY_HANDLE,
-            });
-        }
-    }
-
+    /// Migrates an established connection, if the budget allows it.
     pub(crate) fn migrate(&mut self, id: RequestId, actions: &mut Actions) {
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
-        if request.is_established() && self.move_tokens >= 1.0 {
-            self.move_tokens -= 1.0;
+        if request.is_established() && self.migration_budget.try_spend() {
             request.is_finished = true;
             actions.push(Action::Migrate(id));
         }
     }
+
+    /// Migrates all connections of a server on which nobody is served.
+    pub(crate) fn migrate_all(
+        &mut self,
+        slot: ServerSlot,
+        allowance: MigrationAllowance,
+        actions: &mut Actions,
+    ) {
+        let Some(server) = self.fleet.servers.get(slot) else {
+            return;
+        };
+        let connections: Vec<RequestId> = server.connections.iter().copied().collect();
+        if allowance == MigrationAllowance::Unlimited {
+            self.migration_budget
+                .allow_at_least(connections.len() as f64);
+        }
+        for id in connections {
+            self.migrate(id, actions);
+        }
+    }
+
+    /// A connection's messages go unanswered: it is migrated whatever the budget, for nobody is served on it.
+    pub(crate) fn on_connection_unresponsive(&mut self, id: RequestId, actions: &mut Actions) {
+        self.migration_budget.allow_at_least(1.0);
+        self.migrate(id, actions);
+    }
 }
--- a/crates/placement/src/recovery/outlier_detection.rs
+++ b/crates/placement/src/recovery/outlier_detection.rs
@@ -1,123 +1,184 @@
-//! What the ends of attempts tell of servers.
+//! Outlier detection: what the ends of attempts and health checks tell of servers, and which are ejected for it.
 
 use crate::balancer::{Actions, Balancer};
+use crate::limits::overload::ExcessLoad;
+use crate::recovery::ejection::EJECTION_FAILURES;
+use crate::recovery::migration::MigrationAllowance;
+use crate::state::elapsed::happened_within;
 use crate::state::request::Attempt;
 use crate::state::server_table::ServerSlot;
-use crate::{Outcome, Timestamp};
+use crate::{Outcome, ServerId, Timestamp};
 use std::time::Duration;
 
-pub(crate) const STRIKES: u32 = 2; // failures in a row, with no success between, that bar a server
-/// A first bar lasts this long; each further one twice as long, up to the longest.
-const BAR: Duration = Duration::from_secs(1);
-const LONGEST_BAR: Duration = Duration::from_secs(8);
-/// At most this part of the ready servers may be barred on evidence; past it the evidence is not believed.
-const MOST_BARRED: f64 = 0.5;
-/// Standing connections that a server drops within this time of each other broke by its doing.
-const TOGETHER: Duration = Duration::from_secs(1);
-/// Past this part of set-ups failing at one server after another something shared is at fault.
-const SHARED: f64 = 0.5;
-pub(crate) const FAILING_RATE: f64 = 0.2;
+/// At most this part of the ready servers may be ejected on evidence; past it the evidence is not believed.
+const MAX_EJECTED_RATIO: f64 = 0.5;
+/// Established connections that a server drops within this time of each other broke by its doing.
+const DROPPED_TOGETHER_WINDOW: Duration = Duration::from_secs(1);
+/// A server that rejects attempts or drops connections retains this part of what it holds.
+const OVERLOAD_RETAINED_RATIO: f64 = 0.9;
+
+/// Evidence against a server.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Failure {
+    /// It erred. It may still serve its established connections.
+    Error,
+    /// It did not answer once.
+    NoAnswer,
+    /// It takes no connection.
+    Unavailable,
+    /// It has not answered for so long that nobody is served there.
+    Stalled,
+}
+
+impl Failure {
+    /// The number of failures that it counts for.
+    fn weight(self) -> u32 {
+        match self {
+            Failure::Error | Failure::NoAnswer => 1,
+            Failure::Unavailable | Failure::Stalled => EJECTION_FAILURES,
+        }
+    }
+
+    /// Whether it is believed however many servers are ejected.
+    fn is_conclusive(self) -> bool {
+        self.weight() >= EJECTION_FAILURES
+    }
+
+    /// Whether the server does not answer at all, so that nobody is served on its established connections.
+    fn is_silent(self) -> bool {
+        matches!(self, Failure::NoAnswer | Failure::Stalled)
+    }
+}
 
 impl Balancer {
+    /// An attempt ended. `is_finished`: its request needs no other one.
     pub(crate) fn record_outcome(
         &mut self,
         now: Timestamp,
-        tried: &Attempt,
+        attempt: &Attempt,
         outcome: Outcome,
-        over: bool,
+        is_finished: bool,
         actions: &mut Actions,
     ) {
-        let (at, stood) = (tried.server, tried.is_established);
+        let slot = attempt.server;
+        let was_established = attempt.is_established;
         match outcome {
             Outcome::ConnectFailed => {
-                self.record_failure(now, at, STRIKES, false, actions);
-                self.on_server_unreachable(now, at, actions);
+                self.record_failure(now, slot, Failure::Unavailable, actions);
+                self.on_server_unreachable(now, slot, actions);
             }
-            // It tells of the way there, not of what is behind all servers or of how long a set-up takes.
-            Outcome::TimedOut if !stood && self.on_server_silent(now, at, actions) => {}
-            Outcome::TimedOut | Outcome::Error if !stood => {
-                let Some(server) = self.fleet.servers.get(at) else {
-                    return;
-                };
-                if std::mem::replace(&mut self.failing.1, server.hash) != server.hash {
-                    self.failing.0 += FAILING_RATE * (1.0 - self.failing.0);
-                }
-                // One server after the other fails: what is behind them all is at fault, not this one.
-                // Patience grows, for attempts given up just before they would have stood bury it deeper.
-                if self.failing.0 > SHARED {
-                    let took = now.saturating_duration_since(tried.sent_at).as_secs_f64();
-                    self.setup_mean += FAILING_RATE * (took - self.setup_mean).max(0.0);
-                    self.shrink_setup_window(now);
-                } else {
-                    self.record_failure(now, at, 1, outcome == Outcome::TimedOut, actions);
-                }
+            Outcome::TimedOut | Outcome::Error if !was_established => {
+                self.on_setup_failed(now, attempt, outcome, actions);
             }
-            Outcome::Rejected => self.record_overload(now, at, 0.9, false, actions),
-            Outcome::Reset | Outcome::ClosedBeforeSend if !stood => {
-                self.record_failure(now, at, 1, false, actions);
+            Outcome::Rejected => {
+                let retained_ratio = OVERLOAD_RETAINED_RATIO;
+                self.record_overload(now, slot, retained_ratio, ExcessLoad::Keep, actions);
             }
-            Outcome::Reset if over => {
-                let Some(server) = self.fleet.servers.get_mut(at) else {
-                    return;
-                };
-                // Networks break single connections. Several at once: it drops them to save the rest; or
-                // every one broke, and it is gone though listed.
-                let together = server
-                    .connection_dropped_at
-                    .replace(now)
-                    .is_some_and(|last| now.saturating_duration_since(last) < TOGETHER);
-                if together || server.connections.is_empty() {
-                    let gone = server.connections.is_empty();
-                    server.restart_suspected |= together && gone;
-                    self.record_overload(now, at, 0.9, true, actions);
-                    if gone {
-                        self.on_server_unreachable(now, at, actions);
-                    }
-                }
+            Outcome::Reset | Outcome::ClosedBeforeSend if !was_established => {
+                self.record_failure(now, slot, Failure::Error, actions);
             }
+            Outcome::Reset if is_finished => self.on_connection_dropped(now, slot, actions),
             _ => {}
         }
     }
 
-    /// Guards against servers that died or answer nothing, long before the list tells. `silent`: it did not
-    /// answer at all, so its standing connections earn nothing. One that errs may serve those; they stay.
+    /// No connection came up: the fault is the server's, its zone's, or that of something behind all servers.
+    fn on_setup_failed(
+        &mut self,
+        now: Timestamp,
+        attempt: &Attempt,
+        outcome: Outcome,
+        actions: &mut Actions,
+    ) {
+        let slot = attempt.server;
+        let timed_out = outcome == Outcome::TimedOut;
+        // An unreachable zone says nothing of what is behind all servers or of how long a setup takes.
+        if timed_out && self.on_server_silent(now, slot, actions) {
+            return;
+        }
+        let Some(server) = self.fleet.servers.get(slot) else {
+            return;
+        };
+        self.shared_failures.record_failure(server.hash);
+        if self.shared_failures.is_detected() {
+            let duration = now.saturating_duration_since(attempt.sent_at);
+            self.setup_window
+                .record_shared_failure(now, duration, &mut self.jitter_random);
+            return;
+        }
+        let failure = if timed_out {
+            Failure::NoAnswer
+        } else {
+            Failure::Error
+        };
+        self.record_failure(now, slot, failure, actions);
+    }
+
+    /// Networks break single connections. Where several break at once the server drops them to save the rest, or every
+    /// one broke and it is gone though listed.
+    fn on_connection_dropped(&mut self, now: Timestamp, slot: ServerSlot, actions: &mut Actions) {
+        let Some(server) = self.fleet.servers.get_mut(slot) else {
+            return;
+        };
+        let last_dropped_at = server.connection_dropped_at.replace(now);
+        let dropped_together = happened_within(now, last_dropped_at, DROPPED_TOGETHER_WINDOW);
+        let is_empty = server.connections.is_empty();
+        if !dropped_together && !is_empty {
+            return;
+        }
+        server.restart_suspected |= dropped_together && is_empty;
+        let retained_ratio = OVERLOAD_RETAINED_RATIO;
+        self.record_overload(now, slot, retained_ratio, ExcessLoad::Shed, actions);
+        if is_empty {
+            self.on_server_unreachable(now, slot, actions);
+        }
+    }
+
+    /// Counts a failure and ejects the server once it is due. Guards against servers that died or answer nothing, long
+    /// before the endpoint list tells.
     pub(crate) fn record_failure(
         &mut self,
         now: Timestamp,
-        at: ServerSlot,
-        weight: u32,
-        silent: bool,
+        slot: ServerSlot,
+        failure: Failure,
         actions: &mut Actions,
     ) {
         let jitter = self.jitter();
-        let sums = &self.fleet.totals;
-        let (ready, barred) = (
-            sums.ready - sums.unreachable,
-            sums.ejected - sums.unreachable,
-        );
-        let Some(server) = self.fleet.servers.get_mut(at) else {
+        let totals = &self.fleet.totals;
+        let reachable = totals.ready - totals.unreachable;
+        let ejected = totals.ejected - totals.unreachable;
+        let Some(server) = self.fleet.servers.get_mut(slot) else {
             return;
         };
-        let others = barred - f64::from(u8::from(server.ejected_until.is_some()));
-        // A server that takes no connection is out of use however many others are.
-        let believable = weight >= STRIKES || others + 1.0 <= ready * MOST_BARRED;
-        server.consecutive_failures += weight;
-        if server.consecutive_failures < STRIKES
-            || server.ejected_until.is_some_and(|until| now < until)
-            || !believable
-        {
+        server.ejection.consecutive_failures += failure.weight();
+        let is_ejected = server.ejection.until.is_some();
+        let ejected_others = ejected - f64::from(u8::from(is_ejected));
+        let is_believed =
+            failure.is_conclusive() || ejected_others + 1.0 <= reachable * MAX_EJECTED_RATIO;
+        if !is_believed || !server.ejection.is_due(now) {
             return;
         }
-        self.fleet.update(at, |server| {
-            let span = BAR
-                .mul_f64(f64::from(1u32 << server.ejection_count.min(3)))
-                .min(LONGEST_BAR);
-            server.ejected_until = Some(now.saturating_add(span.mul_f64(0.75 + 0.5 * jitter)));
-            server.ejection_count += 1;
+        self.fleet.update(slot, |server| {
+            server.ejection.eject(now, jitter);
             server.restart_suspected |= server.connections.is_empty();
         });
-        if silent {
-            self.migrate_all(at, 0.0, actions);
+        if failure.is_silent() {
+            self.migrate_all(slot, MigrationAllowance::Budget, actions);
         }
     }
+
+    /// None of the server's established connections is answered. Whether it died or was cut off, it may come back
+    /// warming up.
+    pub(crate) fn on_server_unresponsive(
+        &mut self,
+        now: Timestamp,
+        server: &ServerId,
+        actions: &mut Actions,
+    ) {
+        let slot = self.fleet.servers.slot(server);
+        self.record_failure(now, slot, Failure::Unavailable, actions);
+        self.migrate_all(slot, MigrationAllowance::Unlimited, actions);
+        self.fleet
+            .update(slot, |server| server.restart_suspected = true);
+    }
 }
--- /dev/null
+++ b/crates/placement/src/recovery/zone_outage.rs
@@ -0,0 +1,105 @@
+//! Zones that cannot be reached: how they are found out, and what becomes of their servers.
+
+use crate::balancer::{Actions, Balancer};
+use crate::recovery::migration::MigrationAllowance;
+use crate::state::server_table::ServerSlot;
+use crate::Timestamp;
+use std::time::Duration;
+
+/// Servers of one zone that cannot be reached within this time may tell that the whole zone cannot be, and so long they
+/// are left alone.
+const ZONE_OUTAGE_WINDOW: Duration = Duration::from_secs(2);
+/// Ejections with a zone last at least this part of that, the rest is drawn.
+const MIN_OUTAGE_RATIO: f64 = 0.5;
+/// Servers that are checked at once to see whether their zone can be reached.
+const MAX_ZONE_CHECKS: usize = 8;
+
+impl Balancer {
+    /// A server cannot be reached. Guards against a zone that is lost and tried server by server.
+    pub(crate) fn on_server_unreachable(
+        &mut self,
+        now: Timestamp,
+        slot: ServerSlot,
+        actions: &mut Actions,
+    ) {
+        let duration_ratio = MIN_OUTAGE_RATIO + (1.0 - MIN_OUTAGE_RATIO) * self.jitter();
+        let until = now.saturating_add(ZONE_OUTAGE_WINDOW.mul_f64(duration_ratio));
+        // Only a health check can tell that the zone is back before the next attempt there.
+        let is_lasting = self.reports_utilization();
+        let zone_slots = self
+            .fleet
+            .record_unreachable(now, slot, ZONE_OUTAGE_WINDOW, is_lasting);
+        let mut lost_weight = 0.0;
+        let mut is_new_outage = false;
+        for slot in zone_slots {
+            self.fleet.update(slot, |server| {
+                is_new_outage |= is_lasting && !server.ejection.is_zone_unreachable;
+                server.ejection.is_zone_unreachable |= is_lasting;
+                server.ejection.extend_until(until);
+                lost_weight += server.weight;
+            });
+        }
+        if lost_weight > 0.0 {
+            self.redistribute_keys(now, lost_weight, actions);
+        }
+        if is_new_outage {
+            // What failed on the way there says nothing of setups elsewhere.
+            self.shared_failures.reset();
+            self.setup_window.reopen(now);
+        }
+    }
+
+    /// An attempt or a health check got no answer. Gives whether the server's zone cannot be reached, which is taken to be
+    /// so while another zone answers; what is known not to answer there then serves nobody. Guards against a zone that is
+    /// cut off, whose servers are tried one by one, and whose timeouts pass for a fault behind all servers.
+    pub(crate) fn on_server_silent(
+        &mut self,
+        now: Timestamp,
+        slot: ServerSlot,
+        actions: &mut Actions,
+    ) -> bool {
+        if !self.reports_utilization() {
+            return false; // a server that is slow to set up looks no different
+        }
+        self.check_zones_around(now, slot, actions);
+        let others_answer = self
+            .fleet
+            .answered_outside_zone_of(now, slot, ZONE_OUTAGE_WINDOW);
+        if !others_answer {
+            return false;
+        }
+        self.on_server_unreachable(now, slot, actions);
+        let server = self.fleet.servers.get(slot);
+        let is_unreachable = server.is_some_and(|server| server.ejection.is_zone_unreachable);
+        if is_unreachable {
+            for slot in self.fleet.unreachable_in_zone_of(slot) {
+                self.migrate_all(slot, MigrationAllowance::Unlimited, actions);
+            }
+        }
+        is_unreachable
+    }
+
+    /// Checks the others of a zone in which one does not answer, and one elsewhere.
+    fn check_zones_around(&mut self, now: Timestamp, slot: ServerSlot, actions: &mut Actions) {
+        let Some(zone) = self.fleet.zone_of(slot) else {
+            return;
+        };
+        let same_zone = self.fleet.ready_in_zones(|other| other == zone);
+        let other_zones = self.fleet.ready_in_zones(|other| other != zone);
+        let same_zone = same_zone.into_iter().take(MAX_ZONE_CHECKS);
+        for slot in same_zone.chain(other_zones.into_iter().take(1)) {
+            self.send_health_check(now, slot, actions);
+        }
+    }
+
+    /// Checks one server of each zone that cannot be reached.
+    pub(crate) fn check_unreachable_zones(&mut self, now: Timestamp, actions: &mut Actions) {
+        for zone in self.fleet.unreachable_zones() {
+            let slots = self.fleet.ready_in_zones(|other| other == zone);
+            let position = (self.jitter() * slots.len() as f64) as usize;
+            if let Some(slot) = slots.get(position) {
+                self.send_health_check(now, *slot, actions);
+            }
+        }
+    }
+}
--- a/crates/placement/src/state/learned_state.rs
+++ b/crates/placement/src/state/learned_state.rs
@@ -1,99 +1,113 @@
-//! What a gateway has learnt of its servers, for a process that takes its place at once: spans instead of moments, since the
-//! two have clocks of their own.
+//! What a process has learned of its servers, for one that takes its place at once. It has durations in place of moments,
+//! since the two have clocks of their own.
 
 use crate::state::fleet::Fleet;
+use crate::state::server::Server;
 use crate::{Health, ServerId, Settings, Timestamp};
 use std::time::Duration;
 
-/// What was learnt of one server.
+/// Two clocks tell the same start of a server within this time.
+const START_TOLERANCE: Duration = Duration::from_secs(1);
+
+/// What was learned of one server.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LearnedServer {
     /// Which server.
     pub server: ServerId,
     /// How long ago it started, if that is known.
     pub started_ago: Option<Duration>,
-    /// The most load of this gateway's that it may hold, in units of work a second; none if it was never crowded.
+    /// The most load of this node's that it may hold, in units of work a second; none if it was never overloaded.
     pub concurrency_limit: Option<f64>,
-    /// How long ago it was last crowded.
+    /// How long ago it was last overloaded.
     pub overloaded_ago: Option<Duration>,
-    /// For how long it is still barred.
+    /// For how long it is still ejected.
     pub ejected_for: Option<Duration>,
-    /// How often it was barred in a row, and its failures since.
+    /// How often it was ejected in a row.
     pub ejection_count: u32,
-    /// See `bars`.
+    /// Its failures since the last success.
     pub consecutive_failures: u32,
-    /// It will come back cold.
+    /// It will come back warming up.
     pub restart_suspected: bool,
 }
 
+impl LearnedServer {
+    fn new(now: Timestamp, id: &ServerId, server: &Server) -> LearnedServer {
+        let elapsed = |at: Timestamp| now.saturating_duration_since(at);
+        let ejected_until = server.ejection.until;
+        LearnedServer {
+            server: id.clone(),
+            started_ago: server.started_at.map(elapsed),
+            concurrency_limit: Some(server.limit.max_load).filter(|limit| limit.is_finite()),
+            overloaded_ago: server.limit.overloaded_at.map(elapsed),
+            ejected_for: ejected_until.map(|until| until.saturating_duration_since(now)),
+            ejection_count: server.ejection.count,
+            consecutive_failures: server.ejection.consecutive_failures,
+            restart_suspected: server.restart_suspected,
+        }
+    }
+
+    fn apply_to(&self, settings: &Settings, now: Timestamp, server: &mut Server) {
+        let started_at = self.started_ago.map(|elapsed| before(now, elapsed));
+        let limit = self.concurrency_limit.filter(|limit| *limit >= 0.0);
+        server.started_at = server.started_at.max(started_at);
+        server.slow_start.is_active = server.is_in_slow_start(settings, now);
+        server.limit.max_load = limit.unwrap_or(f64::INFINITY);
+        server.limit.overloaded_at = self.overloaded_ago.map(|elapsed| before(now, elapsed));
+        server.ejection.until = self.ejected_for.map(|span| now.saturating_add(span));
+        server.ejection.count = self.ejection_count;
+        server.ejection.consecutive_failures = self.consecutive_failures;
+        server.restart_suspected |= self.restart_suspected;
+    }
+
+    /// Whether the server is known to have started later: it is then another process than the one learned of.
+    fn is_outdated(&self, now: Timestamp, server: &Server) -> bool {
+        let Some(known_start) = server.started_at else {
+            return false;
+        };
+        let Some(started_ago) = self.started_ago else {
+            return true;
+        };
+        let started_at = before(now, started_ago);
+        known_start.saturating_duration_since(started_at) > START_TOLERANCE
+    }
+}
+
 /// The moment a `span` before `now`.
 fn before(now: Timestamp, span: Duration) -> Timestamp {
-    Timestamp(
-        now.0
-            .saturating_sub(u64::try_from(span.as_nanos()).unwrap_or(u64::MAX)),
-    )
+    let nanoseconds = u64::try_from(span.as_nanos()).unwrap_or(u64::MAX);
+    Timestamp(now.0.saturating_sub(nanoseconds))
 }
 
 impl Fleet {
-    /// What was learnt of the servers that are listed.
-    pub fn learned_state(&self, now: Timestamp) -> Vec<LearnedServer> {
-        let listed = self.servers.slots().into_iter();
-        let learnt = listed.filter_map(|at| Some((self.servers.id(at)?, self.servers.get(at)?)));
-        let learnt = learnt
-            .filter(|(_, server)| server.health != Health::Gone)
-            .map(|(id, server)| LearnedServer {
-                server: id.clone(),
-                started_ago: server
-                    .started_at
-                    .map(|at| now.saturating_duration_since(at)),
-                concurrency_limit: Some(server.concurrency_limit).filter(|cap| cap.is_finite()),
-                overloaded_ago: server
-                    .overloaded_at
-                    .map(|at| now.saturating_duration_since(at)),
-                ejected_for: server
-                    .ejected_until
-                    .map(|until| until.saturating_duration_since(now)),
-                ejection_count: server.ejection_count,
-                consecutive_failures: server.consecutive_failures,
-                restart_suspected: server.restart_suspected,
-            });
-        let mut learnt: Vec<LearnedServer> = learnt.collect();
-        learnt.sort_by(|a, b| a.server.cmp(&b.server));
-        learnt
+    /// What was learned of the servers that are listed, ordered by id.
+    pub(crate) fn learned_state(&self, now: Timestamp) -> Vec<LearnedServer> {
+        let mut learned: Vec<LearnedServer> = self
+            .servers
+            .slots()
+            .into_iter()
+            .filter_map(|slot| {
+                let server = self.servers.get(slot)?;
+                let id = self.servers.id(slot)?;
+                (server.health != Health::Gone).then(|| LearnedServer::new(now, id, server))
+            })
+            .collect();
+        learned.sort_by(|a, b| a.server.cmp(&b.server));
+        learned
     }
 
-    /// Takes over what another process learnt, as far as it is about listed servers. A later start that this one knows of
-    /// makes it void: that was another process of the server.
-    pub fn apply_learned_state(
+    /// Takes over what another process learned of the servers that are listed.
+    pub(crate) fn apply_learned_state(
         &mut self,
         settings: &Settings,
         now: Timestamp,
-        learnt: Vec<LearnedServer>,
+        learned_servers: &[LearnedServer],
     ) {
-        for learnt in learnt {
-            let started = learnt.started_ago.map(|span| before(now, span));
-            let at = self.servers.slot(&learnt.server);
-            self.update(at, |server| {
-                // The same start is told by both clocks within less than a second.
-                let later = |at: Timestamp| {
-                    started.is_none_or(|told| {
-                        at.saturating_duration_since(told) > Duration::from_secs(1)
-                    })
-                };
-                if server.health == Health::Gone || server.started_at.is_some_and(later) {
-                    return;
+        for learned in learned_servers {
+            let slot = self.servers.slot(&learned.server);
+            self.update(slot, |server| {
+                if server.health != Health::Gone && !learned.is_outdated(now, server) {
+                    learned.apply_to(settings, now, server);
                 }
-                server.started_at = server.started_at.max(started);
-                server.is_warming_up = server.is_in_slow_start(settings, now);
-                server.concurrency_limit = learnt
-                    .concurrency_limit
-                    .filter(|cap| *cap >= 0.0)
-                    .unwrap_or(f64::INFINITY);
-                server.overloaded_at = learnt.overloaded_ago.map(|span| before(now, span));
-                server.ejected_until = learnt.ejected_for.map(|span| now.saturating_add(span));
-                (server.ejection_count, server.consecutive_failures) =
-                    (learnt.ejection_count, learnt.consecutive_failures);
-                server.restart_suspected |= learnt.restart_suspected;
             });
         }
     }
--- a/crates/placement/src/state/ranking_index.rs
+++ b/crates/placement/src/state/ranking_index.rs
@@ -1,142 +1,157 @@
-//! The servers that may be ranked, as one tight row of hashes: a decision looks at each of them, at a cost of about a
-//! nanosecond a server, and puts in order only as many as it was asked for.
+//! The servers that may be ranked, as one dense array of hashes: a decision looks at each of them, at a cost of about a
+//! nanosecond a server, and sorts only as many as it asks for.
 
 use crate::state::server_table::ServerSlot;
 use std::collections::HashMap;
 
-/// So many hashes are scored and compared at a time, without a branch between them.
-const BLOCK: usize = 16;
+/// Hashes that are scored and compared at a time, without a branch between them.
+const BLOCK_LENGTH: usize = 16;
 
-/// Servers by place, each with its hash.
+/// A server with its hash.
+#[derive(Clone, Copy)]
+pub(crate) struct IndexedServer {
+    pub(crate) hash: u32,
+    pub(crate) slot: ServerSlot,
+}
+
+/// A server with its score for one key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct RankedServer {
+    pub(crate) score: u32,
+    pub(crate) slot: ServerSlot,
+}
+
+impl RankedServer {
+    /// Whether it ranks above the other; `precedes` decides between equal scores.
+    pub(crate) fn is_above(
+        self,
+        other: RankedServer,
+        precedes: impl Fn(ServerSlot, ServerSlot) -> bool,
+    ) -> bool {
+        self.score > other.score || (self.score == other.score && precedes(self.slot, other.slot))
+    }
+}
+
+/// The highest scores met so far, best first.
+struct TopRanked {
+    count: usize,
+    servers: Vec<RankedServer>,
+}
+
+impl TopRanked {
+    fn offer(
+        &mut self,
+        server: RankedServer,
+        accepts: impl Fn(ServerSlot) -> bool,
+        precedes: impl Fn(ServerSlot, ServerSlot) -> bool,
+    ) {
+        let last = if self.is_full() {
+            self.servers.last().copied()
+        } else {
+            None
+        };
+        let is_among_top = last.is_none_or(|last| server.is_above(last, &precedes));
+        if self.count > 0 && is_among_top && accepts(server.slot) {
+            let position = self
+                .servers
+                .partition_point(|other| other.is_above(server, &precedes));
+            self.servers.insert(position, server);
+            self.servers.truncate(self.count);
+        }
+    }
+
+    /// The lowest score that may still be among the top.
+    fn min_score(&self) -> u32 {
+        if self.is_full() {
+            self.servers.last().map_or(u32::MAX, |last| last.score)
+        } else {
+            0
+        }
+    }
+
+    fn is_full(&self) -> bool {
+        self.servers.len() >= self.count
+    }
+}
+
+/// Servers by position, each with its hash.
 #[derive(Default)]
 pub(crate) struct RankingIndex {
     hashes: Vec<u32>,
     slots: Vec<ServerSlot>,
-    places: HashMap<ServerSlot, u32>,
+    positions: HashMap<ServerSlot, u32>,
 }
 
 impl RankingIndex {
-    /// How many there are.
     pub(crate) fn len(&self) -> usize {
         self.slots.len()
     }
 
-    /// Adds a server that is not there. The order of adding means nothing.
+    /// Adds a server that is not in the index. The order of adding means nothing.
     pub(crate) fn add(&mut self, hash: u32, slot: ServerSlot) {
-        self.places.insert(slot, self.slots.len() as u32);
+        self.positions.insert(slot, self.slots.len() as u32);
         self.hashes.push(hash);
         self.slots.push(slot);
     }
 
-    /// Removes a server, if it is there, without a walk.
+    /// Removes a server, if it is in the index, in constant time.
     pub(crate) fn remove(&mut self, slot: ServerSlot) {
-        let Some(place) = self.places.remove(&slot) else {
+        let Some(position) = self.positions.remove(&slot) else {
             return;
         };
-        self.hashes.swap_remove(place as usize);
-        self.slots.swap_remove(place as usize);
-        if let Some(moved) = self.slots.get(place as usize) {
-            self.places.insert(*moved, place);
+        self.hashes.swap_remove(position as usize);
+        self.slots.swap_remove(position as usize);
+        if let Some(moved) = self.slots.get(position as usize) {
+            self.positions.insert(*moved, position);
         }
     }
 
-    /// All of them.
-    pub(crate) fn iter(&self) -> impl Iterator<Item = (u32, ServerSlot)> + '_ {
-        self.hashes.iter().copied().zip(self.slots.iter().copied())
+    pub(crate) fn iter(&self) -> impl Iterator<Item = IndexedServer> + '_ {
+        self.hashes
+            .iter()
+            .zip(&self.slots)
+            .map(|(hash, slot)| IndexedServer {
+                hash: *hash,
+                slot: *slot,
+            })
     }
 
-    /// The `count` highest scores among those that `keeps` leaves, best first; `before` decides between equal ones.
-    /// `also` are servers that are not in the row. What `keeps` costs is paid only for those that come near the top.
+    /// The `count` highest scores among the servers that `accepts` leaves, best first; `precedes` decides between equal
+    /// ones. `others` are servers that are not in the index. The cost of `accepts` is paid only for those that come near
+    /// the top.
     pub(crate) fn best(
         &self,
         count: usize,
         score: impl Fn(u32) -> u32,
-        also: impl Iterator<Item = (u32, ServerSlot)>,
-        keeps: impl Fn(ServerSlot) -> bool,
-        before: impl Fn(ServerSlot, ServerSlot) -> bool,
-    ) -> Vec<(u32, ServerSlot)> {
-        let mut best: Vec<(u32, ServerSlot)> = Vec::with_capacity(count.min(self.len()) + 2);
-        let mut offer = |score: u32, slot: ServerSlot| -> u32 {
-            let least = best.last().filter(|_| best.len() >= count).copied();
-            let ahead = |a: (u32, ServerSlot), b: (u32, ServerSlot)| {
-                a.0 > b.0 || (a.0 == b.0 && before(a.1, b.1))
-            };
-            if count > 0 && least.is_none_or(|least| ahead((score, slot), least)) && keeps(slot) {
-                let place = best.partition_point(|other| ahead(*other, (score, slot)));
-                best.insert(place, (score, slot));
-                best.truncate(count);
-            }
-            if best.len() < count {
-                0
-            } else {
-                best.last().map_or(u32::MAX, |last| last.0)
-            }
+        others: impl Iterator<Item = IndexedServer>,
+        accepts: impl Fn(ServerSlot) -> bool,
+        precedes: impl Fn(ServerSlot, ServerSlot) -> bool,
+    ) -> Vec<RankedServer> {
+        let mut top = TopRanked {
+            count,
+            servers: Vec::with_capacity(count.min(self.len()) + 2),
         };
-        let mut least = 0;
-        for (block, slots) in self.hashes.chunks(BLOCK).zip(self.slots.chunks(BLOCK)) {
-            let top = block.iter().map(|hash| score(*hash)).max().unwrap_or(0);
-            if top >= least {
-                for (hash, slot) in block.iter().zip(slots) {
-                    let score = score(*hash);
-                    if score >= least {
-                        least = offer(score, *slot);
-                    }
+        let mut min_score = 0;
+        let blocks = self.hashes.chunks(BLOCK_LENGTH);
+        for (hashes, slots) in blocks.zip(self.slots.chunks(BLOCK_LENGTH)) {
+            let highest = hashes.iter().map(|hash| score(*hash)).max().unwrap_or(0);
+            if highest < min_score {
+                continue;
+            }
+            for (hash, slot) in hashes.iter().zip(slots) {
+                let score = score(*hash);
+                if score >= min_score {
+                    top.offer(RankedServer { score, slot: *slot }, &accepts, &precedes);
+                    min_score = top.min_score();
                 }
             }
         }
-        for (hash, slot) in also {
-            offer(score(hash), slot);
-        }
-        best
-    }
-}
-
-/// The first server of each sort that a walk by falling scores meets. It starts at a given server and comes round to
-/// the higher scores at its end. Servers may be shown in any order, so none has to be sorted.
-pub(crate) struct CandidateScan<const SORTS: usize> {
-    start: Option<(u32, ServerSlot)>,
-    met: [Option<(bool, u32, ServerSlot)>; SORTS],
-}
-
-impl<const SORTS: usize> CandidateScan<SORTS> {
-    /// A walk that starts at this server, or at the top score.
-    pub(crate) fn from(start: Option<(u32, ServerSlot)>) -> Self {
-        CandidateScan {
-            start,
-            met: [None; SORTS],
-        }
-    }
-
-    /// Shows a server of a sort; `before` decides between equal scores.
-    pub(crate) fn meet(
-        &mut self,
-        sort: usize,
-        score: u32,
-        slot: ServerSlot,
-        before: impl Fn(ServerSlot, ServerSlot) -> bool,
-    ) {
-        let ahead = |a: (u32, ServerSlot), b: (u32, ServerSlot)| {
-            a.0 > b.0 || (a.0 == b.0 && before(a.1, b.1))
-        };
-        let round = self.start.is_some_and(|start| ahead((score, slot), start));
-        let Some(place) = self.met.get_mut(sort) else {
-            return;
-        };
-        let first = place.is_none_or(|(other_round, other, at)| {
-            (!round && other_round) || (round == other_round && ahead((score, slot), (other, at)))
-        });
-        if first {
-            *place = Some((round, score, slot));
+        for other in others {
+            let score = score(other.hash);
+            let slot = other.slot;
+            top.offer(RankedServer { score, slot }, &accepts, &precedes);
         }
-    }
-
-    /// The first one met of a sort.
-    pub(crate) fn first(&self, sort: usize) -> Option<ServerSlot> {
-        self.met
-            .get(sort)
-            .copied()
-            .flatten()
-            .map(|(_, _, slot)| slot)
+        top.servers
     }
 }
 
