--- a/crates/placement/src/events.rs
+++ b/crates/placement/src/events.rs
@@ -34,10 +34,19 @@
             }
             Event::Gossip(message) => self.on_gossip(now, &message),
             Event::TimerFired(handle) => self.on_timer(now, handle, actions),
-            event => self.handle_request_event(now, event, actions),
+            Event::RequestReceived(_)
+            | Event::ConnectionInherited(..)
+            | Event::ConnectionEstablished { .. }
+            | Event::AttemptEnded { .. }
+            | Event::ClientGone(_)
+            | Event::ShutdownDeadline { .. }
+            | Event::LoadObserved { .. }
+            | Event::DelayObserved { .. }
+            | Event::ConnectionUnresponsive(_) => self.handle_request_event(now, event, actions),
         }
     }
 
+    /// Events of the endpoint list and its watch.
     fn handle_endpoint_event(&mut self, now: Timestamp, event: Event, actions: &mut Actions) {
         match event {
             Event::EndpointList { entries, cached } => {
@@ -50,6 +59,7 @@
         }
     }
 
+    /// Events of one request or its connection.
     fn handle_request_event(&mut self, now: Timestamp, event: Event, actions: &mut Actions) {
         match event {
             Event::RequestReceived(info) => self.on_request_received(now, &info, actions),
@@ -66,17 +76,14 @@
                 done,
                 report,
             } => {
-                let Some(slot) = self.server_of_attempt(request, attempt) else {
-                    return;
-                };
-                if let Some(values) = report {
-                    self.on_load_report(now, slot, &values, actions);
-                }
                 let end = AttemptEnd {
+                    request,
+                    attempt,
                     outcome,
                     completes_request: done,
+                    report,
                 };
-                self.on_attempt_ended(now, request, end, actions);
+                self.on_attempt_ended(now, &end, actions);
             }
             Event::ClientGone(request) => self.finish_request(request),
             Event::ShutdownDeadline { request, sent } => {
--- a/crates/placement/src/limits/health_check_budget.rs
+++ b/crates/placement/src/limits/health_check_budget.rs
@@ -21,7 +21,7 @@
     }
 
     /// Spends one check, if there is one.
-    pub(crate) fn try_spend(&mut self) -> bool {
+    pub(crate) fn spend(&mut self) -> bool {
         if self.checks < 1.0 {
             return false;
         }
--- a/crates/placement/src/limits/health_checks.rs
+++ b/crates/placement/src/limits/health_checks.rs
@@ -47,7 +47,7 @@
         };
         let last_sent_at = server.health_check.map(|check| check.sent_at);
         let is_due = is_longer_ago(now, last_sent_at, REPORT_MAX_AGE);
-        if !is_due || !self.health_check_budget.try_spend() {
+        if !is_due || !self.health_check_budget.spend() {
             return false;
         }
         server.health_check = Some(HealthCheck {
@@ -93,7 +93,7 @@
     }
 
     fn on_health_check_failed(&mut self, now: Timestamp, slot: ServerSlot, actions: &mut Actions) {
-        let is_zone_unreachable = self.on_server_silent(now, slot, actions);
+        let is_zone_unreachable = self.on_no_answer(now, slot, actions);
         if !is_zone_unreachable {
             self.record_failure(now, slot, Failure::NoAnswer, actions);
         }
--- a/crates/placement/src/policy/retry.rs
+++ b/crates/placement/src/policy/retry.rs
@@ -7,11 +7,15 @@
 use crate::{Action, Outcome, RequestId, Timestamp};
 
 /// How an attempt ended.
-#[derive(Clone, Copy)]
 pub(crate) struct AttemptEnd {
+    pub(crate) request: RequestId,
+    /// The attempt's number, from 0.
+    pub(crate) attempt: u32,
     pub(crate) outcome: Outcome,
     /// The request needs no further attempt.
     pub(crate) completes_request: bool,
+    /// The server's load report, if one came.
+    pub(crate) report: Option<Vec<f64>>,
 }
 
 impl Balancer {
@@ -31,7 +35,7 @@
     }
 
     /// The server of the request's attempt of this number, if that is the present one.
-    pub(crate) fn server_of_attempt(&self, id: RequestId, attempt: u32) -> Option<ServerSlot> {
+    fn server_of_attempt(&self, id: RequestId, attempt: u32) -> Option<ServerSlot> {
         let request = self.requests.get(&id)?;
         let in_flight = request.in_flight.as_ref()?;
         (request.attempt_count == attempt + 1).then_some(in_flight.server)
@@ -66,10 +70,16 @@
     pub(crate) fn on_attempt_ended(
         &mut self,
         now: Timestamp,
-        id: RequestId,
-        end: AttemptEnd,
+        end: &AttemptEnd,
         actions: &mut Actions,
     ) {
+        let id = end.request;
+        let Some(slot) = self.server_of_attempt(id, end.attempt) else {
+            return;
+        };
+        if let Some(values) = &end.report {
+            self.on_load_report(now, slot, values, actions);
+        }
         self.release(id);
         let Some(attempt) = self.take_attempt(id, end.outcome) else {
             return;
--- a/crates/placement/src/policy/selection.rs
+++ b/crates/placement/src/policy/selection.rs
@@ -146,25 +146,7 @@
                 scan.offer(tier.index(), ranked, |a, b| self.precedes(a, b));
             }
         }
-        let preferred = [
-            Tier::Admitted,
-            Tier::DeclinedByMachineKind,
-            Tier::BeyondFairLoad,
-        ];
-        // With every server ejected the evidence is not believed; with any at its limit the rest are no way out.
-        let fallback = scan
-            .first(Tier::Any.index())
-            .filter(|_| all_are_ejected)
-            .map(Selection::within_limit);
-        preferred
-            .into_iter()
-            .find_map(|tier| scan.first(tier.index()))
-            .map(Selection::within_limit)
-            .or(fallback)
-            .or_else(|| {
-                scan.first(Tier::BeyondLimit.index())
-                    .map(Selection::beyond_limit)
-            })
+        best_selection(&scan, all_are_ejected)
     }
 
     fn admission_tier(
@@ -210,3 +192,29 @@
         !is_declined || (request.group.is_some() && server.serves_group(request.group))
     }
 }
+
+/// The first server of the best tier that was met. With every server ejected the evidence is not believed; with any at its
+/// limit the rest are no way out.
+fn best_selection(
+    scan: &CandidateScan<{ Tier::COUNT }>,
+    all_are_ejected: bool,
+) -> Option<Selection> {
+    let preferred = [
+        Tier::Admitted,
+        Tier::DeclinedByMachineKind,
+        Tier::BeyondFairLoad,
+    ];
+    let fallback = scan
+        .first(Tier::Any.index())
+        .filter(|_| all_are_ejected)
+        .map(Selection::within_limit);
+    preferred
+        .into_iter()
+        .find_map(|tier| scan.first(tier.index()))
+        .map(Selection::within_limit)
+        .or(fallback)
+        .or_else(|| {
+            scan.first(Tier::BeyondLimit.index())
+                .map(Selection::beyond_limit)
+        })
+}
--- a/crates/placement/src/recovery/key_fitting.rs
+++ b/crates/placement/src/recovery/key_fitting.rs
@@ -40,9 +40,9 @@
     ranking: Vec<usize>,
 }
 
-/// The parts of the sampled keys that a server takes.
+/// The parts of the sampled keys that come to a server.
 #[derive(Clone, Copy, Default)]
-struct TakenKeys {
+struct AssignedKeys {
     own: f64,
     extra: f64,
 }
@@ -68,10 +68,10 @@
         server.extra_ratio = 1.0;
     }
     for _ in 0..ROUNDS {
-        let taken = taken_keys(&samples, remaining);
-        for (server, taken) in remaining.iter_mut().zip(taken) {
-            let free_capacity = (server.capacity - taken.own).max(0.0);
-            let factor = free_capacity / f64::max(taken.extra, 1e-9);
+        let assigned = assigned_keys(&samples, remaining);
+        for (server, assigned) in remaining.iter_mut().zip(assigned) {
+            let free_capacity = (server.capacity - assigned.own).max(0.0);
+            let factor = free_capacity / f64::max(assigned.extra, 1e-9);
             // What all others decline comes to one that takes all: in small steps up, or that changes by the round.
             let step = factor.sqrt().min(MAX_RISE_PER_ROUND);
             server.extra_ratio = (server.extra_ratio * step).min(1.0);
@@ -103,8 +103,8 @@
     scored.into_iter().map(|(_, position)| position).collect()
 }
 
-fn taken_keys(samples: &[SampleKey], remaining: &[RemainingServer]) -> Vec<TakenKeys> {
-    let mut taken = vec![TakenKeys::default(); remaining.len()];
+fn assigned_keys(samples: &[SampleKey], remaining: &[RemainingServer]) -> Vec<AssignedKeys> {
+    let mut assigned = vec![AssignedKeys::default(); remaining.len()];
     for sample in samples {
         let is_taker = |position: &&usize| {
             remaining
@@ -115,17 +115,17 @@
             continue;
         };
         let server = remaining.get(*position);
-        if let (Some(taken), Some(server)) = (taken.get_mut(*position), server) {
+        if let (Some(assigned), Some(server)) = (assigned.get_mut(*position), server) {
             let is_own = sample.preferred == Some(server.hash);
             let part = if is_own {
-                &mut taken.own
+                &mut assigned.own
             } else {
-                &mut taken.extra
+                &mut assigned.extra
             };
             *part += 1.0 / samples.len() as f64;
         }
     }
-    taken
+    assigned
 }
 
 fn takes_sample(server: &RemainingServer, sample: &SampleKey) -> bool {
--- a/crates/placement/src/recovery/migration.rs
+++ b/crates/placement/src/recovery/migration.rs
@@ -18,7 +18,7 @@
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
-        if request.is_established() && self.migration_budget.try_spend() {
+        if request.is_established() && self.migration_budget.spend() {
             request.is_finished = true;
             actions.push(Action::Migrate(id));
         }
--- a/crates/placement/src/recovery/migration_budget.rs
+++ b/crates/placement/src/recovery/migration_budget.rs
@@ -30,7 +30,7 @@
     }
 
     /// Spends one migration, if there is one.
-    pub(crate) fn try_spend(&mut self) -> bool {
+    pub(crate) fn spend(&mut self) -> bool {
         if self.migrations < 1.0 {
             return false;
         }
--- a/crates/placement/src/recovery/outlier_detection.rs
+++ b/crates/placement/src/recovery/outlier_detection.rs
@@ -45,7 +45,7 @@
     }
 
     /// Whether the server does not answer at all, so that nobody is served on its established connections.
-    fn is_silent(self) -> bool {
+    fn is_unresponsive(self) -> bool {
         matches!(self, Failure::NoAnswer | Failure::Stalled)
     }
 }
@@ -93,7 +93,7 @@
         let slot = attempt.server;
         let timed_out = outcome == Outcome::TimedOut;
         // An unreachable zone says nothing of what is behind all servers or of how long a setup takes.
-        if timed_out && self.on_server_silent(now, slot, actions) {
+        if timed_out && self.on_no_answer(now, slot, actions) {
             return;
         }
         let Some(server) = self.fleet.servers.get(slot) else {
@@ -162,7 +162,7 @@
             server.ejection.eject(now, jitter);
             server.restart_suspected |= server.connections.is_empty();
         });
-        if failure.is_silent() {
+        if failure.is_unresponsive() {
             self.migrate_all(slot, MigrationAllowance::Budget, actions);
         }
     }
--- a/crates/placement/src/recovery/zone_outage.rs
+++ b/crates/placement/src/recovery/zone_outage.rs
@@ -52,7 +52,7 @@
     /// An attempt or a health check got no answer. Gives whether the server's zone cannot be reached, which is taken to be
     /// so while another zone answers; what is known not to answer there then serves nobody. Guards against a zone that is
     /// cut off, whose servers are tried one by one, and whose timeouts pass for a fault behind all servers.
-    pub(crate) fn on_server_silent(
+    pub(crate) fn on_no_answer(
         &mut self,
         now: Timestamp,
         slot: ServerSlot,
--- a/crates/placement/src/state/server.rs
+++ b/crates/placement/src/state/server.rs
@@ -162,7 +162,7 @@
         is_significant.then(|| report.connections as f64 / report.utilization)
     }
 
-    /// Applies a listed entry. A new start under the old id is a new process. Gives whether slow start begins.
+    /// Applies a listed entry. A new start under the old id is a new process.
     pub(crate) fn apply_endpoint(
         &mut self,
         settings: &Settings,
