--- a/crates/placement/src/limits/concurrency_limit.rs
+++ b/crates/placement/src/limits/concurrency_limit.rs
@@ -86,3 +86,6 @@
         self.max_load += fair_load * LIMIT_RISE_PER_SECOND * factor;
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/placement/src/limits/machine_kinds.rs
+++ b/crates/placement/src/limits/machine_kinds.rs
@@ -68,3 +68,6 @@
         overloaded_seconds / total_seconds
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/placement/src/limits/setup_window.rs
+++ b/crates/placement/src/limits/setup_window.rs
@@ -146,3 +146,6 @@
 fn initial_size(node_count: u32) -> f64 {
     (INITIAL_FLEET_WINDOW / f64::from(node_count.max(1))).max(1.0)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/placement/src/limits/slow_start_budget.rs
+++ b/crates/placement/src/limits/slow_start_budget.rs
@@ -137,3 +137,6 @@
 fn is_valid(lease: &SlowStartLease, now: Timestamp) -> bool {
     lease.expires_at.is_some_and(|expiry| now < expiry)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/placement/src/policy/retry_safety.rs
+++ b/crates/placement/src/policy/retry_safety.rs
@@ -78,3 +78,6 @@
         self.class_rules.map(|class| class.retry_safety)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/placement/src/recovery/ejection.rs
+++ b/crates/placement/src/recovery/ejection.rs
@@ -77,3 +77,6 @@
         self.is_zone_unreachable = false;
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/placement/src/recovery/migration_budget.rs
+++ b/crates/placement/src/recovery/migration_budget.rs
@@ -38,3 +38,6 @@
         true
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/placement/src/recovery/shared_failures.rs
+++ b/crates/placement/src/recovery/shared_failures.rs
@@ -36,3 +36,6 @@
         self.failure_ratio > SHARED_FAILURE_RATIO
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/placement/src/recovery/zone_reachability.rs
+++ b/crates/placement/src/recovery/zone_reachability.rs
@@ -86,3 +86,6 @@
         self.unreachable_zones.iter().copied().collect()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/placement/src/state/group_frequency.rs
+++ b/crates/placement/src/state/group_frequency.rs
@@ -38,3 +38,6 @@
             .retain(|_, requests| *requests > MIN_RECENT_REQUESTS);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/placement/src/state/load_estimates.rs
+++ b/crates/placement/src/state/load_estimates.rs
@@ -63,3 +63,6 @@
             .collect();
     }
 }
+
+#[cfg(test)]
+mod tests;
