--- a/crates/control/tests/schedules.rs
+++ b/crates/control/tests/schedules.rs
@@ -155,7 +155,7 @@
         }
         let stays = (seed as usize + 3) % 4;
         let deadline = sim.now + Duration::from_secs(10);
-        while sim.nodes[stays].council.lease_limit(sim.local(stays)).0 < CAPACITY - 3 * FLOOR {
+        while sim.nodes[stays].council.lease_limit(sim.local(stays)).limit < CAPACITY - 3 * FLOOR {
             sim.run(Duration::from_millis(100));
             assert!(
                 sim.now < deadline,
@@ -332,7 +332,7 @@
                 1 => ControlMessage::KnownCluster(Some(stamp)),
                 2 | 3 => ControlMessage::Raft(stamp, bytes),
                 4 => ControlMessage::LeaseRequest(stamp, LeaseRequest { request_number: bytes.len() as u64, in_use: u32::MAX, demand: u32::MAX }),
-                5 => ControlMessage::LeaseGranted(stamp, bytes.len() as u64, u32::MAX),
+                5 => ControlMessage::LeaseGranted { cluster_id: stamp, request_number: bytes.len() as u64, limit: u32::MAX },
                 // That a member leaves is its own word, as is what it uses.
                 _ => ControlMessage::Removed(stamp),
             };
--- a/crates/node/src/application.rs
+++ b/crates/node/src/application.rs
@@ -2,8 +2,8 @@
 
 use crate::command::{ClientCommand, DiscoveryCommand, Message, RelayCommand};
 use crate::component::{is_allocated_id, WellKnownComponent, FIRST_ADMIN_CONNECTION_ID};
-use crate::core::Order;
 use crate::deadline::DeadlineKind;
+use crate::placement_driver::Command;
 use crate::state::{NodeContext, NodeState};
 use crate::upstream::health_check;
 use lupincrank_reactor::{Application, ComponentId, APPLICATION};
@@ -25,19 +25,23 @@
 }
 
 /// Carries out one decision.
-fn execute(context: &mut NodeContext, order: Order) {
-    match order {
-        Order::Try(owner, attempt) => context.send(owner, ClientCommand::StartAttempt(attempt)),
-        Order::Refuse(owner, retry_after) => {
+fn execute(context: &mut NodeContext, command: Command) {
+    match command {
+        Command::StartAttempt { owner, attempt } => {
+            context.send(owner, ClientCommand::StartAttempt(attempt));
+        }
+        Command::Reject { owner, retry_after } => {
             context.send(owner, ClientCommand::Reject(retry_after));
         }
-        Order::Fail(owner) => context.send(owner, ClientCommand::Fail),
-        Order::Move(owner) => context.send(owner, RelayCommand::Migrate),
-        Order::Probe(server, address) => health_check::probe(context, server, address),
-        Order::Subscribe => {
+        Command::Fail { owner } => context.send(owner, ClientCommand::Fail),
+        Command::Migrate { owner } => context.send(owner, RelayCommand::Migrate),
+        Command::CheckHealth { server, address } => {
+            health_check::check(context, server, address);
+        }
+        Command::WatchEndpoints => {
             context.send(WellKnownComponent::Discovery.id(), DiscoveryCommand::Watch);
         }
-        Order::Timer { after, timer } => {
+        Command::SetTimer { after, timer } => {
             context
                 .deadlines
                 .set(APPLICATION, timer.into(), Instant::now() + after);
@@ -71,8 +75,8 @@
         context: &mut NodeContext,
         components: &mut dyn Iterator<Item = ComponentId>,
     ) {
-        while let Some(order) = context.placement.orders.pop_front() {
-            execute(context, order);
+        while let Some(command) = context.placement.next_command() {
+            execute(context, command);
         }
         if context.transfer_requested || context.answers_requested {
             notify_connections(context, components);
@@ -83,9 +87,9 @@
         match kind {
             DeadlineKind::UnansweredLinesCheck => {
                 schedule_unanswered_lines_check(context);
-                context.placement.look();
+                context.placement.check_unanswered_lines();
             }
-            DeadlineKind::PlacementTimer(timer) => context.placement.timer(timer),
+            DeadlineKind::PlacementTimer(timer) => context.placement.on_timer(timer),
             _ => {}
         }
     }
@@ -97,15 +101,15 @@
         let now = Instant::now();
         // With a successor the listener is not this process's any more.
         let stayed =
-            self.handoff.handing() || now >= shutdown.started_at + MIN_LISTEN_AFTER_SIGTERM;
+            self.handoff.is_handing_over() || now >= shutdown.started_at + MIN_LISTEN_AFTER_SIGTERM;
         // The others of the fleet may need its vote to go on without it.
         let left = self
             .cluster_agent
             .as_ref()
             .is_none_or(|fleet| fleet.is_out());
         let empty = self.client_count.get() == 0
-            && self.unidentified_clients.borrow().is_empty()
-            && self.handoff.idle();
+            && self.unidentified_clients.is_empty()
+            && self.handoff.is_idle();
         let over = now >= shutdown.deadline || (stayed && empty && left);
         if over {
             info!(self.log, "ended"; "clients" => self.client_count.get());
--- a/crates/node/src/cluster_agent/mod.rs
+++ b/crates/node/src/cluster_agent/mod.rs
@@ -13,8 +13,8 @@
 use lupincrank_budgets::demand::BudgetUsage;
 use lupincrank_cluster::connection::{ClusterConnection, ConnectionError};
 use lupincrank_cluster::membership::MAX_DATAGRAM_BYTES;
-use lupincrank_control::council::TICK_INTERVAL;
 use lupincrank_control::durable::DurableState;
+use lupincrank_control::TICK_INTERVAL;
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::{poller_key, Interest, Readiness};
 use lupincrank_reactor::{ComponentId, Connection, Lifecycle};
@@ -41,7 +41,7 @@
     };
     if setup.divides {
         // Nothing is this process's before it has its place: another process of this node may still use all of it.
-        context.placement.slice(0, 0, 0.0, None);
+        context.placement.set_slow_start_lease(0, 0, 0.0, None);
     }
     context.register(WellKnownComponent::ClusterAgent.id(), Box::new(Watch));
     if let Some(why) = take_place(context)? {
@@ -185,11 +185,12 @@
         context.send(id, ClusterConnectionCommand::Close);
     }
     if carry.setup.divides {
-        let (sends, until) = carry.council.lease_limit(now);
+        let usage = carry.council.lease_limit(now);
+        let (sends, until) = (usage.limit, usage.expires_at);
         let part = carry.council.fleet_share(now).unwrap_or(0.0);
         context
             .placement
-            .slice(sends, carry.council.lease_floor(now), part, until);
+            .set_slow_start_lease(sends, carry.council.lease_floor(now), part, until);
     }
     if carry.sockets.is_some() {
         let next = carry.next();
@@ -238,7 +239,8 @@
             "reseed" => carry
                 .council
                 .recover_quorum(now, rand::random())
-                .map(|stamp| format!("{{\"epoch\":{}}}", stamp.epoch)),
+                .map(|stamp| format!("{{\"epoch\":{}}}", stamp.epoch))
+                .map_err(|error| error.to_string()),
             other => Err(format!(
                 "no call fleet {other:?}; there are status, members, log and reseed"
             )),
@@ -292,11 +294,14 @@
                 .council
                 .preview_capacity(now, capacity)
                 .map(|plan| serde_json::json!({ "handed_out": capacity, "slices": plan }))
+                .map_err(|error| error.to_string())
         }
         ("set", change) => {
             let capacity = read(change)?;
             let epoch = carry.council.set_capacity(now, capacity);
-            epoch.map(|epoch| serde_json::json!({ "handed_out": capacity, "after_epoch": epoch }))
+            epoch
+                .map(|epoch| serde_json::json!({ "handed_out": capacity, "after_epoch": epoch }))
+                .map_err(|error| error.to_string())
         }
         _ => Err("there are show, plan NAME=CAPACITY and set NAME=CAPACITY".to_string()),
     };
@@ -397,10 +402,10 @@
                         carry.ended(id, &why);
                         context.send(id, ClusterConnectionCommand::Close);
                     }
-                    let (most, turned_away) = context.placement.cold_used();
+                    let usage = context.placement.take_slow_start_usage();
                     carry.council.record_usage(BudgetUsage {
-                        peak: most,
-                        was_limited: turned_away,
+                        peak: usage.max_attempts_in_window,
+                        was_limited: usage.was_exhausted,
                     });
                     let (now, alive) = (context.placement.now(), carry.alive());
                     carry.council.on_tick(now, &alive);
@@ -466,20 +471,16 @@
                 return flow = Lifecycle::Close;
             };
             let now = context.placement.now();
-            let heard = end.link.on_ready(readiness.readable);
-            let heard = heard.and_then(|messages| {
-                carry
-                    .heard(now, id, messages)
-                    .map_err(ConnectionError::Protocol)
-            });
-            if let Err(fault) = heard {
-                let why = match fault {
-                    ConnectionError::Closed(why) => why,
-                    ConnectionError::Protocol(why) => {
-                        carry.complain("a link", &why);
-                        why
-                    }
-                };
+            let heard = match end.link.on_ready(readiness.readable) {
+                Ok(messages) => carry.heard(now, id, messages),
+                Err(ConnectionError::Closed(reason)) => {
+                    carry.ended(id, &reason.to_string());
+                    return flow = Lifecycle::Close;
+                }
+                Err(ConnectionError::Protocol(violation)) => Err(violation.to_string()),
+            };
+            if let Err(why) = heard {
+                carry.complain("a link", &why);
                 carry.ended(id, &why);
                 flow = Lifecycle::Close;
             }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,12 +8,12 @@
 mod command;
 mod component;
 mod config;
-mod core;
 mod deadline;
 mod discovery;
 mod handoff;
 pub mod hollow;
-mod load_lines;
+mod load_report;
+mod placement_driver;
 mod serve;
 mod signals;
 mod state;
@@ -22,7 +22,7 @@
 use cli::Command;
 use cluster_agent::config::Setup;
 use config::Config;
-use lupincrank_operator_config::Operator;
+use lupincrank_operator_config::OperatorConfig;
 use slog::{o, Drain, Level, Logger};
 use std::process::ExitCode;
 use std::sync::Mutex;
@@ -46,7 +46,7 @@
     let load = |path: Option<String>, operator: Option<String>| {
         let mut config = Config::load(path.as_deref(), variable)?;
         if let Some(path) = operator {
-            let operator = Operator::load(&path)?;
+            let operator = OperatorConfig::load(&path).map_err(|error| error.to_string())?;
             let setup = Setup::read(&operator, &config.name, variable);
             config.fleet = setup.map_err(|why| format!("{path}: {why}"))?;
         }
@@ -56,7 +56,7 @@
         Command::Version => println!("lupincrank {}", env!("CARGO_PKG_VERSION")),
         Command::CheckConfig { config, operator } => {
             let config = load(config, operator)?;
-            let strict = lupincrank_settings::strict::check(&config.raw, None);
+            let strict = lupincrank_settings::validate(&config.raw, None);
             strict.map_err(|why| format!("a start takes it, SIGHUP would turn it down: {why}"))?;
             println!(
                 "{}: listens on {}, {} classes",
@@ -89,7 +89,8 @@
                 if json {
                     told.to_string()
                 } else {
-                    admin::status_table::table(&what, told)?
+                    admin::status_table::cluster_table(&what, told)
+                        .map_err(|error| error.to_string())?
                 }
             );
         }
@@ -110,7 +111,7 @@
                 if json {
                     told.to_string()
                 } else {
-                    admin::status_table::budgets(told)?
+                    admin::status_table::budgets_table(told).map_err(|error| error.to_string())?
                 }
             );
         }
