--- a/crates/node/src/admin/call.rs
+++ b/crates/node/src/admin/call.rs
@@ -4,7 +4,7 @@
 
 /// An admin call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum AdminCall<'a> {
+pub(crate) enum AdminCall<'a> {
     /// Whether this process can serve clients.
     Check,
     /// Drain the server of this id.
@@ -19,16 +19,16 @@
 
 /// A call about the budgets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct BudgetsCall<'a> {
+pub(crate) struct BudgetsCall<'a> {
     /// `show`, `plan` or `set`.
-    pub query: &'a str,
+    pub(crate) query: &'a str,
     /// What to change.
-    pub change: Option<&'a str>,
+    pub(crate) change: Option<&'a str>,
 }
 
 /// Why a line is not an admin call.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
-pub enum CallSyntaxError {
+pub(crate) enum CallSyntaxError {
     /// The line is not UTF-8.
     #[error("the call is not UTF-8")]
     NotUtf8,
@@ -56,7 +56,7 @@
 ///
 /// # Errors
 /// Where the line is not a call; the text says what is wrong with it.
-pub fn parse(line: &[u8]) -> Result<AdminCall<'_>, CallSyntaxError> {
+pub(crate) fn parse(line: &[u8]) -> Result<AdminCall<'_>, CallSyntaxError> {
     let text = std::str::from_utf8(line).map_err(|_| CallSyntaxError::NotUtf8)?;
     let words: Vec<&str> = text.split(' ').filter(|word| !word.is_empty()).collect();
     match *words.as_slice() {
--- a/crates/node/src/admin/client.rs
+++ b/crates/node/src/admin/client.rs
@@ -13,7 +13,7 @@
 ///
 /// # Errors
 /// Where the address can't be reached or does not answer in time.
-pub fn ask(address: SocketAddr, call: &str) -> io::Result<String> {
+pub(crate) fn ask(address: SocketAddr, call: &str) -> io::Result<String> {
     let mut stream = TcpStream::connect_timeout(&address, CALL_TIMEOUT)?;
     stream.set_read_timeout(Some(CALL_TIMEOUT))?;
     stream.write_all(format!("{call}\r\n").as_bytes())?;
--- a/crates/node/src/admin/handler.rs
+++ b/crates/node/src/admin/handler.rs
@@ -16,7 +16,7 @@
 
 /// Why an admin call is answered with an error.
 #[derive(Debug, Error)]
-pub enum AdminCallError {
+pub(crate) enum AdminCallError {
     /// The line is not a call.
     #[error(transparent)]
     Syntax(#[from] CallSyntaxError),
--- a/crates/node/src/admin/listener.rs
+++ b/crates/node/src/admin/listener.rs
@@ -19,7 +19,7 @@
 const MAX_ACCEPTS_PER_TURN: usize = 8;
 
 /// Accepts connections at the admin address.
-pub struct AdminListener {
+pub(crate) struct AdminListener {
     socket: Registered<TcpListener>,
     open_connections: OpenConnections,
     last_id: ComponentId,
@@ -30,7 +30,7 @@
     ///
     /// # Errors
     /// Where the address is in use or not this machine's; the error names it.
-    pub fn new(context: &NodeContext, address: SocketAddr) -> io::Result<AdminListener> {
+    pub(crate) fn new(context: &NodeContext, address: SocketAddr) -> io::Result<AdminListener> {
         let socket = poll::listen(address)
             .map_err(|error| io::Error::other(format!("management at {address}: {error}")))?;
         let key = poller_key(WellKnownComponent::AdminListener.id(), 0);
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -6,7 +6,7 @@
 mod connection;
 mod handler;
 mod listener;
-pub mod status_table;
+pub(crate) mod status_table;
 
-pub use client::ask;
-pub use listener::AdminListener;
+pub(crate) use client::ask;
+pub(crate) use listener::AdminListener;
--- a/crates/node/src/admin/status_table.rs
+++ b/crates/node/src/admin/status_table.rs
@@ -10,13 +10,13 @@
 /// An answer that is not JSON.
 #[derive(Debug, Error)]
 #[error("not to be read: {0}")]
-pub struct UnreadableAnswer(#[from] serde_json::Error);
+pub(crate) struct UnreadableAnswer(#[from] serde_json::Error);
 
 /// The answer to `budgets QUERY`, laid out: facts, then the lease of each node.
 ///
 /// # Errors
 /// Where the answer is not JSON.
-pub fn budgets_table(answer: &str) -> Result<String, UnreadableAnswer> {
+pub(crate) fn budgets_table(answer: &str) -> Result<String, UnreadableAnswer> {
     let answer: Value = serde_json::from_str(answer)?;
     let budgets = answer
         .as_array()
@@ -30,7 +30,7 @@
 ///
 /// # Errors
 /// Where the answer is not JSON.
-pub fn cluster_table(query: &str, answer: &str) -> Result<String, UnreadableAnswer> {
+pub(crate) fn cluster_table(query: &str, answer: &str) -> Result<String, UnreadableAnswer> {
     let answer: Value = serde_json::from_str(answer)?;
     Ok(match query {
         "status" => status_table(&answer),
--- a/crates/node/src/discovery/call.rs
+++ b/crates/node/src/discovery/call.rs
@@ -21,7 +21,7 @@
 
 /// Why a call to the discovery service has failed.
 #[derive(Debug, Error)]
-pub enum DiscoveryError {
+pub(crate) enum DiscoveryError {
     /// The connection failed.
     #[error(transparent)]
     Io(#[from] io::Error),
@@ -79,7 +79,7 @@
 
 /// Whether the request was written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RequestState {
+pub(crate) enum RequestState {
     /// All of it was.
     Sent,
     /// The socket takes no more for now.
@@ -88,17 +88,17 @@
 
 /// What was added to the body of a watch.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct BodyProgress {
+pub(crate) struct BodyProgress {
     /// Data was received, if only an empty line.
-    pub has_data: bool,
+    pub(crate) has_data: bool,
     /// An object had begun before it.
-    pub had_partial_object: bool,
+    pub(crate) had_partial_object: bool,
     /// Whether the body goes on.
-    pub state: BodyState,
+    pub(crate) state: BodyState,
 }
 
 /// A call to the discovery service.
-pub struct Call {
+pub(crate) struct Call {
     started_at: Instant,
     stream: Registered<TcpStream>,
     unsent: Vec<u8>,
@@ -110,7 +110,7 @@
     ///
     /// # Errors
     /// Where no connection can be begun.
-    pub fn start(
+    pub(crate) fn start(
         poller: &Rc<Poller>,
         key: usize,
         address: SocketAddr,
@@ -129,22 +129,22 @@
     }
 
     /// When the call was made.
-    pub fn started_at(&self) -> Instant {
+    pub(crate) fn started_at(&self) -> Instant {
         self.started_at
     }
 
     /// Whether the connection is not established yet.
-    pub fn is_connecting(&self) -> bool {
+    pub(crate) fn is_connecting(&self) -> bool {
         matches!(self.phase, CallPhase::Connecting)
     }
 
     /// Whether the response head was received, so that the call is a watch.
-    pub fn is_watching(&self) -> bool {
+    pub(crate) fn is_watching(&self) -> bool {
         matches!(self.phase, CallPhase::Watching(_))
     }
 
     /// Whether an object of the body has begun and not ended.
-    pub fn has_partial_object(&self) -> bool {
+    pub(crate) fn has_partial_object(&self) -> bool {
         match &self.phase {
             CallPhase::Watching(body) => body.json_stream.has_partial_object(),
             CallPhase::Connecting | CallPhase::ResponseHead(_) => false,
@@ -155,7 +155,7 @@
     ///
     /// # Errors
     /// Where the connection was not established.
-    pub fn finish_connect(&mut self) -> Result<(), DiscoveryError> {
+    pub(crate) fn finish_connect(&mut self) -> Result<(), DiscoveryError> {
         if let Some(error) = self.stream.take_error()? {
             return Err(error.into());
         }
@@ -167,7 +167,7 @@
     ///
     /// # Errors
     /// Where the connection fails.
-    pub fn send_request(&mut self) -> Result<RequestState, DiscoveryError> {
+    pub(crate) fn send_request(&mut self) -> Result<RequestState, DiscoveryError> {
         while !self.unsent.is_empty() {
             match self.stream.write(&self.unsent) {
                 Ok(length) => drop(self.unsent.drain(..length)),
@@ -185,7 +185,7 @@
     ///
     /// # Errors
     /// Where the connection fails or is closed by the service.
-    pub fn read(&mut self, buffer: &mut [u8]) -> Result<Option<usize>, DiscoveryError> {
+    pub(crate) fn read(&mut self, buffer: &mut [u8]) -> Result<Option<usize>, DiscoveryError> {
         match self.stream.read(buffer) {
             Ok(0) => Err(DiscoveryError::ConnectionClosed),
             Ok(length) => Ok(Some(length)),
@@ -199,7 +199,7 @@
     ///
     /// # Errors
     /// Where the response does not open a watch.
-    pub fn receive_head(&mut self, bytes: &[u8]) -> Result<Option<Vec<u8>>, DiscoveryError> {
+    pub(crate) fn receive_head(&mut self, bytes: &[u8]) -> Result<Option<Vec<u8>>, DiscoveryError> {
         let CallPhase::ResponseHead(head) = &mut self.phase else {
             return Ok(None);
         };
@@ -216,7 +216,7 @@
     ///
     /// # Errors
     /// Where they are not in the chunked coding.
-    pub fn receive_body(&mut self, bytes: &[u8]) -> Result<BodyProgress, DiscoveryError> {
+    pub(crate) fn receive_body(&mut self, bytes: &[u8]) -> Result<BodyProgress, DiscoveryError> {
         let CallPhase::Watching(body) = &mut self.phase else {
             return Err(DiscoveryError::WatchEnded);
         };
@@ -235,7 +235,7 @@
     ///
     /// # Errors
     /// Where the body is not a stream of JSON objects.
-    pub fn next_object(&mut self) -> Result<Option<Vec<u8>>, DiscoveryError> {
+    pub(crate) fn next_object(&mut self) -> Result<Option<Vec<u8>>, DiscoveryError> {
         match &mut self.phase {
             CallPhase::Watching(body) => Ok(body.json_stream.next_object()?),
             CallPhase::Connecting | CallPhase::ResponseHead(_) => Ok(None),
--- a/crates/node/src/discovery/chunked.rs
+++ b/crates/node/src/discovery/chunked.rs
@@ -7,7 +7,7 @@
 
 /// Why bytes are not in the chunked coding.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-pub enum ChunkError {
+pub(crate) enum ChunkError {
     /// The chunk's data is not followed by a line end.
     #[error("a chunk does not end where it should")]
     MissingLineEnd,
@@ -18,7 +18,7 @@
 
 /// Whether the body goes on after what was decoded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum BodyState {
+pub(crate) enum BodyState {
     /// More chunks may follow.
     Open,
     /// The last chunk was received.
@@ -41,7 +41,7 @@
 
 /// Decodes a body however its bytes are cut up.
 #[derive(Default)]
-pub struct ChunkedDecoder {
+pub(crate) struct ChunkedDecoder {
     /// What was received and is not decoded yet.
     input: Vec<u8>,
     expecting: Expecting,
@@ -52,7 +52,11 @@
     ///
     /// # Errors
     /// Where the bytes are not in the chunked coding; nothing can be decoded after that.
-    pub fn decode(&mut self, bytes: &[u8], output: &mut Vec<u8>) -> Result<BodyState, ChunkError> {
+    pub(crate) fn decode(
+        &mut self,
+        bytes: &[u8],
+        output: &mut Vec<u8>,
+    ) -> Result<BodyState, ChunkError> {
         self.input.extend_from_slice(bytes);
         let mut position = 0;
         let state = self.decode_input(&mut position, output)?;
--- a/crates/node/src/discovery/client.rs
+++ b/crates/node/src/discovery/client.rs
@@ -34,7 +34,7 @@
 const CALL_SLOTS: usize = 2;
 
 /// The client of the discovery service.
-pub struct DiscoveryClient {
+pub(crate) struct DiscoveryClient {
     address: SocketAddr,
     /// The version of the endpoint list that was applied last.
     version: u64,
@@ -52,7 +52,7 @@
 
 impl DiscoveryClient {
     /// Not connected yet.
-    pub fn new(config: &Config) -> DiscoveryClient {
+    pub(crate) fn new(config: &Config) -> DiscoveryClient {
         DiscoveryClient {
             address: config.discovery_address,
             version: 0,
--- a/crates/node/src/discovery/endpoint_list.rs
+++ b/crates/node/src/discovery/endpoint_list.rs
@@ -28,16 +28,16 @@
 
 /// The endpoint list or a change of it.
 #[derive(Clone, Debug, Deserialize)]
-pub struct EndpointListUpdate {
+pub(crate) struct EndpointListUpdate {
     /// The version of the list after this update.
     #[serde(rename = "seq")]
-    pub version: u64,
+    pub(crate) version: u64,
     /// Whether every endpoint is named; otherwise only the changed ones are.
     #[serde(rename = "whole")]
-    pub is_complete: bool,
+    pub(crate) is_complete: bool,
     /// The endpoints.
     #[serde(rename = "hosts")]
-    pub endpoints: Vec<ListedEndpoint>,
+    pub(crate) endpoints: Vec<ListedEndpoint>,
 }
 
 impl EndpointListUpdate {
@@ -45,7 +45,7 @@
     ///
     /// # Errors
     /// For the first endpoint whose address or health can't be read.
-    pub fn check(&self) -> Result<(), EndpointListError> {
+    pub(crate) fn check(&self) -> Result<(), EndpointListError> {
         for endpoint in &self.endpoints {
             endpoint.dial_address()?;
             endpoint.parsed_health()?;
@@ -56,30 +56,30 @@
 
 /// One endpoint, as the discovery service writes it.
 #[derive(Clone, Debug, Deserialize)]
-pub struct ListedEndpoint {
+pub(crate) struct ListedEndpoint {
     /// The server's id.
     #[serde(rename = "host")]
-    pub server: String,
+    pub(crate) server: String,
     /// Where the server listens, as this node reaches it.
     #[serde(rename = "dial")]
-    pub address: String,
+    pub(crate) address: String,
     /// The name of its zone.
     #[serde(rename = "site")]
-    pub zone: Option<String>,
+    pub(crate) zone: Option<String>,
     /// The name of its machine kind.
     #[serde(rename = "class")]
-    pub machine_kind: Option<String>,
+    pub(crate) machine_kind: Option<String>,
     /// The number of its cell.
     #[serde(rename = "block")]
-    pub cell: Option<u32>,
+    pub(crate) cell: Option<u32>,
     /// Its health: `SERVING`, `DRAINING` or `DELETED`.
-    pub health: String,
+    pub(crate) health: String,
     /// Its weight; 1 where none is given.
     #[serde(rename = "share")]
-    pub weight: Option<f64>,
+    pub(crate) weight: Option<f64>,
     /// When it was started, in milliseconds of Unix time.
     #[serde(rename = "born_ms")]
-    pub started_at_ms: Option<u64>,
+    pub(crate) started_at_ms: Option<u64>,
 }
 
 impl ListedEndpoint {
@@ -87,7 +87,7 @@
     ///
     /// # Errors
     /// Where that is not an address with a port.
-    pub fn dial_address(&self) -> Result<SocketAddr, EndpointListError> {
+    pub(crate) fn dial_address(&self) -> Result<SocketAddr, EndpointListError> {
         self.address
             .parse()
             .map_err(|_| EndpointListError::Address {
@@ -100,7 +100,7 @@
     ///
     /// # Errors
     /// Where it is not one of the known words.
-    pub fn parsed_health(&self) -> Result<Health, EndpointListError> {
+    pub(crate) fn parsed_health(&self) -> Result<Health, EndpointListError> {
         match self.health.as_str() {
             "SERVING" => Ok(Health::Ready),
             "DRAINING" => Ok(Health::Draining),
@@ -114,7 +114,7 @@
 }
 
 /// The number of a name: its position in `names`, where a new name is appended; 0 for no name.
-pub fn name_index(names: &mut Vec<String>, name: Option<&str>) -> u32 {
+pub(crate) fn name_index(names: &mut Vec<String>, name: Option<&str>) -> u32 {
     let Some(name) = name else {
         return 0;
     };
--- a/crates/node/src/discovery/json_stream.rs
+++ b/crates/node/src/discovery/json_stream.rs
@@ -9,7 +9,7 @@
 
 /// Why a stream holds no further object.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-pub enum JsonStreamError {
+pub(crate) enum JsonStreamError {
     /// Something other than an object or white space was found between two objects.
     #[error("{0:?} where an object begins")]
     UnexpectedCharacter(char),
@@ -32,7 +32,7 @@
 
 /// A buffer of received bytes that returns one JSON object after the other.
 #[derive(Default)]
-pub struct JsonStream {
+pub(crate) struct JsonStream {
     buffer: Vec<u8>,
     /// How far the buffer has been scanned.
     scanned: usize,
@@ -43,7 +43,7 @@
 
 impl JsonStream {
     /// Appends received bytes.
-    pub fn push(&mut self, bytes: &[u8]) {
+    pub(crate) fn push(&mut self, bytes: &[u8]) {
         self.buffer.extend_from_slice(bytes);
     }
 
@@ -51,7 +51,7 @@
     ///
     /// # Errors
     /// Where something other than an object begins, or the object is too long; no object can be read after that.
-    pub fn next_object(&mut self) -> Result<Option<Vec<u8>>, JsonStreamError> {
+    pub(crate) fn next_object(&mut self) -> Result<Option<Vec<u8>>, JsonStreamError> {
         if self.depth == 0 {
             self.skip_white_space();
         }
@@ -68,7 +68,7 @@
     }
 
     /// Whether an object has begun and not ended.
-    pub fn has_partial_object(&self) -> bool {
+    pub(crate) fn has_partial_object(&self) -> bool {
         self.depth > 0
     }
 
--- a/crates/node/src/discovery/mod.rs
+++ b/crates/node/src/discovery/mod.rs
@@ -3,7 +3,7 @@
 mod call;
 mod chunked;
 mod client;
-pub mod endpoint_list;
+pub(crate) mod endpoint_list;
 mod json_stream;
 
-pub use client::DiscoveryClient;
+pub(crate) use client::DiscoveryClient;
--- a/crates/node/src/handoff/admin_drain_file.rs
+++ b/crates/node/src/handoff/admin_drain_file.rs
@@ -21,7 +21,7 @@
 /// Why the file of admin drains could not be read or written.
 #[derive(Debug, Error)]
 #[error("{}: {reason}", path.display())]
-pub struct AdminDrainFileError {
+pub(crate) struct AdminDrainFileError {
     path: PathBuf,
     #[source]
     reason: FailureReason,
@@ -53,7 +53,7 @@
 
 /// What an operator wants of a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum DrainChange {
+pub(crate) enum DrainChange {
     /// It gets no new connections, and its clients are sent away.
     Drain,
     /// It is used again.
@@ -61,7 +61,7 @@
 }
 
 /// Applies the change to the set of drained servers; whether the set has changed.
-pub fn apply_change(
+pub(crate) fn apply_change(
     drained: &mut BTreeSet<ServerId>,
     server: &ServerId,
     change: DrainChange,
@@ -94,13 +94,13 @@
 }
 
 /// The file of admin drains at a path; it need not exist.
-pub struct AdminDrainFile {
+pub(crate) struct AdminDrainFile {
     path: PathBuf,
 }
 
 impl AdminDrainFile {
     /// The file at `path`. Its lock and its next version are written beside it.
-    pub fn new(path: PathBuf) -> AdminDrainFile {
+    pub(crate) fn new(path: PathBuf) -> AdminDrainFile {
         AdminDrainFile { path }
     }
 
@@ -108,7 +108,7 @@
     ///
     /// # Errors
     /// Where the file can't be read or is damaged.
-    pub fn read(&self) -> Result<BTreeSet<ServerId>, AdminDrainFileError> {
+    pub(crate) fn read(&self) -> Result<BTreeSet<ServerId>, AdminDrainFileError> {
         self.read_contents().map_err(|reason| self.error(reason))
     }
 
@@ -117,7 +117,7 @@
     ///
     /// # Errors
     /// Where the file can't be locked or written; nothing has changed then.
-    pub fn update(
+    pub(crate) fn update(
         &self,
         server: &ServerId,
         change: DrainChange,
@@ -136,7 +136,7 @@
     ///
     /// # Errors
     /// Where the file can't be locked or written.
-    pub fn repair(&self, drained: &BTreeSet<ServerId>) -> Result<(), AdminDrainFileError> {
+    pub(crate) fn repair(&self, drained: &BTreeSet<ServerId>) -> Result<(), AdminDrainFileError> {
         let _lock = self.lock()?;
         if self.read().is_ok() {
             return Ok(());
--- a/crates/node/src/handoff/agent.rs
+++ b/crates/node/src/handoff/agent.rs
@@ -54,7 +54,7 @@
 }
 
 /// The handoff's component in the event loop; its state is [`NodeState::handoff`].
-pub struct HandoffAgent;
+pub(crate) struct HandoffAgent;
 
 impl Connection<NodeState> for HandoffAgent {
     fn on_ready(
--- a/crates/node/src/handoff/inherited_listener.rs
+++ b/crates/node/src/handoff/inherited_listener.rs
@@ -36,7 +36,7 @@
 ///
 /// # Errors
 /// `InvalidInput` where the descriptor is not such a socket, and what the system reports.
-pub fn inherited_listener(descriptor: i32, listen: SocketAddr) -> io::Result<TcpListener> {
+pub(crate) fn inherited_listener(descriptor: i32, listen: SocketAddr) -> io::Result<TcpListener> {
     let invalid = |problem| {
         let error = InheritedListenerError {
             descriptor,
--- a/crates/node/src/handoff/lifecycle.rs
+++ b/crates/node/src/handoff/lifecycle.rs
@@ -45,7 +45,7 @@
 }
 
 /// Looks for another process before anything is served.
-pub fn begin(context: &mut NodeContext) {
+pub(crate) fn begin(context: &mut NodeContext) {
     if context.handoff.files.is_some() {
         reload_drained_servers(context);
         command_listener(context, ListenerCommand::Pause);
@@ -54,7 +54,7 @@
 }
 
 /// Accepts clients from now on, if this is the older or the only process or can serve them as well as the other one.
-pub fn open_if_ready(context: &mut NodeContext) {
+pub(crate) fn open_if_ready(context: &mut NodeContext) {
     if context.handoff.files.is_none() || context.handoff.accepts_clients {
         return;
     }
@@ -66,7 +66,7 @@
 }
 
 /// Begins to transfer all connections of this process to its successor.
-pub fn start_handover(context: &mut NodeContext) {
+pub(crate) fn start_handover(context: &mut NodeContext) {
     context.handoff.is_leaving = true;
     context.transfer_requested = true;
     command_listener(context, ListenerCommand::Pause);
--- a/crates/node/src/handoff/message.rs
+++ b/crates/node/src/handoff/message.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 /// The version of the messages; a process with another one is not understood.
-pub const PROTOCOL_VERSION: u32 = 3;
+pub(crate) const PROTOCOL_VERSION: u32 = 3;
 
 /// One message from one process of a node to the other.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub enum HandoffMessage {
+pub(crate) enum HandoffMessage {
     /// Each process's first message, then sent every 100 ms.
     #[serde(rename = "Beat")]
     Heartbeat(Heartbeat),
@@ -35,18 +35,18 @@
 
 /// What a process holds and does.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
-pub struct Heartbeat {
+pub(crate) struct Heartbeat {
     /// See [`PROTOCOL_VERSION`].
-    pub version: u32,
+    pub(crate) version: u32,
     /// Clients with a request.
     #[serde(rename = "clients")]
-    pub client_count: usize,
+    pub(crate) client_count: usize,
     /// Clients that have asked for nothing yet or have their answer.
     #[serde(rename = "strangers")]
-    pub unidentified_count: usize,
+    pub(crate) unidentified_count: usize,
     /// The process accepts clients.
     #[serde(rename = "open")]
-    pub accepts_clients: bool,
+    pub(crate) accepts_clients: bool,
 }
 
 /// A connection offered under a number. In JSON it is an array of both.
@@ -55,11 +55,11 @@
     from = "(u64, TransferredConnection)",
     into = "(u64, TransferredConnection)"
 )]
-pub struct ConnectionTransfer {
+pub(crate) struct ConnectionTransfer {
     /// The number that the answer names.
-    pub number: u64,
+    pub(crate) number: u64,
     /// The connection.
-    pub connection: TransferredConnection,
+    pub(crate) connection: TransferredConnection,
 }
 
 impl From<(u64, TransferredConnection)> for ConnectionTransfer {
@@ -77,11 +77,11 @@
 /// A client whose first line is incomplete, offered under a number. In JSON it is an array of both numbers.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(from = "(u64, u64)", into = "(u64, u64)")]
-pub struct UnidentifiedClientTransfer {
+pub(crate) struct UnidentifiedClientTransfer {
     /// The number that the answer names.
-    pub number: u64,
+    pub(crate) number: u64,
     /// Milliseconds in which the first line has to be complete.
-    pub remaining_ms: u64,
+    pub(crate) remaining_ms: u64,
 }
 
 impl From<(u64, u64)> for UnidentifiedClientTransfer {
@@ -101,43 +101,43 @@
 
 /// An established connection between a client and its server.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct TransferredConnection {
+pub(crate) struct TransferredConnection {
     /// The request's id.
-    pub request: u64,
+    pub(crate) request: u64,
     /// The name of the request's class.
-    pub class: String,
+    pub(crate) class: String,
     /// The request's group.
-    pub group: Option<String>,
+    pub(crate) group: Option<String>,
     /// The request's key.
-    pub key: Option<String>,
+    pub(crate) key: Option<String>,
     /// Whether the client had connected anew after a broken connection or a migration.
     #[serde(rename = "returned")]
-    pub is_reconnect: bool,
+    pub(crate) is_reconnect: bool,
     /// The server's id.
-    pub server: String,
+    pub(crate) server: String,
     /// The load last reported for the connection, in microseconds of work a second.
-    pub load_us: Option<u64>,
+    pub(crate) load_us: Option<u64>,
     /// For each line of the client without an answer: how long ago it was sent on.
-    pub unanswered_ms: Vec<u64>,
+    pub(crate) unanswered_ms: Vec<u64>,
     /// How the bytes that follow the message are divided.
-    pub lengths: BufferLengths,
+    pub(crate) lengths: BufferLengths,
 }
 
 /// The lengths of a connection's buffers, whose bytes follow the message in this order. In JSON it is an array.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq, Serialize)]
 #[serde(from = "[usize; 3]", into = "[usize; 3]")]
-pub struct BufferLengths {
+pub(crate) struct BufferLengths {
     /// Bytes that wait for the server.
-    pub to_server: usize,
+    pub(crate) to_server: usize,
     /// Bytes that wait for the client.
-    pub to_client: usize,
+    pub(crate) to_client: usize,
     /// The start of a line of the server.
-    pub partial_line: usize,
+    pub(crate) partial_line: usize,
 }
 
 impl BufferLengths {
     /// The length of all buffers together; `None` where it is not a number of this machine.
-    pub fn total(self) -> Option<usize> {
+    pub(crate) fn total(self) -> Option<usize> {
         self.to_server
             .checked_add(self.to_client)?
             .checked_add(self.partial_line)
@@ -162,7 +162,7 @@
 
 /// What was learned of one server: see [`LearnedServer`]. Spans are milliseconds.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct LearnedServerRecord {
+pub(crate) struct LearnedServerRecord {
     server: String,
     #[serde(rename = "started")]
     started_ago: Option<u64>,
--- a/crates/node/src/handoff/peer_process.rs
+++ b/crates/node/src/handoff/peer_process.rs
@@ -63,7 +63,7 @@
 }
 
 /// The handoff between this process and the other process of its node.
-pub struct HandoffState {
+pub(crate) struct HandoffState {
     /// The files that both processes share; `None` where no second process may start.
     pub(super) files: Option<RuntimeFiles>,
     pub(super) primary: Option<PrimaryRole>,
@@ -78,7 +78,7 @@
 
 impl HandoffState {
     /// No other process is known yet. A second process may start only where the clients' listener is inherited.
-    pub fn new(listen: SocketAddr, inherited_listener: Option<i32>) -> HandoffState {
+    pub(crate) fn new(listen: SocketAddr, inherited_listener: Option<i32>) -> HandoffState {
         HandoffState {
             files: inherited_listener.map(|_| RuntimeFiles::new(listen)),
             primary: None,
@@ -96,7 +96,7 @@
 
     /// Whether this process need not wait for the one before it: that one is known to have ended, or it is connected and
     /// its file of admin drains was read, or it was waited for long enough.
-    pub fn is_settled(&self) -> bool {
+    pub(crate) fn is_settled(&self) -> bool {
         let is_known = self.startup.has_searched_peer
             && (self.startup.knows_drained_servers || self.primary.is_some());
         let waited = self.startup.started_at.elapsed();
@@ -104,22 +104,22 @@
     }
 
     /// Whether connections are being transferred to a successor.
-    pub fn is_handing_over(&self) -> bool {
+    pub(crate) fn is_handing_over(&self) -> bool {
         self.is_leaving && self.is_peer_connected()
     }
 
     /// Whether no connection is in flight to the other process.
-    pub fn is_idle(&self) -> bool {
+    pub(crate) fn is_idle(&self) -> bool {
         self.transfers.is_idle()
     }
 
     /// Whether a process that shuts down may transfer its connections: the other one can serve them.
-    pub fn has_successor(&self) -> bool {
+    pub(crate) fn has_successor(&self) -> bool {
         self.primary.is_some() && self.peer_heartbeat().accepts_clients
     }
 
     /// What the other process holds and does, as it last reported; nothing where none is connected.
-    pub fn peer_heartbeat(&self) -> Heartbeat {
+    pub(crate) fn peer_heartbeat(&self) -> Heartbeat {
         match &self.peer {
             PeerProcess::Connected(peer) => peer.heartbeat,
             PeerProcess::Absent | PeerProcess::Incompatible => Heartbeat::default(),
@@ -127,7 +127,7 @@
     }
 
     /// Queues connections for the transfer.
-    pub fn enqueue(&mut self, ids: impl IntoIterator<Item = ComponentId>) {
+    pub(crate) fn enqueue(&mut self, ids: impl IntoIterator<Item = ComponentId>) {
         self.transfers.enqueue(ids);
     }
 
@@ -136,7 +136,7 @@
     ///
     /// # Errors
     /// Where no other process is connected or it can't be sent to.
-    pub fn transfer(
+    pub(crate) fn transfer(
         &mut self,
         id: ComponentId,
         message: impl FnOnce(u64) -> HandoffMessage,
@@ -156,7 +156,7 @@
     ///
     /// # Errors
     /// Where the file can't be written; nothing has changed then.
-    pub fn change_drained_servers(
+    pub(crate) fn change_drained_servers(
         &self,
         server: &ServerId,
         change: DrainChange,
@@ -171,7 +171,7 @@
     }
 
     /// Tells the other process, if one is connected, that the admin drains have changed.
-    pub fn announce_drained_servers(&self) {
+    pub(crate) fn announce_drained_servers(&self) {
         self.send(&HandoffMessage::AdminDrainChanged);
     }
 
--- a/crates/node/src/handoff/runtime_files.rs
+++ b/crates/node/src/handoff/runtime_files.rs
@@ -12,13 +12,13 @@
 
 /// The paths of the shared files, named after the address where clients connect.
 #[derive(Clone, Debug)]
-pub struct RuntimeFiles {
+pub(crate) struct RuntimeFiles {
     runtime_path: PathBuf,
 }
 
 impl RuntimeFiles {
     /// The files of the node whose clients connect to `listen`, in the directory for temporary files.
-    pub fn new(listen: SocketAddr) -> RuntimeFiles {
+    pub(crate) fn new(listen: SocketAddr) -> RuntimeFiles {
         let name = format!("lupincrank-{listen}").replace([':', '[', ']'], "-");
         let file_name = format!("{name}.{PLACEHOLDER_EXTENSION}");
         RuntimeFiles {
@@ -27,12 +27,12 @@
     }
 
     /// Where a successor connects.
-    pub fn socket_path(&self) -> PathBuf {
+    pub(crate) fn socket_path(&self) -> PathBuf {
         self.runtime_path.with_extension("socket")
     }
 
     /// The file of the servers that an operator has drained.
-    pub fn admin_drain_file(&self) -> AdminDrainFile {
+    pub(crate) fn admin_drain_file(&self) -> AdminDrainFile {
         AdminDrainFile::new(self.runtime_path.with_extension("out"))
     }
 
@@ -40,7 +40,7 @@
     ///
     /// # Errors
     /// Where the file can't be opened or locked.
-    pub fn try_lock(&self) -> io::Result<Option<File>> {
+    pub(crate) fn try_lock(&self) -> io::Result<Option<File>> {
         let file = File::options()
             .create(true)
             .truncate(false)
--- a/crates/node/src/handoff/socket.rs
+++ b/crates/node/src/handoff/socket.rs
@@ -25,7 +25,7 @@
 
 /// The sockets of the handoff, as the event loop numbers them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum HandoffSocket {
+pub(crate) enum HandoffSocket {
     /// Where a successor connects.
     Listener = 0,
     /// The connection to the other process.
@@ -34,7 +34,7 @@
 
 impl HandoffSocket {
     /// The socket of the event loop's number.
-    pub fn from_index(index: usize) -> HandoffSocket {
+    pub(crate) fn from_index(index: usize) -> HandoffSocket {
         if index == HandoffSocket::Listener as usize {
             HandoffSocket::Listener
         } else {
@@ -50,7 +50,7 @@
 
 /// Whether a message was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SendOutcome {
+pub(crate) enum SendOutcome {
     /// It was.
     Sent,
     /// The socket's buffer has no space for it now.
@@ -58,7 +58,7 @@
 }
 
 /// The socket where a successor connects.
-pub struct HandoffListener {
+pub(crate) struct HandoffListener {
     socket: Registered<Socket>,
 }
 
@@ -67,7 +67,7 @@
     ///
     /// # Errors
     /// Where the path is in use or the socket can't be opened.
-    pub fn bind(poller: &Rc<Poller>, path: &Path) -> io::Result<HandoffListener> {
+    pub(crate) fn bind(poller: &Rc<Poller>, path: &Path) -> io::Result<HandoffListener> {
         let socket = packet_socket()?;
         socket.bind(&SockAddr::unix(path)?)?;
         socket.listen(LISTEN_BACKLOG)?;
@@ -79,7 +79,7 @@
     ///
     /// # Errors
     /// Where none waits or no descriptor is left.
-    pub fn accept(&self) -> io::Result<Socket> {
+    pub(crate) fn accept(&self) -> io::Result<Socket> {
         let (socket, _) = self.socket.accept()?;
         Ok(socket)
     }
@@ -88,23 +88,23 @@
     ///
     /// # Errors
     /// Where the poller refuses.
-    pub fn set_interest(&mut self, interest: Interest) -> io::Result<()> {
+    pub(crate) fn set_interest(&mut self, interest: Interest) -> io::Result<()> {
         self.socket.set_interest(interest)
     }
 }
 
 /// A message that was received.
-pub struct ReceivedMessage {
+pub(crate) struct ReceivedMessage {
     /// The message.
-    pub message: HandoffMessage,
+    pub(crate) message: HandoffMessage,
     /// The bytes that followed it.
-    pub payload: Vec<u8>,
+    pub(crate) payload: Vec<u8>,
     /// The descriptors that came with it.
-    pub descriptors: Vec<OwnedFd>,
+    pub(crate) descriptors: Vec<OwnedFd>,
 }
 
 /// The connection to the other process.
-pub struct PeerConnection {
+pub(crate) struct PeerConnection {
     socket: Registered<Socket>,
 }
 
@@ -113,7 +113,7 @@
     ///
     /// # Errors
     /// Where no process listens there.
-    pub fn connect(poller: &Rc<Poller>, path: &Path) -> io::Result<PeerConnection> {
+    pub(crate) fn connect(poller: &Rc<Poller>, path: &Path) -> io::Result<PeerConnection> {
         let socket = packet_socket()?;
         socket.connect(&SockAddr::unix(path)?)?;
         PeerConnection::register(poller, socket)
@@ -123,7 +123,7 @@
     ///
     /// # Errors
     /// Where the socket can't be set up.
-    pub fn from_accepted(poller: &Rc<Poller>, socket: Socket) -> io::Result<PeerConnection> {
+    pub(crate) fn from_accepted(poller: &Rc<Poller>, socket: Socket) -> io::Result<PeerConnection> {
         socket.set_nonblocking(true)?;
         PeerConnection::register(poller, socket)
     }
@@ -137,7 +137,7 @@
     ///
     /// # Errors
     /// Where the other process has closed the connection.
-    pub fn send(
+    pub(crate) fn send(
         &self,
         message: &HandoffMessage,
         payload: &[u8],
@@ -165,7 +165,7 @@
     /// # Errors
     /// `UnexpectedEof` at the end of the connection, `InvalidData` for a packet that is not understood, and what the
     /// system reports.
-    pub fn receive(&self) -> io::Result<Option<ReceivedMessage>> {
+    pub(crate) fn receive(&self) -> io::Result<Option<ReceivedMessage>> {
         let mut bytes = vec![0; MAX_PACKET_BYTES];
         let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MAX_DESCRIPTORS))];
         let mut ancillary = RecvAncillaryBuffer::new(&mut space);
