Reactor: records in place of pairs, and tests of the loop and of registered sockets

Need: the loop's queues held pairs, and its order of callbacks was tested only through whole programs. Change: ScheduledDeadline, Envelope and Registration name what was a pair or triple, in the same order; tests for the order of deadlines and messages, closing, priority, interest, keys, dropping and connecting.

--- a/crates/cluster/src/membership/tests.rs
+++ b/crates/cluster/src/membership/tests.rs
@@ -85,7 +85,7 @@
     let mut all = members(3);
     run(&mut all, SECONDS(0), SECONDS(3), |_, _| false);
     assert!(all.iter().all(|one| one.alive().count() == 2));
-    // The last one is cut off both ways for long enough to be taken for dead.
+    // The last one is cut off both ways for long enough to be declared dead.
     let outputs = run(&mut all, SECONDS(3), SECONDS(12), |from, to| {
         from == 2 || to == 2
     });
--- a/crates/node/src/cluster_agent/agent.rs
+++ b/crates/node/src/cluster_agent/agent.rs
@@ -311,7 +311,7 @@
     }
 
     /// Leaves once nobody needs this node any more or it has waited for long enough; true from then on.
-    pub(super) fn try_leave(&mut self) -> bool {
+    pub(super) fn leave_if_due(&mut self) -> bool {
         let Some(since) = self.leaving_since else {
             return false;
         };
--- a/crates/node/src/cluster_agent/listener.rs
+++ b/crates/node/src/cluster_agent/listener.rs
@@ -147,7 +147,7 @@
 fn tick(context: &mut NodeContext) {
     let mut has_left = false;
     with_agent(context, |agent, context| {
-        has_left = agent.try_leave();
+        has_left = agent.leave_if_due();
         if !has_left {
             tick_control(agent, context);
         }
--- a/crates/reactor/src/deadlines.rs
+++ b/crates/reactor/src/deadlines.rs
@@ -13,9 +13,17 @@
     pub kind: K,
 }
 
+/// A deadline that is set. Deadlines fire in this order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct ScheduledDeadline<K> {
+    at: Instant,
+    owner: ComponentId,
+    kind: K,
+}
+
 /// Deadlines by time; each owner has at most one of each kind.
 pub struct Deadlines<K> {
-    by_time: BTreeSet<(Instant, ComponentId, K)>,
+    by_time: BTreeSet<ScheduledDeadline<K>>,
     by_owner: BTreeMap<ComponentId, BTreeMap<K, Instant>>,
 }
 
@@ -33,7 +41,7 @@
     pub fn set(&mut self, owner: ComponentId, kind: K, at: Instant) {
         self.clear(owner, kind);
         self.by_owner.entry(owner).or_default().insert(kind, at);
-        self.by_time.insert((at, owner, kind));
+        self.by_time.insert(ScheduledDeadline { at, owner, kind });
     }
 
     /// Clears one deadline, if it is set.
@@ -42,7 +50,7 @@
             return;
         };
         if let Some(at) = kinds.remove(&kind) {
-            self.by_time.remove(&(at, owner, kind));
+            self.by_time.remove(&ScheduledDeadline { at, owner, kind });
         }
         if kinds.is_empty() {
             self.by_owner.remove(&owner);
@@ -52,18 +60,18 @@
     /// Clears all deadlines of an owner: guards against deadlines that outlive their components.
     pub fn clear_all(&mut self, owner: ComponentId) {
         for (kind, at) in self.by_owner.remove(&owner).unwrap_or_default() {
-            self.by_time.remove(&(at, owner, kind));
+            self.by_time.remove(&ScheduledDeadline { at, owner, kind });
         }
     }
 
     /// The instant at which the earliest deadline passes.
     pub fn next(&self) -> Option<Instant> {
-        self.by_time.first().map(|(at, _, _)| *at)
+        self.by_time.first().map(|deadline| deadline.at)
     }
 
     /// Removes and gives the earliest deadline that has passed at `now`.
     pub fn pop_due(&mut self, now: Instant) -> Option<Deadline<K>> {
-        let (at, owner, kind) = *self.by_time.first()?;
+        let ScheduledDeadline { at, owner, kind } = *self.by_time.first()?;
         if at > now {
             return None;
         }
--- a/crates/reactor/src/event_loop.rs
+++ b/crates/reactor/src/event_loop.rs
@@ -2,7 +2,8 @@
 
 use crate::deadlines::Deadlines;
 use crate::{
-    component_of, Application, ComponentId, Connection, Context, Lifecycle, Readiness, APPLICATION,
+    component_of, Application, ComponentId, Connection, Context, Envelope, Lifecycle, Readiness,
+    APPLICATION,
 };
 use polling::{Events, Poller};
 use std::collections::{HashMap, VecDeque};
@@ -114,17 +115,20 @@
     /// Delivers messages and lets the application carry out its decisions, until nothing is left of either.
     fn deliver_messages(&mut self) {
         loop {
-            self.components.extend(self.context.registered.drain(..));
+            for registration in self.context.registered.drain(..) {
+                self.components
+                    .insert(registration.id, registration.component);
+            }
             A::after_callback(&mut self.context, &mut self.components.keys().copied());
-            let Some((id, message)) = self.context.outbox.pop_front() else {
+            let Some(Envelope { receiver, message }) = self.context.outbox.pop_front() else {
                 break;
             };
-            if self.components.contains_key(&id) {
-                self.call(id, |component, context| {
+            if self.components.contains_key(&receiver) {
+                self.call(receiver, |component, context| {
                     component.on_message(context, message)
                 });
             } else {
-                self.context.application.on_undelivered(id, message);
+                self.context.application.on_undelivered(receiver, message);
             }
         }
     }
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -134,6 +134,18 @@
     fn on_message(&mut self, context: &mut Context<A>, message: A::Message) -> Lifecycle;
 }
 
+/// A message on its way to a component.
+struct Envelope<M> {
+    receiver: ComponentId,
+    message: M,
+}
+
+/// A component that the loop takes over after the present callback.
+struct Registration<A: Application> {
+    id: ComponentId,
+    component: Box<dyn Connection<A>>,
+}
+
 /// What callbacks may use. It dereferences to the application, so its fields can be named directly.
 pub struct Context<A: Application> {
     /// The poller that sockets are registered with.
@@ -142,8 +154,8 @@
     pub deadlines: Deadlines<A::DeadlineKind>,
     /// The state that components share.
     pub application: A,
-    outbox: VecDeque<(ComponentId, A::Message)>,
-    registered: Vec<(ComponentId, Box<dyn Connection<A>>)>,
+    outbox: VecDeque<Envelope<A::Message>>,
+    registered: Vec<Registration<A>>,
     last_id: ComponentId,
 }
 
@@ -156,12 +168,13 @@
 
     /// Hands a new component to the loop.
     pub fn register(&mut self, id: ComponentId, component: Box<dyn Connection<A>>) {
-        self.registered.push((id, component));
+        self.registered.push(Registration { id, component });
     }
 
     /// Sends a message to a component; it is delivered after the present callback.
-    pub fn send(&mut self, id: ComponentId, message: impl Into<A::Message>) {
-        self.outbox.push_back((id, message.into()));
+    pub fn send(&mut self, receiver: ComponentId, message: impl Into<A::Message>) {
+        let message = message.into();
+        self.outbox.push_back(Envelope { receiver, message });
     }
 }
 
--- a/crates/reactor/src/poll.rs
+++ b/crates/reactor/src/poll.rs
@@ -136,3 +136,6 @@
         let _ = self.poller.delete(self.source.as_fd());
     }
 }
+
+#[cfg(test)]
+mod tests;
