--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -1,14 +1,14 @@
 //! The program: carries out what its command line asks for.
 
 use crate::admin;
+use crate::admin::status_table::UnreadableAnswer;
 use crate::cli::{self, Command, OutputFormat};
-use crate::cluster_agent::config::ClusterConfig;
+use crate::cluster_agent::config::{ClusterConfig, ClusterConfigError};
 use crate::config::{Config, ConfigError};
 use crate::serve;
-use lupincrank_operator_config::OperatorConfig;
+use lupincrank_operator_config::{OperatorConfig, OperatorConfigError};
 use lupincrank_settings::ValidationError;
 use slog::{o, Drain, Level, Logger};
-use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -22,12 +22,12 @@
 enum ProgramError {
     #[error(transparent)]
     Config(#[from] ConfigError),
-    #[error("{0}")]
-    OperatorFile(Box<dyn Error + Send + Sync>),
+    #[error(transparent)]
+    OperatorFile(#[from] OperatorConfigError),
     #[error("{path}: {source}")]
     Cluster {
         path: String,
-        source: Box<dyn Error + Send + Sync>,
+        source: ClusterConfigError,
     },
     #[error("a start takes it, SIGHUP would turn it down: {0}")]
     NotReloadable(#[from] ValidationError),
@@ -40,8 +40,8 @@
     AdminCallFailed { address: SocketAddr },
     #[error("{address}: {answer}")]
     AdminAnswer { address: SocketAddr, answer: String },
-    #[error("{0}")]
-    UnreadableAnswer(Box<dyn Error + Send + Sync>),
+    #[error(transparent)]
+    UnreadableAnswer(#[from] UnreadableAnswer),
     #[error("cannot start on {address}: {source}")]
     Start {
         address: SocketAddr,
@@ -104,12 +104,11 @@
     let Some(path) = operator_path else {
         return Ok(config);
     };
-    let operator =
-        OperatorConfig::load(path).map_err(|error| ProgramError::OperatorFile(error.into()))?;
+    let operator = OperatorConfig::load(path)?;
     config.cluster = ClusterConfig::from_operator(&operator, &config.name, environment_variable)
         .map_err(|error| ProgramError::Cluster {
             path: path.to_string(),
-            source: error.into(),
+            source: error,
         })?;
     Ok(config)
 }
@@ -180,8 +179,7 @@
     let json = query_admin(address, &format!("fleet {what}"))?;
     let text = match format {
         OutputFormat::Json => json,
-        OutputFormat::Table => admin::status_table::cluster_table(what, &json)
-            .map_err(|error| ProgramError::UnreadableAnswer(error.into()))?,
+        OutputFormat::Table => admin::status_table::cluster_table(what, &json)?,
     };
     println!("{text}");
     Ok(())
@@ -197,8 +195,7 @@
     let json = query_admin(address, &call)?;
     let text = match format {
         OutputFormat::Json => json,
-        OutputFormat::Table => admin::status_table::budgets_table(&json)
-            .map_err(|error| ProgramError::UnreadableAnswer(error.into()))?,
+        OutputFormat::Table => admin::status_table::budgets_table(&json)?,
     };
     println!("{text}");
     Ok(())
--- a/crates/scale/src/hollow_host/mod.rs
+++ b/crates/scale/src/hollow_host/mod.rs
@@ -96,6 +96,7 @@
     let run_node = move || {
         let variable = |name: &str| topology.environment_variable(node, name);
         let result = hollow::start(&config, &operator_file, variable, Box::new(consumer))
+            .map_err(|error| error.to_string())
             .and_then(|run| run().map_err(|error| error.to_string()));
         if let Err(reason) = result {
             eprintln!("lupincrank-scale: {thread_name}: {reason}");
