--- a/crates/node/src/client/connection/request.rs
+++ b/crates/node/src/client/connection/request.rs
@@ -6,7 +6,7 @@
 use crate::client::ClientSlot;
 use crate::command::{AcceptedAttempt, AttemptCommand};
 use crate::deadline::ClientDeadline;
-use crate::placement_driver::{AttemptOrder, ClientState};
+use crate::placement_driver::{hex_id, AttemptOrder, ClientState};
 use crate::state::NodeContext;
 use crate::upstream::attempt::{Attempt, UpstreamAttempt};
 use crate::upstream::relay::Relay;
@@ -76,7 +76,7 @@
             return self.reject_line(context, FirstLineError::RestoredTooLate);
         }
         if context.client_count.get() + context.handoff.peer_heartbeat().client_count
-            >= context.config.most_clients()
+            >= context.config.max_clients()
         {
             debug!(context.log, "client limit reached"; "clients" => context.client_count.get());
             let retry_after = context.config.settings.max_retry_after / 2;
@@ -94,7 +94,7 @@
         context
             .deadlines
             .clear(self.id, ClientDeadline::Close.into());
-        let request_info = open.request_info(context.config.groups);
+        let request_info = open.request_info(context.config.has_groups);
         let time_budget = open.time_budget.duration;
         let is_restored = open.current_server.is_some();
         let wait = if is_restored {
@@ -192,7 +192,7 @@
         };
         match &waiting.open.current_server {
             Some(server) => {
-                let request_info = waiting.open.request_info(context.config.groups);
+                let request_info = waiting.open.request_info(context.config.has_groups);
                 context
                     .placement
                     .on_inherited_connection(self.id, request_info, server);
@@ -328,7 +328,7 @@
             return;
         };
         let request = waiting.open.request;
-        debug!(context.log, "client left"; "request" => format!("{:016x}", request.0));
+        debug!(context.log, "client left"; "request" => hex_id(request));
         waiting.close_attempt(context);
         if !waiting.is_restored() {
             context.placement.on_client_gone(request);
--- a/crates/node/src/discovery/client.rs
+++ b/crates/node/src/discovery/client.rs
@@ -34,7 +34,7 @@
 const CALL_SLOTS: usize = 2;
 
 /// The client of the discovery service.
-pub struct DiscoveryClient {
+pub(crate) struct DiscoveryClient {
     address: SocketAddr,
     /// The version of the endpoint list that was applied last.
     version: u64,
@@ -52,13 +52,13 @@
 
 impl DiscoveryClient {
     /// Not connected yet.
-    pub fn new(config: &Config) -> DiscoveryClient {
+    pub(crate) fn new(config: &Config) -> DiscoveryClient {
         DiscoveryClient {
-            address: config.discovery,
+            address: config.discovery_address,
             version: 0,
             zones: config.zones.clone(),
-            machine_kinds: config.kinds.clone(),
-            known_list: config.known.clone(),
+            machine_kinds: config.machine_kinds.clone(),
+            known_list: config.known_endpoints.clone(),
             calls: [None, None],
             last_contact: Instant::now(),
         }
@@ -328,7 +328,7 @@
     /// The configuration names another address. What is known stays: the watch at the new address goes on from the last
     /// version of the old one.
     fn change_address(&mut self, context: &mut NodeContext) {
-        self.address = context.config.discovery;
+        self.address = context.config.discovery_address;
         for slot in 0..CALL_SLOTS {
             self.close_call(context, slot);
         }
--- a/crates/node/src/placement_driver/mod.rs
+++ b/crates/node/src/placement_driver/mod.rs
@@ -14,7 +14,10 @@
 
 pub use attempts::ClientState;
 pub use command::{AttemptOrder, Command};
-pub use endpoints::{EndpointListError, EndpointListScope, EndpointListSource, ResolvedEndpoint};
+pub use endpoints::{
+    EndpointAvailabilityError, EndpointListScope, EndpointListSource, ResolvedEndpoint,
+};
+pub(crate) use request::hex_id;
 
 use crate::config::Config;
 use crate::deadline::PlacementTimer;
@@ -22,9 +25,9 @@
 use endpoints::KnownEndpoint;
 use latency::UpstreamLatency;
 use lupincrank_placement::{
-    Action, Balancer, Event, Outcome, RequestId, ServerId, SlowStartLease, Timestamp,
+    Action, Balancer, Event, Outcome, RequestId, ServerId, SlowStartLease, Timer, Timestamp,
 };
-use request::{hex_id, ActiveRequest};
+use request::ActiveRequest;
 use setup_times::SetupTimes;
 use slog::{debug, Logger};
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -98,7 +101,7 @@
 
     /// A timer has fired.
     pub fn on_timer(&mut self, timer: PlacementTimer) {
-        self.feed(Event::TimerFired(timer.handle));
+        self.feed(Event::TimerFired(timer.kind));
     }
 
     /// Tells the decisions an event and carries out what they say.
@@ -115,15 +118,15 @@
             Action::StartAttempt {
                 request,
                 server,
-                patience,
-            } => self.start_attempt(request, server, patience),
+                timeout,
+            } => self.start_attempt(request, server, timeout),
             Action::Reject {
                 request,
                 retry_after,
             } => self.reject(request, retry_after),
             Action::Fail(request) => self.fail(request),
             Action::Migrate(request) => self.migrate(request),
-            Action::SetTimer { after, handle } => self.set_timer(after, handle),
+            Action::SetTimer { after, timer } => self.set_timer(after, timer),
             Action::WatchEndpoints => self.commands.push_back(Command::WatchEndpoints),
             Action::CheckHealth(server) => self.check_health(server),
             // The protocol of this kind of site has no messages between nodes.
@@ -184,11 +187,11 @@
         self.commands.push_back(Command::Migrate { owner });
     }
 
-    fn set_timer(&mut self, after: Duration, handle: u64) {
+    fn set_timer(&mut self, after: Duration, kind: Timer) {
         self.timer_count += 1;
         let timer = PlacementTimer {
             sequence: self.timer_count,
-            handle,
+            kind,
         };
         self.commands.push_back(Command::SetTimer { after, timer });
     }
--- a/crates/node/src/upstream/health_check.rs
+++ b/crates/node/src/upstream/health_check.rs
@@ -2,6 +2,7 @@
 //! connection stays open for the next check, since each new one costs the server work.
 
 use super::is_local_resource_exhaustion;
+use super::open_health_checks::CheckedServer;
 use super::server_line::parse_figure;
 use crate::command::{HealthCheckCommand, Message};
 use crate::deadline::{DeadlineKind, HealthCheckDeadline};
@@ -10,7 +11,6 @@
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::{poller_key, ComponentId, Connection, Interest, Lifecycle, Readiness};
 use slog::debug;
-use std::collections::HashMap;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
@@ -23,19 +23,6 @@
 /// How long a connection stays open without a check.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// The open connections for health checks, one per server at the most.
-#[derive(Default)]
-pub(crate) struct HealthChecks {
-    connections: HashMap<ServerId, CheckedServer>,
-}
-
-/// The connection to a server under its present address.
-#[derive(Clone, Copy)]
-struct CheckedServer {
-    connection: ComponentId,
-    address: SocketAddr,
-}
-
 /// What a server's response says.
 #[derive(Debug, PartialEq)]
 struct HealthCheckResponse {
@@ -71,22 +58,22 @@
 
 /// Checks a server's health; placement is told the result. Where too many servers are checked at once this one is left
 /// out, and counts as passed without a report.
-pub(crate) fn check(context: &mut NodeContext, server: ServerId, address: SocketAddr) {
-    let open = context.health_checks.connections.get(&server).copied();
+pub(crate) fn check(context: &mut NodeContext, server: &ServerId, address: SocketAddr) {
+    let open = context.health_checks.connections.get(server).copied();
     match open {
         Some(open) if open.address == address => {
             return context.send(open.connection, HealthCheckCommand::Check);
         }
         Some(open) => context.send(open.connection, HealthCheckCommand::Close),
-        None if context.health_checks.connections.len() >= context.config.most_probes() => {
-            return context.placement.on_health_check(&server, true, None);
+        None if context.health_checks.connections.len() >= context.config.max_health_checks() => {
+            return context.placement.on_health_check(server, true, None);
         }
         None => {}
     }
-    if let Err(error) = HealthCheckConnection::open(context, &server, address) {
+    if let Err(error) = HealthCheckConnection::open(context, server, address) {
         debug!(context.log, "health check not started"; "server" => &*server.0, "error" => %error);
         let has_passed = is_local_resource_exhaustion(&error);
-        context.placement.on_health_check(&server, has_passed, None);
+        context.placement.on_health_check(server, has_passed, None);
     }
 }
 
@@ -162,13 +149,6 @@
         Lifecycle::Close
     }
 
-    fn continue_or_end(&mut self, context: &mut NodeContext, result: io::Result<()>) -> Lifecycle {
-        match result {
-            Ok(()) => Lifecycle::Continue,
-            Err(_) => self.end(context),
-        }
-    }
-
     fn on_io(&mut self, context: &mut NodeContext, readiness: Readiness) -> io::Result<()> {
         if readiness.writable {
             self.write(context)?;
@@ -259,8 +239,10 @@
             HealthCheckDeadline::Answer.into(),
             Instant::now() + RESPONSE_TIMEOUT,
         );
-        let result = self.write(context);
-        self.continue_or_end(context, result)
+        match self.write(context) {
+            Ok(()) => Lifecycle::Continue,
+            Err(_) => self.end(context),
+        }
     }
 
     /// The server has another address, where it is checked by another connection; a check that is under way here counts
@@ -278,8 +260,10 @@
         _socket: usize,
         readiness: Readiness,
     ) -> Lifecycle {
-        let result = self.on_io(context, readiness);
-        self.continue_or_end(context, result)
+        match self.on_io(context, readiness) {
+            Ok(()) => Lifecycle::Continue,
+            Err(_) => self.end(context),
+        }
     }
 
     fn on_deadline(&mut self, context: &mut NodeContext, _kind: DeadlineKind) -> Lifecycle {
--- a/crates/placement/src/balancer.rs
+++ b/crates/placement/src/balancer.rs
@@ -17,8 +17,8 @@
 use crate::state::request::RequestState;
 use crate::state::request_rate::RequestRate;
 use crate::state::tenant_usage::TenantUsage;
-use crate::timer::{SingleTimer, Timer};
-use crate::{Action, RequestId, Settings, Timestamp};
+use crate::timer::SingleTimer;
+use crate::{Action, RequestId, Settings, Timer, Timestamp};
 use rand_core::SeedableRng;
 use rand_pcg::Pcg32;
 use std::collections::{HashMap, VecDeque};
@@ -69,7 +69,7 @@
             fleet_random,
             poll_schedule: PollSchedule::new(settings.node_count),
             admin_drain: AdminDrain::default(),
-            drain_timer: SingleTimer::new(Timer::DrainMigration),
+            drain_timer: SingleTimer::new(Timer::AdminDrain),
             fleet: Fleet::default(),
             requests: HashMap::new(),
             queue: VecDeque::new(),
@@ -109,11 +109,11 @@
     pub(crate) fn apply_settings(
         &mut self,
         settings: Settings,
-        previous_positions: &[Option<usize>],
+        previous_class_indices: &[Option<usize>],
     ) {
-        self.load_estimates.rearrange(previous_positions);
+        self.load_estimates.rearrange(previous_class_indices);
         for request in self.requests.values_mut() {
-            let position = previous_positions
+            let position = previous_class_indices
                 .iter()
                 .position(|previous| *previous == Some(request.class));
             request.class = position.unwrap_or(usize::MAX);
--- a/crates/placement/src/endpoints.rs
+++ b/crates/placement/src/endpoints.rs
@@ -4,8 +4,8 @@
 use crate::hashing::{random_fraction, server_hash};
 use crate::state::server::Server;
 use crate::state::server_table::{ServerSlot, UNKNOWN};
-use crate::timer::Timer;
-use crate::{Action, Endpoint, Health, ServerId, Timestamp};
+use crate::timer::set_timer;
+use crate::{Action, Endpoint, Health, ServerId, Timer, Timestamp};
 use std::collections::BTreeSet;
 
 /// What an endpoint list, or a part of one, did.
@@ -27,15 +27,15 @@
         if delay.is_zero() {
             actions.push(Action::WatchEndpoints);
         } else {
-            actions.push(Timer::EndpointWatch.set_after(delay));
+            actions.push(set_timer(Timer::EndpointWatch, delay));
         }
     }
 
-    pub(crate) fn on_endpoint_watch_silent(&mut self, actions: &mut Actions) {
+    pub(crate) fn on_endpoint_watch_stalled(&mut self, actions: &mut Actions) {
         if self.settings.requires_endpoint_watch {
             let random = random_fraction(&mut self.fleet_random);
-            let delay = self.poll_schedule.silent_watch_delay(random);
-            actions.push(Timer::EndpointWatch.set_after(delay));
+            let delay = self.poll_schedule.stalled_watch_delay(random);
+            actions.push(set_timer(Timer::EndpointWatch, delay));
         }
     }
 
@@ -43,7 +43,7 @@
         if self.settings.requires_endpoint_watch {
             let random = random_fraction(&mut self.fleet_random);
             let delay = self.poll_schedule.retry_delay(random);
-            actions.push(Timer::EndpointWatch.set_after(delay));
+            actions.push(set_timer(Timer::EndpointWatch, delay));
         }
     }
 
@@ -61,7 +61,7 @@
         for slot in self.fleet.servers.slots() {
             if !applied.listed.contains(&slot) {
                 self.fleet.update(slot, |server| {
-                    applied.lost_weight += server.set_health(now, Health::Gone);
+                    applied.lost_weight += server.set_health(now, Health::Removed);
                 });
             }
         }
--- a/crates/placement/src/events.rs
+++ b/crates/placement/src/events.rs
@@ -2,8 +2,7 @@
 
 use crate::balancer::{Actions, Balancer};
 use crate::policy::retry::AttemptEnd;
-use crate::timer::Timer;
-use crate::{Action, Event, Timestamp};
+use crate::{Action, Event, Timer, Timestamp};
 
 impl Balancer {
     /// Takes in one event and appends what is to be done. `now` must not run backwards.
@@ -12,9 +11,12 @@
             Event::Start => self.on_start(actions),
             Event::EndpointList { .. }
             | Event::EndpointChange(_)
-            | Event::EndpointWatchSilent
+            | Event::EndpointWatchStalled
             | Event::EndpointWatchFailed => self.handle_endpoint_event(now, event, actions),
-            Event::SettingsChanged { settings, from } => self.apply_settings(settings, &from),
+            Event::SettingsChanged {
+                settings,
+                previous_class_indices,
+            } => self.apply_settings(settings, &previous_class_indices),
             Event::LeaseChanged(lease) => self.slow_start_budget.set_lease(lease),
             Event::LearnedState(servers) => {
                 self.fleet
@@ -33,7 +35,7 @@
                 self.on_server_unresponsive(now, &server, actions);
             }
             Event::Gossip(message) => self.on_gossip(now, &message),
-            Event::TimerFired(handle) => self.on_timer(now, handle, actions),
+            Event::TimerFired(timer) => self.on_timer(now, timer, actions),
             Event::RequestReceived(_)
             | Event::ConnectionInherited(..)
             | Event::ConnectionEstablished { .. }
@@ -53,7 +55,7 @@
                 self.on_endpoint_list(now, entries, cached, actions);
             }
             Event::EndpointChange(entries) => self.on_endpoint_changes(now, entries, actions),
-            Event::EndpointWatchSilent => self.on_endpoint_watch_silent(actions),
+            Event::EndpointWatchStalled => self.on_endpoint_watch_stalled(actions),
             Event::EndpointWatchFailed => self.on_endpoint_watch_failed(actions),
             _ => {}
         }
@@ -66,9 +68,10 @@
             Event::ConnectionInherited(info, server) => {
                 self.on_connection_inherited(now, &info, &server);
             }
-            Event::ConnectionEstablished { request, took } => {
-                self.on_established(now, request, took, actions);
-            }
+            Event::ConnectionEstablished {
+                request,
+                setup_duration,
+            } => self.on_established(now, request, setup_duration, actions),
             Event::AttemptEnded {
                 request,
                 attempt,
@@ -107,13 +110,12 @@
         self.schedule_first_upkeep(actions);
     }
 
-    fn on_timer(&mut self, now: Timestamp, handle: u64, actions: &mut Actions) {
-        match Timer::from_handle(handle) {
-            Some(Timer::Upkeep) => self.run_upkeep(now, actions),
-            Some(Timer::EndpointWatch) => actions.push(Action::WatchEndpoints),
-            Some(Timer::Queue) => self.on_queue_timer(now, actions),
-            Some(Timer::DrainMigration) => self.on_drain_migration_timer(now, actions),
-            None => {}
+    fn on_timer(&mut self, now: Timestamp, timer: Timer, actions: &mut Actions) {
+        match timer {
+            Timer::Upkeep => self.run_upkeep(now, actions),
+            Timer::EndpointWatch => actions.push(Action::WatchEndpoints),
+            Timer::Queue => self.on_queue_timer(now, actions),
+            Timer::AdminDrain => self.on_drain_timer(now, actions),
         }
     }
 }
--- a/crates/placement/src/policy/attempt.rs
+++ b/crates/placement/src/policy/attempt.rs
@@ -92,7 +92,7 @@
             actions.push(Action::StartAttempt {
                 request: id,
                 server: server.clone(),
-                patience: timeout,
+                timeout,
             });
         }
     }
--- a/crates/placement/src/policy/selection.rs
+++ b/crates/placement/src/policy/selection.rs
@@ -12,6 +12,7 @@
 use crate::state::server_table::ServerSlot;
 use crate::timer::UPKEEP_INTERVAL;
 use crate::Timestamp;
+use std::time::Duration;
 
 /// Candidates that are ranked at first; more are seldom needed.
 const FIRST_CANDIDATE_COUNT: usize = 4;
@@ -130,6 +131,8 @@
         context: &AdmissionContext,
         start: Option<RankedServer>,
     ) -> Option<Selection> {
+        let interval_ratio = f64::from(self.settings.node_count) / NODES_PER_LIMIT_RAISE;
+        let raise_interval = UPKEEP_INTERVAL.mul_f64(interval_ratio);
         let mut scan = CandidateScan::<{ Tier::COUNT }>::starting_at(start);
         let mut all_are_ejected = true;
         for indexed in self.permitted_servers(now, request) {
@@ -141,7 +144,7 @@
                 score: rank_score(indexed.hash, request.key),
                 slot: indexed.slot,
             };
-            let tier = self.admission_tier(now, request, server, context);
+            let tier = self.admission_tier(now, request, server, context, raise_interval);
             for tier in tier.into_iter().chain([Tier::Any]) {
                 scan.offer(tier.index(), ranked, |a, b| self.precedes(a, b));
             }
@@ -155,6 +158,7 @@
         request: &RequestState,
         server: &Server,
         context: &AdmissionContext,
+        raise_interval: Duration,
     ) -> Option<Tier> {
         if self.admits(now, request, server, context, FairLoad::Required) {
             let is_accepted = self.is_accepted_by_machine_kind(request, server);
@@ -172,8 +176,6 @@
         if takes_group && self.admits(now, request, server, context, FairLoad::Ignored) {
             return Some(Tier::BeyondFairLoad);
         }
-        let interval_ratio = f64::from(self.settings.node_count) / NODES_PER_LIMIT_RAISE;
-        let raise_interval = UPKEEP_INTERVAL.mul_f64(interval_ratio);
         let may_exceed_limit = serves_group
             && server.may_exceed_limit(now, OVERLOAD_MEMORY, raise_interval)
             && self.key_redistribution.accepts_key(server, request.key);
--- a/crates/placement/src/recovery/drain_migration.rs
+++ b/crates/placement/src/recovery/drain_migration.rs
@@ -26,7 +26,7 @@
         self.migrate_drained(now, actions);
     }
 
-    pub(crate) fn on_drain_migration_timer(&mut self, now: Timestamp, actions: &mut Actions) {
+    pub(crate) fn on_drain_timer(&mut self, now: Timestamp, actions: &mut Actions) {
         self.drain_timer.on_fired();
         self.migrate_drained(now, actions);
     }
@@ -36,10 +36,10 @@
     fn migrate_drained(&mut self, now: Timestamp, actions: &mut Actions) {
         let drained = self
             .admin_drain
-            .remaining_steps(now, DRAIN_DURATION, STEP_INTERVAL);
-        for (server, remaining_steps) in drained {
-            let connections = self.established_on(&server);
-            let due = connections.len().div_ceil(remaining_steps);
+            .progress(now, DRAIN_DURATION, STEP_INTERVAL);
+        for progress in drained {
+            let connections = self.established_on(&progress.server);
+            let due = connections.len().div_ceil(progress.remaining_steps);
             self.migration_budget.allow_at_least(due as f64);
             for id in connections.into_iter().take(due) {
                 self.migrate(id, actions);
--- a/crates/placement/src/recovery/upkeep.rs
+++ b/crates/placement/src/recovery/upkeep.rs
@@ -6,8 +6,8 @@
 use crate::state::load_accounting::GROUP_OVERHEAD_RATIO;
 use crate::state::server::Server;
 use crate::state::server_table::ServerSlot;
-use crate::timer::{Timer, UPKEEP_INTERVAL};
-use crate::{Health, Timestamp};
+use crate::timer::{set_timer, UPKEEP_INTERVAL};
+use crate::{Health, Timer, Timestamp};
 use std::time::Duration;
 
 /// Servers that are gone are forgotten after this time.
@@ -26,11 +26,11 @@
     /// Sets the first upkeep at a random moment, so that nodes that start together do not run it together.
     pub(crate) fn schedule_first_upkeep(&mut self, actions: &mut Actions) {
         let after = UPKEEP_INTERVAL.mul_f64(0.5 + self.jitter());
-        actions.push(Timer::Upkeep.set_after(after));
+        actions.push(set_timer(Timer::Upkeep, after));
     }
 
     pub(crate) fn run_upkeep(&mut self, now: Timestamp, actions: &mut Actions) {
-        actions.push(Timer::Upkeep.set_after(UPKEEP_INTERVAL));
+        actions.push(set_timer(Timer::Upkeep, UPKEEP_INTERVAL));
         self.migration_budget.refill(self.fleet.totals.connections);
         self.health_check_budget
             .limit_to(self.fleet.servers.len() as f64);
@@ -111,7 +111,7 @@
 
 /// A server that is gone is remembered for a while, or one listed anew as draining would be given its grace twice.
 fn is_forgotten(now: Timestamp, server: &Server) -> bool {
-    server.health == Health::Gone
+    server.health == Health::Removed
         && server.connections.is_empty()
         && now.saturating_duration_since(server.draining_since) >= GONE_SERVER_RETENTION
 }
--- a/crates/placement/src/state/learned_state.rs
+++ b/crates/placement/src/state/learned_state.rs
@@ -88,7 +88,7 @@
             .filter_map(|slot| {
                 let server = self.servers.get(slot)?;
                 let id = self.servers.id(slot)?;
-                (server.health != Health::Gone).then(|| LearnedServer::new(now, id, server))
+                (server.health != Health::Removed).then(|| LearnedServer::new(now, id, server))
             })
             .collect();
         learned.sort_by(|a, b| a.server.cmp(&b.server));
@@ -105,7 +105,7 @@
         for learned in learned_servers {
             let slot = self.servers.slot(&learned.server);
             self.update(slot, |server| {
-                if server.health != Health::Gone && !learned.is_outdated(now, server) {
+                if server.health != Health::Removed && !learned.is_outdated(now, server) {
                     learned.apply_to(settings, now, server);
                 }
             });
--- a/crates/placement/src/state/server.rs
+++ b/crates/placement/src/state/server.rs
@@ -99,7 +99,7 @@
     pub(crate) fn new(hash: u32, now: Timestamp) -> Server {
         Server {
             hash,
-            health: Health::Gone,
+            health: Health::Removed,
             draining_since: now,
             ..Server::default()
         }
@@ -169,7 +169,7 @@
         now: Timestamp,
         entry: &Endpoint,
     ) -> EndpointEffect {
-        let has_returned = self.health == Health::Gone && entry.health == Health::Ready;
+        let has_returned = self.health == Health::Removed && entry.health == Health::Ready;
         let is_new_process = entry.started_at > self.started_at || has_returned;
         if is_new_process {
             self.reset_for_new_process(settings, now, entry.started_at);
@@ -215,7 +215,7 @@
             self.draining_since = now;
         }
         self.health = health;
-        if was_ready && health == Health::Gone {
+        if was_ready && health == Health::Removed {
             self.weight
         } else {
             0.0
--- a/crates/placement/src/timer.rs
+++ b/crates/placement/src/timer.rs
@@ -1,53 +1,15 @@
-//! The timers that the balancer sets, and the handles by which they come back.
+//! The timers that the balancer sets, and their intervals.
 
-use crate::Action;
+use crate::{Action, Timer};
 use std::time::Duration;
 
 pub(crate) const UPKEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// How often queued requests are looked at when nothing else happens.
 pub(crate) const QUEUE_INTERVAL: Duration = Duration::from_millis(50);
 
-#[derive(Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Timer {
-    /// The next run of the upkeep.
-    Upkeep,
-    /// The next call for the endpoint list.
-    EndpointWatch,
-    /// The next look at queued requests.
-    Queue,
-    /// The next step of migrating connections off drained servers.
-    DrainMigration,
-}
-
-impl Timer {
-    const ALL: [Timer; 4] = [
-        Timer::Upkeep,
-        Timer::EndpointWatch,
-        Timer::Queue,
-        Timer::DrainMigration,
-    ];
-
-    const fn handle(self) -> u64 {
-        match self {
-            Timer::Upkeep => 1,
-            Timer::EndpointWatch => 2,
-            Timer::Queue => 3,
-            Timer::DrainMigration => 4,
-        }
-    }
-
-    pub(crate) fn from_handle(handle: u64) -> Option<Timer> {
-        Timer::ALL
-            .into_iter()
-            .find(|timer| timer.handle() == handle)
-    }
-
-    pub(crate) fn set_after(self, after: Duration) -> Action {
-        Action::SetTimer {
-            after,
-            handle: self.handle(),
-        }
-    }
+/// The action that sets a timer.
+pub(crate) fn set_timer(timer: Timer, after: Duration) -> Action {
+    Action::SetTimer { after, timer }
 }
 
 /// A timer that is set again only after it has fired.
@@ -70,7 +32,7 @@
             return None;
         }
         self.is_set = true;
-        Some(self.timer.set_after(after))
+        Some(set_timer(self.timer, after))
     }
 
     pub(crate) fn on_fired(&mut self) {
