--- /dev/null
+++ b/crates/node/tests/common/discovery.rs
@@ -0,0 +1,88 @@
+//! The stub discovery service.
+
+use super::address::{listen, ReservedAddress};
+use super::endpoint_list::{endpoint_list, endpoint_list_json};
+use super::line_stream::LineStream;
+use super::rig::Rig;
+use super::wait::wait_until;
+use std::io::Write;
+
+/// The head of the answer to a watch, and its first chunk: a line feed.
+const WATCH_ANSWER: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n";
+
+impl Rig {
+    /// Accepts the node's call; gives it with its request line.
+    pub fn accept_discovery_call(&mut self) -> (LineStream, String) {
+        let mut call = wait_until("a call", || {
+            self.discovery
+                .accept()
+                .ok()
+                .map(|(stream, _)| LineStream::new(stream))
+        });
+        let request = call.receive();
+        while !call.receive().is_empty() {}
+        (call, request)
+    }
+
+    /// The watch falls silent; accepts the node's next call.
+    pub fn accept_discovery_call_after_silence(&mut self) -> (LineStream, String) {
+        self.write_to_watch(b"\n", 1);
+        self.accept_discovery_call()
+    }
+
+    /// Opens the watch that the node asks for.
+    pub fn accept_watch(&mut self) {
+        let (mut call, _) = self.accept_discovery_call();
+        call.send(WATCH_ANSWER);
+        self.watch = Some(call);
+    }
+
+    /// Writes the state of one server on the watch.
+    pub fn announce_health(&mut self, server: usize, health: &str, seq: u64) {
+        let line = endpoint_list(&self.server_addresses[server..=server], health, seq, false)
+            .replace("s-0", &format!("s-{server}"))
+            + "\n";
+        self.watch
+            .as_mut()
+            .unwrap()
+            .send(&format!("{:x}\r\n{line}\r\n", line.len()));
+    }
+
+    /// A list with the first servers in these states.
+    pub fn endpoint_list(&self, health: &[&str], seq: u64, whole: bool) -> serde_json::Value {
+        endpoint_list_json(&self.server_addresses, health, seq, whole)
+    }
+
+    /// Writes these bytes on the watch in chunks of this size, each sent before the next.
+    pub fn write_to_watch(&mut self, bytes: &[u8], chunk_size: usize) {
+        let watch = self.watch.as_mut().unwrap();
+        for chunk in bytes.chunks(chunk_size) {
+            watch
+                .stream
+                .write_all(format!("{:x}\r\n", chunk.len()).as_bytes())
+                .unwrap();
+            watch.stream.write_all(chunk).unwrap();
+            watch.stream.write_all(b"\r\n").unwrap();
+        }
+    }
+
+    /// Discovery ends: its watch breaks, and calls are refused. Its address stays reserved.
+    pub fn stop_discovery(&mut self) -> ReservedAddress {
+        let address = self.discovery.local_addr().unwrap();
+        self.watch = None;
+        self.discovery = listen();
+        wait_until("its address is free", || ReservedAddress::at(address))
+    }
+
+    /// It listens again where it did.
+    pub fn restart_discovery(&mut self, reserved: ReservedAddress) {
+        self.discovery = reserved.listen();
+    }
+
+    /// Lets discovery listen elsewhere and tells the node where.
+    pub fn move_discovery(&mut self) {
+        self.discovery = listen();
+        self.config["discovery"] = self.discovery.local_addr().unwrap().to_string().into();
+        self.reload_config(&self.config.to_string());
+    }
+}
--- /dev/null
+++ b/crates/node/tests/common/endpoint_list.rs
@@ -0,0 +1,32 @@
+//! Endpoint lists as the discovery service writes them.
+
+use std::net::SocketAddr;
+
+/// A list with all of these servers in one state. They are named `s-0`, `s-1` and so on.
+pub fn endpoint_list(addresses: &[SocketAddr], health: &str, seq: u64, whole: bool) -> String {
+    let entry = |(index, address): (usize, &SocketAddr)| {
+        format!(
+            r#"{{"host":"s-{index}","dial":"{address}","site":"a","class":"m","block":0,"health":"{health}","share":1.0,"born_ms":0}}"#
+        )
+    };
+    let entries: Vec<String> = addresses.iter().enumerate().map(entry).collect();
+    format!(
+        r#"{{"seq":{seq},"whole":{whole},"hosts":[{}]}}"#,
+        entries.join(",")
+    )
+}
+
+/// A list with the first servers in these states.
+pub fn endpoint_list_json(
+    addresses: &[SocketAddr],
+    health: &[&str],
+    seq: u64,
+    whole: bool,
+) -> serde_json::Value {
+    let entry = |(index, health): (usize, &&str)| {
+        serde_json::json!({"host": format!("s-{index}"), "dial": addresses[index].to_string(), "site": "a", "class": "m",
+            "block": 0, "health": health, "share": 1.0, "born_ms": 0})
+    };
+    let entries: Vec<_> = health.iter().enumerate().map(entry).collect();
+    serde_json::json!({"seq": seq, "whole": whole, "hosts": entries})
+}
--- /dev/null
+++ b/crates/node/tests/common/node_process.rs
@@ -0,0 +1,69 @@
+//! Processes of the node.
+
+use std::ffi::OsString;
+use std::net::TcpListener;
+use std::os::fd::OwnedFd;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+/// Moves the inherited listener to descriptor 7, where there is one, and runs the program.
+const START_SCRIPT: &str = "[ -z \"$RELAY_INHERITED_FD\" ] || exec 7<&0 0</dev/null; exec \"$@\"";
+
+/// Which build of the program a process runs.
+#[derive(Clone, Copy, Debug)]
+pub enum Build {
+    /// The one that is tested.
+    This,
+    /// The program that the environment variable `LUPINCRANK_OTHER_BUILD` names; the one that is tested where it names
+    /// none.
+    Other,
+}
+
+impl Build {
+    fn program(self) -> OsString {
+        let this = env!("CARGO_BIN_EXE_lupincrank");
+        match self {
+            Build::This => this.into(),
+            Build::Other => std::env::var_os("LUPINCRANK_OTHER_BUILD").unwrap_or(this.into()),
+        }
+    }
+}
+
+/// The clients' listening socket that both processes of a node inherit, and their directory for runtime files.
+pub struct InheritedListener {
+    pub listener: TcpListener,
+    pub runtime_directory: PathBuf,
+}
+
+/// Starts the node; an inherited listener is its descriptor 7.
+pub fn spawn(build: Build, config_path: &Path, inherited: Option<&InheritedListener>) -> Child {
+    let log = std::fs::File::options()
+        .append(true)
+        .open(config_path.with_extension("log"))
+        .unwrap();
+    let mut command = Command::new("/bin/sh");
+    command
+        .args(["-c", START_SCRIPT, "sh"])
+        .arg(build.program())
+        .args(["serve", "--verbose", "--config"])
+        .arg(config_path)
+        .env_clear()
+        .stderr(log)
+        .stdin(Stdio::null());
+    if let Some(inherited) = inherited {
+        let listener = OwnedFd::from(inherited.listener.try_clone().unwrap());
+        command
+            .env("RELAY_INHERITED_FD", "7")
+            .env("TMPDIR", &inherited.runtime_directory)
+            .stdin(listener);
+    }
+    command.spawn().unwrap()
+}
+
+/// Sends a process a signal, such as `-TERM`.
+pub fn send_signal(process: &Child, signal: &str) {
+    let status = Command::new("kill")
+        .args([signal, &process.id().to_string()])
+        .status();
+    assert!(status.unwrap().success());
+}
--- /dev/null
+++ b/crates/node/tests/common/requests.rs
@@ -0,0 +1,164 @@
+//! Clients, admin calls, and the servers' ends of the node's attempts.
+
+use super::line_stream::LineStream;
+use super::rig::Rig;
+use super::wait::wait_until;
+use std::net::{SocketAddr, TcpStream};
+
+/// The state of an established connection in the kernel's table of sockets.
+const TCP_ESTABLISHED: &str = "01";
+
+/// Clients.
+impl Rig {
+    /// Where clients connect.
+    pub fn client_address(&self) -> SocketAddr {
+        self.listen_address
+    }
+
+    pub fn connect_client(&self) -> LineStream {
+        LineStream::new(wait_until("the node listens", || {
+            TcpStream::connect(self.listen_address).ok()
+        }))
+    }
+
+    /// What one line on a connection of its own is answered.
+    pub fn query(&self, text: &str) -> String {
+        let mut client = self.connect_client();
+        client.send(text);
+        client.receive()
+    }
+
+    /// A client whose `OPEN` line has these further fields, with that line.
+    pub fn send_request(&mut self, fields: &str) -> (LineStream, String) {
+        self.last_request_id += 1;
+        let line = format!(
+            "OPEN {:016x} 7f3a9c21e0b4d655 c=chat,{fields}",
+            self.last_request_id
+        );
+        let mut client = self.connect_client();
+        client.send(&format!("{line}\r\n"));
+        (client, line)
+    }
+
+    /// A client whose connection is established: it, its server's number, and the server's end.
+    pub fn establish(&mut self) -> (LineStream, usize, LineStream) {
+        self.establish_in_group("5c0f6e1a")
+    }
+
+    /// The same for a client of this group.
+    pub fn establish_in_group(&mut self, group: &str) -> (LineStream, usize, LineStream) {
+        let (mut client, _) = self.send_request(&format!("d=1500,g={group}"));
+        let (server_index, mut server) = self.accept_attempt();
+        server.receive();
+        server.send("UP r1\r\n");
+        assert_eq!(client.receive(), "UP r1");
+        (client, server_index, server)
+    }
+
+    /// Waits until the end of this client's connection has arrived at the node, which may be paused: on a machine that
+    /// has much to do the kernel takes its time to deliver it.
+    pub fn wait_for_client_close(&self, client: SocketAddr) {
+        wait_until("the end arrives", || {
+            let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+            table
+                .lines()
+                .all(|row| !is_established(row, self.listen_address, client))
+                .then_some(())
+        });
+    }
+}
+
+/// Whether a row of the kernel's table of sockets is an established connection between these ports.
+fn is_established(row: &str, local: SocketAddr, remote: SocketAddr) -> bool {
+    let port_suffix = |address: SocketAddr| format!(":{:04X}", address.port());
+    let mut columns = row.split_whitespace().skip(1);
+    let (Some(row_local), Some(row_remote), Some(state)) =
+        (columns.next(), columns.next(), columns.next())
+    else {
+        return false;
+    };
+    row_local.ends_with(&port_suffix(local))
+        && row_remote.ends_with(&port_suffix(remote))
+        && state == TCP_ESTABLISHED
+}
+
+/// The servers' ends.
+impl Rig {
+    /// The next connection at any server that still listens: which one, and the connection.
+    pub fn accept_attempt(&self) -> (usize, LineStream) {
+        wait_until("an attempt", || {
+            let mut accepted = self
+                .servers
+                .iter()
+                .enumerate()
+                .filter_map(|(index, server)| {
+                    let (stream, _) = server.as_ref()?.accept().ok()?;
+                    Some((index, LineStream::new(stream)))
+                });
+            accepted.next()
+        })
+    }
+
+    /// Whether no connection waits at any server.
+    pub fn has_no_attempt(&self) -> bool {
+        self.servers
+            .iter()
+            .flatten()
+            .all(|server| server.accept().is_err())
+    }
+
+    /// Ends a server's admin drain and waits until it is used again: not at once, for it counts as warming up.
+    pub fn undrain(&mut self, server_index: usize) {
+        assert_eq!(
+            self.admin_call(&format!("set-up s-{server_index}\r\n")),
+            "done"
+        );
+        let mut clients = Vec::new();
+        wait_until("it is used again", || {
+            let (mut client, _) = self.send_request(&format!("d=1500,g={}", clients.len()));
+            let attempted_at = wait_until("an attempt or an answer", || {
+                let attempted_at = self.servers.iter().position(|server| {
+                    server
+                        .as_ref()
+                        .is_some_and(|server| server.accept().is_ok())
+                });
+                attempted_at
+                    .map(Some)
+                    .or_else(|| (!client.is_quiet()).then_some(None))
+            });
+            clients.push(client);
+            (attempted_at == Some(server_index)).then_some(())
+        });
+    }
+}
+
+/// Admin calls.
+impl Rig {
+    /// The admin address of the newest process.
+    pub fn admin_address(&self) -> SocketAddr {
+        self.admin_address
+    }
+
+    /// A connection to it.
+    pub fn connect_admin(&self) -> LineStream {
+        connect_admin(self.admin_address)
+    }
+
+    /// What an admin call is answered.
+    pub fn admin_call(&self, call: &str) -> String {
+        self.admin_call_at(self.admin_address, call)
+    }
+
+    /// The same at the admin address of either process.
+    pub fn admin_call_at(&self, address: SocketAddr, call: &str) -> String {
+        let mut caller = connect_admin(address);
+        caller.send(call);
+        caller.receive()
+    }
+}
+
+fn connect_admin(address: SocketAddr) -> LineStream {
+    LineStream::new(wait_until("the node takes calls", || {
+        TcpStream::connect(address).ok()
+    }))
+}
--- /dev/null
+++ b/crates/node/tests/common/successor.rs
@@ -0,0 +1,66 @@
+//! A second process of the node beside the first.
+
+use super::address::ReservedAddress;
+use super::node_process::{send_signal, spawn, Build};
+use super::rig::Rig;
+use super::wait::wait_until;
+use std::path::Path;
+use std::process::Child;
+
+impl Rig {
+    /// The directory for the runtime files of both processes.
+    pub fn runtime_directory(&self) -> &Path {
+        &self.inherited.as_ref().unwrap().runtime_directory
+    }
+
+    /// Waits until the newest process says that it can serve.
+    pub fn wait_until_ready(&self) {
+        wait_until("done", || {
+            (self.admin_call("check\r\n") == "done").then_some(())
+        });
+    }
+
+    /// Starts the node a second time, beside itself, with another admin address.
+    pub fn start_successor(&mut self) {
+        self.start_successor_build(Build::This);
+    }
+
+    /// The same with a process of this build.
+    pub fn start_successor_build(&mut self, build: Build) {
+        let admin_listener = ReservedAddress::any();
+        self.admin_address = admin_listener.address;
+        self.reserved.push(admin_listener);
+        self.config["management"] = self.admin_address.to_string().into();
+        std::fs::write(&self.config_path, self.config.to_string()).unwrap();
+        let successor = spawn(build, &self.config_path, self.inherited.as_ref());
+        let predecessor = std::mem::replace(&mut self.process, successor);
+        if let Some(mut oldest) = self.predecessor.replace(predecessor) {
+            let _ = oldest.wait();
+        }
+    }
+
+    /// Starts a second process and ends the first one.
+    pub fn hand_over_to_successor(&mut self) {
+        self.start_successor();
+        self.accept_watch();
+        self.wait_until_ready();
+        self.terminate_predecessor();
+    }
+
+    /// Sends the older process SIGTERM and waits for its end.
+    pub fn terminate_predecessor(&mut self) {
+        send_signal(self.oldest_process(), "-TERM");
+        self.wait_for_predecessor_exit();
+    }
+
+    /// The older process, or the only one.
+    pub fn oldest_process(&mut self) -> &mut Child {
+        self.predecessor.as_mut().unwrap_or(&mut self.process)
+    }
+
+    /// Waits for the orderly end of the older process.
+    pub fn wait_for_predecessor_exit(&mut self) {
+        let oldest = self.oldest_process();
+        assert!(wait_until("the older process ends", || oldest.try_wait().unwrap()).success());
+    }
+}
--- a/crates/node/tests/connection_close.rs
+++ b/crates/node/tests/connection_close.rs
@@ -1,26 +1,26 @@
 //! Closes: what is still under way when one side ends, and what the other side sees of it.
 
 mod common;
-use common::{reset, within, Line, Rig};
+use common::{reset_connection, wait_until, LineStream, Rig};
 use rstest::rstest;
 use socket2::SockRef;
 use std::io::{ErrorKind, Read, Write};
 
 /// A first line of nearly the greatest length.
-fn long_line(rig: &mut Rig, wait: u32) -> Line {
+fn long_line(rig: &mut Rig, wait: u32) -> LineStream {
     let fill = "x".repeat(3800);
-    rig.open(&format!("d={wait},g=a,x={fill}")).0
+    rig.send_request(&format!("d={wait},g=a,x={fill}")).0
 }
 
 /// Transcribers take so little unread that the end of a long line stays in the node's kernel.
 fn narrow(rig: &Rig) {
-    for peer in rig.peers.iter().flatten() {
-        SockRef::from(peer).set_recv_buffer_size(1).unwrap();
+    for server in rig.servers.iter().flatten() {
+        SockRef::from(server).set_recv_buffer_size(1).unwrap();
     }
 }
 
 /// All that comes until the connection ends, and whether it ended in good order.
-fn rest(line: &mut Line) -> (Vec<u8>, bool) {
+fn rest(line: &mut LineStream) -> (Vec<u8>, bool) {
     let (mut came, mut part) = (Vec::new(), [0; 4096]);
     loop {
         match line.stream.read(&mut part) {
@@ -34,12 +34,12 @@
 
 /// A connection of which the transcriber's kernel has taken a part of the line. The rest is held back, as by a network that is
 /// cut.
-fn held_back(rig: &Rig) -> Line {
-    let (_, peer) = rig.tried();
-    within("a part of the line", || {
-        (peer.stream.peek(&mut [0; 4096]).unwrap() > 0).then_some(())
+fn held_back(rig: &Rig) -> LineStream {
+    let (_, server) = rig.accept_attempt();
+    wait_until("a part of the line", || {
+        (server.stream.peek(&mut [0; 4096]).unwrap() > 0).then_some(())
     });
-    peer
+    server
 }
 
 /// How a try ends whose line has not arrived.
@@ -64,7 +64,7 @@
     how: Ends,
 ) {
     let mut rig = Rig::start(1);
-    rig.set(|settings| {
+    rig.change_settings(|settings| {
         settings["Limits"]["SendCap"] = 1.into();
     });
     narrow(&rig);
@@ -72,22 +72,22 @@
         &mut rig,
         if how == Ends::TimeOver { 700 } else { 20000 },
     ));
-    let mut peer = held_back(&rig);
+    let mut server = held_back(&rig);
     match how {
         Ends::ClientCloses => drop(client.take()),
-        Ends::ClientResets => reset(client.take().unwrap()),
-        Ends::TimeOver => assert!(client.as_mut().unwrap().hear().starts_with("BUSY")),
+        Ends::ClientResets => reset_connection(client.take().unwrap()),
+        Ends::TimeOver => assert!(client.as_mut().unwrap().receive().starts_with("BUSY")),
         Ends::NodeKilled => {
             rig.signal("-KILL");
-            rig.exit();
+            rig.wait_for_exit();
         }
     }
     if client.is_none() {
-        rig.logged("client left");
+        rig.wait_for_log("client left");
         // A call is answered after what was decided has been carried out.
-        assert_eq!(rig.ask("PING\r\n"), "PONG");
+        assert_eq!(rig.query("PING\r\n"), "PONG");
     }
-    let (came, in_order) = rest(&mut peer);
+    let (came, in_order) = rest(&mut server);
     assert!(
         !came.ends_with(b"\n") && !in_order,
         "{} bytes came, in good order: {in_order}",
@@ -104,58 +104,58 @@
 #[case::time_over(Some(""))]
 fn a_try_whose_line_has_arrived_ends_in_good_order(#[case] says: Option<&str>) {
     let mut rig = Rig::start(1);
-    rig.set(|settings| settings["Limits"]["SendCap"] = 1.into());
-    let (client, line) = rig.open(if says == Some("") {
+    rig.change_settings(|settings| settings["Limits"]["SendCap"] = 1.into());
+    let (client, line) = rig.send_request(if says == Some("") {
         "d=700,g=a"
     } else {
         "d=20000,g=a"
     });
-    let (_, mut peer) = rig.tried();
-    assert_eq!(peer.hear().split(',').next(), line.split(',').next());
+    let (_, mut server) = rig.accept_attempt();
+    assert_eq!(server.receive().split(',').next(), line.split(',').next());
     match says {
-        Some(says) => peer.say(says),
+        Some(says) => server.send(says),
         None => drop(client),
     }
-    assert_eq!(rest(&mut peer), (Vec::new(), true));
+    assert_eq!(rest(&mut server), (Vec::new(), true));
 }
 
 /// A connection from before the node's life that waits for its transcriber when the node has to end gets its answer.
 #[test]
 fn a_connection_from_before_gets_its_answer_when_the_node_ends() {
     let mut rig = Rig::start(1);
-    let (mut client, _) = rig.open("d=40000,g=a,at=s-0");
-    let (_, mut peer) = rig.tried();
-    peer.hear();
+    let (mut client, _) = rig.send_request("d=40000,g=a,at=s-0");
+    let (_, mut server) = rig.accept_attempt();
+    server.receive();
     rig.signal("-TERM");
     assert_eq!(
-        [client.hear(), client.hear()],
+        [client.receive(), client.receive()],
         ["ERR", ""],
         "it may stand by now"
     );
-    drop((client, peer));
-    assert!(rig.exit().success());
+    drop((client, server));
+    assert!(rig.wait_for_exit().success());
 }
 
 /// A client that sends much and goes, its line among it: nothing of it reaches a transcriber, and others are served.
 #[rstest]
 fn a_flood_that_ends_is_not_sent_on(#[values("x", "y\r\n")] says: &str) {
     let mut rig = Rig::start(1);
-    rig.freeze();
-    let (mut client, _) = rig.open("d=20000,g=a");
+    rig.pause();
+    let (mut client, _) = rig.send_request("d=20000,g=a");
     client
         .stream
         .set_write_timeout(Some(std::time::Duration::from_millis(200)))
         .unwrap();
     let _ = client.stream.write_all(says.repeat(300_000).as_bytes());
     drop(client);
-    rig.thaw();
-    let (mut client, line) = rig.open("d=20000,g=b");
-    let (_, mut peer) = rig.tried();
+    rig.resume();
+    let (mut client, line) = rig.send_request("d=20000,g=b");
+    let (_, mut server) = rig.accept_attempt();
     let id = line.split(' ').nth(1).unwrap();
     assert!(
-        peer.hear().contains(id),
+        server.receive().contains(id),
         "the first that a transcriber hears is the next client's line"
     );
-    peer.say("UP r1\r\n");
-    assert_eq!(client.hear(), "UP r1");
+    server.send("UP r1\r\n");
+    assert_eq!(client.receive(), "UP r1");
 }
--- a/crates/node/tests/discovery.rs
+++ b/crates/node/tests/discovery.rs
@@ -1,7 +1,7 @@
 //! Discovery that is down, overloaded or back, and what the node owes meanwhile.
 
 mod common;
-use common::{within, Line, Rig};
+use common::{wait_until, LineStream, Rig};
 use rstest::rstest;
 use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -69,34 +69,34 @@
 /// tells, serves a request and answers the staff, and never holds more descriptors than it may.
 #[rstest]
 fn idle_clients_keep_nobody_out_when_discovery_is_back(#[values(64, 80)] sockets: usize) {
-    let mut rig = Rig::with_sockets(2, sockets);
-    let (held, at, _peer) = rig.up();
-    let kept = rig.discovery_ends();
-    rig.logged("discovery failed");
+    let mut rig = Rig::start_with_descriptors(2, sockets);
+    let (held, at, _peer) = rig.establish();
+    let kept = rig.stop_discovery();
+    rig.wait_for_log("discovery failed");
     let idle = idle_clients(rig.client_address(), 200);
     // They have been there for longer than a first line may take, so that the oldest ones have been replaced.
-    rig.logged_times("discovery failed", 4);
+    rig.wait_for_log_count("discovery failed", 4);
     let mut most = 0;
     // It stands still meanwhile: what is opened and closed under the count would be counted twice.
     let mut look = |rig: &Rig| {
-        rig.freeze();
-        most = most.max(rig.descriptors());
-        rig.thaw();
+        rig.pause();
+        most = most.max(rig.open_descriptor_count());
+        rig.resume();
     };
     look(&rig);
-    rig.discovery_returns(kept);
+    rig.restart_discovery(kept);
     let back = Instant::now();
-    rig.watched();
+    rig.accept_watch();
     let heard = back.elapsed();
     look(&rig);
-    rig.tell(at, "DRAINING", 2);
-    rig.logged("seq: 2");
+    rig.announce_health(at, "DRAINING", 2);
+    rig.wait_for_log("seq: 2");
     let asked = Instant::now();
-    assert_eq!(rig.manage("check\r\n"), "done");
+    assert_eq!(rig.admin_call("check\r\n"), "done");
     let checked = asked.elapsed();
     look(&rig);
     let asked = Instant::now();
-    let (client, other, peer) = rig.up();
+    let (client, other, peer) = rig.establish();
     let served = asked.elapsed();
     look(&rig);
     eprintln!(
@@ -126,14 +126,14 @@
     Background::run(move || {
         for listener in &listeners {
             while let Ok((stream, _)) = listener.accept() {
-                waiting.push_back((Instant::now(), Line::new(stream)));
+                waiting.push_back((Instant::now(), LineStream::new(stream)));
             }
         }
         let Discovery::Answers(a_second) = how else {
             return;
         };
         while free <= Instant::now() {
-            let Some((since, mut call)): Option<(Instant, Line)> = waiting.pop_front() else {
+            let Some((since, mut call)): Option<(Instant, LineStream)> = waiting.pop_front() else {
                 break;
             };
             free = free.max(since) + Duration::from_secs_f64(1.0 / a_second);
@@ -158,13 +158,13 @@
     let began = Instant::now();
     let mut rigs: Vec<Rig> = (0..30)
         .map(|_| {
-            Rig::launch_with(1, 1024, |config| {
+            Rig::launch_with_config(1, 1024, |config| {
                 config["settings"]["Instances"] = 300.into();
             })
         })
         .collect();
     let down: Vec<_> = match how {
-        Discovery::Down => rigs.iter_mut().map(Rig::discovery_ends).collect(),
+        Discovery::Down => rigs.iter_mut().map(Rig::stop_discovery).collect(),
         _ => Vec::new(),
     };
     let _discovery = one_for_all(
@@ -174,13 +174,13 @@
         how,
     );
     let mut ready = vec![None; rigs.len()];
-    within("all are ready", || {
+    wait_until("all are ready", || {
         for (rig, ready) in rigs
             .iter()
             .zip(&mut ready)
             .filter(|(_, ready)| ready.is_none())
         {
-            *ready = (rig.ask("PING\r\n") == "PONG").then(|| began.elapsed());
+            *ready = (rig.query("PING\r\n") == "PONG").then(|| began.elapsed());
         }
         ready.iter().all(Option::is_some).then_some(())
     });
--- a/crates/node/tests/protocol.rs
+++ b/crates/node/tests/protocol.rs
@@ -1,7 +1,7 @@
 //! One test on real sockets for each rule of the protocol.
 
 mod common;
-use common::{reset, within, Rig};
+use common::{reset_connection, wait_until, Rig};
 use rstest::rstest;
 use std::io::Write;
 use std::net::Shutdown;
@@ -10,9 +10,9 @@
 #[test]
 fn a_first_line_goes_on_with_d_rewritten_and_lines_pass_both_ways_unchanged() {
     let mut rig = Rig::start(2);
-    let (mut client, line) = rig.open("d=1500,g=5c0f6e1a,x=1");
-    let (_, mut peer) = rig.tried();
-    let passed = peer.hear();
+    let (mut client, line) = rig.send_request("d=1500,g=5c0f6e1a,x=1");
+    let (_, mut server) = rig.accept_attempt();
+    let passed = server.receive();
     let (start, rest) = passed.split_once("d=").unwrap();
     let (left, rest) = rest.split_once(',').unwrap();
     assert_eq!(format!("{start}d=1500,{rest}"), line);
@@ -20,15 +20,20 @@
         (1..=1500).contains(&left.parse::<u32>().unwrap()),
         "{left} ms"
     );
-    peer.say("UP r1\r\nLOAD 12.5\r\nfirst\r\nsec");
-    peer.say("ond\r\n");
+    server.send("UP r1\r\nLOAD 12.5\r\nfirst\r\nsec");
+    server.send("ond\r\n");
     assert_eq!(
-        [client.hear(), client.hear(), client.hear(), client.hear()],
+        [
+            client.receive(),
+            client.receive(),
+            client.receive(),
+            client.receive()
+        ],
         ["UP r1", "LOAD 12.5", "first", "second"]
     );
-    client.say("ba");
-    client.say("ck\r\n");
-    assert_eq!(peer.hear(), "back");
+    client.send("ba");
+    client.send("ck\r\n");
+    assert_eq!(server.receive(), "back");
 }
 
 #[rstest]
@@ -43,23 +48,23 @@
 #[case::empty("\r\n")]
 fn a_malformed_first_line_gets_err_and_reaches_no_transcriber(#[case] line: &str) {
     let rig = Rig::start(1);
-    let mut client = rig.client();
-    client.say(line);
-    assert_eq!([client.hear(), client.hear()], ["ERR", ""]);
-    assert!(rig.untried());
+    let mut client = rig.connect_client();
+    client.send(line);
+    assert_eq!([client.receive(), client.receive()], ["ERR", ""]);
+    assert!(rig.has_no_attempt());
 }
 
 #[test]
 fn a_first_line_that_is_too_long_or_not_text_gets_err_too() {
     let rig = Rig::start(1);
-    assert_eq!(rig.ask(&"x".repeat(4096)), "ERR");
-    let mut client = rig.client();
+    assert_eq!(rig.query(&"x".repeat(4096)), "ERR");
+    let mut client = rig.connect_client();
     client
         .stream
         .write_all(b"OPEN \xff\xfe f c=chat,d=100\r\n")
         .unwrap();
-    assert_eq!([client.hear(), client.hear()], ["ERR", ""]);
-    assert!(rig.untried());
+    assert_eq!([client.receive(), client.receive()], ["ERR", ""]);
+    assert!(rig.has_no_attempt());
 }
 
 /// How a transcriber ends the first try; the next one starts only after that.
@@ -71,40 +76,40 @@
 #[case::ended("")]
 fn a_try_that_fails_is_followed_by_one_at_another_transcriber(#[case] says: &str) {
     let mut rig = Rig::start(2);
-    let (mut client, _) = rig.open("d=1900,g=a");
-    let (first, mut peer) = rig.tried();
-    peer.hear();
-    assert!(rig.untried(), "two at once");
-    peer.say(says);
-    drop(peer);
-    let (second, mut peer) = rig.tried();
+    let (mut client, _) = rig.send_request("d=1900,g=a");
+    let (first, mut server) = rig.accept_attempt();
+    server.receive();
+    assert!(rig.has_no_attempt(), "two at once");
+    server.send(says);
+    drop(server);
+    let (second, mut server) = rig.accept_attempt();
     assert_ne!(first, second);
-    peer.hear();
-    peer.say("UP r2\r\n");
-    assert_eq!(client.hear(), "UP r2");
+    server.receive();
+    server.send("UP r2\r\n");
+    assert_eq!(client.receive(), "UP r2");
 }
 
 #[test]
 fn a_silent_try_is_closed_before_the_next_one_starts() {
     let mut rig = Rig::start(2);
-    let (mut client, _) = rig.open("d=1900,g=a");
-    let (first, mut silent) = rig.tried();
-    silent.hear();
-    let (second, mut peer) = rig.tried();
+    let (mut client, _) = rig.send_request("d=1900,g=a");
+    let (first, mut silent) = rig.accept_attempt();
+    silent.receive();
+    let (second, mut server) = rig.accept_attempt();
     assert_ne!(first, second);
-    assert_eq!(silent.hear(), "", "closed by then");
-    peer.hear();
-    peer.say("UP r2\r\n");
-    assert_eq!(client.hear(), "UP r2");
+    assert_eq!(silent.receive(), "", "closed by then");
+    server.receive();
+    server.send("UP r2\r\n");
+    assert_eq!(client.receive(), "UP r2");
 }
 
 #[test]
 fn with_every_transcriber_gone_the_answer_is_busy_at_once_with_a_time() {
     let mut rig = Rig::start(2);
-    rig.peers.iter_mut().for_each(|peer| *peer = None);
+    rig.servers.iter_mut().for_each(|server| *server = None);
     let began = Instant::now();
-    let (mut client, _) = rig.open("d=60000,g=a");
-    let answer = client.hear();
+    let (mut client, _) = rig.send_request("d=60000,g=a");
+    let answer = client.receive();
     let wait: u64 = answer.strip_prefix("BUSY ").unwrap().parse().unwrap();
     assert!((1..=2000).contains(&wait), "{answer}");
     assert!(
@@ -112,55 +117,55 @@
         "held for {:?}",
         began.elapsed()
     );
-    assert_eq!(client.hear(), "");
+    assert_eq!(client.receive(), "");
 }
 
 #[test]
 fn a_client_that_leaves_during_set_up_takes_its_try_along() {
     let mut rig = Rig::start(1);
-    let (client, _) = rig.open("d=60000,g=a");
-    let (_, mut peer) = rig.tried();
-    peer.hear();
+    let (client, _) = rig.send_request("d=60000,g=a");
+    let (_, mut server) = rig.accept_attempt();
+    server.receive();
     drop(client);
-    assert_eq!(peer.hear(), "");
+    assert_eq!(server.receive(), "");
 }
 
 #[test]
 fn an_end_of_one_side_reaches_the_other_after_what_was_sent() {
     let mut rig = Rig::start(2);
-    let (mut client, _, mut peer) = rig.up();
-    peer.say("last\r\nBYE\r\n");
-    peer.stream.shutdown(Shutdown::Write).unwrap();
+    let (mut client, _, mut server) = rig.establish();
+    server.send("last\r\nBYE\r\n");
+    server.stream.shutdown(Shutdown::Write).unwrap();
     assert_eq!(
-        [client.hear(), client.hear(), client.hear()],
+        [client.receive(), client.receive(), client.receive()],
         ["last", "BYE", ""]
     );
-    let (mut client, _, mut peer) = rig.up();
+    let (mut client, _, mut server) = rig.establish();
     client.stream.shutdown(Shutdown::Write).unwrap();
-    assert_eq!(peer.hear(), "");
-    peer.say("still here\r\n");
-    assert_eq!(client.hear(), "still here");
+    assert_eq!(server.receive(), "");
+    server.send("still here\r\n");
+    assert_eq!(client.receive(), "still here");
 }
 
 #[test]
 fn a_reset_of_one_side_reaches_the_other_as_one() {
     let mut rig = Rig::start(1);
-    let (client, _, mut peer) = rig.up();
-    reset(client);
-    assert_eq!(peer.hear(), "RST");
-    let (mut client, _, peer) = rig.up();
-    reset(peer);
-    assert_eq!(client.hear(), "RST");
+    let (client, _, mut server) = rig.establish();
+    reset_connection(client);
+    assert_eq!(server.receive(), "RST");
+    let (mut client, _, server) = rig.establish();
+    reset_connection(server);
+    assert_eq!(client.receive(), "RST");
 }
 
 #[test]
 fn a_connection_whose_lines_go_unanswered_is_moved_within_seven_seconds() {
     let mut rig = Rig::start(2);
-    let (mut client, _, mut peer) = rig.up();
-    client.say("hello\r\n");
-    assert_eq!(peer.hear(), "hello");
+    let (mut client, _, mut server) = rig.establish();
+    client.send("hello\r\n");
+    assert_eq!(server.receive(), "hello");
     let began = Instant::now();
-    assert_eq!([client.hear(), client.hear()], ["MOVE", ""]);
+    assert_eq!([client.receive(), client.receive()], ["MOVE", ""]);
     assert!(
         began.elapsed() < Duration::from_secs(4),
         "nobody is served on it meanwhile"
@@ -170,47 +175,47 @@
 #[test]
 fn a_transcriber_that_answers_nobody_loses_all_its_connections_at_once() {
     let mut rig = Rig::start(2);
-    let (mut other, at, mut answers) = rig.up();
+    let (mut other, at, mut answers) = rig.establish();
     let mut held = Vec::new();
     // A group of its own for each: some come to either transcriber.
-    within("three at the other one", || {
-        let (mut client, _) = rig.open(&format!("d=1500,g={}", held.len()));
-        let (to, mut peer) = rig.tried();
-        peer.hear();
-        peer.say("UP r1\r\n");
-        assert_eq!(client.hear(), "UP r1");
-        held.push((client, to, peer));
+    wait_until("three at the other one", || {
+        let (mut client, _) = rig.send_request(&format!("d=1500,g={}", held.len()));
+        let (to, mut server) = rig.accept_attempt();
+        server.receive();
+        server.send("UP r1\r\n");
+        assert_eq!(client.receive(), "UP r1");
+        held.push((client, to, server));
         (held.iter().filter(|(_, to, _)| *to != at).count() == 3).then_some(())
     });
     let mut held: Vec<_> = held.into_iter().filter(|(_, to, _)| *to != at).collect();
-    held[0].0.say("hello\r\n");
-    held[1].0.say("hello\r\n");
+    held[0].0.send("hello\r\n");
+    held[1].0.send("hello\r\n");
     let began = Instant::now();
-    while held[2].0.quiet() {
-        other.say("hello\r\n");
-        assert_eq!(answers.hear(), "hello");
-        answers.say("hello\r\n");
-        assert_eq!(other.hear(), "hello", "the sound one stays");
-        assert!(began.elapsed() < common::GENEROUS);
+    while held[2].0.is_quiet() {
+        other.send("hello\r\n");
+        assert_eq!(answers.receive(), "hello");
+        answers.send("hello\r\n");
+        assert_eq!(other.receive(), "hello", "the sound one stays");
+        assert!(began.elapsed() < common::WAIT_TIMEOUT);
     }
     for (client, _, _) in &mut held {
-        assert_eq!(client.hear(), "MOVE");
+        assert_eq!(client.receive(), "MOVE");
     }
 }
 
 #[test]
 fn a_draining_transcriber_gets_nothing_new() {
     let mut rig = Rig::start(2);
-    let mut held = vec![rig.up()];
+    let mut held = vec![rig.establish()];
     let at = held[0].1;
-    rig.tell(at, "DRAINING", 2);
+    rig.announce_health(at, "DRAINING", 2);
     // What the node has heard shows only in what it does: once a request of this group goes elsewhere, all do.
-    within("the change", || {
-        held.push(rig.up());
+    wait_until("the change", || {
+        held.push(rig.establish());
         (held.last()?.1 != at).then_some(())
     });
     for _ in 0..5 {
-        held.push(rig.up());
+        held.push(rig.establish());
         assert_ne!(held.last().unwrap().1, at);
     }
 }
@@ -218,9 +223,9 @@
 #[test]
 fn a_watch_that_brings_nothing_is_opened_anew_from_what_is_known() {
     let mut rig = Rig::start(1);
-    rig.tell(0, "SERVING", 7);
+    rig.announce_health(0, "SERVING", 7);
     let began = Instant::now();
-    let (_call, request) = rig.called();
+    let (_call, request) = rig.accept_discovery_call();
     assert_eq!(request, "GET /v1/endpoints?watch=1&from=7 HTTP/1.1");
     assert!(began.elapsed() < Duration::from_secs(10));
 }
@@ -233,60 +238,60 @@
 #[case::reset("")]
 fn a_failed_call_is_made_again_and_serving_goes_on(#[case] answer: &str) {
     let mut rig = Rig::launch(1, 1024);
-    let (mut call, _) = rig.called();
-    call.say(answer);
+    let (mut call, _) = rig.accept_discovery_call();
+    call.send(answer);
     drop(call);
-    rig.up();
-    assert_eq!(rig.ask("PING\r\n"), "BUSY", "its list may be old");
-    rig.watched();
-    within("PONG", || (rig.ask("PING\r\n") == "PONG").then_some(()));
-    assert!(rig.running());
+    rig.establish();
+    assert_eq!(rig.query("PING\r\n"), "BUSY", "its list may be old");
+    rig.accept_watch();
+    wait_until("PONG", || (rig.query("PING\r\n") == "PONG").then_some(()));
+    assert!(rig.is_running());
 }
 
 #[test]
 fn a_connection_from_before_goes_to_its_holder() {
     let mut rig = Rig::start(3);
     for holder in 0..3 {
-        let (mut client, _) = rig.open(&format!("d=30000,g=a,at=s-{holder}"));
-        let (at, mut peer) = rig.tried();
+        let (mut client, _) = rig.send_request(&format!("d=30000,g=a,at=s-{holder}"));
+        let (at, mut server) = rig.accept_attempt();
         assert_eq!(at, holder);
-        peer.hear();
-        peer.say("UP r1\r\n");
-        assert_eq!(client.hear(), "UP r1");
+        server.receive();
+        server.send("UP r1\r\n");
+        assert_eq!(client.receive(), "UP r1");
     }
 }
 
 #[test]
 fn a_node_that_knows_no_transcriber_does_not_say_pong() {
     let rig = Rig::start(0);
-    assert_eq!(rig.ask("PING\r\n"), "BUSY");
+    assert_eq!(rig.query("PING\r\n"), "BUSY");
 }
 
 #[test]
 fn at_sigterm_new_clients_are_served_till_all_are_moved_between_two_lines() {
     let mut rig = Rig::start(1);
-    let (mut client, _, mut peer) = rig.up();
-    let (mut waiting, _) = rig.open("d=60000,g=a");
-    let (_, _silent) = rig.tried();
-    peer.say("whole\r\npart of a line");
-    assert_eq!(client.hear(), "whole");
+    let (mut client, _, mut server) = rig.establish();
+    let (mut waiting, _) = rig.send_request("d=60000,g=a");
+    let (_, _silent) = rig.accept_attempt();
+    server.send("whole\r\npart of a line");
+    assert_eq!(client.receive(), "whole");
     let began = Instant::now();
     rig.signal("-TERM");
-    rig.logged("leaving");
-    let (mut late, _, mut late_peer) = rig.up();
-    late.say("hello\r\n");
-    assert_eq!(late_peer.hear(), "hello");
-    late_peer.say("hello\r\n");
-    assert_eq!(late.hear(), "hello", "served until it is sent away");
+    rig.wait_for_log("leaving");
+    let (mut late, _, mut late_server) = rig.establish();
+    late.send("hello\r\n");
+    assert_eq!(late_server.receive(), "hello");
+    late_server.send("hello\r\n");
+    assert_eq!(late.receive(), "hello", "served until it is sent away");
     for mut client in [client, late] {
-        assert_eq!([client.hear(), client.hear()], ["MOVE", ""]);
+        assert_eq!([client.receive(), client.receive()], ["MOVE", ""]);
     }
     assert!(rig
-        .ask("OPEN 9b1f03aa5c7e2d41 f c=chat,d=1000,g=a\r\n")
+        .query("OPEN 9b1f03aa5c7e2d41 f c=chat,d=1000,g=a\r\n")
         .starts_with("BUSY "));
-    assert!(waiting.hear().starts_with("BUSY "));
+    assert!(waiting.receive().starts_with("BUSY "));
     drop(waiting);
-    assert!(rig.exit().success());
+    assert!(rig.wait_for_exit().success());
     assert!(
         began.elapsed() < Duration::from_millis(2700),
         "killed before: {:?}",
@@ -296,19 +301,19 @@
 
 #[test]
 fn with_descriptors_running_out_clients_are_still_answered_and_later_ones_served() {
-    let mut rig = Rig::with_sockets(1, 68);
-    let held: Vec<_> = (0..9).map(|_| rig.up()).collect();
-    let (mut client, _) = rig.open("d=1000,g=a");
-    assert!(client.hear().starts_with("BUSY "));
+    let mut rig = Rig::start_with_descriptors(1, 68);
+    let held: Vec<_> = (0..9).map(|_| rig.establish()).collect();
+    let (mut client, _) = rig.send_request("d=1000,g=a");
+    assert!(client.receive().starts_with("BUSY "));
     drop(held);
-    within("room", || {
+    wait_until("room", || {
         // A client that leaves at once would take its try along before it is made.
-        let (mut client, _) = rig.open("d=1000,g=a");
+        let (mut client, _) = rig.send_request("d=1000,g=a");
         let answered = || {
-            let tried = rig.peers[0].as_ref()?.accept().is_ok();
-            (tried || !client.quiet()).then_some(tried)
+            let tried = rig.servers[0].as_ref()?.accept().is_ok();
+            (tried || !client.is_quiet()).then_some(tried)
         };
-        within("a try or an answer", answered).then_some(())
+        wait_until("a try or an answer", answered).then_some(())
     });
 }
 
@@ -317,23 +322,23 @@
 #[case::nothing("", "")]
 fn a_first_line_is_not_waited_for_past_three_seconds(#[case] says: &str, #[case] hears: &str) {
     let rig = Rig::start(1);
-    let mut client = rig.client();
+    let mut client = rig.connect_client();
     let began = Instant::now();
-    client.say(says);
-    assert_eq!(client.hear(), hears);
-    client.hear();
+    client.send(says);
+    assert_eq!(client.receive(), hears);
+    client.receive();
     assert!(
         began.elapsed() < Duration::from_secs(3),
         "{:?}",
         began.elapsed()
     );
-    assert!(rig.untried());
+    assert!(rig.has_no_attempt());
 }
 
 #[test]
 fn a_client_that_sends_at_full_speed_is_cut_off() {
     let rig = Rig::start(1);
-    let mut client = rig.client();
+    let mut client = rig.connect_client();
     let began = Instant::now();
     let block = vec![b'x'; 1 << 20];
     let sent = (0..4000)
@@ -350,92 +355,92 @@
 #[test]
 fn commands_before_the_answer_are_an_error_and_end_the_try() {
     let mut rig = Rig::start(2);
-    let (mut client, line) = rig.open("d=60000,g=a");
-    let (_, mut peer) = rig.tried();
-    peer.hear();
-    client.say(&format!("{line}\r\n").repeat(100));
-    assert_eq!([client.hear(), peer.hear()], ["ERR", ""]);
-    assert!(rig.untried());
+    let (mut client, line) = rig.send_request("d=60000,g=a");
+    let (_, mut server) = rig.accept_attempt();
+    server.receive();
+    client.send(&format!("{line}\r\n").repeat(100));
+    assert_eq!([client.receive(), server.receive()], ["ERR", ""]);
+    assert!(rig.has_no_attempt());
 }
 
 #[test]
 fn a_request_that_a_transcriber_cannot_read_is_not_tried_elsewhere() {
     let mut rig = Rig::start(2);
-    let (mut client, _) = rig.open("d=60000,g=a");
-    let (_, mut peer) = rig.tried();
-    peer.hear();
-    peer.say("SYNTAX\r\n");
-    assert_eq!(client.hear(), "ERR");
-    assert!(rig.untried());
+    let (mut client, _) = rig.send_request("d=60000,g=a");
+    let (_, mut server) = rig.accept_attempt();
+    server.receive();
+    server.send("SYNTAX\r\n");
+    assert_eq!(client.receive(), "ERR");
+    assert!(rig.has_no_attempt());
 }
 
 #[test]
 fn a_transcriber_that_ends_a_connection_on_what_it_cannot_read_is_not_blamed() {
     let mut rig = Rig::start(2);
-    let (mut client, at, mut peer) = rig.up();
+    let (mut client, at, mut server) = rig.establish();
     for _ in 0..4 {
-        client.say("what no transcriber reads\r\n");
-        peer.hear();
-        drop(peer);
-        assert_eq!(client.hear(), "");
-        let (next, now_at, now) = rig.up();
+        client.send("what no transcriber reads\r\n");
+        server.receive();
+        drop(server);
+        assert_eq!(client.receive(), "");
+        let (next, now_at, now) = rig.establish();
         assert_eq!(now_at, at);
-        (client, peer) = (next, now);
+        (client, server) = (next, now);
     }
 }
 
 #[test]
 fn hundreds_that_say_nothing_turn_no_client_away() {
-    let mut rig = Rig::with_sockets(1, 256);
+    let mut rig = Rig::start_with_descriptors(1, 256);
     let mut held = Vec::new();
     let mut silent = Vec::new();
     for _ in 0..30 {
-        silent.extend((0..20).map(|_| rig.client()));
-        held.push(rig.up());
+        silent.extend((0..20).map(|_| rig.connect_client()));
+        held.push(rig.establish());
     }
-    for (client, _, peer) in &mut held {
-        client.say("hello\r\n");
-        assert_eq!(peer.hear(), "hello");
+    for (client, _, server) in &mut held {
+        client.send("hello\r\n");
+        assert_eq!(server.receive(), "hello");
     }
 }
 
 #[test]
 fn a_connection_from_before_goes_to_no_transcriber_that_drains() {
     let mut rig = Rig::start(2);
-    rig.tell(0, "DRAINING", 2);
-    rig.tell(1, "DRAINING", 3);
+    rig.announce_health(0, "DRAINING", 2);
+    rig.announce_health(1, "DRAINING", 3);
     // Nothing takes new connections any more, and the front is told so.
-    within("the change", || {
-        (rig.ask("PING\r\n") == "BUSY").then_some(())
+    wait_until("the change", || {
+        (rig.query("PING\r\n") == "BUSY").then_some(())
     });
-    let (mut client, _) = rig.open("d=30000,g=a,at=s-0");
-    assert_eq!(client.hear(), "BUSY");
-    assert!(rig.untried());
+    let (mut client, _) = rig.send_request("d=30000,g=a,at=s-0");
+    assert_eq!(client.receive(), "BUSY");
+    assert!(rig.has_no_attempt());
 }
 
 #[test]
 fn at_sighup_the_watch_goes_on_at_the_new_address_and_connections_stand() {
     let mut rig = Rig::start(2);
-    rig.tell(0, "SERVING", 7);
-    let (mut client, _, mut peer) = rig.up();
+    rig.announce_health(0, "SERVING", 7);
+    let (mut client, _, mut server) = rig.establish();
     for _ in 0..2 {
         let began = Instant::now();
         rig.move_discovery();
-        let (mut call, request) = rig.called();
+        let (mut call, request) = rig.accept_discovery_call();
         assert_eq!(request, "GET /v1/endpoints?watch=1&from=7 HTTP/1.1");
         assert!(
             began.elapsed() < Duration::from_secs(3),
             "told too late: {:?}",
             began.elapsed()
         );
-        call.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+        call.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
         rig.watch = Some(call);
     }
-    client.say("hello\r\n");
-    assert_eq!(peer.hear(), "hello");
-    peer.say("hello\r\n");
-    assert_eq!(client.hear(), "hello");
-    assert_eq!(rig.ask("PING\r\n"), "PONG");
+    client.send("hello\r\n");
+    assert_eq!(server.receive(), "hello");
+    server.send("hello\r\n");
+    assert_eq!(client.receive(), "hello");
+    assert_eq!(rig.query("PING\r\n"), "PONG");
 }
 
 #[rstest]
@@ -446,10 +451,10 @@
 #[case::no_address(r#"{"discovery":"elsewhere"}"#)]
 fn a_configuration_that_does_not_hold_changes_nothing(#[case] text: &str) {
     let mut rig = Rig::start(1);
-    rig.reload(text);
-    rig.logged("the old configuration stays");
+    rig.reload_config(text);
+    rig.wait_for_log("the old configuration stays");
     rig.move_discovery();
-    rig.watched();
-    rig.up();
-    assert!(rig.running());
+    rig.accept_watch();
+    rig.establish();
+    assert!(rig.is_running());
 }
--- a/crates/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -1,7 +1,7 @@
 //! Two processes of one node: what the older holds goes over to the newer, and nothing is lost on the way.
 
 mod common;
-use common::{kill, pass, within, Rig};
+use common::{exchange_lines, send_signal, wait_until, Rig};
 use rstest::rstest;
 use socket2::{Domain, SockAddr, Socket, Type};
 use std::io::Read;
@@ -9,53 +9,56 @@
 
 #[test]
 fn a_standing_connection_goes_over_with_what_waits_on_it_and_nobody_is_moved() {
-    let mut rig = Rig::inherits(2);
-    let (mut client, _, mut peer) = rig.up();
-    let mut waiting = rig.open("d=20000,g=b").0;
-    let (_, mut slow) = rig.tried();
-    slow.hear();
-    let mut late = rig.client();
-    late.say("OPEN 00000000000000ff 7f3a9c21e0b4d655 c=ch");
-    peer.say("whole\r\npart");
-    assert_eq!(client.hear(), "whole");
+    let mut rig = Rig::start_with_inherited_listener(2);
+    let (mut client, _, mut peer) = rig.establish();
+    let mut waiting = rig.send_request("d=20000,g=b").0;
+    let (_, mut slow) = rig.accept_attempt();
+    slow.receive();
+    let mut late = rig.connect_client();
+    late.send("OPEN 00000000000000ff 7f3a9c21e0b4d655 c=ch");
+    peer.send("whole\r\npart");
+    assert_eq!(client.receive(), "whole");
     // Twice, so that a connection that was taken over goes over again.
     for round in 0..2 {
-        rig.second();
-        rig.watched();
-        rig.ready();
+        rig.start_successor();
+        rig.accept_watch();
+        rig.wait_until_ready();
         // Each takes its part of the budgets while both take clients in.
-        rig.logged_times("budgets are shared, processes: 2", 2 + 2 * round);
-        kill(rig.older.as_ref().unwrap(), "-TERM");
+        rig.wait_for_log_count("budgets are shared, processes: 2", 2 + 2 * round);
+        send_signal(rig.predecessor.as_ref().unwrap(), "-TERM");
         if round == 0 {
             // A try under way ends where it began, and its connection follows.
-            rig.logged("leaving");
-            slow.say("UP r2\r\n");
-            assert_eq!(waiting.hear(), "UP r2");
+            rig.wait_for_log("leaving");
+            slow.send("UP r2\r\n");
+            assert_eq!(waiting.receive(), "UP r2");
         }
-        let older = rig.older.as_mut().unwrap();
-        assert!(within("the older process ends", || older.try_wait().unwrap()).success());
+        let older = rig.predecessor.as_mut().unwrap();
+        assert!(wait_until("the older process ends", || older.try_wait().unwrap()).success());
     }
-    peer.say(" of a line\r\n");
-    client.say("hello\r\n");
-    assert_eq!([client.hear(), peer.hear()], ["part of a line", "hello"]);
-    waiting.say("hello\r\n");
-    assert_eq!(slow.hear(), "hello");
-    late.say("at,d=1500,g=c\r\n");
-    rig.tried().1.hear();
+    peer.send(" of a line\r\n");
+    client.send("hello\r\n");
+    assert_eq!(
+        [client.receive(), peer.receive()],
+        ["part of a line", "hello"]
+    );
+    waiting.send("hello\r\n");
+    assert_eq!(slow.receive(), "hello");
+    late.send("at,d=1500,g=c\r\n");
+    rig.accept_attempt().1.receive();
     // The newest one knows of them: it moves them at its own end.
     rig.signal("-TERM");
-    assert_eq!([client.hear(), waiting.hear()], ["MOVE", "MOVE"]);
+    assert_eq!([client.receive(), waiting.receive()], ["MOVE", "MOVE"]);
 }
 
 #[test]
 fn what_waits_for_a_client_that_does_not_read_goes_over_too() {
-    let mut rig = Rig::inherits(1);
-    let (mut client, _, mut peer) = rig.up();
+    let mut rig = Rig::start_with_inherited_listener(1);
+    let (mut client, _, mut peer) = rig.establish();
     // More than all buffers on the way take.
     let text: String = (0..1_000_000).map(|n| format!("line {n}\r\n")).collect();
     let sent = text.clone();
-    let sender = std::thread::spawn(move || peer.say(&sent));
-    rig.upgrade();
+    let sender = std::thread::spawn(move || peer.send(&sent));
+    rig.hand_over_to_successor();
     let mut came = vec![0; text.len()];
     client.stream.read_exact(&mut came).unwrap();
     assert!(
@@ -72,57 +75,53 @@
 #[case::to_the_older(2)]
 #[case::after(3)]
 fn what_is_out_by_hand_stays_out_across_an_upgrade(#[case] when: usize) {
-    let mut rig = Rig::inherits(2);
-    let (mut client, at, _peer) = rig.up();
-    let older = rig.caller_address();
+    let mut rig = Rig::start_with_inherited_listener(2);
+    let (mut client, at, _peer) = rig.establish();
+    let older = rig.admin_address();
     let down = format!("set-down s-{at}\r\n");
     let call = |rig: &Rig, now: usize| {
         if when == now {
-            let address = if now == 2 {
-                older
-            } else {
-                rig.caller_address()
-            };
-            assert_eq!(rig.manage_at(address, &down), "done");
+            let address = if now == 2 { older } else { rig.admin_address() };
+            assert_eq!(rig.admin_call_at(address, &down), "done");
         }
     };
     call(&rig, 0);
-    rig.second();
-    rig.watched();
-    rig.ready();
+    rig.start_successor();
+    rig.accept_watch();
+    rig.wait_until_ready();
     (1..=2).for_each(|now| call(&rig, now));
     let mut held = Vec::new();
     if when < 3 {
         // Whichever process it was said to, the one that holds the connection moves it, and both leave it out.
-        assert_eq!(client.hear(), "MOVE");
-        rig.logged_times("out by hand", 2);
-        held.extend((0..6).map(|_| rig.up()));
+        assert_eq!(client.receive(), "MOVE");
+        rig.wait_for_log_count("out by hand", 2);
+        held.extend((0..6).map(|_| rig.establish()));
         drop(client);
     }
-    rig.end_older();
+    rig.terminate_predecessor();
     call(&rig, 3);
-    held.extend((0..4).map(|_| rig.up()));
+    held.extend((0..4).map(|_| rig.establish()));
     assert!(held.iter().all(|(_, to, _)| *to != at));
     drop(held);
-    rig.called_back(at);
+    rig.undrain(at);
 }
 
 #[test]
 fn a_successor_that_cannot_serve_yet_leaves_clients_to_the_older_process() {
-    let mut rig = Rig::inherits(1);
-    rig.second();
-    rig.logged("successor connected");
+    let mut rig = Rig::start_with_inherited_listener(1);
+    rig.start_successor();
+    rig.wait_for_log("successor connected");
     for _ in 0..200 {
-        assert_eq!(rig.ask("PING\r\n"), "PONG");
+        assert_eq!(rig.query("PING\r\n"), "PONG");
     }
     assert_eq!(
-        rig.manage("check\r\n"),
+        rig.admin_call("check\r\n"),
         "error discovery has not told the list yet"
     );
-    rig.watched();
-    rig.ready();
-    rig.end_older();
-    rig.up();
+    rig.accept_watch();
+    rig.wait_until_ready();
+    rig.terminate_predecessor();
+    rig.establish();
 }
 
 /// What becomes of the successor by the time of SIGTERM: the older process serves on, takes clients in, and moves all.
@@ -131,36 +130,36 @@
 #[case::cannot_serve("successor connected")]
 #[case::dies_half_way("")]
 fn without_a_successor_a_process_moves_its_clients_as_ever(#[case] until: &str) {
-    let mut rig = Rig::inherits(1);
-    let (mut client, _, mut peer) = rig.up();
+    let mut rig = Rig::start_with_inherited_listener(1);
+    let (mut client, _, mut peer) = rig.establish();
     if until.is_empty() {
         let link = link(&rig);
-        kill(rig.oldest(), "-TERM");
+        send_signal(rig.oldest_process(), "-TERM");
         // It gets the connection and dies before it says that it has taken it.
-        within("the connection", || {
+        wait_until("the connection", || {
             let mut packet = [0; 4096];
             let got = (&link).read(&mut packet).unwrap();
             packet[..got].starts_with(b"{\"Standing\"").then_some(())
         });
     } else {
-        rig.second();
+        rig.start_successor();
         if until == "ready" {
-            rig.watched();
-            rig.ready();
+            rig.accept_watch();
+            rig.wait_until_ready();
             rig.signal("-KILL");
         }
-        rig.logged(if until == "ready" {
+        rig.wait_for_log(if until == "ready" {
             "peer process lost"
         } else {
             until
         });
-        kill(rig.oldest(), "-TERM");
+        send_signal(rig.oldest_process(), "-TERM");
     }
-    pass(&mut client, &mut peer);
-    let (mut late, _, _peer) = rig.up();
-    assert_eq!([client.hear(), late.hear()], ["MOVE", "MOVE"]);
+    exchange_lines(&mut client, &mut peer);
+    let (mut late, _, _peer) = rig.establish();
+    assert_eq!([client.receive(), late.receive()], ["MOVE", "MOVE"]);
     drop((client, late));
-    rig.ended();
+    rig.wait_for_predecessor_exit();
 }
 
 /// A successor that speaks another form of messages is left alone, and so is this process by one.
@@ -169,66 +168,73 @@
 #[case::nonsense("what?\n")]
 #[case::no_end("{}")]
 fn a_strange_successor_gets_nothing(#[case] says: &str) {
-    let mut rig = Rig::inherits(1);
-    let (mut client, _, mut peer) = rig.up();
+    let mut rig = Rig::start_with_inherited_listener(1);
+    let (mut client, _, mut peer) = rig.establish();
     let link = link(&rig);
     link.send(says.as_bytes()).unwrap();
-    rig.logged("peer process lost");
-    kill(rig.oldest(), "-TERM");
-    pass(&mut client, &mut peer);
-    assert_eq!(client.hear(), "MOVE");
+    rig.wait_for_log("peer process lost");
+    send_signal(rig.oldest_process(), "-TERM");
+    exchange_lines(&mut client, &mut peer);
+    assert_eq!(client.receive(), "MOVE");
 }
 
 /// A successor that the test plays.
 fn link(rig: &Rig) -> Socket {
     let listen = rig.config["listen"].as_str().unwrap().replace(':', "-");
     let link = Socket::new(Domain::UNIX, Type::SEQPACKET, None).unwrap();
-    let path = rig.folder().join(format!("lupincrank-{listen}.socket"));
+    let path = rig
+        .runtime_directory()
+        .join(format!("lupincrank-{listen}.socket"));
     link.connect(&SockAddr::unix(path).unwrap()).unwrap();
     let beat = r#"{"Beat":{"version":3,"clients":0,"strangers":0,"open":true}}"#;
     link.send(format!("{beat}\n").as_bytes()).unwrap();
-    rig.logged("successor connected");
+    rig.wait_for_log("successor connected");
     link
 }
 
 #[test]
 fn after_the_older_process_was_killed_the_newer_serves_and_hands_over_in_its_turn() {
-    let mut rig = Rig::inherits(2);
-    rig.up();
-    rig.second();
-    rig.watched();
-    rig.ready();
-    kill(rig.older.as_ref().unwrap(), "-KILL");
-    let (mut client, _, mut peer) = rig.up();
-    rig.logged("peer process lost");
-    rig.upgrade();
-    pass(&mut client, &mut peer);
+    let mut rig = Rig::start_with_inherited_listener(2);
+    rig.establish();
+    rig.start_successor();
+    rig.accept_watch();
+    rig.wait_until_ready();
+    send_signal(rig.predecessor.as_ref().unwrap(), "-KILL");
+    let (mut client, _, mut peer) = rig.establish();
+    rig.wait_for_log("peer process lost");
+    rig.hand_over_to_successor();
+    exchange_lines(&mut client, &mut peer);
 }
 
 #[test]
 fn what_was_learnt_of_transcribers_goes_over() {
-    let mut rig = Rig::inherits(2);
-    let (_client, at, _peer) = rig.up();
+    let mut rig = Rig::start_with_inherited_listener(2);
+    let (_client, at, _peer) = rig.establish();
     // The next one of the group finds that it takes no connection any more.
-    rig.peers[at] = None;
+    rig.servers[at] = None;
     // It stands until the end: were both of its ends closed at once, which of them was first would be chance.
-    let second = rig.up();
+    let second = rig.establish();
     assert_ne!(second.1, at);
-    rig.upgrade();
-    rig.logged("learnt, crowded: 0, barred: 1, transcribers: 2");
+    rig.hand_over_to_successor();
+    rig.wait_for_log("learnt, crowded: 0, barred: 1, transcribers: 2");
 }
 
 /// The file is damaged while the process that wrote it lives: it writes it anew.
 #[test]
 fn a_damaged_file_is_mended_by_a_process_that_knows_what_it_held() {
-    let mut rig = Rig::inherits(2);
-    assert_eq!(rig.manage("set-down s-0\r\n"), "done");
+    let mut rig = Rig::start_with_inherited_listener(2);
+    assert_eq!(rig.admin_call("set-down s-0\r\n"), "done");
     let listen = rig.config["listen"].as_str().unwrap().replace(':', "-");
-    std::fs::write(rig.folder().join(format!("lupincrank-{listen}.out")), "?").unwrap();
-    rig.upgrade();
-    rig.logged_times("out by hand, transcribers: s-0", 2);
+    std::fs::write(
+        rig.runtime_directory()
+            .join(format!("lupincrank-{listen}.out")),
+        "?",
+    )
+    .unwrap();
+    rig.hand_over_to_successor();
+    rig.wait_for_log_count("out by hand, transcribers: s-0", 2);
     assert!((0..6)
-        .map(|_| rig.up())
+        .map(|_| rig.establish())
         .collect::<Vec<_>>()
         .iter()
         .all(|(_, to, _)| *to == 1));
@@ -239,34 +245,34 @@
 #[case::no_socket("socket", "")]
 #[case::left_over("lock", "")]
 fn files_that_were_left_behind_hinder_no_start(#[case] extension: &str, #[case] text: &str) {
-    let mut rig = Rig::inherits(1);
+    let mut rig = Rig::start_with_inherited_listener(1);
     kill_and_wait(&mut rig);
     let listen = rig.config["listen"].as_str().unwrap().replace(':', "-");
     // What a killed process leaves at this path is a socket.
     let _ = std::fs::remove_file(
-        rig.folder()
+        rig.runtime_directory()
             .join(format!("lupincrank-{listen}.{extension}")),
     );
     std::fs::write(
-        rig.folder()
+        rig.runtime_directory()
             .join(format!("lupincrank-{listen}.{extension}")),
         text,
     )
     .unwrap();
     let began = Instant::now();
-    rig.second();
-    rig.watched();
-    rig.ready();
+    rig.start_successor();
+    rig.accept_watch();
+    rig.wait_until_ready();
     assert!(began.elapsed() < Duration::from_secs(6));
-    rig.up();
+    rig.establish();
     if extension == "out" {
-        rig.logged("its checksum does not fit");
+        rig.wait_for_log("its checksum does not fit");
     }
 }
 
 fn kill_and_wait(rig: &mut Rig) {
     rig.signal("-KILL");
-    rig.exit();
+    rig.wait_for_exit();
 }
 
 #[rstest]
@@ -299,25 +305,25 @@
 /// whose it could be.
 #[test]
 fn what_a_process_sent_before_it_was_killed_is_not_lost() {
-    let mut rig = Rig::inherits(1);
-    let mut held = vec![rig.up(), rig.up(), rig.up()];
-    rig.second();
-    rig.watched();
-    rig.ready();
-    rig.logged_times("budgets are shared, processes: 2", 2);
-    rig.freeze();
-    kill(rig.oldest(), "-TERM");
-    rig.logged_times("relay transfer started", held.len());
-    kill(rig.oldest(), "-KILL");
-    rig.oldest().wait().unwrap();
-    rig.thaw();
-    rig.logged_times("connection taken over from dead process", held.len());
+    let mut rig = Rig::start_with_inherited_listener(1);
+    let mut held = vec![rig.establish(), rig.establish(), rig.establish()];
+    rig.start_successor();
+    rig.accept_watch();
+    rig.wait_until_ready();
+    rig.wait_for_log_count("budgets are shared, processes: 2", 2);
+    rig.pause();
+    send_signal(rig.oldest_process(), "-TERM");
+    rig.wait_for_log_count("relay transfer started", held.len());
+    send_signal(rig.oldest_process(), "-KILL");
+    rig.oldest_process().wait().unwrap();
+    rig.resume();
+    rig.wait_for_log_count("connection taken over from dead process", held.len());
     for (client, _, peer) in &mut held {
-        pass(client, peer);
+        exchange_lines(client, peer);
     }
     // It is the only process now, and goes on as one.
-    rig.up();
-    rig.upgrade();
+    rig.establish();
+    rig.hand_over_to_successor();
     let (client, _, peer) = &mut held[0];
-    pass(client, peer);
+    exchange_lines(client, peer);
 }
