--- a/crates/node/src/graceful_shutdown.rs
+++ b/crates/node/src/graceful_shutdown.rs
@@ -34,7 +34,7 @@
         started_at,
         deadline,
     });
-    cluster_agent::leave(context);
+    cluster_agent::begin_leaving(context);
     if context.handoff.has_successor() {
         handoff::start_handover(context);
     }
--- a/crates/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -4,6 +4,7 @@
 use common::{exchange_lines, send_signal, wait_until, Rig};
 use rstest::rstest;
 use socket2::{Domain, SockAddr, Socket, Type};
+use std::fmt::Write;
 use std::io::Read;
 use std::time::{Duration, Instant};
 
@@ -55,7 +56,10 @@
     let mut rig = Rig::start_with_inherited_listener(1);
     let (mut client, _, mut peer) = rig.establish();
     // More than all buffers on the way take.
-    let text: String = (0..1_000_000).map(|n| format!("line {n}\r\n")).collect();
+    let mut text = String::new();
+    for number in 0..1_000_000 {
+        writeln!(text, "line {number}\r").unwrap();
+    }
     let sent = text.clone();
     let sender = std::thread::spawn(move || peer.send(&sent));
     rig.hand_over_to_successor();
@@ -74,7 +78,7 @@
 #[case::to_the_newer(1)]
 #[case::to_the_older(2)]
 #[case::after(3)]
-fn what_is_out_by_hand_stays_out_across_an_upgrade(#[case] when: usize) {
+fn drained_servers_stay_drained_across_an_upgrade(#[case] when: usize) {
     let mut rig = Rig::start_with_inherited_listener(2);
     let (mut client, at, _peer) = rig.establish();
     let older = rig.admin_address();
@@ -133,12 +137,12 @@
     let mut rig = Rig::start_with_inherited_listener(1);
     let (mut client, _, mut peer) = rig.establish();
     if until.is_empty() {
-        let link = link(&rig);
+        let successor = connect_as_successor(&rig);
         send_signal(rig.oldest_process(), "-TERM");
         // It gets the connection and dies before it says that it has taken it.
         wait_until("the connection", || {
             let mut packet = [0; 4096];
-            let got = (&link).read(&mut packet).unwrap();
+            let got = (&successor).read(&mut packet).unwrap();
             packet[..got].starts_with(b"{\"Standing\"").then_some(())
         });
     } else {
@@ -167,29 +171,29 @@
 #[case::version("{\"Beat\":{\"version\":1,\"clients\":0,\"strangers\":0,\"open\":true}}\n")]
 #[case::nonsense("what?\n")]
 #[case::no_end("{}")]
-fn a_strange_successor_gets_nothing(#[case] says: &str) {
+fn a_successor_of_another_protocol_gets_nothing(#[case] says: &str) {
     let mut rig = Rig::start_with_inherited_listener(1);
     let (mut client, _, mut peer) = rig.establish();
-    let link = link(&rig);
-    link.send(says.as_bytes()).unwrap();
+    let successor = connect_as_successor(&rig);
+    successor.send(says.as_bytes()).unwrap();
     rig.wait_for_log("peer process lost");
     send_signal(rig.oldest_process(), "-TERM");
     exchange_lines(&mut client, &mut peer);
     assert_eq!(client.receive(), "MOVE");
 }
 
-/// A successor that the test plays.
-fn link(rig: &Rig) -> Socket {
+/// A successor that the test plays: its connection, with the first heartbeat sent.
+fn connect_as_successor(rig: &Rig) -> Socket {
     let listen = rig.config["listen"].as_str().unwrap().replace(':', "-");
-    let link = Socket::new(Domain::UNIX, Type::SEQPACKET, None).unwrap();
+    let successor = Socket::new(Domain::UNIX, Type::SEQPACKET, None).unwrap();
     let path = rig
         .runtime_directory()
         .join(format!("lupincrank-{listen}.socket"));
-    link.connect(&SockAddr::unix(path).unwrap()).unwrap();
-    let beat = r#"{"Beat":{"version":3,"clients":0,"strangers":0,"open":true}}"#;
-    link.send(format!("{beat}\n").as_bytes()).unwrap();
+    successor.connect(&SockAddr::unix(path).unwrap()).unwrap();
+    let heartbeat = r#"{"Beat":{"version":3,"clients":0,"strangers":0,"open":true}}"#;
+    successor.send(format!("{heartbeat}\n").as_bytes()).unwrap();
     rig.wait_for_log("successor connected");
-    link
+    successor
 }
 
 #[test]
@@ -207,7 +211,7 @@
 }
 
 #[test]
-fn what_was_learnt_of_transcribers_goes_over() {
+fn what_was_learned_of_servers_goes_over() {
     let mut rig = Rig::start_with_inherited_listener(2);
     let (_client, at, _peer) = rig.establish();
     // The next one of the group finds that it takes no connection any more.
--- /dev/null
+++ b/crates/scale/src/regression.rs
@@ -0,0 +1,206 @@
+//! Regression of figures against the size of the cluster, without I/O.
+
+use serde_json::Value;
+
+/// A figure at one size.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Point {
+    /// Number of nodes.
+    pub size: f64,
+    /// The figure.
+    pub value: f64,
+}
+
+impl Point {
+    /// A figure at this size.
+    pub fn new(size: f64, value: f64) -> Point {
+        Point { size, value }
+    }
+}
+
+/// `base + slope * size` by least squares, with a power law for comparison.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LinearFit {
+    /// The value at size 0.
+    pub base: f64,
+    /// What each node adds.
+    pub slope: f64,
+    /// Root mean square of the differences, as a ratio of the mean.
+    pub residual: f64,
+    /// The power law through the same points; none where a value is not above 0.
+    pub power_law: Option<PowerLaw>,
+}
+
+/// A power of the size, by least squares of the logarithms.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PowerLaw {
+    /// The value grows with this power of the size.
+    pub exponent: f64,
+    /// As that of [`LinearFit`].
+    pub residual: f64,
+}
+
+/// `size * (base + slope * size)` by least squares: what each node adds grows with the size itself, as where each is told
+/// of each.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuadraticFit {
+    /// What each node adds at size 0.
+    pub base: f64,
+    /// How much more each node adds per node.
+    pub slope: f64,
+    /// As that of [`LinearFit`].
+    pub residual: f64,
+}
+
+impl LinearFit {
+    /// Fits points of at least two sizes.
+    pub fn new(points: &[Point]) -> Option<LinearFit> {
+        let line = Line::fit(points)?;
+        Some(LinearFit {
+            base: line.base,
+            slope: line.slope,
+            residual: residual(points, |size| line.at(size)),
+            power_law: PowerLaw::new(points),
+        })
+    }
+
+    /// The value at a size.
+    pub fn at(&self, size: f64) -> f64 {
+        self.base + self.slope * size
+    }
+}
+
+impl PowerLaw {
+    fn new(points: &[Point]) -> Option<PowerLaw> {
+        let logarithms: Vec<Point> = points
+            .iter()
+            .filter(|point| point.size > 0.0 && point.value > 0.0)
+            .map(|point| Point::new(point.size.ln(), point.value.ln()))
+            .collect();
+        if logarithms.len() != points.len() {
+            return None;
+        }
+        let line = Line::fit(&logarithms)?;
+        Some(PowerLaw {
+            exponent: line.slope,
+            residual: residual(points, |size| line.at(size.ln()).exp()),
+        })
+    }
+}
+
+impl QuadraticFit {
+    /// Fits points of at least two sizes.
+    pub fn new(points: &[Point]) -> Option<QuadraticFit> {
+        let per_node: Vec<Point> = points
+            .iter()
+            .filter(|point| point.size > 0.0)
+            .map(|point| Point::new(point.size, point.value / point.size))
+            .collect();
+        let line = Line::fit(&per_node)?;
+        Some(QuadraticFit {
+            base: line.base,
+            slope: line.slope,
+            residual: residual(points, |size| size * line.at(size)),
+        })
+    }
+
+    /// The value at a size.
+    pub fn at(&self, size: f64) -> f64 {
+        size * (self.base + self.slope * size)
+    }
+}
+
+/// A line by least squares.
+struct Line {
+    base: f64,
+    slope: f64,
+}
+
+impl Line {
+    fn fit(points: &[Point]) -> Option<Line> {
+        let count = points.len() as f64;
+        let mean_size = points.iter().map(|point| point.size).sum::<f64>() / count;
+        let mean_value = points.iter().map(|point| point.value).sum::<f64>() / count;
+        let variance: f64 = points
+            .iter()
+            .map(|point| (point.size - mean_size).powi(2))
+            .sum();
+        let covariance: f64 = points
+            .iter()
+            .map(|point| (point.size - mean_size) * (point.value - mean_value))
+            .sum();
+        (variance > 0.0).then(|| Line {
+            base: mean_value - covariance / variance * mean_size,
+            slope: covariance / variance,
+        })
+    }
+
+    fn at(&self, size: f64) -> f64 {
+        self.base + self.slope * size
+    }
+}
+
+/// Root mean square of what a law misses, as a ratio of the mean.
+fn residual(points: &[Point], law: impl Fn(f64) -> f64) -> f64 {
+    let count = points.len() as f64;
+    let squares = points
+        .iter()
+        .map(|point| (point.value - law(point.size)).powi(2));
+    let square_sum: f64 = squares.sum();
+    let mean = points.iter().map(|point| point.value).sum::<f64>() / count;
+    (square_sum / count).sqrt() / mean.abs().max(f64::MIN_POSITIVE)
+}
+
+/// A figure of a role, by the names in outcome files.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Figure {
+    /// The role.
+    pub role: &'static str,
+    /// The figure.
+    pub name: &'static str,
+}
+
+impl Figure {
+    /// A figure of a role.
+    pub const fn new(role: &'static str, name: &'static str) -> Figure {
+        Figure { role, name }
+    }
+
+    /// Its points in several outcomes. Those in which no node had the role are left out.
+    pub fn points(&self, outcomes: &[Value]) -> Vec<Point> {
+        outcomes
+            .iter()
+            .filter_map(|outcome| self.point(outcome))
+            .collect()
+    }
+
+    fn point(&self, outcome: &Value) -> Option<Point> {
+        let role = &outcome["roles"][self.role];
+        if role["processes"].as_u64().unwrap_or(0) == 0 {
+            return None;
+        }
+        let size = outcome["nodes"].as_f64()?;
+        Some(Point::new(size, role[self.name].as_f64()?))
+    }
+}
+
+/// The figures that are fitted.
+pub const FITTED_FIGURES: [Figure; 14] = [
+    Figure::new("leader", "bytes_out_per_s_mean"),
+    Figure::new("leader", "messages_per_s_mean"),
+    Figure::new("leader", "cpu_share_mean"),
+    Figure::new("control", "bytes_out_per_s_mean"),
+    Figure::new("control", "cpu_share_mean"),
+    Figure::new("seed", "bytes_out_per_s_mean"),
+    Figure::new("seed", "cpu_share_mean"),
+    Figure::new("node", "bytes_out_per_s_mean"),
+    Figure::new("node", "cpu_share_mean"),
+    Figure::new("node", "rss_mb_max"),
+    Figure::new("hollow-node", "bytes_out_per_s_mean"),
+    Figure::new("hollow-node", "messages_per_s_mean"),
+    Figure::new("hollow-node", "cpu_share_mean"),
+    Figure::new("hollow-node", "rss_mb_max"),
+];
+
+#[cfg(test)]
+mod tests;
