--- a/crates/node/src/placement_driver/settings.rs
+++ b/crates/node/src/placement_driver/settings.rs
@@ -3,7 +3,7 @@
 use super::PlacementDriver;
 use crate::config::Config;
 use lupincrank_control::lease::LeaseTerms;
-use lupincrank_placement::{Event, Settings, SlowStartLease, Timestamp};
+use lupincrank_placement::{Event, Settings, SlowStartLease, SlowStartUsage, Timestamp};
 use slog::debug;
 use std::time::Duration;
 
@@ -70,9 +70,8 @@
         }
     }
 
-    /// What was used of the slow-start lease since the last call: the most connections in any window, and whether some were
-    /// held back. See [`Balancer::take_slow_start_usage`](lupincrank_placement::Balancer::take_slow_start_usage).
-    pub fn take_slow_start_usage(&mut self) -> (u32, bool) {
+    /// What was used of the slow-start lease since the last call.
+    pub fn take_slow_start_usage(&mut self) -> SlowStartUsage {
         self.balancer.take_slow_start_usage()
     }
 }
