--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -1,11 +1,11 @@
 //! The state that the node's components share.
 
 use crate::client::UnidentifiedClients;
-use crate::cluster_agent::agent::Carry;
+use crate::cluster_agent::agent::ClusterAgent;
 use crate::config::Config;
 use crate::handoff::peer_process::HandoffState;
 use crate::placement_driver::{EndpointAvailabilityError, PlacementDriver};
-use crate::upstream::health_check::HealthChecks;
+use crate::upstream::open_health_checks::HealthChecks;
 use lupincrank_reactor::Context;
 use slog::Logger;
 use std::cell::Cell;
@@ -58,8 +58,8 @@
     pub handoff: HandoffState,
     /// The open connections for health checks: one for each server at the most.
     pub health_checks: HealthChecks,
-    /// The fleet that this node is one of, where the operator's file says so.
-    pub cluster_agent: Option<Box<Carry>>,
+    /// The node's part in its cluster, once it has started; taken out while it works.
+    pub cluster_agent: Option<Box<ClusterAgent>>,
     /// Set for a moment when all connections are to be handed over.
     pub transfer_requested: bool,
     /// Set for a moment when what still waits has to get its answer.
