--- a/crates/node/src/application.rs
+++ b/crates/node/src/application.rs
@@ -11,12 +11,10 @@
 use std::time::{Duration, Instant};
 
 /// How often connections are checked for lines without an answer.
-pub const UNANSWERED_LINES_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// New connections keep arriving for up to 0.4 s after SIGTERM: the listener stays at least this long.
-const MIN_LISTEN_AFTER_SIGTERM: Duration = Duration::from_millis(800);
+pub(crate) const UNANSWERED_LINES_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Sets the next check for unanswered lines.
-pub fn schedule_unanswered_lines_check(context: &mut NodeContext) {
+pub(crate) fn schedule_unanswered_lines_check(context: &mut NodeContext) {
     context.deadlines.set(
         APPLICATION,
         DeadlineKind::UnansweredLinesCheck,
@@ -99,22 +97,14 @@
             return false;
         };
         let now = Instant::now();
-        // With a successor the listener is not this process's any more.
-        let stayed =
-            self.handoff.is_handing_over() || now >= shutdown.started_at + MIN_LISTEN_AFTER_SIGTERM;
-        // The others of the fleet may need its vote to go on without it.
-        let left = self
-            .cluster_agent
-            .as_ref()
-            .is_none_or(|agent| agent.has_left());
-        let empty = self.client_count.get() == 0
-            && self.unidentified_clients.is_empty()
-            && self.handoff.is_idle();
-        let over = now >= shutdown.deadline || (stayed && empty && left);
-        if over {
+        let is_done = self.has_listened_long_enough(shutdown, now)
+            && !self.has_connections()
+            && self.has_left_cluster();
+        let is_finished = is_done || now >= shutdown.deadline;
+        if is_finished {
             info!(self.log, "shutdown complete"; "clients" => self.client_count.get());
         }
-        over
+        is_finished
     }
 
     fn on_undelivered(&mut self, _id: ComponentId, message: Message) {
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -5,7 +5,7 @@
 
 /// What the program is asked to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Command {
+pub(crate) enum Command {
     /// Run the node.
     Serve {
         /// The configuration, if not the one that `RELAY_CONFIG` names.
@@ -55,7 +55,7 @@
 
 /// How an answer is printed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OutputFormat {
+pub(crate) enum OutputFormat {
     /// As it comes.
     Json,
     /// Laid out for people.
@@ -63,7 +63,7 @@
 }
 
 /// The parser of the command line.
-pub fn parser() -> OptionParser<Command> {
+pub(crate) fn parser() -> OptionParser<Command> {
     let serve = serve().command("serve");
     let check = check_config().command("check-config");
     let manage = manage().command("manage");
--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -9,7 +9,7 @@
 
 /// A message to a component. A component ignores commands to another kind of receiver: its id may have passed from a
 /// client connection to a relay while the command was on its way.
-pub enum Message {
+pub(crate) enum Message {
     /// To a client connection.
     Client(ClientCommand),
     /// To a connection that can be transferred to another process: a client connection or a relay.
@@ -33,7 +33,7 @@
 }
 
 /// Commands to a client connection.
-pub enum ClientCommand {
+pub(crate) enum ClientCommand {
     /// Start an attempt.
     StartAttempt(AttemptOrder),
     /// Reject the request; the client may come again after this time.
@@ -55,18 +55,18 @@
 }
 
 /// An attempt whose server has accepted the request.
-pub struct AcceptedAttempt {
+pub(crate) struct AcceptedAttempt {
     /// The request.
-    pub request: RequestId,
+    pub(crate) request: RequestId,
     /// The connection to the server.
-    pub stream: Registered<TcpStream>,
+    pub(crate) stream: Registered<TcpStream>,
     /// What has been received on it: the `UP` line and perhaps more.
-    pub bytes: Vec<u8>,
+    pub(crate) bytes: Vec<u8>,
 }
 
 /// Commands to a connection that is to go over to another process of this node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum TransferCommand {
+pub(crate) enum TransferCommand {
     /// Transfer to the successor.
     Start,
     /// The successor has taken the connection over.
@@ -77,7 +77,7 @@
 
 /// Commands to an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum AttemptCommand {
+pub(crate) enum AttemptCommand {
     /// The client still waits: send the first line.
     SendFirstLine,
     /// Close: nobody waits for the answer.
@@ -86,14 +86,14 @@
 
 /// Commands to a relay.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RelayCommand {
+pub(crate) enum RelayCommand {
     /// Send the client away between two lines; it connects anew.
     Migrate,
 }
 
 /// Commands to a health check's connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum HealthCheckCommand {
+pub(crate) enum HealthCheckCommand {
     /// Check again.
     Check,
     /// Close: the server's address has changed.
@@ -102,7 +102,7 @@
 
 /// Commands to the discovery client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum DiscoveryCommand {
+pub(crate) enum DiscoveryCommand {
     /// Apply the endpoint list that the configuration holds.
     ApplyKnownList,
     /// Watch the endpoint list.
@@ -113,7 +113,7 @@
 
 /// Commands to the client listener.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ListenerCommand {
+pub(crate) enum ListenerCommand {
     /// Accept no clients for now: another process does.
     Pause,
     /// Accept clients again.
@@ -122,21 +122,21 @@
 
 /// Commands to an admin connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum AdminConnectionCommand {
+pub(crate) enum AdminConnectionCommand {
     /// Close: the descriptor is needed for another one.
     Close,
 }
 
 /// Commands to the handoff.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum HandoffCommand {
+pub(crate) enum HandoffCommand {
     /// Accept clients if this process can serve them now.
     OpenListener,
 }
 
 /// Commands to a connection between two nodes of the cluster.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ClusterConnectionCommand {
+pub(crate) enum ClusterConnectionCommand {
     /// Close: the cluster agent has dropped the connection.
     Close,
 }
--- a/crates/node/src/component.rs
+++ b/crates/node/src/component.rs
@@ -5,7 +5,7 @@
 /// A component with a fixed id. Components that come and go have allocated ids after these.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[repr(u64)]
-pub enum WellKnownComponent {
+pub(crate) enum WellKnownComponent {
     /// The connection to the discovery service.
     Discovery = 1,
     /// The listener for clients.
@@ -24,18 +24,18 @@
 
 impl WellKnownComponent {
     /// The component's id in the event loop.
-    pub const fn id(self) -> ComponentId {
+    pub(crate) const fn id(self) -> ComponentId {
         self as ComponentId
     }
 }
 
 /// The highest fixed id: allocated ids begin after it.
-pub const LAST_WELL_KNOWN_ID: ComponentId = WellKnownComponent::DurableStorage.id();
+pub(crate) const LAST_WELL_KNOWN_ID: ComponentId = WellKnownComponent::DurableStorage.id();
 
 /// Admin connections have ids from here on: their events are handled before those of other components.
-pub const FIRST_ADMIN_CONNECTION_ID: ComponentId = 1 << 60;
+pub(crate) const FIRST_ADMIN_CONNECTION_ID: ComponentId = 1 << 60;
 
 /// Whether the id was allocated by the event loop, so that its component may be a client's connection.
-pub fn is_allocated_id(id: ComponentId) -> bool {
+pub(crate) fn is_allocated_id(id: ComponentId) -> bool {
     (LAST_WELL_KNOWN_ID + 1..FIRST_ADMIN_CONNECTION_ID).contains(&id)
 }
--- a/crates/node/src/deadline.rs
+++ b/crates/node/src/deadline.rs
@@ -5,7 +5,7 @@
 
 /// What a deadline is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum DeadlineKind {
+pub(crate) enum DeadlineKind {
     /// The next look at connections whose lines are unanswered; owned by the application.
     UnansweredLinesCheck,
     /// A timer of the placement decisions; owned by the application.
@@ -37,16 +37,16 @@
 /// One timer of the placement decisions. Timers of the same kind may be set side by side, so each has a number of
 /// its own; the earlier one fires first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct PlacementTimer {
+pub(crate) struct PlacementTimer {
     /// The timer's number, counted from the node's start.
-    pub sequence: u64,
+    pub(crate) sequence: u64,
     /// What it is for.
-    pub kind: Timer,
+    pub(crate) kind: Timer,
 }
 
 /// Deadlines of the discovery client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum DiscoveryDeadline {
+pub(crate) enum DiscoveryDeadline {
     /// The call in this slot (0 or 1) has to make progress.
     Call(usize),
     /// A second call is made beside one that is not answered.
@@ -55,7 +55,7 @@
 
 /// Deadlines of the handoff between two processes of a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum HandoffDeadline {
+pub(crate) enum HandoffDeadline {
     /// The next heartbeat to the other process.
     Heartbeat,
     /// The next look at the queue of connections to transfer.
@@ -64,7 +64,7 @@
 
 /// Deadlines of the cluster agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum ClusterAgentDeadline {
+pub(crate) enum ClusterAgentDeadline {
     /// The control group's next tick.
     ControlTick,
     /// The membership protocol's next step.
@@ -75,7 +75,7 @@
 
 /// Deadlines of a client connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum ClientDeadline {
+pub(crate) enum ClientDeadline {
     /// The first line, or the client's end after its answer, is due.
     Close,
     /// The next attempt to restore a connection from before this process's start.
@@ -84,7 +84,7 @@
 
 /// Deadlines of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum AttemptDeadline {
+pub(crate) enum AttemptDeadline {
     /// The connection is due.
     Connect,
     /// The answer is due.
@@ -93,7 +93,7 @@
 
 /// Deadlines of a health check's connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum HealthCheckDeadline {
+pub(crate) enum HealthCheckDeadline {
     /// The connection is due.
     Connect,
     /// The answer, or the next health check, is due.
--- a/crates/node/src/graceful_shutdown.rs
+++ b/crates/node/src/graceful_shutdown.rs
@@ -23,7 +23,7 @@
 const STEP_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Begins the shutdown, unless it is under way.
-pub fn begin(context: &mut NodeContext) {
+pub(crate) fn begin(context: &mut NodeContext) {
     if context.shutdown.is_some() {
         return;
     }
@@ -49,7 +49,7 @@
 }
 
 /// Makes the next step of the migration.
-pub fn step(context: &mut NodeContext) {
+pub(crate) fn step(context: &mut NodeContext) {
     let Some(shutdown) = context.shutdown else {
         return;
     };
--- a/crates/node/src/load_report.rs
+++ b/crates/node/src/load_report.rs
@@ -14,7 +14,7 @@
 
 /// What one line said.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum LoadReport {
+pub(crate) enum LoadReport {
     /// The connection's load, in microseconds of work a second.
     Load(f64),
     /// How long a message takes at this server. What was taken for the load since was not one: it is `load`.
@@ -37,7 +37,7 @@
 
 /// Tells loads and delays among the numbers of one connection.
 #[derive(Debug, Default)]
-pub struct LoadReports {
+pub(crate) struct LoadReports {
     last: Option<PossibleDelay>,
     /// The load as reported before that line.
     load: Option<f64>,
@@ -45,7 +45,7 @@
 
 impl LoadReports {
     /// Records a line's number. Only a delay over `min_delay` is reported in a series.
-    pub fn record(&mut self, now: Instant, value: f64, min_delay: Duration) -> LoadReport {
+    pub(crate) fn record(&mut self, now: Instant, value: f64, min_delay: Duration) -> LoadReport {
         let is_long = value / MS_PER_SECOND > min_delay.as_secs_f64();
         let may_be_delay = value <= MAX_DELAY_MS;
         let in_series = is_long || self.last.is_some_and(|last| last.is_confirmed);
--- a/crates/node/src/placement_driver/attempts.rs
+++ b/crates/node/src/placement_driver/attempts.rs
@@ -14,7 +14,7 @@
 
 /// Whether the client still waits for its answer when an attempt ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ClientState {
+pub(crate) enum ClientState {
     /// It waits: another attempt may be made.
     Waiting,
     /// It has its answer, or needs none.
@@ -23,7 +23,7 @@
 
 impl PlacementDriver {
     /// Whether a request of this id is active.
-    pub fn has_request(&self, request: RequestId) -> bool {
+    pub(crate) fn has_request(&self, request: RequestId) -> bool {
         self.requests.contains_key(&request)
     }
 
@@ -36,7 +36,7 @@
     }
 
     /// A request has come from a client that waits for `timeout`.
-    pub fn on_request(&mut self, owner: Owner, mut info: RequestInfo, timeout: Duration) {
+    pub(crate) fn on_request(&mut self, owner: Owner, mut info: RequestInfo, timeout: Duration) {
         if self.is_shutting_down {
             return self.commands.push_back(Command::Reject {
                 owner,
@@ -50,7 +50,7 @@
     }
 
     /// The server could not read the request: that is its client's fault and says nothing of the server.
-    pub fn on_unreadable_request(&mut self, request: RequestId) {
+    pub(crate) fn on_unreadable_request(&mut self, request: RequestId) {
         let Some(owner) = self.requests.get(&request).map(|active| active.owner) else {
             return;
         };
@@ -59,7 +59,12 @@
     }
 
     /// A connection that was established before this node began is established again.
-    pub fn on_inherited_connection(&mut self, owner: Owner, mut info: RequestInfo, server: &str) {
+    pub(crate) fn on_inherited_connection(
+        &mut self,
+        owner: Owner,
+        mut info: RequestInfo,
+        server: &str,
+    ) {
         self.insert_request(owner, &mut info, INHERITED_REQUEST_TIMEOUT);
         if let Some(active) = self.requests.get_mut(&info.request) {
             active.start_attempt(server.into());
@@ -71,7 +76,7 @@
     }
 
     /// A connection comes from another process of this node, with its load and its unanswered lines.
-    pub fn on_transferred_connection(
+    pub(crate) fn on_transferred_connection(
         &mut self,
         owner: Owner,
         info: RequestInfo,
@@ -93,13 +98,16 @@
     }
 
     /// What another process needs to go on with an established connection. `None` for one that is about to end.
-    pub fn established_connection(&self, request: RequestId) -> Option<EstablishedConnection<'_>> {
+    pub(crate) fn established_connection(
+        &self,
+        request: RequestId,
+    ) -> Option<EstablishedConnection<'_>> {
         self.requests.get(&request)?.established_connection()
     }
 
     /// Whether the line of the attempt in flight may be sent: its server still takes new connections, as far as this node
     /// has been told.
-    pub fn may_send(&mut self, request: RequestId) -> bool {
+    pub(crate) fn may_send(&mut self, request: RequestId) -> bool {
         let server = self
             .requests
             .get(&request)
@@ -113,7 +121,7 @@
     }
 
     /// The attempt in flight has been accepted: its connection is established.
-    pub fn on_attempt_accepted(&mut self, request: RequestId) {
+    pub(crate) fn on_attempt_accepted(&mut self, request: RequestId) {
         let Some(active) = self.requests.get_mut(&request) else {
             return;
         };
@@ -130,7 +138,12 @@
     }
 
     /// The attempt in flight has ended, or the connection; its socket is closed.
-    pub fn on_attempt_ended(&mut self, request: RequestId, outcome: Outcome, client: ClientState) {
+    pub(crate) fn on_attempt_ended(
+        &mut self,
+        request: RequestId,
+        outcome: Outcome,
+        client: ClientState,
+    ) {
         let Some(active) = self.requests.get_mut(&request) else {
             return;
         };
@@ -152,7 +165,7 @@
     }
 
     /// The client has left before its answer; its attempt, if one is in flight, has been closed.
-    pub fn on_client_gone(&mut self, request: RequestId) {
+    pub(crate) fn on_client_gone(&mut self, request: RequestId) {
         let Some(active) = self.requests.get_mut(&request) else {
             return;
         };
--- a/crates/node/src/placement_driver/command.rs
+++ b/crates/node/src/placement_driver/command.rs
@@ -6,20 +6,20 @@
 use std::time::{Duration, Instant};
 
 /// Names the component that answers a request's client. The driver hands it back with each command and never looks at it.
-pub type Owner = u64;
+pub(crate) type Owner = u64;
 
 /// An attempt to be made.
-pub struct AttemptOrder {
+pub(crate) struct AttemptOrder {
     /// The request.
-    pub request: RequestId,
+    pub(crate) request: RequestId,
     /// Where the server listens.
-    pub address: SocketAddr,
+    pub(crate) address: SocketAddr,
     /// When to stop waiting for the server's answer.
-    pub deadline: Instant,
+    pub(crate) deadline: Instant,
 }
 
 /// What is to be carried out.
-pub enum Command {
+pub(crate) enum Command {
     /// Make an attempt.
     StartAttempt {
         /// The client's component.
--- a/crates/node/src/placement_driver/endpoints.rs
+++ b/crates/node/src/placement_driver/endpoints.rs
@@ -12,16 +12,16 @@
 const MAX_ENDPOINT_LIST_WAIT: Duration = Duration::from_secs(6);
 
 /// One entry of an endpoint list.
-pub struct ResolvedEndpoint {
+pub(crate) struct ResolvedEndpoint {
     /// What the decisions are told.
-    pub endpoint: Endpoint,
+    pub(crate) endpoint: Endpoint,
     /// Where it listens, as this node reaches it.
-    pub address: SocketAddr,
+    pub(crate) address: SocketAddr,
 }
 
 /// What an endpoint list covers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum EndpointListScope {
+pub(crate) enum EndpointListScope {
     /// All servers: those that it does not name are gone.
     Complete,
     /// The servers that have changed.
@@ -30,7 +30,7 @@
 
 /// Where an endpoint list comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum EndpointListSource {
+pub(crate) enum EndpointListSource {
     /// Discovery has sent it.
     Discovery,
     /// The configuration holds it; it may be out of date.
@@ -39,7 +39,7 @@
 
 /// Why the endpoint list lets no client in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum EndpointAvailabilityError {
+pub(crate) enum EndpointAvailabilityError {
     /// Discovery has not answered yet.
     #[error("discovery has not told the list yet")]
     NotReceived,
@@ -58,7 +58,7 @@
 
 impl PlacementDriver {
     /// Applies an endpoint list.
-    pub fn apply_endpoint_list(
+    pub(crate) fn apply_endpoint_list(
         &mut self,
         list: Vec<ResolvedEndpoint>,
         scope: EndpointListScope,
@@ -98,17 +98,17 @@
     }
 
     /// Discovery has answered: what has changed since the known list comes with that.
-    pub fn on_discovery_answer(&mut self) {
+    pub(crate) fn on_discovery_answer(&mut self) {
         self.has_discovery_answered = true;
     }
 
     /// The watch has fallen silent.
-    pub fn on_watch_silent(&mut self) {
+    pub(crate) fn on_watch_silent(&mut self) {
         self.feed(Event::EndpointWatchStalled);
     }
 
     /// A call to discovery failed or the watch broke.
-    pub fn on_watch_failed(&mut self) {
+    pub(crate) fn on_watch_failed(&mut self) {
         self.feed(Event::EndpointWatchFailed);
     }
 
@@ -118,7 +118,7 @@
     ///
     /// # Errors
     /// Says what is missing.
-    pub fn check_endpoint_list(&self) -> Result<(), EndpointAvailabilityError> {
+    pub(crate) fn check_endpoint_list(&self) -> Result<(), EndpointAvailabilityError> {
         if !self.has_discovery_answered && self.clock.elapsed() <= MAX_ENDPOINT_LIST_WAIT {
             return Err(EndpointAvailabilityError::NotReceived);
         }
@@ -152,7 +152,7 @@
     }
 
     /// Where a server listens, if it takes new connections.
-    pub fn available_address(&self, server: &str) -> Option<SocketAddr> {
+    pub(crate) fn available_address(&self, server: &str) -> Option<SocketAddr> {
         let server = ServerId::from(server);
         if !self.accepts_connections(&server) {
             return None;
@@ -161,17 +161,17 @@
     }
 
     /// The servers that administrators have drained.
-    pub fn drained_servers(&self) -> &BTreeSet<ServerId> {
+    pub(crate) fn drained_servers(&self) -> &BTreeSet<ServerId> {
         self.balancer.admin_drain().drained()
     }
 
     /// Whether a server of this id is listed or drained by an administrator.
-    pub fn knows_server(&self, server: &ServerId) -> bool {
+    pub(crate) fn knows_server(&self, server: &ServerId) -> bool {
         self.balancer.admin_drain().knows(server)
     }
 
     /// From now on exactly these servers are drained by administrators.
-    pub fn set_drained_servers(&mut self, drained: BTreeSet<ServerId>) {
+    pub(crate) fn set_drained_servers(&mut self, drained: BTreeSet<ServerId>) {
         if drained == *self.drained_servers() {
             return;
         }
@@ -184,7 +184,12 @@
     }
 
     /// A server's health check has passed or failed; with its load report, if one came.
-    pub fn on_health_check(&mut self, server: &ServerId, passed: bool, report: Option<Vec<f64>>) {
+    pub(crate) fn on_health_check(
+        &mut self,
+        server: &ServerId,
+        passed: bool,
+        report: Option<Vec<f64>>,
+    ) {
         self.feed(Event::HealthCheckCompleted {
             server: server.clone(),
             passed,
@@ -193,12 +198,12 @@
     }
 
     /// What was learned of the servers, for the process that takes this one's place.
-    pub fn learned_servers(&self) -> Vec<LearnedServer> {
+    pub(crate) fn learned_servers(&self) -> Vec<LearnedServer> {
         self.balancer.learned_state(self.now())
     }
 
     /// Takes over what the process before this one has learned of the servers.
-    pub fn import_learned_servers(&mut self, learned: Vec<LearnedServer>) {
+    pub(crate) fn import_learned_servers(&mut self, learned: Vec<LearnedServer>) {
         let ejected = learned
             .iter()
             .filter(|server| server.ejected_for.is_some())
@@ -212,7 +217,7 @@
     }
 
     /// A moment of Unix time on the decisions' clock; `None` for long ago.
-    pub fn timestamp_of_unix_ms(&self, unix_ms: u64) -> Option<Timestamp> {
+    pub(crate) fn timestamp_of_unix_ms(&self, unix_ms: u64) -> Option<Timestamp> {
         self.clock.timestamp_of_unix_ms(unix_ms)
     }
 }
--- a/crates/node/src/placement_driver/latency.rs
+++ b/crates/node/src/placement_driver/latency.rs
@@ -142,7 +142,7 @@
 
 impl PlacementDriver {
     /// A server has reported this number for an established connection: see [`LoadReports`](crate::load_report::LoadReports).
-    pub fn on_load_report(&mut self, request: RequestId, value: f64) {
+    pub(crate) fn on_load_report(&mut self, request: RequestId, value: f64) {
         let slow_delay = self.slow_delay();
         let Some(active) = self.requests.get_mut(&request) else {
             return;
@@ -175,14 +175,14 @@
     }
 
     /// A line of the client is forwarded to its server.
-    pub fn on_line_sent(&mut self, request: RequestId) {
+    pub(crate) fn on_line_sent(&mut self, request: RequestId) {
         if let Some(active) = self.requests.get_mut(&request) {
             active.push_line();
         }
     }
 
     /// A line has come back.
-    pub fn on_line_returned(&mut self, request: RequestId) {
+    pub(crate) fn on_line_returned(&mut self, request: RequestId) {
         let Some(active) = self.requests.get_mut(&request) else {
             return;
         };
@@ -202,7 +202,7 @@
     }
 
     /// When the oldest line of the client was forwarded that nothing has come back for.
-    pub fn oldest_unanswered_line(&self, request: RequestId) -> Option<Instant> {
+    pub(crate) fn oldest_unanswered_line(&self, request: RequestId) -> Option<Instant> {
         self.requests.get(&request)?.oldest_unanswered_line()
     }
 
@@ -216,7 +216,7 @@
     }
 
     /// Tells the decisions what the unanswered lines of established connections say of each server.
-    pub fn check_unanswered_lines(&mut self) {
+    pub(crate) fn check_unanswered_lines(&mut self) {
         let findings = self.find_unanswered_lines(Instant::now());
         for server in findings.unresponsive_servers {
             if let Some(latency) = self.latencies.get_mut(&server) {
--- a/crates/node/src/placement_driver/mod.rs
+++ b/crates/node/src/placement_driver/mod.rs
@@ -12,9 +12,9 @@
 mod setup_times;
 mod shutdown;
 
-pub use attempts::ClientState;
-pub use command::{AttemptOrder, Command};
-pub use endpoints::{
+pub(crate) use attempts::ClientState;
+pub(crate) use command::{AttemptOrder, Command};
+pub(crate) use endpoints::{
     EndpointAvailabilityError, EndpointListScope, EndpointListSource, ResolvedEndpoint,
 };
 pub(crate) use request::hex_id;
@@ -34,7 +34,7 @@
 use std::time::Duration;
 
 /// The placement decisions of this node with what they are about.
-pub struct PlacementDriver {
+pub(crate) struct PlacementDriver {
     commands: VecDeque<Command>,
     balancer: Balancer,
     /// Filled by the balancer; empty between events.
@@ -62,7 +62,7 @@
 impl PlacementDriver {
     /// The decisions as they begin. What they see and decide of single requests goes to `log` as debug lines, from
     /// which the state of a whole fleet can be added up: see `docs/operators/fleet.md`.
-    pub fn new(config: &Config, log: Logger) -> PlacementDriver {
+    pub(crate) fn new(config: &Config, log: Logger) -> PlacementDriver {
         let settings = &config.settings;
         PlacementDriver {
             commands: VecDeque::new(),
@@ -85,22 +85,22 @@
     }
 
     /// Begins discovery and upkeep.
-    pub fn start(&mut self) {
+    pub(crate) fn start(&mut self) {
         self.feed(Event::Start);
     }
 
     /// Now, on the decisions' clock.
-    pub fn now(&self) -> Timestamp {
+    pub(crate) fn now(&self) -> Timestamp {
         self.clock.now()
     }
 
     /// The next command to be carried out.
-    pub fn next_command(&mut self) -> Option<Command> {
+    pub(crate) fn next_command(&mut self) -> Option<Command> {
         self.commands.pop_front()
     }
 
     /// A timer has fired.
-    pub fn on_timer(&mut self, timer: PlacementTimer) {
+    pub(crate) fn on_timer(&mut self, timer: PlacementTimer) {
         self.feed(Event::TimerFired(timer.kind));
     }
 
--- a/crates/node/src/placement_driver/request.rs
+++ b/crates/node/src/placement_driver/request.rs
@@ -55,15 +55,15 @@
 }
 
 /// What an established connection needs to go on in another process of this node.
-pub struct EstablishedConnection<'a> {
+pub(crate) struct EstablishedConnection<'a> {
     /// Its request.
-    pub request: &'a RequestInfo,
+    pub(crate) request: &'a RequestInfo,
     /// Its server.
-    pub server: &'a ServerId,
+    pub(crate) server: &'a ServerId,
     /// Its load as last reported, in microseconds of work a second.
-    pub load: Option<f64>,
+    pub(crate) load: Option<f64>,
     /// When each line of the client was forwarded that nothing has come back for yet.
-    pub unanswered_lines: &'a VecDeque<Instant>,
+    pub(crate) unanswered_lines: &'a VecDeque<Instant>,
 }
 
 impl ActiveRequest {
--- a/crates/node/src/placement_driver/settings.rs
+++ b/crates/node/src/placement_driver/settings.rs
@@ -17,7 +17,11 @@
 
 impl PlacementDriver {
     /// Applies other settings. `previous_positions`: for each class its position before, if it was there.
-    pub fn apply_settings(&mut self, config: &Config, previous_positions: Vec<Option<usize>>) {
+    pub(crate) fn apply_settings(
+        &mut self,
+        config: &Config,
+        previous_positions: Vec<Option<usize>>,
+    ) {
         for active in self.requests.values_mut() {
             let position = previous_positions
                 .iter()
@@ -38,7 +42,7 @@
     }
 
     /// So many processes of this node accept clients: what is divided among nodes is divided among these too.
-    pub fn set_process_count(&mut self, config: &Config, process_count: u32) {
+    pub(crate) fn set_process_count(&mut self, config: &Config, process_count: u32) {
         if process_count == self.process_count {
             return;
         }
@@ -50,7 +54,7 @@
 
     /// What this node may send to servers that warm up, by the cluster's agreement: `limit` new connections in any window
     /// until the lease expires, and `floor` without a lease.
-    pub fn set_slow_start_lease(
+    pub(crate) fn set_slow_start_lease(
         &mut self,
         limit: u32,
         floor: u32,
@@ -71,7 +75,7 @@
     }
 
     /// What was used of the slow-start lease since the last call.
-    pub fn take_slow_start_usage(&mut self) -> SlowStartUsage {
+    pub(crate) fn take_slow_start_usage(&mut self) -> SlowStartUsage {
         self.balancer.take_slow_start_usage()
     }
 }
--- a/crates/node/src/placement_driver/shutdown.rs
+++ b/crates/node/src/placement_driver/shutdown.rs
@@ -6,13 +6,13 @@
 
 impl PlacementDriver {
     /// The node shuts down: requests from now on are rejected, for no connection could last.
-    pub fn begin_shutdown(&mut self) {
+    pub(crate) fn begin_shutdown(&mut self) {
         self.is_shutting_down = true;
     }
 
     /// Migrates established connections so that all have gone after `remaining_steps` calls, this one included; at the last
     /// one the requests that still wait are given up too.
-    pub fn migrate_step(&mut self, remaining_steps: usize) {
+    pub(crate) fn migrate_step(&mut self, remaining_steps: usize) {
         let established = self.established_requests();
         let count = established.len().div_ceil(remaining_steps.max(1));
         for request in established.into_iter().take(count) {
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -18,7 +18,7 @@
 ///
 /// # Errors
 /// Where an address cannot be bound, the cluster's folder cannot be used, or the operating system lacks a descriptor.
-pub fn start(config: Config, log: Logger) -> io::Result<Reactor<NodeState>> {
+pub(crate) fn start(config: Config, log: Logger) -> io::Result<Reactor<NodeState>> {
     // Before anything else is opened, which could get the number of a descriptor that is not there.
     let inherited = config
         .inherited_descriptor
--- a/crates/node/src/signals.rs
+++ b/crates/node/src/signals.rs
@@ -21,7 +21,7 @@
 const RELOAD_SOCKET: usize = 1;
 
 /// The component that receives signals.
-pub struct SignalReceiver {
+pub(crate) struct SignalReceiver {
     termination: Registered<UnixStream>,
     reload: Registered<UnixStream>,
 }
@@ -31,7 +31,7 @@
     ///
     /// # Errors
     /// Where the operating system has no descriptor for a pipe, or the handler cannot be installed.
-    pub fn new(context: &NodeContext) -> io::Result<SignalReceiver> {
+    pub(crate) fn new(context: &NodeContext) -> io::Result<SignalReceiver> {
         Ok(SignalReceiver {
             termination: signal_pipe(context, &[SIGTERM, SIGINT], TERMINATION_SOCKET)?,
             reload: signal_pipe(context, &[SIGHUP], RELOAD_SOCKET)?,
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -10,20 +10,23 @@
 use slog::Logger;
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// New connections keep arriving for up to 0.4 s after SIGTERM: the listener stays at least this long.
+const MIN_LISTEN_AFTER_SIGTERM: Duration = Duration::from_millis(800);
 
 /// A graceful shutdown under way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Shutdown {
+pub(crate) struct Shutdown {
     /// When SIGTERM came.
-    pub started_at: Instant,
+    pub(crate) started_at: Instant,
     /// When the process exits at the latest.
-    pub deadline: Instant,
+    pub(crate) deadline: Instant,
 }
 
 /// Why clients cannot be served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum NotServingError {
+pub(crate) enum NotServingError {
     /// SIGTERM has come.
     #[error("this process is ending")]
     ShuttingDown,
@@ -36,39 +39,39 @@
 }
 
 /// What the callbacks of the node's components may use.
-pub type NodeContext = Context<NodeState>;
+pub(crate) type NodeContext = Context<NodeState>;
 
-/// What the node keeps.
-pub struct NodeState {
-    /// The decisions and the request contexts.
-    pub placement: PlacementDriver,
-    /// What the node was told at its start.
-    pub config: Config,
+/// The state of the node. Each field is changed by the module that its type comes from.
+pub(crate) struct NodeState {
+    /// The placement decisions and the active requests.
+    pub(crate) placement: PlacementDriver,
+    /// The configuration in use.
+    pub(crate) config: Config,
     /// Where log lines go.
-    pub log: Logger,
-    /// Clients held with their request; each may need a second descriptor for its peer.
-    pub client_count: Rc<Cell<usize>>,
-    /// The other connections held.
-    pub unidentified_clients: UnidentifiedClients,
-    /// When the node began.
-    pub started_at: Instant,
+    pub(crate) log: Logger,
+    /// Clients with a request; each may need a second descriptor for its server.
+    pub(crate) client_count: Rc<Cell<usize>>,
+    /// Clients without a request, or with their answer.
+    pub(crate) unidentified_clients: UnidentifiedClients,
+    /// When this process began.
+    pub(crate) started_at: Instant,
     /// The graceful shutdown, once SIGTERM has come.
-    pub shutdown: Option<Shutdown>,
+    pub(crate) shutdown: Option<Shutdown>,
     /// The other process of this node, if there is one.
-    pub handoff: HandoffState,
+    pub(crate) handoff: HandoffState,
     /// The open connections for health checks: one for each server at the most.
-    pub health_checks: HealthChecks,
+    pub(crate) health_checks: HealthChecks,
     /// The node's part in its cluster, once it has started; taken out while it works.
-    pub cluster_agent: Option<Box<ClusterAgent>>,
-    /// Set for a moment when all connections are to be handed over.
-    pub transfer_requested: bool,
-    /// Set for a moment when what still waits has to get its answer.
-    pub answers_requested: bool,
+    pub(crate) cluster_agent: Option<Box<ClusterAgent>>,
+    /// Set until the present callback ends: all connections are to be transferred to the successor.
+    pub(crate) transfer_requested: bool,
+    /// Set until the present callback ends: clients that still wait are to be answered, for the process exits.
+    pub(crate) answers_requested: bool,
 }
 
 impl NodeState {
-    /// As the node begins.
-    pub fn new(config: Config, log: Logger) -> NodeState {
+    /// The state of a node that begins.
+    pub(crate) fn new(config: Config, log: Logger) -> NodeState {
         NodeState {
             placement: PlacementDriver::new(&config, log.clone()),
             handoff: HandoffState::new(config.listen_address, config.inherited_descriptor),
@@ -89,7 +92,7 @@
     ///
     /// # Errors
     /// Says what is missing.
-    pub fn check_serving(&self) -> Result<(), NotServingError> {
+    pub(crate) fn check_serving(&self) -> Result<(), NotServingError> {
         if self.shutdown.is_some() {
             return Err(NotServingError::ShuttingDown);
         }
@@ -99,4 +102,24 @@
         self.placement.check_endpoint_list()?;
         Ok(())
     }
+
+    /// Whether the process has accepted clients for long enough after SIGTERM.
+    pub(crate) fn has_listened_long_enough(&self, shutdown: Shutdown, now: Instant) -> bool {
+        // With a successor the listener is not this process's any more.
+        self.handoff.is_handing_over() || now >= shutdown.started_at + MIN_LISTEN_AFTER_SIGTERM
+    }
+
+    /// Whether connections of clients are open or on their way to the successor.
+    pub(crate) fn has_connections(&self) -> bool {
+        self.client_count.get() > 0
+            || !self.unidentified_clients.is_empty()
+            || !self.handoff.is_idle()
+    }
+
+    /// Whether the cluster needs this node no more: it may need its vote to go on without it.
+    pub(crate) fn has_left_cluster(&self) -> bool {
+        self.cluster_agent
+            .as_ref()
+            .is_none_or(|agent| agent.has_left())
+    }
 }
