Node tests: names and comments that tell the behaviour

Need: test names spoke of tries, transcribers, holders and connections from before. Bodies change by renames alone.

--- a/crates/node/tests/connection_close.rs
+++ b/crates/node/tests/connection_close.rs
@@ -1,4 +1,4 @@
-//! Closes: what is still under way when one side ends, and what the other side sees of it.
+//! What is still in transit when one side closes, and what the other side sees of it.
 
 mod common;
 use common::{reset_connection, wait_until, LineStream, Rig};
@@ -6,21 +6,21 @@
 use socket2::SockRef;
 use std::io::{ErrorKind, Read, Write};
 
-/// A first line of nearly the greatest length.
-fn long_line(rig: &mut Rig, wait: u32) -> LineStream {
+/// A client whose first line has nearly the greatest length.
+fn send_long_request(rig: &mut Rig, wait: u32) -> LineStream {
     let fill = "x".repeat(3800);
     rig.send_request(&format!("d={wait},g=a,x={fill}")).0
 }
 
-/// Transcribers take so little unread that the end of a long line stays in the node's kernel.
-fn narrow(rig: &Rig) {
+/// Servers' kernels accept so little unread that the end of a long line stays in the node's kernel.
+fn shrink_receive_buffers(rig: &Rig) {
     for server in rig.servers.iter().flatten() {
         SockRef::from(server).set_recv_buffer_size(1).unwrap();
     }
 }
 
-/// All that comes until the connection ends, and whether it ended in good order.
-fn rest(line: &mut LineStream) -> (Vec<u8>, bool) {
+/// All that comes until the connection ends, and whether it ended without a reset.
+fn read_to_end(line: &mut LineStream) -> (Vec<u8>, bool) {
     let (mut came, mut part) = (Vec::new(), [0; 4096]);
     loop {
         match line.stream.read(&mut part) {
@@ -32,9 +32,8 @@
     }
 }
 
-/// A connection of which the transcriber's kernel has taken a part of the line. The rest is held back, as by a network that is
-/// cut.
-fn held_back(rig: &Rig) -> LineStream {
+/// A connection on which a part of the line has arrived. The rest is held back, as by a network that is cut.
+fn accept_partly_delivered_attempt(rig: &Rig) -> LineStream {
     let (_, server) = rig.accept_attempt();
     wait_until("a part of the line", || {
         (server.stream.peek(&mut [0; 4096]).unwrap() > 0).then_some(())
@@ -42,67 +41,71 @@
     server
 }
 
-/// How a try ends whose line has not arrived.
+/// How an attempt ends whose line has not arrived.
 #[derive(Clone, Copy, PartialEq)]
-enum Ends {
+enum AttemptEnd {
     ClientCloses,
     ClientResets,
-    TimeOver,
+    Timeout,
     NodeKilled,
 }
 
-/// What the kernel holds back is not sent on when the network heals, after the try has ended: an attempt counts once its last byte
-/// has arrived.
+/// What the kernel holds is not delivered once the network heals, after the attempt has ended: a request may be executed
+/// once its last byte has arrived.
 #[rstest]
-fn what_is_held_back_is_not_sent_on_after_its_try_has_ended(
+fn undelivered_bytes_are_dropped_when_the_attempt_ends(
     #[values(
-        Ends::ClientCloses,
-        Ends::ClientResets,
-        Ends::TimeOver,
-        Ends::NodeKilled
+        AttemptEnd::ClientCloses,
+        AttemptEnd::ClientResets,
+        AttemptEnd::Timeout,
+        AttemptEnd::NodeKilled
     )]
-    how: Ends,
+    how: AttemptEnd,
 ) {
     let mut rig = Rig::start(1);
     rig.change_settings(|settings| {
         settings["Limits"]["SendCap"] = 1.into();
     });
-    narrow(&rig);
-    let mut client = Some(long_line(
+    shrink_receive_buffers(&rig);
+    let mut client = Some(send_long_request(
         &mut rig,
-        if how == Ends::TimeOver { 700 } else { 20000 },
+        if how == AttemptEnd::Timeout {
+            700
+        } else {
+            20000
+        },
     ));
-    let mut server = held_back(&rig);
+    let mut server = accept_partly_delivered_attempt(&rig);
     match how {
-        Ends::ClientCloses => drop(client.take()),
-        Ends::ClientResets => reset_connection(client.take().unwrap()),
-        Ends::TimeOver => assert!(client.as_mut().unwrap().receive().starts_with("BUSY")),
-        Ends::NodeKilled => {
+        AttemptEnd::ClientCloses => drop(client.take()),
+        AttemptEnd::ClientResets => reset_connection(client.take().unwrap()),
+        AttemptEnd::Timeout => assert!(client.as_mut().unwrap().receive().starts_with("BUSY")),
+        AttemptEnd::NodeKilled => {
             rig.signal("-KILL");
             rig.wait_for_exit();
         }
     }
     if client.is_none() {
         rig.wait_for_log("client left");
-        // A call is answered after what was decided has been carried out.
+        // `PING` is answered after what was decided has been carried out.
         assert_eq!(rig.query("PING\r\n"), "PONG");
     }
-    let (came, in_order) = rest(&mut server);
+    let (came, in_order) = read_to_end(&mut server);
     assert!(
         !came.ends_with(b"\n") && !in_order,
-        "{} bytes came, in good order: {in_order}",
+        "{} bytes came, without a reset: {in_order}",
         came.len()
     );
 }
 
-/// Where all has arrived a try ends in good order, whoever ends it.
+/// Whoever ends it.
 #[rstest]
 #[case::client_ends(None)]
 #[case::error(Some("ERR\r\n"))]
-#[case::turned_away(Some("BUSY\r\n"))]
+#[case::rejected(Some("BUSY\r\n"))]
 #[case::served(Some("BYE\r\n"))]
 #[case::time_over(Some(""))]
-fn a_try_whose_line_has_arrived_ends_in_good_order(#[case] says: Option<&str>) {
+fn an_attempt_whose_line_has_arrived_is_closed_without_reset(#[case] says: Option<&str>) {
     let mut rig = Rig::start(1);
     rig.change_settings(|settings| settings["Limits"]["SendCap"] = 1.into());
     let (client, line) = rig.send_request(if says == Some("") {
@@ -116,12 +119,12 @@
         Some(says) => server.send(says),
         None => drop(client),
     }
-    assert_eq!(rest(&mut server), (Vec::new(), true));
+    assert_eq!(read_to_end(&mut server), (Vec::new(), true));
 }
 
-/// A connection from before the node's life that waits for its transcriber when the node has to end gets its answer.
+/// A connection from before the node's start waits for its server at SIGTERM.
 #[test]
-fn a_connection_from_before_gets_its_answer_when_the_node_ends() {
+fn a_restored_connection_is_answered_at_shutdown() {
     let mut rig = Rig::start(1);
     let (mut client, _) = rig.send_request("d=40000,g=a,at=s-0");
     let (_, mut server) = rig.accept_attempt();
@@ -130,15 +133,15 @@
     assert_eq!(
         [client.receive(), client.receive()],
         ["ERR", ""],
-        "it may stand by now"
+        "the server may have accepted it"
     );
     drop((client, server));
     assert!(rig.wait_for_exit().success());
 }
 
-/// A client that sends much and goes, its line among it: nothing of it reaches a transcriber, and others are served.
+/// A client sends its line and much more and closes: nothing of it reaches a server, and others are served.
 #[rstest]
-fn a_flood_that_ends_is_not_sent_on(#[values("x", "y\r\n")] says: &str) {
+fn a_flood_of_a_client_that_closes_is_not_forwarded(#[values("x", "y\r\n")] says: &str) {
     let mut rig = Rig::start(1);
     rig.pause();
     let (mut client, _) = rig.send_request("d=20000,g=a");
@@ -154,7 +157,7 @@
     let id = line.split(' ').nth(1).unwrap();
     assert!(
         server.receive().contains(id),
-        "the first that a transcriber hears is the next client's line"
+        "the first line that a server gets is the next client's"
     );
     server.send("UP r1\r\n");
     assert_eq!(client.receive(), "UP r1");
--- a/crates/node/tests/protocol.rs
+++ b/crates/node/tests/protocol.rs
@@ -1,4 +1,4 @@
-//! One test on real sockets for each rule of the protocol.
+//! The rules of the protocol towards clients, servers and the discovery service, each by a test on real sockets.
 
 mod common;
 use common::{reset_connection, wait_until, Rig};
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 #[test]
-fn a_first_line_goes_on_with_d_rewritten_and_lines_pass_both_ways_unchanged() {
+fn a_first_line_is_forwarded_with_d_rewritten_and_later_lines_unchanged_both_ways() {
     let mut rig = Rig::start(2);
     let (mut client, line) = rig.send_request("d=1500,g=5c0f6e1a,x=1");
     let (_, mut server) = rig.accept_attempt();
@@ -46,7 +46,7 @@
 #[case::no_list("OPEN 9b1f03aa5c7e2d41 f\r\n")]
 #[case::bare_line_feed("OPEN 9b1f03aa5c7e2d41 f c=chat,d=100,g=a\n")]
 #[case::empty("\r\n")]
-fn a_malformed_first_line_gets_err_and_reaches_no_transcriber(#[case] line: &str) {
+fn a_malformed_first_line_gets_err_and_reaches_no_server(#[case] line: &str) {
     let rig = Rig::start(1);
     let mut client = rig.connect_client();
     client.send(line);
@@ -55,7 +55,7 @@
 }
 
 #[test]
-fn a_first_line_that_is_too_long_or_not_text_gets_err_too() {
+fn a_first_line_that_is_too_long_or_not_text_gets_err() {
     let rig = Rig::start(1);
     assert_eq!(rig.query(&"x".repeat(4096)), "ERR");
     let mut client = rig.connect_client();
@@ -67,14 +67,14 @@
     assert!(rig.has_no_attempt());
 }
 
-/// How a transcriber ends the first try; the next one starts only after that.
+/// The next attempt starts only after the server has ended the first one.
 #[rstest]
-#[case::turned_away("BUSY\r\n")]
+#[case::rejected("BUSY\r\n")]
 #[case::error("ERR\r\n")]
 #[case::drains("MOVE\r\n")]
 #[case::nonsense("\u{fffd}\r\n")]
 #[case::ended("")]
-fn a_try_that_fails_is_followed_by_one_at_another_transcriber(#[case] says: &str) {
+fn a_failed_attempt_is_retried_at_another_server(#[case] says: &str) {
     let mut rig = Rig::start(2);
     let (mut client, _) = rig.send_request("d=1900,g=a");
     let (first, mut server) = rig.accept_attempt();
@@ -90,7 +90,7 @@
 }
 
 #[test]
-fn a_silent_try_is_closed_before_the_next_one_starts() {
+fn an_unanswered_attempt_is_closed_before_the_next_one_starts() {
     let mut rig = Rig::start(2);
     let (mut client, _) = rig.send_request("d=1900,g=a");
     let (first, mut silent) = rig.accept_attempt();
@@ -104,24 +104,24 @@
 }
 
 #[test]
-fn with_every_transcriber_gone_the_answer_is_busy_at_once_with_a_time() {
+fn with_all_servers_gone_requests_are_rejected_at_once_with_retry_after() {
     let mut rig = Rig::start(2);
     rig.servers.iter_mut().for_each(|server| *server = None);
-    let began = Instant::now();
+    let started_at = Instant::now();
     let (mut client, _) = rig.send_request("d=60000,g=a");
     let answer = client.receive();
     let wait: u64 = answer.strip_prefix("BUSY ").unwrap().parse().unwrap();
     assert!((1..=2000).contains(&wait), "{answer}");
     assert!(
-        began.elapsed() < Duration::from_secs(10),
+        started_at.elapsed() < Duration::from_secs(10),
         "held for {:?}",
-        began.elapsed()
+        started_at.elapsed()
     );
     assert_eq!(client.receive(), "");
 }
 
 #[test]
-fn a_client_that_leaves_during_set_up_takes_its_try_along() {
+fn a_client_that_leaves_before_its_answer_ends_its_attempt() {
     let mut rig = Rig::start(1);
     let (client, _) = rig.send_request("d=60000,g=a");
     let (_, mut server) = rig.accept_attempt();
@@ -131,7 +131,7 @@
 }
 
 #[test]
-fn an_end_of_one_side_reaches_the_other_after_what_was_sent() {
+fn a_half_close_reaches_the_other_side_after_what_was_sent() {
     let mut rig = Rig::start(2);
     let (mut client, _, mut server) = rig.establish();
     server.send("last\r\nBYE\r\n");
@@ -148,7 +148,7 @@
 }
 
 #[test]
-fn a_reset_of_one_side_reaches_the_other_as_one() {
+fn a_reset_of_one_side_resets_the_other() {
     let mut rig = Rig::start(1);
     let (client, _, mut server) = rig.establish();
     reset_connection(client);
@@ -159,25 +159,25 @@
 }
 
 #[test]
-fn a_connection_whose_lines_go_unanswered_is_moved_within_seven_seconds() {
+fn a_connection_with_unanswered_lines_is_migrated_within_seven_seconds() {
     let mut rig = Rig::start(2);
     let (mut client, _, mut server) = rig.establish();
     client.send("hello\r\n");
     assert_eq!(server.receive(), "hello");
-    let began = Instant::now();
+    let started_at = Instant::now();
     assert_eq!([client.receive(), client.receive()], ["MOVE", ""]);
     assert!(
-        began.elapsed() < Duration::from_secs(4),
+        started_at.elapsed() < Duration::from_secs(4),
         "nobody is served on it meanwhile"
     );
 }
 
 #[test]
-fn a_transcriber_that_answers_nobody_loses_all_its_connections_at_once() {
+fn all_connections_of_an_unresponsive_server_are_migrated_at_once() {
     let mut rig = Rig::start(2);
     let (mut other, at, mut answers) = rig.establish();
     let mut held = Vec::new();
-    // A group of its own for each: some come to either transcriber.
+    // A group of its own for each: some come to either server.
     wait_until("three at the other one", || {
         let (mut client, _) = rig.send_request(&format!("d=1500,g={}", held.len()));
         let (to, mut server) = rig.accept_attempt();
@@ -190,13 +190,13 @@
     let mut held: Vec<_> = held.into_iter().filter(|(_, to, _)| *to != at).collect();
     held[0].0.send("hello\r\n");
     held[1].0.send("hello\r\n");
-    let began = Instant::now();
+    let started_at = Instant::now();
     while held[2].0.is_quiet() {
         other.send("hello\r\n");
         assert_eq!(answers.receive(), "hello");
         answers.send("hello\r\n");
         assert_eq!(other.receive(), "hello", "the sound one stays");
-        assert!(began.elapsed() < common::WAIT_TIMEOUT);
+        assert!(started_at.elapsed() < common::WAIT_TIMEOUT);
     }
     for (client, _, _) in &mut held {
         assert_eq!(client.receive(), "MOVE");
@@ -204,7 +204,7 @@
 }
 
 #[test]
-fn a_draining_transcriber_gets_nothing_new() {
+fn a_draining_server_gets_no_new_requests() {
     let mut rig = Rig::start(2);
     let mut held = vec![rig.establish()];
     let at = held[0].1;
@@ -221,13 +221,13 @@
 }
 
 #[test]
-fn a_watch_that_brings_nothing_is_opened_anew_from_what_is_known() {
+fn a_silent_watch_is_reopened_from_the_known_version() {
     let mut rig = Rig::start(1);
     rig.announce_health(0, "SERVING", 7);
-    let began = Instant::now();
+    let started_at = Instant::now();
     let (_call, request) = rig.accept_discovery_call();
     assert_eq!(request, "GET /v1/endpoints?watch=1&from=7 HTTP/1.1");
-    assert!(began.elapsed() < Duration::from_secs(10));
+    assert!(started_at.elapsed() < Duration::from_secs(10));
 }
 
 #[rstest]
@@ -236,7 +236,7 @@
 #[case::bad_chunk("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n")]
 #[case::bad_json("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n{{{\n\r\n")]
 #[case::reset("")]
-fn a_failed_call_is_made_again_and_serving_goes_on(#[case] answer: &str) {
+fn a_failed_discovery_call_is_retried_while_serving(#[case] answer: &str) {
     let mut rig = Rig::launch(1, 1024);
     let (mut call, _) = rig.accept_discovery_call();
     call.send(answer);
@@ -249,7 +249,7 @@
 }
 
 #[test]
-fn a_connection_from_before_goes_to_its_holder() {
+fn a_restored_connection_goes_to_its_current_server() {
     let mut rig = Rig::start(3);
     for holder in 0..3 {
         let (mut client, _) = rig.send_request(&format!("d=30000,g=a,at=s-{holder}"));
@@ -262,20 +262,20 @@
 }
 
 #[test]
-fn a_node_that_knows_no_transcriber_does_not_say_pong() {
+fn a_node_that_knows_no_server_answers_ping_with_busy() {
     let rig = Rig::start(0);
     assert_eq!(rig.query("PING\r\n"), "BUSY");
 }
 
 #[test]
-fn at_sigterm_new_clients_are_served_till_all_are_moved_between_two_lines() {
+fn at_sigterm_new_clients_are_served_until_all_are_migrated_between_two_lines() {
     let mut rig = Rig::start(1);
     let (mut client, _, mut server) = rig.establish();
     let (mut waiting, _) = rig.send_request("d=60000,g=a");
     let (_, _silent) = rig.accept_attempt();
     server.send("whole\r\npart of a line");
     assert_eq!(client.receive(), "whole");
-    let began = Instant::now();
+    let started_at = Instant::now();
     rig.signal("-TERM");
     rig.wait_for_log("leaving");
     let (mut late, _, mut late_server) = rig.establish();
@@ -293,44 +293,47 @@
     drop(waiting);
     assert!(rig.wait_for_exit().success());
     assert!(
-        began.elapsed() < Duration::from_millis(2700),
+        started_at.elapsed() < Duration::from_millis(2700),
         "killed before: {:?}",
-        began.elapsed()
+        started_at.elapsed()
     );
 }
 
 #[test]
-fn with_descriptors_running_out_clients_are_still_answered_and_later_ones_served() {
+fn clients_are_answered_while_descriptors_run_out_and_served_once_they_are_free() {
     let mut rig = Rig::start_with_descriptors(1, 68);
     let held: Vec<_> = (0..9).map(|_| rig.establish()).collect();
     let (mut client, _) = rig.send_request("d=1000,g=a");
     assert!(client.receive().starts_with("BUSY "));
     drop(held);
     wait_until("room", || {
-        // A client that leaves at once would take its try along before it is made.
+        // A client that leaves at once would end its attempt before it is made.
         let (mut client, _) = rig.send_request("d=1000,g=a");
         let answered = || {
             let tried = rig.servers[0].as_ref()?.accept().is_ok();
             (tried || !client.is_quiet()).then_some(tried)
         };
-        wait_until("a try or an answer", answered).then_some(())
+        wait_until("an attempt or an answer", answered).then_some(())
     });
 }
 
 #[rstest]
 #[case::half_a_line("OPEN 9b1f03", "ERR")]
 #[case::nothing("", "")]
-fn a_first_line_is_not_waited_for_past_three_seconds(#[case] says: &str, #[case] hears: &str) {
+fn an_incomplete_first_line_is_closed_within_three_seconds(
+    #[case] says: &str,
+    #[case] hears: &str,
+) {
     let rig = Rig::start(1);
     let mut client = rig.connect_client();
-    let began = Instant::now();
+    let started_at = Instant::now();
     client.send(says);
     assert_eq!(client.receive(), hears);
     client.receive();
     assert!(
-        began.elapsed() < Duration::from_secs(3),
+        started_at.elapsed() < Duration::from_secs(3),
         "{:?}",
-        began.elapsed()
+        started_at.elapsed()
     );
     assert!(rig.has_no_attempt());
 }
@@ -339,21 +342,21 @@
 fn a_client_that_sends_at_full_speed_is_cut_off() {
     let rig = Rig::start(1);
     let mut client = rig.connect_client();
-    let began = Instant::now();
+    let started_at = Instant::now();
     let block = vec![b'x'; 1 << 20];
     let sent = (0..4000)
         .take_while(|_| client.stream.write_all(&block).is_ok())
         .count();
     assert!(sent < 60, "{sent} MiB were taken");
     assert!(
-        began.elapsed() < Duration::from_secs(3),
+        started_at.elapsed() < Duration::from_secs(3),
         "{:?}",
-        began.elapsed()
+        started_at.elapsed()
     );
 }
 
 #[test]
-fn commands_before_the_answer_are_an_error_and_end_the_try() {
+fn lines_before_the_answer_are_an_error_and_end_the_attempt() {
     let mut rig = Rig::start(2);
     let (mut client, line) = rig.send_request("d=60000,g=a");
     let (_, mut server) = rig.accept_attempt();
@@ -364,7 +367,7 @@
 }
 
 #[test]
-fn a_request_that_a_transcriber_cannot_read_is_not_tried_elsewhere() {
+fn a_request_that_a_server_cannot_parse_is_not_retried() {
     let mut rig = Rig::start(2);
     let (mut client, _) = rig.send_request("d=60000,g=a");
     let (_, mut server) = rig.accept_attempt();
@@ -375,11 +378,11 @@
 }
 
 #[test]
-fn a_transcriber_that_ends_a_connection_on_what_it_cannot_read_is_not_blamed() {
+fn a_server_that_closes_on_a_line_it_cannot_parse_is_not_ejected() {
     let mut rig = Rig::start(2);
     let (mut client, at, mut server) = rig.establish();
     for _ in 0..4 {
-        client.send("what no transcriber reads\r\n");
+        client.send("what no server parses\r\n");
         server.receive();
         drop(server);
         assert_eq!(client.receive(), "");
@@ -390,7 +393,7 @@
 }
 
 #[test]
-fn hundreds_that_say_nothing_turn_no_client_away() {
+fn hundreds_of_silent_connections_keep_no_client_out() {
     let mut rig = Rig::start_with_descriptors(1, 256);
     let mut held = Vec::new();
     let mut silent = Vec::new();
@@ -405,7 +408,7 @@
 }
 
 #[test]
-fn a_connection_from_before_goes_to_no_transcriber_that_drains() {
+fn a_restored_connection_goes_to_no_draining_server() {
     let mut rig = Rig::start(2);
     rig.announce_health(0, "DRAINING", 2);
     rig.announce_health(1, "DRAINING", 3);
@@ -419,19 +422,19 @@
 }
 
 #[test]
-fn at_sighup_the_watch_goes_on_at_the_new_address_and_connections_stand() {
+fn at_sighup_the_watch_moves_to_the_new_address_and_connections_stay() {
     let mut rig = Rig::start(2);
     rig.announce_health(0, "SERVING", 7);
     let (mut client, _, mut server) = rig.establish();
     for _ in 0..2 {
-        let began = Instant::now();
+        let started_at = Instant::now();
         rig.move_discovery();
         let (mut call, request) = rig.accept_discovery_call();
         assert_eq!(request, "GET /v1/endpoints?watch=1&from=7 HTTP/1.1");
         assert!(
-            began.elapsed() < Duration::from_secs(3),
+            started_at.elapsed() < Duration::from_secs(3),
             "told too late: {:?}",
-            began.elapsed()
+            started_at.elapsed()
         );
         call.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
         rig.watch = Some(call);
@@ -449,7 +452,7 @@
     r#"{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","name":"n","settings":{}}"#
 )]
 #[case::no_address(r#"{"discovery":"elsewhere"}"#)]
-fn a_configuration_that_does_not_hold_changes_nothing(#[case] text: &str) {
+fn an_invalid_configuration_changes_nothing(#[case] text: &str) {
     let mut rig = Rig::start(1);
     rig.reload_config(text);
     rig.wait_for_log("the old configuration stays");
--- a/crates/node/tests/races.rs
+++ b/crates/node/tests/races.rs
@@ -1,4 +1,4 @@
-//! Pairs of events that can cross, each order forced: `docs/design/crossings.md` says what must be seen.
+//! Pairs of events that can happen in either order, each order forced: `docs/design/races.md` says what must be seen.
 
 mod common;
 use common::{reset_connection, wait_until, Rig};
@@ -7,26 +7,26 @@
 use std::net::Shutdown;
 use std::time::{Duration, Instant};
 
-/// Connections may take up to 10 s to come up, and the one try that a request has may wait for that.
-fn late_connections(settings: &mut serde_json::Value) {
+/// Connects may take up to 10 s, and the one attempt that a request has may wait for that.
+fn allow_slow_connects(settings: &mut serde_json::Value) {
     settings["Limits"]["ConnectTimeoutNs"] = 10_000_000_000u64.into();
     settings["Limits"]["SendCap"] = 1.into();
 }
 
 /// How a client leaves.
 #[derive(Clone, Copy)]
-enum Leaves {
-    Ends,
+enum Departure {
+    Closes,
     Resets,
-    SaysMore,
+    SendsMore,
 }
 
-fn leave(rig: &Rig, client: common::LineStream, how: Leaves) {
+fn leave(rig: &Rig, client: common::LineStream, departure: Departure) {
     let from = client.stream.local_addr().unwrap();
-    match how {
-        Leaves::Ends => drop(client),
-        Leaves::Resets => reset_connection(client),
-        Leaves::SaysMore => {
+    match departure {
+        Departure::Closes => drop(client),
+        Departure::Resets => reset_connection(client),
+        Departure::SendsMore => {
             let mut client = client;
             client.send("more\r\n");
             client.stream.shutdown(Shutdown::Both).unwrap();
@@ -35,25 +35,25 @@
     rig.wait_for_client_close(from);
 }
 
-/// The client leaves and the connection to its transcriber comes up, both in one turn of the loop: the one that came up first is
-/// looked at first, and the line of a client that has left goes out in neither case.
+/// The client leaves and the attempt connects, both in one turn of the loop: the first event is handled first, and the
+/// line of a client that has left is sent in neither case.
 #[rstest]
-fn a_request_whose_client_has_left_is_not_sent_once_its_connection_comes_up(
-    #[values(Leaves::Ends, Leaves::Resets, Leaves::SaysMore)] how: Leaves,
+fn a_request_whose_client_has_left_is_not_sent_when_its_attempt_connects(
+    #[values(Departure::Closes, Departure::Resets, Departure::SendsMore)] departure: Departure,
     #[values(true, false)] leaves_first: bool,
 ) {
     let mut rig = Rig::start(1);
-    rig.change_settings(late_connections);
+    rig.change_settings(allow_slow_connects);
     let full_backlog = rig.fill_backlog(0);
     let (client, _) = rig.send_request("d=20000,g=a");
     rig.wait_for_log("request");
     rig.pause();
     let mut server = if leaves_first {
-        leave(&rig, client, how);
+        leave(&rig, client, departure);
         full_backlog.release()
     } else {
         let server = full_backlog.release();
-        leave(&rig, client, how);
+        leave(&rig, client, departure);
         server
     };
     rig.resume();
@@ -61,30 +61,30 @@
     rig.wait_for_log("client left");
 }
 
-/// Hundreds leave at once, and connections for some of them come up in the same turn, before they left.
+/// Hundreds leave at once, and attempts for some of them have connected in the same turn, before they left.
 #[test]
-fn hundreds_that_leave_at_once_are_not_sent_on() {
+fn requests_of_hundreds_of_clients_that_leave_at_once_are_not_sent() {
     let mut rig = Rig::start(1);
-    rig.change_settings(late_connections);
+    rig.change_settings(allow_slow_connects);
     let full_backlog = rig.fill_backlog(0);
     let clients: Vec<_> = (0..150)
         .map(|n| rig.send_request(&format!("d=20000,g={n}")).0)
         .collect();
-    // Some wait for the transcriber, the others for their turn.
+    // Some wait for the server, the others for their turn.
     rig.wait_for_log_count("request, ", 150);
     rig.pause();
     let mut came = vec![full_backlog.release()];
     came.extend((0..7).map(|_| rig.accept_attempt().1));
-    clients
-        .into_iter()
-        .for_each(|client| leave(&rig, client, Leaves::Ends));
+    for client in clients {
+        leave(&rig, client, Departure::Closes);
+    }
     rig.resume();
     rig.wait_for_log_count("client left", 150);
     assert!(
         came.iter_mut().all(|server| server.receive().is_empty()),
         "nobody waits for it"
     );
-    // What is sent on next is the next request, not one of theirs.
+    // The next request that is forwarded is none of theirs.
     let (_client, line) = rig.send_request("d=20000,g=last");
     let id = line.split(' ').nth(1).unwrap().to_string();
     let said = wait_until("the next request", || {
@@ -93,14 +93,14 @@
     assert!(said.contains(&id), "{said}");
 }
 
-/// While a connection comes up its transcriber begins to leave, and takes longer than the grace: the line is not sent there.
+/// The server begins to drain while the attempt connects, which takes longer than the grace period.
 #[rstest]
 #[case::drains("DRAINING")]
 #[case::gone("DELETED")]
-#[case::by_hand("")]
-fn a_try_whose_transcriber_leaves_while_it_comes_up_is_not_sent(#[case] health: &str) {
+#[case::admin_drain("")]
+fn a_request_is_not_sent_to_a_server_that_drains_while_the_attempt_connects(#[case] health: &str) {
     let mut rig = Rig::start(1);
-    rig.change_settings(late_connections);
+    rig.change_settings(allow_slow_connects);
     let full_backlog = rig.fill_backlog(0);
     let (mut client, _) = rig.send_request("d=20000,g=a");
     rig.wait_for_log("request");
@@ -113,21 +113,21 @@
     assert_eq!(
         full_backlog.release().receive(),
         "",
-        "something new to a transcriber that leaves"
+        "a new request to a server that drains"
     );
     assert!(
         client.receive().starts_with("BUSY"),
-        "it never ran, and nobody is left to take it"
+        "it was never executed, and no server is left"
     );
 }
 
-/// A list is read however it is laid out, wherever its bytes are cut, and whatever its version: also one that went back, as at a
-/// discovery that has returned.
+/// However the list is laid out, wherever its bytes are cut, and whatever its version: also one that went back, as of a
+/// discovery service that has restarted.
 #[rstest]
 #[case::in_one_line(false, 2)]
 #[case::indented(true, 2)]
 #[case::version_went_back(true, 0)]
-fn a_list_counts_however_it_is_laid_out(
+fn an_endpoint_list_is_applied_however_it_is_laid_out(
     #[case] indented: bool,
     #[case] seq: u64,
     #[values(1, 7, 4096)] piece: usize,
@@ -144,9 +144,9 @@
     let held: Vec<_> = (0..6).map(|_| rig.establish()).collect();
     assert!(
         held.iter().all(|(_, at, _)| *at == 1),
-        "it was told that the first one drains"
+        "the first one drains"
     );
-    // The watch goes on, and is opened anew from there.
+    // The watch goes on, and is reopened from that version.
     rig.watch = None;
     assert_eq!(
         rig.accept_discovery_call().1,
@@ -154,13 +154,13 @@
     );
 }
 
-/// A list that comes byte by byte and never ends is a watch that has fallen silent.
+/// A list that comes byte by byte and never ends is as good as nothing.
 #[test]
-fn a_list_without_end_puts_silence_off_once() {
+fn an_endless_endpoint_list_counts_as_silence() {
     let mut rig = Rig::start(1);
     rig.write_to_watch(b"{\"seq\":2,", 4096);
-    wait_until("the watch is opened anew", || {
-        // It goes on for as long as the node takes it.
+    wait_until("the watch is reopened", || {
+        // It goes on for as long as the node reads it.
         let watch = rig.watch.as_mut().unwrap();
         let _ = watch.stream.write_all(b"1\r\n \r\n");
         rig.discovery.accept().ok()
@@ -168,7 +168,7 @@
     assert!(rig.log().contains("endpoint watch fell silent"));
 }
 
-/// A spoilt list changes nothing, not even by its good entries, and the watch is opened anew from what is known.
+/// Its valid entries change nothing either, and the watch is reopened from the known version.
 #[rstest]
 #[case::cut("{\"seq\":9,\"whole\":true,\"hosts\":[]")]
 #[case::nonsense("nonsense\n")]
@@ -176,7 +176,7 @@
 #[case::no_address(r#"{"seq":9,"whole":false,"hosts":[{"host":"s-1","dial":"127.0.0.1:1","health":"DELETED"},{"host":"s-0","dial":"here","health":"SERVING"}]}"#)]
 #[case::number_too_large(r#"{"seq":9,"whole":true,"hosts":[{"host":"s-0","dial":"127.0.0.1:1","health":"SERVING","share":1e999}]}"#)]
 #[case::not_an_update("{\"whole\":true}\n")]
-fn a_spoilt_list_changes_nothing(#[case] text: &str) {
+fn an_invalid_endpoint_list_changes_nothing(#[case] text: &str) {
     let mut rig = Rig::start(2);
     rig.write_to_watch(text.as_bytes(), 4096);
     if text.starts_with("{\"seq\":9,\"whole\":true,\"hosts\":[]") {
@@ -195,10 +195,9 @@
     );
 }
 
-/// What a silent watch misses counts as told 6 s after it fell silent, here with the last byte, at the latest. The first attempt to
-/// open it anew hangs.
+/// A change behind a silent watch has to be applied 6 s after the last byte at the latest. The first connect hangs.
 #[test]
-fn a_silent_watch_is_opened_anew_in_time_though_the_first_attempt_hangs() {
+fn a_silent_watch_is_reopened_in_time_though_the_first_connect_hangs() {
     let mut rig = Rig::start(1);
     rig.write_to_watch(b"\n", 1);
     let silent_since = Instant::now();
@@ -214,10 +213,9 @@
     );
 }
 
-/// The same where discovery takes the first call and never answers it, few nodes or many: a change that was made behind the silent
-/// watch holds in time.
+/// The same where discovery accepts the first call and never answers it, with few nodes or many.
 #[rstest]
-fn what_a_silent_watch_misses_is_heard_in_time_though_a_call_is_never_answered(
+fn a_change_behind_a_silent_watch_is_applied_in_time_though_a_call_is_never_answered(
     #[values(2, 300)] nodes: u32,
 ) {
     let mut rig = Rig::start_as_one_of(nodes, 2);
@@ -237,13 +235,13 @@
         .collect();
     assert!(
         held.iter().all(|(_, at, _)| *at == 1),
-        "it was told that the first one drains"
+        "the first one drains"
     );
 }
 
-/// One of two calls that wait is answered, either one: it is the watch, and the other one is closed.
+/// One of two pending calls is answered, either one: it becomes the watch, and the other one is closed.
 #[rstest]
-fn the_call_that_is_answered_first_is_the_watch(#[values(true, false)] first: bool) {
+fn the_discovery_call_that_is_answered_first_becomes_the_watch(#[values(true, false)] first: bool) {
     let mut rig = Rig::start(1);
     let (one, _) = rig.accept_discovery_call_after_silence();
     let (two, _) = rig.accept_discovery_call();
@@ -256,12 +254,15 @@
     assert!(rig.discovery.accept().is_err(), "no further call");
 }
 
-/// Calls are refused or ended for long, or accepted and never answered; then discovery is back, and the next call is answered. It
-/// comes in time for what discovery had to tell from that moment on.
+/// Calls are rejected for long, or accepted and never answered; then discovery is back, and the next call is answered. It
+/// comes in time for changes made from that moment on.
 #[rstest]
 #[case::down(true)]
 #[case::hangs(false)]
-fn discovery_that_is_back_is_heard_in_time(#[case] ends: bool, #[values(2, 300)] nodes: u32) {
+fn changes_are_applied_in_time_once_discovery_is_back(
+    #[case] ends: bool,
+    #[values(2, 300)] nodes: u32,
+) {
     let mut rig = Rig::start_as_one_of(nodes, 1);
     rig.watch = None;
     let mut hung = Vec::new();
@@ -273,7 +274,7 @@
             hung.push(call);
         }
     }
-    // The last call that it spoilt has come: from here on it is well.
+    // The last call that fails has come: from here on discovery is back.
     let back = Instant::now();
     rig.accept_watch();
     rig.announce_health(0, "DRAINING", 2);
@@ -285,13 +286,13 @@
     );
 }
 
-/// A connection's place is needed for others in the turn in which its line is there, whole and unread.
+/// A connection's descriptor is needed for others in the turn in which its first line is there, complete and unread.
 #[test]
-fn a_connection_whose_line_has_come_is_not_ended_for_want_of_room() {
+fn a_connection_whose_first_line_has_arrived_is_not_closed_for_its_descriptor() {
     let rig = Rig::start_with_descriptors(1, 68);
     let mut oldest = rig.connect_client();
     let mut silent: Vec<_> = (0..23).map(|_| rig.connect_client()).collect();
-    // Calls are answered in order: by then all of them have been taken in.
+    // Clients are accepted in order: by then all of them have been.
     assert_eq!(rig.query("PING\r\n"), "PONG");
     rig.pause();
     silent.extend((0..16).map(|_| rig.connect_client()));
@@ -303,16 +304,16 @@
     assert_eq!(oldest.receive(), "UP r1");
 }
 
-/// What waits when the node has to end gets its final answer: one that its class allows after what has been sent for it.
+/// The answer is one that the request's class allows after what has been sent for it.
 #[rstest]
 #[case::repeatable("repeatable", "all", true, true, "BUSY ")]
-#[case::no_time_told("repeatable", "all", true, false, "BUSY")]
+#[case::no_retry_after("repeatable", "all", true, false, "BUSY")]
 #[case::once("once", "all", true, true, "ERR")]
 #[case::once_never_sent("once", "all", false, true, "BUSY ")]
 #[case::by_key_anywhere("by_key", "all", true, true, "BUSY ")]
 #[case::by_key_in_a_zone("by_key", "zone", true, true, "ERR")]
 #[case::by_key_never_sent("by_key", "zone", false, false, "BUSY")]
-fn a_node_that_ends_answers_what_waits_as_its_class_allows(
+fn at_shutdown_waiting_requests_are_answered_as_their_class_allows(
     #[case] repeat: &str,
     #[case] group: &str,
     #[case] sent: bool,
@@ -321,7 +322,7 @@
 ) {
     let mut rig = Rig::start(1);
     rig.change_settings(|settings| {
-        late_connections(settings);
+        allow_slow_connects(settings);
         settings["Categories"][0]["Repeat"] = repeat.into();
         settings["Categories"][0]["Group"] = group.into();
         settings["Limits"]["RetryAfter"] = advises.into();
@@ -342,22 +343,21 @@
     );
     assert_eq!(client.receive(), "", "one answer");
     if let Some(mut server) = server {
-        assert_eq!(server.receive(), "", "the try ends with it");
+        assert_eq!(server.receive(), "", "the attempt ends with it");
     }
     drop(client);
-    // One that comes now is told no more than that either.
     assert!(rig.wait_for_exit().success());
     drop(full_backlog);
 }
 
-/// Spoilt answers are failed tries, and nothing of them reaches the client as service.
+/// Nothing of a damaged answer reaches the client.
 #[rstest]
 #[case::no_receipt("UP\r\n")]
-#[case::spoilt_receipt("UP \u{1}\u{2}\r\n")]
+#[case::damaged_receipt("UP \u{1}\u{2}\r\n")]
 #[case::no_carriage_return("UP r1\n")]
 #[case::cut("UP r")]
 #[case::too_long("")]
-fn a_spoilt_answer_is_a_failed_try(#[case] says: &str) {
+fn a_damaged_answer_is_a_failed_attempt(#[case] says: &str) {
     let mut rig = Rig::start(2);
     let (mut client, _) = rig.send_request("d=20000,g=a");
     let (first, mut server) = rig.accept_attempt();
@@ -372,11 +372,11 @@
     assert_eq!(client.receive(), "UP r2");
 }
 
-/// An answer that never ends keeps nobody else waiting.
+/// Other clients are answered in time meanwhile.
 #[rstest]
 #[case::lines("LOAD 1\r\n")]
 #[case::no_line("x")]
-fn an_answer_that_never_ends_keeps_nobody_waiting(#[case] says: &str) {
+fn an_endless_answer_keeps_nobody_waiting(#[case] says: &str) {
     let mut rig = Rig::start(1);
     let (mut client, _) = rig.send_request("d=3000,g=a");
     let (_, mut server) = rig.accept_attempt();
@@ -384,7 +384,7 @@
     let block = says.repeat(4096);
     let endless =
         std::thread::spawn(move || while server.stream.write_all(block.as_bytes()).is_ok() {});
-    let began = Instant::now();
+    let started_at = Instant::now();
     while client.is_quiet() {
         let asked = Instant::now();
         assert_eq!(rig.query("PING\r\n"), "PONG");
@@ -396,22 +396,22 @@
     }
     assert!(client.receive().starts_with("BUSY"));
     assert!(
-        began.elapsed() < Duration::from_secs(4),
+        started_at.elapsed() < Duration::from_secs(4),
         "{:?}",
-        began.elapsed()
+        started_at.elapsed()
     );
     endless.join().unwrap();
 }
 
-/// A repeat by key whose connection comes up only after the time in which it is allowed: it is not sent, and the client gets the answer
-/// that is left.
+/// The retry connects only after the window in which it is allowed: it is not sent, and the client gets the answer that
+/// its class allows.
 #[rstest]
 #[case::anywhere("all", "BUSY")]
 #[case::in_a_zone("zone", "ERR")]
-fn a_repeat_by_key_is_not_sent_past_its_window(#[case] group: &str, #[case] answer: &str) {
+fn a_retry_by_key_is_not_sent_past_its_window(#[case] group: &str, #[case] answer: &str) {
     let mut rig = Rig::start(2);
     rig.change_settings(|settings| {
-        late_connections(settings);
+        allow_slow_connects(settings);
         settings["Limits"]["SendCap"] = 2.into();
         settings["Categories"][0]["Repeat"] = "by_key".into();
         settings["Categories"][0]["Group"] = group.into();
@@ -423,11 +423,11 @@
     let full_backlog = rig.fill_backlog(1 - first);
     reset_connection(server);
     rig.wait_for_log("outcome: Reset");
-    // The kernel tries it again a second after the first time.
+    // The kernel repeats the connect a second after the first one.
     assert_eq!(
         full_backlog.release().receive(),
         "",
-        "its time to be repeated is over"
+        "its retry window is over"
     );
     assert!(client.receive().starts_with(answer));
 }
