--- a/crates/node/src/cluster_agent/listener.rs
+++ b/crates/node/src/cluster_agent/listener.rs
@@ -183,10 +183,11 @@
     for failed in agent.maintain_connections() {
         close_connection(agent, context, &failed);
     }
-    let (peak, was_limited) = context.placement.take_slow_start_usage();
-    agent
-        .control
-        .record_usage(BudgetUsage { peak, was_limited });
+    let usage = context.placement.take_slow_start_usage();
+    agent.control.record_usage(BudgetUsage {
+        peak: usage.max_attempts_in_window,
+        was_limited: usage.was_exhausted,
+    });
     let alive = agent.alive_members();
     agent.control.on_tick(context.placement.now(), &alive);
     open_needed_connections(agent, context);
--- a/crates/node/tests/protocol.rs
+++ b/crates/node/tests/protocol.rs
@@ -277,7 +277,7 @@
     assert_eq!(client.receive(), "whole");
     let started_at = Instant::now();
     rig.signal("-TERM");
-    rig.wait_for_log("leaving");
+    rig.wait_for_log("shutdown started");
     let (mut late, _, mut late_server) = rig.establish();
     late.send("hello\r\n");
     assert_eq!(late_server.receive(), "hello");
@@ -455,7 +455,7 @@
 fn an_invalid_configuration_changes_nothing(#[case] text: &str) {
     let mut rig = Rig::start(1);
     rig.reload_config(text);
-    rig.wait_for_log("the old configuration stays");
+    rig.wait_for_log("configuration rejected");
     rig.move_discovery();
     rig.accept_watch();
     rig.establish();
