Cluster agent: tests of backoff, configuration and the budget command

Need: these parts stand alone now and were tested only through whole nodes. Change: tests of the pauses between connects, of what the operator's file and the environment give, and of changes of a budget with their texts. The agent's handshake is built in a function of its own.

--- a/crates/node/src/cluster_agent/agent.rs
+++ b/crates/node/src/cluster_agent/agent.rs
@@ -107,13 +107,7 @@
     ) -> Result<ClusterAgent, ControlError> {
         let cluster_tag = lupincrank_cluster::cluster_tag(&config.cluster_name);
         let identity = local_identity(&config, local);
-        let handshake = Handshake {
-            cluster_tag,
-            name: identity.name.clone(),
-            incarnation: identity.incarnation,
-            started_at_ms: identity.started_at_ms,
-            build: identity.build.clone(),
-        };
+        let handshake = handshake_of(&identity, cluster_tag);
         let control = ControlNode::new(
             now,
             member_of(&identity),
@@ -346,6 +340,17 @@
     }
 }
 
+/// What this node sends first on each connection.
+fn handshake_of(identity: &Identity, cluster_tag: u32) -> Handshake {
+    Handshake {
+        cluster_tag,
+        name: identity.name.clone(),
+        incarnation: identity.incarnation,
+        started_at_ms: identity.started_at_ms,
+        build: identity.build.clone(),
+    }
+}
+
 fn control_config(config: &ClusterConfig) -> ControlConfig {
     let budget = config.slow_start_budget;
     ControlConfig {
--- a/crates/node/src/cluster_agent/backoff.rs
+++ b/crates/node/src/cluster_agent/backoff.rs
@@ -34,3 +34,6 @@
         now >= self.retry_at
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/cluster_agent/commands.rs
+++ b/crates/node/src/cluster_agent/commands.rs
@@ -186,3 +186,6 @@
     with_agent(context, |_, _| ());
     Ok(answer?.to_string())
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/cluster_agent/config.rs
+++ b/crates/node/src/cluster_agent/config.rs
@@ -160,3 +160,6 @@
         reserved_capacity,
     })
 }
+
+#[cfg(test)]
+mod tests;
