Cluster: tests of connections, handshakes and duplicate connections

Need: a connection's bounds and which of two connections stays were tested only through whole nodes. Change: tests over loopback of sending before the connect ends, the end of a stream, what may wait, too many messages; and of handshakes, duplicates, backoff and closing in the agent's set of connections.

--- a/crates/cluster/src/connection.rs
+++ b/crates/cluster/src/connection.rs
@@ -284,3 +284,6 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/cluster_agent/backoff/tests.rs
+++ b/crates/node/src/cluster_agent/backoff/tests.rs
@@ -12,15 +12,16 @@
 #[rstest]
 #[case::first(1, 200)]
 #[case::doubled(2, 400)]
-#[case::below_the_maximum(5, 3200)]
-#[case::at_the_maximum(6, 4000)]
-#[case::after_many_failures(100, 4000)]
+#[case::below_the_maximum(5, 3_200)]
+#[case::at_the_maximum(6, 4_000)]
+#[case::after_many_failures(100, 4_000)]
 fn the_pause_doubles_up_to_a_maximum(#[case] failure_count: u32, #[case] pause_ms: u64) {
     let pause = Duration::from_millis(pause_ms);
+    let too_short = Duration::from_millis(pause_ms - 1);
     let before = Instant::now();
     let backoff = after_failures(failure_count);
     let after = Instant::now();
-    assert!(!backoff.may_retry(before + pause - Duration::from_millis(1)));
+    assert!(!backoff.may_retry(before + too_short));
     assert!(backoff.may_retry(after + pause));
 }
 
--- a/crates/node/src/cluster_agent/connections.rs
+++ b/crates/node/src/cluster_agent/connections.rs
@@ -247,3 +247,6 @@
         failed
     }
 }
+
+#[cfg(test)]
+mod tests;
