--- a/crates/fault-injection/src/run.rs
+++ b/crates/fault-injection/src/run.rs
@@ -70,18 +70,23 @@
     let failure = result.err().map(RunError::Io);
     let failure = failure.or_else(|| harness.take_failure());
     let result = match failure {
-        Some(reason) => Err(RunError::Failed {
-            scenario: name.to_string(),
-            seed,
-            reason: Box::new(reason),
-            logs: merged_log::tails(harness),
-        }),
+        Some(reason) => Err(failed(name, seed, reason, harness)),
         None => Ok(outcome),
     };
     let _ = fs::remove_dir_all(&folder);
     result
 }
 
+/// The error of a run that was given up.
+fn failed(name: &str, seed: u64, reason: RunError, harness: &Harness) -> RunError {
+    RunError::Failed {
+        scenario: name.to_string(),
+        seed,
+        reason: Box::new(reason),
+        logs: merged_log::tails(harness),
+    }
+}
+
 /// The folder of the run's files.
 fn temporary_folder(block: AddressBlock) -> PathBuf {
     let process = std::process::id();
--- a/crates/scale/tests/runs.rs
+++ b/crates/scale/tests/runs.rs
@@ -51,29 +51,17 @@
     );
 }
 
-/// Twenty nodes, twelve of them real: a hollow one sends what a real one does, and each part of the outcome is there.
-#[test]
-fn a_hollow_node_costs_the_messages_of_a_real_one() {
-    let out =
-        std::env::temp_dir().join(format!("lupincrank-scale-test-{}.json", std::process::id()));
-    let program = program();
-    let more = [
-        "run",
-        "--nodes",
-        "20",
-        "--real",
-        "12",
-        "--seconds",
-        "6",
-        "--settle",
-        "60",
-        "--json",
-    ];
+/// Runs a cluster with these arguments, and returns its outcome.
+fn run_cluster(arguments: &[&str]) -> Value {
+    let file_name = format!("lupincrank-scale-test-{}.json", std::process::id());
+    let path = std::env::temp_dir().join(file_name);
     let output = Command::new(env!("CARGO_BIN_EXE_lupincrank-scale"))
-        .args(more)
-        .arg(&out)
+        .arg("run")
+        .args(arguments)
+        .arg("--json")
+        .arg(&path)
         .arg("--program")
-        .arg(&program)
+        .arg(program())
         .output()
         .unwrap();
     let stderr = String::from_utf8_lossy(&output.stderr).into_owned();
@@ -83,8 +71,24 @@
         output.status,
         String::from_utf8_lossy(&output.stdout)
     );
-    let outcome: Value = serde_json::from_str(&std::fs::read_to_string(&out).unwrap()).unwrap();
-    std::fs::remove_file(&out).unwrap();
+    let outcome = serde_json::from_str(&std::fs::read_to_string(&path).unwrap()).unwrap();
+    std::fs::remove_file(&path).unwrap();
+    outcome
+}
+
+/// Twenty nodes, twelve of them real: a hollow one sends what a real one does, and each part of the outcome is there.
+#[test]
+fn a_hollow_node_costs_the_messages_of_a_real_one() {
+    let outcome = run_cluster(&[
+        "--nodes",
+        "20",
+        "--real",
+        "12",
+        "--seconds",
+        "6",
+        "--settle",
+        "60",
+    ]);
     assert_eq!(
         (outcome["nodes"].as_u64(), outcome["real"].as_u64()),
         (Some(20), Some(12))
@@ -115,9 +119,9 @@
     assert!(budget["total"].as_u64().unwrap() > 0);
 }
 
-/// The processes that one has begun.
-fn children(of: u32) -> Vec<u32> {
-    let all = std::fs::read_dir("/proc")
+/// The child processes of a process.
+fn children_of(process: u32) -> Vec<u32> {
+    let processes = std::fs::read_dir("/proc")
         .unwrap()
         .filter_map(|entry| entry.ok()?.file_name().to_str()?.parse::<u32>().ok());
     let parent = |pid: u32| -> Option<u32> {
@@ -129,7 +133,64 @@
             .parse()
             .ok()
     };
-    all.filter(|pid| parent(*pid) == Some(of)).collect()
+    processes
+        .filter(|pid| parent(*pid) == Some(process))
+        .collect()
+}
+
+/// The first argument of a process.
+fn first_argument(pid: u32) -> String {
+    let line = std::fs::read(format!("/proc/{pid}/cmdline")).unwrap_or_default();
+    let argument = line.split(|byte| *byte == 0).nth(1).unwrap_or_default();
+    String::from_utf8_lossy(argument).into_owned()
+}
+
+/// Whether a process runs, and is not only waited for.
+fn is_running(pid: u32) -> bool {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    stat.rsplit_once(')')
+        .is_some_and(|(_, rest)| !rest.trim_start().starts_with('Z'))
+}
+
+fn kill(pid: u32, signal: Signal) -> rustix::io::Result<()> {
+    kill_process(Pid::from_raw(pid as i32).unwrap(), signal)
+}
+
+/// The processes of a run.
+#[derive(Debug, Default)]
+struct RunProcesses {
+    real_nodes: Vec<u32>,
+    hosts: Vec<u32>,
+}
+
+impl RunProcesses {
+    /// Waits until a run has started two real nodes and one process of hollow ones.
+    fn await_started(run: u32) -> RunProcesses {
+        let deadline = Instant::now() + Duration::from_secs(30);
+        let mut processes = RunProcesses::default();
+        while (processes.real_nodes.len(), processes.hosts.len()) != (2, 1) {
+            assert!(
+                Instant::now() < deadline,
+                "two real nodes begin and one process of hollow ones: {processes:?}"
+            );
+            let children = children_of(run);
+            let with_argument = |argument: &str| {
+                let children = children.iter().copied();
+                children
+                    .filter(|pid| first_argument(*pid) == argument)
+                    .collect()
+            };
+            processes.real_nodes = with_argument("serve");
+            processes.hosts = with_argument("host");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        processes
+    }
+
+    fn are_running(&self) -> bool {
+        let mut processes = self.real_nodes.iter().chain(&self.hosts);
+        processes.any(|pid| is_running(*pid))
+    }
 }
 
 #[rstest]
@@ -140,62 +201,25 @@
     #[case] code: Option<i32>,
 ) {
     let mut run = Command::new(env!("CARGO_BIN_EXE_lupincrank-scale"))
-        .args([
-            "run",
-            "--nodes",
-            "8",
-            "--real",
-            "2",
-            "--seconds",
-            "60",
-            "--program",
-        ])
+        .args(["run", "--nodes", "8", "--real", "2", "--seconds", "60"])
+        .arg("--program")
         .arg(program())
         .stderr(Stdio::piped())
         .stdout(Stdio::null())
         .spawn()
         .unwrap();
-    let what = |pid: &u32| {
-        let line = std::fs::read(format!("/proc/{pid}/cmdline")).unwrap_or_default();
-        String::from_utf8_lossy(line.split(|byte| *byte == 0).nth(1).unwrap_or_default())
-            .into_owned()
-    };
-    let until = Instant::now() + Duration::from_secs(30);
-    let (mut real, mut hosts) = (Vec::new(), Vec::new());
-    while (real.len(), hosts.len()) != (2, 1) {
-        assert!(
-            Instant::now() < until,
-            "two real nodes begin and one process of hollow ones: {real:?}, {hosts:?}"
-        );
-        let begun = children(run.id());
-        real = begun
-            .iter()
-            .copied()
-            .filter(|pid| what(pid) == "serve")
-            .collect();
-        hosts = begun
-            .iter()
-            .copied()
-            .filter(|pid| what(pid) == "host")
-            .collect();
-        std::thread::sleep(Duration::from_millis(20));
-    }
-    kill_process(Pid::from_raw(run.id() as i32).unwrap(), signal).unwrap();
+    let mut processes = RunProcesses::await_started(run.id());
+    kill(run.id(), signal).unwrap();
     assert_eq!(run.wait().unwrap().code(), code);
-    let lives = |pid: &u32| {
-        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
-        stat.rsplit_once(')')
-            .is_some_and(|(_, rest)| !rest.trim_start().starts_with('Z'))
-    };
     if signal == Signal::KILL {
         // It can't end the real ones any more: they are ended here, by id, before anything else can fail.
-        for pid in real.drain(..) {
-            let _ = kill_process(Pid::from_raw(pid as i32).unwrap(), Signal::KILL);
+        for pid in processes.real_nodes.drain(..) {
+            let _ = kill(pid, Signal::KILL);
         }
     }
-    let until = Instant::now() + Duration::from_secs(30);
-    while real.iter().chain(&hosts).any(lives) {
-        assert!(Instant::now() < until, "{real:?} and {hosts:?} live on");
+    let deadline = Instant::now() + Duration::from_secs(30);
+    while processes.are_running() {
+        assert!(Instant::now() < deadline, "{processes:?} live on");
         std::thread::sleep(Duration::from_millis(20));
     }
 }
