--- a/crates/node/src/admin/handler.rs
+++ b/crates/node/src/admin/handler.rs
@@ -1,7 +1,7 @@
 //! Carries out admin calls.
 
 use super::call::{self, AdminCall, BudgetsCall, CallSyntaxError};
-use crate::cluster_agent;
+use crate::cluster_agent::{self, BudgetCommandError, FleetCommandError};
 use crate::handoff;
 use crate::handoff::admin_drain_file::{AdminDrainFileError, DrainChange};
 use crate::state::{NodeContext, NotServingError};
@@ -16,7 +16,7 @@
 
 /// Why an admin call is answered with an error.
 #[derive(Debug, Error)]
-pub enum AdminCallError {
+pub(crate) enum AdminCallError {
     /// The line is not a call.
     #[error(transparent)]
     Syntax(#[from] CallSyntaxError),
@@ -38,12 +38,12 @@
     /// The drain could not be stored.
     #[error(transparent)]
     AdminDrainFile(#[from] AdminDrainFileError),
-    /// The node is not part of a cluster.
-    #[error("this node was started without a fleet")]
-    NoCluster,
-    /// The cluster or its budgets can't answer.
-    #[error("{0}")]
-    Cluster(String),
+    /// The cluster can't answer.
+    #[error(transparent)]
+    Cluster(#[from] FleetCommandError),
+    /// The budgets can't be shown or changed.
+    #[error(transparent)]
+    Budgets(#[from] BudgetCommandError),
 }
 
 /// Carries out the call of a line and returns what is answered after `done`.
@@ -73,9 +73,9 @@
         AdminCall::Check => check(context),
         AdminCall::SetDown(server) => change_drain(context, server, DrainChange::Drain),
         AdminCall::SetUp(server) => change_drain(context, server, DrainChange::Release),
-        AdminCall::Cluster(query) => query_cluster(context, query),
+        AdminCall::Cluster(query) => Ok(cluster_agent::run_fleet_command(context, query)?),
         AdminCall::Budgets(BudgetsCall { query, change }) => {
-            cluster_agent::budgets(context, query, change).map_err(cluster_error)
+            Ok(cluster_agent::run_budget_command(context, query, change)?)
         }
     }
 }
@@ -106,14 +106,3 @@
     context.handoff.announce_drained_servers();
     Ok(String::new())
 }
-
-fn query_cluster(context: &mut NodeContext, query: &str) -> Result<String, AdminCallError> {
-    match cluster_agent::told(context, query) {
-        Some(answer) => answer.map_err(cluster_error),
-        None => Err(AdminCallError::NoCluster),
-    }
-}
-
-fn cluster_error(error: impl std::fmt::Display) -> AdminCallError {
-    AdminCallError::Cluster(error.to_string())
-}
