--- a/crates/node/tests/common/rig.rs
+++ b/crates/node/tests/common/rig.rs
@@ -239,7 +239,7 @@
     pub fn change_settings(&mut self, change: impl FnOnce(&mut Value)) {
         change(&mut self.config["settings"]);
         self.reload_config(&self.config.to_string());
-        self.wait_for_log("configuration read again");
+        self.wait_for_log("configuration reloaded");
     }
 
     /// What all processes of the node have logged so far.
--- a/crates/node/tests/protocol.rs
+++ b/crates/node/tests/protocol.rs
@@ -277,7 +277,7 @@
     assert_eq!(client.receive(), "whole");
     let began = Instant::now();
     rig.signal("-TERM");
-    rig.wait_for_log("leaving");
+    rig.wait_for_log("shutdown started");
     let (mut late, _, mut late_server) = rig.establish();
     late.send("hello\r\n");
     assert_eq!(late_server.receive(), "hello");
@@ -452,7 +452,7 @@
 fn a_configuration_that_does_not_hold_changes_nothing(#[case] text: &str) {
     let mut rig = Rig::start(1);
     rig.reload_config(text);
-    rig.wait_for_log("the old configuration stays");
+    rig.wait_for_log("configuration rejected");
     rig.move_discovery();
     rig.accept_watch();
     rig.establish();
--- a/crates/node/tests/races.rs
+++ b/crates/node/tests/races.rs
@@ -46,7 +46,7 @@
     rig.change_settings(late_connections);
     let full_backlog = rig.fill_backlog(0);
     let (client, _) = rig.send_request("d=20000,g=a");
-    rig.wait_for_log("request");
+    rig.wait_for_log("request received");
     rig.pause();
     let mut server = if leaves_first {
         leave(&rig, client, how);
@@ -71,7 +71,7 @@
         .map(|n| rig.send_request(&format!("d=20000,g={n}")).0)
         .collect();
     // Some wait for the transcriber, the others for their turn.
-    rig.wait_for_log_count("request, ", 150);
+    rig.wait_for_log_count("request received, ", 150);
     rig.pause();
     let mut came = vec![full_backlog.release()];
     came.extend((0..7).map(|_| rig.accept_attempt().1));
@@ -103,7 +103,7 @@
     rig.change_settings(late_connections);
     let full_backlog = rig.fill_backlog(0);
     let (mut client, _) = rig.send_request("d=20000,g=a");
-    rig.wait_for_log("request");
+    rig.wait_for_log("request received");
     if health.is_empty() {
         assert_eq!(rig.admin_call("set-down s-0\r\n"), "done");
     } else {
@@ -333,7 +333,7 @@
         server.receive();
         server
     });
-    rig.wait_for_log("request");
+    rig.wait_for_log("request received");
     rig.signal("-TERM");
     let said = client.receive();
     assert!(
--- a/crates/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -25,11 +25,11 @@
         rig.accept_watch();
         rig.wait_until_ready();
         // Each takes its part of the budgets while both take clients in.
-        rig.wait_for_log_count("budgets are shared, processes: 2", 2 + 2 * round);
+        rig.wait_for_log_count("node budgets divided, processes: 2", 2 + 2 * round);
         send_signal(rig.predecessor.as_ref().unwrap(), "-TERM");
         if round == 0 {
             // A try under way ends where it began, and its connection follows.
-            rig.wait_for_log("leaving");
+            rig.wait_for_log("shutdown started");
             slow.send("UP r2\r\n");
             assert_eq!(waiting.receive(), "UP r2");
         }
@@ -98,7 +98,7 @@
     if when < 3 {
         // Whichever process it was said to, the one that holds the connection moves it, and both leave it out.
         assert_eq!(client.receive(), "MOVE");
-        rig.wait_for_log_count("out by hand", 2);
+        rig.wait_for_log_count("admin drains changed", 2);
         held.extend((0..6).map(|_| rig.establish()));
         drop(client);
     }
@@ -220,7 +220,7 @@
     let second = rig.establish();
     assert_ne!(second.1, at);
     rig.hand_over_to_successor();
-    rig.wait_for_log("learnt, crowded: 0, barred: 1, transcribers: 2");
+    rig.wait_for_log("learned state imported, limited: 0, ejected: 1, servers: 2");
 }
 
 /// The file is damaged while the process that wrote it lives: it writes it anew.
@@ -236,7 +236,7 @@
     )
     .unwrap();
     rig.hand_over_to_successor();
-    rig.wait_for_log_count("out by hand, transcribers: s-0", 2);
+    rig.wait_for_log_count("admin drains changed, servers: s-0", 2);
     assert!((0..6)
         .map(|_| rig.establish())
         .collect::<Vec<_>>()
@@ -314,7 +314,7 @@
     rig.start_successor();
     rig.accept_watch();
     rig.wait_until_ready();
-    rig.wait_for_log_count("budgets are shared, processes: 2", 2);
+    rig.wait_for_log_count("node budgets divided, processes: 2", 2);
     rig.pause();
     send_signal(rig.oldest_process(), "-TERM");
     rig.wait_for_log_count("relay transfer started", held.len());
