--- a/crates/node/src/config/document.rs
+++ b/crates/node/src/config/document.rs
@@ -82,6 +82,16 @@
         })
     }
 
+    fn optional_address(
+        self,
+        variable: &impl Fn(&str) -> Option<String>,
+        in_file: Option<String>,
+    ) -> Result<Option<SocketAddr>, ConfigError> {
+        self.value(variable, in_file)
+            .map(|value| self.address(&value))
+            .transpose()
+    }
+
     fn required_address(
         self,
         variable: &impl Fn(&str) -> Option<String>,
@@ -126,16 +136,14 @@
         variable: impl Fn(&str) -> Option<String>,
     ) -> Result<Config, ConfigError> {
         let file: ConfigDocument = serde_json::from_str(text)?;
-        let admin_address = MANAGEMENT
-            .value(&variable, file.management)
-            .map(|value| MANAGEMENT.address(&value))
-            .transpose()?;
+        let admin_address = MANAGEMENT.optional_address(&variable, file.management)?;
         let inherited_descriptor = variable(INHERITED_DESCRIPTOR)
             .map(|value| parse_descriptor(&value))
             .transpose()?;
         let deployment = file.settings;
         let settings = placement_settings(&deployment)?;
         let class_names = deployment.class_names();
+        let connect_timeout = deployment.connect_timeout();
         let config = Config {
             name: NAME.required(&variable, file.name)?,
             listen_address: LISTEN.required_address(&variable, file.listen)?,
@@ -148,9 +156,7 @@
             limits: ResourceLimits::from(file.limits.unwrap_or_default()),
             cluster: None,
             known_endpoints: file.known,
-            connect_timeout: deployment
-                .connect_timeout()
-                .unwrap_or(DEFAULT_CONNECT_TIMEOUT),
+            connect_timeout: connect_timeout.unwrap_or(DEFAULT_CONNECT_TIMEOUT),
             classes: class_names.into_iter().map(str::to_string).collect(),
             zones: deployment.zones().to_vec(),
             machine_kinds: deployment.machine_kinds().to_vec(),
