--- a/crates/simulator/src/judge.rs
+++ b/crates/simulator/src/checker.rs
@@ -1,6 +1,6 @@
 //! The four rules, checked on every event with the true state, and the last events of whoever breaks one.
 
-use crate::queue::{as_seconds, Moment};
+use crate::event_queue::{as_seconds, Moment};
 use serde::Serialize;
 use std::collections::VecDeque;
 
--- a/crates/simulator/src/cli/commands.rs
+++ b/crates/simulator/src/cli/commands.rs
@@ -3,8 +3,8 @@
 use super::error::CommandError;
 use super::options::Command;
 use super::results::{is_standard_output, progress_bar, read_scenario, write_json};
-use lupincrank_simulator::experiments::{compare, cost, hunt, sweep};
-use lupincrank_simulator::measure::Outcome;
+use lupincrank_simulator::experiments::{compare, cost, search, sweep};
+use lupincrank_simulator::metrics::Outcome;
 use lupincrank_simulator::policy::Name;
 use lupincrank_simulator::{paper, plot, world};
 use std::path::{Path, PathBuf};
@@ -151,14 +151,14 @@
 ) -> Result<(), CommandError> {
     let scenario = read_scenario(file)?;
     let bar = progress_bar(days);
-    let worst = hunt::search(&scenario, seed, days, &SEARCH_BASELINES, || bar.inc(1));
+    let worst = search::search(&scenario, seed, days, &SEARCH_BASELINES, || bar.inc(1));
     bar.finish_and_clear();
     let worst = worst.ok_or(CommandError::NoDaySearched)?;
     println!(
         "worst of {days} days: {}, behind by {:.3}",
         worst.scenario.name, worst.gap
     );
-    let small = hunt::shrink(worst, &SEARCH_BASELINES);
+    let small = search::shrink(worst, &SEARCH_BASELINES);
     print_shrunk_day(&small)?;
     let text = toml::to_string(&small.scenario)?;
     let Some(out) = out else {
@@ -168,7 +168,7 @@
     std::fs::write(out, text).map_err(CommandError::writing(out))
 }
 
-fn print_shrunk_day(day: &hunt::Day) -> Result<(), CommandError> {
+fn print_shrunk_day(day: &search::Day) -> Result<(), CommandError> {
     let scenario = &day.scenario;
     let found = scenario.found.as_ref().ok_or(CommandError::NoFigures)?;
     println!(
@@ -195,7 +195,7 @@
             path: file.to_path_buf(),
             source,
         })?;
-    let replayed = hunt::judge(scenario, found.seed, &[baseline]);
+    let replayed = search::judge(scenario, found.seed, &[baseline]);
     let played = replayed.scenario.found.ok_or_else(not_saved)?;
     println!(
         "module: {:.4} now, {:.4} when it was found",
--- a/crates/simulator/src/experiments/mod.rs
+++ b/crates/simulator/src/experiments/mod.rs
@@ -2,10 +2,10 @@
 
 pub mod compare;
 pub mod cost;
-pub mod hunt;
+pub mod search;
 pub mod sweep;
 
-use crate::measure::Outcome;
+use crate::metrics::Outcome;
 use serde::{Deserialize, Serialize};
 use statrs::distribution::{ContinuousCDF, StudentsT};
 
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -5,14 +5,14 @@
 
 #![forbid(unsafe_code)]
 
+pub mod checker;
+pub mod event_queue;
 pub mod experiments;
-pub mod judge;
-pub mod measure;
+pub mod metrics;
 pub mod paper;
 pub mod plot;
 pub mod policy;
 pub mod population;
-pub mod queue;
 pub mod scenario;
-pub mod transcriber;
+pub mod server_model;
 pub mod world;
--- a/crates/simulator/src/measure.rs
+++ b/crates/simulator/src/metrics.rs
@@ -1,7 +1,7 @@
 //! What a run brought: service by class and by second, percentiles, imbalance, moves, waste.
 
-use crate::judge::Broken;
-use crate::queue::{as_seconds, Moment};
+use crate::checker::Broken;
+use crate::event_queue::{as_seconds, Moment};
 use crate::scenario::{Goal, Scenario};
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
--- a/crates/simulator/src/plot.rs
+++ b/crates/simulator/src/plot.rs
@@ -2,7 +2,7 @@
 
 use crate::experiments::cost::Cost;
 use crate::experiments::sweep::Row as SweepRow;
-use crate::measure::Sample;
+use crate::metrics::Sample;
 use crate::paper::{Method, Row as PaperRow};
 use plotters::prelude::*;
 use serde::Deserialize;
--- a/crates/simulator/src/policy.rs
+++ b/crates/simulator/src/policy.rs
@@ -1,7 +1,7 @@
 //! What decides in a node: the project's own module, or one of the plain policies it is compared with.
 
-use crate::queue::Moment;
-use crate::transcriber::{State, Transcriber};
+use crate::event_queue::Moment;
+use crate::server_model::{State, Transcriber};
 use lupincrank_placement::{
     key_hash, rank_score, server_hash, Action, Balancer, Endpoint, Event, Health, Outcome,
     RequestId, RequestInfo, ServerId, Settings, Timer, Timestamp,
--- a/crates/simulator/src/population.rs
+++ b/crates/simulator/src/population.rs
@@ -1,7 +1,7 @@
 //! Who the clients are: classes, lives, loads and groups, each drawn from the client's own stream of random numbers,
 //! so that every policy meets the same ones.
 
-use crate::queue::{seconds, Moment};
+use crate::event_queue::{seconds, Moment};
 use crate::scenario::{Class, Scenario};
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp1, Gamma, LogNormal, StandardNormal, Zipf};
--- a/crates/simulator/src/transcriber.rs
+++ b/crates/simulator/src/server_model.rs
@@ -3,7 +3,7 @@
 //! Standing connections are a flow of work: `load` cores of speed 1 are asked for, and what is asked beyond the
 //! capacity piles up. Set-ups are single jobs with slots and a waiting room. The model is the project's own.
 
-use crate::queue::{as_seconds, Life, Moment};
+use crate::event_queue::{as_seconds, Life, Moment};
 use crate::scenario::{Kind, Scenario};
 use lupincrank_placement::ServerId;
 use std::collections::{BTreeMap, VecDeque};
--- a/crates/simulator/src/world/clients.rs
+++ b/crates/simulator/src/world/clients.rs
@@ -1,8 +1,8 @@
 //! Clients: they arrive, ask through the front, hear an answer, come again, and leave.
 
 use super::{Client, Phase, World, NOWHERE};
+use crate::event_queue::{millis, seconds, Happening, Life, Moment};
 use crate::population::{jittered, swing};
-use crate::queue::{millis, seconds, Happening, Life, Moment};
 use lupincrank_placement::Outcome;
 use rand::Rng;
 use rand_distr::Exp1;
@@ -13,7 +13,7 @@
 impl World<'_> {
     /// How many times the usual rate clients arrive now, by the scenario's shape and by surges.
     fn pace(&self) -> f64 {
-        let at = crate::queue::as_seconds(self.now);
+        let at = crate::event_queue::as_seconds(self.now);
         let shape = &self.scenario.clients.shape;
         let after = shape.partition_point(|[second, _]| *second <= at);
         let shaped = match (
--- a/crates/simulator/src/world/directory.rs
+++ b/crates/simulator/src/world/discovery.rs
@@ -1,7 +1,7 @@
 //! Discovery: one service that handles calls one after another, late, and sometimes not at all.
 
 use super::World;
-use crate::queue::{millis, seconds, Change, Happening, Life, SECOND};
+use crate::event_queue::{millis, seconds, Change, Happening, Life, SECOND};
 use lupincrank_placement::{Event, Health};
 use rand::Rng;
 
--- a/crates/simulator/src/world/troubles.rs
+++ b/crates/simulator/src/world/faults.rs
@@ -1,10 +1,10 @@
 //! What goes wrong, and when it is over. Troubles may overlap; each strikes machines drawn from the seed.
 
 use super::{Phase, World};
+use crate::event_queue::{as_seconds, seconds, Change, Happening, Moment};
 use crate::population::stream;
-use crate::queue::{as_seconds, seconds, Change, Happening, Moment};
 use crate::scenario::{Trouble, TroubleKind};
-use crate::transcriber::State;
+use crate::server_model::State;
 use lupincrank_placement::Outcome;
 use rand::seq::SliceRandom;
 use rand::Rng;
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -4,18 +4,18 @@
 //! (transcribers), `directory` (discovery) and `troubles`.
 
 mod clients;
-mod directory;
+mod discovery;
+mod faults;
 mod nodes;
 mod servers;
-mod troubles;
 
-use crate::judge::{Judge, Line};
-use crate::measure::{Ending, Measure, Outcome};
+use crate::checker::{Judge, Line};
+use crate::event_queue::{seconds, Happening, Life, Moment, Queue, SECOND};
+use crate::metrics::{Ending, Measure, Outcome};
 use crate::policy::{Name, Policy};
 use crate::population::{jittered, stream, Population};
-use crate::queue::{seconds, Happening, Life, Moment, Queue, SECOND};
 use crate::scenario::Scenario;
-use crate::transcriber::Transcriber;
+use crate::server_model::Transcriber;
 use lupincrank_placement::{Action, Class, Endpoint, RetrySafety, ServerId, Settings};
 use rand_pcg::Pcg32;
 use std::collections::{HashMap, VecDeque};
@@ -101,7 +101,7 @@
     busy_until: Moment,
     down: bool,
     stale: bool,
-    held_back: Vec<(u32, Life, crate::queue::Change)>,
+    held_back: Vec<(u32, Life, crate::event_queue::Change)>,
 }
 
 /// A scenario being played.
@@ -347,7 +347,7 @@
     }
 
     fn second(&mut self) {
-        use crate::transcriber::State;
+        use crate::server_model::State;
         let now = self.now;
         let seen = |server: &Transcriber| (server.state == State::Up).then(|| server.used(now));
         let used: Vec<Option<f64>> = self.fleet.iter().map(seen).collect();
--- a/crates/simulator/src/world/nodes.rs
+++ b/crates/simulator/src/world/nodes.rs
@@ -1,12 +1,12 @@
 //! Nodes: they hand events to the decisions, carry actions out, and tell what they observe.
 
 use super::{Node, Phase, World, EPOCH, NOWHERE};
-use crate::judge::{Of, Rule};
+use crate::checker::{Of, Rule};
+use crate::event_queue::{millis, seconds, Happening, Life, Moment, SECOND};
 use crate::policy::Truth;
 use crate::population::{jittered, stream, swing};
-use crate::queue::{millis, seconds, Happening, Life, Moment, SECOND};
 use crate::scenario::Delays;
-use crate::transcriber::State;
+use crate::server_model::State;
 use lupincrank_placement::{Action, Event, Outcome, RequestId, RequestInfo, Timer, Timestamp};
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -307,7 +307,7 @@
             .copied()
             .flatten();
         if told.is_some_and(|since| now - since > grace) {
-            let since = crate::queue::as_seconds(now - told.unwrap_or(now));
+            let since = crate::event_queue::as_seconds(now - told.unwrap_or(now));
             let what = format!(
                 "sent to transcriber {server}, {since:.3} s after the node was told that it leaves"
             );
@@ -575,7 +575,7 @@
             let server = &self.fleet[at];
             let (wait, own) = server.delay(self.now);
             let silent = server.state == State::Silent;
-            let gone = crate::queue::as_seconds(self.now.saturating_sub(server.silent_since));
+            let gone = crate::event_queue::as_seconds(self.now.saturating_sub(server.silent_since));
             let delay = if silent { gone } else { wait + own };
             let late = delay > least / 3.0;
             let was = std::mem::replace(&mut self.fleet[at].late, late);
--- a/crates/simulator/src/world/servers.rs
+++ b/crates/simulator/src/world/servers.rs
@@ -1,10 +1,10 @@
 //! Transcribers in the world: set-ups, standing connections, crowding, pauses, drains and ends.
 
 use super::{Phase, World, EPOCH, NOWHERE};
-use crate::judge::{Of, Rule};
+use crate::checker::{Of, Rule};
+use crate::event_queue::{as_seconds, millis, seconds, Change, Happening, Life, Moment};
 use crate::population::{stream, work};
-use crate::queue::{as_seconds, millis, seconds, Change, Happening, Life, Moment};
-use crate::transcriber::{State, Transcriber, Waiting};
+use crate::server_model::{State, Transcriber, Waiting};
 use lupincrank_placement::{
     key_hash, rank_score, server_hash, Endpoint, Health, Outcome, ServerId, Timestamp,
 };
--- a/crates/simulator/tests/judges.rs
+++ b/crates/simulator/tests/checker.rs
@@ -3,8 +3,8 @@
 use lupincrank_placement::{
     Action, Balancer, Event, Health, RequestId, ServerId, Settings, Timestamp,
 };
-use lupincrank_simulator::judge::Rule;
-use lupincrank_simulator::measure::Outcome;
+use lupincrank_simulator::checker::Rule;
+use lupincrank_simulator::metrics::Outcome;
 use lupincrank_simulator::policy::{Policy, Truth};
 use lupincrank_simulator::scenario::{parse, Scenario};
 use lupincrank_simulator::world::play_with;
--- a/crates/simulator/tests/experiments.rs
+++ b/crates/simulator/tests/experiments.rs
@@ -1,6 +1,6 @@
 //! Runs repeat to the byte, nothing grows without bound, and what is wrong in a file is told with its place.
 
-use lupincrank_simulator::experiments::{compare, hunt, sweep, Estimate};
+use lupincrank_simulator::experiments::{compare, search, sweep, Estimate};
 use lupincrank_simulator::policy::Name;
 use lupincrank_simulator::scenario::{load, parse, Scenario};
 use lupincrank_simulator::world::play;
@@ -178,9 +178,9 @@
 #[test]
 fn a_hunted_day_is_saved_small_and_plays_again_alike() {
     let others = [Name::TwoChoices];
-    let worst = hunt::search(&small(), 5, 8, &others, || ()).expect("a day");
+    let worst = search::search(&small(), 5, 8, &others, || ()).expect("a day");
     let (before, gap) = (worst.scenario.trouble.len(), worst.gap);
-    let small = hunt::shrink(worst, &others);
+    let small = search::shrink(worst, &others);
     assert!(
         small.scenario.trouble.len() <= before && small.gap >= gap * 0.8,
         "{small:?}"
@@ -188,7 +188,7 @@
     let text = toml::to_string(&small.scenario).expect("it can be written");
     let again = parse("saved", &text).expect("it can be read");
     let found = again.found.clone().expect("what was found");
-    let replayed = hunt::judge(again, found.seed, &others);
+    let replayed = search::judge(again, found.seed, &others);
     assert!(small.gap.is_finite(), "{small:?}");
     assert_eq!(replayed.gap.to_bits(), small.gap.to_bits());
 }
