--- a/crates/simulator/src/checker.rs
+++ b/crates/simulator/src/checker.rs
@@ -5,10 +5,10 @@
 use std::collections::VecDeque;
 
 /// Events that are kept for traces, and shown in one.
-const KEPT: usize = 4096;
-const SHOWN: usize = 12;
-/// Broken rules that are told in full; the rest are counted.
-const TOLD: usize = 20;
+const MAX_TRACE_ENTRIES: usize = 4096;
+const SHOWN_TRACE_ENTRIES: usize = 12;
+/// Violation rules that are told in full; the rest are counted.
+const MAX_DETAILED_VIOLATIONS: usize = 20;
 
 /// The rules.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
@@ -26,7 +26,7 @@
 
 /// A rule that was broken.
 #[derive(Clone, Debug, PartialEq, Serialize)]
-pub struct Broken {
+pub struct Violation {
     /// Which.
     pub rule: Rule,
     /// When, in seconds.
@@ -37,9 +37,9 @@
     pub trace: Vec<String>,
 }
 
-/// One line of the record.
+/// One entry of the record.
 #[derive(Clone, Copy)]
-pub struct Line {
+pub struct TraceEntry {
     /// When.
     pub at: Moment,
     /// What.
@@ -54,7 +54,7 @@
 
 /// Whose last events a trace shows.
 #[derive(Clone, Copy)]
-pub enum Of {
+pub enum TraceSubject {
     /// A request's.
     Request(u64),
     /// A transcriber's.
@@ -63,43 +63,43 @@
 
 /// Keeps the record and the findings.
 #[derive(Default)]
-pub struct Judge {
-    record: VecDeque<Line>,
+pub struct RuleChecker {
+    entries: VecDeque<TraceEntry>,
     /// What was found, the first ones in full.
-    pub broken: Vec<Broken>,
+    pub violations: Vec<Violation>,
     /// How often in all.
-    pub times: u64,
+    pub violation_count: u64,
 }
 
-impl Judge {
-    /// Writes a line into the record; the oldest goes.
-    pub fn note(&mut self, line: Line) {
-        if self.record.len() == KEPT {
-            self.record.pop_front();
+impl RuleChecker {
+    /// Writes a entry into the record; the oldest goes.
+    pub fn record(&mut self, entry: TraceEntry) {
+        if self.entries.len() == MAX_TRACE_ENTRIES {
+            self.entries.pop_front();
         }
-        self.record.push_back(line);
+        self.entries.push_back(entry);
     }
 
     /// A rule was broken.
-    pub fn breaks(&mut self, rule: Rule, at: Moment, of: Of, what: String) {
-        self.times += 1;
-        if self.broken.len() >= TOLD {
+    pub fn report(&mut self, rule: Rule, at: Moment, subject: TraceSubject, what: String) {
+        self.violation_count += 1;
+        if self.violations.len() >= MAX_DETAILED_VIOLATIONS {
             return;
         }
-        let about = |line: &&Line| match of {
-            Of::Request(request) => line.request == request,
-            Of::Server(server) => line.server == Some(server),
+        let about = |entry: &&TraceEntry| match subject {
+            TraceSubject::Request(request) => entry.request == request,
+            TraceSubject::Server(server) => entry.server == Some(server),
         };
         let mut trace: Vec<String> = self
-            .record
+            .entries
             .iter()
             .rev()
             .filter(about)
-            .take(SHOWN)
+            .take(SHOWN_TRACE_ENTRIES)
             .map(show)
             .collect();
         trace.reverse();
-        self.broken.push(Broken {
+        self.violations.push(Violation {
             rule,
             at_s: as_seconds(at),
             what,
@@ -108,15 +108,15 @@
     }
 }
 
-fn show(line: &Line) -> String {
-    let server = line
+fn show(entry: &TraceEntry) -> String {
+    let server = entry
         .server
         .map_or(String::new(), |server| format!(" transcriber {server}"));
     format!(
         "{:.6} node {} request {:x}{server}: {}",
-        as_seconds(line.at),
-        line.node,
-        line.request,
-        line.what
+        as_seconds(entry.at),
+        entry.node,
+        entry.request,
+        entry.what
     )
 }
--- a/crates/simulator/src/cli/commands.rs
+++ b/crates/simulator/src/cli/commands.rs
@@ -5,16 +5,20 @@
 use super::results::{is_standard_output, progress_bar, read_scenario, write_json};
 use lupincrank_simulator::experiments::{compare, cost, search, sweep};
 use lupincrank_simulator::metrics::Outcome;
-use lupincrank_simulator::policy::Name;
+use lupincrank_simulator::policy::PolicyName;
 use lupincrank_simulator::{paper, plot, world};
 use std::path::{Path, PathBuf};
 use std::time::Instant;
 
 /// Policies that a search compares the module with.
-const SEARCH_BASELINES: [Name; 3] = [Name::Plain, Name::TwoChoices, Name::LeastLoaded];
+const SEARCH_BASELINES: [PolicyName; 3] = [
+    PolicyName::Plain,
+    PolicyName::TwoChoices,
+    PolicyName::LeastLoaded,
+];
 /// Fleet sizes whose costs are measured.
 const COST_SIZES: [u32; 8] = [10, 30, 60, 100, 300, 1_000, 3_000, 10_000];
-/// Broken rules that a run prints with their traces.
+/// Violation rules that a run prints with their traces.
 const PRINTED_VIOLATIONS: usize = 3;
 /// Rows of the paper's comparison for each size: two forms of keys by two methods.
 const PAPER_ROWS_PER_SIZE: usize = 4;
@@ -72,7 +76,12 @@
     Ok(())
 }
 
-fn run(seed: u64, policy: Name, json: Option<&Path>, file: &Path) -> Result<(), CommandError> {
+fn run(
+    seed: u64,
+    policy: PolicyName,
+    json: Option<&Path>,
+    file: &Path,
+) -> Result<(), CommandError> {
     let scenario = read_scenario(file)?;
     let begun = Instant::now();
     let outcome = world::play(&scenario, seed, policy);
@@ -109,7 +118,7 @@
 
 fn compare_policies(
     seeds: u64,
-    policies: &[Name],
+    policies: &[PolicyName],
     json: Option<&Path>,
     file: &Path,
 ) -> Result<(), CommandError> {
@@ -126,7 +135,7 @@
 fn sweep_grid(
     axes: &[sweep::Axis],
     seeds: u64,
-    policies: &[Name],
+    policies: &[PolicyName],
     json: Option<&Path>,
     file: &Path,
 ) -> Result<(), CommandError> {
@@ -151,7 +160,7 @@
 ) -> Result<(), CommandError> {
     let scenario = read_scenario(file)?;
     let bar = progress_bar(days);
-    let worst = search::search(&scenario, seed, days, &SEARCH_BASELINES, || bar.inc(1));
+    let worst = search::find_worst(&scenario, seed, days, &SEARCH_BASELINES, || bar.inc(1));
     bar.finish_and_clear();
     let worst = worst.ok_or(CommandError::NoDaySearched)?;
     println!(
@@ -168,7 +177,7 @@
     std::fs::write(out, text).map_err(CommandError::writing(out))
 }
 
-fn print_shrunk_day(day: &search::Day) -> Result<(), CommandError> {
+fn print_shrunk_day(day: &search::Candidate) -> Result<(), CommandError> {
     let scenario = &day.scenario;
     let found = scenario.found.as_ref().ok_or(CommandError::NoFigures)?;
     println!(
@@ -176,7 +185,7 @@
         scenario.fleet.transcribers,
         scenario.nodes.count,
         scenario.length_s,
-        scenario.trouble.len(),
+        scenario.faults.len(),
         found.service,
         found.against,
         found.against_service
@@ -188,14 +197,15 @@
     let not_saved = || CommandError::NotSavedByHunt(file.to_path_buf());
     let scenario = read_scenario(file)?;
     let found = scenario.found.clone().ok_or_else(not_saved)?;
-    let baseline: Name = found
-        .against
-        .parse()
-        .map_err(|source| CommandError::UnknownPolicy {
-            path: file.to_path_buf(),
-            source,
-        })?;
-    let replayed = search::judge(scenario, found.seed, &[baseline]);
+    let baseline: PolicyName =
+        found
+            .against
+            .parse()
+            .map_err(|source| CommandError::UnknownPolicy {
+                path: file.to_path_buf(),
+                source,
+            })?;
+    let replayed = search::evaluate(scenario, found.seed, &[baseline]);
     let played = replayed.scenario.found.ok_or_else(not_saved)?;
     println!(
         "module: {:.4} now, {:.4} when it was found",
--- a/crates/simulator/src/cli/error.rs
+++ b/crates/simulator/src/cli/error.rs
@@ -2,7 +2,7 @@
 
 use lupincrank_simulator::plot::PlotError;
 use lupincrank_simulator::policy::UnknownPolicy;
-use lupincrank_simulator::scenario::Wrong;
+use lupincrank_simulator::scenario::ScenarioError;
 use std::path::{Path, PathBuf};
 use thiserror::Error;
 
@@ -11,7 +11,7 @@
 pub(crate) enum CommandError {
     /// A scenario cannot be read or does not hold; one line for each finding.
     #[error("{}", lines(.0))]
-    InvalidScenario(Vec<Wrong>),
+    InvalidScenario(Vec<ScenarioError>),
     /// A file cannot be read.
     #[error("{}: cannot read: {source}", path.display())]
     Read {
@@ -71,7 +71,7 @@
     }
 }
 
-fn lines(findings: &[Wrong]) -> String {
-    let lines: Vec<String> = findings.iter().map(Wrong::to_string).collect();
+fn lines(findings: &[ScenarioError]) -> String {
+    let lines: Vec<String> = findings.iter().map(ScenarioError::to_string).collect();
     lines.join("\n")
 }
--- a/crates/simulator/src/cli/options.rs
+++ b/crates/simulator/src/cli/options.rs
@@ -2,7 +2,7 @@
 
 use bpaf::{construct, long, positional, OptionParser, Parser};
 use lupincrank_simulator::experiments::sweep;
-use lupincrank_simulator::policy::Name;
+use lupincrank_simulator::policy::PolicyName;
 use std::path::PathBuf;
 
 /// The commands and their arguments.
@@ -13,20 +13,20 @@
     },
     Run {
         seed: u64,
-        policy: Name,
+        policy: PolicyName,
         json: Option<PathBuf>,
         file: PathBuf,
     },
     Compare {
         seeds: u64,
-        policies: Vec<Name>,
+        policies: Vec<PolicyName>,
         json: Option<PathBuf>,
         file: PathBuf,
     },
     Sweep {
         axes: Vec<sweep::Axis>,
         seeds: u64,
-        policies: Vec<Name>,
+        policies: Vec<PolicyName>,
         json: Option<PathBuf>,
         file: PathBuf,
     },
@@ -85,7 +85,9 @@
 fn run_command() -> impl Parser<Command> {
     let (seed, json, file) = (seed(), json(), scenario_file());
     let policy = long("policy").help("module, random, plain, two-choices or least-loaded");
-    let policy = policy.argument::<Name>("NAME").fallback(Name::Module);
+    let policy = policy
+        .argument::<PolicyName>("NAME")
+        .fallback(PolicyName::Module);
     construct!(Command::Run {
         seed,
         policy,
@@ -99,7 +101,7 @@
 
 fn compare_command() -> impl Parser<Command> {
     let (seeds, json, file) = (seeds(), json(), scenario_file());
-    let policies = policies(&Name::ALL);
+    let policies = policies(&PolicyName::ALL);
     let descr =
         "Policies side by side on the same arrivals; the first is the one that others are held against";
     construct!(Command::Compare {
@@ -119,7 +121,7 @@
         .argument::<sweep::Axis>("KEY=VALUES")
         .some("name what to sweep with --set");
     let (seeds, json, file) = (seeds(), json(), scenario_file());
-    let policies = policies(&[Name::Module]);
+    let policies = policies(&[PolicyName::Module]);
     let descr = "A grid over any values of a scenario";
     construct!(Command::Sweep {
         axes,
@@ -239,10 +241,10 @@
         .optional()
 }
 
-fn policies(none: &'static [Name]) -> impl Parser<Vec<Name>> {
+fn policies(none: &'static [PolicyName]) -> impl Parser<Vec<PolicyName>> {
     let policy = long("policy")
         .help("A policy; may be given again")
-        .argument::<Name>("NAME");
+        .argument::<PolicyName>("NAME");
     policy.many().map(|named| {
         if named.is_empty() {
             none.to_vec()
--- a/crates/simulator/src/event_queue.rs
+++ b/crates/simulator/src/event_queue.rs
@@ -1,4 +1,4 @@
-//! The queue of what is to happen, in simulated time.
+//! The queue of scheduled events, in simulated time.
 
 use lupincrank_placement::{Outcome, Timer};
 use std::cmp::Reverse;
@@ -25,66 +25,66 @@
     at as f64 / SECOND as f64
 }
 
-/// Which life of a thing is meant: what was scheduled for an earlier one is void.
-pub type Life = u32;
+/// Counts the starts of a process or client: what was scheduled for an earlier incarnation is void.
+pub type Incarnation = u32;
 
-/// What can happen.
+/// An event of the simulation.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Happening {
+pub enum SimulationEvent {
     /// A new client arrives.
-    Arrival,
+    ClientArrival,
     /// A client opens a connection.
-    Asks(u32, Life),
+    ClientConnects(u32, Incarnation),
     /// A client no longer wants its connection.
-    Leaves(u32, Life),
+    ClientLeaves(u32, Incarnation),
     /// A standing connection's load changes.
-    Swings(u32, Life),
+    LoadChanges(u32, Incarnation),
     /// A client hears that its try ended; whether it was a refusal, and the wait it was told in ms.
-    Answered(u32, u64, bool, u32),
+    ClientAnswered(u32, u64, bool, u32),
     /// A node takes a request.
-    Taken(u64),
+    RequestReceived(u64),
     /// An attempt's time is up.
-    Patience(u64, u32),
+    AttemptTimeout(u64, u32),
     /// The time for the final answer is up.
-    Overdue(u64),
+    AnswerOverdue(u64),
     /// An attempt's first line arrives at a transcriber.
-    Arrives(u64, u32, u32, Life),
+    AttemptArrives(u64, u32, u32, Incarnation),
     /// A set-up is done.
-    SetUp(u64, u32, u32, Life),
+    SetupDone(u64, u32, u32, Incarnation),
     /// A node hears how an attempt ended.
-    Ended(u64, u32, Outcome),
+    AttemptEnded(u64, u32, Outcome),
     /// A node hears that the connection stands.
-    Stands(u64, u32),
+    ConnectionEstablished(u64, u32),
     /// A node's timer.
-    Timer(u32, Life, Timer),
+    NodeTimer(u32, Incarnation, Timer),
     /// Half a second has passed for every transcriber.
-    Pulse,
+    ServerUpkeep,
     /// A second has passed.
-    Second,
+    MetricsSample,
     /// A transcriber pauses.
-    Pause(u32, Life),
+    ServerPause(u32, Incarnation),
     /// Discovery learns of a change.
-    Known(u32, Life, Change),
+    DiscoveryLearns(u32, Incarnation, Change),
     /// A node is told what changed.
-    Told(u32, Life),
+    NodeNotified(u32, Incarnation),
     /// A call to discovery ends.
-    Called(u32, Life, bool),
-    /// A trouble begins, or goes on with a further step.
-    Trouble(u32, u32),
-    /// A trouble ends.
-    Over(u32),
+    WatchAnswered(u32, Incarnation, bool),
+    /// A fault begins, or takes its next step.
+    FaultStep(u32, u32),
+    /// A fault ends.
+    FaultEnds(u32),
     /// A draining transcriber sends one client away.
-    SendsAway(u32, Life),
+    DrainClient(u32, Incarnation),
     /// A transcriber ends.
-    Stops(u32, Life),
+    ServerStops(u32, Incarnation),
     /// The machine that replaces a transcriber starts.
-    Succeeds(u32),
+    ServerReplaced(u32),
     /// A node starts.
-    Starts(u32),
+    NodeStarts(u32),
     /// The front takes a node in, or leaves it out.
-    Front(u32, Life, bool),
+    FrontUpdated(u32, Incarnation, bool),
     /// Nodes notice that a transcriber answers nobody.
-    Silence(u32, Life),
+    SilenceNoticed(u32, Incarnation),
 }
 
 /// What discovery learns of a transcriber.
@@ -98,7 +98,7 @@
     Gone,
 }
 
-/// Happenings in the order of time; of those at one moment the first put in comes first.
+/// Events in the order of time; of those at one moment the first put in comes first.
 #[derive(Default)]
 pub struct Queue {
     heap: BinaryHeap<Reverse<Entry>>,
@@ -106,11 +106,15 @@
     peak: usize,
 }
 
-struct Entry(Moment, u64, Happening);
+struct Entry {
+    at: Moment,
+    serial: u64,
+    event: SimulationEvent,
+}
 
 impl PartialEq for Entry {
     fn eq(&self, other: &Self) -> bool {
-        (self.0, self.1) == (other.0, other.1)
+        (self.at, self.serial) == (other.at, other.serial)
     }
 }
 impl Eq for Entry {}
@@ -121,26 +125,30 @@
 }
 impl Ord for Entry {
     fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.0, self.1).cmp(&(other.0, other.1))
+        (self.at, self.serial).cmp(&(other.at, other.serial))
     }
 }
 
 impl Queue {
-    /// Puts a happening in. Costs the logarithm of what is there.
-    pub fn put(&mut self, at: Moment, happening: Happening) {
+    /// Schedules an event. Costs the logarithm of what is there.
+    pub fn schedule(&mut self, at: Moment, event: SimulationEvent) {
         self.serial += 1;
-        self.heap.push(Reverse(Entry(at, self.serial, happening)));
+        self.heap.push(Reverse(Entry {
+            at,
+            serial: self.serial,
+            event,
+        }));
         self.peak = self.peak.max(self.heap.len());
     }
 
-    /// The next happening up to a moment.
-    pub fn next(&mut self, end: Moment) -> Option<(Moment, Happening)> {
-        if self.heap.peek().is_none_or(|next| next.0 .0 > end) {
+    /// Removes the next event up to a moment.
+    pub fn pop_until(&mut self, end: Moment) -> Option<(Moment, SimulationEvent)> {
+        if self.heap.peek().is_none_or(|next| next.0.at > end) {
             return None;
         }
         self.heap
             .pop()
-            .map(|Reverse(Entry(at, _, happening))| (at, happening))
+            .map(|Reverse(entry)| (entry.at, entry.event))
     }
 
     /// The most that ever waited.
--- a/crates/simulator/src/experiments/compare.rs
+++ b/crates/simulator/src/experiments/compare.rs
@@ -1,7 +1,7 @@
 //! Policies side by side on the same arrivals, with confidence intervals of the paired differences.
 
 use super::{Estimate, Figures};
-use crate::policy::Name;
+use crate::policy::PolicyName;
 use crate::scenario::Scenario;
 use crate::world::play;
 use rayon::prelude::*;
@@ -10,7 +10,7 @@
 
 /// One policy's part of a comparison.
 #[derive(Clone, Debug, PartialEq, Serialize)]
-pub struct Side {
+pub struct PolicyResult {
     /// The policy.
     pub policy: String,
     /// Whether it sees what no node can.
@@ -26,11 +26,11 @@
 /// Plays every policy on every seed; `done` is called after each run. The result does not depend on the threads.
 pub fn compare(
     scenario: &Scenario,
-    policies: &[Name],
+    policies: &[PolicyName],
     seeds: std::ops::Range<u64>,
     done: impl Fn() + Sync,
-) -> Vec<Side> {
-    let jobs: Vec<(Name, u64)> = policies
+) -> Vec<PolicyResult> {
+    let jobs: Vec<(PolicyName, u64)> = policies
         .iter()
         .flat_map(|name| seeds.clone().map(move |seed| (*name, seed)))
         .collect();
@@ -44,9 +44,9 @@
         .collect();
     let each = (seeds.end - seeds.start) as usize;
     let first = &figures[..each.min(figures.len())];
-    let side = |(name, runs): (&Name, &[Figures])| Side {
-        policy: name.text().into(),
-        upper_bound: *name == Name::LeastLoaded,
+    let side = |(name, runs): (&PolicyName, &[Figures])| PolicyResult {
+        policy: name.as_str().into(),
+        upper_bound: *name == PolicyName::LeastLoaded,
         means: columns(runs, None),
         differences: columns(runs, Some(first)),
         runs: runs.to_vec(),
@@ -89,7 +89,7 @@
 ];
 
 /// Formats the comparison as a table for people.
-pub fn table(sides: &[Side]) -> String {
+pub fn table(sides: &[PolicyResult]) -> String {
     let mut text = format!("{:<14}", "policy");
     for name in TABLE_FIGURES {
         let _ = write!(text, "{name:>18}");
--- a/crates/simulator/src/experiments/cost.rs
+++ b/crates/simulator/src/experiments/cost.rs
@@ -46,16 +46,16 @@
     }
 }
 
-struct Rig {
+struct Bench {
     balancer: Balancer,
     now: u64,
     next: u64,
     actions: Vec<Action>,
 }
 
-impl Rig {
+impl Bench {
     fn new(transcribers: u32) -> Self {
-        let mut rig = Rig {
+        let mut bench = Bench {
             balancer: Balancer::new(settings(), 7),
             now: 1_000_000_000_000,
             next: 0,
@@ -71,15 +71,15 @@
             started_at: None,
         };
         let entries = (0..transcribers).map(listed).collect();
-        rig.tell(Event::Start);
-        rig.tell(Event::EndpointList {
+        bench.handle(Event::Start);
+        bench.handle(Event::EndpointList {
             entries,
             cached: false,
         });
-        rig
+        bench
     }
 
-    fn tell(&mut self, event: Event) {
+    fn handle(&mut self, event: Event) {
         self.actions.clear();
         self.balancer
             .handle(Timestamp(self.now), event, &mut self.actions);
@@ -90,7 +90,7 @@
         self.now += 1_000_000;
         let request = RequestId(self.next);
         let key = format!("user:{}", self.next);
-        self.tell(Event::RequestReceived(RequestInfo {
+        self.handle(Event::RequestReceived(RequestInfo {
             request,
             class: 0,
             tenant: None,
@@ -112,9 +112,9 @@
         (request, placed)
     }
 
-    fn stands(&mut self, request: RequestId) {
+    fn establish(&mut self, request: RequestId) {
         self.now += 1_000_000;
-        self.tell(Event::ConnectionEstablished {
+        self.handle(Event::ConnectionEstablished {
             request,
             setup_duration: Duration::from_millis(20),
         });
@@ -122,7 +122,7 @@
 
     /// Ends the first attempt of a request, and the request with it.
     fn end(&mut self, request: RequestId, outcome: Outcome) {
-        self.tell(Event::AttemptEnded {
+        self.handle(Event::AttemptEnded {
             request,
             attempt: 0,
             outcome,
@@ -144,15 +144,15 @@
 
 /// Measures one size. Bounded: at most 20,000 connections and 2,000 timed requests.
 pub fn measure(transcribers: u32) -> Cost {
-    let mut rig = Rig::new(transcribers);
+    let mut bench = Bench::new(transcribers);
     let connections = (transcribers * CONNECTIONS_PER_TRANSCRIBER).min(MAX_CONNECTIONS);
     for _ in 0..connections {
-        if let (request, Some(_)) = rig.request() {
-            rig.stands(request);
+        if let (request, Some(_)) = bench.request() {
+            bench.establish(request);
         }
     }
-    let request_us = request_cost_us(&mut rig);
-    let upkeep_ms = upkeep_cost_ms(&mut rig);
+    let request_us = request_cost_us(&mut bench);
+    let upkeep_ms = upkeep_cost_ms(&mut bench);
     let walk_us = walk_cost_us(transcribers);
     Cost {
         transcribers,
@@ -163,26 +163,26 @@
 }
 
 /// The mean time of a request that is placed at once, in microseconds.
-fn request_cost_us(rig: &mut Rig) -> f64 {
+fn request_cost_us(bench: &mut Bench) -> f64 {
     let mut spent = Duration::ZERO;
     for _ in 0..TIMED_REQUESTS {
         let begun = Instant::now();
-        let (request, placed) = rig.request();
+        let (request, placed) = bench.request();
         spent += begun.elapsed();
         if placed.is_some() {
-            rig.stands(request);
-            rig.end(request, Outcome::Served);
+            bench.establish(request);
+            bench.end(request, Outcome::Served);
         }
     }
     spent.as_secs_f64() * 1e6 / f64::from(TIMED_REQUESTS)
 }
 
 /// The mean time of an upkeep, in milliseconds.
-fn upkeep_cost_ms(rig: &mut Rig) -> f64 {
+fn upkeep_cost_ms(bench: &mut Bench) -> f64 {
     let begun = Instant::now();
     for _ in 0..TIMED_UPKEEPS {
-        rig.now += 1_000_000_000;
-        rig.tell(Event::TimerFired(Timer::Upkeep));
+        bench.now += 1_000_000_000;
+        bench.handle(Event::TimerFired(Timer::Upkeep));
     }
     begun.elapsed().as_secs_f64() * 1e3 / f64::from(TIMED_UPKEEPS)
 }
@@ -190,19 +190,19 @@
 /// The mean time of a request that no transcriber admits, in microseconds: every transcriber rejects connections until
 /// its concurrency limit is down, so that each further request scans all of them.
 fn walk_cost_us(transcribers: u32) -> f64 {
-    let mut rig = Rig::new(transcribers);
+    let mut bench = Bench::new(transcribers);
     for _ in 0..transcribers * REJECTIONS_PER_TRANSCRIBER {
-        if let (request, Some(_)) = rig.request() {
-            rig.end(request, Outcome::Rejected);
+        if let (request, Some(_)) = bench.request() {
+            bench.end(request, Outcome::Rejected);
         }
     }
     let mut spent = Duration::ZERO;
     for _ in 0..TIMED_WALKS {
         let begun = Instant::now();
-        let (request, placed) = rig.request();
+        let (request, placed) = bench.request();
         spent += begun.elapsed();
         if placed.is_some() {
-            rig.end(request, Outcome::Rejected);
+            bench.end(request, Outcome::Rejected);
         }
     }
     spent.as_secs_f64() * 1e6 / f64::from(TIMED_WALKS)
--- a/crates/simulator/src/experiments/search.rs
+++ b/crates/simulator/src/experiments/search.rs
@@ -1,22 +1,22 @@
-//! The hunt: it searches seeds and troubles for the day on which the module falls furthest behind what a plain policy
+//! The search for the worst day: it tries seeds and faults for the day on which the module falls furthest behind what a plain policy
 //! or the true state reaches, then makes that day as small as it goes.
 
-use crate::policy::Name;
+use crate::policy::PolicyName;
 use crate::population::stream;
-use crate::scenario::{Found, Scenario, Trouble, TroubleKind};
+use crate::scenario::{Fault, FaultKind, Scenario, SearchRecord};
 use crate::world::play;
 use rand::seq::SliceRandom;
 use rand::Rng;
 use rayon::prelude::*;
 
 /// What a smaller day must keep of the worst day's gap.
-const KEEPS: f64 = 0.8;
+const MIN_RETAINED_GAP_RATIO: f64 = 0.8;
 /// Rounds of making it smaller; each tries every way once.
-const ROUNDS: usize = 6;
+const MAX_SHRINK_ROUNDS: usize = 6;
 
 /// A day and how far the module falls behind on it.
 #[derive(Clone, Debug)]
-pub struct Day {
+pub struct Candidate {
     /// The scenario, with its seed under `found`.
     pub scenario: Scenario,
     /// How far the best of the others is ahead; 2 more where the module broke a rule.
@@ -24,60 +24,60 @@
 }
 
 /// Plays the module and the others on one day.
-pub fn judge(mut scenario: Scenario, seed: u64, others: &[Name]) -> Day {
+pub fn evaluate(mut scenario: Scenario, seed: u64, others: &[PolicyName]) -> Candidate {
     scenario.found = None;
-    let module = play(&scenario, seed, Name::Module);
+    let module = play(&scenario, seed, PolicyName::Module);
     let best = others
         .iter()
         .map(|name| (*name, play(&scenario, seed, *name).service));
     let (against, against_service) = best
         .max_by(|a, b| a.1.total_cmp(&b.1))
-        .unwrap_or((Name::Module, module.service));
+        .unwrap_or((PolicyName::Module, module.service));
     let broke = if module.times_broken > 0 { 2.0 } else { 0.0 };
     let gap = against_service - module.service + broke;
     let service = module.service;
-    scenario.found = Some(Found {
+    scenario.found = Some(SearchRecord {
         seed,
         service,
-        against: against.text().into(),
+        against: against.as_str().into(),
         against_service,
     });
-    Day { scenario, gap }
+    Candidate { scenario, gap }
 }
 
-/// Draws troubles for a day.
-fn draw(scenario: &Scenario, seed: u64, number: u64) -> Scenario {
+/// Draws faults for a day.
+fn draw_candidate(scenario: &Scenario, seed: u64, number: u64) -> Scenario {
     let mut random = stream(seed, 9, number);
     let kinds = [
-        TroubleKind::Silent,
-        TroubleKind::Slow,
-        TroubleKind::Deploy,
-        TroubleKind::Shrink,
-        TroubleKind::NodeDown,
-        TroubleKind::DiscoveryDown,
-        TroubleKind::DiscoveryStale,
-        TroubleKind::Reset,
-        TroubleKind::Surge,
+        FaultKind::Silent,
+        FaultKind::Slow,
+        FaultKind::Deploy,
+        FaultKind::Shrink,
+        FaultKind::NodeDown,
+        FaultKind::DiscoveryDown,
+        FaultKind::DiscoveryStale,
+        FaultKind::Reset,
+        FaultKind::Surge,
     ];
     let mut day = scenario.clone();
     day.name = format!("{}-{number}", scenario.name);
-    day.trouble.clear();
+    day.faults.clear();
     for _ in 0..random.gen_range(0..=3) {
         let kind = kinds
             .choose(&mut random)
             .copied()
-            .unwrap_or(TroubleKind::Slow);
+            .unwrap_or(FaultKind::Slow);
         let at_s = scenario.length_s * random.gen_range(0.05..0.6);
         let part = random.gen_range(0.05..0.25);
         let (part, size) = match kind {
-            TroubleKind::Slow => (part, random.gen_range(2.0..9.0)),
-            TroubleKind::Deploy => (random.gen_range(0.4..1.0), random.gen_range(0.05..0.2)),
-            TroubleKind::Shrink | TroubleKind::Surge => (part, random.gen_range(1.3..3.0)),
-            TroubleKind::Reset => (part, random.gen_range(0.5..5.0)),
+            FaultKind::Slow => (part, random.gen_range(2.0..9.0)),
+            FaultKind::Deploy => (random.gen_range(0.4..1.0), random.gen_range(0.05..0.2)),
+            FaultKind::Shrink | FaultKind::Surge => (part, random.gen_range(1.3..3.0)),
+            FaultKind::Reset => (part, random.gen_range(0.5..5.0)),
             _ => (part, 0.0),
         };
         let for_s = scenario.length_s * random.gen_range(0.15..0.6);
-        day.trouble.push(Trouble {
+        day.faults.push(Fault {
             kind,
             at_s,
             for_s,
@@ -93,40 +93,40 @@
 }
 
 /// The worst of so many days.
-pub fn search(
+pub fn find_worst(
     scenario: &Scenario,
     seed: u64,
     days: u64,
-    others: &[Name],
+    others: &[PolicyName],
     done: impl Fn() + Sync,
-) -> Option<Day> {
+) -> Option<Candidate> {
     let day = |number: u64| {
-        let day = judge(
-            draw(scenario, seed, number),
+        let day = evaluate(
+            draw_candidate(scenario, seed, number),
             seed.wrapping_add(number),
             others,
         );
         done();
         day
     };
-    let all: Vec<Day> = (0..days).into_par_iter().map(day).collect();
+    let all: Vec<Candidate> = (0..days).into_par_iter().map(day).collect();
     // Of equal ones the first, so that the threads decide nothing.
     all.into_iter()
         .reduce(|worst, day| if day.gap > worst.gap { day } else { worst })
 }
 
 /// Makes a day smaller as long as most of its gap stays.
-pub fn shrink(worst: Day, others: &[Name]) -> Day {
-    let wanted = worst.gap * KEEPS;
+pub fn shrink(worst: Candidate, others: &[PolicyName]) -> Candidate {
+    let wanted = worst.gap * MIN_RETAINED_GAP_RATIO;
     let seed = worst.scenario.found.as_ref().map_or(0, |found| found.seed);
     let mut best = worst;
-    for _ in 0..ROUNDS {
-        let smaller = smaller(&best.scenario);
-        let days: Vec<Day> = smaller
+    for _ in 0..MAX_SHRINK_ROUNDS {
+        let simpler = simplifications(&best.scenario);
+        let candidates: Vec<Candidate> = simpler
             .into_par_iter()
-            .map(|day| judge(day, seed, others))
+            .map(|day| evaluate(day, seed, others))
             .collect();
-        let Some(next) = days.into_iter().find(|day| day.gap >= wanted) else {
+        let Some(next) = candidates.into_iter().find(|day| day.gap >= wanted) else {
             break;
         };
         best = next;
@@ -135,7 +135,7 @@
 }
 
 /// Every way to make a scenario one step simpler, the boldest first.
-fn smaller(scenario: &Scenario) -> Vec<Scenario> {
+fn simplifications(scenario: &Scenario) -> Vec<Scenario> {
     let mut ways = Vec::new();
     let mut way = |change: &dyn Fn(&mut Scenario)| {
         let mut day = scenario.clone();
@@ -144,10 +144,10 @@
             ways.push(day);
         }
     };
-    way(&|day| day.trouble.clear());
-    for at in 0..scenario.trouble.len() {
+    way(&|day| day.faults.clear());
+    for at in 0..scenario.faults.len() {
         way(&|day| {
-            day.trouble.remove(at);
+            day.faults.remove(at);
         });
     }
     way(&|day| day.fleet.transcribers = (day.fleet.transcribers / 2).max(2));
--- a/crates/simulator/src/experiments/sweep.rs
+++ b/crates/simulator/src/experiments/sweep.rs
@@ -1,8 +1,8 @@
 //! A grid over any values of a scenario, seeds and points in parallel.
 
 use super::{Estimate, Figures};
-use crate::policy::Name;
-use crate::scenario::{self, Scenario, Wrong};
+use crate::policy::PolicyName;
+use crate::scenario::{self, Scenario, ScenarioError};
 use crate::world::play;
 use rayon::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -75,9 +75,14 @@
 /// # Errors
 ///
 /// If the text is no TOML, or if the key leads past the end of an array or through a plain value.
-pub fn set(file: &str, text: &str, key: &str, value: &toml::Value) -> Result<String, Vec<Wrong>> {
+pub fn set(
+    file: &str,
+    text: &str,
+    key: &str,
+    value: &toml::Value,
+) -> Result<String, Vec<ScenarioError>> {
     let wrong = |what: String| {
-        vec![Wrong {
+        vec![ScenarioError {
             place: format!("{file}: {key}"),
             what,
         }]
@@ -122,12 +127,12 @@
     file: &str,
     scenario: &Scenario,
     axes: &[Axis],
-    policies: &[Name],
+    policies: &[PolicyName],
     seeds: std::ops::Range<u64>,
     done: impl Fn() + Sync,
-) -> Result<Vec<Row>, Vec<Wrong>> {
+) -> Result<Vec<Row>, Vec<ScenarioError>> {
     let unwritten = |error: toml::ser::Error| {
-        vec![Wrong {
+        vec![ScenarioError {
             place: file.to_string(),
             what: error.to_string(),
         }]
@@ -148,7 +153,7 @@
         }
         points = next;
     }
-    let mut jobs: Vec<(usize, Name, Scenario)> = Vec::new();
+    let mut jobs: Vec<(usize, PolicyName, Scenario)> = Vec::new();
     for (place, (at, text)) in points.iter().enumerate() {
         let named: Vec<String> = at
             .iter()
@@ -157,7 +162,7 @@
         let scenario = scenario::parse(&format!("{file} with {}", named.join(" ")), text)?;
         jobs.extend(policies.iter().map(|name| (place, *name, scenario.clone())));
     }
-    let row = |(place, name, scenario): &(usize, Name, Scenario)| {
+    let row = |(place, name, scenario): &(usize, PolicyName, Scenario)| {
         let run = |seed: u64| {
             let figures = Figures::of(&play(scenario, seed, *name));
             done();
@@ -177,7 +182,7 @@
             .enumerate();
         Row {
             at: points[*place].0.clone(),
-            policy: name.text().into(),
+            policy: name.as_str().into(),
             figures: names
                 .map(|(at, (name, _))| (name.to_string(), Estimate::of(&column(at))))
                 .collect(),
--- a/crates/simulator/src/metrics.rs
+++ b/crates/simulator/src/metrics.rs
@@ -1,6 +1,6 @@
 //! What a run brought: service by class and by second, percentiles, imbalance, moves, waste.
 
-use crate::checker::Broken;
+use crate::checker::Violation;
 use crate::event_queue::{as_seconds, Moment};
 use crate::scenario::{Goal, Scenario};
 use hdrhistogram::Histogram;
@@ -10,17 +10,17 @@
 const WINDOW: usize = 10;
 
 /// Counts while the world runs. Memory grows with its length and its classes only.
-pub struct Measure {
+pub struct RunMetrics {
     /// Connection-seconds wanted and served well, by class and second.
     wanted: Vec<Vec<f64>>,
     served: Vec<Vec<f64>>,
     messages: Vec<Histogram<u64>>,
     message_parts: Vec<f64>,
     set_ups: Histogram<u64>,
-    /// Seconds that set-ups waited for a slot, how many were sent, and how many waited.
-    pub waits: (f64, u64, u64),
-    imbalance: (f64, f64, u64),
-    used: (f64, u64),
+    /// Waits of set-ups for a slot.
+    pub setup_waits: SetupWaits,
+    imbalance: RunningMean,
+    used: RunningMean,
     /// First tries, all tries of clients, attempts, and attempts across zones.
     pub firsts: u64,
     /// All tries of clients.
@@ -45,14 +45,52 @@
     pub timed_out: u64,
     /// Arrivals turned away since the world holds as many as it may.
     pub turned_away: u64,
-    /// Set-up work done in all, and for nobody, in core seconds.
-    pub work: (f64, f64),
+    /// Work of set-ups.
+    pub setup_work: SetupWork,
     /// Transcribers that fell over.
     pub fallen: u64,
     length: f64,
     lines: Vec<Sample>,
 }
 
+/// Waits of set-ups for a slot.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct SetupWaits {
+    /// Seconds waited in all.
+    pub total_s: f64,
+    /// Set-ups that were begun.
+    pub started: u64,
+    /// Those of them that had to wait.
+    pub delayed: u64,
+}
+
+/// Work of set-ups, in core seconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct SetupWork {
+    /// Work in all.
+    pub total_s: f64,
+    /// Work for requests that nobody waited for any more.
+    pub wasted_s: f64,
+}
+
+/// The mean of values added one by one.
+#[derive(Clone, Copy, Debug, Default)]
+struct RunningMean {
+    sum: f64,
+    count: u64,
+}
+
+impl RunningMean {
+    fn add(&mut self, value: f64) {
+        self.sum += value;
+        self.count += 1;
+    }
+
+    fn mean(self) -> f64 {
+        mean(self.sum, self.count)
+    }
+}
+
 /// A second of the time line.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Sample {
@@ -70,7 +108,7 @@
 
 /// What one class got.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ByClass {
+pub struct ClassOutcome {
     /// Its name.
     pub name: String,
     /// Share of the seconds wanted that were served well.
@@ -103,7 +141,7 @@
     /// What was taken off for waste, crossings and moves.
     pub taken_off: f64,
     /// Names of the rules that were broken, and how.
-    pub rules_broken: Vec<Broken>,
+    pub rules_broken: Vec<Violation>,
     /// How often in all.
     pub times_broken: u64,
     /// Events played.
@@ -117,7 +155,7 @@
     /// Connections that nodes moved.
     pub moves: u64,
     /// By class.
-    pub by_class: Vec<ByClass>,
+    pub by_class: Vec<ClassOutcome>,
     /// Set-ups in ms at the median, 90, 99 and 99.9 percent.
     pub set_up_ms: [f64; 4],
     /// Mean wait of set-ups for a slot in ms, and the share that waited.
@@ -169,19 +207,19 @@
     }
 }
 
-impl Measure {
-    /// Empty books for a scenario.
+impl RunMetrics {
+    /// Empty metrics for a scenario.
     pub fn new(scenario: &Scenario) -> Self {
         let (classes, seconds) = (scenario.class.len(), scenario.length_s.ceil() as usize);
-        Measure {
+        RunMetrics {
             wanted: vec![vec![0.0; seconds]; classes],
             served: vec![vec![0.0; seconds]; classes],
             messages: (0..classes).map(|_| histogram()).collect(),
             message_parts: vec![0.0; classes],
             set_ups: histogram(),
-            waits: (0.0, 0, 0),
-            imbalance: (0.0, 0.0, 0),
-            used: (0.0, 0),
+            setup_waits: SetupWaits::default(),
+            imbalance: RunningMean::default(),
+            used: RunningMean::default(),
             firsts: 0,
             tries: 0,
             attempts: 0,
@@ -194,7 +232,7 @@
             no_connect: 0,
             timed_out: 0,
             turned_away: 0,
-            work: (0.0, 0.0),
+            setup_work: SetupWork::default(),
             fallen: 0,
             length: scenario.length_s,
             lines: Vec::new(),
@@ -202,16 +240,16 @@
     }
 
     /// A client wants its connection from one moment to another.
-    pub fn wants(&mut self, class: usize, from: Moment, until: Moment) {
-        self.want(class, from, until, 1.0);
+    pub fn record_demand(&mut self, class: usize, from: Moment, until: Moment) {
+        self.add_demand(class, from, until, 1.0);
     }
 
-    /// A client leaves early: it no longer wants what `wants` had counted from here on.
-    pub fn wants_less(&mut self, class: usize, from: Moment, until: Moment) {
-        self.want(class, from, until, -1.0);
+    /// A client leaves early: it no longer wants what `record_demand` had counted from here on.
+    pub fn withdraw_demand(&mut self, class: usize, from: Moment, until: Moment) {
+        self.add_demand(class, from, until, -1.0);
     }
 
-    fn want(&mut self, class: usize, from: Moment, until: Moment, sign: f64) {
+    fn add_demand(&mut self, class: usize, from: Moment, until: Moment, sign: f64) {
         let (from, until) = (as_seconds(from), as_seconds(until).min(self.length));
         let Some(seconds) = self.wanted.get_mut(class) else {
             return;
@@ -227,7 +265,7 @@
     }
 
     /// Connections of a class were served well for so long, which ended now.
-    pub fn serves(&mut self, class: usize, now: Moment, connection_seconds: f64) {
+    pub fn record_service(&mut self, class: usize, now: Moment, connection_seconds: f64) {
         let second = as_seconds(now.saturating_sub(1)) as usize;
         if let Some(at) = self
             .served
@@ -239,19 +277,25 @@
     }
 
     /// Some messages of a class took so long, in seconds.
-    pub fn message(&mut self, class: usize, took: f64, messages: f64) {
+    pub fn record_message(&mut self, class: usize, took: f64, messages: f64) {
         let whole = self.message_parts[class] + messages;
         self.message_parts[class] = whole.fract();
         self.messages[class].saturating_record_n((took * 1e6).max(1.0) as u64, whole as u64);
     }
 
     /// A connection was set up in so long.
-    pub fn set_up(&mut self, took: Moment) {
+    pub fn record_setup(&mut self, took: Moment) {
         self.set_ups.saturating_record((took / 1000).max(1));
     }
 
     /// A second's look at the fleet.
-    pub fn sample(&mut self, now: Moment, used: Vec<Option<f64>>, standing: u64, keeps: bool) {
+    pub fn record_sample(
+        &mut self,
+        now: Moment,
+        used: Vec<Option<f64>>,
+        standing: u64,
+        keeps: bool,
+    ) {
         let (mut sum, mut squares, mut count) = (0.0, 0.0, 0.0);
         for one in used.iter().flatten() {
             (sum, squares, count) = (sum + one, squares + one * one, count + 1.0);
@@ -261,12 +305,8 @@
             .max(0.0)
             .sqrt();
         let imbalance = if mean > 1e-9 { spread / mean } else { 0.0 };
-        self.imbalance = (
-            self.imbalance.0 + imbalance,
-            self.imbalance.1.max(imbalance),
-            self.imbalance.2 + 1,
-        );
-        self.used = (self.used.0 + mean, self.used.1 + 1);
+        self.imbalance.add(imbalance);
+        self.used.add(mean);
         let used = if keeps { used } else { Vec::new() };
         self.lines.push(Sample {
             at_s: as_seconds(now),
@@ -279,9 +319,9 @@
 
     /// The share of what was wanted in some seconds that was served well, by worth.
     fn share(&self, worths: &[f64], seconds: std::ops::Range<usize>) -> f64 {
-        let sum = |books: &[Vec<f64>]| -> f64 {
+        let sum = |counts: &[Vec<f64>]| -> f64 {
             let class = |(class, worth): (usize, &f64)| {
-                books[class]
+                counts[class]
                     .get(seconds.clone())
                     .map_or(0.0, |part| part.iter().sum::<f64>())
                     * worth
@@ -296,7 +336,7 @@
     }
 
     /// What each class got over the whole run.
-    fn by_class(&self, scenario: &Scenario) -> Vec<ByClass> {
+    fn by_class(&self, scenario: &Scenario) -> Vec<ClassOutcome> {
         let classes = scenario.class.len();
         let seconds = self.wanted.first().map_or(0, Vec::len);
         let only = |class: usize| -> Vec<f64> {
@@ -308,7 +348,7 @@
             .class
             .iter()
             .enumerate()
-            .map(|(class, named)| ByClass {
+            .map(|(class, named)| ClassOutcome {
                 name: named.name.clone(),
                 service: self.share(&only(class), 0..seconds),
                 wanted_s: self.wanted[class].iter().sum(),
@@ -320,7 +360,7 @@
     /// What is taken off the service for wasted work, attempts across zones and moves.
     fn penalty(&self, goal: &Goal) -> f64 {
         let firsts = (self.firsts as f64).max(1.0);
-        goal.waste * self.work.1 / self.work.0.max(1e-9)
+        goal.waste * self.setup_work.wasted_s / self.setup_work.total_s.max(1e-9)
             + goal.cross_zone * self.crossings as f64 / firsts
             + goal.moves * self.moves as f64 / firsts
     }
@@ -336,7 +376,7 @@
     }
 
     /// Turns the counts into the result of the run.
-    pub fn close(mut self, scenario: &Scenario, end: Ending) -> Outcome {
+    pub fn finish(mut self, scenario: &Scenario, end: RunSummary) -> Outcome {
         let worths: Vec<f64> = scenario.class.iter().map(|class| class.worth).collect();
         let seconds = self.wanted.first().map_or(0, Vec::len);
         let whole = self.share(&worths, 0..seconds);
@@ -367,13 +407,13 @@
             times_broken: end.times_broken,
             events: end.events,
             peak_queue: end.peak_queue,
-            imbalance: mean(self.imbalance.0, self.imbalance.2),
-            used: mean(self.used.0, self.used.1),
+            imbalance: self.imbalance.mean(),
+            used: self.used.mean(),
             moves: self.moves,
             by_class,
             set_up_ms: percentiles(&self.set_ups),
-            set_up_wait_ms: mean(self.waits.0, self.waits.1) * 1e3,
-            set_up_waited: mean(self.waits.2 as f64, self.waits.1),
+            set_up_wait_ms: mean(self.setup_waits.total_s, self.setup_waits.started) * 1e3,
+            set_up_waited: mean(self.setup_waits.delayed as f64, self.setup_waits.started),
             firsts: self.firsts,
             tries: self.tries,
             attempts: self.attempts,
@@ -390,16 +430,16 @@
     }
 }
 
-/// What the world knows at its end beside the books.
-pub struct Ending {
+/// What the world knows at its end beside the metrics.
+pub struct RunSummary {
     /// The seed.
     pub seed: u64,
     /// The policy's name.
     pub policy: String,
     /// Whether it sees the true state.
     pub upper_bound: bool,
-    /// Broken rules.
-    pub broken: Vec<Broken>,
+    /// Violation rules.
+    pub broken: Vec<Violation>,
     /// How often rules were broken.
     pub times_broken: u64,
     /// Events played.
--- a/crates/simulator/src/policy.rs
+++ b/crates/simulator/src/policy.rs
@@ -1,7 +1,7 @@
 //! What decides in a node: the project's own module, or one of the plain policies it is compared with.
 
 use crate::event_queue::Moment;
-use crate::server_model::{State, Transcriber};
+use crate::server_model::{ServerModel, ServerState};
 use lupincrank_placement::{
     key_hash, rank_score, server_hash, Action, Balancer, Endpoint, Event, Health, Outcome,
     RequestId, RequestInfo, ServerId, Settings, Timer, Timestamp,
@@ -14,20 +14,20 @@
 use thiserror::Error;
 
 /// The true state of all transcribers, which no real node sees.
-pub struct Truth<'a> {
-    pub(crate) fleet: &'a [Transcriber],
+pub struct FleetState<'a> {
+    pub(crate) fleet: &'a [ServerModel],
     pub(crate) index: &'a HashMap<ServerId, u32>,
     pub(crate) now: Moment,
 }
 
-impl Truth<'_> {
+impl FleetState<'_> {
     /// Load over capacity, with what is on its way to it left out; none if it takes nothing.
     pub fn used(&self, server: &ServerId) -> Option<f64> {
         let at = *self.index.get(server)?;
         let server = self
             .fleet
             .get(at as usize)
-            .filter(|server| server.state == State::Up)?;
+            .filter(|server| server.state == ServerState::Up)?;
         let (wait, _) = server.delay(self.now);
         Some(
             server.used(self.now)
@@ -40,18 +40,24 @@
 /// Decides for one node: events in, actions out.
 pub trait Policy: Send {
     /// Takes in one event and appends what is to be done.
-    fn handle(&mut self, now: Timestamp, event: Event, truth: &Truth, actions: &mut Vec<Action>);
+    fn handle(
+        &mut self,
+        now: Timestamp,
+        event: Event,
+        truth: &FleetState,
+        actions: &mut Vec<Action>,
+    );
 }
 
 impl Policy for Balancer {
-    fn handle(&mut self, now: Timestamp, event: Event, _: &Truth, actions: &mut Vec<Action>) {
+    fn handle(&mut self, now: Timestamp, event: Event, _: &FleetState, actions: &mut Vec<Action>) {
         Balancer::handle(self, now, event, actions);
     }
 }
 
 /// The policies by name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Name {
+pub enum PolicyName {
     /// The project's decisions.
     Module,
     /// Any ready transcriber.
@@ -64,37 +70,37 @@
     LeastLoaded,
 }
 
-impl Name {
+impl PolicyName {
     /// All of them.
-    pub const ALL: [Name; 5] = [
-        Name::Module,
-        Name::Random,
-        Name::Plain,
-        Name::TwoChoices,
-        Name::LeastLoaded,
+    pub const ALL: [PolicyName; 5] = [
+        PolicyName::Module,
+        PolicyName::Random,
+        PolicyName::Plain,
+        PolicyName::TwoChoices,
+        PolicyName::LeastLoaded,
     ];
 
     /// As it is written on the command line.
-    pub fn text(self) -> &'static str {
+    pub fn as_str(self) -> &'static str {
         match self {
-            Name::Module => "module",
-            Name::Random => "random",
-            Name::Plain => "plain",
-            Name::TwoChoices => "two-choices",
-            Name::LeastLoaded => "least-loaded",
+            PolicyName::Module => "module",
+            PolicyName::Random => "random",
+            PolicyName::Plain => "plain",
+            PolicyName::TwoChoices => "two-choices",
+            PolicyName::LeastLoaded => "least-loaded",
         }
     }
 
     /// The names of all of them, for messages.
-    fn list() -> String {
-        let names: Vec<&str> = Name::ALL.iter().map(|name| name.text()).collect();
+    fn names() -> String {
+        let names: Vec<&str> = PolicyName::ALL.iter().map(|name| name.as_str()).collect();
         names.join(", ")
     }
 
     /// One that decides for one node.
     pub fn make(self, settings: Settings, seed: u64) -> Box<dyn Policy> {
         match self {
-            Name::Module => Box::new(Balancer::new(settings, seed)),
+            PolicyName::Module => Box::new(Balancer::new(settings, seed)),
             other => Box::new(Baseline::new(other, settings, seed)),
         }
     }
@@ -102,19 +108,19 @@
 
 /// A policy's name that does not exist.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
-#[error("no policy is called {name:?}; there are {}", Name::list())]
+#[error("no policy is called {name:?}; there are {}", PolicyName::names())]
 pub struct UnknownPolicy {
     /// The name that was given.
     pub name: String,
 }
 
-impl FromStr for Name {
+impl FromStr for PolicyName {
     type Err = UnknownPolicy;
 
     fn from_str(text: &str) -> Result<Self, UnknownPolicy> {
-        Name::ALL
+        PolicyName::ALL
             .into_iter()
-            .find(|name| name.text() == text)
+            .find(|name| name.as_str() == text)
             .ok_or_else(|| UnknownPolicy {
                 name: text.to_string(),
             })
@@ -123,27 +129,36 @@
 
 /// A plain policy: it keeps the list and the rules on attempts, and chooses anew where a try never ran or timed out.
 pub struct Baseline {
-    name: Name,
+    name: PolicyName,
     settings: Settings,
     random: Pcg32,
     servers: BTreeMap<ServerId, u32>,
-    /// Hash, id and own connections of each server that was ever listed; the ready ones by place.
-    known: Vec<(u32, ServerId, u32)>,
+    /// Each server that was ever listed.
+    known: Vec<KnownServer>,
+    /// The ready servers, as places in `known`.
     ready: Vec<u32>,
-    requests: HashMap<RequestId, Taken>,
+    requests: HashMap<RequestId, RequestState>,
 }
 
-struct Taken {
+/// A server that was listed.
+struct KnownServer {
+    hash: u32,
+    id: ServerId,
+    /// Connections and attempts of this node.
+    connections: u32,
+}
+
+struct RequestState {
     key: u32,
-    expires: Timestamp,
+    deadline: Timestamp,
     attempts: u32,
     tried: Vec<u32>,
     out: Option<u32>,
-    stands: bool,
+    is_established: bool,
 }
 
 impl Baseline {
-    fn new(name: Name, settings: Settings, seed: u64) -> Self {
+    fn new(name: PolicyName, settings: Settings, seed: u64) -> Self {
         Baseline {
             name,
             settings,
@@ -155,7 +170,7 @@
         }
     }
 
-    fn list(&mut self, entries: Vec<Endpoint>, whole: bool) {
+    fn apply_endpoints(&mut self, entries: Vec<Endpoint>, whole: bool) {
         if whole {
             self.ready.clear();
         }
@@ -163,8 +178,11 @@
             let next = self.known.len() as u32;
             let at = *self.servers.entry(entry.server.clone()).or_insert(next);
             if at == next {
-                self.known
-                    .push((server_hash(&entry.server), entry.server, 0));
+                self.known.push(KnownServer {
+                    hash: server_hash(&entry.server),
+                    id: entry.server,
+                    connections: 0,
+                });
             }
             let place = self.ready.iter().position(|other| *other == at);
             match (entry.health == Health::Ready, place) {
@@ -177,7 +195,7 @@
         }
     }
 
-    fn choose(&mut self, key: u32, tried: &[u32], truth: &Truth) -> Option<u32> {
+    fn select_server(&mut self, key: u32, tried: &[u32], truth: &FleetState) -> Option<u32> {
         let open: Vec<u32>;
         let among = if tried.is_empty() {
             &self.ready
@@ -196,23 +214,25 @@
         let any = |random: &mut Pcg32| among[random.gen_range(0..among.len())];
         let known = &self.known;
         match self.name {
-            Name::Random | Name::Module => Some(any(&mut self.random)),
-            Name::Plain => among.iter().copied().max_by(|a, b| {
+            PolicyName::Random | PolicyName::Module => Some(any(&mut self.random)),
+            PolicyName::Plain => among.iter().copied().max_by(|a, b| {
                 let (a, b) = (&known[*a as usize], &known[*b as usize]);
-                rank_score(a.0, key)
-                    .cmp(&rank_score(b.0, key))
-                    .then(b.1.cmp(&a.1))
+                rank_score(a.hash, key)
+                    .cmp(&rank_score(b.hash, key))
+                    .then(b.id.cmp(&a.id))
             }),
-            Name::TwoChoices => {
+            PolicyName::TwoChoices => {
                 let (a, b) = (any(&mut self.random), any(&mut self.random));
-                Some(if known[b as usize].2 < known[a as usize].2 {
-                    b
-                } else {
-                    a
-                })
+                Some(
+                    if known[b as usize].connections < known[a as usize].connections {
+                        b
+                    } else {
+                        a
+                    },
+                )
             }
-            Name::LeastLoaded => {
-                let used = |at: &u32| truth.used(&known[*at as usize].1).unwrap_or(f64::INFINITY);
+            PolicyName::LeastLoaded => {
+                let used = |at: &u32| truth.used(&known[*at as usize].id).unwrap_or(f64::INFINITY);
                 among
                     .iter()
                     .copied()
@@ -221,14 +241,20 @@
         }
     }
 
-    fn place(&mut self, now: Timestamp, id: RequestId, truth: &Truth, actions: &mut Vec<Action>) {
-        let Some(mut taken) = self.requests.remove(&id) else {
+    fn start_attempt(
+        &mut self,
+        now: Timestamp,
+        id: RequestId,
+        truth: &FleetState,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(mut state) = self.requests.remove(&id) else {
             return;
         };
-        let left = taken.expires.saturating_duration_since(now);
-        let may = taken.attempts < self.settings.max_attempts && left > Duration::from_millis(20);
+        let left = state.deadline.saturating_duration_since(now);
+        let may = state.attempts < self.settings.max_attempts && left > Duration::from_millis(20);
         let chosen = if may {
-            self.choose(taken.key, &taken.tried, truth)
+            self.select_server(state.key, &state.tried, truth)
         } else {
             None
         };
@@ -242,40 +268,41 @@
                 retry_after,
             });
         };
-        taken.attempts += 1;
-        taken.out = Some(at);
-        taken.tried.push(at);
-        self.requests.insert(id, taken);
+        state.attempts += 1;
+        state.out = Some(at);
+        state.tried.push(at);
+        self.requests.insert(id, state);
         let place = &mut self.known[at as usize];
-        place.2 += 1;
+        place.connections += 1;
         actions.push(Action::StartAttempt {
             request: id,
-            server: place.1.clone(),
+            server: place.id.clone(),
             timeout: left,
         });
     }
 
     fn release(&mut self, id: RequestId) -> bool {
-        let Some(taken) = self.requests.get_mut(&id) else {
+        let Some(state) = self.requests.get_mut(&id) else {
             return false;
         };
-        if let Some(at) = taken.out.take() {
-            self.known[at as usize].2 = self.known[at as usize].2.saturating_sub(1);
+        if let Some(at) = state.out.take() {
+            let server = &mut self.known[at as usize];
+            server.connections = server.connections.saturating_sub(1);
         }
-        taken.stands
+        state.is_established
     }
 
     /// Takes over an established connection from the node's former process.
     fn inherit(&mut self, incoming: RequestInfo, server: &ServerId) {
         let id = incoming.request;
-        let mut taken = Self::taken(incoming);
-        taken.attempts = 1;
-        taken.stands = true;
-        taken.out = self.servers.get(server).copied();
-        if let Some(at) = taken.out {
-            self.known[at as usize].2 += 1;
+        let mut state = Self::new_request_state(incoming);
+        state.attempts = 1;
+        state.is_established = true;
+        state.out = self.servers.get(server).copied();
+        if let Some(at) = state.out {
+            self.known[at as usize].connections += 1;
         }
-        self.requests.insert(id, taken);
+        self.requests.insert(id, state);
     }
 
     /// Migrates every connection of a server, in the order of their requests.
@@ -286,7 +313,7 @@
         let mut held: Vec<RequestId> = self
             .requests
             .iter()
-            .filter(|(_, taken)| taken.stands && taken.out == Some(*at))
+            .filter(|(_, state)| state.is_established && state.out == Some(*at))
             .map(|(id, _)| *id)
             .collect();
         held.sort_unstable();
@@ -302,46 +329,52 @@
         });
     }
 
-    fn taken(incoming: RequestInfo) -> Taken {
+    fn new_request_state(incoming: RequestInfo) -> RequestState {
         let key = incoming
             .group
             .or(incoming.key)
             .as_deref()
             .map_or(0, key_hash);
-        Taken {
+        RequestState {
             key,
-            expires: incoming.deadline,
+            deadline: incoming.deadline,
             attempts: 0,
             tried: Vec::new(),
             out: None,
-            stands: false,
+            is_established: false,
         }
     }
 }
 
 impl Policy for Baseline {
-    fn handle(&mut self, now: Timestamp, event: Event, truth: &Truth, actions: &mut Vec<Action>) {
+    fn handle(
+        &mut self,
+        now: Timestamp,
+        event: Event,
+        truth: &FleetState,
+        actions: &mut Vec<Action>,
+    ) {
         match event {
             Event::Start => actions.extend(
                 self.settings
                     .requires_endpoint_watch
                     .then_some(Action::WatchEndpoints),
             ),
-            Event::EndpointList { entries, .. } => self.list(entries, true),
-            Event::EndpointChange(entries) => self.list(entries, false),
+            Event::EndpointList { entries, .. } => self.apply_endpoints(entries, true),
+            Event::EndpointChange(entries) => self.apply_endpoints(entries, false),
             Event::EndpointWatchFailed => self.retry_watch(actions),
             Event::TimerFired(_) => actions.push(Action::WatchEndpoints),
             Event::RequestReceived(incoming) => {
                 let id = incoming.request;
-                self.requests.insert(id, Self::taken(incoming));
-                self.place(now, id, truth, actions);
+                self.requests.insert(id, Self::new_request_state(incoming));
+                self.start_attempt(now, id, truth, actions);
             }
             Event::ConnectionInherited(incoming, server) => {
                 self.inherit(incoming, &server);
             }
             Event::ConnectionEstablished { request, .. } => {
-                if let Some(taken) = self.requests.get_mut(&request) {
-                    taken.stands = true;
+                if let Some(state) = self.requests.get_mut(&request) {
+                    state.is_established = true;
                 }
             }
             Event::AttemptEnded {
@@ -354,7 +387,7 @@
                 if done || stood || outcome == Outcome::Served {
                     self.requests.remove(&request);
                 } else {
-                    self.place(now, request, truth, actions);
+                    self.start_attempt(now, request, truth, actions);
                 }
             }
             Event::ClientGone(request) => {
--- a/crates/simulator/src/scenario.rs
+++ b/crates/simulator/src/scenario.rs
@@ -52,11 +52,11 @@
     #[serde(default = "default_classes")]
     pub class: Vec<Class>,
     /// What goes wrong, and when.
-    #[serde(default)]
-    pub trouble: Vec<Trouble>,
+    #[serde(default, rename = "trouble")]
+    pub faults: Vec<Fault>,
     /// Where `hunt` found it: what `replay` compares with.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub found: Option<Found>,
+    pub found: Option<SearchRecord>,
 }
 
 fn default_length() -> f64 {
@@ -66,7 +66,7 @@
 /// What `hunt` saw.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Found {
+pub struct SearchRecord {
     /// The seed of the run.
     pub seed: u64,
     /// The module's service.
@@ -339,13 +339,13 @@
 /// Something that goes wrong. `part` is the share of the transcribers (or nodes) it strikes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Trouble {
+pub struct Fault {
     /// What it is.
-    pub kind: TroubleKind,
+    pub kind: FaultKind,
     /// When it begins, s.
     pub at_s: f64,
     /// How long it lasts, s.
-    #[serde(default = "default_trouble_length")]
+    #[serde(default = "default_fault_length")]
     pub for_s: f64,
     /// The share that it strikes.
     #[serde(default = "default_part")]
@@ -366,7 +366,7 @@
     0.5
 }
 
-fn default_trouble_length() -> f64 {
+fn default_fault_length() -> f64 {
     15.0
 }
 fn default_part() -> f64 {
@@ -376,10 +376,10 @@
     4.0
 }
 
-/// Kinds of troubles.
+/// Kinds of faults.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
-pub enum TroubleKind {
+pub enum FaultKind {
     /// Machines give no sign, and come back cold.
     Silent,
     /// The processes of a zone, or `part` of them, end in the same moment, and are back cold after `for_s`.
@@ -404,20 +404,20 @@
 
 /// What is wrong with a file, and where.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Wrong {
+pub struct ScenarioError {
     /// The file, the line and the key, as far as they are known.
     pub place: String,
     /// What is wrong.
     pub what: String,
 }
 
-impl fmt::Display for Wrong {
+impl fmt::Display for ScenarioError {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(out, "{}: {}", self.place, self.what)
     }
 }
 
-impl std::error::Error for Wrong {}
+impl std::error::Error for ScenarioError {}
 
 /// Files that may extend one another in a row.
 const DEEPEST: usize = 8;
@@ -427,13 +427,13 @@
 /// # Errors
 ///
 /// If a file cannot be read, is no scenario, extends too many files in a row, or holds values out of bounds.
-pub fn load(path: &Path) -> Result<Scenario, Vec<Wrong>> {
+pub fn load(path: &Path) -> Result<Scenario, Vec<ScenarioError>> {
     let mut chain: Vec<(String, String)> = Vec::new();
     let mut next = Some(path.to_path_buf());
     while let Some(path) = next.take() {
         let file = path.display().to_string();
         let wrong = |what: String| {
-            vec![Wrong {
+            vec![ScenarioError {
                 place: file.clone(),
                 what,
             }]
@@ -475,7 +475,7 @@
     };
     Err(wrong
         .into_iter()
-        .map(|value| Wrong {
+        .map(|value| ScenarioError {
             place: place(&value.key),
             what: value.what,
         })
@@ -493,16 +493,16 @@
     }
 }
 
-fn told(file: &str, text: &str, error: &toml::de::Error) -> Vec<Wrong> {
+fn told(file: &str, text: &str, error: &toml::de::Error) -> Vec<ScenarioError> {
     let line = error.span().map_or(0, |span| line_of(text, span.start));
-    vec![Wrong {
+    vec![ScenarioError {
         place: format!("{file}:{line}"),
         what: advise(error.message()),
     }]
 }
 
 /// Reads keys and types; bounds are not looked at.
-fn read(file: &str, text: &str) -> Result<Scenario, Vec<Wrong>> {
+fn read(file: &str, text: &str) -> Result<Scenario, Vec<ScenarioError>> {
     toml::from_str(text).map_err(|error| told(file, text, &error))
 }
 
@@ -516,7 +516,7 @@
 /// # Errors
 ///
 /// If the text is no scenario, or if values are out of bounds.
-pub fn parse(file: &str, text: &str) -> Result<Scenario, Vec<Wrong>> {
+pub fn parse(file: &str, text: &str) -> Result<Scenario, Vec<ScenarioError>> {
     let scenario = read(file, text)?;
     let wrong = check(&scenario);
     if wrong.is_empty() {
@@ -529,7 +529,7 @@
     };
     Err(wrong
         .into_iter()
-        .map(|value| Wrong {
+        .map(|value| ScenarioError {
             place: place(&value.key),
             what: value.what,
         })
@@ -815,26 +815,26 @@
 }
 
 fn check_faults(bounds: &mut BoundsCheck, scenario: &Scenario) {
-    for (index, trouble) in scenario.trouble.iter().enumerate() {
-        check_fault(bounds, index, trouble);
+    for (index, fault) in scenario.faults.iter().enumerate() {
+        check_fault(bounds, index, fault);
     }
 }
 
-fn check_fault(bounds: &mut BoundsCheck, index: usize, trouble: &Trouble) {
+fn check_fault(bounds: &mut BoundsCheck, index: usize, fault: &Fault) {
     let key = |name: &str| format!("trouble.{index}.{name}");
-    bounds.within(&key("at_s"), trouble.at_s, 0.0, 1e6);
-    bounds.within(&key("for_s"), trouble.for_s, 0.1, 1e6);
-    bounds.within(&key("part"), trouble.part, 0.0, 1.0);
-    bounds.within(&key("drain_s"), trouble.drain_s, 0.0, 1e4);
-    bounds.within(&key("leave"), trouble.leave, 0.0, 1.0);
-    let (least, most) = match trouble.kind {
-        TroubleKind::Slow | TroubleKind::Shrink => (1.0, 1e3),
-        TroubleKind::Surge => (0.0, 100.0),
-        TroubleKind::Reset => (0.01, 1e4),
-        TroubleKind::Deploy => (0.001, 1.0),
+    bounds.within(&key("at_s"), fault.at_s, 0.0, 1e6);
+    bounds.within(&key("for_s"), fault.for_s, 0.1, 1e6);
+    bounds.within(&key("part"), fault.part, 0.0, 1.0);
+    bounds.within(&key("drain_s"), fault.drain_s, 0.0, 1e4);
+    bounds.within(&key("leave"), fault.leave, 0.0, 1.0);
+    let (least, most) = match fault.kind {
+        FaultKind::Slow | FaultKind::Shrink => (1.0, 1e3),
+        FaultKind::Surge => (0.0, 100.0),
+        FaultKind::Reset => (0.01, 1e4),
+        FaultKind::Deploy => (0.001, 1.0),
         _ => (0.0, 1e9),
     };
-    bounds.within(&key("size"), trouble.size, least, most);
+    bounds.within(&key("size"), fault.size, least, most);
 }
 
 impl Scenario {
--- a/crates/simulator/src/server_model.rs
+++ b/crates/simulator/src/server_model.rs
@@ -3,14 +3,14 @@
 //! Standing connections are a flow of work: `load` cores of speed 1 are asked for, and what is asked beyond the
 //! capacity piles up. Set-ups are single jobs with slots and a waiting room. The model is the project's own.
 
-use crate::event_queue::{as_seconds, Life, Moment};
+use crate::event_queue::{as_seconds, Incarnation, Moment};
 use crate::scenario::{Kind, Scenario};
 use lupincrank_placement::ServerId;
 use std::collections::{BTreeMap, VecDeque};
 
 /// What a transcriber's process does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum State {
+pub enum ServerState {
     /// It serves.
     Up,
     /// It serves what it has, and takes nothing new.
@@ -23,9 +23,11 @@
 
 /// A set-up that waits for a slot.
 #[derive(Clone, Copy, Debug)]
-pub struct Waiting {
-    /// The request and its attempt.
-    pub request: (u64, u32),
+pub struct PendingSetup {
+    /// The request.
+    pub request: u64,
+    /// Its attempt.
+    pub attempt: u32,
     /// Its work, in seconds on a core of speed 1.
     pub work: f64,
     /// When it came.
@@ -33,7 +35,7 @@
 }
 
 /// A transcriber.
-pub struct Transcriber {
+pub struct ServerModel {
     /// Its identity.
     pub id: ServerId,
     /// Its zone.
@@ -43,9 +45,9 @@
     /// Its size as the list tells it.
     pub weight: f64,
     /// What its process does.
-    pub state: State,
+    pub state: ServerState,
     /// Counts its starts.
-    pub life: Life,
+    pub incarnation: Incarnation,
     /// When it started, if during the run.
     pub started: Option<Moment>,
     /// It runs slower by this.
@@ -59,9 +61,9 @@
     /// Set-ups in work, and those that wait.
     pub busy: u32,
     /// Those that wait.
-    pub waiting: VecDeque<Waiting>,
-    /// Work sent here lately against what a cold one bears, in loads; all of it, and that of nodes that knew.
-    pub sent: (f64, f64, Moment),
+    pub waiting: VecDeque<PendingSetup>,
+    /// The load sent here while it is warming up.
+    pub cold_load: ColdLoad,
     /// Whether its messages were late when nodes last looked.
     pub late: bool,
     /// Work asked for and not done, in core seconds of speed 1.
@@ -77,11 +79,32 @@
     cap: u32,
 }
 
-/// What a stretch of time brought the connections of one class: how many stood, the share of their messages in
-/// time, and the stretch in seconds.
-pub type Served = (usize, f64, f64, f64);
+/// How the connections of one class were served over an interval.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ServedInterval {
+    /// The class, by its place in the scenario.
+    pub class: usize,
+    /// Connections that stood.
+    pub connections: f64,
+    /// The share of their messages in time.
+    pub in_time_ratio: f64,
+    /// The length of the interval, s.
+    pub duration_s: f64,
+}
+
+/// The load sent to a server that is warming up, in loads of usual connections. It drains at the rate that the server
+/// bears.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ColdLoad {
+    /// All of it.
+    pub total: f64,
+    /// What was sent by nodes that knew of the start.
+    pub informed: f64,
+    /// When it was last drained.
+    pub updated_at: Moment,
+}
 
-impl Transcriber {
+impl ServerModel {
     /// One that runs, warm unless `started` says otherwise.
     pub fn new(
         scenario: &Scenario,
@@ -99,13 +122,13 @@
             0 => (fills * scenario.fleet.cap).ceil() as u32,
             number => number,
         };
-        Transcriber {
+        ServerModel {
             id,
             zone,
             kind,
             weight,
-            state: State::Up,
-            life: 1,
+            state: ServerState::Up,
+            incarnation: 1,
             started,
             slow: 1.0,
             silent_since: 0,
@@ -113,7 +136,7 @@
             by_class: vec![0; scenario.class.len()],
             busy: 0,
             waiting: VecDeque::new(),
-            sent: (0.0, 0.0, 0),
+            cold_load: ColdLoad::default(),
             late: false,
             piled: 0.0,
             loads: 0.0,
@@ -160,7 +183,7 @@
 
     /// Whether it answers at all.
     pub fn answers(&self) -> bool {
-        matches!(self.state, State::Up | State::Draining)
+        matches!(self.state, ServerState::Up | ServerState::Draining)
     }
 
     /// Connections that it accepts.
@@ -208,7 +231,7 @@
 
     /// Brings the books up to now and tells what each class was served. Called before anything changes; costs the
     /// number of classes.
-    pub fn advance(&mut self, now: Moment, aims: &[f64], mut served: impl FnMut(Served)) {
+    pub fn advance(&mut self, now: Moment, aims: &[f64], mut served: impl FnMut(ServedInterval)) {
         let span = as_seconds(now.saturating_sub(self.touched));
         if span <= 0.0 {
             return;
@@ -229,12 +252,12 @@
             .filter(|(_, count)| **count > 0)
         {
             let after = self.in_time(now, aims[class]);
-            served((
+            served(ServedInterval {
                 class,
-                f64::from(*count),
-                f64::midpoint(shares[class], after),
-                span,
-            ));
+                connections: f64::from(*count),
+                in_time_ratio: f64::midpoint(shares[class], after),
+                duration_s: span,
+            });
         }
     }
 
@@ -292,7 +315,7 @@
     /// Counts what is sent to a cold one; true when that pushes it over. `multiple` of what it can do, for `span`
     /// seconds, is what it bears: a bucket that drains at that rate and holds as much as comes in that span. What a
     /// cold one can do in new connections is what would fill it over its warm-up.
-    pub fn pushed(
+    pub fn overloads_cold(
         &mut self,
         now: Moment,
         loads: f64,
@@ -304,26 +327,34 @@
             return false;
         }
         let rate = multiple * self.warmth(now) * self.fills() / self.model.cold_s.max(1e-9);
-        let gone = as_seconds(now.saturating_sub(self.sent.2)) * rate;
-        let left = if self.sent.0 > 0.0 {
-            (1.0 - gone / self.sent.0).max(0.0)
+        let gone = as_seconds(now.saturating_sub(self.cold_load.updated_at)) * rate;
+        let left = if self.cold_load.total > 0.0 {
+            (1.0 - gone / self.cold_load.total).max(0.0)
         } else {
             0.0
         };
-        self.sent = (self.sent.0 * left + loads, self.sent.1 * left, now);
-        self.sent.1 += if knew { loads } else { 0.0 };
+        self.cold_load.total = self.cold_load.total * left + loads;
+        self.cold_load.informed *= left;
+        self.cold_load.informed += if knew { loads } else { 0.0 };
+        self.cold_load.updated_at = now;
         // A little slack for chance: two usual connections.
-        self.sent.0 > rate * span + 2.0
+        self.cold_load.total > rate * span + 2.0
     }
 
     /// The process starts anew under the same id: empty and cold.
     pub fn restart(&mut self, now: Moment) {
         self.started = Some(now);
         self.touched = now;
-        self.state = State::Up;
-        self.life += 1;
-        (self.busy, self.piled, self.loads) = (0, 0.0, 0.0);
+        self.state = ServerState::Up;
+        self.incarnation += 1;
+        self.busy = 0;
+        self.piled = 0.0;
+        self.loads = 0.0;
         self.waiting.clear();
-        self.sent = (0.0, 0.0, now);
+        self.cold_load = ColdLoad {
+            total: 0.0,
+            informed: 0.0,
+            updated_at: now,
+        };
     }
 }
--- a/crates/simulator/src/world/clients.rs
+++ b/crates/simulator/src/world/clients.rs
@@ -1,18 +1,18 @@
 //! Clients: they arrive, ask through the front, hear an answer, come again, and leave.
 
-use super::{Client, Phase, World, NOWHERE};
-use crate::event_queue::{millis, seconds, Happening, Life, Moment};
+use super::{Client, Phase, World, NO_PLACE};
+use crate::event_queue::{millis, seconds, Incarnation, Moment, SimulationEvent};
 use crate::population::{jittered, swing};
 use lupincrank_placement::Outcome;
 use rand::Rng;
 use rand_distr::Exp1;
 
 /// The longest that repeated failures stretch a client's wait, as a power of two.
-const STRETCH: u32 = 4;
+const MAX_BACKOFF_EXPONENT: u32 = 4;
 
 impl World<'_> {
     /// How many times the usual rate clients arrive now, by the scenario's shape and by surges.
-    fn pace(&self) -> f64 {
+    fn arrival_factor(&self) -> f64 {
         let at = crate::event_queue::as_seconds(self.now);
         let shape = &self.scenario.clients.shape;
         let after = shape.partition_point(|[second, _]| *second <= at);
@@ -27,12 +27,12 @@
             (None, Some([_, first])) => *first,
             (None, None) => 1.0,
         };
-        shaped * self.surge.iter().product::<f64>()
+        shaped * self.arrival_factors.iter().product::<f64>()
     }
 
     /// Arrivals are thinned from the highest pace that the scenario can reach, so that they do not depend on what
     /// policies do.
-    fn most_pace(&self) -> f64 {
+    fn max_arrival_factor(&self) -> f64 {
         let shaped = self
             .scenario
             .clients
@@ -42,43 +42,46 @@
             .fold(1.0, f64::max);
         let surges = self
             .scenario
-            .trouble
+            .faults
             .iter()
-            .filter(|trouble| trouble.kind == crate::scenario::TroubleKind::Surge);
-        shaped * surges.map(|trouble| trouble.size.max(1.0)).product::<f64>()
+            .filter(|fault| fault.kind == crate::scenario::FaultKind::Surge);
+        shaped * surges.map(|fault| fault.size.max(1.0)).product::<f64>()
     }
 
-    pub(super) fn next_arrival(&mut self) {
-        let rate = self.scenario.rate() * self.most_pace();
+    pub(super) fn schedule_arrival(&mut self) {
+        let rate = self.scenario.rate() * self.max_arrival_factor();
         if rate > 0.0 {
             let gap = seconds(self.arrivals.sample::<f64, _>(Exp1) / rate).max(1);
-            self.queue.put(self.now + gap, Happening::Arrival);
+            self.queue
+                .schedule(self.now + gap, SimulationEvent::ClientArrival);
         }
     }
 
-    pub(super) fn arrival(&mut self) {
-        let stays = self.arrivals.gen::<f64>() * self.most_pace() < self.pace();
+    pub(super) fn client_arrives(&mut self) {
+        let stays = self.arrivals.gen::<f64>() * self.max_arrival_factor() < self.arrival_factor();
         if stays {
             self.serial += 1;
-            if self.clients.len() - self.free.len() >= self.scenario.clients.most as usize {
-                self.measure.turned_away += 1;
+            if self.clients.len() - self.free_client_slots.len()
+                >= self.scenario.clients.most as usize
+            {
+                self.metrics.turned_away += 1;
             } else {
                 let client = self.add_client(false);
-                let life = self.clients[client as usize].life;
-                self.measure.firsts += 1;
-                self.asks(client, life);
+                let incarnation = self.clients[client as usize].incarnation;
+                self.metrics.firsts += 1;
+                self.connect_client(client, incarnation);
             }
         }
-        self.next_arrival();
+        self.schedule_arrival();
     }
 
     fn add_client(&mut self, stands: bool) -> u32 {
         let drawn = self.population.draw(self.serial, stands);
         let until = self.now + seconds(drawn.life_s).max(1);
-        self.measure.wants(drawn.class, self.now, until);
+        self.metrics.record_demand(drawn.class, self.now, until);
         let client = Client {
-            life: 1,
-            stood: 0,
+            incarnation: 1,
+            connection_incarnation: 0,
             serial: self.serial,
             class: drawn.class,
             zone: drawn.zone,
@@ -87,26 +90,30 @@
             usual: drawn.usual,
             load: drawn.usual,
             random: drawn.random,
-            phase: Phase::Away,
+            phase: Phase::Disconnected,
             failures: 0,
             retries: 0,
             returned: false,
             deadline: 0,
             request: 0,
             node: 0,
-            node_life: 0,
+            node_incarnation: 0,
             asked: 0,
             attempts: 0,
             out: None,
             sent: 0,
             answered: true,
-            place: NOWHERE,
+            place: NO_PLACE,
         };
-        let at = if let Some(at) = self.free.pop() {
-            let Client { life, stood, .. } = self.clients[at as usize];
+        let at = if let Some(at) = self.free_client_slots.pop() {
+            let Client {
+                incarnation,
+                connection_incarnation,
+                ..
+            } = self.clients[at as usize];
             self.clients[at as usize] = Client {
-                life: life + 1,
-                stood,
+                incarnation: incarnation + 1,
+                connection_incarnation,
                 ..client
             };
             at
@@ -114,25 +121,31 @@
             self.clients.push(client);
             self.clients.len() as u32 - 1
         };
-        self.queue
-            .put(until, Happening::Leaves(at, self.clients[at as usize].life));
+        self.queue.schedule(
+            until,
+            SimulationEvent::ClientLeaves(at, self.clients[at as usize].incarnation),
+        );
         at
     }
 
     /// The connections that stand when the world begins.
-    pub(super) fn stand_at_start(&mut self) {
+    pub(super) fn establish_initial_connections(&mut self) {
         let count = self
             .scenario
             .standing()
             .min(f64::from(self.scenario.clients.most)) as u64;
         for _ in 0..count {
             self.serial += 1;
-            self.measure.firsts += 1;
+            self.metrics.firsts += 1;
             let at = self.add_client(true);
-            if let Some(node) = self.front_picks(at) {
+            if let Some(node) = self.select_node(at) {
                 let skewed = self.chance.gen::<f64>() < self.scenario.clients.start_skew;
                 let any = self.chance.gen_range(0..self.fleet.len() as u32);
-                let server = if skewed { any } else { self.top_score(at) };
+                let server = if skewed {
+                    any
+                } else {
+                    self.top_ranked_server(at)
+                };
                 self.inherit(at, node, server);
             }
         }
@@ -148,13 +161,13 @@
     }
 
     /// The next number for a request of this client.
-    pub(super) fn number(&mut self, at: u32) -> u64 {
+    pub(super) fn next_request_number(&mut self, at: u32) -> u64 {
         self.requests += 1;
         (self.requests << 24) | u64::from(at)
     }
 
     /// The node that the front gives a client: one of its zone, else any that it takes for alive.
-    pub(super) fn front_picks(&mut self, at: u32) -> Option<u32> {
+    pub(super) fn select_node(&mut self, at: u32) -> Option<u32> {
         let zone = self.clients[at as usize].zone;
         let count = |here: bool| {
             self.nodes
@@ -174,53 +187,57 @@
     }
 
     /// A client opens a connection: its first try, a retry, or after a break or a move.
-    pub(super) fn asks(&mut self, at: u32, life: Life) {
+    pub(super) fn connect_client(&mut self, at: u32, incarnation: Incarnation) {
         let client = &self.clients[at as usize];
-        if client.life != life || client.phase != Phase::Away || self.now >= client.until {
+        if client.incarnation != incarnation
+            || client.phase != Phase::Disconnected
+            || self.now >= client.until
+        {
             return;
         }
-        self.measure.tries += 1;
+        self.metrics.tries += 1;
         let class = &self.scenario.class[client.class];
         if client.retries == 0 {
             self.clients[at as usize].deadline = self.now + millis(class.deadline_ms);
         }
-        let Some(node) = self.front_picks(at) else {
-            return self.unanswered(at, 0);
+        let Some(node) = self.select_node(at) else {
+            return self.attempt_failed(at, 0);
         };
-        let request = self.number(at);
+        let request = self.next_request_number(at);
         let (mean, jitter) = (self.scenario.net.client_ms, self.scenario.net.jitter);
         let client = &mut self.clients[at as usize];
-        client.phase = Phase::Asks;
+        client.phase = Phase::Requesting;
         client.request = request;
         client.node = node;
-        client.node_life = self.nodes[node as usize].life;
+        client.node_incarnation = self.nodes[node as usize].incarnation;
         client.asked = self.now;
         (client.attempts, client.out, client.answered) = (0, None, false);
         let hop = jittered(&mut client.random, mean, jitter);
         if self.nodes[node as usize].alive {
-            self.queue.put(self.now + hop, Happening::Taken(request));
+            self.queue
+                .schedule(self.now + hop, SimulationEvent::RequestReceived(request));
         } else {
             // The process is dead, and the front has not noticed: the connection is refused.
             self.clients[at as usize].answered = true;
-            self.queue.put(
+            self.queue.schedule(
                 self.now + hop * 2,
-                Happening::Answered(at, request, false, 0),
+                SimulationEvent::ClientAnswered(at, request, false, 0),
             );
         }
     }
 
     /// A client hears that its try came to nothing.
-    pub(super) fn hears(&mut self, at: u32, request: u64, refused: bool, wait_ms: u32) {
+    pub(super) fn receive_answer(&mut self, at: u32, request: u64, refused: bool, wait_ms: u32) {
         let client = &mut self.clients[at as usize];
-        if client.request == request && client.phase == Phase::Asks {
-            client.phase = Phase::Away;
+        if client.request == request && client.phase == Phase::Requesting {
+            client.phase = Phase::Disconnected;
             client.request = 0;
-            self.unanswered(at, if refused { wait_ms } else { 0 });
+            self.attempt_failed(at, if refused { wait_ms } else { 0 });
         }
     }
 
     /// The try came to nothing: again within the deadline if the client retries, later if it comes back, else never.
-    fn unanswered(&mut self, at: u32, wait_ms: u32) {
+    fn attempt_failed(&mut self, at: u32, wait_ms: u32) {
         let clients = &self.scenario.clients;
         let client = &mut self.clients[at as usize];
         let backoff = clients.backoff_ms * f64::from(1u32 << client.retries.min(8));
@@ -230,64 +247,72 @@
             0.0
         };
         let wait = millis(f64::max(backoff * (0.5 + client.random.gen::<f64>()), told));
-        let life = client.life;
+        let incarnation = client.incarnation;
         if client.retries < clients.retries && self.now + wait < client.deadline {
             client.retries += 1;
-            self.queue.put(self.now + wait, Happening::Asks(at, life));
+            self.queue.schedule(
+                self.now + wait,
+                SimulationEvent::ClientConnects(at, incarnation),
+            );
         } else if clients.comes_back {
             client.failures += 1;
-            let stretch = f64::from(1u32 << (client.failures - 1).min(STRETCH));
+            let stretch = f64::from(1u32 << (client.failures - 1).min(MAX_BACKOFF_EXPONENT));
             let most = clients.rejoin_ms * stretch;
             client.retries = 0;
             let wait = millis(client.random.gen_range(50.0..=most.max(51.0)).max(told));
-            self.queue.put(self.now + wait, Happening::Asks(at, life));
+            self.queue.schedule(
+                self.now + wait,
+                SimulationEvent::ClientConnects(at, incarnation),
+            );
         } else {
-            self.leaves(at, life);
+            self.remove_client(at, incarnation);
         }
     }
 
     /// A standing connection ended without the client's wish. It comes again after a break, or a move.
-    pub(super) fn broken(&mut self, at: u32, moved: bool) {
+    pub(super) fn connection_lost(&mut self, at: u32, moved: bool) {
         let clients = &self.scenario.clients;
         let client = &mut self.clients[at as usize];
-        (client.phase, client.request, client.retries) = (Phase::Away, 0, 0);
+        (client.phase, client.request, client.retries) = (Phase::Disconnected, 0, 0);
         client.failures = 0;
         client.returned = true;
-        let life = client.life;
+        let incarnation = client.incarnation;
         if !clients.comes_back && !moved {
-            return self.leaves(at, life);
+            return self.remove_client(at, incarnation);
         }
         let wait = if moved {
             clients.move_ms * (0.5 + client.random.gen::<f64>())
         } else {
             client.random.gen_range(50.0..=clients.rejoin_ms.max(51.0))
         };
-        self.queue
-            .put(self.now + millis(wait), Happening::Asks(at, life));
+        self.queue.schedule(
+            self.now + millis(wait),
+            SimulationEvent::ClientConnects(at, incarnation),
+        );
     }
 
     /// A client is done. What it has open ends.
-    pub(super) fn leaves(&mut self, at: u32, life: Life) {
+    pub(super) fn remove_client(&mut self, at: u32, incarnation: Incarnation) {
         let client = &self.clients[at as usize];
-        if client.life != life {
+        if client.incarnation != incarnation {
             return;
         }
         match client.phase {
-            Phase::Stands => self.end_standing(at, Outcome::Served),
-            Phase::Asks => self.client_gone(at),
-            Phase::Away => {}
+            Phase::Connected => self.end_standing(at, Outcome::Served),
+            Phase::Requesting => self.client_gone(at),
+            Phase::Disconnected => {}
         }
         let client = &mut self.clients[at as usize];
-        client.life += 1;
+        client.incarnation += 1;
         client.request = 0;
-        client.phase = Phase::Away;
-        self.free.push(at);
+        client.phase = Phase::Disconnected;
+        self.free_client_slots.push(at);
     }
 
     /// A standing connection's load changes.
-    pub(super) fn swings(&mut self, at: u32, life: Life) {
+    pub(super) fn change_load(&mut self, at: u32, incarnation: Incarnation) {
         let client = &self.clients[at as usize];
-        if client.stood != life || client.phase != Phase::Stands {
+        if client.connection_incarnation != incarnation || client.phase != Phase::Connected {
             return;
         }
         let Some(server) = client.out else { return };
@@ -300,14 +325,17 @@
         );
         self.fleet[server as usize].swing(load - client.load);
         client.load = load;
-        self.tell_load(at);
-        self.next_swing(at, next);
+        self.report_load(at);
+        self.schedule_load_change(at, next);
     }
 
-    pub(super) fn next_swing(&mut self, at: u32, next: Option<Moment>) {
-        let life = self.clients[at as usize].stood;
+    pub(super) fn schedule_load_change(&mut self, at: u32, next: Option<Moment>) {
+        let incarnation = self.clients[at as usize].connection_incarnation;
         if let Some(span) = next {
-            self.queue.put(self.now + span, Happening::Swings(at, life));
+            self.queue.schedule(
+                self.now + span,
+                SimulationEvent::LoadChanges(at, incarnation),
+            );
         }
     }
 }
--- a/crates/simulator/src/world/discovery.rs
+++ b/crates/simulator/src/world/discovery.rs
@@ -1,25 +1,25 @@
 //! Discovery: one service that handles calls one after another, late, and sometimes not at all.
 
 use super::World;
-use crate::event_queue::{millis, seconds, Change, Happening, Life, SECOND};
+use crate::event_queue::{millis, seconds, Change, Incarnation, SimulationEvent, SECOND};
 use lupincrank_placement::{Event, Health};
 use rand::Rng;
 
 impl World<'_> {
     /// What a node starts with: the list as it is known, perhaps an old one.
-    pub(super) fn give_cached_list(&mut self, node: u32) {
-        self.nodes[node as usize].heard = self.directory.log.len();
+    pub(super) fn deliver_cached_endpoints(&mut self, node: u32) {
+        self.nodes[node as usize].heard = self.discovery.log.len();
         let entries: Vec<_> = self
-            .directory
+            .discovery
             .known
             .iter()
             .filter(|entry| entry.health != Health::Removed)
             .cloned()
             .collect();
         for entry in &entries {
-            self.note_told(node, entry);
+            self.record_notification(node, entry);
         }
-        self.feed(
+        self.deliver_event(
             node,
             Event::EndpointList {
                 entries,
@@ -29,11 +29,11 @@
     }
 
     /// A node is told of an entry: from here on the rules on drains and cold starts bind it.
-    fn note_told(&mut self, node: u32, entry: &lupincrank_placement::Endpoint) {
+    fn record_notification(&mut self, node: u32, entry: &lupincrank_placement::Endpoint) {
         let Some(server) = self.index.get(&entry.server).copied() else {
             return;
         };
-        let (now, life) = (self.now, self.fleet[server as usize].life);
+        let (now, incarnation) = (self.now, self.fleet[server as usize].incarnation);
         let node = &mut self.nodes[node as usize];
         let place = server as usize;
         if node.leaving.len() <= place {
@@ -47,61 +47,76 @@
             None
         };
         if !leaves && entry.started_at.is_some() {
-            node.knows_start[place] = life;
+            node.knows_start[place] = incarnation;
         }
     }
 
     /// A node asks for changes from now on.
-    pub(super) fn call_directory(&mut self, node: u32) {
-        let life = self.nodes[node as usize].life;
+    pub(super) fn watch_endpoints(&mut self, node: u32) {
+        let incarnation = self.nodes[node as usize].incarnation;
         let timeout = seconds(self.scenario.discovery.timeout_s);
-        if self.directory.down {
+        if self.discovery.down {
             let after = self.now + seconds(0.05);
-            return self.queue.put(after, Happening::Called(node, life, false));
+            return self.queue.schedule(
+                after,
+                SimulationEvent::WatchAnswered(node, incarnation, false),
+            );
         }
         let takes = seconds(1.0 / self.scenario.discovery.capacity);
-        let begins = self.directory.busy_until.max(self.now);
+        let begins = self.discovery.busy_until.max(self.now);
         if begins - self.now > timeout {
-            return self
-                .queue
-                .put(self.now + timeout, Happening::Called(node, life, false));
-        }
-        self.directory.busy_until = begins + takes;
-        self.queue
-            .put(begins + takes, Happening::Called(node, life, true));
+            return self.queue.schedule(
+                self.now + timeout,
+                SimulationEvent::WatchAnswered(node, incarnation, false),
+            );
+        }
+        self.discovery.busy_until = begins + takes;
+        self.queue.schedule(
+            begins + takes,
+            SimulationEvent::WatchAnswered(node, incarnation, true),
+        );
     }
 
     /// A call ends.
-    pub(super) fn called(&mut self, node: u32, life: Life, answered: bool) {
+    pub(super) fn watch_answered(&mut self, node: u32, incarnation: Incarnation, answered: bool) {
         let at = &self.nodes[node as usize];
-        if !at.alive || at.life != life {
+        if !at.alive || at.incarnation != incarnation {
             return;
         }
-        if !answered || self.directory.down {
-            return self.feed(node, Event::EndpointWatchFailed);
+        if !answered || self.discovery.down {
+            return self.deliver_event(node, Event::EndpointWatchFailed);
         }
         self.nodes[node as usize].watches = true;
-        self.told(node, life);
+        self.notify_node(node, incarnation);
     }
 
     /// A node is told what changed since it last heard.
-    pub(super) fn told(&mut self, node: u32, life: Life) {
+    pub(super) fn notify_node(&mut self, node: u32, incarnation: Incarnation) {
         let at = &self.nodes[node as usize];
-        if !at.alive || at.life != life || !at.watches || at.heard >= self.directory.log.len() {
+        if !at.alive
+            || at.incarnation != incarnation
+            || !at.watches
+            || at.heard >= self.discovery.log.len()
+        {
             return;
         }
-        let entries = self.directory.log[at.heard..].to_vec();
-        self.nodes[node as usize].heard = self.directory.log.len();
+        let entries = self.discovery.log[at.heard..].to_vec();
+        self.nodes[node as usize].heard = self.discovery.log.len();
         for entry in &entries {
-            self.note_told(node, entry);
+            self.record_notification(node, entry);
         }
-        self.feed(node, Event::EndpointChange(entries));
+        self.deliver_event(node, Event::EndpointChange(entries));
     }
 
     /// Discovery learns of a change, and tells the nodes that watch.
-    pub(super) fn learns(&mut self, server: u32, life: Life, change: Change) {
-        if self.directory.stale {
-            return self.directory.held_back.push((server, life, change));
+    pub(super) fn discovery_learns(
+        &mut self,
+        server: u32,
+        incarnation: Incarnation,
+        change: Change,
+    ) {
+        if self.discovery.stale {
+            return self.discovery.held_back.push((server, incarnation, change));
         }
         let health = match change {
             Change::Runs => Health::Ready,
@@ -109,53 +124,55 @@
             Change::Gone => Health::Removed,
         };
         // What is overtaken by a later start is not told any more.
-        let now_on = self.fleet[server as usize].life;
-        if change != Change::Gone && now_on != life {
+        let now_on = self.fleet[server as usize].incarnation;
+        if change != Change::Gone && now_on != incarnation {
             return;
         }
-        if change == Change::Gone && now_on > life + 1 {
+        if change == Change::Gone && now_on > incarnation + 1 {
             return;
         }
-        let entry = self.entry(server, health);
+        let entry = self.endpoint(server, health);
         match self
-            .directory
+            .discovery
             .known
             .iter_mut()
             .find(|known| known.server == entry.server)
         {
             Some(known) => *known = entry.clone(),
-            None => self.directory.known.push(entry.clone()),
+            None => self.discovery.known.push(entry.clone()),
         }
-        self.directory.log.push(entry);
+        self.discovery.log.push(entry);
         let spread = millis(self.scenario.discovery.spread_ms);
         for node in 0..self.nodes.len() as u32 {
-            let life = self.nodes[node as usize].life;
+            let incarnation = self.nodes[node as usize].incarnation;
             let after = self.chance.gen_range(0..=spread.max(1));
-            self.queue
-                .put(self.now + after, Happening::Told(node, life));
+            self.queue.schedule(
+                self.now + after,
+                SimulationEvent::NodeNotified(node, incarnation),
+            );
         }
     }
 
     /// Discovery goes down: watches end, and calls fail until it is back.
-    pub(super) fn directory_down(&mut self, down: bool) {
-        self.directory.down = down;
+    pub(super) fn set_discovery_down(&mut self, down: bool) {
+        self.discovery.down = down;
         for node in 0..self.nodes.len() as u32 {
             let at = &mut self.nodes[node as usize];
             if down && at.alive && std::mem::take(&mut at.watches) {
-                self.feed(node, Event::EndpointWatchFailed);
+                self.deliver_event(node, Event::EndpointWatchFailed);
             }
         }
     }
 
     /// Discovery stops to learn, or tells all that it missed.
-    pub(super) fn directory_stale(&mut self, stale: bool) {
-        self.directory.stale = stale;
-        let missed = std::mem::take(&mut self.directory.held_back);
-        for (server, life, change) in missed {
+    pub(super) fn set_discovery_stale(&mut self, stale: bool) {
+        self.discovery.stale = stale;
+        let missed = std::mem::take(&mut self.discovery.held_back);
+        for (server, incarnation, change) in missed {
             if !stale {
-                self.queue.put(
+                self.queue.schedule(
                     self.now + SECOND / 100,
-                    Happening::Known(server, life, change),
+                    SimulationEvent::DiscoveryLearns(server, incarnation, change),
                 );
             }
         }
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -1,7 +1,7 @@
 //! The world: it plays what happens in the order of time and runs the real decisions, one for each node.
 //!
 //! Its parts: `clients` (who come, ask, hear and leave), `nodes` (the decisions and what a node observes), `servers`
-//! (transcribers), `directory` (discovery) and `troubles`.
+//! (transcribers), `directory` (discovery) and `faults`.
 
 mod clients;
 mod discovery;
@@ -9,27 +9,27 @@
 mod nodes;
 mod servers;
 
-use crate::checker::{Judge, Line};
-use crate::event_queue::{seconds, Happening, Life, Moment, Queue, SECOND};
-use crate::metrics::{Ending, Measure, Outcome};
-use crate::policy::{Name, Policy};
+use crate::checker::{RuleChecker, TraceEntry};
+use crate::event_queue::{seconds, Incarnation, Moment, Queue, SimulationEvent, SECOND};
+use crate::metrics::{Outcome, RunMetrics, RunSummary};
+use crate::policy::{Policy, PolicyName};
 use crate::population::{jittered, stream, Population};
 use crate::scenario::Scenario;
-use crate::server_model::Transcriber;
+use crate::server_model::ServerModel;
 use lupincrank_placement::{Action, Class, Endpoint, RetrySafety, ServerId, Settings};
 use rand_pcg::Pcg32;
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 /// Makes the policy of a node from its settings and seed.
-pub type Maker<'a> = dyn Fn(Settings, u64) -> Box<dyn Policy> + 'a;
+pub type PolicyFactory<'a> = dyn Fn(Settings, u64) -> Box<dyn Policy> + 'a;
 
 /// Fleets up to this size have the load of each transcriber in the time line.
-const LINES_FOR: usize = 64;
+const MAX_SERVERS_IN_TIMELINE: usize = 64;
 /// Half a second: every transcriber's books are brought up to date at least so often.
-const PULSE: Moment = SECOND / 2;
+const SERVER_UPKEEP_INTERVAL: Moment = SECOND / 2;
 /// No place at a transcriber.
-const NOWHERE: u32 = u32::MAX;
+const NO_PLACE: u32 = u32::MAX;
 /// What the decisions' clock shows when the world begins: not zero, which they take for long ago.
 const EPOCH: Moment = 1_000 * SECOND;
 
@@ -37,18 +37,18 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
     /// It has no connection and will come again.
-    Away,
+    Disconnected,
     /// Its request is with a node.
-    Asks,
+    Requesting,
     /// Its connection stands.
-    Stands,
+    Connected,
 }
 
 /// A client: its wish for one connection, and the request that it has out.
 struct Client {
-    life: Life,
+    incarnation: Incarnation,
     /// Counts the times that this place had a connection up: what was scheduled for an earlier one is void.
-    stood: Life,
+    connection_incarnation: Incarnation,
     serial: u64,
     class: usize,
     zone: u32,
@@ -65,21 +65,21 @@
     deadline: Moment,
     request: u64,
     node: u32,
-    node_life: Life,
+    node_incarnation: Incarnation,
     asked: Moment,
     /// Attempts of this request, the one that is out and when it was sent, and whether the answer was given.
     attempts: u32,
     out: Option<u32>,
     sent: Moment,
     answered: bool,
-    /// Where its connection stands at the transcriber, `NOWHERE` while it does not.
+    /// Where its connection stands at the transcriber, `NO_PLACE` while it does not.
     place: u32,
 }
 
 /// One balancer node.
 struct Node {
     zone: u32,
-    life: Life,
+    incarnation: Incarnation,
     alive: bool,
     listed_by_front: bool,
     policy: Box<dyn Policy>,
@@ -89,7 +89,7 @@
     /// Since when it knows that a transcriber leaves.
     leaving: Vec<Option<Moment>>,
     /// Starts of transcribers that it was told of.
-    knows_start: Vec<Life>,
+    knows_start: Vec<Incarnation>,
     /// How long its latest set-ups took.
     set_ups: VecDeque<Moment>,
 }
@@ -101,50 +101,50 @@
     busy_until: Moment,
     down: bool,
     stale: bool,
-    held_back: Vec<(u32, Life, crate::event_queue::Change)>,
+    held_back: Vec<(u32, Incarnation, crate::event_queue::Change)>,
 }
 
 /// A scenario being played.
 pub struct World<'a> {
     scenario: Scenario,
     settings: Settings,
-    aims: Vec<f64>,
+    message_objectives: Vec<f64>,
     seed: u64,
     now: Moment,
     end: Moment,
     events: u64,
     queue: Queue,
     population: Population,
-    make: &'a Maker<'a>,
+    policy_factory: &'a PolicyFactory<'a>,
     arrivals: Pcg32,
     chance: Pcg32,
     net: Pcg32,
     serial: u64,
     requests: u64,
     clients: Vec<Client>,
-    free: Vec<u32>,
-    fleet: Vec<Transcriber>,
+    free_client_slots: Vec<u32>,
+    fleet: Vec<ServerModel>,
     index: HashMap<ServerId, u32>,
     /// The transcribers' hashes, as placement ranks them.
     hashes: Vec<u32>,
     nodes: Vec<Node>,
-    directory: Directory,
-    surge: Vec<f64>,
-    /// The transcribers that a trouble took down, until they come back.
-    lost: std::collections::BTreeMap<u32, Vec<u32>>,
-    judge: Judge,
-    measure: Measure,
+    discovery: Directory,
+    arrival_factors: Vec<f64>,
+    /// The transcribers that a fault took down, until they come back.
+    lost_servers: std::collections::BTreeMap<u32, Vec<u32>>,
+    checker: RuleChecker,
+    metrics: RunMetrics,
     actions: Vec<Action>,
 }
 
 /// Plays a scenario with one of the policies by name.
-pub fn play(scenario: &Scenario, seed: u64, name: Name) -> Outcome {
+pub fn play(scenario: &Scenario, seed: u64, name: PolicyName) -> Outcome {
     let make = move |settings: Settings, seed: u64| name.make(settings, seed);
     play_with(
         scenario,
         seed,
-        name.text(),
-        name == Name::LeastLoaded,
+        name.as_str(),
+        name == PolicyName::LeastLoaded,
         &make,
     )
 }
@@ -155,29 +155,29 @@
     seed: u64,
     policy: &str,
     upper_bound: bool,
-    make: &Maker<'_>,
+    make: &PolicyFactory<'_>,
 ) -> Outcome {
     let mut world = World::new(scenario, seed, make);
     world.begin();
-    while let Some((at, happening)) = world.queue.next(world.end) {
+    while let Some((at, event)) = world.queue.pop_until(world.end) {
         world.now = at;
         world.events += 1;
-        world.happens(happening);
+        world.dispatch(event);
     }
     world.now = world.end;
     for at in 0..world.fleet.len() as u32 {
         world.advance(at);
     }
-    let ending = Ending {
+    let ending = RunSummary {
         seed,
         policy: policy.to_string(),
         upper_bound,
-        broken: std::mem::take(&mut world.judge.broken),
-        times_broken: world.judge.times,
+        broken: std::mem::take(&mut world.checker.violations),
+        times_broken: world.checker.violation_count,
         events: world.events,
         peak_queue: world.queue.peak(),
     };
-    world.measure.close(scenario, ending)
+    world.metrics.finish(scenario, ending)
 }
 
 /// What a scenario tells its nodes.
@@ -208,10 +208,10 @@
 }
 
 impl<'a> World<'a> {
-    fn new(scenario: &Scenario, seed: u64, make: &'a Maker<'a>) -> Self {
+    fn new(scenario: &Scenario, seed: u64, make: &'a PolicyFactory<'a>) -> Self {
         World {
             settings: settings(scenario),
-            aims: scenario
+            message_objectives: scenario
                 .class
                 .iter()
                 .map(|class| class.message_aim_ms / 1e3)
@@ -222,19 +222,19 @@
             events: 0,
             queue: Queue::default(),
             population: Population::new(scenario, seed),
-            make,
+            policy_factory: make,
             arrivals: stream(seed, 2, 0),
             chance: stream(seed, 3, 0),
             net: stream(seed, 4, 0),
             serial: 0,
             requests: 0,
             clients: Vec::new(),
-            free: Vec::new(),
+            free_client_slots: Vec::new(),
             fleet: Vec::new(),
             index: HashMap::new(),
             hashes: Vec::new(),
             nodes: Vec::new(),
-            directory: Directory {
+            discovery: Directory {
                 known: Vec::new(),
                 log: Vec::new(),
                 busy_until: 0,
@@ -242,10 +242,10 @@
                 stale: false,
                 held_back: Vec::new(),
             },
-            surge: vec![1.0; scenario.trouble.len()],
-            lost: std::collections::BTreeMap::new(),
-            judge: Judge::default(),
-            measure: Measure::new(scenario),
+            arrival_factors: vec![1.0; scenario.faults.len()],
+            lost_servers: std::collections::BTreeMap::new(),
+            checker: RuleChecker::default(),
+            metrics: RunMetrics::new(scenario),
             actions: Vec::new(),
             scenario: scenario.clone(),
         }
@@ -257,54 +257,66 @@
             self.add_node(zone % self.scenario.net.zones);
         }
         if self.scenario.clients.warm_start {
-            self.stand_at_start();
+            self.establish_initial_connections();
         }
-        self.next_arrival();
-        self.queue.put(PULSE, Happening::Pulse);
-        self.queue.put(SECOND, Happening::Second);
-        for (at, trouble) in self.scenario.trouble.iter().enumerate() {
-            self.queue
-                .put(seconds(trouble.at_s), Happening::Trouble(at as u32, 0));
+        self.schedule_arrival();
+        self.queue
+            .schedule(SERVER_UPKEEP_INTERVAL, SimulationEvent::ServerUpkeep);
+        self.queue.schedule(SECOND, SimulationEvent::MetricsSample);
+        for (at, fault) in self.scenario.faults.iter().enumerate() {
+            self.queue.schedule(
+                seconds(fault.at_s),
+                SimulationEvent::FaultStep(at as u32, 0),
+            );
         }
     }
 
-    fn happens(&mut self, happening: Happening) {
-        match happening {
-            Happening::Arrival => self.arrival(),
-            Happening::Asks(client, life) => self.asks(client, life),
-            Happening::Leaves(client, life) => self.leaves(client, life),
-            Happening::Swings(client, life) => self.swings(client, life),
-            Happening::Answered(client, request, refused, wait) => {
-                self.hears(client, request, refused, wait);
+    fn dispatch(&mut self, event: SimulationEvent) {
+        use SimulationEvent as Event;
+        match event {
+            Event::ClientArrival => self.client_arrives(),
+            Event::ClientConnects(client, incarnation) => self.connect_client(client, incarnation),
+            Event::ClientLeaves(client, incarnation) => self.remove_client(client, incarnation),
+            Event::LoadChanges(client, incarnation) => self.change_load(client, incarnation),
+            Event::ClientAnswered(client, request, refused, wait) => {
+                self.receive_answer(client, request, refused, wait);
             }
-            Happening::Taken(request) => self.taken(request),
-            Happening::Patience(request, attempt) => self.out_of_patience(request, attempt),
-            Happening::Overdue(request) => self.overdue(request),
-            Happening::Arrives(request, attempt, server, life) => {
-                self.arrives(request, attempt, server, life);
+            Event::RequestReceived(request) => self.receive_request(request),
+            Event::AttemptTimeout(request, attempt) => self.attempt_timed_out(request, attempt),
+            Event::AnswerOverdue(request) => self.answer_overdue(request),
+            Event::AttemptArrives(request, attempt, server, incarnation) => {
+                self.attempt_arrives(request, attempt, server, incarnation);
             }
-            Happening::SetUp(request, attempt, server, life) => {
-                self.set_up(request, attempt, server, life);
+            Event::SetupDone(request, attempt, server, incarnation) => {
+                self.setup_done(request, attempt, server, incarnation);
             }
-            Happening::Ended(request, attempt, outcome) => {
+            Event::AttemptEnded(request, attempt, outcome) => {
                 self.attempt_ended(request, attempt, outcome);
             }
-            Happening::Stands(request, attempt) => self.stands(request, attempt),
-            Happening::Timer(node, life, timer) => self.timer(node, life, timer),
-            Happening::Pulse => self.pulse(),
-            Happening::Second => self.second(),
-            Happening::Pause(server, life) => self.pause(server, life),
-            Happening::Known(server, life, change) => self.learns(server, life, change),
-            Happening::Told(node, life) => self.told(node, life),
-            Happening::Called(node, life, answered) => self.called(node, life, answered),
-            Happening::Trouble(trouble, step) => self.trouble(trouble, step),
-            Happening::Over(trouble) => self.over(trouble),
-            Happening::SendsAway(server, life) => self.sends_away(server, life),
-            Happening::Stops(server, life) => self.stops(server, life),
-            Happening::Succeeds(server) => self.succeed(server),
-            Happening::Starts(node) => self.start_node(node),
-            Happening::Front(node, life, takes) => self.front(node, life, takes),
-            Happening::Silence(server, life) => self.silence(server, life),
+            Event::ConnectionEstablished(request, attempt) => {
+                self.connection_established(request, attempt);
+            }
+            Event::NodeTimer(node, incarnation, timer) => self.timer(node, incarnation, timer),
+            Event::ServerUpkeep => self.update_servers(),
+            Event::MetricsSample => self.sample_metrics(),
+            Event::ServerPause(server, incarnation) => self.pause(server, incarnation),
+            Event::DiscoveryLearns(server, incarnation, change) => {
+                self.discovery_learns(server, incarnation, change);
+            }
+            Event::NodeNotified(node, incarnation) => self.notify_node(node, incarnation),
+            Event::WatchAnswered(node, incarnation, answered) => {
+                self.watch_answered(node, incarnation, answered);
+            }
+            Event::FaultStep(fault, step) => self.start_fault_step(fault, step),
+            Event::FaultEnds(fault) => self.end_fault(fault),
+            Event::DrainClient(server, incarnation) => self.drain_client(server, incarnation),
+            Event::ServerStops(server, incarnation) => self.stop_server(server, incarnation),
+            Event::ServerReplaced(server) => self.replace_server(server),
+            Event::NodeStarts(node) => self.start_node(node),
+            Event::FrontUpdated(node, incarnation, takes) => {
+                self.update_front(node, incarnation, takes);
+            }
+            Event::SilenceNoticed(server, incarnation) => self.notice_silence(server, incarnation),
         }
     }
 
@@ -318,7 +330,7 @@
     }
 
     /// A delay between a node and a transcriber.
-    fn hop(&mut self, node_zone: u32, server_zone: u32) -> Moment {
+    fn network_delay(&mut self, node_zone: u32, server_zone: u32) -> Moment {
         let net = &self.scenario.net;
         let mean = if node_zone == server_zone {
             net.same_ms
@@ -329,7 +341,7 @@
     }
 
     fn record(&mut self, what: &'static str, node: u32, request: u64, server: Option<u32>) {
-        self.judge.note(Line {
+        self.checker.record(TraceEntry {
             at: self.now,
             what,
             node,
@@ -338,27 +350,32 @@
         });
     }
 
-    fn pulse(&mut self) {
+    fn update_servers(&mut self) {
         for at in 0..self.fleet.len() as u32 {
             self.advance(at);
-            self.shed(at);
+            self.shed_load(at);
         }
-        self.queue.put(self.now + PULSE, Happening::Pulse);
+        self.queue.schedule(
+            self.now + SERVER_UPKEEP_INTERVAL,
+            SimulationEvent::ServerUpkeep,
+        );
     }
 
-    fn second(&mut self) {
-        use crate::server_model::State;
+    fn sample_metrics(&mut self) {
+        use crate::server_model::ServerState;
         let now = self.now;
-        let seen = |server: &Transcriber| (server.state == State::Up).then(|| server.used(now));
+        let seen =
+            |server: &ServerModel| (server.state == ServerState::Up).then(|| server.used(now));
         let used: Vec<Option<f64>> = self.fleet.iter().map(seen).collect();
         let standing = self
             .fleet
             .iter()
             .map(|server| server.standing.len() as u64)
             .sum();
-        let keeps = self.fleet.len() <= LINES_FOR;
-        self.measure.sample(now, used, standing, keeps);
+        let keeps = self.fleet.len() <= MAX_SERVERS_IN_TIMELINE;
+        self.metrics.record_sample(now, used, standing, keeps);
         self.observe();
-        self.queue.put(now + SECOND, Happening::Second);
+        self.queue
+            .schedule(now + SECOND, SimulationEvent::MetricsSample);
     }
 }
--- a/crates/simulator/src/world/nodes.rs
+++ b/crates/simulator/src/world/nodes.rs
@@ -1,20 +1,20 @@
 //! Nodes: they hand events to the decisions, carry actions out, and tell what they observe.
 
-use super::{Node, Phase, World, EPOCH, NOWHERE};
-use crate::checker::{Of, Rule};
-use crate::event_queue::{millis, seconds, Happening, Life, Moment, SECOND};
-use crate::policy::Truth;
+use super::{Node, Phase, World, EPOCH, NO_PLACE};
+use crate::checker::{Rule, TraceSubject};
+use crate::event_queue::{millis, seconds, Incarnation, Moment, SimulationEvent, SECOND};
+use crate::policy::FleetState;
 use crate::population::{jittered, stream, swing};
 use crate::scenario::Delays;
-use crate::server_model::State;
+use crate::server_model::ServerState;
 use lupincrank_placement::{Action, Event, Outcome, RequestId, RequestInfo, Timer, Timestamp};
 use std::collections::VecDeque;
 use std::time::Duration;
 
 /// Set-ups that a node remembers to tell a long one from the usual, and the multiple that is long.
-const SET_UPS: usize = 63;
-const FEWEST_SET_UPS: usize = 8;
-const LONG: u64 = 3;
+const REMEMBERED_SETUPS: usize = 63;
+const MIN_REMEMBERED_SETUPS: usize = 8;
+const LONG_SETUP_FACTOR: u64 = 3;
 
 impl World<'_> {
     pub(super) fn add_node(&mut self, zone: u32) {
@@ -22,7 +22,7 @@
         let policy = self.new_policy(at, 0);
         self.nodes.push(Node {
             zone,
-            life: 0,
+            incarnation: 0,
             alive: false,
             listed_by_front: false,
             policy,
@@ -36,53 +36,58 @@
         self.nodes[at as usize].listed_by_front = true;
     }
 
-    fn new_policy(&self, node: u32, life: Life) -> Box<dyn crate::policy::Policy> {
+    fn new_policy(&self, node: u32, incarnation: Incarnation) -> Box<dyn crate::policy::Policy> {
         use rand::RngCore;
-        let seed = stream(self.seed, 5, u64::from(node) << 32 | u64::from(life)).next_u64();
-        (self.make)(self.settings.clone(), seed)
+        let seed = stream(self.seed, 5, u64::from(node) << 32 | u64::from(incarnation)).next_u64();
+        (self.policy_factory)(self.settings.clone(), seed)
     }
 
     /// A node's process starts: from nothing but the list as discovery has it.
     pub(super) fn start_node(&mut self, at: u32) {
-        let life = self.nodes[at as usize].life + 1;
-        let policy = self.new_policy(at, life);
+        let incarnation = self.nodes[at as usize].incarnation + 1;
+        let policy = self.new_policy(at, incarnation);
         let node = &mut self.nodes[at as usize];
-        (node.life, node.alive, node.watches, node.policy) = (life, true, false, policy);
+        (node.incarnation, node.alive, node.watches, node.policy) =
+            (incarnation, true, false, policy);
         node.leaving.clear();
         node.knows_start.clear();
         node.set_ups.clear();
-        self.feed(at, Event::Start);
-        self.give_cached_list(at);
-        self.queue
-            .put(self.now + seconds(0.5), Happening::Front(at, life, true));
+        self.deliver_event(at, Event::Start);
+        self.deliver_cached_endpoints(at);
+        self.queue.schedule(
+            self.now + seconds(0.5),
+            SimulationEvent::FrontUpdated(at, incarnation, true),
+        );
     }
 
     /// A node's process dies, and with it all that goes through it.
     pub(super) fn kill_node(&mut self, at: u32) {
         let node = &mut self.nodes[at as usize];
         (node.alive, node.watches) = (false, false);
-        let life = node.life;
+        let incarnation = node.incarnation;
         let notice = seconds(self.scenario.nodes.front_notice_s);
-        self.queue
-            .put(self.now + notice, Happening::Front(at, life, false));
+        self.queue.schedule(
+            self.now + notice,
+            SimulationEvent::FrontUpdated(at, incarnation, false),
+        );
         for client in 0..self.clients.len() as u32 {
             let held = &self.clients[client as usize];
-            if held.node != at || held.node_life != life || held.request == 0 {
+            if held.node != at || held.node_incarnation != incarnation || held.request == 0 {
                 continue;
             }
             match held.phase {
-                Phase::Stands => {
-                    self.measure.cut += 1;
+                Phase::Connected => {
+                    self.metrics.cut += 1;
                     self.release(client);
-                    self.broken(client, false);
+                    self.connection_lost(client, false);
                 }
-                Phase::Asks if !held.answered => {
+                Phase::Requesting if !held.answered => {
                     let request = held.request;
                     self.release(client);
                     self.clients[client as usize].answered = true;
-                    self.queue.put(
+                    self.queue.schedule(
                         self.now + millis(1.0),
-                        Happening::Answered(client, request, false, 0),
+                        SimulationEvent::ClientAnswered(client, request, false, 0),
                     );
                 }
                 _ => {}
@@ -90,17 +95,17 @@
         }
     }
 
-    pub(super) fn front(&mut self, node: u32, life: Life, takes: bool) {
+    pub(super) fn update_front(&mut self, node: u32, incarnation: Incarnation, takes: bool) {
         let node = &mut self.nodes[node as usize];
-        if node.life == life && node.alive == takes {
+        if node.incarnation == incarnation && node.alive == takes {
             node.listed_by_front = takes;
         }
     }
 
     /// Hands an event to a node's decisions and carries out what they want.
-    pub(super) fn feed(&mut self, at: u32, event: Event) {
+    pub(super) fn deliver_event(&mut self, at: u32, event: Event) {
         let mut actions = std::mem::take(&mut self.actions);
-        let truth = Truth {
+        let truth = FleetState {
             fleet: &self.fleet,
             index: &self.index,
             now: self.now,
@@ -112,12 +117,12 @@
             &mut actions,
         );
         for action in actions.drain(..) {
-            self.carry_out(at, action);
+            self.execute(at, action);
         }
         self.actions = actions;
     }
 
-    fn carry_out(&mut self, node: u32, action: Action) {
+    fn execute(&mut self, node: u32, action: Action) {
         match action {
             Action::StartAttempt {
                 request,
@@ -133,32 +138,34 @@
             Action::Fail(request) => self.answer(node, request.0, false, 0),
             Action::Migrate(request) => {
                 if let Some(client) = self.client_of(request.0) {
-                    if self.clients[client as usize].phase == Phase::Stands {
-                        self.measure.moves += 1;
+                    if self.clients[client as usize].phase == Phase::Connected {
+                        self.metrics.moves += 1;
                         self.record("moved", node, request.0, self.clients[client as usize].out);
                         self.end_standing(client, Outcome::Cancelled);
-                        self.broken(client, true);
+                        self.connection_lost(client, true);
                     }
                 }
             }
             Action::SetTimer { after, timer } => {
-                let life = self.nodes[node as usize].life;
+                let incarnation = self.nodes[node as usize].incarnation;
                 let after = u64::try_from(after.as_nanos())
                     .unwrap_or(u64::MAX)
                     .min(3600 * SECOND);
-                self.queue
-                    .put(self.now + after.max(1), Happening::Timer(node, life, timer));
+                self.queue.schedule(
+                    self.now + after.max(1),
+                    SimulationEvent::NodeTimer(node, incarnation, timer),
+                );
             }
-            Action::WatchEndpoints => self.call_directory(node),
+            Action::WatchEndpoints => self.watch_endpoints(node),
             // Settings forbid both.
             Action::CheckHealth(_) | Action::Gossip(_) => {}
         }
     }
 
-    pub(super) fn timer(&mut self, node: u32, life: Life, timer: Timer) {
+    pub(super) fn timer(&mut self, node: u32, incarnation: Incarnation, timer: Timer) {
         let at = &self.nodes[node as usize];
-        if at.alive && at.life == life {
-            self.feed(node, Event::TimerFired(timer));
+        if at.alive && at.incarnation == incarnation {
+            self.deliver_event(node, Event::TimerFired(timer));
         }
     }
 
@@ -179,52 +186,54 @@
     }
 
     /// A node takes a request.
-    pub(super) fn taken(&mut self, request: u64) {
+    pub(super) fn receive_request(&mut self, request: u64) {
         let Some(client) = self.client_of(request) else {
             return;
         };
         let held = &self.clients[client as usize];
         let (node, deadline) = (held.node, held.deadline);
         let at = &self.nodes[node as usize];
-        if !at.alive || at.life != held.node_life {
+        if !at.alive || at.incarnation != held.node_incarnation {
             // It died while the request was on its way.
             self.clients[client as usize].answered = true;
-            return self.queue.put(
+            return self.queue.schedule(
                 self.now + millis(1.0),
-                Happening::Answered(client, request, false, 0),
+                SimulationEvent::ClientAnswered(client, request, false, 0),
             );
         }
         self.record("taken", node, request, None);
         let overdue = deadline + millis(self.scenario.rules.answer_slack_ms);
-        self.queue
-            .put(overdue.max(self.now + 1), Happening::Overdue(request));
+        self.queue.schedule(
+            overdue.max(self.now + 1),
+            SimulationEvent::AnswerOverdue(request),
+        );
         let incoming = self.incoming(client);
-        self.feed(node, Event::RequestReceived(incoming));
+        self.deliver_event(node, Event::RequestReceived(incoming));
     }
 
     /// A connection that stands when the world begins.
     pub(super) fn inherit(&mut self, client: u32, node: u32, server: u32) {
         if self.fleet[server as usize].standing.len() as u32 >= self.fleet[server as usize].cap() {
-            let life = self.clients[client as usize].life;
-            return self.asks(client, life);
+            let incarnation = self.clients[client as usize].incarnation;
+            return self.connect_client(client, incarnation);
         }
-        let request = self.number(client);
-        let life = self.nodes[node as usize].life;
+        let request = self.next_request_number(client);
+        let incarnation = self.nodes[node as usize].incarnation;
         let held = &mut self.clients[client as usize];
-        (held.request, held.node, held.node_life, held.phase) =
-            (request, node, life, Phase::Stands);
+        (held.request, held.node, held.node_incarnation, held.phase) =
+            (request, node, incarnation, Phase::Connected);
         (held.attempts, held.out, held.answered, held.sent) = (1, Some(server), true, self.now);
         self.join(client, server);
         let incoming = self.incoming(client);
         let id = self.fleet[server as usize].id.clone();
-        self.feed(node, Event::ConnectionInherited(incoming, id));
+        self.deliver_event(node, Event::ConnectionInherited(incoming, id));
         self.starts_to_stand(client);
     }
 
     /// From here on a connection's load is told and changes.
     fn starts_to_stand(&mut self, client: u32) {
         let held = &mut self.clients[client as usize];
-        held.stood += 1;
+        held.connection_incarnation += 1;
         let (load, next) = swing(
             &self.scenario.class[held.class],
             held.usual,
@@ -235,18 +244,18 @@
             self.advance(server);
             self.fleet[server as usize].swing(by);
         }
-        self.tell_load(client);
-        self.next_swing(client, next);
+        self.report_load(client);
+        self.schedule_load_change(client, next);
     }
 
-    pub(super) fn tell_load(&mut self, client: u32) {
+    pub(super) fn report_load(&mut self, client: u32) {
         if !self.scenario.nodes.loads {
             return;
         }
         let held = &self.clients[client as usize];
         let load = Duration::from_secs_f64(held.load.max(0.0));
         let (node, request) = (held.node, RequestId(held.request));
-        self.feed(node, Event::LoadObserved { request, load });
+        self.deliver_event(node, Event::LoadObserved { request, load });
     }
 
     /// Sends an attempt on its way, once the judges have looked at it.
@@ -262,14 +271,17 @@
         self.record("sent", node, request, server);
         let current = self.client_of(request).filter(|client| {
             let held = &self.clients[*client as usize];
-            held.phase == Phase::Asks && !held.answered && held.node == node
+            held.phase == Phase::Requesting && !held.answered && held.node == node
         });
         let (Some(client), Some(server)) = (current, server) else {
             let what =
                 "sent, though it was answered or never taken, or to a transcriber that was never listed";
-            return self
-                .judge
-                .breaks(Rule::FinalAnswer, now, Of::Request(request), what.into());
+            return self.checker.report(
+                Rule::FinalAnswer,
+                now,
+                TraceSubject::Request(request),
+                what.into(),
+            );
         };
         if self.breaks_attempt_rule(client, request) {
             return;
@@ -292,8 +304,12 @@
         } else {
             return false;
         };
-        self.judge
-            .breaks(Rule::Attempts, self.now, Of::Request(request), what);
+        self.checker.report(
+            Rule::Attempts,
+            self.now,
+            TraceSubject::Request(request),
+            what,
+        );
         true
     }
 
@@ -311,8 +327,8 @@
             let what = format!(
                 "sent to transcriber {server}, {since:.3} s after the node was told that it leaves"
             );
-            self.judge
-                .breaks(Rule::Drain, now, Of::Request(request), what);
+            self.checker
+                .report(Rule::Drain, now, TraceSubject::Request(request), what);
         }
     }
 
@@ -323,10 +339,10 @@
             self.nodes[node as usize].zone,
             self.fleet[server as usize].zone,
         );
-        self.measure.attempts += 1;
-        self.measure.crossings += u64::from(node_zone != server_zone);
+        self.metrics.attempts += 1;
+        self.metrics.crossings += u64::from(node_zone != server_zone);
         let trips = 1.0 + 2.0 * self.scenario.net.handshake_rtts;
-        let way = (self.hop(node_zone, server_zone) as f64 * trips) as Moment;
+        let way = (self.network_delay(node_zone, server_zone) as f64 * trips) as Moment;
         let held = &mut self.clients[client as usize];
         let request = held.request;
         let attempt = held.attempts;
@@ -335,12 +351,14 @@
         held.sent = now;
         let until =
             (now + u64::try_from(timeout.as_nanos()).unwrap_or(u64::MAX / 2)).min(held.deadline);
-        let life = self.fleet[server as usize].life;
-        self.queue
-            .put(until.max(now + 1), Happening::Patience(request, attempt));
-        self.queue.put(
+        let incarnation = self.fleet[server as usize].incarnation;
+        self.queue.schedule(
+            until.max(now + 1),
+            SimulationEvent::AttemptTimeout(request, attempt),
+        );
+        self.queue.schedule(
             now + way,
-            Happening::Arrives(request, attempt, server, life),
+            SimulationEvent::AttemptArrives(request, attempt, server, incarnation),
         );
     }
 
@@ -356,16 +374,19 @@
             return;
         };
         let held = &self.clients[client as usize];
-        if held.phase != Phase::Asks || held.node != node {
+        if held.phase != Phase::Requesting || held.node != node {
             return;
         }
         if held.answered {
             let what = "a second final answer".to_string();
-            return self
-                .judge
-                .breaks(Rule::FinalAnswer, self.now, Of::Request(request), what);
+            return self.checker.report(
+                Rule::FinalAnswer,
+                self.now,
+                TraceSubject::Request(request),
+                what,
+            );
         }
-        self.measure.refused += 1;
+        self.metrics.refused += 1;
         let out = held.out.is_some();
         let attempt = held.attempts.saturating_sub(1);
         self.clients[client as usize].answered = true;
@@ -373,7 +394,7 @@
             self.release(client);
             let outcome = Outcome::Cancelled;
             let request = RequestId(request);
-            self.feed(
+            self.deliver_event(
                 node,
                 Event::AttemptEnded {
                     request,
@@ -386,46 +407,52 @@
         }
         let (mean, jitter) = (self.scenario.net.client_ms, self.scenario.net.jitter);
         let hop = jittered(&mut self.clients[client as usize].random, mean, jitter);
-        self.queue.put(
+        self.queue.schedule(
             self.now + hop,
-            Happening::Answered(client, request, refused, wait_ms),
+            SimulationEvent::ClientAnswered(client, request, refused, wait_ms),
         );
     }
 
-    pub(super) fn overdue(&mut self, request: u64) {
+    pub(super) fn answer_overdue(&mut self, request: u64) {
         let Some(client) = self.client_of(request) else {
             return;
         };
         let held = &self.clients[client as usize];
-        if held.phase != Phase::Asks || held.answered {
+        if held.phase != Phase::Requesting || held.answered {
             return;
         }
         self.record("overdue", held.node, request, held.out);
         let what = "no final answer by the client's deadline".to_string();
-        self.judge
-            .breaks(Rule::FinalAnswer, self.now, Of::Request(request), what);
+        self.checker.report(
+            Rule::FinalAnswer,
+            self.now,
+            TraceSubject::Request(request),
+            what,
+        );
         self.client_gone(client);
         self.clients[client as usize].answered = true;
-        self.queue
-            .put(self.now + 1, Happening::Answered(client, request, false, 0));
+        self.queue.schedule(
+            self.now + 1,
+            SimulationEvent::ClientAnswered(client, request, false, 0),
+        );
     }
 
     /// Nobody waits for the request any more.
     pub(super) fn client_gone(&mut self, client: u32) {
         let held = &self.clients[client as usize];
-        let (node, request, life) = (held.node, held.request, held.node_life);
+        let (node, request, incarnation) = (held.node, held.request, held.node_incarnation);
         let at = &self.nodes[node as usize];
-        if held.answered || !at.alive || at.life != life {
+        if held.answered || !at.alive || at.incarnation != incarnation {
             return;
         }
         let (out, attempt) = (held.out.is_some(), held.attempts.saturating_sub(1));
         self.clients[client as usize].answered = true;
         self.release(client);
-        self.feed(node, Event::ClientGone(RequestId(request)));
+        self.deliver_event(node, Event::ClientGone(RequestId(request)));
         if out {
             let request = RequestId(request);
             let outcome = Outcome::Cancelled;
-            self.feed(
+            self.deliver_event(
                 node,
                 Event::AttemptEnded {
                     request,
@@ -442,13 +469,13 @@
     fn waits_for(&self, request: u64, attempt: u32) -> Option<u32> {
         let client = self.client_of(request)?;
         let held = &self.clients[client as usize];
-        let current = held.phase == Phase::Asks && !held.answered && held.out.is_some();
+        let current = held.phase == Phase::Requesting && !held.answered && held.out.is_some();
         (current && held.attempts == attempt + 1).then_some(client)
     }
 
-    pub(super) fn out_of_patience(&mut self, request: u64, attempt: u32) {
+    pub(super) fn attempt_timed_out(&mut self, request: u64, attempt: u32) {
         if self.waits_for(request, attempt).is_some() {
-            self.measure.timed_out += 1;
+            self.metrics.timed_out += 1;
             self.attempt_ended(request, attempt, Outcome::TimedOut);
         }
     }
@@ -460,8 +487,8 @@
         let held = &self.clients[client as usize];
         let (node, server) = (held.node, held.out);
         match outcome {
-            Outcome::Rejected => self.measure.full += 1,
-            Outcome::ConnectFailed => self.measure.no_connect += 1,
+            Outcome::Rejected => self.metrics.full += 1,
+            Outcome::ConnectFailed => self.metrics.no_connect += 1,
             _ => {}
         }
         let what = match outcome {
@@ -474,7 +501,7 @@
         self.record(what, node, request, server);
         self.release(client);
         let request = RequestId(request);
-        self.feed(
+        self.deliver_event(
             node,
             Event::AttemptEnded {
                 request,
@@ -487,22 +514,22 @@
     }
 
     /// A node hears that the connection stands.
-    pub(super) fn stands(&mut self, request: u64, attempt: u32) {
+    pub(super) fn connection_established(&mut self, request: u64, attempt: u32) {
         let Some(client) = self.waits_for(request, attempt) else {
             return;
         };
         let held = &mut self.clients[client as usize];
-        if held.place == NOWHERE {
+        if held.place == NO_PLACE {
             return; // its transcriber is gone again
         }
-        (held.phase, held.answered) = (Phase::Stands, true);
+        (held.phase, held.answered) = (Phase::Connected, true);
         (held.failures, held.retries) = (0, 0);
         let (node, server) = (held.node, held.out);
         let (took, sent) = (self.now - held.asked, self.now - held.sent);
-        self.measure.set_up(took);
+        self.metrics.record_setup(took);
         self.record("stands", node, request, server);
         let id = RequestId(request);
-        self.feed(
+        self.deliver_event(
             node,
             Event::ConnectionEstablished {
                 request: id,
@@ -522,18 +549,18 @@
     fn judge_set_up(&mut self, node: u32, request: RequestId, took: Moment) {
         let set_ups = &mut self.nodes[node as usize].set_ups;
         let mut sorted: Vec<Moment> = set_ups.iter().copied().collect();
-        if set_ups.len() == SET_UPS {
+        if set_ups.len() == REMEMBERED_SETUPS {
             set_ups.pop_front();
         }
         set_ups.push_back(took);
-        if self.scenario.nodes.delays != Delays::Sockets || sorted.len() < FEWEST_SET_UPS {
+        if self.scenario.nodes.delays != Delays::Sockets || sorted.len() < MIN_REMEMBERED_SETUPS {
             return;
         }
         let middle = sorted.len() / 2;
         let median = *sorted.select_nth_unstable(middle).1;
-        if took > median * LONG {
+        if took > median * LONG_SETUP_FACTOR {
             let delay = Duration::from_nanos(took - median);
-            self.feed(node, Event::DelayObserved { request, delay });
+            self.deliver_event(node, Event::DelayObserved { request, delay });
         }
     }
 
@@ -545,13 +572,13 @@
             held.attempts.saturating_sub(1),
             RequestId(held.request),
         );
-        let lives =
-            self.nodes[node as usize].alive && self.nodes[node as usize].life == held.node_life;
+        let lives = self.nodes[node as usize].alive
+            && self.nodes[node as usize].incarnation == held.node_incarnation;
         self.release(client);
         let held = &mut self.clients[client as usize];
-        (held.phase, held.request) = (Phase::Away, 0);
+        (held.phase, held.request) = (Phase::Disconnected, 0);
         if lives {
-            self.feed(
+            self.deliver_event(
                 node,
                 Event::AttemptEnded {
                     request,
@@ -570,11 +597,15 @@
         if self.scenario.nodes.delays != Delays::All {
             return;
         }
-        let least = self.aims.iter().copied().fold(f64::INFINITY, f64::min);
+        let least = self
+            .message_objectives
+            .iter()
+            .copied()
+            .fold(f64::INFINITY, f64::min);
         for at in 0..self.fleet.len() {
             let server = &self.fleet[at];
             let (wait, own) = server.delay(self.now);
-            let silent = server.state == State::Silent;
+            let silent = server.state == ServerState::Silent;
             let gone = crate::event_queue::as_seconds(self.now.saturating_sub(server.silent_since));
             let delay = if silent { gone } else { wait + own };
             let late = delay > least / 3.0;
@@ -582,7 +613,7 @@
             if late || was {
                 let delay = Duration::from_secs_f64(delay);
                 for (node, request) in self.one_for_each_node(at as u32) {
-                    self.feed(node, Event::DelayObserved { request, delay });
+                    self.deliver_event(node, Event::DelayObserved { request, delay });
                 }
             }
         }
@@ -594,7 +625,8 @@
         let mut found = Vec::new();
         for client in &self.fleet[server as usize].standing {
             let held = &self.clients[*client as usize];
-            if held.phase == Phase::Stands && !std::mem::replace(&mut met[held.node as usize], true)
+            if held.phase == Phase::Connected
+                && !std::mem::replace(&mut met[held.node as usize], true)
             {
                 found.push((held.node, RequestId(held.request)));
                 if found.len() == met.len() {
@@ -606,9 +638,9 @@
     }
 
     /// Nodes notice that a transcriber answers nobody: each tells so, and of every connection that it still has there.
-    pub(super) fn silence(&mut self, server: u32, life: Life) {
+    pub(super) fn notice_silence(&mut self, server: u32, incarnation: Incarnation) {
         let at = &self.fleet[server as usize];
-        if at.state != State::Silent || at.life != life {
+        if at.state != ServerState::Silent || at.incarnation != incarnation {
             return;
         }
         let id = at.id.clone();
@@ -618,18 +650,20 @@
                 .filter(|client| self.clients[**client as usize].node == node)
                 .count();
             if held > 1 {
-                self.feed(node, Event::ServerUnresponsive(id.clone()));
+                self.deliver_event(node, Event::ServerUnresponsive(id.clone()));
             }
         }
         let left: Vec<u32> = self.fleet[server as usize].standing.clone();
         for client in left {
             let held = &self.clients[client as usize];
-            if held.phase == Phase::Stands && held.out == Some(server) {
+            if held.phase == Phase::Connected && held.out == Some(server) {
                 let (node, request) = (held.node, RequestId(held.request));
-                self.feed(node, Event::ConnectionUnresponsive(request));
+                self.deliver_event(node, Event::ConnectionUnresponsive(request));
             }
         }
-        self.queue
-            .put(self.now + SECOND, Happening::Silence(server, life));
+        self.queue.schedule(
+            self.now + SECOND,
+            SimulationEvent::SilenceNoticed(server, incarnation),
+        );
     }
 }
--- a/crates/simulator/src/world/servers.rs
+++ b/crates/simulator/src/world/servers.rs
@@ -1,10 +1,12 @@
 //! Transcribers in the world: set-ups, standing connections, crowding, pauses, drains and ends.
 
-use super::{Phase, World, EPOCH, NOWHERE};
-use crate::checker::{Of, Rule};
-use crate::event_queue::{as_seconds, millis, seconds, Change, Happening, Life, Moment};
+use super::{Phase, World, EPOCH, NO_PLACE};
+use crate::checker::{Rule, TraceSubject};
+use crate::event_queue::{
+    as_seconds, millis, seconds, Change, Incarnation, Moment, SimulationEvent,
+};
 use crate::population::{stream, work};
-use crate::server_model::{State, Transcriber, Waiting};
+use crate::server_model::{PendingSetup, ServedInterval, ServerModel, ServerState};
 use lupincrank_placement::{
     key_hash, rank_score, server_hash, Endpoint, Health, Outcome, ServerId, Timestamp,
 };
@@ -12,7 +14,7 @@
 use rand_distr::{Exp1, StandardNormal};
 
 /// The part of its capacity that a crowded transcriber sheds down to.
-const SHEDS_TO: f64 = 0.9;
+const SHED_TARGET_RATIO: f64 = 0.9;
 
 impl World<'_> {
     /// The transcribers of the start, all warm and listed.
@@ -32,7 +34,9 @@
             owed[kind] -= 1.0;
             self.add_transcriber(at % self.scenario.net.zones, kind, None);
         }
-        self.directory.known = (0..count).map(|at| self.entry(at, Health::Ready)).collect();
+        self.discovery.known = (0..count)
+            .map(|at| self.endpoint(at, Health::Ready))
+            .collect();
     }
 
     pub(super) fn add_transcriber(
@@ -51,14 +55,14 @@
         let id = ServerId::from(format!("10.{}.{:08x}:8000", zone + 1, random.next_u32()).as_str());
         self.index.insert(id.clone(), at);
         self.hashes.push(server_hash(&id));
-        let server = Transcriber::new(&self.scenario, id, zone, kind, speed, weight, started);
+        let server = ServerModel::new(&self.scenario, id, zone, kind, speed, weight, started);
         self.fleet.push(server);
-        self.next_pause(at);
+        self.schedule_pause(at);
         at
     }
 
     /// What discovery says of a transcriber.
-    pub(super) fn entry(&self, at: u32, health: Health) -> Endpoint {
+    pub(super) fn endpoint(&self, at: u32, health: Health) -> Endpoint {
         let server = &self.fleet[at as usize];
         let ahead = self.scenario.discovery.clock_ahead_s;
         let told = |started: Moment| (started + EPOCH).saturating_add_signed((ahead * 1e9) as i64);
@@ -74,7 +78,7 @@
     }
 
     /// The transcriber with the top product score for a client's key.
-    pub(super) fn top_score(&self, client: u32) -> u32 {
+    pub(super) fn top_ranked_server(&self, client: u32) -> u32 {
         let (key, group) = self.keys(client);
         let key = key_hash(group.as_deref().unwrap_or(&key));
         let scored = self
@@ -94,8 +98,10 @@
         let Some(server) = self.fleet.get_mut(at as usize) else {
             return;
         };
-        let mut intervals: Vec<(usize, f64, f64, f64)> = Vec::new();
-        server.advance(now, &self.aims, |interval| intervals.push(interval));
+        let mut intervals: Vec<ServedInterval> = Vec::new();
+        server.advance(now, &self.message_objectives, |interval| {
+            intervals.push(interval);
+        });
         if intervals.is_empty() {
             return;
         }
@@ -103,15 +109,23 @@
         let (answers, load) = (server.answers(), server.load());
         let every = self.scenario.clients.message_every_s;
         let mut span = 0.0;
-        for (class, count, share, stretch) in intervals {
-            span = stretch;
-            self.measure.serves(class, now, count * share * stretch);
+        for interval in intervals {
+            let ServedInterval {
+                class,
+                connections,
+                in_time_ratio,
+                duration_s,
+            } = interval;
+            span = duration_s;
+            self.metrics
+                .record_service(class, now, connections * in_time_ratio * duration_s);
             if answers {
                 let took = wait + own * self.chance.sample::<f64, _>(Exp1);
-                self.measure.message(class, took, count * stretch / every);
+                self.metrics
+                    .record_message(class, took, connections * duration_s / every);
             }
         }
-        self.measure.work.0 += load * span;
+        self.metrics.setup_work.total_s += load * span;
     }
 
     /// A client's connection joins a transcriber.
@@ -128,9 +142,9 @@
         let Some(server) = held.out.take() else {
             return;
         };
-        let place = std::mem::replace(&mut held.place, NOWHERE);
+        let place = std::mem::replace(&mut held.place, NO_PLACE);
         let (class, load, group) = (held.class, held.load, held.group);
-        if place != NOWHERE {
+        if place != NO_PLACE {
             self.advance(server);
             let moved = self.fleet[server as usize].leave(place, class, load, group);
             if let Some(moved) = moved {
@@ -140,7 +154,13 @@
     }
 
     /// An attempt's first line arrives, or finds that nothing takes it.
-    pub(super) fn arrives(&mut self, request: u64, attempt: u32, at: u32, life: Life) {
+    pub(super) fn attempt_arrives(
+        &mut self,
+        request: u64,
+        attempt: u32,
+        at: u32,
+        incarnation: Incarnation,
+    ) {
         let Some(client) = self.client_of(request) else {
             return;
         };
@@ -151,29 +171,32 @@
         let (node, class, sent) = (held.node, held.class, held.sent);
         let zone = self.nodes[node as usize].zone;
         self.advance(at);
-        let back = self.hop(zone, self.fleet[at as usize].zone);
+        let back = self.network_delay(zone, self.fleet[at as usize].zone);
         let server = &self.fleet[at as usize];
         let fails = |world: &mut Self, when: Moment, outcome: Outcome| {
-            world
-                .queue
-                .put(when, Happening::Ended(request, attempt, outcome));
+            world.queue.schedule(
+                when,
+                SimulationEvent::AttemptEnded(request, attempt, outcome),
+            );
         };
         let timeout = sent + millis(self.scenario.nodes.connect_timeout_ms);
         let standing = server.standing.len() as u32 + server.busy + server.waiting.len() as u32;
         match server.state {
-            State::Silent => return fails(self, timeout.max(self.now + 1), Outcome::ConnectFailed),
-            State::Down => return fails(self, self.now + back, Outcome::ConnectFailed),
-            State::Up | State::Draining if server.life != life => {
+            ServerState::Silent => {
+                return fails(self, timeout.max(self.now + 1), Outcome::ConnectFailed)
+            }
+            ServerState::Down => return fails(self, self.now + back, Outcome::ConnectFailed),
+            ServerState::Up | ServerState::Draining if server.incarnation != incarnation => {
                 return fails(self, self.now + back, Outcome::ConnectFailed)
             }
-            State::Draining => return fails(self, self.now + back, Outcome::Rejected),
-            State::Up if standing >= server.cap() => {
+            ServerState::Draining => return fails(self, self.now + back, Outcome::Rejected),
+            ServerState::Up if standing >= server.cap() => {
                 return fails(self, timeout.max(self.now + 1), Outcome::ConnectFailed)
             }
-            State::Up => {}
+            ServerState::Up => {}
         }
-        self.judge_push(at, node, class);
-        if self.fleet[at as usize].state != State::Up {
+        self.check_cold_start(at, node, class);
+        if self.fleet[at as usize].state != ServerState::Up {
             return; // that pushed it over; its attempts have been ended
         }
         let (slots, queue) = (
@@ -184,14 +207,15 @@
             &self.scenario.class[class],
             &mut self.clients[client as usize].random,
         );
-        let waiting = Waiting {
-            request: (request, attempt),
+        let waiting = PendingSetup {
+            request,
+            attempt,
             work: job,
             since: self.now,
         };
         let server = &mut self.fleet[at as usize];
         if server.busy < slots {
-            self.begin_set_up(at, waiting);
+            self.begin_setup(at, waiting);
         } else if (server.waiting.len() as u32) < queue {
             server.waiting.push_back(waiting);
         } else {
@@ -200,7 +224,7 @@
     }
 
     /// Counts what a cold transcriber is sent, and lets it fall over when that is too much.
-    fn judge_push(&mut self, at: u32, node: u32, class: usize) {
+    fn check_cold_start(&mut self, at: u32, node: u32, class: usize) {
         let knows = self.nodes[node as usize]
             .knows_start
             .get(at as usize)
@@ -213,52 +237,63 @@
             self.scenario.rules.fall_s,
         );
         let server = &mut self.fleet[at as usize];
-        let knows_start = knows == server.life;
-        if !server.pushed(self.now, loads, knows_start, multiple, span) {
+        let knows_start = knows == server.incarnation;
+        if !server.overloads_cold(self.now, loads, knows_start, multiple, span) {
             return;
         }
-        let (total_loads, informed_loads, _) = server.sent;
-        self.measure.fallen += 1;
+        let cold_load = server.cold_load;
+        self.metrics.fallen += 1;
         self.record("fell over", node, 0, Some(at));
-        if informed_loads >= total_loads * 2.0 / 3.0 {
+        if cold_load.informed >= cold_load.total * 2.0 / 3.0 {
             let what = format!(
-                "transcriber {at}, cold since {:.2} s, was sent {total_loads:.1} loads in a row, {informed_loads:.1} of them by nodes \
+                "transcriber {at}, cold since {:.2} s, was sent {:.1} loads in a row, {:.1} of them by nodes \
                  that knew of its start",
-                as_seconds(self.now - self.fleet[at as usize].started.unwrap_or(0))
+                as_seconds(self.now - self.fleet[at as usize].started.unwrap_or(0)),
+                cold_load.total,
+                cold_load.informed,
             );
-            self.judge
-                .breaks(Rule::Cold, self.now, Of::Server(at), what);
+            self.checker
+                .report(Rule::Cold, self.now, TraceSubject::Server(at), what);
         }
         let notice = seconds(self.scenario.discovery.notice_s);
-        let life = self.fleet[at as usize].life;
-        self.go_down(at);
-        self.queue
-            .put(self.now + notice, Happening::Known(at, life, Change::Gone));
+        let incarnation = self.fleet[at as usize].incarnation;
+        self.terminate_server(at);
+        self.queue.schedule(
+            self.now + notice,
+            SimulationEvent::DiscoveryLearns(at, incarnation, Change::Gone),
+        );
     }
 
-    fn begin_set_up(&mut self, at: u32, waiting: Waiting) {
+    fn begin_setup(&mut self, at: u32, waiting: PendingSetup) {
         let now = self.now;
         let server = &mut self.fleet[at as usize];
         server.busy += 1;
         let waited = as_seconds(now - waiting.since);
-        self.measure.waits.0 += waited;
-        self.measure.waits.1 += 1;
-        self.measure.waits.2 += u64::from(waited > 0.0);
-        self.measure.work.0 += waiting.work;
+        self.metrics.setup_waits.total_s += waited;
+        self.metrics.setup_waits.started += 1;
+        self.metrics.setup_waits.delayed += u64::from(waited > 0.0);
+        self.metrics.setup_work.total_s += waiting.work;
         let takes = server.set_up_s(now, waiting.work);
         if server.load() > 0.0 {
             server.piled += waiting.work;
         }
-        let (request, attempt) = waiting.request;
-        self.queue.put(
+        let (request, attempt) = (waiting.request, waiting.attempt);
+        self.queue.schedule(
             now + seconds(takes),
-            Happening::SetUp(request, attempt, at, server.life),
+            SimulationEvent::SetupDone(request, attempt, at, server.incarnation),
         );
     }
 
     /// A set-up is done: the connection stands, unless it was called off meanwhile.
-    pub(super) fn set_up(&mut self, request: u64, attempt: u32, at: u32, life: Life) {
-        if self.fleet[at as usize].life != life || !self.fleet[at as usize].answers() {
+    pub(super) fn setup_done(
+        &mut self,
+        request: u64,
+        attempt: u32,
+        at: u32,
+        incarnation: Incarnation,
+    ) {
+        if self.fleet[at as usize].incarnation != incarnation || !self.fleet[at as usize].answers()
+        {
             return;
         }
         self.advance(at);
@@ -266,15 +301,15 @@
         while let Some(next) = self.fleet[at as usize].waiting.pop_front() {
             // One that was called off while it waited costs nothing.
             if self
-                .still_wanted(next.request.0, next.request.1, at)
+                .awaiting_client(next.request, next.attempt, at)
                 .is_some()
             {
-                self.begin_set_up(at, next);
+                self.begin_setup(at, next);
                 break;
             }
         }
-        let Some(client) = self.still_wanted(request, attempt, at) else {
-            self.measure.work.1 += self
+        let Some(client) = self.awaiting_client(request, attempt, at) else {
+            self.metrics.setup_work.wasted_s += self
                 .scenario
                 .class
                 .first()
@@ -282,28 +317,30 @@
             return;
         };
         let node = self.clients[client as usize].node;
-        let back = self.hop(self.nodes[node as usize].zone, self.fleet[at as usize].zone);
+        let back = self.network_delay(self.nodes[node as usize].zone, self.fleet[at as usize].zone);
         if self.chance.gen::<f64>() < self.fleet[at as usize].model().error_rate {
-            return self.queue.put(
+            return self.queue.schedule(
                 self.now + back,
-                Happening::Ended(request, attempt, Outcome::Error),
+                SimulationEvent::AttemptEnded(request, attempt, Outcome::Error),
             );
         }
         self.join(client, at);
-        self.queue
-            .put(self.now + back, Happening::Stands(request, attempt));
+        self.queue.schedule(
+            self.now + back,
+            SimulationEvent::ConnectionEstablished(request, attempt),
+        );
     }
 
     /// The client whose attempt at this transcriber is still waited for.
-    fn still_wanted(&self, request: u64, attempt: u32, at: u32) -> Option<u32> {
+    fn awaiting_client(&self, request: u64, attempt: u32, at: u32) -> Option<u32> {
         let client = self.client_of(request)?;
         let held = &self.clients[client as usize];
-        let wanted = held.phase == Phase::Asks && !held.answered && held.out == Some(at);
+        let wanted = held.phase == Phase::Requesting && !held.answered && held.out == Some(at);
         (wanted && held.attempts == attempt + 1).then_some(client)
     }
 
     /// A crowded transcriber drops its newest connections until it can bear the rest.
-    pub(super) fn shed(&mut self, at: u32) {
+    pub(super) fn shed_load(&mut self, at: u32) {
         let server = &self.fleet[at as usize];
         if !server.answers()
             || server.piled <= self.scenario.fleet.buffer_s * server.capacity(self.now)
@@ -318,7 +355,7 @@
         newest.sort_unstable();
         while let Some((_, client)) = newest.pop() {
             let server = &self.fleet[at as usize];
-            if server.load() <= server.capacity(self.now) * SHEDS_TO {
+            if server.load() <= server.capacity(self.now) * SHED_TARGET_RATIO {
                 break;
             }
             self.cut_off(client);
@@ -328,110 +365,123 @@
     /// A connection breaks: its node hears a reset, and its client comes again.
     pub(super) fn cut_off(&mut self, client: u32) {
         match self.clients[client as usize].phase {
-            Phase::Stands => {
-                self.measure.cut += 1;
+            Phase::Connected => {
+                self.metrics.cut += 1;
                 self.end_standing(client, Outcome::Reset);
-                self.broken(client, false);
+                self.connection_lost(client, false);
             }
-            Phase::Asks => {
+            Phase::Requesting => {
                 let held = &self.clients[client as usize];
                 let (request, attempt) = (held.request, held.attempts.saturating_sub(1));
                 self.attempt_ended(request, attempt, Outcome::Reset);
             }
-            Phase::Away => {}
+            Phase::Disconnected => {}
         }
     }
 
-    pub(super) fn next_pause(&mut self, at: u32) {
+    pub(super) fn schedule_pause(&mut self, at: u32) {
         let server = &self.fleet[at as usize];
         let every = server.model().pause_every_s;
         if every > 0.0 {
             let gap = seconds(every * self.chance.sample::<f64, _>(Exp1)).max(1);
-            let life = server.life;
-            self.queue.put(self.now + gap, Happening::Pause(at, life));
+            let incarnation = server.incarnation;
+            self.queue.schedule(
+                self.now + gap,
+                SimulationEvent::ServerPause(at, incarnation),
+            );
         }
     }
 
     /// It stands still for a moment: what it could have done meanwhile is piled up.
-    pub(super) fn pause(&mut self, at: u32, life: Life) {
-        if self.fleet[at as usize].life != life || !self.fleet[at as usize].answers() {
+    pub(super) fn pause(&mut self, at: u32, incarnation: Incarnation) {
+        if self.fleet[at as usize].incarnation != incarnation || !self.fleet[at as usize].answers()
+        {
             return;
         }
         self.advance(at);
         let server = &mut self.fleet[at as usize];
         server.piled += server.capacity(self.now) * server.model().pause_ms / 1e3;
-        self.next_pause(at);
+        self.schedule_pause(at);
     }
 
     /// It stops to answer: whatever it had is cut off.
-    pub(super) fn go_down(&mut self, at: u32) {
+    pub(super) fn terminate_server(&mut self, at: u32) {
         self.advance(at);
         let server = &mut self.fleet[at as usize];
-        server.state = State::Down;
-        server.life += 1;
+        server.state = ServerState::Down;
+        server.incarnation += 1;
         server.busy = 0;
         let waiting = std::mem::take(&mut server.waiting);
         for client in server.standing.clone() {
             self.cut_off(client);
         }
         for one in waiting {
-            let (request, attempt) = one.request;
-            self.queue.put(
+            let (request, attempt) = (one.request, one.attempt);
+            self.queue.schedule(
                 self.now + millis(1.0),
-                Happening::Ended(request, attempt, Outcome::Reset),
+                SimulationEvent::AttemptEnded(request, attempt, Outcome::Reset),
             );
         }
     }
 
     /// It drains: it takes nothing new, sends its clients away bit by bit where that is its custom, and ends.
     pub(super) fn drain(&mut self, at: u32, span: Moment) {
-        if self.fleet[at as usize].state != State::Up {
+        if self.fleet[at as usize].state != ServerState::Up {
             return;
         }
         self.advance(at);
-        self.fleet[at as usize].state = State::Draining;
-        let life = self.fleet[at as usize].life;
+        self.fleet[at as usize].state = ServerState::Draining;
+        let incarnation = self.fleet[at as usize].incarnation;
         let notice = seconds(self.scenario.discovery.notice_s);
-        self.queue.put(
+        self.queue.schedule(
             self.now + notice,
-            Happening::Known(at, life, Change::Drains),
+            SimulationEvent::DiscoveryLearns(at, incarnation, Change::Drains),
+        );
+        self.queue.schedule(
+            self.now + span,
+            SimulationEvent::ServerStops(at, incarnation),
         );
-        self.queue.put(self.now + span, Happening::Stops(at, life));
         let count = self.fleet[at as usize].standing.len() as u64;
         if self.scenario.fleet.goaway && count > 0 {
             // Evenly over nine tenths of the drain.
             let gap = span * 9 / 10 / count;
             for number in 1..=count {
-                self.queue
-                    .put(self.now + number * gap, Happening::SendsAway(at, life));
+                self.queue.schedule(
+                    self.now + number * gap,
+                    SimulationEvent::DrainClient(at, incarnation),
+                );
             }
         }
     }
 
-    pub(super) fn sends_away(&mut self, at: u32, life: Life) {
+    pub(super) fn drain_client(&mut self, at: u32, incarnation: Incarnation) {
         let server = &self.fleet[at as usize];
-        if server.life != life || server.state != State::Draining {
+        if server.incarnation != incarnation || server.state != ServerState::Draining {
             return;
         }
         let standing = server.standing.iter().copied();
         let first = standing
-            .filter(|client| self.clients[*client as usize].phase == Phase::Stands)
+            .filter(|client| self.clients[*client as usize].phase == Phase::Connected)
             .min();
         if let Some(client) = first {
-            self.measure.sent_away += 1;
+            self.metrics.sent_away += 1;
             self.end_standing(client, Outcome::Cancelled);
-            self.broken(client, true);
+            self.connection_lost(client, true);
         }
     }
 
     /// A drained transcriber ends.
-    pub(super) fn stops(&mut self, at: u32, life: Life) {
-        if self.fleet[at as usize].life != life || self.fleet[at as usize].state == State::Down {
+    pub(super) fn stop_server(&mut self, at: u32, incarnation: Incarnation) {
+        if self.fleet[at as usize].incarnation != incarnation
+            || self.fleet[at as usize].state == ServerState::Down
+        {
             return;
         }
-        self.go_down(at);
+        self.terminate_server(at);
         let notice = seconds(self.scenario.discovery.notice_s);
-        self.queue
-            .put(self.now + notice, Happening::Known(at, life, Change::Gone));
+        self.queue.schedule(
+            self.now + notice,
+            SimulationEvent::DiscoveryLearns(at, incarnation, Change::Gone),
+        );
     }
 }
--- a/crates/simulator/tests/checker.rs
+++ b/crates/simulator/tests/checker.rs
@@ -1,11 +1,11 @@
-//! Each judge catches a policy that breaks its rule on purpose, and none speaks up about one that does not.
+//! The checker reports a policy that breaks a rule on purpose, and nothing about one that does not.
 
 use lupincrank_placement::{
     Action, Balancer, Event, Health, RequestId, ServerId, Settings, Timestamp,
 };
 use lupincrank_simulator::checker::Rule;
 use lupincrank_simulator::metrics::Outcome;
-use lupincrank_simulator::policy::{Policy, Truth};
+use lupincrank_simulator::policy::{FleetState, Policy};
 use lupincrank_simulator::scenario::{parse, Scenario};
 use lupincrank_simulator::world::play_with;
 use rstest::rstest;
@@ -14,7 +14,7 @@
 
 /// What a policy does wrong.
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum Fault {
+enum Misbehaviour {
     Nothing,
     /// It leaves every seventh request without an answer.
     Forgets,
@@ -23,23 +23,23 @@
     /// It sends each request again at once, to the same transcriber.
     SendsTwice,
     /// It sends again whatever ended, beyond what is allowed.
-    SendsForEver,
+    RetriesForever,
     /// It keeps to the transcribers that leave.
-    LovesDraining,
+    PrefersDraining,
     /// It sends everything to those that started last.
-    LovesCold,
+    PrefersCold,
 }
 
-/// The module with a fault put on top.
-struct Faulty {
-    fault: Fault,
+/// The module, with its actions altered by a misbehaviour.
+struct MisbehavingPolicy {
+    misbehaviour: Misbehaviour,
     module: Balancer,
     leaving: BTreeSet<ServerId>,
     started: Vec<ServerId>,
     listed: BTreeSet<ServerId>,
 }
 
-impl Faulty {
+impl MisbehavingPolicy {
     fn observe_endpoints(&mut self, event: &Event) {
         if let Event::EndpointList { entries, .. } | Event::EndpointChange(entries) = event {
             for entry in entries {
@@ -54,7 +54,7 @@
         }
     }
 
-    /// Sends attempts to the favourite server, and returns the attempts that go out beside them.
+    /// Sends attempts to the preferred server, and returns the attempts that go out beside them.
     fn redirect_attempts(&self, actions: &mut [Action]) -> Vec<Action> {
         let mut extra = Vec::new();
         for action in actions {
@@ -64,13 +64,13 @@
             else {
                 continue;
             };
-            let favourite = match self.fault {
-                Fault::LovesDraining => self.leaving.last(),
-                Fault::LovesCold => self.started.last(),
+            let preferred = match self.misbehaviour {
+                Misbehaviour::PrefersDraining => self.leaving.last(),
+                Misbehaviour::PrefersCold => self.started.last(),
                 _ => None,
             };
-            *server = favourite.cloned().unwrap_or_else(|| server.clone());
-            if self.fault == Fault::SendsTwice {
+            *server = preferred.cloned().unwrap_or_else(|| server.clone());
+            if self.misbehaviour == Misbehaviour::SendsTwice {
                 extra.push(Action::StartAttempt {
                     request: *request,
                     server: server.clone(),
@@ -92,8 +92,8 @@
     });
 }
 
-impl Policy for Faulty {
-    fn handle(&mut self, now: Timestamp, event: Event, _: &Truth, actions: &mut Vec<Action>) {
+impl Policy for MisbehavingPolicy {
+    fn handle(&mut self, now: Timestamp, event: Event, _: &FleetState, actions: &mut Vec<Action>) {
         self.observe_endpoints(&event);
         let ended = match &event {
             Event::AttemptEnded {
@@ -106,8 +106,8 @@
         let from = actions.len();
         self.module.handle(now, event, actions);
         let mut extra = self.redirect_attempts(&mut actions[from..]);
-        if let (Fault::SendsForEver, Some(request), Some(server)) =
-            (self.fault, ended, self.listed.first())
+        if let (Misbehaviour::RetriesForever, Some(request), Some(server)) =
+            (self.misbehaviour, ended, self.listed.first())
         {
             actions.truncate(from);
             let timeout = Duration::from_millis(30);
@@ -118,11 +118,11 @@
             });
         }
         let refused = |action: &&Action| matches!(action, Action::Reject { .. });
-        if self.fault == Fault::AnswersTwice {
+        if self.misbehaviour == Misbehaviour::AnswersTwice {
             extra.extend(actions[from..].iter().filter(refused).cloned());
         }
         actions.extend(extra);
-        if self.fault == Fault::Forgets {
+        if self.misbehaviour == Misbehaviour::Forgets {
             forget_every_seventh(actions);
         }
     }
@@ -155,10 +155,10 @@
     parse("judges", text).expect("a scenario that holds")
 }
 
-fn played(fault: Fault) -> Outcome {
+fn play_misbehaving(misbehaviour: Misbehaviour) -> Outcome {
     let make = |settings: Settings, seed: u64| -> Box<dyn Policy> {
-        Box::new(Faulty {
-            fault,
+        Box::new(MisbehavingPolicy {
+            misbehaviour,
             module: Balancer::new(settings, seed),
             leaving: BTreeSet::new(),
             started: Vec::new(),
@@ -169,16 +169,17 @@
 }
 
 #[rstest]
-#[case(Fault::Forgets, Rule::FinalAnswer)]
-#[case(Fault::AnswersTwice, Rule::FinalAnswer)]
-#[case(Fault::SendsTwice, Rule::Attempts)]
-#[case(Fault::SendsForEver, Rule::Attempts)]
-#[case(Fault::LovesDraining, Rule::Drain)]
-#[case(Fault::LovesCold, Rule::Cold)]
-fn a_judge_catches_whoever_breaks_its_rule(#[case] fault: Fault, #[case] rule: Rule) {
-    let run = played(fault);
+#[case(Misbehaviour::Forgets, Rule::FinalAnswer)]
+#[case(Misbehaviour::AnswersTwice, Rule::FinalAnswer)]
+#[case(Misbehaviour::SendsTwice, Rule::Attempts)]
+#[case(Misbehaviour::RetriesForever, Rule::Attempts)]
+#[case(Misbehaviour::PrefersDraining, Rule::Drain)]
+#[case(Misbehaviour::PrefersCold, Rule::Cold)]
+fn the_checker_reports_each_broken_rule(#[case] misbehaviour: Misbehaviour, #[case] rule: Rule) {
+    let run = play_misbehaving(misbehaviour);
     let found = run.rules_broken.iter().find(|broken| broken.rule == rule);
-    let found = found.unwrap_or_else(|| panic!("{fault:?} was not caught: {:?}", run.rules_broken));
+    let found =
+        found.unwrap_or_else(|| panic!("{misbehaviour:?} was not caught: {:?}", run.rules_broken));
     assert!(
         !found.trace.is_empty(),
         "the last events of the offender are shown"
@@ -186,8 +187,8 @@
 }
 
 #[test]
-fn no_judge_speaks_up_about_the_module() {
-    let run = played(Fault::Nothing);
+fn the_checker_reports_nothing_about_the_module() {
+    let run = play_misbehaving(Misbehaviour::Nothing);
     assert_eq!(run.rules_broken, [], "{:?}", run.rules_broken);
     assert!(
         run.attempts > 100,
--- a/crates/simulator/tests/closed_forms.rs
+++ b/crates/simulator/tests/closed_forms.rs
@@ -1,6 +1,6 @@
 //! The emulator against queueing theory: loss systems block as Erlang B says, waiting ones wait as Erlang C says.
 
-use lupincrank_simulator::policy::Name;
+use lupincrank_simulator::policy::PolicyName;
 use lupincrank_simulator::scenario::{parse, Scenario};
 use lupincrank_simulator::world::play;
 use rstest::rstest;
@@ -67,11 +67,11 @@
 #[case(2.0)]
 #[case(4.0)]
 #[case(7.0)]
-fn a_full_transcriber_blocks_as_erlang_b_says(#[case] load: f64) {
+fn a_full_server_blocks_as_erlang_b_predicts(#[case] load: f64) {
     let scenario = bare(load, 40_000.0, 1.0, 0.0, LINES);
     let (mut blocked, mut asked) = (0, 0);
     for seed in 1..=4 {
-        let run = play(&scenario, seed, Name::Plain);
+        let run = play(&scenario, seed, PolicyName::Plain);
         blocked += run.no_connect;
         asked += run.attempts;
     }
@@ -86,13 +86,13 @@
 #[case(3.0)]
 #[case(4.2)]
 #[case(5.1)]
-fn set_ups_wait_as_erlang_c_says(#[case] load: f64) {
+fn setups_wait_as_erlang_c_predicts(#[case] load: f64) {
     let (work_s, rate) = (0.05, load / 0.05);
     let scenario = bare(rate, 4_000.0, 1e6, work_s * 1e3, 0);
     let (mut waits, mut waited) = (0.0, 0.0);
     let seeds = 4;
     for seed in 1..=seeds {
-        let run = play(&scenario, seed, Name::Plain);
+        let run = play(&scenario, seed, PolicyName::Plain);
         waits += run.set_up_wait_ms / 1e3 / seeds as f64;
         waited += run.set_up_waited / seeds as f64;
     }
--- a/crates/simulator/tests/experiments.rs
+++ b/crates/simulator/tests/experiments.rs
@@ -1,7 +1,7 @@
 //! Runs repeat to the byte, nothing grows without bound, and what is wrong in a file is told with its place.
 
 use lupincrank_simulator::experiments::{compare, search, sweep, Estimate};
-use lupincrank_simulator::policy::Name;
+use lupincrank_simulator::policy::PolicyName;
 use lupincrank_simulator::scenario::{load, parse, Scenario};
 use lupincrank_simulator::world::play;
 use rstest::rstest;
@@ -18,7 +18,7 @@
 }
 
 #[test]
-fn a_seed_gives_the_same_bytes_whatever_the_threads() {
+fn a_seed_gives_the_same_bytes_for_any_number_of_threads() {
     let scenario = small();
     let bytes = |threads: usize| {
         let pool = rayon::ThreadPoolBuilder::new()
@@ -26,8 +26,8 @@
             .build()
             .expect("a pool of threads");
         pool.install(|| {
-            let sides = compare::compare(&scenario, &Name::ALL, 1..4, || ());
-            let runs: Vec<_> = Name::ALL
+            let sides = compare::compare(&scenario, &PolicyName::ALL, 1..4, || ());
+            let runs: Vec<_> = PolicyName::ALL
                 .iter()
                 .map(|name| play(&scenario, 7, *name))
                 .collect();
@@ -37,21 +37,21 @@
     assert_eq!(bytes(1), bytes(4));
     assert_eq!(bytes(4), bytes(4));
     assert_ne!(
-        play(&scenario, 7, Name::Module),
-        play(&scenario, 8, Name::Module),
+        play(&scenario, 7, PolicyName::Module),
+        play(&scenario, 8, PolicyName::Module),
         "seeds differ"
     );
 }
 
 /// Four times what the fleet can carry, for twice as long: what waits is bounded by the clients, not by the time.
 #[test]
-fn an_overloaded_world_keeps_its_queue_bounded() {
+fn an_overloaded_simulation_keeps_its_queue_bounded() {
     let mut scenario = small();
     scenario.clients.load = 4.0;
     scenario.clients.most = 3_000;
     let mut peak = |length_s: f64| {
         scenario.length_s = length_s;
-        let run = play(&scenario, 1, Name::Plain);
+        let run = play(&scenario, 1, PolicyName::Plain);
         assert!(run.turned_away > 0, "the world is full");
         run.peak_queue
     };
@@ -69,7 +69,7 @@
         let mut scenario = small();
         scenario.fleet.transcribers = transcribers;
         scenario.nodes.count = transcribers / 10;
-        play(&scenario, 1, Name::TwoChoices).events as f64
+        play(&scenario, 1, PolicyName::TwoChoices).events as f64
     };
     let (some, many) = (events(20), events(160));
     assert!(
@@ -79,7 +79,7 @@
 }
 
 #[test]
-fn every_scenario_of_the_folder_holds() {
+fn every_scenario_of_the_folder_is_valid() {
     let mut seen = 0;
     for file in std::fs::read_dir(scenarios()).expect("the folder") {
         let path = file.expect("a file").path();
@@ -128,7 +128,7 @@
     "x:3: clients.shape.1",
     "2 is not between 5"
 )]
-fn what_is_wrong_is_told_with_its_place(
+fn an_invalid_value_is_reported_with_its_place(
     #[case] text: &str,
     #[case] place: &str,
     #[case] what: &str,
@@ -143,7 +143,7 @@
 }
 
 #[test]
-fn all_that_is_out_of_bounds_is_told_at_once() {
+fn all_values_out_of_bounds_are_reported_at_once() {
     let wrong = parse(
         "x",
         "version = 1\n[nodes]\ncount = 0\nattempts = 9\n[net]\nzones = 0",
@@ -156,7 +156,7 @@
 fn a_sweep_sets_every_point_and_names_a_key_that_is_not_there() {
     let axis = |text: &str| text.parse::<sweep::Axis>().expect("an axis");
     let grid = [axis("nodes.count=1,3"), axis("clients.load=0.2,0.6")];
-    let rows = sweep::sweep("x", &small(), &grid, &[Name::Random], 1..3, || ())
+    let rows = sweep::sweep("x", &small(), &grid, &[PolicyName::Random], 1..3, || ())
         .expect("a grid that holds");
     assert_eq!(rows.len(), 4);
     let service = |at: usize| rows[at].figures[0].1.mean;
@@ -168,7 +168,7 @@
         "x",
         &small(),
         &[axis("nodes.cuont=1")],
-        &[Name::Random],
+        &[PolicyName::Random],
         1..2,
         || (),
     );
@@ -176,19 +176,19 @@
 }
 
 #[test]
-fn a_hunted_day_is_saved_small_and_plays_again_alike() {
-    let others = [Name::TwoChoices];
-    let worst = search::search(&small(), 5, 8, &others, || ()).expect("a day");
-    let (before, gap) = (worst.scenario.trouble.len(), worst.gap);
+fn a_shrunk_scenario_is_saved_and_replays_with_the_same_gap() {
+    let others = [PolicyName::TwoChoices];
+    let worst = search::find_worst(&small(), 5, 8, &others, || ()).expect("a day");
+    let (before, gap) = (worst.scenario.faults.len(), worst.gap);
     let small = search::shrink(worst, &others);
     assert!(
-        small.scenario.trouble.len() <= before && small.gap >= gap * 0.8,
+        small.scenario.faults.len() <= before && small.gap >= gap * 0.8,
         "{small:?}"
     );
     let text = toml::to_string(&small.scenario).expect("it can be written");
     let again = parse("saved", &text).expect("it can be read");
     let found = again.found.clone().expect("what was found");
-    let replayed = search::judge(again, found.seed, &others);
+    let replayed = search::evaluate(again, found.seed, &others);
     assert!(small.gap.is_finite(), "{small:?}");
     assert_eq!(replayed.gap.to_bits(), small.gap.to_bits());
 }
