Simulator: documentation in the field's terms

Doc comments of the modules and public items still spoke of judges, books, a lab and what is told. They now name events, rules, violations, notifications and metrics; two private functions are renamed with them.

--- a/crates/simulator/src/checker.rs
+++ b/crates/simulator/src/checker.rs
@@ -1,4 +1,4 @@
-//! The four rules, checked on every event with the true state, and the last events of whoever breaks one.
+//! The four rules, checked on every event with the true state, and the trace of each violation.
 
 use crate::event_queue::{as_seconds, Moment};
 use serde::Serialize;
@@ -7,7 +7,7 @@
 /// Events that are kept for traces, and shown in one.
 const MAX_TRACE_ENTRIES: usize = 4096;
 const SHOWN_TRACE_ENTRIES: usize = 12;
-/// Violation rules that are told in full; the rest are counted.
+/// Violations that are reported in full; the rest are counted.
 const MAX_DETAILED_VIOLATIONS: usize = 20;
 
 /// The rules.
@@ -24,7 +24,7 @@
     Cold,
 }
 
-/// A rule that was broken.
+/// A violation of a rule.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Violation {
     /// Which.
@@ -37,7 +37,7 @@
     pub trace: Vec<String>,
 }
 
-/// One entry of the record.
+/// One event of a trace.
 #[derive(Clone, Copy)]
 pub struct TraceEntry {
     /// When.
@@ -52,7 +52,7 @@
     pub server: Option<u32>,
 }
 
-/// Whose last events a trace shows.
+/// The subject whose last events a trace shows.
 #[derive(Clone, Copy)]
 pub enum TraceSubject {
     /// A request's.
@@ -61,18 +61,18 @@
     Server(u32),
 }
 
-/// Keeps the record and the findings.
+/// Keeps the latest trace entries and the violations.
 #[derive(Default)]
 pub struct RuleChecker {
     entries: VecDeque<TraceEntry>,
-    /// What was found, the first ones in full.
+    /// The first violations.
     pub violations: Vec<Violation>,
-    /// How often in all.
+    /// Violations in all.
     pub violation_count: u64,
 }
 
 impl RuleChecker {
-    /// Writes a entry into the record; the oldest goes.
+    /// Records an event; beyond the limit the oldest is dropped.
     pub fn record(&mut self, entry: TraceEntry) {
         if self.entries.len() == MAX_TRACE_ENTRIES {
             self.entries.pop_front();
@@ -80,7 +80,7 @@
         self.entries.push_back(entry);
     }
 
-    /// A rule was broken.
+    /// Reports a violation with the last events of its subject.
     pub fn report(&mut self, rule: Rule, at: Moment, subject: TraceSubject, what: String) {
         self.violation_count += 1;
         if self.violations.len() >= MAX_DETAILED_VIOLATIONS {
--- a/crates/simulator/src/event_queue.rs
+++ b/crates/simulator/src/event_queue.rs
@@ -39,35 +39,35 @@
     ClientLeaves(u32, Incarnation),
     /// A standing connection's load changes.
     LoadChanges(u32, Incarnation),
-    /// A client hears that its try ended; whether it was a refusal, and the wait it was told in ms.
+    /// A client is answered without a connection; whether it was rejected, and its Retry-After in ms.
     ClientAnswered(u32, u64, bool, u32),
     /// A node takes a request.
     RequestReceived(u64),
-    /// An attempt's time is up.
+    /// An attempt's timeout expires.
     AttemptTimeout(u64, u32),
-    /// The time for the final answer is up.
+    /// The deadline of the final answer expires.
     AnswerOverdue(u64),
     /// An attempt's first line arrives at a transcriber.
     AttemptArrives(u64, u32, u32, Incarnation),
     /// A set-up is done.
     SetupDone(u64, u32, u32, Incarnation),
-    /// A node hears how an attempt ended.
+    /// A node learns how an attempt ended.
     AttemptEnded(u64, u32, Outcome),
-    /// A node hears that the connection stands.
+    /// A node learns that the connection is established.
     ConnectionEstablished(u64, u32),
     /// A node's timer.
     NodeTimer(u32, Incarnation, Timer),
-    /// Half a second has passed for every transcriber.
+    /// The accounts of every server are brought up to date, each half second.
     ServerUpkeep,
-    /// A second has passed.
+    /// Metrics are sampled, once a second.
     MetricsSample,
     /// A transcriber pauses.
     ServerPause(u32, Incarnation),
     /// Discovery learns of a change.
     DiscoveryLearns(u32, Incarnation, Change),
-    /// A node is told what changed.
+    /// A node is notified of changed endpoints.
     NodeNotified(u32, Incarnation),
-    /// A call to discovery ends.
+    /// A call to discovery ends; whether it was answered.
     WatchAnswered(u32, Incarnation, bool),
     /// A fault begins, or takes its next step.
     FaultStep(u32, u32),
@@ -81,13 +81,13 @@
     ServerReplaced(u32),
     /// A node starts.
     NodeStarts(u32),
-    /// The front takes a node in, or leaves it out.
+    /// The front adds or removes a node.
     FrontUpdated(u32, Incarnation, bool),
-    /// Nodes notice that a transcriber answers nobody.
+    /// Nodes notice that a server is unresponsive.
     SilenceNoticed(u32, Incarnation),
 }
 
-/// What discovery learns of a transcriber.
+/// A change of a server that discovery learns of.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Change {
     /// It runs.
@@ -151,7 +151,7 @@
             .map(|Reverse(entry)| (entry.at, entry.event))
     }
 
-    /// The most that ever waited.
+    /// Returns the most events that ever waited.
     pub fn peak(&self) -> usize {
         self.peak
     }
--- a/crates/simulator/src/experiments/mod.rs
+++ b/crates/simulator/src/experiments/mod.rs
@@ -1,4 +1,4 @@
-//! What is built on single runs: comparisons on common random numbers, sweeps, the hunt for the worst day, and costs.
+//! Experiments over many runs: comparisons on common random numbers, sweeps, the search for the worst scenario, costs.
 
 pub mod compare;
 pub mod cost;
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use statrs::distribution::{ContinuousCDF, StudentsT};
 
-/// The figures of a run that experiments look at.
+/// The figures of a run that experiments compare.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Figures {
     /// Service from 0 to 1.
@@ -35,7 +35,7 @@
 }
 
 impl Figures {
-    /// Of a run.
+    /// Returns the figures of a run.
     pub fn of(run: &Outcome) -> Self {
         Figures {
             service: run.service,
@@ -51,7 +51,7 @@
         }
     }
 
-    /// By name, in one order.
+    /// Returns the figures with their names, always in the same order.
     pub fn named(&self) -> [(&'static str, f64); 10] {
         [
             ("service", self.service),
@@ -78,7 +78,7 @@
 }
 
 impl Estimate {
-    /// Of independent values.
+    /// Estimates the mean of independent values.
     pub fn of(values: &[f64]) -> Self {
         let count = values.len() as f64;
         let mean = values.iter().sum::<f64>() / count.max(1.0);
@@ -101,7 +101,7 @@
         }
     }
 
-    /// Whether zero lies outside the interval.
+    /// Returns whether zero lies outside the interval.
     pub fn beyond_noise(&self) -> bool {
         self.half_width.is_some_and(|half| self.mean.abs() > half)
     }
--- a/crates/simulator/src/experiments/search.rs
+++ b/crates/simulator/src/experiments/search.rs
@@ -9,12 +9,12 @@
 use rand::Rng;
 use rayon::prelude::*;
 
-/// What a smaller day must keep of the worst day's gap.
+/// The least share of the gap that a simplified scenario keeps.
 const MIN_RETAINED_GAP_RATIO: f64 = 0.8;
-/// Rounds of making it smaller; each tries every way once.
+/// Rounds of simplification; each tries every step once.
 const MAX_SHRINK_ROUNDS: usize = 6;
 
-/// A day and how far the module falls behind on it.
+/// A scenario and how far the module falls behind on it.
 #[derive(Clone, Debug)]
 pub struct Candidate {
     /// The scenario, with its seed under `found`.
@@ -23,7 +23,7 @@
     pub gap: f64,
 }
 
-/// Plays the module and the others on one day.
+/// Plays the module and the others on one scenario.
 pub fn evaluate(mut scenario: Scenario, seed: u64, others: &[PolicyName]) -> Candidate {
     scenario.found = None;
     let module = play(&scenario, seed, PolicyName::Module);
@@ -45,7 +45,7 @@
     Candidate { scenario, gap }
 }
 
-/// Draws faults for a day.
+/// Draws the faults and the load of a candidate.
 fn draw_candidate(scenario: &Scenario, seed: u64, number: u64) -> Scenario {
     let mut random = stream(seed, 9, number);
     let kinds = [
@@ -92,7 +92,7 @@
     day
 }
 
-/// The worst of so many days.
+/// Returns the worst of `days` candidates.
 pub fn find_worst(
     scenario: &Scenario,
     seed: u64,
@@ -115,7 +115,7 @@
         .reduce(|worst, day| if day.gap > worst.gap { day } else { worst })
 }
 
-/// Makes a day smaller as long as most of its gap stays.
+/// Simplifies a candidate step by step as long as most of its gap stays.
 pub fn shrink(worst: Candidate, others: &[PolicyName]) -> Candidate {
     let wanted = worst.gap * MIN_RETAINED_GAP_RATIO;
     let seed = worst.scenario.found.as_ref().map_or(0, |found| found.seed);
@@ -134,7 +134,7 @@
     best
 }
 
-/// Every way to make a scenario one step simpler, the boldest first.
+/// Returns each scenario that is one step simpler, the largest step first.
 fn simplifications(scenario: &Scenario) -> Vec<Scenario> {
     let mut ways = Vec::new();
     let mut way = |change: &dyn Fn(&mut Scenario)| {
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -1,7 +1,8 @@
-//! The lab: an emulator of the service in simulated time. It runs the decisions that serve, unchanged, one instance for
-//! each node, against a model of transcribers, clients, discovery and what goes wrong, with judges that see the truth.
+//! Discrete-event simulator of the service. It runs the placement crate unchanged, one instance for each node, against
+//! a model of servers, clients, discovery and faults. A checker that sees the state of all servers reports broken rules.
 //!
-//! [`world::play`] plays one scenario; [`experiments`] has what is built on it.
+//! [`world::play`] simulates one scenario; [`experiments`] builds on it. The same scenario, seed and policy always give
+//! the same outcome, to the byte.
 
 #![forbid(unsafe_code)]
 
--- a/crates/simulator/src/metrics.rs
+++ b/crates/simulator/src/metrics.rs
@@ -1,4 +1,4 @@
-//! What a run brought: service by class and by second, percentiles, imbalance, moves, waste.
+//! Metrics of a run: service by class and by second, percentiles, imbalance, migrations, wasted work.
 
 use crate::checker::Violation;
 use crate::event_queue::{as_seconds, Moment};
@@ -6,10 +6,10 @@
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
 
-/// Seconds of the window whose worst one counts.
+/// Length of the window of which the worst one counts, in seconds.
 const WINDOW: usize = 10;
 
-/// Counts while the world runs. Memory grows with its length and its classes only.
+/// Collects metrics while the simulation runs. Memory grows with its length and its classes only.
 pub struct RunMetrics {
     /// Connection-seconds wanted and served well, by class and second.
     wanted: Vec<Vec<f64>>,
@@ -106,7 +106,7 @@
     pub service: f64,
 }
 
-/// What one class got.
+/// The outcome of one class.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ClassOutcome {
     /// Its name.
@@ -119,7 +119,7 @@
     pub message_ms: [f64; 4],
 }
 
-/// The result of a run. It has no figure of the machine's own clock, so that a seed always gives the same bytes.
+/// The outcome of a run. It has no figure of the machine's own clock, so that a seed always gives the same bytes.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Outcome {
     /// The scenario's name.
@@ -239,12 +239,12 @@
         }
     }
 
-    /// A client wants its connection from one moment to another.
+    /// Records that a client wants a connection from one moment to another.
     pub fn record_demand(&mut self, class: usize, from: Moment, until: Moment) {
         self.add_demand(class, from, until, 1.0);
     }
 
-    /// A client leaves early: it no longer wants what `record_demand` had counted from here on.
+    /// Withdraws what `record_demand` counted from here on, as a client leaves early.
     pub fn withdraw_demand(&mut self, class: usize, from: Moment, until: Moment) {
         self.add_demand(class, from, until, -1.0);
     }
@@ -264,7 +264,7 @@
         }
     }
 
-    /// Connections of a class were served well for so long, which ended now.
+    /// Records connection-seconds of a class that were served well up to now.
     pub fn record_service(&mut self, class: usize, now: Moment, connection_seconds: f64) {
         let second = as_seconds(now.saturating_sub(1)) as usize;
         if let Some(at) = self
@@ -276,19 +276,19 @@
         }
     }
 
-    /// Some messages of a class took so long, in seconds.
+    /// Records the delay of some messages of a class, in seconds.
     pub fn record_message(&mut self, class: usize, took: f64, messages: f64) {
         let whole = self.message_parts[class] + messages;
         self.message_parts[class] = whole.fract();
         self.messages[class].saturating_record_n((took * 1e6).max(1.0) as u64, whole as u64);
     }
 
-    /// A connection was set up in so long.
+    /// Records the duration of a set-up.
     pub fn record_setup(&mut self, took: Moment) {
         self.set_ups.saturating_record((took / 1000).max(1));
     }
 
-    /// A second's look at the fleet.
+    /// Records a second's sample of the fleet; the loads are kept if `keeps` says so.
     pub fn record_sample(
         &mut self,
         now: Moment,
@@ -430,7 +430,7 @@
     }
 }
 
-/// What the world knows at its end beside the metrics.
+/// What the outcome of a run holds beside the metrics.
 pub struct RunSummary {
     /// The seed.
     pub seed: u64,
--- a/crates/simulator/src/policy.rs
+++ b/crates/simulator/src/policy.rs
@@ -1,4 +1,4 @@
-//! What decides in a node: the project's own module, or one of the plain policies it is compared with.
+//! Placement policies: the project's placement crate, and the baselines that it is compared with.
 
 use crate::event_queue::Moment;
 use crate::server_model::{ServerModel, ServerState};
@@ -13,7 +13,7 @@
 use std::time::Duration;
 use thiserror::Error;
 
-/// The true state of all transcribers, which no real node sees.
+/// The state of all servers, which no real node sees.
 pub struct FleetState<'a> {
     pub(crate) fleet: &'a [ServerModel],
     pub(crate) index: &'a HashMap<ServerId, u32>,
@@ -37,9 +37,9 @@
     }
 }
 
-/// Decides for one node: events in, actions out.
+/// The placement decisions of one node: events in, actions out.
 pub trait Policy: Send {
-    /// Takes in one event and appends what is to be done.
+    /// Handles one event and appends the resulting actions.
     fn handle(
         &mut self,
         now: Timestamp,
@@ -55,7 +55,7 @@
     }
 }
 
-/// The policies by name.
+/// The names of the policies.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum PolicyName {
     /// The project's decisions.
@@ -71,7 +71,7 @@
 }
 
 impl PolicyName {
-    /// All of them.
+    /// All policies.
     pub const ALL: [PolicyName; 5] = [
         PolicyName::Module,
         PolicyName::Random,
@@ -80,7 +80,7 @@
         PolicyName::LeastLoaded,
     ];
 
-    /// As it is written on the command line.
+    /// Returns the name as it is written on the command line.
     pub fn as_str(self) -> &'static str {
         match self {
             PolicyName::Module => "module",
@@ -97,7 +97,7 @@
         names.join(", ")
     }
 
-    /// One that decides for one node.
+    /// Creates the policy of one node.
     pub fn make(self, settings: Settings, seed: u64) -> Box<dyn Policy> {
         match self {
             PolicyName::Module => Box::new(Balancer::new(settings, seed)),
@@ -127,7 +127,7 @@
     }
 }
 
-/// A plain policy: it keeps the list and the rules on attempts, and chooses anew where a try never ran or timed out.
+/// A baseline policy: it keeps the endpoint list and the rules on attempts, and retries attempts that never ran or timed out.
 pub struct Baseline {
     name: PolicyName,
     settings: Settings,
--- a/crates/simulator/src/scenario.rs
+++ b/crates/simulator/src/scenario.rs
@@ -30,7 +30,7 @@
     /// The transcribers.
     #[serde(default)]
     pub fleet: Fleet,
-    /// The balancer nodes and what they are told.
+    /// The balancer nodes and their settings.
     #[serde(default)]
     pub nodes: Nodes,
     /// Zones and delays.
@@ -63,7 +63,7 @@
     60.0
 }
 
-/// What `hunt` saw.
+/// What `hunt` found: the seed and the service of both policies.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct SearchRecord {
@@ -454,7 +454,7 @@
     }
     let mut whole = toml::Table::new();
     for (file, text) in chain.iter().rev() {
-        let own = toml::from_str(text).map_err(|error| told(file, text, &error))?;
+        let own = toml::from_str(text).map_err(|error| syntax_errors(file, text, &error))?;
         merge(&mut whole, own);
     }
     whole.remove("extends");
@@ -493,7 +493,7 @@
     }
 }
 
-fn told(file: &str, text: &str, error: &toml::de::Error) -> Vec<ScenarioError> {
+fn syntax_errors(file: &str, text: &str, error: &toml::de::Error) -> Vec<ScenarioError> {
     let line = error.span().map_or(0, |span| line_of(text, span.start));
     vec![ScenarioError {
         place: format!("{file}:{line}"),
@@ -503,7 +503,7 @@
 
 /// Reads keys and types; bounds are not looked at.
 fn read(file: &str, text: &str) -> Result<Scenario, Vec<ScenarioError>> {
-    toml::from_str(text).map_err(|error| told(file, text, &error))
+    toml::from_str(text).map_err(|error| syntax_errors(file, text, &error))
 }
 
 fn line_of_key(text: &str, key: &str) -> Option<usize> {
@@ -511,7 +511,7 @@
     span_of(document.as_item(), key).map(|at| line_of(text, at))
 }
 
-/// Reads a scenario; all that is out of bounds is told at once, each with file, line and key.
+/// Reads a scenario; all values out of bounds are reported at once, each with file, line and key.
 ///
 /// # Errors
 ///
--- a/crates/simulator/src/server_model.rs
+++ b/crates/simulator/src/server_model.rs
@@ -1,4 +1,4 @@
-//! One transcriber: what it can do at a moment, what is asked of it, and how its messages and set-ups fare.
+//! Model of one server, a transcriber: its capacity, its load, the delays of its messages and its set-ups.
 //!
 //! Standing connections are a flow of work: `load` cores of speed 1 are asked for, and what is asked beyond the
 //! capacity piles up. Set-ups are single jobs with slots and a waiting room. The model is the project's own.
@@ -8,7 +8,7 @@
 use lupincrank_placement::ServerId;
 use std::collections::{BTreeMap, VecDeque};
 
-/// What a transcriber's process does.
+/// The state of a server's process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerState {
     /// It serves.
@@ -34,7 +34,7 @@
     pub since: Moment,
 }
 
-/// A transcriber.
+/// A simulated server.
 pub struct ServerModel {
     /// Its identity.
     pub id: ServerId,
@@ -229,7 +229,7 @@
         1.0 - (-(aim - wait) / mean.max(1e-9)).exp()
     }
 
-    /// Brings the books up to now and tells what each class was served. Called before anything changes; costs the
+    /// Advances the model to now and reports how each class was served. Called before anything changes; costs the
     /// number of classes.
     pub fn advance(&mut self, now: Moment, aims: &[f64], mut served: impl FnMut(ServedInterval)) {
         let span = as_seconds(now.saturating_sub(self.touched));
@@ -261,7 +261,7 @@
         }
     }
 
-    /// A connection joins. Books must be up to date.
+    /// Adds a connection and returns its place. The model must have been advanced to now.
     pub fn join(&mut self, client: u32, class: usize, load: f64, group: Option<u32>) -> u32 {
         self.standing.push(client);
         self.by_class[class] += 1;
@@ -272,7 +272,7 @@
         self.standing.len() as u32 - 1
     }
 
-    /// A connection leaves its place; the client that moved into it, if one did, is returned.
+    /// Removes the connection of a place; returns the client that moved into the place, if one did.
     pub fn leave(
         &mut self,
         place: u32,
--- a/crates/simulator/src/world/discovery.rs
+++ b/crates/simulator/src/world/discovery.rs
@@ -28,7 +28,7 @@
         );
     }
 
-    /// A node is told of an entry: from here on the rules on drains and cold starts bind it.
+    /// Records that a node knows of an endpoint: from here on the rules on drains and slow starts bind it.
     fn record_notification(&mut self, node: u32, entry: &lupincrank_placement::Endpoint) {
         let Some(server) = self.index.get(&entry.server).copied() else {
             return;
@@ -90,7 +90,7 @@
         self.notify_node(node, incarnation);
     }
 
-    /// A node is told what changed since it last heard.
+    /// Notifies a node of what changed since its last notification.
     pub(super) fn notify_node(&mut self, node: u32, incarnation: Incarnation) {
         let at = &self.nodes[node as usize];
         if !at.alive
@@ -108,7 +108,7 @@
         self.deliver_event(node, Event::EndpointChange(entries));
     }
 
-    /// Discovery learns of a change, and tells the nodes that watch.
+    /// Discovery learns of a change, and notifies the nodes that watch.
     pub(super) fn discovery_learns(
         &mut self,
         server: u32,
@@ -123,7 +123,7 @@
             Change::Drains => Health::Draining,
             Change::Gone => Health::Removed,
         };
-        // What is overtaken by a later start is not told any more.
+        // A change that a later start has overtaken is dropped.
         let now_on = self.fleet[server as usize].incarnation;
         if change != Change::Gone && now_on != incarnation {
             return;
@@ -164,7 +164,7 @@
         }
     }
 
-    /// Discovery stops to learn, or tells all that it missed.
+    /// Discovery stops learning of changes, or learns of all that it missed.
     pub(super) fn set_discovery_stale(&mut self, stale: bool) {
         self.discovery.stale = stale;
         let missed = std::mem::take(&mut self.discovery.held_back);
--- a/crates/simulator/src/world/faults.rs
+++ b/crates/simulator/src/world/faults.rs
@@ -1,4 +1,4 @@
-//! What goes wrong, and when it is over. Faults may overlap; each strikes machines drawn from the seed.
+//! Faults: their steps and their ends. Faults may overlap; each affects machines drawn from the seed.
 
 use super::{Phase, World};
 use crate::event_queue::{as_seconds, seconds, Change, Moment, SimulationEvent};
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -1,7 +1,7 @@
-//! The world: it plays what happens in the order of time and runs the real decisions, one for each node.
+//! The simulated world: it handles events in the order of time and runs one policy for each node.
 //!
-//! Its parts: `clients` (who come, ask, hear and leave), `nodes` (the decisions and what a node observes), `servers`
-//! (transcribers), `directory` (discovery) and `faults`.
+//! Its parts: `clients`, `nodes` (the policies and what a node observes), `servers` (transcribers), `discovery` and
+//! `faults`.
 
 mod clients;
 mod discovery;
@@ -26,7 +26,7 @@
 
 /// Fleets up to this size have the load of each transcriber in the time line.
 const MAX_SERVERS_IN_TIMELINE: usize = 64;
-/// Half a second: every transcriber's books are brought up to date at least so often.
+/// How often the model of every server is advanced at least.
 const SERVER_UPKEEP_INTERVAL: Moment = SECOND / 2;
 /// No place at a transcriber.
 const NO_PLACE: u32 = u32::MAX;
@@ -84,11 +84,11 @@
     listed_by_front: bool,
     policy: Box<dyn Policy>,
     watches: bool,
-    /// How many of discovery's changes it has been told.
+    /// How many of discovery's changes it has been notified of.
     heard: usize,
     /// Since when it knows that a transcriber leaves.
     leaving: Vec<Option<Moment>>,
-    /// Starts of transcribers that it was told of.
+    /// Starts of servers that it was notified of.
     knows_start: Vec<Incarnation>,
     /// How long its latest set-ups took.
     set_ups: VecDeque<Moment>,
--- a/crates/simulator/src/world/nodes.rs
+++ b/crates/simulator/src/world/nodes.rs
@@ -258,7 +258,7 @@
         self.deliver_event(node, Event::LoadObserved { request, load });
     }
 
-    /// Sends an attempt on its way, once the judges have looked at it.
+    /// Starts an attempt, after the checker has looked at it.
     fn send(
         &mut self,
         node: u32,
@@ -539,14 +539,14 @@
         // What the decisions wanted may have ended it again.
         if self.client_of(request).is_some() {
             self.starts_to_stand(client);
-            self.judge_set_up(node, id, sent);
+            self.observe_setup(node, id, sent);
         }
     }
 
     /// Lines are returned at once however crowded a transcriber is, but a set-up waits its turn there: one that
     /// takes over three times the median of the latest ones is told as a delay by what is over the median, as real
     /// nodes do.
-    fn judge_set_up(&mut self, node: u32, request: RequestId, took: Moment) {
+    fn observe_setup(&mut self, node: u32, request: RequestId, took: Moment) {
         let set_ups = &mut self.nodes[node as usize].set_ups;
         let mut sorted: Vec<Moment> = set_ups.iter().copied().collect();
         if set_ups.len() == REMEMBERED_SETUPS {
--- a/crates/simulator/src/world/servers.rs
+++ b/crates/simulator/src/world/servers.rs
@@ -92,7 +92,7 @@
             .map_or(0, |(_, at)| at)
     }
 
-    /// Brings a transcriber's books up to now.
+    /// Advances a server's model to now and records what it served.
     pub(super) fn advance(&mut self, at: u32) {
         let now = self.now;
         let Some(server) = self.fleet.get_mut(at as usize) else {
