--- a/crates/simulator/src/experiments/search.rs
+++ b/crates/simulator/src/experiments/search.rs
@@ -159,7 +159,9 @@
     way(&|day| day.clients.start_skew = 0.0);
     way(&|day| {
         for kind in &mut day.fleet.kind {
-            (kind.pause_every_s, kind.error_rate, kind.speed_cv) = (0.0, 0.0, 0.0);
+            kind.pause_every_s = 0.0;
+            kind.error_rate = 0.0;
+            kind.speed_cv = 0.0;
         }
     });
     way(&|day| day.net.zones = 1);
--- a/crates/simulator/src/metrics.rs
+++ b/crates/simulator/src/metrics.rs
@@ -298,7 +298,9 @@
     ) {
         let (mut sum, mut squares, mut count) = (0.0, 0.0, 0.0);
         for one in used.iter().flatten() {
-            (sum, squares, count) = (sum + one, squares + one * one, count + 1.0);
+            sum += one;
+            squares += one * one;
+            count += 1.0;
         }
         let mean = sum / f64::max(count, 1.0);
         let spread = (squares / f64::max(count, 1.0) - mean * mean)
--- a/crates/simulator/src/world/clients.rs
+++ b/crates/simulator/src/world/clients.rs
@@ -211,7 +211,9 @@
         client.node = node;
         client.node_incarnation = self.nodes[node as usize].incarnation;
         client.asked = self.now;
-        (client.attempts, client.out, client.answered) = (0, None, false);
+        client.attempts = 0;
+        client.out = None;
+        client.answered = false;
         let hop = jittered(&mut client.random, mean, jitter);
         if self.nodes[node as usize].alive {
             self.queue
@@ -273,7 +275,9 @@
     pub(super) fn connection_lost(&mut self, at: u32, moved: bool) {
         let clients = &self.scenario.clients;
         let client = &mut self.clients[at as usize];
-        (client.phase, client.request, client.retries) = (Phase::Disconnected, 0, 0);
+        client.phase = Phase::Disconnected;
+        client.request = 0;
+        client.retries = 0;
         client.failures = 0;
         client.returned = true;
         let incarnation = client.incarnation;
--- a/crates/simulator/src/world/faults.rs
+++ b/crates/simulator/src/world/faults.rs
@@ -51,7 +51,8 @@
             }
             self.advance(at);
             let server = &mut self.fleet[at as usize];
-            (server.state, server.silent_since) = (ServerState::Silent, self.now);
+            server.state = ServerState::Silent;
+            server.silent_since = self.now;
             let incarnation = server.incarnation;
             self.queue.schedule(
                 self.now + notice,
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -3,10 +3,12 @@
 //! Its parts: `clients`, `nodes` (the policies and what a node observes), `servers` (transcribers), `discovery` and
 //! `faults`.
 
+mod attempts;
 mod clients;
 mod discovery;
 mod faults;
 mod nodes;
+mod observations;
 mod servers;
 
 use crate::checker::{RuleChecker, TraceEntry};
