Control and node: names and comments that misled a reader who saw the code for the first time

Need: a newcomer stopped at revoke (a holder's own act), migrate_step (which also answers requests), begin_shutdown (which runs at each step) and two types called RequestState. Change: drop_lease, shutdown_step, reject_new_requests, end_waiting_request, WriteState, and comments in plain terms.

--- a/crates/control/src/control_node/bootstrap.rs
+++ b/crates/control/src/control_node/bootstrap.rs
@@ -190,7 +190,7 @@
             return;
         };
         log.write_start(&mut self.actions);
-        self.lease_client.revoke(now);
+        self.lease_client.drop_lease(now);
         self.lease_granter = LeaseGranter::default();
         self.member_tracker = MemberTracker::default();
         self.participation = Participation::Joined(Box::new(log));
--- a/crates/control/src/control_node/replication.rs
+++ b/crates/control/src/control_node/replication.rs
@@ -107,7 +107,7 @@
     /// The log can't be relied on any more: drops it, and takes no further part.
     fn disqualify(&mut self, now: Timestamp) {
         self.participation = Participation::Disqualified;
-        self.lease_client.revoke(now);
+        self.lease_client.drop_lease(now);
         self.log_event(LogEvent::LogInconsistent);
     }
 
--- a/crates/control/src/lease/holder.rs
+++ b/crates/control/src/lease/holder.rs
@@ -69,7 +69,7 @@
 
     /// Gives back lease and floor, and accepts no further grant.
     pub fn retire(&mut self, now: Timestamp) {
-        self.revoke(now);
+        self.drop_lease(now);
         self.is_retired = true;
     }
 
@@ -164,7 +164,7 @@
     }
 
     /// Drops the lease: the group that granted it is fenced off, or this node stops using it.
-    pub fn revoke(&mut self, now: Timestamp) {
+    pub fn drop_lease(&mut self, now: Timestamp) {
         // A grant that is on its way is no answer to the latest request any more.
         self.request_number += 1;
         self.replace_current(now, None);
--- a/crates/control/src/lease_client.rs
+++ b/crates/control/src/lease_client.rs
@@ -57,8 +57,8 @@
     }
 
     /// Drops the lease: the group that granted it is fenced off, or this node takes no further part.
-    pub(crate) fn revoke(&mut self, now: Timestamp) {
-        self.holder.revoke(now);
+    pub(crate) fn drop_lease(&mut self, now: Timestamp) {
+        self.holder.drop_lease(now);
     }
 
     /// Gives back lease and floor for good.
--- a/crates/control/src/lease_granter.rs
+++ b/crates/control/src/lease_granter.rs
@@ -11,7 +11,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// How long the same holders are first in turn for units that can't be divided evenly.
+/// How long the same holders have priority for the indivisible remainder.
 const ROTATION_INTERVAL: Duration = Duration::from_secs(5);
 
 /// What the granter decides on besides the requests.
@@ -116,7 +116,7 @@
         .expired_grants(context.now, context.terms);
     let given_back = context
         .tracker
-        .unused_since(context.now, context.terms.usage_expiry());
+        .leaving_for_at_least(context.now, context.terms.usage_expiry());
     expired.extend(given_back.filter_map(|holder| {
         let lease = log.state().leases.get(&holder)?;
         Some(GrantId {
--- a/crates/control/src/member_tracker.rs
+++ b/crates/control/src/member_tracker.rs
@@ -24,7 +24,7 @@
     was_unreachable: bool,
 }
 
-/// How the local node stands when it observes the others.
+/// The local node's view, which observations start from.
 pub(crate) struct LocalView<'a> {
     pub(crate) now: Timestamp,
     pub(crate) local_id: MemberId,
@@ -47,8 +47,8 @@
         self.departures.contains_key(&id)
     }
 
-    /// The leaving members that have used no lease for at least this long.
-    pub(crate) fn unused_since(
+    /// The members that have been leaving, and so used no lease, for at least this long.
+    pub(crate) fn leaving_for_at_least(
         &self,
         now: Timestamp,
         span: Duration,
--- a/crates/node/src/application.rs
+++ b/crates/node/src/application.rs
@@ -55,7 +55,7 @@
 ) {
     let mut ids: Vec<ComponentId> = components.filter(|id| is_allocated_id(*id)).collect();
     ids.sort_unstable();
-    if std::mem::take(&mut context.answers_requested) {
+    if std::mem::take(&mut context.restored_answers_requested) {
         for id in &ids {
             context.send(*id, ClientCommand::AnswerBeforeExit);
         }
@@ -76,7 +76,7 @@
         while let Some(command) = context.placement.next_command() {
             execute(context, command);
         }
-        if context.transfer_requested || context.answers_requested {
+        if context.transfer_requested || context.restored_answers_requested {
             notify_connections(context, components);
         }
     }
--- a/crates/node/src/discovery/call.rs
+++ b/crates/node/src/discovery/call.rs
@@ -79,7 +79,7 @@
 
 /// Whether the request was written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum RequestState {
+pub(crate) enum WriteState {
     /// All of it was.
     Sent,
     /// The socket takes no more for now.
@@ -167,18 +167,18 @@
     ///
     /// # Errors
     /// Where the connection fails.
-    pub(crate) fn send_request(&mut self) -> Result<RequestState, DiscoveryError> {
+    pub(crate) fn send_request(&mut self) -> Result<WriteState, DiscoveryError> {
         while !self.unsent.is_empty() {
             match self.stream.write(&self.unsent) {
                 Ok(length) => drop(self.unsent.drain(..length)),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    return Ok(RequestState::Pending);
+                    return Ok(WriteState::Pending);
                 }
                 Err(error) => return Err(error.into()),
             }
         }
         self.stream.set_interest(Interest::READ)?;
-        Ok(RequestState::Sent)
+        Ok(WriteState::Sent)
     }
 
     /// Reads bytes of the response; `None` if there are none now.
--- a/crates/node/src/discovery/client.rs
+++ b/crates/node/src/discovery/client.rs
@@ -1,6 +1,6 @@
 //! The component that keeps a watch on the endpoint list, with a second call beside one that is not answered.
 
-use super::call::{Call, DiscoveryError, RequestState};
+use super::call::{Call, DiscoveryError, WriteState};
 use super::chunked::BodyState;
 use super::endpoint_list::{name_index, EndpointListError, EndpointListUpdate, ListedEndpoint};
 use crate::command::{DiscoveryCommand, HandoffCommand, Message};
@@ -192,8 +192,8 @@
             set_deadline(context, DiscoveryDeadline::Call(slot), deadline);
         }
         match call.send_request()? {
-            RequestState::Pending => Ok(()),
-            RequestState::Sent => self.read_call(context, slot),
+            WriteState::Pending => Ok(()),
+            WriteState::Sent => self.read_call(context, slot),
         }
     }
 
--- a/crates/node/src/graceful_shutdown.rs
+++ b/crates/node/src/graceful_shutdown.rs
@@ -54,11 +54,11 @@
         return;
     };
     let now = Instant::now();
-    context.placement.begin_shutdown();
+    context.placement.reject_new_requests();
     let remaining_steps = remaining_steps(shutdown, now);
-    context.placement.migrate_step(remaining_steps);
+    context.placement.shutdown_step(remaining_steps);
     // What still waits is answered together with the last migrations: nothing may be left without an answer.
-    context.answers_requested = remaining_steps <= 1;
+    context.restored_answers_requested = remaining_steps <= 1;
     schedule_step(context, now + STEP_INTERVAL);
 }
 
--- a/crates/node/src/placement_driver/mod.rs
+++ b/crates/node/src/placement_driver/mod.rs
@@ -61,7 +61,7 @@
 
 impl PlacementDriver {
     /// The decisions as they begin. What they see and decide of single requests goes to `log` as debug lines, from
-    /// which the state of a whole fleet can be added up: see `docs/operators/fleet.md`.
+    /// which the state of a whole fleet can be added up: see `docs/operators/many-nodes.md`.
     pub(crate) fn new(config: &Config, log: Logger) -> PlacementDriver {
         let settings = &config.settings;
         PlacementDriver {
@@ -129,18 +129,18 @@
             Action::SetTimer { after, timer } => self.set_timer(after, timer),
             Action::WatchEndpoints => self.commands.push_back(Command::WatchEndpoints),
             Action::CheckHealth(server) => self.check_health(server),
-            // The protocol of this kind of site has no messages between nodes.
+            // The protocol of this deployment has no gossip between nodes.
             Action::Gossip(_) => {}
         }
     }
 
-    fn start_attempt(&mut self, request: RequestId, server: ServerId, patience: Duration) {
+    fn start_attempt(&mut self, request: RequestId, server: ServerId, timeout: Duration) {
         let address = self.endpoints.get(&server).map(|endpoint| endpoint.address);
         let Some(active) = self.requests.get_mut(&request) else {
             return;
         };
         active.start_attempt(server);
-        let deadline = active.deadline.min(active.attempt_started_at + patience);
+        let deadline = active.deadline.min(active.attempt_started_at + timeout);
         let owner = active.owner;
         let Some(address) = address else {
             // The list names the server, so it has an address; if not, nothing was sent.
--- a/crates/node/src/placement_driver/request.rs
+++ b/crates/node/src/placement_driver/request.rs
@@ -24,7 +24,7 @@
     Abandoned,
     /// Its connection is established.
     Established,
-    /// Its connection is established and about to end: the client was sent away or has left.
+    /// Its connection is established and about to end: the client was told to migrate or has left.
     Closing,
 }
 
@@ -40,7 +40,7 @@
     pub(super) server: Option<ServerId>,
     /// When the latest attempt began.
     pub(super) attempt_started_at: Instant,
-    /// Whether the latest attempt's line was let go: from then on it may have been executed.
+    /// Whether the latest attempt's line was released for sending: from then on it may have been executed.
     pub(super) was_sent: bool,
     /// How far it is.
     pub(super) phase: RequestPhase,
--- a/crates/node/src/placement_driver/settings.rs
+++ b/crates/node/src/placement_driver/settings.rs
@@ -7,7 +7,7 @@
 use slog::debug;
 use std::time::Duration;
 
-/// A node that shuts down lets clients come again after this at the most: by then they are sent elsewhere.
+/// The longest retry delay that a node sends while it shuts down: by then the front sends clients elsewhere.
 const MAX_SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// What a client that comes during the shutdown is told to wait, as far as the settings allow.
--- a/crates/node/src/placement_driver/shutdown.rs
+++ b/crates/node/src/placement_driver/shutdown.rs
@@ -5,23 +5,27 @@
 use lupincrank_placement::{Action, Event, Outcome, RequestId};
 
 impl PlacementDriver {
-    /// The node shuts down: requests from now on are rejected, for no connection could last.
-    pub(crate) fn begin_shutdown(&mut self) {
+    /// Requests from now on are rejected: a new connection would be closed at once.
+    pub(crate) fn reject_new_requests(&mut self) {
         self.is_shutting_down = true;
     }
 
-    /// Migrates established connections so that all have gone after `remaining_steps` calls, this one included; at the last
-    /// one the requests that still wait are given up too.
-    pub(crate) fn migrate_step(&mut self, remaining_steps: usize) {
+    /// One step of the shutdown. It migrates established connections so that all have gone after `remaining_steps` calls, this
+    /// one included; the last one also answers the requests that still wait.
+    pub(crate) fn shutdown_step(&mut self, remaining_steps: usize) {
         let established = self.established_requests();
         let count = established.len().div_ceil(remaining_steps.max(1));
         for request in established.into_iter().take(count) {
             self.execute(Action::Migrate(request));
         }
         if remaining_steps <= 1 {
-            for request in self.waiting_requests() {
-                self.give_up(request);
-            }
+            self.answer_waiting_requests();
+        }
+    }
+
+    fn answer_waiting_requests(&mut self) {
+        for request in self.waiting_requests() {
+            self.end_waiting_request(request);
         }
     }
 
@@ -43,9 +47,9 @@
         waiting.map(|(request, _)| *request).collect()
     }
 
-    /// The request gets its final answer now; its attempt, if one is in flight, is closed with that. Which answer is the
-    /// decisions' to say: what may have been executed must not always be said to have been rejected.
-    fn give_up(&mut self, request: RequestId) {
+    /// The request gets its final answer now, and its attempt, if one is in flight, is closed. Placement chooses between a
+    /// rejection and a failure: a request that may have been executed must not be reported as rejected.
+    fn end_waiting_request(&mut self, request: RequestId) {
         let Some(active) = self.requests.get(&request) else {
             return;
         };
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -65,8 +65,9 @@
     pub(crate) cluster_agent: Option<Box<ClusterAgent>>,
     /// Set until the present callback ends: all connections are to be transferred to the successor.
     pub(crate) transfer_requested: bool,
-    /// Set until the present callback ends: clients that still wait are to be answered, for the process exits.
-    pub(crate) answers_requested: bool,
+    /// Set until the present callback ends: clients of restored connections that still wait are to be answered, for the
+    /// process exits.
+    pub(crate) restored_answers_requested: bool,
 }
 
 impl NodeState {
@@ -84,7 +85,7 @@
             health_checks: HealthChecks::default(),
             cluster_agent: None,
             transfer_requested: false,
-            answers_requested: false,
+            restored_answers_requested: false,
         }
     }
 
