--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! The crate does no I/O, reads no clock and holds no globals. A proxy feeds a [`Balancer`] with what it sees
 //! ([`Event`]) and carries out what comes back ([`Action`]). The same settings, seed and events always give the same
-//! actions. `api` has the types. `events` dispatches events
-//! to the modules that decide: `policy` on requests, `limits` and `recovery` on servers, all of them on what `state` keeps.
+//! actions. `api` has the types. `events` dispatches events to the modules that decide: `policy` on requests, `limits` and
+//! `recovery` on servers. `state` has what they know.
 #![doc = include_str!("../../../README.md")]
 #![forbid(unsafe_code)]
 
--- a/crates/placement/src/recovery/load_shedding.rs
+++ b/crates/placement/src/recovery/load_shedding.rs
@@ -157,3 +157,6 @@
     });
     request.is_established() && is_old_enough
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/placement/src/state/server.rs
+++ b/crates/placement/src/state/server.rs
@@ -299,3 +299,6 @@
     pub(crate) lost_weight: f64,
     pub(crate) begins_slow_start: bool,
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/placement/src/timer.rs
+++ b/crates/placement/src/timer.rs
@@ -39,3 +39,6 @@
         self.is_set = false;
     }
 }
+
+#[cfg(test)]
+mod tests;
