--- a/crates/placement/src/recovery/upkeep.rs
+++ b/crates/placement/src/recovery/upkeep.rs
@@ -100,9 +100,11 @@
             let Some(request) = self.requests.get_mut(id) else {
                 continue;
             };
-            let class_mean = self.load_estimates.class_mean(request.class);
-            let estimate = class_mean.unwrap_or(basis.mean_load);
-            request.accounted_load = request.load.unwrap_or(estimate);
+            let load_estimates = &self.load_estimates;
+            request.accounted_load = request
+                .load
+                .or_else(|| load_estimates.class_mean(request.class))
+                .unwrap_or(basis.mean_load);
             load += request.accounted_load;
         }
         load
