--- a/crates/node/src/signals.rs
+++ b/crates/node/src/signals.rs
@@ -21,7 +21,7 @@
 const RELOAD_SOCKET: usize = 1;
 
 /// The component that receives signals.
-pub struct SignalReceiver {
+pub(crate) struct SignalReceiver {
     termination: Registered<UnixStream>,
     reload: Registered<UnixStream>,
 }
@@ -31,7 +31,7 @@
     ///
     /// # Errors
     /// Where the operating system has no descriptor for a pipe, or the handler cannot be installed.
-    pub fn new(context: &NodeContext) -> io::Result<SignalReceiver> {
+    pub(crate) fn new(context: &NodeContext) -> io::Result<SignalReceiver> {
         Ok(SignalReceiver {
             termination: signal_pipe(context, &[SIGTERM, SIGINT], TERMINATION_SOCKET)?,
             reload: signal_pipe(context, &[SIGHUP], RELOAD_SOCKET)?,
@@ -70,7 +70,7 @@
     let fresh = match context.config.reread(|name| std::env::var(name).ok()) {
         Ok(fresh) => fresh,
         Err(error) => {
-            return warn!(context.log, "the old configuration stays"; "why" => error.to_string());
+            return warn!(context.log, "configuration rejected"; "error" => error.to_string());
         }
     };
     let has_discovery_moved = fresh.discovery_address != context.config.discovery_address;
@@ -96,9 +96,9 @@
         discovery_address,
         ..
     } = &context.config;
-    info!(context.log, "configuration read again"; "classes" => classes.join(", "), "attempts" => settings.max_attempts,
+    info!(context.log, "configuration reloaded"; "classes" => classes.join(", "), "max_attempts" => settings.max_attempts,
         "discovery" => %discovery_address, "sockets" => limits.sockets, "memory_mb" => limits.memory_mb,
-        "waits for the next start" => pending_restart.join(", "));
+        "pending_restart" => pending_restart.join(", "));
 }
 
 impl Connection<NodeState> for SignalReceiver {
--- a/crates/node/tests/operation.rs
+++ b/crates/node/tests/operation.rs
@@ -116,7 +116,7 @@
         [client.receive(), client.receive(), client.receive()],
         ["UP r1", "LOAD 1500", "first"]
     );
-    rig.wait_for_log("load, us: 1500");
+    rig.wait_for_log("load observed, load_us: 1500");
     cut(&mut client, "second\r\n");
     assert_eq!(peer.receive(), "second");
     let mut watch = rig.watch.take().unwrap();
@@ -202,7 +202,7 @@
     for n in 0..2 {
         assert_eq!(rig.admin_call(&format!("set-down s-{n}\r\n")), "done");
     }
-    rig.wait_for_log("no transcriber is left");
+    rig.wait_for_log("no server available");
     let (mut client, _) = rig.send_request("d=60000,g=a");
     assert!(client.receive().starts_with("BUSY "));
     assert_eq!(rig.admin_call("check\r\n"), "done", "the process serves");
@@ -223,7 +223,7 @@
     rig.reload_config(&config.to_string());
     let names: Vec<&str> = classes.iter().map(|(name, _)| *name).collect();
     rig.wait_for_log(&format!(
-        "attempts: {attempts}, classes: {}",
+        "max_attempts: {attempts}, classes: {}",
         names.join(", ")
     ));
 }
