Node client connection: restore the close deadline after a refused transfer in every state without a request

Need: since the rework of the client connection the deadline was set again only while the first line is read; a client that was answered while its transfer was pending would have kept its connection until it closed by itself. Change: the deadline comes from the entry among the unidentified clients, whatever the state. admin_call_at of the tests is a function.

--- a/crates/node/src/client/connection.rs
+++ b/crates/node/src/client/connection.rs
@@ -42,8 +42,7 @@
     unsent: Vec<u8>,
     /// How many bytes were read since the answer, and dropped.
     drained_bytes: usize,
-    /// Held until the connection closes.
-    _entry: UnidentifiedEntry,
+    entry: UnidentifiedEntry,
 }
 
 enum State {
@@ -55,6 +54,17 @@
     Finished,
 }
 
+impl State {
+    /// The connection's entry among the unidentified ones, unless it has a request.
+    fn unidentified_entry(&self) -> Option<&UnidentifiedEntry> {
+        match self {
+            State::ReadingFirstLine(reading) => Some(&reading.entry),
+            State::Closing(closing) => Some(&closing.entry),
+            State::Waiting(_) | State::Finished => None,
+        }
+    }
+}
+
 /// A client's connection without a server.
 pub(crate) struct ClientConnection {
     id: ComponentId,
@@ -198,7 +208,7 @@
         self.state = State::Closing(Closing {
             unsent: answer.to_vec(),
             drained_bytes: 0,
-            _entry: add_unidentified(context, self.id, LINGER_TIMEOUT),
+            entry: add_unidentified(context, self.id, LINGER_TIMEOUT),
         });
         context
             .deadlines
--- a/crates/node/src/client/connection/transfer.rs
+++ b/crates/node/src/client/connection/transfer.rs
@@ -69,12 +69,11 @@
     /// The other process has not taken the connection: it goes on here.
     fn on_transfer_cancelled(&mut self, context: &mut NodeContext) -> Lifecycle {
         self.is_in_transfer = false;
-        if let State::ReadingFirstLine(reading) = &self.state {
-            context.deadlines.set(
-                self.id,
-                ClientDeadline::Close.into(),
-                reading.entry.expires_at(),
-            );
+        // The deadline may have passed unheeded meanwhile.
+        if let Some(entry) = self.state.unidentified_entry() {
+            context
+                .deadlines
+                .set(self.id, ClientDeadline::Close.into(), entry.expires_at());
         }
         let Some(stream) = &mut self.stream else {
             return Lifecycle::Close;
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -15,5 +15,6 @@
 pub use full_backlog::FullBacklog;
 pub use line_stream::{exchange_lines, reset_connection, LineStream};
 pub use node_process::{send_signal, Build};
+pub use requests::admin_call_at;
 pub use rig::Rig;
 pub use wait::{wait_until, WAIT_TIMEOUT};
--- a/crates/node/tests/common/requests.rs
+++ b/crates/node/tests/common/requests.rs
@@ -146,15 +146,15 @@
 
     /// What an admin call is answered.
     pub fn admin_call(&self, call: &str) -> String {
-        self.admin_call_at(self.admin_address, call)
+        admin_call_at(self.admin_address, call)
     }
+}
 
-    /// The same at the admin address of either process.
-    pub fn admin_call_at(&self, address: SocketAddr, call: &str) -> String {
-        let mut caller = connect_admin(address);
-        caller.send(call);
-        caller.receive()
-    }
+/// What a call at the admin address of either process is answered.
+pub fn admin_call_at(address: SocketAddr, call: &str) -> String {
+    let mut caller = connect_admin(address);
+    caller.send(call);
+    caller.receive()
 }
 
 fn connect_admin(address: SocketAddr) -> LineStream {
--- a/crates/node/tests/mixed_builds.rs
+++ b/crates/node/tests/mixed_builds.rs
@@ -2,7 +2,7 @@
 //! variable names none, both processes run the tested build. Nothing here depends on what a build logs.
 
 mod common;
-use common::{exchange_lines, Build, LineStream, Rig};
+use common::{admin_call_at, exchange_lines, Build, LineStream, Rig};
 use rstest::rstest;
 use std::time::Instant;
 
@@ -110,7 +110,7 @@
         Told::Newer => rig.admin_address(),
     };
     let call = format!("set-down s-{drained}\r\n");
-    assert_eq!(rig.admin_call_at(address, &call), "done");
+    assert_eq!(admin_call_at(address, &call), "done");
     // The older process holds the connections and sends those of the drained server away.
     for connection in &mut connections {
         if connection.server_index == drained {
--- a/crates/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -1,7 +1,7 @@
 //! Two processes of one node: what the older holds goes over to the newer, and nothing is lost on the way.
 
 mod common;
-use common::{exchange_lines, send_signal, wait_until, Rig};
+use common::{admin_call_at, exchange_lines, send_signal, wait_until, Rig};
 use rstest::rstest;
 use socket2::{Domain, SockAddr, Socket, Type};
 use std::fmt::Write;
@@ -86,7 +86,7 @@
     let call = |rig: &Rig, now: usize| {
         if when == now {
             let address = if now == 2 { older } else { rig.admin_address() };
-            assert_eq!(rig.admin_call_at(address, &down), "done");
+            assert_eq!(admin_call_at(address, &down), "done");
         }
     };
     call(&rig, 0);
