--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -8,7 +8,7 @@
 pub use error::ConfigError;
 pub use limits::ResourceLimits;
 
-use crate::cluster_agent::config::Setup;
+use crate::cluster_agent::config::ClusterConfig;
 use crate::discovery::endpoint_list::EndpointListUpdate;
 use lupincrank_placement::Settings;
 use serde_json::{Map, Value};
@@ -40,7 +40,7 @@
     /// The file as it is written, but for the entries of the known endpoint list.
     pub document: Value,
     /// The cluster, where an operator's file names one; a change waits for the next start.
-    pub cluster: Option<Setup>,
+    pub cluster: Option<ClusterConfig>,
     /// The endpoint list as this node last had it.
     pub known_endpoints: Option<EndpointListUpdate>,
     /// What the decisions need.
--- a/crates/node/src/placement_driver/mod.rs
+++ b/crates/node/src/placement_driver/mod.rs
@@ -12,11 +12,12 @@
 mod setup_times;
 mod shutdown;
 
-pub use attempts::ClientState;
-pub use command::{AttemptOrder, Command};
-pub use endpoints::{
+pub(crate) use attempts::ClientState;
+pub(crate) use command::{AttemptOrder, Command};
+pub(crate) use endpoints::{
     EndpointAvailabilityError, EndpointListScope, EndpointListSource, ResolvedEndpoint,
 };
+pub(crate) use request::hex_id;
 
 use crate::config::Config;
 use crate::deadline::PlacementTimer;
@@ -26,14 +27,14 @@
 use lupincrank_placement::{
     Action, Balancer, Event, Outcome, RequestId, ServerId, SlowStartLease, Timer, Timestamp,
 };
-use request::{hex_id, ActiveRequest};
+use request::ActiveRequest;
 use setup_times::SetupTimes;
 use slog::{debug, Logger};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
 /// The placement decisions of this node with what they are about.
-pub struct PlacementDriver {
+pub(crate) struct PlacementDriver {
     commands: VecDeque<Command>,
     balancer: Balancer,
     /// Filled by the balancer; empty between events.
@@ -61,7 +62,7 @@
 impl PlacementDriver {
     /// The decisions as they begin. What they see and decide of single requests goes to `log` as debug lines, from
     /// which the state of a whole fleet can be added up: see `docs/operators/fleet.md`.
-    pub fn new(config: &Config, log: Logger) -> PlacementDriver {
+    pub(crate) fn new(config: &Config, log: Logger) -> PlacementDriver {
         let settings = &config.settings;
         PlacementDriver {
             commands: VecDeque::new(),
@@ -84,22 +85,22 @@
     }
 
     /// Begins discovery and upkeep.
-    pub fn start(&mut self) {
+    pub(crate) fn start(&mut self) {
         self.feed(Event::Start);
     }
 
     /// Now, on the decisions' clock.
-    pub fn now(&self) -> Timestamp {
+    pub(crate) fn now(&self) -> Timestamp {
         self.clock.now()
     }
 
     /// The next command to be carried out.
-    pub fn next_command(&mut self) -> Option<Command> {
+    pub(crate) fn next_command(&mut self) -> Option<Command> {
         self.commands.pop_front()
     }
 
     /// A timer has fired.
-    pub fn on_timer(&mut self, timer: PlacementTimer) {
+    pub(crate) fn on_timer(&mut self, timer: PlacementTimer) {
         self.feed(Event::TimerFired(timer.kind));
     }
 
@@ -158,8 +159,8 @@
         let Some(active) = self.requests.remove(&request) else {
             return;
         };
-        debug!(self.log, "refused"; "request" => hex_id(request), "tries" => active.attempt_count,
-            "ms" => retry_after.as_millis() as u64);
+        debug!(self.log, "request rejected"; "request" => hex_id(request), "attempts" => active.attempt_count,
+            "retry_after_ms" => retry_after.as_millis() as u64);
         self.commands.push_back(Command::Reject {
             owner: active.owner,
             retry_after,
@@ -180,7 +181,7 @@
         if !active.has_connection() {
             return;
         }
-        debug!(self.log, "moved"; "request" => hex_id(request));
+        debug!(self.log, "connection migrating"; "request" => hex_id(request));
         active.finish();
         let owner = active.owner;
         self.commands.push_back(Command::Migrate { owner });
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -18,7 +18,7 @@
 ///
 /// # Errors
 /// Where an address cannot be bound, the cluster's folder cannot be used, or the operating system lacks a descriptor.
-pub fn start(config: Config, log: Logger) -> io::Result<Reactor<NodeState>> {
+pub(crate) fn start(config: Config, log: Logger) -> io::Result<Reactor<NodeState>> {
     // Before anything else is opened, which could get the number of a descriptor that is not there.
     let inherited = config
         .inherited_descriptor
@@ -52,7 +52,7 @@
         Box::new(handoff::HandoffAgent),
     );
     handoff::begin(context);
-    cluster_agent::begin(context).map_err(io::Error::other)?;
+    cluster_agent::start(context).map_err(io::Error::other)?;
     if let Some(address) = context.config.admin_address {
         let admin = admin::AdminListener::new(context, address)?;
         context.register(WellKnownComponent::AdminListener.id(), Box::new(admin));
