Placement: names and comments that misled a reader who saw the code for the first time

Need: a newcomer looked in admission for the exclusion of draining servers, and took record_send for a statistic and the shutdown for a retry. Change: charge_attempt, spend, allows_attempt, can_still_send, is_allowed_by_retry_rules; on_shutdown_deadline stands in rejection.rs; the README is no longer the crate's documentation.

--- a/crates/node/src/load_report/tests.rs
+++ b/crates/node/src/load_report/tests.rs
@@ -21,7 +21,7 @@
             Duration::from_millis(16),
         ) {
             LoadReport::Load(load) => {
-                assert_eq!(load, *value);
+                assert_eq!(load.to_bits(), value.to_bits());
                 kinds.push(LOAD);
             }
             LoadReport::Delay { delay, .. } => {
--- a/crates/node/src/placement_driver/attempts.rs
+++ b/crates/node/src/placement_driver/attempts.rs
@@ -107,17 +107,17 @@
 
     /// Whether the line of the attempt in flight may be sent: its server still takes new connections, as far as this node
     /// has been told.
-    pub(crate) fn may_send(&mut self, request: RequestId) -> bool {
+    pub(crate) fn can_send_first_line(&mut self, request: RequestId) -> bool {
         let server = self
             .requests
             .get(&request)
             .and_then(|active| active.server.as_ref());
-        let may_send = server.is_some_and(|server| self.accepts_connections(server))
-            && self.balancer.may_send(self.now(), request);
+        let can_send = server.is_some_and(|server| self.accepts_connections(server))
+            && self.balancer.can_still_send(self.now(), request);
         if let Some(active) = self.requests.get_mut(&request) {
-            active.was_sent = may_send;
+            active.was_sent = can_send;
         }
-        may_send
+        can_send
     }
 
     /// The attempt in flight has been accepted: its connection is established.
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -206,7 +206,7 @@
     fn on_send_first_line(&mut self, context: &mut NodeContext) -> Lifecycle {
         self.phase = Phase::Sending;
         let is_new = self.written == 0 && !self.attempt.is_restored;
-        if is_new && !context.placement.may_send(self.attempt.request) {
+        if is_new && !context.placement.can_send_first_line(self.attempt.request) {
             return self.end(context, Outcome::ClosedBeforeSend);
         }
         self.advance(context)
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -4,7 +4,6 @@
 //! ([`Event`]) and carries out what comes back ([`Action`]). The same settings, seed and events always give the same
 //! actions. `api` has the types. `events` dispatches events to the modules that decide: `policy` on requests, `limits` and
 //! `recovery` on servers. `state` has what they know.
-#![doc = include_str!("../../../README.md")]
 #![forbid(unsafe_code)]
 
 pub mod admin_drain;
--- a/crates/placement/src/limits/slow_start.rs
+++ b/crates/placement/src/limits/slow_start.rs
@@ -6,7 +6,7 @@
 use crate::state::server::Server;
 use crate::{Settings, Timestamp};
 
-/// Part of the rate at which a warming server falls over that it may be sent.
+/// Part of the rate that overloads a warming server at which it may be sent attempts.
 const SAFE_RATE_RATIO: f64 = 2.0 / 3.0;
 /// Bound of that rate, relative to the one that fills a server over its warm-up.
 const MAX_RATE_RATIO: f64 = 2.0;
@@ -117,7 +117,7 @@
 
     /// Ranks servers in slow start as long as the budget for all of them allows an attempt.
     pub(crate) fn refresh_slow_start(&mut self, now: Timestamp) {
-        let is_open = self.slow_start_budget.is_open(now);
+        let is_open = self.slow_start_budget.allows_attempt(now);
         self.fleet.set_admits_slow_start(is_open);
     }
 
--- a/crates/placement/src/limits/slow_start_budget.rs
+++ b/crates/placement/src/limits/slow_start_budget.rs
@@ -18,16 +18,17 @@
     pub was_exhausted: bool,
 }
 
+/// This node's part of the fleet's slow-start budget: an estimate that is refilled, or a lease while one is held.
 #[derive(Default)]
 pub(crate) struct SlowStartBudget {
     attempts: f64,
-    /// Above this the budget allows an attempt. It is drawn anew after each, so that the fractions of an attempt that
+    /// Above this the budget allows an attempt. It is redrawn at random after each, so that the fractions of an attempt that
     /// many nodes have add up to the right number.
     threshold: f64,
     lease: Option<SlowStartLease>,
     /// The attempts of the last window, where there is a lease.
     recent_attempts: VecDeque<Timestamp>,
-    /// The lease is used up, and that alone stands against an attempt.
+    /// The lease is used up, and is the only reason to refuse an attempt.
     is_exhausted: bool,
     usage: MaxUsage,
 }
@@ -74,8 +75,8 @@
         self.attempts = (self.attempts + attempts).min(max_attempts);
     }
 
-    /// An attempt was started. `next_threshold` is drawn from 0 to 1.
-    pub(crate) fn record_send(&mut self, now: Timestamp, next_threshold: f64) {
+    /// Charges one attempt. `next_threshold` is drawn from 0 to 1.
+    pub(crate) fn spend(&mut self, now: Timestamp, next_threshold: f64) {
         self.attempts -= 1.0;
         self.threshold = next_threshold;
         if self.lease.is_some() {
@@ -107,9 +108,9 @@
         }
     }
 
-    /// Whether a server in slow start may be sent something now. An expired lease is none: its expiry is checked here,
+    /// Whether the budget allows an attempt on a server in slow start now. An expired lease is none: its expiry is checked here,
     /// before anything is sent, so that a process that was frozen finds out in time.
-    pub(crate) fn is_open(&mut self, now: Timestamp) -> bool {
+    pub(crate) fn allows_attempt(&mut self, now: Timestamp) -> bool {
         let has_budget = self.attempts > self.threshold;
         let Some(lease) = &self.lease else {
             return has_budget;
--- a/crates/placement/src/limits/slow_start_budget/tests.rs
+++ b/crates/placement/src/limits/slow_start_budget/tests.rs
@@ -26,16 +26,16 @@
 #[test]
 fn without_a_lease_attempts_above_the_threshold_decide() {
     let mut budget = SlowStartBudget::new(0.5);
-    assert!(!budget.is_open(at_seconds(1)));
+    assert!(!budget.allows_attempt(at_seconds(1)));
     budget.add(1.2);
-    assert!(budget.is_open(at_seconds(1)));
-    budget.record_send(at_seconds(1), 0.1);
+    assert!(budget.allows_attempt(at_seconds(1)));
+    budget.spend(at_seconds(1), 0.1);
     assert!(
-        budget.is_open(at_seconds(1)),
+        budget.allows_attempt(at_seconds(1)),
         "0.2 above a threshold of 0.1"
     );
     budget.refill(5.0, 0.05);
-    assert!(!budget.is_open(at_seconds(1)), "bounded to 0.05");
+    assert!(!budget.allows_attempt(at_seconds(1)), "bounded to 0.05");
 }
 
 #[test]
@@ -43,20 +43,23 @@
     let mut budget = full_budget();
     budget.set_lease(Some(lease(2, 0, 60)));
     for _ in 0..2 {
-        assert!(budget.is_open(at_seconds(10)));
-        budget.record_send(at_seconds(10), 0.5);
+        assert!(budget.allows_attempt(at_seconds(10)));
+        budget.spend(at_seconds(10), 0.5);
     }
-    assert!(!budget.is_open(at_seconds(11)));
-    assert!(budget.is_open(at_seconds(12)), "the window has moved on");
+    assert!(!budget.allows_attempt(at_seconds(11)));
+    assert!(
+        budget.allows_attempt(at_seconds(12)),
+        "the window has moved on"
+    );
 }
 
 #[test]
 fn an_expired_lease_leaves_its_floor() {
     let mut budget = full_budget();
     budget.set_lease(Some(lease(5, 1, 20)));
-    assert!(budget.is_open(at_seconds(20)));
-    budget.record_send(at_seconds(20), 0.5);
-    assert!(!budget.is_open(at_seconds(20)));
+    assert!(budget.allows_attempt(at_seconds(20)));
+    budget.spend(at_seconds(20), 0.5);
+    assert!(!budget.allows_attempt(at_seconds(20)));
 }
 
 #[test]
@@ -64,11 +67,11 @@
     let mut budget = full_budget();
     budget.set_lease(Some(lease(2, 0, 60)));
     for _ in 0..2 {
-        budget.record_send(at_seconds(10), 0.5);
+        budget.spend(at_seconds(10), 0.5);
     }
-    assert!(!budget.is_open(at_seconds(10)));
+    assert!(!budget.allows_attempt(at_seconds(10)));
     budget.record_demand();
-    assert!(budget.is_open(at_seconds(30)));
+    assert!(budget.allows_attempt(at_seconds(30)));
     let used = SlowStartUsage {
         max_attempts_in_window: 2,
         was_exhausted: true,
--- a/crates/placement/src/policy/attempt.rs
+++ b/crates/placement/src/policy/attempt.rs
@@ -73,7 +73,7 @@
             return;
         };
         let timeout = request.attempt_timeout(now, self.setup_window.mean_setup_seconds());
-        self.reserve_server(now, selection);
+        self.charge_attempt(now, selection);
         self.refresh_slow_start(now);
         if let Some(request) = self.requests.get_mut(&id) {
             let skips_setup = request.is_first_mid_flow_attempt();
@@ -97,14 +97,15 @@
         }
     }
 
-    /// Takes what the attempt uses of the server's slow start, limit and trial after an ejection.
-    fn reserve_server(&mut self, now: Timestamp, selection: Selection) {
+    /// Charges the attempt to the slow-start budget and the server's tokens, and makes it the trial of an ejected server.
+    fn charge_attempt(&mut self, now: Timestamp, selection: Selection) {
         let server = self.fleet.servers.get(selection.slot);
         if server.is_some_and(|server| server.slow_start.is_active) {
             let next_threshold = random_fraction(&mut self.fleet_random);
-            self.slow_start_budget.record_send(now, next_threshold);
+            self.slow_start_budget.spend(now, next_threshold);
         }
         self.fleet.update(selection.slot, |server| {
+            // Only servers in slow start are limited by their tokens.
             server.slow_start.tokens -= 1.0;
             if selection.exceeds_limit {
                 // Once a while only, or a full server would take everything between two reports.
--- a/crates/placement/src/policy/candidates.rs
+++ b/crates/placement/src/policy/candidates.rs
@@ -8,7 +8,7 @@
 use crate::state::server_table::ServerSlot;
 use crate::{Health, Timestamp};
 
-/// Sends to a draining server stop after this part of the time that is allowed for them.
+/// Connections in mid-flow may go to a draining server for this part of the drain grace.
 const DRAIN_GRACE_RATIO: f64 = 0.8;
 
 /// A server that may be chosen.
@@ -30,7 +30,7 @@
             count,
             |hash| rank_score(hash, request.key),
             self.draining_servers(now, request),
-            |slot| self.is_permitted(now, request, slot),
+            |slot| self.is_allowed_by_retry_rules(now, request, slot),
             |a, b| self.precedes(a, b),
         );
         ranked
@@ -51,8 +51,9 @@
         self.fleet.servers.id(a) < self.fleet.servers.id(b)
     }
 
-    /// The servers that the endpoint list, the retry rules and earlier attempts leave to the request. No evidence
-    /// about servers changes these.
+    /// The servers that the request may be sent to: ready ones within their slow-start budget, and draining ones for a
+    /// request in mid-flow, less those that the retry rules and earlier attempts exclude. Servers that drain or were
+    /// removed are not in the ranking index at all (see `Fleet::update`); ejections are looked at in admission.
     pub(crate) fn permitted_servers<'a>(
         &'a self,
         now: Timestamp,
@@ -62,7 +63,7 @@
             .ranking_index
             .iter()
             .chain(self.draining_servers(now, request))
-            .filter(move |indexed| self.is_permitted(now, request, indexed.slot))
+            .filter(move |indexed| self.is_allowed_by_retry_rules(now, request, indexed.slot))
     }
 
     /// Draining servers that may still get a connection in mid-flow.
@@ -90,9 +91,14 @@
             })
     }
 
-    /// Whether the retry rules and earlier attempts leave this server to the request. Most requests have no attempt
-    /// behind them, and no server is looked up for those.
-    fn is_permitted(&self, now: Timestamp, request: &RequestState, slot: ServerSlot) -> bool {
+    /// Whether the retry rules and earlier attempts allow this server. Most requests have no earlier attempt, and no
+    /// server is looked up for those.
+    fn is_allowed_by_retry_rules(
+        &self,
+        now: Timestamp,
+        request: &RequestState,
+        slot: ServerSlot,
+    ) -> bool {
         if request.tried_servers.contains(&slot) {
             return false;
         }
--- a/crates/placement/src/policy/rejection.rs
+++ b/crates/placement/src/policy/rejection.rs
@@ -20,6 +20,19 @@
 };
 
 impl Balancer {
+    /// Ends the request at shutdown. What was sent of its present attempt may have been executed.
+    pub(crate) fn on_shutdown_deadline(
+        &mut self,
+        id: RequestId,
+        was_sent: bool,
+        actions: &mut Actions,
+    ) {
+        if was_sent {
+            self.record_possible_execution(id);
+        }
+        self.reject_or_fail(id, actions);
+    }
+
     /// Rejects the request where that is harmless, else fails it.
     pub(crate) fn reject_or_fail(&mut self, id: RequestId, actions: &mut Actions) {
         let Some(request) = self.requests.get(&id) else {
--- a/crates/placement/src/policy/retry.rs
+++ b/crates/placement/src/policy/retry.rs
@@ -19,9 +19,9 @@
 }
 
 impl Balancer {
-    /// Whether the request of the present attempt may be sent now, where its connection took a while to come up: what
-    /// earlier attempts may have executed leaves this server to it still.
-    pub fn may_send(&self, now: Timestamp, id: RequestId) -> bool {
+    /// Whether the present attempt may still be sent to its server, now that its connection is established: the time
+    /// for a retry after a possible execution may be over by then.
+    pub fn can_still_send(&self, now: Timestamp, id: RequestId) -> bool {
         let Some(request) = self.requests.get(&id) else {
             return false;
         };
@@ -41,20 +41,7 @@
         (request.attempt_count == attempt + 1).then_some(in_flight.server)
     }
 
-    /// Ends the request at shutdown. What was sent of its present attempt may have been executed.
-    pub(crate) fn on_shutdown_deadline(
-        &mut self,
-        id: RequestId,
-        was_sent: bool,
-        actions: &mut Actions,
-    ) {
-        if was_sent {
-            self.record_possible_execution(id);
-        }
-        self.reject_or_fail(id, actions);
-    }
-
-    fn record_possible_execution(&mut self, id: RequestId) {
+    pub(crate) fn record_possible_execution(&mut self, id: RequestId) {
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
--- a/crates/placement/src/policy/retry_safety.rs
+++ b/crates/placement/src/policy/retry_safety.rs
@@ -5,7 +5,7 @@
 use crate::{IdempotencyScope, RetrySafety, Timestamp};
 use std::time::Duration;
 
-/// Part of the setup objective after which an attempt gives way to the next one.
+/// Part of the setup objective after which an attempt times out.
 const ATTEMPT_TIMEOUT_RATIO: f64 = 0.4;
 /// An attempt may take at least this multiple of the mean setup.
 const MIN_TIMEOUT_PER_MEAN_SETUP: f64 = 4.0;
@@ -60,7 +60,7 @@
         }
     }
 
-    /// Whether the client may be told to come again: nothing may have been executed, or repeating it is harmless.
+    /// Whether the client may be told to retry: nothing may have been executed, or repeating it is harmless.
     pub(crate) fn may_be_rejected(&self) -> bool {
         match self.retry_safety() {
             Some(
--- a/crates/placement/src/policy/selection.rs
+++ b/crates/placement/src/policy/selection.rs
@@ -77,10 +77,10 @@
         request: &RequestState,
     ) -> Option<Selection> {
         let candidates = self.first_candidates(now, request);
-        // A connection in mid-flow continues only at its holder: the top score unless an exception placed it.
+        // A connection in mid-flow continues only at its server: the top score unless an exception placed it.
         if request.is_first_mid_flow_attempt() {
-            let holder = candidates.first()?;
-            return Some(Selection::within_limit(holder.slot));
+            let current_server = candidates.first()?;
+            return Some(Selection::within_limit(current_server.slot));
         }
         let context = self.admission_context(request);
         let admitted = candidates.iter().find(|candidate| {
@@ -195,8 +195,8 @@
     }
 }
 
-/// The first server of the best tier that was met. With every server ejected the evidence is not believed; with any at its
-/// limit the rest are no way out.
+/// The first server of the best tier that the scan found. If all servers are ejected, the ejections are ignored. If any is
+/// merely at its limit, ejected servers are not used.
 fn best_selection(
     scan: &CandidateScan<{ Tier::COUNT }>,
     all_are_ejected: bool,
--- a/crates/placement/src/recovery/key_fitting.rs
+++ b/crates/placement/src/recovery/key_fitting.rs
@@ -1,19 +1,21 @@
 //! Which part of the keys of lost servers each remaining server takes, so that none gets more than it can carry.
 //!
-//! Every node computes the same from the endpoint list alone. Without it the next-highest scores decide, and they are as
-//! uneven as hashes are: one of four remaining servers got half of all connections and fell, then the next one did.
+//! Every node computes the same from the endpoint list alone. Without it the next-highest scores decide, and hashes spread
+//! unevenly: one of four remaining servers got half of all connections and was overloaded, then the next one was.
 
 use crate::hashing::{murmur, rank_score, unit_interval};
 use std::cmp::Reverse;
 
-/// A server is taken to carry this multiple of what it usually does, since services are run at half of it or so. With
-/// 1.25 more is rejected than need be, with 1.75 servers fall (docs/measured/fleet.md).
+/// A server is taken to carry this multiple of its usual load, since services run at about half of their capacity. With
+/// 1.25 more is rejected than necessary, with 1.75 servers are overloaded (docs/measured/many-nodes.md).
 pub(crate) const CAPACITY_RATIO: f64 = 1.5;
 /// Keys drawn for each remaining server, and at the most, to learn how many come to each. At the most this costs as many
 /// sorts of the remaining servers, once a second while keys are redistributed.
 const SAMPLES_PER_SERVER: usize = 100;
 const MAX_SAMPLES: usize = 2_048;
+/// The seed of the sampled keys, the same at every node.
 const SAMPLE_SEED: u32 = 77_041;
+/// Rounds of the fitting; it settles within them at the sizes that were measured.
 const ROUNDS: usize = 16;
 /// A ratio rises by at most this factor in a round.
 const MAX_RISE_PER_ROUND: f64 = 1.2;
@@ -72,7 +74,8 @@
         for (server, assigned) in remaining.iter_mut().zip(assigned) {
             let free_capacity = (server.capacity - assigned.own).max(0.0);
             let factor = free_capacity / f64::max(assigned.extra, 1e-9);
-            // What all others decline comes to one that takes all: in small steps up, or that changes by the round.
+            // The keys that all others decline come to a server that takes all: its rise is limited, or the result would
+            // oscillate from round to round.
             let step = factor.sqrt().min(MAX_RISE_PER_ROUND);
             server.extra_ratio = (server.extra_ratio * step).min(1.0);
         }
--- a/crates/placement/src/state/candidate_scan.rs
+++ b/crates/placement/src/state/candidate_scan.rs
@@ -3,19 +3,19 @@
 use crate::state::ranking_index::RankedServer;
 use crate::state::server_table::ServerSlot;
 
-/// A server that a scan has met.
+/// A server that a scan was offered.
 #[derive(Clone, Copy)]
-struct MetServer {
-    /// It ranks above the start, so the scan comes to it only at its end.
+struct ScannedServer {
+    /// It ranks above the start, so the walk reaches it only after wrapping around.
     is_wrapped: bool,
     server: RankedServer,
 }
 
-/// The first server of each tier that a walk by falling scores meets. The walk starts at a given server and comes round
-/// to the higher scores at its end. Servers may be offered in any order, so none has to be sorted.
+/// The first server of each tier in a walk by falling scores. The walk starts at a given server and wraps around to the
+/// higher scores at its end. Servers may be offered in any order, so none has to be sorted.
 pub(crate) struct CandidateScan<const TIERS: usize> {
     start: Option<RankedServer>,
-    first: [Option<MetServer>; TIERS],
+    first: [Option<ScannedServer>; TIERS],
 }
 
 impl<const TIERS: usize> CandidateScan<TIERS> {
@@ -48,7 +48,7 @@
             }
         });
         if is_earlier {
-            *first = Some(MetServer { is_wrapped, server });
+            *first = Some(ScannedServer { is_wrapped, server });
         }
     }
 
--- a/crates/placement/src/state/fleet.rs
+++ b/crates/placement/src/state/fleet.rs
@@ -1,6 +1,7 @@
 //! The servers that a node knows, with the totals and indexes that spare decisions a walk over all of them.
 //!
-//! It is bookkeeping; what follows from it is decided in `policy`, `limits` and `recovery`.
+//! [`Fleet::update`] also takes servers out of the ranking index that drain, were removed or have no slow-start budget; all
+//! other decisions are made in `policy`, `limits` and `recovery`.
 
 use crate::recovery::zone_reachability::ZoneReachability;
 use crate::state::fleet_totals::FleetTotals;
@@ -15,9 +16,9 @@
 pub(crate) struct Fleet {
     pub(crate) servers: ServerTable<Server>,
     pub(crate) totals: FleetTotals,
-    /// Ready servers that may be sent something: all that ranking reads.
+    /// Ready servers that may be selected; draining and removed ones are not in it.
     pub(crate) ranking_index: RankingIndex,
-    /// Servers that hold something, warm up, have a concurrency limit or leave.
+    /// Servers that hold connections, warm up, have a concurrency limit, drain or were removed.
     pub(crate) upkeep_slots: Vec<ServerSlot>,
     /// Whether this node's budget for servers in slow start allows an attempt.
     admits_slow_start: bool,
@@ -53,7 +54,7 @@
         }
     }
 
-    /// Ranks servers in slow start, or no longer.
+    /// Adds servers in slow start to the ranking index, or takes them out.
     pub(crate) fn set_admits_slow_start(&mut self, admits: bool) {
         if self.admits_slow_start == admits {
             return;
--- a/crates/placement/tests/rules.rs
+++ b/crates/placement/tests/rules.rs
@@ -164,7 +164,7 @@
     let may_send = |harness: &Harness, after: u64| {
         harness
             .balancer
-            .may_send(Timestamp(harness.now + after * MS), RequestId(1))
+            .can_still_send(Timestamp(harness.now + after * MS), RequestId(1))
     };
     assert!(may_send(&harness, 5_000), "nothing has run yet");
     let first = harness.now;
