Node tests: shut a server's listener down where the test needs refused connections

Cause: the test of learned state dropped the listener, but a process that a parallel test is just starting holds a copy of every descriptor until its exec, and the kernel goes on accepting. Change: the socket is shut down, which holds for all copies; the check is unchanged.

--- a/crates/node/tests/common/rig.rs
+++ b/crates/node/tests/common/rig.rs
@@ -191,6 +191,15 @@
 
 /// The node's newest process.
 impl Rig {
+    /// Makes a server refuse connections. Its listener is shut down and not only closed: a process that another test is just
+    /// starting may hold a copy of it until its exec, and the kernel would accept connections for as long.
+    pub fn stop_listening(&mut self, server: usize) {
+        let listener = self.servers[server].take().unwrap();
+        socket2::SockRef::from(&listener)
+            .shutdown(std::net::Shutdown::Both)
+            .unwrap();
+    }
+
     pub fn signal(&self, name: &str) {
         send_signal(&self.process, name);
     }
--- a/crates/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -215,7 +215,7 @@
     let mut rig = Rig::start_with_inherited_listener(2);
     let (_client, at, _peer) = rig.establish();
     // The next one of the group finds that it takes no connection any more.
-    rig.servers[at] = None;
+    rig.stop_listening(at);
     // It stands until the end: were both of its ends closed at once, which of them was first would be chance.
     let second = rig.establish();
     assert_ne!(second.1, at);
