--- a/crates/cluster/src/connection/tests.rs
+++ b/crates/cluster/src/connection/tests.rs
@@ -1,67 +1,119 @@
 use super::*;
-use proptest::prelude::*;
-use rstest::rstest;
+use crate::message::Subject;
+use polling::Events;
+use std::net::TcpListener;
 
-fn hello() -> Message {
-    Message::Handshake(Handshake {
-        cluster_tag: 7,
-        name: "n0".into(),
-        incarnation: 9,
-        started_at_ms: 5,
-        build: "0.1".into(),
-    })
+/// The poller's keys of the two ends.
+const INITIATOR_KEY: usize = 1;
+const ACCEPTOR_KEY: usize = 2;
+
+/// Two connected ends in one poller.
+struct Pair {
+    poller: Rc<Poller>,
+    initiator: ClusterConnection,
+    acceptor: ClusterConnection,
 }
 
-#[rstest]
-#[case::whole(1_000)]
-#[case::byte_by_byte(1)]
-#[case::odd(7)]
-fn messages_come_out_as_they_went_in_however_they_are_cut(#[case] piece: usize) {
-    let said = [
-        hello(),
-        Message::Ping,
-        Message::Payload(Subject::Control, vec![3; 300]),
-    ];
-    let bytes: Vec<u8> = said
-        .iter()
-        .flat_map(|message| encode_frame(message).unwrap())
-        .collect();
-    let (mut inbox, mut heard) = (FrameDecoder::default(), Vec::new());
-    for piece in bytes.chunks(piece) {
-        inbox.push(piece);
-        while let Some(message) = inbox.next_message().unwrap() {
-            heard.push(message);
+impl Pair {
+    fn new() -> Pair {
+        let poller = Rc::new(Poller::new().unwrap());
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let initiator = ClusterConnection::connect(&poller, address, INITIATOR_KEY).unwrap();
+        let (stream, _) = listener.accept().unwrap();
+        let acceptor = ClusterConnection::accept(&poller, stream, ACCEPTOR_KEY).unwrap();
+        Pair {
+            poller,
+            initiator,
+            acceptor,
+        }
+    }
+
+    /// Handles events until the acceptor has received this many messages.
+    fn receive(&mut self, count: usize) -> Result<Vec<Message>, ConnectionError> {
+        let mut received = Vec::new();
+        while received.len() < count {
+            let mut events = Events::new();
+            self.poller.wait(&mut events, None).unwrap();
+            for event in events.iter() {
+                if event.key == ACCEPTOR_KEY {
+                    received.extend(self.acceptor.on_ready(event.readable)?);
+                } else {
+                    self.initiator.on_ready(event.readable)?;
+                }
+            }
         }
+        Ok(received)
     }
-    assert_eq!(heard, said);
 }
 
-#[rstest]
-#[case::another_form(|bytes: &mut Vec<u8>| bytes[4] = 9, "form 9, this node speaks form 2")]
-#[case::too_long(|bytes: &mut Vec<u8>| bytes[0] = 1, "262144 are the most")]
-#[case::not_to_be_read(|bytes: &mut Vec<u8>| bytes[5] = 77, "can't be read")]
-fn what_is_out_of_order_ends_the_link_with_the_reason(
-    #[case] spoil: fn(&mut Vec<u8>),
-    #[case] why: &str,
-) {
-    let mut bytes = encode_frame(&hello()).unwrap();
-    spoil(&mut bytes);
-    let mut inbox = FrameDecoder::default();
-    inbox.push(&bytes);
-    let error = inbox.next_message().unwrap_err();
-    assert!(error.contains(why), "{error}");
-    assert!(encode_frame(&Message::Payload(
-        Subject::Control,
-        vec![0; MAX_MESSAGE_BYTES]
-    ))
-    .is_err());
+fn payload(length: usize) -> Message {
+    Message::Payload(Subject::Control, vec![3; length])
 }
 
-proptest! {
-    #[test]
-    fn no_bytes_from_outside_panic(bytes in proptest::collection::vec(any::<u8>(), 0..600)) {
-        let mut inbox = FrameDecoder::default();
-        inbox.push(&bytes);
-        while let Ok(Some(_)) = inbox.next_message() {}
+#[test]
+fn messages_sent_before_the_connect_ends_arrive_in_order() {
+    let mut pair = Pair::new();
+    assert!(pair.initiator.is_initiator());
+    assert!(!pair.acceptor.is_initiator());
+    let sent = [payload(10), Message::Ping, payload(200_000)];
+    for message in &sent {
+        pair.initiator.send(message).unwrap();
     }
+    assert_eq!(pair.receive(sent.len()).unwrap(), sent);
+}
+
+#[test]
+fn the_end_of_the_stream_is_no_violation() {
+    let mut pair = Pair::new();
+    drop(pair.initiator);
+    let error = loop {
+        if let Err(error) = pair.acceptor.on_ready(true) {
+            break error;
+        }
+    };
+    let ConnectionError::Closed(reason) = error else {
+        panic!("{error:?}");
+    };
+    assert!(matches!(
+        reason,
+        CloseReason::EndOfStream | CloseReason::Io(_)
+    ));
+}
+
+#[test]
+fn what_waits_to_be_written_is_bounded() {
+    // It is not connected before an event says so, and queues all until then.
+    let mut pair = Pair::new();
+    let error = loop {
+        if let Err(error) = pair.initiator.send(&payload(MAX_PENDING_BYTES / 10)) {
+            break error;
+        }
+    };
+    assert!(matches!(
+        error,
+        ConnectionError::Closed(CloseReason::SendBufferFull)
+    ));
+}
+
+#[test]
+fn a_flood_of_messages_is_a_violation() {
+    let mut pair = Pair::new();
+    // Twice the limit: a window that begins in the middle has too many as well.
+    let message_count = 2 * MAX_MESSAGES_PER_SECOND + 1;
+    for _ in 0..message_count {
+        pair.initiator.send(&Message::Ping).unwrap();
+    }
+    let error = pair.receive(message_count as usize).unwrap_err();
+    assert!(matches!(
+        error,
+        ConnectionError::Protocol(ProtocolViolation::RateExceeded)
+    ));
+}
+
+#[test]
+fn a_fresh_connection_is_alive() {
+    let mut pair = Pair::new();
+    pair.initiator.keep_alive().unwrap();
+    pair.acceptor.keep_alive().unwrap();
 }
--- /dev/null
+++ b/crates/fault-injection/src/harness/mod.rs
@@ -0,0 +1,244 @@
+//! The state that all components of a run share: test servers, links, nodes, the checker, and the time line.
+
+mod cluster_status;
+mod environment;
+
+pub(crate) use cluster_status::{ConvergenceGoal, NotConverged};
+
+use crate::checker::Checker;
+use crate::error::RunError;
+use crate::fault_step::{FaultStep, ScheduledStep};
+use crate::link::{LinkDirection, LinkTable};
+use crate::node_process::{AddressBlock, NodeProcess};
+use crate::plan::Plan;
+use crate::scenario::Scenario;
+use crate::session_schedule::SessionSchedule;
+use lupincrank_reactor::{ComponentId, Context};
+use lupincrank_test_servers::client::ClientBehaviour;
+use lupincrank_test_servers::discovery::EndpointList;
+use lupincrank_test_servers::upstream_server::{CapacityModel, UpstreamFleet};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::AtomicBool;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime};
+
+/// What components of the run may use.
+pub(crate) type HarnessContext = Context<Harness>;
+
+/// The phase of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Nodes become ready.
+    Starting,
+    /// Clients come.
+    Running,
+    /// What must hold at the end is awaited.
+    Settling,
+    /// The run is over.
+    Finished,
+}
+
+/// How far a run is.
+#[derive(Clone, Copy, Debug)]
+pub struct Progress {
+    /// Its phase.
+    pub phase: Phase,
+    /// Seconds since the first client.
+    pub elapsed_s: f64,
+    /// Seconds for which clients come.
+    pub duration_s: f64,
+    /// Nodes of the run.
+    pub node_count: usize,
+    /// Those of them that accept clients.
+    pub ready_node_count: usize,
+    /// Violations so far.
+    pub violation_count: usize,
+}
+
+/// Who an entry of the time line is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EventKind {
+    /// A fault that was injected, or its end.
+    Fault,
+    /// Anything else.
+    Observation,
+}
+
+/// An entry of the time line.
+#[derive(Clone, Debug)]
+pub(crate) struct Event {
+    pub(crate) at: Instant,
+    /// The same moment, for the comparison with the nodes' logs.
+    pub(crate) wall_clock: SystemTime,
+    pub(crate) kind: EventKind,
+    pub(crate) text: String,
+}
+
+/// The links and what passes them.
+#[derive(Default)]
+pub(crate) struct Network {
+    pub(crate) links: LinkTable,
+    /// Listeners of stream proxies.
+    pub(crate) listeners: BTreeMap<LinkDirection, ComponentId>,
+    /// Streams that are relayed now.
+    pub(crate) streams: BTreeMap<ComponentId, LinkDirection>,
+    /// When each relayed stream was dialed, by the proxy's address towards the target.
+    pub(crate) dialed_at: HashMap<SocketAddr, Instant>,
+}
+
+/// How a run is carried out.
+pub(crate) struct HarnessOptions {
+    pub(crate) stop: Arc<AtomicBool>,
+    pub(crate) folder: PathBuf,
+    pub(crate) address_block: AddressBlock,
+    pub(crate) is_verbose: bool,
+    /// The program of nodes that join.
+    pub(crate) program: Vec<String>,
+    pub(crate) on_progress: Box<dyn Fn(&Progress)>,
+}
+
+/// The state of a run.
+pub(crate) struct Harness {
+    pub(crate) scenario: Scenario,
+    pub(crate) plan: Plan,
+    pub(crate) options: HarnessOptions,
+    pub(crate) client_behaviour: ClientBehaviour,
+    pub(crate) servers: UpstreamFleet,
+    pub(crate) endpoint_list: EndpointList,
+    pub(crate) network: Network,
+    pub(crate) nodes: Vec<NodeProcess>,
+    /// The configuration of each node.
+    pub(crate) node_configs: BTreeMap<usize, serde_json::Value>,
+    /// The addresses at which each node reaches others, by the numbers of both.
+    pub(crate) peer_addresses: BTreeMap<usize, BTreeMap<usize, SocketAddr>>,
+    /// The ids of all clusters that nodes have named.
+    pub(crate) cluster_ids: BTreeSet<String>,
+    pub(crate) checker: Checker,
+    pub(crate) random: Pcg64Mcg,
+    pub(crate) phase: Phase,
+    pub(crate) events: Vec<Event>,
+    /// Steps of faults that are not due yet.
+    pub(crate) pending_steps: Vec<ScheduledStep>,
+    pub(crate) sessions: SessionSchedule,
+    /// Sessions of the plan that have come.
+    pub(crate) started_session_count: usize,
+    /// Requests that clients have sent.
+    pub(crate) request_count: u64,
+    pub(crate) created_at: Instant,
+    /// When the first client comes.
+    pub(crate) clients_start: Instant,
+    pub(crate) settling_since: Option<Instant>,
+    failure: Option<RunError>,
+}
+
+impl Harness {
+    /// A harness without servers and nodes.
+    pub(crate) fn new(
+        scenario: Scenario,
+        plan: Plan,
+        options: HarnessOptions,
+        random: Pcg64Mcg,
+    ) -> Harness {
+        let now = Instant::now();
+        Harness {
+            client_behaviour: client_behaviour(&scenario),
+            servers: UpstreamFleet::new(capacity_model(&scenario)),
+            scenario,
+            plan,
+            options,
+            endpoint_list: EndpointList::default(),
+            network: Network::default(),
+            nodes: Vec::new(),
+            node_configs: BTreeMap::new(),
+            peer_addresses: BTreeMap::new(),
+            cluster_ids: BTreeSet::new(),
+            checker: Checker::new(now),
+            random,
+            phase: Phase::Starting,
+            events: Vec::new(),
+            pending_steps: Vec::new(),
+            sessions: SessionSchedule::default(),
+            started_session_count: 0,
+            request_count: 0,
+            created_at: now,
+            clients_start: now,
+            settling_since: None,
+            failure: None,
+        }
+    }
+
+    /// Adds a fault, or its end, to the time line.
+    pub(crate) fn record_fault(&mut self, text: String) {
+        self.record(EventKind::Fault, text);
+    }
+
+    /// Adds anything else to the time line.
+    pub(crate) fn record_event(&mut self, text: String) {
+        self.record(EventKind::Observation, text);
+    }
+
+    fn record(&mut self, kind: EventKind, text: String) {
+        self.events.push(Event {
+            at: Instant::now(),
+            wall_clock: SystemTime::now(),
+            kind,
+            text,
+        });
+    }
+
+    /// Gives the run up.
+    pub(crate) fn fail(&mut self, error: RunError) {
+        self.failure.get_or_insert(error);
+        self.phase = Phase::Finished;
+    }
+
+    /// Why the run was given up, if it was.
+    pub(crate) fn take_failure(&mut self) -> Option<RunError> {
+        self.failure.take()
+    }
+
+    /// Schedules a step of a fault.
+    pub(crate) fn schedule_step(&mut self, due_at: Instant, step: FaultStep) {
+        self.pending_steps.push(ScheduledStep { due_at, step });
+    }
+
+    /// How far the run is.
+    pub(crate) fn progress(&self) -> Progress {
+        let ready = self.nodes.iter().filter(|node| node.is_accepting_clients());
+        Progress {
+            phase: self.phase,
+            elapsed_s: self.checker.seconds_since_start(Instant::now()),
+            duration_s: self.scenario.duration_s(),
+            node_count: self.nodes.len(),
+            ready_node_count: ready.count(),
+            violation_count: self.checker.violations().len(),
+        }
+    }
+}
+
+fn client_behaviour(scenario: &Scenario) -> ClientBehaviour {
+    ClientBehaviour {
+        answer_timeout: Duration::from_millis(scenario.clients.answer_timeout_ms),
+        line_interval: Duration::from_millis(scenario.clients.line_interval_ms),
+        class: "chat".into(),
+    }
+}
+
+/// What upstream servers bear, beyond what the scenario says.
+fn capacity_model(scenario: &Scenario) -> CapacityModel {
+    const MAX_CONNECTIONS_PER_CAPACITY: f64 = 3.0;
+    const MAX_SETUP_DURATION: Duration = Duration::from_secs(86_400);
+    let capacity = &scenario.server_capacity;
+    CapacityModel {
+        warm_capacity: capacity.connections,
+        max_connections: (capacity.connections * MAX_CONNECTIONS_PER_CAPACITY) as usize,
+        warm_up_duration: Duration::from_secs_f64(capacity.warm_up_s),
+        initial_capacity_ratio: 0.3,
+        crash_load_ratio: 3.0,
+        crash_delay: Duration::from_secs(2),
+        setup_duration: Duration::from_millis(capacity.setup_ms).min(MAX_SETUP_DURATION),
+    }
+}
--- /dev/null
+++ b/crates/node/src/client/listener.rs
@@ -0,0 +1,141 @@
+//! The listening socket for clients.
+
+use super::connection::ClientConnection;
+use crate::command::{ClientCommand, ListenerCommand, Message};
+use crate::component::WellKnownComponent;
+use crate::deadline::DeadlineKind;
+use crate::state::{NodeContext, NodeState};
+use lupincrank_reactor::poll::{self, Registered};
+use lupincrank_reactor::{poller_key, Connection, Interest, Lifecycle, Readiness};
+use slog::warn;
+use std::io;
+use std::net::{TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+/// How long accepting pauses when the process has no descriptor left.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
+
+/// Accepts clients.
+pub(crate) struct Listener {
+    socket: Registered<TcpListener>,
+    /// Another process accepts clients from the same socket; what waits there is left to it.
+    is_paused: bool,
+}
+
+impl Listener {
+    /// Listens on the configured address only, or on the socket that was inherited.
+    ///
+    /// # Errors
+    /// Where the address cannot be bound or the socket cannot be registered.
+    pub(crate) fn new(
+        context: &NodeContext,
+        inherited: Option<TcpListener>,
+    ) -> io::Result<Listener> {
+        let socket = match inherited {
+            Some(socket) => socket,
+            None => poll::listen(context.config.listen_address)?,
+        };
+        let socket = Registered::new(
+            &context.poller,
+            socket,
+            poller_key(WellKnownComponent::ClientListener.id(), 0),
+            Interest::READ,
+        )?;
+        Ok(Listener {
+            socket,
+            is_paused: false,
+        })
+    }
+
+    /// Accepts what waits, up to the number of one turn.
+    fn accept_clients(&mut self, context: &mut NodeContext) -> io::Result<()> {
+        for _ in 0..context.config.max_accepts_per_turn() {
+            match self.socket.accept() {
+                Ok((stream, _)) => accept_client(context, stream)?,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                // The client gave up while it waited to be accepted.
+                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+
+    /// Listens again, or pauses, as `is_paused` says.
+    fn apply_pause(&mut self, context: &mut NodeContext) {
+        let interest = Interest {
+            readable: !self.is_paused,
+            writable: false,
+        };
+        if let Err(error) = self.socket.set_interest(interest) {
+            warn!(context.log, "listener not restored"; "error" => %error);
+            retry_later(context);
+        }
+    }
+}
+
+fn accept_client(context: &mut NodeContext, stream: TcpStream) -> io::Result<()> {
+    stream.set_nonblocking(true)?;
+    let _ = stream.set_nodelay(true);
+    ClientConnection::accept(context, stream)?;
+    close_excess_unidentified(context);
+    Ok(())
+}
+
+/// Closes the unidentified connections that expire first anyway when descriptors are needed. Guards against hundreds
+/// that connect and send nothing.
+fn close_excess_unidentified(context: &mut NodeContext) {
+    let other = context.handoff.peer_heartbeat();
+    let max_unidentified = context
+        .config
+        .max_unidentified_clients(context.client_count.get() + other.client_count);
+    while context.unidentified_clients.len() + other.unidentified_count > max_unidentified {
+        let Some(id) = context.unidentified_clients.pop_first() else {
+            break;
+        };
+        context.send(id, ClientCommand::Close);
+    }
+}
+
+fn retry_later(context: &mut NodeContext) {
+    context.deadlines.set(
+        WellKnownComponent::ClientListener.id(),
+        DeadlineKind::ResumeAccepting,
+        Instant::now() + ACCEPT_BACKOFF,
+    );
+}
+
+impl Connection<NodeState> for Listener {
+    fn on_ready(
+        &mut self,
+        context: &mut NodeContext,
+        _socket: usize,
+        _readiness: Readiness,
+    ) -> Lifecycle {
+        if let Err(error) = self.accept_clients(context) {
+            // No descriptor is left: guards against a loop that spins on a listener that stays ready.
+            warn!(context.log, "accept failed"; "error" => %error);
+            if self.socket.set_interest(Interest::NONE).is_ok() {
+                retry_later(context);
+            }
+        }
+        Lifecycle::Continue
+    }
+
+    fn on_deadline(&mut self, context: &mut NodeContext, _kind: DeadlineKind) -> Lifecycle {
+        self.apply_pause(context);
+        Lifecycle::Continue
+    }
+
+    fn on_message(&mut self, context: &mut NodeContext, message: Message) -> Lifecycle {
+        let Message::Listener(command) = message else {
+            return Lifecycle::Continue;
+        };
+        self.is_paused = match command {
+            ListenerCommand::Pause => true,
+            ListenerCommand::Resume => false,
+        };
+        self.apply_pause(context);
+        Lifecycle::Continue
+    }
+}
--- /dev/null
+++ b/crates/node/src/placement_driver/mod.rs
@@ -0,0 +1,206 @@
+//! Drives the placement decisions: turns what clients, attempts, discovery and timers report into events of the
+//! [`Balancer`], and its actions into commands for the components. It owns the active requests and knows no syntax:
+//! another protocol can come through here with the same decisions.
+
+mod attempts;
+mod clock;
+mod command;
+mod endpoints;
+mod latency;
+mod request;
+mod settings;
+mod setup_times;
+mod shutdown;
+
+pub use attempts::ClientState;
+pub use command::{AttemptOrder, Command};
+pub use endpoints::{
+    EndpointAvailabilityError, EndpointListScope, EndpointListSource, ResolvedEndpoint,
+};
+pub(crate) use request::hex_id;
+
+use crate::config::Config;
+use crate::deadline::PlacementTimer;
+use clock::PlacementClock;
+use endpoints::KnownEndpoint;
+use latency::UpstreamLatency;
+use lupincrank_placement::{
+    Action, Balancer, Event, Outcome, RequestId, ServerId, SlowStartLease, Timer, Timestamp,
+};
+use request::ActiveRequest;
+use setup_times::SetupTimes;
+use slog::{debug, Logger};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::time::Duration;
+
+/// The placement decisions of this node with what they are about.
+pub struct PlacementDriver {
+    commands: VecDeque<Command>,
+    balancer: Balancer,
+    /// Filled by the balancer; empty between events.
+    actions: Vec<Action>,
+    clock: PlacementClock,
+    requests: HashMap<RequestId, ActiveRequest>,
+    endpoints: HashMap<ServerId, KnownEndpoint>,
+    /// Whether discovery has answered since this process began.
+    has_discovery_answered: bool,
+    latencies: BTreeMap<ServerId, UpstreamLatency>,
+    setup_times: SetupTimes,
+    /// The shortest latency objective of messages, by the settings.
+    min_message_objective: Duration,
+    /// What a client that comes during the shutdown is told to wait.
+    shutdown_retry_after: Duration,
+    is_shutting_down: bool,
+    slow_start_lease: Option<SlowStartLease>,
+    /// Processes of this node that accept clients.
+    process_count: u32,
+    /// Timers set so far.
+    timer_count: u64,
+    log: Logger,
+}
+
+impl PlacementDriver {
+    /// The decisions as they begin. What they see and decide of single requests goes to `log` as debug lines, from
+    /// which the state of a whole fleet can be added up: see `docs/operators/fleet.md`.
+    pub fn new(config: &Config, log: Logger) -> PlacementDriver {
+        let settings = &config.settings;
+        PlacementDriver {
+            commands: VecDeque::new(),
+            balancer: Balancer::new(settings.clone(), config.seed),
+            actions: Vec::new(),
+            clock: PlacementClock::start(),
+            requests: HashMap::new(),
+            endpoints: HashMap::new(),
+            has_discovery_answered: false,
+            latencies: BTreeMap::new(),
+            setup_times: SetupTimes::default(),
+            min_message_objective: settings.min_message_objective(),
+            shutdown_retry_after: settings::shutdown_retry_after(settings),
+            is_shutting_down: false,
+            slow_start_lease: None,
+            process_count: 1,
+            timer_count: 0,
+            log,
+        }
+    }
+
+    /// Begins discovery and upkeep.
+    pub fn start(&mut self) {
+        self.feed(Event::Start);
+    }
+
+    /// Now, on the decisions' clock.
+    pub fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
+    /// The next command to be carried out.
+    pub fn next_command(&mut self) -> Option<Command> {
+        self.commands.pop_front()
+    }
+
+    /// A timer has fired.
+    pub fn on_timer(&mut self, timer: PlacementTimer) {
+        self.feed(Event::TimerFired(timer.kind));
+    }
+
+    /// Tells the decisions an event and carries out what they say.
+    fn feed(&mut self, event: Event) {
+        self.balancer
+            .handle(self.clock.now(), event, &mut self.actions);
+        for action in std::mem::take(&mut self.actions) {
+            self.execute(action);
+        }
+    }
+
+    fn execute(&mut self, action: Action) {
+        match action {
+            Action::StartAttempt {
+                request,
+                server,
+                timeout,
+            } => self.start_attempt(request, server, timeout),
+            Action::Reject {
+                request,
+                retry_after,
+            } => self.reject(request, retry_after),
+            Action::Fail(request) => self.fail(request),
+            Action::Migrate(request) => self.migrate(request),
+            Action::SetTimer { after, timer } => self.set_timer(after, timer),
+            Action::WatchEndpoints => self.commands.push_back(Command::WatchEndpoints),
+            Action::CheckHealth(server) => self.check_health(server),
+            // The protocol of this kind of site has no messages between nodes.
+            Action::Gossip(_) => {}
+        }
+    }
+
+    fn start_attempt(&mut self, request: RequestId, server: ServerId, patience: Duration) {
+        let address = self.endpoints.get(&server).map(|endpoint| endpoint.address);
+        let Some(active) = self.requests.get_mut(&request) else {
+            return;
+        };
+        active.start_attempt(server);
+        let deadline = active.deadline.min(active.attempt_started_at + patience);
+        let owner = active.owner;
+        let Some(address) = address else {
+            // The list names the server, so it has an address; if not, nothing was sent.
+            return self.on_attempt_ended(request, Outcome::NotSent, ClientState::Waiting);
+        };
+        let attempt = AttemptOrder {
+            request,
+            address,
+            deadline,
+        };
+        self.commands
+            .push_back(Command::StartAttempt { owner, attempt });
+    }
+
+    fn reject(&mut self, request: RequestId, retry_after: Duration) {
+        let Some(active) = self.requests.remove(&request) else {
+            return;
+        };
+        debug!(self.log, "request rejected"; "request" => hex_id(request), "attempts" => active.attempt_count,
+            "retry_after_ms" => retry_after.as_millis() as u64);
+        self.commands.push_back(Command::Reject {
+            owner: active.owner,
+            retry_after,
+        });
+    }
+
+    fn fail(&mut self, request: RequestId) {
+        if let Some(active) = self.requests.remove(&request) {
+            let owner = active.owner;
+            self.commands.push_back(Command::Fail { owner });
+        }
+    }
+
+    fn migrate(&mut self, request: RequestId) {
+        let Some(active) = self.requests.get_mut(&request) else {
+            return;
+        };
+        if !active.has_connection() {
+            return;
+        }
+        debug!(self.log, "connection migrating"; "request" => hex_id(request));
+        active.finish();
+        let owner = active.owner;
+        self.commands.push_back(Command::Migrate { owner });
+    }
+
+    fn set_timer(&mut self, after: Duration, kind: Timer) {
+        self.timer_count += 1;
+        let timer = PlacementTimer {
+            sequence: self.timer_count,
+            kind,
+        };
+        self.commands.push_back(Command::SetTimer { after, timer });
+    }
+
+    fn check_health(&mut self, server: ServerId) {
+        if let Some(endpoint) = self.endpoints.get(&server) {
+            let address = endpoint.address;
+            self.commands
+                .push_back(Command::CheckHealth { server, address });
+        }
+    }
+}
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -1,48 +1,17 @@
 //! The state that the node's components share.
 
-use crate::cluster_agent::agent::Carry;
+use crate::client::UnidentifiedClients;
+use crate::cluster_agent::agent::ClusterAgent;
 use crate::config::Config;
-use crate::core::Core;
-use crate::handoff::message::Said;
-use crate::handoff::peer_process::Upgrade;
-use lupincrank_placement::ServerId;
-use lupincrank_reactor::{ComponentId, Context};
+use crate::handoff::peer_process::HandoffState;
+use crate::placement_driver::{EndpointAvailabilityError, PlacementDriver};
+use crate::upstream::open_health_checks::HealthChecks;
+use lupincrank_reactor::Context;
 use slog::Logger;
-use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
-use std::net::SocketAddr;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Instant;
 
-/// A client's place among those held; given back when dropped.
-pub struct ClientSlot(Rc<Cell<usize>>);
-
-impl ClientSlot {
-    /// Takes a place.
-    pub fn take(taken: &Rc<Cell<usize>>) -> ClientSlot {
-        taken.set(taken.get() + 1);
-        ClientSlot(Rc::clone(taken))
-    }
-}
-
-impl Drop for ClientSlot {
-    fn drop(&mut self) {
-        self.0.set(self.0.get().saturating_sub(1));
-    }
-}
-
-/// Connections that ask for nothing yet or have their answer, the one that has to go first in front.
-pub type UnidentifiedClients = Rc<RefCell<BTreeSet<(Instant, ComponentId)>>>;
-
-/// The open connection for health checks of one server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct HealthCheckConnection {
-    /// The connection's component.
-    pub id: ComponentId,
-    /// Where it is connected to.
-    pub address: SocketAddr,
-}
-
 /// A graceful shutdown under way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Shutdown {
@@ -52,13 +21,27 @@
     pub deadline: Instant,
 }
 
+/// Why clients cannot be served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum NotServingError {
+    /// SIGTERM has come.
+    #[error("this process is ending")]
+    ShuttingDown,
+    /// Another process of this node may still hold connections, and has not been reached.
+    #[error("the process before this one has not been reached yet")]
+    PredecessorNotReached,
+    /// The endpoint list lets no client in.
+    #[error(transparent)]
+    EndpointList(#[from] EndpointAvailabilityError),
+}
+
 /// What the callbacks of the node's components may use.
 pub type NodeContext = Context<NodeState>;
 
 /// What the node keeps.
 pub struct NodeState {
     /// The decisions and the request contexts.
-    pub placement: Core,
+    pub placement: PlacementDriver,
     /// What the node was told at its start.
     pub config: Config,
     /// Where log lines go.
@@ -72,11 +55,11 @@
     /// The graceful shutdown, once SIGTERM has come.
     pub shutdown: Option<Shutdown>,
     /// The other process of this node, if there is one.
-    pub handoff: Upgrade,
+    pub handoff: HandoffState,
     /// The open connections for health checks: one for each server at the most.
-    pub health_checks: HashMap<ServerId, HealthCheckConnection>,
-    /// The fleet that this node is one of, where the operator's file says so.
-    pub cluster_agent: Option<Box<Carry>>,
+    pub health_checks: HealthChecks,
+    /// The node's part in its cluster, once it has started; taken out while it works.
+    pub cluster_agent: Option<Box<ClusterAgent>>,
     /// Set for a moment when all connections are to be handed over.
     pub transfer_requested: bool,
     /// Set for a moment when what still waits has to get its answer.
@@ -87,42 +70,33 @@
     /// As the node begins.
     pub fn new(config: Config, log: Logger) -> NodeState {
         NodeState {
-            placement: Core::new(&config, log.clone()),
-            handoff: Upgrade::new(config.listen, config.inherited),
+            placement: PlacementDriver::new(&config, log.clone()),
+            handoff: HandoffState::new(config.listen_address, config.inherited_descriptor),
             config,
             log,
             client_count: Rc::default(),
             unidentified_clients: UnidentifiedClients::default(),
             started_at: Instant::now(),
             shutdown: None,
-            health_checks: HashMap::new(),
+            health_checks: HealthChecks::default(),
             cluster_agent: None,
             transfer_requested: false,
             answers_requested: false,
         }
     }
 
-    /// Whether clients can be served now, or what is missing.
-    pub fn serves(&self) -> Result<(), String> {
+    /// Whether clients can be served now.
+    ///
+    /// # Errors
+    /// Says what is missing.
+    pub fn check_serving(&self) -> Result<(), NotServingError> {
         if self.shutdown.is_some() {
-            return Err("this process is ending".into());
-        }
-        if !self.handoff.settled() {
-            return Err("the process before this one has not been reached yet".into());
+            return Err(NotServingError::ShuttingDown);
         }
-        self.placement.able().map_err(str::to_string)
-    }
-
-    /// Takes a transcriber out by hand or back in.
-    pub fn by_hand(&mut self, server: &str, down: bool) -> Result<(), String> {
-        let id = ServerId::from(server);
-        if !self.placement.knows(&id) {
-            return Err(format!("no transcriber {server:?}"));
+        if !self.handoff.is_settled() {
+            return Err(NotServingError::PredecessorNotReached);
         }
-        // Written before it is obeyed: what was answered with yes holds across any end of this process.
-        let out = self.handoff.change(&id, down, self.placement.out())?;
-        self.placement.set_out(out);
-        self.handoff.say(&Said::Out);
+        self.placement.check_endpoint_list()?;
         Ok(())
     }
 }
--- /dev/null
+++ b/crates/node/tests/races.rs
@@ -0,0 +1,433 @@
+//! Pairs of events that can happen in either order, each order forced: `docs/design/races.md` says what must be seen.
+
+mod common;
+use common::{reset_connection, wait_until, Rig};
+use rstest::rstest;
+use std::io::Write;
+use std::net::Shutdown;
+use std::time::{Duration, Instant};
+
+/// Connects may take up to 10 s, and the one attempt that a request has may wait for that.
+fn allow_slow_connects(settings: &mut serde_json::Value) {
+    settings["Limits"]["ConnectTimeoutNs"] = 10_000_000_000u64.into();
+    settings["Limits"]["SendCap"] = 1.into();
+}
+
+/// How a client leaves.
+#[derive(Clone, Copy)]
+enum Departure {
+    Closes,
+    Resets,
+    SendsMore,
+}
+
+fn leave(rig: &Rig, client: common::LineStream, departure: Departure) {
+    let from = client.stream.local_addr().unwrap();
+    match departure {
+        Departure::Closes => drop(client),
+        Departure::Resets => reset_connection(client),
+        Departure::SendsMore => {
+            let mut client = client;
+            client.send("more\r\n");
+            client.stream.shutdown(Shutdown::Both).unwrap();
+        }
+    }
+    rig.wait_for_client_close(from);
+}
+
+/// The client leaves and the attempt connects, both in one turn of the loop: the first event is handled first, and the
+/// line of a client that has left is sent in neither case.
+#[rstest]
+fn a_request_whose_client_has_left_is_not_sent_when_its_attempt_connects(
+    #[values(Departure::Closes, Departure::Resets, Departure::SendsMore)] departure: Departure,
+    #[values(true, false)] leaves_first: bool,
+) {
+    let mut rig = Rig::start(1);
+    rig.change_settings(allow_slow_connects);
+    let full_backlog = rig.fill_backlog(0);
+    let (client, _) = rig.send_request("d=20000,g=a");
+    rig.wait_for_log("request received");
+    rig.pause();
+    let mut server = if leaves_first {
+        leave(&rig, client, departure);
+        full_backlog.release()
+    } else {
+        let server = full_backlog.release();
+        leave(&rig, client, departure);
+        server
+    };
+    rig.resume();
+    assert_eq!(server.receive(), "", "nobody waits for it");
+    rig.wait_for_log("client left");
+}
+
+/// Hundreds leave at once, and attempts for some of them have connected in the same turn, before they left.
+#[test]
+fn requests_of_hundreds_of_clients_that_leave_at_once_are_not_sent() {
+    let mut rig = Rig::start(1);
+    rig.change_settings(allow_slow_connects);
+    let full_backlog = rig.fill_backlog(0);
+    let clients: Vec<_> = (0..150)
+        .map(|n| rig.send_request(&format!("d=20000,g={n}")).0)
+        .collect();
+    // Some wait for the server, the others for their turn.
+    rig.wait_for_log_count("request received, ", 150);
+    rig.pause();
+    let mut came = vec![full_backlog.release()];
+    came.extend((0..7).map(|_| rig.accept_attempt().1));
+    for client in clients {
+        leave(&rig, client, Departure::Closes);
+    }
+    rig.resume();
+    rig.wait_for_log_count("client left", 150);
+    assert!(
+        came.iter_mut().all(|server| server.receive().is_empty()),
+        "nobody waits for it"
+    );
+    // The next request that is forwarded is none of theirs.
+    let (_client, line) = rig.send_request("d=20000,g=last");
+    let id = line.split(' ').nth(1).unwrap().to_string();
+    let said = wait_until("the next request", || {
+        Some(rig.accept_attempt().1.receive()).filter(|said| !said.is_empty())
+    });
+    assert!(said.contains(&id), "{said}");
+}
+
+/// The server begins to drain while the attempt connects, which takes longer than the grace period.
+#[rstest]
+#[case::drains("DRAINING")]
+#[case::gone("DELETED")]
+#[case::admin_drain("")]
+fn a_request_is_not_sent_to_a_server_that_drains_while_the_attempt_connects(#[case] health: &str) {
+    let mut rig = Rig::start(1);
+    rig.change_settings(allow_slow_connects);
+    let full_backlog = rig.fill_backlog(0);
+    let (mut client, _) = rig.send_request("d=20000,g=a");
+    rig.wait_for_log("request received");
+    if health.is_empty() {
+        assert_eq!(rig.admin_call("set-down s-0\r\n"), "done");
+    } else {
+        rig.announce_health(0, health, 2);
+        rig.wait_for_log("seq: 2");
+    }
+    assert_eq!(
+        full_backlog.release().receive(),
+        "",
+        "a new request to a server that drains"
+    );
+    assert!(
+        client.receive().starts_with("BUSY"),
+        "it was never executed, and no server is left"
+    );
+}
+
+/// However the list is laid out, wherever its bytes are cut, and whatever its version: also one that went back, as of a
+/// discovery service that has restarted.
+#[rstest]
+#[case::in_one_line(false, 2)]
+#[case::indented(true, 2)]
+#[case::version_went_back(true, 0)]
+fn an_endpoint_list_is_applied_however_it_is_laid_out(
+    #[case] indented: bool,
+    #[case] seq: u64,
+    #[values(1, 7, 4096)] piece: usize,
+) {
+    let mut rig = Rig::start(2);
+    let list = rig.endpoint_list(&["DRAINING", "SERVING"], seq, true);
+    let text = if indented {
+        serde_json::to_string_pretty(&list).unwrap()
+    } else {
+        list.to_string()
+    };
+    rig.write_to_watch(format!("{text}\n").as_bytes(), piece);
+    rig.wait_for_log(&format!("endpoint list changed, entries: 2, seq: {seq}"));
+    let held: Vec<_> = (0..6).map(|_| rig.establish()).collect();
+    assert!(
+        held.iter().all(|(_, at, _)| *at == 1),
+        "the first one drains"
+    );
+    // The watch goes on, and is reopened from that version.
+    rig.watch = None;
+    assert_eq!(
+        rig.accept_discovery_call().1,
+        format!("GET /v1/endpoints?watch=1&from={seq} HTTP/1.1")
+    );
+}
+
+/// A list that comes byte by byte and never ends is as good as nothing.
+#[test]
+fn an_endless_endpoint_list_counts_as_silence() {
+    let mut rig = Rig::start(1);
+    rig.write_to_watch(b"{\"seq\":2,", 4096);
+    wait_until("the watch is reopened", || {
+        // It goes on for as long as the node reads it.
+        let watch = rig.watch.as_mut().unwrap();
+        let _ = watch.stream.write_all(b"1\r\n \r\n");
+        rig.discovery.accept().ok()
+    });
+    assert!(rig.log().contains("endpoint watch fell silent"));
+}
+
+/// Its valid entries change nothing either, and the watch is reopened from the known version.
+#[rstest]
+#[case::cut("{\"seq\":9,\"whole\":true,\"hosts\":[]")]
+#[case::nonsense("nonsense\n")]
+#[case::bad_entry(r#"{"seq":9,"whole":true,"hosts":[{"host":"s-1","dial":"127.0.0.1:1","health":"SERVING"},{"host":"s-0","dial":"127.0.0.1:1","health":"WELL"}]}"#)]
+#[case::no_address(r#"{"seq":9,"whole":false,"hosts":[{"host":"s-1","dial":"127.0.0.1:1","health":"DELETED"},{"host":"s-0","dial":"here","health":"SERVING"}]}"#)]
+#[case::number_too_large(r#"{"seq":9,"whole":true,"hosts":[{"host":"s-0","dial":"127.0.0.1:1","health":"SERVING","share":1e999}]}"#)]
+#[case::not_an_update("{\"whole\":true}\n")]
+fn an_invalid_endpoint_list_changes_nothing(#[case] text: &str) {
+    let mut rig = Rig::start(2);
+    rig.write_to_watch(text.as_bytes(), 4096);
+    if text.starts_with("{\"seq\":9,\"whole\":true,\"hosts\":[]") {
+        rig.watch = None;
+    }
+    assert_eq!(
+        rig.accept_discovery_call().1,
+        "GET /v1/endpoints?watch=1&from=1 HTTP/1.1"
+    );
+    let held: Vec<_> = (0..12)
+        .map(|n| rig.establish_in_group(&format!("g{n}")))
+        .collect();
+    assert!(
+        (0..2).all(|server| held.iter().any(|(_, at, _)| *at == server)),
+        "both are used as before"
+    );
+}
+
+/// A change behind a silent watch has to be applied 6 s after the last byte at the latest. The first connect hangs.
+#[test]
+fn a_silent_watch_is_reopened_in_time_though_the_first_connect_hangs() {
+    let mut rig = Rig::start(1);
+    rig.write_to_watch(b"\n", 1);
+    let silent_since = Instant::now();
+    let full_backlog = common::FullBacklog::fill(&rig.discovery);
+    rig.wait_for_log("endpoint watch fell silent");
+    rig.wait_for_log("nothing came in time");
+    let mut call = full_backlog.release();
+    assert_eq!(call.receive(), "GET /v1/endpoints?watch=1&from=1 HTTP/1.1");
+    assert!(
+        silent_since.elapsed() < Duration::from_secs(6),
+        "{:?}",
+        silent_since.elapsed()
+    );
+}
+
+/// The same where discovery accepts the first call and never answers it, with few nodes or many.
+#[rstest]
+fn a_change_behind_a_silent_watch_is_applied_in_time_though_a_call_is_never_answered(
+    #[values(2, 300)] nodes: u32,
+) {
+    let mut rig = Rig::start_as_one_of(nodes, 2);
+    rig.write_to_watch(b"\n", 1);
+    let silent_since = Instant::now();
+    let (_never_answered, _) = rig.accept_discovery_call();
+    rig.accept_watch();
+    rig.announce_health(0, "DRAINING", 2);
+    rig.wait_for_log("seq: 2");
+    assert!(
+        silent_since.elapsed() < Duration::from_secs(6),
+        "{:?}",
+        silent_since.elapsed()
+    );
+    let held: Vec<_> = (0..6)
+        .map(|n| rig.establish_in_group(&format!("g{n}")))
+        .collect();
+    assert!(
+        held.iter().all(|(_, at, _)| *at == 1),
+        "the first one drains"
+    );
+}
+
+/// One of two pending calls is answered, either one: it becomes the watch, and the other one is closed.
+#[rstest]
+fn the_discovery_call_that_is_answered_first_becomes_the_watch(#[values(true, false)] first: bool) {
+    let mut rig = Rig::start(1);
+    let (one, _) = rig.accept_discovery_call_after_silence();
+    let (two, _) = rig.accept_discovery_call();
+    let (mut answered, mut other) = if first { (one, two) } else { (two, one) };
+    answered.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+    assert_eq!(other.receive(), "", "it is closed");
+    rig.watch = Some(answered);
+    rig.announce_health(0, "DRAINING", 2);
+    rig.wait_for_log("seq: 2");
+    assert!(rig.discovery.accept().is_err(), "no further call");
+}
+
+/// Calls are rejected for long, or accepted and never answered; then discovery is back, and the next call is answered. It
+/// comes in time for changes made from that moment on.
+#[rstest]
+#[case::down(true)]
+#[case::hangs(false)]
+fn changes_are_applied_in_time_once_discovery_is_back(
+    #[case] ends: bool,
+    #[values(2, 300)] nodes: u32,
+) {
+    let mut rig = Rig::start_as_one_of(nodes, 1);
+    rig.watch = None;
+    let mut hung = Vec::new();
+    for _ in 0..3 {
+        let (mut call, _) = rig.accept_discovery_call();
+        if ends {
+            call.send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+        } else {
+            hung.push(call);
+        }
+    }
+    // The last call that fails has come: from here on discovery is back.
+    let back = Instant::now();
+    rig.accept_watch();
+    rig.announce_health(0, "DRAINING", 2);
+    rig.wait_for_log("seq: 2");
+    assert!(
+        back.elapsed() < Duration::from_secs(6),
+        "{:?}",
+        back.elapsed()
+    );
+}
+
+/// A connection's descriptor is needed for others in the turn in which its first line is there, complete and unread.
+#[test]
+fn a_connection_whose_first_line_has_arrived_is_not_closed_for_its_descriptor() {
+    let rig = Rig::start_with_descriptors(1, 68);
+    let mut oldest = rig.connect_client();
+    let mut silent: Vec<_> = (0..23).map(|_| rig.connect_client()).collect();
+    // Clients are accepted in order: by then all of them have been.
+    assert_eq!(rig.query("PING\r\n"), "PONG");
+    rig.pause();
+    silent.extend((0..16).map(|_| rig.connect_client()));
+    oldest.send("OPEN 00000000000000ff 7f3a9c21e0b4d655 c=chat,d=20000,g=a\r\n");
+    rig.resume();
+    let (_, mut server) = rig.accept_attempt();
+    server.receive();
+    server.send("UP r1\r\n");
+    assert_eq!(oldest.receive(), "UP r1");
+}
+
+/// The answer is one that the request's class allows after what has been sent for it.
+#[rstest]
+#[case::repeatable("repeatable", "all", true, true, "BUSY ")]
+#[case::no_retry_after("repeatable", "all", true, false, "BUSY")]
+#[case::once("once", "all", true, true, "ERR")]
+#[case::once_never_sent("once", "all", false, true, "BUSY ")]
+#[case::by_key_anywhere("by_key", "all", true, true, "BUSY ")]
+#[case::by_key_in_a_zone("by_key", "zone", true, true, "ERR")]
+#[case::by_key_never_sent("by_key", "zone", false, false, "BUSY")]
+fn at_shutdown_waiting_requests_are_answered_as_their_class_allows(
+    #[case] repeat: &str,
+    #[case] group: &str,
+    #[case] sent: bool,
+    #[case] advises: bool,
+    #[case] answer: &str,
+) {
+    let mut rig = Rig::start(1);
+    rig.change_settings(|settings| {
+        allow_slow_connects(settings);
+        settings["Categories"][0]["Repeat"] = repeat.into();
+        settings["Categories"][0]["Group"] = group.into();
+        settings["Limits"]["RetryAfter"] = advises.into();
+    });
+    let full_backlog = (!sent).then(|| rig.fill_backlog(0));
+    let (mut client, _) = rig.send_request("d=60000,g=a");
+    let server = sent.then(|| {
+        let (_, mut server) = rig.accept_attempt();
+        server.receive();
+        server
+    });
+    rig.wait_for_log("request received");
+    rig.signal("-TERM");
+    let said = client.receive();
+    assert!(
+        said == answer || (answer.ends_with(' ') && said.starts_with(answer)),
+        "{said:?}"
+    );
+    assert_eq!(client.receive(), "", "one answer");
+    if let Some(mut server) = server {
+        assert_eq!(server.receive(), "", "the attempt ends with it");
+    }
+    drop(client);
+    assert!(rig.wait_for_exit().success());
+    drop(full_backlog);
+}
+
+/// Nothing of a damaged answer reaches the client.
+#[rstest]
+#[case::no_receipt("UP\r\n")]
+#[case::damaged_receipt("UP \u{1}\u{2}\r\n")]
+#[case::no_carriage_return("UP r1\n")]
+#[case::cut("UP r")]
+#[case::too_long("")]
+fn a_damaged_answer_is_a_failed_attempt(#[case] says: &str) {
+    let mut rig = Rig::start(2);
+    let (mut client, _) = rig.send_request("d=20000,g=a");
+    let (first, mut server) = rig.accept_attempt();
+    server.receive();
+    let long = format!("UP {}\r\n", "x".repeat(5000));
+    server.send(if says.is_empty() { &long } else { says });
+    server.stream.shutdown(Shutdown::Write).unwrap();
+    let (second, mut server) = rig.accept_attempt();
+    assert_ne!(first, second);
+    server.receive();
+    server.send("UP r2\r\n");
+    assert_eq!(client.receive(), "UP r2");
+}
+
+/// Other clients are answered in time meanwhile.
+#[rstest]
+#[case::lines("LOAD 1\r\n")]
+#[case::no_line("x")]
+fn an_endless_answer_keeps_nobody_waiting(#[case] says: &str) {
+    let mut rig = Rig::start(1);
+    let (mut client, _) = rig.send_request("d=3000,g=a");
+    let (_, mut server) = rig.accept_attempt();
+    server.receive();
+    let block = says.repeat(4096);
+    let endless =
+        std::thread::spawn(move || while server.stream.write_all(block.as_bytes()).is_ok() {});
+    let started_at = Instant::now();
+    while client.is_quiet() {
+        let asked = Instant::now();
+        assert_eq!(rig.query("PING\r\n"), "PONG");
+        assert!(
+            asked.elapsed() < Duration::from_secs(1),
+            "{:?}",
+            asked.elapsed()
+        );
+    }
+    assert!(client.receive().starts_with("BUSY"));
+    assert!(
+        started_at.elapsed() < Duration::from_secs(4),
+        "{:?}",
+        started_at.elapsed()
+    );
+    endless.join().unwrap();
+}
+
+/// The retry connects only after the window in which it is allowed: it is not sent, and the client gets the answer that
+/// its class allows.
+#[rstest]
+#[case::anywhere("all", "BUSY")]
+#[case::in_a_zone("zone", "ERR")]
+fn a_retry_by_key_is_not_sent_past_its_window(#[case] group: &str, #[case] answer: &str) {
+    let mut rig = Rig::start(2);
+    rig.change_settings(|settings| {
+        allow_slow_connects(settings);
+        settings["Limits"]["SendCap"] = 2.into();
+        settings["Categories"][0]["Repeat"] = "by_key".into();
+        settings["Categories"][0]["Group"] = group.into();
+        settings["Categories"][0]["WindowNs"] = 700_000_000.into();
+    });
+    let (mut client, _) = rig.send_request("d=20000,g=a");
+    let (first, mut server) = rig.accept_attempt();
+    server.receive();
+    let full_backlog = rig.fill_backlog(1 - first);
+    reset_connection(server);
+    rig.wait_for_log("outcome: Reset");
+    // The kernel repeats the connect a second after the first one.
+    assert_eq!(
+        full_backlog.release().receive(),
+        "",
+        "its retry window is over"
+    );
+    assert!(client.receive().starts_with(answer));
+}
