--- a/crates/node/src/graceful_shutdown.rs
+++ b/crates/node/src/graceful_shutdown.rs
@@ -23,7 +23,7 @@
 const STEP_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Begins the shutdown, unless it is under way.
-pub fn begin(context: &mut NodeContext) {
+pub(crate) fn begin(context: &mut NodeContext) {
     if context.shutdown.is_some() {
         return;
     }
@@ -49,16 +49,16 @@
 }
 
 /// Makes the next step of the migration.
-pub fn step(context: &mut NodeContext) {
+pub(crate) fn step(context: &mut NodeContext) {
     let Some(shutdown) = context.shutdown else {
         return;
     };
     let now = Instant::now();
-    context.placement.begin_shutdown();
+    context.placement.reject_new_requests();
     let remaining_steps = remaining_steps(shutdown, now);
-    context.placement.migrate_step(remaining_steps);
+    context.placement.shutdown_step(remaining_steps);
     // What still waits is answered together with the last migrations: nothing may be left without an answer.
-    context.answers_requested = remaining_steps <= 1;
+    context.restored_answers_requested = remaining_steps <= 1;
     schedule_step(context, now + STEP_INTERVAL);
 }
 
--- a/crates/node/src/placement_driver/mod.rs
+++ b/crates/node/src/placement_driver/mod.rs
@@ -12,9 +12,9 @@
 mod setup_times;
 mod shutdown;
 
-pub use attempts::ClientState;
-pub use command::{AttemptOrder, Command};
-pub use endpoints::{
+pub(crate) use attempts::ClientState;
+pub(crate) use command::{AttemptOrder, Command};
+pub(crate) use endpoints::{
     EndpointAvailabilityError, EndpointListScope, EndpointListSource, ResolvedEndpoint,
 };
 pub(crate) use request::hex_id;
@@ -34,7 +34,7 @@
 use std::time::Duration;
 
 /// The placement decisions of this node with what they are about.
-pub struct PlacementDriver {
+pub(crate) struct PlacementDriver {
     commands: VecDeque<Command>,
     balancer: Balancer,
     /// Filled by the balancer; empty between events.
@@ -61,8 +61,8 @@
 
 impl PlacementDriver {
     /// The decisions as they begin. What they see and decide of single requests goes to `log` as debug lines, from
-    /// which the state of a whole fleet can be added up: see `docs/operators/fleet.md`.
-    pub fn new(config: &Config, log: Logger) -> PlacementDriver {
+    /// which the state of a whole fleet can be added up: see `docs/operators/many-nodes.md`.
+    pub(crate) fn new(config: &Config, log: Logger) -> PlacementDriver {
         let settings = &config.settings;
         PlacementDriver {
             commands: VecDeque::new(),
@@ -85,22 +85,22 @@
     }
 
     /// Begins discovery and upkeep.
-    pub fn start(&mut self) {
+    pub(crate) fn start(&mut self) {
         self.feed(Event::Start);
     }
 
     /// Now, on the decisions' clock.
-    pub fn now(&self) -> Timestamp {
+    pub(crate) fn now(&self) -> Timestamp {
         self.clock.now()
     }
 
     /// The next command to be carried out.
-    pub fn next_command(&mut self) -> Option<Command> {
+    pub(crate) fn next_command(&mut self) -> Option<Command> {
         self.commands.pop_front()
     }
 
     /// A timer has fired.
-    pub fn on_timer(&mut self, timer: PlacementTimer) {
+    pub(crate) fn on_timer(&mut self, timer: PlacementTimer) {
         self.feed(Event::TimerFired(timer.kind));
     }
 
@@ -129,18 +129,18 @@
             Action::SetTimer { after, timer } => self.set_timer(after, timer),
             Action::WatchEndpoints => self.commands.push_back(Command::WatchEndpoints),
             Action::CheckHealth(server) => self.check_health(server),
-            // The protocol of this kind of site has no messages between nodes.
+            // The protocol of this deployment has no gossip between nodes.
             Action::Gossip(_) => {}
         }
     }
 
-    fn start_attempt(&mut self, request: RequestId, server: ServerId, patience: Duration) {
+    fn start_attempt(&mut self, request: RequestId, server: ServerId, timeout: Duration) {
         let address = self.endpoints.get(&server).map(|endpoint| endpoint.address);
         let Some(active) = self.requests.get_mut(&request) else {
             return;
         };
         active.start_attempt(server);
-        let deadline = active.deadline.min(active.attempt_started_at + patience);
+        let deadline = active.deadline.min(active.attempt_started_at + timeout);
         let owner = active.owner;
         let Some(address) = address else {
             // The list names the server, so it has an address; if not, nothing was sent.
--- a/crates/node/src/placement_driver/request.rs
+++ b/crates/node/src/placement_driver/request.rs
@@ -24,7 +24,7 @@
     Abandoned,
     /// Its connection is established.
     Established,
-    /// Its connection is established and about to end: the client was sent away or has left.
+    /// Its connection is established and about to end: the client was told to migrate or has left.
     Closing,
 }
 
@@ -40,7 +40,7 @@
     pub(super) server: Option<ServerId>,
     /// When the latest attempt began.
     pub(super) attempt_started_at: Instant,
-    /// Whether the latest attempt's line was let go: from then on it may have been executed.
+    /// Whether the latest attempt's line was released for sending: from then on it may have been executed.
     pub(super) was_sent: bool,
     /// How far it is.
     pub(super) phase: RequestPhase,
@@ -55,15 +55,15 @@
 }
 
 /// What an established connection needs to go on in another process of this node.
-pub struct EstablishedConnection<'a> {
+pub(crate) struct EstablishedConnection<'a> {
     /// Its request.
-    pub request: &'a RequestInfo,
+    pub(crate) request: &'a RequestInfo,
     /// Its server.
-    pub server: &'a ServerId,
+    pub(crate) server: &'a ServerId,
     /// Its load as last reported, in microseconds of work a second.
-    pub load: Option<f64>,
+    pub(crate) load: Option<f64>,
     /// When each line of the client was forwarded that nothing has come back for yet.
-    pub unanswered_lines: &'a VecDeque<Instant>,
+    pub(crate) unanswered_lines: &'a VecDeque<Instant>,
 }
 
 impl ActiveRequest {
--- a/crates/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -1,7 +1,7 @@
 //! Two processes of one node: what the older holds goes over to the newer, and nothing is lost on the way.
 
 mod common;
-use common::{exchange_lines, send_signal, wait_until, Rig};
+use common::{admin_call_at, exchange_lines, send_signal, wait_until, Rig};
 use rstest::rstest;
 use socket2::{Domain, SockAddr, Socket, Type};
 use std::fmt::Write;
@@ -86,7 +86,7 @@
     let call = |rig: &Rig, now: usize| {
         if when == now {
             let address = if now == 2 { older } else { rig.admin_address() };
-            assert_eq!(rig.admin_call_at(address, &down), "done");
+            assert_eq!(admin_call_at(address, &down), "done");
         }
     };
     call(&rig, 0);
@@ -215,7 +215,7 @@
     let mut rig = Rig::start_with_inherited_listener(2);
     let (_client, at, _peer) = rig.establish();
     // The next one of the group finds that it takes no connection any more.
-    rig.servers[at] = None;
+    rig.stop_listening(at);
     // It stands until the end: were both of its ends closed at once, which of them was first would be chance.
     let second = rig.establish();
     assert_ne!(second.1, at);
