--- a/crates/node/tests/common/line_stream.rs
+++ b/crates/node/tests/common/line_stream.rs
@@ -49,6 +49,25 @@
         }
     }
 
+    /// The next line without its end, or `None` where the connection has ended, broken or been quiet for long.
+    pub fn try_receive(&mut self) -> Option<String> {
+        let mut byte = [0];
+        while !self.received.ends_with(b"\r\n") {
+            match self.stream.read(&mut byte) {
+                Ok(1) => self.received.push(byte[0]),
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                _ => return None,
+            }
+        }
+        let line = String::from_utf8(std::mem::take(&mut self.received)).unwrap();
+        Some(line.trim_end().to_string())
+    }
+
+    /// Sends, where the connection may have ended by now.
+    pub fn try_send(&mut self, text: &str) -> std::io::Result<()> {
+        self.stream.write_all(text.as_bytes())
+    }
+
     /// Whether nothing has come.
     pub fn is_quiet(&mut self) -> bool {
         self.stream.set_nonblocking(true).unwrap();
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 mod address;
 mod discovery;
+mod echo_servers;
 mod endpoint_list;
 mod full_backlog;
 mod line_stream;
@@ -10,11 +11,14 @@
 mod requests;
 mod rig;
 mod successor;
+mod syscall_faults;
 mod wait;
 
+pub use echo_servers::EchoServers;
 pub use full_backlog::FullBacklog;
 pub use line_stream::{exchange_lines, reset_connection, LineStream};
 pub use node_process::{send_signal, Build};
 pub use requests::admin_call_at;
 pub use rig::Rig;
+pub use syscall_faults::SyscallFaults;
 pub use wait::{wait_until, WAIT_TIMEOUT};
--- /dev/null
+++ b/crates/node/tests/system_calls.rs
@@ -0,0 +1,163 @@
+//! System calls that fail in the ways that Linux documents: no request, line or signal is lost over them.
+
+mod common;
+use common::{wait_until, EchoServers, LineStream, Rig, SyscallFaults};
+use rstest::rstest;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// Requests that one test sends, some at once.
+const REQUESTS: usize = 200;
+const CONCURRENT_REQUESTS: usize = 20;
+const DESCRIPTORS: usize = 1024;
+/// Longer than any delay in these tests.
+const LONG_NS: u64 = 20_000_000_000;
+/// Lines that are exchanged on each established connection.
+const LINES: usize = 5;
+/// SIGKILL may come so long after SIGTERM where the longest deadline is 2 s.
+const KILL_DELAY: Duration = Duration::from_millis(2700);
+
+/// A node in which calls fail. No delay of this machine counts as a server's overload, for which requests are rejected.
+fn start(server_count: usize, plan: &str) -> Rig {
+    let faults = SyscallFaults::new(plan, 7);
+    Rig::start_changed(server_count, DESCRIPTORS, Some(faults), |config| {
+        allow_long_delays(&mut config["settings"]);
+    })
+}
+
+fn allow_long_delays(settings: &mut serde_json::Value) {
+    settings["FamilyInfo"]["MessageAimNs"] = vec![LONG_NS].into();
+    settings["Categories"][0]["PromiseNs"] = LONG_NS.into();
+}
+
+/// What a client got, in a word.
+fn outcome(client: &mut LineStream) -> String {
+    match client.try_receive() {
+        Some(line) => line.split(' ').next().unwrap_or_default().to_string(),
+        None => "closed".to_string(),
+    }
+}
+
+/// Sends the requests, a few at a time; how often each outcome came, and the clients that were served.
+fn send_requests(rig: &mut Rig) -> (BTreeMap<String, usize>, Vec<LineStream>) {
+    let mut outcomes = BTreeMap::new();
+    let mut served = Vec::new();
+    for round in 0..REQUESTS / CONCURRENT_REQUESTS {
+        let clients: Vec<LineStream> = (0..CONCURRENT_REQUESTS)
+            .map(|n| rig.send_request(&format!("d=2000,g={round}-{n}")).0)
+            .collect();
+        for mut client in clients {
+            let outcome = outcome(&mut client);
+            if outcome == "UP" {
+                served.push(client);
+            }
+            *outcomes.entry(outcome).or_default() += 1;
+        }
+    }
+    (outcomes, served)
+}
+
+fn assert_all_served(outcomes: &BTreeMap<String, usize>) {
+    let expected = BTreeMap::from([("UP".to_string(), REQUESTS)]);
+    assert_eq!(outcomes, &expected, "every request is served");
+}
+
+/// Each line comes back unchanged.
+fn exchange_lines(client: &mut LineStream) {
+    for number in 0..LINES {
+        let line = format!("line {number}{}", "x".repeat(number * 300));
+        client.try_send(&format!("{line}\r\n")).unwrap();
+        assert_eq!(client.try_receive(), Some(line));
+    }
+}
+
+/// All clients are told to move, and the process exits before it may be killed.
+fn assert_graceful_shutdown(rig: &mut Rig, clients: Vec<LineStream>) {
+    let started_at = Instant::now();
+    rig.signal("-TERM");
+    for mut client in clients {
+        assert_eq!(client.try_receive().as_deref(), Some("MOVE"));
+    }
+    assert!(rig.wait_for_exit().success());
+    assert!(
+        started_at.elapsed() < KILL_DELAY,
+        "{:?}",
+        started_at.elapsed()
+    );
+}
+
+#[rstest]
+#[case::seldom("recv=EINTR:2,send=EINTR:2,accept=EINTR:2,wait=EINTR:2")]
+#[case::often("recv=EINTR:20,send=EINTR:20,accept=EINTR:20,wait=EINTR:20")]
+#[case::short("recv=SHORT:50,send=SHORT:50")]
+#[case::short_and_interrupted("recv=EINTR:20,send=EINTR:20,recv=SHORT:50,send=SHORT:50")]
+fn interrupted_and_short_calls_lose_no_request_line_or_signal(#[case] plan: &str) {
+    let mut rig = start(3, plan);
+    let _servers = EchoServers::start(&rig);
+    let (outcomes, mut served) = send_requests(&mut rig);
+    assert_all_served(&outcomes);
+    served.iter_mut().for_each(exchange_lines);
+    rig.signal("-HUP");
+    rig.wait_for_log("configuration reloaded");
+    assert_graceful_shutdown(&mut rig, served);
+    assert!(!rig.log().contains("discovery failed"), "{}", rig.log());
+}
+
+#[rstest]
+#[case::aborted("accept=ECONNABORTED:20")]
+#[case::files("accept=ENFILE:20")]
+#[case::descriptors("accept=EMFILE:20")]
+#[case::buffers("accept=ENOBUFS:20")]
+#[case::memory("accept=ENOMEM:20")]
+#[case::network_down("accept=ENETDOWN:20")]
+#[case::unreachable("accept=EHOSTUNREACH:20")]
+fn an_accept_that_fails_for_a_moment_loses_no_client(#[case] plan: &str) {
+    let mut rig = start(3, plan);
+    let _servers = EchoServers::start(&rig);
+    let (outcomes, served) = send_requests(&mut rig);
+    assert_all_served(&outcomes);
+    assert_graceful_shutdown(&mut rig, served);
+}
+
+/// Admin calls are answered however often reads and writes are interrupted.
+#[test]
+fn admin_calls_are_answered_while_calls_are_interrupted() {
+    let faults = SyscallFaults::new("recv=EINTR:30,send=EINTR:30,accept=EINTR:30", 5);
+    let rig = Rig::start_with_faults(1, faults);
+    for _ in 0..100 {
+        assert_eq!(rig.admin_call("check\r\n"), "done");
+    }
+}
+
+/// Connections go over to another process while its calls are interrupted.
+#[test]
+fn a_handover_loses_no_connection_while_calls_are_interrupted() {
+    let faults = SyscallFaults::new("recv=EINTR:30,send=EINTR:30,accept=EINTR:30", 5);
+    let mut rig = Rig::start_inheriting_with_faults(2, faults);
+    rig.change_settings(allow_long_delays);
+    let _servers = EchoServers::start(&rig);
+    let (outcomes, mut served) = send_requests(&mut rig);
+    assert_all_served(&outcomes);
+    rig.hand_over_to_successor();
+    served.iter_mut().for_each(exchange_lines);
+}
+
+/// A read that fails because the connection broke on its way counts as a reset, whichever error says so.
+#[rstest]
+fn a_connection_that_breaks_on_its_way_is_answered_or_closed(
+    #[values("recv=ETIMEDOUT:3", "recv=EHOSTUNREACH:3")] plan: &str,
+) {
+    let mut rig = start(3, plan);
+    let _servers = EchoServers::start(&rig);
+    let (outcomes, served) = send_requests(&mut rig);
+    let known = ["UP", "BUSY", "ERR", "closed"];
+    assert!(outcomes
+        .keys()
+        .all(|outcome| known.contains(&outcome.as_str())));
+    assert!(outcomes["UP"] > REQUESTS / 2, "{outcomes:?}");
+    assert!(rig.is_running());
+    drop(served);
+    wait_until("the node answers", || {
+        (rig.query("PING\r\n") == "PONG").then_some(())
+    });
+}
--- /dev/null
+++ b/crates/syscall-faults/src/handler.rs
@@ -0,0 +1,146 @@
+//! The signal handler that carries out, shortens or fails the calls that the filter hands to it.
+
+use crate::plan::{Fault, FaultPlan, Rule};
+use crate::raw_syscall::{self, Arguments};
+use crate::{filter, wall_clock};
+use std::ffi::CString;
+use std::io;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::OnceLock;
+
+/// Where in the arguments the length of a buffer stands.
+const LENGTH_ARGUMENT: usize = 2;
+/// Where the flags of `openat` and the operation of `epoll_ctl` stand.
+const OPEN_FLAGS_ARGUMENT: usize = 2;
+const EPOLL_OPERATION_ARGUMENT: usize = 1;
+/// The registers of a call's arguments.
+const ARGUMENT_REGISTERS: [libc::c_int; 6] = [
+    libc::REG_RDI,
+    libc::REG_RSI,
+    libc::REG_RDX,
+    libc::REG_R10,
+    libc::REG_R8,
+    libc::REG_R9,
+];
+
+/// What the handler needs; it is never changed after the start.
+struct Installed {
+    plan: FaultPlan,
+    switch: Option<CString>,
+}
+
+static INSTALLED: OnceLock<Installed> = OnceLock::new();
+/// The state of the random numbers.
+static RANDOM: AtomicU64 = AtomicU64::new(0);
+
+/// Installs handler and filter.
+///
+/// # Errors
+/// Where the kernel refuses either of them.
+pub(crate) fn install(plan: FaultPlan, switch: Option<String>, seed: u64) -> io::Result<()> {
+    RANDOM.store(seed, Ordering::Relaxed);
+    wall_clock::set_offset(plan.clock_offset_seconds);
+    let calls = plan.calls();
+    let switch = switch.map(CString::new).transpose()?;
+    INSTALLED.get_or_init(|| Installed { plan, switch });
+    if calls.is_empty() {
+        return Ok(());
+    }
+    install_handler()?;
+    filter::install(&calls)
+}
+
+fn install_handler() -> io::Result<()> {
+    // SAFETY: an action of zeros is valid, and the handler calls nothing that is unsafe in a signal handler.
+    let result = unsafe {
+        let mut action: libc::sigaction = std::mem::zeroed();
+        action.sa_sigaction = on_trapped_call as *const () as usize;
+        action.sa_flags = libc::SA_SIGINFO | libc::SA_NODEFER;
+        libc::sigaction(libc::SIGSYS, &raw const action, std::ptr::null_mut())
+    };
+    if result == 0 {
+        Ok(())
+    } else {
+        Err(io::Error::last_os_error())
+    }
+}
+
+/// Whether calls fail now.
+pub(crate) fn is_active() -> bool {
+    let Some(installed) = INSTALLED.get() else {
+        return false;
+    };
+    let Some(switch) = &installed.switch else {
+        return true;
+    };
+    let arguments = [switch.as_ptr() as i64, i64::from(libc::F_OK), 0, 0, 0, 0];
+    // SAFETY: the path is a string that ends in zero and lives as long as the process.
+    unsafe { raw_syscall::call(libc::SYS_access, &arguments) == 0 }
+}
+
+/// A number below `bound`, by the `SplitMix64` generator.
+fn random_below(bound: u64) -> u64 {
+    let state = RANDOM
+        .fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::Relaxed)
+        .wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let mixed = (state ^ (state >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    (mixed ^ (mixed >> 31)) % bound.max(1)
+}
+
+/// Opening an existing file and changing or ending a registration do not fail: only what takes something new does.
+fn takes_something_new(number: i64, arguments: &Arguments) -> bool {
+    match number {
+        libc::SYS_openat => arguments[OPEN_FLAGS_ARGUMENT] & i64::from(libc::O_CREAT) != 0,
+        libc::SYS_epoll_ctl => {
+            arguments[EPOLL_OPERATION_ARGUMENT] == i64::from(libc::EPOLL_CTL_ADD)
+        }
+        _ => true,
+    }
+}
+
+/// The rule that strikes this call.
+fn striking_rule(number: i64, arguments: &Arguments) -> Option<&'static Rule> {
+    if !is_active() || !takes_something_new(number, arguments) {
+        return None;
+    }
+    let rules = &INSTALLED.get()?.plan.rules;
+    rules
+        .iter()
+        .find(|rule| rule.calls.contains(&number) && random_below(100) < u64::from(rule.percent))
+}
+
+/// Carries the call out as the plan wants it; the result as the kernel gives it.
+fn perform(number: i64, mut arguments: Arguments) -> i64 {
+    let fault = striking_rule(number, &arguments).map(|rule| rule.fault);
+    match fault {
+        Some(Fault::Errno(errno)) if number == libc::SYS_connect && errno == libc::EINTR => {
+            // An interrupted connect goes on in the background.
+            // SAFETY: it is the program's own call with its own arguments.
+            unsafe { raw_syscall::call(number, &arguments) };
+            return -i64::from(errno);
+        }
+        Some(Fault::Errno(errno)) => return -i64::from(errno),
+        Some(Fault::Short) if !matches!(number, libc::SYS_recvmsg | libc::SYS_sendmsg) => {
+            let length = arguments[LENGTH_ARGUMENT];
+            if length > 1 {
+                arguments[LENGTH_ARGUMENT] = 1 + random_below(length as u64 - 1) as i64;
+            }
+        }
+        Some(Fault::Short) | None => {}
+    }
+    // SAFETY: it is the program's own call; a shortened buffer lies within the program's.
+    unsafe { raw_syscall::call(number, &arguments) }
+}
+
+extern "C" fn on_trapped_call(
+    _signal: libc::c_int,
+    _info: *mut libc::siginfo_t,
+    context: *mut libc::c_void,
+) {
+    // SAFETY: the kernel passes the interrupted thread's context, which belongs to this handler until it returns.
+    let registers = unsafe { &mut (*context.cast::<libc::ucontext_t>()).uc_mcontext.gregs };
+    let number = registers[libc::REG_RAX as usize];
+    let arguments = ARGUMENT_REGISTERS.map(|register| registers[register as usize]);
+    registers[libc::REG_RAX as usize] = perform(number, arguments);
+}
--- /dev/null
+++ b/crates/syscall-faults/src/lib.rs
@@ -0,0 +1,48 @@
+//! Makes system calls of a process fail as Linux documents it, for tests only.
+//!
+//! A test starts a program with this library in `LD_PRELOAD` and a plan in [`PLAN_VARIABLE`], such as
+//! `recv=EINTR:20,send=SHORT:50,clock=3600`. At its start the library installs a system-call filter that hands the calls of
+//! the plan to a signal handler, which carries them out, or shortens or fails them at random. Nothing happens without
+//! the variable. It works on `x86_64` Linux.
+#![allow(unsafe_code)] // System calls, a signal handler and a system-call filter have no safe interface.
+
+mod filter;
+mod handler;
+mod plan;
+mod raw_syscall;
+mod wall_clock;
+
+pub use plan::{Fault, FaultPlan, PlanError, Rule};
+
+/// The environment variable with the plan; see [`FaultPlan`].
+pub const PLAN_VARIABLE: &str = "SYSCALL_FAULTS";
+/// The environment variable with the path of a file: calls fail only while it exists. Without the variable they always
+/// do.
+pub const SWITCH_VARIABLE: &str = "SYSCALL_FAULTS_SWITCH";
+/// The environment variable with the seed of the random choices.
+pub const SEED_VARIABLE: &str = "SYSCALL_FAULTS_SEED";
+/// The file name of the library.
+pub const LIBRARY_FILE: &str = "liblupincrank_syscall_faults.so";
+
+/// Run by the dynamic linker before `main`.
+#[used]
+#[link_section = ".init_array"]
+static INITIALIZER: extern "C" fn() = initialize;
+
+extern "C" fn initialize() {
+    let Ok(text) = std::env::var(PLAN_VARIABLE) else {
+        return;
+    };
+    let seed = std::env::var(SEED_VARIABLE)
+        .ok()
+        .and_then(|seed| seed.parse().ok())
+        .unwrap_or(1);
+    let switch = std::env::var(SWITCH_VARIABLE).ok();
+    let installed = FaultPlan::parse(&text)
+        .map_err(std::io::Error::other)
+        .and_then(|plan| handler::install(plan, switch, seed));
+    if let Err(error) = installed {
+        eprintln!("{PLAN_VARIABLE}: {error}");
+        std::process::exit(1);
+    }
+}
--- /dev/null
+++ b/crates/syscall-faults/src/raw_syscall.rs
@@ -0,0 +1,43 @@
+//! System calls from one known instruction, which the filter lets pass.
+
+use std::arch::global_asm;
+
+/// The arguments of a system call, in their order.
+pub(crate) type Arguments = [i64; 6];
+
+global_asm!(
+    ".hidden syscall_faults_raw",
+    ".hidden syscall_faults_raw_return",
+    ".globl syscall_faults_raw",
+    ".globl syscall_faults_raw_return",
+    "syscall_faults_raw:",
+    "mov rax, rdi",
+    "mov r11, rsi",
+    "mov rdi, [r11]",
+    "mov rsi, [r11 + 8]",
+    "mov rdx, [r11 + 16]",
+    "mov r10, [r11 + 24]",
+    "mov r8, [r11 + 32]",
+    "mov r9, [r11 + 40]",
+    "syscall",
+    "syscall_faults_raw_return:",
+    "ret",
+);
+
+extern "C" {
+    fn syscall_faults_raw(number: i64, arguments: *const i64) -> i64;
+    fn syscall_faults_raw_return();
+}
+
+/// Carries a system call out; a negative result is an error's number.
+///
+/// # Safety
+/// As the system call's.
+pub(crate) unsafe fn call(number: i64, arguments: &Arguments) -> i64 {
+    syscall_faults_raw(number, arguments.as_ptr())
+}
+
+/// Where the program goes on after a call of [`call`], as the filter sees it.
+pub(crate) fn return_address() -> u64 {
+    syscall_faults_raw_return as *const () as u64
+}
