Reactor: calls that a signal interrupts are made again for every registered socket

Cause: writes to clients and servers, discovery's reads and writes, admin answers and the messages between two processes took EINTR for a broken connection; a signal handler whose write to its pipe was interrupted woke nobody, so a SIGTERM went unheard. An interrupted connect counts as in progress.

--- a/crates/cluster/src/connection.rs
+++ b/crates/cluster/src/connection.rs
@@ -6,7 +6,7 @@
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::Interest;
 use polling::Poller;
-use std::io::{self, Read, Write};
+use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -207,7 +207,6 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     return self.stream.set_interest(Interest::READ_WRITE)
                 }
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => return Err(error),
             }
         }
@@ -251,7 +250,6 @@
                     self.decoder.push(&chunk[..length]);
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => return Err(error.into()),
             }
         }
--- a/crates/fault-injection/src/rule_breaker/client_relay.rs
+++ b/crates/fault-injection/src/rule_breaker/client_relay.rs
@@ -5,7 +5,7 @@
 use lupincrank_reactor::{
     poller_key, ComponentId, Connection, Context, Interest, Lifecycle, Readiness,
 };
-use std::io::{self, Read, Write};
+use std::io::{self, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Instant;
 
--- a/crates/fault-injection/src/stream_relay.rs
+++ b/crates/fault-injection/src/stream_relay.rs
@@ -2,7 +2,7 @@
 
 use lupincrank_reactor::poll::Registered;
 use std::collections::VecDeque;
-use std::io::{self, Read, Write};
+use std::io;
 use std::net::{Shutdown, TcpStream};
 use std::time::Instant;
 
--- a/crates/node/src/admin/connection.rs
+++ b/crates/node/src/admin/connection.rs
@@ -9,7 +9,7 @@
 use lupincrank_reactor::{ComponentId, Connection, Interest, Lifecycle, Readiness};
 use std::cell::RefCell;
 use std::collections::BTreeSet;
-use std::io::{self, Read, Write};
+use std::io;
 use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -105,7 +105,6 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     return Lifecycle::Continue;
                 }
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(_) => return Lifecycle::Close,
             }
         }
--- a/crates/node/src/application.rs
+++ b/crates/node/src/application.rs
@@ -1,6 +1,6 @@
 //! The hooks of the event loop: carries out what was decided, fires the application's deadlines, and ends the program.
 
-use crate::command::{ClientCommand, DiscoveryCommand, Message, RelayCommand};
+use crate::command::{ClientCommand, DiscoveryCommand, Message, RelayCommand, SignalCommand};
 use crate::component::{is_allocated_id, WellKnownComponent, FIRST_ADMIN_CONNECTION_ID};
 use crate::deadline::DeadlineKind;
 use crate::placement_driver::{hex_id, Command};
@@ -85,6 +85,7 @@
         match kind {
             DeadlineKind::UnansweredLinesCheck => {
                 schedule_unanswered_lines_check(context);
+                context.send(WellKnownComponent::Signals.id(), SignalCommand::Check);
                 context.placement.check_unanswered_lines();
             }
             DeadlineKind::PlacementTimer(timer) => context.placement.on_timer(timer),
--- a/crates/node/src/client/connection.rs
+++ b/crates/node/src/client/connection.rs
@@ -14,7 +14,7 @@
 use lupincrank_reactor::{poller_key, ComponentId, Connection, Interest, Lifecycle, Readiness};
 use request::WaitingRequest;
 use slog::debug;
-use std::io::{self, Read, Write};
+use std::io;
 use std::net::{Shutdown, TcpStream};
 use std::time::Duration;
 
@@ -123,7 +123,6 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     return Lifecycle::Continue
                 }
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => Lifecycle::Continue,
                 Err(_) => self.on_client_closed(context),
             };
             if lifecycle == Lifecycle::Close {
--- a/crates/node/src/cluster_agent/storage/writer.rs
+++ b/crates/node/src/cluster_agent/storage/writer.rs
@@ -2,6 +2,7 @@
 
 use super::write_batch;
 use lupincrank_control::durable::LogWrite;
+use lupincrank_reactor::retry_interrupted;
 use redb::Database;
 use std::io::{self, Read, Write as _};
 use std::os::unix::net::UnixStream;
@@ -94,7 +95,9 @@
     /// # Errors
     /// Where nothing can be written any more.
     pub fn take_completed(&mut self) -> Result<Option<u64>, StorageWriteError> {
-        while matches!(self.wake_receiver.read(&mut [0; 64]), Ok(length) if length > 0) {}
+        while matches!(retry_interrupted(|| self.wake_receiver.read(&mut [0; 64])), Ok(length) if length > 0)
+        {
+        }
         let mut last = None;
         loop {
             match self.completions.try_recv() {
@@ -127,7 +130,7 @@
             let has_failed = result.is_err();
             // The receiver may be gone, or have been woken already.
             let _ = self.completions.send(result.map(|()| last_sequence));
-            let _ = self.wake_sender.write(&[1]);
+            let _ = retry_interrupted(|| self.wake_sender.write(&[1]));
             if has_failed {
                 return;
             }
--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -28,6 +28,8 @@
     AdminConnection(AdminConnectionCommand),
     /// To the handoff.
     Handoff(HandoffCommand),
+    /// To the receiver of signals.
+    Signals(SignalCommand),
     /// To a connection between two nodes of the cluster.
     ClusterConnection(ClusterConnectionCommand),
 }
@@ -134,6 +136,13 @@
     OpenListener,
 }
 
+/// Commands to the receiver of signals.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SignalCommand {
+    /// Handle the signals that have come: the event loop may not have been woken for them.
+    Check,
+}
+
 /// Commands to a connection between two nodes of the cluster.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ClusterConnectionCommand {
@@ -161,5 +170,6 @@
     Listener(ListenerCommand),
     AdminConnection(AdminConnectionCommand),
     Handoff(HandoffCommand),
+    Signals(SignalCommand),
     ClusterConnection(ClusterConnectionCommand),
 );
--- a/crates/node/src/discovery/call.rs
+++ b/crates/node/src/discovery/call.rs
@@ -7,7 +7,7 @@
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::Interest;
 use polling::Poller;
-use std::io::{self, Read, Write};
+use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::Instant;
--- a/crates/node/src/handoff/socket.rs
+++ b/crates/node/src/handoff/socket.rs
@@ -5,6 +5,7 @@
 use lupincrank_reactor::poll::Registered;
 use lupincrank_reactor::{poller_key, Interest};
 use polling::Poller;
+use rustix::io::retry_on_intr;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, ReturnFlags,
     SendAncillaryBuffer, SendAncillaryMessage, SendFlags,
@@ -153,7 +154,7 @@
         }
         let parts = [IoSlice::new(&line), IoSlice::new(payload)];
         let flags = SendFlags::NOSIGNAL | SendFlags::DONTWAIT;
-        match sendmsg(&*self.socket, &parts, &mut ancillary, flags) {
+        match retry_on_intr(|| sendmsg(&*self.socket, &parts, &mut ancillary, flags)) {
             Ok(_) => Ok(SendOutcome::Sent),
             Err(rustix::io::Errno::AGAIN) => Ok(SendOutcome::WouldBlock),
             Err(error) => Err(error.into()),
@@ -171,7 +172,9 @@
         let mut ancillary = RecvAncillaryBuffer::new(&mut space);
         let flags = RecvFlags::DONTWAIT | RecvFlags::CMSG_CLOEXEC;
         let mut buffers = [IoSliceMut::new(&mut bytes)];
-        let packet = match recvmsg(&*self.socket, &mut buffers, &mut ancillary, flags) {
+        let received =
+            retry_on_intr(|| recvmsg(&*self.socket, &mut buffers, &mut ancillary, flags));
+        let packet = match received {
             Ok(packet) => packet,
             Err(rustix::io::Errno::AGAIN) => return Ok(None),
             Err(error) => return Err(error.into()),
--- a/crates/node/src/signals.rs
+++ b/crates/node/src/signals.rs
@@ -1,6 +1,6 @@
 //! Receives signals: SIGTERM and SIGINT begin the graceful shutdown, SIGHUP reloads the configuration.
 
-use crate::command::{DiscoveryCommand, Message};
+use crate::command::{DiscoveryCommand, Message, SignalCommand};
 use crate::component::WellKnownComponent;
 use crate::config::Config;
 use crate::deadline::DeadlineKind;
@@ -9,10 +9,13 @@
 use lupincrank_reactor::poll::Registered;
 use lupincrank_reactor::{poller_key, Connection, Interest, Lifecycle, Readiness};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::flag;
 use signal_hook::low_level::pipe;
 use slog::{info, warn};
-use std::io::{self, Read};
+use std::io;
 use std::os::unix::net::UnixStream;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 
 /// The component's socket for SIGTERM and SIGINT. A byte from a pipe does not tell which signal it stands for, so each
 /// purpose has a pipe of its own.
@@ -20,10 +23,44 @@
 /// The component's socket for SIGHUP.
 const RELOAD_SOCKET: usize = 1;
 
+/// Signals of one purpose: the flag says whether one has come, the pipe wakes the event loop.
+struct SignalSource {
+    has_come: Arc<AtomicBool>,
+    pipe: Registered<UnixStream>,
+}
+
+impl SignalSource {
+    /// Installs the handlers of these signals.
+    fn new(context: &NodeContext, signals: &[i32], socket: usize) -> io::Result<SignalSource> {
+        let (receiver, sender) = UnixStream::pair()?;
+        receiver.set_nonblocking(true)?;
+        sender.set_nonblocking(true)?;
+        let has_come = Arc::new(AtomicBool::new(false));
+        for signal in signals {
+            // The flag is set before the pipe wakes the event loop.
+            flag::register(*signal, Arc::clone(&has_come))?;
+            pipe::register(*signal, sender.try_clone()?)?;
+        }
+        let key = poller_key(WellKnownComponent::Signals.id(), socket);
+        let pipe = Registered::new(&context.poller, receiver, key, Interest::READ)?;
+        Ok(SignalSource { has_come, pipe })
+    }
+
+    /// Whether a signal has come since the last call.
+    fn take(&self) -> bool {
+        self.has_come.swap(false, Ordering::AcqRel)
+    }
+
+    /// Empties the pipe.
+    fn drain(&self) {
+        while matches!(self.pipe.read(&mut [0; 64]), Ok(length) if length > 0) {}
+    }
+}
+
 /// The component that receives signals.
 pub(crate) struct SignalReceiver {
-    termination: Registered<UnixStream>,
-    reload: Registered<UnixStream>,
+    termination: SignalSource,
+    reload: SignalSource,
 }
 
 impl SignalReceiver {
@@ -33,35 +70,20 @@
     /// Where the operating system has no descriptor for a pipe, or the handler cannot be installed.
     pub(crate) fn new(context: &NodeContext) -> io::Result<SignalReceiver> {
         Ok(SignalReceiver {
-            termination: signal_pipe(context, &[SIGTERM, SIGINT], TERMINATION_SOCKET)?,
-            reload: signal_pipe(context, &[SIGHUP], RELOAD_SOCKET)?,
+            termination: SignalSource::new(context, &[SIGTERM, SIGINT], TERMINATION_SOCKET)?,
+            reload: SignalSource::new(context, &[SIGHUP], RELOAD_SOCKET)?,
         })
     }
-}
 
-/// A pipe that gets a byte for each of these signals.
-fn signal_pipe(
-    context: &NodeContext,
-    signals: &[i32],
-    socket: usize,
-) -> io::Result<Registered<UnixStream>> {
-    let (receiver, sender) = UnixStream::pair()?;
-    receiver.set_nonblocking(true)?;
-    sender.set_nonblocking(true)?;
-    for signal in signals {
-        pipe::register(*signal, sender.try_clone()?)?;
+    /// Handles the signals that have come. A configuration that came before SIGTERM counts for the shutdown.
+    fn handle_signals(&self, context: &mut NodeContext) {
+        if self.reload.take() {
+            reload_configuration(context);
+        }
+        if self.termination.take() {
+            graceful_shutdown::begin(context);
+        }
     }
-    Registered::new(
-        &context.poller,
-        receiver,
-        poller_key(WellKnownComponent::Signals.id(), socket),
-        Interest::READ,
-    )
-}
-
-/// Empties a pipe.
-fn drain(pipe: &mut Registered<UnixStream>) {
-    while matches!(pipe.read(&mut [0; 64]), Ok(read) if read > 0) {}
 }
 
 /// Reads the configuration again and follows discovery to another address. One that does not hold changes nothing: guards
@@ -109,12 +131,11 @@
         _readiness: Readiness,
     ) -> Lifecycle {
         if socket == RELOAD_SOCKET {
-            drain(&mut self.reload);
-            reload_configuration(context);
+            self.reload.drain();
         } else {
-            drain(&mut self.termination);
-            graceful_shutdown::begin(context);
+            self.termination.drain();
         }
+        self.handle_signals(context);
         Lifecycle::Continue
     }
 
@@ -123,7 +144,11 @@
         Lifecycle::Continue
     }
 
-    fn on_message(&mut self, _context: &mut NodeContext, _message: Message) -> Lifecycle {
+    /// Whoever writes to the pipe is a signal handler: a write that fails is not made again, and wakes nobody.
+    fn on_message(&mut self, context: &mut NodeContext, message: Message) -> Lifecycle {
+        if let Message::Signals(SignalCommand::Check) = message {
+            self.handle_signals(context);
+        }
         Lifecycle::Continue
     }
 }
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -12,7 +12,7 @@
 use lupincrank_reactor::unacknowledged::unacknowledged_bytes;
 use lupincrank_reactor::{poller_key, ComponentId, Connection, Interest, Lifecycle, Readiness};
 use slog::debug;
-use std::io::{self, Read, Write};
+use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::time::Instant;
 
@@ -231,7 +231,6 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     return Lifecycle::Continue
                 }
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(_) => return self.end(context, self.outcome_of_break()),
             }
             if self.process_lines(context) == Lifecycle::Close {
--- a/crates/node/src/upstream/byte_buffer.rs
+++ b/crates/node/src/upstream/byte_buffer.rs
@@ -1,6 +1,7 @@
 //! The bytes of one direction of a relayed connection.
 
-use std::io::{self, Write};
+use lupincrank_reactor::poll::Registered;
+use std::io;
 use std::net::{Shutdown, TcpStream};
 
 /// Bytes that were read from one side and are not written to the other yet, and the end of the stream behind them.
@@ -58,7 +59,7 @@
     ///
     /// # Errors
     /// Where writing or shutting down fails, that is, where the connection broke.
-    pub(super) fn write_to(&mut self, stream: &mut TcpStream) -> io::Result<()> {
+    pub(super) fn write_to(&mut self, stream: &Registered<TcpStream>) -> io::Result<()> {
         while self.written < self.bytes.len() {
             match stream.write(&self.bytes[self.written..]) {
                 Ok(count) => self.written += count,
--- a/crates/node/src/upstream/health_check.rs
+++ b/crates/node/src/upstream/health_check.rs
@@ -11,7 +11,7 @@
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::{poller_key, ComponentId, Connection, Interest, Lifecycle, Readiness};
 use slog::debug;
-use std::io::{self, Read, Write};
+use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
@@ -190,7 +190,6 @@
             Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
             Ok(length) => self.received.extend_from_slice(&chunk[..length]),
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
-            Err(error) if error.kind() == io::ErrorKind::Interrupted => return Ok(()),
             Err(error) => return Err(error),
         }
         if let Some(line_end) = self.received.iter().position(|byte| *byte == b'\n') {
--- a/crates/node/src/upstream/relay.rs
+++ b/crates/node/src/upstream/relay.rs
@@ -14,7 +14,7 @@
 use lupincrank_placement::{Outcome, RequestId};
 use lupincrank_reactor::poll::Registered;
 use lupincrank_reactor::{poller_key, ComponentId, Connection, Interest, Lifecycle, Readiness};
-use std::io::{self, Read};
+use std::io;
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 use transfer::TransferState;
@@ -189,7 +189,6 @@
                     self.on_bytes(context, side, &chunk[..length]);
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(_) => return self.on_broken(context, side),
             }
         }
@@ -243,7 +242,7 @@
 
     /// Writes what is pending, sets what is waited for, and says whether anything is left to do.
     fn pump(&mut self, context: &mut NodeContext) -> Lifecycle {
-        if self.to_client.write_to(&mut self.client).is_err() {
+        if self.to_client.write_to(&self.client).is_err() {
             return self.on_broken(context, Side::Client);
         }
         if let Some(server) = &mut self.server {
--- a/crates/node/src/upstream/relay/closing.rs
+++ b/crates/node/src/upstream/relay/closing.rs
@@ -42,7 +42,7 @@
             Side::Server => {
                 let outcome = self.outcome_of_server_close(context);
                 self.report_outcome(context, outcome);
-                let _ = self.to_client.write_to(&mut self.client);
+                let _ = self.to_client.write_to(&self.client);
                 let _ = enable_reset_on_close(&self.client);
             }
         }
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -5,10 +5,12 @@
 
 pub mod deadlines;
 mod event_loop;
+mod interrupted;
 pub mod poll;
 pub mod unacknowledged;
 
 pub use event_loop::Reactor;
+pub use interrupted::retry_interrupted;
 
 use deadlines::Deadlines;
 use polling::Poller;
--- a/crates/reactor/src/poll.rs
+++ b/crates/reactor/src/poll.rs
@@ -1,11 +1,12 @@
 //! The one place where sockets are registered with the poller.
 #![allow(unsafe_code)]
 
+use crate::interrupted::retry_interrupted;
 use crate::Interest;
 use polling::{Event, PollMode, Poller};
-use socket2::{Domain, Protocol, Socket, Type};
-use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use socket2::{Domain, Protocol, SockAddr, Socket, Type};
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::ops::{Deref, DerefMut};
 use std::os::fd::AsFd;
 use std::rc::Rc;
@@ -68,6 +69,69 @@
     }
 }
 
+/// Reading and writing, which no signal interrupts. These methods go before those of the source.
+impl<S: AsFd> Registered<S> {
+    /// Reads what is there into `buffer`, as [`Read::read`].
+    ///
+    /// # Errors
+    /// As the source's, but for [`io::ErrorKind::Interrupted`].
+    pub fn read(&self, buffer: &mut [u8]) -> io::Result<usize>
+    where
+        for<'a> &'a S: Read,
+    {
+        retry_interrupted(|| (&self.source).read(buffer))
+    }
+
+    /// Writes as much of `bytes` as the source accepts, as [`Write::write`].
+    ///
+    /// # Errors
+    /// As the source's, but for [`io::ErrorKind::Interrupted`].
+    pub fn write(&self, bytes: &[u8]) -> io::Result<usize>
+    where
+        for<'a> &'a S: Write,
+    {
+        retry_interrupted(|| (&self.source).write(bytes))
+    }
+}
+
+impl Registered<TcpListener> {
+    /// Accepts the next connection, as [`TcpListener::accept`].
+    ///
+    /// # Errors
+    /// As the listener's, but for [`io::ErrorKind::Interrupted`].
+    pub fn accept(&self) -> io::Result<(TcpStream, SocketAddr)> {
+        retry_interrupted(|| self.source.accept())
+    }
+}
+
+impl Registered<Socket> {
+    /// Accepts the next connection, as [`Socket::accept`].
+    ///
+    /// # Errors
+    /// As the socket's, but for [`io::ErrorKind::Interrupted`].
+    pub fn accept(&self) -> io::Result<(Socket, SockAddr)> {
+        retry_interrupted(|| self.source.accept())
+    }
+}
+
+impl Registered<UdpSocket> {
+    /// Receives the next datagram, as [`UdpSocket::recv_from`].
+    ///
+    /// # Errors
+    /// As the socket's, but for [`io::ErrorKind::Interrupted`].
+    pub fn recv_from(&self, buffer: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
+        retry_interrupted(|| self.source.recv_from(buffer))
+    }
+
+    /// Sends a datagram, as [`UdpSocket::send_to`].
+    ///
+    /// # Errors
+    /// As the socket's, but for [`io::ErrorKind::Interrupted`].
+    pub fn send_to(&self, bytes: &[u8], address: SocketAddr) -> io::Result<usize> {
+        retry_interrupted(|| self.source.send_to(bytes, address))
+    }
+}
+
 /// How many connections may wait to be accepted.
 const LISTEN_BACKLOG: i32 = 1024;
 
@@ -94,8 +158,11 @@
     socket.set_nonblocking(true)?;
     socket.set_nodelay(true)?;
     match socket.connect(&address.into()) {
-        Err(error) if error.raw_os_error() != Some(IN_PROGRESS) => return Err(error),
-        _ => {}
+        Ok(()) => {}
+        Err(error) if error.raw_os_error() == Some(IN_PROGRESS) => {}
+        // It goes on in the background all the same.
+        Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+        Err(error) => return Err(error),
     }
     Registered::new(poller, TcpStream::from(socket), key, Interest::WRITE)
 }
--- a/crates/reactor/src/unacknowledged.rs
+++ b/crates/reactor/src/unacknowledged.rs
@@ -1,5 +1,6 @@
 //! How many written bytes of a TCP connection the other side has not acknowledged, asked of the kernel over netlink.
 
+use crate::retry_interrupted;
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io::{self, Read};
 use std::net::{IpAddr, SocketAddr, TcpStream};
@@ -67,9 +68,10 @@
     )?;
     // The kernel responds within the send, so a read does not have to wait.
     netlink.set_nonblocking(true)?;
-    netlink.send(&encode_request(local, peer))?;
+    let request = encode_request(local, peer);
+    retry_interrupted(|| netlink.send(&request))?;
     let mut response = [0; MAX_RESPONSE_LENGTH];
-    let length = netlink.read(&mut response)?;
+    let length = retry_interrupted(|| netlink.read(&mut response))?;
     let field = response[..length].get(WRITE_QUEUE_OFFSET..WRITE_QUEUE_OFFSET + 4);
     let has_expected_type = response[4..6] == SOCK_DIAG_BY_FAMILY.to_ne_bytes();
     match field
--- a/crates/reactor/tests/event_loop.rs
+++ b/crates/reactor/tests/event_loop.rs
@@ -5,7 +5,7 @@
     poller_key, Application, ComponentId, Connection, Context, Interest, Lifecycle, Reactor,
     Readiness, APPLICATION,
 };
-use std::io::{Read, Write};
+use std::io::Write;
 use std::os::unix::net::UnixStream;
 use std::time::{Duration, Instant};
 
--- a/crates/syscall-faults/src/handler.rs
+++ b/crates/syscall-faults/src/handler.rs
@@ -2,8 +2,7 @@
 
 use crate::plan::{Fault, FaultPlan, Rule};
 use crate::raw_syscall::{self, Arguments};
-use crate::{filter, wall_clock};
-use std::ffi::CString;
+use crate::{filter, switch};
 use std::io;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::OnceLock;
@@ -23,13 +22,8 @@
     libc::REG_R9,
 ];
 
-/// What the handler needs; it is never changed after the start.
-struct Installed {
-    plan: FaultPlan,
-    switch: Option<CString>,
-}
-
-static INSTALLED: OnceLock<Installed> = OnceLock::new();
+/// What is to fail; set once at the start.
+static PLAN: OnceLock<FaultPlan> = OnceLock::new();
 /// The state of the random numbers.
 static RANDOM: AtomicU64 = AtomicU64::new(0);
 
@@ -37,12 +31,10 @@
 ///
 /// # Errors
 /// Where the kernel refuses either of them.
-pub(crate) fn install(plan: FaultPlan, switch: Option<String>, seed: u64) -> io::Result<()> {
+pub(crate) fn install(plan: FaultPlan, seed: u64) -> io::Result<()> {
     RANDOM.store(seed, Ordering::Relaxed);
-    wall_clock::set_offset(plan.clock_offset_seconds);
     let calls = plan.calls();
-    let switch = switch.map(CString::new).transpose()?;
-    INSTALLED.get_or_init(|| Installed { plan, switch });
+    PLAN.get_or_init(|| plan);
     if calls.is_empty() {
         return Ok(());
     }
@@ -65,19 +57,6 @@
     }
 }
 
-/// Whether calls fail now.
-pub(crate) fn is_active() -> bool {
-    let Some(installed) = INSTALLED.get() else {
-        return false;
-    };
-    let Some(switch) = &installed.switch else {
-        return true;
-    };
-    let arguments = [switch.as_ptr() as i64, i64::from(libc::F_OK), 0, 0, 0, 0];
-    // SAFETY: the path is a string that ends in zero and lives as long as the process.
-    unsafe { raw_syscall::call(libc::SYS_access, &arguments) == 0 }
-}
-
 /// A number below `bound`, by the `SplitMix64` generator.
 fn random_below(bound: u64) -> u64 {
     let state = RANDOM
@@ -101,10 +80,10 @@
 
 /// The rule that strikes this call.
 fn striking_rule(number: i64, arguments: &Arguments) -> Option<&'static Rule> {
-    if !is_active() || !takes_something_new(number, arguments) {
+    if !switch::is_on() || !takes_something_new(number, arguments) {
         return None;
     }
-    let rules = &INSTALLED.get()?.plan.rules;
+    let rules = &PLAN.get()?.rules;
     rules
         .iter()
         .find(|rule| rule.calls.contains(&number) && random_below(100) < u64::from(rule.percent))
--- a/crates/syscall-faults/src/lib.rs
+++ b/crates/syscall-faults/src/lib.rs
@@ -10,8 +10,11 @@
 mod handler;
 mod plan;
 mod raw_syscall;
+mod switch;
 mod wall_clock;
 
+use std::io;
+
 pub use plan::{Fault, FaultPlan, PlanError, Rule};
 
 /// The environment variable with the plan; see [`FaultPlan`].
@@ -38,11 +41,15 @@
         .and_then(|seed| seed.parse().ok())
         .unwrap_or(1);
     let switch = std::env::var(SWITCH_VARIABLE).ok();
-    let installed = FaultPlan::parse(&text)
-        .map_err(std::io::Error::other)
-        .and_then(|plan| handler::install(plan, switch, seed));
-    if let Err(error) = installed {
+    if let Err(error) = install(&text, switch, seed) {
         eprintln!("{PLAN_VARIABLE}: {error}");
         std::process::exit(1);
     }
 }
+
+fn install(plan: &str, switch: Option<String>, seed: u64) -> io::Result<()> {
+    let plan = FaultPlan::parse(plan).map_err(io::Error::other)?;
+    wall_clock::set_offset(plan.clock_offset_seconds);
+    switch::install(switch)?;
+    handler::install(plan, seed)
+}
--- a/crates/syscall-faults/src/wall_clock.rs
+++ b/crates/syscall-faults/src/wall_clock.rs
@@ -1,7 +1,7 @@
 //! A wall clock that is ahead or behind. The C library's function is replaced, for no system call is made where the kernel
 //! maps its clock into the process.
 
-use crate::{handler, raw_syscall};
+use crate::{raw_syscall, switch};
 use std::sync::atomic::{AtomicI64, Ordering};
 
 /// How far the wall clock is ahead, in seconds.
@@ -28,7 +28,7 @@
         return -1;
     }
     let offset = OFFSET_SECONDS.load(Ordering::Relaxed);
-    if clock == libc::CLOCK_REALTIME && offset != 0 && handler::is_active() {
+    if clock == libc::CLOCK_REALTIME && offset != 0 && switch::is_on() {
         (*time).tv_sec += offset;
     }
     0
--- a/crates/test-servers/src/line_stream.rs
+++ b/crates/test-servers/src/line_stream.rs
@@ -2,7 +2,7 @@
 
 use lupincrank_reactor::poll::Registered;
 use lupincrank_reactor::Interest;
-use std::io::{self, Read, Write};
+use std::io;
 use std::net::TcpStream;
 use std::time::Duration;
 
