--- a/crates/node/tests/system_calls.rs
+++ b/crates/node/tests/system_calls.rs
@@ -119,6 +119,48 @@
     assert_graceful_shutdown(&mut rig, served);
 }
 
+/// The trouble is this machine's own: the request is served all the same, and no server is held for bad.
+#[rstest]
+#[case::network("connect=ENETUNREACH:20")]
+#[case::network_down("connect=ENETDOWN:20")]
+#[case::ports("connect=EADDRNOTAVAIL:20")]
+#[case::interrupted("connect=EINTR:20")]
+#[case::files("socket=ENFILE:20")]
+#[case::descriptors("socket=EMFILE:20")]
+#[case::buffers("socket=ENOBUFS:20")]
+fn a_connect_that_fails_here_for_a_moment_rejects_no_request(#[case] plan: &str) {
+    let mut rig = start(3, plan);
+    let servers = EchoServers::start(&rig);
+    let (outcomes, served) = send_requests(&mut rig);
+    assert_all_served(&outcomes);
+    let mut ids: Vec<String> = servers
+        .first_lines()
+        .iter()
+        .map(|line| line.split(' ').nth(1).unwrap().to_string())
+        .collect();
+    ids.sort();
+    ids.dedup();
+    assert_eq!(
+        ids.len(),
+        servers.first_lines().len(),
+        "no request is sent twice"
+    );
+    assert!(!rig.log().contains("ejected"), "{}", rig.log());
+    drop(served);
+}
+
+/// A stream that cannot be registered with the poller for a moment keeps its client and what the client has sent.
+#[test]
+fn a_client_whose_socket_cannot_be_registered_at_once_gets_its_answer() {
+    let plan = "register=ENOMEM:20";
+    let mut rig = start(3, plan);
+    let _servers = EchoServers::start(&rig);
+    let (outcomes, served) = send_requests(&mut rig);
+    let closed = outcomes.get("closed").copied().unwrap_or_default();
+    assert_eq!(closed, 0, "closed with no answer: {outcomes:?}");
+    assert_graceful_shutdown(&mut rig, served);
+}
+
 /// Admin calls are answered however often reads and writes are interrupted.
 #[test]
 fn admin_calls_are_answered_while_calls_are_interrupted() {
