Node: a connect that this machine refuses is made again; refused registrations keep the client

Cause: connect errors of this machine ended the attempt as not sent, which rejects the request, or counted against the server (ENETUNREACH, ENETDOWN, EPERM were taken for the server's); an accepted stream that the poller refused was closed with what its client had sent, at the clients' and the admin listener and in a handover. Change: an attempt makes such a connect again after 5 ms, then twice as long, within the connect timeout of the settings; the errors stand in one place in the reactor. Registered::try_new gives a refused source back; both listeners keep it and register it after the pause; a process rejects a transferred connection that it cannot register instead of dropping it.

--- a/crates/node/src/admin/listener.rs
+++ b/crates/node/src/admin/listener.rs
@@ -5,7 +5,7 @@
 use crate::component::{WellKnownComponent, FIRST_ADMIN_CONNECTION_ID};
 use crate::deadline::DeadlineKind;
 use crate::state::{NodeContext, NodeState};
-use lupincrank_reactor::poll::{self, Registered};
+use lupincrank_reactor::poll::{self, Registered, RegistrationError};
 use lupincrank_reactor::{poller_key, ComponentId, Connection, Interest, Lifecycle, Readiness};
 use slog::{info, warn};
 use std::io;
@@ -21,6 +21,8 @@
 /// Accepts connections at the admin address.
 pub(crate) struct AdminListener {
     socket: Registered<TcpListener>,
+    /// An accepted stream that the poller did not take yet: its caller is owed an answer.
+    unregistered: Option<TcpStream>,
     open_connections: OpenConnections,
     last_id: ComponentId,
 }
@@ -38,12 +40,26 @@
         info!(context.log, "listening for admin calls"; "address" => %address);
         Ok(AdminListener {
             socket,
+            unregistered: None,
             open_connections: OpenConnections::default(),
             last_id: FIRST_ADMIN_CONNECTION_ID,
         })
     }
 
+    /// Accepts what waits, and pauses where that fails for a moment.
+    fn accept_or_pause(&mut self, context: &mut NodeContext) {
+        if let Err(error) = self.accept_connections(context) {
+            warn!(context.log, "accepting admin calls paused"; "error" => %error);
+            if self.socket.set_interest(Interest::NONE).is_ok() {
+                schedule_resume(context);
+            }
+        }
+    }
+
     fn accept_connections(&mut self, context: &mut NodeContext) -> io::Result<()> {
+        if let Some(stream) = self.unregistered.take() {
+            self.open_connection(context, stream)?;
+        }
         for _ in 0..MAX_ACCEPTS_PER_TURN {
             match self.socket.accept() {
                 Ok((stream, _)) => self.open_connection(context, stream)?,
@@ -56,11 +72,20 @@
     }
 
     fn open_connection(&mut self, context: &mut NodeContext, stream: TcpStream) -> io::Result<()> {
-        stream.set_nonblocking(true)?;
+        if let Err(error) = stream.set_nonblocking(true) {
+            self.unregistered = Some(stream);
+            return Err(error);
+        }
         self.last_id += 1;
         let id = self.last_id;
         let key = poller_key(id, 0);
-        let stream = Registered::new(&context.poller, stream, key, Interest::READ)?;
+        let stream = match Registered::try_new(&context.poller, stream, key, Interest::READ) {
+            Ok(stream) => stream,
+            Err(RegistrationError { source, error }) => {
+                self.unregistered = Some(source);
+                return Err(error);
+            }
+        };
         let connection = AdminConnection::new(id, stream, Rc::clone(&self.open_connections));
         self.close_oldest_over_limit(context);
         connection.start(context);
@@ -94,12 +119,7 @@
         _socket: usize,
         _readiness: Readiness,
     ) -> Lifecycle {
-        if let Err(error) = self.accept_connections(context) {
-            warn!(context.log, "accepting admin calls paused"; "error" => %error);
-            if self.socket.set_interest(Interest::NONE).is_ok() {
-                schedule_resume(context);
-            }
-        }
+        self.accept_or_pause(context);
         Lifecycle::Continue
     }
 
@@ -107,6 +127,7 @@
         if self.socket.set_interest(Interest::READ).is_err() {
             schedule_resume(context);
         }
+        self.accept_or_pause(context);
         Lifecycle::Continue
     }
 
--- a/crates/node/src/client/connection.rs
+++ b/crates/node/src/client/connection.rs
@@ -11,7 +11,7 @@
 use crate::state::{NodeContext, NodeState};
 use crate::upstream::server_line::MAX_LINE_BYTES;
 use lupincrank_reactor::poll::Registered;
-use lupincrank_reactor::{poller_key, ComponentId, Connection, Interest, Lifecycle, Readiness};
+use lupincrank_reactor::{ComponentId, Connection, Interest, Lifecycle, Readiness};
 use request::WaitingRequest;
 use slog::debug;
 use std::io;
@@ -76,39 +76,37 @@
 }
 
 impl ClientConnection {
-    /// Takes an accepted connection and reads what has come on it already.
-    ///
-    /// # Errors
-    /// Where the socket cannot be registered.
-    pub(super) fn accept(context: &mut NodeContext, stream: TcpStream) -> io::Result<()> {
-        let id = context.allocate_id();
-        let mut client =
-            ClientConnection::new(context, id, stream, Vec::new(), FIRST_LINE_TIMEOUT)?;
+    /// Takes an accepted connection, whose socket is registered as the component `id`, and reads what has come on it
+    /// already.
+    pub(super) fn accept(
+        context: &mut NodeContext,
+        id: ComponentId,
+        stream: Registered<TcpStream>,
+    ) {
+        let mut client = ClientConnection::new(context, id, stream, Vec::new(), FIRST_LINE_TIMEOUT);
         // Most have sent their line by now: guards against holding one that asks for one that says nothing.
         if client.read(context) == Lifecycle::Continue {
             context.register(id, Box::new(client));
         } else {
             context.deadlines.clear_all(id);
         }
-        Ok(())
     }
 
     /// A connection that has sent `received` of its first line, and whose time for the rest is `timeout`.
     fn new(
         context: &mut NodeContext,
         id: ComponentId,
-        stream: TcpStream,
+        stream: Registered<TcpStream>,
         received: Vec<u8>,
         timeout: Duration,
-    ) -> io::Result<ClientConnection> {
-        let stream = Registered::new(&context.poller, stream, poller_key(id, 0), Interest::READ)?;
+    ) -> ClientConnection {
         let entry = add_unidentified(context, id, timeout);
-        Ok(ClientConnection {
+        ClientConnection {
             id,
             stream: Some(stream),
             state: State::ReadingFirstLine(ReadingFirstLine { received, entry }),
             is_in_transfer: false,
-        })
+        }
     }
 
     fn read(&mut self, context: &mut NodeContext) -> Lifecycle {
--- a/crates/node/src/client/connection/transfer.rs
+++ b/crates/node/src/client/connection/transfer.rs
@@ -6,26 +6,25 @@
 use crate::handoff::message::{HandoffMessage, UnidentifiedClientTransfer};
 use crate::handoff::socket::SendOutcome;
 use crate::state::NodeContext;
-use lupincrank_reactor::{Interest, Lifecycle};
+use lupincrank_reactor::poll::Registered;
+use lupincrank_reactor::{ComponentId, Interest, Lifecycle};
 use std::net::TcpStream;
-use std::os::fd::{AsFd, OwnedFd};
+use std::os::fd::AsFd;
 use std::time::{Duration, Instant};
 
 impl ClientConnection {
     /// Goes on with a client of another process whose first line is not complete yet: `received` is what has come of
-    /// it, and `time_left` what the client may still take.
+    /// it, and `time_left` what the client may still take. Its socket is registered as the component `id`.
     pub(crate) fn resume_transferred(
         context: &mut NodeContext,
-        socket: OwnedFd,
+        id: ComponentId,
+        stream: Registered<TcpStream>,
         received: Vec<u8>,
         time_left: Duration,
     ) {
-        let id = context.allocate_id();
-        let stream = TcpStream::from(socket);
         let timeout = time_left.min(FIRST_LINE_TIMEOUT);
-        if let Ok(client) = ClientConnection::new(context, id, stream, received, timeout) {
-            context.register(id, Box::new(client));
-        }
+        let client = ClientConnection::new(context, id, stream, received, timeout);
+        context.register(id, Box::new(client));
     }
 
     pub(super) fn on_transfer(
--- a/crates/node/src/client/listener.rs
+++ b/crates/node/src/client/listener.rs
@@ -5,7 +5,7 @@
 use crate::component::WellKnownComponent;
 use crate::deadline::DeadlineKind;
 use crate::state::{NodeContext, NodeState};
-use lupincrank_reactor::poll::{self, Registered};
+use lupincrank_reactor::poll::{self, Registered, RegistrationError};
 use lupincrank_reactor::{poller_key, Connection, Interest, Lifecycle, Readiness};
 use slog::warn;
 use std::io;
@@ -18,6 +18,8 @@
 /// Accepts clients.
 pub(crate) struct Listener {
     socket: Registered<TcpListener>,
+    /// An accepted stream that the poller did not take yet: closing it would drop what its client has sent.
+    unregistered: Option<TcpStream>,
     /// Another process accepts clients from the same socket; what waits there is left to it.
     is_paused: bool,
 }
@@ -43,15 +45,33 @@
         )?;
         Ok(Listener {
             socket,
+            unregistered: None,
             is_paused: false,
         })
     }
 
+    /// Accepts what waits, and pauses where that fails for a moment.
+    fn accept_or_pause(&mut self, context: &mut NodeContext) {
+        if let Err(error) = self.accept_clients(context) {
+            // No descriptor is left: guards against a loop that spins on a listener that stays ready.
+            warn!(context.log, "accept failed"; "error" => %error);
+            if self.socket.set_interest(Interest::NONE).is_ok() {
+                retry_later(context);
+            }
+        }
+    }
+
     /// Accepts what waits, up to the number of one turn.
     fn accept_clients(&mut self, context: &mut NodeContext) -> io::Result<()> {
+        if let Some(stream) = self.unregistered.take() {
+            self.add_client(context, stream)?;
+        }
         for _ in 0..context.config.max_accepts_per_turn() {
+            if self.is_paused {
+                return Ok(());
+            }
             match self.socket.accept() {
-                Ok((stream, _)) => accept_client(context, stream)?,
+                Ok((stream, _)) => self.add_client(context, stream)?,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
                 // The client gave up while it waited to be accepted.
                 Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
@@ -61,6 +81,28 @@
         Ok(())
     }
 
+    /// Makes a client of an accepted stream. A stream that the poller refuses is kept until it takes it.
+    fn add_client(&mut self, context: &mut NodeContext, stream: TcpStream) -> io::Result<()> {
+        let _ = stream.set_nodelay(true);
+        if let Err(error) = stream.set_nonblocking(true) {
+            self.unregistered = Some(stream);
+            return Err(error);
+        }
+        let id = context.allocate_id();
+        let key = poller_key(id, 0);
+        match Registered::try_new(&context.poller, stream, key, Interest::READ) {
+            Ok(stream) => {
+                ClientConnection::accept(context, id, stream);
+                close_excess_unidentified(context);
+                Ok(())
+            }
+            Err(RegistrationError { source, error }) => {
+                self.unregistered = Some(source);
+                Err(error)
+            }
+        }
+    }
+
     /// Listens again, or pauses, as `is_paused` says.
     fn apply_pause(&mut self, context: &mut NodeContext) {
         let interest = Interest {
@@ -74,14 +116,6 @@
     }
 }
 
-fn accept_client(context: &mut NodeContext, stream: TcpStream) -> io::Result<()> {
-    stream.set_nonblocking(true)?;
-    let _ = stream.set_nodelay(true);
-    ClientConnection::accept(context, stream)?;
-    close_excess_unidentified(context);
-    Ok(())
-}
-
 /// Closes the unidentified connections that expire first anyway when descriptors are needed. Guards against hundreds
 /// that connect and send nothing.
 fn close_excess_unidentified(context: &mut NodeContext) {
@@ -112,18 +146,13 @@
         _socket: usize,
         _readiness: Readiness,
     ) -> Lifecycle {
-        if let Err(error) = self.accept_clients(context) {
-            // No descriptor is left: guards against a loop that spins on a listener that stays ready.
-            warn!(context.log, "accept failed"; "error" => %error);
-            if self.socket.set_interest(Interest::NONE).is_ok() {
-                retry_later(context);
-            }
-        }
+        self.accept_or_pause(context);
         Lifecycle::Continue
     }
 
     fn on_deadline(&mut self, context: &mut NodeContext, _kind: DeadlineKind) -> Lifecycle {
         self.apply_pause(context);
+        self.accept_or_pause(context);
         Lifecycle::Continue
     }
 
--- a/crates/node/src/deadline.rs
+++ b/crates/node/src/deadline.rs
@@ -85,6 +85,8 @@
 /// Deadlines of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum AttemptDeadline {
+    /// A connect that this machine refused is to be made again.
+    RetryConnect,
     /// The connection is due.
     Connect,
     /// The answer is due.
--- a/crates/node/src/handoff/incoming.rs
+++ b/crates/node/src/handoff/incoming.rs
@@ -13,8 +13,11 @@
 use crate::client::ClientConnection;
 use crate::command::TransferCommand;
 use crate::state::NodeContext;
-use crate::upstream::relay::Relay;
+use crate::upstream::relay::{Relay, TransferredSockets};
+use lupincrank_reactor::poll::Registered;
+use lupincrank_reactor::{poller_key, Interest};
 use slog::info;
+use std::net::TcpStream;
 use std::os::fd::OwnedFd;
 use std::time::Duration;
 
@@ -71,7 +74,8 @@
     let ConnectionTransfer { number, connection } = transfer;
     let sockets = <[OwnedFd; 2]>::try_from(descriptors)
         .ok()
-        .filter(|_| Relay::can_resume(context, &connection, payload));
+        .filter(|_| Relay::can_resume(context, &connection, payload))
+        .and_then(|sockets| TransferredSockets::register(context, sockets).ok());
     let Some(sockets) = sockets else {
         return reject(context, number);
     };
@@ -91,12 +95,17 @@
         number,
         remaining_ms,
     } = transfer;
-    let Some(socket) = descriptors.into_iter().next() else {
+    let id = context.allocate_id();
+    let stream = descriptors.into_iter().next().and_then(|socket| {
+        let stream = TcpStream::from(socket);
+        Registered::new(&context.poller, stream, poller_key(id, 0), Interest::READ).ok()
+    });
+    let Some(stream) = stream else {
         return reject(context, number);
     };
     if accept(context, number) {
         let remaining = Duration::from_millis(remaining_ms);
-        ClientConnection::resume_transferred(context, socket, payload, remaining);
+        ClientConnection::resume_transferred(context, id, stream, payload, remaining);
     }
 }
 
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -1,6 +1,5 @@
 //! One attempt: a connection to a server from its begin to the server's first line.
 
-use super::is_local_resource_exhaustion;
 use super::reset_on_close::{disable_reset_on_close, enable_reset_on_close};
 use super::server_line::{ServerLine, MAX_LINE_BYTES};
 use crate::command::{AcceptedAttempt, AttemptCommand, ClientCommand, Message};
@@ -8,18 +7,21 @@
 use crate::placement_driver::{hex_id, ClientState};
 use crate::state::{NodeContext, NodeState};
 use lupincrank_placement::{Outcome, RequestId};
-use lupincrank_reactor::poll::{self, Registered};
+use lupincrank_reactor::poll::{self, is_local_failure, Registered};
 use lupincrank_reactor::unacknowledged::unacknowledged_bytes;
 use lupincrank_reactor::{poller_key, ComponentId, Connection, Interest, Lifecycle, Readiness};
 use slog::debug;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// What one turn of the loop reads of a server. Guards against an answer that never ends and keeps the others waiting.
 const MAX_BYTES_PER_TURN: usize = 16 << 10;
 const READ_CHUNK_BYTES: usize = 4 << 10;
 
+/// A connect that this machine refuses is made again after this time, then after twice as long each time.
+const MIN_CONNECT_BACKOFF: Duration = Duration::from_millis(5);
+
 /// What is attempted.
 pub(crate) struct Attempt {
     /// The client's component.
@@ -52,7 +54,12 @@
 pub(crate) struct UpstreamAttempt {
     id: ComponentId,
     attempt: Attempt,
+    /// `None` while this machine refuses to connect.
     stream: Option<Registered<TcpStream>>,
+    /// When the connection has to be established.
+    connect_by: Instant,
+    /// After how long a connect that this machine refuses is made again.
+    connect_backoff: Duration,
     phase: Phase,
     /// How many bytes of the first line are written.
     written: usize,
@@ -63,42 +70,65 @@
 impl UpstreamAttempt {
     /// Begins an attempt. How it ends is reported, also where it cannot even begin.
     pub(crate) fn begin(context: &mut NodeContext, id: ComponentId, attempt: Attempt) {
-        let address = attempt.address;
+        let connect_timeout = context.config.connect_timeout;
         let mut connection = UpstreamAttempt {
             id,
+            connect_by: attempt.deadline.min(Instant::now() + connect_timeout),
+            connect_backoff: MIN_CONNECT_BACKOFF,
             attempt,
             stream: None,
             phase: Phase::Connecting,
             written: 0,
             received: Vec::new(),
         };
-        match poll::connect(&context.poller, address, poller_key(id, 0)) {
-            Ok(stream) => {
-                connection.stream = Some(stream);
-                connection.set_deadlines(context);
-                context.register(id, Box::new(connection));
-            }
-            Err(error) => {
-                debug!(context.log, "connect failed"; "address" => %address, "error" => %error);
-                let outcome = if is_local_resource_exhaustion(&error) {
-                    Outcome::NotSent
-                } else {
-                    Outcome::ConnectFailed
-                };
-                connection.end(context, outcome);
-            }
+        connection.set_deadlines(context);
+        if connection.connect(context) == Lifecycle::Continue {
+            context.register(id, Box::new(connection));
+        } else {
+            context.deadlines.clear_all(id);
         }
     }
 
     fn set_deadlines(&self, context: &mut NodeContext) {
-        let deadline = self.attempt.deadline;
-        let connect_by = deadline.min(Instant::now() + context.config.connect_timeout);
         context
             .deadlines
-            .set(self.id, AttemptDeadline::Connect.into(), connect_by);
+            .set(self.id, AttemptDeadline::Connect.into(), self.connect_by);
+        context.deadlines.set(
+            self.id,
+            AttemptDeadline::Answer.into(),
+            self.attempt.deadline,
+        );
+    }
+
+    /// Begins to connect. What this machine refuses for a moment says nothing of the server: it is made again for as long
+    /// as a connect may take.
+    fn connect(&mut self, context: &mut NodeContext) -> Lifecycle {
+        let address = self.attempt.address;
+        let error = match poll::connect(&context.poller, address, poller_key(self.id, 0)) {
+            Ok(stream) => {
+                self.stream = Some(stream);
+                return Lifecycle::Continue;
+            }
+            Err(error) => error,
+        };
+        debug!(context.log, "connect failed"; "address" => %address, "error" => %error);
+        if is_local_failure(&error) {
+            self.retry_connect(context)
+        } else {
+            self.end(context, Outcome::ConnectFailed)
+        }
+    }
+
+    fn retry_connect(&mut self, context: &mut NodeContext) -> Lifecycle {
+        let retry_at = Instant::now() + self.connect_backoff;
+        if retry_at >= self.connect_by {
+            return self.end(context, Outcome::NotSent);
+        }
+        self.connect_backoff *= 2;
         context
             .deadlines
-            .set(self.id, AttemptDeadline::Answer.into(), deadline);
+            .set(self.id, AttemptDeadline::RetryConnect.into(), retry_at);
+        Lifecycle::Continue
     }
 
     fn is_line_written(&self) -> bool {
@@ -328,13 +358,18 @@
         }
     }
 
-    fn on_deadline(&mut self, context: &mut NodeContext, _kind: DeadlineKind) -> Lifecycle {
+    fn on_deadline(&mut self, context: &mut NodeContext, kind: DeadlineKind) -> Lifecycle {
+        if kind == AttemptDeadline::RetryConnect.into() {
+            return self.connect(context);
+        }
         // The answer may have come while this process was kept from reading it.
         if self.phase != Phase::Connecting && self.read(context) == Lifecycle::Close {
             return Lifecycle::Close;
         }
         let outcome = if self.is_line_written() {
             Outcome::TimedOut
+        } else if self.stream.is_none() {
+            Outcome::NotSent
         } else {
             Outcome::ConnectFailed
         };
--- a/crates/node/src/upstream/health_check.rs
+++ b/crates/node/src/upstream/health_check.rs
@@ -1,14 +1,13 @@
 //! Health checks: one line to a server on a connection of its own, and the response tells how loaded the server is. The
 //! connection stays open for the next check, since each new one costs the server work.
 
-use super::is_local_resource_exhaustion;
 use super::open_health_checks::CheckedServer;
 use super::server_line::parse_figure;
 use crate::command::{HealthCheckCommand, Message};
 use crate::deadline::{DeadlineKind, HealthCheckDeadline};
 use crate::state::{NodeContext, NodeState};
 use lupincrank_placement::ServerId;
-use lupincrank_reactor::poll::{self, Registered};
+use lupincrank_reactor::poll::{self, is_local_failure, Registered};
 use lupincrank_reactor::{poller_key, ComponentId, Connection, Interest, Lifecycle, Readiness};
 use slog::debug;
 use std::io;
@@ -72,7 +71,7 @@
     }
     if let Err(error) = HealthCheckConnection::open(context, server, address) {
         debug!(context.log, "health check not started"; "server" => &*server.0, "error" => %error);
-        let has_passed = is_local_resource_exhaustion(&error);
+        let has_passed = is_local_failure(&error);
         context.placement.on_health_check(server, has_passed, None);
     }
 }
--- a/crates/node/src/upstream/relay.rs
+++ b/crates/node/src/upstream/relay.rs
@@ -18,6 +18,7 @@
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 use transfer::TransferState;
+pub(crate) use transfer::TransferredSockets;
 
 /// What one side may send in one turn of the loop, and in one read.
 const MAX_BYTES_PER_TURN: usize = 32 << 10;
--- a/crates/node/src/upstream/relay/transfer.rs
+++ b/crates/node/src/upstream/relay/transfer.rs
@@ -45,14 +45,9 @@
         context: &mut NodeContext,
         record: TransferredConnection,
         bytes: &[u8],
-        [client, server]: [OwnedFd; 2],
+        sockets: TransferredSockets,
     ) {
-        let id = context.allocate_id();
-        let client = register(context, id, client, Side::Client);
-        let server = register(context, id, server, Side::Server);
-        let (Ok(client), Ok(server)) = (client, server) else {
-            return;
-        };
+        let TransferredSockets { id, client, server } = sockets;
         let request = RequestId(record.request);
         let slot = ClientSlot::acquire(&context.client_count);
         let mut relay = Relay::new(context, id, slot, request, client, server);
@@ -72,6 +67,31 @@
     }
 }
 
+/// The sockets of a relay of another process, registered for the component that goes on with it.
+pub(crate) struct TransferredSockets {
+    id: ComponentId,
+    client: Registered<TcpStream>,
+    server: Registered<TcpStream>,
+}
+
+impl TransferredSockets {
+    /// Registers both sockets.
+    ///
+    /// # Errors
+    /// Where the poller refuses one of them.
+    pub(crate) fn register(
+        context: &mut NodeContext,
+        [client, server]: [OwnedFd; 2],
+    ) -> io::Result<TransferredSockets> {
+        let id = context.allocate_id();
+        Ok(TransferredSockets {
+            id,
+            client: register(context, id, client, Side::Client)?,
+            server: register(context, id, server, Side::Server)?,
+        })
+    }
+}
+
 fn register(
     context: &NodeContext,
     id: ComponentId,
--- a/crates/node/tests/system_calls.rs
+++ b/crates/node/tests/system_calls.rs
@@ -161,11 +161,17 @@
     assert_graceful_shutdown(&mut rig, served);
 }
 
-/// Admin calls are answered however often reads and writes are interrupted.
-#[test]
-fn admin_calls_are_answered_while_calls_are_interrupted() {
-    let faults = SyscallFaults::new("recv=EINTR:30,send=EINTR:30,accept=EINTR:30", 5);
-    let rig = Rig::start_with_faults(1, faults);
+/// Admin calls are answered however often reads and writes are interrupted, or a socket cannot be registered at once.
+#[rstest]
+fn admin_calls_are_answered_while_calls_are_interrupted(
+    #[values(
+        "recv=EINTR:30,send=EINTR:30,accept=EINTR:30",
+        "recv=SHORT:50,send=SHORT:50",
+        "accept=ENFILE:20,register=ENOMEM:20"
+    )]
+    plan: &str,
+) {
+    let rig = Rig::start_with_faults(1, SyscallFaults::new(plan, 5));
     for _ in 0..100 {
         assert_eq!(rig.admin_call("check\r\n"), "done");
     }
--- a/crates/reactor/src/poll.rs
+++ b/crates/reactor/src/poll.rs
@@ -18,21 +18,46 @@
     registration: Event,
 }
 
+/// A source that the poller did not take.
+#[derive(Debug)]
+pub struct RegistrationError<S> {
+    /// The source, as it was.
+    pub source: S,
+    /// Why it was not taken.
+    pub error: io::Error,
+}
+
 impl<S: AsFd> Registered<S> {
-    /// Registers the source under a key, level-triggered.
+    /// Registers the source under a key, level-triggered. A source that the poller refuses is closed.
     ///
     /// # Errors
     /// Where the poller refuses the registration.
     pub fn new(poller: &Rc<Poller>, source: S, key: usize, interest: Interest) -> io::Result<Self> {
+        Registered::try_new(poller, source, key, interest).map_err(|refused| refused.error)
+    }
+
+    /// Registers the source as [`Registered::new`], and gives it back where the poller refuses.
+    ///
+    /// # Errors
+    /// Where the poller refuses the registration; the source comes back with the error.
+    pub fn try_new(
+        poller: &Rc<Poller>,
+        source: S,
+        key: usize,
+        interest: Interest,
+    ) -> Result<Self, RegistrationError<S>> {
         let registration = Event::new(key, interest.readable, interest.writable);
         // SAFETY: the descriptor must stay open until it is deleted from the poller. `Registered` owns the source,
         // gives it out by reference only, and deletes it in `drop`, before the source itself is closed.
-        unsafe { poller.add_with_mode(&source.as_fd(), registration, PollMode::Level)? };
-        Ok(Registered {
-            source,
-            poller: Rc::clone(poller),
-            registration,
-        })
+        let added = unsafe { poller.add_with_mode(&source.as_fd(), registration, PollMode::Level) };
+        match added {
+            Ok(()) => Ok(Registered {
+                source,
+                poller: Rc::clone(poller),
+                registration,
+            }),
+            Err(error) => Err(RegistrationError { source, error }),
+        }
     }
 
     /// Changes which events are reported; a system call is made only if that differs from before.
@@ -138,8 +163,17 @@
 /// EINPROGRESS, for which the standard library has no stable name.
 const IN_PROGRESS: i32 = 115;
 
-/// ENFILE, EMFILE, EADDRNOTAVAIL, ENOBUFS and ENOMEM: this machine has no resources left to connect with.
-pub const RESOURCE_EXHAUSTED_ERRNOS: [i32; 5] = [23, 24, 99, 105, 12];
+/// The errors by which this machine refuses to connect anywhere, be it for want of resources or of a network: EPERM,
+/// EAGAIN, ENOMEM, EACCES, ENFILE, EMFILE, ENOSPC (no more registrations), EADDRNOTAVAIL, ENETDOWN, ENETUNREACH and
+/// ENOBUFS.
+const LOCAL_FAILURE_ERRNOS: [i32; 11] = [1, 11, 12, 13, 23, 24, 28, 99, 100, 101, 105];
+
+/// Whether a connect that failed at once did so for a reason of this machine, which says nothing of the other end.
+pub fn is_local_failure(error: &io::Error) -> bool {
+    error
+        .raw_os_error()
+        .is_some_and(|code| LOCAL_FAILURE_ERRNOS.contains(&code))
+}
 
 /// Starts a non-blocking connect; once the socket is writable it is connected, or `take_error` says why not.
 ///
