Node: a request that crosses the end of its connection or the exit of its process is answered

Cause: a client that had ended its sending was closed with no answer; a connection without a first line was closed without a word, so that a first line sent in that moment had no answer; at its last moment the process exited before it looked at what had come while it was held up. Change: such a client is told ERR; a connection that rests too long, whose descriptor is needed or whose process exits is told BUSY ahead of its end; the last step of the shutdown accepts all that waits and answers it before the process exits, at most 0.2 s late.

--- a/crates/node/src/application.rs
+++ b/crates/node/src/application.rs
@@ -10,6 +10,8 @@
 use slog::{info, warn};
 use std::time::{Duration, Instant};
 
+/// The last step of the shutdown may come so long after the deadline: a process may be held up, but not until it is killed.
+const MAX_EXIT_DELAY: Duration = Duration::from_millis(200);
 /// How often connections are checked for lines without an answer.
 pub(crate) const UNANSWERED_LINES_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -55,9 +57,9 @@
 ) {
     let mut ids: Vec<ComponentId> = components.filter(|id| is_allocated_id(*id)).collect();
     ids.sort_unstable();
-    if std::mem::take(&mut context.restored_answers_requested) {
+    if let Some(scope) = context.exit_answers_requested.take() {
         for id in &ids {
-            context.send(*id, ClientCommand::AnswerBeforeExit);
+            context.send(*id, ClientCommand::AnswerBeforeExit(scope));
         }
     }
     if std::mem::take(&mut context.transfer_requested) {
@@ -76,7 +78,7 @@
         while let Some(command) = context.placement.next_command() {
             execute(context, command);
         }
-        if context.transfer_requested || context.restored_answers_requested {
+        if context.transfer_requested || context.exit_answers_requested.is_some() {
             notify_connections(context, components);
         }
     }
@@ -101,7 +103,8 @@
         let is_done = self.has_listened_long_enough(shutdown, now)
             && !self.has_connections()
             && self.has_left_cluster();
-        let is_finished = is_done || now >= shutdown.deadline;
+        let is_finished =
+            is_done || shutdown.has_ended || now >= shutdown.deadline + MAX_EXIT_DELAY;
         if is_finished {
             info!(self.log, "shutdown complete"; "clients" => self.client_count.get());
         }
--- a/crates/node/src/client/connection.rs
+++ b/crates/node/src/client/connection.rs
@@ -116,7 +116,7 @@
                 return Lifecycle::Close;
             };
             let lifecycle = match stream.read(&mut chunk) {
-                Ok(0) => self.on_client_closed(context),
+                Ok(0) => self.on_client_end(context),
                 Ok(length) => self.on_bytes(context, &chunk[..length]),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     return Lifecycle::Continue
@@ -225,6 +225,14 @@
         }
     }
 
+    /// The client sends no more: its request is sent nowhere from now on. It may still read, so that it is told.
+    fn on_client_end(&mut self, context: &mut NodeContext) -> Lifecycle {
+        if matches!(self.state, State::Waiting(_)) {
+            self.write_last_words(answer::ERROR);
+        }
+        self.on_client_closed(context)
+    }
+
     /// The client has closed: nothing is owed to it.
     fn on_client_closed(&mut self, context: &mut NodeContext) -> Lifecycle {
         self.abandon_request(context);
@@ -241,23 +249,34 @@
             ClientCommand::AttemptServed(line) => self.on_attempt_served(context, &line),
             ClientCommand::RestoreFailed => self.on_restore_failed(context),
             ClientCommand::Close => self.on_close(context),
-            ClientCommand::AnswerBeforeExit => self.on_exit(context),
+            ClientCommand::AnswerBeforeExit(scope) => self.on_exit(context, scope),
         }
     }
 
-    /// The connection has to close, because its time is up or its descriptor is needed: what has come of it by now is
-    /// read first. Guards against closing a connection whose request is complete: its last byte may have come while
-    /// this process was kept from reading.
+    /// The connection has to close, because its time is up or the process exits: what has come of it by now is read
+    /// first. Guards against closing a connection whose request is complete: its last byte may have come while this
+    /// process was kept from reading. One that has sent nothing is rejected all the same: its first line may cross the
+    /// end of the connection, and has an answer then.
     fn on_expired(&mut self, context: &mut NodeContext) -> Lifecycle {
         if self.read(context) == Lifecycle::Close {
             return Lifecycle::Close;
         }
         match &self.state {
-            State::ReadingFirstLine(reading) if reading.received.is_empty() => Lifecycle::Close,
+            State::ReadingFirstLine(reading) if reading.received.is_empty() => {
+                self.answer(context, &answer::busy(Duration::ZERO))
+            }
             State::ReadingFirstLine(_) => self.reject_line(context, FirstLineError::TimedOut),
             _ => Lifecycle::Continue,
         }
     }
+
+    /// Writes as much of an answer as the socket takes at once, ahead of a close that waits for nothing.
+    fn write_last_words(&mut self, answer: &[u8]) {
+        if let Some(stream) = &self.stream {
+            // Who is told may have gone.
+            let _ = stream.write(answer);
+        }
+    }
 }
 
 /// Lists a connection as unidentified, until its expiry after `timeout`.
--- a/crates/node/src/client/connection/request.rs
+++ b/crates/node/src/client/connection/request.rs
@@ -4,7 +4,7 @@
 use crate::client::answer;
 use crate::client::first_line::{FirstLineError, OpenRequest};
 use crate::client::ClientSlot;
-use crate::command::{AcceptedAttempt, AttemptCommand};
+use crate::command::{AcceptedAttempt, AttemptCommand, ExitScope};
 use crate::deadline::ClientDeadline;
 use crate::placement_driver::{hex_id, AttemptOrder, ClientState};
 use crate::state::NodeContext;
@@ -291,8 +291,11 @@
     /// The process exits. Placement answers the requests that it knows; of a connection from before this process began
     /// it knows nothing. Where the line of such a one may have gone out, its server may hold it by now, so that it is
     /// not answered as rejected.
-    pub(super) fn on_exit(&mut self, context: &mut NodeContext) -> Lifecycle {
+    pub(super) fn on_exit(&mut self, context: &mut NodeContext, scope: ExitScope) -> Lifecycle {
         match &self.state {
+            State::ReadingFirstLine(_) if scope == ExitScope::AllConnections => {
+                self.on_expired(context)
+            }
             State::Waiting(waiting) if waiting.is_restored() => {
                 if waiting.attempt.is_some() {
                     self.on_failed(context)
@@ -313,10 +316,22 @@
         self.answer(context, answer)
     }
 
-    /// The descriptor of an unidentified connection is needed.
+    /// The descriptor of an unidentified connection is needed: one that has sent nothing is closed at once.
     pub(super) fn on_close(&mut self, context: &mut NodeContext) -> Lifecycle {
         match &self.state {
-            State::ReadingFirstLine(_) => self.on_expired(context),
+            State::ReadingFirstLine(_) => {
+                let lifecycle = self.read(context);
+                let is_silent = matches!(&self.state,
+                    State::ReadingFirstLine(reading) if reading.received.is_empty());
+                if lifecycle == Lifecycle::Continue && is_silent {
+                    self.write_last_words(&answer::busy(Duration::ZERO));
+                    return Lifecycle::Close;
+                }
+                match lifecycle {
+                    Lifecycle::Continue => self.on_expired(context),
+                    Lifecycle::Close => Lifecycle::Close,
+                }
+            }
             State::Waiting(_) => Lifecycle::Continue,
             State::Closing(_) | State::Finished => Lifecycle::Close,
         }
--- a/crates/node/src/client/listener.rs
+++ b/crates/node/src/client/listener.rs
@@ -52,7 +52,8 @@
 
     /// Accepts what waits, and pauses where that fails for a moment.
     fn accept_or_pause(&mut self, context: &mut NodeContext) {
-        if let Err(error) = self.accept_clients(context) {
+        let max_accepts = context.config.max_accepts_per_turn();
+        if let Err(error) = self.accept_clients(context, max_accepts) {
             // No descriptor is left: guards against a loop that spins on a listener that stays ready.
             warn!(context.log, "accept failed"; "error" => %error);
             if self.socket.set_interest(Interest::NONE).is_ok() {
@@ -61,12 +62,12 @@
         }
     }
 
-    /// Accepts what waits, up to the number of one turn.
-    fn accept_clients(&mut self, context: &mut NodeContext) -> io::Result<()> {
+    /// Accepts what waits, up to `max_accepts`.
+    fn accept_clients(&mut self, context: &mut NodeContext, max_accepts: usize) -> io::Result<()> {
         if let Some(stream) = self.unregistered.take() {
             self.add_client(context, stream)?;
         }
-        for _ in 0..context.config.max_accepts_per_turn() {
+        for _ in 0..max_accepts {
             if self.is_paused {
                 return Ok(());
             }
@@ -160,10 +161,15 @@
         let Message::Listener(command) = message else {
             return Lifecycle::Continue;
         };
-        self.is_paused = match command {
-            ListenerCommand::Pause => true,
-            ListenerCommand::Resume => false,
-        };
+        match command {
+            ListenerCommand::Pause => self.is_paused = true,
+            ListenerCommand::Resume => self.is_paused = false,
+            ListenerCommand::AcceptAll => {
+                if let Err(error) = self.accept_clients(context, poll::LISTEN_BACKLOG) {
+                    warn!(context.log, "accept failed"; "error" => %error);
+                }
+            }
+        }
         self.apply_pause(context);
         Lifecycle::Continue
     }
--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -52,8 +52,17 @@
     RestoreFailed,
     /// Close: the descriptor is needed for another client.
     Close,
-    /// The process exits now: answer if still waiting.
-    AnswerBeforeExit,
+    /// The process exits soon: answer if this connection is among those that are to be answered now.
+    AnswerBeforeExit(ExitScope),
+}
+
+/// Which connections are answered because the process exits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ExitScope {
+    /// Restored ones that wait for their server.
+    RestoredConnections,
+    /// Those that rest without a first line too.
+    AllConnections,
 }
 
 /// An attempt whose server has accepted the request.
@@ -120,6 +129,8 @@
     Pause,
     /// Accept clients again.
     Resume,
+    /// The process exits: accept all that waits now.
+    AcceptAll,
 }
 
 /// Commands to an admin connection.
--- a/crates/node/src/graceful_shutdown.rs
+++ b/crates/node/src/graceful_shutdown.rs
@@ -1,6 +1,7 @@
 //! The graceful shutdown after SIGTERM: the node goes on answering, migrates its clients at a steady pace and exits before
 //! it is killed.
 
+use crate::command::{ExitScope, ListenerCommand};
 use crate::component::WellKnownComponent;
 use crate::deadline::DeadlineKind;
 use crate::state::{NodeContext, Shutdown};
@@ -19,6 +20,8 @@
 const MIGRATION_START_BEFORE_EXIT: Duration = Duration::from_millis(1400);
 /// The last clients are migrated this long before the process exits.
 const MIGRATION_END_BEFORE_EXIT: Duration = Duration::from_millis(400);
+/// Connections that rest without a first line are answered from this long before the exit on.
+const LAST_ANSWERS_BEFORE_EXIT: Duration = Duration::from_millis(150);
 /// The time from one step of the migration to the next.
 const STEP_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -33,6 +36,7 @@
     context.shutdown = Some(Shutdown {
         started_at,
         deadline,
+        has_ended: false,
     });
     cluster_agent::begin_leaving(context);
     if context.handoff.has_successor() {
@@ -58,8 +62,30 @@
     let remaining_steps = remaining_steps(shutdown, now);
     context.placement.shutdown_step(remaining_steps);
     // What still waits is answered together with the last migrations: nothing may be left without an answer.
-    context.restored_answers_requested = remaining_steps <= 1;
-    schedule_step(context, now + STEP_INTERVAL);
+    context.exit_answers_requested = if now + LAST_ANSWERS_BEFORE_EXIT >= shutdown.deadline {
+        Some(ExitScope::AllConnections)
+    } else if remaining_steps <= 1 {
+        Some(ExitScope::RestoredConnections)
+    } else {
+        None
+    };
+    if now >= shutdown.deadline {
+        end(context, shutdown);
+    } else {
+        schedule_step(context, shutdown.deadline.min(now + STEP_INTERVAL));
+    }
+}
+
+/// The last step: what waits in the kernel's accept queue is accepted and answered, also where the process was held up.
+fn end(context: &mut NodeContext, shutdown: Shutdown) {
+    context.shutdown = Some(Shutdown {
+        has_ended: true,
+        ..shutdown
+    });
+    context.send(
+        WellKnownComponent::ClientListener.id(),
+        ListenerCommand::AcceptAll,
+    );
 }
 
 /// The steps that are left, the present one included.
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::client::UnidentifiedClients;
 use crate::cluster_agent::agent::ClusterAgent;
+use crate::command::ExitScope;
 use crate::config::Config;
 use crate::handoff::peer_process::HandoffState;
 use crate::placement_driver::{EndpointAvailabilityError, PlacementDriver};
@@ -22,6 +23,8 @@
     pub(crate) started_at: Instant,
     /// When the process exits at the latest.
     pub(crate) deadline: Instant,
+    /// The last step was made: nothing is left to be answered.
+    pub(crate) has_ended: bool,
 }
 
 /// Why clients cannot be served.
@@ -65,9 +68,8 @@
     pub(crate) cluster_agent: Option<Box<ClusterAgent>>,
     /// Set until the present callback ends: all connections are to be transferred to the successor.
     pub(crate) transfer_requested: bool,
-    /// Set until the present callback ends: clients of restored connections that still wait are to be answered, for the
-    /// process exits.
-    pub(crate) restored_answers_requested: bool,
+    /// Set until the present callback ends: these connections are to be answered, for the process exits.
+    pub(crate) exit_answers_requested: Option<ExitScope>,
 }
 
 impl NodeState {
@@ -85,7 +87,7 @@
             health_checks: HealthChecks::default(),
             cluster_agent: None,
             transfer_requested: false,
-            restored_answers_requested: false,
+            exit_answers_requested: None,
         }
     }
 
--- a/crates/reactor/src/poll.rs
+++ b/crates/reactor/src/poll.rs
@@ -158,7 +158,7 @@
 }
 
 /// How many connections may wait to be accepted.
-const LISTEN_BACKLOG: i32 = 1024;
+pub const LISTEN_BACKLOG: usize = 1024;
 
 /// EINPROGRESS, for which the standard library has no stable name.
 const IN_PROGRESS: i32 = 115;
@@ -214,7 +214,7 @@
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
     socket.bind(&address.into())?;
-    socket.listen(LISTEN_BACKLOG)?;
+    socket.listen(LISTEN_BACKLOG as i32)?;
     Ok(TcpListener::from(socket))
 }
 
