Membership: a process of a name that started later outranks an earlier one whatever its clock

Cause: Identity ordered the processes of one name by the wall clock at their start, so a node that started again with its clock an hour back was refused by all others and took itself for replaced; peers told it so over their connections too. The wire forms are unchanged. A newcomer does not believe that it was replaced, and a peer is not told of itself.

--- a/crates/cluster/src/membership/identity.rs
+++ b/crates/cluster/src/membership/identity.rs
@@ -12,8 +12,9 @@
     /// Drawn at random when the process starts.
     #[serde(rename = "id")]
     pub incarnation: u64,
-    /// When the process started, as Unix time in milliseconds by its own clock. Comparable only among incarnations of one
-    /// name.
+    /// Orders the processes of one name, the latest one last: when the process started, as Unix time in milliseconds by its
+    /// own clock, or one more than an earlier process's where that clock was late. Comparable only among incarnations of
+    /// one name.
     #[serde(rename = "born_ms")]
     pub started_at_ms: u64,
     /// How often this incarnation has rejoined after it was declared dead.
@@ -33,6 +34,17 @@
     pub settings_hash: u32,
 }
 
+impl Identity {
+    /// Whether this is another process of the same name that goes before `other`.
+    pub(super) fn outranks(&self, other: &Identity) -> bool {
+        let is_other_process =
+            (self.started_at_ms, self.incarnation) != (other.started_at_ms, other.incarnation);
+        self.name == other.name
+            && is_other_process
+            && foca::Identity::win_addr_conflict(self, other)
+    }
+}
+
 impl foca::Identity for Identity {
     type Addr = String;
 
--- a/crates/cluster/src/membership/mod.rs
+++ b/crates/cluster/src/membership/mod.rs
@@ -3,6 +3,7 @@
 
 mod datagram;
 mod identity;
+mod name_claim;
 mod runtime;
 mod swim_config;
 
@@ -10,7 +11,8 @@
 pub use identity::Identity;
 
 use datagram::HeaderError;
-use foca::{Foca, PostcardCodec, Timer};
+use foca::{Codec, Foca, Header, Incarnation, Message, PostcardCodec, Timer};
+use name_claim::NameClaim;
 use rand_pcg::Pcg64Mcg;
 use runtime::SwimRuntime;
 use std::net::SocketAddr;
@@ -80,6 +82,7 @@
     seed_nodes: Vec<SeedNode>,
     next_announce: Duration,
     jitter: f64,
+    name_claim: NameClaim,
     /// What is received after leaving must not bring this node back.
     has_left: bool,
     rejected: RejectedDatagrams,
@@ -99,6 +102,7 @@
             seed_nodes,
             next_announce: Duration::ZERO,
             jitter,
+            name_claim: NameClaim::default(),
             has_left: false,
             rejected: RejectedDatagrams::default(),
         }
@@ -212,6 +216,10 @@
     }
 
     fn on_swim_message(&mut self, body: &[u8]) {
+        let header: Result<Header<Identity>, _> = PostcardCodec.decode_header(body);
+        if let Ok(header) = header {
+            self.resolve_names(&header);
+        }
         match self.swim.handle_data(body, &mut self.runtime) {
             Ok(()) => {}
             Err(foca::Error::DataFromOurselves | foca::Error::IndirectForOurselves) => {
@@ -221,6 +229,64 @@
         }
     }
 
+    /// Sees to it that the latest process of a name is a member, whatever the clocks of both processes say.
+    fn resolve_names(&mut self, header: &Header<Identity>) {
+        let now = self.runtime.now;
+        let local = self.swim.identity();
+        if header.src.name != local.name {
+            self.name_claim.record_contact(now);
+        }
+        // The sender takes this process for one that came before it at this address.
+        if header.dst.outranks(local) && self.name_claim.try_raise(now) {
+            self.raise_over(header.dst.started_at_ms);
+        }
+        let known = self
+            .swim
+            .iter_membership_state()
+            .map(foca::Member::id)
+            .find(|known| known.outranks(&header.src));
+        if let Some(known) = known.cloned() {
+            self.name_earlier_process(header, known);
+        }
+    }
+
+    /// Goes on as the latest process of this name.
+    fn raise_over(&mut self, started_at_ms: u64) {
+        let identity = Identity {
+            started_at_ms: started_at_ms.saturating_add(1),
+            generation: 0,
+            ..self.swim.identity().clone()
+        };
+        // It fails only for the identity that this node has.
+        let _ = self.swim.change_identity(identity, &mut self.runtime);
+        self.next_announce = self.runtime.now;
+    }
+
+    /// Tells the sender which process of its name stands before it: a message for that one, which is at the same address
+    /// or has gone.
+    fn name_earlier_process(&mut self, received: &Header<Identity>, known: Identity) {
+        let header = Header {
+            src: self.swim.identity().clone(),
+            src_incarnation: Incarnation::default(),
+            dst: known,
+            message: Message::Gossip,
+        };
+        let mut body = Vec::new();
+        if PostcardCodec.encode_header(&header, &mut body).is_ok() {
+            let bytes = datagram::encode(self.runtime.cluster_tag(), &body);
+            self.runtime.push_output(MembershipOutput::Datagram {
+                to: received.src.address,
+                bytes,
+            });
+        }
+    }
+
+    /// Whether this process has met the cluster only lately: it may still learn of an earlier process of its name, and
+    /// raise its order over that one's.
+    pub fn is_newcomer(&self, now: Duration) -> bool {
+        self.name_claim.is_newcomer(now)
+    }
+
     /// Stops taking part without telling anybody, because a later incarnation holds this node's name.
     pub fn yield_to_newer(&mut self) {
         self.has_left = true;
--- a/crates/node/src/cluster_agent/agent.rs
+++ b/crates/node/src/cluster_agent/agent.rs
@@ -263,7 +263,10 @@
             (_, None) => Err(PeerError::MissingHandshake),
             (Message::Ping, Some(_)) => Ok(()),
             (Message::Replaced, Some(_)) => {
-                self.on_replaced();
+                // A newcomer may not be known to the sender yet; it is told again where it was replaced indeed.
+                if !self.membership.is_newcomer(self.uptime()) {
+                    self.on_replaced();
+                }
                 Ok(())
             }
             (Message::Payload(Subject::Control, bytes), Some(incarnation)) => {
--- a/crates/node/src/cluster_agent/membership_events.rs
+++ b/crates/node/src/cluster_agent/membership_events.rs
@@ -77,6 +77,7 @@
         let is_replaced = |peer: &Handshake| {
             membership.alive().any(|alive| {
                 alive.name == peer.name
+                    && alive.incarnation != peer.incarnation
                     && (alive.started_at_ms, alive.incarnation)
                         > (peer.started_at_ms, peer.incarnation)
             })
--- a/crates/node/tests/common/discovery.rs
+++ b/crates/node/tests/common/discovery.rs
@@ -48,6 +48,19 @@
             .send(&format!("{:x}\r\n{line}\r\n", line.len()));
     }
 
+    /// Writes on the watch that a server has started at this moment of Unix time.
+    pub fn announce_start(&mut self, server: usize, started_at_ms: u64, seq: u64) {
+        let line = endpoint_list(
+            &self.server_addresses[server..=server],
+            "SERVING",
+            seq,
+            false,
+        )
+        .replace("s-0", &format!("s-{server}"))
+        .replace("\"born_ms\":0", &format!("\"born_ms\":{started_at_ms}"));
+        self.write_to_watch(format!("{line}\n").as_bytes(), line.len() + 1);
+    }
+
     /// A list with the first servers in these states.
     pub fn endpoint_list(&self, health: &[&str], seq: u64, whole: bool) -> serde_json::Value {
         endpoint_list_json(&self.server_addresses, health, seq, whole)
--- a/crates/node/tests/common/echo_servers.rs
+++ b/crates/node/tests/common/echo_servers.rs
@@ -11,8 +11,15 @@
 /// How long a listener is left alone when nothing waits there.
 const ACCEPT_INTERVAL: Duration = Duration::from_millis(1);
 
+/// A first line, and the number of the server where it came.
+#[derive(Clone)]
+struct FirstLine {
+    server: usize,
+    text: String,
+}
+
 /// The first lines that came, in their order.
-type FirstLines = Arc<Mutex<Vec<String>>>;
+type FirstLines = Arc<Mutex<Vec<FirstLine>>>;
 
 /// The servers of a rig, played by threads until this is dropped.
 pub struct EchoServers {
@@ -29,11 +36,14 @@
         let acceptors = rig
             .servers
             .iter()
-            .flatten()
-            .map(|listener| {
-                let listener = listener.try_clone().unwrap();
-                let (first_lines, is_stopped) = (first_lines.clone(), is_stopped.clone());
-                std::thread::spawn(move || accept_until(&listener, &first_lines, &is_stopped))
+            .enumerate()
+            .filter_map(|(server, listener)| {
+                let listener = listener.as_ref()?.try_clone().unwrap();
+                let first_lines = first_lines.clone();
+                let is_stopped = is_stopped.clone();
+                Some(std::thread::spawn(move || {
+                    accept_until(server, &listener, &first_lines, &is_stopped);
+                }))
             })
             .collect();
         EchoServers {
@@ -45,13 +55,14 @@
 
     /// The first lines that came so far.
     pub fn first_lines(&self) -> Vec<String> {
-        self.first_lines.lock().unwrap().clone()
+        let lines = self.first_lines.lock().unwrap();
+        lines.iter().map(|line| line.text.clone()).collect()
     }
 
-    /// How often a first line with this id came.
-    pub fn count_of(&self, id: &str) -> usize {
+    /// How many first lines came at this server.
+    pub fn count_at(&self, server: usize) -> usize {
         let lines = self.first_lines.lock().unwrap();
-        lines.iter().filter(|line| line.contains(id)).count()
+        lines.iter().filter(|line| line.server == server).count()
     }
 }
 
@@ -64,24 +75,29 @@
     }
 }
 
-fn accept_until(listener: &TcpListener, first_lines: &FirstLines, is_stopped: &AtomicBool) {
+fn accept_until(
+    server: usize,
+    listener: &TcpListener,
+    first_lines: &FirstLines,
+    is_stopped: &AtomicBool,
+) {
     listener.set_nonblocking(true).unwrap();
     while !is_stopped.load(Ordering::Relaxed) {
         match listener.accept() {
             Ok((stream, _)) => {
                 let first_lines = first_lines.clone();
-                std::thread::spawn(move || serve(LineStream::new(stream), &first_lines));
+                std::thread::spawn(move || serve(server, LineStream::new(stream), &first_lines));
             }
             Err(_) => std::thread::sleep(ACCEPT_INTERVAL),
         }
     }
 }
 
-fn serve(mut connection: LineStream, first_lines: &FirstLines) {
-    let Some(line) = connection.try_receive() else {
+fn serve(server: usize, mut connection: LineStream, first_lines: &FirstLines) {
+    let Some(text) = connection.try_receive() else {
         return;
     };
-    first_lines.lock().unwrap().push(line);
+    first_lines.lock().unwrap().push(FirstLine { server, text });
     let mut reply = Some("UP r1".to_string());
     while let Some(line) = reply {
         if connection.try_send(&format!("{line}\r\n")).is_err() {
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, unused_imports)] // Each test file uses a part of it.
 
 mod address;
+mod cluster;
 mod discovery;
 mod echo_servers;
 mod endpoint_list;
@@ -14,6 +15,7 @@
 mod syscall_faults;
 mod wait;
 
+pub use cluster::Cluster;
 pub use echo_servers::EchoServers;
 pub use full_backlog::FullBacklog;
 pub use line_stream::{exchange_lines, reset_connection, LineStream};
--- a/crates/node/tests/common/node_process.rs
+++ b/crates/node/tests/common/node_process.rs
@@ -71,6 +71,34 @@
     command.spawn().unwrap()
 }
 
+/// Starts the node with an operator's file. Calls may fail in it.
+pub fn spawn_with_operator_file(
+    config_path: &Path,
+    operator_path: &Path,
+    faults: Option<&SyscallFaults>,
+) -> Child {
+    let prefix = faults
+        .map(SyscallFaults::command_prefix)
+        .unwrap_or_default();
+    let log = std::fs::File::options()
+        .append(true)
+        .open(config_path.with_extension("log"))
+        .unwrap();
+    let arguments = prefix.into_iter().chain([Build::This.program()]);
+    let arguments: Vec<OsString> = arguments.collect();
+    Command::new(&arguments[0])
+        .args(&arguments[1..])
+        .args(["serve", "--config"])
+        .arg(config_path)
+        .arg("--operator")
+        .arg(operator_path)
+        .env_clear()
+        .stderr(log)
+        .stdin(Stdio::null())
+        .spawn()
+        .unwrap()
+}
+
 /// Sends a process a signal, such as `-TERM`.
 pub fn send_signal(process: &Child, signal: &str) {
     let status = Command::new("kill")
--- a/crates/node/tests/common/rig.rs
+++ b/crates/node/tests/common/rig.rs
@@ -102,6 +102,11 @@
         rig
     }
 
+    /// What fails in the processes that are started from now on.
+    pub fn set_faults(&mut self, faults: SyscallFaults) {
+        self.faults = Some(faults);
+    }
+
     /// System calls of the node's processes fail from now on, where a plan says so.
     pub fn switch_faults_on(&self) {
         self.faults.iter().for_each(SyscallFaults::switch_on);
@@ -238,7 +243,7 @@
     }
 }
 
-fn example_config() -> Value {
+pub(super) fn example_config() -> Value {
     let example = include_str!("../../../../examples/config.json");
     serde_json::from_str(example).unwrap()
 }
--- /dev/null
+++ b/crates/node/tests/wall_clock.rs
@@ -0,0 +1,100 @@
+//! The wall clock is stepped: deadlines, windows and the slow start of servers go by real time.
+
+mod common;
+use common::{wait_until, EchoServers, LineStream, Rig, SyscallFaults};
+use rstest::rstest;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+const DESCRIPTORS: usize = 1024;
+const LONG_NS: u64 = 20_000_000_000;
+/// Requests to a fleet of two warm servers and one that has just started.
+const REQUESTS: usize = 150;
+const REQUEST_INTERVAL: Duration = Duration::from_millis(10);
+/// By so much two counts of the same plan may differ: connects and answers take their time.
+const COUNT_TOLERANCE: usize = 4;
+
+fn unix_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    since_epoch.as_millis() as u64
+}
+
+/// How many of the requests go to a server that starts while the node runs, whose wall clock is this far ahead from the
+/// start on. The server is said to have started `age` ago.
+fn requests_to_starting_server(clock_offset_seconds: i64, age: Duration) -> usize {
+    let faults = SyscallFaults::new(&format!("clock={clock_offset_seconds}"), 1);
+    faults.switch_on();
+    let mut rig = Rig::start_changed(3, DESCRIPTORS, Some(faults), |config| {
+        let known = config["known"]["hosts"].as_array_mut().unwrap();
+        known.truncate(2);
+        config["settings"]["FamilyInfo"]["MessageAimNs"] = vec![LONG_NS].into();
+    });
+    let servers = EchoServers::start(&rig);
+    rig.announce_start(2, unix_ms() - age.as_millis() as u64, 2);
+    rig.wait_for_log("seq: 2");
+    let mut clients = Vec::new();
+    for number in 0..REQUESTS {
+        clients.push(rig.send_request(&format!("d=2000,g={number}")).0);
+        std::thread::sleep(REQUEST_INTERVAL);
+    }
+    for client in &mut clients {
+        client.receive();
+    }
+    servers.count_at(2)
+}
+
+#[rstest]
+fn a_server_that_starts_is_in_slow_start_whatever_the_wall_clock_says(
+    #[values(3600, 30, -3600, -30)] clock_offset_seconds: i64,
+) {
+    let age = Duration::from_millis(500);
+    let expected = requests_to_starting_server(0, age);
+    let count = requests_to_starting_server(clock_offset_seconds, age);
+    println!("requests to the starting server: {count}, with a right clock {expected}");
+    assert!(
+        expected < REQUESTS / 4,
+        "slow start does not limit it: {expected}"
+    );
+    assert!(
+        count <= expected + COUNT_TOLERANCE,
+        "{count}, with a right clock {expected}"
+    );
+    assert!(
+        count + COUNT_TOLERANCE >= expected / 2,
+        "{count}, with a right clock {expected}"
+    );
+}
+
+/// A step while the node runs moves no deadline: that of a request, of a first line, and of the shutdown.
+#[rstest]
+fn a_step_of_the_wall_clock_moves_no_deadline(#[values(3600, -3600)] offset_seconds: i64) {
+    let faults = SyscallFaults::new(&format!("clock={offset_seconds}"), 1);
+    let mut rig = Rig::start_changed(1, DESCRIPTORS, Some(faults), |config| {
+        config["settings"]["Limits"]["SendCap"] = 1.into();
+    });
+    let (mut waiting, _) = rig.send_request("d=900,g=a");
+    let sent_at = Instant::now();
+    let (_, _silent_server) = rig.accept_attempt();
+    let mut slow = rig.connect_client();
+    slow.send("OPEN 9b1f03");
+    rig.switch_faults_off();
+    std::thread::sleep(Duration::from_millis(200));
+    rig.switch_faults_on();
+    assert!(["BUSY", "ERR"].contains(&waiting.receive().split(' ').next().unwrap()));
+    let waited = sent_at.elapsed();
+    assert!(waited > Duration::from_millis(800), "{waited:?}");
+    assert!(waited < Duration::from_millis(1400), "{waited:?}");
+    assert_eq!(slow.receive(), "ERR");
+    assert!(sent_at.elapsed() > Duration::from_secs(2));
+    assert!(sent_at.elapsed() < Duration::from_secs(3));
+    drop((waiting, slow));
+    let terminated_at = Instant::now();
+    rig.signal("-TERM");
+    let _resting: Vec<LineStream> = (0..3).map(|_| rig.connect_client()).collect();
+    rig.switch_faults_off();
+    wait_until("the node ends", || (!rig.is_running()).then_some(()));
+    let took = terminated_at.elapsed();
+    assert!(
+        took > Duration::from_millis(700) && took < Duration::from_millis(2700),
+        "{took:?}"
+    );
+}
