Cluster storage: after a failed write the whole state goes to a new file until it is written

Cause: the thread that writes the control group's file ended at its first error, and the node left the group until its next start; three of five nodes with full disks left the cluster without a leader for good. Change: the thread keeps what the file should hold, and after an error writes all of it to a new file with a pause of 0.1 to 1 s until that is synced and renamed; nothing of the old file's cached pages is trusted, and nothing is reported as completed meanwhile. A wake-up that is interrupted is made again.

--- a/crates/node/src/cluster_agent/agent.rs
+++ b/crates/node/src/cluster_agent/agent.rs
@@ -5,7 +5,7 @@
 use super::connections::PeerConnections;
 use super::peer_connection::PeerError;
 use super::sockets::ClusterSockets;
-use super::storage::{StorageWriteError, StorageWriter};
+use super::storage::{StorageEvent, StorageWriteError, StorageWriter};
 use lupincrank_cluster::membership::{jitter_factor, Identity, Membership, MembershipConfig};
 use lupincrank_cluster::message::{Handshake, Message, Subject};
 use lupincrank_control::durable::{DurableState, LogWrite};
@@ -206,13 +206,20 @@
 
     /// The storage has completed writes.
     pub(super) fn on_storage_ready(&mut self, now: Timestamp) {
-        let Some(storage) = &mut self.storage else {
-            return;
-        };
-        match storage.writer.take_completed() {
-            Ok(Some(sequence)) => self.control.on_write_completed(now, sequence),
-            Ok(None) => {}
-            Err(error) => self.on_storage_lost(now, &error),
+        if let Some(storage) = &mut self.storage {
+            storage.writer.clear_wake_up();
+        }
+        while let Some(storage) = &mut self.storage {
+            match storage.writer.next_event() {
+                Ok(Some(StorageEvent::Completed(sequence))) => {
+                    self.control.on_write_completed(now, sequence);
+                }
+                Ok(Some(StorageEvent::Failing(error))) => {
+                    warn!(self.log, "control storage failing, writing again"; "error" => %error);
+                }
+                Ok(None) => return,
+                Err(error) => self.on_storage_lost(now, &error),
+            }
         }
     }
 
--- a/crates/node/src/cluster_agent/startup.rs
+++ b/crates/node/src/cluster_agent/startup.rs
@@ -5,7 +5,7 @@
 use super::config::ClusterConfig;
 use super::driver::{set_agent_deadline, with_agent};
 use super::sockets::ClusterSockets;
-use super::storage::{self, OpenError, StorageDamage, StorageWriter};
+use super::storage::{self, OpenError, StorageDamage, StorageFile, StorageWriter};
 use super::storage_completions::StorageCompletions;
 use crate::component::WellKnownComponent;
 use crate::deadline::ClusterAgentDeadline;
@@ -13,7 +13,6 @@
 use lupincrank_control::ControlError;
 use lupincrank_reactor::poll::Registered;
 use lupincrank_reactor::{poller_key, Interest};
-use redb::Database;
 use slog::{info, warn};
 use std::io;
 use std::net::SocketAddr;
@@ -168,17 +167,23 @@
     let mut agent = new_agent(context, config, state.member_id, Some(state)).map_err(|error| {
         ResumeError::Open(OpenError::Damaged(StorageDamage::Inconsistent(error)))
     })?;
-    attach_storage(context, &mut agent, opened.database).map_err(ResumeError::Writer)?;
+    let file = StorageFile {
+        path: path.to_path_buf(),
+        owner,
+        database: opened.database,
+        state: opened.state,
+    };
+    attach_storage(context, &mut agent, file).map_err(ResumeError::Writer)?;
     Ok(agent)
 }
 
 fn attach_storage(
     context: &mut NodeContext,
     agent: &mut ClusterAgent,
-    database: Database,
+    file: StorageFile,
 ) -> io::Result<()> {
     let storage_id = WellKnownComponent::DurableStorage.id();
-    let writer = StorageWriter::start(database)?;
+    let writer = StorageWriter::start(file)?;
     let key = poller_key(storage_id, 0);
     let wake_receiver = Registered::new(
         &context.poller,
--- a/crates/node/src/cluster_agent/storage.rs
+++ b/crates/node/src/cluster_agent/storage.rs
@@ -3,7 +3,7 @@
 
 mod writer;
 
-pub use writer::{StorageWriteError, StorageWriter};
+pub use writer::{StorageEvent, StorageFile, StorageWriteError, StorageWriter};
 
 use lupincrank_control::durable::{DurableState, LogWrite};
 use lupincrank_control::member::ClusterId;
@@ -13,7 +13,7 @@
     TableDefinition, TableError,
 };
 use std::collections::BTreeMap;
-use std::fs;
+use std::fs::{self, File};
 use std::io;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::{Path, PathBuf};
@@ -32,6 +32,8 @@
 const HARD_STATE: &str = "hard";
 /// The memory for cached pages.
 const CACHE_BYTES: usize = 1 << 20;
+/// The extension of a file that is to replace the present one.
+const REPLACEMENT_EXTENSION: &str = "new";
 /// The extension of a file that was set aside.
 const DAMAGED_EXTENSION: &str = "damaged";
 
@@ -277,6 +279,58 @@
     fs::rename(path, path.with_extension(DAMAGED_EXTENSION))
 }
 
+/// Writes the whole state to a new file and puts that in the place of the one at `path`. Both stay locked against other
+/// processes until the new one stands there.
+///
+/// # Errors
+/// Where the new file can't be written; the present one is untouched then.
+fn rewrite(path: &Path, owner: &str, state: &DurableState) -> Result<Database, redb::Error> {
+    let replacement = path.with_extension(REPLACEMENT_EXTENSION);
+    match fs::remove_file(&replacement) {
+        Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error.into()),
+        _ => {}
+    }
+    let database = Database::builder()
+        .set_cache_size(CACHE_BYTES)
+        .create(&replacement)?;
+    write_start(&database, owner, state)?;
+    write_state(&database, state)?;
+    fs::rename(&replacement, path)?;
+    if let Some(folder) = path.parent() {
+        File::open(folder)?.sync_all()?;
+    }
+    Ok(database)
+}
+
+/// Writes all but the identity to a file that holds nothing else.
+fn write_state(database: &Database, state: &DurableState) -> Result<(), redb::Error> {
+    let transaction = database.begin_write()?;
+    {
+        let mut facts = transaction.open_table(FACTS)?;
+        if let Some(cluster_id) = state.cluster_id {
+            facts.insert(CLUSTER_ID, encode_cluster_id(cluster_id)?.as_slice())?;
+        }
+        if let Some(snapshot) = &state.snapshot {
+            facts.insert(SNAPSHOT, snapshot.as_slice())?;
+        }
+        if let Some(hard_state) = &state.hard_state {
+            facts.insert(HARD_STATE, hard_state.as_slice())?;
+        }
+        let mut log = transaction.open_table(LOG)?;
+        for (index, bytes) in &state.entries {
+            log.insert(*index, bytes.as_slice())?;
+        }
+    }
+    transaction.commit()?;
+    Ok(())
+}
+
+fn encode_cluster_id(cluster_id: ClusterId) -> Result<Vec<u8>, redb::Error> {
+    let encoded =
+        postcard::to_stdvec(&cluster_id).map_err(|error| io::Error::other(error.to_string()))?;
+    Ok(encoded)
+}
+
 /// Carries out several writes in one transaction, which is synced when this returns.
 fn write_batch(database: &Database, writes: &[LogWrite]) -> Result<(), redb::Error> {
     let transaction = database.begin_write()?;
@@ -299,9 +353,7 @@
     if let Some(cluster_id) = write.starts_cluster {
         facts.remove(SNAPSHOT)?;
         facts.remove(HARD_STATE)?;
-        let encoded = postcard::to_stdvec(&cluster_id)
-            .map_err(|error| io::Error::other(error.to_string()))?;
-        facts.insert(CLUSTER_ID, encoded.as_slice())?;
+        facts.insert(CLUSTER_ID, encode_cluster_id(cluster_id)?.as_slice())?;
     }
     if let Some(snapshot) = &write.snapshot {
         facts.insert(SNAPSHOT, snapshot.bytes.as_slice())?;
--- a/crates/node/src/cluster_agent/storage/tests.rs
+++ b/crates/node/src/cluster_agent/storage/tests.rs
@@ -123,13 +123,22 @@
 #[test]
 fn the_writer_reports_completed_writes_and_ends_when_dropped() {
     let path = folder("thread");
-    let database = open(&path, "guj/n0", 7).unwrap().database;
-    let mut writer = StorageWriter::start(database).unwrap();
+    let OpenedStorage { database, state } = open(&path, "guj/n0", 7).unwrap();
+    let file = StorageFile {
+        path: path.clone(),
+        owner: "guj/n0".to_string(),
+        database,
+        state,
+    };
+    let mut writer = StorageWriter::start(file).unwrap();
     (1..=20).for_each(|number| writer.write(write(number, &[number])).unwrap());
     let mut last = 0;
     while last < 20 {
-        last = writer.take_completed().unwrap().unwrap_or(last);
-        thread::yield_now();
+        match writer.next_event().unwrap() {
+            Some(StorageEvent::Completed(sequence)) => last = sequence,
+            Some(StorageEvent::Failing(error)) => panic!("{error}"),
+            None => thread::yield_now(),
+        }
     }
     drop(writer);
     let again = loop {
@@ -145,6 +154,26 @@
     let _ = fs::remove_dir_all(path.parent().unwrap());
 }
 
+/// The whole state in a new file reads back as it was, and the file that it replaces is locked until then.
+#[test]
+fn a_rewritten_file_holds_the_whole_state() {
+    let path = folder("rewritten");
+    let kept = file_with_writes(&path);
+    let opened = open(&path, "guj/n0", 99).unwrap();
+    let rewritten = rewrite(&path, "guj/n0", &opened.state).unwrap();
+    assert!(matches!(open(&path, "guj/n0", 1), Err(OpenError::InUse)));
+    drop((opened.database, rewritten));
+    let again = open(&path, "guj/n0", 99).unwrap();
+    assert_eq!(
+        again.state,
+        DurableState {
+            start_count: 3,
+            ..kept
+        }
+    );
+    let _ = fs::remove_dir_all(path.parent().unwrap());
+}
+
 /// Written by revision c925b3d: an identity that has started once, its cluster, a snapshot up to entry 1, and three entries.
 /// Not compacted: redb 3 finds other checksums in a compacted file at the second opening, and no node compacts its file.
 const STORED_BEFORE: &[u8] = include_bytes!("../../../tests/fixtures/council-n0.redb");
