Node: what the endpoint list shows first has started since, whatever the wall clock says

Cause: born_ms was compared with one reading of the wall clock at the node's start: with that clock ahead a server that had just started passed for warm. Change: StartTimes keeps the moment that a start was first given; a start that is listed while the node watches lies between the last word from discovery, less the 6 s that a listing may take, and now. A start that is listed again keeps its moment, so that no server looks restarted. A server that is in the first list of a node whose clock is ahead is still believed to be as old as the clock says: nothing else tells.

--- a/crates/node/src/discovery/client.rs
+++ b/crates/node/src/discovery/client.rs
@@ -11,7 +11,7 @@
     EndpointListScope, EndpointListSource, PlacementDriver, ResolvedEndpoint,
 };
 use crate::state::{NodeContext, NodeState};
-use lupincrank_placement::{poll_schedule, Endpoint};
+use lupincrank_placement::{poll_schedule, Endpoint, ServerId};
 use lupincrank_reactor::{poller_key, Connection, Lifecycle, Readiness};
 use slog::{debug, info, warn};
 use std::io;
@@ -48,6 +48,9 @@
     calls: [Option<Call>; CALL_SLOTS],
     /// When the service last sent something, or showed by refusing or ending a call that nothing can be missed.
     last_contact: Instant,
+    /// A watch has brought something complete, if only that nothing has changed: what the next list shows first has started
+    /// since the last contact.
+    has_watched: bool,
 }
 
 impl DiscoveryClient {
@@ -61,6 +64,7 @@
             known_list: config.known_endpoints.clone(),
             calls: [None, None],
             last_contact: Instant::now(),
+            has_watched: false,
         }
     }
 
@@ -90,9 +94,10 @@
         source: EndpointListSource,
     ) -> Result<(), EndpointListError> {
         update.check()?;
+        let not_listed_at = self.has_watched.then_some(self.last_contact);
         let mut endpoints = Vec::with_capacity(update.endpoints.len());
         for endpoint in &update.endpoints {
-            endpoints.push(self.resolve(placement, endpoint)?);
+            endpoints.push(self.resolve(placement, endpoint, not_listed_at)?);
         }
         self.version = update.version;
         let scope = if update.is_complete {
@@ -106,19 +111,24 @@
 
     fn resolve(
         &mut self,
-        placement: &PlacementDriver,
+        placement: &mut PlacementDriver,
         endpoint: &ListedEndpoint,
+        not_listed_at: Option<Instant>,
     ) -> Result<ResolvedEndpoint, EndpointListError> {
+        let address = endpoint.dial_address()?;
+        let health = endpoint.parsed_health()?;
+        let server = ServerId::from(endpoint.server.as_str());
+        let started_at_ms = endpoint.started_at_ms.unwrap_or(0);
         Ok(ResolvedEndpoint {
-            address: endpoint.dial_address()?,
+            address,
             endpoint: Endpoint {
-                server: endpoint.server.as_str().into(),
-                health: endpoint.parsed_health()?,
+                started_at: placement.start_time(&server, started_at_ms, not_listed_at),
+                server,
+                health,
                 weight: endpoint.weight.unwrap_or(1.0),
                 zone: name_index(&mut self.zones, endpoint.zone.as_deref()),
                 cell: endpoint.cell.unwrap_or(0),
                 machine_kind: name_index(&mut self.machine_kinds, endpoint.machine_kind.as_deref()),
-                started_at: placement.timestamp_of_unix_ms(endpoint.started_at_ms.unwrap_or(0)),
             },
         })
     }
@@ -290,6 +300,7 @@
     /// A watch has brought something complete: the call beside it is not needed.
     fn on_watch_alive(&mut self, context: &mut NodeContext, slot: usize) {
         self.last_contact = Instant::now();
+        self.has_watched = true;
         let other_slot = CALL_SLOTS - 1 - slot;
         self.close_call(context, other_slot);
         clear_deadline(context, DiscoveryDeadline::SecondCall);
--- a/crates/node/src/placement_driver/endpoints.rs
+++ b/crates/node/src/placement_driver/endpoints.rs
@@ -6,7 +6,7 @@
 use slog::{info, warn};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A node that has just begun waits for discovery's list at the most so long before it accepts clients.
 const MAX_ENDPOINT_LIST_WAIT: Duration = Duration::from_secs(6);
@@ -66,6 +66,11 @@
     ) {
         if scope == EndpointListScope::Complete {
             self.endpoints.clear();
+            let listed: BTreeSet<&ServerId> = list
+                .iter()
+                .map(|resolved| &resolved.endpoint.server)
+                .collect();
+            self.start_times.retain(|server| listed.contains(server));
         }
         let mut entries = Vec::with_capacity(list.len());
         for resolved in list {
@@ -216,8 +221,15 @@
         self.feed(Event::LearnedState(learned));
     }
 
-    /// A moment of Unix time on the decisions' clock; `None` for long ago.
-    pub(crate) fn timestamp_of_unix_ms(&self, unix_ms: u64) -> Option<Timestamp> {
-        self.clock.timestamp_of_unix_ms(unix_ms)
+    /// When a server started that is listed with this moment of Unix time; `None` for long ago. `not_listed_at` is when
+    /// discovery was last heard of without it; `None` for the first list.
+    pub(crate) fn start_time(
+        &mut self,
+        server: &ServerId,
+        unix_ms: u64,
+        not_listed_at: Option<Instant>,
+    ) -> Option<Timestamp> {
+        self.start_times
+            .resolve(&self.clock, server, unix_ms, not_listed_at)
     }
 }
--- a/crates/node/src/placement_driver/mod.rs
+++ b/crates/node/src/placement_driver/mod.rs
@@ -11,6 +11,7 @@
 mod settings;
 mod setup_times;
 mod shutdown;
+mod start_times;
 
 pub(crate) use attempts::ClientState;
 pub(crate) use command::{AttemptOrder, Command};
@@ -30,6 +31,7 @@
 use request::ActiveRequest;
 use setup_times::SetupTimes;
 use slog::{debug, Logger};
+use start_times::StartTimes;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
@@ -42,6 +44,7 @@
     clock: PlacementClock,
     requests: HashMap<RequestId, ActiveRequest>,
     endpoints: HashMap<ServerId, KnownEndpoint>,
+    start_times: StartTimes,
     /// Whether discovery has answered since this process began.
     has_discovery_answered: bool,
     latencies: BTreeMap<ServerId, UpstreamLatency>,
@@ -71,6 +74,7 @@
             clock: PlacementClock::start(),
             requests: HashMap::new(),
             endpoints: HashMap::new(),
+            start_times: StartTimes::default(),
             has_discovery_answered: false,
             latencies: BTreeMap::new(),
             setup_times: SetupTimes::default(),
--- /dev/null
+++ b/crates/node/src/placement_driver/start_times.rs
@@ -0,0 +1,69 @@
+//! When servers started, on the decisions' clock. Discovery tells it in Unix time, and this machine's wall clock may be off by
+//! any amount; what the list shows first while this process runs has started since.
+
+use super::clock::PlacementClock;
+use lupincrank_placement::{ServerId, Timestamp};
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// Discovery lists a start at the latest this long after it.
+const MAX_LISTING_DELAY: Duration = Duration::from_secs(6);
+
+/// A start as it was listed, and as it was understood.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct KnownStart {
+    unix_ms: u64,
+    started_at: Timestamp,
+}
+
+/// The starts of all servers that were listed. A start keeps the moment that it was first given: the same process must not
+/// look like a new one.
+#[derive(Debug, Default)]
+pub(super) struct StartTimes {
+    known: BTreeMap<ServerId, KnownStart>,
+}
+
+impl StartTimes {
+    /// The moment of a start; `None` for long ago. `not_listed_at` is when discovery was last heard of without it; `None`
+    /// for its first list, of which the wall clock alone tells.
+    pub(super) fn resolve(
+        &mut self,
+        clock: &PlacementClock,
+        server: &ServerId,
+        unix_ms: u64,
+        not_listed_at: Option<Instant>,
+    ) -> Option<Timestamp> {
+        let by_wall_clock = clock.timestamp_of_unix_ms(unix_ms);
+        if unix_ms == 0 {
+            self.known.remove(server);
+            return None;
+        }
+        let known = self.known.get(server);
+        if let Some(known) = known.filter(|known| known.unix_ms == unix_ms) {
+            return Some(known.started_at);
+        }
+        let now = clock.now();
+        let mut started_at = by_wall_clock.map_or(now, |moment| moment.min(now));
+        if let Some(not_listed_at) = not_listed_at {
+            let not_listed_at = clock.timestamp(not_listed_at);
+            let earliest = not_listed_at.saturating_sub(MAX_LISTING_DELAY);
+            if started_at < earliest {
+                started_at = not_listed_at;
+            }
+        }
+        let start = KnownStart {
+            unix_ms,
+            started_at,
+        };
+        self.known.insert(server.clone(), start);
+        Some(started_at)
+    }
+
+    /// Forgets servers that are not listed any more.
+    pub(super) fn retain(&mut self, is_listed: impl Fn(&ServerId) -> bool) {
+        self.known.retain(|server, _| is_listed(server));
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/node/src/placement_driver/start_times/tests.rs
@@ -0,0 +1,61 @@
+use super::*;
+use rstest::rstest;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+const HOUR_MS: i64 = 3_600_000;
+
+fn unix_ms() -> i64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    since_epoch.as_millis() as i64
+}
+
+/// A start, listed on a clock that is off by `error_ms`; how long ago the decisions take it to be, in milliseconds.
+fn age_ms(start_age_ms: i64, error_ms: i64, is_first_list: bool) -> i64 {
+    let clock = PlacementClock::start();
+    let mut start_times = StartTimes::default();
+    let not_listed_at = (!is_first_list).then(Instant::now);
+    let server = ServerId::from("s-0");
+    let unix_ms = unix_ms() - start_age_ms - error_ms;
+    let started_at = start_times.resolve(&clock, &server, unix_ms as u64, not_listed_at);
+    let age = clock.now().saturating_duration_since(started_at.unwrap());
+    age.as_millis() as i64
+}
+
+#[rstest]
+#[case::right_clock(2_000, 0, false, 2_000)]
+#[case::told_as_late_as_may_be(5_900, 0, false, 5_900)]
+#[case::ahead(500, HOUR_MS, false, 0)]
+#[case::a_little_ahead(500, 30_000, false, 0)]
+#[case::behind(500, -HOUR_MS, false, 0)]
+#[case::first_list(60_000, 0, true, 60_000)]
+#[case::first_list_and_behind(500, -HOUR_MS, true, 0)]
+fn what_is_listed_while_this_process_runs_has_started_lately(
+    #[case] start_age_ms: i64,
+    #[case] error_ms: i64,
+    #[case] is_first_list: bool,
+    #[case] expected_ms: i64,
+) {
+    let age_ms = age_ms(start_age_ms, error_ms, is_first_list);
+    assert!(
+        (age_ms - expected_ms).abs() < 50,
+        "{age_ms}, not {expected_ms}"
+    );
+}
+
+#[test]
+fn a_start_that_is_listed_again_keeps_its_moment() {
+    let clock = PlacementClock::start();
+    let mut start_times = StartTimes::default();
+    let server = ServerId::from("s-0");
+    let start = (unix_ms() - HOUR_MS) as u64;
+    let first = start_times.resolve(&clock, &server, start, None);
+    let again = start_times.resolve(&clock, &server, start, Some(Instant::now()));
+    assert_eq!(first, again);
+    let restarted = start_times.resolve(&clock, &server, start + 1, Some(Instant::now()));
+    assert!(restarted > first);
+    assert_eq!(
+        start_times.resolve(&clock, &server, 0, None),
+        None,
+        "long ago"
+    );
+}
--- a/crates/placement/src/api/time.rs
+++ b/crates/placement/src/api/time.rs
@@ -16,6 +16,13 @@
         Timestamp(self.0.saturating_add(nanos))
     }
 
+    /// The moment `duration` earlier; the smallest timestamp where that underflows.
+    #[must_use]
+    pub fn saturating_sub(self, duration: Duration) -> Timestamp {
+        let nanos = u64::try_from(duration.as_nanos()).unwrap_or(u64::MAX);
+        Timestamp(self.0.saturating_sub(nanos))
+    }
+
     /// The time that passed since `earlier`; zero if `earlier` is later than `self`.
     pub fn saturating_duration_since(self, earlier: Timestamp) -> Duration {
         Duration::from_nanos(self.0.saturating_sub(earlier.0))
