Upgrade tests: drains whose file cannot be synced or read for a moment

Result: a drain is answered done though its sync fails; a process whose reads fail with EIO writes its own set over what the other one stored. A file that cannot be created or written is answered with an error: holds.

--- a/crates/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -1,7 +1,7 @@
 //! Two processes of one node: what the older holds goes over to the newer, and nothing is lost on the way.
 
 mod common;
-use common::{admin_call_at, exchange_lines, send_signal, wait_until, Rig};
+use common::{admin_call_at, exchange_lines, send_signal, wait_until, Rig, SyscallFaults};
 use rstest::rstest;
 use socket2::{Domain, SockAddr, Socket, Type};
 use std::fmt::Write;
@@ -331,3 +331,43 @@
     let (client, _, peer) = &mut held[0];
     exchange_lines(client, peer);
 }
+
+/// A drain is on the disk before it is answered: where it cannot be synced, the answer says so and nothing has changed.
+#[rstest]
+#[case::not_synced("sync=EIO:100")]
+#[case::not_created("create=ENOSPC:100")]
+#[case::not_written("write=ENOSPC:100")]
+fn a_drain_that_cannot_be_stored_is_an_error_and_changes_nothing(#[case] plan: &str) {
+    let mut rig = Rig::start_inheriting_with_faults(1, SyscallFaults::new(plan, 1));
+    assert!(rig.admin_call("set-down s-0\r\n").starts_with("error "));
+    let (_client, server_index, _server) = rig.establish();
+    assert_eq!(server_index, 0, "it is still used");
+    rig.switch_faults_off();
+    assert_eq!(rig.admin_call("set-down s-0\r\n"), "done");
+    rig.hand_over_to_successor();
+    let (mut client, _) = rig.send_request("d=1500,g=b");
+    assert!(client.receive().starts_with("BUSY"), "it stays drained");
+}
+
+/// A process whose reads of the file fail for a moment does not write over what the other one has stored.
+#[test]
+fn a_read_of_the_drains_that_fails_for_a_moment_writes_nothing_over_them() {
+    let mut rig = Rig::start_with_inherited_listener(2);
+    let older_admin_address = rig.admin_address();
+    rig.set_faults(SyscallFaults::new("read=EIO:100", 1));
+    rig.start_successor();
+    rig.accept_watch();
+    rig.wait_until_ready();
+    rig.switch_faults_on();
+    assert_eq!(
+        admin_call_at(older_admin_address, "set-down s-0\r\n"),
+        "done"
+    );
+    rig.wait_for_log("admin drain file unreadable");
+    assert!(rig.admin_call("set-down s-1\r\n").starts_with("error "));
+    rig.switch_faults_off();
+    rig.wait_for_log_count("admin drains changed, servers: s-0", 2);
+    rig.terminate_predecessor();
+    let (_client, server_index, _server) = rig.establish();
+    assert_eq!(server_index, 1, "the other one stays drained");
+}
