Admin drains: on the disk before the answer, and a failed read is no damaged file

Cause: the file of drains was replaced without a sync, and any error of a read counted as damage, so that a process wrote its own set over the other one's. Change: the new file and its folder are synced before the answer; only a file that was read and does not hold what was written is written anew.

--- a/crates/node/src/handoff/admin_drain_file.rs
+++ b/crates/node/src/handoff/admin_drain_file.rs
@@ -5,7 +5,7 @@
 use lupincrank_placement::ServerId;
 use std::collections::BTreeSet;
 use std::fs::{self, File};
-use std::io;
+use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 use thiserror::Error;
@@ -27,6 +27,16 @@
     reason: FailureReason,
 }
 
+impl AdminDrainFileError {
+    /// Whether the file was read and does not hold what was written. A read that failed says nothing of that.
+    fn is_damage(&self) -> bool {
+        matches!(
+            self.reason,
+            FailureReason::TooLong | FailureReason::Format(_)
+        )
+    }
+}
+
 /// What went wrong with the file.
 #[derive(Debug, Error)]
 enum FailureReason {
@@ -47,6 +57,8 @@
     Truncated,
     #[error("its checksum does not fit")]
     Checksum,
+    #[error("it is not text")]
+    Encoding,
     #[error(transparent)]
     Json(#[from] serde_json::Error),
 }
@@ -116,7 +128,7 @@
     /// is damaged.
     ///
     /// # Errors
-    /// Where the file can't be locked or written; nothing has changed then.
+    /// Where the file can't be locked, read or written; nothing has changed then.
     pub(crate) fn update(
         &self,
         server: &ServerId,
@@ -125,7 +137,10 @@
     ) -> Result<BTreeSet<ServerId>, AdminDrainFileError> {
         // Guards against the other process's change between this one's reading and writing.
         let _lock = self.lock()?;
-        let mut drained = self.read().unwrap_or_else(|_| known.clone());
+        let mut drained = match self.read() {
+            Err(error) if error.is_damage() => known.clone(),
+            read => read?,
+        };
         if apply_change(&mut drained, server, change) {
             self.write(&drained)?;
         }
@@ -135,13 +150,14 @@
     /// Writes a file that was found damaged anew, unless the other process has done so by now.
     ///
     /// # Errors
-    /// Where the file can't be locked or written.
+    /// Where the file can't be locked, read or written.
     pub(crate) fn repair(&self, drained: &BTreeSet<ServerId>) -> Result<(), AdminDrainFileError> {
         let _lock = self.lock()?;
-        if self.read().is_ok() {
-            return Ok(());
+        match self.read() {
+            Ok(_) => Ok(()),
+            Err(error) if error.is_damage() => self.write(drained),
+            Err(error) => Err(error),
         }
-        self.write(drained)
     }
 
     fn read_contents(&self) -> Result<BTreeSet<ServerId>, FailureReason> {
@@ -150,16 +166,22 @@
             Ok(metadata) if metadata.len() > MAX_FILE_BYTES => return Err(FailureReason::TooLong),
             _ => {}
         }
-        let text = fs::read_to_string(&self.path)?;
-        Ok(parse(&text)?)
+        let bytes = fs::read(&self.path)?;
+        let text = std::str::from_utf8(&bytes).map_err(|_| FormatError::Encoding)?;
+        Ok(parse(text)?)
     }
 
-    /// Replaces the file in one step. Only under the lock.
+    /// Replaces the file in one step; it is on the disk when this returns. Only under the lock.
     fn write(&self, drained: &BTreeSet<ServerId>) -> Result<(), AdminDrainFileError> {
         let next_version = self.path.with_extension("out-new");
         let replace = || -> Result<(), FailureReason> {
-            fs::write(&next_version, format(drained)?)?;
+            let mut file = File::create(&next_version)?;
+            file.write_all(format(drained)?.as_bytes())?;
+            file.sync_all()?;
             fs::rename(&next_version, &self.path)?;
+            if let Some(directory) = self.path.parent() {
+                File::open(directory)?.sync_all()?;
+            }
             Ok(())
         };
         replace().map_err(|reason| self.error(reason))
