--- a/crates/node/tests/common/rig.rs
+++ b/crates/node/tests/common/rig.rs
@@ -271,6 +271,10 @@
         wait_until("the node ends", || self.process.try_wait().unwrap())
     }
 
+    pub fn process_id(&self) -> u32 {
+        self.process.id()
+    }
+
     /// A thread that tells when it has exited.
     pub fn watch_exit(&self) -> JoinHandle<Instant> {
         let path = format!("/proc/{}/stat", self.process.id());
@@ -323,6 +327,10 @@
         self.wait_for_log("configuration reloaded");
     }
 
+    pub fn log_path(&self) -> PathBuf {
+        self.config_path.with_extension("log")
+    }
+
     /// What all processes of the node have logged so far.
     pub fn log(&self) -> String {
         std::fs::read_to_string(self.config_path.with_extension("log")).unwrap()
--- /dev/null
+++ b/crates/node/tests/operation_limits.rs
@@ -0,0 +1,255 @@
+//! Lists, configurations and administrative calls at their limits: in a row, at odd moments, with trouble beside them.
+
+mod common;
+use common::{wait_until, EchoServers, LineStream, Rig};
+use rstest::rstest;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// Nothing new goes to a server so long after this node was told that it drains.
+const DRAIN_GRACE: Duration = Duration::from_millis(500);
+/// A drain lasts at least so long.
+const MIN_DRAIN_TIME: Duration = Duration::from_millis(2200);
+
+/// Sends requests of many groups and gives how many came to each server; all are served.
+fn spread(
+    rig: &mut Rig,
+    servers: &EchoServers,
+    server_count: usize,
+    requests: usize,
+) -> Vec<usize> {
+    let before: Vec<usize> = (0..server_count)
+        .map(|server| servers.count_at(server))
+        .collect();
+    let mut clients: Vec<LineStream> = (0..requests)
+        .map(|number| rig.send_request(&format!("d=3000,g=spread-{number}")).0)
+        .collect();
+    for client in &mut clients {
+        assert_eq!(client.receive(), "UP r1");
+    }
+    (0..server_count)
+        .map(|server| servers.count_at(server) - before[server])
+        .collect()
+}
+
+/// A complete list without a server, and each state by which it is told to be left alone: nothing new goes there after the
+/// grace.
+#[rstest]
+#[case::left_out("")]
+#[case::drains("DRAINING")]
+#[case::gone("DELETED")]
+fn a_server_that_leaves_the_list_gets_nothing_new(#[case] health: &str) {
+    let mut rig = Rig::start(3);
+    let servers = EchoServers::start(&rig);
+    if health.is_empty() {
+        let list = rig.endpoint_list(&["SERVING", "SERVING"], 2, true);
+        rig.write_to_watch(format!("{list}\n").as_bytes(), 1000);
+    } else {
+        rig.announce_health(2, health, 2);
+    }
+    std::thread::sleep(DRAIN_GRACE);
+    let counts = spread(&mut rig, &servers, 3, 30);
+    assert_eq!(counts[2], 0, "{counts:?}");
+    assert!(counts[0] > 0 && counts[1] > 0, "{counts:?}");
+}
+
+/// The first object of a watch is cut by the connection's end: nothing of it holds, and the next call asks from the version
+/// before it.
+#[test]
+fn a_list_that_is_cut_by_the_end_of_the_watch_is_asked_for_again() {
+    let mut rig = Rig::start(2);
+    let servers = EchoServers::start(&rig);
+    let list = rig.endpoint_list(&["SERVING"], 7, true).to_string();
+    let half = &list.as_bytes()[..list.len() - 1];
+    rig.write_to_watch(half, 50);
+    rig.watch = None;
+    let (_, request) = rig.accept_discovery_call();
+    assert!(request.contains("from=1 "), "{request}");
+    let counts = spread(&mut rig, &servers, 2, 20);
+    assert!(counts.iter().all(|count| *count > 0), "{counts:?}");
+}
+
+/// Two nodes that reach the same servers at different addresses place each key alike.
+#[test]
+fn nodes_place_keys_alike_wherever_they_reach_the_servers() {
+    let mut nodes = [Rig::start(5), Rig::start(5)];
+    for number in 0..20 {
+        let chosen = nodes.each_mut().map(|rig| {
+            let (_client, _) = rig.send_request(&format!("d=3000,g=key-{number}"));
+            rig.accept_attempt().0
+        });
+        assert_eq!(chosen[0], chosen[1], "key {number}");
+    }
+}
+
+/// All clients of a server that drains by the list are told to move before its drain may be over.
+#[test]
+fn the_clients_of_a_draining_server_are_moved_before_it_may_stop() {
+    let mut rig = Rig::start(3);
+    let mut clients: BTreeMap<usize, Vec<(LineStream, LineStream)>> = BTreeMap::new();
+    for number in 0..30 {
+        let (client, server_index, server) = rig.establish_in_group(&format!("group-{number}"));
+        clients
+            .entry(server_index)
+            .or_default()
+            .push((client, server));
+    }
+    let draining = *clients.iter().max_by_key(|(_, held)| held.len()).unwrap().0;
+    rig.announce_health(draining, "DRAINING", 2);
+    let told_at = Instant::now();
+    for (client, _server) in clients.get_mut(&draining).unwrap() {
+        assert_eq!(client.receive(), "MOVE");
+    }
+    assert!(
+        told_at.elapsed() < MIN_DRAIN_TIME,
+        "{:?}",
+        told_at.elapsed()
+    );
+}
+
+/// Configurations in a row move discovery on and on: the last address counts, and connections stay.
+#[test]
+fn of_configurations_in_a_row_the_last_one_counts() {
+    let mut rig = Rig::start(1);
+    let (mut client, _, mut server) = rig.establish();
+    for _ in 0..5 {
+        rig.move_discovery();
+    }
+    rig.accept_watch();
+    let told_at = Instant::now();
+    rig.announce_health(0, "DRAINING", 9);
+    rig.wait_for_log("seq: 9");
+    assert!(told_at.elapsed() < Duration::from_secs(4));
+    if client.is_quiet() {
+        common::exchange_lines(&mut client, &mut server);
+    }
+    assert!(rig.is_running());
+}
+
+/// SIGHUP in the first moments, before the node is ready, and many at once.
+#[test]
+fn a_reload_before_the_node_is_ready_ends_nothing() {
+    let mut rig = Rig::launch(1, 256);
+    rig.wait_for_log("serving");
+    for _ in 0..50 {
+        rig.signal("-HUP");
+    }
+    rig.accept_watch();
+    wait_until("PONG", || (rig.query("PING\r\n") == "PONG").then_some(()));
+    assert!(rig.is_running());
+}
+
+/// One call back is enough for two calls out; while it is out nothing that the list says brings it back.
+#[test]
+fn a_server_that_is_out_by_hand_stays_out_whatever_the_list_says() {
+    let mut rig = Rig::start(2);
+    let servers = EchoServers::start(&rig);
+    for _ in 0..2 {
+        assert_eq!(rig.admin_call("set-down s-0\r\n"), "done");
+    }
+    std::thread::sleep(DRAIN_GRACE);
+    let mut seq = 2;
+    for health in ["SERVING", "DRAINING", "SERVING", "DELETED", "SERVING"] {
+        rig.announce_health(0, health, seq);
+        rig.wait_for_log(&format!("seq: {seq}"));
+        seq += 1;
+        let counts = spread(&mut rig, &servers, 2, 10);
+        assert_eq!(counts[0], 0, "after {health}: {counts:?}");
+    }
+    let restarted_at = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    rig.announce_start(0, restarted_at.unwrap().as_millis() as u64, seq);
+    rig.wait_for_log(&format!("seq: {seq}"));
+    let counts = spread(&mut rig, &servers, 2, 10);
+    assert_eq!(counts[0], 0, "after a restart: {counts:?}");
+    assert_eq!(rig.admin_call("set-up s-0\r\n"), "done");
+    let called_back_at = Instant::now();
+    let mut number = 0;
+    wait_until("it is used again", || {
+        // One that warms up may leave no room for some of them.
+        number += 1;
+        let (mut client, _) = rig.send_request(&format!("d=1000,g=again-{number}"));
+        client.receive();
+        (servers.count_at(0) > 0).then_some(())
+    });
+    assert!(called_back_at.elapsed() < Duration::from_secs(5));
+}
+
+/// A call cut at any byte is one call.
+#[rstest]
+fn an_admin_call_may_be_cut_at_any_byte(#[values(1, 3, 7)] piece: usize) {
+    let rig = Rig::start(1);
+    let mut caller = rig.connect_admin();
+    caller.stream.set_nodelay(true).unwrap();
+    for part in "set-down s-0\r\n".as_bytes().chunks(piece) {
+        caller.send(std::str::from_utf8(part).unwrap());
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    assert_eq!(caller.receive(), "done");
+    assert_eq!(caller.receive(), "");
+}
+
+/// A second process is ready within 6 s also where discovery is down or hangs, and nobody is turned away at the door
+/// meanwhile.
+#[rstest]
+#[case::down(true)]
+#[case::hangs(false)]
+fn a_successor_is_ready_in_time_without_discovery(#[case] is_down: bool) {
+    let mut rig = Rig::start_with_inherited_listener(2);
+    let _servers = EchoServers::start(&rig);
+    let _reserved = is_down.then(|| rig.stop_discovery());
+    rig.start_successor();
+    let started_at = Instant::now();
+    let mut answers = BTreeMap::new();
+    let mut clients = Vec::new();
+    while rig.admin_call("check\r\n") != "done" {
+        let (mut client, _) = rig.send_request(&format!("d=2000,g={}", clients.len()));
+        let answer = client.try_receive().unwrap_or_default();
+        *answers
+            .entry(answer.split(' ').next().unwrap().to_string())
+            .or_insert(0) += 1;
+        clients.push(client);
+        std::thread::sleep(Duration::from_millis(20));
+        assert!(started_at.elapsed() < Duration::from_secs(7), "not ready");
+    }
+    assert!(
+        started_at.elapsed() < Duration::from_millis(6500),
+        "{:?}",
+        started_at.elapsed()
+    );
+    assert_eq!(answers.keys().collect::<Vec<_>>(), ["UP"], "{answers:?}");
+}
+
+/// Connections that come while one process hands over to the next all get their answer.
+#[test]
+fn nobody_is_turned_away_at_the_door_in_a_handover() {
+    let mut rig = Rig::start_with_inherited_listener(2);
+    let _servers = EchoServers::start(&rig);
+    let address = rig.client_address();
+    let clients = std::thread::spawn(move || {
+        let mut answers: BTreeMap<String, usize> = BTreeMap::new();
+        let began = Instant::now();
+        let mut standing = Vec::new();
+        for number in 0u64.. {
+            if began.elapsed() > Duration::from_secs(4) {
+                break;
+            }
+            let mut client = LineStream::new(std::net::TcpStream::connect(address).unwrap());
+            let id = (1u64 << 40) + number;
+            let line = format!("OPEN {id:016x} f c=chat,d=2000,g={number}\r\n");
+            let sent = client.try_send(&line);
+            let answer = sent
+                .ok()
+                .and_then(|()| client.try_receive())
+                .unwrap_or_default();
+            *answers
+                .entry(answer.split(' ').next().unwrap().to_string())
+                .or_default() += 1;
+            standing.push(client);
+            std::thread::sleep(Duration::from_millis(8));
+        }
+        answers
+    });
+    rig.hand_over_to_successor();
+    let answers = clients.join().unwrap();
+    assert_eq!(answers.keys().collect::<Vec<_>>(), ["UP"], "{answers:?}");
+}
