Node: a server is told the time left at the send; restored connections are tried for 40 s

Cause: the first line was made when the attempt began, so that the time that connecting took stood in it; a restored connection was given up after three attempts, also where none had reached its server. Change: the attempt writes the time that is left into the line when it sends it; only sends that the server may have taken count for a restored connection, and connects are made again each 0.3 s until its time, 40 s at the most, is over.

--- a/crates/node/src/client/connection.rs
+++ b/crates/node/src/client/connection.rs
@@ -247,7 +247,7 @@
             ClientCommand::AttemptConnected(attempt) => self.on_attempt_connected(context, attempt),
             ClientCommand::AttemptAccepted(accepted) => self.on_attempt_accepted(context, accepted),
             ClientCommand::AttemptServed(line) => self.on_attempt_served(context, &line),
-            ClientCommand::RestoreFailed => self.on_restore_failed(context),
+            ClientCommand::RestoreFailed(outcome) => self.on_restore_failed(context, outcome),
             ClientCommand::Close => self.on_close(context),
             ClientCommand::AnswerBeforeExit(scope) => self.on_exit(context, scope),
         }
--- a/crates/node/src/client/connection/request.rs
+++ b/crates/node/src/client/connection/request.rs
@@ -8,7 +8,7 @@
 use crate::deadline::ClientDeadline;
 use crate::placement_driver::{hex_id, AttemptOrder, ClientState};
 use crate::state::NodeContext;
-use crate::upstream::attempt::{Attempt, UpstreamAttempt};
+use crate::upstream::attempt::{Attempt, ForwardedLine, UpstreamAttempt};
 use crate::upstream::relay::Relay;
 use lupincrank_placement::Outcome;
 use lupincrank_reactor::{ComponentId, Lifecycle};
@@ -17,8 +17,9 @@
 
 /// Connections from before this process began are accepted for this long after its start.
 const RESTORE_WINDOW: Duration = Duration::from_secs(60);
-/// A connection from before this process began is attempted this often, so long apart, and for at most so long.
-const MAX_RESTORE_ATTEMPTS: u32 = 3;
+/// The line of a connection from before this process began is sent this often. Connects that fail are made again so long
+/// apart for at most so long: the server may come up late.
+const MAX_RESTORE_SENDS: u32 = 3;
 const RESTORE_BACKOFF: Duration = Duration::from_millis(300);
 const MAX_RESTORE_WAIT: Duration = Duration::from_secs(40);
 
@@ -31,8 +32,8 @@
     deadline: Instant,
     /// The attempt that was begun last.
     attempt: Option<ComponentId>,
-    /// Attempts made for a connection from before this process began.
-    restore_attempts: u32,
+    /// How often the line of a connection from before this process began may have been taken by its server.
+    restore_sends: u32,
     slot: ClientSlot,
 }
 
@@ -42,16 +43,13 @@
         self.open.current_server.is_some()
     }
 
-    /// The first line for a server, with the time that is left in place of the time that the client wrote.
-    fn line_with_time_left(&self, deadline: Instant) -> Vec<u8> {
-        let time_left = deadline.saturating_duration_since(Instant::now());
+    /// The first line for a server, without the time that the client wrote.
+    fn forwarded_line(&self) -> ForwardedLine {
         let digits = &self.open.time_budget.digits;
-        [
-            &self.line[..digits.start],
-            time_left.as_millis().to_string().as_bytes(),
-            &self.line[digits.end..],
-        ]
-        .concat()
+        ForwardedLine {
+            before_time: self.line[..digits.start].to_vec(),
+            after_time: self.line[digits.end..].to_vec(),
+        }
     }
 
     fn close_attempt(&self, context: &mut NodeContext) {
@@ -107,7 +105,7 @@
             line,
             deadline: Instant::now() + wait,
             attempt: None,
-            restore_attempts: 0,
+            restore_sends: 0,
             slot: ClientSlot::acquire(&context.client_count),
         });
         if is_restored {
@@ -146,7 +144,7 @@
             owner: self.id,
             request: order.request,
             address: order.address,
-            line: waiting.line_with_time_left(order.deadline),
+            line: waiting.forwarded_line(),
             deadline: order.deadline,
             is_restored: waiting.is_restored(),
         };
@@ -233,14 +231,13 @@
         let current_server = waiting.open.current_server.as_deref();
         let address = current_server.and_then(|server| context.placement.available_address(server));
         let may_retry =
-            waiting.restore_attempts < MAX_RESTORE_ATTEMPTS && Instant::now() < waiting.deadline;
+            waiting.restore_sends < MAX_RESTORE_SENDS && Instant::now() < waiting.deadline;
         let Some(address) = address.filter(|_| may_retry) else {
             return self.answer(context, &answer::busy(Duration::ZERO));
         };
         if context.placement.has_request(waiting.open.request) {
             return self.reject_line(context, FirstLineError::RequestIdInUse);
         }
-        waiting.restore_attempts += 1;
         let order = AttemptOrder {
             request: waiting.open.request,
             address,
@@ -251,9 +248,14 @@
     }
 
     /// The server did not take the connection back; it is attempted again soon.
-    pub(super) fn on_restore_failed(&mut self, context: &mut NodeContext) -> Lifecycle {
+    pub(super) fn on_restore_failed(
+        &mut self,
+        context: &mut NodeContext,
+        outcome: Outcome,
+    ) -> Lifecycle {
         if let State::Waiting(waiting) = &mut self.state {
             waiting.attempt = None;
+            waiting.restore_sends += u32::from(!outcome.proves_not_executed());
             context.deadlines.set(
                 self.id,
                 ClientDeadline::RestoreRetry.into(),
--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -1,7 +1,7 @@
 //! What the node's components tell each other: one enum of commands for each kind of receiver.
 
 use crate::placement_driver::AttemptOrder;
-use lupincrank_placement::RequestId;
+use lupincrank_placement::{Outcome, RequestId};
 use lupincrank_reactor::poll::Registered;
 use lupincrank_reactor::ComponentId;
 use std::net::TcpStream;
@@ -48,8 +48,8 @@
     AttemptAccepted(AcceptedAttempt),
     /// The attempt's server has served the request to its end at once; the line for the client.
     AttemptServed(Vec<u8>),
-    /// The attempt to restore a connection from before this process's start has failed.
-    RestoreFailed,
+    /// The attempt to restore a connection from before this process's start has ended like this.
+    RestoreFailed(Outcome),
     /// Close: the descriptor is needed for another client.
     Close,
     /// The process exits soon: answer if this connection is among those that are to be answered now.
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -22,6 +22,22 @@
 /// A connect that this machine refuses is made again after this time, then after twice as long each time.
 const MIN_CONNECT_BACKOFF: Duration = Duration::from_millis(5);
 
+/// The first line as the client sent it, but for the time that is left: that is known when the line is sent.
+pub(crate) struct ForwardedLine {
+    /// What stands before the number of milliseconds.
+    pub(crate) before_time: Vec<u8>,
+    /// What stands behind it, the line's terminator included.
+    pub(crate) after_time: Vec<u8>,
+}
+
+impl ForwardedLine {
+    /// The line for a server that has so much time left.
+    fn with_time_left(&self, time_left: Duration) -> Vec<u8> {
+        let millis = time_left.as_millis().to_string();
+        [&self.before_time, millis.as_bytes(), &self.after_time].concat()
+    }
+}
+
 /// What is attempted.
 pub(crate) struct Attempt {
     /// The client's component.
@@ -31,7 +47,7 @@
     /// Where the server listens.
     pub(crate) address: SocketAddr,
     /// The first line for the server.
-    pub(crate) line: Vec<u8>,
+    pub(crate) line: ForwardedLine,
     /// When to stop waiting.
     pub(crate) deadline: Instant,
     /// The connection stood before this process began: how the attempt ends is reported to the owner, not to placement.
@@ -61,6 +77,8 @@
     /// After how long a connect that this machine refuses is made again.
     connect_backoff: Duration,
     phase: Phase,
+    /// The first line as it is written; empty until then.
+    line: Vec<u8>,
     /// How many bytes of the first line are written.
     written: usize,
     /// What has come of the server and is not parsed yet.
@@ -78,6 +96,7 @@
             attempt,
             stream: None,
             phase: Phase::Connecting,
+            line: Vec::new(),
             written: 0,
             received: Vec::new(),
         };
@@ -132,7 +151,7 @@
     }
 
     fn is_line_written(&self) -> bool {
-        self.written == self.attempt.line.len()
+        !self.line.is_empty() && self.written == self.line.len()
     }
 
     /// Closes the connection, then reports how the attempt ended: the next one must not begin before.
@@ -141,7 +160,7 @@
             "address" => %self.attempt.address, "outcome" => ?outcome);
         self.close();
         if self.attempt.is_restored {
-            context.send(self.attempt.owner, ClientCommand::RestoreFailed);
+            context.send(self.attempt.owner, ClientCommand::RestoreFailed(outcome));
         } else {
             context
                 .placement
@@ -212,12 +231,19 @@
         let Some(stream) = &mut self.stream else {
             return Ok(());
         };
+        if self.line.is_empty() {
+            let time_left = self
+                .attempt
+                .deadline
+                .saturating_duration_since(Instant::now());
+            self.line = self.attempt.line.with_time_left(time_left);
+        }
         // Nothing of the line may arrive once a network that was cut heals, also where this process ends.
         if self.written == 0 {
             enable_reset_on_close(stream)?;
         }
-        while self.written < self.attempt.line.len() {
-            match stream.write(&self.attempt.line[self.written..]) {
+        while self.written < self.line.len() {
+            match stream.write(&self.line[self.written..]) {
                 Ok(length) => self.written += length,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     // The owner is asked again before the rest is written.
