Shutdown tests: clients hold their connections until the process has exited

Cause: a copy of the program that exits at the moment of the kill, or counts a deadline as 4 s, passed the tests: the clients had closed before, and the process had nothing left to wait for. Change: the connections are dropped after the exit.

--- a/crates/node/tests/shutdown.rs
+++ b/crates/node/tests/shutdown.rs
@@ -136,8 +136,9 @@
         .iter_mut()
         .map(|(client, was_sent)| fate(client, *was_sent))
         .collect();
-    drop(sent);
+    // The clients hold their connections to the end: the process must not wait for them.
     assert!(rig.wait_for_exit().success());
+    drop(sent);
     let took = exit.join().unwrap() - started_at;
     assert!(
         took < Duration::from_millis(kill_ms),
