First lines: placement is told the tenant that a request names

Cause: t of an OPEN line was not read, so that the quotas of tenants, which the settings give and placement keeps, never held on sockets. Change: the tenant's position in the settings goes along with the request; a tenant that they do not name is no error, as before.

--- a/crates/node/src/client/connection.rs
+++ b/crates/node/src/client/connection.rs
@@ -4,7 +4,7 @@
 mod transfer;
 
 use super::answer;
-use super::first_line::{FirstLine, FirstLineError};
+use super::first_line::{FirstLine, FirstLineError, SettingsNames};
 use super::unidentified::UnidentifiedEntry;
 use crate::command::{ClientCommand, Message};
 use crate::deadline::{ClientDeadline, DeadlineKind};
@@ -176,7 +176,11 @@
     }
 
     fn on_first_line(&mut self, context: &mut NodeContext, line: Vec<u8>) -> Lifecycle {
-        match FirstLine::parse(&line, &context.config.classes) {
+        let names = SettingsNames {
+            classes: &context.config.classes,
+            tenants: &context.config.tenants,
+        };
+        match FirstLine::parse(&line, names) {
             Ok(FirstLine::Ping) => self.answer_ping(context),
             Ok(FirstLine::Open(open)) => self.on_open(context, open, line),
             Err(error) => self.reject_line(context, error),
--- a/crates/node/src/client/first_line.rs
+++ b/crates/node/src/client/first_line.rs
@@ -9,6 +9,15 @@
 const REQUEST_ID_DIGITS: usize = 16;
 const LINE_TERMINATOR: &[u8] = b"\r\n";
 
+/// The names of the settings that first lines use.
+#[derive(Clone, Copy)]
+pub(super) struct SettingsNames<'a> {
+    /// The classes.
+    pub(super) classes: &'a [String],
+    /// The tenants.
+    pub(super) tenants: &'a [String],
+}
+
 /// What a first line asks for.
 #[derive(Debug, PartialEq)]
 pub(super) enum FirstLine {
@@ -55,6 +64,8 @@
     pub(super) class: usize,
     /// How long the client waits for its connection.
     pub(super) time_budget: TimeBudget,
+    /// The tenant, by its position in the settings; `None` for one that they do not name.
+    pub(super) tenant: Option<usize>,
     /// Group or key, as the settings say.
     pub(super) subject: Option<String>,
     /// The client connects again, after a break or a `MOVE`.
@@ -75,11 +86,11 @@
 }
 
 impl FirstLine {
-    /// Parses a complete first line, its terminator included. `classes` are the classes of the settings.
+    /// Parses a complete first line, its terminator included. `names` are those of the settings.
     ///
     /// # Errors
     /// Where the line has no proper end or is malformed.
-    pub(super) fn parse(line: &[u8], classes: &[String]) -> Result<FirstLine, FirstLineError> {
+    pub(super) fn parse(line: &[u8], names: SettingsNames) -> Result<FirstLine, FirstLineError> {
         let text = line
             .strip_suffix(LINE_TERMINATOR)
             .filter(|_| line.len() <= MAX_LINE_BYTES)
@@ -88,7 +99,7 @@
         if text == "PING" {
             return Ok(FirstLine::Ping);
         }
-        OpenRequest::parse(text, classes)
+        OpenRequest::parse(text, names)
             .map(FirstLine::Open)
             .ok_or(FirstLineError::InvalidFields)
     }
@@ -96,7 +107,7 @@
 
 impl OpenRequest {
     /// Parses `OPEN ID FLOW FIELD=VALUE,...`; `None` if it is malformed.
-    fn parse(text: &str, classes: &[String]) -> Option<OpenRequest> {
+    fn parse(text: &str, names: SettingsNames) -> Option<OpenRequest> {
         let mut parts = text.split(' ');
         let verb = parts.next()?;
         let request_id = parts.next()?;
@@ -107,11 +118,12 @@
         }
         let request = parse_request_id(request_id)?;
         let fields_start = text.len() - field_list.len();
-        let fields = OpenFields::parse(field_list, fields_start, classes)?;
+        let fields = OpenFields::parse(field_list, fields_start, names)?;
         Some(OpenRequest {
             request,
             flow: flow.to_string(),
             class: fields.class?,
+            tenant: fields.tenant,
             time_budget: fields.time_budget?,
             subject: fields.subject,
             is_reconnect: fields.is_reconnect,
@@ -132,7 +144,7 @@
         RequestInfo {
             request: self.request,
             class: self.class,
-            tenant: None,
+            tenant: self.tenant,
             group,
             key,
             load: self.load,
@@ -147,6 +159,7 @@
 #[derive(Default)]
 struct OpenFields {
     class: Option<usize>,
+    tenant: Option<usize>,
     time_budget: Option<TimeBudget>,
     subject: Option<String>,
     is_reconnect: bool,
@@ -156,7 +169,7 @@
 
 impl OpenFields {
     /// Parses `FIELD=VALUE,...`, which begins at byte `start` of the line.
-    fn parse(field_list: &str, start: usize, classes: &[String]) -> Option<OpenFields> {
+    fn parse(field_list: &str, start: usize, names: SettingsNames) -> Option<OpenFields> {
         let mut fields = OpenFields::default();
         let mut field_start = start;
         for field in field_list.split(',') {
@@ -165,7 +178,7 @@
                 return None;
             }
             let value_start = field_start + name.len() + 1;
-            fields.set(name, value, value_start, classes)?;
+            fields.set(name, value, value_start, names)?;
             field_start += field.len() + 1;
         }
         Some(fields)
@@ -177,10 +190,11 @@
         name: &str,
         value: &str,
         value_start: usize,
-        classes: &[String],
+        names: SettingsNames,
     ) -> Option<()> {
         match name {
-            "c" => self.class = Some(classes.iter().position(|class| class == value)?),
+            "c" => self.class = Some(names.classes.iter().position(|class| class == value)?),
+            "t" => self.tenant = names.tenants.iter().position(|tenant| tenant == value),
             "d" => self.time_budget = Some(TimeBudget::parse(value, value_start)?),
             "g" => self.subject = Some(value.to_string()),
             "again" => self.is_reconnect = value == "1",
@@ -219,3 +233,6 @@
 fn is_valid_value(text: &str) -> bool {
     !text.is_empty() && !text.chars().any(char::is_control)
 }
+
+#[cfg(test)]
+mod tests;
