Tests: a signal whose wake-up is interrupted; a line too long under an id of its own

Cause: breaking the code once showed two checks that did not notice: the flag of a signal (20 in 100 interrupted writes struck no signal's), and a line of 4,097 bytes that got its ERR for an id in use. Change: every write is interrupted in a test of its own; the longer line has another id.

--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -287,10 +287,9 @@
     assert_eq!(server.receive(), longest);
     server.send(&format!("{longest}\r\n"));
     assert_eq!(client.receive(), longest);
-    assert_eq!(
-        rig.query(&format!("{head}{}\r\n", fill(MAX_LINE_BYTES + 1))),
-        "ERR"
-    );
+    let other_head = head.replace("aa ", "ab ");
+    let too_long = fill(MAX_LINE_BYTES + 1);
+    assert_eq!(rig.query(&format!("{other_head}{too_long}\r\n")), "ERR");
     assert!(rig.has_no_attempt());
 }
 
--- a/crates/node/tests/system_calls.rs
+++ b/crates/node/tests/system_calls.rs
@@ -177,6 +177,22 @@
     }
 }
 
+/// A signal handler whose write to the event loop is interrupted each time is heard all the same.
+#[test]
+fn a_signal_whose_wake_up_is_interrupted_is_heard() {
+    let mut rig = Rig::start_with_faults(1, SyscallFaults::new("send=EINTR:100", 1));
+    rig.signal("-HUP");
+    rig.wait_for_log("configuration reloaded");
+    let terminated_at = Instant::now();
+    rig.signal("-TERM");
+    assert!(rig.wait_for_exit().success());
+    assert!(
+        terminated_at.elapsed() < KILL_DELAY,
+        "{:?}",
+        terminated_at.elapsed()
+    );
+}
+
 /// Connections go over to another process while its calls are interrupted.
 #[test]
 fn a_handover_loses_no_connection_while_calls_are_interrupted() {
