Reactor: one acceptor for the clients' and the admin listener; tests of discovery and health checks

Need: both listeners held the same steps of accepting, registering and keeping; connects of discovery that fail for a moment, and health checks, had no test. Change: Acceptor in the reactor, used by both.

--- a/crates/node/src/admin/listener.rs
+++ b/crates/node/src/admin/listener.rs
@@ -5,11 +5,13 @@
 use crate::component::{WellKnownComponent, FIRST_ADMIN_CONNECTION_ID};
 use crate::deadline::DeadlineKind;
 use crate::state::{NodeContext, NodeState};
-use lupincrank_reactor::poll::{self, Registered, RegistrationError};
-use lupincrank_reactor::{poller_key, ComponentId, Connection, Interest, Lifecycle, Readiness};
+use lupincrank_reactor::acceptor::Acceptor;
+use lupincrank_reactor::{
+    poll, poller_key, ComponentId, Connection, Interest, Lifecycle, Readiness,
+};
 use slog::{info, warn};
 use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -20,9 +22,7 @@
 
 /// Accepts connections at the admin address.
 pub(crate) struct AdminListener {
-    socket: Registered<TcpListener>,
-    /// An accepted stream that the poller did not take yet: its caller is owed an answer.
-    unregistered: Option<TcpStream>,
+    acceptor: Acceptor,
     open_connections: OpenConnections,
     last_id: ComponentId,
 }
@@ -36,11 +36,10 @@
         let socket = poll::listen(address)
             .map_err(|error| io::Error::other(format!("management at {address}: {error}")))?;
         let key = poller_key(WellKnownComponent::AdminListener.id(), 0);
-        let socket = Registered::new(&context.poller, socket, key, Interest::READ)?;
+        let acceptor = Acceptor::new(&context.poller, socket, key)?;
         info!(context.log, "listening for admin calls"; "address" => %address);
         Ok(AdminListener {
-            socket,
-            unregistered: None,
+            acceptor,
             open_connections: OpenConnections::default(),
             last_id: FIRST_ADMIN_CONNECTION_ID,
         })
@@ -50,48 +49,26 @@
     fn accept_or_pause(&mut self, context: &mut NodeContext) {
         if let Err(error) = self.accept_connections(context) {
             warn!(context.log, "accepting admin calls paused"; "error" => %error);
-            if self.socket.set_interest(Interest::NONE).is_ok() {
+            if self.acceptor.set_interest(Interest::NONE).is_ok() {
                 schedule_resume(context);
             }
         }
     }
 
     fn accept_connections(&mut self, context: &mut NodeContext) -> io::Result<()> {
-        if let Some(stream) = self.unregistered.take() {
-            self.open_connection(context, stream)?;
-        }
         for _ in 0..MAX_ACCEPTS_PER_TURN {
-            match self.socket.accept() {
-                Ok((stream, _)) => self.open_connection(context, stream)?,
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
-                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
-                Err(error) => return Err(error),
-            }
+            let id = self.last_id + 1;
+            let Some(stream) = self.acceptor.accept(poller_key(id, 0))? else {
+                return Ok(());
+            };
+            self.last_id = id;
+            let connection = AdminConnection::new(id, stream, Rc::clone(&self.open_connections));
+            self.close_oldest_over_limit(context);
+            connection.start(context);
         }
         Ok(())
     }
 
-    fn open_connection(&mut self, context: &mut NodeContext, stream: TcpStream) -> io::Result<()> {
-        if let Err(error) = stream.set_nonblocking(true) {
-            self.unregistered = Some(stream);
-            return Err(error);
-        }
-        self.last_id += 1;
-        let id = self.last_id;
-        let key = poller_key(id, 0);
-        let stream = match Registered::try_new(&context.poller, stream, key, Interest::READ) {
-            Ok(stream) => stream,
-            Err(RegistrationError { source, error }) => {
-                self.unregistered = Some(source);
-                return Err(error);
-            }
-        };
-        let connection = AdminConnection::new(id, stream, Rc::clone(&self.open_connections));
-        self.close_oldest_over_limit(context);
-        connection.start(context);
-        Ok(())
-    }
-
     /// Guards against connections by the hundred that carry no call and keep out one that does.
     fn close_oldest_over_limit(&self, context: &mut NodeContext) {
         let mut open_connections = self.open_connections.borrow_mut();
@@ -124,7 +101,7 @@
     }
 
     fn on_deadline(&mut self, context: &mut NodeContext, _kind: DeadlineKind) -> Lifecycle {
-        if self.socket.set_interest(Interest::READ).is_err() {
+        if self.acceptor.set_interest(Interest::READ).is_err() {
             schedule_resume(context);
         }
         self.accept_or_pause(context);
--- a/crates/node/src/client/listener.rs
+++ b/crates/node/src/client/listener.rs
@@ -5,11 +5,11 @@
 use crate::component::WellKnownComponent;
 use crate::deadline::DeadlineKind;
 use crate::state::{NodeContext, NodeState};
-use lupincrank_reactor::poll::{self, Registered, RegistrationError};
-use lupincrank_reactor::{poller_key, Connection, Interest, Lifecycle, Readiness};
+use lupincrank_reactor::acceptor::Acceptor;
+use lupincrank_reactor::{poll, poller_key, Connection, Interest, Lifecycle, Readiness};
 use slog::warn;
 use std::io;
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
 /// How long accepting pauses when the process has no descriptor left.
@@ -17,9 +17,7 @@
 
 /// Accepts clients.
 pub(crate) struct Listener {
-    socket: Registered<TcpListener>,
-    /// An accepted stream that the poller did not take yet: closing it would drop what its client has sent.
-    unregistered: Option<TcpStream>,
+    acceptor: Acceptor,
     /// Another process accepts clients from the same socket; what waits there is left to it.
     is_paused: bool,
 }
@@ -37,15 +35,9 @@
             Some(socket) => socket,
             None => poll::listen(context.config.listen_address)?,
         };
-        let socket = Registered::new(
-            &context.poller,
-            socket,
-            poller_key(WellKnownComponent::ClientListener.id(), 0),
-            Interest::READ,
-        )?;
+        let key = poller_key(WellKnownComponent::ClientListener.id(), 0);
         Ok(Listener {
-            socket,
-            unregistered: None,
+            acceptor: Acceptor::new(&context.poller, socket, key)?,
             is_paused: false,
         })
     }
@@ -56,7 +48,7 @@
         if let Err(error) = self.accept_clients(context, max_accepts) {
             // No descriptor is left: guards against a loop that spins on a listener that stays ready.
             warn!(context.log, "accept failed"; "error" => %error);
-            if self.socket.set_interest(Interest::NONE).is_ok() {
+            if self.acceptor.set_interest(Interest::NONE).is_ok() {
                 retry_later(context);
             }
         }
@@ -64,53 +56,27 @@
 
     /// Accepts what waits, up to `max_accepts`.
     fn accept_clients(&mut self, context: &mut NodeContext, max_accepts: usize) -> io::Result<()> {
-        if let Some(stream) = self.unregistered.take() {
-            self.add_client(context, stream)?;
-        }
         for _ in 0..max_accepts {
-            if self.is_paused {
+            if self.is_paused && !self.acceptor.has_kept() {
                 return Ok(());
             }
-            match self.socket.accept() {
-                Ok((stream, _)) => self.add_client(context, stream)?,
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
-                // The client gave up while it waited to be accepted.
-                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
-                Err(error) => return Err(error),
-            }
+            let id = context.allocate_id();
+            let Some(stream) = self.acceptor.accept(poller_key(id, 0))? else {
+                return Ok(());
+            };
+            ClientConnection::accept(context, id, stream);
+            close_excess_unidentified(context);
         }
         Ok(())
     }
 
-    /// Makes a client of an accepted stream. A stream that the poller refuses is kept until it takes it.
-    fn add_client(&mut self, context: &mut NodeContext, stream: TcpStream) -> io::Result<()> {
-        let _ = stream.set_nodelay(true);
-        if let Err(error) = stream.set_nonblocking(true) {
-            self.unregistered = Some(stream);
-            return Err(error);
-        }
-        let id = context.allocate_id();
-        let key = poller_key(id, 0);
-        match Registered::try_new(&context.poller, stream, key, Interest::READ) {
-            Ok(stream) => {
-                ClientConnection::accept(context, id, stream);
-                close_excess_unidentified(context);
-                Ok(())
-            }
-            Err(RegistrationError { source, error }) => {
-                self.unregistered = Some(source);
-                Err(error)
-            }
-        }
-    }
-
     /// Listens again, or pauses, as `is_paused` says.
     fn apply_pause(&mut self, context: &mut NodeContext) {
         let interest = Interest {
             readable: !self.is_paused,
             writable: false,
         };
-        if let Err(error) = self.socket.set_interest(interest) {
+        if let Err(error) = self.acceptor.set_interest(interest) {
             warn!(context.log, "listener not restored"; "error" => %error);
             retry_later(context);
         }
--- a/crates/node/tests/common/echo_servers.rs
+++ b/crates/node/tests/common/echo_servers.rs
@@ -97,6 +97,10 @@
     let Some(text) = connection.try_receive() else {
         return;
     };
+    // A health check, and further ones on the same connection.
+    if text == "STATS" {
+        return answer_health_checks(connection);
+    }
     first_lines.lock().unwrap().push(FirstLine { server, text });
     let mut reply = Some("UP r1".to_string());
     while let Some(line) = reply {
@@ -106,3 +110,12 @@
         reply = connection.try_receive();
     }
 }
+
+/// Answers a health check and those that follow on the same connection.
+fn answer_health_checks(mut connection: LineStream) {
+    while connection.try_send("PONG x0=0.1\r\n").is_ok() {
+        if connection.try_receive().is_none() {
+            return;
+        }
+    }
+}
--- a/crates/node/tests/system_calls.rs
+++ b/crates/node/tests/system_calls.rs
@@ -177,6 +177,65 @@
     }
 }
 
+/// Health checks go on while their calls are interrupted or cut short, and no server is held for bad.
+#[rstest]
+fn health_checks_go_on_while_calls_fail(
+    #[values(
+        "recv=EINTR:30,send=EINTR:30",
+        "recv=SHORT:60,send=SHORT:60",
+        "connect=ENETUNREACH:20"
+    )]
+    plan: &str,
+) {
+    let faults = SyscallFaults::new(plan, 7);
+    let mut rig = Rig::start_changed(3, DESCRIPTORS, Some(faults), |config| {
+        allow_long_delays(&mut config["settings"]);
+        config["settings"]["Limits"]["MayProbe"] = true.into();
+        config["settings"]["Report"] = serde_json::json!({"How": "on_probe", "Fields": ["x0"]});
+    });
+    let _servers = EchoServers::start(&rig);
+    let (outcomes, served) = send_requests(&mut rig);
+    assert_all_served(&outcomes);
+    let log = rig.log();
+    assert!(
+        log.contains("health check completed"),
+        "no health check was made"
+    );
+    assert!(!log.contains("health check failed"), "{log}");
+    drop(served);
+}
+
+/// Discovery's connects fail each other time: the watch is opened again all the same, and a drain holds in time.
+#[test]
+fn a_watch_is_opened_again_though_connects_fail_for_a_moment() {
+    let mut rig = start(2, "connect=ENETUNREACH:60,recv=SHORT:50");
+    let servers = EchoServers::start(&rig);
+    for seq in 2..6 {
+        let ended_at = Instant::now();
+        rig.watch = None;
+        rig.accept_watch();
+        assert!(
+            ended_at.elapsed() < Duration::from_secs(6),
+            "{:?}",
+            ended_at.elapsed()
+        );
+        let health = if seq % 2 == 0 { "DRAINING" } else { "SERVING" };
+        rig.announce_health(0, health, seq);
+        rig.wait_for_log(&format!("seq: {seq}"));
+    }
+    rig.announce_health(0, "DRAINING", 6);
+    rig.wait_for_log("seq: 6");
+    rig.switch_faults_off();
+    let before = servers.count_at(0);
+    let (outcomes, _served) = send_requests(&mut rig);
+    assert_all_served(&outcomes);
+    assert_eq!(
+        servers.count_at(0),
+        before,
+        "nothing new to the one that drains"
+    );
+}
+
 /// A signal handler whose write to the event loop is interrupted each time is heard all the same.
 #[test]
 fn a_signal_whose_wake_up_is_interrupted_is_heard() {
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -3,6 +3,7 @@
 //! A program implements [`Application`] for the state that all of its components share, and [`Connection`] for each kind
 //! of component. The loop ([`Reactor`]) owns the components and passes [`Context`] to every callback.
 
+pub mod acceptor;
 pub mod deadlines;
 mod event_loop;
 mod interrupted;
--- a/crates/reactor/src/poll.rs
+++ b/crates/reactor/src/poll.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// The poller that the source is registered with.
+    pub fn poller(&self) -> &Rc<Poller> {
+        &self.poller
+    }
+
     /// Changes which events are reported; a system call is made only if that differs from before.
     ///
     /// # Errors
