Discovery: a call that this machine refuses to make is made again after 20 ms

Cause: a connect that failed at once counted as a failure of the service, so that the next call waited for the growing pause between calls to a service that is down. Attempts doubled their pause and made five connects in 150 ms. Change: what this machine refuses is made again after 20 ms, fifty times in a row at the most; the pause between connects of an attempt grows to 20 ms.

--- a/crates/node/src/deadline.rs
+++ b/crates/node/src/deadline.rs
@@ -51,6 +51,8 @@
     Call(usize),
     /// A second call is made beside one that is not answered.
     SecondCall,
+    /// A call that this machine refused to make is to be made again.
+    RetryCall,
 }
 
 /// Deadlines of the handoff between two processes of a node.
--- a/crates/node/src/discovery/client.rs
+++ b/crates/node/src/discovery/client.rs
@@ -12,6 +12,7 @@
 };
 use crate::state::{NodeContext, NodeState};
 use lupincrank_placement::{poll_schedule, Endpoint, ServerId};
+use lupincrank_reactor::poll::is_local_failure;
 use lupincrank_reactor::{poller_key, Connection, Lifecycle, Readiness};
 use slog::{debug, info, warn};
 use std::io;
@@ -22,6 +23,10 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(4500);
 /// A connection that is not established in this time will not be: the kernel retries after 1 s.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1250);
+/// A call that this machine refuses to make is made again after this time, at the most so often in a row. That says nothing
+/// of the service, and must not cost the time that the calls to it have.
+const REFUSED_CALL_BACKOFF: Duration = Duration::from_millis(20);
+const MAX_REFUSED_CALLS: u32 = 50;
 /// The service sends an empty line every 2 s; a watch that brings nothing complete for half as long again is dead. Changes
 /// that it misses count as announced 6 s after it fell silent: that leaves time for a call, spread over the nodes, and for
 /// a second one if that call hangs.
@@ -48,6 +53,8 @@
     calls: [Option<Call>; CALL_SLOTS],
     /// When the service last sent something, or showed by refusing or ending a call that nothing can be missed.
     last_contact: Instant,
+    /// Calls in a row that this machine refused to make.
+    refused_calls: u32,
     /// A watch has brought something complete, if only that nothing has changed: what the next list shows first has started
     /// since the last contact.
     has_watched: bool,
@@ -64,6 +71,7 @@
             known_list: config.known_endpoints.clone(),
             calls: [None, None],
             last_contact: Instant::now(),
+            refused_calls: 0,
             has_watched: false,
         }
     }
@@ -133,10 +141,23 @@
         })
     }
 
-    /// Makes a call; one that can't even begin has failed.
+    /// Makes a call. One that can't even begin has failed, unless it is this machine that refuses it for a moment.
     fn call(&mut self, context: &mut NodeContext) {
-        if let Err(error) = self.start_call(context) {
-            self.on_failure(context, &error.into());
+        match self.start_call(context) {
+            Ok(()) => {
+                self.refused_calls = 0;
+                clear_deadline(context, DiscoveryDeadline::RetryCall);
+            }
+            Err(error) if is_local_failure(&error) && self.refused_calls < MAX_REFUSED_CALLS => {
+                self.refused_calls += 1;
+                self.log_failure(context, &error.into());
+                let retry_at = Instant::now() + REFUSED_CALL_BACKOFF;
+                set_deadline(context, DiscoveryDeadline::RetryCall, retry_at);
+            }
+            Err(error) => {
+                self.refused_calls = 0;
+                self.on_failure(context, &error.into());
+            }
         }
     }
 
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -19,8 +19,9 @@
 const MAX_BYTES_PER_TURN: usize = 16 << 10;
 const READ_CHUNK_BYTES: usize = 4 << 10;
 
-/// A connect that this machine refuses is made again after this time, then after twice as long each time.
+/// A connect that this machine refuses is made again after this time, then after twice as long each time, up to the longest.
 const MIN_CONNECT_BACKOFF: Duration = Duration::from_millis(5);
+const MAX_CONNECT_BACKOFF: Duration = Duration::from_millis(20);
 
 /// The first line as the client sent it, but for the time that is left: that is known when the line is sent.
 pub(crate) struct ForwardedLine {
@@ -143,7 +144,7 @@
         if retry_at >= self.connect_by {
             return self.end(context, Outcome::NotSent);
         }
-        self.connect_backoff *= 2;
+        self.connect_backoff = (self.connect_backoff * 2).min(MAX_CONNECT_BACKOFF);
         context
             .deadlines
             .set(self.id, AttemptDeadline::RetryConnect.into(), retry_at);
