--- a/crates/node/tests/shutdown.rs
+++ b/crates/node/tests/shutdown.rs
@@ -190,6 +190,30 @@
     assert_eq!(lost, 0, "{fates:?}");
 }
 
+/// A configuration with another longest deadline came before SIGTERM: the shorter one counts for the kill.
+#[rstest]
+#[case::shorter(3000, 500)]
+#[case::longer(500, 3000)]
+fn of_two_longest_deadlines_the_shorter_one_counts_for_the_kill(
+    #[case] before_ms: u64,
+    #[case] after_ms: u64,
+) {
+    let mut rig = Rig::start_with_config(1, |config| set_deadline(config, before_ms));
+    let _resting: Vec<_> = (0..5).map(|_| rig.connect_client()).collect();
+    set_deadline(&mut rig.config, after_ms);
+    rig.reload_config(&rig.config.to_string());
+    rig.wait_for_log("configuration reloaded");
+    let started_at = Instant::now();
+    rig.signal("-TERM");
+    assert!(rig.wait_for_exit().success());
+    let kill_after = Duration::from_millis(before_ms.min(after_ms) + KILL_DELAY_MS);
+    assert!(
+        started_at.elapsed() < kill_after,
+        "{:?}",
+        started_at.elapsed()
+    );
+}
+
 /// Seeded shutdowns in a row, each other one with a crowd that says nothing.
 #[test]
 fn soak_of_shutdowns_loses_no_request() {
