Tests: set-ups and reports of the rig that a busy machine upset

Cause, traced in the logs of runs with all cores busy: a relay of the shutdown test had 0.3 s for its set-up before SIGTERM and was rejected; a fake report of 0.1 let placement reject four of 20 requests that came at once; a connect of 150 ms was told after 328 ms. Change: 15 s for set-ups that are not what is tested, health checks without a report, and a connect timeout of 1 s with a bound of 1.7 s. What the tests hold is unchanged, and twice the timeout still fails.

--- a/crates/node/tests/common/echo_servers.rs
+++ b/crates/node/tests/common/echo_servers.rs
@@ -113,7 +113,7 @@
 
 /// Answers a health check and those that follow on the same connection.
 fn answer_health_checks(mut connection: LineStream) {
-    while connection.try_send("PONG x0=0.1\r\n").is_ok() {
+    while connection.try_send("PONG\r\n").is_ok() {
         if connection.try_receive().is_none() {
             return;
         }
--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -206,16 +206,18 @@
 /// A connect that does not come up ends within the connect timeout of the settings.
 #[test]
 fn a_connect_ends_with_the_connect_timeout_of_the_settings() {
-    let mut rig = start(1, "once", "all", 1);
+    let mut rig = Rig::start(1);
+    rig.change_settings(|settings| {
+        settings["Limits"]["ConnectTimeoutNs"] = (1000 * NS_PER_MS).into();
+        settings["Limits"]["SendCap"] = 1.into();
+    });
     let _full_backlog = rig.fill_backlog(0);
     let (mut client, _) = rig.send_request("d=5000,g=a");
     let sent_at = Instant::now();
     assert!(client.receive().starts_with("BUSY"), "it was never sent");
     let waited = sent_at.elapsed();
-    assert!(
-        waited > Duration::from_millis(100) && waited < Duration::from_millis(250),
-        "{waited:?}"
-    );
+    assert!(waited > Duration::from_millis(900), "{waited:?}");
+    assert!(waited < Duration::from_millis(1700), "{waited:?}");
 }
 
 fn wait_field(line: &str) -> u64 {
--- a/crates/node/tests/shutdown.rs
+++ b/crates/node/tests/shutdown.rs
@@ -14,6 +14,8 @@
 /// New connections keep coming for so long after SIGTERM.
 const NEW_CONNECTIONS_MS: u64 = 400;
 const NEW_CLIENTS: usize = 10;
+/// How long the connections that are relayed may take to be set up before SIGTERM, on a machine that has much to do.
+const RELAY_SETUP_MS: u64 = 15_000;
 /// Ids that the rig does not give.
 const FIRST_REQUEST_ID: u64 = 1 << 32;
 /// The standard number of seeds; the variable names another one for a long run by hand.
@@ -99,7 +101,7 @@
     let servers = EchoServers::start(&rig);
     let relays: Vec<_> = (0..plan.relays)
         .map(|n| {
-            let (mut client, _) = rig.send_request(&format!("d={deadline_ms},g={n}"));
+            let (mut client, _) = rig.send_request(&format!("d={RELAY_SETUP_MS},g={n}"));
             assert_eq!(client.receive(), "UP r1");
             exchange_until_moved(client)
         })
