Tests: no delay of a busy machine counts as a server's overload where that is not tested

Cause, traced in the log of a run with all cores busy: after 75 requests of one handover a set-up that took three times the usual was reported as overload, and 178 were rejected.

--- a/crates/node/tests/common/rig.rs
+++ b/crates/node/tests/common/rig.rs
@@ -320,6 +320,15 @@
         self.signal("-HUP");
     }
 
+    /// Changes the settings so that no delay of this machine counts as a server's overload, for which requests are rejected.
+    pub fn allow_long_delays(&mut self) {
+        const LONG_NS: u64 = 20_000_000_000;
+        self.change_settings(|settings| {
+            settings["FamilyInfo"]["MessageAimNs"] = vec![LONG_NS].into();
+            settings["Categories"][0]["PromiseNs"] = LONG_NS.into();
+        });
+    }
+
     /// Changes the settings while it serves.
     pub fn change_settings(&mut self, change: impl FnOnce(&mut Value)) {
         change(&mut self.config["settings"]);
--- a/crates/node/tests/operation_limits.rs
+++ b/crates/node/tests/operation_limits.rs
@@ -40,6 +40,7 @@
 #[case::gone("DELETED")]
 fn a_server_that_leaves_the_list_gets_nothing_new(#[case] health: &str) {
     let mut rig = Rig::start(3);
+    rig.allow_long_delays();
     let servers = EchoServers::start(&rig);
     if health.is_empty() {
         let list = rig.endpoint_list(&["SERVING", "SERVING"], 2, true);
@@ -58,6 +59,7 @@
 #[test]
 fn a_list_that_is_cut_by_the_end_of_the_watch_is_asked_for_again() {
     let mut rig = Rig::start(2);
+    rig.allow_long_delays();
     let servers = EchoServers::start(&rig);
     let list = rig.endpoint_list(&["SERVING"], 7, true).to_string();
     let half = &list.as_bytes()[..list.len() - 1];
@@ -143,6 +145,7 @@
 #[test]
 fn a_server_that_is_out_by_hand_stays_out_whatever_the_list_says() {
     let mut rig = Rig::start(2);
+    rig.allow_long_delays();
     let servers = EchoServers::start(&rig);
     for _ in 0..2 {
         assert_eq!(rig.admin_call("set-down s-0\r\n"), "done");
@@ -195,6 +198,7 @@
 #[case::hangs(false)]
 fn a_successor_is_ready_in_time_without_discovery(#[case] is_down: bool) {
     let mut rig = Rig::start_with_inherited_listener(2);
+    rig.allow_long_delays();
     let _servers = EchoServers::start(&rig);
     let _reserved = is_down.then(|| rig.stop_discovery());
     rig.start_successor();
@@ -223,6 +227,7 @@
 #[test]
 fn nobody_is_turned_away_at_the_door_in_a_handover() {
     let mut rig = Rig::start_with_inherited_listener(2);
+    rig.allow_long_delays();
     let _servers = EchoServers::start(&rig);
     let address = rig.client_address();
     let clients = std::thread::spawn(move || {
--- a/crates/node/tests/process_limits.rs
+++ b/crates/node/tests/process_limits.rs
@@ -62,6 +62,7 @@
 #[rstest]
 fn a_crowd_never_takes_more_descriptors_than_allowed(#[values(64, 128, 256)] descriptors: usize) {
     let mut rig = Rig::start_changed(3, descriptors, None, |_| {});
+    rig.allow_long_delays();
     let _servers = EchoServers::start(&rig);
     let watch = DescriptorWatch::start(rig.process_id());
     let mut silent = Vec::new();
