--- a/crates/node/tests/shutdown.rs
+++ b/crates/node/tests/shutdown.rs
@@ -192,6 +192,31 @@
     assert_eq!(lost, 0, "{fates:?}");
 }
 
+/// A node that holds nothing listens on for as long as new connections may come after SIGTERM.
+#[rstest]
+fn a_node_without_clients_answers_those_that_come_after_sigterm(
+    #[values(300, 3000)] deadline_ms: u64,
+) {
+    let mut rig = Rig::start_with_config(1, |config| set_deadline(config, deadline_ms));
+    let started_at = Instant::now();
+    rig.signal("-TERM");
+    for at_ms in [100, 200, 300, NEW_CONNECTIONS_MS] {
+        std::thread::sleep(Duration::from_millis(at_ms).saturating_sub(started_at.elapsed()));
+        let (mut client, _) = rig.send_request(&format!("d={deadline_ms},g={at_ms}"));
+        let is_forwarded = || {
+            let attempted = rig.servers[0].as_ref().unwrap().accept().is_ok();
+            (attempted || !client.is_quiet()).then_some(attempted)
+        };
+        if !wait_until("an attempt or an answer", is_forwarded) {
+            assert!(
+                client.receive().starts_with("BUSY"),
+                "{at_ms} ms after SIGTERM"
+            );
+        }
+    }
+    assert!(rig.wait_for_exit().success());
+}
+
 /// A configuration with another longest deadline came before SIGTERM: the shorter one counts for the kill.
 #[rstest]
 #[case::shorter(3000, 500)]
