Node: refused connects are made again for half a second; two tests that all cores busy upset

A start further back than the decisions' clock counted as a start now. Change: what this machine refuses is made again for the connect timeout or 0.5 s, whichever is longer, within the attempt's time; the connect timeout counts from the connect. The test waits until the node holds nothing. Such a start is long ago in the first list.

--- a/crates/node/src/placement_driver/start_times.rs
+++ b/crates/node/src/placement_driver/start_times.rs
@@ -42,15 +42,20 @@
         if let Some(known) = known.filter(|known| known.unix_ms == unix_ms) {
             return Some(known.started_at);
         }
-        let now = clock.now();
-        let mut started_at = by_wall_clock.map_or(now, |moment| moment.min(now));
-        if let Some(not_listed_at) = not_listed_at {
-            let not_listed_at = clock.timestamp(not_listed_at);
-            let earliest = not_listed_at.saturating_sub(MAX_LISTING_DELAY);
-            if started_at < earliest {
-                started_at = not_listed_at;
+        let started_at = match (by_wall_clock, not_listed_at) {
+            (Some(moment), None) => moment.min(clock.now()),
+            (Some(moment), Some(not_listed_at)) => {
+                let not_listed_at = clock.timestamp(not_listed_at);
+                if moment < not_listed_at.saturating_sub(MAX_LISTING_DELAY) {
+                    not_listed_at
+                } else {
+                    moment.min(clock.now())
+                }
             }
-        }
+            (None, Some(not_listed_at)) => clock.timestamp(not_listed_at),
+            // Longer ago than this clock can tell.
+            (None, None) => return None,
+        };
         let start = KnownStart {
             unix_ms,
             started_at,
--- a/crates/node/src/placement_driver/start_times/tests.rs
+++ b/crates/node/src/placement_driver/start_times/tests.rs
@@ -59,3 +59,14 @@
         "long ago"
     );
 }
+
+#[test]
+fn a_start_before_the_clock_began_is_long_ago_in_the_first_list() {
+    let clock = PlacementClock::start();
+    let server = ServerId::from("s-0");
+    let mut start_times = StartTimes::default();
+    assert_eq!(start_times.resolve(&clock, &server, 1, None), None);
+    assert!(start_times
+        .resolve(&clock, &server, 1, Some(Instant::now()))
+        .is_some());
+}
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -22,6 +22,8 @@
 /// A connect that this machine refuses is made again after this time, then after twice as long each time, up to the longest.
 const MIN_CONNECT_BACKOFF: Duration = Duration::from_millis(5);
 const MAX_CONNECT_BACKOFF: Duration = Duration::from_millis(20);
+/// For so long, or for the connect timeout of the settings if that is longer.
+const MIN_CONNECT_RETRY_TIME: Duration = Duration::from_millis(500);
 
 /// The first line as the client sent it, but for the time that is left: that is known when the line is sent.
 pub(crate) struct ForwardedLine {
@@ -73,8 +75,8 @@
     attempt: Attempt,
     /// `None` while this machine refuses to connect.
     stream: Option<Registered<TcpStream>>,
-    /// When the connection has to be established.
-    connect_by: Instant,
+    /// A connect that this machine refuses is made again until then.
+    retry_connect_until: Instant,
     /// After how long a connect that this machine refuses is made again.
     connect_backoff: Duration,
     phase: Phase,
@@ -89,10 +91,10 @@
 impl UpstreamAttempt {
     /// Begins an attempt. How it ends is reported, also where it cannot even begin.
     pub(crate) fn begin(context: &mut NodeContext, id: ComponentId, attempt: Attempt) {
-        let connect_timeout = context.config.connect_timeout;
+        let retry_time = context.config.connect_timeout.max(MIN_CONNECT_RETRY_TIME);
         let mut connection = UpstreamAttempt {
             id,
-            connect_by: attempt.deadline.min(Instant::now() + connect_timeout),
+            retry_connect_until: attempt.deadline.min(Instant::now() + retry_time),
             connect_backoff: MIN_CONNECT_BACKOFF,
             attempt,
             stream: None,
@@ -101,7 +103,11 @@
             written: 0,
             received: Vec::new(),
         };
-        connection.set_deadlines(context);
+        context.deadlines.set(
+            id,
+            AttemptDeadline::Answer.into(),
+            connection.attempt.deadline,
+        );
         if connection.connect(context) == Lifecycle::Continue {
             context.register(id, Box::new(connection));
         } else {
@@ -109,24 +115,23 @@
         }
     }
 
-    fn set_deadlines(&self, context: &mut NodeContext) {
-        context
-            .deadlines
-            .set(self.id, AttemptDeadline::Connect.into(), self.connect_by);
+    fn set_connect_deadline(&self, context: &mut NodeContext) {
+        let connect_by = Instant::now() + context.config.connect_timeout;
         context.deadlines.set(
             self.id,
-            AttemptDeadline::Answer.into(),
-            self.attempt.deadline,
+            AttemptDeadline::Connect.into(),
+            connect_by.min(self.attempt.deadline),
         );
     }
 
-    /// Begins to connect. What this machine refuses for a moment says nothing of the server: it is made again for as long
-    /// as a connect may take.
+    /// Begins to connect. What this machine refuses for a moment says nothing of the server: it is made again for a
+    /// while.
     fn connect(&mut self, context: &mut NodeContext) -> Lifecycle {
         let address = self.attempt.address;
         let error = match poll::connect(&context.poller, address, poller_key(self.id, 0)) {
             Ok(stream) => {
                 self.stream = Some(stream);
+                self.set_connect_deadline(context);
                 return Lifecycle::Continue;
             }
             Err(error) => error,
@@ -141,7 +146,7 @@
 
     fn retry_connect(&mut self, context: &mut NodeContext) -> Lifecycle {
         let retry_at = Instant::now() + self.connect_backoff;
-        if retry_at >= self.connect_by {
+        if retry_at >= self.retry_connect_until {
             return self.end(context, Outcome::NotSent);
         }
         self.connect_backoff = (self.connect_backoff * 2).min(MAX_CONNECT_BACKOFF);
--- a/crates/node/tests/operation_limits.rs
+++ b/crates/node/tests/operation_limits.rs
@@ -75,16 +75,24 @@
 #[test]
 fn nodes_place_keys_alike_wherever_they_reach_the_servers() {
     let mut nodes = [Rig::start(5), Rig::start(5)];
-    nodes.each_mut().map(Rig::allow_long_delays);
+    nodes.iter_mut().for_each(Rig::allow_long_delays);
     for number in 0..20 {
-        // Each connection ends before the next one, so that all servers are alike.
-        let chosen = nodes
-            .each_mut()
-            .map(|rig| rig.establish_in_group(&format!("key-{number}")).1);
+        let chosen = nodes.each_mut().map(|rig| chosen_server(rig, number));
         assert_eq!(chosen[0], chosen[1], "key {number}");
     }
 }
 
+/// The server that a node chooses for a key while it holds nothing.
+fn chosen_server(rig: &mut Rig, number: usize) -> usize {
+    let (client, line) = rig.send_request(&format!("d=30000,g=key-{number}"));
+    let id = line.split(' ').nth(1).unwrap();
+    let (server_index, mut server) = rig.accept_attempt();
+    assert!(server.receive().contains(id), "an attempt of another key");
+    drop(client);
+    rig.wait_for_log_count("client left", number + 1);
+    server_index
+}
+
 /// All clients of a server that drains by the list are told to move before its drain may be over.
 #[test]
 fn the_clients_of_a_draining_server_are_moved_before_it_may_stop() {
