Discovery and upstream: the resolver of list entries and the forwarded line in files of their own

Change: endpoint_resolver and forwarded_line; is_pending, unregistered, local_failures; the rig sends signals itself.

--- a/crates/node/src/client/listener.rs
+++ b/crates/node/src/client/listener.rs
@@ -57,7 +57,7 @@
     /// Accepts what waits, up to `max_accepts`.
     fn accept_clients(&mut self, context: &mut NodeContext, max_accepts: usize) -> io::Result<()> {
         for _ in 0..max_accepts {
-            if self.is_paused && !self.acceptor.has_kept() {
+            if self.is_paused && !self.acceptor.has_unregistered() {
                 return Ok(());
             }
             let id = context.allocate_id();
--- a/crates/node/src/discovery/client.rs
+++ b/crates/node/src/discovery/client.rs
@@ -2,16 +2,15 @@
 
 use super::call::{Call, DiscoveryError, WriteState};
 use super::chunked::BodyState;
-use super::endpoint_list::{name_index, EndpointListError, EndpointListUpdate, ListedEndpoint};
+use super::endpoint_list::{EndpointListError, EndpointListUpdate};
+use super::endpoint_resolver::EndpointResolver;
 use crate::command::{DiscoveryCommand, HandoffCommand, Message};
 use crate::component::WellKnownComponent;
 use crate::config::Config;
 use crate::deadline::{DeadlineKind, DiscoveryDeadline};
-use crate::placement_driver::{
-    EndpointListScope, EndpointListSource, PlacementDriver, ResolvedEndpoint,
-};
+use crate::placement_driver::{EndpointListScope, EndpointListSource, PlacementDriver};
 use crate::state::{NodeContext, NodeState};
-use lupincrank_placement::{poll_schedule, Endpoint, ServerId};
+use lupincrank_placement::poll_schedule;
 use lupincrank_reactor::poll::is_local_failure;
 use lupincrank_reactor::{poller_key, Connection, Lifecycle, Readiness};
 use slog::{debug, info, warn};
@@ -25,8 +24,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1250);
 /// A call that this machine refuses to make is made again after this time, at the most so often in a row. That says nothing
 /// of the service, and must not cost the time that the calls to it have.
-const REFUSED_CALL_BACKOFF: Duration = Duration::from_millis(20);
-const MAX_REFUSED_CALLS: u32 = 50;
+const LOCAL_FAILURE_BACKOFF: Duration = Duration::from_millis(20);
+const MAX_LOCAL_FAILURES: u32 = 50;
 /// The service sends an empty line every 2 s; a watch that brings nothing complete for half as long again is dead. Changes
 /// that it misses count as announced 6 s after it fell silent: that leaves time for a call, spread over the nodes, and for
 /// a second one if that call hangs.
@@ -43,9 +42,7 @@
     address: SocketAddr,
     /// The version of the endpoint list that was applied last.
     version: u64,
-    /// The names of zones and machine kinds; their positions are the numbers that the placement is given.
-    zones: Vec<String>,
-    machine_kinds: Vec<String>,
+    endpoint_resolver: EndpointResolver,
     /// The list that the configuration holds, until it is applied.
     known_list: Option<EndpointListUpdate>,
     /// The second call is made when the first is not answered. The first of them that brings something complete is the
@@ -54,7 +51,7 @@
     /// When the service last sent something, or showed by refusing or ending a call that nothing can be missed.
     last_contact: Instant,
     /// Calls in a row that this machine refused to make.
-    refused_calls: u32,
+    local_failures: u32,
     /// A watch has brought something complete, if only that nothing has changed: what the next list shows first has started
     /// since the last contact.
     has_watched: bool,
@@ -66,12 +63,11 @@
         DiscoveryClient {
             address: config.discovery_address,
             version: 0,
-            zones: config.zones.clone(),
-            machine_kinds: config.machine_kinds.clone(),
+            endpoint_resolver: EndpointResolver::new(config),
             known_list: config.known_endpoints.clone(),
             calls: [None, None],
             last_contact: Instant::now(),
-            refused_calls: 0,
+            local_failures: 0,
             has_watched: false,
         }
     }
@@ -105,7 +101,8 @@
         let not_listed_at = self.has_watched.then_some(self.last_contact);
         let mut endpoints = Vec::with_capacity(update.endpoints.len());
         for endpoint in &update.endpoints {
-            endpoints.push(self.resolve(placement, endpoint, not_listed_at)?);
+            let resolver = &mut self.endpoint_resolver;
+            endpoints.push(resolver.resolve(placement, endpoint, not_listed_at)?);
         }
         self.version = update.version;
         let scope = if update.is_complete {
@@ -117,45 +114,21 @@
         Ok(())
     }
 
-    fn resolve(
-        &mut self,
-        placement: &mut PlacementDriver,
-        endpoint: &ListedEndpoint,
-        not_listed_at: Option<Instant>,
-    ) -> Result<ResolvedEndpoint, EndpointListError> {
-        let address = endpoint.dial_address()?;
-        let health = endpoint.parsed_health()?;
-        let server = ServerId::from(endpoint.server.as_str());
-        let started_at_ms = endpoint.started_at_ms.unwrap_or(0);
-        Ok(ResolvedEndpoint {
-            address,
-            endpoint: Endpoint {
-                started_at: placement.start_time(&server, started_at_ms, not_listed_at),
-                server,
-                health,
-                weight: endpoint.weight.unwrap_or(1.0),
-                zone: name_index(&mut self.zones, endpoint.zone.as_deref()),
-                cell: endpoint.cell.unwrap_or(0),
-                machine_kind: name_index(&mut self.machine_kinds, endpoint.machine_kind.as_deref()),
-            },
-        })
-    }
-
     /// Makes a call. One that can't even begin has failed, unless it is this machine that refuses it for a moment.
     fn call(&mut self, context: &mut NodeContext) {
         match self.start_call(context) {
             Ok(()) => {
-                self.refused_calls = 0;
+                self.local_failures = 0;
                 clear_deadline(context, DiscoveryDeadline::RetryCall);
             }
-            Err(error) if is_local_failure(&error) && self.refused_calls < MAX_REFUSED_CALLS => {
-                self.refused_calls += 1;
+            Err(error) if is_local_failure(&error) && self.local_failures < MAX_LOCAL_FAILURES => {
+                self.local_failures += 1;
                 self.log_failure(context, &error.into());
-                let retry_at = Instant::now() + REFUSED_CALL_BACKOFF;
+                let retry_at = Instant::now() + LOCAL_FAILURE_BACKOFF;
                 set_deadline(context, DiscoveryDeadline::RetryCall, retry_at);
             }
             Err(error) => {
-                self.refused_calls = 0;
+                self.local_failures = 0;
                 self.on_failure(context, &error.into());
             }
         }
--- /dev/null
+++ b/crates/node/src/discovery/endpoint_resolver.rs
@@ -0,0 +1,51 @@
+//! Turns entries of the endpoint list into what the placement is told of them.
+
+use super::endpoint_list::{name_index, EndpointListError, ListedEndpoint};
+use crate::config::Config;
+use crate::placement_driver::{PlacementDriver, ResolvedEndpoint};
+use lupincrank_placement::{Endpoint, ServerId};
+use std::time::Instant;
+
+/// The names of zones and machine kinds; their positions are the numbers that the placement is given.
+pub(super) struct EndpointResolver {
+    zones: Vec<String>,
+    machine_kinds: Vec<String>,
+}
+
+impl EndpointResolver {
+    /// Begins with the names of the settings; further ones are added as they come.
+    pub(super) fn new(config: &Config) -> EndpointResolver {
+        EndpointResolver {
+            zones: config.zones.clone(),
+            machine_kinds: config.machine_kinds.clone(),
+        }
+    }
+
+    /// Resolves one entry. `not_listed_at` is when discovery was last heard of before it; `None` for its first list.
+    ///
+    /// # Errors
+    /// Where its address or its health can't be read.
+    pub(super) fn resolve(
+        &mut self,
+        placement: &mut PlacementDriver,
+        endpoint: &ListedEndpoint,
+        not_listed_at: Option<Instant>,
+    ) -> Result<ResolvedEndpoint, EndpointListError> {
+        let address = endpoint.dial_address()?;
+        let health = endpoint.parsed_health()?;
+        let server = ServerId::from(endpoint.server.as_str());
+        let started_at_ms = endpoint.started_at_ms.unwrap_or(0);
+        Ok(ResolvedEndpoint {
+            address,
+            endpoint: Endpoint {
+                started_at: placement.start_time(&server, started_at_ms, not_listed_at),
+                server,
+                health,
+                weight: endpoint.weight.unwrap_or(1.0),
+                zone: name_index(&mut self.zones, endpoint.zone.as_deref()),
+                cell: endpoint.cell.unwrap_or(0),
+                machine_kind: name_index(&mut self.machine_kinds, endpoint.machine_kind.as_deref()),
+            },
+        })
+    }
+}
--- a/crates/node/src/discovery/mod.rs
+++ b/crates/node/src/discovery/mod.rs
@@ -4,6 +4,7 @@
 mod chunked;
 mod client;
 pub(crate) mod endpoint_list;
+mod endpoint_resolver;
 mod json_stream;
 
 pub(crate) use client::DiscoveryClient;
--- a/crates/node/src/signals.rs
+++ b/crates/node/src/signals.rs
@@ -25,7 +25,7 @@
 
 /// Signals of one purpose: the flag says whether one has come, the pipe wakes the event loop.
 struct SignalSource {
-    has_come: Arc<AtomicBool>,
+    is_pending: Arc<AtomicBool>,
     pipe: Registered<UnixStream>,
 }
 
@@ -35,20 +35,20 @@
         let (receiver, sender) = UnixStream::pair()?;
         receiver.set_nonblocking(true)?;
         sender.set_nonblocking(true)?;
-        let has_come = Arc::new(AtomicBool::new(false));
+        let is_pending = Arc::new(AtomicBool::new(false));
         for signal in signals {
             // The flag is set before the pipe wakes the event loop.
-            flag::register(*signal, Arc::clone(&has_come))?;
+            flag::register(*signal, Arc::clone(&is_pending))?;
             pipe::register(*signal, sender.try_clone()?)?;
         }
         let key = poller_key(WellKnownComponent::Signals.id(), socket);
         let pipe = Registered::new(&context.poller, receiver, key, Interest::READ)?;
-        Ok(SignalSource { has_come, pipe })
+        Ok(SignalSource { is_pending, pipe })
     }
 
     /// Whether a signal has come since the last call.
-    fn take(&self) -> bool {
-        self.has_come.swap(false, Ordering::AcqRel)
+    fn take_pending(&self) -> bool {
+        self.is_pending.swap(false, Ordering::AcqRel)
     }
 
     /// Empties the pipe.
@@ -77,10 +77,10 @@
 
     /// Handles the signals that have come. A configuration that came before SIGTERM counts for the shutdown.
     fn handle_signals(&self, context: &mut NodeContext) {
-        if self.reload.take() {
+        if self.reload.take_pending() {
             reload_configuration(context);
         }
-        if self.termination.take() {
+        if self.termination.take_pending() {
             graceful_shutdown::begin(context);
         }
     }
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt: a connection to a server from its begin to the server's first line.
 
+use super::forwarded_line::ForwardedLine;
 use super::reset_on_close::{disable_reset_on_close, enable_reset_on_close};
 use super::server_line::{ServerLine, MAX_LINE_BYTES};
 use crate::command::{AcceptedAttempt, AttemptCommand, ClientCommand, Message};
@@ -25,22 +26,6 @@
 /// For so long, or for the connect timeout of the settings if that is longer.
 const MIN_CONNECT_RETRY_TIME: Duration = Duration::from_millis(500);
 
-/// The first line as the client sent it, but for the time that is left: that is known when the line is sent.
-pub(crate) struct ForwardedLine {
-    /// What stands before the number of milliseconds.
-    pub(crate) before_time: Vec<u8>,
-    /// What stands behind it, the line's terminator included.
-    pub(crate) after_time: Vec<u8>,
-}
-
-impl ForwardedLine {
-    /// The line for a server that has so much time left.
-    fn with_time_left(&self, time_left: Duration) -> Vec<u8> {
-        let millis = time_left.as_millis().to_string();
-        [&self.before_time, millis.as_bytes(), &self.after_time].concat()
-    }
-}
-
 /// What is attempted.
 pub(crate) struct Attempt {
     /// The client's component.
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod attempt;
 mod byte_buffer;
+pub(crate) mod forwarded_line;
 pub(crate) mod health_check;
 pub(crate) mod open_health_checks;
 pub(crate) mod relay;
--- a/crates/node/tests/common/node_process.rs
+++ b/crates/node/tests/common/node_process.rs
@@ -1,6 +1,7 @@
 //! Processes of the node.
 
 use super::syscall_faults::SyscallFaults;
+use rustix::process::{kill_process, Pid, Signal};
 use std::ffi::OsString;
 use std::net::TcpListener;
 use std::os::fd::OwnedFd;
@@ -99,10 +100,16 @@
         .unwrap()
 }
 
-/// Sends a process a signal, such as `-TERM`.
+/// Sends a process a signal, such as `-TERM`. No other process is started for it: the moment of the signal is known.
 pub fn send_signal(process: &Child, signal: &str) {
-    let status = Command::new("kill")
-        .args([signal, &process.id().to_string()])
-        .status();
-    assert!(status.unwrap().success());
+    let signal = match signal {
+        "-TERM" => Signal::TERM,
+        "-HUP" => Signal::HUP,
+        "-KILL" => Signal::KILL,
+        "-STOP" => Signal::STOP,
+        "-CONT" => Signal::CONT,
+        other => panic!("no signal {other}"),
+    };
+    let process = Pid::from_raw(process.id() as i32).unwrap();
+    kill_process(process, signal).unwrap();
 }
--- a/crates/reactor/src/acceptor.rs
+++ b/crates/reactor/src/acceptor.rs
@@ -12,7 +12,7 @@
 pub struct Acceptor {
     listener: Registered<TcpListener>,
     /// Accepted, and not registered yet: closing it would drop what the other end has sent.
-    kept: Option<TcpStream>,
+    unregistered: Option<TcpStream>,
 }
 
 impl Acceptor {
@@ -23,13 +23,13 @@
     pub fn new(poller: &Rc<Poller>, listener: TcpListener, key: usize) -> io::Result<Acceptor> {
         Ok(Acceptor {
             listener: Registered::new(poller, listener, key, Interest::READ)?,
-            kept: None,
+            unregistered: None,
         })
     }
 
     /// Whether a connection is kept that was accepted and could not be registered.
-    pub fn has_kept(&self) -> bool {
-        self.kept.is_some()
+    pub fn has_unregistered(&self) -> bool {
+        self.unregistered.is_some()
     }
 
     /// Sets whether connections that wait are reported.
@@ -47,7 +47,7 @@
     /// Where accepting or registering fails, most likely for want of descriptors or memory: worth another attempt a little
     /// later.
     pub fn accept(&mut self, key: usize) -> io::Result<Option<Registered<TcpStream>>> {
-        let stream = match self.kept.take() {
+        let stream = match self.unregistered.take() {
             Some(stream) => stream,
             None => match self.next_waiting()? {
                 Some(stream) => stream,
@@ -57,14 +57,14 @@
         // Only the latency suffers without it.
         let _ = stream.set_nodelay(true);
         if let Err(error) = stream.set_nonblocking(true) {
-            self.kept = Some(stream);
+            self.unregistered = Some(stream);
             return Err(error);
         }
         let poller = self.listener.poller();
         match Registered::try_new(poller, stream, key, Interest::READ) {
             Ok(stream) => Ok(Some(stream)),
             Err(RegistrationError { source, error }) => {
-                self.kept = Some(source);
+                self.unregistered = Some(source);
                 Err(error)
             }
         }
