Tests: the watch's faulty connects fail nine times in ten, so that losing it is noticed

Cause: with the handling of a refused connect of the watch taken out, the test still passed once: at 60 in 100 the seeded failures spared the connects it depended on. Change: 90 in 100, and the doc comment says what is drawn. Result: with the handling taken out the test fails; with it in, it passes.

--- a/crates/node/tests/system_calls.rs
+++ b/crates/node/tests/system_calls.rs
@@ -198,10 +198,10 @@
     drop(served);
 }
 
-/// Discovery's connects fail each other time: the watch is opened again all the same, and a drain holds in time.
+/// Nine in ten of discovery's connects fail: the watch is opened again all the same, and a drain holds in time.
 #[test]
 fn a_watch_is_opened_again_though_connects_fail_for_a_moment() {
-    let mut rig = start(2, "connect=ENETUNREACH:60,recv=SHORT:50");
+    let mut rig = start(2, "connect=ENETUNREACH:90,recv=SHORT:50");
     let servers = EchoServers::start(&rig);
     for seq in 2..6 {
         let ended_at = Instant::now();
