--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -101,6 +101,40 @@
     }
 }
 
+/// Where the settings say that answers carry load reports, a rejection that closes with one proves that nothing ran; a
+/// damaged report, or one that no settings speak of, proves nothing.
+#[rstest]
+#[case::whole("inline", "BUSY rate=2,x0=0.3", Expected::Retried)]
+#[case::without_report("inline", "BUSY", Expected::Retried)]
+#[case::damaged("inline", "BUSY rate=2,x0=", Expected::Failed)]
+#[case::cut("inline", "BUSY rate=2", Expected::Failed)]
+#[case::not_announced("off", "BUSY rate=2,x0=0.3", Expected::Failed)]
+#[case::announced_for_health_checks_only("on_probe", "BUSY rate=2,x0=0.3", Expected::Failed)]
+fn a_rejection_may_close_with_the_load_report_that_the_settings_name(
+    #[case] carried_by: &str,
+    #[case] answer: &str,
+    #[case] expected: Expected,
+) {
+    let mut rig = Rig::start_with_config(2, |config| {
+        let settings = &mut config["settings"];
+        settings["Categories"][0]["Repeat"] = "once".into();
+        settings["Report"] = serde_json::json!({ "Fields": ["rate", "x0"], "How": carried_by });
+    });
+    let (mut client, _) = rig.send_request("d=3000,g=a");
+    let (_, mut server) = rig.accept_attempt();
+    server.receive();
+    server.send(&format!("{answer}\r\n"));
+    match expected {
+        Expected::Failed => assert_eq!(client.receive(), "ERR"),
+        Expected::Retried => {
+            let (_, mut server) = rig.accept_attempt();
+            server.receive();
+            server.send("UP r2\r\n");
+            assert_eq!(client.receive(), "UP r2");
+        }
+    }
+}
+
 /// A retry by key stays in the zone or the cell of the server that may have executed the request.
 #[rstest]
 fn a_retry_by_key_stays_in_its_group(
