Upstream: BUSY that closes with the load report that the settings name is a rejection

Cause: only a time was taken after BUSY; a report made the line a damaged one, and a request of a class that runs once failed with ERR though nothing had run; others were counted as errors of the server. Change: the answer's parser takes a report with all fields that the settings name, where they say that answers carry one (Report.How is inline). Damage still proves nothing. Health checks and answers share the report's parser.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -57,6 +57,8 @@
     pub tenants: Vec<String>,
     /// The names of the fields of load reports, in their order.
     pub report_fields: Vec<String>,
+    /// The same for the report that an answer to a request may close with; empty where answers carry none.
+    pub answer_report_fields: Vec<String>,
     /// Whether clients name a group in place of themselves.
     pub has_groups: bool,
     /// The longest time that any client waits.
--- a/crates/node/src/config/document.rs
+++ b/crates/node/src/config/document.rs
@@ -162,6 +162,7 @@
             machine_kinds: deployment.machine_kinds().to_vec(),
             tenants: deployment.tenant_names(),
             report_fields: deployment.report_fields(),
+            answer_report_fields: deployment.answer_report_fields(),
             has_groups: deployment.has_groups(),
             max_deadline: deployment.max_deadline(),
             settings,
--- a/crates/node/src/config/reload.rs
+++ b/crates/node/src/config/reload.rs
@@ -51,6 +51,7 @@
         self.document = fresh.document;
         self.tenants = fresh.tenants;
         self.report_fields = fresh.report_fields;
+        self.answer_report_fields = fresh.answer_report_fields;
         self.has_groups = fresh.has_groups;
         self.connect_timeout = fresh.connect_timeout;
         // The platform may go by either: the shorter one is safe.
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -303,7 +303,7 @@
     fn on_line(&mut self, context: &mut NodeContext, line_end: usize) -> Lifecycle {
         let line_bytes = &self.received[..line_end];
         let is_well_formed = line_bytes.ends_with(b"\r") && line_end < MAX_LINE_BYTES;
-        let line = ServerLine::parse(line_bytes);
+        let line = ServerLine::parse_answer(line_bytes, &context.config.answer_report_fields);
         let is_answer = !matches!(line, ServerLine::Load(_));
         if let Some(stream) = self.stream.as_ref().filter(|_| is_answer) {
             // The server has the first line.
--- a/crates/node/src/upstream/health_check.rs
+++ b/crates/node/src/upstream/health_check.rs
@@ -2,7 +2,7 @@
 //! connection stays open for the next check, since each new one costs the server work.
 
 use super::open_health_checks::CheckedServer;
-use super::server_line::parse_figure;
+use super::server_line::parse_report;
 use crate::command::{HealthCheckCommand, Message};
 use crate::deadline::{DeadlineKind, HealthCheckDeadline};
 use crate::state::{NodeContext, NodeState};
@@ -31,30 +31,18 @@
 }
 
 impl HealthCheckResponse {
-    /// Parses `WORD FIELD=FIGURE,...` without its terminator. A report that lacks one of `fields`, or has something else
-    /// than a figure in one, is no report.
+    /// Parses `WORD FIELD=FIGURE,...` without its terminator. The report has all of `fields`,
+    /// or is none.
     fn parse(line: &str, fields: &[String]) -> HealthCheckResponse {
         let (word, report) = line.split_once(' ').unwrap_or((line, ""));
-        let load_report = fields
-            .iter()
-            .map(|field| parse_report_field(report, field))
-            .collect::<Option<Vec<f64>>>()
-            .filter(|report| !report.is_empty());
         HealthCheckResponse {
             // `NO` is the response of a server that does not know health checks, and runs all the same.
             has_passed: matches!(word, "PONG" | "NO"),
-            load_report,
+            load_report: parse_report(report, fields),
         }
     }
 }
 
-fn parse_report_field(report: &str, field: &str) -> Option<f64> {
-    let value = report
-        .split(',')
-        .find_map(|entry| entry.strip_prefix(field)?.strip_prefix('='))?;
-    parse_figure(value.trim())
-}
-
 /// Checks a server's health; placement is told the result. Where too many servers are checked at once this one is left
 /// out, and counts as passed without a report.
 pub(crate) fn check(context: &mut NodeContext, server: &ServerId, address: SocketAddr) {
--- a/crates/node/src/upstream/server_line.rs
+++ b/crates/node/src/upstream/server_line.rs
@@ -31,7 +31,7 @@
     /// Parses one line, with or without its terminator.
     ///
     /// A damaged line is `Unknown`: an `UP` whose receipt is missing or not printable proves no service, and a `BUSY`
-    /// followed by anything but a time does not prove that nothing was executed.
+    /// followed by anything but a time does not prove that nothing was executed: see [`ServerLine::parse_answer`] for reports.
     pub(crate) fn parse(line: &[u8]) -> ServerLine {
         let line = line.trim_ascii_end();
         let word_end = line
@@ -51,6 +51,39 @@
             _ => ServerLine::Unknown,
         }
     }
+
+    /// Parses the answer to a request. `BUSY` may close with a load report that has all of `report_fields`, which are empty
+    /// where answers carry none.
+    pub(crate) fn parse_answer(line: &[u8], report_fields: &[String]) -> ServerLine {
+        match ServerLine::parse(line) {
+            ServerLine::Unknown if is_busy_with_report(line, report_fields) => ServerLine::Busy,
+            parsed => parsed,
+        }
+    }
+}
+
+fn is_busy_with_report(line: &[u8], report_fields: &[String]) -> bool {
+    let report = std::str::from_utf8(line)
+        .ok()
+        .and_then(|text| text.trim_ascii_end().strip_prefix("BUSY "));
+    report.is_some_and(|report| parse_report(report, report_fields).is_some())
+}
+
+/// Parses `FIELD=FIGURE,...`: the figures of `fields`, in their order. A report that lacks one of them, or has something
+/// else than a figure in one, is no report; nor is there one without fields.
+pub(crate) fn parse_report(report: &str, fields: &[String]) -> Option<Vec<f64>> {
+    fields
+        .iter()
+        .map(|field| parse_report_field(report, field))
+        .collect::<Option<Vec<f64>>>()
+        .filter(|figures| !figures.is_empty())
+}
+
+fn parse_report_field(report: &str, field: &str) -> Option<f64> {
+    let value = report
+        .split(',')
+        .find_map(|entry| entry.strip_prefix(field)?.strip_prefix('='))?;
+    parse_figure(value.trim())
 }
 
 /// Whether this is printable text.
--- a/crates/node/src/upstream/server_line/tests.rs
+++ b/crates/node/src/upstream/server_line/tests.rs
@@ -20,3 +20,15 @@
 fn a_line_is_known_by_its_first_word(#[case] line: &str, #[case] expected: ServerLine) {
     assert_eq!(ServerLine::parse(line.as_bytes()), expected);
 }
+
+#[rstest]
+#[case("BUSY rate=2,x0=0.3\r\n", ServerLine::Busy)]
+#[case("BUSY x0=0.3,more=1,rate=2\r\n", ServerLine::Busy)]
+#[case("BUSY 20\r\n", ServerLine::Busy)]
+#[case("BUSY rate=2\r\n", ServerLine::Unknown)]
+#[case("BUSY rate=2,x0=\r\n", ServerLine::Unknown)]
+#[case("UP rate=2,x0=0.3\r\n", ServerLine::Up)]
+fn a_rejection_may_close_with_a_whole_report(#[case] line: &str, #[case] expected: ServerLine) {
+    let fields = ["rate".to_string(), "x0".to_string()];
+    assert_eq!(ServerLine::parse_answer(line.as_bytes(), &fields), expected);
+}
--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -113,12 +113,18 @@
     pub(crate) health_check: Option<f64>,
 }
 
+/// The value of `Report.How` by which answers to requests carry reports too.
+const CARRIED_BY_ANSWERS: &str = "inline";
+
 /// The form of servers' load reports.
 #[derive(Clone, Debug, Deserialize, Default, PartialEq)]
 #[serde(expecting = "struct Report")]
 pub(crate) struct LoadReportSettings {
     #[serde(rename = "Fields")]
     pub(crate) fields: Option<Vec<Option<String>>>,
+    /// Which messages carry a report.
+    #[serde(rename = "How")]
+    pub(crate) carried_by: Option<String>,
 }
 
 /// A duration written as whole nanoseconds; zero if it is absent.
@@ -170,6 +176,20 @@
             .collect()
     }
 
+    /// The names of the fields of the load report that an answer to a request may close with; empty where only health checks
+    /// are answered with reports, or nothing is.
+    pub fn answer_report_fields(&self) -> Vec<String> {
+        let carried_by = self
+            .load_report
+            .as_ref()
+            .and_then(|report| report.carried_by.as_deref());
+        if carried_by == Some(CARRIED_BY_ANSWERS) {
+            self.report_fields()
+        } else {
+            Vec::new()
+        }
+    }
+
     /// The names of the machine kinds, in the order of their indices.
     pub fn machine_kinds(&self) -> &[String] {
         self.machine_kinds.as_deref().unwrap_or_default()
