Node: a start of long ago is remembered, so that later lists make no new one of it

Cause: since a start before the reach of the node's clock, in the first list, was not kept; the next list that named the server found none and took it for one that started since: a server long at work was held for cold. Change: such a start is kept like others, with no moment.

--- a/crates/node/src/placement_driver/start_times.rs
+++ b/crates/node/src/placement_driver/start_times.rs
@@ -13,7 +13,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct KnownStart {
     unix_ms: u64,
-    started_at: Timestamp,
+    /// `None` for longer ago than the clock can tell.
+    started_at: Option<Timestamp>,
 }
 
 /// The starts of all servers that were listed. A start keeps the moment that it was first given: the same process must not
@@ -40,28 +41,27 @@
         }
         let known = self.known.get(server);
         if let Some(known) = known.filter(|known| known.unix_ms == unix_ms) {
-            return Some(known.started_at);
+            return known.started_at;
         }
         let started_at = match (by_wall_clock, not_listed_at) {
-            (Some(moment), None) => moment.min(clock.now()),
+            (Some(moment), None) => Some(moment.min(clock.now())),
             (Some(moment), Some(not_listed_at)) => {
                 let not_listed_at = clock.timestamp(not_listed_at);
                 if moment < not_listed_at.saturating_sub(MAX_LISTING_DELAY) {
-                    not_listed_at
+                    Some(not_listed_at)
                 } else {
-                    moment.min(clock.now())
+                    Some(moment.min(clock.now()))
                 }
             }
-            (None, Some(not_listed_at)) => clock.timestamp(not_listed_at),
-            // Longer ago than this clock can tell.
-            (None, None) => return None,
+            (None, Some(not_listed_at)) => Some(clock.timestamp(not_listed_at)),
+            (None, None) => None,
         };
         let start = KnownStart {
             unix_ms,
             started_at,
         };
         self.known.insert(server.clone(), start);
-        Some(started_at)
+        started_at
     }
 
     /// Forgets servers that are not listed any more.
