--- a/crates/node/src/placement_driver/mod.rs
+++ b/crates/node/src/placement_driver/mod.rs
@@ -140,6 +140,7 @@
 
     fn start_attempt(&mut self, request: RequestId, server: ServerId, timeout: Duration) {
         let address = self.endpoints.get(&server).map(|endpoint| endpoint.address);
+        self.log_attempt(request, &server);
         let Some(active) = self.requests.get_mut(&request) else {
             return;
         };
@@ -159,6 +160,18 @@
             .push_back(Command::StartAttempt { owner, attempt });
     }
 
+    fn log_attempt(&self, request: RequestId, server: &ServerId) {
+        match self.balancer.slow_start_status(server) {
+            None => {
+                debug!(self.log, "attempt started"; "request" => hex_id(request), "server" => &*server.0);
+            }
+            Some(status) => {
+                debug!(self.log, "attempt started in slow start"; "request" => hex_id(request), "server" => &*server.0,
+                    "key_ratio" => status.key_ratio, "tokens" => status.tokens, "budget" => status.budget);
+            }
+        }
+    }
+
     fn reject(&mut self, request: RequestId, retry_after: Duration) {
         let Some(active) = self.requests.remove(&request) else {
             return;
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -27,5 +27,6 @@
 };
 pub use balancer::Balancer;
 pub use hashing::{key_hash, rank_score, server_hash};
+pub use limits::slow_start::SlowStartStatus;
 pub use limits::slow_start_budget::SlowStartUsage;
 pub use state::learned_state;
--- a/crates/placement/src/limits/slow_start.rs
+++ b/crates/placement/src/limits/slow_start.rs
@@ -4,7 +4,7 @@
 use crate::limits::concurrency_limit::OVERLOAD_MEMORY;
 use crate::limits::slow_start_budget::{SlowStartUsage, SAVED_ATTEMPTS};
 use crate::state::server::Server;
-use crate::{Settings, Timestamp};
+use crate::{ServerId, Settings, Timestamp};
 
 /// Part of the rate that overloads a warming server at which it may be sent attempts.
 const SAFE_RATE_RATIO: f64 = 2.0 / 3.0;
@@ -19,6 +19,17 @@
 /// the budget over all nodes, may get wrong at one of them.
 const DEMAND_ERROR_FACTOR: f64 = 3.0;
 
+/// What holds for a server in slow start, for the log.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SlowStartStatus {
+    /// The part of the keys that it takes, 0 to 1.
+    pub key_ratio: f64,
+    /// Attempts that this node may start there.
+    pub tokens: f64,
+    /// Attempts that this node may start on all servers in slow start together.
+    pub budget: f64,
+}
+
 /// What one upkeep gives to servers in slow start.
 pub(crate) struct SlowStartRefill {
     warm_servers: f64,
@@ -121,6 +132,17 @@
         self.fleet.set_admits_slow_start(is_open);
     }
 
+    /// What holds for this server now, if it is in slow start.
+    pub fn slow_start_status(&self, server: &ServerId) -> Option<SlowStartStatus> {
+        let slot = self.fleet.servers.slot(server);
+        let slow_start = &self.fleet.servers.get(slot)?.slow_start;
+        slow_start.is_active.then(|| SlowStartStatus {
+            key_ratio: slow_start.key_ratio,
+            tokens: slow_start.tokens,
+            budget: self.slow_start_budget.attempts(),
+        })
+    }
+
     /// This node's attempts on servers in slow start since the last call.
     pub fn take_slow_start_usage(&mut self) -> SlowStartUsage {
         self.slow_start_budget.take_usage()
--- a/crates/placement/src/limits/slow_start_budget.rs
+++ b/crates/placement/src/limits/slow_start_budget.rs
@@ -66,6 +66,11 @@
         self.lease = lease;
     }
 
+    /// Attempts that may be started.
+    pub(crate) fn attempts(&self) -> f64 {
+        self.attempts
+    }
+
     pub(crate) fn add(&mut self, attempts: f64) {
         self.attempts += attempts;
     }
