--- a/crates/cluster/src/membership/tests.rs
+++ b/crates/cluster/src/membership/tests.rs
@@ -142,6 +142,19 @@
     assert!([0, 2].iter().all(|n| all[*n].alive().count() == 1));
 }
 
+/// A node that leaves logged that a later process of its name had started. The membership library reports its own `leave`
+/// as `Defunct`, the same notification as for an identity that was taken over.
+#[test]
+fn a_member_that_leaves_is_not_told_that_it_was_replaced() {
+    let mut all = members(3);
+    run(&mut all, SECONDS(0), SECONDS(3), |_, _| false);
+    all[1].leave(SECONDS(3));
+    let outputs = run(&mut all, SECONDS(3), SECONDS(5), |_, _| false);
+    let is_replaced =
+        |(_, output): &(usize, MembershipOutput)| matches!(output, MembershipOutput::Replaced);
+    assert!(!outputs.iter().any(is_replaced), "{outputs:?}");
+}
+
 #[test]
 fn the_later_incarnation_of_a_name_stays_a_member() {
     let mut all = vec![
--- a/crates/node/tests/common/discovery.rs
+++ b/crates/node/tests/common/discovery.rs
@@ -6,6 +6,7 @@
 use super::rig::Rig;
 use super::wait::wait_until;
 use std::io::Write;
+use std::time::SystemTime;
 
 /// The head of the answer to a watch, and its first chunk: a line feed.
 const WATCH_ANSWER: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n";
@@ -37,6 +38,17 @@
         self.watch = Some(call);
     }
 
+    /// Opens the watch with a complete list, as a service that dates its answers.
+    pub fn accept_watch_with_list(&mut self, list: &str, now: SystemTime) {
+        let (mut call, _) = self.accept_discovery_call();
+        let date = httpdate::fmt_http_date(now);
+        call.send(&format!(
+            "HTTP/1.1 200 OK\r\nDate: {date}\r\nTransfer-Encoding: chunked\r\n\r\n"
+        ));
+        self.watch = Some(call);
+        self.write_to_watch(format!("{list}\n").as_bytes(), list.len() + 1);
+    }
+
     /// Writes the state of one server on the watch.
     pub fn announce_health(&mut self, server: usize, health: &str, seq: u64) {
         let line = endpoint_list(&self.server_addresses[server..=server], health, seq, false)
--- a/crates/node/tests/common/rig.rs
+++ b/crates/node/tests/common/rig.rs
@@ -102,6 +102,24 @@
         rig
     }
 
+    /// A node in which calls fail from its start on, and whose first call to discovery is still to be answered.
+    pub fn launch_with_faults(
+        server_count: usize,
+        descriptors: usize,
+        faults: SyscallFaults,
+        change: impl FnOnce(&mut Value),
+    ) -> Rig {
+        faults.switch_on();
+        Rig::launch_build(
+            Build::This,
+            server_count,
+            descriptors,
+            None,
+            Some(faults),
+            change,
+        )
+    }
+
     /// What fails in the processes that are started from now on.
     pub fn set_faults(&mut self, faults: SyscallFaults) {
         self.faults = Some(faults);
@@ -238,7 +256,7 @@
     }
 
     /// Waits until the front would send clients to the node.
-    fn wait_for_pong(&self) {
+    pub fn wait_for_pong(&self) {
         wait_until("PONG", || (self.query("PING\r\n") == "PONG").then_some(()));
     }
 }
--- a/crates/node/tests/shutdown.rs
+++ b/crates/node/tests/shutdown.rs
@@ -1,7 +1,7 @@
 //! SIGTERM up to the earliest SIGKILL: clients use their connections all the while, and every request gets its answer.
 
 mod common;
-use common::{wait_until, EchoServers, LineStream, Rig};
+use common::{wait_until, EchoServers, LineStream, Rig, SyscallFaults};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
@@ -14,6 +14,8 @@
 /// New connections keep coming for so long after SIGTERM.
 const NEW_CONNECTIONS_MS: u64 = 400;
 const NEW_CLIENTS: usize = 10;
+/// How many descriptors the node may use.
+const DESCRIPTORS: usize = 1024;
 /// How long the connections that are relayed may take to be set up before SIGTERM, on a machine that has much to do.
 const RELAY_SETUP_MS: u64 = 15_000;
 /// Ids that the rig does not give.
@@ -304,6 +306,50 @@
     assert!(started_at.elapsed() < Duration::from_secs(1));
 }
 
+/// The process is held up while the shutdown's last moment passes, and accepting fails for a moment then: what waits in the
+/// kernel's queue is answered all the same. The last accept ended at its first error (log line `accept failed`), and the
+/// exit reset what still waited.
+#[rstest]
+#[case::aborted("accept=ECONNABORTED:30")]
+#[case::files("accept=ENFILE:30")]
+#[case::descriptors("accept=EMFILE:30")]
+#[case::buffers("accept=ENOBUFS:30")]
+#[case::network_down("accept=ENETDOWN:30")]
+#[case::interrupted("accept=EINTR:30")]
+#[case::unregistered("register=ENOMEM:30")]
+fn what_waits_at_the_exit_is_answered_though_accepting_fails_for_a_moment(#[case] plan: &str) {
+    let faults = SyscallFaults::new(plan, 1);
+    let mut rig = Rig::start_changed(1, DESCRIPTORS, Some(faults), |config| {
+        set_deadline(config, 300);
+    });
+    rig.switch_faults_off();
+    let started_at = Instant::now();
+    rig.signal("-TERM");
+    rig.wait_for_log("shutdown started");
+    std::thread::sleep(Duration::from_millis(600).saturating_sub(started_at.elapsed()));
+    rig.pause();
+    rig.switch_faults_on();
+    let mut clients: Vec<LineStream> = (0..30).map(|_| rig.connect_client()).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        let id = FIRST_REQUEST_ID + number as u64;
+        assert!(send_first_line(client, id, 300).is_some());
+    }
+    std::thread::sleep(Duration::from_millis(720).saturating_sub(started_at.elapsed()));
+    rig.resume();
+    let answers: Vec<String> = clients
+        .iter_mut()
+        .map(|client| client.try_receive().unwrap_or_default())
+        .collect();
+    let unanswered = answers
+        .iter()
+        .filter(|answer| !answer.starts_with("BUSY"))
+        .count();
+    assert_eq!(unanswered, 0, "{answers:?}");
+    drop(clients);
+    assert!(rig.wait_for_exit().success());
+    assert!(started_at.elapsed() < Duration::from_secs(1));
+}
+
 /// A client that closes after its complete first line, or ends its sending, is sent nowhere; one that still reads gets an
 /// answer.
 #[test]
--- a/crates/node/tests/wall_clock.rs
+++ b/crates/node/tests/wall_clock.rs
@@ -64,6 +64,56 @@
     );
 }
 
+/// The same for a server that the first list shows, `age` after its start. Discovery dates its answers, as HTTP asks of a
+/// service that has a clock.
+fn requests_to_server_of_first_list(clock_offset_seconds: i64, age: Duration) -> usize {
+    let faults = SyscallFaults::new(&format!("clock={clock_offset_seconds}"), 1);
+    let mut rig = Rig::launch_with_faults(3, DESCRIPTORS, faults, |config| {
+        let known = config["known"]["hosts"].as_array_mut().unwrap();
+        known.truncate(2);
+        config["settings"]["FamilyInfo"]["MessageAimNs"] = vec![LONG_NS].into();
+    });
+    let servers = EchoServers::start(&rig);
+    let mut list = rig.endpoint_list(&["SERVING"; 3], 2, true);
+    list["hosts"][2]["born_ms"] = (unix_ms() - age.as_millis() as u64).into();
+    rig.accept_watch_with_list(&list.to_string(), SystemTime::now());
+    rig.wait_for_log("seq: 2");
+    rig.wait_for_pong();
+    let mut clients = Vec::new();
+    for number in 0..REQUESTS {
+        clients.push(rig.send_request(&format!("d=2000,g={number}")).0);
+        std::thread::sleep(REQUEST_INTERVAL);
+    }
+    for client in &mut clients {
+        client.receive();
+    }
+    servers.count_at(2)
+}
+
+/// A node that starts with its wall clock ahead took a server that had just started for as old as that clock said, and sent
+/// it its whole part at once: no line `attempt started in slow start` in its log, and 90 requests in 3 s where 48 are right.
+#[rstest]
+fn a_server_of_the_first_list_is_in_slow_start_whatever_the_wall_clock_says(
+    #[values(3600, 30, -3600, -30)] clock_offset_seconds: i64,
+) {
+    let age = Duration::from_millis(2500);
+    let expected = requests_to_server_of_first_list(0, age);
+    let count = requests_to_server_of_first_list(clock_offset_seconds, age);
+    println!("requests to the server: {count}, with a right clock {expected}");
+    assert!(
+        expected < REQUESTS / 4,
+        "slow start does not limit it: {expected}"
+    );
+    assert!(
+        count <= expected + COUNT_TOLERANCE,
+        "{count}, with a right clock {expected}"
+    );
+    assert!(
+        count + COUNT_TOLERANCE >= expected / 2,
+        "{count}, with a right clock {expected}"
+    );
+}
+
 /// A step while the node runs moves no deadline: that of a request, of a first line, and of the shutdown.
 #[rstest]
 fn a_step_of_the_wall_clock_moves_no_deadline(#[values(3600, -3600)] offset_seconds: i64) {
