Cluster: a node that leaves is no longer told that it was replaced

Operators saw: at each graceful shutdown of a node of a cluster the warning that a later process of its name had started, though none had. Cause: the SWIM library reports the leave of a node itself and an identity that another process has taken by the same notification, Defunct; SwimRuntime::notify passed both on as Replaced. Change: a leave is announced to the runtime before it begins; a Defunct after it is its own. Nothing is received after a leave, so a later one can't mean anything else.

--- a/crates/cluster/src/membership/mod.rs
+++ b/crates/cluster/src/membership/mod.rs
@@ -295,6 +295,7 @@
     /// Leaves the cluster and tells other members, so that they need not detect it.
     pub fn leave(&mut self, now: Duration) {
         self.runtime.now = now;
+        self.runtime.begin_leaving();
         for _ in 0..LEAVE_GOSSIP_ROUNDS {
             // A failure delays the news; leaving goes on.
             let _ = self.swim.gossip(&mut self.runtime);
--- a/crates/cluster/src/membership/runtime.rs
+++ b/crates/cluster/src/membership/runtime.rs
@@ -49,6 +49,7 @@
     cluster_tag: u32,
     rejoins: RejoinCounter,
     is_name_contested: bool,
+    is_leaving: bool,
 }
 
 impl SwimRuntime {
@@ -89,6 +90,11 @@
         self.timers.clear();
     }
 
+    /// This node leaves of its own accord.
+    pub(super) fn begin_leaving(&mut self) {
+        self.is_leaving = true;
+    }
+
     /// Whether another incarnation turned out to hold this name since the last call.
     pub(super) fn take_name_contested(&mut self) -> bool {
         std::mem::take(&mut self.is_name_contested)
@@ -115,6 +121,8 @@
                     generation: local.generation,
                 });
             }
+            // A leave of this node's own ends in the same notification as a later incarnation of its name.
+            Notification::Defunct if self.is_leaving => {}
             Notification::Defunct => self.push_output(MembershipOutput::Replaced),
             Notification::Active | Notification::Idle => {}
         }
--- a/crates/node/tests/cluster_faults.rs
+++ b/crates/node/tests/cluster_faults.rs
@@ -41,6 +41,19 @@
     );
 }
 
+/// A process that ends in good order leaves the cluster, and says nothing of a later process of its name.
+#[test]
+fn a_node_that_ends_in_good_order_is_not_told_that_it_was_replaced() {
+    let mut cluster = Cluster::start(3);
+    for node in 0..3 {
+        cluster.wait_for_member_count(node, 3);
+    }
+    cluster.terminate(1);
+    let log = cluster.log(1);
+    assert!(log.contains("left the cluster"), "{log}");
+    assert!(!log.contains("replaced by a later process"), "{log}");
+}
+
 /// The disks of three nodes of five fail for a while, the leader's among them: with its leader killed the group elects
 /// another one, and all that was stored before is there after all have started again.
 #[rstest]
--- a/crates/node/tests/common/cluster.rs
+++ b/crates/node/tests/common/cluster.rs
@@ -130,6 +130,14 @@
         }
     }
 
+    /// Ends a node's process in good order.
+    pub fn terminate(&mut self, node: usize) {
+        if let Some(mut process) = self.nodes[node].process.take() {
+            send_signal(&process, "-TERM");
+            let _ = process.wait();
+        }
+    }
+
     /// What a node has logged.
     pub fn log(&self, node: usize) -> String {
         std::fs::read_to_string(self.path(node, "log")).unwrap_or_default()
