Node: discovery's Date bounds the wall clock by which a first list is read

Callers saw: a node that starts with its wall clock ahead sends a server that has just started its whole part of the requests; it falls and takes its clients along. Cause: starts of the first list were subtracted from this machine's clock, which nothing held against another one. Change: the Date of the watch's answer is read; of the two clocks the one that is behind counts, and starts that were reckoned before it came are reckoned anew.

--- a/crates/node/src/discovery/call.rs
+++ b/crates/node/src/discovery/call.rs
@@ -10,7 +10,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Instant, SystemTime};
 use thiserror::Error;
 
 /// The longest response head that is read.
@@ -97,6 +97,22 @@
     pub(crate) state: BodyState,
 }
 
+/// The head of a response that opens a watch.
+struct WatchHead {
+    /// Its length in bytes.
+    length: usize,
+    /// The service's wall clock when it answered, to the second, if it tells that.
+    date: Option<SystemTime>,
+}
+
+/// A response head was received to its end.
+pub(crate) struct WatchStart {
+    /// The bytes after it, which belong to the body.
+    pub(crate) body: Vec<u8>,
+    /// The service's wall clock when it answered, to the second, if it tells that.
+    pub(crate) date: Option<SystemTime>,
+}
+
 /// A call to the discovery service.
 pub(crate) struct Call {
     started_at: Instant,
@@ -194,22 +210,24 @@
         }
     }
 
-    /// Adds bytes to the response head. Once it is complete the call is a watch, and the bytes after the head are
-    /// returned, which belong to the body; `None` while it is incomplete.
+    /// Adds bytes to the response head. Once it is complete the call is a watch; `None` while it is incomplete.
     ///
     /// # Errors
     /// Where the response does not open a watch.
-    pub(crate) fn receive_head(&mut self, bytes: &[u8]) -> Result<Option<Vec<u8>>, DiscoveryError> {
+    pub(crate) fn receive_head(
+        &mut self,
+        bytes: &[u8],
+    ) -> Result<Option<WatchStart>, DiscoveryError> {
         let CallPhase::ResponseHead(head) = &mut self.phase else {
             return Ok(None);
         };
         head.extend_from_slice(bytes);
-        let Some(length) = watch_head_length(head)? else {
+        let Some(WatchHead { length, date }) = parse_watch_head(head)? else {
             return Ok(None);
         };
         let body = head.split_off(length);
         self.phase = CallPhase::Watching(WatchBody::default());
-        Ok(Some(body))
+        Ok(Some(WatchStart { body, date }))
     }
 
     /// Adds bytes to the body of the watch.
@@ -243,8 +261,8 @@
     }
 }
 
-/// The length of a complete response head that opens a watch; `None` while it is incomplete.
-fn watch_head_length(bytes: &[u8]) -> Result<Option<usize>, DiscoveryError> {
+/// A complete response head that opens a watch; `None` while it is incomplete.
+fn parse_watch_head(bytes: &[u8]) -> Result<Option<WatchHead>, DiscoveryError> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut response = httparse::Response::new(&mut headers);
     let length = match response.parse(bytes)? {
@@ -259,10 +277,20 @@
     if !response.headers.iter().any(is_chunked_coding) {
         return Err(DiscoveryError::NotChunked);
     }
-    Ok(Some(length))
+    let date = response.headers.iter().find_map(parse_date);
+    Ok(Some(WatchHead { length, date }))
 }
 
 fn is_chunked_coding(header: &httparse::Header<'_>) -> bool {
     header.name.eq_ignore_ascii_case("transfer-encoding")
         && header.value.eq_ignore_ascii_case(b"chunked")
 }
+
+/// The time of a `Date` header. One that can't be read tells nothing.
+fn parse_date(header: &httparse::Header<'_>) -> Option<SystemTime> {
+    if !header.name.eq_ignore_ascii_case("date") {
+        return None;
+    }
+    let value = std::str::from_utf8(header.value).ok()?;
+    httpdate::parse_http_date(value).ok()
+}
--- a/crates/node/src/discovery/client.rs
+++ b/crates/node/src/discovery/client.rs
@@ -228,11 +228,14 @@
         if call.is_watching() {
             return self.on_body(context, slot, bytes);
         }
-        let Some(body) = call.receive_head(bytes)? else {
+        let Some(start) = call.receive_head(bytes)? else {
             return Ok(());
         };
         debug!(context.log, "endpoint watch established"; "seq" => self.version);
-        self.on_body(context, slot, &body)
+        if let Some(date) = start.date {
+            context.placement.on_discovery_date(date);
+        }
+        self.on_body(context, slot, &start.body)
     }
 
     /// Bytes of a watch's body were received.
--- a/crates/node/src/placement_driver/clock.rs
+++ b/crates/node/src/placement_driver/clock.rs
@@ -6,10 +6,14 @@
 /// The clock's reading at the node's start. It is far from zero, so that moments before the start can be named too.
 const READING_AT_START: Duration = Duration::from_secs(1 << 22);
 
+/// To this the wall clocks of other machines are told.
+const SYSTEM_TIME_RESOLUTION: Duration = Duration::from_secs(1);
+
 /// Turns moments of the system's clocks into timestamps of the decisions.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PlacementClock {
     started_at: Instant,
+    /// The wall clock at the node's start, as this machine or discovery tells it.
     started_at_system_time: SystemTime,
 }
 
@@ -22,6 +26,21 @@
         }
     }
 
+    /// Another machine's wall clock says `now`, to the second. Of two clocks the one that is behind counts: by it servers have
+    /// started later, and a server that is filled too slowly costs less than one that is overloaded in slow start. Gives
+    /// whether this machine's clock turned out to be ahead.
+    pub(super) fn limit_system_time(&mut self, now: SystemTime) -> bool {
+        let latest_now = now + SYSTEM_TIME_RESOLUTION;
+        let Some(latest_start) = latest_now.checked_sub(self.elapsed()) else {
+            return false;
+        };
+        let was_ahead = latest_start < self.started_at_system_time;
+        if was_ahead {
+            self.started_at_system_time = latest_start;
+        }
+        was_ahead
+    }
+
     /// How long ago the clock was started.
     pub(super) fn elapsed(&self) -> Duration {
         self.started_at.elapsed()
--- a/crates/node/src/placement_driver/endpoints.rs
+++ b/crates/node/src/placement_driver/endpoints.rs
@@ -6,7 +6,7 @@
 use slog::{info, warn};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 /// A node that has just begun waits for discovery's list at the most so long before it accepts clients.
 const MAX_ENDPOINT_LIST_WAIT: Duration = Duration::from_secs(6);
@@ -107,6 +107,14 @@
         self.has_discovery_answered = true;
     }
 
+    /// Discovery has told its wall clock, to the second.
+    pub(crate) fn on_discovery_date(&mut self, date: SystemTime) {
+        if self.clock.limit_system_time(date) {
+            warn!(self.log, "wall clock ahead of discovery's"; "date" => httpdate::fmt_http_date(date));
+            self.start_times.forget_first_list();
+        }
+    }
+
     /// The watch has fallen silent.
     pub(crate) fn on_watch_silent(&mut self) {
         self.feed(Event::EndpointWatchStalled);
--- a/crates/node/src/placement_driver/start_times.rs
+++ b/crates/node/src/placement_driver/start_times.rs
@@ -15,6 +15,8 @@
     unix_ms: u64,
     /// `None` for longer ago than the clock can tell.
     started_at: Option<Timestamp>,
+    /// It came with a first list, so that the wall clock alone told how long ago it was.
+    is_of_first_list: bool,
 }
 
 /// The starts of all servers that were listed. A start keeps the moment that it was first given: the same process must not
@@ -59,11 +61,17 @@
         let start = KnownStart {
             unix_ms,
             started_at,
+            is_of_first_list: not_listed_at.is_none(),
         };
         self.known.insert(server.clone(), start);
         started_at
     }
 
+    /// Forgets what the wall clock alone told, since it turned out to be off: the next list that names these servers counts.
+    pub(super) fn forget_first_list(&mut self) {
+        self.known.retain(|_, known| !known.is_of_first_list);
+    }
+
     /// Forgets servers that are not listed any more.
     pub(super) fn retain(&mut self, is_listed: impl Fn(&ServerId) -> bool) {
         self.known.retain(|server, _| is_listed(server));
--- a/crates/node/src/placement_driver/start_times/tests.rs
+++ b/crates/node/src/placement_driver/start_times/tests.rs
@@ -74,3 +74,24 @@
     assert!(start_times.resolve(&clock, &listed_first, 2, now).is_some());
     assert!(start_times.resolve(&clock, &listed_later, 1, now).is_some());
 }
+
+/// The configuration's list comes before discovery has told its clock; the first list that follows counts.
+#[test]
+fn starts_of_a_first_list_are_reckoned_anew_once_the_clock_is_known_to_be_ahead() {
+    let mut clock = PlacementClock::start();
+    let mut start_times = StartTimes::default();
+    let server = ServerId::from("s-0");
+    let started_at_ms = (unix_ms() - HOUR_MS) as u64;
+    let by_wall_clock = start_times.resolve(&clock, &server, started_at_ms, None);
+    let discovery_time = UNIX_EPOCH + Duration::from_millis(started_at_ms + 2_000);
+    assert!(clock.limit_system_time(discovery_time));
+    start_times.forget_first_list();
+    let by_discovery = start_times.resolve(&clock, &server, started_at_ms, None);
+    let age = clock.now().saturating_duration_since(by_discovery.unwrap());
+    assert!(by_discovery > by_wall_clock);
+    assert!(
+        (Duration::from_millis(1_900)..Duration::from_millis(3_100)).contains(&age),
+        "{age:?}"
+    );
+    assert!(!clock.limit_system_time(SystemTime::now()));
+}
