Node: the exit waits for accepts that fail for a moment

Cause: the last accept ended at its first error, and the process exited in the same turn. ECONNABORTED and EINTR, after which the acceptor goes on by itself, lost nobody. The early exit of a node that holds nobody had the same fault and is mended.

--- a/crates/node/src/application.rs
+++ b/crates/node/src/application.rs
@@ -103,8 +103,8 @@
         let is_done = self.has_listened_long_enough(shutdown, now)
             && !self.has_connections()
             && self.has_left_cluster();
-        let is_finished =
-            is_done || shutdown.has_ended || now >= shutdown.deadline + MAX_EXIT_DELAY;
+        let has_answered_all = (is_done || shutdown.has_ended) && !self.is_accept_retry_pending;
+        let is_finished = has_answered_all || now >= shutdown.deadline + MAX_EXIT_DELAY;
         if is_finished {
             info!(self.log, "shutdown complete"; "clients" => self.client_count.get());
         }
--- a/crates/node/src/client/listener.rs
+++ b/crates/node/src/client/listener.rs
@@ -14,6 +14,8 @@
 
 /// How long accepting pauses when the process has no descriptor left.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
+/// The same at the exit, when little time is left.
+const EXIT_ACCEPT_BACKOFF: Duration = Duration::from_millis(2);
 
 /// Accepts clients.
 pub(crate) struct Listener {
@@ -44,11 +46,19 @@
 
     /// Accepts what waits, and pauses where that fails for a moment.
     fn accept_or_pause(&mut self, context: &mut NodeContext) {
-        let max_accepts = context.config.max_accepts_per_turn();
-        if let Err(error) = self.accept_clients(context, max_accepts) {
+        let is_exiting = context.shutdown.is_some_and(|shutdown| shutdown.has_ended);
+        let max_accepts = if is_exiting {
+            poll::LISTEN_BACKLOG
+        } else {
+            context.config.max_accepts_per_turn()
+        };
+        let outcome = self.accept_clients(context, max_accepts);
+        // What waits has been taken by the kernel for this node: the exit waits for the next attempt.
+        context.is_accept_retry_pending = outcome.is_err();
+        if let Err(error) = outcome {
             // No descriptor is left: guards against a loop that spins on a listener that stays ready.
             warn!(context.log, "accept failed"; "error" => %error);
-            if self.acceptor.set_interest(Interest::NONE).is_ok() {
+            if self.acceptor.set_interest(Interest::NONE).is_ok() || is_exiting {
                 retry_later(context);
             }
         }
@@ -99,10 +109,16 @@
 }
 
 fn retry_later(context: &mut NodeContext) {
+    let is_exiting = context.shutdown.is_some_and(|shutdown| shutdown.has_ended);
+    let backoff = if is_exiting {
+        EXIT_ACCEPT_BACKOFF
+    } else {
+        ACCEPT_BACKOFF
+    };
     context.deadlines.set(
         WellKnownComponent::ClientListener.id(),
         DeadlineKind::ResumeAccepting,
-        Instant::now() + ACCEPT_BACKOFF,
+        Instant::now() + backoff,
     );
 }
 
@@ -131,9 +147,8 @@
             ListenerCommand::Pause => self.is_paused = true,
             ListenerCommand::Resume => self.is_paused = false,
             ListenerCommand::AcceptAll => {
-                if let Err(error) = self.accept_clients(context, poll::LISTEN_BACKLOG) {
-                    warn!(context.log, "accept failed"; "error" => %error);
-                }
+                self.accept_or_pause(context);
+                return Lifecycle::Continue;
             }
         }
         self.apply_pause(context);
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -23,7 +23,7 @@
     pub(crate) started_at: Instant,
     /// When the process exits at the latest.
     pub(crate) deadline: Instant,
-    /// The last step was made: nothing is left to be answered.
+    /// The last step was made: nothing is left to be answered but what waits to be accepted.
     pub(crate) has_ended: bool,
 }
 
@@ -68,6 +68,9 @@
     pub(crate) cluster_agent: Option<Box<ClusterAgent>>,
     /// Set until the present callback ends: all connections are to be transferred to the successor.
     pub(crate) transfer_requested: bool,
+    /// Accepting clients has failed for a moment and is tried again: connections may wait in the kernel's queue, and the
+    /// process must not exit over them.
+    pub(crate) is_accept_retry_pending: bool,
     /// Set until the present callback ends: these connections are to be answered, for the process exits.
     pub(crate) exit_answers_requested: Option<ExitScope>,
 }
@@ -87,6 +90,7 @@
             health_checks: HealthChecks::default(),
             cluster_agent: None,
             transfer_requested: false,
+            is_accept_retry_pending: false,
             exit_answers_requested: None,
         }
     }
--- a/crates/node/tests/shutdown.rs
+++ b/crates/node/tests/shutdown.rs
@@ -350,6 +350,25 @@
     assert!(started_at.elapsed() < Duration::from_secs(1));
 }
 
+/// A node without clients exits early, but not while accepting fails: what came within the time in which new connections
+/// come after SIGTERM has its answer.
+#[test]
+fn a_node_without_clients_does_not_exit_over_what_it_could_not_accept_yet() {
+    let faults = SyscallFaults::new("accept=ENFILE:100", 1);
+    let mut rig = Rig::start_changed(1, DESCRIPTORS, Some(faults), |config| {
+        set_deadline(config, 3000);
+    });
+    rig.signal("-TERM");
+    let mut client = rig.connect_client();
+    assert!(send_first_line(&mut client, FIRST_REQUEST_ID, 3000).is_some());
+    rig.wait_for_log("accept failed");
+    std::thread::sleep(Duration::from_millis(3 * NEW_CONNECTIONS_MS));
+    rig.switch_faults_off();
+    let (_server_end, _first_line) = rig.accept_attempt();
+    drop(client);
+    assert!(rig.wait_for_exit().success());
+}
+
 /// A client that closes after its complete first line, or ends its sending, is sent nowhere; one that still reads gets an
 /// answer.
 #[test]
