Placement: clients that return in a wave no longer overload servers in slow start

Cause: a node that saw no demand of its own took all keys of a server in slow start, and a group met once for a small one; 300 nodes sent one request each. Change: requests that may come in a wave reach a server in slow start by half of what overloads it at its present capacity, drawn by the connection's own key; a returning client passes over as many such servers as its group is expected to fill. Both are the same at all nodes whatever they saw, so that the mean follows the capacity and no group comes as a whole.

--- a/crates/placement/src/policy/admission.rs
+++ b/crates/placement/src/policy/admission.rs
@@ -3,6 +3,7 @@
 use crate::balancer::Balancer;
 use crate::limits::concurrency_limit::{MAX_UTILIZATION, OVERLOAD_MEMORY};
 use crate::limits::health_checks::REPORT_MAX_AGE;
+use crate::limits::slow_start::max_wave_key_ratio;
 use crate::recovery::gossip::AVOID_SLOW_DURATION;
 use crate::recovery::key_fitting::accepts_key_ratio;
 use crate::state::elapsed::happened_within;
@@ -100,7 +101,7 @@
         context: &AdmissionContext,
         fair_load: FairLoad,
     ) -> bool {
-        if is_unavailable(now, server) || !self.accepts_key(request, server) {
+        if is_unavailable(now, server) || !self.accepts_key(now, request, server) {
             return false;
         }
         let serves_group = server.serves_group(request.group);
@@ -117,16 +118,36 @@
     }
 
     /// Whether the server takes the request's key: all do unless they are warming up or keys are redistributed.
-    fn accepts_key(&self, request: &RequestState, server: &Server) -> bool {
+    fn accepts_key(&self, now: Timestamp, request: &RequestState, server: &Server) -> bool {
         // Without a warm server nobody would take the keys that are left: the budget alone decides.
         let has_warm_servers = self.fleet.totals.warm >= 1.0;
         let is_limited = has_warm_servers && server.slow_start.is_active;
-        if is_limited && !accepts_key_ratio(server.hash, request.key, server.slow_start.key_ratio) {
+        if is_limited && !self.accepts_key_in_slow_start(now, request, server) {
             return false;
         }
         request.is_mid_flow || self.key_redistribution.accepts_key(server, request.key)
     }
 
+    /// Whether the key is in the part that a server in slow start takes. In a wave the connection's own key decides: a large
+    /// group would come to the server as a whole or not at all.
+    fn accepts_key_in_slow_start(
+        &self,
+        now: Timestamp,
+        request: &RequestState,
+        server: &Server,
+    ) -> bool {
+        let key_ratio = server.slow_start.key_ratio;
+        if !request.may_come_in_wave() {
+            return accepts_key_ratio(server.hash, request.key, key_ratio);
+        }
+        let max_ratio = max_wave_key_ratio(&self.settings, now, server);
+        accepts_key_ratio(
+            server.hash,
+            request.connection_key,
+            key_ratio.min(max_ratio),
+        )
+    }
+
     fn is_within_fair_load(
         &self,
         now: Timestamp,
--- a/crates/placement/src/policy/intake.rs
+++ b/crates/placement/src/policy/intake.rs
@@ -64,6 +64,7 @@
             is_reconnect: info.is_reconnect,
             group,
             key: group.unwrap_or(client),
+            connection_key: client,
             split_position,
             load: declared_load.filter(|load| *load > 0.0),
             deadline: info.deadline,
--- a/crates/placement/src/policy/selection.rs
+++ b/crates/placement/src/policy/selection.rs
@@ -110,7 +110,22 @@
         let group_span = self.servers_for_group(request, server_count as f64);
         let start = (request.split_position * group_span) as usize;
         let start = start.min(server_count.saturating_sub(1));
-        self.ranked_servers(now, request, start, start + FIRST_CANDIDATE_COUNT)
+        let skipped = self.skipped_in_slow_start(request, server_count as f64);
+        let skipped = skipped.saturating_sub(start);
+        let count = start + skipped + FIRST_CANDIDATE_COUNT;
+        let candidates = self.ranked_servers(now, request, start, count);
+        without_first_in_slow_start(candidates, skipped)
+    }
+
+    /// How many servers in slow start a returning client passes over, so that its group is spread over as many of them as it is
+    /// expected to fill. Guards against a large group that returns as a whole, one client at each node, to the same server.
+    fn skipped_in_slow_start(&self, request: &RequestState, server_count: f64) -> usize {
+        let Some(group) = request.group.filter(|_| request.is_reconnect) else {
+            return 0;
+        };
+        let request_ratio = self.group_frequency.expected_request_ratio(group);
+        let group_span = request_ratio * server_count / GROUP_SPLIT_FACTOR;
+        (request.split_position * group_span) as usize
     }
 
     /// How many servers the request's group fills, as far as recent requests tell. Guards against a group heavier than
@@ -195,6 +210,17 @@
     }
 }
 
+/// The candidates without the first `count` of those in slow start.
+fn without_first_in_slow_start(candidates: Vec<Candidate<'_>>, count: usize) -> Vec<Candidate<'_>> {
+    let mut remaining = count;
+    let is_kept = |candidate: &Candidate<'_>| {
+        let is_skipped = remaining > 0 && candidate.server.slow_start.is_active;
+        remaining -= usize::from(is_skipped);
+        !is_skipped
+    };
+    candidates.into_iter().filter(is_kept).collect()
+}
+
 /// The first server of the best tier that the scan found. If all servers are ejected, the ejections are ignored. If any is
 /// merely at its limit, ejected servers are not used.
 fn best_selection(
--- a/crates/placement/src/state/request.rs
+++ b/crates/placement/src/state/request.rs
@@ -53,6 +53,8 @@
     pub(crate) group: Option<u32>,
     /// The hash by which servers are ranked for it: that of its group, else of its client.
     pub(crate) key: u32,
+    /// The hash of its own key, whatever its group: it differs between the connections of a group.
+    pub(crate) connection_key: u32,
     /// Which of a split group's servers it starts at, as a part of them: the same at every node.
     pub(crate) split_position: f64,
     /// Its load, if declared or observed.
@@ -78,6 +80,12 @@
         !self.is_finished && in_flight.is_some_and(|attempt| attempt.is_established)
     }
 
+    /// Whether many like it may come to all nodes at the same moment: connections break and servers drain for all clients at
+    /// once, and what fails at one server is tried again at the next.
+    pub(crate) fn may_come_in_wave(&self) -> bool {
+        self.is_reconnect || self.attempt_count > 0
+    }
+
     /// Whether it continues a connection in mid-flow and has not been sent yet.
     pub(crate) fn is_first_mid_flow_attempt(&self) -> bool {
         self.is_mid_flow && self.attempt_count == 0
