Handoff: a third process no longer takes the lock before the second one

Callers saw: clients told MOVE instead of being handed over, after the oldest of three processes was killed; now and then under load, 3 of 46 runs of the test's file. Cause: a killed process's lock is held until it is gone; the process that was there looks again 100 ms later, and one that starts meanwhile takes the lock and the older role. The log of the forced run: the third has the lock, the second connects to it as a successor, and its shutdown transfers nothing. Change: a second lock belongs to the one process that may take the first; it is taken before the first is tried, and given back with it in hand.

--- a/crates/node/src/handoff/peer_process.rs
+++ b/crates/node/src/handoff/peer_process.rs
@@ -67,6 +67,8 @@
     /// The files that both processes share; `None` where no second process may start.
     pub(super) files: Option<RuntimeFiles>,
     pub(super) primary: Option<PrimaryRole>,
+    /// Held by the one process that may take the primary's place.
+    next_lock: Option<File>,
     pub(super) peer: PeerProcess,
     pub(super) startup: Startup,
     /// Clients are accepted: a newer process leaves them to the older one until it can serve them.
@@ -82,6 +84,7 @@
         HandoffState {
             files: inherited_listener.map(|_| RuntimeFiles::new(listen)),
             primary: None,
+            next_lock: None,
             peer: PeerProcess::Absent,
             startup: Startup {
                 started_at: Instant::now(),
@@ -203,7 +206,14 @@
         let Some(files) = self.files.clone() else {
             return Ok(());
         };
-        match files.try_lock()? {
+        if self.next_lock.is_none() {
+            self.next_lock = files.try_next_lock()?;
+        }
+        let lock = match &self.next_lock {
+            Some(_) => files.try_lock()?,
+            None => None,
+        };
+        match lock {
             Some(lock) => self.become_primary(lock, &files, poller)?,
             None => self.connect_to_primary(&files, poller)?,
         }
@@ -221,6 +231,7 @@
             _lock: lock,
             listener: None,
         });
+        self.next_lock = None;
         let socket_path = files.socket_path();
         // A process that was killed leaves its socket behind.
         let _ = fs::remove_file(&socket_path);
--- a/crates/node/src/handoff/runtime_files.rs
+++ b/crates/node/src/handoff/runtime_files.rs
@@ -41,11 +41,25 @@
     /// # Errors
     /// Where the file can't be opened or locked.
     pub(crate) fn try_lock(&self) -> io::Result<Option<File>> {
+        self.try_lock_file("lock")
+    }
+
+    /// Takes the lock of the process that is next to become the older one; `None` while another process has it. A killed
+    /// process holds [`RuntimeFiles::try_lock`] until it is gone: only one process may wait for that, or the later one of
+    /// two could take it first.
+    ///
+    /// # Errors
+    /// Where the file can't be opened or locked.
+    pub(crate) fn try_next_lock(&self) -> io::Result<Option<File>> {
+        self.try_lock_file("next")
+    }
+
+    fn try_lock_file(&self, extension: &str) -> io::Result<Option<File>> {
         let file = File::options()
             .create(true)
             .truncate(false)
             .write(true)
-            .open(self.runtime_path.with_extension("lock"))?;
+            .open(self.runtime_path.with_extension(extension))?;
         match file.try_lock() {
             Ok(()) => Ok(Some(file)),
             Err(fs::TryLockError::WouldBlock) => Ok(None),
--- a/crates/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -8,6 +8,9 @@
 use std::io::Read;
 use std::time::{Duration, Instant};
 
+/// Five times the interval at which a process looks for the lock.
+const LOCK_SEARCH_TIME: Duration = Duration::from_millis(500);
+
 #[test]
 fn a_standing_connection_goes_over_with_what_waits_on_it_and_nobody_is_moved() {
     let mut rig = Rig::start_with_inherited_listener(2);
@@ -210,6 +213,45 @@
     exchange_lines(&mut client, &mut peer);
 }
 
+/// The lock of a killed process is held until it is gone. A third process that starts in that time took it in place of the
+/// second one, which had been there for longer; told to end, the second had nobody to hand its clients to, and sent them
+/// `MOVE`. The test holds the lock as the dying process does, and lets the third process look for it first.
+#[test]
+fn a_third_process_does_not_take_the_lock_before_the_second_one() {
+    let mut rig = Rig::start_with_inherited_listener(2);
+    rig.start_successor();
+    rig.accept_watch();
+    rig.wait_until_ready();
+    rig.pause();
+    let oldest = rig.oldest_process();
+    send_signal(oldest, "-KILL");
+    oldest.wait().unwrap();
+    let lock = hold_lock(&rig);
+    rig.resume();
+    rig.wait_for_log("peer process lost");
+    let (mut client, _, mut peer) = rig.establish();
+    rig.start_successor();
+    send_signal(rig.oldest_process(), "-STOP");
+    drop(lock);
+    std::thread::sleep(LOCK_SEARCH_TIME);
+    send_signal(rig.oldest_process(), "-CONT");
+    rig.accept_watch();
+    rig.wait_until_ready();
+    rig.terminate_predecessor();
+    exchange_lines(&mut client, &mut peer);
+}
+
+/// Takes the lock of the node's processes.
+fn hold_lock(rig: &Rig) -> std::fs::File {
+    let listen = rig.config["listen"].as_str().unwrap().replace(':', "-");
+    let path = rig
+        .runtime_directory()
+        .join(format!("lupincrank-{listen}.lock"));
+    let file = std::fs::File::options().write(true).open(path).unwrap();
+    file.try_lock().unwrap();
+    file
+}
+
 #[test]
 fn what_was_learned_of_servers_goes_over() {
     let mut rig = Rig::start_with_inherited_listener(2);
