Tests: waves by the module's own reckoning, an undated first list; both listed

Need: on reading the change again, two tests had been cut to their mends. Change: what fills a server over its warm-up is its capacity, as in the other tests of slow start; the clock test is a table of listings, with one that is not dated.

--- a/crates/node/tests/common/discovery.rs
+++ b/crates/node/tests/common/discovery.rs
@@ -38,12 +38,14 @@
         self.watch = Some(call);
     }
 
-    /// Opens the watch with a complete list, as a service that dates its answers.
-    pub fn accept_watch_with_list(&mut self, list: &str, now: SystemTime) {
+    /// Opens the watch with a complete list. The service dates its answer if it has a clock.
+    pub fn accept_watch_with_list(&mut self, list: &str, clock: Option<SystemTime>) {
         let (mut call, _) = self.accept_discovery_call();
-        let date = httpdate::fmt_http_date(now);
+        let date = clock.map_or_else(String::new, |now| {
+            format!("Date: {}\r\n", httpdate::fmt_http_date(now))
+        });
         call.send(&format!(
-            "HTTP/1.1 200 OK\r\nDate: {date}\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "HTTP/1.1 200 OK\r\n{date}Transfer-Encoding: chunked\r\n\r\n"
         ));
         self.watch = Some(call);
         self.write_to_watch(format!("{list}\n").as_bytes(), list.len() + 1);
--- a/crates/node/tests/wall_clock.rs
+++ b/crates/node/tests/wall_clock.rs
@@ -18,19 +18,49 @@
     since_epoch.as_millis() as u64
 }
 
-/// How many of the requests go to a server that starts while the node runs, whose wall clock is this far ahead from the
-/// start on. The server is said to have started `age` ago.
-fn requests_to_starting_server(clock_offset_seconds: i64, age: Duration) -> usize {
+/// Where the node reads of a server that has just started.
+#[derive(Clone, Copy)]
+enum Listing {
+    /// On a watch that is open.
+    Later,
+    /// In the first list, of a service that dates its answers as HTTP asks of one that has a clock.
+    FirstDated,
+    /// In the first list, of a service that does not.
+    FirstUndated,
+}
+
+/// How many of the requests go to a server that is listed so, `age` after its start, where the node's wall clock is this far
+/// ahead from the start on.
+fn requests_to_starting_server(
+    listing: Listing,
+    clock_offset_seconds: i64,
+    age: Duration,
+) -> usize {
     let faults = SyscallFaults::new(&format!("clock={clock_offset_seconds}"), 1);
-    faults.switch_on();
-    let mut rig = Rig::start_changed(3, DESCRIPTORS, Some(faults), |config| {
+    let mut rig = Rig::launch_with_faults(3, DESCRIPTORS, faults, |config| {
         let known = config["known"]["hosts"].as_array_mut().unwrap();
         known.truncate(2);
         config["settings"]["FamilyInfo"]["MessageAimNs"] = vec![LONG_NS].into();
     });
     let servers = EchoServers::start(&rig);
-    rig.announce_start(2, unix_ms() - age.as_millis() as u64, 2);
+    let started_at_ms = unix_ms() - age.as_millis() as u64;
+    let mut list = rig.endpoint_list(&["SERVING"; 3], 2, true);
+    list["hosts"][2]["born_ms"] = started_at_ms.into();
+    match listing {
+        Listing::Later => {
+            rig.accept_watch();
+            rig.wait_for_pong();
+            rig.announce_start(2, started_at_ms, 2);
+        }
+        Listing::FirstDated => {
+            rig.accept_watch_with_list(&list.to_string(), Some(SystemTime::now()));
+        }
+        Listing::FirstUndated => {
+            rig.accept_watch_with_list(&list.to_string(), None);
+        }
+    }
     rig.wait_for_log("seq: 2");
+    rig.wait_for_pong();
     let mut clients = Vec::new();
     for number in 0..REQUESTS {
         clients.push(rig.send_request(&format!("d=2000,g={number}")).0);
@@ -42,13 +72,10 @@
     servers.count_at(2)
 }
 
-#[rstest]
-fn a_server_that_starts_is_in_slow_start_whatever_the_wall_clock_says(
-    #[values(3600, 30, -3600, -30)] clock_offset_seconds: i64,
-) {
-    let age = Duration::from_millis(500);
-    let expected = requests_to_starting_server(0, age);
-    let count = requests_to_starting_server(clock_offset_seconds, age);
+/// The server gets what it would with a right clock.
+fn assert_slow_start(listing: Listing, clock_offset_seconds: i64, age: Duration) {
+    let expected = requests_to_starting_server(listing, 0, age);
+    let count = requests_to_starting_server(listing, clock_offset_seconds, age);
     println!("requests to the starting server: {count}, with a right clock {expected}");
     assert!(
         expected < REQUESTS / 4,
@@ -64,53 +91,39 @@
     );
 }
 
-/// The same for a server that the first list shows, `age` after its start. Discovery dates its answers, as HTTP asks of a
-/// service that has a clock.
-fn requests_to_server_of_first_list(clock_offset_seconds: i64, age: Duration) -> usize {
-    let faults = SyscallFaults::new(&format!("clock={clock_offset_seconds}"), 1);
-    let mut rig = Rig::launch_with_faults(3, DESCRIPTORS, faults, |config| {
-        let known = config["known"]["hosts"].as_array_mut().unwrap();
-        known.truncate(2);
-        config["settings"]["FamilyInfo"]["MessageAimNs"] = vec![LONG_NS].into();
-    });
-    let servers = EchoServers::start(&rig);
-    let mut list = rig.endpoint_list(&["SERVING"; 3], 2, true);
-    list["hosts"][2]["born_ms"] = (unix_ms() - age.as_millis() as u64).into();
-    rig.accept_watch_with_list(&list.to_string(), SystemTime::now());
-    rig.wait_for_log("seq: 2");
-    rig.wait_for_pong();
-    let mut clients = Vec::new();
-    for number in 0..REQUESTS {
-        clients.push(rig.send_request(&format!("d=2000,g={number}")).0);
-        std::thread::sleep(REQUEST_INTERVAL);
-    }
-    for client in &mut clients {
-        client.receive();
-    }
-    servers.count_at(2)
+#[rstest]
+fn a_server_that_starts_is_in_slow_start_whatever_the_wall_clock_says(
+    #[values(3600, 30, -3600, -30)] clock_offset_seconds: i64,
+) {
+    assert_slow_start(
+        Listing::Later,
+        clock_offset_seconds,
+        Duration::from_millis(500),
+    );
 }
 
 /// A node that starts with its wall clock ahead took a server that had just started for as old as that clock said, and sent
-/// it its whole part at once: no line `attempt started in slow start` in its log, and 90 requests in 3 s where 48 are right.
+/// it its whole part at once: no line `attempt started in slow start` in its log, and 52 requests where 2 are right.
 #[rstest]
 fn a_server_of_the_first_list_is_in_slow_start_whatever_the_wall_clock_says(
     #[values(3600, 30, -3600, -30)] clock_offset_seconds: i64,
 ) {
-    let age = Duration::from_millis(2500);
-    let expected = requests_to_server_of_first_list(0, age);
-    let count = requests_to_server_of_first_list(clock_offset_seconds, age);
-    println!("requests to the server: {count}, with a right clock {expected}");
-    assert!(
-        expected < REQUESTS / 4,
-        "slow start does not limit it: {expected}"
+    assert_slow_start(
+        Listing::FirstDated,
+        clock_offset_seconds,
+        Duration::from_millis(2500),
     );
-    assert!(
-        count <= expected + COUNT_TOLERANCE,
-        "{count}, with a right clock {expected}"
-    );
-    assert!(
-        count + COUNT_TOLERANCE >= expected / 2,
-        "{count}, with a right clock {expected}"
+}
+
+/// The same where discovery does not date its answers: nothing that the node is told contradicts its clock.
+#[rstest]
+fn a_server_of_an_undated_first_list_is_in_slow_start_too(
+    #[values(3600, 30, -3600, -30)] clock_offset_seconds: i64,
+) {
+    assert_slow_start(
+        Listing::FirstUndated,
+        clock_offset_seconds,
+        Duration::from_millis(2500),
     );
 }
 
--- a/crates/placement/tests/slow_start_waves.rs
+++ b/crates/placement/tests/slow_start_waves.rs
@@ -14,7 +14,7 @@
 const DRAINED_SERVERS: u64 = 27;
 const CONNECTIONS_PER_SERVER: u64 = 16;
 /// Connections that a warm server can have: services are run at half of that or less.
-const CAPACITY: f64 = 36.0;
+const CAPACITY: f64 = 2.0 * CONNECTIONS_PER_SERVER as f64;
 /// The groups of the clients; the number r of them is r times smaller than the first.
 const GROUP_COUNT: u64 = 44;
 /// Clients of drained servers return within this time.
@@ -25,9 +25,6 @@
 const OVERLOAD_WINDOW: Duration = Duration::from_millis(1_500);
 const OVERLOAD_FACTOR: f64 = 3.0;
 const INITIAL_CAPACITY_RATIO: f64 = 0.2;
-/// The time in which a server can set up as many connections as it can have: a third of the warm-up.
-const FILL_SECONDS: f64 = 6.7;
-
 /// A request that a node sent to a server.
 struct SentRequest {
     server: String,
@@ -190,7 +187,8 @@
 fn max_requests(age: Duration) -> f64 {
     let progress = age.as_secs_f64() / SLOW_START.as_secs_f64();
     let capacity_ratio = INITIAL_CAPACITY_RATIO + (1.0 - INITIAL_CAPACITY_RATIO) * progress;
-    let rate = CAPACITY / FILL_SECONDS * capacity_ratio;
+    // What fills a server over its warm-up is taken for its capacity, as in the tests of a steady demand.
+    let rate = CAPACITY / SLOW_START.as_secs_f64() * capacity_ratio;
     let allowed = OVERLOAD_FACTOR * rate * OVERLOAD_WINDOW.as_secs_f64();
     if allowed < 30.0 {
         allowed + 3.0 * allowed.sqrt() + 3.0
@@ -217,8 +215,9 @@
 /// one request each to the same server in slow start, 20 of them returning clients of one group, ten times what it could do.
 ///
 /// Each node saw one request in some seconds, from which the refill of slow start concluded that the server may take all of its
-/// keys (`attempt started in slow start`, `key_ratio: 1`), and none knew that the group was a large one. Either half of the mend
-/// alone is not enough: seed 1 gives 1.02 with the ratio bounded, and 1.08 with the groups spread.
+/// keys (`attempt started in slow start`, `key_ratio: 1`), and none knew that the group was a large one. With returning clients
+/// bounded by the server's capacity and groups spread, this is 0.93 to 1.43 of what a server bears, after 2.98 to 4.86: not enough
+/// yet.
 #[test]
 fn clients_that_return_at_once_overload_no_server_that_warms_up() {
     for seed in 1..=8 {
