Node: an undated first list on a clock in doubt reads its latest starts as just now

Cause: StartTimes::resolve took the starts of a first list from the wall clock alone. Evidence: the case with a Date passes, the same list without one fails, and nothing else in it differs. Change: FirstListStarts takes the latest start for just now, the others by the list's own order, where by the wall clock slow start is over for all. Not where discovery dated its answer, a process before this one told its state, or over a third of the ready servers would be in doubt, since the rest carry one and a half times their load. Why it works: an age that is too low costs one slow start; the true age is never below it. Servers listed as started long ago are never in doubt. Known not to hold: a clock ahead by less than slow start lasts.

--- a/crates/node/src/discovery/client.rs
+++ b/crates/node/src/discovery/client.rs
@@ -3,7 +3,7 @@
 use super::call::{Call, DiscoveryError, WriteState};
 use super::chunked::BodyState;
 use super::endpoint_list::{EndpointListError, EndpointListUpdate};
-use super::endpoint_resolver::EndpointResolver;
+use super::endpoint_resolver::{listed_starts, EndpointResolver};
 use crate::command::{DiscoveryCommand, HandoffCommand, Message};
 use crate::component::WellKnownComponent;
 use crate::config::Config;
@@ -99,17 +99,20 @@
     ) -> Result<(), EndpointListError> {
         update.check()?;
         let not_listed_at = self.has_watched.then_some(self.last_contact);
+        let scope = if update.is_complete {
+            EndpointListScope::Complete
+        } else {
+            EndpointListScope::Changes
+        };
+        if not_listed_at.is_none() && source == EndpointListSource::Discovery {
+            placement.on_first_list(listed_starts(update), scope);
+        }
         let mut endpoints = Vec::with_capacity(update.endpoints.len());
         for endpoint in &update.endpoints {
             let resolver = &mut self.endpoint_resolver;
             endpoints.push(resolver.resolve(placement, endpoint, not_listed_at)?);
         }
         self.version = update.version;
-        let scope = if update.is_complete {
-            EndpointListScope::Complete
-        } else {
-            EndpointListScope::Changes
-        };
         placement.apply_endpoint_list(endpoints, scope, source);
         Ok(())
     }
--- a/crates/node/src/discovery/endpoint_resolver.rs
+++ b/crates/node/src/discovery/endpoint_resolver.rs
@@ -1,8 +1,8 @@
 //! Turns entries of the endpoint list into what the placement is told of them.
 
-use super::endpoint_list::{name_index, EndpointListError, ListedEndpoint};
+use super::endpoint_list::{name_index, EndpointListError, EndpointListUpdate, ListedEndpoint};
 use crate::config::Config;
-use crate::placement_driver::{PlacementDriver, ResolvedEndpoint};
+use crate::placement_driver::{ListedStart, PlacementDriver, ResolvedEndpoint};
 use lupincrank_placement::{Endpoint, ServerId};
 use std::time::Instant;
 
@@ -49,3 +49,14 @@
         })
     }
 }
+
+/// The starts of the servers of a list, without those whose health can't be read.
+pub(super) fn listed_starts(update: &EndpointListUpdate) -> impl Iterator<Item = ListedStart> + '_ {
+    update.endpoints.iter().filter_map(|endpoint| {
+        Some(ListedStart {
+            server: ServerId::from(endpoint.server.as_str()),
+            health: endpoint.parsed_health().ok()?,
+            started_at_ms: endpoint.started_at_ms.unwrap_or(0),
+        })
+    })
+}
--- a/crates/node/src/placement_driver/endpoints.rs
+++ b/crates/node/src/placement_driver/endpoints.rs
@@ -1,5 +1,6 @@
 //! The endpoint list: where each server listens, and what administrators and earlier processes say of the servers.
 
+use super::first_list::{FirstListStarts, ListedStart, StartEvidence};
 use super::PlacementDriver;
 use lupincrank_placement::learned_state::LearnedServer;
 use lupincrank_placement::{Endpoint, Event, Health, ServerId, Timestamp};
@@ -109,12 +110,46 @@
 
     /// Discovery has told its wall clock, to the second.
     pub(crate) fn on_discovery_date(&mut self, date: SystemTime) {
+        self.start_evidence = StartEvidence::Corroborated;
+        self.start_times.begin_first_list(None);
         if self.clock.limit_system_time(date) {
             warn!(self.log, "wall clock ahead of discovery's"; "date" => httpdate::fmt_http_date(date));
             self.start_times.forget_first_list();
         }
     }
 
+    /// Discovery's first list is about to be resolved; `listed` are the starts of its servers. Without a date of
+    /// discovery's, or a process before this one that knew the servers, nothing but the list itself can contradict this
+    /// machine's wall clock.
+    pub(crate) fn on_first_list(
+        &mut self,
+        listed: impl Iterator<Item = ListedStart>,
+        scope: EndpointListScope,
+    ) {
+        if self.start_evidence == StartEvidence::Corroborated {
+            return;
+        }
+        let mut starts = FirstListStarts::default();
+        if scope == EndpointListScope::Changes {
+            for server in self.ready_servers() {
+                starts.set(ListedStart {
+                    server: server.clone(),
+                    health: Health::Ready,
+                    started_at_ms: self.start_times.unix_ms(server),
+                });
+            }
+        }
+        for start in listed {
+            starts.set(start);
+        }
+        let suspected_present_ms =
+            starts.suspected_present_ms(&self.clock, self.slow_start_duration);
+        if let Some(latest_ms) = suspected_present_ms {
+            warn!(self.log, "wall clock in doubt, latest starts count as just now"; "latest_start_ms" => latest_ms);
+        }
+        self.start_times.begin_first_list(suspected_present_ms);
+    }
+
     /// The watch has fallen silent.
     pub(crate) fn on_watch_silent(&mut self) {
         self.feed(Event::EndpointWatchStalled);
@@ -225,6 +260,7 @@
             .iter()
             .filter(|server| server.concurrency_limit.is_some())
             .count();
+        self.start_evidence = StartEvidence::Corroborated;
         info!(self.log, "learned state imported"; "servers" => learned.len(), "ejected" => ejected, "limited" => limited);
         self.feed(Event::LearnedState(learned));
     }
--- a/crates/node/src/placement_driver/mod.rs
+++ b/crates/node/src/placement_driver/mod.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod command;
 mod endpoints;
+mod first_list;
 mod latency;
 mod request;
 mod settings;
@@ -18,12 +19,14 @@
 pub(crate) use endpoints::{
     EndpointAvailabilityError, EndpointListScope, EndpointListSource, ResolvedEndpoint,
 };
+pub(crate) use first_list::ListedStart;
 pub(crate) use request::hex_id;
 
 use crate::config::Config;
 use crate::deadline::PlacementTimer;
 use clock::PlacementClock;
 use endpoints::KnownEndpoint;
+use first_list::StartEvidence;
 use latency::UpstreamLatency;
 use lupincrank_placement::{
     Action, Balancer, Event, Outcome, RequestId, ServerId, SlowStartLease, Timer, Timestamp,
@@ -47,6 +50,8 @@
     start_times: StartTimes,
     /// Whether discovery has answered since this process began.
     has_discovery_answered: bool,
+    start_evidence: StartEvidence,
+    slow_start_duration: Duration,
     latencies: BTreeMap<ServerId, UpstreamLatency>,
     setup_times: SetupTimes,
     /// The shortest latency objective of messages, by the settings.
@@ -76,6 +81,8 @@
             endpoints: HashMap::new(),
             start_times: StartTimes::default(),
             has_discovery_answered: false,
+            start_evidence: StartEvidence::WallClock,
+            slow_start_duration: settings.slow_start_duration,
             latencies: BTreeMap::new(),
             setup_times: SetupTimes::default(),
             min_message_objective: settings.min_message_objective(),
--- a/crates/node/src/placement_driver/settings.rs
+++ b/crates/node/src/placement_driver/settings.rs
@@ -32,6 +32,7 @@
         let settings = &config.settings;
         self.min_message_objective = settings.min_message_objective();
         self.shutdown_retry_after = shutdown_retry_after(settings);
+        self.slow_start_duration = settings.slow_start_duration;
         self.feed(Event::SettingsChanged {
             settings: Settings {
                 node_count: settings.node_count.saturating_mul(self.process_count),
--- a/crates/node/src/placement_driver/start_times.rs
+++ b/crates/node/src/placement_driver/start_times.rs
@@ -24,6 +24,8 @@
 #[derive(Debug, Default)]
 pub(super) struct StartTimes {
     known: BTreeMap<ServerId, KnownStart>,
+    /// The moment at which discovery's first list is read, where this machine's wall clock is in doubt.
+    present_of_first_list_ms: Option<u64>,
 }
 
 impl StartTimes {
@@ -36,7 +38,13 @@
         unix_ms: u64,
         not_listed_at: Option<Instant>,
     ) -> Option<Timestamp> {
-        let by_wall_clock = clock.timestamp_of_unix_ms(unix_ms);
+        let by_wall_clock = match self.present_of_first_list_ms {
+            Some(present_ms) if not_listed_at.is_none() => {
+                let age = Duration::from_millis(present_ms.saturating_sub(unix_ms));
+                Some(clock.now().saturating_sub(age))
+            }
+            _ => clock.timestamp_of_unix_ms(unix_ms),
+        };
         if unix_ms == 0 {
             self.known.remove(server);
             return None;
@@ -67,6 +75,20 @@
         started_at
     }
 
+    /// Discovery's first list comes. With a present, this machine's wall clock is in doubt: what it told alone is forgotten, and
+    /// the list is read as if it were that moment.
+    pub(super) fn begin_first_list(&mut self, suspected_present_ms: Option<u64>) {
+        self.present_of_first_list_ms = suspected_present_ms;
+        if suspected_present_ms.is_some() {
+            self.forget_first_list();
+        }
+    }
+
+    /// The start as it was listed, in milliseconds of Unix time; 0 for long ago.
+    pub(super) fn unix_ms(&self, server: &ServerId) -> u64 {
+        self.known.get(server).map_or(0, |known| known.unix_ms)
+    }
+
     /// Forgets what the wall clock alone told, since it turned out to be off: the next list that names these servers counts.
     pub(super) fn forget_first_list(&mut self) {
         self.known.retain(|_, known| !known.is_of_first_list);
--- a/crates/node/tests/wall_clock.rs
+++ b/crates/node/tests/wall_clock.rs
@@ -102,8 +102,7 @@
     );
 }
 
-/// A node that starts with its wall clock ahead took a server that had just started for as old as that clock said, and sent
-/// it its whole part at once: no line `attempt started in slow start` in its log, and 52 requests where 2 are right.
+/// Guards against a node whose wall clock is ahead at its start, and that sends a server in slow start its whole part at once.
 #[rstest]
 fn a_server_of_the_first_list_is_in_slow_start_whatever_the_wall_clock_says(
     #[values(3600, 30, -3600, -30)] clock_offset_seconds: i64,
@@ -115,7 +114,7 @@
     );
 }
 
-/// The same where discovery does not date its answers: nothing that the node is told contradicts its clock.
+/// The same where discovery does not date its answers, so that nothing that the node is told contradicts its clock.
 #[rstest]
 fn a_server_of_an_undated_first_list_is_in_slow_start_too(
     #[values(3600, 30, -3600, -30)] clock_offset_seconds: i64,
