Placement: beyond its limit a server in slow start refuses only whom a wave refuses

Cause: made a server in slow start that serves the group ask for its part of the keys also for the one connection that it takes beyond its limit. Nothing showed that case to overload one. Change: only clients whom the wave's draw refuses are refused there.

--- a/crates/placement/src/policy/selection.rs
+++ b/crates/placement/src/policy/selection.rs
@@ -223,9 +223,11 @@
         if takes_group && self.admits(now, request, server, context, FairLoad::Ignored) {
             return Some(Tier::BeyondFairLoad);
         }
+        let is_refused_by_wave =
+            server.slow_start.is_active && context.slow_start == SlowStartAdmission::Refused;
         let may_exceed_limit = serves_group
             && server.may_exceed_limit(now, OVERLOAD_MEMORY, raise_interval)
-            && self.accepts_key_in_slow_start(now, request, server, context)
+            && !is_refused_by_wave
             && self.key_redistribution.accepts_key(server, request.key);
         may_exceed_limit.then_some(Tier::BeyondLimit)
     }
