--- a/crates/node/tests/wall_clock.rs
+++ b/crates/node/tests/wall_clock.rs
@@ -19,7 +19,7 @@
 }
 
 /// Where the node reads of a server that has just started.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, PartialEq, Eq)]
 enum Listing {
     /// On a watch that is open.
     Later,
@@ -27,6 +27,8 @@
     FirstDated,
     /// In the first list, of a service that does not.
     FirstUndated,
+    /// The same, with another server that has started at the same moment.
+    FirstUndatedWithAnother,
 }
 
 /// How many of the requests go to a server that is listed so, `age` after its start, where the node's wall clock is this far
@@ -46,6 +48,9 @@
     let started_at_ms = unix_ms() - age.as_millis() as u64;
     let mut list = rig.endpoint_list(&["SERVING"; 3], 2, true);
     list["hosts"][2]["born_ms"] = started_at_ms.into();
+    if listing == Listing::FirstUndatedWithAnother {
+        list["hosts"][1]["born_ms"] = started_at_ms.into();
+    }
     match listing {
         Listing::Later => {
             rig.accept_watch();
@@ -55,7 +60,7 @@
         Listing::FirstDated => {
             rig.accept_watch_with_list(&list.to_string(), Some(SystemTime::now()));
         }
-        Listing::FirstUndated => {
+        Listing::FirstUndated | Listing::FirstUndatedWithAnother => {
             rig.accept_watch_with_list(&list.to_string(), None);
         }
     }
@@ -126,6 +131,18 @@
     );
 }
 
+/// The same where most servers have started at the same moment, as after a loss of power.
+#[rstest]
+fn servers_of_an_undated_first_list_that_started_together_are_in_slow_start(
+    #[values(3600, 30)] clock_offset_seconds: i64,
+) {
+    assert_slow_start(
+        Listing::FirstUndatedWithAnother,
+        clock_offset_seconds,
+        Duration::from_millis(2500),
+    );
+}
+
 /// A step while the node runs moves no deadline: that of a request, of a first line, and of the shutdown.
 #[rstest]
 fn a_step_of_the_wall_clock_moves_no_deadline(#[values(3600, -3600)] offset_seconds: i64) {
