Tests: each client that returns in a wave is served or answered in time

Need: a wave could overload nobody because its requests wait; the test of the wave counts what is sent at once only. Change: a test beside it runs on past every deadline; the timeout of the requests has a name. The test of the wave is unchanged in what it checks.

--- a/crates/placement/tests/slow_start_waves.rs
+++ b/crates/placement/tests/slow_start_waves.rs
@@ -19,6 +19,7 @@
 const GROUP_COUNT: u64 = 44;
 /// Clients of drained servers return within this time.
 const RETURN_SPREAD_MS: u64 = 1_450;
+const REQUEST_TIMEOUT_MS: u64 = 3_000;
 /// How old the servers that warm up are when the wave comes.
 const WARMING_AGE_MS: u64 = 2_500;
 const SLOW_START: Duration = Duration::from_secs(20);
@@ -104,7 +105,11 @@
         self.next_id += 1;
         RequestInfo {
             group: Some(group.into()),
-            ..request(id, &format!("connection:{id}"), now + 3_000 * MS)
+            ..request(
+                id,
+                &format!("connection:{id}"),
+                now + REQUEST_TIMEOUT_MS * MS,
+            )
         }
     }
 
@@ -219,6 +224,26 @@
     }
 }
 
+/// Guards against a wave that overloads nobody because its requests are left waiting.
+#[test]
+fn every_client_that_returns_in_a_wave_is_served_or_answered_in_time() {
+    let mut fleet = WaveFleet::new(1);
+    fleet.fill_servers();
+    let drained_at = fleet.replace_servers();
+    let first_returned = fleet.next_id;
+    fleet.return_clients(drained_at);
+    for node in &mut fleet.nodes {
+        node.advance_to(drained_at + RETURN_SPREAD_MS * MS + 2 * REQUEST_TIMEOUT_MS * MS);
+    }
+    let records = fleet.nodes.iter().flat_map(|node| &node.requests);
+    let returned = records.filter(|(id, _)| **id >= first_returned);
+    let (ended, waiting): (Vec<_>, Vec<_>) =
+        returned.partition(|(_, record)| record.is_established || record.is_answered());
+    assert_eq!(waiting.len(), 0, "requests that wait past their deadline");
+    let returned_clients = DRAINED_SERVERS * CONNECTIONS_PER_SERVER;
+    assert_eq!(ended.len() as u64, returned_clients);
+}
+
 fn play_wave(seed: u64) {
     let mut fleet = WaveFleet::new(seed);
     fleet.fill_servers();
