Tests: what waves of returning clients share stands in tests/common

Need: a second test of waves reckons what a server in slow start bears by the same rule and draws groups by the same law.

Change: SentRequest, the draw of a group, max_requests and max_load_ratio move from slow_start_waves.rs to tests/common/waves.rs; settings and capacity are parameters there. What slow_start_waves.rs checks is the same.

--- a/crates/placement/tests/common/mod.rs
+++ b/crates/placement/tests/common/mod.rs
@@ -5,7 +5,9 @@
 mod harness;
 mod invariants;
 mod records;
+mod waves;
 
 pub use fixtures::*;
 pub use harness::Harness;
 pub use records::{AttemptRecord, EndpointRecord, PendingTimer, RequestRecord};
+pub use waves::*;
--- a/crates/placement/tests/slow_start_waves.rs
+++ b/crates/placement/tests/slow_start_waves.rs
@@ -4,7 +4,7 @@
 mod common;
 use common::*;
 use lupincrank_placement::*;
-use rand_core::{RngCore, SeedableRng};
+use rand_core::SeedableRng;
 use rand_pcg::Pcg32;
 use std::time::Duration;
 
@@ -15,8 +15,6 @@
 const CONNECTIONS_PER_SERVER: u64 = 16;
 /// Connections that a warm server can have: services are run at half of that or less.
 const CAPACITY: f64 = 2.0 * CONNECTIONS_PER_SERVER as f64;
-/// The groups of the clients; the number r of them is r times smaller than the first.
-const GROUP_COUNT: u64 = 44;
 /// Clients of drained servers return within this time.
 const RETURN_SPREAD_MS: u64 = 1_450;
 const REQUEST_TIMEOUT_MS: u64 = 3_000;
@@ -26,11 +24,6 @@
 const OVERLOAD_WINDOW: Duration = Duration::from_millis(1_500);
 const OVERLOAD_FACTOR: f64 = 3.0;
 const INITIAL_CAPACITY_RATIO: f64 = 0.2;
-/// A request that a node sent to a server.
-struct SentRequest {
-    server: String,
-    sent_at: u64,
-}
 
 struct WaveFleet {
     random: Pcg32,
@@ -79,25 +72,15 @@
     }
 
     fn draw(&mut self, count: u64) -> u64 {
-        u64::from(self.random.next_u32()) % count
+        draw(&mut self.random, count)
     }
 
     fn any_node(&mut self) -> usize {
         self.draw(u64::from(NODE_COUNT)) as usize
     }
 
-    /// A group by Zipf's law: the first one is the largest.
     fn any_group(&mut self) -> String {
-        let weights = (1..=GROUP_COUNT).map(|rank| 1.0 / rank as f64);
-        let total: f64 = weights.clone().sum();
-        let mut remaining = total * self.draw(1 << 20) as f64 / (1u64 << 20) as f64;
-        for (group, weight) in weights.enumerate() {
-            remaining -= weight;
-            if remaining < 0.0 {
-                return format!("group-{group}");
-            }
-        }
-        "group-0".into()
+        draw_group(&mut self.random)
     }
 
     fn request_of_group(&mut self, group: &str, now: u64) -> RequestInfo {
@@ -188,34 +171,6 @@
     }
 }
 
-/// How many requests a server bears in a window that begins at this age, by the settings, with what is put down to chance.
-fn max_requests(age: Duration) -> f64 {
-    let progress = age.as_secs_f64() / SLOW_START.as_secs_f64();
-    let capacity_ratio = INITIAL_CAPACITY_RATIO + (1.0 - INITIAL_CAPACITY_RATIO) * progress;
-    // What fills a server over its warm-up is taken for its capacity, as in the tests of a steady demand.
-    let rate = CAPACITY / SLOW_START.as_secs_f64() * capacity_ratio;
-    let allowed = OVERLOAD_FACTOR * rate * OVERLOAD_WINDOW.as_secs_f64();
-    if allowed < 30.0 {
-        allowed + 3.0 * allowed.sqrt() + 3.0
-    } else {
-        allowed + 2.0 * allowed.sqrt() + 2.0
-    }
-}
-
-/// The most requests that one server in slow start was sent within a window, as a part of what it bears.
-fn max_load_ratio(sent: &[SentRequest], started_at: u64) -> f64 {
-    let to_warming = sent.iter().filter(|one| one.server.starts_with("cold"));
-    let ratios = to_warming.map(|first| {
-        let window = first.sent_at..first.sent_at + OVERLOAD_WINDOW.as_nanos() as u64;
-        let count = sent
-            .iter()
-            .filter(|one| one.server == first.server && window.contains(&one.sent_at))
-            .count();
-        count as f64 / max_requests(Duration::from_nanos(first.sent_at - started_at))
-    });
-    ratios.fold(0.0, f64::max)
-}
-
 /// Guards against servers in slow start that fall when servers drain together and all of their clients return at once.
 #[test]
 fn clients_that_return_at_once_overload_no_server_that_warms_up() {
@@ -250,11 +205,8 @@
     let drained_at = fleet.replace_servers();
     let started_at = drained_at - WARMING_AGE_MS * MS;
     let sent = fleet.return_clients(drained_at);
-    let to_warming = sent
-        .iter()
-        .filter(|one| one.server.starts_with("cold"))
-        .count();
-    let ratio = max_load_ratio(&sent, started_at);
+    let to_warming = sent.iter().filter(|one| one.is_to_cold_server()).count();
+    let ratio = max_load_ratio(&wave_settings(), CAPACITY, &sent, started_at);
     println!(
         "seed {seed}: {to_warming} of {} to servers that warm up, {ratio:.2} of what one bears",
         sent.len()
