Tests (red): waves that no endpoint list tells overload servers in slow start

Change: unlisted_waves.rs plays 32 and 300 nodes. Servers reset their connections at all nodes at one instant and refuse new ones, or drop a half, or a node dies; clients return to any node within 1.9 s.

--- /dev/null
+++ b/crates/placement/tests/unlisted_waves.rs
@@ -0,0 +1,552 @@
+//! Clients that return all at once while the endpoint list is quiet: warm servers that die or drop connections are still
+//! listed as ready, or a node dies. All nodes together send a server in slow start no more than it bears.
+
+mod common;
+use common::*;
+use lupincrank_placement::*;
+use rand_core::SeedableRng;
+use rand_pcg::Pcg32;
+use rstest::rstest;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=8;
+/// A warm server can have this multiple of the connections that it has: services are run at half of that or less.
+const CAPACITY_RATIO: f64 = 2.0;
+/// How long the nodes have known the warm servers when others start.
+const QUIET_MS: u64 = 1_000;
+/// How old the servers in slow start are when the clients lose their connections, in the usual case.
+const COLD_AGE_MS: u64 = 2_500;
+/// The same where nodes have had the time to save up attempts.
+const LONGER_COLD_AGE_MS: u64 = 9_000;
+/// A client returns no sooner than this after its connection is lost ...
+const MIN_RETURN_DELAY_MS: u64 = 20;
+/// ... and within this time.
+const MAX_RETURN_DELAY_MS: u64 = 1_900;
+const REQUEST_TIMEOUT_MS: u64 = 3_000;
+/// How long a connection setup takes at most, and a refused one.
+const SETUP_MS: u64 = 10;
+/// In steps of this time, time passes while no client waits.
+const IDLE_STEP_MS: u64 = 100;
+/// The node that dies, where one does.
+const DYING_NODE: usize = 0;
+/// Utilization that warm servers report.
+const WARM_UTILIZATION: f64 = 0.5;
+/// Utilization that servers in slow start reported before the wave.
+const IDLE_UTILIZATION: f64 = 0.0;
+
+/// What the requests of the clients have in common.
+#[derive(Clone, Copy)]
+enum Grouping {
+    Ungrouped,
+    ZipfGroups,
+}
+
+/// What health checks tell of the servers' load.
+#[derive(Clone, Copy, PartialEq)]
+enum LoadReports {
+    None,
+    ColdServersIdle,
+}
+
+/// How clients lose their connections.
+#[derive(Clone, Copy, PartialEq)]
+enum Incident {
+    /// Servers reset all connections and refuse new ones.
+    ServersDie,
+    /// Overloaded servers reset every other connection and accept new ones.
+    ServersDropHalf,
+    /// A node dies with its connections, and all servers stay.
+    NodeDies,
+}
+
+#[derive(Clone, Copy)]
+struct Scenario {
+    node_count: u32,
+    /// The nodes that hold connections on the servers that are lost.
+    holding_node_count: u64,
+    warm_servers: u64,
+    /// Warm servers that the incident befalls.
+    lost_servers: u64,
+    connections_per_server: u64,
+    cold_servers: u64,
+    cold_age_ms: u64,
+    load_reports: LoadReports,
+    incident: Incident,
+}
+
+const SMALL_FLEET: Scenario = Scenario {
+    node_count: 32,
+    holding_node_count: 32,
+    warm_servers: 5,
+    lost_servers: 3,
+    connections_per_server: 64,
+    cold_servers: 1,
+    cold_age_ms: COLD_AGE_MS,
+    load_reports: LoadReports::None,
+    incident: Incident::ServersDie,
+};
+
+const LARGE_FLEET: Scenario = Scenario {
+    node_count: 300,
+    holding_node_count: 300,
+    warm_servers: 20,
+    lost_servers: 4,
+    ..SMALL_FLEET
+};
+
+/// As many of the warm servers are lost as of those of the small fleet, when nodes have saved up attempts.
+const MOST_SERVERS_LOST: Scenario = Scenario {
+    lost_servers: 12,
+    cold_servers: 3,
+    cold_age_ms: LONGER_COLD_AGE_MS,
+    ..LARGE_FLEET
+};
+
+impl Scenario {
+    fn settings(&self) -> Settings {
+        let reports_load = self.load_reports != LoadReports::None;
+        Settings {
+            node_count: self.node_count,
+            overload_window: Duration::from_millis(1_500),
+            health_checks_allowed: reports_load,
+            health_check_cost: 0.001,
+            utilization_field: reports_load.then_some(0),
+            ..settings(RetrySafety::Idempotent)
+        }
+    }
+
+    /// The number of connections that a warm server can have.
+    fn capacity(&self) -> f64 {
+        CAPACITY_RATIO * self.connections_per_server as f64
+    }
+
+    fn warm_server_names(&self, seed: u64) -> impl Iterator<Item = String> {
+        let lost_servers = self.lost_servers;
+        (0..self.warm_servers).map(move |number| {
+            let kind = if number < lost_servers {
+                "lost"
+            } else {
+                "warm"
+            };
+            format!("{kind}-{number}-{seed}")
+        })
+    }
+
+    fn warm_endpoints(&self, seed: u64) -> Vec<Endpoint> {
+        self.warm_server_names(seed)
+            .map(|name| endpoint(&name))
+            .collect()
+    }
+
+    fn cold_endpoints(&self, seed: u64, started_at: u64) -> impl Iterator<Item = Endpoint> {
+        (0..self.cold_servers).map(move |number| Endpoint {
+            started_at: Some(Timestamp(started_at)),
+            ..endpoint(&format!("cold-{number}-{seed}"))
+        })
+    }
+}
+
+fn is_lost_server(server: &str) -> bool {
+    server.starts_with("lost")
+}
+
+/// Whether the client waits no more.
+fn has_ended(record: &RequestRecord) -> bool {
+    record.is_established || record.is_answered()
+}
+
+/// A client that sends a request, again whenever it loses its connection.
+struct Client {
+    key: String,
+    group: Option<String>,
+}
+
+/// A client is about to send its request anew.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct ClientReturn {
+    due_at: u64,
+    client: usize,
+}
+
+/// All nodes, and the clients and servers around them.
+struct Fleet {
+    scenario: Scenario,
+    /// Also part of the servers' names: each seed ranks them otherwise.
+    seed: u64,
+    random: Pcg32,
+    nodes: Vec<Harness>,
+    clients: Vec<Client>,
+    /// The client of each request, by its id.
+    clients_of_requests: Vec<usize>,
+    returns: BTreeSet<ClientReturn>,
+    /// The latest deadline of a request of a client that returned.
+    last_deadline: u64,
+    /// When clients were last looked for that are told to move.
+    migrations_checked_at: u64,
+    /// The number of requests before the incident.
+    initial_request_count: u64,
+    started_at: u64,
+    now: u64,
+}
+
+impl Fleet {
+    fn new(scenario: Scenario, seed: u64) -> Fleet {
+        let nodes: Vec<Harness> = (0..scenario.node_count)
+            .map(|node| Harness::new(scenario.settings(), u64::from(node) + 1))
+            .collect();
+        let now = nodes[0].now;
+        Fleet {
+            scenario,
+            seed,
+            random: Pcg32::seed_from_u64(seed),
+            nodes,
+            clients: vec![],
+            clients_of_requests: vec![],
+            returns: BTreeSet::new(),
+            last_deadline: now,
+            migrations_checked_at: now,
+            initial_request_count: 0,
+            started_at: now + QUIET_MS * MS,
+            now,
+        }
+    }
+
+    fn request_of(&mut self, client: usize) -> RequestInfo {
+        let id = self.clients_of_requests.len() as u64;
+        self.clients_of_requests.push(client);
+        let deadline = self.now + REQUEST_TIMEOUT_MS * MS;
+        let client = &self.clients[client];
+        RequestInfo {
+            group: client.group.clone(),
+            ..request(id, &client.key, deadline)
+        }
+    }
+
+    fn new_client(&mut self, grouping: Grouping) -> usize {
+        let group = match grouping {
+            Grouping::Ungrouped => None,
+            Grouping::ZipfGroups => Some(draw_group(&mut self.random)),
+        };
+        let number = self.clients.len();
+        let key = format!("client:{number}");
+        self.clients.push(Client { key, group });
+        number
+    }
+
+    /// Warm servers hold connections of clients at all nodes.
+    fn fill_warm_servers(&mut self, grouping: Grouping) {
+        for node in &mut self.nodes {
+            node.set_endpoints(self.scenario.warm_endpoints(self.seed));
+        }
+        for server in self.scenario.warm_server_names(self.seed) {
+            let node_count = if is_lost_server(&server) {
+                self.scenario.holding_node_count
+            } else {
+                u64::from(self.scenario.node_count)
+            };
+            for _ in 0..self.scenario.connections_per_server {
+                let client = self.new_client(grouping);
+                let node = draw(&mut self.random, node_count) as usize;
+                let info = self.request_of(client);
+                self.nodes[node].inherit_connection(info, &server);
+            }
+        }
+        self.initial_request_count = self.clients_of_requests.len() as u64;
+    }
+
+    /// Servers start, and some time passes.
+    fn start_cold_servers(&mut self) {
+        self.play_until(self.started_at);
+        let cold = self.scenario.cold_endpoints(self.seed, self.started_at);
+        let entries: Vec<Endpoint> = self
+            .scenario
+            .warm_endpoints(self.seed)
+            .into_iter()
+            .chain(cold)
+            .collect();
+        for node in &mut self.nodes {
+            node.set_endpoints(entries.clone());
+        }
+        self.play_until(self.started_at + self.scenario.cold_age_ms * MS);
+    }
+
+    /// Many clients lose their connections at this instant.
+    fn begin_incident(&mut self) {
+        match self.scenario.incident {
+            Incident::ServersDie => self.reset_lost_servers(1),
+            Incident::ServersDropHalf => self.reset_lost_servers(2),
+            Incident::NodeDies => {
+                let ids: Vec<u64> = self.nodes[DYING_NODE].requests.keys().copied().collect();
+                for id in ids {
+                    self.schedule_return(id);
+                }
+            }
+        }
+    }
+
+    /// The lost servers reset one in so many of their connections.
+    fn reset_lost_servers(&mut self, step: usize) {
+        for node in 0..self.nodes.len() {
+            let requests = &self.nodes[node].requests;
+            let is_on_lost_server =
+                |record: &RequestRecord| is_lost_server(&record.attempts[0].server.0);
+            let ids: Vec<u64> = requests
+                .iter()
+                .filter(|(_, record)| is_on_lost_server(record))
+                .map(|(id, _)| *id)
+                .step_by(step)
+                .collect();
+            for id in ids {
+                self.nodes[node].end_attempt(id, Outcome::Reset);
+                self.schedule_return(id);
+            }
+        }
+    }
+
+    fn schedule_return(&mut self, id: u64) {
+        let spread = MAX_RETURN_DELAY_MS - MIN_RETURN_DELAY_MS;
+        let delay_ms = MIN_RETURN_DELAY_MS + draw(&mut self.random, spread);
+        self.returns.insert(ClientReturn {
+            due_at: self.now + delay_ms * MS,
+            client: self.clients_of_requests[id as usize],
+        });
+    }
+
+    fn is_alive(&self, node: usize) -> bool {
+        let has_wave_begun = self.now >= self.started_at + self.scenario.cold_age_ms * MS;
+        let has_node_died = has_wave_begun && self.scenario.incident == Incident::NodeDies;
+        !has_node_died || node != DYING_NODE
+    }
+
+    fn draw_living_node(&mut self) -> usize {
+        loop {
+            let node = draw(&mut self.random, u64::from(self.scenario.node_count)) as usize;
+            if self.is_alive(node) {
+                return node;
+            }
+        }
+    }
+
+    fn refuses_connections(&self, server: &str) -> bool {
+        self.scenario.incident == Incident::ServersDie && is_lost_server(server)
+    }
+
+    /// Lets time pass, in steps of a connection setup while clients wait.
+    fn play_until(&mut self, until: u64) {
+        while self.now < until {
+            let step_end = (self.now + self.step_ms() * MS).min(until);
+            self.receive_returns(step_end);
+            self.now = step_end;
+            for node in 0..self.nodes.len() {
+                if self.is_alive(node) {
+                    self.nodes[node].advance_to(step_end);
+                    self.answer_health_checks(node);
+                    self.settle_attempts(node);
+                }
+            }
+            self.disconnect_migrated_clients();
+        }
+    }
+
+    fn step_ms(&self) -> u64 {
+        let is_request_due = self.now < self.last_deadline;
+        if is_request_due || !self.returns.is_empty() {
+            SETUP_MS
+        } else {
+            IDLE_STEP_MS
+        }
+    }
+
+    fn receive_returns(&mut self, until: u64) {
+        while self
+            .returns
+            .first()
+            .is_some_and(|next| next.due_at <= until)
+        {
+            let Some(next) = self.returns.pop_first() else {
+                return;
+            };
+            self.now = next.due_at;
+            let node = self.draw_living_node();
+            let info = RequestInfo {
+                is_reconnect: true,
+                ..self.request_of(next.client)
+            };
+            self.last_deadline = info.deadline.0;
+            self.nodes[node].advance_to(next.due_at);
+            self.nodes[node].receive(info);
+        }
+    }
+
+    fn answer_health_checks(&mut self, node: usize) {
+        for server in std::mem::take(&mut self.nodes[node].pending_health_checks) {
+            let passed = !self.refuses_connections(&server.0);
+            let utilization = if server.0.starts_with("cold") {
+                IDLE_UTILIZATION
+            } else {
+                WARM_UTILIZATION
+            };
+            self.nodes[node].deliver(Event::HealthCheckCompleted {
+                server,
+                passed,
+                report: passed.then(|| vec![utilization]),
+            });
+        }
+    }
+
+    /// Live servers accept the connections that were opened, dead ones refuse them.
+    fn settle_attempts(&mut self, node: usize) {
+        let is_in_setup =
+            |record: &RequestRecord| !record.is_established && record.has_attempt_in_flight();
+        let node_state = &self.nodes[node];
+        let in_setup: Vec<u64> = node_state
+            .attempt_deadlines
+            .keys()
+            .copied()
+            .filter(|id| is_in_setup(&node_state.requests[id]))
+            .collect();
+        for id in in_setup {
+            let server = self.nodes[node].server_of(id);
+            if server.is_some_and(|server| self.refuses_connections(&server)) {
+                self.nodes[node].end_attempt(id, Outcome::ConnectFailed);
+            } else {
+                self.nodes[node].establish(id);
+            }
+        }
+    }
+
+    /// Clients that are told to move close their connections and return; looked for once in an idle step.
+    fn disconnect_migrated_clients(&mut self) {
+        if self.now < self.migrations_checked_at + IDLE_STEP_MS * MS {
+            return;
+        }
+        self.migrations_checked_at = self.now;
+        let is_migrated = |record: &RequestRecord| {
+            record.is_established && record.is_answered() && record.has_attempt_in_flight()
+        };
+        for node in 0..self.nodes.len() {
+            let requests = &self.nodes[node].requests;
+            let migrated: Vec<u64> = requests
+                .iter()
+                .filter(|(_, record)| is_migrated(record))
+                .map(|(id, _)| *id)
+                .collect();
+            for id in migrated {
+                self.nodes[node].end_attempt(id, Outcome::Served);
+                self.schedule_return(id);
+            }
+        }
+    }
+
+    /// The records of the requests of clients that returned.
+    fn returned(&self) -> impl Iterator<Item = &RequestRecord> {
+        let records = self.nodes.iter().flat_map(|node| &node.requests);
+        records
+            .filter(|(id, _)| **id >= self.initial_request_count)
+            .map(|(_, record)| record)
+    }
+
+    fn sent_requests(&self) -> Vec<SentRequest> {
+        let attempts = self.returned().flat_map(|record| &record.attempts);
+        attempts
+            .map(|attempt| SentRequest {
+                server: attempt.server.0.to_string(),
+                sent_at: attempt.sent_at,
+            })
+            .collect()
+    }
+}
+
+/// What came of one wave.
+struct WaveResult {
+    returned: usize,
+    /// Requests that were neither served nor answered.
+    waiting: usize,
+    sent_to_cold: usize,
+    /// The most that a server in slow start was sent within a window, as a part of what it bears.
+    load_ratio: f64,
+}
+
+fn play_wave(scenario: Scenario, grouping: Grouping, seed: u64) -> WaveResult {
+    let mut fleet = Fleet::new(scenario, seed);
+    fleet.fill_warm_servers(grouping);
+    fleet.start_cold_servers();
+    fleet.begin_incident();
+    fleet.play_until(fleet.now + (MAX_RETURN_DELAY_MS + 2 * REQUEST_TIMEOUT_MS) * MS);
+    let sent = fleet.sent_requests();
+    WaveResult {
+        returned: fleet.returned().count(),
+        waiting: fleet.returned().filter(|record| !has_ended(record)).count(),
+        sent_to_cold: sent.iter().filter(|one| one.is_to_cold_server()).count(),
+        load_ratio: max_load_ratio(
+            &scenario.settings(),
+            scenario.capacity(),
+            &sent,
+            fleet.started_at,
+        ),
+    }
+}
+
+/// Guards against servers in slow start that fall in a wave of returning clients that no endpoint list tells.
+#[rstest]
+#[case::one_cold_server(SMALL_FLEET)]
+#[case::three_cold_servers(Scenario { cold_servers: 3, ..SMALL_FLEET })]
+#[case::one_cold_server_that_reports_to_be_idle(Scenario {
+    load_reports: LoadReports::ColdServersIdle,
+    ..SMALL_FLEET
+})]
+#[case::three_cold_servers_that_report_to_be_idle(Scenario {
+    cold_servers: 3,
+    load_reports: LoadReports::ColdServersIdle,
+    ..SMALL_FLEET
+})]
+#[case::servers_that_drop_half(Scenario { incident: Incident::ServersDropHalf, ..SMALL_FLEET })]
+#[case::a_node_that_dies(Scenario { incident: Incident::NodeDies, ..SMALL_FLEET })]
+#[case::hundreds_of_nodes_one_cold_server(LARGE_FLEET)]
+#[case::hundreds_of_nodes_three_cold_servers(Scenario { cold_servers: 3, ..LARGE_FLEET })]
+#[case::hundreds_of_nodes_few_of_which_lose_connections(Scenario {
+    holding_node_count: 30,
+    ..LARGE_FLEET
+})]
+#[case::hundreds_of_nodes_that_saved_attempts(Scenario {
+    cold_servers: 3,
+    cold_age_ms: LONGER_COLD_AGE_MS,
+    ..LARGE_FLEET
+})]
+#[case::hundreds_of_nodes_and_most_servers_lost(MOST_SERVERS_LOST)]
+#[case::hundreds_of_nodes_and_most_servers_lost_and_cold_ones_idle(Scenario {
+    load_reports: LoadReports::ColdServersIdle,
+    ..MOST_SERVERS_LOST
+})]
+#[case::hundreds_of_nodes_and_most_servers_cold(Scenario {
+    warm_servers: 47,
+    lost_servers: 27,
+    connections_per_server: 16,
+    cold_servers: 50,
+    ..LARGE_FLEET
+})]
+fn an_unlisted_wave_overloads_no_server_in_slow_start(
+    #[case] scenario: Scenario,
+    #[values(Grouping::Ungrouped, Grouping::ZipfGroups)] grouping: Grouping,
+) {
+    let results: Vec<WaveResult> = SEEDS
+        .map(|seed| play_wave(scenario, grouping, seed))
+        .collect();
+    for (seed, result) in SEEDS.zip(&results) {
+        println!(
+            "seed {seed}: {} returned, {} sent to servers in slow start, {:.2} of what one bears, {} waiting",
+            result.returned, result.sent_to_cold, result.load_ratio, result.waiting
+        );
+    }
+    let sent_to_cold: usize = results.iter().map(|result| result.sent_to_cold).sum();
+    assert!(sent_to_cold > 0, "servers in slow start are filled as well");
+    for (seed, result) in SEEDS.zip(&results) {
+        assert_eq!(result.waiting, 0, "seed {seed}: left waiting");
+        assert!(
+            result.load_ratio <= 1.0,
+            "seed {seed}: {:.2} of what one server bears",
+            result.load_ratio
+        );
+    }
+}
