Placement: waves that no list tells reach servers in slow start by what those bear

Cause: slow_start_admission (limits/slow_start_wave.rs) took the size of a wave from the list alone. With a quiet list each request came by the key ratio, which bounds a server's part of the keys and not their number; as the warm servers that were left refused, each node sent one. Change: WaveObservations counts connections that broke here (reset, or migrated) and requests that returned here. A node's sample times the number of nodes estimates the wave; where the list tells more, that counts. One draw by the connection's key admits what servers in slow start bear: first by their key ratio, else once no warm server takes the request. Why it works: the samples of all nodes add up to the wave, so the parts that they send add up to what is borne, also at nodes that held nothing on the lost servers (one client that returns stands for one at each node).

--- a/crates/placement/src/limits/slow_start.rs
+++ b/crates/placement/src/limits/slow_start.rs
@@ -14,7 +14,7 @@
 const SPARE_CAPACITY_RATIO: f64 = 1.75;
 /// Connections that a warm server is taken to hold in any case, of all nodes together: a node that has just started
 /// holds none.
-const MIN_FLEET_CONNECTIONS: f64 = 15.0;
+pub(crate) const MIN_FLEET_CONNECTIONS: f64 = 15.0;
 /// The budget refills with this multiple of what is due. It only bounds what the estimate of the demand, which keeps to
 /// the budget over all nodes, may get wrong at one of them.
 const DEMAND_ERROR_FACTOR: f64 = 3.0;
--- a/crates/placement/src/limits/slow_start_wave.rs
+++ b/crates/placement/src/limits/slow_start_wave.rs
@@ -1,14 +1,20 @@
 //! Waves in slow start: the part of the requests of a wave that goes to servers in slow start.
 //!
-//! When servers leave, their clients return to all nodes within an overload window. A node sees one or two requests of such a
-//! wave and cannot tell its size from them. All nodes are told the same endpoint list, so the size follows from the number of
-//! servers that have just left it.
+//! When connections break or servers leave, their clients return to all nodes within an overload window. No node sees the
+//! whole wave. What it can tell of the wave's size is the larger of two figures: the connections of the servers that have just
+//! left the endpoint list, which all nodes are told, and its own sample, the connections that broke here. Nodes that have
+//! neither take the requests that return to them for such a sample. As the samples of all nodes add up to the wave, so do the
+//! parts that they send add up to what servers in slow start bear.
 
 use crate::balancer::Balancer;
 use crate::hashing::unit_interval;
+use crate::limits::slow_start::MIN_FLEET_CONNECTIONS;
+use crate::state::departures::RETURN_WINDOWS;
 use crate::state::request::RequestState;
 use crate::state::server::Server;
-use crate::{Settings, Timestamp};
+use crate::state::server_table::ServerSlot;
+use crate::{Health, Settings, Timestamp};
+use std::time::Duration;
 
 /// Part of what overloads a server in slow start that its key ratio allows, whatever the endpoint list tells.
 const WAVE_RATE_RATIO: f64 = 0.5;
@@ -26,16 +32,46 @@
     ByConnectionKey,
     /// Such a server comes first. Each takes its part of the connection keys in relation to `max_key_ratio`, the largest part.
     Preferred { max_key_ratio: f64 },
+    /// As `Preferred`, but only once no warm server takes the request.
+    AfterWarmServers { max_key_ratio: f64 },
     /// Warm servers only.
     Refused,
 }
 
+impl SlowStartAdmission {
+    /// Whether only warm servers are asked at first.
+    pub(crate) fn is_for_warm_servers_only(self) -> bool {
+        matches!(
+            self,
+            SlowStartAdmission::AfterWarmServers { .. } | SlowStartAdmission::Refused
+        )
+    }
+
+    /// What holds once no warm server takes the request, if that changes anything.
+    pub(crate) fn once_warm_servers_refused(self) -> Option<SlowStartAdmission> {
+        match self {
+            SlowStartAdmission::AfterWarmServers { max_key_ratio } => {
+                Some(SlowStartAdmission::Preferred { max_key_ratio })
+            }
+            _ => None,
+        }
+    }
+}
+
+/// A wave as far as this node can tell its size.
+struct ExpectedWave {
+    /// Requests that come to each node in the mean.
+    requests_per_node: f64,
+    /// Connections of this node broke: the wave is there, whatever the endpoint list tells.
+    is_observed: bool,
+}
+
 /// What servers in slow start can take of a wave, all together.
 #[derive(Default)]
 struct WaveCapacity {
     key_ratios: f64,
     max_key_ratio: f64,
-    /// Requests that they bear within an overload window, in multiples of the connections of a warm server.
+    /// Requests that they bear within an overload window, in multiples of the connections for a unit of weight.
     connections: f64,
 }
 
@@ -51,11 +87,6 @@
     fn part_by_key_ratio(&self, warm_servers: f64) -> f64 {
         self.key_ratios / (warm_servers + self.key_ratios)
     }
-
-    /// The part of a wave that they bear, where it consists of the clients of servers with this weight.
-    fn part_borne(&self, departed_weight: f64) -> f64 {
-        self.connections / departed_weight.max(1e-9)
-    }
 }
 
 /// The part of the keys of a wave that a server in slow start takes whatever the endpoint list tells: it is no more than a
@@ -75,6 +106,12 @@
     WARM_CAPACITY_RATIO * settings.overload_factor * capacity_ratio * window_ratio
 }
 
+/// The most requests that come to one node by chance where this many come to each in the mean: two standard deviations more,
+/// and one request.
+fn max_by_chance(mean: f64) -> f64 {
+    mean + 2.0 * mean.sqrt() + 1.0
+}
+
 impl Balancer {
     /// Whether the request may go to a server in slow start. Where more clients return than those servers bear, this is drawn
     /// once for all of them by the connection's own key: drawn for each, a client whom all warm servers refuse would come to
@@ -88,27 +125,63 @@
             return SlowStartAdmission::ByRequestKey;
         }
         let totals = &self.fleet.totals;
-        let window = self.settings.overload_window;
-        let departed_weight = self.fleet.departures.max_weight_within(now, window);
         let has_warming_servers = totals.ready > totals.warm;
-        if departed_weight <= 0.0 || !has_warming_servers {
+        if !has_warming_servers {
             return SlowStartAdmission::ByConnectionKey;
         }
         let capacity = self.wave_capacity(now);
-        let part_borne = capacity.part_borne(departed_weight);
-        if part_borne >= capacity.part_by_key_ratio(totals.warm) {
+        let wave = self.expected_wave(now);
+        let requests_borne = capacity.connections * self.connections_per_weight(now);
+        let part_borne = requests_borne / wave.requests_per_node;
+        let part_by_key_ratio = capacity.part_by_key_ratio(totals.available_warm);
+        if part_borne >= part_by_key_ratio && !wave.is_observed {
             return SlowStartAdmission::ByConnectionKey;
         }
+        let max_key_ratio = capacity.max_key_ratio;
         let position = unit_interval(request.connection_key.rotate_left(WAVE_KEY_ROTATION));
-        if position < part_borne {
-            SlowStartAdmission::Preferred {
-                max_key_ratio: capacity.max_key_ratio,
-            }
+        if position < part_borne.min(part_by_key_ratio) {
+            SlowStartAdmission::Preferred { max_key_ratio }
+        } else if position < part_borne {
+            SlowStartAdmission::AfterWarmServers { max_key_ratio }
         } else {
             SlowStartAdmission::Refused
         }
     }
 
+    fn expected_wave(&self, now: Timestamp) -> ExpectedWave {
+        let max_age = self.wave_memory();
+        let broken = self.wave_observations.broken_connections(now, max_age);
+        let returned = self.wave_observations.returned_requests(now, max_age);
+        let window = self.settings.overload_window;
+        let departed_weight = self.fleet.departures.max_weight_within(now, window);
+        let listed = departed_weight * self.connections_per_weight(now);
+        let is_observed = broken > 0.0;
+        let requests_per_node = if is_observed {
+            broken.max(listed)
+        } else if listed > 0.0 && returned <= max_by_chance(listed) {
+            listed
+        } else {
+            // The request at hand is one that returned.
+            returned.max(listed).max(1.0)
+        };
+        ExpectedWave {
+            requests_per_node,
+            is_observed,
+        }
+    }
+
+    /// This node's connections for a unit of weight of warm servers, with those that broke just now.
+    fn connections_per_weight(&self, now: Timestamp) -> f64 {
+        let totals = &self.fleet.totals;
+        let broken = self
+            .wave_observations
+            .broken_connections(now, self.wave_memory());
+        let node_count = f64::from(self.settings.node_count.max(1));
+        let min_connections = MIN_FLEET_CONNECTIONS * totals.warm / node_count;
+        let connections = (totals.warm_connections + broken).max(min_connections);
+        connections / totals.warm_weight.max(1e-9)
+    }
+
     fn wave_capacity(&self, now: Timestamp) -> WaveCapacity {
         let mut capacity = WaveCapacity::default();
         for server in self.fleet.servers_in_slow_start() {
@@ -116,4 +189,26 @@
         }
         capacity
     }
+
+    /// For how long what was seen of a wave tells its size: clients return within this time.
+    fn wave_memory(&self) -> Duration {
+        RETURN_WINDOWS * self.settings.overload_window
+    }
+
+    /// An established connection on this server ended though its client wants it. Of servers that drain or were removed
+    /// the endpoint list tells.
+    pub(crate) fn observe_broken_connection(&mut self, now: Timestamp, slot: ServerSlot) {
+        let server = self.fleet.servers.get(slot);
+        if server.is_some_and(|server| server.health == Health::Ready) {
+            let max_age = self.wave_memory();
+            self.wave_observations
+                .record_broken_connection(now, max_age);
+        }
+    }
+
+    /// A request came that may be one of a wave.
+    pub(crate) fn observe_returned_request(&mut self, now: Timestamp) {
+        let max_age = self.wave_memory();
+        self.wave_observations.record_returned_request(now, max_age);
+    }
 }
--- a/crates/placement/src/policy/retry.rs
+++ b/crates/placement/src/policy/retry.rs
@@ -74,11 +74,16 @@
         let Some(request) = self.requests.get(&id) else {
             return;
         };
-        let is_finished = request.is_finished || end.completes_request;
+        let was_finished = request.is_finished;
+        let is_finished = was_finished || end.completes_request;
         let may_retry = !attempt.is_established && request.may_retry();
         if is_finished {
             self.requests.remove(&id);
         }
+        // A finished request whose connection stood until now was migrated.
+        if attempt.is_established && (was_finished || end.outcome == Outcome::Reset) {
+            self.observe_broken_connection(now, slot);
+        }
         self.record_outcome(now, &attempt, end.outcome, is_finished, actions);
         if is_finished {
             return;
@@ -112,6 +117,13 @@
 
     /// Tries again: after an error with a backoff, else as soon as the queue allows.
     fn retry(&mut self, now: Timestamp, id: RequestId, outcome: Outcome, actions: &mut Actions) {
+        let is_first_retry = self
+            .requests
+            .get(&id)
+            .is_some_and(|request| request.attempt_count == 1 && !request.is_reconnect);
+        if is_first_retry {
+            self.observe_returned_request(now);
+        }
         let backoff = QUEUE_INTERVAL.mul_f64(1.0 + self.jitter());
         if outcome == Outcome::Error {
             if let Some(request) = self.requests.get_mut(&id) {
--- a/crates/placement/src/state/departures.rs
+++ b/crates/placement/src/state/departures.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 /// Clients of a server that leaves return within this many overload windows.
-const RETURN_WINDOWS: u32 = 2;
+pub(crate) const RETURN_WINDOWS: u32 = 2;
 /// Departures at different moments that are remembered.
 const MAX_DEPARTURES: usize = 64;
 
--- a/crates/placement/src/state/fleet_totals.rs
+++ b/crates/placement/src/state/fleet_totals.rs
@@ -14,6 +14,10 @@
     pub(crate) ready: f64,
     /// Of those, the ones that do not warm up.
     pub(crate) warm: f64,
+    /// Of the warm ones, those that are not ejected.
+    pub(crate) available_warm: f64,
+    /// Weight of the warm servers.
+    pub(crate) warm_weight: f64,
     /// Connections on warm servers.
     pub(crate) warm_connections: f64,
     /// Load on ready servers.
@@ -49,6 +53,8 @@
             let warm = as_number(!server.slow_start.is_active);
             self.ready += sign;
             self.warm += sign * warm;
+            self.available_warm += sign * warm * (1.0 - ejected);
+            self.warm_weight += sign * warm * server.weight;
             self.warm_connections += sign * warm * connections;
             self.load += sign * server.load;
             self.available_weight += sign * server.weight * (1.0 - ejected);
--- a/crates/placement/src/state/mod.rs
+++ b/crates/placement/src/state/mod.rs
@@ -16,3 +16,4 @@
 pub(crate) mod server;
 pub(crate) mod server_table;
 pub(crate) mod tenant_usage;
+pub(crate) mod wave_observations;
