Placement: where all servers are ejected, those in slow start are asked for their keys too

With two or three lost servers in a zone all of the zone counts as unreachable, and every server there is ejected, also those in slow start. Cause: scan_all_servers (policy/selection.rs) offered each server in Tier::Any, which best_selection takes where all are ejected. That tier skips admission and with it the key ratio and the wave. Change: a server in slow start is offered there only with a key that it takes. Why it works: a node that believes that nobody can be reached sends such a server its part and no more. Warm servers are offered as before.

--- a/crates/placement/src/policy/admission.rs
+++ b/crates/placement/src/policy/admission.rs
@@ -140,7 +140,7 @@
 
     /// Whether the key is in the part that a server in slow start takes; others take each. In a wave the connection's own key
     /// decides: a large group would come to the server as a whole or not at all.
-    fn accepts_key_in_slow_start(
+    pub(crate) fn accepts_key_in_slow_start(
         &self,
         now: Timestamp,
         request: &RequestState,
--- a/crates/placement/src/policy/selection.rs
+++ b/crates/placement/src/policy/selection.rs
@@ -197,7 +197,8 @@
                 slot: indexed.slot,
             };
             let tier = self.admission_tier(now, request, server, context, raise_interval);
-            for tier in tier.into_iter().chain([Tier::Any]) {
+            let takes_key = self.accepts_key_in_slow_start(now, request, server, context);
+            for tier in tier.into_iter().chain(takes_key.then_some(Tier::Any)) {
                 scan.offer(tier.index(), ranked, |a, b| self.precedes(a, b));
             }
         }
