--- a/crates/placement/src/limits/slow_start_wave.rs
+++ b/crates/placement/src/limits/slow_start_wave.rs
@@ -2,9 +2,9 @@
 //!
 //! When connections break or servers leave, their clients return to all nodes within an overload window. No node sees the
 //! whole wave. What it can tell of the wave's size is the larger of two figures: the connections of the servers that have just
-//! left the endpoint list, which all nodes are told, and its own sample, the connections that broke here. Nodes that have
-//! neither take the requests that return to them for such a sample. As the samples of all nodes add up to the wave, so do the
-//! parts that they send add up to what servers in slow start bear.
+//! left the endpoint list, which all nodes are told, and its own sample, the connections that broke here. A node that has
+//! neither takes the requests that return to it for such a sample. As the samples of all nodes add up to the wave, the parts
+//! that they send add up to what servers in slow start bear.
 
 use crate::balancer::Balancer;
 use crate::hashing::unit_interval;
@@ -32,32 +32,10 @@
     ByConnectionKey,
     /// Such a server comes first. Each takes its part of the connection keys in relation to `max_key_ratio`, the largest part.
     Preferred { max_key_ratio: f64 },
-    /// As `Preferred`, but only once no warm server takes the request.
-    AfterWarmServers { max_key_ratio: f64 },
     /// Warm servers only.
     Refused,
 }
 
-impl SlowStartAdmission {
-    /// Whether only warm servers are asked at first.
-    pub(crate) fn is_for_warm_servers_only(self) -> bool {
-        matches!(
-            self,
-            SlowStartAdmission::AfterWarmServers { .. } | SlowStartAdmission::Refused
-        )
-    }
-
-    /// What holds once no warm server takes the request, if that changes anything.
-    pub(crate) fn once_warm_servers_refused(self) -> Option<SlowStartAdmission> {
-        match self {
-            SlowStartAdmission::AfterWarmServers { max_key_ratio } => {
-                Some(SlowStartAdmission::Preferred { max_key_ratio })
-            }
-            _ => None,
-        }
-    }
-}
-
 /// A wave as far as this node can tell its size.
 struct ExpectedWave {
     /// Requests that come to each node in the mean.
@@ -85,7 +63,7 @@
 
     /// The part of a wave that comes to these servers by their key ratios while the warm ones take what is left.
     fn part_by_key_ratio(&self, warm_servers: f64) -> f64 {
-        self.key_ratios / (warm_servers + self.key_ratios)
+        self.key_ratios / (warm_servers + self.key_ratios).max(1e-9)
     }
 }
 
@@ -106,12 +84,6 @@
     WARM_CAPACITY_RATIO * settings.overload_factor * capacity_ratio * window_ratio
 }
 
-/// The most requests that come to one node by chance where this many come to each in the mean: two standard deviations more,
-/// and one request.
-fn max_by_chance(mean: f64) -> f64 {
-    mean + 2.0 * mean.sqrt() + 1.0
-}
-
 impl Balancer {
     /// Whether the request may go to a server in slow start. Where more clients return than those servers bear, this is drawn
     /// once for all of them by the connection's own key: drawn for each, a client whom all warm servers refuse would come to
@@ -137,14 +109,15 @@
         if part_borne >= part_by_key_ratio && !wave.is_observed {
             return SlowStartAdmission::ByConnectionKey;
         }
-        let max_key_ratio = capacity.max_key_ratio;
         let position = unit_interval(request.connection_key.rotate_left(WAVE_KEY_ROTATION));
-        if position < part_borne.min(part_by_key_ratio) {
-            SlowStartAdmission::Preferred { max_key_ratio }
-        } else if position < part_borne {
-            SlowStartAdmission::AfterWarmServers { max_key_ratio }
-        } else {
+        if position >= part_borne {
             SlowStartAdmission::Refused
+        } else if part_borne >= part_by_key_ratio {
+            SlowStartAdmission::ByConnectionKey
+        } else {
+            SlowStartAdmission::Preferred {
+                max_key_ratio: capacity.max_key_ratio,
+            }
         }
     }
 
@@ -155,18 +128,16 @@
         let window = self.settings.overload_window;
         let departed_weight = self.fleet.departures.max_weight_within(now, window);
         let listed = departed_weight * self.connections_per_weight(now);
-        let is_observed = broken > 0.0;
-        let requests_per_node = if is_observed {
-            broken.max(listed)
-        } else if listed > 0.0 && returned <= max_by_chance(listed) {
-            listed
+        let known = broken.max(listed);
+        let requests_per_node = if known > 0.0 {
+            known
         } else {
             // The request at hand is one that returned.
-            returned.max(listed).max(1.0)
+            returned.max(1.0)
         };
         ExpectedWave {
             requests_per_node,
-            is_observed,
+            is_observed: broken > 0.0,
         }
     }
 
--- a/crates/placement/src/policy/admission.rs
+++ b/crates/placement/src/policy/admission.rs
@@ -160,9 +160,7 @@
                 request.connection_key,
                 wave_ratio() / max_key_ratio.max(MIN_KEY_RATIO),
             ),
-            SlowStartAdmission::AfterWarmServers { .. } | SlowStartAdmission::Refused => {
-                return false
-            }
+            SlowStartAdmission::Refused => return false,
         };
         accepts_key_ratio(server.hash, key, part)
     }
--- a/crates/placement/src/policy/attempt.rs
+++ b/crates/placement/src/policy/attempt.rs
@@ -85,6 +85,7 @@
                 skips_setup,
                 sent_at: now,
                 is_established: false,
+                is_migrated: false,
             });
         }
         self.account_for(id);
--- a/crates/placement/src/policy/intake.rs
+++ b/crates/placement/src/policy/intake.rs
@@ -35,6 +35,7 @@
             skips_setup: true,
             sent_at: now,
             is_established: true,
+            is_migrated: false,
         });
         self.migration_budget.credit_inherited();
         self.requests.insert(info.request, request);
--- a/crates/placement/src/policy/retry.rs
+++ b/crates/placement/src/policy/retry.rs
@@ -74,14 +74,12 @@
         let Some(request) = self.requests.get(&id) else {
             return;
         };
-        let was_finished = request.is_finished;
-        let is_finished = was_finished || end.completes_request;
+        let is_finished = request.is_finished || end.completes_request;
         let may_retry = !attempt.is_established && request.may_retry();
         if is_finished {
             self.requests.remove(&id);
         }
-        // A finished request whose connection stood until now was migrated.
-        if attempt.is_established && (was_finished || end.outcome == Outcome::Reset) {
+        if attempt.is_established && (attempt.is_migrated || end.outcome == Outcome::Reset) {
             self.observe_broken_connection(now, slot);
         }
         self.record_outcome(now, &attempt, end.outcome, is_finished, actions);
--- a/crates/placement/src/policy/selection.rs
+++ b/crates/placement/src/policy/selection.rs
@@ -83,7 +83,7 @@
             let current_server = candidates.first()?;
             return Some(Selection::within_limit(current_server.slot));
         }
-        let mut context = self.admission_context(now, request);
+        let context = self.admission_context(now, request);
         if let Some(slot) = self.preferred_in_slow_start(now, request, &context) {
             return Some(Selection::within_limit(slot));
         }
@@ -98,12 +98,7 @@
             score: rank_score(candidate.server.hash, request.key),
             slot: candidate.slot,
         });
-        if let Some(selection) = self.scan_all_servers(now, request, &context, start) {
-            return Some(selection);
-        }
-        context.slow_start = context.slow_start.once_warm_servers_refused()?;
-        self.preferred_in_slow_start(now, request, &context)
-            .map(Selection::within_limit)
+        self.scan_all_servers(now, request, &context, start)
     }
 
     /// The server in slow start that takes a request for which such servers come first: the highest-ranked one by the
@@ -230,7 +225,7 @@
             return Some(Tier::BeyondFairLoad);
         }
         let is_refused_by_wave =
-            server.slow_start.is_active && context.slow_start.is_for_warm_servers_only();
+            server.slow_start.is_active && context.slow_start == SlowStartAdmission::Refused;
         let may_exceed_limit = serves_group
             && server.may_exceed_limit(now, OVERLOAD_MEMORY, raise_interval)
             && !is_refused_by_wave
--- a/crates/placement/src/recovery/load_shedding/tests.rs
+++ b/crates/placement/src/recovery/load_shedding/tests.rs
@@ -44,6 +44,7 @@
             skips_setup: false,
             sent_at: Timestamp(0),
             is_established: true,
+            is_migrated: false,
         }),
         ..RequestState::default()
     };
--- a/crates/placement/src/recovery/migration.rs
+++ b/crates/placement/src/recovery/migration.rs
@@ -20,6 +20,9 @@
         };
         if request.is_established() && self.migration_budget.spend() {
             request.is_finished = true;
+            if let Some(attempt) = request.in_flight.as_mut() {
+                attempt.is_migrated = true;
+            }
             actions.push(Action::Migrate(id));
         }
     }
--- a/crates/placement/src/state/request.rs
+++ b/crates/placement/src/state/request.rs
@@ -12,6 +12,8 @@
     pub(crate) skips_setup: bool,
     pub(crate) sent_at: Timestamp,
     pub(crate) is_established: bool,
+    /// The client of its connection was asked to reconnect.
+    pub(crate) is_migrated: bool,
 }
 
 /// Where and when an attempt may have been executed.
--- a/crates/placement/src/state/wave_observations.rs
+++ b/crates/placement/src/state/wave_observations.rs
@@ -4,7 +4,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Moments of events that are remembered; further events count for the last of them.
+/// Moments of events that are remembered; further events count for the last of them, whose
+/// moment becomes theirs.
 const MAX_MOMENTS: usize = 64;
 
 /// Events at the same moment.
@@ -28,7 +29,10 @@
         }
         let is_full = self.counts.len() >= MAX_MOMENTS;
         match self.counts.back_mut() {
-            Some(last) if is_full || last.at == now => last.count += 1,
+            Some(last) if is_full || last.at == now => {
+                last.at = now;
+                last.count += 1;
+            }
             _ => self.counts.push_back(EventCount { at: now, count: 1 }),
         }
     }
--- a/crates/placement/src/state/wave_observations/tests.rs
+++ b/crates/placement/src/state/wave_observations/tests.rs
@@ -33,4 +33,6 @@
     assert_eq!(observations.returned_requests.counts.len(), MAX_MOMENTS);
     let returned = observations.returned_requests(at_millis(1_000), MAX_AGE);
     assert!((returned - 1_000.0).abs() < 1e-9);
+    let returned = observations.returned_requests(at_millis(2_900), MAX_AGE);
+    assert!(returned >= 900.0, "late events are not forgotten early");
 }
