Placement: a wave is sized by broken connections and the list alone, not by what returns

Cause: clients that are refused come again, up to three times. Counted as returns they inflate the wave, so that nodes refuse clients that servers in slow start would bear. Change: WaveObservations becomes BrokenConnections. A node with no broken connection, where the list tells nothing either, takes a returning client for one at each node. Where nodes die and break no connection elsewhere, more than one client returns to each node: not sized by this.

--- a/crates/placement/src/balancer.rs
+++ b/crates/placement/src/balancer.rs
@@ -10,6 +10,7 @@
 use crate::recovery::key_redistribution::KeyRedistribution;
 use crate::recovery::migration_budget::MigrationBudget;
 use crate::recovery::shared_failures::SharedFailureDetector;
+use crate::state::broken_connections::BrokenConnections;
 use crate::state::fleet::Fleet;
 use crate::state::group_frequency::GroupFrequency;
 use crate::state::learned_state::LearnedServer;
@@ -17,7 +18,6 @@
 use crate::state::request::RequestState;
 use crate::state::request_rate::RequestRate;
 use crate::state::tenant_usage::TenantUsage;
-use crate::state::wave_observations::WaveObservations;
 use crate::timer::SingleTimer;
 use crate::{Action, RequestId, Settings, Timer, Timestamp};
 use rand_core::SeedableRng;
@@ -52,7 +52,7 @@
     pub(crate) tenant_usage: TenantUsage,
     pub(crate) request_rate: RequestRate,
     pub(crate) group_frequency: GroupFrequency,
-    pub(crate) wave_observations: WaveObservations,
+    pub(crate) broken_connections: BrokenConnections,
     pub(crate) machine_kinds: MachineKindOverload,
     pub(crate) health_check_budget: HealthCheckBudget,
     pub(crate) slow_start_budget: SlowStartBudget,
@@ -82,7 +82,7 @@
             tenant_usage: TenantUsage::new(settings.tenants.len()),
             request_rate: RequestRate::default(),
             group_frequency: GroupFrequency::default(),
-            wave_observations: WaveObservations::default(),
+            broken_connections: BrokenConnections::default(),
             machine_kinds: MachineKindOverload::default(),
             health_check_budget: HealthCheckBudget::default(),
             slow_start_budget: SlowStartBudget::new(slow_start_threshold),
--- a/crates/placement/src/limits/slow_start_wave.rs
+++ b/crates/placement/src/limits/slow_start_wave.rs
@@ -3,8 +3,8 @@
 //! When connections break or servers leave, their clients return to all nodes within an overload window. No node sees the
 //! whole wave. What it can tell of the wave's size is the larger of two figures: the connections of the servers that have just
 //! left the endpoint list, which all nodes are told, and its own sample, the connections that broke here. A node that has
-//! neither takes the requests that return to it for such a sample. As the samples of all nodes add up to the wave, the parts
-//! that they send add up to what servers in slow start bear.
+//! neither takes the wave for one request at each node. As the samples of all nodes add up to the wave, the parts that they send
+//! add up to what servers in slow start bear.
 
 use crate::balancer::Balancer;
 use crate::hashing::unit_interval;
@@ -122,9 +122,7 @@
     }
 
     fn expected_wave(&self, now: Timestamp) -> ExpectedWave {
-        let max_age = self.wave_memory();
-        let broken = self.wave_observations.broken_connections(now, max_age);
-        let returned = self.wave_observations.returned_requests(now, max_age);
+        let broken = self.recently_broken(now);
         let window = self.settings.overload_window;
         let departed_weight = self.fleet.departures.max_weight_within(now, window);
         let listed = departed_weight * self.connections_per_weight(now);
@@ -132,8 +130,8 @@
         let requests_per_node = if known > 0.0 {
             known
         } else {
-            // The request at hand is one that returned.
-            returned.max(1.0)
+            // The request at hand stands for one at each node.
+            1.0
         };
         ExpectedWave {
             requests_per_node,
@@ -144,9 +142,7 @@
     /// This node's connections for a unit of weight of warm servers, with those that broke just now.
     fn connections_per_weight(&self, now: Timestamp) -> f64 {
         let totals = &self.fleet.totals;
-        let broken = self
-            .wave_observations
-            .broken_connections(now, self.wave_memory());
+        let broken = self.recently_broken(now);
         let node_count = f64::from(self.settings.node_count.max(1));
         let min_connections = MIN_FLEET_CONNECTIONS * totals.warm / node_count;
         let connections = (totals.warm_connections + broken).max(min_connections);
@@ -161,6 +157,12 @@
         capacity
     }
 
+    /// Connections of this node that broke, and whose clients may still return.
+    fn recently_broken(&self, now: Timestamp) -> f64 {
+        let max_age = self.wave_memory();
+        f64::from(self.broken_connections.count_within(now, max_age))
+    }
+
     /// For how long what was seen of a wave tells its size: clients return within this time.
     fn wave_memory(&self) -> Duration {
         RETURN_WINDOWS * self.settings.overload_window
@@ -172,14 +174,7 @@
         let server = self.fleet.servers.get(slot);
         if server.is_some_and(|server| server.health == Health::Ready) {
             let max_age = self.wave_memory();
-            self.wave_observations
-                .record_broken_connection(now, max_age);
+            self.broken_connections.record(now, max_age);
         }
     }
-
-    /// A request came that may be one of a wave.
-    pub(crate) fn observe_returned_request(&mut self, now: Timestamp) {
-        let max_age = self.wave_memory();
-        self.wave_observations.record_returned_request(now, max_age);
-    }
 }
--- a/crates/placement/src/policy/intake.rs
+++ b/crates/placement/src/policy/intake.rs
@@ -14,9 +14,6 @@
     ) {
         let id = info.request;
         let request = self.new_request_state(info);
-        if request.is_reconnect {
-            self.observe_returned_request(now);
-        }
         self.requests.insert(id, request);
         self.enqueue(now, id, actions);
     }
--- a/crates/placement/src/policy/retry.rs
+++ b/crates/placement/src/policy/retry.rs
@@ -115,13 +115,6 @@
 
     /// Tries again: after an error with a backoff, else as soon as the queue allows.
     fn retry(&mut self, now: Timestamp, id: RequestId, outcome: Outcome, actions: &mut Actions) {
-        let is_first_retry = self
-            .requests
-            .get(&id)
-            .is_some_and(|request| request.attempt_count == 1 && !request.is_reconnect);
-        if is_first_retry {
-            self.observe_returned_request(now);
-        }
         let backoff = QUEUE_INTERVAL.mul_f64(1.0 + self.jitter());
         if outcome == Outcome::Error {
             if let Some(request) = self.requests.get_mut(&id) {
--- a/crates/placement/src/state/mod.rs
+++ b/crates/placement/src/state/mod.rs
@@ -1,5 +1,6 @@
 //! What the decisions know: servers, requests, load, and totals over the fleet.
 
+pub(crate) mod broken_connections;
 pub(crate) mod candidate_scan;
 pub(crate) mod decay;
 pub(crate) mod departures;
@@ -16,4 +17,3 @@
 pub(crate) mod server;
 pub(crate) mod server_table;
 pub(crate) mod tenant_usage;
-pub(crate) mod wave_observations;
