Placement: large groups are divided into shards over servers in slow start

It was sent 11 requests within 1.5 s by 11 nodes, all of two groups. Cause: all of a group came to the server in slow start that ranks first by the group's key. servers_for_group (policy/selection.rs) leaves the last request out, so that a node that sees a group for the first time takes it for nothing; skipped_in_slow_start counted only for returning clients and only among the first candidates: where these refused, scan_all_servers began at the top again. Each shard is ranked and drawn for in slow start as a group of its own, in each tier and in the redistribution of lost servers' keys; the first one has the group's key. Why it works: a shard brings half of a server's even part at the most, as far as the node's estimate tells, and that takes each group that it has seen little of for a large one. A small group has one shard where much was seen, as before.

--- a/crates/placement/src/policy/attempt.rs
+++ b/crates/placement/src/policy/attempt.rs
@@ -47,7 +47,8 @@
         }
         let selected = selection.map(|selection| selection.slot);
         selected.or_else(|| {
-            let best = self.ranked_servers(now, request, 0, 1);
+            let keys = self.ranking_keys(request);
+            let best = self.ranked_servers(now, request, keys, 0, 1);
             best.first().map(|candidate| candidate.slot)
         })
     }
