Tests: the attempts of requests are collected in one place of tests/common

Need: three tests of slow start wrote the same walk from requests to what was sent. Change: sent_requests stands in tests/common/waves.rs. What the tests check is the same.

--- a/crates/placement/tests/common/waves.rs
+++ b/crates/placement/tests/common/waves.rs
@@ -1,5 +1,6 @@
 //! Waves of clients that return to all nodes at once, and what servers in slow start bear of them.
 
+use super::records::RequestRecord;
 use lupincrank_placement::Settings;
 use rand_core::RngCore;
 use rand_pcg::Pcg32;
@@ -23,6 +24,17 @@
     }
 }
 
+/// All attempts of these requests.
+pub fn sent_requests<'a>(records: impl Iterator<Item = &'a RequestRecord>) -> Vec<SentRequest> {
+    let attempts = records.flat_map(|record| &record.attempts);
+    attempts
+        .map(|attempt| SentRequest {
+            server: attempt.server.0.to_string(),
+            sent_at: attempt.sent_at,
+        })
+        .collect()
+}
+
 /// A number below `count`.
 pub fn draw(random: &mut Pcg32, count: u64) -> u64 {
     u64::from(random.next_u32()) % count
--- a/crates/placement/tests/slow_start_groups.rs
+++ b/crates/placement/tests/slow_start_groups.rs
@@ -296,20 +296,12 @@
         }
     }
 
-    fn sent_requests(&self) -> Vec<SentRequest> {
-        let records = self.nodes.iter().flat_map(|node| node.requests.values());
-        let attempts = records.flat_map(|record| &record.attempts);
-        attempts
-            .map(|attempt| SentRequest {
-                server: attempt.server.0.to_string(),
-                sent_at: attempt.sent_at,
-            })
-            .collect()
+    fn records(&self) -> impl Iterator<Item = &RequestRecord> {
+        self.nodes.iter().flat_map(|node| node.requests.values())
     }
 
     fn waiting_count(&self) -> usize {
-        let records = self.nodes.iter().flat_map(|node| node.requests.values());
-        records
+        self.records()
             .filter(|record| !record.is_established && !record.is_answered())
             .count()
     }
@@ -335,7 +327,7 @@
     let overloaded_at = fleet.now;
     fleet.play(OVERLOAD_MS, scenario.demand);
     fleet.play(MAX_RETURN_DELAY_MS + 2 * REQUEST_TIMEOUT_MS, Demand::NONE);
-    let sent = fleet.sent_requests();
+    let sent = sent_requests(fleet.records());
     let late = sent
         .iter()
         .filter(|one| one.is_to_cold_server() && one.sent_at >= overloaded_at);
--- a/crates/placement/tests/slow_start_overflow.rs
+++ b/crates/placement/tests/slow_start_overflow.rs
@@ -149,19 +149,14 @@
     }
 }
 
-/// What the nodes sent. Each request has been served or answered.
-fn sent_requests(fleet: &Fleet) -> Vec<SentRequest> {
+/// What the nodes sent of the requests that came. Each has been served or answered.
+fn received_requests(fleet: &Fleet) -> impl Iterator<Item = &RequestRecord> {
     let records = fleet.nodes.iter().flat_map(|node| &node.requests);
     let received = records.filter(|(id, _)| **id >= CONNECTION_COUNT);
-    let attempts = received.flat_map(|(id, record)| {
+    received.map(|(id, record)| {
         assert!(record.is_established || record.is_answered(), "{id} waits");
-        &record.attempts
-    });
-    let as_sent = |attempt: &AttemptRecord| SentRequest {
-        server: attempt.server.0.to_string(),
-        sent_at: attempt.sent_at,
-    };
-    attempts.map(as_sent).collect()
+        record
+    })
 }
 
 /// The most that a server in slow start was sent within a window, as a part of what it bears.
@@ -182,7 +177,7 @@
     for _ in 0..REQUEST_TIMEOUT_MS / STEP_MS {
         fleet.finish_step(last_utilization);
     }
-    let sent = sent_requests(&fleet);
+    let sent = sent_requests(received_requests(&fleet));
     let to_cold = sent.iter().filter(|one| one.is_to_cold_server());
     assert!(to_cold.count() > 0, "they are filled as well");
     max_load_ratio(&overflow_settings(), CAPACITY, &sent, started_at)
--- a/crates/placement/tests/unlisted_waves.rs
+++ b/crates/placement/tests/unlisted_waves.rs
@@ -446,16 +446,6 @@
             .filter(|(id, _)| **id >= self.initial_request_count)
             .map(|(_, record)| record)
     }
-
-    fn sent_requests(&self) -> Vec<SentRequest> {
-        let attempts = self.returned().flat_map(|record| &record.attempts);
-        attempts
-            .map(|attempt| SentRequest {
-                server: attempt.server.0.to_string(),
-                sent_at: attempt.sent_at,
-            })
-            .collect()
-    }
 }
 
 /// What came of one wave.
@@ -474,7 +464,7 @@
     fleet.start_cold_servers();
     fleet.begin_incident();
     fleet.play_until(fleet.now + (MAX_RETURN_DELAY_MS + 2 * REQUEST_TIMEOUT_MS) * MS);
-    let sent = fleet.sent_requests();
+    let sent = sent_requests(fleet.returned());
     WaveResult {
         returned: fleet.returned().count(),
         waiting: fleet.returned().filter(|record| !has_ended(record)).count(),
