Placement: waves rank servers in slow start by the group's shard

Cause: each server that holds any connection of a group pays for the group. Waves still ranked these servers by the connection's own key, so that they tore all groups over all of them beside the shards. Change: preferred_in_slow_start ranks by the key of the group's shard; a request without a group keeps its own key.

--- a/crates/placement/src/policy/selection.rs
+++ b/crates/placement/src/policy/selection.rs
@@ -104,7 +104,7 @@
     }
 
     /// The server in slow start that takes a request for which such servers come first: the highest-ranked one by the
-    /// connection's own key. By its group's key, one server would get all such connections of a large group.
+    /// key of the group's shard. By its group's key, one server would get all such connections of a large group.
     fn preferred_in_slow_start(
         &self,
         now: Timestamp,
@@ -123,7 +123,7 @@
         };
         let ranked = self.fleet.ranking_index.best(
             1,
-            |hash| rank_score(hash, request.connection_key),
+            |hash| rank_score(hash, context.keys.slow_start),
             std::iter::empty(),
             accepts,
             |a, b| self.precedes(a, b),
