--- a/crates/placement/src/limits/mod.rs
+++ b/crates/placement/src/limits/mod.rs
@@ -1,7 +1,6 @@
 //! Limits on what servers are sent: concurrency limits, the setup window, slow start, and health checks.
 
 pub(crate) mod concurrency_limit;
-pub(crate) mod group_shards;
 pub(crate) mod health_check_budget;
 pub(crate) mod health_checks;
 pub(crate) mod load_reports;
--- a/crates/placement/src/policy/admission.rs
+++ b/crates/placement/src/policy/admission.rs
@@ -2,7 +2,6 @@
 
 use crate::balancer::Balancer;
 use crate::limits::concurrency_limit::{MAX_UTILIZATION, OVERLOAD_MEMORY};
-use crate::limits::group_shards::RankingKeys;
 use crate::limits::health_checks::REPORT_MAX_AGE;
 use crate::limits::slow_start_wave::{wave_key_ratio, SlowStartAdmission};
 use crate::recovery::gossip::AVOID_SLOW_DURATION;
@@ -47,7 +46,6 @@
     /// Utilization that one unit of this node's load stands for, with the load of all other nodes.
     utilization_per_load: f64,
     pub(crate) slow_start: SlowStartAdmission,
-    pub(crate) keys: RankingKeys,
 }
 
 /// How far a server may be filled, which depends on whether it serves the request's group already.
@@ -85,7 +83,6 @@
         &self,
         now: Timestamp,
         request: &RequestState,
-        keys: RankingKeys,
     ) -> AdmissionContext {
         let totals = &self.fleet.totals;
         let mean_load = self.load_estimates.mean();
@@ -101,7 +98,6 @@
             is_tenant_over_quota: self.is_tenant_over_quota(request),
             utilization_per_load: totals.utilization / reported_load.max(1e-9),
             slow_start: self.slow_start_admission(now, request),
-            keys,
         }
     }
 
@@ -139,10 +135,7 @@
         context: &AdmissionContext,
     ) -> bool {
         self.accepts_key_in_slow_start(now, request, server, context)
-            && (request.is_mid_flow
-                || self
-                    .key_redistribution
-                    .accepts_key(server, context.keys.key_for(server)))
+            && (request.is_mid_flow || self.key_redistribution.accepts_key(server, request.key))
     }
 
     /// Whether the key is in the part that a server in slow start takes; others take each. In a wave the connection's own key
@@ -161,9 +154,7 @@
         }
         let wave_ratio = || wave_key_ratio(&self.settings, now, server);
         let (key, part) = match context.slow_start {
-            SlowStartAdmission::ByRequestKey => {
-                (context.keys.slow_start, server.slow_start.key_ratio)
-            }
+            SlowStartAdmission::ByRequestKey => (request.key, server.slow_start.key_ratio),
             SlowStartAdmission::ByConnectionKey => (request.connection_key, wave_ratio()),
             SlowStartAdmission::Preferred { max_key_ratio } => (
                 request.connection_key,
--- a/crates/placement/src/policy/attempt.rs
+++ b/crates/placement/src/policy/attempt.rs
@@ -47,8 +47,7 @@
         }
         let selected = selection.map(|selection| selection.slot);
         selected.or_else(|| {
-            let keys = self.ranking_keys(request);
-            let best = self.ranked_servers(now, request, keys, 0, 1);
+            let best = self.ranked_servers(now, request, 0, 1);
             best.first().map(|candidate| candidate.slot)
         })
     }
--- a/crates/placement/src/policy/candidates.rs
+++ b/crates/placement/src/policy/candidates.rs
@@ -2,8 +2,7 @@
 
 use crate::balancer::Balancer;
 use crate::hashing::rank_score;
-use crate::limits::group_shards::RankingKeys;
-use crate::state::ranking_index::{IndexedServer, RankedServer};
+use crate::state::ranking_index::IndexedServer;
 use crate::state::request::RequestState;
 use crate::state::server::Server;
 use crate::state::server_table::ServerSlot;
@@ -24,16 +23,16 @@
         &self,
         now: Timestamp,
         request: &RequestState,
-        keys: RankingKeys,
         skipped: usize,
         count: usize,
     ) -> Vec<Candidate<'_>> {
-        let ranked = if keys.is_divided() {
-            self.best_by_divided_keys(now, request, keys, count)
-        } else {
-            let is_allowed = |slot| self.is_allowed_by_retry_rules(now, request, slot);
-            self.best_by_key(now, request, keys.warm, count, is_allowed)
-        };
+        let ranked = self.fleet.ranking_index.best(
+            count,
+            |hash| rank_score(hash, request.key),
+            self.draining_servers(now, request),
+            |slot| self.is_allowed_by_retry_rules(now, request, slot),
+            |a, b| self.precedes(a, b),
+        );
         ranked
             .into_iter()
             .skip(skipped)
@@ -47,53 +46,6 @@
             .collect()
     }
 
-    /// Servers in slow start are ranked by the key of the group's shard, all others by the group's.
-    fn best_by_divided_keys(
-        &self,
-        now: Timestamp,
-        request: &RequestState,
-        keys: RankingKeys,
-        count: usize,
-    ) -> Vec<RankedServer> {
-        let is_allowed = |slot, is_warming| {
-            let server = self.fleet.servers.get(slot);
-            server.is_some_and(|server| server.slow_start.is_active == is_warming)
-                && self.is_allowed_by_retry_rules(now, request, slot)
-        };
-        let is_warm = |slot| is_allowed(slot, false);
-        let is_warming = |slot| is_allowed(slot, true);
-        let mut ranked = self.best_by_key(now, request, keys.warm, count, is_warm);
-        ranked.extend(self.best_by_key(now, request, keys.slow_start, count, is_warming));
-        ranked.sort_unstable_by(|a, b| {
-            let by_id = || {
-                self.fleet
-                    .servers
-                    .id(a.slot)
-                    .cmp(&self.fleet.servers.id(b.slot))
-            };
-            b.score.cmp(&a.score).then_with(by_id)
-        });
-        ranked.truncate(count);
-        ranked
-    }
-
-    fn best_by_key(
-        &self,
-        now: Timestamp,
-        request: &RequestState,
-        key: u32,
-        count: usize,
-        is_allowed: impl Fn(ServerSlot) -> bool,
-    ) -> Vec<RankedServer> {
-        self.fleet.ranking_index.best(
-            count,
-            |hash| rank_score(hash, key),
-            self.draining_servers(now, request),
-            is_allowed,
-            |a, b| self.precedes(a, b),
-        )
-    }
-
     /// Which of two servers with the same score comes first: the one with the lower id.
     pub(crate) fn precedes(&self, a: ServerSlot, b: ServerSlot) -> bool {
         self.fleet.servers.id(a) < self.fleet.servers.id(b)
--- a/crates/placement/src/policy/selection.rs
+++ b/crates/placement/src/policy/selection.rs
@@ -3,7 +3,6 @@
 use crate::balancer::Balancer;
 use crate::hashing::{rank_score, unit_interval};
 use crate::limits::concurrency_limit::OVERLOAD_MEMORY;
-use crate::limits::group_shards::RankingKeys;
 use crate::limits::slow_start_wave::SlowStartAdmission;
 use crate::policy::admission::{AdmissionContext, FairLoad};
 use crate::policy::candidates::Candidate;
@@ -78,14 +77,13 @@
         now: Timestamp,
         request: &RequestState,
     ) -> Option<Selection> {
-        let keys = self.ranking_keys(request);
-        let candidates = self.first_candidates(now, request, keys);
+        let candidates = self.first_candidates(now, request);
         // A connection in mid-flow continues only at its server: the top score unless an exception placed it.
         if request.is_first_mid_flow_attempt() {
             let current_server = candidates.first()?;
             return Some(Selection::within_limit(current_server.slot));
         }
-        let context = self.admission_context(now, request, keys);
+        let context = self.admission_context(now, request);
         if let Some(slot) = self.preferred_in_slow_start(now, request, &context) {
             return Some(Selection::within_limit(slot));
         }
@@ -97,14 +95,14 @@
             return Some(Selection::within_limit(candidate.slot));
         }
         let start = candidates.first().map(|candidate| RankedServer {
-            score: keys.score(candidate.server),
+            score: rank_score(candidate.server.hash, request.key),
             slot: candidate.slot,
         });
         self.scan_all_servers(now, request, &context, start)
     }
 
     /// The server in slow start that takes a request for which such servers come first: the highest-ranked one by the
-    /// key of the group's shard. By its group's key, one server would get all such connections of a large group.
+    /// connection's own key. By its group's key, one server would get all such connections of a large group.
     fn preferred_in_slow_start(
         &self,
         now: Timestamp,
@@ -123,7 +121,7 @@
         };
         let ranked = self.fleet.ranking_index.best(
             1,
-            |hash| rank_score(hash, context.keys.slow_start),
+            |hash| rank_score(hash, request.connection_key),
             std::iter::empty(),
             accepts,
             |a, b| self.precedes(a, b),
@@ -132,12 +130,7 @@
     }
 
     /// The highest-ranked candidates. A group larger than a server starts at one of as many servers as it fills.
-    fn first_candidates(
-        &self,
-        now: Timestamp,
-        request: &RequestState,
-        keys: RankingKeys,
-    ) -> Vec<Candidate<'_>> {
+    fn first_candidates(&self, now: Timestamp, request: &RequestState) -> Vec<Candidate<'_>> {
         let is_restricted = request.is_first_mid_flow_attempt()
             || !request.tried_servers.is_empty()
             || request.possible_execution.is_some();
@@ -149,7 +142,22 @@
         let group_span = self.servers_for_group(request, server_count as f64);
         let start = (request.split_position * group_span) as usize;
         let start = start.min(server_count.saturating_sub(1));
-        self.ranked_servers(now, request, keys, start, start + FIRST_CANDIDATE_COUNT)
+        let skipped = self.skipped_in_slow_start(request, server_count as f64);
+        let skipped = skipped.saturating_sub(start);
+        let count = start + skipped + FIRST_CANDIDATE_COUNT;
+        let candidates = self.ranked_servers(now, request, start, count);
+        without_first_in_slow_start(candidates, skipped)
+    }
+
+    /// How many servers in slow start a returning client passes over, so that its group is spread over as many of them as it is
+    /// expected to fill. Guards against a large group that returns as a whole, one client at each node, to the same server.
+    fn skipped_in_slow_start(&self, request: &RequestState, server_count: f64) -> usize {
+        let Some(group) = request.group.filter(|_| request.is_reconnect) else {
+            return 0;
+        };
+        let request_ratio = self.group_frequency.expected_request_ratio(group);
+        let group_span = request_ratio * server_count / GROUP_SPLIT_FACTOR;
+        (request.split_position * group_span) as usize
     }
 
     /// How many servers the request's group fills, as far as recent requests tell. Guards against a group heavier than
@@ -180,7 +188,7 @@
             };
             all_are_ejected &= server.ejection.until.is_some();
             let ranked = RankedServer {
-                score: context.keys.score(server),
+                score: rank_score(indexed.hash, request.key),
                 slot: indexed.slot,
             };
             let tier = self.admission_tier(now, request, server, context, raise_interval);
@@ -221,9 +229,7 @@
         let may_exceed_limit = serves_group
             && server.may_exceed_limit(now, OVERLOAD_MEMORY, raise_interval)
             && !is_refused_by_wave
-            && self
-                .key_redistribution
-                .accepts_key(server, context.keys.key_for(server));
+            && self.key_redistribution.accepts_key(server, request.key);
         may_exceed_limit.then_some(Tier::BeyondLimit)
     }
 
@@ -240,6 +246,17 @@
     }
 }
 
+/// The candidates without the first `count` of those in slow start.
+fn without_first_in_slow_start(candidates: Vec<Candidate<'_>>, count: usize) -> Vec<Candidate<'_>> {
+    let mut remaining = count;
+    let is_kept = |candidate: &Candidate<'_>| {
+        let is_skipped = remaining > 0 && candidate.server.slow_start.is_active;
+        remaining -= usize::from(is_skipped);
+        !is_skipped
+    };
+    candidates.into_iter().filter(is_kept).collect()
+}
+
 /// The first server of the best tier that the scan found. If all servers are ejected, the ejections are ignored. If any is
 /// merely at its limit, ejected servers are not used.
 fn best_selection(
