Simulator: the end of an attempt is told to a node in one place

Need: the event was built in four places of the world, with the same literal, and three functions asked each for itself whether the process of a client's node still runs. Change: EndedAttempt with deliver_attempt_end, and is_process_running_for; pairs of values that were assigned as tuples there have statements of their own.

--- a/crates/simulator/src/world/attempts.rs
+++ b/crates/simulator/src/world/attempts.rs
@@ -1,5 +1,6 @@
 //! Attempts: they start, time out, end, or become connections that end later.
 
+use super::nodes::EndedAttempt;
 use super::{Phase, World, NO_PLACE};
 use crate::checker::{Rule, TraceSubject};
 use crate::event_queue::{millis, Moment, SimulationEvent};
@@ -146,17 +147,13 @@
         };
         self.record(what, node, request, server);
         self.release(client);
-        let request = RequestId(request);
-        self.deliver_event(
+        self.deliver_attempt_end(EndedAttempt {
             node,
-            Event::AttemptEnded {
-                request,
-                attempt,
-                outcome,
-                done: false,
-                report: None,
-            },
-        );
+            request,
+            attempt,
+            outcome,
+            is_request_over: false,
+        });
     }
 
     /// A node hears that the connection stands.
@@ -193,29 +190,21 @@
 
     /// A standing connection ends; the transcriber and the decisions hear of it.
     pub(super) fn end_standing(&mut self, client: u32, outcome: Outcome) {
-        let held = &self.clients[client as usize];
-        let (node, attempt, request) = (
-            held.node,
-            held.attempts.saturating_sub(1),
-            RequestId(held.request),
-        );
-        let lives = self.nodes[node as usize].alive
-            && self.nodes[node as usize].incarnation == held.node_incarnation;
+        let state = &self.clients[client as usize];
+        let ended = EndedAttempt {
+            node: state.node,
+            request: state.request,
+            attempt: state.attempts.saturating_sub(1),
+            outcome,
+            is_request_over: true,
+        };
+        let is_node_running = self.is_process_running_for(state);
         self.release(client);
-        let held = &mut self.clients[client as usize];
-        held.phase = Phase::Disconnected;
-        held.request = 0;
-        if lives {
-            self.deliver_event(
-                node,
-                Event::AttemptEnded {
-                    request,
-                    attempt,
-                    outcome,
-                    done: true,
-                    report: None,
-                },
-            );
+        let state = &mut self.clients[client as usize];
+        state.phase = Phase::Disconnected;
+        state.request = 0;
+        if is_node_running {
+            self.deliver_attempt_end(ended);
         }
     }
 }
--- a/crates/simulator/src/world/nodes.rs
+++ b/crates/simulator/src/world/nodes.rs
@@ -1,6 +1,6 @@
 //! Nodes: they hand events to the decisions, carry actions out, and tell what they observe.
 
-use super::{Node, Phase, World, EPOCH};
+use super::{Client, Node, Phase, World, EPOCH};
 use crate::checker::{Rule, TraceSubject};
 use crate::event_queue::{millis, seconds, Incarnation, SimulationEvent, SECOND};
 use crate::policy::FleetState;
@@ -8,6 +8,17 @@
 use lupincrank_placement::{Action, Event, Outcome, RequestId, RequestInfo, Timer, Timestamp};
 use std::collections::VecDeque;
 
+/// An attempt that ended, as its node hears of it.
+#[derive(Clone, Copy)]
+pub(super) struct EndedAttempt {
+    pub(super) node: u32,
+    pub(super) request: u64,
+    pub(super) attempt: u32,
+    pub(super) outcome: Outcome,
+    /// The request is over as well, whatever attempts it has left.
+    pub(super) is_request_over: bool,
+}
+
 impl World<'_> {
     pub(super) fn add_node(&mut self, zone: u32) {
         let at = self.nodes.len() as u32;
@@ -115,6 +126,24 @@
         self.actions = actions;
     }
 
+    /// Whether the process that the client's request came to still runs.
+    pub(super) fn is_process_running_for(&self, client: &Client) -> bool {
+        let node = &self.nodes[client.node as usize];
+        node.alive && node.incarnation == client.node_incarnation
+    }
+
+    /// Tells a node's decisions that an attempt ended.
+    pub(super) fn deliver_attempt_end(&mut self, ended: EndedAttempt) {
+        let event = Event::AttemptEnded {
+            request: RequestId(ended.request),
+            attempt: ended.attempt,
+            outcome: ended.outcome,
+            done: ended.is_request_over,
+            report: None,
+        };
+        self.deliver_event(ended.node, event);
+    }
+
     pub(super) fn execute(&mut self, node: u32, action: Action) {
         match action {
             Action::StartAttempt {
@@ -183,10 +212,10 @@
         let Some(client) = self.client_of(request) else {
             return;
         };
-        let held = &self.clients[client as usize];
-        let (node, deadline) = (held.node, held.deadline);
-        let at = &self.nodes[node as usize];
-        if !at.alive || at.incarnation != held.node_incarnation {
+        let state = &self.clients[client as usize];
+        let node = state.node;
+        let deadline = state.deadline;
+        if !self.is_process_running_for(state) {
             // It died while the request was on its way.
             self.clients[client as usize].answered = true;
             return self.queue.schedule(
@@ -269,23 +298,18 @@
             );
         }
         self.metrics.refused += 1;
-        let out = held.out.is_some();
+        let has_attempt = held.out.is_some();
         let attempt = held.attempts.saturating_sub(1);
         self.clients[client as usize].answered = true;
-        if out {
+        if has_attempt {
             self.release(client);
-            let outcome = Outcome::Cancelled;
-            let request = RequestId(request);
-            self.deliver_event(
+            self.deliver_attempt_end(EndedAttempt {
                 node,
-                Event::AttemptEnded {
-                    request,
-                    attempt,
-                    outcome,
-                    done: true,
-                    report: None,
-                },
-            );
+                request,
+                attempt,
+                outcome: Outcome::Cancelled,
+                is_request_over: true,
+            });
         }
         let (mean, jitter) = (self.scenario.net.client_ms, self.scenario.net.jitter);
         let hop = jittered(&mut self.clients[client as usize].random, mean, jitter);
@@ -321,29 +345,25 @@
 
     /// Nobody waits for the request any more.
     pub(super) fn client_gone(&mut self, client: u32) {
-        let held = &self.clients[client as usize];
-        let (node, request, incarnation) = (held.node, held.request, held.node_incarnation);
-        let at = &self.nodes[node as usize];
-        if held.answered || !at.alive || at.incarnation != incarnation {
+        let state = &self.clients[client as usize];
+        let node = state.node;
+        let request = state.request;
+        if state.answered || !self.is_process_running_for(state) {
             return;
         }
-        let (out, attempt) = (held.out.is_some(), held.attempts.saturating_sub(1));
+        let has_attempt = state.out.is_some();
+        let attempt = state.attempts.saturating_sub(1);
         self.clients[client as usize].answered = true;
         self.release(client);
         self.deliver_event(node, Event::ClientGone(RequestId(request)));
-        if out {
-            let request = RequestId(request);
-            let outcome = Outcome::Cancelled;
-            self.deliver_event(
+        if has_attempt {
+            self.deliver_attempt_end(EndedAttempt {
                 node,
-                Event::AttemptEnded {
-                    request,
-                    attempt,
-                    outcome,
-                    done: true,
-                    report: None,
-                },
-            );
+                request,
+                attempt,
+                outcome: Outcome::Cancelled,
+                is_request_over: true,
+            });
         }
     }
 }
