Placement: requests of a group are spread over servers in slow start by rank

Cause: by the group's key all of a group comes to the server in slow start that ranks first. servers_for_group leaves the last request out, and skipped_in_slow_start held for returning clients and the first candidates only (policy/selection.rs). Change: policy/group_spread.rs. Whether a request goes to a server in slow start is decided as before. If so, and if it has a group, it goes to the one at a rank of the group's own order, drawn by a hash of the connection's key over three times as many ranks as the group's expected part of the requests fills. Preferred ranks and draws by the group too; skipped_in_slow_start is gone. Each way to a server in slow start ends at the same draw, which is why no group is left that comes as a whole.

--- a/crates/placement/src/limits/slow_start_wave.rs
+++ b/crates/placement/src/limits/slow_start_wave.rs
@@ -30,7 +30,8 @@
     ByRequestKey,
     /// Each such server takes its part of the connection keys: a large group would come to one of them as a whole.
     ByConnectionKey,
-    /// Such a server comes first. Each takes its part of the connection keys in relation to `max_key_ratio`, the largest part.
+    /// Such a server comes first. Each takes its part of the request keys in relation to `max_key_ratio`, the largest part, and
+    /// a group is spread over those that take its key.
     Preferred { max_key_ratio: f64 },
     /// Warm servers only.
     Refused,
@@ -149,6 +150,11 @@
         connections / totals.warm_weight.max(1e-9)
     }
 
+    /// The largest part of the keys of a wave that any server in slow start takes.
+    pub(crate) fn max_wave_key_ratio(&self, now: Timestamp) -> f64 {
+        self.wave_capacity(now).max_key_ratio
+    }
+
     fn wave_capacity(&self, now: Timestamp) -> WaveCapacity {
         let mut capacity = WaveCapacity::default();
         for server in self.fleet.servers_in_slow_start() {
--- a/crates/placement/src/policy/admission.rs
+++ b/crates/placement/src/policy/admission.rs
@@ -36,6 +36,7 @@
 }
 
 /// What all servers are compared with when one request is placed.
+#[derive(Clone, Copy)]
 pub(crate) struct AdmissionContext {
     /// This node's load for each unit of server weight.
     pub(crate) fair_load_per_weight: f64,
@@ -48,6 +49,16 @@
     pub(crate) slow_start: SlowStartAdmission,
 }
 
+impl AdmissionContext {
+    /// The same for a request that goes to a server in slow start in any case.
+    pub(crate) fn preferring_slow_start(self, max_key_ratio: f64) -> AdmissionContext {
+        AdmissionContext {
+            slow_start: SlowStartAdmission::Preferred { max_key_ratio },
+            ..self
+        }
+    }
+}
+
 /// How far a server may be filled, which depends on whether it serves the request's group already.
 struct FillLevel {
     /// Load that the request adds beside its own.
@@ -139,7 +150,8 @@
     }
 
     /// Whether the key is in the part that a server in slow start takes; others take each. In a wave the connection's own key
-    /// decides: a large group would come to the server as a whole or not at all.
+    /// decides: a large group would come to the server as a whole or not at all. Where one in slow start is chosen in any
+    /// case, its group is spread over those that take its key.
     pub(crate) fn accepts_key_in_slow_start(
         &self,
         now: Timestamp,
@@ -156,10 +168,9 @@
         let (key, part) = match context.slow_start {
             SlowStartAdmission::ByRequestKey => (request.key, server.slow_start.key_ratio),
             SlowStartAdmission::ByConnectionKey => (request.connection_key, wave_ratio()),
-            SlowStartAdmission::Preferred { max_key_ratio } => (
-                request.connection_key,
-                wave_ratio() / max_key_ratio.max(MIN_KEY_RATIO),
-            ),
+            SlowStartAdmission::Preferred { max_key_ratio } => {
+                (request.key, wave_ratio() / max_key_ratio.max(MIN_KEY_RATIO))
+            }
             SlowStartAdmission::Refused => return false,
         };
         accepts_key_ratio(server.hash, key, part)
@@ -184,7 +195,7 @@
 }
 
 /// Whether the server is ejected, out of reach, or late with the answer to a health check.
-fn is_unavailable(now: Timestamp, server: &Server) -> bool {
+pub(crate) fn is_unavailable(now: Timestamp, server: &Server) -> bool {
     let is_unanswered = server.health_check.is_some_and(|check| {
         let elapsed = now.saturating_duration_since(check.sent_at);
         check.is_pending && elapsed >= QUEUE_INTERVAL && elapsed < REPORT_MAX_AGE
--- a/crates/placement/src/policy/mod.rs
+++ b/crates/placement/src/policy/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod admission;
 pub(crate) mod attempt;
 pub(crate) mod candidates;
+pub(crate) mod group_spread;
 pub(crate) mod intake;
 pub(crate) mod queue;
 pub(crate) mod rejection;
--- a/crates/placement/src/policy/selection.rs
+++ b/crates/placement/src/policy/selection.rs
@@ -33,7 +33,7 @@
 }
 
 impl Selection {
-    fn within_limit(slot: ServerSlot) -> Selection {
+    pub(crate) fn within_limit(slot: ServerSlot) -> Selection {
         Selection {
             slot,
             exceeds_limit: false,
@@ -87,9 +87,21 @@
         if let Some(slot) = self.preferred_in_slow_start(now, request, &context) {
             return Some(Selection::within_limit(slot));
         }
+        let selection = self.select_by_ranking(now, request, &context, &candidates)?;
+        Some(self.spread_over_slow_start(now, request, &context, selection))
+    }
+
+    /// The first of the candidates that admits the request, else the first of all servers.
+    fn select_by_ranking(
+        &self,
+        now: Timestamp,
+        request: &RequestState,
+        context: &AdmissionContext,
+        candidates: &[Candidate<'_>],
+    ) -> Option<Selection> {
         let admitted = candidates.iter().find(|candidate| {
             self.is_accepted_by_machine_kind(request, candidate.server)
-                && self.admits(now, request, candidate.server, &context, FairLoad::Required)
+                && self.admits(now, request, candidate.server, context, FairLoad::Required)
         });
         if let Some(candidate) = admitted {
             return Some(Selection::within_limit(candidate.slot));
@@ -98,35 +110,7 @@
             score: rank_score(candidate.server.hash, request.key),
             slot: candidate.slot,
         });
-        self.scan_all_servers(now, request, &context, start)
-    }
-
-    /// The server in slow start that takes a request for which such servers come first: the highest-ranked one by the
-    /// connection's own key. By its group's key, one server would get all such connections of a large group.
-    fn preferred_in_slow_start(
-        &self,
-        now: Timestamp,
-        request: &RequestState,
-        context: &AdmissionContext,
-    ) -> Option<ServerSlot> {
-        if !matches!(context.slow_start, SlowStartAdmission::Preferred { .. }) {
-            return None;
-        }
-        let accepts = |slot: ServerSlot| {
-            self.fleet.servers.get(slot).is_some_and(|server| {
-                server.slow_start.is_active
-                    && self.is_allowed_by_retry_rules(now, request, slot)
-                    && self.admits(now, request, server, context, FairLoad::Required)
-            })
-        };
-        let ranked = self.fleet.ranking_index.best(
-            1,
-            |hash| rank_score(hash, request.connection_key),
-            std::iter::empty(),
-            accepts,
-            |a, b| self.precedes(a, b),
-        );
-        ranked.first().map(|ranked| ranked.slot)
+        self.scan_all_servers(now, request, context, start)
     }
 
     /// The highest-ranked candidates. A group larger than a server starts at one of as many servers as it fills.
@@ -142,22 +126,7 @@
         let group_span = self.servers_for_group(request, server_count as f64);
         let start = (request.split_position * group_span) as usize;
         let start = start.min(server_count.saturating_sub(1));
-        let skipped = self.skipped_in_slow_start(request, server_count as f64);
-        let skipped = skipped.saturating_sub(start);
-        let count = start + skipped + FIRST_CANDIDATE_COUNT;
-        let candidates = self.ranked_servers(now, request, start, count);
-        without_first_in_slow_start(candidates, skipped)
-    }
-
-    /// How many servers in slow start a returning client passes over, so that its group is spread over as many of them as it is
-    /// expected to fill. Guards against a large group that returns as a whole, one client at each node, to the same server.
-    fn skipped_in_slow_start(&self, request: &RequestState, server_count: f64) -> usize {
-        let Some(group) = request.group.filter(|_| request.is_reconnect) else {
-            return 0;
-        };
-        let request_ratio = self.group_frequency.expected_request_ratio(group);
-        let group_span = request_ratio * server_count / GROUP_SPLIT_FACTOR;
-        (request.split_position * group_span) as usize
+        self.ranked_servers(now, request, start, start + FIRST_CANDIDATE_COUNT)
     }
 
     /// How many servers the request's group fills, as far as recent requests tell. Guards against a group heavier than
@@ -246,17 +215,6 @@
     }
 }
 
-/// The candidates without the first `count` of those in slow start.
-fn without_first_in_slow_start(candidates: Vec<Candidate<'_>>, count: usize) -> Vec<Candidate<'_>> {
-    let mut remaining = count;
-    let is_kept = |candidate: &Candidate<'_>| {
-        let is_skipped = remaining > 0 && candidate.server.slow_start.is_active;
-        remaining -= usize::from(is_skipped);
-        !is_skipped
-    };
-    candidates.into_iter().filter(is_kept).collect()
-}
-
 /// The first server of the best tier that the scan found. If all servers are ejected, the ejections are ignored. If any is
 /// merely at its limit, ejected servers are not used.
 fn best_selection(
