--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -8,6 +8,7 @@
 import re
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -77,6 +78,7 @@
     """Accepts connections and runs `handle(connection)` in a thread for each."""
 
     def __init__(self, handle, port=0):
+        self.connections = set()
         self.socket = socket.create_server((HOST, port), backlog=512)
         self.port = self.socket.getsockname()[1]
         self.handle = handle
@@ -92,8 +94,21 @@
             threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
 
     def serve(self, connection):
+        self.connections.add(connection)
         with contextlib.suppress(OSError), contextlib.closing(connection):
             self.handle(connection)
+        self.connections.discard(connection)
+
+    def stop(self):
+        """Refuses new connections and resets the open ones."""
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
+        self.socket.close()
+        for connection in list(self.connections):
+            with contextlib.suppress(OSError):
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                # Wakes the thread that reads; its close then sends the reset.
+                connection.shutdown(socket.SHUT_RD)
 
 
 class Discovery:
@@ -143,7 +158,8 @@
 
 
 class Transcriber:
-    """A sound server: it answers `OPEN` with `UP`, returns each line at once, and closes when the node does.
+    """A sound server: it answers `OPEN` with `UP`, returns each line at once, and closes when the node does. Probes
+    are answered with a load report, where the settings name its fields.
 
     `answer(transcriber, connection, request)` may stand in for the `UP`: it returns False if it has ended the attempt.
     """
@@ -164,6 +180,9 @@
     def handle(self, connection):
         reader = connection.makefile("rb")
         first = read_line(reader)
+        while first in ("PING", "STATS"):
+            connection.sendall(b"PONG\r\n" if first == "PING" else self.report())
+            first = read_line(reader)
         if first is None:
             return
         match = re.fullmatch(r"OPEN ([0-9a-f]{16}) (\S+) (\S+)", first)
@@ -187,11 +206,13 @@
             with self.lock:
                 self.open.discard(key)
 
+    def report(self):
+        load = f"rate=0,fail_rate=0,q=0,x0={0.01 * len(self.open):.2f}"
+        return f"PONG {load}\r\n".encode()
 
-def reset(connection):
-    """Closes with a reset."""
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00")
-    connection.close()
+    def stop(self):
+        """Ends as a process that dies: its connections are reset and new ones are refused."""
+        self.listener.stop()
 
 
 class Client:
@@ -200,45 +221,57 @@
     def __init__(self, port):
         self.socket = socket.create_connection((HOST, port), timeout=5)
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.reader = self.socket.makefile("rb")
+        self.received = b""
 
     def send(self, line):
         self.socket.sendall(line.encode() + b"\r\n")
 
     def receive(self, seconds):
-        """The next line; None at the end of the connection; TimeoutError."""
-        self.socket.settimeout(seconds)
-        return read_line(self.reader)
+        """The next line; None at the end of the connection; TimeoutError, after which it may be called again."""
+        until = time.monotonic() + seconds
+        while b"\n" not in self.received:
+            left = until - time.monotonic()
+            if left <= 0:
+                raise TimeoutError("no line")
+            self.socket.settimeout(left)
+            part = self.socket.recv(4096)
+            if not part:
+                return None
+            self.received += part
+        line, self.received = self.received.split(b"\n", 1)
+        return line.rstrip(b"\r").decode("utf-8", "replace")
 
     def close(self):
         with contextlib.suppress(OSError):
-            self.reader.close()
             self.socket.close()
 
 
-# Settings like those of the site sabhalekh-guj: name -> (objective, deadline) in milliseconds.
-CLASSES = {"live-captions": (300, 1800), "draft-minutes": (800, 4800), "speaker-tags": (500, 2000)}
+# The classes of the sites: name -> (objective, deadline, objective of a message) in milliseconds.
+SABHALEKH = {"live-captions": (300, 1800, 150), "draft-minutes": (800, 4800, 60), "speaker-tags": (500, 2000, 50)}
+KATHMANDU = {"page-watch": (500, 2000, 150), "search-live": (300, 1800, 250), "edit-sync": (500, 2000, 150)}
 
 
-def settings(nodes, cold_ms=8700):
-    """Settings like those of the site sabhalekh-guj, for so many nodes."""
+def settings(nodes, cold_ms=8700, classes=SABHALEKH, probes=False):
+    """Settings like those of a site, for so many nodes."""
     categories = [{"Name": name, "Repeat": "repeatable", "Group": "all", "WindowNs": 5000 * MS,
                    "DeadlineNs": deadline * MS, "PromiseNs": objective * MS, "Stream": True, "Value": 1.0,
-                   "LateShare": 0.0} for name, (objective, deadline) in CLASSES.items()]
+                   "LateShare": 0.0} for name, (objective, deadline, _) in classes.items()]
+    report = {"Fields": ["rate", "fail_rate", "q", "x0"], "How": "on_probe"} if probes else {"Fields": [], "How": "off"}
     return {
         "Instances": nodes,
         "Categories": categories,
-        "FamilyInfo": {"Groups": True, "MessageAimNs": [150 * MS, 60 * MS, 50 * MS], "Mode": "proxy"},
+        "FamilyInfo": {"Groups": True, "MessageAimNs": [message * MS for _, _, message in classes.values()],
+                       "Mode": "proxy"},
         "Kinds": ["small"],
         "Localities": ["a"],
-        "Limits": {"SendCap": 3, "MayProbe": False, "Peers": False, "RetryAfter": True,
+        "Limits": {"SendCap": 5 if probes else 3, "MayProbe": probes, "Peers": False, "RetryAfter": True,
                    "MaxRetryAfterNs": 2000 * MS, "ConnectTimeoutNs": 150 * MS},
         "Obligations": {"AnswerSlackNs": 20 * MS, "AskWithinNs": 10_000 * MS, "ColdNs": cold_ms * MS,
                         "DrainGraceNs": 500 * MS, "FallMultiple": 3.0, "OverloadForNs": 3000 * MS,
                         "StartCapacity": 0.3},
         "RegistryMode": "subscribe",
         "Tenants": [],
-        "Report": {"Fields": [], "How": "off"},
+        "Report": report,
     }
 
 
