Review case 2: the bad client ends before the sound clients leave

Now the bad client ends first, and an UP counts only while the sound client's connection of that id stands. The check is no weaker against the rule: it still counts every open request that is served.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -14,8 +14,9 @@
 SOUND_CLIENTS = 8
 
 
-def sound_client(case, port, request, stopped, report):
-    """Opens a connection and sends a line every 2 s until told to stop; `report` says that it is up."""
+def sound_client(case, port, request, stopped, report, ended):
+    """Opens a connection and sends a line every 2 s until told to stop; `report` says that it is up, `ended` when it has
+    ended."""
     client = Client(port)
     client.send(f"OPEN {request} {request} c=speaker-tags,d=2000,g={request}")
     answer = client.receive(3)
@@ -28,8 +29,10 @@
         except (OSError, TimeoutError):
             line = "no line"
         if line != "hello":
+            ended[request] = case.record.now()
             case.record.add(f"client {request}", f"received {line}")
-            return
+            break
+    client.close()
 
 
 def bad_client(case, port, requests, stopped, answers):
@@ -37,6 +40,8 @@
     kept = []
     while not stopped.is_set():
         for request in requests:
+            if stopped.is_set():
+                break
             try:
                 client = Client(port)
                 client.send(f"OPEN {request} {request} c=speaker-tags,d=2000,g={request}")
@@ -69,17 +74,18 @@
 
     older = start()
     older.wait_until_ready()
-    stopped, up, answers = threading.Event(), [], []
+    stopped, bad_stopped, up, ended, answers = threading.Event(), threading.Event(), [], {}, []
     requests = [f"{0xC0FFEE000000 + number:016x}" for number in range(SOUND_CLIENTS)]
     for request in requests:
-        threading.Thread(target=sound_client, args=(case, port, request, stopped, up), daemon=True).start()
+        threading.Thread(target=sound_client, args=(case, port, request, stopped, up, ended), daemon=True).start()
     until = time.monotonic() + 5
     while len(up) < SOUND_CLIENTS and time.monotonic() < until:
         time.sleep(0.05)
     if len(up) < SOUND_CLIENTS or not all((answer or "").startswith("UP") for answer in up):
         raise CannotRun(f"the sound clients were answered {up}")
 
-    threading.Thread(target=bad_client, args=(case, port, requests, stopped, answers), daemon=True).start()
+    bad = threading.Thread(target=bad_client, args=(case, port, requests, bad_stopped, answers), daemon=True)
+    bad.start()
     time.sleep(2)
     if trouble:
         newer = start()
@@ -91,18 +97,25 @@
             older.signal(signal.SIGKILL)
         case.record.add("platform", f"{older.label} has ended")
     time.sleep(2)
+    # The bad client ends first: an id is free again once its sound client has left.
+    bad_stopped.set()
+    bad.join(timeout=10)
+    if bad.is_alive():
+        raise CannotRun("the bad client did not end")
+    broken = judge(case, requests, transcribers, answers, ended)
     stopped.set()
-    time.sleep(0.3)
-    return judge(case, requests, transcribers, answers)
+    return broken
 
 
-def judge(case, requests, transcribers, answers):
+def judge(case, requests, transcribers, answers, ended):
+    """Counts the times that the bad client was served with an id whose sound client had not seen its end by then."""
     counts = {}
     for _, _, answer in answers:
         word = answer.split(" ")[0]
         counts[word] = counts.get(word, 0) + 1
     case.record.add("bad client", f"answers: {counts}")
-    served = [(at, request, answer) for at, request, answer in answers if answer.startswith("UP")]
+    served = [(at, request, answer) for at, request, answer in answers
+              if answer.startswith("UP") and at < ended.get(request, float("inf"))]
     for at, request, answer in served:
         case.record.add("bad client", f"at {at:.3f} s, with the id of the open request {request}: {answer}")
     for transcriber in transcribers:
