Review: each case reads TROUBLE and writes record.txt in its own folder

Both stood in the shared module only. The records hold each OPEN with its answer and what the servers received and ran, not sums alone.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,8 @@
 """An upgrade while a bad client sends the ids of other clients' open requests."""
 import os
+import signal
 import socket
+import subprocess
 import sys
 import threading
 import time
@@ -8,10 +10,11 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib"))
 from standins import HOST, Case, CannotRun, Client, Discovery, Node, Transcriber, config, free_port, settings  # noqa: E402
-import signal  # noqa: E402
 
 DESCRIPTOR = 7
 SOUND_CLIENTS = 8
+# SIGKILL follows SIGTERM after the longest deadline, counted as 3 s where it is longer, plus 0.7 s.
+KILL_AFTER_S = 3.7
 
 
 def sound_client(case, port, request, stopped, report, ended):
@@ -20,7 +23,7 @@
     client = Client(port)
     client.send(f"OPEN {request} {request} c=speaker-tags,d=2000,g={request}")
     answer = client.receive(3)
-    case.record.add(f"client {request}", f"was answered {answer}")
+    case.record.add(f"client {request}", f"sent its OPEN, was answered {answer}")
     report.append(answer)
     while not stopped.wait(2.0):
         try:
@@ -49,6 +52,7 @@
             except (OSError, TimeoutError) as error:
                 answer = type(error).__name__
             answers.append((case.record.now(), request, answer))
+            case.record.add("bad client", f"sent the id of the open request {request}, was answered {answer}")
             if answer.startswith("UP"):
                 kept.append(client)
             else:
@@ -92,8 +96,8 @@
         newer.wait_until_ready()
         older.signal(signal.SIGTERM)
         try:
-            older.process.wait(timeout=2.7)
-        except Exception:
+            older.process.wait(timeout=KILL_AFTER_S)
+        except subprocess.TimeoutExpired:
             older.signal(signal.SIGKILL)
         case.record.add("platform", f"{older.label} has ended")
     time.sleep(2)
@@ -113,11 +117,11 @@
     for _, _, answer in answers:
         word = answer.split(" ")[0]
         counts[word] = counts.get(word, 0) + 1
-    case.record.add("bad client", f"answers: {counts}")
+    case.record.add("judge", f"answers to the bad client: {counts}")
     served = [(at, request, answer) for at, request, answer in answers
               if answer.startswith("UP") and at < ended.get(request, float("inf"))]
     for at, request, answer in served:
-        case.record.add("bad client", f"at {at:.3f} s, with the id of the open request {request}: {answer}")
+        case.record.add("judge", f"at {at:.3f} s the bad client was served with the id of the open request {request}: {answer}")
     for transcriber in transcribers:
         for request, most in sorted(transcriber.most_at_once.items()):
             if most > 1:
@@ -131,4 +135,5 @@
 
 
 if __name__ == "__main__":
-    Case(FOLDER).run(play)
+    # TROUBLE=0: the same without the disruption.
+    Case().run(play, trouble=os.environ.get("TROUBLE", "1") != "0", record_path=os.path.join(FOLDER, "record.txt"))
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -5,6 +5,7 @@
 import contextlib
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -20,7 +21,9 @@
 HOST = "127.0.0.1"
 MS = 1_000_000
 
-RULE_BROKEN, RULE_HELD, COULD_NOT_RUN = 1, 0, 2
+# What case.py ends with; run.sh turns these into 1, 0 and 2. An interpreter that fails ends with 1 by itself, which must not
+# look like a broken rule.
+RULE_BROKEN, RULE_HELD, COULD_NOT_RUN = 10, 0, 2
 LONGEST_S = 100
 
 
@@ -49,18 +52,25 @@
                 file.write(f"{at:9.3f} {who}: {text}\n")
 
 
-def free_port():
-    """A port that is free now, below the range from which the kernel takes the ports of outgoing connections."""
-    import random
+TAKEN_PORTS = set()
+
 
-    for _ in range(200):
+def free_port():
+    """A port that is free now for streams and datagrams, below the range from which the kernel takes the ports of outgoing
+    connections."""
+    for _ in range(500):
         port = random.randrange(20_000, 32_000)
-        with contextlib.closing(socket.socket()) as probe:
+        if port in TAKEN_PORTS:
+            continue
+        with contextlib.closing(socket.socket()) as stream, \
+                contextlib.closing(socket.socket(type=socket.SOCK_DGRAM)) as datagrams:
             try:
-                probe.bind((HOST, port))
+                stream.bind((HOST, port))
+                datagrams.bind((HOST, port))
             except OSError:
                 continue
-            return port
+        TAKEN_PORTS.add(port)
+        return port
     raise CannotRun("no free port")
 
 
@@ -197,12 +207,15 @@
             self.open.add(key)
             at_once = sum(1 for other, _ in self.open if other == request)
             self.most_at_once[request] = max(at_once, self.most_at_once.get(request, 0))
+        self.record.add(self.name, f"received {first!r}, open with this id now: {at_once}")
         try:
             if self.answer is None or self.answer(self, connection, request):
                 connection.sendall(f"UP {self.name}-{request}\r\n".encode())
+                self.record.add(self.name, f"answered {request} with UP: it runs")
                 while (line := read_line(reader)) is not None:
                     connection.sendall(line.encode() + b"\r\n")
         finally:
+            self.record.add(self.name, f"connection of {request} has ended")
             with self.lock:
                 self.open.discard(key)
 
@@ -246,17 +259,21 @@
             self.socket.close()
 
 
-# The classes of the sites: name -> (objective, deadline, objective of a message) in milliseconds.
-SABHALEKH = {"live-captions": (300, 1800, 150), "draft-minutes": (800, 4800, 60), "speaker-tags": (500, 2000, 50)}
-KATHMANDU = {"page-watch": (500, 2000, 150), "search-live": (300, 1800, 250), "edit-sync": (500, 2000, 150)}
+# What the settings take from a site. Classes: name -> (objective, deadline, objective of a message) in milliseconds.
+SABHALEKH = {"classes": {"live-captions": (300, 1800, 150), "draft-minutes": (800, 4800, 60),
+                         "speaker-tags": (500, 2000, 50)},
+             "attempts": 3, "probes": False, "cold_ms": 8700, "overload_ms": 3000, "start": 0.3}
+KATHMANDU = {"classes": {"page-watch": (500, 2000, 150), "search-live": (300, 1800, 250), "edit-sync": (500, 2000, 150)},
+             "attempts": 5, "probes": True, "cold_ms": 24_000, "overload_ms": 1000, "start": 0.12}
 
 
-def settings(nodes, cold_ms=8700, classes=SABHALEKH, probes=False):
+def settings(nodes, site=SABHALEKH):
     """Settings like those of a site, for so many nodes."""
+    classes = site["classes"]
     categories = [{"Name": name, "Repeat": "repeatable", "Group": "all", "WindowNs": 5000 * MS,
                    "DeadlineNs": deadline * MS, "PromiseNs": objective * MS, "Stream": True, "Value": 1.0,
                    "LateShare": 0.0} for name, (objective, deadline, _) in classes.items()]
-    report = {"Fields": ["rate", "fail_rate", "q", "x0"], "How": "on_probe"} if probes else {"Fields": [], "How": "off"}
+    fields = ["rate", "fail_rate", "q", "x0"] if site["probes"] else []
     return {
         "Instances": nodes,
         "Categories": categories,
@@ -264,14 +281,14 @@
                        "Mode": "proxy"},
         "Kinds": ["small"],
         "Localities": ["a"],
-        "Limits": {"SendCap": 5 if probes else 3, "MayProbe": probes, "Peers": False, "RetryAfter": True,
+        "Limits": {"SendCap": site["attempts"], "MayProbe": site["probes"], "Peers": False, "RetryAfter": True,
                    "MaxRetryAfterNs": 2000 * MS, "ConnectTimeoutNs": 150 * MS},
-        "Obligations": {"AnswerSlackNs": 20 * MS, "AskWithinNs": 10_000 * MS, "ColdNs": cold_ms * MS,
-                        "DrainGraceNs": 500 * MS, "FallMultiple": 3.0, "OverloadForNs": 3000 * MS,
-                        "StartCapacity": 0.3},
+        "Obligations": {"AnswerSlackNs": 20 * MS, "AskWithinNs": 10_000 * MS, "ColdNs": site["cold_ms"] * MS,
+                        "DrainGraceNs": 500 * MS, "FallMultiple": 3.0, "OverloadForNs": site["overload_ms"] * MS,
+                        "StartCapacity": site["start"]},
         "RegistryMode": "subscribe",
         "Tenants": [],
-        "Report": report,
+        "Report": {"Fields": fields, "How": "on_probe" if fields else "off"},
     }
 
 
@@ -347,34 +364,36 @@
 
 
 class Case:
-    """Runs `play(case, trouble)`, which returns True if the rule was broken, and cleans up."""
+    """Runs `play(case, trouble)`, which returns True if the rule was broken, ends all processes that it started, and writes
+    the record to `record_path`."""
 
-    def __init__(self, folder):
-        self.results = folder
+    def __init__(self):
         self.record = Record()
         self.nodes = []
         self.folder = None
 
-    def run(self, play):
-        trouble = os.environ.get("TROUBLE", "1") != "0"
-        self.record.add("case", "with the disruption" if trouble else "without the disruption")
+    def run(self, play, trouble, record_path):
+        self.record.add("case", "with the disruption" if trouble else "TROUBLE=0: without the disruption")
+        # run.sh ends what is left of this process group, should this process be killed.
+        os.setpgrp()
         status = COULD_NOT_RUN
-        for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT):
+        for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             signal.signal(number, stop)
         signal.alarm(LONGEST_S)
         try:
             with tempfile.TemporaryDirectory() as folder:
                 self.folder = folder
                 try:
-                    status = RULE_BROKEN if play(self, trouble) else RULE_HELD
+                    broken = play(self, trouble)
                 finally:
                     self.end_nodes()
                     self.copy_log_excerpts()
-        except (CannotRun, OSError, TimeoutError) as error:
+            status = RULE_BROKEN if broken else RULE_HELD
+        except Exception as error:  # whatever went wrong says nothing about the rule
             self.record.add("case", f"could not run: {type(error).__name__}: {error}")
         verdict = {RULE_BROKEN: "rule broken", RULE_HELD: "rule held", COULD_NOT_RUN: "could not run"}[status]
         self.record.add("case", verdict)
-        self.record.save(os.path.join(self.results, "record.txt"))
+        self.record.save(record_path)
         print(verdict)
         # Threads that wait for a peer must not keep the program.
         sys.stdout.flush()
@@ -384,8 +403,9 @@
         for node in self.nodes:
             if node.process.poll() is None:
                 node.process.kill()
-            node.process.wait()
+            code = node.process.wait()
             node.log.close()
+            self.record.add("platform", f"{node.label} has ended ({code})")
 
     def copy_log_excerpts(self):
         """Puts what each node logged (the last lines) behind the record."""
