Request ids: an id open in one process of an upgrade is in use in the other

Cause: ClientConnection::on_open asked PlacementDriver::has_request, the table of its own process. The two processes accept clients from one socket and learned each other's requests only by the hand-over of established connections.

Restored connections (`at=`) had the same gap twice over: their ids stood in no table while their server had not answered, in either process.

Change: a request claims its id before anything is done for it and holds the claim until it has ended (handoff/request_claims). Each process publishes its claims in a hash table in a file of the node that it alone writes (handoff/request_table), first publishes and then looks at the other's: of two claims in one moment at most one succeeds, and neither process waits for the other. The file's lock says whether its process runs, so the ids of a killed one are free. An id that is claimed may belong to a client that has closed and is back: the claimer's process is asked, reads that client's socket out of turn and answers; the first line waits for that, 0.4 s at most, then gets BUSY. The two new messages go only to a process whose heartbeat says that it answers them, and the version of the messages stays 3. A connection that is handed over is claimed by both until it is acknowledged.

A pair with an earlier build can't keep the rule: that build publishes no ids.

--- a/crates/node/src/client/connection.rs
+++ b/crates/node/src/client/connection.rs
@@ -1,15 +1,17 @@
 //! A client's connection until a relay takes it over, or until it is closed after an answer of the node itself.
 
+mod claim;
 mod request;
 mod transfer;
 
 use super::answer;
 use super::first_line::{FirstLine, FirstLineError, SettingsNames};
 use super::unidentified::UnidentifiedEntry;
-use crate::command::{ClientCommand, Message};
+use crate::command::{ClientCommand, ClientSocketCommand, Message};
 use crate::deadline::{ClientDeadline, DeadlineKind};
 use crate::state::{NodeContext, NodeState};
 use crate::upstream::server_line::MAX_LINE_BYTES;
+use claim::ClaimingRequest;
 use lupincrank_reactor::poll::Registered;
 use lupincrank_reactor::{ComponentId, Connection, Interest, Lifecycle, Readiness};
 use request::WaitingRequest;
@@ -48,6 +50,8 @@
 
 enum State {
     ReadingFirstLine(ReadingFirstLine),
+    /// The request is complete, and its id is in use.
+    Claiming(ClaimingRequest),
     /// The request is complete and waits for a server.
     Waiting(WaitingRequest),
     Closing(Closing),
@@ -60,6 +64,7 @@
     fn unidentified_entry(&self) -> Option<&UnidentifiedEntry> {
         match self {
             State::ReadingFirstLine(reading) => Some(&reading.entry),
+            State::Claiming(claiming) => Some(&claiming.entry),
             State::Closing(closing) => Some(&closing.entry),
             State::Waiting(_) | State::Finished => None,
         }
@@ -132,6 +137,14 @@
         Lifecycle::Continue
     }
 
+    /// Reads a client with a request, which may have disconnected.
+    fn read_out_of_turn(&mut self, context: &mut NodeContext) -> Lifecycle {
+        match self.state {
+            State::Waiting(_) => self.read(context),
+            _ => Lifecycle::Continue,
+        }
+    }
+
     fn on_bytes(&mut self, context: &mut NodeContext, bytes: &[u8]) -> Lifecycle {
         match &mut self.state {
             State::ReadingFirstLine(reading) => {
@@ -141,7 +154,7 @@
             // A client must not send anything after its first line until it is answered; no server could parse such
             // bytes. Guards against clients that send hundreds of commands at once, and against counting it as the
             // server's failure if the server closes the connection because of them.
-            State::Waiting(_) => {
+            State::Claiming(_) | State::Waiting(_) => {
                 self.abandon_request(context);
                 self.reject_line(context, FirstLineError::MultipleLines)
             }
@@ -215,9 +228,9 @@
             drained_bytes: 0,
             entry: add_unidentified(context, self.id, LINGER_TIMEOUT),
         });
-        context
-            .deadlines
-            .clear(self.id, ClientDeadline::RestoreRetry.into());
+        for retry in [ClientDeadline::RestoreRetry, ClientDeadline::ClaimRetry] {
+            context.deadlines.clear(self.id, retry.into());
+        }
         self.write_answer()
     }
 
@@ -236,7 +249,7 @@
     /// Handles a client that has shut down its sending direction: its request is not sent to any server. The client
     /// may still read, so it gets an answer.
     fn on_client_end(&mut self, context: &mut NodeContext) -> Lifecycle {
-        if matches!(self.state, State::Waiting(_)) {
+        if matches!(self.state, State::Claiming(_) | State::Waiting(_)) {
             self.write_final_answer(answer::ERROR);
         }
         self.on_client_closed(context)
@@ -257,6 +270,7 @@
             ClientCommand::AttemptAccepted(accepted) => self.on_attempt_accepted(context, accepted),
             ClientCommand::AttemptServed(line) => self.on_attempt_served(context, &line),
             ClientCommand::RestoreFailed(outcome) => self.on_restore_failed(context, outcome),
+            ClientCommand::ClaimReport { is_in_use } => self.on_claim_report(context, is_in_use),
             ClientCommand::Close => self.on_close(context),
             ClientCommand::AnswerBeforeExit(scope) => self.on_exit(context, scope),
         }
@@ -341,6 +355,10 @@
         match self.state {
             _ if self.is_in_transfer => Lifecycle::Continue,
             State::ReadingFirstLine(_) => self.on_expired(context),
+            State::Claiming(_) if kind == ClientDeadline::ClaimRetry.into() => {
+                self.on_claim_retry(context)
+            }
+            State::Claiming(_) => self.on_claim_timeout(context),
             State::Waiting(_) if kind == ClientDeadline::RestoreRetry.into() => {
                 self.on_restore_retry(context)
             }
@@ -352,6 +370,7 @@
         match message {
             Message::Client(command) => self.on_command(context, command),
             Message::Transfer(command) => self.on_transfer(context, command),
+            Message::ClientSocket(ClientSocketCommand::Read) => self.read_out_of_turn(context),
             _ => Lifecycle::Continue,
         }
     }
--- a/crates/node/src/client/connection/request.rs
+++ b/crates/node/src/client/connection/request.rs
@@ -6,7 +6,8 @@
 use crate::client::ClientSlot;
 use crate::command::{AcceptedAttempt, AttemptCommand, ExitScope};
 use crate::deadline::ClientDeadline;
-use crate::placement_driver::{hex_id, AttemptOrder, ClientState};
+use crate::handoff::request_claims::RequestClaim;
+use crate::placement_driver::{hex_id, AttemptOrder, ClientState, InheritedConnection};
 use crate::state::NodeContext;
 use crate::upstream::attempt::{Attempt, UpstreamAttempt};
 use crate::upstream::forwarded_line::ForwardedLine;
@@ -24,6 +25,14 @@
 const RESTORE_BACKOFF: Duration = Duration::from_millis(300);
 const MAX_RESTORE_WAIT: Duration = Duration::from_secs(40);
 
+/// A complete first line with a request.
+pub(super) struct ReceivedRequest {
+    pub(super) open: OpenRequest,
+    /// The first line as received, including its terminator.
+    pub(super) line: Vec<u8>,
+    pub(super) received_at: Instant,
+}
+
 /// A request that waits for a server.
 pub(super) struct WaitingRequest {
     open: OpenRequest,
@@ -36,6 +45,8 @@
     /// How many times the line of a restored connection may have been received by its server.
     restore_sends: u32,
     slot: ClientSlot,
+    /// The claim of a restored connection's id; for other requests, placement holds it.
+    restore_claim: Option<RequestClaim>,
 }
 
 impl WaitingRequest {
@@ -63,16 +74,15 @@
 
 /// Admission and start of a request.
 impl ClientConnection {
-    pub(super) fn on_open(
+    /// Starts a request whose id is claimed, unless it comes too late to be restored or the limit of clients is reached.
+    pub(super) fn admit(
         &mut self,
         context: &mut NodeContext,
-        open: OpenRequest,
-        line: Vec<u8>,
+        received: ReceivedRequest,
+        claim: RequestClaim,
     ) -> Lifecycle {
-        if context.placement.has_request(open.request) {
-            return self.reject_line(context, FirstLineError::RequestIdInUse);
-        }
-        if open.current_server.is_some() && context.started_at.elapsed() > RESTORE_WINDOW {
+        let is_restored = received.open.current_server.is_some();
+        if is_restored && context.started_at.elapsed() > RESTORE_WINDOW {
             return self.reject_line(context, FirstLineError::RestoredTooLate);
         }
         if context.client_count.get() + context.handoff.peer_heartbeat().client_count
@@ -82,26 +92,39 @@
             let retry_after = context.config.settings.max_retry_after / 2;
             return self.answer(context, &answer::busy(retry_after));
         }
-        self.begin_request(context, open, line)
+        self.begin_request(context, received, claim)
     }
 
     fn begin_request(
         &mut self,
         context: &mut NodeContext,
-        open: OpenRequest,
-        line: Vec<u8>,
+        received: ReceivedRequest,
+        claim: RequestClaim,
     ) -> Lifecycle {
+        let ReceivedRequest {
+            open,
+            line,
+            received_at,
+        } = received;
         context
             .deadlines
             .clear(self.id, ClientDeadline::Close.into());
         let request_info = open.request_info(context.config.has_groups);
-        let time_budget = open.time_budget.duration;
+        let time_budget = open
+            .time_budget
+            .duration
+            .saturating_sub(received_at.elapsed());
         let is_restored = open.current_server.is_some();
         let wait = if is_restored {
             time_budget.min(MAX_RESTORE_WAIT)
         } else {
             time_budget
         };
+        let (restore_claim, placement_claim) = if is_restored {
+            (Some(claim), None)
+        } else {
+            (None, Some(claim))
+        };
         self.state = State::Waiting(WaitingRequest {
             open,
             line,
@@ -109,13 +132,14 @@
             attempt: None,
             restore_sends: 0,
             slot: ClientSlot::acquire(&context.client_count),
+            restore_claim,
         });
-        if is_restored {
+        let Some(claim) = placement_claim else {
             return self.restore(context);
-        }
+        };
         context
             .placement
-            .on_request(self.id, request_info, time_budget);
+            .on_request(self.id, request_info, time_budget, claim);
         Lifecycle::Continue
     }
 }
@@ -180,11 +204,8 @@
         context: &mut NodeContext,
         accepted: AcceptedAttempt,
     ) -> Lifecycle {
-        let State::Waiting(waiting) = &self.state else {
+        if !matches!(self.state, State::Waiting(_)) {
             return Lifecycle::Continue;
-        };
-        if waiting.is_restored() && context.placement.has_request(accepted.request) {
-            return self.reject_line(context, FirstLineError::RequestIdInUse);
         }
         let Some(client) = self.stream.take() else {
             return Lifecycle::Close;
@@ -192,14 +213,18 @@
         let State::Waiting(waiting) = std::mem::replace(&mut self.state, State::Finished) else {
             return Lifecycle::Close;
         };
-        match &waiting.open.current_server {
-            Some(server) => {
-                let request_info = waiting.open.request_info(context.config.has_groups);
+        match (&waiting.open.current_server, waiting.restore_claim) {
+            (Some(server), Some(claim)) => {
+                let inherited = InheritedConnection {
+                    request: waiting.open.request_info(context.config.has_groups),
+                    server,
+                    claim,
+                };
                 context
                     .placement
-                    .on_inherited_connection(self.id, request_info, server);
+                    .on_inherited_connection(self.id, inherited);
             }
-            None => context.placement.on_attempt_accepted(accepted.request),
+            _ => context.placement.on_attempt_accepted(accepted.request),
         }
         Relay::begin(context, self.id, waiting.slot, client, accepted);
         Lifecycle::Close
@@ -239,9 +264,6 @@
         let Some(address) = address.filter(|_| may_retry) else {
             return self.answer(context, &answer::busy(Duration::ZERO));
         };
-        if context.placement.has_request(waiting.open.request) {
-            return self.reject_line(context, FirstLineError::RequestIdInUse);
-        }
         let order = AttemptOrder {
             request: waiting.open.request,
             address,
@@ -302,6 +324,9 @@
             State::ReadingFirstLine(_) if scope == ExitScope::AllConnections => {
                 self.on_expired(context)
             }
+            State::Claiming(_) if scope == ExitScope::AllConnections => {
+                self.on_claim_timeout(context)
+            }
             State::Waiting(waiting) if waiting.is_restored() => {
                 if waiting.attempt.is_some() {
                     self.on_failed(context)
@@ -339,6 +364,10 @@
                     Lifecycle::Close => Lifecycle::Close,
                 }
             }
+            State::Claiming(_) => {
+                self.write_final_answer(&answer::busy(Duration::ZERO));
+                Lifecycle::Close
+            }
             State::Waiting(_) => Lifecycle::Continue,
             State::Closing(_) | State::Finished => Lifecycle::Close,
         }
--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -14,6 +14,8 @@
     Client(ClientCommand),
     /// To a connection that can be transferred to another process: a client connection or a relay.
     Transfer(TransferCommand),
+    /// To a connection of a client with a request: a client connection or a relay.
+    ClientSocket(ClientSocketCommand),
     /// To an attempt.
     Attempt(AttemptCommand),
     /// To a relay.
@@ -50,6 +52,11 @@
     AttemptServed(Vec<u8>),
     /// The attempt to restore a connection from before this process's start has failed with this outcome.
     RestoreFailed(Outcome),
+    /// The answer to the question whether the claimed id of this client's request is still in use by another request.
+    ClaimReport {
+        /// The id is in use. If not, the client connection may claim it again.
+        is_in_use: bool,
+    },
     /// Close: the descriptor is needed for another client.
     Close,
     /// The process exits soon: answer the client if the scope includes this connection.
@@ -86,6 +93,13 @@
     Cancelled,
 }
 
+/// Commands to a connection of a client with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ClientSocketCommand {
+    /// Read what the client has sent, out of turn: it may have disconnected.
+    Read,
+}
+
 /// Commands to an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AttemptCommand {
@@ -145,6 +159,22 @@
 pub(crate) enum HandoffCommand {
     /// Start to accept clients if this process can serve them.
     OpenListener,
+    /// Report whether the request id is still in use in this process: the connection of its client has been read.
+    ReportClaim {
+        /// The request id.
+        request: RequestId,
+        /// Who asks.
+        inquirer: ClaimInquirer,
+    },
+}
+
+/// Who asks whether a request id is in use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ClaimInquirer {
+    /// A client connection of this process.
+    Client(ComponentId),
+    /// The other process, in the query with this number.
+    OtherProcess(u64),
 }
 
 /// Commands to the signal receiver.
@@ -174,6 +204,7 @@
 impl_into_message!(
     Client(ClientCommand),
     Transfer(TransferCommand),
+    ClientSocket(ClientSocketCommand),
     Attempt(AttemptCommand),
     Relay(RelayCommand),
     HealthCheck(HealthCheckCommand),
--- a/crates/node/src/deadline.rs
+++ b/crates/node/src/deadline.rs
@@ -82,6 +82,8 @@
     Close,
     /// The next attempt to restore a connection from before this process's start.
     RestoreRetry,
+    /// The next attempt to claim a request id that is in use.
+    ClaimRetry,
 }
 
 /// Deadlines of an attempt.
--- a/crates/node/src/handoff/agent.rs
+++ b/crates/node/src/handoff/agent.rs
@@ -1,10 +1,10 @@
 //! The event loop component of the handoff: accepts successors, receives messages and handles deadlines.
 
-use super::incoming;
 use super::lifecycle::{accept_clients_if_ready, on_peer_lost, run_heartbeat, step_transfer};
 use super::peer_process::{ConnectedPeer, PeerProcess};
 use super::socket::{HandoffSocket, PeerConnection};
 use super::transfer::MAX_IN_FLIGHT;
+use super::{claim_queries, incoming};
 use crate::command::{HandoffCommand, Message};
 use crate::deadline::{DeadlineKind, HandoffDeadline};
 use crate::state::{NodeContext, NodeState};
@@ -81,8 +81,14 @@
     }
 
     fn on_message(&mut self, context: &mut NodeContext, message: Message) -> Lifecycle {
-        if let Message::Handoff(HandoffCommand::OpenListener) = message {
-            accept_clients_if_ready(context);
+        let Message::Handoff(command) = message else {
+            return Lifecycle::Continue;
+        };
+        match command {
+            HandoffCommand::OpenListener => accept_clients_if_ready(context),
+            HandoffCommand::ReportClaim { request, inquirer } => {
+                claim_queries::report(context, request, inquirer);
+            }
         }
         Lifecycle::Continue
     }
--- a/crates/node/src/handoff/incoming.rs
+++ b/crates/node/src/handoff/incoming.rs
@@ -1,5 +1,6 @@
 //! Handles the messages from the other process.
 
+use super::claim_queries;
 use super::lifecycle::{
     on_peer_lost, reload_drained_servers, send_heartbeat, start_handover, start_next_transfers,
     PeerLossReason,
@@ -14,6 +15,7 @@
 use crate::command::TransferCommand;
 use crate::state::NodeContext;
 use crate::upstream::relay::{Relay, TransferredSockets};
+use lupincrank_placement::RequestId;
 use lupincrank_reactor::poll::Registered;
 use lupincrank_reactor::{poller_key, Interest};
 use slog::info;
@@ -43,6 +45,8 @@
         }
         HandoffMessage::Accepted(number) => on_answer(context, number, TransferAnswer::Accepted),
         HandoffMessage::Rejected(number) => on_answer(context, number, TransferAnswer::Rejected),
+        HandoffMessage::ClaimQuery(query) => claim_queries::on_query(context, query),
+        HandoffMessage::ClaimReport(report) => claim_queries::on_report(context, report),
     }
 }
 
@@ -75,14 +79,18 @@
     let ConnectionTransfer { number, connection } = transfer;
     let sockets = <[OwnedFd; 2]>::try_from(descriptors)
         .ok()
-        .filter(|_| Relay::can_resume(context, &connection, payload))
+        .filter(|_| Relay::can_resume(&connection, payload))
         .and_then(|sockets| TransferredSockets::register(context, sockets).ok());
     let Some(sockets) = sockets else {
         return reject(context, number);
     };
+    let request = RequestId(connection.request);
+    let Ok(claim) = context.claims.take_over(request, sockets.id()) else {
+        return reject(context, number);
+    };
     if accept(context, number) {
         decrement_peer_client_count(context);
-        Relay::resume_transferred(context, connection, payload, sockets);
+        Relay::resume_transferred(context, connection, payload, sockets, claim);
     }
 }
 
--- a/crates/node/src/handoff/lifecycle.rs
+++ b/crates/node/src/handoff/lifecycle.rs
@@ -49,6 +49,9 @@
     if context.handoff.files.is_some() {
         reload_drained_servers(context);
         send_listener_command(context, ListenerCommand::Pause);
+        if let Err(error) = publish_claims(context) {
+            warn!(context.log, "request ids not shared with other processes"; "error" => %error);
+        }
         run_heartbeat(context);
     }
 }
@@ -104,6 +107,7 @@
         client_count: context.client_count.get(),
         unidentified_count: context.unidentified_clients.len(),
         accepts_clients,
+        answers_claim_queries: true,
     };
     context.handoff.send(&HandoffMessage::Heartbeat(heartbeat));
     let both_accept = accepts_clients && context.handoff.peer_heartbeat().accepts_clients;
@@ -143,6 +147,7 @@
         }
         PeerLossReason::AnswerNotSent | PeerLossReason::Disconnected(_) => PeerProcess::Absent,
     };
+    context.handoff.claim_queries.clear();
     for id in context.handoff.transfers.cancel() {
         context.send(id, TransferCommand::Cancelled);
     }
@@ -161,6 +166,9 @@
 pub(super) fn run_heartbeat(context: &mut NodeContext) {
     find_peer(context);
     resume_listener(context);
+    if let Err(error) = publish_claims(context) {
+        debug!(context.log, "request ids not shared yet"; "error" => %error);
+    }
     if context.handoff.is_peer_connected() {
         reload_drained_servers(context);
         send_heartbeat(context);
@@ -169,6 +177,14 @@
     set_deadline(context, HandoffDeadline::Heartbeat, HEARTBEAT_INTERVAL);
 }
 
+/// Shares the request ids in use with the other processes of the node, unless they are shared already.
+fn publish_claims(context: &NodeContext) -> io::Result<()> {
+    match &context.handoff.files {
+        Some(files) => context.claims.publish(files, context.config.max_clients()),
+        None => Ok(()),
+    }
+}
+
 fn find_peer(context: &mut NodeContext) {
     let was_primary = context.handoff.primary.is_some();
     if let Err(error) = context.application.handoff.find_peer(&context.poller) {
--- a/crates/node/src/handoff/message.rs
+++ b/crates/node/src/handoff/message.rs
@@ -3,6 +3,7 @@
 
 use lupincrank_placement::learned_state::LearnedServer;
 use serde::{Deserialize, Serialize};
+use std::ops::Not;
 use std::time::Duration;
 
 /// The version of the messages. Two processes with different versions exchange no connections.
@@ -32,6 +33,13 @@
     /// The connection with this number was rejected; the process that offered it still owns it.
     #[serde(rename = "Refused")]
     Rejected(u64),
+    /// Asks whether a request id that the receiver has claimed is still in use. Sent only to a process whose heartbeat
+    /// says that it answers.
+    #[serde(rename = "Holds")]
+    ClaimQuery(ClaimQuery),
+    /// The answer to a query.
+    #[serde(rename = "Held")]
+    ClaimReport(ClaimReport),
 }
 
 /// The state that a process reports periodically.
@@ -48,6 +56,28 @@
     /// The process accepts clients.
     #[serde(rename = "open")]
     pub(crate) accepts_clients: bool,
+    /// The process answers [`HandoffMessage::ClaimQuery`]. Builds that do not know this message omit the field.
+    #[serde(rename = "confirms", default, skip_serializing_if = "Not::not")]
+    pub(crate) answers_claim_queries: bool,
+}
+
+/// A question about a request id.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Serialize)]
+pub(crate) struct ClaimQuery {
+    /// The number that the answer refers to.
+    pub(crate) number: u64,
+    /// The request id.
+    pub(crate) request: u64,
+}
+
+/// The answer to a [`ClaimQuery`].
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Serialize)]
+pub(crate) struct ClaimReport {
+    /// The number of the query.
+    pub(crate) number: u64,
+    /// The id is in use in the process that answers. If not, the inquirer may claim it again.
+    #[serde(rename = "held")]
+    pub(crate) is_in_use: bool,
 }
 
 /// An offered connection and its number, encoded as a JSON array of number and connection.
--- a/crates/node/src/handoff/mod.rs
+++ b/crates/node/src/handoff/mod.rs
@@ -1,17 +1,21 @@
-//! The handoff between two processes of one node: detects the other process, shares the admin drains, and transfers the
-//! connections of the older process to its successor. A node whose client listener is not inherited has a single process
+//! The handoff between two processes of one node: detects the other process, shares the admin drains and the
+//! request ids in use, and transfers the connections of the older process to its successor. A node whose client listener is not inherited has a single process
 //! and creates no file, lock or socket.
 
 pub(crate) mod admin_drain_file;
 mod agent;
+pub(crate) mod claim_queries;
 mod incoming;
 mod inherited_listener;
 mod lifecycle;
 pub(crate) mod message;
 pub(crate) mod peer_process;
+pub(crate) mod request_claims;
+mod request_table;
 mod runtime_files;
 pub(crate) mod socket;
 mod transfer;
+mod unanswered_queries;
 
 pub(crate) use agent::HandoffAgent;
 pub(crate) use inherited_listener::inherited_listener;
--- a/crates/node/src/handoff/peer_process.rs
+++ b/crates/node/src/handoff/peer_process.rs
@@ -5,6 +5,7 @@
 use super::runtime_files::RuntimeFiles;
 use super::socket::{HandoffListener, PeerConnection, SendOutcome};
 use super::transfer::TransferQueue;
+use super::unanswered_queries::UnansweredQueries;
 use lupincrank_placement::ServerId;
 use lupincrank_reactor::ComponentId;
 use polling::Poller;
@@ -76,6 +77,7 @@
     /// This process is transferring its connections to its successor.
     pub(super) has_started_handover: bool,
     pub(super) transfers: TransferQueue,
+    pub(super) claim_queries: UnansweredQueries,
 }
 
 impl HandoffState {
@@ -95,6 +97,7 @@
             accepts_clients: false,
             has_started_handover: false,
             transfers: TransferQueue::default(),
+            claim_queries: UnansweredQueries::default(),
         }
     }
 
@@ -117,6 +120,11 @@
         self.transfers.is_idle()
     }
 
+    /// Returns true if this connection is in flight to the other process.
+    pub(crate) fn is_in_flight(&self, id: ComponentId) -> bool {
+        self.transfers.is_in_flight(id)
+    }
+
     /// Returns true if a successor is connected that can serve the connections of this process when it shuts down.
     pub(crate) fn has_successor(&self) -> bool {
         self.primary.is_some() && self.peer_heartbeat().accepts_clients
--- /dev/null
+++ b/crates/node/src/handoff/request_table.rs
@@ -0,0 +1,200 @@
+//! The table of the request ids that a process has claimed: a file that its process alone writes and that the other
+//! processes of the node read. The table is a hash table of fixed size, so a look-up costs the same for any number of
+//! requests, and neither side waits for the other.
+
+use lupincrank_placement::RequestId;
+use std::fs::{self, File};
+use std::io;
+use std::os::unix::fs::FileExt;
+use std::path::Path;
+
+/// Slots for each request of the table's capacity: few buckets are ever full.
+const SLOTS_PER_REQUEST: usize = 8;
+const SLOTS_PER_BUCKET: usize = 16;
+const SLOT_BYTES: usize = size_of::<u64>();
+const BUCKET_BYTES: usize = SLOTS_PER_BUCKET * SLOT_BYTES;
+/// At least two, so that each slot has a bit left for [`OCCUPIED`].
+const MIN_BUCKETS: usize = 2;
+/// Marks a slot that holds a request.
+const OCCUPIED: u64 = 1 << 63;
+const EMPTY_SLOT: u64 = 0;
+/// 2 to the 64th, divided by the golden ratio, an odd number: multiplying by it maps ids to hashes one to one and
+/// spreads consecutive ids.
+const GOLDEN_RATIO_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// The position of a slot in the file, in bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct SlotOffset(u64);
+
+/// Where a request is stored in a table of a certain size. No two requests have both the same bucket and the same
+/// slot value.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct TableKey {
+    bucket_offset: u64,
+    slot_value: u64,
+}
+
+impl TableKey {
+    /// Computes the key for a table of this length in bytes; `None` if no table has this length.
+    fn new(request: RequestId, table_bytes: u64) -> Option<TableKey> {
+        let bucket_count = table_bytes / BUCKET_BYTES as u64;
+        if bucket_count < MIN_BUCKETS as u64 || !bucket_count.is_power_of_two() {
+            return None;
+        }
+        let remainder_bits = u64::BITS - bucket_count.trailing_zeros();
+        let hash = request.0.wrapping_mul(GOLDEN_RATIO_MULTIPLIER);
+        let bucket = hash >> remainder_bits;
+        let remainder = hash - (bucket << remainder_bits);
+        Some(TableKey {
+            bucket_offset: bucket * BUCKET_BYTES as u64,
+            slot_value: remainder | OCCUPIED,
+        })
+    }
+}
+
+/// The slots of one bucket.
+struct Bucket([u64; SLOTS_PER_BUCKET]);
+
+impl Bucket {
+    fn read(file: &File, offset: u64) -> io::Result<Bucket> {
+        let mut bytes = [0; BUCKET_BYTES];
+        file.read_exact_at(&mut bytes, offset)?;
+        let mut slots = [EMPTY_SLOT; SLOTS_PER_BUCKET];
+        let (chunks, _) = bytes.as_chunks::<SLOT_BYTES>();
+        for (slot, chunk) in slots.iter_mut().zip(chunks) {
+            *slot = u64::from_le_bytes(*chunk);
+        }
+        Ok(Bucket(slots))
+    }
+
+    fn position(&self, slot_value: u64) -> Option<usize> {
+        self.0.iter().position(|slot| *slot == slot_value)
+    }
+}
+
+/// The table of this process, which holds the lock of its file: the operating system releases it when the process
+/// terminates, also if it is killed.
+pub(super) struct OwnTable {
+    file: File,
+    table_bytes: u64,
+}
+
+impl OwnTable {
+    /// Empties the file, whose lock the caller has acquired, and creates a table for this many requests.
+    ///
+    /// # Errors
+    /// If the file can't be written.
+    fn create(file: File, capacity: usize) -> io::Result<OwnTable> {
+        let buckets = capacity * SLOTS_PER_REQUEST / SLOTS_PER_BUCKET;
+        let bucket_count = buckets.next_power_of_two().max(MIN_BUCKETS);
+        let table_bytes = (bucket_count * BUCKET_BYTES) as u64;
+        file.set_len(0)?;
+        file.set_len(table_bytes)?;
+        Ok(OwnTable { file, table_bytes })
+    }
+
+    /// Adds a request. Once this returns, the other processes find it.
+    ///
+    /// # Errors
+    /// `StorageFull` if its bucket is full, and any error of the operating system.
+    pub(super) fn insert(&self, request: RequestId) -> io::Result<SlotOffset> {
+        let key = TableKey::new(request, self.table_bytes).ok_or(io::ErrorKind::InvalidData)?;
+        let bucket = Bucket::read(&self.file, key.bucket_offset)?;
+        let free_slot = bucket.position(EMPTY_SLOT);
+        let index = free_slot.ok_or(io::ErrorKind::StorageFull)?;
+        let offset = key.bucket_offset + (index * SLOT_BYTES) as u64;
+        self.file
+            .write_all_at(&key.slot_value.to_le_bytes(), offset)?;
+        Ok(SlotOffset(offset))
+    }
+
+    /// Removes the request that was added at this position.
+    ///
+    /// # Errors
+    /// Any error of the operating system.
+    pub(super) fn remove(&self, offset: SlotOffset) -> io::Result<()> {
+        self.file.write_all_at(&EMPTY_SLOT.to_le_bytes(), offset.0)
+    }
+}
+
+/// The table of another process, or the file that a later process may use for its own.
+pub(super) struct OtherTable {
+    file: File,
+}
+
+impl OtherTable {
+    /// Returns true if a running process has this request in its table.
+    ///
+    /// # Errors
+    /// Any error of the operating system.
+    pub(super) fn contains(&self, request: RequestId) -> io::Result<bool> {
+        let table_bytes = self.file.metadata()?.len();
+        let Some(key) = TableKey::new(request, table_bytes) else {
+            return Ok(false);
+        };
+        let bucket = match Bucket::read(&self.file, key.bucket_offset) {
+            // A process that starts is creating its table.
+            Err(error) if error.kind() == io::ErrorKind::UnexpectedEof => return Ok(false),
+            bucket => bucket?,
+        };
+        Ok(bucket.position(key.slot_value).is_some() && self.is_owner_running()?)
+    }
+
+    /// Returns true if a process holds the lock of the file. The table of a process that has terminated is left as it
+    /// was.
+    fn is_owner_running(&self) -> io::Result<bool> {
+        match self.file.try_lock_shared() {
+            Ok(()) => self.file.unlock().map(|()| false),
+            Err(fs::TryLockError::WouldBlock) => Ok(true),
+            Err(fs::TryLockError::Error(error)) => Err(error),
+        }
+    }
+}
+
+/// The tables of all processes of the node.
+pub(super) struct NodeTables {
+    pub(super) own: OwnTable,
+    pub(super) others: Vec<OtherTable>,
+}
+
+impl NodeTables {
+    /// Opens the files at these paths and creates this process's table, for `capacity` requests, in the first file
+    /// that no other process has locked.
+    ///
+    /// # Errors
+    /// `ResourceBusy` if other processes have locked all files, and any error of the operating system.
+    pub(super) fn open(paths: &[impl AsRef<Path>], capacity: usize) -> io::Result<NodeTables> {
+        let mut own = None;
+        let mut others = Vec::new();
+        for path in paths {
+            let file = open_file(path.as_ref())?;
+            if own.is_none() && try_lock(&file)? {
+                own = Some(OwnTable::create(file, capacity)?);
+            } else {
+                others.push(OtherTable { file });
+            }
+        }
+        let own = own.ok_or(io::ErrorKind::ResourceBusy)?;
+        Ok(NodeTables { own, others })
+    }
+}
+
+fn open_file(path: &Path) -> io::Result<File> {
+    File::options()
+        .create(true)
+        .truncate(false)
+        .read(true)
+        .write(true)
+        .open(path)
+}
+
+fn try_lock(file: &File) -> io::Result<bool> {
+    match file.try_lock() {
+        Ok(()) => Ok(true),
+        Err(fs::TryLockError::WouldBlock) => Ok(false),
+        Err(fs::TryLockError::Error(error)) => Err(error),
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/handoff/runtime_files.rs
+++ b/crates/node/src/handoff/runtime_files.rs
@@ -1,4 +1,4 @@
-//! The files that the processes of one node share: a lock, a socket and the admin drains.
+//! The files that the processes of one node share: a lock, a socket, the admin drains and the tables of request ids.
 
 use super::admin_drain_file::AdminDrainFile;
 use std::fs::{self, File};
@@ -10,6 +10,10 @@
 /// the text after the last dot of the IP address in the file name.
 const PLACEHOLDER_EXTENSION: &str = "node";
 
+/// The number of tables of request ids: for the older process, its successor, and one that was killed and has not
+/// terminated yet.
+const REQUEST_TABLE_COUNT: usize = 3;
+
 /// The paths of the shared files, which are named after the client address.
 #[derive(Clone, Debug)]
 pub(crate) struct RuntimeFiles {
@@ -36,6 +40,14 @@
         AdminDrainFile::new(self.runtime_path.with_extension("out"))
     }
 
+    /// The files in which the processes publish the request ids in use. Each process uses one of them for its own ids.
+    pub(crate) fn request_table_paths(&self) -> [PathBuf; REQUEST_TABLE_COUNT] {
+        std::array::from_fn(|index| {
+            self.runtime_path
+                .with_extension(format!("requests-{index}"))
+        })
+    }
+
     /// Acquires the lock that the older process holds until it terminates. Returns `None` if another process holds it.
     ///
     /// # Errors
--- a/crates/node/src/handoff/socket/tests.rs
+++ b/crates/node/src/handoff/socket/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use crate::handoff::message::{
-    BufferLengths, ConnectionTransfer, Heartbeat, TransferredConnection,
+    BufferLengths, ClaimQuery, ClaimReport, ConnectionTransfer, Heartbeat, TransferredConnection,
     UnidentifiedClientTransfer, PROTOCOL_VERSION,
 };
 use lupincrank_placement::learned_state::LearnedServer;
@@ -15,12 +15,14 @@
     (PeerConnection::from_accepted(&poller, near).unwrap(), far)
 }
 
-fn heartbeat() -> HandoffMessage {
+/// A heartbeat as builds send it that answer no claim queries, or as those that do.
+fn heartbeat(answers_claim_queries: bool) -> HandoffMessage {
     HandoffMessage::Heartbeat(Heartbeat {
         version: PROTOCOL_VERSION,
         client_count: 50,
         unidentified_count: 3,
         accepts_clients: true,
+        answers_claim_queries,
     })
 }
 
@@ -95,10 +97,10 @@
     })
 }
 
-/// The fixtures were written by revision c925b3d. They fix the format of the messages, which two processes of
+/// The fixtures were written by revision c925b3d, those about claims by the first revision with these messages. They fix the format of the messages, which two processes of
 /// different builds exchange during a handoff.
 #[rstest]
-#[case::heartbeat(heartbeat(), "", include_bytes!("../fixtures/heartbeat.bin"))]
+#[case::heartbeat(heartbeat(false), "", include_bytes!("../fixtures/heartbeat.bin"))]
 #[case::admin_drain_changed(HandoffMessage::AdminDrainChanged, "", include_bytes!("../fixtures/admin_drain_changed.bin"))]
 #[case::learned_state(learned_state(), "", include_bytes!("../fixtures/learned_state.bin"))]
 #[case::connection(connection(), "hello\r\nfirst\nLOAD", include_bytes!("../fixtures/connection.bin"))]
@@ -112,6 +114,21 @@
     "OPEN 00000000000000ff 7f3a9c",
     include_bytes!("../fixtures/unidentified_client.bin")
 )]
+#[case::heartbeat_with_claim_queries(
+    heartbeat(true),
+    "",
+    include_bytes!("../fixtures/heartbeat_with_claim_queries.bin")
+)]
+#[case::claim_query(
+    HandoffMessage::ClaimQuery(ClaimQuery { number: 10, request: 0x0123_4567_89ab_cdef }),
+    "",
+    include_bytes!("../fixtures/claim_query.bin")
+)]
+#[case::claim_report(
+    HandoffMessage::ClaimReport(ClaimReport { number: 10, is_in_use: true }),
+    "",
+    include_bytes!("../fixtures/claim_report.bin")
+)]
 #[case::accepted(HandoffMessage::Accepted(7), "", include_bytes!("../fixtures/accepted.bin"))]
 #[case::rejected(HandoffMessage::Rejected(8), "", include_bytes!("../fixtures/rejected.bin"))]
 fn a_message_is_read_and_written_as_by_earlier_builds(
--- a/crates/node/src/handoff/transfer.rs
+++ b/crates/node/src/handoff/transfer.rs
@@ -83,6 +83,11 @@
         self.in_flight.is_empty()
     }
 
+    /// Returns true if this connection is in flight.
+    pub(crate) fn is_in_flight(&self, id: ComponentId) -> bool {
+        self.in_flight.values().any(|sent| *sent == id)
+    }
+
     /// The number of connections that the other process has accepted.
     pub(crate) fn accepted_count(&self) -> usize {
         self.accepted_count
--- a/crates/node/src/placement_driver/attempts.rs
+++ b/crates/node/src/placement_driver/attempts.rs
@@ -5,6 +5,7 @@
 use super::latency::load_duration;
 use super::request::{hex_id, ActiveRequest, EstablishedConnection};
 use super::PlacementDriver;
+use crate::handoff::request_claims::RequestClaim;
 use lupincrank_placement::{Event, Outcome, RequestId, RequestInfo};
 use slog::debug;
 use std::collections::VecDeque;
@@ -22,29 +23,46 @@
     Answered,
 }
 
-impl PlacementDriver {
-    /// Returns true if a request of this id is active.
-    pub(crate) fn has_request(&self, request: RequestId) -> bool {
-        self.requests.contains_key(&request)
-    }
+/// A connection that a server has accepted before this process learned of it.
+pub(crate) struct InheritedConnection<'a> {
+    /// The request.
+    pub(crate) request: RequestInfo,
+    /// The server's id.
+    pub(crate) server: &'a str,
+    /// The claim of the request's id.
+    pub(crate) claim: RequestClaim,
+}
 
+impl PlacementDriver {
     /// Sets the request's deadline and adds it to the active requests.
-    fn insert_request(&mut self, owner: Owner, info: &mut RequestInfo, timeout: Duration) {
+    fn insert_request(
+        &mut self,
+        owner: Owner,
+        info: &mut RequestInfo,
+        timeout: Duration,
+        claim: RequestClaim,
+    ) {
         let deadline = Instant::now() + timeout;
         info.deadline = self.clock.timestamp(deadline);
-        let active = ActiveRequest::new(owner, info.clone(), deadline);
+        let active = ActiveRequest::new(owner, info.clone(), deadline, claim);
         self.requests.insert(info.request, active);
     }
 
-    /// Handles a request from a client that waits for `timeout`.
-    pub(crate) fn on_request(&mut self, owner: Owner, mut info: RequestInfo, timeout: Duration) {
+    /// Handles a request from a client that waits for `timeout`. `claim` is the claim of its id.
+    pub(crate) fn on_request(
+        &mut self,
+        owner: Owner,
+        mut info: RequestInfo,
+        timeout: Duration,
+        claim: RequestClaim,
+    ) {
         if self.is_shutting_down {
             return self.commands.push_back(Command::Reject {
                 owner,
                 retry_after: self.shutdown_retry_after,
             });
         }
-        self.insert_request(owner, &mut info, timeout);
+        self.insert_request(owner, &mut info, timeout, claim);
         debug!(self.log, "request received"; "request" => hex_id(info.request), "class" => info.class,
             "group" => info.group.clone(), "reconnect" => info.is_reconnect, "timeout_ms" => timeout.as_millis() as u64);
         self.feed(Event::RequestReceived(info));
@@ -64,10 +82,14 @@
     pub(crate) fn on_inherited_connection(
         &mut self,
         owner: Owner,
-        mut info: RequestInfo,
-        server: &str,
+        inherited: InheritedConnection<'_>,
     ) {
-        self.insert_request(owner, &mut info, INHERITED_REQUEST_TIMEOUT);
+        let InheritedConnection {
+            request: mut info,
+            server,
+            claim,
+        } = inherited;
+        self.insert_request(owner, &mut info, INHERITED_REQUEST_TIMEOUT, claim);
         if let Some(active) = self.requests.get_mut(&info.request) {
             active.start_attempt(server.into());
             active.establish();
@@ -81,13 +103,12 @@
     pub(crate) fn on_transferred_connection(
         &mut self,
         owner: Owner,
-        info: RequestInfo,
-        server: &str,
+        inherited: InheritedConnection<'_>,
         load: Option<f64>,
         unanswered_lines: VecDeque<Instant>,
     ) {
-        let request = info.request;
-        self.on_inherited_connection(owner, info, server);
+        let request = inherited.request.request;
+        self.on_inherited_connection(owner, inherited);
         if let Some(active) = self.requests.get_mut(&request) {
             active.resume(load, unanswered_lines);
         }
--- a/crates/node/src/placement_driver/mod.rs
+++ b/crates/node/src/placement_driver/mod.rs
@@ -14,7 +14,7 @@
 mod shutdown;
 mod start_times;
 
-pub(crate) use attempts::ClientState;
+pub(crate) use attempts::{ClientState, InheritedConnection};
 pub(crate) use command::{AttemptOrder, Command};
 pub(crate) use endpoints::{
     EndpointAvailabilityError, EndpointListScope, EndpointListSource, ResolvedEndpoint,
--- a/crates/node/src/placement_driver/request.rs
+++ b/crates/node/src/placement_driver/request.rs
@@ -1,6 +1,7 @@
 //! A request from its first line to the end of its connection.
 
 use super::command::Owner;
+use crate::handoff::request_claims::RequestClaim;
 use crate::load_report::LoadReportClassifier;
 use lupincrank_placement::{RequestId, RequestInfo, ServerId};
 use std::collections::VecDeque;
@@ -53,6 +54,8 @@
     unanswered_lines: VecDeque<Instant>,
     /// Distinguishes loads from delays in the numbers that the server reports.
     pub(super) load_reports: LoadReportClassifier,
+    /// Held until the request has ended.
+    _claim: RequestClaim,
 }
 
 /// The state that another process of this node needs to continue an established connection.
@@ -69,7 +72,12 @@
 
 impl ActiveRequest {
     /// Creates a request whose client waits until the deadline.
-    pub(super) fn new(owner: Owner, info: RequestInfo, deadline: Instant) -> ActiveRequest {
+    pub(super) fn new(
+        owner: Owner,
+        info: RequestInfo,
+        deadline: Instant,
+        claim: RequestClaim,
+    ) -> ActiveRequest {
         ActiveRequest {
             owner,
             deadline,
@@ -82,6 +90,7 @@
             load: None,
             unanswered_lines: VecDeque::new(),
             load_reports: LoadReportClassifier::default(),
+            _claim: claim,
         }
     }
 
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -5,6 +5,7 @@
 use crate::command::ExitScope;
 use crate::config::Config;
 use crate::handoff::peer_process::HandoffState;
+use crate::handoff::request_claims::RequestClaims;
 use crate::placement_driver::{EndpointAvailabilityError, PlacementDriver};
 use crate::upstream::open_health_checks::HealthChecks;
 use lupincrank_reactor::Context;
@@ -62,6 +63,8 @@
     pub(crate) shutdown: Option<Shutdown>,
     /// The handoff with the other process of this node, if there is one.
     pub(crate) handoff: HandoffState,
+    /// The request ids in use.
+    pub(crate) claims: RequestClaims,
     /// The open health check connections: at most one for each server.
     pub(crate) health_checks: HealthChecks,
     /// The cluster agent, after its start; `None` while one of its callbacks runs.
@@ -87,6 +90,7 @@
             unidentified_clients: UnidentifiedClients::default(),
             started_at: Instant::now(),
             shutdown: None,
+            claims: RequestClaims::default(),
             health_checks: HealthChecks::default(),
             cluster_agent: None,
             is_transfer_requested: false,
--- a/crates/node/src/upstream/relay.rs
+++ b/crates/node/src/upstream/relay.rs
@@ -7,7 +7,7 @@
 use super::byte_buffer::ByteBuffer;
 use super::server_line::{ServerLine, MAX_LINE_BYTES};
 use crate::client::ClientSlot;
-use crate::command::{AcceptedAttempt, Message, RelayCommand};
+use crate::command::{AcceptedAttempt, ClientSocketCommand, Message, RelayCommand};
 use crate::deadline::DeadlineKind;
 use crate::placement_driver::ClientState;
 use crate::state::{NodeContext, NodeState};
@@ -198,6 +198,14 @@
         self.pump(context)
     }
 
+    /// Reads the client, unless another process may own the connection by now.
+    fn read_out_of_turn(&mut self, context: &mut NodeContext) -> Lifecycle {
+        match self.transfer {
+            TransferState::Idle => self.read(context, Side::Client),
+            TransferState::Pending | TransferState::PendingMigration => Lifecycle::Continue,
+        }
+    }
+
     fn on_bytes(&mut self, context: &mut NodeContext, side: Side, bytes: &[u8]) {
         match side {
             Side::Client => self.on_client_bytes(context, bytes),
@@ -321,6 +329,7 @@
         match message {
             Message::Relay(RelayCommand::Migrate) => self.on_migrate(context),
             Message::Transfer(command) => self.on_transfer(context, command),
+            Message::ClientSocket(ClientSocketCommand::Read) => self.read_out_of_turn(context),
             _ => Lifecycle::Continue,
         }
     }
--- a/crates/node/src/upstream/relay/transfer.rs
+++ b/crates/node/src/upstream/relay/transfer.rs
@@ -4,8 +4,9 @@
 use crate::client::ClientSlot;
 use crate::command::TransferCommand;
 use crate::handoff::message::{ConnectionTransfer, HandoffMessage, TransferredConnection};
+use crate::handoff::request_claims::RequestClaim;
 use crate::handoff::socket::SendOutcome;
-use crate::placement_driver::hex_id;
+use crate::placement_driver::{hex_id, InheritedConnection};
 use crate::state::NodeContext;
 use crate::upstream::byte_buffer::ByteBuffer;
 use lupincrank_placement::{Outcome, RequestId, RequestInfo, Timestamp};
@@ -30,14 +31,9 @@
 
 /// Receiving relays from another process.
 impl Relay {
-    /// Returns true if a relay of another process can continue in this one.
-    pub(crate) fn can_resume(
-        context: &NodeContext,
-        record: &TransferredConnection,
-        bytes: &[u8],
-    ) -> bool {
+    /// Returns true if the record of a relay of another process matches the bytes sent with it.
+    pub(crate) fn can_resume(record: &TransferredConnection, bytes: &[u8]) -> bool {
         record.lengths.total() == Some(bytes.len())
-            && !context.placement.has_request(RequestId(record.request))
     }
 
     /// Continues a relay of another process with the state that it was sent with.
@@ -46,13 +42,14 @@
         record: TransferredConnection,
         bytes: &[u8],
         sockets: TransferredSockets,
+        claim: RequestClaim,
     ) {
         let TransferredSockets { id, client, server } = sockets;
         let request = RequestId(record.request);
         let slot = ClientSlot::acquire(&context.client_count);
         let mut relay = Relay::new(context, id, slot, request, client, server);
         relay.restore_buffers(&record, bytes);
-        register_request(context, id, record);
+        register_request(context, id, record, claim);
         if relay.pump(context) == Lifecycle::Continue {
             context.register(id, Box::new(relay));
         }
@@ -75,6 +72,11 @@
 }
 
 impl TransferredSockets {
+    /// The component that continues the relay.
+    pub(crate) fn id(&self) -> ComponentId {
+        self.id
+    }
+
     /// Registers both sockets.
     ///
     /// # Errors
@@ -108,7 +110,12 @@
 }
 
 /// Registers the request of a transferred relay with placement.
-fn register_request(context: &mut NodeContext, id: ComponentId, record: TransferredConnection) {
+fn register_request(
+    context: &mut NodeContext,
+    id: ComponentId,
+    record: TransferredConnection,
+    claim: RequestClaim,
+) {
     let class = context
         .config
         .classes
@@ -130,9 +137,14 @@
     let sent_at = |ms: &u64| now.checked_sub(Duration::from_millis(*ms)).unwrap_or(now);
     let unanswered = record.unanswered_ms.iter().map(sent_at).collect();
     let load = record.load_us.map(|load| load as f64);
+    let established = InheritedConnection {
+        request: request_info,
+        server: &record.server,
+        claim,
+    };
     context
         .placement
-        .on_transferred_connection(id, request_info, &record.server, load, unanswered);
+        .on_transferred_connection(id, established, load, unanswered);
 }
 
 /// Sending relays to another process.
