Limits: the two processes of an upgrade know each other's clients at once

ClientConnection::admit and close_excess_unidentified added the other process's numbers as of its last heartbeat, up to 100 ms old; a crowd needs a few milliseconds.

Change: the header of each process's table of request ids has its numbers of clients (handoff/client_counts), written after each callback that changed them and, with the new client included, before each comparison with a limit; the other's are read after that, so two clients of one moment can't both be overlooked. Earlier builds are counted by heartbeat as before.

Test: process_limits, the_processes_of_an_upgrade_share_the_limit_of_clients, two sizes.

--- a/crates/node/src/application.rs
+++ b/crates/node/src/application.rs
@@ -80,6 +80,7 @@
         while let Some(command) = context.placement.next_command() {
             execute(context, command);
         }
+        context.publish_client_counts();
         if context.is_transfer_requested || context.exit_answers_requested.is_some() {
             notify_connections(context, components);
         }
--- a/crates/node/src/client/connection/request.rs
+++ b/crates/node/src/client/connection/request.rs
@@ -72,6 +72,17 @@
     }
 }
 
+/// Counts another client, unless the limit of clients is reached. The client is counted before it is known whether it
+/// exceeds the limit, because the other process may count one in the same moment.
+fn acquire_slot(context: &NodeContext) -> Option<ClientSlot> {
+    let max_clients = context.config.max_clients();
+    if context.node_client_count() >= max_clients {
+        return None;
+    }
+    let slot = ClientSlot::acquire(&context.client_count);
+    (context.node_client_count() <= max_clients).then_some(slot)
+}
+
 /// Admission and start of a request.
 impl ClientConnection {
     /// Starts a request whose id is claimed, unless it comes too late to be restored or the limit of clients is reached.
@@ -85,20 +96,19 @@
         if is_restored && context.started_at.elapsed() > RESTORE_WINDOW {
             return self.reject_line(context, FirstLineError::RestoredTooLate);
         }
-        if context.client_count.get() + context.handoff.peer_heartbeat().client_count
-            >= context.config.max_clients()
-        {
+        let Some(slot) = acquire_slot(context) else {
             debug!(context.log, "client limit reached"; "clients" => context.client_count.get());
             let retry_after = context.config.settings.max_retry_after / 2;
             return self.answer(context, &answer::busy(retry_after));
-        }
-        self.begin_request(context, received, claim)
+        };
+        self.begin_request(context, received, slot, claim)
     }
 
     fn begin_request(
         &mut self,
         context: &mut NodeContext,
         received: ReceivedRequest,
+        slot: ClientSlot,
         claim: RequestClaim,
     ) -> Lifecycle {
         let ReceivedRequest {
@@ -131,7 +141,7 @@
             deadline: Instant::now() + wait,
             attempt: None,
             restore_sends: 0,
-            slot: ClientSlot::acquire(&context.client_count),
+            slot,
             restore_claim,
         });
         let Some(claim) = placement_claim else {
--- a/crates/node/src/client/listener.rs
+++ b/crates/node/src/client/listener.rs
@@ -99,11 +99,11 @@
 /// Closes the unidentified connections that expire first if their file descriptors are needed. Guards against
 /// hundreds of clients that connect and send nothing.
 fn close_excess_unidentified(context: &mut NodeContext) {
-    let other = context.handoff.peer_heartbeat();
+    let other = context.other_client_counts();
     let max_unidentified = context
         .config
-        .max_unidentified_clients(context.client_count.get() + other.client_count);
-    while context.unidentified_clients.len() + other.unidentified_count > max_unidentified {
+        .max_unidentified_clients(context.client_count.get() + other.clients);
+    while context.unidentified_clients.len() + other.unidentified > max_unidentified {
         let Some(id) = context.unidentified_clients.pop_first() else {
             break;
         };
--- a/crates/node/src/handoff/message.rs
+++ b/crates/node/src/handoff/message.rs
@@ -1,6 +1,7 @@
 //! The messages between two processes of one node, encoded as JSON. The two processes may run different builds, so the
 //! JSON names must not change.
 
+use super::request_table::ClientCounts;
 use lupincrank_placement::learned_state::LearnedServer;
 use serde::{Deserialize, Serialize};
 use std::ops::Not;
@@ -61,6 +62,15 @@
     pub(crate) answers_claim_queries: bool,
 }
 
+impl From<Heartbeat> for ClientCounts {
+    fn from(heartbeat: Heartbeat) -> ClientCounts {
+        ClientCounts {
+            clients: heartbeat.client_count,
+            unidentified: heartbeat.unidentified_count,
+        }
+    }
+}
+
 /// A question about a request id.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Serialize)]
 pub(crate) struct ClaimQuery {
--- a/crates/node/src/handoff/mod.rs
+++ b/crates/node/src/handoff/mod.rs
@@ -5,13 +5,14 @@
 pub(crate) mod admin_drain_file;
 mod agent;
 pub(crate) mod claim_queries;
+pub(crate) mod client_counts;
 mod incoming;
 mod inherited_listener;
 mod lifecycle;
 pub(crate) mod message;
 pub(crate) mod peer_process;
 pub(crate) mod request_claims;
-mod request_table;
+pub(crate) mod request_table;
 mod runtime_files;
 pub(crate) mod socket;
 mod transfer;
--- a/crates/node/src/handoff/peer_process.rs
+++ b/crates/node/src/handoff/peer_process.rs
@@ -203,7 +203,8 @@
         self.files.as_ref().map(RuntimeFiles::admin_drain_file)
     }
 
-    pub(super) fn is_peer_connected(&self) -> bool {
+    /// Returns true if the other process is connected.
+    pub(crate) fn is_peer_connected(&self) -> bool {
         matches!(self.peer, PeerProcess::Connected(_))
     }
 
--- a/crates/node/src/handoff/request_claims.rs
+++ b/crates/node/src/handoff/request_claims.rs
@@ -2,7 +2,7 @@
 //! holds until the request has ended. While the node has two processes, an id is in use if either has claimed it: each
 //! process publishes its claims in a file, see [`super::request_table`].
 
-use super::request_table::{NodeTables, SlotOffset};
+use super::request_table::{NodeTables, SharedTables, SlotOffset};
 use super::runtime_files::RuntimeFiles;
 use lupincrank_placement::RequestId;
 use lupincrank_reactor::ComponentId;
@@ -34,15 +34,14 @@
 #[derive(Default)]
 struct ClaimState {
     entries: HashMap<RequestId, ClaimEntry>,
-    /// `None` if no second process may start, or the files could not be opened.
-    tables: Option<NodeTables>,
+    tables: SharedTables,
 }
 
 impl ClaimState {
     fn insert(&mut self, request: RequestId, owner: ComponentId) {
+        let tables = self.tables.borrow();
         // A claim that can't be published holds in this process.
-        let slot = self
-            .tables
+        let slot = tables
             .as_ref()
             .and_then(|tables| tables.own.insert(request).ok());
         self.entries.insert(request, ClaimEntry { owner, slot });
@@ -50,7 +49,7 @@
 
     fn remove(&mut self, request: RequestId) {
         let slot = self.entries.remove(&request).and_then(|entry| entry.slot);
-        if let (Some(tables), Some(slot)) = (&self.tables, slot) {
+        if let (Some(tables), Some(slot)) = (&*self.tables.borrow(), slot) {
             // If this fails, the other process asks this one whether the id is in use.
             let _ = tables.own.remove(slot);
         }
@@ -58,7 +57,7 @@
 
     /// Returns true if another process has claimed the id. A table that can't be read contains none.
     fn is_claimed_elsewhere(&self, request: RequestId) -> bool {
-        self.tables.as_ref().is_some_and(|tables| {
+        self.tables.borrow().as_ref().is_some_and(|tables| {
             let mut others = tables.others.iter();
             others.any(|table| table.contains(request).unwrap_or(false))
         })
@@ -78,17 +77,22 @@
     /// If the files can't be opened or created.
     pub(super) fn publish(&self, files: &RuntimeFiles, max_requests: usize) -> io::Result<()> {
         let mut state = self.state.borrow_mut();
-        if state.tables.is_some() {
+        if state.tables.borrow().is_some() {
             return Ok(());
         }
         let tables = NodeTables::open(&files.request_table_paths(), max_requests)?;
         for (request, entry) in &mut state.entries {
             entry.slot = tables.own.insert(*request).ok();
         }
-        state.tables = Some(tables);
+        state.tables.replace(Some(tables));
         Ok(())
     }
 
+    /// The tables, once the claims are published.
+    pub(crate) fn tables(&self) -> SharedTables {
+        Rc::clone(&self.state.borrow().tables)
+    }
+
     /// Claims the id for the request of the client at the component `owner`.
     ///
     /// # Errors
--- a/crates/node/src/handoff/request_table.rs
+++ b/crates/node/src/handoff/request_table.rs
@@ -1,18 +1,24 @@
 //! The table of the request ids that a process has claimed: a file that its process alone writes and that the other
 //! processes of the node read. The table is a hash table of fixed size, so a look-up costs the same for any number of
-//! requests, and neither side waits for the other.
+//! requests, and neither side waits for the other. A header has the numbers of the process's clients.
 
 use lupincrank_placement::RequestId;
+use std::cell::RefCell;
 use std::fs::{self, File};
 use std::io;
 use std::os::unix::fs::FileExt;
 use std::path::Path;
+use std::rc::Rc;
 
 /// Slots for each request of the table's capacity: few buckets are ever full.
 const SLOTS_PER_REQUEST: usize = 8;
 const SLOTS_PER_BUCKET: usize = 16;
 const SLOT_BYTES: usize = size_of::<u64>();
 const BUCKET_BYTES: usize = SLOTS_PER_BUCKET * SLOT_BYTES;
+/// The number of clients with a request and the number of unidentified clients, each as `u32`, stand at the start of the
+/// file; the buckets follow at this offset.
+const HEADER_BYTES: usize = BUCKET_BYTES;
+const COUNT_BYTES: usize = size_of::<u32>();
 /// At least two, so that each slot has a bit left for [`OCCUPIED`].
 const MIN_BUCKETS: usize = 2;
 /// Marks a slot that holds a request.
@@ -22,6 +28,15 @@
 /// spreads consecutive ids.
 const GOLDEN_RATIO_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
 
+/// The numbers of clients of one process, or of several.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct ClientCounts {
+    /// Clients with a request.
+    pub(crate) clients: usize,
+    /// Clients that have not sent a request or have received their answer.
+    pub(crate) unidentified: usize,
+}
+
 /// The position of a slot in the file, in bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct SlotOffset(u64);
@@ -35,9 +50,10 @@
 }
 
 impl TableKey {
-    /// Computes the key for a table of this length in bytes; `None` if no table has this length.
-    fn new(request: RequestId, table_bytes: u64) -> Option<TableKey> {
-        let bucket_count = table_bytes / BUCKET_BYTES as u64;
+    /// Computes the key for a file of this length in bytes; `None` if no file has this length.
+    fn new(request: RequestId, file_bytes: u64) -> Option<TableKey> {
+        let bucket_bytes = file_bytes.checked_sub(HEADER_BYTES as u64)?;
+        let bucket_count = bucket_bytes / BUCKET_BYTES as u64;
         if bucket_count < MIN_BUCKETS as u64 || !bucket_count.is_power_of_two() {
             return None;
         }
@@ -46,7 +62,7 @@
         let bucket = hash >> remainder_bits;
         let remainder = hash - (bucket << remainder_bits);
         Some(TableKey {
-            bucket_offset: bucket * BUCKET_BYTES as u64,
+            bucket_offset: HEADER_BYTES as u64 + bucket * BUCKET_BYTES as u64,
             slot_value: remainder | OCCUPIED,
         })
     }
@@ -76,7 +92,7 @@
 /// terminates, also if it is killed.
 pub(super) struct OwnTable {
     file: File,
-    table_bytes: u64,
+    file_bytes: u64,
 }
 
 impl OwnTable {
@@ -87,10 +103,10 @@
     fn create(file: File, capacity: usize) -> io::Result<OwnTable> {
         let buckets = capacity * SLOTS_PER_REQUEST / SLOTS_PER_BUCKET;
         let bucket_count = buckets.next_power_of_two().max(MIN_BUCKETS);
-        let table_bytes = (bucket_count * BUCKET_BYTES) as u64;
+        let file_bytes = (HEADER_BYTES + bucket_count * BUCKET_BYTES) as u64;
         file.set_len(0)?;
-        file.set_len(table_bytes)?;
-        Ok(OwnTable { file, table_bytes })
+        file.set_len(file_bytes)?;
+        Ok(OwnTable { file, file_bytes })
     }
 
     /// Adds a request. Once this returns, the other processes find it.
@@ -98,7 +114,7 @@
     /// # Errors
     /// `StorageFull` if its bucket is full, and any error of the operating system.
     pub(super) fn insert(&self, request: RequestId) -> io::Result<SlotOffset> {
-        let key = TableKey::new(request, self.table_bytes).ok_or(io::ErrorKind::InvalidData)?;
+        let key = TableKey::new(request, self.file_bytes).ok_or(io::ErrorKind::InvalidData)?;
         let bucket = Bucket::read(&self.file, key.bucket_offset)?;
         let free_slot = bucket.position(EMPTY_SLOT);
         let index = free_slot.ok_or(io::ErrorKind::StorageFull)?;
@@ -115,6 +131,16 @@
     pub(super) fn remove(&self, offset: SlotOffset) -> io::Result<()> {
         self.file.write_all_at(&EMPTY_SLOT.to_le_bytes(), offset.0)
     }
+
+    /// Publishes the numbers of this process's clients.
+    ///
+    /// # Errors
+    /// Any error of the operating system.
+    pub(super) fn write_counts(&self, counts: ClientCounts) -> io::Result<()> {
+        let encode = |count: usize| u32::try_from(count).unwrap_or(u32::MAX).to_le_bytes();
+        let header = [encode(counts.clients), encode(counts.unidentified)].concat();
+        self.file.write_all_at(&header, 0)
+    }
 }
 
 /// The table of another process, or the file that a later process may use for its own.
@@ -128,8 +154,8 @@
     /// # Errors
     /// Any error of the operating system.
     pub(super) fn contains(&self, request: RequestId) -> io::Result<bool> {
-        let table_bytes = self.file.metadata()?.len();
-        let Some(key) = TableKey::new(request, table_bytes) else {
+        let file_bytes = self.file.metadata()?.len();
+        let Some(key) = TableKey::new(request, file_bytes) else {
             return Ok(false);
         };
         let bucket = match Bucket::read(&self.file, key.bucket_offset) {
@@ -140,6 +166,25 @@
         Ok(bucket.position(key.slot_value).is_some() && self.is_owner_running()?)
     }
 
+    /// Reads the numbers of clients; `None` if no running process has published them.
+    ///
+    /// # Errors
+    /// Any error of the operating system.
+    pub(super) fn read_counts(&self) -> io::Result<Option<ClientCounts>> {
+        if self.file.metadata()?.len() < HEADER_BYTES as u64 || !self.is_owner_running()? {
+            return Ok(None);
+        }
+        let mut header = [0; 2 * COUNT_BYTES];
+        self.file.read_exact_at(&mut header, 0)?;
+        let (counts, _) = header.as_chunks::<COUNT_BYTES>();
+        let [clients, unidentified] =
+            [0, 1].map(|index| u32::from_le_bytes(counts[index]) as usize);
+        Ok(Some(ClientCounts {
+            clients,
+            unidentified,
+        }))
+    }
+
     /// Returns true if a process holds the lock of the file. The table of a process that has terminated is left as it
     /// was.
     fn is_owner_running(&self) -> io::Result<bool> {
@@ -151,8 +196,12 @@
     }
 }
 
+/// The tables of all processes of the node, shared by the parts of this process that use them; `None` if no second
+/// process may start, or the files could not be opened.
+pub(crate) type SharedTables = Rc<RefCell<Option<NodeTables>>>;
+
 /// The tables of all processes of the node.
-pub(super) struct NodeTables {
+pub(crate) struct NodeTables {
     pub(super) own: OwnTable,
     pub(super) others: Vec<OtherTable>,
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -4,8 +4,10 @@
 use crate::cluster_agent::agent::ClusterAgent;
 use crate::command::ExitScope;
 use crate::config::Config;
+use crate::handoff::client_counts::SharedClientCounts;
 use crate::handoff::peer_process::HandoffState;
 use crate::handoff::request_claims::RequestClaims;
+use crate::handoff::request_table::ClientCounts;
 use crate::placement_driver::{EndpointAvailabilityError, PlacementDriver};
 use crate::upstream::open_health_checks::HealthChecks;
 use lupincrank_reactor::Context;
@@ -65,6 +67,8 @@
     pub(crate) handoff: HandoffState,
     /// The request ids in use.
     pub(crate) claims: RequestClaims,
+    /// The numbers of clients of the node's processes.
+    pub(crate) shared_client_counts: SharedClientCounts,
     /// The open health check connections: at most one for each server.
     pub(crate) health_checks: HealthChecks,
     /// The cluster agent, after its start; `None` while one of its callbacks runs.
@@ -81,7 +85,9 @@
 impl NodeState {
     /// Creates the state of a starting node.
     pub(crate) fn new(config: Config, log: Logger) -> NodeState {
+        let claims = RequestClaims::default();
         NodeState {
+            shared_client_counts: SharedClientCounts::new(claims.tables()),
             placement: PlacementDriver::new(&config, log.clone()),
             handoff: HandoffState::new(config.listen_address, config.inherited_descriptor),
             config,
@@ -90,7 +96,7 @@
             unidentified_clients: UnidentifiedClients::default(),
             started_at: Instant::now(),
             shutdown: None,
-            claims: RequestClaims::default(),
+            claims,
             health_checks: HealthChecks::default(),
             cluster_agent: None,
             is_transfer_requested: false,
@@ -99,6 +105,31 @@
         }
     }
 
+    /// Publishes the numbers of this process's clients for the other process.
+    pub(crate) fn publish_client_counts(&self) {
+        self.shared_client_counts.publish(ClientCounts {
+            clients: self.client_count.get(),
+            unidentified: self.unidentified_clients.len(),
+        });
+    }
+
+    /// The number of clients with a request of all processes of the node.
+    pub(crate) fn node_client_count(&self) -> usize {
+        self.client_count.get() + self.other_client_counts().clients
+    }
+
+    /// The numbers of the other process's clients. Those of this process are published first, so that two processes that
+    /// compare the sum with a limit in the same moment do not both overlook the other's latest client.
+    pub(crate) fn other_client_counts(&self) -> ClientCounts {
+        if !self.handoff.is_peer_connected() {
+            return ClientCounts::default();
+        }
+        self.publish_client_counts();
+        let published = self.shared_client_counts.of_other_processes();
+        // Earlier builds report their numbers by heartbeat only.
+        published.unwrap_or_else(|| self.handoff.peer_heartbeat().into())
+    }
+
     /// Checks that clients can be served.
     ///
     /// # Errors
--- a/crates/node/tests/common/rig.rs
+++ b/crates/node/tests/common/rig.rs
@@ -153,17 +153,28 @@
 
     /// Starts a node of this build that inherits its listener.
     pub fn start_build_with_inherited_listener(build: Build, server_count: usize) -> Rig {
-        Rig::start_inheriting(build, server_count, None)
+        Rig::start_inheriting(build, server_count, DEFAULT_DESCRIPTORS, None)
+    }
+
+    /// Starts a node with this descriptor limit that inherits its listener.
+    pub fn start_inheriting_with_descriptors(server_count: usize, descriptors: usize) -> Rig {
+        Rig::start_inheriting(Build::This, server_count, descriptors, None)
     }
 
     /// Starts a node that inherits its listener, with these faults in its processes.
     pub fn start_inheriting_with_faults(server_count: usize, faults: SyscallFaults) -> Rig {
-        let rig = Rig::start_inheriting(Build::This, server_count, Some(faults));
+        let rig =
+            Rig::start_inheriting(Build::This, server_count, DEFAULT_DESCRIPTORS, Some(faults));
         rig.switch_faults_on();
         rig
     }
 
-    fn start_inheriting(build: Build, server_count: usize, faults: Option<SyscallFaults>) -> Rig {
+    fn start_inheriting(
+        build: Build,
+        server_count: usize,
+        descriptors: usize,
+        faults: Option<SyscallFaults>,
+    ) -> Rig {
         let listener = listen();
         let port = listener.local_addr().unwrap().port();
         let directory =
@@ -176,7 +187,7 @@
         let mut rig = Rig::launch_build(
             build,
             server_count,
-            DEFAULT_DESCRIPTORS,
+            descriptors,
             Some(inherited),
             faults,
             |_| {},
--- a/crates/node/tests/process_limits.rs
+++ b/crates/node/tests/process_limits.rs
@@ -91,6 +91,38 @@
     });
 }
 
+/// The number of clients that a node serves at once, as the README says.
+fn max_clients(descriptors: usize) -> usize {
+    let reserved = 40 + (descriptors / 24).clamp(4, 32) + descriptors / 12;
+    (descriptors - reserved) / 2
+}
+
+/// The two processes of an upgrade each served as many clients as the limit allows both together: each knew the other's
+/// number of clients as of up to 100 ms ago.
+#[rstest]
+fn the_processes_of_an_upgrade_share_the_limit_of_clients(#[values(128, 256)] descriptors: usize) {
+    let mut rig = Rig::start_inheriting_with_descriptors(8, descriptors);
+    rig.allow_long_delays();
+    rig.start_successor();
+    rig.accept_watch();
+    rig.wait_until_ready();
+    rig.wait_for_log_count("node budgets divided, processes: 2", 2);
+    let _servers = EchoServers::start(&rig);
+    let crowd_size = 2 * max_clients(descriptors);
+    let mut clients: Vec<_> = (0..crowd_size).map(|_| rig.connect_client()).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        let line = format!("OPEN {number:016x} 7f3a9c21e0b4d655 c=chat,d=1500,g={number}\r\n");
+        let _ = client.try_send(&line);
+    }
+    let answers = clients.iter_mut().filter_map(LineStream::try_receive);
+    let served_count = answers.filter(|answer| answer.starts_with("UP")).count();
+    println!(
+        "{served_count} clients served, {} allowed",
+        max_clients(descriptors)
+    );
+    assert!(served_count <= max_clients(descriptors), "{served_count}");
+}
+
 /// A value of 60 MB and a client that reads nothing stay within the configured memory.
 #[test]
 fn floods_stay_within_the_memory_of_the_configuration() {
