Node: waiting requests and restoring of connections are modules of their own

The records of a received and of a waiting request stand in waiting_request.rs, what restores connections in restore.rs; begin_request has one way, and a request's remaining time is computed in one place. No behaviour changes.

--- a/crates/node/src/client/connection.rs
+++ b/crates/node/src/client/connection.rs
@@ -2,7 +2,9 @@
 
 mod claim;
 mod request;
+mod restore;
 mod transfer;
+mod waiting_request;
 
 use super::answer;
 use super::first_line::{FirstLine, FirstLineError, SettingsNames};
@@ -14,11 +16,11 @@
 use claim::ClaimingRequest;
 use lupincrank_reactor::poll::Registered;
 use lupincrank_reactor::{ComponentId, Connection, Interest, Lifecycle, Readiness};
-use request::WaitingRequest;
 use slog::debug;
 use std::io;
 use std::net::{Shutdown, TcpStream};
 use std::time::Duration;
+use waiting_request::WaitingRequest;
 
 /// How long a client may take to send its first line. Some clients need 2 s to write it, and every client must get an
 /// answer or a close within 3 s of connecting.
--- a/crates/node/src/client/connection/claim.rs
+++ b/crates/node/src/client/connection/claim.rs
@@ -1,7 +1,7 @@
 //! A client's wait for a request id that another request has claimed: either the client is at fault, or it is back
 //! before the process that held its former connection has noticed that this connection has ended.
 
-use super::request::ReceivedRequest;
+use super::waiting_request::ReceivedRequest;
 use super::{add_unidentified, ClientConnection, State};
 use crate::client::answer;
 use crate::client::first_line::{FirstLineError, OpenRequest};
--- a/crates/node/src/client/connection/request.rs
+++ b/crates/node/src/client/connection/request.rs
@@ -1,8 +1,10 @@
 //! A client's wait for a server, from the complete first line to the relay or the answer.
 
+use super::restore::RESTORE_WINDOW;
+use super::waiting_request::{ReceivedRequest, WaitingRequest};
 use super::{ClientConnection, State};
 use crate::client::answer;
-use crate::client::first_line::{FirstLineError, OpenRequest};
+use crate::client::first_line::FirstLineError;
 use crate::client::ClientSlot;
 use crate::command::{AcceptedAttempt, AttemptCommand, ExitScope};
 use crate::deadline::ClientDeadline;
@@ -10,67 +12,11 @@
 use crate::placement_driver::{hex_id, AttemptOrder, ClientState, InheritedConnection};
 use crate::state::NodeContext;
 use crate::upstream::attempt::{Attempt, UpstreamAttempt};
-use crate::upstream::forwarded_line::ForwardedLine;
 use crate::upstream::relay::Relay;
 use lupincrank_placement::Outcome;
 use lupincrank_reactor::{ComponentId, Lifecycle};
 use slog::debug;
-use std::time::{Duration, Instant};
-
-/// Connections that were established before this process started are accepted for this long after its start.
-const RESTORE_WINDOW: Duration = Duration::from_secs(60);
-/// The line of a restored connection is sent at most this many times. Failed connects are retried at intervals of
-/// [`RESTORE_BACKOFF`] for up to [`MAX_RESTORE_WAIT`]: the server may start late.
-const MAX_RESTORE_SENDS: u32 = 3;
-const RESTORE_BACKOFF: Duration = Duration::from_millis(300);
-const MAX_RESTORE_WAIT: Duration = Duration::from_secs(40);
-
-/// A complete first line with a request.
-pub(super) struct ReceivedRequest {
-    pub(super) open: OpenRequest,
-    /// The first line as received, including its terminator.
-    pub(super) line: Vec<u8>,
-    pub(super) received_at: Instant,
-}
-
-/// A request that waits for a server.
-pub(super) struct WaitingRequest {
-    open: OpenRequest,
-    /// The first line as received, including its terminator.
-    line: Vec<u8>,
-    /// When the client stops waiting.
-    deadline: Instant,
-    /// The latest attempt.
-    attempt: Option<ComponentId>,
-    /// How many times the line of a restored connection may have been received by its server.
-    restore_sends: u32,
-    slot: ClientSlot,
-    /// The claim of a restored connection's id; for other requests, placement holds it.
-    restore_claim: Option<RequestClaim>,
-}
-
-impl WaitingRequest {
-    /// Returns true if the connection was established at a server before this process started: placement does not
-    /// know about it.
-    fn is_restored(&self) -> bool {
-        self.open.current_server.is_some()
-    }
-
-    /// The first line for a server, without the time that the client wrote.
-    fn forwarded_line(&self) -> ForwardedLine {
-        let digits = &self.open.time_budget.digits;
-        ForwardedLine {
-            before_time: self.line[..digits.start].to_vec(),
-            after_time: self.line[digits.end..].to_vec(),
-        }
-    }
-
-    fn close_attempt(&self, context: &mut NodeContext) {
-        if let Some(attempt) = self.attempt {
-            context.send(attempt, AttemptCommand::Close);
-        }
-    }
-}
+use std::time::Duration;
 
 /// Counts another client, unless the limit of clients is reached. The client is counted before it is known whether it
 /// exceeds the limit, because the other process may count one in the same moment.
@@ -111,45 +57,18 @@
         slot: ClientSlot,
         claim: RequestClaim,
     ) -> Lifecycle {
-        let ReceivedRequest {
-            open,
-            line,
-            received_at,
-        } = received;
         context
             .deadlines
             .clear(self.id, ClientDeadline::Close.into());
-        let request_info = open.request_info(context.config.has_groups);
-        let time_budget = open
-            .time_budget
-            .duration
-            .saturating_sub(received_at.elapsed());
-        let is_restored = open.current_server.is_some();
-        let wait = if is_restored {
-            time_budget.min(MAX_RESTORE_WAIT)
-        } else {
-            time_budget
-        };
-        let (restore_claim, placement_claim) = if is_restored {
-            (Some(claim), None)
-        } else {
-            (None, Some(claim))
-        };
-        self.state = State::Waiting(WaitingRequest {
-            open,
-            line,
-            deadline: Instant::now() + wait,
-            attempt: None,
-            restore_sends: 0,
-            slot,
-            restore_claim,
-        });
-        let Some(claim) = placement_claim else {
-            return self.restore(context);
-        };
+        if received.open.current_server.is_some() {
+            return self.begin_restore(context, received, slot, claim);
+        }
+        let request_info = received.open.request_info(context.config.has_groups);
+        let time_left = received.time_left();
+        self.state = State::Waiting(WaitingRequest::new(received, time_left, slot));
         context
             .placement
-            .on_request(self.id, request_info, time_budget, claim);
+            .on_request(self.id, request_info, time_left, claim);
         Lifecycle::Continue
     }
 }
@@ -172,7 +91,7 @@
         Lifecycle::Continue
     }
 
-    fn begin_attempt(&mut self, context: &mut NodeContext, order: &AttemptOrder) {
+    pub(super) fn begin_attempt(&mut self, context: &mut NodeContext, order: &AttemptOrder) {
         let State::Waiting(waiting) = &mut self.state else {
             return;
         };
@@ -260,56 +179,6 @@
     }
 }
 
-/// Restoring of connections that were established at a server before this process started.
-impl ClientConnection {
-    /// Sends the request to the server that holds the connection.
-    fn restore(&mut self, context: &mut NodeContext) -> Lifecycle {
-        let State::Waiting(waiting) = &mut self.state else {
-            return Lifecycle::Continue;
-        };
-        let current_server = waiting.open.current_server.as_deref();
-        let address = current_server.and_then(|server| context.placement.available_address(server));
-        let may_retry =
-            waiting.restore_sends < MAX_RESTORE_SENDS && Instant::now() < waiting.deadline;
-        let Some(address) = address.filter(|_| may_retry) else {
-            return self.answer(context, &answer::busy(Duration::ZERO));
-        };
-        let order = AttemptOrder {
-            request: waiting.open.request,
-            address,
-            deadline: waiting.deadline,
-        };
-        self.begin_attempt(context, &order);
-        Lifecycle::Continue
-    }
-
-    /// Schedules another attempt, since the server did not accept the restored connection.
-    pub(super) fn on_restore_failed(
-        &mut self,
-        context: &mut NodeContext,
-        outcome: Outcome,
-    ) -> Lifecycle {
-        if let State::Waiting(waiting) = &mut self.state {
-            waiting.attempt = None;
-            waiting.restore_sends += u32::from(!outcome.proves_not_executed());
-            context.deadlines.set(
-                self.id,
-                ClientDeadline::RestoreRetry.into(),
-                Instant::now() + RESTORE_BACKOFF,
-            );
-        }
-        Lifecycle::Continue
-    }
-
-    /// Starts the next attempt if the client still waits.
-    pub(super) fn on_restore_retry(&mut self, context: &mut NodeContext) -> Lifecycle {
-        match self.read(context) {
-            Lifecycle::Continue => self.restore(context),
-            Lifecycle::Close => Lifecycle::Close,
-        }
-    }
-}
-
 /// Answers without a server.
 impl ClientConnection {
     /// Answers a request that placement has rejected.
