--- a/crates/node/tests/request_ids.rs
+++ b/crates/node/tests/request_ids.rs
@@ -330,6 +330,25 @@
     drop(others);
 }
 
+/// A client whose connection has ended must be served with its id though the process that held the connection stands
+/// still and has not read the close.
+#[test]
+fn a_client_that_is_back_is_served_while_its_former_process_stands_still() {
+    let mut rig = Rig::start_with_inherited_listener(1);
+    let request = open_request(&mut rig, RequestState::Established);
+    start_successor(&mut rig);
+    stop(rig.oldest_process());
+    let former_address = request.client.stream.local_addr().unwrap();
+    request.client.stream.shutdown(Shutdown::Both).unwrap();
+    rig.wait_for_client_close(former_address);
+    let mut client = rig.connect_client();
+    client.send(&request.line);
+    match outcome(&rig, &mut client) {
+        Outcome::Sent(_) => {}
+        Outcome::Answered(answer) => panic!("answered {answer}"),
+    }
+}
+
 /// More conflicts than queries that may wait for an answer: each first line is answered all the same.
 #[test]
 fn a_crowd_with_the_id_of_an_open_request_is_turned_away() {
