Syscall faults: the preload library builds and runs on aarch64 too

The library was written for x86-64 alone, so building and testing the workspace stopped at it on arm64.

No test, check, bound or other crate is touched.

--- a/crates/syscall-faults/src/handler.rs
+++ b/crates/syscall-faults/src/handler.rs
@@ -14,6 +14,7 @@
 /// Index of the operation of `epoll_ctl`.
 const EPOLL_OPERATION_ARGUMENT: usize = 1;
 /// The registers that hold the arguments of a system call.
+#[cfg(target_arch = "x86_64")]
 const ARGUMENT_REGISTERS: [libc::c_int; 6] = [
     libc::REG_RDI,
     libc::REG_RSI,
@@ -114,6 +115,7 @@
     unsafe { raw_syscall::call(number, &arguments) }
 }
 
+#[cfg(target_arch = "x86_64")]
 extern "C" fn on_trapped_call(
     _signal: libc::c_int,
     _info: *mut libc::siginfo_t,
@@ -125,3 +127,17 @@
     let arguments = ARGUMENT_REGISTERS.map(|register| registers[register as usize]);
     registers[libc::REG_RAX as usize] = perform(number, arguments);
 }
+
+/// The number is in `x8`, the arguments are in `x0` to `x5`, and the result is returned in `x0`.
+#[cfg(target_arch = "aarch64")]
+extern "C" fn on_trapped_call(
+    _signal: libc::c_int,
+    _info: *mut libc::siginfo_t,
+    context: *mut libc::c_void,
+) {
+    // SAFETY: the kernel passes the interrupted thread's context, which belongs to this handler until it returns.
+    let registers = unsafe { &mut (*context.cast::<libc::ucontext_t>()).uc_mcontext.regs };
+    let number = registers[8] as i64;
+    let arguments = std::array::from_fn(|index| registers[index] as i64);
+    registers[0] = perform(number, arguments) as u64;
+}
--- a/crates/syscall-faults/src/lib.rs
+++ b/crates/syscall-faults/src/lib.rs
@@ -3,7 +3,7 @@
 //! A test starts a program with this library in `LD_PRELOAD` and a plan in [`PLAN_VARIABLE`], such as
 //! `recv=EINTR:20,send=SHORT:50,clock=3600`. At start-up the library installs a seccomp filter that traps the calls of
 //! the plan. A signal handler executes each trapped call, or shortens or fails it at random. Without the variable the
-//! library does nothing. It supports `x86_64` Linux only.
+//! library does nothing. It supports Linux on `x86_64` and `aarch64`.
 #![allow(unsafe_code)] // System calls, signal handlers and seccomp filters have no safe interface.
 
 mod filter;
--- a/crates/syscall-faults/src/plan.rs
+++ b/crates/syscall-faults/src/plan.rs
@@ -121,11 +121,15 @@
         "connect" => &[libc::SYS_connect],
         "socket" => &[libc::SYS_socket],
         "register" => &[libc::SYS_epoll_ctl],
+        #[cfg(target_arch = "x86_64")]
         "wait" => &[
             libc::SYS_epoll_wait,
             libc::SYS_epoll_pwait,
             libc::SYS_epoll_pwait2,
         ],
+        // Linux on `aarch64` has no `epoll_wait`.
+        #[cfg(target_arch = "aarch64")]
+        "wait" => &[libc::SYS_epoll_pwait, libc::SYS_epoll_pwait2],
         _ => return Err(PlanError::Call(name.to_string())),
     })
 }
--- a/crates/syscall-faults/src/raw_syscall.rs
+++ b/crates/syscall-faults/src/raw_syscall.rs
@@ -5,6 +5,7 @@
 /// The arguments of a system call, in order.
 pub(crate) type Arguments = [i64; 6];
 
+#[cfg(target_arch = "x86_64")]
 global_asm!(
     ".hidden syscall_faults_raw",
     ".hidden syscall_faults_raw_return",
@@ -24,6 +25,23 @@
     "ret",
 );
 
+#[cfg(target_arch = "aarch64")]
+global_asm!(
+    ".hidden syscall_faults_raw",
+    ".hidden syscall_faults_raw_return",
+    ".globl syscall_faults_raw",
+    ".globl syscall_faults_raw_return",
+    "syscall_faults_raw:",
+    "mov x8, x0",
+    "mov x9, x1",
+    "ldp x0, x1, [x9]",
+    "ldp x2, x3, [x9, #16]",
+    "ldp x4, x5, [x9, #32]",
+    "svc #0",
+    "syscall_faults_raw_return:",
+    "ret",
+);
+
 extern "C" {
     fn syscall_faults_raw(number: i64, arguments: *const i64) -> i64;
     fn syscall_faults_raw_return();
