--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -51,6 +51,14 @@
     """Runs `case(record)`, which returns a text if the rule was broken, and exits as the issue asks."""
     record = Record(folder)
     record(f"TROUBLE={int(TROUBLE)}")
+
+    def on_signal(number, _frame):
+        record(f"could not run: ended by {signal.Signals(number).name}")
+        end_processes()
+        os._exit(NOT_RUN)
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, on_signal)
     watchdog = threading.Timer(115, lambda: (record("could not run: over 115 s"), end_processes(), os._exit(NOT_RUN)))
     watchdog.daemon = True
     watchdog.start()
