--- a/review/10/case.py
+++ b/review/10/case.py
@@ -68,4 +68,4 @@
     return None
 
 
-rig.run_case(FOLDER, case)
+rig.run_case(os.path.join(FOLDER, "record.txt"), case)
--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -34,12 +34,12 @@
 
 
 class Record:
-    """The file record.txt of a case: what was sent, answered and run, with seconds since the start."""
+    """The record of a case: what was sent, answered and run, with seconds since the start."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.began = time.monotonic()
         self.lock = threading.Lock()
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+        self.file = open(path, "w", encoding="utf-8")
 
     def __call__(self, text):
         with self.lock:
@@ -47,9 +47,9 @@
             self.file.flush()
 
 
-def run_case(folder, case):
+def run_case(record_path, case):
     """Runs `case(record)`, which returns a text if the rule was broken, and exits as the issue asks."""
-    record = Record(folder)
+    record = Record(record_path)
     record(f"TROUBLE={int(TROUBLE)}")
 
     def on_signal(number, _frame):
