Settings: a file whose classes lack a key of the file in use is turned down at SIGHUP

Cause: check_no_key_removed compared objects and skipped lists, and validate_class asks four of the nine keys of a class. Evidence: the log says "configuration reloaded" and nothing is rejected; a file without settings.Kinds is rejected with "the file in use has it", so the file in use is known and only lists are left out.

Change: list_entries.rs compares classes and tenants by name with those of the file in use, with their objectives and quotas; new ones need what any entry has; AimStretch may be absent ("the key may be absent"). Hosts of known need what all hosts of the file in use have. Null is absent.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -11,7 +11,7 @@
 use crate::cluster_agent::config::ClusterConfig;
 use crate::discovery::endpoint_list::EndpointListUpdate;
 use lupincrank_placement::Settings;
-use serde_json::{Map, Value};
+use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -37,7 +37,7 @@
     path: String,
     /// The address of discovery as written in the file.
     discovery_in_file: Option<String>,
-    /// The file as JSON, without the entries of the known endpoint list.
+    /// The file as JSON, with a summary of the known endpoint list.
     pub document: Value,
     /// The cluster, if the operator's file defines one; changes apply at the next start.
     pub cluster: Option<ClusterConfig>,
@@ -104,10 +104,7 @@
         if let Some(previous) = previous {
             lupincrank_settings::validate(&document, Some(previous))?;
         }
-        // The list may be long, and validation only checks that it is present.
-        if let Some(known @ Value::Object(_)) = document.get_mut("known") {
-            *known = Value::Object(Map::new());
-        }
+        lupincrank_settings::summarize_known_hosts(&mut document);
         let mut config = Config::parse(&text, variable)?;
         config.path = path.to_string();
         config.document = document;
--- a/crates/node/tests/operation.rs
+++ b/crates/node/tests/operation.rs
@@ -276,6 +276,21 @@
     }
 }
 
+/// A file was applied in which a class lacks a key, and requests of the class that it drops were answered with an error.
+#[test]
+fn a_file_whose_class_lacks_a_key_is_turned_down() {
+    let mut rig = Rig::start(1);
+    reload_classes(&rig, &[("chat", "repeatable"), ("notes", "repeatable")], 3);
+    let mut config = rig.config.clone();
+    let mut notes = config["settings"]["Categories"][0].clone();
+    notes["Name"] = "notes".into();
+    notes.as_object_mut().unwrap().remove("WindowNs").unwrap();
+    config["settings"]["Categories"] = vec![notes].into();
+    rig.reload_config(&config.to_string());
+    rig.wait_for_log("settings.Categories[0].WindowNs is missing, but the file in use has it");
+    rig.establish();
+}
+
 #[test]
 fn nothing_of_an_invalid_configuration_is_applied() {
     let mut rig = Rig::start(1);
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -8,8 +8,10 @@
 mod conversion;
 mod deployment;
 mod error;
+mod list_entries;
 mod validation;
 
 pub use deployment::DeploymentSettings;
 pub use error::{SettingsError, ValidationError};
+pub use list_entries::summarize_known_hosts;
 pub use validation::validate;
--- a/crates/settings/src/validation.rs
+++ b/crates/settings/src/validation.rs
@@ -4,6 +4,7 @@
 //! or written by mistake must change nothing.
 
 use crate::error::ValidationError;
+use crate::list_entries::{check_entries, is_present};
 use serde_json::{Map, Value};
 
 /// Keys below `settings` that every file must have. Others may be absent only if the replaced file lacks them too.
@@ -38,7 +39,7 @@
 const MAX_ATTEMPTS: u64 = 1_000_000;
 
 /// Validates a whole configuration file. `previous` is the file that it replaces, if any: the new file must have all of
-/// its keys, except for those within lists.
+/// its keys, and the entries of its lists must have those of the entries that they replace.
 ///
 /// # Errors
 ///
@@ -54,12 +55,11 @@
         MAX_ATTEMPTS,
     )?;
     validate_classes(&settings["Categories"])?;
-    match (file, previous) {
-        (Value::Object(file), Some(Value::Object(previous))) => {
-            check_no_key_removed("", file, previous)
-        }
-        _ => Ok(()),
-    }
+    let Some(previous) = previous else {
+        return Ok(());
+    };
+    check_no_key_removed("", file, previous)?;
+    check_entries(file, previous)
 }
 
 fn require(settings: &Value, path: &str) -> Result<(), ValidationError> {
@@ -127,24 +127,22 @@
     }
 }
 
-/// Checks that every key of `previous` is in `current`, at all levels of objects; lists may differ.
+/// Checks that every key of `previous` is in `current`, at all levels of objects; null counts as absent.
 fn check_no_key_removed(
     path: &str,
-    current: &Map<String, Value>,
-    previous: &Map<String, Value>,
+    current: &Value,
+    previous: &Value,
 ) -> Result<(), ValidationError> {
-    for (key, previous_value) in previous {
+    let previous_keys = previous.as_object().into_iter().flat_map(Map::iter);
+    for (key, previous_value) in previous_keys.filter(|(_, value)| is_present(value)) {
         let path = if path.is_empty() {
             key.clone()
         } else {
             format!("{path}.{key}")
         };
-        match (current.get(key), previous_value) {
-            (None, _) => return Err(ValidationError::Removed { path }),
-            (Some(Value::Object(current)), Value::Object(previous)) => {
-                check_no_key_removed(&path, current, previous)?;
-            }
-            _ => {}
+        match current.get(key).filter(|value| is_present(value)) {
+            Some(value) => check_no_key_removed(&path, value, previous_value)?,
+            None => return Err(ValidationError::Removed { path }),
         }
     }
     Ok(())
--- a/crates/settings/tests/document.rs
+++ b/crates/settings/tests/document.rs
@@ -1,7 +1,8 @@
 //! The keys of the settings document, the converted values, and the texts of errors.
 
 use lupincrank_placement::{Class, IdempotencyScope, RetrySafety, Settings, Tenant};
-use lupincrank_settings::{validate, DeploymentSettings};
+use lupincrank_settings::{summarize_known_hosts, validate, DeploymentSettings};
+use rstest::rstest;
 use serde_json::{json, Value};
 use std::time::Duration;
 
@@ -209,3 +210,191 @@
         assert_eq!(validate_changed(introduce), Err(message.to_string()));
     }
 }
+
+/// A file with two complete classes and two complete tenants.
+fn complete_file() -> Value {
+    let class = |name: &str| {
+        json!({
+            "Name": name, "DeadlineNs": 4_000, "PromiseNs": 800, "Repeat": "repeatable", "Group": "all",
+            "WindowNs": 500, "Stream": true, "Value": 1.0, "LateShare": 0.0, "AimStretch": 2.0,
+        })
+    };
+    let host = |name: &str| {
+        json!({
+            "host": name, "dial": "127.0.0.1:1", "site": "east", "class": "large", "block": 0,
+            "health": "SERVING", "share": 1.0, "born_ms": 0,
+        })
+    };
+    let mut settings = document();
+    settings["Categories"] = json!([class("chat"), class("sync")]);
+    settings["Tenants"] =
+        json!([{"Name": "first", "Share": 0.6}, {"Name": "second", "Share": 0.4}]);
+    settings["FamilyInfo"]["MessageAimNs"] = json!([250, 150]);
+    settings["FamilyInfo"]["TenantQuotaConnections"] = json!([20.5, 10.5]);
+    json!({
+        "known": {"seq": 1, "whole": true, "hosts": [host("s-0"), host("s-1")]},
+        "settings": settings,
+    })
+}
+
+/// The file with `change` applied to its settings.
+fn changed(file: &Value, change: impl FnOnce(&mut Value)) -> Value {
+    let mut file = file.clone();
+    change(&mut file["settings"]);
+    file
+}
+
+fn replace(previous: &Value, file: &Value) -> Result<(), String> {
+    let mut previous = previous.clone();
+    summarize_known_hosts(&mut previous);
+    validate(file, Some(&previous)).map_err(|error| error.to_string())
+}
+
+fn remove_key(entry: &mut Value, key: &str) {
+    entry.as_object_mut().unwrap().remove(key).unwrap();
+}
+
+fn pop(list: &mut Value) {
+    list.as_array_mut().unwrap().pop().unwrap();
+}
+
+fn reverse(list: &mut Value) {
+    list.as_array_mut().unwrap().reverse();
+}
+
+/// Adds a class with an objective; returns the class.
+fn add_class(settings: &mut Value) -> &mut Value {
+    let mut class = settings["Categories"][0].clone();
+    class["Name"] = json!("notes");
+    let objectives = &mut settings["FamilyInfo"]["MessageAimNs"];
+    objectives.as_array_mut().unwrap().push(json!(100));
+    let classes = settings["Categories"].as_array_mut().unwrap();
+    classes.push(class);
+    classes.last_mut().unwrap()
+}
+
+/// A file was applied in which an entry of a list lacks a key: in a class of the file in use, wherever it stands, and in
+/// one that is new or renamed.
+#[rstest]
+fn a_class_that_lacks_a_key_is_invalid(
+    #[values(
+        "Name",
+        "DeadlineNs",
+        "PromiseNs",
+        "Repeat",
+        "Group",
+        "WindowNs",
+        "Stream",
+        "Value",
+        "LateShare"
+    )]
+    key: &str,
+) {
+    let file = complete_file();
+    let changes: [&dyn Fn(&mut Value); 5] = [
+        &|settings| remove_key(&mut settings["Categories"][1], key),
+        &|settings| settings["Categories"][1][key] = Value::Null,
+        &|settings| remove_key(add_class(settings), key),
+        &|settings| {
+            settings["Categories"][1]["Name"] = json!("renamed");
+            remove_key(&mut settings["Categories"][1], key);
+        },
+        &|settings| {
+            reverse(&mut settings["Categories"]);
+            remove_key(&mut settings["Categories"][0], key);
+        },
+    ];
+    for (index, change) in changes.into_iter().enumerate() {
+        let error = replace(&file, &changed(&file, change)).unwrap_err();
+        assert!(
+            error.contains(&format!(".{key} is missing")),
+            "{index}: {error}"
+        );
+    }
+}
+
+/// A file was applied whose lists lack values of tenants, objectives, quotas or known hosts.
+#[rstest]
+#[case::tenant_name(|file: &mut Value| remove_key(&mut file["settings"]["Tenants"][1], "Name"),
+    "settings.Tenants[1].Name is missing")]
+#[case::tenant_share(|file: &mut Value| remove_key(&mut file["settings"]["Tenants"][1], "Share"),
+    "settings.Tenants[1].Share is missing, but the file in use has it")]
+#[case::tenant_quota(|file: &mut Value| pop(&mut file["settings"]["FamilyInfo"]["TenantQuotaConnections"]),
+    "settings.FamilyInfo.TenantQuotaConnections[1] is missing, but the file in use has it")]
+#[case::objective(|file: &mut Value| pop(&mut file["settings"]["FamilyInfo"]["MessageAimNs"]),
+    "settings.FamilyInfo.MessageAimNs[1] is missing, but the file in use has it")]
+#[case::null_objective(|file: &mut Value| file["settings"]["FamilyInfo"]["MessageAimNs"][0] = Value::Null,
+    "settings.FamilyInfo.MessageAimNs[0] is missing, but the file in use has it")]
+#[case::objective_of_a_new_class(|file: &mut Value| {
+        add_class(&mut file["settings"]);
+        pop(&mut file["settings"]["FamilyInfo"]["MessageAimNs"]);
+    }, "settings.FamilyInfo.MessageAimNs[2] is missing")]
+#[case::host_weight(|file: &mut Value| remove_key(&mut file["known"]["hosts"][1], "share"),
+    "known.hosts[1].share is missing, but the file in use has it")]
+#[case::null_section(|file: &mut Value| file["settings"]["Tenants"] = Value::Null,
+    "settings.Tenants is missing, but the file in use has it")]
+#[case::section_of_another_type(|file: &mut Value| file["settings"]["Prices"] = json!(1),
+    "settings.Prices.Probe is missing, but the file in use has it")]
+fn a_list_that_lacks_a_value_is_invalid(#[case] change: fn(&mut Value), #[case] expected: &str) {
+    let previous = complete_file();
+    let mut file = previous.clone();
+    change(&mut file);
+    assert_eq!(replace(&previous, &file), Err(expected.to_string()));
+}
+
+#[test]
+fn the_first_tenants_need_a_name_and_a_share() {
+    let previous = changed(&complete_file(), |settings| {
+        settings["Tenants"] = json!([]);
+        settings["FamilyInfo"]["TenantQuotaConnections"] = json!([]);
+    });
+    let with_tenants =
+        |tenants: Value| changed(&previous, |settings| settings["Tenants"] = tenants);
+    let complete = with_tenants(json!([{"Name": "first", "Share": 1.0}]));
+    assert_eq!(replace(&previous, &complete), Ok(()));
+    let incomplete = with_tenants(json!([{"Name": "first"}]));
+    assert_eq!(
+        replace(&previous, &incomplete),
+        Err("settings.Tenants[0].Share is missing".to_string())
+    );
+}
+
+/// A sound file must be applied, whatever its lists change.
+#[rstest]
+#[case::unchanged(|_: &mut Value| ())]
+#[case::class_added(|settings: &mut Value| { add_class(settings); })]
+#[case::class_renamed(|settings: &mut Value| settings["Categories"][0]["Name"] = json!("renamed"))]
+#[case::classes_reversed(|settings: &mut Value| {
+    reverse(&mut settings["Categories"]);
+    reverse(&mut settings["FamilyInfo"]["MessageAimNs"]);
+})]
+#[case::class_dropped(|settings: &mut Value| {
+    pop(&mut settings["Categories"]);
+    pop(&mut settings["FamilyInfo"]["MessageAimNs"]);
+})]
+#[case::optional_key_dropped(|settings: &mut Value| remove_key(&mut settings["Categories"][0], "AimStretch"))]
+#[case::new_class_without_optional_key(|settings: &mut Value| remove_key(add_class(settings), "AimStretch"))]
+#[case::tenants_dropped(|settings: &mut Value| {
+    settings["Tenants"] = json!([]);
+    settings["FamilyInfo"]["TenantQuotaConnections"] = json!([]);
+})]
+fn a_file_whose_lists_are_complete_is_valid(#[case] change: fn(&mut Value)) {
+    let previous = complete_file();
+    let file = changed(&previous, change);
+    assert_eq!(replace(&previous, &file), Ok(()));
+}
+
+/// A start accepts a file that lacks keys of a class, so the same file must be accepted at a reload.
+#[test]
+fn a_class_may_lack_a_key_that_the_file_in_use_lacks_there_too() {
+    let previous = changed(&complete_file(), |settings| {
+        remove_key(&mut settings["Categories"][1], "Stream");
+    });
+    assert_eq!(replace(&previous, &previous), Ok(()));
+    let with_second_gap = changed(&previous, |settings| {
+        remove_key(&mut settings["Categories"][0], "Stream");
+    });
+    assert!(replace(&previous, &with_second_gap).is_err());
+    let file = json!({"settings": previous["settings"]});
+    assert!(validate(&file, None).is_ok(), "a file that replaces none");
+}
