Node: the id of a request that may have run is not served again where its class forbids it

Rule 2 of the wire allows another send of once only where each earlier attempt is proven not to have run, and PROTOCOL has an id "new for each connection".

Cause: a claim ends with its request, and nothing is kept of an ended request. Ruled out by the log: an overlooked claim (no "request id claimed twice") and a late retry of the first request (a second "request received").

Change: the id of a request whose class is not repeatable is kept from the moment its line may be written (handoff/executed_requests.rs), unless the outcome proves that it never ran. It gets ERR when it comes again. The table has 65,536 ids (512 KiB); while upgrades are possible it is a file that the other process reads and that outlives its own. A start without another process empties it. The table of ids in use is as it was, so that earlier builds read it.

--- a/crates/node/src/client/connection/claim.rs
+++ b/crates/node/src/client/connection/claim.rs
@@ -8,7 +8,7 @@
 use crate::client::unidentified::UnidentifiedEntry;
 use crate::deadline::ClientDeadline;
 use crate::handoff::claim_queries;
-use crate::handoff::request_claims::ClaimConflict;
+use crate::handoff::request_claims::{ClaimConflict, ClaimError, Repetition, RequestClaim};
 use crate::placement_driver::hex_id;
 use crate::state::NodeContext;
 use lupincrank_reactor::Lifecycle;
@@ -55,12 +55,28 @@
             line,
             received_at: Instant::now(),
         };
-        match context.claims.claim(received.open.request, self.id) {
+        match self.claim(context, &received) {
             Ok(claim) => self.admit(context, received, claim),
-            Err(conflict) => self.begin_claiming(context, received, conflict),
+            Err(ClaimError::InUse(conflict)) => self.begin_claiming(context, received, conflict),
+            Err(ClaimError::Executed) => self.reject_executed(context),
         }
     }
 
+    fn claim(
+        &self,
+        context: &NodeContext,
+        received: &ReceivedRequest,
+    ) -> Result<RequestClaim, ClaimError> {
+        let open = &received.open;
+        let repetition = Repetition::of_class(&context.config.settings, open.class);
+        context.claims.claim(open.request, self.id, repetition)
+    }
+
+    /// Rejects a request whose id may have been executed: asking the client to retry would promise that it was not.
+    fn reject_executed(&mut self, context: &mut NodeContext) -> Lifecycle {
+        self.reject_line(context, FirstLineError::RequestIdExecuted)
+    }
+
     fn begin_claiming(
         &mut self,
         context: &mut NodeContext,
@@ -121,14 +137,16 @@
         }
     }
 
-    /// Claims the id again and continues with the request if that succeeds.
+    /// Claims the id again and continues with the request if that succeeds, or rejects it if it may have been executed.
     fn claim_again(&mut self, context: &mut NodeContext) -> Result<Lifecycle, ClaimConflict> {
         let State::Claiming(claiming) = &self.state else {
             return Ok(Lifecycle::Continue);
         };
-        let claim = context
-            .claims
-            .claim(claiming.received.open.request, self.id)?;
+        let claim = match self.claim(context, &claiming.received) {
+            Ok(claim) => claim,
+            Err(ClaimError::InUse(conflict)) => return Err(conflict),
+            Err(ClaimError::Executed) => return Ok(self.reject_executed(context)),
+        };
         context
             .deadlines
             .clear(self.id, ClientDeadline::ClaimRetry.into());
--- a/crates/node/src/client/connection/request.rs
+++ b/crates/node/src/client/connection/request.rs
@@ -120,7 +120,13 @@
             return Lifecycle::Continue;
         }
         let lifecycle = self.read(context);
-        if lifecycle == Lifecycle::Continue && matches!(self.state, State::Waiting(_)) {
+        let State::Waiting(waiting) = &mut self.state else {
+            return lifecycle;
+        };
+        if lifecycle == Lifecycle::Continue {
+            if let Some(claim) = &mut waiting.restore_claim {
+                claim.record_send();
+            }
             context.send(attempt, AttemptCommand::SendFirstLine);
         }
         lifecycle
--- a/crates/node/src/client/connection/restore.rs
+++ b/crates/node/src/client/connection/restore.rs
@@ -65,6 +65,9 @@
     ) -> Lifecycle {
         if let State::Waiting(waiting) = &mut self.state {
             waiting.attempt = None;
+            if let Some(claim) = &mut waiting.restore_claim {
+                claim.record_outcome(outcome);
+            }
             waiting.restore_sends += u32::from(!outcome.proves_not_executed());
             context.deadlines.set(
                 self.id,
--- a/crates/node/src/client/first_line.rs
+++ b/crates/node/src/client/first_line.rs
@@ -48,6 +48,9 @@
     /// Another connection has a request of this id.
     #[error("request id already in use")]
     RequestIdInUse,
+    /// A request with this id may have been executed, and its class does not allow it to be executed again.
+    #[error("request with this id may have been executed")]
+    RequestIdExecuted,
     /// The line names the server that holds the connection, but the time after this process's start in which such
     /// connections are restored is over.
     #[error("too late to restore a connection from before the node's start")]
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -81,6 +81,12 @@
         Config::load_file(&path, variable, None)
     }
 
+    /// Returns the index of a class; the index of no class if the settings do not contain it, as after a reload.
+    pub(crate) fn class_index(&self, name: &str) -> usize {
+        let index = self.classes.iter().position(|class| class == name);
+        index.unwrap_or(usize::MAX)
+    }
+
     /// Reads the file at `path`. If it replaces another file, `previous`, it must also pass the strict validation for
     /// replacements.
     fn load_file(
--- a/crates/node/src/handoff/incoming.rs
+++ b/crates/node/src/handoff/incoming.rs
@@ -9,6 +9,7 @@
     ConnectionTransfer, HandoffMessage, Heartbeat, UnidentifiedClientTransfer, PROTOCOL_VERSION,
 };
 use super::peer_process::PeerProcess;
+use super::request_claims::Repetition;
 use super::socket::ReceivedMessage;
 use super::transfer::TransferAnswer;
 use crate::client::ClientConnection;
@@ -85,7 +86,9 @@
         return reject(context, number);
     };
     let request = RequestId(connection.request);
-    let Ok(claim) = context.claims.take_over(request, sockets.id()) else {
+    let class = context.config.class_index(&connection.class);
+    let repetition = Repetition::of_class(&context.config.settings, class);
+    let Ok(claim) = context.claims.take_over(request, sockets.id(), repetition) else {
         return reject(context, number);
     };
     if accept(context, number) {
--- a/crates/node/src/handoff/mod.rs
+++ b/crates/node/src/handoff/mod.rs
@@ -6,6 +6,7 @@
 mod agent;
 pub(crate) mod claim_queries;
 pub(crate) mod client_counts;
+mod executed_requests;
 mod incoming;
 mod inherited_listener;
 mod lifecycle;
--- a/crates/node/src/handoff/request_table.rs
+++ b/crates/node/src/handoff/request_table.rs
@@ -13,17 +13,17 @@
 /// Slots for each request of the table's capacity: few buckets are ever full.
 const SLOTS_PER_REQUEST: usize = 8;
 const SLOTS_PER_BUCKET: usize = 16;
-const SLOT_BYTES: usize = size_of::<u64>();
-const BUCKET_BYTES: usize = SLOTS_PER_BUCKET * SLOT_BYTES;
+pub(super) const SLOT_BYTES: usize = size_of::<u64>();
+pub(super) const BUCKET_BYTES: usize = SLOTS_PER_BUCKET * SLOT_BYTES;
 /// The number of clients with a request and the number of unidentified clients, each as `u32`, stand at the start of the
 /// file; the buckets follow at this offset.
-const HEADER_BYTES: usize = BUCKET_BYTES;
+pub(super) const HEADER_BYTES: usize = BUCKET_BYTES;
 const COUNT_BYTES: usize = size_of::<u32>();
 /// At least two, so that each slot has a bit left for [`OCCUPIED`].
 const MIN_BUCKETS: usize = 2;
 /// Marks a slot that holds a request.
 const OCCUPIED: u64 = 1 << 63;
-const EMPTY_SLOT: u64 = 0;
+pub(super) const EMPTY_SLOT: u64 = 0;
 /// 2 to the 64th, divided by the golden ratio, an odd number: multiplying by it maps ids to hashes one to one and
 /// spreads consecutive ids.
 const GOLDEN_RATIO_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
@@ -44,14 +44,16 @@
 /// Where a request is stored in a table of a certain size. No two requests have both the same bucket and the same
 /// slot value.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct TableKey {
-    bucket_offset: u64,
-    slot_value: u64,
+pub(super) struct TableKey {
+    /// The position of the bucket in the file, in bytes.
+    pub(super) bucket_offset: u64,
+    /// The value of an occupied slot.
+    pub(super) slot_value: u64,
 }
 
 impl TableKey {
     /// Computes the key for a file of this length in bytes; `None` if no file has this length.
-    fn new(request: RequestId, file_bytes: u64) -> Option<TableKey> {
+    pub(super) fn new(request: RequestId, file_bytes: u64) -> Option<TableKey> {
         let bucket_bytes = file_bytes.checked_sub(HEADER_BYTES as u64)?;
         let bucket_count = bucket_bytes / BUCKET_BYTES as u64;
         if bucket_count < MIN_BUCKETS as u64 || !bucket_count.is_power_of_two() {
@@ -66,24 +68,61 @@
             slot_value: remainder | OCCUPIED,
         })
     }
+
+    /// The position in the file of a slot of the bucket, in bytes.
+    pub(super) fn slot_offset(&self, index: usize) -> u64 {
+        self.bucket_offset + (index * SLOT_BYTES) as u64
+    }
 }
 
 /// The slots of one bucket.
-struct Bucket([u64; SLOTS_PER_BUCKET]);
+pub(super) struct Bucket([u64; SLOTS_PER_BUCKET]);
 
 impl Bucket {
+    pub(super) const SLOT_COUNT: usize = SLOTS_PER_BUCKET;
+
+    fn empty() -> Bucket {
+        Bucket([EMPTY_SLOT; SLOTS_PER_BUCKET])
+    }
+
+    /// Copies the bucket at the start of these slots.
+    pub(super) fn from_slots(slots: &[u64]) -> Bucket {
+        let mut bucket = Bucket::empty();
+        bucket.0.copy_from_slice(&slots[..SLOTS_PER_BUCKET]);
+        bucket
+    }
+
     fn read(file: &File, offset: u64) -> io::Result<Bucket> {
         let mut bytes = [0; BUCKET_BYTES];
         file.read_exact_at(&mut bytes, offset)?;
-        let mut slots = [EMPTY_SLOT; SLOTS_PER_BUCKET];
+        Ok(Bucket::from_bytes(bytes))
+    }
+
+    /// Reads the bucket of a file that may be shorter than its table: the slots that it lacks are empty.
+    pub(super) fn read_padded(file: &File, offset: u64) -> io::Result<Bucket> {
+        let mut bytes = [0; BUCKET_BYTES];
+        let mut length = 0;
+        while length < BUCKET_BYTES {
+            match file.read_at(&mut bytes[length..], offset + length as u64) {
+                Ok(0) => break,
+                Ok(count) => length += count,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(Bucket::from_bytes(bytes))
+    }
+
+    fn from_bytes(bytes: [u8; BUCKET_BYTES]) -> Bucket {
+        let mut bucket = Bucket::empty();
         let (chunks, _) = bytes.as_chunks::<SLOT_BYTES>();
-        for (slot, chunk) in slots.iter_mut().zip(chunks) {
+        for (slot, chunk) in bucket.0.iter_mut().zip(chunks) {
             *slot = u64::from_le_bytes(*chunk);
         }
-        Ok(Bucket(slots))
+        bucket
     }
 
-    fn position(&self, slot_value: u64) -> Option<usize> {
+    pub(super) fn position(&self, slot_value: u64) -> Option<usize> {
         self.0.iter().position(|slot| *slot == slot_value)
     }
 }
@@ -118,7 +157,7 @@
         let bucket = Bucket::read(&self.file, key.bucket_offset)?;
         let free_slot = bucket.position(EMPTY_SLOT);
         let index = free_slot.ok_or(io::ErrorKind::StorageFull)?;
-        let offset = key.bucket_offset + (index * SLOT_BYTES) as u64;
+        let offset = key.slot_offset(index);
         self.file
             .write_all_at(&key.slot_value.to_le_bytes(), offset)?;
         Ok(SlotOffset(offset))
@@ -203,6 +242,8 @@
 /// The tables of all processes of the node.
 pub(crate) struct NodeTables {
     pub(super) own: OwnTable,
+    /// The file of this process's table.
+    pub(super) own_index: usize,
     pub(super) others: Vec<OtherTable>,
 }
 
@@ -215,20 +256,37 @@
     pub(super) fn open(paths: &[impl AsRef<Path>], capacity: usize) -> io::Result<NodeTables> {
         let mut own = None;
         let mut others = Vec::new();
-        for path in paths {
+        for (index, path) in paths.iter().enumerate() {
             let file = open_file(path.as_ref())?;
             if own.is_none() && try_lock(&file)? {
-                own = Some(OwnTable::create(file, capacity)?);
+                own = Some((index, OwnTable::create(file, capacity)?));
             } else {
                 others.push(OtherTable { file });
             }
         }
-        let own = own.ok_or(io::ErrorKind::ResourceBusy)?;
-        Ok(NodeTables { own, others })
+        let (own_index, own) = own.ok_or(io::ErrorKind::ResourceBusy)?;
+        Ok(NodeTables {
+            own,
+            own_index,
+            others,
+        })
+    }
+
+    /// Returns true if another process of the node runs.
+    ///
+    /// # Errors
+    /// Any error of the operating system.
+    pub(super) fn is_other_process_running(&self) -> io::Result<bool> {
+        for table in &self.others {
+            if table.is_owner_running()? {
+                return Ok(true);
+            }
+        }
+        Ok(false)
     }
 }
 
-fn open_file(path: &Path) -> io::Result<File> {
+pub(super) fn open_file(path: &Path) -> io::Result<File> {
     File::options()
         .create(true)
         .truncate(false)
--- a/crates/node/src/handoff/runtime_files.rs
+++ b/crates/node/src/handoff/runtime_files.rs
@@ -48,6 +48,14 @@
         })
     }
 
+    /// The files in which the processes keep the ids of executed requests, by the index of [`Self::request_table_paths`].
+    pub(crate) fn executed_request_paths(&self) -> [PathBuf; REQUEST_TABLE_COUNT] {
+        std::array::from_fn(|index| {
+            self.runtime_path
+                .with_extension(format!("executed-{index}"))
+        })
+    }
+
     /// Acquires the lock that the older process holds until it terminates. Returns `None` if another process holds it.
     ///
     /// # Errors
--- a/crates/node/src/placement_driver/attempts.rs
+++ b/crates/node/src/placement_driver/attempts.rs
@@ -140,6 +140,9 @@
             && self.balancer.can_still_send(self.now(), request);
         if let Some(active) = self.requests.get_mut(&request) {
             active.was_sent = can_send;
+            if can_send {
+                active.claim.record_send();
+            }
         }
         can_send
     }
@@ -175,6 +178,7 @@
         let attempt = active.attempt_number();
         debug!(self.log, "attempt finished"; "request" => hex_id(request), "outcome" => ?outcome, "established" => active.has_connection(),
             "server" => active.server.as_ref().map(|id| id.0.to_string()));
+        active.claim.record_outcome(outcome);
         active.end_attempt();
         if is_done {
             self.requests.remove(&request);
--- a/crates/node/src/placement_driver/request.rs
+++ b/crates/node/src/placement_driver/request.rs
@@ -55,7 +55,7 @@
     /// Distinguishes loads from delays in the numbers that the server reports.
     pub(super) load_reports: LoadReportClassifier,
     /// Held until the request has ended.
-    _claim: RequestClaim,
+    pub(super) claim: RequestClaim,
 }
 
 /// The state that another process of this node needs to continue an established connection.
@@ -90,7 +90,7 @@
             load: None,
             unanswered_lines: VecDeque::new(),
             load_reports: LoadReportClassifier::default(),
-            _claim: claim,
+            claim,
         }
     }
 
@@ -122,6 +122,7 @@
 
     /// Records that the attempt in flight was accepted.
     pub(super) fn establish(&mut self) {
+        self.claim.record_established();
         self.phase = if self.is_finished() {
             RequestPhase::Closing
         } else {
--- a/crates/node/src/upstream/relay/transfer.rs
+++ b/crates/node/src/upstream/relay/transfer.rs
@@ -116,15 +116,9 @@
     record: TransferredConnection,
     claim: RequestClaim,
 ) {
-    let class = context
-        .config
-        .classes
-        .iter()
-        .position(|class| *class == record.class);
     let request_info = RequestInfo {
         request: RequestId(record.request),
-        // A class that was removed from the settings: a request that has its server needs none.
-        class: class.unwrap_or(usize::MAX),
+        class: context.config.class_index(&record.class),
         tenant: None,
         group: record.group,
         key: record.key,
