Node: replies at full speed keep a bounded sample of their delays

Cause: UpstreamLatency kept the delay of each reply until the report of the next second, and sorted them all then. Ruled out: the buffers (they shrink with the limit, the memory did not) and the unanswered lines (256 at most). A check in the module on: 1,000,000 replies keep 1,000,000 delays, 16,777,216 bytes.

Change: DelaySample keeps 256 delays at most, every n-th of the period, for replies and slow setups.

Result: the tests of delay_sample and latency pass; the same check on the list failed before.

--- a/crates/node/src/placement_driver/latency.rs
+++ b/crates/node/src/placement_driver/latency.rs
@@ -1,6 +1,7 @@
 //! Message latency of servers, measured on the lines of established connections, and detection of unresponsive
 //! servers.
 
+use super::delay_sample::{median, DelaySample};
 use super::request::{hex_id, ActiveRequest};
 use super::PlacementDriver;
 use crate::load_report::LoadReport;
@@ -35,9 +36,9 @@
 #[derive(Default)]
 pub(super) struct UpstreamLatency {
     /// Reply delays since the last report.
-    delays: Vec<Duration>,
+    delays: DelaySample,
     /// The queueing times of slow setups since the last report.
-    setup_waits: Vec<Duration>,
+    setup_waits: DelaySample,
     last_reported_at: Option<Instant>,
     /// When the server last replied to a line.
     last_answered_at: Option<Instant>,
@@ -62,22 +63,17 @@
     unresponsive_servers: Vec<ServerId>,
 }
 
-fn median(durations: &mut [Duration]) -> Option<Duration> {
-    durations.sort_unstable();
-    durations.get(durations.len() / 2).copied()
-}
-
 impl UpstreamLatency {
     /// Records the delay of a reply.
     fn record_answer(&mut self, delay: Duration, now: Instant) {
         self.last_answered_at = Some(now);
         self.is_unresponsive = false;
-        self.delays.push(delay);
+        self.delays.record(delay);
     }
 
     /// Records the queueing time of a slow setup.
     fn record_setup_wait(&mut self, wait: Duration) {
-        self.setup_waits.push(wait);
+        self.setup_waits.record(wait);
     }
 
     /// Returns true if the server has been unresponsive for a while and this has not been reported yet.
@@ -108,11 +104,10 @@
             return None;
         }
         self.last_reported_at = Some(now);
-        let mut delays = std::mem::take(&mut self.delays);
+        let mut delays = self.delays.take();
         let ages = lines.iter().map(|line| line.age);
         delays.extend(ages.filter(|age| *age > slow_delay));
-        let setup_wait = median(&mut self.setup_waits);
-        self.setup_waits.clear();
+        let setup_wait = median(&mut self.setup_waits.take());
         let delay = median(&mut delays).max(setup_wait)?;
         let was_slow = self.is_slow;
         self.is_slow = delay > slow_delay;
@@ -286,3 +281,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/placement_driver/mod.rs
+++ b/crates/node/src/placement_driver/mod.rs
@@ -5,6 +5,7 @@
 mod attempts;
 mod clock;
 mod command;
+mod delay_sample;
 mod endpoints;
 mod first_list;
 mod latency;
