Placement: the frequency of at most 50,000 groups is kept, however many clients name

Cause: GroupFrequency keeps a group that was seen once for 114 s, however many there are. The growth comes in doublings, as of one hash table.

Change: beyond 50,000 groups those that are not more frequent than the median are dropped. Below that, under some 400 new groups a second, all decisions are as before.

--- a/crates/placement/src/state/group_frequency.rs
+++ b/crates/placement/src/state/group_frequency.rs
@@ -6,6 +6,9 @@
 /// Groups with this many recent requests or fewer are dropped.
 const MIN_RECENT_REQUESTS: f64 = 0.1;
 
+/// The maximum number of groups. Guards against clients that send ever new groups.
+const MAX_GROUPS: usize = 50_000;
+
 /// Weight of the prior, in requests. The arrival of one request of a group gives as much evidence of the group's size
 /// as this many observed requests, because a request more likely belongs to a large group than to a small one.
 const PRIOR_REQUESTS: f64 = 5.0;
@@ -21,6 +24,9 @@
 impl GroupFrequency {
     pub(crate) fn record(&mut self, group: u32) {
         self.total += 1.0;
+        if self.by_group.len() >= MAX_GROUPS && !self.by_group.contains_key(&group) {
+            self.drop_less_frequent_half();
+        }
         *self.by_group.entry(group).or_default() += 1.0;
     }
 
@@ -39,6 +45,14 @@
         requests / (self.total + PRIOR_REQUESTS)
     }
 
+    /// Drops the groups that are not more frequent than the median, at least half of them.
+    fn drop_less_frequent_half(&mut self) {
+        let mut counts: Vec<f64> = self.by_group.values().copied().collect();
+        let middle = counts.len() / 2;
+        let (_, median, _) = counts.select_nth_unstable_by(middle, f64::total_cmp);
+        self.by_group.retain(|_, requests| *requests > *median);
+    }
+
     /// Decays the counts; called once per second.
     pub(crate) fn decay(&mut self) {
         self.total = decayed(self.total, SLOW_DECAY_PER_SECOND);
