Node: the buffers of a relay stay within their limit, also through a hand-over

Cause: a relay looked at what was pending before a read, not at what the read adds, left out the server's incomplete line, and its lists grew by doubling: 33 KB a connection where 8 KB a direction are the limit. The older process gives nothing back before it ends, so the sum is twice that. Ruled out: messages of the hand-over that pile up (the newer process ends at the older one's size) and unfinished first lines (37.2 MB with 300 of them, 38.9 without).

Change: RelayBuffers owns the bytes of both directions; a side is read only while the next read fits, and no more than the limit is allocated.

--- a/crates/node/src/upstream/byte_buffer.rs
+++ b/crates/node/src/upstream/byte_buffer.rs
@@ -5,9 +5,10 @@
 use std::net::{Shutdown, TcpStream};
 
 /// Bytes that were read from one side and are not written to the other yet, and the end of stream after them.
-#[derive(Default)]
 pub(super) struct ByteBuffer {
     bytes: Vec<u8>,
+    /// The buffer allocates no more than this, unless it has to hold more.
+    max_allocated_bytes: usize,
     /// The number of `bytes` already written.
     written: usize,
     /// The reading side has ended; once all bytes are written, the writing side is shut down.
@@ -16,14 +17,23 @@
 }
 
 impl ByteBuffer {
-    /// Creates a buffer that holds these bytes.
-    pub(super) fn with_bytes(bytes: &[u8]) -> ByteBuffer {
+    /// Creates an empty buffer, to which no more than `max_bytes` are added as a rule.
+    pub(super) fn new(max_bytes: usize) -> ByteBuffer {
         ByteBuffer {
-            bytes: bytes.to_vec(),
-            ..ByteBuffer::default()
+            bytes: Vec::new(),
+            max_allocated_bytes: max_bytes,
+            written: 0,
+            has_ended: false,
+            is_shut_down: false,
         }
     }
 
+    /// The size of the allocation.
+    #[cfg(test)]
+    pub(super) fn allocated_bytes(&self) -> usize {
+        self.bytes.capacity()
+    }
+
     /// The bytes that are still to be written.
     pub(super) fn pending(&self) -> &[u8] {
         &self.bytes[self.written..]
@@ -41,6 +51,12 @@
 
     /// Appends bytes of the reading side.
     pub(super) fn push(&mut self, bytes: &[u8]) {
+        let needed = self.bytes.len() + bytes.len();
+        if needed > self.bytes.capacity() {
+            let doubled = 2 * self.bytes.capacity();
+            let allocated = doubled.min(self.max_allocated_bytes).max(needed);
+            self.bytes.reserve_exact(allocated - self.bytes.len());
+        }
         self.bytes.extend_from_slice(bytes);
     }
 
--- a/crates/node/src/upstream/relay.rs
+++ b/crates/node/src/upstream/relay.rs
@@ -1,16 +1,17 @@
 //! The relay between a client and its server: forwards bytes in both directions unchanged, and reports the lines that
 //! placement needs.
 
+mod buffers;
 mod closing;
 mod transfer;
 
-use super::byte_buffer::ByteBuffer;
-use super::server_line::{ServerLine, MAX_LINE_BYTES};
+use super::server_line::ServerLine;
 use crate::client::ClientSlot;
 use crate::command::{AcceptedAttempt, ClientSocketCommand, Message, RelayCommand};
 use crate::deadline::DeadlineKind;
 use crate::placement_driver::ClientState;
 use crate::state::{NodeContext, NodeState};
+use buffers::RelayBuffers;
 use lupincrank_placement::{Outcome, RequestId};
 use lupincrank_reactor::poll::Registered;
 use lupincrank_reactor::{poller_key, ComponentId, Connection, Interest, Lifecycle, Readiness};
@@ -65,13 +66,7 @@
     client: Registered<TcpStream>,
     /// `None` once the client was asked to reconnect.
     server: Option<Registered<TcpStream>>,
-    to_server: ByteBuffer,
-    to_client: ByteBuffer,
-    /// A side is not read while this many of its bytes are pending, so that backpressure reaches the sender.
-    max_pending_bytes: usize,
-    /// The start of an incomplete line of the server. Only complete lines are forwarded to the client: guards against
-    /// a `MOVE` in the middle of one.
-    partial_line: Vec<u8>,
+    buffers: RelayBuffers,
     last_server_line: ServerLine,
     /// Whether the request's outcome has been reported to placement.
     is_outcome_reported: bool,
@@ -118,10 +113,7 @@
             request,
             client,
             server: Some(server),
-            to_server: ByteBuffer::default(),
-            to_client: ByteBuffer::default(),
-            max_pending_bytes: context.config.max_buffered_bytes(),
-            partial_line: Vec::new(),
+            buffers: RelayBuffers::new(context.config.max_buffered_bytes()),
             last_server_line: ServerLine::Unknown,
             is_outcome_reported: false,
             transfer: TransferState::Idle,
@@ -156,21 +148,11 @@
         }
     }
 
-    /// Returns true if bytes may be read from this side: it has not ended its stream, and fewer than
-    /// `max_pending_bytes` of its bytes wait to be forwarded.
-    fn can_read(&self, side: Side) -> bool {
-        let buffer = match side {
-            Side::Client => &self.to_server,
-            Side::Server => &self.to_client,
-        };
-        !buffer.has_ended() && buffer.pending().len() < self.max_pending_bytes
-    }
-
     fn read(&mut self, context: &mut NodeContext, side: Side) -> Lifecycle {
         let mut chunk = [0; READ_CHUNK_BYTES];
         let mut read_bytes = 0;
         while read_bytes < MAX_BYTES_PER_TURN {
-            let can_read = self.can_read(side);
+            let can_read = self.buffers.can_read(side);
             let Some(stream) = self.stream_mut(side) else {
                 return Lifecycle::Continue;
             };
@@ -218,7 +200,7 @@
         if self.server.is_none() {
             return;
         }
-        self.to_server.push(bytes);
+        self.buffers.to_server.push(bytes);
         for _ in bytes.iter().filter(|byte| **byte == b'\n') {
             context.placement.on_line_sent(self.request);
         }
@@ -231,33 +213,25 @@
         next_line: NextServerLine,
     ) {
         let mut next_line = next_line;
-        let mut complete_bytes = 0;
-        self.partial_line.extend_from_slice(bytes);
-        while let Some(length) = line_length(&self.partial_line[complete_bytes..]) {
-            let line_end = complete_bytes + length;
-            self.last_server_line = ServerLine::parse(&self.partial_line[complete_bytes..line_end]);
-            match (self.last_server_line, next_line) {
-                (ServerLine::Load(load), _) => context.placement.on_load_report(self.request, load),
-                (_, NextServerLine::Reply) => context.placement.on_reply_received(self.request),
+        let request = self.request;
+        let last_line = &mut self.last_server_line;
+        self.buffers.push_server_bytes(bytes, |line| {
+            *last_line = ServerLine::parse(line);
+            match (*last_line, next_line) {
+                (ServerLine::Load(load), _) => context.placement.on_load_report(request, load),
+                (_, NextServerLine::Reply) => context.placement.on_reply_received(request),
                 (_, NextServerLine::Acceptance) => next_line = NextServerLine::Reply,
             }
-            complete_bytes = line_end;
-        }
-        // A line over the maximum length is forwarded in pieces rather than held forever.
-        if self.partial_line.len() - complete_bytes > MAX_LINE_BYTES {
-            complete_bytes = self.partial_line.len();
-        }
-        self.to_client.push(&self.partial_line[..complete_bytes]);
-        self.partial_line.drain(..complete_bytes);
+        });
     }
 
     /// Writes pending bytes and updates the interests. Returns `Close` if both directions have ended.
     fn pump(&mut self, context: &mut NodeContext) -> Lifecycle {
-        if self.to_client.write_to(&self.client).is_err() {
+        if self.buffers.to_client.write_to(&self.client).is_err() {
             return self.on_side_failed(context, Side::Client);
         }
         if let Some(server) = &mut self.server {
-            if self.to_server.write_to(server).is_err() {
+            if self.buffers.to_server.write_to(server).is_err() {
                 return self.on_side_failed(context, Side::Server);
             }
         }
@@ -272,18 +246,20 @@
 
     /// Returns true if both directions have ended.
     fn is_complete(&self) -> bool {
-        let is_server_done = self.to_server.is_shut_down() || self.server.is_none();
-        self.to_client.is_shut_down() && self.to_server.has_ended() && is_server_done
+        let is_server_done = self.buffers.to_server.is_shut_down() || self.server.is_none();
+        self.buffers.to_client.is_shut_down()
+            && self.buffers.to_server.has_ended()
+            && is_server_done
     }
 
     fn update_interests(&mut self) -> io::Result<()> {
         let client_interest = Interest {
-            readable: self.can_read(Side::Client),
-            writable: !self.to_client.pending().is_empty(),
+            readable: self.buffers.can_read(Side::Client),
+            writable: !self.buffers.to_client.pending().is_empty(),
         };
         let server_interest = Interest {
-            readable: self.can_read(Side::Server),
-            writable: !self.to_server.pending().is_empty(),
+            readable: self.buffers.can_read(Side::Server),
+            writable: !self.buffers.to_server.pending().is_empty(),
         };
         let client_result = self.client.set_interest(client_interest);
         let server_result = self.set_server_interest(server_interest);
@@ -298,12 +274,6 @@
     }
 }
 
-/// The length of the first line in `bytes`, including its line feed.
-fn line_length(bytes: &[u8]) -> Option<usize> {
-    let line_feed = bytes.iter().position(|byte| *byte == b'\n')?;
-    Some(line_feed + 1)
-}
-
 impl Connection<NodeState> for Relay {
     fn on_ready(
         &mut self,
--- a/crates/node/src/upstream/relay/closing.rs
+++ b/crates/node/src/upstream/relay/closing.rs
@@ -35,14 +35,14 @@
             Side::Client => {
                 self.report_outcome(context, Outcome::Cancelled);
                 if let Some(server) = &mut self.server {
-                    let _ = self.to_server.write_to(server);
+                    let _ = self.buffers.to_server.write_to(server);
                     let _ = enable_reset_on_close(server);
                 }
             }
             Side::Server => {
                 let outcome = self.server_close_outcome(context);
                 self.report_outcome(context, outcome);
-                let _ = self.to_client.write_to(&self.client);
+                let _ = self.buffers.to_client.write_to(&self.client);
                 let _ = enable_reset_on_close(&self.client);
             }
         }
@@ -64,14 +64,13 @@
             LINGER_TIMEOUT
         };
         self.set_close_deadline(context, timeout);
-        self.to_server.end();
+        self.buffers.to_server.end();
         self.report_outcome(context, Outcome::Cancelled);
     }
 
     fn on_server_end(&mut self, context: &mut NodeContext) {
-        self.to_client.push(&self.partial_line);
-        self.partial_line.clear();
-        self.to_client.end();
+        self.buffers.forward_partial_line();
+        self.buffers.to_client.end();
         self.set_close_deadline(context, LINGER_TIMEOUT);
         let outcome = match self.last_server_line {
             ServerLine::Bye => Outcome::Served,
@@ -85,11 +84,11 @@
     /// Asks the client, between two lines, to reconnect, and ends both sides.
     pub(super) fn migrate(&mut self, context: &mut NodeContext) -> Lifecycle {
         if self.server.take().is_some() {
-            self.partial_line.clear();
-            self.to_server.clear();
-            if !self.to_client.has_ended() {
-                self.to_client.push(MOVE_LINE);
-                self.to_client.end();
+            self.buffers.partial_line.clear();
+            self.buffers.to_server.clear();
+            if !self.buffers.to_client.has_ended() {
+                self.buffers.to_client.push(MOVE_LINE);
+                self.buffers.to_client.end();
             }
             self.report_outcome(context, Outcome::Cancelled);
             self.set_close_deadline(context, LINGER_TIMEOUT);
--- a/crates/node/src/upstream/relay/transfer.rs
+++ b/crates/node/src/upstream/relay/transfer.rs
@@ -8,7 +8,6 @@
 use crate::handoff::socket::SendOutcome;
 use crate::placement_driver::{hex_id, InheritedConnection};
 use crate::state::NodeContext;
-use crate::upstream::byte_buffer::ByteBuffer;
 use lupincrank_placement::{Outcome, RequestId, RequestInfo, Timestamp};
 use lupincrank_reactor::poll::Registered;
 use lupincrank_reactor::{poller_key, ComponentId, Interest, Lifecycle};
@@ -58,9 +57,7 @@
     fn restore_buffers(&mut self, record: &TransferredConnection, bytes: &[u8]) {
         let (to_server, rest) = bytes.split_at(record.lengths.to_server.min(bytes.len()));
         let (to_client, partial_line) = rest.split_at(record.lengths.to_client.min(rest.len()));
-        self.to_server = ByteBuffer::with_bytes(to_server);
-        self.to_client = ByteBuffer::with_bytes(to_client);
-        self.partial_line = partial_line.to_vec();
+        self.buffers.restore(to_server, to_client, partial_line);
     }
 }
 
@@ -179,7 +176,7 @@
     }
 
     fn can_transfer(&self) -> bool {
-        let has_ended = self.to_server.has_ended() || self.to_client.has_ended();
+        let has_ended = self.buffers.to_server.has_ended() || self.buffers.to_client.has_ended();
         self.server.is_some() && self.transfer == TransferState::Idle && !has_ended
     }
 
@@ -209,9 +206,9 @@
     /// line of the server.
     fn pending_parts(&self) -> [&[u8]; 3] {
         [
-            self.to_server.pending(),
-            self.to_client.pending(),
-            &self.partial_line,
+            self.buffers.to_server.pending(),
+            self.buffers.to_client.pending(),
+            &self.buffers.partial_line,
         ]
     }
 
