Placement: the table of group frequencies does not double on x86-64 either

What clients see is up to 2 MB more memory.

Cause: the standard map marks a removed entry's place as unusable where its group of places is full, and doubles when no usable place is left, though fewer than 50,000 groups are kept. How many places a group has depends on the processor (16 with SSE2, 8 on arm64), so the doubling came on one kind and not on the other.

Change: when no usable place is left, the groups move to a new map that is sized for twice their number, 50,000 at most. A map of that size has at least 7,000 free places, which spreads the cost of a move.

--- a/crates/placement/src/state/group_frequency.rs
+++ b/crates/placement/src/state/group_frequency.rs
@@ -27,6 +27,7 @@
         if self.by_group.len() >= MAX_GROUPS && !self.by_group.contains_key(&group) {
             self.drop_less_frequent_half();
         }
+        self.reserve_group();
         *self.by_group.entry(group).or_default() += 1.0;
     }
 
@@ -45,6 +46,19 @@
         requests / (self.total + PRIOR_REQUESTS)
     }
 
+    /// Makes room for one more group. A removed group can leave its place unusable, and a standard map that has no
+    /// usable place left doubles, so the groups move to a new map of bounded size instead.
+    fn reserve_group(&mut self) {
+        let group_count = self.by_group.len();
+        if group_count < self.by_group.capacity() {
+            return;
+        }
+        let capacity = (2 * group_count).min(MAX_GROUPS);
+        let mut by_group = HashMap::with_capacity(capacity);
+        by_group.extend(self.by_group.drain());
+        self.by_group = by_group;
+    }
+
     /// Drops the groups that are not more frequent than the median, at least half of them.
     fn drop_less_frequent_half(&mut self) {
         let mut counts: Vec<f64> = self.by_group.values().copied().collect();
--- a/crates/placement/src/state/group_frequency/tests.rs
+++ b/crates/placement/src/state/group_frequency/tests.rs
@@ -40,6 +40,7 @@
         for group in 0..GROUPS_PER_SECOND {
             frequency.record(second * GROUPS_PER_SECOND + group);
             assert!(frequency.by_group.len() <= MAX_GROUPS);
+            assert!(frequency.by_group.capacity() <= 2 * MAX_GROUPS);
         }
         frequency.record(FREQUENT);
         frequency.decay();
