Node: both processes of an upgrade go by what discovery has told either of them

The same for servers that were removed, moved or replaced, and without an outage for a change that came on the watch of one of the two processes.

Cause: each process had an endpoint list of its own, which begins with `known` of the file. A process that discovery does not answer accepted clients by that list after 6 s, though the process beside it knew better.

Evidence: logs of both processes on a scratch copy of the case. The newer one asks from=2, the file's version, where the older one holds 3; both late attempts are in its log, none in the older one's. Ruled out: retries of the older one, a list that undid the drains, the learned state.

Change: each process sends the other its complete list (version, entries, and when discovery confirmed it) and then each change that discovery sends it; versions decide which list is newer. While discovery can't be reached, a list that it confirmed in the last 6 s counts as its answer; the wait for it ends 5.5 s after the start, as the yes is due within 6 s.

Why it works: a process holds every change that was told to either, and asks only for changes after a version whose entries it has.

a_successor_is_ready_in_time_without_discovery asked for clients only until the process was ready, which is at once now: it sends one before it looks for the first time, and keeps its bounds.

--- a/crates/node/src/deadline.rs
+++ b/crates/node/src/deadline.rs
@@ -62,6 +62,8 @@
     Heartbeat,
     /// The next processing of the queue of connections to transfer.
     TransferStep,
+    /// The next try to send the queued messages.
+    SendQueue,
 }
 
 /// Deadlines of the cluster agent.
--- a/crates/node/src/discovery/call.rs
+++ b/crates/node/src/discovery/call.rs
@@ -4,6 +4,7 @@
 use super::chunked::{BodyState, ChunkError, ChunkedDecoder};
 use super::endpoint_list::EndpointListError;
 use super::json_stream::{JsonStream, JsonStreamError};
+use super::merged_list::ListPosition;
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::Interest;
 use polling::Poller;
@@ -58,6 +59,10 @@
     /// The endpoint list can't be applied.
     #[error(transparent)]
     EndpointList(#[from] EndpointListError),
+    /// The complete list is older than what discovery told the other process of the node. Either it is late, or discovery
+    /// has begun its versions anew; the answer to a call from the newer version tells which.
+    #[error("list of discovery is older than that of the other process")]
+    OutdatedList,
 }
 
 /// The progress of a call.
@@ -116,13 +121,15 @@
 /// A call to discovery.
 pub(crate) struct Call {
     started_at: Instant,
+    /// The position from which the list is watched: the one in the request, then that of the last update.
+    position: ListPosition,
     stream: Registered<TcpStream>,
     unsent: Vec<u8>,
     phase: CallPhase,
 }
 
 impl Call {
-    /// Starts to connect, for a watch of the list from this version on. `key` is the socket's key in the poller.
+    /// Starts to connect, for a watch of the list from this position on. `key` is the socket's key in the poller.
     ///
     /// # Errors
     /// If the connection can't be started.
@@ -130,14 +137,16 @@
         poller: &Rc<Poller>,
         key: usize,
         address: SocketAddr,
-        version: u64,
+        position: ListPosition,
         now: Instant,
     ) -> io::Result<Call> {
+        let version = position.version;
         let request = format!(
             "GET /v1/endpoints?watch=1&from={version} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n"
         );
         Ok(Call {
             started_at: now,
+            position,
             stream: poll::connect(poller, address, key)?,
             unsent: request.into_bytes(),
             phase: CallPhase::Connecting,
@@ -149,6 +158,11 @@
         self.started_at
     }
 
+    /// The position from which the list is watched; advanced with each update.
+    pub(crate) fn position_mut(&mut self) -> &mut ListPosition {
+        &mut self.position
+    }
+
     /// Returns true while the connection is not established.
     pub(crate) fn is_connecting(&self) -> bool {
         matches!(self.phase, CallPhase::Connecting)
--- a/crates/node/src/discovery/client.rs
+++ b/crates/node/src/discovery/client.rs
@@ -2,13 +2,13 @@
 
 use super::call::{Call, DiscoveryError, WriteState};
 use super::chunked::BodyState;
-use super::endpoint_list::{EndpointListError, EndpointListUpdate};
-use super::endpoint_resolver::{listed_starts, EndpointResolver};
+use super::endpoint_list::EndpointListUpdate;
+use super::merged_list::{ListPosition, MergeOutcome};
 use crate::command::{DiscoveryCommand, HandoffCommand, Message};
 use crate::component::WellKnownComponent;
 use crate::config::Config;
 use crate::deadline::{DeadlineKind, DiscoveryDeadline};
-use crate::placement_driver::{EndpointListScope, EndpointListSource, PlacementDriver};
+use crate::handoff::endpoint_lists;
 use crate::state::{NodeContext, NodeState};
 use lupincrank_placement::poll_schedule;
 use lupincrank_reactor::poll::is_local_failure;
@@ -41,22 +41,13 @@
 /// The client of service discovery.
 pub(crate) struct DiscoveryClient {
     address: SocketAddr,
-    /// The version of the last applied endpoint list.
-    version: u64,
-    endpoint_resolver: EndpointResolver,
     /// The endpoint list of the configuration, until it is applied.
     known_list: Option<EndpointListUpdate>,
     /// The second call is made if the first is unanswered. The first call to receive an empty line or a complete object
     /// becomes the watch, and the other one is closed.
     calls: [Option<Call>; CALL_SLOTS],
-    /// The last time when discovery sent complete data, or refused, failed or closed a call. No change before that time
-    /// counts as missed.
-    last_contact: Instant,
     /// Number of consecutive calls that failed for a local reason.
     local_failures: u32,
-    /// A watch has received complete data, if only an empty line. A server that is then listed for the first time has
-    /// started since the last contact.
-    has_received_watch_data: bool,
 }
 
 impl DiscoveryClient {
@@ -64,13 +55,9 @@
     pub(crate) fn new(config: &Config) -> DiscoveryClient {
         DiscoveryClient {
             address: config.discovery_address,
-            version: 0,
-            endpoint_resolver: EndpointResolver::new(config),
             known_list: config.known_endpoints.clone(),
             calls: [None, None],
-            last_contact: Instant::now(),
             local_failures: 0,
-            has_received_watch_data: false,
         }
     }
 
@@ -84,41 +71,16 @@
         let Some(known_list) = self.known_list.take() else {
             return;
         };
-        if let Err(error) = self.apply_update(
-            &mut context.placement,
-            &known_list,
-            EndpointListSource::Cache,
-        ) {
+        let NodeState {
+            placement,
+            endpoint_list,
+            ..
+        } = &mut context.application;
+        if let Err(error) = endpoint_list.apply_known(placement, &known_list) {
             warn!(context.log, "known endpoint list rejected"; "error" => %error);
         }
     }
 
-    fn apply_update(
-        &mut self,
-        placement: &mut PlacementDriver,
-        update: &EndpointListUpdate,
-        source: EndpointListSource,
-    ) -> Result<(), EndpointListError> {
-        update.check()?;
-        let not_listed_at = self.has_received_watch_data.then_some(self.last_contact);
-        let scope = if update.is_complete {
-            EndpointListScope::Complete
-        } else {
-            EndpointListScope::Changes
-        };
-        if not_listed_at.is_none() && source == EndpointListSource::Discovery {
-            placement.on_first_list(listed_starts(update), scope);
-        }
-        let mut endpoints = Vec::with_capacity(update.endpoints.len());
-        for endpoint in &update.endpoints {
-            let resolver = &mut self.endpoint_resolver;
-            endpoints.push(resolver.resolve(placement, endpoint, not_listed_at)?);
-        }
-        self.version = update.version;
-        placement.apply_endpoint_list(endpoints, scope, source);
-        Ok(())
-    }
-
     /// Makes a call. If it can't be started, it has failed, unless the reason is local and temporary.
     fn call(&mut self, context: &mut NodeContext) {
         match self.start_call(context) {
@@ -128,7 +90,7 @@
             }
             Err(error) if is_local_failure(&error) && self.local_failures < MAX_LOCAL_FAILURES => {
                 self.local_failures += 1;
-                self.log_failure(context, &error.into());
+                Self::log_failure(context, &error.into());
                 let retry_at = Instant::now() + LOCAL_FAILURE_BACKOFF;
                 set_deadline(context, DiscoveryDeadline::RetryCall, retry_at);
             }
@@ -144,12 +106,13 @@
         let slot = self.slot_for_new_call();
         self.close_call(context, slot);
         let now = Instant::now();
-        let timeout =
-            poll_schedule::unanswered_call_timeout(now - self.last_contact, self.has_call());
+        let since_contact = context.endpoint_list.time_since_contact();
+        let timeout = poll_schedule::unanswered_call_timeout(since_contact, self.has_call());
         set_deadline(context, DiscoveryDeadline::SecondCall, now + timeout);
-        debug!(context.log, "calling discovery"; "seq" => self.version, "beside" => self.has_call());
+        let position = context.endpoint_list.position();
+        debug!(context.log, "calling discovery"; "seq" => position.version, "beside" => self.has_call());
         let key = poller_key(WellKnownComponent::Discovery.id(), slot);
-        let call = Call::start(&context.poller, key, self.address, self.version, now)?;
+        let call = Call::start(&context.poller, key, self.address, position, now)?;
         self.calls[slot] = Some(call);
         set_deadline(
             context,
@@ -175,15 +138,16 @@
 
     /// Handles the failure of a call, which is already closed. A parallel call continues.
     fn on_failure(&mut self, context: &mut NodeContext, error: &DiscoveryError) {
-        self.log_failure(context, error);
+        Self::log_failure(context, error);
         if !self.has_call() {
             clear_deadline(context, DiscoveryDeadline::SecondCall);
             context.placement.on_watch_failed();
         }
     }
 
-    fn log_failure(&self, context: &NodeContext, error: &DiscoveryError) {
-        warn!(context.log, "discovery failed"; "error" => %error, "seq" => self.version);
+    fn log_failure(context: &NodeContext, error: &DiscoveryError) {
+        let version = context.endpoint_list.position().version;
+        warn!(context.log, "discovery failed"; "error" => %error, "seq" => version);
     }
 
     /// Handles the readiness of a call's socket.
@@ -236,7 +200,8 @@
         let Some(start) = call.receive_head(bytes)? else {
             return Ok(());
         };
-        debug!(context.log, "endpoint watch established"; "seq" => self.version);
+        let version = context.endpoint_list.position().version;
+        debug!(context.log, "endpoint watch established"; "seq" => version);
         if let Some(date) = start.date {
             context.placement.on_discovery_date(date);
         }
@@ -289,11 +254,7 @@
             };
             let update: EndpointListUpdate = serde_json::from_slice(&object)?;
             info!(context.log, "endpoint list changed"; "seq" => update.version, "entries" => update.endpoints.len());
-            self.apply_update(
-                &mut context.placement,
-                &update,
-                EndpointListSource::Discovery,
-            )?;
+            apply_update(context, &update, call.position_mut())?;
             has_update = true;
         }
         Ok(has_update)
@@ -301,8 +262,9 @@
 
     /// Handles complete data from a watch: a parallel call is closed, as it is not needed.
     fn on_watch_data(&mut self, context: &mut NodeContext, slot: usize) {
-        self.last_contact = Instant::now();
-        self.has_received_watch_data = true;
+        if context.endpoint_list.on_watch_data() {
+            endpoint_lists::share_complete_list(context);
+        }
         let other_slot = CALL_SLOTS - 1 - slot;
         self.close_call(context, other_slot);
         clear_deadline(context, DiscoveryDeadline::SecondCall);
@@ -323,15 +285,16 @@
             return self.on_failure(context, &DiscoveryError::TimedOut);
         }
         if was_watching {
-            warn!(context.log, "endpoint watch fell silent"; "seq" => self.version);
+            let version = context.endpoint_list.position().version;
+            warn!(context.log, "endpoint watch fell silent"; "seq" => version);
             clear_deadline(context, DiscoveryDeadline::SecondCall);
             context.placement.on_watch_stalled();
             return;
         }
         // Discovery has neither refused nor closed the call, so changes may have been missed since the last contact.
-        let since_contact = self.last_contact.elapsed();
+        let since_contact = context.endpoint_list.time_since_contact();
         if was_connecting && poll_schedule::reconnects_immediately(since_contact) {
-            self.log_failure(context, &DiscoveryError::TimedOut);
+            Self::log_failure(context, &DiscoveryError::TimedOut);
             self.call(context);
             return;
         }
@@ -348,6 +311,28 @@
     }
 }
 
+/// Applies an update that a watch has received, and passes it on to the other process of the node. `watch` is the
+/// position of the watch before the update, and is advanced.
+fn apply_update(
+    context: &mut NodeContext,
+    update: &EndpointListUpdate,
+    watch: &mut ListPosition,
+) -> Result<(), DiscoveryError> {
+    let NodeState {
+        placement,
+        endpoint_list,
+        ..
+    } = &mut context.application;
+    let previous = endpoint_list.position();
+    let outcome = endpoint_list.apply_discovery_update(placement, update, watch)?;
+    match outcome {
+        MergeOutcome::Merged => endpoint_lists::share_update(context, update, previous),
+        MergeOutcome::Outdated if update.is_complete => return Err(DiscoveryError::OutdatedList),
+        MergeOutcome::Outdated => {}
+    }
+    Ok(())
+}
+
 fn set_deadline(context: &mut NodeContext, deadline: DiscoveryDeadline, expires_at: Instant) {
     context.deadlines.set(
         WellKnownComponent::Discovery.id(),
@@ -370,7 +355,7 @@
         _readiness: Readiness,
     ) -> Lifecycle {
         if let Err(error) = self.on_call_ready(context, socket) {
-            self.last_contact = Instant::now();
+            context.endpoint_list.on_contact();
             self.close_call(context, socket);
             self.on_failure(context, &error);
         }
--- a/crates/node/src/discovery/endpoint_list.rs
+++ b/crates/node/src/discovery/endpoint_list.rs
@@ -1,7 +1,7 @@
 //! The endpoint list in the format of discovery.
 
 use lupincrank_placement::Health;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use thiserror::Error;
 
@@ -27,7 +27,7 @@
 }
 
 /// A complete endpoint list or a change of it.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 pub(crate) struct EndpointListUpdate {
     /// The version of the list after this update.
     #[serde(rename = "seq")]
@@ -46,16 +46,12 @@
     /// # Errors
     /// If an endpoint has an invalid address or an unknown health; the error names the first one.
     pub(crate) fn check(&self) -> Result<(), EndpointListError> {
-        for endpoint in &self.endpoints {
-            endpoint.dial_address()?;
-            endpoint.parsed_health()?;
-        }
-        Ok(())
+        self.endpoints.iter().try_for_each(ListedEndpoint::check)
     }
 }
 
 /// One endpoint, in the format of discovery.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct ListedEndpoint {
     /// The server's id.
     #[serde(rename = "host")]
@@ -83,6 +79,16 @@
 }
 
 impl ListedEndpoint {
+    /// Checks that the endpoint can be applied.
+    ///
+    /// # Errors
+    /// If its address is invalid or its health unknown.
+    pub(crate) fn check(&self) -> Result<(), EndpointListError> {
+        self.dial_address()?;
+        self.parsed_health()?;
+        Ok(())
+    }
+
     /// Parses the address at which this node reaches the server.
     ///
     /// # Errors
--- a/crates/node/src/discovery/endpoint_resolver.rs
+++ b/crates/node/src/discovery/endpoint_resolver.rs
@@ -1,6 +1,6 @@
 //! Converts entries of the endpoint list into the endpoints that placement uses.
 
-use super::endpoint_list::{name_index, EndpointListError, EndpointListUpdate, ListedEndpoint};
+use super::endpoint_list::{name_index, EndpointListError, ListedEndpoint};
 use crate::config::Config;
 use crate::placement_driver::{ListedStart, PlacementDriver, ResolvedEndpoint};
 use lupincrank_placement::{Endpoint, ServerId};
@@ -52,8 +52,10 @@
 }
 
 /// Returns the start times of the servers of a list, except for servers with an unknown health.
-pub(super) fn listed_starts(update: &EndpointListUpdate) -> impl Iterator<Item = ListedStart> + '_ {
-    update.endpoints.iter().filter_map(|endpoint| {
+pub(super) fn listed_starts(
+    endpoints: &[ListedEndpoint],
+) -> impl Iterator<Item = ListedStart> + '_ {
+    endpoints.iter().filter_map(|endpoint| {
         Some(ListedStart {
             server: ServerId::from(endpoint.server.as_str()),
             health: endpoint.parsed_health().ok()?,
--- a/crates/node/src/handoff/agent.rs
+++ b/crates/node/src/handoff/agent.rs
@@ -4,7 +4,7 @@
 use super::peer_process::{ConnectedPeer, PeerProcess};
 use super::socket::{HandoffSocket, PeerConnection};
 use super::transfer::MAX_IN_FLIGHT;
-use super::{claim_queries, incoming};
+use super::{claim_queries, endpoint_lists, incoming};
 use crate::command::{HandoffCommand, Message};
 use crate::deadline::{DeadlineKind, HandoffDeadline};
 use crate::state::{NodeContext, NodeState};
@@ -75,6 +75,9 @@
         match kind {
             DeadlineKind::Handoff(HandoffDeadline::Heartbeat) => run_heartbeat(context),
             DeadlineKind::Handoff(HandoffDeadline::TransferStep) => step_transfer(context),
+            DeadlineKind::Handoff(HandoffDeadline::SendQueue) => {
+                endpoint_lists::continue_sending(context);
+            }
             _ => {}
         }
         Lifecycle::Continue
--- a/crates/node/src/handoff/incoming.rs
+++ b/crates/node/src/handoff/incoming.rs
@@ -1,6 +1,7 @@
 //! Handles the messages from the other process.
 
 use super::claim_queries;
+use super::endpoint_lists::{self, share_complete_list};
 use super::lifecycle::{
     on_peer_lost, reload_drained_servers, send_heartbeat, start_handover, start_next_transfers,
     PeerLossReason,
@@ -48,6 +49,7 @@
         HandoffMessage::Rejected(number) => on_answer(context, number, TransferAnswer::Rejected),
         HandoffMessage::ClaimQuery(query) => claim_queries::on_query(context, query),
         HandoffMessage::ClaimReport(report) => claim_queries::on_report(context, report),
+        HandoffMessage::EndpointList(part) => endpoint_lists::on_part(context, part),
     }
 }
 
@@ -58,9 +60,11 @@
     let PeerProcess::Connected(peer) = &mut context.handoff.peer else {
         return;
     };
-    let accepts_clients_before = peer.heartbeat.accepts_clients;
-    peer.heartbeat = heartbeat;
-    if heartbeat.accepts_clients != accepts_clients_before {
+    let previous = std::mem::replace(&mut peer.heartbeat, heartbeat);
+    if heartbeat.shares_endpoint_lists && !previous.shares_endpoint_lists {
+        share_complete_list(context);
+    }
+    if heartbeat.accepts_clients != previous.accepts_clients {
         send_heartbeat(context);
     }
     // SIGTERM may have been received before the successor was able to serve clients.
--- a/crates/node/src/handoff/lifecycle.rs
+++ b/crates/node/src/handoff/lifecycle.rs
@@ -108,6 +108,7 @@
         unidentified_count: context.unidentified_clients.len(),
         accepts_clients,
         answers_claim_queries: true,
+        shares_endpoint_lists: true,
     };
     context.handoff.send(&HandoffMessage::Heartbeat(heartbeat));
     let both_accept = accepts_clients && context.handoff.peer_heartbeat().accepts_clients;
--- a/crates/node/src/handoff/message.rs
+++ b/crates/node/src/handoff/message.rs
@@ -1,7 +1,9 @@
 //! The messages between two processes of one node, encoded as JSON. The two processes may run different builds, so the
 //! JSON names must not change.
 
+use super::machine_time::MachineTime;
 use super::request_table::ClientCounts;
+use crate::discovery::endpoint_list::ListedEndpoint;
 use lupincrank_placement::learned_state::LearnedServer;
 use serde::{Deserialize, Serialize};
 use std::ops::Not;
@@ -41,6 +43,10 @@
     /// The answer to a query.
     #[serde(rename = "Held")]
     ClaimReport(ClaimReport),
+    /// A part of the sender's endpoint list, or of changes that discovery has sent it. Sent only to a process whose
+    /// heartbeat says that it shares its list.
+    #[serde(rename = "List")]
+    EndpointList(EndpointListPart),
 }
 
 /// The state that a process reports periodically.
@@ -60,6 +66,10 @@
     /// The process answers [`HandoffMessage::ClaimQuery`]. Builds that do not know this message omit the field.
     #[serde(rename = "confirms", default, skip_serializing_if = "Not::not")]
     pub(crate) answers_claim_queries: bool,
+    /// The process sends and receives [`HandoffMessage::EndpointList`]. Builds that do not know this message omit the
+    /// field.
+    #[serde(rename = "lists", default, skip_serializing_if = "Not::not")]
+    pub(crate) shares_endpoint_lists: bool,
 }
 
 impl From<Heartbeat> for ClientCounts {
@@ -90,6 +100,31 @@
     pub(crate) is_in_use: bool,
 }
 
+/// A part of an endpoint list. All parts of a list but for `index` and `endpoints` are alike.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct EndpointListPart {
+    /// How often discovery was seen to begin its versions anew.
+    pub(crate) generation: u32,
+    /// Discovery's version of the sender's list.
+    #[serde(rename = "seq")]
+    pub(crate) version: u64,
+    /// For changes, the version of the sender's list before them; `None` for a complete list.
+    #[serde(rename = "after")]
+    pub(crate) previous_version: Option<u64>,
+    /// When discovery confirmed the list.
+    #[serde(rename = "confirmed_ns")]
+    pub(crate) confirmed_at: MachineTime,
+    /// The number of this part, from 0.
+    #[serde(rename = "part")]
+    pub(crate) index: u32,
+    /// The number of parts.
+    #[serde(rename = "parts")]
+    pub(crate) count: u32,
+    /// The endpoints of this part.
+    #[serde(rename = "hosts")]
+    pub(crate) endpoints: Vec<ListedEndpoint>,
+}
+
 /// An offered connection and its number, encoded as a JSON array of number and connection.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(
--- a/crates/node/src/handoff/mod.rs
+++ b/crates/node/src/handoff/mod.rs
@@ -1,20 +1,24 @@
 //! The handoff between two processes of one node: detects the other process, shares the admin drains and the
-//! request ids in use, and transfers the connections of the older process to its successor. A node whose client listener is not inherited has a single process
-//! and creates no file, lock or socket.
+//! request ids in use and the endpoint list, and transfers the connections of the older process to its successor. A node
+//! whose client listener is not inherited has a single process and creates no file, lock or socket.
 
 pub(crate) mod admin_drain_file;
 mod agent;
 pub(crate) mod claim_queries;
 pub(crate) mod client_counts;
+pub(crate) mod endpoint_lists;
 mod executed_requests;
 mod incoming;
 mod inherited_listener;
 mod lifecycle;
+mod list_parts;
+mod machine_time;
 pub(crate) mod message;
 pub(crate) mod peer_process;
 pub(crate) mod request_claims;
 pub(crate) mod request_table;
 mod runtime_files;
+mod send_queue;
 pub(crate) mod socket;
 mod transfer;
 mod unanswered_queries;
--- a/crates/node/src/handoff/socket/tests.rs
+++ b/crates/node/src/handoff/socket/tests.rs
@@ -1,7 +1,8 @@
 use super::*;
+use crate::discovery::endpoint_list::ListedEndpoint;
 use crate::handoff::message::{
-    BufferLengths, ClaimQuery, ClaimReport, ConnectionTransfer, Heartbeat, TransferredConnection,
-    UnidentifiedClientTransfer, PROTOCOL_VERSION,
+    BufferLengths, ClaimQuery, ClaimReport, ConnectionTransfer, EndpointListPart, Heartbeat,
+    TransferredConnection, UnidentifiedClientTransfer, PROTOCOL_VERSION,
 };
 use lupincrank_placement::learned_state::LearnedServer;
 use rstest::rstest;
@@ -18,11 +19,54 @@
 /// A heartbeat as builds send it that answer no claim queries, or as those that do.
 fn heartbeat(answers_claim_queries: bool) -> HandoffMessage {
     HandoffMessage::Heartbeat(Heartbeat {
+        answers_claim_queries,
+        shares_endpoint_lists: false,
+        ..heartbeat_with_endpoint_lists()
+    })
+}
+
+/// A heartbeat as builds send it that share their endpoint lists.
+fn heartbeat_with_endpoint_lists() -> Heartbeat {
+    Heartbeat {
         version: PROTOCOL_VERSION,
         client_count: 50,
         unidentified_count: 3,
         accepts_clients: true,
-        answers_claim_queries,
+        answers_claim_queries: true,
+        shares_endpoint_lists: true,
+    }
+}
+
+/// Changes that discovery told at version 43.
+fn endpoint_list_part() -> HandoffMessage {
+    let drained = ListedEndpoint {
+        server: "s-1".into(),
+        address: "127.0.0.1:8000".into(),
+        zone: Some("a".into()),
+        machine_kind: Some("m2".into()),
+        cell: Some(3),
+        health: "DRAINING".into(),
+        weight: Some(0.5),
+        started_at_ms: Some(1_700_000_000_000),
+    };
+    let removed = ListedEndpoint {
+        server: "s \"2\"".into(),
+        address: "127.0.0.1:8001".into(),
+        zone: None,
+        machine_kind: None,
+        cell: None,
+        health: "DELETED".into(),
+        weight: None,
+        started_at_ms: None,
+    };
+    HandoffMessage::EndpointList(EndpointListPart {
+        generation: 1,
+        version: 43,
+        previous_version: Some(41),
+        confirmed_at: serde_json::from_str("1500000000").unwrap(),
+        index: 0,
+        count: 1,
+        endpoints: vec![drained, removed],
     })
 }
 
@@ -97,7 +141,8 @@
     })
 }
 
-/// The fixtures were written by revision c925b3d, those about claims by the first revision with these messages. They fix the format of the messages, which two processes of
+/// The fixtures were written by revision c925b3d, those about claims and endpoint lists by the first revision with these
+/// messages. They fix the format of the messages, which two processes of
 /// different builds exchange during a handoff.
 #[rstest]
 #[case::heartbeat(heartbeat(false), "", include_bytes!("../fixtures/heartbeat.bin"))]
@@ -129,6 +174,12 @@
     "",
     include_bytes!("../fixtures/claim_report.bin")
 )]
+#[case::heartbeat_with_endpoint_lists(
+    HandoffMessage::Heartbeat(heartbeat_with_endpoint_lists()),
+    "",
+    include_bytes!("../fixtures/heartbeat_with_endpoint_lists.bin")
+)]
+#[case::endpoint_list(endpoint_list_part(), "", include_bytes!("../fixtures/endpoint_list.bin"))]
 #[case::accepted(HandoffMessage::Accepted(7), "", include_bytes!("../fixtures/accepted.bin"))]
 #[case::rejected(HandoffMessage::Rejected(8), "", include_bytes!("../fixtures/rejected.bin"))]
 fn a_message_is_read_and_written_as_by_earlier_builds(
--- a/crates/node/src/placement_driver/endpoints.rs
+++ b/crates/node/src/placement_driver/endpoints.rs
@@ -3,6 +3,7 @@
 
 use super::first_list::{FirstListStarts, ListedStart, StartEvidence};
 use super::PlacementDriver;
+use crate::discovery::endpoint_list::EndpointListUpdate;
 use lupincrank_placement::learned_state::LearnedServer;
 use lupincrank_placement::{Endpoint, Event, Health, ServerId, Timestamp};
 use slog::{info, warn};
@@ -10,8 +11,13 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime};
 
-/// A node that has just started waits at most this long for discovery's list before it accepts clients.
-const MAX_ENDPOINT_LIST_WAIT: Duration = Duration::from_secs(6);
+/// A node that has just started waits at most this long for discovery's list before it accepts clients, as it has to be
+/// ready within 6 s.
+const MAX_ENDPOINT_LIST_WAIT: Duration = Duration::from_millis(5500);
+
+/// Discovery's changes count as known to the node at most this long after it could be reached, so a list that discovery
+/// confirmed within this time lacks none that the node has to know.
+pub(crate) const MAX_CURRENT_LIST_AGE: Duration = Duration::from_secs(6);
 
 /// One entry of an endpoint list.
 pub(crate) struct ResolvedEndpoint {
@@ -30,6 +36,16 @@
     Changes,
 }
 
+impl From<&EndpointListUpdate> for EndpointListScope {
+    fn from(update: &EndpointListUpdate) -> EndpointListScope {
+        if update.is_complete {
+            EndpointListScope::Complete
+        } else {
+            EndpointListScope::Changes
+        }
+    }
+}
+
 /// The source of an endpoint list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum EndpointListSource {
@@ -37,6 +53,8 @@
     Discovery,
     /// The configuration; this list may be out of date.
     Cache,
+    /// The other process of this node.
+    PeerProcess,
 }
 
 /// The reason why clients cannot be accepted with the present endpoint list.
@@ -82,7 +100,7 @@
         self.feed(match scope {
             EndpointListScope::Complete => Event::EndpointList {
                 entries,
-                cached: source == EndpointListSource::Cache,
+                cached: source != EndpointListSource::Discovery,
             },
             EndpointListScope::Changes => Event::EndpointChange(entries),
         });
@@ -109,6 +127,11 @@
         self.has_discovery_answered = true;
     }
 
+    /// Records that the other process of this node has passed on its list, which discovery confirmed at this time.
+    pub(crate) fn on_peer_list(&mut self, confirmed_at: Instant) {
+        self.peer_list_confirmed_at = self.peer_list_confirmed_at.max(Some(confirmed_at));
+    }
+
     /// Handles the wall clock time that discovery reports, which has a resolution of one second.
     pub(crate) fn on_discovery_date(&mut self, date: SystemTime) {
         self.start_evidence = StartEvidence::Corroborated;
@@ -157,18 +180,20 @@
 
     /// Handles a failed call to discovery or a broken watch.
     pub(crate) fn on_watch_failed(&mut self) {
+        self.has_discovery_failed = true;
         self.feed(Event::EndpointWatchFailed);
     }
 
     /// Returns `Ok` if clients may be accepted: discovery has answered, and a server accepts new connections. Guards
     /// against a node that starts during a rolling deployment and sends its clients to servers that were replaced
-    /// long ago, although other nodes have a newer list. If discovery does not answer in time, the list in the
-    /// configuration is used.
+    /// long ago, although other nodes have a newer list. If discovery can't be reached, a current list of the other
+    /// process of this node will do; if it does not answer in time, any list.
     ///
     /// # Errors
     /// The reason why clients cannot be accepted.
     pub(crate) fn check_endpoint_list(&self) -> Result<(), EndpointAvailabilityError> {
-        if !self.has_discovery_answered && self.clock.elapsed() <= MAX_ENDPOINT_LIST_WAIT {
+        let has_waited = self.clock.elapsed() > MAX_ENDPOINT_LIST_WAIT;
+        if !self.has_discovery_answered && !self.has_current_peer_list() && !has_waited {
             return Err(EndpointAvailabilityError::NotReceived);
         }
         if self.ready_servers().next().is_none() {
@@ -177,6 +202,14 @@
         Ok(())
     }
 
+    /// Returns true if discovery can't be reached, and the other process of this node has passed on a current list.
+    fn has_current_peer_list(&self) -> bool {
+        let is_current = self
+            .peer_list_confirmed_at
+            .is_some_and(|confirmed_at| confirmed_at.elapsed() <= MAX_CURRENT_LIST_AGE);
+        self.has_discovery_failed && is_current
+    }
+
     /// The servers that accept new connections according to the endpoint list.
     fn ready_servers(&self) -> impl Iterator<Item = &ServerId> {
         self.endpoints
--- a/crates/node/src/placement_driver/mod.rs
+++ b/crates/node/src/placement_driver/mod.rs
@@ -19,6 +19,7 @@
 pub(crate) use command::{AttemptOrder, Command};
 pub(crate) use endpoints::{
     EndpointAvailabilityError, EndpointListScope, EndpointListSource, ResolvedEndpoint,
+    MAX_CURRENT_LIST_AGE,
 };
 pub(crate) use first_list::ListedStart;
 pub(crate) use request::hex_id;
@@ -37,7 +38,7 @@
 use slog::{debug, Logger};
 use start_times::StartTimes;
 use std::collections::{BTreeMap, HashMap, VecDeque};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The node's [`Balancer`] with the active requests and the known servers.
 pub(crate) struct PlacementDriver {
@@ -51,6 +52,10 @@
     start_times: StartTimes,
     /// Whether discovery has answered since this process started.
     has_discovery_answered: bool,
+    /// Whether a call to discovery has failed since this process started.
+    has_discovery_failed: bool,
+    /// When discovery confirmed the list that the other process of this node has passed on.
+    peer_list_confirmed_at: Option<Instant>,
     start_evidence: StartEvidence,
     slow_start_duration: Duration,
     latencies: BTreeMap<ServerId, UpstreamLatency>,
@@ -82,6 +87,8 @@
             endpoints: HashMap::new(),
             start_times: StartTimes::default(),
             has_discovery_answered: false,
+            has_discovery_failed: false,
+            peer_list_confirmed_at: None,
             start_evidence: StartEvidence::WallClock,
             slow_start_duration: settings.slow_start_duration,
             latencies: BTreeMap::new(),
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -4,6 +4,7 @@
 use crate::cluster_agent::agent::ClusterAgent;
 use crate::command::ExitScope;
 use crate::config::Config;
+use crate::discovery::endpoint_list_state::EndpointListState;
 use crate::handoff::client_counts::SharedClientCounts;
 use crate::handoff::peer_process::HandoffState;
 use crate::handoff::request_claims::RequestClaims;
@@ -51,6 +52,8 @@
 pub(crate) struct NodeState {
     /// The placement module and the active requests.
     pub(crate) placement: PlacementDriver,
+    /// The endpoint list of this process.
+    pub(crate) endpoint_list: EndpointListState,
     /// The configuration in use.
     pub(crate) config: Config,
     /// The logger.
@@ -89,6 +92,7 @@
         NodeState {
             shared_client_counts: SharedClientCounts::new(claims.tables()),
             placement: PlacementDriver::new(&config, log.clone()),
+            endpoint_list: EndpointListState::new(&config),
             handoff: HandoffState::new(config.listen_address, config.inherited_descriptor),
             config,
             log,
--- a/crates/node/tests/operation_limits.rs
+++ b/crates/node/tests/operation_limits.rs
@@ -216,7 +216,9 @@
     let started_at = Instant::now();
     let mut answers = BTreeMap::new();
     let mut clients = Vec::new();
-    while rig.admin_call("check\r\n") != "done" {
+    // A successor that is ready at once is to be met by a client too.
+    let mut is_ready = false;
+    while !is_ready {
         let (mut client, _) = rig.send_request(&format!("d=2000,g={}", clients.len()));
         let answer = client.try_receive().unwrap_or_default();
         *answers
@@ -225,6 +227,7 @@
         clients.push(client);
         std::thread::sleep(Duration::from_millis(20));
         assert!(started_at.elapsed() < Duration::from_secs(7), "not ready");
+        is_ready = rig.admin_call("check\r\n") == "done";
     }
     assert!(
         started_at.elapsed() < Duration::from_millis(6500),
