Node: what was learned of thousands of servers reaches the successor

The newer process of a node with 2,000 servers or more imports nothing of what the older one learned (ejections, limits, starts), so it sends to servers that the node had ejected a moment before.

Cause: all records went in one packet, which can be no longer than the socket's buffer (212,992 bytes here). The failure was a line at debug level, and so was a full buffer.

Evidence: on the older process logs `learned state not sent` with 3,200 servers, and the newer one no import; with 1,000 it works (reviewer). Ruled out: a buffer that is full for a moment, records that the newer process drops.

Change: records go in messages of some 32 KiB, in their old format, and wait in the queue while the buffer is full. The connections wait for the queue, and so does the end of the process.

--- a/crates/node/src/handoff/lifecycle.rs
+++ b/crates/node/src/handoff/lifecycle.rs
@@ -1,7 +1,9 @@
 //! The steps of a handoff: startup, heartbeats, the transfer of connections, and the loss of the other process.
 
-use super::message::{HandoffMessage, Heartbeat, PROTOCOL_VERSION};
+use super::message::{HandoffMessage, Heartbeat, LearnedServerRecord, PROTOCOL_VERSION};
+use super::packet_size::group_by_size;
 use super::peer_process::PeerProcess;
+use super::send_queue::send_queued;
 use crate::command::{ListenerCommand, TransferCommand};
 use crate::component::WellKnownComponent;
 use crate::deadline::HandoffDeadline;
@@ -131,8 +133,11 @@
     }
 }
 
-/// Starts the transfers of the next queued connections.
+/// Starts the transfers of the next queued connections, once the successor has been sent what it needs to serve them.
 pub(super) fn start_next_transfers(context: &mut NodeContext) {
+    if context.handoff.has_queued_messages() {
+        return;
+    }
     for id in context.handoff.transfers.next_batch() {
         context.send(id, TransferCommand::Start);
     }
@@ -207,13 +212,14 @@
     }
 }
 
+/// Sends what this process has learned of the servers, in as many messages as it takes.
 fn send_learned_state(context: &mut NodeContext) {
     let learned = context.placement.learned_servers();
     let records = learned.into_iter().map(Into::into).collect();
-    let message = HandoffMessage::LearnedState(records);
-    if !context.handoff.send(&message) {
-        debug!(context.log, "learned state not sent");
-    }
+    let groups = group_by_size(records, LearnedServerRecord::estimated_bytes);
+    let messages = groups.into_iter().map(HandoffMessage::LearnedState);
+    context.handoff.queue(messages);
+    send_queued(context);
 }
 
 fn send_listener_command(context: &mut NodeContext, command: ListenerCommand) {
--- a/crates/node/src/handoff/list_parts.rs
+++ b/crates/node/src/handoff/list_parts.rs
@@ -2,13 +2,11 @@
 
 use super::machine_time::MachineTime;
 use super::message::EndpointListPart;
+use super::packet_size::group_by_size;
 use crate::discovery::endpoint_list::ListedEndpoint;
 use crate::discovery::merged_list::{ListPosition, SharedUpdate};
 use std::mem;
 
-/// Target for the size of a part, in bytes. A part exceeds it by at most one endpoint, which leaves room to the limits of
-/// a packet and of a socket's buffer.
-const PART_BYTES: usize = 32 << 10;
 /// Maximum number of parts: a list that needs more is longer than one that discovery can send.
 const MAX_PARTS: u32 = 256;
 /// The size of an endpoint in a message, without its texts.
@@ -31,7 +29,7 @@
         generation,
         version,
     } = update.position;
-    let groups = group_by_size(update.endpoints);
+    let groups = group_by_size(update.endpoints, estimated_bytes);
     let count = u32::try_from(groups.len()).ok()?;
     if count > MAX_PARTS {
         return None;
@@ -50,22 +48,6 @@
     Some(parts.collect())
 }
 
-fn group_by_size(endpoints: Vec<ListedEndpoint>) -> Vec<Vec<ListedEndpoint>> {
-    let mut groups = vec![Vec::new()];
-    let mut group_bytes = 0;
-    for endpoint in endpoints {
-        if group_bytes >= PART_BYTES {
-            groups.push(Vec::new());
-            group_bytes = 0;
-        }
-        group_bytes += estimated_bytes(&endpoint);
-        if let Some(group) = groups.last_mut() {
-            group.push(endpoint);
-        }
-    }
-    groups
-}
-
 fn estimated_bytes(endpoint: &ListedEndpoint) -> usize {
     let optional_bytes = |text: &Option<String>| text.as_ref().map_or(0, String::len);
     BARE_ENDPOINT_BYTES
--- a/crates/node/src/handoff/list_parts/tests.rs
+++ b/crates/node/src/handoff/list_parts/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::handoff::packet_size::PACKET_BYTES;
 use rstest::rstest;
 use std::time::Instant;
 
@@ -40,7 +41,7 @@
     let mut assembler = ListAssembler::default();
     let mut lists = Vec::new();
     for part in parts {
-        assert!(serde_json::to_vec(&part).unwrap().len() < 2 * PART_BYTES);
+        assert!(serde_json::to_vec(&part).unwrap().len() < 2 * PACKET_BYTES);
         lists.extend(assembler.add(part));
     }
     let expected = ReceivedList {
@@ -71,6 +72,6 @@
 #[test]
 fn a_list_of_too_many_parts_is_not_sent() {
     let endpoint_count = 2 * (MAX_PARTS as usize + 1);
-    let update = update(endpoint_count, PART_BYTES);
+    let update = update(endpoint_count, PACKET_BYTES);
     assert_eq!(split(update, MachineTime::from(Instant::now())), None);
 }
--- a/crates/node/src/handoff/message.rs
+++ b/crates/node/src/handoff/message.rs
@@ -21,7 +21,8 @@
     /// A server was drained or released, so the file of admin drains has changed.
     #[serde(rename = "Out")]
     AdminDrainChanged,
-    /// The state that the sender has learned about servers. It is sent before the connections.
+    /// The state that the sender has learned about servers; several messages if there are many. It is sent before the
+    /// connections.
     #[serde(rename = "Learnt")]
     LearnedState(Vec<LearnedServerRecord>),
     /// A connection with both of its sockets, the client's socket first. Its buffered bytes follow the message.
@@ -255,6 +256,16 @@
     restart_suspected: bool,
 }
 
+/// The size of a [`LearnedServerRecord`] in a message, without the server's id.
+const BARE_LEARNED_SERVER_BYTES: usize = 200;
+
+impl LearnedServerRecord {
+    /// The estimated size of the record in a message, in bytes.
+    pub(crate) fn estimated_bytes(&self) -> usize {
+        BARE_LEARNED_SERVER_BYTES + self.server.len()
+    }
+}
+
 impl From<LearnedServer> for LearnedServerRecord {
     fn from(learned: LearnedServer) -> LearnedServerRecord {
         LearnedServerRecord {
--- a/crates/node/src/handoff/mod.rs
+++ b/crates/node/src/handoff/mod.rs
@@ -14,6 +14,7 @@
 mod list_parts;
 mod machine_time;
 pub(crate) mod message;
+mod packet_size;
 pub(crate) mod peer_process;
 pub(crate) mod request_claims;
 pub(crate) mod request_table;
--- a/crates/node/src/handoff/peer_process.rs
+++ b/crates/node/src/handoff/peer_process.rs
@@ -63,15 +63,28 @@
 
     fn send_queued(&mut self) -> io::Result<QueueState> {
         while let Some(message) = self.queue.pop_front() {
-            if self.connection.send(&message, &[], &[])? == SendOutcome::WouldBlock {
-                self.queue.push_front(message);
-                return Ok(QueueState::Waiting);
+            match self.connection.send(&message, &[], &[]) {
+                Ok(SendOutcome::Sent) => {}
+                Ok(SendOutcome::WouldBlock) => {
+                    self.queue.push_front(message);
+                    return Ok(QueueState::Waiting);
+                }
+                // The other process has ended, which is noticed when its last messages have been read.
+                Err(error) if is_connection_end(&error) => self.queue.clear(),
+                Err(error) => return Err(error),
             }
         }
         Ok(QueueState::Empty)
     }
 }
 
+fn is_connection_end(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::BrokenPipe | io::ErrorKind::ConnectionReset
+    )
+}
+
 /// The resources that only the older process, or the only process, of a node holds.
 pub(super) struct PrimaryRole {
     /// The operating system releases this lock when the process terminates, also if it is killed.
--- /dev/null
+++ b/crates/node/tests/learned_state.rs
@@ -0,0 +1,72 @@
+//! What a process has learned of its servers, and its successor in an upgrade.
+
+mod common;
+use common::{exchange_lines, send_signal, wait_until, Rig};
+use serde_json::Value;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// The servers of the largest fleet.
+const MAX_SERVERS: usize = 3_200;
+/// The log of a process that takes over what its predecessor has learned, up to the number of servers.
+const IMPORTED: &str = "learned state imported, limited: 0, ejected: 0, servers: ";
+
+/// Tells the node a list of thousands of servers, all at the address of the first one, that have just started.
+fn announce_large_fleet(rig: &mut Rig) {
+    let one = rig.endpoint_list(&["SERVING"], 2, true);
+    let started_at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    let entries: Vec<Value> = (0..MAX_SERVERS)
+        .map(|index| {
+            let mut entry = one["hosts"][0].clone();
+            entry["host"] = format!("s-{index}").into();
+            entry["born_ms"] = (started_at.as_millis() as u64).into();
+            entry
+        })
+        .collect();
+    let mut list = one;
+    list["hosts"] = entries.into();
+    let line = format!("{list}\n");
+    rig.write_to_watch(line.as_bytes(), line.len());
+    rig.wait_for_log("endpoint list changed");
+}
+
+/// The number of servers whose learned state was imported, according to the log.
+fn imported_server_count(rig: &Rig) -> usize {
+    let log = rig.log();
+    let imports = log.lines().filter_map(|line| line.split_once(IMPORTED));
+    imports
+        .map(|(_, count)| count.parse::<usize>().unwrap())
+        .sum()
+}
+
+/// The learned state of some 1,500 servers and more was longer than a packet may be, and nothing of it was sent.
+#[test]
+fn what_was_learned_of_the_largest_fleet_is_handed_over() {
+    let mut rig = Rig::start_with_inherited_listener(1);
+    announce_large_fleet(&mut rig);
+    rig.hand_over_to_successor();
+    wait_until("the learned state of all servers", || {
+        (imported_server_count(&rig) >= MAX_SERVERS).then_some(())
+    });
+}
+
+/// The successor stands still, so that the buffer of the socket has no space for what its predecessor has to send.
+#[test]
+fn learned_state_waits_for_space_in_the_buffer_and_precedes_the_connections() {
+    let mut rig = Rig::start_with_inherited_listener(1);
+    announce_large_fleet(&mut rig);
+    let (mut client, _, mut server) = rig.establish();
+    rig.start_successor();
+    rig.accept_watch();
+    rig.wait_until_ready();
+    rig.wait_for_log_count("node budgets divided, processes: 2", 2);
+    rig.pause();
+    send_signal(rig.oldest_process(), "-TERM");
+    rig.wait_for_log("shutdown started");
+    assert!(!rig.log().contains("relay transfer started"));
+    rig.resume();
+    rig.wait_for_predecessor_exit();
+    wait_until("the learned state of all servers", || {
+        (imported_server_count(&rig) >= MAX_SERVERS).then_some(())
+    });
+    exchange_lines(&mut client, &mut server);
+}
