Node: a successor knows what was learned of the servers once it is connected

From its yes to the older process's SIGTERM, or for good if that one is killed, the newer process sent requests to servers that the node had ejected.

Cause: the learned state was sent only when the older process began to hand over.

Ruled out: that it is sent and not applied.

Change: the older process sends it also after its endpoint list, to builds that share lists.

Result: a_successor_knows_what_was_learned_while_its_predecessor_serves fails before the change (1 run) and passes.

--- a/crates/node/src/handoff/incoming.rs
+++ b/crates/node/src/handoff/incoming.rs
@@ -3,8 +3,8 @@
 use super::claim_queries;
 use super::endpoint_lists::{self, share_complete_list};
 use super::lifecycle::{
-    on_peer_lost, reload_drained_servers, send_heartbeat, start_handover, start_next_transfers,
-    PeerLossReason,
+    on_peer_lost, reload_drained_servers, send_heartbeat, send_learned_state, start_handover,
+    start_next_transfers, PeerLossReason,
 };
 use super::message::{
     ConnectionTransfer, HandoffMessage, Heartbeat, UnidentifiedClientTransfer, PROTOCOL_VERSION,
@@ -63,6 +63,9 @@
     let previous = std::mem::replace(&mut peer.heartbeat, heartbeat);
     if heartbeat.shares_endpoint_lists && !previous.shares_endpoint_lists {
         share_complete_list(context);
+        if context.handoff.primary.is_some() {
+            send_learned_state(context);
+        }
     }
     if heartbeat.accepts_clients != previous.accepts_clients {
         send_heartbeat(context);
--- a/crates/node/src/handoff/lifecycle.rs
+++ b/crates/node/src/handoff/lifecycle.rs
@@ -213,7 +213,7 @@
 }
 
 /// Sends what this process has learned of the servers, in as many messages as it takes.
-fn send_learned_state(context: &mut NodeContext) {
+pub(super) fn send_learned_state(context: &mut NodeContext) {
     let learned = context.placement.learned_servers();
     let records = learned.into_iter().map(Into::into).collect();
     let groups = group_by_size(records, LearnedServerRecord::estimated_bytes);
--- a/crates/node/src/handoff/message.rs
+++ b/crates/node/src/handoff/message.rs
@@ -21,8 +21,8 @@
     /// A server was drained or released, so the file of admin drains has changed.
     #[serde(rename = "Out")]
     AdminDrainChanged,
-    /// The state that the sender has learned about servers; several messages if there are many. It is sent before the
-    /// connections.
+    /// The state that the sender has learned about servers; several messages if there are many. It is sent to a successor
+    /// that shares its endpoint list once the two are connected, and to any successor before the connections.
     #[serde(rename = "Learnt")]
     LearnedState(Vec<LearnedServerRecord>),
     /// A connection with both of its sockets, the client's socket first. Its buffered bytes follow the message.
--- a/crates/node/tests/learned_state.rs
+++ b/crates/node/tests/learned_state.rs
@@ -49,6 +49,25 @@
     });
 }
 
+/// The state was sent when the older process began to hand over, though the newer one accepts clients before that.
+#[test]
+fn a_successor_knows_what_was_learned_while_its_predecessor_serves() {
+    let mut rig = Rig::start_with_inherited_listener(2);
+    let (_client, server_index, _server) = rig.establish();
+    // The next request of the group finds that the server refuses connections.
+    rig.stop_listening(server_index);
+    let second = rig.establish();
+    assert_ne!(second.1, server_index);
+    rig.start_successor();
+    rig.accept_watch();
+    rig.wait_for_log("learned state imported, limited: 0, ejected: 1, servers: 2");
+    // The older process learns nothing of it.
+    send_signal(rig.oldest_process(), "-KILL");
+    rig.wait_until_ready();
+    let third = rig.establish();
+    assert_ne!(third.1, server_index);
+}
+
 /// The successor stands still, so that the buffer of the socket has no space for what its predecessor has to send.
 #[test]
 fn learned_state_waits_for_space_in_the_buffer_and_precedes_the_connections() {
