Node: tests of the shared list with handed-over connections, another discovery and an old list

Need: of the review's related paths, these were tried by hand or not at all: connections to a server that drained, was removed or moved; SIGHUP that moves one process's discovery; an older process that lost its watch long ago.

--- a/crates/node/tests/upgrade_endpoint_lists.rs
+++ b/crates/node/tests/upgrade_endpoint_lists.rs
@@ -1,7 +1,7 @@
 //! The endpoint list during an upgrade: what discovery has told one process of the node, the other one goes by too.
 
 mod common;
-use common::{send_signal, wait_until, LineStream, Rig};
+use common::{exchange_lines, send_signal, wait_until, LineStream, Rig};
 use rstest::rstest;
 use serde_json::{json, Value};
 use socket2::{Domain, SockAddr, Socket, Type};
@@ -12,6 +12,8 @@
 const CONNECTION_COUNT: usize = 12;
 /// A new process has to be ready within this time.
 const READINESS_LIMIT: Duration = Duration::from_secs(6);
+/// Changes count as told this long after discovery had them at the latest.
+const MAX_CURRENT_LIST_AGE: Duration = Duration::from_secs(6);
 /// The servers of the largest fleet.
 const MAX_SERVERS: usize = 3_200;
 /// More changes than the buffer of the socket between the two processes holds.
@@ -155,6 +157,46 @@
     drop(silent_watch);
 }
 
+/// A connection to a server that the newer process does not list, or does not use, is handed over as any other.
+#[rstest]
+fn connections_to_a_server_that_has_left_are_handed_over(
+    #[values(Change::Drained, Change::Removed, Change::Moved)] change: Change,
+) {
+    let mut rig = Rig::start_with_inherited_listener(2);
+    let mut connections: Vec<Connection> = (0..CONNECTION_COUNT)
+        .map(|index| rig.establish_in_group(&format!("group-{index}")))
+        .collect();
+    assert!(connections.iter().any(|(_, server, _)| *server == 0));
+    let entries = change.entries(&rig);
+    announce(&mut rig, 2, false, &entries);
+    rig.wait_for_log("endpoint list changed");
+    let _reserved = rig.stop_discovery();
+    rig.start_successor();
+    rig.wait_until_ready();
+    rig.terminate_predecessor();
+    for (client, _, server) in &mut connections {
+        exchange_lines(client, server);
+    }
+}
+
+/// A new configuration moves one of the two processes to another address of discovery.
+#[test]
+fn a_change_from_another_discovery_is_known_to_the_other_process() {
+    let mut rig = Rig::start_with_inherited_listener(2);
+    let older_watch = rig.watch.take();
+    rig.start_successor();
+    rig.accept_watch();
+    rig.wait_until_ready();
+    rig.move_discovery();
+    rig.accept_watch();
+    rig.announce_health(0, "DRAINING", 2);
+    rig.wait_for_log(&format!("{LIST_RECEIVED}1, seq: 2"));
+    rig.pause();
+    let _connections = connect_to_the_second_server(&mut rig);
+    rig.resume();
+    drop(older_watch);
+}
+
 /// A change that its own watch brings late undid what the process had learned from the other one.
 #[test]
 fn a_late_watch_does_not_undo_what_the_other_process_was_told() {
@@ -326,6 +368,29 @@
     assert!(elapsed < READINESS_LIMIT / 2, "{elapsed:?}");
 }
 
+/// An older process that lost its watch long ago knows no more of the present than the file does: its successor waits for
+/// discovery, and then goes by the better list.
+#[test]
+fn a_list_that_discovery_confirmed_long_ago_is_no_answer_of_discovery() {
+    let (mut rig, _reserved) = start_told_before_an_outage(Change::Drained);
+    let lost_at = Instant::now();
+    wait_until("the list is old", || {
+        (lost_at.elapsed() > MAX_CURRENT_LIST_AGE).then_some(())
+    });
+    let started_at = Instant::now();
+    rig.start_successor();
+    rig.wait_for_log(&format!("{LIST_RECEIVED}2, seq: 2"));
+    assert_eq!(
+        rig.admin_call("check\r\n"),
+        "error discovery has not told the list yet"
+    );
+    rig.wait_until_ready();
+    let elapsed = started_at.elapsed();
+    assert!(elapsed < READINESS_LIMIT, "{elapsed:?}");
+    rig.terminate_predecessor();
+    let _connections = connect_to_the_second_server(&mut rig);
+}
+
 /// A build that does not know endpoint lists would close the link at the unknown message, and get no connection.
 #[rstest]
 #[case::knows_lists(",\"lists\":true", true)]
