Node: one module for the connected process, and one place for the tests' successor

Need: peer_process had grown to 350 lines with six methods that only passed calls on; three tests of the yes stood in a file of 440 lines; two files connected to a node as its successor in the same lines.

Change: connected_peer has the heartbeat, the queue and the parts of a list; send_queue sends in order. The tests of the yes are upgrade_readiness; Rig has connect_as_successor, establish_in_groups and establish_all_at. No behaviour changes.

--- a/crates/node/src/handoff/agent.rs
+++ b/crates/node/src/handoff/agent.rs
@@ -1,7 +1,8 @@
 //! The event loop component of the handoff: accepts successors, receives messages and handles deadlines.
 
+use super::connected_peer::ConnectedPeer;
 use super::lifecycle::{accept_clients_if_ready, on_peer_lost, run_heartbeat, step_transfer};
-use super::peer_process::{ConnectedPeer, PeerProcess};
+use super::peer_process::PeerProcess;
 use super::socket::{HandoffSocket, PeerConnection};
 use super::transfer::MAX_IN_FLIGHT;
 use super::{claim_queries, endpoint_lists, incoming};
--- a/crates/node/src/handoff/endpoint_lists.rs
+++ b/crates/node/src/handoff/endpoint_lists.rs
@@ -5,8 +5,7 @@
 use super::lifecycle::accept_clients_if_ready;
 use super::list_parts;
 use super::message::{EndpointListPart, HandoffMessage};
-use super::peer_process::QueueState;
-use super::send_queue::send_queued;
+use super::send_queue::{send_in_order, send_queued};
 use crate::discovery::endpoint_list::EndpointListUpdate;
 use crate::discovery::merged_list::{ListPosition, MergeOutcome, SharedUpdate};
 use crate::state::{NodeContext, NodeState};
@@ -23,9 +22,11 @@
     if !context.handoff.peer_heartbeat().shares_endpoint_lists {
         return;
     }
-    if context.handoff.has_queued_messages() {
-        context.handoff.request_complete_list();
-        return;
+    if let Some(peer) = context.handoff.connected_peer() {
+        if peer.has_queued_messages() {
+            peer.request_complete_list();
+            return;
+        }
     }
     let position = context.endpoint_list.position();
     let shared = if update.is_complete || position.generation != previous.generation {
@@ -59,21 +60,24 @@
         return;
     };
     let messages = parts.into_iter().map(HandoffMessage::EndpointList);
-    context.handoff.queue(messages);
-    send_queued(context);
+    send_in_order(context, messages);
 }
 
 /// Sends the queued messages, and after them the complete list if a change was not queued.
 pub(super) fn continue_sending(context: &mut NodeContext) {
-    let is_empty = send_queued(context) == QueueState::Empty;
-    if is_empty && context.handoff.take_complete_list_request() {
+    send_queued(context);
+    let Some(peer) = context.handoff.connected_peer() else {
+        return;
+    };
+    if !peer.has_queued_messages() && peer.take_complete_list_request() {
         share_complete_list(context);
     }
 }
 
 /// Handles a part of the other process's list.
 pub(super) fn on_part(context: &mut NodeContext, part: EndpointListPart) {
-    let Some(list) = context.handoff.assemble_list(part) else {
+    let peer = context.handoff.connected_peer();
+    let Some(list) = peer.and_then(|peer| peer.assemble_list(part)) else {
         return;
     };
     let version = list.update.position.version;
--- a/crates/node/src/handoff/lifecycle.rs
+++ b/crates/node/src/handoff/lifecycle.rs
@@ -3,7 +3,7 @@
 use super::message::{HandoffMessage, Heartbeat, LearnedServerRecord, PROTOCOL_VERSION};
 use super::packet_size::group_by_size;
 use super::peer_process::PeerProcess;
-use super::send_queue::send_queued;
+use super::send_queue::send_in_order;
 use crate::command::{ListenerCommand, TransferCommand};
 use crate::component::WellKnownComponent;
 use crate::deadline::HandoffDeadline;
@@ -218,8 +218,7 @@
     let records = learned.into_iter().map(Into::into).collect();
     let groups = group_by_size(records, LearnedServerRecord::estimated_bytes);
     let messages = groups.into_iter().map(HandoffMessage::LearnedState);
-    context.handoff.queue(messages);
-    send_queued(context);
+    send_in_order(context, messages);
 }
 
 fn send_listener_command(context: &mut NodeContext, command: ListenerCommand) {
--- a/crates/node/src/handoff/mod.rs
+++ b/crates/node/src/handoff/mod.rs
@@ -6,6 +6,7 @@
 mod agent;
 pub(crate) mod claim_queries;
 pub(crate) mod client_counts;
+mod connected_peer;
 pub(crate) mod endpoint_lists;
 mod executed_requests;
 mod incoming;
--- a/crates/node/src/handoff/peer_process.rs
+++ b/crates/node/src/handoff/peer_process.rs
@@ -1,8 +1,8 @@
 //! The state of the handoff: the other process of the node, as far as it is known, and the role of this process.
 
 use super::admin_drain_file::{apply_change, AdminDrainFile, AdminDrainFileError, DrainChange};
-use super::list_parts::{ListAssembler, ReceivedList};
-use super::message::{EndpointListPart, HandoffMessage, Heartbeat};
+use super::connected_peer::ConnectedPeer;
+use super::message::{HandoffMessage, Heartbeat};
 use super::runtime_files::RuntimeFiles;
 use super::socket::{HandoffListener, PeerConnection, SendOutcome};
 use super::transfer::TransferQueue;
@@ -10,7 +10,7 @@
 use lupincrank_placement::ServerId;
 use lupincrank_reactor::ComponentId;
 use polling::Poller;
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 use std::fs::{self, File};
 use std::io;
 use std::net::SocketAddr;
@@ -31,60 +31,6 @@
     Incompatible,
 }
 
-/// The other process, while it is connected.
-pub(super) struct ConnectedPeer {
-    pub(super) connection: PeerConnection,
-    /// The last heartbeat received from it.
-    pub(super) heartbeat: Heartbeat,
-    /// Messages that wait for space in the socket's buffer.
-    queue: VecDeque<HandoffMessage>,
-    /// A change was not queued, so the complete list has to be sent after the queue.
-    is_complete_list_requested: bool,
-    list_assembler: ListAssembler,
-}
-
-/// Whether messages wait for space in the socket's buffer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum QueueState {
-    Empty,
-    Waiting,
-}
-
-impl ConnectedPeer {
-    pub(super) fn new(connection: PeerConnection) -> ConnectedPeer {
-        ConnectedPeer {
-            connection,
-            heartbeat: Heartbeat::default(),
-            queue: VecDeque::new(),
-            is_complete_list_requested: false,
-            list_assembler: ListAssembler::default(),
-        }
-    }
-
-    fn send_queued(&mut self) -> io::Result<QueueState> {
-        while let Some(message) = self.queue.pop_front() {
-            match self.connection.send(&message, &[], &[]) {
-                Ok(SendOutcome::Sent) => {}
-                Ok(SendOutcome::WouldBlock) => {
-                    self.queue.push_front(message);
-                    return Ok(QueueState::Waiting);
-                }
-                // The other process has ended, which is noticed when its last messages have been read.
-                Err(error) if is_connection_end(&error) => self.queue.clear(),
-                Err(error) => return Err(error),
-            }
-        }
-        Ok(QueueState::Empty)
-    }
-}
-
-fn is_connection_end(error: &io::Error) -> bool {
-    matches!(
-        error.kind(),
-        io::ErrorKind::BrokenPipe | io::ErrorKind::ConnectionReset
-    )
-}
-
 /// The resources that only the older process, or the only process, of a node holds.
 pub(super) struct PrimaryRole {
     /// The operating system releases this lock when the process terminates, also if it is killed.
@@ -239,56 +185,22 @@
         )
     }
 
-    /// Appends messages to those that wait for space in the socket's buffer.
-    pub(super) fn queue(&mut self, messages: impl IntoIterator<Item = HandoffMessage>) {
-        if let PeerProcess::Connected(peer) = &mut self.peer {
-            peer.queue.extend(messages);
-        }
-    }
-
-    /// Sends the queued messages, in their order, until the socket's buffer is full.
-    ///
-    /// # Errors
-    /// If a message can't be sent; it is removed from the queue.
-    pub(super) fn send_queued(&mut self) -> io::Result<QueueState> {
+    /// The other process, if it is connected.
+    pub(super) fn connected_peer(&mut self) -> Option<&mut ConnectedPeer> {
         match &mut self.peer {
-            PeerProcess::Connected(peer) => peer.send_queued(),
-            PeerProcess::Absent | PeerProcess::Incompatible => Ok(QueueState::Empty),
+            PeerProcess::Connected(peer) => Some(peer),
+            PeerProcess::Absent | PeerProcess::Incompatible => None,
         }
     }
 
-    /// Returns true if messages wait for space in the socket's buffer.
+    /// Returns true if messages wait for space in the buffer of the socket to the other process.
     pub(super) fn has_queued_messages(&self) -> bool {
         match &self.peer {
-            PeerProcess::Connected(peer) => !peer.queue.is_empty(),
-            PeerProcess::Absent | PeerProcess::Incompatible => false,
-        }
-    }
-
-    /// Requests that the complete endpoint list is sent after the queued messages. Changes are not queued behind others,
-    /// so that the queue stays short however long the other process stands still.
-    pub(super) fn request_complete_list(&mut self) {
-        if let PeerProcess::Connected(peer) = &mut self.peer {
-            peer.is_complete_list_requested = true;
-        }
-    }
-
-    /// Returns true if the complete endpoint list was requested since the last call.
-    pub(super) fn take_complete_list_request(&mut self) -> bool {
-        match &mut self.peer {
-            PeerProcess::Connected(peer) => std::mem::take(&mut peer.is_complete_list_requested),
+            PeerProcess::Connected(peer) => peer.has_queued_messages(),
             PeerProcess::Absent | PeerProcess::Incompatible => false,
         }
     }
 
-    /// Adds a part of the other process's endpoint list. Returns the list if it was the last part.
-    pub(super) fn assemble_list(&mut self, part: EndpointListPart) -> Option<ReceivedList> {
-        match &mut self.peer {
-            PeerProcess::Connected(peer) => peer.list_assembler.add(part),
-            PeerProcess::Absent | PeerProcess::Incompatible => None,
-        }
-    }
-
     pub(super) fn admin_drain_file(&self) -> Option<AdminDrainFile> {
         self.files.as_ref().map(RuntimeFiles::admin_drain_file)
     }
--- a/crates/node/tests/common/requests.rs
+++ b/crates/node/tests/common/requests.rs
@@ -5,6 +5,8 @@
 use super::wait::wait_until;
 use std::net::{SocketAddr, TcpStream};
 
+/// The groups of [`Rig::establish_in_groups`].
+const GROUP_COUNT: usize = 12;
 /// The state of an established connection in the kernel's table of sockets.
 const TCP_ESTABLISHED: &str = "01";
 
@@ -55,6 +57,24 @@
         (client, server_index, server)
     }
 
+    /// Establishes connections, each for a client of another group; some go to each server in use. They have to be kept to
+    /// the end of the test: if both ends of a connection are closed at once, the server may seem to have failed.
+    #[must_use]
+    pub fn establish_in_groups(&mut self) -> Vec<(LineStream, usize, LineStream)> {
+        (0..GROUP_COUNT)
+            .map(|index| self.establish_in_group(&format!("group-{index}")))
+            .collect()
+    }
+
+    /// Establishes connections, each for a client of another group, and checks that all of them go to this server.
+    #[must_use]
+    pub fn establish_all_at(&mut self, server: usize) -> Vec<(LineStream, usize, LineStream)> {
+        let connections = self.establish_in_groups();
+        let used: Vec<usize> = connections.iter().map(|(_, used, _)| *used).collect();
+        assert_eq!(used, [server; GROUP_COUNT]);
+        connections
+    }
+
     /// Waits until the close of this client's connection has arrived at the node, which may be paused. On a busy
     /// machine the kernel delivers it late.
     pub fn wait_for_client_close(&self, client: SocketAddr) {
--- a/crates/node/tests/common/successor.rs
+++ b/crates/node/tests/common/successor.rs
@@ -4,6 +4,7 @@
 use super::node_process::{send_signal, spawn, Build};
 use super::rig::Rig;
 use super::wait::wait_until;
+use socket2::{Domain, SockAddr, Socket, Type};
 use std::path::Path;
 use std::process::Child;
 
@@ -20,6 +21,22 @@
         });
     }
 
+    /// Connects to the node in the role of its successor and sends the first heartbeat, with these additional fields.
+    pub fn connect_as_successor(&self, heartbeat_fields: &str) -> Socket {
+        let listen = self.config["listen"].as_str().unwrap().replace(':', "-");
+        let successor = Socket::new(Domain::UNIX, Type::SEQPACKET, None).unwrap();
+        let path = self
+            .runtime_directory()
+            .join(format!("lupincrank-{listen}.socket"));
+        successor.connect(&SockAddr::unix(path).unwrap()).unwrap();
+        let heartbeat = format!(
+            "{{\"Beat\":{{\"version\":3,\"clients\":0,\"strangers\":0,\"open\":true{heartbeat_fields}}}}}\n"
+        );
+        successor.send(heartbeat.as_bytes()).unwrap();
+        self.wait_for_log("successor connected");
+        successor
+    }
+
     /// Starts a second process of the node, with another admin address.
     pub fn start_successor(&mut self) {
         self.start_successor_build(Build::This);
--- a/crates/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -3,7 +3,6 @@
 mod common;
 use common::{admin_call_at, exchange_lines, send_signal, wait_until, Rig, SyscallFaults};
 use rstest::rstest;
-use socket2::{Domain, SockAddr, Socket, Type};
 use std::fmt::Write;
 use std::io::Read;
 use std::time::{Duration, Instant};
@@ -148,7 +147,7 @@
     let mut rig = Rig::start_with_inherited_listener(1);
     let (mut client, _, mut server) = rig.establish();
     if stage.is_empty() {
-        let successor = connect_as_successor(&rig);
+        let successor = rig.connect_as_successor("");
         send_signal(rig.oldest_process(), "-TERM");
         // The successor receives the connection and fails before it confirms it.
         wait_until("the connection", || {
@@ -185,7 +184,7 @@
 fn a_successor_with_another_protocol_gets_no_connection(#[case] message: &str) {
     let mut rig = Rig::start_with_inherited_listener(1);
     let (mut client, _, mut server) = rig.establish();
-    let successor = connect_as_successor(&rig);
+    let successor = rig.connect_as_successor("");
     successor.send(message.as_bytes()).unwrap();
     rig.wait_for_log("peer process lost");
     send_signal(rig.oldest_process(), "-TERM");
@@ -193,20 +192,6 @@
     assert_eq!(client.receive(), "MOVE");
 }
 
-/// Connects to the node in the role of its successor and sends the first heartbeat.
-fn connect_as_successor(rig: &Rig) -> Socket {
-    let listen = rig.config["listen"].as_str().unwrap().replace(':', "-");
-    let successor = Socket::new(Domain::UNIX, Type::SEQPACKET, None).unwrap();
-    let path = rig
-        .runtime_directory()
-        .join(format!("lupincrank-{listen}.socket"));
-    successor.connect(&SockAddr::unix(path).unwrap()).unwrap();
-    let heartbeat = r#"{"Beat":{"version":3,"clients":0,"strangers":0,"open":true}}"#;
-    successor.send(format!("{heartbeat}\n").as_bytes()).unwrap();
-    rig.wait_for_log("successor connected");
-    successor
-}
-
 #[test]
 fn after_the_older_process_was_killed_the_newer_serves_and_hands_over_in_its_turn() {
     let mut rig = Rig::start_with_inherited_listener(2);
--- a/crates/node/tests/upgrade_endpoint_lists.rs
+++ b/crates/node/tests/upgrade_endpoint_lists.rs
@@ -1,19 +1,11 @@
 //! The endpoint list during an upgrade: what discovery has told one process of the node, the other one goes by too.
 
 mod common;
-use common::{exchange_lines, send_signal, wait_until, LineStream, Rig};
+use common::{exchange_lines, send_signal, wait_until, Rig};
 use rstest::rstest;
 use serde_json::{json, Value};
-use socket2::{Domain, SockAddr, Socket, Type};
 use std::io::Read;
-use std::time::{Duration, Instant};
 
-/// Enough connections, each of another group, that some go to each server in use.
-const CONNECTION_COUNT: usize = 12;
-/// A new process has to be ready within this time.
-const READINESS_LIMIT: Duration = Duration::from_secs(6);
-/// Changes count as told this long after discovery had them at the latest.
-const MAX_CURRENT_LIST_AGE: Duration = Duration::from_secs(6);
 /// The servers of the largest fleet.
 const MAX_SERVERS: usize = 3_200;
 /// More changes than the buffer of the socket between the two processes holds.
@@ -66,21 +58,6 @@
     (rig, reserved)
 }
 
-/// A connection through the node: the client's end, the index of the server, and the server's end.
-type Connection = (LineStream, usize, LineStream);
-
-/// Opens connections and checks that all of them go to the second server. They have to be kept to the end of the test: if
-/// both ends of a connection are closed at once, the server may seem to have failed.
-#[must_use]
-fn connect_to_the_second_server(rig: &mut Rig) -> Vec<Connection> {
-    let connections: Vec<Connection> = (0..CONNECTION_COUNT)
-        .map(|index| rig.establish_in_group(&format!("group-{index}")))
-        .collect();
-    let used: Vec<usize> = connections.iter().map(|(_, server, _)| *server).collect();
-    assert_eq!(used, [1; CONNECTION_COUNT]);
-    connections
-}
-
 /// During an outage of discovery, the successor went by the list of its file and sent requests to servers that had
 /// drained, been removed or moved.
 #[rstest]
@@ -94,7 +71,7 @@
         rig.start_successor();
         rig.wait_until_ready();
         rig.terminate_predecessor();
-        connections.extend(connect_to_the_second_server(&mut rig));
+        connections.extend(rig.establish_all_at(1));
     }
 }
 
@@ -111,7 +88,7 @@
     rig.restart_discovery(reserved);
     let (_call, request) = rig.accept_discovery_call();
     assert_eq!(request, "GET /v1/endpoints?watch=1&from=7 HTTP/1.1");
-    let _connections = connect_to_the_second_server(&mut rig);
+    let _connections = rig.establish_all_at(1);
 }
 
 /// A successor whose predecessor was killed before the handoff went back to the list of its file.
@@ -122,7 +99,7 @@
     rig.wait_for_log(&format!("{LIST_RECEIVED}2, seq: 2"));
     send_signal(rig.oldest_process(), "-KILL");
     rig.wait_until_ready();
-    let _connections = connect_to_the_second_server(&mut rig);
+    let _connections = rig.establish_all_at(1);
 }
 
 /// A change that discovery wrote to one of two processes reached the other one by its own watch only, seconds later.
@@ -149,11 +126,11 @@
     let mut connections = Vec::new();
     if is_told_to_the_newer {
         rig.pause();
-        connections.extend(connect_to_the_second_server(&mut rig));
+        connections.extend(rig.establish_all_at(1));
         rig.resume();
     }
     rig.terminate_predecessor();
-    connections.extend(connect_to_the_second_server(&mut rig));
+    connections.extend(rig.establish_all_at(1));
     drop(silent_watch);
 }
 
@@ -163,9 +140,7 @@
     #[values(Change::Drained, Change::Removed, Change::Moved)] change: Change,
 ) {
     let mut rig = Rig::start_with_inherited_listener(2);
-    let mut connections: Vec<Connection> = (0..CONNECTION_COUNT)
-        .map(|index| rig.establish_in_group(&format!("group-{index}")))
-        .collect();
+    let mut connections = rig.establish_in_groups();
     assert!(connections.iter().any(|(_, server, _)| *server == 0));
     let entries = change.entries(&rig);
     announce(&mut rig, 2, false, &entries);
@@ -192,7 +167,7 @@
     rig.announce_health(0, "DRAINING", 2);
     rig.wait_for_log(&format!("{LIST_RECEIVED}1, seq: 2"));
     rig.pause();
-    let _connections = connect_to_the_second_server(&mut rig);
+    let _connections = rig.establish_all_at(1);
     rig.resume();
     drop(older_watch);
 }
@@ -213,7 +188,7 @@
     rig.announce_health(0, "SERVING", 2);
     rig.wait_for_log_count("endpoint list changed, entries: 1, seq: 2", 2);
     rig.terminate_predecessor();
-    let _connections = connect_to_the_second_server(&mut rig);
+    let _connections = rig.establish_all_at(1);
     drop(older_watch);
 }
 
@@ -235,14 +210,14 @@
     assert_eq!(request, "GET /v1/endpoints?watch=1&from=7 HTTP/1.1");
     rig.wait_until_ready();
     rig.terminate_predecessor();
-    let _connections = connect_to_the_second_server(&mut rig);
+    let _connections = rig.establish_all_at(1);
     // The answer to a call from version 7 shows that the versions have begun anew.
     call.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     rig.watch = Some(call);
     let anew = rig.endpoint_list(&["DRAINING", "SERVING"], 4, true);
     announce(&mut rig, 4, true, &anew["hosts"]);
     rig.wait_for_log("endpoint list changed, entries: 2, seq: 4");
-    let _connections = connect_to_the_second_server(&mut rig);
+    let _connections = rig.establish_all_at(1);
     drop(older_watch);
 }
 
@@ -261,7 +236,7 @@
     rig.start_successor();
     rig.wait_until_ready();
     rig.terminate_predecessor();
-    let _connections = connect_to_the_second_server(&mut rig);
+    let _connections = rig.establish_all_at(1);
 }
 
 /// A process that stood still, and whose socket's buffer was full, missed the last changes.
@@ -282,7 +257,7 @@
     rig.resume();
     rig.wait_for_log(&format!("{LIST_RECEIVED}2, seq: {MANY_CHANGES}"));
     rig.terminate_predecessor();
-    let _connections = connect_to_the_second_server(&mut rig);
+    let _connections = rig.establish_all_at(1);
     drop(newer_watch);
 }
 
@@ -305,7 +280,7 @@
     rig.wait_until_ready();
     rig.wait_for_log(&format!("{LIST_RECEIVED}{MAX_SERVERS}, seq: 2"));
     rig.terminate_predecessor();
-    let _connections = connect_to_the_second_server(&mut rig);
+    let _connections = rig.establish_all_at(1);
 }
 
 /// A server that an administrator has drained stays drained, whatever list arrives.
@@ -325,7 +300,7 @@
     rig.start_successor();
     rig.wait_until_ready();
     rig.terminate_predecessor();
-    let _connections = connect_to_the_second_server(&mut rig);
+    let _connections = rig.establish_all_at(1);
     assert_eq!(rig.admin_call("set-up s-9\r\n"), "done");
 }
 
@@ -339,56 +314,7 @@
     rig.start_successor();
     rig.wait_until_ready();
     rig.terminate_predecessor();
-    let _connections = connect_to_the_second_server(&mut rig);
-}
-
-/// A process said yes 6.0 s after its start, where it is due within 6 s.
-#[test]
-fn a_process_that_reaches_neither_discovery_nor_another_process_is_ready_in_time() {
-    let mut rig = Rig::start_with_inherited_listener(1);
-    let _reserved = rig.stop_discovery();
-    rig.signal("-KILL");
-    rig.wait_for_exit();
-    let started_at = Instant::now();
-    rig.start_successor();
-    rig.wait_until_ready();
-    let elapsed = started_at.elapsed();
-    assert!(elapsed < READINESS_LIMIT, "{elapsed:?}");
-    rig.establish();
-}
-
-/// A process with the current list of the one before it waited 6 s for discovery, which was down.
-#[test]
-fn a_successor_with_a_current_list_does_not_wait_for_discovery_that_is_down() {
-    let (mut rig, _reserved) = start_told_before_an_outage(Change::Drained);
-    let started_at = Instant::now();
-    rig.start_successor();
-    rig.wait_until_ready();
-    let elapsed = started_at.elapsed();
-    assert!(elapsed < READINESS_LIMIT / 2, "{elapsed:?}");
-}
-
-/// An older process that lost its watch long ago knows no more of the present than the file does: its successor waits for
-/// discovery, and then goes by the better list.
-#[test]
-fn a_list_that_discovery_confirmed_long_ago_is_no_answer_of_discovery() {
-    let (mut rig, _reserved) = start_told_before_an_outage(Change::Drained);
-    let lost_at = Instant::now();
-    wait_until("the list is old", || {
-        (lost_at.elapsed() > MAX_CURRENT_LIST_AGE).then_some(())
-    });
-    let started_at = Instant::now();
-    rig.start_successor();
-    rig.wait_for_log(&format!("{LIST_RECEIVED}2, seq: 2"));
-    assert_eq!(
-        rig.admin_call("check\r\n"),
-        "error discovery has not told the list yet"
-    );
-    rig.wait_until_ready();
-    let elapsed = started_at.elapsed();
-    assert!(elapsed < READINESS_LIMIT, "{elapsed:?}");
-    rig.terminate_predecessor();
-    let _connections = connect_to_the_second_server(&mut rig);
+    let _connections = rig.establish_all_at(1);
 }
 
 /// A build that does not know endpoint lists would close the link at the unknown message, and get no connection.
@@ -398,7 +324,9 @@
 fn lists_are_sent_to_builds_that_know_them(#[case] field: &str, #[case] is_list_expected: bool) {
     let mut rig = Rig::start_with_inherited_listener(2);
     let _connection = rig.establish();
-    let successor = connect_as_successor(&rig, field);
+    let successor = rig.connect_as_successor(field);
+    // The heartbeat was handled: the budgets are divided.
+    rig.wait_for_log("node budgets divided, processes: 2");
     rig.announce_health(0, "DRAINING", 2);
     rig.wait_for_log("endpoint list changed");
     send_signal(rig.oldest_process(), "-TERM");
@@ -422,21 +350,3 @@
     assert!(lists[0].contains("\"seq\":1,\"after\":null"), "{lists:?}");
     assert!(lists[1].contains("\"seq\":2,\"after\":1"), "{lists:?}");
 }
-
-/// Connects to the node in the role of its successor and sends the first heartbeat, with this additional field.
-fn connect_as_successor(rig: &Rig, field: &str) -> Socket {
-    let listen = rig.config["listen"].as_str().unwrap().replace(':', "-");
-    let successor = Socket::new(Domain::UNIX, Type::SEQPACKET, None).unwrap();
-    let path = rig
-        .runtime_directory()
-        .join(format!("lupincrank-{listen}.socket"));
-    successor.connect(&SockAddr::unix(path).unwrap()).unwrap();
-    let heartbeat = format!(
-        "{{\"Beat\":{{\"version\":3,\"clients\":0,\"strangers\":0,\"open\":true{field}}}}}\n"
-    );
-    successor.send(heartbeat.as_bytes()).unwrap();
-    rig.wait_for_log("successor connected");
-    // The heartbeat was handled: the budgets are divided.
-    rig.wait_for_log("node budgets divided, processes: 2");
-    successor
-}
