Node: a start that has to be resolved again counts as listed before

Need: since a successor has the list of the process before it, discovery's first answer is no first list any more. If that answer shows that this machine's clock is ahead, the starts of the list are forgotten, and a server that is listed again was taken for one that has just started: slow start for servers that have run for long.

Change: such a start stays known and is resolved anew by the corrected clock alone. The row of flags of a start is an enum.

--- a/crates/node/src/placement_driver/start_times.rs
+++ b/crates/node/src/placement_driver/start_times.rs
@@ -9,14 +9,24 @@
 /// Discovery lists a start at most this long after it happened.
 const MAX_LISTING_DELAY: Duration = Duration::from_secs(6);
 
+/// The evidence for the time to which a start was resolved.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StartOrigin {
+    /// The start came with a first list, so that its age is known from the wall clock alone.
+    FirstList,
+    /// The start was first listed while this process ran.
+    LaterList,
+    /// The start came with a first list, and the wall clock was wrong: its time has to be resolved again.
+    Doubtful,
+}
+
 /// A start time as listed and as resolved.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct KnownStart {
     unix_ms: u64,
     /// `None` if earlier than the clock can represent.
     started_at: Option<Timestamp>,
-    /// The start came with a first list, so that its age is known from the wall clock alone.
-    is_from_first_list: bool,
+    origin: StartOrigin,
 }
 
 /// The start times of all listed servers. A start keeps the time to which it was first resolved: the same server
@@ -39,6 +49,17 @@
         unix_ms: u64,
         not_listed_at: Option<Instant>,
     ) -> Option<Timestamp> {
+        if unix_ms == 0 {
+            self.known.remove(server);
+            return None;
+        }
+        let known = self.known.get(server);
+        let not_listed_at = match known.filter(|known| known.unix_ms == unix_ms) {
+            // Listed before, so that its age is known from the wall clock alone.
+            Some(known) if known.origin == StartOrigin::Doubtful => None,
+            Some(known) => return known.started_at,
+            None => not_listed_at,
+        };
         let by_wall_clock = match self.first_list_now_ms {
             Some(now_ms) if not_listed_at.is_none() => {
                 let age = Duration::from_millis(now_ms.saturating_sub(unix_ms));
@@ -46,14 +67,6 @@
             }
             _ => clock.timestamp_of_unix_ms(unix_ms),
         };
-        if unix_ms == 0 {
-            self.known.remove(server);
-            return None;
-        }
-        let known = self.known.get(server);
-        if let Some(known) = known.filter(|known| known.unix_ms == unix_ms) {
-            return known.started_at;
-        }
         let started_at = match (by_wall_clock, not_listed_at) {
             (Some(started_at), None) => Some(started_at.min(clock.now())),
             (Some(started_at), Some(not_listed_at)) => {
@@ -70,7 +83,10 @@
         let start = KnownStart {
             unix_ms,
             started_at,
-            is_from_first_list: not_listed_at.is_none(),
+            origin: match not_listed_at {
+                None => StartOrigin::FirstList,
+                Some(_) => StartOrigin::LaterList,
+            },
         };
         self.known.insert(server.clone(), start);
         started_at
@@ -94,7 +110,11 @@
     /// Forgets start times that were resolved from the wall clock alone, because it turned out to be wrong: the next
     /// list that contains these servers resolves them again.
     pub(super) fn forget_first_list(&mut self) {
-        self.known.retain(|_, known| !known.is_from_first_list);
+        for known in self.known.values_mut() {
+            if known.origin == StartOrigin::FirstList {
+                known.origin = StartOrigin::Doubtful;
+            }
+        }
     }
 
     /// Forgets servers that are not in the endpoint list.
--- a/crates/node/src/placement_driver/start_times/tests.rs
+++ b/crates/node/src/placement_driver/start_times/tests.rs
@@ -96,3 +96,20 @@
     );
     assert!(!clock.limit_system_time(SystemTime::now()));
 }
+
+/// A server that the other process of the node had listed, before discovery's clock showed that this machine's is ahead, was
+/// taken for one that has just started.
+#[test]
+fn a_forgotten_start_that_is_listed_again_is_not_recent() {
+    let clock = PlacementClock::start();
+    let mut start_times = StartTimes::default();
+    let server = ServerId::from("s-0");
+    let start = (unix_ms() - HOUR_MS) as u64;
+    let first = start_times.resolve(&clock, &server, start, None);
+    start_times.forget_first_list();
+    let again = start_times.resolve(&clock, &server, start, Some(Instant::now()));
+    assert_eq!(first, again);
+    start_times.forget_first_list();
+    let restarted = start_times.resolve(&clock, &server, start + 1, Some(Instant::now()));
+    assert!(restarted > first);
+}
