--- a/crates/control/tests/schedules.rs
+++ b/crates/control/tests/schedules.rs
@@ -117,6 +117,20 @@
     }
 }
 
+/// A node of two that leaves and is started again from its disk was granted more than the capacity leaves it.
+#[test]
+fn a_node_that_leaves_and_resumes_from_its_disk_stays_within_the_capacity() {
+    for seed in 0..20 {
+        let mut simulation = group_with_disks(2, seed);
+        simulation.run(Duration::from_secs(9));
+        simulation.inject(&Fault::ShutDown(1));
+        simulation.run(Duration::from_millis(710));
+        simulation.inject(&Fault::RestartFromDisk(1));
+        simulation.run(Duration::from_secs(2));
+        assert_within_capacity(&simulation, &format!("seed {seed}"));
+    }
+}
+
 /// All nodes restart at the same time and lose some of their last writes. The same group must resume, and no node may
 /// form another.
 #[test]
