Node: a watch from the file's version counts in the generation of the other process

A node whose discovery had begun its versions anew before, and whose file was written after that, could go back to an older state of a server during an upgrade.

Cause: the file's version counts in generation 0, the other process's in a later one. A call made from the file's version before the other one's list had come was taken for a watch of an earlier numbering: its changes were applied without a version, and a share of the other process that was older could undo them.

Change: whether the generation of a watch is known from discovery is part of its position. That of the file is not known, and is taken to be the present one at the first update.

--- a/crates/node/src/discovery/call.rs
+++ b/crates/node/src/discovery/call.rs
@@ -4,7 +4,7 @@
 use super::chunked::{BodyState, ChunkError, ChunkedDecoder};
 use super::endpoint_list::EndpointListError;
 use super::json_stream::{JsonStream, JsonStreamError};
-use super::merged_list::ListPosition;
+use super::merged_list::WatchPosition;
 use lupincrank_reactor::poll::{self, Registered};
 use lupincrank_reactor::Interest;
 use polling::Poller;
@@ -122,7 +122,7 @@
 pub(crate) struct Call {
     started_at: Instant,
     /// The position from which the list is watched: the one in the request, then that of the last update.
-    position: ListPosition,
+    position: WatchPosition,
     stream: Registered<TcpStream>,
     unsent: Vec<u8>,
     phase: CallPhase,
@@ -137,10 +137,10 @@
         poller: &Rc<Poller>,
         key: usize,
         address: SocketAddr,
-        position: ListPosition,
+        position: WatchPosition,
         now: Instant,
     ) -> io::Result<Call> {
-        let version = position.version;
+        let version = position.list.version;
         let request = format!(
             "GET /v1/endpoints?watch=1&from={version} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n"
         );
@@ -159,7 +159,7 @@
     }
 
     /// The position from which the list is watched; advanced with each update.
-    pub(crate) fn position_mut(&mut self) -> &mut ListPosition {
+    pub(crate) fn position_mut(&mut self) -> &mut WatchPosition {
         &mut self.position
     }
 
--- a/crates/node/src/discovery/client.rs
+++ b/crates/node/src/discovery/client.rs
@@ -3,7 +3,7 @@
 use super::call::{Call, DiscoveryError, WriteState};
 use super::chunked::BodyState;
 use super::endpoint_list::EndpointListUpdate;
-use super::merged_list::{ListPosition, MergeOutcome};
+use super::merged_list::{MergeOutcome, WatchPosition};
 use crate::command::{DiscoveryCommand, HandoffCommand, Message};
 use crate::component::WellKnownComponent;
 use crate::config::Config;
@@ -109,8 +109,8 @@
         let since_contact = context.endpoint_list.time_since_contact();
         let timeout = poll_schedule::unanswered_call_timeout(since_contact, self.has_call());
         set_deadline(context, DiscoveryDeadline::SecondCall, now + timeout);
-        let position = context.endpoint_list.position();
-        debug!(context.log, "calling discovery"; "seq" => position.version, "beside" => self.has_call());
+        let position = context.endpoint_list.watch_position();
+        debug!(context.log, "calling discovery"; "seq" => position.list.version, "beside" => self.has_call());
         let key = poller_key(WellKnownComponent::Discovery.id(), slot);
         let call = Call::start(&context.poller, key, self.address, position, now)?;
         self.calls[slot] = Some(call);
@@ -316,7 +316,7 @@
 fn apply_update(
     context: &mut NodeContext,
     update: &EndpointListUpdate,
-    watch: &mut ListPosition,
+    watch: &mut WatchPosition,
 ) -> Result<(), DiscoveryError> {
     let NodeState {
         placement,
--- a/crates/node/src/discovery/endpoint_list_state.rs
+++ b/crates/node/src/discovery/endpoint_list_state.rs
@@ -3,7 +3,9 @@
 
 use super::endpoint_list::{EndpointListError, EndpointListUpdate, ListedEndpoint};
 use super::endpoint_resolver::{listed_starts, EndpointResolver};
-use super::merged_list::{ListPosition, MergeOutcome, MergedEndpointList, SharedUpdate};
+use super::merged_list::{
+    ListPosition, MergeOutcome, MergedEndpointList, SharedUpdate, WatchPosition,
+};
 use crate::config::Config;
 use crate::placement_driver::{
     EndpointListScope, EndpointListSource, PlacementDriver, MAX_CURRENT_LIST_AGE,
@@ -42,6 +44,14 @@
         self.merged.position()
     }
 
+    /// The position from which a new call watches the list.
+    pub(super) fn watch_position(&self) -> WatchPosition {
+        WatchPosition {
+            list: self.position(),
+            is_generation_known: self.confirmed_at.is_some(),
+        }
+    }
+
     /// The complete list, for the other process.
     pub(crate) fn complete_update(&self) -> SharedUpdate {
         self.merged.complete_update()
@@ -104,7 +114,7 @@
         &mut self,
         placement: &mut PlacementDriver,
         update: &EndpointListUpdate,
-        watch: &mut ListPosition,
+        watch: &mut WatchPosition,
     ) -> Result<MergeOutcome, EndpointListError> {
         update.check()?;
         let outcome = self.merged.merge_discovery(update, watch);
--- a/crates/node/src/discovery/merged_list.rs
+++ b/crates/node/src/discovery/merged_list.rs
@@ -14,6 +14,16 @@
     pub(crate) version: u64,
 }
 
+/// The position of a watch: what its call asked for, or the last update on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct WatchPosition {
+    /// The position of the list.
+    pub(crate) list: ListPosition,
+    /// Whether the generation is known from discovery. That of a version from the configuration file is not: the file may
+    /// have been written before or after discovery began its versions anew.
+    pub(crate) is_generation_known: bool,
+}
+
 /// An update that the other process of the node passes on.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct SharedUpdate {
@@ -78,12 +88,14 @@
     pub(crate) fn merge_discovery(
         &mut self,
         update: &EndpointListUpdate,
-        watch: &mut ListPosition,
+        watch: &mut WatchPosition,
     ) -> MergeOutcome {
-        let has_begun_anew = update.version < watch.version;
-        let is_of_earlier_generation = watch.generation < self.position.generation;
-        watch.version = update.version;
-        if is_of_earlier_generation && !has_begun_anew && !update.is_complete {
+        let has_begun_anew = update.version < watch.list.version;
+        let is_of_earlier_generation = watch.list.generation < self.position.generation;
+        let is_comparable =
+            !is_of_earlier_generation || !watch.is_generation_known || has_begun_anew;
+        watch.list.version = update.version;
+        if !is_comparable && !update.is_complete {
             // A watch from before the versions began anew, as at another address of discovery: its changes count, but
             // their versions can't be compared with those of the list.
             self.set_endpoints(update);
@@ -92,11 +104,15 @@
         if has_begun_anew && !is_of_earlier_generation {
             self.position.generation += 1;
         } else if update.version < self.position.version {
-            watch.generation = self.position.generation;
+            watch.list.generation = self.position.generation;
+            watch.is_generation_known = true;
             return MergeOutcome::Outdated;
         }
         self.position.version = update.version;
-        *watch = self.position;
+        *watch = WatchPosition {
+            list: self.position,
+            is_generation_known: true,
+        };
         self.set_endpoints(update);
         MergeOutcome::Merged
     }
--- a/crates/node/src/discovery/merged_list/tests.rs
+++ b/crates/node/src/discovery/merged_list/tests.rs
@@ -46,6 +46,13 @@
     }
 }
 
+fn watch_from(list: &MergedEndpointList, is_generation_known: bool) -> WatchPosition {
+    WatchPosition {
+        list: list.position(),
+        is_generation_known,
+    }
+}
+
 fn shared(
     position: ListPosition,
     previous_version: Option<u64>,
@@ -76,7 +83,7 @@
 }
 
 /// Merges a list whose servers and version are told by `version`.
-fn merge(list: &mut MergedEndpointList, source: Source, version: u64, asked: &mut ListPosition) {
+fn merge(list: &mut MergedEndpointList, source: Source, version: u64, asked: &mut WatchPosition) {
     let health: &[(&str, &str)] = if version == VERSION {
         &[("s-0", "SERVING"), ("s-1", "DRAINING")]
     } else {
@@ -98,7 +105,7 @@
 ) {
     let mut list = MergedEndpointList::default();
     // The call to discovery was made before any list had arrived.
-    let mut asked = list.position();
+    let mut asked = watch_from(&list, true);
     let order = [(newer, VERSION), (older, 3)];
     let order = if newer_is_first {
         order
@@ -119,7 +126,7 @@
 #[test]
 fn a_change_that_the_other_process_was_told_before_is_not_undone_by_a_late_watch() {
     let mut list = MergedEndpointList::default();
-    let mut watch = list.position();
+    let mut watch = watch_from(&list, true);
     list.merge_discovery(&complete(2, &[("s-0", "SERVING")]), &mut watch);
     let drain = shared(position(0, 3), Some(2), &[("s-0", "DRAINING")]);
     let release = shared(position(0, 4), Some(3), &[("s-0", "SERVING")]);
@@ -128,7 +135,7 @@
     let late = changes(3, &[("s-0", "DRAINING")]);
     let outcome = list.merge_discovery(&late, &mut watch);
     assert_eq!(outcome, MergeOutcome::Outdated);
-    assert_eq!(watch.version, 3);
+    assert_eq!(watch.list.version, 3);
     let next = changes(5, &[("s-0", "DRAINING")]);
     let outcome = list.merge_discovery(&next, &mut watch);
     assert_eq!(outcome, MergeOutcome::Merged);
@@ -149,7 +156,7 @@
 fn a_list_that_discovery_has_begun_anew_replaces_higher_versions() {
     let mut list = MergedEndpointList::default();
     list.merge_known(&complete(100, &[("s-0", "SERVING"), ("s-1", "SERVING")]));
-    let mut watch = list.position();
+    let mut watch = watch_from(&list, true);
     let mut other = MergedEndpointList::default();
     other.merge_known(&complete(100, &[("s-0", "SERVING"), ("s-1", "SERVING")]));
     list.merge_discovery(&complete(2, &[("s-1", "DRAINING")]), &mut watch);
@@ -158,13 +165,13 @@
     let outcome = list.merge_shared(&other.complete_update(), true);
     assert_eq!(outcome, MergeOutcome::Outdated);
     // The other process learns it from this one, and answers to its own call are no further beginning.
-    let mut call_from_before = other.position();
+    let mut call_from_before = watch_from(&other, true);
     let outcome = other.merge_shared(&list.complete_update(), false);
     assert_eq!(outcome, MergeOutcome::Merged);
     let answer = complete(3, &[("s-1", "SERVING")]);
     other.merge_discovery(&answer, &mut call_from_before);
     assert_eq!(other.position(), position(1, 3));
-    assert_eq!(call_from_before, position(1, 3));
+    assert_eq!(call_from_before.list, position(1, 3));
     list.merge_shared(&other.complete_update(), false);
     assert_eq!(text(&list), "s-1 SERVING");
 }
@@ -175,7 +182,7 @@
     let mut lists = [2, 3].map(|version| {
         let mut list = MergedEndpointList::default();
         list.merge_known(&complete(100, &[("s-0", "SERVING")]));
-        let mut watch = list.position();
+        let mut watch = watch_from(&list, true);
         let health = if version == 3 { "DRAINING" } else { "SERVING" };
         list.merge_discovery(&complete(version, &[("s-0", health)]), &mut watch);
         list
@@ -193,7 +200,7 @@
 #[test]
 fn changes_on_a_watch_of_an_earlier_generation_count_without_a_version() {
     let mut list = MergedEndpointList::default();
-    let mut watch = list.position();
+    let mut watch = watch_from(&list, true);
     list.merge_discovery(&complete(45, &[("s-0", "SERVING")]), &mut watch);
     let other = shared(position(1, 2), None, &[("s-0", "SERVING")]);
     assert_eq!(list.merge_shared(&other, false), MergeOutcome::Merged);
@@ -206,7 +213,7 @@
 #[test]
 fn removed_servers_are_not_in_the_list() {
     let mut list = MergedEndpointList::default();
-    let mut watch = list.position();
+    let mut watch = watch_from(&list, true);
     list.merge_discovery(
         &complete(2, &[("s-0", "SERVING"), ("s-1", "SERVING")]),
         &mut watch,
@@ -226,3 +233,19 @@
     assert_eq!(list.merge_shared(&same, false), MergeOutcome::Outdated);
     assert_eq!(list.merge_shared(&same, true), MergeOutcome::Merged);
 }
+
+/// The file is of the present versions, which discovery began anew before. A process that had called from the file's version
+/// applied what it was told without a version, so that the other process's older changes undid it.
+#[test]
+fn a_watch_from_the_version_of_the_file_counts_in_the_generation_of_the_other_process() {
+    let mut list = MergedEndpointList::default();
+    list.merge_known(&complete(5, &[("s-0", "SERVING")]));
+    let mut watch = watch_from(&list, false);
+    let other = shared(position(1, 5), None, &[("s-0", "SERVING")]);
+    list.merge_shared(&other, true);
+    list.merge_discovery(&changes(7, &[("s-0", "DRAINING")]), &mut watch);
+    assert_eq!(list.position(), position(1, 7));
+    let late = shared(position(1, 6), Some(5), &[("s-0", "SERVING")]);
+    assert_eq!(list.merge_shared(&late, false), MergeOutcome::Outdated);
+    assert_eq!(text(&list), "s-0 DRAINING");
+}
