Node: a successor accepts clients once it has the list of the process before it

A successor that discovery answers at once, but late (an empty line, and a change comes later), accepted clients by the file's list until the older process's list came, which may be held up.

Cause: readiness asked only whether the older process had been reached, not whether it had sent its state.

Evidence: the test lets the older process stand still while discovery answers the newer one with an empty line; check says done. Nothing else can tell it of the drain.

Change: a successor waits for the list and the learned state until 1 s after its start; not for a build that shares none.

--- a/crates/node/src/handoff/connected_peer.rs
+++ b/crates/node/src/handoff/connected_peer.rs
@@ -1,7 +1,7 @@
 //! The other process of this node, while it is connected: its last heartbeat, and the messages on their way to and from it.
 
 use super::list_parts::{ListAssembler, ReceivedList};
-use super::message::{EndpointListPart, HandoffMessage, Heartbeat};
+use super::message::{EndpointListPart, HandoffMessage, Heartbeat, PROTOCOL_VERSION};
 use super::socket::{PeerConnection, SendOutcome};
 use std::collections::VecDeque;
 use std::io;
@@ -39,6 +39,11 @@
         }
     }
 
+    /// Returns true if the process has sent a heartbeat.
+    pub(super) fn has_received_heartbeat(&self) -> bool {
+        self.heartbeat.version == PROTOCOL_VERSION
+    }
+
     /// Appends messages to those that wait for space in the socket's buffer.
     pub(super) fn queue(&mut self, messages: impl IntoIterator<Item = HandoffMessage>) {
         self.queue.extend(messages);
--- a/crates/node/src/handoff/incoming.rs
+++ b/crates/node/src/handoff/incoming.rs
@@ -3,8 +3,8 @@
 use super::claim_queries;
 use super::endpoint_lists::{self, share_complete_list};
 use super::lifecycle::{
-    on_peer_lost, reload_drained_servers, send_heartbeat, send_learned_state, start_handover,
-    start_next_transfers, PeerLossReason,
+    accept_clients_if_ready, on_peer_lost, reload_drained_servers, send_heartbeat,
+    send_learned_state, start_handover, start_next_transfers, PeerLossReason,
 };
 use super::message::{
     ConnectionTransfer, HandoffMessage, Heartbeat, UnidentifiedClientTransfer, PROTOCOL_VERSION,
@@ -38,6 +38,9 @@
         HandoffMessage::LearnedState(records) => {
             let learned = records.into_iter().map(Into::into).collect();
             context.placement.import_learned_servers(learned);
+            // The endpoint list precedes it.
+            context.handoff.startup.has_predecessor_state = true;
+            accept_clients_if_ready(context);
         }
         HandoffMessage::Connection(transfer) => {
             on_connection(context, transfer, &payload, descriptors);
@@ -70,6 +73,7 @@
     if heartbeat.accepts_clients != previous.accepts_clients {
         send_heartbeat(context);
     }
+    accept_clients_if_ready(context);
     // SIGTERM may have been received before the successor was able to serve clients.
     let is_shutting_down = context.shutdown.is_some();
     if is_shutting_down && !context.handoff.has_started_handover && context.handoff.has_successor()
--- a/crates/node/src/handoff/peer_process.rs
+++ b/crates/node/src/handoff/peer_process.rs
@@ -21,6 +21,10 @@
 /// Time after startup for which this process waits to reach the other one. Readiness is due 6 s after startup.
 const PEER_DISCOVERY_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Time after startup for which this process waits for the state of the other one, once it has reached it. A process may
+/// be held up for fractions of a second.
+const PREDECESSOR_STATE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// The other process of this node.
 pub(super) enum PeerProcess {
     /// No other process is connected.
@@ -46,6 +50,8 @@
     pub(super) has_searched_peer: bool,
     /// The file of admin drains was read at least once, so this process has the stored drains.
     pub(super) has_read_admin_drains: bool,
+    /// The older process has sent its endpoint list, if it has one from discovery, and what it has learned of the servers.
+    pub(super) has_predecessor_state: bool,
 }
 
 /// The handoff between this process and the other process of its node.
@@ -78,6 +84,7 @@
                 started_at: Instant::now(),
                 has_searched_peer: false,
                 has_read_admin_drains: false,
+                has_predecessor_state: false,
             },
             accepts_clients: false,
             has_started_handover: false,
@@ -86,13 +93,26 @@
         }
     }
 
-    /// Returns true if this process need not wait for a predecessor: none is running, or it was found and the admin
-    /// drains were read, or [`PEER_DISCOVERY_TIMEOUT`] has passed.
+    /// Returns true if this process need not wait for a predecessor: none is running, or it was found, the admin drains
+    /// were read and its state was received, or the time for this has passed.
     pub(crate) fn is_startup_complete(&self) -> bool {
         let is_known = self.startup.has_searched_peer
             && (self.startup.has_read_admin_drains || self.primary.is_some());
         let waited = self.startup.started_at.elapsed();
-        self.files.is_none() || is_known || waited > PEER_DISCOVERY_TIMEOUT
+        let is_waiting_for_state =
+            self.is_predecessor_state_due() && waited <= PREDECESSOR_STATE_TIMEOUT;
+        let is_complete = is_known && !is_waiting_for_state;
+        self.files.is_none() || is_complete || waited > PEER_DISCOVERY_TIMEOUT
+    }
+
+    /// Returns true if the older process is connected and may yet send its state. Builds that do not share their endpoint
+    /// lists send it when they begin to hand over.
+    fn is_predecessor_state_due(&self) -> bool {
+        let PeerProcess::Connected(peer) = &self.peer else {
+            return false;
+        };
+        let is_sent_later = peer.has_received_heartbeat() && !peer.heartbeat.shares_endpoint_lists;
+        self.primary.is_none() && !self.startup.has_predecessor_state && !is_sent_later
     }
 
     /// Returns true while connections are being transferred to a successor.
--- a/crates/node/tests/upgrade_endpoint_lists.rs
+++ b/crates/node/tests/upgrade_endpoint_lists.rs
@@ -221,6 +221,29 @@
     drop(older_watch);
 }
 
+/// A process that discovery had answered accepted clients before it had the list of the other process, which was held up.
+#[test]
+fn a_successor_accepts_clients_once_it_has_the_list_of_its_predecessor() {
+    let mut rig = Rig::start_with_inherited_listener(2);
+    rig.announce_health(0, "DRAINING", 2);
+    rig.wait_for_log("endpoint list changed");
+    let older_watch = rig.watch.take();
+    rig.pause();
+    rig.start_successor();
+    // Discovery is late on this watch: it tells no change.
+    rig.accept_watch();
+    rig.wait_for_log_count("endpoint watch established", 2);
+    assert_eq!(
+        rig.admin_call("check\r\n"),
+        "error the process before this one has not been reached yet"
+    );
+    send_signal(rig.oldest_process(), "-CONT");
+    rig.wait_until_ready();
+    rig.terminate_predecessor();
+    let _connections = rig.establish_all_at(1);
+    drop(older_watch);
+}
+
 /// Discovery has begun its versions anew while only the older process could reach it.
 #[test]
 fn a_list_with_a_lower_version_reaches_the_successor() {
