Node: the list of the configuration file is not kept once it is applied

Each kept the file's list twice beside the list in use: in the configuration, and for a moment as a copy.

Change: the list is taken out of the configuration when it is applied.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -41,7 +41,7 @@
     pub document: Value,
     /// The cluster, if the operator's file defines one; changes apply at the next start.
     pub cluster: Option<ClusterConfig>,
-    /// The initial endpoint list: the last one that this node received.
+    /// The initial endpoint list: the last one that this node received; `None` once it is applied.
     pub known_endpoints: Option<EndpointListUpdate>,
     /// The settings of the placement module.
     pub settings: Settings,
--- a/crates/node/src/discovery/client.rs
+++ b/crates/node/src/discovery/client.rs
@@ -41,8 +41,6 @@
 /// The client of service discovery.
 pub(crate) struct DiscoveryClient {
     address: SocketAddr,
-    /// The endpoint list of the configuration, until it is applied.
-    known_list: Option<EndpointListUpdate>,
     /// The second call is made if the first is unanswered. The first call to receive an empty line or a complete object
     /// becomes the watch, and the other one is closed.
     calls: [Option<Call>; CALL_SLOTS],
@@ -55,7 +53,6 @@
     pub(crate) fn new(config: &Config) -> DiscoveryClient {
         DiscoveryClient {
             address: config.discovery_address,
-            known_list: config.known_endpoints.clone(),
             calls: [None, None],
             local_failures: 0,
         }
@@ -67,8 +64,8 @@
     }
 
     /// Applies the endpoint list of the configuration, once.
-    fn apply_known_list(&mut self, context: &mut NodeContext) {
-        let Some(known_list) = self.known_list.take() else {
+    fn apply_known_list(context: &mut NodeContext) {
+        let Some(known_list) = context.config.known_endpoints.take() else {
             return;
         };
         let NodeState {
@@ -379,7 +376,7 @@
         if command == DiscoveryCommand::AddressChanged {
             self.change_address(context);
         }
-        self.apply_known_list(context);
+        Self::apply_known_list(context);
         // If a call is in progress, this command is outdated: it was sent after an earlier failure, before the address
         // changed.
         if command != DiscoveryCommand::ApplyKnownList && !self.has_call() {
