Node: the endpoints of a list are shared within a process, not copied

The list was copied for the other process, for its parts and at each merge.

Change: a list holds references to its endpoints.

A test of the module checks that nothing is copied; it can't be built on the form before. Debug builds take more, so no test bounds the sum.

--- a/crates/node/src/discovery/endpoint_list.rs
+++ b/crates/node/src/discovery/endpoint_list.rs
@@ -3,6 +3,7 @@
 use lupincrank_placement::Health;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use thiserror::Error;
 
 /// The endpoint list can't be applied.
@@ -37,7 +38,7 @@
     pub(crate) is_complete: bool,
     /// All endpoints, or the changed ones.
     #[serde(rename = "hosts")]
-    pub(crate) endpoints: Vec<ListedEndpoint>,
+    pub(crate) endpoints: Vec<Arc<ListedEndpoint>>,
 }
 
 impl EndpointListUpdate {
@@ -46,7 +47,9 @@
     /// # Errors
     /// If an endpoint has an invalid address or an unknown health; the error names the first one.
     pub(crate) fn check(&self) -> Result<(), EndpointListError> {
-        self.endpoints.iter().try_for_each(ListedEndpoint::check)
+        self.endpoints
+            .iter()
+            .try_for_each(|endpoint| endpoint.check())
     }
 }
 
--- a/crates/node/src/discovery/endpoint_list_state.rs
+++ b/crates/node/src/discovery/endpoint_list_state.rs
@@ -10,6 +10,7 @@
 use crate::placement_driver::{
     EndpointListScope, EndpointListSource, PlacementDriver, MAX_CURRENT_LIST_AGE,
 };
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// The endpoint list of this process.
@@ -167,7 +168,7 @@
     fn place(
         &mut self,
         placement: &mut PlacementDriver,
-        listed: &[ListedEndpoint],
+        listed: &[Arc<ListedEndpoint>],
         scope: EndpointListScope,
         source: EndpointListSource,
     ) -> Result<(), EndpointListError> {
--- a/crates/node/src/discovery/endpoint_resolver.rs
+++ b/crates/node/src/discovery/endpoint_resolver.rs
@@ -4,6 +4,7 @@
 use crate::config::Config;
 use crate::placement_driver::{ListedStart, PlacementDriver, ResolvedEndpoint};
 use lupincrank_placement::{Endpoint, ServerId};
+use std::sync::Arc;
 use std::time::Instant;
 
 /// The names of zones and machine kinds. Their indices are the numbers that placement uses.
@@ -53,7 +54,7 @@
 
 /// Returns the start times of the servers of a list, except for servers with an unknown health.
 pub(super) fn listed_starts(
-    endpoints: &[ListedEndpoint],
+    endpoints: &[Arc<ListedEndpoint>],
 ) -> impl Iterator<Item = ListedStart> + '_ {
     endpoints.iter().filter_map(|endpoint| {
         Some(ListedStart {
--- a/crates/node/src/discovery/merged_list.rs
+++ b/crates/node/src/discovery/merged_list.rs
@@ -4,6 +4,7 @@
 use super::endpoint_list::{EndpointListUpdate, ListedEndpoint};
 use lupincrank_placement::Health;
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 /// A position in the sequence of discovery's lists.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -32,7 +33,7 @@
     /// For changes, the version of the sender's list before them; `None` for a complete list.
     pub(crate) previous_version: Option<u64>,
     /// The endpoints of the complete list, or the changed ones.
-    pub(crate) endpoints: Vec<ListedEndpoint>,
+    pub(crate) endpoints: Vec<Arc<ListedEndpoint>>,
 }
 
 /// Whether an update is part of the merged list.
@@ -48,7 +49,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct MergedEndpointList {
     position: ListPosition,
-    endpoints: BTreeMap<String, ListedEndpoint>,
+    endpoints: BTreeMap<String, Arc<ListedEndpoint>>,
 }
 
 impl MergedEndpointList {
@@ -155,12 +156,12 @@
         }
     }
 
-    fn set_endpoint(&mut self, endpoint: &ListedEndpoint) {
+    fn set_endpoint(&mut self, endpoint: &Arc<ListedEndpoint>) {
         if endpoint.parsed_health() == Ok(Health::Removed) {
             self.endpoints.remove(&endpoint.server);
         } else {
             self.endpoints
-                .insert(endpoint.server.clone(), endpoint.clone());
+                .insert(endpoint.server.clone(), Arc::clone(endpoint));
         }
     }
 }
--- a/crates/node/src/discovery/merged_list/tests.rs
+++ b/crates/node/src/discovery/merged_list/tests.rs
@@ -17,10 +17,10 @@
     }
 }
 
-fn endpoints(health: &[(&str, &str)]) -> Vec<ListedEndpoint> {
+fn endpoints(health: &[(&str, &str)]) -> Vec<Arc<ListedEndpoint>> {
     health
         .iter()
-        .map(|(server, health)| endpoint(server, health))
+        .map(|(server, health)| Arc::new(endpoint(server, health)))
         .collect()
 }
 
@@ -249,3 +249,16 @@
     assert_eq!(list.merge_shared(&late, false), MergeOutcome::Outdated);
     assert_eq!(text(&list), "s-0 DRAINING");
 }
+
+/// Copies of the list of a large fleet, for the other process and in each merge, took two processes over the least limit of
+/// memory.
+#[test]
+fn a_list_is_merged_and_passed_on_without_copies() {
+    let update = complete(2, &[("s-0", "SERVING")]);
+    let mut list = MergedEndpointList::default();
+    list.merge_known(&update);
+    let mut other = MergedEndpointList::default();
+    other.merge_shared(&list.complete_update(), false);
+    let passed_on = other.complete_update();
+    assert!(Arc::ptr_eq(&update.endpoints[0], &passed_on.endpoints[0]));
+}
--- a/crates/node/src/handoff/list_parts.rs
+++ b/crates/node/src/handoff/list_parts.rs
@@ -6,6 +6,7 @@
 use crate::discovery::endpoint_list::ListedEndpoint;
 use crate::discovery::merged_list::{ListPosition, SharedUpdate};
 use std::mem;
+use std::sync::Arc;
 
 /// Maximum number of parts: a list that needs more is longer than one that discovery can send.
 const MAX_PARTS: u32 = 256;
@@ -29,7 +30,7 @@
         generation,
         version,
     } = update.position;
-    let groups = group_by_size(update.endpoints, estimated_bytes);
+    let groups = group_by_size(update.endpoints, |endpoint| estimated_bytes(endpoint));
     let count = u32::try_from(groups.len()).ok()?;
     if count > MAX_PARTS {
         return None;
@@ -62,7 +63,7 @@
 #[derive(Debug, Default)]
 pub(super) struct ListAssembler {
     next_index: u32,
-    endpoints: Vec<ListedEndpoint>,
+    endpoints: Vec<Arc<ListedEndpoint>>,
 }
 
 impl ListAssembler {
--- a/crates/node/src/handoff/list_parts/tests.rs
+++ b/crates/node/src/handoff/list_parts/tests.rs
@@ -4,15 +4,17 @@
 use std::time::Instant;
 
 fn update(endpoint_count: usize, zone_length: usize) -> SharedUpdate {
-    let endpoint = |index| ListedEndpoint {
-        server: format!("s-{index}"),
-        address: "127.0.0.1:8000".to_string(),
-        zone: Some("z".repeat(zone_length)),
-        machine_kind: None,
-        cell: Some(3),
-        health: "SERVING".to_string(),
-        weight: Some(1.0),
-        started_at_ms: Some(1_700_000_000_000),
+    let endpoint = |index| {
+        Arc::new(ListedEndpoint {
+            server: format!("s-{index}"),
+            address: "127.0.0.1:8000".to_string(),
+            zone: Some("z".repeat(zone_length)),
+            machine_kind: None,
+            cell: Some(3),
+            health: "SERVING".to_string(),
+            weight: Some(1.0),
+            started_at_ms: Some(1_700_000_000_000),
+        })
     };
     SharedUpdate {
         position: ListPosition {
--- a/crates/node/src/handoff/message.rs
+++ b/crates/node/src/handoff/message.rs
@@ -7,6 +7,7 @@
 use lupincrank_placement::learned_state::LearnedServer;
 use serde::{Deserialize, Serialize};
 use std::ops::Not;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// The version of the messages. Two processes with different versions exchange no connections.
@@ -123,7 +124,7 @@
     pub(crate) count: u32,
     /// The endpoints of this part.
     #[serde(rename = "hosts")]
-    pub(crate) endpoints: Vec<ListedEndpoint>,
+    pub(crate) endpoints: Vec<Arc<ListedEndpoint>>,
 }
 
 /// An offered connection and its number, encoded as a JSON array of number and connection.
--- a/crates/node/src/handoff/socket/tests.rs
+++ b/crates/node/src/handoff/socket/tests.rs
@@ -7,6 +7,7 @@
 use lupincrank_placement::learned_state::LearnedServer;
 use rstest::rstest;
 use std::io::{Read, Write};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Returns one end of a connection as a [`PeerConnection`], and the other end as a plain socket.
@@ -66,7 +67,7 @@
         confirmed_at: serde_json::from_str("1500000000").unwrap(),
         index: 0,
         count: 1,
-        endpoints: vec![drained, removed],
+        endpoints: vec![Arc::new(drained), Arc::new(removed)],
     })
 }
 
--- a/crates/node/tests/common/discovery.rs
+++ b/crates/node/tests/common/discovery.rs
@@ -5,8 +5,9 @@
 use super::line_stream::LineStream;
 use super::rig::Rig;
 use super::wait::wait_until;
+use serde_json::Value;
 use std::io::Write;
-use std::time::SystemTime;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// The response head of a watch and its first chunk, a line feed.
 const WATCH_ANSWER: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n";
@@ -75,6 +76,27 @@
         self.write_to_watch(format!("{line}\n").as_bytes(), line.len() + 1);
     }
 
+    /// The entries of this many servers, all at the address of the first one, that have just started.
+    pub fn fleet_entries(&self, server_count: usize) -> Value {
+        let mut entry = self.endpoint_list(&["SERVING"], 1, true)["hosts"][0].clone();
+        let started_at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+        entry["born_ms"] = (started_at.as_millis() as u64).into();
+        let entries = (0..server_count).map(|index| {
+            entry["host"] = format!("s-{index}").into();
+            entry.clone()
+        });
+        entries.collect()
+    }
+
+    /// Sends a complete list of [`Rig::fleet_entries`].
+    pub fn announce_fleet(&mut self, server_count: usize) {
+        let mut list = self.endpoint_list(&[], 2, true);
+        list["hosts"] = self.fleet_entries(server_count);
+        let line = format!("{list}\n");
+        self.write_to_watch(line.as_bytes(), line.len());
+        self.wait_for_log("endpoint list changed");
+    }
+
     /// A list of the first servers, one for each of these health values.
     pub fn endpoint_list(&self, health: &[&str], seq: u64, is_complete: bool) -> serde_json::Value {
         endpoint_list_json(&self.server_addresses, health, seq, is_complete)
--- a/crates/node/tests/common/successor.rs
+++ b/crates/node/tests/common/successor.rs
@@ -42,6 +42,18 @@
         self.start_successor_build(Build::This);
     }
 
+    /// Kills the newest process, and starts another one beside the older one, at the same admin address.
+    pub fn restart_successor(&mut self) {
+        self.signal("-KILL");
+        self.wait_for_exit();
+        self.process = spawn(
+            Build::This,
+            &self.config_path,
+            self.inherited.as_ref(),
+            self.faults.as_ref(),
+        );
+    }
+
     /// Starts a second process, of this build.
     pub fn start_successor_build(&mut self, build: Build) {
         let admin_listener = ReservedAddress::any();
--- a/crates/node/tests/learned_state.rs
+++ b/crates/node/tests/learned_state.rs
@@ -2,33 +2,12 @@
 
 mod common;
 use common::{exchange_lines, send_signal, wait_until, Rig};
-use serde_json::Value;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 /// The servers of the largest fleet.
 const MAX_SERVERS: usize = 3_200;
 /// The log of a process that takes over what its predecessor has learned, up to the number of servers.
 const IMPORTED: &str = "learned state imported, limited: 0, ejected: 0, servers: ";
 
-/// Tells the node a list of thousands of servers, all at the address of the first one, that have just started.
-fn announce_large_fleet(rig: &mut Rig) {
-    let one = rig.endpoint_list(&["SERVING"], 2, true);
-    let started_at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
-    let entries: Vec<Value> = (0..MAX_SERVERS)
-        .map(|index| {
-            let mut entry = one["hosts"][0].clone();
-            entry["host"] = format!("s-{index}").into();
-            entry["born_ms"] = (started_at.as_millis() as u64).into();
-            entry
-        })
-        .collect();
-    let mut list = one;
-    list["hosts"] = entries.into();
-    let line = format!("{list}\n");
-    rig.write_to_watch(line.as_bytes(), line.len());
-    rig.wait_for_log("endpoint list changed");
-}
-
 /// The number of servers whose learned state was imported, according to the log.
 fn imported_server_count(rig: &Rig) -> usize {
     let log = rig.log();
@@ -42,7 +21,7 @@
 #[test]
 fn what_was_learned_of_the_largest_fleet_is_handed_over() {
     let mut rig = Rig::start_with_inherited_listener(1);
-    announce_large_fleet(&mut rig);
+    rig.announce_fleet(MAX_SERVERS);
     rig.hand_over_to_successor();
     wait_until("the learned state of all servers", || {
         (imported_server_count(&rig) >= MAX_SERVERS).then_some(())
@@ -72,7 +51,7 @@
 #[test]
 fn learned_state_waits_for_space_in_the_buffer_and_precedes_the_connections() {
     let mut rig = Rig::start_with_inherited_listener(1);
-    announce_large_fleet(&mut rig);
+    rig.announce_fleet(MAX_SERVERS);
     let (mut client, _, mut server) = rig.establish();
     rig.start_successor();
     rig.accept_watch();
--- a/crates/node/tests/upgrade_endpoint_lists.rs
+++ b/crates/node/tests/upgrade_endpoint_lists.rs
@@ -102,6 +102,43 @@
     let _connections = rig.establish_all_at(1);
 }
 
+/// A successor is killed and started again: it is sent the list anew.
+#[test]
+fn a_successor_that_is_started_again_goes_by_what_its_predecessor_was_told() {
+    let (mut rig, _reserved) = start_told_before_an_outage(Change::Drained);
+    rig.start_successor();
+    rig.wait_until_ready();
+    rig.restart_successor();
+    rig.wait_for_log_count(&format!("{LIST_RECEIVED}2, seq: 2"), 2);
+    rig.wait_until_ready();
+    rig.terminate_predecessor();
+    let _connections = rig.establish_all_at(1);
+}
+
+/// The older process keeps its watch until it ends.
+#[test]
+fn a_change_between_the_signal_and_the_end_of_a_process_is_known_to_its_successor() {
+    let mut rig = Rig::start_with_inherited_listener(2);
+    let older_watch = rig.watch.take();
+    // A request that waits keeps the older process from ending.
+    let mut waiting = rig.send_request("d=20000,g=b").0;
+    let (_, mut server) = rig.accept_attempt();
+    server.receive();
+    rig.start_successor();
+    rig.accept_watch();
+    rig.wait_until_ready();
+    send_signal(rig.oldest_process(), "-TERM");
+    rig.wait_for_log("shutdown started");
+    let newer_watch = std::mem::replace(&mut rig.watch, older_watch);
+    rig.announce_health(0, "DRAINING", 2);
+    rig.wait_for_log(&format!("{LIST_RECEIVED}1, seq: 2"));
+    let _connections = rig.establish_all_at(1);
+    server.send("UP r2\r\n");
+    assert_eq!(waiting.receive(), "UP r2");
+    rig.wait_for_predecessor_exit();
+    drop(newer_watch);
+}
+
 /// A change that discovery wrote to one of two processes reached the other one by its own watch only, seconds later.
 #[rstest]
 fn a_change_on_the_watch_of_one_process_is_known_to_the_other(
@@ -221,29 +258,6 @@
     drop(older_watch);
 }
 
-/// A process that discovery had answered accepted clients before it had the list of the other process, which was held up.
-#[test]
-fn a_successor_accepts_clients_once_it_has_the_list_of_its_predecessor() {
-    let mut rig = Rig::start_with_inherited_listener(2);
-    rig.announce_health(0, "DRAINING", 2);
-    rig.wait_for_log("endpoint list changed");
-    let older_watch = rig.watch.take();
-    rig.pause();
-    rig.start_successor();
-    // Discovery is late on this watch: it tells no change.
-    rig.accept_watch();
-    rig.wait_for_log_count("endpoint watch established", 2);
-    assert_eq!(
-        rig.admin_call("check\r\n"),
-        "error the process before this one has not been reached yet"
-    );
-    send_signal(rig.oldest_process(), "-CONT");
-    rig.wait_until_ready();
-    rig.terminate_predecessor();
-    let _connections = rig.establish_all_at(1);
-    drop(older_watch);
-}
-
 /// Discovery has begun its versions anew while only the older process could reach it.
 #[test]
 fn a_list_with_a_lower_version_reaches_the_successor() {
--- a/crates/node/tests/upgrade_readiness.rs
+++ b/crates/node/tests/upgrade_readiness.rs
@@ -1,7 +1,7 @@
-//! When a new process of a node says that it can serve, while discovery can't be reached.
+//! When a new process of a node says that it can serve: while discovery can't be reached, or the older process is held up.
 
 mod common;
-use common::{wait_until, Rig};
+use common::{send_signal, wait_until, Rig};
 use std::time::{Duration, Instant};
 
 /// A new process has to be ready within this time.
@@ -67,3 +67,26 @@
     rig.terminate_predecessor();
     let _connections = rig.establish_all_at(1);
 }
+
+/// A process that discovery had answered accepted clients before it had the list of the other process, which was held up.
+#[test]
+fn a_successor_accepts_clients_once_it_has_the_list_of_its_predecessor() {
+    let mut rig = Rig::start_with_inherited_listener(2);
+    rig.announce_health(0, "DRAINING", 2);
+    rig.wait_for_log("endpoint list changed");
+    let older_watch = rig.watch.take();
+    rig.pause();
+    rig.start_successor();
+    // Discovery is late on this watch: it tells no change.
+    rig.accept_watch();
+    rig.wait_for_log_count("endpoint watch established", 2);
+    assert_eq!(
+        rig.admin_call("check\r\n"),
+        "error the process before this one has not been reached yet"
+    );
+    send_signal(rig.oldest_process(), "-CONT");
+    rig.wait_until_ready();
+    rig.terminate_predecessor();
+    let _connections = rig.establish_all_at(1);
+    drop(older_watch);
+}
